--- /dev/null
+++ b/cmd/mallowctl/main.go
@@ -0,0 +1,4 @@
+// Command mallowctl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mallowwind/main.go
@@ -0,0 +1,4 @@
+// Command mallowwind is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/control/backends/backends.go
@@ -0,0 +1,48 @@
+// Package backends keeps a daemon's picture of the backend servers: the
+// platform's lagging VM list joined with what each engine reports of itself.
+package backends
+
+import (
+	"time"
+
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/vmlist"
+)
+
+// Backend is one backend server as last seen. It is immutable.
+type Backend struct {
+	VM     vmlist.VM
+	Engine engine.Engine // nil in pools of plain services
+	Status engine.Status // last report; zero for plain services
+	Seen   time.Time     // when Status was taken, zero if never
+	// Reachable is false after the last poll failed.
+	Reachable bool
+}
+
+// Serves reports whether the backend server has ref loaded and ready.
+func (b *Backend) Serves(ref engine.ModelRef) bool {
+	for _, l := range b.Status.Models {
+		if l.Ref == ref && l.State == engine.Ready {
+			return true
+		}
+	}
+	return false
+}
+
+// Snapshot is an immutable picture of all known backend servers by pool,
+// ordered by VM id. Version grows with every change.
+type Snapshot struct {
+	Version uint64
+	Pools   map[string][]*Backend
+}
+
+// Source gives the current snapshot; the pointer is swapped whole and never nil.
+type Source interface {
+	Current() *Snapshot
+}
+
+// Static is a Source that never changes, for tests.
+type Static struct{ Snapshot *Snapshot }
+
+// Current returns the fixed snapshot.
+func (s Static) Current() *Snapshot { return s.Snapshot }
--- /dev/null
+++ b/telemetry/event/catalogue.go
@@ -0,0 +1,19 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Numbers by concern: 1xx daemon, 2xx admission and routing, 3xx generations,
+// 4xx calls that run at most once, 5xx configuration, 6xx membership,
+// 7xx placement, 8xx platform. Each concern has its own file.
+
+// Events of the daemon's life.
+var (
+	DaemonStarted = define(101, "daemon_started", logrus.InfoLevel,
+		"The daemon serves callers.", "listen", "peer_listen", "version")
+	DaemonDraining = define(102, "daemon_draining", logrus.InfoLevel,
+		"The daemon left the address answers and finishes its work.", "running", "wait")
+	DaemonStopped = define(103, "daemon_stopped", logrus.InfoLevel,
+		"The daemon has stopped.", "cut", "handed_over")
+	InvariantViolated = define(104, "invariant_violated", logrus.ErrorLevel,
+		"An invariant did not hold; the answer it concerns was stopped.", "invariant", "subject", "detail")
+)
