--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -1,4 +1,63 @@
-// Command mallowctl is not built yet.
+// Command mallowctl is the operators' command line. It also holds the demo,
+// the stand-ins of the platform and the experiments.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes, documented in docs/mallowctl.md.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitStore    = 4
+)
+
+// version is set by the linker in released builds.
+var version = "dev"
+
+// commands is the whole command line. One file per command holds its struct.
+type commands struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// coder is an error that chooses the exit code.
+type coder interface{ ExitCode() int }
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run parses and executes one command line and returns the exit code.
+func run(args []string) int {
+	var c commands
+	parser := kong.Must(&c,
+		kong.Name("mallowctl"),
+		kong.Description("Operate a mallowwind deployment."),
+		kong.Vars{"version": version},
+		kong.UsageOnError(),
+	)
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mallowctl:", err)
+		return exitUsage
+	}
+	return exitCode(ctx.Run())
+}
+
+// exitCode prints err, if any, and maps it to an exit code.
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "mallowctl:", err)
+	if c, ok := err.(coder); ok {
+		return c.ExitCode()
+	}
+	return exitFailed
+}
