admit: classes, fair shares and deadline-bounded queues

Cause: requests that wait at the engines wait in order of arrival, whatever their deadline. Change: one queue per set of backend servers, with a reserve for urgent work, a floor for long work, start-time fair queueing between accounts in tokens, refusal on arrival of what cannot start in time at the measured drain rate. Not measured yet.

--- /dev/null
+++ b/decision/admit/admit.go
@@ -0,0 +1,196 @@
+// Package admit decides what is let in, what waits and for how long, and what
+// is turned away. One Queue stands before each set of backend servers that can
+// run the same work.
+//
+// Load it answers: a burst of urgent lookups beside long generations, one
+// account that sends most of the work, and saturation for minutes.
+//
+// Without it, requests wait at the engines in order of arrival: an urgent
+// lookup waits behind minutes of tokens, the account that sends most gets
+// most, and beyond saturation every answer starts after its caller has left,
+// so that the backend servers do full work and nobody gets anything.
+//
+// How it decides: classes are served urgent first, each class below another
+// leaves the reserve of the classes above free, and long work has a floor so
+// that it cannot starve. Within a class accounts share by start-time fair
+// queueing with work counted in tokens. What cannot start before its deadline
+// at the measured drain rate is refused on arrival; what became hopeless while
+// it waited is refused as soon as that is known.
+package admit
+
+import (
+	"time"
+)
+
+// Class orders work; smaller values are more urgent.
+type Class uint8
+
+// The classes. Resumed continues an answer already begun, so its caller has
+// the most to lose; it is never queued behind new work.
+const (
+	Resumed Class = iota
+	Urgent
+	Normal
+	Long
+	classes
+)
+
+// String returns the lower-case name.
+func (c Class) String() string {
+	return [...]string{"resumed", "urgent", "normal", "long"}[c]
+}
+
+const (
+	// urgentReserve is the share of slots that only urgent and resumed work may
+	// take. A lookup holds a slot for about a hundredth of the time of a long
+	// generation, so a tenth of the slots carries lookups of a tenth of the load
+	// with a free slot nearly always at hand.
+	urgentReserve = 0.10
+	// normalReserve is the further share that long work leaves to normal work.
+	// Long generations hold slots for minutes: without the reserve a normal
+	// request waits for the next of them to end.
+	normalReserve = 0.15
+	// longFloor is the share of tokens, of those started by other classes, that
+	// waiting long work is credited with. It bounds how long a review waits under
+	// endless normal load and costs normal work at most that share.
+	longFloor = 0.15
+	// reserveMemory is how long a class is remembered after its last arrival.
+	// A reserve for a class that sends nothing would waste its slots.
+	reserveMemory = time.Minute
+	// shedSlack is how far the predicted start may pass the deadline before
+	// waiting work is refused. The prediction errs by about a fifth; without
+	// slack work that would just make it is thrown away.
+	shedSlack = 1.2
+	// overloadShare is the share of an urgent request's patience that the
+	// predicted wait must reach before the newest goes first. Below it order of
+	// arrival is fairer; above it the oldest would expire just as it starts.
+	overloadShare = 0.5
+	// maxRetryAfter bounds what a refused caller is told: load an hour away
+	// cannot be predicted from a drain rate.
+	maxRetryAfter = time.Minute
+	// minRetryAfter is the least a refused caller is told to wait.
+	minRetryAfter = 200 * time.Millisecond
+)
+
+// Item is one request. The caller fills the exported fields and keeps the Item
+// until it has started, was refused or removed; a Queue adds nothing else, so
+// that waiting allocates nothing.
+type Item struct {
+	Account  string
+	Weight   float64 // share in fair queueing; 1 is usual, values <= 0 count as 1
+	Class    Class
+	Cost     float64 // expected work in tokens
+	Deadline time.Time
+
+	flow       *flow
+	prev, next *Item
+}
+
+// Waiting reports whether the item is in a queue.
+func (it *Item) Waiting() bool { return it.flow != nil }
+
+// Action is what becomes of an offered item.
+type Action uint8
+
+// The actions.
+const (
+	Start Action = iota
+	Wait
+	Refuse
+)
+
+// Reason says why; it goes into the log line and the metric.
+type Reason string
+
+// The reasons.
+const (
+	ReasonFree      Reason = "slot_free"
+	ReasonQueued    Reason = "queued"
+	ReasonNewest    Reason = "queued_newest_first"
+	ReasonLate      Reason = "cannot_start_in_time"
+	ReasonExpired   Reason = "expired"
+	ReasonNoServers Reason = "no_capacity"
+	ReasonHopeless  Reason = "became_hopeless"
+)
+
+// Decision is the answer to an offer.
+type Decision struct {
+	Action Action
+	Reason Reason
+	// Wait is the predicted time until the item starts.
+	Wait time.Duration
+	// RetryAfter is when an equal request is expected to be let in.
+	RetryAfter time.Duration
+}
+
+// Offer decides about a new item when slots requests may run at once. After
+// Wait the item belongs to the queue until Next, Shed or Remove gives it back.
+// After Start the caller reports Started once a backend server is chosen.
+func (q *Queue) Offer(now time.Time, it *Item, slots int) Decision {
+	q.seen(now, it)
+	if !it.Deadline.After(now) {
+		return q.refuse(now, it, slots, 0, ReasonExpired)
+	}
+	if slots <= 0 {
+		return q.refuse(now, it, slots, 0, ReasonNoServers)
+	}
+	if q.waitingUpTo(it.Class) == 0 && q.allowed(now, it.Class, slots) {
+		return Decision{Action: Start, Reason: ReasonFree}
+	}
+	return q.enqueue(now, it, slots)
+}
+
+// enqueue lets an item wait, or refuses it when it cannot start in time.
+func (q *Queue) enqueue(now time.Time, it *Item, slots int) Decision {
+	wait := q.predict(it, q.aheadOf(it), slots)
+	patience := it.Deadline.Sub(now)
+	newest := it.Class == Urgent && float64(wait) > overloadShare*float64(patience)
+	if newest {
+		q.push(it, true)
+		return Decision{Action: Wait, Reason: ReasonNewest, Wait: wait}
+	}
+	if wait > patience && it.Class != Resumed {
+		return q.refuse(now, it, slots, wait, ReasonLate)
+	}
+	q.push(it, false)
+	return Decision{Action: Wait, Reason: ReasonQueued, Wait: wait}
+}
+
+func (q *Queue) refuse(now time.Time, it *Item, slots int, wait time.Duration, why Reason) Decision {
+	return Decision{
+		Action: Refuse, Reason: why, Wait: wait,
+		RetryAfter: q.retryAfter(now, it, wait, slots),
+	}
+}
+
+// allowed reports whether a request of class c may start when slots may run,
+// given the reserves of the classes above it that were seen lately.
+func (q *Queue) allowed(now time.Time, c Class, slots int) bool {
+	total := 0
+	for _, n := range q.running {
+		total += n
+	}
+	if total >= slots {
+		return false
+	}
+	if c <= Urgent {
+		return true
+	}
+	keep := q.reserve(now, Urgent, urgentReserve, slots)
+	used := q.running[Normal] + q.running[Long]
+	if c == Long {
+		keep += q.reserve(now, Normal, normalReserve, slots)
+		return q.running[Long] < slots-keep && used < slots-q.reserve(now, Urgent, urgentReserve, slots)
+	}
+	return used < slots-keep
+}
+
+// reserve is the number of slots kept for class c: none where the class sent
+// nothing lately, and never the last slot.
+func (q *Queue) reserve(now time.Time, c Class, share float64, slots int) int {
+	if slots < 2 || q.last[c].IsZero() || now.Sub(q.last[c]) > reserveMemory {
+		return 0
+	}
+	n := int(share*float64(slots) + 0.999)
+	return min(n, slots-1)
+}
