--- /dev/null
+++ b/decision/limit/server.go
@@ -0,0 +1,135 @@
+// Package limit decides how much one backend server is given at once and how
+// much one account may use.
+//
+// Load it answers: saturation, a backend server that slows down, and accounts
+// that reach the system through several entry VMs at once.
+//
+// Without it, requests pile up inside the engines, where neither deadlines nor
+// shares between accounts are known: the batch grows, every stream slows, and
+// load reports tell so only after their lag.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// tolerance is how much slower than its best a token gap may get before the
+	// limit falls. A full batch of a continuously batching engine is about half
+	// again as slow as a single stream; beyond twice the engine is overrun.
+	tolerance = 2.0
+	// smoothing is the share of a new limit taken over at each adjustment.
+	smoothing = 0.2
+	// gapMemory is how many observations the recent gap looks back on.
+	gapMemory = 32
+	// bestDrift lets the best gap rise slowly, so that a change of model or
+	// hardware is learned within some thousand observations.
+	bestDrift = 1.0 / 4096
+	// adjustEvery is the least time between adjustments: about ten gaps, so that
+	// each adjustment sees the effect of the one before.
+	adjustEvery = 250 * time.Millisecond
+	// waitingBackoff is the factor applied when the engine reports that it queues
+	// requests itself.
+	waitingBackoff = 0.8
+	// minLimit keeps a path open on which recovery can be seen.
+	minLimit = 1
+)
+
+// Server learns how many requests one daemon may have at one backend server.
+// Its own requests in flight are counted exactly; what other daemons do shows
+// in the token gap and, with a lag, in the engine's report. The zero value is
+// not usable. It is not safe for concurrent use.
+type Server struct {
+	limit   float64
+	ceiling float64
+	best    float64 // seconds
+	recent  float64 // seconds
+	seen    int
+	next    time.Time
+	report  time.Time // of the last report taken in
+}
+
+// NewServer starts at this daemon's even share of slots among daemons.
+func NewServer(slots, daemons int) Server {
+	share := math.Ceil(float64(max(slots, 1)) / float64(max(daemons, 1)))
+	return Server{limit: share, ceiling: share}
+}
+
+// Limit is the number of requests this daemon may have there, at least 1.
+func (s *Server) Limit() int {
+	return max(minLimit, int(min(s.limit, s.ceiling)+0.5))
+}
+
+// Gap records the time between two tokens of one stream.
+func (s *Server) Gap(gap time.Duration) {
+	g := gap.Seconds()
+	if g <= 0 {
+		return
+	}
+	if s.seen == 0 {
+		s.best, s.recent = g, g
+	}
+	s.seen++
+	s.recent += (g - s.recent) / gapMemory
+	if s.recent < s.best {
+		s.best = s.recent
+	} else {
+		s.best += (s.recent - s.best) * bestDrift
+	}
+}
+
+// Report is what the engine said of itself, some time ago.
+type Report struct {
+	Taken   time.Time
+	Running int
+	Waiting int
+	Slots   int // 0 if unknown
+	Own     int // requests of this daemon when the report was taken
+}
+
+// Reported takes in a report. slots is the operators' bound on the whole
+// backend server and daemons the number of entry VMs that may use it. The
+// ceiling becomes what the others leave free, never less than the even share:
+// an idle neighbour's slots are used, and a busy one's are not fought for.
+func (s *Server) Reported(r Report, slots, daemons int) {
+	if r.Slots > 0 && (slots <= 0 || r.Slots < slots) {
+		slots = r.Slots
+	}
+	share := math.Ceil(float64(max(slots, 1)) / float64(max(daemons, 1)))
+	others := float64(max(0, r.Running+r.Waiting-r.Own))
+	if r.Taken.IsZero() {
+		s.ceiling = share
+		return
+	}
+	s.ceiling = max(share, float64(slots)-others)
+	if r.Waiting > 0 && r.Taken.After(s.report) && r.Own > 0 {
+		s.limit = max(share/2, minLimit, s.limit*waitingBackoff)
+	}
+	s.report = r.Taken
+}
+
+// Adjust moves the limit when it is due, and reports whether it changed. A
+// limit that is not used says nothing, so it only grows when at least half of
+// it is in flight.
+func (s *Server) Adjust(now time.Time, inFlight int) bool {
+	if now.Before(s.next) {
+		return false
+	}
+	s.next = now.Add(adjustEvery)
+	before := s.Limit()
+	gradient := 1.0
+	if s.seen >= gapMemory && s.recent > 0 {
+		gradient = min(1, max(0.5, tolerance*s.best/s.recent))
+	}
+	target := s.limit * gradient
+	if gradient == 1 {
+		if float64(inFlight) < s.limit/2 {
+			return false
+		}
+		target += math.Sqrt(s.limit)
+	}
+	s.limit += smoothing * (target - s.limit)
+	s.limit = min(max(s.limit, minLimit), s.ceiling)
+	return s.Limit() != before
+}
