budget: one budget for retries and takeovers

Cause: repeated work adds load when there is least room. Change: a tenth of useful tokens may be spent again, none against a queue; a continuation whose engine is certainly gone is always paid.

--- /dev/null
+++ b/decision/budget/budget.go
@@ -0,0 +1,102 @@
+// Package budget decides whether a retry or a takeover is affordable. There is
+// one budget for both, counted in tokens.
+//
+// Load it answers: failures at saturation, and a stall of all engines at once.
+//
+// Without it, each failure adds load exactly when there is least room: retries
+// multiply the offered work, the added work makes more requests fail, and the
+// system stays down after the cause has gone. A global stall looks like the
+// death of every engine and would start every generation a second time.
+package budget
+
+import "time"
+
+const (
+	// DefaultShare is the share of useful tokens that may be spent again. One in
+	// ten carries the loss of one of today's 18 drafting engines a minute, and
+	// keeps the worst case at a tenth more load.
+	DefaultShare = 0.10
+	// window is how much past work the budget can draw on, in seconds of income:
+	// long enough to take over what one dead engine ran, short enough that a
+	// quiet hour does not pay for a storm.
+	window = 60.0
+	// trickle is the least income in tokens a second, so that a daemon with
+	// little traffic can still afford a takeover now and then.
+	trickle = 50.0
+	// floorTokens is the least the balance can hold.
+	floorTokens = 4000.0
+)
+
+// Reason says why an expense was granted or refused.
+type Reason string
+
+// The reasons.
+const (
+	Granted   Reason = "budget_granted"
+	Forced    Reason = "budget_forced"
+	Exhausted Reason = "budget_exhausted"
+	Saturated Reason = "saturated"
+)
+
+// Expense is what the budget is asked to pay.
+type Expense struct {
+	Tokens float64
+	// Forced marks the continuation of an answer whose backend server is
+	// certainly gone: it is always granted, and paid for by the next ones.
+	Forced bool
+	// Saturated says that requests are waiting for backend servers.
+	Saturated bool
+}
+
+// Budget is the balance of one daemon. The zero value has the default share
+// and a full floor. It is not safe for concurrent use.
+type Budget struct {
+	balance float64
+	income  float64 // decayed tokens earned a second
+	updated time.Time
+}
+
+// Earn credits useful tokens.
+func (b *Budget) Earn(now time.Time, tokens float64) {
+	b.advance(now)
+	earned := DefaultShare * tokens
+	b.income += earned / window
+	b.balance = min(b.balance+earned, b.most())
+}
+
+// Spend asks for an expense.
+func (b *Budget) Spend(now time.Time, e Expense) Reason {
+	b.advance(now)
+	switch {
+	case e.Forced:
+		b.balance = max(b.balance-e.Tokens, -b.most())
+		return Forced
+	case e.Saturated:
+		return Saturated
+	case b.balance < e.Tokens:
+		return Exhausted
+	}
+	b.balance -= e.Tokens
+	return Granted
+}
+
+// Wait is how long until tokens are affordable at the present income.
+func (b *Budget) Wait(tokens float64) time.Duration {
+	missing := max(0, tokens-b.balance)
+	return time.Duration(missing / (b.income + trickle) * float64(time.Second))
+}
+
+// Balance is the number of tokens that may be spent now.
+func (b *Budget) Balance() float64 { return b.balance }
+
+func (b *Budget) most() float64 { return max(floorTokens, b.income*window) }
+
+func (b *Budget) advance(now time.Time) {
+	if b.updated.IsZero() {
+		b.balance = floorTokens
+	} else if s := now.Sub(b.updated).Seconds(); s > 0 {
+		b.income = max(0, b.income-b.income*min(1, s/window))
+		b.balance = min(b.balance+trickle*s, b.most())
+	}
+	b.updated = now
+}
