flow: a dispatcher that asks the decision packages

Cause: the request path needs one place that admits, waits and picks. Ask gains Speculative: a continuation whose previous attempt may live is paid by the budget or refused.

--- /dev/null
+++ b/serve/flow/core.go
@@ -0,0 +1,272 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/budget"
+	"mallowwind.dev/decision/health"
+	"mallowwind.dev/decision/limit"
+	"mallowwind.dev/decision/route"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/platform/engine"
+)
+
+// Core is the state machine behind a Dispatcher: every decision from admission
+// to the chosen backend server, with time as an argument and no goroutine, so
+// that a simulation in virtual time drives exactly what the daemon runs. It is
+// not safe for concurrent use; Manager adds the lock.
+type Core struct {
+	place    Place
+	observe  *observer
+	random   *rand.Rand
+	site     *site.Site
+	daemons  int
+	servers  map[string]*server
+	groups   map[groupKey]*group
+	accounts map[string]*limit.Account
+	told     func(account string) (told int, member bool)
+	budget   budget.Budget
+	nextEval time.Time
+}
+
+// Place is where this daemon stands.
+type Place struct {
+	VM     string
+	Zone   string
+	Region string
+}
+
+// Sink receives what becomes of a submitted request: exactly one call, in the
+// goroutine and under the lock of whoever made the core move.
+type Sink interface {
+	Granted(now time.Time, g *Lease)
+	Refused(now time.Time, err *verdict.Error)
+}
+
+// Waiter is a submitted request.
+type Waiter struct {
+	item    admit.Item
+	ask     Ask
+	sink    Sink
+	group   *group
+	arrived time.Time
+}
+
+// groupKey names a set of backend servers that can run the same work.
+type groupKey struct {
+	pool string
+	ref  engine.ModelRef
+}
+
+// group is the queue and the candidates of one key.
+type group struct {
+	key     groupKey
+	queue   *admit.Queue
+	table   *route.Table
+	servers []*server // in the order of the table
+	peers   []*health.Peer
+	eval    health.Evaluator
+	slots   int
+	// loading is the shortest time until a server that loads the model is
+	// ready; loadingSlots is what those servers will add.
+	loading      time.Time
+	loadingSlots int
+	waiters      map[*admit.Item]*Waiter
+	holders      map[uint64]string // prefix hints
+}
+
+// defaultDeadline holds where neither request nor service has one.
+const defaultDeadline = 30 * time.Second
+
+// defaultSlots holds for pools without a bound: plain services mostly.
+const defaultSlots = 64
+
+// NewCore returns a core without backend servers; Update gives it some.
+func NewCore(place Place, o *observer, seed uint64) *Core {
+	return &Core{
+		place: place, observe: o, daemons: 1,
+		random:   rand.New(rand.NewPCG(seed, route.Mix(seed))),
+		servers:  map[string]*server{},
+		groups:   map[groupKey]*group{},
+		accounts: map[string]*limit.Account{},
+	}
+}
+
+func keyOf(s *site.Service) groupKey {
+	return groupKey{
+		pool: s.Pool,
+		ref:  engine.ModelRef{Model: s.Model, Adapter: s.Adapter, Version: s.Version},
+	}
+}
+
+func classOf(ask *Ask) admit.Class {
+	if ask.Resume {
+		return admit.Resumed
+	}
+	switch ask.Service.Class {
+	case site.ClassUrgent:
+		return admit.Urgent
+	case site.ClassLong:
+		return admit.Long
+	default:
+		return admit.Normal
+	}
+}
+
+// Submit decides about a request. The sink is called before Submit returns
+// unless the request waits; then the Waiter can be given to Cancel.
+func (c *Core) Submit(now time.Time, ask Ask, sink Sink) *Waiter {
+	w := c.waiter(now, ask, sink)
+	if err := c.precheck(now, w); err != nil {
+		c.refuse(now, w, err)
+		return w
+	}
+	d := c.offer(now, w)
+	switch d.Action {
+	case admit.Start:
+		if c.start(now, w) {
+			w.group.queue.Started(&w.item)
+			return w
+		}
+		w.group.queue.Hold(&w.item)
+		fallthrough
+	case admit.Wait:
+		w.group.waiters[&w.item] = w
+		c.observe.queued(w, d)
+	case admit.Refuse:
+		c.refuse(now, w, refusal(d, now))
+	}
+	return w
+}
+
+func (c *Core) waiter(now time.Time, ask Ask, sink Sink) *Waiter {
+	if ask.Deadline.IsZero() {
+		wait := ask.Service.Deadline
+		if wait <= 0 {
+			wait = defaultDeadline
+		}
+		ask.Deadline = now.Add(wait)
+	}
+	w := &Waiter{ask: ask, sink: sink, group: c.group(keyOf(ask.Service)), arrived: now}
+	w.item = admit.Item{
+		Weight: 1, Class: classOf(&ask), Cost: float64(max(ask.Cost, 1)), Deadline: ask.Deadline,
+	}
+	if ask.Account != nil {
+		w.item.Account = ask.Account.Name
+		w.item.Weight = ask.Account.Share
+	}
+	return w
+}
+
+// precheck asks the account's limit and the budget for extra work.
+func (c *Core) precheck(now time.Time, w *Waiter) *verdict.Error {
+	if w.ask.Resume || len(w.ask.Exclude) > 0 {
+		return c.afford(now, w)
+	}
+	a := w.ask.Account
+	if a == nil || a.TokensPerS <= 0 {
+		return nil
+	}
+	told, member := c.daemons, true
+	if c.told != nil {
+		told, member = c.told(a.Name)
+	}
+	bucket, ok := c.accounts[a.Name]
+	if !ok {
+		bucket = &limit.Account{}
+		c.accounts[a.Name] = bucket
+	}
+	rate := a.TokensPerS * limit.Share(told, member)
+	if wait := bucket.Take(now, w.item.Cost, rate); wait > 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeAccountLimit,
+			"account %s is above its limit of %g tokens a second", a.Name, a.TokensPerS).After(wait)
+	}
+	return nil
+}
+
+// afford charges a retry or a takeover. A continuation whose engine is
+// certainly gone is always paid: its caller holds half an answer.
+func (c *Core) afford(now time.Time, w *Waiter) *verdict.Error {
+	waiting, _ := w.group.queue.Waiting()
+	why := c.budget.Spend(now, budget.Expense{
+		Tokens:    w.item.Cost,
+		Forced:    w.ask.Resume && !w.ask.Speculative,
+		Saturated: waiting > 0,
+	})
+	c.observe.budget(w, why, c.budget.Balance())
+	if why == budget.Granted || why == budget.Forced {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded,
+		"no room for repeated work: %s", why).After(c.budget.Wait(w.item.Cost))
+}
+
+// offer asks the queue, and lets the request wait for a model that is loading
+// when nothing else can run it.
+func (c *Core) offer(now time.Time, w *Waiter) admit.Decision {
+	g := w.group
+	if g.slots == 0 && g.loadingSlots > 0 && now.Before(w.item.Deadline) {
+		return c.offerLoading(now, w)
+	}
+	return g.queue.Offer(now, &w.item, g.slots)
+}
+
+// start picks a backend server and hands out the lease; false when none has room.
+func (c *Core) start(now time.Time, w *Waiter) bool {
+	q := route.Query{
+		Prefix: w.ask.PrefixHash, Prefer: w.ask.Prefer, Exclude: w.ask.Exclude,
+		Random: c.random.Uint64(), Overshoot: w.ask.Resume,
+	}
+	if w.group.table == nil {
+		return false
+	}
+	r := w.group.table.Pick(&q)
+	if r.Index < 0 {
+		return false
+	}
+	s := w.group.servers[r.Index]
+	s.load.InFlight++
+	l := &Lease{core: c, group: w.group, server: s, item: &w.item, reason: r.Reason, started: now}
+	c.observe.dispatched(now, w, l)
+	w.sink.Granted(now, l)
+	return true
+}
+
+func (c *Core) refuse(now time.Time, w *Waiter, err *verdict.Error) {
+	c.observe.refused(now, w, err)
+	w.sink.Refused(now, err)
+}
+
+// Cancel takes a waiting request out; false when it was already decided.
+func (c *Core) Cancel(w *Waiter) bool {
+	if !w.item.Waiting() {
+		return false
+	}
+	w.group.queue.Remove(&w.item)
+	delete(w.group.waiters, &w.item)
+	return true
+}
+
+// Expire refuses a waiting request whose deadline has come.
+func (c *Core) Expire(now time.Time, w *Waiter) bool {
+	if !c.Cancel(w) {
+		return false
+	}
+	c.refuse(now, w, refusal(w.group.queue.Refusal(now, &w.item, w.group.expected()), now))
+	return true
+}
+
+// refusal turns a decision of the queue into the error callers get.
+func refusal(d admit.Decision, _ time.Time) *verdict.Error {
+	code, text := verdict.CodeOverloaded, "cannot start before its deadline"
+	switch d.Reason {
+	case admit.ReasonExpired:
+		code, text = verdict.CodeDeadline, "the deadline passed before a backend server was free"
+	case admit.ReasonNoServers:
+		code, text = verdict.CodeNoBackend, "no backend server is ready for this service"
+	}
+	return verdict.New(verdict.NotRun, code, "%s (%s)", text, d.Reason).After(d.RetryAfter)
+}
--- a/serve/flow/flow.go
+++ b/serve/flow/flow.go
@@ -25,6 +25,9 @@
 	// Resume marks the continuation of an answer already begun: it is not
 	// queued behind new work but pays from the takeover budget.
 	Resume bool
+	// Speculative marks a continuation whose previous attempt may still be
+	// alive: it is extra work, and refused when the budget does not afford it.
+	Speculative bool
 	// Exclude names backend servers not to be chosen, by VM id.
 	Exclude []string
 	// Prefer names a backend server to take if it is acceptable.
--- /dev/null
+++ b/serve/flow/lease.go
@@ -0,0 +1,140 @@
+package flow
+
+import (
+	"time"
+
+	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/health"
+	"mallowwind.dev/decision/route"
+)
+
+// Lease is the use of one slot of a backend server. Its methods need the same
+// lock as the Core.
+type Lease struct {
+	core    *Core
+	group   *group
+	server  *server
+	item    *admit.Item
+	reason  route.Reason
+	started time.Time
+	ended   bool
+}
+
+// Backend returns the chosen backend server.
+func (l *Lease) Backend() Backend { return l.server.backend }
+
+// Reason returns why it was chosen.
+func (l *Lease) Reason() route.Reason { return l.reason }
+
+// Progress records n tokens that came gap after the previous ones.
+func (l *Lease) Progress(now time.Time, n int, gap time.Duration) {
+	if n <= 0 || gap <= 0 {
+		return
+	}
+	per := gap / time.Duration(n)
+	l.server.limit.Gap(per)
+	l.server.peer.Gap(per)
+	if l.item.Class != admit.Resumed {
+		l.core.budget.Earn(now, float64(n))
+	}
+}
+
+// Done ends the use. A second call has no effect, so that a slot is never
+// given back twice.
+func (l *Lease) Done(now time.Time, o Outcome) {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.server.load.InFlight--
+	l.group.queue.Finished(now, l.item.Class, l.item.Cost, now.Sub(l.started))
+	l.judge(o)
+	l.core.observe.done(l, o)
+	l.core.wake(now, l.server)
+}
+
+// judge feeds the health of the backend server. What we cancelled says
+// nothing about it.
+func (l *Lease) judge(o Outcome) {
+	switch {
+	case o.Cancelled:
+	case o.Err != nil:
+		l.server.peer.Failed()
+	default:
+		l.server.peer.Succeeded()
+		if l.server.backend.Engine == nil && o.FirstToken > 0 {
+			l.server.peer.Gap(o.FirstToken)
+			l.server.limit.Gap(o.FirstToken)
+		}
+	}
+}
+
+// wake starts what may start now that a slot of s came free.
+func (c *Core) wake(now time.Time, s *server) {
+	for _, g := range s.groups {
+		c.drainGroup(now, g)
+	}
+}
+
+// drainGroup starts waiting work until nothing more fits.
+func (c *Core) drainGroup(now time.Time, g *group) {
+	if g.queue.Idle() {
+		return
+	}
+	try := func(it *admit.Item) bool { return c.start(now, g.waiters[it]) }
+	for {
+		it := g.queue.Next(now, g.slots, try)
+		if it == nil {
+			return
+		}
+		delete(g.waiters, it)
+	}
+}
+
+// evalEvery is how often servers are compared. A straggler is known after
+// minSamples gaps, about half a second; comparing more often gains nothing.
+const evalEvery = 500 * time.Millisecond
+
+// Tick moves limits and health, refuses what has become hopeless and starts
+// what fits. It is due every 100 ms or so.
+func (c *Core) Tick(now time.Time) {
+	for _, s := range c.servers {
+		if s.limit.Adjust(now, int(s.load.InFlight)) {
+			c.observe.limit(s)
+		}
+		s.inFlightAt.add(now, s.load.InFlight)
+		s.refresh(now)
+	}
+	if !now.Before(c.nextEval) {
+		c.nextEval = now.Add(evalEvery)
+		c.evaluate(now)
+	}
+	for _, g := range c.groups {
+		g.count()
+		c.shed(now, g)
+		c.drainGroup(now, g)
+		c.observe.waiting(g)
+	}
+}
+
+func (c *Core) evaluate(now time.Time) {
+	for _, g := range c.groups {
+		for _, t := range g.eval.Evaluate(now, g.peers) {
+			c.transition(now, g.servers[t.Index], t)
+		}
+	}
+}
+
+func (c *Core) transition(now time.Time, s *server, t health.Transition) {
+	s.refresh(now)
+	c.observe.state(s, t)
+}
+
+func (c *Core) shed(now time.Time, g *group) {
+	slots := g.expected()
+	for _, it := range g.queue.Shed(now, slots) {
+		w := g.waiters[it]
+		delete(g.waiters, it)
+		c.refuse(now, w, refusal(g.queue.Refusal(now, it, slots), now))
+	}
+}
--- /dev/null
+++ b/serve/flow/update.go
@@ -0,0 +1,180 @@
+package flow
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/route"
+)
+
+// Update takes in a new site or snapshot and the number of live entry VMs. It
+// is the only step whose cost grows with the number of backend servers.
+func (c *Core) Update(now time.Time, st *site.Site, snap *backends.Snapshot, daemons int) {
+	c.site, c.daemons = st, max(1, daemons)
+	for _, s := range c.servers {
+		s.present = false
+	}
+	for pool, rows := range snap.Pools {
+		for _, b := range rows {
+			c.observeServer(now, pool, b)
+		}
+	}
+	c.forget()
+	for _, key := range c.keys() {
+		c.buildGroup(now, c.group(key), snap)
+	}
+	for _, g := range c.groups {
+		c.drainGroup(now, g)
+	}
+}
+
+func (c *Core) observeServer(now time.Time, pool string, b *backends.Backend) {
+	s, ok := c.servers[b.VM.ID]
+	slots := c.slotsOf(pool)
+	if !ok {
+		s = newServer(b, slots, c.daemons)
+		c.servers[b.VM.ID] = s
+	}
+	s.slots, s.pool, s.present = slots, pool, true
+	s.groups = s.groups[:0]
+	if t, changed := s.observe(now, b, c.daemons); changed {
+		c.observe.state(s, t)
+	}
+	s.refresh(now)
+}
+
+func (c *Core) slotsOf(pool string) int {
+	if c.site != nil {
+		if p := c.site.Pools[pool]; p != nil && p.Slots > 0 {
+			return p.Slots
+		}
+	}
+	return defaultSlots
+}
+
+// forget drops servers that are gone and have nothing in flight.
+func (c *Core) forget() {
+	for id, s := range c.servers {
+		if !s.present && s.load.InFlight == 0 {
+			delete(c.servers, id)
+		}
+	}
+}
+
+// keys are the groups that the site names, in a stable order, and those that
+// still have waiting work.
+func (c *Core) keys() []groupKey {
+	seen := map[groupKey]bool{}
+	for k := range c.groups {
+		seen[k] = true
+	}
+	if c.site != nil {
+		for _, s := range c.site.Services {
+			seen[keyOf(s)] = true
+		}
+	}
+	keys := make([]groupKey, 0, len(seen))
+	for k := range seen {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].less(keys[j]) })
+	return keys
+}
+
+func (k groupKey) less(o groupKey) bool {
+	if k.pool != o.pool {
+		return k.pool < o.pool
+	}
+	return k.ref.Model+"/"+k.ref.Adapter+"/"+k.ref.Version < o.ref.Model+"/"+o.ref.Adapter+"/"+o.ref.Version
+}
+
+func (c *Core) group(key groupKey) *group {
+	g, ok := c.groups[key]
+	if !ok {
+		g = &group{
+			key: key, queue: admit.NewQueue(),
+			waiters: map[*admit.Item]*Waiter{}, holders: map[uint64]string{},
+		}
+		c.groups[key] = g
+	}
+	return g
+}
+
+// buildGroup replaces the candidates of a group.
+func (c *Core) buildGroup(now time.Time, g *group, snap *backends.Snapshot) {
+	var candidates []route.Candidate
+	g.loadingSlots, g.loading = 0, time.Time{}
+	for _, b := range snap.Pools[g.key.pool] {
+		if usable(b, g.key.ref) {
+			candidates = append(candidates, c.candidate(b))
+		} else if left, ok := loadingFor(b, g.key.ref); ok {
+			g.soon(now.Add(left), c.slotsOf(g.key.pool)/c.daemons)
+		}
+	}
+	known := len(candidates)
+	g.table = route.NewTable(candidates, g.holders)
+	g.servers = g.servers[:0]
+	g.peers = g.peers[:0]
+	for i := range g.table.Len() {
+		s := c.servers[g.table.At(i).ID]
+		s.groups = append(s.groups, g)
+		g.servers = append(g.servers, s)
+		g.peers = append(g.peers, &s.peer)
+	}
+	g.count()
+	c.observe.table(g, known, snap.Version)
+}
+
+func (c *Core) candidate(b *backends.Backend) route.Candidate {
+	rank := route.Remote
+	switch {
+	case b.VM.Zone == c.place.Zone:
+		rank = route.SameZone
+	case b.VM.Region == c.place.Region:
+		rank = route.SameRegion
+	}
+	return route.Candidate{
+		ID: b.VM.ID, Hash: xxhash.Sum64String(b.VM.ID), Rank: rank,
+		Load: &c.servers[b.VM.ID].load,
+	}
+}
+
+func (g *group) soon(at time.Time, slots int) {
+	if g.loadingSlots == 0 || at.Before(g.loading) {
+		g.loading = at
+	}
+	g.loadingSlots += max(1, slots)
+}
+
+// count sums the limits of the candidates.
+func (g *group) count() {
+	g.slots = 0
+	for _, s := range g.servers {
+		g.slots += int(s.load.Limit)
+	}
+}
+
+// expected is the number of slots that waiting work may count on.
+func (g *group) expected() int {
+	if g.slots == 0 {
+		return g.loadingSlots
+	}
+	return g.slots
+}
+
+// offerLoading lets a request wait for a loading model if it will be ready in time.
+func (c *Core) offerLoading(now time.Time, w *Waiter) admit.Decision {
+	g := w.group
+	left := max(g.loading.Sub(now), 0)
+	c.observe.loading(w, left)
+	if g.loading.After(w.item.Deadline) {
+		return admit.Decision{Action: admit.Refuse, Reason: admit.ReasonNoServers, RetryAfter: left}
+	}
+	g.queue.Hold(&w.item)
+	return admit.Decision{Action: admit.Wait, Reason: admit.ReasonQueued, Wait: left}
+}
