--- /dev/null
+++ b/lab/bench/load/engine.go
@@ -0,0 +1,257 @@
+package load
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// The simulated engine. A step of the batch takes stepBase plus stepPerStream
+// for each stream, so that 24 streams are half again as slow as one; a prefill
+// takes its turn beside the batch and slows it.
+const (
+	stepBase      = 18 * time.Millisecond
+	stepPerStream = 375 * time.Microsecond
+	prefillRate   = 8000.0 // prompt tokens a second
+	prefillSlows  = 1.3    // factor on a step while a prefill runs
+	cachedPart    = 0.15   // of a prefill that remains when the prefix is cached
+	cacheEntries  = 24     // prefixes an engine holds
+	batchMost     = 32     // streams in a batch; more wait inside the engine
+)
+
+// job is one attempt of a request on an engine.
+type job struct {
+	req       *request
+	server    *engineSim
+	answer    float64 // tokens to produce
+	priority  int
+	queued    uint64
+	startV    float64 // engine's token clock at the first token
+	started   bool    // produced its first token
+	reported  float64 // tokens reported to the lease
+	reportedT time.Time
+	over      bool
+	onFirst   func()
+	onEnd     func(failed bool)
+}
+
+// engineSim is one backend server.
+type engineSim struct {
+	clock   *clock
+	id      string
+	zone    int
+	slow    float64 // factor on every step; 1 is usual
+	dead    bool
+	waiting []*job
+	filling *job // prefill in progress
+	fills   []*job
+	batch   []*job
+	v       float64 // tokens produced per stream so far
+	vAt     time.Time
+	next    *timer
+	seq     uint64
+	cache   []uint64
+	gaps    *gapMeter
+	started int // attempts begun since the run began
+}
+
+func (e *engineSim) step() time.Duration {
+	d := float64(stepBase) + float64(stepPerStream)*float64(len(e.batch))
+	if e.filling != nil {
+		d *= prefillSlows
+	}
+	return time.Duration(d * e.slow)
+}
+
+// advance moves the token clock to now at the present step time.
+func (e *engineSim) advance() {
+	dt := e.clock.now.Sub(e.vAt)
+	e.vAt = e.clock.now
+	if dt <= 0 || len(e.batch) == 0 {
+		return
+	}
+	step := e.step()
+	n := float64(dt) / float64(step)
+	e.v += n
+	e.gaps.add(step, n*float64(len(e.batch)))
+}
+
+// inside is the number of attempts the engine holds, running or waiting.
+func (e *engineSim) running() int { return len(e.batch) + len(e.fills) }
+
+func (e *engineSim) add(j *job) {
+	e.advance()
+	e.started++
+	e.seq++
+	j.queued, j.server = e.seq, e
+	e.waiting = append(e.waiting, j)
+	e.admit()
+	e.schedule()
+}
+
+// admit moves waiting jobs to prefill by priority, then order of arrival.
+func (e *engineSim) admit() {
+	if len(e.waiting) > 0 && e.running() < batchMost {
+		sort.SliceStable(e.waiting, func(a, b int) bool {
+			return e.waiting[a].priority > e.waiting[b].priority
+		})
+	}
+	for len(e.waiting) > 0 && e.running() < batchMost {
+		e.fills = append(e.fills, e.waiting[0])
+		e.waiting = e.waiting[1:]
+	}
+	e.fill()
+}
+
+// fill starts the next prefill, the most urgent first.
+func (e *engineSim) fill() {
+	if e.filling != nil || len(e.fills) == 0 {
+		return
+	}
+	best := 0
+	for i, j := range e.fills {
+		if j.priority > e.fills[best].priority {
+			best = i
+		}
+	}
+	j := e.fills[best]
+	e.filling = j
+	tokens := float64(j.req.prompt + j.req.produced())
+	if e.holds(j.req.prefix) {
+		tokens *= cachedPart
+	}
+	took := time.Duration(tokens / prefillRate * e.slow * float64(time.Second))
+	e.clock.after(took, func() { e.filled(j) })
+}
+
+func (e *engineSim) filled(j *job) {
+	if e.filling != j {
+		return
+	}
+	e.advance()
+	e.filling = nil
+	e.fills = remove(e.fills, j)
+	if !j.over {
+		e.remember(j.req.prefix)
+		e.batch = append(e.batch, j)
+		j.started, j.startV = true, e.v
+		j.reportedT = e.clock.now
+		j.onFirst()
+	}
+	e.admit()
+	e.schedule()
+}
+
+// schedule sets the timer for the next stream to end.
+func (e *engineSim) schedule() {
+	e.next.stop()
+	if len(e.batch) == 0 || e.dead {
+		return
+	}
+	left := math.Inf(1)
+	for _, j := range e.batch {
+		left = min(left, j.startV+j.answer-e.v)
+	}
+	d := time.Duration(math.Ceil(max(left, 0) * float64(e.step())))
+	e.next = e.clock.after(d, e.finish)
+}
+
+func (e *engineSim) finish() {
+	e.advance()
+	var ended []*job
+	for _, j := range e.batch {
+		if j.startV+j.answer-e.v < 1e-6 {
+			ended = append(ended, j)
+		}
+	}
+	for _, j := range ended {
+		e.batch = remove(e.batch, j)
+		j.over = true
+	}
+	e.admit()
+	e.schedule()
+	for _, j := range ended {
+		j.onEnd(false)
+	}
+}
+
+// cancel ends a job without telling its request.
+func (e *engineSim) cancel(j *job) {
+	if j.over || e.dead {
+		return
+	}
+	e.advance()
+	j.over = true
+	e.waiting = remove(e.waiting, j)
+	e.batch = remove(e.batch, j)
+	if e.filling != j {
+		e.fills = remove(e.fills, j)
+	}
+	e.admit()
+	e.schedule()
+}
+
+// die ends every job with a failure.
+func (e *engineSim) die() {
+	e.advance()
+	e.dead = true
+	e.next.stop()
+	jobs := append(append(append([]*job(nil), e.batch...), e.fills...), e.waiting...)
+	e.batch, e.fills, e.waiting, e.filling = nil, nil, nil, nil
+	for _, j := range jobs {
+		if !j.over {
+			j.over = true
+			j.onEnd(true)
+		}
+	}
+}
+
+// made is the number of tokens a job has produced here.
+func (e *engineSim) made(j *job) float64 {
+	if !j.started {
+		return 0
+	}
+	e.advance()
+	return min(j.answer, e.v-j.startV)
+}
+
+func (e *engineSim) setSlow(f float64) {
+	e.advance()
+	e.slow = f
+	e.schedule()
+}
+
+func (e *engineSim) holds(prefix uint64) bool {
+	for _, p := range e.cache {
+		if prefix != 0 && p == prefix {
+			return true
+		}
+	}
+	return false
+}
+
+// remember puts a prefix at the recent end of the cache.
+func (e *engineSim) remember(prefix uint64) {
+	if prefix == 0 {
+		return
+	}
+	for i, p := range e.cache {
+		if p == prefix {
+			e.cache = append(e.cache[:i], e.cache[i+1:]...)
+			break
+		}
+	}
+	e.cache = append(e.cache, prefix)
+	if len(e.cache) > cacheEntries {
+		e.cache = e.cache[1:]
+	}
+}
+
+func remove(jobs []*job, j *job) []*job {
+	for i, x := range jobs {
+		if x == j {
+			return append(jobs[:i], jobs[i+1:]...)
+		}
+	}
+	return jobs
+}
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
@@ -12,6 +14,7 @@
 	"mallowwind.dev/decision/route"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/telemetry/event"
 )
 
 // Core is the state machine behind a Dispatcher: every decision from admission
@@ -85,9 +88,10 @@
 const defaultSlots = 64
 
 // NewCore returns a core without backend servers; Update gives it some.
-func NewCore(place Place, o *observer, seed uint64) *Core {
+// log and registerer may be nil.
+func NewCore(place Place, log *event.Log, registerer prometheus.Registerer, seed uint64) *Core {
 	return &Core{
-		place: place, observe: o, daemons: 1,
+		place: place, observe: newObserver(log, registerer), daemons: 1,
 		random:   rand.New(rand.NewPCG(seed, route.Mix(seed))),
 		servers:  map[string]*server{},
 		groups:   map[groupKey]*group{},
--- a/serve/flow/manager.go
+++ b/serve/flow/manager.go
@@ -41,7 +41,7 @@
 func New(config Config) *Manager {
 	return &Manager{
 		config: config,
-		core:   NewCore(config.Place, newObserver(config.Log, config.Registerer), config.Seed),
+		core:   NewCore(config.Place, config.Log, config.Registerer, config.Seed),
 	}
 }
 
