admit, limit: reserves sized by arrivals, shares of free slots

Cause: a fixed reserve of a tenth was too small for the urgent work offered, and every daemon that read the same old load report took all the free slots of a server, so that the sum of limits swung with the period of the reports. Change: the reserve is what a class's arrivals keep busy and three standard deviations more; a daemon's ceiling is what it had and its even part of what was free; even shares below a whole number are rounded by a phase that differs by daemon. First tokens of engines no longer count as token gaps.

--- a/decision/admit/admit.go
+++ b/decision/admit/admit.go
@@ -11,14 +11,15 @@
 // so that the backend servers do full work and nobody gets anything.
 //
 // How it decides: classes are served urgent first, each class below another
-// leaves the reserve of the classes above free, and long work has a floor so
-// that it cannot starve. Within a class accounts share by start-time fair
+// leaves free what the arrivals of the classes above need, and long work has a
+// floor so that it cannot starve. Within a class accounts share by start-time fair
 // queueing with work counted in tokens. What cannot start before its deadline
 // at the measured drain rate is refused on arrival; what became hopeless while
 // it waited is refused as soon as that is known.
 package admit
 
 import (
+	"math"
 	"time"
 )
 
@@ -41,15 +42,13 @@
 }
 
 const (
-	// urgentReserve is the share of slots that only urgent and resumed work may
-	// take. A lookup holds a slot for about a hundredth of the time of a long
-	// generation, so a tenth of the slots carries lookups of a tenth of the load
-	// with a free slot nearly always at hand.
-	urgentReserve = 0.10
-	// normalReserve is the further share that long work leaves to normal work.
-	// Long generations hold slots for minutes: without the reserve a normal
-	// request waits for the next of them to end.
-	normalReserve = 0.15
+	// reserveSpread sizes the slots kept for a class: the number its arrivals
+	// keep busy on average, and this many standard deviations of a Poisson count
+	// more. At three, one arrival in some hundred finds the reserve full.
+	reserveSpread = 3.0
+	// maxReserve is the largest share of slots kept for the classes above
+	// another, so that a flood of lookups cannot stop the work below entirely.
+	maxReserve = 0.6
 	// longFloor is the share of tokens, of those started by other classes, that
 	// waiting long work is credited with. It bounds how long a review waits under
 	// endless normal load and costs normal work at most that share.
@@ -164,33 +163,33 @@
 }
 
 // allowed reports whether a request of class c may start when slots may run,
-// given the reserves of the classes above it that were seen lately.
+// given the reserves of the classes above it.
 func (q *Queue) allowed(now time.Time, c Class, slots int) bool {
-	total := 0
-	for _, n := range q.running {
-		total += n
-	}
-	if total >= slots {
+	if q.Running() >= slots {
 		return false
 	}
 	if c <= Urgent {
 		return true
 	}
-	keep := q.reserve(now, Urgent, urgentReserve, slots)
-	used := q.running[Normal] + q.running[Long]
-	if c == Long {
-		keep += q.reserve(now, Normal, normalReserve, slots)
-		return q.running[Long] < slots-keep && used < slots-q.reserve(now, Urgent, urgentReserve, slots)
+	lower := q.running[Normal] + q.running[Long]
+	most := float64(slots) * maxReserve
+	urgent := min(q.reserve(now, Urgent, slots), most)
+	if float64(lower) >= float64(slots)-urgent {
+		return false
+	}
+	if c == Normal {
+		return true
 	}
-	return used < slots-keep
+	keep := min(urgent+q.reserve(now, Normal, slots), most)
+	return float64(q.running[Long]) < float64(slots)-keep
 }
 
-// reserve is the number of slots kept for class c: none where the class sent
-// nothing lately, and never the last slot.
-func (q *Queue) reserve(now time.Time, c Class, share float64, slots int) int {
+// reserve is the number of slots kept for class c: what its arrivals need, none
+// where it sent nothing lately, and never the last slot.
+func (q *Queue) reserve(now time.Time, c Class, slots int) float64 {
 	if slots < 2 || q.last[c].IsZero() || now.Sub(q.last[c]) > reserveMemory {
 		return 0
 	}
-	n := int(share*float64(slots) + 0.999)
-	return min(n, slots-1)
+	busy := q.drain.busy(now, c)
+	return min(math.Ceil(busy+reserveSpread*math.Sqrt(busy)), float64(slots-1))
 }
--- a/decision/admit/drain.go
+++ b/decision/admit/drain.go
@@ -15,7 +15,9 @@
 type drain struct {
 	slotSeconds, tokens float64 // decayed sums over finished work
 	updated             time.Time
-	arrived             [classes]rate
+	arrived             [classes]rate // tokens
+	requests            [classes]rate
+	held                [classes]float64 // mean seconds a request holds its slot
 }
 
 // rate is an exponentially decayed rate in units per second.
@@ -43,7 +45,19 @@
 	return math.Exp(-d.Seconds() / rateMemory.Seconds())
 }
 
-func (d *drain) finished(now time.Time, cost float64, held time.Duration) {
+// heldMemory is how many finished requests the mean residence looks back on.
+const heldMemory = 64
+
+// busy is the number of slots that the arrivals of a class keep busy on average.
+func (d *drain) busy(now time.Time, c Class) float64 {
+	return d.requests[c].at(now) * d.held[c]
+}
+
+func (d *drain) finished(now time.Time, c Class, cost float64, held time.Duration) {
+	if d.held[c] == 0 {
+		d.held[c] = held.Seconds()
+	}
+	d.held[c] += (held.Seconds() - d.held[c]) / heldMemory
 	k := decay(now.Sub(d.updated))
 	if d.updated.IsZero() {
 		k = 0
@@ -65,6 +79,7 @@
 func (q *Queue) seen(now time.Time, it *Item) {
 	q.last[it.Class] = now
 	q.drain.arrived[it.Class].add(now, it.Cost)
+	q.drain.requests[it.Class].add(now, 1)
 }
 
 // aheadOf is the waiting work of the item's own account that starts before it,
--- a/decision/admit/queue.go
+++ b/decision/admit/queue.go
@@ -188,7 +188,7 @@
 // Finished records the end of work that ran for held and cost that many tokens.
 func (q *Queue) Finished(now time.Time, class Class, cost float64, held time.Duration) {
 	q.running[class]--
-	q.drain.finished(now, cost, held)
+	q.drain.finished(now, class, cost, held)
 }
 
 // Next offers waiting items in order to try until one is taken, and returns it,
--- a/decision/entries/entries.go
+++ b/decision/entries/entries.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// minTold is the least number of VMs an account is told: with three in
-	// different zones, one may be lost with its zone and another be replaced.
-	minTold = 3
+	// minTold is the least number of VMs an account is told. Fewer leave VMs with
+	// uneven load, because each carries few accounts; the measurement is in
+	// docs/design/33-load-entries.md. With up to eight VMs everybody is told all.
+	minTold = 8
 	// spread is how many times the number of VMs that an account would fill on
 	// its own it is told. Callers pick among them unevenly; twice leaves room.
 	spread = 2.0
--- a/decision/limit/server.go
+++ b/decision/limit/server.go
@@ -33,7 +33,7 @@
 	// requests itself.
 	waitingBackoff = 0.8
 	// minLimit keeps a path open on which recovery can be seen.
-	minLimit = 1
+	minLimit = 1.0
 )
 
 // Server learns how many requests one daemon may have at one backend server.
@@ -41,6 +41,7 @@
 // in the token gap and, with a lag, in the engine's report. The zero value is
 // not usable. It is not safe for concurrent use.
 type Server struct {
+	phase   float64
 	limit   float64
 	ceiling float64
 	best    float64 // seconds
@@ -50,15 +51,23 @@
 	report  time.Time // of the last report taken in
 }
 
-// NewServer starts at this daemon's even share of slots among daemons.
-func NewServer(slots, daemons int) Server {
-	share := math.Ceil(float64(max(slots, 1)) / float64(max(daemons, 1)))
-	return Server{limit: share, ceiling: share}
+// NewServer starts at this daemon's even share of slots among daemons. phase,
+// in [0, 1), differs between the daemons of one backend server: a share of 3.3
+// then means four at a third of the daemons and three at the others, and their
+// sum is what the server can take.
+func NewServer(slots, daemons int, phase float64) Server {
+	share := even(slots, daemons)
+	return Server{limit: share, ceiling: share, phase: phase}
 }
 
-// Limit is the number of requests this daemon may have there, at least 1.
+func even(slots, daemons int) float64 {
+	return float64(max(slots, 1)) / float64(max(daemons, 1))
+}
+
+// Limit is the number of requests this daemon may have there. It is 0 only
+// where the even share is less than one request and others use the server.
 func (s *Server) Limit() int {
-	return max(minLimit, int(min(s.limit, s.ceiling)+0.5))
+	return int(min(s.limit, s.ceiling) + s.phase)
 }
 
 // Gap records the time between two tokens of one stream.
@@ -90,21 +99,23 @@
 
 // Reported takes in a report. slots is the operators' bound on the whole
 // backend server and daemons the number of entry VMs that may use it. The
-// ceiling becomes what the others leave free, never less than the even share:
-// an idle neighbour's slots are used, and a busy one's are not fought for.
+// ceiling becomes what this daemon had then and its even part of what was
+// free, never less than the even share. Each daemon reads the same old report:
+// if each took all that was free, their sum would swing between too much and
+// too little with the period of the reports.
 func (s *Server) Reported(r Report, slots, daemons int) {
 	if r.Slots > 0 && (slots <= 0 || r.Slots < slots) {
 		slots = r.Slots
 	}
-	share := math.Ceil(float64(max(slots, 1)) / float64(max(daemons, 1)))
-	others := float64(max(0, r.Running+r.Waiting-r.Own))
+	share := even(slots, daemons)
 	if r.Taken.IsZero() {
 		s.ceiling = share
 		return
 	}
-	s.ceiling = max(share, float64(slots)-others)
+	free := float64(slots - r.Running - r.Waiting)
+	s.ceiling = max(share, float64(r.Own)+free/float64(max(daemons, 1)))
 	if r.Waiting > 0 && r.Taken.After(s.report) && r.Own > 0 {
-		s.limit = max(share/2, minLimit, s.limit*waitingBackoff)
+		s.limit = max(share/2, min(minLimit, share), s.limit*waitingBackoff)
 	}
 	s.report = r.Taken
 }
@@ -130,6 +141,6 @@
 		target += math.Sqrt(s.limit)
 	}
 	s.limit += smoothing * (target - s.limit)
-	s.limit = min(max(s.limit, minLimit), s.ceiling)
+	s.limit = min(max(s.limit, min(minLimit, s.ceiling)), s.ceiling)
 	return s.Limit() != before
 }
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -233,7 +233,10 @@
 	}
 	s := w.group.servers[r.Index]
 	s.load.InFlight++
-	l := &Lease{core: c, group: w.group, server: s, item: &w.item, reason: r.Reason, started: now}
+	l := &Lease{
+		core: c, group: w.group, server: s, item: &w.item, reason: r.Reason, started: now,
+		plain: w.ask.Service.Kind == site.KindPlain,
+	}
 	c.observe.dispatched(now, w, l)
 	w.sink.Granted(now, l)
 	return true
--- a/serve/flow/lease.go
+++ b/serve/flow/lease.go
@@ -17,6 +17,7 @@
 	item    *admit.Item
 	reason  route.Reason
 	started time.Time
+	plain   bool // a call of a plain service: one answer, no tokens
 	ended   bool
 }
 
@@ -62,7 +63,7 @@
 		l.server.peer.Failed()
 	default:
 		l.server.peer.Succeeded()
-		if l.server.backend.Engine == nil && o.FirstToken > 0 {
+		if l.plain && o.FirstToken > 0 {
 			l.server.peer.Gap(o.FirstToken)
 			l.server.limit.Gap(o.FirstToken)
 		}
--- a/serve/flow/server.go
+++ b/serve/flow/server.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/limit"
@@ -56,8 +58,10 @@
 	return 0
 }
 
-func newServer(b *backends.Backend, slots, daemons int) *server {
-	return &server{limit: limit.NewServer(slots, daemons), pool: b.VM.Pool, slots: slots}
+func newServer(b *backends.Backend, slots, daemons int, vm string) *server {
+	mixed := route.Mix(xxhash.Sum64String(vm) ^ route.Mix(xxhash.Sum64String(b.VM.ID)))
+	phase := float64(mixed>>11) / (1 << 53)
+	return &server{limit: limit.NewServer(slots, daemons, phase), pool: b.VM.Pool, slots: slots}
 }
 
 // observe takes in one row of the snapshot.
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -37,7 +37,7 @@
 	s, ok := c.servers[b.VM.ID]
 	slots := c.slotsOf(pool)
 	if !ok {
-		s = newServer(b, slots, c.daemons)
+		s = newServer(b, slots, c.daemons, c.place.VM)
 		c.servers[b.VM.ID] = s
 	}
 	s.slots, s.pool, s.present = slots, pool, true
