--- a/lab/bench/load/meter.go
+++ b/lab/bench/load/meter.go
@@ -36,7 +36,7 @@
 // classMeter collects what the callers of one class get.
 type classMeter struct {
 	sent, answered, refused, timedOut int
-	whole, first                      *hdrhistogram.Histogram
+	whole, first, wait                *hdrhistogram.Histogram // wait ends with the first dispatch
 	refusal                           *hdrhistogram.Histogram // time until a refusal
 }
 
@@ -59,7 +59,7 @@
 	}
 	m.gaps.hist = newHistogram()
 	for _, c := range []site.Class{site.ClassUrgent, site.ClassNormal, site.ClassLong} {
-		m.class[c] = &classMeter{whole: newHistogram(), first: newHistogram(), refusal: newHistogram()}
+		m.class[c] = &classMeter{whole: newHistogram(), first: newHistogram(), wait: newHistogram(), refusal: newHistogram()}
 	}
 	return m
 }
@@ -94,6 +94,12 @@
 	}
 }
 
+func (m *meter) dispatched(r *request) {
+	if r.counted {
+		record(m.of(r).wait, m.world.clock.now.Sub(r.sent), 1)
+	}
+}
+
 func (m *meter) answered(r *request) {
 	if m.measuring() {
 		m.pools[r.kind.service.Pool] += float64(r.answer)
--- a/lab/bench/load/request.go
+++ b/lab/bench/load/request.go
@@ -80,6 +80,9 @@
 		j.priority = priority(r.kind.service.Class)
 	}
 	r.job = j
+	if r.first.IsZero() && !r.left {
+		w.meter.dispatched(r)
+	}
 	j.onFirst = func() { w.firstToken(r, j) }
 	j.onEnd = func(failed bool) { w.ended(r, j, failed) }
 	if e.dead {
--- a/lab/bench/load/run.go
+++ b/lab/bench/load/run.go
@@ -28,10 +28,11 @@
 	Answered int `json:"answered"`
 	Refused  int `json:"refused"`
 	TimedOut int `json:"timed_out"`
-	// Whole is the time to the whole answer, First to the first token, Refusal
-	// to a refusal.
+	// Whole is the time to the whole answer, First to the first token, Wait to
+	// the dispatch and Refusal to a refusal.
 	Whole   Quantiles `json:"whole"`
 	First   Quantiles `json:"first_token"`
+	Wait    Quantiles `json:"wait"`
 	Refusal Quantiles `json:"refusal"`
 }
 
@@ -87,7 +88,8 @@
 	for class, cm := range m.class {
 		r.Classes[class] = ClassResult{
 			Sent: cm.sent, Answered: cm.answered, Refused: cm.refused, TimedOut: cm.timedOut,
-			Whole: quantiles(cm.whole), First: quantiles(cm.first), Refusal: quantiles(cm.refusal),
+			Whole: quantiles(cm.whole), First: quantiles(cm.first), Wait: quantiles(cm.wait),
+			Refusal: quantiles(cm.refusal),
 		}
 		r.histograms[class] = cm.whole
 	}
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -166,9 +166,10 @@
 			continue
 		}
 		whole := int(n)
-		w.daemons[r.daemon].policy.progress(r, whole, w.clock.now.Sub(j.reportedT))
+		gap := time.Duration(float64(w.clock.now.Sub(j.reportedT)) * float64(whole) / n)
+		w.daemons[r.daemon].policy.progress(r, whole, gap)
 		j.reported += float64(whole)
-		j.reportedT = w.clock.now
+		j.reportedT = j.reportedT.Add(gap)
 	}
 }
 
