admit: predictions from what each class holds and may use

Cause: one rate over all classes mispredicts the wait of each. Change: residence and cost are learned per class; a wait is the work before it over the slots its class may use.

--- a/decision/admit/admit.go
+++ b/decision/admit/admit.go
@@ -141,7 +141,7 @@
 
 // enqueue lets an item wait, or refuses it when it cannot start in time.
 func (q *Queue) enqueue(now time.Time, it *Item, slots int) Decision {
-	wait := q.predict(it, q.aheadOf(it), slots)
+	wait := q.predict(now, it, q.aheadOf(it), slots)
 	patience := it.Deadline.Sub(now)
 	newest := it.Class == Urgent && float64(wait) > overloadShare*float64(patience)
 	if newest {
--- a/decision/admit/drain.go
+++ b/decision/admit/drain.go
@@ -10,14 +10,25 @@
 // against the minutes over which load changes.
 const rateMemory = 20 * time.Second
 
-// drain measures how much slot time a token of cost takes and how much work
-// arrives, the two things a predicted wait is made of.
+// drain measures what a predicted wait is made of: how long requests of each
+// class hold a slot, what they cost, and how many arrive.
 type drain struct {
-	slotSeconds, tokens float64 // decayed sums over finished work
-	updated             time.Time
-	arrived             [classes]rate // tokens
-	requests            [classes]rate
-	held                [classes]float64 // mean seconds a request holds its slot
+	class [classes]residence
+}
+
+// residence is what is known of one class.
+type residence struct {
+	held     float64 // mean seconds in a slot
+	cost     float64 // mean tokens
+	requests rate    // arrivals
+}
+
+// perToken is the slot time that one token of cost takes, 0 if unknown.
+func (r *residence) perToken() float64 {
+	if r.cost == 0 {
+		return 0
+	}
+	return r.held / r.cost
 }
 
 // rate is an exponentially decayed rate in units per second.
@@ -50,36 +61,22 @@
 
 // busy is the number of slots that the arrivals of a class keep busy on average.
 func (d *drain) busy(now time.Time, c Class) float64 {
-	return d.requests[c].at(now) * d.held[c]
-}
-
-func (d *drain) finished(now time.Time, c Class, cost float64, held time.Duration) {
-	if d.held[c] == 0 {
-		d.held[c] = held.Seconds()
-	}
-	d.held[c] += (held.Seconds() - d.held[c]) / heldMemory
-	k := decay(now.Sub(d.updated))
-	if d.updated.IsZero() {
-		k = 0
-	}
-	d.slotSeconds = d.slotSeconds*k + held.Seconds()
-	d.tokens = d.tokens*k + cost
-	d.updated = now
+	return d.class[c].requests.at(now) * d.class[c].held
 }
 
-// secondsPerToken is the slot time one token of cost takes; 0 before anything finished.
-func (d *drain) secondsPerToken() float64 {
-	if d.tokens <= 0 {
-		return 0
+func (d *drain) finished(c Class, cost float64, held time.Duration) {
+	r := &d.class[c]
+	if r.cost == 0 {
+		r.held, r.cost = held.Seconds(), cost
 	}
-	return d.slotSeconds / d.tokens
+	r.held += (held.Seconds() - r.held) / heldMemory
+	r.cost += (cost - r.cost) / heldMemory
 }
 
 // seen records an arrival.
 func (q *Queue) seen(now time.Time, it *Item) {
 	q.last[it.Class] = now
-	q.drain.arrived[it.Class].add(now, it.Cost)
-	q.drain.requests[it.Class].add(now, 1)
+	q.drain.class[it.Class].requests.add(now, 1)
 }
 
 // aheadOf is the waiting work of the item's own account that starts before it,
@@ -97,53 +94,60 @@
 //
 // The work before it is that of the classes above and, in its own class, its
 // account's own and as much of the other accounts' as fair sharing lets
-// through meanwhile, but never more than all of it. Half a mean item stands
-// for the running work that must end first.
-func (q *Queue) predict(it *Item, ahead float64, slots int) time.Duration {
-	perToken := q.drain.secondsPerToken()
+// through meanwhile, but never more than all of it. It drains through the slots
+// that its class may use.
+func (q *Queue) predict(now time.Time, it *Item, ahead float64, slots int) time.Duration {
 	if slots <= 0 {
 		return time.Duration(math.MaxInt64 / 4)
 	}
-	work := 0.0
+	work := 0.0 // seconds of one slot
 	for c := Resumed; c < it.Class; c++ {
-		work += q.class[c].cost
+		work += q.class[c].cost * q.drain.class[c].perToken()
 	}
 	c := &q.class[it.Class]
 	weight := max(it.Weight, 1e-3)
 	shared := (ahead + it.Cost) * max(c.weights, weight) / weight
-	work += max(ahead, min(c.cost, shared))
-	seconds := work * perToken / float64(slots) / q.shareOf(it.Class, slots, perToken)
-	return time.Duration(seconds * float64(time.Second))
+	own := max(ahead, min(c.cost, shared))
+	work += own * q.drain.class[it.Class].perToken()
+	seconds := work / q.usable(now, it.Class, slots)
+	return time.Duration(min(seconds, maxPredicted) * float64(time.Second))
 }
 
-// shareOf is the share of the slots that is left to a class after the arrivals
-// of the classes above it; long work never falls below its floor, and normal
-// work not below what the floor leaves under endless urgent load.
-func (q *Queue) shareOf(class Class, slots int, perToken float64) float64 {
-	if class <= Urgent {
-		return 1
-	}
-	above := 0.0
-	for c := Resumed; c < class; c++ {
-		above += q.drain.arrived[c].at(q.drain.updated)
+// maxPredicted keeps a prediction within what a Duration holds.
+const maxPredicted = 1e6
+
+// usable is the number of slots that a class can count on while the classes
+// above take what their arrivals need.
+func (q *Queue) usable(now time.Time, class Class, slots int) float64 {
+	all := float64(slots)
+	urgent := min(q.reserve(now, Urgent, slots), all*maxReserve)
+	switch class {
+	case Normal:
+		return max(all-urgent-float64(q.running[Long]), all*longFloor)
+	case Long:
+		normal := q.reserve(now, Normal, slots)
+		if q.class[Normal].waiting > 0 {
+			normal = max(normal, float64(q.running[Normal]))
+		}
+		return max(all-min(urgent+normal, all*maxReserve), all*longFloor)
 	}
-	return max(longFloor, 1-above*perToken/float64(slots))
+	return all
 }
 
 // retryAfter says when an equal request should be let in: when the work that
-// is too much for its patience has drained, longer by the factor by which
-// arrivals exceed what drains, because the others come back as well.
+// is too much for its patience has drained and a slot for its own work came
+// free, longer by the factor by which arrivals exceed what the slots can do,
+// because the others come back as well.
 func (q *Queue) retryAfter(now time.Time, it *Item, wait time.Duration, slots int) time.Duration {
-	patience := it.Deadline.Sub(now)
-	excess := max(wait-patience, 0)
-	if perToken := q.drain.secondsPerToken(); perToken > 0 && slots > 0 {
-		arriving := 0.0
-		for c := range q.drain.arrived {
-			arriving += q.drain.arrived[c].at(now)
+	excess := max(wait-it.Deadline.Sub(now), 0)
+	if slots > 0 {
+		busy := 0.0
+		for c := range classes {
+			busy += q.drain.busy(now, c)
 		}
-		load := arriving * perToken / float64(slots)
-		own := it.Cost * perToken / float64(slots)
-		excess = time.Duration((excess.Seconds() + own) * max(1, load) * float64(time.Second))
+		own := it.Cost * q.drain.class[it.Class].perToken() / q.usable(now, it.Class, slots)
+		load := max(1, busy/float64(slots))
+		excess = time.Duration((excess.Seconds() + own) * load * float64(time.Second))
 	}
 	return min(max(excess, minRetryAfter), maxRetryAfter)
 }
--- a/decision/admit/queue.go
+++ b/decision/admit/queue.go
@@ -186,9 +186,9 @@
 }
 
 // Finished records the end of work that ran for held and cost that many tokens.
-func (q *Queue) Finished(now time.Time, class Class, cost float64, held time.Duration) {
+func (q *Queue) Finished(class Class, cost float64, held time.Duration) {
 	q.running[class]--
-	q.drain.finished(now, class, cost, held)
+	q.drain.finished(class, cost, held)
 }
 
 // Next offers waiting items in order to try until one is taken, and returns it,
@@ -250,7 +250,7 @@
 	if patience <= 0 {
 		return true
 	}
-	return float64(q.predict(it, ahead, slots)) > shedSlack*float64(patience)
+	return float64(q.predict(now, it, ahead, slots)) > shedSlack*float64(patience)
 }
 
 // Refusal is the decision for an item that Shed returned.
@@ -259,7 +259,7 @@
 	if !it.Deadline.After(now) {
 		why = ReasonExpired
 	}
-	return q.refuse(now, it, slots, q.predict(it, q.aheadOf(it), slots), why)
+	return q.refuse(now, it, slots, q.predict(now, it, q.aheadOf(it), slots), why)
 }
 
 // Waiting returns the number of waiting items and their tokens.
--- a/lab/bench/load/engine.go
+++ b/lab/bench/load/engine.go
@@ -83,7 +83,7 @@
 	e.advance()
 	e.started++
 	e.seq++
-	j.queued, j.server = e.seq, e
+	j.queued = e.seq
 	e.waiting = append(e.waiting, j)
 	e.admit()
 	e.schedule()
--- a/lab/bench/load/meter.go
+++ b/lab/bench/load/meter.go
@@ -19,6 +19,9 @@
 	_ = h.RecordValues(us, int64(math.Round(n)))
 }
 
+// smoothGap is the token gap that callers are promised.
+const smoothGap = 30 * time.Millisecond
+
 // gapMeter collects token gaps, each weighted by the tokens that had it.
 type gapMeter struct {
 	on   bool
@@ -46,6 +49,7 @@
 	from, until time.Time
 	class       map[site.Class]*classMeter
 	pools       map[string]float64 // tokens of whole answers that ended while measuring
+	smooth      float64            // of these in the generation pool, with a mean gap within smoothGap
 	gaps        gapMeter
 	wastedTok   float64
 	restarts    int
@@ -103,6 +107,10 @@
 func (m *meter) answered(r *request) {
 	if m.measuring() {
 		m.pools[r.kind.service.Pool] += float64(r.answer)
+		gap := m.world.clock.now.Sub(r.first) / time.Duration(r.answer)
+		if r.kind.service.Pool == poolLong && gap <= smoothGap {
+			m.smooth += float64(r.answer)
+		}
 	}
 	if !r.counted {
 		return
--- a/lab/bench/load/request.go
+++ b/lab/bench/load/request.go
@@ -75,7 +75,7 @@
 
 // dispatch starts an attempt on e. A policy calls it.
 func (w *world) dispatch(r *request, e *engineSim) {
-	j := &job{req: r, answer: float64(r.answer - r.have)}
+	j := &job{req: r, server: e, answer: float64(r.answer - r.have)}
 	if w.daemons[r.daemon].policy.prioritises() {
 		j.priority = priority(r.kind.service.Class)
 	}
--- a/lab/bench/load/run.go
+++ b/lab/bench/load/run.go
@@ -46,6 +46,8 @@
 	Gap        Quantiles                  `json:"token_gap"`
 	// Goodput is the tokens of whole answers over the capacity of the generation pool.
 	Goodput float64 `json:"goodput"`
+	// Smooth counts only answers whose mean token gap is at most smoothGap.
+	Smooth float64 `json:"smooth_goodput"`
 	// Desk is the same for the pool of the lookups.
 	Desk float64 `json:"desk_goodput"`
 	// Extra is the tokens made for nobody or twice over all tokens made.
@@ -79,6 +81,7 @@
 		Scenario: s.Name, Deployment: d.name, Policy: policy, Seed: seed,
 		Classes: map[site.Class]ClassResult{}, Gap: quantiles(m.gaps.hist),
 		Goodput: m.pools[poolLong] / span / c[poolLong],
+		Smooth:  m.smooth / span / c[poolLong],
 		Desk:    m.pools[poolDesk] / span / c[poolDesk],
 		Extra:   m.wastedTok / max(m.gaps.all, 1), Restarts: m.restarts,
 		Jain: jain(m.world.accounts), Equal: servedShare(m.world.accounts, false),
--- a/lab/bench/load/trial_test.go
+++ b/lab/bench/load/trial_test.go
@@ -35,7 +35,7 @@
 		for _, p := range pols {
 			b := time.Now()
 			r := runScenario(d, s, p, c, 1)
-			fmt.Printf("%-11s good %.3f desk %.3f extra %.3f restarts %d jain %.3f eq %.2f heavy %.2f gap95 %.1f  RA %.0f/%.0f (%v)\n", p, r.Goodput, r.Desk, r.Extra, r.Restarts, r.Jain, r.Equal, r.Heavy, r.Gap.P95, r.RetryAfter.P50, r.RetryAfter.P99, time.Since(b).Round(time.Millisecond))
+			fmt.Printf("%-11s good %.3f smooth %.3f desk %.3f extra %.3f restarts %d jain %.3f eq %.2f heavy %.2f gap95 %.1f  RA %.0f/%.0f (%v)\n", p, r.Goodput, r.Smooth, r.Desk, r.Extra, r.Restarts, r.Jain, r.Equal, r.Heavy, r.Gap.P95, r.RetryAfter.P50, r.RetryAfter.P99, time.Since(b).Round(time.Millisecond))
 			for _, cl := range []string{"urgent", "normal", "long"} {
 				for k, v := range r.Classes {
 					if string(k) == cl {
--- a/serve/flow/lease.go
+++ b/serve/flow/lease.go
@@ -48,7 +48,7 @@
 	}
 	l.ended = true
 	l.server.load.InFlight--
-	l.group.queue.Finished(now, l.item.Class, l.item.Cost, now.Sub(l.started))
+	l.group.queue.Finished(l.item.Class, l.item.Cost, now.Sub(l.started))
 	l.judge(o)
 	l.core.observe.done(l, o)
 	l.core.wake(now, l.server)
