Generations: one loop per answer, copies before release, takeover by epoch

Cause: engines and entry VMs die in mid-answer, and sampling differs from run to run, so an answer started again and skipped forward would mix two texts.

--- /dev/null
+++ b/decision/resume/resume.go
@@ -0,0 +1,182 @@
+// Package resume decides what becomes of an answer whose engine is silent or
+// has failed, and which tokens of which attempt are accepted.
+//
+// The load pattern: an engine dies with many long streams, or all engines slow
+// down together. Waiting for certainty makes callers wait; starting over at
+// every silence doubles the work exactly when engines are busiest, and a storm
+// of takeovers can hold a recovering pool down. Takeovers therefore race the
+// suspected attempt, at most one at a time, and draw on a budget.
+package resume
+
+import "time"
+
+// Race admits tokens of competing attempts into one answer.
+//
+// Invariant: the accepted tokens are the prefix given to the attempt that
+// delivered last, followed only by tokens of that attempt. So as soon as one
+// attempt extends the answer, every other attempt has lost: its tokens continue
+// a text that is no longer the answer. The zero value is an empty answer. It is
+// not safe for concurrent use.
+type Race struct {
+	length   int
+	finished bool
+	leader   uint64 // attempt that delivered last, 0 if none
+	base     map[uint64]int
+}
+
+// Drop says why tokens were not accepted.
+type Drop uint8
+
+// The reasons for dropping tokens.
+const (
+	Accepted    Drop = iota
+	Outrun           // another attempt extended the answer first
+	Repeated         // the whole chunk lies before the next offset
+	Gap              // the chunk begins after the next offset
+	AfterFinish      // the answer is already whole
+)
+
+// String returns the lower-case name.
+func (d Drop) String() string {
+	return [...]string{"accepted", "outrun", "repeated", "gap", "after_finish"}[d]
+}
+
+// Restore sets the race to an answer of length tokens that another owner began.
+func (r *Race) Restore(length int, finished bool) {
+	r.length, r.finished = length, finished
+}
+
+// Length returns the number of accepted tokens.
+func (r *Race) Length() int { return r.length }
+
+// Leader returns the attempt that delivered last, 0 if none did.
+func (r *Race) Leader() uint64 { return r.leader }
+
+// Finished reports whether the answer is whole.
+func (r *Race) Finished() bool { return r.finished }
+
+// Start enters an attempt whose prefix is the answer as it stands.
+func (r *Race) Start(attempt uint64) {
+	if r.base == nil {
+		r.base = make(map[uint64]int)
+	}
+	r.base[attempt] = r.length
+}
+
+// Reattach enters an attempt that produced the last accepted tokens itself.
+func (r *Race) Reattach(attempt uint64) {
+	r.Start(attempt)
+	r.leader = attempt
+}
+
+// Stop removes an attempt: it failed or was cancelled.
+func (r *Race) Stop(attempt uint64) { delete(r.base, attempt) }
+
+// Running returns the number of attempts that may still win.
+func (r *Race) Running() int { return len(r.base) }
+
+// Offer decides about a chunk of n tokens at offset, the last one if finish is
+// set. On Accepted, skip is the number of leading tokens already held.
+func (r *Race) Offer(attempt uint64, offset, n int, finish bool) (skip int, drop Drop) {
+	base, running := r.base[attempt]
+	switch {
+	case r.finished:
+		return 0, AfterFinish
+	case !running || (r.length > base && r.leader != attempt):
+		return 0, Outrun
+	case offset > r.length:
+		return 0, Gap
+	case offset+n <= r.length && !finish:
+		return 0, Repeated
+	case offset+n < r.length:
+		return 0, Repeated
+	}
+	skip = r.length - offset
+	r.length = offset + n
+	r.leader = attempt
+	r.finished = finish
+	return skip, Accepted
+}
+
+// Losers returns the attempts that can no longer win.
+func (r *Race) Losers() []uint64 {
+	var out []uint64
+	for a, base := range r.base {
+		if a != r.leader && r.length > base {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Action is what to do next about an answer.
+type Action uint8
+
+// The actions.
+const (
+	Wait    Action = iota // let the running attempts go on
+	Attempt               // start one more attempt
+	Fail                  // tell the caller that the answer stops here
+)
+
+// Reason explains an Action, for logs and metrics.
+type Reason string
+
+// The reasons.
+const (
+	ReasonHealthy   Reason = "healthy"
+	ReasonSuspected Reason = "suspected"
+	ReasonBroken    Reason = "broken"
+	ReasonStalled   Reason = "global_stall"
+	ReasonRacing    Reason = "already_racing"
+	ReasonBudget    Reason = "budget_spent"
+	ReasonExhausted Reason = "attempts_exhausted"
+	ReasonDeadline  Reason = "resume_deadline"
+)
+
+// Config bounds takeovers of one answer.
+type Config struct {
+	// MaxAttempts bounds attempts in a row that deliver nothing. Five covers
+	// two engine deaths and a rack switch in one resume.
+	MaxAttempts int
+	// Deadline bounds the time without any token before the answer fails. A
+	// service that may wait longer for its first token may also stop longer.
+	Deadline time.Duration
+}
+
+// DefaultConfig is used where a service says nothing else.
+var DefaultConfig = Config{MaxAttempts: 5, Deadline: 60 * time.Second}
+
+// View is what is known about an answer when a decision is due.
+type View struct {
+	Running     int           // attempts that may still win, those waiting for a backend server included
+	Silent      time.Duration // since the leader last delivered or was granted its engine
+	Stopped     time.Duration // since the last accepted token or, before it, since the start
+	Threshold   time.Duration // silence at which the leader is suspected
+	Fruitless   int           // attempts since the last accepted token that failed
+	GlobalStall bool
+	Affordable  bool // the takeover budget allows one more
+}
+
+// Decide chooses the next action.
+func Decide(c Config, v View) (Action, Reason) {
+	switch {
+	case v.Stopped >= c.Deadline:
+		return Fail, ReasonDeadline
+	case v.Running == 0 && v.Fruitless >= c.MaxAttempts:
+		return Fail, ReasonExhausted
+	case v.Running == 0:
+		// No budget here: the answer is owed and nothing else produces it.
+		return Attempt, ReasonBroken
+	case v.Silent < v.Threshold:
+		return Wait, ReasonHealthy
+	case v.Running > 1:
+		return Wait, ReasonRacing
+	case v.GlobalStall:
+		return Wait, ReasonStalled
+	case !v.Affordable:
+		return Wait, ReasonBudget
+	default:
+		return Attempt, ReasonSuspected
+	}
+}
--- /dev/null
+++ b/decision/silence/silence.go
@@ -0,0 +1,134 @@
+// Package silence decides when a stream that delivers nothing is suspicious.
+//
+// The load pattern: engines batch continuously, so the gap between two chunks
+// depends on the batch and differs between engines and hours. A dead engine
+// most often shows as silence, not as an error. A fixed timeout long enough for
+// the slowest engine makes every resume wait that long; one short enough for
+// the fastest starts needless takeovers whenever a batch grows. The threshold
+// is therefore learned from the gaps seen, as TCP learns its retransmission
+// timeout (Jacobson 1988): smoothed gap plus a multiple of its smoothed deviation.
+package silence
+
+import "time"
+
+const (
+	// gainMean and gainDev are the smoothing gains of RFC 6298, 1/8 and 1/4.
+	gainMean = 8
+	gainDev  = 4
+	// warmup is how many gaps must have been seen before they are trusted.
+	warmup = 8
+)
+
+// Config bounds the learned thresholds.
+type Config struct {
+	// Floor is the shortest silence ever suspected. It covers what no gap
+	// history foresees: a garbage collection pause or a lost packet's
+	// retransmission (200 ms at the least on common systems).
+	Floor time.Duration
+	// Ceiling is the longest silence tolerated, and the threshold before
+	// enough gaps were seen.
+	Ceiling time.Duration
+	// FirstFloor and FirstCeiling bound the wait for the first chunk of an
+	// attempt, which also covers queueing at the engine and the prompt's prefill.
+	FirstFloor, FirstCeiling time.Duration
+	// Deviations is how many smoothed deviations above the smoothed gap are normal.
+	Deviations int
+}
+
+// ForWeight returns the bounds for a service's weight of resume latency, from
+// 0 (spend no extra resources) to 1 (resume as soon as possible). A suspicion
+// that proves wrong costs a prefill, so services that weigh cost wait longer.
+func ForWeight(weight float64) Config {
+	weight = min(max(weight, 0), 1)
+	between := func(cost, latency time.Duration) time.Duration {
+		return cost + time.Duration(weight*float64(latency-cost))
+	}
+	return Config{
+		Floor:        between(800*time.Millisecond, 250*time.Millisecond),
+		Ceiling:      between(4*time.Second, 2*time.Second),
+		FirstFloor:   between(2*time.Second, 800*time.Millisecond),
+		FirstCeiling: between(10*time.Second, 4*time.Second),
+		Deviations:   8,
+	}
+}
+
+// Gaps learns the gaps of one stream or one engine. The zero value knows
+// nothing. It is not safe for concurrent use.
+type Gaps struct {
+	n         int
+	mean, dev time.Duration
+}
+
+// Observe adds one gap between two consecutive chunks.
+func (g *Gaps) Observe(gap time.Duration) {
+	if gap < 0 {
+		return
+	}
+	if g.n == 0 {
+		g.mean, g.dev = gap, gap/2
+		g.n = 1
+		return
+	}
+	diff := gap - g.mean
+	g.mean += diff / gainMean
+	if diff < 0 {
+		diff = -diff
+	}
+	g.dev += (diff - g.dev) / gainDev
+	g.n++
+}
+
+// Known reports whether enough gaps were seen to trust them.
+func (g *Gaps) Known() bool { return g.n >= warmup }
+
+// Mean returns the smoothed gap.
+func (g *Gaps) Mean() time.Duration { return g.mean }
+
+// limit returns the learned limit, or ceiling while nothing is known.
+func (g *Gaps) limit(floor, ceiling time.Duration, deviations int) time.Duration {
+	if !g.Known() {
+		return ceiling
+	}
+	return min(max(g.mean+time.Duration(deviations)*g.dev, floor), ceiling)
+}
+
+// Threshold returns how long a stream may be silent after its last chunk
+// before it is suspected. It combines what the stream itself showed with what
+// its engine showed on other streams: a stream alone is blind to a batch that
+// just grew, an engine alone to a stream that is always slow.
+func Threshold(c Config, stream, engine *Gaps) time.Duration {
+	s := stream.limit(c.Floor, c.Ceiling, c.Deviations)
+	if engine == nil || !engine.Known() {
+		return s
+	}
+	e := engine.limit(c.Floor, c.Ceiling, c.Deviations)
+	if !stream.Known() {
+		return e
+	}
+	return max(s, e)
+}
+
+// FirstThreshold returns how long an attempt may take to its first chunk, given
+// the first-chunk times seen at its engine (nil where none are kept).
+func FirstThreshold(c Config, engine *Gaps) time.Duration {
+	if engine == nil {
+		return c.FirstCeiling
+	}
+	return engine.limit(c.FirstFloor, c.FirstCeiling, c.Deviations)
+}
+
+// stallShare is the share of streams silent at once above which the cause is
+// taken to lie outside single engines: here, or in the network near here. A
+// loss that takes a third of the engines is the largest one zone can cause.
+const stallShare = 0.5
+
+// stallStreams is the least number of streams for which a share means anything.
+const stallStreams = 4
+
+// GlobalStall reports whether so many streams are silent at once that taking
+// over would only add load: a storm of prefills against engines that are all
+// slow. silent and total count streams on engines other than the one suspected,
+// so that the death of the one engine in use is not mistaken for a stall.
+func GlobalStall(silent, total int) bool {
+	return total >= stallStreams && float64(silent) > stallShare*float64(total)
+}
--- /dev/null
+++ b/serve/api/api.go
@@ -0,0 +1,145 @@
+// Package api is the callers' side: the usual completions API of model serving,
+// plain services behind /services, the entry VMs to use, and refusals that say
+// whether the request may have run.
+package api
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/telemetry/event"
+)
+
+// Entry is one entry VM that a caller should use.
+type Entry struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// Entries answers which entry VMs an account should use.
+type Entries interface {
+	For(account *site.Account) []Entry
+}
+
+// Calls carries out calls to plain services. Errors are *verdict.Error.
+type Calls interface {
+	Call(ctx context.Context, account *site.Account, service *site.Service, key string, call plain.Call) (plain.Answer, error)
+}
+
+// Config names what an API works with.
+type Config struct {
+	Site        site.Source
+	Generations *generation.Manager
+	Calls       Calls
+	Entries     Entries
+	Log         *event.Log
+	Metrics     prometheus.Registerer
+	// Refusing reports whether new requests are refused because the daemon stops.
+	Refusing func() bool
+	// Ready reports whether callers should be sent here.
+	Ready func() bool
+}
+
+// API handles callers' requests. It is safe for concurrent use.
+type API struct {
+	Config
+	requests *prometheus.CounterVec
+	inFlight prometheus.Gauge
+	router   *mux.Router
+}
+
+// New returns an API ready to serve.
+func New(c Config) *API {
+	a := &API{Config: c, router: mux.NewRouter()}
+	a.requests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mallowwind", Subsystem: "api", Name: "requests_total",
+		Help: "Requests of callers by route and outcome: ok or the error's code.",
+	}, []string{"route", "outcome"})
+	a.inFlight = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: "mallowwind", Subsystem: "api", Name: "in_flight",
+		Help: "Requests of callers being served.",
+	})
+	c.Metrics.MustRegister(a.requests, a.inFlight)
+	a.route("POST", "/v1/completions", "completions", a.completions)
+	a.route("POST", "/v1/chat/completions", "chat", a.chat)
+	a.route("GET", "/v1/generations/{id}", "generation", a.resume)
+	a.route("GET", "/v1/entries", "entries", a.entries)
+	a.route("GET", "/v1/models", "models", a.models)
+	a.router.Handle("/services/{service}/{path:.*}", a.handler("service", a.service))
+	a.router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	a.router.HandleFunc("/readyz", a.readyz)
+	a.router.NotFoundHandler = a.handler("unknown", func(http.ResponseWriter, *http.Request, *site.Site, *site.Account) error {
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "no such path; see /v1/completions, /v1/chat/completions, /services/NAME/")
+	})
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.router.ServeHTTP(w, r) }
+
+// endpoint serves one authenticated request. An error is written to the caller
+// unless the answer has already begun.
+type endpoint func(w http.ResponseWriter, r *http.Request, s *site.Site, account *site.Account) error
+
+func (a *API) route(method, path, name string, e endpoint) {
+	a.router.Handle(path, a.handler(name, e)).Methods(method)
+}
+
+// handler authenticates, counts and turns errors into refusals.
+func (a *API) handler(name string, e endpoint) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.inFlight.Inc()
+		defer a.inFlight.Dec()
+		err := a.serve(w, r, e)
+		outcome := "ok"
+		if err != nil {
+			refusal := verdict.Of(err)
+			outcome = string(refusal.Code)
+			writeError(w, refusal)
+		}
+		a.requests.WithLabelValues(name, outcome).Inc()
+	})
+}
+
+func (a *API) serve(w http.ResponseWriter, r *http.Request, e endpoint) error {
+	s := a.Site.Current()
+	if s == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnconfigured,
+			"this entry VM has no configuration yet; use another one").After(retryElsewhere)
+	}
+	account := authenticate(s, r)
+	if account == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized,
+			"send a bearer token that the site text lists in the Authorization header")
+	}
+	return e(w, r, s, account)
+}
+
+// retryElsewhere is the wait told to callers that should use another entry VM.
+const retryElsewhere = time.Second
+
+// accepting refuses new work while the daemon stops.
+func (a *API) accepting() error {
+	if a.Refusing() {
+		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown,
+			"this entry VM is shutting down; ask /v1/entries for another one").After(retryElsewhere)
+	}
+	return nil
+}
+
+func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !a.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/serve/api/auth.go
@@ -0,0 +1,34 @@
+package api
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"mallowwind.dev/control/site"
+)
+
+const bearer = "Bearer "
+
+// authenticate returns the account whose token the request carries, or nil. It
+// compares with every listed hash in constant time, so that the time taken
+// tells nothing about the tokens.
+func authenticate(s *site.Site, r *http.Request) *site.Account {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearer)
+	if !ok || token == "" {
+		return nil
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	var found *site.Account
+	for _, a := range s.Accounts {
+		for _, h := range a.TokenHashes {
+			if subtle.ConstantTimeCompare(hash, []byte(h)) == 1 {
+				found = a
+			}
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/serve/api/errors.go
@@ -0,0 +1,82 @@
+package api
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mallowwind.dev/decision/verdict"
+)
+
+// errorBody is the JSON of a refusal or failure. Its shape is the usual one of
+// the completions API with the verdict added, so that client libraries show it.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message      string `json:"message"`
+	Type         string `json:"type"`
+	Code         string `json:"code"`
+	Verdict      string `json:"verdict"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// errorType is the same for all errors; code tells them apart.
+const errorType = "mallowwind_error"
+
+func bodyOf(e *verdict.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Message:      e.Message,
+		Type:         errorType,
+		Code:         string(e.Code),
+		Verdict:      e.Verdict.String(),
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}}
+}
+
+// statuses maps codes to HTTP statuses; docs/errors.md lists them.
+var statuses = map[verdict.Code]int{
+	verdict.CodeBadRequest:         http.StatusBadRequest,
+	verdict.CodeBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	verdict.CodeUnauthorized:       http.StatusUnauthorized,
+	verdict.CodeUnknownService:     http.StatusNotFound,
+	verdict.CodeUnknownGeneration:  http.StatusNotFound,
+	verdict.CodeKeyRequired:        http.StatusBadRequest,
+	verdict.CodeKeyReused:          http.StatusUnprocessableEntity,
+	verdict.CodeOverloaded:         http.StatusServiceUnavailable,
+	verdict.CodeAccountLimit:       http.StatusTooManyRequests,
+	verdict.CodeDeadline:           http.StatusServiceUnavailable,
+	verdict.CodeNoBackend:          http.StatusServiceUnavailable,
+	verdict.CodeBackendFailed:      http.StatusBadGateway,
+	verdict.CodeLost:               http.StatusBadGateway,
+	verdict.CodeShuttingDown:       http.StatusServiceUnavailable,
+	verdict.CodeUnconfigured:       http.StatusServiceUnavailable,
+	verdict.CodeInvariantViolation: http.StatusInternalServerError,
+	verdict.CodeKeyUndecided:       http.StatusConflict,
+}
+
+// writeError writes a refusal, unless the answer has begun: then the endpoint
+// has already ended it visibly.
+func writeError(w http.ResponseWriter, e *verdict.Error) {
+	status, ok := statuses[e.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	h := w.Header()
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(wholeSeconds(e.RetryAfter)))
+	}
+	writeJSON(w, status, bodyOf(e))
+}
+
+// wholeSeconds rounds up: coming back too early is refused again.
+func wholeSeconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that went away is noticed by the server; there is no one left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/serve/generation/copier.go
@@ -0,0 +1,168 @@
+package generation
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/lineage"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/serve/journal"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// appendTimeout bounds one write of a copy. Zones are milliseconds apart; a
+	// holder that takes this long delays every token, so another one is chosen.
+	appendTimeout = 400 * time.Millisecond
+	// retryHolders is how long an owner that ran out of holders waits before it
+	// asks those again that failed.
+	retryHolders = 2 * time.Second
+)
+
+// copier keeps one generation's copy on another entry VM. Only one write runs
+// at a time; tokens accepted meanwhile go with the next, so one round trip
+// carries whatever came while its predecessor was under way.
+type copier struct {
+	m        *Manager
+	spec     *Spec
+	line     lineage.Line
+	holder   membership.Member
+	open     bool // holder has the copy
+	excluded []string
+	retryAt  time.Time
+}
+
+// write is one step of the copy: all accepted tokens, of which the holder has
+// the first journaled.
+type write struct {
+	tokens    []string
+	journaled int
+	attempt   *peerpb.Attempt
+	finish    engine.FinishReason
+}
+
+// written is the outcome of a write.
+type written struct {
+	upTo   int
+	finish engine.FinishReason
+	fenced lineage.Epoch // a newer owner's epoch, 0 if none
+	// degraded says that no holder could be reached. The tokens are released all
+	// the same: a copy that falls behind makes a later adoption fail visibly and
+	// never mixes two answers.
+	degraded bool
+}
+
+// put carries out w, moving to another holder where the present one fails.
+func (c *copier) put(ctx context.Context, w write) written {
+	done := written{upTo: len(w.tokens), finish: w.finish}
+	for ctx.Err() == nil {
+		if !c.choose() {
+			done.degraded = true
+			return done
+		}
+		res, err := c.send(ctx, w)
+		switch {
+		case err != nil:
+			// The connection may be silent for good while new ones work.
+			c.m.dialer.DropIdle()
+			c.leave("unreachable")
+		case res.Accepted:
+			c.open = true
+			return done
+		case res.Epoch != c.line.Epoch() && res.Epoch.Count() >= c.line.Epoch().Count():
+			done.fenced = res.Epoch
+			return done
+		case res.Unknown && c.open:
+			c.open = false // the holder lost the copy: send it whole
+		default:
+			c.leave("refused")
+		}
+	}
+	done.degraded = true
+	return done
+}
+
+// choose keeps the present holder while it is alive and picks another otherwise.
+func (c *copier) choose() bool {
+	v := c.m.members.Current()
+	if c.holder.ID != "" {
+		m, known := v.Find(c.holder.ID)
+		if known && m.State == membership.Alive && m.Incarnation == c.holder.Incarnation {
+			return true
+		}
+		c.leave("not alive")
+	}
+	if len(c.excluded) > 0 && time.Now().After(c.retryAt) {
+		c.excluded = nil
+	}
+	next, ok := journal.Pick(c.spec.ID, v, c.excluded)
+	if !ok {
+		return false
+	}
+	c.holder = next
+	return true
+}
+
+// leave gives up the present holder. The old copy is dropped where it can be,
+// so that no one adopts it while a longer one exists; where it cannot, adopters
+// compare the copies they reach and take the longest.
+func (c *copier) leave(reason string) {
+	if c.open {
+		c.m.log.Emit(event.JournalMoved, c.spec.ID, c.holder.ID, "", reason)
+		c.m.metrics.journalMoves.Inc()
+		go c.m.dropCopy(c.holder, c.spec.ID, c.line.Epoch())
+	}
+	c.excluded = append(c.excluded, c.holder.ID)
+	c.retryAt = time.Now().Add(retryHolders)
+	c.holder = membership.Member{}
+	c.open = false
+}
+
+func (c *copier) send(ctx context.Context, w write) (journal.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	r, err := c.call(ctx, w)
+	if err != nil {
+		return journal.Result{}, errors.Wrap(err, "journal write")
+	}
+	c.m.metrics.journalBytes.Add(float64(c.bytes(w)))
+	return journal.Result{
+		Accepted: r.GetAccepted(),
+		Unknown:  r.GetUnknown(),
+		Epoch:    lineage.Epoch(r.GetEpoch()),
+		Length:   int(r.GetLength()),
+	}, nil
+}
+
+func (c *copier) call(ctx context.Context, w write) (*peerpb.JournalReply, error) {
+	client := c.m.client(c.holder)
+	if !c.open {
+		return client.Open(ctx, journal.ToWire(journal.Copy{
+			Spec: c.spec.toWire(), Line: c.line, Tokens: w.tokens, Attempt: w.attempt, Finish: string(w.finish),
+		}))
+	}
+	return client.Append(ctx, &peerpb.AppendRequest{
+		Id:      c.spec.ID,
+		Epoch:   uint64(c.line.Epoch()),
+		Offset:  uint32(w.journaled),
+		Tokens:  w.tokens[w.journaled:],
+		Attempt: w.attempt,
+		Finish:  string(w.finish),
+	})
+}
+
+// bytes is the text that a write carries, without framing.
+func (c *copier) bytes(w write) int {
+	n, from := len(c.spec.Prompt), 0
+	if c.open {
+		n, from = 0, w.journaled
+	}
+	for _, t := range w.tokens[from:] {
+		n += len(t)
+	}
+	return n
+}
--- /dev/null
+++ b/serve/generation/server.go
@@ -0,0 +1,130 @@
+package generation
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"mallowwind.dev/decision/lineage"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/serve/journal"
+)
+
+// maxFollowWait bounds how long a question of another entry VM is held.
+const maxFollowWait = 5 * time.Second
+
+// Handler returns the twirp service that other entry VMs call, and its path prefix.
+func (m *Manager) Handler() (prefix string, h http.Handler) {
+	s := peerpb.NewJournalServer(server{m})
+	return s.PathPrefix(), s
+}
+
+// server implements peerpb.Journal.
+type server struct{ m *Manager }
+
+// Open implements peerpb.Journal.
+func (s server) Open(_ context.Context, r *peerpb.OpenRequest) (*peerpb.JournalReply, error) {
+	c, ok := journal.FromWire(r)
+	if !ok {
+		return &peerpb.JournalReply{Unknown: true}, nil
+	}
+	return reply(s.m.holder.Open(c)), nil
+}
+
+// Append implements peerpb.Journal.
+func (s server) Append(_ context.Context, r *peerpb.AppendRequest) (*peerpb.JournalReply, error) {
+	return reply(s.m.holder.Append(r.GetId(), lineage.Epoch(r.GetEpoch()), int(r.GetOffset()), r.GetTokens(), r.GetAttempt(), r.GetFinish())), nil
+}
+
+// Drop implements peerpb.Journal.
+func (s server) Drop(_ context.Context, r *peerpb.DropRequest) (*peerpb.JournalReply, error) {
+	s.m.holder.Drop(r.GetId(), lineage.Epoch(r.GetEpoch()))
+	return &peerpb.JournalReply{Accepted: true}, nil
+}
+
+func reply(r journal.Result) *peerpb.JournalReply {
+	return &peerpb.JournalReply{
+		Accepted: r.Accepted,
+		Unknown:  r.Unknown,
+		Epoch:    uint64(r.Epoch),
+		Length:   uint32(r.Length),
+	}
+}
+
+// Adopt implements peerpb.Journal.
+func (s server) Adopt(_ context.Context, r *peerpb.AdoptRequest) (*peerpb.AdoptReply, error) {
+	if r.GetPeek() {
+		return s.m.peekHere(r.GetId()), nil
+	}
+	seen := lineage.Position{Epoch: lineage.Epoch(r.GetSeenEpoch()), Offset: int(r.GetSeenOffset())}
+	c, rel, ok := s.m.holder.Adopt(r.GetId(), r.GetNewOwner(), seen)
+	if !ok {
+		return &peerpb.AdoptReply{Unknown: true}, nil
+	}
+	if rel != lineage.Prefix {
+		return &peerpb.AdoptReply{Behind: rel == lineage.Behind}, nil
+	}
+	return &peerpb.AdoptReply{Accepted: true, Copy: journal.ToWire(c)}, nil
+}
+
+// peekHere reports what this daemon knows of a generation, as owner or holder.
+func (m *Manager) peekHere(id string) *peerpb.AdoptReply {
+	if g := m.local(id); g != nil {
+		s := g.state()
+		return &peerpb.AdoptReply{
+			Running:    true,
+			Epoch:      uint64(s.epoch),
+			Length:     uint32(s.length),
+			Owner:      m.members.Current().Self.ID,
+			BodyDigest: g.spec.digest(),
+			Failed:     s.failure != nil,
+		}
+	}
+	c, ok := m.holder.Peek(id)
+	if !ok {
+		return &peerpb.AdoptReply{Unknown: true}
+	}
+	return &peerpb.AdoptReply{
+		Epoch:      uint64(c.Line.Epoch()),
+		Length:     uint32(len(c.Tokens)),
+		Owner:      c.Line.Owner(),
+		BodyDigest: c.Spec.GetBodyDigest(),
+	}
+}
+
+// Follow implements peerpb.Journal.
+func (s server) Follow(ctx context.Context, r *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
+	g := s.m.local(r.GetId())
+	if g == nil {
+		return &peerpb.FollowReply{Unknown: true}, nil
+	}
+	g.touch()
+	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFollowWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	pos := lineage.Position{Epoch: lineage.Epoch(r.GetSeenEpoch()), Offset: int(r.GetFrom())}
+	b, err := g.read(ctx, pos)
+	return followReply(pos, b, err), nil
+}
+
+func followReply(pos lineage.Position, b Batch, err error) *peerpb.FollowReply {
+	var final *verdict.Error
+	switch {
+	case errors.As(err, &final):
+		return &peerpb.FollowReply{
+			ErrorCode:    string(final.Code),
+			ErrorMessage: final.Message,
+			ErrorVerdict: final.Verdict.String(),
+		}
+	case errors.As(err, new(errFenced)):
+		return &peerpb.FollowReply{Unknown: true}
+	}
+	return &peerpb.FollowReply{
+		From:   uint32(pos.Offset),
+		Epoch:  uint64(b.Position.Epoch),
+		Tokens: b.Tokens,
+		Finish: string(b.Finish),
+	}
+}
--- /dev/null
+++ b/serve/generation/spec.go
@@ -0,0 +1,109 @@
+package generation
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/peer/peerpb"
+)
+
+// Spec is what a caller asked for. It is immutable once submitted.
+type Spec struct {
+	ID          string // set by Submit
+	Account     *site.Account
+	Service     *site.Service
+	Prompt      string
+	MaxTokens   int
+	Temperature float64
+	Seed        *int64
+	Stop        []string
+	// Key is the caller's Idempotency-Key, empty if none.
+	Key  string
+	Chat bool // the caller used the chat form
+}
+
+// idBytes is the length of a generation id in bytes; lineage.ValidID checks the text form.
+const idBytes = 16
+
+// assignID sets the id: derived from account, service and key, so that every
+// entry VM finds the same generation for the same key, or random without a key.
+func (s *Spec) assignID() {
+	if s.Key == "" {
+		var b [idBytes]byte
+		_, _ = rand.Read(b[:])
+		s.ID = "g" + hex.EncodeToString(b[:])
+		return
+	}
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %q %q", s.Account.Name, s.Service.Name, s.Key)
+	s.ID = "k" + hex.EncodeToString(h.Sum(nil)[:idBytes])
+}
+
+// digest identifies the body: the same key with another digest is refused.
+func (s *Spec) digest() []byte {
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %d %g %q %t", s.Prompt, s.MaxTokens, s.Temperature, s.Stop, s.Chat)
+	if s.Seed != nil {
+		fmt.Fprintf(h, " %d", *s.Seed)
+	}
+	return h.Sum(nil)
+}
+
+func (s *Spec) toWire() *peerpb.GenerationSpec {
+	return &peerpb.GenerationSpec{
+		Id:             s.ID,
+		Account:        s.Account.Name,
+		Service:        s.Service.Name,
+		Model:          s.Service.Model,
+		Adapter:        s.Service.Adapter,
+		Version:        s.Service.Version,
+		Prompt:         s.Prompt,
+		MaxTokens:      uint32(s.MaxTokens),
+		Temperature:    s.Temperature,
+		Seed:           s.Seed,
+		Stop:           s.Stop,
+		IdempotencyKey: s.Key,
+		BodyDigest:     s.digest(),
+		Chat:           s.Chat,
+	}
+}
+
+// specFromWire rebuilds a Spec. Account and service come from the site in force
+// where it still names them; an answer begun under an older text goes on with
+// the model that the text named then.
+func specFromWire(w *peerpb.GenerationSpec, in *site.Site) *Spec {
+	account := &site.Account{Name: w.GetAccount(), Share: 1}
+	service := site.Service{Name: w.GetService(), Kind: site.KindGeneration, Class: site.ClassNormal}
+	if in != nil {
+		if a := in.Accounts[w.GetAccount()]; a != nil {
+			account = a
+		}
+		if s := in.Services[w.GetService()]; s != nil {
+			service = *s
+		}
+	}
+	service.Model, service.Adapter, service.Version = w.GetModel(), w.GetAdapter(), w.GetVersion()
+	return &Spec{
+		ID:          w.GetId(),
+		Account:     account,
+		Service:     &service,
+		Prompt:      w.GetPrompt(),
+		MaxTokens:   int(w.GetMaxTokens()),
+		Temperature: w.GetTemperature(),
+		Seed:        w.Seed,
+		Stop:        w.GetStop(),
+		Key:         w.GetIdempotencyKey(),
+		Chat:        w.GetChat(),
+	}
+}
+
+// randomEpoch feeds the random part of epochs.
+func randomEpoch() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/serve/generation/watch.go
@@ -0,0 +1,123 @@
+package generation
+
+import (
+	"sync"
+	"time"
+
+	"mallowwind.dev/decision/silence"
+)
+
+// watch knows every running attempt of this daemon and what each engine's gaps
+// are like. It tells one silent engine from a stall of all. It is safe for
+// concurrent use.
+type watch struct {
+	mu      sync.Mutex
+	engines map[string]*engineGaps
+	running map[watchKey]*watched
+}
+
+type engineGaps struct {
+	gaps, first silence.Gaps
+	seen        time.Time
+}
+
+type watchKey struct {
+	generation string
+	attempt    uint64
+}
+
+type watched struct {
+	backend   string
+	last      time.Time
+	threshold time.Duration // 0 before the first chunk
+}
+
+func newWatch() *watch {
+	return &watch{engines: make(map[string]*engineGaps), running: make(map[watchKey]*watched)}
+}
+
+func (w *watch) engine(id string) *engineGaps {
+	e := w.engines[id]
+	if e == nil {
+		e = &engineGaps{}
+		w.engines[id] = e
+	}
+	return e
+}
+
+func (w *watch) start(generation string, a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[watchKey{generation, a.number}] = &watched{backend: a.backend.ID, last: a.last}
+}
+
+func (w *watch) chunk(generation string, a *attempt, now time.Time, threshold time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r := w.running[watchKey{generation, a.number}]; r != nil {
+		r.last, r.threshold = now, threshold
+	}
+}
+
+func (w *watch) stop(generation string, a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.running, watchKey{generation, a.number})
+}
+
+func (w *watch) observe(backend string, gap time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engine(backend)
+	e.gaps.Observe(gap)
+	e.seen = time.Now()
+}
+
+func (w *watch) observeFirst(backend string, wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engine(backend)
+	e.first.Observe(wait)
+	e.seen = time.Now()
+}
+
+func (w *watch) threshold(c silence.Config, stream *silence.Gaps, backend string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return silence.Threshold(c, stream, &w.engine(backend).gaps)
+}
+
+func (w *watch) firstThreshold(c silence.Config, backend string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return silence.FirstThreshold(c, &w.engine(backend).first)
+}
+
+// globalStall reports whether the streams on other engines than suspect are
+// silent too.
+func (w *watch) globalStall(now time.Time, suspect string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	silent, total := 0, 0
+	for _, r := range w.running {
+		if r.backend == suspect || r.threshold == 0 {
+			continue
+		}
+		total++
+		if now.Sub(r.last) >= r.threshold {
+			silent++
+		}
+	}
+	return silence.GlobalStall(silent, total)
+}
+
+// forget drops engines not seen since the given time.
+func (w *watch) forget(before time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, e := range w.engines {
+		if e.seen.Before(before) {
+			delete(w.engines, id)
+		}
+	}
+}
--- /dev/null
+++ b/serve/journal/holder.go
@@ -0,0 +1,238 @@
+package journal
+
+import (
+	"sync"
+	"time"
+
+	"mallowwind.dev/decision/lineage"
+	"mallowwind.dev/peer/peerpb"
+)
+
+// Copy is one generation as its owner last copied it here.
+type Copy struct {
+	Spec    *peerpb.GenerationSpec
+	Line    lineage.Line
+	Tokens  []string
+	Attempt *peerpb.Attempt
+	Finish  string
+}
+
+// Limits bound what a Holder keeps.
+type Limits struct {
+	// Bytes bounds prompts and tokens together. When it is reached finished
+	// copies go first, the oldest at the front; then new copies are refused and
+	// their owners choose another holder.
+	Bytes int
+	// TTL is how long a copy is kept after its last change.
+	TTL func() time.Duration
+}
+
+// Holder keeps copies in memory. It is safe for concurrent use.
+type Holder struct {
+	limits Limits
+	random func() uint64
+
+	mu     sync.Mutex
+	copies map[string]*entry
+	bytes  int
+}
+
+type entry struct {
+	Copy
+	touched time.Time
+	bytes   int
+}
+
+// NewHolder returns an empty Holder. random feeds the epochs it hands out.
+func NewHolder(limits Limits, random func() uint64) *Holder {
+	return &Holder{limits: limits, random: random, copies: make(map[string]*entry)}
+}
+
+// Result tells the writer of a copy what became of it.
+type Result struct {
+	Accepted bool
+	Unknown  bool          // no copy here: send it whole
+	Epoch    lineage.Epoch // newest known here
+	Length   int
+}
+
+// Open stores a whole copy. It is refused when a copy with a newer epoch, or
+// with another first epoch and an owner that may still run, is here.
+func (h *Holder) Open(c Copy) Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.copies[c.Spec.GetId()]
+	if old != nil && supersedes(old.Copy, c) {
+		return Result{Epoch: old.Line.Epoch(), Length: len(old.Tokens)}
+	}
+	e := &entry{Copy: c, touched: time.Now(), bytes: size(c)}
+	if !h.makeRoom(e.bytes, c.Spec.GetId()) {
+		return Result{Epoch: c.Line.Epoch()}
+	}
+	if old != nil {
+		h.bytes -= old.bytes
+	}
+	h.copies[c.Spec.GetId()] = e
+	h.bytes += e.bytes
+	return Result{Accepted: true, Epoch: c.Line.Epoch(), Length: len(c.Tokens)}
+}
+
+// supersedes reports whether the copy held must not be replaced by next.
+func supersedes(held, next Copy) bool {
+	if next.Line.Epoch() == held.Line.Epoch() {
+		return false
+	}
+	for _, f := range next.Line {
+		if f.Epoch == held.Line.Epoch() {
+			return false // next continues what is held
+		}
+	}
+	if held.Finish != "" && next.Line.Epoch().Count() == held.Line.Epoch().Count() {
+		return true
+	}
+	return next.Line.Epoch().Count() <= held.Line.Epoch().Count()
+}
+
+// Append adds tokens at offset under epoch. Tokens already held are skipped, so
+// a repeated append does no harm.
+func (h *Holder) Append(id string, epoch lineage.Epoch, offset int, tokens []string, attempt *peerpb.Attempt, finish string) Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.copies[id]
+	if e == nil {
+		return Result{Unknown: true}
+	}
+	res := Result{Epoch: e.Line.Epoch(), Length: len(e.Tokens)}
+	if e.Line.Epoch() != epoch {
+		return res
+	}
+	if offset > len(e.Tokens) {
+		res.Unknown = true
+		return res
+	}
+	if skip := len(e.Tokens) - offset; skip < len(tokens) {
+		h.grow(e, tokens[skip:])
+	}
+	e.touched = time.Now()
+	if attempt != nil {
+		e.Attempt = attempt
+	}
+	if finish != "" {
+		e.Finish = finish
+	}
+	return Result{Accepted: true, Epoch: epoch, Length: len(e.Tokens)}
+}
+
+func (h *Holder) grow(e *entry, tokens []string) {
+	n := 0
+	for _, t := range tokens {
+		n += tokenBytes(t)
+	}
+	e.Tokens = append(e.Tokens, tokens...)
+	e.bytes += n
+	h.bytes += n
+}
+
+// Peek returns the copy of a generation without changing it.
+func (h *Holder) Peek(id string) (Copy, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.copies[id]
+	if e == nil {
+		return Copy{}, false
+	}
+	return e.clone(), true
+}
+
+// Adopt makes newOwner the owner from the copy's present length on and returns
+// the copy under its new epoch. seen must be a prefix of the copy.
+func (h *Holder) Adopt(id, newOwner string, seen lineage.Position) (Copy, lineage.Relation, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := h.copies[id]
+	if e == nil {
+		return Copy{}, lineage.Prefix, false
+	}
+	if rel := e.Line.Relate(seen, len(e.Tokens)); rel != lineage.Prefix {
+		return Copy{}, rel, true
+	}
+	e.Line = e.Line.Extend(lineage.Fork{
+		Epoch: e.Line.Epoch().Next(h.random()),
+		From:  len(e.Tokens),
+		Owner: newOwner,
+	})
+	e.touched = time.Now()
+	return e.clone(), lineage.Prefix, true
+}
+
+// Drop removes a copy whose epoch is not newer than epoch: its owner keeps it elsewhere now.
+func (h *Holder) Drop(id string, epoch lineage.Epoch) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e := h.copies[id]; e != nil && e.Line.Epoch() == epoch {
+		h.remove(id, e)
+	}
+}
+
+// Expire removes copies that have not changed for the TTL.
+func (h *Holder) Expire(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ttl := h.limits.TTL()
+	for id, e := range h.copies {
+		if now.Sub(e.touched) >= ttl {
+			h.remove(id, e)
+		}
+	}
+}
+
+// Size returns the number of copies and their bytes.
+func (h *Holder) Size() (copies, bytes int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.copies), h.bytes
+}
+
+func (h *Holder) remove(id string, e *entry) {
+	delete(h.copies, id)
+	h.bytes -= e.bytes
+}
+
+// makeRoom evicts finished copies, oldest first, until n more bytes fit.
+func (h *Holder) makeRoom(n int, keep string) bool {
+	for h.bytes+n > h.limits.Bytes {
+		oldest := ""
+		for id, e := range h.copies {
+			if id == keep || e.Finish == "" {
+				continue
+			}
+			if oldest == "" || e.touched.Before(h.copies[oldest].touched) {
+				oldest = id
+			}
+		}
+		if oldest == "" {
+			return false
+		}
+		h.remove(oldest, h.copies[oldest])
+	}
+	return true
+}
+
+func (e *entry) clone() Copy {
+	c := e.Copy
+	c.Tokens = append([]string(nil), e.Tokens...)
+	return c
+}
+
+// stringHeader is what a token costs beside its bytes: a Go string header.
+const stringHeader = 16
+
+func tokenBytes(t string) int { return len(t) + stringHeader }
+
+func size(c Copy) int {
+	n := len(c.Spec.GetPrompt())
+	for _, t := range c.Tokens {
+		n += tokenBytes(t)
+	}
+	return n
+}
--- /dev/null
+++ b/serve/journal/place.go
@@ -0,0 +1,96 @@
+// Package journal holds copies of generations that other entry VMs serve.
+//
+// The failure guarded against is the loss of an entry VM in mid-answer. A
+// continuation made elsewhere must begin with exactly the text the caller
+// already holds, so every token is copied to an entry VM in another zone before
+// it is released (the output-commit problem; Strom and Yemini 1985). The holder
+// also decides ownership: Adopt begins a new epoch, after which appends of the
+// old owner are refused, so an owner that was only paused can release nothing
+// that its successor does not have.
+package journal
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/membership"
+)
+
+// candidates is how many members, each of another zone, may hold a copy: the
+// usual one and two more for when it is gone or cut off.
+const candidates = 3
+
+// Candidates returns the members that may hold the copy of a generation, the
+// usual one first: the order of rendezvous hashing with at most one per zone,
+// so that for an owner in any zone one of the first two lies in another. Every
+// entry VM computes nearly the same list, which is how a copy is found without
+// a directory. In a deployment of one zone the list holds members of that zone.
+func Candidates(id string, v *membership.View) []membership.Member {
+	scored := score(id, v)
+	out := make([]membership.Member, 0, candidates)
+	for _, s := range scored {
+		if !slices.ContainsFunc(out, func(m membership.Member) bool { return m.Zone == s.member.Zone }) {
+			out = append(out, s.member)
+		}
+		if len(out) == candidates {
+			return out
+		}
+	}
+	if len(out) > 1 {
+		return out
+	}
+	out = out[:0]
+	for i := 0; i < len(scored) && i < candidates; i++ {
+		out = append(out, scored[i].member)
+	}
+	return out
+}
+
+// Pick returns the member that should hold the copy of a generation served by
+// v.Self, leaving out those in exclude. ok is false where no member is fit.
+func Pick(id string, v *membership.View, exclude []string) (m membership.Member, ok bool) {
+	fallback := -1
+	list := Candidates(id, v)
+	for i, c := range list {
+		if c.ID == v.Self.ID || c.State != membership.Alive || slices.Contains(exclude, c.ID) {
+			continue
+		}
+		if c.Zone != v.Self.Zone {
+			return c, true
+		}
+		if fallback < 0 {
+			fallback = i
+		}
+	}
+	if fallback < 0 {
+		return membership.Member{}, false
+	}
+	return list[fallback], true
+}
+
+type scoredMember struct {
+	score  uint64
+	member membership.Member
+}
+
+func score(id string, v *membership.View) []scoredMember {
+	out := make([]scoredMember, 0, len(v.Members))
+	for _, m := range v.Members {
+		if m.State == membership.Gone {
+			continue
+		}
+		out = append(out, scoredMember{xxhash.Sum64String(id + "/" + m.ID), m})
+	}
+	slices.SortFunc(out, func(a, b scoredMember) int {
+		if a.score != b.score {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.member.ID, b.member.ID)
+	})
+	return out
+}
