--- /dev/null
+++ b/lab/report/fit.go
@@ -0,0 +1,68 @@
+package report
+
+import (
+	"math"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/gonum/stat"
+)
+
+// MinFitPoints is the least number of sizes a slope may be drawn from: with
+// fewer, the residuals say nothing about whether a line fits.
+const MinFitPoints = 4
+
+// Fit is a straight line y = Intercept + Slope*x by least squares.
+type Fit struct {
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	// SlopeError is the standard error of Slope.
+	SlopeError float64 `json:"slope_error"`
+	R2         float64 `json:"r2"`
+	// Residuals are measured minus fitted, in the order of the points.
+	Residuals []float64 `json:"residuals"`
+}
+
+// LeastSquares fits a line through the points. It is an error if there are
+// fewer than MinFitPoints different x.
+func LeastSquares(x, y []float64) (Fit, error) {
+	if len(x) != len(y) {
+		return Fit{}, errors.Errorf("fit: %d x and %d y", len(x), len(y))
+	}
+	if n := distinct(x); n < MinFitPoints {
+		return Fit{}, errors.Errorf("fit: %d sizes, need at least %d", n, MinFitPoints)
+	}
+	a, b := stat.LinearRegression(x, y, nil, false)
+	f := Fit{Intercept: a, Slope: b, R2: stat.RSquared(x, y, nil, a, b)}
+	if math.IsNaN(f.R2) { // all y are equal: the line goes through each
+		f.R2 = 1
+	}
+	var squares float64
+	for i := range x {
+		r := y[i] - (a + b*x[i])
+		f.Residuals = append(f.Residuals, r)
+		squares += r * r
+	}
+	spread := stat.Variance(x, nil) * float64(len(x)-1)
+	f.SlopeError = math.Sqrt(squares / float64(len(x)-2) / spread)
+	return f, nil
+}
+
+// At returns the fitted value at x.
+func (f Fit) At(x float64) float64 { return f.Intercept + f.Slope*x }
+
+// MaxResidual returns the largest residual without its sign.
+func (f Fit) MaxResidual() float64 {
+	var m float64
+	for _, r := range f.Residuals {
+		m = max(m, math.Abs(r))
+	}
+	return m
+}
+
+func distinct(x []float64) int {
+	seen := make(map[float64]bool, len(x))
+	for _, v := range x {
+		seen[v] = true
+	}
+	return len(seen)
+}
