--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -24,6 +24,8 @@
 // commands is the whole command line. One file per command holds its struct.
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Events eventsCmd `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 }
 
 // coder is an error that chooses the exit code.
