--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -6,6 +6,7 @@
 
 // Settings of one daemon. All addresses are host:port with an IP number.
 type Settings struct {
+	Site   string // name of the site whose text the daemon follows
 	VM     string // id of this VM in the platform's list
 	Zone   string
 	Region string
--- /dev/null
+++ b/control/site/index.go
@@ -0,0 +1,54 @@
+package site
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"maps"
+	"slices"
+)
+
+// Index finds accounts by bearer token. It is immutable.
+type Index struct {
+	hashes [][sha256.Size]byte
+	owners []*Account
+}
+
+// NewIndex returns the index of s; a nil site has no accounts.
+func NewIndex(s *Site) *Index {
+	x := &Index{}
+	if s == nil {
+		return x
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Accounts)) {
+		x.add(s.Accounts[name])
+	}
+	return x
+}
+
+func (x *Index) add(a *Account) {
+	for _, h := range a.TokenHashes {
+		raw, err := hex.DecodeString(h)
+		if err != nil || len(raw) != sha256.Size {
+			continue
+		}
+		x.hashes = append(x.hashes, [sha256.Size]byte(raw))
+		x.owners = append(x.owners, a)
+	}
+}
+
+// Account returns the account that token belongs to, or nil. It compares with
+// every hash and in constant time, so that the time of an answer tells nothing
+// of which hash came close. With 810 accounts that is some microseconds.
+func (x *Index) Account(token string) *Account {
+	sum := sha256.Sum256([]byte(token))
+	found := -1
+	for i := range x.hashes {
+		match := subtle.ConstantTimeCompare(sum[:], x.hashes[i][:])
+		found = subtle.ConstantTimeSelect(match, i, found)
+	}
+	if found < 0 {
+		return nil
+	}
+	return x.owners[found]
+}
