control/backends: a Manager that reads the VM list and polls engines

Cause: routing needs a picture of the backend servers that is fresh enough to stop giving work to leaving ones and cheap enough at 390 daemons.

Change: Manager reads the list each second, knows a rendezvous subset of each pool (grown while a zone has few daemons), polls changing engines every 2 s and steady ones under a rate.

--- /dev/null
+++ b/control/backends/config.go
@@ -0,0 +1,69 @@
+package backends
+
+import "time"
+
+// Config bounds what a Manager spends and how old its picture may get.
+type Config struct {
+	// ListEvery is the time between two reads of the VM list.
+	ListEvery time.Duration
+	// ListTimeout bounds one read of the list.
+	ListTimeout time.Duration
+	// StatusEvery is the time between two polls of a backend server whose state
+	// is changing: one never polled, unreachable, or loading.
+	StatusEvery time.Duration
+	// StatusTimeout bounds one poll.
+	StatusTimeout time.Duration
+	// PollsPerSecond bounds the polls of backend servers in a steady state.
+	PollsPerSecond float64
+	// Parallel bounds polls in flight, so that a zone of silent backend servers
+	// does not collect a goroutine and a connection each.
+	Parallel int
+	// Near and Far bound the subset of each pool in this daemon's zone and in
+	// all other zones together.
+	Near, Far int
+	// Cover is how many daemons of a zone should know each backend server of
+	// it; the subset grows above Near while the zone has too few daemons.
+	Cover int
+	// Retain is how long a backend server that left the list stays known as
+	// leaving, so that its running work can still be followed and cancelled.
+	Retain time.Duration
+	// Jitter is the share by which every interval varies around its length.
+	Jitter float64
+}
+
+// DefaultConfig returns the values in use.
+//
+// The bound of the drain rule follows from ListEvery, Jitter and ListTimeout:
+// a backend server that the list shows as leaving gets no new work after
+// DrainBound. A steady poll costs about 0.7 KB on the wire, so that two a
+// second are what the control budget of a daemon allows.
+func DefaultConfig() Config {
+	return Config{
+		ListEvery:      time.Second,
+		ListTimeout:    time.Second,
+		StatusEvery:    2 * time.Second,
+		StatusTimeout:  time.Second,
+		PollsPerSecond: 2,
+		Parallel:       16,
+		Near:           12,
+		Far:            8,
+		Cover:          8,
+		Retain:         10 * time.Minute,
+		Jitter:         0.2,
+	}
+}
+
+// DrainBound is the longest time between the platform's list showing a
+// backend server as leaving and this daemon giving it no new work, while the
+// list answers.
+func (c Config) DrainBound() time.Duration {
+	return c.longest(c.ListEvery) + c.ListTimeout
+}
+
+// VanishBound is the same for a backend server that the list no longer shows
+// at all; absence counts after two reads.
+func (c Config) VanishBound() time.Duration { return 2 * c.DrainBound() }
+
+func (c Config) longest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + c.Jitter))
+}
