--- a/telemetry/event/membership.go
+++ b/telemetry/event/membership.go
@@ -11,6 +11,8 @@
 		"Another entry VM took this one for dead; this one contradicted it with a higher incarnation.", "claimed", "incarnation", "by")
 	GossipFailed = define(603, "gossip_failed", logrus.DebugLevel,
 		"An exchange with another entry VM failed.", "member", "error")
+	MemberSuperseded = define(604, "member_superseded", logrus.ErrorLevel,
+		"Another process runs under this VM id; this one should be stopped.", "incarnation", "by")
 	VMListFailed = define(610, "vm_list_failed", logrus.WarnLevel,
 		"The platform's VM list could not be read or was not credible; the last one stays in use.", "error", "age")
 	BackendLeaving = define(611, "backend_leaving", logrus.InfoLevel,
