inforce: keep the newest accepted site text in force

So the store's key holds a small record with the difference to the text before, the text lies beside it, and peers serve differences by line. The revision in force never falls at a daemon.

--- /dev/null
+++ b/control/inforce/service.go
@@ -0,0 +1,48 @@
+package inforce
+
+import (
+	"context"
+	"net/http"
+
+	"mallowwind.dev/control/inforce/patch"
+	"mallowwind.dev/peer/peerpb"
+)
+
+// Handler returns the twirp service that other daemons call, and the path
+// prefix under which the peer listener mounts it.
+func (m *Manager) Handler() (prefix string, h http.Handler) {
+	s := peerpb.NewConfigServer(service{m})
+	return s.PathPrefix(), s
+}
+
+// service implements peerpb.Config.
+type service struct{ m *Manager }
+
+// Fetch returns the text in force, as a difference where that is smaller.
+func (s service) Fetch(_ context.Context, request *peerpb.FetchConfigRequest) (*peerpb.FetchConfigReply, error) {
+	current := s.m.current.Load()
+	if current == nil {
+		return &peerpb.FetchConfigReply{}, nil
+	}
+	reply := &peerpb.FetchConfigReply{Revision: uint64(current.record.Revision)}
+	if reply.Revision <= request.GetHave() {
+		return reply, nil
+	}
+	bare := *current.record
+	bare.Patch = nil // the reply carries its own
+	reply.Record = bare.Encode()
+	if base, ok := s.m.base(int64(request.GetHave())); ok {
+		if p := patch.Make(base, current.site.Text); p.Size() < len(current.site.Text) {
+			reply.Base, reply.Patch = request.GetHave(), toProto(p)
+			return reply, nil
+		}
+	}
+	reply.Text = current.site.Text
+	return reply, nil
+}
+
+// Announce notes which revision the caller has.
+func (s service) Announce(_ context.Context, request *peerpb.AnnounceConfigRequest) (*peerpb.AnnounceConfigReply, error) {
+	s.m.Learn(request.GetMember(), request.GetRevision())
+	return &peerpb.AnnounceConfigReply{Revision: s.m.Digest()}, nil
+}
--- a/control/site/site.go
+++ b/control/site/site.go
@@ -75,7 +75,7 @@
 // Site is one accepted text, parsed. It is immutable and shared freely.
 type Site struct {
 	Name     string
-	Revision int64 // store revision that accepted it; 0 before it is accepted
+	Revision int64 // counts accepted texts; 0 before it is accepted
 	Text     string
 	Zones    []string
 	Services map[string]*Service
