--- a/peer/peerpb/membership.twirp.go
+++ b/peer/peerpb/membership.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Membership")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 484 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x54, 0xcf, 0x8b, 0xd3, 0x40,
 	0x18, 0x25, 0x6d, 0x9a, 0x76, 0xbf, 0x6e, 0x55, 0x06, 0xd1, 0x21, 0xae, 0x4b, 0xc8, 0x41, 0x72,
