--- a/serve/api/completions.go
+++ b/serve/api/completions.go
@@ -72,7 +72,7 @@
 }
 
 // resume continues a stream whose connection broke, on any entry VM.
-func (a *API) resume(w http.ResponseWriter, r *http.Request, _ *site.Site, _ *site.Account) error {
+func (a *API) resume(w http.ResponseWriter, r *http.Request, _ *site.Site, account *site.Account) error {
 	id := mux.Vars(r)["id"]
 	if !lineage.ValidID(id) {
 		return badRequest("%q is not the id of a generation", id)
@@ -88,7 +88,7 @@
 		}
 		pos = c.Position
 	}
-	h := a.Generations.Find(id)
+	h := a.Generations.Find(id, account.Name)
 	defer h.Close()
 	form := answerForm{id: id, created: time.Now().Unix(), chat: r.URL.Query().Get("form") == "chat"}
 	return stream(r.Context(), w, h, pos, form)
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -27,23 +27,35 @@
 // Handle reads one generation for one caller, wherever it runs. It is not safe
 // for concurrent use.
 type Handle struct {
-	m      *Manager
-	id     string
-	local  *Generation
-	detach func()
-	remote *place
+	m       *Manager
+	id      string
+	account string // other accounts do not learn that the generation exists
+	local   *Generation
+	detach  func()
+	remote  *place
 }
 
 // handle returns a Handle on g, or on a generation elsewhere if g is nil.
-func (m *Manager) handle(id string, g *Generation) *Handle {
-	h := &Handle{m: m, id: id}
+func (m *Manager) handle(spec *Spec, g *Generation) *Handle {
+	h := &Handle{m: m, id: spec.ID, account: spec.Account.Name}
 	h.useLocal(g)
 	return h
 }
 
-// Find returns a Handle on a generation that a caller names. It does not look
-// for it yet: Read does.
-func (m *Manager) Find(id string) *Handle { return m.handle(id, m.local(id)) }
+// Find returns a Handle on a generation that a caller of an account names. It
+// does not look for it yet: Read does.
+func (m *Manager) Find(id, account string) *Handle {
+	h := &Handle{m: m, id: id, account: account}
+	if g := m.local(id); g != nil && g.spec.Account.Name == account {
+		h.useLocal(g)
+	}
+	return h
+}
+
+func (h *Handle) errUnknown() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownGeneration,
+		"no entry VM knows this generation; send the request again for a new answer")
+}
 
 // ID returns the generation's id.
 func (h *Handle) ID() string { return h.id }
@@ -105,7 +117,7 @@
 		}
 	}
 	h.Close()
-	if g := h.m.local(h.id); g != nil {
+	if g := h.m.local(h.id); g != nil && g.spec.Account.Name == h.account {
 		h.useLocal(g)
 		return nil
 	}
@@ -117,8 +129,10 @@
 		if f.unsure && try < relocateTries {
 			return nil // somebody who may know did not answer: ask again
 		}
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUnknownGeneration,
-			"no entry VM knows this generation; send the request again for a new answer")
+		return h.errUnknown()
+	}
+	if f.places[0].account != h.account {
+		return h.errUnknown()
 	}
 	return h.settle(ctx, f, pos)
 }
--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -29,6 +29,7 @@
 	owner   string
 	digest  []byte
 	failed  bool
+	account string
 }
 
 // found is what is known of a generation on all members asked.
@@ -150,6 +151,7 @@
 		owner:   r.GetOwner(),
 		digest:  r.GetBodyDigest(),
 		failed:  r.GetFailed(),
+		account: r.GetAccount(),
 	}, true, nil
 }
 
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -286,6 +286,8 @@
 		Cost:       promptTokens(l.spec.Prompt) + l.spec.MaxTokens,
 		PrefixHash: prefixHash(l.spec.Prompt),
 		Deadline:   time.Now().Add(l.spec.Service.Deadline),
+		// Another attempt still runs: this one is extra work.
+		Speculative: len(l.attempts) > 1,
 		Resume:     l.total > 1 || reattach != nil || len(l.accepted) > 0,
 		Exclude:    slices.Clone(l.excluded),
 		Prefer:     reattach.GetBackend(),
@@ -333,17 +335,17 @@
 
 func (l *loop) refused(a *attempt, err error) {
 	l.drop(a)
+	e := verdict.Of(err)
+	l.notBefore = time.Now().Add(max(refusedPause, min(e.RetryAfter, time.Second)))
 	if len(l.attempts) > 0 {
 		return
 	}
-	e := verdict.Of(err)
 	if l.total == 1 && len(l.accepted) == 0 {
 		l.giveUp(e)
 		return
 	}
 	// The answer is owed: what was excluded is better than nothing.
 	l.excluded = nil
-	l.notBefore = time.Now().Add(max(refusedPause, min(e.RetryAfter, time.Second)))
 }
 
 func (l *loop) failed(a *attempt, err error) {
--- a/serve/generation/manager.go
+++ b/serve/generation/manager.go
@@ -151,7 +151,7 @@
 	spec.assignID()
 	if spec.Key == "" {
 		g := m.start(spec, m.firstLine(0))
-		return m.handle(spec.ID, g), nil
+		return m.handle(spec, g), nil
 	}
 	if g := m.local(spec.ID); g != nil {
 		return m.again(g, spec)
@@ -164,10 +164,10 @@
 		if !bytes.Equal(found.digest, spec.digest()) {
 			return nil, errKeyReused()
 		}
-		return m.handle(spec.ID, nil), nil
+		return m.handle(spec, nil), nil
 	}
 	g := m.start(spec, m.firstLine(found.epoch))
-	return m.handle(spec.ID, g), nil
+	return m.handle(spec, g), nil
 }
 
 // again serves a request whose key this daemon already knows.
@@ -181,7 +181,7 @@
 		// generation has a new epoch, so nobody can join the two.
 		g = m.start(spec, m.firstLine(s.epoch))
 	}
-	return m.handle(spec.ID, g), nil
+	return m.handle(spec, g), nil
 }
 
 func errKeyReused() *verdict.Error {
--- a/serve/generation/server.go
+++ b/serve/generation/server.go
@@ -80,6 +80,7 @@
 			Owner:      m.members.Current().Self.ID,
 			BodyDigest: g.spec.digest(),
 			Failed:     s.failure != nil,
+			Account:    g.spec.Account.Name,
 		}
 	}
 	c, ok := m.holder.Peek(id)
@@ -91,6 +92,7 @@
 		Length:     uint32(len(c.Tokens)),
 		Owner:      c.Line.Owner(),
 		BodyDigest: c.Spec.GetBodyDigest(),
+		Account:    c.Spec.GetAccount(),
 	}
 }
 
