--- /dev/null
+++ b/serve/daemon/daemon.go
@@ -0,0 +1,223 @@
+// Package daemon assembles one entry VM's daemon from its parts. All daemons
+// are equal: each serves callers, holds copies for others, and may hold the
+// lease of its zone.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/inforce"
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/settings"
+	"mallowwind.dev/peer/link"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/platform/store"
+	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/platform/weights"
+	"mallowwind.dev/serve/api"
+	"mallowwind.dev/serve/flow"
+	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/telemetry/event"
+)
+
+// Platform is what a daemon needs from the platform.
+type Platform struct {
+	Store   store.Store
+	VMs     vmlist.Source
+	Weights weights.Store
+	Engine  func(address string) engine.Engine
+	Plain   plain.Caller
+}
+
+// Listeners accept the daemon's connections. They are opened by the caller, so
+// that a busy port is found before anything starts.
+type Listeners struct {
+	Callers, Peers, Admin net.Listener
+}
+
+// Options configure a Daemon.
+type Options struct {
+	Settings  *settings.Settings
+	Platform  Platform
+	Listeners Listeners
+	Dialer    *link.Dialer
+	Logger    *logrus.Logger
+	Version   string
+	// Backends overrides how backend servers are watched; nil means the default.
+	Backends *backends.Config
+}
+
+// Daemon is one running daemon.
+type Daemon struct {
+	opts        Options
+	log         *event.Log
+	registry    *prometheus.Registry
+	inforce     *inforce.Manager
+	members     *membership.Manager
+	backends    *backends.Manager
+	flow        *flow.Manager
+	generations *generation.Manager
+	calls       *calls
+	drain       *drainer
+	api         *api.API
+}
+
+// New assembles a daemon; Run starts it.
+func New(o Options) *Daemon {
+	d := &Daemon{
+		opts:     o,
+		log:      event.New(o.Logger, o.Settings.VM, o.Settings.Zone),
+		registry: prometheus.NewRegistry(),
+	}
+	d.assembleControl()
+	d.assembleServing()
+	return d
+}
+
+// seed makes the random choices of different daemons differ, and those of one
+// daemon the same at every start.
+func (d *Daemon) seed() uint64 { return xxhash.Sum64String(d.opts.Settings.VM) }
+
+func (d *Daemon) assembleControl() {
+	s, p := d.opts.Settings, d.opts.Platform
+	bc := backends.DefaultConfig()
+	if d.opts.Backends != nil {
+		bc = *d.opts.Backends
+	}
+	d.backends = backends.NewManager(backends.Deps{
+		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Log: d.log, Registerer: d.registry, Config: bc,
+	})
+	d.members = membership.NewManager(membership.Deps{
+		Self: membership.Member{
+			ID:          s.VM,
+			Incarnation: uint64(time.Now().UnixNano()),
+			Zone:        s.Zone,
+			Region:      s.Region,
+			Caller:      d.opts.Listeners.Callers.Addr().String(),
+			Peer:        d.opts.Listeners.Peers.Addr().String(),
+		},
+		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
+	})
+	d.inforce = inforce.New(inforce.Config{
+		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
+		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
+	})
+	d.members.OnDigest(func(from membership.Member, name string, version uint64) {
+		if name == configDigest {
+			d.inforce.Learn(from.ID, version)
+		}
+	})
+}
+
+func (d *Daemon) assembleServing() {
+	s := d.opts.Settings
+	d.flow = flow.New(flow.Config{
+		Place: flow.Place{VM: s.VM, Zone: s.Zone, Region: s.Region},
+		Site:  d.inforce, Backends: d.backends, Members: d.members,
+		Log: d.log, Registerer: d.registry, Seed: d.seed(),
+	})
+	d.generations = generation.NewManager(generation.Config{
+		Site: d.inforce, Members: d.members, Flow: d.flow, Dialer: d.opts.Dialer,
+		Log: d.log, Metrics: d.registry,
+	})
+	d.calls = newCalls(d)
+	d.drain = &drainer{d: d}
+	d.api = api.New(api.Config{
+		Site: d.inforce, Generations: d.generations, Calls: d.calls,
+		Entries: &entries{site: d.inforce, members: d.members, vms: d.backends},
+		Log:     d.log, Metrics: d.registry,
+		Refusing: d.drain.refusing,
+		Ready:    d.ready,
+	})
+}
+
+// Registry holds the daemon's metrics.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
+// ready reports whether callers should be sent here.
+func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
+
+// Run serves until ctx ends and then drains: it leaves the address answers,
+// waits out the longest answer a caller may have kept, lets running work end,
+// and returns. Ending hard as well cuts the drain short.
+func (d *Daemon) Run(ctx, hard context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	g, work := errgroup.WithContext(work)
+	for _, run := range d.loops() {
+		g.Go(func() error { return ignoreCancelled(run(work)) })
+	}
+	servers := d.servers()
+	for _, s := range servers {
+		g.Go(func() error { return s.serve() })
+	}
+	d.log.Emit(event.DaemonStarted, d.opts.Listeners.Callers.Addr().String(),
+		d.opts.Listeners.Peers.Addr().String(), d.opts.Version)
+	select {
+	case <-ctx.Done():
+		d.drain.run(hard)
+	case <-work.Done():
+	}
+	for _, s := range servers {
+		s.stop(hard)
+	}
+	stopWork()
+	return g.Wait()
+}
+
+// loops are the parts that run until the daemon ends.
+func (d *Daemon) loops() []func(context.Context) error {
+	return []func(context.Context) error{
+		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
+		d.generations.Run, d.digests, d.calls.Run,
+	}
+}
+
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// configDigest is the name under which members tell each other their revision.
+const configDigest = "config"
+
+// digestEvery is how often the revision in force is handed to membership.
+const digestEvery = 200 * time.Millisecond
+
+// digests tells the members which revision is in force here.
+func (d *Daemon) digests(ctx context.Context) error {
+	t := time.NewTicker(digestEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			d.members.SetDigest(configDigest, d.inforce.Digest())
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// peerHandler serves other daemons.
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(d.generations.Handler())
+	mux.Handle(d.inforce.Handler())
+	members := peerpb.NewMembershipServer(d.members)
+	mux.Handle(members.PathPrefix(), members)
+	return mux
+}
