--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -288,9 +288,9 @@
 		Deadline:   time.Now().Add(l.spec.Service.Deadline),
 		// Another attempt still runs: this one is extra work.
 		Speculative: len(l.attempts) > 1,
-		Resume:     l.total > 1 || reattach != nil || len(l.accepted) > 0,
-		Exclude:    slices.Clone(l.excluded),
-		Prefer:     reattach.GetBackend(),
+		Resume:      l.total > 1 || reattach != nil || len(l.accepted) > 0,
+		Exclude:     slices.Clone(l.excluded),
+		Prefer:      reattach.GetBackend(),
 	}
 	if reattach != nil {
 		l.leaderAt = reattach
