lab/capacity: docs/CAPACITY.md from the size to come and recorded slopes

Cause: the size has to decide the design, and a page of figures kept by hand drifts. A row without its slope says not measured.

--- /dev/null
+++ b/cmd/mallowctl/bench.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"time"
+
+	"mallowwind.dev/lab/bench/slopes"
+)
+
+// benchCmd holds the experiments.
+type benchCmd struct {
+	Slopes slopesCmd `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+}
+
+// slopesCmd measures and records slopes.
+type slopesCmd struct {
+	Out     string `default:"docs/measurements" placeholder:"DIR" help:"Directory to record in."`
+	Only    string `placeholder:"NAME" help:"Measure this slope alone."`
+	Seed    uint64 `default:"1" help:"Seed of all random choices."`
+	Repeats int    `default:"3" help:"Runs of each size."`
+}
+
+// Run implements the command.
+func (c *slopesCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return slopes.Run(ctx, slopes.Options{
+		Dir: c.Out, Only: c.Only, Seed: c.Seed, Repeats: c.Repeats, Log: os.Stderr, Now: time.Now,
+	})
+}
--- /dev/null
+++ b/cmd/mallowctl/capacity.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"bytes"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/lab/capacity"
+)
+
+// capacityCmd works out what each role needs at the size to come.
+type capacityCmd struct {
+	Slopes string `default:"docs/measurements" type:"existingdir" placeholder:"DIR" help:"Directory of the recorded slopes."`
+	Write  string `placeholder:"FILE" xor:"what" help:"Write the page to FILE instead of printing it."`
+	Check  string `placeholder:"FILE" xor:"what" help:"Fail unless FILE is what the arithmetic gives."`
+}
+
+// Run implements the command.
+func (c *capacityCmd) Run() error {
+	page, err := capacity.Page(c.Slopes)
+	if err != nil {
+		return err
+	}
+	switch {
+	case c.Write != "":
+		return os.WriteFile(c.Write, page, 0o644)
+	case c.Check != "":
+		return compare(c.Check, page)
+	}
+	_, err = os.Stdout.Write(page)
+	return err
+}
+
+func compare(file string, page []byte) error {
+	have, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(have, page) {
+		return errors.Errorf("%s differs from the arithmetic; write it anew with mallowctl capacity --write %s", file, file)
+	}
+	return nil
+}
--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -25,7 +25,9 @@
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
-	Events eventsCmd `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
+	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
+	Capacity capacityCmd `cmd:"" help:"Work out what each role needs at the size to come, docs/CAPACITY.md."`
+	Bench    benchCmd    `cmd:"" help:"Run an experiment."`
 }
 
 // coder is an error that chooses the exit code.
--- a/lab/bench/slopes/cost.go
+++ b/lab/bench/slopes/cost.go
@@ -8,10 +8,6 @@
 	"github.com/pkg/errors"
 )
 
-// minRun is the least processor time that a cost per call is taken from; the
-// kernel counts processor time in steps of up to 4 ms.
-const minRun = 100 * time.Millisecond
-
 // cpuTime returns the processor time this process has used, user and system.
 func cpuTime() (time.Duration, error) {
 	var u syscall.Rusage
@@ -36,32 +32,3 @@
 	after, err := cpuTime()
 	return after - before, err
 }
-
-// cpuPerCall returns the processor time of one call of f, in nanoseconds. It
-// calls f ever more often until the calls take minRun.
-func cpuPerCall(f func()) (float64, error) {
-	f()
-	for n := 1; ; n *= 4 {
-		d, err := cpuOf(func() error {
-			for range n {
-				f()
-			}
-			return nil
-		})
-		if err != nil {
-			return 0, err
-		}
-		if d >= minRun {
-			return float64(d) / float64(n), nil
-		}
-	}
-}
-
-// liveHeap returns the bytes of heap and stacks in use after a collection.
-func liveHeap() float64 {
-	runtime.GC()
-	runtime.GC() // the second frees what finalizers of the first released
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return float64(m.HeapAlloc + m.StackInuse)
-}
--- a/lab/bench/slopes/slopes.go
+++ b/lab/bench/slopes/slopes.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,12 +61,16 @@
 }
 
 // All returns every measurement.
-func All() []Measurement { return nil }
+func All() []Measurement {
+	return slices.Concat(
+		journalSlopes(),
+	)
+}
 
 func (m Measurement) measure(ctx context.Context, o Options) (*report.Slope, error) {
 	s := &report.Slope{
 		Name: m.Name, Help: m.Help, X: m.X, Y: m.Y, Seed: o.Seed,
-		Command: fmt.Sprintf("mallowctl bench slopes --only %s --seed %d --repeats %d", m.Name, o.Seed, o.Repeats),
+		Command: fmt.Sprintf("go run ./cmd/mallowctl bench slopes --only %s --seed %d --repeats %d", m.Name, o.Seed, o.Repeats),
 		Taken:   o.Now().UTC().Truncate(time.Second),
 		Machine: report.ThisMachine(),
 		Points:  make([]report.Point, len(m.Sizes)),
--- /dev/null
+++ b/lab/capacity/failures.go
@@ -0,0 +1,100 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+
+	"mallowwind.dev/lab/report"
+)
+
+// Failure is one kind of loss and what it costs those that remain.
+type Failure struct {
+	Name string
+	Rows []Row
+}
+
+// rackVMs are the sizes of rack worked out: how many VMs share a rack is not
+// given, so the page shows the loss for several.
+var rackVMs = []int{5, 10, 20}
+
+// Failures returns what each loss costs.
+func (m *Model) Failures() []Failure {
+	s := m.Size
+	out := []Failure{
+		m.lost(fmt.Sprintf("One daemon dies (part of %.0f VMs a day)", s.DeathsPerDay), 1),
+		m.replaced(),
+	}
+	for _, n := range rackVMs {
+		out = append(out, m.lost(fmt.Sprintf("A rack or switch goes (%s), with %d daemons on it", s.RackLoss, n), float64(n)))
+	}
+	zone := m.lost("An availability zone goes ("+s.ZoneLoss+")", s.DaemonsPerZone())
+	zone.Rows = append(zone.Rows, row(Number, "load of a remaining backend server, against before", "`decision/admit` sheds what is beyond",
+		given(float64(s.Zones), "zones"), given(1/float64(s.Zones-1), "a remaining zone")))
+	return append(out, zone, m.apart())
+}
+
+func row(unit Unit, what, carrier string, factors ...Factor) Row {
+	return Row{What: what, Unit: unit, Carrier: carrier, Factors: factors}
+}
+
+// lost is the loss of n daemons at once.
+func (m *Model) lost(name string, n float64) Failure {
+	s := m.Size
+	daemons := float64(s.Daemons)
+	remaining := given(1/(daemons-n), "a remaining daemon")
+	dead := given(n, "daemons")
+	streams := given(s.StreamsPerDaemon(), "streams")
+	return Failure{Name: name, Rows: []Row{
+		row(Number, "answers continued elsewhere", "callers come back with `Last-Event-ID`; `serve/generation` adopts the copy", dead, streams),
+		row(Number, "answers a remaining daemon takes over", "`serve/generation`", dead, streams, remaining),
+		row(Number, "copies lost with the dead and made anew by their owners", "`serve/journal`", dead, streams),
+		row(Bytes, "bytes to make the lost copies anew, all daemons together", "`serve/journal`", dead, streams, m.at(slopeAppendBytes, s.TokensPerAnswer()/2, 1)),
+		row(Core, "added load of a remaining daemon, relaying", "`serve/api`",
+			dead, remaining, given(s.TokensPerDaemon(), "tokens/s"), m.per(slopeRelayToken, micro)),
+		row(Number, "slots of keys that change owner or witness", "`control/roster`", dead, given(2*slots/daemons, "slots owned or witnessed")),
+		row(Number, "writes to the store", "`control/roster`", dead, m.per(slopeReplaceWrites, 1)),
+		row(Seconds, "until all know", "`control/membership`", m.at(slopeDetect, daemons, 1)),
+	}}
+}
+
+// replaced is the planned replacement of VMs through the day.
+func (m *Model) replaced() Failure {
+	s := m.Size
+	all := given(s.ReplacementsPerDay, "replacements a day")
+	return Failure{Name: fmt.Sprintf("%.0f replacements a day", s.ReplacementsPerDay), Rows: []Row{
+		row(PerS, "replacements", "`serve/drain`", given(s.ReplacementsPerDay/secondsPerDay, "replacements/s")),
+		row(Number, "daemons leaving at once, if each waits out the longest kept answer and its longest generations",
+			"`serve/drain`", given(s.ReplacementsPerDay/secondsPerDay, "replacements/s"), given(drainTime.Seconds(), "s of draining")),
+		row(Number, "answers in progress that drain or move, a day", "`serve/drain`", all, given(s.StreamsPerDaemon(), "streams")),
+		row(Number, "writes to the store, a day", "`control/roster`", all, m.per(slopeReplaceWrites, 1)),
+		row(Bytes, "bytes a new daemon reads to be in force", "`control/inforce`", m.at(slopeSiteText, float64(s.Accounts), 1)),
+	}}
+}
+
+// apart is regions that lose each other.
+func (m *Model) apart() Failure {
+	s := m.Size
+	part := given(float64(s.Daemons)/float64(s.Regions), "daemons a region")
+	changes := given(s.ChangesPerS()*s.RegionsApart.Seconds(), "changes")
+	return Failure{Name: fmt.Sprintf("Regions lose each other for %.0f hour", s.RegionsApart.Hours()), Rows: []Row{
+		row(Number, "daemons that the others take for gone", "`control/membership`", part),
+		row(Number, "changes accepted meanwhile where the store is reached", "`control/inforce`", changes),
+		row(Bytes, "a cut-off daemon's reading when they meet again", "`control/inforce`", m.at(slopeSiteText, float64(s.Accounts), 1)),
+		row(Number, "slots whose owner or witness is cut off", "`control/roster`",
+			given(slots, "slots"), given(1-1/float64(s.Regions), "of the pairs, those not within one region")),
+	}}
+}
+
+func (m *Model) writeFailures(b *bytes.Buffer) {
+	b.WriteString("\n## Failures at that size\n")
+	for _, f := range m.Failures() {
+		fmt.Fprintf(b, "\n### %s\n\n", f.Name)
+		t := &report.Table{Columns: []report.Column{
+			report.Col("what", ""), report.Col("value", ""), report.Col("worked out as", ""), report.Col("carried by", ""),
+		}}
+		for _, r := range f.Rows {
+			t.Add(report.Text(r.What), report.Text(r.Result()), report.Text(r.Work()), report.Text(r.Carrier))
+		}
+		b.Write(t.Markdown())
+	}
+}
--- /dev/null
+++ b/lab/capacity/model.go
@@ -0,0 +1,53 @@
+package capacity
+
+import "mallowwind.dev/lab/report"
+
+// Model joins the size with the recorded slopes.
+type Model struct {
+	Size   Size
+	Slopes map[string]*report.Slope
+	used   map[string]bool
+}
+
+// NewModel returns a model of size with the given slopes.
+func NewModel(size Size, slopes map[string]*report.Slope) *Model {
+	return &Model{Size: size, Slopes: slopes, used: make(map[string]bool)}
+}
+
+// given is a factor that the size or a constant of the code sets.
+func given(v float64, label string) Factor {
+	return Factor{Raw: v, Scale: 1, Label: label, Known: true}
+}
+
+// per is the slope itself; scale converts it into the row's unit.
+func (m *Model) per(name string, scale float64) Factor {
+	s := m.Slopes[name]
+	if s == nil {
+		return Factor{Slope: name}
+	}
+	m.used[name] = true
+	f := Factor{Raw: s.Fit.Slope, Unit: s.Unit(), Scale: scale, Slope: name, Known: true}
+	if s.Fit.Slope != 0 {
+		f.Error = s.Fit.SlopeError / s.Fit.Slope
+	}
+	return f
+}
+
+// at is the fitted value at x; scale converts it into the row's unit. Its
+// error is that of the slope over the whole way from the origin, which is
+// what counts far beyond the sizes measured.
+func (m *Model) at(name string, x, scale float64) Factor {
+	s := m.Slopes[name]
+	if s == nil {
+		return Factor{Slope: name}
+	}
+	m.used[name] = true
+	f := Factor{
+		Raw: s.Fit.At(x), Unit: s.Y.Unit, Scale: scale, Slope: name, Known: true,
+		Label: "at " + report.Format(x) + " " + s.X.Name,
+	}
+	if f.Raw != 0 {
+		f.Error = s.Fit.SlopeError * x / f.Raw
+	}
+	return f
+}
--- /dev/null
+++ b/lab/capacity/peers.go
@@ -0,0 +1,123 @@
+package capacity
+
+// peer is what a daemon does for answers that other daemons serve. Copies
+// spread evenly, so a daemon takes as many as it gives.
+func (m *Model) peer() []Row {
+	s := m.Size
+	const carrier = "`serve/journal`"
+	appends := given(s.TokensPerDaemon(), "appends/s, one a token")
+	kept := given(s.RequestsPerDaemon()*limits.AnswerTTL.Seconds(), "answers of the last "+limits.AnswerTTL.String())
+	return []Row{
+		{
+			Role: Peer, Kind: State, What: "copies of answers being generated", Carrier: carrier,
+			Factors: []Factor{given(s.StreamsPerDaemon(), "copies")},
+		},
+		{
+			Role: Peer, Kind: State, What: "copies of finished answers still owed", Carrier: carrier,
+			Factors: []Factor{kept},
+		},
+		{
+			Role: Peer, Kind: Messages, What: "appends taken, and as many made", Unit: PerS, Carrier: carrier,
+			Factors: []Factor{appends},
+		},
+		{
+			Role: Peer, Kind: Messages, What: "bytes of appends taken, and as many made", Unit: BytesPerS, Carrier: carrier,
+			Factors: []Factor{appends, m.at(slopeAppendBytes, 1, 1)},
+		},
+		{
+			Role: Peer, Kind: Processor, What: "appends, both ends together", Unit: Core, Carrier: carrier,
+			Factors: []Factor{appends, m.at(slopeAppendCPU, 1, micro)},
+		},
+		{
+			Role: Peer, Kind: Memory, What: "copies of finished answers", Unit: Bytes, Carrier: carrier,
+			Factors: []Factor{kept, given(s.TokensPerAnswer(), "tokens"), m.per(slopeCopyMemory, 1)},
+		},
+	}
+}
+
+// holder is the daemon that gives orders in its zone.
+func (m *Model) holder() []Row {
+	s := m.Size
+	const carrier = "`control/reconcile`, `decision/placement`"
+	replicas := s.ReplicasPerZone()
+	return []Row{
+		{
+			Role: Holder, Kind: State, What: "backend servers of the zone", Carrier: carrier,
+			Factors: []Factor{given(replicas, "backend servers")},
+		},
+		{
+			Role: Holder, Kind: Processor, What: "comparing wanted and observed", Unit: Core, Carrier: carrier, Control: true,
+			Factors: []Factor{given(1/reconcileEvery.Seconds(), "rounds/s"), m.at(slopePlacement, replicas, micro)},
+		},
+		{
+			Role: Holder, Kind: Messages, What: "status polls of the zone", Unit: BytesPerS, Carrier: carrier, Control: true,
+			Factors: []Factor{given(replicas/holderPollEvery.Seconds(), "polls/s"), m.per(slopePollBytes, 1)},
+		},
+	}
+}
+
+// spreader passes accepted texts on.
+func (m *Model) spreader() []Row {
+	s := m.Size
+	const carrier = "`control/inforce`"
+	changes := given(s.ChangesPerS(), "changes/s")
+	accounts := float64(s.Accounts)
+	return []Row{
+		{
+			Role: Spreader, Kind: State, What: "the site text", Unit: Bytes, Carrier: "`control/site`",
+			Factors: []Factor{m.at(slopeSiteText, accounts, 1)}, Limit: s.Store.Value, LimitOf: "a value of the store",
+		},
+		{
+			Role: Spreader, Kind: Messages, What: "changes taken and passed on", Unit: BytesPerS, Carrier: carrier, Control: true,
+			Factors: []Factor{changes, m.at(slopeChangeBytes, accounts, 1)},
+		},
+		{
+			Role: Spreader, Kind: Processor, What: "reading changed texts", Unit: Core, Carrier: "`control/site`", Control: true,
+			Factors: []Factor{changes, m.at(slopeSiteParse, accounts, micro)},
+		},
+		{
+			Role: Spreader, Kind: Memory, What: "the site in force", Unit: Bytes, Carrier: "`control/site`", Control: true,
+			Factors: []Factor{m.at(slopeSiteMemory, accounts, kilo)},
+		},
+		{
+			Role: Spreader, Kind: Messages, What: "from acceptance to in force everywhere", Unit: Seconds, Carrier: carrier,
+			Factors: []Factor{m.at(slopeInForce, float64(s.Daemons), 1)}, Limit: s.InForce.Seconds(), LimitOf: "in force everywhere",
+		},
+	}
+}
+
+// binder binds idempotency keys. How many requests carry a key is not given;
+// the rows take all of them, an upper bound. Each is bound by an owner and
+// confirmed by a witness, both of them daemons.
+func (m *Model) binder() []Row {
+	s := m.Size
+	const carrier = "`serve/once`, `decision/slot`"
+	binds := given(s.RequestsPerDaemon(), "binds/s, every request carrying a key")
+	keys := given(2*s.RequestsPerDaemon()*limits.KeyTTL.Seconds(), "keys of the last "+limits.KeyTTL.String()+", owned and witnessed")
+	return []Row{
+		{
+			Role: Binder, Kind: State, What: "slots owned", Carrier: "`decision/slot`",
+			Factors: []Factor{given(slots/float64(s.Daemons), "slots")},
+		},
+		{
+			Role: Binder, Kind: Messages, What: "bytes of binding", Unit: BytesPerS, Carrier: carrier,
+			Factors: []Factor{binds, m.per(slopeBindBytes, 1)},
+		},
+		{
+			Role: Binder, Kind: Processor, What: "binding", Unit: Core, Carrier: carrier,
+			Factors: []Factor{binds, m.per(slopeBindCPU, micro)},
+		},
+		{
+			Role: Binder, Kind: Memory, What: "keys remembered", Unit: Bytes, Carrier: carrier,
+			Factors: []Factor{keys, m.per(slopeBindMemory, 1)},
+		},
+		{
+			Role: Binder, Kind: Messages, What: "reads of the roster of slots", Unit: BytesPerS, Carrier: "`control/roster`", Control: true,
+			Factors: []Factor{given(1/rosterEvery(s).Seconds(), "reads/s"), m.at(slopeRosterBytes, float64(s.Daemons), 1)},
+		},
+		{
+			Role: Binder, Kind: Processor, What: "reads of the roster of slots", Unit: Core, Carrier: "`control/roster`", Control: true,
+			Factors: []Factor{given(1/rosterEvery(s).Seconds(), "reads/s"), m.at(slopeRosterCPU, float64(s.Daemons), micro)},
+		},
+	}
+}
--- /dev/null
+++ b/lab/capacity/total.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+)
+
+// totals adds up the control rows of one daemon, which is entry, journal peer,
+// spreader and binder at once, and of one that also holds its zone's lease.
+func (m *Model) totals(rows []Row) []Row {
+	s := m.Size
+	var out []Row
+	for _, b := range []struct {
+		unit  Unit
+		limit float64
+		of    string
+	}{
+		{Core, s.ControlCore, "processor time for control"},
+		{Bytes, s.ControlMemory, "memory for control"},
+		{BytesPerS, s.ControlBytes, "bytes for control"},
+	} {
+		for _, role := range []Role{Entry, Holder} {
+			sum := Row{
+				Role: role, Kind: kindOf(b.unit), What: "control in all", Unit: b.unit,
+				Carrier: "all of them", Limit: b.limit, LimitOf: b.of,
+			}
+			for _, r := range rows {
+				if r.Control && r.Unit == b.unit && (r.Role != Holder || role == Holder) {
+					sum.Parts = append(sum.Parts, r)
+				}
+			}
+			out = append(out, sum)
+		}
+	}
+	return out
+}
+
+func kindOf(u Unit) Kind {
+	switch u {
+	case Core:
+		return Processor
+	case Bytes:
+		return Memory
+	default:
+		return Messages
+	}
+}
+
+// unknown counts the parts of a sum that were not measured.
+func (r *Row) unknown() int {
+	n := 0
+	for i := range r.Parts {
+		if !r.Parts[i].Known() {
+			n++
+		}
+	}
+	return n
+}
+
+// sum adds the measured parts and their errors.
+func (r *Row) sum() (value, err float64) {
+	for i := range r.Parts {
+		if p := &r.Parts[i]; p.Known() {
+			value += p.Value()
+			err = math.Hypot(err, p.Error())
+		}
+	}
+	return value, err
+}
+
+func (r *Row) sumWork() string {
+	s := fmt.Sprintf("sum of %d rows on control", len(r.Parts))
+	if n := r.unknown(); n > 0 {
+		s += fmt.Sprintf(", %d of them not measured", n)
+	}
+	return s
+}
