operate: plan by meaning, apply by compare-and-swap, history, status page

A change is a body, a copy of the replaced record in the history, and one compare-and-swap on the record in force, in this order: a record is found as the newest or in the history at any time, so a lost confirmation is always read back by the change's own id. Configuration spreads by the digests of membership gossip.

--- a/control/inforce/adopt.go
+++ b/control/inforce/adopt.go
@@ -108,10 +108,20 @@
 	m.mu.Unlock()
 	m.cost.adopted(source)
 	m.cfg.Log.Emit(event.ConfigInForce, r.Revision, previous, source, r.Who, r.Comment, next.since.Sub(r.When).String())
-	signal(m.news)
+	m.announce()
 	return nil
 }
 
+// announce tells gossip the revision in force. It reads the revision under the
+// lock: of two texts adopted together the older would otherwise be told last.
+func (m *Manager) announce() {
+	m.announceMu.Lock()
+	defer m.announceMu.Unlock()
+	if m.cfg.Announce != nil {
+		m.cfg.Announce(DigestName, m.Digest())
+	}
+}
+
 func (m *Manager) parse(r *record.Record, text string) (*site.Site, error) {
 	if err := r.Verify(text); err != nil {
 		return nil, err
--- a/control/inforce/inforce.go
+++ b/control/inforce/inforce.go
@@ -1,9 +1,8 @@
 // Package inforce keeps the newest accepted site text in force at a daemon.
 //
 // A text is accepted when the platform's store holds it. Some daemons of each
-// zone watch the store; the others hear of a revision from peers, by a short
-// announcement and by the digest that membership gossip carries, and fetch the
-// text from whoever has it. So the store sees a constant number of watches, a
+// zone watch the store; the others hear of a revision by membership gossip and
+// fetch the text from whoever has it. So the store sees a constant number of watches, a
 // text that reached one daemon reaches all of them while the store is down,
 // and a daemon that boots in an outage is served by its peers.
 //
@@ -38,9 +37,12 @@
 	Store   store.Store
 	Members membership.Source
 	Dialer  *link.Dialer
-	Log     *event.Log
-	Metrics prometheus.Registerer // nil for none
-	Seed    uint64                // of jitter and of the choice of peers
+	// Announce makes a new revision known to others, usually by
+	// membership.Manager.SetDigest; nil for none. Whoever hears of it calls Learn.
+	Announce func(name string, revision uint64)
+	Log      *event.Log
+	Metrics  prometheus.Registerer // nil for none
+	Seed     uint64                // of jitter and of the choice of peers
 }
 
 // Manager keeps the text in force. It implements site.Source.
@@ -50,17 +52,18 @@
 
 	current atomic.Pointer[state]
 	wake    chan struct{} // the fetcher: someone has a newer revision
-	news    chan struct{} // the announcer: a revision came into force here
 	cost    cost
 
 	mu      sync.Mutex // guards what follows and every change of current
 	recent  []*state   // texts lately in force, the newest last, bases of patches
-	seen    map[string]int64
+	seen    map[string]Heard
 	offered int64 // last lower revision logged
 	refused *Refusal
 	watch   watchState
 	outage  outage
 
+	announceMu sync.Mutex // makes announcements follow the order of revisions
+
 	rngMu sync.Mutex
 	rng   *rand.Rand
 }
@@ -81,8 +84,7 @@
 		cfg:  cfg,
 		keys: record.KeysOf(cfg.Site),
 		wake: make(chan struct{}, 1),
-		news: make(chan struct{}, 1),
-		seen: map[string]int64{},
+		seen: map[string]Heard{},
 		rng:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
 	if cfg.Metrics != nil {
@@ -99,7 +101,7 @@
 	return nil
 }
 
-// Digest returns the revision in force for gossip, 0 for none.
+// Digest returns the revision in force, 0 for none.
 func (m *Manager) Digest() uint64 { return uint64(m.revision()) }
 
 func (m *Manager) revision() int64 {
@@ -112,7 +114,7 @@
 // Run finds a first text and then keeps it the newest until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, loop := range []func(context.Context){m.bootLoop, m.watchLoop, m.roleLoop, m.pollLoop, m.fetchLoop, m.announceLoop} {
+	for _, loop := range []func(context.Context){m.bootLoop, m.watchLoop, m.roleLoop, m.pollLoop, m.fetchLoop} {
 		g.Go(func() error {
 			loop(ctx)
 			return nil
--- a/control/inforce/report.go
+++ b/control/inforce/report.go
@@ -21,8 +21,14 @@
 	StoreDown  time.Time
 	StoreError string
 	Refused    *Refusal
-	// Members holds the revision last heard of each member, this daemon's included.
-	Members map[string]int64
+	// Members holds what was last heard of each member, this daemon included.
+	Members map[string]Heard
+}
+
+// Heard is the revision that a member said it has in force.
+type Heard struct {
+	Revision int64
+	When     time.Time
 }
 
 // Report returns a copy of what is known now.
@@ -31,11 +37,11 @@
 	defer m.mu.Unlock()
 	r := Report{
 		Watching: m.watch.cancel != nil, StoreDown: m.outage.since, StoreError: errorText(m.outage.err),
-		Refused: m.refused, Members: map[string]int64{m.cfg.VM: m.revision()},
+		Refused: m.refused, Members: map[string]Heard{m.cfg.VM: {m.revision(), time.Now()}},
 	}
 	for _, member := range m.cfg.Members.Current().Members {
-		if revision, ok := m.seen[member.ID]; ok {
-			r.Members[member.ID] = revision
+		if heard, ok := m.seen[member.ID]; ok {
+			r.Members[member.ID] = heard
 		}
 	}
 	if s := m.current.Load(); s != nil {
--- a/control/inforce/service.go
+++ b/control/inforce/service.go
@@ -40,9 +40,3 @@
 	reply.Text = current.site.Text
 	return reply, nil
 }
-
-// Announce notes which revision the caller has.
-func (s service) Announce(_ context.Context, request *peerpb.AnnounceConfigRequest) (*peerpb.AnnounceConfigReply, error) {
-	s.m.Learn(request.GetMember(), request.GetRevision())
-	return &peerpb.AnnounceConfigReply{Revision: s.m.Digest()}, nil
-}
--- a/control/inforce/spread.go
+++ b/control/inforce/spread.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"mallowwind.dev/control/inforce/patch"
 	"mallowwind.dev/control/inforce/record"
 	"mallowwind.dev/control/membership"
@@ -14,10 +12,8 @@
 )
 
 const (
-	// fanout is how many peers a daemon tells when a revision comes into force.
-	// With two watchers a zone as starting points, four reach 390 daemons in
-	// three or four hops; the few that no announcement meets hear of it by gossip.
-	fanout = 4
+	// DigestName is the name under which gossip carries the revision in force.
+	DigestName = "config"
 	// peerTimeout bounds one call to a peer. A round trip between regions and
 	// a whole text take a fraction of it; a silent connection costs no more.
 	peerTimeout = time.Second
@@ -26,14 +22,14 @@
 	fetchTries = 3
 )
 
-// Learn notes that member has revision in force. When that is newer the text
-// is fetched from there soon; Learn itself does not wait.
+// Learn notes that member has revision in force, as gossip says. When that is
+// newer the text is fetched from there soon; Learn itself does not wait.
 func (m *Manager) Learn(member string, revision uint64) {
 	if _, known := m.cfg.Members.Current().Find(member); !known || member == m.cfg.VM {
 		return
 	}
 	m.mu.Lock()
-	m.seen[member] = int64(revision)
+	m.seen[member] = Heard{Revision: int64(revision), When: time.Now()}
 	m.mu.Unlock()
 	if int64(revision) > m.revision() {
 		signal(m.wake)
@@ -66,7 +62,7 @@
 	m.mu.Lock()
 	for _, peer := range m.cfg.Members.Current().Members {
 		switch {
-		case m.seen[peer.ID] <= current || peer.ID == m.cfg.VM:
+		case m.seen[peer.ID].Revision <= current || peer.ID == m.cfg.VM:
 		case peer.Zone == m.cfg.Zone:
 			near = append(near, peer)
 		default:
@@ -97,7 +93,7 @@
 		return
 	}
 	m.mu.Lock()
-	wanted := m.seen[peer.ID]
+	wanted := m.seen[peer.ID].Revision
 	// Forgotten until it is heard of again, so that the next try goes elsewhere.
 	delete(m.seen, peer.ID)
 	m.mu.Unlock()
@@ -111,7 +107,7 @@
 func (m *Manager) take(reply *peerpb.FetchConfigReply, from string) error {
 	revision := int64(reply.GetRevision())
 	m.mu.Lock()
-	m.seen[from] = revision
+	m.seen[from] = Heard{Revision: revision, When: time.Now()}
 	m.mu.Unlock()
 	if revision <= m.revision() {
 		return nil
@@ -130,36 +126,6 @@
 	return m.adopt(r, text, from)
 }
 
-// announceLoop tells some peers of each revision that comes into force here.
-func (m *Manager) announceLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.news:
-		}
-		g := errgroup.Group{}
-		for _, peer := range m.others(fanout) {
-			g.Go(func() error {
-				m.announce(ctx, peer)
-				return nil
-			})
-		}
-		g.Wait()
-	}
-}
-
-func (m *Manager) announce(ctx context.Context, peer membership.Member) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	request := &peerpb.AnnounceConfigRequest{Member: m.cfg.VM, Revision: m.Digest()}
-	reply, err := m.client(peer).Announce(ctx, request)
-	m.cost.peerCall(request)
-	if err == nil {
-		m.Learn(peer.ID, reply.GetRevision())
-	}
-}
-
 func (m *Manager) client(peer membership.Member) peerpb.Config {
 	return peerpb.NewConfigProtobufClient(m.cfg.Dialer.URL(peer.Peer), m.cfg.Dialer.Client)
 }
--- a/control/inforce/watch.go
+++ b/control/inforce/watch.go
@@ -199,7 +199,7 @@
 		view := m.cfg.Members.Current()
 		m.mu.Lock()
 		cancel := m.watch.cancel
-		maps.DeleteFunc(m.seen, func(id string, _ int64) bool {
+		maps.DeleteFunc(m.seen, func(id string, _ Heard) bool {
 			_, known := view.Find(id)
 			return !known
 		})
--- /dev/null
+++ b/control/operate/history.go
@@ -0,0 +1,107 @@
+package operate
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/inforce/record"
+	"mallowwind.dev/platform/store"
+)
+
+const (
+	// keptHistory is how many replaced texts the store keeps. Version control
+	// is the long memory; this one is for a rollback within a shift: at 100 KB
+	// a text it takes 20 MB of the store.
+	keptHistory = 200
+	// pruneEvery is how many changes pass between two clean-ups, each of which
+	// lists the history.
+	pruneEvery = 20
+)
+
+// History returns the accepted records, newest first.
+func (c *Client) History(ctx context.Context) ([]record.Record, error) {
+	head, err := c.head(ctx)
+	if err != nil || head.Record == nil {
+		return nil, err
+	}
+	replaced, err := c.listReplaced(ctx)
+	if err != nil {
+		return nil, &StoreError{Err: err}
+	}
+	list := []record.Record{*head.Record}
+	for _, a := range replaced {
+		if a.Revision != head.Revision {
+			list = append(list, *a.Record)
+		}
+	}
+	slices.SortFunc(list, func(a, b record.Record) int { return cmp.Compare(b.Revision, a.Revision) })
+	return list, nil
+}
+
+// listReplaced returns the history, oldest first.
+func (c *Client) listReplaced(ctx context.Context) ([]record.Accepted, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kvs, _, err := c.Store.List(ctx, c.keys().History())
+	if err != nil {
+		return nil, err
+	}
+	var list []record.Accepted
+	for _, kv := range kvs {
+		if a, err := record.FromKV(kv); err == nil {
+			list = append(list, a)
+		}
+	}
+	return list, nil
+}
+
+// prune removes what the history holds beyond its bound. What it fails to
+// remove the next one does.
+func (c *Client) prune(ctx context.Context) {
+	list, err := c.listReplaced(ctx)
+	if err != nil || len(list) <= keptHistory {
+		return
+	}
+	for _, old := range list[:len(list)-keptHistory] {
+		c.remove(ctx, c.keys().Body(old.ID))
+		c.remove(ctx, c.keys().Replaced(old.Revision))
+	}
+}
+
+// remove deletes a key that nobody writes any more; failing leaves it behind.
+func (c *Client) remove(ctx context.Context, key string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kv, err := c.Store.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	_ = c.Store.Delete(ctx, key, kv.Version)
+}
+
+// archive keeps the record that is about to be replaced, so that it can be
+// read and rolled back to. It comes before the replacement: a record is
+// found either as the newest or in the history at any time.
+func (c *Client) archive(ctx context.Context, head record.Accepted) error {
+	if head.Record == nil {
+		return nil
+	}
+	kept := *head.Record
+	kept.Patch = nil
+	return c.create(ctx, c.keys().Replaced(head.Revision), kept.Encode())
+}
+
+// create writes a key that only ever gets this one value. A conflict means
+// that it is there already, also by a write whose answer was lost.
+func (c *Client) create(ctx context.Context, key string, value []byte) error {
+	return retry(ctx, func(ctx context.Context) error {
+		_, err := c.Store.CompareAndSwap(ctx, key, 0, value, 0)
+		if errors.Is(err, store.ErrConflict) {
+			return nil
+		}
+		return err
+	})
+}
--- a/peer/peerpb/config.twirp.go
+++ b/peer/peerpb/config.twirp.go
@@ -36,9 +36,6 @@
 type Config interface {
 	// Fetch returns the text in force at the callee.
 	Fetch(context.Context, *FetchConfigRequest) (*FetchConfigReply, error)
-
-	// Announce says which revision is in force at the caller.
-	Announce(context.Context, *AnnounceConfigRequest) (*AnnounceConfigReply, error)
 }
 
 // ======================
@@ -47,7 +44,7 @@
 
 type configProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -75,9 +72,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Config")
-	urls := [2]string{
+	urls := [1]string{
 		serviceURL + "Fetch",
-		serviceURL + "Announce",
 	}
 
 	return &configProtobufClient{
@@ -134,59 +130,13 @@
 	return out, nil
 }
 
-func (c *configProtobufClient) Announce(ctx context.Context, in *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
-	ctx = ctxsetters.WithServiceName(ctx, "Config")
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	caller := c.callAnnounce
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceConfigRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceConfigRequest) when calling interceptor")
-					}
-					return c.callAnnounce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceConfigReply)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceConfigReply) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *configProtobufClient) callAnnounce(ctx context.Context, in *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-	out := new(AnnounceConfigReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 // ==================
 // Config JSON Client
 // ==================
 
 type configJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [1]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -214,9 +164,8 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Config")
-	urls := [2]string{
+	urls := [1]string{
 		serviceURL + "Fetch",
-		serviceURL + "Announce",
 	}
 
 	return &configJSONClient{
@@ -273,52 +222,6 @@
 	return out, nil
 }
 
-func (c *configJSONClient) Announce(ctx context.Context, in *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
-	ctx = ctxsetters.WithServiceName(ctx, "Config")
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	caller := c.callAnnounce
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceConfigRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceConfigRequest) when calling interceptor")
-					}
-					return c.callAnnounce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceConfigReply)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceConfigReply) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *configJSONClient) callAnnounce(ctx context.Context, in *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-	out := new(AnnounceConfigReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 // =====================
 // Config Server Handler
 // =====================
@@ -419,9 +322,6 @@
 	case "Fetch":
 		s.serveFetch(ctx, resp, req)
 		return
-	case "Announce":
-		s.serveAnnounce(ctx, resp, req)
-		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -609,186 +509,6 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *configServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveAnnounceJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveAnnounceProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
-}
-
-func (s *configServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(AnnounceConfigRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-
-	handler := s.Config.Announce
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceConfigRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceConfigRequest) when calling interceptor")
-					}
-					return s.Config.Announce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceConfigReply)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceConfigReply) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AnnounceConfigReply
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceConfigReply and nil error while calling Announce. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *configServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Announce")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(AnnounceConfigRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
-		return
-	}
-
-	handler := s.Config.Announce
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AnnounceConfigRequest) (*AnnounceConfigReply, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AnnounceConfigRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AnnounceConfigRequest) when calling interceptor")
-					}
-					return s.Config.Announce(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AnnounceConfigReply)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceConfigReply) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AnnounceConfigReply
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceConfigReply and nil error while calling Announce. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
 func (s *configServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1370,26 +1090,23 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 332 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x92, 0xc1, 0x4e, 0x83, 0x40,
-	0x14, 0x45, 0x43, 0x5b, 0xb0, 0x7d, 0xb6, 0xd1, 0x8c, 0xda, 0x10, 0xe2, 0x02, 0xd1, 0x18, 0x56,
-	0x18, 0xeb, 0x17, 0xa8, 0x89, 0x9b, 0x2e, 0x6a, 0x66, 0x65, 0xdc, 0x01, 0x7d, 0xb5, 0x24, 0x30,
-	0x33, 0x0e, 0xd3, 0xd6, 0xfe, 0x8c, 0x3f, 0xe1, 0x0f, 0x9a, 0x19, 0xa8, 0x91, 0xd6, 0xd8, 0x0d,
-	0x79, 0x77, 0x38, 0xb9, 0xef, 0x72, 0x19, 0xe8, 0xa7, 0x9c, 0xcd, 0xb2, 0xb7, 0x48, 0x48, 0xae,
-	0x38, 0x39, 0x2a, 0xe2, 0x3c, 0xe7, 0xab, 0x55, 0xc6, 0xa6, 0x91, 0x40, 0x94, 0x41, 0x08, 0xe4,
-	0x09, 0x55, 0x3a, 0x7f, 0x34, 0x14, 0xc5, 0xf7, 0x05, 0x96, 0x8a, 0x10, 0xe8, 0xcc, 0xe3, 0x25,
-	0xba, 0x96, 0x6f, 0x85, 0x1d, 0x6a, 0xe6, 0xe0, 0xd3, 0x82, 0xe3, 0x06, 0x2a, 0xf2, 0x35, 0xf1,
-	0xa0, 0x2b, 0x71, 0x99, 0x95, 0x19, 0x67, 0x35, 0xfc, 0xa3, 0xc9, 0x10, 0x1c, 0x89, 0x29, 0x97,
-	0x53, 0xb7, 0xe5, 0x5b, 0x61, 0x9f, 0xd6, 0x4a, 0x9b, 0x2b, 0xfc, 0x50, 0x6e, 0xdb, 0xb7, 0xc2,
-	0x1e, 0x35, 0xb3, 0x3e, 0x4b, 0xe2, 0x12, 0xdd, 0x4e, 0xb5, 0x50, 0xcf, 0x24, 0x02, 0x5b, 0xc4,
-	0x2a, 0x9d, 0xbb, 0xb6, 0xdf, 0x0e, 0x0f, 0x47, 0x6e, 0xb4, 0x95, 0x3d, 0x7a, 0xd6, 0x6f, 0x27,
-	0x82, 0x56, 0x58, 0x30, 0x86, 0x83, 0xfa, 0x44, 0xdb, 0xcd, 0x24, 0x2f, 0x4c, 0xa4, 0x01, 0x35,
-	0x33, 0x39, 0x05, 0x3b, 0xcf, 0x18, 0x96, 0x26, 0xcd, 0x80, 0x56, 0x42, 0x87, 0xcc, 0x58, 0x89,
-	0x72, 0x13, 0xa7, 0x56, 0xc1, 0x18, 0xce, 0xee, 0x19, 0xe3, 0x0b, 0x96, 0x62, 0xb3, 0x9a, 0x21,
-	0x38, 0x05, 0x16, 0x09, 0x4a, 0x63, 0xde, 0xa3, 0xb5, 0x6a, 0x34, 0xd1, 0x6a, 0x36, 0x11, 0xdc,
-	0xc2, 0xc9, 0xb6, 0xd9, 0x9e, 0xf2, 0x46, 0x5f, 0x16, 0x38, 0x15, 0x4b, 0x26, 0x60, 0x9b, 0xde,
-	0xc9, 0xe5, 0x4e, 0x03, 0xbb, 0xbf, 0xce, 0xbb, 0xf8, 0x1f, 0xd2, 0x7b, 0x5f, 0xa0, 0xbb, 0x89,
-	0x43, 0xae, 0x77, 0xf0, 0x3f, 0x3f, 0xdb, 0xbb, 0xda, 0xcb, 0x89, 0x7c, 0xfd, 0x70, 0xfe, 0xea,
-	0xfd, 0xc2, 0xa6, 0xb8, 0xbc, 0xd1, 0xa8, 0x79, 0x88, 0x24, 0x71, 0xcc, 0x1d, 0xbc, 0xfb, 0x0e,
-	0x00, 0x00, 0xff, 0xff, 0x9b, 0x4d, 0x05, 0xdb, 0x93, 0x02, 0x00, 0x00,
+	// 276 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x91, 0x4f, 0x4b, 0xf4, 0x30,
+	0x10, 0xc6, 0xe9, 0xbb, 0x6d, 0x5f, 0x1d, 0x77, 0x51, 0x06, 0x91, 0x50, 0x3c, 0xd4, 0x7a, 0xe9,
+	0xa9, 0xc2, 0xfa, 0x0d, 0x14, 0xbc, 0x78, 0x58, 0xc9, 0x4d, 0x6f, 0xfd, 0x33, 0x6b, 0x03, 0xdd,
+	0x26, 0x26, 0xb1, 0xeb, 0x7e, 0x19, 0x3f, 0xab, 0x24, 0xad, 0xa2, 0x2e, 0x78, 0x09, 0xcf, 0x33,
+	0xf9, 0x31, 0x79, 0x26, 0x03, 0xf3, 0x5a, 0xf6, 0x6b, 0xf1, 0x5c, 0x28, 0x2d, 0xad, 0xc4, 0xe3,
+	0x4d, 0xd9, 0x75, 0x72, 0xbb, 0x15, 0x7d, 0x53, 0x28, 0x22, 0x9d, 0xe5, 0x80, 0x77, 0x64, 0xeb,
+	0xf6, 0xd6, 0x53, 0x9c, 0x5e, 0x5e, 0xc9, 0x58, 0x44, 0x08, 0xdb, 0x72, 0x20, 0x16, 0xa4, 0x41,
+	0x1e, 0x72, 0xaf, 0xb3, 0xf7, 0x00, 0x4e, 0x7e, 0xa0, 0xaa, 0xdb, 0x61, 0x02, 0x07, 0x9a, 0x06,
+	0x61, 0x84, 0xec, 0x27, 0xf8, 0xcb, 0xe3, 0x19, 0xc4, 0x9a, 0x6a, 0xa9, 0x1b, 0xf6, 0x2f, 0x0d,
+	0xf2, 0x39, 0x9f, 0x9c, 0x6b, 0x6e, 0xe9, 0xcd, 0xb2, 0x59, 0x1a, 0xe4, 0x87, 0xdc, 0x6b, 0x57,
+	0xab, 0x4a, 0x43, 0x2c, 0x1c, 0x1f, 0x74, 0x1a, 0x0b, 0x88, 0x54, 0x69, 0xeb, 0x96, 0x45, 0xe9,
+	0x2c, 0x3f, 0x5a, 0xb2, 0xe2, 0x57, 0xf6, 0xe2, 0xc1, 0xdd, 0xae, 0x14, 0x1f, 0xb1, 0xec, 0x1e,
+	0xfe, 0x4f, 0x15, 0xd7, 0x6e, 0xad, 0xe5, 0xc6, 0x47, 0x5a, 0x70, 0xaf, 0xf1, 0x14, 0xa2, 0x4e,
+	0xf4, 0x64, 0x7c, 0x9a, 0x05, 0x1f, 0x8d, 0x0b, 0x29, 0x7a, 0x43, 0xfa, 0x33, 0xce, 0xe4, 0x96,
+	0x8f, 0x10, 0x8f, 0x73, 0xe2, 0x0a, 0x22, 0x3f, 0x36, 0x5e, 0xee, 0x05, 0xd8, 0xff, 0xb9, 0xe4,
+	0xe2, 0x6f, 0x48, 0x75, 0xbb, 0x9b, 0xf3, 0xa7, 0xe4, 0x1b, 0xd3, 0xd0, 0x70, 0xe5, 0x38, 0x7f,
+	0xa8, 0xaa, 0x8a, 0xfd, 0xa2, 0xae, 0x3f, 0x02, 0x00, 0x00, 0xff, 0xff, 0x7c, 0x56, 0x5e, 0xfc,
+	0xb8, 0x01, 0x00, 0x00,
 }
