control/lease, control/reconcile, decision/placement: who gives a zone's orders, and which

Cause: a zone must come to hold what the site text says, through paused holders, store outages and engines that ignore fencing numbers.

--- a/control/backends/backends.go
+++ b/control/backends/backends.go
@@ -29,6 +29,25 @@
 	return false
 }
 
+// Serving returns the set of weights with which the backend server serves ref:
+// ref itself where it is ready, else another version of the same model and
+// adapter. During a change of version the new one becomes ready engine by
+// engine, and a router that asked for it alone would find nothing at first.
+func (b *Backend) Serving(ref engine.ModelRef) (engine.ModelRef, bool) {
+	var other engine.ModelRef
+	found := false
+	for _, l := range b.Status.Models {
+		if l.State != engine.Ready || l.Ref.Model != ref.Model || l.Ref.Adapter != ref.Adapter {
+			continue
+		}
+		if l.Ref == ref {
+			return ref, true
+		}
+		other, found = l.Ref, true
+	}
+	return other, found
+}
+
 // Snapshot is an immutable picture of all known backend servers by pool,
 // ordered by VM id. Version grows with every change.
 type Snapshot struct {
--- /dev/null
+++ b/control/lease/candidates.go
@@ -0,0 +1,57 @@
+package lease
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/control/membership"
+)
+
+// Rank returns this daemon's place, from 0, among the candidates of its zone,
+// or -1 when it is none. Views differ for moments and across partitions: then
+// more or other daemons try, and the store still lets only one hold.
+func Rank(view *membership.View, candidates int) int {
+	self := view.Self
+	if self.State == membership.Leaving {
+		return -1
+	}
+	own := weight(self)
+	rank := 0
+	for _, m := range view.Members {
+		if m.ID == self.ID || m.Zone != self.Zone || m.State != membership.Alive {
+			continue
+		}
+		if w := weight(m); w > own || (w == own && m.ID < self.ID) {
+			rank++
+		}
+	}
+	if rank >= candidates {
+		return -1
+	}
+	return rank
+}
+
+func weight(m membership.Member) uint64 { return xxhash.Sum64String(m.Zone + "\x00" + m.ID) }
+
+type metrics struct {
+	calls, taken prometheus.Counter
+	held         prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) metrics {
+	m := metrics{
+		calls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowwind_lease_store_calls_total", Help: "Calls to the store for the zone's lease.",
+		}),
+		taken: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowwind_lease_taken_total", Help: "Times this daemon became the zone's holder.",
+		}),
+		held: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "mallowwind_lease_held", Help: "1 while this daemon holds the zone's lease.",
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.calls, m.taken, m.held)
+	}
+	return m
+}
--- /dev/null
+++ b/control/reconcile/outcome.go
@@ -0,0 +1,66 @@
+package reconcile
+
+import (
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/decision/placement"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/telemetry/event"
+)
+
+// failed records an order that was not accepted, or whose fate is unknown. In
+// both cases nothing is concluded: the engine's next report tells.
+func (m *Manager) failed(o *observed, order engine.Order, step placement.Step, err error) {
+	m.deps.Log.Emit(event.PlacementFailed, order.ID, string(order.Kind), step.Backend, step.Service,
+		step.Ref.String(), string(step.Reason), err.Error())
+	switch {
+	case errors.Is(err, engine.ErrStaleFence):
+		m.fenced = true
+		m.deps.Log.Emit(event.PlacementFenced, step.Backend, order.Fence, o.status.Fence)
+	case errors.Is(err, engine.ErrRefused) && order.Kind == engine.OrderLoad && len(o.status.Models) > 0:
+		o.full = true
+	default:
+		o.pending = true
+		m.holdBack(o)
+	}
+}
+
+// outcome is the metric label of an order's result.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, engine.ErrStaleFence):
+		return "stale_fence"
+	case errors.Is(err, engine.ErrRefused):
+		return "refused"
+	case errors.Is(err, engine.ErrNotSent):
+		return "not_sent"
+	}
+	return "unknown"
+}
+
+type metrics struct {
+	polls  prometheus.Counter
+	orders *prometheus.CounterVec
+	steps  *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) metrics {
+	m := metrics{
+		polls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "mallowwind_reconcile_polls_total", Help: "Polls of engines by the zone's holder.",
+		}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mallowwind_reconcile_orders_total", Help: "Orders given, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		steps: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mallowwind_reconcile_decisions_total", Help: "Placement decisions, by kind and reason.",
+		}, []string{"kind", "reason"}),
+	}
+	if r != nil {
+		r.MustRegister(m.polls, m.orders, m.steps)
+	}
+	return m
+}
--- a/decision/gossip/table.go
+++ b/decision/gossip/table.go
@@ -14,9 +14,11 @@
 // members a part holds twelve, about a kilobyte.
 const Buckets = 32
 
-// spread scales how often an update is passed on: spread*log2(members) times
-// reaches everybody with a probability that leaves the rest to the comparison.
-const spread = 2
+// spread scales how often an update is passed on: spread*log2(members) times.
+// The burst that follows news uses up about ten of them; those left let the
+// next regular exchanges reach whoever the burst missed, before the comparison
+// of tables has to.
+const spread = 4
 
 // member is a record with what only this daemon knows of it.
 type member struct {
