--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -17,8 +17,11 @@
 
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/inforce"
+	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/reconcile"
 	"mallowwind.dev/control/settings"
+	"mallowwind.dev/control/site"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/engine"
@@ -67,6 +70,8 @@
 	inforce     *inforce.Manager
 	members     *membership.Manager
 	backends    *backends.Manager
+	lease       *lease.Manager
+	reconcile   *reconcile.Manager
 	flow        *flow.Manager
 	generations *generation.Manager
 	calls       *calls
@@ -82,6 +87,7 @@
 		registry: prometheus.NewRegistry(),
 	}
 	d.assembleControl()
+	d.assemblePlacement()
 	d.assembleServing()
 	return d
 }
@@ -97,7 +103,8 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Log: d.log, Registerer: d.registry, Config: bc,
+		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Log: d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
 		Self: membership.Member{
@@ -121,6 +128,33 @@
 	})
 }
 
+// plainPool reports whether a pool runs plain services.
+func (d *Daemon) plainPool(pool string) bool {
+	s := d.inforce.Current()
+	if s == nil {
+		return false
+	}
+	for _, service := range s.Services {
+		if service.Pool == pool {
+			return service.Kind == site.KindPlain
+		}
+	}
+	return false
+}
+
+// assemblePlacement lets this daemon contend for its zone's lease and, while
+// it holds the lease, give the zone's engines their orders.
+func (d *Daemon) assemblePlacement() {
+	s, p := d.opts.Settings, d.opts.Platform
+	d.lease = lease.NewManager(lease.Deps{
+		Store: p.Store, Members: d.members, Log: d.log, Registerer: d.registry,
+	})
+	d.reconcile = reconcile.NewManager(reconcile.Deps{
+		Zone: s.Zone, Site: d.inforce, VMs: d.backends, Engine: p.Engine, Weights: p.Weights,
+		Lease: d.lease, Store: p.Store, Log: d.log, Registerer: d.registry,
+	})
+}
+
 func (d *Daemon) assembleServing() {
 	s := d.opts.Settings
 	d.flow = flow.New(flow.Config{
@@ -136,7 +170,7 @@
 	d.drain = &drainer{d: d}
 	d.api = api.New(api.Config{
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
-		Entries: &entries{site: d.inforce, members: d.members, vms: d.backends},
+		Entries: &entries{site: d.inforce, members: d.members},
 		Log:     d.log, Metrics: d.registry,
 		Refusing: d.drain.refusing,
 		Ready:    d.ready,
@@ -181,7 +215,7 @@
 func (d *Daemon) loops() []func(context.Context) error {
 	return []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
-		d.generations.Run, d.digests, d.calls.Run,
+		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.calls.Run,
 	}
 }
 
--- a/serve/daemon/entries.go
+++ b/serve/daemon/entries.go
@@ -1,34 +1,55 @@
 package daemon
 
 import (
-	"cmp"
-	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/vmlist"
+	ask "mallowwind.dev/decision/entries"
 	"mallowwind.dev/serve/api"
 )
 
-// entries answers which entry VMs an account should use: those alive and not
-// leaving, in an order of its own for each account so that accounts spread.
+// entries answers which entry VMs an account should use.
 type entries struct {
 	site    site.Source
 	members membership.Source
-	vms     vmlist.Source
+	turn    atomic.Uint64
 }
 
-// For implements api.Entries.
+// For implements api.Entries. Only members seen alive are named: one that is
+// leaving vanishes from the answers at once and serves on for the callers that
+// still keep it.
 func (e *entries) For(account *site.Account) []api.Entry {
-	var out []api.Entry
-	for _, m := range e.members.Current().Members {
-		if m.State == membership.Alive && m.Caller != "" {
-			out = append(out, api.Entry{ID: m.ID, Address: m.Caller, Zone: m.Zone})
-		}
+	members := e.members.Current().Members
+	vms := make([]ask.VM, 0, len(members))
+	for _, m := range members {
+		vms = append(vms, ask.VM{
+			ID: m.ID, Hash: xxhash.Sum64String(m.ID), Zone: m.Zone, Address: m.Caller,
+			Usable: m.State == membership.Alive && m.Caller != "",
+		})
+	}
+	a := ask.Answers(vms, ask.Query{
+		Account: xxhash.Sum64String(account.Name),
+		Part:    part(e.site.Current(), account),
+		Turn:    e.turn.Add(1),
+	})
+	out := make([]api.Entry, 0, len(a.VMs))
+	for _, i := range a.VMs {
+		out = append(out, api.Entry{ID: vms[i].ID, Address: vms[i].Address, Zone: vms[i].Zone})
 	}
-	score := func(id string) uint64 { return xxhash.Sum64String(account.Name + "/" + id) }
-	slices.SortFunc(out, func(a, b api.Entry) int { return cmp.Compare(score(a.ID), score(b.ID)) })
 	return out
 }
+
+// part is the account's declared part of the whole load.
+func part(s *site.Site, account *site.Account) float64 {
+	var sum float64
+	for _, a := range s.Accounts {
+		sum += a.Share
+	}
+	if sum == 0 {
+		return 0
+	}
+	return account.Share / sum
+}
