--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -25,6 +25,7 @@
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
+	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 	Capacity capacityCmd `cmd:"" help:"Work out what each role needs at the size to come, docs/CAPACITY.md."`
 	Bench    benchCmd    `cmd:"" help:"Run an experiment."`
