--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,7 +11,8 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Slopes slopesCmd `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Load   benchLoadCmd `cmd:"" help:"Play patterns of load against the decisions, beside baselines."`
+	Slopes slopesCmd    `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
 
 // slopesCmd measures and records slopes.
--- a/decision/entries/entries.go
+++ b/decision/entries/entries.go
@@ -9,7 +9,7 @@
 //
 // Each account has its own order of the VMs of each zone (rendezvous hashing),
 // so that a VM more or less changes few answers. It is told as many VMs as its
-// part of the load needs, at least minTold, taken from the zones in turn.
+// part of the load needs, at least Rule.Least, taken from the zones in turn.
 package entries
 
 import (
@@ -17,14 +17,22 @@
 	"time"
 )
 
+// Rule says how many VMs an account is told.
+type Rule struct {
+	// Least is told to every account. Fewer leave VMs with uneven load, because
+	// each then carries few accounts, and lose more when a zone goes.
+	Least int
+	// Spread is how many times the number of VMs that an account would fill on
+	// its own it is told: callers pick among them unevenly.
+	Spread float64
+}
+
+// Default is the rule in use. Its values come from the study "entries" of
+// bench load, in docs/design/33-load-entries.md: with up to eight VMs everybody
+// is told all.
+var Default = Rule{Least: 8, Spread: 2}
+
 const (
-	// minTold is the least number of VMs an account is told. Fewer leave VMs with
-	// uneven load, because each carries few accounts; the measurement is in
-	// docs/design/33-load-entries.md. With up to eight VMs everybody is told all.
-	minTold = 8
-	// spread is how many times the number of VMs that an account would fill on
-	// its own it is told. Callers pick among them unevenly; twice leaves room.
-	spread = 2.0
 	// hysteresis is the part by which an account's load must shrink before it
 	// is told fewer VMs, so that noise does not move its callers.
 	hysteresis = 0.7
@@ -71,13 +79,16 @@
 	Reason Reason
 }
 
+// Answers computes the answer to q from the VMs in view by the default rule.
+func Answers(vms []VM, q Query) Answer { return Default.Answers(vms, q) }
+
 // Answers computes the answer to q from the VMs in view.
-func Answers(vms []VM, q Query) Answer {
+func (r Rule) Answers(vms []VM, q Query) Answer {
 	order := Order(vms, q.Account)
 	if len(order) == 0 {
 		return Answer{Reason: ReasonNone}
 	}
-	n, why := count(len(order), q)
+	n, why := r.count(len(order), q)
 	told := order[:n]
 	rotated := make([]int, 0, n)
 	first := int(q.Turn % uint64(n))
@@ -87,13 +98,13 @@
 }
 
 // count is the number of VMs to tell out of n.
-func count(n int, q Query) (int, Reason) {
-	want := min(n, max(minTold, ceil(spread*q.Part*float64(n))))
+func (r Rule) count(n int, q Query) (int, Reason) {
+	want := min(n, max(r.Least, ceil(r.Spread*q.Part*float64(n))))
 	why := ReasonPart
 	switch {
 	case want == n:
 		why = ReasonAll
-	case want == min(n, minTold):
+	case want == min(n, r.Least):
 		why = ReasonLeast
 	}
 	if q.Told > want && float64(want) > hysteresis*float64(q.Told) && q.Told <= n {
@@ -134,9 +145,9 @@
 
 // Member reports whether VM i is among those that q's account is told, and how
 // many that are. An entry VM uses it to know its part of the account's limit.
-func Member(vms []VM, q Query, i int) (told int, member bool) {
+func (r Rule) Member(vms []VM, q Query, i int) (told int, member bool) {
 	order := Order(vms, q.Account)
-	n, _ := count(len(order), q)
+	n, _ := r.count(len(order), q)
 	for _, j := range order[:min(n, len(order))] {
 		if j == i {
 			member = true
--- a/decision/loading/loading.go
+++ b/decision/loading/loading.go
@@ -1,104 +1,62 @@
-// Package loading decides whether work whose model is still loading on near
-// servers waits for them or goes elsewhere.
+// Package loading decides what becomes of work whose model no backend server
+// has ready.
 //
 // Load it answers: a version change or a replaced VM takes the ready servers of
-// a zone away for a minute while more of them are loading.
+// a model away for a minute while others are loading it.
 //
-// Without it, either every request goes to the few ready servers far away and
-// overruns them, or every request waits for a load that takes longer than its
-// caller's patience.
+// Without it, every request of that minute is refused although it could have
+// been answered in time, or all of them wait for a load that takes longer than
+// their callers' patience and are refused only then.
+//
+// Where some servers are ready nothing is decided here: one queue stands before
+// the ready and the loading servers alike, and whichever has room first takes
+// the next request. Rules that send a request to one or the other on arrival,
+// that of Online-DRL among them, measured no better; see
+// docs/design/34-load-loading.md.
 package loading
 
 import "time"
 
-// Choice is what to do.
-type Choice uint8
-
-// The choices.
-const (
-	Elsewhere Choice = iota // send it to a ready server now
-	Wait                    // hold it until the model is loaded
-	Refuse                  // neither starts in time
-)
-
-// String returns the lower-case name.
-func (c Choice) String() string { return [...]string{"elsewhere", "wait", "refuse"}[c] }
+// slack is how much earlier than the deadline the load must end. Estimates of
+// loading come from the engines and run late when the weight store is shared;
+// a caller refused at once can go on, one refused at its deadline cannot.
+const slack = 0.8
 
-// Reason says why.
+// Reason says why; it goes into the log line.
 type Reason string
 
 // The reasons.
 const (
-	ReasonReady    Reason = "elsewhere_sooner"
-	ReasonLoaded   Reason = "loaded_sooner"
-	ReasonOnly     Reason = "only_loading"
-	ReasonTooLate  Reason = "loaded_too_late"
-	ReasonNowhere  Reason = "nowhere"
-	ReasonDisabled Reason = "policy"
+	ReasonInTime  Reason = "loaded_in_time"
+	ReasonTooLate Reason = "loaded_too_late"
+	ReasonUnknown Reason = "time_unknown"
+	ReasonNowhere Reason = "nowhere"
 )
 
-// Input is what is known about one request.
+// Input is what is known about one request that nothing ready can run.
 type Input struct {
-	// Loading says that a server loads the model; Remaining is how long it takes.
-	Loading   bool
-	Remaining time.Duration
-	// Ready says that servers elsewhere have it; Queue is the predicted wait
-	// there and Extra what their distance adds to the answer.
-	Ready        bool
-	Queue, Extra time.Duration
-	// Patience is the time left until the deadline.
-	Patience time.Duration
+	Loading   bool          // some server loads the model
+	Remaining time.Duration // until the first of them is ready, 0 if unknown
+	Patience  time.Duration // until the request's deadline
 }
 
 // Decision is the choice with its reason.
 type Decision struct {
-	Choice Choice
+	Wait   bool
 	Reason Reason
+	// RetryAfter is when the model should be ready, 0 if unknown.
+	RetryAfter time.Duration
 }
 
-// Policy is one rule.
-type Policy func(Input) Decision
-
-// Decide waits only where nothing else can run the work: what is ready takes
-// it at once, wherever it is, and what will be loaded in time may wait for it.
-func Decide(in Input) Decision { return Never(in) }
-
-// DelayedHit waits when the load ends sooner than the work could start and be
-// answered elsewhere. It is the rule by which Online-DRL buffers a request
-// during a download (Deka and Sukapuram, "Edge Service Caching with Delayed
-// Hits and Request Forwarding to Reduce Latency", 2024), with the queue
-// elsewhere added to the latency of forwarding.
-func DelayedHit(in Input) Decision {
-	if in.Loading && in.Ready && in.Remaining <= in.Queue+in.Extra && in.Remaining < in.Patience {
-		return Decision{Wait, ReasonLoaded}
-	}
-	return Never(in)
-}
-
-// Forward waits when the load ends sooner than forwarding takes, without
-// regard to the queue elsewhere: the paper's rule as it stands.
-func Forward(in Input) Decision {
-	in.Queue = 0
-	return DelayedHit(in)
-}
-
-// Always waits for a load that ends before the deadline.
-func Always(in Input) Decision {
-	if in.Loading && in.Remaining < in.Patience {
-		return Decision{Wait, ReasonDisabled}
-	}
-	return Never(in)
-}
-
-// Never waits for a load unless nothing else has the model.
-func Never(in Input) Decision {
+// Decide lets a request wait for a load that should end well before its deadline.
+func Decide(in Input) Decision {
 	switch {
-	case in.Ready:
-		return Decision{Elsewhere, ReasonReady}
-	case in.Loading && in.Remaining < in.Patience:
-		return Decision{Wait, ReasonOnly}
-	case in.Loading:
-		return Decision{Refuse, ReasonTooLate}
+	case !in.Loading:
+		return Decision{Reason: ReasonNowhere}
+	case in.Remaining <= 0:
+		return Decision{Wait: true, Reason: ReasonUnknown}
+	case float64(in.Remaining) <= slack*float64(in.Patience):
+		return Decision{Wait: true, Reason: ReasonInTime}
 	}
-	return Decision{Refuse, ReasonNowhere}
+	return Decision{Reason: ReasonTooLate, RetryAfter: in.Remaining}
 }
--- a/decision/route/subset.go
+++ b/decision/route/subset.go
@@ -47,19 +47,3 @@
 	}
 	return window
 }
-
-// Rendezvous is the baseline for Subset: every daemon draws for itself, taking
-// the backends with the largest hash of the pair.
-func Rendezvous(self uint64, backends []uint64, size int) []int {
-	order := make([]int, len(backends))
-	for i := range order {
-		order[i] = i
-	}
-	if len(backends) <= size {
-		return order
-	}
-	sort.Slice(order, func(a, b int) bool {
-		return Mix(self^Mix(backends[order[a]])) > Mix(self^Mix(backends[order[b]]))
-	})
-	return order[:size]
-}
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -234,7 +234,7 @@
 	if w.policy != Product {
 		q.Part = 1
 	}
-	return entries.Answers(vms, q).VMs
+	return entries.Default.Answers(vms, q).VMs
 }
 
 func (w *world) part(a *account) float64 {
--- a/serve/flow/observe.go
+++ b/serve/flow/observe.go
@@ -8,6 +8,7 @@
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/decision/health"
+	"mallowwind.dev/decision/loading"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -21,6 +22,7 @@
 	states     *prometheus.CounterVec
 	expenses   *prometheus.CounterVec
 	outcomes   *prometheus.CounterVec
+	loads      *prometheus.CounterVec
 	waits      *prometheus.HistogramVec
 	backlog    *prometheus.GaugeVec
 	slots      *prometheus.GaugeVec
@@ -48,6 +50,7 @@
 		states:     counter("backend_state_total", "Changes of how a backend server is treated.", "to", "reason"),
 		expenses:   counter("budget_total", "Retries and takeovers charged or denied.", "reason"),
 		outcomes:   counter("finished_total", "Dispatched work that ended.", "class", "result"),
+		loads:      counter("loading_total", "Requests for a model that is only loading.", "reason"),
 		backlog:    gauge("waiting_requests", "Requests waiting for a backend server.", "pool", "model"),
 		slots:      gauge("slots", "Requests that may run at once.", "pool", "model"),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -57,7 +60,7 @@
 		}, []string{"class"}),
 	}
 	if r != nil {
-		r.MustRegister(o.dispatches, o.refusals, o.states, o.expenses, o.outcomes, o.backlog, o.slots, o.waits)
+		r.MustRegister(o.dispatches, o.refusals, o.states, o.expenses, o.outcomes, o.loads, o.backlog, o.slots, o.waits)
 	}
 	return o
 }
@@ -116,8 +119,9 @@
 	o.log.Emit(event.TableBuilt, g.key.pool, g.key.ref.Model, g.table.Len(), known, version)
 }
 
-func (o *observer) loading(w *Waiter, left time.Duration) {
-	o.log.Emit(event.LoadingDecided, w.ask.Request, w.ask.Service.Model, "wait", left)
+func (o *observer) loading(w *Waiter, d loading.Decision) {
+	o.loads.WithLabelValues(string(d.Reason)).Inc()
+	o.log.Emit(event.LoadingDecided, w.ask.Request, w.ask.Service.Model, d.Reason, d.RetryAfter)
 }
 
 func (o *observer) waiting(g *group) {
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -9,6 +9,7 @@
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/loading"
 	"mallowwind.dev/decision/route"
 )
 
@@ -167,14 +168,17 @@
 	return g.slots
 }
 
-// offerLoading lets a request wait for a loading model if it will be ready in time.
+// offerLoading decides about a request that only a loading model can run.
 func (c *Core) offerLoading(now time.Time, w *Waiter) admit.Decision {
 	g := w.group
-	left := max(g.loading.Sub(now), 0)
-	c.observe.loading(w, left)
-	if g.loading.After(w.item.Deadline) {
-		return admit.Decision{Action: admit.Refuse, Reason: admit.ReasonNoServers, RetryAfter: left}
+	d := loading.Decide(loading.Input{
+		Loading: g.loadingSlots > 0, Remaining: max(g.loading.Sub(now), 0),
+		Patience: w.item.Deadline.Sub(now),
+	})
+	c.observe.loading(w, d)
+	if !d.Wait {
+		return admit.Decision{Action: admit.Refuse, Reason: admit.ReasonNoServers, RetryAfter: d.RetryAfter}
 	}
 	g.queue.Hold(&w.item)
-	return admit.Decision{Action: admit.Wait, Reason: admit.ReasonQueued, Wait: left}
+	return admit.Decision{Action: admit.Wait, Reason: admit.ReasonQueued, Wait: max(g.loading.Sub(now), 0)}
 }
--- a/telemetry/event/routing.go
+++ b/telemetry/event/routing.go
@@ -19,7 +19,7 @@
 	TableBuilt = define(207, "table_built", logrus.DebugLevel,
 		"The candidates of a service were built anew.", "pool", "model", "candidates", "known", "version")
 	LoadingDecided = define(208, "loading_decided", logrus.InfoLevel,
-		"No ready backend server has the model; waiting for one that loads it was weighed.", "request", "model", "reason", "remaining")
+		"No backend server has the model ready; waiting for one that loads it was weighed.", "request", "model", "reason", "retry_after")
 	EntriesAnswered = define(209, "entries_answered", logrus.DebugLevel,
 		"A caller was told which entry VMs to use.", "account", "entries", "known", "ttl")
 )
