limit: a part of an account's limit may be smaller than one request

Change: a request is granted while anything is left and owes its whole cost; the bucket holds a minute.

--- a/decision/limit/account.go
+++ b/decision/limit/account.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// burst is how many seconds of an account's rate it may use at once. Long
-// contracts cost some thousand tokens each: a bucket smaller than one request
-// would refuse work that is within the limit over a minute.
-const burst = 10.0
+// burst is how many seconds of an account's rate it may use ahead. A minute
+// carries the chance of several long requests in a row at one of several VMs;
+// with ten seconds an account that asks exactly its limit gets two thirds of it.
+const burst = 60.0
 
 // Account is the token bucket of one account at one entry VM. The zero value
 // is a full bucket. It is not safe for concurrent use.
@@ -27,14 +27,14 @@
 }
 
 // Take asks for cost tokens at rate tokens a second, and returns how long to
-// wait before the same request would be granted, or 0 when it is granted. A
-// request larger than the whole bucket is granted from a full one.
+// wait before it would be granted, or 0 when it is granted. A request is
+// granted while anything is left, and its whole cost is then owed: a part of a
+// limit is often smaller than one long request, and a bucket that had to hold
+// the whole cost would refuse half of what is within the limit.
 func (a *Account) Take(now time.Time, cost, rate float64) time.Duration {
 	a.refill(now, rate)
-	room := burst*rate - a.debt
-	if a.debt > 0 && cost > room {
-		need := min(cost-room, a.debt)
-		return time.Duration(need / rate * float64(time.Second))
+	if over := a.debt - burst*rate; over >= 0 && a.debt > 0 {
+		return time.Duration((over + 1) / rate * float64(time.Second))
 	}
 	a.debt += cost
 	return 0
