entries: windows of a ring in place of independent draws

Change: the VMs form a ring of alternating zones; an account's window begins where the parts before it end. Conclusion: kept, at least 16 and spread 8. serve/daemon passes the declared shares.

--- a/decision/entries/entries.go
+++ b/decision/entries/entries.go
@@ -7,12 +7,15 @@
 // Without it, callers use the first address they know: one VM carries a large
 // account alone, and callers go on connecting to a VM that is leaving.
 //
-// Each account has its own order of the VMs of each zone (rendezvous hashing),
-// so that a VM more or less changes few answers. It is told as many VMs as its
-// part of the load needs, at least Rule.Least, taken from the zones in turn.
+// The VMs form a ring on which the zones alternate, and each account is told a
+// window of it: as many VMs as its part of the load needs, at least Rule.Least.
+// Windows begin where the parts of the accounts before it end, so that together
+// they cover the ring evenly; independent draws leave one VM with twice the
+// mean. A VM or an account more moves a window by a place or two.
 package entries
 
 import (
+	"math"
 	"sort"
 	"time"
 )
@@ -28,9 +31,9 @@
 }
 
 // Default is the rule in use. Its values come from the study "entries" of
-// bench load, in docs/design/33-load-entries.md: with up to eight VMs everybody
-// is told all.
-var Default = Rule{Least: 8, Spread: 2}
+// bench load, in docs/design/33-load-entries.md: with up to sixteen VMs
+// everybody is told all.
+var Default = Rule{Least: 16, Spread: 8}
 
 const (
 	// hysteresis is the part by which an account's load must shrink before it
@@ -52,9 +55,9 @@
 
 // Query asks for an account's answer.
 type Query struct {
-	Account uint64 // hash of the account's name
-	// Part is the account's share of the whole load, 0 to 1.
-	Part float64
+	// Part is the account's share of the whole load, 0 to 1, and Before that of
+	// all accounts before it in an order that every VM computes alike.
+	Part, Before float64
 	// Told is how many VMs the last answer named, 0 if none.
 	Told int
 	// Turn rotates the order, so that callers that use the first address spread.
@@ -84,17 +87,28 @@
 
 // Answers computes the answer to q from the VMs in view.
 func (r Rule) Answers(vms []VM, q Query) Answer {
-	order := Order(vms, q.Account)
-	if len(order) == 0 {
+	ring := Ring(vms)
+	if len(ring) == 0 {
 		return Answer{Reason: ReasonNone}
 	}
-	n, why := r.count(len(order), q)
-	told := order[:n]
-	rotated := make([]int, 0, n)
-	first := int(q.Turn % uint64(n))
-	rotated = append(rotated, told[first:]...)
-	rotated = append(rotated, told[:first]...)
-	return Answer{VMs: rotated, Reason: why}
+	n, why := r.count(len(ring), q)
+	first := r.begin(len(ring), n, q)
+	turn := int(q.Turn % uint64(n))
+	told := make([]int, n)
+	for k := range told {
+		told[k] = ring[(first+(k+turn)%n)%len(ring)]
+	}
+	return Answer{VMs: told, Reason: why}
+}
+
+// begin is where an account's window of n out of size VMs starts: where the
+// parts before it end, when all parts together go round the ring Spread times.
+func (r Rule) begin(size, n int, q Query) int {
+	if n >= size {
+		return 0
+	}
+	turns := q.Before * max(r.Spread, 1)
+	return int((turns-math.Floor(turns))*float64(size)) % size
 }
 
 // count is the number of VMs to tell out of n.
@@ -121,39 +135,72 @@
 	return n
 }
 
-// Order returns the usable VMs in the account's order: its favourite of each
-// zone, then the second of each, and so on. Zones themselves are in the
-// account's order too, so that no zone is everybody's first.
-func Order(vms []VM, account uint64) []int {
-	place := make(map[string]int, 8)
-	order := make([]int, 0, len(vms))
+// Ring returns the usable VMs so that the zones alternate as evenly as their
+// sizes allow; within a zone the order is that of the hash of the id.
+func Ring(vms []VM) []int {
+	ring := make([]int, 0, len(vms))
+	size := make(map[string]int, 8)
 	for i := range vms {
 		if vms[i].Usable {
-			order = append(order, i)
+			ring = append(ring, i)
+			size[vms[i].Zone]++
+		}
+	}
+	sort.Slice(ring, func(a, b int) bool {
+		x, y := &vms[ring[a]], &vms[ring[b]]
+		return x.Hash < y.Hash || x.Hash == y.Hash && x.ID < y.ID
+	})
+	place := make([]float64, len(vms))
+	rank := make(map[string]int, len(size))
+	for _, i := range ring {
+		zone := vms[i].Zone
+		place[i] = (float64(rank[zone]) + 0.5) / float64(size[zone])
+		rank[zone]++
+	}
+	sort.SliceStable(ring, func(a, b int) bool {
+		x, y := ring[a], ring[b]
+		return place[x] < place[y] || place[x] == place[y] && vms[x].Zone < vms[y].Zone
+	})
+	return ring
+}
+
+// Share is one account's weight in the load.
+type Share struct {
+	Name   string
+	Hash   uint64 // of Name
+	Weight float64
+}
+
+// Position returns an account's part of the load and the parts before it, in
+// the order of the hash of the names.
+func Position(shares []Share, name string) (part, before float64) {
+	var self Share
+	for _, s := range shares {
+		if s.Name == name {
+			self = s
+		}
+	}
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Weight
+		if s.Hash < self.Hash || s.Hash == self.Hash && s.Name < self.Name {
+			before += s.Weight
 		}
 	}
-	score := func(i int) uint64 { return mix(account ^ mix(vms[i].Hash)) }
-	sort.Slice(order, func(a, b int) bool { return score(order[a]) > score(order[b]) })
-	round := make([]int, len(vms))
-	for _, i := range order {
-		round[i] = place[vms[i].Zone]
-		place[vms[i].Zone]++
+	if sum == 0 {
+		return 0, 0
 	}
-	sort.SliceStable(order, func(a, b int) bool { return round[order[a]] < round[order[b]] })
-	return order
+	return self.Weight / sum, before / sum
 }
 
 // Member reports whether VM i is among those that q's account is told, and how
 // many that are. An entry VM uses it to know its part of the account's limit.
 func (r Rule) Member(vms []VM, q Query, i int) (told int, member bool) {
-	order := Order(vms, q.Account)
-	n, _ := r.count(len(order), q)
-	for _, j := range order[:min(n, len(order))] {
-		if j == i {
-			member = true
-		}
+	a := r.Answers(vms, q)
+	for _, j := range a.VMs {
+		member = member || j == i
 	}
-	return n, member
+	return len(a.VMs), member
 }
 
 // TTL is how long an answer may be kept: the operators' value within bounds.
@@ -161,11 +208,3 @@
 func TTL(configured time.Duration) time.Duration {
 	return min(max(configured, time.Second), MaxTTL)
 }
-
-// mix spreads the bits of x (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/lab/bench/load/spread.go
+++ b/lab/bench/load/spread.go
@@ -19,13 +19,15 @@
 func studyEntries(r *report.Report, _ deployment, seed uint64) error {
 	t := r.Table("entries: load of the entry VMs when callers use the told VMs in turn",
 		report.Col("VMs", ""), report.Col("zones", ""), report.Col("accounts", ""),
-		report.Col("least told", ""), report.Col("spread", ""),
+		report.Col("windows from", ""), report.Col("least told", ""), report.Col("spread", ""),
 		report.Col("most over mean", ""), report.Col("p99 over mean", ""), report.Col("mean told", ""),
 		report.Col("most over mean, a zone lost", ""), report.Col("accounts moved by one VM less", "%"))
 	for _, size := range []struct{ vms, zones, accounts int }{{7, 3, 10}, {scaleDaemons, scaleZones, scaleAccounts}} {
 		parts := zipf(size.accounts)
-		for _, rule := range []entries.Rule{{Least: 3, Spread: 1}, {Least: 3, Spread: 2}, {Least: 8, Spread: 2}, {Least: 16, Spread: 2}, {Least: 16, Spread: 4}, {Least: 32, Spread: 4}} {
-			spreadRow(t, size.vms, size.zones, parts, rule)
+		for _, rule := range []entries.Rule{{Least: 3, Spread: 1}, {Least: 3, Spread: 2}, {Least: 8, Spread: 2}, {Least: 8, Spread: 4}, {Least: 16, Spread: 4}, {Least: 16, Spread: 8}} {
+			for _, at := range []string{"parts", "random"} {
+				spreadRow(t, size.vms, size.zones, at, parts, rule)
+			}
 		}
 	}
 	studyTTL(r, seed)
@@ -45,19 +47,19 @@
 	return parts
 }
 
-func spreadRow(t *report.Table, n, zones int, parts []float64, rule entries.Rule) {
+func spreadRow(t *report.Table, n, zones int, at string, parts []float64, rule entries.Rule) {
 	vms := make([]entries.VM, n)
 	for i := range vms {
 		id := fmt.Sprintf("entry-%d", i)
 		vms[i] = entries.VM{ID: id, Hash: xxhash.Sum64String(id), Zone: zoneName(i % zones), Usable: true}
 	}
-	load, told := vmLoad(vms, parts, rule)
+	load, told := vmLoad(vms, at, parts, rule)
 	most, p99 := overMean(load, n)
 	less := append([]entries.VM(nil), vms...)
 	less[0].Usable = false
 	moved := 0
 	for a := range parts {
-		if !sameButFor(answer(vms, parts, a, rule), answer(less, parts, a, rule), 0) {
+		if !sameButFor(answer(vms, at, parts, a, rule), answer(less, at, parts, a, rule), 0) {
 			moved++
 		}
 	}
@@ -69,15 +71,25 @@
 			remaining++
 		}
 	}
-	lost, _ := vmLoad(left, parts, rule)
+	lost, _ := vmLoad(left, at, parts, rule)
 	lostMost, _ := overMean(lost, remaining)
-	t.Add(report.Count(n), report.Count(zones), report.Count(len(parts)), report.Count(rule.Least), report.Num(rule.Spread),
+	t.Add(report.Count(n), report.Count(zones), report.Count(len(parts)), report.Text(at), report.Count(rule.Least), report.Num(rule.Spread),
 		report.Num(round(most)), report.Num(round(p99)), report.Num(round(told)), report.Num(round(lostMost)),
 		report.Num(round(100*float64(moved)/float64(len(parts)))))
 }
 
-func answer(vms []entries.VM, parts []float64, a int, rule entries.Rule) []int {
-	q := entries.Query{Account: xxhash.Sum64String(fmt.Sprintf("account-%d", a)), Part: parts[a]}
+// answer is what account a is told. Its window begins where the parts before
+// it end or, as the baseline, anywhere.
+func answer(vms []entries.VM, at string, parts []float64, a int, rule entries.Rule) []int {
+	q := entries.Query{Part: parts[a]}
+	if at == "random" {
+		hash := xxhash.Sum64String(fmt.Sprintf("account-%d", a))
+		q.Before = float64(hash>>11) / (1 << 53) / rule.Spread
+	} else {
+		for _, p := range parts[:a] {
+			q.Before += p
+		}
+	}
 	return rule.Answers(vms, q).VMs
 }
 
@@ -96,10 +108,10 @@
 }
 
 // vmLoad is each VM's part of the load, and the mean number of VMs told.
-func vmLoad(vms []entries.VM, parts []float64, rule entries.Rule) ([]float64, float64) {
+func vmLoad(vms []entries.VM, at string, parts []float64, rule entries.Rule) ([]float64, float64) {
 	load, told := make([]float64, len(vms)), 0
 	for a := range parts {
-		names := answer(vms, parts, a, rule)
+		names := answer(vms, at, parts, a, rule)
 		told += len(names)
 		for _, i := range names {
 			load[i] += parts[a] / float64(len(names))
@@ -118,7 +130,7 @@
 
 // studyTTL loses one of seven zones and follows callers who keep their answer.
 func studyTTL(r *report.Report, seed uint64) {
-	t := r.Table("entries: time to live, one of seven zones lost, 8 VMs told, 1 s lost on each dead address",
+	t := r.Table("entries: time to live, one of seven zones lost, 16 VMs told, 1 s lost on each dead address",
 		report.Col("time to live", "s"), report.Col("questions of 10,000 callers", "1/s"),
 		report.Col("callers delayed in the minute after", "%"), report.Col("mean delay of their requests", "ms"),
 		report.Col("a leaving VM serves on for", "s"))
@@ -132,7 +144,7 @@
 // afterZoneLoss plays callers who send one request a second and remember a
 // dead address until their answer ends.
 func afterZoneLoss(ttl time.Duration, seed uint64) (delayed, meanMillis float64) {
-	const callers, told, zones, minute = 10000, 8, scaleZones, 60
+	const callers, told, zones, minute = 10000, 16, scaleZones, 60
 	random := rand.New(rand.NewPCG(seed, 13))
 	hit, lost, requests := 0, 0.0, 0
 	for range callers {
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -230,19 +230,16 @@
 	for i, d := range w.daemons {
 		vms[i] = entries.VM{ID: d.id, Hash: xxhash.Sum64String(d.id), Zone: zoneName(d.zone), Usable: !d.dead}
 	}
-	q := entries.Query{Account: a.hash, Part: w.part(a)}
+	shares := make([]entries.Share, len(w.accounts))
+	for i, x := range w.accounts {
+		shares[i] = entries.Share{Name: x.site.Name, Hash: x.hash, Weight: x.demand}
+	}
+	part, before := entries.Position(shares, a.site.Name)
+	q := entries.Query{Part: part, Before: before}
 	if w.policy != Product {
 		q.Part = 1
 	}
-	return entries.Default.Answers(vms, q).VMs
-}
-
-func (w *world) part(a *account) float64 {
-	all := 0.0
-	for _, x := range w.accounts {
-		all += x.demand
-	}
-	return a.demand / all
+	return entries.Answers(vms, q).VMs
 }
 
 func (w *world) anyEntry() int {
--- a/serve/daemon/entries.go
+++ b/serve/daemon/entries.go
@@ -30,11 +30,8 @@
 			Usable: m.State == membership.Alive && m.Caller != "",
 		})
 	}
-	a := ask.Answers(vms, ask.Query{
-		Account: xxhash.Sum64String(account.Name),
-		Part:    part(e.site.Current(), account),
-		Turn:    e.turn.Add(1),
-	})
+	part, before := ask.Position(shares(e.site.Current()), account.Name)
+	a := ask.Answers(vms, ask.Query{Part: part, Before: before, Turn: e.turn.Add(1)})
 	out := make([]api.Entry, 0, len(a.VMs))
 	for _, i := range a.VMs {
 		out = append(out, api.Entry{ID: vms[i].ID, Address: vms[i].Address, Zone: vms[i].Zone})
@@ -42,14 +39,11 @@
 	return out
 }
 
-// part is the account's declared part of the whole load.
-func part(s *site.Site, account *site.Account) float64 {
-	var sum float64
-	for _, a := range s.Accounts {
-		sum += a.Share
+// shares are the accounts' declared weights in the load.
+func shares(s *site.Site) []ask.Share {
+	out := make([]ask.Share, 0, len(s.Accounts))
+	for name, a := range s.Accounts {
+		out = append(out, ask.Share{Name: name, Hash: xxhash.Sum64String(name), Weight: a.Share})
 	}
-	if sum == 0 {
-		return 0
-	}
-	return account.Share / sum
+	return out
 }
