flow: subsets, zone shares and parts of account limits from the membership

Cause: 390 daemons before 1,900 replicas must not connect to all of them, and a share of each server among all daemons would be a small part of one request. Change: per zone a window of the servers (route.Subset); where the even share is below one request the zone's daemons share its servers and farther ones are used as far as they report free slots; an account's limit is divided among the VMs it is told. Core.Update takes a Fleet.

--- a/decision/limit/server.go
+++ b/decision/limit/server.go
@@ -60,8 +60,13 @@
 	return Server{limit: share, ceiling: share, phase: phase}
 }
 
+// even is the even share. With daemons 0 there is none: the server is far away
+// and only what it reports free may be used.
 func even(slots, daemons int) float64 {
-	return float64(max(slots, 1)) / float64(max(daemons, 1))
+	if daemons <= 0 {
+		return 0
+	}
+	return float64(max(slots, 1)) / float64(daemons)
 }
 
 // Limit is the number of requests this daemon may have there. It is 0 only
@@ -95,25 +100,28 @@
 	Waiting int
 	Slots   int // 0 if unknown
 	Own     int // requests of this daemon when the report was taken
+	// Sharers is how many daemons have an even share, Readers how many act on
+	// the same report.
+	Sharers, Readers int
 }
 
 // Reported takes in a report. slots is the operators' bound on the whole
-// backend server and daemons the number of entry VMs that may use it. The
+// backend server. The
 // ceiling becomes what this daemon had then and its even part of what was
 // free, never less than the even share. Each daemon reads the same old report:
 // if each took all that was free, their sum would swing between too much and
 // too little with the period of the reports.
-func (s *Server) Reported(r Report, slots, daemons int) {
+func (s *Server) Reported(r Report, slots int) {
 	if r.Slots > 0 && (slots <= 0 || r.Slots < slots) {
 		slots = r.Slots
 	}
-	share := even(slots, daemons)
+	share := even(slots, r.Sharers)
 	if r.Taken.IsZero() {
 		s.ceiling = share
 		return
 	}
 	free := float64(slots - r.Running - r.Waiting)
-	s.ceiling = max(share, float64(r.Own)+free/float64(max(daemons, 1)))
+	s.ceiling = max(share, float64(r.Own)+free/float64(max(r.Readers, 1)))
 	if r.Waiting > 0 && r.Taken.After(s.report) && r.Own > 0 {
 		s.limit = max(share/2, min(minLimit, share), s.limit*waitingBackoff)
 	}
--- a/lab/bench/load/policy.go
+++ b/lab/bench/load/policy.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/serve/flow"
@@ -45,7 +47,7 @@
 	switch name {
 	case Product:
 		place := flow.Place{VM: w.daemons[vm].id, Zone: zoneName(w.daemons[vm].zone)}
-		return &product{world: w, core: flow.NewCore(place, nil, nil, w.seed+uint64(vm))}
+		return &product{world: w, place: place, core: flow.NewCore(place, nil, nil, w.seed+uint64(vm))}
 	case FIFO:
 		return &fifo{world: w}
 	default:
@@ -56,6 +58,7 @@
 // product runs flow.Core, exactly as a daemon does.
 type product struct {
 	world *world
+	place flow.Place
 	core  *flow.Core
 }
 
@@ -106,7 +109,13 @@
 func (p *product) tick() { p.core.Tick(p.world.clock.now) }
 
 func (p *product) update(snap *backends.Snapshot, daemons int) {
-	p.core.Update(p.world.clock.now, p.world.site, snap, daemons)
+	fleet := flow.Fleet{Alive: daemons}
+	for _, d := range p.world.daemons {
+		if !d.dead && zoneName(d.zone) == p.place.Zone {
+			fleet.Zone = append(fleet.Zone, xxhash.Sum64String(d.id))
+		}
+	}
+	p.core.Update(p.world.clock.now, p.world.site, snap, fleet)
 }
 
 func (p *product) notices() bool     { return true }
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -9,6 +9,7 @@
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
+	"mallowwind.dev/decision/entries"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/limit"
 	"mallowwind.dev/decision/route"
@@ -26,13 +27,15 @@
 	observe  *observer
 	random   *rand.Rand
 	site     *site.Site
-	daemons  int
+	fleet    Fleet
+	shares   []entries.Share // of the accounts of site, built when first needed
 	servers  map[string]*server
 	groups   map[groupKey]*group
-	accounts map[string]*limit.Account
-	told     func(account string) (told int, member bool)
-	budget   budget.Budget
-	nextEval time.Time
+	accounts map[string]*accountBucket
+	// fleetVersion grows with every Update, so that shares are worked out anew.
+	fleetVersion uint64
+	budget       budget.Budget
+	nextEval     time.Time
 }
 
 // Place is where this daemon stands.
@@ -58,6 +61,13 @@
 	arrived time.Time
 }
 
+// accountBucket is one account's limit at this VM.
+type accountBucket struct {
+	limit.Account
+	share float64 // of the account's limit
+	fleet uint64  // version for which share holds
+}
+
 // groupKey names a set of backend servers that can run the same work.
 type groupKey struct {
 	pool string
@@ -91,11 +101,11 @@
 // log and registerer may be nil.
 func NewCore(place Place, log *event.Log, registerer prometheus.Registerer, seed uint64) *Core {
 	return &Core{
-		place: place, observe: newObserver(log, registerer), daemons: 1,
+		place: place, observe: newObserver(log, registerer),
 		random:   rand.New(rand.NewPCG(seed, route.Mix(seed))),
 		servers:  map[string]*server{},
 		groups:   map[groupKey]*group{},
-		accounts: map[string]*limit.Account{},
+		accounts: map[string]*accountBucket{},
 	}
 }
 
@@ -174,16 +184,15 @@
 	if a == nil || a.TokensPerS <= 0 {
 		return nil
 	}
-	told, member := c.daemons, true
-	if c.told != nil {
-		told, member = c.told(a.Name)
-	}
 	bucket, ok := c.accounts[a.Name]
 	if !ok {
-		bucket = &limit.Account{}
+		bucket = &accountBucket{}
 		c.accounts[a.Name] = bucket
 	}
-	rate := a.TokensPerS * limit.Share(told, member)
+	if bucket.fleet != c.fleetVersion {
+		bucket.share, bucket.fleet = c.share(a.Name), c.fleetVersion
+	}
+	rate := a.TokensPerS * bucket.share
 	if wait := bucket.Take(now, w.item.Cost, rate); wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeAccountLimit,
 			"account %s is above its limit of %g tokens a second", a.Name, a.TokensPerS).After(wait)
--- a/serve/flow/manager.go
+++ b/serve/flow/manager.go
@@ -32,7 +32,7 @@
 	core   *Core
 	site   *site.Site         // last taken in
 	snap   *backends.Snapshot // last taken in
-	alive  int                // last taken in
+	view   *membership.View   // last taken in
 }
 
 var _ Dispatcher = (*Manager)(nil)
@@ -74,25 +74,20 @@
 // update takes in what changed in the sources since the last call. Pointers
 // are compared, so that it costs nothing when nothing changed.
 func (m *Manager) update(now time.Time) {
-	st, snap, alive := m.config.Site.Current(), m.config.Backends.Current(), m.countAlive()
-	if st == m.site && snap == m.snap && alive == m.alive {
-		return
+	st, snap := m.config.Site.Current(), m.config.Backends.Current()
+	var view *membership.View
+	if m.config.Members != nil {
+		view = m.config.Members.Current()
 	}
-	m.site, m.snap, m.alive = st, snap, alive
-	m.core.Update(now, st, snap, alive)
-}
-
-func (m *Manager) countAlive() int {
-	if m.config.Members == nil {
-		return 1
+	if st == m.site && snap == m.snap && view == m.view {
+		return
 	}
-	n := 0
-	for _, member := range m.config.Members.Current().Members {
-		if member.State == membership.Alive || member.State == membership.Suspect {
-			n++
-		}
+	m.site, m.snap, m.view = st, snap, view
+	fleet := Fleet{Alive: 1}
+	if view != nil {
+		fleet = fleetOf(view, m.config.Place)
 	}
-	return max(1, n)
+	m.core.Update(now, st, snap, fleet)
 }
 
 // result is what a Sink received.
--- a/serve/flow/server.go
+++ b/serve/flow/server.go
@@ -58,14 +58,14 @@
 	return 0
 }
 
-func newServer(b *backends.Backend, slots, daemons int, vm string) *server {
+func newServer(b *backends.Backend, slots, sharers int, vm string) *server {
 	mixed := route.Mix(xxhash.Sum64String(vm) ^ route.Mix(xxhash.Sum64String(b.VM.ID)))
 	phase := float64(mixed>>11) / (1 << 53)
-	return &server{limit: limit.NewServer(slots, daemons, phase), pool: b.VM.Pool, slots: slots}
+	return &server{limit: limit.NewServer(slots, sharers, phase), pool: b.VM.Pool, slots: slots}
 }
 
 // observe takes in one row of the snapshot.
-func (s *server) observe(now time.Time, b *backends.Backend, daemons int) (health.Transition, bool) {
+func (s *server) observe(now time.Time, b *backends.Backend, sharers, readers int) (health.Transition, bool) {
 	s.backend = Backend{ID: b.VM.ID, Address: b.VM.Address, Zone: b.VM.Zone, Engine: b.Engine}
 	taken := time.Time{}
 	if !b.Seen.IsZero() {
@@ -74,8 +74,8 @@
 	own := s.inFlightAt.before(taken)
 	s.limit.Reported(limit.Report{
 		Taken: taken, Running: b.Status.Running, Waiting: b.Status.Waiting,
-		Slots: b.Status.Slots, Own: own,
-	}, s.slots, daemons)
+		Slots: b.Status.Slots, Own: own, Sharers: sharers, Readers: readers,
+	}, s.slots)
 	s.load.Others = int32(max(0, b.Status.Running+b.Status.Waiting-own))
 	was := s.incarnation
 	s.incarnation = b.Status.Incarnation
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -13,15 +13,16 @@
 	"mallowwind.dev/decision/route"
 )
 
-// Update takes in a new site or snapshot and the number of live entry VMs. It
-// is the only step whose cost grows with the number of backend servers.
-func (c *Core) Update(now time.Time, st *site.Site, snap *backends.Snapshot, daemons int) {
-	c.site, c.daemons = st, max(1, daemons)
+// Update takes in a new site, snapshot or fleet. It is the only step whose cost
+// grows with the number of backend servers.
+func (c *Core) Update(now time.Time, st *site.Site, snap *backends.Snapshot, fleet Fleet) {
+	c.site, c.fleet, c.shares = st, fleet, nil
+	c.fleetVersion++
 	for _, s := range c.servers {
 		s.present = false
 	}
-	for pool, rows := range snap.Pools {
-		for _, b := range rows {
+	for _, pool := range sortedKeys(snap.Pools) {
+		for _, b := range snap.Pools[pool] {
 			c.observeServer(now, pool, b)
 		}
 	}
@@ -38,12 +39,12 @@
 	s, ok := c.servers[b.VM.ID]
 	slots := c.slotsOf(pool)
 	if !ok {
-		s = newServer(b, slots, c.daemons, c.place.VM)
+		s = newServer(b, slots, c.sharers(b, slots), c.place.VM)
 		c.servers[b.VM.ID] = s
 	}
 	s.slots, s.pool, s.present = slots, pool, true
 	s.groups = s.groups[:0]
-	if t, changed := s.observe(now, b, c.daemons); changed {
+	if t, changed := s.observe(now, b, c.sharers(b, slots), c.fleet.count()); changed {
 		c.observe.state(s, t)
 	}
 	s.refresh(now)
@@ -67,6 +68,15 @@
 	}
 }
 
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
 // keys are the groups that the site names, in a stable order, and those that
 // still have waiting work.
 func (c *Core) keys() []groupKey {
@@ -108,17 +118,16 @@
 
 // buildGroup replaces the candidates of a group.
 func (c *Core) buildGroup(now time.Time, g *group, snap *backends.Snapshot) {
-	var candidates []route.Candidate
+	var rows []*backends.Backend
 	g.loadingSlots, g.loading = 0, time.Time{}
 	for _, b := range snap.Pools[g.key.pool] {
 		if usable(b, g.key.ref) {
-			candidates = append(candidates, c.candidate(b))
+			rows = append(rows, b)
 		} else if left, ok := loadingFor(b, g.key.ref); ok {
-			g.soon(now.Add(left), c.slotsOf(g.key.pool)/c.daemons)
+			g.soon(now.Add(left), c.slotsOf(g.key.pool)/c.fleet.count())
 		}
 	}
-	known := len(candidates)
-	g.table = route.NewTable(candidates, g.holders)
+	g.table = route.NewTable(c.subset(rows), g.holders)
 	g.servers = g.servers[:0]
 	g.peers = g.peers[:0]
 	for i := range g.table.Len() {
@@ -128,19 +137,12 @@
 		g.peers = append(g.peers, &s.peer)
 	}
 	g.count()
-	c.observe.table(g, known, snap.Version)
+	c.observe.table(g, len(rows), snap.Version)
 }
 
 func (c *Core) candidate(b *backends.Backend) route.Candidate {
-	rank := route.Remote
-	switch {
-	case b.VM.Zone == c.place.Zone:
-		rank = route.SameZone
-	case b.VM.Region == c.place.Region:
-		rank = route.SameRegion
-	}
 	return route.Candidate{
-		ID: b.VM.ID, Hash: xxhash.Sum64String(b.VM.ID), Rank: rank,
+		ID: b.VM.ID, Hash: xxhash.Sum64String(b.VM.ID), Rank: c.rank(b),
 		Load: &c.servers[b.VM.ID].load,
 	}
 }
