--- a/decision/limit/server.go
+++ b/decision/limit/server.go
@@ -23,9 +23,10 @@
 	smoothing = 0.2
 	// gapMemory is how many observations the recent gap looks back on.
 	gapMemory = 32
-	// bestDrift lets the best gap rise slowly, so that a change of model or
-	// hardware is learned within some thousand observations.
-	bestDrift = 1.0 / 4096
+	// bestMemory is the time constant with which the best gap rises, so that a
+	// change of model is learned. It is long against any saturation: a best gap
+	// that rose with the load would never show that the server is overrun.
+	bestMemory = 30 * time.Minute
 	// adjustEvery is the least time between adjustments: about ten gaps, so that
 	// each adjustment sees the effect of the one before.
 	adjustEvery = 250 * time.Millisecond
@@ -86,11 +87,7 @@
 	}
 	s.seen++
 	s.recent += (g - s.recent) / gapMemory
-	if s.recent < s.best {
-		s.best = s.recent
-	} else {
-		s.best += (s.recent - s.best) * bestDrift
-	}
+	s.best = min(s.best, s.recent)
 }
 
 // Report is what the engine said of itself, some time ago.
@@ -136,6 +133,7 @@
 		return false
 	}
 	s.next = now.Add(adjustEvery)
+	s.best += (s.recent - s.best) * float64(adjustEvery) / float64(bestMemory)
 	before := s.Limit()
 	gradient := 1.0
 	if s.seen >= gapMemory && s.recent > 0 {
