--- a/lab/bench/load/deploy.go
+++ b/lab/bench/load/deploy.go
@@ -10,9 +10,10 @@
 	"mallowwind.dev/control/site"
 )
 
-// slotsPerServer is the operators' bound on one backend server: the largest
-// batch whose token gap stays below 30 ms while a prefill runs.
-const slotsPerServer = 20
+// usualSlots is the operators' bound on one backend server. The study "slots"
+// shows what other bounds give: more slots carry more tokens a second, and every
+// stream is slower.
+const usualSlots = 16
 
 // The pools of both deployments.
 const (
@@ -35,6 +36,7 @@
 	pools    map[string]int
 	client   time.Duration // one way between callers and entry VMs
 	accounts int
+	slots    int // operators' bound on one backend server
 	kinds    []kind
 }
 
@@ -52,7 +54,7 @@
 		zones:   []string{"rufisque", "pikine", "plateau"},
 		daemons: []int{2, 2, 2},
 		pools:   map[string]int{poolLong: 36, poolDesk: 3},
-		client:  3 * time.Millisecond, accounts: 10,
+		client:  3 * time.Millisecond, accounts: 10, slots: usualSlots,
 		kinds: []kind{
 			{service("review", poolLong, site.ClassLong, 60*time.Second), 3000, 1200, 0.70},
 			{service("summary", poolLong, site.ClassNormal, 10*time.Second), 800, 300, 0.20},
@@ -65,7 +67,7 @@
 		zones:   []string{"embakasi", "athi-river", "ruiru"},
 		daemons: []int{3, 2, 2},
 		pools:   map[string]int{poolLong: 18, poolDesk: 3},
-		client:  time.Millisecond, accounts: 10,
+		client:  time.Millisecond, accounts: 10, slots: usualSlots,
 		kinds: []kind{
 			{service("contract", poolLong, site.ClassLong, 60*time.Second), 2500, 900, 0.30},
 			{service("draft", poolLong, site.ClassNormal, 10*time.Second), 800, 350, 0.60},
@@ -92,7 +94,7 @@
 		Accounts: map[string]*site.Account{},
 	}
 	for pool := range d.pools {
-		s.Pools[pool] = &site.Pool{Name: pool, Slots: slotsPerServer}
+		s.Pools[pool] = &site.Pool{Name: pool, Slots: d.slots}
 	}
 	for _, k := range d.kinds {
 		s.Services[k.service.Name] = k.service
@@ -107,8 +109,8 @@
 // nominal is the rough rate of answer tokens a second of one pool, from the
 // engine's figures. It only sets the load of the run that measures capacity.
 func (d deployment) nominal(pool string) float64 {
-	step := float64(stepBase+slotsPerServer*stepPerStream) / float64(time.Second)
-	return float64(d.pools[pool]) * slotsPerServer / step
+	step := float64(stepBase+time.Duration(d.slots)*stepPerStream) / float64(time.Second)
+	return float64(d.pools[pool]) * float64(d.slots) / step
 }
 
 // meanAnswer is the mean of answer tokens over the requests of a kind, given
--- a/lab/bench/load/policy.go
+++ b/lab/bench/load/policy.go
@@ -192,7 +192,7 @@
 	}
 }
 
-func (f *fifo) share() int { return (slotsPerServer + f.daemons - 1) / max(f.daemons, 1) }
+func (f *fifo) share() int { return (f.world.deploy.slots + f.daemons - 1) / max(f.daemons, 1) }
 
 func (f *fifo) ended(r *request, _, _ bool) {
 	f.inFlight[r.job.server]--
--- a/lab/bench/load/scenario.go
+++ b/lab/bench/load/scenario.go
@@ -101,10 +101,12 @@
 // capacity is what a pool can produce, in answer tokens a second.
 type capacity map[string]float64
 
-// measureCapacity offers far more than the pools can do to a plain queue that
-// fills every slot, with callers who wait for ever, and counts what comes.
+// measureCapacity offers far more than the pools can do to one plain queue that
+// fills every slot, with callers who wait for ever, and counts what comes. One
+// entry VM takes all of it: divided among several, shares of slots round up.
 func measureCapacity(d deployment, shares []float64, seed uint64) capacity {
 	patient := d
+	patient.daemons = []int{1}
 	patient.kinds = append([]kind(nil), d.kinds...)
 	for i := range patient.kinds {
 		s := *patient.kinds[i].service
--- a/lab/bench/load/show.go
+++ b/lab/bench/load/show.go
@@ -20,7 +20,7 @@
 	r.Param("deployment", d.name)
 	r.Param("backend servers", fmt.Sprint(d.pools[poolLong], " generation, ", d.pools[poolDesk], " desk"))
 	r.Param("entry VMs by zone", fmt.Sprint(d.daemons))
-	r.Param("slots a backend server", fmt.Sprint(slotsPerServer))
+	r.Param("slots a backend server", fmt.Sprint(d.slots))
 	r.Param("engine", fmt.Sprintf("step %v and %v a stream, prefill %.0f tokens/s, batch at most %d",
 		stepBase, stepPerStream, prefillRate, batchMost))
 	r.Param("virtual time", fmt.Sprintf("%v warm-up, %v measured, %v to end", warmUp, measured, settle))
