bench load: the unloaded reference has the same mix

Change: the reference scales all of the scenario's load to a tenth of the generation pool's capacity and runs five times as long.

--- a/lab/bench/load/bench.go
+++ b/lab/bench/load/bench.go
@@ -109,12 +109,13 @@
 }
 
 // reference is what a scenario's result is held against: the same load
-// without the fault, or hardly any load.
+// without the fault, or a tenth of capacity with the same mix. The latter has
+// few requests, so it is measured longer.
 func (s scenario) reference() scenario {
 	ref := s
 	ref.faults, ref.factor, ref.peak, ref.heavy = nil, nil, 0, 0
 	if s.Name != "straggler" {
-		ref.load, ref.desk = 0.1, 0.1
+		ref.load, ref.desk, ref.span = 0.1, 0.1*s.desk/s.load, 5*measured
 	}
 	return ref
 }
--- a/lab/bench/load/run.go
+++ b/lab/bench/load/run.go
@@ -1,8 +1,6 @@
 package load
 
 import (
-	"time"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"mallowwind.dev/control/site"
@@ -65,8 +63,8 @@
 // runScenario plays one scenario against one policy.
 func runScenario(d deployment, s scenario, policy PolicyName, c capacity, seed uint64) Result {
 	w := newWorld(d, policy, seed)
-	w.traffic(s, c, warmUp+measured)
-	from, until := w.clock.now.Add(warmUp), w.clock.now.Add(warmUp+measured)
+	w.traffic(s, c, warmUp+s.length())
+	from, until := w.clock.now.Add(warmUp), w.clock.now.Add(warmUp+s.length())
 	w.meter.window(from, until)
 	if s.faults != nil {
 		s.faults(w)
@@ -76,7 +74,7 @@
 }
 
 func (m *meter) result(s scenario, d deployment, policy PolicyName, c capacity, seed uint64) Result {
-	span := float64(measured) / float64(time.Second)
+	span := s.length().Seconds()
 	r := Result{
 		Scenario: s.Name, Deployment: d.name, Policy: policy, Seed: seed,
 		Classes: map[site.Class]ClassResult{}, Gap: quantiles(m.gaps.hist),
--- a/lab/bench/load/scenario.go
+++ b/lab/bench/load/scenario.go
@@ -26,6 +26,8 @@
 	heavy int
 	// factor scales arrivals at a time since the run began; nil means 1.
 	factor func(time.Duration) float64
+	// span is how long the run measures; 0 means measured.
+	span time.Duration
 	// peak is the largest factor.
 	peak float64
 	// faults are set up before the run begins.
@@ -88,6 +90,13 @@
 	},
 }
 
+func (s scenario) length() time.Duration {
+	if s.span > 0 {
+		return s.span
+	}
+	return measured
+}
+
 // scenarioNamed returns a scenario of the list.
 func scenarioNamed(name string) (scenario, error) {
 	for _, s := range scenarios {
