--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -1,3 +1,6 @@
+// Package demo plays one story on a whole deployment: an answer survives its
+// engine's death, a call that may not be repeated loses its answer, and urgent
+// lookups are answered beside long work.
 package demo
 
 import (
@@ -9,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/lab/stand"
 )
 
 // Options of a run.
@@ -45,12 +50,12 @@
 	ctx, cancel := context.WithTimeout(ctx, runLimit)
 	defer cancel()
 	say := func(format string, args ...any) { fmt.Fprintf(progress, format+"\n", args...) }
-	say("starting: 6 engines, an order desk, the store and 3 entry VMs in %v", zones)
-	s, err := newStand(ctx, o.Seed, o.Logs)
+	say("starting: 6 engines, an order desk, the store and 3 entry VMs in three zones")
+	s, err := stand.Start(ctx, stand.Options{Seed: o.Seed, Logs: o.Logs})
 	if err != nil {
 		return err
 	}
-	defer s.close()
+	defer s.Close()
 	r := &run{stand: s, say: say}
 	r.play(ctx)
 	return r.report(o, out)
@@ -58,7 +63,7 @@
 
 // run collects what the callers of one demo see.
 type run struct {
-	stand *stand
+	stand *stand.Deployment
 	say   func(format string, args ...any)
 
 	mu     sync.Mutex
@@ -75,34 +80,34 @@
 
 // longAnswer reads a review whose engine is killed in the middle.
 func (r *run) longAnswer(ctx context.Context) {
-	entries, err := r.stand.client(r.stand.entries[0]).entries(ctx)
+	entries, err := r.stand.Entries[0].Client().Entries(ctx)
 	if err != nil || len(entries) == 0 {
 		r.done(errors.Errorf("no entry VM was named: %v", err))
 		return
 	}
 	r.say("a caller asks which entry VM to use: %s in %s", entries[0].ID, entries[0].Zone)
-	a := &answer{
-		client: r.stand.client(entries[0].Address), service: "reviews",
-		prompt: "Summarise the supplier contract of the Thiès mill.", tokens: longTokens,
+	a := &stand.Answer{
+		Client: r.stand.Client(entries[0].Address), Service: "reviews",
+		Prompt: "Summarise the supplier contract of the Thiès mill.", Tokens: longTokens,
 	}
-	a.onEvent = func(n int) {
+	a.OnEvent = func(n int) {
 		if n == killAt {
-			r.kill(a.id)
+			r.kill(a.ID)
 		}
 	}
-	err = a.run(ctx)
+	err = a.Run(ctx)
 	if err == nil {
-		r.say("the long answer is whole: %d tokens, longest wait %s", longTokens, a.gap.Round(time.Millisecond))
+		r.say("the long answer is whole: %d tokens, longest wait %s", longTokens, a.Gap.Round(time.Millisecond))
 	}
 	r.mu.Lock()
-	r.result.ResumeMS = a.gap.Milliseconds()
+	r.result.ResumeMS = a.Gap.Milliseconds()
 	r.mu.Unlock()
 	r.done(err)
 }
 
 // kill ends the engine that runs a generation.
 func (r *run) kill(id string) {
-	for name, e := range r.stand.engines {
+	for name, e := range r.stand.Engines {
 		if e.Runs(id) {
 			r.say("token %d: %s dies", killAt, name)
 			e.Die()
@@ -115,14 +120,14 @@
 	var wg sync.WaitGroup
 	for i := range lookups {
 		wg.Go(func() {
-			entry := r.stand.entries[i%len(r.stand.entries)]
-			a := &answer{
-				client: r.stand.client(entry), service: "orders",
-				prompt: fmt.Sprintf("Where is order %d?", i), tokens: lookupTokens,
+			entry := r.stand.Entries[i%len(r.stand.Entries)]
+			a := &stand.Answer{
+				Client: entry.Client(), Service: "orders",
+				Prompt: fmt.Sprintf("Where is order %d?", i), Tokens: lookupTokens,
 			}
-			err := a.run(ctx)
+			err := a.Run(ctx)
 			r.mu.Lock()
-			r.result.LookupMaxMS = max(r.result.LookupMaxMS, a.first.Milliseconds())
+			r.result.LookupMaxMS = max(r.result.LookupMaxMS, a.First.Milliseconds())
 			r.mu.Unlock()
 			r.done(err)
 		})
@@ -136,17 +141,17 @@
 // caller tries again with the same key on another entry VM.
 func (r *run) confirmation(ctx context.Context) {
 	const key = "confirm-thies-0042"
-	r.stand.desk.LoseAnswers(1)
+	r.stand.Desk.LoseAnswers(1)
 	var verdicts []string
-	for _, entry := range r.stand.entries[:2] {
-		_, verdict, err := r.stand.client(entry).call(ctx, "confirmations", "/confirm", key)
+	for _, entry := range r.stand.Entries[:2] {
+		_, verdict, err := entry.Client().Call(ctx, "confirmations", "/confirm", key)
 		if err != nil {
 			r.problem(errors.Wrap(err, "confirmation"))
 			return
 		}
 		verdicts = append(verdicts, verdict)
 	}
-	runs := r.stand.desk.Runs(key)
+	runs := r.stand.Desk.Runs(key)
 	r.say("the confirmation's answer was lost; the caller heard %v, it ran %d time(s)", verdicts, runs)
 	r.mu.Lock()
 	r.result.KeyedCalls, r.result.KeyedRuns, r.result.KeyedVerdict = len(verdicts), runs, verdicts[len(verdicts)-1]
--- /dev/null
+++ b/lab/stand/client.go
@@ -0,0 +1,256 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"mallowwind.dev/platform/standin/tokencheck"
+)
+
+// Client is a caller with one account's token.
+type Client struct {
+	Base  string // http://address of the entry VM
+	Token string
+	HTTP  *http.Client
+}
+
+// Do sends one request; body is encoded as JSON unless it is nil or bytes.
+func (c *Client) Do(ctx context.Context, method, path string, body any, header map[string]string) (*http.Response, error) {
+	var content io.Reader
+	if body != nil {
+		raw, isRaw := body.([]byte)
+		if !isRaw {
+			var err error
+			if raw, err = json.Marshal(body); err != nil {
+				return nil, err
+			}
+		}
+		content = bytes.NewReader(raw)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.Base+path, content)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+c.Token)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	return c.HTTP.Do(r)
+}
+
+// Refusal is an error answer of the system.
+type Refusal struct {
+	Status  int
+	Code    string `json:"code"`
+	Verdict string `json:"verdict"`
+	Message string `json:"message"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("status %d, %s (%s): %s", r.Status, r.Code, r.Verdict, r.Message)
+}
+
+// ReadRefusal reads an error answer.
+func ReadRefusal(r *http.Response) error {
+	var body struct {
+		Error Refusal `json:"error"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return errors.Wrapf(err, "status %d without a refusal", r.StatusCode)
+	}
+	body.Error.Status = r.StatusCode
+	return &body.Error
+}
+
+// Named is one row of the address answer.
+type Named struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
+// Entries asks which entry VMs to use.
+func (c *Client) Entries(ctx context.Context) ([]Named, error) {
+	r, err := c.Do(ctx, http.MethodGet, "/v1/entries", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return nil, ReadRefusal(r)
+	}
+	var body struct {
+		Entries []Named `json:"entries"`
+	}
+	return body.Entries, json.NewDecoder(r.Body).Decode(&body)
+}
+
+// Models lists the generation services.
+func (c *Client) Models(ctx context.Context) ([]string, error) {
+	r, err := c.Do(ctx, http.MethodGet, "/v1/models", nil, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return nil, ReadRefusal(r)
+	}
+	var body struct {
+		Data []struct {
+			ID string `json:"id"`
+		} `json:"data"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, m := range body.Data {
+		names = append(names, m.ID)
+	}
+	return names, nil
+}
+
+// Call posts to a plain service and returns the verdict.
+func (c *Client) Call(ctx context.Context, service, path, key string) (status int, verdict string, err error) {
+	r, err := c.Do(ctx, http.MethodPost, "/services/"+service+path, map[string]int{"sacks": 40}, map[string]string{"Idempotency-Key": key})
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	if r.StatusCode == http.StatusOK {
+		return r.StatusCode, "ran", nil
+	}
+	var refused *Refusal
+	if err := ReadRefusal(r); !errors.As(err, &refused) {
+		return r.StatusCode, "", err
+	}
+	return r.StatusCode, refused.Verdict, nil
+}
+
+// Answer is one streamed completion as its caller sees it.
+type Answer struct {
+	Client  *Client
+	Service string
+	Prompt  string
+	Tokens  int // wanted
+	Header  map[string]string
+	// OnEvent is called after each event with the number of events so far.
+	OnEvent func(n int)
+	// MoveTo are the clients to continue with, one by one, when the connection
+	// breaks before the terminal event.
+	MoveTo []*Client
+
+	ID     string // of the generation
+	lastID string
+	text   strings.Builder
+	events int
+	done   bool
+	First  time.Duration // until the first token
+	Gap    time.Duration // longest wait between two events
+	Moves  int
+}
+
+// Text returns what the caller holds.
+func (a *Answer) Text() string { return a.text.String() }
+
+// Run posts the request and reads the answer to its terminal event.
+func (a *Answer) Run(ctx context.Context) error {
+	began := time.Now()
+	last := began
+	r, err := a.Client.Do(ctx, http.MethodPost, "/v1/completions", map[string]any{
+		"model": a.Service, "prompt": a.Prompt, "max_tokens": a.Tokens, "stream": true,
+	}, a.Header)
+	for {
+		if err == nil {
+			err = a.read(r, began, &last)
+		}
+		if err == nil || len(a.MoveTo) == 0 || a.lastID == "" || ctx.Err() != nil {
+			break
+		}
+		a.Client, a.MoveTo = a.MoveTo[0], a.MoveTo[1:]
+		a.Moves++
+		r, err = a.Client.Do(ctx, http.MethodGet, "/v1/generations/"+a.ID, nil, map[string]string{"Last-Event-ID": a.lastID})
+	}
+	if err != nil {
+		return err
+	}
+	return a.check()
+}
+
+// read takes events until the terminal one.
+func (a *Answer) read(r *http.Response, began time.Time, last *time.Time) error {
+	defer r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return ReadRefusal(r)
+	}
+	a.ID = r.Header.Get("X-Generation-Id")
+	for ev, err := range sse.Read(r.Body, nil) {
+		if err != nil {
+			return errors.Wrap(err, "the stream broke")
+		}
+		if ev.Type == "error" {
+			return errors.Errorf("the answer failed: %s", ev.Data)
+		}
+		if ev.Data == "[DONE]" {
+			a.done = true
+			return nil
+		}
+		if err := a.take(ev.Data); err != nil {
+			return err
+		}
+		now := time.Now()
+		if a.events == 0 {
+			a.First = now.Sub(began)
+		} else {
+			a.Gap = max(a.Gap, now.Sub(*last))
+		}
+		*last = now
+		a.lastID = ev.LastEventID
+		a.events++
+		if a.OnEvent != nil {
+			a.OnEvent(a.events)
+		}
+	}
+	return errors.New("the stream ended without its terminal event")
+}
+
+func (a *Answer) take(data string) error {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return errors.Wrap(err, "event")
+	}
+	for _, c := range chunk.Choices {
+		a.text.WriteString(c.Text)
+	}
+	return nil
+}
+
+// check verifies that the text is one whole generation: each token carries its
+// index and a hash of everything before it.
+func (a *Answer) check() error {
+	n, err := tokencheck.Check(DemoModel, a.Prompt, a.text.String())
+	switch {
+	case err != nil:
+		return errors.Wrap(err, "the answer is not one generation")
+	case n != a.Tokens || !a.done:
+		return fmt.Errorf("the answer has %d of %d tokens", n, a.Tokens)
+	}
+	return nil
+}
+
+// DemoModel is the model that the site text names.
+const DemoModel = "granulator"
--- /dev/null
+++ b/lab/stand/fabric.go
@@ -0,0 +1,78 @@
+package stand
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/platform/standin/faultnet"
+)
+
+// fabric is the network between callers, daemons and stand-ins: loopback TCP,
+// or pipes in memory for runs in virtual time. Faults are injected by address.
+type fabric struct {
+	memory bool
+
+	mu        sync.Mutex
+	listeners map[string]*faultnet.Listener
+}
+
+func newFabric(memory bool) *fabric {
+	return &fabric{memory: memory, listeners: make(map[string]*faultnet.Listener)}
+}
+
+// listen opens the next address.
+func (f *fabric) listen() (net.Listener, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.memory {
+		l, err := faultnet.Listen("127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "listen on loopback")
+		}
+		f.listeners[l.Addr().String()] = l
+		return l, nil
+	}
+	at := pipeAddr("10.0.0." + strconv.Itoa(len(f.listeners)+1) + ":80")
+	l := faultnet.Pipe()
+	f.listeners[at.String()] = l
+	return namedListener{l, at}, nil
+}
+
+// dial connects to an address; it has the form of http.Transport.DialContext.
+func (f *fabric) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if !f.memory {
+		var d net.Dialer
+		return d.DialContext(ctx, network, address)
+	}
+	f.mu.Lock()
+	l := f.listeners[address]
+	f.mu.Unlock()
+	if l == nil {
+		return nil, errors.Errorf("nothing listens at %s", address)
+	}
+	return l.Dial(ctx, network, address)
+}
+
+// at returns the listener at an address, to make it fail.
+func (f *fabric) at(address string) *faultnet.Listener {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listeners[address]
+}
+
+// pipeAddr is an address in memory, written like one on a network.
+type pipeAddr string
+
+func (pipeAddr) Network() string  { return "pipe" }
+func (a pipeAddr) String() string { return string(a) }
+
+type namedListener struct {
+	net.Listener
+	addr pipeAddr
+}
+
+func (l namedListener) Addr() net.Addr { return l.addr }
--- a/lab/demo/site.go
+++ b/lab/stand/site.go
@@ -1,10 +1,10 @@
-package demo
+package stand
 
-// demoToken is the bearer token of the demo's one client account.
-const demoToken = "demo-token"
+// DemoToken is the bearer token of the demo's one client account.
+const DemoToken = "demo-token"
 
-// siteText is the embedded default: the Association's services, scaled down.
-const siteText = `# The Association's services, scaled down to six engines.
+// DemoText is the embedded default: the Association's services, scaled down.
+const DemoText = `# The Association's services, scaled down to six engines.
 [site]
 name = demo
 zones = Rufisque, Pikine, Plateau
@@ -62,3 +62,7 @@
 entries_ttl = 2s
 answer_ttl = 1m
 `
+
+const demoSite = "demo"
+
+var demoZones = []string{"Rufisque", "Pikine", "Plateau"}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -180,6 +180,17 @@
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
 
+// Knows reports whether this daemon sees n entry VMs alive, itself included.
+func (d *Daemon) Knows(n int) bool {
+	alive := 0
+	for _, m := range d.members.Current().Members {
+		if m.State == membership.Alive && m.Caller != "" {
+			alive++
+		}
+	}
+	return alive >= n
+}
+
 // ready reports whether callers should be sent here.
 func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
 
