platform/standin/host, mallowctl stand-in: all stand-ins in one process

Cause: real daemons need a platform to talk to over loopback, with faults on demand, at the sizes of both deployments.

--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -28,6 +29,7 @@
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 	Capacity capacityCmd `cmd:"" help:"Work out what each role needs at the size to come, docs/CAPACITY.md."`
 	Bench    benchCmd    `cmd:"" help:"Run an experiment."`
+	StandIn  standInCmd  `cmd:"" help:"Serve stand-ins of the platform: store, VM list, weight store, engines, plain services."`
 }
 
 // coder is an error that chooses the exit code.
@@ -60,7 +62,8 @@
 		return exitOK
 	}
 	fmt.Fprintln(os.Stderr, "mallowctl:", err)
-	if c, ok := err.(coder); ok {
+	var c coder
+	if errors.As(err, &c) {
 		return c.ExitCode()
 	}
 	return exitFailed
--- /dev/null
+++ b/cmd/mallowctl/standin.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"mallowwind.dev/lab/standins"
+	"mallowwind.dev/platform/standin/host"
+	"mallowwind.dev/telemetry/event"
+)
+
+// standInCmd serves the stand-ins of a platform until it is interrupted.
+type standInCmd struct {
+	Config string `required:"" type:"path" placeholder:"FILE" help:"INI file that lists the stand-ins; see docs/platform-protocols.md."`
+}
+
+// Run implements the command. Each address is printed on a line of its own, as
+// "name address zone", once all listen.
+func (c *standInCmd) Run() error {
+	config, err := standins.Load(c.Config)
+	if err != nil {
+		return standInError{err}
+	}
+	log := event.New(logrus.New(), "stand-in", "")
+	h, err := host.Start(config, log)
+	if err != nil {
+		return standInError{err}
+	}
+	for _, n := range h.Nodes() {
+		fmt.Println(n)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return h.Run(ctx)
+}
+
+// standInError is a bad configuration or a busy port.
+type standInError struct{ error }
+
+// ExitCode implements coder.
+func (standInError) ExitCode() int { return exitUsage }
