--- a/control/lease/manager.go
+++ b/control/lease/manager.go
@@ -199,9 +199,13 @@
 	return kv.Version, nil
 }
 
-// holdUntil sets the deadline of the hold and logs it when it is new.
+// holdUntil sets the deadline of the hold and logs it when it is new. An
+// answer that came too late to hold anything begins none.
 func (m *Manager) holdUntil(until time.Time) {
 	h := m.Held()
+	if h.Fence == 0 && !time.Now().Before(until) {
+		return
+	}
 	if h.Fence == 0 {
 		h = newHold(m.fence, time.Now(), until)
 		m.deps.Log.Emit(event.LeaseTaken, m.key, m.fence)
--- a/control/membership/fleet_test.go
+++ b/control/membership/fleet_test.go
@@ -84,7 +84,17 @@
 	return nd
 }
 
-func (f *fleet) List(context.Context) ([]vmlist.VM, error) { return f.list, nil }
+func (f *fleet) List(context.Context) ([]vmlist.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]vmlist.VM(nil), f.list...), nil
+}
+
+func (f *fleet) listState(i int, state vmlist.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list[i].State = state
+}
 
 func (f *fleet) setCut(cut func(from, to *node) bool) {
 	f.mu.Lock()
--- a/control/membership/manager_test.go
+++ b/control/membership/manager_test.go
@@ -49,8 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6, 3, 1)
 		f.until("joined", 30*time.Second, f.whole)
-		f.list = append([]vmlist.VM(nil), f.list...)
-		f.list[2].State = vmlist.Leaving
+		f.listState(2, vmlist.Leaving)
 		f.until("seen as leaving", 3*time.Second, func() bool { return f.believed("vm002", Leaving) == 5 })
 	})
 }
