control/reconcile, decision/placement: a broken version is retried, and stops itself

Cause: a load that failed on an otherwise empty engine was never tried again, because the guard against spreading a broken version came before the retry; and the wait between tries began anew at every poll. Change: the retry ranks before the guard; a failed load counts once.

--- a/control/reconcile/manager_test.go
+++ b/control/reconcile/manager_test.go
@@ -155,6 +155,43 @@
 	})
 }
 
+// Engines that hold one set of weights only are to change version, and one of
+// them dies just before the text is applied. The last sweep saw it serving; an
+// unload that rested on that would leave one ready replica where the floor is
+// two. The change goes on when the engine is back.
+func TestBreakRestsOnFreshObservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldWith(t, 3, true, 1)
+		w.apply(1, v1, 3, 2)
+		w.until("all serve version 1", 2*time.Minute, func() bool { return w.ready(v1) == 3 })
+		time.Sleep(24 * time.Second) // not a multiple of Sweep, so that the last one is old
+		w.sims["b0"].Die()
+		w.apply(2, v2, 3, 2)
+		time.Sleep(time.Minute)
+		must.Eq(t, 2, w.ready(v1))
+		w.sims["b0"].Revive()
+		w.until("all serve version 2", 5*time.Minute, func() bool { return w.ready(v2) == 3 })
+	})
+}
+
+// An operator applies a version whose weights are broken. No engine may give
+// up the version that works for it, and the weight store must not be asked for
+// the broken one over and over; once it is mended the change goes through.
+func TestBrokenVersionStopsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldWith(t, 3, true, 1)
+		w.broken.Store(true)
+		w.apply(1, v1, 3, 1)
+		w.until("all serve version 1", 2*time.Minute, func() bool { return w.ready(v1) == 3 })
+		w.apply(2, v2, 3, 1)
+		time.Sleep(time.Hour)
+		must.Eq(t, 2, w.ready(v1))
+		must.LessEq(t, 20, w.weights.Fetches(v2))
+		w.broken.Store(false)
+		w.until("all serve version 2", 10*time.Minute, func() bool { return w.ready(v2) == 3 })
+	})
+}
+
 // A holder that has not heard of the newest text takes over. It must not load
 // the old version again; it waits until it knows the newer text.
 func TestLaterHolderDoesNotGoBack(t *testing.T) {
--- a/control/reconcile/observe.go
+++ b/control/reconcile/observe.go
@@ -31,6 +31,8 @@
 	full      bool
 	holdUntil time.Time
 	failures  int
+	// loadFailed says that the last report showed a load that failed.
+	loadFailed bool
 }
 
 // changing reports whether the engine's state is expected to change soon.
@@ -148,20 +150,22 @@
 	return out
 }
 
-// judgeLoads holds an engine back after a load failed, longer each time, so
-// that a set of weights that does not load is not fetched over and over.
+// judgeLoads holds an engine back each time a load has failed, longer each
+// time, so that a set of weights that does not load is not fetched over and
+// over. Only loads that succeed begin the count anew.
 func (m *Manager) judgeLoads(o *observed) {
-	failed, ready := false, false
+	failed, settled := false, true
 	for _, l := range o.status.Models {
 		failed = failed || l.State == engine.Failed
-		ready = ready || l.State == engine.Ready
+		settled = settled && l.State == engine.Ready
 	}
 	switch {
-	case failed && time.Now().After(o.holdUntil):
+	case failed && !o.loadFailed:
 		m.holdBack(o)
-	case ready && !failed:
+	case settled:
 		o.failures = 0
 	}
+	o.loadFailed = failed
 }
 
 func (m *Manager) holdBack(o *observed) {
--- a/control/reconcile/world_test.go
+++ b/control/reconcile/world_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/lease"
@@ -37,7 +38,9 @@
 	text    atomic.Pointer[site.Site]
 	daemons []*daemon
 	sims    map[string]*enginesim.Sim
+	broken  atomic.Bool // whether version 2 fails to load
 	fencing bool
+	room    int // sets of weights an engine holds
 
 	mu     sync.Mutex
 	fences []uint64 // of accepted orders, in the order of acceptance
@@ -100,9 +103,13 @@
 func (w *world) Current() *site.Site { return w.text.Load() }
 
 func newWorld(t *testing.T, engines int, fencing bool) *world {
+	return newWorldWith(t, engines, fencing, 2)
+}
+
+func newWorldWith(t *testing.T, engines int, fencing bool, room int) *world {
 	inner := store.NewMemory()
 	w := &world{
-		t: t, store: store.NewFaulty(inner), vms: vmlist.NewMemory(0), fencing: fencing,
+		t: t, store: store.NewFaulty(inner), vms: vmlist.NewMemory(0), fencing: fencing, room: room,
 		weights: weightsim.New(2, 4*time.Second), sims: make(map[string]*enginesim.Sim),
 	}
 	for i := range engines {
@@ -127,11 +134,22 @@
 
 func (w *world) addEngine(id string) {
 	w.sims[id] = enginesim.New(enginesim.Config{
-		Name: id, RespectFence: w.fencing, MaxModels: 2, LoadTime: time.Second, Weights: w.weights,
+		Name: id, RespectFence: w.fencing, MaxModels: w.room, LoadTime: time.Second, Weights: w,
 	})
 	w.vms.Put(vmlist.VM{ID: id, Address: id, Zone: "a", Role: vmlist.RoleBackend, Pool: "p", State: vmlist.Live})
 }
 
+// Fetch gives weights to engines; version 2 may be broken.
+func (w *world) Fetch(ctx context.Context, ref engine.ModelRef) error {
+	if err := w.weights.Fetch(ctx, ref); err != nil {
+		return err
+	}
+	if ref == v2 && w.broken.Load() {
+		return errors.New("checksum")
+	}
+	return nil
+}
+
 func (w *world) startDaemon(view *membership.View) {
 	d := &daemon{id: view.Self.ID}
 	st := &pausingStore{Store: w.store, d: d}
--- a/decision/gossip/choose.go
+++ b/decision/gossip/choose.go
@@ -8,6 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// In a small fleet several rings name the same successor. Further rings then
+// bring the neighbours to fewNeighbours, as far as there are members.
+const (
+	fewNeighbours = 4
+	maxRings      = 12
+)
+
 // Neighbours returns the ids this daemon watches: its successor on each ring,
 // without repetition. The slice is valid until the next change.
 func (t *Table) Neighbours() []string {
@@ -21,6 +28,9 @@
 	for ring := range t.cfg.GlobalRings {
 		t.follow("g"+strconv.Itoa(ring), "")
 	}
+	for ring := t.cfg.GlobalRings; len(t.rings) < fewNeighbours && ring < maxRings; ring++ {
+		t.follow("g"+strconv.Itoa(ring), "")
+	}
 	t.ringsAt = t.version
 	return t.rings
 }
--- a/decision/placement/plan.go
+++ b/decision/placement/plan.go
@@ -50,7 +50,7 @@
 		return load(s, best, ReasonKeep)
 	case z.FreeFetches <= 0:
 		return wait(s, ReasonBudget)
-	case rank <= rankEmpty:
+	case rank <= rankRetry:
 		return load(s, best, reasons[rank])
 	case c.failed > 0:
 		return wait(s, ReasonLoadFailed)
@@ -236,7 +236,7 @@
 				continue
 			}
 			covered := b.ready(s.Ref) || h.State == Failed
-			replaced := c.ready >= s.Replicas && c.serving-1 >= s.floor() && !z.progress
+			replaced := c.ready >= s.Replicas && !z.progress
 			if covered || replaced {
 				return Step{Kind: Unload, Backend: b.ID, Service: s.Name, Ref: h.Ref, Reason: ReasonOld, Breaks: !covered}
 			}
