serve/daemon: pass the zone and the list's news to backends and membership

Cause: backends.Deps.Zone was empty, so that no backend server of the daemon's own zone counted as near; and the list's readers need the members' view.

--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -103,7 +103,8 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
 		Log: d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
@@ -117,6 +118,8 @@
 		},
 		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
 	})
+	d.backends.OnNews(d.members.ShareVM)
+	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
