--- a/lab/stand/fabric.go
+++ b/lab/stand/fabric.go
@@ -18,10 +18,18 @@
 
 	mu        sync.Mutex
 	listeners map[string]*faultnet.Listener
+	names     map[string]string // VM ids by address
 }
 
 func newFabric(memory bool) *fabric {
-	return &fabric{memory: memory, listeners: make(map[string]*faultnet.Listener)}
+	return &fabric{memory: memory, listeners: make(map[string]*faultnet.Listener), names: make(map[string]string)}
+}
+
+// name notes which VM an address belongs to.
+func (f *fabric) name(address, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names[address] = id
 }
 
 // listen opens the next address.
--- /dev/null
+++ b/lab/stand/golden_test.go
@@ -0,0 +1,132 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/standin/tokencheck"
+)
+
+// transcript collects what engines were asked, in order and for one generation.
+type transcript struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (r *transcript) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+// recordedEngine notes what daemons ask of an engine.
+type recordedEngine struct {
+	engine.Engine
+	id string
+	to *transcript
+}
+
+func (e recordedEngine) Generate(ctx context.Context, r engine.Request) (engine.Stream, error) {
+	if r.MaxTokens > 1 {
+		e.to.add("%s generate attempt=%d prefix=%d max=%d priority=%d", e.id, r.Attempt&0xffff, len(r.Prefix), r.MaxTokens, r.Priority)
+	}
+	return e.Engine.Generate(ctx, r)
+}
+
+func (e recordedEngine) Cancel(ctx context.Context, id string, attempt uint64) error {
+	e.to.add("%s cancel attempt=%d", e.id, attempt&0xffff)
+	return e.Engine.Cancel(ctx, id, attempt)
+}
+
+// Random parts of ids differ from run to run, and so does what an engine
+// samples; that the tokens are one whole generation is checked apart.
+var (
+	generationID = regexp.MustCompile(`g[0-9a-f]{32}`)
+	epochID      = regexp.MustCompile(`GENERATION:[0-9a-f]+:`)
+	createdAt    = regexp.MustCompile(`"created":[0-9]+`)
+	sampled      = regexp.MustCompile(`(" [0-9]+\.)[0-9a-f]{8}[a-z]+"`)
+	bodyID       = regexp.MustCompile(`body/[0-9a-f-]{36}`)
+)
+
+func normalise(s string) string {
+	s = generationID.ReplaceAllString(s, "GENERATION")
+	s = epochID.ReplaceAllString(s, "GENERATION:EPOCH:")
+	s = sampled.ReplaceAllString(s, `${1}SAMPLED"`)
+	s = bodyID.ReplaceAllString(s, "body/ID")
+	return createdAt.ReplaceAllString(s, `"created":0`)
+}
+
+// A caller reads an answer of 30 tokens. The engine dies after the twelfth
+// event. The file shows what the caller read byte by byte, what the engines
+// were asked, and what the store holds afterwards.
+func TestGoldenSession(t *testing.T) {
+	var (
+		caller  strings.Builder
+		engines transcript
+		keys    []string
+	)
+	synctest.Test(t, func(t *testing.T) {
+		d, err := Start(t.Context(), Options{Seed: 11, Memory: true, EnginesPerZone: 1, Wrap: func(id string, e engine.Engine) engine.Engine {
+			return recordedEngine{e, id, &engines}
+		}})
+		must.NoError(t, err)
+		defer time.Sleep(3 * time.Minute)
+		defer d.Close()
+		time.Sleep(5 * time.Second) // all engines loaded, the text in force everywhere
+		r, err := d.Entries[0].Client().Do(t.Context(), http.MethodPost, "/v1/completions", map[string]any{
+			"model": "reviews", "prompt": "golden", "max_tokens": 30, "stream": true,
+		}, nil)
+		must.NoError(t, err)
+		defer r.Body.Close()
+		readSession(t, d, r, &caller)
+		checkText(t, caller.String())
+		list, _, err := d.Store.List(t.Context(), "")
+		must.NoError(t, err)
+		for _, kv := range list {
+			keys = append(keys, kv.Key)
+		}
+	})
+	g := goldie.New(t)
+	g.Assert(t, "session", []byte(normalise(fmt.Sprintf("# the caller\n%s\n# the engines\n%s\n\n# the store\n%s\n",
+		caller.String(), strings.Join(engines.lines, "\n"), strings.Join(keys, "\n")))))
+}
+
+// checkText verifies that the events hold one whole generation of 30 tokens.
+func checkText(t *testing.T, events string) {
+	t.Helper()
+	var text strings.Builder
+	for _, m := range regexp.MustCompile(`"text":"([^"]*)"`).FindAllStringSubmatch(events, -1) {
+		text.WriteString(m[1])
+	}
+	must.NoError(t, tokencheck.CheckWhole(DemoModel, "golden", text.String(), 30))
+}
+
+// readSession copies the answer and makes the engine die after twelve events.
+func readSession(t *testing.T, d *Deployment, r *http.Response, to *strings.Builder) {
+	fmt.Fprintf(to, "%s\nContent-Type: %s\n\n", r.Status, r.Header.Get("Content-Type"))
+	buf := make([]byte, 64<<10)
+	events, killed := 0, false
+	for {
+		n, err := r.Body.Read(buf)
+		to.Write(buf[:n])
+		events += strings.Count(string(buf[:n]), "\n\n")
+		if events >= 12 && !killed {
+			killed = true
+			must.Eq(t, 1, d.kill(r.Header.Get("X-Generation-Id")))
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -61,6 +61,8 @@
 	EntriesPerZone int
 	Logs           io.Writer // of the daemons
 	DrainLimit     time.Duration
+	// Wrap, if set, stands between daemons and the engine with this VM id.
+	Wrap func(id string, e engine.Engine) engine.Engine
 }
 
 func (o Options) withDefaults() Options {
@@ -204,6 +206,7 @@
 		return err
 	}
 	d.Engines[id] = sim
+	d.fabric.name(at, id)
 	d.VMs.Put(vmlist.VM{ID: id, Address: at, Zone: zone, Role: vmlist.RoleBackend, Pool: "engines", State: vmlist.Live})
 	return nil
 }
@@ -269,11 +272,24 @@
 		Store:   kv,
 		VMs:     vmlist.NewClient(d.vmsURL, d.HTTP()),
 		Weights: d.Weights,
-		Engine:  func(address string) engine.Engine { return engine.NewClient("http://"+address, fresh()) },
-		Plain:   plain.NewClient(sent.NewTransportWith(d.fabric.dial, true), 0),
+		Engine: func(address string) engine.Engine {
+			e := engine.Engine(engine.NewClient("http://"+address, fresh()))
+			if d.opts.Wrap == nil {
+				return e
+			}
+			return d.opts.Wrap(d.engineAt(address), e)
+		},
+		Plain: plain.NewClient(sent.NewTransportWith(d.fabric.dial, true), 0),
 	}, nil
 }
 
+// engineAt returns the VM id of the engine at an address.
+func (d *Deployment) engineAt(address string) string {
+	d.fabric.mu.Lock()
+	defer d.fabric.mu.Unlock()
+	return d.fabric.names[address]
+}
+
 // Stop begins a graceful shutdown, as SIGTERM does, and waits for its end.
 func (e *Entry) Stop() error {
 	e.d.VMs.Put(vmlist.VM{ID: e.ID, Address: e.peer, Zone: e.Zone, Role: vmlist.RoleEntry, State: vmlist.Leaving})
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -124,6 +124,8 @@
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
 	})
+	d.backends.OnNews(d.members.ShareVM)
+	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.members.OnDigest(func(from membership.Member, name string, version uint64) {
 		if name == configDigest {
 			d.inforce.Learn(from.ID, version)
