Run calls that may not be repeated at most once

Cause: a doubled order ships the same tonnage twice; a store write per call would need thousands of writes a second and stops in an outage of the store.

A slot has an owner, which alone dispatches, and a witness in another zone, which records each key first. Only the pairs are agreed through the store (control/roster). A new pair seals the slot at one of the old pair and copies its keys before the store's compare-and-swap makes it known; no clock and no lease is involved. decision/verdict gains two codes.

Conclusion: stories of paused owners, lost confirmations, outages, partitions and planned leaves pass in virtual time.

--- /dev/null
+++ b/decision/slot/plan.go
@@ -0,0 +1,167 @@
+package slot
+
+// Reason says why a slot changes hands.
+type Reason uint8
+
+// The reasons of moves, most urgent first.
+const (
+	// Fresh slots were never assigned.
+	Fresh Reason = iota
+	// OwnerLost: the owner is gone or leaving; the witness takes over.
+	OwnerLost
+	// WitnessLost: the owner needs a new witness.
+	WitnessLost
+	// BothLost: neither of the pair is healthy.
+	BothLost
+	// Sealed: a change began and did not end; the owner starts the next term.
+	Sealed
+	// Rebalance: the pair is healthy but not the one the members call for.
+	Rebalance
+	reasons
+)
+
+// String returns the name used in logs and metrics.
+func (r Reason) String() string {
+	return [...]string{"fresh", "owner_lost", "witness_lost", "both_lost", "sealed", "rebalance"}[r]
+}
+
+// Peer is a member of the view with its health.
+type Peer struct {
+	Member
+	Leaving bool
+}
+
+// Snapshot is what a daemon knows when it plans.
+type Snapshot struct {
+	Self    Member
+	Leaving bool // this daemon leaves: it takes nothing
+	Members []Peer
+	Slots   []Assignment // indexed by slot
+	// Sealed marks slots owned by Self that refuse new keys.
+	Sealed func(slot int) bool
+	// Rebalance asks for moves that can wait, too.
+	Rebalance bool
+	// Calm marks slots that did not change hands lately.
+	Calm func(slot int) bool
+	// Avoid holds ids of members that did not answer as witnesses lately.
+	Avoid map[string]bool
+}
+
+// Move is one change that this daemon should make: to become (or stay) the
+// owner of a slot at the next term, with a witness.
+type Move struct {
+	From    Assignment
+	Witness Member
+	Reason  Reason
+}
+
+// Plan returns at most max moves for snapshot.Self, urgent ones first.
+//
+// Exactly one healthy daemon is responsible for each repair when views agree:
+// the healthy one of the old pair, which holds the slot's keys already, else
+// the highest in rendezvous order. Where views differ two may try; the store's
+// compare-and-swap lets one win. Rebalancing comes last and max bounds it, so
+// that a restart wave never delays a repair.
+func Plan(s Snapshot, max int) []Move {
+	if s.Leaving {
+		return nil
+	}
+	p := newPlanner(s)
+	var byReason [reasons][]Move
+	for i := range s.Slots {
+		m, ok := p.move(s.Slots[i])
+		if ok {
+			byReason[m.Reason] = append(byReason[m.Reason], m)
+		}
+	}
+	var out []Move
+	for _, moves := range byReason {
+		out = append(out, moves...)
+	}
+	return out[:min(max, len(out))]
+}
+
+type planner struct {
+	Snapshot
+	healthy map[string]Member
+	rank    *ranker
+}
+
+func newPlanner(s Snapshot) *planner {
+	p := &planner{Snapshot: s, healthy: make(map[string]Member, len(s.Members))}
+	members := make([]Member, 0, len(s.Members))
+	for _, m := range s.Members {
+		if !m.Leaving {
+			members = append(members, m.Member)
+			p.healthy[m.ID] = m.Member
+		}
+	}
+	p.rank = newRanker(members)
+	return p
+}
+
+func (p *planner) isHealthy(m Member) bool {
+	return !m.None() && p.healthy[m.ID].Same(m)
+}
+
+// move decides about one slot.
+func (p *planner) move(a Assignment) (Move, bool) {
+	owner, witness := p.isHealthy(a.Owner), p.isHealthy(a.Witness)
+	switch {
+	case a.Term == 0:
+		return p.take(a, Fresh, p.rank.owner(a.Slot))
+	case owner && witness:
+		return p.improve(a)
+	case owner:
+		return p.replaceWitness(a)
+	case witness:
+		return p.take(a, OwnerLost, a.Witness)
+	default:
+		return p.take(a, BothLost, p.rank.owner(a.Slot))
+	}
+}
+
+// take makes the move if the responsible member is this daemon.
+func (p *planner) take(a Assignment, why Reason, responsible Member) (Move, bool) {
+	if !responsible.Same(p.Self) {
+		return Move{}, false
+	}
+	w := p.rank.witness(a.Slot, p.Self, p.Avoid)
+	return Move{From: a, Witness: w, Reason: why}, true
+}
+
+// replaceWitness covers a witness that is gone, leaving or was never there.
+func (p *planner) replaceWitness(a Assignment) (Move, bool) {
+	if !a.Owner.Same(p.Self) {
+		return Move{}, false
+	}
+	w := p.rank.witness(a.Slot, p.Self, p.Avoid)
+	if w.None() && a.Witness.None() && !p.Sealed(a.Slot) {
+		return Move{}, false
+	}
+	return Move{From: a, Witness: w, Reason: WitnessLost}, true
+}
+
+// improve covers slots whose pair is healthy.
+func (p *planner) improve(a Assignment) (Move, bool) {
+	own := a.Owner.Same(p.Self)
+	if own && p.Sealed(a.Slot) {
+		return p.take(a, Sealed, p.Self)
+	}
+	if own && p.Avoid[a.Witness.ID] {
+		m, _ := p.take(a, WitnessLost, p.Self)
+		return m, !m.Witness.None()
+	}
+	if !p.Rebalance || !p.Calm(a.Slot) {
+		return Move{}, false
+	}
+	target := p.rank.owner(a.Slot)
+	if !own {
+		return p.take(a, Rebalance, target)
+	}
+	if !target.Same(p.Self) {
+		return Move{}, false
+	}
+	w := p.rank.witness(a.Slot, p.Self, p.Avoid)
+	return Move{From: a, Witness: w, Reason: Rebalance}, !w.Same(a.Witness)
+}
--- a/decision/verdict/verdict.go
+++ b/decision/verdict/verdict.go
@@ -66,6 +66,8 @@
 	CodeUnconfigured       Code = "no_configuration"
 	CodeInvariantViolation Code = "invariant_violation"
 	CodeKeyUndecided       Code = "idempotency_key_undecided"
+	CodeKeyInvalid         Code = "idempotency_key_invalid"
+	CodeAnswerGone         Code = "answer_not_kept"
 )
 
 // Error is a failure with its verdict. RetryAfter is zero where waiting does
--- /dev/null
+++ b/serve/once/errors.go
@@ -0,0 +1,51 @@
+package once
+
+import (
+	"time"
+
+	"mallowwind.dev/decision/verdict"
+)
+
+const (
+	// retrySoon is advised where a slot changes hands, which takes about a second.
+	retrySoon = time.Second
+)
+
+// errUndecided says that the call may have run, or may still run elsewhere.
+func errUndecided(why string, after time.Duration) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeKeyUndecided,
+		"%s; send it again with the same key to learn more", why).After(after)
+}
+
+func errReused() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeKeyReused,
+		"this key was used with another method, path or body")
+}
+
+func errAnswerGone() *verdict.Error {
+	return verdict.New(verdict.Ran, verdict.CodeAnswerGone,
+		"the call ran once; its answer is no longer kept")
+}
+
+func errNoOutcome() *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeKeyUndecided,
+		"the call was bound by an entry VM that was lost before it said how the call ended; it will not be sent again")
+}
+
+func errNotSent(err error) *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoBackend,
+		"no backend server could be reached").After(retrySoon).Because(err)
+}
+
+func errNoAnswer(err error) *verdict.Error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed,
+		"the call was sent and no whole answer came back").Because(err)
+}
+
+// notRun turns an error of the flow, which sent nothing, into one that says so
+// and when to come back.
+func notRun(err error) *verdict.Error {
+	e := verdict.Of(err)
+	after := max(e.RetryAfter, retrySoon)
+	return verdict.New(verdict.NotRun, e.Code, "%s", e.Message).After(after).Because(err)
+}
--- /dev/null
+++ b/serve/once/key.go
@@ -0,0 +1,27 @@
+package once
+
+import "mallowwind.dev/decision/verdict"
+
+// MaxKey is the largest length of an idempotency key, in bytes.
+const MaxKey = 255
+
+// CheckKey returns an error with verdict not_run unless key is 1 to MaxKey
+// visible ASCII characters. Such a call never runs on any entry VM, so the
+// verdict is a fact. The limits keep keys safe in headers and logs.
+func CheckKey(key string) error {
+	switch {
+	case key == "":
+		return verdict.New(verdict.NotRun, verdict.CodeKeyRequired,
+			"this service's calls may not be repeated: send an Idempotency-Key")
+	case len(key) > MaxKey:
+		return verdict.New(verdict.NotRun, verdict.CodeKeyInvalid,
+			"the Idempotency-Key has %d bytes, at most %d are allowed", len(key), MaxKey)
+	}
+	for i := range len(key) {
+		if key[i] <= ' ' || key[i] > '~' {
+			return verdict.New(verdict.NotRun, verdict.CodeKeyInvalid,
+				"byte %d of the Idempotency-Key is not visible ASCII", i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/serve/once/story_test.go
@@ -0,0 +1,348 @@
+package once
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/slot"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/platform/plain"
+)
+
+func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
+
+// story runs f with n daemons that have settled their slots.
+func story(t *testing.T, n int, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, n)
+		defer w.close()
+		time.Sleep(15 * time.Second)
+		f(t, w)
+	})
+}
+
+// send plays a caller that sends key and body to one entry VM.
+func (d *daemon) send(key, body string) (string, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	answer, err := d.Handle(ctx, Request{
+		Account: d.w.site.Accounts["depot"], Service: d.w.site.Services["desk"], Key: key,
+		Call: plain.Call{Method: "POST", Path: "/orders", Body: []byte(body)},
+	})
+	if err != nil {
+		return "", verdict.Of(err)
+	}
+	return string(answer.Body), nil
+}
+
+// pair returns the owner and the witness of key, and another daemon.
+func (w *world) pair(key string) (owner, witness, other *daemon) {
+	i := slot.Of(slot.KeyOf("depot", "desk", key))
+	a := w.newest(i)
+	owner, witness = w.daemon(a.Owner.ID), w.daemon(a.Witness.ID)
+	for _, d := range w.daemons {
+		if d != owner && d != witness && !d.dead.Load() {
+			other = d
+		}
+	}
+	return owner, witness, other
+}
+
+func (w *world) newest(i int) slot.Assignment {
+	var a slot.Assignment
+	for _, d := range w.daemons {
+		if b := d.Roster.Slot(i); b.Term > a.Term {
+			a = b
+		}
+	}
+	return a
+}
+
+// bury kills a daemon and takes it out of all views.
+func (w *world) bury(d *daemon) {
+	d.kill()
+	w.agree()
+}
+
+func TestSameKeyAtThreeEntryVMsAtOnceRunsOnce(t *testing.T) {
+	// A driver's phone sends one confirmation over three entry VMs at the same
+	// moment. All three get the answer of the one run; a fourth copy much later
+	// gets it too, and the key with another body is refused.
+	story(t, 6, func(t *testing.T, w *world) {
+		w.backend.takes = 3 * time.Second
+		answers := make(chan string, 3)
+		for _, id := range []string{"vm0", "vm1", "vm2"} {
+			go func() {
+				answer, _ := w.daemon(id).send("k1", "ship 4 t")
+				answers <- answer
+			}()
+		}
+		for range 3 {
+			must.EqOp(t, "ship 4 t run 1", <-answers)
+		}
+		time.Sleep(time.Minute)
+		answer, err := w.daemon("vm4").send("k1", "ship 4 t")
+		must.Nil(t, err)
+		must.EqOp(t, "ship 4 t run 1", answer)
+		_, err = w.daemon("vm5").send("k1", "ship 5 t")
+		must.EqOp(t, verdict.CodeKeyReused, err.Code)
+		must.EqOp(t, verdict.NotRun, err.Verdict)
+		must.EqOp(t, 1, w.backend.count("ship 4 t"))
+		must.EqOp(t, 0, w.backend.count("ship 5 t"))
+	})
+}
+
+func TestPausedOwnerSendsLateAndTheRetryDoesNotRunAgain(t *testing.T) {
+	// The owner binds a dispatch at its witness and is paused before it sends.
+	// The others believe it gone, the witness takes over, the caller asks again
+	// and learns that the call may have run. Then the old owner wakes and sends.
+	// The cause of the danger: nothing tells a paused process that it lost a slot.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, witness, other := w.pair("k2")
+		hold := make(chan struct{})
+		owner.flow.hold.Store(&hold)
+		go func() { _, _ = other.send("k2", "dispatch excavator") }()
+		time.Sleep(time.Second)
+		owner.pause()
+		owner.dead.Store(true)
+		w.agree()
+		owner.dead.Store(false)
+		time.Sleep(10 * time.Second)
+		answer, err := other.send("k2", "dispatch excavator")
+		must.EqOp(t, "", answer)
+		must.EqOp(t, verdict.MayHaveRun, err.Verdict)
+		must.EqOp(t, 0, w.backend.count("dispatch excavator"))
+		now, _, _ := w.pair("k2")
+		must.EqOp(t, witness.id, now.id)
+		close(hold)
+		owner.resume()
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, 1, w.backend.count("dispatch excavator"))
+		answer, err = other.send("k2", "dispatch excavator")
+		must.Nil(t, err)
+		must.EqOp(t, "dispatch excavator run 1", answer)
+		must.EqOp(t, 1, w.backend.count("dispatch excavator"))
+	})
+}
+
+func TestStoreOutageStopsNoCallOfAWholePair(t *testing.T) {
+	// The store is down for minutes. Calls go on, also at an entry VM that was
+	// never asked before. When the owner dies in the outage its slot can't move:
+	// callers are told at once that the outcome is open and when to ask again,
+	// and after the outage the key still has its one run.
+	story(t, 6, func(t *testing.T, w *world) {
+		w.store.setDown(true)
+		answer, err := w.daemon("vm3").send("k3", "order 12")
+		must.Nil(t, err)
+		must.EqOp(t, "order 12 run 1", answer)
+		owner, _, other := w.pair("k3")
+		time.Sleep(time.Second)
+		w.bury(owner)
+		time.Sleep(3 * time.Minute)
+		_, err = other.send("k3", "order 12")
+		must.EqOp(t, verdict.MayHaveRun, err.Verdict)
+		must.Positive(t, err.RetryAfter)
+		w.store.setDown(false)
+		time.Sleep(10 * time.Second)
+		answer, err = other.send("k3", "order 12")
+		must.Nil(t, err)
+		must.EqOp(t, "order 12 run 1", answer)
+		must.EqOp(t, 1, w.backend.count("order 12"))
+	})
+}
+
+func TestOwnerDiesAfterAnsweringAndTheWitnessKnowsTheAnswer(t *testing.T) {
+	// The answer is lost on the way back because the owner dies. The caller
+	// asks another entry VM with the same key and gets the recorded answer.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, _, other := w.pair("k4")
+		answer, err := other.send("k4", "confirm 7")
+		must.Nil(t, err)
+		must.EqOp(t, "confirm 7 run 1", answer)
+		time.Sleep(100 * time.Millisecond)
+		w.bury(owner)
+		answer, err = other.send("k4", "confirm 7")
+		must.Nil(t, err)
+		must.EqOp(t, "confirm 7 run 1", answer)
+	})
+}
+
+func TestLostConfirmationOfTheRosterWrite(t *testing.T) {
+	// The owner dies. The store takes the write that names its successor, but
+	// the confirmation is lost, and the first write even takes effect late.
+	// Callers see a short wait and then one owner, which knows the key.
+	for _, late := range []time.Duration{0, 20 * time.Millisecond} {
+		story(t, 6, func(t *testing.T, w *world) {
+			owner, _, other := w.pair("k5")
+			_, err := other.send("k5", "hire roller")
+			must.Nil(t, err)
+			time.Sleep(100 * time.Millisecond)
+			w.store.loseConfirmations(3, late)
+			w.bury(owner)
+			answer, err := other.send("k5", "hire roller")
+			must.Nil(t, err)
+			must.EqOp(t, "hire roller run 1", answer)
+		})
+	}
+}
+
+func TestPartitionBetweenOwnerAndWitness(t *testing.T) {
+	// Owner and witness of a key can't reach each other, while everyone else
+	// reaches both. The owner takes another witness and the call runs once.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, witness, other := w.pair("k6")
+		w.partition(owner.id, witness.id, true)
+		answer, err := other.send("k6", "tow pump")
+		must.Nil(t, err)
+		must.EqOp(t, "tow pump run 1", answer)
+		_, now, _ := w.pair("k6")
+		must.NotEqOp(t, witness.id, now.id)
+	})
+}
+
+func TestBothOfThePairLostIsNeverGuessed(t *testing.T) {
+	// Owner and witness die together after a run. Nobody knows the key any
+	// more, so every unknown key of the slot is answered with may_have_run
+	// until the retention time is over, and nothing runs a second time.
+	story(t, 6, func(t *testing.T, w *world) {
+		w.site.Limits.KeyTTL, w.site.Limits.AnswerTTL = 4*time.Minute, time.Minute
+		owner, witness, other := w.pair("k7")
+		_, err := other.send("k7", "release 20 t")
+		must.Nil(t, err)
+		owner.kill()
+		witness.kill()
+		w.agree()
+		time.Sleep(2 * time.Minute)
+		_, err = other.send("k7", "release 20 t")
+		must.EqOp(t, verdict.MayHaveRun, err.Verdict)
+		must.EqOp(t, verdict.CodeKeyUndecided, err.Code)
+		must.EqOp(t, 1, w.backend.count("release 20 t"))
+		time.Sleep(w.site.Limits.KeyTTL)
+		_, err = other.send("k7", "release 20 t")
+		must.Nil(t, err)
+	})
+}
+
+func TestPairCutOffTogetherIsNotTakenForDead(t *testing.T) {
+	// The pair of a slot is cut off from everyone else, as when regions lose
+	// each other, and goes on serving on its side. The other side must neither
+	// run keys of the slot nor take it: both come back in an hour.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, witness, other := w.pair("k8")
+		for _, a := range []*daemon{owner, witness} {
+			for _, b := range w.daemons {
+				if b != owner && b != witness {
+					w.partition(a.id, b.id, true)
+				}
+			}
+		}
+		owner.dead.Store(true)
+		witness.dead.Store(true)
+		w.agree()
+		owner.dead.Store(false)
+		witness.dead.Store(false)
+		time.Sleep(time.Minute)
+		_, err := other.send("k8", "move crane")
+		must.EqOp(t, verdict.MayHaveRun, err.Verdict)
+		must.EqOp(t, 0, w.backend.count("move crane"))
+	})
+}
+
+func TestRefusalIsNotUndoneByACopyThatWasHeldUp(t *testing.T) {
+	// A caller sends one order over two entry VMs. One copy is held up inside
+	// the first; the other is refused for overload with not_run. The caller
+	// trusts that and orders under a new key. When the held copy arrives at
+	// last it must be refused too, while a copy sent after the refusal runs.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, witness, held := w.pair("k9")
+		held.pause()
+		late := make(chan *verdict.Error)
+		go func() {
+			_, err := held.send("k9", "20 sacks")
+			late <- err
+		}()
+		time.Sleep(time.Millisecond)
+		owner.flow.refuse.Store(true)
+		_, err := witness.send("k9", "20 sacks")
+		must.EqOp(t, verdict.NotRun, err.Verdict)
+		must.Positive(t, err.RetryAfter)
+		owner.flow.refuse.Store(false)
+		held.resume()
+		must.EqOp(t, verdict.NotRun, (<-late).Verdict)
+		must.EqOp(t, 0, w.backend.count("20 sacks"))
+		answer, err := witness.send("k9", "20 sacks")
+		must.Nil(t, err)
+		must.EqOp(t, "20 sacks run 1", answer)
+	})
+}
+
+func TestVerdictsFollowWhatWasSent(t *testing.T) {
+	// A backend server that can't be connected to is passed over; when all are
+	// the caller reads not_run. One that takes the call and says nothing may
+	// have run it: it is not sent again, now or on a retry.
+	story(t, 3, func(t *testing.T, w *world) {
+		w.backend.failNext = 2
+		_, err := w.daemon("vm0").send("a", "order a")
+		must.Nil(t, err)
+		w.backend.failNext = maxSends
+		_, err = w.daemon("vm0").send("b", "order b")
+		must.EqOp(t, verdict.NotRun, err.Verdict)
+		w.backend.loseNext = 1
+		for _, id := range []string{"vm0", "vm1", "vm2"} {
+			_, err = w.daemon(id).send("c", "order c")
+			must.EqOp(t, verdict.MayHaveRun, err.Verdict)
+		}
+		must.EqOp(t, 1, w.backend.count("order c"))
+	})
+}
+
+func TestPlannedLeaveRefusesNothing(t *testing.T) {
+	// A daemon is replaced as planned while callers send orders without pause,
+	// one of them running for seconds. None is refused or left open.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, _, other := w.pair("k0")
+		w.backend.takes = 2 * time.Second
+		running := make(chan *verdict.Error)
+		go func() {
+			_, err := other.send("k0", "long order")
+			running <- err
+		}()
+		time.Sleep(500 * time.Millisecond)
+		w.leave(owner)
+		left := make(chan error)
+		go func() { left <- owner.Leave(context.Background()) }()
+		for i := range 50 {
+			key := fmt.Sprint("n", i)
+			go func() {
+				_, err := other.send(key, "order "+key)
+				running <- err
+			}()
+			time.Sleep(50 * time.Millisecond)
+		}
+		for range 51 {
+			must.Nil(t, <-running)
+		}
+		must.NoError(t, <-left)
+		must.EqOp(t, 0, owner.holds())
+	})
+}
+
+func TestNewKeyNeedsNoStoreWrite(t *testing.T) {
+	// Hundreds of orders: the store sees no write, so its rate bounds nothing.
+	story(t, 6, func(t *testing.T, w *world) {
+		before := w.store.writes
+		for i := range 300 {
+			key := fmt.Sprint("n", i)
+			_, err := w.daemon("vm1").send(key, key)
+			must.Nil(t, err)
+		}
+		must.EqOp(t, before, w.store.writes)
+	})
+}
--- /dev/null
+++ b/serve/once/suspects.go
@@ -0,0 +1,152 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/slot"
+	"mallowwind.dev/platform/vmlist"
+)
+
+const (
+	// silentFor keeps a member that did not answer from being chosen as witness.
+	silentFor = 10 * time.Second
+	// listEvery and listLag: the platform's list is read seldom, and a VM counts
+	// as gone only after it was absent for longer than the list lags.
+	listEvery = 10 * time.Second
+	listLag   = time.Minute
+)
+
+// silent remembers members that did not answer as witnesses.
+type silent struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// add reports whether id was not known as silent.
+func (s *silent) add(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.until == nil {
+		s.until = make(map[string]time.Time)
+	}
+	known := now.Before(s.until[id])
+	s.until[id] = now.Add(silentFor)
+	return !known
+}
+
+// ids returns the members silent now.
+func (s *silent) ids(now time.Time) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]bool, len(s.until))
+	for id, until := range s.until {
+		if now.Before(until) {
+			out[id] = true
+		} else {
+			delete(s.until, id)
+		}
+	}
+	return out
+}
+
+// history is what this daemon saw of each slot. Only Run uses it.
+type history struct {
+	now   time.Time
+	slots [slot.Count]struct {
+		term    uint64
+		changed time.Time // when term was first seen
+		stopped time.Time // since when it has not been served here; zero if it is
+	}
+}
+
+func (h *history) observe(i int, term uint64, active bool, now time.Time) {
+	h.now = now
+	s := &h.slots[i]
+	if s.term != term {
+		s.term, s.changed, s.stopped = term, now, time.Time{}
+	}
+	switch {
+	case active:
+		s.stopped = time.Time{}
+	case s.stopped.IsZero():
+		s.stopped = now
+	}
+}
+
+// stuck reports whether the slot has not been served here for a while.
+func (h *history) stuck(i int) bool {
+	s := &h.slots[i]
+	return !s.stopped.IsZero() && h.now.Sub(s.stopped) > sealGrace
+}
+
+// calm reports whether the slot did not change hands lately.
+func (h *history) calm(i int) bool { return h.now.Sub(h.slots[i].changed) > calmBefore }
+
+// deaths collects proof that processes are gone for good. What membership
+// believes is not enough to give up a slot's keys: both of the pair may be cut
+// off together and still serve callers on their side. But since a key needs
+// both of them, proof for one suffices.
+type deaths struct {
+	mu     sync.Mutex
+	read   time.Time
+	listed map[string]bool
+	absent map[string]time.Time // VM id -> first time it was not listed
+}
+
+// observe reads the platform's list now and then.
+func (d *deaths) observe(ctx context.Context, source vmlist.Source, now time.Time) {
+	if source == nil || now.Sub(d.read) < listEvery {
+		return
+	}
+	d.read = now
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+	defer cancel()
+	vms, err := source.List(ctx)
+	if err != nil {
+		return
+	}
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		listed[vm.ID] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listed = listed
+	for id := range d.absent {
+		if listed[id] {
+			delete(d.absent, id)
+		}
+	}
+}
+
+// ended reports whether one of the pair is certainly dead: its VM runs a newer
+// process, or the platform has not listed the VM for longer than the list lags.
+func (d *deaths) ended(view *membership.View, a slot.Assignment) bool {
+	return d.dead(view, a.Owner) || d.dead(view, a.Witness)
+}
+
+func (d *deaths) dead(view *membership.View, m slot.Member) bool {
+	if m.None() {
+		return false
+	}
+	if have, ok := view.Find(m.ID); ok {
+		return have.Incarnation > m.Incarnation
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listed == nil || d.listed[m.ID] {
+		return false
+	}
+	if d.absent == nil {
+		d.absent = make(map[string]time.Time)
+	}
+	since, ok := d.absent[m.ID]
+	if !ok {
+		d.absent[m.ID] = time.Now()
+		return false
+	}
+	return time.Since(since) > listLag
+}
