--- a/peer/peerpb/once.twirp.go
+++ b/peer/peerpb/once.twirp.go
@@ -1905,7 +1905,7 @@
 }
 
 func (s *onceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *onceServer) ProtocGenTwirpVersion() string {
@@ -1919,7 +1919,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Once")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 1065 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x56, 0xcf, 0x6f, 0xe3, 0x44,
 	0x14, 0xc6, 0xb1, 0xf3, 0xeb, 0x39, 0xcd, 0x86, 0x11, 0x3f, 0x4c, 0xe8, 0xb2, 0xc5, 0x42, 0xa2,
