serve/daemon: calls that may not be repeated are bound before dispatch

Cause: the demo's confirmation ran twice when its answer was lost. Change: serve/once and control/roster are part of the daemon; a graceful shutdown hands bound keys over.

--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/reconcile"
+	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/peer/link"
@@ -32,6 +33,7 @@
 	"mallowwind.dev/serve/api"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/serve/once"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -70,6 +72,7 @@
 	inforce     *inforce.Manager
 	members     *membership.Manager
 	backends    *backends.Manager
+	roster      *roster.Manager
 	lease       *lease.Manager
 	reconcile   *reconcile.Manager
 	flow        *flow.Manager
@@ -151,6 +154,7 @@
 // it holds the lease, give the zone's engines their orders.
 func (d *Daemon) assemblePlacement() {
 	s, p := d.opts.Settings, d.opts.Platform
+	d.roster = roster.NewManager(p.Store, d.members, d.log)
 	d.lease = lease.NewManager(lease.Deps{
 		Store: p.Store, Members: d.members, Log: d.log, Registerer: d.registry,
 	})
@@ -171,7 +175,11 @@
 		Site: d.inforce, Members: d.members, Flow: d.flow, Dialer: d.opts.Dialer,
 		Log: d.log, Metrics: d.registry,
 	})
-	d.calls = newCalls(d)
+	d.calls = &calls{log: d.log, service: once.NewService(once.Deps{
+		Members: d.members, Roster: d.roster, Site: d.inforce, Flow: d.flow,
+		Caller: d.opts.Platform.Plain, Dialer: d.opts.Dialer, Log: d.log,
+		Registry: d.registry, VMs: d.backends,
+	})}
 	d.drain = &drainer{d: d}
 	d.api = api.New(api.Config{
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
@@ -231,7 +239,7 @@
 func (d *Daemon) loops() []func(context.Context) error {
 	return []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
-		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.calls.Run,
+		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
 	}
 }
 
@@ -267,6 +275,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(d.generations.Handler())
 	mux.Handle(d.inforce.Handler())
+	mux.Handle(d.calls.service.Handler())
 	members := peerpb.NewMembershipServer(d.members)
 	mux.Handle(members.PathPrefix(), members)
 	return mux
--- a/telemetry/event/catalogue.go
+++ b/telemetry/event/catalogue.go
@@ -14,6 +14,8 @@
 		"The daemon left the address answers and finishes its work.", "running", "wait")
 	DaemonStopped = define(103, "daemon_stopped", logrus.InfoLevel,
 		"The daemon has stopped.", "cut", "handed_over")
+	HandoverIncomplete = define(105, "handover_incomplete", logrus.WarnLevel,
+		"Keys of calls that may not be repeated could not all be handed over before the stop.", "error")
 	InvariantViolated = define(104, "invariant_violated", logrus.ErrorLevel,
 		"An invariant did not hold; the answer it concerns was stopped.", "invariant", "subject", "detail")
 )
