--- a/cmd/mallowwind/main.go
+++ b/cmd/mallowwind/main.go
@@ -12,8 +12,10 @@
 	"github.com/sirupsen/logrus"
 
 	"mallowwind.dev/control/settings"
+	"mallowwind.dev/control/tlsfiles"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/daemon"
+	"mallowwind.dev/telemetry/event"
 )
 
 // Exit codes, documented in docs/settings.md.
@@ -68,9 +70,14 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
+	logger := newLogger(s)
+	files, err := tlsfiles.New(s.TLS, event.New(logger, s.VM, s.Zone))
+	if err != nil {
+		return fail(exitUsage, err)
+	}
 	d := daemon.New(daemon.Options{
-		Settings: s, Platform: platform, Listeners: listeners,
-		Dialer: link.NewDialer(nil), Logger: newLogger(s), Version: version,
+		Settings: s, Platform: platform, Listeners: listeners.Secure(files), TLS: files,
+		Dialer: link.NewDialer(files.PeerClient()), Logger: logger, Version: version,
 	})
 	soft, hard := signals()
 	if err := d.Run(soft, hard); err != nil {
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/control/tlsfiles"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/engine"
@@ -60,6 +61,8 @@
 	Dialer    *link.Dialer
 	Logger    *logrus.Logger
 	Version   string
+	// TLS keeps the certificates current; nil means plain TCP.
+	TLS *tlsfiles.Files
 	// Backends overrides how backend servers are watched; nil means the default.
 	Backends *backends.Config
 }
@@ -237,10 +240,14 @@
 
 // loops are the parts that run until the daemon ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{
+	parts := []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
 		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
 	}
+	if d.opts.TLS != nil {
+		parts = append(parts, d.opts.TLS.Run)
+	}
+	return parts
 }
 
 func ignoreCancelled(err error) error {
--- a/serve/daemon/listen.go
+++ b/serve/daemon/listen.go
@@ -1,11 +1,13 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"net"
 
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/settings"
+	"mallowwind.dev/control/tlsfiles"
 )
 
 // Listen opens the addresses that the settings name.
@@ -26,6 +28,21 @@
 	return l, err
 }
 
+// Secure puts TLS on the listeners for callers and for other entry VMs where
+// certificates are set.
+func (l Listeners) Secure(files *tlsfiles.Files) Listeners {
+	l.Callers = secured(l.Callers, files.Caller())
+	l.Peers = secured(l.Peers, files.PeerServer())
+	return l
+}
+
+func secured(l net.Listener, config *tls.Config) net.Listener {
+	if config == nil {
+		return l
+	}
+	return tls.NewListener(l, config)
+}
+
 // Close closes the listeners that are open.
 func (l Listeners) Close() {
 	for _, x := range []net.Listener{l.Callers, l.Peers, l.Admin} {
--- a/serve/daemon/server.go
+++ b/serve/daemon/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -54,14 +53,6 @@
 	}
 }
 
-// TLSListener wraps l where config is not nil.
-func TLSListener(l net.Listener, config *tls.Config) net.Listener {
-	if config == nil {
-		return l
-	}
-	return tls.NewListener(l, config)
-}
-
 func (d *Daemon) servers() []server {
 	l := d.opts.Listeners
 	out := []server{newServer(l.Callers, d.api), newServer(l.Peers, d.peerHandler())}
