--- a/peer/peerpb/journal.twirp.go
+++ b/peer/peerpb/journal.twirp.go
@@ -16,11 +16,6 @@
 import twirp "github.com/twitchtv/twirp"
 import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
 
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
-
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
 // the package needs to be updated to work with this generated code.
@@ -43,6 +38,9 @@
 	// Adopt hands the copy to a new owner and refuses the old owner's appends from then on.
 	Adopt(context.Context, *AdoptRequest) (*AdoptReply, error)
 
+	// Drop removes a copy that its owner now keeps elsewhere.
+	Drop(context.Context, *DropRequest) (*JournalReply, error)
+
 	// Follow reads released tokens from the owner; it waits a bounded time for the first new one.
 	Follow(context.Context, *FollowRequest) (*FollowReply, error)
 }
@@ -53,7 +51,7 @@
 
 type journalProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -81,10 +79,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Journal")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Open",
 		serviceURL + "Append",
 		serviceURL + "Adopt",
+		serviceURL + "Drop",
 		serviceURL + "Follow",
 	}
 
@@ -234,6 +233,52 @@
 	return out, nil
 }
 
+func (c *journalProtobufClient) Drop(ctx context.Context, in *DropRequest) (*JournalReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Journal")
+	ctx = ctxsetters.WithMethodName(ctx, "Drop")
+	caller := c.callDrop
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DropRequest) (*JournalReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DropRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DropRequest) when calling interceptor")
+					}
+					return c.callDrop(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JournalReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JournalReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *journalProtobufClient) callDrop(ctx context.Context, in *DropRequest) (*JournalReply, error) {
+	out := new(JournalReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *journalProtobufClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Journal")
@@ -265,7 +310,7 @@
 
 func (c *journalProtobufClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	out := new(FollowReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -286,7 +331,7 @@
 
 type journalJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [5]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -314,10 +359,11 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Journal")
-	urls := [4]string{
+	urls := [5]string{
 		serviceURL + "Open",
 		serviceURL + "Append",
 		serviceURL + "Adopt",
+		serviceURL + "Drop",
 		serviceURL + "Follow",
 	}
 
@@ -467,6 +513,52 @@
 	return out, nil
 }
 
+func (c *journalJSONClient) Drop(ctx context.Context, in *DropRequest) (*JournalReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Journal")
+	ctx = ctxsetters.WithMethodName(ctx, "Drop")
+	caller := c.callDrop
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DropRequest) (*JournalReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DropRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DropRequest) when calling interceptor")
+					}
+					return c.callDrop(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*JournalReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*JournalReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *journalJSONClient) callDrop(ctx context.Context, in *DropRequest) (*JournalReply, error) {
+	out := new(JournalReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *journalJSONClient) Follow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Journal")
@@ -498,7 +590,7 @@
 
 func (c *journalJSONClient) callFollow(ctx context.Context, in *FollowRequest) (*FollowReply, error) {
 	out := new(FollowReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -619,6 +711,9 @@
 	case "Adopt":
 		s.serveAdopt(ctx, resp, req)
 		return
+	case "Drop":
+		s.serveDrop(ctx, resp, req)
+		return
 	case "Follow":
 		s.serveFollow(ctx, resp, req)
 		return
@@ -1169,7 +1264,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *journalServer) serveFollow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *journalServer) serveDrop(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1177,9 +1272,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFollowJSON(ctx, resp, req)
+		s.serveDropJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFollowProtobuf(ctx, resp, req)
+		s.serveDropProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1187,9 +1282,9 @@
 	}
 }
 
-func (s *journalServer) serveFollowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *journalServer) serveDropJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	ctx = ctxsetters.WithMethodName(ctx, "Drop")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1202,29 +1297,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FollowRequest)
+	reqContent := new(DropRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Journal.Follow
+	handler := s.Journal.Drop
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+		handler = func(ctx context.Context, req *DropRequest) (*JournalReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FollowRequest)
+					typedReq, ok := req.(*DropRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DropRequest) when calling interceptor")
 					}
-					return s.Journal.Follow(ctx, typedReq)
+					return s.Journal.Drop(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FollowReply)
+				typedResp, ok := resp.(*JournalReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*JournalReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1233,7 +1328,7 @@
 	}
 
 	// Call service method
-	var respContent *FollowReply
+	var respContent *JournalReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1244,7 +1339,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JournalReply and nil error while calling Drop. nil responses are not supported"))
 		return
 	}
 
@@ -1270,9 +1365,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *journalServer) serveFollowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *journalServer) serveDropProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	ctx = ctxsetters.WithMethodName(ctx, "Drop")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1284,28 +1379,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FollowRequest)
+	reqContent := new(DropRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Journal.Follow
+	handler := s.Journal.Drop
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+		handler = func(ctx context.Context, req *DropRequest) (*JournalReply, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FollowRequest)
+					typedReq, ok := req.(*DropRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DropRequest) when calling interceptor")
 					}
-					return s.Journal.Follow(ctx, typedReq)
+					return s.Journal.Drop(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FollowReply)
+				typedResp, ok := resp.(*JournalReply)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*JournalReply) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1314,7 +1409,7 @@
 	}
 
 	// Call service method
-	var respContent *FollowReply
+	var respContent *JournalReply
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1325,7 +1420,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *JournalReply and nil error while calling Drop. nil responses are not supported"))
 		return
 	}
 
@@ -1349,642 +1444,262 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *journalServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 0
-}
-
-func (s *journalServer) ProtocGenTwirpVersion() string {
-	return "v8.1.3"
-}
-
-// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
-// that is everything in a Twirp route except for the <Method>. This can be used for routing,
-// for example to identify the requests that are targeted to this service in a mux.
-func (s *journalServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Journal")
-}
-
-// =====
-// Utils
-// =====
-
-// HTTPClient is the interface used by generated clients to send HTTP requests.
-// It is fulfilled by *(net/http).Client, which is sufficient for most users.
-// Users can provide their own implementation for special retry policies.
-//
-// HTTPClient implementations should not follow redirects. Redirects are
-// automatically disabled if *(net/http).Client is passed to client
-// constructors. See the withoutRedirects function in this file for more
-// details.
-type HTTPClient interface {
-	Do(req *http.Request) (*http.Response, error)
-}
-
-// TwirpServer is the interface generated server structs will support: they're
-// HTTP handlers with additional methods for accessing metadata about the
-// service. Those accessors are a low-level API for building reflection tools.
-// Most people can think of TwirpServers as just http.Handlers.
-type TwirpServer interface {
-	http.Handler
-
-	// ServiceDescriptor returns gzipped bytes describing the .proto file that
-	// this service was generated from. Once unzipped, the bytes can be
-	// unmarshalled as a
-	// google.golang.org/protobuf/types/descriptorpb.FileDescriptorProto.
-	//
-	// The returned integer is the index of this particular service within that
-	// FileDescriptorProto's 'Service' slice of ServiceDescriptorProtos. This is a
-	// low-level field, expected to be used for reflection.
-	ServiceDescriptor() ([]byte, int)
-
-	// ProtocGenTwirpVersion is the semantic version string of the version of
-	// twirp used to generate this file.
-	ProtocGenTwirpVersion() string
-
-	// PathPrefix returns the HTTP URL path prefix for all methods handled by this
-	// service. This can be used with an HTTP mux to route Twirp requests.
-	// The path prefix is in the form: "/<prefix>/<package>.<Service>/"
-	// that is, everything in a Twirp route except for the <Method> at the end.
-	PathPrefix() string
-}
-
-func newServerOpts(opts []interface{}) *twirp.ServerOptions {
-	serverOpts := &twirp.ServerOptions{}
-	for _, opt := range opts {
-		switch o := opt.(type) {
-		case twirp.ServerOption:
-			o(serverOpts)
-		case *twirp.ServerHooks: // backwards compatibility, allow to specify hooks as an argument
-			twirp.WithServerHooks(o)(serverOpts)
-		case nil: // backwards compatibility, allow nil value for the argument
-			continue
-		default:
-			panic(fmt.Sprintf("Invalid option type %T, please use a twirp.ServerOption", o))
-		}
-	}
-	return serverOpts
-}
-
-// WriteError writes an HTTP response with a valid Twirp error format (code, msg, meta).
-// Useful outside of the Twirp server (e.g. http middleware), but does not trigger hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func WriteError(resp http.ResponseWriter, err error) {
-	writeError(context.Background(), resp, err, nil)
-}
-
-// writeError writes Twirp errors in the response and triggers hooks.
-func writeError(ctx context.Context, resp http.ResponseWriter, err error, hooks *twirp.ServerHooks) {
-	// Convert to a twirp.Error. Non-twirp errors are converted to internal errors.
-	var twerr twirp.Error
-	if !errors.As(err, &twerr) {
-		twerr = twirp.InternalErrorWith(err)
-	}
-
-	statusCode := twirp.ServerHTTPStatusFromErrorCode(twerr.Code())
-	ctx = ctxsetters.WithStatusCode(ctx, statusCode)
-	ctx = callError(ctx, hooks, twerr)
-
-	respBody := marshalErrorToJSON(twerr)
-
-	resp.Header().Set("Content-Type", "application/json") // Error responses are always JSON
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBody)))
-	resp.WriteHeader(statusCode) // set HTTP status code and send response
-
-	_, writeErr := resp.Write(respBody)
-	if writeErr != nil {
-		// We have three options here. We could log the error, call the Error
-		// hook, or just silently ignore the error.
-		//
-		// Logging is unacceptable because we don't have a user-controlled
-		// logger; writing out to stderr without permission is too rude.
-		//
-		// Calling the Error hook would confuse users: it would mean the Error
-		// hook got called twice for one request, which is likely to lead to
-		// duplicated log messages and metrics, no matter how well we document
-		// the behavior.
-		//
-		// Silently ignoring the error is our least-bad option. It's highly
-		// likely that the connection is broken and the original 'err' says
-		// so anyway.
-		_ = writeErr
-	}
-
-	callResponseSent(ctx, hooks)
-}
-
-// sanitizeBaseURL parses the the baseURL, and adds the "http" scheme if needed.
-// If the URL is unparsable, the baseURL is returned unchanged.
-func sanitizeBaseURL(baseURL string) string {
-	u, err := url.Parse(baseURL)
-	if err != nil {
-		return baseURL // invalid URL will fail later when making requests
-	}
-	if u.Scheme == "" {
-		u.Scheme = "http"
-	}
-	return u.String()
-}
-
-// baseServicePath composes the path prefix for the service (without <Method>).
-// e.g.: baseServicePath("/twirp", "my.pkg", "MyService")
-//
-//	returns => "/twirp/my.pkg.MyService/"
-//
-// e.g.: baseServicePath("", "", "MyService")
-//
-//	returns => "/MyService/"
-func baseServicePath(prefix, pkg, service string) string {
-	fullServiceName := service
-	if pkg != "" {
-		fullServiceName = pkg + "." + service
-	}
-	return path.Join("/", prefix, fullServiceName) + "/"
-}
-
-// parseTwirpPath extracts path components form a valid Twirp route.
-// Expected format: "[<prefix>]/<package>.<Service>/<Method>"
-// e.g.: prefix, pkgService, method := parseTwirpPath("/twirp/pkg.Svc/MakeHat")
-func parseTwirpPath(path string) (string, string, string) {
-	parts := strings.Split(path, "/")
-	if len(parts) < 2 {
-		return "", "", ""
-	}
-	method := parts[len(parts)-1]
-	pkgService := parts[len(parts)-2]
-	prefix := strings.Join(parts[0:len(parts)-2], "/")
-	return prefix, pkgService, method
-}
-
-// getCustomHTTPReqHeaders retrieves a copy of any headers that are set in
-// a context through the twirp.WithHTTPRequestHeaders function.
-// If there are no headers set, or if they have the wrong type, nil is returned.
-func getCustomHTTPReqHeaders(ctx context.Context) http.Header {
-	header, ok := twirp.HTTPRequestHeaders(ctx)
-	if !ok || header == nil {
-		return nil
-	}
-	copied := make(http.Header)
-	for k, vv := range header {
-		if vv == nil {
-			copied[k] = nil
-			continue
-		}
-		copied[k] = make([]string, len(vv))
-		copy(copied[k], vv)
-	}
-	return copied
-}
-
-// newRequest makes an http.Request from a client, adding common headers.
-func newRequest(ctx context.Context, url string, reqBody io.Reader, contentType string) (*http.Request, error) {
-	req, err := http.NewRequest("POST", url, reqBody)
-	if err != nil {
-		return nil, err
-	}
-	req = req.WithContext(ctx)
-	if customHeader := getCustomHTTPReqHeaders(ctx); customHeader != nil {
-		req.Header = customHeader
-	}
-	req.Header.Set("Accept", contentType)
-	req.Header.Set("Content-Type", contentType)
-	req.Header.Set("Twirp-Version", "v8.1.3")
-	return req, nil
-}
-
-// JSON serialization for errors
-type twerrJSON struct {
-	Code string            `json:"code"`
-	Msg  string            `json:"msg"`
-	Meta map[string]string `json:"meta,omitempty"`
-}
-
-// marshalErrorToJSON returns JSON from a twirp.Error, that can be used as HTTP error response body.
-// If serialization fails, it will use a descriptive Internal error instead.
-func marshalErrorToJSON(twerr twirp.Error) []byte {
-	// make sure that msg is not too large
-	msg := twerr.Msg()
-	if len(msg) > 1e6 {
-		msg = msg[:1e6]
-	}
-
-	tj := twerrJSON{
-		Code: string(twerr.Code()),
-		Msg:  msg,
-		Meta: twerr.MetaMap(),
+func (s *journalServer) serveFollow(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
 	}
-
-	buf, err := json.Marshal(&tj)
-	if err != nil {
-		buf = []byte("{\"type\": \"" + twirp.Internal + "\", \"msg\": \"There was an error but it could not be serialized into JSON\"}") // fallback
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveFollowJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveFollowProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
 	}
-
-	return buf
 }
 
-// errorFromResponse builds a twirp.Error from a non-200 HTTP response.
-// If the response has a valid serialized Twirp error, then it's returned.
-// If not, the response status code is used to generate a similar twirp
-// error. See twirpErrorFromIntermediary for more info on intermediary errors.
-func errorFromResponse(resp *http.Response) twirp.Error {
-	statusCode := resp.StatusCode
-	statusText := http.StatusText(statusCode)
-
-	if isHTTPRedirect(statusCode) {
-		// Unexpected redirect: it must be an error from an intermediary.
-		// Twirp clients don't follow redirects automatically, Twirp only handles
-		// POST requests, redirects should only happen on GET and HEAD requests.
-		location := resp.Header.Get("Location")
-		msg := fmt.Sprintf("unexpected HTTP status code %d %q received, Location=%q", statusCode, statusText, location)
-		return twirpErrorFromIntermediary(statusCode, msg, location)
-	}
-
-	respBodyBytes, err := io.ReadAll(resp.Body)
+func (s *journalServer) serveFollowJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
-		return wrapInternal(err, "failed to read server error response body")
-	}
-
-	var tj twerrJSON
-	dec := json.NewDecoder(bytes.NewReader(respBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&tj); err != nil || tj.Code == "" {
-		// Invalid JSON response; it must be an error from an intermediary.
-		msg := fmt.Sprintf("Error from intermediary with HTTP status code %d %q", statusCode, statusText)
-		return twirpErrorFromIntermediary(statusCode, msg, string(respBodyBytes))
-	}
-
-	errorCode := twirp.ErrorCode(tj.Code)
-	if !twirp.IsValidErrorCode(errorCode) {
-		msg := "invalid type returned from server error response: " + tj.Code
-		return twirp.InternalError(msg).WithMeta("body", string(respBodyBytes))
-	}
-
-	twerr := twirp.NewError(errorCode, tj.Msg)
-	for k, v := range tj.Meta {
-		twerr = twerr.WithMeta(k, v)
+		s.writeError(ctx, resp, err)
+		return
 	}
-	return twerr
-}
 
-// twirpErrorFromIntermediary maps HTTP errors from non-twirp sources to twirp errors.
-// The mapping is similar to gRPC: https://github.com/grpc/grpc/blob/master/doc/http-grpc-status-mapping.md.
-// Returned twirp Errors have some additional metadata for inspection.
-func twirpErrorFromIntermediary(status int, msg string, bodyOrLocation string) twirp.Error {
-	var code twirp.ErrorCode
-	if isHTTPRedirect(status) { // 3xx
-		code = twirp.Internal
-	} else {
-		switch status {
-		case 400: // Bad Request
-			code = twirp.Internal
-		case 401: // Unauthorized
-			code = twirp.Unauthenticated
-		case 403: // Forbidden
-			code = twirp.PermissionDenied
-		case 404: // Not Found
-			code = twirp.BadRoute
-		case 429: // Too Many Requests
-			code = twirp.ResourceExhausted
-		case 502, 503, 504: // Bad Gateway, Service Unavailable, Gateway Timeout
-			code = twirp.Unavailable
-		default: // All other codes
-			code = twirp.Unknown
-		}
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
 	}
-
-	twerr := twirp.NewError(code, msg)
-	twerr = twerr.WithMeta("http_error_from_intermediary", "true") // to easily know if this error was from intermediary
-	twerr = twerr.WithMeta("status_code", strconv.Itoa(status))
-	if isHTTPRedirect(status) {
-		twerr = twerr.WithMeta("location", bodyOrLocation)
-	} else {
-		twerr = twerr.WithMeta("body", bodyOrLocation)
+	reqContent := new(FollowRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
 	}
-	return twerr
-}
 
-func isHTTPRedirect(status int) bool {
-	return status >= 300 && status <= 399
-}
-
-// wrapInternal wraps an error with a prefix as an Internal error.
-// The original error cause is accessible by github.com/pkg/errors.Cause.
-func wrapInternal(err error, prefix string) twirp.Error {
-	return twirp.InternalErrorWith(&wrappedError{prefix: prefix, cause: err})
-}
-
-type wrappedError struct {
-	prefix string
-	cause  error
-}
-
-func (e *wrappedError) Error() string { return e.prefix + ": " + e.cause.Error() }
-func (e *wrappedError) Unwrap() error { return e.cause } // for go1.13 + errors.Is/As
-func (e *wrappedError) Cause() error  { return e.cause } // for github.com/pkg/errors
-
-// ensurePanicResponses makes sure that rpc methods causing a panic still result in a Twirp Internal
-// error response (status 500), and error hooks are properly called with the panic wrapped as an error.
-// The panic is re-raised so it can be handled normally with middleware.
-func ensurePanicResponses(ctx context.Context, resp http.ResponseWriter, hooks *twirp.ServerHooks) {
-	if r := recover(); r != nil {
-		// Wrap the panic as an error so it can be passed to error hooks.
-		// The original error is accessible from error hooks, but not visible in the response.
-		err := errFromPanic(r)
-		twerr := &internalWithCause{msg: "Internal service panic", cause: err}
-		// Actually write the error
-		writeError(ctx, resp, twerr, hooks)
-		// If possible, flush the error to the wire.
-		f, ok := resp.(http.Flusher)
-		if ok {
-			f.Flush()
+	handler := s.Journal.Follow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FollowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+					}
+					return s.Journal.Follow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FollowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
 		}
-
-		panic(r)
-	}
-}
-
-// errFromPanic returns the typed error if the recovered panic is an error, otherwise formats as error.
-func errFromPanic(p interface{}) error {
-	if err, ok := p.(error); ok {
-		return err
 	}
-	return fmt.Errorf("panic: %v", p)
-}
-
-// internalWithCause is a Twirp Internal error wrapping an original error cause,
-// but the original error message is not exposed on Msg(). The original error
-// can be checked with go1.13+ errors.Is/As, and also by (github.com/pkg/errors).Unwrap
-type internalWithCause struct {
-	msg   string
-	cause error
-}
-
-func (e *internalWithCause) Unwrap() error                               { return e.cause } // for go1.13 + errors.Is/As
-func (e *internalWithCause) Cause() error                                { return e.cause } // for github.com/pkg/errors
-func (e *internalWithCause) Error() string                               { return e.msg + ": " + e.cause.Error() }
-func (e *internalWithCause) Code() twirp.ErrorCode                       { return twirp.Internal }
-func (e *internalWithCause) Msg() string                                 { return e.msg }
-func (e *internalWithCause) Meta(key string) string                      { return "" }
-func (e *internalWithCause) MetaMap() map[string]string                  { return nil }
-func (e *internalWithCause) WithMeta(key string, val string) twirp.Error { return e }
-
-// malformedRequestError is used when the twirp server cannot unmarshal a request
-func malformedRequestError(msg string) twirp.Error {
-	return twirp.NewError(twirp.Malformed, msg)
-}
 
-// badRouteError is used when the twirp server cannot route a request
-func badRouteError(msg string, method, url string) twirp.Error {
-	err := twirp.NewError(twirp.BadRoute, msg)
-	err = err.WithMeta("twirp_invalid_route", method+" "+url)
-	return err
-}
-
-// withoutRedirects makes sure that the POST request can not be redirected.
-// The standard library will, by default, redirect requests (including POSTs) if it gets a 302 or
-// 303 response, and also 301s in go1.8. It redirects by making a second request, changing the
-// method to GET and removing the body. This produces very confusing error messages, so instead we
-// set a redirect policy that always errors. This stops Go from executing the redirect.
-//
-// We have to be a little careful in case the user-provided http.Client has its own CheckRedirect
-// policy - if so, we'll run through that policy first.
-//
-// Because this requires modifying the http.Client, we make a new copy of the client and return it.
-func withoutRedirects(in *http.Client) *http.Client {
-	copy := *in
-	copy.CheckRedirect = func(req *http.Request, via []*http.Request) error {
-		if in.CheckRedirect != nil {
-			// Run the input's redirect if it exists, in case it has side effects, but ignore any error it
-			// returns, since we want to use ErrUseLastResponse.
-			err := in.CheckRedirect(req, via)
-			_ = err // Silly, but this makes sure generated code passes errcheck -blank, which some people use.
-		}
-		return http.ErrUseLastResponse
-	}
-	return &copy
-}
+	// Call service method
+	var respContent *FollowReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-// doProtobufRequest makes a Protobuf request to the remote Twirp service.
-func doProtobufRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
-	reqBodyBytes, err := proto.Marshal(in)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to marshal proto request")
+		s.writeError(ctx, resp, err)
+		return
 	}
-	reqBody := bytes.NewBuffer(reqBodyBytes)
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
+		return
 	}
 
-	req, err := newRequest(ctx, url, reqBody, "application/protobuf")
-	if err != nil {
-		return ctx, wrapInternal(err, "could not build request")
-	}
-	ctx, err = callClientRequestPrepared(ctx, hooks, req)
-	if err != nil {
-		return ctx, err
-	}
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-	req = req.WithContext(ctx)
-	resp, err := client.Do(req)
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to do request")
-	}
-	defer func() { _ = resp.Body.Close() }()
-
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-
-	if resp.StatusCode != 200 {
-		return ctx, errorFromResponse(resp)
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
 	}
 
-	respBodyBytes, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return ctx, wrapInternal(err, "failed to read response body")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
 
-	if err = proto.Unmarshal(respBodyBytes, out); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal proto response")
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
-	return ctx, nil
+	callResponseSent(ctx, s.hooks)
 }
 
-// doJSONRequest makes a JSON request to the remote Twirp service.
-func doJSONRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
-	marshaler := &protojson.MarshalOptions{UseProtoNames: true}
-	reqBytes, err := marshaler.Marshal(in)
+func (s *journalServer) serveFollowProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Follow")
+	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to marshal json request")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
+		s.writeError(ctx, resp, err)
+		return
 	}
 
-	req, err := newRequest(ctx, url, bytes.NewReader(reqBytes), "application/json")
-	if err != nil {
-		return ctx, wrapInternal(err, "could not build request")
-	}
-	ctx, err = callClientRequestPrepared(ctx, hooks, req)
+	buf, err := io.ReadAll(req.Body)
 	if err != nil {
-		return ctx, err
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
 	}
-
-	req = req.WithContext(ctx)
-	resp, err := client.Do(req)
-	if err != nil {
-		return ctx, wrapInternal(err, "failed to do request")
+	reqContent := new(FollowRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
 	}
 
-	defer func() {
-		cerr := resp.Body.Close()
-		if err == nil && cerr != nil {
-			err = wrapInternal(cerr, "failed to close response body")
+	handler := s.Journal.Follow
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FollowRequest) (*FollowReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FollowRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FollowRequest) when calling interceptor")
+					}
+					return s.Journal.Follow(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FollowReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FollowReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
 		}
-	}()
-
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-
-	if resp.StatusCode != 200 {
-		return ctx, errorFromResponse(resp)
 	}
 
-	d := json.NewDecoder(resp.Body)
-	rawRespBody := json.RawMessage{}
-	if err := d.Decode(&rawRespBody); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal json response")
-	}
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawRespBody, out); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal json response")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-	return ctx, nil
-}
+	// Call service method
+	var respContent *FollowReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-// Call twirp.ServerHooks.RequestReceived if the hook is available
-func callRequestReceived(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
-	if h == nil || h.RequestReceived == nil {
-		return ctx, nil
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
 	}
-	return h.RequestReceived(ctx)
-}
-
-// Call twirp.ServerHooks.RequestRouted if the hook is available
-func callRequestRouted(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
-	if h == nil || h.RequestRouted == nil {
-		return ctx, nil
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FollowReply and nil error while calling Follow. nil responses are not supported"))
+		return
 	}
-	return h.RequestRouted(ctx)
-}
 
-// Call twirp.ServerHooks.ResponsePrepared if the hook is available
-func callResponsePrepared(ctx context.Context, h *twirp.ServerHooks) context.Context {
-	if h == nil || h.ResponsePrepared == nil {
-		return ctx
-	}
-	return h.ResponsePrepared(ctx)
-}
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-// Call twirp.ServerHooks.ResponseSent if the hook is available
-func callResponseSent(ctx context.Context, h *twirp.ServerHooks) {
-	if h == nil || h.ResponseSent == nil {
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
-	h.ResponseSent(ctx)
-}
 
-// Call twirp.ServerHooks.Error if the hook is available
-func callError(ctx context.Context, h *twirp.ServerHooks, err twirp.Error) context.Context {
-	if h == nil || h.Error == nil {
-		return ctx
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
-	return h.Error(ctx, err)
+	callResponseSent(ctx, s.hooks)
 }
 
-func callClientResponseReceived(ctx context.Context, h *twirp.ClientHooks) {
-	if h == nil || h.ResponseReceived == nil {
-		return
-	}
-	h.ResponseReceived(ctx)
+func (s *journalServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor1, 0
 }
 
-func callClientRequestPrepared(ctx context.Context, h *twirp.ClientHooks, req *http.Request) (context.Context, error) {
-	if h == nil || h.RequestPrepared == nil {
-		return ctx, nil
-	}
-	return h.RequestPrepared(ctx, req)
+func (s *journalServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
 }
 
-func callClientError(ctx context.Context, h *twirp.ClientHooks, err twirp.Error) {
-	if h == nil || h.Error == nil {
-		return
-	}
-	h.Error(ctx, err)
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *journalServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Journal")
 }
 
-var twirpFileDescriptor0 = []byte{
-	// 893 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xdd, 0x6e, 0xe3, 0x44,
-	0x14, 0xc6, 0x89, 0xf3, 0xe3, 0x93, 0xa4, 0x2b, 0x8d, 0x80, 0xb5, 0xb2, 0x5d, 0x6a, 0x99, 0x0b,
-	0x2c, 0x21, 0x15, 0x94, 0x7d, 0x82, 0x6e, 0xa1, 0x8b, 0x16, 0xad, 0x2a, 0x0d, 0x70, 0xc3, 0x4d,
-	0xe4, 0x78, 0x4e, 0x1a, 0x93, 0x78, 0x66, 0x18, 0x3b, 0xcd, 0x46, 0xbc, 0x00, 0x12, 0x3c, 0x06,
-	0xd7, 0x48, 0x3c, 0x0b, 0x4f, 0xc2, 0x1b, 0xa0, 0xf9, 0x71, 0x6b, 0x37, 0x0d, 0x15, 0x37, 0x95,
-	0xbf, 0x73, 0x4e, 0xce, 0x7c, 0xe7, 0x3b, 0x3f, 0x2a, 0x4c, 0x7e, 0x12, 0x5b, 0xc5, 0xd3, 0xcd,
-	0xb9, 0x54, 0xa2, 0x12, 0xe4, 0x59, 0x91, 0x6e, 0x36, 0x62, 0xb7, 0xcb, 0x39, 0x3b, 0x97, 0x88,
-	0x2a, 0x7e, 0x0b, 0xfe, 0x95, 0x50, 0x6b, 0xf2, 0x21, 0xf4, 0x50, 0x8a, 0x6c, 0x15, 0x7a, 0x91,
-	0x97, 0xf8, 0xd4, 0x02, 0xf2, 0x31, 0xf4, 0xc5, 0x72, 0x59, 0x62, 0x15, 0x76, 0x22, 0x2f, 0x99,
-	0x50, 0x87, 0x74, 0xb4, 0xd8, 0x71, 0x54, 0x61, 0x37, 0xf2, 0x92, 0x80, 0x5a, 0x10, 0xff, 0xd6,
-	0x85, 0x93, 0x37, 0xc8, 0x51, 0xa5, 0x55, 0x2e, 0xf8, 0x77, 0x12, 0x33, 0x72, 0x02, 0x9d, 0x9c,
-	0x99, 0x9c, 0x01, 0xed, 0xe4, 0x8c, 0x84, 0x30, 0x48, 0xb3, 0x4c, 0x6c, 0xb9, 0xcd, 0x18, 0xd0,
-	0x1a, 0x6a, 0x4f, 0x89, 0xea, 0x36, 0xcf, 0xd0, 0x25, 0xad, 0xa1, 0x7e, 0xac, 0x10, 0x0c, 0x37,
-	0xa1, 0x6f, 0x1f, 0x33, 0xc0, 0x64, 0x62, 0xa9, 0xac, 0x50, 0x85, 0x3d, 0x97, 0xc9, 0x42, 0xed,
-	0xb9, 0x45, 0x55, 0xe6, 0x82, 0x87, 0x7d, 0xeb, 0x71, 0x50, 0x97, 0x23, 0x95, 0x28, 0x64, 0x15,
-	0x0e, 0x8c, 0xc3, 0x21, 0xf2, 0x12, 0xa0, 0x48, 0xdf, 0xcf, 0x2b, 0xb1, 0x46, 0x5e, 0x86, 0x43,
-	0x53, 0x6a, 0x50, 0xa4, 0xef, 0xbf, 0x37, 0x06, 0x12, 0xc1, 0xa8, 0xc2, 0x42, 0xea, 0xba, 0xb6,
-	0x0a, 0xc3, 0x20, 0xf2, 0x12, 0x8f, 0x36, 0x4d, 0xe4, 0x39, 0xf8, 0x25, 0x22, 0x0b, 0x21, 0xf2,
-	0x92, 0xee, 0x37, 0x1f, 0x50, 0x83, 0x7e, 0xf5, 0x3c, 0x42, 0xc0, 0x2f, 0x2b, 0x21, 0xc3, 0x51,
-	0xd4, 0x4d, 0x02, 0x6a, 0xbe, 0xc9, 0x67, 0xf0, 0x2c, 0x67, 0x58, 0x48, 0x51, 0x21, 0xcf, 0xf6,
-	0xf3, 0x35, 0xee, 0xc3, 0xb1, 0xa1, 0x73, 0xd2, 0x30, 0x7f, 0x8b, 0x7b, 0x72, 0x06, 0xa3, 0x85,
-	0x60, 0xfb, 0x39, 0xcb, 0x6f, 0xb0, 0xac, 0xc2, 0x49, 0xe4, 0x25, 0x63, 0x0a, 0xda, 0xf4, 0x95,
-	0xb1, 0xe8, 0xec, 0xd9, 0x2a, 0xad, 0xc2, 0x93, 0xc8, 0x4b, 0x86, 0xd4, 0x7c, 0xbf, 0x1e, 0x40,
-	0x6f, 0xae, 0x5f, 0x8f, 0x7f, 0x80, 0xc1, 0x45, 0xa5, 0x49, 0x56, 0xba, 0x6e, 0xbe, 0x2d, 0x16,
-	0xa8, 0x5c, 0x77, 0x1d, 0xd2, 0x4a, 0x2d, 0xd2, 0x6c, 0x8d, 0x9c, 0xd5, 0xdd, 0x70, 0xd0, 0xaa,
-	0xcb, 0x14, 0x96, 0x65, 0xdd, 0x0d, 0x07, 0xe3, 0xbf, 0x3d, 0x18, 0x5d, 0x4b, 0xe4, 0x14, 0x7f,
-	0xde, 0x6a, 0x0e, 0xaf, 0xc0, 0x2f, 0x25, 0x66, 0x26, 0xf3, 0x68, 0x76, 0x76, 0xfe, 0x60, 0xc0,
-	0xce, 0xdb, 0x03, 0x41, 0x4d, 0x30, 0xf9, 0x1c, 0x7a, 0x4b, 0xa1, 0xd6, 0x65, 0xd8, 0x89, 0xba,
-	0xc9, 0x68, 0xf6, 0xd1, 0xc1, 0xaf, 0xf4, 0x4c, 0x52, 0x1b, 0xa3, 0xd9, 0xbb, 0xce, 0x74, 0x8d,
-	0x8a, 0x0e, 0x91, 0x19, 0x0c, 0x52, 0x5b, 0xa0, 0x99, 0x8c, 0xd1, 0x2c, 0x3c, 0x48, 0xe3, 0x04,
-	0xa0, 0x75, 0xa0, 0xce, 0xb5, 0xcc, 0x79, 0x5e, 0xae, 0xdc, 0xd0, 0x38, 0x14, 0xff, 0xe5, 0xc1,
-	0xe4, 0x42, 0x4a, 0xe4, 0xac, 0xae, 0xeb, 0xe1, 0xe4, 0xde, 0x2d, 0x48, 0xe7, 0xf1, 0x05, 0xe9,
-	0xb6, 0x16, 0xe4, 0x9e, 0xb3, 0x7f, 0x8c, 0x73, 0xef, 0xff, 0x73, 0xee, 0xb7, 0x38, 0x2b, 0x18,
-	0xbf, 0xb5, 0xcb, 0x4d, 0x51, 0x6e, 0xf6, 0x64, 0x0a, 0xc3, 0x34, 0xcb, 0x50, 0x56, 0x68, 0x79,
-	0x0f, 0xe9, 0x1d, 0x3e, 0xce, 0x7e, 0x83, 0xfc, 0xa6, 0x5a, 0xd5, 0xec, 0x2d, 0xd2, 0xdd, 0xdf,
-	0xf2, 0x35, 0x17, 0x3b, 0x6e, 0x94, 0x1d, 0xd2, 0x1a, 0xc6, 0xbf, 0xc0, 0xf8, 0x82, 0x09, 0x59,
-	0x1d, 0x53, 0xe9, 0x05, 0x04, 0x1c, 0x77, 0x73, 0x7b, 0x1c, 0xec, 0x4c, 0x0d, 0x39, 0xee, 0xae,
-	0x35, 0xd6, 0x6b, 0x56, 0x22, 0xf2, 0xb9, 0x65, 0xd2, 0x35, 0x4c, 0x02, 0x6d, 0xf9, 0xda, 0xb0,
-	0x39, 0x83, 0x91, 0x71, 0x3b, 0x41, 0x7d, 0x43, 0xc9, 0xfc, 0xe2, 0xda, 0x58, 0xe2, 0xdf, 0x3d,
-	0x00, 0xf7, 0xfa, 0x53, 0xf5, 0x36, 0x2a, 0xe8, 0xb4, 0x2a, 0xd0, 0x35, 0x2f, 0x70, 0x95, 0x73,
-	0x66, 0x08, 0x0c, 0xa9, 0x43, 0xe4, 0x4b, 0xf0, 0x33, 0x21, 0xf7, 0x6e, 0x94, 0x4e, 0x0f, 0xda,
-	0xd2, 0x98, 0x79, 0x6a, 0x22, 0xe3, 0x3f, 0x3d, 0x98, 0x5c, 0x09, 0x1d, 0x75, 0x4c, 0x8d, 0x76,
-	0xc1, 0x9d, 0x87, 0x05, 0x13, 0xf0, 0x97, 0x4a, 0x14, 0x4e, 0x7c, 0xf3, 0x4d, 0x9e, 0xc3, 0x60,
-	0x97, 0xe6, 0xd5, 0xbc, 0x28, 0x9d, 0x00, 0x7d, 0x0d, 0xdf, 0x95, 0xcd, 0xcb, 0xd9, 0x6b, 0x5f,
-	0xce, 0x47, 0xee, 0x49, 0xff, 0xb1, 0x7b, 0x12, 0xff, 0xe3, 0xc1, 0xa8, 0x26, 0xac, 0x05, 0x6c,
-	0x88, 0xe4, 0xb5, 0x45, 0x9a, 0xc2, 0x90, 0xe5, 0xb7, 0xa8, 0x6e, 0x90, 0x39, 0xfd, 0xee, 0xf0,
-	0xfd, 0x28, 0x75, 0x9b, 0xa3, 0x54, 0xd7, 0xe2, 0x37, 0x6a, 0xb9, 0x5f, 0x82, 0x5e, 0x6b, 0x09,
-	0x8e, 0x0c, 0xb4, 0x96, 0x0b, 0x95, 0x12, 0x6a, 0x9e, 0x09, 0x86, 0xee, 0x44, 0x07, 0xc6, 0x72,
-	0x29, 0x18, 0x92, 0x4f, 0x61, 0x62, 0xdd, 0x05, 0x96, 0x65, 0x7a, 0x83, 0xe6, 0x50, 0x07, 0x74,
-	0x6c, 0x8c, 0xef, 0xac, 0xcd, 0xb5, 0x20, 0xa8, 0x5b, 0x30, 0xfb, 0xa3, 0x03, 0x03, 0xb7, 0x25,
-	0xe4, 0x12, 0x7c, 0xdd, 0x45, 0xf2, 0x9f, 0xcd, 0x9d, 0xbe, 0x3c, 0xf0, 0xb6, 0xb6, 0xec, 0x0d,
-	0xf4, 0xed, 0xa1, 0x20, 0x9f, 0x1c, 0xae, 0x6e, 0xf3, 0x82, 0x3c, 0x95, 0xe8, 0x12, 0x7a, 0x66,
-	0x98, 0xc9, 0x61, 0x5c, 0x73, 0xc5, 0xa6, 0x2f, 0x8e, 0xb9, 0x75, 0x92, 0x2b, 0xe8, 0xdb, 0x8e,
-	0x3e, 0xc2, 0xa6, 0x35, 0x9b, 0xd3, 0xd3, 0xa3, 0x7e, 0xb9, 0xd9, 0xbf, 0x3e, 0xfd, 0x71, 0xda,
-	0x70, 0x33, 0xbc, 0xfd, 0x42, 0x87, 0x98, 0x3f, 0x72, 0xb1, 0xe8, 0x9b, 0x7f, 0x1e, 0x5e, 0xfd,
-	0x1b, 0x00, 0x00, 0xff, 0xff, 0x13, 0xda, 0x04, 0xa3, 0x4d, 0x08, 0x00, 0x00,
+var twirpFileDescriptor1 = []byte{
+	// 966 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xdd, 0x6e, 0xe3, 0x54,
+	0x10, 0xc6, 0x89, 0x93, 0xd8, 0xe3, 0xa6, 0x2b, 0x1d, 0x01, 0x6b, 0x65, 0xbb, 0xd4, 0x32, 0x17,
+	0x44, 0x42, 0x2a, 0xa8, 0x7d, 0x82, 0x6e, 0x97, 0x2e, 0x5a, 0xb4, 0xaa, 0x74, 0xf8, 0xb9, 0xe0,
+	0x26, 0x72, 0x7c, 0xa6, 0xad, 0x49, 0x7c, 0xce, 0xe1, 0xd8, 0x69, 0x36, 0x2f, 0x80, 0x90, 0xb8,
+	0xe0, 0x59, 0x78, 0x00, 0x9e, 0x82, 0xa7, 0xe0, 0x2d, 0xd0, 0xf9, 0x71, 0x63, 0x37, 0x0d, 0xd5,
+	0xde, 0x54, 0xfe, 0x66, 0xc6, 0xe3, 0x6f, 0xe6, 0x9b, 0x99, 0x06, 0xc6, 0xbf, 0x88, 0x95, 0xe2,
+	0xd9, 0xf2, 0x44, 0x2a, 0x51, 0x0b, 0xf2, 0xac, 0xcc, 0x96, 0x4b, 0xb1, 0x5e, 0x17, 0x9c, 0x9d,
+	0x48, 0x44, 0x95, 0xbe, 0x05, 0xff, 0x52, 0xa8, 0x05, 0xf9, 0x18, 0x06, 0x28, 0x45, 0x7e, 0x1b,
+	0x7b, 0x89, 0x37, 0xf5, 0xa9, 0x05, 0xe4, 0x53, 0x18, 0x8a, 0xeb, 0xeb, 0x0a, 0xeb, 0xb8, 0x97,
+	0x78, 0xd3, 0x31, 0x75, 0x48, 0x47, 0x8b, 0x35, 0x47, 0x15, 0xf7, 0x13, 0x6f, 0x1a, 0x52, 0x0b,
+	0xd2, 0x3f, 0xfa, 0x70, 0xf8, 0x06, 0x39, 0xaa, 0xac, 0x2e, 0x04, 0xff, 0x5e, 0x62, 0x4e, 0x0e,
+	0xa1, 0x57, 0x30, 0x93, 0x33, 0xa4, 0xbd, 0x82, 0x91, 0x18, 0x46, 0x59, 0x9e, 0x8b, 0x15, 0xb7,
+	0x19, 0x43, 0xda, 0x40, 0xed, 0xa9, 0x50, 0xdd, 0x15, 0x39, 0xba, 0xa4, 0x0d, 0xd4, 0x1f, 0x2b,
+	0x05, 0xc3, 0x65, 0xec, 0xdb, 0x8f, 0x19, 0x60, 0x32, 0xb1, 0x4c, 0xd6, 0xa8, 0xe2, 0x81, 0xcb,
+	0x64, 0xa1, 0xf6, 0xdc, 0xa1, 0xaa, 0x0a, 0xc1, 0xe3, 0xa1, 0xf5, 0x38, 0xa8, 0xcb, 0x91, 0x4a,
+	0x94, 0xb2, 0x8e, 0x47, 0xc6, 0xe1, 0x10, 0x79, 0x09, 0x50, 0x66, 0xef, 0x67, 0xb5, 0x58, 0x20,
+	0xaf, 0xe2, 0xc0, 0x94, 0x1a, 0x96, 0xd9, 0xfb, 0x1f, 0x8c, 0x81, 0x24, 0x10, 0xd5, 0x58, 0x4a,
+	0x5d, 0xd7, 0x4a, 0x61, 0x1c, 0x26, 0xde, 0xd4, 0xa3, 0x6d, 0x13, 0x79, 0x0e, 0x7e, 0x85, 0xc8,
+	0x62, 0x48, 0xbc, 0x69, 0xff, 0xdb, 0x8f, 0xa8, 0x41, 0xbf, 0x7b, 0x1e, 0x21, 0xe0, 0x57, 0xb5,
+	0x90, 0x71, 0x94, 0xf4, 0xa7, 0x21, 0x35, 0xcf, 0xe4, 0x0b, 0x78, 0x56, 0x30, 0x2c, 0xa5, 0xa8,
+	0x91, 0xe7, 0x9b, 0xd9, 0x02, 0x37, 0xf1, 0x81, 0xa1, 0x73, 0xd8, 0x32, 0x7f, 0x87, 0x1b, 0x72,
+	0x0c, 0xd1, 0x5c, 0xb0, 0xcd, 0x8c, 0x15, 0x37, 0x58, 0xd5, 0xf1, 0x38, 0xf1, 0xa6, 0x07, 0x14,
+	0xb4, 0xe9, 0xb5, 0xb1, 0xe8, 0xec, 0xf9, 0x6d, 0x56, 0xc7, 0x87, 0x89, 0x37, 0x0d, 0xa8, 0x79,
+	0x7e, 0x35, 0x82, 0xc1, 0x4c, 0x7f, 0x3d, 0xfd, 0x11, 0x46, 0xe7, 0xb5, 0x26, 0x59, 0xeb, 0xba,
+	0xf9, 0xaa, 0x9c, 0xa3, 0x72, 0xea, 0x3a, 0xa4, 0x3b, 0x35, 0xcf, 0xf2, 0x05, 0x72, 0xd6, 0xa8,
+	0xe1, 0xa0, 0xed, 0x2e, 0x53, 0x58, 0x55, 0x8d, 0x1a, 0x0e, 0xa6, 0xff, 0x78, 0x10, 0x5d, 0x49,
+	0xe4, 0x14, 0x7f, 0x5d, 0x69, 0x0e, 0x67, 0xe0, 0x57, 0x12, 0x73, 0x93, 0x39, 0x3a, 0x3d, 0x3e,
+	0x79, 0x30, 0x60, 0x27, 0xdd, 0x81, 0xa0, 0x26, 0x98, 0x7c, 0x09, 0x83, 0x6b, 0xa1, 0x16, 0x55,
+	0xdc, 0x4b, 0xfa, 0xd3, 0xe8, 0xf4, 0x93, 0x9d, 0xb7, 0xf4, 0x4c, 0x52, 0x1b, 0xa3, 0xd9, 0x3b,
+	0x65, 0xfa, 0xa6, 0x8b, 0x0e, 0x91, 0x53, 0x18, 0x65, 0xb6, 0x40, 0x33, 0x19, 0xd1, 0x69, 0xbc,
+	0x93, 0xc6, 0x35, 0x80, 0x36, 0x81, 0x3a, 0xd7, 0x75, 0xc1, 0x8b, 0xea, 0xd6, 0x0d, 0x8d, 0x43,
+	0xe9, 0x5f, 0x1e, 0x8c, 0xcf, 0xa5, 0x44, 0xce, 0x9a, 0xba, 0x1e, 0x4e, 0xee, 0xfd, 0x82, 0xf4,
+	0x1e, 0x5f, 0x90, 0x7e, 0x67, 0x41, 0xb6, 0x9c, 0xfd, 0x7d, 0x9c, 0x07, 0x1f, 0xce, 0x79, 0xd8,
+	0xe1, 0x7c, 0x06, 0xd1, 0x6b, 0x25, 0xe4, 0x07, 0x11, 0x4e, 0x15, 0x1c, 0xbc, 0xb5, 0x17, 0x81,
+	0xa2, 0x5c, 0x6e, 0xc8, 0x04, 0x82, 0x2c, 0xcf, 0x51, 0xd6, 0x68, 0xdf, 0x0d, 0xe8, 0x3d, 0xde,
+	0x5f, 0xf2, 0x12, 0xf9, 0x4d, 0x7d, 0xdb, 0x94, 0x6c, 0x91, 0x1e, 0x99, 0x15, 0x5f, 0x70, 0xb1,
+	0xe6, 0x46, 0x8e, 0x80, 0x36, 0x30, 0xfd, 0xd3, 0x83, 0x83, 0x73, 0x26, 0x64, 0xbd, 0x8f, 0xea,
+	0x0b, 0x08, 0x39, 0xae, 0x67, 0xf6, 0xa4, 0xd8, 0x49, 0x0c, 0x38, 0xae, 0xaf, 0x34, 0xd6, 0xcb,
+	0x59, 0x21, 0xf2, 0x99, 0xa5, 0xd2, 0x37, 0x54, 0x42, 0x6d, 0xf9, 0xc6, 0xd0, 0x39, 0x86, 0xc8,
+	0xb8, 0x9d, 0x0c, 0xbe, 0xe1, 0x64, 0xde, 0xb8, 0xb2, 0x52, 0x10, 0xf0, 0x25, 0xe2, 0xc2, 0xf4,
+	0x3b, 0xa0, 0xe6, 0x39, 0xfd, 0xbb, 0x07, 0xe0, 0x18, 0x3d, 0xd5, 0x84, 0x56, 0x59, 0xbd, 0x4e,
+	0x59, 0xba, 0x11, 0x73, 0xbc, 0x2d, 0x38, 0x33, 0xa4, 0x02, 0xea, 0x10, 0xf9, 0x1a, 0xfc, 0x5c,
+	0xc8, 0x8d, 0x1b, 0xca, 0xa3, 0x1d, 0x81, 0x5b, 0xdb, 0x43, 0x4d, 0xa4, 0xfe, 0x86, 0x5a, 0x71,
+	0x5e, 0xf0, 0x1b, 0xc7, 0xb2, 0x81, 0x5b, 0x09, 0x86, 0x8f, 0x4b, 0x30, 0xea, 0x48, 0x70, 0x7f,
+	0x96, 0x83, 0xd6, 0x59, 0x7e, 0x78, 0x46, 0xc2, 0x9d, 0x33, 0xa2, 0x07, 0x2c, 0x2b, 0x96, 0xee,
+	0x7e, 0x05, 0xd4, 0xa1, 0xf6, 0xb1, 0x8e, 0x3a, 0xc7, 0x3a, 0x5d, 0xc0, 0xf8, 0x52, 0xe8, 0xaa,
+	0xf6, 0x29, 0xda, 0x15, 0xad, 0xf7, 0x50, 0x34, 0x02, 0xfe, 0xb5, 0x12, 0xa5, 0x9b, 0x20, 0xf3,
+	0x4c, 0x9e, 0xc3, 0x68, 0x9d, 0x15, 0xf5, 0xac, 0xac, 0x9c, 0x88, 0x43, 0x0d, 0xdf, 0x55, 0xe9,
+	0x6f, 0x3d, 0x88, 0x9a, 0xaf, 0x69, 0xb5, 0x5a, 0x8a, 0x78, 0x5d, 0x45, 0x26, 0x10, 0xb0, 0xe2,
+	0x0e, 0xd5, 0x0d, 0x32, 0x27, 0xd6, 0x3d, 0xde, 0x76, 0xb2, 0xdf, 0xee, 0x64, 0x43, 0xc4, 0x6f,
+	0x11, 0xd9, 0xee, 0xee, 0xa0, 0xb3, 0xbb, 0x7b, 0xf6, 0x50, 0xd7, 0x8a, 0x4a, 0x09, 0x35, 0xcb,
+	0x05, 0x43, 0xf7, 0x9f, 0x25, 0x34, 0x96, 0x0b, 0xc1, 0x90, 0x7c, 0x0e, 0x63, 0xeb, 0x2e, 0xb1,
+	0xaa, 0xb2, 0x1b, 0x74, 0xe2, 0x1c, 0x18, 0xe3, 0x3b, 0x6b, 0xdb, 0x06, 0xdd, 0xa1, 0x62, 0x45,
+	0x6e, 0x55, 0x6a, 0x82, 0x7e, 0xb2, 0xb6, 0xd3, 0x7f, 0x7b, 0x30, 0x72, 0xcb, 0x4b, 0x2e, 0xc0,
+	0xd7, 0x73, 0x44, 0xfe, 0x77, 0xbc, 0x26, 0x2f, 0x77, 0xbc, 0x9d, 0xe5, 0x7f, 0x03, 0x43, 0x7b,
+	0xf4, 0xc8, 0x67, 0xbb, 0x67, 0xa8, 0x7d, 0x0d, 0x9f, 0x4a, 0x74, 0x01, 0x03, 0xb3, 0x4e, 0x64,
+	0x37, 0xae, 0xbd, 0xf8, 0x93, 0x17, 0xfb, 0xdc, 0x36, 0x89, 0xaf, 0xef, 0xd9, 0x23, 0x25, 0xb5,
+	0xce, 0xdc, 0x53, 0x4c, 0x2e, 0x61, 0x68, 0x67, 0xe5, 0x91, 0x92, 0x3a, 0x23, 0x3b, 0x39, 0xda,
+	0xeb, 0x97, 0xcb, 0xcd, 0xab, 0xa3, 0x9f, 0x27, 0x2d, 0x37, 0xc3, 0xbb, 0xaf, 0x74, 0x88, 0xf9,
+	0x23, 0xe7, 0xf3, 0xa1, 0xf9, 0x35, 0x75, 0xf6, 0x5f, 0x00, 0x00, 0x00, 0xff, 0xff, 0xbb, 0x22,
+	0xd4, 0x9e, 0x5e, 0x09, 0x00, 0x00,
 }
