--- /dev/null
+++ b/lab/bench/slopes/fleetcost.go
@@ -0,0 +1,3 @@
+package slopes
+
+func fleetExperiments() []Experiment { return nil }
--- a/lab/bench/slopes/journal.go
+++ b/lab/bench/slopes/journal.go
@@ -2,51 +2,52 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/lab/report"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/serve/journal"
 )
 
 // appendsPerRun are enough for the cost of one append to stand out from the
 // kernel's clock of processor time.
 const appendsPerRun = 1000
 
-var appendSizes = []int{1, 4, 16, 64, 128}
-
-// journalSlopes are what copying released tokens to another daemon costs. At a
-// steady pace an append carries one token; the intercept is what an append
+// journalExperiments are what copying released tokens to another daemon costs.
+// At a steady pace an append carries one token; the intercept is what an append
 // costs by itself, and so what carrying several tokens in one would save.
-func journalSlopes() []Measurement {
-	return []Measurement{
+func journalExperiments() []Experiment {
+	return []Experiment{
 		{
-			Name: "journal_append_bytes",
-			Help: "Bytes of both directions of one append over twirp on loopback, by the tokens in it.",
-			X:    report.Col("tokens", ""), Y: report.Col("bytes", "B"), Sizes: appendSizes,
-			Run: func(ctx context.Context, n int, rng *rand.Rand) (float64, error) {
-				_, bytes, err := appendTokens(ctx, n, rng)
-				return bytes, err
+			X: report.Col("tokens", ""), Sizes: []int{1, 4, 16, 64, 128},
+			Quantities: []Quantity{
+				{"journal_append_bytes", "Bytes of both directions of one append over twirp on loopback, by the tokens in it.", report.Col("bytes", "B")},
+				{"journal_append_cpu", "Processor time of both ends of one append over twirp on loopback, by the tokens in it.", report.Col("CPU", "µs")},
 			},
+			Run: appendTokens,
 		},
 		{
-			Name: "journal_append_cpu",
-			Help: "Processor time of both ends of one append over twirp on loopback, by the tokens in it.",
-			X:    report.Col("tokens", ""), Y: report.Col("CPU", "µs"), Sizes: appendSizes,
-			Run: func(ctx context.Context, n int, rng *rand.Rand) (float64, error) {
-				cpu, _, err := appendTokens(ctx, n, rng)
-				return cpu, err
+			X: report.Col("tokens", ""), Sizes: []int{100_000, 200_000, 400_000, 800_000},
+			Quantities: []Quantity{
+				{"journal_copy_memory", "Heap of finished copies of 400 tokens each, without prompts, by the tokens in all.", report.Col("heap", "B")},
 			},
+			Run: one(copyMemory),
 		},
 	}
 }
 
-// appendTokens returns the processor time in microseconds and the bytes of one
-// append of n tokens.
-func appendTokens(ctx context.Context, n int, rng *rand.Rand) (cpu, bytes float64, err error) {
+// appendTokens returns the bytes and the processor time of one append of n tokens.
+func appendTokens(ctx context.Context, n int, rng *rand.Rand) ([]float64, error) {
 	server, counter, client := journalPeer()
 	defer server.Close()
 	open := &peerpb.OpenRequest{
@@ -54,13 +55,13 @@
 		Forks: []*peerpb.Fork{{Epoch: 1, Owner: "entry-1"}},
 	}
 	if r, err := client.Open(ctx, open); err != nil || !r.GetAccepted() {
-		return 0, 0, errors.Errorf("open: accepted %v, %v", r.GetAccepted(), err)
+		return nil, errors.Errorf("open: accepted %v, %v", r.GetAccepted(), err)
 	}
 	tokens := randomTokens(n*appendsPerRun, rng)
 	before := counter.bytes.Load()
 	used, err := cpuOf(func() error { return appendEach(ctx, client, open.GetSpec().GetId(), tokens, n) })
 	sent := counter.bytes.Load() - before
-	return float64(used.Microseconds()) / appendsPerRun, float64(sent) / appendsPerRun, err
+	return []float64{float64(sent) / appendsPerRun, float64(used.Microseconds()) / appendsPerRun}, err
 }
 
 func appendEach(ctx context.Context, client peerpb.Journal, id string, tokens []string, n int) error {
@@ -89,18 +90,35 @@
 	return out
 }
 
+// journalPeer starts a daemon's holder of copies.
 func journalPeer() (*httptest.Server, *counter, peerpb.Journal) {
-	server, counter := serve(peerpb.NewJournalServer(acceptAll{}))
+	m := generation.NewManager(generation.Config{
+		Site: fixedSite{testSite(fewAccounts)}, Members: membership.Static{View: new(membership.View)},
+		Log: discard(), Metrics: prometheus.NewRegistry(),
+	})
+	_, handler := m.Handler()
+	server, counter := serve(handler)
 	dialer := link.NewDialer(nil)
 	return server, counter, peerpb.NewJournalProtobufClient(server.URL, dialer.Client)
 }
 
-type acceptAll struct{ peerpb.Journal }
-
-func (acceptAll) Open(context.Context, *peerpb.OpenRequest) (*peerpb.JournalReply, error) {
-	return &peerpb.JournalReply{Accepted: true}, nil
-}
+const tokensPerCopy = 400
 
-func (acceptAll) Append(_ context.Context, r *peerpb.AppendRequest) (*peerpb.JournalReply, error) {
-	return &peerpb.JournalReply{Accepted: true, Epoch: r.GetEpoch(), Length: r.GetOffset()}, nil
+// copyMemory returns the heap of copies of n tokens in all, filled as by
+// appends of one token.
+func copyMemory(_ context.Context, n int, rng *rand.Rand) (float64, error) {
+	return heapOf(func() (any, error) {
+		h := journal.NewHolder(journal.Limits{Bytes: 1 << 30, TTL: func() time.Duration { return time.Hour }}, rng.Uint64)
+		for i := range n / tokensPerCopy {
+			id := fmt.Sprintf("generation-%016x", i)
+			r := h.Open(journal.Copy{Spec: &peerpb.GenerationSpec{Id: id}, Line: lineage.Line{{Epoch: 1, Owner: "entry-1"}}})
+			for at := 0; at < tokensPerCopy && r.Accepted; at++ {
+				r = h.Append(id, 1, at, randomTokens(1, rng), nil, "")
+			}
+			if !r.Accepted {
+				return nil, errors.New("a copy was not accepted")
+			}
+		}
+		return h, nil
+	})
 }
