--- a/lab/bench/slopes/relay.go
+++ b/lab/bench/slopes/relay.go
@@ -144,10 +144,33 @@
 	return float64(total.Load()) / float64(streams), err
 }
 
+// relayStack returns a stack whose daemons have each given an answer of each
+// model, so that all backend servers are known to be ready.
+func relayStack(ctx context.Context) (*stack, error) {
+	s, err := newStack(ctx, relayDaemons, relayEngines, models*zones, siteText(fewAccounts, 1))
+	if err != nil {
+		return nil, err
+	}
+	deadline := time.Now().Add(startLimit)
+	for i := range models * relayDaemons {
+		for {
+			_, err := s.throughDaemons().read(ctx, http.DefaultClient, i, 1, new(atomic.Int64))
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return nil, err
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return s, nil
+}
+
 // relayCost returns the processor time in microseconds and the bytes of one
 // answer of tokens tokens.
 func relayCost(ctx context.Context, tokens int, _ *rand.Rand) ([]float64, error) {
-	s, err := newStack(ctx, relayDaemons, relayEngines, relayEngines*models*zones, siteText(fewAccounts, 1))
+	s, err := relayStack(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +199,7 @@
 
 // streamMemory returns the heap of streams open streams in kilobytes.
 func streamMemory(ctx context.Context, streams int, _ *rand.Rand) (float64, error) {
-	s, err := newStack(ctx, relayDaemons, relayEngines, relayEngines*models*zones, siteText(fewAccounts, 1))
+	s, err := relayStack(ctx)
 	if err != nil {
 		return 0, err
 	}
--- a/lab/bench/slopes/slopes.go
+++ b/lab/bench/slopes/slopes.go
@@ -50,6 +50,7 @@
 		backendExperiments(),
 		journalExperiments(),
 		siteExperiments(),
+		placementExperiments(),
 		relayExperiments(),
 		fleetExperiments(),
 	)
--- a/lab/bench/slopes/stack.go
+++ b/lab/bench/slopes/stack.go
@@ -186,9 +186,12 @@
 	return out
 }
 
-// ready waits until every daemon has the text and a member of each other zone.
+// startLimit bounds the wait for a stack to be ready.
+const startLimit = 30 * time.Second
+
+// ready waits until every daemon has the text.
 func (s *stack) ready(ctx context.Context) error {
-	deadline := time.Now().Add(30 * time.Second)
+	deadline := time.Now().Add(startLimit)
 	for _, n := range s.daemons {
 		for !readyz(ctx, n.callers.Addr().String()) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -37,6 +37,8 @@
 	}
 }
 
+const relayed = "answers relayed, their copies on another daemon included"
+
 // line is a slope of a + b*x without any error.
 func line(name string, a, b float64) *report.Slope {
 	s := &report.Slope{Name: name, X: report.Col("things", ""), Y: report.Col("cost", "µs")}
@@ -62,15 +64,16 @@
 
 func TestProductOfSizeAndSlope(t *testing.T) {
 	m := NewModel(Target(), map[string]*report.Slope{
-		slopeRelayToken: line(slopeRelayToken, 5, 10),
-		slopeRoute:      line(slopeRoute, 100, 1),
+		slopeRelay:    line(slopeRelay, 5, 10),
+		slopeKnown:    line(slopeKnown, 100, 0.1),
+		slopeDispatch: line(slopeDispatch, 1000, 2),
 	})
-	relay := find(t, m.Rows(), Entry, "tokens relayed, their copies included", Core)
-	test.InDelta(t, 3.3e6/390*10e-6, relay.Value(), 1e-9)
-	test.Eq(t, "8.462 % of a core", relay.Result())
-	route := find(t, m.Rows(), Entry, "choosing a backend server", Core)
-	test.InDelta(t, 8200.0/390*(100+1900)*1e-9, route.Value(), 1e-12)
-	test.StrContains(t, route.Work(), "at 1900 things (`route_cpu`)")
+	relay := find(t, m.Rows(), Entry, relayed, Core)
+	test.InDelta(t, 3.3e6/390*10e-6+8200.0/390*5e-6, relay.Value(), 1e-9)
+	test.Eq(t, "8.472 % of a core", relay.Result())
+	route := find(t, m.Rows(), Entry, "of these: dispatch, at the backend servers known", Core)
+	test.InDelta(t, 8200.0/390*(1000+2*290)*1e-9, route.Value(), 1e-12)
+	test.StrContains(t, route.Work(), "at 290 things (`flow_cpu_backends`)")
 }
 
 func TestUnmeasuredRowsClaimNothing(t *testing.T) {
@@ -86,7 +89,7 @@
 }
 
 func TestTotalSaysWhatIsMissing(t *testing.T) {
-	slopes := map[string]*report.Slope{slopeGossipCPU: line(slopeGossipCPU, 0, 100)}
+	slopes := map[string]*report.Slope{slopeQuietCPU: line(slopeQuietCPU, 0, 100)}
 	m := NewModel(Target(), slopes)
 	sum := find(t, m.Rows(), Entry, "control in all", Core)
 	test.InDelta(t, 0.039, sum.Value(), 1e-9)
@@ -94,19 +97,20 @@
 	test.StrContains(t, sum.Work(), "not measured")
 	test.True(t, sum.Within())
 
-	slopes[slopeGossipCPU] = line(slopeGossipCPU, 0, 200)
+	slopes[slopeQuietCPU] = line(slopeQuietCPU, 0, 200)
 	sum = find(t, m.Rows(), Entry, "control in all", Core)
 	test.False(t, sum.Within())
 	test.StrContains(t, sum.Status(), "1.8 times")
 }
 
 func TestErrorOfSlopeReachesTheRow(t *testing.T) {
-	s := line(slopeRelayToken, 0, 10)
+	s := line(slopeRelay, 0, 10)
 	s.Points[3].Y[0] += 8
 	must.NoError(t, s.Refit())
-	m := NewModel(Target(), map[string]*report.Slope{slopeRelayToken: s})
-	r := find(t, m.Rows(), Entry, "tokens relayed, their copies included", Core)
-	test.InDelta(t, s.Fit.SlopeError/s.Fit.Slope, r.Error()/r.Value(), 1e-9)
+	m := NewModel(Target(), map[string]*report.Slope{slopeRelay: s})
+	r := find(t, m.Rows(), Entry, relayed, Core)
+	answer := Target().TokensPerAnswer()
+	test.InDelta(t, s.Fit.SlopeError*answer/s.Fit.At(answer), r.Error()/r.Value(), 1e-9)
 	test.StrContains(t, r.Result(), "±")
 }
 
--- a/lab/capacity/constants.go
+++ b/lab/capacity/constants.go
@@ -3,26 +3,27 @@
 import (
 	"time"
 
+	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/lease"
+	"mallowwind.dev/control/reconcile"
+	"mallowwind.dev/control/settings"
 	"mallowwind.dev/control/site"
 )
 
-// Constants of the packages that the arithmetic needs.
-const (
-	statusPollsPerS = 2
-	vmListEvery     = time.Second
+// Constants of the packages that the arithmetic takes up.
+var (
+	limits    = site.DefaultLimits()
+	watching  = backends.DefaultConfig()
+	placing   = reconcile.DefaultConfig()
+	leasing   = lease.DefaultConfig()
+	drainTime = limits.EntriesTTL + settings.DefaultDrainLimit
 )
 
-var limits = site.DefaultLimits()
-
 const (
-	reconcileEvery  = 2 * time.Second
-	holderPollEvery = 5 * time.Second
-	slots           = 1024.0
+	// slots is the number of slots that idempotency keys hash to.
+	slots = 1024.0
+	// rosterReads is how often all daemons together read the roster, a second.
+	rosterReads = 4.0
 )
 
-func rosterEvery(s Size) time.Duration { return time.Duration(s.Daemons) * 250 * time.Millisecond }
-
-// drainTime is how long a leaving daemon serves on: callers keep its address
-// for limits.EntriesTTL, and generations that run for minutes end within the
-// longest drain that operators set.
-var drainTime = limits.EntriesTTL + 10*time.Minute
+func perSecond(every time.Duration) float64 { return 1 / every.Seconds() }
--- a/lab/capacity/failures.go
+++ b/lab/capacity/failures.go
@@ -50,7 +50,7 @@
 		row(Number, "copies lost with the dead and made anew by their owners", "`serve/journal`", dead, streams),
 		row(Bytes, "bytes to make the lost copies anew, all daemons together", "`serve/journal`", dead, streams, m.at(slopeAppendBytes, s.TokensPerAnswer()/2, 1)),
 		row(Core, "added load of a remaining daemon, relaying", "`serve/api`",
-			dead, remaining, given(s.TokensPerDaemon(), "tokens/s"), m.per(slopeRelayToken, micro)),
+			dead, remaining, given(s.TokensPerDaemon(), "tokens/s"), m.per(slopeRelay, micro)),
 		row(Number, "slots of keys that change owner or witness", "`control/roster`", dead, given(2*slots/daemons, "slots owned or witnessed")),
 		row(Number, "writes to the store", "`control/roster`", dead, m.per(slopeReplaceWrites, 1)),
 		row(Seconds, "until all know", "`control/membership`", m.at(slopeDetect, daemons, 1)),
--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -40,6 +40,7 @@
 	s := m.Size
 	const carrier = "`control/reconcile`, `decision/placement`"
 	replicas := s.ReplicasPerZone()
+	polls := given(placing.PollsPerSecond, "polls/s")
 	return []Row{
 		{
 			Role: Holder, Kind: State, What: "backend servers of the zone", Carrier: carrier,
@@ -47,11 +48,19 @@
 		},
 		{
 			Role: Holder, Kind: Processor, What: "comparing wanted and observed", Unit: Core, Carrier: carrier, Control: true,
-			Factors: []Factor{given(1/reconcileEvery.Seconds(), "rounds/s"), m.at(slopePlacement, replicas, micro)},
+			Factors: []Factor{given(perSecond(placing.Tick), "plans/s"), m.at(slopePlacement, replicas, micro)},
+		},
+		{
+			Role: Holder, Kind: Processor, What: "status polls of the zone, both ends", Unit: Core, Carrier: carrier, Control: true,
+			Factors: []Factor{polls, m.per(slopePollCPU, micro)},
 		},
 		{
 			Role: Holder, Kind: Messages, What: "status polls of the zone", Unit: BytesPerS, Carrier: carrier, Control: true,
-			Factors: []Factor{given(replicas/holderPollEvery.Seconds(), "polls/s"), m.per(slopePollBytes, 1)},
+			Factors: []Factor{polls, m.per(slopePollBytes, 1)},
+		},
+		{
+			Role: Holder, Kind: Messages, What: "renewals of the lease", Unit: PerS, Carrier: "`control/lease`",
+			Factors: []Factor{given(perSecond(leasing.Renew), "renewals/s")},
 		},
 	}
 }
@@ -113,11 +122,11 @@
 		},
 		{
 			Role: Binder, Kind: Messages, What: "reads of the roster of slots", Unit: BytesPerS, Carrier: "`control/roster`", Control: true,
-			Factors: []Factor{given(1/rosterEvery(s).Seconds(), "reads/s"), m.at(slopeRosterBytes, float64(s.Daemons), 1)},
+			Factors: []Factor{given(rosterReads/float64(s.Daemons), "reads/s"), m.at(slopeRosterBytes, float64(s.Daemons), 1)},
 		},
 		{
 			Role: Binder, Kind: Processor, What: "reads of the roster of slots", Unit: Core, Carrier: "`control/roster`", Control: true,
-			Factors: []Factor{given(1/rosterEvery(s).Seconds(), "reads/s"), m.at(slopeRosterCPU, float64(s.Daemons), micro)},
+			Factors: []Factor{given(rosterReads/float64(s.Daemons), "reads/s"), m.at(slopeRosterCPU, float64(s.Daemons), micro)},
 		},
 	}
 }
--- a/lab/capacity/platform.go
+++ b/lab/capacity/platform.go
@@ -49,11 +49,11 @@
 		},
 		{
 			Role: Backend, Kind: Messages, What: "status polls by daemons", Unit: PerS, Carrier: "`control/backends`",
-			Factors: []Factor{given(statusPollsPerS, "polls/s a daemon"), given(daemons/replicas, "daemons a backend server")},
+			Factors: []Factor{given(watching.PollsPerSecond, "polls/s a daemon"), given(daemons/replicas, "daemons a backend server")},
 		},
 		{
 			Role: Backend, Kind: Messages, What: "status polls by the zone's lease holder", Unit: PerS, Carrier: "`control/reconcile`",
-			Factors: []Factor{given(1/holderPollEvery.Seconds(), "polls/s")},
+			Factors: []Factor{given(placing.PollsPerSecond/s.ReplicasPerZone(), "polls/s")},
 		},
 		{
 			Role: Backend, Kind: Messages, What: "tokens sent", Unit: PerS, Carrier: "the engine",
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -2,39 +2,40 @@
 
 // Names of the slopes that rows use; lab/bench measures and records them.
 const (
-	slopeRelayToken    = "relay_cpu_per_token"
-	slopeRelayRequest  = "relay_cpu_per_request"
+	slopeRelay         = "relay_cpu"
+	slopeCallerBytes   = "caller_bytes"
 	slopeStreamMemory  = "stream_memory"
-	slopeRoute         = "route_cpu"
-	slopeAdmit         = "admit_cpu"
+	slopeDispatch      = "flow_cpu_backends"
+	slopeDispatchMany  = "flow_cpu_accounts"
+	slopeUpdate        = "flow_update_cpu"
 	slopeKnown         = "backends_known"
 	slopePollBytes     = "status_poll_bytes"
 	slopePollCPU       = "status_poll_cpu"
 	slopeListBytes     = "vm_list_bytes"
 	slopeListCPU       = "vm_list_cpu"
 	slopeBackendMemory = "backends_memory"
-	slopeGossipBytes   = "gossip_bytes"
-	slopeGossipCPU     = "gossip_cpu"
-	slopeMemberMemory  = "membership_memory"
+	slopeQuietCPU      = "quiet_cpu"
+	slopeQuietPeers    = "quiet_peer_bytes"
+	slopeQuietPlatform = "quiet_platform_bytes"
+	slopeQuietMemory   = "quiet_memory"
+	slopeStoreReads    = "store_reads"
+	slopeStoreWrites   = "store_writes"
 	slopeAppendCPU     = "journal_append_cpu"
 	slopeAppendBytes   = "journal_append_bytes"
 	slopeCopyMemory    = "journal_copy_memory"
 	slopeSiteText      = "site_text_bytes"
 	slopeSiteParse     = "site_parse_cpu"
 	slopeSiteMemory    = "site_memory"
-	slopeChangeBytes   = "in_force_bytes"
+	slopeChangeBytes   = "change_bytes"
+	slopeChangeWrites  = "change_writes"
 	slopeInForce       = "in_force_time"
 	slopePlacement     = "placement_cpu"
 	slopeRosterBytes   = "roster_bytes"
 	slopeRosterCPU     = "roster_cpu"
+	slopeReplaceWrites = "replacement_writes"
 	slopeBindBytes     = "bind_bytes"
 	slopeBindCPU       = "bind_cpu"
 	slopeBindMemory    = "bind_memory"
-	slopeStoreReads    = "store_reads"
-	slopeStoreWrites   = "store_writes"
-	slopeChangeWrites  = "change_writes"
-	slopeReplaceWrites = "replacement_writes"
-	slopeCallerBytes   = "caller_bytes"
 	slopeDetect        = "detection_time"
 )
 
@@ -63,87 +64,90 @@
 // entryData is what requests cost a daemon.
 func (m *Model) entryData() []Row {
 	s := m.Size
-	tokens := given(s.TokensPerDaemon(), "tokens/s")
 	requests := given(s.RequestsPerDaemon(), "requests/s")
+	streams := given(s.StreamsPerDaemon(), "streams")
+	known := m.at(slopeKnown, float64(s.Replicas), 1)
 	return []Row{
+		{Role: Entry, Kind: State, What: "answers being generated", Carrier: "`serve/generation`", Factors: []Factor{streams}},
+		{Role: Entry, Kind: State, What: "backend servers known", Carrier: "`control/backends`", Factors: []Factor{known}},
+		{Role: Entry, Kind: Messages, What: "requests taken", Unit: PerS, Carrier: "`serve/api`", Factors: []Factor{requests}},
 		{
-			Role: Entry, Kind: State, What: "answers being generated", Carrier: "`serve/generation`",
-			Factors: []Factor{given(s.StreamsPerDaemon(), "streams")},
-		},
-		{
-			Role: Entry, Kind: State, What: "backend servers known", Carrier: "`control/backends`",
-			Factors: []Factor{m.at(slopeKnown, float64(s.Replicas), 1)},
-		},
-		{
-			Role: Entry, Kind: Messages, What: "requests taken", Unit: PerS, Carrier: "`serve/api`",
-			Factors: []Factor{requests},
-		},
-		{
-			Role: Entry, Kind: Messages, What: "tokens read from engines and written to callers", Unit: PerS, Carrier: "`serve/generation`, `serve/api`",
-			Factors: []Factor{tokens},
+			Role: Entry, Kind: Messages, What: "tokens read from engines and written to callers", Unit: PerS,
+			Carrier: "`serve/generation`, `serve/api`", Factors: []Factor{given(s.TokensPerDaemon(), "tokens/s")},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "tokens relayed, their copies included", Unit: Core, Carrier: "`serve/generation`, `serve/api`",
-			Factors: []Factor{tokens, m.per(slopeRelayToken, micro)},
+			Role: Entry, Kind: Messages, What: "bytes written to callers", Unit: BytesPerS,
+			Carrier: "`serve/api`", Factors: []Factor{requests, m.at(slopeCallerBytes, s.TokensPerAnswer(), 1)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "requests begun and ended", Unit: Core, Carrier: "`serve/api`, `serve/flow`",
-			Factors: []Factor{requests, m.per(slopeRelayRequest, micro)},
+			Role: Entry, Kind: Processor, What: "answers relayed, their copies on another daemon included", Unit: Core,
+			Carrier: "`serve/generation`, `serve/api`, `serve/journal`",
+			Factors: []Factor{requests, m.at(slopeRelay, s.TokensPerAnswer(), micro)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "choosing a backend server", Unit: Core, Carrier: "`decision/route`",
-			Factors: []Factor{requests, m.at(slopeRoute, float64(s.Replicas), nano)},
+			Role: Entry, Kind: Processor, What: "of these: dispatch, at the backend servers known", Unit: Core, Carrier: "`serve/flow`, `decision/route`",
+			Factors: []Factor{requests, m.at(slopeDispatch, known.Raw, nano)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "admission, every account waiting", Unit: Core, Carrier: "`decision/admit`",
-			Factors: []Factor{requests, m.at(slopeAdmit, float64(s.Accounts), nano)},
+			Role: Entry, Kind: Processor, What: "of these: dispatch, at all accounts", Unit: Core, Carrier: "`serve/flow`, `decision/admit`",
+			Factors: []Factor{requests, m.at(slopeDispatchMany, float64(s.Accounts), nano)},
 		},
 		{
 			Role: Entry, Kind: Memory, What: "answers being generated", Unit: Bytes, Carrier: "`serve/generation`, `serve/api`",
-			Factors: []Factor{given(s.StreamsPerDaemon(), "streams"), m.per(slopeStreamMemory, kilo)},
+			Factors: []Factor{streams, m.per(slopeStreamMemory, kilo)},
 		},
 	}
 }
 
-// entryControl is what a daemon spends to know the others.
+// entryControl is what a daemon spends to know the others. Whole daemons
+// without requests were measured; the rows named "of these" are parts of that,
+// measured alone.
 func (m *Model) entryControl() []Row {
 	s := m.Size
-	vms := float64(s.Daemons + s.Replicas)
-	daemons := float64(s.Daemons)
-	polls := given(statusPollsPerS, "polls/s")
-	reads := given(1/vmListEvery.Seconds(), "reads/s")
-	const backends, members = "`control/backends`", "`control/membership`, `decision/gossip`"
+	vms, daemons := float64(s.Daemons+s.Replicas), float64(s.Daemons)
+	known := m.at(slopeKnown, float64(s.Replicas), 1)
+	polls := given(watching.PollsPerSecond, "polls/s")
+	reads := given(perSecond(watching.ListEvery), "reads/s")
+	const backends, all = "`control/backends`", "`control/membership`, `control/inforce`, `control/backends`, `control/lease`"
 	return []Row{
 		{
-			Role: Entry, Kind: Messages, What: "status polls of backend servers", Unit: BytesPerS, Carrier: backends, Control: true,
-			Factors: []Factor{polls, m.per(slopePollBytes, 1)},
+			Role: Entry, Kind: Messages, What: "between daemons", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`", Control: true,
+			Factors: []Factor{m.at(slopeQuietPeers, daemons, 1)},
+		},
+		{
+			Role: Entry, Kind: Messages, What: "of the store and the VM list", Unit: BytesPerS, Carrier: all, Control: true,
+			Factors: []Factor{m.at(slopeQuietPlatform, daemons, 1)},
 		},
 		{
-			Role: Entry, Kind: Messages, What: "reads of the VM list", Unit: BytesPerS, Carrier: backends, Control: true,
+			Role: Entry, Kind: Messages, What: "of these: the VM list, read whole", Unit: BytesPerS, Carrier: backends,
 			Factors: []Factor{reads, m.at(slopeListBytes, vms, 1)},
 		},
 		{
-			Role: Entry, Kind: Messages, What: "exchanges between daemons", Unit: BytesPerS, Carrier: members, Control: true,
-			Factors: []Factor{m.at(slopeGossipBytes, daemons, 1)},
+			Role: Entry, Kind: Messages, What: "status polls of backend servers", Unit: BytesPerS, Carrier: backends, Control: true,
+			Factors: []Factor{polls, m.per(slopePollBytes, 1)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "status polls of backend servers", Unit: Core, Carrier: backends, Control: true,
-			Factors: []Factor{polls, m.per(slopePollCPU, micro)},
+			Role: Entry, Kind: Processor, What: "a daemon without requests", Unit: Core, Carrier: all, Control: true,
+			Factors: []Factor{m.at(slopeQuietCPU, daemons, micro)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "reads of the VM list", Unit: Core, Carrier: backends, Control: true,
+			Role: Entry, Kind: Processor, What: "of these: the VM list", Unit: Core, Carrier: backends,
 			Factors: []Factor{reads, m.at(slopeListCPU, vms, micro)},
 		},
 		{
-			Role: Entry, Kind: Processor, What: "exchanges between daemons", Unit: Core, Carrier: members, Control: true,
-			Factors: []Factor{m.at(slopeGossipCPU, daemons, micro)},
+			Role: Entry, Kind: Processor, What: "of these: status polls, both ends", Unit: Core, Carrier: backends,
+			Factors: []Factor{polls, m.per(slopePollCPU, micro)},
+		},
+		{
+			Role: Entry, Kind: Processor, What: "of these: taking in the backend servers' reports", Unit: Core, Carrier: "`serve/flow`",
+			Factors: []Factor{polls, m.at(slopeUpdate, known.Raw, micro)},
 		},
 		{
-			Role: Entry, Kind: Memory, What: "members", Unit: Bytes, Carrier: members, Control: true,
-			Factors: []Factor{m.at(slopeMemberMemory, daemons, kilo)},
+			Role: Entry, Kind: Memory, What: "a daemon without requests", Unit: Bytes, Carrier: all, Control: true,
+			Factors: []Factor{m.at(slopeQuietMemory, daemons, kilo)},
 		},
 		{
-			Role: Entry, Kind: Memory, What: "backend servers known and the VM list", Unit: Bytes, Carrier: backends, Control: true,
+			Role: Entry, Kind: Memory, What: "of these: backend servers known and the VM list", Unit: Bytes, Carrier: backends,
 			Factors: []Factor{m.at(slopeBackendMemory, vms, kilo)},
 		},
 	}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -103,7 +103,7 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
 		Log: d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
