peer/link: keep a connection for each running generation

Change: 64 kept connections a peer. The stack of the slopes now has one engine a backend server, since reconciling one shared by many unloads models.

--- a/lab/bench/slopes/fleetcost.go
+++ b/lab/bench/slopes/fleetcost.go
@@ -39,7 +39,7 @@
 
 func quietFleet(ctx context.Context, n int, _ *rand.Rand) ([]float64, error) {
 	before := liveHeap()
-	s, err := newStack(ctx, n, relayEngines, int(replicasPerDaemon*float64(n)), siteText(fewAccounts, 1))
+	s, err := newStack(ctx, n, int(replicasPerDaemon*float64(n)))
 	if err != nil {
 		return nil, err
 	}
--- a/lab/bench/slopes/relay.go
+++ b/lab/bench/slopes/relay.go
@@ -20,9 +20,6 @@
 
 const (
 	relayDaemons = 2 // in two zones, so that each copies to the other
-	relayEngines = 4
-	// relayStreams fill the engines so that each stream gets a token about
-	// every 30 ms, as at the size to come.
 	relayStreams = 128
 )
 
@@ -147,7 +144,7 @@
 // relayStack returns a stack whose daemons have each given an answer of each
 // model, so that all backend servers are known to be ready.
 func relayStack(ctx context.Context) (*stack, error) {
-	s, err := newStack(ctx, relayDaemons, relayEngines, models*zones, siteText(fewAccounts, 1))
+	s, err := newStack(ctx, relayDaemons, models*zones)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/bench/slopes/site.go
+++ b/lab/bench/slopes/site.go
@@ -8,6 +8,7 @@
 
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/lab/report"
+	"mallowwind.dev/platform/vmlist"
 )
 
 // siteName is the name of the site in the texts of this package.
@@ -27,7 +28,7 @@
 }
 
 func siteCost(_ context.Context, n int, _ *rand.Rand) ([]float64, error) {
-	text := siteText(n, 18)
+	text := siteText(n, fleet(0, 1900))
 	ns, err := cpuPerCall(func() error {
 		_, err := site.Parse(siteName, []byte(text))
 		return err
@@ -39,9 +40,14 @@
 	return []float64{float64(len(text)), ns / 1000, heap / 1000}, err
 }
 
-// siteText returns a text with one service and pool a model, replicas in each
-// zone and n accounts, whose tokens are their names.
-func siteText(accounts, replicas int) string {
+// siteText returns a text with one service and pool a model, as many replicas
+// in each zone as vms has backend servers, and accounts whose tokens are their
+// names.
+func siteText(accounts int, vms []vmlist.VM) string {
+	replicas := make(map[[2]string]int)
+	for _, vm := range vms {
+		replicas[[2]string{vm.Pool, vm.Zone}]++
+	}
 	var b strings.Builder
 	names := make([]string, zones)
 	for i := range names {
@@ -53,7 +59,7 @@
 		fmt.Fprintf(&b, "\n[pool %s]\nslots = 64\n\n[service %s]\nkind = generation\npool = %s\nmodel = %s\nclass = long\ndeadline = 2m\n",
 			name, name, name, name)
 		for _, zone := range names {
-			fmt.Fprintf(&b, "replicas.%s = %d\n", zone, replicas)
+			fmt.Fprintf(&b, "replicas.%s = %d\n", zone, replicas[[2]string{name, zone}])
 		}
 	}
 	for i := range accounts {
--- a/lab/bench/slopes/slopes_test.go
+++ b/lab/bench/slopes/slopes_test.go
@@ -49,7 +49,7 @@
 }
 
 func TestTextAndFleetAreValid(t *testing.T) {
-	s, err := site.Parse(siteName, []byte(siteText(20, 2)))
+	s, err := site.Parse(siteName, []byte(siteText(20, fleet(0, models*zones))))
 	must.NoError(t, err)
 	test.MapLen(t, 20, s.Accounts)
 	pools := make(map[string]map[string]int)
--- a/lab/bench/slopes/stack.go
+++ b/lab/bench/slopes/stack.go
@@ -54,15 +54,14 @@
 	peers   *counter
 }
 
-// newStack starts n daemons in different zones before replicas backend servers,
-// which share as many stand-in engines. Text is in force at all when it returns.
-func newStack(ctx context.Context, n, engines, replicas int, text string) (*stack, error) {
-	s := &stack{store: store.NewFaulty(store.NewMemory()), stop: func() error { return nil }}
-	s.startEngines(engines)
-	if err := s.listen(n, replicas); err != nil {
+// newStack starts n daemons and as many stand-in engines as there are replicas.
+// A text that wants just these is in force at all daemons when it returns.
+func newStack(ctx context.Context, n, replicas int) (*stack, error) {
+	s := &stack{store: store.NewFaulty(store.NewMemory()), vms: fleet(n, replicas), stop: func() error { return nil }}
+	if err := s.listen(); err != nil {
 		return nil, err
 	}
-	if err := accept(ctx, s.store, 1, text); err != nil {
+	if err := accept(ctx, s.store, 1, siteText(fewAccounts, s.vms)); err != nil {
 		return nil, err
 	}
 	run, cancel := context.WithCancel(ctx)
@@ -94,28 +93,26 @@
 	return err
 }
 
-// startEngines starts stand-ins at the pace of the defaults: a token each 12 ms
-// alone and each 28 ms at a full batch of 32.
-func (s *stack) startEngines(n int) {
-	var refs []engine.ModelRef
-	for i := range models {
-		refs = append(refs, engine.ModelRef{Model: modelOf(i)})
-	}
-	for i := range n {
-		sim := enginesim.New(enginesim.Config{
-			Name: fmt.Sprintf("engine-%d", i), Seed: uint64(i), Models: refs, MaxModels: models, Slots: 64,
-		})
-		s.engines = append(s.engines, httptest.NewServer(enginesim.Handler(sim)))
-	}
+// pace is the time between two tokens of a stream at the size to come.
+const pace = 30 * time.Millisecond
+
+// startEngine starts a stand-in that holds the model of vm's pool.
+func (s *stack) startEngine(vm *vmlist.VM) {
+	sim := enginesim.New(enginesim.Config{
+		Name: vm.ID, Models: []engine.ModelRef{{Model: vm.Pool}}, Slots: 64,
+		StepBase: pace, StepPerRequest: time.Nanosecond,
+	})
+	server := httptest.NewServer(enginesim.Handler(sim))
+	s.engines = append(s.engines, server)
+	vm.Address = server.Listener.Addr().String()
 }
 
-// listen opens the daemons' addresses and lists all VMs.
-func (s *stack) listen(n, replicas int) error {
-	s.vms = fleet(n, replicas)
+// listen starts the engines and opens the daemons' addresses.
+func (s *stack) listen() error {
 	for i := range s.vms {
 		vm := &s.vms[i]
 		if vm.Role == vmlist.RoleBackend {
-			vm.Address = s.engines[i%len(s.engines)].Listener.Addr().String()
+			s.startEngine(vm)
 			continue
 		}
 		callers, err := net.Listen("tcp", "127.0.0.1:0")
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -12,8 +12,11 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 90 * time.Second
-	// idlePerPeer bounds kept connections to one peer; a daemon talks to few.
-	idlePerPeer = 4
+	// idlePerPeer bounds kept connections to one peer. Each running generation
+	// has one write of its copy under way to its holder, and with few daemons
+	// many share a holder; below that number connections are opened and closed
+	// for nearly every token.
+	idlePerPeer = 64
 )
 
 // Dialer holds what calls between daemons share. It is safe for concurrent use.
