--- /dev/null
+++ b/lab/bench/slopes/stack.go
@@ -0,0 +1,229 @@
+package slopes
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"mallowwind.dev/control/inforce/record"
+	"mallowwind.dev/control/settings"
+	"mallowwind.dev/peer/link"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/standin/enginesim"
+	"mallowwind.dev/platform/standin/storesim"
+	"mallowwind.dev/platform/standin/weightsim"
+	"mallowwind.dev/platform/store"
+	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/serve/daemon"
+)
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// stack is a platform of stand-ins and daemons before it, all in this process
+// and joined by loopback.
+type stack struct {
+	store    *store.Faulty // counts calls
+	vms      []vmlist.VM
+	engines  []*httptest.Server
+	servers  []*httptest.Server // of the platform
+	control  []*counter         // their bytes
+	platform settings.Settings  // where they are
+	daemons  []*node
+
+	stop func() error
+}
+
+// node is one daemon with its listeners.
+type node struct {
+	vm      string
+	callers net.Listener
+	peers   *counter
+	daemon  *daemon.Daemon
+}
+
+// newStack starts n daemons and as many stand-in engines as there are replicas.
+// A text that wants just these is in force at all daemons when it returns.
+func newStack(ctx context.Context, n, replicas int) (*stack, error) {
+	s := &stack{store: store.NewFaulty(store.NewMemory()), vms: fleet(n, replicas), stop: func() error { return nil }}
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.startPlatform()
+	if err := accept(ctx, s.store, 1, siteText(fewAccounts, s.vms)); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	hard, cut := context.WithCancel(context.Background())
+	var g errgroup.Group
+	for _, node := range s.daemons {
+		d, err := s.daemon(node)
+		if err != nil {
+			cancel()
+			cut()
+			return nil, err
+		}
+		node.daemon = d
+		g.Go(func() error { return d.Run(run, hard) })
+	}
+	s.stop = func() error {
+		cut() // nothing to drain: measurements end their own work
+		cancel()
+		return g.Wait()
+	}
+	return s, s.ready(ctx)
+}
+
+func (s *stack) close() error {
+	err := s.stop()
+	for _, server := range append(s.engines, s.servers...) {
+		server.CloseClientConnections()
+		server.Close()
+	}
+	return err
+}
+
+// pace is the time between two tokens of a stream at the size to come.
+const pace = 30 * time.Millisecond
+
+// startEngine starts a stand-in that holds the model of vm's pool.
+func (s *stack) startEngine(vm *vmlist.VM) {
+	sim := enginesim.New(enginesim.Config{
+		Name: vm.ID, Models: []engine.ModelRef{{Model: vm.Pool}}, Slots: 64,
+		StepBase: pace, StepPerRequest: time.Nanosecond,
+	})
+	server := httptest.NewServer(enginesim.Handler(sim))
+	s.engines = append(s.engines, server)
+	vm.Address = server.Listener.Addr().String()
+}
+
+// listen starts the engines and opens the daemons' addresses.
+func (s *stack) listen() error {
+	for i := range s.vms {
+		vm := &s.vms[i]
+		if vm.Role == vmlist.RoleBackend {
+			s.startEngine(vm)
+			continue
+		}
+		callers, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		peers, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		vm.Address = peers.Addr().String()
+		s.daemons = append(s.daemons, &node{vm: vm.ID, callers: callers, peers: &counter{Listener: peers}})
+	}
+	return nil
+}
+
+// platformServer serves h to the daemons and counts its bytes as control.
+func (s *stack) platformServer(h http.Handler) string {
+	server, c := serve(h)
+	s.servers = append(s.servers, server)
+	s.control = append(s.control, c)
+	return server.URL
+}
+
+// startPlatform serves the store, the VM list and the weight store.
+func (s *stack) startPlatform() {
+	list := vmlist.NewMemory(0)
+	for _, vm := range s.vms {
+		list.Put(vm)
+	}
+	s.platform = settings.Settings{
+		Store:   []string{s.platformServer(storesim.Handler(s.store))},
+		VMList:  s.platformServer(vmlist.Handler(list)),
+		Weights: s.platformServer(weightsim.Handler(weightsim.New(1, time.Second))),
+	}
+}
+
+func (s *stack) daemon(n *node) (*daemon.Daemon, error) {
+	set := s.settings(n)
+	platform, err := daemon.Connect(set)
+	if err != nil {
+		return nil, err
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return daemon.New(daemon.Options{
+		Settings: set, Platform: platform,
+		Listeners: daemon.Listeners{Callers: n.callers, Peers: n.peers},
+		Dialer:    link.NewDialer(nil), Logger: logger, Version: siteName,
+	}), nil
+}
+
+func (s *stack) settings(n *node) *settings.Settings {
+	out := s.platform
+	out.Site, out.VM, out.DrainLimit = siteName, n.vm, time.Second
+	for _, vm := range s.vms {
+		if vm.ID == n.vm {
+			out.Zone, out.Region = vm.Zone, vm.Region
+		}
+	}
+	return &out
+}
+
+// startLimit bounds the wait for a stack to be ready.
+const startLimit = 30 * time.Second
+
+// ready waits until every daemon has the text.
+func (s *stack) ready(ctx context.Context) error {
+	deadline := time.Now().Add(startLimit)
+	for _, n := range s.daemons {
+		for !readyz(ctx, n.callers.Addr().String()) {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				return errors.Errorf("%s is not ready", n.vm)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func readyz(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// accept writes text to the store as the given revision, as an operator's
+// command does.
+func accept(ctx context.Context, s store.Store, revision int64, text string) error {
+	keys := record.KeysOf(siteName)
+	r := &record.Record{
+		ID: fmt.Sprintf("change-%d", revision), Revision: revision, Previous: revision - 1,
+		SHA256: record.Hash(text), Who: siteName, When: time.Now(),
+	}
+	if _, err := s.CompareAndSwap(ctx, keys.Body(r.ID), 0, []byte(text), 0); err != nil {
+		return errors.Wrap(err, "body")
+	}
+	var version int64
+	if kv, err := s.Get(ctx, keys.Text()); err == nil {
+		version = kv.Version
+	}
+	_, err := s.CompareAndSwap(ctx, keys.Text(), version, r.Encode(), 0)
+	return errors.Wrap(err, "record")
+}
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -91,7 +91,7 @@
 	}
 	b.Write(t.Markdown())
 	for _, r := range rows {
-		if r.Beyond != "" {
+		if r.Beyond != "" && !r.Within() {
 			fmt.Fprintf(b, "\n**%s, %s.** %s\n", r.Role, r.What, r.Beyond)
 		}
 	}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -20,8 +20,10 @@
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/reconcile"
+	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/control/tlsfiles"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/engine"
@@ -32,6 +34,7 @@
 	"mallowwind.dev/serve/api"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/serve/once"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -58,6 +61,8 @@
 	Dialer    *link.Dialer
 	Logger    *logrus.Logger
 	Version   string
+	// TLS keeps the certificates current; nil means plain TCP.
+	TLS *tlsfiles.Files
 	// Backends overrides how backend servers are watched; nil means the default.
 	Backends *backends.Config
 }
@@ -70,6 +75,7 @@
 	inforce     *inforce.Manager
 	members     *membership.Manager
 	backends    *backends.Manager
+	roster      *roster.Manager
 	lease       *lease.Manager
 	reconcile   *reconcile.Manager
 	flow        *flow.Manager
@@ -103,8 +109,9 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
-		Log: d.log, Registerer: d.registry, Config: bc,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
+		Log:   d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
 		Self: membership.Member{
@@ -117,10 +124,14 @@
 		},
 		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
 	})
+	d.backends.OnNews(d.members.ShareVM)
+	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
 	})
+	d.backends.OnNews(d.members.ShareVM)
+	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.members.OnDigest(func(from membership.Member, name string, version uint64) {
 		if name == configDigest {
 			d.inforce.Learn(from.ID, version)
@@ -146,6 +157,7 @@
 // it holds the lease, give the zone's engines their orders.
 func (d *Daemon) assemblePlacement() {
 	s, p := d.opts.Settings, d.opts.Platform
+	d.roster = roster.NewManager(p.Store, d.members, d.log)
 	d.lease = lease.NewManager(lease.Deps{
 		Store: p.Store, Members: d.members, Log: d.log, Registerer: d.registry,
 	})
@@ -166,7 +178,11 @@
 		Site: d.inforce, Members: d.members, Flow: d.flow, Dialer: d.opts.Dialer,
 		Log: d.log, Metrics: d.registry,
 	})
-	d.calls = newCalls(d)
+	d.calls = &calls{log: d.log, service: once.NewService(once.Deps{
+		Members: d.members, Roster: d.roster, Site: d.inforce, Flow: d.flow,
+		Caller: d.opts.Platform.Plain, Dialer: d.opts.Dialer, Log: d.log,
+		Registry: d.registry, VMs: d.backends,
+	})}
 	d.drain = &drainer{d: d}
 	d.api = api.New(api.Config{
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
@@ -180,6 +196,17 @@
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
 
+// Knows reports whether this daemon sees n entry VMs alive, itself included.
+func (d *Daemon) Knows(n int) bool {
+	alive := 0
+	for _, m := range d.members.Current().Members {
+		if m.State == membership.Alive && m.Caller != "" {
+			alive++
+		}
+	}
+	return alive >= n
+}
+
 // ready reports whether callers should be sent here.
 func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
 
@@ -213,10 +240,14 @@
 
 // loops are the parts that run until the daemon ends.
 func (d *Daemon) loops() []func(context.Context) error {
-	return []func(context.Context) error{
+	parts := []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
-		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.calls.Run,
+		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
+	}
+	if d.opts.TLS != nil {
+		parts = append(parts, d.opts.TLS.Run)
 	}
+	return parts
 }
 
 func ignoreCancelled(err error) error {
@@ -251,6 +282,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(d.generations.Handler())
 	mux.Handle(d.inforce.Handler())
+	mux.Handle(d.calls.service.Handler())
 	members := peerpb.NewMembershipServer(d.members)
 	mux.Handle(members.PathPrefix(), members)
 	return mux
