--- /dev/null
+++ b/decision/budget/budget_test.go
@@ -0,0 +1,45 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// All engines stall at once and every stream looks dead.
+// Each would be started a second time, which doubles the load of the stall.
+// The budget must stop at its share of the useful tokens.
+func TestStormOfTakeoversStopsAtTheShare(t *testing.T) {
+	var b Budget
+	now := epoch
+	for range 600 {
+		now = now.Add(100 * time.Millisecond)
+		b.Earn(now, 1000) // 10,000 tokens a second
+	}
+	spent := 0.0
+	for b.Spend(now, Expense{Tokens: 500}) == Granted {
+		spent += 500
+	}
+	test.Between(t, 0.05*600*1000, spent, DefaultShare*600*1000+floorTokens)
+	test.Eq(t, Exhausted, b.Spend(now, Expense{Tokens: 500}))
+	test.Between(t, 0, b.Wait(500), time.Second)
+}
+
+func TestNoRetryAgainstAQueue(t *testing.T) {
+	var b Budget
+	test.Eq(t, Saturated, b.Spend(epoch, Expense{Tokens: 1, Saturated: true}))
+	test.Eq(t, Granted, b.Spend(epoch, Expense{Tokens: 1}))
+}
+
+func TestForcedContinuationIsPaidByLaterOnes(t *testing.T) {
+	var b Budget
+	must.Eq(t, Forced, b.Spend(epoch, Expense{Tokens: 7000, Forced: true, Saturated: true}))
+	test.Negative(t, b.Balance())
+	test.Eq(t, Exhausted, b.Spend(epoch, Expense{Tokens: 1}))
+	wait := b.Wait(1000)
+	test.Eq(t, Granted, b.Spend(epoch.Add(wait+time.Second), Expense{Tokens: 1000}))
+}
--- /dev/null
+++ b/decision/entries/entries_test.go
@@ -0,0 +1,102 @@
+package entries
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func vms(n, zones int) []VM {
+	out := make([]VM, n)
+	for i := range out {
+		id := fmt.Sprintf("e%d", i)
+		out[i] = VM{ID: id, Hash: xxhash.Sum64String(id), Zone: fmt.Sprint(i % zones), Usable: true}
+	}
+	return out
+}
+
+func TestSmallFleetIsToldWholeInTurn(t *testing.T) {
+	fleet := vms(7, 3)
+	first := map[int]int{}
+	for turn := range uint64(70) {
+		a := Answers(fleet, Query{Part: 0.1, Turn: turn})
+		must.SliceLen(t, 7, a.VMs)
+		must.Eq(t, ReasonAll, a.Reason)
+		first[a.VMs[0]]++
+	}
+	for i := range fleet {
+		test.Eq(t, 10, first[i])
+	}
+}
+
+// Callers keep connecting to a VM that is about to stop.
+// It leaves the answers as soon as it is leaving, in every account's answer.
+func TestLeavingVMVanishesAtOnce(t *testing.T) {
+	fleet := vms(40, 5)
+	fleet[3].Usable = false
+	for part := range 20 {
+		a := Answers(fleet, Query{Part: 0.05, Before: 0.05 * float64(part)})
+		test.SliceNotContains(t, a.VMs, 3)
+	}
+	must.Eq(t, ReasonNone, Answers(nil, Query{}).Reason)
+}
+
+func TestEveryAnswerSpansTheZones(t *testing.T) {
+	fleet := vms(390, 7)
+	for k := range 100 {
+		zones := map[string]bool{}
+		for _, i := range Answers(fleet, Query{Part: 0.001, Before: float64(k) / 100}).VMs {
+			zones[fleet[i].Zone] = true
+		}
+		test.MapLen(t, 7, zones)
+	}
+}
+
+// A few accounts bring most of the load; one VM carries twice its share.
+// Windows that follow each other's parts must load the VMs evenly.
+func TestLargeAccountsLoadTheVMsEvenly(t *testing.T) {
+	fleet := vms(390, 7)
+	var shares []Share
+	for k := range 810 {
+		name := fmt.Sprintf("a%d", k)
+		shares = append(shares, Share{Name: name, Hash: xxhash.Sum64String(name), Weight: 1 / float64(k+1)})
+	}
+	load := make([]float64, len(fleet))
+	for _, s := range shares {
+		part, before := Position(shares, s.Name)
+		a := Answers(fleet, Query{Part: part, Before: before})
+		for _, i := range a.VMs {
+			load[i] += part / float64(len(a.VMs))
+		}
+	}
+	for _, x := range load {
+		test.Between(t, 0.6, x*390, 1.4)
+	}
+}
+
+func TestAnswerShrinksOnlyWhenTheLoadClearlyDid(t *testing.T) {
+	fleet := vms(390, 7)
+	told := len(Answers(fleet, Query{Part: 0.02}).VMs)
+	a := Answers(fleet, Query{Part: 0.018, Told: told})
+	test.Eq(t, ReasonKept, a.Reason)
+	test.SliceLen(t, told, a.VMs)
+	test.Less(t, told, len(Answers(fleet, Query{Part: 0.005, Told: told}).VMs))
+}
+
+func TestMemberAndTTL(t *testing.T) {
+	fleet := vms(40, 5)
+	q := Query{Part: 0.001}
+	inside := Answers(fleet, q).VMs[0]
+	told, member := Default.Member(fleet, q, inside)
+	test.Eq(t, Default.Least, told)
+	test.True(t, member)
+	_, member = Default.Member(fleet, q, -1)
+	test.False(t, member)
+	test.Eq(t, MaxTTL, TTL(time.Hour))
+	test.Eq(t, time.Second, TTL(0))
+}
