admit: long work counts on what normal arrivals leave; bench load counts late refusals

Cause: a request refused after a long wait was given up late; the report did not show how many. Change: column refused late (after more than a tenth of the patience); the slots that long work counts on are what urgent and normal arrivals leave, not less than the floor.

--- a/decision/admit/drain.go
+++ b/decision/admit/drain.go
@@ -125,11 +125,7 @@
 	case Normal:
 		return max(all-urgent-float64(q.running[Long]), all*longFloor)
 	case Long:
-		normal := q.reserve(now, Normal, slots)
-		if q.class[Normal].waiting > 0 {
-			normal = max(normal, float64(q.running[Normal]))
-		}
-		return max(all-min(urgent+normal, all*maxReserve), all*longFloor)
+		return max(all-urgent-q.drain.busy(now, Normal), all*longFloor)
 	}
 	return all
 }
--- a/lab/bench/load/meter.go
+++ b/lab/bench/load/meter.go
@@ -39,6 +39,7 @@
 // classMeter collects what the callers of one class get.
 type classMeter struct {
 	sent, answered, refused, timedOut int
+	late                              int                     // refused after more than a tenth of the caller's patience
 	whole, first, wait                *hdrhistogram.Histogram // wait ends with the first dispatch
 	refusal                           *hdrhistogram.Histogram // time until a refusal
 }
@@ -127,6 +128,9 @@
 	}
 	c := m.of(r)
 	c.refused++
+	if m.world.clock.now.Sub(r.sent) > r.kind.service.Deadline/10 {
+		c.late++
+	}
 	record(c.refusal, m.world.clock.now.Sub(r.sent)+m.world.deploy.client, 1)
 	record(m.after, after, 1)
 }
--- a/lab/bench/load/run.go
+++ b/lab/bench/load/run.go
@@ -26,6 +26,8 @@
 	Answered int `json:"answered"`
 	Refused  int `json:"refused"`
 	TimedOut int `json:"timed_out"`
+	// Late is how many of the refused waited more than a tenth of their patience.
+	Late int `json:"refused_late"`
 	// Whole is the time to the whole answer, First to the first token, Wait to
 	// the dispatch and Refusal to a refusal.
 	Whole   Quantiles `json:"whole"`
@@ -88,7 +90,7 @@
 	}
 	for class, cm := range m.class {
 		r.Classes[class] = ClassResult{
-			Sent: cm.sent, Answered: cm.answered, Refused: cm.refused, TimedOut: cm.timedOut,
+			Sent: cm.sent, Answered: cm.answered, Refused: cm.refused, TimedOut: cm.timedOut, Late: cm.late,
 			Whole: quantiles(cm.whole), First: quantiles(cm.first), Wait: quantiles(cm.wait),
 			Refusal: quantiles(cm.refusal),
 		}
--- a/lab/bench/load/show.go
+++ b/lab/bench/load/show.go
@@ -56,7 +56,7 @@
 func showClasses(r *report.Report, s scenario, results []Result) {
 	t := r.Table(s.Name+", by class",
 		report.Col("class", ""), report.Col("policy", ""), report.Col("sent", ""), report.Col("answered", "%"),
-		report.Col("refused", "%"), report.Col("timed out", "%"),
+		report.Col("refused", "%"), report.Col("refused late", "%"), report.Col("timed out", "%"),
 		report.Col("whole p50", "ms"), report.Col("whole p99", "ms"),
 		report.Col("first token p50", "ms"), report.Col("first token p95", "ms"), report.Col("first token p99", "ms"),
 		report.Col("wait p99", "ms"), report.Col("refusal p50", "ms"), report.Col("refusal p99", "ms"))
@@ -65,7 +65,7 @@
 			c := x.Classes[class]
 			part := func(n int) report.Cell { return report.Num(round(100 * float64(n) / float64(max(c.Sent, 1)))) }
 			t.Add(report.Text(string(class)), report.Text(string(x.Policy)), report.Count(c.Sent),
-				part(c.Answered), part(c.Refused), part(c.TimedOut),
+				part(c.Answered), part(c.Refused), part(c.Late), part(c.TimedOut),
 				report.Num(c.Whole.P50), report.Num(c.Whole.P99),
 				report.Num(c.First.P50), report.Num(c.First.P95), report.Num(c.First.P99),
 				report.Num(c.Wait.P99), report.Num(c.Refusal.P50), report.Num(c.Refusal.P99))
