silence: the wait for a first chunk grows with what must be read first

Cause: one threshold for short and long prompts suspects every long prefill or waits too long for short ones. Change: times to the first chunk are learned reduced to an empty prompt, and the threshold is scaled back up. Overslept tells a pause of this process from silence of its engines.

--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -108,15 +108,40 @@
 	return max(s, e)
 }
 
-// FirstThreshold returns how long an attempt may take to its first chunk, given
-// the first-chunk times seen at its engine (nil where none are kept).
-func FirstThreshold(c Config, engine *Gaps) time.Duration {
-	if engine == nil {
-		return c.FirstCeiling
+// prefillUnit is how many tokens of prompt and prefix double the time to the
+// first chunk that is taken to be normal: an engine that reads some 10,000
+// tokens a second beside its batch needs 400 ms for as many.
+const prefillUnit = 4000
+
+// prefillScale is how much longer than for an empty prompt the first chunk may take.
+func prefillScale(tokens int) float64 { return 1 + float64(tokens)/prefillUnit }
+
+// PerPrompt reduces the time to a first chunk to that of an empty prompt, so
+// that the times of long and short prompts can be learned together.
+func PerPrompt(wait time.Duration, tokens int) time.Duration {
+	return time.Duration(float64(wait) / prefillScale(tokens))
+}
+
+// FirstThreshold returns how long an attempt over tokens of prompt and prefix
+// may take to its first chunk, given the times seen at its engine, each reduced
+// by PerPrompt (nil where none are kept).
+func FirstThreshold(c Config, engine *Gaps, tokens int) time.Duration {
+	limit := c.FirstCeiling
+	if engine != nil {
+		limit = engine.limit(c.FirstFloor, c.FirstCeiling, c.Deviations)
 	}
-	return engine.limit(c.FirstFloor, c.FirstCeiling, c.Deviations)
+	return time.Duration(float64(limit) * prefillScale(tokens))
 }
 
+// overslept is how much later than asked for a timer may fire before the
+// process itself is taken to have been paused.
+const overslept = 150 * time.Millisecond
+
+// Overslept reports whether a process that meant to look at due and looks at
+// now was paused or starved itself. All streams seem silent to it then, while
+// their chunks wait in its own buffers; silence must be counted anew.
+func Overslept(due, now time.Time) bool { return !due.IsZero() && now.Sub(due) > overslept }
+
 // stallShare is the share of streams silent at once above which the cause is
 // taken to lie outside single engines: here, or in the network near here. A
 // loss that takes a third of the engines is the largest one zone can cause.
