generation, flow: one budget per service; re-attach before takeover; three may race

Causes, found by reading: (1) a takeover was charged twice, in the generation's own budget and in flow's, and flow charged the whole max_tokens, which a fresh daemon's balance never covered; (2) two silent attempts raced until the answer's deadline, with no third; (3) a connection that went silent cost a prefill elsewhere though its engine worked on; (4) an owner back from a pause cancelled its unread generation at the engine without asking whether it still owned it; (5) five quick refused connections failed an answer; (6) a caller moved between two continuations after a partition was told 'lost' although its own was there. Change: flow alone charges, the prefill only, by the service's weight; the leading attempt is read again on a fresh connection at half the threshold; the ownership is confirmed at the copy's holder before any cancel; only attempts an engine took count as fruitless; readers try every copy on their line. The loop is split by concern; invariants are asserted and end the answer visibly.

--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -1,5 +1,5 @@
 // Package budget decides whether a retry or a takeover is affordable. There is
-// one budget for both, counted in tokens.
+// one budget a service for both, counted in tokens.
 //
 // Load it answers: failures at saturation, and a stall of all engines at once.
 //
@@ -48,7 +48,7 @@
 	Saturated bool
 }
 
-// Budget is the balance of one daemon. The zero value has the default share
+// Budget is the balance of one service on one daemon. The zero value has the default share
 // and a full floor. It is not safe for concurrent use.
 type Budget struct {
 	balance float64
@@ -56,10 +56,31 @@
 	updated time.Time
 }
 
-// Earn credits useful tokens.
-func (b *Budget) Earn(now time.Time, tokens float64) {
+const (
+	// minTakeoverShare and maxTakeoverShare are the shares of generated tokens
+	// that takeovers of live attempts may cost at weight 0 and 1 of resume
+	// latency. A service that weighs cost stays well under one in a hundred.
+	minTakeoverShare, maxTakeoverShare = 0.005, 0.05
+	// prefillCost is what reading one token of prompt or prefix costs an engine
+	// beside generating one: prefill works on many tokens at once.
+	prefillCost = 0.1
+)
+
+// TakeoverShare is the share of a service's generated tokens that takeovers may
+// cost, by its weight of resume latency from 0 to 1.
+func TakeoverShare(weight float64) float64 {
+	weight = min(max(weight, 0), 1)
+	return minTakeoverShare + weight*(maxTakeoverShare-minTakeoverShare)
+}
+
+// TakeoverCost is the extra work, in generated tokens, of a takeover that makes
+// another engine read this many tokens of prompt and answer.
+func TakeoverCost(tokens int) float64 { return prefillCost * float64(tokens) }
+
+// Earn credits a share of useful tokens.
+func (b *Budget) Earn(now time.Time, tokens, share float64) {
 	b.advance(now)
-	earned := DefaultShare * tokens
+	earned := share * tokens
 	b.income += earned / window
 	b.balance = min(b.balance+earned, b.most())
 }
--- a/decision/resume/resume.go
+++ b/decision/resume/resume.go
@@ -8,8 +8,6 @@
 // suspected attempt, at most one at a time, and draw on a budget.
 package resume
 
-import "time"
-
 // Race admits tokens of competing attempts into one answer.
 //
 // Invariant: the accepted tokens are the prefix given to the attempt that
@@ -108,75 +106,3 @@
 	}
 	return out
 }
-
-// Action is what to do next about an answer.
-type Action uint8
-
-// The actions.
-const (
-	Wait    Action = iota // let the running attempts go on
-	Attempt               // start one more attempt
-	Fail                  // tell the caller that the answer stops here
-)
-
-// Reason explains an Action, for logs and metrics.
-type Reason string
-
-// The reasons.
-const (
-	ReasonHealthy   Reason = "healthy"
-	ReasonSuspected Reason = "suspected"
-	ReasonBroken    Reason = "broken"
-	ReasonStalled   Reason = "global_stall"
-	ReasonRacing    Reason = "already_racing"
-	ReasonBudget    Reason = "budget_spent"
-	ReasonExhausted Reason = "attempts_exhausted"
-	ReasonDeadline  Reason = "resume_deadline"
-)
-
-// Config bounds takeovers of one answer.
-type Config struct {
-	// MaxAttempts bounds attempts in a row that deliver nothing. Five covers
-	// two engine deaths and a rack switch in one resume.
-	MaxAttempts int
-	// Deadline bounds the time without any token before the answer fails. A
-	// service that may wait longer for its first token may also stop longer.
-	Deadline time.Duration
-}
-
-// DefaultConfig is used where a service says nothing else.
-var DefaultConfig = Config{MaxAttempts: 5, Deadline: 60 * time.Second}
-
-// View is what is known about an answer when a decision is due.
-type View struct {
-	Running     int           // attempts that may still win, those waiting for a backend server included
-	Silent      time.Duration // since the leader last delivered or was granted its engine
-	Stopped     time.Duration // since the last accepted token or, before it, since the start
-	Threshold   time.Duration // silence at which the leader is suspected
-	Fruitless   int           // attempts since the last accepted token that failed
-	GlobalStall bool
-	Affordable  bool // the takeover budget allows one more
-}
-
-// Decide chooses the next action.
-func Decide(c Config, v View) (Action, Reason) {
-	switch {
-	case v.Stopped >= c.Deadline:
-		return Fail, ReasonDeadline
-	case v.Running == 0 && v.Fruitless >= c.MaxAttempts:
-		return Fail, ReasonExhausted
-	case v.Running == 0:
-		// No budget here: the answer is owed and nothing else produces it.
-		return Attempt, ReasonBroken
-	case v.Silent < v.Threshold:
-		return Wait, ReasonHealthy
-	case v.Running > 1:
-		return Wait, ReasonRacing
-	case v.GlobalStall:
-		return Wait, ReasonStalled
-	case !v.Affordable:
-		return Wait, ReasonBudget
-	default:
-		return Attempt, ReasonSuspected
-	}
-}
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -28,7 +28,7 @@
 	groups   map[groupKey]*group
 	accounts map[string]*limit.Account
 	told     func(account string) (told int, member bool)
-	budget   budget.Budget
+	budgets  map[string]*budget.Budget // by service
 	nextEval time.Time
 }
 
@@ -92,6 +92,7 @@
 		servers:  map[string]*server{},
 		groups:   map[groupKey]*group{},
 		accounts: map[string]*limit.Account{},
+		budgets:  map[string]*budget.Budget{},
 	}
 }
 
@@ -191,17 +192,32 @@
 // certainly gone is always paid: its caller holds half an answer.
 func (c *Core) afford(now time.Time, w *Waiter) *verdict.Error {
 	waiting, _ := w.group.queue.Waiting()
-	why := c.budget.Spend(now, budget.Expense{
-		Tokens:    w.item.Cost,
+	cost := w.ask.Extra
+	if cost == 0 {
+		cost = w.item.Cost
+	}
+	b := c.budget(w.ask.Service.Name)
+	why := b.Spend(now, budget.Expense{
+		Tokens:    cost,
 		Forced:    w.ask.Resume && !w.ask.Speculative,
 		Saturated: waiting > 0,
 	})
-	c.observe.budget(w, why, c.budget.Balance())
+	c.observe.budget(w, why, b.Balance())
 	if why == budget.Granted || why == budget.Forced {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded,
-		"no room for repeated work: %s", why).After(c.budget.Wait(w.item.Cost))
+		"no room for repeated work: %s", why).After(b.Wait(cost))
+}
+
+// budget returns the balance of a service.
+func (c *Core) budget(service string) *budget.Budget {
+	b, ok := c.budgets[service]
+	if !ok {
+		b = &budget.Budget{}
+		c.budgets[service] = b
+	}
+	return b
 }
 
 // offer asks the queue, and lets the request wait for a model that is loading
@@ -229,7 +245,7 @@
 	}
 	s := w.group.servers[r.Index]
 	s.load.InFlight++
-	l := &Lease{core: c, group: w.group, server: s, item: &w.item, reason: r.Reason, started: now}
+	l := &Lease{core: c, group: w.group, server: s, item: &w.item, service: w.ask.Service, reason: r.Reason, started: now}
 	c.observe.dispatched(now, w, l)
 	w.sink.Granted(now, l)
 	return true
--- a/serve/flow/flow.go
+++ b/serve/flow/flow.go
@@ -28,6 +28,9 @@
 	// Speculative marks a continuation whose previous attempt may still be
 	// alive: it is extra work, and refused when the budget does not afford it.
 	Speculative bool
+	// Extra is the work, in generated tokens, that the budget is charged for a
+	// continuation: mostly the prefill. 0 means Cost.
+	Extra float64
 	// Exclude names backend servers not to be chosen, by VM id.
 	Exclude []string
 	// Prefer names a backend server to take if it is acceptable.
--- a/serve/flow/lease.go
+++ b/serve/flow/lease.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/route"
 )
@@ -15,6 +17,7 @@
 	group   *group
 	server  *server
 	item    *admit.Item
+	service *site.Service
 	reason  route.Reason
 	started time.Time
 	ended   bool
@@ -35,10 +38,18 @@
 	l.server.limit.Gap(per)
 	l.server.peer.Gap(per)
 	if l.item.Class != admit.Resumed {
-		l.core.budget.Earn(now, float64(n))
+		l.core.budget(l.service.Name).Earn(now, float64(n), l.share())
 	}
 }
 
+// share is the part of the tokens that pays for repeated work.
+func (l *Lease) share() float64 {
+	if l.server.backend.Engine == nil {
+		return budget.DefaultShare
+	}
+	return budget.TakeoverShare(l.service.LatencyWeight)
+}
+
 // Done ends the use. A second call has no effect, so that a slot is never
 // given back twice.
 func (l *Lease) Done(now time.Time, o Outcome) {
--- /dev/null
+++ b/serve/generation/accept.go
@@ -0,0 +1,177 @@
+package generation
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"mallowwind.dev/decision/resume"
+	"mallowwind.dev/decision/silence"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/serve/flow"
+	"mallowwind.dev/telemetry/event"
+)
+
+func (l *loop) handle(r report) {
+	a := r.attempt
+	if l.attempts[a.number] != a {
+		return
+	}
+	switch r.kind {
+	case reportGranted:
+		l.granted(a, r.backend)
+	case reportRefused:
+		l.refused(a, r.err)
+	case reportChunk:
+		l.chunk(a, r.chunk)
+	case reportFailed:
+		l.failed(a, r.err)
+	}
+}
+
+// granted gives an attempt its prefix: the answer as it stands now.
+func (l *loop) granted(a *attempt, b flow.Backend) {
+	a.granted, a.backend, a.last = true, b, time.Now()
+	if l.total == 1 {
+		l.lastToken = a.last
+	}
+	if a.reattach && l.leaderAt.GetBackend() != b.ID {
+		// Another engine cannot read the attempt again.
+		if len(l.attempts) > 1 {
+			l.drop(a)
+			return
+		}
+		a.reattach = false
+	}
+	if !a.reattach {
+		a.engineNumber = a.number
+		a.reads = promptTokens(l.spec.Prompt) + len(l.accepted)
+		l.m.metrics.prefills.Inc()
+	}
+	l.race.Start(a.number)
+	l.m.watch.start(l.spec.ID, a)
+	a.begin <- begin{prefix: slices.Clone(l.accepted), reattach: a.reattach}
+}
+
+// refused deals with a backend server denied by flow. It is the one place that
+// decides whether extra work is affordable.
+func (l *loop) refused(a *attempt, err error) {
+	l.drop(a)
+	if a.reattach {
+		return
+	}
+	e := verdict.Of(err)
+	l.notBefore = time.Now().Add(min(max(refusedPause, e.RetryAfter), longestRefusedPause))
+	if len(l.attempts) > 0 {
+		l.m.metrics.heldBack.WithLabelValues(string(e.Code)).Inc()
+		return
+	}
+	if l.total == 1 && len(l.accepted) == 0 {
+		l.giveUp(e)
+		return
+	}
+	// The answer is owed: what was excluded is better than nothing.
+	l.excluded = nil
+}
+
+func (l *loop) failed(a *attempt, err error) {
+	l.m.log.Emit(event.AttemptFailed, l.spec.ID, a.number, a.backend.ID, err.Error())
+	l.m.metrics.failed.Inc()
+	l.drop(a)
+	broken := errors.Is(err, engine.ErrBroken)
+	if !errors.Is(err, engine.ErrUnknownGeneration) {
+		l.exclude(a.backend.ID)
+	}
+	if !broken && a.engineNumber == l.leaderAt.GetNumber() {
+		l.reread = true // its engine has forgotten the attempt
+	}
+	if broken && !a.reattach && a.chunks == 0 {
+		l.fruitless++
+	}
+	if l.lostAt.IsZero() && len(l.attempts) == 0 {
+		l.lostAt = time.Now()
+	}
+	if len(l.attempts) == 0 {
+		l.notBefore = time.Time{} // a refusal of extra work does not hold for owed work
+	}
+}
+
+func (l *loop) chunk(a *attempt, c engine.Chunk) {
+	now := time.Now()
+	l.observe(a, now)
+	skip, drop := l.race.Offer(a.number, c.Offset, len(c.Tokens), c.Finish != "")
+	if drop != resume.Accepted {
+		l.dropped(a, c, drop)
+		return
+	}
+	l.accepted = append(l.accepted, c.Tokens[skip:]...)
+	l.finish = c.Finish
+	if len(l.accepted) != l.race.Length() {
+		l.violated(invariantLength, "%d tokens accepted, offset %d", len(l.accepted), l.race.Length())
+		return
+	}
+	l.leaderAt = &peerpb.Attempt{Number: a.engineNumber, Backend: a.backend.ID, Address: a.backend.Address}
+	l.reread = false
+	l.won(a, now)
+	for _, n := range l.race.Losers() {
+		if loser := l.attempts[n]; loser != nil {
+			l.m.metrics.lostRaces.Inc()
+			l.drop(loser)
+			l.unwanted = append(l.unwanted, loser)
+		}
+	}
+	l.lastToken = now
+	l.fruitless = 0
+}
+
+// observe learns the gap that a chunk ended.
+func (l *loop) observe(a *attempt, now time.Time) {
+	gap := now.Sub(a.last)
+	switch {
+	case a.chunks == 0 && !a.reattach:
+		l.m.watch.observeFirst(a.backend.ID, silence.PerPrompt(gap, a.reads))
+	case a.chunks > 0 && !a.suspected:
+		l.gaps.Observe(gap)
+		l.m.watch.observe(a.backend.ID, gap)
+	}
+	a.chunks++
+	a.last = now
+	l.m.watch.chunk(l.spec.ID, a, now, l.threshold(a))
+}
+
+// dropped deals with tokens that may not be used. A gap inside one attempt's
+// own stream means that tokens were lost on the way: the attempt is useless.
+func (l *loop) dropped(a *attempt, c engine.Chunk, why resume.Drop) {
+	l.m.metrics.dropped.WithLabelValues(why.String()).Inc()
+	l.m.log.Emit(event.ChunkDropped, l.spec.ID, a.number, c.Offset, why.String())
+	if why == resume.Gap {
+		l.failed(a, errors.New("the engine's stream skipped tokens"))
+	}
+}
+
+// won logs the attempt that carries the answer on after a loss.
+func (l *loop) won(a *attempt, now time.Time) {
+	first := a.reattach && a.chunks == 1 && l.total > 1
+	if l.lostAt.IsZero() && !first {
+		return
+	}
+	took := now.Sub(l.lastToken)
+	l.lostAt = time.Time{}
+	l.m.metrics.resume.Observe(took.Seconds())
+	l.m.log.Emit(event.AttemptWon, l.spec.ID, a.number, a.backend.ID, l.race.Length(), took)
+	if a.suspected {
+		a.suspected = false // it was only slow
+		l.excluded = slices.DeleteFunc(l.excluded, func(id string) bool { return id == a.backend.ID })
+		l.m.metrics.falseSuspicions.Inc()
+	}
+}
+
+// drop stops reading an attempt.
+func (l *loop) drop(a *attempt) {
+	delete(l.attempts, a.number)
+	l.race.Stop(a.number)
+	l.m.watch.stop(l.spec.ID, a)
+	a.cancel()
+}
--- a/serve/generation/attempt.go
+++ b/serve/generation/attempt.go
@@ -14,13 +14,16 @@
 // cancelTimeout bounds the order to an engine to stop a generation nobody wants.
 const cancelTimeout = 2 * time.Second
 
+// primeTimeout bounds the reading of an answer by a standby engine.
+const primeTimeout = 5 * time.Second
+
 // attempt is one try of one engine. Its goroutine talks to flow and the engine
 // and reports to the generation's loop, which alone decides.
 type attempt struct {
 	number uint64
 	ctx    context.Context
 	cancel context.CancelFunc
-	begin  chan start // the loop's answer to evGranted
+	begin  chan begin // the loop's answer to reportGranted
 
 	// The fields below belong to the loop.
 	backend   flow.Backend
@@ -28,13 +31,17 @@
 	last      time.Time // last chunk, or the time of the grant
 	chunks    int
 	suspected bool
+	// reattach marks an attempt that reads what its engine already runs; the
+	// engine knows it by engineNumber, which belongs to the attempt that began it.
+	reattach     bool
+	engineNumber uint64
+	reads        int // tokens of prompt and prefix that the engine must read first
 }
 
-// start tells an attempt where to begin.
-type start struct {
-	prefix []string
-	// reattach is the number of an attempt the engine already runs, 0 for a new one.
-	reattach uint64
+// begin tells an attempt where to begin.
+type begin struct {
+	prefix   []string
+	reattach bool
 }
 
 type reportKind uint8
@@ -79,7 +86,7 @@
 	if !a.post(to, report{kind: reportGranted, backend: grant.Backend()}) {
 		return
 	}
-	var s start
+	var s begin
 	select {
 	case s = <-a.begin:
 	case <-a.ctx.Done():
@@ -92,7 +99,7 @@
 }
 
 // stream reads the engine's answer to the end.
-func (a *attempt) stream(grant flow.Grant, spec *Spec, s start, to chan<- report) flow.Outcome {
+func (a *attempt) stream(grant flow.Grant, spec *Spec, s begin, to chan<- report) flow.Outcome {
 	began := time.Now()
 	stream, err := a.open(grant.Backend().Engine, spec, s)
 	if err != nil {
@@ -123,9 +130,9 @@
 	}
 }
 
-func (a *attempt) open(e engine.Engine, spec *Spec, s start) (engine.Stream, error) {
-	if s.reattach != 0 {
-		return e.Attach(a.ctx, spec.ID, s.reattach, len(s.prefix))
+func (a *attempt) open(e engine.Engine, spec *Spec, s begin) (engine.Stream, error) {
+	if s.reattach {
+		return e.Attach(a.ctx, spec.ID, a.engineNumber, len(s.prefix))
 	}
 	return e.Generate(a.ctx, engine.Request{
 		Generation:  spec.ID,
@@ -175,3 +182,29 @@
 	defer cancel()
 	_ = e.Cancel(ctx, id, number)
 }
+
+// primeOne makes a backend server read a request's prefix and returns its id.
+func (m *Manager) primeOne(ctx context.Context, ask flow.Ask, req engine.Request) string {
+	grant, err := m.flow.Acquire(ctx, ask)
+	if err != nil {
+		return ""
+	}
+	out := flow.Outcome{Cancelled: true}
+	defer func() { grant.Done(out) }()
+	ctx, cancel := context.WithTimeout(ctx, primeTimeout)
+	defer cancel()
+	stream, err := grant.Backend().Engine.Generate(ctx, req)
+	if err != nil {
+		return ""
+	}
+	defer stream.Close()
+	for {
+		c, err := stream.Next(ctx)
+		if err != nil {
+			return ""
+		}
+		if c.Finish != "" {
+			return grant.Backend().ID
+		}
+	}
+}
--- a/serve/generation/copier.go
+++ b/serve/generation/copier.go
@@ -34,6 +34,7 @@
 	open     bool // holder has the copy
 	excluded []string
 	retryAt  time.Time
+	stale    []membership.Member // former holders, to be told once a new one has the copy
 }
 
 // write is one step of the copy: all accepted tokens, of which the holder has
@@ -54,14 +55,21 @@
 	// the same: a copy that falls behind makes a later adoption fail visibly and
 	// never mixes two answers.
 	degraded bool
+	// alone says that there is no other entry VM that could hold a copy, and so
+	// none that could have taken the answer over.
+	alone bool
 }
 
+// owned reports whether the write showed that no newer owner exists.
+func (w written) owned() bool { return w.fenced == 0 && (!w.degraded || w.alone) }
+
 // put carries out w, moving to another holder where the present one fails.
 func (c *copier) put(ctx context.Context, w write) written {
 	done := written{upTo: len(w.tokens), finish: w.finish}
 	for ctx.Err() == nil {
 		if !c.choose() {
 			done.degraded = true
+			done.alone = len(c.m.members.Current().Members) <= 1
 			return done
 		}
 		res, err := c.send(ctx, w)
@@ -72,6 +80,7 @@
 			c.leave("unreachable")
 		case res.Accepted:
 			c.open = true
+			c.dropStale()
 			return done
 		case res.Epoch != c.line.Epoch() && res.Epoch.Count() >= c.line.Epoch().Count():
 			done.fenced = res.Epoch
@@ -107,14 +116,13 @@
 	return true
 }
 
-// leave gives up the present holder. The old copy is dropped where it can be,
-// so that no one adopts it while a longer one exists; where it cannot, adopters
-// compare the copies they reach and take the longest.
+// leave gives up the present holder. Its copy stays until the next holder has
+// one, so that a loss of this daemon in between still finds it.
 func (c *copier) leave(reason string) {
 	if c.open {
 		c.m.log.Emit(event.JournalMoved, c.spec.ID, c.holder.ID, "", reason)
 		c.m.metrics.journalMoves.Inc()
-		go c.m.dropCopy(c.holder, c.spec.ID, c.line.Epoch())
+		c.stale = append(c.stale, c.holder)
 	}
 	c.excluded = append(c.excluded, c.holder.ID)
 	c.retryAt = time.Now().Add(retryHolders)
@@ -122,6 +130,18 @@
 	c.open = false
 }
 
+// dropStale tells former holders to forget their copies, so that no one adopts
+// them while a longer one exists; where they cannot be told, adopters compare
+// the copies they reach and take the longest.
+func (c *copier) dropStale() {
+	for _, m := range c.stale {
+		if m.ID != c.holder.ID {
+			c.m.wg.Go(func() { c.m.dropCopy(m, c.spec.ID, c.line.Epoch()) })
+		}
+	}
+	c.stale = nil
+}
+
 func (c *copier) send(ctx context.Context, w write) (journal.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
--- a/serve/generation/generation.go
+++ b/serve/generation/generation.go
@@ -65,8 +65,25 @@
 
 func (errFenced) Error() string { return "generation: a newer owner continues this answer" }
 
+// mismatch tells a reader that this copy of the answer does not continue what
+// it holds; another one may.
+type mismatch struct{ relation lineage.Relation }
+
+func (e *mismatch) Error() string {
+	return "generation: the caller's position is " + e.relation.String() + " here"
+}
+
+// final is the error for the caller when no other copy is left.
+func (e *mismatch) final() *verdict.Error {
+	if e.relation == lineage.Behind {
+		return errLost("every copy left of the answer is shorter than what the caller holds")
+	}
+	return errLost("the caller holds tokens that no copy left of the answer continues")
+}
+
 // read waits for tokens after pos. It returns errFenced when another entry VM
-// owns the answer now, and a *verdict.Error when the answer cannot continue.
+// owns the answer now, *mismatch when pos is not on this answer's line, and a
+// *verdict.Error when the answer cannot continue.
 func (g *Generation) read(ctx context.Context, pos lineage.Position) (Batch, error) {
 	for {
 		b, changed, err := g.poll(pos)
@@ -86,17 +103,12 @@
 func (g *Generation) poll(pos lineage.Position) (Batch, <-chan struct{}, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch g.line.Relate(pos, len(g.tokens)) {
-	case lineage.Prefix:
-	case lineage.Superseded:
+	switch rel := g.line.Relate(pos, len(g.tokens)); {
+	case rel == lineage.Prefix:
+	case rel == lineage.Superseded || g.fenced:
 		return Batch{}, nil, errFenced{}
-	case lineage.Behind:
-		if g.fenced {
-			return Batch{}, nil, errFenced{}
-		}
-		return Batch{}, nil, errLost("this copy of the answer is shorter than what the caller holds")
 	default:
-		return Batch{}, nil, errLost("the caller holds tokens of another continuation of this answer")
+		return Batch{}, nil, &mismatch{rel}
 	}
 	if pos.Offset < len(g.tokens) {
 		return g.take(pos.Offset), nil, nil
@@ -131,12 +143,14 @@
 }
 
 // release makes tokens visible to callers; they are the last if finish is set.
-func (g *Generation) release(tokens []string, finish engine.FinishReason) {
+// It returns the length of what is released.
+func (g *Generation) release(tokens []string, finish engine.FinishReason) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tokens = append(g.tokens, tokens...)
 	g.finish = finish
 	g.wake()
+	return len(g.tokens)
 }
 
 // fail ends the answer visibly incomplete.
@@ -221,6 +235,12 @@
 	}
 }
 
+// serves reports whether callers can read the answer here.
+func (g *Generation) serves() bool {
+	s := g.state()
+	return !s.fenced && s.failure == nil
+}
+
 func errLost(message string) *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeLost, "%s; send the request again for a new answer", message)
 }
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mallowwind.dev/decision/lineage"
@@ -33,6 +34,21 @@
 	local   *Generation
 	detach  func()
 	remote  *place
+	at      source // where local or remote is
+	// rejected are places that do not continue what the caller holds, and
+	// differs says how the last of them failed to.
+	rejected []source
+	differs  *mismatch
+}
+
+// source names one copy of an answer: where it is, and of which continuation.
+type source struct {
+	member string
+	epoch  lineage.Epoch
+}
+
+func (m *Manager) sourceOf(g *Generation) source {
+	return source{m.members.Current().Self.ID, g.state().epoch}
 }
 
 // handle returns a Handle on g, or on a generation elsewhere if g is nil.
@@ -71,7 +87,7 @@
 func (h *Handle) useLocal(g *Generation) {
 	h.Close()
 	if g != nil {
-		h.local, h.detach = g, g.attach()
+		h.local, h.detach, h.at = g, g.attach(), h.m.sourceOf(g)
 	}
 }
 
@@ -81,15 +97,24 @@
 func (h *Handle) Read(ctx context.Context, pos lineage.Position) (Batch, error) {
 	for try := 0; ; try++ {
 		b, err := h.readOnce(ctx, pos)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
+			return h.checked(pos, b)
+		}
+		if ctx.Err() != nil {
 			return b, err
 		}
-		var final *verdict.Error
-		if errors.As(err, &final) {
+		var (
+			final   *verdict.Error
+			differs *mismatch
+		)
+		switch {
+		case errors.As(err, &final):
 			return b, final
+		case errors.As(err, &differs):
+			h.reject(h.at, differs)
 		}
 		if try >= relocateTries {
-			return b, errLost("the answer's owner could not be reached").Because(err)
+			return b, h.lost().Because(err)
 		}
 		if err := h.relocate(ctx, pos, try); err != nil {
 			return b, err
@@ -97,6 +122,15 @@
 	}
 }
 
+// checked asserts that b continues exactly what the caller holds.
+func (h *Handle) checked(pos lineage.Position, b Batch) (Batch, error) {
+	if b.Position.Offset != pos.Offset+len(b.Tokens) {
+		return Batch{Position: pos}, h.m.violated(h.id, invariantPosition,
+			"%d tokens from %d end at %d", len(b.Tokens), pos.Offset, b.Position.Offset)
+	}
+	return b, nil
+}
+
 func (h *Handle) readOnce(ctx context.Context, pos lineage.Position) (Batch, error) {
 	switch {
 	case h.local != nil:
@@ -107,6 +141,20 @@
 	return Batch{}, errFenced{}
 }
 
+// lost is the error for a caller whose answer is found nowhere any more.
+func (h *Handle) lost() *verdict.Error {
+	if h.differs != nil {
+		return h.differs.final()
+	}
+	return errLost("the answer's owner could not be reached")
+}
+
+// reject remembers that what is kept at s does not continue what the caller holds.
+func (h *Handle) reject(s source, why *mismatch) {
+	h.differs = why
+	h.rejected = append(h.rejected, s)
+}
+
 // relocate finds out where the generation can be read now.
 func (h *Handle) relocate(ctx context.Context, pos lineage.Position, try int) error {
 	if try > 0 {
@@ -117,7 +165,7 @@
 		}
 	}
 	h.Close()
-	if g := h.m.local(h.id); g != nil && g.spec.Account.Name == h.account {
+	if g := h.m.local(h.id); g != nil && g.spec.Account.Name == h.account && !h.isRejected(h.m.sourceOf(g)) {
 		h.useLocal(g)
 		return nil
 	}
@@ -125,42 +173,44 @@
 	if err != nil {
 		return err
 	}
-	if !f.known() {
-		if f.unsure && try < relocateTries {
-			return nil // somebody who may know did not answer: ask again
-		}
-		return h.errUnknown()
-	}
-	if f.places[0].account != h.account {
+	if len(f.places) > 0 && f.places[0].account != h.account {
 		return h.errUnknown()
 	}
-	return h.settle(ctx, f, pos)
+	f.places = slices.DeleteFunc(f.places, func(p place) bool { return h.isRejected(p.source()) })
+	switch {
+	case f.known():
+		return h.settle(ctx, f, pos)
+	case f.unsure && try < relocateTries:
+		return nil // somebody who may know did not answer: ask again
+	case h.differs != nil:
+		return h.differs.final()
+	}
+	return h.errUnknown()
 }
 
-// settle reads on at the owner, or takes over from the best copy.
+func (h *Handle) isRejected(s source) bool { return slices.Contains(h.rejected, s) }
+
+// settle reads on at the owner, or takes over from the best copy that continues
+// what the caller holds. After an entry VM was cut off there may be two
+// continuations; a caller of the older one is served from a copy of that.
 func (h *Handle) settle(ctx context.Context, f found, pos lineage.Position) error {
-	best := f.places[0]
-	if best.running {
-		h.remote = &best
-		return nil
-	}
-	var last error
 	for _, p := range f.places {
-		if p.running || p.epoch.Count() < best.epoch.Count() {
-			continue
+		if p.running {
+			h.remote, h.at = &p, p.source()
+			return nil
 		}
 		g, err := h.m.adoptFrom(ctx, h.id, p, pos)
 		if err == nil {
 			h.useLocal(g)
 			return nil
 		}
-		last = err
-	}
-	var final *verdict.Error
-	if errors.As(last, &final) {
-		return final
+		var differs *mismatch
+		if !errors.As(err, &differs) {
+			return nil // the copy's holder did not answer: look again
+		}
+		h.reject(p.source(), differs)
 	}
-	return nil // the copy's holder did not answer: look again
+	return nil // all rejected: look again, at those who did not answer too
 }
 
 // follow asks the owner for the next tokens. The deadline is the guard against
@@ -190,7 +240,7 @@
 	case r.GetUnknown():
 		return Batch{}, errFenced{}
 	case r.GetDiverged():
-		return Batch{}, errRelation(lineage.Diverged)
+		return Batch{}, &mismatch{lineage.Diverged}
 	case r.GetErrorCode() != "":
 		v, _ := verdict.Parse(r.GetErrorVerdict())
 		return Batch{}, verdict.New(v, verdict.Code(r.GetErrorCode()), "%s", r.GetErrorMessage())
--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -32,6 +32,8 @@
 	account string
 }
 
+func (p place) source() source { return source{p.member.ID, p.epoch} }
+
 // found is what is known of a generation on all members asked.
 type found struct {
 	places []place // best first
@@ -123,6 +125,9 @@
 		if a.ok {
 			out = append(out, a.p)
 		}
+		if a.ok && a.p.running && !a.p.failed {
+			return out, unsure // the owner: no need to wait for the others
+		}
 	}
 	return out, unsure
 }
@@ -174,8 +179,11 @@
 	self := m.members.Current().Self.ID
 	if p.member.ID == self {
 		c, rel, ok := m.holder.Adopt(id, self, seen)
-		if !ok || rel != lineage.Prefix {
-			return nil, errRelation(rel)
+		if !ok {
+			return nil, errFenced{}
+		}
+		if rel != lineage.Prefix {
+			return nil, &mismatch{rel}
 		}
 		return m.adopt(c), nil
 	}
@@ -188,17 +196,15 @@
 		return nil, err
 	}
 	c, ok := journal.FromWire(r.GetCopy())
-	if !r.GetAccepted() || !ok {
-		return nil, errRelation(lineage.Diverged)
-	}
-	return m.adopt(c), nil
-}
-
-func errRelation(r lineage.Relation) *verdict.Error {
-	if r == lineage.Behind {
-		return errLost("every copy left of the answer is shorter than what the caller holds")
+	switch {
+	case r.GetAccepted() && ok:
+		return m.adopt(c), nil
+	case r.GetBehind():
+		return nil, &mismatch{lineage.Behind}
+	case r.GetUnknown():
+		return nil, errFenced{}
 	}
-	return errLost("the caller holds tokens that no copy left of the answer continues")
+	return nil, &mismatch{lineage.Diverged}
 }
 
 func finishOf(s string) engine.FinishReason { return engine.FinishReason(s) }
--- a/serve/generation/manager.go
+++ b/serve/generation/manager.go
@@ -11,6 +11,7 @@
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/lineage"
+	"mallowwind.dev/decision/resume"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
@@ -42,6 +43,8 @@
 	Metrics prometheus.Registerer
 	// Linger overrides how long an unread generation runs on; 0 means the default.
 	Linger time.Duration
+	// Policy overrides the resume policy of services; nil means the default.
+	Policy func(*site.Service) resume.Policy
 }
 
 // Manager owns the generations of one daemon and the copies it holds for
@@ -56,7 +59,7 @@
 	linger  time.Duration
 	watch   *watch
 	holder  *journal.Holder
-	budget  *takeoverBudget
+	policy  func(*site.Service) resume.Policy
 
 	base context.Context // parent of all loops
 	stop context.CancelFunc
@@ -78,13 +81,16 @@
 		metrics: newMetrics(c.Metrics),
 		linger:  c.Linger,
 		watch:   newWatch(),
-		budget:  newTakeoverBudget(),
+		policy:  c.Policy,
 		owned:   make(map[string]*Generation),
 		ended:   make(map[string]time.Time),
 	}
 	if m.linger == 0 {
 		m.linger = linger
 	}
+	if m.policy == nil {
+		m.policy = func(s *site.Service) resume.Policy { return resume.ForService(s.LatencyWeight, s.Deadline) }
+	}
 	m.holder = journal.NewHolder(journal.Limits{Bytes: journalBytes, TTL: m.answerTTL}, randomEpoch)
 	m.base, m.stop = context.WithCancel(context.Background())
 	return m
@@ -166,7 +172,14 @@
 		}
 		return m.handle(spec, nil), nil
 	}
-	g := m.start(spec, m.firstLine(found.epoch))
+	return m.begun(m.start(spec, m.firstLine(found.epoch)), spec)
+}
+
+// begun returns a Handle on g unless it was begun with another body.
+func (m *Manager) begun(g *Generation, spec *Spec) (*Handle, error) {
+	if !bytes.Equal(g.spec.digest(), spec.digest()) {
+		return nil, errKeyReused()
+	}
 	return m.handle(spec, g), nil
 }
 
@@ -181,7 +194,7 @@
 		// generation has a new epoch, so nobody can join the two.
 		g = m.start(spec, m.firstLine(s.epoch))
 	}
-	return m.handle(spec, g), nil
+	return m.begun(g, spec)
 }
 
 func errKeyReused() *verdict.Error {
@@ -198,7 +211,7 @@
 func (m *Manager) start(spec *Spec, line lineage.Line) *Generation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if g := m.owned[spec.ID]; g != nil && g.state().failure == nil {
+	if g := m.owned[spec.ID]; g != nil && g.serves() {
 		return g // another request with the same key was faster
 	}
 	g := newGeneration(spec, line, nil, "")
@@ -241,7 +254,7 @@
 func (m *Manager) adopt(c journal.Copy) *Generation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if g := m.owned[c.Spec.GetId()]; g != nil && g.state().epoch.Count() >= c.Line.Epoch().Count() {
+	if g := m.owned[c.Spec.GetId()]; g != nil && g.serves() && g.state().epoch.Count() >= c.Line.Epoch().Count() {
 		return g
 	}
 	spec := specFromWire(c.Spec, m.site.Current())
--- a/serve/generation/metrics.go
+++ b/serve/generation/metrics.go
@@ -6,6 +6,7 @@
 type metrics struct {
 	started, adopted, failed, suspected, falseSuspicions prometheus.Counter
 	lostRaces, prefills, tokens, uncopied                prometheus.Counter
+	reattached, primings, violations                     prometheus.Counter
 	journalBytes, journalMoves                           prometheus.Counter
 	copies, copyBytes                                    prometheus.Gauge
 	resume                                               prometheus.Histogram
@@ -40,6 +41,9 @@
 	m.prefills = counter("prefills_total", "Attempts that made an engine read prompt and prefix.")
 	m.tokens = counter("tokens_total", "Tokens released to callers.")
 	m.uncopied = counter("uncopied_tokens_total", "Tokens released without a copy on another entry VM.")
+	m.reattached = counter("reattached_total", "Attempts read again on a fresh connection.")
+	m.primings = counter("primings_total", "Times a standby engine was made to read an answer.")
+	m.violations = counter("invariant_violations_total", "Answers stopped because an invariant did not hold.")
 	m.journalBytes = counter("journal_bytes_total", "Bytes of text copied to other entry VMs.")
 	m.journalMoves = counter("journal_moves_total", "Copies moved to another holder.")
 	m.copies = gauge("copies", "Copies held for other entry VMs.")
--- a/serve/generation/server.go
+++ b/serve/generation/server.go
@@ -30,9 +30,28 @@
 	if !ok {
 		return &peerpb.JournalReply{Unknown: true}, nil
 	}
+	if rival, ok := s.m.rival(c); ok {
+		return &peerpb.JournalReply{Epoch: uint64(rival)}, nil
+	}
 	return reply(s.m.holder.Open(c)), nil
 }
 
+// rival returns the epoch of a generation begun here with the same key at the
+// same time as c, if that one is to go on. Two entry VMs that each asked before
+// the other had begun would otherwise both generate the answer. The smaller
+// epoch wins, on both sides alike.
+func (m *Manager) rival(c journal.Copy) (lineage.Epoch, bool) {
+	g := m.local(c.Spec.GetId())
+	if g == nil {
+		return 0, false
+	}
+	s, next := g.state(), c.Line.Epoch()
+	if s.failure != nil || s.epoch.Count() != next.Count() || s.epoch >= next {
+		return 0, false
+	}
+	return s.epoch, true
+}
+
 // Append implements peerpb.Journal.
 func (s server) Append(_ context.Context, r *peerpb.AppendRequest) (*peerpb.JournalReply, error) {
 	return reply(s.m.holder.Append(r.GetId(), lineage.Epoch(r.GetEpoch()), int(r.GetOffset()), r.GetTokens(), r.GetAttempt(), r.GetFinish())), nil
@@ -112,8 +131,13 @@
 }
 
 func followReply(pos lineage.Position, b Batch, err error) *peerpb.FollowReply {
-	var final *verdict.Error
+	var (
+		final   *verdict.Error
+		differs *mismatch
+	)
 	switch {
+	case errors.As(err, &differs):
+		return &peerpb.FollowReply{Diverged: true}
 	case errors.As(err, &final):
 		return &peerpb.FollowReply{
 			ErrorCode:    string(final.Code),
--- a/serve/generation/spec.go
+++ b/serve/generation/spec.go
@@ -101,6 +101,17 @@
 	}
 }
 
+const (
+	// charactersPerToken is the usual ratio for estimating a prompt's tokens.
+	charactersPerToken = 4
+	// prefixBlock is the length of the prompt's head, in bytes, by which an
+	// engine that may hold it is recognised.
+	prefixBlock = 512
+)
+
+// promptTokens estimates the number of tokens of a prompt.
+func promptTokens(prompt string) int { return len(prompt)/charactersPerToken + 1 }
+
 // randomEpoch feeds the random part of epochs.
 func randomEpoch() uint64 {
 	var b [8]byte
--- a/serve/generation/watch.go
+++ b/serve/generation/watch.go
@@ -87,10 +87,10 @@
 	return silence.Threshold(c, stream, &w.engine(backend).gaps)
 }
 
-func (w *watch) firstThreshold(c silence.Config, backend string) time.Duration {
+func (w *watch) firstThreshold(c silence.Config, backend string, tokens int) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return silence.FirstThreshold(c, &w.engine(backend).first)
+	return silence.FirstThreshold(c, &w.engine(backend).first, tokens)
 }
 
 // globalStall reports whether the streams on other engines than suspect are
