--- /dev/null
+++ b/lab/world/engine.go
@@ -0,0 +1,112 @@
+package world
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/platform/engine"
+)
+
+// backend is a backend server as one entry VM reaches it.
+type backend struct {
+	engine.Engine // calls that carry no answer go straight through
+	net           *Network
+	vm, id        string
+}
+
+// call waits for the link and classifies its failure: what a cut link refused
+// was not sent, what hung until the caller gave up may have been.
+func (b *backend) call(ctx context.Context) error {
+	err := b.net.pass(ctx, b.vm, b.id)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errCut):
+		return errors.Wrap(engine.ErrNotSent, "connection refused")
+	}
+	return errors.Wrapf(engine.ErrBroken, "%v", err)
+}
+
+// Generate implements engine.Engine.
+func (b *backend) Generate(ctx context.Context, req engine.Request) (engine.Stream, error) {
+	if err := b.call(ctx); err != nil {
+		return nil, err
+	}
+	s, err := b.Engine.Generate(ctx, req)
+	return b.wrap(s), err
+}
+
+// Attach implements engine.Engine.
+func (b *backend) Attach(ctx context.Context, id string, attempt uint64, from int) (engine.Stream, error) {
+	if err := b.call(ctx); err != nil {
+		return nil, err
+	}
+	s, err := b.Engine.Attach(ctx, id, attempt, from)
+	return b.wrap(s), err
+}
+
+// Cancel implements engine.Engine.
+func (b *backend) Cancel(ctx context.Context, id string, attempt uint64) error {
+	if err := b.call(ctx); err != nil {
+		return err
+	}
+	return b.Engine.Cancel(ctx, id, attempt)
+}
+
+func (b *backend) wrap(s engine.Stream) engine.Stream {
+	if s == nil {
+		return nil
+	}
+	return &stream{Stream: s, backend: b}
+}
+
+// stream is an engine's stream under the faults of its link.
+type stream struct {
+	engine.Stream
+	backend *backend
+}
+
+// Next implements engine.Stream.
+func (s *stream) Next(ctx context.Context) (engine.Chunk, error) {
+	b := s.backend
+	for {
+		if err := b.net.pass(ctx, b.id, b.vm); err != nil {
+			return engine.Chunk{}, s.broken(ctx)
+		}
+		f, changed := b.net.link(b.id, b.vm)
+		if f != Healthy {
+			continue
+		}
+		wait, cancel := context.WithCancel(ctx)
+		stop := make(chan struct{})
+		go func() {
+			select {
+			case <-changed:
+				cancel()
+			case <-stop:
+			}
+		}()
+		c, err := s.Stream.Next(wait)
+		close(stop)
+		cancel()
+		if err != nil && wait.Err() != nil && ctx.Err() == nil && errors.Is(err, context.Canceled) {
+			continue // the network changed
+		}
+		if err != nil {
+			return c, err
+		}
+		// A chunk under way waits like any message.
+		if b.net.pass(ctx, b.id, b.vm) != nil {
+			return engine.Chunk{}, s.broken(ctx)
+		}
+		return c, nil
+	}
+}
+
+func (s *stream) broken(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return errors.Wrap(engine.ErrBroken, "connection reset")
+}
--- /dev/null
+++ b/lab/world/world.go
@@ -0,0 +1,286 @@
+// Package world is a deployment in memory: the managers of several entry VMs
+// over a network with faults, and stand-in engines. Under testing/synctest it
+// runs in virtual time; an experiment runs it in real time.
+package world
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/resume"
+	"mallowwind.dev/peer/link"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/standin/enginesim"
+	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/serve/flow"
+	"mallowwind.dev/serve/generation"
+	"mallowwind.dev/telemetry/event"
+)
+
+// The names that every world uses.
+const (
+	Model   = "m"
+	Service = "reviews"
+	Account = "coop"
+	pool    = "p"
+)
+
+var zones = []string{"a", "b", "c"}
+
+// Config sizes a world. Zero fields take the defaults given with them.
+type Config struct {
+	Seed    uint64
+	VMs     int // 6
+	Engines int // 6
+	// Weight is the service's weight of resume latency.
+	Weight float64
+	// MaxTokens is the most that a request may ask for; 4000.
+	MaxTokens int
+	Engine    enginesim.Config // the name and seed are set for each engine
+	// Policy overrides the resume policy; nil means the one of the weight.
+	Policy func(*site.Service) resume.Policy
+}
+
+func (c Config) withDefaults() Config {
+	for field, value := range map[*int]int{&c.VMs: 6, &c.Engines: 6, &c.MaxTokens: 4000} {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	c.Engine.Models = []engine.ModelRef{{Model: Model}}
+	return c
+}
+
+// World is a running deployment. Its methods are safe for concurrent use.
+type World struct {
+	Net     *Network
+	Engines []*enginesim.Sim
+	Site    *site.Site
+
+	config Config
+	ctx    context.Context
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	vms     []*vm
+	members []membership.Member
+}
+
+// vm is one entry VM.
+type vm struct {
+	id       string
+	manager  *generation.Manager
+	registry *prometheus.Registry
+	view     atomic.Pointer[membership.View]
+	stop     context.CancelFunc
+}
+
+// Current implements membership.Source.
+func (v *vm) Current() *membership.View { return v.view.Load() }
+
+type fixedSite struct{ s *site.Site }
+
+func (f fixedSite) Current() *site.Site { return f.s }
+
+// New starts a deployment; Close must be called.
+func New(ctx context.Context, c Config) *World {
+	c = c.withDefaults()
+	w := &World{Net: newNetwork(), Site: newSite(c), config: c}
+	w.ctx, w.stop = context.WithCancel(ctx)
+	for i := range c.Engines {
+		e := c.Engine
+		e.Name, e.Seed = EngineID(i), c.Seed*31+uint64(i)
+		w.Engines = append(w.Engines, enginesim.New(e))
+	}
+	for i := range c.VMs {
+		w.members = append(w.members, membership.Member{
+			ID: VMID(i), Zone: zones[i%len(zones)], Peer: VMID(i), Caller: VMID(i), Incarnation: 1,
+		})
+	}
+	for i := range c.VMs {
+		w.vms = append(w.vms, w.boot(i))
+	}
+	return w
+}
+
+// VMID returns the id of the i-th entry VM.
+func VMID(i int) string { return fmt.Sprintf("vm%d", i) }
+
+// EngineID returns the id of the i-th engine.
+func EngineID(i int) string { return fmt.Sprintf("e%d", i) }
+
+func newSite(c Config) *site.Site {
+	return &site.Site{
+		Zones: zones,
+		Services: map[string]*site.Service{Service: {
+			Name: Service, Kind: site.KindGeneration, Pool: pool, Model: Model, Class: site.ClassNormal,
+			Deadline: time.Minute, MaxTokens: c.MaxTokens, LatencyWeight: c.Weight, Repeatable: true,
+		}},
+		Accounts: map[string]*site.Account{
+			Account: {Name: Account, Share: 1},
+			"other": {Name: "other", Share: 1},
+		},
+		Pools:  map[string]*site.Pool{pool: {Name: pool, Slots: 32}},
+		Limits: site.DefaultLimits(),
+	}
+}
+
+// boot starts the daemon's parts that serve generations on the i-th entry VM.
+func (w *World) boot(i int) *vm {
+	self := w.members[i]
+	ctx, stop := context.WithCancel(w.ctx)
+	v := &vm{id: self.ID, registry: prometheus.NewRegistry(), stop: stop}
+	v.view.Store(&membership.View{Self: self, Members: slices.Clone(w.members)})
+	f := flow.New(flow.Config{
+		Place: flow.Place{VM: self.ID, Zone: self.Zone}, Site: fixedSite{w.Site},
+		Backends: backends.Static{Snapshot: w.snapshot(self.ID)}, Members: v,
+		Registerer: v.registry, Seed: w.config.Seed + uint64(i),
+	})
+	v.manager = generation.NewManager(generation.Config{
+		Site: fixedSite{w.Site}, Members: v, Flow: f, Log: event.Discard(), Metrics: v.registry,
+		Dialer: link.NewDialerWith(&http.Client{Transport: port{w.Net, self.ID}}),
+		Policy: w.config.Policy,
+	})
+	_, h := v.manager.Handler()
+	w.Net.handle(self.ID, h)
+	w.wg.Go(func() { _ = f.Run(ctx) })
+	w.wg.Go(func() { _ = v.manager.Run(ctx) })
+	return v
+}
+
+// snapshot is the pool as an entry VM reaches it.
+func (w *World) snapshot(self string) *backends.Snapshot {
+	s := &backends.Snapshot{Version: 1, Pools: map[string][]*backends.Backend{}}
+	for i, sim := range w.Engines {
+		id := EngineID(i)
+		s.Pools[pool] = append(s.Pools[pool], &backends.Backend{
+			VM: vmlist.VM{
+				ID: id, Address: id, Zone: zones[i%len(zones)], Pool: pool,
+				Role: vmlist.RoleBackend, State: vmlist.Live,
+			},
+			Engine:    &backend{Engine: sim, net: w.Net, vm: self, id: id},
+			Reachable: true, Seen: time.Now(),
+			Status: engine.Status{
+				Slots:  32,
+				Models: []engine.Loaded{{Ref: engine.ModelRef{Model: Model}, State: engine.Ready}},
+			},
+		})
+	}
+	return s
+}
+
+func (w *World) vm(i int) *vm {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.vms[i]
+}
+
+// Manager returns the generations of the i-th entry VM.
+func (w *World) Manager(i int) *generation.Manager { return w.vm(i).manager }
+
+// Kill ends the i-th entry VM at once. The others' membership does not notice.
+func (w *World) Kill(i int) {
+	w.Net.SetVM(VMID(i), Cut)
+	w.vm(i).stop()
+}
+
+// Replace starts the i-th entry VM anew with nothing kept.
+func (w *World) Replace(i int) {
+	w.Kill(i)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.members[i].Incarnation++
+	w.vms[i] = w.boot(i)
+	w.publish()
+	w.Net.SetVM(VMID(i), Healthy)
+}
+
+// Believe makes every entry VM's membership say this of the i-th.
+func (w *World) Believe(i int, s membership.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.members[i].State = s
+	w.publish()
+}
+
+// publish hands the members to every entry VM; w.mu is held.
+func (w *World) publish() {
+	for i, v := range w.vms {
+		v.view.Store(&membership.View{Self: w.members[i], Members: slices.Clone(w.members)})
+	}
+}
+
+// Busy returns the engines that run something now.
+func (w *World) Busy() []int {
+	var busy []int
+	for i, e := range w.Engines {
+		if s, err := e.Status(w.ctx); err == nil && s.Running > 0 {
+			busy = append(busy, i)
+		}
+	}
+	return busy
+}
+
+// Sum adds up a counter over all entry VMs.
+func (w *World) Sum(name string) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	total := 0.0
+	for _, v := range w.vms {
+		families, err := v.registry.Gather()
+		if err != nil {
+			continue
+		}
+		for _, f := range families {
+			if f.GetName() != "mallowwind_"+name {
+				continue
+			}
+			for _, m := range f.GetMetric() {
+				total += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return total
+}
+
+// Stats adds up the engines' counts of work.
+func (w *World) Stats() enginesim.Stats {
+	var total enginesim.Stats
+	for _, e := range w.Engines {
+		s := e.Stats()
+		total.Started += s.Started
+		total.Tokens += s.Tokens
+		total.Prefilled += s.Prefilled
+		total.Cached += s.Cached
+		total.Cancelled += s.Cancelled
+		total.Abandoned += s.Abandoned
+		total.Lost += s.Lost
+	}
+	return total
+}
+
+// lastStep is longer than any step of an engine, which may be in one when it dies.
+const lastStep = time.Second
+
+// Close ends everything and waits for it.
+func (w *World) Close() {
+	for _, e := range w.Engines {
+		e.Unpause()
+		e.Die()
+	}
+	w.stop()
+	w.Net.close()
+	w.wg.Wait()
+	time.Sleep(lastStep)
+}
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mallowwind.dev/control/site"
@@ -164,6 +165,9 @@
 
 // precheck asks the account's limit and the budget for extra work.
 func (c *Core) precheck(now time.Time, w *Waiter) *verdict.Error {
+	if w.group.allExcluded(w.ask.Exclude) {
+		return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "every backend server failed this request")
+	}
 	if w.ask.Resume || len(w.ask.Exclude) > 0 {
 		return c.afford(now, w)
 	}
@@ -188,6 +192,20 @@
 	return nil
 }
 
+// allExcluded reports whether the group has servers and all are excluded. Such
+// a request would wait for a server that it may not use.
+func (g *group) allExcluded(exclude []string) bool {
+	if len(exclude) == 0 {
+		return false
+	}
+	for _, s := range g.servers {
+		if !slices.Contains(exclude, s.backend.ID) {
+			return false
+		}
+	}
+	return len(g.servers) > 0
+}
+
 // afford charges a retry or a takeover. A continuation whose engine is
 // certainly gone is always paid: its caller holds half an answer.
 func (c *Core) afford(now time.Time, w *Waiter) *verdict.Error {
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -68,19 +68,30 @@
 		l.m.metrics.heldBack.WithLabelValues(string(e.Code)).Inc()
 		return
 	}
-	if l.total == 1 && len(l.accepted) == 0 {
-		l.giveUp(e)
+	if len(l.accepted) == 0 && !l.adopted {
+		l.giveUp(l.unserved(e))
 		return
 	}
-	// The answer is owed: what was excluded is better than nothing.
+	// The answer is owed, as its caller holds a part of it: what was excluded is better than nothing.
 	l.excluded = nil
 }
 
+// unserved is the final error of an answer of which nothing came. Its caller
+// holds nothing, so it hears at once; the refusal speaks of the last attempt
+// only, the verdict of all.
+func (l *loop) unserved(e *verdict.Error) *verdict.Error {
+	if !l.mayHaveRun {
+		return e
+	}
+	return verdict.New(verdict.MayHaveRun, e.Code, "%s", e.Message).After(e.RetryAfter)
+}
+
 func (l *loop) failed(a *attempt, err error) {
 	l.m.log.Emit(event.AttemptFailed, l.spec.ID, a.number, a.backend.ID, err.Error())
 	l.m.metrics.failed.Inc()
 	l.drop(a)
 	broken := errors.Is(err, engine.ErrBroken)
+	l.mayHaveRun = l.mayHaveRun || !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused)
 	if !errors.Is(err, engine.ErrUnknownGeneration) {
 		l.exclude(a.backend.ID)
 	}
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -169,7 +169,7 @@
 		h.useLocal(g)
 		return nil
 	}
-	f, err := h.m.locate(ctx, h.id)
+	f, err := h.m.locate(ctx, h.id, h.rejected)
 	if err != nil {
 		return err
 	}
--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -45,14 +45,16 @@
 // known reports whether the generation can be read from somewhere.
 func (f found) known() bool { return len(f.places) > 0 }
 
-// locate asks the members that may hold a copy, and the owners these name.
-func (m *Manager) locate(ctx context.Context, id string) (found, error) {
+// locate asks the members that may hold a copy, and the owners these name. It
+// does not wait for all of them once it found the owner, unless what that one
+// has is among rejected.
+func (m *Manager) locate(ctx context.Context, id string, rejected []source) (found, error) {
 	v := m.members.Current()
 	asked := map[string]bool{}
 	var f found
 	members := journal.Candidates(id, v)
 	for len(members) > 0 {
-		places, unsure := m.peekAll(ctx, id, members, asked)
+		places, unsure := m.peekAll(ctx, id, members, asked, rejected)
 		f.unsure = f.unsure || unsure
 		f.places = append(f.places, places...)
 		members = owners(v, places, asked)
@@ -100,7 +102,7 @@
 	return out
 }
 
-func (m *Manager) peekAll(ctx context.Context, id string, members []membership.Member, asked map[string]bool) (out []place, unsure bool) {
+func (m *Manager) peekAll(ctx context.Context, id string, members []membership.Member, asked map[string]bool, rejected []source) (out []place, unsure bool) {
 	type answer struct {
 		p   place
 		ok  bool
@@ -125,8 +127,8 @@
 		if a.ok {
 			out = append(out, a.p)
 		}
-		if a.ok && a.p.running && !a.p.failed {
-			return out, unsure // the owner: no need to wait for the others
+		if a.ok && a.p.running && !a.p.failed && !slices.Contains(rejected, a.p.source()) {
+			return out, unsure
 		}
 	}
 	return out, unsure
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -48,10 +48,13 @@
 	lastToken time.Time // the last accepted token, before it the start
 	lostAt    time.Time // when the leader was suspected or failed, zero while all is well
 	fruitless int
-	notBefore time.Time // no new attempt before this
-	due       time.Time // when the next decision is due
-	gaps      silence.Gaps
-	held      bool // readers were too far behind
+	adopted   bool // an earlier owner began the answer
+	// mayHaveRun says that an engine may have taken an attempt.
+	mayHaveRun bool
+	notBefore  time.Time // no new attempt before this
+	due        time.Time // when the next decision is due
+	gaps       silence.Gaps
+	held       bool // readers were too far behind
 
 	// unwanted are losers to be cancelled at their engines once a write shows
 	// that this daemon still owns the generation. Cancelled earlier, an owner
@@ -81,6 +84,8 @@
 		copiedAt:  finish,
 	}
 	l.race.Restore(len(tokens), finish != "")
+	l.adopted = len(line) > 1
+	l.mayHaveRun = l.adopted
 	return l
 }
 
--- a/serve/generation/manager.go
+++ b/serve/generation/manager.go
@@ -162,7 +162,7 @@
 	if g := m.local(spec.ID); g != nil {
 		return m.again(g, spec)
 	}
-	found, err := m.locate(ctx, spec.ID)
+	found, err := m.locate(ctx, spec.ID, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/serve/generation/release.go
+++ b/serve/generation/release.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
@@ -94,10 +95,16 @@
 		l.drop(a)
 		l.unwanted = append(l.unwanted, a)
 	}
-	if len(l.unwanted) > 0 && l.finish == "" && l.stillOwned() {
-		l.leaderAt = nil
-		l.cancelUnwanted()
+	if len(l.unwanted) == 0 || l.finish != "" {
+		return
+	}
+	if !l.stillOwned() {
+		// An attempt that never delivered was never named in a copy, so no
+		// successor reads it.
+		l.unwanted = slices.DeleteFunc(l.unwanted, func(a *attempt) bool { return a.chunks > 0 || a.reattach })
 	}
+	l.leaderAt = nil
+	l.cancelUnwanted()
 }
 
 // stillOwned asks the copy's holder whether this daemon owns the generation.
--- a/serve/journal/holder.go
+++ b/serve/journal/holder.go
@@ -88,9 +88,12 @@
 	if next.Line.Epoch() == held.Line.Epoch() {
 		return false
 	}
-	for _, f := range next.Line {
+	for i, f := range next.Line[:len(next.Line)-1] {
 		if f.Epoch == held.Line.Epoch() {
-			return false // next continues what is held
+			// next continues what is held, unless it left the line before the
+			// held end: then callers may hold tokens that next does not have, of
+			// an owner that was cut off while its answer was taken over.
+			return next.Line[i+1].From < len(held.Tokens)
 		}
 	}
 	if held.Finish != "" && next.Line.Epoch().Count() == held.Line.Epoch().Count() {
