--- a/lab/world/caller.go
+++ b/lab/world/caller.go
@@ -16,9 +16,9 @@
 // ErrConnection is what a caller sees when its entry VM dies or stays silent.
 var ErrConnection = errors.New("connection to the entry VM lost")
 
-// patience is how long a caller waits on a connection without any sign of life
+// defaultPatience is how long a caller waits on a connection without any sign of life
 // before it takes it to be lost: somewhat more than the keep-alive interval.
-const patience = 6 * time.Second
+const defaultPatience = 6 * time.Second
 
 // Caller holds what one caller has of one answer. It is not safe for
 // concurrent use.
@@ -87,7 +87,7 @@
 // connection returns a context that ends with the entry VM's life or the
 // caller's patience.
 func (c *Caller) connection(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeoutCause(ctx, patience, ErrConnection)
+	ctx, cancel := context.WithTimeoutCause(ctx, c.w.config.Patience, ErrConnection)
 	f, changed := c.w.Net.vm(VMID(c.vm))
 	if f == Cut {
 		cancel()
--- a/lab/world/loss_test.go
+++ b/lab/world/loss_test.go
@@ -115,9 +115,9 @@
 cancel the attempt that its successor reads.`,
 	fault: func(w *World, _ *Caller) {
 		w.Net.SetVM(VMID(0), Hang)
-		time.AfterFunc(patience+2*time.Second, func() { w.Net.SetVM(VMID(0), Healthy) })
+		time.AfterFunc(defaultPatience+2*time.Second, func() { w.Net.SetVM(VMID(0), Healthy) })
 	},
-	within: patience + 4*time.Second, fresh: 1,
+	within: defaultPatience + 4*time.Second, fresh: 1,
 }, {
 	name: "holder is cut off",
 	story: `The network between the owner and its copy's holder breaks. The caller sees
--- /dev/null
+++ b/lab/world/random_test.go
@@ -0,0 +1,283 @@
+package world
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/cryptotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/verdict"
+)
+
+// The same scenarios run every time, unless -rapid.seed and -rapid.checks say
+// otherwise: go test ./world -run Random -rapid.checks=10000 -rapid.seed=7.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// fault is one drawn fault: what, where, when, and for how long.
+type fault struct {
+	Kind     string
+	A, B     int
+	At, Long time.Duration
+}
+
+// plan is one drawn scenario.
+type plan struct {
+	Seed   uint64
+	Weight float64
+	// Patience is short, so that callers move while their answer still runs.
+	Patience time.Duration
+	Faults   []fault
+	Callers  []request
+}
+
+// request is one drawn caller.
+type request struct {
+	VM, Tokens int
+	Key        string
+	At         time.Duration
+	Moves      bool // changes its entry VM without need
+	Slow       bool
+}
+
+var kinds = []string{
+	"engine dies", "engine restarts", "engine pauses", "streams go silent", "engine slow", "engine refuses",
+	"vm dies", "vm pauses", "vm replaced", "vm believed gone",
+	"peers cut", "peers hang", "one way", "late", "peer silent", "engine cut off", "engine hangs", "all stall",
+}
+
+func millis(t *rapid.T, lo, hi int, label string) time.Duration {
+	return time.Duration(rapid.IntRange(lo, hi).Draw(t, label)) * time.Millisecond
+}
+
+func drawPlan(t *rapid.T) plan {
+	p := plan{Seed: rapid.Uint64().Draw(t, "seed"), Weight: rapid.SampledFrom([]float64{0.2, 0.9}).Draw(t, "weight")}
+	p.Patience = millis(t, 200, 1200, "patience")
+	for range rapid.IntRange(1, 8).Draw(t, "faults") {
+		p.Faults = append(p.Faults, fault{
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
+			// Few targets, so that faults meet on the same machines.
+			A: rapid.IntRange(0, 3).Draw(t, "a"), B: rapid.IntRange(0, 5).Draw(t, "b"),
+			At: millis(t, 0, 3000, "at"), Long: millis(t, 20, 4000, "long"),
+		})
+	}
+	for range rapid.IntRange(1, 4).Draw(t, "callers") {
+		p.Callers = append(p.Callers, request{
+			VM:     rapid.IntRange(0, 3).Draw(t, "vm"),
+			Tokens: rapid.IntRange(20, 260).Draw(t, "tokens"),
+			Key:    rapid.SampledFrom([]string{"", "k1", "k2"}).Draw(t, "key"),
+			At:     millis(t, 0, 1500, "start"),
+			Moves:  rapid.Bool().Draw(t, "moves"), Slow: rapid.Bool().Draw(t, "slow"),
+		})
+	}
+	return p
+}
+
+// inject carries out f now and undoes it later.
+func (w *World) inject(f fault) {
+	e, a, b := w.Engines[f.A], VMID(f.A), VMID(f.B)
+	undo := func() {}
+	switch f.Kind {
+	case "engine dies":
+		e.Die()
+	case "engine restarts":
+		e.Die()
+		undo = e.Revive
+	case "engine pauses":
+		e.Pause()
+		undo = e.Unpause
+	case "streams go silent":
+		e.Silence()
+	case "engine slow":
+		e.Slow(8)
+		undo = func() { e.Slow(1) }
+	case "engine refuses":
+		e.RefuseNew(true)
+		undo = func() { e.RefuseNew(false) }
+	case "vm dies":
+		w.Kill(f.A)
+	case "vm pauses":
+		w.Net.SetVM(a, Hang)
+		undo = func() { w.Net.recover(a) }
+	case "vm replaced":
+		w.Replace(f.A)
+	case "vm believed gone":
+		w.Believe(f.A, membership.Gone)
+		undo = func() { w.Believe(f.A, membership.Alive) }
+	case "peers cut", "peers hang":
+		how := map[string]Fault{"peers cut": Cut, "peers hang": Hang}[f.Kind]
+		w.Net.Partition(a, b, how)
+		undo = func() { w.Net.Partition(a, b, Healthy) }
+	case "one way":
+		w.Net.SetLink(a, b, Hang)
+		undo = func() { w.Net.SetLink(a, b, Healthy) }
+	case "late":
+		w.Net.Delay(a, b, f.Long/4)
+		undo = func() { w.Net.Delay(a, b, 0) }
+	case "peer silent":
+		w.Net.Silence(a, b)
+	case "engine cut off", "engine hangs":
+		how := map[string]Fault{"engine cut off": Cut, "engine hangs": Hang}[f.Kind]
+		w.Net.Partition(a, EngineID(f.B), how)
+		undo = func() { w.Net.Partition(a, EngineID(f.B), Healthy) }
+	case "all stall":
+		for _, e := range w.Engines {
+			e.Pause()
+		}
+		undo = func() {
+			for _, e := range w.Engines {
+				e.Unpause()
+			}
+		}
+	}
+	time.AfterFunc(f.Long, undo)
+}
+
+// recover ends a pause, unless the VM died in the meantime.
+func (n *Network) recover(id string) {
+	if f, _ := n.vm(id); f == Hang {
+		n.SetVM(id, Healthy)
+	}
+}
+
+// tries is how often a caller sends its request before it gives up.
+const tries = 4
+
+// serve plays one caller to its end. It returns an error only when a promise was broken.
+func (w *World) serve(ctx context.Context, p plan, r request) (whole bool, err error) {
+	random := rand.New(rand.NewPCG(p.Seed, uint64(r.VM)))
+	// The body belongs to the key, as a repeated key with another body is refused.
+	c := w.Caller("contract "+r.Key, r.Key, r.Tokens)
+	if r.Key != "" {
+		c.Tokens = 200
+	}
+	defer func() { c.Close() }()
+	time.Sleep(r.At)
+	vm := r.VM
+	for range tries {
+		if err := c.Submit(ctx, vm); err == nil {
+			if err := w.readAll(ctx, c, r, random); err != nil || c.Done {
+				return c.Done, err
+			}
+		} else if bad := unexpected(err); bad != nil {
+			return false, bad
+		}
+		vm = random.IntN(w.config.VMs)
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false, nil
+}
+
+// readAll reads one answer; nil without c.Done means an honest failure.
+func (w *World) readAll(ctx context.Context, c *Caller, r request, random *rand.Rand) error {
+	for moves := 0; !c.Done; {
+		err := c.Read(ctx)
+		if bad := c.Check(); bad != nil {
+			return errors.Wrapf(bad, "generation %s at %+v", c.ID, c.Pos)
+		}
+		switch {
+		case errors.Is(err, ErrConnection):
+		case err != nil:
+			return unexpected(err)
+		case r.Slow && random.IntN(8) == 0:
+			time.Sleep(200 * time.Millisecond)
+			continue
+		case !r.Moves || random.IntN(20) != 0:
+			continue
+		}
+		for err = ErrConnection; errors.Is(err, ErrConnection); moves++ {
+			if moves > 40 {
+				return nil
+			}
+			err = c.Continue(random.IntN(w.config.VMs))
+		}
+	}
+	return nil
+}
+
+// unexpected passes on errors that no fault explains.
+func unexpected(err error) error {
+	var e *verdict.Error
+	switch {
+	case errors.Is(err, ErrConnection):
+		return nil
+	case !errors.As(err, &e), e.Code == verdict.CodeInvariantViolation:
+		return err
+	}
+	return nil
+}
+
+// outcome is what became of one scenario.
+type outcome struct {
+	whole, failed int
+	err           error
+}
+
+func play(t *testing.T, p plan) (out outcome) {
+	cryptotest.SetGlobalRandom(t, p.Seed)
+	synctest.Test(t, func(t *testing.T) {
+		w := New(t.Context(), Config{Seed: p.Seed, Weight: p.Weight, Patience: p.Patience})
+		defer w.Close()
+		for _, f := range p.Faults {
+			time.AfterFunc(f.At, func() { w.inject(f) })
+		}
+		var (
+			mu sync.Mutex
+			wg sync.WaitGroup
+		)
+		for _, r := range p.Callers {
+			wg.Go(func() {
+				whole, err := w.serve(t.Context(), p, r)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					out.err = err
+				case whole:
+					out.whole++
+				default:
+					out.failed++
+				}
+			})
+		}
+		wg.Wait()
+		if n := w.Sum("generation_invariant_violations_total"); n > 0 && out.err == nil {
+			out.err = fmt.Errorf("%g invariants violated inside", n)
+		}
+		time.Sleep(20 * time.Second) // every fault and restart ends before the world does
+	})
+	return out
+}
+
+// Callers ask, move between entry VMs and repeat themselves while up to six
+// faults hit engines, entry VMs and the links between. Whatever happens, each
+// holds a prefix of exactly one generation, and a terminal event only with the
+// whole answer.
+func TestRandomFaults(t *testing.T) {
+	var whole, failed int
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlan(rt)
+		out := play(t, p)
+		if out.err != nil {
+			rt.Fatalf("%v\n%+v", out.err, p)
+		}
+		whole, failed = whole+out.whole, failed+out.failed
+	})
+	t.Logf("%d answers whole, %d failed honestly", whole, failed)
+}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -47,6 +47,9 @@
 	// MaxTokens is the most that a request may ask for; 4000.
 	MaxTokens int
 	Engine    enginesim.Config // the name and seed are set for each engine
+	// Patience is how long callers wait on a silent connection; somewhat more
+	// than the interval of keep-alives.
+	Patience time.Duration
 	// Policy overrides the resume policy; nil means the one of the weight.
 	Policy func(*site.Service) resume.Policy
 }
@@ -57,6 +60,9 @@
 			*field = value
 		}
 	}
+	if c.Patience == 0 {
+		c.Patience = defaultPatience
+	}
 	c.Engine.Models = []engine.ModelRef{{Model: Model}}
 	return c
 }
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -39,6 +39,10 @@
 	// differs says how the last of them failed to.
 	rejected []source
 	differs  *mismatch
+	// tries counts searches since the last batch. It lasts over calls of Read,
+	// which a stream makes anew for every keep-alive: counted within one call
+	// alone, a caller whose answer is nowhere would get keep-alives for ever.
+	tries int
 }
 
 // source names one copy of an answer: where it is, and of which continuation.
@@ -95,9 +99,10 @@
 // changes, and takes it over when its owner is gone. Errors are *verdict.Error
 // or the context's.
 func (h *Handle) Read(ctx context.Context, pos lineage.Position) (Batch, error) {
-	for try := 0; ; try++ {
+	for {
 		b, err := h.readOnce(ctx, pos)
 		if err == nil {
+			h.tries = 0
 			return h.checked(pos, b)
 		}
 		if ctx.Err() != nil {
@@ -113,10 +118,10 @@
 		case errors.As(err, &differs):
 			h.reject(h.at, differs)
 		}
-		if try >= relocateTries {
+		if h.tries >= relocateTries {
 			return b, h.lost().Because(err)
 		}
-		if err := h.relocate(ctx, pos, try); err != nil {
+		if err := h.relocate(ctx, pos); err != nil {
 			return b, err
 		}
 	}
@@ -156,8 +161,9 @@
 }
 
 // relocate finds out where the generation can be read now.
-func (h *Handle) relocate(ctx context.Context, pos lineage.Position, try int) error {
-	if try > 0 {
+func (h *Handle) relocate(ctx context.Context, pos lineage.Position) error {
+	h.tries++
+	if h.tries > 1 {
 		select {
 		case <-time.After(relocatePause):
 		case <-ctx.Done():
@@ -180,7 +186,7 @@
 	switch {
 	case f.known():
 		return h.settle(ctx, f, pos)
-	case f.unsure && try < relocateTries:
+	case f.unsure && h.tries < relocateTries:
 		return nil // somebody who may know did not answer: ask again
 	case h.differs != nil:
 		return h.differs.final()
