lab/stand: the golden session shows the attach that comes before a takeover

Cause: a broken stream is now first read on at the same engine by a fresh connection, because a lost connection alone needs no new prefill; only then does another engine take over. The engine that died forgets the attempt, so the takeover is attempt 3 where it was attempt 2. The file is as strict as before and records attaches too.

--- a/lab/stand/golden_test.go
+++ b/lab/stand/golden_test.go
@@ -44,6 +44,11 @@
 	return e.Engine.Generate(ctx, r)
 }
 
+func (e recordedEngine) Attach(ctx context.Context, id string, attempt uint64, from int) (engine.Stream, error) {
+	e.to.add("%s attach attempt=%d from=%d", e.id, attempt&0xffff, from)
+	return e.Engine.Attach(ctx, id, attempt, from)
+}
+
 func (e recordedEngine) Cancel(ctx context.Context, id string, attempt uint64) error {
 	e.to.add("%s cancel attempt=%d", e.id, attempt&0xffff)
 	return e.Engine.Cancel(ctx, id, attempt)
