--- a/lab/bench/slopes/journal.go
+++ b/lab/bench/slopes/journal.go
@@ -66,11 +66,11 @@
 
 func appendEach(ctx context.Context, client peerpb.Journal, id string, tokens []string, n int) error {
 	for i := 0; i < len(tokens); i += n {
-		r, err := client.Append(ctx, &peerpb.AppendRequest{
+		r, err := client.Append(ctx, &peerpb.AppendBatch{Appends: []*peerpb.AppendRequest{{
 			Id: id, Epoch: 1, Offset: uint32(i), Tokens: tokens[i : i+n],
-		})
-		if err != nil || !r.GetAccepted() {
-			return errors.Errorf("append at %d: accepted %v, %v", i, r.GetAccepted(), err)
+		}}})
+		if err != nil || len(r.GetReplies()) != 1 || !r.GetReplies()[0].GetAccepted() {
+			return errors.Errorf("append at %d: %v, %v", i, r, err)
 		}
 	}
 	return nil
--- a/serve/generation/copier.go
+++ b/serve/generation/copier.go
@@ -159,13 +159,12 @@
 }
 
 func (c *copier) call(ctx context.Context, w write) (*peerpb.JournalReply, error) {
-	client := c.m.client(c.holder)
 	if !c.open {
-		return client.Open(ctx, journal.ToWire(journal.Copy{
+		return c.m.client(c.holder).Open(ctx, journal.ToWire(journal.Copy{
 			Spec: c.spec.toWire(), Line: c.line, Tokens: w.tokens, Attempt: w.attempt, Finish: string(w.finish),
 		}))
 	}
-	return client.Append(ctx, &peerpb.AppendRequest{
+	return c.m.appends.Append(ctx, c.holder, &peerpb.AppendRequest{
 		Id:      c.spec.ID,
 		Epoch:   uint64(c.line.Epoch()),
 		Offset:  uint32(w.journaled),
--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -167,6 +167,14 @@
 	return peerpb.NewJournalProtobufClient(m.dialer.URL(to.Peer), m.dialer.Client)
 }
 
+// sendAppends carries a batch of appends to a holder.
+func (m *Manager) sendAppends(ctx context.Context, to membership.Member, batch *peerpb.AppendBatch) (*peerpb.AppendBatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	m.metrics.journalBatches.Inc()
+	return m.client(to).Append(ctx, batch)
+}
+
 // dropCopy asks a former holder to forget a copy.
 func (m *Manager) dropCopy(holder membership.Member, id string, epoch lineage.Epoch) {
 	ctx, cancel := context.WithTimeout(m.base, appendTimeout)
--- a/serve/generation/manager.go
+++ b/serve/generation/manager.go
@@ -59,6 +59,7 @@
 	linger  time.Duration
 	watch   *watch
 	holder  *journal.Holder
+	appends *journal.Batcher
 	policy  func(*site.Service) resume.Policy
 
 	base context.Context // parent of all loops
@@ -91,6 +92,7 @@
 	if m.policy == nil {
 		m.policy = func(s *site.Service) resume.Policy { return resume.ForService(s.LatencyWeight, s.Deadline) }
 	}
+	m.appends = journal.NewBatcher(m.sendAppends)
 	m.holder = journal.NewHolder(journal.Limits{Bytes: journalBytes, TTL: m.answerTTL}, randomEpoch)
 	m.base, m.stop = context.WithCancel(context.Background())
 	return m
@@ -154,7 +156,7 @@
 // Submit starts a generation, or finds the one that the same key began on any
 // entry VM. The returned Handle reads it from its first token.
 func (m *Manager) Submit(ctx context.Context, spec *Spec) (*Handle, error) {
-	spec.assignID()
+	spec.assignID(m.members.Current().Self.ID)
 	if spec.Key == "" {
 		g := m.start(spec, m.firstLine(0))
 		return m.handle(spec, g), nil
--- a/serve/generation/metrics.go
+++ b/serve/generation/metrics.go
@@ -7,7 +7,7 @@
 	started, adopted, failed, suspected, falseSuspicions prometheus.Counter
 	lostRaces, prefills, tokens, uncopied                prometheus.Counter
 	reattached, primings, violations                     prometheus.Counter
-	journalBytes, journalMoves                           prometheus.Counter
+	journalBytes, journalMoves, journalBatches           prometheus.Counter
 	copies, copyBytes                                    prometheus.Gauge
 	resume                                               prometheus.Histogram
 	dropped, heldBack                                    *prometheus.CounterVec
@@ -45,6 +45,7 @@
 	m.primings = counter("primings_total", "Times a standby engine was made to read an answer.")
 	m.violations = counter("invariant_violations_total", "Answers stopped because an invariant did not hold.")
 	m.journalBytes = counter("journal_bytes_total", "Bytes of text copied to other entry VMs.")
+	m.journalBatches = counter("journal_batches_total", "Messages that carried appends to copies.")
 	m.journalMoves = counter("journal_moves_total", "Copies moved to another holder.")
 	m.copies = gauge("copies", "Copies held for other entry VMs.")
 	m.copyBytes = gauge("copy_bytes", "Bytes of copies held for other entry VMs.")
--- a/serve/generation/server.go
+++ b/serve/generation/server.go
@@ -53,8 +53,13 @@
 }
 
 // Append implements peerpb.Journal.
-func (s server) Append(_ context.Context, r *peerpb.AppendRequest) (*peerpb.JournalReply, error) {
-	return reply(s.m.holder.Append(r.GetId(), lineage.Epoch(r.GetEpoch()), int(r.GetOffset()), r.GetTokens(), r.GetAttempt(), r.GetFinish())), nil
+func (s server) Append(_ context.Context, batch *peerpb.AppendBatch) (*peerpb.AppendBatchReply, error) {
+	out := &peerpb.AppendBatchReply{Replies: make([]*peerpb.JournalReply, 0, len(batch.GetAppends()))}
+	for _, r := range batch.GetAppends() {
+		out.Replies = append(out.Replies, reply(s.m.holder.Append(
+			r.GetId(), lineage.Epoch(r.GetEpoch()), int(r.GetOffset()), r.GetTokens(), r.GetAttempt(), r.GetFinish())))
+	}
+	return out, nil
 }
 
 // Drop implements peerpb.Journal.
--- a/serve/generation/spec.go
+++ b/serve/generation/spec.go
@@ -9,6 +9,7 @@
 
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/serve/journal"
 )
 
 // Spec is what a caller asked for. It is immutable once submitted.
@@ -29,13 +30,16 @@
 // idBytes is the length of a generation id in bytes; lineage.ValidID checks the text form.
 const idBytes = 16
 
-// assignID sets the id: derived from account, service and key, so that every
-// entry VM finds the same generation for the same key, or random without a key.
-func (s *Spec) assignID() {
+// assignID sets the id. With a key it is derived from account, service and key,
+// so that every entry VM finds the same generation for the same key. Without
+// one it is random behind the owner's journal group, so that the copies of one
+// owner's answers have few holders.
+func (s *Spec) assignID(owner string) {
 	if s.Key == "" {
 		var b [idBytes]byte
 		_, _ = rand.Read(b[:])
-		s.ID = "g" + hex.EncodeToString(b[:])
+		group := journal.GroupOf(owner, b[0])
+		s.ID = "g" + group + hex.EncodeToString(b[:])[len(group):]
 		return
 	}
 	h := sha256.New()
--- a/serve/journal/place.go
+++ b/serve/journal/place.go
@@ -10,7 +10,9 @@
 package journal
 
 import (
+	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,13 +24,38 @@
 // usual one and two more for when it is gone or cut off.
 const candidates = 3
 
+const (
+	// groups is the number of journal groups of one owner. One holder for all of
+	// an owner's answers would make the fewest messages, but then some daemons
+	// hold the copies of five owners and others of none; with four groups each
+	// the largest share falls to about half that (docs/design/21-journal.md).
+	groups = 4
+	// groupDigits is the length of a group's name in hexadecimal digits.
+	groupDigits = 8
+)
+
+// GroupOf returns the name of one of the owner's journal groups, chosen by pick.
+func GroupOf(owner string, pick byte) string {
+	h := xxhash.Sum64String(owner + "#" + strconv.Itoa(int(pick)%groups))
+	return fmt.Sprintf("%016x", h)[:groupDigits]
+}
+
+// placement is the part of a generation's id that decides where its copy is:
+// the group for an id that names one, else the whole id.
+func placement(id string) string {
+	if strings.HasPrefix(id, "g") && len(id) > groupDigits {
+		return id[:1+groupDigits]
+	}
+	return id
+}
+
 // Candidates returns the members that may hold the copy of a generation, the
 // usual one first: the order of rendezvous hashing with at most one per zone,
 // so that for an owner in any zone one of the first two lies in another. Every
 // entry VM computes nearly the same list, which is how a copy is found without
 // a directory. In a deployment of one zone the list holds members of that zone.
 func Candidates(id string, v *membership.View) []membership.Member {
-	scored := score(id, v)
+	scored := score(placement(id), v)
 	out := make([]membership.Member, 0, candidates)
 	for _, s := range scored {
 		if !slices.ContainsFunc(out, func(m membership.Member) bool { return m.Zone == s.member.Zone }) {
