--- a/control/inforce/fleet_test.go
+++ b/control/inforce/fleet_test.go
@@ -44,6 +44,7 @@
 	*Manager
 	member membership.Member
 	store  *store.Faulty
+	stale  *staleStore
 	stop   context.CancelFunc
 	floor  int64 // highest revision seen in force in this life
 }
@@ -59,13 +60,47 @@
 		})
 	}
 	for _, m := range f.view.Members {
-		n := &node{member: m, store: store.NewFaulty(f.store)}
+		n := &node{member: m, stale: &staleStore{Store: f.store}}
+		n.store = store.NewFaulty(n.stale)
 		f.nodes = append(f.nodes, n)
+	}
+	for _, n := range f.nodes {
 		f.start(n)
 	}
 	return f
 }
 
+// staleStore answers reads of single keys from a copy taken when it was frozen.
+type staleStore struct {
+	store.Store
+	mu     sync.Mutex
+	frozen map[string]store.KV
+}
+
+func (s *staleStore) freeze(ctx context.Context, frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = nil
+	if !frozen {
+		return
+	}
+	s.frozen = map[string]store.KV{}
+	kvs, _, _ := s.List(ctx, "/")
+	for _, kv := range kvs {
+		s.frozen[kv.Key] = kv
+	}
+}
+
+func (s *staleStore) Get(ctx context.Context, key string) (store.KV, error) {
+	s.mu.Lock()
+	kv, ok := s.frozen[key]
+	s.mu.Unlock()
+	if ok {
+		return kv, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
 // start gives n a new life without memory.
 func (f *fleet) start(n *node) { f.startOn(n, n.store) }
 
@@ -75,14 +110,17 @@
 		synctest.Wait()
 	}
 	n.floor = 0
-	n.Manager = New(Config{
+	m := New(Config{
 		Site: "yard", VM: n.member.ID, Zone: n.member.Zone, Store: s,
 		Members: membership.Static{View: f.view}, Log: event.New(f.logger, n.member.ID, n.member.Zone),
 		Dialer: link.NewDialerWith(&http.Client{Transport: wire{f, n}}), Seed: f.rng.Uint64(),
 	})
+	f.mu.Lock()
+	n.Manager = m
+	f.mu.Unlock()
 	var ctx context.Context
 	ctx, n.stop = context.WithCancel(f.t.Context())
-	go func() { _ = n.Run(ctx) }()
+	go func() { _ = m.Run(ctx) }()
 }
 
 func (f *fleet) linked(a, b string) bool {
@@ -118,7 +156,13 @@
 			<-r.Context().Done()
 			return nil, r.Context().Err()
 		}
-		_, h := n.Handler()
+		w.mu.Lock()
+		m := n.Manager
+		w.mu.Unlock()
+		if m == nil {
+			break
+		}
+		_, h := m.Handler()
 		answer := httptest.NewRecorder()
 		h.ServeHTTP(answer, r)
 		return answer.Result(), nil
--- a/control/inforce/inforce_test.go
+++ b/control/inforce/inforce_test.go
@@ -173,8 +173,8 @@
 	})
 }
 
-// Whatever happens together and twice - changes, outages, partitions, lost
-// VMs - no daemon's revision falls, none has a text that was not accepted,
+// Whatever happens together and twice - changes, outages, slow and stale reads,
+// partitions, lost VMs - no daemon's revision falls, none has a text that was not accepted,
 // and all agree soon after the faults end.
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(20) {
@@ -194,7 +194,7 @@
 func (f *fleet) fault() {
 	n := f.nodes[f.rng.IntN(len(f.nodes))]
 	zone := n.member.Zone
-	switch f.rng.IntN(8) {
+	switch f.rng.IntN(10) {
 	case 0, 1:
 		f.change()
 	case 2:
@@ -209,6 +209,10 @@
 		n.store.SetDelay(time.Duration(f.rng.IntN(3000)) * time.Millisecond)
 	case 7:
 		n.store.SetDown(true)
+	case 8:
+		n.stale.freeze(f.t.Context(), true)
+	case 9:
+		n.stale.freeze(f.t.Context(), false)
 	}
 }
 
@@ -217,6 +221,7 @@
 		f.setCut(n.member.Zone, false)
 		n.store.SetDelay(0)
 		n.store.SetDown(false)
+		n.stale.freeze(f.t.Context(), false)
 	}
 }
 
