--- /dev/null
+++ b/cmd/mallowctl/diff.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"mallowwind.dev/control/operate"
+)
+
+// diffCmd compares two accepted texts by meaning.
+type diffCmd struct {
+	siteFlags
+	From int64 `arg:"" optional:"" help:"Older revision; the one before the newer by default."`
+	To   int64 `arg:"" optional:"" help:"Newer revision; the newest by default."`
+}
+
+// Run implements the command.
+func (c *diffCmd) Run() error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	to, err := s.at(c.To)
+	if err != nil {
+		return err
+	}
+	if c.From == 0 {
+		c.From = to.Previous
+	}
+	oldText := ""
+	if c.From > 0 {
+		from, err := s.at(c.From)
+		if err != nil {
+			return err
+		}
+		oldText = from.Text
+	}
+	changes, err := operate.Plan(oldText, to.Text)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return writeJSON(s.out, changes)
+	}
+	writeChanges(s.out, changes)
+	return nil
+}
--- /dev/null
+++ b/cmd/mallowctl/get.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"io"
+
+	"mallowwind.dev/control/inforce/record"
+	"mallowwind.dev/control/operate"
+)
+
+// getCmd prints an accepted text, byte for byte as it was applied.
+type getCmd struct {
+	siteFlags
+	Revision int64 `placeholder:"REVISION" help:"An older revision; the newest by default."`
+}
+
+// accepted is the JSON answer of getCmd.
+type accepted struct {
+	Record record.Record `json:"record"`
+	Text   string        `json:"text"`
+}
+
+// Run implements the command.
+func (c *getCmd) Run() error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	current, err := s.at(c.Revision)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		r := *current.Record
+		r.Patch = nil
+		return writeJSON(s.out, accepted{r, current.Text})
+	}
+	_, err = io.WriteString(s.out, current.Text)
+	return err
+}
+
+// at returns the text of revision, 0 for the newest.
+func (s *session) at(revision int64) (*operate.Current, error) {
+	if revision == 0 {
+		return s.Get(s.ctx)
+	}
+	return s.GetRevision(s.ctx, revision)
+}
--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -26,6 +26,15 @@
 type commands struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
 
+	Check    checkCmd    `cmd:"" help:"Validate site texts and settings without running anything."`
+	Plan     planCmd     `cmd:"" help:"Show what applying a site text would change."`
+	Apply    applyCmd    `cmd:"" help:"Make a site text the accepted one, or roll back to an older."`
+	Get      getCmd      `cmd:"" help:"Print an accepted site text."`
+	Diff     diffCmd     `cmd:"" help:"Compare two accepted site texts by meaning."`
+	History  historyCmd  `cmd:"" help:"List the accepted site texts."`
+	Status   statusCmd   `cmd:"" help:"Show which revision is in force in each zone, and who lags."`
+	Handover handoverCmd `cmd:"" help:"Write what the next shift starts from: state and text."`
+
 	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 	Capacity capacityCmd `cmd:"" help:"Work out what each role needs at the size to come, docs/CAPACITY.md."`
--- /dev/null
+++ b/cmd/mallowctl/status.go
@@ -0,0 +1,35 @@
+package main
+
+import "github.com/pkg/errors"
+
+// statusCmd shows which revision is in force where.
+type statusCmd struct {
+	siteFlags
+	adminFlags
+}
+
+// Run implements the command. It fails when some VM lags or does not answer,
+// so that scripts can wait on it.
+func (c *statusCmd) Run() error {
+	if len(c.Admin) == 0 {
+		return usageError{errors.New("give --admin IP:PORT of at least one entry VM, or MALLOWWIND_ADMIN")}
+	}
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer s.stop()
+	status := s.Status(s.ctx, c.read(s.ctx))
+	if c.JSON {
+		err = writeJSON(s.out, status)
+	} else {
+		status.Write(s.out)
+	}
+	if err != nil {
+		return err
+	}
+	if !status.Settled() {
+		return errors.Errorf("not in force everywhere: %d VMs lag, %d do not answer", len(status.Lagging()), len(status.NoAnswer))
+	}
+	return nil
+}
