--- a/control/inifile/schema.go
+++ b/control/inifile/schema.go
@@ -84,7 +84,7 @@
 	for i, f := range fields {
 		list[i] = f.Name
 		if strings.HasSuffix(f.Name, ".") {
-			list[i] += "<zone>"
+			list[i] += "ZONE"
 		}
 	}
 	return strings.Join(list, ", ")
@@ -164,3 +164,21 @@
 func IsTokenHash(s string) bool {
 	return len(s) == tokenHashSize && strings.Trim(s, "0123456789abcdef") == ""
 }
+
+// Table returns rows as the Markdown tables of a reference page, one per section.
+func Table(rows []Row) string {
+	var b strings.Builder
+	section := ""
+	for _, r := range rows {
+		if r.Section != section {
+			section = r.Section
+			fmt.Fprintf(&b, "\n### `[%s]`\n\n| key | default | meaning |\n|---|---|---|\n", section)
+		}
+		key := r.Key
+		if strings.HasSuffix(key, ".") {
+			key += "ZONE"
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", key, r.Default, r.Help)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/control/settings/docs_test.go
@@ -0,0 +1,16 @@
+package settings
+
+import (
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/inifile"
+)
+
+func TestReferencePage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/settings.md")
+	must.NoError(t, err)
+	must.StrContains(t, string(page), inifile.Table(Reference()))
+}
