--- a/lab/bench/slopes/site.go
+++ b/lab/bench/slopes/site.go
@@ -62,6 +62,8 @@
 			fmt.Fprintf(&b, "replicas.%s = %d\n", zone, replicas[[2]string{name, zone}])
 		}
 	}
+	fmt.Fprintf(&b, "\n[pool %s]\nslots = 64\n\n[service %s]\nkind = plain\npool = %s\nclass = urgent\nrepeatable = no\nreplicas.%s = 1\n",
+		deskPool, deskPool, deskPool, zoneOf(0))
 	for i := range accounts {
 		name := fmt.Sprintf("account-%04d", i)
 		fmt.Fprintf(&b, "\n[account %s]\ntoken_hashes = %s\nshare = 1\n", name, tokenHash(name))
--- a/lab/bench/slopes/slopes.go
+++ b/lab/bench/slopes/slopes.go
@@ -52,6 +52,8 @@
 		siteExperiments(),
 		placementExperiments(),
 		relayExperiments(),
+		bindExperiments(),
+		rosterExperiments(),
 		fleetExperiments(),
 	)
 }
--- a/lab/bench/slopes/slopes_test.go
+++ b/lab/bench/slopes/slopes_test.go
@@ -52,6 +52,7 @@
 	s, err := site.Parse(siteName, []byte(siteText(20, fleet(0, models*zones))))
 	must.NoError(t, err)
 	test.MapLen(t, 20, s.Accounts)
+	test.MapContainsKey(t, s.Services, deskPool)
 	pools := make(map[string]map[string]int)
 	for _, vm := range fleet(0, models*zones) {
 		test.MapContainsKey(t, s.Services, vm.Pool)
--- a/lab/bench/slopes/stack.go
+++ b/lab/bench/slopes/stack.go
@@ -20,6 +20,7 @@
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/platform/engine"
 	"mallowwind.dev/platform/standin/enginesim"
+	"mallowwind.dev/platform/standin/plainsim"
 	"mallowwind.dev/platform/standin/storesim"
 	"mallowwind.dev/platform/standin/weightsim"
 	"mallowwind.dev/platform/store"
@@ -37,7 +38,8 @@
 type stack struct {
 	store    *store.Faulty // counts calls
 	vms      []vmlist.VM
-	engines  []*httptest.Server
+	engines  []*httptest.Server // and the desk
+	desk     string             // URL
 	servers  []*httptest.Server // of the platform
 	control  []*counter         // their bytes
 	platform settings.Settings  // where they are
@@ -61,6 +63,7 @@
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
+	s.startDesk()
 	s.startPlatform()
 	if err := accept(ctx, s.store, 1, siteText(fewAccounts, s.vms)); err != nil {
 		return nil, err
@@ -109,6 +112,20 @@
 	vm.Address = server.Listener.Addr().String()
 }
 
+// deskPool is the pool, and the service, of calls that may not be repeated.
+const deskPool = "desk"
+
+// startDesk starts a stand-in of a plain service.
+func (s *stack) startDesk() {
+	server := httptest.NewServer(plainsim.New(deskPool, 0))
+	s.engines = append(s.engines, server)
+	s.desk = server.URL
+	s.vms = append(s.vms, vmlist.VM{
+		ID: "backend-desk", Address: server.Listener.Addr().String(), Zone: zoneOf(0),
+		Role: vmlist.RoleBackend, Pool: deskPool, State: vmlist.Live,
+	})
+}
+
 // listen starts the engines and opens the daemons' addresses.
 func (s *stack) listen() error {
 	for i := range s.vms {
