docs/metrics.md is written from what a daemon registers and compared

Cause: operators had no list of the metrics, and nothing would keep one equal. Change: the daemon's registry is a metric.Catalogue; mallowctl metrics prints or writes the page from an assembled daemon; a test compares.

--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -28,6 +28,7 @@
 
 	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
+	Metrics  metricsCmd  `cmd:"" help:"Print the metrics of a daemon, docs/metrics.md."`
 	Capacity capacityCmd `cmd:"" help:"Work out what each role needs at the size to come, docs/CAPACITY.md."`
 	Bench    benchCmd    `cmd:"" help:"Run an experiment."`
 	StandIn  standInCmd  `cmd:"" help:"Serve stand-ins of the platform: store, VM list, weight store, engines, plain services."`
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -11,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -36,6 +35,7 @@
 	"mallowwind.dev/serve/generation"
 	"mallowwind.dev/serve/once"
 	"mallowwind.dev/telemetry/event"
+	"mallowwind.dev/telemetry/metric"
 )
 
 // Platform is what a daemon needs from the platform.
@@ -71,7 +71,7 @@
 type Daemon struct {
 	opts        Options
 	log         *event.Log
-	registry    *prometheus.Registry
+	registry    *metric.Catalogue
 	inforce     *inforce.Manager
 	members     *membership.Manager
 	backends    *backends.Manager
@@ -90,7 +90,7 @@
 	d := &Daemon{
 		opts:     o,
 		log:      event.New(o.Logger, o.Settings.VM, o.Settings.Zone),
-		registry: prometheus.NewRegistry(),
+		registry: metric.NewCatalogue(),
 	}
 	d.assembleControl()
 	d.assemblePlacement()
@@ -194,7 +194,7 @@
 }
 
 // Registry holds the daemon's metrics.
-func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+func (d *Daemon) Registry() *metric.Catalogue { return d.registry }
 
 // Knows reports whether this daemon sees n entry VMs alive, itself included.
 func (d *Daemon) Knows(n int) bool {
--- a/telemetry/metric/catalogue.go
+++ b/telemetry/metric/catalogue.go
@@ -23,8 +23,8 @@
 	Help   string
 }
 
-// Catalogue is a Registerer that remembers what was registered, in a registry
-// of its own. It is safe for concurrent use.
+// Catalogue is a Registerer and Gatherer that remembers what was registered,
+// in a registry of its own. It is safe for concurrent use.
 type Catalogue struct {
 	registry *prometheus.Registry
 	mu       sync.Mutex
@@ -59,6 +59,9 @@
 // Unregister implements prometheus.Registerer. The description stays.
 func (c *Catalogue) Unregister(col prometheus.Collector) bool { return c.registry.Unregister(col) }
 
+// Gather implements prometheus.Gatherer.
+func (c *Catalogue) Gather() ([]*dto.MetricFamily, error) { return c.registry.Gather() }
+
 // Infos returns the registered metrics by name.
 func (c *Catalogue) Infos() []Info {
 	c.mu.Lock()
