--- a/serve/daemon/server.go
+++ b/serve/daemon/server.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"mallowwind.dev/control/operate/statuspage"
 )
 
 const (
@@ -52,14 +53,6 @@
 	}
 }
 
-// TLSListener wraps l where config is not nil.
-func TLSListener(l net.Listener, config *tls.Config) net.Listener {
-	if config == nil {
-		return l
-	}
-	return tls.NewListener(l, config)
-}
-
 func (d *Daemon) servers() []server {
 	l := d.opts.Listeners
 	out := []server{newServer(l.Callers, d.api), newServer(l.Peers, d.peerHandler())}
@@ -73,6 +66,7 @@
 func (d *Daemon) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	mux.Handle("/status", statuspage.Guard(d.opts.Settings.TLS.OperatorTokenHash, d.log, statuspage.Handler(d.page)))
 	mux.Handle("/healthz", d.api)
 	mux.Handle("/readyz", d.api)
 	return mux
