--- a/decision/budget/budget_test.go
+++ b/decision/budget/budget_test.go
@@ -18,7 +18,7 @@
 	now := epoch
 	for range 600 {
 		now = now.Add(100 * time.Millisecond)
-		b.Earn(now, 1000) // 10,000 tokens a second
+		b.Earn(now, 1000, DefaultShare) // 10,000 tokens a second
 	}
 	spent := 0.0
 	for b.Spend(now, Expense{Tokens: 500}) == Granted {
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,10 +32,11 @@
 	shares   []entries.Share // of the accounts of site, built when first needed
 	servers  map[string]*server
 	groups   map[groupKey]*group
+	ordered  []*group // as created, so that runs of one seed are alike
 	accounts map[string]*accountBucket
 	// fleetVersion grows with every Update, so that shares are worked out anew.
 	fleetVersion uint64
-	budget       budget.Budget
+	budgets      map[string]*budget.Budget // by service
 	nextEval     time.Time
 }
 
@@ -110,6 +112,7 @@
 		servers:  map[string]*server{},
 		groups:   map[groupKey]*group{},
 		accounts: map[string]*accountBucket{},
+		budgets:  map[string]*budget.Budget{},
 	}
 }
 
@@ -181,6 +184,9 @@
 
 // precheck asks the account's limit and the budget for extra work.
 func (c *Core) precheck(now time.Time, w *Waiter) *verdict.Error {
+	if w.group.allExcluded(w.ask.Exclude) {
+		return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "every backend server failed this request")
+	}
 	if w.ask.Resume || len(w.ask.Exclude) > 0 {
 		return c.afford(now, w)
 	}
@@ -204,21 +210,50 @@
 	return nil
 }
 
+// allExcluded reports whether the group has servers and all are excluded. Such
+// a request would wait for a server that it may not use.
+func (g *group) allExcluded(exclude []string) bool {
+	if len(exclude) == 0 {
+		return false
+	}
+	for _, s := range g.servers {
+		if !slices.Contains(exclude, s.backend.ID) {
+			return false
+		}
+	}
+	return len(g.servers) > 0
+}
+
 // afford charges a retry or a takeover. A continuation whose engine is
 // certainly gone is always paid: its caller holds half an answer.
 func (c *Core) afford(now time.Time, w *Waiter) *verdict.Error {
 	waiting, _ := w.group.queue.Waiting()
-	why := c.budget.Spend(now, budget.Expense{
-		Tokens:    w.item.Cost,
+	cost := w.ask.Extra
+	if cost == 0 {
+		cost = w.item.Cost
+	}
+	b := c.budget(w.ask.Service.Name)
+	why := b.Spend(now, budget.Expense{
+		Tokens:    cost,
 		Forced:    w.ask.Resume && !w.ask.Speculative,
 		Saturated: waiting > 0,
 	})
-	c.observe.budget(w, why, c.budget.Balance())
+	c.observe.budget(w, why, b.Balance())
 	if why == budget.Granted || why == budget.Forced {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded,
-		"no room for repeated work: %s", why).After(c.budget.Wait(w.item.Cost))
+		"no room for repeated work: %s", why).After(b.Wait(cost))
+}
+
+// budget returns the balance of a service.
+func (c *Core) budget(service string) *budget.Budget {
+	b, ok := c.budgets[service]
+	if !ok {
+		b = &budget.Budget{}
+		c.budgets[service] = b
+	}
+	return b
 }
 
 // offer asks the queue, and lets the request wait for a model that is loading
@@ -247,8 +282,8 @@
 	s := w.group.servers[r.Index]
 	s.load.InFlight++
 	l := &Lease{
-		core: c, group: w.group, server: s, item: &w.item, reason: r.Reason, started: now,
-		plain: w.ask.Service.Kind == site.KindPlain,
+		core: c, group: w.group, server: s, item: &w.item, service: w.ask.Service,
+		reason: r.Reason, started: now,
 	}
 	c.observe.dispatched(now, w, l)
 	w.sink.Granted(now, l)
--- a/serve/flow/lease.go
+++ b/serve/flow/lease.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
+	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/route"
 )
@@ -15,9 +17,9 @@
 	group   *group
 	server  *server
 	item    *admit.Item
+	service *site.Service
 	reason  route.Reason
 	started time.Time
-	plain   bool // a call of a plain service: one answer, no tokens
 	ended   bool
 }
 
@@ -36,10 +38,21 @@
 	l.server.limit.Gap(per)
 	l.server.peer.Gap(per)
 	if l.item.Class != admit.Resumed {
-		l.core.budget.Earn(now, float64(n))
+		l.core.budget(l.service.Name).Earn(now, float64(n), l.share())
 	}
 }
 
+// share is the part of the tokens that pays for repeated work.
+func (l *Lease) share() float64 {
+	if l.plain() {
+		return budget.DefaultShare
+	}
+	return budget.TakeoverShare(l.service.LatencyWeight)
+}
+
+// plain reports whether this is a call of a plain service: one answer, no tokens.
+func (l *Lease) plain() bool { return l.service.Kind == site.KindPlain }
+
 // Done ends the use. A second call has no effect, so that a slot is never
 // given back twice.
 func (l *Lease) Done(now time.Time, o Outcome) {
@@ -49,27 +62,36 @@
 	l.ended = true
 	l.server.load.InFlight--
 	l.group.queue.Finished(l.item.Class, l.item.Cost, now.Sub(l.started))
-	l.judge(o)
+	l.judge(now, o)
 	l.core.observe.done(l, o)
 	l.core.wake(now, l.server)
 }
 
 // judge feeds the health of the backend server. What we cancelled says
-// nothing about it.
-func (l *Lease) judge(o Outcome) {
+// nothing about it. The time of a plain answer stands for a token gap.
+func (l *Lease) judge(now time.Time, o Outcome) {
 	switch {
 	case o.Cancelled:
 	case o.Err != nil:
 		l.server.peer.Failed()
 	default:
 		l.server.peer.Succeeded()
-		if l.plain && o.FirstToken > 0 {
-			l.server.peer.Gap(o.FirstToken)
-			l.server.limit.Gap(o.FirstToken)
+		if l.plain() {
+			l.judgePlain(now, o)
 		}
 	}
 }
 
+func (l *Lease) judgePlain(now time.Time, o Outcome) {
+	l.core.budget(l.service.Name).Earn(now, l.item.Cost, l.share())
+	took := o.FirstToken
+	if took <= 0 {
+		took = now.Sub(l.started)
+	}
+	l.server.peer.Gap(took)
+	l.server.limit.Gap(took)
+}
+
 // wake starts what may start now that a slot of s came free.
 func (c *Core) wake(now time.Time, s *server) {
 	for _, g := range s.groups {
@@ -110,7 +132,7 @@
 		c.nextEval = now.Add(evalEvery)
 		c.evaluate(now)
 	}
-	for _, g := range c.groups {
+	for _, g := range c.ordered {
 		g.count()
 		c.shed(now, g)
 		c.drainGroup(now, g)
@@ -119,7 +141,7 @@
 }
 
 func (c *Core) evaluate(now time.Time) {
-	for _, g := range c.groups {
+	for _, g := range c.ordered {
 		for _, t := range g.eval.Evaluate(now, g.peers) {
 			c.transition(now, g.servers[t.Index], t)
 		}
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -30,7 +30,7 @@
 	for _, key := range c.keys() {
 		c.buildGroup(now, c.group(key), snap)
 	}
-	for _, g := range c.groups {
+	for _, g := range c.ordered {
 		c.drainGroup(now, g)
 	}
 }
@@ -112,6 +112,7 @@
 			waiters: map[*admit.Item]*Waiter{}, holders: map[uint64]string{},
 		}
 		c.groups[key] = g
+		c.ordered = append(c.ordered, g)
 	}
 	return g
 }
