--- a/lab/bench/load/load_test.go
+++ b/lab/bench/load/load_test.go
@@ -32,6 +32,7 @@
 // In order of arrival everybody waits out their patience and lookups die first.
 // Lookups must be as quick as ever, the engines full, refusals immediate.
 func TestSaturation(t *testing.T) {
+	t.Parallel()
 	r, ref := short(t, "saturation", Product)
 	test.Greater(t, 0.99, answered(urgent(r)))
 	test.Less(t, 1.5*urgent(ref).Whole.P99, urgent(r).Whole.P99)
@@ -46,6 +47,7 @@
 // One account asks ten times what each other does, together twice the capacity.
 // The others must get all of their lookups and the same part of their work.
 func TestHeavyAccountHurtsNobodyElse(t *testing.T) {
+	t.Parallel()
 	r, _ := short(t, "heavy", Product)
 	test.Greater(t, 0.95, r.Jain)
 	test.Greater(t, 1.2*r.Heavy, r.Equal)
@@ -55,6 +57,7 @@
 // One engine of 18 becomes eight times slower while requests come.
 // Callers must hardly see it.
 func TestStraggler(t *testing.T) {
+	t.Parallel()
 	r, ref := short(t, "straggler", Product)
 	test.Eq(t, urgent(r).Sent, urgent(r).Answered)
 	test.Less(t, 1.1*urgent(ref).Whole.P99, urgent(r).Whole.P99)
@@ -63,6 +66,7 @@
 // Lookups alone ask twice the capacity of their desk.
 // Those answered must be quick; the rest must hear of it at once.
 func TestUrgentSaturation(t *testing.T) {
+	t.Parallel()
 	r, ref := short(t, "urgent_saturation", Product)
 	test.Greater(t, 0.9, r.Desk)
 	test.Less(t, 1.5*urgent(ref).Whole.P99, urgent(r).Whole.P99)
@@ -73,6 +77,7 @@
 // A burst of four times the usual load comes every half minute.
 // Normal and long work waits it out; nobody is left without an answer.
 func TestBurst(t *testing.T) {
+	t.Parallel()
 	r, _ := short(t, "burst", Product)
 	test.Greater(t, 0.9, answered(urgent(r)))
 	test.Greater(t, 0.98, answered(r.Classes[site.ClassNormal]))
@@ -82,6 +87,7 @@
 
 // Short requests share engines with long generations at nine tenths of capacity.
 func TestLongAmongShort(t *testing.T) {
+	t.Parallel()
 	r, _ := short(t, "mixed", Product)
 	test.Greater(t, 0.99, answered(urgent(r)))
 	test.Less(t, 200, urgent(r).First.P95)
@@ -92,6 +98,7 @@
 // Answers under way continue elsewhere; what cannot be answered is refused, and
 // lookups are still served.
 func TestZoneLostAtSaturation(t *testing.T) {
+	t.Parallel()
 	r, _ := short(t, "zone_lost", Product)
 	test.Positive(t, r.Restarts)
 	test.Greater(t, 0.9, answered(urgent(r)))
@@ -104,6 +111,7 @@
 }
 
 func TestRunGivesTheSameForTheSameSeed(t *testing.T) {
+	t.Parallel()
 	one, _ := short(t, "usual", Product)
 	two, _ := short(t, "usual", Product)
 	test.Eq(t, one.Classes, two.Classes)
