admit, route: lookups use room that servers report beyond a daemon's share

Change: urgent requests may start on a server whose last report, with this daemon's exact count, leaves room below the operators' bound; continuations may pass the slots by an eighth.

--- a/decision/admit/admit.go
+++ b/decision/admit/admit.go
@@ -49,6 +49,10 @@
 	// maxReserve is the largest share of slots kept for the classes above
 	// another, so that a flood of lookups cannot stop the work below entirely.
 	maxReserve = 0.6
+	// resumedOvershoot is the part of the slots by which continuations may pass
+	// them: what a lost server ran must go on somewhere, and an eighth more
+	// streams in a batch slow each by a few percent.
+	resumedOvershoot = 8
 	// longFloor is the share of tokens, of those started by other classes, that
 	// waiting long work is credited with. It bounds how long a review waits under
 	// endless normal load and costs normal work at most that share.
@@ -170,12 +174,15 @@
 // allowed reports whether a request of class c may start when slots may run,
 // given the reserves of the classes above it.
 func (q *Queue) allowed(now time.Time, c Class, slots int) bool {
-	if q.Running() >= slots {
+	running := q.Running()
+	switch {
+	case c == Resumed:
+		return running < slots+max(q.spare, slots/resumedOvershoot+1)
+	case c == Urgent:
+		return running < slots+q.spare
+	case running >= slots:
 		return false
 	}
-	if c <= Urgent {
-		return true
-	}
 	lower := q.running[Normal] + q.running[Long]
 	most := float64(slots) * maxReserve
 	urgent := min(q.reserve(now, Urgent, slots), most)
@@ -189,6 +196,11 @@
 	return float64(q.running[Long]) < float64(slots)-keep
 }
 
+// SetSpare tells how many more than slots may run for the sake of urgent work,
+// because backend servers reported room that this daemon has no share of. A
+// daemon's part of a small pool is exceeded by chance long before the pool is full.
+func (q *Queue) SetSpare(n int) { q.spare = n }
+
 // reserve is the number of slots kept for class c: what its arrivals need, none
 // where it sent nothing lately, and never the last slot.
 func (q *Queue) reserve(now time.Time, c Class, slots int) float64 {
--- a/decision/admit/queue.go
+++ b/decision/admit/queue.go
@@ -13,6 +13,7 @@
 	last    [classes]time.Time // last arrival
 	credit  float64            // tokens that the floor owes to long work
 	drain   drain
+	spare   int
 	scratch []*Item
 }
 
--- a/decision/route/pick.go
+++ b/decision/route/pick.go
@@ -35,6 +35,8 @@
 	Exclude []string
 	// Random is two independent 32-bit draws.
 	Random uint64
+	// Urgent lets a request use room that the server reported beyond the limit.
+	Urgent bool
 	// Overshoot lets a continuation go beyond the limit by an eighth.
 	Overshoot bool
 }
@@ -165,6 +167,9 @@
 func (t *Table) usable(i int, q *Query) bool {
 	c := &t.candidates[i]
 	room := c.Load.Room()
+	if !room && q.Urgent {
+		room = c.Load.Limit > 0 && c.Load.InFlight+c.Load.Others < c.Load.Slots
+	}
 	if !room && q.Overshoot && c.Load.Limit > 0 {
 		room = c.Load.InFlight < c.Load.Limit+1+c.Load.Limit/8
 	}
--- a/serve/flow/server.go
+++ b/serve/flow/server.go
@@ -87,7 +87,7 @@
 
 // refresh recomputes what the picker reads.
 func (s *server) refresh(now time.Time) {
-	s.load.Limit = 0
+	s.load.Limit, s.load.Slots = 0, int32(s.slots)
 	if s.present {
 		s.load.Limit = int32(s.peer.Limit(now, s.limit.Limit()))
 	}
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -159,9 +159,12 @@
 // count sums the limits of the candidates.
 func (g *group) count() {
 	g.slots = 0
+	spare := 0
 	for _, s := range g.servers {
 		g.slots += int(s.load.Limit)
+		spare += int(s.load.Spare())
 	}
+	g.queue.SetSpare(spare)
 }
 
 // expected is the number of slots that waiting work may count on.
