once: randomised faults; a refusal is repeated only to copies that joined it

Change: such a copy is answered may_have_run with a time to come back. Owners spread their refusal numbers within a tick, so that retries elsewhere pass.

--- a/serve/once/errors.go
+++ b/serve/once/errors.go
@@ -17,6 +17,13 @@
 		"%s; send it again with the same key to learn more", why).After(after)
 }
 
+// errStale answers a copy that may have been held up since before its key was
+// refused. It is not dispatched, or a caller that trusted the refusal and used
+// a new key would get two runs. It is no not_run either: a newer copy may run.
+func errStale() *verdict.Error {
+	return errUndecided("an earlier copy of this call was refused, and this one may be as old", retrySoon)
+}
+
 func errReused() *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.CodeKeyReused,
 		"this key was used with another method, path or body")
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -50,6 +50,7 @@
 		}
 		now := time.Now()
 		s.tidy(now)
+		s.spread()
 		s.deaths.observe(ctx, s.VMs, now)
 		rebalance := now.Sub(trouble) > calmAfterTrouble && now.Sub(balanced) > rebalanceEvery
 		if rebalance {
--- a/serve/once/owner.go
+++ b/serve/once/owner.go
@@ -36,6 +36,8 @@
 		return s.await(ctx, t, c.key)
 	case claimKnown:
 		return s.await(ctx, t, c.key)
+	case claimStale:
+		return reply{outcome: outcome{err: errStale()}}
 	case claimReused:
 		return reply{outcome: outcome{err: errReused()}}
 	case claimUndecided:
@@ -126,12 +128,19 @@
 	c.end(end.out)
 	t.release(c)
 	if result == finishApplied && t.active(term) {
+		s.noteRefusal(c.slot, end.state)
 		s.reportToWitness(c.slot, c.key)
 		return
 	}
 	s.reportToOwner(end, c.slot)
 }
 
+func (s *Service) noteRefusal(i int, st state) {
+	if st == refused {
+		s.refusals.add(i)
+	}
+}
+
 // ownTerm is the term at which this daemon owns the slot as far as it knows,
 // or 0.
 func (s *Service) ownTerm(i int) uint64 {
--- a/serve/once/peer.go
+++ b/serve/once/peer.go
@@ -61,6 +61,7 @@
 	switch t.finish(r, term, w.GetTerm()) {
 	case finishApplied:
 		if t.active(term) {
+			p.s.noteRefusal(i, r.state)
 			p.s.background(func() { p.s.reportToWitness(i, r.key) })
 		}
 	case finishClash:
@@ -94,6 +95,16 @@
 	return &pb.InstallReply{Accepted: t.install(w.GetTerm(), w.GetChange(), records, undecided)}, nil
 }
 
+// Heard implements pb.Once.
+func (p *peer) Heard(_ context.Context, w *pb.HeardRequest) (*pb.HeardReply, error) {
+	for _, n := range w.GetNumbers() {
+		if n.GetSlot() < slot.Count {
+			p.s.heard(int(n.GetSlot()), n.GetNumber())
+		}
+	}
+	return &pb.HeardReply{}, nil
+}
+
 // Learn implements pb.Once.
 func (p *peer) Learn(_ context.Context, w *pb.SlotAssignment) (*pb.SlotAssignment, error) {
 	if w.GetSlot() >= slot.Count {
--- /dev/null
+++ b/serve/once/random_test.go
@@ -0,0 +1,331 @@
+package once
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/verdict"
+)
+
+var (
+	onceRuns = flag.Int("once.runs", 200, "randomised runs of TestRandomFaults")
+	onceSeed = flag.Uint64("once.seed", 1, "seed of the first randomised run")
+)
+
+// TestRandomFaults plays callers that send orders to any entry VM, several
+// copies at once and again after errors, while daemons pause, die, are replaced
+// and lose links, views differ, the store fails and loses confirmations, and
+// the backend server loses answers. Whatever callers see, every order has run
+// at most once, and one that was told not_run did not run.
+func TestRandomFaults(t *testing.T) {
+	for i := range uint64(*onceRuns) {
+		seed := *onceSeed + i
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runRandom(t, seed) })
+		})
+	}
+}
+
+const (
+	settleFor  = 8 * time.Second
+	faultsFor  = 20 * time.Second
+	callers    = 6
+	wanderers  = 3 // copies of one order at most
+	attemptsOf = 4
+)
+
+// told is what one copy of an order was told.
+type told struct {
+	client     int
+	order      string
+	entry      string
+	start, end time.Time
+	answer     string
+	err        *verdict.Error
+}
+
+// chaos is one randomised run.
+type chaos struct {
+	*world
+	rng  *rand.Rand // of the faults
+	mu   sync.Mutex
+	told []told
+}
+
+func runRandom(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	c := &chaos{world: newWorld(t, 5+rng.IntN(3)), rng: rng}
+	defer c.close()
+	c.backend.takes = time.Duration(rng.IntN(1500)) * time.Millisecond
+	time.Sleep(settleFor)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() { c.orders(i, rand.New(rand.NewPCG(seed, uint64(i+2)))) })
+	}
+	for end := time.Now().Add(faultsFor); time.Now().Before(end); {
+		c.fault()
+		time.Sleep(time.Duration(100+rng.IntN(1200)) * time.Millisecond)
+	}
+	c.heal()
+	wg.Wait()
+	time.Sleep(settleFor)
+	c.check(t)
+}
+
+// orders plays one caller until the faults end.
+func (c *chaos) orders(client int, rng *rand.Rand) {
+	end := time.Now().Add(faultsFor)
+	for n := 0; time.Now().Before(end); n++ {
+		order := fmt.Sprintf("order-%d/%d", client, n)
+		for range attemptsOf {
+			if !c.copies(client, order, 1+rng.IntN(wanderers), rng) {
+				break
+			}
+			time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond)
+		}
+	}
+}
+
+// copies sends an order to some entry VMs at once and reports whether it should
+// be sent again: after an error, and sometimes after an answer too.
+func (c *chaos) copies(client int, order string, n int, rng *rand.Rand) (again bool) {
+	var wg sync.WaitGroup
+	results := make([]told, n)
+	for i := range n {
+		d := c.anyDaemon(rng)
+		wg.Go(func() {
+			r := told{client: client, order: order, entry: d.id, start: time.Now()}
+			r.answer, r.err = d.send(order, order)
+			r.end = time.Now()
+			if d.dead.Load() {
+				r.err = verdict.New(verdict.MayHaveRun, "connection_lost", "the entry VM died")
+			}
+			results[i] = r
+		})
+	}
+	wg.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = append(c.told, results...)
+	return results[0].err != nil || rng.IntN(4) == 0
+}
+
+func (c *chaos) anyDaemon(rng *rand.Rand) *daemon {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	var ids []string
+	for i := range 20 {
+		id := fmt.Sprintf("vm%d", i)
+		if d := c.daemons[id]; d != nil && !d.dead.Load() {
+			ids = append(ids, id)
+		}
+	}
+	return c.daemons[ids[rng.IntN(len(ids))]]
+}
+
+// fault brings about one fault, and often ends it a while later.
+func (c *chaos) fault() {
+	d, o := c.anyDaemon(c.rng), c.anyDaemon(c.rng)
+	span := time.Duration(100+c.rng.IntN(6000)) * time.Millisecond
+	switch c.rng.IntN(9) {
+	case 0:
+		c.replace(d)
+	case 1, 2:
+		d.pause()
+		time.AfterFunc(time.Second, func() { c.forget(d) })
+		time.AfterFunc(span, func() { d.resume(); c.agree() })
+	case 3, 4:
+		c.partition(d.id, o.id, true)
+		time.AfterFunc(span, func() { c.partition(d.id, o.id, false) })
+	case 5:
+		c.store.setDown(true)
+		time.AfterFunc(span, func() { c.store.setDown(false) })
+	case 6:
+		c.store.loseConfirmations(1+c.rng.IntN(3), span/20)
+	case 7:
+		d.flow.refuse.Store(true)
+		time.AfterFunc(span, func() { d.flow.refuse.Store(false) })
+	case 8:
+		c.backend.trouble(c.rng.IntN(3), c.rng.IntN(4))
+	}
+	if c.rng.IntN(6) == 0 {
+		c.differ(d, o)
+	}
+}
+
+func (b *backend) trouble(lose, fail int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loseNext, b.failNext = lose, fail
+}
+
+// replace kills a daemon and starts another on the same VM or a new one.
+func (c *chaos) replace(d *daemon) {
+	d.kill()
+	id := d.id
+	if c.rng.IntN(2) == 0 {
+		id = fmt.Sprintf("vm%d", 7+c.rng.IntN(13))
+	}
+	if old := c.daemon(id); old != nil && old != d {
+		old.kill()
+	}
+	c.buried(d)
+	c.start(id, d.view.Load().Self.Zone)
+	time.AfterFunc(time.Second, c.agree)
+}
+
+// buried keeps a replaced daemon, so that the test can wait for its end.
+func (c *chaos) buried(d *daemon) {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	c.graves = append(c.graves, d)
+}
+
+// forget takes a paused daemon out of everyone else's view.
+func (c *chaos) forget(d *daemon) {
+	if d.gate.Load() == nil {
+		return
+	}
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	for _, o := range c.daemons {
+		if o != d {
+			o.drop(d.id)
+		}
+	}
+}
+
+// differ lets d believe that o is gone.
+func (c *chaos) differ(d, o *daemon) {
+	if d != o {
+		d.drop(o.id)
+	}
+}
+
+func (d *daemon) drop(id string) {
+	view := *d.view.Load()
+	var members []membership.Member
+	for _, m := range view.Members {
+		if m.ID != id {
+			members = append(members, m)
+		}
+	}
+	view.Members = members
+	d.view.Store(&view)
+}
+
+func (c *chaos) heal() {
+	c.world.mu.Lock()
+	c.cut = map[[2]string]bool{}
+	for _, d := range c.daemons {
+		d.resume()
+		d.flow.refuse.Store(false)
+	}
+	c.world.mu.Unlock()
+	c.store.setDown(false)
+	c.backend.trouble(0, 0)
+	c.agree()
+}
+
+// check looks at everything callers were told beside what ran.
+func (c *chaos) check(t *testing.T) {
+	orders := map[string][]told{}
+	for _, r := range c.told {
+		orders[r.order] = append(orders[r.order], r)
+	}
+	must.Positive(t, len(c.backend.history))
+	for order, copies := range orders {
+		must.LessEq(t, 1, c.backend.count(order), must.Sprintf("%s ran twice: %v", order, copies))
+		must.True(t, porcupine.CheckOperations(atMostOnce.ToModel(), operations(copies)),
+			must.Sprintf("%s: no order of events explains %v", order, copies))
+	}
+	t.Logf("%d orders, %d copies, %d runs, told: %v", len(orders), len(c.told), len(c.backend.history), tally(c.told))
+	for _, run := range c.backend.history {
+		c.checkRun(t, run, orders[run.body])
+	}
+}
+
+// String puts one copy on a line.
+func (r told) String() string {
+	out := r.answer
+	if r.err != nil {
+		out = r.err.Error()
+	}
+	return fmt.Sprintf("\n  %s at %s, %s..%s: %s", r.order, r.entry, r.start.Format(clock), r.end.Format(clock), out)
+}
+
+const clock = "05.000000"
+
+// tally counts what callers were told.
+func tally(all []told) map[string]int {
+	counts := map[string]int{}
+	for _, r := range all {
+		if r.err == nil {
+			counts["answer"]++
+		} else {
+			counts[r.err.Verdict.String()+" "+string(r.err.Code)]++
+		}
+	}
+	return counts
+}
+
+// checkRun: a run needs a copy that was sent after the last not_run before it.
+func (c *chaos) checkRun(t *testing.T, run runAt, copies []told) {
+	var refusedAt time.Time
+	for _, r := range copies {
+		if r.refused() && r.end.Before(run.at) && r.end.After(refusedAt) {
+			refusedAt = r.end
+		}
+	}
+	for _, r := range copies {
+		if !r.start.Before(refusedAt) && !r.start.After(run.at) {
+			return
+		}
+	}
+	t.Fatalf("%s ran at %s although not_run was told at %s: %v", run.body, run.at.Format(clock), refusedAt.Format(clock), copies)
+}
+
+func (r told) refused() bool { return r.err != nil && r.err.Verdict == verdict.NotRun }
+
+// operations turns what was told into operations. One that may have run has no end.
+func operations(copies []told) []porcupine.Operation {
+	var ops []porcupine.Operation
+	for i, r := range copies {
+		op := porcupine.Operation{ClientId: i, Input: r.order, Output: r, Call: r.start.UnixNano(), Return: r.end.UnixNano()}
+		if r.err != nil && r.err.Verdict == verdict.MayHaveRun {
+			op.Return = math.MaxInt64
+		}
+		ops = append(ops, op)
+	}
+	return ops
+}
+
+// atMostOnce is a register that is written once: false before the run.
+var atMostOnce = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{false} },
+	Step: func(state, input, output any) []any {
+		r := output.(told)
+		switch {
+		case r.err == nil && r.answer == r.order+" run 1":
+			return []any{true}
+		case r.err == nil:
+			return nil
+		case r.err.Verdict == verdict.MayHaveRun:
+			return []any{state, true}
+		case state.(bool) == (r.err.Verdict == verdict.Ran):
+			return []any{state}
+		}
+		return nil
+	},
+}
--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -61,6 +61,7 @@
 	claimNew       claimed = iota // the caller works on the call now
 	claimKnown                    // the key is known: wait, or give its outcome
 	claimElsewhere                // this daemon does not serve the slot
+	claimStale                    // refused before, and this copy may be older than the refusal
 	claimReused                   // the key was used with another body
 	claimUndecided                // the slot's history is lost
 	claimFull                     // no room for another key
@@ -81,8 +82,10 @@
 	switch {
 	case r != nil && r.digest != c.req.digest:
 		return r, claimReused
-	case r != nil && (r.state != refused || c.req.seen < r.refusedAt):
+	case r != nil && r.state != refused:
 		return r, claimKnown
+	case r != nil && c.req.seen < r.refusedAt:
+		return r, claimStale
 	case now.Before(t.undecided):
 		return nil, claimUndecided
 	case r == nil && len(t.records) >= maxKeysPerSlot:
