--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -49,6 +49,8 @@
 	mu    sync.RWMutex
 	table *[slot.Count]slot.Assignment
 	known bool // read from the store at least once
+	// snapshot is a copy of table, built when asked for after a change.
+	snapshot []slot.Assignment
 	// violated is called when two assignments of one term differ.
 	violated func(subject, detail string)
 
@@ -88,11 +90,15 @@
 	return m.table[i]
 }
 
-// All returns a copy of all assignments, and whether the store was ever read.
+// All returns all assignments by slot, and whether the store was ever read. The
+// slice is shared and immutable; it is the same one until an assignment changes.
 func (m *Manager) All() ([]slot.Assignment, bool) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return append([]slot.Assignment(nil), m.table[:]...), m.known
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.snapshot == nil {
+		m.snapshot = append([]slot.Assignment(nil), m.table[:]...)
+	}
+	return m.snapshot, m.known
 }
 
 // Learn takes an assignment that the store accepted, from a peer. Older ones
@@ -114,6 +120,7 @@
 	}
 	if a.Term > have.Term {
 		*have = a
+		m.snapshot = nil
 	}
 }
 
--- /dev/null
+++ b/control/roster/roster_test.go
@@ -0,0 +1,146 @@
+package roster
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/slot"
+	"mallowwind.dev/platform/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+var (
+	vm1 = slot.Member{ID: "vm1", Incarnation: 1, Zone: "z1", Peer: "10.0.0.1:1"}
+	vm2 = slot.Member{ID: "vm2", Incarnation: 1, Zone: "z2", Peer: "10.0.0.2:1"}
+)
+
+func newManager(s store.Store) *Manager {
+	view := membership.Static{View: &membership.View{}}
+	return NewManager(s, view, event.Discard())
+}
+
+func first(change string, owner slot.Member) []slot.Assignment {
+	return []slot.Assignment{{Slot: 5, Term: 1, Owner: owner, Witness: vm2, Change: change}}
+}
+
+func TestCommitReadsBackALostConfirmation(t *testing.T) {
+	// The store takes the write and the answer is lost. The daemon must find out
+	// that it owns the slot, or the slot would stand still with its owner alive.
+	synctest.Test(t, func(t *testing.T) {
+		faulty := store.NewFaulty(store.NewMemory())
+		m := newManager(faulty)
+		faulty.LoseNextWrite()
+		won, err := m.Commit(t.Context(), first("a", vm1))
+		must.NoError(t, err)
+		must.Len(t, 1, won)
+		must.EqOp(t, vm1, m.Slot(5).Owner)
+	})
+}
+
+func TestCommitRepeatsAWriteThatWasDropped(t *testing.T) {
+	// The answer is lost and so was the write: the read back shows nothing.
+	synctest.Test(t, func(t *testing.T) {
+		faulty := store.NewFaulty(store.NewMemory())
+		m := newManager(faulty)
+		faulty.DropNextWrite()
+		won, err := m.Commit(t.Context(), first("a", vm1))
+		must.NoError(t, err)
+		must.Len(t, 1, won)
+	})
+}
+
+func TestOneOfTwoRacingDaemonsWins(t *testing.T) {
+	// Two daemons believe that they should own one slot, and each writes.
+	synctest.Test(t, func(t *testing.T) {
+		shared := store.NewMemory()
+		a, b := newManager(shared), newManager(shared)
+		var wg sync.WaitGroup
+		var byA, byB []slot.Assignment
+		wg.Go(func() { byA, _ = a.Commit(t.Context(), first("a", vm1)) })
+		wg.Go(func() { byB, _ = b.Commit(t.Context(), first("b", vm2)) })
+		wg.Wait()
+		must.EqOp(t, 1, len(byA)+len(byB))
+		time.Sleep(time.Second)
+		must.NoError(t, a.Refresh(t.Context()))
+		must.NoError(t, b.Refresh(t.Context()))
+		must.EqOp(t, a.Slot(5), b.Slot(5))
+	})
+}
+
+func TestLearnNeverGoesBack(t *testing.T) {
+	// A peer that lags passes an old assignment on after a newer one is known.
+	m := newManager(store.NewMemory())
+	m.Learn(slot.Assignment{Slot: 5, Term: 3, Owner: vm1, Change: "c"})
+	m.Learn(slot.Assignment{Slot: 5, Term: 2, Owner: vm2, Change: "b"})
+	must.EqOp(t, vm1, m.Slot(5).Owner)
+	var violated int
+	m.OnViolation(func(string, string) { violated++ })
+	m.Learn(slot.Assignment{Slot: 5, Term: 3, Owner: vm2, Change: "x"})
+	must.EqOp(t, 1, violated)
+	must.EqOp(t, vm1, m.Slot(5).Owner)
+}
+
+func TestEncodeDecode(t *testing.T) {
+	table := empty()
+	table[7] = slot.Assignment{Slot: 7, Term: 9, Owner: vm1, Witness: vm2, Change: "x"}
+	table[8] = slot.Assignment{Slot: 8, Term: 1, Owner: vm2, Change: "y"}
+	b, err := encode(table)
+	must.NoError(t, err)
+	back, err := decode(b)
+	must.NoError(t, err)
+	must.EqOp(t, *table, *back)
+}
+
+// FuzzDecode: whatever the store holds, decode neither panics nor returns a
+// table that encodes differently.
+func FuzzDecode(f *testing.F) {
+	b, _ := encode(empty())
+	f.Add(b)
+	f.Add([]byte(`{"slots":[{"t":1,"o":0}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		table, err := decode(b)
+		if err != nil {
+			return
+		}
+		again, err := encode(table)
+		must.NoError(t, err)
+		back, err := decode(again)
+		must.NoError(t, err)
+		must.EqOp(t, *table, *back)
+	})
+}
+
+// BenchmarkRoster measures one change of the roster at full size: 390 daemons.
+func BenchmarkRoster(b *testing.B) {
+	table := empty()
+	members := make([]slot.Member, 390)
+	for i := range members {
+		members[i] = slot.Member{ID: "entry-" + string(rune('a'+i)), Incarnation: 1764700000000000000, Zone: "zone-1", Peer: "10.11.12.13:7443"}
+	}
+	for i := range table {
+		table[i] = slot.Assignment{
+			Slot: i, Term: 40, Owner: members[i%390], Witness: members[(i*7+1)%390],
+			Change: "7f9c2ba4-e88f-427d-8b5c-" + string(rune('a'+i)),
+		}
+	}
+	m := newManager(store.NewMemory())
+	ctx := context.Background()
+	won, err := m.Commit(ctx, table[:])
+	if err != nil || len(won) != 0 {
+		b.Fatal("term 40 must not be accepted after term 0", err)
+	}
+	value, _ := encode(table)
+	b.ReportMetric(float64(len(value)), "value-bytes")
+	for b.Loop() {
+		value, _ := encode(table)
+		if _, err := decode(value); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -33,8 +33,10 @@
 	// calmAfterTrouble keeps rebalancing, which can wait, from sealing slots
 	// while the store does not take writes.
 	calmAfterTrouble = 30 * time.Second
-	rebalanceEvery   = 2 * time.Second
-	leavePoll        = 200 * time.Millisecond
+	// sweepRounds ticks go by until expired keys of every slot are removed.
+	sweepRounds    = 16
+	rebalanceEvery = 2 * time.Second
+	leavePoll      = 200 * time.Millisecond
 )
 
 var errNoSource = errors.New("neither of the slot's pair gave its keys")
@@ -64,7 +66,11 @@
 
 // repair makes the moves that fall to this daemon.
 func (s *Service) repair(ctx context.Context, rebalance bool) error {
+	if !rebalance && s.idle == s.situation() {
+		return nil
+	}
 	if _, known := s.Roster.All(); known && len(s.plan(rebalance)) == 0 {
+		s.idle = s.situation()
 		return nil
 	}
 	// Plan on what the store says now. This also keeps a daemon from sealing
@@ -91,6 +97,23 @@
 	return s.commit(ctx, proposals, reasons)
 }
 
+// situation is what a plan without rebalancing depends on. While it stays the
+// same as when nothing was to do, nothing is to do.
+type situation struct {
+	slots  *slot.Assignment
+	view   *membership.View
+	silent int
+	stuck  int
+}
+
+func (s *Service) situation() situation {
+	slots, _ := s.Roster.All()
+	return situation{
+		slots: &slots[0], view: s.Members.Current(),
+		silent: len(s.silent.ids(time.Now())), stuck: s.history.stuckOwned,
+	}
+}
+
 func (s *Service) plan(rebalance bool) []slot.Move {
 	view := s.Members.Current()
 	peers := make([]slot.Peer, 0, len(view.Members))
@@ -261,18 +284,30 @@
 
 // tidy drops tables that belong to others now, and expired keys.
 func (s *Service) tidy(now time.Time) {
-	limits := s.limits()
-	owned, keys := 0, 0
-	for i := range s.tables {
-		t, a := &s.tables[i], s.Roster.Slot(i)
-		s.history.observe(i, a.Term, t.active(a.Term), now)
-		if a.Owner.Same(s.self) {
+	slots, _ := s.Roster.All()
+	owned, keys, stuck := 0, 0, 0
+	for i, a := range slots {
+		own := a.Owner.Same(s.self)
+		s.history.observe(i, a.Term, !own || s.tables[i].active(a.Term), now)
+		if own {
 			owned++
 		}
+		if s.history.stuck(i) {
+			stuck++
+		}
 		if a.Term > 0 && !a.Has(s.self) {
-			t.drop(a.Term)
+			s.tables[i].drop(a.Term)
 		}
-		keys += t.sweep(now, limits.KeyTTL-limits.AnswerTTL)
+	}
+	s.history.stuckOwned = stuck
+	limits := s.limits()
+	for n := range slot.Count / sweepRounds {
+		i := (s.swept + n) % slot.Count
+		s.counts[i] = s.tables[i].sweep(now, limits.KeyTTL-limits.AnswerTTL)
+	}
+	s.swept = (s.swept + slot.Count/sweepRounds) % slot.Count
+	for _, n := range s.counts {
+		keys += n
 	}
 	s.metrics.size(owned, keys)
 }
--- a/serve/once/once.go
+++ b/serve/once/once.go
@@ -75,6 +75,10 @@
 	silent   silent
 	history  history
 	refusals refusals
+	// The rest belongs to Run.
+	idle   situation
+	swept  int
+	counts [slot.Count]int
 }
 
 // NewService returns a Service. Mount Handler on the listener for other
--- a/serve/once/suspects.go
+++ b/serve/once/suspects.go
@@ -54,8 +54,9 @@
 
 // history is what this daemon saw of each slot. Only Run uses it.
 type history struct {
-	now   time.Time
-	slots [slot.Count]struct {
+	now        time.Time
+	stuckOwned int
+	slots      [slot.Count]struct {
 		term    uint64
 		changed time.Time // when term was first seen
 		stopped time.Time // since when it has not been served here; zero if it is
