once: move slots in batches

Cause: taking 128 slots made two calls a slot, one after the other, and the first slot stood sealed meanwhile; a randomised run spent most of its time there. Change: one call per source and per witness, at once; assignments are passed on per receiver.

--- a/serve/once/entry.go
+++ b/serve/once/entry.go
@@ -130,8 +130,9 @@
 	ctx, cancel := context.WithTimeout(ctx, sliceGrace)
 	defer cancel()
 	for _, m := range slot.First(s.peers(), a.Slot, peersAsked) {
-		if w, err := s.client(m).Learn(ctx, assignmentToWire(a)); err == nil {
-			s.Roster.Learn(assignmentFromWire(w))
+		w, err := s.client(m).Learn(ctx, &pb.SlotAssignments{Assignments: []*pb.SlotAssignment{assignmentToWire(a)}})
+		if err == nil && len(w.GetAssignments()) == 1 {
+			s.Roster.Learn(assignmentFromWire(w.GetAssignments()[0]))
 		}
 	}
 }
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/membership"
@@ -39,8 +39,6 @@
 	leavePoll      = 200 * time.Millisecond
 )
 
-var errNoSource = errors.New("neither of the slot's pair gave its keys")
-
 // Run repairs and rebalances slots until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	var trouble, balanced time.Time
@@ -78,23 +76,11 @@
 	if err := s.Roster.Refresh(ctx); err != nil {
 		return err
 	}
-	moves := s.plan(rebalance)
-	var proposals []slot.Assignment
-	reasons := make(map[int]slot.Reason, len(moves))
-	for _, m := range moves {
-		a, err := s.prepare(ctx, m)
-		if err != nil {
-			s.metrics.moved(m.Reason, "failed")
-			s.Log.Emit(event.SlotTakeFailed, m.From.Slot, m.From.Term+1, m.Reason.String(), err.Error())
-			continue
-		}
-		proposals = append(proposals, a)
-		reasons[a.Slot] = m.Reason
-	}
-	if len(proposals) == 0 {
+	ready := s.prepare(ctx, s.plan(rebalance))
+	if len(ready) == 0 {
 		return nil
 	}
-	return s.commit(ctx, proposals, reasons)
+	return s.commit(ctx, ready)
 }
 
 // situation is what a plan without rebalancing depends on. While it stays the
@@ -148,127 +134,45 @@
 	return out
 }
 
-// prepare ends the old term of a slot, brings its keys here and gives them to
-// the new witness. Afterwards only the store's consent is missing.
-func (s *Service) prepare(ctx context.Context, m slot.Move) (slot.Assignment, error) {
-	a := slot.Assignment{
-		Slot: m.From.Slot, Term: m.From.Term + 1,
-		Owner: s.self, Witness: m.Witness, Change: uuid.NewString(),
-	}
-	if err := s.gather(ctx, m, a); err != nil {
-		return a, err
-	}
-	if a.Witness.None() {
-		return a, nil
-	}
-	if err := s.install(ctx, a); err != nil {
-		s.silent.add(a.Witness.ID, time.Now())
-		return a, err
-	}
-	return a, nil
-}
-
-// gather makes this daemon's table complete for the term of a.
-func (s *Service) gather(ctx context.Context, m slot.Move, a slot.Assignment) error {
-	t := &s.tables[a.Slot]
-	if m.From.Term == 0 {
-		return refusedUnless(t.advance(a.Term, a.Change))
-	}
-	if m.From.Has(s.self) {
-		if complete, _, _ := t.seal(m.From.Term); complete {
-			return refusedUnless(t.advance(a.Term, a.Change))
-		}
-	}
-	for _, source := range []slot.Member{m.From.Owner, m.From.Witness} {
-		if source.None() || source.Same(s.self) {
-			continue
-		}
-		records, undecided, err := s.fetch(ctx, source, m.From)
-		if err == nil {
-			return refusedUnless(t.install(a.Term, a.Change, records, undecided))
-		}
-	}
-	if !s.deaths.ended(s.Members.Current(), m.From) {
-		return errNoSource
-	}
-	// Neither of the pair can bind keys any more, and what they bound is lost.
-	// Every key may have been among it until the retention of the last is over.
-	ttl := s.limits().KeyTTL
-	s.Log.Emit(event.SlotHistoryLost, a.Slot, a.Term, ttl.String())
-	return refusedUnless(t.install(a.Term, a.Change, nil, time.Now().Add(ttl)))
-}
-
-func refusedUnless(ok bool) error {
-	if ok {
-		return nil
-	}
-	return errors.New("another change of this slot is under way here")
-}
-
-// fetch seals a slot at a member of its pair and returns the member's keys.
-func (s *Service) fetch(ctx context.Context, from slot.Member, a slot.Assignment) ([]record, time.Time, error) {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	w, err := s.client(from).Seal(ctx, &pb.SealRequest{Slot: uint32(a.Slot), Term: a.Term})
-	if err != nil {
-		s.Dialer.DropIdle()
-		return nil, time.Time{}, errors.Wrap(err, "sealing")
-	}
-	now := time.Now()
-	records, ok := recordsFromWire(w.GetRecords(), now)
-	if !ok || !w.GetComplete() {
-		return nil, time.Time{}, errNoSource
-	}
-	return records, now.Add(time.Duration(w.GetUndecidedMs()) * time.Millisecond), nil
-}
-
-// install gives the new witness the slot's keys.
-func (s *Service) install(ctx context.Context, a slot.Assignment) error {
-	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
-	defer cancel()
-	records, undecided := s.tables[a.Slot].all()
-	now := time.Now()
-	w, err := s.client(a.Witness).Install(ctx, &pb.InstallRequest{
-		Slot: uint32(a.Slot), Term: a.Term, Change: a.Change, Records: recordsToWire(records, now),
-		UndecidedMs: max(undecided.Sub(now), 0).Milliseconds(),
-	})
-	if err != nil {
-		s.Dialer.DropIdle()
-		return errors.Wrap(err, "installing at the witness")
-	}
-	if !w.GetAccepted() {
-		return errors.New("the witness refused the slot")
-	}
-	return nil
-}
-
 // commit asks the store's consent and tells the old pairs of their successors.
-func (s *Service) commit(ctx context.Context, proposals []slot.Assignment, reasons map[int]slot.Reason) error {
-	before := make(map[int]slot.Assignment, len(proposals))
-	for _, p := range proposals {
-		before[p.Slot] = s.Roster.Slot(p.Slot)
+func (s *Service) commit(ctx context.Context, ready []*change) error {
+	proposals := make([]slot.Assignment, len(ready))
+	by := make(map[int]*change, len(ready))
+	for i, c := range ready {
+		proposals[i], by[c.next.Slot] = c.next, c
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	won, err := s.Roster.Commit(ctx, proposals)
-	for _, a := range won {
-		s.metrics.moved(reasons[a.Slot], "taken")
-		keys, _ := s.tables[a.Slot].all()
-		s.Log.Emit(event.SlotTaken, a.Slot, a.Term, a.Witness.ID, reasons[a.Slot].String(), len(keys))
-		s.background(func() { s.tell(before[a.Slot], a) })
-	}
+	taken := make([]*change, len(won))
+	for i, a := range won {
+		c := by[a.Slot]
+		taken[i] = c
+		s.metrics.moved(c.move.Reason, "taken")
+		s.Log.Emit(event.SlotTaken, a.Slot, a.Term, a.Witness.ID, c.move.Reason.String(), s.tables[a.Slot].size())
+	}
+	s.background(func() { s.tell(taken) })
 	return err
 }
 
-// tell passes a new assignment to the pair before it, so that they send callers on.
-func (s *Service) tell(before, a slot.Assignment) {
+// tell passes new assignments to the pairs before them, so that they send
+// callers on, and to the new witnesses.
+func (s *Service) tell(taken []*change) {
 	ctx, cancel := context.WithTimeout(context.Background(), sliceGrace)
 	defer cancel()
-	for _, m := range []slot.Member{before.Owner, before.Witness, a.Witness} {
+	news := make(map[slot.Member][]*pb.SlotAssignment)
+	for _, c := range taken {
+		for _, m := range []slot.Member{c.move.From.Owner, c.move.From.Witness, c.next.Witness} {
+			news[m] = append(news[m], assignmentToWire(c.next))
+		}
+	}
+	var wg sync.WaitGroup
+	for m, assignments := range news {
 		if !m.None() && !m.Same(s.self) {
-			_, _ = s.client(m).Learn(ctx, assignmentToWire(a))
+			wg.Go(func() { _, _ = s.client(m).Learn(ctx, &pb.SlotAssignments{Assignments: assignments}) })
 		}
 	}
+	wg.Wait()
 }
 
 // witnessSilent has a witness that did not answer replaced.
--- a/serve/once/peer.go
+++ b/serve/once/peer.go
@@ -72,27 +72,35 @@
 
 // Seal implements pb.Once.
 func (p *peer) Seal(_ context.Context, w *pb.SealRequest) (*pb.SealReply, error) {
-	if w.GetSlot() >= slot.Count {
-		return nil, errBadSlot()
-	}
-	complete, records, undecided := p.s.tables[w.GetSlot()].seal(w.GetTerm())
+	reply := &pb.SealReply{}
 	now := time.Now()
-	return &pb.SealReply{
-		Complete: complete, Records: recordsToWire(records, now),
-		UndecidedMs: max(undecided.Sub(now), 0).Milliseconds(),
-	}, nil
+	for _, which := range w.GetSlots() {
+		if which.GetSlot() >= slot.Count {
+			return nil, errBadSlot()
+		}
+		complete, records, undecided := p.s.tables[which.GetSlot()].seal(which.GetTerm())
+		reply.Slots = append(reply.Slots, &pb.SealedSlot{
+			Complete: complete, Records: recordsToWire(records, now),
+			UndecidedMs: max(undecided.Sub(now), 0).Milliseconds(),
+		})
+	}
+	return reply, nil
 }
 
 // Install implements pb.Once.
 func (p *peer) Install(_ context.Context, w *pb.InstallRequest) (*pb.InstallReply, error) {
+	reply := &pb.InstallReply{}
 	now := time.Now()
-	records, ok := recordsFromWire(w.GetRecords(), now)
-	if !ok || w.GetSlot() >= slot.Count {
-		return nil, twirp.InvalidArgumentError("records", "malformed")
+	for _, in := range w.GetSlots() {
+		records, ok := recordsFromWire(in.GetRecords(), now)
+		if !ok || in.GetSlot() >= slot.Count {
+			return nil, twirp.InvalidArgumentError("records", "malformed")
+		}
+		undecided := now.Add(time.Duration(in.GetUndecidedMs()) * time.Millisecond)
+		t := &p.s.tables[in.GetSlot()]
+		reply.Accepted = append(reply.Accepted, t.install(in.GetTerm(), in.GetChange(), records, undecided))
 	}
-	undecided := now.Add(time.Duration(w.GetUndecidedMs()) * time.Millisecond)
-	t := &p.s.tables[w.GetSlot()]
-	return &pb.InstallReply{Accepted: t.install(w.GetTerm(), w.GetChange(), records, undecided)}, nil
+	return reply, nil
 }
 
 // Heard implements pb.Once.
@@ -106,12 +114,16 @@
 }
 
 // Learn implements pb.Once.
-func (p *peer) Learn(_ context.Context, w *pb.SlotAssignment) (*pb.SlotAssignment, error) {
-	if w.GetSlot() >= slot.Count {
-		return nil, errBadSlot()
-	}
-	if w.GetTerm() > 0 {
-		p.s.Roster.Learn(assignmentFromWire(w))
+func (p *peer) Learn(_ context.Context, w *pb.SlotAssignments) (*pb.SlotAssignments, error) {
+	reply := &pb.SlotAssignments{}
+	for _, a := range w.GetAssignments() {
+		if a.GetSlot() >= slot.Count {
+			return nil, errBadSlot()
+		}
+		if a.GetTerm() > 0 {
+			p.s.Roster.Learn(assignmentFromWire(a))
+		}
+		reply.Assignments = append(reply.Assignments, assignmentToWire(p.s.Roster.Slot(int(a.GetSlot()))))
 	}
-	return assignmentToWire(p.s.Roster.Slot(int(w.GetSlot()))), nil
+	return reply, nil
 }
--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -332,6 +332,13 @@
 	return len(t.records)
 }
 
+// size is the number of known keys.
+func (t *table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records)
+}
+
 // all returns every record and the end of the undecided time.
 func (t *table) all() ([]record, time.Time) {
 	t.mu.Lock()
