--- a/control/roster/encoding.go
+++ b/control/roster/encoding.go
@@ -9,19 +9,23 @@
 )
 
 // document is the stored form. Members and change ids are listed once and
-// slots point to them, which keeps the value near 50 KB at 390 daemons.
+// slots point to them, which keeps the value small at 390 daemons.
 type document struct {
 	Members []slot.Member `json:"members"`
 	Changes []string      `json:"changes"`
 	Slots   []row         `json:"slots"`
 }
 
-type row struct {
-	Term    uint64 `json:"t"`
-	Owner   int    `json:"o"`
-	Witness int    `json:"w"` // -1: none
-	Change  int    `json:"c"`
-}
+// row is one slot: its term, then indexes of owner, witness and change, -1 for
+// none. Rows without field names halve the value and the time to read it.
+type row [4]int64
+
+const (
+	rowTerm = iota
+	rowOwner
+	rowWitness
+	rowChange
+)
 
 // encode writes table in the stored form.
 func encode(table *[slot.Count]slot.Assignment) ([]byte, error) {
@@ -29,27 +33,27 @@
 	members := map[slot.Member]int{}
 	changes := map[string]int{}
 	for _, a := range table {
-		r := row{Term: a.Term, Owner: -1, Witness: -1, Change: -1}
+		r := row{int64(a.Term), -1, -1, -1}
 		if a.Term > 0 {
-			r.Owner = index(&d.Members, members, a.Owner)
-			r.Change = index(&d.Changes, changes, a.Change)
+			r[rowOwner] = index(&d.Members, members, a.Owner)
+			r[rowChange] = index(&d.Changes, changes, a.Change)
 		}
 		if !a.Witness.None() {
-			r.Witness = index(&d.Members, members, a.Witness)
+			r[rowWitness] = index(&d.Members, members, a.Witness)
 		}
 		d.Slots = append(d.Slots, r)
 	}
 	return json.Marshal(d)
 }
 
-func index[T comparable](list *[]T, seen map[T]int, v T) int {
+func index[T comparable](list *[]T, seen map[T]int, v T) int64 {
 	i, ok := seen[v]
 	if !ok {
 		i = len(*list)
 		*list = append(*list, v)
 		seen[v] = i
 	}
-	return i
+	return int64(i)
 }
 
 // decode reads the stored form.
@@ -63,26 +67,34 @@
 	}
 	table := empty()
 	for i, r := range d.Slots {
-		if r.Owner >= len(d.Members) || r.Witness >= len(d.Members) || r.Change >= len(d.Changes) {
-			return nil, errors.Errorf("roster: slot %d points past a list", i)
-		}
-		if r.Term > 0 && (r.Owner < 0 || r.Change < 0) {
-			return nil, errors.Errorf("roster: slot %d has a term and no owner", i)
-		}
-		table[i].Term = r.Term
-		if r.Owner >= 0 {
-			table[i].Owner = d.Members[r.Owner]
-		}
-		if r.Witness >= 0 {
-			table[i].Witness = d.Members[r.Witness]
-		}
-		if r.Change >= 0 {
-			table[i].Change = d.Changes[r.Change]
+		a, err := d.assignment(i, r)
+		if err != nil {
+			return nil, err
 		}
+		table[i] = a
 	}
 	return table, nil
 }
 
+func (d *document) assignment(i int, r row) (slot.Assignment, error) {
+	a := slot.Assignment{Slot: i, Term: uint64(r[rowTerm])}
+	members, changes := int64(len(d.Members)), int64(len(d.Changes))
+	if r[rowTerm] < 0 || r[rowOwner] >= members || r[rowWitness] >= members || r[rowChange] >= changes {
+		return a, errors.Errorf("roster: slot %d points past a list", i)
+	}
+	if a.Term > 0 && (r[rowOwner] < 0 || r[rowChange] < 0) {
+		return a, errors.Errorf("roster: slot %d has a term and no owner", i)
+	}
+	if a.Term == 0 {
+		return a, nil
+	}
+	a.Owner, a.Change = d.Members[r[rowOwner]], d.Changes[r[rowChange]]
+	if r[rowWitness] >= 0 {
+		a.Witness = d.Members[r[rowWitness]]
+	}
+	return a, nil
+}
+
 // empty returns a table of slots that were never assigned.
 func empty() *[slot.Count]slot.Assignment {
 	var table [slot.Count]slot.Assignment
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -102,7 +103,7 @@
 func FuzzDecode(f *testing.F) {
 	b, _ := encode(empty())
 	f.Add(b)
-	f.Add([]byte(`{"slots":[{"t":1,"o":0}]}`))
+	f.Add([]byte(`{"slots":[[1,0,-1,0]]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		table, err := decode(b)
 		if err != nil {
@@ -121,12 +122,12 @@
 	table := empty()
 	members := make([]slot.Member, 390)
 	for i := range members {
-		members[i] = slot.Member{ID: "entry-" + string(rune('a'+i)), Incarnation: 1764700000000000000, Zone: "zone-1", Peer: "10.11.12.13:7443"}
+		members[i] = slot.Member{ID: fmt.Sprintf("entry-%04d", i), Incarnation: 1764700000000000000, Zone: "zone-1", Peer: "10.11.12.13:7443"}
 	}
 	for i := range table {
 		table[i] = slot.Assignment{
 			Slot: i, Term: 40, Owner: members[i%390], Witness: members[(i*7+1)%390],
-			Change: "7f9c2ba4-e88f-427d-8b5c-" + string(rune('a'+i)),
+			Change: fmt.Sprintf("7f9c2ba4-e88f-427d-8b5c-%012d", i/3),
 		}
 	}
 	m := newManager(store.NewMemory())
@@ -135,12 +136,13 @@
 	if err != nil || len(won) != 0 {
 		b.Fatal("term 40 must not be accepted after term 0", err)
 	}
-	value, _ := encode(table)
-	b.ReportMetric(float64(len(value)), "value-bytes")
+	size := 0
 	for b.Loop() {
 		value, _ := encode(table)
 		if _, err := decode(value); err != nil {
 			b.Fatal(err)
 		}
+		size = len(value)
 	}
+	b.ReportMetric(float64(size), "value-bytes")
 }
--- a/serve/once/random_test.go
+++ b/serve/once/random_test.go
@@ -18,7 +18,7 @@
 )
 
 var (
-	onceRuns = flag.Int("once.runs", 60, "randomised runs of TestRandomFaults")
+	onceRuns = flag.Int("once.runs", 200, "randomised runs of TestRandomFaults")
 	onceSeed = flag.Uint64("once.seed", 1, "seed of the first randomised run")
 )
 
--- a/serve/once/transfer.go
+++ b/serve/once/transfer.go
@@ -34,10 +34,11 @@
 // is missing.
 func (s *Service) prepare(ctx context.Context, moves []slot.Move) []*change {
 	changes := make([]*change, len(moves))
+	id := uuid.NewString()
 	for i, m := range moves {
 		changes[i] = &change{move: m, next: slot.Assignment{
 			Slot: m.From.Slot, Term: m.From.Term + 1,
-			Owner: s.self, Witness: m.Witness, Change: uuid.NewString(),
+			Owner: s.self, Witness: m.Witness, Change: id,
 		}}
 	}
 	s.gather(ctx, changes)
