--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -27,11 +27,14 @@
 // Key is where the store holds the roster.
 const Key = "/mallowwind/roster"
 
+// PollPerMember spreads polling so that all daemons together read the value
+// once a second at any size of the fleet, which costs each of 390 daemons about
+// 160 bytes a second. Polling only finds what nobody passed on: members of a
+// pair hear of changes from each other, callers' daemons from those they ask.
+const PollPerMember = time.Second
+
 const (
-	// pollPerMember spreads polling so that all daemons together read the
-	// value four times a second at any size of the fleet.
-	pollPerMember = 250 * time.Millisecond
-	pollMin       = 2 * time.Second
+	pollMin = 2 * time.Second
 	// refreshGap bounds reads on suspicion, which calls may set off.
 	refreshGap = 200 * time.Millisecond
 	// callTimeout bounds one call to the store.
@@ -72,7 +75,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	for {
 		_ = m.Refresh(ctx)
-		wait := max(pollMin, time.Duration(len(m.members.Current().Members))*pollPerMember)
+		wait := max(pollMin, time.Duration(len(m.members.Current().Members))*PollPerMember)
 		wait = wait*3/4 + rand.N(wait/2)
 		select {
 		case <-ctx.Done():
--- a/lab/capacity/constants.go
+++ b/lab/capacity/constants.go
@@ -6,8 +6,10 @@
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/reconcile"
+	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/slot"
 )
 
 // Constants of the packages that the arithmetic takes up.
@@ -21,9 +23,9 @@
 
 const (
 	// slots is the number of slots that idempotency keys hash to.
-	slots = 1024.0
+	slots = float64(slot.Count)
 	// rosterReads is how often all daemons together read the roster, a second.
-	rosterReads = 4.0
+	rosterReads = float64(time.Second) / float64(roster.PollPerMember)
 )
 
 func perSecond(every time.Duration) float64 { return 1 / every.Seconds() }
--- a/serve/once/entry.go
+++ b/serve/once/entry.go
@@ -108,7 +108,7 @@
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	if s.Roster.Slot(a.Slot).Term == a.Term {
-		s.refresh(ctx, a)
+		s.refresh(ctx, a, pause >= searchMax)
 	}
 	select {
 	case <-ctx.Done():
@@ -116,10 +116,13 @@
 	}
 }
 
-func (s *Service) refresh(ctx context.Context, a slot.Assignment) {
+// refresh asks the store, and peers if the store does not answer or the search
+// goes on for long. Asking also tells the peers of a, so that the daemon which
+// should take over a slot whose pair is lost learns that it was assigned.
+func (s *Service) refresh(ctx context.Context, a slot.Assignment, long bool) {
 	short, cancel := context.WithTimeout(ctx, storePatience)
 	defer cancel()
-	if err := s.Roster.Refresh(short); err != nil {
+	if err := s.Roster.Refresh(short); err != nil || long {
 		s.askPeers(ctx, a)
 	}
 }
