lab/stand: faults between VMs and of whole entry VMs

Cause: faults could only be set at an address, so a VM that was cut off still reached the store, engines and peers. Change: each VM dials through its own gate and the one between zones; an entry VM can be cut, restored, paused, abandoned; zones lose each other one way or both; an engine can be marked leaving and ended. Conclusion: go test ./lab/stand passes unchanged.

--- a/lab/stand/fabric.go
+++ b/lab/stand/fabric.go
@@ -18,18 +18,26 @@
 
 	mu        sync.Mutex
 	listeners map[string]*faultnet.Listener
-	names     map[string]string // VM ids by address
+	places    map[string]place // by address
+	gates     map[string]*gate
+	dialed    map[string]map[*gatedConn]struct{} // by VM id
 }
 
 func newFabric(memory bool) *fabric {
-	return &fabric{memory: memory, listeners: make(map[string]*faultnet.Listener), names: make(map[string]string)}
+	return &fabric{
+		memory:    memory,
+		listeners: make(map[string]*faultnet.Listener),
+		places:    make(map[string]place),
+		gates:     make(map[string]*gate),
+		dialed:    make(map[string]map[*gatedConn]struct{}),
+	}
 }
 
 // name notes which VM an address belongs to.
-func (f *fabric) name(address, id string) {
+func (f *fabric) name(address string, at place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.names[address] = id
+	f.places[address] = at
 }
 
 // listen opens the next address.
--- /dev/null
+++ b/lab/stand/faults.go
@@ -0,0 +1,100 @@
+package stand
+
+import (
+	"context"
+
+	"mallowwind.dev/platform/standin/faultnet"
+	"mallowwind.dev/platform/vmlist"
+)
+
+// listeners are the entry VM's addresses.
+func (e *Entry) nets() []*faultnet.Listener {
+	return []*faultnet.Listener{e.Callers(), e.Peers(), e.d.fabric.at(e.admin)}
+}
+
+// Cut takes the entry VM off the network at once: its connections are reset in
+// both directions and new ones refused. Seen from outside it has died; its
+// process goes on and knows nothing.
+func (e *Entry) Cut() {
+	for _, l := range e.nets() {
+		l.Cut()
+	}
+	e.d.fabric.gateOf(vmGate(e.ID)).setCut(true)
+	e.d.fabric.reset(e.ID)
+}
+
+// Restore ends Cut.
+func (e *Entry) Restore() error {
+	e.d.fabric.gateOf(vmGate(e.ID)).setCut(false)
+	for _, l := range e.nets() {
+		if err := l.Restore(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Pause stops all traffic of the entry VM, open connections included, and
+// reports nothing to either end.
+func (e *Entry) Pause() {
+	e.d.fabric.gateOf(vmGate(e.ID)).shut()
+	for _, l := range e.nets() {
+		l.Stall()
+	}
+}
+
+// Unpause ends Pause.
+func (e *Entry) Unpause() {
+	for _, l := range e.nets() {
+		l.Unstall()
+	}
+	e.d.fabric.gateOf(vmGate(e.ID)).unshut()
+}
+
+// Remove takes the entry VM off the platform's list, as after its end.
+func (e *Entry) Remove() { e.d.VMs.Remove(e.ID) }
+
+// Abandon ends the process of an entry VM that is cut off, without a drain.
+func (e *Entry) Abandon() {
+	e.kill()
+	e.soft()
+	<-e.done
+}
+
+// Done is closed or has a value when the daemon has ended.
+func (e *Entry) Done() <-chan error { return e.done }
+
+// CutZones loses all traffic over connections opened from one availability
+// zone to the other, until HealZones.
+func (d *Deployment) CutZones(from, to string) { d.fabric.gateOf(zonesGate(from, to)).shut() }
+
+// HealZones ends CutZones.
+func (d *Deployment) HealZones(from, to string) { d.fabric.gateOf(zonesGate(from, to)).unshut() }
+
+// EngineNet is the network at an engine's address.
+func (d *Deployment) EngineNet(id string) *faultnet.Listener {
+	return d.fabric.at(d.engineAddress[id])
+}
+
+// DeskNet is the network at the plain service's address.
+func (d *Deployment) DeskNet() *faultnet.Listener { return d.fabric.at(d.deskAddress) }
+
+// LeaveEngine marks an engine as leaving on the platform's list.
+func (d *Deployment) LeaveEngine(id string) {
+	vm, ok := d.VMs.Latest(id)
+	if !ok {
+		return
+	}
+	vm.State = vmlist.Leaving
+	d.VMs.Put(vm)
+}
+
+// EndEngine ends an engine for good and takes it off the list.
+func (d *Deployment) EndEngine(id string) {
+	d.Engines[id].Die()
+	d.EngineNet(id).Cut()
+	d.VMs.Remove(id)
+}
+
+// Ready reports whether an entry VM answers every generation service.
+func (d *Deployment) Ready(ctx context.Context, e *Entry) bool { return d.ready(ctx, e) }
--- /dev/null
+++ b/lab/stand/links.go
@@ -0,0 +1,191 @@
+package stand
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// errUnreachable is what dialing from a VM that is cut off returns.
+var errUnreachable = errors.New("stand: no route from a VM that is cut off")
+
+// gate is one place through which traffic passes: all that a VM sends out, or
+// all from one availability zone to another. While it is shut nothing passes
+// and nothing is reported, as packets that are lost on the way.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while traffic flows
+	cut  bool          // dials fail at once
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		g.open = make(chan struct{})
+	default:
+	}
+}
+
+func (g *gate) unshut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+	default:
+		close(g.open)
+	}
+}
+
+func (g *gate) setCut(cut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = cut
+}
+
+func (g *gate) isCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cut
+}
+
+func (g *gate) flowing() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
+// place is where a VM stands.
+type place struct{ id, zone string }
+
+// gateOf returns the gate of a name, open at first.
+func (f *fabric) gateOf(name string) *gate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.gates[name]
+	if g == nil {
+		g = newGate()
+		f.gates[name] = g
+	}
+	return g
+}
+
+func vmGate(id string) string            { return "vm " + id }
+func zonesGate(from, to string) string   { return "zones " + from + " " + to }
+func (f *fabric) placeAt(a string) place { f.mu.Lock(); defer f.mu.Unlock(); return f.places[a] }
+
+// dialFrom returns a dialer for a VM: its connections pass the VM's own gate
+// and the one from its zone to the zone of the address.
+func (f *fabric) dialFrom(from place) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		gates := []*gate{f.gateOf(vmGate(from.id))}
+		if to := f.placeAt(address); to.zone != "" && to.zone != from.zone {
+			gates = append(gates, f.gateOf(zonesGate(from.zone, to.zone)))
+		}
+		for _, g := range gates {
+			if g.isCut() {
+				return nil, errUnreachable
+			}
+			select {
+			case <-g.flowing():
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		inner, err := f.dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		c := &gatedConn{Conn: inner, gates: gates, closed: make(chan struct{})}
+		c.forget = f.keep(from.id, c)
+		return c, nil
+	}
+}
+
+// keep notes an open connection of a VM and returns what forgets it.
+func (f *fabric) keep(id string, c *gatedConn) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dialed[id] == nil {
+		f.dialed[id] = make(map[*gatedConn]struct{})
+	}
+	f.dialed[id][c] = struct{}{}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.dialed[id], c)
+	}
+}
+
+// reset closes every connection that a VM has dialed.
+func (f *fabric) reset(id string) {
+	f.mu.Lock()
+	conns := f.dialed[id]
+	delete(f.dialed, id)
+	f.mu.Unlock()
+	for c := range conns {
+		_ = c.Conn.Close() // the VM sees it at its next read or write
+	}
+}
+
+// gatedConn is the dialing end of a connection that passes gates.
+type gatedConn struct {
+	net.Conn
+	gates  []*gate
+	forget func()
+	once   sync.Once
+	closed chan struct{}
+}
+
+// pass waits until every gate is open.
+func (c *gatedConn) pass() error {
+	for _, g := range c.gates {
+		select {
+		case <-g.flowing():
+		case <-c.closed:
+			return net.ErrClosed
+		}
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if perr := c.pass(); perr != nil {
+		return 0, perr
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if err := c.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn. The other end learns of it when the gates open.
+func (c *gatedConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.forget()
+		go func() {
+			for _, g := range c.gates {
+				<-g.flowing()
+			}
+			_ = c.Conn.Close() // both ends are done with it
+		}()
+	})
+	return nil
+}
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -101,6 +101,9 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
+
+	engineAddress map[string]string // by VM id
+	deskAddress   string
 }
 
 // Entry is one entry VM with its daemon.
@@ -108,10 +111,10 @@
 	ID, Zone, Address string
 	Daemon            *daemon.Daemon
 
-	peer string
-	d    *Deployment
-	soft context.CancelFunc
-	done chan error
+	peer, admin string
+	d           *Deployment
+	soft, kill  context.CancelFunc
+	done        chan error
 }
 
 // Start runs everything and applies the site text as an operator would. It
@@ -121,10 +124,12 @@
 		opts:    o.withDefaults(),
 		fabric:  newFabric(o.Memory),
 		Engines: make(map[string]*enginesim.Sim),
-		Desk:    plainsim.New("desk", deskWork),
-		Store:   store.NewFaulty(store.NewMemory()),
-		VMs:     vmlist.NewMemory(listLag),
-		Weights: weightsim.New(fetches, fetchTime),
+
+		engineAddress: make(map[string]string),
+		Desk:          plainsim.New("desk", deskWork),
+		Store:         store.NewFaulty(store.NewMemory()),
+		VMs:           vmlist.NewMemory(listLag),
+		Weights:       weightsim.New(fetches, fetchTime),
 	}
 	d.ctx, d.stop = context.WithCancel(ctx)
 	if err := d.start(); err != nil {
@@ -190,6 +195,7 @@
 	if err != nil {
 		return err
 	}
+	d.deskAddress = deskAt
 	d.VMs.Put(vmlist.VM{ID: "desk-1", Address: deskAt, Zone: d.opts.Zones[0], Role: vmlist.RoleBackend, Pool: "desks", State: vmlist.Live})
 	return nil
 }
@@ -206,7 +212,8 @@
 		return err
 	}
 	d.Engines[id] = sim
-	d.fabric.name(at, id)
+	d.engineAddress[id] = at
+	d.fabric.name(at, place{id, zone})
 	d.VMs.Put(vmlist.VM{ID: id, Address: at, Zone: zone, Role: vmlist.RoleBackend, Pool: "engines", State: vmlist.Live})
 	return nil
 }
@@ -218,7 +225,7 @@
 	if err != nil {
 		return nil, err
 	}
-	platform, err := d.platform()
+	platform, err := d.platform(place{e.ID, zone})
 	if err != nil {
 		return nil, err
 	}
@@ -229,18 +236,20 @@
 	e.Daemon = daemon.New(daemon.Options{
 		Settings:  &settings.Settings{Site: d.opts.Site, VM: e.ID, Zone: zone, DrainLimit: d.opts.DrainLimit},
 		Listeners: listeners,
-		Dialer:    link.NewDialerWith(d.HTTP()),
+		Dialer:    link.NewDialerWith(d.httpFrom(place{e.ID, zone})),
 		Logger:    logger,
 		Version:   "stand",
 		Backends:  &watch,
 		Platform:  platform,
 	})
-	e.Address, e.peer = listeners.Callers.Addr().String(), listeners.Peers.Addr().String()
+	e.Address, e.peer, e.admin = listeners.Callers.Addr().String(), listeners.Peers.Addr().String(), listeners.Admin.Addr().String()
+	d.fabric.name(e.peer, place{e.ID, zone})
 	d.Entries = append(d.Entries, e)
 	d.VMs.Put(vmlist.VM{ID: e.ID, Address: e.peer, Zone: zone, Role: vmlist.RoleEntry, State: vmlist.Live})
 	soft, cancel := context.WithCancel(context.Background())
-	e.soft = cancel
-	d.wg.Go(func() { e.done <- e.Daemon.Run(soft, d.ctx) })
+	hard, kill := context.WithCancel(d.ctx)
+	e.soft, e.kill = cancel, kill
+	d.wg.Go(func() { e.done <- e.Daemon.Run(soft, hard) })
 	return e, nil
 }
 
@@ -260,17 +269,23 @@
 	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dial, false), CheckRedirect: sent.NoRedirect}
 }
 
-func (d *Deployment) platform() (daemon.Platform, error) {
-	kv, err := store.NewEtcdClient([]string{d.storeURL}, d.HTTP())
+// httpFrom returns a client of a VM, whose faults it shares.
+func (d *Deployment) httpFrom(at place) *http.Client {
+	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dialFrom(at), false), CheckRedirect: sent.NoRedirect}
+}
+
+func (d *Deployment) platform(at place) (daemon.Platform, error) {
+	dial := d.fabric.dialFrom(at)
+	kv, err := store.NewEtcdClient([]string{d.storeURL}, d.httpFrom(at))
 	if err != nil {
 		return daemon.Platform{}, err
 	}
 	fresh := func() *http.Client {
-		return &http.Client{Transport: sent.NewTransportWith(d.fabric.dial, true), CheckRedirect: sent.NoRedirect}
+		return &http.Client{Transport: sent.NewTransportWith(dial, true), CheckRedirect: sent.NoRedirect}
 	}
 	return daemon.Platform{
 		Store:   kv,
-		VMs:     vmlist.NewClient(d.vmsURL, d.HTTP()),
+		VMs:     vmlist.NewClient(d.vmsURL, d.httpFrom(at)),
 		Weights: d.Weights,
 		Engine: func(address string) engine.Engine {
 			e := engine.Engine(engine.NewClient("http://"+address, fresh()))
@@ -279,15 +294,13 @@
 			}
 			return d.opts.Wrap(d.engineAt(address), e)
 		},
-		Plain: plain.NewClient(sent.NewTransportWith(d.fabric.dial, true), 0),
+		Plain: plain.NewClient(sent.NewTransportWith(dial, true), 0),
 	}, nil
 }
 
 // engineAt returns the VM id of the engine at an address.
 func (d *Deployment) engineAt(address string) string {
-	d.fabric.mu.Lock()
-	defer d.fabric.mu.Unlock()
-	return d.fabric.names[address]
+	return d.fabric.placeAt(address).id
 }
 
 // Stop begins a graceful shutdown, as SIGTERM does, and waits for its end.
