--- /dev/null
+++ b/lab/soak/plan.go
@@ -0,0 +1,155 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind names a fault or a planned change.
+type Kind string
+
+// The kinds. Those of a VM or link have a target; the others concern the one
+// store, VM list or plain service.
+const (
+	EngineDie      Kind = "engine_die"        // and revive
+	EnginePause    Kind = "engine_pause"      // stops, connections stay open
+	EngineSlow     Kind = "engine_slow"       // a straggler
+	EngineSilence  Kind = "engine_silence"    // its open streams never say another word
+	EngineCutOff   Kind = "engine_net_silent" // all its open connections do
+	EngineRefuse   Kind = "engine_refuse"     // takes nothing new
+	EntryCut       Kind = "entry_cut"         // off the network, then back
+	EntryPause     Kind = "entry_pause"       // no traffic, then on as before
+	EntryReplace   Kind = "entry_replace"     // lost; another VM takes its place
+	CallersSilent  Kind = "callers_silent"    // callers' open connections to an entry VM
+	PeersSilent    Kind = "peers_silent"      // entry VMs' open connections to one
+	ZonesCutOneWay Kind = "zones_cut_one_way"
+	ZonesCut       Kind = "zones_cut"
+	ZoneLost       Kind = "zone_lost" // every entry VM and engine of a zone
+	StoreDown      Kind = "store_down"
+	StoreSlow      Kind = "store_slow"
+	StoreLoseWrite Kind = "store_lose_write" // takes effect, its answer is lost
+	StoreDropWrite Kind = "store_drop_write" // lost on its way
+	ListDown       Kind = "list_down"
+	DeskLose       Kind = "desk_lose_answers"
+	DeskSilent     Kind = "desk_silent"
+	DeskSlow       Kind = "desk_slow"
+
+	EntryStop   Kind = "entry_stop"   // planned: another VM starts, this one drains
+	EngineLeave Kind = "engine_leave" // planned: another VM starts, this one is marked leaving
+)
+
+// faultKinds are drawn with equal weight.
+var faultKinds = []Kind{
+	EngineDie, EnginePause, EngineSlow, EngineSilence, EngineCutOff, EngineRefuse,
+	EntryCut, EntryPause, EntryReplace, CallersSilent, PeersSilent,
+	ZonesCutOneWay, ZonesCut, ZoneLost,
+	StoreDown, StoreSlow, StoreLoseWrite, StoreDropWrite, ListDown,
+	DeskLose, DeskSilent, DeskSlow, EntryStop,
+}
+
+// Step is one fault with its healing, or one planned change.
+type Step struct {
+	At   time.Duration // after the start of the run
+	For  time.Duration // until it heals
+	Kind Kind
+	// Target and Other choose among the VMs or zones there are then, modulo
+	// their number.
+	Target, Other int
+}
+
+// String is one line of a report.
+func (s Step) String() string {
+	return fmt.Sprintf("%v %s target=%d other=%d for %v", s.At, s.Kind, s.Target, s.Other, s.For)
+}
+
+// Plan is what happens in a run, in order of time.
+type Plan struct {
+	Seed   uint64
+	Steps  []Step
+	Length time.Duration // everything is healed then
+	// EntriesPerZone and IgnoreFence vary the deployment.
+	EntriesPerZone int
+	IgnoreFence    bool
+}
+
+// Planned reports whether the plan holds planned changes alone: then nothing
+// may be cut.
+func (p Plan) Planned() bool {
+	return !slices.ContainsFunc(p.Steps, func(s Step) bool {
+		return s.Kind != EntryStop && s.Kind != EngineLeave
+	})
+}
+
+// String lists the steps.
+func (p Plan) String() string {
+	lines := []string{fmt.Sprintf("seed %d, %d entry VMs per zone, engines ignore fences: %t", p.Seed, p.EntriesPerZone, p.IgnoreFence)}
+	for _, s := range p.Steps {
+		lines = append(lines, "  "+s.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+const (
+	runLength = 16 * time.Second
+	minFault  = 200 * time.Millisecond
+	maxFault  = 6 * time.Second
+	// together is how far apart the faults of a pair begin at most: within the
+	// time in which the first is noticed.
+	together   = 800 * time.Millisecond
+	maxTargets = 12
+	maxGroups  = 4
+	maxRepeats = 3
+)
+
+// Draw makes the plan of a seed: groups of one fault, of two at about the same
+// time, or of one fault that comes again right after it healed.
+func Draw(seed uint64) Plan {
+	rng := rand.New(rand.NewPCG(seed, planStream))
+	p := Plan{Seed: seed, Length: runLength, EntriesPerZone: 1, IgnoreFence: rng.IntN(4) == 0}
+	if rng.IntN(4) == 0 {
+		p.EntriesPerZone = 2
+	}
+	for range 1 + rng.IntN(maxGroups) {
+		p.Steps = append(p.Steps, group(rng)...)
+	}
+	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
+	return p
+}
+
+// planStream and callStream keep the random choices of the plan apart from
+// those of the callers.
+const (
+	planStream = 1
+	callStream = 2
+)
+
+func group(rng *rand.Rand) []Step {
+	first := draw(rng, time.Second+between(rng, 0, runLength-6*time.Second))
+	switch rng.IntN(3) {
+	case 0:
+		return []Step{first}
+	case 1:
+		return []Step{first, draw(rng, first.At+between(rng, 0, together))}
+	}
+	steps := []Step{first}
+	for range 1 + rng.IntN(maxRepeats-1) {
+		again := steps[len(steps)-1]
+		again.At += again.For + between(rng, 0, time.Second)
+		steps = append(steps, again)
+	}
+	return steps
+}
+
+func draw(rng *rand.Rand, at time.Duration) Step {
+	return Step{
+		At: at, For: between(rng, minFault, maxFault), Kind: faultKinds[rng.IntN(len(faultKinds))],
+		Target: rng.IntN(maxTargets), Other: rng.IntN(maxTargets),
+	}
+}
+
+func between(rng *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(rng.Int64N(int64(high-low))).Truncate(time.Millisecond)
+}
--- a/lab/stand/faults.go
+++ b/lab/stand/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"mallowwind.dev/platform/standin/enginesim"
 	"mallowwind.dev/platform/standin/faultnet"
 	"mallowwind.dev/platform/vmlist"
 )
@@ -73,7 +74,8 @@
 
 // EngineNet is the network at an engine's address.
 func (d *Deployment) EngineNet(id string) *faultnet.Listener {
-	return d.fabric.at(d.engineAddress[id])
+	vm, _ := d.VMs.Latest(id)
+	return d.fabric.at(vm.Address)
 }
 
 // DeskNet is the network at the plain service's address.
@@ -90,8 +92,8 @@
 }
 
 // EndEngine ends an engine for good and takes it off the list.
-func (d *Deployment) EndEngine(id string) {
-	d.Engines[id].Die()
+func (d *Deployment) EndEngine(id string, sim *enginesim.Sim) {
+	sim.Die()
 	d.EngineNet(id).Cut()
 	d.VMs.Remove(id)
 }
--- a/lab/stand/site.go
+++ b/lab/stand/site.go
@@ -1,5 +1,7 @@
 package stand
 
+import "slices"
+
 // DemoToken is the bearer token of the demo's one client account.
 const DemoToken = "demo-token"
 
@@ -66,3 +68,6 @@
 const demoSite = "demo"
 
 var demoZones = []string{"Rufisque", "Pikine", "Plateau"}
+
+// DemoZones are the availability zones of DemoText.
+func DemoZones() []string { return slices.Clone(demoZones) }
--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -40,6 +40,9 @@
 	watchEvery = 500 * time.Millisecond
 	// readyLimit bounds the start of the deployment.
 	readyLimit = 15 * time.Second
+	// waitOut is added where engines ignore fences: a holder of the zone's lease
+	// then waits out what the one before may still send.
+	waitOut = 45 * time.Second
 	readyPoll  = 200 * time.Millisecond
 	loadTime   = 200 * time.Millisecond
 	fetchTime  = 500 * time.Millisecond
@@ -63,6 +66,8 @@
 	DrainLimit     time.Duration
 	// Wrap, if set, stands between daemons and the engine with this VM id.
 	Wrap func(id string, e engine.Engine) engine.Engine
+	// IgnoreFence makes engines take orders with old fencing numbers.
+	IgnoreFence bool
 }
 
 func (o Options) withDefaults() Options {
@@ -102,8 +107,8 @@
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
 
-	engineAddress map[string]string // by VM id
-	deskAddress   string
+	starts      starts
+	deskAddress string
 }
 
 // Entry is one entry VM with its daemon.
@@ -124,12 +129,10 @@
 		opts:    o.withDefaults(),
 		fabric:  newFabric(o.Memory),
 		Engines: make(map[string]*enginesim.Sim),
-
-		engineAddress: make(map[string]string),
-		Desk:          plainsim.New("desk", deskWork),
-		Store:         store.NewFaulty(store.NewMemory()),
-		VMs:           vmlist.NewMemory(listLag),
-		Weights:       weightsim.New(fetches, fetchTime),
+		Desk:    plainsim.New("desk", deskWork),
+		Store:   store.NewFaulty(store.NewMemory()),
+		VMs:     vmlist.NewMemory(listLag),
+		Weights: weightsim.New(fetches, fetchTime),
 	}
 	d.ctx, d.stop = context.WithCancel(ctx)
 	if err := d.start(); err != nil {
@@ -202,20 +205,25 @@
 
 // StartEngine adds a model engine to a zone.
 func (d *Deployment) StartEngine(zone string) error {
+	_, err := d.AddEngine(zone)
+	return err
+}
+
+// AddEngine is StartEngine and returns the engine's VM id.
+func (d *Deployment) AddEngine(zone string) (string, error) {
 	id := fmt.Sprintf("engine-%d", len(d.Engines)+1)
 	sim := enginesim.New(enginesim.Config{
-		Name: id, Seed: d.opts.Seed + uint64(len(d.Engines)), RespectFence: true,
+		Name: id, Seed: d.opts.Seed + uint64(len(d.Engines)), RespectFence: !d.opts.IgnoreFence,
 		Weights: d.Weights, LoadTime: loadTime,
 	})
-	at, err := d.serve(enginesim.Handler(sim))
+	at, err := d.serve(d.starts.counting(enginesim.Handler(sim)))
 	if err != nil {
-		return err
+		return "", err
 	}
 	d.Engines[id] = sim
-	d.engineAddress[id] = at
 	d.fabric.name(at, place{id, zone})
 	d.VMs.Put(vmlist.VM{ID: id, Address: at, Zone: zone, Role: vmlist.RoleBackend, Pool: "engines", State: vmlist.Live})
-	return nil
+	return id, nil
 }
 
 // StartEntry adds an entry VM to a zone.
@@ -328,14 +336,18 @@
 // awaitReady waits until every entry VM serves each generation service of the
 // demo's text and knows all others.
 func (d *Deployment) awaitReady() error {
-	ctx, cancel := context.WithTimeout(d.ctx, readyLimit)
+	limit := readyLimit
+	if d.opts.IgnoreFence {
+		limit += waitOut
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
 	for _, e := range d.Entries {
 		for !d.ready(ctx, e) {
 			select {
 			case <-time.After(readyPoll):
 			case <-ctx.Done():
-				return errors.Errorf("%s was not ready within %s", e.ID, readyLimit)
+				return errors.Errorf("%s was not ready within %s", e.ID, limit)
 			}
 		}
 	}
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -280,3 +280,6 @@
 	mux.Handle(members.PathPrefix(), members)
 	return mux
 }
+
+// InForce returns the site text in force here, nil before the first.
+func (d *Daemon) InForce() *site.Site { return d.inforce.Current() }
