--- a/serve/journal/holder.go
+++ b/serve/journal/holder.go
@@ -65,6 +65,12 @@
 	if old != nil && supersedes(old.Copy, c) {
 		return Result{Epoch: old.Line.Epoch(), Length: len(old.Tokens)}
 	}
+	if old != nil && old.Line.Epoch() == c.Line.Epoch() && len(old.Tokens) > len(c.Tokens) {
+		// A message that was under way while its successors arrived: the owner
+		// gave it up as lost long ago. Taking it would shorten the copy below
+		// what callers hold.
+		return Result{Accepted: true, Epoch: c.Line.Epoch(), Length: len(old.Tokens)}
+	}
 	e := &entry{Copy: c, touched: time.Now(), bytes: size(c)}
 	if !h.makeRoom(e.bytes, c.Spec.GetId()) {
 		return Result{Epoch: c.Line.Epoch()}
@@ -82,9 +88,12 @@
 	if next.Line.Epoch() == held.Line.Epoch() {
 		return false
 	}
-	for _, f := range next.Line {
+	for i, f := range next.Line[:len(next.Line)-1] {
 		if f.Epoch == held.Line.Epoch() {
-			return false // next continues what is held
+			// next continues what is held, unless it left the line before the
+			// held end: then callers may hold tokens that next does not have, of
+			// an owner that was cut off while its answer was taken over.
+			return next.Line[i+1].From < len(held.Tokens)
 		}
 	}
 	if held.Finish != "" && next.Line.Epoch().Count() == held.Line.Epoch().Count() {
@@ -114,7 +123,9 @@
 		h.grow(e, tokens[skip:])
 	}
 	e.touched = time.Now()
-	if attempt != nil {
+	// A late message must not bring back an earlier attempt: its engine goes on
+	// with another text than the tokens held here.
+	if attempt != nil && offset+len(tokens) == len(e.Tokens) {
 		e.Attempt = attempt
 	}
 	if finish != "" {
