control/backends: what a VM is follows the text in force

Ruled out: callers' calls without a key (refused before dispatch). Change: a pool is engine, plain or unknown; an entry made under another kind is made anew at the next merge.

--- a/control/backends/backends.go
+++ b/control/backends/backends.go
@@ -9,6 +9,16 @@
 	"mallowwind.dev/platform/vmlist"
 )
 
+// Kind says what the VMs of a pool are.
+type Kind uint8
+
+// The kinds of pools.
+const (
+	KindEngine  Kind = iota // model engines, which are asked for their status
+	KindPlain               // plain services, which report nothing
+	KindUnknown             // no site text yet: nothing is asked and nothing sent
+)
+
 // Backend is one backend server as last seen. It is immutable.
 type Backend struct {
 	VM     vmlist.VM
--- a/control/backends/manager.go
+++ b/control/backends/manager.go
@@ -25,9 +25,9 @@
 	VMs  vmlist.Source
 	// Engine returns the client of the engine at an address.
 	Engine func(address string) engine.Engine
-	// Plain reports whether a pool runs plain services, which have no engine
-	// to ask; nil means that none does.
-	Plain func(pool string) bool
+	// Kind says what the site text in force says of a pool; nil means that all
+	// hold engines.
+	Kind func(pool string) Kind
 	// Reads reports whether this daemon is one of its zone's readers of the
 	// list, given their number; nil means that it is. See Readers.
 	Reads func(readers int) bool
--- a/control/backends/manager_test.go
+++ b/control/backends/manager_test.go
@@ -62,12 +62,16 @@
 		Self: "d1", Zone: "a", VMs: list,
 		Engine: func(address string) engine.Engine { return engines[address] },
 	})
+	run(t, m)
+	return m
+}
+
+func run(t *testing.T, m *Manager) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { _ = m.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	synctest.Wait()
-	return m
 }
 
 func find(m *Manager, id string) *Backend {
@@ -279,3 +283,29 @@
 		must.Greater(t, m.cfg.PollsPerSecond*0.7, rate)
 	})
 }
+
+// An entry VM boots while the store is out: it knows the VM list seconds before
+// the first text. The order desk must not be asked for an engine's status, which
+// it would run as a call, and it must be usable as soon as the text says what it is.
+func TestListKnownBeforeText(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &listFake{}
+		list.set(backend("desk", vmlist.Live))
+		desk := &engineFake{}
+		var kind atomic.Uint32
+		kind.Store(uint32(KindUnknown))
+		m := NewManager(Deps{
+			Self: "d1", Zone: "a", VMs: list,
+			Engine: func(string) engine.Engine { return desk },
+			Kind:   func(string) Kind { return Kind(kind.Load()) },
+		})
+		run(t, m)
+		time.Sleep(10 * time.Second)
+		must.False(t, find(m, "desk").Reachable)
+		kind.Store(uint32(KindPlain))
+		time.Sleep(2 * m.cfg.ListEvery)
+		must.True(t, find(m, "desk").Reachable)
+		must.Nil(t, find(m, "desk").Engine)
+		must.Eq(t, 0, desk.polls.Load())
+	})
+}
--- a/control/backends/table.go
+++ b/control/backends/table.go
@@ -16,6 +16,7 @@
 // entry is the mutable record behind a Backend. Manager.mu guards it.
 type entry struct {
 	vm        vmlist.VM
+	kind      Kind
 	eng       engine.Engine
 	status    engine.Status
 	seen      time.Time
@@ -53,7 +54,7 @@
 	var changes []change
 	for id, vm := range wanted {
 		e, ok := m.entries[id]
-		if !ok || e.vm.Address != vm.Address {
+		if !ok || e.vm.Address != vm.Address || e.kind != m.kind(vm.Pool) {
 			e = m.newEntry(vm)
 			m.entries[id] = e
 		}
@@ -100,16 +101,29 @@
 	return change{}, false
 }
 
+// newEntry makes the entry of a VM as what the text in force says it is. The
+// list is often known before the first text, above all while the store is out:
+// an entry made for good then took a plain service for an engine, which sent
+// it questions for its status, each a call that it may act on, and left it
+// unreachable from this daemon. So an entry made under another kind is made anew.
 func (m *Manager) newEntry(vm vmlist.VM) *entry {
-	e := &entry{vm: vm}
-	if m.deps.Plain == nil || !m.deps.Plain(vm.Pool) {
+	e := &entry{vm: vm, kind: m.kind(vm.Pool)}
+	switch e.kind {
+	case KindEngine:
 		e.eng = m.deps.Engine(vm.Address)
-	} else {
+	case KindPlain:
 		e.reachable = true // plain services report nothing; calls tell
 	}
 	return e
 }
 
+func (m *Manager) kind(pool string) Kind {
+	if m.deps.Kind == nil {
+		return KindEngine
+	}
+	return m.deps.Kind(pool)
+}
+
 // publish swaps in a new snapshot if anything but the load figures changed or
 // a fresh status came. Manager.mu is held.
 func (m *Manager) publish() {
--- a/lab/bench/slopes/backends.go
+++ b/lab/bench/slopes/backends.go
@@ -58,7 +58,7 @@
 	return backends.NewManager(backends.Deps{
 		Self: "entry-0000", Zone: zoneOf(0), VMs: list,
 		Engine: func(string) engine.Engine { return nil },
-		Plain:  func(string) bool { return true },
+		Kind:   func(string) backends.Kind { return backends.KindPlain },
 	})
 }
 
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -109,7 +109,7 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Kind: d.poolKind,
 		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
 		Log:   d.log, Registerer: d.registry, Config: bc,
 	})
@@ -139,18 +139,18 @@
 	})
 }
 
-// plainPool reports whether a pool runs plain services.
-func (d *Daemon) plainPool(pool string) bool {
+// poolKind says what the text in force says of a pool.
+func (d *Daemon) poolKind(pool string) backends.Kind {
 	s := d.inforce.Current()
 	if s == nil {
-		return false
+		return backends.KindUnknown
 	}
 	for _, service := range s.Services {
-		if service.Pool == pool {
-			return service.Kind == site.KindPlain
+		if service.Pool == pool && service.Kind == site.KindPlain {
+			return backends.KindPlain
 		}
 	}
-	return false
+	return backends.KindEngine
 }
 
 // assemblePlacement lets this daemon contend for its zone's lease and, while
