--- a/serve/api/errors.go
+++ b/serve/api/errors.go
@@ -55,6 +55,8 @@
 	verdict.CodeUnconfigured:       http.StatusServiceUnavailable,
 	verdict.CodeInvariantViolation: http.StatusInternalServerError,
 	verdict.CodeKeyUndecided:       http.StatusConflict,
+	verdict.CodeKeyInvalid:         http.StatusBadRequest,
+	verdict.CodeAnswerGone:         http.StatusGone,
 }
 
 // writeError writes a refusal, unless the answer has begun: then the endpoint
--- /dev/null
+++ b/serve/api/errors_test.go
@@ -0,0 +1,36 @@
+package api
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/verdict"
+)
+
+// A caller sent a key with a space and was answered with status 500, as if the
+// system were broken: a code had been added and no status for it.
+func TestEachCodeHasAStatus(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "../../decision/verdict/verdict.go", nil, 0)
+	must.NoError(t, err)
+	codes := 0
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || spec.Type == nil || len(spec.Values) != 1 {
+			return true
+		}
+		if id, ok := spec.Type.(*ast.Ident); !ok || id.Name != "Code" {
+			return true
+		}
+		value, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+		must.NoError(t, err)
+		must.MapContainsKey(t, statuses, verdict.Code(value))
+		codes++
+		return true
+	})
+	must.Positive(t, codes)
+}
