--- a/lab/soak/calls.go
+++ b/lab/soak/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 // waves follow while the outcome is not known.
 func (r *run) confirmations(ctx context.Context, c *caller) {
 	for r.pause(ctx, c.between(0, 700*time.Millisecond)) {
-		key := c.unique("confirm")
+		key := strings.ReplaceAll(c.unique("confirm"), " ", "-")
 		said := r.confirm(ctx, c, key)
 		r.count("call " + said)
 		r.calls.heard(key, said)
--- a/lab/soak/settle.go
+++ b/lab/soak/settle.go
@@ -52,7 +52,7 @@
 	if err := review.post(ctx, to); err != nil {
 		r.violate("after healing, a review at %s failed: %v", e.ID, err)
 	}
-	key := fmt.Sprintf("confirm after %s", e.ID)
+	key := fmt.Sprintf("confirm-after-%s", e.ID)
 	status, verdict, err := to.Call(ctx, "confirmations", "/confirm", key)
 	if err != nil || verdict != "ran" {
 		r.violate("after healing, a call at %s ended with %q, status %d: %v", e.ID, verdict, status, err)
