serve/daemon: a new entry VM is named to callers when it knows enough to serve

Ruled out: the old VM's drain; the copy's place (no other member was known). Change: membership carries an empty caller address until the daemon has a text, has heard of the entry VMs on the list and has a backend server for each service (at most 10 s later); completions and calls are refused until then. A refusal at the door of a request with a key says may_have_run: nobody was asked.

--- a/control/membership/manager.go
+++ b/control/membership/manager.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// Serve tells the others where callers reach this daemon. Until then it takes
+// part without being named to callers.
+func (m *Manager) Serve(caller string) {
+	m.mu.Lock()
+	c := m.table.Serve(caller)
+	m.mu.Unlock()
+	m.changed([]gossip.Change{c}, "")
+}
+
 // Leave tells the others that this daemon leaves. It keeps taking part until
 // Run's context ends.
 func (m *Manager) Leave() {
--- a/decision/gossip/record.go
+++ b/decision/gossip/record.go
@@ -90,6 +90,7 @@
 	ReasonUnlisted   Reason = "silent and no longer in the VM list"
 	ReasonRefuted    Reason = "contradicted a claim about itself"
 	ReasonLeave      Reason = "leaves"
+	ReasonServes     Reason = "serves callers"
 	ReasonSuperseded Reason = "another process runs under this VM id"
 )
 
--- a/decision/gossip/table.go
+++ b/decision/gossip/table.go
@@ -172,6 +172,15 @@
 	return Change{Record: own, From: claim.State, Reason: ReasonRefuted}, true
 }
 
+// Serve says where callers reach this daemon from now on.
+func (t *Table) Serve(caller string) Change {
+	rec := t.self.rec
+	rec.Caller = caller
+	rec.Refutation++ // newer than what others hold of this incarnation
+	t.put(t.self, rec)
+	return Change{Record: rec, From: rec.State, Reason: ReasonServes}
+}
+
 // Leave marks this daemon as leaving or, in the last message it sends, gone.
 func (t *Table) Leave(state State) Change {
 	rec := t.self.rec
--- a/lab/soak/generations.go
+++ b/lab/soak/generations.go
@@ -101,8 +101,10 @@
 		case !errors.As(err, &refused):
 			r.count("moved")
 			a.c.forget()
-		case refused.Verdict == "not_run" && a.text.Len() == 0 && a.c.chance(60):
-			r.notRun(a, refused)
+		case a.goesOn(refused):
+			if refused.Verdict == "not_run" {
+				r.notRun(a, refused)
+			}
 			a.c.forget()
 		default:
 			return err
@@ -112,6 +114,12 @@
 	return err
 }
 
+// goesOn reports whether the caller sends a refused request again: what was
+// not run, or what it can repeat under its key.
+func (a *answer) goesOn(refused *stand.Refusal) bool {
+	return (refused.Verdict == "not_run" || a.key != "") && a.text.Len() == 0 && a.c.chance(60)
+}
+
 // notRun checks a not_run verdict at the time at which it is heard.
 func (r *run) notRun(a *answer, refused *stand.Refusal) {
 	if n := r.stand.Starts(a.prompt); n > 0 {
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -45,6 +45,8 @@
 	Metrics     prometheus.Registerer
 	// Refusing reports whether new requests are refused because the daemon stops.
 	Refusing func() bool
+	// Starting reports whether the daemon does not know enough yet to serve.
+	Starting func() bool
 	// Ready reports whether callers should be sent here.
 	Ready func() bool
 }
@@ -113,8 +115,7 @@
 func (a *API) serve(w http.ResponseWriter, r *http.Request, e endpoint) error {
 	s := a.Site.Current()
 	if s == nil {
-		return verdict.New(verdict.NotRun, verdict.CodeUnconfigured,
-			"this entry VM has no configuration yet; use another one").After(retryElsewhere)
+		return a.elsewhere(r, verdict.CodeUnconfigured, "this entry VM has no configuration yet; use another one")
 	}
 	account := authenticate(s, r)
 	if account == nil {
@@ -127,15 +128,29 @@
 // retryElsewhere is the wait told to callers that should use another entry VM.
 const retryElsewhere = time.Second
 
-// accepting refuses new work while the daemon stops.
-func (a *API) accepting() error {
-	if a.Refusing() {
-		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown,
-			"this entry VM is shutting down; ask /v1/entries for another one").After(retryElsewhere)
+// accepting refuses new work while the daemon starts or stops.
+func (a *API) accepting(r *http.Request) error {
+	switch {
+	case a.Refusing():
+		return a.elsewhere(r, verdict.CodeShuttingDown, "this entry VM is shutting down; ask /v1/entries for another one")
+	case a.Starting():
+		return a.elsewhere(r, verdict.CodeUnconfigured, "this entry VM is starting; use another one")
 	}
 	return nil
 }
 
+// elsewhere refuses a request that another entry VM can serve. Nothing of it
+// ran here, but with a key it may be a copy of a request that runs elsewhere,
+// and nobody was asked: not_run would invite the caller to send it anew under
+// another key.
+func (a *API) elsewhere(r *http.Request, code verdict.Code, text string) error {
+	v := verdict.NotRun
+	if r.Header.Get(keyHeader) != "" {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, code, "%s", text).After(retryElsewhere)
+}
+
 func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !a.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/serve/api/completions.go
+++ b/serve/api/completions.go
@@ -22,7 +22,7 @@
 }
 
 func (a *API) complete(w http.ResponseWriter, r *http.Request, s *site.Site, account *site.Account, chat bool) error {
-	if err := a.accepting(); err != nil {
+	if err := a.accepting(r); err != nil {
 		return err
 	}
 	body, err := readBody(w, r, s.Limits.BodyBytes)
--- a/serve/api/services.go
+++ b/serve/api/services.go
@@ -20,7 +20,7 @@
 
 // service passes a call on to a plain service.
 func (a *API) service(w http.ResponseWriter, r *http.Request, s *site.Site, account *site.Account) error {
-	if err := a.accepting(); err != nil {
+	if err := a.accepting(r); err != nil {
 		return err
 	}
 	vars := mux.Vars(r)
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -81,6 +82,7 @@
 	flow        *flow.Manager
 	generations *generation.Manager
 	calls       *calls
+	serving     atomic.Bool // named to callers
 	drain       *drainer
 	api         *api.API
 }
@@ -119,7 +121,6 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 			Zone:        s.Zone,
 			Region:      s.Region,
-			Caller:      d.opts.Listeners.Callers.Addr().String(),
 			Peer:        d.opts.Listeners.Peers.Addr().String(),
 		},
 		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
@@ -189,6 +190,7 @@
 		Entries: &entries{site: d.inforce, members: d.members},
 		Log:     d.log, Metrics: d.registry,
 		Refusing: d.drain.refusing,
+		Starting: func() bool { return !d.serving.Load() },
 		Ready:    d.ready,
 	})
 }
@@ -208,7 +210,7 @@
 }
 
 // ready reports whether callers should be sent here.
-func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
+func (d *Daemon) ready() bool { return d.serving.Load() && !d.drain.leaving() }
 
 // Run serves until ctx ends and then drains: it leaves the address answers,
 // waits out the longest answer a caller may have kept, lets running work end,
@@ -243,6 +245,7 @@
 	parts := []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
 		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
+		d.starting,
 	}
 	if d.opts.TLS != nil {
 		parts = append(parts, d.opts.TLS.Run)
--- /dev/null
+++ b/serve/daemon/start.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/site"
+	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/platform/vmlist"
+)
+
+const (
+	// startPoll is how often a daemon that starts looks whether it knows enough.
+	startPoll = 50 * time.Millisecond
+	// startLimit is how long it waits for other entry VMs and backend servers
+	// that the platform's list names: they may be what is broken.
+	startLimit = 10 * time.Second
+	// startSettle lets the flow take up what the other parts know.
+	startSettle = 500 * time.Millisecond
+)
+
+// starting names this entry VM to callers when it knows enough to serve them.
+//
+// The failure it guards against: a new entry VM is in the address answers as
+// soon as it is alive, and in its first second knows neither an engine nor who
+// holds the copies of running answers. A caller sent there during a planned
+// replacement is refused, and one that repeats its key is told that its request
+// was not run while another entry VM runs it.
+func (d *Daemon) starting(ctx context.Context) error {
+	began := time.Now()
+	for !d.knowsEnough(time.Since(began) >= startLimit) {
+		if !pause(ctx, startPoll) {
+			return nil
+		}
+	}
+	if !pause(ctx, startSettle) {
+		return nil
+	}
+	d.serving.Store(true)
+	if !d.drain.leaving() {
+		d.members.Serve(d.opts.Listeners.Callers.Addr().String())
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// knowsEnough reports whether this daemon has a text, has heard of the other
+// entry VMs and has a backend server for each service. When late, the text and
+// the platform's list are enough.
+func (d *Daemon) knowsEnough(late bool) bool {
+	s := d.inforce.Current()
+	rows, err := d.backends.List(context.Background())
+	if s == nil || err != nil {
+		return false
+	}
+	return late || d.knowsMembers(rows) && d.knowsBackends(s)
+}
+
+func (d *Daemon) knowsMembers(rows []vmlist.VM) bool {
+	known := d.members.Current()
+	for _, vm := range rows {
+		if vm.Role != vmlist.RoleEntry || vm.State != vmlist.Live {
+			continue
+		}
+		if m, ok := known.Find(vm.ID); !ok || m.State == membership.Gone {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Daemon) knowsBackends(s *site.Site) bool {
+	pools := d.backends.Current().Pools
+	for _, service := range s.Services {
+		fit := func(b *backends.Backend) bool { return serves(b, service) }
+		if !slices.ContainsFunc(pools[service.Pool], fit) {
+			return false
+		}
+	}
+	return true
+}
+
+// serves reports whether a backend server can run a service's requests now.
+func serves(b *backends.Backend, service *site.Service) bool {
+	if !b.Reachable {
+		return false
+	}
+	if service.Kind == site.KindPlain {
+		return true
+	}
+	ready := func(m engine.Loaded) bool {
+		return m.Ref.Model == service.Model && m.State == engine.Ready
+	}
+	return slices.ContainsFunc(b.Status.Models, ready)
+}
