A stopping daemon hands over the copies it holds and waits for its open requests

Cause: a finished answer is owed for answer_ttl, but after its owner and then its copy's holder were replaced as planned nobody had it. A request that reads an answer owned elsewhere was not waited for either. Ruled out: owners pushing finished answers to a second holder at once (twice the bytes for every answer, where only replacements need it). Change: generation.Manager.HandOver at the end of a drain; the drain waits for all requests being served; bodies must arrive within 30 s. Figures (go test ./lab/stand -run FinishedAnswer): fails without the call (a fresh generation was made), passes with it.

--- a/lab/stand/stand_test.go
+++ b/lab/stand/stand_test.go
@@ -217,3 +217,27 @@
 		must.Eq(t, 1, a.Moves)
 	})
 }
+
+// A finished answer's last bytes were lost with the connection, and then every
+// entry VM is replaced, one after another. The caller sends its request again
+// with the same key and gets the answer that it had begun to read, because each
+// VM gives the copies it holds to the next before it stops.
+func TestFinishedAnswerSurvivesReplacement(t *testing.T) {
+	inMemory(t, Options{Seed: 7}, func(t *testing.T, d *Deployment) {
+		key := map[string]string{"Idempotency-Key": "review-18"}
+		ask := func(e *Entry) string {
+			a := &Answer{Client: e.Client(), Service: "reviews", Prompt: "owed", Tokens: 60, Header: key}
+			must.NoError(t, a.Run(t.Context()))
+			return a.Text()
+		}
+		first := ask(d.Entries[0])
+		old := append([]*Entry(nil), d.Entries...)
+		for _, e := range old {
+			_, err := d.StartEntry(e.Zone)
+			must.NoError(t, err)
+			time.Sleep(10 * time.Second)
+			must.NoError(t, e.Stop())
+		}
+		must.Eq(t, first, ask(d.Entries[len(d.Entries)-1]))
+	})
+}
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -56,6 +57,7 @@
 	Config
 	requests *prometheus.CounterVec
 	inFlight prometheus.Gauge
+	active   atomic.Int64
 	router   *mux.Router
 }
 
@@ -85,6 +87,9 @@
 	return a
 }
 
+// Active returns the number of requests being served, streams included.
+func (a *API) Active() int { return int(a.active.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.router.ServeHTTP(w, r) }
 
@@ -101,6 +106,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.inFlight.Inc()
 		defer a.inFlight.Dec()
+		a.active.Add(1)
+		defer a.active.Add(-1)
 		err := a.serve(w, r, e)
 		outcome := "ok"
 		if err != nil {
--- a/serve/api/request.go
+++ b/serve/api/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/verdict"
@@ -51,8 +52,17 @@
 	return verdict.New(verdict.NotRun, verdict.CodeBadRequest, format, args...)
 }
 
+// bodyTimeout bounds the arrival of a body. A caller that sends a byte now and
+// then, or whose connection went silent in the middle, would otherwise hold
+// memory for as long as it likes.
+const bodyTimeout = 30 * time.Second
+
 // readBody reads at most limit bytes.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in tests, has its body in memory.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/serve/daemon/drain.go
+++ b/serve/daemon/drain.go
@@ -46,6 +46,7 @@
 	for ctx.Err() == nil && r.busy() {
 		r.wait(ctx, drainPoll)
 	}
+	r.d.generations.HandOver(ctx)
 	r.d.log.Emit(event.DaemonStopped, r.d.generations.Running(), r.d.calls.running())
 }
 
@@ -57,7 +58,7 @@
 }
 
 func (r *drainer) busy() bool {
-	return r.d.generations.Running() > 0 || r.d.calls.running() > 0
+	return r.d.generations.Running() > 0 || r.d.calls.running() > 0 || r.d.api.Active() > 0
 }
 
 // keptAnswers is the longest time for which a caller may keep an answer that
--- a/serve/journal/holder.go
+++ b/serve/journal/holder.go
@@ -197,6 +197,17 @@
 	}
 }
 
+// All returns every copy held.
+func (h *Holder) All() []Copy {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]Copy, 0, len(h.copies))
+	for _, e := range h.copies {
+		out = append(out, e.clone())
+	}
+	return out
+}
+
 // Size returns the number of copies and their bytes.
 func (h *Holder) Size() (copies, bytes int) {
 	h.mu.Lock()
--- a/telemetry/event/generation.go
+++ b/telemetry/event/generation.go
@@ -26,4 +26,6 @@
 		"A newer owner continues this generation; this one stopped.", "generation", "epoch")
 	JournalMoved = define(311, "journal_moved", logrus.WarnLevel,
 		"The journal copy of a generation moved to another entry VM.", "generation", "from", "to", "reason")
+	CopiesHandedOver = define(330, "copies_handed_over", logrus.InfoLevel,
+		"A stopping daemon gave the copies it holds to other entry VMs.", "moved", "left")
 )
