--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -40,9 +40,12 @@
 	watchEvery = 500 * time.Millisecond
 	// readyLimit bounds the start of the deployment.
 	readyLimit = 15 * time.Second
-	readyPoll  = 200 * time.Millisecond
-	loadTime   = 200 * time.Millisecond
-	fetchTime  = 500 * time.Millisecond
+	// waitOut is added where engines ignore fences: a holder of the zone's lease
+	// then waits out what the one before may still send.
+	waitOut   = 45 * time.Second
+	readyPoll = 200 * time.Millisecond
+	loadTime  = 200 * time.Millisecond
+	fetchTime = 500 * time.Millisecond
 	// fetches is how many fetches the stand-in weight store runs at once.
 	fetches  = 4
 	deskWork = 10 * time.Millisecond
@@ -63,6 +66,8 @@
 	DrainLimit     time.Duration
 	// Wrap, if set, stands between daemons and the engine with this VM id.
 	Wrap func(id string, e engine.Engine) engine.Engine
+	// IgnoreFence makes engines take orders with old fencing numbers.
+	IgnoreFence bool
 }
 
 func (o Options) withDefaults() Options {
@@ -101,6 +106,9 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	wg       sync.WaitGroup
+
+	starts      starts
+	deskAddress string
 }
 
 // Entry is one entry VM with its daemon.
@@ -108,10 +116,10 @@
 	ID, Zone, Address string
 	Daemon            *daemon.Daemon
 
-	peer string
-	d    *Deployment
-	soft context.CancelFunc
-	done chan error
+	peer, admin string
+	d           *Deployment
+	soft, kill  context.CancelFunc
+	done        chan error
 }
 
 // Start runs everything and applies the site text as an operator would. It
@@ -190,25 +198,32 @@
 	if err != nil {
 		return err
 	}
+	d.deskAddress = deskAt
 	d.VMs.Put(vmlist.VM{ID: "desk-1", Address: deskAt, Zone: d.opts.Zones[0], Role: vmlist.RoleBackend, Pool: "desks", State: vmlist.Live})
 	return nil
 }
 
 // StartEngine adds a model engine to a zone.
 func (d *Deployment) StartEngine(zone string) error {
+	_, err := d.AddEngine(zone)
+	return err
+}
+
+// AddEngine is StartEngine and returns the engine's VM id.
+func (d *Deployment) AddEngine(zone string) (string, error) {
 	id := fmt.Sprintf("engine-%d", len(d.Engines)+1)
 	sim := enginesim.New(enginesim.Config{
-		Name: id, Seed: d.opts.Seed + uint64(len(d.Engines)), RespectFence: true,
+		Name: id, Seed: d.opts.Seed + uint64(len(d.Engines)), RespectFence: !d.opts.IgnoreFence,
 		Weights: d.Weights, LoadTime: loadTime,
 	})
-	at, err := d.serve(enginesim.Handler(sim))
+	at, err := d.serve(d.starts.counting(enginesim.Handler(sim)))
 	if err != nil {
-		return err
+		return "", err
 	}
 	d.Engines[id] = sim
-	d.fabric.name(at, id)
+	d.fabric.name(at, place{id, zone})
 	d.VMs.Put(vmlist.VM{ID: id, Address: at, Zone: zone, Role: vmlist.RoleBackend, Pool: "engines", State: vmlist.Live})
-	return nil
+	return id, nil
 }
 
 // StartEntry adds an entry VM to a zone.
@@ -218,7 +233,7 @@
 	if err != nil {
 		return nil, err
 	}
-	platform, err := d.platform()
+	platform, err := d.platform(place{e.ID, zone})
 	if err != nil {
 		return nil, err
 	}
@@ -229,18 +244,20 @@
 	e.Daemon = daemon.New(daemon.Options{
 		Settings:  &settings.Settings{Site: d.opts.Site, VM: e.ID, Zone: zone, DrainLimit: d.opts.DrainLimit},
 		Listeners: listeners,
-		Dialer:    link.NewDialerWith(d.HTTP()),
+		Dialer:    link.NewDialerWith(d.httpFrom(place{e.ID, zone})),
 		Logger:    logger,
 		Version:   "stand",
 		Backends:  &watch,
 		Platform:  platform,
 	})
-	e.Address, e.peer = listeners.Callers.Addr().String(), listeners.Peers.Addr().String()
+	e.Address, e.peer, e.admin = listeners.Callers.Addr().String(), listeners.Peers.Addr().String(), listeners.Admin.Addr().String()
+	d.fabric.name(e.peer, place{e.ID, zone})
 	d.Entries = append(d.Entries, e)
 	d.VMs.Put(vmlist.VM{ID: e.ID, Address: e.peer, Zone: zone, Role: vmlist.RoleEntry, State: vmlist.Live})
 	soft, cancel := context.WithCancel(context.Background())
-	e.soft = cancel
-	d.wg.Go(func() { e.done <- e.Daemon.Run(soft, d.ctx) })
+	hard, kill := context.WithCancel(d.ctx)
+	e.soft, e.kill = cancel, kill
+	d.wg.Go(func() { e.done <- e.Daemon.Run(soft, hard) })
 	return e, nil
 }
 
@@ -260,17 +277,23 @@
 	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dial, false), CheckRedirect: sent.NoRedirect}
 }
 
-func (d *Deployment) platform() (daemon.Platform, error) {
-	kv, err := store.NewEtcdClient([]string{d.storeURL}, d.HTTP())
+// httpFrom returns a client of a VM, whose faults it shares.
+func (d *Deployment) httpFrom(at place) *http.Client {
+	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dialFrom(at), false), CheckRedirect: sent.NoRedirect}
+}
+
+func (d *Deployment) platform(at place) (daemon.Platform, error) {
+	dial := d.fabric.dialFrom(at)
+	kv, err := store.NewEtcdClient([]string{d.storeURL}, d.httpFrom(at))
 	if err != nil {
 		return daemon.Platform{}, err
 	}
 	fresh := func() *http.Client {
-		return &http.Client{Transport: sent.NewTransportWith(d.fabric.dial, true), CheckRedirect: sent.NoRedirect}
+		return &http.Client{Transport: sent.NewTransportWith(dial, true), CheckRedirect: sent.NoRedirect}
 	}
 	return daemon.Platform{
 		Store:   kv,
-		VMs:     vmlist.NewClient(d.vmsURL, d.HTTP()),
+		VMs:     vmlist.NewClient(d.vmsURL, d.httpFrom(at)),
 		Weights: d.Weights,
 		Engine: func(address string) engine.Engine {
 			e := engine.Engine(engine.NewClient("http://"+address, fresh()))
@@ -279,15 +302,13 @@
 			}
 			return d.opts.Wrap(d.engineAt(address), e)
 		},
-		Plain: plain.NewClient(sent.NewTransportWith(d.fabric.dial, true), 0),
+		Plain: plain.NewClient(sent.NewTransportWith(dial, true), 0),
 	}, nil
 }
 
 // engineAt returns the VM id of the engine at an address.
 func (d *Deployment) engineAt(address string) string {
-	d.fabric.mu.Lock()
-	defer d.fabric.mu.Unlock()
-	return d.fabric.names[address]
+	return d.fabric.placeAt(address).id
 }
 
 // Stop begins a graceful shutdown, as SIGTERM does, and waits for its end.
@@ -315,14 +336,18 @@
 // awaitReady waits until every entry VM serves each generation service of the
 // demo's text and knows all others.
 func (d *Deployment) awaitReady() error {
-	ctx, cancel := context.WithTimeout(d.ctx, readyLimit)
+	limit := readyLimit
+	if d.opts.IgnoreFence {
+		limit += waitOut
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
 	for _, e := range d.Entries {
 		for !d.ready(ctx, e) {
 			select {
 			case <-time.After(readyPoll):
 			case <-ctx.Done():
-				return errors.Errorf("%s was not ready within %s", e.ID, readyLimit)
+				return errors.Errorf("%s was not ready within %s", e.ID, limit)
 			}
 		}
 	}
