--- a/decision/entries/entries.go
+++ b/decision/entries/entries.go
@@ -17,7 +17,6 @@
 import (
 	"math"
 	"sort"
-	"time"
 )
 
 // Rule says how many VMs an account is told.
@@ -35,13 +34,9 @@
 // everybody is told all.
 var Default = Rule{Least: 16, Spread: 8}
 
-const (
-	// hysteresis is the part by which an account's load must shrink before it
-	// is told fewer VMs, so that noise does not move its callers.
-	hysteresis = 0.7
-	// MaxTTL bounds how long an answer may be kept whatever the site text says.
-	MaxTTL = 5 * time.Minute
-)
+// hysteresis is the part by which an account's load must shrink before it
+// is told fewer VMs, so that noise does not move its callers.
+const hysteresis = 0.7
 
 // VM is one entry VM.
 type VM struct {
@@ -202,9 +197,3 @@
 	}
 	return len(a.VMs), member
 }
-
-// TTL is how long an answer may be kept: the operators' value within bounds.
-// A leaving VM serves on for as long after it left the answers.
-func TTL(configured time.Duration) time.Duration {
-	return min(max(configured, time.Second), MaxTTL)
-}
--- a/decision/entries/entries_test.go
+++ b/decision/entries/entries_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -88,7 +87,7 @@
 	test.Less(t, told, len(Answers(fleet, Query{Part: 0.005, Told: told}).VMs))
 }
 
-func TestMemberAndTTL(t *testing.T) {
+func TestMember(t *testing.T) {
 	fleet := vms(40, 5)
 	q := Query{Part: 0.001}
 	inside := Answers(fleet, q).VMs[0]
@@ -97,6 +96,4 @@
 	test.True(t, member)
 	_, member = Default.Member(fleet, q, -1)
 	test.False(t, member)
-	test.Eq(t, MaxTTL, TTL(time.Hour))
-	test.Eq(t, time.Second, TTL(0))
 }
--- a/decision/limit/account.go
+++ b/decision/limit/account.go
@@ -40,9 +40,6 @@
 	return 0
 }
 
-// Return gives back tokens that were taken and not used.
-func (a *Account) Return(tokens float64) { a.debt = max(0, a.debt-tokens) }
-
 func (a *Account) refill(now time.Time, rate float64) {
 	if !a.updated.IsZero() {
 		a.debt = max(0, a.debt-rate*now.Sub(a.updated).Seconds())
--- a/lab/bench/load/deploy.go
+++ b/lab/bench/load/deploy.go
@@ -10,10 +10,11 @@
 	"mallowwind.dev/control/site"
 )
 
-// usualSlots is the operators' bound on one backend server. The study "slots"
+// usualSlots is the operators' bound on one backend server: the largest batch
+// whose token gap stays clearly below 30 ms while prefills run. The study "slots"
 // shows what other bounds give: more slots carry more tokens a second, and every
 // stream is slower.
-const usualSlots = 16
+const usualSlots = 20
 
 // The pools of both deployments.
 const (
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -187,7 +187,7 @@
 	d.drain = &drainer{d: d}
 	d.api = api.New(api.Config{
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
-		Entries: &entries{site: d.inforce, members: d.members},
+		Entries: &entries{site: d.inforce, members: d.members, log: d.log},
 		Log:     d.log, Metrics: d.registry,
 		Refusing: d.drain.refusing,
 		Starting: func() bool { return !d.serving.Load() },
--- a/serve/daemon/entries.go
+++ b/serve/daemon/entries.go
@@ -9,12 +9,14 @@
 	"mallowwind.dev/control/site"
 	ask "mallowwind.dev/decision/entries"
 	"mallowwind.dev/serve/api"
+	"mallowwind.dev/telemetry/event"
 )
 
 // entries answers which entry VMs an account should use.
 type entries struct {
 	site    site.Source
 	members membership.Source
+	log     *event.Log
 	turn    atomic.Uint64
 }
 
@@ -32,6 +34,7 @@
 	}
 	part, before := ask.Position(shares(e.site.Current()), account.Name)
 	a := ask.Answers(vms, ask.Query{Part: part, Before: before, Turn: e.turn.Add(1)})
+	e.log.Emit(event.EntriesAnswered, account.Name, len(a.VMs), len(vms), a.Reason)
 	out := make([]api.Entry, 0, len(a.VMs))
 	for _, i := range a.VMs {
 		out = append(out, api.Entry{ID: vms[i].ID, Address: vms[i].Address, Zone: vms[i].Zone})
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -91,7 +91,6 @@
 	loading      time.Time
 	loadingSlots int
 	waiters      map[*admit.Item]*Waiter
-	holders      map[uint64]string // prefix hints
 }
 
 // defaultDeadline holds where neither request nor service has one.
--- a/telemetry/event/routing.go
+++ b/telemetry/event/routing.go
@@ -21,5 +21,5 @@
 	LoadingDecided = define(208, "loading_decided", logrus.InfoLevel,
 		"No backend server has the model ready; waiting for one that loads it was weighed.", "request", "model", "reason", "retry_after")
 	EntriesAnswered = define(209, "entries_answered", logrus.DebugLevel,
-		"A caller was told which entry VMs to use.", "account", "entries", "known", "ttl")
+		"A caller was told which entry VMs to use.", "account", "entries", "known", "reason")
 )
