--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -37,6 +36,7 @@
 	"mallowwind.dev/serve/generation"
 	"mallowwind.dev/serve/once"
 	"mallowwind.dev/telemetry/event"
+	"mallowwind.dev/telemetry/metric"
 )
 
 // Platform is what a daemon needs from the platform.
@@ -72,7 +72,7 @@
 type Daemon struct {
 	opts        Options
 	log         *event.Log
-	registry    *prometheus.Registry
+	registry    *metric.Catalogue
 	inforce     *inforce.Manager
 	members     *membership.Manager
 	backends    *backends.Manager
@@ -92,7 +92,7 @@
 	d := &Daemon{
 		opts:     o,
 		log:      event.New(o.Logger, o.Settings.VM, o.Settings.Zone),
-		registry: prometheus.NewRegistry(),
+		registry: metric.NewCatalogue(),
 	}
 	d.assembleControl()
 	d.assemblePlacement()
@@ -196,7 +196,7 @@
 }
 
 // Registry holds the daemon's metrics.
-func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+func (d *Daemon) Registry() *metric.Catalogue { return d.registry }
 
 // Knows reports whether this daemon sees n entry VMs alive, itself included.
 func (d *Daemon) Knows(n int) bool {
