--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -42,10 +42,10 @@
 	readyLimit = 15 * time.Second
 	// waitOut is added where engines ignore fences: a holder of the zone's lease
 	// then waits out what the one before may still send.
-	waitOut = 45 * time.Second
-	readyPoll  = 200 * time.Millisecond
-	loadTime   = 200 * time.Millisecond
-	fetchTime  = 500 * time.Millisecond
+	waitOut   = 45 * time.Second
+	readyPoll = 200 * time.Millisecond
+	loadTime  = 200 * time.Millisecond
+	fetchTime = 500 * time.Millisecond
 	// fetches is how many fetches the stand-in weight store runs at once.
 	fetches  = 4
 	deskWork = 10 * time.Millisecond
