serve/daemon: tell a new revision to gossip at once

The digest was handed to membership by a loop every 200 ms, which each hop of the spread paid for and each daemon five times a second; inforce calls it when a text comes into force. A merge had also registered the two handlers of VM news twice.

--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -129,11 +129,10 @@
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
+		Announce: d.members.SetDigest,
 	})
-	d.backends.OnNews(d.members.ShareVM)
-	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.members.OnDigest(func(from membership.Member, name string, version uint64) {
-		if name == configDigest {
+		if name == inforce.DigestName {
 			d.inforce.Learn(from.ID, version)
 		}
 	})
@@ -242,7 +241,7 @@
 func (d *Daemon) loops() []func(context.Context) error {
 	parts := []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
-		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
+		d.lease.Run, d.reconcile.Run, d.generations.Run, d.roster.Run, d.calls.service.Run,
 	}
 	if d.opts.TLS != nil {
 		parts = append(parts, d.opts.TLS.Run)
@@ -257,26 +256,6 @@
 	return err
 }
 
-// configDigest is the name under which members tell each other their revision.
-const configDigest = "config"
-
-// digestEvery is how often the revision in force is handed to membership.
-const digestEvery = 200 * time.Millisecond
-
-// digests tells the members which revision is in force here.
-func (d *Daemon) digests(ctx context.Context) error {
-	t := time.NewTicker(digestEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			d.members.SetDigest(configDigest, d.inforce.Digest())
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // peerHandler serves other daemons.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
