--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,7 +11,8 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Slopes slopesCmd `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Control benchControlCmd `cmd:"" help:"Measure the spread of the site text and what it costs."`
+	Slopes  slopesCmd       `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
 
 // slopesCmd measures and records slopes.
--- /dev/null
+++ b/lab/bench/control/text.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+
+	"mallowwind.dev/control/inforce/record"
+)
+
+const services = 15
+
+// text returns a site text with this many accounts; change makes it differ in
+// two of them, as an operator's edit does.
+func text(accounts, change int) string {
+	var b strings.Builder
+	b.WriteString("[site]\nname = " + site + "\nzones = " + zoneNames() + "\n\n[pool engines]\n")
+	for i := range services {
+		fmt.Fprintf(&b, "\n[service model-%d]\nkind = generation\npool = engines\nmodel = model-%d\nversion = 1\n", i, i)
+		for z := range zones {
+			fmt.Fprintf(&b, "replicas.zone-%d = 18\n", z)
+		}
+	}
+	for i := range accounts {
+		share := 1
+		if i == change%accounts || i == (change*7)%accounts {
+			share = 2 + change
+		}
+		fmt.Fprintf(&b, "\n# customer %d\n[account account-%d]\ntoken_hashes = %s\nshare = %d\n",
+			i, i, record.Hash(fmt.Sprint("token", i)), share)
+	}
+	return b.String()
+}
+
+func zoneNames() string {
+	names := make([]string, zones)
+	for z := range zones {
+		names[z] = fmt.Sprintf("zone-%d", z)
+	}
+	return strings.Join(names, ", ")
+}
