--- a/serve/generation/metrics.go
+++ b/serve/generation/metrics.go
@@ -6,7 +6,8 @@
 type metrics struct {
 	started, adopted, failed, suspected, falseSuspicions prometheus.Counter
 	lostRaces, prefills, tokens, uncopied                prometheus.Counter
-	journalBytes, journalMoves                           prometheus.Counter
+	reattached, primings, violations                     prometheus.Counter
+	journalBytes, journalMoves, journalBatches           prometheus.Counter
 	copies, copyBytes                                    prometheus.Gauge
 	resume                                               prometheus.Histogram
 	dropped, heldBack                                    *prometheus.CounterVec
@@ -40,7 +41,11 @@
 	m.prefills = counter("prefills_total", "Attempts that made an engine read prompt and prefix.")
 	m.tokens = counter("tokens_total", "Tokens released to callers.")
 	m.uncopied = counter("uncopied_tokens_total", "Tokens released without a copy on another entry VM.")
+	m.reattached = counter("reattached_total", "Attempts read again on a fresh connection.")
+	m.primings = counter("primings_total", "Times a standby engine was made to read an answer.")
+	m.violations = counter("invariant_violations_total", "Answers stopped because an invariant did not hold.")
 	m.journalBytes = counter("journal_bytes_total", "Bytes of text copied to other entry VMs.")
+	m.journalBatches = counter("journal_batches_total", "Messages that carried appends to copies.")
 	m.journalMoves = counter("journal_moves_total", "Copies moved to another holder.")
 	m.copies = gauge("copies", "Copies held for other entry VMs.")
 	m.copyBytes = gauge("copy_bytes", "Bytes of copies held for other entry VMs.")
--- a/serve/once/world_test.go
+++ b/serve/once/world_test.go
@@ -40,6 +40,7 @@
 	daemons map[string]*daemon
 	cut     map[[2]string]bool // links that drop everything
 	started uint64
+	graves  []*daemon // replaced ones
 }
 
 // daemon is one process: a Service with its own view, which can pause or die.
@@ -53,6 +54,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	flow   fakeFlow
+	// handler answers other daemons.
+	handler http.Handler
 }
 
 func newWorld(t testing.TB, n int) *world {
@@ -79,7 +82,6 @@
 	d := &daemon{w: w, id: id}
 	self := membership.Member{ID: id, Incarnation: w.started, Zone: zone, Peer: id}
 	d.view.Store(&membership.View{Self: self, Members: []membership.Member{self}})
-	w.daemons[id] = d
 	w.mu.Unlock()
 	faulty := &faultyStore{d: d, inner: w.store}
 	manager := roster.NewManager(faulty, d, event.Discard())
@@ -88,8 +90,12 @@
 		Dialer: link.NewDialerWith(&http.Client{Transport: &transport{d}}),
 		Log:    event.Discard(), Registry: prometheus.NewRegistry(), VMs: w,
 	})
+	_, d.handler = d.Handler()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
+	w.mu.Lock()
+	w.daemons[id] = d
+	w.mu.Unlock()
 	d.done.Go(func() { _ = manager.Run(ctx) })
 	d.done.Go(func() { _ = d.Run(ctx) })
 	return d
@@ -180,12 +186,16 @@
 
 // close ends all daemons and waits for everything they started.
 func (w *world) close() {
+	all := w.graves
 	for _, d := range w.daemons {
+		all = append(all, d)
+	}
+	for _, d := range all {
 		d.resume()
 		d.cancel()
 	}
 	w.store.setDown(false)
-	for _, d := range w.daemons {
+	for _, d := range all {
 		d.done.Wait()
 		d.work.Wait()
 		must.EqOp(w.t, 0, testutil.ToFloat64(d.metrics.violations))
@@ -216,7 +226,10 @@
 			<-r.Context().Done()
 			return nil, r.Context().Err()
 		}
-		return response, tr.from.pass()
+		if err := tr.from.pass(); err != nil {
+			return nil, err
+		}
+		return response, nil
 	case <-r.Context().Done():
 		return nil, r.Context().Err()
 	}
@@ -228,11 +241,10 @@
 	if tr.from.w.isCut(tr.from.id, to.id) || to.pass() != nil {
 		return nil
 	}
-	_, handler := to.Handler()
 	in := httptest.NewRequestWithContext(r.Context(), r.Method, r.URL.Path, newReader(body))
 	in.Header = r.Header
 	out := httptest.NewRecorder()
-	handler.ServeHTTP(out, in)
+	to.handler.ServeHTTP(out, in)
 	time.Sleep(time.Millisecond)
 	if tr.from.w.isCut(tr.from.id, to.id) || to.pass() != nil {
 		return nil
