--- a/control/inforce/inforce_test.go
+++ b/control/inforce/inforce_test.go
@@ -159,18 +159,53 @@
 	})
 }
 
-// The store counts each waiting watch. Of 390 daemons in seven zones no more
-// than two a zone may watch, and a change still reaches all within seconds.
-func TestFewWatchAtFullSize(t *testing.T) {
-	play(t, 7, 56, 7, func(f *fleet) {
-		f.change()
-		f.run(30 * time.Second)
-		f.converged()
-		must.Eq(t, 14, f.watches())
-		f.change()
-		f.run(9 * time.Second)
-		f.converged()
-	})
+// The store counts each waiting watch, and its rates do not grow with the
+// fleet. Whatever the number of daemons, no more than two a zone may watch, the
+// others ask rarely, and a change still reaches all within seconds.
+func TestCostToTheStore(t *testing.T) {
+	const (
+		changes = 6
+		every   = 16 * time.Second // 5,200 a day
+	)
+	for _, size := range []struct {
+		zones, perZone int
+		watches        int64
+		callsPerS      float64
+	}{
+		{3, 2, 6, 0.2}, // of the 7 entry VMs of today nearly all watch
+		{7, 56, 14, 8},
+	} {
+		play(t, size.zones, size.perZone, 7, func(f *fleet) {
+			f.change()
+			f.run(30 * time.Second)
+			f.converged()
+			must.Eq(t, size.watches, f.watches())
+			before := f.cost()
+			for range changes {
+				f.change()
+				f.run(9 * time.Second)
+				f.converged()
+				f.run(every - 9*time.Second)
+			}
+			used, seconds := f.cost(), (changes * every).Seconds()
+			calls := float64(used.StoreCalls-before.StoreCalls) / seconds
+			must.Less(t, size.callsPerS, calls)
+			t.Logf("%d daemons, 5,200 changes a day: %.2f calls/s of all, %.1f B/s of values a daemon, %d of %d texts from peers",
+				len(f.nodes), calls, float64(used.StoreBytes-before.StoreBytes)/seconds/float64(len(f.nodes)),
+				used.FromPeers-before.FromPeers, used.FromPeers+used.FromStore-before.FromPeers-before.FromStore)
+		})
+	}
+}
+
+func (f *fleet) cost() (sum Cost) {
+	for _, n := range f.nodes {
+		c := n.Cost()
+		sum.StoreCalls += c.StoreCalls
+		sum.StoreBytes += c.StoreBytes
+		sum.FromPeers += c.FromPeers
+		sum.FromStore += c.FromStore
+	}
+	return sum
 }
 
 // Whatever happens together and twice - changes, outages, slow and stale reads,
