--- a/lab/bench/slopes/relay.go
+++ b/lab/bench/slopes/relay.go
@@ -79,8 +79,9 @@
 
 func prompt(i int) string { return fmt.Sprintf("Summarise delivery %d to the bakery in Kaolack.", i) }
 
-// read reads one answer and returns its bytes; each token counts in read.
-func (s source) read(ctx context.Context, client *http.Client, i, tokens int, read *atomic.Int64) (int, error) {
+// read reads one answer and returns its bytes; onToken is called for each event
+// with tokens.
+func (s source) read(ctx context.Context, client *http.Client, i, tokens int, onToken func()) (int, error) {
 	body, err := json.Marshal(s.body(i, tokens))
 	if err != nil {
 		return 0, errors.Wrap(err, "request")
@@ -101,11 +102,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, errors.Errorf("answer %s", resp.Status)
 	}
-	return scan(resp, read)
+	return scan(resp, onToken)
 }
 
-// scan counts events up to the terminal one.
-func scan(resp *http.Response, read *atomic.Int64) (int, error) {
+// scan reads events up to the terminal one and returns their bytes.
+func scan(resp *http.Response, onToken func()) (int, error) {
 	n := 0
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
@@ -116,7 +117,7 @@
 		if bytes.HasSuffix(lines.Bytes(), []byte(engine.Done)) {
 			return n, nil
 		}
-		read.Add(1)
+		onToken()
 	}
 	if err := lines.Err(); err != nil {
 		return n, errors.Wrap(err, "answer")
@@ -132,7 +133,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	for i := range streams {
 		g.Go(func() error {
-			n, err := s.read(ctx, client, i, tokens, read)
+			n, err := s.read(ctx, client, i, tokens, func() { read.Add(1) })
 			total.Add(int64(n))
 			return err
 		})
@@ -151,7 +152,7 @@
 	deadline := time.Now().Add(startLimit)
 	for i := range models * relayDaemons {
 		for {
-			_, err := s.throughDaemons().read(ctx, http.DefaultClient, i, 1, new(atomic.Int64))
+			_, err := s.throughDaemons().read(ctx, http.DefaultClient, i, 1, func() {})
 			if err == nil {
 				break
 			}
--- a/lab/bench/slopes/slopes.go
+++ b/lab/bench/slopes/slopes.go
@@ -52,6 +52,7 @@
 		siteExperiments(),
 		placementExperiments(),
 		relayExperiments(),
+		resumeExperiments(),
 		bindExperiments(),
 		rosterExperiments(),
 		fleetExperiments(),
--- a/lab/bench/slopes/stack.go
+++ b/lab/bench/slopes/stack.go
@@ -39,6 +39,7 @@
 	store    *store.Faulty // counts calls
 	vms      []vmlist.VM
 	engines  []*httptest.Server // and the desk
+	sims     []*enginesim.Sim   // behind engines
 	desk     string             // URL
 	servers  []*httptest.Server // of the platform
 	control  []*counter         // their bytes
@@ -109,6 +110,7 @@
 	})
 	server := httptest.NewServer(enginesim.Handler(sim))
 	s.engines = append(s.engines, server)
+	s.sims = append(s.sims, sim)
 	vm.Address = server.Listener.Addr().String()
 }
 
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -110,7 +111,7 @@
 	m := NewModel(Target(), map[string]*report.Slope{slopeRelay: s})
 	r := find(t, m.Rows(), Entry, relayed, Core)
 	answer := Target().TokensPerAnswer()
-	test.InDelta(t, s.Fit.SlopeError*answer/s.Fit.At(answer), r.Error()/r.Value(), 1e-9)
+	test.InDelta(t, math.Hypot(s.Fit.MaxResidual(), s.Fit.SlopeError*answer)/s.Fit.At(answer), r.Error()/r.Value(), 1e-9)
 	test.StrContains(t, r.Result(), "±")
 }
 
--- a/lab/capacity/model.go
+++ b/lab/capacity/model.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "mallowwind.dev/lab/report"
+import (
+	"math"
+
+	"mallowwind.dev/lab/report"
+)
 
 // Model joins the size with the recorded slopes.
 type Model struct {
@@ -34,8 +38,9 @@
 }
 
 // at is the fitted value at x; scale converts it into the row's unit. Its
-// error is that of the slope over the whole way from the origin, which is
-// what counts far beyond the sizes measured.
+// error joins the largest residual, how far a measured size lay off the line,
+// with the slope's error over the whole way from the origin, which is what
+// counts far beyond the sizes measured.
 func (m *Model) at(name string, x, scale float64) Factor {
 	s := m.Slopes[name]
 	if s == nil {
@@ -47,7 +52,7 @@
 		Label: "at " + report.Format(x) + " " + s.X.Name,
 	}
 	if f.Raw != 0 {
-		f.Error = s.Fit.SlopeError * x / f.Raw
+		f.Error = math.Hypot(s.Fit.MaxResidual(), s.Fit.SlopeError*x) / math.Abs(f.Raw)
 	}
 	return f
 }
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -41,8 +41,9 @@
 Numbers are means with the load spread evenly, at the peak, unless a row says
 otherwise. A cell is a product; each factor is given by the size below, is a
 constant of the code, or is a measured slope, named in parentheses and listed at
-the end with its command, machine and residuals. ± is the standard error that
-the slopes bring. "not measured" means that no figure is claimed.
+the end with its command, machine and residuals. ± joins the slopes' standard
+errors with their largest residuals. "not measured" means that no figure is
+claimed.
 `
 
 var roles = []Role{Entry, Peer, Holder, Spreader, Binder, Store, Backend, Caller}
--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -1,5 +1,28 @@
 package capacity
 
+import (
+	"math"
+	"time"
+
+	"mallowwind.dev/lab/report"
+)
+
+// The journal to come: a daemon gives its copies to few holders and sends each
+// of them one append at a time for all answers. The delay adds to the gap
+// between tokens, a sixth of what may pass between two; four holders lie in
+// other zones, so that the loss of one moves a quarter of the copies.
+const (
+	flushEvery   = 5 * time.Millisecond
+	batchHolders = 4.0
+)
+
+// journalHolders is the number of daemons that hold the copies of one daemon's
+// answers, as hashing spreads them: that of bins hit by as many balls.
+func (s Size) journalHolders() float64 {
+	n := float64(s.Daemons)
+	return n * (1 - math.Exp(-s.StreamsPerDaemon()/n))
+}
+
 // peer is what a daemon does for answers that other daemons serve. Copies
 // spread evenly, so a daemon takes as many as it gives.
 func (m *Model) peer() []Row {
@@ -7,6 +30,8 @@
 	const carrier = "`serve/journal`"
 	appends := given(s.TokensPerDaemon(), "appends/s, one a token")
 	kept := given(s.RequestsPerDaemon()*limits.AnswerTTL.Seconds(), "answers of the last "+limits.AnswerTTL.String())
+	holders := given(s.journalHolders(), "daemons")
+	batch := s.TokensPerDaemon() * flushEvery.Seconds() / batchHolders
 	return []Row{
 		{
 			Role: Peer, Kind: State, What: "copies of answers being generated", Carrier: carrier,
@@ -28,6 +53,15 @@
 			Role: Peer, Kind: Processor, What: "appends, both ends together", Unit: Core, Carrier: carrier,
 			Factors: []Factor{appends, m.at(slopeAppendCPU, 1, micro)},
 		},
+		{
+			Role: Peer, Kind: State, What: "daemons that hold copies for one, each with a connection", Carrier: carrier,
+			Factors: []Factor{holders},
+		},
+		{
+			Role: Peer, Kind: Processor, What: "to come: appends, both ends together, one for all answers of a holder each " + flushEvery.String(),
+			Unit: Core, Carrier: "an append of several answers in `serve/journal`, " + report.Format(batchHolders) + " holders a daemon",
+			Factors: []Factor{given(batchHolders/flushEvery.Seconds(), "appends/s"), m.at(slopeAppendCPU, batch, micro)},
+		},
 		{
 			Role: Peer, Kind: Memory, What: "copies of finished answers", Unit: Bytes, Carrier: carrier,
 			Factors: []Factor{kept, given(s.TokensPerAnswer(), "tokens"), m.per(slopeCopyMemory, 1)},
--- a/lab/capacity/platform.go
+++ b/lab/capacity/platform.go
@@ -67,6 +67,13 @@
 func (m *Model) caller() []Row {
 	s := m.Size
 	return []Row{
+		{
+			Role: Caller, Kind: Messages, What: "wait for output to go on after the death of an engine, at worst", Unit: Seconds,
+			Carrier: "`serve/generation`, `decision/silence`, `decision/resume`",
+			Factors: []Factor{m.at(slopeResume, s.StreamsPerDaemon(), milli)}, Limit: s.Resume.Seconds(), LimitOf: "output goes on after a loss",
+			Beyond: "The wait grows with the streams that resume on the same few engines, whose prefills queue; spreading them over " +
+				"all that hold the model divides it.",
+		},
 		{
 			Role: Caller, Kind: State, What: "addresses kept", Unit: Seconds, Carrier: "`decision/entries`",
 			Factors: []Factor{given(limits.EntriesTTL.Seconds(), "s to live")},
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -37,12 +37,14 @@
 	slopeBindCPU       = "bind_cpu"
 	slopeBindMemory    = "bind_memory"
 	slopeDetect        = "detection_time"
+	slopeResume        = "resume_engine_time"
 )
 
 // Conversions of measured units into those of rows.
 const (
 	nano  = 1e-9
 	micro = 1e-6
+	milli = 1e-3
 	kilo  = 1e3
 )
 
