--- a/lab/bench/slopes/site.go
+++ b/lab/bench/slopes/site.go
@@ -53,7 +53,7 @@
 	for i := range names {
 		names[i] = zoneOf(i)
 	}
-	fmt.Fprintf(&b, "[site]\nname = %s\nzones = %s\n", siteName, strings.Join(names, ", "))
+	fmt.Fprintf(&b, "[site]\nname = %s\nzones = %s\n\n[limits]\nentries_ttl = 2s\n", siteName, strings.Join(names, ", "))
 	for i := range models {
 		name := modelOf(i)
 		fmt.Fprintf(&b, "\n[pool %s]\nslots = 64\n\n[service %s]\nkind = generation\npool = %s\nmodel = %s\nclass = long\ndeadline = 2m\n",
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -196,6 +196,14 @@
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *metric.Catalogue { return d.registry }
 
+// Revision returns the revision of the site text in force here, 0 before any.
+func (d *Daemon) Revision() int64 {
+	if s := d.inforce.Current(); s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
 // Knows reports whether this daemon sees n entry VMs alive, itself included.
 func (d *Daemon) Knows(n int) bool {
 	alive := 0
