--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -32,6 +32,8 @@
 	account string
 }
 
+func (p place) source() source { return source{p.member.ID, p.epoch} }
+
 // found is what is known of a generation on all members asked.
 type found struct {
 	places []place // best first
@@ -43,14 +45,16 @@
 // known reports whether the generation can be read from somewhere.
 func (f found) known() bool { return len(f.places) > 0 }
 
-// locate asks the members that may hold a copy, and the owners these name.
-func (m *Manager) locate(ctx context.Context, id string) (found, error) {
+// locate asks the members that may hold a copy, and the owners these name. It
+// does not wait for all of them once it found the owner, unless what that one
+// has is among rejected.
+func (m *Manager) locate(ctx context.Context, id string, rejected []source) (found, error) {
 	v := m.members.Current()
 	asked := map[string]bool{}
 	var f found
 	members := journal.Candidates(id, v)
 	for len(members) > 0 {
-		places, unsure := m.peekAll(ctx, id, members, asked)
+		places, unsure := m.peekAll(ctx, id, members, asked, rejected)
 		f.unsure = f.unsure || unsure
 		f.places = append(f.places, places...)
 		members = owners(v, places, asked)
@@ -98,7 +102,7 @@
 	return out
 }
 
-func (m *Manager) peekAll(ctx context.Context, id string, members []membership.Member, asked map[string]bool) (out []place, unsure bool) {
+func (m *Manager) peekAll(ctx context.Context, id string, members []membership.Member, asked map[string]bool, rejected []source) (out []place, unsure bool) {
 	type answer struct {
 		p   place
 		ok  bool
@@ -123,6 +127,9 @@
 		if a.ok {
 			out = append(out, a.p)
 		}
+		if a.ok && a.p.running && !a.p.failed && !slices.Contains(rejected, a.p.source()) {
+			return out, unsure
+		}
 	}
 	return out, unsure
 }
@@ -160,6 +167,14 @@
 	return peerpb.NewJournalProtobufClient(m.dialer.URL(to.Peer), m.dialer.Client)
 }
 
+// sendAppends carries a batch of appends to a holder.
+func (m *Manager) sendAppends(ctx context.Context, to membership.Member, batch *peerpb.AppendBatch) (*peerpb.AppendBatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	m.metrics.journalBatches.Inc()
+	return m.client(to).Append(ctx, batch)
+}
+
 // dropCopy asks a former holder to forget a copy.
 func (m *Manager) dropCopy(holder membership.Member, id string, epoch lineage.Epoch) {
 	ctx, cancel := context.WithTimeout(m.base, appendTimeout)
@@ -174,8 +189,11 @@
 	self := m.members.Current().Self.ID
 	if p.member.ID == self {
 		c, rel, ok := m.holder.Adopt(id, self, seen)
-		if !ok || rel != lineage.Prefix {
-			return nil, errRelation(rel)
+		if !ok {
+			return nil, errFenced{}
+		}
+		if rel != lineage.Prefix {
+			return nil, &mismatch{rel}
 		}
 		return m.adopt(c), nil
 	}
@@ -188,17 +206,15 @@
 		return nil, err
 	}
 	c, ok := journal.FromWire(r.GetCopy())
-	if !r.GetAccepted() || !ok {
-		return nil, errRelation(lineage.Diverged)
-	}
-	return m.adopt(c), nil
-}
-
-func errRelation(r lineage.Relation) *verdict.Error {
-	if r == lineage.Behind {
-		return errLost("every copy left of the answer is shorter than what the caller holds")
+	switch {
+	case r.GetAccepted() && ok:
+		return m.adopt(c), nil
+	case r.GetBehind():
+		return nil, &mismatch{lineage.Behind}
+	case r.GetUnknown():
+		return nil, errFenced{}
 	}
-	return errLost("the caller holds tokens that no copy left of the answer continues")
+	return nil, &mismatch{lineage.Diverged}
 }
 
 func finishOf(s string) engine.FinishReason { return engine.FinishReason(s) }
