--- a/lab/bench/load/run.go
+++ b/lab/bench/load/run.go
@@ -1,8 +1,6 @@
 package load
 
 import (
-	"time"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"mallowwind.dev/control/site"
@@ -28,10 +26,13 @@
 	Answered int `json:"answered"`
 	Refused  int `json:"refused"`
 	TimedOut int `json:"timed_out"`
-	// Whole is the time to the whole answer, First to the first token, Refusal
-	// to a refusal.
+	// Late is how many of the refused waited more than a tenth of their patience.
+	Late int `json:"refused_late"`
+	// Whole is the time to the whole answer, First to the first token, Wait to
+	// the dispatch and Refusal to a refusal.
 	Whole   Quantiles `json:"whole"`
 	First   Quantiles `json:"first_token"`
+	Wait    Quantiles `json:"wait"`
 	Refusal Quantiles `json:"refusal"`
 }
 
@@ -45,6 +46,8 @@
 	Gap        Quantiles                  `json:"token_gap"`
 	// Goodput is the tokens of whole answers over the capacity of the generation pool.
 	Goodput float64 `json:"goodput"`
+	// Smooth counts only answers whose mean token gap is at most smoothGap.
+	Smooth float64 `json:"smooth_goodput"`
 	// Desk is the same for the pool of the lookups.
 	Desk float64 `json:"desk_goodput"`
 	// Extra is the tokens made for nobody or twice over all tokens made.
@@ -62,8 +65,8 @@
 // runScenario plays one scenario against one policy.
 func runScenario(d deployment, s scenario, policy PolicyName, c capacity, seed uint64) Result {
 	w := newWorld(d, policy, seed)
-	w.traffic(s, c, warmUp+measured)
-	from, until := w.clock.now.Add(warmUp), w.clock.now.Add(warmUp+measured)
+	w.traffic(s, c, warmUp+s.length())
+	from, until := w.clock.now.Add(warmUp), w.clock.now.Add(warmUp+s.length())
 	w.meter.window(from, until)
 	if s.faults != nil {
 		s.faults(w)
@@ -73,11 +76,12 @@
 }
 
 func (m *meter) result(s scenario, d deployment, policy PolicyName, c capacity, seed uint64) Result {
-	span := float64(measured) / float64(time.Second)
+	span := s.length().Seconds()
 	r := Result{
 		Scenario: s.Name, Deployment: d.name, Policy: policy, Seed: seed,
 		Classes: map[site.Class]ClassResult{}, Gap: quantiles(m.gaps.hist),
 		Goodput: m.pools[poolLong] / span / c[poolLong],
+		Smooth:  m.smooth / span / c[poolLong],
 		Desk:    m.pools[poolDesk] / span / c[poolDesk],
 		Extra:   m.wastedTok / max(m.gaps.all, 1), Restarts: m.restarts,
 		Jain: jain(m.world.accounts), Equal: servedShare(m.world.accounts, false),
@@ -86,8 +90,9 @@
 	}
 	for class, cm := range m.class {
 		r.Classes[class] = ClassResult{
-			Sent: cm.sent, Answered: cm.answered, Refused: cm.refused, TimedOut: cm.timedOut,
-			Whole: quantiles(cm.whole), First: quantiles(cm.first), Refusal: quantiles(cm.refusal),
+			Sent: cm.sent, Answered: cm.answered, Refused: cm.refused, TimedOut: cm.timedOut, Late: cm.late,
+			Whole: quantiles(cm.whole), First: quantiles(cm.first), Wait: quantiles(cm.wait),
+			Refusal: quantiles(cm.refusal),
 		}
 		r.histograms[class] = cm.whole
 	}
