Log a start and an overload without a line for each slot and refusal

Cause: a daemon that starts wrote 1,339 lines at info about slots, and each refused request one at error beside the one that says why it was refused. Change: 405 is at debug (408 counts the slots of a write); 307 is left out where nothing ran.

--- a/serve/generation/release.go
+++ b/serve/generation/release.go
@@ -85,7 +85,10 @@
 		return
 	}
 	e := verdict.Of(err)
-	l.m.log.Emit(event.GenerationFailed, l.spec.ID, len(l.accepted), string(e.Code))
+	if e.Verdict != verdict.NotRun {
+		// A refusal before anything ran is logged where it was decided.
+		l.m.log.Emit(event.GenerationFailed, l.spec.ID, len(l.accepted), string(e.Code))
+	}
 	l.g.fail(e)
 }
 
--- a/telemetry/event/once.go
+++ b/telemetry/event/once.go
@@ -12,7 +12,7 @@
 		"A call was refused before anything was sent.", "slot", "key", "account", "service", "code")
 	CallUndecided = define(404, "call_undecided", logrus.WarnLevel,
 		"A caller was told that its call may have run.", "slot", "account", "service", "reason")
-	SlotTaken = define(405, "slot_taken", logrus.InfoLevel,
+	SlotTaken = define(405, "slot_taken", logrus.DebugLevel,
 		"This daemon became the owner of a slot.", "slot", "term", "witness", "reason", "keys")
 	SlotTakeFailed = define(406, "slot_take_failed", logrus.WarnLevel,
 		"A slot could not be taken; it is tried again.", "slot", "term", "reason", "error")
