--- a/lab/bench/load/meter.go
+++ b/lab/bench/load/meter.go
@@ -39,6 +39,7 @@
 // classMeter collects what the callers of one class get.
 type classMeter struct {
 	sent, answered, refused, timedOut int
+	returned, letIn                   int                     // sent once more, and answered then
 	late                              int                     // refused after more than a tenth of the caller's patience
 	whole, first, wait                *hdrhistogram.Histogram // wait ends with the first dispatch
 	refusal                           *hdrhistogram.Histogram // time until a refusal
@@ -94,13 +95,13 @@
 }
 
 func (m *meter) first(r *request) {
-	if r.counted {
+	if r.counted && !r.again {
 		record(m.of(r).first, r.firstToken()+m.world.deploy.client, 1)
 	}
 }
 
 func (m *meter) dispatched(r *request) {
-	if r.counted {
+	if r.counted && !r.again {
 		record(m.of(r).wait, m.world.clock.now.Sub(r.sent), 1)
 	}
 }
@@ -117,13 +118,17 @@
 		return
 	}
 	c := m.of(r)
+	if r.again {
+		c.letIn++
+		return
+	}
 	c.answered++
 	r.account.served += float64(r.answer)
 	record(c.whole, m.world.clock.now.Sub(r.sent)+m.world.deploy.client, 1)
 }
 
 func (m *meter) refused(r *request, after time.Duration) {
-	if !r.counted {
+	if !r.counted || r.again {
 		return
 	}
 	c := m.of(r)
@@ -136,7 +141,7 @@
 }
 
 func (m *meter) timedOut(r *request) {
-	if r.counted {
+	if r.counted && !r.again {
 		m.of(r).timedOut++
 	}
 }
--- a/lab/bench/load/request.go
+++ b/lab/bench/load/request.go
@@ -29,6 +29,7 @@
 	left        bool // the caller has gone
 	over        bool
 	counted     bool // sent while the run measures
+	again       bool // sent once more after a refusal
 }
 
 // produced is the number of tokens that a new attempt continues after.
@@ -55,6 +56,12 @@
 	family := uint64(math.Min(7, w.random.ExpFloat64()*2))
 	r.prefix = a.hash ^ (family+1)*0x9e3779b97f4a7c15
 	r.counted = w.meter.sent(r)
+	w.send(r)
+}
+
+// send brings a request to an entry VM.
+func (w *world) send(r *request) {
+	a, k := r.account, r.kind
 	w.running[r] = struct{}{}
 	entry, lost := w.entry(a)
 	r.daemon = entry
@@ -155,10 +162,30 @@
 	}
 	if !r.left {
 		w.meter.refused(r, after)
+		w.comeBack(r, after)
 	}
 	w.over(r)
 }
 
+// comeBack sends a refused request once more when its caller was told to.
+func (w *world) comeBack(r *request, after time.Duration) {
+	if w.returning == nil || r.again {
+		return
+	}
+	again := &request{
+		id: r.id, account: r.account, kind: r.kind, prompt: r.prompt, answer: r.answer,
+		prefix: r.prefix, again: true,
+	}
+	w.clock.after(w.returning(after), func() {
+		again.sent = w.clock.now
+		again.counted = r.counted
+		if r.counted {
+			w.meter.of(r).returned++
+		}
+		w.send(again)
+	})
+}
+
 // ended is the end of an attempt on its engine.
 func (w *world) ended(r *request, j *job, failed bool) {
 	if r.over || r.job != j {
--- a/lab/bench/load/studies.go
+++ b/lab/bench/load/studies.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"time"
+
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/lab/report"
 )
@@ -10,6 +12,7 @@
 	return []study{
 		{"slots", "What the operators' bound on one backend server trades at twice its capacity.", studySlots},
 		{"affinity", "What following cached prefixes saves, and what hints from late cache events add.", studyAffinity},
+		{"retry_after", "What becomes of refused callers who come back once, when they are told to or at other times.", studyRetryAfter},
 		{"scale", "How evenly 390 daemons spread over 1,900 replicas, by the size of their subsets.", studyScale},
 		{"account_limit", "What an account gets of its limit through several entry VMs without coordination.", studyAccountLimit},
 		{"entries", "How evenly accounts load the entry VMs, and what a kept answer costs when VMs go.", studyEntries},
@@ -77,3 +80,39 @@
 	}
 	return found / max(all, 1)
 }
+
+// studyRetryAfter lets refused callers come back once.
+func studyRetryAfter(r *report.Report, d deployment, seed uint64) error {
+	t := r.Table("retry_after: refused callers come back once",
+		report.Col("scenario", ""), report.Col("come back", ""), report.Col("goodput", "of capacity"),
+		report.Col("urgent answered at first", "%"), report.Col("urgent answered on return", "%"),
+		report.Col("normal at first", "%"), report.Col("normal on return", "%"),
+		report.Col("long at first", "%"), report.Col("long on return", "%"))
+	c := measureCapacity(d, nil, seed)
+	for _, name := range []string{"burst", "saturation"} {
+		s, err := scenarioNamed(name)
+		if err != nil {
+			return err
+		}
+		for _, v := range []struct {
+			name string
+			when func(time.Duration) time.Duration
+		}{
+			{"when told", func(told time.Duration) time.Duration { return told }},
+			{"after 100 ms", func(time.Duration) time.Duration { return 100 * time.Millisecond }},
+			{"after 60 s", func(time.Duration) time.Duration { return time.Minute }},
+		} {
+			w := newWorld(d, Product, seed)
+			w.returning = v.when
+			x := w.play(s, c)
+			row := []report.Cell{report.Text(name), report.Text(v.name), report.Num(round(x.Goodput))}
+			for _, class := range []site.Class{site.ClassUrgent, site.ClassNormal, site.ClassLong} {
+				m := w.meter.class[class]
+				row = append(row, report.Num(round(100*float64(m.answered)/float64(max(m.sent, 1)))),
+					report.Num(round(100*float64(m.letIn)/float64(max(m.returned, 1)))))
+			}
+			t.Add(row...)
+		}
+	}
+	return nil
+}
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -54,7 +54,10 @@
 	version  uint64
 	meter    *meter
 	hintless bool // no cache events reach the daemons
-	plain    bool // prompts are not recognised: no affinity
+	// returning says when refused callers come back, given what they were told;
+	// nil means never.
+	returning func(time.Duration) time.Duration
+	plain     bool // prompts are not recognised: no affinity
 }
 
 func zoneName(z int) string { return fmt.Sprintf("zone-%d", z) }
