--- a/decision/admit/admit.go
+++ b/decision/admit/admit.go
@@ -77,8 +77,10 @@
 	// maxRetryAfter bounds what a refused caller is told: load an hour away
 	// cannot be predicted from a drain rate.
 	maxRetryAfter = time.Minute
-	// minRetryAfter is the least a refused caller is told to wait.
-	minRetryAfter = 200 * time.Millisecond
+	// minRetryAfter is the least a refused caller is told to wait: the header
+	// counts whole seconds, and a queue of lookups drains faster than the burst
+	// that filled it passes.
+	minRetryAfter = time.Second
 )
 
 // Item is one request. The caller fills the exported fields and keeps the Item
