once: randomised runs with planned leaves; race-free tests

Change: daemons also leave as planned in randomised runs. claim returns a copy of the new record. The race detector found a test that mended links unlocked.

--- a/serve/once/owner.go
+++ b/serve/once/owner.go
@@ -87,11 +87,10 @@
 }
 
 // run works on one attempt to its end.
-func (s *Service) run(c *call, r *record, account *site.Account, service *site.Service) {
+func (s *Service) run(c *call, r record, account *site.Account, service *site.Service) {
 	ctx, cancel := context.WithTimeout(context.Background(), callDeadline(service))
 	defer cancel()
-	wanted := *r
-	if result := s.bind(ctx, c, wanted); result != bindDone {
+	if result := s.bind(ctx, c, r); result != bindDone {
 		s.abandon(c, result)
 		return
 	}
--- a/serve/once/random_test.go
+++ b/serve/once/random_test.go
@@ -1,10 +1,12 @@
 package once
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -125,12 +127,12 @@
 	c.world.mu.Lock()
 	defer c.world.mu.Unlock()
 	var ids []string
-	for i := range 20 {
-		id := fmt.Sprintf("vm%d", i)
-		if d := c.daemons[id]; d != nil && !d.dead.Load() {
+	for id, d := range c.daemons {
+		if !d.dead.Load() {
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return c.daemons[ids[rng.IntN(len(ids))]]
 }
 
@@ -138,7 +140,7 @@
 func (c *chaos) fault() {
 	d, o := c.anyDaemon(c.rng), c.anyDaemon(c.rng)
 	span := time.Duration(100+c.rng.IntN(6000)) * time.Millisecond
-	switch c.rng.IntN(9) {
+	switch c.rng.IntN(10) {
 	case 0:
 		c.replace(d)
 	case 1, 2:
@@ -158,6 +160,8 @@
 		time.AfterFunc(span, func() { d.flow.refuse.Store(false) })
 	case 8:
 		c.backend.trouble(c.rng.IntN(3), c.rng.IntN(4))
+	case 9:
+		c.retire(d, span)
 	}
 	if c.rng.IntN(6) == 0 {
 		c.differ(d, o)
@@ -185,6 +189,20 @@
 	time.AfterFunc(time.Second, c.agree)
 }
 
+// retire has a daemon leave as planned, and end at the limit at the latest.
+func (c *chaos) retire(d *daemon, limit time.Duration) {
+	c.leave(d)
+	d.done.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_ = d.Leave(ctx)
+		d.kill()
+		c.agree()
+	})
+	c.start(fmt.Sprintf("vm%d", 20+c.rng.IntN(1000)), d.view.Load().Self.Zone)
+	time.AfterFunc(time.Second, c.agree)
+}
+
 // buried keeps a replaced daemon, so that the test can wait for its end.
 func (c *chaos) buried(d *daemon) {
 	c.world.mu.Lock()
@@ -226,8 +244,8 @@
 }
 
 func (c *chaos) heal() {
+	c.mend()
 	c.world.mu.Lock()
-	c.cut = map[[2]string]bool{}
 	for _, d := range c.daemons {
 		d.resume()
 		d.flow.refuse.Store(false)
--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -260,7 +260,7 @@
 		_, err := other.send("k8", "move crane")
 		must.EqOp(t, verdict.MayHaveRun, said(err))
 		must.EqOp(t, 0, w.backend.count("move crane"))
-		w.cut = map[[2]string]bool{}
+		w.mend()
 		w.agree()
 		time.Sleep(time.Second)
 		answer, err := other.send("k8", "move crane")
--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -68,12 +68,13 @@
 )
 
 // claim looks a key up for one copy of a call and binds it if it is new, in
-// one step, so that of many copies one is dispatched.
-func (t *table) claim(now time.Time, c *call, self slot.Member, term uint64, ttl time.Duration) (*record, claimed) {
+// one step, so that of many copies one is dispatched. The record is that of a
+// new claim.
+func (t *table) claim(now time.Time, c *call, self slot.Member, term uint64, ttl time.Duration) (record, claimed) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.serves(term) {
-		return nil, claimElsewhere
+		return record{}, claimElsewhere
 	}
 	r := t.records[c.key]
 	if r != nil && !r.expires.After(now) && r.call == nil {
@@ -81,15 +82,15 @@
 	}
 	switch {
 	case r != nil && r.digest != c.req.digest:
-		return r, claimReused
+		return record{}, claimReused
 	case r != nil && r.state != refused:
-		return r, claimKnown
+		return record{}, claimKnown
 	case r != nil && c.req.seen < r.refusedAt:
-		return r, claimStale
+		return record{}, claimStale
 	case now.Before(t.undecided):
-		return nil, claimUndecided
+		return record{}, claimUndecided
 	case r == nil && len(t.records) >= maxKeysPerSlot:
-		return nil, claimFull
+		return record{}, claimFull
 	}
 	c.attempt = t.next()
 	r = &record{
@@ -97,7 +98,7 @@
 		dispatcher: self, expires: now.Add(ttl), call: c,
 	}
 	t.records[c.key] = r
-	return r, claimNew
+	return *r, claimNew
 }
 
 // look returns a copy of a record.
--- a/serve/once/world_test.go
+++ b/serve/once/world_test.go
@@ -46,14 +46,15 @@
 // daemon is one process: a Service with its own view, which can pause or die.
 type daemon struct {
 	*Service
-	w      *world
-	id     string
-	view   atomic.Pointer[membership.View]
-	gate   atomic.Pointer[chan struct{}] // not nil while paused
-	dead   atomic.Bool
-	cancel context.CancelFunc
-	done   sync.WaitGroup
-	flow   fakeFlow
+	w        *world
+	id       string
+	view     atomic.Pointer[membership.View]
+	gate     atomic.Pointer[chan struct{}] // not nil while paused
+	dead     atomic.Bool
+	retiring atomic.Bool
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	flow     fakeFlow
 	// handler answers other daemons.
 	handler http.Handler
 }
@@ -111,14 +112,23 @@
 	var members []membership.Member
 	for _, d := range w.daemons {
 		if !d.dead.Load() {
-			members = append(members, d.view.Load().Self)
+			members = append(members, d.member())
 		}
 	}
 	for _, d := range w.daemons {
-		d.view.Store(&membership.View{Self: d.view.Load().Self, Members: members})
+		d.view.Store(&membership.View{Self: d.member(), Members: members})
 	}
 }
 
+// member is how the others should see d.
+func (d *daemon) member() membership.Member {
+	m := d.view.Load().Self
+	if d.retiring.Load() {
+		m.State = membership.Leaving
+	}
+	return m
+}
+
 // List implements vmlist.Source: the platform lists live VMs.
 func (w *world) List(context.Context) ([]vmlist.VM, error) {
 	w.mu.Lock()
@@ -145,6 +155,13 @@
 	w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = cut, cut
 }
 
+// mend mends all links.
+func (w *world) mend() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = map[[2]string]bool{}
+}
+
 func (w *world) isCut(a, b string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -423,14 +440,6 @@
 
 // leave shows a daemon as leaving in every view.
 func (w *world) leave(d *daemon) {
-	for _, o := range w.daemons {
-		view := *o.view.Load()
-		view.Members = append([]membership.Member(nil), view.Members...)
-		for i := range view.Members {
-			if view.Members[i].ID == d.id {
-				view.Members[i].State = membership.Leaving
-			}
-		}
-		o.view.Store(&view)
-	}
+	d.retiring.Store(true)
+	w.agree()
 }
