once: a key that left the table is not sent; a sealed witness is replaced

Cause, found by reading: while an owner waits for its witness the slot may go away and come back with a table that lacks the key; it was then sent, and a later copy of it too. A daemon that died between seal and commit left a witness that refused every key, with a pair that looked healthy. A daemon with an old copy wrote the roster back when the store had lost it, beside newer pairs.

Change: after the witness's consent the key must still be in the owner's table; a witness that withholds consent for a second is replaced; a missing roster is not written back. Randomised runs end with 100 orders that must run.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,6 +160,8 @@
 	kv, err := m.store.Get(ctx, Key)
 	stored := empty()
 	switch {
+	case errors.Is(err, store.ErrNotFound) && m.assigned():
+		return nil, 0, errMissing
 	case errors.Is(err, store.ErrNotFound):
 	case err != nil:
 		return nil, 0, errors.Wrap(err, "reading the roster")
@@ -181,6 +184,18 @@
 	return &merged, kv.Version, nil
 }
 
+// errMissing guards against a store that lost the roster, by mistake or by a
+// restored backup. Writing back what this daemon knows could name pairs that
+// were replaced since, beside those that serve now, and keys could run at both.
+var errMissing = errors.New("the store has no roster although slots were assigned")
+
+// assigned reports whether any slot is known to have a pair.
+func (m *Manager) assigned() bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.ContainsFunc(m.table[:], func(a slot.Assignment) bool { return a.Term > 0 })
+}
+
 // merged reports whether the stored value of this version is in the copy, so
 // that polling decodes only what changed.
 func (m *Manager) merged(version int64) bool {
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -87,6 +87,24 @@
 	must.EqOp(t, vm1, m.Slot(5).Owner)
 }
 
+func TestLostRosterIsNotWrittenBack(t *testing.T) {
+	// Somebody deletes the roster. A daemon whose copy is old must not write it:
+	// the pairs it names may have been replaced since.
+	synctest.Test(t, func(t *testing.T) {
+		shared := store.NewMemory()
+		m := newManager(shared)
+		_, err := m.Commit(t.Context(), first("a", vm1))
+		must.NoError(t, err)
+		kv, err := shared.Get(t.Context(), Key)
+		must.NoError(t, err)
+		must.NoError(t, shared.Delete(t.Context(), Key, kv.Version))
+		next := first("b", vm2)
+		next[0].Term = 2
+		_, err = m.Commit(t.Context(), next)
+		must.ErrorIs(t, err, errMissing)
+	})
+}
+
 func TestEncodeDecode(t *testing.T) {
 	table := empty()
 	table[7] = slot.Assignment{Slot: 7, Term: 9, Owner: vm1, Witness: vm2, Change: "x"}
--- a/serve/once/dispatch.go
+++ b/serve/once/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
 	pb "mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/plain"
@@ -23,6 +24,10 @@
 	// bindPatience covers the replacement of a lost witness.
 	bindPatience = 5 * time.Second
 	bindPause    = 25 * time.Millisecond
+	// refusalPatience is how long a witness may withhold its consent before it
+	// is replaced. A daemon that died while it took the slot leaves the witness
+	// sealed, and nothing but the refusals shows it.
+	refusalPatience = time.Second
 )
 
 // bindResult says how binding a key ended.
@@ -40,16 +45,21 @@
 	ctx, cancel := context.WithTimeout(ctx, bindPatience)
 	defer cancel()
 	defer s.metrics.timeBind(time.Now())
+	var asked slot.Assignment
+	var since time.Time
 	for {
 		a := s.Roster.Slot(c.slot)
 		if !a.Owner.Same(s.self) {
 			return bindMoved
 		}
-		if a.Witness.None() && s.tables[c.slot].active(a.Term) {
-			return bindDone
+		if a != asked {
+			asked, since = a, time.Now()
 		}
-		if !a.Witness.None() && s.askWitness(ctx, c.slot, r, a.Witness.Peer, a.Term) {
-			return bindDone
+		if time.Since(since) > refusalPatience {
+			s.witnessSilent(c.slot, a.Term)
+		}
+		if s.consent(ctx, c, r, a) {
+			return s.stillHeld(c)
 		}
 		select {
 		case <-ctx.Done():
@@ -59,6 +69,26 @@
 	}
 }
 
+// consent asks the witness of a, if there is one.
+func (s *Service) consent(ctx context.Context, c *call, r record, a slot.Assignment) bool {
+	if a.Witness.None() {
+		return s.tables[c.slot].active(a.Term)
+	}
+	return s.askWitness(ctx, c.slot, r, a.Witness.Peer, a.Term)
+}
+
+// stillHeld guards against a slot that went to another daemon and came back
+// while the witness was asked: the table was replaced, the key is not in it, and
+// a later copy would be taken for the first. Only a key in this daemon's table
+// and the witness's is known to whoever takes the slot next.
+func (s *Service) stillHeld(c *call) bindResult {
+	r, ok := s.tables[c.slot].look(c.key)
+	if ok && r.attempt == c.attempt && r.state == bound {
+		return bindDone
+	}
+	return bindMoved
+}
+
 func (s *Service) askWitness(ctx context.Context, i int, r record, peer string, term uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, bindTimeout)
 	defer cancel()
--- a/serve/once/random_test.go
+++ b/serve/once/random_test.go
@@ -13,9 +13,11 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
 )
 
@@ -83,6 +85,7 @@
 	wg.Wait()
 	time.Sleep(settleFor)
 	c.check(t)
+	c.checkServes(t)
 }
 
 // orders plays one caller until the faults end.
@@ -256,6 +259,37 @@
 	c.agree()
 }
 
+// checkServes: once the faults are over every slot must serve again, though a
+// change that was cut short may have left one of its pair sealed.
+func (c *chaos) checkServes(t *testing.T) {
+	var wg sync.WaitGroup
+	for i := range 100 {
+		order, d := fmt.Sprint("after-", i), c.anyDaemon(c.rng)
+		wg.Go(func() {
+			_, err := d.send(order, order)
+			test.True(t, err == nil || c.lost(order), test.Sprintf("%s at %s: %v", order, d.id, err))
+		})
+	}
+	wg.Wait()
+}
+
+// lost reports whether both of the pair that served an order's key are dead. The
+// slot then waits for proof, or unknown keys wait for the retention to end; both
+// take longer than a run.
+func (c *chaos) lost(order string) bool {
+	a := c.newest(slot.Of(slot.KeyOf("depot", "desk", order)))
+	for _, d := range c.daemons {
+		if d.tables[a.Slot].undecidedFor(time.Now()) > 0 {
+			return true
+		}
+	}
+	alive := func(m slot.Member) bool {
+		d := c.daemon(m.ID)
+		return d != nil && !d.dead.Load() && d.self.Same(m)
+	}
+	return !alive(a.Owner) && !alive(a.Witness)
+}
+
 // check looks at everything callers were told beside what ran.
 func (c *chaos) check(t *testing.T) {
 	orders := map[string][]told{}
--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -361,3 +361,39 @@
 		must.EqOp(t, before, w.store.writes)
 	})
 }
+
+func TestKeyThatLeftTheTableIsNotDispatched(t *testing.T) {
+	// While an owner waits for the witness, the slot goes to another daemon and
+	// comes back. The owner's table was replaced and does not hold the key. If it
+	// were sent now, a second copy would find no trace of it and run again.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, _, _ := w.pair("k10")
+		key := slot.KeyOf("depot", "desk", "k10")
+		c := &call{slot: slot.Of(key), key: key, attempt: 1, done: make(chan struct{})}
+		r := record{key: key, attempt: 1, dispatcher: owner.self, expires: time.Now().Add(time.Hour)}
+		must.EqOp(t, bindMoved, owner.bind(context.Background(), c, r))
+		answer, err := owner.send("k10", "4 rollers")
+		must.Nil(t, err)
+		must.EqOp(t, "4 rollers run 1", answer)
+	})
+}
+
+func TestChangeCutShortLeavesNoSlotBehind(t *testing.T) {
+	// A daemon seals one of a pair to take its slot, and dies before it asks the
+	// store. The pair is alive and in every roster, and yet half of it refuses
+	// every key. Callers must see a short wait, not refusals for ever.
+	for _, sealOwner := range []bool{true, false} {
+		story(t, 6, func(t *testing.T, w *world) {
+			owner, witness, other := w.pair("k11")
+			i := slot.Of(slot.KeyOf("depot", "desk", "k11"))
+			sealed := witness
+			if sealOwner {
+				sealed = owner
+			}
+			sealed.tables[i].seal(w.newest(i).Term)
+			answer, err := other.send("k11", "1 roller")
+			must.Nil(t, err)
+			must.EqOp(t, "1 roller run 1", answer)
+		})
+	}
+}
