once: an owner that tries again finds its witnesses open

Each try of the owner during the outage left a table of the next term, under another change, at another witness, and all of them refused the next try. All members were to be avoided then, so none was asked.

Change: a table of the next term may be replaced as long as no key was bound at it; when all members are to be avoided the best is tried. The table test that compared change ids now compares whether keys were bound, which is what must not be lost. The randomised test prints what each daemon knows of a stuck slot.

--- a/decision/slot/plan.go
+++ b/decision/slot/plan.go
@@ -149,8 +149,7 @@
 		return p.take(a, Sealed, p.Self)
 	}
 	if own && p.Avoid[a.Witness.ID] {
-		m, _ := p.take(a, WitnessLost, p.Self)
-		return m, !m.Witness.None()
+		return p.take(a, WitnessLost, p.Self)
 	}
 	if !p.Rebalance || !p.Calm(a.Slot) {
 		return Move{}, false
--- a/decision/slot/slot.go
+++ b/decision/slot/slot.go
@@ -116,20 +116,26 @@
 	return best
 }
 
-// witness returns the member with the highest weight in another zone than
-// owner's, or in the same zone where no other has one, or nobody.
+// witness returns the best member other than owner, or nobody: first one that
+// is not to be avoided, then one in another zone, then the highest weight. When
+// all are to be avoided the best of them is tried rather than none.
 func (r *ranker) witness(slot int, owner Member, avoid map[string]bool) Member {
 	var best Member
 	var most uint64
-	elsewhere := false
+	top := -1
 	for i, m := range r.members {
-		if m.ID == owner.ID || avoid[m.ID] {
+		if m.ID == owner.ID {
 			continue
 		}
-		w, other := weigh(r.hashes[i], slot), m.Zone != owner.Zone
-		better := best.None() || (other && !elsewhere) || (other == elsewhere && w > most)
-		if better {
-			best, most, elsewhere = m, w, other
+		class := 0
+		if !avoid[m.ID] {
+			class += 2
+		}
+		if m.Zone != owner.Zone {
+			class++
+		}
+		if w := weigh(r.hashes[i], slot); class > top || (class == top && w > most) {
+			best, most, top = m, w, class
 		}
 	}
 	return best
--- a/serve/once/peer.go
+++ b/serve/once/peer.go
@@ -98,7 +98,7 @@
 		}
 		undecided := now.Add(time.Duration(in.GetUndecidedMs()) * time.Millisecond)
 		t := &p.s.tables[in.GetSlot()]
-		reply.Accepted = append(reply.Accepted, t.install(in.GetTerm(), in.GetChange(), records, undecided))
+		reply.Accepted = append(reply.Accepted, t.install(in.GetTerm(), records, undecided))
 	}
 	return reply, nil
 }
--- a/serve/once/suspects.go
+++ b/serve/once/suspects.go
@@ -37,6 +37,13 @@
 	return !known
 }
 
+// clear forgets a member that answered.
+func (s *silent) clear(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.until, id)
+}
+
 // ids returns the members silent now.
 func (s *silent) ids(now time.Time) map[string]bool {
 	s.mu.Lock()
--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -26,7 +26,7 @@
 	mu     sync.Mutex
 	term   uint64 // newest term whose keys are all here; 0: none
 	sealed uint64 // keys of terms up to this one are refused
-	change string // id of the change that gave this table
+	used   bool   // a key was bound at term
 	// counter numbers attempts and refusals in the order in which they happen.
 	counter   uint64
 	records   map[slot.Key]*record
@@ -97,7 +97,7 @@
 		key: c.key, digest: c.req.digest, attempt: c.attempt,
 		dispatcher: self, expires: now.Add(ttl), call: c,
 	}
-	t.records[c.key] = r
+	t.records[c.key], t.used = r, true
 	return *r, claimNew
 }
 
@@ -153,7 +153,7 @@
 	if have != nil && (have.attempt > r.attempt || have.state > refused) {
 		return false
 	}
-	t.records[r.key] = r
+	t.records[r.key], t.used = r, true
 	return true
 }
 
@@ -254,16 +254,16 @@
 	return true, records, t.undecided
 }
 
-// install replaces the table by that of the next term. It is refused when a
-// newer term, or another change to the same term, was installed before: keys
-// may have been bound under that one.
-func (t *table) install(term uint64, change string, records []record, undecided time.Time) bool {
+// install replaces the table by that of the next term, or by another one of the
+// same term as long as no key was bound at it here. Every table offered for a
+// term is complete, since its maker sealed one of the pair before; what it must
+// not do is wipe keys bound at the term since. Accepting a second one matters
+// when the store was down: a daemon that tries again must not find its former
+// witnesses shut.
+func (t *table) install(term uint64, records []record, undecided time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if term == t.term && change == t.change {
-		return t.sealed < term
-	}
-	if term <= t.term || term <= t.sealed {
+	if term < t.term || term <= t.sealed || (term == t.term && t.used) {
 		return false
 	}
 	fresh := make(map[slot.Key]*record, len(records))
@@ -277,13 +277,13 @@
 		kept += r.bytes()
 	}
 	t.records, t.answers = fresh, kept
-	t.promote(term, change, undecided)
+	t.promote(term, undecided)
 	return true
 }
 
 // advance moves a table whose keys are all here to the next term. It is
 // refused unless the term before was sealed here.
-func (t *table) advance(term uint64, change string) bool {
+func (t *table) advance(term uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.term+1 < term || t.sealed+1 < term || t.sealed >= term {
@@ -292,13 +292,16 @@
 	if t.records == nil {
 		t.records = make(map[slot.Key]*record)
 	}
-	t.promote(term, change, t.undecided)
+	t.promote(term, t.undecided)
 	return true
 }
 
 // promote is the common end of install and advance. The caller holds mu.
-func (t *table) promote(term uint64, change string, undecided time.Time) {
-	t.term, t.change, t.undecided = max(t.term, term), change, undecided
+func (t *table) promote(term uint64, undecided time.Time) {
+	if term > t.term {
+		t.used = false
+	}
+	t.term, t.undecided = max(t.term, term), undecided
 	t.sealed = max(t.sealed, term-1)
 	t.counter = max(t.counter, term<<termShift)
 }
--- a/serve/once/transfer.go
+++ b/serve/once/transfer.go
@@ -94,7 +94,7 @@
 			return
 		}
 	}
-	c.done(t.advance(c.next.Term, c.next.Change))
+	c.done(t.advance(c.next.Term))
 }
 
 func (c *change) done(ok bool) {
@@ -147,7 +147,7 @@
 		}
 		c := group[i]
 		undecided := now.Add(time.Duration(sealed.GetUndecidedMs()) * time.Millisecond)
-		c.done(s.tables[c.next.Slot].install(c.next.Term, c.next.Change, records, undecided))
+		c.done(s.tables[c.next.Slot].install(c.next.Term, records, undecided))
 	}
 }
 
@@ -161,7 +161,7 @@
 	}
 	ttl := s.limits().KeyTTL
 	s.Log.Emit(event.SlotHistoryLost, c.next.Slot, c.next.Term, ttl.String())
-	c.done(s.tables[c.next.Slot].install(c.next.Term, c.next.Change, nil, time.Now().Add(ttl)))
+	c.done(s.tables[c.next.Slot].install(c.next.Term, nil, time.Now().Add(ttl)))
 }
 
 // installAll gives the new witnesses the slots' keys.
@@ -178,7 +178,7 @@
 	for _, c := range group {
 		records, undecided := s.tables[c.next.Slot].all()
 		w.Slots = append(w.Slots, &pb.SlotInstall{
-			Slot: uint32(c.next.Slot), Term: c.next.Term, Change: c.next.Change,
+			Slot: uint32(c.next.Slot), Term: c.next.Term,
 			Records: recordsToWire(records, now), UndecidedMs: max(undecided.Sub(now), 0).Milliseconds(),
 		})
 	}
@@ -189,14 +189,15 @@
 	if err != nil {
 		s.Dialer.DropIdle()
 		s.silent.add(witness.ID, now)
+	} else {
+		s.silent.clear(witness.ID)
 	}
 	for i, c := range group {
 		switch {
 		case err != nil:
 			c.err = errors.Wrap(err, "installing at the witness")
 		case !reply.GetAccepted()[i]:
-			// It may hold a table of a change that its maker never finished, so
-			// the next try needs another witness.
+			// It serves this term for another daemon already, or a later one.
 			s.silent.add(witness.ID, now)
 			c.err = errRefused
 		}
