--- a/lab/bench/load/request.go
+++ b/lab/bench/load/request.go
@@ -75,11 +75,14 @@
 
 // dispatch starts an attempt on e. A policy calls it.
 func (w *world) dispatch(r *request, e *engineSim) {
-	j := &job{req: r, answer: float64(r.answer - r.have)}
+	j := &job{req: r, server: e, answer: float64(r.answer - r.have)}
 	if w.daemons[r.daemon].policy.prioritises() {
 		j.priority = priority(r.kind.service.Class)
 	}
 	r.job = j
+	if r.first.IsZero() && !r.left {
+		w.meter.dispatched(r)
+	}
 	j.onFirst = func() { w.firstToken(r, j) }
 	j.onEnd = func(failed bool) { w.ended(r, j, failed) }
 	if e.dead {
