--- a/lab/bench/slopes/relay.go
+++ b/lab/bench/slopes/relay.go
@@ -67,7 +67,7 @@
 
 func (s *stack) straight() source {
 	return source{
-		url: func(i int) string { return s.engines[i%len(s.engines)].URL + engine.PathCompletions },
+		url: func(i int) string { return s.engines[i%len(s.sims)].URL + engine.PathCompletions },
 		body: func(i, tokens int) any {
 			return engine.NewCompletionRequest(engine.Request{
 				Generation: fmt.Sprintf("straight-%d-%d", i, time.Now().UnixNano()), Attempt: 1,
--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -111,7 +111,7 @@
 	s := m.Size
 	const carrier = "`serve/once`, `decision/slot`"
 	binds := given(s.RequestsPerDaemon(), "binds/s, every request carrying a key")
-	keys := given(2*s.RequestsPerDaemon()*limits.KeyTTL.Seconds(), "keys of the last "+limits.KeyTTL.String()+", owned and witnessed")
+	keys := given(s.RequestsPerDaemon()*limits.KeyTTL.Seconds(), "keys of the last "+limits.KeyTTL.String()+", each at owner and witness")
 	return []Row{
 		{
 			Role: Binder, Kind: State, What: "slots owned", Carrier: "`decision/slot`",
