control/membership: news is passed on within a budget; lab/bench/members

Change: passing on at once is bounded to 5 in a burst and one each 2 s, and what is left to pass on is halved whenever two tables agree. The experiment is a command, mallowctl bench members.

--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,7 +11,8 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Slopes slopesCmd `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Slopes  slopesCmd  `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Members membersCmd `cmd:"" help:"Measure membership and the zones' leases."`
 }
 
 // slopesCmd measures and records slopes.
--- /dev/null
+++ b/cmd/mallowctl/benchmembers.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"time"
+
+	"mallowwind.dev/lab/bench/members"
+)
+
+// membersCmd measures membership and the zones' leases.
+type membersCmd struct {
+	Out    string        `default:"docs/measurements" placeholder:"DIR" help:"Directory to write in."`
+	Seed   uint64        `default:"1" help:"Seed of all random choices."`
+	Sizes  []int         `default:"7,30,90,200,390" help:"Numbers of daemons."`
+	Window time.Duration `default:"20s" help:"Length of each phase that is measured."`
+	Kills  int           `default:"3" help:"Daemons killed at each size."`
+}
+
+// Run implements the command.
+func (c *membersCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return members.Run(ctx, members.Options{
+		Dir: c.Out, Seed: c.Seed, Sizes: c.Sizes, Window: c.Window, Kills: c.Kills, Log: os.Stderr,
+	})
+}
--- a/control/membership/exchange.go
+++ b/control/membership/exchange.go
@@ -85,12 +85,23 @@
 		return errors.Wrap(err, "exchange")
 	}
 	m.absorb(reply)
-	if len(reply.Buckets) > 0 {
+	if !m.agrees(reply.Root) && len(reply.Buckets) > 0 {
 		m.sync(ctx, target, reply.Buckets)
 	}
 	return nil
 }
 
+// agrees reports whether another daemon's table has the same hash as this one.
+func (m *Manager) agrees(root uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if root != m.table.Root() {
+		return false
+	}
+	m.table.Agreed()
+	return true
+}
+
 // sync repairs a few parts of the table in which the other daemon differs.
 func (m *Manager) sync(ctx context.Context, target gossip.Record, hashes []uint64) {
 	m.mu.Lock()
@@ -164,7 +175,7 @@
 		to = g.From.Id
 	}
 	reply := m.message(to)
-	if g.Root != reply.Root {
+	if !m.agrees(g.Root) {
 		m.mu.Lock()
 		hashes := m.table.BucketHashes()
 		m.mu.Unlock()
--- a/control/membership/manager.go
+++ b/control/membership/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"mallowwind.dev/decision/gossip"
 	"mallowwind.dev/peer/link"
@@ -29,6 +30,13 @@
 	ListEvery time.Duration
 	// SpreadDelay collects news before it is passed on at once.
 	SpreadDelay time.Duration
+	// SpreadEvery and SpreadBurst bound how often news is passed on at once.
+	// The failure: 390 daemons start together, each hears of 389 joins and
+	// passes each on; without a bound that is 15,000 exchanges a second, which
+	// keeps the daemons too busy to finish joining. Past the bound news waits
+	// for the next regular exchange.
+	SpreadEvery time.Duration
+	SpreadBurst int
 	// Jitter is the share by which the interval varies.
 	Jitter float64
 }
@@ -41,6 +49,8 @@
 		IndirectTimeout: 1500 * time.Millisecond,
 		ListEvery:       2 * time.Second,
 		SpreadDelay:     100 * time.Millisecond,
+		SpreadEvery:     2 * time.Second,
+		SpreadBurst:     5,
 		Jitter:          0.1,
 	}
 }
@@ -172,6 +182,7 @@
 	spread := time.NewTimer(time.Hour)
 	spread.Stop()
 	pending := false
+	budget := rate.NewLimiter(rate.Every(m.cfg.SpreadEvery), m.cfg.SpreadBurst)
 	for {
 		select {
 		case <-ctx.Done():
@@ -187,7 +198,7 @@
 		case <-m.news:
 			if !pending {
 				pending = true
-				spread.Reset(m.cfg.SpreadDelay)
+				spread.Reset(max(m.cfg.SpreadDelay, budget.Reserve().Delay()))
 			}
 		case <-spread.C:
 			pending = false
--- a/control/membership/news.go
+++ b/control/membership/news.go
@@ -27,7 +27,10 @@
 	// newsSpread scales how often news is passed on, as in decision/gossip.
 	newsSpread = 4
 	// newsPerMessage bounds the news that one exchange carries.
-	newsPerMessage = 8
+	newsPerMessage = 16
+	// newsFresh is the age at which news is passed on no more; the next full
+	// read tells whoever has missed it until then.
+	newsFresh = time.Minute
 	// newsKept is how long news is remembered, so that it is not taken for
 	// new when it arrives again.
 	newsKept = time.Hour
@@ -75,7 +78,7 @@
 func (m *Manager) vmMessage() []*peerpb.VMNews {
 	var due []*vmNews
 	for _, n := range m.vms {
-		if n.sends > 0 {
+		if n.sends > 0 && time.Since(n.Seen) < newsFresh {
 			due = append(due, n)
 		}
 	}
--- a/decision/gossip/choose.go
+++ b/decision/gossip/choose.go
@@ -157,6 +157,16 @@
 	return out
 }
 
+// Agreed records that an exchange found both tables equal. Where tables agree
+// everybody is likely to know, so what is still to be passed on is halved.
+// After 390 daemons start together the rest would otherwise go on for minutes,
+// at several times the traffic of a steady state.
+func (t *Table) Agreed() {
+	for _, m := range t.members {
+		m.sends /= 2
+	}
+}
+
 // Root returns a hash over the whole table; equal tables have equal roots.
 func (t *Table) Root() uint64 {
 	var root uint64
--- a/decision/gossip/record.go
+++ b/decision/gossip/record.go
@@ -118,7 +118,7 @@
 // DefaultConfig returns the values in use.
 func DefaultConfig() Config {
 	return Config{
-		Interval: 2 * time.Second, Suspicion: 5 * time.Second, Forget: time.Hour, SyncEvery: 10 * time.Second,
-		ZoneRings: 3, GlobalRings: 2, Helpers: 3, Fanout: 4, MaxUpdates: 8, StrayEvery: 5, PauseAfter: 3,
+		Interval: 2 * time.Second, Suspicion: 5 * time.Second, Forget: time.Hour, SyncEvery: 5 * time.Second,
+		ZoneRings: 3, GlobalRings: 2, Helpers: 3, Fanout: 4, MaxUpdates: 16, StrayEvery: 5, PauseAfter: 3,
 	}
 }
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -105,7 +105,7 @@
 	d.backends = backends.NewManager(backends.Deps{
 		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
 		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
-		Log: d.log, Registerer: d.registry, Config: bc,
+		Log:   d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
 		Self: membership.Member{
