--- a/control/reconcile/manager_test.go
+++ b/control/reconcile/manager_test.go
@@ -210,6 +210,30 @@
 	})
 }
 
+// Two zones take the same new text, and the daemons of one are paused. The
+// other must change as if it were alone, under its own holder and fencing
+// numbers, and give no orders to engines that are not its own.
+func TestZonesAreIndependent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, true)
+		w.addEngineIn("c0", "b")
+		w.startZone("b")
+		w.apply(1, v1, 2, 0)
+		w.until("both zones serve version 1", 2*time.Minute, func() bool { return w.ready(v1) == 3 })
+		for _, d := range w.daemons[:3] {
+			d.pause()
+		}
+		w.apply(2, v2, 2, 0)
+		w.until("zone b serves version 2", 2*time.Minute, func() bool { return holds(w.sims["c0"], v2) })
+		time.Sleep(time.Minute)
+		must.Eq(t, 2, w.ready(v1)) // zone a, whose daemons are paused
+		for _, d := range w.daemons[:3] {
+			d.unpause()
+		}
+		w.until("zone a follows", 3*time.Minute, func() bool { return w.ready(v2) == 3 && w.ready(v1) == 0 })
+	})
+}
+
 // Everything at once, from fixed seeds: holders are paused, the store fails,
 // engines die, pause and return, and the text changes. Orders of two holders
 // never interleave, the floor is kept by every order, and when the faults end
--- a/control/reconcile/world_test.go
+++ b/control/reconcile/world_test.go
@@ -115,13 +115,7 @@
 	for i := range engines {
 		w.addEngine(fmt.Sprintf("b%d", i))
 	}
-	var members []membership.Member
-	for i := range 3 {
-		members = append(members, membership.Member{ID: fmt.Sprintf("vm%d", i), Zone: "a", Incarnation: 1})
-	}
-	for _, self := range members {
-		w.startDaemon(&membership.View{Self: self, Members: members})
-	}
+	w.startZone("a")
 	t.Cleanup(func() {
 		for _, d := range w.daemons {
 			d.unpause()
@@ -132,11 +126,24 @@
 	return w
 }
 
-func (w *world) addEngine(id string) {
+// startZone starts three daemons that may hold the lease of a zone.
+func (w *world) startZone(zone string) {
+	var members []membership.Member
+	for i := range 3 {
+		members = append(members, membership.Member{ID: fmt.Sprint("vm", zone, i), Zone: zone, Incarnation: 1})
+	}
+	for _, self := range members {
+		w.startDaemon(&membership.View{Self: self, Members: members})
+	}
+}
+
+func (w *world) addEngine(id string) { w.addEngineIn(id, "a") }
+
+func (w *world) addEngineIn(id, zone string) {
 	w.sims[id] = enginesim.New(enginesim.Config{
 		Name: id, RespectFence: w.fencing, MaxModels: w.room, LoadTime: time.Second, Weights: w,
 	})
-	w.vms.Put(vmlist.VM{ID: id, Address: id, Zone: "a", Role: vmlist.RoleBackend, Pool: "p", State: vmlist.Live})
+	w.vms.Put(vmlist.VM{ID: id, Address: id, Zone: zone, Role: vmlist.RoleBackend, Pool: "p", State: vmlist.Live})
 }
 
 // Fetch gives weights to engines; version 2 may be broken.
@@ -155,7 +162,7 @@
 	st := &pausingStore{Store: w.store, d: d}
 	d.lease = lease.NewManager(lease.Deps{Store: st, Members: membership.Static{View: view}})
 	d.rec = NewManager(Deps{
-		Zone: "a", Site: w, VMs: w.vms, Weights: w.weights, Lease: d.lease, Store: st,
+		Zone: view.Self.Zone, Site: w, VMs: w.vms, Weights: w.weights, Lease: d.lease, Store: st,
 		Engine: func(address string) engine.Engine { return &recorder{Engine: w.sims[address], w: w, d: d} },
 	})
 	ctx, cancel := context.WithCancel(w.t.Context())
@@ -256,11 +263,11 @@
 	w.floor = floor
 	w.mu.Unlock()
 	w.text.Store(&site.Site{
-		Revision: revision, Zones: []string{"a"},
+		Revision: revision, Zones: []string{"a", "b"},
 		Pools: map[string]*site.Pool{"p": {Name: "p", Fencing: w.fencing}},
 		Services: map[string]*site.Service{"review": {
 			Name: "review", Kind: site.KindGeneration, Pool: "p", Model: ref.Model, Version: ref.Version,
-			Replicas: map[string]int{"a": n}, Floor: floor,
+			Replicas: map[string]int{"a": n, "b": 1}, Floor: floor,
 		}},
 	})
 }
