--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,8 +11,10 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Slopes  slopesCmd  `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
-	Members membersCmd `cmd:"" help:"Measure membership and the zones' leases."`
+	Control benchControlCmd `cmd:"" help:"Measure the spread of the site text and what it costs."`
+	Load    benchLoadCmd    `cmd:"" help:"Play patterns of load against the decisions, beside baselines."`
+	Members membersCmd      `cmd:"" help:"Measure membership and the zones' leases."`
+	Slopes  slopesCmd       `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
 
 // slopesCmd measures and records slopes.
--- a/decision/admit/queue.go
+++ b/decision/admit/queue.go
@@ -108,16 +108,13 @@
 	f.tag += cost / f.weight
 }
 
-func (q *Queue) push(it *Item, front bool) {
+func (q *Queue) push(it *Item) {
 	c := &q.class[it.Class]
 	f := c.flowOf(it)
 	it.flow = f
-	switch {
-	case f.head == nil:
+	if f.head == nil {
 		f.head, f.tail = it, it
-	case front:
-		it.next, f.head.prev, f.head = f.head, it, it
-	default:
+	} else {
 		it.prev, f.tail.next, f.tail = f.tail, it, it
 	}
 	f.cost += it.Cost
@@ -132,7 +129,7 @@
 
 // Hold lets an item wait although nothing can run it yet: capacity is about to
 // appear, or the only free slots are on servers it excludes.
-func (q *Queue) Hold(it *Item) { q.push(it, false) }
+func (q *Queue) Hold(it *Item) { q.push(it) }
 
 // Remove takes a waiting item out, for instance because its caller left.
 func (q *Queue) Remove(it *Item) {
@@ -186,9 +183,9 @@
 }
 
 // Finished records the end of work that ran for held and cost that many tokens.
-func (q *Queue) Finished(now time.Time, class Class, cost float64, held time.Duration) {
+func (q *Queue) Finished(class Class, cost float64, held time.Duration) {
 	q.running[class]--
-	q.drain.finished(now, cost, held)
+	q.drain.finished(class, cost, held)
 }
 
 // Next offers waiting items in order to try until one is taken, and returns it,
@@ -250,7 +247,7 @@
 	if patience <= 0 {
 		return true
 	}
-	return float64(q.predict(it, ahead, slots)) > shedSlack*float64(patience)
+	return float64(q.predict(now, it, ahead, slots)) > shedSlack*float64(patience)
 }
 
 // Refusal is the decision for an item that Shed returned.
@@ -259,7 +256,7 @@
 	if !it.Deadline.After(now) {
 		why = ReasonExpired
 	}
-	return q.refuse(now, it, slots, q.predict(it, q.aheadOf(it), slots), why)
+	return q.refuse(now, it, slots, q.predict(now, it, q.aheadOf(it), slots), why)
 }
 
 // Waiting returns the number of waiting items and their tokens.
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -81,6 +82,7 @@
 	flow        *flow.Manager
 	generations *generation.Manager
 	calls       *calls
+	serving     atomic.Bool // named to callers
 	drain       *drainer
 	api         *api.API
 }
@@ -109,7 +111,7 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Kind: d.poolKind,
 		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
 		Log:   d.log, Registerer: d.registry, Config: bc,
 	})
@@ -119,7 +121,6 @@
 			Incarnation: uint64(time.Now().UnixNano()),
 			Zone:        s.Zone,
 			Region:      s.Region,
-			Caller:      d.opts.Listeners.Callers.Addr().String(),
 			Peer:        d.opts.Listeners.Peers.Addr().String(),
 		},
 		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
@@ -137,36 +138,27 @@
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
-	})
-	d.backends.OnNews(d.members.ShareVM)
-	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
-	d.backends.OnReport(func(id string, digest uint64) {
-		d.members.ShareReport(id, digest)
-		d.reconcile.Hint(id)
-	})
-	d.members.OnReport(func(id string, digest uint64) {
-		d.backends.LearnReport(id, digest)
-		d.reconcile.Hint(id)
+		Announce: d.members.SetDigest,
 	})
 	d.members.OnDigest(func(from membership.Member, name string, version uint64) {
-		if name == configDigest {
+		if name == inforce.DigestName {
 			d.inforce.Learn(from.ID, version)
 		}
 	})
 }
 
-// plainPool reports whether a pool runs plain services.
-func (d *Daemon) plainPool(pool string) bool {
+// poolKind says what the text in force says of a pool.
+func (d *Daemon) poolKind(pool string) backends.Kind {
 	s := d.inforce.Current()
 	if s == nil {
-		return false
+		return backends.KindUnknown
 	}
 	for _, service := range s.Services {
-		if service.Pool == pool {
-			return service.Kind == site.KindPlain
+		if service.Pool == pool && service.Kind == site.KindPlain {
+			return backends.KindPlain
 		}
 	}
-	return false
+	return backends.KindEngine
 }
 
 // assemblePlacement lets this daemon contend for its zone's lease and, while
@@ -205,6 +197,7 @@
 		Entries: &entries{site: d.inforce, members: d.members},
 		Log:     d.log, Metrics: d.registry,
 		Refusing: d.drain.refusing,
+		Starting: func() bool { return !d.serving.Load() },
 		Ready:    d.ready,
 	})
 }
@@ -212,6 +205,14 @@
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *metric.Catalogue { return d.registry }
 
+// Revision returns the revision of the site text in force here, 0 before any.
+func (d *Daemon) Revision() int64 {
+	if s := d.inforce.Current(); s != nil {
+		return s.Revision
+	}
+	return 0
+}
+
 // Knows reports whether this daemon sees n entry VMs alive, itself included.
 func (d *Daemon) Knows(n int) bool {
 	alive := 0
@@ -224,7 +225,7 @@
 }
 
 // ready reports whether callers should be sent here.
-func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
+func (d *Daemon) ready() bool { return d.serving.Load() && !d.drain.leaving() }
 
 // Run serves until ctx ends and then drains: it leaves the address answers,
 // waits out the longest answer a caller may have kept, lets running work end,
@@ -258,7 +259,8 @@
 func (d *Daemon) loops() []func(context.Context) error {
 	parts := []func(context.Context) error{
 		d.backends.Run, d.members.Run, d.inforce.Run, d.flow.Run,
-		d.lease.Run, d.reconcile.Run, d.generations.Run, d.digests, d.roster.Run, d.calls.service.Run,
+		d.lease.Run, d.reconcile.Run, d.generations.Run, d.roster.Run, d.ownKeys,
+		d.starting,
 	}
 	if d.opts.TLS != nil {
 		parts = append(parts, d.opts.TLS.Run)
@@ -273,26 +275,6 @@
 	return err
 }
 
-// configDigest is the name under which members tell each other their revision.
-const configDigest = "config"
-
-// digestEvery is how often the revision in force is handed to membership.
-const digestEvery = 200 * time.Millisecond
-
-// digests tells the members which revision is in force here.
-func (d *Daemon) digests(ctx context.Context) error {
-	t := time.NewTicker(digestEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			d.members.SetDigest(configDigest, d.inforce.Digest())
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 // peerHandler serves other daemons.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -303,3 +285,6 @@
 	mux.Handle(members.PathPrefix(), members)
 	return mux
 }
+
+// InForce returns the site text in force here, nil before the first.
+func (d *Daemon) InForce() *site.Site { return d.inforce.Current() }
