--- a/control/backends/config.go
+++ b/control/backends/config.go
@@ -41,7 +41,7 @@
 //
 // The bound of the drain rule follows from ListEvery, Jitter and ListTimeout:
 // a backend server that the list shows as leaving gets no new work after
-// DrainBound. Reading the list costs about 340 KB at 2,290 VMs, so at that
+// DrainBound. Reading the list costs about 310 KB at 2,290 VMs, so at that
 // size three daemons of a zone read it each second, mostly to be told that it
 // has not changed, and pass changes on; the others read it whole every quarter
 // of an hour in case news was lost. With three daemons in a zone all read. A
