--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -127,6 +127,14 @@
 	})
 	d.backends.OnNews(d.members.ShareVM)
 	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
+	d.backends.OnReport(func(id string, digest uint64) {
+		d.members.ShareReport(id, digest)
+		d.reconcile.Hint(id)
+	})
+	d.members.OnReport(func(id string, digest uint64) {
+		d.backends.LearnReport(id, digest)
+		d.reconcile.Hint(id)
+	})
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
