--- a/lab/soak/answer.go
+++ b/lab/soak/answer.go
@@ -24,6 +24,7 @@
 
 	id, lastID string
 	text       strings.Builder
+	held       string // the most that an earlier copy of the request brought
 	whole      bool
 	copies     int // times the request was sent
 }
@@ -36,6 +37,9 @@
 func (a *answer) post(ctx context.Context, to *stand.Client) error {
 	a.copies++
 	a.id, a.lastID = "", ""
+	if a.text.Len() > len(a.held) {
+		a.held = a.text.String()
+	}
 	a.text.Reset()
 	header := map[string]string{}
 	if a.key != "" {
@@ -145,6 +149,13 @@
 	if err != nil {
 		a.c.r.violate("%q (%s): the terminal event came without the whole answer: %v", a.prompt, a.id, err)
 	}
+	if a.key != "" && !strings.HasPrefix(a.text.String(), a.held) {
+		a.c.r.count("another generation for the same key")
+		a.c.r.note("%q (%s): another generation for the same key, %d bytes were held", a.prompt, a.id, len(a.held))
+		if a.c.r.opts.MustServe {
+			a.c.r.violate("%q (%s): the same key brought another generation than the one begun", a.prompt, a.id)
+		}
+	}
 	return nil
 }
 
--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -41,9 +41,20 @@
 	return all[target%len(all)]
 }
 
+// engine chooses an engine that works, if one does: a fault of an idle one
+// shows little.
 func (f *fleet) engine(target int) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var busy []string
+	for _, id := range f.engines {
+		if f.d.Engines[id].Busy() {
+			busy = append(busy, id)
+		}
+	}
+	if len(busy) > 0 {
+		return busy[target%len(busy)]
+	}
 	return f.engines[target%len(f.engines)]
 }
 
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -115,7 +115,8 @@
 	// time in which the first is noticed.
 	together   = 800 * time.Millisecond
 	maxTargets = 12
-	maxGroups  = 4
+	// groupEvery is the time for one group of faults: in a long run up to six.
+	groupEvery = 2500 * time.Millisecond
 	maxRepeats = 3
 )
 
@@ -128,7 +129,7 @@
 	if rng.IntN(4) == 0 {
 		p.EntriesPerZone = 2
 	}
-	for range 1 + rng.IntN(maxGroups) {
+	for range 1 + rng.IntN(int(length/groupEvery)) {
 		p.Steps = append(p.Steps, group(rng, length)...)
 	}
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,6 +65,9 @@
 	}
 	r := inVirtualTime(t, o)
 	t.Log(r.Counts)
+	if r.Counts["another generation for the same key"] > 0 {
+		t.Log(r.Plan, "\n", strings.Join(r.Events, "\n"))
+	}
 	if err := r.Err(); err != nil {
 		t.Error(err)
 	}
