--- a/lab/soak/generations.go
+++ b/lab/soak/generations.go
@@ -137,6 +137,7 @@
 		return
 	case errors.As(err, &refused):
 		r.count(kind + " failed: " + refused.Code + " " + refused.Verdict)
+		r.note("%q (%s) holding %d bytes: %s", a.prompt, a.id, a.text.Len(), refused)
 		if refused.Verdict == "" {
 			r.violate("%q failed without a verdict: %v", a.prompt, err)
 		}
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -170,3 +170,20 @@
 func between(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low))).Truncate(time.Millisecond)
 }
+
+// minGap is the least time between two planned changes: operators replace one
+// VM after another.
+const minGap = 500 * time.Millisecond
+
+// DrawPlanned makes a plan of planned changes alone: stops of entry VMs and
+// engines that leave, some before the one before has ended.
+func DrawPlanned(seed uint64, length time.Duration) Plan {
+	rng := rand.New(rand.NewPCG(seed, planStream))
+	p := Plan{Seed: seed, Length: length, EntriesPerZone: 1 + rng.IntN(2)}
+	for at := time.Second; at < length-2*time.Second; at += between(rng, minGap, 3*time.Second) {
+		s := draw(rng, at)
+		s.Kind = []Kind{EntryStop, EngineLeave}[rng.IntN(2)]
+		p.Steps = append(p.Steps, s)
+	}
+	return p
+}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -13,10 +13,12 @@
 )
 
 var (
-	runs  = flag.Int("soak.runs", 24, "random runs of TestRandomRuns")
-	long  = flag.Bool("soak.long", false, "long runs with more callers")
-	logs  = flag.String("soak.logs", "", "file for the daemons' logs")
-	first = flag.Uint64("soak.seed", 1, "seed of the first one")
+	runs    = flag.Int("soak.runs", 24, "random runs of TestRandomRuns")
+	long    = flag.Bool("soak.long", false, "long runs with more callers")
+	events  = flag.Bool("soak.events", false, "show each run's plan and events")
+	logs    = flag.String("soak.logs", "", "file for the daemons' logs")
+	planned = flag.Int("soak.planned", 6, "runs of TestRandomPlannedChanges")
+	first   = flag.Uint64("soak.seed", 1, "seed of the first one")
 )
 
 // inVirtualTime plays a plan in memory.
@@ -37,10 +39,7 @@
 // Random runs, a few dozen short ones in the usual check. By hand more and
 // longer ones: go test ./lab/soak -run RandomRuns -soak.runs=100 -soak.long.
 func TestRandomRuns(t *testing.T) {
-	length := ShortRun
-	if *long {
-		length = LongRun
-	}
+	length, _ := size()
 	for i := range uint64(*runs) {
 		seed := *first + i
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -50,12 +49,17 @@
 	}
 }
 
+// size returns the length of runs and the callers of each kind.
+func size() (time.Duration, int) {
+	if *long {
+		return LongRun, defaultCallers
+	}
+	return ShortRun, 1
+}
+
 func random(t *testing.T, seed uint64, length time.Duration) {
 	t.Helper()
-	callers := 0
-	if length == ShortRun {
-		callers = 1
-	}
+	_, callers := size()
 	o := Options{Plan: Draw(seed, length), Callers: callers}
 	if *logs != "" {
 		f, err := os.Create(*logs)
@@ -65,10 +69,25 @@
 	}
 	r := inVirtualTime(t, o)
 	t.Log(r.Counts)
-	if r.Counts["another generation for the same key"] > 0 {
+	if *events {
 		t.Log(r.Plan, "\n", strings.Join(r.Events, "\n"))
 	}
 	if err := r.Err(); err != nil {
 		t.Error(err)
 	}
 }
+
+// Planned changes alone, also several at once, cut nothing: any failure that a
+// caller sees is a violation.
+func TestRandomPlannedChanges(t *testing.T) {
+	length, callers := size()
+	for i := range uint64(*planned) {
+		seed := *first + i
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := inVirtualTime(t, Options{Plan: DrawPlanned(seed, length), Callers: callers})
+			t.Log(r.Counts)
+			must.NoError(t, r.Err())
+		})
+	}
+}
