--- a/lab/bench/load/scenario.go
+++ b/lab/bench/load/scenario.go
@@ -26,6 +26,8 @@
 	heavy int
 	// factor scales arrivals at a time since the run began; nil means 1.
 	factor func(time.Duration) float64
+	// span is how long the run measures; 0 means measured.
+	span time.Duration
 	// peak is the largest factor.
 	peak float64
 	// faults are set up before the run begins.
@@ -88,6 +90,13 @@
 	},
 }
 
+func (s scenario) length() time.Duration {
+	if s.span > 0 {
+		return s.span
+	}
+	return measured
+}
+
 // scenarioNamed returns a scenario of the list.
 func scenarioNamed(name string) (scenario, error) {
 	for _, s := range scenarios {
@@ -101,10 +110,12 @@
 // capacity is what a pool can produce, in answer tokens a second.
 type capacity map[string]float64
 
-// measureCapacity offers far more than the pools can do to a plain queue that
-// fills every slot, with callers who wait for ever, and counts what comes.
+// measureCapacity offers far more than the pools can do to one plain queue that
+// fills every slot, with callers who wait for ever, and counts what comes. One
+// entry VM takes all of it: divided among several, shares of slots round up.
 func measureCapacity(d deployment, shares []float64, seed uint64) capacity {
 	patient := d
+	patient.daemons = []int{1}
 	patient.kinds = append([]kind(nil), d.kinds...)
 	for i := range patient.kinds {
 		s := *patient.kinds[i].service
--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -1,11 +1,21 @@
 package capacity
 
+import (
+	"strconv"
+
+	"mallowwind.dev/serve/journal"
+)
+
 // peer is what a daemon does for answers that other daemons serve. Copies
-// spread evenly, so a daemon takes as many as it gives.
+// spread evenly on the whole, so a daemon takes as many as it gives.
 func (m *Model) peer() []Row {
 	s := m.Size
 	const carrier = "`serve/journal`"
-	appends := given(s.TokensPerDaemon(), "appends/s, one a token")
+	holders, gap := journal.Batching()
+	perS := float64(holders) / gap.Seconds()
+	messages := given(perS, "messages/s to "+strconv.Itoa(holders)+" holders")
+	answers := s.TokensPerDaemon() / perS
+	single := given(s.TokensPerDaemon(), "messages/s, one a token")
 	kept := given(s.RequestsPerDaemon()*limits.AnswerTTL.Seconds(), "answers of the last "+limits.AnswerTTL.String())
 	return []Row{
 		{
@@ -13,23 +23,22 @@
 			Factors: []Factor{given(s.StreamsPerDaemon(), "copies")},
 		},
 		{
-			Role: Peer, Kind: State, What: "copies of finished answers still owed", Carrier: carrier,
-			Factors: []Factor{kept},
-		},
-		{
-			Role: Peer, Kind: Messages, What: "appends taken, and as many made", Unit: PerS, Carrier: carrier,
-			Factors: []Factor{appends},
+			Role: Peer, Kind: State, What: "copies of finished answers still owed", Carrier: carrier, Factors: []Factor{kept},
 		},
 		{
 			Role: Peer, Kind: Messages, What: "bytes of appends taken, and as many made", Unit: BytesPerS, Carrier: carrier,
-			Factors: []Factor{appends, m.at(slopeAppendBytes, 1, 1)},
+			Factors: []Factor{messages, m.at(slopeAppendBytes, answers, 1)},
 		},
 		{
 			Role: Peer, Kind: Processor, What: "appends, both ends together", Unit: Core, Carrier: carrier,
-			Factors: []Factor{appends, m.at(slopeAppendCPU, 1, micro)},
+			Factors: []Factor{messages, m.at(slopeAppendCPU, answers, micro)},
+		},
+		{
+			Role: Peer, Kind: Processor, What: "the same if all answers were of requests with a key, which share no messages", Unit: Core, Carrier: carrier,
+			Factors: []Factor{single, m.at(slopeAppendCPU, 1, micro)},
 		},
 		{
-			Role: Peer, Kind: Memory, What: "copies of finished answers", Unit: Bytes, Carrier: carrier,
+			Role: Peer, Kind: Memory, What: "copies of finished answers, prompts left out", Unit: Bytes, Carrier: carrier,
 			Factors: []Factor{kept, given(s.TokensPerAnswer(), "tokens"), m.per(slopeCopyMemory, 1)},
 		},
 	}
