--- a/control/inforce/adopt.go
+++ b/control/inforce/adopt.go
@@ -101,7 +101,7 @@
 		return nil
 	}
 	m.current.Store(next)
-	m.recent = append(m.recent, next)
+	m.recent = append(m.recent, kept{r.Revision, text})
 	if len(m.recent) > keptTexts {
 		m.recent = append(m.recent[:0:0], m.recent[1:]...)
 	}
@@ -153,9 +153,9 @@
 func (m *Manager) base(revision int64) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, s := range m.recent {
-		if s.record.Revision == revision {
-			return s.site.Text, true
+	for _, k := range m.recent {
+		if k.revision == revision {
+			return k.text, true
 		}
 	}
 	return "", false
--- a/control/inforce/inforce.go
+++ b/control/inforce/inforce.go
@@ -55,7 +55,7 @@
 	cost    cost
 
 	mu      sync.Mutex // guards what follows and every change of current
-	recent  []*state   // texts lately in force, the newest last, bases of patches
+	recent  []kept     // texts lately in force, the newest last, bases of patches
 	seen    map[string]Heard
 	offered int64 // last lower revision logged
 	refused *Refusal
@@ -76,6 +76,12 @@
 	since  time.Time
 }
 
+// kept is a text without its parsed form, which takes several times the memory.
+type kept struct {
+	revision int64
+	text     string
+}
+
 var _ site.Source = (*Manager)(nil)
 
 // New returns a Manager that has no text until Run finds one.
