--- a/cmd/mallowctl/apply.go
+++ b/cmd/mallowctl/apply.go
@@ -21,7 +21,7 @@
 	Comment string        `short:"m" help:"Why; stands in the history."`
 	Yes     bool          `help:"Do not ask."`
 	Above   int64         `placeholder:"REVISION" help:"Choose a revision above this one, after the store was restored from an older copy."`
-	Wait    time.Duration `placeholder:"DURATION" help:"Wait until the entry VMs of --admin and all they know have it in force."`
+	Wait    time.Duration `placeholder:"DURATION" help:"Wait until the asked entry VMs and all they know have it in force."`
 }
 
 // pollInForce is the time between two looks while waiting.
@@ -106,13 +106,14 @@
 	if c.Wait == 0 {
 		return nil
 	}
-	if len(c.Admin) == 0 {
-		return usageError{errors.New("--wait needs --admin; the text is accepted")}
-	}
 	ctx, cancel := context.WithTimeout(s.ctx, c.Wait)
 	defer cancel()
 	for {
-		status := s.Status(ctx, c.read(ctx))
+		answers, err := c.read(ctx)
+		if err != nil {
+			return errors.Wrapf(err, "revision %d is accepted; waiting for it", revision)
+		}
+		status := s.Status(ctx, answers)
 		if status.Accepted >= revision && status.Settled() {
 			return nil
 		}
--- a/cmd/mallowctl/handover.go
+++ b/cmd/mallowctl/handover.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"os"
-
-	"github.com/pkg/errors"
-)
+import "os"
 
 // handoverCmd writes what the next shift starts from.
 type handoverCmd struct {
@@ -15,15 +11,16 @@
 
 // Run implements the command.
 func (c *handoverCmd) Run() error {
-	if len(c.Admin) == 0 {
-		return usageError{errors.New("give --admin IP:PORT of at least one entry VM, or MALLOWWIND_ADMIN")}
-	}
 	s, err := c.open()
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	h, err := s.Handover(s.ctx, c.read(s.ctx))
+	answers, err := c.read(s.ctx)
+	if err != nil {
+		return err
+	}
+	h, err := s.Handover(s.ctx, answers)
 	if err != nil {
 		return err
 	}
--- a/cmd/mallowctl/operator.go
+++ b/cmd/mallowctl/operator.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +18,7 @@
 
 	"mallowwind.dev/control/operate"
 	"mallowwind.dev/platform/store"
+	"mallowwind.dev/platform/vmlist"
 )
 
 // siteFlags say which site's text is meant and where it lies.
@@ -24,7 +26,7 @@
 	Site    string        `required:"" env:"MALLOWWIND_SITE" help:"Name of the site."`
 	Store   []string      `required:"" env:"MALLOWWIND_STORE" placeholder:"URL" help:"Endpoints of the key-value service."`
 	Who     string        `env:"MALLOWWIND_WHO,USER" default:"unknown" help:"Name that stands in the history."`
-	Timeout time.Duration `default:"30s" help:"How long an unavailable store is waited for."`
+	Timeout time.Duration `default:"30s" help:"How long a change that was begun waits for the store."`
 	JSON    bool          `name:"json" help:"Write JSON."`
 }
 
@@ -48,18 +50,46 @@
 
 // adminFlags say how the daemons' operators' listeners are reached.
 type adminFlags struct {
-	Admin []string `env:"MALLOWWIND_ADMIN" placeholder:"IP:PORT" help:"Operators' addresses of entry VMs. One suffices at 7 VMs; more give a fresher picture."`
+	Admin     []string `env:"MALLOWWIND_ADMIN" placeholder:"IP:PORT" help:"Operators' addresses of entry VMs. One suffices at 7 VMs; more give a fresher picture."`
+	VMList    string   `name:"vm-list" env:"MALLOWWIND_VM_LIST" placeholder:"URL" help:"Ask every entry VM of the platform's list, on --admin-port."`
+	AdminPort string   `default:"8082" help:"Port of the operators' listener of the VMs of --vm-list."`
 	// The token comes from the environment alone: an argument shows in the process list.
 	Token string `hidden:"" env:"MALLOWWIND_TOKEN"`
 	TLS   bool   `help:"Reach the operators' listeners over TLS."`
 }
 
-func (f *adminFlags) read(ctx context.Context) []operate.Answer {
+// addresses returns the operators' addresses that the flags name.
+func (f *adminFlags) addresses(ctx context.Context) ([]string, error) {
+	list := f.Admin
+	if f.VMList != "" {
+		vms, err := vmlist.NewClient(f.VMList, nil).List(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for _, vm := range vms {
+			host, _, err := net.SplitHostPort(vm.Address)
+			if vm.Role == vmlist.RoleEntry && err == nil {
+				list = append(list, net.JoinHostPort(host, f.AdminPort))
+			}
+		}
+	}
+	if len(list) == 0 {
+		return nil, usageError{errors.New("give --admin IP:PORT of at least one entry VM, or --vm-list URL")}
+	}
+	return list, nil
+}
+
+// read asks the daemons for their pages.
+func (f *adminFlags) read(ctx context.Context) ([]operate.Answer, error) {
+	addresses, err := f.addresses(ctx)
+	if err != nil {
+		return nil, err
+	}
 	pages := operate.Pages{Client: http.DefaultClient, Scheme: "http", Token: f.Token}
 	if f.TLS {
 		pages.Scheme = "https"
 	}
-	return pages.Read(ctx, f.Admin)
+	return pages.Read(ctx, addresses), nil
 }
 
 // usageError is bad usage or a bad text.
--- a/cmd/mallowctl/operator_test.go
+++ b/cmd/mallowctl/operator_test.go
@@ -10,6 +10,7 @@
 
 	"mallowwind.dev/platform/standin/storesim"
 	"mallowwind.dev/platform/store"
+	"mallowwind.dev/platform/vmlist"
 )
 
 // The exit codes are what scripts of the operators rely on.
@@ -46,6 +47,12 @@
 	must.Eq(t, exitFailed, ctl("get", "--revision", "9"))
 	must.Eq(t, exitUsage, ctl("status"))
 	must.Eq(t, exitFailed, ctl("status", "--admin", "127.0.0.1:1"))
+	list := vmlist.NewMemory(0)
+	vms := httptest.NewServer(vmlist.Handler(list))
+	defer vms.Close()
+	must.Eq(t, exitUsage, ctl("status", "--vm-list", vms.URL)) // nobody to ask
+	list.Put(vmlist.VM{ID: "a", Address: "127.0.0.1:9", Role: vmlist.RoleEntry, State: vmlist.Live})
+	must.Eq(t, exitFailed, ctl("status", "--vm-list", vms.URL, "--admin-port", "1"))
 	kv.SetDown(true)
 	must.Eq(t, exitStore, ctl("get"))
 	must.Eq(t, exitStore, ctl("apply", two, "--yes"))
--- a/cmd/mallowctl/status.go
+++ b/cmd/mallowctl/status.go
@@ -11,15 +11,16 @@
 // Run implements the command. It fails when some VM lags or does not answer,
 // so that scripts can wait on it.
 func (c *statusCmd) Run() error {
-	if len(c.Admin) == 0 {
-		return usageError{errors.New("give --admin IP:PORT of at least one entry VM, or MALLOWWIND_ADMIN")}
-	}
 	s, err := c.open()
 	if err != nil {
 		return err
 	}
 	defer s.stop()
-	status := s.Status(s.ctx, c.read(s.ctx))
+	answers, err := c.read(s.ctx)
+	if err != nil {
+		return err
+	}
+	status := s.Status(s.ctx, answers)
 	if c.JSON {
 		err = writeJSON(s.out, status)
 	} else {
