--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -45,6 +46,8 @@
 	Metrics     prometheus.Registerer
 	// Refusing reports whether new requests are refused because the daemon stops.
 	Refusing func() bool
+	// Starting reports whether the daemon does not know enough yet to serve.
+	Starting func() bool
 	// Ready reports whether callers should be sent here.
 	Ready func() bool
 }
@@ -54,6 +57,7 @@
 	Config
 	requests *prometheus.CounterVec
 	inFlight prometheus.Gauge
+	active   atomic.Int64
 	router   *mux.Router
 }
 
@@ -83,6 +87,9 @@
 	return a
 }
 
+// Active returns the number of requests being served, streams included.
+func (a *API) Active() int { return int(a.active.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.router.ServeHTTP(w, r) }
 
@@ -99,6 +106,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.inFlight.Inc()
 		defer a.inFlight.Dec()
+		a.active.Add(1)
+		defer a.active.Add(-1)
 		err := a.serve(w, r, e)
 		outcome := "ok"
 		if err != nil {
@@ -113,8 +122,7 @@
 func (a *API) serve(w http.ResponseWriter, r *http.Request, e endpoint) error {
 	s := a.Site.Current()
 	if s == nil {
-		return verdict.New(verdict.NotRun, verdict.CodeUnconfigured,
-			"this entry VM has no configuration yet; use another one").After(retryElsewhere)
+		return a.elsewhere(r, verdict.CodeUnconfigured, "this entry VM has no configuration yet; use another one")
 	}
 	account := authenticate(s, r)
 	if account == nil {
@@ -127,15 +135,29 @@
 // retryElsewhere is the wait told to callers that should use another entry VM.
 const retryElsewhere = time.Second
 
-// accepting refuses new work while the daemon stops.
-func (a *API) accepting() error {
-	if a.Refusing() {
-		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown,
-			"this entry VM is shutting down; ask /v1/entries for another one").After(retryElsewhere)
+// accepting refuses new work while the daemon starts or stops.
+func (a *API) accepting(r *http.Request) error {
+	switch {
+	case a.Refusing():
+		return a.elsewhere(r, verdict.CodeShuttingDown, "this entry VM is shutting down; ask /v1/entries for another one")
+	case a.Starting():
+		return a.elsewhere(r, verdict.CodeUnconfigured, "this entry VM is starting; use another one")
 	}
 	return nil
 }
 
+// elsewhere refuses a request that another entry VM can serve. Nothing of it
+// ran here, but with a key it may be a copy of a request that runs elsewhere,
+// and nobody was asked: not_run would invite the caller to send it anew under
+// another key.
+func (a *API) elsewhere(r *http.Request, code verdict.Code, text string) error {
+	v := verdict.NotRun
+	if r.Header.Get(keyHeader) != "" {
+		v = verdict.MayHaveRun
+	}
+	return verdict.New(v, code, "%s", text).After(retryElsewhere)
+}
+
 func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !a.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -10,6 +10,7 @@
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
+	"mallowwind.dev/decision/entries"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/limit"
 	"mallowwind.dev/decision/route"
@@ -27,13 +28,16 @@
 	observe  *observer
 	random   *rand.Rand
 	site     *site.Site
-	daemons  int
+	fleet    Fleet
+	shares   []entries.Share // of the accounts of site, built when first needed
 	servers  map[string]*server
 	groups   map[groupKey]*group
-	accounts map[string]*limit.Account
-	told     func(account string) (told int, member bool)
-	budgets  map[string]*budget.Budget // by service
-	nextEval time.Time
+	ordered  []*group // as created, so that runs of one seed are alike
+	accounts map[string]*accountBucket
+	// fleetVersion grows with every Update, so that shares are worked out anew.
+	fleetVersion uint64
+	budgets      map[string]*budget.Budget // by service
+	nextEval     time.Time
 }
 
 // Place is where this daemon stands.
@@ -59,6 +63,13 @@
 	arrived time.Time
 }
 
+// accountBucket is one account's limit at this VM.
+type accountBucket struct {
+	limit.Account
+	share float64 // of the account's limit
+	fleet uint64  // version for which share holds
+}
+
 // groupKey names a set of backend servers that can run the same work.
 type groupKey struct {
 	pool string
@@ -88,15 +99,19 @@
 // defaultSlots holds for pools without a bound: plain services mostly.
 const defaultSlots = 64
 
+// noServerRetry is what callers are told when no backend server is known and
+// none loads the model: a returning one is seen within a poll or two.
+const noServerRetry = 5 * time.Second
+
 // NewCore returns a core without backend servers; Update gives it some.
 // log and registerer may be nil.
 func NewCore(place Place, log *event.Log, registerer prometheus.Registerer, seed uint64) *Core {
 	return &Core{
-		place: place, observe: newObserver(log, registerer), daemons: 1,
+		place: place, observe: newObserver(log, registerer),
 		random:   rand.New(rand.NewPCG(seed, route.Mix(seed))),
 		servers:  map[string]*server{},
 		groups:   map[groupKey]*group{},
-		accounts: map[string]*limit.Account{},
+		accounts: map[string]*accountBucket{},
 		budgets:  map[string]*budget.Budget{},
 	}
 }
@@ -143,7 +158,7 @@
 		w.group.waiters[&w.item] = w
 		c.observe.queued(w, d)
 	case admit.Refuse:
-		c.refuse(now, w, refusal(d, now))
+		c.refuse(now, w, refusal(d))
 	}
 	return w
 }
@@ -179,16 +194,15 @@
 	if a == nil || a.TokensPerS <= 0 {
 		return nil
 	}
-	told, member := c.daemons, true
-	if c.told != nil {
-		told, member = c.told(a.Name)
-	}
 	bucket, ok := c.accounts[a.Name]
 	if !ok {
-		bucket = &limit.Account{}
+		bucket = &accountBucket{}
 		c.accounts[a.Name] = bucket
 	}
-	rate := a.TokensPerS * limit.Share(told, member)
+	if bucket.fleet != c.fleetVersion {
+		bucket.share, bucket.fleet = c.share(a.Name), c.fleetVersion
+	}
+	rate := a.TokensPerS * bucket.share
 	if wait := bucket.Take(now, w.item.Cost, rate); wait > 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeAccountLimit,
 			"account %s is above its limit of %g tokens a second", a.Name, a.TokensPerS).After(wait)
@@ -267,7 +281,10 @@
 	}
 	s := w.group.servers[r.Index]
 	s.load.InFlight++
-	l := &Lease{core: c, group: w.group, server: s, item: &w.item, service: w.ask.Service, reason: r.Reason, started: now}
+	l := &Lease{
+		core: c, group: w.group, server: s, item: &w.item, service: w.ask.Service,
+		reason: r.Reason, started: now,
+	}
 	c.observe.dispatched(now, w, l)
 	w.sink.Granted(now, l)
 	return true
@@ -293,18 +310,21 @@
 	if !c.Cancel(w) {
 		return false
 	}
-	c.refuse(now, w, refusal(w.group.queue.Refusal(now, &w.item, w.group.expected()), now))
+	c.refuse(now, w, refusal(w.group.queue.Refusal(now, &w.item, w.group.expected())))
 	return true
 }
 
 // refusal turns a decision of the queue into the error callers get.
-func refusal(d admit.Decision, _ time.Time) *verdict.Error {
+func refusal(d admit.Decision) *verdict.Error {
 	code, text := verdict.CodeOverloaded, "cannot start before its deadline"
 	switch d.Reason {
 	case admit.ReasonExpired:
 		code, text = verdict.CodeDeadline, "the deadline passed before a backend server was free"
 	case admit.ReasonNoServers:
 		code, text = verdict.CodeNoBackend, "no backend server is ready for this service"
+		if d.RetryAfter == 0 {
+			d.RetryAfter = noServerRetry
+		}
 	}
 	return verdict.New(verdict.NotRun, code, "%s (%s)", text, d.Reason).After(d.RetryAfter)
 }
