--- a/lab/bench/control/fleet.go
+++ b/lab/bench/control/fleet.go
@@ -3,7 +3,7 @@
 //
 // All daemons' control stacks (membership and configuration in force) run in
 // one process over loopback TCP, with a stand-in of the platform's store behind
-// its wire form. A process starts no process, and this way 390 of them fit one
+// its wire form. A process starts no process, and this way many of them fit one
 // machine; processor time and memory are the process's divided by the number
 // of daemons, the store stand-in's share included.
 package control
@@ -33,7 +33,7 @@
 const (
 	zones = 7
 	// readyLimit bounds the start of a fleet.
-	readyLimit = time.Minute
+	readyLimit = 3 * time.Minute
 	// look is how often revisions are looked at; it bounds the precision of a time.
 	look = time.Millisecond
 	site = "bench"
