--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,7 +11,8 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Slopes slopesCmd `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Resume benchResumeCmd `cmd:"" help:"Compare ways of resuming answers: latency against extra resources."`
+	Slopes slopesCmd      `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
 
 // slopesCmd measures and records slopes.
--- /dev/null
+++ b/cmd/mallowctl/benchresume.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"mallowwind.dev/lab/bench/losses"
+)
+
+// benchResumeCmd compares policies of resuming answers.
+type benchResumeCmd struct {
+	Out      string        `default:"docs/measurements/resume" placeholder:"DIR" help:"Directory to write the report to."`
+	Seed     uint64        `default:"1" help:"Seed of all random choices."`
+	Duration time.Duration `default:"9s" help:"Load of each trial."`
+	Fixed    time.Duration `default:"2s" help:"Timeout of the baselines."`
+	Parallel int           `default:"6" help:"Trials at once."`
+}
+
+// Run implements the command.
+func (c *benchResumeCmd) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	return losses.Run(ctx, losses.Options{
+		Dir: c.Out, Seed: c.Seed, Duration: c.Duration, Fixed: c.Fixed, Parallel: c.Parallel,
+		Command: fmt.Sprintf("go run ./cmd/mallowctl bench resume --seed %d --duration %s --fixed %s --parallel %d --out DIR",
+			c.Seed, c.Duration, c.Fixed, c.Parallel),
+		Log: os.Stderr, Now: time.Now,
+	})
+}
--- a/lab/world/caller.go
+++ b/lab/world/caller.go
@@ -182,6 +182,9 @@
 	return nil
 }
 
+// VM returns the number of the entry VM that the caller is connected to.
+func (c *Caller) VM() int { return c.vm }
+
 // Text returns what the caller holds.
 func (c *Caller) Text() string { return c.text.String() }
 
--- a/lab/world/engine.go
+++ b/lab/world/engine.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	s, err := b.Engine.Generate(ctx, req)
-	return b.wrap(s), err
+	return b.wrap(req.Generation, s), err
 }
 
 // Attach implements engine.Engine.
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	s, err := b.Engine.Attach(ctx, id, attempt, from)
-	return b.wrap(s), err
+	return b.wrap(id, s), err
 }
 
 // Cancel implements engine.Engine.
@@ -54,11 +54,15 @@
 	return b.Engine.Cancel(ctx, id, attempt)
 }
 
-func (b *backend) wrap(s engine.Stream) engine.Stream {
+func (b *backend) wrap(generation string, s engine.Stream) engine.Stream {
 	if s == nil {
 		return nil
 	}
-	return &stream{Stream: s, backend: b}
+	out := &stream{Stream: s, backend: b}
+	b.net.mu.Lock()
+	defer b.net.mu.Unlock()
+	b.net.streams[out] = generation
+	return out
 }
 
 // stream is an engine's stream under the faults of its link.
@@ -67,6 +71,28 @@
 	backend *backend
 }
 
+// Close implements engine.Stream.
+func (s *stream) Close() error {
+	n := s.backend.net
+	n.mu.Lock()
+	delete(n.streams, s)
+	n.mu.Unlock()
+	return s.Stream.Close()
+}
+
+// Read returns the generations that are read from an engine now.
+func (w *World) Read(engine int) []string {
+	w.Net.mu.Lock()
+	defer w.Net.mu.Unlock()
+	var out []string
+	for s, id := range w.Net.streams {
+		if s.backend.id == EngineID(engine) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Next implements engine.Stream.
 func (s *stream) Next(ctx context.Context) (engine.Chunk, error) {
 	b := s.backend
--- a/lab/world/network.go
+++ b/lab/world/network.go
@@ -37,8 +37,9 @@
 	vms      map[string]Fault
 	links    map[pair]Fault
 	delays   map[pair]time.Duration
-	silent   map[pair]bool // the connection open now has lost its track
-	changed  chan struct{} // closed and replaced at every change
+	silent   map[pair]bool      // the connection open now has lost its track
+	streams  map[*stream]string // generations by open stream
+	changed  chan struct{}      // closed and replaced at every change
 	closed   chan struct{}
 	wg       sync.WaitGroup
 }
@@ -50,6 +51,7 @@
 		links:    make(map[pair]Fault),
 		delays:   make(map[pair]time.Duration),
 		silent:   make(map[pair]bool),
+		streams:  make(map[*stream]string),
 		changed:  make(chan struct{}),
 		closed:   make(chan struct{}),
 	}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -80,6 +80,7 @@
 
 	mu      sync.Mutex
 	vms     []*vm
+	metrics []*prometheus.Registry // of every entry VM there ever was
 	members []membership.Member
 }
 
@@ -158,6 +159,7 @@
 		Dialer: link.NewDialerWith(&http.Client{Transport: port{w.Net, self.ID}}),
 		Policy: w.config.Policy,
 	})
+	w.metrics = append(w.metrics, v.registry)
 	_, h := v.manager.Handler()
 	w.Net.handle(self.ID, h)
 	w.wg.Go(func() { _ = f.Run(ctx) })
@@ -243,8 +245,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	total := 0.0
-	for _, v := range w.vms {
-		families, err := v.registry.Gather()
+	for _, r := range w.metrics {
+		families, err := r.Gather()
 		if err != nil {
 			continue
 		}
