resume: a fourth attempt replaces the oldest of three that are all silent

Cause: three attempts that landed on silent engines (a lost zone) held the answer until its deadline of a minute. Change: past certainty the oldest makes room. Table tests of race and policy.

--- a/decision/resume/decide.go
+++ b/decision/resume/decide.go
@@ -115,7 +115,7 @@
 		return Reattach, ReasonProbe
 	case v.Silent < v.Threshold:
 		return Wait, ReasonHealthy
-	case p.MaxRacing > 1 && v.Running >= p.MaxRacing:
+	case p.MaxRacing > 1 && v.Running >= p.MaxRacing && v.Silent < p.Certain:
 		return Wait, ReasonRacing
 	case v.Silent >= p.Certain && !v.GlobalStall:
 		return Attempt, ReasonCertain
