--- a/serve/journal/holder.go
+++ b/serve/journal/holder.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"container/list"
 	"sync"
 	"time"
 
@@ -35,17 +36,21 @@
 	mu     sync.Mutex
 	copies map[string]*entry
 	bytes  int
+	// finished holds the entries that may be evicted, least recently touched
+	// first, so that making room costs no search while the holder is full.
+	finished *list.List
 }
 
 type entry struct {
 	Copy
 	touched time.Time
 	bytes   int
+	place   *list.Element // in finished, nil while the answer runs
 }
 
 // NewHolder returns an empty Holder. random feeds the epochs it hands out.
 func NewHolder(limits Limits, random func() uint64) *Holder {
-	return &Holder{limits: limits, random: random, copies: make(map[string]*entry)}
+	return &Holder{limits: limits, random: random, copies: make(map[string]*entry), finished: list.New()}
 }
 
 // Result tells the writer of a copy what became of it.
@@ -71,15 +76,16 @@
 		// what callers hold.
 		return Result{Accepted: true, Epoch: c.Line.Epoch(), Length: len(old.Tokens)}
 	}
-	e := &entry{Copy: c, touched: time.Now(), bytes: size(c)}
+	e := &entry{Copy: c, bytes: size(c)}
 	if !h.makeRoom(e.bytes, c.Spec.GetId()) {
 		return Result{Epoch: c.Line.Epoch()}
 	}
 	if old != nil {
-		h.bytes -= old.bytes
+		h.remove(c.Spec.GetId(), old)
 	}
 	h.copies[c.Spec.GetId()] = e
 	h.bytes += e.bytes
+	h.touch(e)
 	return Result{Accepted: true, Epoch: c.Line.Epoch(), Length: len(c.Tokens)}
 }
 
@@ -122,7 +128,6 @@
 	if skip := len(e.Tokens) - offset; skip < len(tokens) {
 		h.grow(e, tokens[skip:])
 	}
-	e.touched = time.Now()
 	// A late message must not bring back an earlier attempt: its engine goes on
 	// with another text than the tokens held here.
 	if attempt != nil && offset+len(tokens) == len(e.Tokens) {
@@ -131,6 +136,7 @@
 	if finish != "" {
 		e.Finish = finish
 	}
+	h.touch(e)
 	return Result{Accepted: true, Epoch: epoch, Length: len(e.Tokens)}
 }
 
@@ -172,7 +178,7 @@
 		From:  len(e.Tokens),
 		Owner: newOwner,
 	})
-	e.touched = time.Now()
+	h.touch(e)
 	return e.clone(), lineage.Prefix, true
 }
 
@@ -207,24 +213,34 @@
 func (h *Holder) remove(id string, e *entry) {
 	delete(h.copies, id)
 	h.bytes -= e.bytes
+	if e.place != nil {
+		h.finished.Remove(e.place)
+	}
+}
+
+// touch notes a change of e, which makes it the last to be evicted.
+func (h *Holder) touch(e *entry) {
+	e.touched = time.Now()
+	switch {
+	case e.place != nil:
+		h.finished.MoveToBack(e.place)
+	case e.Finish != "":
+		e.place = h.finished.PushBack(e)
+	}
 }
 
-// makeRoom evicts finished copies, oldest first, until n more bytes fit.
+// makeRoom evicts finished copies, least recently touched first, until n more
+// bytes fit. The copy named keep stays: it is about to be replaced.
 func (h *Holder) makeRoom(n int, keep string) bool {
-	for h.bytes+n > h.limits.Bytes {
-		oldest := ""
-		for id, e := range h.copies {
-			if id == keep || e.Finish == "" {
-				continue
-			}
-			if oldest == "" || e.touched.Before(h.copies[oldest].touched) {
-				oldest = id
-			}
-		}
-		if oldest == "" {
+	for at := h.finished.Front(); h.bytes+n > h.limits.Bytes; {
+		if at == nil {
 			return false
 		}
-		h.remove(oldest, h.copies[oldest])
+		e := at.Value.(*entry)
+		at = at.Next()
+		if id := e.Spec.GetId(); id != keep {
+			h.remove(id, e)
+		}
 	}
 	return true
 }
