generation: engines that were silent until another attempt won count as failed

Cause: a suspected engine went on receiving new work, since cancelled attempts say nothing to the dispatcher's health of backend servers. Change: the loser of a race that had been suspected reports a failure. The bench counts each request's prompt once by its real length, pauses outlast the fixed timeout (6 s against 5 s), faults overlap.

--- a/cmd/mallowctl/benchresume.go
+++ b/cmd/mallowctl/benchresume.go
@@ -15,8 +15,8 @@
 	Out      string        `default:"docs/measurements/resume" placeholder:"DIR" help:"Directory to write the report to."`
 	Seed     uint64        `default:"1" help:"Seed of all random choices."`
 	Duration time.Duration `default:"9s" help:"Load of each trial."`
-	Fixed    time.Duration `default:"2s" help:"Timeout of the baselines."`
-	Parallel int           `default:"6" help:"Trials at once."`
+	Fixed    time.Duration `default:"5s" help:"Timeout of the baselines; pauses last 6s."`
+	Parallel int           `default:"8" help:"Trials at once."`
 }
 
 // Run implements the command.
--- a/lab/bench/losses/caller.go
+++ b/lab/bench/losses/caller.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/lab/world"
+	"mallowwind.dev/platform/engine"
 )
 
 // The sizes of requests. Prompts differ from their first character on, so that
@@ -36,6 +37,7 @@
 	vm       int
 	waits    []wait
 	requests int
+	reads    int // tokens of prompts, each request once
 	tokens   int
 	failed   int
 	broken   error // a promise that did not hold
@@ -64,6 +66,7 @@
 func (c *caller) request(ctx context.Context, n int) error {
 	prompt := strings.Repeat(fmt.Sprintf("%d/%d/%d ", c.number, n, c.random.Uint32()), promptBytes/16)
 	want := minTokens + c.random.IntN(maxTokens-minTokens)
+	c.asks(prompt)
 	a := c.w.Caller(prompt, "", want)
 	defer func() { a.Close() }()
 	var last time.Time
@@ -97,7 +100,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.id, c.vm = a.ID, a.VM()
+}
+
+func (c *caller) asks(prompt string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.requests++
+	c.reads += (len(prompt) + engine.BytesPerToken - 1) / engine.BytesPerToken
 }
 
 // read reads an answer to its end, moving on when an entry VM is lost.
--- a/lab/bench/losses/trial.go
+++ b/lab/bench/losses/trial.go
@@ -11,7 +11,6 @@
 
 	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/lab/world"
-	"mallowwind.dev/platform/engine"
 	"mallowwind.dev/platform/standin/enginesim"
 )
 
@@ -27,6 +26,7 @@
 	firstFault = 2 * time.Second
 	faultEvery = 1500 * time.Millisecond
 	faultLasts = time.Second
+	pauseLasts = 6 * time.Second
 	// drainLimit ends a trial whose last answers do not.
 	drainLimit = 30 * time.Second
 )
@@ -57,6 +57,7 @@
 	latency  *hdrhistogram.Histogram // microseconds, of the answers met
 	losses   int                     // answers met
 	requests int
+	reads    int // prompt tokens of the requests
 	failed   int
 	tokens   int // received by callers, each once
 	// generated, prefilled and begun are the engines' work.
@@ -87,14 +88,18 @@
 	return collect(w, list, hits)
 }
 
-// strike injects a fault every now and then until the given time.
+// strike injects a fault every now and then until the given time. Each is
+// undone while the experiment goes on.
 func strike(ctx context.Context, w *world.World, k kind, list []*caller, until time.Time) []hit {
 	var hits []hit
 	pause(ctx, firstFault)
 	for i := 0; time.Now().Before(until) && ctx.Err() == nil; i++ {
-		hits = append(hits, inject(ctx, w, k, i, list))
-		pause(ctx, faultEvery-faultLasts)
+		h, undo := inject(w, k, i, list)
+		hits = append(hits, h)
+		time.AfterFunc(lasts(k), undo)
+		pause(ctx, every(k))
 	}
+	pause(ctx, lasts(k))
 	return hits
 }
 
@@ -105,20 +110,19 @@
 	}
 }
 
-// inject carries out one fault, waits while it lasts and undoes it.
-func inject(ctx context.Context, w *world.World, k kind, i int, list []*caller) hit {
+// inject carries out the i-th fault and returns what undoes it.
+func inject(w *world.World, k kind, i int, list []*caller) (h hit, undo func()) {
 	n := i % engines
-	h := hit{at: time.Now(), met: meets(w, k, n, list)}
+	h = hit{at: time.Now(), met: meets(w, k, n, list)}
 	e := w.Engines[n]
-	undo := func() {}
+	undo = func() {}
 	switch k {
 	case engineDeath:
 		e.Die()
 		undo = e.Revive
 	case enginePause:
 		e.Pause()
-		// It comes back as a restart: what it held is long under way elsewhere.
-		undo = func() { e.Unpause() }
+		undo = e.Unpause
 	case silentStream:
 		e.Silence()
 	case routerDeath:
@@ -128,19 +132,25 @@
 		e.Slow(6)
 		undo = func() { e.Slow(1) }
 	}
-	pause(ctx, lasts(k))
-	undo()
-	return h
+	return h, undo
 }
 
 // lasts is how long a fault of a kind lasts. A pause outlasts the fixed timeout.
 func lasts(k kind) time.Duration {
 	if k == enginePause {
-		return 4 * faultLasts
+		return pauseLasts
 	}
 	return faultLasts
 }
 
+// every spaces the faults; of paused engines there are two at most at a time.
+func every(k kind) time.Duration {
+	if k == enginePause {
+		return pauseLasts / 2
+	}
+	return faultEvery
+}
+
 // meets finds the callers whose answers depend on what is about to fail.
 func meets(w *world.World, k kind, n int, list []*caller) []*caller {
 	var met []*caller
@@ -169,6 +179,7 @@
 			return nil, c.broken
 		}
 		r.requests += c.requests
+		r.reads += c.reads
 		r.tokens += c.tokens
 		r.failed += c.failed
 	}
@@ -184,8 +195,8 @@
 // extraTokens is the work beyond what each request needs once, in generated
 // tokens: tokens that no caller received, and what had to be read again.
 func (r *result) extraTokens() float64 {
-	read := float64(r.prefilled) - float64(r.requests)*promptBytes/engine.BytesPerToken
-	return float64(r.generated) - float64(r.tokens) + budget.TakeoverCost(int(read))
+	again := int(r.prefilled) - r.reads
+	return float64(int(r.generated)-r.tokens) + budget.TakeoverCost(again)
 }
 
 // extraShare is extraTokens for each hundred tokens received.
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -129,6 +129,7 @@
 	for _, n := range l.race.Losers() {
 		if loser := l.attempts[n]; loser != nil {
 			l.m.metrics.lostRaces.Inc()
+			loser.silent.Store(loser.suspected)
 			l.drop(loser)
 			l.unwanted = append(l.unwanted, loser)
 		}
--- a/serve/generation/attempt.go
+++ b/serve/generation/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"mallowwind.dev/control/site"
@@ -35,7 +36,8 @@
 	// engine knows it by engineNumber, which belongs to the attempt that began it.
 	reattach     bool
 	engineNumber uint64
-	reads        int // tokens of prompt and prefix that the engine must read first
+	silent       atomic.Bool // lost a race after it had been suspected
+	reads        int         // tokens of prompt and prefix that the engine must read first
 }
 
 // begin tells an attempt where to begin.
@@ -162,8 +164,15 @@
 	}
 }
 
-// outcome reports err to flow, unless the end was ours.
+// errSilent is the outcome of an attempt that was silent until another one won.
+var errSilent = errors.New("the engine was silent for longer than it usually is")
+
+// outcome reports err to flow, unless the end was ours. A silent engine is
+// reported too: nothing else tells flow to stop sending it new work.
 func (a *attempt) outcome(err error, first time.Duration, tokens int) flow.Outcome {
+	if a.silent.Load() {
+		return flow.Outcome{Err: errSilent, FirstToken: first, Tokens: tokens}
+	}
 	if a.ctx.Err() != nil {
 		return flow.Outcome{Cancelled: true, FirstToken: first, Tokens: tokens}
 	}
