--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -11,8 +11,10 @@
 
 // benchCmd holds the experiments.
 type benchCmd struct {
-	Resume benchResumeCmd `cmd:"" help:"Compare ways of resuming answers: latency against extra resources."`
-	Slopes slopesCmd      `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
+	Control benchControlCmd `cmd:"" help:"Measure the spread of the site text and what it costs."`
+	Load    benchLoadCmd    `cmd:"" help:"Play patterns of load against the decisions, beside baselines."`
+	Resume  benchResumeCmd  `cmd:"" help:"Compare ways of resuming answers: latency against extra resources."`
+	Slopes  slopesCmd       `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
 
 // slopesCmd measures and records slopes.
--- a/lab/bench/load/meter.go
+++ b/lab/bench/load/meter.go
@@ -19,6 +19,9 @@
 	_ = h.RecordValues(us, int64(math.Round(n)))
 }
 
+// smoothGap is the token gap that callers are promised.
+const smoothGap = 30 * time.Millisecond
+
 // gapMeter collects token gaps, each weighted by the tokens that had it.
 type gapMeter struct {
 	on   bool
@@ -36,7 +39,8 @@
 // classMeter collects what the callers of one class get.
 type classMeter struct {
 	sent, answered, refused, timedOut int
-	whole, first                      *hdrhistogram.Histogram
+	late                              int                     // refused after more than a tenth of the caller's patience
+	whole, first, wait                *hdrhistogram.Histogram // wait ends with the first dispatch
 	refusal                           *hdrhistogram.Histogram // time until a refusal
 }
 
@@ -46,6 +50,7 @@
 	from, until time.Time
 	class       map[site.Class]*classMeter
 	pools       map[string]float64 // tokens of whole answers that ended while measuring
+	smooth      float64            // of these in the generation pool, with a mean gap within smoothGap
 	gaps        gapMeter
 	wastedTok   float64
 	restarts    int
@@ -59,7 +64,7 @@
 	}
 	m.gaps.hist = newHistogram()
 	for _, c := range []site.Class{site.ClassUrgent, site.ClassNormal, site.ClassLong} {
-		m.class[c] = &classMeter{whole: newHistogram(), first: newHistogram(), refusal: newHistogram()}
+		m.class[c] = &classMeter{whole: newHistogram(), first: newHistogram(), wait: newHistogram(), refusal: newHistogram()}
 	}
 	return m
 }
@@ -94,9 +99,19 @@
 	}
 }
 
+func (m *meter) dispatched(r *request) {
+	if r.counted {
+		record(m.of(r).wait, m.world.clock.now.Sub(r.sent), 1)
+	}
+}
+
 func (m *meter) answered(r *request) {
 	if m.measuring() {
 		m.pools[r.kind.service.Pool] += float64(r.answer)
+		gap := m.world.clock.now.Sub(r.first) / time.Duration(r.answer)
+		if r.kind.service.Pool == poolLong && gap <= smoothGap {
+			m.smooth += float64(r.answer)
+		}
 	}
 	if !r.counted {
 		return
@@ -113,6 +128,9 @@
 	}
 	c := m.of(r)
 	c.refused++
+	if m.world.clock.now.Sub(r.sent) > r.kind.service.Deadline/10 {
+		c.late++
+	}
 	record(c.refusal, m.world.clock.now.Sub(r.sent)+m.world.deploy.client, 1)
 	record(m.after, after, 1)
 }
--- a/lab/bench/slopes/site.go
+++ b/lab/bench/slopes/site.go
@@ -53,7 +53,7 @@
 	for i := range names {
 		names[i] = zoneOf(i)
 	}
-	fmt.Fprintf(&b, "[site]\nname = %s\nzones = %s\n", siteName, strings.Join(names, ", "))
+	fmt.Fprintf(&b, "[site]\nname = %s\nzones = %s\n\n[limits]\nentries_ttl = 2s\n", siteName, strings.Join(names, ", "))
 	for i := range models {
 		name := modelOf(i)
 		fmt.Fprintf(&b, "\n[pool %s]\nslots = 64\n\n[service %s]\nkind = generation\npool = %s\nmodel = %s\nclass = long\ndeadline = 2m\n",
@@ -62,6 +62,8 @@
 			fmt.Fprintf(&b, "replicas.%s = %d\n", zone, replicas[[2]string{name, zone}])
 		}
 	}
+	fmt.Fprintf(&b, "\n[pool %s]\nslots = 64\n\n[service %s]\nkind = plain\npool = %s\nclass = urgent\nrepeatable = no\nreplicas.%s = 1\n",
+		deskPool, deskPool, deskPool, zoneOf(0))
 	for i := range accounts {
 		name := fmt.Sprintf("account-%04d", i)
 		fmt.Fprintf(&b, "\n[account %s]\ntoken_hashes = %s\nshare = 1\n", name, tokenHash(name))
--- a/lab/bench/slopes/slopes.go
+++ b/lab/bench/slopes/slopes.go
@@ -52,6 +52,9 @@
 		siteExperiments(),
 		placementExperiments(),
 		relayExperiments(),
+		resumeExperiments(),
+		bindExperiments(),
+		rosterExperiments(),
 		fleetExperiments(),
 	)
 }
