--- a/serve/journal/place.go
+++ b/serve/journal/place.go
@@ -79,12 +79,12 @@
 }
 
 // Pick returns the member that should hold the copy of a generation served by
-// v.Self, leaving out those that exclude names. ok is false where no member is fit.
+// v.Self, leaving out those that exclude names; nil names nobody. ok is false where no member is fit.
 func Pick(id string, v *membership.View, exclude func(membership.Member) bool) (m membership.Member, ok bool) {
 	fallback := -1
 	list := Candidates(id, v)
 	for i, c := range list {
-		if c.ID == v.Self.ID || c.State != membership.Alive || exclude(c) {
+		if c.ID == v.Self.ID || c.State != membership.Alive || (exclude != nil && exclude(c)) {
 			continue
 		}
 		if c.Zone != v.Self.Zone {
