generation: takeovers avoid engines on which another stream was just suspected

Cause: with two engines paused at a time a takeover may land on the other one. Change: a suspected engine is left out by this daemon's takeovers for 10 s or until it delivers.

--- a/lab/bench/losses/losses.go
+++ b/lab/bench/losses/losses.go
@@ -24,6 +24,7 @@
 	Duration time.Duration // of the load in each trial
 	Fixed    time.Duration // the baselines' timeout
 	Parallel int           // trials at once
+	Only     string        // this kind of loss alone, "" for all
 	Command  string
 	Log      io.Writer
 	Now      func() time.Time
@@ -44,6 +45,9 @@
 	var cells []*cell
 	for _, v := range variants(o.Fixed, weights) {
 		for _, k := range kinds {
+			if o.Only != "" && o.Only != string(k) {
+				continue
+			}
 			cells = append(cells, &cell{variant: v, kind: k})
 		}
 	}
@@ -70,7 +74,9 @@
 	r.Param("fixed timeout", o.Fixed.String())
 	r.Param("trials at once", fmt.Sprint(o.Parallel))
 	for _, k := range kinds {
-		table(r, k, cells)
+		if o.Only == "" || o.Only == string(k) {
+			table(r, k, cells)
+		}
 	}
 	curve(r, cells)
 	r.Note("Latency is the longest time in which an answer that depended on what failed did not grow. " +
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -73,7 +73,7 @@
 		return
 	}
 	// The answer is owed, as its caller holds a part of it: what was excluded is better than nothing.
-	l.excluded = nil
+	l.excluded, l.desperate = nil, true
 }
 
 // unserved is the final error of an answer of which nothing came. Its caller
@@ -135,7 +135,7 @@
 		}
 	}
 	l.lastToken = now
-	l.fruitless = 0
+	l.fruitless, l.desperate = 0, false
 }
 
 // observe learns the gap that a chunk ended.
--- a/serve/generation/decide.go
+++ b/serve/generation/decide.go
@@ -189,6 +189,7 @@
 		}
 		a.suspected = true
 		l.exclude(a.backend.ID)
+		l.m.watch.suspect(a.backend.ID, now)
 		l.m.metrics.suspected.Inc()
 		l.m.log.Emit(event.AttemptSuspected, l.spec.ID, a.number, a.backend.ID, now.Sub(a.last), l.threshold(a))
 	}
@@ -233,6 +234,11 @@
 	ask := l.ask()
 	ask.Speculative = len(l.attempts) > 1 && !s.owed
 	ask.Prefer = l.standby.backend
+	if ask.Resume && !l.desperate {
+		// Where one stream stands still the next one would: an engine that
+		// paused still looks ready to the dispatcher for a while.
+		ask.Exclude = append(ask.Exclude, l.m.watch.suspects(time.Now())...)
+	}
 	if s.reattach != nil {
 		a.reattach, a.engineNumber = true, s.reattach.GetNumber()
 		ask.Prefer, ask.Exclude = s.reattach.GetBackend(), nil
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -40,6 +40,8 @@
 	number   uint64 // of the newest attempt
 	total    int    // attempts started here
 	excluded []string
+	// desperate says that no engine was left after all exclusions.
+	desperate bool
 	// leaderAt is the attempt that delivered last, as its engine knows it.
 	leaderAt *peerpb.Attempt
 	reread   bool // leaderAt was read again since it last delivered, or is gone
--- a/serve/generation/watch.go
+++ b/serve/generation/watch.go
@@ -19,6 +19,7 @@
 type engineGaps struct {
 	gaps, first silence.Gaps
 	seen        time.Time
+	suspected   time.Time // when a stream was, zero after any chunk since
 }
 
 type watchKey struct {
@@ -54,6 +55,7 @@
 func (w *watch) chunk(generation string, a *attempt, now time.Time, threshold time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.engine(a.backend.ID).suspected = time.Time{}
 	if r := w.running[watchKey{generation, a.number}]; r != nil {
 		r.last, r.threshold = now, threshold
 	}
@@ -113,6 +115,29 @@
 	return silence.GlobalStall(silent, total)
 }
 
+// suspectFor is how long an engine is avoided by takeovers after a stream of it
+// was suspected, unless it delivers before.
+const suspectFor = 10 * time.Second
+
+func (w *watch) suspect(backend string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.engine(backend).suspected = now
+}
+
+// suspects returns the engines that takeovers should avoid.
+func (w *watch) suspects(now time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for id, e := range w.engines {
+		if !e.suspected.IsZero() && now.Sub(e.suspected) < suspectFor {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // forget drops engines not seen since the given time.
 func (w *watch) forget(before time.Time) {
 	w.mu.Lock()
