generation: the wait for a first chunk is judged by the pool while an engine is little known

Cause: the bound of eight first chunks an engine is reached late at a daemon, and until then the ceiling held: a takeover that landed on another paused engine waited for up to 6 s.

--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -143,7 +143,7 @@
 	gap := now.Sub(a.last)
 	switch {
 	case a.chunks == 0 && !a.reattach:
-		l.m.watch.observeFirst(a.backend.ID, silence.PerPrompt(gap, a.reads))
+		l.m.watch.observeFirst(l.spec.Service.Pool, a.backend.ID, silence.PerPrompt(gap, a.reads))
 	case a.chunks > 0 && !a.suspected:
 		l.gaps.Observe(gap)
 		l.m.watch.observe(a.backend.ID, gap)
--- a/serve/generation/decide.go
+++ b/serve/generation/decide.go
@@ -137,7 +137,7 @@
 
 func (l *loop) threshold(a *attempt) time.Duration {
 	if a.chunks == 0 && !a.reattach {
-		return l.m.watch.firstThreshold(l.policy.Silence, a.backend.ID, a.reads)
+		return l.m.watch.firstThreshold(l.policy.Silence, l.spec.Service.Pool, a.backend.ID, a.reads)
 	}
 	return l.m.watch.threshold(l.policy.Silence, &l.gaps, a.backend.ID)
 }
--- a/serve/generation/watch.go
+++ b/serve/generation/watch.go
@@ -13,6 +13,7 @@
 type watch struct {
 	mu      sync.Mutex
 	engines map[string]*engineGaps
+	pools   map[string]*engineGaps // of all engines of a pool together
 	running map[watchKey]*watched
 }
 
@@ -34,7 +35,7 @@
 }
 
 func newWatch() *watch {
-	return &watch{engines: make(map[string]*engineGaps), running: make(map[watchKey]*watched)}
+	return &watch{engines: make(map[string]*engineGaps), pools: make(map[string]*engineGaps), running: make(map[watchKey]*watched)}
 }
 
 func (w *watch) engine(id string) *engineGaps {
@@ -75,12 +76,22 @@
 	e.seen = time.Now()
 }
 
-func (w *watch) observeFirst(backend string, wait time.Duration) {
+func (w *watch) observeFirst(pool, backend string, wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engine(backend)
 	e.first.Observe(wait)
 	e.seen = time.Now()
+	w.pool(pool).first.Observe(wait)
+}
+
+func (w *watch) pool(name string) *engineGaps {
+	p := w.pools[name]
+	if p == nil {
+		p = &engineGaps{}
+		w.pools[name] = p
+	}
+	return p
 }
 
 func (w *watch) threshold(c silence.Config, stream *silence.Gaps, backend string) time.Duration {
@@ -89,10 +100,18 @@
 	return silence.Threshold(c, stream, &w.engine(backend).gaps)
 }
 
-func (w *watch) firstThreshold(c silence.Config, backend string, tokens int) time.Duration {
+// firstThreshold judges by the engine's own first chunks, and while few of
+// these were seen by those of its pool: first chunks are rare, a daemon at size
+// sees few of any one engine, and the ceiling would hold a takeover that landed
+// on another lost engine for many seconds.
+func (w *watch) firstThreshold(c silence.Config, pool, backend string, tokens int) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return silence.FirstThreshold(c, &w.engine(backend).first, tokens)
+	first := &w.engine(backend).first
+	if !first.Known() {
+		first = &w.pool(pool).first
+	}
+	return silence.FirstThreshold(c, first, tokens)
 }
 
 // globalStall reports whether the streams on other engines than suspect are
