--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -33,6 +33,10 @@
 	FirstFloor, FirstCeiling time.Duration
 	// Deviations is how many smoothed deviations above the smoothed gap are normal.
 	Deviations int
+	// FirstDeviations is the same for first chunks. A gap is judged at each of
+	// hundreds of chunks of an answer and must be wrong far more rarely than the
+	// wait for a first chunk, which is judged once an attempt.
+	FirstDeviations int
 }
 
 // ForWeight returns the bounds for a service's weight of resume latency, from
@@ -49,6 +53,8 @@
 		FirstFloor:   between(2*time.Second, 800*time.Millisecond),
 		FirstCeiling: between(10*time.Second, 4*time.Second),
 		Deviations:   8,
+		// The multiple of RFC 6298.
+		FirstDeviations: 4,
 	}
 }
 
@@ -128,7 +134,7 @@
 func FirstThreshold(c Config, engine *Gaps, tokens int) time.Duration {
 	limit := c.FirstCeiling
 	if engine != nil {
-		limit = engine.limit(c.FirstFloor, c.FirstCeiling, c.Deviations)
+		limit = engine.limit(c.FirstFloor, c.FirstCeiling, c.FirstDeviations)
 	}
 	return time.Duration(float64(limit) * prefillScale(tokens))
 }
