--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -138,11 +138,13 @@
 	l.fruitless, l.desperate = 0, false
 }
 
-// observe learns the gap that a chunk ended.
+// observe learns the gap that a chunk ended, unless it was suspected: a pause
+// of seconds, learned as normal, would hide the next one. A suspicion that
+// proves wrong teaches from the next chunk on.
 func (l *loop) observe(a *attempt, now time.Time) {
 	gap := now.Sub(a.last)
 	switch {
-	case a.chunks == 0 && !a.reattach:
+	case a.chunks == 0 && !a.reattach && !a.suspected:
 		l.m.watch.observeFirst(l.spec.Service.Pool, a.backend.ID, silence.PerPrompt(gap, a.reads))
 	case a.chunks > 0 && !a.suspected:
 		l.gaps.Observe(gap)
