resume: an attempt that merely reads again does not count as racing

Cause: leader, its second reading and a takeover made three, so a takeover that landed on another silent engine had no successor until the silence was certain.

--- a/decision/resume/decide.go
+++ b/decision/resume/decide.go
@@ -89,6 +89,7 @@
 // one is healthy the answer goes on.
 type View struct {
 	Running     int           // attempts that may still win, those waiting for a backend server included
+	Racing      int           // those of them that do not merely read an engine again
 	Silent      time.Duration // since the attempt last delivered or was granted its engine
 	Stopped     time.Duration // since the last accepted token or, before it, since the start
 	Threshold   time.Duration // silence at which the attempt is suspected
@@ -115,7 +116,7 @@
 		return Reattach, ReasonProbe
 	case v.Silent < v.Threshold:
 		return Wait, ReasonHealthy
-	case p.MaxRacing > 1 && v.Running >= p.MaxRacing && v.Silent < p.Certain:
+	case p.MaxRacing > 1 && v.Racing >= p.MaxRacing && v.Silent < p.Certain:
 		return Wait, ReasonRacing
 	case v.Silent >= p.Certain && !v.GlobalStall:
 		return Attempt, ReasonCertain
--- a/serve/generation/decide.go
+++ b/serve/generation/decide.go
@@ -60,6 +60,7 @@
 func (l *loop) view(now time.Time) resume.View {
 	v := resume.View{
 		Running:      len(l.attempts),
+		Racing:       l.racing(),
 		Fruitless:    l.fruitless,
 		Threshold:    l.policy.Deadline,
 		Reattachable: l.reattachable(),
@@ -195,9 +196,20 @@
 	}
 }
 
+// racing counts the attempts that do not merely read an engine again.
+func (l *loop) racing() int {
+	n := 0
+	for _, a := range l.attempts {
+		if !a.reattach {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom gives up the oldest attempts until one more may run.
 func (l *loop) makeRoom() {
-	for len(l.attempts) >= l.policy.MaxRacing {
+	for l.racing() >= l.policy.MaxRacing {
 		var oldest *attempt
 		for _, a := range l.attempts {
 			if oldest == nil || a.number < oldest.number {
