silence: a takeover's first chunk is waited for less long

Cause: the log of one long wait: leader on a paused engine, the takeover landed on another paused one and waited for a threshold of 3 to 4 s that had been learned from a burst of prefills, until that engine came back. Change: one deviation instead of four for the first chunk of a takeover.

--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -37,6 +37,10 @@
 	// hundreds of chunks of an answer and must be wrong far more rarely than the
 	// wait for a first chunk, which is judged once an attempt.
 	FirstDeviations int
+	// TakeoverDeviations is the same for the first chunk of a takeover. Its answer
+	// stands still already, and the engine it landed on may be lost like the
+	// first, in the same zone; one more prefill is worth less than that wait.
+	TakeoverDeviations int
 }
 
 // ForWeight returns the bounds for a service's weight of resume latency, from
@@ -54,7 +58,8 @@
 		FirstCeiling: between(10*time.Second, 4*time.Second),
 		Deviations:   8,
 		// The multiple of RFC 6298.
-		FirstDeviations: 4,
+		FirstDeviations:    4,
+		TakeoverDeviations: 1,
 	}
 }
 
@@ -131,10 +136,14 @@
 // FirstThreshold returns how long an attempt over tokens of prompt and prefix
 // may take to its first chunk, given the times seen at its engine, each reduced
 // by PerPrompt (nil where none are kept).
-func FirstThreshold(c Config, engine *Gaps, tokens int) time.Duration {
+func FirstThreshold(c Config, engine *Gaps, tokens int, takeover bool) time.Duration {
+	deviations := c.FirstDeviations
+	if takeover {
+		deviations = c.TakeoverDeviations
+	}
 	limit := c.FirstCeiling
 	if engine != nil {
-		limit = engine.limit(c.FirstFloor, c.FirstCeiling, c.FirstDeviations)
+		limit = engine.limit(c.FirstFloor, c.FirstCeiling, deviations)
 	}
 	return time.Duration(float64(limit) * prefillScale(tokens))
 }
--- a/decision/silence/silence_test.go
+++ b/decision/silence/silence_test.go
@@ -48,10 +48,11 @@
 	for range warmup {
 		engine.Observe(PerPrompt(2*time.Second, prefillUnit))
 	}
-	short, long := FirstThreshold(c, engine, 0), FirstThreshold(c, engine, prefillUnit)
+	short, long := FirstThreshold(c, engine, 0, false), FirstThreshold(c, engine, prefillUnit, false)
 	must.Eq(t, 2*short, long)
 	must.Greater(t, 2*time.Second, long)
-	must.Eq(t, 2*c.FirstCeiling, FirstThreshold(c, nil, prefillUnit))
+	must.Eq(t, 2*c.FirstCeiling, FirstThreshold(c, nil, prefillUnit, false))
+	must.Less(t, short, FirstThreshold(c, engine, 0, true), must.Sprint("an answer that stands still"))
 }
 
 func TestGlobalStall(t *testing.T) {
--- a/lab/bench/losses/policy.go
+++ b/lab/bench/losses/policy.go
@@ -28,7 +28,7 @@
 
 // fixed suspects after the same time always.
 func fixed(timeout time.Duration) silence.Config {
-	return silence.Config{Floor: timeout, Ceiling: timeout, FirstFloor: timeout, FirstCeiling: timeout, Deviations: 1, FirstDeviations: 1}
+	return silence.Config{Floor: timeout, Ceiling: timeout, FirstFloor: timeout, FirstCeiling: timeout, Deviations: 1}
 }
 
 // variants are the baselines and, at each weight, what is built on them.
--- a/serve/generation/attempt.go
+++ b/serve/generation/attempt.go
@@ -36,6 +36,7 @@
 	// engine knows it by engineNumber, which belongs to the attempt that began it.
 	reattach     bool
 	engineNumber uint64
+	takeover     bool        // not the first attempt of this owner
 	silent       atomic.Bool // lost a race after it had been suspected
 	reads        int         // tokens of prompt and prefix that the engine must read first
 }
--- a/serve/generation/decide.go
+++ b/serve/generation/decide.go
@@ -138,7 +138,7 @@
 
 func (l *loop) threshold(a *attempt) time.Duration {
 	if a.chunks == 0 && !a.reattach {
-		return l.m.watch.firstThreshold(l.policy.Silence, l.spec.Service.Pool, a.backend.ID, a.reads)
+		return l.m.watch.firstThreshold(l.policy.Silence, l.spec.Service.Pool, a)
 	}
 	return l.m.watch.threshold(l.policy.Silence, &l.gaps, a.backend.ID)
 }
@@ -242,6 +242,7 @@
 	l.total++
 	actx, cancel := context.WithCancel(ctx)
 	a := &attempt{number: l.number, ctx: actx, cancel: cancel, begin: make(chan begin, 1), last: time.Now()}
+	a.takeover = l.total > 1
 	l.attempts[a.number] = a
 	ask := l.ask()
 	ask.Speculative = len(l.attempts) > 1 && !s.owed
--- a/serve/generation/watch.go
+++ b/serve/generation/watch.go
@@ -104,14 +104,14 @@
 // these were seen by those of its pool: first chunks are rare, a daemon at size
 // sees few of any one engine, and the ceiling would hold a takeover that landed
 // on another lost engine for many seconds.
-func (w *watch) firstThreshold(c silence.Config, pool, backend string, tokens int) time.Duration {
+func (w *watch) firstThreshold(c silence.Config, pool string, a *attempt) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	first := &w.engine(backend).first
+	first := &w.engine(a.backend.ID).first
 	if !first.Known() {
 		first = &w.pool(pool).first
 	}
-	return silence.FirstThreshold(c, first, tokens)
+	return silence.FirstThreshold(c, first, a.reads, a.takeover)
 }
 
 // globalStall reports whether the streams on other engines than suspect are
