--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -31,6 +31,7 @@
 	fleet    Fleet
 	shares   []entries.Share // of the accounts of site, built when first needed
 	servers  map[string]*server
+	hints    hints
 	groups   map[groupKey]*group
 	ordered  []*group // as created, so that runs of one seed are alike
 	accounts map[string]*accountBucket
@@ -90,7 +91,6 @@
 	loading      time.Time
 	loadingSlots int
 	waiters      map[*admit.Item]*Waiter
-	holders      map[uint64]string // prefix hints
 }
 
 // defaultDeadline holds where neither request nor service has one.
@@ -273,8 +273,8 @@
 // start picks a backend server and hands out the lease; false when none has room.
 func (c *Core) start(now time.Time, w *Waiter) bool {
 	q := route.Query{
-		Prefix: w.ask.PrefixHash, Prefer: w.ask.Prefer, Exclude: w.ask.Exclude,
-		Random: c.random.Uint64(), Overshoot: w.ask.Resume, Spread: w.ask.Resume,
+		Prefix: w.ask.PrefixHash, Cached: c.hints.holder(w.ask.PrefixHash), Prefer: w.ask.Prefer, Exclude: w.ask.Exclude,
+		Random: c.random.Uint64(), Urgent: w.item.Class <= admit.Urgent, Overshoot: w.ask.Resume, Spread: w.ask.Resume,
 	}
 	if w.group.table == nil {
 		return false
