--- a/serve/generation/decide.go
+++ b/serve/generation/decide.go
@@ -60,6 +60,7 @@
 func (l *loop) view(now time.Time) resume.View {
 	v := resume.View{
 		Running:      len(l.attempts),
+		Racing:       l.racing(),
 		Fruitless:    l.fruitless,
 		Threshold:    l.policy.Deadline,
 		Reattachable: l.reattachable(),
@@ -137,7 +138,7 @@
 
 func (l *loop) threshold(a *attempt) time.Duration {
 	if a.chunks == 0 && !a.reattach {
-		return l.m.watch.firstThreshold(l.policy.Silence, a.backend.ID, a.reads)
+		return l.m.watch.firstThreshold(l.policy.Silence, l.spec.Service.Pool, a)
 	}
 	return l.m.watch.threshold(l.policy.Silence, &l.gaps, a.backend.ID)
 }
@@ -189,14 +190,26 @@
 		}
 		a.suspected = true
 		l.exclude(a.backend.ID)
+		l.m.watch.suspect(a.backend.ID, now)
 		l.m.metrics.suspected.Inc()
 		l.m.log.Emit(event.AttemptSuspected, l.spec.ID, a.number, a.backend.ID, now.Sub(a.last), l.threshold(a))
 	}
 }
 
+// racing counts the attempts that do not merely read an engine again.
+func (l *loop) racing() int {
+	n := 0
+	for _, a := range l.attempts {
+		if !a.reattach {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom gives up the oldest attempts until one more may run.
 func (l *loop) makeRoom() {
-	for len(l.attempts) >= l.policy.MaxRacing {
+	for l.racing() >= l.policy.MaxRacing {
 		var oldest *attempt
 		for _, a := range l.attempts {
 			if oldest == nil || a.number < oldest.number {
@@ -229,14 +242,21 @@
 	l.total++
 	actx, cancel := context.WithCancel(ctx)
 	a := &attempt{number: l.number, ctx: actx, cancel: cancel, begin: make(chan begin, 1), last: time.Now()}
+	a.takeover = l.total > 1
 	l.attempts[a.number] = a
 	ask := l.ask()
 	ask.Speculative = len(l.attempts) > 1 && !s.owed
 	ask.Prefer = l.standby.backend
+	if ask.Resume && !l.desperate {
+		// Where one stream stands still the next one would: an engine that
+		// paused still looks ready to the dispatcher for a while.
+		ask.Exclude = append(ask.Exclude, l.m.watch.suspects(time.Now())...)
+	}
 	if s.reattach != nil {
 		a.reattach, a.engineNumber = true, s.reattach.GetNumber()
 		ask.Prefer, ask.Exclude = s.reattach.GetBackend(), nil
 		ask.Extra, ask.Speculative = reattachCost, false
+		ask.Reattach, ask.Resume = true, true
 	}
 	go a.run(l.m.flow, ask, l.spec, l.reports)
 }
--- a/serve/generation/watch.go
+++ b/serve/generation/watch.go
@@ -13,12 +13,14 @@
 type watch struct {
 	mu      sync.Mutex
 	engines map[string]*engineGaps
+	pools   map[string]*engineGaps // of all engines of a pool together
 	running map[watchKey]*watched
 }
 
 type engineGaps struct {
 	gaps, first silence.Gaps
 	seen        time.Time
+	suspected   time.Time // when a stream was, zero after any chunk since
 }
 
 type watchKey struct {
@@ -33,7 +35,7 @@
 }
 
 func newWatch() *watch {
-	return &watch{engines: make(map[string]*engineGaps), running: make(map[watchKey]*watched)}
+	return &watch{engines: make(map[string]*engineGaps), pools: make(map[string]*engineGaps), running: make(map[watchKey]*watched)}
 }
 
 func (w *watch) engine(id string) *engineGaps {
@@ -54,6 +56,7 @@
 func (w *watch) chunk(generation string, a *attempt, now time.Time, threshold time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.engine(a.backend.ID).suspected = time.Time{}
 	if r := w.running[watchKey{generation, a.number}]; r != nil {
 		r.last, r.threshold = now, threshold
 	}
@@ -73,12 +76,22 @@
 	e.seen = time.Now()
 }
 
-func (w *watch) observeFirst(backend string, wait time.Duration) {
+func (w *watch) observeFirst(pool, backend string, wait time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	e := w.engine(backend)
 	e.first.Observe(wait)
 	e.seen = time.Now()
+	w.pool(pool).first.Observe(wait)
+}
+
+func (w *watch) pool(name string) *engineGaps {
+	p := w.pools[name]
+	if p == nil {
+		p = &engineGaps{}
+		w.pools[name] = p
+	}
+	return p
 }
 
 func (w *watch) threshold(c silence.Config, stream *silence.Gaps, backend string) time.Duration {
@@ -87,10 +100,18 @@
 	return silence.Threshold(c, stream, &w.engine(backend).gaps)
 }
 
-func (w *watch) firstThreshold(c silence.Config, backend string, tokens int) time.Duration {
+// firstThreshold judges by the engine's own first chunks, and while few of
+// these were seen by those of its pool: first chunks are rare, a daemon at size
+// sees few of any one engine, and the ceiling would hold a takeover that landed
+// on another lost engine for many seconds.
+func (w *watch) firstThreshold(c silence.Config, pool string, a *attempt) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return silence.FirstThreshold(c, &w.engine(backend).first, tokens)
+	first := &w.engine(a.backend.ID).first
+	if !first.Known() {
+		first = &w.pool(pool).first
+	}
+	return silence.FirstThreshold(c, first, a.reads, a.takeover)
 }
 
 // globalStall reports whether the streams on other engines than suspect are
@@ -104,13 +125,38 @@
 			continue
 		}
 		total++
-		if now.Sub(r.last) >= r.threshold {
+		// Half its threshold is enough here: thresholds differ, and when all
+		// streams stop together the first to reach its own must see the others.
+		if now.Sub(r.last) >= r.threshold/2 {
 			silent++
 		}
 	}
 	return silence.GlobalStall(silent, total)
 }
 
+// suspectFor is how long an engine is avoided by takeovers after a stream of it
+// was suspected, unless it delivers before.
+const suspectFor = 10 * time.Second
+
+func (w *watch) suspect(backend string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.engine(backend).suspected = now
+}
+
+// suspects returns the engines that takeovers should avoid.
+func (w *watch) suspects(now time.Time) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []string
+	for id, e := range w.engines {
+		if !e.suspected.IsZero() && now.Sub(e.suspected) < suspectFor {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // forget drops engines not seen since the given time.
 func (w *watch) forget(before time.Time) {
 	w.mu.Lock()
--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/decision/slot"
@@ -260,7 +261,7 @@
 		_, err := other.send("k8", "move crane")
 		must.EqOp(t, verdict.MayHaveRun, said(err))
 		must.EqOp(t, 0, w.backend.count("move crane"))
-		w.cut = map[[2]string]bool{}
+		w.mend()
 		w.agree()
 		time.Sleep(time.Second)
 		answer, err := other.send("k8", "move crane")
@@ -361,3 +362,66 @@
 		must.EqOp(t, before, w.store.writes)
 	})
 }
+
+func TestKeyThatLeftTheTableIsNotDispatched(t *testing.T) {
+	// While an owner waits for the witness, the slot goes to another daemon and
+	// comes back. The owner's table was replaced and does not hold the key. If it
+	// were sent now, a second copy would find no trace of it and run again.
+	story(t, 6, func(t *testing.T, w *world) {
+		owner, _, _ := w.pair("k10")
+		key := slot.KeyOf("depot", "desk", "k10")
+		c := &call{slot: slot.Of(key), key: key, attempt: 1, done: make(chan struct{})}
+		r := record{key: key, attempt: 1, dispatcher: owner.self, expires: time.Now().Add(time.Hour)}
+		must.EqOp(t, bindMoved, owner.bind(context.Background(), c, r))
+		answer, err := owner.send("k10", "4 rollers")
+		must.Nil(t, err)
+		must.EqOp(t, "4 rollers run 1", answer)
+	})
+}
+
+func TestChangeCutShortLeavesNoSlotBehind(t *testing.T) {
+	// A daemon seals one of a pair to take its slot, and dies before it asks the
+	// store. The pair is alive and in every roster, and yet half of it refuses
+	// every key. Callers must see a short wait, not refusals for ever.
+	for _, sealOwner := range []bool{true, false} {
+		story(t, 6, func(t *testing.T, w *world) {
+			owner, witness, other := w.pair("k11")
+			i := slot.Of(slot.KeyOf("depot", "desk", "k11"))
+			sealed := witness
+			if sealOwner {
+				sealed = owner
+			}
+			sealed.tables[i].seal(w.newest(i).Term)
+			answer, err := other.send("k11", "1 roller")
+			must.Nil(t, err)
+			must.EqOp(t, "1 roller run 1", answer)
+		})
+	}
+}
+
+func TestSlotsThatCannotBeTakenKeepNoneBack(t *testing.T) {
+	// Two of three entry VMs are lost within seconds, and the platform still
+	// lists them. Nobody can give the keys of the slots that they shared, for a
+	// minute and more. The one that is left must neither ask for them five
+	// times a second nor keep back the slots that it can take.
+	story(t, 3, func(t *testing.T, w *world) {
+		owner, witness, other := w.pair("k12")
+		owner.kill()
+		witness.kill()
+		w.agree()
+		time.Sleep(time.Minute)
+		shared := 0.0
+		for i := range slot.Count {
+			if !other.Roster.Slot(i).Has(other.self) {
+				shared++
+			}
+		}
+		failed := testutil.ToFloat64(other.metrics.moves.WithLabelValues(slot.BothLost.String(), "failed"))
+		must.Positive(t, failed)
+		must.Less(t, 20*shared, failed)
+		for i := range slot.Count {
+			a := other.Roster.Slot(i)
+			must.True(t, a.Owner.Same(other.self) || !a.Has(other.self), must.Sprintf("slot %d was not taken", i))
+		}
+	})
+}
