--- a/decision/route/pick.go
+++ b/decision/route/pick.go
@@ -39,7 +39,8 @@
 	Urgent bool
 	// Overshoot lets a continuation go beyond the limit by an eighth.
 	Overshoot bool
-	// Spread looks at all zones of the region at once and at no prefix. The work
+	// Spread looks at all zones of the region at once, and at the candidate that
+	// holds the prefix, but not where prefixes are sent by default. The work
 	// of a lost server comes from one zone mostly: kept there, its prefills meet
 	// on the few servers left and each waits for the others, which costs far
 	// more than a millisecond between zones.
@@ -58,8 +59,8 @@
 		return Result{i, ReasonPreferred}
 	}
 	if end := t.ends[SameRegion]; q.Spread && end > 0 {
-		if i, why := t.two(q, 0, end); i >= 0 {
-			return Result{i, why}
+		if res := t.spread(q, end); res.Index >= 0 {
+			return res
 		}
 	}
 	start := 0
@@ -78,6 +79,18 @@
 	return Result{-1, ReasonNone}
 }
 
+// spread chooses among the first end candidates, of all zones of the region.
+func (t *Table) spread(q *Query, end int) Result {
+	i, why := t.two(q, 0, end)
+	if i < 0 {
+		return Result{i, why}
+	}
+	if j := t.warm(q, 0, end); j >= 0 && t.balanced(j, i) {
+		return Result{j, ReasonCached}
+	}
+	return Result{i, why}
+}
+
 func (t *Table) pickRank(q *Query, r Rank, start, end int) Result {
 	i, why := t.two(q, start, end)
 	if q.Prefix == 0 || i < 0 {
--- a/decision/route/route_test.go
+++ b/decision/route/route_test.go
@@ -156,3 +156,21 @@
 		})
 	}
 }
+
+// An engine dies with the answers of its zone. Their continuations go to the
+// engines of all zones alike, not to the few that are left beside it, except
+// where one is known to hold the prompt.
+func TestContinuationsSpreadOverZones(t *testing.T) {
+	table := NewTable(candidates(9, 32)) // three of them near
+	random := rand.New(rand.NewPCG(5, 5))
+	counts := map[int]int{}
+	for range 900 {
+		counts[table.Pick(&Query{Prefix: 42, Random: random.Uint64(), Overshoot: true, Spread: true}).Index]++
+	}
+	for i := range 9 {
+		must.Between(t, 60, counts[i], 150)
+	}
+	r := table.Pick(&Query{Prefix: 42, Cached: "b0007", Random: 1, Spread: true})
+	must.Eq(t, "b0007", table.At(r.Index).ID)
+	must.Eq(t, ReasonCached, r.Reason)
+}
