Slopes of whole daemons

Cause: rows on control, the store and changes without a slope. Change: recorded at 7, 14, 28 and 56 daemons in one process; rows for membership's share (slopes that lab/bench/members records) and for the peak of writes.

--- a/lab/capacity/failures.go
+++ b/lab/capacity/failures.go
@@ -11,6 +11,7 @@
 type Failure struct {
 	Name string
 	Rows []Row
+	Note string // what the rows leave out or ask for
 }
 
 // rackVMs are the sizes of rack worked out: how many VMs share a rack is not
@@ -30,6 +31,8 @@
 	zone := m.lost("An availability zone goes ("+s.ZoneLoss+")", s.DaemonsPerZone())
 	zone.Rows = append(zone.Rows, row(Number, "load of a remaining backend server, against before", "`decision/admit` sheds what is beyond",
 		given(float64(s.Zones), "zones"), given(1/float64(s.Zones-1), "a remaining zone")))
+	zone.Note = "The writes to the store add up those of as many single replacements, at " + report.Format(s.Store.WritesPerS) +
+		" a second the longest part of a zone's loss for calls with keys. " + rosterBeyond
 	return append(out, zone, m.apart())
 }
 
@@ -101,5 +104,8 @@
 			t.Add(report.Text(r.What), report.Text(r.Result()), report.Text(r.Work()), report.Text(r.Carrier))
 		}
 		b.Write(t.Markdown())
+		if f.Note != "" {
+			fmt.Fprintf(b, "\n%s\n", f.Note)
+		}
 	}
 }
--- a/lab/capacity/platform.go
+++ b/lab/capacity/platform.go
@@ -1,5 +1,15 @@
 package capacity
 
+import "time"
+
+// replacementTime is how long a replacement was observed for its writes.
+const replacementTime = 50 * time.Second
+
+const rosterBeyond = "All daemons write the one value of the roster, and a lost race is a write that changed nothing: writes for " +
+	"one replacement grow faster than the number of daemons. One daemon a zone that proposes the moves of all, the lease " +
+	"holder, makes a write a batch; it costs the time until it has noticed, a few seconds in which the keys of the slots " +
+	"concerned are undecided."
+
 // store is what all daemons together ask of the platform's key-value service.
 func (m *Model) store() []Row {
 	s := m.Size
@@ -26,6 +36,12 @@
 			Factors: []Factor{given(s.ReplacementsPerDay/secondsPerDay, "replacements/s"), m.at(slopeReplaceWrites, daemons, 1)},
 			Limit:   s.Store.WritesPerS, LimitOf: "writes of the store",
 		},
+		{
+			Role: Store, Kind: Messages, What: "writes while one daemon is replaced, the peak", Unit: PerS, Carrier: "`control/roster`",
+			Factors: []Factor{m.at(slopeReplaceWrites, daemons, 1), given(perSecond(replacementTime), "1/s, over the time observed")},
+			Limit:   s.Store.WritesPerS, LimitOf: "writes of the store",
+			Beyond: rosterBeyond,
+		},
 	}
 }
 
@@ -68,7 +84,7 @@
 	s := m.Size
 	return []Row{
 		{
-			Role: Caller, Kind: Messages, What: "wait for output to go on after the death of an engine, at worst", Unit: Seconds,
+			Role: Caller, Kind: Messages, What: "wait for output to go on after the death of an engine, if all of a daemon's streams ran on seven", Unit: Seconds,
 			Carrier: "`serve/generation`, `decision/silence`, `decision/resume`",
 			Factors: []Factor{m.at(slopeResume, s.StreamsPerDaemon(), milli)}, Limit: s.Resume.Seconds(), LimitOf: "output goes on after a loss",
 			Beyond: "The wait grows with the streams that resume on the same few engines, whose prefills queue; spreading them over " +
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -36,6 +36,9 @@
 	slopeBindBytes     = "bind_bytes"
 	slopeBindCPU       = "bind_cpu"
 	slopeBindMemory    = "bind_memory"
+	slopeGossipBytes   = "gossip_bytes"
+	slopeGossipCPU     = "gossip_cpu"
+	slopeMemberMemory  = "membership_memory"
 	slopeDetect        = "detection_time"
 	slopeResume        = "resume_engine_time"
 )
@@ -131,6 +134,10 @@
 			Role: Entry, Kind: Messages, What: "between daemons", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`", Control: true,
 			Factors: []Factor{m.at(slopeQuietPeers, daemons, 1), share},
 		},
+		{
+			Role: Entry, Kind: Messages, What: "of these: membership", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`",
+			Factors: []Factor{m.at(slopeGossipBytes, daemons, 1)},
+		},
 		{
 			Role: Entry, Kind: Messages, What: "of the store and the VM list", Unit: BytesPerS, Carrier: all, Control: true,
 			Factors: []Factor{m.at(slopeQuietPlatform, daemons, 1), share},
@@ -156,6 +163,10 @@
 			Role: Entry, Kind: Processor, What: "the VM list, read whole now and then", Unit: Core, Carrier: backends, Control: true,
 			Factors: []Factor{reads, m.at(slopeListCPU, vms, micro)},
 		},
+		{
+			Role: Entry, Kind: Processor, What: "of these: membership and the lease, both ends", Unit: Core, Carrier: "`control/membership`, `control/lease`",
+			Factors: []Factor{m.at(slopeGossipCPU, daemons, micro)},
+		},
 		{
 			Role: Entry, Kind: Processor, What: "of these: status polls, both ends", Unit: Core, Carrier: backends,
 			Factors: []Factor{polls, m.per(slopePollCPU, micro)},
@@ -168,6 +179,10 @@
 			Role: Entry, Kind: Memory, What: "a daemon without requests", Unit: Bytes, Carrier: all, Control: true,
 			Factors: []Factor{m.at(slopeQuietMemory, daemons, mega), share},
 		},
+		{
+			Role: Entry, Kind: Memory, What: "of these: membership with its server and connections", Unit: Bytes, Carrier: "`control/membership`",
+			Factors: []Factor{m.at(slopeMemberMemory, daemons, kilo)},
+		},
 		{
 			Role: Entry, Kind: Memory, What: "backend servers known and the VM list", Unit: Bytes, Carrier: backends, Control: true,
 			Factors: []Factor{m.at(slopeBackendMemory, vms, kilo)},
