--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -131,11 +131,11 @@
 	const backends, all = "`control/backends`", "`control/membership`, `control/inforce`, `control/backends`, `control/lease`"
 	return []Row{
 		{
-			Role: Entry, Kind: Messages, What: "between daemons", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`", Control: true,
+			Role: Entry, Kind: Messages, What: "between whole daemons, as measured beside other work that delayed exchanges", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`",
 			Factors: []Factor{m.at(slopeQuietPeers, daemons, 1), share},
 		},
 		{
-			Role: Entry, Kind: Messages, What: "of these: membership", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`",
+			Role: Entry, Kind: Messages, What: "between daemons, who make no other calls in a steady state", Unit: BytesPerS, Carrier: "`control/membership`, `decision/gossip`", Control: true,
 			Factors: []Factor{m.at(slopeGossipBytes, daemons, 1)},
 		},
 		{
--- a/lab/capacity/total.go
+++ b/lab/capacity/total.go
@@ -38,9 +38,9 @@
 // beyondTotals says what brings a total that is beyond its bound back.
 var beyondTotals = map[Role]map[Unit]string{
 	Entry: {
-		BytesPerS: "The largest part is between daemons. Sending only what changed since the last exchange with the same " +
-			"neighbour, on the connection that is kept, saves most of an exchange's bytes, which are HTTP headers; it costs " +
-			"a version a neighbour.",
+		BytesPerS: "The largest parts are status polls and exchanges, and most of both is HTTP headers. Half the polls a second " +
+			"take it under the bound; the report of a backend server that does not change is then twice as old, while " +
+			"servers whose state changes are polled as before.",
 	},
 	Holder: {
 		BytesPerS: "The holder asks the engines of its zone itself, beside what every daemon asks. One daemon in a zone's " +
