--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -22,7 +22,7 @@
 	window = 60.0
 	// trickle is the least income in tokens a second, so that a daemon with
 	// little traffic can still afford a takeover now and then.
-	trickle = 50.0
+	trickle = 10.0
 	// floorTokens is the least the balance can hold.
 	floorTokens = 4000.0
 )
@@ -59,7 +59,8 @@
 const (
 	// minTakeoverShare and maxTakeoverShare are the shares of generated tokens
 	// that takeovers of live attempts may cost at weight 0 and 1 of resume
-	// latency. A service that weighs cost stays well under one in a hundred.
+	// latency. Between them the share grows with the square of the weight, so
+	// that services that weigh cost stay under one in a hundred.
 	minTakeoverShare, maxTakeoverShare = 0.005, 0.05
 	// prefillCost is what reading one token of prompt or prefix costs an engine
 	// beside generating one: prefill works on many tokens at once.
@@ -70,7 +71,7 @@
 // cost, by its weight of resume latency from 0 to 1.
 func TakeoverShare(weight float64) float64 {
 	weight = min(max(weight, 0), 1)
-	return minTakeoverShare + weight*(maxTakeoverShare-minTakeoverShare)
+	return minTakeoverShare + weight*weight*(maxTakeoverShare-minTakeoverShare)
 }
 
 // TakeoverCost is the extra work, in generated tokens, of a takeover that makes
--- a/decision/budget/budget_test.go
+++ b/decision/budget/budget_test.go
@@ -43,3 +43,20 @@
 	wait := b.Wait(1000)
 	test.Eq(t, Granted, b.Spend(epoch.Add(wait+time.Second), Expense{Tokens: 1000}))
 }
+
+// A service that weighs cost sees a long hour of false suspicions. What its
+// takeovers cost stays under one in a hundred of the tokens it generates.
+func TestCostSettingStaysUnderOneInAHundred(t *testing.T) {
+	const perSecond, cost = 5000.0, 200
+	var b Budget
+	now, spent := epoch, 0.0
+	for range 3600 {
+		now = now.Add(time.Second)
+		b.Earn(now, perSecond, TakeoverShare(0.2))
+		for b.Spend(now, Expense{Tokens: cost}) == Granted {
+			spent += cost
+		}
+	}
+	test.Between(t, 0.005*3600*perSecond, spent, 0.01*3600*perSecond)
+	test.Eq(t, TakeoverShare(1), TakeoverShare(3))
+}
