A change of version refuses nobody: requests follow the engines, unloads wait

The reconciler leaves an engine alone for 5 s after weights became ready on it, so that daemons know.

--- a/control/backends/backends.go
+++ b/control/backends/backends.go
@@ -39,13 +39,15 @@
 	return false
 }
 
-// Serving returns the set of weights with which the backend server serves ref:
-// ref itself where it is ready, else another version of the same model and
-// adapter. During a change of version the new one becomes ready engine by
-// engine, and a router that asked for it alone would find nothing at first.
-func (b *Backend) Serving(ref engine.ModelRef) (engine.ModelRef, bool) {
+// serving returns the set of weights with which the backend server can run a
+// request for ref now: ref itself where it is ready, else another version of
+// the same model and adapter.
+func (b *Backend) serving(ref engine.ModelRef) (engine.ModelRef, bool) {
 	var other engine.ModelRef
 	found := false
+	if !b.Reachable || b.VM.State == vmlist.Leaving {
+		return other, false
+	}
 	for _, l := range b.Status.Models {
 		if l.State != engine.Ready || l.Ref.Model != ref.Model || l.Ref.Adapter != ref.Adapter {
 			continue
@@ -65,6 +67,36 @@
 	Pools   map[string][]*Backend
 }
 
+// Choose returns the version with which a new request for ref runs. pick is any
+// evenly distributed number.
+//
+// The failure it guards against: a text with a new version is in force before
+// any engine has it ready, and engines become ready one by one. Requests for
+// the new version alone would be refused at first and then all meet at the
+// first engine that has it. Each version therefore gets the share of requests
+// that its engines are of all; ref itself is returned where none is ready.
+func (s *Snapshot) Choose(pool string, ref engine.ModelRef, pick uint64) engine.ModelRef {
+	total := uint64(0)
+	for _, b := range s.Pools[pool] {
+		if _, ok := b.serving(ref); ok {
+			total++
+		}
+	}
+	if total == 0 {
+		return ref
+	}
+	pick %= total
+	for _, b := range s.Pools[pool] {
+		if r, ok := b.serving(ref); ok {
+			if pick == 0 {
+				return r
+			}
+			pick--
+		}
+	}
+	return ref
+}
+
 // Source gives the current snapshot; the pointer is swapped whole and never nil.
 type Source interface {
 	Current() *Snapshot
--- a/control/backends/manager_test.go
+++ b/control/backends/manager_test.go
@@ -344,3 +344,26 @@
 		must.Eq(t, 0, desk.polls.Load())
 	})
 }
+
+// A new version is ready on one engine of four. Requests must neither wait for
+// it nor all go to that engine, and a leaving engine counts for nothing.
+func TestVersionsShareRequestsByEngines(t *testing.T) {
+	ref := func(v string) engine.ModelRef { return engine.ModelRef{Model: "m", Version: v} }
+	holding := func(state vmlist.State, models ...engine.Loaded) *Backend {
+		return &Backend{VM: vmlist.VM{State: state}, Reachable: true, Status: engine.Status{Models: models}}
+	}
+	old := engine.Loaded{Ref: ref("1"), State: engine.Ready}
+	s := &Snapshot{Pools: map[string][]*Backend{"p": {
+		holding(vmlist.Live, old),
+		holding(vmlist.Live, old, engine.Loaded{Ref: ref("2"), State: engine.Ready}),
+		holding(vmlist.Live, old, engine.Loaded{Ref: ref("2"), State: engine.Loading}),
+		holding(vmlist.Live, old),
+		holding(vmlist.Leaving, engine.Loaded{Ref: ref("2"), State: engine.Ready}),
+	}}}
+	chosen := make(map[string]int)
+	for pick := range uint64(400) {
+		chosen[s.Choose("p", ref("2"), pick).Version]++
+	}
+	must.Eq(t, map[string]int{"1": 300, "2": 100}, chosen)
+	must.Eq(t, ref("9"), s.Choose("other", ref("9"), 3))
+}
--- a/control/reconcile/observe.go
+++ b/control/reconcile/observe.go
@@ -30,6 +30,7 @@
 	full      bool
 	holdUntil time.Time
 	failures  int
+	readyAt   time.Time // when a set of weights was first seen ready
 	// loadFailed says that the last report showed a load that failed.
 	loadFailed bool
 	// fenced says that the engine's present process knows our fencing number.
@@ -145,10 +146,26 @@
 	if status.Incarnation != o.status.Incarnation {
 		o.fenced = false
 	}
+	if becameReady(o.status, status) {
+		o.readyAt = o.asked
+	}
 	o.status, o.seen, o.silent, o.pending = status, time.Now(), time.Time{}, false
 	m.judgeLoads(o)
 }
 
+// becameReady reports whether now has a set of weights ready that was not
+// ready before.
+func becameReady(before, now engine.Status) bool {
+	for _, l := range now.Models {
+		if l.State == engine.Ready && !slices.ContainsFunc(before.Models, func(b engine.Loaded) bool {
+			return b.Ref == l.Ref && b.State == engine.Ready
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
 func refs(s engine.Status) []engine.ModelRef {
 	out := make([]engine.ModelRef, len(s.Models))
 	for i, l := range s.Models {
@@ -205,7 +222,10 @@
 
 // earliest is when an engine may be given its next order.
 func (m *Manager) earliest(o *observed, hold lease.Hold, text *site.Site) time.Time {
-	earliest := o.holdUntil
+	earliest := o.readyAt.Add(m.cfg.Settle)
+	if o.holdUntil.After(earliest) {
+		earliest = o.holdUntil
+	}
 	if !fencing(text, o.vm.Pool) {
 		if t := hold.Taken.Add(m.cfg.WaitOut); t.After(earliest) {
 			earliest = t
--- a/control/reconcile/reconcile.go
+++ b/control/reconcile/reconcile.go
@@ -54,6 +54,12 @@
 	// fencing numbers: the lease's TTL and OrderTimeout, the longest time that
 	// an order of the holder before it may still be under way.
 	WaitOut time.Duration
+	// Settle is how long an engine is left alone after a set of weights became
+	// ready on it. The failure: the old version was unloaded as soon as the
+	// holder saw the new one, while daemons that had not polled the engine yet
+	// still sent it requests for the old. They poll an engine that loads every
+	// 2 s, a little more with jitter and a slow answer.
+	Settle time.Duration
 	// LostAfter is how long an engine may stay silent before its replicas are
 	// replaced. It is longer than a restart of a router's connection or a
 	// collection of garbage, and short against the time of a load.
@@ -68,7 +74,7 @@
 func DefaultConfig() Config {
 	c := Config{
 		Tick: time.Second, Fresh: 3 * time.Second, Sweep: 10 * time.Second, PollsPerSecond: 0.7,
-		StatusTimeout: time.Second, OrderTimeout: 3 * time.Second, LostAfter: 30 * time.Second,
+		StatusTimeout: time.Second, OrderTimeout: 3 * time.Second, Settle: 5 * time.Second, LostAfter: 30 * time.Second,
 		RetryMin: 5 * time.Second, RetryMax: 5 * time.Minute, Parallel: 16,
 	}
 	c.WaitOut = lease.DefaultConfig().TTL + c.OrderTimeout
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -196,12 +197,26 @@
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
 		Entries: &entries{site: d.inforce, members: d.members},
 		Log:     d.log, Metrics: d.registry,
+		Version:  d.version,
 		Refusing: d.drain.refusing,
 		Starting: func() bool { return !d.serving.Load() },
 		Ready:    d.ready,
 	})
 }
 
+// version returns the service with the version that a new request runs with.
+// An answer that has begun stays with its version, which its copy carries.
+func (d *Daemon) version(s *site.Service) *site.Service {
+	ref := engine.ModelRef{Model: s.Model, Adapter: s.Adapter, Version: s.Version}
+	chosen := d.backends.Current().Choose(s.Pool, ref, rand.Uint64())
+	if chosen == ref {
+		return s
+	}
+	other := *s
+	other.Version = chosen.Version
+	return &other
+}
+
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *metric.Catalogue { return d.registry }
 
