--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -115,7 +115,8 @@
 	// time in which the first is noticed.
 	together   = 800 * time.Millisecond
 	maxTargets = 12
-	maxGroups  = 4
+	// groupEvery is the time for one group of faults: in a long run up to six.
+	groupEvery = 2500 * time.Millisecond
 	maxRepeats = 3
 )
 
@@ -128,7 +129,7 @@
 	if rng.IntN(4) == 0 {
 		p.EntriesPerZone = 2
 	}
-	for range 1 + rng.IntN(maxGroups) {
+	for range 1 + rng.IntN(int(length/groupEvery)) {
 		p.Steps = append(p.Steps, group(rng, length)...)
 	}
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return int(a.At - b.At) })
@@ -169,3 +170,20 @@
 func between(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Int64N(int64(high-low))).Truncate(time.Millisecond)
 }
+
+// minGap is the least time between two planned changes: operators replace one
+// VM after another.
+const minGap = 500 * time.Millisecond
+
+// DrawPlanned makes a plan of planned changes alone: stops of entry VMs and
+// engines that leave, some before the one before has ended.
+func DrawPlanned(seed uint64, length time.Duration) Plan {
+	rng := rand.New(rand.NewPCG(seed, planStream))
+	p := Plan{Seed: seed, Length: length, EntriesPerZone: 1 + rng.IntN(2)}
+	for at := time.Second; at < length-2*time.Second; at += between(rng, minGap, 3*time.Second) {
+		s := draw(rng, at)
+		s.Kind = []Kind{EntryStop, EngineLeave}[rng.IntN(2)]
+		p.Steps = append(p.Steps, s)
+	}
+	return p
+}
--- a/serve/generation/handover.go
+++ b/serve/generation/handover.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
+	"mallowwind.dev/control/membership"
 	"mallowwind.dev/serve/journal"
 	"mallowwind.dev/telemetry/event"
 )
@@ -49,7 +51,9 @@
 	v := m.members.Current()
 	var tried []string
 	for ctx.Err() == nil {
-		to, ok := journal.Pick(c.Spec.GetId(), v, tried)
+		to, ok := journal.Pick(c.Spec.GetId(), v, func(m membership.Member) bool {
+			return slices.Contains(tried, m.ID)
+		})
 		if !ok {
 			return false
 		}
