--- a/cmd/mallowctl/benchcontrol.go
+++ b/cmd/mallowctl/benchcontrol.go
@@ -13,6 +13,7 @@
 type benchControlCmd struct {
 	Out     string `default:"docs/measurements/control" placeholder:"DIR" help:"Directory to write the report to."`
 	Sizes   []int  `placeholder:"N" help:"Numbers of daemons for the time to in force."`
+	Only    string `enum:",spread,daemons,accounts,changes" default:"" help:"Measure this part alone: spread, daemons, accounts, changes."`
 	Daemons []int  `placeholder:"N" help:"Numbers of daemons for the slopes, four at least."`
 }
 
@@ -22,6 +23,9 @@
 	defer stop()
 	o := control.Defaults()
 	o.Dir, o.Command, o.Log, o.Now = c.Out, "go run ./cmd/mallowctl bench control", os.Stderr, time.Now
+	if c.Only != "" {
+		o.Only, o.Command = c.Only, o.Command+" --only "+c.Only
+	}
 	if len(c.Sizes) > 0 {
 		o.Sizes = c.Sizes
 	}
--- a/lab/bench/control/bench.go
+++ b/lab/bench/control/bench.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"mallowwind.dev/lab/report"
@@ -14,12 +15,13 @@
 type Options struct {
 	Dir      string // where the report goes
 	Command  string
-	Sizes    []int // daemons, for the time to in force
-	Daemons  []int // daemons, for the slopes; four sizes at least
-	Accounts int   // in the text, for the time to in force
-	Changes  int   // accepted with the store up
-	Failures int   // accepted with the store failing
-	Warm     int   // changes before a window
+	Only     string // spread, daemons, accounts or changes; empty for all
+	Sizes    []int  // daemons, for the time to in force
+	Daemons  []int  // daemons, for the slopes; four sizes at least
+	Accounts int    // in the text, for the time to in force
+	Changes  int    // accepted with the store up
+	Failures int    // accepted with the store failing
+	Warm     int    // changes before a window
 	Window   time.Duration
 	Log      io.Writer
 	Now      func() time.Time
@@ -46,17 +48,31 @@
 		"CPU and memory are the process's divided by the daemons, with a share of the store stand-in and the operator.")
 	r.Note("Times run from the operator's answer until the last daemon has the text in force, looked at every millisecond.")
 	r.Note("Bytes are those on connections, with HTTP headers, without TCP and IP. The operator's are not among them; polls of the store, one a minute, fall outside most windows.")
-	table := r.Table("From acceptance to in force everywhere", report.Col("daemons", ""), report.Col("store", ""), report.Col("changes", ""),
-		report.Col("p50", "ms"), report.Col("p99", "ms"), report.Col("max", "ms"), report.Col("not within 9 s", ""))
-	for _, n := range o.Sizes {
-		if err := measureSpread(ctx, o, n, table); err != nil {
+	if o.wants("spread") {
+		if err := spreadTable(ctx, o, r); err != nil {
 			return err
 		}
 	}
 	for _, s := range allSeries(o) {
+		if !o.wants(strings.Fields(s.name)[0]) {
+			continue
+		}
 		if err := measureCost(ctx, o, s, r); err != nil {
 			return err
 		}
 	}
 	return r.Write(o.Dir)
 }
+
+func (o Options) wants(part string) bool { return o.Only == "" || o.Only == part }
+
+func spreadTable(ctx context.Context, o Options, r *report.Report) error {
+	table := r.Table("From acceptance to in force everywhere", report.Col("daemons", ""), report.Col("store", ""), report.Col("changes", ""),
+		report.Col("p50", "ms"), report.Col("p99", "ms"), report.Col("max", "ms"), report.Col("not within 9 s", ""))
+	for _, n := range o.Sizes {
+		if err := measureSpread(ctx, o, n, table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/lab/bench/control/cost.go
+++ b/lab/bench/control/cost.go
@@ -36,6 +36,9 @@
 	costDaemons  = 28
 	costAccounts = 200
 	secondsOfDay = 86400
+	// settlePerDaemon is how much longer news of the members' joining is given
+	// to end before a window, for each daemon.
+	settlePerDaemon = 200 * time.Millisecond
 )
 
 func allSeries(o Options) []series {
@@ -124,7 +127,7 @@
 		}
 		f.await(f.revision, time.Now())
 	}
-	time.Sleep(o.Window / 4)
+	time.Sleep(max(o.Window/4, time.Duration(p.daemons)*settlePerDaemon))
 	held := memory() - before
 	start := time.Now()
 	cpu, peer, stored := cpuTime(), f.peerWire.bytes.Load(), f.storeWire.bytes.Load()
