--- a/lab/stand/golden_test.go
+++ b/lab/stand/golden_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -72,6 +74,33 @@
 	return createdAt.ReplaceAllString(s, `"created":0`)
 }
 
+// goldenText has one engine in each of two zones, so that there is one choice
+// at each step and the file does not depend on when engines are polled.
+const goldenText = `[site]
+name = golden
+zones = Rufisque, Pikine
+
+[pool engines]
+
+[service reviews]
+kind = generation
+pool = engines
+model = granulator
+version = 1
+replicas.Rufisque = 1
+replicas.Pikine = 1
+class = long
+deadline = 30s
+
+[account cooperative]
+token_hashes = HASH
+`
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
 // A caller reads an answer of 30 tokens. The engine dies after the twelfth
 // event. The file shows what the caller read byte by byte, what the engines
 // were asked, and what the store holds afterwards.
@@ -82,9 +111,12 @@
 		keys    []string
 	)
 	synctest.Test(t, func(t *testing.T) {
-		d, err := Start(t.Context(), Options{Seed: 11, Memory: true, EnginesPerZone: 1, Wrap: func(id string, e engine.Engine) engine.Engine {
-			return recordedEngine{e, id, &engines}
-		}})
+		d, err := Start(t.Context(), Options{
+			Seed: 11, Memory: true, EnginesPerZone: 1, Text: strings.Replace(goldenText, "HASH", tokenHash(DemoToken), 1),
+			Site: "golden", Zones: []string{"Rufisque", "Pikine"}, Wrap: func(id string, e engine.Engine) engine.Engine {
+				return recordedEngine{e, id, &engines}
+			},
+		})
 		must.NoError(t, err)
 		defer time.Sleep(3 * time.Minute)
 		defer d.Close()
