--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -176,9 +176,11 @@
 		must.EqOp(t, "confirm 7 run 1", answer)
 		time.Sleep(100 * time.Millisecond)
 		w.bury(owner)
+		noticed := time.Now()
 		answer, err = other.send("k4", "confirm 7")
 		must.Nil(t, err)
 		must.EqOp(t, "confirm 7 run 1", answer)
+		t.Logf("answered %v after the death was noticed", time.Since(noticed))
 	})
 }
 
