once: slots that wait for proof of a death hold up no others

Change: a move that failed is tried again after a second at the earliest; moves that may need proof come after those that do not.

--- a/decision/slot/plan.go
+++ b/decision/slot/plan.go
@@ -11,10 +11,10 @@
 	OwnerLost
 	// WitnessLost: the owner needs a new witness.
 	WitnessLost
-	// BothLost: neither of the pair is healthy.
-	BothLost
 	// Sealed: a change began and did not end; the owner starts the next term.
 	Sealed
+	// BothLost: neither of the pair is healthy.
+	BothLost
 	// Rebalance: the pair is healthy but not the one the members call for.
 	Rebalance
 	reasons
@@ -22,7 +22,7 @@
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"fresh", "owner_lost", "witness_lost", "both_lost", "sealed", "rebalance"}[r]
+	return [...]string{"fresh", "owner_lost", "witness_lost", "sealed", "both_lost", "rebalance"}[r]
 }
 
 // Peer is a member of the view with its health.
@@ -55,14 +55,15 @@
 	Reason  Reason
 }
 
-// Plan returns at most max moves for snapshot.Self, urgent ones first.
+// Plan returns the moves for s.Self, urgent ones first.
 //
 // Exactly one healthy daemon is responsible for each repair when views agree:
 // the healthy one of the old pair, which holds the slot's keys already, else
 // the highest in rendezvous order. Where views differ two may try; the store's
-// compare-and-swap lets one win. Rebalancing comes last and max bounds it, so
-// that a restart wave never delays a repair.
-func Plan(s Snapshot, max int) []Move {
+// compare-and-swap lets one win. Rebalancing comes last, so that a restart wave
+// never delays a repair; slots that may have to wait for proof of a death come
+// after those that need only this daemon.
+func Plan(s Snapshot) []Move {
 	if s.Leaving {
 		return nil
 	}
@@ -78,7 +79,7 @@
 	for _, moves := range byReason {
 		out = append(out, moves...)
 	}
-	return out[:min(max, len(out))]
+	return out
 }
 
 type planner struct {
--- a/decision/slot/plan_test.go
+++ b/decision/slot/plan_test.go
@@ -31,7 +31,7 @@
 			if self.Leaving {
 				continue
 			}
-			for _, m := range Plan(snapshot(self, all, slots), Count) {
+			for _, m := range Plan(snapshot(self, all, slots)) {
 				slots[m.From.Slot] = Assignment{Slot: m.From.Slot, Term: m.From.Term + 1, Owner: self.Member, Witness: m.Witness}
 				moved++
 			}
@@ -73,7 +73,7 @@
 	s.Rebalance = false
 	for _, self := range all[:6] {
 		s.Self = self.Member
-		for _, m := range Plan(s, Count) {
+		for _, m := range Plan(s) {
 			must.True(t, m.From.Has(all[6].Member))
 			must.NotEqOp(t, all[6].ID, m.Witness.ID)
 		}
@@ -92,7 +92,7 @@
 	for _, self := range alive {
 		s := snapshot(self, alive, before)
 		s.Rebalance = false
-		for _, m := range Plan(s, Count) {
+		for _, m := range Plan(s) {
 			must.MapNotContainsKey(t, by, m.From.Slot)
 			by[m.From.Slot] = self.ID
 		}
@@ -110,7 +110,7 @@
 	all[3].Leaving = true
 	s := snapshot(all[3], all, before)
 	s.Leaving = true
-	must.SliceEmpty(t, Plan(s, Count))
+	must.SliceEmpty(t, Plan(s))
 	for _, a := range settle(t, all, before) {
 		must.False(t, a.Has(all[3].Member))
 	}
@@ -135,7 +135,7 @@
 	for i := range 10 {
 		s.Slots[i] = Assignment{Slot: i, Term: 1, Owner: all[0].Member}
 	}
-	for _, m := range Plan(s, 10) {
+	for _, m := range Plan(s)[:10] {
 		must.EqOp(t, WitnessLost, m.Reason)
 	}
 }
@@ -163,7 +163,7 @@
 			s := snapshot(all[0], all, slots)
 			s.Rebalance = rebalance
 			for b.Loop() {
-				if len(Plan(s, 128)) != 0 {
+				if len(Plan(s)) != 0 {
 					b.Fatal("settled slots move")
 				}
 			}
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -21,6 +21,9 @@
 	// batch bounds the slots moved by one write to the store, and with it how
 	// long the first of them stands sealed.
 	batch = 128
+	// retryMove is the wait after a move that failed, so that slots which can't
+	// move, as those waiting for proof of a death, don't fill every batch.
+	retryMove = time.Second
 	// sealGrace leaves whoever sealed a slot the time to take it before its
 	// owner starts the next term itself.
 	sealGrace = 3 * time.Second
@@ -76,7 +79,7 @@
 	if err := s.Roster.Refresh(ctx); err != nil {
 		return err
 	}
-	ready := s.prepare(ctx, s.plan(rebalance))
+	ready := s.prepare(ctx, s.history.due(s.plan(rebalance)))
 	if len(ready) == 0 {
 		return nil
 	}
@@ -116,7 +119,7 @@
 		Rebalance: rebalance,
 		Sealed:    func(i int) bool { return s.history.stuck(i) },
 		Calm:      func(i int) bool { return s.history.calm(i) },
-	}, batch)
+	})
 }
 
 func toMember(m membership.Member) slot.Member {
--- a/serve/once/random_test.go
+++ b/serve/once/random_test.go
@@ -184,10 +184,6 @@
 	if c.rng.IntN(2) == 0 {
 		id = fmt.Sprintf("vm%d", 7+c.rng.IntN(13))
 	}
-	if old := c.daemon(id); old != nil && old != d {
-		old.kill()
-	}
-	c.buried(d)
 	c.start(id, d.view.Load().Self.Zone)
 	time.AfterFunc(time.Second, c.agree)
 }
@@ -206,13 +202,6 @@
 	time.AfterFunc(time.Second, c.agree)
 }
 
-// buried keeps a replaced daemon, so that the test can wait for its end.
-func (c *chaos) buried(d *daemon) {
-	c.world.mu.Lock()
-	defer c.world.mu.Unlock()
-	c.graves = append(c.graves, d)
-}
-
 // forget takes a paused daemon out of everyone else's view.
 func (c *chaos) forget(d *daemon) {
 	if d.gate.Load() == nil {
--- a/serve/once/suspects.go
+++ b/serve/once/suspects.go
@@ -67,6 +67,7 @@
 		term    uint64
 		changed time.Time // when term was first seen
 		stopped time.Time // since when it has not been served here; zero if it is
+		retry   time.Time // no move is tried before
 	}
 }
 
@@ -90,6 +91,20 @@
 	return !s.stopped.IsZero() && h.now.Sub(s.stopped) > sealGrace
 }
 
+// due returns the first moves, a batch at most, that did not fail lately.
+func (h *history) due(moves []slot.Move) []slot.Move {
+	var out []slot.Move
+	for _, m := range moves {
+		if len(out) < batch && !h.now.Before(h.slots[m.From.Slot].retry) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// failed puts the next try of a move off.
+func (h *history) failed(i int) { h.slots[i].retry = h.now.Add(retryMove) }
+
 // calm reports whether the slot did not change hands lately.
 func (h *history) calm(i int) bool { return h.now.Sub(h.slots[i].changed) > calmBefore }
 
--- a/serve/once/table_test.go
+++ b/serve/once/table_test.go
@@ -175,3 +175,21 @@
 		must.Between(t, 0, slot.Of(slot.KeyOf("a", "s", key)), slot.Count-1)
 	})
 }
+
+func TestSlotsThatCannotMoveHoldUpNoOthers(t *testing.T) {
+	// Two daemons die together. Hundreds of slots wait for proof of that and
+	// can't move; a sealed slot that needs only its owner must not wait behind.
+	h := &history{now: time.Now()}
+	var moves []slot.Move
+	for i := range 3 * batch {
+		moves = append(moves, slot.Move{From: slot.Assignment{Slot: i}, Reason: slot.BothLost})
+	}
+	first := h.due(moves)
+	must.Len(t, batch, first)
+	for _, m := range first {
+		h.failed(m.From.Slot)
+	}
+	must.EqOp(t, batch, h.due(moves)[0].From.Slot)
+	h.now = h.now.Add(retryMove)
+	must.EqOp(t, 0, h.due(moves)[0].From.Slot)
+}
--- a/serve/once/transfer.go
+++ b/serve/once/transfer.go
@@ -49,6 +49,7 @@
 			ready = append(ready, c)
 			continue
 		}
+		s.history.failed(c.next.Slot)
 		s.metrics.moved(c.move.Reason, "failed")
 		s.Log.Emit(event.SlotTakeFailed, c.next.Slot, c.next.Term, c.move.Reason.String(), c.err.Error())
 	}
--- a/serve/once/world_test.go
+++ b/serve/once/world_test.go
@@ -95,8 +95,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	w.mu.Lock()
+	old := w.daemons[id]
 	w.daemons[id] = d
+	if old != nil {
+		w.graves = append(w.graves, old)
+	}
 	w.mu.Unlock()
+	if old != nil {
+		old.kill()
+	}
 	d.done.Go(func() { _ = manager.Run(ctx) })
 	d.done.Go(func() { _ = d.Run(ctx) })
 	return d
