once: a daemon looks for moves whenever its silent members change

It skips planning while nothing changed, and compared the number of silent members: one was trusted again in the moment in which the witness became silent.

Change: the set of silent members has a number that grows with every change.

--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -97,10 +97,8 @@
 
 func (s *Service) situation() situation {
 	slots, _ := s.Roster.All()
-	return situation{
-		slots: &slots[0], view: s.Members.Current(),
-		silent: len(s.silent.ids(time.Now())), stuck: s.history.stuckOwned,
-	}
+	_, changes := s.silent.ids(time.Now())
+	return situation{slots: &slots[0], view: s.Members.Current(), silent: changes, stuck: s.history.stuckOwned}
 }
 
 func (s *Service) plan(rebalance bool) []slot.Move {
@@ -113,9 +111,10 @@
 	if !known {
 		return nil
 	}
+	avoid, _ := s.silent.ids(time.Now())
 	return slot.Plan(slot.Snapshot{
 		Self: s.self, Leaving: s.leaving.Load() || view.Self.State == membership.Leaving,
-		Members: peers, Slots: slots, Avoid: s.silent.ids(time.Now()),
+		Members: peers, Slots: slots, Avoid: avoid,
 		Rebalance: rebalance,
 		Sealed:    func(i int) bool { return s.history.stuck(i) },
 		Calm:      func(i int) bool { return s.history.calm(i) },
--- a/serve/once/random_test.go
+++ b/serve/once/random_test.go
@@ -268,9 +268,10 @@
 	out := fmt.Sprintf("\n  slot %d", i)
 	for id, d := range c.daemons {
 		a, t := d.Roster.Slot(i), &d.tables[i]
+		silent, _ := d.silent.ids(time.Now())
 		t.mu.Lock()
 		out += fmt.Sprintf("\n  %s dead=%v leaving=%v: roster %d %s/%s, table %d, sealed %d, silent %v, view %d", id,
-			d.dead.Load(), d.leaving.Load(), a.Term, a.Owner.ID, a.Witness.ID, t.term, t.sealed, d.silent.ids(time.Now()), len(d.Current().Members))
+			d.dead.Load(), d.leaving.Load(), a.Term, a.Owner.ID, a.Witness.ID, t.term, t.sealed, silent, len(d.Current().Members))
 		t.mu.Unlock()
 	}
 	return out
--- a/serve/once/suspects.go
+++ b/serve/once/suspects.go
@@ -23,6 +23,8 @@
 type silent struct {
 	mu    sync.Mutex
 	until map[string]time.Time
+	// changes counts how often the set of silent members changed.
+	changes int
 }
 
 // add reports whether id was not known as silent.
@@ -34,6 +36,9 @@
 	}
 	known := now.Before(s.until[id])
 	s.until[id] = now.Add(silentFor)
+	if !known {
+		s.changes++
+	}
 	return !known
 }
 
@@ -41,11 +46,14 @@
 func (s *silent) clear(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.until, id)
+	if _, ok := s.until[id]; ok {
+		delete(s.until, id)
+		s.changes++
+	}
 }
 
-// ids returns the members silent now.
-func (s *silent) ids(now time.Time) map[string]bool {
+// ids returns the members silent now, and a number that differs whenever they do.
+func (s *silent) ids(now time.Time) (map[string]bool, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make(map[string]bool, len(s.until))
@@ -54,9 +62,10 @@
 			out[id] = true
 		} else {
 			delete(s.until, id)
+			s.changes++
 		}
 	}
-	return out
+	return out, s.changes
 }
 
 // history is what this daemon saw of each slot. Only Run uses it.
--- a/serve/once/table_test.go
+++ b/serve/once/table_test.go
@@ -193,3 +193,18 @@
 	h.now = h.now.Add(retryMove)
 	must.EqOp(t, 0, h.due(moves)[0].From.Slot)
 }
+
+func TestOneSilentMemberForAnotherIsAChange(t *testing.T) {
+	// A witness falls silent in the moment in which another one is trusted again.
+	// Their number stays the same, and yet slots must move.
+	s, now := &silent{}, time.Now()
+	s.add("vm4", now)
+	_, before := s.ids(now)
+	later := now.Add(silentFor)
+	s.add("vm9", later)
+	ids, after := s.ids(later)
+	must.Eq(t, map[string]bool{"vm9": true}, ids)
+	must.NotEqOp(t, before, after)
+	_, again := s.ids(later)
+	must.EqOp(t, after, again)
+}
