--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -33,6 +33,14 @@
 	FirstFloor, FirstCeiling time.Duration
 	// Deviations is how many smoothed deviations above the smoothed gap are normal.
 	Deviations int
+	// FirstDeviations is the same for first chunks. A gap is judged at each of
+	// hundreds of chunks of an answer and must be wrong far more rarely than the
+	// wait for a first chunk, which is judged once an attempt.
+	FirstDeviations int
+	// TakeoverDeviations is the same for the first chunk of a takeover. Its answer
+	// stands still already, and the engine it landed on may be lost like the
+	// first, in the same zone; one more prefill is worth less than that wait.
+	TakeoverDeviations int
 }
 
 // ForWeight returns the bounds for a service's weight of resume latency, from
@@ -49,6 +57,9 @@
 		FirstFloor:   between(2*time.Second, 800*time.Millisecond),
 		FirstCeiling: between(10*time.Second, 4*time.Second),
 		Deviations:   8,
+		// The multiple of RFC 6298.
+		FirstDeviations:    4,
+		TakeoverDeviations: 1,
 	}
 }
 
@@ -125,10 +136,14 @@
 // FirstThreshold returns how long an attempt over tokens of prompt and prefix
 // may take to its first chunk, given the times seen at its engine, each reduced
 // by PerPrompt (nil where none are kept).
-func FirstThreshold(c Config, engine *Gaps, tokens int) time.Duration {
+func FirstThreshold(c Config, engine *Gaps, tokens int, takeover bool) time.Duration {
+	deviations := c.FirstDeviations
+	if takeover {
+		deviations = c.TakeoverDeviations
+	}
 	limit := c.FirstCeiling
 	if engine != nil {
-		limit = engine.limit(c.FirstFloor, c.FirstCeiling, c.Deviations)
+		limit = engine.limit(c.FirstFloor, c.FirstCeiling, deviations)
 	}
 	return time.Duration(float64(limit) * prefillScale(tokens))
 }
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -73,7 +73,7 @@
 		return
 	}
 	// The answer is owed, as its caller holds a part of it: what was excluded is better than nothing.
-	l.excluded = nil
+	l.excluded, l.desperate = nil, true
 }
 
 // unserved is the final error of an answer of which nothing came. Its caller
@@ -129,20 +129,23 @@
 	for _, n := range l.race.Losers() {
 		if loser := l.attempts[n]; loser != nil {
 			l.m.metrics.lostRaces.Inc()
+			loser.silent.Store(loser.suspected)
 			l.drop(loser)
 			l.unwanted = append(l.unwanted, loser)
 		}
 	}
 	l.lastToken = now
-	l.fruitless = 0
+	l.fruitless, l.desperate = 0, false
 }
 
-// observe learns the gap that a chunk ended.
+// observe learns the gap that a chunk ended, unless it was suspected: a pause
+// of seconds, learned as normal, would hide the next one. A suspicion that
+// proves wrong teaches from the next chunk on.
 func (l *loop) observe(a *attempt, now time.Time) {
 	gap := now.Sub(a.last)
 	switch {
-	case a.chunks == 0 && !a.reattach:
-		l.m.watch.observeFirst(a.backend.ID, silence.PerPrompt(gap, a.reads))
+	case a.chunks == 0 && !a.reattach && !a.suspected:
+		l.m.watch.observeFirst(l.spec.Service.Pool, a.backend.ID, silence.PerPrompt(gap, a.reads))
 	case a.chunks > 0 && !a.suspected:
 		l.gaps.Observe(gap)
 		l.m.watch.observe(a.backend.ID, gap)
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -21,9 +21,6 @@
 	// batch bounds the slots moved by one write to the store, and with it how
 	// long the first of them stands sealed.
 	batch = 128
-	// retryMove is the wait after a move that failed, so that slots which can't
-	// move, as those waiting for proof of a death, don't fill every batch.
-	retryMove = time.Second
 	// sealGrace leaves whoever sealed a slot the time to take it before its
 	// owner starts the next term itself.
 	sealGrace = 3 * time.Second
@@ -70,16 +67,21 @@
 	if !rebalance && s.idle == s.situation() {
 		return nil
 	}
-	if _, known := s.Roster.All(); known && len(s.plan(rebalance)) == 0 {
-		s.idle = s.situation()
-		return nil
+	if _, known := s.Roster.All(); known {
+		moves := s.plan(rebalance)
+		if len(moves) == 0 {
+			s.idle = s.situation()
+		}
+		if len(s.postponed.due(moves, batch, time.Now())) == 0 {
+			return nil
+		}
 	}
 	// Plan on what the store says now. This also keeps a daemon from sealing
 	// slots, which go on without the store, while it can't be reached.
 	if err := s.Roster.Refresh(ctx); err != nil {
 		return err
 	}
-	ready := s.prepare(ctx, s.history.due(s.plan(rebalance)))
+	ready := s.prepare(ctx, s.postponed.due(s.plan(rebalance), batch, time.Now()))
 	if len(ready) == 0 {
 		return nil
 	}
@@ -151,6 +153,7 @@
 		c := by[a.Slot]
 		taken[i] = c
 		s.metrics.moved(c.move.Reason, "taken")
+		s.postponed.forget(c.next.Slot)
 		s.Log.Emit(event.SlotTaken, a.Slot, a.Term, a.Witness.ID, c.move.Reason.String(), s.tables[a.Slot].size())
 	}
 	s.background(func() { s.tell(taken) })
--- a/serve/once/table_test.go
+++ b/serve/once/table_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -179,19 +180,19 @@
 func TestSlotsThatCannotMoveHoldUpNoOthers(t *testing.T) {
 	// Two daemons die together. Hundreds of slots wait for proof of that and
 	// can't move; a sealed slot that needs only its owner must not wait behind.
-	h := &history{now: time.Now()}
+	p, now := &postponed{}, time.Now()
 	var moves []slot.Move
 	for i := range 3 * batch {
 		moves = append(moves, slot.Move{From: slot.Assignment{Slot: i}, Reason: slot.BothLost})
 	}
-	first := h.due(moves)
+	first := p.due(slices.Clone(moves), batch, now)
 	must.Len(t, batch, first)
 	for _, m := range first {
-		h.failed(m.From.Slot)
+		p.add(m, now)
 	}
-	must.EqOp(t, batch, h.due(moves)[0].From.Slot)
-	h.now = h.now.Add(retryMove)
-	must.EqOp(t, 0, h.due(moves)[0].From.Slot)
+	must.EqOp(t, batch, p.due(slices.Clone(moves), batch, now)[0].From.Slot)
+	now = now.Add(firstWait)
+	must.EqOp(t, 0, p.due(slices.Clone(moves), batch, now)[0].From.Slot)
 }
 
 func TestOneSilentMemberForAnotherIsAChange(t *testing.T) {
