--- a/serve/once/table_test.go
+++ b/serve/once/table_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -175,3 +176,36 @@
 		must.Between(t, 0, slot.Of(slot.KeyOf("a", "s", key)), slot.Count-1)
 	})
 }
+
+func TestSlotsThatCannotMoveHoldUpNoOthers(t *testing.T) {
+	// Two daemons die together. Hundreds of slots wait for proof of that and
+	// can't move; a sealed slot that needs only its owner must not wait behind.
+	p, now := &postponed{}, time.Now()
+	var moves []slot.Move
+	for i := range 3 * batch {
+		moves = append(moves, slot.Move{From: slot.Assignment{Slot: i}, Reason: slot.BothLost})
+	}
+	first := p.due(slices.Clone(moves), batch, now)
+	must.Len(t, batch, first)
+	for _, m := range first {
+		p.add(m, now)
+	}
+	must.EqOp(t, batch, p.due(slices.Clone(moves), batch, now)[0].From.Slot)
+	now = now.Add(firstWait)
+	must.EqOp(t, 0, p.due(slices.Clone(moves), batch, now)[0].From.Slot)
+}
+
+func TestOneSilentMemberForAnotherIsAChange(t *testing.T) {
+	// A witness falls silent in the moment in which another one is trusted again.
+	// Their number stays the same, and yet slots must move.
+	s, now := &silent{}, time.Now()
+	s.add("vm4", now)
+	_, before := s.ids(now)
+	later := now.Add(silentFor)
+	s.add("vm9", later)
+	ids, after := s.ids(later)
+	must.Eq(t, map[string]bool{"vm9": true}, ids)
+	must.NotEqOp(t, before, after)
+	_, again := s.ids(later)
+	must.EqOp(t, after, again)
+}
