once, roster: one daemon writes the roster for all

Cause: after a loss every daemon writes new pairs for its part of the slots into one value; each write fails all others, which try again. 860 store writes for one replaced VM at 56 daemons (docs/measurements/replacement_writes.json). Ruled out: a value a slot range (more writes, each cheaper, and reading them all costs calls); longer jitter alone (the writes still grow with the daemons). Change: proposals go to the first living member by id, which collects for 150 ms and writes them at once. Where it does not answer each daemon writes for itself; the store's compare-and-swap decides as before.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -58,6 +58,7 @@
 	// violated is called when two assignments of one term differ.
 	violated func(subject, detail string)
 
+	gather    gatherer
 	flight    singleflight.Group
 	refreshed time.Time // guarded by mu
 	version   int64     // of the value merged last; guarded by mu
--- a/serve/once/keeper.go
+++ b/serve/once/keeper.go
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	won, err := s.Roster.Commit(ctx, proposals)
+	won, err := s.propose(ctx, proposals)
 	taken := make([]*change, len(won))
 	for i, a := range won {
 		c := by[a.Slot]
