--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -164,3 +164,44 @@
 	}
 	b.ReportMetric(float64(size), "value-bytes")
 }
+
+func TestProposalsShareOneWrite(t *testing.T) {
+	// A daemon is lost and twenty others propose new pairs within a moment. Each
+	// alone would make the others' writes fail; together they are one write.
+	synctest.Test(t, func(t *testing.T) {
+		faulty := store.NewFaulty(store.NewMemory())
+		m := newManager(faulty)
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+				a := slot.Assignment{Slot: i, Term: 1, Owner: vm1, Witness: vm2, Change: fmt.Sprint("c", i)}
+				must.NoError(t, m.Gather(t.Context(), []slot.Assignment{a}))
+				must.EqOp(t, a, m.Slot(i))
+			})
+		}
+		wg.Wait()
+		must.EqOp(t, 1, faulty.Counts().Writes())
+		time.Sleep(time.Second)
+	})
+}
+
+func TestGatheredRivalsForASlotDoNotBothWin(t *testing.T) {
+	// Two daemons propose themselves for one slot, and their proposals meet in
+	// one group. Written one over the other, both would serve the slot's keys.
+	synctest.Test(t, func(t *testing.T) {
+		shared := store.NewMemory()
+		m := newManager(shared)
+		m.OnViolation(func(subject, detail string) { t.Errorf("%s: %s", subject, detail) })
+		var wg sync.WaitGroup
+		for _, p := range [][]slot.Assignment{first("a", vm1), first("b", vm2)} {
+			wg.Go(func() { must.NoError(t, m.Gather(t.Context(), p)) })
+		}
+		wg.Wait()
+		other := newManager(shared)
+		must.NoError(t, other.Refresh(t.Context()))
+		must.EqOp(t, m.Slot(5), other.Slot(5))
+		must.EqOp(t, 1, other.Slot(5).Term)
+		time.Sleep(time.Second)
+	})
+}
