--- a/control/settings/parse.go
+++ b/control/settings/parse.go
@@ -86,6 +86,17 @@
 	return err
 }
 
+// locate remembers where the keys of a section stand.
+func (s *Settings) locate(file string, sec *inifile.Section) {
+	if sec == nil {
+		return
+	}
+	s.file, s.lines = file, make(map[string]int, len(sec.Keys))
+	for _, k := range sec.Keys {
+		s.lines[k.Name] = k.Line
+	}
+}
+
 // ParseText is Parse on a text already read; name stands in the errors.
 func ParseText(name string, text []byte) (*Settings, error) {
 	errs := &inifile.Collector{File: name}
@@ -106,6 +117,7 @@
 			errs.Add(0, "no section ["+name+"]", "add it")
 		}
 	}
+	s.locate(name, sections["daemon"])
 	checkAddresses(s, sections["daemon"], errs)
 	checkTLS(s, sections["tls"], errs)
 	if err := errs.Err(); err != nil {
--- a/control/settings/settings.go
+++ b/control/settings/settings.go
@@ -2,7 +2,10 @@
 // and where the platform's services are. They come from one INI file.
 package settings
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Settings of one daemon. All addresses are host:port with an IP number.
 type Settings struct {
@@ -27,6 +30,21 @@
 	// DrainLimit bounds a graceful shutdown; work still running then is handed
 	// over or, where no other entry VM can take it, cut and logged.
 	DrainLimit time.Duration
+
+	// file and lines say where the keys of [daemon] were read.
+	file  string
+	lines map[string]int
+}
+
+// Where returns file:line of a key of [daemon], for errors that show only when
+// the value is used, such as a busy port. It is the key alone where the
+// settings were not read from a file.
+func (s *Settings) Where(key string) string {
+	line, ok := s.lines[key]
+	if !ok {
+		return key
+	}
+	return s.file + ":" + strconv.Itoa(line)
 }
 
 // TLS names certificate files; empty fields mean plain TCP.
--- a/serve/daemon/listen.go
+++ b/serve/daemon/listen.go
@@ -12,16 +12,16 @@
 
 // Listen opens the addresses that the settings name.
 func Listen(s *settings.Settings) (l Listeners, err error) {
-	open := func(to *net.Listener, what, address string) {
+	open := func(to *net.Listener, key, address string) {
 		if err != nil {
 			return
 		}
 		*to, err = net.Listen("tcp", address)
-		err = errors.Wrapf(err, "cannot listen for %s", what)
+		err = errors.Wrap(err, s.Where(key))
 	}
-	open(&l.Callers, "callers", s.Listen)
-	open(&l.Peers, "other entry VMs", s.PeerListen)
-	open(&l.Admin, "operators", s.AdminListen)
+	open(&l.Callers, "listen", s.Listen)
+	open(&l.Peers, "peer_listen", s.PeerListen)
+	open(&l.Admin, "admin_listen", s.AdminListen)
 	if err != nil {
 		l.Close()
 	}
