--- a/serve/flow/decide_test.go
+++ b/serve/flow/decide_test.go
@@ -31,7 +31,7 @@
 func TestCacheEventsAreFollowedAsHints(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixed(8, 8)
-		for i, b := range f.snap.Pools["p"] {
+		for i, b := range f.snap.Load().Pools["p"] {
 			b.Engine = holder{prefix: uint64(100 + i)}
 		}
 		m := manager(t, f)
--- a/serve/flow/manager_test.go
+++ b/serve/flow/manager_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,14 +26,14 @@
 // fixed is a source of one site and a snapshot that tests may replace.
 type fixed struct {
 	site *site.Site
-	snap *backends.Snapshot
+	snap atomic.Pointer[backends.Snapshot]
 }
 
 func (f *fixed) Current() *site.Site { return f.site }
 
 type snapshots struct{ f *fixed }
 
-func (s snapshots) Current() *backends.Snapshot { return s.f.snap }
+func (s snapshots) Current() *backends.Snapshot { return s.f.snap.Load() }
 
 func newFixed(servers, slots int) *fixed {
 	f := &fixed{site: &site.Site{
@@ -65,14 +66,14 @@
 }
 
 func (f *fixed) replace(rows ...*backends.Backend) {
-	f.snap = &backends.Snapshot{Version: f.version() + 1, Pools: map[string][]*backends.Backend{"p": rows}}
+	f.snap.Store(&backends.Snapshot{Version: f.version() + 1, Pools: map[string][]*backends.Backend{"p": rows}})
 }
 
 func (f *fixed) version() uint64 {
-	if f.snap == nil {
-		return 0
+	if s := f.snap.Load(); s != nil {
+		return s.Version
 	}
-	return f.snap.Version
+	return 0
 }
 
 // manager returns a running Manager and stops it when the test ends.
--- a/serve/journal/batch_test.go
+++ b/serve/journal/batch_test.go
@@ -71,6 +71,8 @@
 		must.LessEq(t, minGap+2*roundTrip, longest)
 		must.LessEq(t, streams*tokens/20, holder.messages)
 		time.Sleep(time.Second)
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		must.MapEmpty(t, b.lanes)
 	})
 }
