--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -223,7 +223,7 @@
 	// more, so every unknown key of the slot is answered with may_have_run
 	// until the retention time is over, and nothing runs a second time.
 	story(t, 6, func(t *testing.T, w *world) {
-		w.site.Limits.KeyTTL, w.site.Limits.AnswerTTL = 4*time.Minute, time.Minute
+		w.retain(4*time.Minute, time.Minute)
 		owner, witness, other := w.pair("k7")
 		_, err := other.send("k7", "release 20 t")
 		must.Nil(t, err)
@@ -355,13 +355,13 @@
 func TestNewKeyNeedsNoStoreWrite(t *testing.T) {
 	// Hundreds of orders: the store sees no write, so its rate bounds nothing.
 	story(t, 6, func(t *testing.T, w *world) {
-		before := w.store.writes
+		before := w.store.written()
 		for i := range 300 {
 			key := fmt.Sprint("n", i)
 			_, err := w.daemon("vm1").send(key, key)
 			must.Nil(t, err)
 		}
-		must.EqOp(t, before, w.store.writes)
+		must.EqOp(t, before, w.store.written())
 	})
 }
 
--- a/serve/once/world_test.go
+++ b/serve/once/world_test.go
@@ -34,6 +34,7 @@
 	t       testing.TB
 	store   *fakeStore
 	backend *backend
+	siteMu  sync.RWMutex // guards site, which is replaced whole
 	site    *site.Site
 
 	mu      sync.Mutex
@@ -75,7 +76,20 @@
 }
 
 // Current implements site.Source.
-func (w *world) Current() *site.Site { return w.site }
+func (w *world) Current() *site.Site {
+	w.siteMu.RLock()
+	defer w.siteMu.RUnlock()
+	return w.site
+}
+
+// retain puts a text in force that keeps keys and answers this long.
+func (w *world) retain(keys, answers time.Duration) {
+	w.siteMu.Lock()
+	defer w.siteMu.Unlock()
+	next := *w.site
+	next.Limits.KeyTTL, next.Limits.AnswerTTL = keys, answers
+	w.site = &next
+}
 
 func (w *world) start(id, zone string) *daemon {
 	w.mu.Lock()
@@ -307,6 +321,12 @@
 	writes  int
 }
 
+func (s *fakeStore) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *fakeStore) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
