lab: one counting connection for the benches, one JSON getter for the caller

Three benches had their own copy of a connection that counts its bytes, and the stand's caller read each list with the same lines. Behaviour is unchanged.

--- a/lab/bench/control/fleet.go
+++ b/lab/bench/control/fleet.go
@@ -22,6 +22,7 @@
 	"mallowwind.dev/control/inforce"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/operate"
+	"mallowwind.dev/lab/bench/wire"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/standin/storesim"
@@ -66,26 +67,12 @@
 	*counter
 }
 
-type countedConn struct {
-	net.Conn
-	*counter
-}
-
 func (l countedListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	return countedConn{conn, l.counter}, err
-}
-
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	if err != nil {
+		return nil, err
+	}
+	return wire.Count(conn, &l.counter.bytes), nil
 }
 
 // start runs n daemons with text accepted and in force.
--- a/lab/bench/members/fleet.go
+++ b/lab/bench/members/fleet.go
@@ -20,6 +20,7 @@
 
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/lab/bench/wire"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/platform/store"
@@ -241,24 +242,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, bytes: c.bytes}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	return wire.Count(conn, c.bytes), nil
 }
--- a/lab/bench/slopes/wire.go
+++ b/lab/bench/slopes/wire.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"time"
+
+	"mallowwind.dev/lab/bench/wire"
 )
 
 // counter counts the bytes of all connections that a listener accepted, in
@@ -18,24 +20,10 @@
 // Accept implements net.Listener.
 func (c *counter) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
-	return &countedConn{Conn: conn, bytes: &c.bytes}, err
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
+	if err != nil {
+		return nil, err
+	}
+	return wire.Count(conn, &c.bytes), nil
 }
 
 // serve starts h on loopback and counts its bytes.
--- /dev/null
+++ b/lab/bench/wire/wire.go
@@ -0,0 +1,30 @@
+// Package wire counts the bytes that cross connections, both ways, headers
+// included and the frames of TCP and IP left out.
+package wire
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Count returns a connection that adds what it reads and writes to bytes.
+func Count(c net.Conn, bytes *atomic.Int64) net.Conn { return &conn{Conn: c, bytes: bytes} }
+
+type conn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/lab/stand/client.go
+++ b/lab/stand/client.go
@@ -79,38 +79,36 @@
 	Zone    string `json:"zone"`
 }
 
-// Entries asks which entry VMs to use.
-func (c *Client) Entries(ctx context.Context) ([]Named, error) {
-	r, err := c.Do(ctx, http.MethodGet, "/v1/entries", nil, nil)
+// get reads a JSON answer.
+func (c *Client) get(ctx context.Context, path string, to any) error {
+	r, err := c.Do(ctx, http.MethodGet, path, nil, nil)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer r.Body.Close()
 	if r.StatusCode != http.StatusOK {
-		return nil, ReadRefusal(r)
+		return ReadRefusal(r)
 	}
+	return json.NewDecoder(r.Body).Decode(to)
+}
+
+// Entries asks which entry VMs to use.
+func (c *Client) Entries(ctx context.Context) ([]Named, error) {
 	var body struct {
 		Entries []Named `json:"entries"`
 	}
-	return body.Entries, json.NewDecoder(r.Body).Decode(&body)
+	err := c.get(ctx, "/v1/entries", &body)
+	return body.Entries, err
 }
 
 // Models lists the generation services.
 func (c *Client) Models(ctx context.Context) ([]string, error) {
-	r, err := c.Do(ctx, http.MethodGet, "/v1/models", nil, nil)
-	if err != nil {
-		return nil, err
-	}
-	defer r.Body.Close()
-	if r.StatusCode != http.StatusOK {
-		return nil, ReadRefusal(r)
-	}
 	var body struct {
 		Data []struct {
 			ID string `json:"id"`
 		} `json:"data"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	if err := c.get(ctx, "/v1/models", &body); err != nil {
 		return nil, err
 	}
 	var names []string
