--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -103,8 +103,9 @@
 		bc = *d.opts.Backends
 	}
 	d.backends = backends.NewManager(backends.Deps{
-		Self: s.VM, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
-		Log: d.log, Registerer: d.registry, Config: bc,
+		Self: s.VM, Zone: s.Zone, VMs: p.VMs, Engine: p.Engine, Plain: d.plainPool,
+		Reads: func(readers int) bool { return backends.Readers(d.members)(readers) },
+		Log:   d.log, Registerer: d.registry, Config: bc,
 	})
 	d.members = membership.NewManager(membership.Deps{
 		Self: membership.Member{
@@ -117,6 +118,8 @@
 		},
 		VMs: d.backends, Dial: d.opts.Dialer, Log: d.log, Registerer: d.registry,
 	})
+	d.backends.OnNews(d.members.ShareVM)
+	d.members.OnVM(func(n membership.VMNews) { d.backends.Learn(n) })
 	d.inforce = inforce.New(inforce.Config{
 		Site: s.Site, VM: s.VM, Zone: s.Zone, Store: p.Store, Members: d.members,
 		Dialer: d.opts.Dialer, Log: d.log, Metrics: d.registry, Seed: d.seed(),
@@ -180,6 +183,17 @@
 // Registry holds the daemon's metrics.
 func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
 
+// Knows reports whether this daemon sees n entry VMs alive, itself included.
+func (d *Daemon) Knows(n int) bool {
+	alive := 0
+	for _, m := range d.members.Current().Members {
+		if m.State == membership.Alive && m.Caller != "" {
+			alive++
+		}
+	}
+	return alive >= n
+}
+
 // ready reports whether callers should be sent here.
 func (d *Daemon) ready() bool { return d.inforce.Current() != nil && !d.drain.leaving() }
 
