serve/api: one estimate of a prompt's tokens

The caller's usage repeated the estimate that admission uses, with the ratio as a bare number, in two places. Both call it now; the figures are the same.

--- a/serve/api/completions.go
+++ b/serve/api/completions.go
@@ -44,7 +44,7 @@
 	form := answerForm{chat: chat, model: q.Model, created: time.Now().Unix(), id: h.ID()}
 	if q.Stream {
 		form.usage = q.StreamOptions != nil && q.StreamOptions.IncludeUsage
-		form.promptTokens = len(spec.Prompt)/4 + 1
+		form.promptTokens = spec.PromptTokens()
 		return stream(r.Context(), w, h, lineage.Position{}, form)
 	}
 	return whole(r.Context(), w, h, spec, form)
@@ -67,7 +67,7 @@
 		}
 		pos = b.Position
 		if b.Finish != "" {
-			form.promptTokens = len(spec.Prompt)/4 + 1
+			form.promptTokens = spec.PromptTokens()
 			writeJSON(w, http.StatusOK, form.answer(text.String(), string(b.Finish), pos.Offset))
 			return nil
 		}
--- a/serve/generation/spec.go
+++ b/serve/generation/spec.go
@@ -116,6 +116,9 @@
 // promptTokens estimates the number of tokens of a prompt.
 func promptTokens(prompt string) int { return len(prompt)/charactersPerToken + 1 }
 
+// PromptTokens estimates the tokens of the prompt, as callers are told them.
+func (s *Spec) PromptTokens() int { return promptTokens(s.Prompt) }
+
 // randomEpoch feeds the random part of epochs.
 func randomEpoch() uint64 {
 	var b [8]byte
