external: the module of outside systems gets a name of its own

The module platform held the product's own interfaces to engines, the key-value store, the VM list and the weight store, with their stand-ins. The name platform is now free for the adapter to one particular platform. Only paths change.

--- a/cmd/mallowctl/operator.go
+++ b/cmd/mallowctl/operator.go
@@ -17,8 +17,8 @@
 	"golang.org/x/sys/unix"
 
 	"mallowwind.dev/control/operate"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 )
 
 // siteFlags say which site's text is meant and where it lies.
--- a/cmd/mallowctl/operator_test.go
+++ b/cmd/mallowctl/operator_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 )
 
 // The exit codes are what scripts of the operators rely on.
--- a/cmd/mallowctl/standin.go
+++ b/cmd/mallowctl/standin.go
@@ -9,8 +9,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mallowwind.dev/external/standin/host"
 	"mallowwind.dev/lab/standins"
-	"mallowwind.dev/platform/standin/host"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/backends/backends.go
+++ b/control/backends/backends.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // Kind says what the VMs of a pool are.
--- a/control/backends/manager.go
+++ b/control/backends/manager.go
@@ -13,8 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/membership"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/backends/manager_test.go
+++ b/control/backends/manager_test.go
@@ -13,8 +13,8 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/membership"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // listFake is a VM list that tests rewrite.
--- a/control/backends/news.go
+++ b/control/backends/news.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mallowwind.dev/control/membership"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/vmlist"
 )
 
 // readerTerm is how long a daemon stays a reader. Readers pay for the whole
--- a/control/backends/poll.go
+++ b/control/backends/poll.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/backends/reports.go
+++ b/control/backends/reports.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // silent stands for the digest of a backend server that does not answer.
--- a/control/backends/subset.go
+++ b/control/backends/subset.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/vmlist"
 )
 
 // subset picks the backend servers of one pool that this daemon knows: size of
--- a/control/backends/table.go
+++ b/control/backends/table.go
@@ -5,8 +5,8 @@
 	"strings"
 	"time"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // absences is how many reads in a row must lack a VM before it counts as
--- a/control/inforce/adopt.go
+++ b/control/inforce/adopt.go
@@ -8,7 +8,7 @@
 
 	"mallowwind.dev/control/inforce/record"
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/inforce/fleet_test.go
+++ b/control/inforce/fleet_test.go
@@ -19,8 +19,8 @@
 	"mallowwind.dev/control/inforce/patch"
 	"mallowwind.dev/control/inforce/record"
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
-	"mallowwind.dev/platform/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/inforce/inforce.go
+++ b/control/inforce/inforce.go
@@ -24,8 +24,8 @@
 	"mallowwind.dev/control/inforce/record"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
-	"mallowwind.dev/platform/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/inforce/inforce_test.go
+++ b/control/inforce/inforce_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/inforce/record"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // A text is accepted, and before anything else happens the store goes down for
--- a/control/inforce/record/record.go
+++ b/control/inforce/record/record.go
@@ -28,7 +28,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/inforce/patch"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // MaxPatch is the largest difference that a record carries, in bytes. A larger
--- a/control/lease/manager.go
+++ b/control/lease/manager.go
@@ -12,7 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/membership"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/lease/manager_test.go
+++ b/control/lease/manager_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/membership"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // world is one zone's daemons before one store. A pause keeps a daemon's
--- a/control/membership/fleet_test.go
+++ b/control/membership/fleet_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/vmlist"
 )
 
 // hop is the one-way delay of the test network.
--- a/control/membership/manager.go
+++ b/control/membership/manager.go
@@ -12,9 +12,9 @@
 	"golang.org/x/time/rate"
 
 	"mallowwind.dev/decision/gossip"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/vmlist"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/membership/manager_test.go
+++ b/control/membership/manager_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/vmlist"
 )
 
 // A router dies without a word. Callers that were told its address run into
--- a/control/membership/news.go
+++ b/control/membership/news.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/vmlist"
 )
 
 // VMNews is one change of the platform's VM list, as the daemons that read the
--- a/control/operate/apply.go
+++ b/control/operate/apply.go
@@ -9,7 +9,7 @@
 
 	"mallowwind.dev/control/inforce/patch"
 	"mallowwind.dev/control/inforce/record"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // Request is a change that an operator wants.
--- a/control/operate/apply_test.go
+++ b/control/operate/apply_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/inforce/record"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 const base = `[site]
--- a/control/operate/history.go
+++ b/control/operate/history.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/inforce/record"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 const (
--- a/control/operate/operate.go
+++ b/control/operate/operate.go
@@ -11,7 +11,7 @@
 
 	"mallowwind.dev/control/inforce/record"
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // Client reads and writes the accepted site text of one site.
--- a/control/reconcile/fence.go
+++ b/control/reconcile/fence.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/reconcile/manager_test.go
+++ b/control/reconcile/manager_test.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // An operator changes the version of a service while every engine is in the
--- a/control/reconcile/observe.go
+++ b/control/reconcile/observe.go
@@ -12,8 +12,8 @@
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/placement"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // observed is one engine of the zone as this holder knows it.
--- a/control/reconcile/outcome.go
+++ b/control/reconcile/outcome.go
@@ -5,7 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/decision/placement"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/reconcile/reconcile.go
+++ b/control/reconcile/reconcile.go
@@ -27,10 +27,10 @@
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/placement"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
-	"mallowwind.dev/platform/weights"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
+	"mallowwind.dev/external/weights"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/reconcile/revision.go
+++ b/control/reconcile/revision.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/control/reconcile/world_test.go
+++ b/control/reconcile/world_test.go
@@ -16,11 +16,11 @@
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/weightsim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/weightsim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 )
 
 var (
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -21,7 +21,7 @@
 
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/decision/slot"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/platform/engine/client.go
+++ b/external/engine/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 // Paths of the wire form.
--- a/platform/engine/client_test.go
+++ b/external/engine/client_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/sent"
-	"mallowwind.dev/platform/standin/faultnet"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/sent"
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 // against runs f with a client of a server that answers every request with h.
--- a/platform/plain/client.go
+++ b/external/plain/client.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 // DefaultMaxAnswer is the largest answer that a Client reads unless told otherwise, in bytes.
--- a/platform/sent/sent_test.go
+++ b/external/sent/sent_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 // brokenConn fails its writes after letting n bytes through.
--- a/platform/standin/enginesim/bench_test.go
+++ b/external/standin/enginesim/bench_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/faultnet"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 // fast is an engine whose steps take no time, so that a benchmark measures the
--- a/platform/standin/enginesim/cache.go
+++ b/external/standin/enginesim/cache.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // keptEvents is how many cache events an engine remembers.
--- a/platform/standin/enginesim/config.go
+++ b/external/standin/enginesim/config.go
@@ -11,7 +11,7 @@
 	"context"
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // Fetcher gives weights at the rate of the weight store. Fetch blocks until
--- a/platform/standin/enginesim/faults.go
+++ b/external/standin/enginesim/faults.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // Die resets every connection and forgets every generation, the cache and the
--- a/platform/standin/enginesim/faults_test.go
+++ b/external/standin/enginesim/faults_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 // forBoth runs f with the engine in process and over its wire form.
--- a/platform/standin/enginesim/generation.go
+++ b/external/standin/enginesim/generation.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 type key struct {
--- a/platform/standin/enginesim/handler.go
+++ b/external/standin/enginesim/handler.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // maxRequest bounds a request body, in bytes.
--- a/platform/standin/enginesim/load_test.go
+++ b/external/standin/enginesim/load_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/weightsim"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/weightsim"
 )
 
 // run generates n answers at once and returns how long all took.
--- a/platform/standin/enginesim/random_test.go
+++ b/external/standin/enginesim/random_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 // randomRuns is how many seeds the randomised test plays.
--- a/platform/standin/enginesim/reader.go
+++ b/external/standin/enginesim/reader.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // reader is one stream. Its fields but wake and closed are guarded by the
--- a/platform/standin/enginesim/sim.go
+++ b/external/standin/enginesim/sim.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // Sim is one engine. It is safe for concurrent use.
--- a/platform/standin/enginesim/status.go
+++ b/external/standin/enginesim/status.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // figures are the load at one time.
--- a/platform/standin/enginesim/step.go
+++ b/external/standin/enginesim/step.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // enqueue puts g behind the waiting generations of its priority and above.
--- a/platform/standin/enginesim/weights.go
+++ b/external/standin/enginesim/weights.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // How a role changes the time of decode and of prefill.
--- a/platform/standin/enginesim/wire_test.go
+++ b/external/standin/enginesim/wire_test.go
@@ -11,11 +11,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/sent"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/faultnet"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/sent"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 var ref = engine.ModelRef{Model: "review"}
--- a/platform/standin/faultnet/faultnet_test.go
+++ b/external/standin/faultnet/faultnet_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/standin/faultnet"
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 // echo serves l: each connection gets back what it sends.
--- a/platform/standin/host/admin.go
+++ b/external/standin/host/admin.go
@@ -7,9 +7,9 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 )
 
 // NodeReport is a node as GET /nodes shows it.
--- a/platform/standin/host/config.go
+++ b/external/standin/host/config.go
@@ -13,8 +13,8 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/vmlist"
 )
 
 // Config lists what to run. An address is host:port; port 0 takes a free one.
--- a/platform/standin/host/faults.go
+++ b/external/standin/host/faults.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/standin/weightsim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/weightsim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/platform/standin/host/host.go
+++ b/external/standin/host/host.go
@@ -9,13 +9,13 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/faultnet"
-	"mallowwind.dev/platform/standin/plainsim"
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/standin/weightsim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/standin/plainsim"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/standin/weightsim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/platform/standin/host/host_test.go
+++ b/external/standin/host/host_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/host"
-	"mallowwind.dev/platform/standin/tokencheck"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
-	"mallowwind.dev/platform/weights"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/host"
+	"mallowwind.dev/external/standin/tokencheck"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
+	"mallowwind.dev/external/weights"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/platform/standin/plainsim/bench_test.go
+++ b/external/standin/plainsim/bench_test.go
@@ -5,9 +5,9 @@
 	"strings"
 	"testing"
 
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/sent"
-	"mallowwind.dev/platform/standin/plainsim"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/sent"
+	"mallowwind.dev/external/standin/plainsim"
 )
 
 // BenchmarkCall compares a fresh connection for each call, as in use, with
--- a/platform/standin/plainsim/plainsim_test.go
+++ b/external/standin/plainsim/plainsim_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/sent"
-	"mallowwind.dev/platform/standin/faultnet"
-	"mallowwind.dev/platform/standin/plainsim"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/sent"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/standin/plainsim"
 )
 
 type desk struct {
--- a/platform/standin/storesim/contract_test.go
+++ b/external/standin/storesim/contract_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/sent"
-	"mallowwind.dev/platform/standin/faultnet"
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/sent"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
 )
 
 // service is the store under test, in process or over the wire form.
--- a/platform/standin/storesim/failover_test.go
+++ b/external/standin/storesim/failover_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 func overWireTest(t *testing.T, f func(t *testing.T, s *service)) {
--- a/platform/standin/storesim/random_test.go
+++ b/external/standin/storesim/random_test.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // randomRuns is how many seeds the randomised test plays.
--- a/platform/standin/storesim/storesim.go
+++ b/external/standin/storesim/storesim.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/store"
+	"mallowwind.dev/external/store"
 )
 
 // maxRequest bounds a request body, in bytes: a value at its limit in base64.
--- a/platform/standin/tokencheck/tokencheck_test.go
+++ b/external/standin/tokencheck/tokencheck_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 func generate(model, prompt, salt string, n int) []string {
--- a/platform/standin/weightsim/weightsim.go
+++ b/external/standin/weightsim/weightsim.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/weights"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/weights"
 )
 
 // Sim is one weight store. It is safe for concurrent use and runs in virtual time.
--- a/platform/store/etcd.go
+++ b/external/store/etcd.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 const (
--- a/platform/vmlist/client.go
+++ b/external/vmlist/client.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 // maxList bounds the list, in bytes.
--- a/platform/vmlist/memory_test.go
+++ b/external/vmlist/memory_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/vmlist"
 )
 
 // A VM leaves and goes. The list shows each step late, in order, and never one
--- a/platform/weights/client.go
+++ b/external/weights/client.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/sent"
+	"mallowwind.dev/external/sent"
 )
 
 // Client reads the weight store's report over HTTP.
--- a/lab/bench/control/fleet.go
+++ b/lab/bench/control/fleet.go
@@ -22,12 +22,12 @@
 	"mallowwind.dev/control/inforce"
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/operate"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/lab/bench/wire"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -12,8 +12,8 @@
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/entries"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 var errEngineDied = errors.New("engine died")
--- a/lab/bench/losses/caller.go
+++ b/lab/bench/losses/caller.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/lab/world"
-	"mallowwind.dev/platform/engine"
 )
 
 // The sizes of requests. Prompts differ from their first character on, so that
--- a/lab/bench/losses/trial.go
+++ b/lab/bench/losses/trial.go
@@ -10,8 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"mallowwind.dev/decision/budget"
+	"mallowwind.dev/external/standin/enginesim"
 	"mallowwind.dev/lab/world"
-	"mallowwind.dev/platform/standin/enginesim"
 )
 
 // The sizes of a trial: an engine gives a token each 30 ms or so, the aim for
--- a/lab/bench/members/fleet.go
+++ b/lab/bench/members/fleet.go
@@ -20,11 +20,11 @@
 
 	"mallowwind.dev/control/lease"
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/lab/bench/wire"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
 )
 
 const (
--- a/lab/bench/slopes/backends.go
+++ b/lab/bench/slopes/backends.go
@@ -10,10 +10,10 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/backends"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/lab/report"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/vmlist"
 )
 
 // daemonsOfFleet is the number of daemons in the VM list beside the replicas
--- a/lab/bench/slopes/fleetcost.go
+++ b/lab/bench/slopes/fleetcost.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/lab/report"
-	"mallowwind.dev/platform/vmlist"
 )
 
 const (
--- a/lab/bench/slopes/relay.go
+++ b/lab/bench/slopes/relay.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/lab/report"
-	"mallowwind.dev/platform/engine"
 )
 
 const (
--- a/lab/bench/slopes/roster.go
+++ b/lab/bench/slopes/roster.go
@@ -8,8 +8,8 @@
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/control/roster"
 	"mallowwind.dev/decision/slot"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/lab/report"
-	"mallowwind.dev/platform/store"
 )
 
 // rosterExperiments are what the table of slots costs those who read it.
--- a/lab/bench/slopes/site.go
+++ b/lab/bench/slopes/site.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/lab/report"
-	"mallowwind.dev/platform/vmlist"
 )
 
 // siteName is the name of the site in the texts of this package.
--- a/lab/bench/slopes/stack.go
+++ b/lab/bench/slopes/stack.go
@@ -16,14 +16,14 @@
 
 	"mallowwind.dev/control/operate"
 	"mallowwind.dev/control/settings"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/plainsim"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/standin/weightsim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/link"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/plainsim"
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/standin/weightsim"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
 	"mallowwind.dev/serve/daemon"
 )
 
--- a/lab/soak/answer.go
+++ b/lab/soak/answer.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"mallowwind.dev/external/standin/tokencheck"
 	"mallowwind.dev/lab/stand"
-	"mallowwind.dev/platform/standin/tokencheck"
 )
 
 // answer is one completion as its caller holds it.
--- a/lab/stand/client.go
+++ b/lab/stand/client.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 // Client is a caller with one account's token.
--- a/lab/stand/fabric.go
+++ b/lab/stand/fabric.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/standin/faultnet"
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 // fabric is the network between callers, daemons and stand-ins: loopback TCP,
--- a/lab/stand/faults.go
+++ b/lab/stand/faults.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"mallowwind.dev/platform/standin/enginesim"
-	"mallowwind.dev/platform/standin/faultnet"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/vmlist"
 )
 
 // listeners are the entry VM's addresses.
--- a/lab/stand/golden_test.go
+++ b/lab/stand/golden_test.go
@@ -16,8 +16,8 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 // transcript collects what engines were asked, in order and for one generation.
--- a/lab/stand/stand_test.go
+++ b/lab/stand/stand_test.go
@@ -13,7 +13,7 @@
 	"github.com/openai/openai-go/v3/option"
 	"github.com/shoenig/test/must"
 
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/standin/tokencheck"
 )
 
 // inMemory runs f on a deployment in virtual time.
--- a/lab/stand/starts.go
+++ b/lab/stand/starts.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"sync"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // starts counts the attempts that engines took in, by prompt. It stands at the
--- a/lab/stand/version_test.go
+++ b/lab/stand/version_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/operate"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // An operator applies a new version while callers keep asking and long answers
--- a/lab/standins/config.go
+++ b/lab/standins/config.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"mallowwind.dev/control/inifile"
-	"mallowwind.dev/platform/standin/host"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/standin/host"
+	"mallowwind.dev/external/vmlist"
 )
 
 // Section kinds.
--- a/lab/standins/config_test.go
+++ b/lab/standins/config_test.go
@@ -8,9 +8,9 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/inifile"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/host"
 	"mallowwind.dev/lab/standins"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/host"
 )
 
 func TestExamplesParse(t *testing.T) {
--- a/lab/standins/fields.go
+++ b/lab/standins/fields.go
@@ -9,9 +9,9 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/inifile"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/standin/host"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/standin/host"
+	"mallowwind.dev/external/vmlist"
 )
 
 var platformFields = []inifile.Field[host.Config]{
--- a/lab/world/caller.go
+++ b/lab/world/caller.go
@@ -9,7 +9,7 @@
 
 	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/standin/tokencheck"
+	"mallowwind.dev/external/standin/tokencheck"
 	"mallowwind.dev/serve/generation"
 )
 
--- a/lab/world/engine.go
+++ b/lab/world/engine.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // backend is a backend server as one entry VM reaches it.
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -14,7 +14,7 @@
 
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 	"mallowwind.dev/serve/generation"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/api/services.go
+++ b/serve/api/services.go
@@ -9,7 +9,7 @@
 
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 )
 
 // hopHeaders concern one connection only and are not passed on (RFC 9110, 7.6.1).
--- a/serve/daemon/calls.go
+++ b/serve/daemon/calls.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 	"mallowwind.dev/serve/once"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/daemon/platform.go
+++ b/serve/daemon/platform.go
@@ -7,11 +7,11 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/settings"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
-	"mallowwind.dev/platform/weights"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
+	"mallowwind.dev/external/weights"
 )
 
 // platformTimeout bounds one question to the VM list or the weight store.
--- a/serve/daemon/start.go
+++ b/serve/daemon/start.go
@@ -7,8 +7,8 @@
 
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 const (
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -15,7 +15,7 @@
 	"mallowwind.dev/decision/limit"
 	"mallowwind.dev/decision/route"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/serve/flow/hints.go
+++ b/serve/flow/hints.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 const (
--- a/serve/flow/manager_test.go
+++ b/serve/flow/manager_test.go
@@ -16,8 +16,8 @@
 	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/serve/flow"
 )
 
--- a/serve/flow/server.go
+++ b/serve/flow/server.go
@@ -9,8 +9,8 @@
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/limit"
 	"mallowwind.dev/decision/route"
-	"mallowwind.dev/platform/engine"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/engine"
+	"mallowwind.dev/external/vmlist"
 )
 
 // server is what this daemon knows of one backend server. It outlives
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -8,8 +8,8 @@
 	"mallowwind.dev/decision/resume"
 	"mallowwind.dev/decision/silence"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/engine"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/generation/attempt.go
+++ b/serve/generation/attempt.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"mallowwind.dev/control/site"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/serve/flow"
 )
 
--- a/serve/generation/copier.go
+++ b/serve/generation/copier.go
@@ -8,8 +8,8 @@
 
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/decision/lineage"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/engine"
 	"mallowwind.dev/serve/journal"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/generation/generation.go
+++ b/serve/generation/generation.go
@@ -15,7 +15,7 @@
 
 	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // Batch is a run of released tokens that follows a caller's position.
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -8,8 +8,8 @@
 
 	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/engine"
 )
 
 const (
--- a/serve/generation/locate.go
+++ b/serve/generation/locate.go
@@ -9,8 +9,8 @@
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/engine"
 	"mallowwind.dev/serve/journal"
 )
 
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -8,8 +8,8 @@
 	"mallowwind.dev/decision/lineage"
 	"mallowwind.dev/decision/resume"
 	"mallowwind.dev/decision/silence"
+	"mallowwind.dev/external/engine"
 	"mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/engine"
 )
 
 const (
--- a/serve/generation/standby.go
+++ b/serve/generation/standby.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"mallowwind.dev/decision/budget"
-	"mallowwind.dev/platform/engine"
+	"mallowwind.dev/external/engine"
 )
 
 // standby is a second engine that is made to read the answer from time to time,
--- a/serve/once/bench_test.go
+++ b/serve/once/bench_test.go
@@ -17,10 +17,10 @@
 	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/slot"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/standin/storesim"
-	"mallowwind.dev/platform/store"
 	"mallowwind.dev/telemetry/event"
 )
 
--- a/serve/once/dispatch.go
+++ b/serve/once/dispatch.go
@@ -9,8 +9,8 @@
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/plain"
 	pb "mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/plain"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/once/once.go
+++ b/serve/once/once.go
@@ -29,10 +29,10 @@
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/link"
 	pb "mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/vmlist"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/telemetry/event"
 )
--- a/serve/once/record.go
+++ b/serve/once/record.go
@@ -6,7 +6,7 @@
 
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 )
 
 // state is what is known of a key. Within one attempt it only grows.
--- a/serve/once/story_test.go
+++ b/serve/once/story_test.go
@@ -14,7 +14,7 @@
 
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 )
 
 func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
--- a/serve/once/suspects.go
+++ b/serve/once/suspects.go
@@ -7,7 +7,7 @@
 
 	"mallowwind.dev/control/membership"
 	"mallowwind.dev/decision/slot"
-	"mallowwind.dev/platform/vmlist"
+	"mallowwind.dev/external/vmlist"
 )
 
 const (
--- a/serve/once/table_test.go
+++ b/serve/once/table_test.go
@@ -10,7 +10,7 @@
 
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
-	"mallowwind.dev/platform/plain"
+	"mallowwind.dev/external/plain"
 )
 
 var (
--- a/serve/once/wire.go
+++ b/serve/once/wire.go
@@ -7,8 +7,8 @@
 
 	"mallowwind.dev/decision/slot"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/plain"
 	pb "mallowwind.dev/peer/peerpb"
-	"mallowwind.dev/platform/plain"
 )
 
 func memberToWire(m slot.Member) *pb.SlotMember {
--- a/serve/once/world_test.go
+++ b/serve/once/world_test.go
@@ -20,10 +20,10 @@
 	"mallowwind.dev/control/roster"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/plain"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/peer/link"
-	"mallowwind.dev/platform/plain"
-	"mallowwind.dev/platform/store"
-	"mallowwind.dev/platform/vmlist"
 	"mallowwind.dev/serve/flow"
 	"mallowwind.dev/telemetry/event"
 )
