--- /dev/null
+++ b/cmd/mallowwind/forward.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/platform/kv"
+	"mallowwind.dev/platform/nodefile"
+	"mallowwind.dev/platform/wire"
+	"mallowwind.dev/serve/gateway"
+	"mallowwind.dev/telemetry/event"
+)
+
+// keepAnswers is how long callers are told to keep an address answer: a daemon
+// that died is asked for no longer, and one that stops has to serve on for
+// three times as long.
+const keepAnswers = time.Second
+
+// forwardCmd forwards requests by the configuration in the platform's store.
+type forwardCmd struct {
+	Settings string `env:"MALLOWWIND_NODE_FILE" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
+	Check    bool   `help:"Check the settings and exit."`
+	LogLevel string `default:"warning" enum:"error,warning,info,debug" help:"The least level that is logged."`
+}
+
+// Run forwards until a signal ends it.
+func (c *forwardCmd) Run() error {
+	s, err := nodefile.Load(c.Settings)
+	if err != nil {
+		return usageError{err}
+	}
+	if c.Check {
+		return nil
+	}
+	logger := logrus.New()
+	logger.SetOutput(os.Stdout)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	level, err := logrus.ParseLevel(c.LogLevel)
+	if err != nil {
+		return usageError{err}
+	}
+	logger.SetLevel(level)
+	events := event.New(logger, s.VM, s.Zone)
+	o, err := gatewayOptions(s, events)
+	if err != nil {
+		return usageError{err}
+	}
+	go c.reload(events)
+	soft, hard := signals()
+	return gateway.New(o).Run(soft, hard)
+}
+
+func gatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
+	keep := min(keepAnswers, s.AddressAge)
+	o := gateway.Options{
+		Self:    routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
+		Store:   kv.New(s.Store),
+		Schema:  wire.Schema{},
+		Codec:   wire.Codec{},
+		Clock:   bootClock,
+		Log:     events,
+		KeyAge:  s.KeyAge,
+		Repeats: repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Grace:   s.DrainGrace, KeepAnswers: keep,
+		ReadyHandler: wire.ReadyHandler,
+		DirectoryHandler: func(addresses func(zone string) []string) http.Handler {
+			return wire.DirectoryHandler(func(q wire.Question) []string { return addresses(q.Zone) }, keep)
+		},
+	}
+	for _, l := range []struct {
+		listener *net.Listener
+		address  string
+	}{{&o.Callers, s.Callers}, {&o.Readiness, s.Readiness}, {&o.Directory, s.Directory}} {
+		if l.address == "" {
+			continue
+		}
+		var err error
+		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+			return o, errors.Wrap(err, "listen")
+		}
+	}
+	return o, nil
+}
+
+// reload reads the settings again at SIGHUP. Addresses and bounds hold for the
+// life of a process, so a change of them is only checked and logged.
+func (c *forwardCmd) reload(events *event.Log) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for range hup {
+		_, err := nodefile.Load(c.Settings)
+		events.Emit(event.SettingsReloaded, c.Settings, err)
+	}
+}
+
+// bootClock goes on while the machine is suspended.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // the clock exists on every Linux since 2.6.39
+	}
+	return time.Duration(t.Nano())
+}
+
--- a/cmd/mallowwind/main.go
+++ b/cmd/mallowwind/main.go
@@ -9,13 +9,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/sirupsen/logrus"
-
-	"mallowwind.dev/control/settings"
-	"mallowwind.dev/control/tlsfiles"
-	"mallowwind.dev/peer/link"
-	"mallowwind.dev/serve/daemon"
-	"mallowwind.dev/telemetry/event"
 )
 
 // Exit codes, documented in docs/settings.md.
@@ -28,12 +21,19 @@
 // version is set by the linker in released builds.
 var version = "dev"
 
+// commandLine is the whole command line. One file per command holds its struct.
 type commandLine struct {
-	Config  string           `required:"" type:"path" placeholder:"FILE" help:"The daemon's settings."`
-	Check   bool             `help:"Check the settings and exit."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
+
+	Serve   serveCmd   `cmd:"" default:"withargs" help:"Serve generations and calls by the accepted site text."`
+	Forward forwardCmd `cmd:"" help:"Forward requests by the configuration in the platform's metadata store."`
 }
 
+// usageError is an error in what the operator gave.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -43,17 +43,19 @@
 	parser := kong.Must(&c, kong.Name("mallowwind"),
 		kong.Description("Serve callers from this entry VM until SIGTERM, which drains; a second one ends at once."),
 		kong.Vars{"version": version})
-	if _, err := parser.Parse(args); err != nil {
-		return fail(exitUsage, err)
-	}
-	s, err := settings.Parse(c.Config)
+	ctx, err := parser.Parse(args)
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	if c.Check {
+	err = ctx.Run()
+	switch err.(type) {
+	case nil:
 		return exitOK
+	case usageError:
+		return fail(exitUsage, err)
+	default:
+		return fail(exitFailed, err)
 	}
-	return serve(s)
 }
 
 func fail(code int, err error) int {
@@ -61,34 +63,6 @@
 	return code
 }
 
-func serve(s *settings.Settings) int {
-	listeners, err := daemon.Listen(s)
-	if err != nil {
-		return fail(exitUsage, err)
-	}
-	platform, err := daemon.Connect(s)
-	if err != nil {
-		return fail(exitUsage, err)
-	}
-	logger := newLogger(s)
-	files, err := tlsfiles.New(s.TLS, event.New(logger, s.VM, s.Zone))
-	if err != nil {
-		return fail(exitUsage, err)
-	}
-	d := daemon.New(daemon.Options{
-		Settings: s, Platform: platform, Listeners: listeners.Secure(files), TLS: files,
-		Dialer: link.NewDialer(files.PeerClient()), Logger: logger, Version: version,
-	})
-	soft, hard := signals()
-	if err := d.Run(soft, hard); err != nil {
-		return fail(exitFailed, err)
-	}
-	if hard.Err() != nil {
-		return exitFailed
-	}
-	return exitOK
-}
-
 // signals returns a context that ends at the first SIGTERM or interrupt, which
 // drains, and one that ends at the second, which cuts what still runs.
 func signals() (soft, hard context.Context) {
@@ -104,14 +78,3 @@
 	}()
 	return soft, hard
 }
-
-func newLogger(s *settings.Settings) *logrus.Logger {
-	l := logrus.New()
-	if s.LogFormat == "json" {
-		l.SetFormatter(&logrus.JSONFormatter{})
-	}
-	if level, err := logrus.ParseLevel(s.LogLevel); err == nil {
-		l.SetLevel(level)
-	}
-	return l
-}
--- /dev/null
+++ b/control/feed/feed.go
@@ -0,0 +1,200 @@
+// Package feed keeps what a gateway believes of the world in step with the
+// platform's store: the configuration in force, the backend servers and the
+// entry VMs. It publishes immutable snapshots.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// batchPause follows a batch of changes: a zone that fails or returns
+	// changes a dozen keys within it, and each batch costs one call. It is a
+	// fortieth of the time in which a change has to be in force.
+	batchPause = 50 * time.Millisecond
+	// retryPause is the mean wait after a failed call. With the ninety daemons of
+	// the largest site it is a few hundred calls a second after an outage, under
+	// a tenth of what the store allows.
+	retryPause = 250 * time.Millisecond
+	// reregister is how long after its return the store lacks the entries whose
+	// leases ran out during an outage: their owners write them again within two
+	// seconds. The rest is what a watch takes to tell.
+	reregister = 2500 * time.Millisecond
+	// outageMin is the silence of the store after which removals may come from
+	// leases that ran out: it is shorter than the shortest lease.
+	outageMin = time.Second
+	// doubtTime is how long a server stays usable whose entry vanished around an
+	// outage. It is below the two seconds within which a server that left
+	// has to be left alone.
+	doubtTime = 1200 * time.Millisecond
+)
+
+// Schema is the layout of what others write to the store.
+type Schema interface {
+	// ConfigKey is the key of the configuration.
+	ConfigKey() string
+	DecodeConfig(raw []byte) (*routing.Config, error)
+	// ServerID returns the id of the backend server whose entry key is, if any.
+	ServerID(key string) (string, bool)
+	DecodeServer(id string, raw []byte) (routing.Server, error)
+}
+
+// Clock is monotonic and goes on while the machine is suspended.
+type Clock func() time.Duration
+
+// View is what is believed at one moment. It is immutable.
+type View struct {
+	Config *routing.Config // nil while none is known
+	// Servers are the backend servers by service, in the order of their ids.
+	Servers map[string][]routing.Server
+	// Self says where this daemon stands in VMs, the entry VMs that serve.
+	VMs []routing.VM
+}
+
+// Options configure a Manager.
+type Options struct {
+	Store  store.Store
+	Schema Schema
+	Clock  Clock
+	Log    *event.Log
+	Self   routing.VM
+}
+
+// Manager follows the store.
+type Manager struct {
+	opts      Options
+	view      atomic.Pointer[View]
+	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
+	table     *table
+	revision  int64 // where the watch goes on; 0 means that everything is read
+	reached   bool  // the last call succeeded
+	changed   chan struct{}
+}
+
+// New returns a manager; Run starts it.
+func New(o Options) *Manager {
+	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), changed: make(chan struct{}, 1)}
+	m.view.Store(&View{})
+	return m
+}
+
+// View returns the present view.
+func (m *Manager) View() *View { return m.view.Load() }
+
+// Age is how long ago the configuration in the view was certainly the newest;
+// ok is false where none was ever seen.
+func (m *Manager) Age() (age time.Duration, ok bool) {
+	at := m.confirmed.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return m.opts.Clock() - time.Duration(at), true
+}
+
+// Run follows the store until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := m.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		m.lost(err)
+		pause(ctx, retryPause/2+rand.N(retryPause))
+	}
+}
+
+func (m *Manager) follow(ctx context.Context) error {
+	if m.revision == 0 {
+		if err := m.readAll(ctx); err != nil {
+			return err
+		}
+	}
+	w, err := m.opts.Store.Watch(ctx, "", m.revision)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	for {
+		if err := m.readChanges(ctx, w); err != nil {
+			return err
+		}
+	}
+}
+
+func (m *Manager) readAll(ctx context.Context) error {
+	asked := m.opts.Clock()
+	items, revision, err := m.opts.Store.List(ctx, "")
+	if err != nil {
+		return err
+	}
+	m.regained(asked)
+	m.table.replace(asked, items)
+	m.revision = revision
+	m.publish(asked)
+	return nil
+}
+
+// readChanges waits for one batch. Its answer leaves out nothing that was
+// acknowledged before the question was sent.
+func (m *Manager) readChanges(ctx context.Context, w store.Watcher) error {
+	asked := m.opts.Clock()
+	events, err := w.Next(ctx)
+	if err != nil {
+		if errors.Is(err, store.ErrCompacted) {
+			m.revision = 0
+		}
+		return err
+	}
+	m.regained(asked)
+	m.table.change(asked, events)
+	m.revision = w.Revision()
+	m.publish(asked)
+	if len(events) > 0 {
+		pause(ctx, batchPause)
+	}
+	return nil
+}
+
+// publish swaps the view and dates the configuration.
+func (m *Manager) publish(asked time.Duration) {
+	if m.table.expire(m.opts.Clock()) || m.table.dirty {
+		m.view.Store(m.table.view())
+		m.table.dirty = false
+	}
+	if m.table.config != nil {
+		m.confirmed.Store(int64(asked))
+	}
+}
+
+func (m *Manager) lost(err error) {
+	if m.reached {
+		m.opts.Log.Emit(event.StoreLost, err)
+	}
+	m.reached = false
+}
+
+func (m *Manager) regained(asked time.Duration) {
+	if !m.reached {
+		m.opts.Log.Emit(event.StoreReached, m.revision)
+	}
+	m.reached = true
+	m.table.reached(asked, m.opts.Clock())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/feed/table.go
@@ -0,0 +1,198 @@
+package feed
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+// vmPrefix begins the keys under which entry VMs register themselves.
+const vmPrefix = "mallowwind/vm/"
+
+// table is the mutable state behind the views. It is used by one goroutine.
+type table struct {
+	schema  Schema
+	log     *event.Log
+	config  *routing.Config
+	servers map[string]routing.Server
+	vms     map[string]routing.VM
+	// doubtful holds when servers cease to be usable whose entries vanished
+	// around an outage.
+	doubtful map[string]time.Duration
+	// lastReached is when the store last answered; doubtUntil is until when a
+	// removal may come from a lease that ran out during an outage.
+	lastReached, doubtUntil time.Duration
+	dirty                   bool
+}
+
+func newTable(schema Schema, log *event.Log) *table {
+	return &table{
+		schema: schema, log: log, dirty: true,
+		servers:  map[string]routing.Server{},
+		vms:      map[string]routing.VM{},
+		doubtful: map[string]time.Duration{},
+	}
+}
+
+// reached records an answer of the store.
+func (t *table) reached(asked, now time.Duration) {
+	if t.lastReached != 0 && asked-t.lastReached > outageMin {
+		t.doubtUntil = now + reregister
+	}
+	t.lastReached = now
+}
+
+// replace takes in everything that the store holds.
+func (t *table) replace(now time.Duration, items []store.KV) {
+	present := make(map[string]bool, len(items))
+	for _, kv := range items {
+		present[kv.Key] = true
+		t.put(kv)
+	}
+	for id := range t.servers {
+		if !t.has(present, id) {
+			t.removeServer(now, id)
+		}
+	}
+	for key := range t.vms {
+		if !present[key] {
+			delete(t.vms, key)
+			t.dirty = true
+		}
+	}
+}
+
+// has reports whether a key of the server id is among the present ones.
+func (t *table) has(present map[string]bool, id string) bool {
+	for key := range present {
+		if got, ok := t.schema.ServerID(key); ok && got == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *table) change(now time.Duration, events []store.Event) {
+	for _, e := range events {
+		if e.Kind == store.Deleted {
+			t.remove(now, e.KV.Key)
+			continue
+		}
+		t.put(e.KV)
+	}
+}
+
+func (t *table) put(kv store.KV) {
+	if kv.Key == t.schema.ConfigKey() {
+		t.putConfig(kv.Value)
+		return
+	}
+	if id, ok := t.schema.ServerID(kv.Key); ok {
+		t.putServer(id, kv.Value)
+		return
+	}
+	if strings.HasPrefix(kv.Key, vmPrefix) {
+		t.putVM(kv)
+	}
+}
+
+// putConfig never goes back: an answer that was delayed must not undo a newer one.
+func (t *table) putConfig(raw []byte) {
+	c, err := t.schema.DecodeConfig(raw)
+	if err != nil {
+		t.log.Emit(event.EntryRefused, t.schema.ConfigKey(), err)
+		return
+	}
+	if t.config != nil && c.Version <= t.config.Version {
+		return
+	}
+	t.config = c
+	t.dirty = true
+	t.log.Emit(event.RoutingInForce, c.Version)
+}
+
+func (t *table) putServer(id string, raw []byte) {
+	s, err := t.schema.DecodeServer(id, raw)
+	if err != nil {
+		t.log.Emit(event.EntryRefused, id, err)
+		return
+	}
+	delete(t.doubtful, id)
+	if t.servers[id] != s {
+		t.servers[id] = s
+		t.dirty = true
+	}
+}
+
+func (t *table) putVM(kv store.KV) {
+	var vm routing.VM
+	if err := json.Unmarshal(kv.Value, &vm); err != nil {
+		t.log.Emit(event.EntryRefused, kv.Key, err)
+		return
+	}
+	if t.vms[kv.Key] != vm {
+		t.vms[kv.Key] = vm
+		t.dirty = true
+	}
+}
+
+func (t *table) remove(now time.Duration, key string) {
+	if id, ok := t.schema.ServerID(key); ok {
+		t.removeServer(now, id)
+		return
+	}
+	if _, ok := t.vms[key]; ok {
+		delete(t.vms, key)
+		t.dirty = true
+	}
+}
+
+// removeServer drops a server, or keeps it for a while where the store was
+// away: its lease may have run out although it lives. Without that, a daemon
+// that reaches the store first after an outage has nowhere to send requests.
+func (t *table) removeServer(now time.Duration, id string) {
+	s, ok := t.servers[id]
+	if !ok {
+		return
+	}
+	if now < t.doubtUntil && !s.Leaving {
+		if _, kept := t.doubtful[id]; !kept {
+			t.doubtful[id] = now + doubtTime
+		}
+		return
+	}
+	delete(t.servers, id)
+	delete(t.doubtful, id)
+	t.dirty = true
+}
+
+// expire drops the servers whose time in doubt is over.
+func (t *table) expire(now time.Duration) bool {
+	gone := false
+	for id, until := range t.doubtful {
+		if now >= until {
+			delete(t.servers, id)
+			delete(t.doubtful, id)
+			gone = true
+		}
+	}
+	return gone
+}
+
+func (t *table) view() *View {
+	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
+	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
+		s := t.servers[id]
+		v.Servers[s.Service] = append(v.Servers[s.Service], s)
+	}
+	for _, key := range slices.Sorted(maps.Keys(t.vms)) {
+		v.VMs = append(v.VMs, t.vms[key])
+	}
+	return v
+}
--- a/control/inforce/inforce_test.go
+++ b/control/inforce/inforce_test.go
@@ -92,7 +92,8 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
-func (deafWatch) Close() error { return nil }
+func (deafWatch) Revision() int64 { return 0 }
+func (deafWatch) Close() error    { return nil }
 
 func (deafStore) Watch(context.Context, string, int64) (store.Watcher, error) {
 	return deafWatch{}, nil
--- /dev/null
+++ b/control/routing/routing.go
@@ -0,0 +1,191 @@
+// Package routing holds the configuration by which requests are forwarded
+// without being understood: routes by host and path prefix, the services they
+// lead to, client accounts and the limits on callers. A Config is immutable and
+// swapped whole.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated on a route.
+type Kind uint8
+
+const (
+	// AtMostOnce is the zero value, so that a kind nobody knows is never repeated.
+	AtMostOnce Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Stream answers are a series of events with increasing ids.
+	Stream
+)
+
+// String returns the lower-case name used in logs.
+func (k Kind) String() string {
+	return [...]string{"at_most_once", "idempotent", "stream"}[k]
+}
+
+// Route leads the requests of one host and path prefix to a service.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer, or the first event of a
+	// stream, has its full worth.
+	Objective time.Duration
+	// GapTarget is the longest pause between events of a stream.
+	GapTarget time.Duration
+	// Attempts bounds the backend servers that may run one request.
+	Attempts int
+	// Priority ranks routes; 0 is the most urgent.
+	Priority int
+	// Public routes need no account key.
+	Public bool
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+	// Prompted requests carry prompts for a model engine.
+	Prompted bool
+	Targets  []Target
+}
+
+// Target is one service of a route with its share of the requests.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a set of equal backend servers.
+type Service struct {
+	Name string
+	// MaxConns is how many connections a backend server accepts from all callers.
+	MaxConns int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots int // requests processed at once
+	// CacheTokens is the memory for prompts and answers.
+	CacheTokens int
+	// Copies says that an engine can send the memory of a run to another while it grows.
+	Copies bool
+}
+
+// Limits bound what a caller may send and how long it may take. Zero fields
+// set no bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Account is a client account.
+type Account struct {
+	Name string
+	// Priority takes precedence over a route's; negative means none.
+	Priority int
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  int64
+	Limits   Limits
+	services map[string]*Service
+	routes   map[string][]*Route // by host, longest prefix first
+	accounts map[string]*Account // by key
+}
+
+// New returns a configuration. It takes over its arguments. accounts is by key;
+// a nil map means that no route asks for one.
+func New(version int64, limits Limits, services []*Service, routes []*Route, accounts map[string]*Account) *Config {
+	c := &Config{
+		Version: version, Limits: limits, accounts: accounts,
+		services: make(map[string]*Service, len(services)),
+		routes:   make(map[string][]*Route),
+	}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.routes[host] = append(c.routes[host], r)
+	}
+	for _, list := range c.routes {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return c
+}
+
+// Match returns the route of host with the longest prefix of path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.routes[hostOnly(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// hostOnly drops a port and the case of a Host header.
+func hostOnly(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// NeedsKey reports whether requests on r must name an account.
+func (c *Config) NeedsKey(r *Route) bool { return c.accounts != nil && !r.Public }
+
+// Account returns the account that holds key, or nil.
+func (c *Config) Account(key string) *Account { return c.accounts[key] }
+
+// Service returns the named service, or nil.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Target picks a service of r; draw is in [0, 1).
+func (r *Route) Target(draw float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	at := draw * total
+	for _, t := range r.Targets {
+		if at -= max(t.Weight, 0); at < 0 {
+			return t.Service
+		}
+	}
+	if len(r.Targets) == 0 {
+		return ""
+	}
+	return r.Targets[0].Service
+}
+
+// Server is one backend server as it registered itself. Each start has an id
+// of its own; an address may be used again by another.
+type Server struct {
+	ID      string
+	Service string
+	Address string // IP:port
+	Zone    string
+	Slots   int
+	// Leaving says that it takes no new work.
+	Leaving bool
+}
+
+// VM is one entry VM as it registered itself.
+type VM struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // for callers
+	Peer    string `json:"peer"`    // for other entry VMs
+	Leaving bool   `json:"leaving,omitempty"`
+}
--- a/external/store/etcdwatch.go
+++ b/external/store/etcdwatch.go
@@ -202,6 +202,9 @@
 	return Event{Kind: Put, KV: e.KV.kv()}
 }
 
+// Revision implements Watcher.
+func (w *etcdWatcher) Revision() int64 { return w.seen }
+
 // Close implements Watcher.
 func (w *etcdWatcher) Close() error {
 	w.end()
--- a/external/store/memory.go
+++ b/external/store/memory.go
@@ -301,6 +301,9 @@
 	return events, nil
 }
 
+// Revision implements Watcher.
+func (w *memoryWatcher) Revision() int64 { return w.seen }
+
 // Close implements Watcher.
 func (w *memoryWatcher) Close() error {
 	w.store.mu.Lock()
--- a/external/store/store.go
+++ b/external/store/store.go
@@ -65,9 +65,13 @@
 
 // Watcher delivers changes in revision order.
 type Watcher interface {
-	// Next waits for the next batch. It returns ErrCompacted, ErrUnavailable or
-	// the context's error; after an error the watcher is dead.
+	// Next waits for the next batch, which may be empty: nothing has changed
+	// then. It returns ErrCompacted, ErrUnavailable or the context's error; after
+	// an error the watcher is dead.
 	Next(ctx context.Context) ([]Event, error)
+	// Revision is the store revision up to which changes were delivered, where a
+	// new watch goes on.
+	Revision() int64
 	// Close releases the call that the service counts.
 	Close() error
 }
--- /dev/null
+++ b/serve/forward/codec.go
@@ -0,0 +1,63 @@
+// Package forward passes callers' requests on to backend servers without
+// understanding them, and brings back each answer whole and once. It knows
+// routes, kinds and verdicts; how a request carries its id, deadline or account
+// on the wire is the business of a Codec.
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"mallowwind.dev/control/routing"
+)
+
+// Call is what a caller's request says of itself.
+type Call struct {
+	// ID names this attempt of the caller; answers echo it.
+	ID string
+	// Wait is how long the caller waits; 0 if it does not say.
+	Wait time.Duration
+	// Key is the account key; "" if there is none.
+	Key string
+	// After is the id of the last event that the caller holds; 0 at the start.
+	After int64
+}
+
+// Errand is what the daemon adds to a request that it passes on.
+type Errand struct {
+	ID     string
+	Server routing.Server
+	// Left is how long the answer is still of use.
+	Left time.Duration
+	// Account is the name of the caller's account; "" on public routes.
+	Account string
+	// CopyTo is the server to which the memory of the run is sent while it grows.
+	CopyTo string
+	// CopyAt is the server that holds such a copy, from which the run goes on.
+	CopyAt string
+	// After is the id of the last event released to the caller.
+	After int64
+}
+
+// Reply is what an answer says of itself.
+type Reply struct {
+	// ID is the echo of the request's; "" if there is none.
+	ID string
+	// NotRun is the server's word that it did not run the request.
+	NotRun bool
+	// Proven answers carry the proof that a server made them.
+	Proven bool
+	// Instance is the id of the server that answered, where it says so.
+	Instance string
+}
+
+// Codec translates between HTTP messages and what they mean here.
+type Codec interface {
+	Call(h http.Header) (Call, error)
+	// Outgoing turns the headers of a caller into those of a request to a server.
+	Outgoing(h http.Header, e Errand) http.Header
+	Reply(status int, h http.Header) Reply
+	// Probe returns the path at which a server answers while it lives, without
+	// taking a slot.
+	Probe() string
+}
--- /dev/null
+++ b/serve/forward/handler.go
@@ -0,0 +1,273 @@
+package forward
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// keyMargin is kept below the age after which a removed key must not work any
+	// more, for the clocks that count it do not run quite alike.
+	keyMargin = 300 * time.Millisecond
+	// unknownRetry is when a caller comes back to a daemon that has no
+	// configuration: about what reading it takes.
+	unknownRetry = 300 * time.Millisecond
+	// busyRetry is when a caller comes back that found no server: a server that
+	// was lost is replaced within about a second.
+	busyRetry = 500 * time.Millisecond
+	// leavingRetry is when a caller comes back that this daemon turned away while
+	// stopping: at once, at another address.
+	leavingRetry = 50 * time.Millisecond
+)
+
+// Options configure a Handler.
+type Options struct {
+	Feed  *feed.Manager
+	Codec Codec
+	Log   *event.Log
+	Self  routing.VM
+	// KeyAge is how old the configuration may be for an account key to be trusted.
+	KeyAge time.Duration
+	// Repeats bounds the sends beyond the first of the whole fleet.
+	Repeats repeats.Rule
+}
+
+// Handler forwards requests.
+type Handler struct {
+	opts      Options
+	transport http.RoundTripper
+	pool      *pool
+	running   atomic.Int64
+	// streamsEnd is set while the daemon stops: streams that begin later would be cut.
+	refuseStreams atomic.Bool
+	leaving       atomic.Bool
+}
+
+// New returns a handler.
+func New(o Options) *Handler {
+	return &Handler{opts: o, transport: newTransport(), pool: newPool(o.Self, o.Repeats)}
+}
+
+// Running is the number of requests in progress.
+func (h *Handler) Running() int { return int(h.running.Load()) }
+
+// Leave makes every answer end its connection, so that callers go elsewhere.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// RefuseStreams turns new streams away: they would outlast the process.
+func (h *Handler) RefuseStreams() { h.refuseStreams.Store(true) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	if h.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	view := h.opts.Feed.View()
+	in, err := h.accept(w, r, view)
+	if err != nil {
+		h.refuse(w, in, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), in.until)
+	defer cancel()
+	service := in.route.Target(rand.Float64())
+	h.pool.request(in.arrived, service)
+	if in.route.Kind == routing.Stream {
+		err = h.stream(ctx, w, in, service)
+	} else {
+		err = h.plain(ctx, w, in, service)
+	}
+	if err == nil || r.Context().Err() != nil {
+		return
+	}
+	h.refuse(w, in, err)
+}
+
+// accept reads a request and checks that it may be forwarded.
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, view *feed.View) (*inbound, error) {
+	in := &inbound{
+		method: r.Method, host: r.Host, target: target(r), header: endToEnd(r.Header), arrived: time.Now(),
+	}
+	age, known := h.opts.Feed.Age()
+	if !known || view.Config == nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeUnconfigured, "no configuration is known yet").After(unknownRetry)
+	}
+	call, err := h.opts.Codec.Call(r.Header)
+	if err != nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%v", err)
+	}
+	in.call = call
+	path, _, _ := strings.Cut(in.target, "?")
+	if in.route = view.Config.Match(r.Host, path); in.route == nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+	}
+	if err := h.authorize(in, view.Config, age); err != nil {
+		return in, err
+	}
+	in.until = in.arrived.Add(patience(in))
+	if in.route.Kind == routing.Stream && h.refuseStreams.Load() {
+		return in, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").After(leavingRetry)
+	}
+	return in, h.readBody(w, r, in, view.Config.Limits.BodyBytes)
+}
+
+// authorize finds the caller's account. A key that was taken away must not work
+// longer than KeyAge, also where the store cannot be reached: the daemon then
+// refuses rather than trust what it last knew.
+func (h *Handler) authorize(in *inbound, config *routing.Config, age time.Duration) error {
+	if !config.NeedsKey(in.route) {
+		return nil
+	}
+	if age > h.opts.KeyAge-keyMargin {
+		return verdict.New(verdict.NotRun, verdict.CodeUnconfigured,
+			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(unknownRetry)
+	}
+	in.account = config.Account(in.call.Key)
+	if in.account == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown account key")
+	}
+	return nil
+}
+
+// patience is how long the answer is of use.
+func patience(in *inbound) time.Duration {
+	wait := in.route.Timeout
+	if in.call.Wait > 0 && (wait <= 0 || in.call.Wait < wait) {
+		wait = in.call.Wait
+	}
+	if wait <= 0 {
+		wait = defaultPatience
+	}
+	return wait
+}
+
+// defaultPatience holds where neither caller nor route sets a timeout.
+const defaultPatience = 30 * time.Second
+
+// readBody reads the whole body, so that it can be sent again.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, in *inbound, limit int64) error {
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
+		in.body = make([]byte, 0, r.ContentLength)
+	}
+	var err error
+	in.body, err = readAll(in.body, body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return verdict.New(verdict.NotRun, verdict.CodeBodyTooLarge, "more than %d bytes", limit)
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body is incomplete").Because(err)
+	}
+	return nil
+}
+
+// readAll is io.ReadAll into a buffer that may have the right size already.
+func readAll(buf []byte, r io.Reader) ([]byte, error) {
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err == io.EOF {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+	}
+}
+
+// target is the path and query as the caller wrote them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// statusOf maps refusals to statuses. Those that promise that nothing ran are
+// used only with verdict not_run.
+func statusOf(e *verdict.Error) int {
+	switch e.Code {
+	case verdict.CodeBadRequest:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeUnknownService:
+		return http.StatusNotFound
+	case verdict.CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CodeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if e.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// refusal is the body of an answer that the daemon gives itself.
+type refusal struct {
+	Verdict string `json:"verdict"`
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// refuse answers for the daemon and logs why.
+func (h *Handler) refuse(w http.ResponseWriter, in *inbound, err error) {
+	if errors.Is(err, errCut) {
+		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
+	}
+	e := verdict.Of(err)
+	status := statusOf(e)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := math.Ceil(e.RetryAfter.Seconds()*100) / 100
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	w.WriteHeader(status)
+	// The caller may have left; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.routeName(), status, e.Code, e.Error(), time.Since(in.arrived))
+}
+
+func (in *inbound) routeName() string {
+	if in.route == nil {
+		return ""
+	}
+	return in.route.Name
+}
+
+func (in *inbound) accountName() string {
+	if in.account == nil {
+		return ""
+	}
+	return in.account.Name
+}
+
+// errCut ends an answer that has begun and cannot be finished.
+var errCut = errors.New("forward: answer cut")
--- /dev/null
+++ b/serve/forward/plain.go
@@ -0,0 +1,281 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// hedgeShare is the part of a route's objective after which an idempotent
+	// request that has no answer is sent to a second server as well. What is left
+	// is enough for the second to answer within the objective.
+	hedgeShare = 0.6
+	// maxRejected bounds the servers that may turn one request away before the
+	// caller hears of it: beyond it the service is full, not one server.
+	maxRejected = 3
+	// bufferedAnswer is how much of an answer is read before any of it is passed
+	// on, so that one which breaks off can be asked for again.
+	bufferedAnswer = 256 << 10
+)
+
+// outcome is what came of one exchange.
+type outcome struct {
+	choice choice
+	err    error // without a whole, proven answer
+	// notRun says that the request did not run there and will not.
+	notRun bool
+	// rejected says that the server itself turned the request away.
+	rejected bool
+	status   int
+	header   http.Header
+	body     []byte
+	rest     io.ReadCloser // what follows body, nil if that is all
+}
+
+// answered reports whether the server gave an answer that can be passed on.
+func (o *outcome) answered() bool { return o.err == nil && !o.notRun }
+
+// good reports whether no other server could do better.
+func (o *outcome) good() bool { return o.answered() && o.status < http.StatusInternalServerError }
+
+// exchanges runs the sends of one request; results arrive in the order they end.
+type exchanges struct {
+	h       *Handler
+	in      *inbound
+	service string
+	results chan *outcome
+	pending int
+	// sent counts sends that may have run, sends all that reached a server.
+	sent, sends, rejected int
+	tried                 []string
+}
+
+// plain forwards a request whose answer is passed on whole.
+func (h *Handler) plain(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the sends that lost
+	x := &exchanges{h: h, in: in, service: service, results: make(chan *outcome, 8)}
+	last, err := x.run(ctx)
+	if err != nil {
+		return err
+	}
+	return h.passOn(w, in, last)
+}
+
+// run sends until one answer is good or nothing more may be tried. It returns
+// the answer to pass on.
+func (x *exchanges) run(ctx context.Context) (*outcome, error) {
+	if !x.start(ctx) {
+		return nil, x.none()
+	}
+	hedge := time.NewTimer(x.hedgeAfter())
+	defer hedge.Stop()
+	var best *outcome
+	for {
+		select {
+		case o := <-x.results:
+			x.pending--
+			x.note(o)
+			if o.good() {
+				return o, nil
+			}
+			if o.answered() {
+				best = o
+			}
+			if x.again(o) && x.start(ctx) {
+				continue
+			}
+			if x.pending == 0 {
+				return x.conclude(best, o)
+			}
+		case <-hedge.C:
+			if x.in.route.Kind == routing.Idempotent && x.sent < x.in.route.Attempts {
+				x.start(ctx)
+			}
+		case <-ctx.Done():
+			return nil, x.expired(ctx)
+		}
+	}
+}
+
+// hedgeAfter is an hour for requests that are sent once only.
+func (x *exchanges) hedgeAfter() time.Duration {
+	if x.in.route.Kind != routing.Idempotent || x.in.route.Objective <= 0 {
+		return time.Hour
+	}
+	return time.Duration(hedgeShare * float64(x.in.route.Objective))
+}
+
+// start sends the request to one more server, if there is one and the budget
+// affords it.
+func (x *exchanges) start(ctx context.Context) bool {
+	now := time.Now()
+	c, ok := x.h.pool.plain(now, x.h.opts.Feed.View(), x.service, x.tried)
+	if !ok {
+		return false
+	}
+	if x.sends > 0 && !x.h.pool.repeat(now, x.service) {
+		x.h.pool.release(c)
+		return false
+	}
+	x.tried = append(x.tried, c.server.ID)
+	x.sends++
+	x.sent++
+	x.pending++
+	go func() {
+		o := x.h.exchange(ctx, x.in, c)
+		x.h.pool.release(c)
+		x.results <- o
+	}()
+	return true
+}
+
+// note takes back what an exchange that did not run was counted for.
+func (x *exchanges) note(o *outcome) {
+	if o.notRun {
+		x.sent--
+		if !o.rejected {
+			x.sends-- // no byte reached a server
+		}
+	}
+	if o.rejected {
+		x.rejected++
+	}
+}
+
+// again reports whether another server may be tried after o.
+func (x *exchanges) again(o *outcome) bool {
+	if o.notRun {
+		return x.rejected < maxRejected && len(x.tried) < 2*maxRejected
+	}
+	return x.in.route.Kind == routing.Idempotent && x.sent < x.in.route.Attempts
+}
+
+// conclude is the answer when nothing more can be tried.
+func (x *exchanges) conclude(best, last *outcome) (*outcome, error) {
+	if best != nil {
+		return best, nil
+	}
+	if x.sent == 0 {
+		return nil, x.none()
+	}
+	return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server gave no whole answer").Because(last.err)
+}
+
+// none says that the request ran nowhere.
+func (x *exchanges) none() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "no backend server takes the request").After(busyRetry)
+}
+
+func (x *exchanges) expired(ctx context.Context) error {
+	if x.sent == 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "no backend server took the request in time")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeDeadline, "no answer in time").Because(ctx.Err())
+}
+
+// exchange sends the request to one server and reads the answer.
+func (h *Handler) exchange(ctx context.Context, in *inbound, c choice) *outcome {
+	o := &outcome{choice: c}
+	started := time.Now()
+	defer func() { h.logExchange(ctx, in, o, time.Since(started)) }()
+	resp, reply, err := h.send(ctx, in, Errand{
+		ID: in.call.ID, Server: c.server, Left: time.Until(in.until), Account: in.accountName(), After: in.call.After,
+	})
+	if err != nil {
+		o.err, o.notRun = err, errors.Is(err, errNotSent)
+		h.blame(ctx, c, err)
+		return o
+	}
+	o.status, o.header = resp.StatusCode, resp.Header
+	o.notRun, o.rejected = reply.NotRun, reply.NotRun
+	o.body, o.rest, o.err = readAnswer(resp)
+	if o.err == nil && resp.StatusCode < http.StatusMultipleChoices && !reply.Proven {
+		o.err = errors.New("a success without proof")
+	}
+	if o.err != nil {
+		h.blame(ctx, c, o.err)
+	}
+	return o
+}
+
+// blame makes a server suspect unless the exchange was ended from here.
+func (h *Handler) blame(ctx context.Context, c choice, err error) {
+	if ctx.Err() == nil {
+		h.pool.failed(time.Now(), c.server.ID)
+	}
+}
+
+// readAnswer reads an answer to its end, or its beginning if it is long.
+func readAnswer(resp *http.Response) ([]byte, io.ReadCloser, error) {
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(min(resp.ContentLength, bufferedAnswer)))
+	}
+	n, err := io.CopyN(&buf, resp.Body, bufferedAnswer)
+	if err == nil && n == bufferedAnswer {
+		return buf.Bytes(), resp.Body, nil
+	}
+	resp.Body.Close()
+	if err == io.EOF {
+		err = nil
+	}
+	return buf.Bytes(), nil, err
+}
+
+// promises are the statuses by which a server must not speak for the system:
+// each says that the request has not run, which only a server's own word shows.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// passOn gives the caller a server's answer.
+func (h *Handler) passOn(w http.ResponseWriter, in *inbound, o *outcome) error {
+	if promises[o.status] {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server answered %d and may have run the request", o.status)
+	}
+	copyHeader(w.Header(), o.header)
+	if o.rest == nil {
+		w.Header()["Content-Length"] = []string{itoa(len(o.body))}
+	} else if length := o.header["Content-Length"]; length != nil {
+		w.Header()["Content-Length"] = length
+	}
+	w.WriteHeader(o.status)
+	if _, err := w.Write(o.body); err != nil {
+		return errors.Wrapf(errCut, "%v", err)
+	}
+	if o.rest == nil {
+		return nil
+	}
+	defer o.rest.Close()
+	if _, err := io.Copy(w, o.rest); err != nil {
+		return errors.Wrapf(errCut, "%v", err)
+	}
+	return nil
+}
+
+// copyHeader gives the caller the server's headers but for those that concern
+// the server's connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range endToEnd(from) {
+		if name != "Content-Length" {
+			to[name] = values
+		}
+	}
+}
+
+func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
+	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, o.choice.server.ID, o.choice.reason, o.status, o.notRun, took, o.err)
+}
--- /dev/null
+++ b/serve/forward/pool.go
@@ -0,0 +1,320 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/route"
+)
+
+// suspicion is how long a server that failed is a last resort. A server that
+// crashed returns under another id; one behind a link that loses packets
+// is as good as before in a moment.
+const suspicion = 2 * time.Second
+
+// defaultSlots holds for servers that do not say how many requests they run.
+const defaultSlots = 16
+
+// load is what this daemon does at one server.
+type load struct {
+	plain        route.Load
+	reading      int
+	running      int
+	copies       int
+	suspectUntil time.Time
+}
+
+// layout is one service's servers in one view.
+type layout struct {
+	servers []routing.Server
+	loads   []*load
+	home    []bool
+	table   *route.Table
+	index   map[string]int
+}
+
+// pool knows the servers and this daemon's work at each.
+type pool struct {
+	mu      sync.Mutex
+	self    routing.VM
+	rule    repeats.Rule
+	view    *feed.View
+	layouts map[string]*layout
+	loads   map[string]*load
+	budgets map[string]*repeats.Budget
+}
+
+func newPool(self routing.VM, rule repeats.Rule) *pool {
+	return &pool{
+		self: self, rule: rule, layouts: map[string]*layout{},
+		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
+	}
+}
+
+// follow builds the layouts of a new view. It is called under the lock.
+func (p *pool) follow(view *feed.View) {
+	if p.view == view {
+		return
+	}
+	p.view = view
+	p.layouts = make(map[string]*layout, len(view.Servers))
+	used := make(map[string]*load, len(p.loads))
+	for service, servers := range view.Servers {
+		p.layouts[service] = p.layout(servers, used)
+	}
+	p.loads = used
+}
+
+func (p *pool) layout(servers []routing.Server, used map[string]*load) *layout {
+	l := &layout{index: map[string]int{}}
+	var candidates []route.Candidate
+	for _, s := range servers {
+		one := p.loads[s.ID]
+		if one == nil {
+			one = &load{}
+		}
+		used[s.ID] = one
+		if s.Leaving {
+			continue
+		}
+		l.index[s.ID] = len(l.servers)
+		l.servers = append(l.servers, s)
+		l.loads = append(l.loads, one)
+		candidates = append(candidates, route.Candidate{
+			ID: s.ID, Hash: xxhash.Sum64String(s.ID), Rank: p.rank(s), Load: &one.plain,
+		})
+	}
+	l.table = route.NewTable(candidates)
+	l.home = p.homes(l.servers)
+	return l
+}
+
+func (p *pool) rank(s routing.Server) route.Rank {
+	if s.Zone == p.self.Zone {
+		return route.SameZone
+	}
+	return route.SameRegion
+}
+
+// homes marks this daemon's window of each zone's servers.
+func (p *pool) homes(servers []routing.Server) []bool {
+	self := xxhash.Sum64String(p.self.ID)
+	daemons := []uint64{self}
+	for _, vm := range p.view.VMs {
+		if vm.ID != p.self.ID && !vm.Leaving {
+			daemons = append(daemons, xxhash.Sum64String(vm.ID))
+		}
+	}
+	zones := map[string][]int{}
+	for i, s := range servers {
+		zones[s.Zone] = append(zones[s.Zone], i)
+	}
+	home := make([]bool, len(servers))
+	for _, members := range zones {
+		hashes := make([]uint64, len(members))
+		for k, i := range members {
+			hashes[k] = xxhash.Sum64String(servers[i].Address)
+		}
+		size := (len(members) + len(daemons) - 1) / len(daemons)
+		for _, k := range route.Subset(self, daemons, hashes, size) {
+			home[members[k]] = true
+		}
+	}
+	return home
+}
+
+// daemons is how many entry VMs share the fleet's budgets.
+func (p *pool) daemons() int {
+	if p.view == nil {
+		return 1
+	}
+	return max(1, len(p.view.VMs))
+}
+
+func (p *pool) budget(service string) *repeats.Budget {
+	b, ok := p.budgets[service]
+	if !ok {
+		b = repeats.New(p.rule)
+		p.budgets[service] = b
+	}
+	return b
+}
+
+// request counts a caller's request to a service.
+func (p *pool) request(now time.Time, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(service).Request(now)
+}
+
+// repeat asks for one more send of a request.
+func (p *pool) repeat(now time.Time, service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(service).Repeat(now, p.daemons())
+}
+
+// choice is a server with the reason it was chosen for.
+type choice struct {
+	server routing.Server
+	load   *load
+	reason string
+}
+
+// plain chooses a server for a request that is no prompt.
+func (p *pool) plain(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	l := p.layouts[service]
+	if l == nil {
+		return choice{}, false
+	}
+	for i, one := range l.loads {
+		one.plain.Limit = int32(l.servers[i].Slots)
+		if l.servers[i].Slots <= 0 {
+			one.plain.Limit = defaultSlots
+		}
+		if now.Before(one.suspectUntil) {
+			one.plain.Limit = 0
+		}
+	}
+	r := l.table.Pick(&route.Query{Exclude: exclude, Random: rand.Uint64()})
+	if r.Index < 0 {
+		return p.lastResort(l, exclude)
+	}
+	i := l.index[l.table.At(r.Index).ID]
+	return p.take(l, i, string(r.Reason)), true
+}
+
+// lastResort is any server that is not excluded: all are suspect or full, and a
+// server that is sends the request back itself.
+func (p *pool) lastResort(l *layout, exclude []string) (choice, bool) {
+	best := -1
+	for i, s := range l.servers {
+		if !contains(exclude, s.ID) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return choice{}, false
+	}
+	return p.take(l, best, "last_resort"), true
+}
+
+func (p *pool) take(l *layout, i int, reason string) choice {
+	l.loads[i].plain.InFlight++
+	return choice{server: l.servers[i], load: l.loads[i], reason: reason}
+}
+
+func (p *pool) release(c choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.load.plain.InFlight--
+}
+
+// failed makes a server a last resort for a while.
+func (p *pool) failed(now time.Time, id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if one := p.loads[id]; one != nil {
+		one.suspectUntil = now.Add(suspicion)
+	}
+}
+
+// suspect reports whether a server failed a moment ago.
+func (p *pool) suspect(now time.Time, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.loads[id]
+	return one != nil && now.Before(one.suspectUntil)
+}
+
+func (p *pool) engines(now time.Time, l *layout, exclude []string) []prompts.Engine {
+	engines := make([]prompts.Engine, len(l.servers))
+	for i, s := range l.servers {
+		one := l.loads[i]
+		engines[i] = prompts.Engine{
+			Zone: s.Zone, Home: l.home[i], Reading: one.reading, Running: one.running, Copies: one.copies,
+			Suspect: now.Before(one.suspectUntil), Excluded: contains(exclude, s.ID),
+		}
+	}
+	return engines
+}
+
+// prompt chooses the engine that reads a prompt.
+func (p *pool) prompt(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	l := p.layouts[service]
+	if l == nil {
+		return choice{}, false
+	}
+	c := prompts.Read(p.engines(now, l, exclude), rand.Uint64())
+	if c.Index < 0 {
+		return choice{}, false
+	}
+	return choice{server: l.servers[c.Index], load: l.loads[c.Index], reason: string(c.Reason)}, true
+}
+
+// copyPlace chooses the engine that keeps a copy of a run at another.
+func (p *pool) copyPlace(now time.Time, view *feed.View, at routing.Server, exclude []string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	l := p.layouts[at.Service]
+	if l == nil {
+		return choice{}, false
+	}
+	i := prompts.Copy(p.engines(now, l, append(exclude, at.ID)), at.Zone, rand.Uint64())
+	if i < 0 {
+		return choice{}, false
+	}
+	return choice{server: l.servers[i], load: l.loads[i]}, true
+}
+
+// at returns the server that has an address now.
+func (p *pool) at(view *feed.View, service, address string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	l := p.layouts[service]
+	if l == nil {
+		return choice{}, false
+	}
+	for i, s := range l.servers {
+		if s.Address == address {
+			return choice{server: s, load: l.loads[i], reason: "holds_copy"}, true
+		}
+	}
+	return choice{}, false
+}
+
+// count changes this daemon's work at a server.
+func (p *pool) count(c choice, reading, running, copies int) {
+	if c.load == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.load.reading += reading
+	c.load.running += running
+	c.load.copies += copies
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/serve/forward/stream.go
@@ -0,0 +1,367 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// probeEvery is how often a server is asked for a sign of life while a stream
+	// waits for its first event, which a prompt may delay by seconds.
+	probeEvery = 400 * time.Millisecond
+	// probeTimeout is many times a round trip; a server answers a probe without
+	// a slot.
+	probeTimeout = 200 * time.Millisecond
+	// deadProbes is how many probes in a row fail at a server that is dead. One
+	// may be a lost packet.
+	deadProbes = 2
+	// silenceWithCopy is how long a stream whose run has a copy may be silent:
+	// events come every 30 to 60 ms, and up to 230 ms while the engine reads a
+	// prompt between its steps. Going on from a copy takes about 100 ms, which
+	// leaves half of a target of 700 ms.
+	silenceWithCopy = 350 * time.Millisecond
+	// silenceAlone holds without a copy, where going on costs the reading of the
+	// whole prompt: the answer is late then in any case.
+	silenceAlone = 1500 * time.Millisecond
+	// maxStarts bounds the sends of one stream that ran nowhere.
+	maxStarts = 8
+)
+
+// relay is one answer that is passed on event by event.
+type relay struct {
+	h       *Handler
+	in      *inbound
+	service string
+	w       http.ResponseWriter
+	began   bool  // headers and an event were released
+	after   int64 // id of the last event released
+	// held is where a copy of the present run lies; its server is zero if nowhere.
+	held   choice
+	runs   int // servers that may have run it
+	starts int
+	sends  int
+	failed []string
+	since  time.Time // of the last event released, or of the start
+}
+
+// leg is the part of an answer that one server makes.
+type leg struct {
+	at     choice
+	copyTo choice
+	from   string // where the copy lies that it goes on from
+}
+
+// verdicts of a leg.
+type legEnd uint8
+
+const (
+	legWhole   legEnd = iota // the answer is complete
+	legNotRun                // the server did not run it
+	legBroken                // it may go on elsewhere
+	legAnswer                // the server's answer is no stream: it was passed on
+	legAborted               // nothing more can be done
+)
+
+// stream forwards a request whose answer is a series of events.
+func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
+	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
+	for {
+		l, ok := r.next()
+		if !ok {
+			return r.giveUp(verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(busyRetry))
+		}
+		end, err := r.run(ctx, l)
+		r.log(l, end, err)
+		switch end {
+		case legWhole, legAnswer:
+			return err
+		case legAborted:
+			return r.giveUp(err)
+		case legBroken:
+			if !r.mayGoOn() {
+				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").Because(err))
+			}
+		}
+	}
+}
+
+// verdict says whether the request may have run.
+func (r *relay) verdict() verdict.Verdict {
+	if r.runs > 0 {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// giveUp ends the answer; one that has begun is cut.
+func (r *relay) giveUp(err error) error {
+	if r.began {
+		return errors.Wrapf(errCut, "%v", err)
+	}
+	return err
+}
+
+// mayGoOn reports whether a run that broke off may be followed by another.
+func (r *relay) mayGoOn() bool {
+	return r.in.route.Resumable && r.runs < r.in.route.Attempts
+}
+
+// next chooses the server of the next leg: the one with a copy of the run
+// before, or one that reads the prompt.
+func (r *relay) next() (leg, bool) {
+	now := time.Now()
+	if r.starts >= maxStarts || r.sends > 0 && !r.h.pool.repeat(now, r.service) {
+		return leg{}, false
+	}
+	r.starts++
+	view := r.h.opts.Feed.View()
+	if held := r.held; held.load != nil {
+		r.held = choice{}
+		// The server may have restarted under its address; the present one is meant.
+		if c, ok := r.h.pool.at(view, r.service, held.server.Address); ok && !contains(r.failed, c.server.ID) {
+			return r.withCopy(leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), true
+		}
+	}
+	c, ok := r.h.pool.prompt(now, view, r.service, r.failed)
+	if !ok {
+		return leg{}, false
+	}
+	return r.withCopy(leg{at: c}), true
+}
+
+// withCopy adds the place of a copy where engines can keep one.
+func (r *relay) withCopy(l leg) leg {
+	view := r.h.opts.Feed.View()
+	s := view.Config.Service(r.service)
+	if s == nil || s.Engine == nil || !s.Engine.Copies || !r.in.route.Resumable {
+		return l
+	}
+	if c, ok := r.h.pool.copyPlace(time.Now(), view, l.at.server, r.failed); ok {
+		l.copyTo = c
+	}
+	return l
+}
+
+// run makes one leg.
+func (r *relay) run(ctx context.Context, l leg) (legEnd, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // the server drops a run whose connection closes
+	r.h.pool.count(l.at, 1, 0, 0)
+	r.h.pool.count(l.copyTo, 0, 0, 1)
+	probing, stopProbing := context.WithCancel(ctx)
+	defer stopProbing()
+	reading := true
+	defer func() {
+		r.h.pool.count(l.copyTo, 0, 0, -1)
+		if reading {
+			r.h.pool.count(l.at, -1, 0, 0)
+		} else {
+			r.h.pool.count(l.at, 0, -1, 0)
+		}
+	}()
+	heard := func() {
+		if reading {
+			reading = false
+			stopProbing()
+			r.h.pool.count(l.at, -1, 1, 0)
+		}
+	}
+	r.sends++
+	r.runs++
+	dead := r.h.watch(probing, l.at.server)
+	resp, err := r.open(ctx, l, dead)
+	if err != nil {
+		return r.failure(ctx, l, err)
+	}
+	defer resp.resp.Body.Close()
+	if resp.reply.NotRun {
+		r.runs--
+		return r.turnedAway(l, resp)
+	}
+	if resp.resp.StatusCode != http.StatusOK {
+		return r.noStream(ctx, l, resp)
+	}
+	if !resp.reply.Proven {
+		return r.failure(ctx, l, errors.New("a success without proof"))
+	}
+	return r.copyEvents(ctx, l, resp.resp, dead, heard)
+}
+
+// opened is an answer up to its headers.
+type opened struct {
+	resp  *http.Response
+	reply Reply
+	err   error
+}
+
+// open sends the request and waits for the headers, asking for signs of life.
+func (r *relay) open(ctx context.Context, l leg, dead <-chan error) (opened, error) {
+	errand := Errand{
+		ID: r.in.call.ID, Server: l.at.server, Left: time.Until(r.in.until),
+		Account: r.in.accountName(), CopyTo: l.copyTo.server.Address, CopyAt: l.from, After: r.after,
+	}
+	got := make(chan opened, 1)
+	go func() {
+		var o opened
+		o.resp, o.reply, o.err = r.h.send(ctx, r.in, errand)
+		got <- o
+	}()
+	select {
+	case o := <-got:
+		return o, o.err
+	case err := <-dead:
+		return opened{}, err
+	case <-ctx.Done():
+		return opened{}, ctx.Err()
+	}
+}
+
+// errDead means that a server gives no sign of life.
+var errDead = errors.New("forward: no sign of life")
+
+// watch probes a server until ctx ends, and says when it is dead.
+func (h *Handler) watch(ctx context.Context, s routing.Server) <-chan error {
+	dead := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(probeEvery)
+		defer tick.Stop()
+		failures := 0
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			if h.probe(ctx, s) == nil {
+				failures = 0
+				continue
+			}
+			if failures++; failures >= deadProbes {
+				dead <- errDead
+				return
+			}
+		}
+	}()
+	return dead
+}
+
+// copyEvents passes events on until the stream ends, breaks off or is silent.
+func (r *relay) copyEvents(ctx context.Context, l leg, resp *http.Response, dead <-chan error, heard func()) (legEnd, error) {
+	events := make(chan streamEvent)
+	go readEvents(resp.Body, events, ctx.Done())
+	silence := time.NewTimer(time.Hour)
+	defer silence.Stop()
+	for {
+		select {
+		case e := <-events:
+			if e.err == io.EOF {
+				return legWhole, nil
+			}
+			if e.err != nil {
+				return r.failure(ctx, l, e.err)
+			}
+			heard()
+			if l.copyTo.load != nil {
+				r.held = l.copyTo
+			}
+			if err := r.release(resp, e); err != nil {
+				return legAborted, err
+			}
+			silence.Reset(r.patience(l))
+		case <-silence.C:
+			return r.failure(ctx, l, errors.New("silent"))
+		case err := <-dead:
+			return r.failure(ctx, l, err)
+		case <-ctx.Done():
+			return legAborted, r.expired()
+		}
+	}
+}
+
+// patience is how long the leg may be silent.
+func (r *relay) patience(l leg) time.Duration {
+	if l.copyTo.load != nil {
+		return silenceWithCopy
+	}
+	return silenceAlone
+}
+
+// release gives the caller one event.
+func (r *relay) release(resp *http.Response, e streamEvent) error {
+	if e.id != 0 && e.id <= r.after {
+		return nil // the caller holds it
+	}
+	if !r.began {
+		r.began = true
+		copyHeader(r.w.Header(), resp.Header)
+		r.w.WriteHeader(resp.StatusCode)
+	}
+	if _, err := r.w.Write(e.raw); err != nil {
+		return errors.Wrap(err, "caller")
+	}
+	if err := http.NewResponseController(r.w).Flush(); err != nil {
+		return errors.Wrap(err, "caller")
+	}
+	if e.id != 0 {
+		r.after = e.id
+	}
+	r.since = time.Now()
+	return nil
+}
+
+// failure judges a leg that ended without a whole answer.
+func (r *relay) failure(ctx context.Context, l leg, err error) (legEnd, error) {
+	if ctx.Err() != nil {
+		return legAborted, r.expired()
+	}
+	r.h.blame(ctx, l.at, err)
+	r.failed = append(r.failed, l.at.server.ID)
+	if errors.Is(err, errNotSent) {
+		r.runs--
+		r.sends--
+		return legNotRun, err
+	}
+	if l.copyTo.load != nil {
+		r.held = l.copyTo // even before the first event a part may have arrived
+	}
+	return legBroken, err
+}
+
+// turnedAway handles a server's word that it did not run the request.
+func (r *relay) turnedAway(l leg, o opened) (legEnd, error) {
+	if l.from == "" {
+		r.failed = append(r.failed, l.at.server.ID)
+	}
+	return legNotRun, errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
+}
+
+// noStream passes on a failure that a server answered, unless another may do better.
+func (r *relay) noStream(ctx context.Context, l leg, o opened) (legEnd, error) {
+	if r.began || r.mayGoOn() {
+		r.failed = append(r.failed, l.at.server.ID)
+		return legBroken, errors.Errorf("status %d", o.resp.StatusCode)
+	}
+	body, rest, err := readAnswer(o.resp)
+	if err != nil {
+		return r.failure(ctx, l, err)
+	}
+	err = r.h.passOn(r.w, r.in, &outcome{status: o.resp.StatusCode, header: o.resp.Header, body: body, rest: rest})
+	return legAnswer, err
+}
+
+func (r *relay) expired() error {
+	return verdict.New(r.verdict(), verdict.CodeDeadline, "the answer was not finished in time")
+}
+
+func (r *relay) log(l leg, end legEnd, err error) {
+	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.route.Name, l.at.server.ID, l.at.server.Zone, l.at.reason,
+		l.copyTo.server.ID, end, r.after, time.Since(r.since), err)
+}
--- /dev/null
+++ b/serve/gateway/gateway.go
@@ -0,0 +1,204 @@
+// Package gateway assembles the daemon of an entry VM that forwards requests
+// without understanding them: the feed, the handler, the address answers,
+// readiness and the graceful shutdown.
+package gateway
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/entries"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/serve/forward"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// streamsUntil is how long after SIGTERM new streams are taken: they last
+	// about six seconds of the eight that are left.
+	streamsUntil = time.Second
+	// exitMargin is kept between the last answer and the end of the grace.
+	exitMargin = 500 * time.Millisecond
+	// keptAnswers is how many times the stated time some callers keep an address.
+	keptAnswers = 3
+	// defaultIdle and defaultHeaders hold until a configuration sets the limits.
+	defaultIdle    = 15 * time.Second
+	defaultHeaders = 5 * time.Second
+	maxHeaders     = 16 << 10
+)
+
+// Options configure a Gateway.
+type Options struct {
+	Self    routing.VM
+	Store   store.Store
+	Schema  feed.Schema
+	Codec   forward.Codec
+	Clock   feed.Clock
+	Log     *event.Log
+	KeyAge  time.Duration
+	Repeats repeats.Rule
+	// Grace is the time between SIGTERM and the end.
+	Grace time.Duration
+	// KeepAnswers is how long callers are told to keep an address answer.
+	KeepAnswers time.Duration
+	// Listeners; Directory may be nil.
+	Callers, Readiness, Directory net.Listener
+	// ReadyHandler and DirectoryHandler wrap the answers in the platform's form.
+	ReadyHandler     func(ready func() bool) http.Handler
+	DirectoryHandler func(addresses func(zone string) []string) http.Handler
+}
+
+// Gateway is one running daemon.
+type Gateway struct {
+	opts    Options
+	feed    *feed.Manager
+	handler *forward.Handler
+	leaving atomic.Bool
+	turn    atomic.Uint64
+}
+
+// New assembles a gateway; Run starts it.
+func New(o Options) *Gateway {
+	f := feed.New(feed.Options{Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Self: o.Self})
+	h := forward.New(forward.Options{
+		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
+	})
+	return &Gateway{opts: o, feed: f, handler: h}
+}
+
+// Ready reports whether callers should be sent here.
+func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.feed.View().Config != nil }
+
+// Addresses are the entry VMs that a caller is told, this one first among equals.
+func (g *Gateway) Addresses(_ string) []string {
+	view := g.feed.View()
+	vms := make([]entries.VM, 0, len(view.VMs)+1)
+	seen := false
+	for _, vm := range view.VMs {
+		own := vm.ID == g.opts.Self.ID
+		seen = seen || own
+		usable := !vm.Leaving && (!own || g.Ready())
+		vms = append(vms, entry(vm, usable))
+	}
+	if !seen && g.Ready() {
+		vms = append(vms, entry(g.opts.Self, true))
+	}
+	a := entries.Answers(vms, entries.Query{Turn: g.turn.Add(1)})
+	list := make([]string, 0, len(a.VMs))
+	for _, i := range a.VMs {
+		list = append(list, vms[i].Address)
+	}
+	return list
+}
+
+func entry(vm routing.VM, usable bool) entries.VM {
+	return entries.VM{ID: vm.ID, Hash: xxhash.Sum64String(vm.ID), Zone: vm.Zone, Address: vm.Address, Usable: usable}
+}
+
+// Run serves until soft ends, then drains; hard ends what still runs.
+func (g *Gateway) Run(soft, hard context.Context) error {
+	life, end := context.WithCancel(hard)
+	defer end()
+	servers := g.serve()
+	var work errgroup.Group
+	work.Go(func() error { g.feed.Run(life); return nil })
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		r := feed.Registrar{Store: g.opts.Store, VM: g.opts.Self, Log: g.opts.Log}
+		r.Run(soft)
+	}()
+	g.opts.Log.Emit(event.DaemonStarted, g.opts.Self.Address, g.opts.Self.Peer, "")
+	select {
+	case <-soft.Done():
+	case <-hard.Done():
+	}
+	g.drain(hard)
+	end()
+	err := closeAll(servers)
+	<-registered
+	if waited := work.Wait(); err == nil {
+		err = waited
+	}
+	g.opts.Log.Emit(event.DaemonStopped, g.handler.Running(), 0)
+	return err
+}
+
+// serve starts the listeners.
+func (g *Gateway) serve() []*http.Server {
+	quiet := log.New(discard{}, "", 0) // what clients do wrong is in the events
+	callers := &http.Server{
+		Handler: g.handler, ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle,
+		MaxHeaderBytes: maxHeaders, ErrorLog: quiet,
+	}
+	ready := &http.Server{Handler: g.opts.ReadyHandler(g.Ready), ReadHeaderTimeout: defaultHeaders, ErrorLog: quiet}
+	servers := []*http.Server{callers, ready}
+	go g.listen(callers, g.opts.Callers)
+	go g.listen(ready, g.opts.Readiness)
+	if g.opts.Directory != nil {
+		directory := &http.Server{
+			Handler: g.opts.DirectoryHandler(g.Addresses), ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle, ErrorLog: quiet,
+		}
+		servers = append(servers, directory)
+		go g.listen(directory, g.opts.Directory)
+	}
+	return servers
+}
+
+func (g *Gateway) listen(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		g.opts.Log.Emit(event.ListenerFailed, l.Addr().String(), err)
+	}
+}
+
+// drain leaves the address answers at once and serves on while callers may
+// still keep this address, at most until the grace ends.
+func (g *Gateway) drain(hard context.Context) {
+	g.leaving.Store(true)
+	g.handler.Leave()
+	kept := min(keptAnswers*g.opts.KeepAnswers, g.opts.Grace-exitMargin)
+	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), kept)
+	started := time.Now()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-hard.Done():
+			return
+		case <-tick.C:
+		}
+		past := time.Since(started)
+		if past >= streamsUntil {
+			g.handler.RefuseStreams()
+		}
+		if past >= g.opts.Grace-exitMargin || past >= kept && g.handler.Running() == 0 {
+			return
+		}
+	}
+}
+
+func closeAll(servers []*http.Server) error {
+	var first error
+	for _, s := range servers {
+		if err := s.Close(); err != nil && first == nil {
+			first = errors.Wrap(err, "close")
+		}
+	}
+	return first
+}
+
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/telemetry/event/catalogue.go
+++ b/telemetry/event/catalogue.go
@@ -16,6 +16,10 @@
 		"The daemon has stopped.", "cut", "handed_over")
 	HandoverIncomplete = define(105, "handover_incomplete", logrus.WarnLevel,
 		"Keys of calls that may not be repeated could not all be handed over before the stop.", "error")
+	ListenerFailed = define(106, "listener_failed", logrus.ErrorLevel,
+		"A listener of the daemon ended by itself.", "listen", "error")
+	SettingsReloaded = define(107, "settings_reloaded", logrus.InfoLevel,
+		"The settings file was read again; an error says that it could not be and the settings stay.", "file", "error")
 	InvariantViolated = define(104, "invariant_violated", logrus.ErrorLevel,
 		"An invariant did not hold; the answer it concerns was stopped.", "invariant", "subject", "detail")
 )
