--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -111,4 +111,3 @@
 	}
 	return time.Duration(t.Nano())
 }
-
