--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -30,7 +30,7 @@
 type forwardCmd struct {
 	Settings string `env:"MALLOWWIND_NODE_FILE" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
 	Check    bool   `help:"Check the settings and exit."`
-	LogLevel string `default:"warning" enum:"error,warning,info,debug" help:"The least level that is logged."`
+	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"The least level that is logged."`
 }
 
 // Run forwards until a signal ends it.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -49,7 +49,8 @@
 	starts int
 	sends  int
 	failed []string
-	since  time.Time // of the last event released, or of the start
+	since  time.Time     // of the last event released, or of the start
+	first  time.Duration // from the request's arrival to its first event, 0 before it
 }
 
 // leg is the part of an answer that one server makes.
@@ -70,6 +71,11 @@
 	legAborted               // nothing more can be done
 )
 
+// String returns the word used in logs.
+func (e legEnd) String() string {
+	return [...]string{"whole", "not_run", "broken", "answer", "aborted"}[e]
+}
+
 // stream forwards a request whose answer is a series of events.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
@@ -224,6 +230,9 @@
 	}
 }
 
+// errCallerLeft means that nobody waits for the answer any more.
+var errCallerLeft = errors.New("forward: the caller left")
+
 // errDead means that a server gives no sign of life.
 var errDead = errors.New("forward: no sign of life")
 
@@ -301,6 +310,7 @@
 	}
 	if !r.began {
 		r.began = true
+		r.first = time.Since(r.in.arrived)
 		copyHeader(r.w.Header(), resp.Header)
 		r.w.WriteHeader(resp.StatusCode)
 	}
@@ -358,10 +368,13 @@
 }
 
 func (r *relay) expired() error {
+	if time.Now().Before(r.in.until) {
+		return errCallerLeft
+	}
 	return verdict.New(r.verdict(), verdict.CodeDeadline, "the answer was not finished in time")
 }
 
 func (r *relay) log(l leg, end legEnd, err error) {
 	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.route.Name, l.at.server.ID, l.at.server.Zone, l.at.reason,
-		l.copyTo.server.ID, end, r.after, time.Since(r.since), err)
+		l.copyTo.server.ID, end.String(), r.after, r.first, time.Since(r.since), time.Since(r.in.arrived), err)
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -7,7 +7,7 @@
 	Exchanged = define(220, "exchanged", logrus.InfoLevel,
 		"A forwarded request was sent to a backend server.", "request", "route", "backend", "reason", "status", "not_run", "took", "error")
 	StreamLeg = define(221, "stream_leg", logrus.InfoLevel,
-		"One backend server's part of a forwarded stream ended.", "request", "route", "backend", "backend_zone", "reason", "copy", "end", "after", "quiet", "error")
+		"One backend server's part of a forwarded stream ended.", "request", "route", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "quiet", "took", "error")
 	ForwardRefused = define(222, "forward_refused", logrus.InfoLevel,
 		"The daemon itself answered a forwarded request.", "request", "route", "status", "code", "error", "took")
 
