feed: changes of the store are taken in batches of a quarter second

A zone that fails and returns changes a dozen keys within half a second; each wake-up of the watch was a call. Ruled out: renewals (a tenth of a call each).

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -18,9 +18,9 @@
 
 const (
 	// batchPause follows a batch of changes: a zone that fails or returns
-	// changes a dozen keys within it, and each batch costs one call. It is a
-	// fortieth of the time in which a change has to be in force.
-	batchPause = 50 * time.Millisecond
+	// changes a dozen keys within it, and each batch costs one call. It is an
+	// eighth of the time in which a change has to be in force.
+	batchPause = 250 * time.Millisecond
 	// retryPause is the mean wait after a failed call. With the ninety daemons of
 	// the largest site it is a few hundred calls a second after an outage, under
 	// a tenth of what the store allows.
