forward: a stream that comes from a daemon that died goes where its prompt is held

Cause: after the loss of a daemon its callers go on at others, which chose an engine by load; each prompt was read a second time, all at once after the loss of all daemons. Ruled out: telling other daemons of each run (nothing is left to tell when all die at once) and the store (a write a request). Now the engines are asked once what they hold, and the stream goes there. Test: TestResumedStreamFindsThePrompt, with a kit in virtual time.

--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -21,6 +21,11 @@
 	Key string
 	// After is the id of the last event that the caller holds; 0 at the start.
 	After int64
+	// PromptTokens is the length of the prompt; 0 if the caller does not say.
+	PromptTokens int
+	// OwnPart names the part of the prompt that no other request shares; "" if
+	// the caller does not say.
+	OwnPart string
 }
 
 // Errand is what the daemon adds to a request that it passes on.
@@ -57,6 +62,10 @@
 	// Outgoing turns the headers of a caller into those of a request to a server.
 	Outgoing(h http.Header, e Errand) http.Header
 	Reply(status int, h http.Header) Reply
+	// CachePath is the path at which an engine tells what prompts it holds, and
+	// CacheParts reads the answer: the parts held, as Call.OwnPart names them.
+	CachePath() string
+	CacheParts(body []byte) ([]string, error)
 	// Probe returns the path at which a server answers while it lives, without
 	// taking a slot.
 	Probe() string
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -46,6 +46,8 @@
 	KeyAge time.Duration
 	// Repeats bounds the sends beyond the first of the whole fleet.
 	Repeats repeats.Rule
+	// Dial opens connections to servers; nil means TCP.
+	Dial DialFunc
 }
 
 // Handler forwards requests.
@@ -53,6 +55,7 @@
 	opts      Options
 	transport http.RoundTripper
 	pool      *pool
+	locator   *locator
 	running   atomic.Int64
 	// streamsEnd is set while the daemon stops: streams that begin later would be cut.
 	refuseStreams atomic.Bool
@@ -61,7 +64,9 @@
 
 // New returns a handler.
 func New(o Options) *Handler {
-	return &Handler{opts: o, transport: newTransport(), pool: newPool(o.Self, o.Repeats)}
+	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats)}
+	h.locator = newLocator(h)
+	return h
 }
 
 // Running is the number of requests in progress.
--- /dev/null
+++ b/serve/forward/locate.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+)
+
+const (
+	// scanAge is how long one look at all engines is used: the requests of a
+	// daemon that died come back within about a second of each other.
+	scanAge = 500 * time.Millisecond
+	// scanTimeout bounds the look. It is several round trips, and far below the
+	// second that reading a prompt anew takes.
+	scanTimeout = 120 * time.Millisecond
+	// maxCacheAnswer bounds what one engine tells of its cache.
+	maxCacheAnswer = 1 << 20
+)
+
+// locator finds the engine that still holds a prompt which another daemon, or
+// this one before a restart, had sent there.
+//
+// The failure it answers: a daemon dies, its callers go on with their streams at
+// other daemons, which know nothing of the runs. Sent to an engine by load
+// alone, each prompt is read a second time; after the loss of all daemons that
+// is a second of work of every engine, all at once.
+type locator struct {
+	h     *Handler
+	mu    sync.Mutex
+	scans map[string]*scan // by service
+}
+
+// scan is one look at the caches of a service's engines.
+type scan struct {
+	at      time.Time
+	done    chan struct{}
+	mu      sync.Mutex
+	holders map[string][]string // server ids by part
+}
+
+func newLocator(h *Handler) *locator { return &locator{h: h, scans: map[string]*scan{}} }
+
+// holders returns the ids of the engines that hold part.
+func (l *locator) holders(ctx context.Context, service, part string) []string {
+	s := l.scan(service)
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holders[part]
+}
+
+// scan returns a look that is recent, or begins one.
+func (l *locator) scan(service string) *scan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if s := l.scans[service]; s != nil && now.Sub(s.at) < scanAge {
+		return s
+	}
+	s := &scan{at: now, done: make(chan struct{}), holders: map[string][]string{}}
+	l.scans[service] = s
+	servers := l.h.opts.Feed.View().Servers[service]
+	go l.look(s, servers)
+	return s
+}
+
+func (l *locator) look(s *scan, servers []routing.Server) {
+	defer close(s.done)
+	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
+	defer cancel()
+	var all sync.WaitGroup
+	for _, server := range servers {
+		all.Go(func() {
+			parts, err := l.h.cached(ctx, server)
+			if err != nil {
+				return // an engine that does not answer holds nothing of use
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, part := range parts {
+				s.holders[part] = append(s.holders[part], server.ID)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// cached asks an engine what it holds.
+func (h *Handler) cached(ctx context.Context, server routing.Server) ([]string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+h.opts.Codec.CachePath(), nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "cache")
+	}
+	resp, err := h.transport.RoundTrip(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "cache")
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheAnswer))
+	if err != nil {
+		return nil, errors.Wrap(err, "cache")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("cache: status %d", resp.StatusCode)
+	}
+	return h.opts.Codec.CacheParts(body)
+}
--- /dev/null
+++ b/serve/forward/plain_test.go
@@ -0,0 +1,125 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func failing(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(hProof, "p")
+		w.WriteHeader(status)
+	}
+}
+
+func rejecting(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(hNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// breaking closes the connection in the middle of an answer.
+func breaking(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(hProof, "p")
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("half"))
+	panic(http.ErrAbortHandler)
+}
+
+func TestPlainRequests(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		first  http.HandlerFunc // in the caller's zone, asked first
+		second http.HandlerFunc
+		status int
+		body   string // "" is not compared
+		runs   [2]int // at the first and second server
+	}{
+		{"answered", "/once/1", proven("ok"), proven("other"), 200, "ok", [2]int{1, 0}},
+		{"failure passed on once", "/once/1", failing(500), proven("ok"), 500, "", [2]int{1, 0}},
+		{"failure repeated where it may be", "/again/1", failing(500), proven("ok"), 200, "ok", [2]int{1, 1}},
+		{"rejected, so sent elsewhere", "/once/1", rejecting, proven("ok"), 200, "ok", [2]int{1, 1}},
+		{"rejected by all: nothing ran", "/once/1", rejecting, rejecting, 503, "", [2]int{1, 1}},
+		{"broken off: may have run", "/once/1", breaking, proven("ok"), 502, "", [2]int{1, 0}},
+		{"broken off, repeated", "/again/1", breaking, proven("ok"), 200, "ok", [2]int{1, 1}},
+		{"promise without the server's word", "/once/1", failing(503), proven("ok"), 502, "", [2]int{1, 0}},
+		{"both fail: the last answer", "/again/1", failing(500), failing(500), 500, "", [2]int{1, 1}},
+		{"no route", "/none/1", proven("ok"), proven("ok"), 404, "", [2]int{0, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, plainRoutes(), func(w *world) {
+				near := w.add("d-1", "desk", "a", c.first)
+				far := w.add("d-2", "desk", "b", c.second)
+				got := w.ask(http.MethodPost, c.path, caller, "x")
+				must.NoError(t, got.err)
+				must.Eq(t, c.status, got.status)
+				if c.body != "" {
+					must.Eq(t, c.body, got.body)
+				}
+				must.Eq(t, c.runs, [2]int{near.requests(), far.requests()})
+			})
+		})
+	}
+}
+
+// A server hangs. The caller of a call that may not be repeated hears at the
+// route's timeout, not later, and no second server runs it.
+func TestTimeoutIsAnsweredAtOnce(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		w.add("d-1", "desk", "a", func(_ http.ResponseWriter, r *http.Request) { sleep(r, time.Hour) })
+		far := w.add("d-2", "desk", "b", proven("ok"))
+		got := w.ask(http.MethodPost, "/once/1", caller, "x")
+		must.Eq(t, http.StatusGatewayTimeout, got.status)
+		must.Eq(t, 600*time.Millisecond, got.took)
+		must.Eq(t, 0, far.requests())
+	})
+}
+
+// A server hangs on an idempotent request. The second server is asked early
+// enough to answer within the route's objective of 100 ms.
+func TestHangingServerIsHedged(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		w.add("d-1", "desk", "a", func(_ http.ResponseWriter, r *http.Request) { sleep(r, time.Hour) })
+		w.add("d-2", "desk", "b", proven("ok"))
+		got := w.ask(http.MethodGet, "/again/1", caller, "")
+		must.Eq(t, http.StatusOK, got.status)
+		must.Less(t, 100*time.Millisecond, got.took)
+	})
+}
+
+// The store is gone for longer than a removed key may be used. A daemon cannot
+// know whether a key still holds, so it says that the request has not run; it
+// serves again as soon as the store answers.
+func TestKeysAreRefusedOnceTheConfigurationIsOld(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		w.add("d-1", "desk", "a", proven("ok"))
+		ask := func() int { return w.ask(http.MethodPost, "/once/1", caller, "x").status }
+		must.Eq(t, http.StatusOK, ask())
+		must.Eq(t, http.StatusUnauthorized, w.ask(http.MethodPost, "/once/1", with(map[string]string{hKey: "no"}), "x").status)
+		w.cancel()
+		time.Sleep(3 * time.Second)
+		must.Eq(t, http.StatusOK, ask())
+		time.Sleep(2 * time.Second)
+		must.Eq(t, http.StatusServiceUnavailable, ask())
+	})
+}
+
+// Callers' headers that are the system's to set never reach a server, and the
+// path arrives byte by byte.
+func TestRequestArrivesUnchanged(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		s := w.add("d-1", "desk", "a", proven("ok"))
+		for _, path := range []string{"/once/a%2Fb?x=%20&&y", "/once//c/../d?"} {
+			w.ask(http.MethodPost, path, with(map[string]string{hAccount: "thief", "Connection": "X-Hop", "X-Hop": "1"}), "x")
+			r := s.seen[len(s.seen)-1]
+			must.Eq(t, path, r.RequestURI)
+			must.Eq(t, "mill", r.Header.Get(hAccount))
+			must.Eq(t, "", r.Header.Get("X-Hop"))
+			must.Eq(t, "", r.Header.Get(hKey))
+		}
+	})
+}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -298,6 +298,22 @@
 	return choice{}, false
 }
 
+// server returns a server by id.
+func (p *pool) server(view *feed.View, service, id string) (choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	l := p.layouts[service]
+	if l == nil {
+		return choice{}, false
+	}
+	i, ok := l.index[id]
+	if !ok {
+		return choice{}, false
+	}
+	return choice{server: l.servers[i], load: l.loads[i], reason: "holds_prompt"}, true
+}
+
 // count changes this daemon's work at a server.
 func (p *pool) count(c choice, reading, running, copies int) {
 	if c.load == nil {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
@@ -80,7 +81,7 @@
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
 	for {
-		l, ok := r.next()
+		l, ok := r.next(ctx)
 		if !ok {
 			return r.giveUp(verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(busyRetry))
 		}
@@ -122,7 +123,7 @@
 
 // next chooses the server of the next leg: the one with a copy of the run
 // before, or one that reads the prompt.
-func (r *relay) next() (leg, bool) {
+func (r *relay) next(ctx context.Context) (leg, bool) {
 	now := time.Now()
 	if r.starts >= maxStarts || r.sends > 0 && !r.h.pool.repeat(now, r.service) {
 		return leg{}, false
@@ -136,6 +137,9 @@
 			return r.withCopy(leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), true
 		}
 	}
+	if c, ok := r.warm(ctx, now, view); ok {
+		return r.withCopy(leg{at: c}), true
+	}
 	c, ok := r.h.pool.prompt(now, view, r.service, r.failed)
 	if !ok {
 		return leg{}, false
@@ -143,6 +147,22 @@
 	return r.withCopy(leg{at: c}), true
 }
 
+// warm is an engine that holds the prompt of a stream which another daemon began.
+func (r *relay) warm(ctx context.Context, now time.Time, view *feed.View) (choice, bool) {
+	if r.in.call.After == 0 || r.in.call.OwnPart == "" {
+		return choice{}, false
+	}
+	for _, id := range r.h.locator.holders(ctx, r.service, r.in.call.OwnPart) {
+		if contains(r.failed, id) || r.h.pool.suspect(now, id) {
+			continue
+		}
+		if c, ok := r.h.pool.server(view, r.service, id); ok {
+			return c, true
+		}
+	}
+	return choice{}, false
+}
+
 // withCopy adds the place of a copy where engines can keep one.
 func (r *relay) withCopy(l leg) leg {
 	view := r.h.opts.Feed.View()
--- /dev/null
+++ b/serve/forward/stream_test.go
@@ -0,0 +1,120 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// An engine resets its connections in the middle of an answer. The caller sees
+// one whole answer without a repeated or missing event; the second part comes
+// from the engine that holds the copy.
+func TestStreamGoesOnFromCopy(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		var first *fakeServer
+		handle := streaming(40, time.Second, 40*time.Millisecond)
+		a := w.add("e-a", "llm", "a", handle)
+		b := w.add("e-b", "llm", "b", handle)
+		go func() {
+			time.Sleep(1500 * time.Millisecond)
+			first = a
+			if b.requests() > 0 {
+				first = b
+			}
+			w.crash(first)
+		}()
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, events(1, 40), got.body)
+		must.Eq(t, 1, a.requests())
+		must.Eq(t, 1, b.requests())
+		must.Less(t, 3*time.Second, got.took)
+	})
+}
+
+// An engine falls silent in the middle of an answer; its connections stay open.
+// The answer goes on elsewhere within the 700 ms that callers accept as a pause.
+func TestSilentStreamGoesOnInTime(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		quiet := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				streaming(20, 0, 40*time.Millisecond)(rw, r)
+				return
+			}
+			rw.Header().Set(hProof, "p")
+			writeEvent(rw, 1)
+			sleep(r, time.Hour)
+		}
+		w.add("e-a", "llm", "a", quiet)
+		w.add("e-b", "llm", "b", quiet)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 20), got.body)
+		must.Less(t, 19*40*time.Millisecond+700*time.Millisecond, got.took)
+	})
+}
+
+// An engine goes dark while it reads a prompt: nothing is reset and nothing
+// arrives. Probes find it and another engine reads the prompt.
+func TestDarkEngineBeforeFirstEvent(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if w.servers[r.Header.Get(hServer)].isDark() {
+				sleep(r, time.Hour)
+				return
+			}
+			if r.Header.Get(hCopyAt) != "" {
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			streaming(5, time.Second, 40*time.Millisecond)(rw, r)
+		}
+		a := w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		a.setDark(true)
+		for range 4 { // whichever engine is chosen first
+			got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+			must.NoError(t, got.err)
+			must.Eq(t, events(1, 5), got.body)
+			must.Less(t, 3500*time.Millisecond, got.took)
+		}
+	})
+}
+
+// A daemon dies and its caller goes on at this one, which knows nothing of the
+// run. The engine that read the prompt still holds it; sent anywhere else, the
+// prompt would be read a second time and the answer wait for a second.
+func TestResumedStreamFindsThePrompt(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(12, time.Second, 40*time.Millisecond)
+		for _, id := range []string{"e-1", "e-2", "e-3", "e-4", "e-5"} {
+			w.add(id, "llm", "a", handle)
+		}
+		w.servers["e-4"].cached = "p9 p7"
+		for range 5 {
+			got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "9", hPart: "p7"}), "prompt")
+			must.NoError(t, got.err)
+			must.Eq(t, events(10, 12), got.body)
+		}
+		must.Eq(t, 5, w.servers["e-4"].requests())
+	})
+}
+
+// A stream ends in the middle of an event and no engine is left to go on. The
+// caller gets the whole events only, and the answer does not look complete.
+func TestTornStreamIsCut(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		w.add("e-a", "llm", "a", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set(hProof, "p")
+			writeEvent(rw, 1)
+			_, _ = rw.Write([]byte("id: 2\ndata: pie"))
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.Error(t, got.err)
+		must.Eq(t, events(1, 1), got.body)
+	})
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -22,20 +22,27 @@
 // errNotSent means that no byte of the request left: it has not run.
 var errNotSent = errors.New("forward: not sent")
 
+// DialFunc opens a connection to a server.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // newTransport returns a transport that uses each connection once. A kept
 // connection may have gone silent, may be closed by the server just as a
 // request is sent, and may carry a late answer to the request before; each
 // would be taken for the fate of the next request. A new connection costs one
 // round trip, and http.Transport repeats nothing of its own accord on it.
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(dial DialFunc) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	return &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		ReadBufferSize:     4 << 10,
 		WriteBufferSize:    4 << 10,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, errors.Wrapf(errNotSent, "%v", err)
 			}
--- /dev/null
+++ b/serve/forward/world_test.go
@@ -0,0 +1,414 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+// Headers of the test codec.
+const (
+	hID, hWait, hKey, hAfter, hPart, hTokens = "Id", "Wait-Ms", "Key", "After", "Part", "Tokens"
+	hServer, hAccount, hCopyTo, hCopyAt      = "Server", "Account", "Copy-To", "Copy-At"
+	hNotRun, hProof                          = "Not-Run", "Proof"
+)
+
+type testCodec struct{}
+
+func (testCodec) Call(h http.Header) (Call, error) {
+	ms, _ := strconv.Atoi(h.Get(hWait))
+	after, _ := strconv.ParseInt(h.Get(hAfter), 10, 64)
+	tokens, _ := strconv.Atoi(h.Get(hTokens))
+	return Call{
+		ID: h.Get(hID), Wait: time.Duration(ms) * time.Millisecond, Key: h.Get(hKey),
+		After: after, OwnPart: h.Get(hPart), PromptTokens: tokens,
+	}, nil
+}
+
+func (testCodec) Outgoing(h http.Header, e Errand) http.Header {
+	out := h.Clone()
+	out.Del(hKey)
+	out.Set(hServer, e.Server.ID)
+	out.Set(hAccount, e.Account)
+	out.Set(hWait, strconv.FormatInt(e.Left.Milliseconds(), 10))
+	out.Set(hCopyTo, e.CopyTo)
+	out.Set(hCopyAt, e.CopyAt)
+	out.Set(hAfter, strconv.FormatInt(e.After, 10))
+	return out
+}
+
+func (testCodec) Reply(_ int, h http.Header) Reply {
+	return Reply{ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", Proven: h.Get(hProof) != ""}
+}
+
+func (testCodec) CachePath() string { return "/cache" }
+
+func (testCodec) CacheParts(body []byte) ([]string, error) {
+	return strings.Fields(string(body)), nil
+}
+
+func (testCodec) Probe() string { return "/alive" }
+
+// testSchema stores servers as JSON and gets the configuration from the world.
+type testSchema struct{ config *routing.Config }
+
+func (testSchema) ConfigKey() string { return "config" }
+
+func (s testSchema) DecodeConfig([]byte) (*routing.Config, error) { return s.config, nil }
+
+func (testSchema) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
+
+func (testSchema) DecodeServer(id string, raw []byte) (routing.Server, error) {
+	var s routing.Server
+	err := json.Unmarshal(raw, &s)
+	s.ID = id
+	return s, err
+}
+
+// confirming returns from a watch each second, as the platform's store does.
+type confirming struct{ store.Store }
+
+type confirmingWatch struct{ store.Watcher }
+
+func (c confirming) Watch(ctx context.Context, prefix string, from int64) (store.Watcher, error) {
+	w, err := c.Store.Watch(ctx, prefix, from)
+	return confirmingWatch{w}, err
+}
+
+func (w confirmingWatch) Next(ctx context.Context) ([]store.Event, error) {
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	events, err := w.Watcher.Next(limited)
+	if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		return nil, nil
+	}
+	return events, err
+}
+
+// network connects by address without a socket.
+type network struct {
+	mu    sync.Mutex
+	hosts map[string]*fakeServer
+	conns int
+}
+
+// fakeServer is a backend server in process.
+type fakeServer struct {
+	server  routing.Server
+	accept  chan net.Conn
+	gone    chan struct{} // closed with the listener
+	once    sync.Once
+	mu      sync.Mutex
+	dark    bool
+	cached  string // answer to the question what it holds
+	seen    []*http.Request
+	handle  http.HandlerFunc
+	http    *http.Server
+	network *network
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	s := n.hosts[address]
+	n.conns++
+	n.mu.Unlock()
+	if s == nil {
+		return nil, errors.New("connection refused")
+	}
+	if s.isDark() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	here, there := net.Pipe()
+	select {
+	case s.accept <- there:
+		return here, nil
+	case <-s.gone:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *fakeServer) isDark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dark
+}
+
+// setDark makes a server silent: open connections say nothing more.
+func (s *fakeServer) setDark(dark bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dark = dark
+}
+
+// Accept, Close and Addr implement net.Listener.
+func (s *fakeServer) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.accept:
+		return c, nil
+	case <-s.gone:
+		return nil, net.ErrClosed
+	}
+}
+
+func (s *fakeServer) Close() error {
+	s.once.Do(func() { close(s.gone) })
+	return nil
+}
+func (s *fakeServer) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/alive":
+		return
+	case "/cache":
+		fmt.Fprint(w, s.cached)
+		return
+	}
+	s.mu.Lock()
+	s.seen = append(s.seen, r)
+	s.mu.Unlock()
+	// The server notices a caller that leaves only once the body is read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(hID, r.Header.Get(hID))
+	s.handle(w, r)
+}
+
+// requests are those that a server was asked to run.
+func (s *fakeServer) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.seen)
+}
+
+// world is a handler before fake servers, in virtual time.
+type world struct {
+	t       *testing.T
+	store   *store.Memory
+	network *network
+	feed    *feed.Manager
+	handler *Handler
+	servers map[string]*fakeServer
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// newWorld runs test in virtual time with the routes given.
+func inWorld(t *testing.T, routes []*routing.Route, test func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, routes)
+		test(w)
+		w.close()
+	})
+}
+
+func newWorld(t *testing.T, routes []*routing.Route) *world {
+	services := []*routing.Service{
+		{Name: "llm", Engine: &routing.Engine{Slots: 4, Copies: true}}, {Name: "desk"},
+	}
+	accounts := map[string]*routing.Account{"key-1": {Name: "mill"}}
+	schema := testSchema{config: routing.New(1, routing.Limits{BodyBytes: 1 << 20}, services, routes, accounts)}
+	w := &world{
+		t: t, store: store.NewMemory(), servers: map[string]*fakeServer{},
+		network: &network{hosts: map[string]*fakeServer{}},
+	}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) + time.Hour }
+	self := routing.VM{ID: "vm-1", Zone: "a"}
+	w.feed = feed.New(feed.Options{Store: confirming{w.store}, Schema: schema, Clock: clock, Log: event.Discard(), Self: self})
+	w.handler = New(Options{
+		Feed: w.feed, Codec: testCodec{}, Log: event.Discard(), Self: self, KeyAge: 5 * time.Second,
+		Repeats: repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, Dial: w.network.dial,
+	})
+	w.put("config", "{}")
+	ctx, cancel := context.WithCancel(t.Context())
+	w.cancel = cancel
+	w.done.Go(func() { w.feed.Run(ctx) })
+	synctest.Wait()
+	return w
+}
+
+func (w *world) put(key, value string) {
+	w.t.Helper()
+	var version int64
+	if kv, err := w.store.Get(w.t.Context(), key); err == nil {
+		version = kv.Version
+	}
+	_, err := w.store.CompareAndSwap(w.t.Context(), key, version, []byte(value), 0)
+	must.NoError(w.t, err)
+}
+
+// add starts a server and waits until the handler knows it.
+func (w *world) add(id, service, zone string, handle http.HandlerFunc) *fakeServer {
+	w.t.Helper()
+	s := &fakeServer{
+		server:  routing.Server{ID: id, Service: service, Zone: zone, Address: id + ":80", Slots: 4},
+		accept:  make(chan net.Conn),
+		gone:    make(chan struct{}),
+		handle:  handle,
+		network: w.network,
+	}
+	s.http = &http.Server{Handler: s}
+	w.network.mu.Lock()
+	w.network.hosts[s.server.Address] = s
+	w.network.mu.Unlock()
+	w.servers[id] = s
+	go s.http.Serve(s)
+	raw, err := json.Marshal(s.server)
+	must.NoError(w.t, err)
+	w.put("server/"+id, string(raw))
+	time.Sleep(time.Second)
+	return s
+}
+
+// crash resets the connections of a server and refuses new ones.
+func (w *world) crash(s *fakeServer) {
+	w.network.mu.Lock()
+	delete(w.network.hosts, s.server.Address)
+	w.network.mu.Unlock()
+	s.http.Close()
+}
+
+func (w *world) close() {
+	w.cancel()
+	for _, s := range w.servers {
+		s.http.Close()
+	}
+	w.done.Wait()
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the body broke off
+	took   time.Duration
+}
+
+// ask sends a request through a real HTTP server over a pipe.
+func (w *world) ask(method, path string, header map[string]string, body string) answer {
+	w.t.Helper()
+	start := time.Now()
+	here, there := net.Pipe()
+	defer here.Close()
+	server := &http.Server{Handler: w.handler}
+	one := &fakeServer{accept: make(chan net.Conn, 1), gone: make(chan struct{})}
+	one.accept <- there
+	go server.Serve(one)
+	defer server.Close()
+	req, err := http.NewRequestWithContext(w.t.Context(), method, "http://host"+path, strings.NewReader(body))
+	must.NoError(w.t, err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	go req.Write(here)
+	resp, err := http.ReadResponse(bufio.NewReader(here), req)
+	if err != nil {
+		return answer{err: err, took: time.Since(start)}
+	}
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err, took: time.Since(start)}
+}
+
+// proven answers with a proof.
+func proven(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(hProof, "p")
+		fmt.Fprint(w, body)
+	}
+}
+
+// streaming makes events first+1 to last at a pace, after a wait for the first.
+// It goes on after the event that the request names.
+func streaming(last int, first, pace time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get(hAfter))
+		if r.Header.Get(hCopyAt) == "" {
+			sleep(r, first)
+		}
+		w.Header().Set(hProof, "p")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for id := after + 1; id <= last; id++ {
+			if r.Context().Err() != nil {
+				return
+			}
+			writeEvent(w, id)
+			sleep(r, pace)
+		}
+	}
+}
+
+func writeEvent(w http.ResponseWriter, id int) {
+	fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id)
+	w.(http.Flusher).Flush()
+}
+
+func sleep(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
+
+// events is a whole stream of events first to last.
+func events(first, last int) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+func streamRoute() []*routing.Route {
+	return []*routing.Route{{
+		Name: "s", Host: "host", Prefix: "/s/", Kind: routing.Stream, Timeout: 25 * time.Second,
+		Objective: 4500 * time.Millisecond, Attempts: 5, Resumable: true, Prompted: true,
+		Targets: []routing.Target{{Service: "llm", Weight: 1}},
+	}}
+}
+
+func plainRoutes() []*routing.Route {
+	route := func(name string, kind routing.Kind, attempts int) *routing.Route {
+		return &routing.Route{
+			Name: name, Host: "host", Prefix: "/" + name + "/", Kind: kind, Timeout: 600 * time.Millisecond,
+			Objective: 100 * time.Millisecond, Attempts: attempts,
+			Targets: []routing.Target{{Service: "desk", Weight: 1}},
+		}
+	}
+	return []*routing.Route{route("once", routing.AtMostOnce, 1), route("again", routing.Idempotent, 2)}
+}
+
+var caller = map[string]string{hID: "r1", hWait: "25000", hKey: "key-1"}
+
+// with returns the caller's headers with more.
+func with(more map[string]string) map[string]string {
+	all := map[string]string{}
+	for _, m := range []map[string]string{caller, more} {
+		for k, v := range m {
+			all[k] = v
+		}
+	}
+	return all
+}
