feed: the newest server at an address supersedes the entry of the one before

The entry of a server that crashed stays for three heartbeats; what was sent by it was turned away with 421, and each arrival counts against the budget of repeats. Tests: control/feed table_test.

--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -21,6 +21,8 @@
 	log     *event.Log
 	config  *routing.Config
 	servers map[string]routing.Server
+	// written is the store's revision of each server's first entry seen here.
+	written map[string]int64
 	vms     map[string]routing.VM
 	// doubtful holds when servers cease to be usable whose entries vanished
 	// around an outage.
@@ -35,6 +37,7 @@
 	return &table{
 		schema: schema, log: log, dirty: true,
 		servers:  map[string]routing.Server{},
+		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
 		doubtful: map[string]time.Duration{},
 	}
@@ -94,7 +97,7 @@
 		return
 	}
 	if id, ok := t.schema.ServerID(kv.Key); ok {
-		t.putServer(id, kv.Value)
+		t.putServer(id, kv)
 		return
 	}
 	if strings.HasPrefix(kv.Key, vmPrefix) {
@@ -117,13 +120,16 @@
 	t.log.Emit(event.RoutingInForce, c.Version)
 }
 
-func (t *table) putServer(id string, raw []byte) {
-	s, err := t.schema.DecodeServer(id, raw)
+func (t *table) putServer(id string, kv store.KV) {
+	s, err := t.schema.DecodeServer(id, kv.Value)
 	if err != nil {
 		t.log.Emit(event.EntryRefused, id, err)
 		return
 	}
 	delete(t.doubtful, id)
+	if _, known := t.written[id]; !known {
+		t.written[id] = kv.Version
+	}
 	if t.servers[id] != s {
 		t.servers[id] = s
 		t.dirty = true
@@ -167,7 +173,12 @@
 		}
 		return
 	}
+	t.forget(id)
+}
+
+func (t *table) forget(id string) {
 	delete(t.servers, id)
+	delete(t.written, id)
 	delete(t.doubtful, id)
 	t.dirty = true
 }
@@ -177,8 +188,7 @@
 	gone := false
 	for id, until := range t.doubtful {
 		if now >= until {
-			delete(t.servers, id)
-			delete(t.doubtful, id)
+			t.forget(id)
 			gone = true
 		}
 	}
@@ -187,8 +197,12 @@
 
 func (t *table) view() *View {
 	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
+	holders := t.holders()
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
+		if holders[s.Address] != id {
+			continue
+		}
 		v.Servers[s.Service] = append(v.Servers[s.Service], s)
 	}
 	for _, key := range slices.Sorted(maps.Keys(t.vms)) {
@@ -196,3 +210,17 @@
 	}
 	return v
 }
+
+// holders returns the newest server at each address. The entry of one that
+// crashed stays for seconds after its successor wrote its own; what is sent
+// there by the old entry is turned away.
+func (t *table) holders() map[string]string {
+	holders := make(map[string]string, len(t.servers))
+	for id, s := range t.servers {
+		other, taken := holders[s.Address]
+		if !taken || t.written[id] > t.written[other] {
+			holders[s.Address] = id
+		}
+	}
+	return holders
+}
