--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -75,14 +75,14 @@
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
 	table     *table
-	revision  int64 // where the watch goes on; 0 means that everything is read
-	reached   bool  // the last call succeeded
-	changed   chan struct{}
+	revision  int64         // where the watch goes on; 0 means that everything is read
+	reached   bool          // the last call succeeded
+	known     chan struct{} // closed with the first configuration
 }
 
 // New returns a manager; Run starts it.
 func New(o Options) *Manager {
-	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), changed: make(chan struct{}, 1)}
+	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{})}
 	m.view.Store(&View{})
 	return m
 }
@@ -108,6 +108,9 @@
 			return
 		}
 		m.lost(err)
+		if m.table.expire(m.opts.Clock()) {
+			m.view.Store(m.table.view())
+		}
 		pause(ctx, retryPause/2+rand.N(retryPause))
 	}
 }
@@ -170,11 +173,17 @@
 		m.view.Store(m.table.view())
 		m.table.dirty = false
 	}
-	if m.table.config != nil {
-		m.confirmed.Store(int64(asked))
+	if m.table.config == nil {
+		return
+	}
+	if m.confirmed.Swap(int64(asked)) == 0 {
+		close(m.known)
 	}
 }
 
+// Known is closed once a configuration is in force.
+func (m *Manager) Known() <-chan struct{} { return m.known }
+
 func (m *Manager) lost(err error) {
 	if m.reached {
 		m.opts.Log.Emit(event.StoreLost, err)
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -151,6 +151,22 @@
 // Service returns the named service, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// OnlyEngines is the name of the one service that has model engines; "" where
+// none or several have.
+func (c *Config) OnlyEngines() string {
+	only := ""
+	for name, s := range c.services {
+		if s.Engine == nil {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = name
+	}
+	return only
+}
+
 // Target picks a service of r; draw is in [0, 1).
 func (r *Route) Target(draw float64) string {
 	total := 0.0
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -50,6 +50,8 @@
 	ID string
 	// NotRun is the server's word that it did not run the request.
 	NotRun bool
+	// Misdirected says that another server than the one expected has the address.
+	Misdirected bool
 	// Proven answers carry the proof that a server made them.
 	Proven bool
 	// Instance is the id of the server that answered, where it says so.
@@ -66,7 +68,8 @@
 	// CacheParts reads the answer: the parts held, as Call.OwnPart names them.
 	CachePath() string
 	CacheParts(body []byte) ([]string, error)
-	// Probe returns the path at which a server answers while it lives, without
-	// taking a slot.
+	// Probe returns the path at which an engine answers while it lives, without
+	// taking a slot, and Alive says whether an answer there is an engine's.
 	Probe() string
+	Alive(body []byte) bool
 }
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -28,6 +28,9 @@
 	// unknownRetry is when a caller comes back to a daemon that has no
 	// configuration: about what reading it takes.
 	unknownRetry = 300 * time.Millisecond
+	// firstConfigWait is several round trips to the store, and short beside the
+	// least objective of a route (100 ms) so that the caller can still go elsewhere.
+	firstConfigWait = 50 * time.Millisecond
 	// busyRetry is when a caller comes back that found no server: a server that
 	// was lost is replaced within about a second.
 	busyRetry = 500 * time.Millisecond
@@ -111,8 +114,11 @@
 	in := &inbound{
 		method: r.Method, host: r.Host, target: target(r), header: endToEnd(r.Header), arrived: time.Now(),
 	}
+	if view.Config == nil {
+		view = h.firstView(r.Context())
+	}
 	age, known := h.opts.Feed.Age()
-	if !known || view.Config == nil {
+	if !known {
 		return in, verdict.New(verdict.NotRun, verdict.CodeUnconfigured, "no configuration is known yet").After(unknownRetry)
 	}
 	call, err := h.opts.Codec.Call(r.Header)
@@ -134,6 +140,20 @@
 	return in, h.readBody(w, r, in, view.Config.Limits.BodyBytes)
 }
 
+// firstView waits a moment for the first configuration: a daemon that has just
+// started reads it within a few round trips, and a caller that is turned away
+// has used up one of its few attempts.
+func (h *Handler) firstView(ctx context.Context) *feed.View {
+	wait := time.NewTimer(firstConfigWait)
+	defer wait.Stop()
+	select {
+	case <-h.opts.Feed.Known():
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return h.opts.Feed.View()
+}
+
 // authorize finds the caller's account. A key that was taken away must not work
 // longer than KeyAge, also where the store cannot be reached: the daemon then
 // refuses rather than trust what it last knew.
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -49,12 +49,14 @@
 	layouts map[string]*layout
 	loads   map[string]*load
 	budgets map[string]*repeats.Budget
+	paces   map[string]*prompts.Pace
 }
 
 func newPool(self routing.VM, rule repeats.Rule) *pool {
 	return &pool{
 		self: self, rule: rule, layouts: map[string]*layout{},
 		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
+		paces: map[string]*prompts.Pace{},
 	}
 }
 
@@ -161,6 +163,29 @@
 	return p.budget(service).Repeat(now, p.daemons())
 }
 
+func (p *pool) pace(service string) *prompts.Pace {
+	one, ok := p.paces[service]
+	if !ok {
+		one = &prompts.Pace{}
+		p.paces[service] = one
+	}
+	return one
+}
+
+// hopeless reports whether a prompt cannot be read in the time that is left.
+func (p *pool) hopeless(service string, tokens int, left time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pace(service).Hopeless(tokens, left)
+}
+
+// wasRead records the time that a prompt took to its first event.
+func (p *pool) wasRead(service string, tokens int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace(service).Observe(tokens, took)
+}
+
 // choice is a server with the reason it was chosen for.
 type choice struct {
 	server routing.Server
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -45,13 +45,15 @@
 	began   bool  // headers and an event were released
 	after   int64 // id of the last event released
 	// held is where a copy of the present run lies; its server is zero if nowhere.
-	held   choice
-	runs   int // servers that may have run it
-	starts int
-	sends  int
-	failed []string
-	since  time.Time     // of the last event released, or of the start
-	first  time.Duration // from the request's arrival to its first event, 0 before it
+	held choice
+	// misdirected is the id by which the holder was asked for in vain.
+	misdirected string
+	runs        int // servers that may have run it
+	starts      int
+	sends       int
+	failed      []string
+	since       time.Time     // of the last event released, or of the start
+	first       time.Duration // from the request's arrival to its first event, 0 before it
 }
 
 // leg is the part of an answer that one server makes.
@@ -81,9 +83,9 @@
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
 	for {
-		l, ok := r.next(ctx)
-		if !ok {
-			return r.giveUp(verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(busyRetry))
+		l, err := r.next(ctx)
+		if err != nil {
+			return r.giveUp(err)
 		}
 		end, err := r.run(ctx, l)
 		r.log(l, end, err)
@@ -123,28 +125,44 @@
 
 // next chooses the server of the next leg: the one with a copy of the run
 // before, or one that reads the prompt.
-func (r *relay) next(ctx context.Context) (leg, bool) {
+func (r *relay) next(ctx context.Context) (leg, error) {
 	now := time.Now()
 	if r.starts >= maxStarts || r.sends > 0 && !r.h.pool.repeat(now, r.service) {
-		return leg{}, false
+		return leg{}, r.none()
 	}
 	r.starts++
 	view := r.h.opts.Feed.View()
 	if held := r.held; held.load != nil {
 		r.held = choice{}
-		// The server may have restarted under its address; the present one is meant.
-		if c, ok := r.h.pool.at(view, r.service, held.server.Address); ok && !contains(r.failed, c.server.ID) {
-			return r.withCopy(leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), true
+		if c, ok := r.holder(view, held); ok {
+			return r.withCopy(leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), nil
 		}
 	}
 	if c, ok := r.warm(ctx, now, view); ok {
-		return r.withCopy(leg{at: c}), true
+		return r.withCopy(leg{at: c}), nil
+	}
+	if r.h.pool.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
+		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
 	c, ok := r.h.pool.prompt(now, view, r.service, r.failed)
 	if !ok {
-		return leg{}, false
+		return leg{}, r.none()
+	}
+	return r.withCopy(leg{at: c}), nil
+}
+
+// none says that no engine takes the request now.
+func (r *relay) none() error {
+	return verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(busyRetry)
+}
+
+// holder is the engine that holds a copy now. It may have started anew at its
+// address since the copy was asked for: the view shows that, or its own word.
+func (r *relay) holder(view *feed.View, held choice) (choice, bool) {
+	if c, ok := r.h.pool.at(view, r.service, held.server.Address); ok && c.server.ID != r.misdirected {
+		held = c
 	}
-	return r.withCopy(leg{at: c}), true
+	return held, !contains(r.failed, held.server.ID)
 }
 
 // warm is an engine that holds the prompt of a stream which another daemon began.
@@ -184,7 +202,7 @@
 	r.h.pool.count(l.copyTo, 0, 0, 1)
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
-	reading := true
+	reading, started := true, time.Now()
 	defer func() {
 		r.h.pool.count(l.copyTo, 0, 0, -1)
 		if reading {
@@ -198,6 +216,9 @@
 			reading = false
 			stopProbing()
 			r.h.pool.count(l.at, -1, 1, 0)
+			if l.from == "" && r.in.call.After == 0 {
+				r.h.pool.wasRead(r.service, r.in.call.PromptTokens, time.Since(started))
+			}
 		}
 	}
 	r.sends++
@@ -210,7 +231,7 @@
 	defer resp.resp.Body.Close()
 	if resp.reply.NotRun {
 		r.runs--
-		return r.turnedAway(l, resp)
+		return r.turnedAway(ctx, l, resp)
 	}
 	if resp.resp.StatusCode != http.StatusOK {
 		return r.noStream(ctx, l, resp)
@@ -359,18 +380,35 @@
 		r.sends--
 		return legNotRun, err
 	}
-	if l.copyTo.load != nil {
-		r.held = l.copyTo // even before the first event a part may have arrived
-	}
 	return legBroken, err
 }
 
 // turnedAway handles a server's word that it did not run the request.
-func (r *relay) turnedAway(l leg, o opened) (legEnd, error) {
+func (r *relay) turnedAway(ctx context.Context, l leg, o opened) (legEnd, error) {
+	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
 	if l.from == "" {
 		r.failed = append(r.failed, l.at.server.ID)
+		return legNotRun, err
 	}
-	return legNotRun, errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
+	if o.reply.Misdirected && r.h.successor(ctx, r.service, l.at.server, o.reply.Instance) {
+		r.misdirected = l.at.server.ID
+		l.at.server.ID = o.reply.Instance
+		r.held = l.at
+	}
+	return legNotRun, err
+}
+
+// successor reports whether instance, which answers at the address of old, is
+// an engine of the same service that started anew there. A daemon that has lost
+// the store does not see it register, although copies are sent to the address
+// and lie at the new engine. Where one service alone has engines, whatever
+// speaks as an engine is of that service, also at an address used again.
+func (h *Handler) successor(ctx context.Context, service string, old routing.Server, instance string) bool {
+	config := h.opts.Feed.View().Config
+	if instance == "" || instance == old.ID || config.OnlyEngines() != service {
+		return false
+	}
+	return h.probe(ctx, old) == nil
 }
 
 // noStream passes on a failure that a server answered, unless another may do better.
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -118,3 +118,56 @@
 		must.Eq(t, events(1, 1), got.body)
 	})
 }
+
+// The store is away. The engine that was to hold the copy restarts, so that the
+// copy lies at an engine nobody has registered; then the run's engine dies. The
+// answer goes on from the copy, and never at a server of another service that
+// was given the address.
+func TestCopyAtAnEngineThatRestarted(t *testing.T) {
+	for _, service := range []string{"llm", "desk"} {
+		t.Run(service, func(t *testing.T) {
+			inWorld(t, streamRoute(), func(w *world) {
+				handle := streaming(40, time.Second, 40*time.Millisecond)
+				a := w.add("e-a", "llm", "a", handle)
+				b := w.add("e-b", "llm", "b", handle)
+				var successor *fakeServer
+				go func() {
+					time.Sleep(500 * time.Millisecond)
+					runner, holder := a, b
+					if b.requests() > 0 {
+						runner, holder = b, a
+					}
+					successor = w.restart(holder, "e-new", service)
+					time.Sleep(time.Second)
+					w.crash(runner)
+				}()
+				got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+				if service == "llm" {
+					must.NoError(t, got.err)
+					must.Eq(t, events(1, 40), got.body)
+					must.Less(t, 3*time.Second, got.took)
+					return
+				}
+				must.Error(t, got.err)
+				for _, r := range successor.seen {
+					must.NotEq(t, "e-new", r.Header.Get(hServer))
+				}
+			})
+		})
+	}
+}
+
+// A caller comes back after an outage with less time than its prompt takes to
+// read. It hears at once that nothing ran, and no engine reads in vain.
+func TestHopelessPromptIsRefusedAtOnce(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		a := w.add("e-a", "llm", "a", streaming(3, time.Second, 40*time.Millisecond))
+		long := map[string]string{hTokens: "8000", hPart: "p1"}
+		must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", with(long), "prompt").status)
+		long[hWait], long[hAfter] = "500", "2"
+		got := w.ask(http.MethodPost, "/s/1", with(long), "prompt")
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		must.Less(t, 150*time.Millisecond, got.took)
+		must.Eq(t, 1, a.requests())
+	})
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -111,7 +111,7 @@
 	return resp, reply, nil
 }
 
-// probe asks whether the server lives.
+// probe asks whether an engine lives.
 func (h *Handler) probe(ctx context.Context, s routing.Server) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -123,7 +123,15 @@
 	if err != nil {
 		return errors.Wrap(err, "probe")
 	}
-	return resp.Body.Close()
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheAnswer))
+	if err != nil {
+		return errors.Wrap(err, "probe")
+	}
+	if resp.StatusCode != http.StatusOK || !h.opts.Codec.Alive(body) {
+		return errors.Errorf("probe: status %d is no engine's answer", resp.StatusCode)
+	}
+	return nil
 }
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -29,7 +29,7 @@
 const (
 	hID, hWait, hKey, hAfter, hPart, hTokens = "Id", "Wait-Ms", "Key", "After", "Part", "Tokens"
 	hServer, hAccount, hCopyTo, hCopyAt      = "Server", "Account", "Copy-To", "Copy-At"
-	hNotRun, hProof                          = "Not-Run", "Proof"
+	hNotRun, hProof, hInstance               = "Not-Run", "Proof", "Instance"
 )
 
 type testCodec struct{}
@@ -56,8 +56,11 @@
 	return out
 }
 
-func (testCodec) Reply(_ int, h http.Header) Reply {
-	return Reply{ID: h.Get(hID), NotRun: h.Get(hNotRun) != "", Proven: h.Get(hProof) != ""}
+func (testCodec) Reply(status int, h http.Header) Reply {
+	return Reply{
+		ID: h.Get(hID), NotRun: h.Get(hNotRun) != "" || status == http.StatusMisdirectedRequest,
+		Misdirected: status == http.StatusMisdirectedRequest, Proven: h.Get(hProof) != "", Instance: h.Get(hInstance),
+	}
 }
 
 func (testCodec) CachePath() string { return "/cache" }
@@ -68,6 +71,8 @@
 
 func (testCodec) Probe() string { return "/alive" }
 
+func (testCodec) Alive(body []byte) bool { return string(body) == "engine" }
+
 // testSchema stores servers as JSON and gets the configuration from the world.
 type testSchema struct{ config *routing.Config }
 
@@ -181,6 +186,9 @@
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/alive":
+		if s.server.Service == "llm" {
+			fmt.Fprint(w, "engine")
+		}
 		return
 	case "/cache":
 		fmt.Fprint(w, s.cached)
@@ -192,6 +200,11 @@
 	// The server notices a caller that leaves only once the body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(hID, r.Header.Get(hID))
+	if want := r.Header.Get(hServer); want != s.server.ID {
+		w.Header().Set(hInstance, s.server.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	s.handle(w, r)
 }
 
@@ -282,6 +295,22 @@
 	return s
 }
 
+// restart puts a new server at the address of an old one, unknown to the store.
+func (w *world) restart(old *fakeServer, id, service string) *fakeServer {
+	w.crash(old)
+	s := &fakeServer{
+		server: routing.Server{ID: id, Service: service, Zone: old.server.Zone, Address: old.server.Address},
+		accept: make(chan net.Conn), gone: make(chan struct{}), handle: old.handle, network: w.network,
+	}
+	s.http = &http.Server{Handler: s}
+	w.network.mu.Lock()
+	w.network.hosts[s.server.Address] = s
+	w.network.mu.Unlock()
+	w.servers[id] = s
+	go s.http.Serve(s)
+	return s
+}
+
 // crash resets the connections of a server and refuses new ones.
 func (w *world) crash(s *fakeServer) {
 	w.network.mu.Lock()
