Logs that never wait for their reader, metrics of forwarding and of the feed

Lines are handed to standard output by a goroutine; what it does not take in time is dropped, counted and said. Events that are no warnings are bounded to 300 a second.

--- a/cmd/mallowctl/metrics.go
+++ b/cmd/mallowctl/metrics.go
@@ -10,6 +10,8 @@
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/daemon"
+	"mallowwind.dev/serve/gateway"
+	"mallowwind.dev/telemetry/event"
 )
 
 // metricsCmd prints the metrics of a daemon.
@@ -30,7 +32,8 @@
 	return err
 }
 
-// metricsPage assembles a daemon, which registers its metrics, and never runs it.
+// metricsPage assembles a daemon and a gateway, which register their metrics,
+// and runs neither.
 func metricsPage() ([]byte, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,5 +46,6 @@
 		Dialer:    link.NewDialer(nil),
 		Logger:    logrus.New(),
 	})
+	gateway.New(gateway.Options{Log: event.Discard(), Registry: d.Registry()})
 	return d.Registry().Page(), nil
 }
--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -19,6 +20,7 @@
 	"mallowwind.dev/platform/wire"
 	"mallowwind.dev/serve/gateway"
 	"mallowwind.dev/telemetry/event"
+	"mallowwind.dev/telemetry/metric"
 )
 
 // keepAnswers is how long callers are told to keep an address answer: a daemon
@@ -30,6 +32,7 @@
 type forwardCmd struct {
 	Settings string `env:"MALLOWWIND_NODE_FILE" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
 	Check    bool   `help:"Check the settings and exit."`
+	Metrics  int    `default:"0" placeholder:"PORT" help:"The port of this machine at which metrics are served; 0 serves none."`
 	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"The least level that is logged."`
 }
 
@@ -42,36 +45,61 @@
 	if c.Check {
 		return nil
 	}
-	logger := logrus.New()
-	logger.SetOutput(os.Stdout)
-	logger.SetFormatter(&logrus.JSONFormatter{})
-	level, err := logrus.ParseLevel(c.LogLevel)
+	events, closeLog, err := c.openLog(s)
 	if err != nil {
 		return usageError{err}
 	}
-	logger.SetLevel(level)
-	events := event.New(logger, s.VM, s.Zone)
+	defer closeLog()
 	o, err := gatewayOptions(s, events)
 	if err != nil {
 		return usageError{err}
 	}
+	if c.Metrics != 0 {
+		o.Metrics, err = net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(c.Metrics)))
+		if err != nil {
+			return usageError{errors.Wrap(err, "metrics")}
+		}
+	}
 	go c.reload(events)
 	soft, hard := signals()
 	return gateway.New(o).Run(soft, hard)
 }
 
+const (
+	// logPerSecond and logBurst bound the events that are no warnings. A daemon
+	// at the peak of the largest site forwards about 20 requests a second.
+	logPerSecond = 300
+	logBurst     = 1500
+)
+
+// openLog writes events to standard output without waiting for its reader.
+func (c *forwardCmd) openLog(s *nodefile.Settings) (*event.Log, func(), error) {
+	level, err := logrus.ParseLevel(c.LogLevel)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "log level")
+	}
+	logger := logrus.New()
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	logger.SetLevel(level)
+	events := event.New(logger, s.VM, s.Zone).Limit(logPerSecond, logBurst)
+	out := event.NewWriter(os.Stdout, func(n uint64) { events.Emit(event.LogDropped, n) })
+	logger.SetOutput(out)
+	return events, out.Close, nil
+}
+
 func gatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
 	keep := min(keepAnswers, s.AddressAge)
 	o := gateway.Options{
-		Self:    routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
-		Store:   kv.New(s.Store),
-		Schema:  wire.Schema{},
-		Codec:   wire.Codec{},
-		Clock:   bootClock,
-		Log:     events,
-		KeyAge:  s.KeyAge,
-		Repeats: repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
-		Grace:   s.DrainGrace, KeepAnswers: keep,
+		Self:     routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
+		Store:    kv.New(s.Store),
+		Schema:   wire.Schema{},
+		Codec:    wire.Codec{},
+		Clock:    bootClock,
+		Log:      events,
+		Registry: metric.NewCatalogue(),
+		KeyAge:   s.KeyAge,
+		Repeats:  repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Grace:    s.DrainGrace, KeepAnswers: keep,
 		ReadyHandler: wire.ReadyHandler,
 		DirectoryHandler: func(addresses func(zone string) []string) http.Handler {
 			return wire.DirectoryHandler(func(q wire.Question) []string { return addresses(q.Zone) }, keep)
--- a/cmd/mallowwind/main.go
+++ b/cmd/mallowwind/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
 )
 
 // Exit codes, documented in docs/settings.md.
@@ -48,10 +49,11 @@
 		return fail(exitUsage, err)
 	}
 	err = ctx.Run()
-	switch err.(type) {
-	case nil:
+	var usage usageError
+	switch {
+	case err == nil:
 		return exitOK
-	case usageError:
+	case errors.As(err, &usage):
 		return fail(exitUsage, err)
 	default:
 		return fail(exitFailed, err)
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
@@ -66,7 +67,8 @@
 	Schema Schema
 	Clock  Clock
 	Log    *event.Log
-	Self   routing.VM
+	// Registerer receives the metrics; it may be nil.
+	Registerer prometheus.Registerer
 }
 
 // Manager follows the store.
@@ -84,6 +86,7 @@
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{})}
 	m.view.Store(&View{})
+	m.register(o.Registerer)
 	return m
 }
 
--- /dev/null
+++ b/control/feed/metrics.go
@@ -0,0 +1,38 @@
+package feed
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/telemetry/metric"
+)
+
+func (m *Manager) register(r prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metric.Namespace, Subsystem: "feed", Name: name, Help: help,
+		}, value)
+	}
+	metric.Register(r,
+		gauge("config_version", "Version of the forwarding configuration in force; 0 while none is known.", func() float64 {
+			if c := m.View().Config; c != nil {
+				return float64(c.Version)
+			}
+			return 0
+		}),
+		gauge("config_age_seconds", "Time since the configuration was certainly the newest; -1 while none is known.", func() float64 {
+			age, ok := m.Age()
+			if !ok {
+				return -1
+			}
+			return age.Seconds()
+		}),
+		gauge("servers", "Backend servers known.", func() float64 {
+			n := 0
+			for _, servers := range m.View().Servers {
+				n += len(servers)
+			}
+			return float64(n)
+		}),
+		gauge("vms", "Entry VMs registered.", func() float64 { return float64(len(m.View().VMs)) }),
+	)
+}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
@@ -49,6 +50,8 @@
 	KeyAge time.Duration
 	// Repeats bounds the sends beyond the first of the whole fleet.
 	Repeats repeats.Rule
+	// Registerer receives the metrics; it may be nil.
+	Registerer prometheus.Registerer
 	// Dial opens connections to servers; nil means TCP.
 	Dial DialFunc
 }
@@ -59,6 +62,7 @@
 	transport http.RoundTripper
 	pool      *pool
 	locator   *locator
+	metrics   *metrics
 	running   atomic.Int64
 	// streamsEnd is set while the daemon stops: streams that begin later would be cut.
 	refuseStreams atomic.Bool
@@ -69,6 +73,8 @@
 func New(o Options) *Handler {
 	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats)}
 	h.locator = newLocator(h)
+	h.metrics = newMetrics(o.Registerer, h.Running)
+	h.pool.denied = h.metrics.denied.Inc
 	return h
 }
 
@@ -264,6 +270,7 @@
 // refuse answers for the daemon and logs why.
 func (h *Handler) refuse(w http.ResponseWriter, in *inbound, err error) {
 	if errors.Is(err, errCut) {
+		h.metrics.answered(in, statusCut, sourceDaemon)
 		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
 	}
 	e := verdict.Of(err)
@@ -277,6 +284,7 @@
 	w.WriteHeader(status)
 	// The caller may have left; there is nobody else to tell.
 	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	h.metrics.answered(in, status, sourceDaemon)
 	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.routeName(), status, e.Code, e.Error(), time.Since(in.arrived))
 }
 
@@ -294,5 +302,8 @@
 	return in.account.Name
 }
 
+// statusCut counts answers that were cut after their headers.
+const statusCut = 0
+
 // errCut ends an answer that has begun and cannot be finished.
 var errCut = errors.New("forward: answer cut")
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -76,6 +76,7 @@
 
 func (l *locator) look(s *scan, servers []routing.Server) {
 	defer close(s.done)
+	l.h.metrics.scans.Inc()
 	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
 	defer cancel()
 	var all sync.WaitGroup
--- /dev/null
+++ b/serve/forward/metrics.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mallowwind.dev/telemetry/metric"
+)
+
+// metrics count what callers get and what it took. Labels are bounded: kinds,
+// statuses, reasons and ends, never names of routes or servers.
+type metrics struct {
+	answers  *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+	legs     *prometheus.CounterVec
+	first    prometheus.Histogram
+	pauses   prometheus.Histogram
+	denied   prometheus.Counter
+	scans    prometheus.Counter
+	inFlight prometheus.GaugeFunc
+}
+
+func newMetrics(r prometheus.Registerer, running func() int) *metrics {
+	name := func(n, help string) prometheus.Opts {
+		return prometheus.Opts{Namespace: metric.Namespace, Subsystem: "forward", Name: n, Help: help}
+	}
+	counter := func(n, help string) prometheus.CounterOpts { return prometheus.CounterOpts(name(n, help)) }
+	histogram := func(n, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{
+			Namespace: metric.Namespace, Subsystem: "forward", Name: n, Help: help, Buckets: metric.Seconds(),
+		}
+	}
+	m := &metrics{
+		answers: prometheus.NewCounterVec(counter("answers_total", "Answers to callers; source says whether a backend server or the daemon gave it."), []string{"kind", "status", "source"}),
+		seconds: prometheus.NewHistogramVec(histogram("answer_seconds", "Time from a request's arrival to the end of its answer."), []string{"kind"}),
+		sends:   prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
+		legs:    prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
+		first:   prometheus.NewHistogram(histogram("stream_first_seconds", "Time from a request's arrival to the first event of its stream.")),
+		pauses:  prometheus.NewHistogram(histogram("stream_resume_seconds", "Pause in a stream that went on at another backend server.")),
+		denied:  prometheus.NewCounter(counter("repeats_denied_total", "Sends that the shared budget of repeats did not afford.")),
+		scans:   prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
+		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
+			func() float64 { return float64(running()) }),
+	}
+	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.first, m.pauses, m.denied, m.scans, m.inFlight)
+	return m
+}
+
+// Sources of answers.
+const (
+	sourceServer = "backend"
+	sourceDaemon = "daemon"
+)
+
+func (m *metrics) answered(in *inbound, status int, source string) {
+	kind := "none"
+	if in.route != nil {
+		kind = in.route.Kind.String()
+	}
+	m.answers.WithLabelValues(kind, strconv.Itoa(status), source).Inc()
+	m.seconds.WithLabelValues(kind).Observe(time.Since(in.arrived).Seconds())
+}
+
+// sent counts one exchange.
+func (m *metrics) sent(o *outcome) {
+	result := "answered"
+	switch {
+	case o.rejected:
+		result = "rejected"
+	case o.notRun:
+		result = "not_sent"
+	case o.err != nil:
+		result = "broken"
+	case o.status >= 500:
+		result = "failed"
+	}
+	m.sends.WithLabelValues(result).Inc()
+}
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -246,6 +246,7 @@
 	if promises[o.status] {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server answered %d and may have run the request", o.status)
 	}
+	defer h.metrics.answered(in, o.status, sourceServer)
 	copyHeader(w.Header(), o.header)
 	if o.rest == nil {
 		w.Header()["Content-Length"] = []string{itoa(len(o.body))}
@@ -277,5 +278,6 @@
 }
 
 func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
+	h.metrics.sent(o)
 	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, o.choice.server.ID, o.choice.reason, o.status, o.notRun, took, o.err)
 }
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -53,6 +53,7 @@
 	sends       int
 	failed      []string
 	since       time.Time     // of the last event released, or of the start
+	moved       bool          // broke off after an event, and none followed yet
 	first       time.Duration // from the request's arrival to its first event, 0 before it
 }
 
@@ -90,11 +91,15 @@
 		end, err := r.run(ctx, l)
 		r.log(l, end, err)
 		switch end {
-		case legWhole, legAnswer:
+		case legWhole:
+			h.metrics.answered(in, http.StatusOK, sourceServer)
+			return nil
+		case legAnswer:
 			return err
 		case legAborted:
 			return r.giveUp(err)
 		case legBroken:
+			r.moved = r.began
 			if !r.mayGoOn() {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").Because(err))
 			}
@@ -352,6 +357,7 @@
 	if !r.began {
 		r.began = true
 		r.first = time.Since(r.in.arrived)
+		r.h.metrics.first.Observe(r.first.Seconds())
 		copyHeader(r.w.Header(), resp.Header)
 		r.w.WriteHeader(resp.StatusCode)
 	}
@@ -364,7 +370,12 @@
 	if e.id != 0 {
 		r.after = e.id
 	}
-	r.since = time.Now()
+	now := time.Now()
+	if r.moved {
+		r.moved = false
+		r.h.metrics.pauses.Observe(now.Sub(r.since).Seconds())
+	}
+	r.since = now
 	return nil
 }
 
@@ -433,6 +444,7 @@
 }
 
 func (r *relay) log(l leg, end legEnd, err error) {
+	r.h.metrics.legs.WithLabelValues(l.at.reason, end.String()).Inc()
 	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.route.Name, l.at.server.ID, l.at.server.Zone, l.at.reason,
 		l.copyTo.server.ID, end.String(), r.after, r.first, time.Since(r.since), time.Since(r.in.arrived), err)
 }
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -249,7 +249,7 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Hour }
 	self := routing.VM{ID: "vm-1", Zone: "a"}
-	w.feed = feed.New(feed.Options{Store: confirming{w.store}, Schema: schema, Clock: clock, Log: event.Discard(), Self: self})
+	w.feed = feed.New(feed.Options{Store: confirming{w.store}, Schema: schema, Clock: clock, Log: event.Discard()})
 	w.handler = New(Options{
 		Feed: w.feed, Codec: testCodec{}, Log: event.Discard(), Self: self, KeyAge: 5 * time.Second,
 		Repeats: repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, Dial: w.network.dial,
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 
 	"mallowwind.dev/control/feed"
@@ -22,6 +23,7 @@
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/serve/forward"
 	"mallowwind.dev/telemetry/event"
+	"mallowwind.dev/telemetry/metric"
 )
 
 const (
@@ -52,8 +54,10 @@
 	Grace time.Duration
 	// KeepAnswers is how long callers are told to keep an address answer.
 	KeepAnswers time.Duration
-	// Listeners; Directory may be nil.
-	Callers, Readiness, Directory net.Listener
+	// Registry receives the metrics, which are served at Metrics.
+	Registry *metric.Catalogue
+	// Listeners; Directory and Metrics may be nil.
+	Callers, Readiness, Directory, Metrics net.Listener
 	// ReadyHandler and DirectoryHandler wrap the answers in the platform's form.
 	ReadyHandler     func(ready func() bool) http.Handler
 	DirectoryHandler func(addresses func(zone string) []string) http.Handler
@@ -70,9 +74,10 @@
 
 // New assembles a gateway; Run starts it.
 func New(o Options) *Gateway {
-	f := feed.New(feed.Options{Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Self: o.Self})
+	f := feed.New(feed.Options{Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry})
 	h := forward.New(forward.Options{
 		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
+		Registerer: o.Registry,
 	})
 	return &Gateway{opts: o, feed: f, handler: h}
 }
@@ -153,6 +158,13 @@
 		servers = append(servers, directory)
 		go g.listen(directory, g.opts.Directory)
 	}
+	if g.opts.Metrics != nil {
+		metrics := &http.Server{
+			Handler: promhttp.HandlerFor(g.opts.Registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: defaultHeaders, ErrorLog: quiet,
+		}
+		servers = append(servers, metrics)
+		go g.listen(metrics, g.opts.Metrics)
+	}
 	return servers
 }
 
@@ -162,6 +174,9 @@
 	}
 }
 
+// Registry is where the metrics of all parts are registered.
+func (g *Gateway) Registry() *metric.Catalogue { return g.opts.Registry }
+
 // drain leaves the address answers at once and serves on while callers may
 // still keep this address, at most until the grace ends.
 func (g *Gateway) drain(hard context.Context) {
--- a/telemetry/event/catalogue.go
+++ b/telemetry/event/catalogue.go
@@ -18,6 +18,8 @@
 		"Keys of calls that may not be repeated could not all be handed over before the stop.", "error")
 	ListenerFailed = define(106, "listener_failed", logrus.ErrorLevel,
 		"A listener of the daemon ended by itself.", "listen", "error")
+	LogDropped = define(108, "log_dropped", logrus.WarnLevel,
+		"Log lines were dropped because the output did not take them in time.", "lines")
 	SettingsReloaded = define(107, "settings_reloaded", logrus.InfoLevel,
 		"The settings file was read again; an error says that it could not be and the settings stay.", "file", "error")
 	InvariantViolated = define(104, "invariant_violated", logrus.ErrorLevel,
--- a/telemetry/event/event.go
+++ b/telemetry/event/event.go
@@ -4,7 +4,10 @@
 package event
 
 import (
+	"sync/atomic"
+
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 )
 
 // Def declares one log event: a stable number, a name, its level, the names
@@ -31,14 +34,27 @@
 
 // Log writes events with fixed common fields. The zero value is not usable.
 type Log struct {
-	entry *logrus.Entry
+	entry   *logrus.Entry
+	limiter *rate.Limiter // nil: no limit
+	dropped *atomic.Uint64
 }
 
 // New returns a Log that writes to l, with the daemon's name and zone on every line.
 func New(l *logrus.Logger, vm, zone string) *Log {
-	return &Log{entry: l.WithFields(logrus.Fields{"vm": vm, "zone": zone})}
+	return &Log{entry: l.WithFields(logrus.Fields{"vm": vm, "zone": zone}), dropped: &atomic.Uint64{}}
+}
+
+// Limit returns a Log that writes at most perSecond events that are no warnings
+// over time, and burst at once. The others are counted.
+func (l *Log) Limit(perSecond float64, burst int) *Log {
+	limited := *l
+	limited.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
+	return &limited
 }
 
+// Dropped is the number of events that were beyond the limit.
+func (l *Log) Dropped() uint64 { return l.dropped.Load() }
+
 // Discard returns a Log that writes nothing.
 func Discard() *Log {
 	l := logrus.New()
@@ -53,6 +69,10 @@
 	if !l.entry.Logger.IsLevelEnabled(d.Level) {
 		return
 	}
+	if l.limiter != nil && d.Level > logrus.WarnLevel && !l.limiter.Allow() {
+		l.dropped.Add(1)
+		return
+	}
 	f := make(logrus.Fields, len(values)+2)
 	f["event"] = d.Number
 	f["name"] = d.Name
