feed: a daemon that the store refuses learns from its neighbours

Each daemon now tells on its peer address what it read from the store, with its age; what is heard is as old as at its source, so that the bound on removed keys holds. Ruled out: longer trust without confirmation.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -15,6 +15,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/peer/link"
 	"mallowwind.dev/platform/kv"
 	"mallowwind.dev/platform/nodefile"
 	"mallowwind.dev/platform/wire"
@@ -90,12 +91,13 @@
 func gatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
 	keep := min(keepAnswers, s.AddressAge)
 	o := gateway.Options{
-		Self:     routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
-		Store:    kv.New(s.Store),
-		Schema:   wire.Schema{},
-		Codec:    wire.Codec{},
-		Clock:    bootClock,
-		Log:      events,
+		Self:   routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
+		Store:  kv.New(s.Store),
+		Schema: wire.Schema{},
+		Codec:  wire.Codec{},
+		Clock:  bootClock,
+		Log:    events,
+		Dialer: link.NewDialer(nil), Seeds: s.Seeds,
 		Registry: metric.NewCatalogue(),
 		KeyAge:   s.KeyAge,
 		Repeats:  repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
@@ -108,7 +110,7 @@
 	for _, l := range []struct {
 		listener *net.Listener
 		address  string
-	}{{&o.Callers, s.Callers}, {&o.Readiness, s.Readiness}, {&o.Directory, s.Directory}} {
+	}{{&o.Callers, s.Callers}, {&o.Readiness, s.Readiness}, {&o.Directory, s.Directory}, {&o.Peers, s.Peers}} {
 		if l.address == "" {
 			continue
 		}
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/link"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -57,8 +59,10 @@
 	Config *routing.Config // nil while none is known
 	// Servers are the backend servers by service, in the order of their ids.
 	Servers map[string][]routing.Server
-	// Self says where this daemon stands in VMs, the entry VMs that serve.
+	// VMs are the entry VMs that serve.
 	VMs []routing.VM
+	// entries are the store's, for other daemons.
+	entries []store.KV
 }
 
 // Options configure a Manager.
@@ -67,6 +71,11 @@
 	Schema Schema
 	Clock  Clock
 	Log    *event.Log
+	// Self is this daemon's VM id, and Seeds are addresses of daemons to ask
+	// before any is known. Dialer may be nil: then no other daemon is asked.
+	Self   string
+	Seeds  []string
+	Dialer *link.Dialer
 	// Registerer receives the metrics; it may be nil.
 	Registerer prometheus.Registerer
 }
@@ -75,11 +84,13 @@
 type Manager struct {
 	opts      Options
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
-	table     *table
-	revision  int64         // where the watch goes on; 0 means that everything is read
-	reached   bool          // the last call succeeded
+	confirmed atomic.Int64  // Clock when the question was sent whose answer showed the configuration; 0 none
 	known     chan struct{} // closed with the first configuration
+	reached   bool          // the last call to the store succeeded
+
+	mu       sync.Mutex // guards table and changes of revision
+	table    *table
+	revision atomic.Int64 // of the store, where the watch goes on; 0 means that everything is read
 }
 
 // New returns a manager; Run starts it.
@@ -103,28 +114,29 @@
 	return m.opts.Clock() - time.Duration(at), true
 }
 
-// Run follows the store until ctx ends.
+// Run follows the store, and other daemons while the store is out of reach,
+// until ctx ends.
 func (m *Manager) Run(ctx context.Context) {
+	var peers sync.WaitGroup
+	defer peers.Wait()
+	peers.Go(func() { m.askPeers(ctx) })
 	for ctx.Err() == nil {
 		err := m.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		m.lost(err)
-		if m.table.expire(m.opts.Clock()) {
-			m.view.Store(m.table.view())
-		}
 		pause(ctx, retryPause/2+rand.N(retryPause))
 	}
 }
 
 func (m *Manager) follow(ctx context.Context) error {
-	if m.revision == 0 {
+	if m.revision.Load() == 0 {
 		if err := m.readAll(ctx); err != nil {
 			return err
 		}
 	}
-	w, err := m.opts.Store.Watch(ctx, "", m.revision)
+	w, err := m.opts.Store.Watch(ctx, "", m.revision.Load())
 	if err != nil {
 		return err
 	}
@@ -143,9 +155,7 @@
 		return err
 	}
 	m.regained(asked)
-	m.table.replace(asked, items)
-	m.revision = revision
-	m.publish(asked)
+	m.apply(asked, revision, func() { m.table.replace(asked, items) })
 	return nil
 }
 
@@ -156,27 +166,31 @@
 	events, err := w.Next(ctx)
 	if err != nil {
 		if errors.Is(err, store.ErrCompacted) {
-			m.revision = 0
+			m.revision.Store(0)
 		}
 		return err
 	}
 	m.regained(asked)
-	m.table.change(asked, events)
-	m.revision = w.Revision()
-	m.publish(asked)
+	m.apply(asked, w.Revision(), func() { m.table.change(asked, events) })
 	if len(events) > 0 {
 		pause(ctx, batchPause)
 	}
 	return nil
 }
 
-// publish swaps the view and dates the configuration.
-func (m *Manager) publish(asked time.Duration) {
-	if m.table.expire(m.opts.Clock()) || m.table.dirty {
-		m.view.Store(m.table.view())
-		m.table.dirty = false
+// apply changes the table to a revision of the store, unless a later one is
+// already there: an answer that was long on its way must not undo it. The
+// configuration was the newest at asked.
+func (m *Manager) apply(asked time.Duration, revision int64, change func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision < m.revision.Load() {
+		return
 	}
-	if m.table.config == nil {
+	change()
+	m.revision.Store(revision)
+	m.publish()
+	if m.table.config == nil || int64(asked) <= m.confirmed.Load() {
 		return
 	}
 	if m.confirmed.Swap(int64(asked)) == 0 {
@@ -184,21 +198,35 @@
 	}
 }
 
+// publish swaps the view where something changed. It is called under the lock.
+func (m *Manager) publish() {
+	if m.table.expire(m.opts.Clock()) || m.table.dirty {
+		m.view.Store(m.table.view())
+		m.table.dirty = false
+	}
+}
+
 // Known is closed once a configuration is in force.
 func (m *Manager) Known() <-chan struct{} { return m.known }
 
+// lost notes that the store does not answer. Servers kept in doubt still end.
 func (m *Manager) lost(err error) {
 	if m.reached {
 		m.opts.Log.Emit(event.StoreLost, err)
 	}
 	m.reached = false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publish()
 }
 
 func (m *Manager) regained(asked time.Duration) {
 	if !m.reached {
-		m.opts.Log.Emit(event.StoreReached, m.revision)
+		m.opts.Log.Emit(event.StoreReached, m.revision.Load())
 	}
 	m.reached = true
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.table.reached(asked, m.opts.Clock())
 }
 
--- /dev/null
+++ b/control/feed/fleet_test.go
@@ -0,0 +1,186 @@
+package feed
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/link"
+	"mallowwind.dev/telemetry/event"
+)
+
+// fleet is a few feeds before one store, each with its own way to it, in
+// virtual time.
+type fleet struct {
+	t     *testing.T
+	store *store.Memory
+	ways  []*store.Faulty
+	feeds []*Manager
+	ctx   context.Context // of the daemons
+	done  sync.WaitGroup
+}
+
+// RoundTrip implements http.RoundTripper: daemon n has the address "n".
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	n, err := strconv.Atoi(r.URL.Host)
+	if err != nil {
+		return nil, errors.Wrap(err, "address")
+	}
+	w := httptest.NewRecorder()
+	_, h := f.feeds[n].Handler()
+	h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func inFleet(t *testing.T, size int, test func(*fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, store: store.NewMemory()}
+		start := time.Now()
+		ctx, stop := context.WithCancel(t.Context())
+		f.ctx = ctx
+		for n := range size {
+			way := store.NewFaulty(f.store)
+			m := New(Options{
+				Store: storesim.Confirming{Store: way, Hold: time.Second}, Schema: lineSchema{}, Log: event.Discard(),
+				Clock: func() time.Duration { return time.Since(start) + time.Hour },
+				Self:  strconv.Itoa(n), Seeds: []string{"0"},
+				Dialer: link.NewDialerWith(&http.Client{Transport: f}),
+			})
+			f.ways, f.feeds = append(f.ways, way), append(f.feeds, m)
+		}
+		f.put("config", "v")
+		test(f)
+		stop()
+		f.done.Wait()
+	})
+}
+
+func (f *fleet) start(n int) {
+	f.done.Go(func() { f.feeds[n].Run(f.ctx) })
+}
+
+func (f *fleet) put(key, value string) {
+	f.t.Helper()
+	var version int64
+	if kv, err := f.store.Get(f.t.Context(), key); err == nil {
+		version = kv.Version
+	}
+	_, err := f.store.CompareAndSwap(f.t.Context(), key, version, []byte(value), 0)
+	must.NoError(f.t, err)
+}
+
+// version is the configuration in force at daemon n, 0 if none.
+func (f *fleet) version(n int) int64 {
+	if c := f.feeds[n].View().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// The store refuses one daemon and serves another. A key is taken away. The
+// refused daemon must neither go on with the old configuration as if it were
+// confirmed, nor turn its callers away: it learns from its neighbour.
+func TestRefusedDaemonLearnsFromItsNeighbour(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.start(0)
+		f.start(1)
+		time.Sleep(2 * time.Second)
+		f.ways[1].SetDown(true)
+		time.Sleep(time.Second)
+		f.put("config", "vv")
+		f.put("server/1", "a:1")
+		time.Sleep(4 * time.Second)
+		must.Eq(t, int64(2), f.version(1))
+		must.MapLen(t, 1, f.feeds[1].View().Servers)
+		age, known := f.feeds[1].Age()
+		must.True(t, known)
+		must.Less(t, 3*time.Second, age)
+		f.ways[1].SetDown(false)
+		f.put("config", "vvv")
+		time.Sleep(2 * time.Second)
+		must.Eq(t, int64(3), f.version(1))
+	})
+}
+
+// A daemon starts while the store refuses it and knows nobody but the seeds.
+func TestDaemonThatStartsWithoutTheStore(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.start(0)
+		time.Sleep(time.Second)
+		f.ways[1].SetDown(true)
+		f.start(1)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, int64(1), f.version(1))
+	})
+}
+
+// The store is down for everybody. Daemons ask each other, and what they hear
+// is as old as what they know: the age must grow, or keys that were taken away
+// meanwhile would be trusted for ever.
+func TestAgeGrowsWhenNobodyReachesTheStore(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		for n := range f.feeds {
+			f.start(n)
+		}
+		time.Sleep(2 * time.Second)
+		for _, way := range f.ways {
+			way.SetDown(true)
+		}
+		time.Sleep(10 * time.Second)
+		for _, m := range f.feeds {
+			age, known := m.Age()
+			must.True(t, known)
+			must.GreaterEq(t, 10*time.Second, age)
+		}
+	})
+}
+
+// A watch answers late with changes that another daemon has long told. The view
+// must not go back to them.
+func TestLateAnswerUndoesNothing(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		m := f.feeds[0]
+		m.apply(time.Hour, 9, func() { m.table.change(0, []store.Event{put("server/1", "leaving a:1", 9)}) })
+		m.apply(time.Hour, 5, func() { m.table.change(0, []store.Event{put("server/1", "a:1", 5)}) })
+		must.True(t, m.View().Servers["s"][0].Leaving)
+	})
+}
+
+// The registration is written again when its lease has run out in an outage.
+func TestRegistrationReturns(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.start(0)
+		r := &Registrar{Store: f.ways[0], VM: routing.VM{ID: "vm-7", Peer: "x"}, Log: event.Discard()}
+		ctx, cancel := context.WithCancel(f.t.Context())
+		f.done.Go(func() { r.Run(ctx) })
+		registered := func() bool {
+			var names []string
+			for _, vm := range f.feeds[0].View().VMs {
+				names = append(names, vm.ID)
+			}
+			return strings.Join(names, " ") == "vm-7"
+		}
+		time.Sleep(2 * time.Second)
+		must.True(t, registered())
+		f.ways[0].SetDown(true)
+		time.Sleep(10 * time.Second)
+		f.ways[0].SetDown(false)
+		time.Sleep(3 * time.Second)
+		must.True(t, registered())
+		cancel()
+		time.Sleep(2 * time.Second)
+		must.False(t, registered())
+	})
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -18,6 +18,7 @@
 // table is the mutable state behind the views. It is used by one goroutine.
 type table struct {
 	schema  Schema
+	raw     map[string]store.KV // every entry in use, as the store holds it
 	log     *event.Log
 	config  *routing.Config
 	servers map[string]routing.Server
@@ -36,6 +37,7 @@
 func newTable(schema Schema, log *event.Log) *table {
 	return &table{
 		schema: schema, log: log, dirty: true,
+		raw:      map[string]store.KV{},
 		servers:  map[string]routing.Server{},
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
@@ -65,12 +67,23 @@
 	}
 	for key := range t.vms {
 		if !present[key] {
-			delete(t.vms, key)
-			t.dirty = true
+			t.removeVM(key)
+		}
+	}
+	for key := range t.raw {
+		if !present[key] {
+			delete(t.raw, key)
 		}
 	}
 }
 
+func (t *table) removeVM(key string) {
+	if _, ok := t.vms[key]; ok {
+		delete(t.vms, key)
+		t.dirty = true
+	}
+}
+
 // has reports whether a key of the server id is among the present ones.
 func (t *table) has(present map[string]bool, id string) bool {
 	for key := range present {
@@ -92,6 +105,8 @@
 }
 
 func (t *table) put(kv store.KV) {
+	t.raw[kv.Key] = kv
+	t.dirty = true
 	if kv.Key == t.schema.ConfigKey() {
 		t.putConfig(kv.Value)
 		return
@@ -149,14 +164,13 @@
 }
 
 func (t *table) remove(now time.Duration, key string) {
+	delete(t.raw, key)
+	t.dirty = true
 	if id, ok := t.schema.ServerID(key); ok {
 		t.removeServer(now, id)
 		return
 	}
-	if _, ok := t.vms[key]; ok {
-		delete(t.vms, key)
-		t.dirty = true
-	}
+	t.removeVM(key)
 }
 
 // removeServer drops a server, or keeps it for a while where the store was
@@ -197,6 +211,7 @@
 
 func (t *table) view() *View {
 	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
+	v.entries = slices.Collect(maps.Values(t.raw))
 	holders := t.holders()
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
--- a/peer/peerpb/journal.twirp.go
+++ b/peer/peerpb/journal.twirp.go
@@ -1626,7 +1626,7 @@
 }
 
 func (s *journalServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *journalServer) ProtocGenTwirpVersion() string {
@@ -1640,7 +1640,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Journal")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 1022 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x56, 0xcd, 0x6e, 0x23, 0x45,
 	0x10, 0x66, 0xec, 0xb1, 0x3d, 0xae, 0x89, 0xb3, 0xa8, 0x05, 0xec, 0xc8, 0xfb, 0x93, 0x61, 0x38,
--- a/peer/peerpb/membership.twirp.go
+++ b/peer/peerpb/membership.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *membershipServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *membershipServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Membership")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 611 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x94, 0x41, 0x4f, 0xd4, 0x50,
 	0x10, 0xc7, 0xd3, 0x6d, 0xb7, 0x5d, 0x06, 0x50, 0xf3, 0x62, 0xf0, 0x65, 0x41, 0xb2, 0xe9, 0xc1,
--- a/peer/peerpb/once.twirp.go
+++ b/peer/peerpb/once.twirp.go
@@ -2466,7 +2466,7 @@
 }
 
 func (s *onceServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *onceServer) ProtocGenTwirpVersion() string {
@@ -2480,7 +2480,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Once")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 1238 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x57, 0x6f, 0x6f, 0x1b, 0x45,
 	0x13, 0x7f, 0x6c, 0x9f, 0xff, 0xcd, 0x39, 0x69, 0x9e, 0x15, 0x14, 0xd7, 0x4d, 0x69, 0x38, 0x21,
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -21,6 +21,7 @@
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
@@ -89,26 +90,6 @@
 	return s, err
 }
 
-// confirming returns from a watch each second, as the platform's store does.
-type confirming struct{ store.Store }
-
-type confirmingWatch struct{ store.Watcher }
-
-func (c confirming) Watch(ctx context.Context, prefix string, from int64) (store.Watcher, error) {
-	w, err := c.Store.Watch(ctx, prefix, from)
-	return confirmingWatch{w}, err
-}
-
-func (w confirmingWatch) Next(ctx context.Context) ([]store.Event, error) {
-	limited, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	events, err := w.Watcher.Next(limited)
-	if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
-		return nil, nil
-	}
-	return events, err
-}
-
 // network connects by address without a socket.
 type network struct {
 	mu    sync.Mutex
@@ -249,7 +230,7 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Hour }
 	self := routing.VM{ID: "vm-1", Zone: "a"}
-	w.feed = feed.New(feed.Options{Store: confirming{w.store}, Schema: schema, Clock: clock, Log: event.Discard()})
+	w.feed = feed.New(feed.Options{Store: storesim.Confirming{Store: w.store, Hold: time.Second}, Schema: schema, Clock: clock, Log: event.Discard()})
 	w.handler = New(Options{
 		Feed: w.feed, Codec: testCodec{}, Log: event.Discard(), Self: self, KeyAge: 5 * time.Second,
 		Repeats: repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, Dial: w.network.dial,
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,7 @@
 	"mallowwind.dev/decision/entries"
 	"mallowwind.dev/decision/repeats"
 	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/forward"
 	"mallowwind.dev/telemetry/event"
 	"mallowwind.dev/telemetry/metric"
@@ -56,8 +58,11 @@
 	KeepAnswers time.Duration
 	// Registry receives the metrics, which are served at Metrics.
 	Registry *metric.Catalogue
-	// Listeners; Directory and Metrics may be nil.
-	Callers, Readiness, Directory, Metrics net.Listener
+	// Dialer connects to other daemons, and Seeds are where some of them were.
+	Dialer *link.Dialer
+	Seeds  []string
+	// Listeners; Directory, Peers and Metrics may be nil.
+	Callers, Readiness, Directory, Peers, Metrics net.Listener
 	// ReadyHandler and DirectoryHandler wrap the answers in the platform's form.
 	ReadyHandler     func(ready func() bool) http.Handler
 	DirectoryHandler func(addresses func(zone string) []string) http.Handler
@@ -74,7 +79,10 @@
 
 // New assembles a gateway; Run starts it.
 func New(o Options) *Gateway {
-	f := feed.New(feed.Options{Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry})
+	f := feed.New(feed.Options{
+		Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry,
+		Self: o.Self.ID, Seeds: o.Seeds, Dialer: o.Dialer,
+	})
 	h := forward.New(forward.Options{
 		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
 		Registerer: o.Registry,
@@ -149,6 +157,14 @@
 	}
 	ready := &http.Server{Handler: g.opts.ReadyHandler(g.Ready), ReadHeaderTimeout: defaultHeaders, ErrorLog: quiet}
 	servers := []*http.Server{callers, ready}
+	if g.opts.Peers != nil {
+		router := mux.NewRouter()
+		prefix, service := g.feed.Handler()
+		router.PathPrefix(prefix).Handler(service)
+		peers := &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle, ErrorLog: quiet}
+		servers = append(servers, peers)
+		go g.listen(peers, g.opts.Peers)
+	}
 	go g.listen(callers, g.opts.Callers)
 	go g.listen(ready, g.opts.Readiness)
 	if g.opts.Directory != nil {
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -19,6 +19,10 @@
 		"The store does not answer; what is known stays in use.", "error")
 	StoreReached = define(533, "store_reached", logrus.InfoLevel,
 		"The store answers.", "revision")
+	FeedPeerFailed = define(535, "feed_peer_failed", logrus.WarnLevel,
+		"Another daemon did not tell what it read from the store.", "address", "error")
+	FeedLearned = define(536, "feed_learned", logrus.InfoLevel,
+		"What another daemon read from the store was taken over, or confirmed what is known.", "address", "revision", "age_ms")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
 		"This daemon's entry in the store could not be written or removed.", "error")
 )
