--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -62,10 +62,6 @@
 func TestDarkEngineBeforeFirstEvent(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
 		handle := func(rw http.ResponseWriter, r *http.Request) {
-			if w.servers[r.Header.Get(hServer)].isDark() {
-				sleep(r, time.Hour)
-				return
-			}
 			if r.Header.Get(hCopyAt) != "" {
 				rw.Header().Set(hNotRun, "1")
 				rw.WriteHeader(http.StatusServiceUnavailable)
@@ -75,7 +71,7 @@
 		}
 		a := w.add("e-a", "llm", "a", handle)
 		w.add("e-b", "llm", "b", handle)
-		a.setDark(true)
+		a.listener.Stall()
 		for range 4 { // whichever engine is chosen first
 			got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
 			must.NoError(t, got.err)
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -21,6 +21,7 @@
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/standin/faultnet"
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
@@ -90,80 +91,28 @@
 	return s, err
 }
 
-// network connects by address without a socket.
-type network struct {
-	mu    sync.Mutex
-	hosts map[string]*fakeServer
-	conns int
-}
-
 // fakeServer is a backend server in process.
 type fakeServer struct {
-	server  routing.Server
-	accept  chan net.Conn
-	gone    chan struct{} // closed with the listener
-	once    sync.Once
-	mu      sync.Mutex
-	dark    bool
-	cached  string // answer to the question what it holds
-	seen    []*http.Request
-	handle  http.HandlerFunc
-	http    *http.Server
-	network *network
-}
-
-func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	s := n.hosts[address]
-	n.conns++
-	n.mu.Unlock()
+	server   routing.Server
+	listener *faultnet.Listener
+	mu       sync.Mutex
+	cached   string // answer to the question what it holds
+	seen     []*http.Request
+	handle   http.HandlerFunc
+	http     *http.Server
+}
+
+// dial connects to a fake server by its address.
+func (w *world) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	w.mu.Lock()
+	s := w.hosts[address]
+	w.mu.Unlock()
 	if s == nil {
-		return nil, errors.New("connection refused")
+		return nil, errors.New("no such host")
 	}
-	if s.isDark() {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	here, there := net.Pipe()
-	select {
-	case s.accept <- there:
-		return here, nil
-	case <-s.gone:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (s *fakeServer) isDark() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dark
+	return s.listener.Dial(ctx, network, address)
 }
 
-// setDark makes a server silent: open connections say nothing more.
-func (s *fakeServer) setDark(dark bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dark = dark
-}
-
-// Accept, Close and Addr implement net.Listener.
-func (s *fakeServer) Accept() (net.Conn, error) {
-	select {
-	case c := <-s.accept:
-		return c, nil
-	case <-s.gone:
-		return nil, net.ErrClosed
-	}
-}
-
-func (s *fakeServer) Close() error {
-	s.once.Do(func() { close(s.gone) })
-	return nil
-}
-func (s *fakeServer) Addr() net.Addr { return &net.TCPAddr{} }
-
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/alive":
@@ -200,7 +149,8 @@
 type world struct {
 	t       *testing.T
 	store   *store.Memory
-	network *network
+	mu      sync.Mutex
+	hosts   map[string]*fakeServer // by address
 	feed    *feed.Manager
 	handler *Handler
 	servers map[string]*fakeServer
@@ -208,7 +158,7 @@
 	done    sync.WaitGroup
 }
 
-// newWorld runs test in virtual time with the routes given.
+// inWorld runs test in virtual time with the routes given.
 func inWorld(t *testing.T, routes []*routing.Route, test func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, routes)
@@ -225,7 +175,7 @@
 	schema := testSchema{config: routing.New(1, routing.Limits{BodyBytes: 1 << 20}, services, routes, accounts)}
 	w := &world{
 		t: t, store: store.NewMemory(), servers: map[string]*fakeServer{},
-		network: &network{hosts: map[string]*fakeServer{}},
+		hosts: map[string]*fakeServer{},
 	}
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Hour }
@@ -233,7 +183,7 @@
 	w.feed = feed.New(feed.Options{Store: storesim.Confirming{Store: w.store, Hold: time.Second}, Schema: schema, Clock: clock, Log: event.Discard()})
 	w.handler = New(Options{
 		Feed: w.feed, Codec: testCodec{}, Log: event.Discard(), Self: self, KeyAge: 5 * time.Second,
-		Repeats: repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, Dial: w.network.dial,
+		Repeats: repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, Dial: w.dial,
 	})
 	w.put("config", "{}")
 	ctx, cancel := context.WithCancel(t.Context())
@@ -256,19 +206,7 @@
 // add starts a server and waits until the handler knows it.
 func (w *world) add(id, service, zone string, handle http.HandlerFunc) *fakeServer {
 	w.t.Helper()
-	s := &fakeServer{
-		server:  routing.Server{ID: id, Service: service, Zone: zone, Address: id + ":80", Slots: 4},
-		accept:  make(chan net.Conn),
-		gone:    make(chan struct{}),
-		handle:  handle,
-		network: w.network,
-	}
-	s.http = &http.Server{Handler: s}
-	w.network.mu.Lock()
-	w.network.hosts[s.server.Address] = s
-	w.network.mu.Unlock()
-	w.servers[id] = s
-	go s.http.Serve(s)
+	s := w.start(routing.Server{ID: id, Service: service, Zone: zone, Address: id + ":80", Slots: 4}, handle)
 	raw, err := json.Marshal(s.server)
 	must.NoError(w.t, err)
 	w.put("server/"+id, string(raw))
@@ -276,27 +214,29 @@
 	return s
 }
 
+// start runs a server that the store does not know.
+func (w *world) start(server routing.Server, handle http.HandlerFunc) *fakeServer {
+	s := &fakeServer{server: server, listener: faultnet.Pipe(), handle: handle}
+	s.http = &http.Server{Handler: s}
+	w.mu.Lock()
+	w.hosts[server.Address] = s
+	w.mu.Unlock()
+	w.servers[server.ID] = s
+	go s.http.Serve(s.listener)
+	return s
+}
+
 // restart puts a new server at the address of an old one, unknown to the store.
 func (w *world) restart(old *fakeServer, id, service string) *fakeServer {
 	w.crash(old)
-	s := &fakeServer{
-		server: routing.Server{ID: id, Service: service, Zone: old.server.Zone, Address: old.server.Address},
-		accept: make(chan net.Conn), gone: make(chan struct{}), handle: old.handle, network: w.network,
-	}
-	s.http = &http.Server{Handler: s}
-	w.network.mu.Lock()
-	w.network.hosts[s.server.Address] = s
-	w.network.mu.Unlock()
-	w.servers[id] = s
-	go s.http.Serve(s)
-	return s
+	server := old.server
+	server.ID, server.Service = id, service
+	return w.start(server, old.handle)
 }
 
 // crash resets the connections of a server and refuses new ones.
 func (w *world) crash(s *fakeServer) {
-	w.network.mu.Lock()
-	delete(w.network.hosts, s.server.Address)
-	w.network.mu.Unlock()
+	s.listener.Cut()
 	s.http.Close()
 }
 
@@ -321,13 +261,13 @@
 func (w *world) ask(method, path string, header map[string]string, body string) answer {
 	w.t.Helper()
 	start := time.Now()
-	here, there := net.Pipe()
-	defer here.Close()
+	listener := faultnet.Pipe()
 	server := &http.Server{Handler: w.handler}
-	one := &fakeServer{accept: make(chan net.Conn, 1), gone: make(chan struct{})}
-	one.accept <- there
-	go server.Serve(one)
+	go server.Serve(listener)
 	defer server.Close()
+	here, err := listener.Dial(w.t.Context(), "", "")
+	must.NoError(w.t, err)
+	defer here.Close()
 	req, err := http.NewRequestWithContext(w.t.Context(), method, "http://host"+path, strings.NewReader(body))
 	must.NoError(w.t, err)
 	for k, v := range header {
--- /dev/null
+++ b/serve/gateway/callers.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// limitsEvery is how often the limits on callers are compared with those of
+	// the configuration.
+	limitsEvery = 500 * time.Millisecond
+	// acceptPause follows a failed accept, so that a lasting cause does not take
+	// a core; a caller waits a second for its connection.
+	acceptPause = 50 * time.Millisecond
+	// defaultIdle, defaultHeaders and maxHeaders hold until a configuration sets
+	// the limits.
+	defaultIdle    = 15 * time.Second
+	defaultHeaders = 5 * time.Second
+	maxHeaders     = 16 << 10
+)
+
+// callers accepts callers' connections and serves them within the limits of the
+// configuration. net/http reads its limits without a lock, so a change of them
+// is a new server for the connections that come later; those that are open keep
+// the limits under which they were opened.
+type callers struct {
+	listener net.Listener
+	handler  http.Handler
+	log      *event.Log
+	errorLog *log.Logger
+	mu       sync.Mutex
+	current  *handoff
+	servers  []*http.Server
+	limits   routing.Limits
+	closed   bool
+}
+
+// handoff is a listener that is given connections.
+type handoff struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+	addr  net.Addr
+}
+
+// Accept implements net.Listener.
+func (h *handoff) Accept() (net.Conn, error) {
+	select {
+	case c := <-h.conns:
+		return c, nil
+	case <-h.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (h *handoff) Close() error {
+	h.once.Do(func() { close(h.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (h *handoff) Addr() net.Addr { return h.addr }
+
+func newCallers(l net.Listener, handler http.Handler, events *event.Log, errorLog *log.Logger) *callers {
+	c := &callers{listener: l, handler: handler, log: events, errorLog: errorLog}
+	c.apply(routing.Limits{})
+	return c
+}
+
+// apply starts a server with other limits. It is called at the start and by the
+// loop of follow.
+func (c *callers) apply(limits routing.Limits) {
+	s := &http.Server{
+		Handler: c.handler, ErrorLog: c.errorLog,
+		ReadHeaderTimeout: orElse(limits.HeaderTimeout, defaultHeaders),
+		IdleTimeout:       orElse(limits.IdleTimeout, defaultIdle),
+		MaxHeaderBytes:    orElse(limits.HeaderBytes, maxHeaders),
+	}
+	h := &handoff{conns: make(chan net.Conn), done: make(chan struct{}), addr: c.listener.Addr()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.current, c.limits = h, limits
+	c.servers = append(c.servers, s)
+	go func() {
+		if err := s.Serve(h); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			c.log.Emit(event.ListenerFailed, c.listener.Addr().String(), err)
+		}
+	}()
+}
+
+// orElse is a value, or the other where it is not set.
+func orElse[T time.Duration | int](value, other T) T {
+	if value > 0 {
+		return value
+	}
+	return other
+}
+
+// follow compares the limits with the configuration's until ctx ends.
+func (c *callers) follow(ctx context.Context, config func() *routing.Config) {
+	tick := time.NewTicker(limitsEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if now := config(); now != nil && !sameLimits(now.Limits, c.limits) {
+			c.apply(now.Limits)
+			c.log.Emit(event.LimitsInForce, now.Version, now.Limits.HeaderBytes, now.Limits.HeaderTimeout, now.Limits.IdleTimeout)
+		}
+	}
+}
+
+// sameLimits leaves out the bound on bodies, which the handler keeps.
+func sameLimits(a, b routing.Limits) bool {
+	a.BodyBytes, b.BodyBytes = 0, 0
+	return a == b
+}
+
+// accept hands connections to the current server until the listener closes.
+func (c *callers) accept() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			// Mostly descriptors that ran out; connections that end free some.
+			c.log.Emit(event.ListenerFailed, c.listener.Addr().String(), err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		c.hand(conn)
+	}
+}
+
+func (c *callers) hand(conn net.Conn) {
+	c.mu.Lock()
+	h := c.current
+	c.mu.Unlock()
+	select {
+	case h.conns <- conn:
+	case <-h.done:
+		conn.Close()
+	}
+}
+
+// Close ends the listener and all connections.
+func (c *callers) Close() error {
+	first := c.listener.Close()
+	c.mu.Lock()
+	c.closed = true
+	servers := c.servers
+	c.mu.Unlock()
+	for _, s := range servers {
+		if err := s.Close(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return errors.Wrap(first, "close")
+}
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -36,10 +37,6 @@
 	exitMargin = 500 * time.Millisecond
 	// keptAnswers is how many times the stated time some callers keep an address.
 	keptAnswers = 3
-	// defaultIdle and defaultHeaders hold until a configuration sets the limits.
-	defaultIdle    = 15 * time.Second
-	defaultHeaders = 5 * time.Second
-	maxHeaders     = 16 << 10
 )
 
 // Options configure a Gateway.
@@ -61,6 +58,8 @@
 	// Dialer connects to other daemons, and Seeds are where some of them were.
 	Dialer *link.Dialer
 	Seeds  []string
+	// DialServer opens connections to backend servers; nil means TCP.
+	DialServer forward.DialFunc
 	// Listeners; Directory, Peers and Metrics may be nil.
 	Callers, Readiness, Directory, Peers, Metrics net.Listener
 	// ReadyHandler and DirectoryHandler wrap the answers in the platform's form.
@@ -85,7 +84,7 @@
 	})
 	h := forward.New(forward.Options{
 		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
-		Registerer: o.Registry,
+		Registerer: o.Registry, Dial: o.DialServer,
 	})
 	return &Gateway{opts: o, feed: f, handler: h}
 }
@@ -123,7 +122,7 @@
 func (g *Gateway) Run(soft, hard context.Context) error {
 	life, end := context.WithCancel(hard)
 	defer end()
-	servers := g.serve()
+	servers := g.serve(life)
 	var work errgroup.Group
 	work.Go(func() error { g.feed.Run(life); return nil })
 	registered := make(chan struct{})
@@ -149,39 +148,37 @@
 }
 
 // serve starts the listeners.
-func (g *Gateway) serve() []*http.Server {
-	quiet := log.New(discard{}, "", 0) // what clients do wrong is in the events
-	callers := &http.Server{
-		Handler: g.handler, ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle,
-		MaxHeaderBytes: maxHeaders, ErrorLog: quiet,
-	}
-	ready := &http.Server{Handler: g.opts.ReadyHandler(g.Ready), ReadHeaderTimeout: defaultHeaders, ErrorLog: quiet}
-	servers := []*http.Server{callers, ready}
-	if g.opts.Peers != nil {
-		router := mux.NewRouter()
-		prefix, service := g.feed.Handler()
-		router.PathPrefix(prefix).Handler(service)
-		peers := &http.Server{Handler: router, ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle, ErrorLog: quiet}
-		servers = append(servers, peers)
-		go g.listen(peers, g.opts.Peers)
-	}
-	go g.listen(callers, g.opts.Callers)
-	go g.listen(ready, g.opts.Readiness)
-	if g.opts.Directory != nil {
-		directory := &http.Server{
-			Handler: g.opts.DirectoryHandler(g.Addresses), ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle, ErrorLog: quiet,
-		}
-		servers = append(servers, directory)
-		go g.listen(directory, g.opts.Directory)
-	}
-	if g.opts.Metrics != nil {
-		metrics := &http.Server{
-			Handler: promhttp.HandlerFor(g.opts.Registry, promhttp.HandlerOpts{}), ReadHeaderTimeout: defaultHeaders, ErrorLog: quiet,
+func (g *Gateway) serve(ctx context.Context) []io.Closer {
+	quiet := log.New(io.Discard, "", 0) // what callers do wrong is in the events
+	callers := newCallers(g.opts.Callers, g.handler, g.opts.Log, quiet)
+	go callers.accept()
+	go callers.follow(ctx, func() *routing.Config { return g.feed.View().Config })
+	closers := []io.Closer{callers}
+	for _, l := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{
+		{g.opts.Readiness, g.opts.ReadyHandler(g.Ready)},
+		{g.opts.Directory, g.opts.DirectoryHandler(g.Addresses)},
+		{g.opts.Peers, g.peerHandler()},
+		{g.opts.Metrics, promhttp.HandlerFor(g.opts.Registry, promhttp.HandlerOpts{})},
+	} {
+		if l.listener == nil {
+			continue
 		}
-		servers = append(servers, metrics)
-		go g.listen(metrics, g.opts.Metrics)
+		s := &http.Server{Handler: l.handler, ReadHeaderTimeout: defaultHeaders, IdleTimeout: defaultIdle, ErrorLog: quiet}
+		closers = append(closers, s)
+		go g.listen(s, l.listener)
 	}
-	return servers
+	return closers
+}
+
+// peerHandler answers other daemons.
+func (g *Gateway) peerHandler() http.Handler {
+	router := mux.NewRouter()
+	prefix, service := g.feed.Handler()
+	router.PathPrefix(prefix).Handler(service)
+	return router
 }
 
 func (g *Gateway) listen(s *http.Server, l net.Listener) {
@@ -219,7 +216,7 @@
 	}
 }
 
-func closeAll(servers []*http.Server) error {
+func closeAll(servers []io.Closer) error {
 	var first error
 	for _, s := range servers {
 		if err := s.Close(); err != nil && first == nil {
@@ -228,8 +225,3 @@
 	}
 	return first
 }
-
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- /dev/null
+++ b/serve/gateway/gateway_test.go
@@ -0,0 +1,255 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/serve/forward"
+	"mallowwind.dev/telemetry/event"
+	"mallowwind.dev/telemetry/metric"
+)
+
+// codec carries nothing but the id.
+type codec struct{}
+
+func (codec) Call(h http.Header) (forward.Call, error) { return forward.Call{ID: h.Get("Id")}, nil }
+
+func (codec) Outgoing(h http.Header, _ forward.Errand) http.Header { return h.Clone() }
+
+func (codec) Reply(int, http.Header) forward.Reply { return forward.Reply{Proven: true} }
+
+func (codec) CachePath() string                   { return "/" }
+func (codec) CacheParts([]byte) ([]string, error) { return nil, nil }
+func (codec) Probe() string                       { return "/" }
+func (codec) Alive([]byte) bool                   { return true }
+
+// schema stores a configuration as its version and the idle timeout.
+type schema struct{}
+
+func (schema) ConfigKey() string { return "config" }
+
+func (schema) DecodeConfig(raw []byte) (*routing.Config, error) {
+	var version int64
+	var idle string
+	if _, err := fmt.Sscan(string(raw), &version, &idle); err != nil {
+		return nil, err
+	}
+	timeout, err := time.ParseDuration(idle)
+	if err != nil {
+		return nil, err
+	}
+	route := &routing.Route{
+		Host: "host", Prefix: "/", Kind: routing.AtMostOnce, Timeout: 20 * time.Second, Attempts: 1,
+		Targets: []routing.Target{{Service: "desk", Weight: 1}},
+	}
+	return routing.New(version, routing.Limits{IdleTimeout: timeout}, nil, []*routing.Route{route}, nil), nil
+}
+
+func (schema) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
+
+func (schema) DecodeServer(id string, raw []byte) (routing.Server, error) {
+	return routing.Server{ID: id, Service: "desk", Address: string(raw), Slots: 4}, nil
+}
+
+// site is one gateway in virtual time before a backend server that answers
+// after the wait that the path names.
+type site struct {
+	t                         *testing.T
+	store                     *store.Memory
+	callers, ready, directory *faultnet.Listener
+	backend                   *faultnet.Listener
+	term                      context.CancelFunc
+	stopped                   chan struct{} // closed when Run returned
+}
+
+func inSite(t *testing.T, test func(*site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{
+			t: t, store: store.NewMemory(), stopped: make(chan struct{}),
+			callers: faultnet.Pipe(), ready: faultnet.Pipe(), directory: faultnet.Pipe(), backend: faultnet.Pipe(),
+		}
+		backend := &http.Server{Handler: http.HandlerFunc(slow)}
+		go backend.Serve(s.backend)
+		s.put("config", "1 15s")
+		s.put("server/d", "d:1")
+		s.put("mallowwind/vm/other", `{"id":"other","address":"other:1"}`)
+		start := time.Now()
+		g := New(Options{
+			Self:  routing.VM{ID: "self", Address: "self:1"},
+			Store: storesim.Confirming{Store: s.store, Hold: time.Second}, Schema: schema{}, Codec: codec{},
+			Clock: func() time.Duration { return time.Since(start) + time.Hour }, Log: event.Discard(),
+			KeyAge: 5 * time.Second, Grace: 8 * time.Second, KeepAnswers: time.Second,
+			Repeats:  repeats.Rule{Ratio: 1, Slack: 10, Window: time.Second},
+			Registry: metric.NewCatalogue(), Callers: s.callers, Readiness: s.ready, Directory: s.directory,
+			ReadyHandler: readyHandler, DirectoryHandler: directoryHandler, DialServer: s.backend.Dial,
+		})
+		soft, term := context.WithCancel(t.Context())
+		hard, kill := context.WithCancel(t.Context())
+		s.term = term
+		go func() {
+			defer close(s.stopped)
+			_ = g.Run(soft, hard)
+		}()
+		time.Sleep(time.Second)
+		test(s)
+		term()
+		kill()
+		<-s.stopped
+		backend.Close()
+		synctest.Wait()
+	})
+}
+
+func slow(w http.ResponseWriter, r *http.Request) {
+	wait, err := time.ParseDuration(strings.Trim(r.URL.Path, "/"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	select {
+	case <-time.After(wait):
+		fmt.Fprint(w, "done")
+	case <-r.Context().Done():
+	}
+}
+
+func readyHandler(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func directoryHandler(addresses func(string) []string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(addresses(""))
+	})
+}
+
+func (s *site) put(key, value string) {
+	s.t.Helper()
+	var version int64
+	if kv, err := s.store.Get(s.t.Context(), key); err == nil {
+		version = kv.Version
+	}
+	_, err := s.store.CompareAndSwap(s.t.Context(), key, version, []byte(value), 0)
+	must.NoError(s.t, err)
+}
+
+// get makes one request on a connection of its own.
+func (s *site) get(l *faultnet.Listener, path string) (int, string) {
+	s.t.Helper()
+	conn, err := l.Dial(s.t.Context(), "", "")
+	if err != nil {
+		return 0, ""
+	}
+	defer conn.Close()
+	status, body, err := exchange(conn, bufio.NewReader(conn), path)
+	if err != nil {
+		return 0, ""
+	}
+	return status, body
+}
+
+func exchange(conn net.Conn, r *bufio.Reader, path string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://host"+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	if err := req.Write(conn); err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		return 0, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, strings.TrimSpace(string(body)), err
+}
+
+// The platform stops a daemon. Its readiness and the address answers say so at
+// once, the request in progress gets its answer, callers that still keep the
+// address are served, and the process ends before it is killed.
+func TestStopCutsNothing(t *testing.T) {
+	inSite(t, func(s *site) {
+		status, _ := s.get(s.ready, "/")
+		must.Eq(t, http.StatusOK, status)
+		_, list := s.get(s.directory, "/")
+		must.StrContains(t, list, "self:1")
+		long := make(chan string, 1)
+		go func() {
+			_, body := s.get(s.callers, "/4s")
+			long <- body
+		}()
+		time.Sleep(time.Second)
+		began := time.Now()
+		s.term()
+		time.Sleep(10 * time.Millisecond)
+		status, _ = s.get(s.ready, "/")
+		must.Eq(t, http.StatusServiceUnavailable, status)
+		_, list = s.get(s.directory, "/")
+		must.Eq(t, `["other:1"]`, list)
+		time.Sleep(2 * time.Second)
+		_, body := s.get(s.callers, "/10ms")
+		must.Eq(t, "done", body)
+		must.Eq(t, "done", <-long)
+		<-s.stopped
+		must.Between(t, 3*time.Second, time.Since(began), 4*time.Second)
+	})
+}
+
+// A request outlasts the time that is left. The process ends by itself before
+// it is killed, so that its other work ends in order.
+func TestStopEndsWithinItsTime(t *testing.T) {
+	inSite(t, func(s *site) {
+		go s.get(s.callers, "/19s")
+		time.Sleep(time.Second)
+		began := time.Now()
+		s.term()
+		<-s.stopped
+		must.Less(t, 8*time.Second, time.Since(began))
+	})
+}
+
+// Callers reuse a connection that was idle for most of the limit in force. The
+// limit changes with the configuration, for connections opened from then on.
+func TestIdleConnectionsLiveAsLongAsConfigured(t *testing.T) {
+	for _, c := range []struct {
+		idle time.Duration
+		kept bool
+	}{{10 * time.Second, true}, {40 * time.Second, false}} {
+		t.Run(c.idle.String(), func(t *testing.T) {
+			inSite(t, func(s *site) {
+				s.put("config", "2 20s")
+				time.Sleep(2 * time.Second)
+				conn, err := s.callers.Dial(s.t.Context(), "", "")
+				must.NoError(t, err)
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				_, body, err := exchange(conn, r, "/1ms")
+				must.NoError(t, err)
+				must.Eq(t, "done", body)
+				time.Sleep(c.idle)
+				_, _, err = exchange(conn, r, "/1ms")
+				must.Eq(t, c.kept, err == nil)
+			})
+		})
+	}
+}
--- a/telemetry/event/catalogue.go
+++ b/telemetry/event/catalogue.go
@@ -18,6 +18,8 @@
 		"Keys of calls that may not be repeated could not all be handed over before the stop.", "error")
 	ListenerFailed = define(106, "listener_failed", logrus.ErrorLevel,
 		"A listener of the daemon ended by itself.", "listen", "error")
+	LimitsInForce = define(109, "limits_in_force", logrus.InfoLevel,
+		"Connections that callers open from now on are bound by other limits.", "version", "header_bytes", "header_timeout", "idle_timeout")
 	LogDropped = define(108, "log_dropped", logrus.WarnLevel,
 		"Log lines were dropped because the output did not take them in time.", "lines")
 	SettingsReloaded = define(107, "settings_reloaded", logrus.InfoLevel,
