forward: an answer does not go on at an engine that leaves

Cause: the engine that held a copy had restarted at its address and was leaving; the view leaves such servers out, so the old id was asked for, the 421 named the new one, and it was taken for one that had not registered yet. The feed now remembers who left. Ruled out: a stale view (the store had been answering all the while). Test: TestCopyAtAnEngineThatLeaves, failed before.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -63,6 +63,14 @@
 	VMs []routing.VM
 	// entries are the store's, for other daemons.
 	entries []store.KV
+	// departed are the servers that leave or are gone.
+	departed map[string]time.Duration
+}
+
+// Departed reports whether a server is known to leave or to be gone.
+func (v *View) Departed(id string) bool {
+	_, ok := v.departed[id]
+	return ok
 }
 
 // Options configure a Manager.
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -12,6 +12,10 @@
 	"mallowwind.dev/telemetry/event"
 )
 
+// rememberDeparted is how long a server that left is remembered: longer than
+// the longest answer during which its id may still turn up.
+const rememberDeparted = time.Minute
+
 // vmPrefix begins the keys under which entry VMs register themselves.
 const vmPrefix = "mallowwind/vm/"
 
@@ -28,6 +32,8 @@
 	// doubtful holds when servers cease to be usable whose entries vanished
 	// around an outage.
 	doubtful map[string]time.Duration
+	// departed holds when each server was first known to leave or be gone.
+	departed map[string]time.Duration
 	// lastReached is when the store last answered; doubtUntil is until when a
 	// removal may come from a lease that ran out during an outage.
 	lastReached, doubtUntil time.Duration
@@ -42,6 +48,7 @@
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
 		doubtful: map[string]time.Duration{},
+		departed: map[string]time.Duration{},
 	}
 }
 
@@ -142,6 +149,7 @@
 		return
 	}
 	delete(t.doubtful, id)
+	t.note(id, s.Leaving)
 	if _, known := t.written[id]; !known {
 		t.written[id] = kv.Version
 	}
@@ -190,7 +198,19 @@
 	t.forget(id)
 }
 
+// note remembers whether a server departs.
+func (t *table) note(id string, departs bool) {
+	if !departs {
+		delete(t.departed, id)
+		return
+	}
+	if _, known := t.departed[id]; !known {
+		t.departed[id] = t.lastReached
+	}
+}
+
 func (t *table) forget(id string) {
+	t.note(id, true)
 	delete(t.servers, id)
 	delete(t.written, id)
 	delete(t.doubtful, id)
@@ -206,12 +226,18 @@
 			gone = true
 		}
 	}
+	for id, since := range t.departed {
+		if _, here := t.servers[id]; !here && now-since > rememberDeparted {
+			delete(t.departed, id)
+		}
+	}
 	return gone
 }
 
 func (t *table) view() *View {
 	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
 	v.entries = slices.Collect(maps.Values(t.raw))
+	v.departed = maps.Clone(t.departed)
 	holders := t.holders()
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -167,7 +167,7 @@
 	if c, ok := r.h.pool.at(view, r.service, held.server.Address); ok && c.server.ID != r.misdirected {
 		held = c
 	}
-	return held, !contains(r.failed, held.server.ID)
+	return held, !view.Departed(held.server.ID) && !contains(r.failed, held.server.ID)
 }
 
 // warm is an engine that holds the prompt of a stream which another daemon began.
@@ -415,8 +415,8 @@
 // and lie at the new engine. Where one service alone has engines, whatever
 // speaks as an engine is of that service, also at an address used again.
 func (h *Handler) successor(ctx context.Context, service string, old routing.Server, instance string) bool {
-	config := h.opts.Feed.View().Config
-	if instance == "" || instance == old.ID || config.OnlyEngines() != service {
+	view := h.opts.Feed.View()
+	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != service {
 		return false
 	}
 	return h.probe(ctx, old) == nil
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -167,3 +168,44 @@
 		must.Eq(t, 1, a.requests())
 	})
 }
+
+// The engine that holds a copy restarts at its address, registers, and leaves;
+// its entry may be gone by the time the run's engine dies. The answer must not
+// go on at an engine that leaves, although it names itself when it is asked for
+// by the old id.
+func TestCopyAtAnEngineThatLeaves(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("removed %v", removed), func(t *testing.T) {
+			inWorld(t, streamRoute(), func(w *world) {
+				handle := streaming(100, time.Second, 40*time.Millisecond)
+				a := w.add("e-a", "llm", "a", handle)
+				b := w.add("e-b", "llm", "b", handle)
+				var successor *fakeServer
+				go func() {
+					time.Sleep(500 * time.Millisecond)
+					runner, holder := a, b
+					if b.requests() > 0 {
+						runner, holder = b, a
+					}
+					successor = w.restart(holder, "e-new", "llm")
+					w.register(successor)
+					time.Sleep(time.Second)
+					w.remove("server/" + holder.server.ID)
+					successor.server.Leaving = true
+					w.register(successor)
+					time.Sleep(time.Second)
+					if removed {
+						w.remove("server/e-new")
+						time.Sleep(time.Second)
+					}
+					w.crash(runner)
+				}()
+				got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+				must.Error(t, got.err)
+				for _, r := range successor.seen {
+					must.NotEq(t, "e-new", r.Header.Get(hServer))
+				}
+			})
+		})
+	}
+}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -207,13 +207,27 @@
 func (w *world) add(id, service, zone string, handle http.HandlerFunc) *fakeServer {
 	w.t.Helper()
 	s := w.start(routing.Server{ID: id, Service: service, Zone: zone, Address: id + ":80", Slots: 4}, handle)
-	raw, err := json.Marshal(s.server)
-	must.NoError(w.t, err)
-	w.put("server/"+id, string(raw))
+	w.register(s)
 	time.Sleep(time.Second)
 	return s
 }
 
+// register writes a server's entry.
+func (w *world) register(s *fakeServer) {
+	w.t.Helper()
+	raw, err := json.Marshal(s.server)
+	must.NoError(w.t, err)
+	w.put("server/"+s.server.ID, string(raw))
+}
+
+// remove deletes a key of the store.
+func (w *world) remove(key string) {
+	w.t.Helper()
+	kv, err := w.store.Get(w.t.Context(), key)
+	must.NoError(w.t, err)
+	must.NoError(w.t, w.store.Delete(w.t.Context(), key, kv.Version))
+}
+
 // start runs a server that the store does not know.
 func (w *world) start(server routing.Server, handle http.HandlerFunc) *fakeServer {
 	s := &fakeServer{server: server, listener: faultnet.Pipe(), handle: handle}
