mallowctl story: one request across the logs of several daemons; more of what decided is logged

Each line of forwarding now names the account, the configuration's version and age, and the prompt, by which the attempts of one caller at several daemons are found. Servers seen and gone, suspicions, denied repeats and located prompts are events.

--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -35,6 +35,7 @@
 	Status   statusCmd   `cmd:"" help:"Show which revision is in force in each zone, and who lags."`
 	Handover handoverCmd `cmd:"" help:"Write what the next shift starts from: state and text."`
 
+	Story    storyCmd    `cmd:"" help:"Print one request's story from the logs of several daemons."`
 	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 	Metrics  metricsCmd  `cmd:"" help:"Print the metrics of a daemon, docs/metrics.md."`
--- /dev/null
+++ b/cmd/mallowctl/story.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/telemetry/story"
+)
+
+// storyCmd prints what the logs say of one request.
+type storyCmd struct {
+	ID    string                   `arg:"" help:"The id of a request, a generation or a prompt, as the logs spell it."`
+	Files []string                 `arg:"" type:"existingfile" help:"Logs of daemons."`
+	Clock map[string]time.Duration `placeholder:"VM=OFFSET" help:"How far a daemon's clock is ahead, such as entry-2=-150ms."`
+}
+
+// Run implements the command.
+func (c *storyCmd) Run() error {
+	var lines []story.Line
+	for _, path := range c.Files {
+		f, err := os.Open(path)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		got, err := story.Read(f, c.ID, c.Clock)
+		f.Close()
+		if err != nil {
+			return errors.Wrap(err, path)
+		}
+		lines = append(lines, got...)
+	}
+	story.Sort(lines)
+	return story.Write(os.Stdout, lines)
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -156,6 +156,7 @@
 	if t.servers[id] != s {
 		t.servers[id] = s
 		t.dirty = true
+		t.log.Emit(event.ServerSeen, id, s.Service, s.Zone, s.Address, s.Leaving, kv.Version)
 	}
 }
 
@@ -192,10 +193,12 @@
 	if now < t.doubtUntil && !s.Leaving {
 		if _, kept := t.doubtful[id]; !kept {
 			t.doubtful[id] = now + doubtTime
+			t.log.Emit(event.ServerGone, id, s.Service, doubtTime)
 		}
 		return
 	}
 	t.forget(id)
+	t.log.Emit(event.ServerGone, id, s.Service, time.Duration(0))
 }
 
 // note remembers whether a server departs.
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -74,7 +74,6 @@
 	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats)}
 	h.locator = newLocator(h)
 	h.metrics = newMetrics(o.Registerer, h.Running)
-	h.pool.denied = h.metrics.denied.Inc
 	return h
 }
 
@@ -127,6 +126,7 @@
 	if !known {
 		return in, verdict.New(verdict.NotRun, verdict.CodeUnconfigured, "no configuration is known yet").After(unknownRetry)
 	}
+	in.version, in.age = view.Config.Version, age
 	call, err := h.opts.Codec.Call(r.Header)
 	if err != nil {
 		return in, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%v", err)
@@ -285,7 +285,8 @@
 	// The caller may have left; there is nobody else to tell.
 	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
 	h.metrics.answered(in, status, sourceDaemon)
-	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.routeName(), status, e.Code, e.Error(), time.Since(in.arrived))
+	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.call.OwnPart, in.routeName(), in.accountName(), in.version, in.age,
+		status, e.Code, e.RetryAfter, e.Error(), time.Since(in.arrived))
 }
 
 func (in *inbound) routeName() string {
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -123,7 +123,7 @@
 	if !ok {
 		return false
 	}
-	if x.sends > 0 && !x.h.pool.repeat(now, x.service) {
+	if x.sends > 0 && !x.h.repeat(now, x.in, x.service, x.sends) {
 		x.h.pool.release(c)
 		return false
 	}
@@ -139,6 +139,16 @@
 	return true
 }
 
+// repeat asks the shared budget for one more send of a request.
+func (h *Handler) repeat(now time.Time, in *inbound, service string, sends int) bool {
+	if h.pool.repeat(now, service) {
+		return true
+	}
+	h.metrics.denied.Inc()
+	h.opts.Log.Emit(event.RepeatDenied, in.call.ID, in.route.Name, sends)
+	return false
+}
+
 // note takes back what an exchange that did not run was counted for.
 func (x *exchanges) note(o *outcome) {
 	if o.notRun {
@@ -193,7 +203,7 @@
 	})
 	if err != nil {
 		o.err, o.notRun = err, errors.Is(err, errNotSent)
-		h.blame(ctx, c, err)
+		h.blame(ctx, in, c, err)
 		return o
 	}
 	o.status, o.header = resp.StatusCode, resp.Header
@@ -203,16 +213,18 @@
 		o.err = errors.New("a success without proof")
 	}
 	if o.err != nil {
-		h.blame(ctx, c, o.err)
+		h.blame(ctx, in, c, o.err)
 	}
 	return o
 }
 
 // blame makes a server suspect unless the exchange was ended from here.
-func (h *Handler) blame(ctx context.Context, c choice, err error) {
-	if ctx.Err() == nil {
-		h.pool.failed(time.Now(), c.server.ID)
+func (h *Handler) blame(ctx context.Context, in *inbound, c choice, err error) {
+	if ctx.Err() != nil {
+		return
 	}
+	h.pool.failed(time.Now(), c.server.ID)
+	h.opts.Log.Emit(event.BackendSuspected, in.call.ID, c.server.ID, err, suspicion)
 }
 
 // readAnswer reads an answer to its end, or its beginning if it is long.
@@ -279,5 +291,5 @@
 
 func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
 	h.metrics.sent(o)
-	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, o.choice.server.ID, o.choice.reason, o.status, o.notRun, took, o.err)
+	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, in.accountName(), in.version, o.choice.server.ID, o.choice.reason, o.status, o.notRun, took, o.err)
 }
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -50,7 +50,6 @@
 	loads   map[string]*load
 	budgets map[string]*repeats.Budget
 	paces   map[string]*prompts.Pace
-	denied  func() // counts repeats that were not affordable
 }
 
 func newPool(self routing.VM, rule repeats.Rule) *pool {
@@ -161,11 +160,7 @@
 func (p *pool) repeat(now time.Time, service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ok := p.budget(service).Repeat(now, p.daemons())
-	if !ok {
-		p.denied()
-	}
-	return ok
+	return p.budget(service).Repeat(now, p.daemons())
 }
 
 func (p *pool) pace(service string) *prompts.Pace {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -132,7 +132,7 @@
 // before, or one that reads the prompt.
 func (r *relay) next(ctx context.Context) (leg, error) {
 	now := time.Now()
-	if r.starts >= maxStarts || r.sends > 0 && !r.h.pool.repeat(now, r.service) {
+	if r.starts >= maxStarts || r.sends > 0 && !r.h.repeat(now, r.in, r.service, r.sends) {
 		return leg{}, r.none()
 	}
 	r.starts++
@@ -175,7 +175,9 @@
 	if r.in.call.After == 0 || r.in.call.OwnPart == "" {
 		return choice{}, false
 	}
-	for _, id := range r.h.locator.holders(ctx, r.service, r.in.call.OwnPart) {
+	holders := r.h.locator.holders(ctx, r.service, r.in.call.OwnPart)
+	r.h.opts.Log.Emit(event.PromptLocated, r.in.call.ID, r.in.call.OwnPart, holders)
+	for _, id := range holders {
 		if contains(r.failed, id) || r.h.pool.suspect(now, id) {
 			continue
 		}
@@ -384,7 +386,7 @@
 	if ctx.Err() != nil {
 		return legAborted, r.expired()
 	}
-	r.h.blame(ctx, l.at, err)
+	r.h.blame(ctx, r.in, l.at, err)
 	r.failed = append(r.failed, l.at.server.ID)
 	if errors.Is(err, errNotSent) {
 		r.runs--
@@ -445,6 +447,6 @@
 
 func (r *relay) log(l leg, end legEnd, err error) {
 	r.h.metrics.legs.WithLabelValues(l.at.reason, end.String()).Inc()
-	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.route.Name, l.at.server.ID, l.at.server.Zone, l.at.reason,
+	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.call.OwnPart, r.in.route.Name, r.in.accountName(), r.in.version, l.at.server.ID, l.at.server.Zone, l.at.reason,
 		l.copyTo.server.ID, end.String(), r.after, r.first, time.Since(r.since), time.Since(r.in.arrived), err)
 }
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -62,6 +62,9 @@
 	route  *routing.Route
 	// account is the caller's; nil on public routes.
 	account *routing.Account
+	// version of the configuration by which it is served, and its age on arrival.
+	version int64
+	age     time.Duration
 	arrived time.Time
 	until   time.Time // when the caller or the route gives up
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -5,11 +5,17 @@
 // Events of forwarding and of what it follows in the store.
 var (
 	Exchanged = define(220, "exchanged", logrus.InfoLevel,
-		"A forwarded request was sent to a backend server.", "request", "route", "backend", "reason", "status", "not_run", "took", "error")
+		"A forwarded request was sent to a backend server.", "request", "route", "account", "config", "backend", "reason", "status", "not_run", "took", "error")
 	StreamLeg = define(221, "stream_leg", logrus.InfoLevel,
-		"One backend server's part of a forwarded stream ended.", "request", "route", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "quiet", "took", "error")
+		"One backend server's part of a forwarded stream ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "quiet", "took", "error")
 	ForwardRefused = define(222, "forward_refused", logrus.InfoLevel,
-		"The daemon itself answered a forwarded request.", "request", "route", "status", "code", "error", "took")
+		"The daemon itself answered a forwarded request.", "request", "prompt", "route", "account", "config", "config_age", "status", "code", "retry_after", "error", "took")
+	BackendSuspected = define(223, "backend_suspected", logrus.WarnLevel,
+		"A backend server failed a request and is a last resort for a while.", "request", "backend", "error", "for")
+	RepeatDenied = define(224, "repeat_denied", logrus.InfoLevel,
+		"The shared budget of repeats did not afford one more send.", "request", "route", "sends")
+	PromptLocated = define(225, "prompt_located", logrus.InfoLevel,
+		"The engines were asked which of them holds the prompt of a stream that another daemon began.", "request", "prompt", "holders")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
@@ -23,6 +29,10 @@
 		"Another daemon did not tell what it read from the store.", "address", "error")
 	FeedLearned = define(536, "feed_learned", logrus.InfoLevel,
 		"What another daemon read from the store was taken over, or confirmed what is known.", "address", "revision", "age_ms")
+	ServerSeen = define(537, "server_seen", logrus.InfoLevel,
+		"A backend server registered or changed its entry.", "backend", "service", "backend_zone", "address", "leaving", "revision")
+	ServerGone = define(538, "server_gone", logrus.InfoLevel,
+		"A backend server's entry is gone; doubt is how long it stays in use because its lease may have run out in an outage.", "backend", "service", "doubt")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
 		"This daemon's entry in the store could not be written or removed.", "error")
 )
--- /dev/null
+++ b/telemetry/story/story.go
@@ -0,0 +1,150 @@
+// Package story picks the lines of one request out of the logs of several
+// daemons and puts them in order.
+package story
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Line is one event of a log.
+type Line struct {
+	When   time.Time // by the daemon's clock, corrected
+	VM     string
+	Event  int
+	Name   string
+	Text   string
+	Fields map[string]any // what the event has beside the common fields
+	// Stepped says that the daemon's clock went back before this line.
+	Stepped bool
+}
+
+// Clocks says how far a daemon's clock is ahead of the others', by VM.
+type Clocks map[string]time.Duration
+
+// common are the fields that every line has.
+var common = []string{"event", "name", "msg", "level", "time", "vm", "zone"}
+
+// Read returns the lines of a log that name id, in a field or as part of one.
+// Lines that are no events are passed over, since other programs may write to
+// the same output. The order of the log is kept where the clock stepped back.
+func Read(r io.Reader, id string, clocks Clocks) ([]Line, error) {
+	var lines []Line
+	latest := map[string]time.Time{}
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), id) {
+			continue
+		}
+		line, ok := parse(scanner.Text(), clocks)
+		if !ok || !line.names(id) {
+			continue
+		}
+		if last := latest[line.VM]; line.When.Before(last) {
+			line.When, line.Stepped = last, true
+		}
+		latest[line.VM] = line.When
+		lines = append(lines, line)
+	}
+	return lines, errors.Wrap(scanner.Err(), "read log")
+}
+
+// parse reads a line, which may have something else before the event.
+func parse(text string, clocks Clocks) (Line, bool) {
+	begin := strings.IndexByte(text, '{')
+	if begin < 0 {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(text[begin:]), &fields); err != nil {
+		return Line{}, false
+	}
+	line := Line{Fields: fields}
+	line.VM, _ = fields["vm"].(string)
+	line.Name, _ = fields["name"].(string)
+	line.Text, _ = fields["msg"].(string)
+	if n, ok := fields["event"].(float64); ok {
+		line.Event = int(n)
+	}
+	stamp, _ := fields["time"].(string)
+	when, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil || line.Event == 0 {
+		return Line{}, false
+	}
+	line.When = when.Add(-clocks[line.VM])
+	for _, name := range common {
+		delete(fields, name)
+	}
+	return line, true
+}
+
+func (l *Line) names(id string) bool {
+	for _, v := range l.Fields {
+		if s, ok := v.(string); ok && s == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Sort orders lines by time and leaves those of one moment in the order given.
+func Sort(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.When.Compare(b.When) })
+}
+
+// Write prints lines, one event a paragraph, with the time since the first.
+func Write(w io.Writer, lines []Line) error {
+	if len(lines) == 0 {
+		return errors.New("no line names that id")
+	}
+	start := lines[0].When
+	if _, err := fmt.Fprintf(w, "from %s\n", start.Format(time.RFC3339Nano)); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	for _, l := range lines {
+		stepped := ""
+		if l.Stepped {
+			stepped = " (this daemon's clock stepped back)"
+		}
+		_, err := fmt.Fprintf(w, "%+9.3fs  %s  %d %s: %s%s\n           %s\n",
+			l.When.Sub(start).Seconds(), l.VM, l.Event, l.Name, l.Text, stepped, l.fields())
+		if err != nil {
+			return errors.Wrap(err, "write")
+		}
+	}
+	return nil
+}
+
+// durations are the fields that hold nanoseconds.
+var durations = map[string]bool{
+	"took": true, "first": true, "quiet": true, "waited": true, "gap": true, "age": true, "retry_after": true, "stopped": true,
+}
+
+func (l *Line) fields() string {
+	names := slices.SortedFunc(maps.Keys(l.Fields), cmp.Compare[string])
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		value := l.Fields[name]
+		if n, ok := value.(float64); ok && durations[name] {
+			value = time.Duration(n).Round(100 * time.Microsecond)
+		}
+		if value == nil || value == "" {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s=%v", name, value))
+	}
+	return strings.Join(parts, " ")
+}
