gateway: a request that cannot be finished before the stop is not taken

Late in a stop only requests whose time runs out before the end are taken; others hear at once that they have not run. Ruled out: ending later (the process is killed then). Test: TestLateRequestIsNotTaken, failed before. Other daemons are asked only when the age exceeds 2.5 s: it reaches 2 s while all is well. An answer that is cut has a line of its own.

--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -13,8 +13,9 @@
 
 const (
 	// askAge is the age of the configuration from which other daemons are asked.
-	// A watch confirms it every second, so two returns in a row have failed.
-	askAge = 1500 * time.Millisecond
+	// A watch returns every second and confirms what held when it was sent, so the
+	// age reaches two seconds while all is well.
+	askAge = 2500 * time.Millisecond
 	// askEvery is the pause between questions. Three fit before keys cease to be
 	// trusted; a whole fleet without its store asks once a daemon in that time.
 	askEvery = 500 * time.Millisecond
--- a/decision/verdict/verdict.go
+++ b/decision/verdict/verdict.go
@@ -65,6 +65,7 @@
 	CodeUnreachable        Code = "generation_unreachable"
 	CodeShuttingDown       Code = "shutting_down"
 	CodeUnconfigured       Code = "no_configuration"
+	CodeUnconfirmed        Code = "configuration_unconfirmed"
 	CodeInvariantViolation Code = "invariant_violation"
 	CodeKeyUndecided       Code = "idempotency_key_undecided"
 	CodeKeyInvalid         Code = "idempotency_key_invalid"
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -64,9 +64,7 @@
 	locator   *locator
 	metrics   *metrics
 	running   atomic.Int64
-	// streamsEnd is set while the daemon stops: streams that begin later would be cut.
-	refuseStreams atomic.Bool
-	leaving       atomic.Bool
+	stop      atomic.Pointer[Stop] // nil while the daemon serves
 }
 
 // New returns a handler.
@@ -80,17 +78,38 @@
 // Running is the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
-// Leave makes every answer end its connection, so that callers go elsewhere.
-func (h *Handler) Leave() { h.leaving.Store(true) }
+// Stop says what is still taken while the daemon stops.
+type Stop struct {
+	// Streams is until when new streams are taken: later ones would outlast the process.
+	Streams time.Time
+	// All is until when other requests are taken whatever time they have. Later
+	// ones are taken only if their time runs out before End, so that none that was
+	// taken is cut.
+	All time.Time
+	// End is when the process ends.
+	End time.Time
+}
+
+// takes reports whether a request is still taken.
+func (s *Stop) takes(in *inbound) bool {
+	switch {
+	case in.route.Kind == routing.Stream:
+		return in.arrived.Before(s.Streams)
+	case in.arrived.Before(s.All):
+		return true
+	}
+	return in.until.Before(s.End)
+}
 
-// RefuseStreams turns new streams away: they would outlast the process.
-func (h *Handler) RefuseStreams() { h.refuseStreams.Store(true) }
+// Leave begins the stop. Every answer ends its connection from now on, so that
+// callers go elsewhere.
+func (h *Handler) Leave(s Stop) { h.stop.Store(&s) }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	if h.leaving.Load() {
+	if h.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.opts.Feed.View()
@@ -140,7 +159,7 @@
 		return in, err
 	}
 	in.until = in.arrived.Add(patience(in))
-	if in.route.Kind == routing.Stream && h.refuseStreams.Load() {
+	if stop := h.stop.Load(); stop != nil && !stop.takes(in) {
 		return in, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").After(leavingRetry)
 	}
 	return in, h.readBody(w, r, in, view.Config.Limits.BodyBytes)
@@ -168,7 +187,7 @@
 		return nil
 	}
 	if age > h.opts.KeyAge-keyMargin {
-		return verdict.New(verdict.NotRun, verdict.CodeUnconfigured,
+		return verdict.New(verdict.NotRun, verdict.CodeUnconfirmed,
 			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(unknownRetry)
 	}
 	in.account = config.Account(in.call.Key)
@@ -271,6 +290,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, in *inbound, err error) {
 	if errors.Is(err, errCut) {
 		h.metrics.answered(in, statusCut, sourceDaemon)
+		h.opts.Log.Emit(event.AnswerCut, in.call.ID, in.call.OwnPart, in.routeName(), in.accountName(), in.version, err, time.Since(in.arrived))
 		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
 	}
 	e := verdict.Of(err)
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -33,6 +33,9 @@
 	// streamsUntil is how long after SIGTERM new streams are taken: they last
 	// about six seconds of the eight that are left.
 	streamsUntil = time.Second
+	// allUntil is how long other requests are taken whatever time they have.
+	// Callers that keep an address for long come within three seconds.
+	allUntil = 2500 * time.Millisecond
 	// exitMargin is kept between the last answer and the end of the grace.
 	exitMargin = 500 * time.Millisecond
 	// keptAnswers is how many times the stated time some callers keep an address.
@@ -193,11 +196,13 @@
 // drain leaves the address answers at once and serves on while callers may
 // still keep this address, at most until the grace ends.
 func (g *Gateway) drain(hard context.Context) {
+	started := time.Now()
 	g.leaving.Store(true)
-	g.handler.Leave()
+	g.handler.Leave(forward.Stop{
+		Streams: started.Add(streamsUntil), All: started.Add(allUntil), End: started.Add(g.opts.Grace - exitMargin),
+	})
 	kept := min(keptAnswers*g.opts.KeepAnswers, g.opts.Grace-exitMargin)
 	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), kept)
-	started := time.Now()
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -207,9 +212,6 @@
 		case <-tick.C:
 		}
 		past := time.Since(started)
-		if past >= streamsUntil {
-			g.handler.RefuseStreams()
-		}
 		if past >= g.opts.Grace-exitMargin || past >= kept && g.handler.Running() == 0 {
 			return
 		}
--- a/serve/gateway/gateway_test.go
+++ b/serve/gateway/gateway_test.go
@@ -228,6 +228,22 @@
 	})
 }
 
+// A caller that kept the address for long comes just before the process ends,
+// with a request that may take longer than what is left. It hears at once that
+// nothing ran and goes elsewhere; taken, the request would be cut.
+func TestLateRequestIsNotTaken(t *testing.T) {
+	inSite(t, func(s *site) {
+		go s.get(s.callers, "/19s") // keeps the process until its end
+		time.Sleep(time.Second)
+		s.term()
+		time.Sleep(7300 * time.Millisecond)
+		began := time.Now()
+		status, _ := s.get(s.callers, "/10ms")
+		must.Eq(t, http.StatusServiceUnavailable, status)
+		must.Eq(t, 0, time.Since(began))
+	})
+}
+
 // Callers reuse a connection that was idle for most of the limit in force. The
 // limit changes with the configuration, for connections opened from then on.
 func TestIdleConnectionsLiveAsLongAsConfigured(t *testing.T) {
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -16,6 +16,8 @@
 		"The shared budget of repeats did not afford one more send.", "request", "route", "sends")
 	PromptLocated = define(225, "prompt_located", logrus.InfoLevel,
 		"The engines were asked which of them holds the prompt of a stream that another daemon began.", "request", "prompt", "holders")
+	AnswerCut = define(226, "answer_cut", logrus.WarnLevel,
+		"An answer that had begun could not be finished; its connection was ended so that it does not look whole.", "request", "prompt", "route", "account", "config", "error", "took")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
