--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -31,7 +31,7 @@
 
 // forwardCmd forwards requests by the configuration in the platform's store.
 type forwardCmd struct {
-	Settings string `env:"MALLOWWIND_NODE_FILE" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
+	Settings string `env:"${settings_env}" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
 	Check    bool   `help:"Check the settings and exit."`
 	Metrics  int    `default:"0" placeholder:"PORT" help:"The port of this machine at which metrics are served; 0 serves none."`
 	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"The least level that is logged."`
--- a/cmd/mallowwind/main.go
+++ b/cmd/mallowwind/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/platform/nodefile"
 )
 
 // Exit codes, documented in docs/settings.md.
@@ -43,7 +45,7 @@
 	var c commandLine
 	parser := kong.Must(&c, kong.Name("mallowwind"),
 		kong.Description("Serve callers from this entry VM until SIGTERM, which drains; a second one ends at once."),
-		kong.Vars{"version": version})
+		kong.Vars{"version": version, "settings_env": nodefile.EnvFile})
 	ctx, err := parser.Parse(args)
 	if err != nil {
 		return fail(exitUsage, err)
