--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -55,6 +55,8 @@
 	since       time.Time     // of the last event released, or of the start
 	moved       bool          // broke off after an event, and none followed yet
 	first       time.Duration // from the request's arrival to its first event, 0 before it
+	events      int           // released
+	longest     time.Duration // pause between two events released
 }
 
 // leg is the part of an answer that one server makes.
@@ -373,6 +375,9 @@
 		r.after = e.id
 	}
 	now := time.Now()
+	if r.events++; r.events > 1 {
+		r.longest = max(r.longest, now.Sub(r.since))
+	}
 	if r.moved {
 		r.moved = false
 		r.h.metrics.pauses.Observe(now.Sub(r.since).Seconds())
@@ -448,5 +453,5 @@
 func (r *relay) log(l leg, end legEnd, err error) {
 	r.h.metrics.legs.WithLabelValues(l.at.reason, end.String()).Inc()
 	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.call.OwnPart, r.in.route.Name, r.in.accountName(), r.in.version, l.at.server.ID, l.at.server.Zone, l.at.reason,
-		l.copyTo.server.ID, end.String(), r.after, r.first, time.Since(r.since), time.Since(r.in.arrived), err)
+		l.copyTo.server.ID, end.String(), r.after, r.first, r.longest, time.Since(r.since), time.Since(r.in.arrived), err)
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -7,7 +7,7 @@
 	Exchanged = define(220, "exchanged", logrus.InfoLevel,
 		"A forwarded request was sent to a backend server.", "request", "route", "account", "config", "backend", "reason", "status", "not_run", "took", "error")
 	StreamLeg = define(221, "stream_leg", logrus.InfoLevel,
-		"One backend server's part of a forwarded stream ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "quiet", "took", "error")
+		"One backend server's part of a forwarded stream ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "longest", "quiet", "took", "error")
 	ForwardRefused = define(222, "forward_refused", logrus.InfoLevel,
 		"The daemon itself answered a forwarded request.", "request", "prompt", "route", "account", "config", "config_age", "status", "code", "retry_after", "error", "took")
 	BackendSuspected = define(223, "backend_suspected", logrus.WarnLevel,
--- a/telemetry/story/story.go
+++ b/telemetry/story/story.go
@@ -130,7 +130,7 @@
 
 // durations are the fields that hold nanoseconds.
 var durations = map[string]bool{
-	"took": true, "first": true, "quiet": true, "waited": true, "gap": true, "age": true, "retry_after": true, "stopped": true, "for": true, "config_age": true, "doubt": true,
+	"took": true, "first": true, "longest": true, "quiet": true, "waited": true, "gap": true, "age": true, "retry_after": true, "stopped": true, "for": true, "config_age": true, "doubt": true,
 }
 
 func (l *Line) fields() string {
