feed: doubt about a server ends on time

Cause: the daemon had been cut off until 2.5 s before, so the removed entry stayed usable for 1.2 s, and the end of that was looked at only when the watch returned, up to 1.25 s later. Ruled out: a missed change (it was seen after 0.1 s by all daemons). Test: TestDoubtEndsInTime, failed before.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -35,6 +35,8 @@
 	// outageMin is the silence of the store after which removals may come from
 	// leases that ran out: it is shorter than the shortest lease.
 	outageMin = time.Second
+	// doubtCheck is how often the servers in doubt are looked at.
+	doubtCheck = 50 * time.Millisecond
 	// doubtTime is how long a server stays usable whose entry vanished around an
 	// outage. It is below the two seconds within which a server that left
 	// has to be left alone.
@@ -98,6 +100,7 @@
 
 	mu       sync.Mutex // guards table and changes of revision
 	table    *table
+	expiring bool         // endDoubt is due
 	revision atomic.Int64 // of the store, where the watch goes on; 0 means that everything is read
 }
 
@@ -212,6 +215,19 @@
 		m.view.Store(m.table.view())
 		m.table.dirty = false
 	}
+	if len(m.table.doubtful) > 0 && !m.expiring {
+		m.expiring = true
+		time.AfterFunc(doubtCheck, m.endDoubt)
+	}
+}
+
+// endDoubt looks at the servers in doubt without waiting for the store, whose
+// next answer may be a second away.
+func (m *Manager) endDoubt() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.expiring = false
+	m.publish()
 }
 
 // Known is closed once a configuration is in force.
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -147,6 +147,33 @@
 	})
 }
 
+// A daemon was cut off from the store and is back. Then a server leaves by
+// removing its entry, which may also be a lease that ran out meanwhile, so it
+// stays in use for a moment. A change elsewhere keeps the watch busy; the server
+// must be out of use in time all the same.
+func TestDoubtEndsInTime(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		f.start(0)
+		f.put("server/1", "a:1")
+		time.Sleep(2 * time.Second)
+		f.ways[0].SetDown(true)
+		time.Sleep(3 * time.Second)
+		f.ways[0].SetDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		f.put("server/2", "b:1") // the next question is sent a batch later
+		time.Sleep(batchPause + time.Millisecond)
+		kv, err := f.store.Get(f.t.Context(), "server/1")
+		must.NoError(t, err)
+		must.NoError(t, f.store.Delete(f.t.Context(), "server/1", kv.Version))
+		time.Sleep(doubtTime - 100*time.Millisecond)
+		must.SliceLen(t, 2, f.feeds[0].View().Servers["s"])
+		f.put("server/3", "c:1")
+		time.Sleep(200 * time.Millisecond)
+		must.SliceLen(t, 2, f.feeds[0].View().Servers["s"])
+		must.Eq(t, "2", f.feeds[0].View().Servers["s"][0].ID)
+	})
+}
+
 // A watch answers late with changes that another daemon has long told. The view
 // must not go back to them.
 func TestLateAnswerUndoesNothing(t *testing.T) {
