forward: a true time to come back while the store is out of reach

A caller that was refused for want of a confirmed configuration was told 300 ms and was refused again; most repeat once. A daemon now tells an outage for all from being cut off alone by the age that its neighbours report.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -97,6 +97,7 @@
 	confirmed atomic.Int64  // Clock when the question was sent whose answer showed the configuration; 0 none
 	known     chan struct{} // closed with the first configuration
 	reached   bool          // the last call to the store succeeded
+	outage    atomic.Bool   // the last daemon asked was as long without the store
 
 	mu       sync.Mutex // guards table and changes of revision
 	table    *table
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -143,6 +143,12 @@
 			age, known := m.Age()
 			must.True(t, known)
 			must.GreaterEq(t, 10*time.Second, age)
+			must.True(t, m.Outage())
+		}
+		f.ways[0].SetDown(false)
+		time.Sleep(3 * time.Second)
+		for _, m := range f.feeds {
+			must.False(t, m.Outage())
 		}
 	})
 }
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -96,13 +96,22 @@
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{Have: m.revision.Load()})
 	if err != nil {
+		m.outage.Store(false) // this daemon may be the one that is cut off
 		m.opts.Log.Emit(event.FeedPeerFailed, address, err)
 		m.opts.Dialer.DropIdle()
 		return
 	}
+	m.outage.Store(time.Duration(reply.GetAgeMs())*time.Millisecond > askAge)
 	m.learn(asked, address, reply)
 }
 
+// Outage reports whether the store seems to be out of reach for every daemon: a
+// daemon that was asked has waited for it as long as this one.
+func (m *Manager) Outage() bool {
+	age, known := m.Age()
+	return m.outage.Load() && (!known || age >= askAge)
+}
+
 // learn takes over what another daemon believes if it is newer. The age is
 // counted back from when the question was sent, which makes it older than it is.
 func (m *Manager) learn(asked time.Duration, address string, reply *peerpb.SnapshotReply) {
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -32,6 +32,13 @@
 	// firstConfigWait is several round trips to the store, and short beside the
 	// least objective of a route (100 ms) so that the caller can still go elsewhere.
 	firstConfigWait = 50 * time.Millisecond
+	// cutOffRetry is when a caller comes back that was refused by a daemon which
+	// alone has lost the store: at once, at another address.
+	cutOffRetry = 50 * time.Millisecond
+	// outageRetry is the mean time after which a caller comes back that was refused
+	// because the store is out of reach for every daemon. Outages last for seconds,
+	// and most callers repeat once: sooner, that repeat is refused too.
+	outageRetry = 3 * time.Second
 	// busyRetry is when a caller comes back that found no server: a server that
 	// was lost is replaced within about a second.
 	busyRetry = 500 * time.Millisecond
@@ -188,7 +195,7 @@
 	}
 	if age > h.opts.KeyAge-keyMargin {
 		return verdict.New(verdict.NotRun, verdict.CodeUnconfirmed,
-			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(unknownRetry)
+			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(h.confirmedAgain())
 	}
 	in.account = config.Account(in.call.Key)
 	if in.account == nil {
@@ -197,6 +204,15 @@
 	return nil
 }
 
+// confirmedAgain is when a daemon will probably know again whether keys hold.
+// The return after an outage is spread, or it would be a burst.
+func (h *Handler) confirmedAgain() time.Duration {
+	if h.opts.Feed.Outage() {
+		return outageRetry/2 + rand.N(outageRetry)
+	}
+	return cutOffRetry
+}
+
 // patience is how long the answer is of use.
 func patience(in *inbound) time.Duration {
 	wait := in.route.Timeout
