forward: the stages in files of their own; one way to a layout; one mixer of bits

accept, refuse, leg and stream were one file of 450 lines and one of 350; the pool locked, followed the view and looked for the layout in five places. No decision changes.

--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -15,6 +15,8 @@
 // home engine before another, and then the one with the fewest runs.
 package prompts
 
+import "mallowwind.dev/decision/route"
+
 // Engine is one candidate as this daemon sees it.
 type Engine struct {
 	Zone string
@@ -79,7 +81,7 @@
 		}
 		r := rank{
 			suspect: e.Suspect, reading: e.Reading, away: !e.Home,
-			load: e.Running + e.Copies, draw: mix(draw + uint64(i)),
+			load: e.Running + e.Copies, draw: route.Mix(draw + uint64(i)),
 		}
 		if at < 0 || r.before(best) {
 			best, at = r, i
@@ -112,7 +114,7 @@
 			continue
 		}
 		near := e.Zone == zone
-		r := rank{reading: e.Reading, away: !e.Home, load: e.Copies + e.Running, draw: mix(draw + uint64(i))}
+		r := rank{reading: e.Reading, away: !e.Home, load: e.Copies + e.Running, draw: route.Mix(draw + uint64(i))}
 		better := at < 0 || near != bestNear && !near || near == bestNear && r.before(best)
 		if better {
 			best, at, bestNear = r, i, near
@@ -120,11 +122,3 @@
 	}
 	return at
 }
-
-// mix spreads the bits of x (the finaliser of splitmix64).
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/serve/api/errors.go
+++ b/serve/api/errors.go
@@ -54,6 +54,7 @@
 	verdict.CodeUnreachable:        http.StatusServiceUnavailable,
 	verdict.CodeShuttingDown:       http.StatusServiceUnavailable,
 	verdict.CodeUnconfigured:       http.StatusServiceUnavailable,
+	verdict.CodeUnconfirmed:        http.StatusServiceUnavailable,
 	verdict.CodeInvariantViolation: http.StatusInternalServerError,
 	verdict.CodeKeyUndecided:       http.StatusConflict,
 	verdict.CodeKeyInvalid:         http.StatusBadRequest,
--- /dev/null
+++ b/serve/forward/accept.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/verdict"
+)
+
+// accept reads a request and checks that it may be forwarded.
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, view *feed.View) (*inbound, error) {
+	in := &inbound{
+		method: r.Method, host: r.Host, target: target(r), header: endToEnd(r.Header), arrived: time.Now(),
+	}
+	if view.Config == nil {
+		view = h.firstView(r.Context())
+	}
+	age, known := h.opts.Feed.Age()
+	if !known {
+		return in, verdict.New(verdict.NotRun, verdict.CodeUnconfigured, "no configuration is known yet").After(unknownRetry)
+	}
+	in.version, in.age = view.Config.Version, age
+	call, err := h.opts.Codec.Call(r.Header)
+	if err != nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%v", err)
+	}
+	in.call = call
+	path, _, _ := strings.Cut(in.target, "?")
+	if in.route = view.Config.Match(r.Host, path); in.route == nil {
+		return in, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+	}
+	if err := h.authorize(in, view.Config, age); err != nil {
+		return in, err
+	}
+	in.until = in.arrived.Add(patience(in))
+	if stop := h.stop.Load(); stop != nil && !stop.takes(in) {
+		return in, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").After(leavingRetry)
+	}
+	return in, h.readBody(w, r, in, view.Config.Limits.BodyBytes)
+}
+
+// firstView waits a moment for the first configuration: a daemon that has just
+// started reads it within a few round trips, and a caller that is turned away
+// has used up one of its few attempts.
+func (h *Handler) firstView(ctx context.Context) *feed.View {
+	wait := time.NewTimer(firstConfigWait)
+	defer wait.Stop()
+	select {
+	case <-h.opts.Feed.Known():
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return h.opts.Feed.View()
+}
+
+// authorize finds the caller's account. A key that was taken away must not work
+// longer than KeyAge, also where the store cannot be reached: the daemon then
+// refuses rather than trust what it last knew.
+func (h *Handler) authorize(in *inbound, config *routing.Config, age time.Duration) error {
+	if !config.NeedsKey(in.route) {
+		return nil
+	}
+	if age > h.opts.KeyAge-keyMargin {
+		return verdict.New(verdict.NotRun, verdict.CodeUnconfirmed,
+			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(h.confirmedAgain())
+	}
+	in.account = config.Account(in.call.Key)
+	if in.account == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "unknown account key")
+	}
+	return nil
+}
+
+// confirmedAgain is when a daemon will probably know again whether keys hold.
+// The return after an outage is spread, or it would be a burst.
+func (h *Handler) confirmedAgain() time.Duration {
+	if h.opts.Feed.Outage() {
+		return outageRetry/2 + rand.N(outageRetry)
+	}
+	return cutOffRetry
+}
+
+// patience is how long the answer is of use.
+func patience(in *inbound) time.Duration {
+	wait := in.route.Timeout
+	if in.call.Wait > 0 && (wait <= 0 || in.call.Wait < wait) {
+		wait = in.call.Wait
+	}
+	if wait <= 0 {
+		wait = defaultPatience
+	}
+	return wait
+}
+
+// defaultPatience holds where neither caller nor route sets a timeout.
+const defaultPatience = 30 * time.Second
+
+// readBody reads the whole body, so that it can be sent again.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, in *inbound, limit int64) error {
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
+		in.body = make([]byte, 0, r.ContentLength)
+	}
+	var err error
+	in.body, err = readAll(in.body, body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return verdict.New(verdict.NotRun, verdict.CodeBodyTooLarge, "more than %d bytes", limit)
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body is incomplete").Because(err)
+	}
+	return nil
+}
+
+// readAll is io.ReadAll into a buffer that may have the right size already.
+func readAll(buf []byte, r io.Reader) ([]byte, error) {
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err == io.EOF {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+	}
+}
+
+// target is the path and query as the caller wrote them.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -193,8 +194,9 @@
 	reason string
 }
 
-// plain chooses a server for a request that is no prompt.
-func (p *pool) plain(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
+// in runs pick with the layout of a service under the lock; without servers
+// there is no choice.
+func (p *pool) in(view *feed.View, service string, pick func(*layout) (choice, bool)) (choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.follow(view)
@@ -202,6 +204,15 @@
 	if l == nil {
 		return choice{}, false
 	}
+	return pick(l)
+}
+
+// plain chooses a server for a request that is no prompt.
+func (p *pool) plain(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
+	return p.in(view, service, func(l *layout) (choice, bool) { return p.pickPlain(now, l, exclude) })
+}
+
+func (p *pool) pickPlain(now time.Time, l *layout, exclude []string) (choice, bool) {
 	for i, one := range l.loads {
 		one.plain.Limit = int32(l.servers[i].Slots)
 		if l.servers[i].Slots <= 0 {
@@ -216,7 +227,7 @@
 		return p.lastResort(l, exclude)
 	}
 	i := l.index[l.table.At(r.Index).ID]
-	return p.take(l, i, string(r.Reason)), true
+	return p.take(l, i, string(r.Reason))
 }
 
 // lastResort is any server that is not excluded: all are suspect or full, and a
@@ -224,19 +235,19 @@
 func (p *pool) lastResort(l *layout, exclude []string) (choice, bool) {
 	best := -1
 	for i, s := range l.servers {
-		if !contains(exclude, s.ID) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
+		if !slices.Contains(exclude, s.ID) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
 			best = i
 		}
 	}
 	if best < 0 {
 		return choice{}, false
 	}
-	return p.take(l, best, "last_resort"), true
+	return p.take(l, best, "last_resort")
 }
 
-func (p *pool) take(l *layout, i int, reason string) choice {
+func (p *pool) take(l *layout, i int, reason string) (choice, bool) {
 	l.loads[i].plain.InFlight++
-	return choice{server: l.servers[i], load: l.loads[i], reason: reason}
+	return l.choose(i, reason)
 }
 
 func (p *pool) release(c choice) {
@@ -268,7 +279,7 @@
 		one := l.loads[i]
 		engines[i] = prompts.Engine{
 			Zone: s.Zone, Home: l.home[i], Reading: one.reading, Running: one.running, Copies: one.copies,
-			Suspect: now.Before(one.suspectUntil), Excluded: contains(exclude, s.ID),
+			Suspect: now.Before(one.suspectUntil), Excluded: slices.Contains(exclude, s.ID),
 		}
 	}
 	return engines
@@ -276,67 +287,45 @@
 
 // prompt chooses the engine that reads a prompt.
 func (p *pool) prompt(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.follow(view)
-	l := p.layouts[service]
-	if l == nil {
-		return choice{}, false
-	}
-	c := prompts.Read(p.engines(now, l, exclude), rand.Uint64())
-	if c.Index < 0 {
-		return choice{}, false
-	}
-	return choice{server: l.servers[c.Index], load: l.loads[c.Index], reason: string(c.Reason)}, true
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		c := prompts.Read(p.engines(now, l, exclude), rand.Uint64())
+		return l.choose(c.Index, string(c.Reason))
+	})
 }
 
 // copyPlace chooses the engine that keeps a copy of a run at another.
 func (p *pool) copyPlace(now time.Time, view *feed.View, at routing.Server, exclude []string) (choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.follow(view)
-	l := p.layouts[at.Service]
-	if l == nil {
-		return choice{}, false
-	}
-	i := prompts.Copy(p.engines(now, l, append(exclude, at.ID)), at.Zone, rand.Uint64())
-	if i < 0 {
-		return choice{}, false
-	}
-	return choice{server: l.servers[i], load: l.loads[i]}, true
+	return p.in(view, at.Service, func(l *layout) (choice, bool) {
+		engines := p.engines(now, l, append(slices.Clone(exclude), at.ID))
+		return l.choose(prompts.Copy(engines, at.Zone, rand.Uint64()), "")
+	})
 }
 
 // at returns the server that has an address now.
 func (p *pool) at(view *feed.View, service, address string) (choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.follow(view)
-	l := p.layouts[service]
-	if l == nil {
-		return choice{}, false
-	}
-	for i, s := range l.servers {
-		if s.Address == address {
-			return choice{server: s, load: l.loads[i], reason: "holds_copy"}, true
-		}
-	}
-	return choice{}, false
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		i := slices.IndexFunc(l.servers, func(s routing.Server) bool { return s.Address == address })
+		return l.choose(i, "holds_copy")
+	})
 }
 
 // server returns a server by id.
 func (p *pool) server(view *feed.View, service, id string) (choice, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.follow(view)
-	l := p.layouts[service]
-	if l == nil {
-		return choice{}, false
-	}
-	i, ok := l.index[id]
-	if !ok {
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		i, ok := l.index[id]
+		if !ok {
+			i = -1
+		}
+		return l.choose(i, "holds_prompt")
+	})
+}
+
+// choose returns the server at index i, none for a negative one.
+func (l *layout) choose(i int, reason string) (choice, bool) {
+	if i < 0 {
 		return choice{}, false
 	}
-	return choice{server: l.servers[i], load: l.loads[i], reason: "holds_prompt"}, true
+	return choice{server: l.servers[i], load: l.loads[i], reason: reason}, true
 }
 
 // count changes this daemon's work at a server.
@@ -350,12 +339,3 @@
 	c.load.running += running
 	c.load.copies += copies
 }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/serve/forward/refuse.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/telemetry/event"
+)
+
+// statusOf maps refusals to statuses. Those that promise that nothing ran are
+// used only with verdict not_run.
+func statusOf(e *verdict.Error) int {
+	switch e.Code {
+	case verdict.CodeBadRequest:
+		return http.StatusBadRequest
+	case verdict.CodeUnauthorized:
+		return http.StatusUnauthorized
+	case verdict.CodeUnknownService:
+		return http.StatusNotFound
+	case verdict.CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case verdict.CodeDeadline:
+		return http.StatusGatewayTimeout
+	}
+	if e.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// refusal is the body of an answer that the daemon gives itself.
+type refusal struct {
+	Verdict string `json:"verdict"`
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// refuse answers for the daemon and logs why.
+func (h *Handler) refuse(w http.ResponseWriter, in *inbound, err error) {
+	if errors.Is(err, errCut) {
+		h.metrics.answered(in, statusCut, sourceDaemon)
+		h.opts.Log.Emit(event.AnswerCut, in.call.ID, in.call.OwnPart, in.routeName(), in.accountName(), in.version, err, time.Since(in.arrived))
+		panic(http.ErrAbortHandler) // ends the connection, so that the answer does not look whole
+	}
+	e := verdict.Of(err)
+	status := statusOf(e)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := math.Ceil(e.RetryAfter.Seconds()*100) / 100
+		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	w.WriteHeader(status)
+	// The caller may have left; there is nobody else to tell.
+	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	h.metrics.answered(in, status, sourceDaemon)
+	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.call.OwnPart, in.routeName(), in.accountName(), in.version, in.age,
+		status, e.Code, e.RetryAfter, e.Error(), time.Since(in.arrived))
+}
+
+func (in *inbound) routeName() string {
+	if in.route == nil {
+		return ""
+	}
+	return in.route.Name
+}
+
+func (in *inbound) accountName() string {
+	if in.account == nil {
+		return ""
+	}
+	return in.account.Name
+}
+
+// statusCut counts answers that were cut after their headers.
+const statusCut = 0
+
+// errCut ends an answer that has begun and cannot be finished.
+var errCut = errors.New("forward: answer cut")
