feed: a few daemons of a large fleet watch the store, the others ask them

Up to eight daemons all watch; beyond that the eight with the lowest hashes do and the others ask them every 400 ms, with the revision they hold, and are told what changed. A daemon that hears nothing for 3.2 s watches itself. Ruled out: longer batches (a change must be in force in 2 s). Test: TestLargeFleetSharesFewWatches, 40 daemons, also with all watchers lost.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -40,7 +40,7 @@
 	// doubtTime is how long a server stays usable whose entry vanished around an
 	// outage. It is below the two seconds within which a server that left
 	// has to be left alone.
-	doubtTime = 1200 * time.Millisecond
+	doubtTime = time.Second
 )
 
 // Schema is the layout of what others write to the store.
@@ -63,8 +63,6 @@
 	Servers map[string][]routing.Server
 	// VMs are the entry VMs that serve.
 	VMs []routing.VM
-	// entries are the store's, for other daemons.
-	entries []store.KV
 	// departed are the servers that leave or are gone.
 	departed map[string]time.Duration
 }
@@ -133,17 +131,23 @@
 	defer peers.Wait()
 	peers.Go(func() { m.askPeers(ctx) })
 	for ctx.Err() == nil {
+		if !m.watches() {
+			pause(ctx, askEvery)
+			continue
+		}
 		err := m.follow(ctx)
-		if ctx.Err() != nil {
-			return
+		if ctx.Err() != nil || err == nil {
+			continue
 		}
 		m.lost(err)
 		pause(ctx, retryPause/2+rand.N(retryPause))
 	}
 }
 
+// follow watches the store until that fails, or is left to other daemons.
 func (m *Manager) follow(ctx context.Context) error {
-	if m.revision.Load() == 0 {
+	if m.revision.Load() == 0 || !m.fresh() {
+		// A watch confirms nothing before it returns, which takes a second.
 		if err := m.readAll(ctx); err != nil {
 			return err
 		}
@@ -153,11 +157,12 @@
 		return err
 	}
 	defer w.Close()
-	for {
+	for m.watches() {
 		if err := m.readChanges(ctx, w); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 func (m *Manager) readAll(ctx context.Context) error {
@@ -167,7 +172,7 @@
 		return err
 	}
 	m.regained(asked)
-	m.apply(asked, revision, func() { m.table.replace(asked, items) })
+	m.apply(asked, revision, func() { m.table.replace(asked, revision, items) })
 	return nil
 }
 
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -180,6 +180,56 @@
 	})
 }
 
+// Forty daemons stand before the store, which counts each call. A few watch it
+// and the others ask those; a change is in force everywhere within a second, and
+// a removal too. Then all that watch are lost: the others must notice by
+// themselves, well before they cease to trust keys.
+func TestLargeFleetSharesFewWatches(t *testing.T) {
+	const size = 40
+	inFleet(t, size, func(f *fleet) {
+		for n := range size {
+			id := strconv.Itoa(n)
+			f.put(vmPrefix+id, `{"id":"`+id+`","peer":"`+id+`"}`)
+			f.start(n)
+		}
+		f.put("server/1", "a:1")
+		time.Sleep(10 * time.Second)
+		calls := func() (n int64) {
+			for _, way := range f.ways {
+				n += way.Counts().Reads()
+			}
+			return n
+		}
+		before := calls()
+		f.put("config", "vv")
+		f.put("server/2", "b:1")
+		kv, err := f.store.Get(f.t.Context(), "server/1")
+		must.NoError(t, err)
+		must.NoError(t, f.store.Delete(f.t.Context(), "server/1", kv.Version))
+		time.Sleep(time.Second)
+		for n, m := range f.feeds {
+			must.Eq(t, int64(2), f.version(n))
+			must.SliceLen(t, 1, m.View().Servers["s"])
+			must.Eq(t, "2", m.View().Servers["s"][0].ID)
+		}
+		time.Sleep(9 * time.Second)
+		must.LessEq(t, watchers, int(calls()-before)) // no watch was opened anew
+		for _, id := range f.feeds[0].watching(f.feeds[0].View().VMs) {
+			n, err := strconv.Atoi(id)
+			must.NoError(t, err)
+			f.ways[n].SetDown(true)
+		}
+		for range 10 {
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range f.feeds {
+				age, known := m.Age()
+				must.True(t, known)
+				must.Less(t, 4500*time.Millisecond, age)
+			}
+		}
+	})
+}
+
 // A watch answers late with changes that another daemon has long told. The view
 // must not go back to them.
 func TestLateAnswerUndoesNothing(t *testing.T) {
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -1,24 +1,36 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
 
 const (
+	// watchers is how many daemons watch the store: enough that the loss of a zone
+	// leaves some, few enough that a change costs a call each and no more.
+	watchers = 8
+	// watchAge is the age from which a daemon that asks others watches itself. It
+	// is above what a watcher's answer and the pause between questions add up to.
+	watchAge = 3200 * time.Millisecond
 	// askAge is the age of the configuration from which other daemons are asked.
 	// A watch returns every second and confirms what held when it was sent, so the
 	// age reaches two seconds while all is well.
 	askAge = 2500 * time.Millisecond
-	// askEvery is the pause between questions. Three fit before keys cease to be
-	// trusted; a whole fleet without its store asks once a daemon in that time.
-	askEvery = 500 * time.Millisecond
+	// askEvery is the mean pause between questions: a sixth of the time in which a
+	// change has to be in force. Eight watchers before eighty daemons answer twenty
+	// questions a second each, nearly all of them without an entry.
+	askEvery = 400 * time.Millisecond
 	// askTimeout is many round trips; a daemon that does not answer is not asked
 	// again at once, for the next question goes to another.
 	askTimeout = 300 * time.Millisecond
@@ -43,16 +55,59 @@
 	}
 	// The age is rounded up: it must never be told younger than it is.
 	reply := &peerpb.SnapshotReply{Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1}
+	if left := s.m.table.doubtUntil - s.m.opts.Clock(); left > 0 {
+		reply.DoubtMs = left.Milliseconds()
+	}
 	if q.GetHave() >= reply.Revision {
 		return reply, nil
 	}
-	for _, kv := range s.m.View().entries {
+	puts, removed, whole := s.m.table.entries.since(q.GetHave())
+	reply.Removed, reply.Whole = removed, whole
+	for _, kv := range puts {
 		reply.Entries = append(reply.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
 	}
 	return reply, nil
 }
 
-// askPeers learns from other daemons while the store is out of reach.
+// fresh reports whether the configuration was confirmed as lately as it is while
+// all is well.
+func (m *Manager) fresh() bool {
+	age, known := m.Age()
+	return known && age < askAge
+}
+
+// watches reports whether this daemon watches the store itself. Up to
+// watchers daemons all do. Beyond that, those with the lowest hashes do and the
+// others ask them, since the store counts each call: 88 daemons that all watch
+// make 88 calls for each change. A daemon that hears nothing watches too.
+func (m *Manager) watches() bool {
+	vms := m.View().VMs
+	if m.opts.Dialer == nil || len(vms) <= watchers {
+		return true
+	}
+	if age, known := m.Age(); !known || age > watchAge {
+		return true
+	}
+	return slices.Contains(m.watching(vms), m.opts.Self)
+}
+
+// watching returns the ids of the daemons that watch the store, the same at
+// every daemon that knows the same VMs.
+func (m *Manager) watching(vms []routing.VM) []string {
+	ids := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		if !vm.Leaving {
+			ids = append(ids, vm.ID)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
+	})
+	return ids[:min(len(ids), watchers)]
+}
+
+// askPeers learns from the daemons that watch the store, and from any while the
+// store is out of reach.
 //
 // The failure it answers: the store refuses some machines and serves the
 // others. Without it the refused ones trust no account key after a few seconds
@@ -63,7 +118,7 @@
 	}
 	for turn := rand.Int(); ctx.Err() == nil; turn++ {
 		pause(ctx, askEvery*3/4+rand.N(askEvery/2))
-		if age, known := m.Age(); known && age < askAge {
+		if m.fresh() && m.watches() {
 			continue
 		}
 		if address, ok := m.peer(turn); ok {
@@ -74,9 +129,12 @@
 
 // peer returns the address of another daemon, in turn.
 func (m *Manager) peer(turn int) (string, bool) {
+	vms := m.View().VMs
+	asked := m.watching(vms)
+	anyone := !m.fresh() // those that watch may have lost the store
 	var addresses []string
-	for _, vm := range m.View().VMs {
-		if vm.ID != m.opts.Self && vm.Peer != "" {
+	for _, vm := range vms {
+		if vm.ID != m.opts.Self && vm.Peer != "" && (anyone || slices.Contains(asked, vm.ID)) {
 			addresses = append(addresses, vm.Peer)
 		}
 	}
@@ -123,14 +181,37 @@
 	if reply.GetRevision() < have || reply.GetRevision() == have && int64(confirmed) <= m.confirmed.Load() {
 		return
 	}
-	items := make([]store.KV, 0, len(reply.GetEntries()))
-	for _, e := range reply.GetEntries() {
-		items = append(items, store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()})
-	}
 	m.apply(confirmed, reply.GetRevision(), func() {
-		if len(items) > 0 {
-			m.table.replace(asked, items)
+		if m.opts.Clock()-confirmed < askAge {
+			m.table.lastReached = asked // by way of another daemon
+		}
+		m.table.doubtUntil = max(m.table.doubtUntil, asked+time.Duration(reply.GetDoubtMs())*time.Millisecond)
+		if reply.GetWhole() {
+			m.table.replace(asked, reply.GetRevision(), kvs(reply))
+			return
 		}
+		m.table.change(asked, changes(reply))
 	})
-	m.opts.Log.Emit(event.FeedLearned, address, reply.GetRevision(), reply.GetAgeMs())
+	if reply.GetRevision() > have {
+		m.opts.Log.Emit(event.FeedLearned, address, reply.GetRevision(), reply.GetAgeMs())
+	}
+}
+
+func kvs(reply *peerpb.SnapshotReply) []store.KV {
+	list := make([]store.KV, 0, len(reply.GetEntries()))
+	for _, e := range reply.GetEntries() {
+		list = append(list, store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()})
+	}
+	return list
+}
+
+func changes(reply *peerpb.SnapshotReply) []store.Event {
+	list := make([]store.Event, 0, len(reply.GetEntries())+len(reply.GetRemoved()))
+	for _, kv := range kvs(reply) {
+		list = append(list, store.Event{Kind: store.Put, KV: kv})
+	}
+	for _, key := range reply.GetRemoved() {
+		list = append(list, store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: reply.GetRevision()}})
+	}
+	return list
 }
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -22,7 +22,7 @@
 // table is the mutable state behind the views. It is used by one goroutine.
 type table struct {
 	schema  Schema
-	raw     map[string]store.KV // every entry in use, as the store holds it
+	entries *entries // as the store holds them
 	log     *event.Log
 	config  *routing.Config
 	servers map[string]routing.Server
@@ -43,7 +43,7 @@
 func newTable(schema Schema, log *event.Log) *table {
 	return &table{
 		schema: schema, log: log, dirty: true,
-		raw:      map[string]store.KV{},
+		entries:  newEntries(),
 		servers:  map[string]routing.Server{},
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
@@ -60,26 +60,16 @@
 	t.lastReached = now
 }
 
-// replace takes in everything that the store holds.
-func (t *table) replace(now time.Duration, items []store.KV) {
+// replace takes in everything that the store holds at a revision.
+func (t *table) replace(now time.Duration, revision int64, items []store.KV) {
 	present := make(map[string]bool, len(items))
 	for _, kv := range items {
 		present[kv.Key] = true
 		t.put(kv)
 	}
-	for id := range t.servers {
-		if !t.has(present, id) {
-			t.removeServer(now, id)
-		}
-	}
-	for key := range t.vms {
-		if !present[key] {
-			t.removeVM(key)
-		}
-	}
-	for key := range t.raw {
+	for key := range t.entries.kvs {
 		if !present[key] {
-			delete(t.raw, key)
+			t.remove(now, key, revision)
 		}
 	}
 }
@@ -91,20 +81,10 @@
 	}
 }
 
-// has reports whether a key of the server id is among the present ones.
-func (t *table) has(present map[string]bool, id string) bool {
-	for key := range present {
-		if got, ok := t.schema.ServerID(key); ok && got == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *table) change(now time.Duration, events []store.Event) {
 	for _, e := range events {
 		if e.Kind == store.Deleted {
-			t.remove(now, e.KV.Key)
+			t.remove(now, e.KV.Key, e.KV.Version)
 			continue
 		}
 		t.put(e.KV)
@@ -112,7 +92,7 @@
 }
 
 func (t *table) put(kv store.KV) {
-	t.raw[kv.Key] = kv
+	t.entries.put(kv)
 	t.dirty = true
 	if kv.Key == t.schema.ConfigKey() {
 		t.putConfig(kv.Value)
@@ -172,8 +152,8 @@
 	}
 }
 
-func (t *table) remove(now time.Duration, key string) {
-	delete(t.raw, key)
+func (t *table) remove(now time.Duration, key string, revision int64) {
+	t.entries.remove(key, revision)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(key); ok {
 		t.removeServer(now, id)
@@ -239,7 +219,6 @@
 
 func (t *table) view() *View {
 	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
-	v.entries = slices.Collect(maps.Values(t.raw))
 	v.departed = maps.Clone(t.departed)
 	holders := t.holders()
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
--- a/control/feed/table_test.go
+++ b/control/feed/table_test.go
@@ -34,7 +34,7 @@
 }
 
 func gone(key string) store.Event {
-	return store.Event{Kind: store.Deleted, KV: store.KV{Key: key}}
+	return store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: 100}}
 }
 
 func ids(t *table) string {
