bench prompts: placing long prompts and copies in virtual time, beside baselines

Engines read prompts in chunks between the steps of their batch, daemons know their own requests only, and a zone of engines dies every six seconds.

--- a/cmd/mallowctl/bench.go
+++ b/cmd/mallowctl/bench.go
@@ -14,6 +14,7 @@
 	Control benchControlCmd `cmd:"" help:"Measure the spread of the site text and what it costs."`
 	Load    benchLoadCmd    `cmd:"" help:"Play patterns of load against the decisions, beside baselines."`
 	Members membersCmd      `cmd:"" help:"Measure membership and the zones' leases."`
+	Prompts benchPromptsCmd `cmd:"" help:"Compare ways of placing long prompts while zones of engines are lost."`
 	Resume  benchResumeCmd  `cmd:"" help:"Compare ways of resuming answers: latency against extra resources."`
 	Slopes  slopesCmd       `cmd:"" help:"Measure how costs grow with sizes, for docs/CAPACITY.md."`
 }
--- /dev/null
+++ b/lab/bench/prompts/prompts.go
@@ -0,0 +1,133 @@
+// Package prompts is the experiment on placing long prompts and the copies of
+// their runs: several daemons that know only their own requests send to engines
+// which read prompts in chunks between the steps of their batch, while the
+// engines of one zone after the other are lost.
+//
+// It runs in virtual time on the decisions of decision/prompts themselves.
+package prompts
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	decide "mallowwind.dev/decision/prompts"
+	"mallowwind.dev/lab/report"
+)
+
+// Options of a run.
+type Options struct {
+	Dir      string
+	Seed     uint64
+	Duration time.Duration // of the load in each trial, in virtual time
+	Command  string
+	Log      io.Writer
+	Now      func() time.Time
+}
+
+// policy is one way to place prompts and copies.
+type policy struct {
+	name   string
+	homes  bool
+	copies bool
+	choose func([]decide.Engine, *rand.Rand) int
+}
+
+func byRank(engines []decide.Engine, random *rand.Rand) int {
+	return decide.Read(engines, random.Uint64()).Index
+}
+
+func anywhere(engines []decide.Engine, random *rand.Rand) int { return random.IntN(len(engines)) }
+
+var policies = []policy{
+	{"anywhere, no copy", false, false, anywhere},
+	{"least of its own, no copy", false, false, byRank},
+	{"least of its own, copy in another zone", false, true, byRank},
+	{"home engines, copy in another zone", true, true, byRank},
+}
+
+var deployments = []deployment{
+	{"Association", 36, 7, 9.35},
+	{"Tharaka", 18, 6, 4.68},
+	{"Association, twice the load", 36, 7, 18.7},
+}
+
+// result is what the callers of one trial got.
+type result struct {
+	answers, onTime, whole int
+	firstP50, firstP99     time.Duration
+	tookP50, pauseP99      time.Duration
+	wasted                 int // prompt tokens read in vain, for each request
+}
+
+// Run plays every policy on every deployment and writes the report into o.Dir.
+func Run(o Options) error {
+	r := report.New("Placing long prompts while zones are lost", o.Command, o.Seed, o.Now())
+	r.Param("load of each trial", o.Duration.String())
+	r.Param("losses", fmt.Sprintf("one zone of %d every %v for %v, every other without a sign", zones, lossEvery, lossFor))
+	for _, d := range deployments {
+		t := r.Table(d.name, report.Col("policy", ""), report.Col("on time", "%"), report.Col("whole", "%"),
+			report.Col("first p50", "ms"), report.Col("first p99", "ms"), report.Col("answer p50", "ms"),
+			report.Col("pause p99", "ms"), report.Col("read in vain", "tokens a request"))
+		for _, p := range policies {
+			got := Trial(d, p, o.Seed, o.Duration)
+			fmt.Fprintf(o.Log, "%s, %s: %d of %d on time\n", d.name, p.name, got.onTime, got.answers)
+			t.Add(report.Text(p.name), percent(got.onTime, got.answers), percent(got.whole, got.answers),
+				report.Millis(got.firstP50), report.Millis(got.firstP99), report.Millis(got.tookP50),
+				report.Millis(got.pauseP99), report.Count(got.wasted))
+		}
+	}
+	r.Note("An answer is on time if its first event comes within 4.5 s and no pause is above 0.7 s.")
+	r.Note("Left out: memory of the engines, dead daemons, the store, and reports of load.")
+	return r.Write(o.Dir)
+}
+
+// Trial plays one policy on one deployment.
+func Trial(d deployment, p policy, seed uint64, length time.Duration) result {
+	w := newWorld(d, p, seed)
+	w.play(length)
+	return w.result()
+}
+
+func (w *world) result() result {
+	out := result{answers: len(w.requests)}
+	var first, took, pause []time.Duration
+	for _, r := range w.requests {
+		out.wasted += r.wasted
+		if r.onTime() {
+			out.onTime++
+		}
+		if r.first > 0 {
+			first = append(first, r.first-r.arrived)
+		}
+		if r.end > 0 {
+			out.whole++
+			took = append(took, r.end-r.arrived)
+			pause = append(pause, r.pause)
+		}
+	}
+	if out.answers > 0 {
+		out.wasted /= out.answers
+	}
+	out.firstP50, out.firstP99 = quantile(first, 0.5), quantile(first, 0.99)
+	out.tookP50, out.pauseP99 = quantile(took, 0.5), quantile(pause, 0.99)
+	return out
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.SortFunc(values, cmp.Compare[time.Duration])
+	return values[int(q*float64(len(values)-1))]
+}
+
+func percent(part, whole int) report.Cell {
+	if whole == 0 {
+		return report.Text("-")
+	}
+	return report.Num(float64(part*1000/whole) / 10)
+}
--- /dev/null
+++ b/lab/bench/prompts/world.go
@@ -0,0 +1,319 @@
+package prompts
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	decide "mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/route"
+)
+
+// Times of the losses: the engines of one zone die together every lossEvery for
+// lossFor, the zones in turn, every other time without a sign.
+const (
+	zones     = 3
+	lossEvery = 6 * time.Second
+	lossFor   = 1200 * time.Millisecond
+	// resetSeen and darkSeen are how long a daemon takes to notice.
+	resetSeen = 5 * time.Millisecond
+	darkSeen  = 350 * time.Millisecond
+	// unreadSeen holds for a dark engine before the first event, found by probes.
+	unreadSeen = 700 * time.Millisecond
+	// suspicion is how long an engine that failed is a last resort.
+	suspicion = 2 * time.Second
+	// moveTime is what going on from a copy takes beside the next step.
+	moveTime = 20 * time.Millisecond
+)
+
+// Objectives of the answers.
+const (
+	firstObjective = 4500 * time.Millisecond
+	pauseObjective = 700 * time.Millisecond
+)
+
+// request is one long answer.
+type request struct {
+	daemon  int
+	prompt  int // tokens
+	events  int // of the whole answer
+	made    int
+	arrived time.Duration
+	first   time.Duration // 0 before it
+	last    time.Duration // of the last event
+	pause   time.Duration // longest
+	end     time.Duration
+	at      *engine
+	reading bool // at that engine, for the first time or again
+	copyAt  *engine
+	wasted  int // prompt tokens read in vain
+}
+
+// onTime reports whether the answer met both objectives.
+func (r *request) onTime() bool {
+	return r.end > 0 && r.first-r.arrived <= firstObjective && r.pause <= pauseObjective
+}
+
+// deployment is the size of a site and its load.
+type deployment struct {
+	name    string
+	engines int
+	daemons int
+	rate    float64 // requests a second
+}
+
+// world is one trial in virtual time. Daemons know their own requests only.
+type world struct {
+	d        deployment
+	p        policy
+	random   *rand.Rand
+	engines  []*engine
+	homes    [][]bool // by daemon and engine
+	suspect  [][]time.Duration
+	reading  [][]int
+	running  [][]int
+	copies   [][]int
+	pending  []pending
+	requests []*request
+}
+
+// pending is a request that goes on at a time.
+type pending struct {
+	at   time.Duration
+	r    *request
+	copy bool // from its copy
+}
+
+func newWorld(d deployment, p policy, seed uint64) *world {
+	w := &world{d: d, p: p, random: rand.New(rand.NewPCG(seed, seed))}
+	speeds := []float64{1, 1, 1.3}
+	for i := range d.engines {
+		w.engines = append(w.engines, &engine{id: i, zone: i * zones / d.engines, speed: speeds[i%len(speeds)]})
+	}
+	for n := range d.daemons {
+		w.homes = append(w.homes, w.window(n))
+		w.suspect = append(w.suspect, make([]time.Duration, d.engines))
+		w.reading = append(w.reading, make([]int, d.engines))
+		w.running = append(w.running, make([]int, d.engines))
+		w.copies = append(w.copies, make([]int, d.engines))
+	}
+	return w
+}
+
+// window marks a daemon's home engines of each zone.
+func (w *world) window(daemon int) []bool {
+	var daemons []uint64
+	for n := range w.d.daemons {
+		daemons = append(daemons, uint64(n)+1)
+	}
+	home := make([]bool, w.d.engines)
+	per := w.d.engines / zones
+	for z := range zones {
+		var members []uint64
+		for i := range per {
+			members = append(members, uint64(z*per+i)+1000)
+		}
+		size := (per + w.d.daemons - 1) / w.d.daemons
+		for _, k := range route.Subset(uint64(daemon)+1, daemons, members, size) {
+			home[z*per+k] = true
+		}
+	}
+	return home
+}
+
+// play runs the trial for a time and lets what runs end.
+func (w *world) play(length time.Duration) {
+	next := w.gap()
+	loss := lossEvery
+	for now := time.Duration(0); now < length+20*time.Second; now += time.Millisecond {
+		for now >= next && now < length {
+			w.arrive(now)
+			next += w.gap()
+		}
+		switch {
+		case now == loss && now < length:
+			w.lose(now, int(loss/lossEvery)%zones)
+		case now == loss+lossFor:
+			w.back(int(loss/lossEvery) % zones)
+			loss += lossEvery
+		}
+		w.goOn(now)
+		for _, e := range w.engines {
+			for !e.down && e.next <= now && len(e.reading)+len(e.running) > 0 {
+				e.next = e.step(max(e.next, now-time.Millisecond), w)
+			}
+			if len(e.reading)+len(e.running) == 0 {
+				e.next = now
+			}
+		}
+	}
+}
+
+func (w *world) gap() time.Duration {
+	return time.Duration(w.random.ExpFloat64() / w.d.rate * float64(time.Second))
+}
+
+func (w *world) arrive(now time.Duration) {
+	r := &request{
+		daemon: w.random.IntN(w.d.daemons), arrived: now,
+		prompt: int(8200 * math.Exp(0.3*w.random.NormFloat64()-0.045)),
+		events: max(20, int(130*math.Exp(0.2*w.random.NormFloat64()-0.02))),
+	}
+	w.requests = append(w.requests, r)
+	w.read(now, r)
+}
+
+// view is what a daemon knows of the engines.
+func (w *world) view(now time.Duration, daemon int) []decide.Engine {
+	engines := make([]decide.Engine, len(w.engines))
+	for i, e := range w.engines {
+		engines[i] = decide.Engine{
+			Zone: string(rune('a' + e.zone)), Home: w.homes[daemon][i] && w.p.homes,
+			Reading: w.reading[daemon][i], Running: w.running[daemon][i], Copies: w.copies[daemon][i],
+			Suspect: now < w.suspect[daemon][i],
+		}
+	}
+	return engines
+}
+
+// read sends a prompt to the engine that the policy chooses. An answer that had
+// begun goes on after its last event.
+func (w *world) read(now time.Duration, r *request) {
+	i := w.p.choose(w.view(now, r.daemon), w.random)
+	e := w.engines[i]
+	if e.down {
+		w.suspect[r.daemon][i] = now + suspicion
+		w.pending = append(w.pending, pending{at: now + resetSeen, r: r})
+		return
+	}
+	w.enter(r, e, true)
+	e.reading = append(e.reading, &run{request: r, unread: r.prompt, ready: now + firstWait})
+	w.copy(now, r)
+}
+
+// enter and leave count a daemon's work at an engine.
+func (w *world) enter(r *request, e *engine, reading bool) {
+	r.at, r.reading = e, reading
+	w.count(r, 1)
+}
+
+func (w *world) leave(r *request) { w.count(r, -1) }
+
+func (w *world) count(r *request, n int) {
+	if r.reading {
+		w.reading[r.daemon][r.at.id] += n
+	} else {
+		w.running[r.daemon][r.at.id] += n
+	}
+}
+
+// copy chooses where the copy of a run lies.
+func (w *world) copy(now time.Duration, r *request) {
+	if !w.p.copies {
+		return
+	}
+	engines := w.view(now, r.daemon)
+	engines[r.at.id].Excluded = true
+	i := decide.Copy(engines, string(rune('a'+r.at.zone)), w.random.Uint64())
+	if i >= 0 {
+		r.copyAt = w.engines[i]
+		w.copies[r.daemon][i]++
+	}
+}
+
+// event records one event; it reports whether the answer is whole.
+func (w *world) event(now time.Duration, r *request) bool {
+	if r.first == 0 {
+		r.first = now
+	} else {
+		r.pause = max(r.pause, now-r.last)
+	}
+	if r.reading {
+		w.leave(r)
+		w.enter(r, r.at, false)
+	}
+	r.last = now
+	if r.made++; r.made < r.events {
+		return false
+	}
+	r.end = now
+	w.leave(r)
+	w.drop(r)
+	return true
+}
+
+// drop frees the copy of a run.
+func (w *world) drop(r *request) {
+	if r.copyAt != nil {
+		w.copies[r.daemon][r.copyAt.id]--
+		r.copyAt = nil
+	}
+}
+
+// lose takes a zone's engines down. Every other loss shows no sign.
+func (w *world) lose(now time.Duration, zone int) {
+	dark := int(now/lossEvery)%2 == 0
+	for _, e := range w.engines {
+		if e.zone != zone {
+			continue
+		}
+		for _, lost := range e.fail() {
+			w.broken(now, lost, dark)
+		}
+	}
+}
+
+// broken lets a lost run go on once its daemon has noticed.
+func (w *world) broken(now time.Duration, lost *run, dark bool) {
+	r := lost.request
+	seen := resetSeen
+	switch {
+	case dark && r.first == 0:
+		seen = unreadSeen
+	case dark:
+		seen = darkSeen
+	}
+	w.suspect[r.daemon][r.at.id] = now + seen + suspicion
+	w.leave(r)
+	fromCopy := r.made > 0 && r.copyAt != nil && !r.copyAt.down
+	if !fromCopy {
+		r.wasted += r.prompt - lost.unread
+		w.drop(r)
+	}
+	w.pending = append(w.pending, pending{at: now + seen, r: r, copy: fromCopy})
+}
+
+// goOn continues the requests whose time has come.
+func (w *world) goOn(now time.Duration) {
+	due := w.pending
+	w.pending = nil
+	for _, p := range due {
+		switch {
+		case p.at > now:
+			w.pending = append(w.pending, p)
+		case p.copy && p.r.copyAt != nil && !p.r.copyAt.down:
+			w.move(now, p.r)
+		default:
+			w.drop(p.r)
+			w.read(now, p.r)
+		}
+	}
+}
+
+// move goes on from the copy.
+func (w *world) move(now time.Duration, r *request) {
+	e := r.copyAt
+	w.drop(r)
+	w.enter(r, e, false)
+	e.running = append(e.running, &run{request: r, ready: now + moveTime})
+	w.copy(now, r)
+}
+
+// back brings a zone's engines up again, empty.
+func (w *world) back(zone int) {
+	for _, e := range w.engines {
+		if e.zone == zone {
+			e.down = false
+		}
+	}
+}
