forward: settings that change while the daemon runs

The file may change with SIGHUP or without. The store's address, the seeds, the bound for removed keys, the budget and the time for a stop hold from then on; a file that cannot be used changes nothing. SIGHUP is handled from the first moment on: before, one that came within milliseconds of the start would have ended the process.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"strconv"
 	"syscall"
 	"time"
@@ -39,6 +40,8 @@
 
 // Run forwards until a signal ends it.
 func (c *forwardCmd) Run() error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // before anything else: by default it ends the process
 	s, err := nodefile.Load(c.Settings)
 	if err != nil {
 		return usageError{err}
@@ -61,9 +64,21 @@
 			return usageError{errors.Wrap(err, "metrics")}
 		}
 	}
-	go c.reload(events)
+	g := gateway.New(o)
+	go c.reload(hup, s, events, func(now *nodefile.Settings) {
+		o.Store.(*kv.Client).SetAddress(now.Store)
+		g.Apply(bounds(now))
+	})
 	soft, hard := signals()
-	return gateway.New(o).Run(soft, hard)
+	return g.Run(soft, hard)
+}
+
+// bounds are the settings that may change while the daemon runs.
+func bounds(s *nodefile.Settings) gateway.Bounds {
+	return gateway.Bounds{
+		KeyAge: s.KeyAge, Grace: s.DrainGrace, Seeds: s.Seeds,
+		Repeats: repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+	}
 }
 
 const (
@@ -122,14 +137,32 @@
 	return o, nil
 }
 
-// reload reads the settings again at SIGHUP. Addresses and bounds hold for the
-// life of a process, so a change of them is only checked and logged.
-func (c *forwardCmd) reload(events *event.Log) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	for range hup {
-		_, err := nodefile.Load(c.Settings)
-		events.Emit(event.SettingsReloaded, c.Settings, err)
+// reloadEvery is how often the settings file is looked at: it may change without
+// a signal.
+const reloadEvery = 2 * time.Second
+
+// reload applies the settings at SIGHUP and when the file has changed. The
+// addresses at which this daemon listens hold for the life of the process. A file
+// that cannot be used changes nothing.
+func (c *forwardCmd) reload(hup <-chan os.Signal, now *nodefile.Settings, events *event.Log, apply func(*nodefile.Settings)) {
+	tick := time.NewTicker(reloadEvery)
+	defer tick.Stop()
+	for {
+		asked := false
+		select {
+		case <-hup:
+			asked = true
+		case <-tick.C:
+		}
+		next, err := nodefile.Load(c.Settings)
+		if err == nil && !reflect.DeepEqual(now, next) {
+			now = next
+			apply(next)
+			asked = true
+		}
+		if asked {
+			events.Emit(event.SettingsReloaded, c.Settings, err)
+		}
 	}
 }
 
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -92,7 +92,8 @@
 type Manager struct {
 	opts      Options
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64  // Clock when the question was sent whose answer showed the configuration; 0 none
+	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
+	seeds     atomic.Pointer[[]string]
 	known     chan struct{} // closed with the first configuration
 	reached   bool          // the last call to the store succeeded
 	outage    atomic.Bool   // the last daemon asked was as long without the store
@@ -107,10 +108,14 @@
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{})}
 	m.view.Store(&View{})
+	m.SetSeeds(o.Seeds)
 	m.register(o.Registerer)
 	return m
 }
 
+// SetSeeds changes the daemons that are asked before any is known.
+func (m *Manager) SetSeeds(seeds []string) { m.seeds.Store(&seeds) }
+
 // View returns the present view.
 func (m *Manager) View() *View { return m.view.Load() }
 
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -139,7 +139,7 @@
 		}
 	}
 	if len(addresses) == 0 {
-		addresses = m.opts.Seeds
+		addresses = *m.seeds.Load()
 	}
 	if len(addresses) == 0 {
 		return "", false
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -68,7 +68,7 @@
 	if !config.NeedsKey(in.route) {
 		return nil
 	}
-	if age > h.opts.KeyAge-keyMargin {
+	if age > time.Duration(h.keyAge.Load())-keyMargin {
 		return verdict.New(verdict.NotRun, verdict.CodeUnconfirmed,
 			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(h.confirmedAgain())
 	}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -64,6 +64,7 @@
 	locator   *locator
 	metrics   *metrics
 	running   atomic.Int64
+	keyAge    atomic.Int64
 	stop      atomic.Pointer[Stop] // nil while the daemon serves
 }
 
@@ -71,10 +72,18 @@
 func New(o Options) *Handler {
 	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats)}
 	h.locator = newLocator(h)
+	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
 }
 
+// SetBounds changes how old the configuration may be for account keys, and the
+// fleet's budget of repeats.
+func (h *Handler) SetBounds(keyAge time.Duration, rule repeats.Rule) {
+	h.keyAge.Store(int64(keyAge))
+	h.pool.setRule(rule)
+}
+
 // Running is the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -150,6 +150,16 @@
 	return b
 }
 
+// setRule changes the budgets of all services, which begin anew.
+func (p *pool) setRule(rule repeats.Rule) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if rule != p.rule {
+		p.rule = rule
+		clear(p.budgets)
+	}
+}
+
 // request counts a caller's request to a service.
 func (p *pool) request(now time.Time, service string) {
 	p.mu.Lock()
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -76,6 +76,7 @@
 	feed    *feed.Manager
 	handler *forward.Handler
 	leaving atomic.Bool
+	grace   atomic.Int64
 	turn    atomic.Uint64
 }
 
@@ -89,7 +90,25 @@
 		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
 		Registerer: o.Registry, Dial: o.DialServer,
 	})
-	return &Gateway{opts: o, feed: f, handler: h}
+	g := &Gateway{opts: o, feed: f, handler: h}
+	g.grace.Store(int64(o.Grace))
+	return g
+}
+
+// Bounds are what the platform may change while the daemon runs.
+type Bounds struct {
+	KeyAge  time.Duration
+	Repeats repeats.Rule
+	// Grace is the time between SIGTERM and the end.
+	Grace time.Duration
+	Seeds []string
+}
+
+// Apply takes other bounds for what comes from now on.
+func (g *Gateway) Apply(b Bounds) {
+	g.handler.SetBounds(b.KeyAge, b.Repeats)
+	g.feed.SetSeeds(b.Seeds)
+	g.grace.Store(int64(b.Grace))
 }
 
 // Ready reports whether callers should be sent here.
@@ -197,11 +216,12 @@
 // still keep this address, at most until the grace ends.
 func (g *Gateway) drain(hard context.Context) {
 	started := time.Now()
+	ends := time.Duration(g.grace.Load()) - exitMargin
 	g.leaving.Store(true)
 	g.handler.Leave(forward.Stop{
-		Streams: started.Add(streamsUntil), All: started.Add(allUntil), End: started.Add(g.opts.Grace - exitMargin),
+		Streams: started.Add(streamsUntil), All: started.Add(allUntil), End: started.Add(ends),
 	})
-	kept := min(keptAnswers*g.opts.KeepAnswers, g.opts.Grace-exitMargin)
+	kept := min(keptAnswers*g.opts.KeepAnswers, ends)
 	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), kept)
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
@@ -212,7 +232,7 @@
 		case <-tick.C:
 		}
 		past := time.Since(started)
-		if past >= g.opts.Grace-exitMargin || past >= kept && g.handler.Running() == 0 {
+		if past >= ends || past >= kept && g.handler.Running() == 0 {
 			return
 		}
 	}
