--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -37,7 +37,7 @@
 	// Timeout is the longest a caller is kept waiting.
 	Timeout time.Duration
 	// Objective is the time within which an answer, or the first event of a
-	// stream, has its full worth.
+	// stream, is on time.
 	Objective time.Duration
 	// GapTarget is the longest pause between events of a stream.
 	GapTarget time.Duration
