forward: callers that stop reading or send slowly are given up when their time is over

A write to a caller that does not read waited as long as its connection, with the run at the engine; a body that does not arrive held a connection for ever. Tests: TestCallerThatStopsReadingIsGivenUp, TestSlowSenderIsGivenUp, failed before.

--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -112,18 +113,34 @@
 	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
 		in.body = make([]byte, 0, r.ContentLength)
 	}
-	var err error
-	in.body, err = readAll(in.body, body)
+	err := h.readInTime(w, in, body)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return verdict.New(verdict.NotRun, verdict.CodeBodyTooLarge, "more than %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "the body did not arrive in time")
 	case err != nil:
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body is incomplete").Because(err)
 	}
 	return nil
 }
 
+// readInTime reads the body while the caller's time lasts: one that sends slowly
+// must not hold a connection and its part of the body for ever. After a whole body
+// the deadline is taken back, for the connection is read on to notice a caller
+// that leaves; otherwise the server would wait for the rest of the body in turn.
+func (h *Handler) readInTime(w http.ResponseWriter, in *inbound, body io.Reader) (err error) {
+	c := http.NewResponseController(w)
+	// A connection without deadlines only lacks the bound.
+	_ = c.SetReadDeadline(in.until)
+	in.body, err = readAll(in.body, body)
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
 // readAll is io.ReadAll into a buffer that may have the right size already.
 func readAll(buf []byte, r io.Reader) ([]byte, error) {
 	for {
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -40,6 +40,18 @@
 	leavingRetry = 50 * time.Millisecond
 )
 
+// lateWrite is how long an answer may still be written after the caller's time
+// is over: what is ready is delivered, also late.
+const lateWrite = 5 * time.Second
+
+// bound ends the writing to a caller that stops reading. Without it a write to
+// a full connection waits as long as the caller keeps it open, and the request
+// holds its memory and, for a stream, an engine.
+func (h *Handler) bound(w http.ResponseWriter, until time.Time) {
+	// A connection without deadlines only lacks the bound.
+	_ = http.NewResponseController(w).SetWriteDeadline(until.Add(lateWrite))
+}
+
 // Options configure a Handler.
 type Options struct {
 	Feed  *feed.Manager
@@ -121,12 +133,14 @@
 	if h.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	h.bound(w, time.Now().Add(defaultPatience))
 	view := h.opts.Feed.View()
 	in, err := h.accept(w, r, view)
 	if err != nil {
 		h.refuse(w, in, err)
 		return
 	}
+	h.bound(w, in.until)
 	ctx, cancel := context.WithDeadline(r.Context(), in.until)
 	defer cancel()
 	service := in.route.Target(rand.Float64())
--- a/serve/forward/plain_test.go
+++ b/serve/forward/plain_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"bufio"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 func failing(status int) http.HandlerFunc {
@@ -123,3 +126,27 @@
 		}
 	})
 }
+
+// A caller announces a body and sends half of it. Once its time is over the
+// daemon answers that nothing ran and keeps nothing of it.
+func TestSlowSenderIsGivenUp(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		s := w.add("d-1", "desk", "a", proven("ok"))
+		listener := faultnet.Pipe()
+		server := &http.Server{Handler: w.handler}
+		go server.Serve(listener)
+		defer server.Close()
+		conn, err := listener.Dial(w.t.Context(), "", "")
+		must.NoError(t, err)
+		defer conn.Close()
+		began := time.Now()
+		_, err = conn.Write([]byte("POST /once/1 HTTP/1.1\r\nHost: host\r\nKey: key-1\r\nContent-Length: 10\r\n\r\nhalf"))
+		must.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusGatewayTimeout, resp.StatusCode)
+		must.Eq(t, 600*time.Millisecond, time.Since(began))
+		must.Eq(t, 0, s.requests())
+		must.Eq(t, 0, w.handler.Running())
+	})
+}
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/standin/faultnet"
 )
 
 // An engine resets its connections in the middle of an answer. The caller sees
@@ -209,3 +211,33 @@
 		})
 	}
 }
+
+// A caller stops reading in the middle of an answer and keeps its connection.
+// Once its time is over nothing of the request is left at the daemon or at an engine.
+func TestCallerThatStopsReadingIsGivenUp(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		ended := make(chan struct{})
+		w.add("e-a", "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+			defer close(ended)
+			streaming(1000, 0, 10*time.Millisecond)(rw, r)
+		})
+		listener := faultnet.Pipe()
+		server := &http.Server{Handler: w.handler}
+		go server.Serve(listener)
+		defer server.Close()
+		conn, err := listener.Dial(w.t.Context(), "", "")
+		must.NoError(t, err)
+		defer conn.Close()
+		req, err := http.NewRequestWithContext(w.t.Context(), http.MethodPost, "http://host/s/1", nil)
+		must.NoError(t, err)
+		for k, v := range with(map[string]string{hWait: "2000"}) {
+			req.Header.Set(k, v)
+		}
+		must.NoError(t, req.Write(conn))
+		_, err = conn.Read(make([]byte, 100))
+		must.NoError(t, err)
+		time.Sleep(2*time.Second + lateWrite + time.Second)
+		must.Eq(t, 0, w.handler.Running())
+		<-ended
+	})
+}
