--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -36,6 +36,9 @@
 	Left time.Duration
 	// Account is the name of the caller's account; "" on public routes.
 	Account string
+	// Priority ranks the request among those of its service, 0 first; negative
+	// means that nothing is said of it.
+	Priority int
 	// CopyTo is the server to which the memory of the run is sent while it grows.
 	CopyTo string
 	// CopyAt is the server that holds such a copy, from which the run goes on.
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -72,7 +72,7 @@
 func (r *relay) open(ctx context.Context, l leg, dead <-chan error) (opened, error) {
 	errand := Errand{
 		ID: r.in.call.ID, Server: l.at.server, Left: time.Until(r.in.until),
-		Account: r.in.accountName(), CopyTo: l.copyTo.server.Address, CopyAt: l.from, After: r.after,
+		Account: r.in.accountName(), Priority: r.in.priority(), CopyTo: l.copyTo.server.Address, CopyAt: l.from, After: r.after,
 	}
 	got := make(chan opened, 1)
 	go func() {
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -199,7 +199,8 @@
 	started := time.Now()
 	defer func() { h.logExchange(ctx, in, o, time.Since(started)) }()
 	resp, reply, err := h.send(ctx, in, Errand{
-		ID: in.call.ID, Server: c.server, Left: time.Until(in.until), Account: in.accountName(), After: in.call.After,
+		ID: in.call.ID, Server: c.server, Left: time.Until(in.until), Account: in.accountName(),
+		Priority: in.priority(), After: in.call.After,
 	})
 	if err != nil {
 		o.err, o.notRun = err, errors.Is(err, errNotSent)
--- a/serve/forward/plain_test.go
+++ b/serve/forward/plain_test.go
@@ -150,3 +150,16 @@
 		must.Eq(t, 0, w.handler.Running())
 	})
 }
+
+// An account with a priority of its own ranks by it, others by the route's.
+func TestPriorityOfTheAccountGoesFirst(t *testing.T) {
+	routes := plainRoutes()
+	routes[0].Priority = 1
+	inWorld(t, routes, func(w *world) {
+		s := w.add("d-1", "desk", "a", proven("ok"))
+		for key, want := range map[string]string{"key-1": "1", "key-2": "3"} {
+			w.ask(http.MethodPost, "/once/1", with(map[string]string{hKey: key}), "x")
+			must.Eq(t, want, s.seen[len(s.seen)-1].Header.Get(hPriority))
+		}
+	})
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -69,6 +69,14 @@
 	until   time.Time // when the caller or the route gives up
 }
 
+// priority is the account's, or else the route's; 0 is the most urgent.
+func (in *inbound) priority() int {
+	if in.account != nil && in.account.Priority >= 0 {
+		return in.account.Priority
+	}
+	return in.route.Priority
+}
+
 // outgoing builds the request to a server.
 func (in *inbound) outgoing(ctx context.Context, codec Codec, e Errand) *http.Request {
 	req := &http.Request{
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -31,7 +31,7 @@
 const (
 	hID, hWait, hKey, hAfter, hPart, hTokens = "Id", "Wait-Ms", "Key", "After", "Part", "Tokens"
 	hServer, hAccount, hCopyTo, hCopyAt      = "Server", "Account", "Copy-To", "Copy-At"
-	hNotRun, hProof, hInstance               = "Not-Run", "Proof", "Instance"
+	hNotRun, hProof, hInstance, hPriority    = "Not-Run", "Proof", "Instance", "Priority"
 )
 
 type testCodec struct{}
@@ -55,6 +55,7 @@
 	out.Set(hCopyTo, e.CopyTo)
 	out.Set(hCopyAt, e.CopyAt)
 	out.Set(hAfter, strconv.FormatInt(e.After, 10))
+	out.Set(hPriority, strconv.Itoa(e.Priority))
 	return out
 }
 
@@ -171,7 +172,9 @@
 	services := []*routing.Service{
 		{Name: "llm", Engine: &routing.Engine{Slots: 4, Copies: true}}, {Name: "desk"},
 	}
-	accounts := map[string]*routing.Account{"key-1": {Name: "mill"}}
+	accounts := map[string]*routing.Account{
+		"key-1": {Name: "mill", Priority: -1}, "key-2": {Name: "depot", Priority: 3},
+	}
 	schema := testSchema{config: routing.New(1, routing.Limits{BodyBytes: 1 << 20}, services, routes, accounts)}
 	w := &world{
 		t: t, store: store.NewMemory(), servers: map[string]*fakeServer{},
