forward: streams without events, and streams that cannot go on elsewhere

Found in a read-through. A stream that ended without an event was answered with the library's own 200, without the server's proof. A stream from a server that is no engine was taken for dead, since it answers no probe, and one that may not be resumed was ended for a silence of 1.5 s although nothing follows from that. Tests: TestStreamWithoutEventsIsPassedOn, TestStreamThatCannotGoOnIsWaitedFor, both failed before.

--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -42,7 +42,7 @@
 	}
 	r.sends++
 	r.runs++
-	dead := r.h.watch(probing, l.at.server)
+	dead := r.watch(probing, l)
 	resp, err := r.open(ctx, l, dead)
 	if err != nil {
 		return r.failure(ctx, l, err)
@@ -96,9 +96,15 @@
 // errDead means that a server gives no sign of life.
 var errDead = errors.New("forward: no sign of life")
 
-// watch probes a server until ctx ends, and says when it is dead.
-func (h *Handler) watch(ctx context.Context, s routing.Server) <-chan error {
+// watch probes the engine of a leg until ctx ends, and says when it is dead. Other
+// servers answer no probe, and where the request cannot go on elsewhere nothing
+// would follow from it.
+func (r *relay) watch(ctx context.Context, l leg) <-chan error {
 	dead := make(chan error, 1)
+	service := r.h.opts.Feed.View().Config.Service(r.service)
+	if service == nil || service.Engine == nil || !r.in.route.Resumable {
+		return dead
+	}
 	go func() {
 		tick := time.NewTicker(probeEvery)
 		defer tick.Stop()
@@ -109,7 +115,7 @@
 				return
 			case <-tick.C:
 			}
-			if h.probe(ctx, s) == nil {
+			if r.h.probe(ctx, l.at.server) == nil {
 				failures = 0
 				continue
 			}
@@ -132,6 +138,7 @@
 		select {
 		case e := <-events:
 			if e.err == io.EOF {
+				r.begin(resp)
 				return legWhole, nil
 			}
 			if e.err != nil {
@@ -155,12 +162,28 @@
 	}
 }
 
-// patience is how long the leg may be silent.
+// patience is how long the leg may be silent. An answer that cannot go on
+// elsewhere is waited for as long as its caller waits.
 func (r *relay) patience(l leg) time.Duration {
-	if l.copyTo.load != nil {
-		return silenceWithCopy
+	switch {
+	case !r.in.route.Resumable:
+		return time.Until(r.in.until)
+	case l.copyTo.load != nil:
+		return min(max(silenceWithCopy, r.in.route.GapTarget/2), silenceAlone)
 	}
-	return silenceAlone
+	return max(silenceAlone, 2*r.in.route.GapTarget)
+}
+
+// begin gives the caller the headers of the first server that answered.
+func (r *relay) begin(resp *http.Response) {
+	if r.began {
+		return
+	}
+	r.began = true
+	r.first = time.Since(r.in.arrived)
+	r.h.metrics.first.Observe(r.first.Seconds())
+	copyHeader(r.w.Header(), resp.Header)
+	r.w.WriteHeader(resp.StatusCode)
 }
 
 // release gives the caller one event.
@@ -168,13 +191,7 @@
 	if e.id != 0 && e.id <= r.after {
 		return nil // the caller holds it
 	}
-	if !r.began {
-		r.began = true
-		r.first = time.Since(r.in.arrived)
-		r.h.metrics.first.Observe(r.first.Seconds())
-		copyHeader(r.w.Header(), resp.Header)
-		r.w.WriteHeader(resp.StatusCode)
-	}
+	r.begin(resp)
 	if _, err := r.w.Write(e.raw); err != nil {
 		return errors.Wrap(err, "caller")
 	}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -23,7 +23,8 @@
 	// deadProbes is how many probes in a row fail at a server that is dead. One
 	// may be a lost packet.
 	deadProbes = 2
-	// silenceWithCopy is how long a stream whose run has a copy may be silent:
+	// silenceWithCopy is how long a stream whose run has a copy may be silent at
+	// least, and half of the route's target for pauses if that is more:
 	// events come every 30 to 60 ms, and up to 230 ms while the engine reads a
 	// prompt between its steps. Going on from a copy takes about 100 ms, which
 	// leaves half of a target of 700 ms.
@@ -65,7 +66,7 @@
 	from   string // where the copy lies that it goes on from
 }
 
-// verdicts of a leg.
+// legEnd says how a leg ended.
 type legEnd uint8
 
 const (
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -241,3 +241,31 @@
 		<-ended
 	})
 }
+
+// A caller holds all events but not the end of the answer and asks for the rest.
+// The engine has no event left; the caller gets its proven, empty answer.
+func TestStreamWithoutEventsIsPassedOn(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		w.add("e-a", "llm", "a", streaming(9, 0, 0))
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "9"}), "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, http.StatusOK, got.status)
+		must.Eq(t, "p", got.header.Get(hProof))
+		must.Eq(t, "", got.body)
+	})
+}
+
+// A stream that may not go on elsewhere, from a server that is no engine, is
+// silent for seconds. Nothing is gained by ending it sooner: it is waited for.
+func TestStreamThatCannotGoOnIsWaitedFor(t *testing.T) {
+	routes := streamRoute()
+	routes[0].Resumable = false
+	routes[0].Targets[0].Service = "desk"
+	inWorld(t, routes, func(w *world) {
+		s := w.add("d-1", "desk", "a", streaming(4, 5*time.Second, 3*time.Second))
+		got := w.ask(http.MethodPost, "/s/1", caller, "x")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 4), got.body)
+		must.Eq(t, 1, s.requests())
+	})
+}
