feed: daemons whose leases lapsed in an outage still count; answers to HEAD keep their length

Found in a read-through: after an outage that ran leases out each daemon saw itself alone for a second, took the whole budget of repeats and all engines for its own. Test: TestDaemonsThatLapsedInAnOutage.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -226,7 +226,7 @@
 		m.view.Store(m.table.view())
 		m.table.dirty = false
 	}
-	if len(m.table.doubtful) > 0 && !m.expiring {
+	if len(m.table.doubtful)+len(m.table.doubtfulVMs) > 0 && !m.expiring {
 		m.expiring = true
 		time.AfterFunc(doubtCheck, m.endDoubt)
 	}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -32,6 +32,9 @@
 	// doubtful holds when servers cease to be usable whose entries vanished
 	// around an outage.
 	doubtful map[string]time.Duration
+	// doubtfulVMs holds when entry VMs cease to count whose entries vanished
+	// around an outage.
+	doubtfulVMs map[string]time.Duration
 	// departed holds when each server was first known to leave or be gone.
 	departed map[string]time.Duration
 	// lastReached is when the store last answered; doubtUntil is until when a
@@ -49,6 +52,8 @@
 		vms:      map[string]routing.VM{},
 		doubtful: map[string]time.Duration{},
 		departed: map[string]time.Duration{},
+
+		doubtfulVMs: map[string]time.Duration{},
 	}
 }
 
@@ -146,6 +151,7 @@
 		t.log.Emit(event.EntryRefused, kv.Key, err)
 		return
 	}
+	delete(t.doubtfulVMs, kv.Key)
 	if t.vms[kv.Key] != vm {
 		t.vms[kv.Key] = vm
 		t.dirty = true
@@ -159,6 +165,12 @@
 		t.removeServer(now, id)
 		return
 	}
+	if _, ok := t.vms[key]; ok && now < t.doubtUntil {
+		// Daemons that register again must not seem gone meanwhile: each would take
+		// the whole budget of repeats and all engines for its own.
+		t.doubtfulVMs[key] = now + reregister
+		return
+	}
 	t.removeVM(key)
 }
 
@@ -209,6 +221,13 @@
 			gone = true
 		}
 	}
+	for key, until := range t.doubtfulVMs {
+		if now >= until {
+			delete(t.doubtfulVMs, key)
+			t.removeVM(key)
+			gone = true
+		}
+	}
 	for id, since := range t.departed {
 		if _, here := t.servers[id]; !here && now-since > rememberDeparted {
 			delete(t.departed, id)
--- a/control/feed/table_test.go
+++ b/control/feed/table_test.go
@@ -75,6 +75,23 @@
 	must.Eq(t, "1", ids(tab))
 }
 
+// The leases of all daemons ran out in an outage. Until they have registered
+// again each daemon still counts them, and after that only those that did.
+func TestDaemonsThatLapsedInAnOutage(t *testing.T) {
+	tab := newTable(lineSchema{}, event.Discard())
+	second := time.Second
+	tab.reached(10*second, 10*second)
+	vm := func(id string) store.Event { return put(vmPrefix+id, `{"id":"`+id+`"}`, 1) }
+	tab.change(10*second, []store.Event{vm("1"), vm("2")})
+	tab.reached(16*second, 16*second)
+	tab.change(16*second, []store.Event{gone(vmPrefix + "1"), gone(vmPrefix + "2")})
+	must.SliceLen(t, 2, tab.view().VMs)
+	tab.change(17*second, []store.Event{vm("1")})
+	tab.expire(16*second + reregister)
+	must.SliceLen(t, 1, tab.view().VMs)
+	must.Eq(t, "1", tab.view().VMs[0].ID)
+}
+
 // Without an outage a removal counts at once.
 func TestRemovalCountsAtOnce(t *testing.T) {
 	tab := newTable(lineSchema{}, event.Discard())
--- a/serve/forward/events.go
+++ b/serve/forward/events.go
@@ -75,5 +75,3 @@
 		e.id = id
 	}
 }
-
-func itoa(n int) string { return strconv.Itoa(n) }
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -261,10 +262,10 @@
 	}
 	defer h.metrics.answered(in, o.status, sourceServer)
 	copyHeader(w.Header(), o.header)
-	if o.rest == nil {
-		w.Header()["Content-Length"] = []string{itoa(len(o.body))}
+	if o.rest == nil && len(o.body) > 0 {
+		w.Header()["Content-Length"] = []string{strconv.Itoa(len(o.body))}
 	} else if length := o.header["Content-Length"]; length != nil {
-		w.Header()["Content-Length"] = length
+		w.Header()["Content-Length"] = length // of an answer to HEAD too
 	}
 	w.WriteHeader(o.status)
 	if _, err := w.Write(o.body); err != nil {
--- a/serve/forward/plain_test.go
+++ b/serve/forward/plain_test.go
@@ -163,3 +163,15 @@
 		}
 	})
 }
+
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		w.add("d-1", "desk", "a", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set(hProof, "p")
+			rw.Header().Set("Content-Length", "1234")
+		})
+		got := w.ask(http.MethodHead, "/again/1", caller, "")
+		must.NoError(t, got.err)
+		must.Eq(t, "1234", got.header.Get("Content-Length"))
+	})
+}
