--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -35,6 +35,7 @@
 			reading = false
 			stopProbing()
 			r.h.pool.count(l.at, -1, 1, 0)
+			r.h.pool.worked(l.at)
 			if l.from == "" && r.in.call.After == 0 {
 				r.h.pool.wasRead(r.service, r.in.call.PromptTokens, time.Since(started))
 			}
@@ -223,6 +224,7 @@
 	if errors.Is(err, errNotSent) {
 		r.runs--
 		r.sends--
+		r.starts-- // another is tried as long as there is one
 		return legNotRun, err
 	}
 	return legBroken, err
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -216,7 +216,9 @@
 	}
 	if o.err != nil {
 		h.blame(ctx, in, c, o.err)
+		return o
 	}
+	h.pool.worked(c)
 	return o
 }
 
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -15,10 +15,15 @@
 	"mallowwind.dev/decision/route"
 )
 
-// suspicion is how long a server that failed is a last resort. A server that
-// crashed returns under another id; one behind a link that loses packets
-// is as good as before in a moment.
-const suspicion = 2 * time.Second
+const (
+	// suspicion is how long a server that failed is a last resort. One behind a
+	// link that loses packets is as good as before in a moment.
+	suspicion = 2 * time.Second
+	// maxSuspicion is for a server that fails each time it is tried, for twice as
+	// long with each: one that crashed returns under another id, and its entry
+	// stays for some seconds.
+	maxSuspicion = 8 * time.Second
+)
 
 // defaultSlots holds for servers that do not say how many requests they run.
 const defaultSlots = 16
@@ -30,6 +35,7 @@
 	running      int
 	copies       int
 	suspectUntil time.Time
+	suspicion    time.Duration // of the last failure, 0 after a success
 }
 
 // layout is one service's servers in one view.
@@ -271,10 +277,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if one := p.loads[id]; one != nil {
-		one.suspectUntil = now.Add(suspicion)
+		one.suspicion = min(max(2*one.suspicion, suspicion), maxSuspicion)
+		one.suspectUntil = now.Add(one.suspicion)
 	}
 }
 
+// worked ends the suspicion of a server that has answered.
+func (p *pool) worked(c choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.load.suspicion = 0
+}
+
 // suspect reports whether a server failed a moment ago.
 func (p *pool) suspect(now time.Time, id string) bool {
 	p.mu.Lock()
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -32,7 +32,7 @@
 	// silenceAlone holds without a copy, where going on costs the reading of the
 	// whole prompt: the answer is late then in any case.
 	silenceAlone = 1500 * time.Millisecond
-	// maxStarts bounds the sends of one stream that ran nowhere.
+	// maxStarts bounds the servers that may turn one stream away.
 	maxStarts = 8
 )
 
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -269,3 +269,19 @@
 		must.Eq(t, 1, s.requests())
 	})
 }
+
+// Half of all engines die at once and their entries stay for seconds. A caller
+// that arrives then gets its answer from one that lives, however many are tried
+// in vain before.
+func TestManyDeadEnginesBeforeOneThatLives(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(3, 10*time.Millisecond, 10*time.Millisecond)
+		for n := range 40 {
+			w.crash(w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle))
+		}
+		w.add("e-alive", "llm", "b", handle)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 3), got.body)
+	})
+}
