--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -19,6 +19,9 @@
 	// scanTimeout bounds the look. It is several round trips, and far below the
 	// second that reading a prompt anew takes.
 	scanTimeout = 120 * time.Millisecond
+	// maxScanned is how many engines are asked at most. Asking 120 takes a small VM
+	// a tenth of a second of its processor; beyond, a prompt is read again instead.
+	maxScanned = 160
 	// maxCacheAnswer bounds what one engine tells of its cache.
 	maxCacheAnswer = 1 << 20
 )
@@ -70,6 +73,10 @@
 	s := &scan{at: now, done: make(chan struct{}), holders: map[string][]string{}}
 	l.scans[service] = s
 	servers := l.h.opts.Feed.View().Servers[service]
+	if len(servers) > maxScanned {
+		close(s.done)
+		return s
+	}
 	go l.look(s, servers)
 	return s
 }
