forward: lost answers, resets after reading, and copies only at engines that live

Now a probe shows the events a run has made, the engine that reset is asked whether it holds the prompt, and an engine is asked before a copy is sent there. Tests: TestLostAnswerGoesOnFromCopy, TestResetAfterReadingGoesToTheSameEngine, TestCopyIsSentToAnEngineThatLives.

--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -61,6 +61,12 @@
 	Instance string
 }
 
+// Report is what an engine says of itself, as of a tenth of a second ago.
+type Report struct {
+	// Events are those that each run has made, by the id of its request.
+	Events map[string]int
+}
+
 // Codec translates between HTTP messages and what they mean here.
 type Codec interface {
 	Call(h http.Header) (Call, error)
@@ -72,7 +78,8 @@
 	CachePath() string
 	CacheParts(body []byte) ([]string, error)
 	// Probe returns the path at which an engine answers while it lives, without
-	// taking a slot, and Alive says whether an answer there is an engine's.
+	// taking a slot, and Report reads the answer; ok is false for one that is no
+	// engine's.
 	Probe() string
-	Alive(body []byte) bool
+	Report(body []byte) (report Report, ok bool)
 }
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -97,6 +97,15 @@
 // errDead means that a server gives no sign of life.
 var errDead = errors.New("forward: no sign of life")
 
+// errAnswerLost means that an engine runs the request and its answer does not arrive.
+var errAnswerLost = errors.New("forward: the answer does not arrive")
+
+// lost reports whether an engine has made events of this request although none
+// has arrived.
+func (r *relay) lost(report Report) bool {
+	return r.in.call.After == 0 && report.Events[r.in.call.ID] >= lostEvents
+}
+
 // watch probes the engine of a leg until ctx ends, and says when it is dead. Other
 // servers answer no probe, and where the request cannot go on elsewhere nothing
 // would follow from it.
@@ -116,7 +125,12 @@
 				return
 			case <-tick.C:
 			}
-			if r.h.probe(ctx, l.at.server) == nil {
+			report, err := r.h.probe(ctx, l.at.server, probeTimeout)
+			switch {
+			case err == nil && r.lost(report):
+				dead <- errAnswerLost
+				return
+			case err == nil:
 				failures = 0
 				continue
 			}
@@ -227,6 +241,12 @@
 		r.starts-- // another is tried as long as there is one
 		return legNotRun, err
 	}
+	switch {
+	case errors.Is(err, errAnswerLost):
+		r.held = l.copyTo // the prompt was read, so the copy is there
+	case !r.began && !errors.Is(err, errDead):
+		r.reset = l.at
+	}
 	return legBroken, err
 }
 
@@ -255,7 +275,8 @@
 	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != service {
 		return false
 	}
-	return h.probe(ctx, old) == nil
+	_, err := h.probe(ctx, old, probeTimeout)
+	return err == nil
 }
 
 // noStream passes on a failure that a server answered, unless another may do better.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -32,6 +32,15 @@
 	// silenceAlone holds without a copy, where going on costs the reading of the
 	// whole prompt: the answer is late then in any case.
 	silenceAlone = 1500 * time.Millisecond
+	// lostEvents is how many events an engine reports of a stream of which none has
+	// arrived before the answer counts as lost: a tenth of a second's, while a
+	// first event takes a round trip.
+	lostEvents = 3
+	// copyProbe is how long an engine may take to show that it can keep a copy. It
+	// is many round trips, and short beside the reading of a prompt.
+	copyProbe = 50 * time.Millisecond
+	// copyTries bounds the engines that are asked whether they can keep a copy.
+	copyTries = 3
 	// maxStarts bounds the servers that may turn one stream away.
 	maxStarts = 8
 )
@@ -46,6 +55,9 @@
 	after   int64 // id of the last event released
 	// held is where a copy of the present run lies; its server is zero if nowhere.
 	held choice
+	// reset is the engine that reset the connection before the first event; it may
+	// live and hold the prompt. Its server is zero if there is none.
+	reset choice
 	// misdirected is the id by which the holder was asked for in vain.
 	misdirected string
 	runs        int // servers that may have run it
@@ -142,11 +154,14 @@
 	if held := r.held; held.load != nil {
 		r.held = choice{}
 		if c, ok := r.holder(view, held); ok {
-			return r.withCopy(leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), nil
+			return r.withCopy(ctx, leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), nil
 		}
 	}
+	if c, ok := r.sameAgain(ctx, view); ok {
+		return r.withCopy(ctx, leg{at: c}), nil
+	}
 	if c, ok := r.warm(ctx, now, view); ok {
-		return r.withCopy(leg{at: c}), nil
+		return r.withCopy(ctx, leg{at: c}), nil
 	}
 	if r.h.pool.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
@@ -155,7 +170,7 @@
 	if !ok {
 		return leg{}, r.none()
 	}
-	return r.withCopy(leg{at: c}), nil
+	return r.withCopy(ctx, leg{at: c}), nil
 }
 
 // none says that no engine takes the request now.
@@ -172,6 +187,26 @@
 	return held, !view.Departed(held.server.ID) && !slices.Contains(r.failed, held.server.ID)
 }
 
+// sameAgain is the engine that reset the connection before the first event, if it
+// still holds the prompt: an engine may lose one answer and go on. Elsewhere the
+// prompt would be read a second time.
+func (r *relay) sameAgain(ctx context.Context, view *feed.View) (choice, bool) {
+	last := r.reset
+	r.reset = choice{}
+	if last.load == nil || r.in.call.OwnPart == "" {
+		return choice{}, false
+	}
+	c, ok := r.h.pool.server(view, r.service, last.server.ID)
+	if !ok {
+		return choice{}, false // it leaves
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyProbe)
+	defer cancel()
+	parts, err := r.h.cached(ctx, c.server)
+	c.reason = "same_again"
+	return c, err == nil && slices.Contains(parts, r.in.call.OwnPart)
+}
+
 // warm is an engine that holds the prompt of a stream which another daemon began.
 func (r *relay) warm(ctx context.Context, now time.Time, view *feed.View) (choice, bool) {
 	if r.in.call.After == 0 || r.in.call.OwnPart == "" {
@@ -191,14 +226,26 @@
 }
 
 // withCopy adds the place of a copy where engines can keep one.
-func (r *relay) withCopy(l leg) leg {
+func (r *relay) withCopy(ctx context.Context, l leg) leg {
 	view := r.h.opts.Feed.View()
 	s := view.Config.Service(r.service)
 	if s == nil || s.Engine == nil || !s.Engine.Copies || !r.in.route.Resumable {
 		return l
 	}
-	if c, ok := r.h.pool.copyPlace(time.Now(), view, l.at.server, r.failed); ok {
-		l.copyTo = c
+	excluded := slices.Clone(r.failed)
+	for range copyTries {
+		c, ok := r.h.pool.copyPlace(time.Now(), view, l.at.server, excluded)
+		if !ok {
+			return l
+		}
+		// The entry of an engine that died stays for seconds, and a copy sent there
+		// is none. Asking takes one round trip.
+		if _, err := r.h.probe(ctx, c.server, copyProbe); err == nil {
+			l.copyTo = c
+			return l
+		}
+		r.h.pool.failed(time.Now(), c.server.ID)
+		excluded = append(excluded, c.server.ID)
 	}
 	return l
 }
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -285,3 +285,71 @@
 		must.Eq(t, events(1, 3), got.body)
 	})
 }
+
+// An engine runs a request and its answer is lost: the connection stays open and
+// says nothing, while the engine is alive. Its report shows that it makes events;
+// the answer goes on from the copy and not after the caller's whole time.
+func TestLostAnswerGoesOnFromCopy(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) == "" {
+				w.servers[r.Header.Get(hServer)].runs = r.Header.Get(hID)
+				sleep(r, time.Hour)
+				return
+			}
+			streaming(5, 0, 40*time.Millisecond)(rw, r)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 5), got.body)
+		must.Less(t, time.Second, got.took)
+	})
+}
+
+// An engine resets the connection of one request after it has read its prompt,
+// and lives on. The prompt is still there: the request goes to the same engine
+// again, where it needs no reading.
+func TestResetAfterReadingGoesToTheSameEngine(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		tries := 0
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			s := w.servers[r.Header.Get(hServer)]
+			if tries++; tries == 1 {
+				s.cached = r.Header.Get(hPart)
+				panic(http.ErrAbortHandler)
+			}
+			must.Eq(t, r.Header.Get(hPart), s.cached)
+			streaming(3, 0, 10*time.Millisecond)(rw, r)
+		}
+		for _, id := range []string{"e-1", "e-2", "e-3", "e-4"} {
+			w.add(id, "llm", "a", handle)
+		}
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p1"}), "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 3), got.body)
+		must.Eq(t, 2, tries)
+	})
+}
+
+// The engine chosen for a copy has died and its entry is still there. The copy
+// goes to one that lives, or the answer would have none when its engine dies.
+func TestCopyIsSentToAnEngineThatLives(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(40, time.Second, 40*time.Millisecond)
+		runner := w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		dead := w.add("e-c", "llm", "c", handle)
+		w.crash(dead)
+		for range 6 {
+			w.ask(http.MethodPost, "/s/1", with(map[string]string{hWait: "100"}), "prompt")
+			time.Sleep(10 * time.Second)
+		}
+		for _, s := range []*fakeServer{runner, w.servers["e-b"]} {
+			for _, r := range s.seen {
+				must.NotEq(t, dead.server.Address, r.Header.Get(hCopyTo))
+			}
+		}
+	})
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -122,27 +122,28 @@
 	return resp, reply, nil
 }
 
-// probe asks whether an engine lives.
-func (h *Handler) probe(ctx context.Context, s routing.Server) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+// probe asks an engine for a sign of life.
+func (h *Handler) probe(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+h.opts.Codec.Probe(), nil)
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return Report{}, errors.Wrap(err, "probe")
 	}
 	resp, err := h.transport.RoundTrip(req)
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return Report{}, errors.Wrap(err, "probe")
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheAnswer))
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return Report{}, errors.Wrap(err, "probe")
 	}
-	if resp.StatusCode != http.StatusOK || !h.opts.Codec.Alive(body) {
-		return errors.Errorf("probe: status %d is no engine's answer", resp.StatusCode)
+	report, ok := h.opts.Codec.Report(body)
+	if resp.StatusCode != http.StatusOK || !ok {
+		return Report{}, errors.Errorf("probe: status %d is no engine's answer", resp.StatusCode)
 	}
-	return nil
+	return report, nil
 }
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -74,7 +74,15 @@
 
 func (testCodec) Probe() string { return "/alive" }
 
-func (testCodec) Alive(body []byte) bool { return string(body) == "engine" }
+// Report reads "engine" and then the ids of runs with events.
+func (testCodec) Report(body []byte) (Report, bool) {
+	words := strings.Fields(string(body))
+	r := Report{Events: map[string]int{}}
+	for _, id := range words {
+		r.Events[id] = lostEvents
+	}
+	return r, len(words) > 0 && words[0] == "engine"
+}
 
 // testSchema stores servers as JSON and gets the configuration from the world.
 type testSchema struct{ config *routing.Config }
@@ -98,6 +106,7 @@
 	listener *faultnet.Listener
 	mu       sync.Mutex
 	cached   string // answer to the question what it holds
+	runs     string // ids of the runs that it reports
 	seen     []*http.Request
 	handle   http.HandlerFunc
 	http     *http.Server
@@ -118,7 +127,7 @@
 	switch r.URL.Path {
 	case "/alive":
 		if s.server.Service == "llm" {
-			fmt.Fprint(w, "engine")
+			fmt.Fprint(w, "engine ", s.runs)
 		}
 		return
 	case "/cache":
--- a/serve/gateway/gateway_test.go
+++ b/serve/gateway/gateway_test.go
@@ -37,7 +37,8 @@
 func (codec) CachePath() string                   { return "/" }
 func (codec) CacheParts([]byte) ([]string, error) { return nil, nil }
 func (codec) Probe() string                       { return "/" }
-func (codec) Alive([]byte) bool                   { return true }
+
+func (codec) Report([]byte) (forward.Report, bool) { return forward.Report{}, true }
 
 // schema stores a configuration as its version and the idle timeout.
 type schema struct{}
