--- a/serve/forward/plain_test.go
+++ b/serve/forward/plain_test.go
@@ -118,7 +118,7 @@
 		s := w.add("d-1", "desk", "a", proven("ok"))
 		for _, path := range []string{"/once/a%2Fb?x=%20&&y", "/once//c/../d?"} {
 			w.ask(http.MethodPost, path, with(map[string]string{hAccount: "thief", "Connection": "X-Hop", "X-Hop": "1"}), "x")
-			r := s.seen[len(s.seen)-1]
+			r := s.asked()[s.requests()-1]
 			must.Eq(t, path, r.RequestURI)
 			must.Eq(t, "mill", r.Header.Get(hAccount))
 			must.Eq(t, "", r.Header.Get("X-Hop"))
@@ -159,7 +159,7 @@
 		s := w.add("d-1", "desk", "a", proven("ok"))
 		for key, want := range map[string]string{"key-1": "1", "key-2": "3"} {
 			w.ask(http.MethodPost, "/once/1", with(map[string]string{hKey: key}), "x")
-			must.Eq(t, want, s.seen[len(s.seen)-1].Header.Get(hPriority))
+			must.Eq(t, want, s.asked()[s.requests()-1].Header.Get(hPriority))
 		}
 	})
 }
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,7 +94,7 @@
 		for _, id := range []string{"e-1", "e-2", "e-3", "e-4", "e-5"} {
 			w.add(id, "llm", "a", handle)
 		}
-		w.servers["e-4"].cached = "p9 p7"
+		w.servers["e-4"].holds("p9 p7")
 		for range 5 {
 			got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "9", hPart: "p7"}), "prompt")
 			must.NoError(t, got.err)
@@ -148,7 +149,7 @@
 					return
 				}
 				must.Error(t, got.err)
-				for _, r := range successor.seen {
+				for _, r := range successor.asked() {
 					must.NotEq(t, "e-new", r.Header.Get(hServer))
 				}
 			})
@@ -204,7 +205,7 @@
 				}()
 				got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
 				must.Error(t, got.err)
-				for _, r := range successor.seen {
+				for _, r := range successor.asked() {
 					must.NotEq(t, "e-new", r.Header.Get(hServer))
 				}
 			})
@@ -293,7 +294,7 @@
 	inWorld(t, streamRoute(), func(w *world) {
 		handle := func(rw http.ResponseWriter, r *http.Request) {
 			if r.Header.Get(hCopyAt) == "" {
-				w.servers[r.Header.Get(hServer)].runs = r.Header.Get(hID)
+				w.servers[r.Header.Get(hServer)].reports(r.Header.Get(hID))
 				sleep(r, time.Hour)
 				return
 			}
@@ -313,14 +314,13 @@
 // again, where it needs no reading.
 func TestResetAfterReadingGoesToTheSameEngine(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
-		tries := 0
+		var tries atomic.Int32
 		handle := func(rw http.ResponseWriter, r *http.Request) {
 			s := w.servers[r.Header.Get(hServer)]
-			if tries++; tries == 1 {
-				s.cached = r.Header.Get(hPart)
+			if tries.Add(1) == 1 {
+				s.holds(r.Header.Get(hPart))
 				panic(http.ErrAbortHandler)
 			}
-			must.Eq(t, r.Header.Get(hPart), s.cached)
 			streaming(3, 0, 10*time.Millisecond)(rw, r)
 		}
 		for _, id := range []string{"e-1", "e-2", "e-3", "e-4"} {
@@ -329,7 +329,10 @@
 		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p1"}), "prompt")
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 3), got.body)
-		must.Eq(t, 2, tries)
+		must.Eq(t, 2, int(tries.Load()))
+		for _, s := range w.servers {
+			must.True(t, s.requests() == 0 || s.requests() == 2)
+		}
 	})
 }
 
@@ -347,7 +350,7 @@
 			time.Sleep(10 * time.Second)
 		}
 		for _, s := range []*fakeServer{runner, w.servers["e-b"]} {
-			for _, r := range s.seen {
+			for _, r := range s.asked() {
 				must.NotEq(t, dead.server.Address, r.Header.Get(hCopyTo))
 			}
 		}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -127,10 +128,14 @@
 	switch r.URL.Path {
 	case "/alive":
 		if s.server.Service == "llm" {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			fmt.Fprint(w, "engine ", s.runs)
 		}
 		return
 	case "/cache":
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		fmt.Fprint(w, s.cached)
 		return
 	}
@@ -148,6 +153,26 @@
 	s.handle(w, r)
 }
 
+// asked returns the requests that a server was asked to run.
+func (s *fakeServer) asked() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.seen)
+}
+
+// holds and reports set what a server tells of itself.
+func (s *fakeServer) holds(parts string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cached = parts
+}
+
+func (s *fakeServer) reports(runs string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = runs
+}
+
 // requests are those that a server was asked to run.
 func (s *fakeServer) requests() int {
 	s.mu.Lock()
