--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -32,7 +32,8 @@
 
 // forwardCmd forwards requests by the configuration in the platform's store.
 type forwardCmd struct {
-	Settings string `env:"${settings_env}" required:"" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine."`
+	Config   string `type:"path" placeholder:"FILE" help:"Settings of our own, with a key-value service of ours; see docs/settings.md."`
+	Settings string `env:"${settings_env}" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine, where --config is not given."`
 	Check    bool   `help:"Check the settings and exit."`
 	Metrics  int    `default:"0" placeholder:"PORT" help:"The port of this machine at which metrics are served; 0 serves none."`
 	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"The least level that is logged."`
@@ -42,6 +43,12 @@
 func (c *forwardCmd) Run() error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before anything else: by default it ends the process
+	if c.Config != "" {
+		return runOwn(c.Config, c.Check)
+	}
+	if c.Settings == "" {
+		return usageError{errors.New("neither --config nor --settings is given")}
+	}
 	s, err := nodefile.Load(c.Settings)
 	if err != nil {
 		return usageError{err}
--- /dev/null
+++ b/cmd/mallowwind/forwardown_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/settings"
+	"mallowwind.dev/external/standin/plainsim"
+	"mallowwind.dev/external/standin/storesim"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/serve/gateway"
+)
+
+const ownConfig = `{"version":1,"services":[{"name":"desk"}],"accounts":[{"name":"mill","keys":["k1"]}],
+"routes":[{"name":"r","host":"desk.example","prefix":"/","kind":"at_most_once","timeout":"5s",
+"targets":[{"service":"desk","weight":1}]}]}`
+
+// freeAddress is a loopback address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// get asks until an answer has the status wanted, or the test's time is over.
+func get(t *testing.T, url, key string, want int) string {
+	t.Helper()
+	for {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+		must.NoError(t, err)
+		req.Host = "desk.example"
+		req.Header.Set("Authorization", "Bearer "+key)
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			body, readErr := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			must.NoError(t, readErr)
+			if resp.StatusCode == want {
+				return string(body)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// The whole path by our own means: settings in INI, a key-value service in the
+// form of etcd's, a plain service that registered itself. A request is forwarded,
+// an unknown key refused, a change of the configuration is in force, and the stop ends.
+func TestForwardingByOurOwnMeans(t *testing.T) {
+	memory := store.NewMemory()
+	etcd := httptest.NewServer(storesim.Handler(memory))
+	defer etcd.Close()
+	desk := httptest.NewServer(plainsim.New("desk", 0))
+	defer desk.Close()
+	put := func(key, value string) {
+		var version int64
+		if kv, err := memory.Get(t.Context(), key); err == nil {
+			version = kv.Version
+		}
+		_, err := memory.CompareAndSwap(t.Context(), key, version, []byte(value), 0)
+		must.NoError(t, err)
+	}
+	put(feed.OwnConfigKey, ownConfig)
+	put(feed.OwnServerPrefix+"d-1", fmt.Sprintf(`{"service":"desk","address":%q,"zone":"a"}`, desk.Listener.Addr()))
+	s := &settings.Settings{
+		VM: "entry-1", Zone: "a", Listen: freeAddress(t), PeerListen: freeAddress(t), AdminListen: freeAddress(t),
+		Store: []string{etcd.URL}, DrainLimit: 5 * time.Second,
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	o, err := ownOptions(s, logger)
+	must.NoError(t, err)
+	soft, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- gateway.New(o).Run(soft, t.Context()) }()
+
+	get(t, "http://"+s.AdminListen+"/readyz", "", http.StatusOK)
+	var reply plainsim.Reply
+	must.NoError(t, json.Unmarshal([]byte(get(t, "http://"+s.Listen+"/confirm?x=1", "k1", http.StatusOK)), &reply))
+	must.Eq(t, "/confirm", strings.SplitN(reply.Path, "?", 2)[0])
+	must.StrContains(t, get(t, "http://"+s.AdminListen+"/v1/entries", "", http.StatusOK), s.Listen)
+	must.StrContains(t, get(t, "http://"+s.AdminListen+"/metrics", "", http.StatusOK), "mallowwind_feed_config_version 1")
+	get(t, "http://"+s.Listen+"/confirm", "k2", http.StatusUnauthorized)
+	put(feed.OwnConfigKey, strings.Replace(strings.Replace(ownConfig, `"version":1`, `"version":2`, 1), "k1", "k2", 1))
+	get(t, "http://"+s.Listen+"/confirm", "k2", http.StatusOK)
+	get(t, "http://"+s.Listen+"/confirm", "k1", http.StatusUnauthorized)
+	stop()
+	must.NoError(t, <-done)
+}
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -75,7 +75,9 @@
 
 // Options configure a Manager.
 type Options struct {
-	Store  store.Store
+	Store store.Store
+	// Prefix begins the keys that are followed; "" follows all.
+	Prefix string
 	Schema Schema
 	Clock  Clock
 	Log    *event.Log
@@ -157,7 +159,7 @@
 			return err
 		}
 	}
-	w, err := m.opts.Store.Watch(ctx, "", m.revision.Load())
+	w, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.revision.Load())
 	if err != nil {
 		return err
 	}
@@ -172,7 +174,7 @@
 
 func (m *Manager) readAll(ctx context.Context) error {
 	asked := m.opts.Clock()
-	items, revision, err := m.opts.Store.List(ctx, "")
+	items, revision, err := m.opts.Store.List(ctx, m.opts.Prefix)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/control/routing/encoding.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// document is a configuration as it lies in a store of ours.
+type document struct {
+	Version int64 `json:"version"`
+	Limits  struct {
+		HeaderBytes   int      `json:"header_bytes"`
+		BodyBytes     int64    `json:"body_bytes"`
+		HeaderTimeout duration `json:"header_timeout"`
+		IdleTimeout   duration `json:"idle_timeout"`
+	} `json:"limits"`
+	Services []struct {
+		Name     string  `json:"name"`
+		MaxConns int     `json:"max_conns"`
+		Engine   *Engine `json:"engine"`
+	} `json:"services"`
+	Routes []documentRoute `json:"routes"`
+	// Accounts are absent where no route asks for a key.
+	Accounts *[]struct {
+		Name     string   `json:"name"`
+		Priority *int     `json:"priority"`
+		Keys     []string `json:"keys"`
+	} `json:"accounts"`
+}
+
+type documentRoute struct {
+	Name      string   `json:"name"`
+	Host      string   `json:"host"`
+	Prefix    string   `json:"prefix"`
+	Kind      string   `json:"kind"` // as Kind.String
+	Timeout   duration `json:"timeout"`
+	Objective duration `json:"objective"`
+	GapTarget duration `json:"gap_target"`
+	Attempts  int      `json:"attempts"`
+	Priority  int      `json:"priority"`
+	Public    bool     `json:"public"`
+	Resumable bool     `json:"resumable"`
+	Prompted  bool     `json:"prompted"`
+	Targets   []Target `json:"targets"`
+}
+
+// duration is written as time.Duration prints itself, such as 1.5s.
+type duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *duration) UnmarshalJSON(raw []byte) error {
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return errors.Wrap(err, "duration")
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil || parsed < 0 {
+		return errors.Errorf("duration: %q is none", text)
+	}
+	*d = duration(parsed)
+	return nil
+}
+
+// Decode reads a configuration. Errors say which part cannot be used.
+func Decode(raw []byte) (*Config, error) {
+	var d document
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return nil, errors.Wrap(err, "configuration")
+	}
+	if d.Version <= 0 {
+		return nil, errors.Errorf("configuration: version %d is not above 0", d.Version)
+	}
+	var services []*Service
+	known := map[string]bool{}
+	for _, s := range d.Services {
+		known[s.Name] = true
+		services = append(services, &Service{Name: s.Name, MaxConns: s.MaxConns, Engine: s.Engine})
+	}
+	var routes []*Route
+	for _, r := range d.Routes {
+		route, err := r.route(known)
+		if err != nil {
+			return nil, errors.Wrapf(err, "configuration: route %s", r.Name)
+		}
+		routes = append(routes, route)
+	}
+	limits := Limits{
+		HeaderBytes: d.Limits.HeaderBytes, BodyBytes: d.Limits.BodyBytes,
+		HeaderTimeout: time.Duration(d.Limits.HeaderTimeout), IdleTimeout: time.Duration(d.Limits.IdleTimeout),
+	}
+	return New(d.Version, limits, services, routes, d.accounts()), nil
+}
+
+func (r documentRoute) route(services map[string]bool) (*Route, error) {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return nil, errors.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
+	}
+	kind, err := parseKind(r.Kind)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Targets) == 0 {
+		return nil, errors.New("no target")
+	}
+	for _, t := range r.Targets {
+		if !services[t.Service] {
+			return nil, errors.Errorf("unknown service %q", t.Service)
+		}
+	}
+	return &Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: kind,
+		Timeout: time.Duration(r.Timeout), Objective: time.Duration(r.Objective), GapTarget: time.Duration(r.GapTarget),
+		Attempts: max(1, r.Attempts), Priority: r.Priority, Public: r.Public,
+		Resumable: r.Resumable, Prompted: r.Prompted, Targets: r.Targets,
+	}, nil
+}
+
+func parseKind(text string) (Kind, error) {
+	for _, k := range []Kind{AtMostOnce, Idempotent, Stream} {
+		if k.String() == text {
+			return k, nil
+		}
+	}
+	return AtMostOnce, errors.Errorf("kind %q is none of at_most_once, idempotent, stream", text)
+}
+
+func (d *document) accounts() map[string]*Account {
+	if d.Accounts == nil {
+		return nil
+	}
+	accounts := map[string]*Account{}
+	for _, a := range *d.Accounts {
+		account := &Account{Name: a.Name, Priority: -1}
+		if a.Priority != nil {
+			account.Priority = *a.Priority
+		}
+		for _, key := range a.Keys {
+			accounts[key] = account
+		}
+	}
+	return accounts
+}
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -56,8 +56,8 @@
 
 // Target is one service of a route with its share of the requests.
 type Target struct {
-	Service string
-	Weight  float64
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // Service is a set of equal backend servers.
@@ -71,11 +71,11 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots int // requests processed at once
+	Slots int `json:"slots"` // requests processed at once
 	// CacheTokens is the memory for prompts and answers.
-	CacheTokens int
+	CacheTokens int `json:"cache_tokens"`
 	// Copies says that an engine can send the memory of a run to another while it grows.
-	Copies bool
+	Copies bool `json:"copies"`
 }
 
 // Limits bound what a caller may send and how long it may take. Zero fields
@@ -188,13 +188,13 @@
 // Server is one backend server as it registered itself. Each start has an id
 // of its own; an address may be used again by another.
 type Server struct {
-	ID      string
-	Service string
-	Address string // IP:port
-	Zone    string
-	Slots   int
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"` // IP:port
+	Zone    string `json:"zone"`
+	Slots   int    `json:"slots"`
 	// Leaving says that it takes no new work.
-	Leaving bool
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // VM is one entry VM as it registered itself.
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -46,6 +46,8 @@
 type Options struct {
 	Self    routing.VM
 	Store   store.Store
+	// Prefix begins the keys of the store that concern this fleet.
+	Prefix string
 	Schema  feed.Schema
 	Codec   forward.Codec
 	Clock   feed.Clock
@@ -83,7 +85,7 @@
 // New assembles a gateway; Run starts it.
 func New(o Options) *Gateway {
 	f := feed.New(feed.Options{
-		Store: o.Store, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry,
+		Store: o.Store, Prefix: o.Prefix, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry,
 		Self: o.Self.ID, Seeds: o.Seeds, Dialer: o.Dialer,
 	})
 	h := forward.New(forward.Options{
