--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -44,10 +44,10 @@
 
 // Options configure a Gateway.
 type Options struct {
-	Self    routing.VM
-	Store   store.Store
+	Self  routing.VM
+	Store store.Store
 	// Prefix begins the keys of the store that concern this fleet.
-	Prefix string
+	Prefix  string
 	Schema  feed.Schema
 	Codec   forward.Codec
 	Clock   feed.Clock
