--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -35,8 +35,8 @@
 	Config   string `type:"path" placeholder:"FILE" help:"Settings of our own, with a key-value service of ours; see docs/settings.md."`
 	Settings string `env:"${settings_env}" type:"path" placeholder:"FILE" help:"The platform's settings file of this machine, where --config is not given."`
 	Check    bool   `help:"Check the settings and exit."`
-	Metrics  int    `default:"0" placeholder:"PORT" help:"The port of this machine at which metrics are served; 0 serves none."`
-	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"The least level that is logged."`
+	Metrics  int    `default:"0" placeholder:"PORT" help:"With --settings: the port of this machine at which metrics are served; 0 serves none."`
+	LogLevel string `default:"info" enum:"error,warning,info,debug" help:"With --settings: the least level that is logged."`
 }
 
 // Run forwards until a signal ends it.
@@ -56,7 +56,7 @@
 	if c.Check {
 		return nil
 	}
-	events, closeLog, err := c.openLog(s)
+	events, closeLog, err := openLog(c.LogLevel, s.VM, s.Zone)
 	if err != nil {
 		return usageError{err}
 	}
@@ -95,16 +95,17 @@
 	logBurst     = 1500
 )
 
-// openLog writes events to standard output without waiting for its reader.
-func (c *forwardCmd) openLog(s *nodefile.Settings) (*event.Log, func(), error) {
-	level, err := logrus.ParseLevel(c.LogLevel)
+// openLog writes events to standard output without waiting for its reader. The
+// function it returns writes what is queued.
+func openLog(levelName, vm, zone string) (*event.Log, func(), error) {
+	level, err := logrus.ParseLevel(levelName)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "log level")
 	}
 	logger := logrus.New()
 	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	logger.SetLevel(level)
-	events := event.New(logger, s.VM, s.Zone).Limit(logPerSecond, logBurst)
+	events := event.New(logger, vm, zone).Limit(logPerSecond, logBurst)
 	out := event.NewWriter(os.Stdout, func(n uint64) { events.Emit(event.LogDropped, n) })
 	logger.SetOutput(out)
 	return events, out.Close, nil
@@ -113,17 +114,16 @@
 func gatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
 	keep := min(keepAnswers, s.AddressAge)
 	o := gateway.Options{
-		Self:   routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
-		Store:  kv.New(s.Store),
-		Schema: wire.Schema{},
-		Codec:  wire.Codec{},
-		Clock:  bootClock,
-		Log:    events,
-		Dialer: link.NewDialer(nil), Seeds: s.Seeds,
-		Registry: metric.NewCatalogue(),
-		KeyAge:   s.KeyAge,
-		Repeats:  repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
-		Grace:    s.DrainGrace, KeepAnswers: keep,
+		Self:         routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Callers, Peer: s.Peers},
+		Store:        kv.New(s.Store),
+		Schema:       wire.Schema{},
+		Codec:        wire.Codec{},
+		Clock:        bootClock,
+		Log:          events,
+		Bounds:       bounds(s),
+		Dialer:       link.NewDialer(nil),
+		Registry:     metric.NewCatalogue(),
+		KeepAnswers:  keep,
 		ReadyHandler: wire.ReadyHandler,
 		DirectoryHandler: func(addresses func(zone string) []string) http.Handler {
 			return wire.DirectoryHandler(func(q wire.Question) []string { return addresses(q.Zone) }, keep)
--- a/cmd/mallowwind/forwardown.go
+++ b/cmd/mallowwind/forwardown.go
@@ -9,7 +9,6 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/sirupsen/logrus"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
@@ -43,7 +42,12 @@
 	if check {
 		return nil
 	}
-	o, err := ownOptions(s, newLogger(s))
+	events, closeLog, err := openLog(s.LogLevel, s.VM, s.Zone)
+	if err != nil {
+		return usageError{err}
+	}
+	defer closeLog()
+	o, err := ownOptions(s, events)
 	if err != nil {
 		return usageError{err}
 	}
@@ -51,7 +55,7 @@
 	return gateway.New(o).Run(soft, hard)
 }
 
-func ownOptions(s *settings.Settings, logger *logrus.Logger) (gateway.Options, error) {
+func ownOptions(s *settings.Settings, events *event.Log) (gateway.Options, error) {
 	client, err := store.NewEtcdClient(s.Store, nil)
 	if err != nil {
 		return gateway.Options{}, errors.Wrap(err, "store")
@@ -60,9 +64,10 @@
 		Self:   routing.VM{ID: s.VM, Zone: s.Zone, Address: s.Listen, Peer: s.PeerListen},
 		Store:  store.Confirmed{Store: client, Key: feed.OwnConfigKey, Hold: ownHold},
 		Prefix: feed.OwnPrefix, Schema: feed.OwnSchema{}, Codec: forward.OwnCodec{},
-		Clock: bootClock, Log: event.New(logger, s.VM, s.Zone), Registry: metric.NewCatalogue(),
-		KeyAge: ownKeyAge, Repeats: ownRepeats, Grace: s.DrainLimit, KeepAnswers: keepAnswers,
-		Dialer: link.NewDialer(nil),
+		Clock: bootClock, Log: events, Registry: metric.NewCatalogue(),
+		Bounds:      gateway.Bounds{KeyAge: ownKeyAge, Repeats: ownRepeats, Grace: s.DrainLimit},
+		KeepAnswers: keepAnswers,
+		Dialer:      link.NewDialer(nil),
 	}
 	admin := mux.NewRouter()
 	admin.Handle("/metrics", promhttp.HandlerFor(o.Registry, promhttp.HandlerOpts{})).Methods(http.MethodGet)
--- a/cmd/mallowwind/forwardown_test.go
+++ b/cmd/mallowwind/forwardown_test.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/sirupsen/logrus"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/settings"
@@ -21,6 +20,7 @@
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/serve/gateway"
+	"mallowwind.dev/telemetry/event"
 )
 
 const ownConfig = `{"version":1,"services":[{"name":"desk"}],"accounts":[{"name":"mill","keys":["k1"]}],
@@ -80,9 +80,7 @@
 		VM: "entry-1", Zone: "a", Listen: freeAddress(t), PeerListen: freeAddress(t), AdminListen: freeAddress(t),
 		Store: []string{etcd.URL}, DrainLimit: 5 * time.Second,
 	}
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
-	o, err := ownOptions(s, logger)
+	o, err := ownOptions(s, event.Discard())
 	must.NoError(t, err)
 	soft, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -17,10 +17,11 @@
 )
 
 // accept reads a request and checks that it may be forwarded.
-func (h *Handler) accept(w http.ResponseWriter, r *http.Request, view *feed.View) (*inbound, error) {
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request) (*inbound, error) {
 	in := &inbound{
 		method: r.Method, host: r.Host, target: target(r), header: endToEnd(r.Header), arrived: time.Now(),
 	}
+	view := h.opts.Feed.View()
 	if view.Config == nil {
 		view = h.firstView(r.Context())
 	}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -12,6 +12,7 @@
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -65,7 +66,7 @@
 	// Registerer receives the metrics; it may be nil.
 	Registerer prometheus.Registerer
 	// Dial opens connections to servers; nil means TCP.
-	Dial DialFunc
+	Dial sent.DialFunc
 }
 
 // Handler forwards requests.
@@ -134,8 +135,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	h.bound(w, time.Now().Add(defaultPatience))
-	view := h.opts.Feed.View()
-	in, err := h.accept(w, r, view)
+	in, err := h.accept(w, r)
 	if err != nil {
 		h.refuse(w, in, err)
 		return
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"mallowwind.dev/control/routing"
 )
 
@@ -22,8 +18,6 @@
 	// maxScanned is how many engines are asked at most. Asking 120 takes a small VM
 	// a tenth of a second of its processor; beyond, a prompt is read again instead.
 	maxScanned = 160
-	// maxCacheAnswer bounds what one engine tells of its cache.
-	maxCacheAnswer = 1 << 20
 )
 
 // locator finds the engine that still holds a prompt which another daemon, or
@@ -105,21 +99,9 @@
 
 // cached asks an engine what it holds.
 func (h *Handler) cached(ctx context.Context, server routing.Server) ([]string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.Address+h.opts.Codec.CachePath(), nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "cache")
-	}
-	resp, err := h.transport.RoundTrip(req)
+	body, err := h.ask(ctx, server, h.opts.Codec.CachePath())
 	if err != nil {
-		return nil, errors.Wrap(err, "cache")
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheAnswer))
-	if err != nil {
-		return nil, errors.Wrap(err, "cache")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("cache: status %d", resp.StatusCode)
+		return nil, err
 	}
 	return h.opts.Codec.CacheParts(body)
 }
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -13,42 +13,38 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/sent"
 )
 
 // dialTimeout is many times a round trip between zones (2 ms) and below the
 // second after which a lost SYN is sent again: another server is tried instead.
 const dialTimeout = 250 * time.Millisecond
 
+// maxAsked bounds what one engine tells of itself.
+const maxAsked = 1 << 20
+
 // errNotSent means that no byte of the request left: it has not run.
 var errNotSent = errors.New("forward: not sent")
 
-// DialFunc opens a connection to a server.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // newTransport returns a transport that uses each connection once. A kept
 // connection may have gone silent, may be closed by the server just as a
 // request is sent, and may carry a late answer to the request before; each
 // would be taken for the fate of the next request. A new connection costs one
 // round trip, and http.Transport repeats nothing of its own accord on it.
-func newTransport(dial DialFunc) *http.Transport {
+func newTransport(dial sent.DialFunc) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-		ReadBufferSize:     4 << 10,
-		WriteBufferSize:    4 << 10,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, errors.Wrapf(errNotSent, "%v", err)
-			}
-			return conn, nil
-		},
+	limited := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, errors.Wrapf(errNotSent, "%v", err)
+		}
+		return conn, nil
 	}
+	return sent.NewTransportWith(limited, true)
 }
 
 // inbound is a caller's request, read whole.
@@ -122,26 +118,38 @@
 	return resp, reply, nil
 }
 
-// probe asks an engine for a sign of life.
-func (h *Handler) probe(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+h.opts.Codec.Probe(), nil)
+// ask makes a call that runs nothing at a server and reads its whole answer.
+func (h *Handler) ask(ctx context.Context, s routing.Server, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+path, nil)
 	if err != nil {
-		return Report{}, errors.Wrap(err, "probe")
+		return nil, errors.Wrap(err, path)
 	}
 	resp, err := h.transport.RoundTrip(req)
 	if err != nil {
-		return Report{}, errors.Wrap(err, "probe")
+		return nil, errors.Wrap(err, path)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCacheAnswer))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s: status %d", path, resp.StatusCode)
+	}
+	return body, nil
+}
+
+// probe asks an engine for a sign of life.
+func (h *Handler) probe(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	body, err := h.ask(ctx, s, h.opts.Codec.Probe())
 	if err != nil {
-		return Report{}, errors.Wrap(err, "probe")
+		return Report{}, err
 	}
 	report, ok := h.opts.Codec.Report(body)
-	if resp.StatusCode != http.StatusOK || !ok {
-		return Report{}, errors.Errorf("probe: status %d is no engine's answer", resp.StatusCode)
+	if !ok {
+		return Report{}, errors.New("probe: no engine's answer")
 	}
 	return report, nil
 }
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/entries"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/forward"
@@ -47,24 +48,20 @@
 	Self  routing.VM
 	Store store.Store
 	// Prefix begins the keys of the store that concern this fleet.
-	Prefix  string
-	Schema  feed.Schema
-	Codec   forward.Codec
-	Clock   feed.Clock
-	Log     *event.Log
-	KeyAge  time.Duration
-	Repeats repeats.Rule
-	// Grace is the time between SIGTERM and the end.
-	Grace time.Duration
+	Prefix string
+	Schema feed.Schema
+	Codec  forward.Codec
+	Clock  feed.Clock
+	Log    *event.Log
+	Bounds
 	// KeepAnswers is how long callers are told to keep an address answer.
 	KeepAnswers time.Duration
 	// Registry receives the metrics, which are served at Metrics.
 	Registry *metric.Catalogue
-	// Dialer connects to other daemons, and Seeds are where some of them were.
+	// Dialer connects to other daemons.
 	Dialer *link.Dialer
-	Seeds  []string
 	// DialServer opens connections to backend servers; nil means TCP.
-	DialServer forward.DialFunc
+	DialServer sent.DialFunc
 	// Listeners; Directory, Peers and Metrics may be nil.
 	Callers, Readiness, Directory, Peers, Metrics net.Listener
 	// ReadyHandler and DirectoryHandler wrap the answers in the platform's form.
@@ -99,10 +96,13 @@
 
 // Bounds are what the platform may change while the daemon runs.
 type Bounds struct {
-	KeyAge  time.Duration
+	// KeyAge is how old the configuration may be for an account key to be trusted.
+	KeyAge time.Duration
+	// Repeats bounds the sends beyond the first of the whole fleet.
 	Repeats repeats.Rule
 	// Grace is the time between SIGTERM and the end.
 	Grace time.Duration
+	// Seeds are where some other daemons were.
 	Seeds []string
 }
 
--- a/serve/gateway/gateway_test.go
+++ b/serve/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
 	"mallowwind.dev/external/standin/faultnet"
@@ -25,47 +26,11 @@
 	"mallowwind.dev/telemetry/metric"
 )
 
-// codec carries nothing but the id.
-type codec struct{}
-
-func (codec) Call(h http.Header) (forward.Call, error) { return forward.Call{ID: h.Get("Id")}, nil }
-
-func (codec) Outgoing(h http.Header, _ forward.Errand) http.Header { return h.Clone() }
-
-func (codec) Reply(int, http.Header) forward.Reply { return forward.Reply{Proven: true} }
-
-func (codec) CachePath() string                   { return "/" }
-func (codec) CacheParts([]byte) ([]string, error) { return nil, nil }
-func (codec) Probe() string                       { return "/" }
-
-func (codec) Report([]byte) (forward.Report, bool) { return forward.Report{}, true }
-
-// schema stores a configuration as its version and the idle timeout.
-type schema struct{}
-
-func (schema) ConfigKey() string { return "config" }
-
-func (schema) DecodeConfig(raw []byte) (*routing.Config, error) {
-	var version int64
-	var idle string
-	if _, err := fmt.Sscan(string(raw), &version, &idle); err != nil {
-		return nil, err
-	}
-	timeout, err := time.ParseDuration(idle)
-	if err != nil {
-		return nil, err
-	}
-	route := &routing.Route{
-		Host: "host", Prefix: "/", Kind: routing.AtMostOnce, Timeout: 20 * time.Second, Attempts: 1,
-		Targets: []routing.Target{{Service: "desk", Weight: 1}},
-	}
-	return routing.New(version, routing.Limits{IdleTimeout: timeout}, nil, []*routing.Route{route}, nil), nil
-}
-
-func (schema) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
-
-func (schema) DecodeServer(id string, raw []byte) (routing.Server, error) {
-	return routing.Server{ID: id, Service: "desk", Address: string(raw), Slots: 4}, nil
+// config is a configuration of one route to the backend server.
+func config(version int, idle string) string {
+	return fmt.Sprintf(`{"version":%d,"limits":{"idle_timeout":%q},"services":[{"name":"desk"}],
+		"routes":[{"name":"r","host":"host","prefix":"/","kind":"at_most_once","timeout":"20s",
+		"targets":[{"service":"desk","weight":1}]}]}`, version, idle)
 }
 
 // site is one gateway in virtual time before a backend server that answers
@@ -87,17 +52,19 @@
 		}
 		backend := &http.Server{Handler: http.HandlerFunc(slow)}
 		go backend.Serve(s.backend)
-		s.put("config", "1 15s")
-		s.put("server/d", "d:1")
+		s.put(feed.OwnConfigKey, config(1, "15s"))
+		s.put(feed.OwnServerPrefix+"d", `{"service":"desk","address":"d:1","slots":4}`)
 		s.put("mallowwind/vm/other", `{"id":"other","address":"other:1"}`)
 		start := time.Now()
 		g := New(Options{
 			Self:  routing.VM{ID: "self", Address: "self:1"},
-			Store: storesim.Confirming{Store: s.store, Hold: time.Second}, Schema: schema{}, Codec: codec{},
+			Store: storesim.Confirming{Store: s.store, Hold: time.Second}, Schema: feed.OwnSchema{}, Codec: forward.OwnCodec{},
 			Clock: func() time.Duration { return time.Since(start) + time.Hour }, Log: event.Discard(),
-			KeyAge: 5 * time.Second, Grace: 8 * time.Second, KeepAnswers: time.Second,
-			Repeats:  repeats.Rule{Ratio: 1, Slack: 10, Window: time.Second},
-			Registry: metric.NewCatalogue(), Callers: s.callers, Readiness: s.ready, Directory: s.directory,
+			Bounds: Bounds{
+				KeyAge: 5 * time.Second, Grace: 8 * time.Second, Repeats: repeats.Rule{Ratio: 1, Slack: 10, Window: time.Second},
+			},
+			KeepAnswers: time.Second,
+			Registry:    metric.NewCatalogue(), Callers: s.callers, Readiness: s.ready, Directory: s.directory,
 			ReadyHandler: readyHandler, DirectoryHandler: directoryHandler, DialServer: s.backend.Dial,
 		})
 		soft, term := context.WithCancel(t.Context())
@@ -254,7 +221,7 @@
 	}{{10 * time.Second, true}, {40 * time.Second, false}} {
 		t.Run(c.idle.String(), func(t *testing.T) {
 			inSite(t, func(s *site) {
-				s.put("config", "2 20s")
+				s.put(feed.OwnConfigKey, config(2, "20s"))
 				time.Sleep(2 * time.Second)
 				conn, err := s.callers.Dial(s.t.Context(), "", "")
 				must.NoError(t, err)
