forward: engines are asked what they do before a prompt is sent

A daemon knows one in seventy of the prompts being read; three of four spill over from its home engines and meet others. While an engine reads, its answers come at a sixth of their pace, so they run for longer and more of them are there when a zone dies.

Ruled out: too little room (120 engines read prompts 44% of the time, 27% without what is read in vain); refusals by engines (none for want of room).

Change: the three engines first in the daemon's order are asked for their report, and the one that reads nothing and runs least gets the prompt; up to three rounds. Engines that do not answer are passed over, so dead ones cost 50 ms, not a try.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -151,6 +151,12 @@
 // Service returns the named service, or nil.
 func (c *Config) Service(name string) *Service { return c.services[name] }
 
+// HasEngines reports whether the servers of a service are model engines.
+func (c *Config) HasEngines(service string) bool {
+	s := c.services[service]
+	return s != nil && s.Engine != nil
+}
+
 // OnlyEngines is the name of the one service that has model engines; "" where
 // none or several have.
 func (c *Config) OnlyEngines() string {
--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -12,10 +12,17 @@
 // How it decides: each daemon has home engines, a window of its own of each
 // zone's engines, so that daemons meet on an engine only when they spill over.
 // An engine that reads no prompt of this daemon goes before one that does, a
-// home engine before another, and then the one with the fewest runs.
+// home engine before another, and then the one with the fewest runs. The first
+// few of this order are asked what they do, and the quietest of them is chosen:
+// with seventy daemons most prompts spill over, and each daemon knows one in
+// seventy of the prompts being read.
 package prompts
 
-import "mallowwind.dev/decision/route"
+import (
+	"slices"
+
+	"mallowwind.dev/decision/route"
+)
 
 // Engine is one candidate as this daemon sees it.
 type Engine struct {
@@ -40,10 +47,9 @@
 	ReasonSpill   Reason = "spill_idle"
 	ReasonBusy    Reason = "all_reading"
 	ReasonSuspect Reason = "suspects_only"
-	ReasonNone    Reason = "none"
 )
 
-// Choice is an engine by index, -1 if there is none.
+// Choice is an engine by index.
 type Choice struct {
 	Index  int
 	Reason Reason
@@ -72,28 +78,49 @@
 	return a.draw < b.draw
 }
 
-// Read chooses the engine that reads a prompt. draw breaks ties at random.
-func Read(engines []Engine, draw uint64) Choice {
-	best, at := rank{}, -1
+// ranked is a candidate with its rank.
+type ranked struct {
+	rank
+	index int
+}
+
+// Read returns the engines that may read a prompt, the best first and n at most.
+// draw breaks ties at random.
+func Read(engines []Engine, n int, draw uint64) []Choice {
+	var best []ranked
 	for i, e := range engines {
 		if e.Excluded {
 			continue
 		}
-		r := rank{
+		best = insert(best, n, ranked{index: i, rank: rank{
 			suspect: e.Suspect, reading: e.Reading, away: !e.Home,
 			load: e.Running + e.Copies, draw: route.Mix(draw + uint64(i)),
+		}})
+	}
+	choices := make([]Choice, len(best))
+	for i, r := range best {
+		choices[i] = Choice{Index: r.index, Reason: reason(r.rank)}
+	}
+	return choices
+}
+
+// insert puts r into a list of the n best, which is in order.
+func insert(best []ranked, n int, r ranked) []ranked {
+	at, _ := slices.BinarySearchFunc(best, r, func(a, b ranked) int {
+		if a.before(b.rank) {
+			return -1
 		}
-		if at < 0 || r.before(best) {
-			best, at = r, i
-		}
+		return 1
+	})
+	if at >= n {
+		return best
 	}
-	return Choice{Index: at, Reason: reason(best, at)}
+	best = slices.Insert(best, at, r)
+	return best[:min(len(best), n)]
 }
 
-func reason(r rank, at int) Reason {
+func reason(r rank) Reason {
 	switch {
-	case at < 0:
-		return ReasonNone
 	case r.suspect:
 		return ReasonSuspect
 	case r.reading > 0:
@@ -122,3 +149,35 @@
 	}
 	return at
 }
+
+// Report is what an engine says of itself when it is asked, as of a fifth of a
+// second ago.
+type Report struct {
+	// Unread are the prompts that it reads or that wait there.
+	Unread int
+	// Running are the runs that make events.
+	Running int
+}
+
+// Idle reports whether a prompt would be read at once.
+func (r Report) Idle() bool { return r.Unread == 0 }
+
+// Quietest returns the index of the engine at which a prompt waits least, and
+// among equals the one where reading it delays the fewest running answers; -1
+// without reports. The reports are in the order of preference.
+func Quietest(reports []Report) int {
+	best := -1
+	for i, r := range reports {
+		if best < 0 || r.before(reports[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (r Report) before(other Report) bool {
+	if r.Unread != other.Unread {
+		return r.Unread < other.Unread
+	}
+	return r.Running < other.Running
+}
--- a/decision/prompts/prompts_test.go
+++ b/decision/prompts/prompts_test.go
@@ -13,19 +13,23 @@
 		want    int
 		reason  Reason
 	}{
-		{"none", nil, -1, ReasonNone},
+		{"none", nil, -1, ""},
 		{"home before idle elsewhere", []Engine{{}, {Home: true}}, 1, ReasonHome},
 		{"idle elsewhere before busy home", []Engine{{Home: true, Reading: 1}, {}}, 1, ReasonSpill},
 		{"fewest runs", []Engine{{Home: true, Running: 2}, {Home: true, Copies: 1}}, 1, ReasonHome},
 		{"fewest prompts when all read", []Engine{{Reading: 2}, {Reading: 1}}, 1, ReasonBusy},
 		{"suspect last", []Engine{{Home: true, Suspect: true}, {Reading: 3}}, 1, ReasonBusy},
 		{"suspect when nothing else", []Engine{{Excluded: true}, {Suspect: true}}, 1, ReasonSuspect},
-		{"all excluded", []Engine{{Excluded: true}}, -1, ReasonNone},
+		{"all excluded", []Engine{{Excluded: true}}, -1, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got := Read(c.engines, 7)
-			must.Eq(t, Choice{Index: c.want, Reason: c.reason}, got)
+			got := Read(c.engines, 1, 7)
+			if c.want < 0 {
+				must.SliceEmpty(t, got)
+				return
+			}
+			must.Eq(t, []Choice{{Index: c.want, Reason: c.reason}}, got)
 		})
 	}
 }
@@ -48,3 +52,30 @@
 		})
 	}
 }
+
+func TestReadReturnsTheBestInOrder(t *testing.T) {
+	engines := []Engine{{Suspect: true}, {Reading: 2}, {Home: true}, {Excluded: true}, {Reading: 1}, {}}
+	var order []int
+	for _, c := range Read(engines, 4, 7) {
+		order = append(order, c.Index)
+	}
+	must.Eq(t, []int{2, 5, 4, 1}, order)
+	must.SliceLen(t, 5, Read(engines, 9, 7))
+}
+
+func TestQuietest(t *testing.T) {
+	cases := []struct {
+		name    string
+		reports []Report
+		want    int
+	}{
+		{"none", nil, -1},
+		{"the first of equals", []Report{{Running: 2}, {Running: 2}}, 0},
+		{"no prompt being read", []Report{{Unread: 1}, {Running: 9}}, 1},
+		{"fewest answers delayed", []Report{{Running: 4}, {Running: 1}, {Unread: 1}}, 1},
+		{"fewest prompts ahead", []Report{{Unread: 3}, {Unread: 2, Running: 8}}, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { must.Eq(t, c.want, Quietest(c.reports)) })
+	}
+}
--- a/lab/bench/prompts/prompts.go
+++ b/lab/bench/prompts/prompts.go
@@ -39,7 +39,7 @@
 }
 
 func byRank(engines []decide.Engine, random *rand.Rand) int {
-	return decide.Read(engines, random.Uint64()).Index
+	return decide.Read(engines, 1, random.Uint64())[0].Index
 }
 
 func anywhere(engines []decide.Engine, random *rand.Rand) int { return random.IntN(len(engines)) }
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
 )
 
 // Call is what a caller's request says of itself.
@@ -65,6 +66,21 @@
 type Report struct {
 	// Events are those that each run has made, by the id of its request.
 	Events map[string]int
+	// Waiting are the requests that have no place in the batch yet.
+	Waiting int
+}
+
+// load is what matters for placing one more prompt.
+func (r Report) load() prompts.Report {
+	load := prompts.Report{Unread: r.Waiting}
+	for _, events := range r.Events {
+		if events == 0 {
+			load.Unread++
+		} else {
+			load.Running++
+		}
+	}
+	return load
 }
 
 // Codec translates between HTTP messages and what they mean here.
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -111,8 +111,7 @@
 // would follow from it.
 func (r *relay) watch(ctx context.Context, l leg) <-chan error {
 	dead := make(chan error, 1)
-	service := r.h.opts.Feed.View().Config.Service(r.service)
-	if service == nil || service.Engine == nil || !r.in.route.Resumable {
+	if !r.h.opts.Feed.View().Config.HasEngines(r.service) || !r.in.route.Resumable {
 		return dead
 	}
 	go func() {
--- /dev/null
+++ b/serve/forward/place.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/decision/prompts"
+)
+
+const (
+	// asked is how many engines are asked at once where a prompt could be read.
+	// With a third of the engines reading, all three do in one of thirty cases.
+	asked = 3
+	// askRounds bounds the questions before one prompt. They take a round trip each
+	// while engines answer, and askLimit each where none does.
+	askRounds = 3
+	// askLimit is many round trips, and short beside the reading of a prompt.
+	askLimit = 50 * time.Millisecond
+)
+
+// surveyed is an engine that answered.
+type surveyed struct {
+	choice
+	report prompts.Report
+}
+
+// place chooses the engine that reads the prompt: one that reads no other now.
+// Engines that do not answer are passed over, since the entry of one that died
+// stays for seconds. Where none answers the best known gets the request all the
+// same: the link from here may be at fault, and it loses nothing to try.
+func (r *relay) place(ctx context.Context, view *feed.View) (choice, bool) {
+	first := r.h.pool.readers(time.Now(), view, r.service, asked, r.failed)
+	if len(first) == 0 || !view.Config.HasEngines(r.service) {
+		return firstOf(first)
+	}
+	excluded := slices.Clone(r.failed)
+	var seen []surveyed
+	candidates := first
+	for range askRounds {
+		for _, c := range candidates {
+			excluded = append(excluded, c.server.ID)
+		}
+		seen = append(seen, r.h.survey(ctx, candidates)...)
+		if c, ok := quietest(seen); ok && c.report.Idle() {
+			return c.choice, true
+		}
+		candidates = r.h.pool.readers(time.Now(), view, r.service, asked, excluded)
+	}
+	if c, ok := quietest(seen); ok {
+		return c.choice, true
+	}
+	return firstOf(first)
+}
+
+func firstOf(list []choice) (choice, bool) {
+	if len(list) == 0 {
+		return choice{}, false
+	}
+	return list[0], true
+}
+
+func quietest(seen []surveyed) (surveyed, bool) {
+	reports := make([]prompts.Report, len(seen))
+	for i, s := range seen {
+		reports[i] = s.report
+	}
+	i := prompts.Quietest(reports)
+	if i < 0 {
+		return surveyed{}, false
+	}
+	return seen[i], true
+}
+
+// survey asks engines for their load. Those that do not answer are suspect from
+// then on; the others are returned in the order given.
+func (h *Handler) survey(ctx context.Context, candidates []choice) []surveyed {
+	answers := make([]*surveyed, len(candidates))
+	var all sync.WaitGroup
+	for i, c := range candidates {
+		all.Go(func() {
+			report, err := h.probe(ctx, c.server, askLimit)
+			if err != nil {
+				if ctx.Err() == nil {
+					h.pool.failed(time.Now(), c.server.ID)
+				}
+				return
+			}
+			load := report.load()
+			load.Unread = max(load.Unread, h.pool.reading(c)) // a report lags
+			answers[i] = &surveyed{choice: c, report: load}
+		})
+	}
+	all.Wait()
+	var seen []surveyed
+	for _, a := range answers {
+		if a != nil {
+			seen = append(seen, *a)
+		}
+	}
+	return seen
+}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -309,12 +309,24 @@
 	return engines
 }
 
-// prompt chooses the engine that reads a prompt.
-func (p *pool) prompt(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
-	return p.in(view, service, func(l *layout) (choice, bool) {
-		c := prompts.Read(p.engines(now, l, exclude), rand.Uint64())
-		return l.choose(c.Index, string(c.Reason))
+// readers returns the engines that may read a prompt, the best first and n at most.
+func (p *pool) readers(now time.Time, view *feed.View, service string, n int, exclude []string) []choice {
+	var list []choice
+	p.in(view, service, func(l *layout) (choice, bool) {
+		for _, c := range prompts.Read(p.engines(now, l, exclude), n, rand.Uint64()) {
+			one, _ := l.choose(c.Index, string(c.Reason))
+			list = append(list, one)
+		}
+		return choice{}, false
 	})
+	return list
+}
+
+// reading is how many prompts of this daemon a server reads.
+func (p *pool) reading(c choice) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.load.reading
 }
 
 // copyPlace chooses the engine that keeps a copy of a run at another.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -166,7 +166,7 @@
 	if r.h.pool.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
-	c, ok := r.h.pool.prompt(now, view, r.service, r.failed)
+	c, ok := r.place(ctx, view)
 	if !ok {
 		return leg{}, r.none()
 	}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -75,12 +75,18 @@
 
 func (testCodec) Probe() string { return "/alive" }
 
-// Report reads "engine" and then the ids of runs with events.
+// Report reads "engine" and then the ids of runs with events, and of those
+// without if they begin with a minus.
 func (testCodec) Report(body []byte) (Report, bool) {
 	words := strings.Fields(string(body))
 	r := Report{Events: map[string]int{}}
 	for _, id := range words {
-		r.Events[id] = lostEvents
+		unread, found := strings.CutPrefix(id, "-")
+		if found {
+			r.Events[unread] = 0
+		} else {
+			r.Events[id] = lostEvents
+		}
 	}
 	return r, len(words) > 0 && words[0] == "engine"
 }
@@ -108,6 +114,7 @@
 	mu       sync.Mutex
 	cached   string // answer to the question what it holds
 	runs     string // ids of the runs that it reports
+	muted    bool   // it does not tell what it does
 	seen     []*http.Request
 	handle   http.HandlerFunc
 	http     *http.Server
@@ -130,6 +137,10 @@
 		if s.server.Service == "llm" {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			if s.muted {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
 			fmt.Fprint(w, "engine ", s.runs)
 		}
 		return
@@ -173,6 +184,12 @@
 	s.runs = runs
 }
 
+func (s *fakeServer) mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted = true
+}
+
 // requests are those that a server was asked to run.
 func (s *fakeServer) requests() int {
 	s.mu.Lock()
