forward: a run whose copy is lost gets another one

Ruled out: copies that found no room or had not arrived (25 legs); ids that were out of date at the daemon (they are asked for by address).

Change: a run looks four times a second whether the engine with its copy is still the one it was; where it is not, the engine that runs the request is told to copy the memory to another, and once a second to bring that up to date. The answer goes on there; after a whole answer the copy is freed.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -76,6 +76,10 @@
 	CacheTokens int `json:"cache_tokens"`
 	// Copies says that an engine can send the memory of a run to another while it grows.
 	Copies bool `json:"copies"`
+	// Moves says that an engine can be asked to copy the memory of a run once.
+	Moves bool `json:"moves"`
+	// CopyKept is how long a copy is kept of which nothing more arrives.
+	CopyKept time.Duration `json:"-"`
 }
 
 // Limits bound what a caller may send and how long it may take. Zero fields
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -99,3 +99,14 @@
 	Probe() string
 	Report(body []byte) (report Report, ok bool)
 }
+
+// Mover is a Codec of engines that copy the memory of a run when they are asked.
+type Mover interface {
+	// Move returns the call by which the engine that runs a request copies its
+	// memory to the engine at target; the run goes on.
+	Move(id, target string) (path string, body []byte, err error)
+	// Moved reads the answer: the handle under which the copy lies.
+	Moved(body []byte) (handle string, err error)
+	// Drop returns the path at which DELETE frees a copy.
+	Drop(handle string) (path string)
+}
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -22,6 +22,7 @@
 	probing, stopProbing := context.WithCancel(ctx)
 	defer stopProbing()
 	reading, started := true, time.Now()
+	second := r.newSpare(l)
 	defer func() {
 		r.h.pool.count(l.copyTo, 0, 0, -1)
 		if reading {
@@ -39,6 +40,9 @@
 			if l.from == "" && r.in.call.After == 0 {
 				r.h.pool.wasRead(r.service, r.in.call.PromptTokens, time.Since(started))
 			}
+			if second != nil {
+				go second.run(ctx)
+			}
 		}
 	}
 	r.sends++
@@ -59,7 +63,22 @@
 	if !resp.reply.Proven {
 		return r.failure(ctx, l, errors.New("a success without proof"))
 	}
-	return r.copyEvents(ctx, l, resp.resp, dead, heard)
+	end, err := r.copyEvents(ctx, l, resp.resp, dead, heard)
+	r.settle(second, end)
+	return end, err
+}
+
+// settle takes over a copy made on demand, or frees it once the answer is whole.
+func (r *relay) settle(second *spare, end legEnd) {
+	switch {
+	case second == nil:
+	case end == legBroken:
+		if copied := second.copied.Load(); copied != nil {
+			r.held = *copied
+		}
+	default:
+		second.drop()
+	}
 }
 
 // opened is an answer up to its headers.
@@ -159,9 +178,7 @@
 				return r.failure(ctx, l, e.err)
 			}
 			heard()
-			if l.copyTo.load != nil {
-				r.held = l.copyTo
-			}
+			r.held = l.copy(r.in.call.ID)
 			if err := r.release(resp, e); err != nil {
 				return legAborted, err
 			}
@@ -242,7 +259,7 @@
 	}
 	switch {
 	case errors.Is(err, errAnswerLost):
-		r.held = l.copyTo // the prompt was read, so the copy is there
+		r.held = l.copy(r.in.call.ID) // the prompt was read, so the copy is there
 	case !r.began && !errors.Is(err, errDead):
 		r.reset = l.at
 	}
@@ -259,7 +276,7 @@
 	if o.reply.Misdirected && r.h.successor(ctx, r.service, l.at.server, o.reply.Instance) {
 		r.misdirected = l.at.server.ID
 		l.at.server.ID = o.reply.Instance
-		r.held = l.at
+		r.held = kept{at: l.at, name: l.from}
 	}
 	return legNotRun, err
 }
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -361,6 +361,16 @@
 	})
 }
 
+// lives reports whether a server is still the one it was: neither leaving or gone
+// nor replaced at its address, and not suspect. A zero choice does not live.
+func (p *pool) lives(now time.Time, view *feed.View, c choice) bool {
+	if c.load == nil || p.suspect(now, c.server.ID) {
+		return false
+	}
+	_, ok := p.server(view, c.server.Service, c.server.ID)
+	return ok
+}
+
 // choose returns the server at index i, none for a negative one.
 func (l *layout) choose(i int, reason string) (choice, bool) {
 	if i < 0 {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -53,8 +53,8 @@
 	w       http.ResponseWriter
 	began   bool  // headers and an event were released
 	after   int64 // id of the last event released
-	// held is where a copy of the present run lies; its server is zero if nowhere.
-	held choice
+	// held is a copy of the present run.
+	held kept
 	// reset is the engine that reset the connection before the first event; it may
 	// live and hold the prompt. Its server is zero if there is none.
 	reset choice
@@ -78,6 +78,14 @@
 	from   string // where the copy lies that it goes on from
 }
 
+// copy is the copy that is kept while the run grows, if there is one.
+func (l leg) copy(id string) kept {
+	if l.copyTo.load == nil {
+		return kept{}
+	}
+	return kept{at: l.copyTo, name: copyName(l.copyTo.server, id)}
+}
+
 // legEnd says how a leg ended.
 type legEnd uint8
 
@@ -151,10 +159,10 @@
 	}
 	r.starts++
 	view := r.h.opts.Feed.View()
-	if held := r.held; held.load != nil {
-		r.held = choice{}
-		if c, ok := r.holder(view, held); ok {
-			return r.withCopy(ctx, leg{at: c, from: c.server.Address + "/" + r.in.call.ID}), nil
+	if held := r.held; held.at.load != nil {
+		r.held = kept{}
+		if c, ok := r.holder(view, held.at); ok {
+			return r.withCopy(ctx, leg{at: c, from: held.name}), nil
 		}
 	}
 	if c, ok := r.sameAgain(ctx, view); ok {
@@ -241,20 +249,6 @@
 	if s == nil || s.Engine == nil || !s.Engine.Copies || !r.in.route.Resumable {
 		return l
 	}
-	excluded := slices.Clone(r.failed)
-	for range copyTries {
-		c, ok := r.h.pool.copyPlace(time.Now(), view, l.at.server, excluded)
-		if !ok {
-			return l
-		}
-		// The entry of an engine that died stays for seconds, and a copy sent there
-		// is none. Asking takes one round trip.
-		if _, err := r.h.probe(ctx, c.server, copyProbe); err == nil {
-			l.copyTo = c
-			return l
-		}
-		r.h.pool.failed(time.Now(), c.server.ID)
-		excluded = append(excluded, c.server.ID)
-	}
+	l.copyTo, _ = r.copyPlace(ctx, l.at.server)
 	return l
 }
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -120,23 +120,31 @@
 
 // ask makes a call that runs nothing at a server and reads its whole answer.
 func (h *Handler) ask(ctx context.Context, s routing.Server, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+path, nil)
+	return h.command(ctx, http.MethodGet, s, path, nil)
+}
+
+// command is ask with another method and a body.
+func (h *Handler) command(ctx context.Context, method string, s routing.Server, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, path)
 	}
+	if len(body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := h.transport.RoundTrip(req)
 	if err != nil {
 		return nil, errors.Wrap(err, path)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
 	if err != nil {
 		return nil, errors.Wrap(err, path)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("%s: status %d", path, resp.StatusCode)
 	}
-	return body, nil
+	return answer, nil
 }
 
 // probe asks an engine for a sign of life.
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -91,6 +92,14 @@
 	return r, len(words) > 0 && words[0] == "engine"
 }
 
+func (testCodec) Move(id, target string) (string, []byte, error) {
+	return "/move/" + id, []byte(target), nil
+}
+
+func (testCodec) Moved(body []byte) (string, error) { return string(body), nil }
+
+func (testCodec) Drop(handle string) string { return "/drop/" + handle }
+
 // testSchema stores servers as JSON and gets the configuration from the world.
 type testSchema struct{ config *routing.Config }
 
@@ -112,9 +121,11 @@
 	server   routing.Server
 	listener *faultnet.Listener
 	mu       sync.Mutex
-	cached   string // answer to the question what it holds
-	runs     string // ids of the runs that it reports
-	muted    bool   // it does not tell what it does
+	cached   string   // answer to the question what it holds
+	runs     string   // ids of the runs that it reports
+	muted    bool     // it does not tell what it does
+	moves    []string // targets of copies made on demand
+	dropped  []string // handles of copies freed
 	seen     []*http.Request
 	handle   http.HandlerFunc
 	http     *http.Server
@@ -150,6 +161,9 @@
 		fmt.Fprint(w, s.cached)
 		return
 	}
+	if s.copying(w, r) {
+		return
+	}
 	s.mu.Lock()
 	s.seen = append(s.seen, r)
 	s.mu.Unlock()
@@ -164,6 +178,31 @@
 	s.handle(w, r)
 }
 
+// copying answers the calls that make and free a copy on demand.
+func (s *fakeServer) copying(w http.ResponseWriter, r *http.Request) bool {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if strings.HasPrefix(r.URL.Path, "/move/") {
+		s.moves = append(s.moves, string(body))
+		fmt.Fprintf(w, "h%d", len(s.moves))
+		return true
+	}
+	handle, drop := strings.CutPrefix(r.URL.Path, "/drop/")
+	if drop {
+		s.dropped = append(s.dropped, handle)
+	}
+	return drop
+}
+
+// copies returns the targets of copies made on demand and the handles freed.
+func (s *fakeServer) copies() (targets, dropped []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.moves), slices.Clone(s.dropped)
+}
+
 // asked returns the requests that a server was asked to run.
 func (s *fakeServer) asked() []*http.Request {
 	s.mu.Lock()
@@ -223,7 +262,7 @@
 
 func newWorld(t *testing.T, routes []*routing.Route) *world {
 	services := []*routing.Service{
-		{Name: "llm", Engine: &routing.Engine{Slots: 4, Copies: true}}, {Name: "desk"},
+		{Name: "llm", Engine: &routing.Engine{Slots: 4, Copies: true, Moves: true}}, {Name: "desk"},
 	}
 	accounts := map[string]*routing.Account{
 		"key-1": {Name: "mill", Priority: -1}, "key-2": {Name: "depot", Priority: 3},
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -22,6 +22,10 @@
 		"Another daemon gave up one repeat of its part of the budget for a request here.", "lender", "service")
 	LenderFailed = define(228, "lender_failed", logrus.WarnLevel,
 		"Another daemon that was asked for a repeat did not answer.", "address", "error")
+	CopyMade = define(229, "copy_made", logrus.InfoLevel,
+		"The copy of a run was lost, and another was made at a second backend server.", "request", "backend", "copy")
+	CopyFailed = define(230, "copy_failed", logrus.InfoLevel,
+		"A copy of a run could not be made or freed.", "request", "backend", "copy", "error")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
