comeback: refused callers return after as long as the outage has lasted

Ruled out: refusing later (the bound for removed keys), knowing the end of an outage beforehand, holding requests until the store is back (not allowed, and no better for callers: they cannot go elsewhere meanwhile).

Change: the time to come back is what the outage has lasted, give or take a quarter.

--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -13,6 +13,7 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/comeback"
 	"mallowwind.dev/decision/verdict"
 )
 
@@ -72,7 +73,7 @@
 	}
 	if age > time.Duration(h.keyAge.Load())-keyMargin {
 		return verdict.New(verdict.NotRun, verdict.CodeUnconfirmed,
-			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(h.confirmedAgain())
+			"the configuration was last confirmed %v ago", age.Round(time.Millisecond)).After(comeback.After(age, h.opts.Feed.Outage(), rand.Float64()))
 	}
 	in.account = config.Account(in.call.Key)
 	if in.account == nil {
@@ -81,15 +82,6 @@
 	return nil
 }
 
-// confirmedAgain is when a daemon will probably know again whether keys hold.
-// The return after an outage is spread, or it would be a burst.
-func (h *Handler) confirmedAgain() time.Duration {
-	if h.opts.Feed.Outage() {
-		return outageRetry/2 + rand.N(outageRetry)
-	}
-	return cutOffRetry
-}
-
 // patience is how long the answer is of use.
 func patience(in *inbound) time.Duration {
 	wait := in.route.Timeout
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -27,13 +27,6 @@
 	// firstConfigWait is several round trips to the store, and short beside the
 	// least objective of a route (100 ms) so that the caller can still go elsewhere.
 	firstConfigWait = 50 * time.Millisecond
-	// cutOffRetry is when a caller comes back that was refused by a daemon which
-	// alone has lost the store: at once, at another address.
-	cutOffRetry = 50 * time.Millisecond
-	// outageRetry is the mean time after which a caller comes back that was refused
-	// because the store is out of reach for every daemon. Outages last for seconds,
-	// and most callers repeat once: sooner, that repeat is refused too.
-	outageRetry = 3 * time.Second
 	// busyRetry is when a caller comes back that found no server: a server that
 	// was lost is replaced within about a second.
 	busyRetry = 500 * time.Millisecond
