forward: an engine that restarted while the store is away is remembered

Ruled out: asking for the id beforehand (an engine's report does not bear it, and a check of health takes a slot).

Change: the answer names the engine that has the address; where it is an engine of the same service and not known to leave, its id takes the old one's place until the view changes. TestRestartedEngineIsRemembered: of four prompts one is turned away, four before; a server of another service at the address gets none.

--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -269,20 +269,20 @@
 // turnedAway handles a server's word that it did not run the request.
 func (r *relay) turnedAway(ctx context.Context, l leg, o opened) (legEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
-	if l.from == "" {
-		r.failed = append(r.failed, l.at.server.ID)
-		return legNotRun, err
-	}
-	if o.reply.Misdirected && r.h.successor(ctx, r.service, l.at.server, o.reply.Instance) {
+	succeeded := o.reply.Misdirected && r.h.successor(ctx, r.service, l.at.server, o.reply.Instance)
+	switch {
+	case succeeded && l.from != "":
 		r.misdirected = l.at.server.ID
 		l.at.server.ID = o.reply.Instance
 		r.held = kept{at: l.at, name: l.from}
+	case !succeeded && l.from == "":
+		r.failed = append(r.failed, l.at.server.ID)
 	}
 	return legNotRun, err
 }
 
 // successor reports whether instance, which answers at the address of old, is
-// an engine of the same service that started anew there. A daemon that has lost
+// an engine of the same service that started anew there, and remembers it if so. A daemon that has lost
 // the store does not see it register, although copies are sent to the address
 // and lie at the new engine. Where one service alone has engines, whatever
 // speaks as an engine is of that service, also at an address used again.
@@ -291,8 +291,11 @@
 	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != service {
 		return false
 	}
-	_, err := h.probe(ctx, old, probeTimeout)
-	return err == nil
+	if _, err := h.probe(ctx, old, probeTimeout); err != nil {
+		return false
+	}
+	h.pool.succeed(view, old.ID, instance)
+	return true
 }
 
 // noStream passes on a failure that a server answered, unless another may do better.
--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -82,3 +82,36 @@
 		must.Less(t, 4*time.Second, got.took)
 	})
 }
+
+// The store is away and an engine restarts. Its entry names the old id, so the new
+// engine turns requests away. Each is sent once more, and the fleet's budget of
+// repeats runs out. The first such answer names the new engine; it is sent to from
+// then on, unless a server of another service was given the address.
+func TestRestartedEngineIsRemembered(t *testing.T) {
+	for service, turnedAway := range map[string]int{"llm": 1, "desk": 0} {
+		t.Run(service, func(t *testing.T) {
+			inWorld(t, streamRoute(), func(w *world) {
+				handle := streaming(5, 300*time.Millisecond, 40*time.Millisecond)
+				a := w.add("e-a", "llm", "a", handle)
+				now := w.restart(a, "e-new", service)
+				for range 4 {
+					got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+					must.Eq(t, service == "llm", got.body == events(1, 5))
+				}
+				old, next := 0, 0
+				for _, r := range now.asked() {
+					switch r.Header.Get(hServer) {
+					case "e-a":
+						old++
+					case "e-new":
+						next++
+					}
+				}
+				must.Eq(t, 4*turnedAway, next)
+				if service == "llm" {
+					must.Eq(t, turnedAway, old)
+				}
+			})
+		})
+	}
+}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -58,13 +59,16 @@
 	loads   map[string]*load
 	budgets map[string]*repeats.Budget
 	paces   map[string]*prompts.Pace
+	// successors are the ids of servers that have started anew at the address of one
+	// in the view, by the id there.
+	successors map[string]string
 }
 
 func newPool(self routing.VM, rule repeats.Rule) *pool {
 	return &pool{
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
 		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
-		paces: map[string]*prompts.Pace{},
+		paces: map[string]*prompts.Pace{}, successors: map[string]string{},
 	}
 }
 
@@ -80,12 +84,48 @@
 		p.layouts[service] = p.layout(servers, used)
 	}
 	p.loads = used
+	p.forgetSuccessors()
+}
+
+// forgetSuccessors drops those whose predecessors are not in the view any more.
+func (p *pool) forgetSuccessors() {
+	listed := map[string]bool{}
+	for _, servers := range p.view.Servers {
+		for _, s := range servers {
+			listed[s.ID] = true
+		}
+	}
+	maps.DeleteFunc(p.successors, func(old, _ string) bool { return !listed[old] })
+}
+
+// succeed notes that a server of the view has started anew at its address under
+// another id. While the store is out of reach the view does not show it, and every
+// request to that address would be turned away by the new server.
+func (p *pool) succeed(view *feed.View, old, next string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.successors[p.listed(old)] = next
+	p.view = nil // the layouts are built anew
+	p.follow(view)
+}
+
+// listed is the id that a server has in the view: its own or its predecessor's.
+func (p *pool) listed(id string) string {
+	for old, next := range p.successors {
+		if next == id {
+			return old
+		}
+	}
+	return id
 }
 
 func (p *pool) layout(servers []routing.Server, used map[string]*load) *layout {
 	l := &layout{index: map[string]int{}}
 	var candidates []route.Candidate
 	for _, s := range servers {
+		if next, ok := p.successors[s.ID]; ok {
+			s.ID = next
+		}
 		one := p.loads[s.ID]
 		if one == nil {
 			one = &load{}
