soak: the daemon that forwards, as processes with faults from outside

Real programs before a stand-in of the platform's store, engines and plain services; signals, proxies on every link, a store that fails; what callers and servers see is checked against the promises (docs/design/80).

--- /dev/null
+++ b/lab/soak/process/daemon.go
@@ -0,0 +1,163 @@
+package process
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/platform/nodefile"
+	"mallowwind.dev/platform/wire"
+)
+
+// Ports of a daemon at its own loopback address.
+const (
+	portCallers   = 8740
+	portDirectory = 8746
+	portPeers     = 8748
+	portReady     = 8749
+)
+
+// lastLines of a process's output tell why it ended.
+const lastLines = 12
+
+// daemon is one mallowwind process and the links to it.
+type daemon struct {
+	world    *world
+	settings nodefile.Settings
+	path     string // of the settings file
+	log      *os.File
+	callers  *proxy
+	askers   *proxy // the directory
+	store    *proxy
+
+	life     sync.Mutex // one stop or kill and start at a time
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	expected bool          // the end of the process was asked for
+	gone     chan struct{} // closed when the process has ended
+}
+
+func (w *world) newDaemon(n int, ip, near, zone, storeAt string) (*daemon, error) {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	d := &daemon{world: w, path: filepath.Join(w.opts.Dir, fmt.Sprintf("entry-%d.conf", n))}
+	var err error
+	for _, l := range []struct {
+		proxy  **proxy
+		target string
+	}{{&d.callers, at(portCallers)}, {&d.askers, at(portDirectory)}, {&d.store, storeAt}} {
+		if *l.proxy, err = newProxy(near+":0", l.target); err != nil {
+			return nil, err
+		}
+	}
+	d.settings = nodefile.Settings{
+		VM: fmt.Sprintf("entry-%d", n), Zone: zone, IP: ip, Callers: at(portCallers), Readiness: at(portReady),
+		Directory: at(portDirectory), Peers: at(portPeers), Store: d.store.address(),
+		DrainGrace: grace, KeyAge: keyAge, AddressAge: time.Second, RetryRatio: 0.8, RetryWindow: 10 * time.Second, RetrySlack: 150,
+	}
+	if d.log, err = os.Create(filepath.Join(w.opts.Dir, fmt.Sprintf("entry-%d.log", n))); err != nil {
+		return nil, errors.Wrap(err, "log")
+	}
+	if err = nodefile.Write(d.path, d.settings); err != nil {
+		return nil, err
+	}
+	return d, d.start()
+}
+
+// start runs the program. Its end without a signal of this run is a violation.
+func (d *daemon) start() error {
+	cmd := exec.Command(d.world.opts.Binary, "forward", "--settings", d.path)
+	cmd.Stdout, cmd.Stderr = d.log, d.log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "daemon")
+	}
+	gone := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.gone, d.expected = cmd, gone, false
+	d.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		d.mu.Lock()
+		expected := d.expected
+		d.mu.Unlock()
+		if !expected {
+			d.world.ledger.violate("%s ended by itself: %v: %s", d.settings.VM, err, d.lastWords())
+		}
+		close(gone)
+	}()
+	return nil
+}
+
+// lastWords is what the process wrote last beside its events.
+func (d *daemon) lastWords() string {
+	raw, err := os.ReadFile(d.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	var words []string
+	for line := range strings.Lines(string(raw)) {
+		if !strings.HasPrefix(line, "{") {
+			words = append(words, strings.TrimSpace(line))
+		}
+	}
+	return strings.Join(words[max(0, len(words)-lastLines):], " | ")
+}
+
+// signal sends sig to the process.
+func (d *daemon) signal(sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		d.expected = true
+	}
+	_ = d.cmd.Process.Signal(sig) // one that has ended needs none
+}
+
+// kill ends the process at once and waits for that.
+func (d *daemon) kill() {
+	d.signal(syscall.SIGKILL)
+	<-d.ended()
+}
+
+func (d *daemon) ended() chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gone
+}
+
+// stop is a planned stop: SIGTERM, and SIGKILL after the grace.
+func (d *daemon) stop() {
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-d.ended():
+	case <-time.After(grace):
+		d.kill()
+	}
+}
+
+// ready asks as the platform does.
+func (d *daemon) ready() bool {
+	client := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + d.settings.Readiness + wire.ReadyPath)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *daemon) close() {
+	d.signal(syscall.SIGCONT)
+	d.kill()
+	for _, p := range []*proxy{d.callers, d.askers, d.store} {
+		p.close()
+	}
+	_ = d.log.Close() // the process that wrote it has ended
+}
--- /dev/null
+++ b/lab/soak/process/play.go
@@ -0,0 +1,246 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// fault is one kind of trouble.
+type fault struct {
+	name    string
+	planned bool // it must cut nothing
+	play    func(w *world, ctx context.Context)
+}
+
+var faults = []fault{
+	{"daemon killed", false, (*world).killDaemon},
+	{"daemon paused", false, (*world).pauseDaemon},
+	{"daemon stopped", true, (*world).stopDaemon},
+	{"settings read again", true, (*world).hangUp},
+	{"callers cut off a daemon", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.daemon().callers) }},
+	{"daemon cut off the store", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.daemon().store) }},
+	{"store refuses", false, (*world).refuseCalls},
+	{"store loses answers", false, (*world).loseAnswers},
+	{"engine crashes", false, (*world).crashServer},
+	{"server cut off", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.server().link) }},
+	{"server fails", false, (*world).failServer},
+	{"server leaves", true, (*world).leave},
+	{"key removed", true, (*world).removeKey},
+	{"route moved", true, (*world).moveRoute},
+}
+
+// Pauses between faults, so that they overlap.
+const (
+	faultPause  = 700 * time.Millisecond
+	settleTime  = 6 * time.Second
+	lastCallers = 12 // that ask after all is healed
+	lastEach    = 6  // requests of each
+)
+
+// play runs callers and faults, heals, and checks that all is served again.
+func (w *world) play(ctx context.Context) {
+	load, stop := context.WithCancel(ctx)
+	var callers, trouble sync.WaitGroup
+	for n := range w.opts.Callers {
+		callers.Go(func() { w.newCaller(n).run(load) })
+	}
+	for began := time.Now(); time.Since(began) < w.opts.Length && ctx.Err() == nil; {
+		f := faults[w.random.IntN(len(faults))]
+		if w.opts.Planned && !f.planned {
+			continue
+		}
+		w.note("%6.2fs %s", time.Since(began).Seconds(), f.name)
+		trouble.Go(func() { f.play(w, ctx) })
+		time.Sleep(faultPause/2 + time.Duration(w.random.Int64N(int64(faultPause))))
+	}
+	trouble.Wait()
+	time.Sleep(settleTime)
+	stop()
+	callers.Wait()
+	if w.opts.Timed {
+		w.checkServed(ctx)
+		w.checkEnded()
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// checkServed asks again now that all is healed.
+func (w *world) checkServed(ctx context.Context) {
+	var all sync.WaitGroup
+	var failed atomic.Int64
+	for n := range lastCallers {
+		all.Go(func() {
+			c := w.newCaller(w.opts.Callers + n)
+			c.leaves = 0
+			for k := range lastEach {
+				if !c.request(ctx, callKind(k%int(callKinds))) {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	// One in twenty brings a key that was removed.
+	if n := failed.Load(); n > lastCallers*lastEach/5 {
+		w.ledger.violate("%d of %d requests failed after all was healed", n, lastCallers*lastEach)
+	}
+}
+
+// checkEnded looks for runs whose callers have left.
+func (w *world) checkEnded() {
+	time.Sleep(time.Second)
+	for _, id := range w.ledger.unfinished() {
+		w.ledger.violate("%s still runs after its caller has left", id)
+	}
+}
+
+func (w *world) daemon() *daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.daemons[w.random.IntN(len(w.daemons))]
+}
+
+func (w *world) server() *server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.servers[w.random.IntN(len(w.servers))]
+}
+
+// during is a time of trouble of a length up to limit; bounds hold again a while
+// after its end.
+func (w *world) during(ctx context.Context, limit time.Duration) {
+	w.mu.Lock()
+	d := limit/4 + time.Duration(w.random.Int64N(int64(limit*3/4)))
+	if end := time.Now().Add(d + calm); end.After(w.trouble) {
+		w.trouble = end
+	}
+	w.mu.Unlock()
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (w *world) killDaemon(ctx context.Context) {
+	d := w.daemon()
+	d.life.Lock()
+	defer d.life.Unlock()
+	d.kill()
+	w.during(ctx, time.Second)
+	if err := d.start(); err != nil {
+		w.ledger.violate("harness: %v", err)
+	}
+}
+
+func (w *world) pauseDaemon(ctx context.Context) {
+	d := w.daemon()
+	d.life.Lock()
+	defer d.life.Unlock()
+	d.signal(syscall.SIGSTOP)
+	w.during(ctx, 6*time.Second)
+	d.signal(syscall.SIGCONT)
+}
+
+func (w *world) stopDaemon(context.Context) {
+	d := w.daemon()
+	d.life.Lock()
+	defer d.life.Unlock()
+	d.stop()
+	if err := d.start(); err != nil {
+		w.ledger.violate("harness: %v", err)
+	}
+}
+
+func (w *world) hangUp(context.Context) { w.daemon().signal(syscall.SIGHUP) }
+
+func (w *world) onLink(ctx context.Context, p *proxy) {
+	w.mu.Lock()
+	mode := []linkMode{linkReset, linkSilent, linkOneWay, linkSlow}[w.random.IntN(4)]
+	w.mu.Unlock()
+	p.set(mode)
+	w.during(ctx, 4*time.Second)
+	p.set(linkPass)
+}
+
+func (w *world) refuseCalls(ctx context.Context) {
+	w.standIn.Refuse(503)
+	w.during(ctx, 6*time.Second)
+	w.standIn.Refuse(0)
+}
+
+func (w *world) loseAnswers(ctx context.Context) {
+	w.standIn.LoseAnswers(0.4)
+	w.during(ctx, 4*time.Second)
+	w.standIn.LoseAnswers(0)
+}
+
+// crashServer ends a server without a word; another starts at its address, and the
+// old entry goes when its lease runs out.
+func (w *world) crashServer(ctx context.Context) {
+	s := w.server()
+	old := s.entry(false).ID
+	s.crash()
+	w.during(ctx, 1500*time.Millisecond)
+	s.begin()
+	s.link.set(linkPass)
+	w.register(s, false)
+	time.Sleep(time.Second)
+	w.unregister(old)
+}
+
+func (w *world) failServer(ctx context.Context) {
+	s := w.server()
+	set := func(failing, losing float64) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.failing, s.losing = failing, losing
+	}
+	set(0.3, 0.3)
+	w.during(ctx, 4*time.Second)
+	set(0, 0)
+}
+
+// leave empties a server and replaces it.
+func (w *world) leave(context.Context) {
+	s := w.server()
+	w.register(s, true)
+	old := s.entry(true).ID
+	time.Sleep(drainAge + 1500*time.Millisecond)
+	w.unregister(old)
+	s.crash()
+	s.begin()
+	s.link.set(linkPass)
+	w.register(s, false)
+}
+
+func (w *world) removeKey(context.Context) {
+	w.mu.Lock()
+	a := w.random.IntN(accounts)
+	old := w.keys[a]
+	w.keys[a] = fmt.Sprintf("key-%d-%d", a, w.version)
+	w.mu.Unlock()
+	w.configure()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.removed[old] = time.Now()
+}
+
+func (w *world) moveRoute(context.Context) {
+	w.mu.Lock()
+	w.desk = map[string]string{"desk": "desk2", "desk2": "desk"}[w.desk]
+	w.moved = time.Now().Add(time.Hour) // not in force before it is acknowledged
+	w.mu.Unlock()
+	w.configure()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moved = time.Now()
+}
--- /dev/null
+++ b/lab/soak/process/proxy.go
@@ -0,0 +1,160 @@
+package process
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// linkMode is how a proxy treats what passes.
+type linkMode uint8
+
+const (
+	linkPass   linkMode = iota
+	linkReset           // new connections are reset
+	linkSilent          // new connections are taken and nothing passes
+	linkOneWay          // requests pass and answers do not
+	linkSlow            // each read waits
+)
+
+// slowBy is the delay of a slow link for each read.
+const slowBy = 40 * time.Millisecond
+
+// proxy passes TCP connections on to one address and misbehaves on demand.
+type proxy struct {
+	listener net.Listener
+	mu       sync.Mutex
+	target   string
+	mode     linkMode
+	links    map[*proxied]struct{}
+}
+
+// proxied is one connection and its other half.
+type proxied struct {
+	near, far net.Conn
+	mode      linkMode // guarded by the proxy's mutex
+}
+
+// newProxy listens at address and passes connections on to target.
+func newProxy(address, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy")
+	}
+	p := &proxy{listener: l, target: target, links: map[*proxied]struct{}{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go p.serve(near)
+	}
+}
+
+func (p *proxy) serve(near net.Conn) {
+	p.mu.Lock()
+	mode, target := p.mode, p.target
+	p.mu.Unlock()
+	if mode == linkReset {
+		reset(near)
+		return
+	}
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		reset(near)
+		return
+	}
+	c := &proxied{near: near, far: far, mode: mode}
+	p.mu.Lock()
+	p.links[c] = struct{}{}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(c, near, far, false) })
+	both.Go(func() { p.pass(c, far, near, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.links, c)
+	p.mu.Unlock()
+}
+
+// pass copies one way until an end closes. A silent way reads on and drops.
+func (p *proxy) pass(c *proxied, from, to net.Conn, answers bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		p.mu.Lock()
+		mode := c.mode
+		p.mu.Unlock()
+		if mode == linkSlow {
+			time.Sleep(slowBy)
+		}
+		quiet := mode == linkSilent || mode == linkOneWay && answers
+		if n > 0 && !quiet {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			if quiet {
+				return // the other end hears nothing of it
+			}
+			if half, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+				_ = half.CloseWrite() // the other end may be gone already
+				return
+			}
+			reset(from)
+			reset(to)
+			return
+		}
+	}
+}
+
+// set changes what happens to new connections, and to those that are open; after
+// a silence open ones stay silent for good.
+func (p *proxy) set(mode linkMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	for c := range p.links {
+		switch {
+		case mode == linkReset:
+			reset(c.near)
+			reset(c.far)
+		case c.mode != linkSilent && c.mode != linkOneWay:
+			c.mode = mode
+		}
+	}
+}
+
+// cut resets the connections that are open.
+func (p *proxy) cut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.links {
+		reset(c.near)
+		reset(c.far)
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close() // it ends with the run in any case
+	p.cut()
+}
+
+// reset closes a connection so that its other end sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a closed connection needs none
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/lab/soak/process/servers.go
@@ -0,0 +1,260 @@
+package process
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/platform/wire"
+	"mallowwind.dev/serve/forward"
+)
+
+const (
+	readingTime = 150 * time.Millisecond // of a prompt
+	eventPace   = 20 * time.Millisecond
+	eventCount  = 60 // of one answer
+	workTime    = 8 * time.Millisecond
+)
+
+// server is a backend server in this process: a model engine or a plain service.
+// Each start is another incarnation under a new id at the same address.
+type server struct {
+	world   *world
+	service string
+	zone    string
+	link    *proxy
+	http    *http.Server
+
+	mu       sync.Mutex
+	id       string
+	leaving  time.Time // when that was acknowledged; zero while it serves
+	failing  float64   // share of requests answered with 500
+	losing   float64   // share of answers lost after the run
+	copies   map[string]copied
+	runs     map[string]*progress
+	parts    map[string]bool
+	started  int
+	shutdown chan struct{} // closed when the incarnation ends
+}
+
+// copied is the copy of a run from another engine.
+type copied struct {
+	part string
+	from *server
+}
+
+// progress is a run under way.
+type progress struct {
+	made   int
+	part   string
+	copyTo string
+}
+
+func (w *world) newServer(service, zone, address, near string) (*server, error) {
+	s := &server{world: w, service: service, zone: zone}
+	s.begin()
+	l, err := net.Listen("tcp", near)
+	if err != nil {
+		return nil, errors.Wrap(err, "server")
+	}
+	s.http = &http.Server{Handler: wire.EngineHandler(s)}
+	go s.http.Serve(l)
+	s.link, err = newProxy(address, l.Addr().String())
+	return s, err
+}
+
+// begin starts an incarnation.
+func (s *server) begin() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started++
+	s.id = fmt.Sprintf("i-%08x-%d", rand.Uint32(), s.started)
+	s.leaving = time.Time{}
+	s.copies, s.runs, s.parts = map[string]copied{}, map[string]*progress{}, map[string]bool{}
+	s.shutdown = make(chan struct{})
+}
+
+// crash ends the incarnation: its runs, copies and connections are gone.
+func (s *server) crash() {
+	s.mu.Lock()
+	close(s.shutdown)
+	s.mu.Unlock()
+	s.link.set(linkReset)
+}
+
+func (s *server) entry(leaving bool) routing.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return routing.Server{ID: s.id, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Leaving: leaving}
+}
+
+// Runs implements wire.Engine.
+func (s *server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	made := map[string]int{}
+	for id, p := range s.runs {
+		made[id] = p.made
+	}
+	return made
+}
+
+// Parts implements wire.Engine.
+func (s *server) Parts() (parts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for part := range s.parts {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// Copy implements wire.Engine.
+func (s *server) Copy(id, target string) (string, bool) {
+	s.mu.Lock()
+	p := s.runs[id]
+	s.mu.Unlock()
+	if p == nil {
+		return "", false
+	}
+	handle := "h-" + id
+	s.world.keep(target, s.link.address()+"/"+handle, copied{part: p.part, from: s})
+	return handle, true
+}
+
+// Drop implements wire.Engine.
+func (s *server) Drop(string) {}
+
+// keep gives the engine at an address a copy under a name.
+func (w *world) keep(address, name string, c copied) {
+	for _, s := range w.servers {
+		if s.link.address() != address {
+			continue
+		}
+		s.mu.Lock()
+		s.copies[name] = c
+		s.mu.Unlock()
+	}
+}
+
+// ServeHTTP implements http.Handler: one request of a daemon.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e, part, key := wire.ReadErrand(r.Header)
+	s.mu.Lock()
+	id, shutdown, leaving, failing, losing := s.id, s.shutdown, s.leaving, s.failing, s.losing
+	s.mu.Unlock()
+	if e.Server.ID != id {
+		wire.WriteReply(w.Header(), forward.Reply{ID: e.ID, NotRun: true, Instance: id})
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if e.CopyAt != "" && !s.use(e.CopyAt) {
+		wire.WriteReply(w.Header(), forward.Reply{ID: e.ID, NotRun: true})
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	one := &ran{server: id, service: s.service}
+	s.world.judge(e, key, r.URL.Path, s.service, leaving, s.world.ledger.run(e.ID, one))
+	wire.WriteReply(w.Header(), forward.Reply{ID: e.ID})
+	w.Header().Set(wire.Proof, one.proof)
+	if part != "" {
+		s.stream(w, r, e, part, one, shutdown)
+		return
+	}
+	s.answer(w, r, one, failing, losing, shutdown)
+}
+
+// use takes a copy; it can be used once.
+func (s *server) use(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.copies[name]
+	delete(s.copies, name)
+	return ok
+}
+
+// answer is that of a plain service.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, one *ran, failing, losing float64, shutdown <-chan struct{}) {
+	status, body := http.StatusOK, "answer of "+one.proof
+	if rand.Float64() < failing {
+		status, body = http.StatusInternalServerError, "failure of "+one.proof
+	}
+	select {
+	case <-time.After(workTime):
+	case <-shutdown:
+		s.world.ledger.end(one, 0, "")
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+	}
+	s.world.ledger.end(one, status, body)
+	if rand.Float64() < losing {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+	fmt.Fprint(w, body)
+}
+
+// stream is the answer of an engine: the same events for the same prompt.
+func (s *server) stream(w http.ResponseWriter, r *http.Request, e forward.Errand, part string, one *ran, shutdown <-chan struct{}) {
+	defer s.world.ledger.end(one, http.StatusOK, "")
+	p := &progress{part: part, copyTo: e.CopyTo}
+	s.mu.Lock()
+	s.runs[e.ID] = p
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.runs, e.ID)
+	}()
+	wait := readingTime
+	if e.CopyAt != "" {
+		wait = 0
+	}
+	for n := e.After + 1; n <= eventCount; n++ {
+		select {
+		case <-time.After(wait):
+		case <-shutdown:
+			if n%2 == 0 {
+				fmt.Fprintf(w, "id: %d\nda", n) // broken off in the middle of an event
+			}
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			return
+		}
+		wait = eventPace
+		if n == e.After+1 {
+			w.Header().Set("Content-Type", "text/event-stream")
+			s.mu.Lock()
+			s.parts[part] = true
+			s.mu.Unlock()
+			s.world.keep(p.copyTo, p.copyTo+"/"+e.ID, copied{part: part, from: s})
+		}
+		fmt.Fprint(w, eventText(part, n))
+		w.(http.Flusher).Flush()
+		s.mu.Lock()
+		p.made++
+		s.mu.Unlock()
+	}
+}
+
+// eventText is event n of the answer to a prompt.
+func eventText(part string, n int64) string {
+	return "id: " + strconv.FormatInt(n, 10) + "\ndata: " + part + ":" + strconv.FormatInt(n, 10) + "\n\n"
+}
+
+// wholeAnswer is every event after the given one.
+func wholeAnswer(part string, after int64) string {
+	var b strings.Builder
+	for n := after + 1; n <= eventCount; n++ {
+		b.WriteString(eventText(part, n))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/lab/soak/process/world.go
@@ -0,0 +1,311 @@
+// Package process plays seeded random faults against the real programs: mallowwind
+// daemons as separate processes on one machine, before a stand-in of the platform's
+// store, model engines and plain services in this process. Faults come from outside
+// the daemons: signals, proxies on every link, a store that fails. It checks what
+// callers and backend servers see while that happens.
+//
+// A seed fixes which faults come when; when they meet a request it does not.
+package process
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/platform/kv"
+	"mallowwind.dev/platform/wire"
+	"mallowwind.dev/serve/forward"
+)
+
+// Bounds that the daemons are given or promise.
+const (
+	grace    = 5 * time.Second // between SIGTERM and SIGKILL
+	keyAge   = 5 * time.Second // in which a removed key ceases to work
+	drainAge = 2 * time.Second // in which a server that leaves gets no more requests
+	inForce  = 2 * time.Second // of a configuration
+	calm     = 3 * time.Second // after a fault before bounds hold again
+)
+
+// Size of a deployment.
+const (
+	daemonCount = 5
+	engineCount = 6
+	deskCount   = 3
+	accounts    = 3
+	host        = "soak.example"
+)
+
+var zoneNames = []string{"a", "b", "c"}
+
+// Options of a run.
+type Options struct {
+	Seed   uint64
+	Binary string // the daemon's program
+	Dir    string // for settings and logs
+	// Planned leaves out faults: only stops, changes of the configuration and
+	// servers that leave, which must cut nothing.
+	Planned bool
+	// Timed checks promises that have a bound in time too. On a machine that is too
+	// busy to run the processes in time these do not hold.
+	Timed   bool
+	Length  time.Duration
+	Callers int
+}
+
+// Report is what a run showed.
+type Report struct {
+	Broken []string       // promises
+	Counts map[string]int // requests asked, served, failed
+	Faults []string       // what was done, in order
+}
+
+// world is one run.
+type world struct {
+	opts    Options
+	random  *rand.Rand
+	ledger  *ledger
+	memory  *store.Memory
+	standIn *kv.StandIn
+	storeL  net.Listener
+	servers []*server
+	daemons []*daemon
+	fronts  map[string]string // addresses of daemons to proxies before them
+
+	mu      sync.Mutex
+	faults  []string
+	version int64
+	keys    [accounts]string
+	removed map[string]time.Time // keys, by when that was acknowledged
+	desk    string               // service of the calls
+	moved   time.Time            // when the last move of them was acknowledged
+	trouble time.Time            // until when bounds do not hold
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	w := &world{
+		opts: o, random: rand.New(rand.NewPCG(o.Seed, 7)), ledger: newLedger(), memory: store.NewMemory(),
+		fronts: map[string]string{}, removed: map[string]time.Time{}, desk: "desk",
+	}
+	defer w.close()
+	if err := w.start(); err != nil {
+		return nil, err
+	}
+	w.play(ctx)
+	return &Report{Broken: w.ledger.broken, Counts: w.ledger.counts, Faults: w.faults}, nil
+}
+
+// runsStarted tells the runs of this process apart.
+var runsStarted atomic.Int64
+
+// network is a loopback network for one run: runs at the same time do not meet.
+func network() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", 20+pid%200, (pid/200+37*int(runsStarted.Add(1)))%250)
+}
+
+func (w *world) start() error {
+	net24 := network()
+	near := net24 + ".200"
+	w.standIn = kv.NewStandIn(w.memory)
+	l, err := net.Listen("tcp", near+":0")
+	if err != nil {
+		return errors.Wrap(err, "store")
+	}
+	w.storeL = l
+	go http.Serve(l, w.standIn.Handler())
+	for n := range engineCount + 2*deskCount {
+		service := "llm"
+		if n >= engineCount {
+			service = []string{"desk", "desk2"}[(n-engineCount)%2]
+		}
+		s, err := w.newServer(service, zoneNames[n%len(zoneNames)], near+":0", near+":0")
+		if err != nil {
+			return err
+		}
+		w.servers = append(w.servers, s)
+		w.register(s, false)
+	}
+	for a := range w.keys {
+		w.keys[a] = fmt.Sprintf("key-%d-0", a)
+	}
+	w.configure()
+	for n := range daemonCount {
+		d, err := w.newDaemon(n, fmt.Sprintf("%s.%d", net24, n+1), near, zoneNames[n%len(zoneNames)], l.Addr().String())
+		if err != nil {
+			return err
+		}
+		w.daemons = append(w.daemons, d)
+		w.fronts[d.settings.Callers] = d.callers.address()
+	}
+	return w.awaitReady(10 * time.Second)
+}
+
+func (w *world) awaitReady(limit time.Duration) error {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if !slices.ContainsFunc(w.daemons, func(d *daemon) bool { return !d.ready() }) {
+			return nil
+		}
+	}
+	return errors.New("the daemons were not ready in time")
+}
+
+func (w *world) close() {
+	for _, d := range w.daemons {
+		d.close()
+	}
+	for _, s := range w.servers {
+		_ = s.http.Close() // the run is over
+		s.link.close()
+	}
+	if w.storeL != nil {
+		_ = w.storeL.Close() // the run is over
+	}
+}
+
+// front is the proxy before a daemon's address.
+func (w *world) front(address string) string { return w.fronts[address] }
+
+// key is a key for a caller: mostly one that holds, at times one that was removed.
+func (w *world) key(account int) (name, key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name, key = fmt.Sprintf("account-%d", account), w.keys[account]
+	if rand.IntN(20) == 0 {
+		for old := range w.removed {
+			if strings.HasPrefix(old, fmt.Sprintf("key-%d-", account)) {
+				key = old
+			}
+		}
+	}
+	return name, key
+}
+
+// write puts a value into the store past all faults, as the operator and servers do.
+func (w *world) write(key string, value []byte) {
+	ctx := context.Background()
+	for {
+		var version int64
+		if old, err := w.memory.Get(ctx, key); err == nil {
+			version = old.Version
+		}
+		if _, err := w.memory.CompareAndSwap(ctx, key, version, value, 0); err == nil {
+			return
+		}
+	}
+}
+
+func (w *world) register(s *server, leaving bool) {
+	entry := s.entry(leaving)
+	raw, err := wire.EncodeServer(entry)
+	if err != nil {
+		w.ledger.violate("harness: %v", err)
+		return
+	}
+	w.write(wire.ServerKey(entry.ID), raw)
+	if leaving {
+		s.mu.Lock()
+		s.leaving = time.Now()
+		s.mu.Unlock()
+	}
+}
+
+// unregister removes an entry.
+func (w *world) unregister(id string) {
+	ctx := context.Background()
+	if kv, err := w.memory.Get(ctx, wire.ServerKey(id)); err == nil {
+		_ = w.memory.Delete(ctx, kv.Key, kv.Version) // gone already is as good
+	}
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + int64(w.random.IntN(3))
+	route := func(kind callKind, k routing.Kind, service string, attempts int) *routing.Route {
+		return &routing.Route{
+			Name: strings.Trim(prefixes[kind], "/"), Host: host, Prefix: prefixes[kind], Kind: k, Timeout: patience[kind],
+			Objective: 200 * time.Millisecond, GapTarget: 700 * time.Millisecond, Attempts: attempts,
+			Resumable: kind == callReview, Prompted: kind == callReview,
+			Targets: []routing.Target{{Service: service, Weight: 1}},
+		}
+	}
+	d := wire.Desired{
+		Version: w.version, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Services: []*routing.Service{
+			{Name: "llm", Engine: &routing.Engine{Slots: 32, Copies: true, Moves: true, CopyKept: 4 * time.Second}}, {Name: "desk"}, {Name: "desk2"},
+		},
+		Routes: []*routing.Route{
+			route(callReview, routing.Stream, "llm", 5), route(callOnce, routing.AtMostOnce, w.desk, 1), route(callAgain, routing.Idempotent, w.desk, 2),
+		},
+		Keys: map[string][]string{},
+	}
+	for a, key := range w.keys {
+		d.Keys[fmt.Sprintf("account-%d", a)] = []string{key}
+	}
+	raw, err := wire.EncodeConfig(d)
+	if err != nil {
+		w.ledger.violate("harness: %v", err)
+		return
+	}
+	w.write(wire.ConfigKey, raw)
+}
+
+// judge checks a request that a server is about to run.
+func (w *world) judge(e forward.Errand, key, path, service string, leaving time.Time, sent sentCall) {
+	now := time.Now()
+	w.mu.Lock()
+	removed, desk, moved, trouble := w.removed[sent.key], w.desk, w.moved, w.trouble
+	w.mu.Unlock()
+	l := w.ledger
+	steady := w.opts.Timed && now.After(trouble)
+	switch {
+	case sent.at.IsZero():
+		l.violate("%s runs, and no caller sent it", e.ID)
+	case path != prefixes[sent.kind]+e.ID:
+		l.violate("%s arrives with the path %s", e.ID, path)
+	case key != "":
+		l.violate("%s arrives with its caller's key", e.ID)
+	case e.Account != sent.account:
+		l.violate("%s of %s arrives as of %q", e.ID, sent.account, e.Account)
+	case (sent.kind == callReview) != (service == "llm"):
+		l.violate("%s runs at %s", e.ID, service)
+	case w.opts.Timed && !removed.IsZero() && sent.at.After(removed.Add(keyAge)):
+		l.violate("%s runs with a key removed %v before", e.ID, sent.at.Sub(removed))
+	case sent.kind == callOnce && l.timesRun(e.ID) > 1:
+		l.violate("%s runs %d times", e.ID, l.timesRun(e.ID))
+	case steady && !leaving.IsZero() && now.After(leaving.Add(drainAge)):
+		l.violate("%s reaches a server %v after it began to leave", e.ID, now.Sub(leaving))
+	case steady && sent.kind != callReview && service != desk && sent.at.After(moved.Add(inForce)):
+		l.violate("%s runs at %s %v after the route moved to %s", e.ID, service, sent.at.Sub(moved), desk)
+	}
+}
+
+// refused checks the promise that a request has not run, now and at the end.
+func (w *world) refused(id string) {
+	if w.ledger.timesRun(id) > 0 && !w.repeatable(id) {
+		w.ledger.violate("%s was refused as not run, and ran", id)
+	}
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	w.ledger.counts["refused"]++
+}
+
+func (w *world) repeatable(id string) bool {
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	return w.ledger.sent[id].kind != callOnce
+}
