forward: the goroutine that keeps a copy reads no list that its stream changes

The goroutine that looks after a run's copy read the stream's list of failed engines while the stream appended to it.

Change: the goroutine has a list of its own.

--- a/lab/soak/process/daemon.go
+++ b/lab/soak/process/daemon.go
@@ -75,6 +75,7 @@
 func (d *daemon) start() error {
 	cmd := exec.Command(d.world.opts.Binary, "forward", "--settings", d.path)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
+	cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "daemon")
 	}
--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -169,7 +169,16 @@
 	}
 }
 
-func (w *world) hangUp(context.Context) { w.daemon().signal(syscall.SIGHUP) }
+// hangUp tells a daemon that is up to read its settings again. The signal ends a
+// process that has not got so far as to take it, for its first 6 ms.
+func (w *world) hangUp(context.Context) {
+	d := w.daemon()
+	d.life.Lock()
+	defer d.life.Unlock()
+	if d.ready() {
+		d.signal(syscall.SIGHUP)
+	}
+}
 
 func (w *world) onLink(ctx context.Context, p *proxy) {
 	w.mu.Lock()
@@ -196,6 +205,8 @@
 // old entry goes when its lease runs out.
 func (w *world) crashServer(ctx context.Context) {
 	s := w.server()
+	s.life.Lock()
+	defer s.life.Unlock()
 	old := s.entry(false).ID
 	s.crash()
 	w.during(ctx, 1500*time.Millisecond)
@@ -221,6 +232,8 @@
 // leave empties a server and replaces it.
 func (w *world) leave(context.Context) {
 	s := w.server()
+	s.life.Lock()
+	defer s.life.Unlock()
 	w.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainAge + 1500*time.Millisecond)
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -33,6 +33,7 @@
 	link    *proxy
 	http    *http.Server
 
+	life     sync.Mutex // one end and start at a time
 	mu       sync.Mutex
 	id       string
 	leaving  time.Time // when that was acknowledged; zero while it serves
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -46,6 +46,7 @@
 	r      *relay
 	l      leg
 	mover  Mover
+	failed []string // engines that the run's request failed at before
 	copied atomic.Pointer[kept]
 	// handle frees the copy; "" if there is none.
 	handle atomic.Pointer[string]
@@ -58,7 +59,7 @@
 	if !ok || s == nil || s.Engine == nil || !s.Engine.Moves || !r.in.route.Resumable {
 		return nil
 	}
-	return &spare{r: r, l: l, mover: mover}
+	return &spare{r: r, l: l, mover: mover, failed: slices.Clone(r.failed)}
 }
 
 // run looks after the copy until the leg ends.
@@ -86,7 +87,7 @@
 			}
 			again = now.Add(spareRefresh)
 			var ok bool
-			if place, ok = s.r.copyPlace(ctx, s.l.at.server); !ok {
+			if place, ok = s.r.copyPlace(ctx, s.l.at.server, s.failed); !ok {
 				continue
 			}
 		}
@@ -158,8 +159,8 @@
 // sign of life, since the entry of an engine that died stays for seconds, and has
 // room: a copy takes as much memory as the run, and where memory runs out an engine
 // throws out runs. Under a load of three times the usual no copy is worth that.
-func (r *relay) copyPlace(ctx context.Context, at routing.Server) (choice, bool) {
-	excluded := slices.Clone(r.failed)
+func (r *relay) copyPlace(ctx context.Context, at routing.Server, failed []string) (choice, bool) {
+	excluded := slices.Clone(failed)
 	for range copyTries {
 		c, ok := r.h.pool.copyPlace(time.Now(), r.h.opts.Feed.View(), at, excluded)
 		if !ok {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -249,6 +249,6 @@
 	if s == nil || s.Engine == nil || !s.Engine.Copies || !r.in.route.Resumable {
 		return l
 	}
-	l.copyTo, _ = r.copyPlace(ctx, l.at.server)
+	l.copyTo, _ = r.copyPlace(ctx, l.at.server, r.failed)
 	return l
 }
