--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -49,6 +49,9 @@
 	doubtTime = time.Second
 )
 
+// Batches is how many batches of changes a daemon that watches takes a second at most.
+const Batches = float64(time.Second) / float64(batchPause)
+
 // Schema is the layout of what others write to the store.
 type Schema interface {
 	// ConfigKey is the key of the configuration.
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -107,8 +107,7 @@
 			count++
 		}
 	}
-	all := max(watchers, count/askersEach)
-	each := (all + len(zones) - 1) / max(len(zones), 1)
+	each := watchersEach(count, len(zones))
 	var ids []string
 	for _, members := range zones {
 		slices.SortFunc(members, func(a, b string) int {
@@ -119,6 +118,18 @@
 	return ids
 }
 
+// watchersEach is how many daemons of each zone watch the store.
+func watchersEach(daemons, zones int) int {
+	all := max(watchers, daemons/askersEach)
+	return (all + zones - 1) / max(zones, 1)
+}
+
+// Watching is how many of a fleet's daemons watch the store.
+func Watching(daemons, zones int) int { return min(daemons, zones*watchersEach(daemons, zones)) }
+
+// Questions is how many times a second a daemon that does not watch asks one that does.
+const Questions = float64(time.Second) / float64(askEvery)
+
 // askPeers learns from the daemons that watch the store, and from any while the
 // store is out of reach.
 //
--- a/lab/bench/prompts/prompts.go
+++ b/lab/bench/prompts/prompts.go
@@ -15,6 +15,7 @@
 
 	decide "mallowwind.dev/decision/prompts"
 	"mallowwind.dev/lab/report"
+	"mallowwind.dev/serve/forward"
 )
 
 // Options of a run.
@@ -39,9 +40,6 @@
 	choose  func(*world, []decide.Engine) int
 }
 
-// asked is how many engines a daemon asks before it sends a prompt.
-const asked = 3
-
 func byRank(w *world, engines []decide.Engine) int {
 	return decide.Read(engines, 1, w.random.Uint64())[0].Index
 }
@@ -53,8 +51,8 @@
 func byReport(w *world, engines []decide.Engine) int {
 	var order []int
 	var reports []decide.Report
-	for _, c := range decide.Read(engines, 3*asked, w.random.Uint64()) {
-		if len(order) >= asked && reports[decide.Quietest(reports, 0)].Free(0) {
+	for _, c := range decide.Read(engines, 3*forward.Asked, w.random.Uint64()) {
+		if len(order) >= forward.Asked && reports[decide.Quietest(reports, 0)].Free(0) {
 			break
 		}
 		if !w.engines[c.Index].down {
--- /dev/null
+++ b/lab/capacity/forward.go
@@ -0,0 +1,35 @@
+package capacity
+
+import (
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/serve/forward"
+)
+
+// forward is what a daemon that forwards requests by the configuration in the
+// platform's store sends and is asked. Its processor time, memory and bytes at this
+// size are not measured by a slope; docs/design/90-users-platform.md has what was
+// seen at 30, 100 and 300 daemons.
+func (m *Model) forward() []Row {
+	s := m.Size
+	watching := float64(feed.Watching(s.Daemons, s.Zones))
+	asking := (float64(s.Daemons) - watching) / watching
+	return []Row{
+		{
+			Role: Forward, Kind: Messages, What: "reports asked of engines before prompts", Unit: PerS, Carrier: "`serve/forward`",
+			Factors: []Factor{given(s.RequestsPerDaemon(), "requests/s"), given(forward.Asked, "engines asked")},
+		},
+		{
+			Role: Forward, Kind: Messages, What: "questions of other daemons to one that watches the store", Unit: PerS, Carrier: "`control/feed`",
+			Factors: []Factor{given(asking, "daemons that ask it"), given(feed.Questions, "questions/s")},
+		},
+		{
+			Role: Store, Kind: Messages, What: "waiting watches of daemons that forward, with a change in each", Unit: PerS, Carrier: "`control/feed`",
+			Factors: []Factor{given(watching, "daemons that watch"), given(feed.Batches, "batches/s at most")},
+			Limit:   s.Store.ReadsPerS, LimitOf: "reads of the store",
+		},
+		{
+			Role: Backend, Kind: Messages, What: "reports asked before prompts", Unit: PerS, Carrier: "`serve/forward`",
+			Factors: []Factor{given(s.RequestsPerS/float64(s.Replicas), "requests/s"), given(forward.Asked, "engines asked")},
+		},
+	}
+}
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -46,7 +46,7 @@
 claimed.
 `
 
-var roles = []Role{Entry, Peer, Holder, Spreader, Binder, Store, Backend, Caller}
+var roles = []Role{Entry, Peer, Holder, Spreader, Binder, Forward, Store, Backend, Caller}
 
 func (m *Model) writeSize(b *bytes.Buffer) {
 	s := m.Size
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -61,7 +61,7 @@
 		rows = append(rows, f()...)
 	}
 	rows = append(rows, m.totals(rows)...)
-	for _, f := range []func() []Row{m.store, m.backend, m.caller} {
+	for _, f := range []func() []Row{m.store, m.backend, m.caller, m.forward} {
 		rows = append(rows, f()...)
 	}
 	return rows
--- a/lab/capacity/row.go
+++ b/lab/capacity/row.go
@@ -18,6 +18,7 @@
 	Holder   Role = "Daemon as zone lease holder"
 	Spreader Role = "Daemon as spreader of configuration"
 	Binder   Role = "Daemon as binder of idempotency keys"
+	Forward  Role = "Daemon that forwards"
 	Store    Role = "The platform's store"
 	Backend  Role = "Backend server"
 	Caller   Role = "Caller"
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// asked is how many engines are asked at once where a prompt could be read.
+	// Asked is how many engines are asked at once where a prompt could be read.
 	// With a third of the engines reading, all three do in one of thirty cases.
-	asked = 3
+	Asked = 3
 	// askRounds bounds the questions before one prompt. They take a round trip each
 	// while engines answer, and askLimit each where none does.
 	askRounds = 3
@@ -33,7 +33,7 @@
 // stays for seconds. Where none answers the best known gets the request all the
 // same: the link from here may be at fault, and it loses nothing to try.
 func (r *relay) place(ctx context.Context, view *feed.View) (choice, bool) {
-	first := r.h.pool.readers(time.Now(), view, r.service, asked, r.failed)
+	first := r.h.pool.readers(time.Now(), view, r.service, Asked, r.failed)
 	if len(first) == 0 || !view.Config.HasEngines(r.service) {
 		return firstOf(first)
 	}
@@ -48,7 +48,7 @@
 		if c, ok := r.quietest(seen); ok && c.report.Free(r.in.call.PromptTokens) {
 			return c.choice, true
 		}
-		candidates = r.h.pool.readers(time.Now(), view, r.service, asked, excluded)
+		candidates = r.h.pool.readers(time.Now(), view, r.service, Asked, excluded)
 	}
 	if c, ok := r.quietest(seen); ok {
 		return c.choice, true
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -142,10 +142,9 @@
 }
 
 // denied records that the budget does not afford one more send of a request.
-func (h *Handler) denied(in *inbound, sends int) bool {
+func (h *Handler) denied(in *inbound, sends int) {
 	h.metrics.denied.Inc()
 	h.opts.Log.Emit(event.RepeatDenied, in.call.ID, in.route.Name, sends)
-	return false
 }
 
 // note takes back what an exchange that did not run was counted for.
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -118,6 +118,7 @@
 		return false
 	}
 	if s.copied.Load() == nil {
+		s.r.h.metrics.remade.Inc()
 		s.r.h.opts.Log.Emit(event.CopyMade, s.r.in.call.ID, s.l.at.server.ID, place.server.ID)
 	}
 	s.handle.Store(&handle)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -185,9 +185,15 @@
 // then other daemons for theirs. Only streams borrow: a call that is repeated
 // would wait for the question longer than for its answer.
 func (r *relay) mayRepeat(ctx context.Context, now time.Time) bool {
-	return r.h.pool.repeat(now, r.service) ||
-		r.h.borrower.borrow(ctx, r.h.opts.Feed.View(), r.service) ||
-		r.h.denied(r.in, r.sends)
+	if r.h.pool.repeat(now, r.service) {
+		return true
+	}
+	if r.h.borrower.borrow(ctx, r.h.opts.Feed.View(), r.service) {
+		r.h.metrics.borrowed.Inc()
+		return true
+	}
+	r.h.denied(r.in, r.sends)
+	return false
 }
 
 // none says that no engine takes the request now.
