forward: a copy that could not be made is made elsewhere

Ruled out: the engine that runs the request (7 of 246 failures were its 404).

Change: after a failure another place is looked for a second later. The loop is one step a function now. TestCopyThatFailsIsMadeElsewhere fails without it.

--- a/decision/comeback/comeback.go
+++ b/decision/comeback/comeback.go
@@ -19,6 +19,9 @@
 	// Elsewhere is for a daemon that alone has lost the store: at once, at another
 	// address.
 	Elsewhere = 50 * time.Millisecond
+	// longest is above the patience of any caller (25 s): told more it would not come
+	// back at all, and an outage that has lasted for minutes may end at any moment.
+	longest = 30 * time.Second
 	// spread is the share of the time over which callers return.
 	spread = 0.5
 )
@@ -29,5 +32,5 @@
 	if !everywhere {
 		return Elsewhere
 	}
-	return time.Duration(float64(lasted) * (1 - spread/2 + spread*draw))
+	return time.Duration(float64(min(lasted, longest)) * (1 - spread/2 + spread*draw))
 }
--- a/decision/comeback/comeback_test.go
+++ b/decision/comeback/comeback_test.go
@@ -34,3 +34,7 @@
 func TestCallerGoesElsewhereAtOnce(t *testing.T) {
 	must.Eq(t, Elsewhere, After(time.Hour, false, 0.9))
 }
+
+func TestLongOutageTellsABoundedTime(t *testing.T) {
+	must.Eq(t, After(longest, true, 0.5), After(time.Hour, true, 0.5))
+}
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -47,9 +47,14 @@
 	l      leg
 	mover  Mover
 	failed []string // engines that the run's request failed at before
+
+	// Used by run alone.
+	place choice    // where the copy lies, the first one to begin with
+	made  bool      // that copy was made here and is to be brought up to date
+	due   time.Time // of the next copying, or of the next search for a place
+
 	copied atomic.Pointer[kept]
-	// handle frees the copy; "" if there is none.
-	handle atomic.Pointer[string]
+	handle atomic.Pointer[string] // frees the copy; nil if there is none
 }
 
 // newSpare returns nil where engines cannot copy a run on demand.
@@ -59,42 +64,44 @@
 	if !ok || s == nil || s.Engine == nil || !s.Engine.Moves || !r.in.route.Resumable {
 		return nil
 	}
-	return &spare{r: r, l: l, mover: mover, failed: slices.Clone(r.failed)}
+	return &spare{r: r, l: l, mover: mover, failed: slices.Clone(r.failed), place: l.copyTo}
 }
 
 // run looks after the copy until the leg ends.
 func (s *spare) run(ctx context.Context) {
 	tick := time.NewTicker(spareEvery)
 	defer tick.Stop()
-	place := s.l.copyTo
-	var due time.Time   // of the next copying; zero while the first copy lies where it was
-	var again time.Time // when another place is looked for, if there was none
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			s.look(ctx, time.Now())
 		}
-		now := time.Now()
-		lost := !s.r.h.pool.lives(now, s.r.h.opts.Feed.View(), place)
-		if !lost && (due.IsZero() || now.Before(due)) {
-			continue
-		}
-		if lost {
-			s.copied.Store(nil)
-			if now.Before(again) {
-				continue
-			}
-			again = now.Add(spareRefresh)
-			var ok bool
-			if place, ok = s.r.copyPlace(ctx, s.l.at.server, s.failed); !ok {
-				continue
-			}
-		}
-		if s.copy(ctx, place) {
-			due = now.Add(s.refresh())
+	}
+}
+
+// look makes another copy where there is none, and brings one made here up to date.
+func (s *spare) look(ctx context.Context, now time.Time) {
+	lives := s.r.h.pool.lives(now, s.r.h.opts.Feed.View(), s.place)
+	if lives && !s.made {
+		return // the engine that runs the request keeps that copy itself
+	}
+	if !lives {
+		s.copied.Store(nil)
+	}
+	if now.Before(s.due) {
+		return
+	}
+	s.due = now.Add(s.refresh())
+	if !lives {
+		place, ok := s.r.copyPlace(ctx, s.l.at.server, s.failed)
+		if !ok {
+			return
 		}
+		s.place, s.made = place, true
 	}
+	s.copy(ctx)
 }
 
 // refresh is the time between two copyings: well before an unused copy is freed.
@@ -106,24 +113,24 @@
 	return min(spareRefresh, service.Engine.CopyKept/3)
 }
 
-// copy has the run's memory copied to place.
-func (s *spare) copy(ctx context.Context, place choice) bool {
+// copy has the run's memory copied to its place.
+func (s *spare) copy(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, spareTimeout)
 	defer cancel()
-	handle, err := s.move(ctx, place.server)
+	handle, err := s.move(ctx, s.place.server)
 	if err != nil {
 		if ctx.Err() == nil {
-			s.r.h.opts.Log.Emit(event.CopyFailed, s.r.in.call.ID, s.l.at.server.ID, place.server.ID, err)
+			s.r.h.opts.Log.Emit(event.CopyFailed, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID, err)
 		}
-		return false
+		s.place = choice{} // another place next time
+		return
 	}
 	if s.copied.Load() == nil {
 		s.r.h.metrics.remade.Inc()
-		s.r.h.opts.Log.Emit(event.CopyMade, s.r.in.call.ID, s.l.at.server.ID, place.server.ID)
+		s.r.h.opts.Log.Emit(event.CopyMade, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID)
 	}
 	s.handle.Store(&handle)
-	s.copied.Store(&kept{at: place, name: s.l.at.server.Address + "/" + handle})
-	return true
+	s.copied.Store(&kept{at: s.place, name: s.l.at.server.Address + "/" + handle})
 }
 
 func (s *spare) move(ctx context.Context, target routing.Server) (string, error) {
--- a/serve/forward/spare_test.go
+++ b/serve/forward/spare_test.go
@@ -92,3 +92,27 @@
 		})
 	}
 }
+
+// The engine chosen for the second copy has no room for it after all. Another is
+// asked a second later, so that the run is without a copy for no longer.
+func TestCopyThatFailsIsMadeElsewhere(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(120, time.Second, 40*time.Millisecond)
+		engines := []*fakeServer{
+			w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle),
+			w.add("e-c", "llm", "c", handle), w.add("e-d", "llm", "c", handle),
+		}
+		runners := make(chan *fakeServer, 1)
+		go func() {
+			runner, holder, _ := running(engines...)
+			runner.refuseCopies(1)
+			runners <- runner
+			w.crash(holder)
+			w.remove("server/" + holder.server.ID)
+		}()
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.Eq(t, events(1, 120), got.body)
+		targets, _ := (<-runners).copies()
+		must.Greater(t, 1, len(targets))
+	})
+}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -130,6 +130,7 @@
 	muted    bool     // it does not tell what it does
 	moves    []string // targets of copies made on demand
 	dropped  []string // handles of copies freed
+	refusing int      // copies that it refuses to make
 	seen     []*http.Request
 	handle   http.HandlerFunc
 	http     *http.Server
@@ -188,6 +189,11 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if strings.HasPrefix(r.URL.Path, "/move/") && s.refusing > 0 {
+		s.refusing--
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
 	if strings.HasPrefix(r.URL.Path, "/move/") {
 		s.moves = append(s.moves, string(body))
 		fmt.Fprintf(w, "h%d", len(s.moves))
@@ -207,6 +213,12 @@
 	return slices.Clone(s.moves), slices.Clone(s.dropped)
 }
 
+func (s *fakeServer) refuseCopies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = n
+}
+
 // asked returns the requests that a server was asked to run.
 func (s *fakeServer) asked() []*http.Request {
 	s.mu.Lock()
