--- a/decision/repeats/lenders.go
+++ b/decision/repeats/lenders.go
@@ -11,9 +11,9 @@
 	// three deny 60 of 800 repeats, six deny 24, eight deny 9, and 150 without
 	// asking (BrokenStreamsOfAFleetThatLends).
 	MaxAsked = 8
-	// dryFor is how long a daemon that had nothing to lend is left alone: what it
-	// repeated leaves its window in steps of a tenth of the usual ten seconds.
-	dryFor = time.Second
+	// refusalKept is how long a daemon that had nothing to lend is not asked again: a
+	// tenth of the usual window, in which a tenth of its budget is free again.
+	refusalKept = time.Second
 )
 
 // Lenders decides which daemons are asked for a part of their budget.
@@ -28,10 +28,10 @@
 //
 // How it holds: a lender counts what it lends as its own repeat when it grants
 // it, so the sum over daemons stays what it is. The daemons are asked in random
-// order, so that no lender is known to all to be rich. It is not safe for
+// order, so that not all of them ask the same one. It is not safe for
 // concurrent use.
 type Lenders struct {
-	dry map[string]time.Time // until when a daemon is not asked
+	refused map[string]time.Time // until when a daemon is not asked
 }
 
 // Next chooses one of the daemons given, except those asked already for this
@@ -43,7 +43,7 @@
 	first := int(draw % uint64(len(daemons)))
 	for i := range daemons {
 		id := daemons[(first+i)%len(daemons)]
-		if !slices.Contains(asked, id) && !now.Before(l.dry[id]) {
+		if !slices.Contains(asked, id) && !now.Before(l.refused[id]) {
 			return id, true
 		}
 	}
@@ -52,13 +52,13 @@
 
 // Refused records that a daemon had nothing to lend, or did not answer.
 func (l *Lenders) Refused(now time.Time, id string) {
-	if l.dry == nil {
-		l.dry = map[string]time.Time{}
+	if l.refused == nil {
+		l.refused = map[string]time.Time{}
 	}
-	for other, until := range l.dry {
+	for other, until := range l.refused {
 		if !now.Before(until) {
-			delete(l.dry, other)
+			delete(l.refused, other)
 		}
 	}
-	l.dry[id] = now.Add(dryFor)
+	l.refused[id] = now.Add(refusalKept)
 }
--- a/decision/repeats/lenders_test.go
+++ b/decision/repeats/lenders_test.go
@@ -13,21 +13,21 @@
 	now := time.Unix(1000, 0)
 	daemons := []string{"a", "b", "c", "d", "e"}
 	cases := []struct {
-		name  string
-		dry   []string
-		asked []string
-		want  map[string]bool
+		name    string
+		refused []string
+		asked   []string
+		want    map[string]bool
 	}{
 		{"any", nil, nil, map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": true}},
 		{"not one asked before", nil, []string{"b", "c"}, map[string]bool{"a": true, "d": true, "e": true}},
-		{"not a dry one", []string{"a", "b", "c", "d"}, nil, map[string]bool{"e": true}},
+		{"not one that refused", []string{"a", "b", "c", "d"}, nil, map[string]bool{"e": true}},
 		{"nobody after enough questions", nil, []string{"1", "2", "3", "4", "5", "6", "7", "8"}, nil},
 		{"nobody left", daemons, nil, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var l Lenders
-			for _, id := range c.dry {
+			for _, id := range c.refused {
 				l.Refused(now, id)
 			}
 			seen := map[string]bool{}
@@ -50,13 +50,13 @@
 	return list
 }
 
-func TestDryLenderIsAskedAgainLater(t *testing.T) {
+func TestLenderThatRefusedIsAskedAgainLater(t *testing.T) {
 	var l Lenders
 	now := time.Unix(1000, 0)
 	l.Refused(now, "a")
-	_, ok := l.Next(now.Add(dryFor-1), []string{"a"}, nil, 0)
+	_, ok := l.Next(now.Add(refusalKept-1), []string{"a"}, nil, 0)
 	must.False(t, ok)
-	id, ok := l.Next(now.Add(dryFor), []string{"a"}, nil, 0)
+	id, ok := l.Next(now.Add(refusalKept), []string{"a"}, nil, 0)
 	must.True(t, ok)
 	must.Eq(t, "a", id)
 }
--- a/decision/comeback/comeback.go
+++ b/decision/retryafter/retryafter.go
@@ -1,4 +1,4 @@
-// Package comeback decides when a caller comes back that was refused because the
+// Package retryafter decides when a caller comes back that was refused because the
 // daemon cannot tell whether its account key still holds.
 //
 // Load it answers: an outage of the store, in which every daemon refuses every
@@ -11,7 +11,7 @@
 // lasted for some time is taken to last as long again. In outages of 5 to 8 seconds
 // 2,253 of 2,559 long answers reached their callers, and 2,109 where all returned
 // after 1.5 to 4.5 seconds (twelve trials each, both sites).
-package comeback
+package retryafter
 
 import "time"
 
@@ -26,9 +26,9 @@
 	spread = 0.5
 )
 
-// After returns when a caller comes back. lasted is how long the store has been
+// Unconfirmed returns when a caller comes back. lasted is how long the store has been
 // out of reach, everywhere says whether it is for all daemons, and draw is in [0, 1).
-func After(lasted time.Duration, everywhere bool, draw float64) time.Duration {
+func Unconfirmed(lasted time.Duration, everywhere bool, draw float64) time.Duration {
 	if !everywhere {
 		return Elsewhere
 	}
--- a/decision/comeback/comeback_test.go
+++ b/decision/retryafter/retryafter_test.go
@@ -1,4 +1,4 @@
-package comeback
+package retryafter
 
 import (
 	"testing"
@@ -18,7 +18,7 @@
 	burst := map[time.Duration]int{}
 	for i := range callers {
 		at := refused + time.Duration(i)*(outage-refused)/callers
-		back := at + After(at, true, float64(i%97)/97)
+		back := at + Unconfirmed(at, true, float64(i%97)/97)
 		if back > outage {
 			served++
 		}
@@ -32,9 +32,9 @@
 
 // One daemon alone has lost the store; its neighbours serve.
 func TestCallerGoesElsewhereAtOnce(t *testing.T) {
-	must.Eq(t, Elsewhere, After(time.Hour, false, 0.9))
+	must.Eq(t, Elsewhere, Unconfirmed(time.Hour, false, 0.9))
 }
 
 func TestLongOutageTellsABoundedTime(t *testing.T) {
-	must.Eq(t, After(longest, true, 0.5), After(time.Hour, true, 0.5))
+	must.Eq(t, Unconfirmed(longest, true, 0.5), Unconfirmed(time.Hour, true, 0.5))
 }
--- a/lab/soak/process/daemon.go
+++ b/lab/soak/process/daemon.go
@@ -89,26 +89,26 @@
 		expected := d.expected
 		d.mu.Unlock()
 		if !expected {
-			d.world.ledger.violate("%s ended by itself: %v: %s", d.settings.VM, err, d.lastWords())
+			d.world.ledger.violate("%s ended by itself: %v: %s", d.settings.VM, err, d.outputTail())
 		}
 		close(gone)
 	}()
 	return nil
 }
 
-// lastWords is what the process wrote last beside its events.
-func (d *daemon) lastWords() string {
+// outputTail is what the process wrote last beside its events.
+func (d *daemon) outputTail() string {
 	raw, err := os.ReadFile(d.log.Name())
 	if err != nil {
 		return err.Error()
 	}
-	var words []string
+	var tail []string
 	for line := range strings.Lines(string(raw)) {
 		if !strings.HasPrefix(line, "{") {
-			words = append(words, strings.TrimSpace(line))
+			tail = append(tail, strings.TrimSpace(line))
 		}
 	}
-	return strings.Join(words[max(0, len(words)-lastLines):], " | ")
+	return strings.Join(tail[max(0, len(tail)-lastLines):], " | ")
 }
 
 // signal sends sig to the process.
--- a/serve/forward/lending_test.go
+++ b/serve/forward/lending_test.go
@@ -45,11 +45,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			inWorld(t, streamRoute(), func(w *world) {
-				rich := newPool(routing.VM{ID: "vm-3"}, repeats.Rule{Slack: c.slack, Window: 10 * time.Second})
+				lender := newPool(routing.VM{ID: "vm-3"}, repeats.Rule{Slack: c.slack, Window: 10 * time.Second})
 				w.handler.SetBounds(5*time.Second, repeats.Rule{Window: 10 * time.Second})
-				w.handler.borrower.dialer = link.NewDialerWith(&http.Client{Transport: neighbours{"three": rich}})
-				rich.began = rich.began.Add(-10 * time.Second)
-				w.handler.pool.began = rich.began
+				w.handler.borrower.dialer = link.NewDialerWith(&http.Client{Transport: neighbours{"three": lender}})
+				lender.began = lender.began.Add(-10 * time.Second)
+				w.handler.pool.began = lender.began
 				w.put("mallowwind/vm/vm-2", `{"id":"vm-2","zone":"b","peer":"two"}`) // died
 				w.put("mallowwind/vm/vm-3", `{"id":"vm-3","zone":"c","peer":"three"}`)
 				handle := streaming(40, time.Second, 40*time.Millisecond)
@@ -66,7 +66,7 @@
 				got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
 				must.Eq(t, c.whole, got.err == nil)
 				must.Eq(t, c.whole, got.body == events(1, 40))
-				must.Eq(t, c.remain, rich.repeat(time.Now(), "llm"))
+				must.Eq(t, c.remain, lender.repeat(time.Now(), "llm"))
 			})
 		})
 	}
