events: a borrowed repeat names its request, a restarted engine is logged

Found in a last reading: 227 did not bear the request's id, and nothing was logged when a daemon began to send to an engine under another id than the store shows, so neither could be followed from a request. No decision changes.

--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -269,7 +269,7 @@
 // turnedAway handles a server's word that it did not run the request.
 func (r *relay) turnedAway(ctx context.Context, l leg, o opened) (legEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
-	succeeded := o.reply.Misdirected && r.h.successor(ctx, r.service, l.at.server, o.reply.Instance)
+	succeeded := o.reply.Misdirected && r.successor(ctx, l.at.server, o.reply.Instance)
 	switch {
 	case succeeded && l.from != "":
 		r.misdirected = l.at.server.ID
@@ -282,19 +282,21 @@
 }
 
 // successor reports whether instance, which answers at the address of old, is
-// an engine of the same service that started anew there, and remembers it if so. A daemon that has lost
-// the store does not see it register, although copies are sent to the address
-// and lie at the new engine. Where one service alone has engines, whatever
-// speaks as an engine is of that service, also at an address used again.
-func (h *Handler) successor(ctx context.Context, service string, old routing.Server, instance string) bool {
-	view := h.opts.Feed.View()
-	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != service {
+// an engine of the same service that started anew there, and remembers it if so.
+// A daemon that has lost the store does not see it register, although copies are
+// sent to the address and lie at the new engine. Where one service alone has
+// engines, whatever speaks as an engine is of that service, also at an address
+// used again.
+func (r *relay) successor(ctx context.Context, old routing.Server, instance string) bool {
+	view := r.h.opts.Feed.View()
+	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != r.service {
 		return false
 	}
-	if _, err := h.probe(ctx, old, probeTimeout); err != nil {
+	if _, err := r.h.probe(ctx, old, probeTimeout); err != nil {
 		return false
 	}
-	h.pool.succeed(view, old.ID, instance)
+	r.h.pool.succeed(view, old.ID, instance)
+	r.h.opts.Log.Emit(event.BackendSucceeded, r.in.call.ID, old.ID, instance)
 	return true
 }
 
--- a/serve/forward/lending.go
+++ b/serve/forward/lending.go
@@ -37,8 +37,8 @@
 	return &borrower{dialer: o.Dialer, log: o.Log, self: o.Self.ID, lenders: map[string]*repeats.Lenders{}}
 }
 
-// borrow reports whether another daemon lent one repeat for a service.
-func (b *borrower) borrow(ctx context.Context, view *feed.View, service string) bool {
+// borrow reports whether another daemon lent one repeat of a request to a service.
+func (b *borrower) borrow(ctx context.Context, view *feed.View, request, service string) bool {
 	if b.dialer == nil {
 		return false
 	}
@@ -51,7 +51,7 @@
 		}
 		asked = append(asked, id)
 		if b.ask(ctx, peers[id], service) {
-			b.log.Emit(event.RepeatBorrowed, id, service)
+			b.log.Emit(event.RepeatBorrowed, request, id, service)
 			return true
 		}
 		b.refused(service, id)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -185,7 +185,7 @@
 	if r.h.pool.repeat(now, r.service) {
 		return true
 	}
-	if r.h.borrower.borrow(ctx, r.h.opts.Feed.View(), r.service) {
+	if r.h.borrower.borrow(ctx, r.h.opts.Feed.View(), r.in.call.ID, r.service) {
 		r.h.metrics.borrowed.Inc()
 		return true
 	}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -19,13 +19,15 @@
 	AnswerCut = define(226, "answer_cut", logrus.WarnLevel,
 		"An answer that had begun could not be finished; its connection was ended so that it does not look whole.", "request", "prompt", "route", "account", "config", "error", "took")
 	RepeatBorrowed = define(227, "repeat_borrowed", logrus.InfoLevel,
-		"Another daemon gave up one repeat of its part of the budget for a request here.", "lender", "service")
+		"Another daemon gave up one repeat of its part of the budget for a request here.", "request", "lender", "service")
 	LenderFailed = define(228, "lender_failed", logrus.WarnLevel,
 		"Another daemon that was asked for a repeat did not answer.", "address", "error")
 	CopyMade = define(229, "copy_made", logrus.InfoLevel,
 		"The copy of a run was lost, and another was made at a second backend server.", "request", "backend", "copy")
 	CopyFailed = define(230, "copy_failed", logrus.InfoLevel,
 		"A copy of a run could not be made or freed.", "request", "backend", "copy", "error")
+	BackendSucceeded = define(231, "backend_succeeded", logrus.InfoLevel,
+		"A backend server has started anew at its address under another id, which the store does not show yet.", "request", "backend", "successor")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
