generation: a request that ran nowhere goes on with another version

Twenty plays side by side show it again (2 in about 120); the log of one: the daemon chose version 1 for a new request, the three engines that it took to have version 1 ready had been told to unload it 1 to 3 s before, all refused with model_not_ready, and the request was turned away beside six engines with version 2. A daemon's reports are up to seven seconds old by design. Ruled out: the text in force (all three daemons had revision 2 after 0 s), a dead engine, admission. Changed: such a request is given another version; a refusal for want of a version counts nothing against the engine's health and has its report asked for; a version that the site does not name has its servers known at once.

--- a/control/backends/backends.go
+++ b/control/backends/backends.go
@@ -3,6 +3,7 @@
 package backends
 
 import (
+	"slices"
 	"time"
 
 	"mallowwind.dev/external/engine"
@@ -41,8 +42,8 @@
 
 // serving returns the set of weights with which the backend server can run a
 // request for ref now: ref itself where it is ready, else another version of
-// the same model and adapter.
-func (b *Backend) serving(ref engine.ModelRef) (engine.ModelRef, bool) {
+// the same model and adapter. Versions in except are passed over.
+func (b *Backend) serving(ref engine.ModelRef, except []string) (engine.ModelRef, bool) {
 	var other engine.ModelRef
 	found := false
 	if !b.Reachable || b.VM.State == vmlist.Leaving {
@@ -52,6 +53,9 @@
 		if l.State != engine.Ready || l.Ref.Model != ref.Model || l.Ref.Adapter != ref.Adapter {
 			continue
 		}
+		if slices.Contains(except, l.Ref.Version) {
+			continue
+		}
 		if l.Ref == ref {
 			return ref, true
 		}
@@ -75,26 +79,20 @@
 // the new version alone would be refused at first and then all meet at the
 // first engine that has it. Each version therefore gets the share of requests
 // that its engines are of all; ref itself is returned where none is ready.
-func (s *Snapshot) Choose(pool string, ref engine.ModelRef, pick uint64) engine.ModelRef {
-	total := uint64(0)
+//
+// except names versions that are out of the question: an engine that unloads
+// one refuses requests for it before its report says so.
+func (s *Snapshot) Choose(pool string, ref engine.ModelRef, pick uint64, except ...string) engine.ModelRef {
+	var ready []engine.ModelRef
 	for _, b := range s.Pools[pool] {
-		if _, ok := b.serving(ref); ok {
-			total++
+		if r, ok := b.serving(ref, except); ok {
+			ready = append(ready, r)
 		}
 	}
-	if total == 0 {
+	if len(ready) == 0 {
 		return ref
 	}
-	pick %= total
-	for _, b := range s.Pools[pool] {
-		if r, ok := b.serving(ref); ok {
-			if pick == 0 {
-				return r
-			}
-			pick--
-		}
-	}
-	return ref
+	return ready[pick%uint64(len(ready))]
 }
 
 // Source gives the current snapshot; the pointer is swapped whole and never nil.
--- a/external/engine/client.go
+++ b/external/engine/client.go
@@ -182,6 +182,8 @@
 		return errors.Wrap(ErrUnknownGeneration, detail.Message)
 	case CodeStaleFence:
 		return errors.Wrap(ErrStaleFence, detail.Message)
+	case CodeModelNotReady:
+		return errors.Wrap(ErrNotReady, detail.Message)
 	default:
 		return errors.Wrapf(ErrRefused, "%s: %s", detail.Code, detail.Message)
 	}
--- a/external/engine/engine.go
+++ b/external/engine/engine.go
@@ -17,6 +17,9 @@
 	ErrNotSent = errors.New("engine: not sent")
 	// ErrRefused means that the engine answered that it did not and will not run the request.
 	ErrRefused = errors.New("engine: refused")
+	// ErrNotReady is an ErrRefused that says only that the engine does not have
+	// the version ready; it may serve other versions well.
+	ErrNotReady = errors.WithMessage(ErrRefused, "engine: version not ready")
 	// ErrBroken means that the stream or connection failed after the request was sent.
 	ErrBroken = errors.New("engine: connection broken")
 	// ErrUnknownGeneration means that Attach or Cancel named no generation the engine holds.
--- a/external/standin/enginesim/sim.go
+++ b/external/standin/enginesim/sim.go
@@ -263,8 +263,11 @@
 // Error implements error.
 func (r *Refusal) Error() string { return fmt.Sprintf("engine: refused: %s: %s", r.Code, r.Message) }
 
-// Is makes a Refusal match engine.ErrRefused.
-func (r *Refusal) Is(target error) bool { return target == engine.ErrRefused }
+// Is makes a Refusal match engine.ErrRefused, and engine.ErrNotReady where it
+// is one.
+func (r *Refusal) Is(target error) bool {
+	return target == engine.ErrRefused || target == engine.ErrNotReady && r.Code == engine.CodeModelNotReady
+}
 
 func refuse(code engine.ErrorCode, format string, args ...any) error {
 	return &Refusal{Code: code, Message: fmt.Sprintf(format, args...)}
--- a/serve/api/api.go
+++ b/serve/api/api.go
@@ -44,9 +44,6 @@
 	Entries     Entries
 	Log         *event.Log
 	Metrics     prometheus.Registerer
-	// Version returns a service with the version that a new request runs with;
-	// nil means the one the site text names.
-	Version func(*site.Service) *site.Service
 	// Refusing reports whether new requests are refused because the daemon stops.
 	Refusing func() bool
 	// Starting reports whether the daemon does not know enough yet to serve.
--- a/serve/api/completions.go
+++ b/serve/api/completions.go
@@ -33,9 +33,6 @@
 	if err != nil {
 		return err
 	}
-	if a.Version != nil {
-		spec.Service = a.Version(spec.Service)
-	}
 	h, err := a.Generations.Submit(r.Context(), spec)
 	if err != nil {
 		return err
--- a/serve/daemon/daemon.go
+++ b/serve/daemon/daemon.go
@@ -185,7 +185,7 @@
 	})
 	d.generations = generation.NewManager(generation.Config{
 		Site: d.inforce, Members: d.members, Flow: d.flow, Dialer: d.opts.Dialer,
-		Log: d.log, Metrics: d.registry,
+		Log: d.log, Metrics: d.registry, Version: d.version, NotReady: d.backends.Hint,
 	})
 	d.calls = &calls{log: d.log, service: once.NewService(once.Deps{
 		Members: d.members, Roster: d.roster, Site: d.inforce, Flow: d.flow,
@@ -197,18 +197,18 @@
 		Site: d.inforce, Generations: d.generations, Calls: d.calls,
 		Entries: &entries{site: d.inforce, members: d.members, log: d.log},
 		Log:     d.log, Metrics: d.registry,
-		Version:  d.version,
 		Refusing: d.drain.refusing,
 		Starting: func() bool { return !d.serving.Load() },
 		Ready:    d.ready,
 	})
 }
 
-// version returns the service with the version that a new request runs with.
-// An answer that has begun stays with its version, which its copy carries.
-func (d *Daemon) version(s *site.Service) *site.Service {
+// version returns the service with the version that a new request runs with,
+// none of those in except where another is ready. An answer that has begun
+// stays with its version, which its copy carries.
+func (d *Daemon) version(s *site.Service, except ...string) *site.Service {
 	ref := engine.ModelRef{Model: s.Model, Adapter: s.Adapter, Version: s.Version}
-	chosen := d.backends.Current().Choose(s.Pool, ref, rand.Uint64())
+	chosen := d.backends.Current().Choose(s.Pool, ref, rand.Uint64(), except...)
 	if chosen == ref {
 		return s
 	}
--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
@@ -30,6 +31,7 @@
 	site     *site.Site
 	fleet    Fleet
 	shares   []entries.Share // of the accounts of site, built when first needed
+	snapshot *backends.Snapshot // of the last Update, nil before
 	servers  map[string]*server
 	hints    hints
 	groups   map[groupKey]*group
@@ -175,7 +177,7 @@
 		}
 		ask.Deadline = now.Add(wait)
 	}
-	w := &Waiter{ask: ask, sink: sink, group: c.group(keyOf(ask.Service)), arrived: now}
+	w := &Waiter{ask: ask, sink: sink, group: c.asked(now, keyOf(ask.Service)), arrived: now}
 	w.item = admit.Item{
 		Weight: 1, Class: classOf(&ask), Cost: float64(max(ask.Cost, 1)), Deadline: ask.Deadline,
 	}
--- a/serve/flow/decide_test.go
+++ b/serve/flow/decide_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -175,3 +176,30 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Requests wait until their deadline although engines have free slots. Order:
+// an engine begins to unload a version and turns a few requests for it away;
+// they count as failures; the engine is left out for its other versions too.
+func TestEngineWithoutAVersionServesTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixed(4, 4)
+		m := manager(t, f)
+		for range 40 {
+			g, err := m.Acquire(t.Context(), ask(f, "review"))
+			must.NoError(t, err)
+			if g.Backend().ID != "b1" {
+				g.Done(flow.Outcome{FirstToken: time.Millisecond, Tokens: 1})
+				continue
+			}
+			g.Done(flow.Outcome{Err: errors.Wrap(engine.ErrNotReady, "unloading")})
+		}
+		time.Sleep(2 * time.Second)
+		a := ask(f, "review")
+		a.Exclude, a.Resume = []string{"b0", "b2", "b3"}, true
+		began := time.Now()
+		g, err := m.Acquire(t.Context(), a)
+		must.NoError(t, err)
+		test.Eq(t, "b1", g.Backend().ID)
+		test.Less(t, time.Second, time.Since(began))
+	})
+}
--- a/serve/flow/lease.go
+++ b/serve/flow/lease.go
@@ -3,11 +3,14 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/decision/admit"
 	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/decision/health"
 	"mallowwind.dev/decision/route"
+	"mallowwind.dev/external/engine"
 )
 
 // Lease is the use of one slot of a backend server. Its methods need the same
@@ -68,10 +71,12 @@
 }
 
 // judge feeds the health of the backend server. What we cancelled says
-// nothing about it. The time of a plain answer stands for a token gap.
+// nothing about it, nor does a version that it unloads: left out for that, it
+// would not serve the others, and requests would wait for it to come back. The
+// time of a plain answer stands for a token gap.
 func (l *Lease) judge(now time.Time, o Outcome) {
 	switch {
-	case o.Cancelled:
+	case o.Cancelled, errors.Is(o.Err, engine.ErrNotReady):
 	case o.Err != nil:
 		l.server.peer.Failed()
 	default:
--- a/serve/flow/update.go
+++ b/serve/flow/update.go
@@ -16,7 +16,7 @@
 // Update takes in a new site, snapshot or fleet. It is the only step whose cost
 // grows with the number of backend servers.
 func (c *Core) Update(now time.Time, st *site.Site, snap *backends.Snapshot, fleet Fleet) {
-	c.site, c.fleet, c.shares = st, fleet, nil
+	c.site, c.fleet, c.shares, c.snapshot = st, fleet, nil, snap
 	c.fleetVersion++
 	for _, s := range c.servers {
 		s.present = false
@@ -118,6 +118,21 @@
 	return g
 }
 
+// asked returns the group of a request. One that the site in force does not
+// name begins here, with the servers known now: a version that is being
+// replaced, at a daemon that started in the middle of the change. Left empty
+// until the next Update it would turn requests away beside idle engines.
+func (c *Core) asked(now time.Time, key groupKey) *group {
+	g, known := c.groups[key]
+	if !known {
+		g = c.group(key)
+		if c.snapshot != nil {
+			c.buildGroup(now, g, c.snapshot)
+		}
+	}
+	return g
+}
+
 // buildGroup replaces the candidates of a group.
 func (c *Core) buildGroup(now time.Time, g *group, snap *backends.Snapshot) {
 	var rows []*backends.Backend
--- a/serve/generation/accept.go
+++ b/serve/generation/accept.go
@@ -68,6 +68,9 @@
 		l.m.metrics.heldBack.WithLabelValues(string(e.Code)).Inc()
 		return
 	}
+	if e.Code == verdict.CodeNoBackend && l.otherVersion() {
+		return
+	}
 	if len(l.accepted) == 0 && !l.adopted {
 		l.giveUp(l.unserved(e))
 		return
@@ -76,6 +79,31 @@
 	l.excluded, l.desperate = nil, true
 }
 
+// otherVersion moves a request that ran nowhere to another version of its
+// service, and reports whether there is one that it was not yet refused with.
+//
+// The failure it guards against: while a new version replaces the old one, the
+// last engines with the old one begin to unload it and turn requests away
+// before this daemon hears of that. The caller is then told that no backend
+// server is left, beside engines that have the new version ready. Nothing ran
+// and nothing was copied, so the answer is of one version all the same.
+func (l *loop) otherVersion() bool {
+	if l.mayHaveRun || l.adopted || len(l.accepted) > 0 {
+		return false
+	}
+	l.tried = append(l.tried, l.spec.Service.Version)
+	service := l.m.version(l.spec.Service, l.tried...)
+	if slices.Contains(l.tried, service.Version) {
+		return false
+	}
+	l.m.log.Emit(event.VersionChanged, l.spec.ID, l.spec.Service.Version, service.Version)
+	spec := *l.spec
+	spec.Service = service
+	l.spec, l.copier.spec = &spec, &spec
+	l.excluded, l.total, l.notBefore = nil, 0, time.Time{}
+	return true
+}
+
 // unserved is the final error of an answer of which nothing came. Its caller
 // holds nothing, so it hears at once; the refusal speaks of the last attempt
 // only, the verdict of all.
@@ -92,6 +120,9 @@
 	l.drop(a)
 	broken := errors.Is(err, engine.ErrBroken)
 	l.mayHaveRun = l.mayHaveRun || !errors.Is(err, engine.ErrNotSent) && !errors.Is(err, engine.ErrRefused)
+	if errors.Is(err, engine.ErrNotReady) {
+		l.m.unready(a.backend.ID)
+	}
 	if !errors.Is(err, engine.ErrUnknownGeneration) {
 		l.exclude(a.backend.ID)
 	}
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -54,6 +54,8 @@
 	// mayHaveRun says that an engine may have taken an attempt.
 	mayHaveRun bool
 	notBefore  time.Time // no new attempt before this
+	// tried are the versions whose backend servers all turned the request away.
+	tried []string
 	due        time.Time // when the next decision is due
 	gaps       silence.Gaps
 	held       bool // readers were too far behind
--- a/serve/generation/manager.go
+++ b/serve/generation/manager.go
@@ -45,6 +45,13 @@
 	Linger time.Duration
 	// Policy overrides the resume policy of services; nil means the default.
 	Policy func(*site.Service) resume.Policy
+	// Version returns a service with the version that a new request runs with,
+	// none of those in except where another is ready; nil means the one that the
+	// site text names.
+	Version func(s *site.Service, except ...string) *site.Service
+	// NotReady is told of a backend server that did not have the version which
+	// this daemon took it to have ready; it must not block. nil means nobody is.
+	NotReady func(backend string)
 }
 
 // Manager owns the generations of one daemon and the copies it holds for
@@ -61,6 +68,8 @@
 	holder  *journal.Holder
 	appends *journal.Batcher
 	policy  func(*site.Service) resume.Policy
+	version func(s *site.Service, except ...string) *site.Service
+	unready func(backend string)
 
 	base context.Context // parent of all loops
 	stop context.CancelFunc
@@ -83,6 +92,8 @@
 		linger:  c.Linger,
 		watch:   newWatch(),
 		policy:  c.Policy,
+		version: c.Version,
+		unready: c.NotReady,
 		owned:   make(map[string]*Generation),
 		ended:   make(map[string]time.Time),
 	}
@@ -92,6 +103,12 @@
 	if m.policy == nil {
 		m.policy = func(s *site.Service) resume.Policy { return resume.ForService(s.LatencyWeight, s.Deadline) }
 	}
+	if m.version == nil {
+		m.version = func(s *site.Service, _ ...string) *site.Service { return s }
+	}
+	if m.unready == nil {
+		m.unready = func(string) {}
+	}
 	m.appends = journal.NewBatcher(m.sendAppends)
 	m.holder = journal.NewHolder(journal.Limits{Bytes: journalBytes, TTL: m.answerTTL}, randomEpoch)
 	m.base, m.stop = context.WithCancel(context.Background())
@@ -154,8 +171,9 @@
 }
 
 // Submit starts a generation, or finds the one that the same key began on any
-// entry VM. The returned Handle reads it from its first token.
+// entry VM. It chooses the version that a new one runs with. The returned Handle reads it from its first token.
 func (m *Manager) Submit(ctx context.Context, spec *Spec) (*Handle, error) {
+	spec.Service = m.version(spec.Service)
 	spec.assignID(m.members.Current().Self.ID)
 	if spec.Key == "" {
 		g := m.start(spec, m.firstLine(0))
--- a/serve/generation/spec.go
+++ b/serve/generation/spec.go
@@ -12,7 +12,8 @@
 	"mallowwind.dev/serve/journal"
 )
 
-// Spec is what a caller asked for. It is immutable once submitted.
+// Spec is what a caller asked for. It is immutable once submitted: a request
+// that goes on with another version has a Spec of its own from there on.
 type Spec struct {
 	ID          string // set by Submit
 	Account     *site.Account
--- a/telemetry/event/generation.go
+++ b/telemetry/event/generation.go
@@ -26,6 +26,8 @@
 		"A newer owner continues this generation; this one stopped.", "generation", "epoch")
 	JournalMoved = define(311, "journal_moved", logrus.WarnLevel,
 		"The journal copy of a generation moved to another entry VM.", "generation", "from", "to", "reason")
+	VersionChanged = define(312, "version_changed", logrus.InfoLevel,
+		"All engines with a request's version turned it away; it goes on with another one.", "generation", "from", "to")
 	CopiesHandedOver = define(330, "copies_handed_over", logrus.InfoLevel,
 		"A stopping daemon gave the copies it holds to other entry VMs.", "moved", "left")
 )
