--- a/serve/flow/core.go
+++ b/serve/flow/core.go
@@ -30,7 +30,7 @@
 	random   *rand.Rand
 	site     *site.Site
 	fleet    Fleet
-	shares   []entries.Share // of the accounts of site, built when first needed
+	shares   []entries.Share    // of the accounts of site, built when first needed
 	snapshot *backends.Snapshot // of the last Update, nil before
 	servers  map[string]*server
 	hints    hints
--- a/serve/generation/loop.go
+++ b/serve/generation/loop.go
@@ -56,9 +56,9 @@
 	notBefore  time.Time // no new attempt before this
 	// tried are the versions whose backend servers all turned the request away.
 	tried []string
-	due        time.Time // when the next decision is due
-	gaps       silence.Gaps
-	held       bool // readers were too far behind
+	due   time.Time // when the next decision is due
+	gaps  silence.Gaps
+	held  bool // readers were too far behind
 
 	// unwanted are losers to be cancelled at their engines once a write shows
 	// that this daemon still owns the generation. Cancelled earlier, an owner
