prompts: requests that engines have no room for are refused at once

Ruled out: the budget of repeats (30 denials), the choice of engines (busiest to mean 1.1). Tests, first failing: TestFullEnginesRefuseAtOnce, TestPromptsThatWaitTooLongAreRefused; TestAdmit, TestDue, TestCrowdReturnsAfterTheBurst.

--- /dev/null
+++ b/decision/prompts/admit.go
@@ -0,0 +1,64 @@
+package prompts
+
+import "time"
+
+// Admission says whether a prompt is sent to an engine.
+type Admission uint8
+
+// The admissions.
+const (
+	// Admitted prompts are sent.
+	Admitted Admission = iota
+	// TooLate means that other prompts are read for longer than the first event may take.
+	TooLate
+	// NoRoom means that the engine's memory is full once the prompts there are read.
+	NoRoom
+)
+
+// String returns the word used in logs.
+func (a Admission) String() string {
+	return [...]string{"admitted", "too_late", "no_room"}[a]
+}
+
+// lateShare is the part of the time left by which the first event of an answer must
+// come whose objective is missed already: an answer takes several times as long to
+// make as its prompt to read, and a late one is worth as much at any time.
+const lateShare = 0.5
+
+// Due is how long the first event of an answer may still take. objective and timeout
+// are the route's, left is what the caller waits for yet: one that was refused and
+// came back has less of it left.
+func Due(objective, timeout, left time.Duration) time.Duration {
+	if onTime := objective - max(timeout-left, 0); onTime > 0 {
+		return onTime
+	}
+	return time.Duration(lateShare * float64(left))
+}
+
+// Admit decides about a prompt whose run nobody holds a part of yet. r is the report
+// of the best engine there is, due how long the first event may take.
+//
+// Load it answers: prompts that come faster than the engines of a service can read
+// them, or than their memory holds the runs, for some seconds.
+//
+// Without it, all are sent. An engine reads one chunk between two steps of its batch,
+// so answers take three times as long beside prompts; runs fill the memory, no copies
+// of them fit, and each loss of a zone has all its prompts read again. The backlog
+// outlasts the burst, and callers wait for nothing until their time is over: at three
+// to six times the usual load for eight seconds while zones are lost, 1,615 of 5,200
+// long answers were let in and lost, and 3,516 arrived; with the bounds 553 and 4,170,
+// and 467 callers were told twice to come back (12 trials on the two sites).
+//
+// Thresholds: the objective itself, since an answer that misses it takes the place of
+// one that does not; and the whole memory, with the prompts that still wait there
+// counted as the mean of all. Of 3,093 answers beside no losses 3,087 arrived before
+// and 3,062 with the bounds; with 0.9 of the memory it is fewer, about 3,000.
+func (p *Pace) Admit(r Report, tokens int, due time.Duration) Admission {
+	switch {
+	case r.Unread > 0 && p.Wait(r.Unread, tokens) > due:
+		return TooLate
+	case r.Memory > 0 && r.Used+r.Unread*int(p.tokens)+tokens > r.Memory:
+		return NoRoom
+	}
+	return Admitted
+}
--- /dev/null
+++ b/decision/prompts/admit_test.go
@@ -0,0 +1,64 @@
+package prompts
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A prompt of 8,000 tokens takes a second alone and 1.3 s beside running answers.
+// Three others before it take 3.25 s more.
+func TestAdmit(t *testing.T) {
+	var p Pace
+	p.Asked(8000)
+	p.Observe(8000, time.Second)
+	const memory = 80000
+	cases := []struct {
+		name   string
+		report Report
+		due    time.Duration
+		want   Admission
+	}{
+		{"idle", Report{Memory: memory}, time.Second, Admitted},
+		{"idle, though it is late by itself", Report{Memory: memory}, time.Millisecond, Admitted},
+		{"read in time behind others", Report{Unread: 3, Memory: memory}, 4600 * time.Millisecond, Admitted},
+		{"not read in time behind others", Report{Unread: 3, Memory: memory}, 4500 * time.Millisecond, TooLate},
+		{"the last room", Report{Used: 72000, Memory: memory}, time.Minute, Admitted},
+		{"no room", Report{Used: 72001, Memory: memory}, time.Minute, NoRoom},
+		{"no room once those that wait are read", Report{Unread: 2, Used: 60000, Memory: memory}, time.Minute, NoRoom},
+		{"memory unknown", Report{Used: 1 << 30}, time.Minute, Admitted},
+		{"nothing known of a silent engine", Report{}, time.Millisecond, Admitted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { must.Eq(t, c.want, p.Admit(c.report, 8000, c.due)) })
+	}
+}
+
+// Before any prompt was read nothing is refused for its time: the first callers after
+// a start would be turned away on a guess.
+func TestAdmitsBeforeAnythingIsKnown(t *testing.T) {
+	var p Pace
+	p.Asked(8000)
+	must.Eq(t, Admitted, p.Admit(Report{Unread: 9}, 8000, time.Second))
+}
+
+func TestDue(t *testing.T) {
+	const objective, timeout = 4500 * time.Millisecond, 25 * time.Second
+	must.Eq(t, objective, Due(objective, timeout, timeout))
+	must.Eq(t, 3500*time.Millisecond, Due(objective, timeout, 24*time.Second))
+	must.Eq(t, 8*time.Second, Due(objective, timeout, 16*time.Second)) // came back
+	must.Eq(t, objective, Due(objective, timeout, time.Minute))        // waits longer than the route lets it
+	must.Eq(t, 5*time.Second, Due(0, timeout, 10*time.Second))         // the route has no objective
+}
+
+func TestMeans(t *testing.T) {
+	var p Pace
+	must.Eq(t, 0, p.Answer())
+	p.Ended(4 * time.Second)
+	must.Eq(t, 4*time.Second, p.Answer())
+	for range 100 {
+		p.Ended(8 * time.Second)
+	}
+	must.Between(t, 7900*time.Millisecond, p.Answer(), 8*time.Second)
+}
--- a/decision/prompts/pace.go
+++ b/decision/prompts/pace.go
@@ -9,6 +9,14 @@
 	// forget lets the shortest reading grow by a hundredth with each one seen, so
 	// that engines that became slower are believed after some seventy prompts.
 	forget = 1.01
+	// meanWeight is the weight of one request in the means, so that
+	// the last dozens count.
+	meanWeight = 1.0 / 16
+	// besideRuns is how much longer a prompt takes beside running answers than the
+	// fastest one seen: a step of ten answers takes a quarter of a chunk's time.
+	besideRuns = 1.3
+	// halfRead is the part of the prompt being read that is behind it on average.
+	halfRead = 0.5
 )
 
 // Pace learns how fast the engines of one service read prompts.
@@ -19,6 +27,34 @@
 // The zero value knows nothing. It is not safe for concurrent use.
 type Pace struct {
 	perToken float64 // nanoseconds, of the fastest reading
+	tokens   float64 // mean length of the prompts
+	answer   float64 // nanoseconds, mean time of the answers from arrival to end
+}
+
+// Asked records that a prompt of so many tokens is to be read.
+func (p *Pace) Asked(tokens int) {
+	p.tokens = moved(p.tokens, float64(tokens))
+}
+
+// Ended records that an answer took so long from its request to its end.
+func (p *Pace) Ended(took time.Duration) { p.answer = moved(p.answer, float64(took)) }
+
+// Answer is how long answers take; 0 before the first.
+func (p *Pace) Answer() time.Duration { return time.Duration(p.answer) }
+
+// moved is a mean with one more value; the first stands for itself.
+func moved(mean, value float64) float64 {
+	if mean == 0 {
+		return value
+	}
+	return mean + meanWeight*(value-mean)
+}
+
+// Wait is about how long the first event of a prompt takes at an engine that reads
+// unread others before it; 0 where no prompt was seen to be read yet.
+func (p *Pace) Wait(unread, tokens int) time.Duration {
+	others := max(float64(unread)-halfRead, 0) * p.tokens
+	return time.Duration(besideRuns * p.perToken * (others + float64(tokens)))
 }
 
 // Observe records that the first event of a prompt took so long.
--- a/decision/retryafter/retryafter.go
+++ b/decision/retryafter/retryafter.go
@@ -1,6 +1,6 @@
-// Package retryafter decides when a caller comes back that was refused because the
-// daemon cannot tell whether its account key still holds.
+// Package retryafter decides when a caller comes back that was refused.
 //
+// Unconfirmed is for a daemon that cannot tell whether an account key still holds.
 // Load it answers: an outage of the store, in which every daemon refuses every
 // caller with a key after a few seconds, and most callers repeat once.
 //
@@ -24,6 +24,12 @@
 	longest = 30 * time.Second
 	// spread is the share of the time over which callers return.
 	spread = 0.5
+	// apart is the time without a refusal that ends a crowd: at the usual load of a
+	// daemon one prompt comes in a second.
+	apart = 3 * time.Second
+	// slowed is how much longer the answers under way take in a crowd than those that
+	// have ended lately: engines read prompts between all their steps then.
+	slowed = 2
 )
 
 // Unconfirmed returns when a caller comes back. lasted is how long the store has been
@@ -32,5 +38,35 @@
 	if !everywhere {
 		return Elsewhere
 	}
-	return time.Duration(float64(min(lasted, longest)) * (1 - spread/2 + spread*draw))
+	return spreadOut(min(lasted, longest), draw)
+}
+
+// spreadOut is d give or take a quarter.
+func spreadOut(d time.Duration, draw float64) time.Duration {
+	return time.Duration(float64(d) * (1 - spread/2 + spread*draw))
+}
+
+// Crowded returns when a caller comes back that was refused because engines have no
+// room for its prompt. lasted is how long that has been so, and answer how long the
+// answers take that fill the engines: when they have ended there is room.
+//
+// Load it answers: a burst of callers, most of which repeat once. Without it those
+// that return within the burst are refused for good, and all others come at its end
+// at once. An answer that was refused is late in any case, so a caller that comes
+// back sooner gains nothing and takes room from those that are not.
+func Crowded(lasted, answer time.Duration, draw float64) time.Duration {
+	return spreadOut(min(max(lasted, slowed*answer), longest), draw)
+}
+
+// Spell is how long something has gone on without a pause. The zero value has seen
+// nothing. It is not safe for concurrent use.
+type Spell struct{ since, last time.Time }
+
+// Seen records it at now, and returns for how long it has gone on.
+func (s *Spell) Seen(now time.Time) time.Duration {
+	if now.Sub(s.last) > apart {
+		s.since = now
+	}
+	s.last = now
+	return now.Sub(s.since)
 }
--- a/decision/retryafter/retryafter_test.go
+++ b/decision/retryafter/retryafter_test.go
@@ -38,3 +38,36 @@
 func TestLongOutageTellsABoundedTime(t *testing.T) {
 	must.Eq(t, Unconfirmed(longest, true, 0.5), Unconfirmed(time.Hour, true, 0.5))
 }
+
+// Engines that are full refuse for eight seconds. Each caller repeats once. Those
+// refused at the beginning come back when the answers there have ended, those refused
+// later after as long again, and hardly any within the burst.
+func TestCrowdReturnsAfterTheBurst(t *testing.T) {
+	const burst, answer, callers = 8 * time.Second, 5 * time.Second, 1000
+	var spell Spell
+	served := 0
+	returns := map[time.Duration]int{}
+	start := time.Unix(0, 0)
+	for i := range callers {
+		at := i * int(burst) / callers
+		lasted := spell.Seen(start.Add(time.Duration(at)))
+		back := time.Duration(at) + Crowded(lasted, answer, float64(i%97)/97)
+		if back > burst {
+			served++
+		}
+		returns[back/(100*time.Millisecond)]++
+	}
+	must.Greater(t, callers*95/100, served)
+	for _, n := range returns {
+		must.Less(t, callers/20, n)
+	}
+}
+
+func TestSpellEndsWithAPause(t *testing.T) {
+	var s Spell
+	at := time.Unix(100, 0)
+	must.Eq(t, 0, s.Seen(at))
+	must.Eq(t, 2*time.Second, s.Seen(at.Add(2*time.Second)))
+	must.Eq(t, 4*time.Second, s.Seen(at.Add(4*time.Second)))
+	must.Eq(t, 0, s.Seen(at.Add(4*time.Second+apart+1)))
+}
--- /dev/null
+++ b/serve/forward/admit_test.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// A burst fills the memory of every engine. A prompt that is sent all the same waits
+// until its caller's time is over, and makes the engine throw out runs. Its caller is
+// told at once that nothing ran and when to come back.
+func TestFullEnginesRefuseAtOnce(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(5, time.Second, 40*time.Millisecond)
+		engines := []*fakeServer{w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)}
+		for _, e := range engines {
+			e.reports("full run-1")
+		}
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hTokens: "80"}), "prompt")
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		must.StrContains(t, got.body, "not_run")
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		must.Between(t, 2, seconds, 30)
+		must.Less(t, 500*time.Millisecond, got.took)
+		for _, e := range engines {
+			must.Eq(t, 0, e.requests())
+		}
+	})
+}
+
+// The daemon of a caller died in a burst, and the caller comes with the id of its last
+// event. It holds a part of the answer, so the rest is owed, and engines that are
+// full get it all the same.
+func TestFullEnginesTakeWhatIsOwed(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		a := w.add("e-a", "llm", "a", streaming(5, time.Second, 40*time.Millisecond))
+		a.reports("full run-1")
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hTokens: "80", hAfter: "2"}), "prompt")
+		must.Eq(t, events(3, 5), got.body)
+	})
+}
+
+// All engines have several prompts to read. The first event would come after the
+// route's objective: the caller is sent away before it waits for that, and one whose
+// objective has passed already is let in as long as half of its time would be left.
+func TestPromptsThatWaitTooLongAreRefused(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		a := w.add("e-a", "llm", "a", streaming(5, time.Second, 40*time.Millisecond))
+		sized := with(map[string]string{hTokens: "8000"})
+		must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", sized, "prompt").status) // a prompt takes a second
+		a.reports("-1 -2 -3 -4")
+		must.Eq(t, http.StatusServiceUnavailable, w.ask(http.MethodPost, "/s/1", sized, "prompt").status)
+		late := with(map[string]string{hTokens: "8000", hWait: "16000"})
+		must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", late, "prompt").status)
+		a.reports("-1 -2 -3 -4 -5 -6 -7 -8")
+		must.Eq(t, http.StatusServiceUnavailable, w.ask(http.MethodPost, "/s/1", late, "prompt").status)
+	})
+}
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -22,7 +22,7 @@
 	askLimit = 50 * time.Millisecond
 )
 
-// surveyed is an engine that answered.
+// surveyed is an engine with its answer; the report is empty where it gave none.
 type surveyed struct {
 	choice
 	report prompts.Report
@@ -32,7 +32,7 @@
 // other now. Engines that do not answer are passed over, since the entry of one that died
 // stays for seconds. Where none answers the best known gets the request all the
 // same: the link from here may be at fault, and it loses nothing to try.
-func (r *relay) place(ctx context.Context, view *feed.View) (choice, bool) {
+func (r *relay) place(ctx context.Context, view *feed.View) (surveyed, bool) {
 	first := r.h.pool.readers(time.Now(), view, r.service, Asked, r.failed)
 	if len(first) == 0 || view.Config.Engine(r.service) == nil {
 		return firstOf(first)
@@ -49,20 +49,21 @@
 		}
 		seen = append(seen, r.h.survey(ctx, candidates)...)
 		if c, ok := r.quietest(seen); ok && c.report.Free(r.in.call.PromptTokens) {
-			return c.choice, true
+			return c, true
 		}
 	}
 	if c, ok := r.quietest(seen); ok {
-		return c.choice, true
+		return c, true
 	}
 	return firstOf(first)
 }
 
-func firstOf(list []choice) (choice, bool) {
+// firstOf is the first of a list, of which no report is known.
+func firstOf(list []choice) (surveyed, bool) {
 	if len(list) == 0 {
-		return choice{}, false
+		return surveyed{}, false
 	}
-	return list[0], true
+	return surveyed{choice: list[0]}, true
 }
 
 func (r *relay) quietest(seen []surveyed) (surveyed, bool) {
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -13,6 +13,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/route"
 )
 
@@ -59,6 +60,7 @@
 	loads   map[string]*load
 	budgets map[string]*repeats.Budget
 	paces   map[string]*prompts.Pace
+	crowds  map[string]*retryafter.Spell
 	// successors are the ids of servers that have started anew at the address of one
 	// in the view, by the id there.
 	successors map[string]string
@@ -68,7 +70,7 @@
 	return &pool{
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
 		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
-		paces: map[string]*prompts.Pace{}, successors: map[string]string{},
+		paces: map[string]*prompts.Pace{}, crowds: map[string]*retryafter.Spell{}, successors: map[string]string{},
 	}
 }
 
@@ -241,6 +243,40 @@
 	return p.pace(service).Hopeless(tokens, left)
 }
 
+// asked records that a prompt is to be read.
+func (p *pool) asked(service string, tokens int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace(service).Asked(tokens)
+}
+
+// admit decides whether a prompt is sent to an engine that reports r.
+func (p *pool) admit(service string, r prompts.Report, tokens int, due time.Duration) prompts.Admission {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pace(service).Admit(r, tokens, due)
+}
+
+// ended records how long an answer took.
+func (p *pool) ended(service string, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pace(service).Ended(took)
+}
+
+// crowded is how long prompts of a service have been refused for want of room, and
+// how long answers take.
+func (p *pool) crowded(now time.Time, service string) (lasted, answer time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	spell, ok := p.crowds[service]
+	if !ok {
+		spell = &retryafter.Spell{}
+		p.crowds[service] = spell
+	}
+	return spell.Seen(now), p.pace(service).Answer()
+}
+
 // wasRead records the time that a prompt took to its first event.
 func (p *pool) wasRead(service string, tokens int, took time.Duration) {
 	p.mu.Lock()
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -102,6 +105,7 @@
 // stream forwards a request whose answer is a series of events.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
+	h.pool.asked(service, in.call.PromptTokens)
 	for {
 		l, err := r.next(ctx)
 		if err != nil {
@@ -111,6 +115,7 @@
 		r.log(l, end, err)
 		switch end {
 		case legWhole:
+			h.pool.ended(service, time.Since(in.arrived))
 			h.metrics.answered(in, http.StatusOK, sourceServer)
 			return nil
 		case legAnswer:
@@ -175,7 +180,29 @@
 	if !ok {
 		return leg{}, r.none()
 	}
-	return r.withCopy(ctx, leg{at: c}), nil
+	if err := r.admit(c.report); err != nil {
+		return leg{}, err
+	}
+	return r.withCopy(ctx, leg{at: c.choice}), nil
+}
+
+// admit refuses a request that engines have no room for. One that has run, or whose
+// caller holds a part of the answer, is owed: it is sent wherever it can be read in time.
+func (r *relay) admit(report prompts.Report) error {
+	now := time.Now()
+	left := r.in.until.Sub(now)
+	owed := r.sends > 0 || r.in.call.After > 0
+	due := left
+	if !owed {
+		due = prompts.Due(r.in.route.Objective, r.in.route.Timeout, left)
+	}
+	admission := r.h.pool.admit(r.service, report, r.in.call.PromptTokens, due)
+	if admission == prompts.Admitted || owed && admission == prompts.NoRoom {
+		return nil
+	}
+	lasted, answer := r.h.pool.crowded(now, r.service)
+	back := retryafter.Crowded(lasted, max(answer, r.in.route.Objective), rand.Float64())
+	return verdict.New(r.verdict(), verdict.CodeOverloaded, "engines have no room for the prompt (%s)", admission).After(back)
 }
 
 // mayRepeat asks this daemon's part of the shared budget for one more send, and
