bench prompts: memory of engines, runs thrown out, bursts, callers that are refused and come back

The emulator of long prompts learned what decides under overload: engines hold 88,000 tokens of prompts, runs and copies and throw out the newest run when they are full, prompts wait for room, callers wait for 25 s, losses strike whole zones and parts. TestLostCopiesAreMadeAgain keeps its figures: it is about copies alone and plays with memory without a bound. New: TestRefusalsKeepRoomForCopies, TestBurstBesideLosses, TestUsualLoadRefusesNobody.

--- a/lab/bench/prompts/engine.go
+++ b/lab/bench/prompts/engine.go
@@ -1,6 +1,9 @@
 package prompts
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Physics of the model engines, as the users' deployments state them.
 const (
@@ -10,6 +13,7 @@
 	chunk       = 200                     // prompt tokens read between two steps
 	eventTokens = 6                       // tokens of one event of a stream
 	firstWait   = 90 * time.Millisecond   // before a prompt is read
+	engineRoom  = 88_000                  // tokens of runs, prompts and copies
 )
 
 // run is one request at one engine.
@@ -20,6 +24,9 @@
 	ready   time.Duration
 }
 
+// held is how many tokens of an engine's memory the run takes.
+func (r *run) held() int { return max(r.request.size()-r.unread, 0) }
+
 // engine reads prompts in chunks between the steps of its batch.
 type engine struct {
 	id      int
@@ -29,6 +36,20 @@
 	running []*run
 	next    time.Duration // end of the step under way
 	down    bool
+	memory  int
+	copied  int // tokens of the copies that lie here, at the last report
+}
+
+// used is how many tokens lie in the engine's memory.
+func (e *engine) used() int {
+	n := e.copied
+	for _, r := range e.reading {
+		n += r.held()
+	}
+	for _, r := range e.running {
+		n += r.held()
+	}
+	return n
 }
 
 // step makes one step that begins at now, and returns when it ends.
@@ -48,15 +69,43 @@
 		running = append(running, r)
 	}
 	e.running = running
+	if e.used() > e.memory {
+		e.throwOut(w)
+	}
 	return end
 }
 
+// throwOut takes the newest run out of the batch; its prompt and what it has made are
+// read again behind the prompts that wait.
+func (e *engine) throwOut(w *world) {
+	last := len(e.running) - 1
+	if last < 0 {
+		return
+	}
+	r := e.running[last]
+	e.running = e.running[:last]
+	r.unread, r.token = r.request.size(), 0
+	e.reading = append(e.reading, r)
+	w.thrownOut++
+	r.request.wasted += r.unread
+}
+
+// drop takes a request off the engine.
+func (e *engine) drop(r *request) {
+	other := func(x *run) bool { return x.request == r }
+	e.reading = slices.DeleteFunc(e.reading, other)
+	e.running = slices.DeleteFunc(e.running, other)
+}
+
 // read reads one chunk of the first prompt that waits, and returns how long it takes.
 func (e *engine) read(now time.Duration) time.Duration {
 	if len(e.reading) == 0 || e.reading[0].ready > now {
 		return 0
 	}
 	r := e.reading[0]
+	if r.held() == 0 && e.used()+r.unread > e.memory {
+		return 0 // it waits for room
+	}
 	n := min(chunk, r.unread)
 	r.unread -= n
 	if r.unread == 0 {
--- a/lab/bench/prompts/prompts.go
+++ b/lab/bench/prompts/prompts.go
@@ -37,22 +37,24 @@
 	split bool
 	// remakes lets a run whose copy was lost get another.
 	remakes bool
-	choose  func(*world, []decide.Engine) int
+	// admits lets daemons refuse prompts that engines have no room for.
+	admits bool
+	choose func(*world, []decide.Engine, *request) int
 }
 
-func byRank(w *world, engines []decide.Engine) int {
+func byRank(w *world, engines []decide.Engine, _ *request) int {
 	return decide.Read(engines, 1, w.random.Uint64())[0].Index
 }
 
-func anywhere(w *world, engines []decide.Engine) int { return w.random.IntN(len(engines)) }
+func anywhere(w *world, engines []decide.Engine, _ *request) int { return w.random.IntN(len(engines)) }
 
 // byReport asks the first few of the rank what they do. Engines that are down do
 // not answer.
-func byReport(w *world, engines []decide.Engine) int {
+func byReport(w *world, engines []decide.Engine, r *request) int {
 	var order []int
 	var reports []decide.Report
 	for _, c := range decide.Read(engines, 3*forward.Asked, w.random.Uint64()) {
-		if len(order) >= forward.Asked && reports[decide.Quietest(reports, 0)].Free(0) {
+		if len(order) >= forward.Asked && reports[decide.Quietest(reports, r.prompt)].Free(r.prompt) {
 			break
 		}
 		if !w.engines[c.Index].down {
@@ -61,13 +63,19 @@
 		}
 	}
 	if len(order) == 0 {
-		return byRank(w, engines)
+		return byRank(w, engines, r)
 	}
-	return order[decide.Quietest(reports, 0)]
+	return order[decide.Quietest(reports, r.prompt)]
 }
 
 // inUse is what the daemons do.
 var inUse = policy{
+	name:  "home engines that are asked, copy in another zone, made again when lost, prompts without room refused",
+	homes: true, copies: true, remakes: true, admits: true, choose: byReport,
+}
+
+// sendsAll is inUse without refusals.
+var sendsAll = policy{
 	name:  "home engines that are asked, copy in another zone, made again when lost",
 	homes: true, copies: true, remakes: true, choose: byReport,
 }
@@ -78,20 +86,26 @@
 	{name: "least of its own, copy in another zone", copies: true, choose: byRank},
 	{name: "home engines, copy in another zone", homes: true, copies: true, choose: byRank},
 	{name: "home engines that are asked, copy in another zone", homes: true, copies: true, choose: byReport},
+	sendsAll,
 	inUse,
-	{name: "the same, half of the engines only read", homes: true, copies: true, split: true, remakes: true, choose: byReport},
+	{name: "the same, half of the engines only read", homes: true, copies: true, split: true, remakes: true, admits: true, choose: byReport},
 }
 
 var deployments = []deployment{
-	{"Association", 36, 7, 9.35, 6 * time.Second},
-	{"Tharaka", 18, 6, 4.68, 6 * time.Second},
-	{"Association, twice the load", 36, 7, 18.7, 6 * time.Second},
-	{"Association grown", 120, 73, 36, 3 * time.Second},
+	{name: "Association", engines: 36, daemons: 7, rate: 9.35, lossEvery: 6 * time.Second},
+	{name: "Tharaka", engines: 18, daemons: 6, rate: 4.68, lossEvery: 6 * time.Second},
+	{name: "Association, twice the load", engines: 36, daemons: 7, rate: 18.7, lossEvery: 6 * time.Second},
+	{name: "Association grown", engines: 120, daemons: 73, rate: 36, lossEvery: 3 * time.Second, lossShare: 0.55},
+	{
+		name: "Association, four times the load for 8 s", engines: 36, daemons: 7, rate: 9.35, lossEvery: 6 * time.Second,
+		burst: burst{from: 10 * time.Second, length: 8 * time.Second, factor: 4},
+	},
 }
 
 // result is what the callers of one trial got.
 type result struct {
 	answers, onTime, whole int
+	refused, thrownOut     int // callers turned away for good, and runs
 	firstP50, firstP99     time.Duration
 	tookP50, pauseP99      time.Duration
 	wasted                 int // prompt tokens read in vain, for each request
@@ -104,19 +118,20 @@
 	r.Param("losses", fmt.Sprintf("one zone of %d for %v, every other without a sign", zones, lossFor))
 	for _, d := range deployments {
 		title := fmt.Sprintf("%s, a loss every %v", d.name, d.lossEvery)
-		t := r.Table(title, report.Col("policy", ""), report.Col("on time", "%"), report.Col("whole", "%"),
+		t := r.Table(title, report.Col("policy", ""), report.Col("on time", "%"), report.Col("whole", "%"), report.Col("refused", "%"),
 			report.Col("first p50", "ms"), report.Col("first p99", "ms"), report.Col("answer p50", "ms"),
 			report.Col("pause p99", "ms"), report.Col("read in vain", "tokens a request"))
 		for _, p := range policies {
 			got := Trial(d, p, o.Seed, o.Duration)
 			fmt.Fprintf(o.Log, "%s, %s: %d of %d on time\n", d.name, p.name, got.onTime, got.answers)
-			t.Add(report.Text(p.name), percent(got.onTime, got.answers), percent(got.whole, got.answers),
+			t.Add(report.Text(p.name), percent(got.onTime, got.answers), percent(got.whole, got.answers), percent(got.refused, got.answers),
 				report.Millis(got.firstP50), report.Millis(got.firstP99), report.Millis(got.tookP50),
 				report.Millis(got.pauseP99), report.Count(got.wasted))
 		}
 	}
 	r.Note("An answer is on time if its first event comes within 4.5 s and no pause is above 0.7 s.")
-	r.Note("Left out: memory of the engines, dead daemons, the store, and the budget of repeats.")
+	r.Note("A caller waits for 25 s, and comes back once if it is refused. Refused are those turned away twice.")
+	r.Note("Left out: dead daemons, the store, and the budget of repeats.")
 	return r.Write(o.Dir)
 }
 
@@ -128,10 +143,13 @@
 }
 
 func (w *world) result() result {
-	out := result{answers: len(w.requests)}
+	out := result{answers: len(w.requests), thrownOut: w.thrownOut}
 	var first, took, pause []time.Duration
 	for _, r := range w.requests {
 		out.wasted += r.wasted
+		if r.refused >= tries {
+			out.refused++
+		}
 		if r.onTime() {
 			out.onTime++
 		}
--- a/lab/bench/prompts/prompts_test.go
+++ b/lab/bench/prompts/prompts_test.go
@@ -31,16 +31,55 @@
 func TestLostCopiesAreMadeAgain(t *testing.T) {
 	const length = 30 * time.Second
 	grown := deployments[3]
-	once := inUse
+	grown.lossShare, grown.memory, grown.patience = 0, 1<<30, time.Hour
+	once := sendsAll
 	once.remakes = false
 	before := Trial(grown, once, 1, length)
-	ours := Trial(grown, inUse, 1, length)
+	ours := Trial(grown, sendsAll, 1, length)
 	must.Eq(t, ours.answers, ours.whole)
 	must.GreaterEq(t, 85, 100*ours.onTime/ours.answers)
 	must.Less(t, 50, 100*before.onTime/before.answers)
 	must.Less(t, before.wasted/3, ours.wasted)
 }
 
+// Seventy daemons before engines whose memory is half full of runs and copies. After
+// the loss of a zone the others are full: prompts sent there all the same have runs
+// thrown out and leave no room for copies, and the next loss has all of them read again.
+// Callers that are turned away for some seconds instead are answered when they return.
+func TestRefusalsKeepRoomForCopies(t *testing.T) {
+	const length = 60 * time.Second
+	all := Trial(deployments[3], sendsAll, 1, length)
+	ours := Trial(deployments[3], inUse, 1, length)
+	must.GreaterEq(t, 70, 100*ours.onTime/ours.answers)
+	must.GreaterEq(t, 95, 100*ours.whole/ours.answers)
+	must.Less(t, 65, 100*all.onTime/all.answers)
+	must.Less(t, all.wasted*2/3, ours.wasted)
+}
+
+// Four times the load comes for eight seconds while zones are lost. Where all prompts
+// are sent, half of the callers wait for 25 s and get no whole answer, for engines read
+// prompts in every step and throw runs out. With refusals more answers arrive, and more
+// of them on time.
+func TestBurstBesideLosses(t *testing.T) {
+	const length = 60 * time.Second
+	for seed := range uint64(3) {
+		all := Trial(deployments[4], sendsAll, seed, length)
+		ours := Trial(deployments[4], inUse, seed, length)
+		must.Greater(t, 100*all.onTime/all.answers, 100*ours.onTime/ours.answers)
+		must.Greater(t, 100*all.whole/all.answers, 100*ours.whole/ours.answers)
+		must.Less(t, all.wasted, ours.wasted)
+		lost := func(r result) int { return 100 * (r.answers - r.whole - r.refused) / r.answers }
+		must.Less(t, lost(all)*3/4, lost(ours))
+	}
+}
+
+// At the usual load nobody is refused.
+func TestUsualLoadRefusesNobody(t *testing.T) {
+	for _, d := range deployments[:2] {
+		must.Eq(t, 0, Trial(d, inUse, 1, 60*time.Second).refused)
+	}
+}
+
 // Daemons that know one in seventy of the prompts being read send several to one
 // engine. Asked what they do, engines say so, and first events come earlier.
 func TestAskedEnginesReadSooner(t *testing.T) {
--- a/lab/bench/prompts/world.go
+++ b/lab/bench/prompts/world.go
@@ -1,11 +1,13 @@
 package prompts
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	decide "mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/route"
 )
 
@@ -33,10 +35,17 @@
 	moveTime = 20 * time.Millisecond
 )
 
+// start is the time of day at which trials begin.
+var start = time.Unix(1, 0)
+
 // Objectives of the answers.
 const (
 	firstObjective = 4500 * time.Millisecond
 	pauseObjective = 700 * time.Millisecond
+	// usualPatience is how long a caller waits for the end of its answer.
+	usualPatience = 25 * time.Second
+	// tries is how often a caller asks that is told to come back.
+	tries = 2
 )
 
 // request is one long answer.
@@ -52,10 +61,19 @@
 	end     time.Duration
 	at      *engine
 	reading bool // at that engine, for the first time or again
+	ran     bool // was sent to an engine
+	sent    time.Duration
 	copyAt  *engine
 	wasted  int // prompt tokens read in vain
+	// refused is how often it was turned away before it ran, and over that its caller
+	// waits no more, or came back once already.
+	refused int
+	over    bool
 }
 
+// size is how many tokens of memory the request takes so far.
+func (r *request) size() int { return r.prompt + r.made*eventTokens }
+
 // onTime reports whether the answer met both objectives.
 func (r *request) onTime() bool {
 	return r.end > 0 && r.first-r.arrived <= firstObjective && r.pause <= pauseObjective
@@ -67,8 +85,36 @@
 	engines int
 	daemons int
 	rate    float64 // requests a second
-	// lossEvery is the time between the losses of two zones.
+	// lossEvery is the time between the losses of two zones, of which every other
+	// takes only a share of the zone's engines where that is not 0.
 	lossEvery time.Duration
+	lossShare float64
+	burst     burst
+	// memory is that of an engine in tokens, and patience how long a caller waits; 0
+	// means engineRoom and usualPatience.
+	memory   int
+	patience time.Duration
+}
+
+// withDefaults returns d with zero fields set that have a default.
+func (d deployment) withDefaults() deployment {
+	d.memory = cmp.Or(d.memory, engineRoom)
+	d.patience = cmp.Or(d.patience, usualPatience)
+	return d
+}
+
+// burst is a time of more requests.
+type burst struct {
+	from, length time.Duration
+	factor       float64
+}
+
+// at is the factor on the load at a time.
+func (b burst) at(now time.Duration) float64 {
+	if now < b.from || now >= b.from+b.length {
+		return 1
+	}
+	return b.factor
 }
 
 // world is one trial in virtual time. Daemons know their own requests only.
@@ -83,8 +129,12 @@
 	running  [][]int
 	copies   [][]int
 	reports  []decide.Report // of the engines
+	paces    []*decide.Pace  // of the daemons
+	crowds   []*retryafter.Spell
 	pending  []pending
 	requests []*request
+	// thrownOut counts runs that an engine without memory took out of its batch.
+	thrownOut int
 }
 
 // pending is a request that goes on at a time.
@@ -92,13 +142,17 @@
 	at   time.Duration
 	r    *request
 	copy bool // from its copy
+	back bool // the caller comes back that was refused
 }
 
 func newWorld(d deployment, p policy, seed uint64) *world {
+	d = d.withDefaults()
 	w := &world{d: d, p: p, random: rand.New(rand.NewPCG(seed, seed))}
 	speeds := []float64{1, 1, 1.3}
 	for i := range d.engines {
-		w.engines = append(w.engines, &engine{id: i, zone: i * zones / d.engines, speed: speeds[i%len(speeds)]})
+		w.engines = append(w.engines, &engine{
+			id: i, zone: i * zones / d.engines, speed: speeds[i%len(speeds)], memory: d.memory,
+		})
 	}
 	for n := range d.daemons {
 		w.homes = append(w.homes, w.window(n))
@@ -106,6 +160,8 @@
 		w.reading = append(w.reading, make([]int, d.engines))
 		w.running = append(w.running, make([]int, d.engines))
 		w.copies = append(w.copies, make([]int, d.engines))
+		w.paces = append(w.paces, &decide.Pace{})
+		w.crowds = append(w.crowds, &retryafter.Spell{})
 	}
 	return w
 }
@@ -133,14 +189,16 @@
 
 // play runs the trial for a time and lets what runs end.
 func (w *world) play(length time.Duration) {
-	next := w.gap()
+	w.report()
+	next := w.gap(0)
 	loss := w.d.lossEvery
 	for now := time.Duration(0); now < length+20*time.Second; now += time.Millisecond {
 		for now >= next && now < length {
 			w.arrive(now)
-			next += w.gap()
+			next += w.gap(now)
 		}
 		if now%reportEvery == 0 {
+			w.giveUp(now)
 			w.report()
 		}
 		turn := int(loss / w.d.lossEvery)
@@ -165,8 +223,24 @@
 	}
 }
 
-func (w *world) gap() time.Duration {
-	return time.Duration(w.random.ExpFloat64() / w.d.rate * float64(time.Second))
+func (w *world) gap(now time.Duration) time.Duration {
+	return time.Duration(w.random.ExpFloat64() / (w.d.rate * w.d.burst.at(now)) * float64(time.Second))
+}
+
+// giveUp ends the requests whose callers wait no more.
+func (w *world) giveUp(now time.Duration) {
+	for _, r := range w.requests {
+		if r.end > 0 || r.over || now-r.arrived < w.d.patience {
+			continue
+		}
+		r.over = true
+		if r.at != nil {
+			r.at.drop(r)
+			w.leave(r)
+			r.at = nil
+		}
+		w.drop(r)
+	}
 }
 
 func (w *world) arrive(now time.Duration) {
@@ -176,9 +250,31 @@
 		events: max(20, int(130*math.Exp(0.2*w.random.NormFloat64()-0.02))),
 	}
 	w.requests = append(w.requests, r)
+	w.paces[r.daemon].Asked(r.prompt)
 	w.read(now, r)
 }
 
+// refuse reports whether a request that has not run is turned away by its daemon, and
+// has its caller come back if it has not before.
+func (w *world) refuse(now time.Duration, r *request, e int) bool {
+	if !w.p.admits || r.ran {
+		return false
+	}
+	pace := w.paces[r.daemon]
+	due := decide.Due(firstObjective, w.d.patience, w.d.patience-(now-r.arrived))
+	if pace.Admit(w.reports[e], r.prompt, due) == decide.Admitted {
+		return false
+	}
+	lasted := w.crowds[r.daemon].Seen(start.Add(now))
+	if r.refused++; r.refused >= tries {
+		r.over = true
+		return true
+	}
+	back := retryafter.Crowded(lasted, max(pace.Answer(), firstObjective), w.random.Float64())
+	w.pending = append(w.pending, pending{at: now + back, r: r, back: true})
+	return true
+}
+
 // view is what a daemon knows of the engines.
 func (w *world) view(now time.Duration, daemon int, reads bool) []decide.Engine {
 	engines := make([]decide.Engine, len(w.engines))
@@ -198,15 +294,19 @@
 // read sends a prompt to the engine that the policy chooses. An answer that had
 // begun goes on after its last event.
 func (w *world) read(now time.Duration, r *request) {
-	i := w.p.choose(w, w.view(now, r.daemon, true))
+	i := w.p.choose(w, w.view(now, r.daemon, true), r)
 	e := w.engines[i]
+	if w.refuse(now, r, i) {
+		return
+	}
+	r.ran, r.sent = true, now
 	if e.down {
 		w.suspect[r.daemon][i] = now + suspicion
 		w.pending = append(w.pending, pending{at: now + resetSeen, r: r})
 		return
 	}
 	w.enter(r, e, true)
-	e.reading = append(e.reading, &run{request: r, unread: r.prompt, ready: now + firstWait})
+	e.reading = append(e.reading, &run{request: r, unread: r.size(), ready: now + firstWait})
 	w.copy(now, r)
 }
 
@@ -233,6 +333,9 @@
 	}
 	engines := w.view(now, r.daemon, false)
 	engines[r.at.id].Excluded = true
+	for i, report := range w.reports {
+		engines[i].Excluded = engines[i].Excluded || !report.Fits(r.prompt)
+	}
 	i := decide.Copy(engines, string(rune('a'+r.at.zone)), w.random.Uint64())
 	if i >= 0 {
 		r.copyAt = w.engines[i]
@@ -244,6 +347,7 @@
 func (w *world) event(now time.Duration, r *request) bool {
 	if r.first == 0 {
 		r.first = now
+		w.paces[r.daemon].Observe(r.prompt, now-r.sent)
 	} else {
 		r.pause = max(r.pause, now-r.last)
 	}
@@ -256,6 +360,7 @@
 		return w.p.split && r.made == splitEvents && w.split(now, r)
 	}
 	r.end = now
+	w.paces[r.daemon].Ended(now - r.arrived)
 	w.leave(r)
 	w.drop(r)
 	return true
@@ -281,9 +386,17 @@
 
 // report takes down what the engines do. One that is down answers nothing.
 func (w *world) report() {
+	for _, e := range w.engines {
+		e.copied = 0
+	}
+	for _, r := range w.requests {
+		if r.copyAt != nil {
+			r.copyAt.copied += r.size()
+		}
+	}
 	w.reports = make([]decide.Report, len(w.engines))
 	for i, e := range w.engines {
-		w.reports[i] = decide.Report{Unread: len(e.reading), Running: len(e.running)}
+		w.reports[i] = decide.Report{Unread: len(e.reading), Running: len(e.running), Used: e.used(), Memory: e.memory}
 	}
 }
 
@@ -298,13 +411,14 @@
 
 // lose takes a zone's engines down, and the copies there.
 func (w *world) lose(now time.Duration, zone int, dark bool) {
+	struck := w.struck(zone, dark)
 	for _, r := range w.requests {
-		if r.copyAt != nil && r.copyAt.zone == zone {
+		if r.copyAt != nil && struck[r.copyAt.id] {
 			w.drop(r)
 		}
 	}
 	for _, e := range w.engines {
-		if e.zone != zone {
+		if !struck[e.id] {
 			continue
 		}
 		for _, lost := range e.fail() {
@@ -313,6 +427,17 @@
 	}
 }
 
+// struck marks the engines that a loss takes: those of a zone, or of every other loss
+// a share of them.
+func (w *world) struck(zone int, whole bool) []bool {
+	struck := make([]bool, len(w.engines))
+	for i, e := range w.engines {
+		all := whole || w.d.lossShare == 0
+		struck[i] = e.zone == zone && (all || w.random.Float64() < w.d.lossShare)
+	}
+	return struck
+}
+
 // broken lets a lost run go on once its daemon has noticed.
 func (w *world) broken(now time.Duration, lost *run, dark bool) {
 	r := lost.request
@@ -339,8 +464,11 @@
 	w.pending = nil
 	for _, p := range due {
 		switch {
+		case p.r.over:
 		case p.at > now:
 			w.pending = append(w.pending, p)
+		case p.back:
+			w.read(now, p.r)
 		case p.copy && p.r.copyAt != nil && !p.r.copyAt.down:
 			w.move(now, p.r)
 		default:
