bench load: engines that read prompts in chunks within their steps, with bounded memory

The former kind is unchanged and stays the default, with its expected values. In direction as on the users' platform: refusing what does not fit keeps the rest whole.

--- a/lab/bench/load/bench.go
+++ b/lab/bench/load/bench.go
@@ -17,6 +17,7 @@
 	Dir        string
 	Deployment string
 	Scenario   string // one of Names, or empty for all
+	Engines    string // "beside" or "chunked", empty for the first
 	Seed       uint64
 	Log        io.Writer
 	Now        time.Time // stamps the report
@@ -50,7 +51,15 @@
 	if err != nil {
 		return err
 	}
+	if o.Engines != "" {
+		if d.engines, err = physicsNamed(o.Engines); err != nil {
+			return err
+		}
+	}
 	command := fmt.Sprintf("go run ./cmd/mallowctl bench load --out DIR --deployment %s --seed %d", d.name, o.Seed)
+	if d.engines.Name != beside.Name {
+		command += " --engines " + d.engines.Name
+	}
 	if o.Scenario != "" {
 		command += " --scenario " + o.Scenario
 	}
--- a/lab/bench/load/deploy.go
+++ b/lab/bench/load/deploy.go
@@ -38,6 +38,7 @@
 	client   time.Duration // one way between callers and entry VMs
 	accounts int
 	slots    int // operators' bound on one backend server
+	engines  Physics
 	kinds    []kind
 }
 
@@ -84,6 +85,7 @@
 	if !ok {
 		return d, errors.Errorf("deployment %q is none of association, tharaka", name)
 	}
+	d.engines = beside
 	return d, nil
 }
 
@@ -110,8 +112,14 @@
 // nominal is the rough rate of answer tokens a second of one pool, from the
 // engine's figures. It only sets the load of the run that measures capacity.
 func (d deployment) nominal(pool string) float64 {
-	step := float64(stepBase+time.Duration(d.slots)*stepPerStream) / float64(time.Second)
-	return float64(d.pools[pool]) * float64(d.slots) / step
+	prompt, answer := 0.0, 0.0
+	for _, k := range d.kinds {
+		if k.service.Pool == pool {
+			prompt += k.share * float64(k.prompt) / float64(k.answer)
+			answer += k.share
+		}
+	}
+	return float64(d.pools[pool]) * d.engines.rate(d.slots, prompt, answer)
 }
 
 // meanAnswer is the mean of answer tokens over the requests of a kind, given
--- a/lab/bench/load/engine.go
+++ b/lab/bench/load/engine.go
@@ -6,17 +6,11 @@
 	"time"
 )
 
-// The simulated engine. A step of the batch takes stepBase plus stepPerStream
-// for each stream, so that 20 streams are two fifths slower than one; a prefill
-// runs in chunks beside the batch and slows it a little.
+// The simulated engine, whose times are those of its Physics.
 const (
-	stepBase      = 18 * time.Millisecond
-	stepPerStream = 375 * time.Microsecond
-	prefillRate   = 8000.0 // prompt tokens a second
-	prefillSlows  = 1.1    // factor on a step while a prefill runs
-	cachedPart    = 0.15   // of a prefill that remains when the prefix is cached
-	cacheEntries  = 24     // prefixes an engine holds
-	batchMost     = 32     // streams in a batch; more wait inside the engine
+	cachedPart   = 0.15 // of a prefill that remains when the prefix is cached
+	cacheEntries = 24   // prefixes an engine holds
+	batchMost    = 32   // streams in a batch; more wait inside the engine
 )
 
 // job is one attempt of a request on an engine.
@@ -38,12 +32,14 @@
 // engineSim is one backend server.
 type engineSim struct {
 	clock   *clock
+	physics Physics
 	id      string
 	zone    int
 	slow    float64 // factor on every step; 1 is usual
 	dead    bool
 	waiting []*job
-	filling *job // prefill in progress
+	filling *job    // prefill in progress
+	unread  float64 // prompt tokens left of it, where chunks are part of the steps
 	fills   []*job
 	batch   []*job
 	v       float64 // tokens produced per stream so far
@@ -59,22 +55,27 @@
 }
 
 func (e *engineSim) step() time.Duration {
-	d := float64(stepBase) + float64(stepPerStream)*float64(len(e.batch))
-	if e.filling != nil {
-		d *= prefillSlows
-	}
-	return time.Duration(d * e.slow)
+	return time.Duration(float64(e.physics.step(len(e.batch), e.filling != nil)) * e.slow)
 }
 
+// chunks reports whether a prefill is part of the steps now.
+func (e *engineSim) chunks() bool { return e.filling != nil && e.physics.Chunk > 0 }
+
 // advance moves the token clock to now at the present step time.
 func (e *engineSim) advance() {
 	dt := e.clock.now.Sub(e.vAt)
 	e.vAt = e.clock.now
-	if dt <= 0 || len(e.batch) == 0 {
+	if dt <= 0 || len(e.batch) == 0 && !e.chunks() {
 		return
 	}
 	step := e.step()
 	n := float64(dt) / float64(step)
+	if e.chunks() {
+		e.unread -= n * float64(e.physics.Chunk)
+	}
+	if len(e.batch) == 0 {
+		return
+	}
 	e.v += n
 	e.gaps.add(step, n*float64(len(e.batch)))
 }
@@ -99,13 +100,31 @@
 			return e.waiting[a].priority > e.waiting[b].priority
 		})
 	}
-	for len(e.waiting) > 0 && e.running() < batchMost {
+	for len(e.waiting) > 0 && e.running() < batchMost && e.room(e.waiting[0]) {
 		e.fills = append(e.fills, e.waiting[0])
 		e.waiting = e.waiting[1:]
 	}
 	e.fill()
 }
 
+// room reports whether the memory holds one more job. An empty engine takes any.
+func (e *engineSim) room(next *job) bool {
+	if e.physics.Memory == 0 || e.running() == 0 {
+		return true
+	}
+	taken := next.tokens()
+	for _, j := range e.fills {
+		taken += j.tokens()
+	}
+	for _, j := range e.batch {
+		taken += j.tokens()
+	}
+	return taken <= e.physics.Memory
+}
+
+// tokens is what a job takes of an engine's memory at its end.
+func (j *job) tokens() int { return j.req.prompt + j.req.produced() + int(j.answer) }
+
 // fill starts the next prefill, the most urgent first.
 func (e *engineSim) fill() {
 	if e.filling != nil || len(e.fills) == 0 {
@@ -129,7 +148,11 @@
 		}
 		tokens *= cachedPart
 	}
-	took := time.Duration(tokens / prefillRate * e.slow * float64(time.Second))
+	if e.physics.Chunk > 0 {
+		e.unread = tokens // worked off step by step
+		return
+	}
+	took := time.Duration(tokens / e.physics.PrefillRate * e.slow * float64(time.Second))
 	e.clock.after(took, func() { e.filled(j) })
 }
 
@@ -154,10 +177,13 @@
 // schedule sets the timer for the next stream to end.
 func (e *engineSim) schedule() {
 	e.next.stop()
-	if len(e.batch) == 0 || e.dead {
+	if len(e.batch) == 0 && !e.chunks() || e.dead {
 		return
 	}
 	left := math.Inf(1)
+	if e.chunks() {
+		left = e.unread / float64(e.physics.Chunk)
+	}
 	for _, j := range e.batch {
 		left = min(left, j.startV+j.answer-e.v)
 	}
@@ -167,6 +193,10 @@
 
 func (e *engineSim) finish() {
 	e.advance()
+	if e.chunks() && e.unread < 1e-6 {
+		e.filled(e.filling) // goes on with what ends at the same time
+		return
+	}
 	var ended []*job
 	for _, j := range e.batch {
 		if j.startV+j.answer-e.v < 1e-6 {
@@ -193,7 +223,11 @@
 	j.over = true
 	e.waiting = remove(e.waiting, j)
 	e.batch = remove(e.batch, j)
-	if e.filling != j {
+	switch {
+	case e.filling != j:
+		e.fills = remove(e.fills, j)
+	case e.chunks():
+		e.filling = nil
 		e.fills = remove(e.fills, j)
 	}
 	e.admit()
--- a/lab/bench/load/world.go
+++ b/lab/bench/load/world.go
@@ -91,7 +91,7 @@
 	for _, pool := range []string{poolLong, poolDesk} {
 		for i := range w.deploy.pools[pool] {
 			e := &engineSim{
-				clock: w.clock, id: fmt.Sprintf("%s-%03d", pool, i), zone: i % len(w.deploy.zones),
+				clock: w.clock, physics: w.deploy.engines, id: fmt.Sprintf("%s-%03d", pool, i), zone: i % len(w.deploy.zones),
 				slow: 1, vAt: w.clock.now, gaps: &w.meter.gaps,
 			}
 			e.onCache = func(prefix uint64, held bool) { w.cacheEvent(e.id, prefix, held) }
