enginesim: bounded memory; forward: what is learned of pressure is a type of its own

The engine stand-in takes in what its memory holds and takes the newest of the least urgent generations out of its batch where answers outgrow it ([engines] memory). No decision changes.

--- a/external/standin/enginesim/config.go
+++ b/external/standin/enginesim/config.go
@@ -3,7 +3,9 @@
 // under testing/synctest; Handler serves the wire form over it.
 //
 // It batches continuously: each step gives every running generation one token
-// and works off some prefill, and takes longer the more it holds. Its tokens
+// and works off some prefill, and takes longer the more it holds. With a bound of
+// memory, prompts wait for room, and the newest of the least urgent generations is
+// taken out of the batch, to be read again, where answers outgrow it. Its tokens
 // check themselves (package tokencheck). Faults are injected by methods.
 package enginesim
 
@@ -36,6 +38,7 @@
 	PrefillPerToken time.Duration // added for each prompt token worked off
 	PrefillChunk    int           // most prompt tokens worked off in one step
 	CacheBlocks     int           // prompt blocks kept, least recently used first out
+	Memory          int           // tokens that the batch may hold; 0 means no bound
 
 	Linger time.Duration // how long a generation runs on with no reader
 	Keep   time.Duration // how long a finished or cancelled one is remembered
@@ -76,12 +79,13 @@
 
 // Stats counts the work of an engine since it was made, across restarts.
 type Stats struct {
-	Started   int64 `json:"started"`   // attempts taken in
-	Refused   int64 `json:"refused"`   // attempts refused
-	Tokens    int64 `json:"tokens"`    // tokens generated
-	Prefilled int64 `json:"prefilled"` // prompt and prefix tokens worked off
-	Cached    int64 `json:"cached"`    // prompt and prefix tokens found in the cache
-	Cancelled int64 `json:"cancelled"` // attempts ended by Cancel
-	Abandoned int64 `json:"abandoned"` // attempts ended because nobody read them
-	Lost      int64 `json:"lost"`      // attempts lost by Die
+	Started   int64 `json:"started"`    // attempts taken in
+	Refused   int64 `json:"refused"`    // attempts refused
+	Tokens    int64 `json:"tokens"`     // tokens generated
+	Prefilled int64 `json:"prefilled"`  // prompt and prefix tokens worked off
+	Cached    int64 `json:"cached"`     // prompt and prefix tokens found in the cache
+	Cancelled int64 `json:"cancelled"`  // attempts ended by Cancel
+	Abandoned int64 `json:"abandoned"`  // attempts ended because nobody read them
+	Lost      int64 `json:"lost"`       // attempts lost by Die
+	ThrownOut int64 `json:"thrown_out"` // attempts taken out of the batch for want of memory
 }
--- a/external/standin/enginesim/load_test.go
+++ b/external/standin/enginesim/load_test.go
@@ -11,6 +11,7 @@
 
 	"mallowwind.dev/external/engine"
 	"mallowwind.dev/external/standin/enginesim"
+	"mallowwind.dev/external/standin/tokencheck"
 	"mallowwind.dev/external/standin/weightsim"
 )
 
@@ -169,3 +170,53 @@
 	must.NotEq(t, text(1, 1), text(1, 2))
 	must.NotEq(t, text(1, 1), text(2, 1))
 }
+
+// Long prompts for more than an engine's memory come at once. Those that do not fit
+// wait, although the batch has places, and all answers come whole.
+func TestPromptsWaitForMemory(t *testing.T) {
+	prompt := strings.Repeat("a contract of many pages. ", 400) // 2,600 tokens
+	simulate(t, enginesim.Config{Memory: 8000}, func(t *testing.T, s *enginesim.Sim) {
+		began := time.Now()
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			status, err := s.Status(t.Context())
+			must.NoError(t, err)
+			must.Eq(t, 3, status.Running)
+			must.Eq(t, 3, status.Waiting)
+		}()
+		took := run(t, s, 6, prompt)
+		must.Greater(t, 500*time.Millisecond, took)
+		must.Eq(t, 0, int(s.Stats().ThrownOut))
+		must.Less(t, time.Minute, time.Since(began))
+	})
+}
+
+// Answers outgrow an engine's memory. The newest is taken out in the middle of its
+// stream and goes on later; its caller sees a pause, and neither a gap nor a token
+// twice.
+func TestAnswersOutgrowTheMemory(t *testing.T) {
+	simulate(t, enginesim.Config{Memory: 300}, func(t *testing.T, s *enginesim.Sim) {
+		type result struct {
+			text string
+			err  error
+		}
+		answers := make(chan result, 3)
+		for i := range 3 {
+			req := request(fmt.Sprint("contract ", i), 150)
+			req.Generation = fmt.Sprint("g", i)
+			stream, err := s.Generate(t.Context(), req)
+			must.NoError(t, err)
+			go func() {
+				text, _, err := readAll(t.Context(), stream)
+				if err == nil {
+					err = tokencheck.CheckWhole(ref.Model, req.Prompt, text, 150)
+				}
+				answers <- result{text, err}
+			}()
+		}
+		for range 3 {
+			must.NoError(t, (<-answers).err)
+		}
+		must.Positive(t, s.Stats().ThrownOut)
+	})
+}
--- a/external/standin/enginesim/step.go
+++ b/external/standin/enginesim/step.go
@@ -77,7 +77,7 @@
 }
 
 func (s *Sim) fill() {
-	for len(s.batch) < s.config.Slots && len(s.queue) > 0 {
+	for len(s.batch) < s.config.Slots && len(s.queue) > 0 && s.room(s.queue[0]) {
 		g := s.queue[0]
 		s.queue = slices.Delete(s.queue, 0, 1)
 		g.phase = running
@@ -93,7 +93,8 @@
 	held := s.cache.held(hashes) * engine.BlockBytes / engine.BytesPerToken
 	s.cache.add(hashes, time.Now())
 	total := (len(text) + engine.BytesPerToken - 1) / engine.BytesPerToken
-	g.prefill = max(total-held, 1) // the last token is always computed
+	total += len(g.tokens) - len(g.req.Prefix) // made here before it was taken out
+	g.prefill = max(total-held, 1)             // the last token is always computed
 	s.stats.Cached += int64(total - g.prefill)
 }
 
@@ -131,6 +132,7 @@
 	for _, p := range work {
 		s.apply(p)
 	}
+	s.trim()
 }
 
 func (s *Sim) apply(p part) {
--- a/lab/standins/fields.go
+++ b/lab/standins/fields.go
@@ -63,6 +63,7 @@
 	{Name: "step_per_request", Default: "500us", Help: "added for each running generation", Set: duration(func(p *host.Pool) *time.Duration { return &p.Engine.StepPerRequest })},
 	{Name: "prefill_per_token", Default: "100us", Help: "added for each prompt token worked off", Set: duration(func(p *host.Pool) *time.Duration { return &p.Engine.PrefillPerToken })},
 	{Name: "cache_blocks", Default: "4096", Help: "prompt blocks of 256 bytes kept", Set: number(func(p *host.Pool) *int { return &p.Engine.CacheBlocks })},
+	{Name: "memory", Help: "tokens of prompts and answers that the batch may hold; no bound if left out", Set: number(func(p *host.Pool) *int { return &p.Engine.Memory })},
 	{Name: "linger", Default: "30s", Help: "how long a generation runs on with no reader", Set: duration(func(p *host.Pool) *time.Duration { return &p.Engine.Linger })},
 	{Name: "status_lag", Default: "0s", Help: "age of load figures", Set: duration(func(p *host.Pool) *time.Duration { return &p.Engine.StatusLag })},
 	{Name: "event_delay", Default: "0s", Help: "lateness of cache events", Set: duration(func(p *host.Pool) *time.Duration { return &p.Engine.EventDelay })},
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -70,6 +70,7 @@
 	opts      Options
 	transport http.RoundTripper
 	pool      *pool
+	pressure  *pressure
 	locator   *locator
 	borrower  *borrower
 	metrics   *metrics
@@ -80,7 +81,7 @@
 
 // New returns a handler.
 func New(o Options) *Handler {
-	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), borrower: newBorrower(o)}
+	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(), borrower: newBorrower(o)}
 	h.locator = newLocator(h)
 	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -38,7 +38,7 @@
 			r.h.pool.count(l.at, -1, 1, 0)
 			r.h.pool.worked(l.at)
 			if l.from == "" && r.in.call.After == 0 {
-				r.h.pool.wasRead(r.service, r.in.call.PromptTokens, time.Since(started))
+				r.h.pressure.wasRead(r.service, r.in.call.PromptTokens, time.Since(started))
 			}
 			if second != nil {
 				go second.run(ctx)
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -67,14 +67,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends the sends that lost
 	now := time.Now()
-	if lasted, refused := h.pool.throttled(now, service); refused {
+	if lasted, refused := h.pressure.throttled(now, service); refused {
 		back := retryafter.Crowded(lasted, in.route.Objective, rand.Float64())
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the backend servers turn requests away").After(back)
 	}
 	x := &exchanges{h: h, in: in, service: service, results: make(chan *outcome, 8)}
 	last, err := x.run(ctx)
 	if x.rejected > 0 || x.sent > 0 {
-		h.pool.fate(time.Now(), service, x.sent > 0)
+		h.pressure.fate(time.Now(), service, x.sent > 0)
 	}
 	if err != nil {
 		return err
@@ -183,7 +183,7 @@
 
 // crowded reports whether the servers turn requests away, so that what is sent a
 // second time takes the place of another.
-func (x *exchanges) crowded() bool { return x.h.pool.turnsAway(time.Now(), x.service) }
+func (x *exchanges) crowded() bool { return x.h.pressure.turnsAway(time.Now(), x.service) }
 
 // conclude is the answer when nothing more can be tried.
 func (x *exchanges) conclude(best, last *outcome) (*outcome, error) {
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -13,9 +13,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/repeats"
-	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/route"
-	"mallowwind.dev/decision/throttle"
 )
 
 const (
@@ -60,8 +58,6 @@
 	layouts map[string]*layout
 	loads   map[string]*load
 	budgets map[string]*repeats.Budget
-	paces   map[string]*prompts.Pace
-	crowds  map[string]*crowd
 	// successors are the ids of servers that have started anew at the address of one
 	// in the view, by the id there.
 	successors map[string]string
@@ -71,7 +67,7 @@
 	return &pool{
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
 		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
-		paces: map[string]*prompts.Pace{}, crowds: map[string]*crowd{}, successors: map[string]string{},
+		successors: map[string]string{},
 	}
 }
 
@@ -228,103 +224,6 @@
 	return p.budget(service).Repeat(now, p.share())
 }
 
-func (p *pool) pace(service string) *prompts.Pace {
-	one, ok := p.paces[service]
-	if !ok {
-		one = &prompts.Pace{}
-		p.paces[service] = one
-	}
-	return one
-}
-
-// hopeless reports whether a prompt cannot be read in the time that is left.
-func (p *pool) hopeless(service string, tokens int, left time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pace(service).Hopeless(tokens, left)
-}
-
-// asked records that a prompt is to be read.
-func (p *pool) asked(service string, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pace(service).Asked(tokens)
-}
-
-// admit decides whether a prompt is sent to an engine that reports r.
-func (p *pool) admit(service string, r prompts.Report, tokens int, due time.Duration) prompts.Admission {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pace(service).Admit(r, tokens, due)
-}
-
-// ended records how long an answer took.
-func (p *pool) ended(service string, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pace(service).Ended(took)
-}
-
-// crowded is how long prompts of a service have been refused for want of room, and
-// how long answers take.
-func (p *pool) crowded(now time.Time, service string) (lasted, answer time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.crowd(service).spell.Seen(now), p.pace(service).Answer()
-}
-
-// crowd is what is known of a service that gets more requests than its servers take.
-type crowd struct {
-	spell    retryafter.Spell // of refusals here
-	throttle throttle.Throttle
-}
-
-func (p *pool) crowd(service string) *crowd {
-	one, ok := p.crowds[service]
-	if !ok {
-		one = &crowd{}
-		p.crowds[service] = one
-	}
-	return one
-}
-
-// throttled reports whether a call is refused because the servers turn calls away,
-// and how long that has been so.
-func (p *pool) throttled(now time.Time, service string) (lasted time.Duration, refused bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.crowd(service)
-	if !c.throttle.Refuse(now, rand.Float64()) {
-		return 0, false
-	}
-	return c.spell.Seen(now), true
-}
-
-// turnsAway reports whether the servers of a service turn calls away now.
-func (p *pool) turnsAway(now time.Time, service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.crowd(service).throttle.Crowded(now)
-}
-
-// fate records what became of a call: taken by a server, or turned away by all tried.
-func (p *pool) fate(now time.Time, service string, taken bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if taken {
-		p.crowd(service).throttle.Taken(now)
-	} else {
-		p.crowd(service).throttle.TurnedAway(now)
-	}
-}
-
-// wasRead records the time that a prompt took to its first event.
-func (p *pool) wasRead(service string, tokens int, took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.pace(service).Observe(tokens, took)
-}
-
 // choice is a server with the reason it was chosen for.
 type choice struct {
 	server routing.Server
--- /dev/null
+++ b/serve/forward/pressure.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/retryafter"
+	"mallowwind.dev/decision/throttle"
+)
+
+// pressure is what this daemon has learned of how busy each service is. It is safe
+// for concurrent use.
+type pressure struct {
+	mu       sync.Mutex
+	services map[string]*servicePressure
+}
+
+// servicePressure is what was learned of one service.
+type servicePressure struct {
+	pace     prompts.Pace
+	throttle throttle.Throttle
+	refusing retryafter.Spell // of refusals by this daemon
+}
+
+func newPressure() *pressure { return &pressure{services: map[string]*servicePressure{}} }
+
+// on locks what is known of a service; the caller unlocks it.
+func (p *pressure) on(service string) *servicePressure {
+	p.mu.Lock()
+	one, ok := p.services[service]
+	if !ok {
+		one = &servicePressure{}
+		p.services[service] = one
+	}
+	return one
+}
+
+// hopeless reports whether a prompt cannot be read in the time that is left.
+func (p *pressure) hopeless(service string, tokens int, left time.Duration) bool {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Hopeless(tokens, left)
+}
+
+// asked records that a prompt is to be read.
+func (p *pressure) asked(service string, tokens int) {
+	defer p.mu.Unlock()
+	p.on(service).pace.Asked(tokens)
+}
+
+// wasRead records the time that a prompt took to its first event.
+func (p *pressure) wasRead(service string, tokens int, took time.Duration) {
+	defer p.mu.Unlock()
+	p.on(service).pace.Observe(tokens, took)
+}
+
+// ended records how long an answer took.
+func (p *pressure) ended(service string, took time.Duration) {
+	defer p.mu.Unlock()
+	p.on(service).pace.Ended(took)
+}
+
+// admit decides whether a prompt is sent to an engine that reports r.
+func (p *pressure) admit(service string, r prompts.Report, tokens int, due time.Duration) prompts.Admission {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Admit(r, tokens, due)
+}
+
+// refused records that a prompt is refused for want of room. It returns for how long
+// that has been so, and how long answers take.
+func (p *pressure) refused(now time.Time, service string) (lasted, answer time.Duration) {
+	defer p.mu.Unlock()
+	s := p.on(service)
+	return s.refusing.Seen(now), s.pace.Answer()
+}
+
+// throttled reports whether a call is refused because the servers turn calls away,
+// and how long that has been so.
+func (p *pressure) throttled(now time.Time, service string) (lasted time.Duration, refused bool) {
+	defer p.mu.Unlock()
+	s := p.on(service)
+	if !s.throttle.Refuse(now, rand.Float64()) {
+		return 0, false
+	}
+	return s.refusing.Seen(now), true
+}
+
+// turnsAway reports whether the servers of a service turn calls away now.
+func (p *pressure) turnsAway(now time.Time, service string) bool {
+	defer p.mu.Unlock()
+	return p.on(service).throttle.Crowded(now)
+}
+
+// fate records what became of a call: taken by a server, or turned away by all tried.
+func (p *pressure) fate(now time.Time, service string, taken bool) {
+	defer p.mu.Unlock()
+	s := p.on(service)
+	if taken {
+		s.throttle.Taken(now)
+		return
+	}
+	s.throttle.TurnedAway(now)
+}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -105,7 +105,7 @@
 // stream forwards a request whose answer is a series of events.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
-	h.pool.asked(service, in.call.PromptTokens)
+	h.pressure.asked(service, in.call.PromptTokens)
 	for {
 		l, err := r.next(ctx)
 		if err != nil {
@@ -115,7 +115,7 @@
 		r.log(l, end, err)
 		switch end {
 		case legWhole:
-			h.pool.ended(service, time.Since(in.arrived))
+			h.pressure.ended(service, time.Since(in.arrived))
 			h.metrics.answered(in, http.StatusOK, sourceServer)
 			return nil
 		case legAnswer:
@@ -173,7 +173,7 @@
 	if c, ok := r.warm(ctx, now, view); ok {
 		return r.withCopy(ctx, leg{at: c}), nil
 	}
-	if r.h.pool.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
+	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
 	c, ok := r.place(ctx, view)
@@ -196,11 +196,11 @@
 	if !owed {
 		due = prompts.Due(r.in.route.Objective, r.in.route.Timeout, left)
 	}
-	admission := r.h.pool.admit(r.service, report, r.in.call.PromptTokens, due)
+	admission := r.h.pressure.admit(r.service, report, r.in.call.PromptTokens, due)
 	if admission == prompts.Admitted || owed && admission == prompts.NoRoom {
 		return nil
 	}
-	lasted, answer := r.h.pool.crowded(now, r.service)
+	lasted, answer := r.h.pressure.refused(now, r.service)
 	back := retryafter.Crowded(lasted, max(answer, r.in.route.Objective), rand.Float64())
 	return verdict.New(r.verdict(), verdict.CodeOverloaded, "engines have no room for the prompt (%s)", admission).After(back)
 }
