--- a/decision/prompts/pace.go
+++ b/decision/prompts/pace.go
@@ -31,8 +31,12 @@
 	answer   float64 // nanoseconds, mean time of the answers from arrival to end
 }
 
-// Asked records that a prompt of so many tokens is to be read.
+// Asked records that a prompt of so many tokens is to be read; 0 means that its caller
+// does not say.
 func (p *Pace) Asked(tokens int) {
+	if tokens <= 0 {
+		return
+	}
 	p.tokens = moved(p.tokens, float64(tokens))
 }
 
--- /dev/null
+++ b/serve/forward/accept_test.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// An account key is taken away while a daemon has lost the store, and its caller goes
+// on with it. The daemon cannot know; so it stops trusting keys before the bound after
+// which a removed key must not work, says that nothing ran, and serves again once the
+// store has answered. Routes without a key are served all along.
+func TestKeysAreNotTrustedBeyondTheirAge(t *testing.T) {
+	public := *plainRoutes()[0]
+	public.Name, public.Prefix, public.Public = "open", "/open/", true
+	inWorld(t, append(plainRoutes(), &public), func(w *world) {
+		desk := w.add("d-1", "desk", "a", proven("ok"))
+		ask := func(path string) answer { return w.ask(http.MethodPost, path, caller, "x") }
+		w.reach.SetDown(true)
+		lost := time.Now()
+		lastTrusted := time.Duration(0)
+		for time.Since(lost) < 8*time.Second {
+			if got := ask("/once/1"); got.status == http.StatusOK {
+				lastTrusted = time.Since(lost)
+			} else {
+				must.Eq(t, http.StatusServiceUnavailable, got.status)
+				must.StrContains(t, got.body, "not_run")
+				seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				must.NoError(t, err)
+				must.Positive(t, seconds)
+			}
+			must.Eq(t, http.StatusOK, ask("/open/1").status)
+			time.Sleep(50 * time.Millisecond)
+		}
+		must.Between(t, 3*time.Second, lastTrusted, 5*time.Second-keyMargin)
+		before := desk.requests()
+		must.Eq(t, http.StatusServiceUnavailable, ask("/once/1").status)
+		must.Eq(t, before, desk.requests())
+		w.reach.SetDown(false)
+		time.Sleep(3 * time.Second)
+		must.Eq(t, http.StatusOK, ask("/once/1").status)
+	})
+}
+
+// A daemon is asked with a key that no configuration holds, by a request without one,
+// and with one that holds.
+func TestKeysOfAccounts(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		desk := w.add("d-1", "desk", "a", proven("ok"))
+		for key, status := range map[string]int{"key-1": http.StatusOK, "key-2": http.StatusOK, "key-3": http.StatusUnauthorized, "": http.StatusUnauthorized} {
+			must.Eq(t, status, w.ask(http.MethodPost, "/once/1", with(map[string]string{hKey: key}), "x").status)
+		}
+		must.Eq(t, 2, desk.requests())
+		for _, r := range desk.asked() {
+			must.Eq(t, "", r.Header.Get(hKey))
+		}
+	})
+}
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -36,12 +36,13 @@
 	err    error // without a whole, proven answer
 	// notRun says that the request did not run there and will not.
 	notRun bool
-	// rejected says that the server itself turned the request away.
-	rejected bool
-	status   int
-	header   http.Header
-	body     []byte
-	rest     io.ReadCloser // what follows body, nil if that is all
+	// rejected says that the server itself turned the request away, and full that it
+	// did so for want of room.
+	rejected, full bool
+	status         int
+	header         http.Header
+	body           []byte
+	rest           io.ReadCloser // what follows body, nil if that is all
 }
 
 // answered reports whether the server gave an answer that can be passed on.
@@ -57,9 +58,10 @@
 	service string
 	results chan *outcome
 	pending int
-	// sent counts sends that may have run, sends all that reached a server.
-	sent, sends, rejected int
-	tried                 []string
+	// sent counts sends that may have run, sends all that reached a server; rejected
+	// those that were turned away, and full those of them for want of room.
+	sent, sends, rejected, full int
+	tried                       []string
 }
 
 // plain forwards a request whose answer is passed on whole.
@@ -73,7 +75,7 @@
 	}
 	x := &exchanges{h: h, in: in, service: service, results: make(chan *outcome, 8)}
 	last, err := x.run(ctx)
-	if x.rejected > 0 || x.sent > 0 {
+	if x.full > 0 || x.sent > 0 {
 		h.pressure.fate(time.Now(), service, x.sent > 0)
 	}
 	if err != nil {
@@ -168,11 +170,14 @@
 	if o.rejected {
 		x.rejected++
 	}
+	if o.full {
+		x.full++
+	}
 }
 
 // again reports whether another server may be tried after o.
 func (x *exchanges) again(o *outcome) bool {
-	if o.rejected && x.crowded() {
+	if o.full && x.crowded() {
 		return false // the others are as full
 	}
 	if o.notRun {
@@ -224,6 +229,7 @@
 	}
 	o.status, o.header = resp.StatusCode, resp.Header
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
+	o.full = reply.NotRun && !reply.Misdirected
 	o.body, o.rest, o.err = readAnswer(resp)
 	if o.err == nil && resp.StatusCode < http.StatusMultipleChoices && !reply.Proven {
 		o.err = errors.New("a success without proof")
--- a/serve/forward/plain_test.go
+++ b/serve/forward/plain_test.go
@@ -222,3 +222,28 @@
 		}
 	})
 }
+
+// The store is away and all servers of a service have started anew: each turns away
+// what is meant for the one before it. That says nothing of their load. Once the
+// entries are right nobody is refused.
+func TestRestartedServersAreNoCrowd(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		var known atomic.Bool
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if known.Load() {
+				proven("ok")(rw, r)
+				return
+			}
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+		}
+		w.add("d-1", "desk", "a", handle)
+		w.add("d-2", "desk", "b", handle)
+		for range 10 {
+			must.Eq(t, http.StatusServiceUnavailable, w.ask(http.MethodPost, "/once/1", caller, "x").status)
+		}
+		known.Store(true)
+		for range 20 {
+			must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/once/1", caller, "x").status)
+		}
+	})
+}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -256,6 +256,7 @@
 type world struct {
 	t       *testing.T
 	store   *store.Memory
+	reach   *store.Faulty // the store as the daemon reaches it
 	mu      sync.Mutex
 	hosts   map[string]*fakeServer // by address
 	feed    *feed.Manager
@@ -288,10 +289,11 @@
 		t: t, store: store.NewMemory(), servers: map[string]*fakeServer{},
 		hosts: map[string]*fakeServer{},
 	}
+	w.reach = store.NewFaulty(w.store)
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) + time.Hour }
 	self := routing.VM{ID: "vm-1", Zone: "a"}
-	w.feed = feed.New(feed.Options{Store: storesim.Confirming{Store: w.store, Hold: time.Second}, Schema: schema, Clock: clock, Log: event.Discard()})
+	w.feed = feed.New(feed.Options{Store: storesim.Confirming{Store: w.reach, Hold: time.Second}, Schema: schema, Clock: clock, Log: event.Discard()})
 	w.handler = New(Options{
 		Feed: w.feed, Codec: testCodec{}, Log: event.Discard(), Self: self, KeyAge: 5 * time.Second,
 		Repeats: repeatsRule, Dial: w.dial,
