--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -183,8 +183,8 @@
 			zone = vm.Zone
 		}
 	}
-	for _, vm := range vms {
-		if vm.ID == m.opts.Self || vm.Peer == "" || !slices.Contains(watching, vm.ID) {
+	for _, vm := range routing.Peers(vms, m.opts.Self) {
+		if !slices.Contains(watching, vm.ID) {
 			continue
 		}
 		all = append(all, vm.Peer)
@@ -197,10 +197,8 @@
 
 // others returns the addresses of all other daemons.
 func (m *Manager) others(vms []routing.VM) (addresses []string) {
-	for _, vm := range vms {
-		if vm.ID != m.opts.Self && vm.Peer != "" {
-			addresses = append(addresses, vm.Peer)
-		}
+	for _, vm := range routing.Peers(vms, m.opts.Self) {
+		addresses = append(addresses, vm.Peer)
 	}
 	return addresses
 }
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -218,3 +218,14 @@
 	Peer    string `json:"peer"`    // for other entry VMs
 	Leaving bool   `json:"leaving,omitempty"`
 }
+
+// Peers returns the entry VMs other than self that other daemons can ask.
+func Peers(vms []VM, self string) []VM {
+	var peers []VM
+	for _, vm := range vms {
+		if vm.ID != self && vm.Peer != "" {
+			peers = append(peers, vm)
+		}
+	}
+	return peers
+}
--- a/serve/forward/lending.go
+++ b/serve/forward/lending.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/peer/peerpb"
@@ -62,8 +63,8 @@
 // others are the daemons that serve beside this one, and where they are asked.
 func (b *borrower) others(view *feed.View) (ids []string, peers map[string]string) {
 	peers = make(map[string]string, len(view.VMs))
-	for _, vm := range view.VMs {
-		if vm.ID != b.self && !vm.Leaving && vm.Peer != "" {
+	for _, vm := range routing.Peers(view.VMs, b.self) {
+		if !vm.Leaving {
 			ids = append(ids, vm.ID)
 			peers[vm.ID] = vm.Peer
 		}
