--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -22,6 +22,7 @@
 	borrowed prometheus.Counter
 	remade   prometheus.Counter
 	scans    prometheus.Counter
+	crowded  *prometheus.CounterVec
 	inFlight prometheus.GaugeFunc
 }
 
@@ -46,13 +47,18 @@
 		borrowed: prometheus.NewCounter(counter("repeats_borrowed_total", "Sends for which another daemon gave up a part of the shared budget of repeats.")),
 		remade:   prometheus.NewCounter(counter("copies_made_again_total", "Copies of runs made because the one before was lost.")),
 		scans:    prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
+		crowded:  prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.inFlight)
+	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight)
 	return m
 }
 
+// turnedAway is the reason of refusals while servers turn requests away; the others
+// are those of prompts.Admission.
+const turnedAway = "turned_away"
+
 // Sources of answers.
 const (
 	sourceServer = "backend"
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -71,6 +71,8 @@
 	now := time.Now()
 	if lasted, refused := h.pressure.throttled(now, service); refused {
 		back := retryafter.Crowded(lasted, in.route.Objective, rand.Float64())
+		h.metrics.crowded.WithLabelValues(turnedAway).Inc()
+		h.opts.Log.Emit(event.CallThrottled, in.call.ID, service, lasted)
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the backend servers turn requests away").After(back)
 	}
 	x := &exchanges{h: h, in: in, service: service, results: make(chan *outcome, 8)}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return leg{}, r.none()
 	}
-	if err := r.admit(c.report); err != nil {
+	if err := r.admit(c); err != nil {
 		return leg{}, err
 	}
 	return r.withCopy(ctx, leg{at: c.choice}), nil
@@ -188,7 +188,7 @@
 
 // admit refuses a request that engines have no room for. One that has run, or whose
 // caller holds a part of the answer, is owed: it is sent wherever it can be read in time.
-func (r *relay) admit(report prompts.Report) error {
+func (r *relay) admit(best surveyed) error {
 	now := time.Now()
 	left := r.in.until.Sub(now)
 	owed := r.sends > 0 || r.in.call.After > 0
@@ -196,12 +196,15 @@
 	if !owed {
 		due = prompts.Due(r.in.route.Objective, r.in.route.Timeout, left)
 	}
-	admission := r.h.pressure.admit(r.service, report, r.in.call.PromptTokens, due)
+	admission := r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
 	if admission == prompts.Admitted || owed && admission == prompts.NoRoom {
 		return nil
 	}
 	lasted, answer := r.h.pressure.refused(now, r.service)
 	back := retryafter.Crowded(lasted, max(answer, r.in.route.Objective), rand.Float64())
+	r.h.metrics.crowded.WithLabelValues(admission.String()).Inc()
+	r.h.opts.Log.Emit(event.PromptRefused, r.in.call.ID, best.server.ID, admission.String(), r.in.call.PromptTokens,
+		best.report.Unread, best.report.Used, best.report.Memory, due, lasted, answer)
 	return verdict.New(r.verdict(), verdict.CodeOverloaded, "engines have no room for the prompt (%s)", admission).After(back)
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -28,6 +28,10 @@
 		"A copy of a run could not be made or freed.", "request", "backend", "copy", "error")
 	BackendSucceeded = define(231, "backend_succeeded", logrus.InfoLevel,
 		"A backend server has started anew at its address under another id, which the store does not show yet.", "request", "backend", "successor")
+	PromptRefused = define(232, "prompt_refused", logrus.InfoLevel,
+		"Engines have no room for a prompt; backend is the best of those asked, as of its report.", "request", "backend", "reason", "tokens", "unread", "used", "memory", "due", "refusing_for", "answers_take")
+	CallThrottled = define(233, "call_throttled", logrus.InfoLevel,
+		"A request was refused because the backend servers turn requests away.", "request", "service", "refusing_for")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
