prompts: large prompts are not refused for their size

Changed: the objective counts only where it can be met. Test, first failing: TestLargePromptIsNotRefusedForItsSize.

--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -21,15 +21,17 @@
 }
 
 // lateShare is the part of the time left by which the first event of an answer must
-// come whose objective is missed already: an answer takes several times as long to
+// come whose objective is missed in any case: an answer takes several times as long to
 // make as its prompt to read, and a late one is worth as much at any time.
 const lateShare = 0.5
 
 // Due is how long the first event of an answer may still take. objective and timeout
 // are the route's, left is what the caller waits for yet: one that was refused and
-// came back has less of it left.
-func Due(objective, timeout, left time.Duration) time.Duration {
-	if onTime := objective - max(timeout-left, 0); onTime > 0 {
+// came back has less of it left. The objective does not count where it is missed in any
+// case, as by a prompt that takes longer to read alone: refused for that, the largest
+// prompts would be turned away again and again beside idle engines.
+func (p *Pace) Due(tokens int, objective, timeout, left time.Duration) time.Duration {
+	if onTime := objective - max(timeout-left, 0); onTime > p.Wait(0, tokens) {
 		return onTime
 	}
 	return time.Duration(lateShare * float64(left))
--- a/decision/prompts/admit_test.go
+++ b/decision/prompts/admit_test.go
@@ -45,11 +45,32 @@
 
 func TestDue(t *testing.T) {
 	const objective, timeout = 4500 * time.Millisecond, 25 * time.Second
-	must.Eq(t, objective, Due(objective, timeout, timeout))
-	must.Eq(t, 3500*time.Millisecond, Due(objective, timeout, 24*time.Second))
-	must.Eq(t, 8*time.Second, Due(objective, timeout, 16*time.Second)) // came back
-	must.Eq(t, objective, Due(objective, timeout, time.Minute))        // waits longer than the route lets it
-	must.Eq(t, 5*time.Second, Due(0, timeout, 10*time.Second))         // the route has no objective
+	var p Pace
+	due := func(tokens int, objective, left time.Duration) time.Duration {
+		return p.Due(tokens, objective, timeout, left)
+	}
+	must.Eq(t, objective, due(8000, objective, timeout)) // nothing is known of the engines
+	p.Asked(8000)
+	p.Observe(8000, time.Second)
+	must.Eq(t, objective, due(8000, objective, timeout))
+	must.Eq(t, 3500*time.Millisecond, due(8000, objective, 24*time.Second))
+	must.Eq(t, 8*time.Second, due(8000, objective, 16*time.Second)) // came back
+	must.Eq(t, objective, due(8000, objective, time.Minute))        // waits longer than the route lets it
+	must.Eq(t, 5*time.Second, due(8000, 0, 10*time.Second))         // the route has no objective
+}
+
+// A prompt takes longer to read than the objective allows, also by an idle engine. With
+// one other prompt before it it would be refused each time its caller comes, although
+// it can be answered in the caller's time.
+func TestLargePromptIsNotRefusedForItsSize(t *testing.T) {
+	var p Pace
+	p.Asked(8000)
+	p.Observe(8000, 2*time.Second)
+	const large, left = 16000, 25 * time.Second
+	due := p.Due(large, 4500*time.Millisecond, left, left)
+	must.Eq(t, left/2, due)
+	must.Eq(t, Admitted, p.Admit(Report{Unread: 1}, large, due))
+	must.Eq(t, TooLate, p.Admit(Report{Unread: 9}, large, due))
 }
 
 func TestMeans(t *testing.T) {
--- a/lab/bench/prompts/world.go
+++ b/lab/bench/prompts/world.go
@@ -261,7 +261,7 @@
 		return false
 	}
 	pace := w.paces[r.daemon]
-	due := decide.Due(firstObjective, w.d.patience, w.d.patience-(now-r.arrived))
+	due := pace.Due(r.prompt, firstObjective, w.d.patience, w.d.patience-(now-r.arrived))
 	if pace.Admit(w.reports[e], r.prompt, due) == decide.Admitted {
 		return false
 	}
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -67,6 +67,12 @@
 	return p.on(service).pace.Admit(r, tokens, due)
 }
 
+// due is how long the first event of a request may still take.
+func (p *pressure) due(service string, in *inbound, left time.Duration) time.Duration {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Due(in.call.PromptTokens, in.route.Objective, in.route.Timeout, left)
+}
+
 // refused records that a prompt is refused for want of room. It returns for how long
 // that has been so, and how long answers take.
 func (p *pressure) refused(now time.Time, service string) (lasted, answer time.Duration) {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -194,7 +194,7 @@
 	owed := r.sends > 0 || r.in.call.After > 0
 	due := left
 	if !owed {
-		due = prompts.Due(r.in.route.Objective, r.in.route.Timeout, left)
+		due = r.h.pressure.due(r.service, r.in, left)
 	}
 	admission := r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
 	if admission == prompts.Admitted || owed && admission == prompts.NoRoom {
