forward: requests wait for the first configuration before a thousand engines too

Cause, from the log of a trial with 88 daemons before 1,000 engines, all daemons killed: the configuration is there after 401 ms in the middle and 582 ms at most; 187 requests were refused before, and 71 long answers lost so. Test, first failing: the case of 600 ms of TestRequestWaitsForTheFirstConfiguration.

--- a/serve/forward/accept_test.go
+++ b/serve/forward/accept_test.go
@@ -72,15 +72,16 @@
 		most   time.Duration
 	}{
 		{"read in time", 120 * time.Millisecond, "25000", http.StatusOK, 150 * time.Millisecond},
+		{"read late, before a thousand servers", 600 * time.Millisecond, "25000", http.StatusOK, 650 * time.Millisecond},
 		{"not read in time", time.Second, "25000", http.StatusServiceUnavailable, firstConfigWait},
 		{"its caller has little time", 120 * time.Millisecond, "200", http.StatusServiceUnavailable, 50 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			inWorld(t, plainRoutes(), func(w *world) {
-				w.add("d-1", "desk", "a", proven("ok"))
+			inWorld(t, streamRoute(), func(w *world) {
+				w.add("e-a", "llm", "a", streaming(1, 0, 0))
 				w.restartDaemon(c.reads)
-				got := w.ask(http.MethodPost, "/once/1", with(map[string]string{hWait: c.wait}), "x")
+				got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hWait: c.wait}), "x")
 				must.Eq(t, c.status, got.status)
 				must.LessEq(t, c.most, got.took)
 			})
