Read-through: one place for the engines of the experiments, names and comments

The figures of the users' engines stood in bench prompts and in bench load; both use lab/bench/physics now. No decision changes.

--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -37,8 +37,9 @@
 	return time.Duration(lateShare * float64(left))
 }
 
-// Admit decides about a prompt whose run nobody holds a part of yet. r is the report
-// of the best engine there is, due how long the first event may take.
+// Admit decides about a prompt. r is the report of the best engine there is, due how
+// long the first event may take. A prompt of which somebody holds a part of the answer
+// is owed: the caller of Admit sends it also where there is no room.
 //
 // Load it answers: prompts that come faster than the engines of a service can read
 // them, or than their memory holds the runs, for some seconds.
--- a/decision/retryafter/retryafter.go
+++ b/decision/retryafter/retryafter.go
@@ -46,9 +46,9 @@
 	return time.Duration(float64(d) * (1 - spread/2 + spread*draw))
 }
 
-// Crowded returns when a caller comes back that was refused because engines have no
-// room for its prompt. lasted is how long that has been so, and answer how long the
-// answers take that fill the engines: when they have ended there is room.
+// Crowded returns when a caller comes back that was refused because servers have no
+// room for its request. lasted is how long that has been so, and answer how long the
+// answers take that fill them: when those have ended there is room.
 //
 // Load it answers: a burst of callers, most of which repeat once. Without it those
 // that return within the burst are refused for good, and all others come at its end
--- a/decision/throttle/throttle.go
+++ b/decision/throttle/throttle.go
@@ -13,7 +13,7 @@
 // each of two sites).
 //
 // How it decides: by what became of the calls of the last seconds. Servers get
-// Excess times the calls that they took; the others are refused at random, so that
+// excess times the calls that they took; the others are refused at random, so that
 // every account and kind loses the same share. No VM needs to know of the others: all
 // see the same share of their calls turned away.
 package throttle
@@ -24,10 +24,10 @@
 )
 
 const (
-	// Excess is how many calls are sent for each that is taken: the more, the sooner it
+	// excess is how many calls are sent for each that is taken: the more, the sooner it
 	// is found out that there is room again, and the longer the queues stay full. With 1.5
 	// 2,093 calls end without anybody knowing whether they ran, with 1.1 485.
-	Excess = 1.2
+	excess = 1.2
 	// memory is the time in which what was seen loses two thirds of its weight. It holds
 	// four calls at a VM among ninety, whose fleet gets 350 a second, and is short beside
 	// the time for which servers are lost. With two seconds 1,542 calls end unknown.
@@ -77,7 +77,7 @@
 	if t.away < least {
 		return 0
 	}
-	return max(0, 1-Excess*t.taken/(t.taken+t.away+t.refused))
+	return max(0, 1-excess*t.taken/(t.taken+t.away+t.refused))
 }
 
 func (t *Throttle) fade(now time.Time) {
--- a/lab/bench/load/bench.go
+++ b/lab/bench/load/bench.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"mallowwind.dev/lab/bench/physics"
 	"mallowwind.dev/lab/report"
 )
 
@@ -52,12 +53,12 @@
 		return err
 	}
 	if o.Engines != "" {
-		if d.engines, err = physicsNamed(o.Engines); err != nil {
+		if d.engines, err = physics.Named(o.Engines); err != nil {
 			return err
 		}
 	}
 	command := fmt.Sprintf("go run ./cmd/mallowctl bench load --out DIR --deployment %s --seed %d", d.name, o.Seed)
-	if d.engines.Name != beside.Name {
+	if d.engines.Name != physics.Beside.Name {
 		command += " --engines " + d.engines.Name
 	}
 	if o.Scenario != "" {
--- a/lab/bench/load/deploy.go
+++ b/lab/bench/load/deploy.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/site"
+	"mallowwind.dev/lab/bench/physics"
 )
 
 // usualSlots is the operators' bound on one backend server: the largest batch
@@ -38,7 +39,7 @@
 	client   time.Duration // one way between callers and entry VMs
 	accounts int
 	slots    int // operators' bound on one backend server
-	engines  Physics
+	engines  physics.Engine
 	kinds    []kind
 }
 
@@ -85,7 +86,7 @@
 	if !ok {
 		return d, errors.Errorf("deployment %q is none of association, tharaka", name)
 	}
-	d.engines = beside
+	d.engines = physics.Beside
 	return d, nil
 }
 
@@ -119,7 +120,7 @@
 			answer += k.share
 		}
 	}
-	return float64(d.pools[pool]) * d.engines.rate(d.slots, prompt, answer)
+	return float64(d.pools[pool]) * d.engines.Rate(d.slots, prompt, answer)
 }
 
 // meanAnswer is the mean of answer tokens over the requests of a kind, given
--- a/lab/bench/load/engine.go
+++ b/lab/bench/load/engine.go
@@ -4,9 +4,11 @@
 	"math"
 	"sort"
 	"time"
+
+	"mallowwind.dev/lab/bench/physics"
 )
 
-// The simulated engine, whose times are those of its Physics.
+// The simulated engine, whose times are those of its physics.Engine.
 const (
 	cachedPart   = 0.15 // of a prefill that remains when the prefix is cached
 	cacheEntries = 24   // prefixes an engine holds
@@ -32,7 +34,7 @@
 // engineSim is one backend server.
 type engineSim struct {
 	clock   *clock
-	physics Physics
+	physics physics.Engine
 	id      string
 	zone    int
 	slow    float64 // factor on every step; 1 is usual
@@ -55,7 +57,7 @@
 }
 
 func (e *engineSim) step() time.Duration {
-	return time.Duration(float64(e.physics.step(len(e.batch), e.filling != nil)) * e.slow)
+	return time.Duration(float64(e.physics.Step(len(e.batch), e.filling != nil)) * e.slow)
 }
 
 // chunks reports whether a prefill is part of the steps now.
--- a/lab/bench/load/physics_test.go
+++ b/lab/bench/load/physics_test.go
@@ -6,10 +6,12 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/lab/bench/physics"
 )
 
 // oneEngine is an engine with nothing to do.
-func oneEngine(p Physics) *engineSim {
+func oneEngine(p physics.Engine) *engineSim {
 	c := newClock()
 	return &engineSim{clock: c, physics: p, slow: 1, vAt: c.now, gaps: &gapMeter{hist: newHistogram()}, onCache: func(uint64, bool) {}}
 }
@@ -27,7 +29,7 @@
 // A prompt of 8,000 tokens is worked off in 40 chunks. Alone it takes a second and a
 // bit; a stream beside it gets a token only with each chunk, six times later than usual.
 func TestChunksAreReadBetweenTokens(t *testing.T) {
-	e := oneEngine(chunked)
+	e := oneEngine(physics.Chunked)
 	stream, streamFirst, streamEnd := timed(e, 200, 200)
 	e.add(stream)
 	e.clock.runUntil(e.clock.now.Add(100 * time.Millisecond))
@@ -35,16 +37,16 @@
 	reading, first, _ := timed(e, 8000, 10)
 	e.add(reading)
 	e.clock.runUntil(e.clock.now.Add(5 * time.Second))
-	step := chunked.step(1, true)
+	step := physics.Chunked.Step(1, true)
 	test.Between(t, 39*step, *first, 42*step)
-	plain := 200 * chunked.step(1, false)
+	plain := 200 * physics.Chunked.Step(1, false)
 	test.Between(t, plain+38*25*time.Millisecond, *streamEnd, plain+42*26*time.Millisecond)
 }
 
 // Three answers of 20,000 tokens each fill an engine's memory but for a part. A fourth
 // waits until the first of them ends, although the batch has places.
 func TestJobsWaitForMemory(t *testing.T) {
-	e := oneEngine(chunked)
+	e := oneEngine(physics.Chunked)
 	for range 4 {
 		j, _, _ := timed(e, 25_000, 100)
 		e.add(j)
@@ -63,7 +65,7 @@
 	t.Parallel()
 	d, err := deploymentNamed("tharaka")
 	must.NoError(t, err)
-	d.engines = chunked
+	d.engines = physics.Chunked
 	s, err := scenarioNamed("saturation")
 	must.NoError(t, err)
 	s.span = 60 * time.Second
@@ -76,6 +78,6 @@
 }
 
 func TestUnknownEnginesAreRefused(t *testing.T) {
-	_, err := physicsNamed("other")
+	_, err := physics.Named("other")
 	must.ErrorContains(t, err, "beside, chunked")
 }
--- a/lab/bench/load/physics.go
+++ b/lab/bench/physics/physics.go
@@ -1,4 +1,6 @@
-package load
+// Package physics says how simulated model engines spend their time and memory. The
+// experiments on load and on long prompts are played with the same engines.
+package physics
 
 import (
 	"time"
@@ -6,8 +8,8 @@
 	"github.com/pkg/errors"
 )
 
-// Physics is how the simulated engines spend their time and memory.
-type Physics struct {
+// Engine is how one kind of engine spends its time and memory.
+type Engine struct {
 	Name string
 	// StepBase and StepPerStream are the time of a step of the batch, in which each
 	// stream gets one token.
@@ -26,32 +28,32 @@
 
 // The engines that trials are played with.
 var (
-	// beside prefill on hardware of their own: a step of 20 streams takes two fifths
+	// Beside prefill on hardware of their own: a step of 20 streams takes two fifths
 	// longer than one of a single stream, and a prefill slows it a little.
-	beside = Physics{
+	Beside = Engine{
 		Name: "beside", StepBase: 18 * time.Millisecond, StepPerStream: 375 * time.Microsecond,
 		PrefillRate: 8000, PrefillSlows: 1.1,
 	}
-	// chunked are the engines of the users' platform: each step carries a chunk of the
+	// Chunked are the engines of the users' platform: each step carries a chunk of the
 	// first prompt, which takes five times as long as the step of a few streams.
-	chunked = Physics{
+	Chunked = Engine{
 		Name: "chunked", StepBase: 4550 * time.Microsecond, StepPerStream: 181 * time.Microsecond,
 		PrefillRate: 8000, PrefillSlows: 1, Chunk: 200, Memory: 88_000,
 	}
 )
 
-// physicsNamed returns one of the engines above.
-func physicsNamed(name string) (Physics, error) {
-	for _, p := range []Physics{beside, chunked} {
+// Named returns one of the engines above.
+func Named(name string) (Engine, error) {
+	for _, p := range []Engine{Beside, Chunked} {
 		if p.Name == name {
 			return p, nil
 		}
 	}
-	return Physics{}, errors.Errorf("engines %q are none of beside, chunked", name)
+	return Engine{}, errors.Errorf("engines %q are none of beside, chunked", name)
 }
 
-// step is the time of one step with so many streams, and a prefill or none.
-func (p Physics) step(streams int, prefill bool) time.Duration {
+// Step is the time of one step with so many streams, and a prefill or none.
+func (p Engine) Step(streams int, prefill bool) time.Duration {
 	d := p.StepBase + p.StepPerStream*time.Duration(streams)
 	switch {
 	case !prefill:
@@ -62,11 +64,11 @@
 	return time.Duration(float64(d) * p.PrefillSlows)
 }
 
-// rate is the rough rate of answer tokens a second of an engine that runs so many
+// Rate is the rough rate of answer tokens a second of an engine that runs so many
 // streams while it reads the prompt of each answer: one of prompt tokens for each of
 // answer tokens.
-func (p Physics) rate(streams int, prompt, answer float64) float64 {
-	plain := float64(streams) / p.step(streams, false).Seconds()
+func (p Engine) Rate(streams int, prompt, answer float64) float64 {
+	plain := float64(streams) / p.Step(streams, false).Seconds()
 	if p.Chunk == 0 {
 		return plain
 	}
--- a/lab/bench/prompts/engine.go
+++ b/lab/bench/prompts/engine.go
@@ -3,17 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"mallowwind.dev/lab/bench/physics"
 )
 
-// Physics of the model engines, as the users' deployments state them.
+// engines are those of the trials.
+var engines = physics.Chunked
+
+// What the trials add to them, as the users' deployments state it.
 const (
-	stepBase    = 4550 * time.Microsecond // a step of the batch
-	stepPerRun  = 181 * time.Microsecond  // and for each answer in it
-	readPerMS   = 8                       // prompt tokens read in a millisecond
-	chunk       = 200                     // prompt tokens read between two steps
-	eventTokens = 6                       // tokens of one event of a stream
-	firstWait   = 90 * time.Millisecond   // before a prompt is read
-	engineRoom  = 88_000                  // tokens of runs, prompts and copies
+	eventTokens = 6                     // tokens of one event of a stream
+	firstWait   = 90 * time.Millisecond // before a prompt is read
 )
 
 // run is one request at one engine.
@@ -54,7 +54,7 @@
 
 // step makes one step that begins at now, and returns when it ends.
 func (e *engine) step(now time.Duration, w *world) time.Duration {
-	took := stepBase + time.Duration(len(e.running))*stepPerRun
+	took := engines.Step(len(e.running), false)
 	took += e.read(now)
 	took = time.Duration(float64(took) * e.speed)
 	end := now + took
@@ -106,14 +106,14 @@
 	if r.held() == 0 && e.used()+r.unread > e.memory {
 		return 0 // it waits for room
 	}
-	n := min(chunk, r.unread)
+	n := min(engines.Chunk, r.unread)
 	r.unread -= n
 	if r.unread == 0 {
 		e.reading = e.reading[1:]
 		r.token = eventTokens - 1 // the next step gives the first event
 		e.running = append(e.running, r)
 	}
-	return time.Duration(n) * time.Millisecond / readPerMS
+	return time.Duration(n) * time.Second / time.Duration(engines.PrefillRate)
 }
 
 // fail loses everything on the engine and returns it.
--- a/lab/bench/prompts/world.go
+++ b/lab/bench/prompts/world.go
@@ -91,14 +91,14 @@
 	lossShare float64
 	burst     burst
 	// memory is that of an engine in tokens, and patience how long a caller waits; 0
-	// means engineRoom and usualPatience.
+	// means that of engines and usualPatience.
 	memory   int
 	patience time.Duration
 }
 
 // withDefaults returns d with zero fields set that have a default.
 func (d deployment) withDefaults() deployment {
-	d.memory = cmp.Or(d.memory, engineRoom)
+	d.memory = cmp.Or(d.memory, engines.Memory)
 	d.patience = cmp.Or(d.patience, usualPatience)
 	return d
 }
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -152,10 +152,7 @@
 				var successor *fakeServer
 				go func() {
 					time.Sleep(500 * time.Millisecond)
-					runner, holder := a, b
-					if b.requests() > 0 {
-						runner, holder = b, a
-					}
+					runner, holder := roles(a, b)
 					successor = w.restart(holder, "e-new", service)
 					time.Sleep(time.Second)
 					w.crash(runner)
@@ -205,10 +202,7 @@
 				var successor *fakeServer
 				go func() {
 					time.Sleep(500 * time.Millisecond)
-					runner, holder := a, b
-					if b.requests() > 0 {
-						runner, holder = b, a
-					}
+					runner, holder := roles(a, b)
 					successor = w.restart(holder, "e-new", "llm")
 					w.register(successor)
 					time.Sleep(time.Second)
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -440,6 +440,14 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), err: err, took: time.Since(start)}
 }
 
+// roles says which of two engines runs the one request there is; the other keeps the copy.
+func roles(a, b *fakeServer) (runner, holder *fakeServer) {
+	if b.requests() > 0 {
+		return b, a
+	}
+	return a, b
+}
+
 // proven answers with a proof.
 func proven(body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
