--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -32,9 +32,9 @@
 	done  sync.WaitGroup
 }
 
-// RoundTrip implements http.RoundTripper: daemon n has the address "n".
+// RoundTrip implements http.RoundTripper: daemon n has the address "n:1".
 func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
-	n, err := strconv.Atoi(r.URL.Host)
+	n, err := strconv.Atoi(r.URL.Hostname())
 	if err != nil {
 		return nil, errors.Wrap(err, "address")
 	}
@@ -55,7 +55,7 @@
 			m := New(Options{
 				Store: storesim.Confirming{Store: way, Hold: time.Second}, Schema: lineSchema{}, Log: event.Discard(),
 				Clock: func() time.Duration { return time.Since(start) + time.Hour },
-				Self:  strconv.Itoa(n), Seeds: []string{"0"},
+				Self:  strconv.Itoa(n), Seeds: []string{"0:1"},
 				Dialer: link.NewDialerWith(&http.Client{Transport: f}),
 			})
 			f.ways, f.feeds = append(f.ways, way), append(f.feeds, m)
@@ -189,7 +189,7 @@
 	inFleet(t, size, func(f *fleet) {
 		for n := range size {
 			id := strconv.Itoa(n)
-			f.put(vmPrefix+id, `{"id":"`+id+`","peer":"`+id+`"}`)
+			f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
 			f.start(n)
 		}
 		f.put("server/1", "a:1")
@@ -238,7 +238,7 @@
 	view := &View{Config: &routing.Config{}}
 	zone := map[string]string{}
 	for n := range size {
-		vm := routing.VM{ID: "vm-" + strconv.Itoa(n), Zone: string(rune('a' + n%3)), Peer: strconv.Itoa(n)}
+		vm := routing.VM{ID: "vm-" + strconv.Itoa(n), Zone: string(rune('a' + n%3)), Peer: strconv.Itoa(n) + ":1"}
 		view.VMs = append(view.VMs, vm)
 		zone[vm.Peer] = vm.Zone
 	}
@@ -269,7 +269,7 @@
 	inFleet(t, size, func(f *fleet) {
 		for n := range size {
 			id := strconv.Itoa(n)
-			f.put(vmPrefix+id, `{"id":"`+id+`","peer":"`+id+`"}`)
+			f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
 			f.start(n)
 		}
 		time.Sleep(10 * time.Second)
@@ -312,7 +312,7 @@
 func TestRegistrationReturns(t *testing.T) {
 	inFleet(t, 1, func(f *fleet) {
 		f.start(0)
-		r := &Registrar{Store: f.ways[0], VM: routing.VM{ID: "vm-7", Peer: "x"}, Log: event.Discard()}
+		r := &Registrar{Store: f.ways[0], VM: routing.VM{ID: "vm-7", Address: "x:2", Peer: "x:1"}, Log: event.Discard()}
 		ctx, cancel := context.WithCancel(f.t.Context())
 		f.done.Go(func() { r.Run(ctx) })
 		registered := func() bool {
--- a/control/feed/metrics.go
+++ b/control/feed/metrics.go
@@ -6,6 +6,14 @@
 	"mallowwind.dev/telemetry/metric"
 )
 
+// newRefused counts the entries of the store that cannot be used.
+func newRefused() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: metric.Namespace, Subsystem: "feed", Name: "entries_refused_total",
+		Help: "Entries of the store that cannot be used, counted anew when the reason changes.",
+	})
+}
+
 func (m *Manager) register(r prometheus.Registerer) {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -13,6 +21,7 @@
 		}, value)
 	}
 	metric.Register(r,
+		m.table.refused,
 		gauge("config_version", "Version of the forwarding configuration in force; 0 while none is known.", func() float64 {
 			if c := m.View().Config; c != nil {
 				return float64(c.Version)
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -1,12 +1,14 @@
 package feed
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
@@ -26,7 +28,14 @@
 	log     *event.Log
 	config  *routing.Config
 	servers map[string]routing.Server
-	// written is the store's revision of each server's first entry seen here.
+	// born is the latest life known of each server, of one that is gone as long as
+	// departed remembers it.
+	born map[string]int64
+	// refusals holds why the entry of a key is not used, by key.
+	refusals map[string]string
+	refused  prometheus.Counter
+	// written is the store's revision of the first entry seen here of each server's
+	// present life.
 	written map[string]int64
 	vms     map[string]routing.VM
 	// doubtful holds when servers cease to be usable whose entries vanished
@@ -48,6 +57,9 @@
 		schema: schema, log: log, dirty: true,
 		entries:  newEntries(),
 		servers:  map[string]routing.Server{},
+		born:     map[string]int64{},
+		refusals: map[string]string{},
+		refused:  newRefused(),
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
 		doubtful: map[string]time.Duration{},
@@ -116,9 +128,10 @@
 func (t *table) putConfig(raw []byte) {
 	c, err := t.schema.DecodeConfig(raw)
 	if err != nil {
-		t.log.Emit(event.EntryRefused, t.schema.ConfigKey(), err)
+		t.refuse(t.schema.ConfigKey(), err)
 		return
 	}
+	delete(t.refusals, t.schema.ConfigKey())
 	if t.config != nil && c.Version <= t.config.Version {
 		return
 	}
@@ -127,17 +140,43 @@
 	t.log.Emit(event.RoutingInForce, c.Version)
 }
 
+// refuse records that the entry of a key cannot be used, once for each reason: a server
+// writes its entry anew with each heartbeat.
+func (t *table) refuse(key string, err error) {
+	if t.refusals[key] == err.Error() {
+		return
+	}
+	t.refusals[key] = err.Error()
+	t.refused.Inc()
+	t.log.Emit(event.EntryRefused, key, err)
+}
+
+// putServer takes in the entry of a server. One that cannot be used names no server, also
+// where the entry before it did: nobody knows any more whether that one leaves.
+//
+// The failure that the order of lives guards against: a server restarts under its id, and
+// a write of the life before arrives after the first of the new one. It would mark the
+// new life as leaving, or take it for the old one with its runs and copies.
 func (t *table) putServer(id string, kv store.KV) {
 	s, err := t.schema.DecodeServer(id, kv.Value)
 	if err != nil {
-		t.log.Emit(event.EntryRefused, id, err)
+		t.refuse(kv.Key, err)
+		if _, known := t.servers[id]; known {
+			t.forget(id)
+		}
+		return
+	}
+	delete(t.refusals, kv.Key)
+	if known := t.born[id]; s.Life().Before(routing.Life{ID: id, Born: known}) {
+		t.log.Emit(event.EntryOutdated, id, s.Born, known)
 		return
 	}
 	delete(t.doubtful, id)
 	t.note(id, s.Leaving)
-	if _, known := t.written[id]; !known {
+	if _, known := t.written[id]; !known || t.born[id] != s.Born {
 		t.written[id] = kv.Version
 	}
+	t.born[id] = s.Born
 	if t.servers[id] != s {
 		t.servers[id] = s
 		t.dirty = true
@@ -146,11 +185,13 @@
 }
 
 func (t *table) putVM(kv store.KV) {
-	var vm routing.VM
-	if err := json.Unmarshal(kv.Value, &vm); err != nil {
-		t.log.Emit(event.EntryRefused, kv.Key, err)
+	vm, err := decodeVM(strings.TrimPrefix(kv.Key, vmPrefix), kv.Value)
+	if err != nil {
+		t.refuse(kv.Key, err)
+		t.removeVM(kv.Key)
 		return
 	}
+	delete(t.refusals, kv.Key)
 	delete(t.doubtfulVMs, kv.Key)
 	if t.vms[kv.Key] != vm {
 		t.vms[kv.Key] = vm
@@ -160,6 +201,7 @@
 
 func (t *table) remove(now time.Duration, key string, revision int64) {
 	t.entries.remove(key, revision)
+	delete(t.refusals, key)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(key); ok {
 		t.removeServer(now, id)
@@ -209,6 +251,7 @@
 	delete(t.servers, id)
 	delete(t.written, id)
 	delete(t.doubtful, id)
+	delete(t.refusals, id)
 	t.dirty = true
 }
 
@@ -231,6 +274,7 @@
 	for id, since := range t.departed {
 		if _, here := t.servers[id]; !here && now-since > rememberDeparted {
 			delete(t.departed, id)
+			delete(t.born, id)
 		}
 	}
 	return gone
@@ -242,6 +286,11 @@
 	holders := t.holders()
 	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
 		s := t.servers[id]
+		if !t.named(s.Service) {
+			t.refuse(id, errors.Errorf("field service is %q, which the configuration does not name", s.Service))
+			continue
+		}
+		delete(t.refusals, id)
 		if holders[s.Address] != id {
 			continue
 		}
@@ -253,12 +302,21 @@
 	return v
 }
 
+// named reports whether the configuration knows a service; before the first all are.
+func (t *table) named(service string) bool {
+	return t.config == nil || t.config.Service(service) != nil
+}
+
 // holders returns the newest server at each address. The entry of one that
 // crashed stays for seconds after its successor wrote its own; what is sent
-// there by the old entry is turned away.
+// there by the old entry is turned away. An entry of a service that nobody has
+// configured takes no address from a server that is in use.
 func (t *table) holders() map[string]string {
 	holders := make(map[string]string, len(t.servers))
 	for id, s := range t.servers {
+		if !t.named(s.Service) {
+			continue
+		}
 		other, taken := holders[s.Address]
 		if !taken || t.written[id] > t.written[other] {
 			holders[s.Address] = id
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -198,10 +198,26 @@
 	return r.Targets[0].Service
 }
 
-// Server is one backend server as it registered itself. Each start has an id
-// of its own; an address may be used again by another.
+// Life is one run of a backend server's process, from its start to its end. A server
+// may start again under the id that it had; the new life holds and knows nothing of the
+// one before.
+type Life struct {
+	ID string
+	// Born is when the process started, in Unix milliseconds of the server's own clock;
+	// 0 where the server does not say. Only lives of one id compare by it.
+	Born int64
+}
+
+// Before reports whether l ended before other began, as far as both are known.
+func (l Life) Before(other Life) bool {
+	return l.ID == other.ID && l.Born > 0 && l.Born < other.Born
+}
+
+// Server is one backend server as it registered itself. An address may be used again
+// by another, and an id by a later life of the same.
 type Server struct {
 	ID      string `json:"id"`
+	Born    int64  `json:"born,omitempty"` // as Life.Born
 	Service string `json:"service"`
 	Address string `json:"address"` // IP:port
 	Zone    string `json:"zone"`
@@ -210,6 +226,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Life is the present run of the server's process.
+func (s Server) Life() Life { return Life{ID: s.ID, Born: s.Born} }
+
 // VM is one entry VM as it registered itself.
 type VM struct {
 	ID      string `json:"id"`
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -64,6 +64,8 @@
 
 // Report is what an engine says of itself, as of a tenth of a second ago.
 type Report struct {
+	// Born is that of the life that says it, as routing.Life.Born; 0 if it does not say.
+	Born int64
 	// Events are those that each run has made, by the id of its request.
 	Events map[string]int
 	// Waiting are the requests that have no place in the batch yet.
@@ -86,6 +88,14 @@
 	return load
 }
 
+// Cache is what an engine says of the prompts that it holds.
+type Cache struct {
+	// Born is that of the life that says it, as routing.Life.Born; 0 if it does not say.
+	Born int64
+	// Parts are those held, as Call.OwnPart names them.
+	Parts []string
+}
+
 // Codec translates between HTTP messages and what they mean here.
 type Codec interface {
 	Call(h http.Header) (Call, error)
@@ -93,14 +103,14 @@
 	Outgoing(h http.Header, e Errand) http.Header
 	Reply(status int, h http.Header) Reply
 	// CachePath is the path at which an engine tells what prompts it holds, and
-	// CacheParts reads the answer: the parts held, as Call.OwnPart names them.
+	// Cache reads the answer.
 	CachePath() string
-	CacheParts(body []byte) ([]string, error)
+	Cache(body []byte) (Cache, error)
 	// Probe returns the path at which an engine answers while it lives, without
-	// taking a slot, and Report reads the answer; ok is false for one that is no
-	// engine's.
+	// taking a slot, and Report reads the answer; an answer that is no engine's is
+	// an error.
 	Probe() string
-	Report(body []byte) (report Report, ok bool)
+	Report(body []byte) (Report, error)
 }
 
 // Mover is a Codec of engines that copy the memory of a run when they are asked.
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -145,6 +145,9 @@
 			}
 			report, err := r.h.probe(ctx, l.at.server, probeTimeout)
 			switch {
+			case errors.Is(err, errRestarted):
+				dead <- err
+				return
 			case err == nil && r.lost(report):
 				dead <- errAnswerLost
 				return
@@ -250,7 +253,7 @@
 		return legAborted, r.expired()
 	}
 	r.h.blame(ctx, r.in, l.at, err)
-	r.failed = append(r.failed, l.at.server.ID)
+	r.failed = append(r.failed, l.at.server.Life())
 	if errors.Is(err, errNotSent) {
 		r.runs--
 		r.sends--
@@ -260,7 +263,7 @@
 	switch {
 	case errors.Is(err, errAnswerLost):
 		r.held = l.copy(r.in.call.ID) // the prompt was read, so the copy is there
-	case !r.began && !errors.Is(err, errDead):
+	case !r.began && !errors.Is(err, errDead) && !errors.Is(err, errRestarted):
 		r.reset = l.at
 	}
 	return legBroken, err
@@ -269,41 +272,46 @@
 // turnedAway handles a server's word that it did not run the request.
 func (r *relay) turnedAway(ctx context.Context, l leg, o opened) (legEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
-	succeeded := o.reply.Misdirected && r.successor(ctx, l.at.server, o.reply.Instance)
+	next, succeeded := routing.Life{}, false
+	if o.reply.Misdirected {
+		next, succeeded = r.successor(ctx, l.at.server, o.reply.Instance)
+	}
 	switch {
 	case succeeded && l.from != "":
-		r.misdirected = l.at.server.ID
-		l.at.server.ID = o.reply.Instance
+		r.misdirected = l.at.server.Life()
+		l.at.server.ID, l.at.server.Born = next.ID, next.Born
 		r.held = kept{at: l.at, name: l.from}
 	case !succeeded && l.from == "":
-		r.failed = append(r.failed, l.at.server.ID)
+		r.failed = append(r.failed, l.at.server.Life())
 	}
 	return legNotRun, err
 }
 
-// successor reports whether instance, which answers at the address of old, is
-// an engine of the same service that started anew there, and remembers it if so.
+// successor returns the life of instance, which answers at the address of old, if it is
+// an engine of the same service that started anew there, and remembers it then.
 // A daemon that has lost the store does not see it register, although copies are
 // sent to the address and lie at the new engine. Where one service alone has
 // engines, whatever speaks as an engine is of that service, also at an address
 // used again.
-func (r *relay) successor(ctx context.Context, old routing.Server, instance string) bool {
+func (r *relay) successor(ctx context.Context, old routing.Server, instance string) (routing.Life, bool) {
 	view := r.h.opts.Feed.View()
 	if instance == "" || instance == old.ID || view.Departed(instance) || view.Config.OnlyEngines() != r.service {
-		return false
+		return routing.Life{}, false
 	}
-	if _, err := r.h.probe(ctx, old, probeTimeout); err != nil {
-		return false
+	report, err := r.h.report(ctx, old, probeTimeout)
+	if err != nil {
+		return routing.Life{}, false
 	}
-	r.h.pool.succeed(view, old.ID, instance)
-	r.h.opts.Log.Emit(event.BackendSucceeded, r.in.call.ID, old.ID, instance)
-	return true
+	next := routing.Life{ID: instance, Born: report.Born}
+	r.h.pool.succeed(view, old.Life(), next)
+	r.h.opts.Log.Emit(event.BackendSucceeded, r.in.call.ID, old.ID, next.ID, next.Born)
+	return next, true
 }
 
 // noStream passes on a failure that a server answered, unless another may do better.
 func (r *relay) noStream(ctx context.Context, l leg, o opened) (legEnd, error) {
 	if r.began || r.mayGoOn() {
-		r.failed = append(r.failed, l.at.server.ID)
+		r.failed = append(r.failed, l.at.server.Life())
 		return legBroken, errors.Errorf("status %d", o.resp.StatusCode)
 	}
 	body, rest, err := readAnswer(o.resp)
--- a/serve/forward/lending_test.go
+++ b/serve/forward/lending_test.go
@@ -47,11 +47,11 @@
 			inWorld(t, streamRoute(), func(w *world) {
 				lender := newPool(routing.VM{ID: "vm-3"}, repeats.Rule{Slack: c.slack, Window: 10 * time.Second})
 				w.handler.SetBounds(5*time.Second, repeats.Rule{Window: 10 * time.Second})
-				w.handler.borrower.dialer = link.NewDialerWith(&http.Client{Transport: neighbours{"three": lender}})
+				w.handler.borrower.dialer = link.NewDialerWith(&http.Client{Transport: neighbours{"three:1": lender}})
 				lender.began = lender.began.Add(-10 * time.Second)
 				w.handler.pool.began = lender.began
-				w.put("mallowwind/vm/vm-2", `{"id":"vm-2","zone":"b","peer":"two"}`) // died
-				w.put("mallowwind/vm/vm-3", `{"id":"vm-3","zone":"c","peer":"three"}`)
+				w.put("mallowwind/vm/vm-2", `{"id":"vm-2","zone":"b","address":"two:2","peer":"two:1"}`) // died
+				w.put("mallowwind/vm/vm-3", `{"id":"vm-3","zone":"c","address":"three:2","peer":"three:1"}`)
 				handle := streaming(40, time.Second, 40*time.Millisecond)
 				a := w.add("e-a", "llm", "a", handle)
 				b := w.add("e-b", "llm", "b", handle)
--- /dev/null
+++ b/serve/forward/lives_test.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+)
+
+// firstLife is the start of engines that say it.
+const firstLife = 1_796_266_800_000
+
+// addBorn starts an engine that says when it started, and waits until the handler knows it.
+func (w *world) addBorn(id, zone string, handle http.HandlerFunc) *fakeServer {
+	w.t.Helper()
+	s := w.start(routing.Server{ID: id, Service: "llm", Zone: zone, Address: id + ":80", Slots: 4, Born: firstLife}, handle)
+	w.register(s)
+	time.Sleep(time.Second)
+	return s
+}
+
+// An engine restarts under its id while it reads a prompt, behind a link that tells
+// nobody: the connection stays open and says nothing, and the new life answers every
+// probe. The caller waits until its time is over, unless the start that the answer names
+// shows that nothing of its request is left there.
+func TestEngineRestartsUnderItsIDBehindASilentConnection(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(5, time.Second, 40*time.Millisecond)
+		a, b := w.addBorn("e-a", "a", handle), w.addBorn("e-b", "b", handle)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			runner, _ := roles(a, b)
+			w.reborn(runner, true)
+		}()
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 5), got.body)
+		must.Less(t, 4*time.Second, got.took)
+	})
+}
+
+// The engine that keeps the copy of a run restarts under its id and registers. Two
+// seconds later the engine that runs the request dies. The copy was gone, though its id
+// was still there; another was made in time, and the answer goes on from it.
+func TestCopyAtAnEngineThatRestartedUnderItsID(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		var fromCopy atomic.Int32
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				fromCopy.Add(1)
+			}
+			streaming(100, time.Second, 40*time.Millisecond)(rw, r)
+		}
+		a, b, c := w.addBorn("e-a", "a", handle), w.addBorn("e-b", "b", handle), w.addBorn("e-c", "c", handle)
+		runners := make(chan *fakeServer, 1)
+		go func() {
+			runner, holder, _ := running(a, b, c)
+			runners <- runner
+			w.register(w.reborn(holder, false))
+			time.Sleep(2 * time.Second)
+			w.crash(runner)
+		}()
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 100), got.body)
+		must.Less(t, 6*time.Second, got.took)
+		must.Eq(t, 1, fromCopy.Load())
+		targets, _ := (<-runners).copies()
+		must.Positive(t, len(targets))
+	})
+}
+
+// A copy made on demand lies at an engine that has restarted under its id since. Sent
+// there, the request would be turned away at best, and at worst go on from whatever the
+// new life keeps under the same name. It is sent to read its prompt instead.
+func TestCopyMadeOnDemandIsLostWithItsLife(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		s := w.addBorn("e-a", "a", streaming(5, time.Second, 40*time.Millisecond))
+		view := w.feed.View()
+		c, ok := w.handler.pool.at(view, "llm", s.server.Address)
+		must.True(t, ok)
+		r := &relay{h: w.handler, service: "llm"}
+		_, ok = r.holder(view, kept{at: c, once: true})
+		must.True(t, ok)
+		w.register(w.reborn(s, false))
+		time.Sleep(time.Second)
+		_, ok = r.holder(w.feed.View(), kept{at: c, once: true})
+		must.False(t, ok)
+		at, ok := r.holder(w.feed.View(), kept{at: c})
+		must.True(t, ok) // one that grows is sent to the new life too
+		must.Eq(t, int64(firstLife+1), at.server.Born)
+	})
+}
+
+// An engine has failed and is a last resort. It restarts under its id: what was known of
+// its health was of a process that is gone, and callers need not wait for a while more.
+func TestSuspicionEndsWithTheLife(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		s := w.addBorn("e-a", "a", streaming(5, time.Second, 40*time.Millisecond))
+		pool := w.handler.pool
+		pool.readers(time.Now(), w.feed.View(), "llm", 1, nil)
+		pool.failed(time.Now(), s.server.Life())
+		must.True(t, pool.suspect(time.Now(), s.server.Life()))
+		again := w.reborn(s, false)
+		w.register(again)
+		time.Sleep(time.Second)
+		list := pool.readers(time.Now(), w.feed.View(), "llm", 1, nil)
+		must.SliceLen(t, 1, list)
+		must.False(t, pool.suspect(time.Now(), list[0].server.Life()))
+		must.Eq(t, again.server.Life(), list[0].server.Life())
+	})
+}
+
+// The store shows the old life of an engine, which itself says that it has a new one.
+// What the engine says counts, and a report of the life before that was on its way for
+// long undoes nothing: it shows neither load nor runs of the present life.
+func TestReportsOfTwoLives(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		s := w.addBorn("e-a", "a", streaming(5, time.Second, 40*time.Millisecond))
+		s.reports("run-1 full")
+		again := w.reborn(s, false)
+		again.reports("run-2")
+		_, err := w.handler.probe(w.t.Context(), s.server, time.Second)
+		must.ErrorIs(t, err, errRestarted)
+		list := w.handler.pool.readers(time.Now(), w.feed.View(), "llm", 1, nil)
+		must.Eq(t, again.server.Life(), list[0].server.Life())
+		report, err := w.handler.probe(w.t.Context(), list[0].server, time.Second)
+		must.NoError(t, err)
+		must.MapContainsKey(t, report.Events, "run-2")
+
+		late := list[0].server
+		late.Born++ // a third life, known already when the second still answers
+		must.True(t, w.handler.pool.renewed(w.feed.View(), list[0].server.Life(), late.Life()))
+		report, err = w.handler.probe(w.t.Context(), late, time.Second)
+		must.NoError(t, err)
+		must.MapEmpty(t, report.Events)
+		must.Zero(t, report.Memory)
+		must.False(t, w.handler.pool.renewed(w.feed.View(), late.Life(), again.server.Life()))
+	})
+}
+
+// A daemon died and its caller goes on here. The engine that had read the prompt has
+// restarted under its id since; its old list of prompts, which lags, still names it. The
+// request must not be sent there for that: it takes the first engine that is free.
+func TestPromptsOfAnEarlierLifeAreNotFound(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		s := w.addBorn("e-a", "a", streaming(12, time.Second, 40*time.Millisecond))
+		s.holds("p7")
+		life, parts, err := w.handler.cached(w.t.Context(), s.server)
+		must.NoError(t, err)
+		must.Eq(t, []string{"p7"}, parts)
+		must.Eq(t, s.server.Life(), life)
+		known := s.server
+		known.Born += 5
+		_, parts, err = w.handler.cached(w.t.Context(), known)
+		must.NoError(t, err)
+		must.SliceEmpty(t, parts)
+		again := w.reborn(s, false)
+		again.holds("p8")
+		life, parts, err = w.handler.cached(w.t.Context(), s.server)
+		must.NoError(t, err)
+		must.Eq(t, []string{"p8"}, parts)
+		must.Eq(t, again.server.Life(), life)
+	})
+}
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -38,29 +38,29 @@
 type scan struct {
 	at      time.Time
 	mu      sync.Mutex
-	holders map[string][]string // server ids by part
+	holders map[string][]routing.Life // by part
 	ended   bool
 	changed chan struct{} // closed and replaced with each answer, and at the end
 }
 
 func newScan(now time.Time) *scan {
-	return &scan{at: now, holders: map[string][]string{}, changed: make(chan struct{})}
+	return &scan{at: now, holders: map[string][]routing.Life{}, changed: make(chan struct{})}
 }
 
 // find returns the holders known of a part, whether more may come, and what is closed
 // when there is news.
-func (s *scan) find(part string) (holders []string, ended bool, news <-chan struct{}) {
+func (s *scan) find(part string) (holders []routing.Life, ended bool, news <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.holders[part], s.ended, s.changed
 }
 
 // add records what one engine holds.
-func (s *scan) add(id string, parts []string) {
+func (s *scan) add(life routing.Life, parts []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, part := range parts {
-		s.holders[part] = append(s.holders[part], id)
+		s.holders[part] = append(s.holders[part], life)
 	}
 	s.wake()
 }
@@ -81,8 +81,8 @@
 
 func newLocator(h *Handler) *locator { return &locator{h: h, scans: map[string]*scan{}} }
 
-// holders returns the ids of engines that hold part, as soon as one is known.
-func (l *locator) holders(ctx context.Context, service, part string) []string {
+// holders returns the engines that hold part, as soon as one is known.
+func (l *locator) holders(ctx context.Context, service, part string) []routing.Life {
 	s := l.scan(service)
 	for {
 		holders, ended, news := s.find(part)
@@ -124,21 +124,33 @@
 	var all sync.WaitGroup
 	for _, server := range servers {
 		all.Go(func() {
-			parts, err := l.h.cached(ctx, server)
+			life, parts, err := l.h.cached(ctx, server)
 			if err != nil {
 				return // an engine that does not answer holds nothing of use
 			}
-			s.add(server.ID, parts)
+			s.add(life, parts)
 		})
 	}
 	all.Wait()
 }
 
-// cached asks an engine what it holds.
-func (h *Handler) cached(ctx context.Context, server routing.Server) ([]string, error) {
+// cached asks an engine what it holds, and which of its lives holds that.
+func (h *Handler) cached(ctx context.Context, server routing.Server) (routing.Life, []string, error) {
+	life := server.Life()
 	body, err := h.ask(ctx, server, h.opts.Codec.CachePath())
 	if err != nil {
-		return nil, err
+		return life, nil, err
 	}
-	return h.opts.Codec.CacheParts(body)
+	cache, err := h.opts.Codec.Cache(body)
+	if err != nil {
+		h.unreadable(server, err)
+		return life, nil, err
+	}
+	switch h.said(server, cache.Born) {
+	case lifeBefore:
+		return life, nil, nil
+	case lifeAfter:
+		life.Born = cache.Born
+	}
+	return life, cache.Parts, nil
 }
--- a/serve/forward/own.go
+++ b/serve/forward/own.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -79,11 +81,28 @@
 // CachePath implements Codec. No engine of ours tells what prompts it holds.
 func (OwnCodec) CachePath() string { return ownStatusPath }
 
-// CacheParts implements Codec.
-func (OwnCodec) CacheParts([]byte) ([]string, error) { return nil, nil }
+// Cache implements Codec.
+func (OwnCodec) Cache([]byte) (Cache, error) { return Cache{}, nil }
 
 // Probe implements Codec.
 func (OwnCodec) Probe() string { return ownStatusPath }
 
-// Report implements Codec: any answer shows that an engine lives.
-func (OwnCodec) Report([]byte) (Report, bool) { return Report{}, true }
+// ownStatus is what an engine says of itself; the rest is not read here.
+type ownStatus struct {
+	Born int64 `json:"born"` // as routing.Life.Born
+}
+
+// Report implements Codec: any answer shows that an engine lives, an empty one too.
+func (OwnCodec) Report(body []byte) (Report, error) {
+	if len(bytes.TrimSpace(body)) == 0 {
+		return Report{}, nil
+	}
+	var s ownStatus
+	if err := json.Unmarshal(body, &s); err != nil {
+		return Report{}, errors.Wrap(err, "status")
+	}
+	if s.Born < 0 {
+		return Report{}, errors.Errorf("status: born is %d", s.Born)
+	}
+	return Report{Born: s.Born}, nil
+}
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -6,7 +6,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 )
 
@@ -45,7 +48,7 @@
 			candidates = r.h.pool.readers(time.Now(), view, r.service, Asked, excluded)
 		}
 		for _, c := range candidates {
-			excluded = append(excluded, c.server.ID)
+			excluded = append(excluded, c.server.Life())
 		}
 		seen = append(seen, r.h.survey(ctx, candidates)...)
 		if c, ok := r.quietest(seen); ok && c.report.Free(r.in.call.PromptTokens) {
@@ -78,6 +81,14 @@
 	return seen[i], true
 }
 
+// silent makes an engine suspect that was asked in vain, unless the question was ended
+// from here or a later life answered, which is as good as any.
+func (h *Handler) silent(ctx context.Context, s routing.Server, err error) {
+	if ctx.Err() == nil && !errors.Is(err, errRestarted) {
+		h.pool.failed(time.Now(), s.Life())
+	}
+}
+
 // survey asks engines for their load. Those that do not answer are suspect from
 // then on; the others are returned in the order given.
 func (h *Handler) survey(ctx context.Context, candidates []choice) []surveyed {
@@ -87,9 +98,7 @@
 		all.Go(func() {
 			report, err := h.probe(ctx, c.server, askLimit)
 			if err != nil {
-				if ctx.Err() == nil {
-					h.pool.failed(time.Now(), c.server.ID)
-				}
+				h.silent(ctx, c.server, err)
 				return
 			}
 			load := report.load()
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -61,7 +61,7 @@
 	// sent counts sends that may have run, sends all that reached a server; rejected
 	// those that were turned away, and full those of them for want of room.
 	sent, sends, rejected, full int
-	tried                       []string
+	tried                       []routing.Life
 }
 
 // plain forwards a request whose answer is passed on whole.
@@ -143,7 +143,7 @@
 		x.h.pool.release(c)
 		return false
 	}
-	x.tried = append(x.tried, c.server.ID)
+	x.tried = append(x.tried, c.server.Life())
 	x.sends++
 	x.sent++
 	x.pending++
@@ -249,7 +249,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	h.pool.failed(time.Now(), c.server.ID)
+	h.pool.failed(time.Now(), c.server.Life())
 	h.opts.Log.Emit(event.BackendSuspected, in.call.ID, c.server.ID, err, suspicion)
 }
 
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -45,7 +45,7 @@
 	loads   []*load
 	home    []bool
 	table   *route.Table
-	index   map[string]int
+	index   map[string]int // by id
 }
 
 // pool knows the servers and this daemon's work at each.
@@ -56,18 +56,19 @@
 	rule    repeats.Rule
 	view    *feed.View
 	layouts map[string]*layout
-	loads   map[string]*load
+	// loads are by life: what was learned of a server ends with it.
+	loads   map[routing.Life]*load
 	budgets map[string]*repeats.Budget
-	// successors are the ids of servers that have started anew at the address of one
-	// in the view, by the id there.
-	successors map[string]string
+	// successors are the lives that have begun at the address of one in the view, by
+	// the life there.
+	successors map[routing.Life]routing.Life
 }
 
 func newPool(self routing.VM, rule repeats.Rule) *pool {
 	return &pool{
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
-		loads: map[string]*load{}, budgets: map[string]*repeats.Budget{},
-		successors: map[string]string{},
+		loads: map[routing.Life]*load{}, budgets: map[string]*repeats.Budget{},
+		successors: map[routing.Life]routing.Life{},
 	}
 }
 
@@ -78,7 +79,7 @@
 	}
 	p.view = view
 	p.layouts = make(map[string]*layout, len(view.Servers))
-	used := make(map[string]*load, len(p.loads))
+	used := make(map[routing.Life]*load, len(p.loads))
 	for service, servers := range view.Servers {
 		p.layouts[service] = p.layout(servers, used)
 	}
@@ -88,19 +89,20 @@
 
 // forgetSuccessors drops those whose predecessors are not in the view any more.
 func (p *pool) forgetSuccessors() {
-	listed := map[string]bool{}
+	listed := map[routing.Life]bool{}
 	for _, servers := range p.view.Servers {
 		for _, s := range servers {
-			listed[s.ID] = true
+			listed[s.Life()] = true
 		}
 	}
-	maps.DeleteFunc(p.successors, func(old, _ string) bool { return !listed[old] })
+	maps.DeleteFunc(p.successors, func(old, _ routing.Life) bool { return !listed[old] })
 }
 
-// succeed notes that a server of the view has started anew at its address under
-// another id. While the store is out of reach the view does not show it, and every
-// request to that address would be turned away by the new server.
-func (p *pool) succeed(view *feed.View, old, next string) {
+// succeed notes that a server of the view has started anew at its address. The view
+// shows that later, and not at all while the store is out of reach: what the life
+// before held would be asked for in vain, and where the id has changed every request
+// to that address would be turned away.
+func (p *pool) succeed(view *feed.View, old, next routing.Life) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.successors[p.listed(old)] = next
@@ -108,28 +110,51 @@
 	p.follow(view)
 }
 
-// listed is the id that a server has in the view: its own or its predecessor's.
-func (p *pool) listed(id string) string {
+// renewed notes that a server has begun another life under its id; it reports whether
+// that was news.
+func (p *pool) renewed(view *feed.View, old, next routing.Life) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.follow(view)
+	listed := p.listed(old)
+	if known, ok := p.successors[listed]; ok && known.ID == next.ID && known.Born >= next.Born {
+		return false
+	}
+	for _, servers := range view.Servers {
+		for _, s := range servers {
+			if s.ID == next.ID && s.Born >= next.Born {
+				return false // the view shows it already
+			}
+		}
+	}
+	p.successors[listed] = next
+	p.view = nil // the layouts are built anew
+	p.follow(view)
+	return true
+}
+
+// listed is the life that the view shows of a server: its own or its predecessor's.
+func (p *pool) listed(life routing.Life) routing.Life {
 	for old, next := range p.successors {
-		if next == id {
+		if next == life {
 			return old
 		}
 	}
-	return id
+	return life
 }
 
-func (p *pool) layout(servers []routing.Server, used map[string]*load) *layout {
+func (p *pool) layout(servers []routing.Server, used map[routing.Life]*load) *layout {
 	l := &layout{index: map[string]int{}}
 	var candidates []route.Candidate
 	for _, s := range servers {
-		if next, ok := p.successors[s.ID]; ok {
-			s.ID = next
+		if next, ok := p.successors[s.Life()]; ok {
+			s.ID, s.Born = next.ID, next.Born
 		}
-		one := p.loads[s.ID]
+		one := p.loads[s.Life()]
 		if one == nil {
 			one = &load{}
 		}
-		used[s.ID] = one
+		used[s.Life()] = one
 		if s.Leaving {
 			continue
 		}
@@ -245,11 +270,11 @@
 }
 
 // plain chooses a server for a request that is no prompt.
-func (p *pool) plain(now time.Time, view *feed.View, service string, exclude []string) (choice, bool) {
+func (p *pool) plain(now time.Time, view *feed.View, service string, exclude []routing.Life) (choice, bool) {
 	return p.in(view, service, func(l *layout) (choice, bool) { return p.pickPlain(now, l, exclude) })
 }
 
-func (p *pool) pickPlain(now time.Time, l *layout, exclude []string) (choice, bool) {
+func (p *pool) pickPlain(now time.Time, l *layout, exclude []routing.Life) (choice, bool) {
 	for i, one := range l.loads {
 		one.plain.Limit = int32(l.servers[i].Slots)
 		if l.servers[i].Slots <= 0 {
@@ -259,7 +284,7 @@
 			one.plain.Limit = 0
 		}
 	}
-	r := l.table.Pick(&route.Query{Exclude: exclude, Random: rand.Uint64()})
+	r := l.table.Pick(&route.Query{Exclude: l.ids(exclude), Random: rand.Uint64()})
 	if r.Index < 0 {
 		return p.lastResort(l, exclude)
 	}
@@ -269,10 +294,10 @@
 
 // lastResort is any server that is not excluded: all are suspect or full, and a
 // server that is sends the request back itself.
-func (p *pool) lastResort(l *layout, exclude []string) (choice, bool) {
+func (p *pool) lastResort(l *layout, exclude []routing.Life) (choice, bool) {
 	best := -1
 	for i, s := range l.servers {
-		if !slices.Contains(exclude, s.ID) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
+		if !slices.Contains(exclude, s.Life()) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
 			best = i
 		}
 	}
@@ -294,10 +319,10 @@
 }
 
 // failed makes a server a last resort for a while.
-func (p *pool) failed(now time.Time, id string) {
+func (p *pool) failed(now time.Time, life routing.Life) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if one := p.loads[id]; one != nil {
+	if one := p.loads[life]; one != nil {
 		one.suspicion = min(max(2*one.suspicion, suspicion), maxSuspicion)
 		one.suspectUntil = now.Add(one.suspicion)
 	}
@@ -311,27 +336,27 @@
 }
 
 // suspect reports whether a server failed a moment ago.
-func (p *pool) suspect(now time.Time, id string) bool {
+func (p *pool) suspect(now time.Time, life routing.Life) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	one := p.loads[id]
+	one := p.loads[life]
 	return one != nil && now.Before(one.suspectUntil)
 }
 
-func (p *pool) engines(now time.Time, l *layout, exclude []string) []prompts.Engine {
+func (p *pool) engines(now time.Time, l *layout, exclude []routing.Life) []prompts.Engine {
 	engines := make([]prompts.Engine, len(l.servers))
 	for i, s := range l.servers {
 		one := l.loads[i]
 		engines[i] = prompts.Engine{
 			Zone: s.Zone, Home: l.home[i], Reading: one.reading, Running: one.running, Copies: one.copies,
-			Suspect: now.Before(one.suspectUntil), Excluded: slices.Contains(exclude, s.ID),
+			Suspect: now.Before(one.suspectUntil), Excluded: slices.Contains(exclude, s.Life()),
 		}
 	}
 	return engines
 }
 
 // readers returns the engines that may read a prompt, the best first and n at most.
-func (p *pool) readers(now time.Time, view *feed.View, service string, n int, exclude []string) []choice {
+func (p *pool) readers(now time.Time, view *feed.View, service string, n int, exclude []routing.Life) []choice {
 	var list []choice
 	p.in(view, service, func(l *layout) (choice, bool) {
 		for _, c := range prompts.Read(p.engines(now, l, exclude), n, rand.Uint64()) {
@@ -351,9 +376,9 @@
 }
 
 // copyPlace chooses the engine that keeps a copy of a run at another.
-func (p *pool) copyPlace(now time.Time, view *feed.View, at routing.Server, exclude []string) (choice, bool) {
+func (p *pool) copyPlace(now time.Time, view *feed.View, at routing.Server, exclude []routing.Life) (choice, bool) {
 	return p.in(view, at.Service, func(l *layout) (choice, bool) {
-		engines := p.engines(now, l, append(slices.Clone(exclude), at.ID))
+		engines := p.engines(now, l, append(slices.Clone(exclude), at.Life()))
 		return l.choose(prompts.Copy(engines, at.Zone, rand.Uint64()), "")
 	})
 }
@@ -366,11 +391,11 @@
 	})
 }
 
-// server returns a server by id.
-func (p *pool) server(view *feed.View, service, id string) (choice, bool) {
+// server returns a server whose life has not ended.
+func (p *pool) server(view *feed.View, service string, life routing.Life) (choice, bool) {
 	return p.in(view, service, func(l *layout) (choice, bool) {
-		i, ok := l.index[id]
-		if !ok {
+		i, ok := l.index[life.ID]
+		if !ok || l.servers[i].Life() != life {
 			i = -1
 		}
 		return l.choose(i, "holds_prompt")
@@ -378,15 +403,27 @@
 }
 
 // lives reports whether a server is still the one it was: neither leaving or gone
-// nor replaced at its address, and not suspect. A zero choice does not live.
+// nor started anew or replaced at its address, and not suspect. A zero choice does
+// not live.
 func (p *pool) lives(now time.Time, view *feed.View, c choice) bool {
-	if c.load == nil || p.suspect(now, c.server.ID) {
+	if c.load == nil || p.suspect(now, c.server.Life()) {
 		return false
 	}
-	_, ok := p.server(view, c.server.Service, c.server.ID)
+	_, ok := p.server(view, c.server.Service, c.server.Life())
 	return ok
 }
 
+// ids are those of the servers here among the lives given.
+func (l *layout) ids(lives []routing.Life) []string {
+	var ids []string
+	for _, life := range lives {
+		if i, ok := l.index[life.ID]; ok && l.servers[i].Life() == life {
+			ids = append(ids, life.ID)
+		}
+	}
+	return ids
+}
+
 // choose returns the server at index i, none for a negative one.
 func (l *layout) choose(i int, reason string) (choice, bool) {
 	if i < 0 {
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -31,6 +31,9 @@
 type kept struct {
 	at   choice // its server is zero if there is none
 	name string // by which the engine there finds it
+	// once says that it was made on demand. Unlike one that grows with its run it is
+	// not sent again to an engine that starts anew: it is lost with the life it lies at.
+	once bool
 }
 
 // copyName is the name of a copy: of one that grows with its run the engine that
@@ -48,7 +51,7 @@
 	r      *relay
 	l      leg
 	mover  Mover
-	failed []string // engines that the run's request failed at before
+	failed []routing.Life // engines that the run's request failed at before
 
 	// Used by run alone.
 	place choice    // where the copy lies, the first one to begin with
@@ -132,7 +135,7 @@
 		s.r.h.opts.Log.Emit(event.CopyMade, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID)
 	}
 	s.handle.Store(&handle)
-	s.copied.Store(&kept{at: s.place, name: copyName(s.l.at.server, handle)})
+	s.copied.Store(&kept{at: s.place, name: copyName(s.l.at.server, handle), once: true})
 }
 
 func (s *spare) move(ctx context.Context, target routing.Server) (string, error) {
@@ -148,10 +151,12 @@
 }
 
 // drop frees the copy of a run that has ended: it holds a place in the batch of
-// its engine until then.
+// its engine until then. An engine that has started anew since knows nothing of the
+// handle, or another copy by it.
 func (s *spare) drop() {
 	handle := s.handle.Load()
-	if handle == nil {
+	_, same := s.r.h.pool.server(s.r.h.opts.Feed.View(), s.r.service, s.l.at.server.Life())
+	if handle == nil || !same {
 		return
 	}
 	go func() {
@@ -169,7 +174,7 @@
 // sign of life, since the entry of an engine that died stays for seconds, and has
 // room: a copy takes as much memory as the run, and where memory runs out an engine
 // throws out runs. Under a load of three times the usual no copy is worth that.
-func (r *relay) copyPlace(ctx context.Context, at routing.Server, failed []string) (choice, bool) {
+func (r *relay) copyPlace(ctx context.Context, at routing.Server, failed []routing.Life) (choice, bool) {
 	excluded := slices.Clone(failed)
 	for range copyTries {
 		c, ok := r.h.pool.copyPlace(time.Now(), r.h.opts.Feed.View(), at, excluded)
@@ -181,9 +186,9 @@
 			return c, true
 		}
 		if err != nil {
-			r.h.pool.failed(time.Now(), c.server.ID)
+			r.h.silent(ctx, c.server, err)
 		}
-		excluded = append(excluded, c.server.ID)
+		excluded = append(excluded, c.server.Life())
 	}
 	return choice{}, false
 }
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/verdict"
@@ -58,12 +59,12 @@
 	// reset is the engine that reset the connection before the first event; it may
 	// live and hold the prompt. Its server is zero if there is none.
 	reset choice
-	// misdirected is the id by which the holder was asked for in vain.
-	misdirected string
+	// misdirected is the life for which the holder was asked in vain.
+	misdirected routing.Life
 	runs        int // servers that may have run it
 	starts      int
 	sends       int
-	failed      []string
+	failed      []routing.Life
 	since       time.Time     // of the last event released, or of the start
 	moved       bool          // broke off after an event, and none followed yet
 	first       time.Duration // from the request's arrival to its first event, 0 before it
@@ -163,7 +164,7 @@
 	view := r.h.opts.Feed.View()
 	if held := r.held; held.at.load != nil {
 		r.held = kept{}
-		if c, ok := r.holder(view, held.at); ok {
+		if c, ok := r.holder(view, held); ok {
 			return r.withCopy(ctx, leg{at: c, from: held.name}), nil
 		}
 	}
@@ -229,12 +230,17 @@
 }
 
 // holder is the engine that holds a copy now. It may have started anew at its
-// address since the copy was asked for: the view shows that, or its own word.
-func (r *relay) holder(view *feed.View, held choice) (choice, bool) {
-	if c, ok := r.h.pool.at(view, r.service, held.server.Address); ok && c.server.ID != r.misdirected {
-		held = c
+// address since the copy was asked for: the view shows that, or its own word. A copy
+// that grows with its run is sent on to the new life, one made on demand is gone.
+func (r *relay) holder(view *feed.View, held kept) (choice, bool) {
+	at := held.at
+	if c, ok := r.h.pool.at(view, r.service, at.server.Address); ok && c.server.Life() != r.misdirected {
+		if held.once && c.server.Life() != at.server.Life() {
+			return at, false
+		}
+		at = c
 	}
-	return held, !view.Departed(held.server.ID) && !slices.Contains(r.failed, held.server.ID)
+	return at, !view.Departed(at.server.ID) && !slices.Contains(r.failed, at.server.Life())
 }
 
 // sameAgain is the engine that reset the connection before the first event, if it
@@ -246,15 +252,15 @@
 	if last.load == nil || r.in.call.OwnPart == "" {
 		return choice{}, false
 	}
-	c, ok := r.h.pool.server(view, r.service, last.server.ID)
+	c, ok := r.h.pool.server(view, r.service, last.server.Life())
 	if !ok {
-		return choice{}, false // it leaves
+		return choice{}, false // it leaves, or has started anew
 	}
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
-	parts, err := r.h.cached(ctx, c.server)
+	life, parts, err := r.h.cached(ctx, c.server)
 	c.reason = "same_again"
-	return c, err == nil && slices.Contains(parts, r.in.call.OwnPart)
+	return c, err == nil && life == c.server.Life() && slices.Contains(parts, r.in.call.OwnPart)
 }
 
 // warm is an engine that holds the prompt of a stream which another daemon began.
@@ -263,18 +269,27 @@
 		return choice{}, false
 	}
 	holders := r.h.locator.holders(ctx, r.service, r.in.call.OwnPart)
-	r.h.opts.Log.Emit(event.PromptLocated, r.in.call.ID, r.in.call.OwnPart, holders)
-	for _, id := range holders {
-		if slices.Contains(r.failed, id) || r.h.pool.suspect(now, id) {
+	r.h.opts.Log.Emit(event.PromptLocated, r.in.call.ID, r.in.call.OwnPart, ids(holders))
+	for _, life := range holders {
+		if slices.Contains(r.failed, life) || r.h.pool.suspect(now, life) {
 			continue
 		}
-		if c, ok := r.h.pool.server(view, r.service, id); ok {
+		if c, ok := r.h.pool.server(view, r.service, life); ok {
 			return c, true
 		}
 	}
 	return choice{}, false
 }
 
+// ids are those of the servers whose lives are given.
+func ids(lives []routing.Life) []string {
+	list := make([]string, len(lives))
+	for i, life := range lives {
+		list[i] = life.ID
+	}
+	return list
+}
+
 // withCopy adds the place of a copy where engines can keep one.
 func (r *relay) withCopy(ctx context.Context, l leg) leg {
 	view := r.h.opts.Feed.View()
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -147,19 +147,19 @@
 	return answer, nil
 }
 
-// probe asks an engine for a sign of life.
-func (h *Handler) probe(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
+// report asks whatever answers at the address of an engine for its report.
+func (h *Handler) report(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	body, err := h.ask(ctx, s, h.opts.Codec.Probe())
 	if err != nil {
 		return Report{}, err
 	}
-	report, ok := h.opts.Codec.Report(body)
-	if !ok {
-		return Report{}, errors.New("probe: no engine's answer")
+	report, err := h.opts.Codec.Report(body)
+	if err != nil {
+		h.unreadable(s, err)
 	}
-	return report, nil
+	return report, err
 }
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1).
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -70,18 +70,32 @@
 
 func (testCodec) CachePath() string { return "/cache" }
 
-func (testCodec) CacheParts(body []byte) ([]string, error) {
-	return strings.Fields(string(body)), nil
+// Cache reads the start of the engine as "@N" and then the parts that it holds.
+func (testCodec) Cache(body []byte) (Cache, error) {
+	born, words := startOf(strings.Fields(string(body)))
+	return Cache{Born: born, Parts: words}, nil
+}
+
+// startOf takes the start of an engine, written as "@N", off the front.
+func startOf(words []string) (int64, []string) {
+	if len(words) == 0 || !strings.HasPrefix(words[0], "@") {
+		return 0, words
+	}
+	born, _ := strconv.ParseInt(words[0][1:], 10, 64)
+	return born, words[1:]
 }
 
 func (testCodec) Probe() string { return "/alive" }
 
-// Report reads "engine" and then the ids of runs with events, of those without if
-// they begin with a minus, and "full" of an engine without room.
-func (testCodec) Report(body []byte) (Report, bool) {
-	words := strings.Fields(string(body))
-	r := Report{Events: map[string]int{}}
-	for _, id := range words {
+// Report reads the start, "engine" and then the ids of runs with events, of those
+// without if they begin with a minus, and "full" of an engine without room.
+func (testCodec) Report(body []byte) (Report, error) {
+	born, words := startOf(strings.Fields(string(body)))
+	if len(words) == 0 || words[0] != "engine" {
+		return Report{}, errors.New("no engine's answer")
+	}
+	r := Report{Born: born, Events: map[string]int{}}
+	for _, id := range words[1:] {
 		if id == "full" {
 			r.Used, r.Memory = 100, 100
 			continue
@@ -93,7 +107,7 @@
 			r.Events[id] = lostEvents
 		}
 	}
-	return r, len(words) > 0 && words[0] == "engine"
+	return r, nil
 }
 
 func (testCodec) Move(id, target string) (string, []byte, error) {
@@ -158,7 +172,7 @@
 				w.WriteHeader(http.StatusInternalServerError)
 				return
 			}
-			fmt.Fprint(w, "engine ", s.runs)
+			fmt.Fprint(w, s.start(), "engine ", s.runs)
 		}
 		return
 	case "/cache":
@@ -166,7 +180,7 @@
 		cached, lag := s.cached, s.cacheLag
 		s.mu.Unlock()
 		sleep(r, lag)
-		fmt.Fprint(w, cached)
+		fmt.Fprint(w, s.start(), cached)
 		return
 	}
 	if s.copying(w, r) {
@@ -186,6 +200,14 @@
 	s.handle(w, r)
 }
 
+// start is what the server says of its start, before anything else.
+func (s *fakeServer) start() string {
+	if s.server.Born == 0 {
+		return ""
+	}
+	return fmt.Sprintf("@%d ", s.server.Born)
+}
+
 // copying answers the calls that make and free a copy on demand.
 func (s *fakeServer) copying(w http.ResponseWriter, r *http.Request) bool {
 	body, _ := io.ReadAll(r.Body)
@@ -273,6 +295,7 @@
 	feed    *feed.Manager
 	handler *Handler
 	servers map[string]*fakeServer
+	buried  []*fakeServer // whose connections stay open though a later life has their place
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -392,6 +415,22 @@
 	return w.start(server, old.handle)
 }
 
+// reborn puts another life of a server at its address, under its id and unknown to the
+// store. Connections to the life before stay open and say nothing more if silently.
+func (w *world) reborn(old *fakeServer, silently bool) *fakeServer {
+	server := old.server
+	server.Born++
+	if silently {
+		old.listener.Silence()
+		w.mu.Lock()
+		w.buried = append(w.buried, old)
+		w.mu.Unlock()
+	} else {
+		w.crash(old)
+	}
+	return w.start(server, old.handle)
+}
+
 // crash resets the connections of a server and refuses new ones.
 func (w *world) crash(s *fakeServer) {
 	s.listener.Cut()
@@ -403,6 +442,9 @@
 	for _, s := range w.servers {
 		s.http.Close()
 	}
+	for _, s := range w.buried {
+		s.http.Close()
+	}
 	w.done.Wait()
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -27,16 +27,20 @@
 	CopyFailed = define(230, "copy_failed", logrus.InfoLevel,
 		"A copy of a run could not be made or freed.", "request", "backend", "copy", "error")
 	BackendSucceeded = define(231, "backend_succeeded", logrus.InfoLevel,
-		"A backend server has started anew at its address under another id, which the store does not show yet.", "request", "backend", "successor")
+		"A backend server has started anew at its address, under another id or its own, which the store does not show yet.", "request", "backend", "successor", "born")
 	PromptRefused = define(232, "prompt_refused", logrus.InfoLevel,
 		"Engines have no room for a prompt; backend is the best of those asked, as of its report.", "request", "backend", "reason", "tokens", "unread", "used", "memory", "due", "refusing_for", "answers_take")
 	CallThrottled = define(233, "call_throttled", logrus.InfoLevel,
 		"A request was refused because the backend servers turn requests away.", "request", "service", "refusing_for")
+	MessageRefused = define(234, "message_refused", logrus.ErrorLevel,
+		"What a backend server says of itself cannot be used; it counts as no answer.", "backend", "address", "error")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
 	EntryRefused = define(531, "entry_refused", logrus.ErrorLevel,
-		"A key of the store could not be read; what was known before stays in use.", "key", "error")
+		"A key of the store cannot be used: what it says is not believed. A server or entry VM that it named is not used any more; an earlier configuration stays in force.", "key", "error")
+	EntryOutdated = define(539, "entry_outdated", logrus.WarnLevel,
+		"The entry of an earlier life of a backend server arrived late; the later life stays in use.", "backend", "born", "known")
 	StoreLost = define(532, "store_lost", logrus.WarnLevel,
 		"The store does not answer; what is known stays in use.", "error")
 	StoreReached = define(533, "store_reached", logrus.InfoLevel,
