soak: processes before servers that restart under their id

A server ends behind resets or behind silence and starts again under its id, and in half of the cases the write of its earlier life arrives after the first of the new one.

--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -26,7 +26,8 @@
 	{"store refuses", false, (*world).refuseCalls},
 	{"key removed while the store refuses", false, (*world).removeKeyInOutage},
 	{"store loses answers", false, (*world).loseAnswers},
-	{"engine crashes", false, (*world).crashServer},
+	{"server crashes", false, (*world).crashServer},
+	{"server restarts under its id", false, (*world).restartServer},
 	{"server cut off", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.server().link) }},
 	{"server fails", false, (*world).failServer},
 	{"server leaves", true, (*world).leave},
@@ -210,13 +211,40 @@
 	old := s.entry(false).ID
 	s.crash()
 	w.during(ctx, 1500*time.Millisecond)
-	s.begin()
+	s.begin(false)
 	s.link.set(linkPass)
 	w.register(s, false)
 	time.Sleep(time.Second)
 	w.unregister(old)
 }
 
+// restartServer ends a server, behind resets or behind silence, and starts it again under
+// its id. The write of the earlier life may arrive after the first of the new one.
+func (w *world) restartServer(ctx context.Context) {
+	s := w.server()
+	s.life.Lock()
+	defer s.life.Unlock()
+	w.mu.Lock()
+	silent, late := w.random.IntN(2) == 0, w.random.IntN(2) == 0
+	w.mu.Unlock()
+	old := s.entry(false)
+	if silent {
+		s.link.set(linkSilent)
+		s.end()
+	} else {
+		s.crash()
+	}
+	w.during(ctx, time.Second)
+	s.begin(true)
+	s.link.set(linkPass)
+	w.register(s, false)
+	if late {
+		w.writeEntry(old)
+		time.Sleep(time.Second) // until its next heartbeat
+		w.register(s, false)
+	}
+}
+
 func (w *world) failServer(ctx context.Context) {
 	s := w.server()
 	set := func(failing, losing float64) {
@@ -239,7 +267,7 @@
 	time.Sleep(drainAge + 1500*time.Millisecond)
 	w.unregister(old)
 	s.crash()
-	s.begin()
+	s.begin(false)
 	s.link.set(linkPass)
 	w.register(s, false)
 }
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -25,7 +25,7 @@
 )
 
 // server is a backend server in this process: a model engine or a plain service.
-// Each start is another incarnation under a new id at the same address.
+// Each start is another life at the same address, under a new id or the one before.
 type server struct {
 	world   *world
 	service string
@@ -36,6 +36,7 @@
 	life     sync.Mutex // one end and start at a time
 	mu       sync.Mutex
 	id       string
+	born     int64     // start of this life, Unix milliseconds
 	leaving  time.Time // when that was acknowledged; zero while it serves
 	failing  float64   // share of requests answered with 500
 	losing   float64   // share of answers lost after the run
@@ -43,7 +44,7 @@
 	runs     map[string]*progress
 	parts    map[string]bool
 	started  int
-	shutdown chan struct{} // closed when the incarnation ends
+	shutdown chan struct{} // closed when the life ends
 }
 
 // copied is the copy of a run from another engine.
@@ -61,7 +62,7 @@
 
 func (w *world) newServer(service, zone, address, near string) (*server, error) {
 	s := &server{world: w, service: service, zone: zone}
-	s.begin()
+	s.begin(false)
 	l, err := net.Listen("tcp", near)
 	if err != nil {
 		return nil, errors.Wrap(err, "server")
@@ -72,29 +73,44 @@
 	return s, err
 }
 
-// begin starts an incarnation.
-func (s *server) begin() {
+// begin starts a life, under the id of the one before if sameID.
+func (s *server) begin(sameID bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	s.id = fmt.Sprintf("i-%08x-%d", rand.Uint32(), s.started)
+	s.born = max(time.Now().UnixMilli(), s.born+1)
+	if !sameID {
+		s.id = fmt.Sprintf("i-%08x-%d", rand.Uint32(), s.started)
+	}
 	s.leaving = time.Time{}
 	s.copies, s.runs, s.parts = map[string]copied{}, map[string]*progress{}, map[string]bool{}
 	s.shutdown = make(chan struct{})
 }
 
-// crash ends the incarnation: its runs, copies and connections are gone.
+// crash ends the life: its runs, copies and connections are gone.
 func (s *server) crash() {
+	s.end()
+	s.link.set(linkReset)
+}
+
+// end ends the life without a word to anyone.
+func (s *server) end() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	close(s.shutdown)
-	s.mu.Unlock()
-	s.link.set(linkReset)
 }
 
 func (s *server) entry(leaving bool) routing.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return routing.Server{ID: s.id, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Leaving: leaving}
+	return routing.Server{ID: s.id, Born: s.born, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Leaving: leaving}
+}
+
+// Born implements wire.Engine.
+func (s *server) Born() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.born
 }
 
 // Runs implements wire.Engine.
--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -209,18 +209,21 @@
 }
 
 func (w *world) register(s *server, leaving bool) {
-	entry := s.entry(leaving)
+	w.writeEntry(s.entry(leaving))
+	if leaving {
+		s.mu.Lock()
+		s.leaving = time.Now()
+		s.mu.Unlock()
+	}
+}
+
+func (w *world) writeEntry(entry routing.Server) {
 	raw, err := wire.EncodeServer(entry)
 	if err != nil {
 		w.ledger.violate("harness: %v", err)
 		return
 	}
 	w.write(wire.ServerKey(entry.ID), raw)
-	if leaving {
-		s.mu.Lock()
-		s.leaving = time.Now()
-		s.mu.Unlock()
-	}
 }
 
 // unregister removes an entry.
