prompts: answers that cannot be whole in the time left are refused at once

Ruled out: finding the prompts (where an engine holds one it is used already), shortening the hang (the VM that would have to speak has lost its state).

Change. prompts.Pace learns how many events whole answers have and how fast they are made; a stream that could not be whole even if it were shorter by 0.7 than the shortest and as fast as the fastest is refused before anything is asked.

--- a/decision/prompts/pace.go
+++ b/decision/prompts/pace.go
@@ -9,6 +9,8 @@
 	// forget lets the shortest reading grow by a hundredth with each one seen, so
 	// that engines that became slower are believed after some seventy prompts.
 	forget = 1.01
+	// fewAnswers say little of how short answers may be.
+	fewAnswers = 5
 	// meanWeight is the weight of one request in the means, so that
 	// the last dozens count.
 	meanWeight = 1.0 / 16
@@ -19,7 +21,7 @@
 	halfRead = 0.5
 )
 
-// Pace learns how fast the engines of one service read prompts.
+// Pace learns how fast the engines of one service read prompts and make answers.
 //
 // Load it answers: callers that come back after an outage with little time
 // left. Without it their prompts are read for a second each and the answers
@@ -29,6 +31,9 @@
 	perToken float64 // nanoseconds, of the fastest reading
 	tokens   float64 // mean length of the prompts
 	answer   float64 // nanoseconds, mean time of the answers from arrival to end
+	perEvent float64 // nanoseconds, of the fastest whole answer
+	events   float64 // of the shortest whole answer
+	answers  int     // whole ones seen
 }
 
 // Asked records that a prompt of so many tokens is to be read; 0 means that its caller
@@ -66,15 +71,49 @@
 	if tokens <= 0 || took <= 0 {
 		return
 	}
-	seen := float64(took) / float64(tokens)
-	if p.perToken == 0 || seen < p.perToken {
-		p.perToken = seen
+	p.perToken = least(p.perToken, float64(took)/float64(tokens))
+}
+
+// least is the smallest value seen with one more; it grows a little with each that is
+// larger, so that what does not come any more is forgotten.
+func least(known, value float64) float64 {
+	if known == 0 || value < known {
+		return value
+	}
+	return min(known*forget, value)
+}
+
+// Made records that a whole answer had so many events, and that those after the first
+// took so long.
+func (p *Pace) Made(events int64, took time.Duration) {
+	if events < 2 || took <= 0 {
 		return
 	}
-	p.perToken *= forget
+	p.answers++
+	p.events = least(p.events, float64(events))
+	p.perEvent = least(p.perEvent, float64(took)/float64(events-1))
 }
 
 // Hopeless reports whether a prompt certainly cannot be read in what is left.
 func (p *Pace) Hopeless(tokens int, left time.Duration) bool {
 	return float64(left) < leastPart*p.perToken*float64(tokens)
 }
+
+// Unfinishable reports whether an answer certainly cannot be whole in what is left: not
+// if it were shorter by leastPart than the shortest seen lately and made as fast as the
+// fastest. have is how many of its events the caller holds; an engine may hold its prompt
+// still then.
+//
+// Load it answers: callers whose connections hung when a VM lost its power, and who come
+// back seconds later. Without it engines read prompts and make answers of which nobody
+// gets the end, and the callers wait for that until their time is over.
+func (p *Pace) Unfinishable(tokens int, have int64, left time.Duration) bool {
+	if p.answers < fewAnswers {
+		return false
+	}
+	need := p.perEvent * max(leastPart*p.events-float64(have), 0)
+	if have == 0 {
+		need += leastPart * p.perToken * float64(tokens)
+	}
+	return float64(left) < need
+}
--- a/serve/forward/admit_test.go
+++ b/serve/forward/admit_test.go
@@ -60,3 +60,26 @@
 		must.Eq(t, http.StatusServiceUnavailable, w.ask(http.MethodPost, "/s/1", late, "prompt").status)
 	})
 }
+
+// A VM lost its power and the connection of a caller hung until the caller gave it up. It
+// comes back with more time than its prompt takes to read and less than the rest of its
+// answer. It hears at once that nothing ran; no engine reads and makes events in vain.
+func TestAnswerThatCannotBeWholeIsRefusedAtOnce(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		a := w.add("e-a", "llm", "a", streaming(100, 200*time.Millisecond, 40*time.Millisecond))
+		sized := map[string]string{hTokens: "8000"}
+		for range 5 {
+			must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", with(sized), "prompt").status)
+		}
+		for after, wait := range map[string]string{"0": "2000", "20": "1000"} {
+			sized[hAfter], sized[hWait] = after, wait
+			got := w.ask(http.MethodPost, "/s/1", with(sized), "prompt")
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.StrContains(t, got.body, "not_run")
+			must.Less(t, 50*time.Millisecond, got.took)
+		}
+		must.Eq(t, 5, a.requests())
+		sized[hAfter] = "80" // the rest may well be whole
+		must.Eq(t, events(81, 100), w.ask(http.MethodPost, "/s/1", with(sized), "prompt").body)
+	})
+}
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -43,6 +43,19 @@
 	return p.on(service).pace.Hopeless(tokens, left)
 }
 
+// unfinishable reports whether an answer cannot be whole in the time that is left.
+func (p *pressure) unfinishable(service string, c Call, left time.Duration) bool {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Unfinishable(c.PromptTokens, c.After, left)
+}
+
+// made records a whole answer: the ids of its events from first to last are counted, and
+// the time that those after the first took.
+func (p *pressure) made(service string, events int64, took time.Duration) {
+	defer p.mu.Unlock()
+	p.on(service).pace.Made(events, took)
+}
+
 // asked records that a prompt is to be read.
 func (p *pressure) asked(service string, tokens int) {
 	defer p.mu.Unlock()
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -106,6 +106,9 @@
 // stream forwards a request whose answer is a series of events.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
+	if h.pressure.unfinishable(service, in.call, time.Until(in.until)) {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the answer cannot be whole in the time that is left")
+	}
 	h.pressure.asked(service, in.call.PromptTokens)
 	for {
 		l, err := r.next(ctx)
@@ -117,6 +120,7 @@
 		switch end {
 		case legWhole:
 			h.pressure.ended(service, time.Since(in.arrived))
+			r.learn()
 			h.metrics.answered(in, http.StatusOK, sourceServer)
 			return nil
 		case legAnswer:
@@ -132,6 +136,13 @@
 	}
 }
 
+// learn takes what a whole answer shows of the service. The ids of events count them.
+func (r *relay) learn() {
+	if r.in.call.After == 0 && r.sends == 1 {
+		r.h.pressure.made(r.service, r.after, r.since.Sub(r.in.arrived)-r.first)
+	}
+}
+
 // verdict says whether the request may have run.
 func (r *relay) verdict() verdict.Verdict {
 	if r.runs > 0 {
