feed: daemons whose watchers are lost watch the store themselves at once

Fleets of more than eight daemons do the same today: where the store refuses just the daemons that watch, the others hear of no change for longer than two seconds.

Ruled out: a lower age from which a daemon asks elsewhere (the age is up to two seconds while all is well, since a watch is held for one); asking other daemons at once (if all that watch are refused nobody knows).

Where a daemon that watches for others does not answer, or says that it has lost the store (new field of the reply), the asker watches the store itself for three seconds; if its own call fails it tries again after two seconds only, as in any outage.

Test: TestChangeWhileThoseThatWatchAreLost, both cases fail without it; TestLargeFleetWaitsForTheStore and TestLargeFleetSharesFewWatches hold.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -106,8 +106,9 @@
 	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
 	seeds     atomic.Pointer[[]string]
 	known     chan struct{} // closed with the first configuration
-	reached   bool          // the last call to the store succeeded
+	reached   atomic.Bool   // the last call to the store succeeded
 	outage    atomic.Bool   // the last daemon asked was as long without the store
+	aloneTill atomic.Int64  // Clock until when this daemon watches the store itself
 
 	mu       sync.Mutex // guards table and changes of revision
 	table    *table
@@ -161,13 +162,17 @@
 	}
 }
 
-// failurePause is the mean wait after a failed call to the store.
+// failurePause is the mean wait after a failed call to the store. A daemon that watches
+// because others have lost the store shares their trouble if its own call fails.
 func (m *Manager) failurePause() time.Duration {
 	vms := m.View().VMs
-	if !m.Outage() || len(vms) <= watchers || slices.Contains(m.watching(vms), m.opts.Self) {
+	switch {
+	case len(vms) <= watchers || slices.Contains(m.watching(vms), m.opts.Self):
 		return retryPause
+	case m.Outage() || m.alone():
+		return outagePause
 	}
-	return outagePause
+	return retryPause
 }
 
 // follow watches the store until that fails, or is left to other daemons.
@@ -267,20 +272,18 @@
 
 // lost notes that the store does not answer. Servers kept in doubt still end.
 func (m *Manager) lost(err error) {
-	if m.reached {
+	if m.reached.Swap(false) {
 		m.opts.Log.Emit(event.StoreLost, err)
 	}
-	m.reached = false
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.publish()
 }
 
 func (m *Manager) regained(asked time.Duration) {
-	if !m.reached {
+	if !m.reached.Swap(true) {
 		m.opts.Log.Emit(event.StoreReached, m.revision.Load())
 	}
-	m.reached = true
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.reached(asked, m.opts.Clock())
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -28,6 +28,7 @@
 	store *store.Memory
 	ways  []*store.Faulty
 	feeds []*Manager
+	cut   sync.Map // of daemons that answer no other, by number
 	ctx   context.Context // of the daemons
 	done  sync.WaitGroup
 }
@@ -38,6 +39,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "address")
 	}
+	if _, cut := f.cut.Load(n); cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	w := httptest.NewRecorder()
 	_, h := f.feeds[n].Handler()
 	h.ServeHTTP(w, r)
@@ -230,6 +235,48 @@
 	})
 }
 
+// The few daemons that watch the store for the others are lost to them: they are cut off,
+// or the store refuses them alone. The operator takes a route away or adds one, and callers
+// at the others must see that within two seconds: nobody must go on asking daemons that
+// cannot know, until the configuration is old enough to be doubted.
+func TestChangeWhileThoseThatWatchAreLost(t *testing.T) {
+	const size = 40
+	cases := map[string]struct {
+		lose   func(f *fleet, n int)
+		within time.Duration
+	}{
+		"cut off": {func(f *fleet, n int) { f.cut.Store(n, true) }, 1500 * time.Millisecond},
+		"refused": {func(f *fleet, n int) { f.ways[n].SetDown(true) }, 1500 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, size, func(f *fleet) {
+				for n := range size {
+					id := strconv.Itoa(n)
+					f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
+					f.start(n)
+				}
+				time.Sleep(10 * time.Second)
+				lost := map[int]bool{}
+				for _, id := range f.feeds[0].watching(f.feeds[0].View().VMs) {
+					n, err := strconv.Atoi(id)
+					must.NoError(f.t, err)
+					lost[n] = true
+					c.lose(f, n)
+				}
+				time.Sleep(100 * time.Millisecond)
+				f.put("config", "vv")
+				time.Sleep(c.within)
+				for n := range f.feeds {
+					if !lost[n] {
+						must.Eq(f.t, int64(2), f.version(n))
+					}
+				}
+			})
+		})
+	}
+}
+
 // Hundreds of daemons are told of each change by the few that watch the store. Told
 // from anywhere, two thirds of it passes between zones, which is paid for, and eight
 // that watch fill their links: a change is late. Each zone has its own that watch.
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -27,6 +27,9 @@
 	// watchAge is the age from which a daemon that asks others watches itself. It
 	// is above what a watcher's answer and the pause between questions add up to.
 	watchAge = 3200 * time.Millisecond
+	// aloneTime is how long a daemon does without those that watch for it after one of them
+	// could not tell. It is about as long as daemons are cut off at least.
+	aloneTime = 3 * time.Second
 	// askAge is the age of the configuration from which other daemons are asked.
 	// A watch returns every second and confirms what held when it was sent, so the
 	// age reaches two seconds while all is well.
@@ -58,7 +61,9 @@
 		return &peerpb.SnapshotReply{}, nil
 	}
 	// The age is rounded up: it must never be told younger than it is.
-	reply := &peerpb.SnapshotReply{Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1}
+	reply := &peerpb.SnapshotReply{
+		Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1, Lost: s.m.watches() && !s.m.reached.Load(),
+	}
 	if left := s.m.table.doubtUntil - s.m.opts.Clock(); left > 0 {
 		reply.DoubtMs = left.Milliseconds()
 	}
@@ -84,9 +89,13 @@
 // watchers daemons all do. Beyond that, those with the lowest hashes do and the
 // others ask them, since the store counts each call: 88 daemons that all watch
 // make 88 calls for each change. A daemon that hears nothing watches too.
+//
+// The failure that watching alone guards against: those that watch for a daemon are cut off
+// from it, or the store refuses just them. Until its configuration was 2.5 s old it would go
+// on asking them, and answer by routes that the operator had taken away two seconds before.
 func (m *Manager) watches() bool {
 	vms := m.View().VMs
-	if m.opts.Dialer == nil || len(vms) <= watchers {
+	if m.opts.Dialer == nil || len(vms) <= watchers || m.alone() {
 		return true
 	}
 	if age, known := m.Age(); !known || age > watchAge {
@@ -151,6 +160,9 @@
 	}
 }
 
+// alone reports whether those that watch for this daemon could not tell lately.
+func (m *Manager) alone() bool { return int64(m.opts.Clock()) < m.aloneTill.Load() }
+
 // peer returns the address of another daemon, in turn: one that watches the store,
 // in the same zone where there is one; any where those may have lost the store.
 func (m *Manager) peer(turn int) (string, bool) {
@@ -203,12 +215,16 @@
 	return addresses
 }
 
+// ask learns from one daemon.
 func (m *Manager) ask(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := m.opts.Clock()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{Have: m.revision.Load()})
+	if err != nil || reply.GetLost() {
+		m.aloneTill.Store(int64(asked + aloneTime))
+	}
 	if err != nil {
 		m.outage.Store(false) // this daemon may be the one that is cut off
 		m.opts.Log.Emit(event.FeedPeerFailed, address, err)
