--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -28,7 +28,7 @@
 	store *store.Memory
 	ways  []*store.Faulty
 	feeds []*Manager
-	cut   sync.Map // of daemons that answer no other, by number
+	cut   sync.Map        // of daemons that answer no other, by number
 	ctx   context.Context // of the daemons
 	done  sync.WaitGroup
 }
