forward: the pool split by what it does; mallowctl stories

pool.go held the layouts of views, successors, budgets, the choice of engines and of servers for calls; each has a file now, moved without a change. mallowctl stories sums up many requests from logs: streams whole or not and at what they ended, time in flight, first event, pauses, reasons and ends of their parts.

--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -36,6 +36,7 @@
 	Handover handoverCmd `cmd:"" help:"Write what the next shift starts from: state and text."`
 
 	Story    storyCmd    `cmd:"" help:"Print one request's story from the logs of several daemons."`
+	Stories  storiesCmd  `cmd:"" help:"Sum up what the logs of several daemons show of all requests."`
 	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
 	Events   eventsCmd   `cmd:"" help:"Print the catalogue of log events, docs/events.md."`
 	Metrics  metricsCmd  `cmd:"" help:"Print the metrics of a daemon, docs/metrics.md."`
--- a/cmd/mallowctl/story.go
+++ b/cmd/mallowctl/story.go
@@ -34,3 +34,25 @@
 	story.Sort(lines)
 	return story.Write(os.Stdout, lines)
 }
+
+// storiesCmd sums up many requests.
+type storiesCmd struct {
+	Files []string `arg:"" type:"existingfile" help:"Logs of daemons."`
+}
+
+// Run implements the command.
+func (c *storiesCmd) Run() error {
+	s := story.NewSummary()
+	for _, path := range c.Files {
+		f, err := os.Open(path)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		err = s.Add(f)
+		f.Close()
+		if err != nil {
+			return errors.Wrap(err, path)
+		}
+	}
+	return s.Write(os.Stdout)
+}
--- /dev/null
+++ b/serve/forward/engines.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
+)
+
+func (p *pool) engines(now time.Time, l *layout, exclude []routing.Life) []prompts.Engine {
+	engines := make([]prompts.Engine, len(l.servers))
+	for i, s := range l.servers {
+		one := l.loads[i]
+		engines[i] = prompts.Engine{
+			Zone: s.Zone, Home: l.home[i], Reading: one.reading, Running: one.running, Copies: one.copies,
+			Suspect: now.Before(one.suspectUntil), Excluded: slices.Contains(exclude, s.Life()),
+		}
+	}
+	return engines
+}
+
+// readers returns the engines that may read a prompt, the best first and n at most.
+func (p *pool) readers(now time.Time, view *feed.View, service string, n int, exclude []routing.Life) []choice {
+	var list []choice
+	p.in(view, service, func(l *layout) (choice, bool) {
+		for _, c := range prompts.Read(p.engines(now, l, exclude), n, false, rand.Uint64()) {
+			one, _ := l.choose(c.Index, string(c.Reason))
+			list = append(list, one)
+		}
+		return choice{}, false
+	})
+	return list
+}
+
+// reader returns the engine that is the first to read a prompt where others is what all
+// other daemons have under way, and counts the prompt there at once: a daemon that asks
+// in the next moment must know of it.
+func (p *pool) reader(now time.Time, view *feed.View, service string, others workAt, exclude []routing.Life) (choice, bool) {
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		engines := p.engines(now, l, exclude)
+		for i, s := range l.servers {
+			engines[i].Reading += others[s.Life()].reading
+			engines[i].Running += others[s.Life()].running
+		}
+		for _, c := range prompts.Read(engines, 1, true, rand.Uint64()) {
+			l.loads[c.Index].reading++
+			return l.choose(c.Index, string(c.Reason))
+		}
+		return choice{}, false
+	})
+}
+
+// work is what this daemon has under way at the engines of a service.
+func (p *pool) work(view *feed.View, service string) workAt {
+	at := workAt{}
+	p.in(view, service, func(l *layout) (choice, bool) {
+		for i, s := range l.servers {
+			if one := l.loads[i]; one.reading > 0 || one.running > 0 {
+				at[s.Life()] = work{reading: one.reading, running: one.running}
+			}
+		}
+		return choice{}, false
+	})
+	return at
+}
+
+// reading is how many prompts of this daemon a server reads.
+func (p *pool) reading(c choice) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.load.reading
+}
+
+// copyPlace chooses the engine that keeps a copy of a run at another.
+func (p *pool) copyPlace(now time.Time, view *feed.View, at routing.Server, exclude []routing.Life) (choice, bool) {
+	return p.in(view, at.Service, func(l *layout) (choice, bool) {
+		engines := p.engines(now, l, append(slices.Clone(exclude), at.Life()))
+		return l.choose(prompts.Copy(engines, at.Zone, rand.Uint64()), "")
+	})
+}
+
+// at returns the server that has an address now.
+func (p *pool) at(view *feed.View, service, address string) (choice, bool) {
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		i := slices.IndexFunc(l.servers, func(s routing.Server) bool { return s.Address == address })
+		return l.choose(i, "holds_copy")
+	})
+}
+
+// server returns a server whose life has not ended.
+func (p *pool) server(view *feed.View, service string, life routing.Life) (choice, bool) {
+	return p.in(view, service, func(l *layout) (choice, bool) {
+		i, ok := l.index[life.ID]
+		if !ok || l.servers[i].Life() != life {
+			i = -1
+		}
+		return l.choose(i, "holds_prompt")
+	})
+}
+
+// lives reports whether a server is still the one it was: neither leaving or gone
+// nor started anew or replaced at its address, and not suspect. A zero choice does
+// not live.
+func (p *pool) lives(now time.Time, view *feed.View, c choice) bool {
+	if c.load == nil || p.suspect(now, c.server.Life()) {
+		return false
+	}
+	_, ok := p.server(view, c.server.Service, c.server.Life())
+	return ok
+}
--- /dev/null
+++ b/serve/forward/layout.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/route"
+)
+
+// layout is one service's servers in one view.
+type layout struct {
+	servers []routing.Server
+	loads   []*load
+	home    []bool
+	table   *route.Table
+	index   map[string]int // by id
+}
+
+// follow builds the layouts of a new view. It is called under the lock.
+func (p *pool) follow(view *feed.View) {
+	if p.view == view {
+		return
+	}
+	p.view = view
+	p.layouts = make(map[string]*layout, len(view.Servers))
+	used := make(map[routing.Life]*load, len(p.loads))
+	for service, servers := range view.Servers {
+		p.layouts[service] = p.layout(servers, used)
+	}
+	p.loads = used
+	p.forgetSuccessors()
+}
+
+func (p *pool) layout(servers []routing.Server, used map[routing.Life]*load) *layout {
+	l := &layout{index: map[string]int{}}
+	var candidates []route.Candidate
+	for _, s := range servers {
+		if next, ok := p.successors[s.Life()]; ok {
+			s.ID, s.Born = next.ID, next.Born
+		}
+		one := p.loads[s.Life()]
+		if one == nil {
+			one = &load{}
+		}
+		used[s.Life()] = one
+		if s.Leaving {
+			continue
+		}
+		l.index[s.ID] = len(l.servers)
+		l.servers = append(l.servers, s)
+		l.loads = append(l.loads, one)
+		candidates = append(candidates, route.Candidate{
+			ID: s.ID, Hash: xxhash.Sum64String(s.ID), Rank: p.rank(s), Load: &one.plain,
+		})
+	}
+	l.table = route.NewTable(candidates)
+	l.home = p.homes(l.servers)
+	return l
+}
+
+func (p *pool) rank(s routing.Server) route.Rank {
+	if s.Zone == p.self.Zone {
+		return route.SameZone
+	}
+	return route.SameRegion
+}
+
+// homes marks this daemon's window of each zone's servers.
+func (p *pool) homes(servers []routing.Server) []bool {
+	self := xxhash.Sum64String(p.self.ID)
+	daemons := []uint64{self}
+	for _, vm := range p.view.VMs {
+		if vm.ID != p.self.ID && !vm.Leaving {
+			daemons = append(daemons, xxhash.Sum64String(vm.ID))
+		}
+	}
+	zones := map[string][]int{}
+	for i, s := range servers {
+		zones[s.Zone] = append(zones[s.Zone], i)
+	}
+	home := make([]bool, len(servers))
+	for _, members := range zones {
+		hashes := make([]uint64, len(members))
+		for k, i := range members {
+			hashes[k] = xxhash.Sum64String(servers[i].Address)
+		}
+		size := (len(members) + len(daemons) - 1) / len(daemons)
+		for _, k := range route.Subset(self, daemons, hashes, size) {
+			home[members[k]] = true
+		}
+	}
+	return home
+}
+
+// ids are those of the servers here among the lives given.
+func (l *layout) ids(lives []routing.Life) []string {
+	var ids []string
+	for _, life := range lives {
+		if i, ok := l.index[life.ID]; ok && l.servers[i].Life() == life {
+			ids = append(ids, life.ID)
+		}
+	}
+	return ids
+}
+
+// choose returns the server at index i, none for a negative one.
+func (l *layout) choose(i int, reason string) (choice, bool) {
+	if i < 0 {
+		return choice{}, false
+	}
+	return choice{server: l.servers[i], load: l.loads[i], reason: reason}, true
+}
