--- a/lab/bench/prompts/world.go
+++ b/lab/bench/prompts/world.go
@@ -1,7 +1,6 @@
 package prompts
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -9,7 +8,6 @@
 	decide "mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/route"
-	"mallowwind.dev/lab/bench/physics"
 )
 
 // Times of the losses: the engines of one zone die together for lossFor, the
@@ -51,83 +49,6 @@
 	tries = 2
 )
 
-// request is one long answer.
-type request struct {
-	daemon  int
-	prompt  int // tokens
-	events  int // of the whole answer
-	made    int
-	arrived time.Duration
-	first   time.Duration // 0 before it
-	last    time.Duration // of the last event
-	pause   time.Duration // longest
-	end     time.Duration
-	at      *engine
-	reading bool // at that engine, for the first time or again
-	ran     bool // was sent to an engine
-	sent    time.Duration
-	copyAt  *engine
-	wasted  int // prompt tokens read in vain
-	// refused is how often it was turned away before it ran, and over that its caller
-	// waits no more, or came back once already.
-	refused int
-	over    bool
-}
-
-// size is how many tokens of memory the request takes so far.
-func (r *request) size() int { return r.prompt + r.made*eventTokens }
-
-// onTime reports whether the answer met both objectives.
-func (r *request) onTime() bool {
-	return r.end > 0 && r.first-r.arrived <= firstObjective && r.pause <= pauseObjective
-}
-
-// deployment is the size of a site and its load.
-type deployment struct {
-	name    string
-	engines int
-	daemons int
-	rate    float64 // requests a second
-	// kind of the engines, and the mean length of prompts in tokens; those of the users'
-	// first platform if they are left out.
-	kind   physics.Engine
-	prompt float64
-	// paired draws the requests apart from all else, so that all policies meet the same.
-	paired bool
-	// lossEvery is the time between the losses of two zones, of which every other
-	// takes only a share of the zone's engines where that is not 0.
-	lossEvery time.Duration
-	lossShare float64
-	burst     burst
-	// memory is that of an engine in tokens, and patience how long a caller waits; 0
-	// means that of the kind of engines and usualPatience.
-	memory   int
-	patience time.Duration
-}
-
-// withDefaults returns d with zero fields set that have a default.
-func (d deployment) withDefaults() deployment {
-	d.kind = cmp.Or(d.kind, physics.Chunked)
-	d.prompt = cmp.Or(d.prompt, usualPrompt)
-	d.memory = cmp.Or(d.memory, d.kind.Memory)
-	d.patience = cmp.Or(d.patience, usualPatience)
-	return d
-}
-
-// burst is a time of more requests.
-type burst struct {
-	from, length time.Duration
-	factor       float64
-}
-
-// at is the factor on the load at a time.
-func (b burst) at(now time.Duration) float64 {
-	if now < b.from || now >= b.from+b.length {
-		return 1
-	}
-	return b.factor
-}
-
 // world is one trial in virtual time. Daemons know their own requests only, unless the
 // policy has them ask each other.
 type world struct {
@@ -408,14 +329,6 @@
 	return true
 }
 
-// drop frees the copy of a run.
-func (w *world) drop(r *request) {
-	if r.copyAt != nil {
-		w.copies[r.daemon][r.copyAt.id]--
-		r.copyAt = nil
-	}
-}
-
 // report takes down what the engines do. One that is down answers nothing.
 func (w *world) report() {
 	for _, e := range w.engines {
@@ -431,99 +344,3 @@
 		w.reports[i] = decide.Report{Unread: len(e.reading), Running: len(e.running), Used: e.used(), Memory: e.memory}
 	}
 }
-
-// copyAgain makes a copy of each run whose copy was lost.
-func (w *world) copyAgain(now time.Duration) {
-	for _, r := range w.requests {
-		if w.p.remakes && r.first > 0 && r.end == 0 && r.at != nil && !r.at.down && r.copyAt == nil {
-			w.copy(now, r)
-		}
-	}
-}
-
-// lose takes a zone's engines down, and the copies there.
-func (w *world) lose(now time.Duration, zone int, dark bool) {
-	struck := w.struck(zone, dark)
-	for _, r := range w.requests {
-		if r.copyAt != nil && struck[r.copyAt.id] {
-			w.drop(r)
-		}
-	}
-	for _, e := range w.engines {
-		if !struck[e.id] {
-			continue
-		}
-		for _, lost := range e.fail() {
-			w.broken(now, lost, dark)
-		}
-	}
-}
-
-// struck marks the engines that a loss takes: those of a zone, or of every other loss
-// a share of them.
-func (w *world) struck(zone int, whole bool) []bool {
-	struck := make([]bool, len(w.engines))
-	for i, e := range w.engines {
-		all := whole || w.d.lossShare == 0
-		struck[i] = e.zone == zone && (all || w.random.Float64() < w.d.lossShare)
-	}
-	return struck
-}
-
-// broken lets a lost run go on once its daemon has noticed.
-func (w *world) broken(now time.Duration, lost *run, dark bool) {
-	r := lost.request
-	seen := resetSeen
-	switch {
-	case dark && r.first == 0:
-		seen = unreadSeen
-	case dark:
-		seen = darkSeen
-	}
-	w.suspect[r.daemon][r.at.id] = now + seen + suspicion
-	w.leave(r)
-	fromCopy := r.made > 0 && r.copyAt != nil && !r.copyAt.down
-	if !fromCopy {
-		r.wasted += r.prompt - lost.unread
-		w.drop(r)
-	}
-	w.pending = append(w.pending, pending{at: now + seen, r: r, copy: fromCopy})
-}
-
-// goOn continues the requests whose time has come.
-func (w *world) goOn(now time.Duration) {
-	due := w.pending
-	w.pending = nil
-	for _, p := range due {
-		switch {
-		case p.r.over:
-		case p.at > now:
-			w.pending = append(w.pending, p)
-		case p.back:
-			w.read(now, p.r)
-		case p.copy && p.r.copyAt != nil && !p.r.copyAt.down:
-			w.move(now, p.r)
-		default:
-			w.drop(p.r)
-			w.read(now, p.r)
-		}
-	}
-}
-
-// move goes on from the copy.
-func (w *world) move(now time.Duration, r *request) {
-	e := r.copyAt
-	w.drop(r)
-	w.enter(r, e, false)
-	e.running = append(e.running, &run{request: r, ready: now + moveTime})
-	w.copy(now, r)
-}
-
-// back brings a zone's engines up again, empty.
-func (w *world) back(zone int) {
-	for _, e := range w.engines {
-		if e.zone == zone {
-			e.down = false
-		}
-	}
-}
