absence: requests wait for engines that return, and callers come back when they may be

The answers under way were cut, their callers came back at once, were told to return after half a second, and were refused for good at 26.5 s; engines were back at 27.5 s. 54 of 223 long answers were lost so.

Change. decision/absence learns how long servers of a service are away; a stream for which all engines have failed waits for about as long for one that reads nothing, and its caller comes back after as long again. The word of other daemons counts with a report, which lags. The feed's view says when it was published.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -72,6 +72,8 @@
 	Servers map[string][]routing.Server
 	// VMs are the entry VMs that serve.
 	VMs []routing.VM
+	// Published is when this became the view; zero before the first.
+	Published time.Time
 	// departed are the servers that leave or are gone.
 	departed map[string]time.Duration
 }
@@ -249,7 +251,9 @@
 // publish swaps the view where something changed. It is called under the lock.
 func (m *Manager) publish() {
 	if m.table.expire(m.opts.Clock()) || m.table.dirty {
-		m.view.Store(m.table.view())
+		view := m.table.view()
+		view.Published = time.Now()
+		m.view.Store(view)
 		m.table.dirty = false
 	}
 	if len(m.table.doubtful)+len(m.table.doubtfulVMs) > 0 && !m.expiring {
--- a/decision/retryafter/retryafter.go
+++ b/decision/retryafter/retryafter.go
@@ -38,11 +38,11 @@
 	if !everywhere {
 		return Elsewhere
 	}
-	return spreadOut(min(lasted, longest), draw)
+	return Spread(min(lasted, longest), draw)
 }
 
-// spreadOut is d give or take a quarter.
-func spreadOut(d time.Duration, draw float64) time.Duration {
+// Spread is d give or take a quarter. draw is in [0, 1).
+func Spread(d time.Duration, draw float64) time.Duration {
 	return time.Duration(float64(d) * (1 - spread/2 + spread*draw))
 }
 
@@ -55,7 +55,7 @@
 // at once. An answer that was refused is late in any case, so a caller that comes
 // back sooner gains nothing and takes room from those that are not.
 func Crowded(lasted, answer time.Duration, draw float64) time.Duration {
-	return spreadOut(min(max(lasted, slowed*answer), longest), draw)
+	return Spread(min(max(lasted, slowed*answer), longest), draw)
 }
 
 // Spell is how long something has gone on without a pause. The zero value has seen
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -36,21 +36,23 @@
 }
 
 // reader returns the engine that is the first to read a prompt where others is what all
-// other daemons have under way, and counts the prompt there at once: a daemon that asks
-// in the next moment must know of it.
-func (p *pool) reader(now time.Time, view *feed.View, service string, others workAt, exclude []routing.Life) (choice, bool) {
-	return p.in(view, service, func(l *layout) (choice, bool) {
+// other daemons have under way, with the prompts known to be read there, and counts the
+// prompt there at once: a daemon that asks in the next moment must know of it.
+func (p *pool) reader(now time.Time, view *feed.View, service string, others workAt, exclude []routing.Life) (c choice, unread int, ok bool) {
+	c, ok = p.in(view, service, func(l *layout) (choice, bool) {
 		engines := p.engines(now, l, exclude)
 		for i, s := range l.servers {
 			engines[i].Reading += others[s.Life()].reading
 			engines[i].Running += others[s.Life()].running
 		}
-		for _, c := range prompts.Read(engines, 1, true, rand.Uint64()) {
-			l.loads[c.Index].reading++
-			return l.choose(c.Index, string(c.Reason))
+		for _, best := range prompts.Read(engines, 1, true, rand.Uint64()) {
+			unread = engines[best.Index].Reading
+			l.loads[best.Index].reading++
+			return l.choose(best.Index, string(best.Reason))
 		}
 		return choice{}, false
 	})
+	return c, unread, ok
 }
 
 // work is what this daemon has under way at the engines of a service.
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -31,9 +31,6 @@
 	// firstConfigShare is the part of its caller's time that a request waits at most, so
 	// that one with little can still go elsewhere.
 	firstConfigShare = 0.25
-	// busyRetry is when a caller comes back that found no server: a server that
-	// was lost is replaced within about a second.
-	busyRetry = 500 * time.Millisecond
 	// leavingRetry is when a caller comes back that this daemon turned away while
 	// stopping: at once, at another address.
 	leavingRetry = 50 * time.Millisecond
--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -30,6 +30,7 @@
 	}
 	p.loads = used
 	p.forgetSuccessors()
+	p.returned()
 }
 
 func (p *pool) layout(servers []routing.Server, used map[routing.Life]*load) *layout {
--- a/serve/forward/lives_test.go
+++ b/serve/forward/lives_test.go
@@ -103,7 +103,7 @@
 		s := w.addBorn("e-a", "a", streaming(5, time.Second, 40*time.Millisecond))
 		pool := w.handler.pool
 		pool.readers(time.Now(), w.feed.View(), "llm", 1, nil)
-		pool.failed(time.Now(), s.server.Life())
+		pool.failed(time.Now(), s.server)
 		must.True(t, pool.suspect(time.Now(), s.server.Life()))
 		again := w.reborn(s, false)
 		w.register(again)
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -54,13 +54,17 @@
 func (r *relay) placeKnowing(ctx context.Context, view *feed.View, others workAt) (surveyed, bool) {
 	excluded := slices.Clone(r.failed)
 	for range askRounds {
-		c, ok := r.h.pool.reader(time.Now(), view, r.service, others, excluded)
+		c, unread, ok := r.h.pool.reader(time.Now(), view, r.service, others, excluded)
 		if !ok {
 			return surveyed{}, false
 		}
 		// The prompt itself is counted there by now.
-		if seen := r.h.survey(ctx, []choice{c}, 1); len(seen) == 1 && seen[0].report.Free(r.in.call.PromptTokens) {
-			return seen[0], true
+		if seen := r.h.survey(ctx, []choice{c}, 1); len(seen) == 1 {
+			best := seen[0]
+			best.report.Unread = max(best.report.Unread, unread) // a report lags
+			if best.report.Free(r.in.call.PromptTokens) {
+				return best, true
+			}
 		}
 		r.h.pool.count(c, -1, 0, 0)
 		excluded = append(excluded, c.server.Life())
@@ -119,7 +123,7 @@
 // from here or a later life answered, which is as good as any.
 func (h *Handler) silent(ctx context.Context, s routing.Server, err error) {
 	if ctx.Err() == nil && !errors.Is(err, errRestarted) {
-		h.pool.failed(time.Now(), s.Life())
+		h.pool.failed(time.Now(), s)
 	}
 }
 
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -205,7 +205,7 @@
 
 // none says that the request ran nowhere.
 func (x *exchanges) none() error {
-	return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "no backend server takes the request").After(busyRetry)
+	return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "no backend server takes the request").After(x.h.pool.back(x.service))
 }
 
 func (x *exchanges) expired(ctx context.Context) error {
@@ -249,7 +249,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	h.pool.failed(time.Now(), c.server.Life())
+	h.pool.failed(time.Now(), c.server)
 	h.opts.Log.Emit(event.BackendSuspected, in.call.ID, c.server.ID, err, suspicion)
 }
 
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -6,6 +6,7 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/absence"
 	"mallowwind.dev/decision/repeats"
 	"mallowwind.dev/decision/route"
 )
@@ -44,6 +45,15 @@
 	// successors are the lives that have begun at the address of one in the view, by
 	// the life there.
 	successors map[routing.Life]routing.Life
+	// away are the servers that failed and have not been back since, by address.
+	away     map[string]gone
+	absences map[string]*absence.Absence // by service
+}
+
+// gone is a server that failed.
+type gone struct {
+	life  routing.Life
+	since time.Time
 }
 
 func newPool(self routing.VM, rule repeats.Rule) *pool {
@@ -51,6 +61,7 @@
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
 		loads: map[routing.Life]*load{}, budgets: map[string]*repeats.Budget{},
 		successors: map[routing.Life]routing.Life{},
+		away:       map[string]gone{}, absences: map[string]*absence.Absence{},
 	}
 }
 
@@ -75,12 +86,17 @@
 }
 
 // failed makes a server a last resort for a while.
-func (p *pool) failed(now time.Time, life routing.Life) {
+func (p *pool) failed(now time.Time, s routing.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if one := p.loads[life]; one != nil {
-		one.suspicion = min(max(2*one.suspicion, suspicion), maxSuspicion)
-		one.suspectUntil = now.Add(one.suspicion)
+	one := p.loads[s.Life()]
+	if one == nil {
+		return
+	}
+	one.suspicion = min(max(2*one.suspicion, suspicion), maxSuspicion)
+	one.suspectUntil = now.Add(one.suspicion)
+	if _, known := p.away[s.Address]; !known {
+		p.away[s.Address] = gone{life: s.Life(), since: now}
 	}
 }
 
@@ -89,6 +105,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.load.suspicion = 0
+	if p.away[c.server.Address].life == c.server.Life() {
+		delete(p.away, c.server.Address) // it was there all the time
+	}
 }
 
 // suspect reports whether a server failed a moment ago.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -192,6 +192,9 @@
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
 	c, ok := r.place(ctx, view)
+	if !ok {
+		c, ok = r.awaitEngine(ctx)
+	}
 	if !ok {
 		return leg{}, r.none()
 	}
@@ -241,7 +244,7 @@
 
 // none says that no engine takes the request now.
 func (r *relay) none() error {
-	return verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(busyRetry)
+	return verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(r.h.pool.back(r.service))
 }
 
 // holder is the engine that holds a copy now. It may have started anew at its
