generation: a caller that holds nothing gets a new answer in place of unknown_generation

The same shows without a race where the VM that works on the key is replaced before its first token.

Ruled out: a caller that names a generation by its id (it may hold a part of it and is told the truth); a caller that holds tokens.

A handle made by a request keeps what was asked for; where nobody knows the generation and the caller holds nothing, it begins anew, with a new epoch.

--- a/lab/world/answer_test.go
+++ b/lab/world/answer_test.go
@@ -278,3 +278,19 @@
 		}
 	})
 }
+
+// A caller sends a key that another entry VM works on already, and is led there. That VM is
+// replaced before the first token. Nobody knows the generation any more, and the caller holds
+// nothing of it: it gets a new one in place of being told that what it just asked for is
+// unknown.
+func TestKeyWhoseGenerationIsGoneBeforeItsFirstToken(t *testing.T) {
+	inWorld(t, Config{Seed: 140}, func(t *testing.T, ctx context.Context, w *World) {
+		first, second := w.Caller(prompt, "order-6", 200), w.Caller(prompt, "order-6", 200)
+		must.NoError(t, first.Submit(ctx, 0))
+		must.NoError(t, second.Submit(ctx, 2))
+		first.Close()
+		w.Replace(0)
+		must.NoError(t, second.Finish(ctx))
+		must.NoError(t, second.Check())
+	})
+}
--- a/serve/generation/handle.go
+++ b/serve/generation/handle.go
@@ -31,10 +31,12 @@
 	m       *Manager
 	id      string
 	account string // other accounts do not learn that the generation exists
-	local   *Generation
-	detach  func()
-	remote  *place
-	at      source // where local or remote is
+	// spec is what was asked for, nil for a caller that names a generation only.
+	spec   *Spec
+	local  *Generation
+	detach func()
+	remote *place
+	at     source // where local or remote is
 	// rejected are places that do not continue what the caller holds, and
 	// differs says how the last of them failed to.
 	rejected []source
@@ -57,7 +59,7 @@
 
 // handle returns a Handle on g, or on a generation elsewhere if g is nil.
 func (m *Manager) handle(spec *Spec, g *Generation) *Handle {
-	h := &Handle{m: m, id: spec.ID, account: spec.Account.Name}
+	h := &Handle{m: m, id: spec.ID, account: spec.Account.Name, spec: spec}
 	h.useLocal(g)
 	return h
 }
@@ -172,7 +174,12 @@
 	h.rejected = append(h.rejected, s)
 }
 
-// relocate finds out where the generation can be read now.
+// relocate finds out where the generation can be read now. Where nobody knows it any more
+// and the caller holds nothing, what it asked for begins anew.
+//
+// The failure this answers: the same key comes to three entry VMs in the same moment. Two
+// begin a generation each, hear of each other's and give up their own, and the callers that
+// were led there are told that nobody knows what they have just asked for.
 func (h *Handle) relocate(ctx context.Context, pos lineage.Position) error {
 	h.tries++
 	if h.tries > 1 {
@@ -204,6 +211,9 @@
 		return errUnreachable()
 	case h.differs != nil:
 		return h.differs.final()
+	case h.spec != nil && pos.Offset == 0:
+		h.useLocal(h.m.start(h.spec, h.m.firstLine(f.epoch)))
+		return nil
 	}
 	return h.errUnknown()
 }
