--- a/decision/absence/absence.go
+++ b/decision/absence/absence.go
@@ -38,9 +38,11 @@
 	// shortest is the least time after which a caller comes back: a server that was lost is
 	// replaced within about a second.
 	shortest = 500 * time.Millisecond
-	// longest is above what a server takes that loads its model anew. One that is away for
-	// longer says nothing of when the next returns.
-	longest = time.Minute
+	// longest is above what a restart takes, and a third of what callers of long answers wait
+	// (25 s), so that none is told to come back when it has given up. A server that is away
+	// for longer, or that failed once and was replaced much later, says nothing of when the
+	// next returns.
+	longest = 8 * time.Second
 )
 
 // Absence is what one entry VM knows of one service. The zero value has seen nothing. It is
--- a/serve/forward/absences.go
+++ b/serve/forward/absences.go
@@ -13,6 +13,10 @@
 // the feed shows one that returns within half a second.
 const absentCheck = 50 * time.Millisecond
 
+// forgetAway is how long an address without a server is remembered: longer than any absence
+// that is learned from.
+const forgetAway = 2 * time.Minute
+
 // absence is what is known of how long servers of a service are away. The caller holds p.mu.
 func (p *pool) absence(service string) *absence.Absence {
 	a, ok := p.absences[service]
@@ -45,10 +49,6 @@
 	}
 }
 
-// forgetAway is how long an address without a server is remembered: longer than any absence
-// that is learned from.
-const forgetAway = 2 * time.Minute
-
 // waits is how long a request waits for a server of a service to return.
 func (p *pool) waits(service string, objective time.Duration) time.Duration {
 	p.mu.Lock()
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -62,7 +62,7 @@
 	Registerer prometheus.Registerer
 	// Dial opens connections to servers; nil means TCP.
 	Dial sent.DialFunc
-	// Dialer connects to other daemons; nil where none is asked for a repeat.
+	// Dialer connects to other daemons; nil where none is asked for anything.
 	Dialer *link.Dialer
 }
 
@@ -83,7 +83,10 @@
 
 // New returns a handler.
 func New(o Options) *Handler {
-	h := &Handler{opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(), borrower: newBorrower(o), neighbours: newNeighbours(o)}
+	h := &Handler{
+		opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
+		borrower: newBorrower(o), neighbours: newNeighbours(o),
+	}
 	h.locator = newLocator(h)
 	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
