forward, feed: one check of suspicion, one way to find a life, one start of a registered fleet

Read once more: whether a server failed a moment ago stood in four places as a comparison of times, the search for a server's present life in two, and the loop that registers and starts a test fleet in three. No behaviour changes; the tests keep their assertions.

--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -76,6 +76,15 @@
 	f.done.Go(func() { f.feeds[n].Run(f.ctx) })
 }
 
+// startRegistered starts all daemons, with their entries in the store.
+func (f *fleet) startRegistered() {
+	for n := range f.feeds {
+		id := strconv.Itoa(n)
+		f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
+		f.start(n)
+	}
+}
+
 func (f *fleet) put(key, value string) {
 	f.t.Helper()
 	var version int64
@@ -192,11 +201,7 @@
 func TestLargeFleetSharesFewWatches(t *testing.T) {
 	const size = 40
 	inFleet(t, size, func(f *fleet) {
-		for n := range size {
-			id := strconv.Itoa(n)
-			f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
-			f.start(n)
-		}
+		f.startRegistered()
 		f.put("server/1", "a:1")
 		time.Sleep(10 * time.Second)
 		calls := func() (n int64) {
@@ -251,11 +256,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			inFleet(t, size, func(f *fleet) {
-				for n := range size {
-					id := strconv.Itoa(n)
-					f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
-					f.start(n)
-				}
+				f.startRegistered()
 				time.Sleep(10 * time.Second)
 				lost := map[int]bool{}
 				for _, id := range f.feeds[0].watching(f.feeds[0].View().VMs) {
@@ -314,11 +315,7 @@
 func TestLargeFleetWaitsForTheStore(t *testing.T) {
 	const size, outage = 40, 8 * time.Second
 	inFleet(t, size, func(f *fleet) {
-		for n := range size {
-			id := strconv.Itoa(n)
-			f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
-			f.start(n)
-		}
+		f.startRegistered()
 		time.Sleep(10 * time.Second)
 		calls := func() (n int64) {
 			for _, way := range f.ways {
--- a/serve/forward/absences.go
+++ b/serve/forward/absences.go
@@ -67,7 +67,7 @@
 func (p *pool) anyThere(now time.Time, view *feed.View, service string) bool {
 	_, ok := p.in(view, service, func(l *layout) (choice, bool) {
 		for i, one := range l.loads {
-			if !now.Before(one.suspectUntil) {
+			if !one.suspect(now) {
 				return l.choose(i, "")
 			}
 		}
--- a/serve/forward/calls.go
+++ b/serve/forward/calls.go
@@ -24,7 +24,7 @@
 		if l.servers[i].Slots <= 0 {
 			one.plain.Limit = defaultSlots
 		}
-		if now.Before(one.suspectUntil) {
+		if one.suspect(now) {
 			one.plain.Limit = 0
 		}
 	}
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -16,7 +16,7 @@
 		one := l.loads[i]
 		engines[i] = prompts.Engine{
 			Zone: s.Zone, Home: l.home[i], Reading: one.reading, Running: one.running, Copies: one.copies,
-			Suspect: now.Before(one.suspectUntil), Excluded: slices.Contains(exclude, s.Life()),
+			Suspect: one.suspect(now), Excluded: slices.Contains(exclude, s.Life()),
 		}
 	}
 	return engines
@@ -95,11 +95,7 @@
 // server returns a server whose life has not ended.
 func (p *pool) server(view *feed.View, service string, life routing.Life) (choice, bool) {
 	return p.in(view, service, func(l *layout) (choice, bool) {
-		i, ok := l.index[life.ID]
-		if !ok || l.servers[i].Life() != life {
-			i = -1
-		}
-		return l.choose(i, "holds_prompt")
+		return l.choose(l.find(life), "holds_prompt")
 	})
 }
 
--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -94,11 +94,19 @@
 	return home
 }
 
+// find is the index of the server whose present life is given, -1 if there is none.
+func (l *layout) find(life routing.Life) int {
+	if i, ok := l.index[life.ID]; ok && l.servers[i].Life() == life {
+		return i
+	}
+	return -1
+}
+
 // ids are those of the servers here among the lives given.
 func (l *layout) ids(lives []routing.Life) []string {
 	var ids []string
 	for _, life := range lives {
-		if i, ok := l.index[life.ID]; ok && l.servers[i].Life() == life {
+		if l.find(life) >= 0 {
 			ids = append(ids, life.ID)
 		}
 	}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -31,6 +31,9 @@
 	suspicion    time.Duration // of the last failure, 0 after a success
 }
 
+// suspect reports whether the server failed a moment ago.
+func (l *load) suspect(now time.Time) bool { return now.Before(l.suspectUntil) }
+
 // pool knows the servers and this daemon's work at each.
 type pool struct {
 	mu      sync.Mutex
@@ -115,7 +118,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	one := p.loads[life]
-	return one != nil && now.Before(one.suspectUntil)
+	return one != nil && one.suspect(now)
 }
 
 // count changes this daemon's work at a server.
