forward: tests of answers that fall silent, which fail

What callers see: long answers are cut although no engine has failed.

The tests bring it about in virtual time: the daemon's whole link is held up for 1.2 s; an engine pauses for 0.6 s while its copy is gone; an engine goes dark while no repeat is free for a second.

A test that fails in the simulated world now ends it in order. Before, what it left running ended the whole test binary with a panic, and the other tests with it, so that a known red test could not be passed over.

--- /dev/null
+++ b/serve/forward/silent_test.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/repeats"
+)
+
+// noRepeats is a budget that is used up.
+var noRepeats = repeats.Rule{Window: 10 * time.Second}
+
+// budget replaces the fleet's budget of repeats, with the daemon's part of the slack.
+func (w *world) budget(rule repeats.Rule) {
+	w.handler.pool.mu.Lock()
+	defer w.handler.pool.mu.Unlock()
+	w.handler.pool.rule, w.handler.pool.began = rule, time.Now().Add(-rule.Window)
+	clear(w.handler.pool.budgets)
+}
+
+// askMany sends n streams a moment apart and returns what their callers got.
+func (w *world) askMany(n int) []answer {
+	got := make([]answer, n)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			got[i] = w.ask(http.MethodPost, "/s/1", with(map[string]string{hID: fmt.Sprintf("r%d", i)}), "prompt")
+		})
+	}
+	all.Wait()
+	return got
+}
+
+// holdLink holds everything between the daemon and all servers for a time, without
+// losing any of it.
+func (w *world) holdLink(after, d time.Duration) {
+	time.Sleep(after)
+	for _, s := range w.servers {
+		s.listener.Stall()
+	}
+	time.Sleep(d)
+	for _, s := range w.servers {
+		s.listener.Unstall()
+	}
+}
+
+// runs is how many requests all servers were asked to run.
+func (w *world) runs() int {
+	n := 0
+	for _, s := range w.servers {
+		n += s.requests()
+	}
+	return n
+}
+
+// Callers see answers cut although no engine failed. The link of the daemon's VM is full
+// for a second, so that all streams fall silent at once and no other engine can be reached
+// either. The daemon takes each silence for the death of an engine and gives the answer up
+// before it knows that it can go on elsewhere.
+func TestAnswersBehindALinkHeldUp(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rule repeats.Rule
+		held time.Duration // before the link is held up: while prompts are read, or in mid-answer
+	}{
+		{"in mid-answer, repeats used up", noRepeats, 1500 * time.Millisecond},
+		{"in mid-answer, repeats left", repeatsRule, 1500 * time.Millisecond},
+		{"before the first event, repeats used up", noRepeats, 200 * time.Millisecond},
+		{"before the first event, repeats left", repeatsRule, 200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, streamRoute(), func(w *world) {
+				for _, id := range []string{"a", "b", "c"} {
+					w.add("e-"+id, "llm", id, streaming(60, time.Second, 40*time.Millisecond))
+				}
+				w.budget(c.rule)
+				w.during(func() { w.holdLink(c.held, 1200*time.Millisecond) })
+				for _, got := range w.askMany(4) {
+					must.NoError(w.t, got.err)
+					must.Eq(w.t, http.StatusOK, got.status)
+					must.Eq(w.t, events(1, 60), got.body)
+				}
+				must.Eq(w.t, 4, w.runs())
+			})
+		})
+	}
+}
+
+// An engine pauses for 600 ms in the middle of an answer, since it reads prompts, and the
+// engine with the copy turns the request away, since it has freed the copy. The caller sees
+// the answer cut: the daemon has closed the connection to the first engine by then, and the
+// budget affords no further repeat.
+func TestSilentAnswerWhoseCopyIsGone(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			pausing(rw, r, 600*time.Millisecond)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		w.budget(repeats.Rule{Slack: 1.2, Window: 10 * time.Second}) // one repeat
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+	})
+}
+
+// pausing makes twenty events and pauses after the tenth.
+func pausing(rw http.ResponseWriter, r *http.Request, pause time.Duration) {
+	rw.Header().Set(hProof, "p")
+	for id := 1; id <= 20; id++ {
+		if r.Context().Err() != nil {
+			return
+		}
+		writeEvent(rw, id)
+		sleep(r, 40*time.Millisecond)
+		if id == 10 {
+			sleep(r, pause)
+		}
+	}
+}
+
+// An engine goes dark in the middle of an answer while the budget of repeats is used up.
+// The caller sees its answer cut at once, though the budget affords a repeat a second later
+// and the caller waits for two.
+func TestSilentAnswerGoesOnOnceARepeatIsFree(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(40, time.Second, 40*time.Millisecond)
+		a := w.add("e-a", "llm", "a", handle)
+		b := w.add("e-b", "llm", "b", handle)
+		w.budget(repeats.Rule{Slack: 1.2, Window: 1500 * time.Millisecond})
+		w.during(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, _ := roles(a, b)
+			runner.listener.Stall()
+			w.handler.pool.repeat(time.Now(), "llm") // another stream's
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 40), got.body)
+		must.Less(w.t, 5*time.Second, got.took)
+	})
+}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -304,8 +304,8 @@
 func inWorld(t *testing.T, routes []*routing.Route, test func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, routes)
+		defer w.close() // also of a test that fails, or what it left ends the other tests with it
 		test(w)
-		w.close()
 	})
 }
 
@@ -437,6 +437,9 @@
 	s.http.Close()
 }
 
+// during plays a part of the story beside the test, which waits for its end.
+func (w *world) during(play func()) { w.done.Go(play) }
+
 func (w *world) close() {
 	w.cancel()
 	for _, s := range w.servers {
