forward: engines are not suspect for the silence of the own link

What callers saw: for seconds after a VM's link had been full, their prompts waited at engines chosen among suspects only, beside engines that were idle.

Change: what one choice asks of engines is judged together. An engine that does not answer in time is suspect only where the way to another has worked for a question of the same choice; a refused or reset connection counts at once, as before. A request that was sent although no engine answered blames none for a connection that was not made in time.

Why it holds: TestEnginesBehindALinkHeldUpAreNotSuspect fails before. One dark engine among others is suspect as it was (TestEngineThatIsSilentAloneIsSuspect), and all engines dead are still found by their refusals (TestCallersOfEnginesThatStayAway failed while these did not count).

--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -143,7 +143,9 @@
 	if ctx.Err() != nil {
 		return legAborted, r.expired()
 	}
-	r.h.blame(ctx, r.in, l.at, err)
+	if !l.blind || !timedOut(err) { // else the link from here may be at fault
+		r.h.blame(ctx, r.in, l.at, err)
+	}
 	r.exclude(l)
 	if errors.Is(err, errNotSent) {
 		r.runs--
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -6,10 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"mallowwind.dev/control/feed"
-	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 )
 
@@ -54,13 +51,15 @@
 // free the choice is left to the reports of more.
 func (r *relay) placeKnowing(ctx context.Context, view *feed.View, others workAt) (surveyed, bool) {
 	excluded := slices.Clone(r.failed)
+	asked := r.h.questions()
+	defer asked.judge()
 	for range askRounds {
 		c, unread, ok := r.h.pool.reader(time.Now(), view, r.service, others, excluded)
 		if !ok {
 			return surveyed{}, false
 		}
 		// The prompt itself is counted there by now.
-		if seen := r.h.survey(ctx, []choice{c}, 1); len(seen) == 1 {
+		if seen := asked.survey(ctx, []choice{c}, 1); len(seen) == 1 {
 			best := seen[0]
 			best.report.Unread = max(best.report.Unread, unread) // a report lags
 			if best.report.Free(r.in.call.PromptTokens) {
@@ -80,6 +79,8 @@
 		return firstOf(first)
 	}
 	excluded := slices.Clone(r.failed)
+	asked := r.h.questions()
+	defer asked.judge()
 	var seen []surveyed
 	candidates := first
 	for round := range askRounds {
@@ -89,7 +90,7 @@
 		for _, c := range candidates {
 			excluded = append(excluded, c.server.Life())
 		}
-		seen = append(seen, r.h.survey(ctx, candidates, 0)...)
+		seen = append(seen, asked.survey(ctx, candidates, 0)...)
 		if c, ok := r.quietest(seen); ok && c.report.Free(r.in.call.PromptTokens) {
 			return c, true
 		}
@@ -120,29 +121,19 @@
 	return seen[i], true
 }
 
-// silent makes an engine suspect that was asked in vain, unless the question was ended
-// from here or a later life answered, which is as good as any.
-func (h *Handler) silent(ctx context.Context, s routing.Server, err error) {
-	if ctx.Err() == nil && !errors.Is(err, errRestarted) {
-		h.pool.failed(time.Now(), s)
-	}
-}
-
-// survey asks engines for their load. Those that do not answer are suspect from
-// then on; the others are returned in the order given. counted is how many prompts that
-// were not sent yet are counted at each.
-func (h *Handler) survey(ctx context.Context, candidates []choice, counted int) []surveyed {
+// survey asks engines for their load and returns those that answer, in the order given.
+// counted is how many prompts that were not sent yet are counted at each.
+func (q *questions) survey(ctx context.Context, candidates []choice, counted int) []surveyed {
 	answers := make([]*surveyed, len(candidates))
 	var all sync.WaitGroup
 	for i, c := range candidates {
 		all.Go(func() {
-			report, err := h.probe(ctx, c.server, askLimit)
+			report, err := q.ask(ctx, c.server, askLimit)
 			if err != nil {
-				h.silent(ctx, c.server, err)
 				return
 			}
 			load := report.load()
-			load.Unread = max(load.Unread, h.pool.reading(c)-counted) // a report lags
+			load.Unread = max(load.Unread, q.h.pool.reading(c)-counted) // a report lags
 			answers[i] = &surveyed{choice: c, report: load, answered: true}
 		})
 	}
--- /dev/null
+++ b/serve/forward/questions.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+)
+
+// questions are those that one choice asks of engines, and what they show of the engines
+// that do not answer.
+//
+// The failure it guards against: the link of the VM is held up for a second, no engine
+// answers, and the daemon takes dozens of engines for dead that work. It chooses among
+// suspects only for seconds after. It holds because an engine that does not answer in time
+// is suspect only where the way to another has worked for a question of the same choice.
+type questions struct {
+	h      *Handler
+	mu     sync.Mutex
+	works  bool // the way to an engine works
+	silent []routing.Server
+}
+
+func (h *Handler) questions() *questions { return &questions{h: h} }
+
+// ask asks an engine for a sign of life.
+func (q *questions) ask(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
+	report, err := q.h.probe(ctx, s, limit)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch {
+	case err == nil, errors.Is(err, errRestarted): // a later life is as good as any
+		q.works = true
+	case ctx.Err() != nil: // the question was ended from here
+	case timedOut(err):
+		q.silent = append(q.silent, s)
+	default:
+		q.works = true
+		q.h.pool.failed(time.Now(), s)
+	}
+	return report, err
+}
+
+// judge makes the engines suspect that were silent while the way to another worked.
+func (q *questions) judge() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.works {
+		return
+	}
+	for _, s := range q.silent {
+		q.h.pool.failed(time.Now(), s)
+	}
+}
--- a/serve/forward/silent_test.go
+++ b/serve/forward/silent_test.go
@@ -210,3 +210,36 @@
 		}
 	})
 }
+
+// Callers arrive while the link of the daemon's VM is held up. No engine answers the
+// questions before their prompts, which says nothing of the engines: once the link is free
+// all are as good as before. Evidence: during such a second daemons named dozens of engines
+// suspect that worked, and chose among suspects only for seconds after.
+func TestEnginesBehindALinkHeldUpAreNotSuspect(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.add("e-"+id, "llm", id, streaming(20, 100*time.Millisecond, 40*time.Millisecond))
+		}
+		w.during(func() { w.holdLink(0, time.Second) })
+		time.Sleep(time.Millisecond)
+		w.askMany(4)
+		for _, s := range w.servers {
+			must.False(t, w.handler.pool.suspect(time.Now(), s.server.Life()), must.Sprint(s.server.ID))
+		}
+	})
+}
+
+// An engine goes dark while others answer. It is suspect then, so that the next callers do
+// not wait for it.
+func TestEngineThatIsSilentAloneIsSuspect(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, streaming(3, 10*time.Millisecond, 10*time.Millisecond))
+		}
+		dark := w.servers["e-a"]
+		dark.listener.Stall()
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.Eq(t, events(1, 3), got.body)
+		must.True(t, w.handler.pool.suspect(time.Now(), dark.server.Life()))
+	})
+}
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -177,18 +177,17 @@
 // throws out runs. Under a load of three times the usual no copy is worth that.
 func (r *relay) copyPlace(ctx context.Context, at routing.Server, failed []routing.Life) (choice, bool) {
 	excluded := slices.Clone(failed)
+	asked := r.h.questions()
+	defer asked.judge()
 	for range copyTries {
 		c, ok := r.h.pool.copyPlace(time.Now(), r.h.opts.Feed.View(), at, excluded)
 		if !ok {
 			return choice{}, false
 		}
-		report, err := r.h.probe(ctx, c.server, askLimit)
+		report, err := asked.ask(ctx, c.server, askLimit)
 		if err == nil && report.load().Fits(r.in.call.PromptTokens) {
 			return c, true
 		}
-		if err != nil {
-			r.h.silent(ctx, c.server, err)
-		}
 		excluded = append(excluded, c.server.Life())
 	}
 	return choice{}, false
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -83,6 +83,8 @@
 	at     choice
 	copyTo choice
 	from   string // where the copy lies that it goes on from
+	// blind says that no engine answered before the request was sent to this one.
+	blind bool
 }
 
 // copy is the copy that is kept while the run grows, if there is one.
@@ -213,7 +215,8 @@
 		r.h.pool.count(c.choice, -1, 0, 0)
 		return leg{}, err
 	}
-	return r.withCopy(ctx, leg{at: c.choice}), nil
+	blind := !c.answered && view.Config.Engine(r.service) != nil
+	return r.withCopy(ctx, leg{at: c.choice, blind: blind}), nil
 }
 
 // admit refuses a request that engines have no room for. One that has run, or whose
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -26,6 +26,25 @@
 // errNotSent means that no byte of the request left: it has not run.
 var errNotSent = errors.New("forward: not sent")
 
+// notSent is the reason why no byte of a request left.
+type notSent struct{ cause error }
+
+// Error implements error.
+func (e notSent) Error() string { return e.cause.Error() + ": " + errNotSent.Error() }
+
+// Is makes it errNotSent.
+func (e notSent) Is(target error) bool { return target == errNotSent }
+
+// Unwrap returns the reason.
+func (e notSent) Unwrap() error { return e.cause }
+
+// timedOut reports whether nothing came back in time. Any other error shows that the way to
+// the server works.
+func timedOut(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
+
 // newTransport returns a transport that uses each connection once. A kept
 // connection may have gone silent, may be closed by the server just as a
 // request is sent, and may carry a late answer to the request before; each
@@ -40,7 +59,7 @@
 		defer cancel()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
-			return nil, errors.Wrapf(errNotSent, "%v", err)
+			return nil, notSent{err}
 		}
 		return conn, nil
 	}
