forward: answers that outlast a daemon's grace say so in the log

What on-call saw: 221 `aborted` with "the caller left" for answers that the daemon itself cut when it ended, so that a planned stop could not be told from callers who leave.

Change: past the end of the grace the error is "this daemon ends". Nothing else changes.

--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -16,6 +16,9 @@
 // errCallerLeft means that nobody waits for the answer any more.
 var errCallerLeft = errors.New("forward: the caller left")
 
+// errDaemonEnds means that the answer outlasted the graceful shutdown of this daemon.
+var errDaemonEnds = errors.New("forward: this daemon ends")
+
 // errDead means that a server gives no sign of life.
 var errDead = errors.New("forward: no sign of life")
 
@@ -215,8 +218,14 @@
 	return legAnswer, err
 }
 
+// expired says why the request has ended before its answer. The connections of callers are
+// closed when the daemon ends, which looks like a caller that leaves.
 func (r *relay) expired() error {
-	if time.Now().Before(r.in.until) {
+	now, stop := time.Now(), r.h.stop.Load()
+	switch {
+	case stop != nil && !now.Before(stop.End):
+		return errDaemonEnds
+	case now.Before(r.in.until):
 		return errCallerLeft
 	}
 	return verdict.New(r.verdict(), verdict.CodeDeadline, "the answer was not finished in time")
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -369,3 +369,16 @@
 		}
 	})
 }
+
+// An answer outlasts the graceful shutdown and is cut when the daemon ends. Who looks for
+// the cause must not read that the caller left.
+func TestAnswerThatOutlastsTheDaemonSaysSo(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		r := &relay{h: w.handler, in: &inbound{until: time.Now().Add(time.Minute)}}
+		must.ErrorIs(t, r.expired(), errCallerLeft)
+		w.handler.Leave(Stop{End: time.Now().Add(time.Second)})
+		must.ErrorIs(t, r.expired(), errCallerLeft)
+		time.Sleep(time.Second)
+		must.ErrorIs(t, r.expired(), errDaemonEnds)
+	})
+}
