feed: one line for the first read of the store, a line for what another daemon told only where it changed something

What stood there: event 537 (`server_seen`) for each server at each start of a daemon, and 536 (`feed_learned`) for each answer of another daemon that had a later revision, which every heartbeat of a server and every start of a daemon raises.

Change: the first full read, from the store or by another daemon, is one line, 540 (`store_read`): servers by service, how many leave, the revision. A later full read still has a line for each server that differs. 536 is written where the answer changed the configuration or a server, or ended a gap in their confirmation: once until the store answers here again, or until other daemons were late as well. It was not written before where a neighbour confirmed what had not changed, although OPERATIONS.md looks for it there. 530, 531, 538 and 539 are as they were, also in the first read.

Ruled out: a lower level for 537, which hides the servers that come and go while a daemon runs; 536 for every change of an entry VM, which the log does not name anyway and which is nearly all that planned restarts change; 536 at every answer to a daemon whose store is away, since its age nears the bound again about once a second.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -110,6 +110,7 @@
 	known     chan struct{} // closed with the first configuration
 	reached   atomic.Bool   // the last call to the store succeeded
 	outage    atomic.Bool   // the last daemon asked was as long without the store
+	bridged   atomic.Bool   // another daemon ended a gap since the store last answered
 	aloneTill atomic.Int64  // Clock until when this daemon watches the store itself
 
 	mu       sync.Mutex // guards table and changes of revision
@@ -288,6 +289,7 @@
 	if !m.reached.Swap(true) {
 		m.opts.Log.Emit(event.StoreReached, m.revision.Load())
 	}
+	m.bridged.Store(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.reached(asked, m.opts.Clock())
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -85,6 +85,13 @@
 	}
 }
 
+// record has daemon n, which is not started yet, write a log that is read back.
+func (f *fleet) record(n int) *lines {
+	out, log := recorded()
+	f.feeds[n].opts.Log, f.feeds[n].table.log = log, log
+	return out
+}
+
 func (f *fleet) put(key, value string) {
 	f.t.Helper()
 	var version int64
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -85,6 +85,14 @@
 	return known && age < askAge
 }
 
+// gap reports whether the configuration was not confirmed as lately as it is while all is
+// well. One that other daemons confirm in place of the store comes near that again and
+// again, which is one gap until the store answers or they are late too.
+func (m *Manager) gap() bool {
+	age, known := m.Age()
+	return !known || age > watchAge || age >= askAge && !m.bridged.Load()
+}
+
 // watches reports whether this daemon watches the store itself. Up to
 // watchers daemons all do. Beyond that, those with the lowest hashes do and the
 // others ask them, since the store counts each call: 88 daemons that all watch
@@ -244,6 +252,8 @@
 
 // learn takes over what another daemon believes if it is newer. The age is
 // counted back from when the question was sent, which makes it older than it is.
+//
+// The revision alone is no news: every heartbeat of a server raises it.
 func (m *Manager) learn(asked time.Duration, address string, reply *peerpb.SnapshotReply) {
 	if reply.GetRevision() == 0 {
 		return
@@ -253,7 +263,10 @@
 	if reply.GetRevision() < have || reply.GetRevision() == have && int64(confirmed) <= m.confirmed.Load() {
 		return
 	}
+	gap, changed := m.gap(), false
 	m.apply(confirmed, reply.GetRevision(), func() {
+		before := m.table.changes
+		defer func() { changed = m.table.changes != before }()
 		if m.opts.Clock()-confirmed < askAge {
 			m.table.lastReached = asked // by way of another daemon
 		}
@@ -264,7 +277,11 @@
 		}
 		m.table.change(asked, changes(reply))
 	})
-	if reply.GetRevision() > have {
+	ended := gap && m.fresh()
+	if ended {
+		m.bridged.Store(true)
+	}
+	if changed || ended {
 		m.opts.Log.Emit(event.FeedLearned, address, reply.GetRevision(), reply.GetAgeMs())
 	}
 }
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -50,6 +50,12 @@
 	// removal may come from a lease that ran out during an outage.
 	lastReached, doubtUntil time.Duration
 	dirty                   bool
+	// changes counts what became of the configuration and the servers; it does not
+	// count an entry that was written anew as it was.
+	changes int
+	// read says that everything in the store was taken in once; reading, that it is
+	// being taken in for the first time.
+	read, reading bool
 }
 
 func newTable(schema Schema, log *event.Log) *table {
@@ -77,8 +83,11 @@
 	t.lastReached = now
 }
 
-// replace takes in everything that the store holds at a revision.
+// replace takes in everything that the store holds at a revision. The first time the
+// log has one line for all servers: at a large site a line for each, at each start of a
+// daemon, fills the log with what nobody looks for.
 func (t *table) replace(now time.Duration, revision int64, items []store.KV) {
+	t.reading = !t.read
 	present := make(map[string]bool, len(items))
 	for _, kv := range items {
 		present[kv.Key] = true
@@ -89,6 +98,22 @@
 			t.remove(now, key, revision)
 		}
 	}
+	if t.reading {
+		t.logServers(revision)
+	}
+	t.read, t.reading = true, false
+}
+
+// logServers writes how many servers are known.
+func (t *table) logServers(revision int64) {
+	services, leaving := map[string]int{}, 0
+	for _, s := range t.servers {
+		services[s.Service]++
+		if s.Leaving {
+			leaving++
+		}
+	}
+	t.log.Emit(event.StoreRead, services, leaving, revision)
 }
 
 func (t *table) removeVM(key string) {
@@ -137,6 +162,7 @@
 	}
 	t.config = c
 	t.dirty = true
+	t.changes++
 	t.log.Emit(event.RoutingInForce, c.Version)
 }
 
@@ -180,7 +206,10 @@
 	if t.servers[id] != s {
 		t.servers[id] = s
 		t.dirty = true
-		t.log.Emit(event.ServerSeen, id, s.Service, s.Zone, s.Address, s.Leaving, kv.Version)
+		t.changes++
+		if !t.reading {
+			t.log.Emit(event.ServerSeen, id, s.Service, s.Zone, s.Address, s.Leaving, kv.Version)
+		}
 	}
 }
 
@@ -253,6 +282,7 @@
 	delete(t.doubtful, id)
 	delete(t.refusals, id)
 	t.dirty = true
+	t.changes++
 }
 
 // expire drops the servers whose time in doubt is over.
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -50,11 +50,13 @@
 	FeedPeerFailed = define(535, "feed_peer_failed", logrus.WarnLevel,
 		"Another daemon did not tell what it read from the store.", "address", "error")
 	FeedLearned = define(536, "feed_learned", logrus.InfoLevel,
-		"What another daemon read from the store was taken over, or confirmed what is known.", "address", "revision", "age_ms")
+		"What another daemon read from the store changed the configuration or servers known here, or confirmed them after a gap.", "address", "revision", "age_ms")
 	ServerSeen = define(537, "server_seen", logrus.InfoLevel,
-		"A backend server registered or changed its entry.", "backend", "service", "backend_zone", "address", "leaving", "revision")
+		"A backend server registered or changed its entry after the first read of the store.", "backend", "service", "backend_zone", "address", "leaving", "revision")
 	ServerGone = define(538, "server_gone", logrus.InfoLevel,
 		"A backend server's entry is gone; doubt is how long it stays in use because its lease may have run out in an outage.", "backend", "service", "doubt")
+	StoreRead = define(540, "store_read", logrus.InfoLevel,
+		"Everything in the store was read for the first time, here or by another daemon: how many backend servers each service has, and how many of all leave.", "servers", "leaving", "revision")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
 		"This daemon's entry in the store could not be written or removed.", "error")
 )
