mallowwind: one start of a gateway for both kinds of settings

What stood there: the command that forwards by the platform's settings and the one by settings of our own each opened the log, built the options, opened listeners and ran the gateway in the same lines.

Change: gateway.go holds that once, with the log and the clock that both used from forward.go. Exit codes, errors and the order in which listeners are opened stay; played by hand with a busy port, a busy metrics port, SIGHUP and SIGTERM.

Ruled out: one function for `serve` too: it runs another daemon, with TLS and its own listeners.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
@@ -25,11 +23,6 @@
 	"mallowwind.dev/telemetry/metric"
 )
 
-// keepAnswers is how long callers are told to keep an address answer: a daemon
-// that died is asked for no longer, and one that stops has to serve on for
-// three times as long.
-const keepAnswers = time.Second
-
 // forwardCmd forwards requests by the configuration in the platform's store.
 type forwardCmd struct {
 	Config   string `type:"path" placeholder:"FILE" help:"Settings of our own, with a key-value service of ours; see docs/settings.md."`
@@ -56,28 +49,19 @@
 	if c.Check {
 		return nil
 	}
-	events, closeLog, err := openLog(c.LogLevel, s.VM, s.Zone)
-	if err != nil {
-		return usageError{err}
-	}
-	defer closeLog()
-	o, err := gatewayOptions(s, events)
-	if err != nil {
-		return usageError{err}
-	}
-	if c.Metrics != 0 {
-		o.Metrics, err = net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(c.Metrics)))
-		if err != nil {
-			return usageError{errors.Wrap(err, "metrics")}
+	return runGateway(c.LogLevel, s.VM, s.Zone, func(events *event.Log) (gateway.Options, error) {
+		o, err := gatewayOptions(s, events)
+		if err != nil || c.Metrics == 0 {
+			return o, err
 		}
-	}
-	g := gateway.New(o)
-	go c.reload(hup, s, events, func(now *nodefile.Settings) {
-		o.Store.(*kv.Client).SetAddress(now.Store)
-		g.Apply(bounds(now))
+		o.Metrics, err = net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(c.Metrics)))
+		return o, errors.Wrap(err, "metrics")
+	}, func(g *gateway.Gateway, o gateway.Options) {
+		c.reload(hup, s, o.Log, func(now *nodefile.Settings) {
+			o.Store.(*kv.Client).SetAddress(now.Store)
+			g.Apply(bounds(now))
+		})
 	})
-	soft, hard := signals()
-	return g.Run(soft, hard)
 }
 
 // bounds are the settings that may change while the daemon runs.
@@ -88,29 +72,6 @@
 	}
 }
 
-const (
-	// logPerSecond and logBurst bound the events that are no warnings. A daemon
-	// at the peak of the largest site forwards about 20 requests a second.
-	logPerSecond = 300
-	logBurst     = 1500
-)
-
-// openLog writes events to standard output without waiting for its reader. The
-// function it returns writes what is queued.
-func openLog(levelName, vm, zone string) (*event.Log, func(), error) {
-	level, err := logrus.ParseLevel(levelName)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "log level")
-	}
-	logger := logrus.New()
-	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	logger.SetLevel(level)
-	events := event.New(logger, vm, zone).Limit(logPerSecond, logBurst)
-	out := event.NewWriter(os.Stdout, func(n uint64) { events.Emit(event.LogDropped, n) })
-	logger.SetOutput(out)
-	return events, out.Close, nil
-}
-
 func gatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
 	keep := min(keepAnswers, s.AddressAge)
 	o := gateway.Options{
@@ -129,19 +90,10 @@
 			return wire.DirectoryHandler(func(q wire.Question) []string { return addresses(q.Zone) }, keep)
 		},
 	}
-	for _, l := range []struct {
-		listener *net.Listener
-		address  string
-	}{{&o.Callers, s.Callers}, {&o.Readiness, s.Readiness}, {&o.Directory, s.Directory}, {&o.Peers, s.Peers}} {
-		if l.address == "" {
-			continue
-		}
-		var err error
-		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
-			return o, errors.Wrap(err, "listen")
-		}
-	}
-	return o, nil
+	err := listen([]socket{
+		{&o.Callers, s.Callers}, {&o.Readiness, s.Readiness}, {&o.Directory, s.Directory}, {&o.Peers, s.Peers},
+	})
+	return o, err
 }
 
 // reloadEvery is how often the settings file is looked at: it may change without
@@ -172,12 +124,3 @@
 		}
 	}
 }
-
-// bootClock goes on while the machine is suspended.
-func bootClock() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic(err) // the clock exists on every Linux since 2.6.39
-	}
-	return time.Duration(t.Nano())
-}
--- a/cmd/mallowwind/forwardown.go
+++ b/cmd/mallowwind/forwardown.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"time"
 
@@ -42,17 +41,9 @@
 	if check {
 		return nil
 	}
-	events, closeLog, err := openLog(s.LogLevel, s.VM, s.Zone)
-	if err != nil {
-		return usageError{err}
-	}
-	defer closeLog()
-	o, err := ownOptions(s, events)
-	if err != nil {
-		return usageError{err}
-	}
-	soft, hard := signals()
-	return gateway.New(o).Run(soft, hard)
+	return runGateway(s.LogLevel, s.VM, s.Zone, func(events *event.Log) (gateway.Options, error) {
+		return ownOptions(s, events)
+	}, func(*gateway.Gateway, gateway.Options) {})
 }
 
 func ownOptions(s *settings.Settings, events *event.Log) (gateway.Options, error) {
@@ -79,15 +70,8 @@
 		admin.Handle("/v1/entries", entryAnswers(addresses)).Methods(http.MethodGet)
 		return admin
 	}
-	for _, l := range []struct {
-		listener *net.Listener
-		address  string
-	}{{&o.Callers, s.Listen}, {&o.Peers, s.PeerListen}, {&o.Readiness, s.AdminListen}} {
-		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
-			return o, errors.Wrap(err, "listen")
-		}
-	}
-	return o, nil
+	err = listen([]socket{{&o.Callers, s.Listen}, {&o.Peers, s.PeerListen}, {&o.Readiness, s.AdminListen}})
+	return o, err
 }
 
 // readiness answers 200 while callers should be sent here.
