forward: one way to keep something of each service

What stood there: absences.go, lending.go and pressure.go each made the entry of a service when it was first asked for, in the same six lines.

Change: ofService does it for the three.

Ruled out: the same for serve/flow, whose entries are by service in one place and by account in the other; it would need a place that both packages import for six lines.

--- a/serve/forward/absences.go
+++ b/serve/forward/absences.go
@@ -19,12 +19,7 @@
 
 // absence is what is known of how long servers of a service are away. The caller holds p.mu.
 func (p *pool) absence(service string) *absence.Absence {
-	a, ok := p.absences[service]
-	if !ok {
-		a = &absence.Absence{}
-		p.absences[service] = a
-	}
-	return a
+	return ofService(p.absences, service)
 }
 
 // returned learns from the servers of a new view how long those were away that failed at
--- a/serve/forward/lending.go
+++ b/serve/forward/lending.go
@@ -75,23 +75,13 @@
 func (b *borrower) next(service string, daemons, asked []string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.of(service).Next(time.Now(), daemons, asked, rand.Uint64())
+	return ofService(b.lenders, service).Next(time.Now(), daemons, asked, rand.Uint64())
 }
 
 func (b *borrower) refused(service, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(service).Refused(time.Now(), id)
-}
-
-// of is called under the lock.
-func (b *borrower) of(service string) *repeats.Lenders {
-	l, ok := b.lenders[service]
-	if !ok {
-		l = &repeats.Lenders{}
-		b.lenders[service] = l
-	}
-	return l
+	ofService(b.lenders, service).Refused(time.Now(), id)
 }
 
 func (b *borrower) ask(ctx context.Context, address, service string) bool {
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -29,12 +29,7 @@
 // on locks what is known of a service; the caller unlocks it.
 func (p *pressure) on(service string) *servicePressure {
 	p.mu.Lock()
-	one, ok := p.services[service]
-	if !ok {
-		one = &servicePressure{}
-		p.services[service] = one
-	}
-	return one
+	return ofService(p.services, service)
 }
 
 // hopeless reports whether a prompt cannot be read in the time that is left.
