control/pause: one wait that ends with its context

What stood there: feed, inforce, backends, lease, the daemon's start, lab/soak and the losses bench each had a function or lines that wait for a time or the end of a context.

Change: pause.For is that function; it reports whether the time passed, which the daemon's start asks for. The loops are as they were.

Ruled out: the stand-ins and external/store, which stand above control and return an error of their own; lab/bench/members, whose wait returns the context's error.

--- a/control/backends/manager.go
+++ b/control/backends/manager.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/external/engine"
 	"mallowwind.dev/external/vmlist"
 	"mallowwind.dev/telemetry/event"
@@ -108,7 +109,7 @@
 		} else {
 			m.take(m.rows(), time.Now())
 		}
-		sleep(ctx, m.jittered(m.cfg.ListEvery))
+		pause.For(ctx, m.jittered(m.cfg.ListEvery))
 	}
 	wg.Wait()
 	return ctx.Err()
@@ -249,12 +250,3 @@
 	defer m.mu.Unlock()
 	return time.Duration(float64(d) * (1 + m.cfg.Jitter*(2*m.rng.Float64()-1)))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
@@ -152,7 +153,7 @@
 	peers.Go(func() { m.askPeers(ctx) })
 	for ctx.Err() == nil {
 		if !m.watches() {
-			pause(ctx, askEvery)
+			pause.For(ctx, askEvery)
 			continue
 		}
 		err := m.follow(ctx)
@@ -161,7 +162,7 @@
 		}
 		m.lost(err)
 		mean := m.failurePause()
-		pause(ctx, mean/2+rand.N(mean))
+		pause.For(ctx, mean/2+rand.N(mean))
 	}
 }
 
@@ -224,7 +225,7 @@
 	m.regained(asked)
 	m.apply(asked, w.Revision(), func() { m.table.change(asked, events) })
 	if len(events) > 0 {
-		pause(ctx, batchPause)
+		pause.For(ctx, batchPause)
 	}
 	return nil
 }
@@ -294,12 +295,3 @@
 	defer m.mu.Unlock()
 	m.table.reached(asked, m.opts.Clock())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
@@ -158,7 +159,7 @@
 		return
 	}
 	for turn := rand.Int(); ctx.Err() == nil; turn++ {
-		pause(ctx, askEvery*3/4+rand.N(askEvery/2))
+		pause.For(ctx, askEvery*3/4+rand.N(askEvery/2))
 		if m.fresh() && m.watches() {
 			continue
 		}
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
@@ -48,7 +49,7 @@
 			r.Log.Emit(event.RegistrationFailed, err)
 			wait, failed = failed, min(2*failed, maxRegisterPause)
 		}
-		pause(ctx, wait*3/4+rand.N(wait/2))
+		pause.For(ctx, wait*3/4+rand.N(wait/2))
 	}
 	r.remove(lease)
 }
--- a/control/inforce/boot.go
+++ b/control/inforce/boot.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -32,7 +33,7 @@
 			said = time.Now()
 			m.cfg.Log.Emit(event.ConfigUnavailable, errorText(storeErr), asked)
 		}
-		sleep(ctx, m.jitter(backoff))
+		pause.For(ctx, m.jitter(backoff))
 		backoff = min(2*backoff, lastBackoff)
 	}
 }
--- a/control/inforce/inforce.go
+++ b/control/inforce/inforce.go
@@ -146,16 +146,6 @@
 	m.rng.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // signal leaves one token in c, which is enough to wake its reader.
 func signal(c chan struct{}) {
 	select {
--- a/control/inforce/watch.go
+++ b/control/inforce/watch.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/inforce/record"
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
@@ -44,7 +45,7 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if !m.shouldWatch() {
-			sleep(ctx, m.jitter(roleEvery))
+			pause.For(ctx, m.jitter(roleEvery))
 			continue
 		}
 		began := time.Now()
@@ -53,7 +54,7 @@
 		if time.Since(began) > lastBackoff {
 			backoff = firstBackoff
 		}
-		sleep(ctx, m.jitter(backoff))
+		pause.For(ctx, m.jitter(backoff))
 		backoff = min(2*backoff, lastBackoff)
 	}
 }
@@ -167,7 +168,7 @@
 // shows it, and the watch is replaced on a fresh connection.
 func (m *Manager) pollLoop(ctx context.Context) {
 	for {
-		sleep(ctx, m.jitter(pollEvery))
+		pause.For(ctx, m.jitter(pollEvery))
 		if ctx.Err() != nil {
 			return
 		}
@@ -195,7 +196,7 @@
 // members that are gone.
 func (m *Manager) roleLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, m.jitter(roleEvery))
+		pause.For(ctx, m.jitter(roleEvery))
 		view := m.cfg.Members.Current()
 		m.mu.Lock()
 		cancel := m.watch.cancel
--- a/control/lease/manager.go
+++ b/control/lease/manager.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/membership"
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
@@ -73,12 +74,7 @@
 // Run competes for the lease until ctx ends, then gives it up.
 func (m *Manager) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		t := time.NewTimer(m.step(ctx))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		pause.For(ctx, m.step(ctx))
 	}
 	m.release("the daemon stops")
 	return ctx.Err()
--- a/lab/bench/losses/trial.go
+++ b/lab/bench/losses/trial.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/decision/budget"
 	"mallowwind.dev/external/standin/enginesim"
 	"mallowwind.dev/lab/world"
@@ -92,24 +93,17 @@
 // undone while the experiment goes on.
 func strike(ctx context.Context, w *world.World, k kind, list []*caller, until time.Time) []hit {
 	var hits []hit
-	pause(ctx, firstFault)
+	pause.For(ctx, firstFault)
 	for i := 0; time.Now().Before(until) && ctx.Err() == nil; i++ {
 		h, undo := inject(w, k, i, list)
 		hits = append(hits, h)
 		time.AfterFunc(lasts(k), undo)
-		pause(ctx, every(k))
+		pause.For(ctx, every(k))
 	}
-	pause(ctx, lasts(k))
+	pause.For(ctx, lasts(k))
 	return hits
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // inject carries out the i-th fault and returns what undoes it.
 func inject(w *world.World, k kind, i int, list []*caller) (h hit, undo func()) {
 	n := i % engines
--- a/lab/soak/caller.go
+++ b/lab/soak/caller.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/lab/stand"
 )
 
@@ -65,7 +66,7 @@
 			return c.client(c.addresses[c.turn%len(c.addresses)])
 		}
 		if c.ask(ctx) != nil {
-			sleep(ctx, tryAgain)
+			pause.For(ctx, tryAgain)
 		}
 	}
 	return nil
@@ -111,13 +112,6 @@
 // forget drops an answer whose entry VMs do not answer.
 func (c *caller) forget() { c.until = time.Time{} }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // watched ends a request whose connection says nothing for silenceLimit.
 type watched struct {
 	io.Reader
--- a/lab/soak/calls.go
+++ b/lab/soak/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/lab/stand"
 )
 
@@ -44,7 +45,7 @@
 			return said
 		}
 		sentBefore = true
-		sleep(ctx, c.between(0, 2*time.Second))
+		pause.For(ctx, c.between(0, 2*time.Second))
 	}
 	return said
 }
@@ -63,7 +64,7 @@
 		}
 		delay := c.between(0, 50*time.Millisecond)
 		wg.Go(func() {
-			sleep(ctx, delay)
+			pause.For(ctx, delay)
 			said[i] = r.copyOf(ctx, to, key)
 		})
 	}
--- a/lab/soak/generations.go
+++ b/lab/soak/generations.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/lab/stand"
 )
 
@@ -106,7 +107,7 @@
 			a.c.forget()
 		case refused.Code == unreachable:
 			r.count("told to come back")
-			sleep(ctx, comeBack)
+			pause.For(ctx, comeBack)
 		case a.goesOn(refused):
 			if refused.Verdict == "not_run" {
 				r.notRun(a, refused)
@@ -115,7 +116,7 @@
 		default:
 			return err
 		}
-		sleep(ctx, tryAgain)
+		pause.For(ctx, tryAgain)
 	}
 	return err
 }
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/operate"
+	"mallowwind.dev/control/pause"
 )
 
 const (
@@ -55,7 +56,7 @@
 		}
 		line := fmt.Sprintf("%s%d of %s", mark, n, client.Who)
 		if rng.IntN(2) == 0 {
-			sleep(ctx, between(rng, 0, 500*time.Millisecond)) // the other one may be faster
+			pause.For(ctx, between(rng, 0, 500*time.Millisecond)) // the other one may be faster
 		}
 		r.applyText(ctx, client, current, line, rng)
 	}
@@ -121,7 +122,7 @@
 				r.texts.observe(r, e.ID, s.Revision, markOf(s.Text))
 			}
 		}
-		sleep(ctx, every)
+		pause.For(ctx, every)
 	}
 }
 
--- a/serve/daemon/start.go
+++ b/serve/daemon/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mallowwind.dev/control/backends"
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/site"
 	"mallowwind.dev/external/engine"
 	"mallowwind.dev/external/vmlist"
@@ -31,11 +32,11 @@
 func (d *Daemon) starting(ctx context.Context) error {
 	began := time.Now()
 	for !d.knowsEnough(time.Since(began) >= startLimit) {
-		if !pause(ctx, startPoll) {
+		if !pause.For(ctx, startPoll) {
 			return nil
 		}
 	}
-	if !pause(ctx, startSettle) {
+	if !pause.For(ctx, startSettle) {
 		return nil
 	}
 	d.serving.Store(true)
@@ -45,15 +46,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // knowsEnough reports whether this daemon has a text, has heard of the other
 // entry VMs and has a backend server for each service. When late, the text and
 // the platform's list are enough.
@@ -107,7 +99,7 @@
 // with no_backend_server that every other entry VM could have run.
 func (d *Daemon) ownKeys(ctx context.Context) error {
 	for !d.serving.Load() {
-		if !pause(ctx, startPoll) {
+		if !pause.For(ctx, startPoll) {
 			return nil
 		}
 	}
