feed: what leaves and what may be used stand in files of their own

What stood there: table.go with 356 lines took in entries, removed them, ended doubts and built views.

Change: departures.go has removals, doubt and what is remembered of servers that left; usable.go has the view. The functions are moved as they were, with a sentence where one had none.

--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -1,12 +1,9 @@
 package feed
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/routing"
@@ -14,10 +11,6 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// rememberDeparted is how long a server that left is remembered: longer than
-// the longest answer during which its id may still turn up.
-const rememberDeparted = time.Minute
-
 // vmPrefix begins the keys under which entry VMs register themselves.
 const vmPrefix = "mallowwind/vm/"
 
@@ -75,14 +68,6 @@
 	}
 }
 
-// reached records an answer of the store.
-func (t *table) reached(asked, now time.Duration) {
-	if t.lastReached != 0 && asked-t.lastReached > outageMin {
-		t.doubtUntil = now + reregister
-	}
-	t.lastReached = now
-}
-
 // replace takes in everything that the store holds at a revision. The first time the
 // log has one line for all servers: at a large site a line for each, at each start of a
 // daemon, fills the log with what nobody looks for.
@@ -116,13 +101,7 @@
 	t.log.Emit(event.StoreRead, services, leaving, revision)
 }
 
-func (t *table) removeVM(key string) {
-	if _, ok := t.vms[key]; ok {
-		delete(t.vms, key)
-		t.dirty = true
-	}
-}
-
+// change takes in what was written and removed since the revision before.
 func (t *table) change(now time.Duration, events []store.Event) {
 	for _, e := range events {
 		if e.Kind == store.Deleted {
@@ -227,130 +206,3 @@
 		t.dirty = true
 	}
 }
-
-func (t *table) remove(now time.Duration, key string, revision int64) {
-	t.entries.remove(key, revision)
-	delete(t.refusals, key)
-	t.dirty = true
-	if id, ok := t.schema.ServerID(key); ok {
-		t.removeServer(now, id)
-		return
-	}
-	if vm, ok := t.vms[key]; ok && !vm.Leaving && now < t.doubtUntil {
-		// Daemons that register again must not seem gone meanwhile: each would take
-		// the whole budget of repeats and all engines for its own.
-		t.doubtfulVMs[key] = now + reregister
-		return
-	}
-	t.removeVM(key)
-}
-
-// removeServer drops a server, or keeps it for a while where the store was
-// away: its lease may have run out although it lives. Without that, a daemon
-// that reaches the store first after an outage has nowhere to send requests.
-func (t *table) removeServer(now time.Duration, id string) {
-	s, ok := t.servers[id]
-	if !ok {
-		return
-	}
-	if now < t.doubtUntil && !s.Leaving {
-		if _, kept := t.doubtful[id]; !kept {
-			t.doubtful[id] = now + doubtTime
-			t.log.Emit(event.ServerGone, id, s.Service, doubtTime)
-		}
-		return
-	}
-	t.forget(id)
-	t.log.Emit(event.ServerGone, id, s.Service, time.Duration(0))
-}
-
-// note remembers whether a server departs.
-func (t *table) note(id string, departs bool) {
-	if !departs {
-		delete(t.departed, id)
-		return
-	}
-	if _, known := t.departed[id]; !known {
-		t.departed[id] = t.lastReached
-	}
-}
-
-func (t *table) forget(id string) {
-	t.note(id, true)
-	delete(t.servers, id)
-	delete(t.written, id)
-	delete(t.doubtful, id)
-	delete(t.refusals, id)
-	t.dirty = true
-	t.changes++
-}
-
-// expire drops the servers whose time in doubt is over.
-func (t *table) expire(now time.Duration) bool {
-	gone := false
-	for id, until := range t.doubtful {
-		if now >= until {
-			t.forget(id)
-			gone = true
-		}
-	}
-	for key, until := range t.doubtfulVMs {
-		if now >= until {
-			delete(t.doubtfulVMs, key)
-			t.removeVM(key)
-			gone = true
-		}
-	}
-	for id, since := range t.departed {
-		if _, here := t.servers[id]; !here && now-since > rememberDeparted {
-			delete(t.departed, id)
-			delete(t.born, id)
-		}
-	}
-	return gone
-}
-
-func (t *table) view() *View {
-	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
-	v.departed = maps.Clone(t.departed)
-	holders := t.holders()
-	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
-		s := t.servers[id]
-		if !t.named(s.Service) {
-			t.refuse(id, errors.Errorf("field service is %q, which the configuration does not name", s.Service))
-			continue
-		}
-		delete(t.refusals, id)
-		if holders[s.Address] != id {
-			continue
-		}
-		v.Servers[s.Service] = append(v.Servers[s.Service], s)
-	}
-	for _, key := range slices.Sorted(maps.Keys(t.vms)) {
-		v.VMs = append(v.VMs, t.vms[key])
-	}
-	return v
-}
-
-// named reports whether the configuration knows a service; before the first all are.
-func (t *table) named(service string) bool {
-	return t.config == nil || t.config.Service(service) != nil
-}
-
-// holders returns the newest server at each address. The entry of one that
-// crashed stays for seconds after its successor wrote its own; what is sent
-// there by the old entry is turned away. An entry of a service that nobody has
-// configured takes no address from a server that is in use.
-func (t *table) holders() map[string]string {
-	holders := make(map[string]string, len(t.servers))
-	for id, s := range t.servers {
-		if !t.named(s.Service) {
-			continue
-		}
-		other, taken := holders[s.Address]
-		if !taken || t.written[id] > t.written[other] {
-			holders[s.Address] = id
-		}
-	}
-	return holders
-}
