--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -7,10 +7,6 @@
 	"mallowwind.dev/decision/slot"
 )
 
-// termShift leaves the lower half of a counter to one term, so that numbers of
-// a newer term are always higher.
-const termShift = 32
-
 // table holds the keys of one slot at its owner or witness. Its rules:
 //
 //   - The owner records a key before it asks the witness, and dispatches only
@@ -44,11 +40,6 @@
 	maxAnswersPerSlot = 256 << 10
 )
 
-// serves reports whether keys may be bound here at term. The caller holds mu.
-func (t *table) serves(term uint64) bool {
-	return term > 0 && t.term == term && t.sealed < term
-}
-
 func (t *table) next() uint64 {
 	t.counter++
 	return t.counter
@@ -112,24 +103,6 @@
 	return *r, true
 }
 
-// seen returns the newest number if this daemon owns the slot at term, else 0:
-// numbers of a term that the store has not accepted must not reach entry VMs.
-func (t *table) seen(term uint64) uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.serves(term) {
-		return 0
-	}
-	return t.counter
-}
-
-// active reports whether keys may be bound here at term.
-func (t *table) active(term uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.serves(term)
-}
-
 // forget removes a key whose attempt was given up before it was dispatched.
 func (t *table) forget(key slot.Key, attempt uint64) {
 	t.mu.Lock()
@@ -238,85 +211,6 @@
 	}
 }
 
-// seal refuses keys of terms up to term from now on and returns what is known,
-// if that is everything.
-func (t *table) seal(term uint64) (complete bool, records []record, undecided time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sealed = max(t.sealed, term)
-	if t.term < term {
-		return false, nil, t.undecided
-	}
-	records = make([]record, 0, len(t.records))
-	for _, r := range t.records {
-		records = append(records, *r)
-	}
-	return true, records, t.undecided
-}
-
-// install replaces the table by that of the next term, or by another one of the
-// same term as long as no key was bound at it here. Every table offered for a
-// term is complete, since its maker sealed one of the pair before; what it must
-// not do is wipe keys bound at the term since. Accepting a second one matters
-// when the store was down: a daemon that tries again must not find its former
-// witnesses shut.
-func (t *table) install(term uint64, records []record, undecided time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if term < t.term || term <= t.sealed || (term == t.term && t.used) {
-		return false
-	}
-	fresh := make(map[slot.Key]*record, len(records))
-	kept := 0
-	for i := range records {
-		r := &records[i]
-		if old := t.records[r.key]; old != nil && old.attempt == r.attempt && r.state == bound {
-			r.call = old.call
-		}
-		fresh[r.key] = r
-		kept += r.bytes()
-	}
-	t.records, t.answers = fresh, kept
-	t.promote(term, undecided)
-	return true
-}
-
-// advance moves a table whose keys are all here to the next term. It is
-// refused unless the term before was sealed here.
-func (t *table) advance(term uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.term+1 < term || t.sealed+1 < term || t.sealed >= term {
-		return false
-	}
-	if t.records == nil {
-		t.records = make(map[slot.Key]*record)
-	}
-	t.promote(term, t.undecided)
-	return true
-}
-
-// promote is the common end of install and advance. The caller holds mu.
-func (t *table) promote(term uint64, undecided time.Time) {
-	if term > t.term {
-		t.used = false
-	}
-	t.term, t.undecided = max(t.term, term), undecided
-	t.sealed = max(t.sealed, term-1)
-	t.counter = max(t.counter, term<<termShift)
-}
-
-// drop forgets the whole table after the store gave the slot to others at
-// term. Tables of a newer term stay: their change may not have been read yet.
-func (t *table) drop(term uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.term <= term {
-		t.records, t.term, t.answers = nil, 0, 0
-		t.sealed = max(t.sealed, term)
-	}
-}
-
 // sweep removes expired keys and answers kept long enough, and counts the rest.
 // A bound key stays while this daemon still works on it.
 func (t *table) sweep(now time.Time, answersBefore time.Duration) (keys int) {
