--- a/lab/stand/stand.go
+++ b/lab/stand/stand.go
@@ -6,30 +6,21 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
-	"mallowwind.dev/control/backends"
 	"mallowwind.dev/control/operate"
-	"mallowwind.dev/control/settings"
 	"mallowwind.dev/external/engine"
-	"mallowwind.dev/external/plain"
 	"mallowwind.dev/external/sent"
 	"mallowwind.dev/external/standin/enginesim"
-	"mallowwind.dev/external/standin/faultnet"
 	"mallowwind.dev/external/standin/plainsim"
-	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/standin/weightsim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/external/vmlist"
-	"mallowwind.dev/peer/link"
-	"mallowwind.dev/serve/daemon"
 )
 
 const (
@@ -111,17 +102,6 @@
 	deskAddress string
 }
 
-// Entry is one entry VM with its daemon.
-type Entry struct {
-	ID, Zone, Address string
-	Daemon            *daemon.Daemon
-
-	peer, admin string
-	d           *Deployment
-	soft, kill  context.CancelFunc
-	done        chan error
-}
-
 // Start runs everything and applies the site text as an operator would. It
 // returns when every entry VM serves every service.
 func Start(ctx context.Context, o Options) (*Deployment, error) {
@@ -165,169 +145,11 @@
 	return &operate.Client{Store: d.Store, Site: d.opts.Site, Who: "demo"}
 }
 
-// serve answers at a new address.
-func (d *Deployment) serve(h http.Handler) (address string, err error) {
-	l, err := d.fabric.listen()
-	if err != nil {
-		return "", err
-	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: readyLimit}
-	d.servers = append(d.servers, srv)
-	d.wg.Go(func() { _ = srv.Serve(l) }) // ends with ErrServerClosed
-	return l.Addr().String(), nil
-}
-
-func (d *Deployment) startPlatform() error {
-	storeAt, err := d.serve(storesim.Handler(d.Store))
-	if err != nil {
-		return err
-	}
-	vmsAt, err := d.serve(vmlist.Handler(d.VMs))
-	if err != nil {
-		return err
-	}
-	d.storeURL, d.vmsURL = "http://"+storeAt, "http://"+vmsAt
-	for _, zone := range d.opts.Zones {
-		for range d.opts.EnginesPerZone {
-			if err := d.StartEngine(zone); err != nil {
-				return err
-			}
-		}
-	}
-	deskAt, err := d.serve(d.Desk)
-	if err != nil {
-		return err
-	}
-	d.deskAddress = deskAt
-	d.VMs.Put(vmlist.VM{ID: "desk-1", Address: deskAt, Zone: d.opts.Zones[0], Role: vmlist.RoleBackend, Pool: "desks", State: vmlist.Live})
-	return nil
-}
-
-// StartEngine adds a model engine to a zone.
-func (d *Deployment) StartEngine(zone string) error {
-	_, err := d.AddEngine(zone)
-	return err
-}
-
-// AddEngine is StartEngine and returns the engine's VM id.
-func (d *Deployment) AddEngine(zone string) (string, error) {
-	id := fmt.Sprintf("engine-%d", len(d.Engines)+1)
-	sim := enginesim.New(enginesim.Config{
-		Name: id, Seed: d.opts.Seed + uint64(len(d.Engines)), RespectFence: !d.opts.IgnoreFence,
-		Weights: d.Weights, LoadTime: loadTime,
-	})
-	at, err := d.serve(d.starts.counting(enginesim.Handler(sim)))
-	if err != nil {
-		return "", err
-	}
-	d.Engines[id] = sim
-	d.fabric.name(at, place{id, zone})
-	d.VMs.Put(vmlist.VM{ID: id, Address: at, Zone: zone, Role: vmlist.RoleBackend, Pool: "engines", State: vmlist.Live})
-	return id, nil
-}
-
-// StartEntry adds an entry VM to a zone.
-func (d *Deployment) StartEntry(zone string) (*Entry, error) {
-	e := &Entry{ID: fmt.Sprintf("entry-%d", len(d.Entries)+1), Zone: zone, d: d, done: make(chan error, 1)}
-	listeners, err := d.listeners()
-	if err != nil {
-		return nil, err
-	}
-	platform, err := d.platform(place{e.ID, zone})
-	if err != nil {
-		return nil, err
-	}
-	logger := logrus.New()
-	logger.SetOutput(d.opts.Logs)
-	watch := backends.DefaultConfig()
-	watch.ListEvery, watch.StatusEvery = watchEvery, watchEvery
-	e.Daemon = daemon.New(daemon.Options{
-		Settings:  &settings.Settings{Site: d.opts.Site, VM: e.ID, Zone: zone, DrainLimit: d.opts.DrainLimit},
-		Listeners: listeners,
-		Dialer:    link.NewDialerWith(d.httpFrom(place{e.ID, zone})),
-		Logger:    logger,
-		Version:   "stand",
-		Backends:  &watch,
-		Platform:  platform,
-	})
-	e.Address, e.peer, e.admin = listeners.Callers.Addr().String(), listeners.Peers.Addr().String(), listeners.Admin.Addr().String()
-	d.fabric.name(e.peer, place{e.ID, zone})
-	d.Entries = append(d.Entries, e)
-	d.VMs.Put(vmlist.VM{ID: e.ID, Address: e.peer, Zone: zone, Role: vmlist.RoleEntry, State: vmlist.Live})
-	soft, cancel := context.WithCancel(context.Background())
-	hard, kill := context.WithCancel(d.ctx)
-	e.soft, e.kill = cancel, kill
-	d.wg.Go(func() { e.done <- e.Daemon.Run(soft, hard) })
-	return e, nil
-}
-
-func (d *Deployment) listeners() (l daemon.Listeners, err error) {
-	if l.Callers, err = d.fabric.listen(); err != nil {
-		return l, err
-	}
-	if l.Peers, err = d.fabric.listen(); err != nil {
-		return l, err
-	}
-	l.Admin, err = d.fabric.listen()
-	return l, err
-}
-
 // HTTP returns a client that reaches every address of the deployment.
 func (d *Deployment) HTTP() *http.Client {
 	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dial, false), CheckRedirect: sent.NoRedirect}
 }
 
-// httpFrom returns a client of a VM, whose faults it shares.
-func (d *Deployment) httpFrom(at place) *http.Client {
-	return &http.Client{Transport: sent.NewTransportWith(d.fabric.dialFrom(at), false), CheckRedirect: sent.NoRedirect}
-}
-
-func (d *Deployment) platform(at place) (daemon.Platform, error) {
-	dial := d.fabric.dialFrom(at)
-	kv, err := store.NewEtcdClient([]string{d.storeURL}, d.httpFrom(at))
-	if err != nil {
-		return daemon.Platform{}, err
-	}
-	fresh := func() *http.Client {
-		return &http.Client{Transport: sent.NewTransportWith(dial, true), CheckRedirect: sent.NoRedirect}
-	}
-	return daemon.Platform{
-		Store:   kv,
-		VMs:     vmlist.NewClient(d.vmsURL, d.httpFrom(at)),
-		Weights: d.Weights,
-		Engine: func(address string) engine.Engine {
-			e := engine.Engine(engine.NewClient("http://"+address, fresh()))
-			if d.opts.Wrap == nil {
-				return e
-			}
-			return d.opts.Wrap(d.engineAt(address), e)
-		},
-		Plain: plain.NewClient(sent.NewTransportWith(dial, true), 0),
-	}, nil
-}
-
-// engineAt returns the VM id of the engine at an address.
-func (d *Deployment) engineAt(address string) string {
-	return d.fabric.placeAt(address).id
-}
-
-// Stop begins a graceful shutdown, as SIGTERM does, and waits for its end.
-func (e *Entry) Stop() error {
-	e.d.VMs.Put(vmlist.VM{ID: e.ID, Address: e.peer, Zone: e.Zone, Role: vmlist.RoleEntry, State: vmlist.Leaving})
-	e.soft()
-	return <-e.done
-}
-
-// Callers is the network at the entry VM's address for callers, and Peers at
-// the one for other daemons.
-func (e *Entry) Callers() *faultnet.Listener { return e.d.fabric.at(e.Address) }
-
-// Peers is the network at the entry VM's address for other daemons.
-func (e *Entry) Peers() *faultnet.Listener { return e.d.fabric.at(e.peer) }
-
-// Client returns a caller of the demo's account that uses this entry VM.
-func (e *Entry) Client() *Client { return e.d.Client(e.Address) }
-
 // Client returns a caller of the demo's account at an address.
 func (d *Deployment) Client(address string) *Client {
 	return &Client{Base: "http://" + address, Token: DemoToken, HTTP: d.HTTP()}
