--- a/control/backends/config.go
+++ b/control/backends/config.go
@@ -66,7 +66,7 @@
 }
 
 // newsTime is how long news of a change takes to reach every daemon from a
-// reader, by membership's exchanges; bench members measures a tenth of it.
+// reader, by membership's exchanges, which take about a tenth of it.
 const newsTime = 2 * time.Second
 
 // DrainBound is the longest time between the platform's list showing a
--- a/control/inforce/inforce_test.go
+++ b/control/inforce/inforce_test.go
@@ -173,7 +173,7 @@
 		watches        int64
 		callsPerS      float64
 	}{
-		{3, 2, 6, 0.2}, // of the 7 entry VMs of today nearly all watch
+		{3, 2, 6, 0.2}, // in a small fleet all watch
 		{7, 56, 14, 8},
 	} {
 		play(t, size.zones, size.perZone, 7, func(f *fleet) {
--- a/decision/admit/admit.go
+++ b/decision/admit/admit.go
@@ -47,7 +47,7 @@
 	// more. At three, one arrival in some hundred finds the reserve full.
 	reserveSpread = 3.0
 	// maxReserve is the largest share of slots kept for the classes above
-	// another, so that a flood of lookups cannot stop the work below entirely.
+	// another, so that very many lookups cannot stop the work below entirely.
 	maxReserve = 0.6
 	// resumedOvershoot is the part of the slots by which continuations may pass
 	// them: what a lost server ran must go on somewhere, and an eighth more
--- a/decision/budget/budget.go
+++ b/decision/budget/budget.go
@@ -13,12 +13,12 @@
 
 const (
 	// DefaultShare is the share of useful tokens that may be spent again. One in
-	// ten carries the loss of one of today's 18 drafting engines a minute, and
-	// keeps the worst case at a tenth more load.
+	// ten carries the loss of one engine of 18 a minute, and keeps
+	// the worst case at a tenth more load.
 	DefaultShare = 0.10
 	// window is how much past work the budget can draw on, in seconds of income:
 	// long enough to take over what one dead engine ran, short enough that a
-	// quiet hour does not pay for a storm.
+	// quiet hour does not pay for many repeats at once.
 	window = 60.0
 	// trickle is the least income in tokens a second, so that a daemon with
 	// little traffic can still afford a takeover now and then.
--- a/decision/loading/loading.go
+++ b/decision/loading/loading.go
@@ -11,7 +11,7 @@
 // Where some servers are ready nothing is decided here: one queue stands before
 // the ready and the loading servers alike, and whichever has room first takes
 // the next request. Rules that send a request to one or the other on arrival,
-// that of Online-DRL among them, measured no better; see
+// that of Online-DRL among them, do no better; see
 // docs/design/34-load-loading.md.
 package loading
 
--- a/decision/placement/count.go
+++ b/decision/placement/count.go
@@ -22,7 +22,7 @@
 // usable reports whether the engine takes new work.
 func (b *Backend) usable() bool { return b.Health == Up && !b.Leaving }
 
-// state returns the load state of ref.
+// state is how far the engine is with ref; false where it holds nothing of it.
 func (b *Backend) state(ref Ref) (LoadState, bool) {
 	for _, h := range b.Held {
 		if h.Ref == ref {
--- a/decision/resume/resume.go
+++ b/decision/resume/resume.go
@@ -3,9 +3,9 @@
 //
 // The load pattern: an engine dies with many long streams, or all engines slow
 // down together. Waiting for certainty makes callers wait; starting over at
-// every silence doubles the work exactly when engines are busiest, and a storm
-// of takeovers can hold a recovering pool down. Takeovers therefore race the
-// suspected attempt, at most one at a time, and draw on a budget.
+// every silence doubles the work exactly when engines are busiest, and many
+// takeovers at once can keep a pool overloaded after the cause has gone. Takeovers
+// therefore race the suspected attempt, at most one at a time, and draw on a budget.
 package resume
 
 // Race admits tokens of competing attempts into one answer.
--- a/decision/silence/silence.go
+++ b/decision/silence/silence.go
@@ -166,7 +166,7 @@
 const stallStreams = 4
 
 // GlobalStall reports whether so many streams are silent at once that taking
-// over would only add load: a storm of prefills against engines that are all
+// over would only add load: many prompts read anew by engines that are all
 // slow. silent and total count streams on engines other than the one suspected,
 // so that the death of the one engine in use is not mistaken for a stall.
 func GlobalStall(silent, total int) bool {
--- a/lab/bench/load/deploy.go
+++ b/lab/bench/load/deploy.go
@@ -30,7 +30,7 @@
 	share          float64 // of the tokens offered to the pool
 }
 
-// deployment is one user's places and services at the sizes of today.
+// deployment is one user's places and services at the sizes that the user states.
 type deployment struct {
 	name     string
 	zones    []string
--- a/lab/bench/prompts/prompts_test.go
+++ b/lab/bench/prompts/prompts_test.go
@@ -89,7 +89,6 @@
 	}
 }
 
-// At the usual load nobody is refused.
 func TestUsualLoadRefusesNobody(t *testing.T) {
 	for _, d := range deployments[:2] {
 		must.Eq(t, 0, Trial(d, inUse, 1, 60*time.Second).refused)
--- a/lab/world/answer_test.go
+++ b/lab/world/answer_test.go
@@ -125,7 +125,7 @@
 }
 
 // Every engine stands still for a moment, as when their network hangs. Nobody
-// starts anything anew: a storm of prefills would meet engines just waking up.
+// starts anything anew: many prompts would be read again by engines that just go on.
 func TestGlobalStallStartsNoStorm(t *testing.T) {
 	inWorld(t, Config{Seed: 13, Weight: 1}, func(t *testing.T, ctx context.Context, w *World) {
 		callers := make([]*Caller, 40)
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -81,7 +81,8 @@
 	stop       atomic.Pointer[Stop] // nil while the daemon serves
 }
 
-// New returns a handler.
+// New returns a handler. Until o.Feed knows a configuration its requests wait for that a
+// little and are then refused.
 func New(o Options) *Handler {
 	h := &Handler{
 		opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
--- a/serve/once/table.go
+++ b/serve/once/table.go
@@ -34,8 +34,8 @@
 	// maxKeysPerSlot holds two hours of 8,200 calls a second, all of them not
 	// repeatable, over 1,024 slots.
 	maxKeysPerSlot = 1 << 16
-	// maxAnswerKept and maxAnswersPerSlot bound kept answers, in bytes. At full
-	// size a daemon holds five slots, today up to 350.
+	// maxAnswerKept and maxAnswersPerSlot bound kept answers, in bytes. A
+	// daemon holds five slots in a fleet of full size, up to 350 among six daemons.
 	maxAnswerKept     = 64 << 10
 	maxAnswersPerSlot = 256 << 10
 )
--- a/telemetry/event/writer_test.go
+++ b/telemetry/event/writer_test.go
@@ -44,7 +44,7 @@
 	must.Greater(t, 0, int(w.Dropped()))
 }
 
-// A storm of decisions is logged up to the limit; warnings are always logged.
+// Events beyond the limit are counted and not logged; warnings are always logged.
 func TestVolumeIsBounded(t *testing.T) {
 	var out strings.Builder
 	l := logrus.New()
