soak, stand: the text of an event and the book of last words stand once

What stood there: the soak's caller and the stand's client each read the text of an event in the same lines, and the books of calls and of promises kept what was said alike.

Change: stand.EventText and book hold these; what is asserted, and the errors, are as they were.

Ruled out: one reader of a whole answer for both: the soak judges each event, the stand measures the gaps.

--- a/lab/soak/answer.go
+++ b/lab/soak/answer.go
@@ -124,17 +124,11 @@
 
 // take appends one event. The text must be a prefix of one generation always.
 func (a *answer) take(data string) error {
-	var chunk struct {
-		Choices []struct {
-			Text string `json:"text"`
-		} `json:"choices"`
-	}
-	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+	text, err := stand.EventText(data)
+	if err != nil {
 		return errors.Wrap(errBroken, "an event cut short")
 	}
-	for _, x := range chunk.Choices {
-		a.text.WriteString(x.Text)
-	}
+	a.text.WriteString(text)
 	if _, err := tokencheck.Check(stand.DemoModel, a.prompt, a.text.String()); err != nil {
 		a.c.r.violate("%q (%s): what the caller holds is not one generation: %v", a.prompt, a.id, err)
 		return &stand.Refusal{Code: "mixed", Verdict: "may_have_run"}
--- a/lab/soak/calls.go
+++ b/lab/soak/calls.go
@@ -150,19 +150,7 @@
 }
 
 // callBook remembers the last word on each call.
-type callBook struct {
-	mu   sync.Mutex
-	last map[string]string
-}
-
-func (b *callBook) heard(key, said string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.last == nil {
-		b.last = make(map[string]string)
-	}
-	b.last[key] = said
-}
+type callBook struct{ book }
 
 // judge compares what callers were told with what the plain service ran.
 func (b *callBook) judge(r *run) {
--- a/lab/soak/generations.go
+++ b/lab/soak/generations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,7 +149,7 @@
 		}
 		if refused.Verdict == "not_run" {
 			r.notRun(a, refused)
-			r.owed.neverRuns(a.prompt, refused.Error())
+			r.owed.heard(a.prompt, refused.Error())
 		}
 	case ctx.Err() != nil:
 		r.count(kind + " hung")
@@ -162,26 +161,14 @@
 	}
 }
 
-// owedBook remembers what was promised not to run.
-type owedBook struct {
-	mu     sync.Mutex
-	notRun map[string]string // what was said, by prompt
-}
-
-func (o *owedBook) neverRuns(prompt, said string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.notRun == nil {
-		o.notRun = make(map[string]string)
-	}
-	o.notRun[prompt] = said
-}
+// owedBook remembers what was promised not to run, by prompt.
+type owedBook struct{ book }
 
 // judge checks the promises at the end of the run.
 func (o *owedBook) judge(r *run) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for prompt, said := range o.notRun {
+	for prompt, said := range o.last {
 		if n := r.stand.Starts(prompt); n > 0 {
 			r.violate("%q was told %s and not sent again, and engines began it %d time(s)", prompt, said, n)
 		}
--- a/lab/stand/client.go
+++ b/lab/stand/client.go
@@ -223,18 +223,26 @@
 }
 
 func (a *Answer) take(data string) error {
+	text, err := EventText(data)
+	a.text.WriteString(text)
+	return err
+}
+
+// EventText returns the text that an event of an answer adds.
+func EventText(data string) (string, error) {
 	var chunk struct {
 		Choices []struct {
 			Text string `json:"text"`
 		} `json:"choices"`
 	}
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return errors.Wrap(err, "event")
+		return "", errors.Wrap(err, "event")
 	}
+	text := ""
 	for _, c := range chunk.Choices {
-		a.text.WriteString(c.Text)
+		text += c.Text
 	}
-	return nil
+	return text, nil
 }
 
 // check verifies that the text is one whole generation: each token carries its
