--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
@@ -110,6 +111,7 @@
 	known     chan struct{} // closed with the first configuration
 	reached   atomic.Bool   // the last call to the store succeeded
 	outage    atomic.Bool   // the last daemon asked was as long without the store
+	bridged   atomic.Bool   // another daemon ended a gap since the store last answered
 	aloneTill atomic.Int64  // Clock until when this daemon watches the store itself
 
 	mu       sync.Mutex // guards table and changes of revision
@@ -151,7 +153,7 @@
 	peers.Go(func() { m.askPeers(ctx) })
 	for ctx.Err() == nil {
 		if !m.watches() {
-			pause(ctx, askEvery)
+			pause.For(ctx, askEvery)
 			continue
 		}
 		err := m.follow(ctx)
@@ -160,7 +162,7 @@
 		}
 		m.lost(err)
 		mean := m.failurePause()
-		pause(ctx, mean/2+rand.N(mean))
+		pause.For(ctx, mean/2+rand.N(mean))
 	}
 }
 
@@ -223,7 +225,7 @@
 	m.regained(asked)
 	m.apply(asked, w.Revision(), func() { m.table.change(asked, events) })
 	if len(events) > 0 {
-		pause(ctx, batchPause)
+		pause.For(ctx, batchPause)
 	}
 	return nil
 }
@@ -288,16 +290,8 @@
 	if !m.reached.Swap(true) {
 		m.opts.Log.Emit(event.StoreReached, m.revision.Load())
 	}
+	m.bridged.Store(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table.reached(asked, m.opts.Clock())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -1,12 +1,9 @@
 package feed
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/routing"
@@ -14,10 +11,6 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// rememberDeparted is how long a server that left is remembered: longer than
-// the longest answer during which its id may still turn up.
-const rememberDeparted = time.Minute
-
 // vmPrefix begins the keys under which entry VMs register themselves.
 const vmPrefix = "mallowwind/vm/"
 
@@ -50,6 +43,12 @@
 	// removal may come from a lease that ran out during an outage.
 	lastReached, doubtUntil time.Duration
 	dirty                   bool
+	// changes counts what became of the configuration and the servers; it does not
+	// count an entry that was written anew as it was.
+	changes int
+	// read says that everything in the store was taken in once; reading, that it is
+	// being taken in for the first time.
+	read, reading bool
 }
 
 func newTable(schema Schema, log *event.Log) *table {
@@ -69,16 +68,11 @@
 	}
 }
 
-// reached records an answer of the store.
-func (t *table) reached(asked, now time.Duration) {
-	if t.lastReached != 0 && asked-t.lastReached > outageMin {
-		t.doubtUntil = now + reregister
-	}
-	t.lastReached = now
-}
-
-// replace takes in everything that the store holds at a revision.
+// replace takes in everything that the store holds at a revision. The first time the
+// log has one line for all servers: at a large site a line for each, at each start of a
+// daemon, fills the log with what nobody looks for.
 func (t *table) replace(now time.Duration, revision int64, items []store.KV) {
+	t.reading = !t.read
 	present := make(map[string]bool, len(items))
 	for _, kv := range items {
 		present[kv.Key] = true
@@ -89,15 +83,25 @@
 			t.remove(now, key, revision)
 		}
 	}
+	if t.reading {
+		t.logServers(revision)
+	}
+	t.read, t.reading = true, false
 }
 
-func (t *table) removeVM(key string) {
-	if _, ok := t.vms[key]; ok {
-		delete(t.vms, key)
-		t.dirty = true
+// logServers writes how many servers are known.
+func (t *table) logServers(revision int64) {
+	services, leaving := map[string]int{}, 0
+	for _, s := range t.servers {
+		services[s.Service]++
+		if s.Leaving {
+			leaving++
+		}
 	}
+	t.log.Emit(event.StoreRead, services, leaving, revision)
 }
 
+// change takes in what was written and removed since the revision before.
 func (t *table) change(now time.Duration, events []store.Event) {
 	for _, e := range events {
 		if e.Kind == store.Deleted {
@@ -137,6 +141,7 @@
 	}
 	t.config = c
 	t.dirty = true
+	t.changes++
 	t.log.Emit(event.RoutingInForce, c.Version)
 }
 
@@ -180,7 +185,10 @@
 	if t.servers[id] != s {
 		t.servers[id] = s
 		t.dirty = true
-		t.log.Emit(event.ServerSeen, id, s.Service, s.Zone, s.Address, s.Leaving, kv.Version)
+		t.changes++
+		if !t.reading {
+			t.log.Emit(event.ServerSeen, id, s.Service, s.Zone, s.Address, s.Leaving, kv.Version)
+		}
 	}
 }
 
@@ -198,129 +206,3 @@
 		t.dirty = true
 	}
 }
-
-func (t *table) remove(now time.Duration, key string, revision int64) {
-	t.entries.remove(key, revision)
-	delete(t.refusals, key)
-	t.dirty = true
-	if id, ok := t.schema.ServerID(key); ok {
-		t.removeServer(now, id)
-		return
-	}
-	if vm, ok := t.vms[key]; ok && !vm.Leaving && now < t.doubtUntil {
-		// Daemons that register again must not seem gone meanwhile: each would take
-		// the whole budget of repeats and all engines for its own.
-		t.doubtfulVMs[key] = now + reregister
-		return
-	}
-	t.removeVM(key)
-}
-
-// removeServer drops a server, or keeps it for a while where the store was
-// away: its lease may have run out although it lives. Without that, a daemon
-// that reaches the store first after an outage has nowhere to send requests.
-func (t *table) removeServer(now time.Duration, id string) {
-	s, ok := t.servers[id]
-	if !ok {
-		return
-	}
-	if now < t.doubtUntil && !s.Leaving {
-		if _, kept := t.doubtful[id]; !kept {
-			t.doubtful[id] = now + doubtTime
-			t.log.Emit(event.ServerGone, id, s.Service, doubtTime)
-		}
-		return
-	}
-	t.forget(id)
-	t.log.Emit(event.ServerGone, id, s.Service, time.Duration(0))
-}
-
-// note remembers whether a server departs.
-func (t *table) note(id string, departs bool) {
-	if !departs {
-		delete(t.departed, id)
-		return
-	}
-	if _, known := t.departed[id]; !known {
-		t.departed[id] = t.lastReached
-	}
-}
-
-func (t *table) forget(id string) {
-	t.note(id, true)
-	delete(t.servers, id)
-	delete(t.written, id)
-	delete(t.doubtful, id)
-	delete(t.refusals, id)
-	t.dirty = true
-}
-
-// expire drops the servers whose time in doubt is over.
-func (t *table) expire(now time.Duration) bool {
-	gone := false
-	for id, until := range t.doubtful {
-		if now >= until {
-			t.forget(id)
-			gone = true
-		}
-	}
-	for key, until := range t.doubtfulVMs {
-		if now >= until {
-			delete(t.doubtfulVMs, key)
-			t.removeVM(key)
-			gone = true
-		}
-	}
-	for id, since := range t.departed {
-		if _, here := t.servers[id]; !here && now-since > rememberDeparted {
-			delete(t.departed, id)
-			delete(t.born, id)
-		}
-	}
-	return gone
-}
-
-func (t *table) view() *View {
-	v := &View{Config: t.config, Servers: map[string][]routing.Server{}}
-	v.departed = maps.Clone(t.departed)
-	holders := t.holders()
-	for _, id := range slices.Sorted(maps.Keys(t.servers)) {
-		s := t.servers[id]
-		if !t.named(s.Service) {
-			t.refuse(id, errors.Errorf("field service is %q, which the configuration does not name", s.Service))
-			continue
-		}
-		delete(t.refusals, id)
-		if holders[s.Address] != id {
-			continue
-		}
-		v.Servers[s.Service] = append(v.Servers[s.Service], s)
-	}
-	for _, key := range slices.Sorted(maps.Keys(t.vms)) {
-		v.VMs = append(v.VMs, t.vms[key])
-	}
-	return v
-}
-
-// named reports whether the configuration knows a service; before the first all are.
-func (t *table) named(service string) bool {
-	return t.config == nil || t.config.Service(service) != nil
-}
-
-// holders returns the newest server at each address. The entry of one that
-// crashed stays for seconds after its successor wrote its own; what is sent
-// there by the old entry is turned away. An entry of a service that nobody has
-// configured takes no address from a server that is in use.
-func (t *table) holders() map[string]string {
-	holders := make(map[string]string, len(t.servers))
-	for id, s := range t.servers {
-		if !t.named(s.Service) {
-			continue
-		}
-		other, taken := holders[s.Address]
-		if !taken || t.written[id] > t.written[other] {
-			holders[s.Address] = id
-		}
-	}
-	return holders
-}
--- a/lab/soak/calls.go
+++ b/lab/soak/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/lab/stand"
 )
 
@@ -44,7 +45,7 @@
 			return said
 		}
 		sentBefore = true
-		sleep(ctx, c.between(0, 2*time.Second))
+		pause.For(ctx, c.between(0, 2*time.Second))
 	}
 	return said
 }
@@ -63,7 +64,7 @@
 		}
 		delay := c.between(0, 50*time.Millisecond)
 		wg.Go(func() {
-			sleep(ctx, delay)
+			pause.For(ctx, delay)
 			said[i] = r.copyOf(ctx, to, key)
 		})
 	}
@@ -149,19 +150,7 @@
 }
 
 // callBook remembers the last word on each call.
-type callBook struct {
-	mu   sync.Mutex
-	last map[string]string
-}
-
-func (b *callBook) heard(key, said string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.last == nil {
-		b.last = make(map[string]string)
-	}
-	b.last[key] = said
-}
+type callBook struct{ book }
 
 // judge compares what callers were told with what the plain service ran.
 func (b *callBook) judge(r *run) {
