--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/telemetry/event"
 )
@@ -107,7 +108,7 @@
 		return leg{}, outcome
 	}
 	// A repeat is spent only on what is still silent now.
-	if !pause(ctx, takeover.Settling) {
+	if !pause.For(ctx, takeover.Settling) {
 		r.h.pool.count(l.at, -1, 0, 0)
 		return leg{}, takeover.Heard
 	}
@@ -118,18 +119,6 @@
 	return r.withCopy(ctx, l), takeover.TakenOver
 }
 
-// pause reports whether d passed before ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // candidate is the leg at the engine that holds a copy of the run, if it gives a sign of
 // life, or at one that reads the prompt anew. The latter is late for the caller in any
 // case, so it is worth it only where the silent engine gives no sign of life, or has been
