forward: say what a look at the engines' caches cost

Event 236 (caches_read) and mallowwind_forward_cache_bytes_total: engines asked, answered and late, bytes of the answers, time. Nothing behaves differently. Until now a look showed in the logs only by the prompts that it located, and its bytes not at all.

--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/telemetry/event"
 )
 
 const (
@@ -112,19 +115,24 @@
 		s.end()
 		return s
 	}
-	go l.look(s, servers)
+	go l.look(service, s, servers)
 	return s
 }
 
-func (l *locator) look(s *scan, servers []routing.Server) {
+func (l *locator) look(service string, s *scan, servers []routing.Server) {
 	defer s.end()
 	l.h.metrics.scans.Inc()
+	cost := looked{asked: len(servers)}
+	defer func() {
+		l.h.opts.Log.Emit(event.CachesRead, service, cost.asked, cost.answered, cost.late, cost.bytes, time.Since(s.at))
+	}()
 	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
 	defer cancel()
 	var all sync.WaitGroup
 	for _, server := range servers {
 		all.Go(func() {
-			life, parts, err := l.h.cached(ctx, server)
+			life, parts, bytes, err := l.h.readCache(ctx, server)
+			cost.add(bytes, err)
 			if err != nil {
 				return // an engine that does not answer holds nothing of use
 			}
@@ -134,23 +142,52 @@
 	all.Wait()
 }
 
+// looked is what a look took.
+type looked struct {
+	asked int // engines
+
+	mu       sync.Mutex
+	answered int
+	late     int // had not answered when the look ended
+	bytes    int // of the answers' bodies, as far as they arrived
+}
+
+func (l *looked) add(bytes int, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes += bytes
+	switch {
+	case err == nil:
+		l.answered++
+	case errors.Is(err, context.DeadlineExceeded):
+		l.late++
+	}
+}
+
 // cached asks an engine what it holds, and which of its lives holds that.
 func (h *Handler) cached(ctx context.Context, server routing.Server) (routing.Life, []string, error) {
-	life := server.Life()
+	life, parts, _, err := h.readCache(ctx, server)
+	return life, parts, err
+}
+
+// readCache is cached, and says how many bytes of the answer arrived.
+func (h *Handler) readCache(ctx context.Context, server routing.Server) (life routing.Life, parts []string, bytes int, err error) {
+	life = server.Life()
 	body, err := h.ask(ctx, server, h.opts.Codec.CachePath())
+	h.metrics.cacheBytes.Add(float64(len(body)))
 	if err != nil {
-		return life, nil, err
+		return life, nil, len(body), err
 	}
 	cache, err := h.opts.Codec.Cache(body)
 	if err != nil {
 		h.unreadable(server, err)
-		return life, nil, err
+		return life, nil, len(body), err
 	}
 	switch h.said(server, cache.Born) {
 	case lifeBefore:
-		return life, nil, nil
+		return life, nil, len(body), nil
 	case lifeAfter:
 		life.Born = cache.Born
 	}
-	return life, cache.Parts, nil
+	return life, cache.Parts, len(body), nil
 }
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -26,6 +26,7 @@
 	inFlight prometheus.GaugeFunc
 
 	unreadable prometheus.Counter
+	cacheBytes prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer, running func() int) *metrics {
@@ -51,10 +52,11 @@
 		scans:      prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
 		crowded:    prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
 		unreadable: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
+		cacheBytes: prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.unreadable)
+	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.unreadable, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -118,7 +118,8 @@
 	return resp, reply, nil
 }
 
-// ask makes a call that runs nothing at a server and reads its whole answer.
+// ask makes a call that runs nothing at a server and reads its whole answer. Beside an
+// error stands what had arrived of it.
 func (h *Handler) ask(ctx context.Context, s routing.Server, path string) ([]byte, error) {
 	return h.command(ctx, http.MethodGet, s, path, nil)
 }
@@ -139,10 +140,10 @@
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
 	if err != nil {
-		return nil, errors.Wrap(err, path)
+		return answer, errors.Wrap(err, path)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s: status %d", path, resp.StatusCode)
+		return answer, errors.Errorf("%s: status %d", path, resp.StatusCode)
 	}
 	return answer, nil
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -36,6 +36,8 @@
 		"What a backend server says of itself cannot be used; it counts as no answer.", "backend", "address", "error")
 	NeighbourSilent = define(235, "neighbour_silent", logrus.WarnLevel,
 		"Another daemon did not say what it has under way at engines; prompts are placed without that for a while.", "address", "error")
+	CachesRead = define(236, "caches_read", logrus.InfoLevel,
+		"The engines of a service were asked what prompts they hold; late are those that had not answered when the wait was over, bytes those of all answers.", "service", "asked", "answered", "late", "bytes", "took")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
