--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,6 +124,28 @@
 	})
 }
 
+// A caller comes back with an answer that another daemon began, and this daemon asks 120
+// engines whether they hold its prompt. Each has more to tell than is expected of it, 14 KB.
+// A small VM has a link of 10 Mbit/s, which carries 125 KB in a tenth of a second; all
+// streams at this daemon come through it, and they are given up when they are silent for
+// 350 ms. Whatever engines have to tell, less than that is read of it.
+func TestLookLeavesTheLinkToStreams(t *testing.T) {
+	const linkPerTenth = 125_000 // bytes
+	var read int64
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(12, 20*time.Millisecond, 40*time.Millisecond)
+		for n := range 120 {
+			w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle).holds(strings.Repeat("p1 ", 14_000/len("p1 ")))
+		}
+		before := w.received.Load()
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "9", hPart: "p7"}), "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(10, 12), got.body)
+		read = w.received.Load() - before
+	})
+	must.Less(t, linkPerTenth, read)
+}
+
 // A stream ends in the middle of an event and no engine is left to go on. The
 // caller gets the whole events only, and the answer does not look complete.
 func TestTornStreamIsCut(t *testing.T) {
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,7 +160,23 @@
 	if s == nil {
 		return nil, errors.New("no such host")
 	}
-	return s.listener.Dial(ctx, network, address)
+	conn, err := s.listener.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, received: &w.received}, nil
+}
+
+// countedConn adds what is read from it.
+type countedConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -295,9 +312,11 @@
 	feed    *feed.Manager
 	handler *Handler
 	servers map[string]*fakeServer
-	buried  []*fakeServer // whose connections stay open though a later life has their place
-	cancel  context.CancelFunc
-	done    sync.WaitGroup
+	// received are the bytes that servers have sent to the handler.
+	received atomic.Int64
+	buried   []*fakeServer // whose connections stay open though a later life has their place
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // inWorld runs test in virtual time with the routes given.
