forward, wire: a look at the engines' caches leaves the link to streams

Callers saw long answers cut in the middle, or minutes of late ones, while daemons were stopped and started in turn and nothing had failed. Plain calls took a second at the same daemons.

Cause: a daemon to which a caller comes back asks all engines which of them holds the prompt, and asked for all changes of their caches since they started. The answers of 120 engines grow from 60 KB to 1.5 MB in a minute, more than a link of 10 Mbit/s carries in a second: the daemon's streams fall silent, are given up, their callers come back elsewhere, and that daemon looks too.

Ruled out: engines (an answer to one question takes 5 to 25 ms before the first looks fill links; nothing failed at them); asking for the newest changes only (a number that an engine has not reached is answered with all of them); the changes since the last look (a daemon that has just started has made none); questions at a pace of one a millisecond (no better, and late where the processor is taken).

A look begins with eight engines and then has as many on their way as 100 KB afford by the largest answer so far; of one answer no more than 12.5 KB are read, and a longer one counts as none.

Why it holds: an answer is bounded by the engine's memory, not by its past, and what is not is bounded by the quota. The question delays an engine by too little to matter: 0.1 ms of 42.7 ms an event at 16 questions a second.

--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -15,10 +17,16 @@
 	// scanAge is how long one look at all engines is used: the requests of a
 	// daemon that died come back within about a second of each other.
 	scanAge = 500 * time.Millisecond
-	// scanTimeout bounds the look. The answers of 120 engines, 2.5 KB each, take 240 ms
-	// on a link of 10 Mbit/s; reading a prompt anew takes a second. A request whose prompt
-	// is found does not wait for the rest.
+	// scanTimeout bounds the look: reading a prompt anew takes a second. A request whose
+	// prompt is found does not wait for the rest. It is shorter than scanAge, so that a
+	// daemon makes one look at a service at a time.
 	scanTimeout = 400 * time.Millisecond
+	// scanBytes is what a look reads of all answers. With their headers that is a tenth
+	// of a second of a link of 10 Mbit/s; 120 answers of 0.5 KB are 60 KB.
+	scanBytes = 100_000
+	// scanAnswer is what is read of one answer; a longer one is of no use. Each is taken to
+	// be as long until the first is there: eight engines are asked at once then.
+	scanAnswer = scanBytes / 8
 	// maxScanned is how many engines are asked at most. Asking 120 takes a small VM
 	// a tenth of a second of its processor; beyond, a prompt is read again instead.
 	maxScanned = 160
@@ -31,6 +39,19 @@
 // other daemons, which know nothing of the runs. Sent to an engine by load
 // alone, each prompt is read a second time; after the loss of all daemons that
 // is a second of work of every engine, all at once.
+//
+// The failure it must not become: the streams of a daemon share its link with the look. Where
+// the answers fill the link, all streams fall silent together and are given up after
+// silenceWithCopy; their callers come back at other daemons, which look too, so it spreads
+// until answers are cut for want of repeats. It shows as streams that break at many engines
+// within a second of caches_read of the same daemon, and as plain calls that take a second
+// there. Seen with 120 engines, links of 10 Mbit/s and daemons restarted in turn for 65 s (three
+// plays): while each engine was asked for all changes of its cache a look received 60 to 80 KB
+// early and up to 1.5 MB after a minute, and 1,269 to 1,930 streams broke, 99 of 100 so; as it
+// is now a look receives 58 KB at most, and 10 to 16 streams broke, up to 2 so. It holds
+// because an answer grows with what an engine holds and not with how long it has run, and
+// because no more engines are asked than scanBytes affords where all hold about as much;
+// of one that holds more scanAnswer is read.
 type locator struct {
 	h     *Handler
 	mu    sync.Mutex
@@ -122,48 +143,78 @@
 func (l *locator) look(service string, s *scan, servers []routing.Server) {
 	defer s.end()
 	l.h.metrics.scans.Inc()
-	cost := looked{asked: len(servers)}
-	defer func() {
-		l.h.opts.Log.Emit(event.CachesRead, service, cost.asked, cost.answered, cost.late, cost.bytes, time.Since(s.at))
-	}()
 	ctx, cancel := context.WithTimeout(context.Background(), scanTimeout)
 	defer cancel()
-	var all sync.WaitGroup
-	for _, server := range servers {
-		all.Go(func() {
-			life, parts, bytes, err := l.h.readCache(ctx, server)
-			cost.add(bytes, err)
-			if err != nil {
-				return // an engine that does not answer holds nothing of use
-			}
-			s.add(life, parts)
-		})
+	answers := make(chan cacheAnswer, len(servers))
+	ask := func(server routing.Server) {
+		life, parts, bytes, err := l.h.readCache(ctx, server)
+		if err == nil {
+			s.add(life, parts) // an engine that does not answer holds nothing of use
+		}
+		answers <- cacheAnswer{bytes, err}
+	}
+	var cost looked
+	for _, i := range rand.Perm(len(servers)) { // no engine is left out each time
+		for !cost.affords() && cost.pending() > 0 {
+			cost.add(<-answers)
+		}
+		if !cost.affords() {
+			break
+		}
+		cost.asked++
+		go ask(servers[i])
 	}
-	all.Wait()
+	for cost.pending() > 0 {
+		cost.add(<-answers)
+	}
+	l.h.opts.Log.Emit(event.CachesRead, service, cost.asked, cost.answered, cost.late, cost.bytes, time.Since(s.at))
 }
 
-// looked is what a look took.
-type looked struct {
-	asked int // engines
+// cacheAnswer is what came of a question to one engine.
+type cacheAnswer struct {
+	bytes int // of the answer's body, as far as it arrived
+	err   error
+}
 
-	mu       sync.Mutex
+// looked is what a look has taken so far. Engines that are not asked would have been too much.
+type looked struct {
+	asked    int
 	answered int
-	late     int // had not answered when the look ended
-	bytes    int // of the answers' bodies, as far as they arrived
+	failed   int
+	late     int // of those that failed: no answer when the look ended
+	bytes    int // of all answers
+	largest  int // of the answers, in bytes
 }
 
-func (l *looked) add(bytes int, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.bytes += bytes
-	switch {
-	case err == nil:
+// pending are the questions without an answer.
+func (l *looked) pending() int { return l.asked - l.answered - l.failed }
+
+// affords reports whether one more engine may be asked: the answers that are on their way
+// are taken to be as large as the largest so far.
+func (l *looked) affords() bool {
+	size := scanAnswer
+	if l.answered > 0 {
+		size = l.largest
+	}
+	return l.bytes+(l.pending()+1)*size <= scanBytes
+}
+
+func (l *looked) add(one cacheAnswer) {
+	l.bytes += one.bytes
+	l.largest = max(l.largest, one.bytes)
+	if one.err == nil {
 		l.answered++
-	case errors.Is(err, context.DeadlineExceeded):
+		return
+	}
+	l.failed++
+	if errors.Is(one.err, context.DeadlineExceeded) {
 		l.late++
 	}
 }
 
+// errLong means that an engine holds more than is read of its answer.
+var errLong = errors.New("forward: the engine holds too much to tell")
+
 // cached asks an engine what it holds, and which of its lives holds that.
 func (h *Handler) cached(ctx context.Context, server routing.Server) (routing.Life, []string, error) {
 	life, parts, _, err := h.readCache(ctx, server)
@@ -173,11 +224,14 @@
 // readCache is cached, and says how many bytes of the answer arrived.
 func (h *Handler) readCache(ctx context.Context, server routing.Server) (life routing.Life, parts []string, bytes int, err error) {
 	life = server.Life()
-	body, err := h.ask(ctx, server, h.opts.Codec.CachePath())
+	body, err := h.commandUpTo(ctx, scanAnswer, http.MethodGet, server, h.opts.Codec.CachePath(), nil)
 	h.metrics.cacheBytes.Add(float64(len(body)))
 	if err != nil {
 		return life, nil, len(body), err
 	}
+	if len(body) >= scanAnswer {
+		return life, nil, len(body), errLong
+	}
 	cache, err := h.opts.Codec.Cache(body)
 	if err != nil {
 		h.unreadable(server, err)
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -128,7 +128,8 @@
 // engines whether they hold its prompt. Each has more to tell than is expected of it, 14 KB.
 // A small VM has a link of 10 Mbit/s, which carries 125 KB in a tenth of a second; all
 // streams at this daemon come through it, and they are given up when they are silent for
-// 350 ms. Whatever engines have to tell, less than that is read of it.
+// 350 ms. Whatever engines have to tell, less than that is read of it. All 120 were asked at
+// once and read to the end, 1.7 MB; as many are asked now as the largest answer so far allows.
 func TestLookLeavesTheLinkToStreams(t *testing.T) {
 	const linkPerTenth = 125_000 // bytes
 	var read int64
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -20,7 +20,7 @@
 // second after which a lost SYN is sent again: another server is tried instead.
 const dialTimeout = 250 * time.Millisecond
 
-// maxAsked bounds what one engine tells of itself.
+// maxAsked bounds what one engine tells of itself, in bytes.
 const maxAsked = 1 << 20
 
 // errNotSent means that no byte of the request left: it has not run.
@@ -126,6 +126,11 @@
 
 // command is ask with another method and a body.
 func (h *Handler) command(ctx context.Context, method string, s routing.Server, path string, body []byte) ([]byte, error) {
+	return h.commandUpTo(ctx, maxAsked, method, s, path, body)
+}
+
+// commandUpTo is command, and reads no more than so many bytes of the answer.
+func (h *Handler) commandUpTo(ctx context.Context, most int64, method string, s routing.Server, path string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, path)
@@ -138,7 +143,7 @@
 		return nil, errors.Wrap(err, path)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, most))
 	if err != nil {
 		return answer, errors.Wrap(err, path)
 	}
