--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -20,7 +20,7 @@
 // second after which a lost SYN is sent again: another server is tried instead.
 const dialTimeout = 250 * time.Millisecond
 
-// maxAsked bounds what one engine tells of itself.
+// maxAsked bounds what one engine tells of itself, in bytes.
 const maxAsked = 1 << 20
 
 // errNotSent means that no byte of the request left: it has not run.
@@ -137,13 +137,19 @@
 	return resp, reply, nil
 }
 
-// ask makes a call that runs nothing at a server and reads its whole answer.
+// ask makes a call that runs nothing at a server and reads its whole answer. Beside an
+// error stands what had arrived of it.
 func (h *Handler) ask(ctx context.Context, s routing.Server, path string) ([]byte, error) {
 	return h.command(ctx, http.MethodGet, s, path, nil)
 }
 
 // command is ask with another method and a body.
 func (h *Handler) command(ctx context.Context, method string, s routing.Server, path string, body []byte) ([]byte, error) {
+	return h.commandUpTo(ctx, maxAsked, method, s, path, body)
+}
+
+// commandUpTo is command, and reads no more than so many bytes of the answer.
+func (h *Handler) commandUpTo(ctx context.Context, most int64, method string, s routing.Server, path string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, path)
@@ -156,12 +162,12 @@
 		return nil, errors.Wrap(err, path)
 	}
 	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAsked))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, most))
 	if err != nil {
-		return nil, errors.Wrap(err, path)
+		return answer, errors.Wrap(err, path)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("%s: status %d", path, resp.StatusCode)
+		return answer, errors.Errorf("%s: status %d", path, resp.StatusCode)
 	}
 	return answer, nil
 }
