forward: an answer moves only to a server that has the request; a dark engine's caller is told

Cause: the time for which two servers may be connected was counted from before the other was reached, and ended with the silent one let go of, whatever it answered; a silent answer was kept also where it could never go on.

Change: the time is counted from when the whole request has left. Past it the silent engine is asked: while it gives a sign of life the link works, the other is known not to run the request yet, and both are waited for. An engine that is dark while others answer is given up where no try is left, or where no repeat is free for two seconds of silence. A repeat is taken from the budget last, asking for room counts no refusal, and a copy made on demand is freed where the answer went on without it.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -13,7 +13,8 @@
 // How it holds: a silent server keeps its answer until another one has answered a question
 // a moment ago, which shows that the link works, until the budget affords the repeat, and
 // until the other has taken the request. A server that has shown that the run is over, by a
-// reset or by starting anew, is no concern of this package.
+// reset or by starting anew, is no concern of this package. One that gives no sign of life
+// while others do is given up where the answer can never go on.
 package takeover
 
 import "time"
@@ -28,16 +29,21 @@
 	// the answer is late then in any case.
 	Alone = 1500 * time.Millisecond
 	// Again is how soon another try is made after one that came to nothing: a tenth of
-	// the two seconds after which callers leave, and many round trips.
+	// the two seconds for which callers wait at least, and many round trips.
 	Again = 200 * time.Millisecond
+	// RepeatWait is how long an answer is silent before it is given up because the budget
+	// affords no repeat. Callers wait for two seconds at least, and a fifth of the usual
+	// window of the budget is free again by then.
+	RepeatWait = 2 * time.Second
 	// Settling is how long the silent server is listened to once another has answered: what
 	// a full link held up arrives in the same moment as that answer. It is two round trips
 	// between zones, and short beside the pause.
 	Settling = 5 * time.Millisecond
-	// Overlap is how long two servers may be connected for one answer. A server that
-	// goes on from a copy answers after one step of its batch, within 180 ms beside a
-	// prompt; a run that is given up must have ended 400 ms after the other begins.
-	Overlap = 200 * time.Millisecond
+	// Overlap is how long two engines may have the request of one answer while the silent
+	// one gives no sign of life. One that goes on from a copy answers after one step of its
+	// batch, within 180 ms beside a prompt; a run that is given up must have ended 400 ms
+	// after the other begins, and it takes 50 ms to ask and a round trip to end it.
+	Overlap = 250 * time.Millisecond
 )
 
 // Patience is how long an answer may be silent. gapTarget is the route's target for
@@ -54,19 +60,19 @@
 
 // The outcomes. With all but TakenOver the silent server keeps the answer.
 const (
-	TakenOver  Outcome = iota
+	TakenOver  Outcome = iota + 1
 	NoTries            // the route allows no further run
 	NoServer           // no other server answers
 	Alive              // the silent server answers questions, and its run has no copy
 	NoRoom             // the servers that answer cannot read the prompt in time
 	NoRepeat           // the budget affords none
 	TurnedAway         // the other server did not take the request
-	Heard              // the silent server spoke again, or its connection broke
+	NotNeeded          // the silent server spoke again, its connection broke, or the caller left
 )
 
 // String returns the word used in logs.
 func (o Outcome) String() string {
-	return [...]string{"taken_over", "no_tries", "no_server", "alive", "no_room", "no_repeat", "turned_away", "heard"}[o]
+	return [...]string{"", "taken_over", "no_tries", "no_server", "alive", "no_room", "no_repeat", "turned_away", "not_needed"}[o]
 }
 
 // State is what a server has done since both are connected.
@@ -90,7 +96,7 @@
 )
 
 // Settle decides between the silent server and the one that was sent the request after it.
-// over says that they have been connected side by side for Overlap.
+// over says that the silent one has given no sign of life for Overlap since.
 func Settle(silent, other State, over bool) Step {
 	switch {
 	case silent == Speaks:
@@ -104,3 +110,10 @@
 	}
 	return Wait
 }
+
+// GiveUp reports whether a silent answer is given up at once if its server is dark: where it
+// can never go on, or has waited for a repeat for long, the caller is told so that it comes
+// back elsewhere.
+func GiveUp(o Outcome, silent time.Duration) bool {
+	return o == NoTries || o == NoRepeat && silent >= RepeatWait
+}
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -4,13 +4,14 @@
 	"bufio"
 	"context"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// attempt is a leg under way: a request that was sent, and what comes back of it. Its
-// methods are called by the goroutine of the relay.
+// attempt is a leg under way: a request that was sent, and what comes back of it. All but
+// receive and hand is for the goroutine of the relay, or for one that it waits for.
 type attempt struct {
 	leg
 	r           *relay
@@ -18,19 +19,20 @@
 	ctx         context.Context // ends with the attempt; the server drops the run then
 	stopProbing context.CancelFunc
 	sent        time.Time
-	signs       chan sign
-	pending     chan sign      // a sign that was taken from signs and is still to be handled
+	signals     chan signal
+	back        chan signal    // holds a signal that was taken and put back, one at most
+	written     chan struct{}  // says once that the whole request has left
 	answer      *http.Response // nil before its headers are handled
 	dead        <-chan error
 	reading     bool // counted as a prompt that is read, and not yet as a run
-	second      *spare
+	spare       *spare
 	// copyUsed says that a server was asked to go on from the copy that grows with the
 	// run: it is gone then, whether or not the answer went on there.
 	copyUsed bool
 }
 
-// sign is the headers of an answer, or one event of its stream.
-type sign struct {
+// signal is the headers of an answer, or one event of its stream.
+type signal struct {
 	opened *opened
 	event  streamEvent
 }
@@ -49,7 +51,7 @@
 
 // start sends the request of a leg, which is counted as one that is read.
 func (r *relay) start(ctx context.Context, l leg) *attempt {
-	a := &attempt{leg: l, r: r, sent: time.Now(), signs: make(chan sign), pending: make(chan sign, 1), reading: true}
+	a := &attempt{leg: l, r: r, sent: time.Now(), signals: make(chan signal), back: make(chan signal, 1), written: make(chan struct{}, 1), reading: true}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	r.h.pool.count(l.copyTo, 0, 0, 1)
 	r.starts++
@@ -57,7 +59,7 @@
 	r.runs++
 	probing, stop := context.WithCancel(a.ctx)
 	a.stopProbing = stop
-	a.second = r.newSpare(l)
+	a.spare = r.newSpare(l)
 	a.dead = r.watch(probing, l)
 	go a.receive(Errand{
 		ID: r.in.call.ID, Server: l.at.server, Left: time.Until(r.in.until),
@@ -70,8 +72,9 @@
 // body of an answer that is no stream is left to whom the headers are handed.
 func (a *attempt) receive(errand Errand) {
 	var o opened
-	o.resp, o.reply, o.err = a.r.h.send(a.ctx, a.r.in, errand)
-	if !a.hand(sign{opened: &o}) {
+	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{WroteRequest: a.wrote})
+	o.resp, o.reply, o.err = a.r.h.send(ctx, a.r.in, errand)
+	if !a.hand(signal{opened: &o}) {
 		if o.err == nil {
 			o.resp.Body.Close()
 		}
@@ -83,30 +86,44 @@
 	r := bufio.NewReaderSize(o.resp.Body, eventBuffer)
 	for {
 		e := readEvent(r)
-		if !a.hand(sign{event: e}) || e.err != nil {
+		if !a.hand(signal{event: e}) || e.err != nil {
 			return
 		}
 	}
 }
 
-// hand reports whether a sign was taken before the attempt ended.
-func (a *attempt) hand(s sign) bool {
+// wrote notes that the whole request has left.
+func (a *attempt) wrote(info httptrace.WroteRequestInfo) {
+	if info.Err != nil {
+		return
+	}
+	select {
+	case a.written <- struct{}{}:
+	default:
+	}
+}
+
+// hand reports whether a signal was taken before the attempt ended.
+func (a *attempt) hand(s signal) bool {
 	select {
-	case a.signs <- s:
+	case a.signals <- s:
 		return true
 	case <-a.ctx.Done():
 		return false
 	}
 }
 
-// inbox is where the next sign comes from.
-func (a *attempt) inbox() <-chan sign {
-	if len(a.pending) > 0 {
-		return a.pending
+// inbox is where the next signal comes from.
+func (a *attempt) inbox() <-chan signal {
+	if len(a.back) > 0 {
+		return a.back
 	}
-	return a.signs
+	return a.signals
 }
 
+// putBack leaves the signal that was taken last to whom handles it.
+func (a *attempt) putBack(s signal) { a.back <- s }
+
 // heard counts the prompt as read with the first event.
 func (a *attempt) heard() {
 	if !a.reading {
@@ -121,8 +138,8 @@
 	if a.from == "" && r.in.call.After == 0 {
 		r.h.pressure.wasRead(r.service, r.in.call.PromptTokens, time.Since(a.sent))
 	}
-	if a.second != nil {
-		go a.second.run(a.ctx)
+	if a.spare != nil {
+		go a.spare.run(a.ctx)
 	}
 }
 
@@ -136,7 +153,7 @@
 
 // hasCopy reports whether a copy of the run is believed to lie at another engine.
 func (a *attempt) hasCopy() bool {
-	return a.keptCopy().at.load != nil || a.second != nil && a.second.copied.Load() != nil
+	return a.keptCopy().at.load != nil || a.spare != nil && a.spare.copied.Load() != nil
 }
 
 // end closes the connection, so that the server drops a run that is not over, and takes
@@ -151,13 +168,13 @@
 	} else {
 		pool.count(a.at, 0, -1, 0)
 	}
-	a.r.settle(a.second, how)
+	a.r.settle(a.spare, how)
 }
 
 // closeAnswer lets go of the answer, also of one that nobody has handled.
 func (a *attempt) closeAnswer() {
 	select {
-	case s := <-a.pending:
+	case s := <-a.back:
 		if s.opened != nil {
 			a.answer = s.opened.resp
 		}
@@ -169,23 +186,23 @@
 }
 
 // settle takes over a copy made on demand, or frees it once the answer is whole.
-func (r *relay) settle(second *spare, end legEnd) {
+func (r *relay) settle(spare *spare, end legEnd) {
 	switch {
-	case second == nil:
-	case end == legBroken && r.taken != nil: // what it went on from is in use
-	case end == legBroken:
-		if copied := second.copied.Load(); copied != nil {
+	case spare == nil:
+	case end == legBroken && r.taken != nil && r.taken.from != "": // that copy is in use
+	case end == legBroken && r.taken == nil:
+		if copied := spare.copied.Load(); copied != nil {
 			r.held = *copied
 		}
 	default:
-		second.drop()
+		spare.drop()
 	}
 }
 
-// lost reports whether an engine has made events of this request although none
-// has arrived.
-func (r *relay) lost(report Report) bool {
-	return r.in.call.After == 0 && report.Events[r.in.call.ID] >= lostEvents
+// lost reports whether an engine has made events of a request, which it runs from its
+// beginning, although none has arrived.
+func lost(report Report, id string, fresh bool) bool {
+	return fresh && report.Events[id] >= lostEvents
 }
 
 // watch probes the engine of a leg until ctx ends, and says when it seems dead, as often
@@ -196,6 +213,7 @@
 	if r.h.opts.Feed.View().Config.Engine(r.service) == nil || !r.in.route.Resumable {
 		return dead
 	}
+	id, fresh := r.in.call.ID, r.after == 0
 	go func() {
 		tick := time.NewTicker(probeEvery)
 		defer tick.Stop()
@@ -209,15 +227,15 @@
 			report, err := r.h.probe(ctx, l.at.server, probeTimeout)
 			switch {
 			case errors.Is(err, errRestarted):
-				say(dead, err)
+				tell(dead, err)
 				return
-			case err == nil && r.lost(report):
-				say(dead, errAnswerLost)
+			case err == nil && lost(report, id, fresh):
+				tell(dead, errAnswerLost)
 			case err == nil:
 				failures = 0
 			default:
 				if failures++; failures >= deadProbes {
-					say(dead, errDead)
+					tell(dead, errDead)
 				}
 			}
 		}
@@ -225,10 +243,10 @@
 	return dead
 }
 
-// say leaves a word where none waits to be read.
-func say(words chan<- error, word error) {
+// tell leaves an error where none waits to be read.
+func tell(out chan<- error, err error) {
 	select {
-	case words <- word:
+	case out <- err:
 	default:
 	}
 }
@@ -237,8 +255,8 @@
 func (a *attempt) useCopy() {
 	a.copyUsed = true
 	a.r.held = kept{}
-	if a.second != nil {
-		a.second.used.Store(true)
-		a.second.copied.Store(nil)
+	if a.spare != nil {
+		a.spare.used.Store(true)
+		a.spare.copied.Store(nil)
 	}
 }
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -26,10 +27,10 @@
 var errAnswerLost = errors.New("forward: the answer does not arrive")
 
 // errSilent means that a stream has made no event for as long as it may.
-var errSilent = errors.New("silent")
+var errSilent = errors.New("forward: silent")
 
 // errNoProof means that an answer does not show that a server made it.
-var errNoProof = errors.New("a success without proof")
+var errNoProof = errors.New("forward: a success without proof")
 
 // follow passes on what the server of an attempt makes until its stream ends, breaks off, or
 // goes on elsewhere.
@@ -49,7 +50,7 @@
 			if r.takeOver(ctx, a, errSilent) {
 				return r.failure(ctx, a.leg, errSilent)
 			}
-			silence.Reset(r.again(a))
+			silence.Reset(takeover.Again)
 		case err := <-a.dead:
 			if errors.Is(err, errRestarted) || r.takeOver(ctx, a, err) {
 				return r.failure(ctx, a.leg, err)
@@ -60,8 +61,8 @@
 	}
 }
 
-// handle takes one sign of a server; over reports whether it ends the attempt.
-func (r *relay) handle(ctx context.Context, a *attempt, s sign) (end legEnd, err error, over bool) {
+// handle takes one signal of a server; over reports whether it ends the attempt.
+func (r *relay) handle(ctx context.Context, a *attempt, s signal) (end legEnd, err error, over bool) {
 	if s.opened != nil {
 		return r.opened(ctx, a, *s.opened)
 	}
@@ -146,17 +147,19 @@
 	if ctx.Err() != nil {
 		return legAborted, r.expired()
 	}
-	if !l.blind || !timedOut(err) { // else the link from here may be at fault
-		r.h.blame(ctx, r.in, l.at, err)
-	}
-	r.exclude(l)
 	if errors.Is(err, errNotSent) {
 		r.runs--
 		r.sends--
 		r.starts-- // another is tried as long as there is one
-		return legNotRun, err
 	}
+	if !l.blind || !timedOut(err) { // else the link from here may be at fault
+		r.h.blame(ctx, r.in, l.at, err)
+	}
+	r.exclude(l)
 	switch {
+	case errors.Is(err, errNotSent):
+		return legNotRun, err
+	case r.taken != nil: // it goes on already
 	case errors.Is(err, errAnswerLost):
 		r.held = l.copy(r.in.call.ID) // the prompt was read, so the copy is there
 	case !r.began && !errors.Is(err, errDead) && !errors.Is(err, errRestarted):
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -219,21 +219,29 @@
 	return r.withCopy(ctx, leg{at: c.choice, blind: blind}), nil
 }
 
-// admit refuses a request that engines have no room for. One that has run, or whose
-// caller holds a part of the answer, is owed: it is sent wherever it can be read in time.
-func (r *relay) admit(best surveyed) error {
-	now := time.Now()
-	left := r.in.until.Sub(now)
+// admission says whether an engine has room for the prompt, and how long its first event
+// may take. A request that has run, or whose caller holds a part of the answer, is owed: it
+// is sent wherever it can be read in time.
+func (r *relay) admission(best surveyed) (admission prompts.Admission, due time.Duration) {
 	owed := r.sends > 0 || r.in.call.After > 0
-	due := left
+	due = time.Until(r.in.until)
 	if !owed {
-		due = r.h.pressure.due(r.service, r.in, left)
+		due = r.h.pressure.due(r.service, r.in, due)
+	}
+	admission = r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
+	if owed && admission == prompts.NoRoom {
+		admission = prompts.Admitted
 	}
-	admission := r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
-	if admission == prompts.Admitted || owed && admission == prompts.NoRoom {
+	return admission, due
+}
+
+// admit refuses a request that engines have no room for.
+func (r *relay) admit(best surveyed) error {
+	admission, due := r.admission(best)
+	if admission == prompts.Admitted {
 		return nil
 	}
-	lasted, answer := r.h.pressure.refused(now, r.service)
+	lasted, answer := r.h.pressure.refused(time.Now(), r.service)
 	back := retryafter.Crowded(lasted, max(answer, r.in.route.Objective), rand.Float64())
 	r.h.metrics.crowded.WithLabelValues(admission.String()).Inc()
 	r.h.opts.Log.Emit(event.PromptRefused, r.in.call.ID, best.server.ID, admission.String(), r.in.call.PromptTokens,
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -5,11 +5,13 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/pause"
+	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/telemetry/event"
 )
@@ -22,33 +24,26 @@
 // errNotNeeded means that the server before a leg was heard of again.
 var errNotNeeded = errors.New("forward: the server before was heard of again")
 
-// patience is how long an attempt may be silent. An answer that cannot go on elsewhere is
+// patience is how long an attempt may be silent. An answer that may not go on elsewhere is
 // waited for as long as its caller waits.
 func (r *relay) patience(a *attempt) time.Duration {
-	if !r.mayGoOn() {
+	if !r.in.route.Resumable {
 		return time.Until(r.in.until)
 	}
 	return takeover.Patience(a.hasCopy(), r.in.route.GapTarget)
 }
 
-// again is when another try is made to go on elsewhere.
-func (r *relay) again(a *attempt) time.Duration {
-	if !r.mayGoOn() {
-		return time.Until(r.in.until)
-	}
-	return takeover.Again
-}
-
-// takeOver tries to let the answer of a silent attempt go on at another server, and reports
-// whether it does: r.taken is the attempt there. The silent one keeps the answer otherwise.
+// takeOver tries to let the answer of a silent attempt go on at another server. It reports
+// whether the attempt is over: r.taken is the one that goes on, or there is none and the
+// answer is given up. Else the silent server keeps the answer.
 //
 // The failure it guards against: silence is taken for the death of a server and its
 // connection is closed before anything is known of the next. The caller sees an answer cut
 // that was on its way, behind a link that was full for a second or a server that paused,
 // because no other server was reached, the budget afforded no repeat or the copy was gone.
-// It holds because a connection is closed only once another server has answered, and has
-// not turned the request away.
-func (r *relay) takeOver(ctx context.Context, a *attempt, why error) bool {
+// It holds because a connection is closed only once another server has answered, has the
+// request, and has not turned it away.
+func (r *relay) takeOver(ctx context.Context, a *attempt, why error) (over bool) {
 	if errors.Is(why, errAnswerLost) {
 		r.held = a.keptCopy() // the prompt was read, so the copy is there
 	}
@@ -58,23 +53,25 @@
 		if outcome, next = r.prepare(ctx, a, why); next == nil {
 			break
 		}
-		if outcome = r.sideBySide(ctx, a, next); outcome == takeover.TakenOver {
+		if outcome = r.sideBySide(ctx, a, next, why); outcome == takeover.TakenOver {
 			r.taken = next
 			return true
 		}
 	}
+	over = takeover.GiveUp(outcome, time.Since(r.since)) && r.dark(ctx, a)
 	r.h.metrics.stayed.WithLabelValues(outcome.String()).Inc()
-	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), r.after, time.Since(r.since))
-	return false
+	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), over, r.after, time.Since(r.since))
+	return over
 }
 
 // prepare finds the server where a silent attempt may go on and sends the request there,
-// unless the silent one is heard of first.
+// unless the silent one is heard of first. The relay waits meanwhile for one or the other,
+// so that what is found may be written to it.
 func (r *relay) prepare(ctx context.Context, a *attempt, why error) (takeover.Outcome, *attempt) {
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
 	var l leg
-	outcome := takeover.Heard
+	var outcome takeover.Outcome
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -83,13 +80,13 @@
 	select {
 	case <-done:
 	case s := <-a.inbox():
-		a.pending <- s
+		a.putBack(s)
 		stop()
 		<-done
 		if outcome == takeover.TakenOver {
-			r.h.pool.count(l.at, -1, 0, 0)
+			r.uncount(l)
 		}
-		return takeover.Heard, nil
+		return takeover.NotNeeded, nil
 	}
 	if outcome != takeover.TakenOver {
 		return outcome, nil
@@ -107,24 +104,26 @@
 	if outcome != takeover.TakenOver {
 		return leg{}, outcome
 	}
+	l = r.withCopy(ctx, l)
 	// A repeat is spent only on what is still silent now.
 	if !pause.For(ctx, takeover.Settling) {
-		r.h.pool.count(l.at, -1, 0, 0)
-		return leg{}, takeover.Heard
+		outcome = takeover.NotNeeded
+	} else if !r.mayRepeat(ctx, time.Now()) {
+		outcome = takeover.NoRepeat
 	}
-	if !r.mayRepeat(ctx, time.Now()) {
-		r.h.pool.count(l.at, -1, 0, 0)
-		return leg{}, takeover.NoRepeat
+	if outcome != takeover.TakenOver {
+		r.uncount(l)
+		return leg{}, outcome
 	}
-	return r.withCopy(ctx, l), takeover.TakenOver
+	return l, outcome
 }
 
+// uncount takes back the count of a leg whose request is not sent.
+func (r *relay) uncount(l leg) { r.h.pool.count(l.at, -1, 0, 0) }
+
 // candidate is the leg at the engine that holds a copy of the run, if it gives a sign of
-// life, or at one that reads the prompt anew. The latter is late for the caller in any
-// case, so it is worth it only where the silent engine gives no sign of life, or has been
-// silent for long.
+// life, or at one that reads the prompt anew.
 func (r *relay) candidate(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
-	view := r.h.opts.Feed.View()
 	if c, held, ok := r.livingHolder(ctx, a); ok {
 		r.h.pool.count(c, 1, 0, 0)
 		return leg{at: c, from: held.name}, takeover.TakenOver
@@ -132,23 +131,35 @@
 	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, time.Until(r.in.until)) {
 		return leg{}, takeover.NoRoom
 	}
+	return r.anew(ctx, a, why)
+}
+
+// anew is the leg at a server that makes the rest of the answer without a copy. It is late
+// for the caller in any case, so it is worth it only where the silent server gives no sign
+// of life, or has been silent for long.
+func (r *relay) anew(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
+	view := r.h.opts.Feed.View()
 	r.exclude(a.leg)
 	c, ok := r.place(ctx, view)
 	if !ok {
 		return leg{}, takeover.NoServer
 	}
-	switch {
-	case view.Config.Engine(r.service) != nil && !c.answered:
-		r.h.pool.count(c.choice, -1, 0, 0)
-		return leg{}, takeover.NoServer
-	case r.answers(ctx, a, why):
-		r.h.pool.count(c.choice, -1, 0, 0)
-		return leg{}, takeover.Alive
-	case r.admit(c) != nil:
-		r.h.pool.count(c.choice, -1, 0, 0)
-		return leg{}, takeover.NoRoom
+	l, outcome := leg{at: c.choice}, takeover.TakenOver
+	if view.Config.Engine(r.service) != nil {
+		switch admission, _ := r.admission(c); {
+		case !c.answered:
+			outcome = takeover.NoServer
+		case r.answers(ctx, a, why):
+			outcome = takeover.Alive
+		case admission != prompts.Admitted:
+			outcome = takeover.NoRoom
+		}
+	}
+	if outcome != takeover.TakenOver {
+		r.uncount(l)
+		return leg{}, outcome
 	}
-	return leg{at: c.choice}, takeover.TakenOver
+	return l, outcome
 }
 
 // answers reports whether a silent engine gives a sign of life after all. It is asked last:
@@ -163,11 +174,27 @@
 	return err == nil
 }
 
+// dark reports whether a silent engine gives no sign of life while others do. Other servers
+// cannot be asked.
+func (r *relay) dark(ctx context.Context, a *attempt) bool {
+	view := r.h.opts.Feed.View()
+	if view.Config.Engine(r.service) == nil {
+		return false
+	}
+	others := r.h.pool.readers(time.Now(), view, r.service, Asked, append(slices.Clone(r.failed), a.at.server.Life()))
+	var silent error
+	var both sync.WaitGroup
+	both.Go(func() { _, silent = r.h.probe(ctx, a.at.server, askLimit) })
+	answered := r.h.questions().survey(ctx, others, 0)
+	both.Wait()
+	return silent != nil && len(answered) > 0
+}
+
 // livingHolder is the engine that holds a copy of an attempt's run, if it answers.
 func (r *relay) livingHolder(ctx context.Context, a *attempt) (choice, kept, bool) {
 	held := r.held
-	if a.second != nil {
-		if copied := a.second.copied.Load(); copied != nil {
+	if a.spare != nil {
+		if copied := a.spare.copied.Load(); copied != nil {
 			held = *copied
 		}
 	}
@@ -182,16 +209,16 @@
 	return c, held, err == nil
 }
 
-// sideBySide waits for the first sign of the server that was sent the request after a
-// silent one, and lets go of it unless the answer goes on there.
-func (r *relay) sideBySide(ctx context.Context, a, next *attempt) takeover.Outcome {
-	if next.from != "" {
-		a.useCopy()
-	}
+// sideBySide waits for the first signal of the server that was sent the request after a
+// silent one, and lets go of it unless the answer goes on there. An engine that gives no
+// sign of life after takeover.Overlap is waited for no longer. While it gives one the link
+// from here works, so that the other would have been heard of if it ran the request.
+func (r *relay) sideBySide(ctx context.Context, a, next *attempt, why error) takeover.Outcome {
 	silent, other := takeover.Quiet, takeover.Quiet
-	overlap := time.NewTimer(takeover.Overlap)
+	overlap := time.NewTimer(time.Hour)
 	defer overlap.Stop()
-	for over := false; ; {
+	written, over := next.written, false
+	for {
 		switch takeover.Settle(silent, other, over) {
 		case takeover.Move:
 			return takeover.TakenOver
@@ -200,16 +227,25 @@
 		case takeover.Wait:
 		}
 		select {
+		case <-written:
+			written = nil
+			if next.from != "" {
+				a.useCopy()
+			}
+			if r.h.opts.Feed.View().Config.Engine(r.service) != nil {
+				overlap.Reset(takeover.Overlap)
+			}
 		case s := <-a.inbox():
-			a.pending <- s
+			a.putBack(s)
 			silent = s.state()
 		case s := <-next.inbox():
-			next.pending <- s
+			next.putBack(s)
 			other = s.state()
 		case <-overlap.C:
-			over = true
+			over = !r.answers(ctx, a, why)
+			overlap.Reset(takeover.Overlap)
 		case <-ctx.Done():
-			return r.letGo(ctx, next, other)
+			return r.letGo(ctx, next, takeover.Quiet)
 		}
 	}
 }
@@ -219,9 +255,9 @@
 	if other != takeover.Broken {
 		next.end(legAborted)
 		r.log(next.leg, legAborted, errNotNeeded)
-		return takeover.Heard
+		return takeover.NotNeeded
 	}
-	s := <-next.pending
+	s := <-next.inbox()
 	end, err := r.notTaken(ctx, next.leg, *s.opened)
 	next.answer = s.opened.resp
 	next.end(end)
@@ -244,8 +280,8 @@
 	return legBroken, errors.Errorf("status %d", o.resp.StatusCode)
 }
 
-// state is what a sign shows of its server.
-func (s sign) state() takeover.State {
+// state is what a signal shows of its server.
+func (s signal) state() takeover.State {
 	switch {
 	case s.opened != nil && s.opened.stream():
 		return takeover.Speaks
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -39,7 +39,7 @@
 	CachesRead = define(236, "caches_read", logrus.InfoLevel,
 		"The engines of a service were asked what prompts they hold; late are those that had not answered when the wait was over, bytes those of all answers.", "service", "asked", "answered", "late", "bytes", "took")
 	LegKept = define(237, "leg_kept", logrus.InfoLevel,
-		"A silent backend server keeps its stream, because it cannot go on at another now.", "request", "backend", "error", "reason", "after", "quiet")
+		"A silent backend server keeps its stream, because it cannot go on at another now; given_up says that it never can, and the server gives no sign of life while others do.", "request", "backend", "error", "reason", "given_up", "after", "quiet")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
