forward: an engine that holds a prompt or a copy is not ruled out for the own link

What callers saw: an answer that another daemon began was read anew, for a second of another engine, although the engine with its prompt had been found.

Cause, from the trace of planned restarts: the look that found the engine had filled the VM's link, the connection to it was not made within 250 ms, and it was ruled out for the request of which no byte had left (15 of 42 looks that found an engine). Each further try looked at all caches again: 107 of 137 looks were by requests that looked more than once, one of them eleven times in eight seconds, which filled the link again.

Ruled out: engines that had gone (none did).

Change: a request looks once. Where a connection is not made in time and no other engine answers either, the link from here is at fault, and the engine is tried again, for two seconds at most.

Figures: TestPromptThatWasFoundIsNotLookedForAgain had two looks and the prompt read elsewhere, now one look and the engine found; TestCopyThatWasNotAskedForIsNotForgotten had two prompts read, now one.

Why it holds: an engine is ruled out where the way to another works, and after two seconds in any case.

--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
@@ -167,3 +168,67 @@
 		must.Eq(w.t, 1, w.runs())
 	})
 }
+
+// A silent answer goes on at the engine with the copy, which cannot be connected to for 450 ms:
+// nothing was sent, so the copy is still there. A daemon that believes it used reads the whole
+// prompt anew, for a second of an engine, and the caller's pause is as long.
+func TestCopyThatWasNotAskedForIsNotForgotten(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" || r.Header.Get(hAfter) != "0" {
+				streaming(20, time.Second, 40*time.Millisecond)(rw, r)
+				return
+			}
+			rw.Header().Set(hProof, "p")
+			writeEvent(rw, 1)
+			<-r.Context().Done()
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		link := w.dialsThrough()
+		w.during(func() {
+			time.Sleep(351 * time.Millisecond) // the question is answered, the request is next
+			link.shut(450 * time.Millisecond)
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+		anew := 0
+		for _, s := range w.servers {
+			for _, r := range s.asked() {
+				if r.Header.Get(hCopyAt) == "" {
+					anew++
+				}
+			}
+		}
+		must.Eq(w.t, 1, anew, must.Sprint("prompts read"))
+	})
+}
+
+// A caller comes back after its daemon has ended, at one whose link is held up a moment later.
+// The engine found to hold its prompt is not reached in time. A daemon that rules it out for
+// this request reads the prompt anew, and one that looks at all caches before each further try
+// fills its link again. Evidence: after 15 of 42 looks that found the engine the first leg there
+// was not sent; one request looked 11 times in eight seconds.
+func TestPromptThatWasFoundIsNotLookedForAgain(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		for _, id := range []string{"e-1", "e-2", "e-3", "e-4", "e-5"} {
+			w.add(id, "llm", "a", streaming(12, time.Second, 40*time.Millisecond)).tellsLate(10 * time.Millisecond)
+		}
+		w.servers["e-4"].holds("p7")
+		link := w.dialsThrough()
+		w.during(func() {
+			time.Sleep(5 * time.Millisecond)
+			link.shut(1500 * time.Millisecond)
+		})
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "9", hPart: "p7"}), "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(10, 12), got.body)
+		looks := testutil.ToFloat64(w.handler.metrics.scans)
+		at := w.servers["e-4"].requests()
+		if looks != 1 || at != 1 {
+			w.t.Fatalf("%v looks, %d requests at the engine that holds the prompt, %d elsewhere", looks, at, w.runs()-at)
+		}
+	})
+}
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -151,6 +151,9 @@
 		r.runs--
 		r.sends--
 		r.starts-- // another is tried as long as there is one
+		if r.linkHeldUp(ctx, l, err) {
+			return legNotRun, err
+		}
 	}
 	if !l.blind || !timedOut(err) { // else the link from here may be at fault
 		r.h.blame(ctx, r.in, l.at, err)
@@ -168,6 +171,28 @@
 	return legBroken, err
 }
 
+// linkHeldUp reports whether a connection was not made in time because of the link from
+// here: no other engine answers either.
+//
+// The failure it guards against: the one engine that holds a prompt or a copy is ruled out
+// for a request of which nothing has left, and the prompt is read anew for a second of
+// another engine. It holds because that engine is tried again, for as long as a link is held
+// up at most, unless another answers.
+func (r *relay) linkHeldUp(ctx context.Context, l leg, err error) bool {
+	view, now := r.h.opts.Feed.View(), time.Now()
+	if l.blind || !timedOut(err) || view.Config.Engine(r.service) == nil {
+		return false
+	}
+	if r.heldUpSince.IsZero() {
+		r.heldUpSince = now
+	}
+	if now.Sub(r.heldUpSince) >= longestHeldUp {
+		return false
+	}
+	others := r.h.pool.readers(now, view, r.service, Asked, []routing.Life{l.at.server.Life()})
+	return len(others) > 0 && len(r.h.questions().survey(ctx, others, 0)) == 0
+}
+
 // turnedAway handles a server's word that it did not run the request.
 func (r *relay) turnedAway(ctx context.Context, l leg, o opened) (legEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -33,6 +33,9 @@
 	lostEvents = 3
 	// copyTries bounds the engines that are asked whether they can keep a copy.
 	copyTries = 3
+	// longestHeldUp is twice as long as a link of 10 Mbit/s was seen held up by answers that
+	// a daemon had asked for.
+	longestHeldUp = 2 * time.Second
 	// maxStarts bounds the servers that may turn one stream away.
 	maxStarts = 8
 )
@@ -56,6 +59,10 @@
 	starts      int
 	sends       int
 	failed      []routing.Life
+	// located are the engines that hold the prompt, nil before they were looked for.
+	located []routing.Life
+	// heldUpSince is when the link from here was first found held up; zero if it was not.
+	heldUpSince time.Time
 	// taken is the attempt that took the answer over from the one before.
 	taken   *attempt
 	since   time.Time     // of the last event released, or of the start
@@ -303,14 +310,17 @@
 	return c, err == nil && life == c.server.Life() && slices.Contains(parts, r.in.call.OwnPart)
 }
 
-// warm is an engine that holds the prompt of a stream which another daemon began.
+// warm is an engine that holds the prompt of a stream which another daemon began. They are
+// looked for once: a further look would show no more, and each takes a part of the link.
 func (r *relay) warm(ctx context.Context, now time.Time, view *feed.View) (choice, bool) {
 	if r.in.call.After == 0 || r.in.call.OwnPart == "" {
 		return choice{}, false
 	}
-	holders := r.h.locator.holders(ctx, r.service, r.in.call.OwnPart)
-	r.h.opts.Log.Emit(event.PromptLocated, r.in.call.ID, r.in.call.OwnPart, ids(holders))
-	for _, life := range holders {
+	if r.located == nil {
+		r.located = append([]routing.Life{}, r.h.locator.holders(ctx, r.service, r.in.call.OwnPart)...)
+		r.h.opts.Log.Emit(event.PromptLocated, r.in.call.ID, r.in.call.OwnPart, ids(r.located))
+	}
+	for _, life := range r.located {
 		if slices.Contains(r.failed, life) || r.h.pool.suspect(now, life) {
 			continue
 		}
