forward: servers of calls are not suspect for the own link either

What callers saw: lookups sent to servers as a last resort for seconds after a VM's link had been full, or refused for want of a server.

A connection not made within 250 ms makes a server suspect; behind a held-up link that is so for all servers of a service (581 events 223 for servers of calls in 90 s of planned restarts in which none failed).

Change: a server to which no connection was made in time is suspect only where a connection to another was made for the same request. Refused and reset connections count as before.

Why it holds: TestServersOfCallsBehindALinkHeldUpAreNotSuspect fails before. One server that is dark is named with the first call that another takes.

--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -232,3 +232,23 @@
 		}
 	})
 }
+
+// Callers look something up while the link of the daemon's VM is held up for a second, so that
+// no connection is made in time. No server is at fault; once the link is free all must be as
+// good as before. Evidence: 581 times a server of calls was named suspect in 90 s of planned
+// restarts in which none failed, each time because a connection was not made in time.
+func TestServersOfCallsBehindALinkHeldUpAreNotSuspect(t *testing.T) {
+	inWorld(t, plainRoutes(), func(w *world) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("d-"+id, "desk", id, proven("ok"))
+		}
+		link := w.dialsThrough()
+		w.during(func() { link.shut(time.Second) })
+		time.Sleep(time.Millisecond)
+		w.ask(http.MethodPost, "/again/1", caller, "x")
+		time.Sleep(time.Second)
+		for _, s := range w.servers {
+			must.False(t, w.handler.pool.suspect(time.Now(), s.server.Life()), must.Sprint(s.server.ID))
+		}
+	})
+}
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -62,6 +62,10 @@
 	// those that were turned away, and full those of them for want of room.
 	sent, sends, rejected, full int
 	tried                       []routing.Life
+	// unreached are those to which no connection was made in time, reached says that one
+	// was made to another.
+	unreached []*outcome
+	reached   bool
 }
 
 // plain forwards a request whose answer is passed on whole.
@@ -99,7 +103,7 @@
 		select {
 		case o := <-x.results:
 			x.pending--
-			x.note(o)
+			x.note(ctx, o)
 			if o.good() {
 				return o, nil
 			}
@@ -161,8 +165,26 @@
 	h.opts.Log.Emit(event.RepeatDenied, in.call.ID, in.route.Name, sends)
 }
 
-// note takes back what an exchange that did not run was counted for.
-func (x *exchanges) note(o *outcome) {
+// note takes back what an exchange that did not run was counted for, and makes servers
+// suspect that failed. One to which no connection was made in time is suspect only where a
+// connection to another was made for the same request: else the link from here is held up,
+// and all servers of the service would be suspect for seconds that are as good as before.
+func (x *exchanges) note(ctx context.Context, o *outcome) {
+	switch {
+	case o.err != nil && o.notRun && timedOut(o.err):
+		x.unreached = append(x.unreached, o)
+	case o.err != nil:
+		x.h.blame(ctx, x.in, o.choice, o.err)
+		x.reached = true
+	default:
+		x.reached = true
+	}
+	if x.reached {
+		for _, late := range x.unreached {
+			x.h.blame(ctx, x.in, late.choice, late.err)
+		}
+		x.unreached = nil
+	}
 	if o.notRun {
 		x.sent--
 		if !o.rejected {
@@ -226,7 +248,6 @@
 	})
 	if err != nil {
 		o.err, o.notRun = err, errors.Is(err, errNotSent)
-		h.blame(ctx, in, c, err)
 		return o
 	}
 	o.status, o.header = resp.StatusCode, resp.Header
@@ -237,7 +258,6 @@
 		o.err = errors.New("a success without proof")
 	}
 	if o.err != nil {
-		h.blame(ctx, in, c, o.err)
 		return o
 	}
 	h.pool.worked(c)
