soak/process: links held up or narrow, and stops in a series, as sorts of run of their own

Each daemon has a proxy of its own for each server and each other daemon there, and a store in which their addresses are those proxies, so that one daemon's link can be held up for 0.5 to 1.5 s or carry 1.25 MB a second. Daemons are stopped one after the other; a quarter of all requests is given up in the middle and comes back elsewhere. No server, engine or store fails, so no answer that was begun may be cut.

Under planned work a caller's last requests are now judged to their end, and a long answer that ran and was refused is a violation beside one that was cut.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -40,6 +40,7 @@
 	after  string // Retry-After
 	err    error  // the answer did not come, or not whole
 	left   bool   // the caller left, or its time was over
+	late   bool   // its time was over
 }
 
 // served reports whether the caller has what it asked for.
@@ -48,23 +49,39 @@
 // caller asks the directory where to connect, keeps the answer and its connections,
 // and repeats a request once.
 type caller struct {
-	world  *world
-	n      int
-	sent   int
-	http   *http.Client
-	known  []string // addresses to connect to
-	asked  time.Time
-	leaves float64 // share of requests given up early
+	world *world
+	n     int
+	sent  int
+	http  *http.Client
+	known []string // addresses to connect to
+	asked time.Time
+	habits
+}
+
+// habits are what callers of one sort of run do.
+type habits struct {
+	reviews float64       // share of long answers beside their part of the other kinds
+	leaves  float64       // share of requests given up early
+	within  time.Duration // of their start
+	tries   int           // of one request at most
 }
 
 func (w *world) newCaller(n int) *caller {
-	return &caller{world: w, n: n, leaves: 0.05, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
+	return &caller{world: w, n: n, habits: w.opts.Sort.habits(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
 }
 
 // run sends requests until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.request(ctx, callKind(rand.IntN(int(callKinds))))
+		kind := callKind(rand.IntN(int(callKinds)))
+		if rand.Float64() < c.reviews {
+			kind = callReview
+		}
+		if c.world.opts.Sort.cutsNothing() {
+			c.request(context.WithoutCancel(ctx), kind) // to its end, which is judged too
+		} else {
+			c.request(ctx, kind)
+		}
 		time.Sleep(time.Duration(rand.IntN(60)) * time.Millisecond)
 	}
 	c.http.CloseIdleConnections()
@@ -77,7 +94,7 @@
 	c.world.ledger.count("asked")
 	part := fmt.Sprintf("p%d-%d", c.n, c.sent)
 	var held int64
-	for try := range 2 {
+	for try := range c.tries {
 		id := fmt.Sprintf("r%d-%d-%d", c.n, c.sent, try)
 		got := c.send(ctx, kind, id, part, held)
 		held = c.judge(kind, id, part, held, got)
@@ -115,9 +132,9 @@
 func (c *caller) send(ctx context.Context, kind callKind, id, part string, held int64) (got result) {
 	ctx, cancel := context.WithTimeout(ctx, patience[kind])
 	defer cancel()
-	defer func() { got.left = ctx.Err() != nil }()
+	defer func() { got.left, got.late = ctx.Err() != nil, errors.Is(ctx.Err(), context.DeadlineExceeded) }()
 	if rand.Float64() < c.leaves {
-		time.AfterFunc(time.Duration(rand.IntN(400))*time.Millisecond, cancel)
+		time.AfterFunc(rand.N(c.within), cancel)
 	}
 	address, err := c.address(ctx)
 	if err != nil {
@@ -189,8 +206,8 @@
 // last event that the caller holds.
 func (c *caller) judge(kind callKind, id, part string, held int64, got result) int64 {
 	l := c.world.ledger
-	if c.world.opts.Planned && got.err != nil && !got.left && l.timesRun(id) > 0 {
-		l.violate("%s ran, and its answer was cut by planned work: %v", id, got.err)
+	if c.world.opts.Sort.cutsNothing() && l.timesRun(id) > 0 {
+		c.judgeUncut(kind, id, got)
 	}
 	if kind == callReview && got.status == http.StatusOK {
 		return c.judgeStream(id, part, held, got)
@@ -217,6 +234,21 @@
 	return held
 }
 
+// judgeUncut checks that an answer of which a server has begun to make something is not
+// given up.
+func (c *caller) judgeUncut(kind callKind, id string, got result) {
+	l, o := c.world.ledger, c.world.opts
+	switch {
+	case o.Timed && got.late && kind == callReview:
+		l.violate("%s ran, and its answer was not whole in %v", id, patience[kind])
+	case got.left:
+	case got.err != nil:
+		l.violate("%s ran, and its answer was cut although no server failed: %v", id, got.err)
+	case kind == callReview && got.status != http.StatusOK:
+		l.violate("%s ran, and its caller got %d although no server failed", id, got.status)
+	}
+}
+
 // judgeStream checks that what came is the answer from held on, and whole unless
 // it visibly broke off.
 func (c *caller) judgeStream(id, part string, held int64, got result) int64 {
--- a/lab/soak/process/daemon.go
+++ b/lab/soak/process/daemon.go
@@ -60,7 +60,7 @@
 	d.settings = nodefile.Settings{
 		VM: fmt.Sprintf("entry-%d", n), Zone: zone, IP: ip, Callers: at(portCallers), Readiness: at(portReady),
 		Directory: at(portDirectory), Peers: at(portPeers), Store: d.store.address(),
-		DrainGrace: grace, KeyAge: keyAge, AddressAge: time.Second, RetryRatio: 0.8, RetryWindow: 10 * time.Second, RetrySlack: 150,
+		DrainGrace: w.opts.Sort.grace(), KeyAge: keyAge, AddressAge: time.Second, RetryRatio: 0.8, RetryWindow: 10 * time.Second, RetrySlack: w.opts.Sort.slack(),
 	}
 	if d.log, err = os.Create(filepath.Join(w.opts.Dir, fmt.Sprintf("entry-%d.log", n))); err != nil {
 		return nil, errors.Wrap(err, "log")
@@ -127,6 +127,13 @@
 	<-d.ended()
 }
 
+// stopping reports whether the end of the process was asked for.
+func (d *daemon) stopping() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.expected
+}
+
 func (d *daemon) ended() chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -138,7 +145,7 @@
 	d.signal(syscall.SIGTERM)
 	select {
 	case <-d.ended():
-	case <-time.After(grace):
+	case <-time.After(d.world.opts.Sort.grace()):
 		d.kill()
 	}
 }
--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -52,17 +52,18 @@
 	for n := range w.opts.Callers {
 		callers.Go(func() { w.newCaller(n).run(load) })
 	}
-	for began := time.Now(); time.Since(began) < w.opts.Length && ctx.Err() == nil; {
-		f := faults[w.random.IntN(len(faults))]
-		if w.opts.Planned && !f.planned {
-			continue
-		}
+	began := time.Now()
+	if w.opts.Sort.ownLinks() {
+		trouble.Go(func() { w.stopInTurn(ctx, began) })
+	}
+	for time.Since(began) < w.opts.Length && ctx.Err() == nil {
+		f := w.draw()
 		w.note("%6.2fs %s", time.Since(began).Seconds(), f.name)
 		trouble.Go(func() { f.play(w, ctx) })
-		time.Sleep(faultPause/2 + time.Duration(w.random.Int64N(int64(faultPause))))
+		time.Sleep(faultPause/2 + w.upTo(faultPause))
 	}
 	trouble.Wait()
-	time.Sleep(settleTime)
+	time.Sleep(w.opts.Sort.settle())
 	stop()
 	callers.Wait()
 	if w.opts.Timed {
@@ -119,12 +120,16 @@
 	return w.servers[w.random.IntN(len(w.servers))]
 }
 
+// upTo is a time from the seed, below limit.
+func (w *world) upTo(limit time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
+
 // during is a time of trouble of a length up to limit.
 func (w *world) during(ctx context.Context, limit time.Duration) {
-	w.mu.Lock()
-	d := limit/4 + time.Duration(w.random.Int64N(int64(limit*3/4)))
-	w.mu.Unlock()
-	w.disturb(ctx, d)
+	w.disturb(ctx, limit/4+w.upTo(limit*3/4))
 }
 
 // disturb waits for d, in which bounds do not hold; they hold again a while later.
@@ -160,8 +165,10 @@
 	d.signal(syscall.SIGCONT)
 }
 
-func (w *world) stopDaemon(context.Context) {
-	d := w.daemon()
+func (w *world) stopDaemon(context.Context) { w.stop(w.daemon()) }
+
+// stop stops a daemon and starts it again.
+func (w *world) stop(d *daemon) {
 	d.life.Lock()
 	defer d.life.Unlock()
 	d.stop()
@@ -265,6 +272,9 @@
 	w.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainAge + 1500*time.Millisecond)
+	for w.opts.Sort.ownLinks() && len(s.Runs()) > 0 {
+		time.Sleep(eventLeast) // answers take long there
+	}
 	w.unregister(old)
 	s.crash()
 	s.begin(false)
--- a/lab/soak/process/process_test.go
+++ b/lab/soak/process/process_test.go
@@ -19,6 +19,9 @@
 	keepDir   = flag.String("process.dir", "", "where settings and logs are kept")
 )
 
+// callers of a run of each sort.
+var callers = map[Sort]int{RandomFaults: 12, PlannedWork: 12, HeldLinks: 50, NarrowLinks: 50}
+
 // binary builds the daemon once.
 func binary(t *testing.T) string {
 	t.Helper()
@@ -32,16 +35,26 @@
 	return path
 }
 
-func play(t *testing.T, program string, seed uint64, planned bool) {
+func play(t *testing.T, program string, sort Sort) {
+	t.Helper()
+	t.Parallel()
+	for n := range *seeds {
+		t.Run("", func(t *testing.T) { playSeed(t, program, *firstSeed+uint64(n), sort) })
+	}
+}
+
+func playSeed(t *testing.T, program string, seed uint64, sort Sort) {
 	t.Helper()
 	dir := t.TempDir()
 	if *keepDir != "" {
 		dir = filepath.Join(*keepDir, t.Name())
 		must.NoError(t, os.MkdirAll(dir, 0o755))
 	}
-	r, err := Run(t.Context(), Options{Seed: seed, Binary: program, Dir: dir, Planned: planned, Timed: *timed, Length: 8 * time.Second, Callers: 12})
+	r, err := Run(t.Context(), Options{
+		Seed: seed, Binary: program, Dir: dir, Sort: sort, Timed: *timed, Length: 8 * time.Second, Callers: callers[sort],
+	})
 	must.NoError(t, err)
-	t.Logf("seed %d, planned %v: %v", seed, planned, r.Counts)
+	t.Logf("seed %d, %v: %v", seed, sort, r.Counts)
 	for _, b := range r.Broken {
 		t.Errorf("seed %d: %s", seed, b)
 	}
@@ -56,20 +69,19 @@
 // Processes are killed, paused, stopped and restarted, links are reset, silent or
 // one way, the store fails and servers crash, one after the other and at once.
 // Callers and servers see no promise broken.
-func TestRandomFaults(t *testing.T) {
-	program := binary(t)
-	t.Parallel()
-	for n := range *seeds {
-		t.Run("", func(t *testing.T) { play(t, program, *firstSeed+uint64(n), false) })
-	}
-}
+func TestRandomFaults(t *testing.T) { play(t, binary(t), RandomFaults) }
 
 // Daemons are stopped and restarted, servers leave, keys and routes change, one
 // after the other and at once. Callers notice nothing.
-func TestPlannedWork(t *testing.T) {
-	program := binary(t)
-	t.Parallel()
-	for n := range *seeds {
-		t.Run("", func(t *testing.T) { play(t, program, *firstSeed+uint64(n), true) })
-	}
-}
+func TestPlannedWork(t *testing.T) { play(t, binary(t), PlannedWork) }
+
+// Daemons are stopped and restarted in turn, again and again. For a moment at a time
+// nothing passes between one of them and all servers and other daemons, and then all of
+// it. No server has failed, so a daemon that takes them for dead must still not end an
+// answer that may arrive: callers notice nothing but pauses.
+func TestHeldLinks(t *testing.T) { play(t, binary(t), HeldLinks) }
+
+// Daemons are stopped and restarted in turn, again and again. Callers that come back have
+// their prompts looked for at engines with long histories, which fills the link of the
+// daemon. Answers that wait behind them are late, and none is cut.
+func TestNarrowLinks(t *testing.T) { play(t, binary(t), NarrowLinks) }
--- a/lab/soak/process/proxy.go
+++ b/lab/soak/process/proxy.go
@@ -26,6 +26,7 @@
 // proxy passes TCP connections on to one address and misbehaves on demand.
 type proxy struct {
 	listener net.Listener
+	out, in  []*lane // that requests and answers pass, where there are any
 	mu       sync.Mutex
 	target   string
 	mode     linkMode
@@ -39,12 +40,15 @@
 }
 
 // newProxy listens at address and passes connections on to target.
-func newProxy(address, target string) (*proxy, error) {
+func newProxy(address, target string) (*proxy, error) { return newProxyOn(address, target, nil, nil) }
+
+// newProxyOn is newProxy for connections that pass lanes.
+func newProxyOn(address, target string, out, in []*lane) (*proxy, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
-	p := &proxy{listener: l, target: target, links: map[*proxied]struct{}{}}
+	p := &proxy{listener: l, target: target, out: out, in: in, links: map[*proxied]struct{}{}}
 	go p.accept()
 	return p, nil
 }
@@ -78,15 +82,28 @@
 	p.mu.Lock()
 	p.links[c] = struct{}{}
 	p.mu.Unlock()
-	var both sync.WaitGroup
-	both.Go(func() { p.pass(c, near, far, false) })
-	both.Go(func() { p.pass(c, far, near, true) })
-	both.Wait()
+	p.both(c)
 	p.mu.Lock()
 	delete(p.links, c)
 	p.mu.Unlock()
 }
 
+// both copies both ways until the connection has ended.
+func (p *proxy) both(c *proxied) {
+	var ways sync.WaitGroup
+	if len(p.out) == 0 {
+		ways.Go(func() { p.pass(c, c.near, c.far, false) })
+		ways.Go(func() { p.pass(c, c.far, c.near, true) })
+		ways.Wait()
+		return
+	}
+	ways.Go(func() { carry(c.near, c.far, p.out) })
+	ways.Go(func() { carry(c.far, c.near, p.in) })
+	ways.Wait()
+	_ = c.near.Close() // all has arrived
+	_ = c.far.Close()
+}
+
 // pass copies one way until an end closes. A silent way reads on and drops.
 func (p *proxy) pass(c *proxied, from, to net.Conn, answers bool) {
 	buf := make([]byte, 16<<10)
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,8 +20,7 @@
 
 const (
 	readingTime = 150 * time.Millisecond // of a prompt
-	eventPace   = 20 * time.Millisecond
-	eventCount  = 60 // of one answer
+	eventCount  = 60                     // of one answer
 	workTime    = 8 * time.Millisecond
 )
 
@@ -33,6 +33,9 @@
 	link    *proxy
 	http    *http.Server
 
+	listener  net.Listener
+	addresses []string // that of link, and then as each daemon has it on a link of its own
+
 	life     sync.Mutex // one end and start at a time
 	mu       sync.Mutex
 	id       string
@@ -69,8 +72,11 @@
 	}
 	s.http = &http.Server{Handler: wire.EngineHandler(s)}
 	go s.http.Serve(l)
-	s.link, err = newProxy(address, l.Addr().String())
-	return s, err
+	if s.link, err = newProxy(address, l.Addr().String()); err != nil {
+		return nil, err
+	}
+	s.listener, s.addresses = l, []string{s.link.address()}
+	return s, nil
 }
 
 // begin starts a life, under the id of the one before if sameID.
@@ -131,7 +137,7 @@
 	for part := range s.parts {
 		parts = append(parts, part)
 	}
-	return parts
+	return append(parts, s.world.history...)
 }
 
 // Copy implements wire.Engine.
@@ -143,7 +149,8 @@
 		return "", false
 	}
 	handle := "h-" + id
-	s.world.keep(target, s.link.address()+"/"+handle, copied{part: p.part, from: s})
+	_, as := s.world.at(target)
+	s.world.keep(target, s.addresses[as]+"/"+handle, copied{part: p.part, from: s})
 	return handle, true
 }
 
@@ -152,14 +159,23 @@
 
 // keep gives the engine at an address a copy under a name.
 func (w *world) keep(address, name string, c copied) {
+	s, _ := w.at(address)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copies[name] = c
+}
+
+// at is the server at an address, and which of its addresses that is.
+func (w *world) at(address string) (*server, int) {
 	for _, s := range w.servers {
-		if s.link.address() != address {
-			continue
+		if as := slices.Index(s.addresses, address); as >= 0 {
+			return s, as
 		}
-		s.mu.Lock()
-		s.copies[name] = c
-		s.mu.Unlock()
 	}
+	return nil, 0
 }
 
 // ServeHTTP implements http.Handler: one request of a daemon.
@@ -246,7 +262,7 @@
 		case <-r.Context().Done():
 			return
 		}
-		wait = eventPace
+		wait = s.world.opts.Sort.pace()
 		if n == e.After+1 {
 			w.Header().Set("Content-Type", "text/event-stream")
 			s.mu.Lock()
--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -31,7 +30,6 @@
 
 // Bounds that the daemons are given or promise.
 const (
-	grace    = 5 * time.Second // between SIGTERM and SIGKILL
 	keyAge   = 5 * time.Second // in which a removed key ceases to work
 	drainAge = 2 * time.Second // in which a server that leaves gets no more requests
 	inForce  = 2 * time.Second // of a configuration
@@ -55,9 +53,7 @@
 	Seed   uint64
 	Binary string // the daemon's program
 	Dir    string // for settings and logs
-	// Planned leaves out faults: only stops, changes of the configuration and
-	// servers that leave, which must cut nothing.
-	Planned bool
+	Sort   Sort
 	// Timed checks promises that have a bound in time too. On a machine that is too
 	// busy to run the processes in time these do not hold.
 	Timed   bool
@@ -79,7 +75,11 @@
 	ledger  *ledger
 	memory  *store.Memory
 	standIn *kv.StandIn
-	storeL  net.Listener
+	storeLs []net.Listener
+	network string // the first three bytes of its addresses
+	uplinks []*uplink
+	paths   []*proxy // on uplinks
+	history []string // parts that every engine says it held
 	servers []*server
 	daemons []*daemon
 	fronts  map[string]string // addresses of daemons to proxies before them
@@ -118,15 +118,33 @@
 }
 
 func (w *world) start() error {
-	net24 := network()
-	near := net24 + ".200"
+	w.network = network()
+	near := w.network + ".200"
 	w.standIn = kv.NewStandIn(w.memory)
-	l, err := net.Listen("tcp", near+":0")
+	if err := w.startServers(near); err != nil {
+		return err
+	}
+	for a := range w.keys {
+		w.keys[a] = fmt.Sprintf("key-%d-0", a)
+	}
+	w.configure()
+	stores, err := w.stores(near)
 	if err != nil {
-		return errors.Wrap(err, "store")
+		return err
+	}
+	for n, at := range stores {
+		d, err := w.newDaemon(n, w.ip(n), near, zoneNames[n%len(zoneNames)], at)
+		if err != nil {
+			return err
+		}
+		w.daemons = append(w.daemons, d)
+		w.fronts[d.settings.Callers] = d.callers.address()
 	}
-	w.storeL = l
-	go http.Serve(l, w.standIn.Handler())
+	return w.awaitReady(10 * time.Second)
+}
+
+// startServers starts and registers the servers.
+func (w *world) startServers(near string) error {
 	for n := range engineCount + 2*deskCount {
 		service := "llm"
 		if n >= engineCount {
@@ -139,19 +157,16 @@
 		w.servers = append(w.servers, s)
 		w.register(s, false)
 	}
-	for a := range w.keys {
-		w.keys[a] = fmt.Sprintf("key-%d-0", a)
-	}
-	w.configure()
-	for n := range daemonCount {
-		d, err := w.newDaemon(n, fmt.Sprintf("%s.%d", net24, n+1), near, zoneNames[n%len(zoneNames)], l.Addr().String())
-		if err != nil {
-			return err
-		}
-		w.daemons = append(w.daemons, d)
-		w.fronts[d.settings.Callers] = d.callers.address()
+	return nil
+}
+
+// stores are the addresses of the store, for each daemon.
+func (w *world) stores(near string) ([]string, error) {
+	if w.opts.Sort.ownLinks() {
+		return w.reachAll(near)
 	}
-	return w.awaitReady(10 * time.Second)
+	at, err := w.serveStore(near, w.standIn)
+	return slices.Repeat([]string{at}, daemonCount), err
 }
 
 func (w *world) awaitReady(limit time.Duration) error {
@@ -171,8 +186,11 @@
 		_ = s.http.Close() // the run is over
 		s.link.close()
 	}
-	if w.storeL != nil {
-		_ = w.storeL.Close() // the run is over
+	for _, p := range w.paths {
+		p.close()
+	}
+	for _, l := range w.storeLs {
+		_ = l.Close() // the run is over
 	}
 }
 
