--- a/lab/soak/process/sorts.go
+++ b/lab/soak/process/sorts.go
@@ -4,8 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // Sort is what a run plays.
@@ -115,6 +116,8 @@
 	holdPause = 500 * time.Millisecond
 	// stopPause is the mean time between two stops; each takes three seconds.
 	stopPause = 900 * time.Millisecond
+	// stopsAtOnce leaves a daemon that serves.
+	stopsAtOnce = daemonCount - 1
 )
 
 // uplink is a daemon's link: of any or, as often, of one that is not being stopped, which
@@ -146,16 +149,21 @@
 // while answers of those before are under way.
 func (w *world) stopInTurn(ctx context.Context, began time.Time) {
 	random := rand.New(rand.NewPCG(w.opts.Seed, 8))
-	var stops sync.WaitGroup
-	defer stops.Wait()
+	var stops errgroup.Group
+	stops.SetLimit(stopsAtOnce)
+	defer func() { _ = stops.Wait() }() // none returns an error
 	for {
 		for _, n := range random.Perm(len(w.daemons)) {
 			time.Sleep(stopPause/2 + time.Duration(random.Int64N(int64(stopPause))))
 			if time.Since(began) > w.opts.Length || ctx.Err() != nil {
 				return
 			}
-			w.note("%6.2fs %s stopped", time.Since(began).Seconds(), w.daemons[n].settings.VM)
-			stops.Go(func() { w.stop(w.daemons[n]) })
+			d := w.daemons[n]
+			stops.Go(func() error {
+				w.note("%6.2fs %s stopped", time.Since(began).Seconds(), d.settings.VM)
+				w.stop(d)
+				return nil
+			})
 		}
 	}
 }
