entries, gateway: callers are told VMs of the whole ring

Callers of a fleet of 88 entry VMs met 16 of them, each with five to six times its even part; the other 72 carried nothing. A link of 10 Mbit/s filled by one daemon's work took a sixteenth of all streams with it.

Ruled out: the rotation inside an answer, which changes nothing for callers that draw; the platform's callers ask many daemons and still get the same 16; the answers by account (serve/daemon) have parts, since a share is never below 0.001 and 1 by default, and leave no VM idle.

Change: entries.Any. The window begins at the ring's place of the daemon that answers and moves on by about its length with each answer, by a step that has no divisor in common with the ring's size, so in as many answers as there are VMs each is named equally often and first once: for one daemon, for all at one moment, and after a restart of all. 64 VMs are told, all that callers take.

Why it holds: evenness follows from the arithmetic and is tested for rings of 1 to 390 VMs, for one daemon, all at once and all in turn, with VMs leaving and with zones lost.

--- a/decision/entries/entries.go
+++ b/decision/entries/entries.go
@@ -12,10 +12,15 @@
 // Windows begin where the parts of the accounts before it end, so that together
 // they cover the ring evenly; independent draws leave one VM with twice the
 // mean. A VM or an account more moves a window by a place or two.
+//
+// Where the account is not known there are no parts to place a window by: taken for
+// zero they give everybody the same window, and in a fleet of 88 VMs five of six carry
+// nothing. So each answer is another window (Any).
 package entries
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -38,6 +43,12 @@
 // is told fewer VMs, so that noise does not move its callers.
 const hysteresis = 0.7
 
+// anyTold is how many VMs a caller is told whose account is not known: as many as
+// callers take. Callers give up open connections to VMs that their next answer leaves
+// out, so an answer should name most VMs of the one before: with 88 VMs it names two
+// thirds of them or more, and a fifth if 16 are told. Up to 64 VMs all are told.
+const anyTold = 64
+
 // VM is one entry VM.
 type VM struct {
 	ID      string
@@ -69,6 +80,7 @@
 	ReasonKept  Reason = "kept"
 	ReasonAll   Reason = "all"
 	ReasonNone  Reason = "none"
+	ReasonAny   Reason = "account_unknown"
 )
 
 // Answer names VMs by index, in the order the caller should try them.
@@ -96,6 +108,54 @@
 	return Answer{VMs: told, Reason: why}
 }
 
+// Any computes the turn-th answer that the daemon on VM own, an index of vms, gives
+// callers of whose account nothing is known.
+//
+// It guards against callers that all meet at a few VMs. That shows as links that are
+// full while most are idle: streams fall silent and lookups take a second there. It
+// holds whoever is asked: windows of different daemons in the same turn begin at
+// different VMs, and those of one daemon follow each other round the ring. In as many
+// answers as there are VMs each VM is named equally often, and first once, for callers
+// that use the first address.
+func Any(vms []VM, own int, turn uint64) Answer {
+	ring := Ring(vms)
+	size := len(ring)
+	if size == 0 {
+		return Answer{Reason: ReasonNone}
+	}
+	n, why := anyTold, ReasonAny
+	if n >= size {
+		n, why = size, ReasonAll
+	}
+	first := slices.Index(ring, own)
+	if first < 0 { // it is leaving, and others may be with it
+		first = int(vms[own].Hash % uint64(size))
+	}
+	first += int(turn%uint64(size)) * step(size, n)
+	told := make([]int, n)
+	for k := range told {
+		told[k] = ring[(first+k)%size]
+	}
+	return Answer{VMs: told, Reason: why}
+}
+
+// step is how far on the next window of n out of size VMs begins: the least number
+// from n on without a divisor in common with size, so that windows hardly overlap the
+// one before and in size answers each place is the first of one.
+func step(size, n int) int {
+	for gcd(size, n) != 1 {
+		n++
+	}
+	return n
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // begin is where an account's window of n out of size VMs starts: where the
 // parts before it end, when all parts together go round the ring Spread times.
 func (r Rule) begin(size, n int, q Query) int {
--- a/decision/entries/entries_test.go
+++ b/decision/entries/entries_test.go
@@ -97,3 +97,78 @@
 	_, member = Default.Member(fleet, q, -1)
 	test.False(t, member)
 }
+
+// Callers see slow answers at a few VMs while others are idle: every daemon tells
+// the same VMs, or all do at the same moment, or the one daemon that is asked does.
+// Whoever is asked, the answers together name each VM equally often, and each VM is
+// the first of equally many, for callers that use the first address alone.
+func TestAnswersOfUnknownAccountsCoverTheRing(t *testing.T) {
+	asked := map[string]func(k int) (own int, turn uint64){
+		"one daemon":           func(k int) (int, uint64) { return 3, uint64(k) },
+		"all, after as many":   func(k int) (int, uint64) { return k, 5 },
+		"all, in a later turn": func(k int) (int, uint64) { return k, 1 << 62 },
+	}
+	for _, size := range []int{1, 7, 64, 65, 87, 88, 128, 390} {
+		fleet := vms(size, min(4, size))
+		for name, question := range asked {
+			named, first := make([]int, size), make([]int, size)
+			told := 0
+			for k := range size {
+				own, turn := question(k)
+				own = min(own, size-1)
+				a := Any(fleet, own, turn)
+				told = len(a.VMs)
+				must.Eq(t, min(size, anyTold), told)
+				for _, i := range a.VMs {
+					named[i]++
+				}
+				first[a.VMs[0]]++
+			}
+			for i := range fleet {
+				must.Eq(t, told, named[i], must.Sprintf("%d VMs, %s: VM %d", size, name, i))
+				must.Eq(t, 1, first[i], must.Sprintf("%d VMs, %s: VM %d", size, name, i))
+			}
+		}
+	}
+}
+
+// A daemon that is leaving still answers. It names others, and does not begin with
+// the same VM as every other daemon that leaves.
+func TestLeavingDaemonSpreadsItsAnswersToo(t *testing.T) {
+	fleet := vms(88, 4)
+	first := map[int]bool{}
+	for own := range 20 {
+		fleet[own].Usable = false
+		a := Any(fleet, own, 1)
+		must.SliceNotContains(t, a.VMs, own)
+		first[a.VMs[0]] = true
+		fleet[own].Usable = true
+	}
+	test.Greater(t, 10, len(first))
+	must.Eq(t, ReasonNone, Any(nil, -1, 1).Reason)
+}
+
+// A zone is lost while callers keep an answer, or VMs leave in turn. No more of an
+// answer may go with a zone than of the fleet, and none of what went is named again.
+func TestAnswersOfUnknownAccountsHoldTheZonesEvenly(t *testing.T) {
+	for _, size := range []int{88, 390} {
+		fleet := vms(size, 4)
+		for zones := 4; zones > 1; zones-- {
+			for own := range fleet {
+				in := map[string]int{}
+				for _, i := range Any(fleet, own, 7).VMs {
+					must.True(t, fleet[i].Usable)
+					in[fleet[i].Zone]++
+				}
+				must.MapLen(t, zones, in)
+				even := min(anyTold, size*zones/4) / zones
+				for _, n := range in {
+					must.Between(t, even-1, n, even+2)
+				}
+			}
+			for i := range fleet {
+				fleet[i].Usable = fleet[i].Usable && fleet[i].Zone != fmt.Sprint(zones-1)
+			}
+		}
+	}
+}
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -116,21 +116,24 @@
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool { return !g.leaving.Load() && g.feed.View().Config != nil }
 
-// Addresses are the entry VMs that a caller is told, this one first among equals.
+// Addresses are the entry VMs that a caller is told. Its account is not known here.
 func (g *Gateway) Addresses(_ string) []string {
 	view := g.feed.View()
 	vms := make([]entries.VM, 0, len(view.VMs)+1)
-	seen := false
+	self := -1
 	for _, vm := range view.VMs {
 		own := vm.ID == g.opts.Self.ID
-		seen = seen || own
+		if own {
+			self = len(vms)
+		}
 		usable := !vm.Leaving && (!own || g.Ready())
 		vms = append(vms, entry(vm, usable))
 	}
-	if !seen && g.Ready() {
-		vms = append(vms, entry(g.opts.Self, true))
+	if self < 0 {
+		self = len(vms)
+		vms = append(vms, entry(g.opts.Self, g.Ready()))
 	}
-	a := entries.Answers(vms, entries.Query{Turn: g.turn.Add(1)})
+	a := entries.Any(vms, self, g.turn.Add(1))
 	list := make([]string, 0, len(a.VMs))
 	for _, i := range a.VMs {
 		list = append(list, vms[i].Address)
