forward: an answer that cannot go on is told; two servers are not judged by one question

Cause: giving up knew two of the outcomes only, and asked engines that had not failed, of which none may be left. One question of 50 ms decided that an engine is dark, and past the overlap the silent engine alone was asked, so that a link held up for both looked like its death.

Change: an answer is given up after two seconds of silence for want of a repeat, a server or room as well, if two questions to its engine have no answer while any other engine answers; at once, as before, where no try is left. A lost answer is given up when it is found lost twice. Past the overlap both engines are asked: if neither answers the link is at fault, and both are waited for, two seconds at most. A hold-up ends with the next event.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -31,14 +31,17 @@
 	// Again is how soon another try is made after one that came to nothing: a tenth of
 	// the two seconds for which callers wait at least, and many round trips.
 	Again = 200 * time.Millisecond
-	// RepeatWait is how long an answer is silent before it is given up because the budget
-	// affords no repeat. Callers wait for two seconds at least, and a fifth of the usual
-	// window of the budget is free again by then.
-	RepeatWait = 2 * time.Second
+	// Hopeless is how long the answer of a dark server is silent before it is given up for
+	// want of a repeat, a server or room. Callers wait for two seconds at least, and a fifth
+	// of the usual window of the budget is free again by then.
+	Hopeless = 2 * time.Second
 	// Settling is how long the silent server is listened to once another has answered: what
 	// a full link held up arrives in the same moment as that answer. It is two round trips
 	// between zones, and short beside the pause.
 	Settling = 5 * time.Millisecond
+	// HeldUp is the longest that the own link is taken to be held up: twice as long as a
+	// link of 10 Mbit/s was seen held up by answers that a daemon had asked for.
+	HeldUp = 2 * time.Second
 	// Overlap is how long two engines may have the request of one answer while the silent
 	// one gives no sign of life. One that goes on from a copy answers after one step of its
 	// batch, within 180 ms beside a prompt; a run that is given up must have ended 400 ms
@@ -96,7 +99,7 @@
 )
 
 // Settle decides between the silent server and the one that was sent the request after it.
-// over says that the silent one has given no sign of life for Overlap since.
+// over says that the two are not waited for any longer.
 func Settle(silent, other State, over bool) Step {
 	switch {
 	case silent == Speaks:
@@ -111,9 +114,23 @@
 	return Wait
 }
 
-// GiveUp reports whether a silent answer is given up at once if its server is dark: where it
-// can never go on, or has waited for a repeat for long, the caller is told so that it comes
-// back elsewhere.
+// Over reports whether two servers that both have the request, and of which none has spoken
+// for Overlap, are not waited for any longer. Each was asked for a sign of life. While the
+// silent one gives one, the link from here works, and the other would have been heard of if
+// it ran the request. While neither does, the link is held up, for HeldUp at most.
+func Over(silentAnswers, otherAnswers bool, waited time.Duration) bool {
+	return !silentAnswers && (otherAnswers || waited >= HeldUp)
+}
+
+// GiveUp reports whether a silent answer is given up if its server is dark: at once where it
+// can never go on, and after a while where nothing came of waiting. The caller is told then,
+// so that it comes back elsewhere. An answer whose server works is waited for.
 func GiveUp(o Outcome, silent time.Duration) bool {
-	return o == NoTries || o == NoRepeat && silent >= RepeatWait
+	switch o {
+	case NoTries:
+		return true
+	case NoRepeat, NoServer, NoRoom:
+		return silent >= Hopeless
+	}
+	return false
 }
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -54,11 +54,34 @@
 	}
 }
 
-// A caller whose answer can never go on is told; one whose answer may go on in a moment waits.
+// A caller whose answer can never go on is told; one whose answer may go on in a moment, or
+// whose server works, waits.
 func TestGiveUp(t *testing.T) {
+	later := map[Outcome]bool{NoTries: true, NoRepeat: true, NoServer: true, NoRoom: true}
 	for o := TakenOver; o <= NotNeeded; o++ {
-		must.Eq(t, o == NoTries, GiveUp(o, 0), must.Sprint(o))
-		must.Eq(t, o == NoTries || o == NoRepeat, GiveUp(o, RepeatWait), must.Sprint(o))
+		must.Eq(t, o == NoTries, GiveUp(o, Hopeless-1), must.Sprint(o))
+		must.Eq(t, later[o], GiveUp(o, Hopeless), must.Sprint(o))
+	}
+}
+
+// Two servers have one request and say nothing. The one that had it first is let go of where
+// it is dark and the link from here is not at fault.
+func TestOver(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		silent, other bool // answer a question
+		waited        time.Duration
+		want          bool
+	}{
+		{"both answer", true, true, Overlap, false},
+		{"the first alone answers", true, false, HeldUp, false},
+		{"the first is dark", false, true, Overlap, true},
+		{"the link is held up", false, false, Overlap, false},
+		{"the link is held up for long", false, false, HeldUp, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, Over(c.silent, c.other, c.waited))
+		})
 	}
 }
 
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -26,6 +26,7 @@
 	dead        <-chan error
 	reading     bool // counted as a prompt that is read, and not yet as a run
 	spare       *spare
+	foundLost   int // times that the engine reported events of which none had arrived
 	// copyUsed says that a server was asked to go on from the copy that grows with the
 	// run: it is gone then, whether or not the answer went on there.
 	copyUsed bool
--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -252,3 +253,149 @@
 		}
 	})
 }
+
+// losesSYN makes the next connection to the server at an address wait for a second, as after
+// a lost SYN.
+func (w *world) losesSYN(lossy *atomic.Value) {
+	w.handler.transport = newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if at, _ := lossy.Load().(string); at == address {
+			lossy.Store("") // one packet
+			select {
+			case <-time.After(time.Second):
+			case <-ctx.Done():
+				return nil, &net.OpError{Op: "dial", Net: network, Err: dialTimedOut{ctx.Err()}}
+			}
+		}
+		return w.dial(ctx, network, address)
+	})
+}
+
+// An engine that works pauses for 600 ms in mid-answer. The route allows no further run. One
+// packet of a question to the engine is lost while others answer. The engine must not count as
+// dead for it: the caller would see an answer cut that was on its way.
+func TestOneLostPacketIsNoDarkEngine(t *testing.T) {
+	route := streamRoute()
+	route[0].Attempts = 1
+	inWorld(t, route, func(w *world) {
+		var lossy atomic.Value
+		handle := func(rw http.ResponseWriter, r *http.Request) { pausing(rw, r, 600*time.Millisecond) }
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		w.losesSYN(&lossy)
+		w.during(func() {
+			time.Sleep(600 * time.Millisecond)
+			for _, s := range w.servers {
+				if s.requests() > 0 {
+					lossy.Store(s.server.Address)
+				}
+			}
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+	})
+}
+
+// An engine pauses for 900 ms and the one with the copy is asked. Then the link of the VM is
+// held up for 450 ms, so that neither is heard of. A daemon that lets go of the working engine
+// for that has nothing left when the other turns the request away, and no repeat.
+func TestLinkHeldUpWhileBothHaveTheRequest(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		asked := make(chan struct{}, 1)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				asked <- struct{}{}
+				sleep(r, 300*time.Millisecond)
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			pausing(rw, r, 900*time.Millisecond)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		w.budget(repeats.Rule{Slack: 1.2, Window: 10 * time.Second}) // one repeat
+		w.during(func() {
+			<-asked
+			w.holdLink(20*time.Millisecond, 450*time.Millisecond)
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+	})
+}
+
+// The way to the engine with the copy is held up for 450 ms when an answer is to go on there,
+// and again when it goes on a second time, seconds later. Each hold-up is one of its own: the
+// copy is used both times, and no prompt is read anew.
+func TestSecondHoldUpOfOneAnswer(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		var begun atomic.Int32
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			switch {
+			case r.Header.Get(hCopyAt) != "" && begun.Load() == 1:
+				begun.Add(1)
+				rw.Header().Set(hProof, "p")
+				for id := 2; id <= 80; id++ {
+					writeEvent(rw, id)
+					sleep(r, 40*time.Millisecond)
+				}
+				<-r.Context().Done()
+			case r.Header.Get(hCopyAt) != "" || r.Header.Get(hAfter) != "0":
+				streaming(90, time.Second, 40*time.Millisecond)(rw, r)
+			default:
+				begun.Add(1)
+				rw.Header().Set(hProof, "p")
+				writeEvent(rw, 1)
+				<-r.Context().Done()
+			}
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		link := w.dialsThrough()
+		anew := func() (n int) {
+			for _, s := range w.servers {
+				for _, r := range s.asked() {
+					if r.Header.Get(hCopyAt) == "" {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		w.during(func() {
+			time.Sleep(351 * time.Millisecond)
+			link.shut(450 * time.Millisecond)
+			for w.runs() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(78*40*time.Millisecond + 351*time.Millisecond)
+			link.shut(450 * time.Millisecond)
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 90), got.body)
+		must.Eq(w.t, 1, anew(), must.Sprint("prompts read"))
+	})
+}
+
+// A caller arrives while no connection is made for a second, and its prompt is sent to the
+// best known engine all the same. That this engine is not reached says nothing of it.
+func TestEngineThatIsTriedBlindIsNotSuspect(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, streaming(20, 100*time.Millisecond, 40*time.Millisecond))
+		}
+		link := w.dialsThrough()
+		w.during(func() { link.shut(time.Second) })
+		time.Sleep(time.Millisecond)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+		for _, s := range w.servers {
+			must.False(w.t, w.handler.pool.suspect(time.Now(), s.server.Life()), must.Sprint(s.server.ID))
+		}
+	})
+}
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -130,6 +130,7 @@
 	if e.id != 0 {
 		r.after = e.id
 	}
+	r.heldUpSince = time.Time{}
 	now := time.Now()
 	if r.events++; r.events > 1 {
 		r.longest = max(r.longest, now.Sub(r.since))
@@ -186,7 +187,7 @@
 	if r.heldUpSince.IsZero() {
 		r.heldUpSince = now
 	}
-	if now.Sub(r.heldUpSince) >= longestHeldUp {
+	if now.Sub(r.heldUpSince) >= takeover.HeldUp {
 		return false
 	}
 	others := r.h.pool.readers(now, view, r.service, Asked, []routing.Life{l.at.server.Life()})
--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -210,6 +210,7 @@
 		second, _, ok := other.reader(time.Now(), view, "llm", w.handler.pool.work(view, "llm"), nil)
 		must.True(t, ok)
 		must.NotEq(t, first.server.ID, second.server.ID)
+		w.handler.pool.count(first, -1, 0, 0) // no request follows
 	})
 }
 
--- a/serve/forward/silent_test.go
+++ b/serve/forward/silent_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,3 +264,83 @@
 		}
 	})
 }
+
+// An engine runs a request and its answer is lost; the route allows no further run. The answer
+// can never go on here although the engine answers questions: the caller must be told, and not
+// be held until its time is over.
+func TestLostAnswerThatCannotGoOnIsTold(t *testing.T) {
+	route := streamRoute()
+	route[0].Attempts = 1
+	inWorld(t, route, func(w *world) {
+		handle := func(_ http.ResponseWriter, r *http.Request) {
+			w.servers[r.Header.Get(hServer)].reports(r.Header.Get(hID))
+			sleep(r, time.Hour)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.Less(w.t, 5*time.Second, got.took)
+	})
+}
+
+// An engine goes dark in mid-answer, and all others turn the request away, since they are full.
+// No server is left that was not tried: the caller must be told within seconds, and not be
+// held until its time is over.
+func TestDarkEngineWhileAllOthersTurnAway(t *testing.T) {
+	for _, n := range []int{2, 4, 7} {
+		inWorld(t, streamRoute(), func(w *world) {
+			var begun atomic.Int32
+			handle := func(rw http.ResponseWriter, r *http.Request) {
+				if begun.Add(1) == 1 {
+					streaming(60, 100*time.Millisecond, 40*time.Millisecond)(rw, r)
+					return
+				}
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			}
+			for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"}[:n] {
+				w.add("e-"+id, "llm", id, handle)
+			}
+			w.during(func() {
+				time.Sleep(time.Second)
+				for _, s := range w.servers {
+					if s.requests() > 0 {
+						s.listener.Stall()
+					}
+				}
+			})
+			got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+			if got.took > 5*time.Second {
+				t.Errorf("%d engines: held for %s", n, got.took)
+			}
+		})
+	}
+}
+
+// The copy is gone and repeats are left. The engine with the copy is asked once and no more:
+// each further question is a repeat of the whole system spent in vain.
+func TestCopyThatIsGoneIsAskedForOnce(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			pausing(rw, r, 600*time.Millisecond)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		copies := map[string]int{}
+		for _, s := range w.servers {
+			for _, r := range s.asked() {
+				copies[r.Header.Get(hCopyAt)]++
+			}
+		}
+		for name, n := range copies {
+			must.Eq(w.t, 1, n, must.Sprint(name))
+		}
+	})
+}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -33,9 +33,6 @@
 	lostEvents = 3
 	// copyTries bounds the engines that are asked whether they can keep a copy.
 	copyTries = 3
-	// longestHeldUp is twice as long as a link of 10 Mbit/s was seen held up by answers that
-	// a daemon had asked for.
-	longestHeldUp = 2 * time.Second
 	// maxStarts bounds the servers that may turn one stream away.
 	maxStarts = 8
 )
@@ -63,6 +60,8 @@
 	located []routing.Life
 	// heldUpSince is when the link from here was first found held up; zero if it was not.
 	heldUpSince time.Time
+	// hopeless says that the answer was found unable to go on.
+	hopeless bool
 	// taken is the attempt that took the answer over from the one before.
 	taken   *attempt
 	since   time.Time     // of the last event released, or of the start
@@ -150,7 +149,7 @@
 			return r.giveUp(err)
 		case legBroken:
 			r.moved = r.began
-			if r.taken == nil && !r.mayGoOn() {
+			if r.taken == nil && (r.hopeless || !r.mayGoOn()) {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").Because(err))
 			}
 		}
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/pause"
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/telemetry/event"
@@ -43,7 +44,7 @@
 // because no other server was reached, the budget afforded no repeat or the copy was gone.
 // It holds because a connection is closed only once another server has answered, has the
 // request, and has not turned it away.
-func (r *relay) takeOver(ctx context.Context, a *attempt, why error) (over bool) {
+func (r *relay) takeOver(ctx context.Context, a *attempt, why error) bool {
 	if errors.Is(why, errAnswerLost) {
 		r.held = a.keptCopy() // the prompt was read, so the copy is there
 	}
@@ -54,14 +55,15 @@
 			break
 		}
 		if outcome = r.sideBySide(ctx, a, next, why); outcome == takeover.TakenOver {
+			r.forgo(a)
 			r.taken = next
 			return true
 		}
 	}
-	over = takeover.GiveUp(outcome, time.Since(r.since)) && r.dark(ctx, a)
+	r.hopeless = takeover.GiveUp(outcome, time.Since(r.since)) && r.gone(ctx, a, why)
 	r.h.metrics.stayed.WithLabelValues(outcome.String()).Inc()
-	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), over, r.after, time.Since(r.since))
-	return over
+	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), r.hopeless, r.after, time.Since(r.since))
+	return r.hopeless
 }
 
 // prepare finds the server where a silent attempt may go on and sends the request there,
@@ -174,20 +176,41 @@
 	return err == nil
 }
 
-// dark reports whether a silent engine gives no sign of life while others do. Other servers
-// cannot be asked.
-func (r *relay) dark(ctx context.Context, a *attempt) bool {
+// gone reports whether nothing more is to be expected of a silent engine: its answer was found
+// lost more than once, or it gives no sign of life, to two questions, while others do. Other
+// servers cannot be asked.
+func (r *relay) gone(ctx context.Context, a *attempt, why error) bool {
+	if errors.Is(why, errAnswerLost) {
+		a.foundLost++
+		return a.foundLost >= deadProbes
+	}
 	view := r.h.opts.Feed.View()
 	if view.Config.Engine(r.service) == nil {
 		return false
 	}
-	others := r.h.pool.readers(time.Now(), view, r.service, Asked, append(slices.Clone(r.failed), a.at.server.Life()))
-	var silent error
-	var both sync.WaitGroup
-	both.Go(func() { _, silent = r.h.probe(ctx, a.at.server, askLimit) })
+	others := r.h.pool.readers(time.Now(), view, r.service, Asked, []routing.Life{a.at.server.Life()})
+	var silent [deadProbes]error
+	var all sync.WaitGroup
+	for i := range silent {
+		all.Go(func() { _, silent[i] = r.h.probe(ctx, a.at.server, askLimit) })
+	}
 	answered := r.h.questions().survey(ctx, others, 0)
-	both.Wait()
-	return silent != nil && len(answered) > 0
+	all.Wait()
+	return len(answered) > 0 && !slices.Contains(silent[:], nil)
+}
+
+// forgo ends the hope in a silent attempt before its answer goes on elsewhere.
+func (r *relay) forgo(a *attempt) {
+	select {
+	case s := <-a.back:
+		if s.opened != nil && s.opened.err == nil {
+			s.opened.resp.Body.Close()
+			if s.opened.reply.NotRun {
+				r.runs--
+			}
+		}
+	default:
+	}
 }
 
 // livingHolder is the engine that holds a copy of an attempt's run, if it answers.
@@ -210,25 +233,24 @@
 }
 
 // sideBySide waits for the first signal of the server that was sent the request after a
-// silent one, and lets go of it unless the answer goes on there. An engine that gives no
-// sign of life after takeover.Overlap is waited for no longer. While it gives one the link
-// from here works, so that the other would have been heard of if it ran the request.
+// silent one, and lets go of it unless the answer goes on there.
 func (r *relay) sideBySide(ctx context.Context, a, next *attempt, why error) takeover.Outcome {
 	silent, other := takeover.Quiet, takeover.Quiet
 	overlap := time.NewTimer(time.Hour)
 	defer overlap.Stop()
 	written, over := next.written, false
+	var since time.Time // both have the request
 	for {
 		switch takeover.Settle(silent, other, over) {
 		case takeover.Move:
 			return takeover.TakenOver
 		case takeover.Keep:
-			return r.letGo(ctx, next, other)
+			return r.letGo(ctx, a, next, other)
 		case takeover.Wait:
 		}
 		select {
 		case <-written:
-			written = nil
+			written, since = nil, time.Now()
 			if next.from != "" {
 				a.useCopy()
 			}
@@ -242,22 +264,38 @@
 			next.putBack(s)
 			other = s.state()
 		case <-overlap.C:
-			over = !r.answers(ctx, a, why)
+			silentAnswers, otherAnswers := r.bothAsked(ctx, a, next, why)
+			over = takeover.Over(silentAnswers, otherAnswers, time.Since(since))
 			overlap.Reset(takeover.Overlap)
 		case <-ctx.Done():
-			return r.letGo(ctx, next, takeover.Quiet)
+			return r.letGo(ctx, a, next, takeover.Quiet)
 		}
 	}
 }
 
+// bothAsked asks the engines of two attempts for a sign of life.
+func (r *relay) bothAsked(ctx context.Context, a, next *attempt, why error) (silent, other bool) {
+	var both sync.WaitGroup
+	both.Go(func() { silent = r.answers(ctx, a, why) })
+	both.Go(func() {
+		_, err := r.h.probe(ctx, next.at.server, askLimit)
+		other = err == nil
+	})
+	both.Wait()
+	return silent, other
+}
+
 // letGo ends an attempt that was to take an answer over.
-func (r *relay) letGo(ctx context.Context, next *attempt, other takeover.State) takeover.Outcome {
+func (r *relay) letGo(ctx context.Context, a, next *attempt, other takeover.State) takeover.Outcome {
 	if other != takeover.Broken {
 		next.end(legAborted)
 		r.log(next.leg, legAborted, errNotNeeded)
 		return takeover.NotNeeded
 	}
 	s := <-next.inbox()
+	if s.opened.reply.Misdirected {
+		a.copyUsed = false // it was asked for at an engine that does not have it
+	}
 	end, err := r.notTaken(ctx, next.leg, *s.opened)
 	next.answer = s.opened.resp
 	next.end(end)
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -456,10 +456,26 @@
 	s.http.Close()
 }
 
+// nothingCounted checks that what requests were counted for at servers was taken back once
+// they are over, whichever way they ended. What stays counted keeps later requests away
+// from a server until the daemon ends.
+func (w *world) nothingCounted() {
+	time.Sleep(lateWrite) // requests whose callers left end
+	synctest.Wait()
+	w.handler.pool.mu.Lock()
+	defer w.handler.pool.mu.Unlock()
+	for life, one := range w.handler.pool.loads {
+		if counted := [3]int{one.reading, one.running, one.copies}; counted != [3]int{} {
+			w.t.Errorf("%s: %v prompts read, runs and copies are counted at the end", life.ID, counted)
+		}
+	}
+}
+
 // during plays a part of the story beside the test, which waits for its end.
 func (w *world) during(play func()) { w.done.Go(play) }
 
 func (w *world) close() {
+	w.nothingCounted()
 	w.cancel()
 	for _, s := range w.servers {
 		s.http.Close()
