forward: a copy is not forgotten for one call behind the own link

What callers saw: a pause of a second and the prompt read anew, although a copy of the run lay at another engine.

Cause: a copy made on demand is brought up to date each second. Where that call has no answer in time, because the link of the VM is held up, its place was forgotten, and another copy was made elsewhere, which took memory and came too late if the run's engine died meanwhile.

Ruled out: engines that were gone (none was).

Change: one call without an answer in time keeps the place; a second one, or any other failure, seeks another.

Why it holds: TestCopyIsNotForgottenForTheOwnLink fails before. A dead engine is found by the view, by its refusal, or with the second call.

--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -381,6 +381,40 @@
 	})
 }
 
+// A run's copy was made again at a third engine. The link of the daemon's VM is held up for
+// 400 ms while that copy is brought up to date, so that the call fails; the copy still lies
+// where it was. The engine that runs the request dies a moment later. If the copy was forgotten
+// the prompt is read anew, and the caller's pause is a second.
+func TestCopyIsNotForgottenForTheOwnLink(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(100, time.Second, 40*time.Millisecond)
+		a, b, c := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle), w.add("e-c", "llm", "c", handle)
+		link := w.dialsThrough()
+		var third *fakeServer
+		w.during(func() {
+			runner, holder, other := running(a, b, c)
+			third = other
+			w.crash(holder)
+			w.remove("server/" + holder.server.ID)
+			for {
+				if targets, _ := runner.copies(); len(targets) > 0 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(900 * time.Millisecond)
+			link.shut(400 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+			w.crash(runner)
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		for _, r := range third.asked() {
+			must.NotEq(w.t, "", r.Header.Get(hCopyAt))
+		}
+	})
+}
+
 // A caller arrives while no connection is made for a second, and its prompt is sent to the
 // best known engine all the same. That this engine is not reached says nothing of it.
 func TestEngineThatIsTriedBlindIsNotSuspect(t *testing.T) {
--- a/serve/forward/spare.go
+++ b/serve/forward/spare.go
@@ -57,6 +57,7 @@
 	place choice    // where the copy lies, the first one to begin with
 	made  bool      // that copy was made here and is to be brought up to date
 	due   time.Time // of the next copying, or of the next search for a place
+	late  int       // copyings in a row that had no answer in time
 
 	used   atomic.Bool // the first copy was asked for
 	copied atomic.Pointer[kept]
@@ -125,12 +126,10 @@
 	defer cancel()
 	handle, err := s.move(ctx, s.place.server)
 	if err != nil {
-		if ctx.Err() == nil {
-			s.r.h.opts.Log.Emit(event.CopyFailed, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID, err)
-		}
-		s.place = choice{} // another place next time
+		s.notCopied(ctx, err)
 		return
 	}
+	s.late = 0
 	if s.copied.Load() == nil {
 		s.r.h.metrics.remade.Inc()
 		s.r.h.opts.Log.Emit(event.CopyMade, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID)
@@ -139,6 +138,21 @@
 	s.copied.Store(&kept{at: s.place, name: copyName(s.l.at.server, handle), once: true})
 }
 
+// notCopied judges a copying that failed. The copy before still lies there; one call without
+// an answer in time may be due to the link from here, a second one is due to an engine.
+func (s *spare) notCopied(ctx context.Context, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // the leg has ended
+	}
+	s.r.h.opts.Log.Emit(event.CopyFailed, s.r.in.call.ID, s.l.at.server.ID, s.place.server.ID, err)
+	if timedOut(err) {
+		if s.late++; s.late < deadProbes {
+			return
+		}
+	}
+	s.place, s.late = choice{}, 0 // another place next time
+}
+
 func (s *spare) move(ctx context.Context, target routing.Server) (string, error) {
 	path, body, err := s.mover.Move(s.r.in.call.ID, target.Address)
 	if err != nil {
