forward, takeover: choosing the next server stands in a file of its own; plainer names

Nothing changes in what the code does. candidate.go has what finds the server at which a silent answer may go on, takeover.go what happens between two servers.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -3,7 +3,7 @@
 //
 // Load it answers: the link of a VM that is full for a second, so that everything a
 // daemon waits for is late at once; a server that pauses, since it reads prompts or has
-// thrown out the run; a zone of servers that goes dark without a reset.
+// thrown out the run; a zone of servers that stops responding without a reset.
 //
 // Without it every silence counts as the death of a server. The daemon closes the
 // connection first and looks for another server afterwards. Behind a full link it gives up
@@ -31,8 +31,8 @@
 	// Again is how soon another try is made after one that came to nothing: a tenth of
 	// the two seconds for which callers wait at least, and many round trips.
 	Again = 200 * time.Millisecond
-	// Hopeless is how long the answer of a dark server is silent before it is given up for
-	// want of a repeat, a server or room. Callers wait for two seconds at least, and a fifth
+	// Hopeless is how long an answer is silent before it is given up for want of a repeat, a
+	// server or room, where its server responds to no question either. Callers wait for two seconds at least, and a fifth
 	// of the usual window of the budget is free again by then.
 	Hopeless = 2 * time.Second
 	// Settling is how long the silent server is listened to once another has answered: what
@@ -70,7 +70,7 @@
 	NoRoom             // the servers that answer cannot read the prompt in time
 	NoRepeat           // the budget affords none
 	TurnedAway         // the other server did not take the request
-	NotNeeded          // the silent server spoke again, its connection broke, or the caller left
+	NotNeeded          // the silent server responded again, its connection broke, or the caller left
 )
 
 // String returns the word used in logs.
@@ -84,7 +84,7 @@
 // The states.
 const (
 	Quiet State = iota
-	Speaks
+	Responds
 	Broken // its connection broke, or it did not take the request
 )
 
@@ -102,9 +102,9 @@
 // over says that the two are not waited for any longer.
 func Settle(silent, other State, over bool) Step {
 	switch {
-	case silent == Speaks:
+	case silent == Responds:
 		return Keep // nothing was lost, and its run is the further one
-	case other == Speaks:
+	case other == Responds:
 		return Move
 	case other == Broken:
 		return Keep // a broken connection of the first is dealt with as any other
@@ -114,16 +114,16 @@
 	return Wait
 }
 
-// Over reports whether two servers that both have the request, and of which none has spoken
-// for Overlap, are not waited for any longer. Each was asked for a sign of life. While the
-// silent one gives one, the link from here works, and the other would have been heard of if
-// it ran the request. While neither does, the link is held up, for HeldUp at most.
+// Over reports whether two servers that both have the request, and of which neither has
+// responded to it for Overlap, are not waited for any longer. Each was asked a question since.
+// While the silent one answers, the link from here works, and the other's response would be
+// here if it ran the request. While neither does, the link is held up, for HeldUp at most.
 func Over(silentAnswers, otherAnswers bool, waited time.Duration) bool {
 	return !silentAnswers && (otherAnswers || waited >= HeldUp)
 }
 
-// GiveUp reports whether a silent answer is given up if its server is dark: at once where it
-// can never go on, and after a while where nothing came of waiting. The caller is told then,
+// GiveUp reports whether a silent answer is given up if its server answers no question
+// either: at once where it can never go on, and after a while where nothing came of waiting. The caller is told then,
 // so that it comes back elsewhere. An answer whose server works is waited for.
 func GiveUp(o Outcome, silent time.Duration) bool {
 	switch o {
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -37,13 +37,13 @@
 		want          Step
 	}{
 		{"nothing yet", Quiet, Quiet, false, Wait},
-		{"the other takes it", Quiet, Speaks, false, Move},
+		{"the other takes it", Quiet, Responds, false, Move},
 		{"the other turns it away", Quiet, Broken, false, Keep},
-		{"the silent one speaks", Speaks, Quiet, false, Keep},
-		{"both speak", Speaks, Speaks, false, Keep},
-		{"the silent one speaks, time is over", Speaks, Quiet, true, Keep},
+		{"the silent one responds", Responds, Quiet, false, Keep},
+		{"both respond", Responds, Responds, false, Keep},
+		{"the silent one responds, time is over", Responds, Quiet, true, Keep},
 		{"the silent one breaks", Broken, Quiet, false, Move},
-		{"the silent one breaks, the other takes it", Broken, Speaks, false, Move},
+		{"the silent one breaks, the other takes it", Broken, Responds, false, Move},
 		{"both break", Broken, Broken, false, Keep},
 		{"time is over", Quiet, Quiet, true, Move},
 		{"time is over and the other turned it away", Quiet, Broken, true, Keep},
@@ -65,7 +65,7 @@
 }
 
 // Two servers have one request and say nothing. The one that had it first is let go of where
-// it is dark and the link from here is not at fault.
+// it answers no question and the link from here is not at fault.
 func TestOver(t *testing.T) {
 	for _, c := range []struct {
 		name          string
@@ -75,7 +75,7 @@
 	}{
 		{"both answer", true, true, Overlap, false},
 		{"the first alone answers", true, false, HeldUp, false},
-		{"the first is dark", false, true, Overlap, true},
+		{"the first does not answer", false, true, Overlap, true},
 		{"the link is held up", false, false, Overlap, false},
 		{"the link is held up for long", false, false, HeldUp, true},
 	} {
--- /dev/null
+++ b/serve/forward/candidate.go
@@ -0,0 +1,142 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/pause"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/takeover"
+)
+
+// signOfLife is how long a server may take to answer before an answer goes on there: a
+// round trip is 2 ms, and with the 350 ms of silence before and 100 ms to go on, a pause
+// stays within 700 ms.
+const signOfLife = 150 * time.Millisecond
+
+// reserve chooses the leg that may follow a silent one, and takes a repeat from the
+// budget for it. The request is counted at the server of the leg.
+func (r *relay) reserve(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
+	if !r.mayGoOn() || r.starts >= maxStarts {
+		return leg{}, takeover.NoTries
+	}
+	l, outcome := r.candidate(ctx, a, why)
+	if outcome != takeover.TakenOver {
+		return leg{}, outcome
+	}
+	l = r.withCopy(ctx, l)
+	// A repeat is spent only on what is still silent now.
+	if !pause.For(ctx, takeover.Settling) {
+		outcome = takeover.NotNeeded
+	} else if !r.mayRepeat(ctx, time.Now()) {
+		outcome = takeover.NoRepeat
+	}
+	if outcome != takeover.TakenOver {
+		r.uncount(l)
+		return leg{}, outcome
+	}
+	return l, outcome
+}
+
+// uncount takes back the count of a leg whose request is not sent.
+func (r *relay) uncount(l leg) { r.h.pool.count(l.at, -1, 0, 0) }
+
+// candidate is the leg at the engine that holds a copy of the run, if it gives a sign of
+// life, or at one that reads the prompt anew.
+func (r *relay) candidate(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
+	if c, held, ok := r.livingHolder(ctx, a); ok {
+		r.h.pool.count(c, 1, 0, 0)
+		return leg{at: c, from: held.name}, takeover.TakenOver
+	}
+	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, time.Until(r.in.until)) {
+		return leg{}, takeover.NoRoom
+	}
+	return r.withoutCopy(ctx, a, why)
+}
+
+// withoutCopy is the leg at a server that makes the rest of the answer without a copy. It is
+// late for the caller in any case, so it is worth it only where the silent server gives no
+// sign of life, or has been silent for long.
+func (r *relay) withoutCopy(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
+	view := r.h.opts.Feed.View()
+	r.exclude(a.leg)
+	c, ok := r.place(ctx, view)
+	if !ok {
+		return leg{}, takeover.NoServer
+	}
+	l, outcome := leg{at: c.choice}, takeover.TakenOver
+	if view.Config.Engine(r.service) != nil {
+		switch admission, _ := r.admission(c); {
+		case !c.answered:
+			outcome = takeover.NoServer
+		case r.answers(ctx, a, why):
+			outcome = takeover.Alive
+		case admission != prompts.Admitted:
+			outcome = takeover.NoRoom
+		}
+	}
+	if outcome != takeover.TakenOver {
+		r.uncount(l)
+		return leg{}, outcome
+	}
+	return l, outcome
+}
+
+// answers reports whether a silent engine gives a sign of life after all. It is asked last:
+// where the link from here was full until a moment ago, others answer as well by now. One
+// whose answer is lost, or that has been silent for long, is not asked.
+func (r *relay) answers(ctx context.Context, a *attempt, why error) bool {
+	long := time.Since(r.since) >= takeover.Patience(false, r.in.route.GapTarget)
+	if errors.Is(why, errAnswerLost) || errors.Is(why, errSilent) && long {
+		return false
+	}
+	_, err := r.h.probe(ctx, a.at.server, askLimit)
+	return err == nil
+}
+
+// unreachable reports whether nothing more is to be expected of a silent engine: its answer
+// was found lost more than once, or it answers neither of two questions, which one lost packet
+// does not show, while others answer. Servers that are no engines cannot be asked.
+func (r *relay) unreachable(ctx context.Context, a *attempt, why error) bool {
+	if errors.Is(why, errAnswerLost) {
+		a.foundLost++
+		return a.foundLost >= deadProbes
+	}
+	view := r.h.opts.Feed.View()
+	if view.Config.Engine(r.service) == nil {
+		return false
+	}
+	others := r.h.pool.readers(time.Now(), view, r.service, Asked, []routing.Life{a.at.server.Life()})
+	var silent [deadProbes]error
+	var all sync.WaitGroup
+	for i := range silent {
+		all.Go(func() { _, silent[i] = r.h.probe(ctx, a.at.server, askLimit) })
+	}
+	answered := r.h.questions().survey(ctx, others, 0)
+	all.Wait()
+	return len(answered) > 0 && !slices.Contains(silent[:], nil)
+}
+
+// livingHolder is the engine that holds a copy of an attempt's run, if it answers.
+func (r *relay) livingHolder(ctx context.Context, a *attempt) (choice, kept, bool) {
+	held := r.held
+	if a.spare != nil {
+		if copied := a.spare.copied.Load(); copied != nil {
+			held = *copied
+		}
+	}
+	if held.at.load == nil {
+		return choice{}, kept{}, false
+	}
+	c, ok := r.holder(r.h.opts.Feed.View(), held)
+	if !ok {
+		return choice{}, kept{}, false
+	}
+	_, err := r.h.probe(ctx, c.server, signOfLife)
+	return c, held, err == nil
+}
