--- a/serve/forward/silent_test.go
+++ b/serve/forward/silent_test.go
@@ -54,14 +54,7 @@
 // engine with the copy was asked, and the caller's connection was closed half a second later.
 func TestSilentAnswerWhoseCopyIsGone(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
-		handle := func(rw http.ResponseWriter, r *http.Request) {
-			if r.Header.Get(hCopyAt) != "" {
-				rw.Header().Set(hNotRun, "1")
-				rw.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			pausing(rw, r, 600*time.Millisecond)
-		}
+		handle := copyFreed(0, 600*time.Millisecond)
 		w.add("e-a", "llm", "a", handle)
 		w.add("e-b", "llm", "b", handle)
 		w.budget(repeats.Rule{Slack: 1.2, Window: 10 * time.Second}) // one repeat
@@ -71,6 +64,20 @@
 	})
 }
 
+// copyFreed is an engine that has freed the copy it is asked for, and says so after a wait.
+// Other answers pause in the middle.
+func copyFreed(wait, pause time.Duration) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(hCopyAt) == "" {
+			pausing(rw, r, pause)
+			return
+		}
+		sleep(r, wait)
+		rw.Header().Set(hNotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // pausing makes twenty events and pauses after the tenth.
 func pausing(rw http.ResponseWriter, r *http.Request, pause time.Duration) {
 	rw.Header().Set(hProof, "p")
@@ -197,15 +204,7 @@
 // of it meanwhile has no repeat left, and the caller sees its answer cut.
 func TestSilentAnswerTurnedAwayLate(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
-		handle := func(rw http.ResponseWriter, r *http.Request) {
-			if r.Header.Get(hCopyAt) != "" {
-				sleep(r, 300*time.Millisecond)
-				rw.Header().Set(hNotRun, "1")
-				rw.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			pausing(rw, r, 900*time.Millisecond)
-		}
+		handle := copyFreed(300*time.Millisecond, 900*time.Millisecond)
 		w.add("e-a", "llm", "a", handle)
 		w.add("e-b", "llm", "b", handle)
 		w.budget(repeats.Rule{Slack: 1.2, Window: 10 * time.Second}) // one repeat
@@ -321,14 +320,7 @@
 // each further question is a repeat of the whole system spent in vain.
 func TestCopyThatIsGoneIsAskedForOnce(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
-		handle := func(rw http.ResponseWriter, r *http.Request) {
-			if r.Header.Get(hCopyAt) != "" {
-				rw.Header().Set(hNotRun, "1")
-				rw.WriteHeader(http.StatusServiceUnavailable)
-				return
-			}
-			pausing(rw, r, 600*time.Millisecond)
-		}
+		handle := copyFreed(0, 600*time.Millisecond)
 		w.add("e-a", "llm", "a", handle)
 		w.add("e-b", "llm", "b", handle)
 		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
