--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -433,3 +433,32 @@
 		}
 	})
 }
+
+// The link of the VM is held up while two engines have the request of one answer, and free
+// again while both are asked whether they respond. The events of the first engine arrive in
+// the moment in which the question to it has failed. The daemon must look at them before it
+// lets go of that engine: the other turns the request away, and no repeat is left.
+func TestSilentEngineRespondsInTheLastMoment(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		asked := make(chan struct{}, 1)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(hCopyAt) != "" {
+				asked <- struct{}{}
+				copyFreed(300*time.Millisecond, 0)(rw, r)
+				return
+			}
+			w.servers[r.Header.Get(hServer)].mute()
+			pausing(rw, r, 400*time.Millisecond)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		w.budget(repeats.Rule{Slack: 1.2, Window: 10 * time.Second}) // one repeat
+		w.during(func() {
+			<-asked
+			w.holdLink(20*time.Millisecond, 265*time.Millisecond)
+		})
+		got := w.ask(http.MethodPost, "/s/1", caller, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+	})
+}
