forward: a silent engine is looked at once more before it is let go of

What callers would have seen: an answer cut although its events had arrived.

Change: before an attempt is let go of, for another or for good, its signal is waited for as long as Settling. An engine counts as unreachable after two questions one after the other, both of which others answered.

Why it holds: what is on its way comes no later than the answer that shows that the link works.

--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -100,8 +99,9 @@
 }
 
 // unreachable reports whether nothing more is to be expected of a silent engine: its answer
-// was found lost more than once, or it answers neither of two questions, which one lost packet
-// does not show, while others answer. Servers that are no engines cannot be asked.
+// was found lost more than once, or it answers neither of two questions, one after the other,
+// while others answer both times: one lost packet does not show that, nor a link from here that
+// is free again in the middle of a question. Servers that are no engines cannot be asked.
 func (r *relay) unreachable(ctx context.Context, a *attempt, why error) bool {
 	if errors.Is(why, errAnswerLost) {
 		a.foundLost++
@@ -112,14 +112,17 @@
 		return false
 	}
 	others := r.h.pool.readers(time.Now(), view, r.service, Asked, []routing.Life{a.at.server.Life()})
-	var silent [deadProbes]error
-	var all sync.WaitGroup
-	for i := range silent {
-		all.Go(func() { _, silent[i] = r.h.probe(ctx, a.at.server, askLimit) })
-	}
-	answered := r.h.questions().survey(ctx, others, 0)
-	all.Wait()
-	return len(answered) > 0 && !slices.Contains(silent[:], nil)
+	for range deadProbes {
+		var silent error
+		var all sync.WaitGroup
+		all.Go(func() { _, silent = r.h.probe(ctx, a.at.server, askLimit) })
+		answered := r.h.questions().survey(ctx, others, 0)
+		all.Wait()
+		if silent == nil || len(answered) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // livingHolder is the engine that holds a copy of an attempt's run, if it answers.
--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -437,7 +437,9 @@
 // The link of the VM is held up while two engines have the request of one answer, and free
 // again while both are asked whether they respond. The events of the first engine arrive in
 // the moment in which the question to it has failed. The daemon must look at them before it
-// lets go of that engine: the other turns the request away, and no repeat is left.
+// lets go of that engine: the other turns the request away, and no repeat is left. Evidence:
+// one of some seventy seeds of the soak with links held up cut one answer; its cause was found
+// by reading, and was not seen at work there.
 func TestSilentEngineRespondsInTheLastMoment(t *testing.T) {
 	inWorld(t, streamRoute(), func(w *world) {
 		asked := make(chan struct{}, 1)
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -52,7 +52,8 @@
 			return true
 		}
 	}
-	r.hopeless = takeover.GiveUp(outcome, time.Since(r.since)) && r.unreachable(ctx, a, why)
+	r.hopeless = takeover.GiveUp(outcome, time.Since(r.since)) && r.unreachable(ctx, a, why) &&
+		r.lastSignal(ctx, a) == takeover.Quiet
 	r.h.metrics.stayed.WithLabelValues(outcome.String()).Inc()
 	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), r.hopeless, r.after, time.Since(r.since))
 	return r.hopeless
@@ -136,6 +137,9 @@
 		case <-overlap.C:
 			silentAnswers, otherAnswers := r.bothAsked(ctx, a, next, why)
 			over = takeover.Over(silentAnswers, otherAnswers, time.Since(since))
+			if over {
+				silent = r.lastSignal(ctx, a)
+			}
 			overlap.Reset(takeover.Overlap)
 		case <-ctx.Done():
 			return r.cancelTakeover(ctx, a, next, takeover.Quiet)
@@ -143,6 +147,26 @@
 	}
 }
 
+// lastSignal is what a silent attempt shows at last, before it is let go of. Its signal is put
+// back.
+//
+// The failure it guards against: the link from here is held up and free again while engines
+// are asked whether they respond. What was held up has arrived by the time the questions have
+// failed, and the answer is cut although it went on. It holds because what is on its way comes
+// no later than the answer of another engine that shows that the link works.
+func (r *relay) lastSignal(ctx context.Context, a *attempt) takeover.State {
+	settled := time.NewTimer(takeover.Settling)
+	defer settled.Stop()
+	select {
+	case s := <-a.inbox():
+		a.putBack(s)
+		return s.state()
+	case <-settled.C:
+	case <-ctx.Done():
+	}
+	return takeover.Quiet
+}
+
 // bothAsked asks the engines of two attempts for a sign of life.
 func (r *relay) bothAsked(ctx context.Context, a, next *attempt, why error) (silent, other bool) {
 	var both sync.WaitGroup
