forward: one way to rule out a server, one way to take back a signal

What stood there: two places added a server to those that failed a request by hand, beside exclude, which also keeps it from standing there twice; the end of an attempt and the moment before it is taken over each drained the signal that was put back.

Change: both use exclude; leftover drains in one place, and the answer that it opens is closed with the attempt as any other. Ruled out: one function for the two places that ask other engines (linkHeldUp and unreachable): one wants that none answers, the other that some do, together with the engine itself.

Nothing changes in what callers see.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -174,15 +174,23 @@
 
 // closeAnswer lets go of the answer, also of one that nobody has handled.
 func (a *attempt) closeAnswer() {
+	a.leftover()
+	if a.answer != nil {
+		a.answer.Body.Close()
+	}
+}
+
+// leftover takes back what was put back and not handled: the headers, nil if it was none. The
+// answer that it opens is closed with the attempt.
+func (a *attempt) leftover() *opened {
 	select {
 	case s := <-a.back:
 		if s.opened != nil {
 			a.answer = s.opened.resp
 		}
+		return s.opened
 	default:
-	}
-	if a.answer != nil {
-		a.answer.Body.Close()
+		return nil
 	}
 }
 
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -207,7 +207,7 @@
 		l.at.server.ID, l.at.server.Born = next.ID, next.Born
 		r.held = kept{at: l.at, name: l.from}
 	case !succeeded && l.from == "":
-		r.failed = append(r.failed, l.at.server.Life())
+		r.exclude(l)
 	}
 	return legNotRun, err
 }
@@ -236,7 +236,7 @@
 // noStream passes on a failure that a server answered, unless another may do better.
 func (r *relay) noStream(ctx context.Context, l leg, o opened) (legEnd, error) {
 	if r.began || r.mayGoOn() {
-		r.failed = append(r.failed, l.at.server.Life())
+		r.exclude(l)
 		return legBroken, errors.Errorf("status %d", o.resp.StatusCode)
 	}
 	body, rest, err := readAnswer(o.resp)
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -91,15 +91,8 @@
 
 // discard drops what a silent attempt still had to say before its answer goes on elsewhere.
 func (r *relay) discard(a *attempt) {
-	select {
-	case s := <-a.back:
-		if s.opened != nil && s.opened.err == nil {
-			s.opened.resp.Body.Close()
-			if s.opened.reply.NotRun {
-				r.runs--
-			}
-		}
-	default:
+	if o := a.leftover(); o != nil && o.err == nil && o.reply.NotRun {
+		r.runs--
 	}
 }
 
