feed: calls to the store are counted by why they are made

Each call carries its purpose in its context; the platform's client tells an observer; the feed counts it (mallowwind_feed_store_calls_total) and logs it at the level debug (event 541).

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -114,6 +114,8 @@
 	bridged   atomic.Bool   // another daemon ended a gap since the store last answered
 	aloneTill atomic.Int64  // Clock until when this daemon watches the store itself
 
+	calls *prometheus.CounterVec
+
 	mu       sync.Mutex // guards table and changes of revision
 	table    *table
 	expiring bool         // endDoubt is due
@@ -122,7 +124,7 @@
 
 // New returns a manager; Run starts it.
 func New(o Options) *Manager {
-	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{})}
+	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{}), calls: newCalls()}
 	m.view.Store(&View{})
 	m.SetSeeds(o.Seeds)
 	m.register(o.Registerer)
@@ -183,7 +185,7 @@
 func (m *Manager) follow(ctx context.Context) error {
 	if m.revision.Load() == 0 || !m.fresh() {
 		// A watch confirms nothing before it returns, which takes a second.
-		if err := m.readAll(ctx); err != nil {
+		if err := m.readAll(store.WithPurpose(ctx, m.readPurpose())); err != nil {
 			return err
 		}
 	}
@@ -192,6 +194,7 @@
 		return err
 	}
 	defer w.Close()
+	ctx = store.WithPurpose(ctx, store.PurposeWatch)
 	for m.watches() {
 		if err := m.readChanges(ctx, w); err != nil {
 			return err
@@ -200,6 +203,14 @@
 	return nil
 }
 
+// readPurpose tells a daemon's first read from the later ones.
+func (m *Manager) readPurpose() store.Purpose {
+	if _, known := m.Age(); known {
+		return store.PurposeReread
+	}
+	return store.PurposeStart
+}
+
 func (m *Manager) readAll(ctx context.Context) error {
 	asked := m.opts.Clock()
 	items, revision, err := m.opts.Store.List(ctx, m.opts.Prefix)
--- a/control/feed/metrics.go
+++ b/control/feed/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
 	"mallowwind.dev/telemetry/metric"
 )
 
@@ -14,6 +16,20 @@
 	})
 }
 
+// newCalls counts the calls to the store.
+func newCalls() *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: metric.Namespace, Subsystem: "feed", Name: "store_calls_total",
+		Help: "Calls to the store by why they were made and how they ended.",
+	}, []string{"purpose", "result"})
+}
+
+// CountCall counts a call to the store and logs it. It is a store.Observer.
+func (m *Manager) CountCall(c store.Call) {
+	m.calls.WithLabelValues(string(c.Purpose), c.Result()).Inc()
+	m.opts.Log.Emit(event.StoreCall, c.Purpose, c.Path, c.Result(), c.Took)
+}
+
 func (m *Manager) register(r prometheus.Registerer) {
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -22,6 +38,7 @@
 	}
 	metric.Register(r,
 		m.table.refused,
+		m.calls,
 		gauge("config_version", "Version of the forwarding configuration in force; 0 while none is known.", func() float64 {
 			if c := m.View().Config; c != nil {
 				return float64(c.Version)
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -59,11 +59,12 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	if lease != 0 {
-		_, err := r.Store.KeepAlive(ctx, lease)
+		_, err := r.Store.KeepAlive(store.WithPurpose(ctx, store.PurposeRenew), lease)
 		if err == nil || !errors.Is(err, store.ErrLeaseGone) {
 			return lease, err
 		}
 	}
+	ctx = store.WithPurpose(ctx, store.PurposeRegister)
 	lease, err := r.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return 0, err
@@ -98,6 +99,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
 	defer cancel()
+	ctx = store.WithPurpose(ctx, store.PurposeLeave)
 	leaving := r.VM
 	leaving.Leaving = true
 	if err := r.write(ctx, leaving, lease); err != nil {
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -85,6 +85,9 @@
 		Store: o.Store, Prefix: o.Prefix, Schema: o.Schema, Clock: o.Clock, Log: o.Log, Registerer: o.Registry,
 		Self: o.Self.ID, Seeds: o.Seeds, Dialer: o.Dialer,
 	})
+	if s, ok := o.Store.(interface{ Observe(store.Observer) }); ok {
+		s.Observe(f.CountCall)
+	}
 	h := forward.New(forward.Options{
 		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
 		Registerer: o.Registry, Dial: o.DialServer, Dialer: o.Dialer,
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -61,6 +61,8 @@
 		"A backend server's entry is gone; doubt is how long it stays in use because its lease may have run out in an outage.", "backend", "service", "doubt")
 	StoreRead = define(540, "store_read", logrus.InfoLevel,
 		"Everything in the store was read for the first time, here or by another daemon: how many backend servers each service has, and how many of all leave.", "servers", "leaving", "revision")
+	StoreCall = define(541, "store_call", logrus.DebugLevel,
+		"A call to the store ended; purpose says why it was made.", "purpose", "path", "result", "took")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
 		"This daemon's entry in the store could not be written or removed.", "error")
 )
