--- a/external/standin/storesim/storesim.go
+++ b/external/standin/storesim/storesim.go
@@ -65,9 +65,13 @@
 		}
 		return a, err
 	}
-	list, revision, err := h.store.List(ctx, prefixOf(q.Key))
+	list := h.store.List
+	if q.Serializable {
+		list = h.store.ListStale
+	}
+	kvs, revision, err := list(ctx, prefixOf(q.Key))
 	a.Header.Revision = revision
-	for _, kv := range list {
+	for _, kv := range kvs {
 		a.KVs = append(a.KVs, wireKV(kv))
 	}
 	return a, err
--- a/external/store/etcd.go
+++ b/external/store/etcd.go
@@ -72,8 +72,19 @@
 
 // List implements Store.
 func (c *EtcdClient) List(ctx context.Context, prefix string) ([]KV, int64, error) {
+	return c.list(ctx, prefixRange(prefix))
+}
+
+// ListStale implements Store.
+func (c *EtcdClient) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
+	q := prefixRange(prefix)
+	q.Serializable = true
+	return c.list(ctx, q)
+}
+
+func (c *EtcdClient) list(ctx context.Context, q EtcdRange) ([]KV, int64, error) {
 	var a EtcdRangeAnswer
-	if err := c.read(ctx, PathRange, prefixRange(prefix), &a); err != nil {
+	if err := c.read(ctx, PathRange, q, &a); err != nil {
 		return nil, 0, err
 	}
 	list := make([]KV, 0, len(a.KVs))
--- a/external/store/etcdwire.go
+++ b/external/store/etcdwire.go
@@ -31,6 +31,8 @@
 type EtcdRange struct {
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
+	// Serializable lets the member that is asked answer from what it has.
+	Serializable bool `json:"serializable,omitempty"`
 }
 
 // EtcdRangeAnswer answers EtcdRange.
--- a/external/store/faulty.go
+++ b/external/store/faulty.go
@@ -13,13 +13,15 @@
 // opens, and is in Waiting until it closes.
 type Counts struct {
 	Get, List, CompareAndSwap, Delete int64
+	ListStale                         int64
 	Grant, KeepAlive, Revoke          int64
 	Watch                             int64
 	Waiting                           int64 // watches open now
 	Refused                           int64 // over the rate or during an outage
 }
 
-// Reads is the number of calls that count against the rate of reads.
+// Reads is the number of calls that count against the rate of reads, which lists that
+// may be old do not.
 func (c Counts) Reads() int64 { return c.Get + c.List + c.Watch }
 
 // Writes is the number of calls that count against the rate of writes.
@@ -193,6 +195,15 @@
 	return f.inner.List(ctx, prefix)
 }
 
+// ListStale implements Store. It is not held to the rate of reads.
+func (f *Faulty) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
+	unlimited := func() *rate.Limiter { return rate.NewLimiter(rate.Inf, 0) }
+	if err := f.begin(ctx, &f.counts.ListStale, unlimited, ErrUnavailable); err != nil {
+		return nil, 0, err
+	}
+	return f.inner.ListStale(ctx, prefix)
+}
+
 // CompareAndSwap implements Store.
 func (f *Faulty) CompareAndSwap(ctx context.Context, key string, version int64, value []byte, lease LeaseID) (int64, error) {
 	if err := f.write(ctx, &f.counts.CompareAndSwap); err != nil {
--- a/external/store/memory.go
+++ b/external/store/memory.go
@@ -76,6 +76,11 @@
 	return list, m.revision, nil
 }
 
+// ListStale implements Store. Its answer is the newest.
+func (m *Memory) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
+	return m.List(ctx, prefix)
+}
+
 // CompareAndSwap implements Store.
 func (m *Memory) CompareAndSwap(ctx context.Context, key string, version int64, value []byte, id LeaseID) (int64, error) {
 	if err := ctx.Err(); err != nil {
--- a/external/store/store.go
+++ b/external/store/store.go
@@ -82,6 +82,9 @@
 	Get(ctx context.Context, key string) (KV, error)
 	// List returns all keys under prefix, ordered by key, and the store revision they were read at.
 	List(ctx context.Context, prefix string) ([]KV, int64, error)
+	// ListStale is List with an answer that may be seconds old, at the revision it was
+	// read at. Services charge less for it.
+	ListStale(ctx context.Context, prefix string) ([]KV, int64, error)
 	// CompareAndSwap writes value if key's Version equals version, where 0 means
 	// that the key must not exist. It returns the new Version. A lease other
 	// than 0 removes the key when the lease ends.
--- a/lab/soak/process/reach.go
+++ b/lab/soak/process/reach.go
@@ -114,7 +114,15 @@
 
 // List implements store.Store.
 func (s seenFrom) List(ctx context.Context, prefix string) ([]store.KV, int64, error) {
-	kvs, revision, err := s.Store.List(ctx, prefix)
+	return s.seenAll(s.Store.List(ctx, prefix))
+}
+
+// ListStale implements store.Store.
+func (s seenFrom) ListStale(ctx context.Context, prefix string) ([]store.KV, int64, error) {
+	return s.seenAll(s.Store.ListStale(ctx, prefix))
+}
+
+func (s seenFrom) seenAll(kvs []store.KV, revision int64, err error) ([]store.KV, int64, error) {
 	for i := range kvs {
 		kvs[i] = s.seen(kvs[i])
 	}
