feed: calls to the store grow with changes, not with the fleet

(2) A daemon whose one source cannot tell watches for three seconds by itself, although others near it know: some 4,000 watches in 20 s in which a third of the daemons is refused or cut off. (3) Fifteen daemons watch all the time: 2,092. (4) Every start reads two pages, its own entry, asks a lease and writes: 590 starts. (5) A renewal each 1.33 s. Ruled out: heartbeats of servers, which wake no watch by themselves (idle watchers make one call a second).

Change: * five watch, relays pass on (decision/watching); questions are held until there is news, so a change passes three daemons in milliseconds and the age of the configuration at the last is that at the first; * who cannot be told asks up to four daemons at once before it watches by itself, and ceases as soon as one tells again; * a start reads a list that may be old (a tenth of a call a page) beside the configuration as it is; after a gap the configuration alone is read; * a daemon that was not registered waits half a second, until it sees whether the fleet is large; that there is no configuration yet is confirmed like one; * a process goes on with the lease of the one before if it wrote the same entry; the lease lasts 6 s in place of 4 and is renewed every 3 s; an entry that vanished under a running lease is written anew; * in an outage all that do not watch for others try eight times a second together, not each every two seconds.

Found on the way by reading and mended here, for the same lines change: a daemon that started after a server had left told one that had been cut off nothing of it, and that one went on with the server for good (TestRemovalBeforeTheNeighbourStarted fails before). It now tells which keys there are.

The tests of the feed hold unchanged but for the names of the plan; TestDaemonsAskWithinTheirZone asks for the first source in place of any.

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -10,6 +10,22 @@
 // the longest answer during which its id may still turn up.
 const rememberDeparted = time.Minute
 
+const (
+	// reregister is how long after its return the store lacks the entries whose
+	// leases ran out during an outage: their owners write them again within two
+	// seconds. The rest is what a watch takes to tell.
+	reregister = 2500 * time.Millisecond
+	// outageMin is the silence of the store after which removals may come from
+	// leases that ran out: it is shorter than the shortest lease.
+	outageMin = time.Second
+	// doubtCheck is how often the servers in doubt are looked at.
+	doubtCheck = 50 * time.Millisecond
+	// doubtTime is how long a server stays usable whose entry vanished around an
+	// outage. It is below the two seconds within which a server that left
+	// has to be left alone.
+	doubtTime = time.Second
+)
+
 // reached records an answer of the store.
 func (t *table) reached(asked, now time.Duration) {
 	if t.lastReached != 0 && asked-t.lastReached > outageMin {
--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -1,6 +1,9 @@
 package feed
 
 import (
+	"maps"
+	"slices"
+
 	"mallowwind.dev/external/store"
 )
 
@@ -50,22 +53,49 @@
 	e.floor = max(e.floor, at)
 }
 
-// since returns what changed after a revision; whole says that it is everything
-// there is, because what was removed since then is not known any more.
-func (e *entries) since(have int64) (puts []store.KV, removed []string, whole bool) {
-	whole = have == 0 || have < e.floor
+// delta is what changed after a revision.
+type delta struct {
+	puts []store.KV
+	// removed are the keys that were removed since, unless present is set.
+	removed []string
+	// present are all keys that there are: what was removed since is not known any more.
+	present []string
+	// whole says that puts are everything there is.
+	whole bool
+}
+
+// since returns what changed after a revision.
+func (e *entries) since(have int64) delta {
+	d := delta{whole: have == 0}
 	for _, kv := range e.kvs {
-		if whole || kv.Version > have {
-			puts = append(puts, kv)
+		if d.whole || kv.Version > have {
+			d.puts = append(d.puts, kv)
+		}
+	}
+	switch {
+	case d.whole:
+	case have < e.floor:
+		d.present = slices.Collect(maps.Keys(e.kvs))
+	default:
+		for key, revision := range e.gone {
+			if revision > have {
+				d.removed = append(d.removed, key)
+			}
 		}
 	}
-	if whole {
-		return puts, nil, true
+	return d
+}
+
+// absent returns the keys that are not among those present.
+func (e *entries) absent(present []string) (keys []string) {
+	here := make(map[string]bool, len(present))
+	for _, key := range present {
+		here[key] = true
 	}
-	for key, revision := range e.gone {
-		if revision > have {
-			removed = append(removed, key)
+	for key := range e.kvs {
+		if !here[key] {
+			keys = append(keys, key)
 		}
 	}
-	return puts, removed, false
+	return keys
 }
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -4,55 +4,20 @@
 package feed
 
 import (
-	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/watching"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/telemetry/event"
 )
 
-const (
-	// batchPause follows a batch of changes: a zone that fails or returns
-	// changes a dozen keys within it, and each batch costs one call. It is an
-	// eighth of the time in which a change has to be in force.
-	batchPause = 250 * time.Millisecond
-	// retryPause is the mean wait after a failed call of a daemon that watches the
-	// store for others, or that may be the only one which cannot reach it.
-	retryPause = 250 * time.Millisecond
-	// outagePause is the mean wait of the other daemons while the store is out of
-	// reach for their neighbours too. They hear of its return from the few that
-	// watch; should it refuse just those, eighty daemons still ask forty times a
-	// second, and one that gets an answer tells the rest. Without it, 88 daemons made
-	// 2,900 calls in an outage of eight seconds.
-	outagePause = 2 * time.Second
-	// reregister is how long after its return the store lacks the entries whose
-	// leases ran out during an outage: their owners write them again within two
-	// seconds. The rest is what a watch takes to tell.
-	reregister = 2500 * time.Millisecond
-	// outageMin is the silence of the store after which removals may come from
-	// leases that ran out: it is shorter than the shortest lease.
-	outageMin = time.Second
-	// doubtCheck is how often the servers in doubt are looked at.
-	doubtCheck = 50 * time.Millisecond
-	// doubtTime is how long a server stays usable whose entry vanished around an
-	// outage. It is below the two seconds within which a server that left
-	// has to be left alone.
-	doubtTime = time.Second
-)
-
-// Batches is how many batches of changes a daemon that watches takes a second at most.
-const Batches = float64(time.Second) / float64(batchPause)
-
 // Schema is the layout of what others write to the store.
 type Schema interface {
 	// ConfigKey is the key of the configuration.
@@ -77,6 +42,8 @@
 	Published time.Time
 	// departed are the servers that leave or are gone.
 	departed map[string]time.Duration
+	// plan says which of VMs watch the store and who asks whom; nil before the first.
+	plan *watching.Plan
 }
 
 // Departed reports whether a server is known to leave or to be gone.
@@ -106,25 +73,33 @@
 type Manager struct {
 	opts      Options
 	view      atomic.Pointer[View]
-	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration; 0 none
+	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration, or that there is none; 0 none
 	seeds     atomic.Pointer[[]string]
 	known     chan struct{} // closed with the first configuration
+	once      sync.Once     // closes known
 	reached   atomic.Bool   // the last call to the store succeeded
 	outage    atomic.Bool   // the last daemon asked was as long without the store
 	bridged   atomic.Bool   // another daemon ended a gap since the store last answered
 	aloneTill atomic.Int64  // Clock until when this daemon watches the store itself
+	turn      atomic.Uint64 // which of the daemons that tell this one is asked first
+	roused    chan struct{} // holds an item when this daemon has to watch by itself
+	listed    chan struct{} // closed once own is known
+	own       store.KV      // this daemon's entry when it started, if any
 
 	calls *prometheus.CounterVec
 
-	mu       sync.Mutex // guards table and changes of revision
+	mu       sync.Mutex // guards table, news and changes of revision
 	table    *table
-	expiring bool         // endDoubt is due
-	revision atomic.Int64 // of the store, where the watch goes on; 0 means that everything is read
+	expiring bool          // endDoubt is due
+	news     chan struct{} // closed when what this daemon can tell has changed
+	revision atomic.Int64  // of the store, where the watch goes on; 0 means that everything is read
 }
 
 // New returns a manager; Run starts it.
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), known: make(chan struct{}), calls: newCalls()}
+	m.roused, m.listed, m.news = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	m.turn.Store(rand.Uint64())
 	m.view.Store(&View{})
 	m.SetSeeds(o.Seeds)
 	m.register(o.Registerer)
@@ -140,6 +115,14 @@
 // Age is how long ago the configuration in the view was certainly the newest;
 // ok is false where none was ever seen.
 func (m *Manager) Age() (age time.Duration, ok bool) {
+	age, ok = m.storeAge()
+	return age, ok && m.View().Config != nil
+}
+
+// storeAge is how long ago this daemon certainly knew which configuration is the newest,
+// or that there is none yet; ok is false before the first answer of the store, or of
+// another daemon.
+func (m *Manager) storeAge() (age time.Duration, ok bool) {
 	at := m.confirmed.Load()
 	if at == 0 {
 		return 0, false
@@ -147,100 +130,6 @@
 	return m.opts.Clock() - time.Duration(at), true
 }
 
-// Run follows the store, and other daemons while the store is out of reach,
-// until ctx ends.
-func (m *Manager) Run(ctx context.Context) {
-	var peers sync.WaitGroup
-	defer peers.Wait()
-	peers.Go(func() { m.askPeers(ctx) })
-	for ctx.Err() == nil {
-		if !m.watches() {
-			pause.For(ctx, askEvery)
-			continue
-		}
-		err := m.follow(ctx)
-		if ctx.Err() != nil || err == nil {
-			continue
-		}
-		m.lost(err)
-		mean := m.failurePause()
-		pause.For(ctx, mean/2+rand.N(mean))
-	}
-}
-
-// failurePause is the mean wait after a failed call to the store. A daemon that watches
-// because others have lost the store shares their trouble if its own call fails.
-func (m *Manager) failurePause() time.Duration {
-	vms := m.View().VMs
-	switch {
-	case len(vms) <= watchers || slices.Contains(m.watching(vms), m.opts.Self):
-		return retryPause
-	case m.Outage() || m.alone():
-		return outagePause
-	}
-	return retryPause
-}
-
-// follow watches the store until that fails, or is left to other daemons.
-func (m *Manager) follow(ctx context.Context) error {
-	if m.revision.Load() == 0 || !m.fresh() {
-		// A watch confirms nothing before it returns, which takes a second.
-		if err := m.readAll(store.WithPurpose(ctx, m.readPurpose())); err != nil {
-			return err
-		}
-	}
-	w, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.revision.Load())
-	if err != nil {
-		return err
-	}
-	defer w.Close()
-	ctx = store.WithPurpose(ctx, store.PurposeWatch)
-	for m.watches() {
-		if err := m.readChanges(ctx, w); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// readPurpose tells a daemon's first read from the later ones.
-func (m *Manager) readPurpose() store.Purpose {
-	if _, known := m.Age(); known {
-		return store.PurposeReread
-	}
-	return store.PurposeStart
-}
-
-func (m *Manager) readAll(ctx context.Context) error {
-	asked := m.opts.Clock()
-	items, revision, err := m.opts.Store.List(ctx, m.opts.Prefix)
-	if err != nil {
-		return err
-	}
-	m.regained(asked)
-	m.apply(asked, revision, func() { m.table.replace(asked, revision, items) })
-	return nil
-}
-
-// readChanges waits for one batch. Its answer leaves out nothing that was
-// acknowledged before the question was sent.
-func (m *Manager) readChanges(ctx context.Context, w store.Watcher) error {
-	asked := m.opts.Clock()
-	events, err := w.Next(ctx)
-	if err != nil {
-		if errors.Is(err, store.ErrCompacted) {
-			m.revision.Store(0)
-		}
-		return err
-	}
-	m.regained(asked)
-	m.apply(asked, w.Revision(), func() { m.table.change(asked, events) })
-	if len(events) > 0 {
-		pause.For(ctx, batchPause)
-	}
-	return nil
-}
-
 // apply changes the table to a revision of the store, unless a later one is
 // already there: an answer that was long on its way must not undo it. The
 // configuration was the newest at asked.
@@ -253,11 +142,12 @@
 	change()
 	m.revision.Store(revision)
 	m.publish()
-	if m.table.config == nil || int64(asked) <= m.confirmed.Load() {
-		return
+	defer m.announce()
+	if int64(asked) > m.confirmed.Load() {
+		m.confirmed.Store(int64(asked))
 	}
-	if m.confirmed.Swap(int64(asked)) == 0 {
-		close(m.known)
+	if m.table.config != nil {
+		m.once.Do(func() { close(m.known) })
 	}
 }
 
@@ -275,6 +165,12 @@
 	}
 }
 
+// announce wakes those that wait for news. It is called under the lock.
+func (m *Manager) announce() {
+	close(m.news)
+	m.news = make(chan struct{})
+}
+
 // endDoubt looks at the servers in doubt without waiting for the store, whose
 // next answer may be a second away.
 func (m *Manager) endDoubt() {
@@ -295,6 +191,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.publish()
+	m.announce()
 }
 
 func (m *Manager) regained(asked time.Duration) {
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/watching"
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
@@ -25,10 +26,13 @@
 // virtual time.
 type fleet struct {
 	t     *testing.T
+	began time.Time
 	store *store.Memory
 	ways  []*store.Faulty
 	feeds []*Manager
 	cut   sync.Map        // of daemons that answer no other, by number
+	ended sync.Map        // of daemons that are not running, by number
+	mu    sync.Mutex      // guards ways and feeds where daemons start again
 	ctx   context.Context // of the daemons
 	done  sync.WaitGroup
 }
@@ -43,25 +47,27 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
-	w := httptest.NewRecorder()
+	if _, ended := f.ended.Load(n); ended {
+		return nil, errors.Errorf("connection to %d refused", n)
+	}
+	f.mu.Lock()
 	_, h := f.feeds[n].Handler()
+	f.mu.Unlock()
+	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
 	return w.Result(), nil
 }
 
 func inFleet(t *testing.T, size int, test func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, store: store.NewMemory()}
-		start := time.Now()
+		f := &fleet{t: t, store: store.NewMemory(), began: time.Now()}
 		ctx, stop := context.WithCancel(t.Context())
 		f.ctx = ctx
 		for n := range size {
 			way := store.NewFaulty(f.store)
 			m := New(Options{
 				Store: storesim.Confirming{Store: way, Hold: time.Second}, Schema: lineSchema{}, Log: event.Discard(),
-				Clock: func() time.Duration { return time.Since(start) + time.Hour },
-				Self:  strconv.Itoa(n), Seeds: []string{"0:1"},
-				Dialer: link.NewDialerWith(&http.Client{Transport: f}),
+				Clock: f.clock, Self: strconv.Itoa(n), Seeds: []string{"0:1"}, Dialer: link.NewDialerWith(f.client()),
 			})
 			f.ways, f.feeds = append(f.ways, way), append(f.feeds, m)
 		}
@@ -72,6 +78,12 @@
 	})
 }
 
+// clock is the daemons' clock, which reads an hour at the start.
+func (f *fleet) clock() time.Duration { return time.Since(f.began) + time.Hour }
+
+// client is what daemons call each other with.
+func (f *fleet) client() *http.Client { return &http.Client{Transport: f} }
+
 func (f *fleet) start(n int) {
 	f.done.Go(func() { f.feeds[n].Run(f.ctx) })
 }
@@ -135,6 +147,30 @@
 	})
 }
 
+// A server leaves while a daemon is cut off, and the neighbour that the daemon hears from
+// first has started since: it never knew of the server, so it cannot name it among what was
+// removed. The daemon must not go on sending requests there.
+func TestRemovalBeforeTheNeighbourStarted(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.put("server/1", "a:1")
+		f.put("server/2", "b:1")
+		f.start(1)
+		time.Sleep(2 * time.Second)
+		must.SliceLen(t, 2, f.feeds[1].View().Servers["s"])
+		f.ways[1].SetDown(true)
+		f.cut.Store(0, true)
+		time.Sleep(5 * time.Second)
+		kv, err := f.store.Get(f.t.Context(), "server/1")
+		must.NoError(t, err)
+		must.NoError(t, f.store.Delete(f.t.Context(), "server/1", kv.Version))
+		f.start(0)
+		f.cut.Delete(0)
+		time.Sleep(2*time.Second + doubtTime)
+		must.SliceLen(t, 1, f.feeds[1].View().Servers["s"])
+		must.Eq(t, "2", f.feeds[1].View().Servers["s"][0].ID)
+	})
+}
+
 // A daemon starts while the store refuses it and knows nobody but the seeds.
 func TestDaemonThatStartsWithoutTheStore(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
@@ -230,8 +266,8 @@
 			must.Eq(t, "2", m.View().Servers["s"][0].ID)
 		}
 		time.Sleep(9 * time.Second)
-		must.LessEq(t, watchers, int(calls()-before)) // no watch was opened anew
-		for _, id := range f.feeds[0].watching(f.feeds[0].View().VMs) {
+		must.LessEq(t, watching.Everyone, int(calls()-before)) // no watch was opened anew
+		for _, id := range f.feeds[0].View().plan.Watchers() {
 			n, err := strconv.Atoi(id)
 			must.NoError(t, err)
 			f.ways[n].SetDown(true)
@@ -266,7 +302,7 @@
 				f.startRegistered()
 				time.Sleep(10 * time.Second)
 				lost := map[int]bool{}
-				for _, id := range f.feeds[0].watching(f.feeds[0].View().VMs) {
+				for _, id := range f.feeds[0].View().plan.Watchers() {
 					n, err := strconv.Atoi(id)
 					must.NoError(f.t, err)
 					lost[n] = true
@@ -297,21 +333,26 @@
 		view.VMs = append(view.VMs, vm)
 		zone[vm.Peer] = vm.Zone
 	}
+	view.plan = planOf(view.VMs)
 	asked := map[string]int{}
 	for _, vm := range view.VMs {
 		m := New(Options{Self: vm.ID, Log: event.Discard(), Dialer: link.NewDialerWith(nil), Clock: func() time.Duration { return time.Hour }})
 		m.view.Store(view)
 		m.confirmed.Store(int64(time.Hour))
 		for turn := range 5 {
-			address, ok := m.peer(turn)
-			must.True(t, ok)
-			must.Eq(t, vm.Zone, zone[address])
-			asked[address]++
+			m.turn.Store(uint64(turn))
+			near, _ := m.sources()
+			if len(near) == 0 {
+				must.True(t, m.watches()) // it asks nobody
+				continue
+			}
+			must.Eq(t, vm.Zone, zone[near[0]])
+			asked[near[0]]++
 		}
 	}
-	must.MapLen(t, size/askersEach, asked)
+	must.MapLen(t, size/watching.AskersEach, asked)
 	for _, n := range asked {
-		must.LessEq(t, 5*askersEach*3/2, n)
+		must.LessEq(t, 5*watching.AskersEach*3/2, n)
 	}
 }
 
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -1,10 +1,8 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"time"
 
@@ -12,77 +10,45 @@
 
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/watching"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
 
 const (
-	// watchers is how many daemons watch the store at least: enough that the loss of a
-	// zone leaves some, few enough that a change costs a call each and no more.
-	watchers = 8
-	// askersEach is how many daemons ask one that watches. With 300 daemons before
-	// 3,000 servers and eight that watch, the busiest sent 1.1 MB a second on a link of
-	// 1.25 MB a second, and a change took 1.9 s to be in force everywhere.
-	askersEach = 20
 	// watchAge is the age from which a daemon that asks others watches itself. It
-	// is above what a watcher's answer and the pause between questions add up to.
+	// is above what a watch, and those that pass on what it told, add up to.
 	watchAge = 3200 * time.Millisecond
-	// aloneTime is how long a daemon does without those that watch for it after one of them
-	// could not tell. It is about as long as daemons are cut off at least.
+	// aloneTime is how long a daemon does without those that watch for it after none of
+	// them could tell, unless one tells again. It is about as long as daemons are cut off
+	// at least.
 	aloneTime = 3 * time.Second
 	// askAge is the age of the configuration from which other daemons are asked.
 	// A watch returns every second and confirms what held when it was sent, so the
 	// age reaches two seconds while all is well.
 	askAge = 2500 * time.Millisecond
-	// askEvery is the mean pause between questions: a sixth of the time in which a
-	// change has to be in force. Eight watchers before eighty daemons answer twenty
-	// questions a second each, nearly all of them without an entry.
+	// askEvery is the mean pause between rounds of questions where nobody could tell.
 	askEvery = 400 * time.Millisecond
-	// askTimeout is many round trips; a daemon that does not answer is not asked
-	// again at once, for the next question goes to another.
+	// askHold is how long the daemon that is asked holds the question while it has
+	// nothing to tell. Its silence for longer shows that it is lost.
+	askHold = 500 * time.Millisecond
+	// askPause is the mean pause between questions that are held: changes that come one
+	// after the other are told at once.
+	askPause = 100 * time.Millisecond
+	// askTimeout is many round trips; a daemon that does not answer within it, and the
+	// time for which it holds the question, is taken to be lost.
 	askTimeout = 300 * time.Millisecond
+	// maxAsked is how many daemons are asked in one round.
+	maxAsked = 4
+	// searchTime is how long a round goes on after the first that could not tell.
+	searchTime = 250 * time.Millisecond
 )
 
-// Handler returns the twirp service that other daemons call, and its path prefix.
-func (m *Manager) Handler() (prefix string, h http.Handler) {
-	s := peerpb.NewFeedServer(service{m})
-	return s.PathPrefix(), s
-}
-
-// service implements peerpb.Feed.
-type service struct{ m *Manager }
-
-// Snapshot returns what this daemon believes, with its age.
-func (s service) Snapshot(_ context.Context, q *peerpb.SnapshotRequest) (*peerpb.SnapshotReply, error) {
-	s.m.mu.Lock()
-	defer s.m.mu.Unlock()
-	age, known := s.m.Age()
-	if !known {
-		return &peerpb.SnapshotReply{}, nil
-	}
-	// The age is rounded up: it must never be told younger than it is.
-	reply := &peerpb.SnapshotReply{
-		Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1, Lost: s.m.watches() && !s.m.reached.Load(),
-	}
-	if left := s.m.table.doubtUntil - s.m.opts.Clock(); left > 0 {
-		reply.DoubtMs = left.Milliseconds()
-	}
-	if q.GetHave() >= reply.Revision {
-		return reply, nil
-	}
-	puts, removed, whole := s.m.table.entries.since(q.GetHave())
-	reply.Removed, reply.Whole = removed, whole
-	for _, kv := range puts {
-		reply.Entries = append(reply.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
-	}
-	return reply, nil
-}
-
 // fresh reports whether the configuration was confirmed as lately as it is while
 // all is well.
 func (m *Manager) fresh() bool {
-	age, known := m.Age()
+	age, known := m.storeAge()
 	return known && age < askAge
 }
 
@@ -90,64 +56,42 @@
 // well. One that other daemons confirm in place of the store comes near that again and
 // again, which is one gap until the store answers or they are late too.
 func (m *Manager) gap() bool {
-	age, known := m.Age()
+	age, known := m.storeAge()
 	return !known || age > watchAge || age >= askAge && !m.bridged.Load()
 }
 
-// watches reports whether this daemon watches the store itself. Up to
-// watchers daemons all do. Beyond that, those with the lowest hashes do and the
-// others ask them, since the store counts each call: 88 daemons that all watch
-// make 88 calls for each change. A daemon that hears nothing watches too.
+// watches reports whether this daemon watches the store itself: where the plan of the
+// fleet says so, and where nobody tells it.
 //
-// The failure that watching alone guards against: those that watch for a daemon are cut off
-// from it, or the store refuses just them. Until its configuration was 2.5 s old it would go
-// on asking them, and answer by routes that the operator had taken away two seconds before.
+// The failure that watching by itself guards against: those that watch for a daemon are
+// cut off from it, or the store refuses just them. Until its configuration was 2.5 s old
+// it would go on asking them, and answer by routes that the operator had taken away two
+// seconds before.
 func (m *Manager) watches() bool {
-	vms := m.View().VMs
-	if m.opts.Dialer == nil || len(vms) <= watchers || m.alone() {
+	view := m.View()
+	if m.opts.Dialer == nil || len(view.VMs) <= watching.Everyone || m.alone() {
 		return true
 	}
-	if age, known := m.Age(); !known || age > watchAge {
+	if age, known := m.storeAge(); !known || age > watchAge {
 		return true
 	}
-	return slices.Contains(m.watching(vms), m.opts.Self)
+	return view.plan.Watches(m.opts.Self)
 }
 
-// watching returns the ids of the daemons that watch the store, the same at
-// every daemon that knows the same VMs: as many in each zone, so that what the
-// others are told stays within their zone.
-func (m *Manager) watching(vms []routing.VM) []string {
-	zones := map[string][]string{}
-	count := 0
+// alone reports whether none of those that watch for this daemon could tell lately.
+func (m *Manager) alone() bool { return int64(m.opts.Clock()) < m.aloneTill.Load() }
+
+// planOf is who watches among the daemons that serve.
+func planOf(vms []routing.VM) *watching.Plan {
+	list := make([]watching.VM, 0, len(vms))
 	for _, vm := range vms {
 		if !vm.Leaving {
-			zones[vm.Zone] = append(zones[vm.Zone], vm.ID)
-			count++
+			list = append(list, watching.VM{ID: vm.ID, Hash: xxhash.Sum64String(vm.ID), Zone: vm.Zone})
 		}
 	}
-	each := watchersEach(count, len(zones))
-	var ids []string
-	for _, members := range zones {
-		slices.SortFunc(members, func(a, b string) int {
-			return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
-		})
-		ids = append(ids, members[:min(len(members), each)]...)
-	}
-	return ids
+	return watching.New(list)
 }
 
-// watchersEach is how many daemons of each zone watch the store.
-func watchersEach(daemons, zones int) int {
-	all := max(watchers, daemons/askersEach)
-	return (all + zones - 1) / max(zones, 1)
-}
-
-// Watching is how many of a fleet's daemons watch the store.
-func Watching(daemons, zones int) int { return min(daemons, zones*watchersEach(daemons, zones)) }
-
-// Questions is how many times a second a daemon that does not watch asks one that does.
-const Questions = float64(time.Second) / float64(askEvery)
-
 // askPeers learns from the daemons that watch the store, and from any while the
 // store is out of reach.
 //
@@ -158,96 +102,104 @@
 	if m.opts.Dialer == nil {
 		return
 	}
-	for turn := rand.Int(); ctx.Err() == nil; turn++ {
-		pause.For(ctx, askEvery*3/4+rand.N(askEvery/2))
-		if m.fresh() && m.watches() {
-			continue
-		}
-		if address, ok := m.peer(turn); ok {
-			m.ask(ctx, address)
+	for ctx.Err() == nil {
+		mean := askEvery
+		if own := m.fresh() && m.watches() && !m.alone(); !own && m.askAround(ctx) {
+			mean = askPause
 		}
+		pause.For(ctx, mean*3/4+rand.N(mean/2))
 	}
 }
 
-// alone reports whether those that watch for this daemon could not tell lately.
-func (m *Manager) alone() bool { return int64(m.opts.Clock()) < m.aloneTill.Load() }
-
-// peer returns the address of another daemon, in turn: one that watches the store,
-// in the same zone where there is one; any where those may have lost the store.
-func (m *Manager) peer(turn int) (string, bool) {
-	vms := m.View().VMs
-	var near, addresses []string
-	if m.fresh() {
-		near, addresses = m.watchersFor(vms)
-	} else {
-		addresses = m.others(vms)
-	}
-	if len(near) > 0 {
-		addresses = near
-	}
-	if len(addresses) == 0 {
-		addresses = *m.seeds.Load()
+// askAround asks one daemon after the other until one can tell, and reports whether one
+// could. If none can this daemon is on its own.
+func (m *Manager) askAround(ctx context.Context) bool {
+	near, others := m.sources()
+	var until time.Duration
+	hold := askHold
+	for n, address := range append(near, others...) {
+		if m.ask(ctx, address, hold) {
+			m.turn.Add(uint64(min(n, len(near))))
+			m.aloneTill.Store(0)
+			return true
+		}
+		now := m.opts.Clock()
+		if n == 0 {
+			until, hold = now+searchTime, 0
+		}
+		if now > until || n+1 == maxAsked || ctx.Err() != nil {
+			break
+		}
 	}
-	if len(addresses) == 0 {
-		return "", false
+	m.turn.Add(1)
+	m.aloneTill.Store(int64(m.opts.Clock() + aloneTime))
+	select {
+	case m.roused <- struct{}{}:
+	default:
 	}
-	return addresses[turn%len(addresses)], true
+	return false
 }
 
-// watchersFor returns the addresses of the other daemons that watch the store:
-// those in this daemon's zone, and all.
-func (m *Manager) watchersFor(vms []routing.VM) (near, all []string) {
-	watching := m.watching(vms)
-	zone := ""
-	for _, vm := range vms {
-		if vm.ID == m.opts.Self {
-			zone = vm.Zone
-		}
+// sources returns the addresses of the daemons to ask: those near that tell this one, and
+// the others, each with the best first. While the configuration is old any daemon may
+// know more.
+func (m *Manager) sources() (near, others []string) {
+	view := m.View()
+	peers := map[string]string{}
+	list := routing.Peers(view.VMs, m.opts.Self)
+	for _, vm := range list {
+		peers[vm.ID] = vm.Peer
 	}
-	for _, vm := range routing.Peers(vms, m.opts.Self) {
-		if !slices.Contains(watching, vm.ID) {
-			continue
-		}
-		all = append(all, vm.Peer)
-		if vm.Zone == zone {
-			near = append(near, vm.Peer)
-		}
+	if view.plan != nil {
+		nearIDs, otherIDs := view.plan.Sources(m.opts.Self, m.turn.Load())
+		near, others = addressesOf(peers, nearIDs), addressesOf(peers, otherIDs)
+	}
+	if !m.fresh() && len(list) > 0 {
+		others = slices.Insert(others, 0, list[rand.N(len(list))].Peer)
+		near = near[:min(len(near), 1)]
 	}
-	return near, all
+	if len(near)+len(others) == 0 {
+		return nil, *m.seeds.Load()
+	}
+	return near, others
 }
 
-// others returns the addresses of all other daemons.
-func (m *Manager) others(vms []routing.VM) (addresses []string) {
-	for _, vm := range routing.Peers(vms, m.opts.Self) {
-		addresses = append(addresses, vm.Peer)
+func addressesOf(peers map[string]string, ids []string) (addresses []string) {
+	for _, id := range ids {
+		if address, ok := peers[id]; ok {
+			addresses = append(addresses, address)
+		}
 	}
 	return addresses
 }
 
-// ask learns from one daemon.
-func (m *Manager) ask(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// ask learns from one daemon, which may hold the question for a time, and reports whether
+// that daemon hears of changes.
+func (m *Manager) ask(ctx context.Context, address string, hold time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, hold+askTimeout)
 	defer cancel()
 	asked := m.opts.Clock()
+	age, _ := m.storeAge()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
-	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{Have: m.revision.Load()})
-	if err != nil || reply.GetLost() {
-		m.aloneTill.Store(int64(asked + aloneTime))
-	}
+	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
+		Have: m.revision.Load(), WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(),
+	})
 	if err != nil {
 		m.outage.Store(false) // this daemon may be the one that is cut off
 		m.opts.Log.Emit(event.FeedPeerFailed, address, err)
 		m.opts.Dialer.DropIdle()
-		return
+		return false
 	}
-	m.outage.Store(time.Duration(reply.GetAgeMs())*time.Millisecond > askAge)
+	old := time.Duration(reply.GetAgeMs())*time.Millisecond > askAge
+	m.outage.Store(old)
 	m.learn(asked, address, reply)
+	return !reply.GetLost() && !old && reply.GetRevision() != 0
 }
 
 // Outage reports whether the store seems to be out of reach for every daemon: a
 // daemon that was asked has waited for it as long as this one.
 func (m *Manager) Outage() bool {
-	age, known := m.Age()
+	age, known := m.storeAge()
 	return m.outage.Load() && (!known || age >= askAge)
 }
 
@@ -276,7 +228,11 @@
 			m.table.replace(asked, reply.GetRevision(), kvs(reply))
 			return
 		}
-		m.table.change(asked, changes(reply))
+		removed := reply.GetRemoved()
+		if len(reply.GetPresent()) > 0 {
+			removed = m.table.entries.absent(reply.GetPresent())
+		}
+		m.table.change(asked, changes(reply, removed))
 	})
 	ended := gap && m.fresh()
 	if ended {
@@ -295,12 +251,12 @@
 	return list
 }
 
-func changes(reply *peerpb.SnapshotReply) []store.Event {
-	list := make([]store.Event, 0, len(reply.GetEntries())+len(reply.GetRemoved()))
+func changes(reply *peerpb.SnapshotReply, removed []string) []store.Event {
+	list := make([]store.Event, 0, len(reply.GetEntries())+len(removed))
 	for _, kv := range kvs(reply) {
 		list = append(list, store.Event{Kind: store.Put, KV: kv})
 	}
-	for _, key := range reply.GetRemoved() {
+	for _, key := range removed {
 		list = append(list, store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: reply.GetRevision()}})
 	}
 	return list
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -17,9 +17,15 @@
 const (
 	// leaseTTL is how long a daemon that died stays registered. Callers leave
 	// an address that fails them at once, so this only bounds how long new ones meet it.
-	leaseTTL = 4 * time.Second
-	// renewEvery leaves room for two lost renewals before the lease ends.
-	renewEvery = leaseTTL / 3
+	// It is longer than a daemon takes to start again, which then goes on with the lease.
+	leaseTTL = 6 * time.Second
+	// renewEvery leaves room for a renewal that is lost, and two more attempts.
+	renewEvery = leaseTTL / 2
+	// listedTimeout bounds the wait for the feed's first read, which shows the entry of
+	// the process before.
+	listedTimeout = time.Second
+	// writtenTime is how long the feed may take to show what was written.
+	writtenTime = 3 * time.Second
 	// maxRegisterPause bounds the wait after failed attempts, which doubles with each:
 	// an entry is back within two seconds of the store's return.
 	maxRegisterPause = 2 * time.Second
@@ -32,15 +38,21 @@
 	Store store.Store
 	VM    routing.VM
 	Log   *event.Log
+	// Feed knows the entry that the process before left, and whether the present one is
+	// still there. It may be nil.
+	Feed *Manager
+
+	lease   store.LeaseID // 0 where the entry has to be written
+	version int64         // of the entry, 0 where there is none
+	written time.Time
 }
 
 // Run registers the daemon until ctx ends, and then removes the entry.
 func (r *Registrar) Run(ctx context.Context) {
-	var lease store.LeaseID
+	r.adopt(ctx)
 	failed := retryPause
 	for ctx.Err() == nil {
-		var err error
-		lease, err = r.renew(ctx, lease)
+		err := r.keep(ctx)
 		wait := renewEvery
 		switch {
 		case err == nil:
@@ -51,25 +63,67 @@
 		}
 		pause.For(ctx, wait*3/4+rand.N(wait/2))
 	}
-	r.remove(lease)
+	r.remove()
 }
 
-// renew keeps a lease or registers under a new one.
-func (r *Registrar) renew(ctx context.Context, lease store.LeaseID) (store.LeaseID, error) {
+// adopt goes on with the entry and the lease that the process before left, if they say
+// what is to be said. Without it a fleet whose daemons all start again writes all entries
+// anew, three calls each, at the moment at which callers wait for it.
+func (r *Registrar) adopt(ctx context.Context) {
+	if r.Feed == nil {
+		return
+	}
+	own := r.Feed.ownEntry(ctx)
+	r.version = own.Version
+	if vm, err := decodeVM(r.VM.ID, own.Value); err == nil && vm == r.VM {
+		r.lease = own.Lease
+	}
+}
+
+// keep renews the lease, or registers under a new one.
+func (r *Registrar) keep(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if lease != 0 {
-		_, err := r.Store.KeepAlive(store.WithPurpose(ctx, store.PurposeRenew), lease)
-		if err == nil || !errors.Is(err, store.ErrLeaseGone) {
-			return lease, err
+	if r.lease != 0 {
+		_, err := r.Store.KeepAlive(store.WithPurpose(ctx, store.PurposeRenew), r.lease)
+		switch {
+		case err == nil && !r.overwritten():
+			return nil
+		case err != nil && !errors.Is(err, store.ErrLeaseGone):
+			return err
 		}
 	}
 	ctx = store.WithPurpose(ctx, store.PurposeRegister)
 	lease, err := r.Store.Grant(ctx, leaseTTL)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	if r.lease != 0 {
+		r.lease, r.version = 0, r.known()
+	}
+	if err := r.write(ctx, r.VM, lease); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+// overwritten reports whether the feed shows another entry than the one that was written,
+// or none: a write whose answer was lost may have come later, and a lease may hold no
+// entry any more.
+func (r *Registrar) overwritten() bool {
+	if r.Feed == nil || !r.Feed.fresh() || time.Since(r.written) < writtenTime {
+		return false
 	}
-	return lease, r.write(ctx, r.VM, lease)
+	return r.known() != r.version
+}
+
+// known is the version of the entry as the feed shows it; 0 if there is none, or no feed.
+func (r *Registrar) known() int64 {
+	if r.Feed == nil {
+		return 0
+	}
+	return r.Feed.entryVersion(vmPrefix + r.VM.ID)
 }
 
 // write replaces whatever an earlier process of this VM left.
@@ -79,22 +133,34 @@
 		return errors.Wrap(err, "register")
 	}
 	key := vmPrefix + r.VM.ID
-	var version int64
-	switch old, err := r.Store.Get(ctx, key); {
-	case err == nil:
-		version = old.Version
-	case !errors.Is(err, store.ErrNotFound):
+	version, err := r.Store.CompareAndSwap(ctx, key, r.version, value, lease)
+	if errors.Is(err, store.ErrConflict) {
+		if version, err = r.presentVersion(ctx, key); err != nil {
+			return err
+		}
+		version, err = r.Store.CompareAndSwap(ctx, key, version, value, lease)
+	}
+	if err != nil {
 		return err
 	}
-	_, err = r.Store.CompareAndSwap(ctx, key, version, value, lease)
-	return err
+	r.version, r.written = version, time.Now()
+	return nil
+}
+
+// presentVersion is the version of a key, 0 if there is none.
+func (r *Registrar) presentVersion(ctx context.Context, key string) (int64, error) {
+	old, err := r.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
+	}
+	return old.Version, err
 }
 
 // remove takes the daemon out of the address answers of the others. The entry says
 // first that the daemon leaves: an entry that only vanishes may be one whose lease
 // ran out in an outage, and is believed for a while.
-func (r *Registrar) remove(lease store.LeaseID) {
-	if lease == 0 {
+func (r *Registrar) remove() {
+	if r.lease == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
@@ -102,10 +168,31 @@
 	ctx = store.WithPurpose(ctx, store.PurposeLeave)
 	leaving := r.VM
 	leaving.Leaving = true
-	if err := r.write(ctx, leaving, lease); err != nil {
+	if err := r.write(ctx, leaving, r.lease); err != nil {
 		r.Log.Emit(event.RegistrationFailed, err)
 	}
-	if err := r.Store.Revoke(ctx, lease); err != nil {
+	if err := r.Store.Revoke(ctx, r.lease); err != nil {
 		r.Log.Emit(event.RegistrationFailed, err)
 	}
 }
+
+// ownEntry is the entry of this daemon that its first read of the store showed, if any.
+// It waits for that read for a time.
+func (m *Manager) ownEntry(ctx context.Context) store.KV {
+	limit := time.NewTimer(listedTimeout)
+	defer limit.Stop()
+	select {
+	case <-m.listed:
+		return m.own
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+	return store.KV{}
+}
+
+// entryVersion is the version of a key as it is known here, 0 if there is none.
+func (m *Manager) entryVersion(key string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.entries.kvs[key].Version
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -84,6 +84,7 @@
 		}
 	}
 	if t.reading {
+		t.entries.floor = revision
 		t.logServers(revision)
 	}
 	t.read, t.reading = true, false
--- a/control/feed/usable.go
+++ b/control/feed/usable.go
@@ -30,6 +30,7 @@
 	for _, key := range slices.Sorted(maps.Keys(t.vms)) {
 		v.VMs = append(v.VMs, t.vms[key])
 	}
+	v.plan = planOf(v.VMs)
 	return v
 }
 
--- a/lab/capacity/constants.go
+++ b/lab/capacity/constants.go
@@ -15,7 +15,7 @@
 // Constants of the packages that the arithmetic takes up.
 var (
 	limits    = site.DefaultLimits()
-	watching  = backends.DefaultConfig()
+	polling   = backends.DefaultConfig()
 	placing   = reconcile.DefaultConfig()
 	leasing   = lease.DefaultConfig()
 	drainTime = limits.EntriesTTL + settings.DefaultDrainLimit
--- a/lab/capacity/forward.go
+++ b/lab/capacity/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/decision/watching"
 	"mallowwind.dev/serve/forward"
 )
 
@@ -11,20 +12,19 @@
 // seen at 30, 100 and 300 daemons.
 func (m *Model) forward() []Row {
 	s := m.Size
-	watching := float64(feed.Watching(s.Daemons, s.Zones))
-	asking := (float64(s.Daemons) - watching) / watching
+	watchers := float64(watching.Count(s.Daemons))
 	return []Row{
 		{
 			Role: Forward, Kind: Messages, What: "reports asked of engines before prompts", Unit: PerS, Carrier: "`serve/forward`",
 			Factors: []Factor{given(s.RequestsPerDaemon(), "requests/s"), given(forward.Asked, "engines asked")},
 		},
 		{
-			Role: Forward, Kind: Messages, What: "questions of other daemons to one that watches the store", Unit: PerS, Carrier: "`control/feed`",
-			Factors: []Factor{given(asking, "daemons that ask it"), given(feed.Questions, "questions/s")},
+			Role: Forward, Kind: Messages, What: "questions of other daemons to one that passes on what the store tells", Unit: PerS, Carrier: "`control/feed`",
+			Factors: []Factor{given(watching.AskersEach, "daemons that ask it"), given(feed.Batches, "batches/s at most")},
 		},
 		{
 			Role: Store, Kind: Messages, What: "waiting watches of daemons that forward, with a change in each", Unit: PerS, Carrier: "`control/feed`",
-			Factors: []Factor{given(watching, "daemons that watch"), given(feed.Batches, "batches/s at most")},
+			Factors: []Factor{given(watchers, "daemons that watch"), given(feed.Batches, "batches/s at most")},
 			Limit:   s.Store.ReadsPerS, LimitOf: "reads of the store",
 		},
 		{
--- a/lab/capacity/platform.go
+++ b/lab/capacity/platform.go
@@ -63,7 +63,7 @@
 		},
 		{
 			Role: Backend, Kind: Messages, What: "status polls by daemons", Unit: PerS, Carrier: "`control/backends`",
-			Factors: []Factor{given(watching.PollsPerSecond, "polls/s a daemon"), given(daemons/replicas, "daemons a backend server")},
+			Factors: []Factor{given(polling.PollsPerSecond, "polls/s a daemon"), given(daemons/replicas, "daemons a backend server")},
 		},
 		{
 			Role: Backend, Kind: Messages, What: "status polls by the zone's lease holder", Unit: PerS, Carrier: "`control/reconcile`",
--- a/lab/capacity/roles.go
+++ b/lab/capacity/roles.go
@@ -126,8 +126,8 @@
 	vms, daemons := float64(s.Daemons+s.Replicas), float64(s.Daemons)
 	share := given(1/daemons, "of all daemons")
 	known := m.at(slopeKnown, float64(s.Replicas), 1)
-	polls := given(watching.PollsPerSecond, "polls/s")
-	reads := given(perSecond(watching.ListRest), "whole reads/s")
+	polls := given(polling.PollsPerSecond, "polls/s")
+	reads := given(perSecond(polling.ListRest), "whole reads/s")
 	const backends, all = "`control/backends`", "`control/membership`, `control/inforce`, `control/backends`, `control/lease`"
 	return []Row{
 		{
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -158,7 +158,7 @@
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
-		r := feed.Registrar{Store: g.opts.Store, VM: g.opts.Self, Log: g.opts.Log}
+		r := feed.Registrar{Store: g.opts.Store, VM: g.opts.Self, Log: g.opts.Log, Feed: g.feed}
 		r.Run(soft)
 	}()
 	g.opts.Log.Emit(event.DaemonStarted, g.opts.Self.Address, g.opts.Self.Peer, "")
