forward: prompts are placed and looked for in windows of engines

A look asks all engines of a service, and is left out where there are more than 160: they would be asked 260 x 295 times within seconds. So every prompt was read a second time. Ruled out: engines forget prompts in the 18 s (with the change most are found).

Change: where all engines are too many to be asked, a prompt is placed in a window of ten engines, two of each zone or more, by rendezvous hashing of its own part, the same at every daemon; a look asks those and one more a zone. Up to 160 engines nothing changes.

--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -111,7 +111,7 @@
 	if view.Config.Engine(r.service) == nil {
 		return false
 	}
-	others := r.h.pool.readers(time.Now(), view, r.service, Asked, []routing.Life{a.at.server.Life()})
+	others := r.h.pool.readers(time.Now(), view, r.service, "", Asked, []routing.Life{a.at.server.Life()})
 	for range deadProbes {
 		var silent error
 		var all sync.WaitGroup
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
@@ -22,11 +24,16 @@
 	return engines
 }
 
-// readers returns the engines that may read a prompt, the best first and n at most.
-func (p *pool) readers(now time.Time, view *feed.View, service string, n int, exclude []routing.Life) []choice {
+// readers returns the engines that may read a prompt, the best first and n at most. part
+// is the prompt's own part; "" stands for any prompt.
+func (p *pool) readers(now time.Time, view *feed.View, service, part string, n int, exclude []routing.Life) []choice {
 	var list []choice
 	p.in(view, service, func(l *layout) (choice, bool) {
-		for _, c := range prompts.Read(p.engines(now, l, exclude), n, false, rand.Uint64()) {
+		engines := p.engines(now, l, exclude)
+		for i, home := range l.homesOf(part) {
+			engines[i].Home = home
+		}
+		for _, c := range prompts.Read(engines, n, false, rand.Uint64()) {
 			one, _ := l.choose(c.Index, string(c.Reason))
 			list = append(list, one)
 		}
@@ -92,6 +99,21 @@
 	})
 }
 
+// mayHold returns the engines of which one holds a prompt, if any does; few is false
+// where that may be any engine of the service.
+func (p *pool) mayHold(view *feed.View, service, part string) (servers []routing.Server, few bool) {
+	p.in(view, service, func(l *layout) (choice, bool) {
+		if few = windowed(len(l.servers)); !few {
+			return choice{}, false
+		}
+		for _, i := range prompts.LookedAt(xxhash.Sum64String(part), l.seats) {
+			servers = append(servers, l.servers[i])
+		}
+		return choice{}, false
+	})
+	return servers, few
+}
+
 // server returns a server whose life has not ended.
 func (p *pool) server(view *feed.View, service string, life routing.Life) (choice, bool) {
 	return p.in(view, service, func(l *layout) (choice, bool) {
--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -5,6 +5,7 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/route"
 )
 
@@ -13,6 +14,7 @@
 	servers []routing.Server
 	loads   []*load
 	home    []bool
+	seats   []prompts.Seat
 	table   *route.Table
 	index   map[string]int // by id
 }
@@ -51,9 +53,9 @@
 		l.index[s.ID] = len(l.servers)
 		l.servers = append(l.servers, s)
 		l.loads = append(l.loads, one)
-		candidates = append(candidates, route.Candidate{
-			ID: s.ID, Hash: xxhash.Sum64String(s.ID), Rank: p.rank(s), Load: &one.plain,
-		})
+		hash := xxhash.Sum64String(s.ID)
+		l.seats = append(l.seats, prompts.Seat{Zone: s.Zone, Hash: hash})
+		candidates = append(candidates, route.Candidate{ID: s.ID, Hash: hash, Rank: p.rank(s), Load: &one.plain})
 	}
 	l.table = route.NewTable(candidates)
 	l.home = p.homes(l.servers)
@@ -94,6 +96,23 @@
 	return home
 }
 
+// homesOf are the engines that go first for a prompt whose own part is given: this daemon's
+// homes, or where the engines are too many to be asked all, those of the prompt's window.
+func (l *layout) homesOf(part string) []bool {
+	if part == "" || !windowed(len(l.servers)) {
+		return l.home
+	}
+	home := make([]bool, len(l.servers))
+	for _, i := range prompts.Window(xxhash.Sum64String(part), l.seats) {
+		home[i] = true
+	}
+	return home
+}
+
+// windowed reports whether a service has too many engines for all to be asked what they
+// hold, so that prompts are placed, and looked for, in windows of their own.
+func windowed(engines int) bool { return engines > maxScanned }
+
 // find is the index of the server whose present life is given, -1 if there is none.
 func (l *layout) find(life routing.Life) int {
 	if i, ok := l.index[life.ID]; ok && l.servers[i].Life() == life {
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -190,7 +190,7 @@
 	if now.Sub(r.heldUpSince) >= takeover.HeldUp {
 		return false
 	}
-	others := r.h.pool.readers(now, view, r.service, Asked, []routing.Life{l.at.server.Life()})
+	others := r.h.pool.readers(now, view, r.service, "", Asked, []routing.Life{l.at.server.Life()})
 	return len(others) > 0 && len(r.h.questions().survey(ctx, others, 0)) == 0
 }
 
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -27,8 +27,8 @@
 	// scanAnswer is what is read of one answer; a longer one is of no use. Each is taken to
 	// be as long until the first is there: eight engines are asked at once then.
 	scanAnswer = scanBytes / 8
-	// maxScanned is how many engines are asked at most. Asking 120 takes a small VM
-	// a tenth of a second of its processor; beyond, a prompt is read again instead.
+	// maxScanned is how many engines a service may have for all to be asked. Of more only
+	// those of the prompt's window are.
 	maxScanned = 160
 )
 
@@ -107,7 +107,7 @@
 
 // holders returns the engines that hold part, as soon as one is known.
 func (l *locator) holders(ctx context.Context, service, part string) []routing.Life {
-	s := l.scan(service)
+	s := l.scan(service, part)
 	for {
 		holders, ended, news := s.find(part)
 		if len(holders) > 0 || ended {
@@ -122,21 +122,22 @@
 }
 
 // scan returns a look that is recent, or begins one.
-func (l *locator) scan(service string) *scan {
+func (l *locator) scan(service, part string) *scan {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
+	view := l.h.opts.Feed.View()
+	if servers, few := l.h.pool.mayHold(view, service, part); few {
+		s := newScan(now)
+		go l.look(service, s, servers)
+		return s
+	}
 	if s := l.scans[service]; s != nil && now.Sub(s.at) < scanAge {
 		return s
 	}
 	s := newScan(now)
 	l.scans[service] = s
-	servers := l.h.opts.Feed.View().Servers[service]
-	if len(servers) > maxScanned {
-		s.end()
-		return s
-	}
-	go l.look(service, s, servers)
+	go l.look(service, s, view.Servers[service])
 	return s
 }
 
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -74,7 +74,7 @@
 
 // placeAsking chooses by the reports of engines.
 func (r *relay) placeAsking(ctx context.Context, view *feed.View) (surveyed, bool) {
-	first := r.h.pool.readers(time.Now(), view, r.service, Asked, r.failed)
+	first := r.h.pool.readers(time.Now(), view, r.service, r.in.call.OwnPart, Asked, r.failed)
 	if len(first) == 0 || view.Config.Engine(r.service) == nil {
 		return firstOf(first)
 	}
@@ -85,7 +85,7 @@
 	candidates := first
 	for round := range askRounds {
 		if round > 0 {
-			candidates = r.h.pool.readers(time.Now(), view, r.service, Asked, excluded)
+			candidates = r.h.pool.readers(time.Now(), view, r.service, r.in.call.OwnPart, Asked, excluded)
 		}
 		for _, c := range candidates {
 			excluded = append(excluded, c.server.Life())
--- a/serve/forward/stream_test.go
+++ b/serve/forward/stream_test.go
@@ -147,6 +147,44 @@
 	must.Less(t, linkPerTenth, read)
 }
 
+// Daemons die, and their callers go on at others, before hundreds of engines: too many to
+// ask all of them what they hold. Each prompt was read a second time then. It lies at one of
+// the few engines among which every daemon places that prompt, and only those are asked.
+func TestPromptIsFoundAmongHundredsOfEngines(t *testing.T) {
+	const engines, streams = 200, 20
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			w.servers[r.Header.Get(hServer)].holds(r.Header.Get(hPart))
+			streaming(3, 0, time.Millisecond)(rw, r)
+		}
+		for n := range engines {
+			w.add(fmt.Sprintf("e-%d", n), "llm", string(rune('a'+n%5)), handle)
+		}
+		ran := func(part string) (at []string) {
+			for id, s := range w.servers {
+				for _, r := range s.asked() {
+					if r.Header.Get(hPart) == part {
+						at = append(at, id)
+					}
+				}
+			}
+			return at
+		}
+		for n := range streams {
+			part := fmt.Sprintf("p%d", n)
+			must.NoError(t, w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: part}), "prompt").err)
+			before := w.cachesAsked()
+			got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hAfter: "1", hPart: part}), "prompt")
+			must.NoError(t, got.err)
+			must.Eq(t, events(2, 3), got.body)
+			at := ran(part)
+			must.SliceLen(t, 2, at)
+			must.Eq(t, at[0], at[1])
+			must.LessEq(t, engines/10, w.cachesAsked()-before)
+		}
+	})
+}
+
 // A stream ends in the middle of an event and no engine is left to go on. The
 // caller gets the whole events only, and the answer does not look complete.
 func TestTornStreamIsCut(t *testing.T) {
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -137,19 +137,20 @@
 
 // fakeServer is a backend server in process.
 type fakeServer struct {
-	server   routing.Server
-	listener *faultnet.Listener
-	mu       sync.Mutex
-	cached   string        // answer to the question what it holds
-	cacheLag time.Duration // before that answer
-	runs     string        // ids of the runs that it reports
-	muted    bool          // it does not tell what it does
-	moves    []string      // targets of copies made on demand
-	dropped  []string      // handles of copies freed
-	refusing int           // copies that it refuses to make
-	seen     []*http.Request
-	handle   http.HandlerFunc
-	http     *http.Server
+	server     routing.Server
+	listener   *faultnet.Listener
+	mu         sync.Mutex
+	cached     string        // answer to the question what it holds
+	cacheLag   time.Duration // before that answer
+	runs       string        // ids of the runs that it reports
+	muted      bool          // it does not tell what it does
+	moves      []string      // targets of copies made on demand
+	dropped    []string      // handles of copies freed
+	refusing   int           // copies that it refuses to make
+	seen       []*http.Request
+	handle     http.HandlerFunc
+	http       *http.Server
+	cacheAsked int // how many times it was asked what it holds
 }
 
 // dial connects to a fake server by its address.
@@ -195,6 +196,7 @@
 	case "/cache":
 		s.mu.Lock()
 		cached, lag := s.cached, s.cacheLag
+		s.cacheAsked++
 		s.mu.Unlock()
 		sleep(r, lag)
 		fmt.Fprint(w, s.start(), cached)
@@ -294,6 +296,16 @@
 	s.muted = true
 }
 
+// cachesAsked is how many times servers were asked what they hold.
+func (w *world) cachesAsked() (n int) {
+	for _, s := range w.servers {
+		s.mu.Lock()
+		n += s.cacheAsked
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // requests are those that a server was asked to run.
 func (s *fakeServer) requests() int {
 	s.mu.Lock()
