forward: answers that cannot be whole are refused after the look too

Two reasons: whether the answer can be whole was judged before the look, as if an engine held the prompt; and a daemon of 295 sees one answer in four seconds, so seconds after a start it has not seen the five that the judgement takes.

Change: it is judged once more where no engine holds the prompt; a daemon that knows too little asks four others, and adds up what they saw. "hopeless" meant two things; the answer that cannot go on is "stuck" now.

--- a/decision/prompts/pace.go
+++ b/decision/prompts/pace.go
@@ -101,19 +101,52 @@
 
 // Unfinishable reports whether an answer certainly cannot be whole in what is left: not
 // if it were shorter by leastPart than the shortest seen lately and made as fast as the
-// fastest. have is how many of its events the caller holds; an engine may hold its prompt
-// still then.
+// fastest. have is how many of its events the caller holds; unread says that its prompt of
+// so many tokens has to be read first, as no engine is known to hold it.
 //
 // Load it answers: callers whose connections hung when a VM lost its power, and who come
 // back seconds later. Without it engines read prompts and make answers of which nobody
 // gets the end, and the callers wait for that until their time is over.
-func (p *Pace) Unfinishable(tokens int, have int64, left time.Duration) bool {
+func (p *Pace) Unfinishable(tokens int, unread bool, have int64, left time.Duration) bool {
 	if p.answers < fewAnswers {
 		return false
 	}
 	need := p.perEvent * max(leastPart*p.events-float64(have), 0)
-	if have == 0 {
+	if unread {
 		need += leastPart * p.perToken * float64(tokens)
 	}
 	return float64(left) < need
 }
+
+// Knows reports whether enough answers were seen to tell which cannot be whole in time.
+func (p *Pace) Knows() bool { return p.answers >= fewAnswers }
+
+// Learned is what a daemon tells others of the engines of a service: of the fastest
+// reading and the fastest and shortest whole answers, and how many of those it saw.
+type Learned struct {
+	PerToken, PerEvent float64 // nanoseconds
+	Events             float64
+	Answers            int
+}
+
+// Learned returns what was seen here and heard from others.
+func (p *Pace) Learned() Learned {
+	return Learned{PerToken: p.perToken, PerEvent: p.perEvent, Events: p.events, Answers: p.answers}
+}
+
+// Hear takes in what another daemon learned. What makes no sense is left out.
+//
+// Load it answers: hundreds of daemons that started at once. Each sees an answer in
+// several seconds, and would know nothing when callers come back with little time left,
+// although all together have seen hundreds.
+func (p *Pace) Hear(l Learned) {
+	if !(l.PerEvent > 0) || !(l.Events > 0) || l.Answers <= 0 {
+		return
+	}
+	p.answers += l.Answers
+	p.perEvent = least(p.perEvent, l.PerEvent)
+	p.events = least(p.events, l.Events)
+	if l.PerToken > 0 {
+		p.perToken = least(p.perToken, l.PerToken)
+	}
+}
--- a/decision/prompts/pace_test.go
+++ b/decision/prompts/pace_test.go
@@ -1,6 +1,7 @@
 package prompts
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -12,24 +13,28 @@
 // whose answers may be short, are served.
 func TestAnswersThatCannotBeWholeInTime(t *testing.T) {
 	var p Pace
-	must.False(t, p.Unfinishable(5000, 0, time.Millisecond)) // nothing is known
+	must.False(t, p.Unfinishable(5000, true, 0, time.Millisecond)) // nothing is known
 	p.Observe(5000, time.Second)
 	p.Made(101, 3*time.Second)
 	for range fewAnswers - 1 {
-		must.False(t, p.Unfinishable(5000, 0, time.Millisecond))
+		must.False(t, p.Unfinishable(5000, true, 0, time.Millisecond))
 		p.Made(1, 0)                       // says nothing
 		p.Made(131, 4550*time.Millisecond) // slower, beside other prompts
 	}
 	// At least 0.7 of 101 events in 30 ms each, after 0.7 of a second of reading.
-	must.True(t, p.Unfinishable(5000, 0, 2800*time.Millisecond))
-	must.False(t, p.Unfinishable(5000, 0, 3*time.Second))
-	must.True(t, p.Unfinishable(5000, 60, 300*time.Millisecond))
-	must.False(t, p.Unfinishable(5000, 60, 450*time.Millisecond))
-	must.False(t, p.Unfinishable(5000, 90, time.Millisecond))
+	must.True(t, p.Unfinishable(5000, true, 0, 2800*time.Millisecond))
+	must.False(t, p.Unfinishable(5000, true, 0, 3*time.Second))
+	must.True(t, p.Unfinishable(5000, false, 60, 300*time.Millisecond))
+	must.False(t, p.Unfinishable(5000, false, 60, 450*time.Millisecond))
+	must.False(t, p.Unfinishable(5000, false, 90, time.Millisecond))
+	// No engine holds the prompt: it has to be read as well.
+	must.True(t, p.Unfinishable(5000, true, 60, 950*time.Millisecond))
+	must.False(t, p.Unfinishable(5000, true, 60, 1200*time.Millisecond))
+	must.True(t, p.Unfinishable(5000, true, 90, 600*time.Millisecond))
 	for range 100 { // answers are longer now
 		p.Made(201, 8*time.Second)
 	}
-	must.True(t, p.Unfinishable(5000, 60, 2*time.Second))
+	must.True(t, p.Unfinishable(5000, false, 60, 2*time.Second))
 }
 
 func TestPace(t *testing.T) {
@@ -46,3 +51,23 @@
 	}
 	must.True(t, p.Hopeless(8000, 1400*time.Millisecond))
 }
+
+// All daemons start at once, and callers come back seconds later with little time left. A
+// daemon of hundreds has seen two answers by then, and others have too: together they know.
+func TestPaceIsLearnedFromOthers(t *testing.T) {
+	var here, there Pace
+	for range 2 {
+		here.Made(131, 4*time.Second)
+		there.Observe(5000, time.Second)
+		there.Made(101, 3*time.Second)
+	}
+	must.False(t, here.Knows())
+	here.Hear(there.Learned())
+	here.Hear(Learned{})                                 // knows nothing
+	here.Hear(Learned{PerEvent: math.NaN(), Answers: 9}) // no sense
+	must.False(t, here.Knows())
+	here.Hear(there.Learned())
+	must.True(t, here.Knows())
+	must.True(t, here.Unfinishable(5000, true, 60, 950*time.Millisecond))
+	must.False(t, here.Unfinishable(5000, true, 60, 1200*time.Millisecond))
+}
--- a/peer/peerpb/work.twirp.go
+++ b/peer/peerpb/work.twirp.go
@@ -30,6 +30,9 @@
 type Work interface {
 	// AtServers returns what the callee has under way at the servers of a service.
 	AtServers(context.Context, *WorkRequest) (*WorkReply, error)
+
+	// Pace returns what the callee has learned of the engines of a service.
+	Pace(context.Context, *WorkRequest) (*PaceReply, error)
 }
 
 // ====================
@@ -38,7 +41,7 @@
 
 type workProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -66,8 +69,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Work")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "AtServers",
+		serviceURL + "Pace",
 	}
 
 	return &workProtobufClient{
@@ -124,13 +128,59 @@
 	return out, nil
 }
 
+func (c *workProtobufClient) Pace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Pace")
+	caller := c.callPace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkRequest) (*PaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return c.callPace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workProtobufClient) callPace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
+	out := new(PaceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Work JSON Client
 // ================
 
 type workJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [2]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -158,8 +208,9 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Work")
-	urls := [1]string{
+	urls := [2]string{
 		serviceURL + "AtServers",
+		serviceURL + "Pace",
 	}
 
 	return &workJSONClient{
@@ -216,6 +267,52 @@
 	return out, nil
 }
 
+func (c *workJSONClient) Pace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Pace")
+	caller := c.callPace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WorkRequest) (*PaceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return c.callPace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workJSONClient) callPace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
+	out := new(PaceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Work Server Handler
 // ===================
@@ -316,6 +413,9 @@
 	case "AtServers":
 		s.serveAtServers(ctx, resp, req)
 		return
+	case "Pace":
+		s.servePace(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -503,6 +603,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *workServer) servePace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePaceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePaceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *workServer) servePaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Pace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(WorkRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Work.Pace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WorkRequest) (*PaceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return s.Work.Pace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PaceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PaceReply and nil error while calling Pace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *workServer) servePaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Pace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(WorkRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Work.Pace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WorkRequest) (*PaceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WorkRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WorkRequest) when calling interceptor")
+					}
+					return s.Work.Pace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PaceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PaceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PaceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PaceReply and nil error while calling Pace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *workServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor6, 0
 }
@@ -519,20 +799,24 @@
 }
 
 var twirpFileDescriptor6 = []byte{
-	// 234 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x90, 0x41, 0x4b, 0xc3, 0x30,
-	0x14, 0xc7, 0x49, 0x5b, 0x95, 0xbe, 0x81, 0x42, 0x4e, 0xa1, 0xee, 0x50, 0x7a, 0xb1, 0xa7, 0x0a,
-	0x13, 0x3f, 0x80, 0x03, 0x8f, 0x5e, 0xe2, 0x41, 0xf0, 0xb6, 0x9a, 0x87, 0x84, 0xc5, 0x24, 0xbe,
-	0x74, 0x2b, 0xfb, 0xf6, 0xd2, 0x64, 0xc5, 0xa1, 0xec, 0x12, 0xf2, 0xcf, 0xef, 0x97, 0xf7, 0x5e,
-	0x02, 0x30, 0x3a, 0xda, 0x76, 0x9e, 0xdc, 0xe0, 0xf8, 0xcd, 0xd7, 0xc6, 0x18, 0x37, 0x8e, 0xda,
-	0xaa, 0xce, 0x23, 0x52, 0x73, 0x07, 0x8b, 0x37, 0x47, 0x5b, 0x89, 0xdf, 0x3b, 0x0c, 0x03, 0x17,
-	0x70, 0x15, 0x90, 0xf6, 0xfa, 0x03, 0x05, 0xab, 0x59, 0x5b, 0xca, 0x39, 0x36, 0x6b, 0x28, 0x93,
-	0xe8, 0xcd, 0x81, 0x3f, 0x26, 0x0d, 0x29, 0x08, 0x56, 0xe7, 0xed, 0x62, 0x75, 0xdb, 0xfd, 0x29,
-	0xdc, 0xbd, 0x46, 0x1e, 0xaf, 0xcc, 0x6e, 0xa3, 0x00, 0x7e, 0x8f, 0xf9, 0x35, 0x64, 0x5a, 0x1d,
-	0xdb, 0x64, 0x5a, 0x71, 0x0e, 0x45, 0xef, 0xc8, 0x8a, 0xac, 0x66, 0x6d, 0x2e, 0xe3, 0x7e, 0x9a,
-	0x87, 0x70, 0xa3, 0xb4, 0xfd, 0x14, 0x79, 0xcd, 0xda, 0x0b, 0x39, 0xc7, 0x48, 0x76, 0xd6, 0x4e,
-	0xa4, 0x38, 0x92, 0x14, 0x57, 0x2f, 0x50, 0xc4, 0xfa, 0xcf, 0x50, 0x3e, 0x0d, 0xa9, 0x5f, 0xe0,
-	0xcb, 0x7f, 0x03, 0x9e, 0x3c, 0xbb, 0xaa, 0xce, 0x50, 0x6f, 0x0e, 0xeb, 0xe5, 0x7b, 0x75, 0x02,
-	0x15, 0xee, 0xef, 0x27, 0x21, 0x2e, 0xbe, 0xef, 0x2f, 0xe3, 0xbf, 0x3e, 0xfc, 0x04, 0x00, 0x00,
-	0xff, 0xff, 0xbe, 0xae, 0xd9, 0xa0, 0x65, 0x01, 0x00, 0x00,
+	// 302 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x92, 0xc1, 0x4b, 0xc3, 0x30,
+	0x14, 0xc6, 0xc9, 0x56, 0xa7, 0x7d, 0x03, 0x85, 0x1c, 0xa4, 0x6c, 0x3b, 0x94, 0x5e, 0xec, 0xa9,
+	0xc2, 0xc4, 0xbb, 0x0e, 0x76, 0x97, 0x28, 0x08, 0x5e, 0xa4, 0x5b, 0x1e, 0x52, 0x56, 0x93, 0x98,
+	0x74, 0x2d, 0xfe, 0x15, 0xfe, 0xcb, 0x92, 0x97, 0x56, 0x87, 0xe2, 0xc1, 0x4b, 0xe9, 0xd7, 0xdf,
+	0x6b, 0xbe, 0xef, 0x7b, 0x04, 0xa0, 0xd3, 0x76, 0x57, 0x18, 0xab, 0x1b, 0xcd, 0xcf, 0x5e, 0xcb,
+	0xba, 0xd6, 0x5d, 0x57, 0x29, 0x59, 0x18, 0x44, 0x9b, 0x5d, 0xc0, 0xf4, 0x51, 0xdb, 0x9d, 0xc0,
+	0xb7, 0x3d, 0xba, 0x86, 0x27, 0x70, 0xec, 0xd0, 0xb6, 0xd5, 0x16, 0x13, 0x96, 0xb2, 0x3c, 0x16,
+	0x83, 0xcc, 0x56, 0x10, 0x87, 0x41, 0x53, 0xbf, 0xf3, 0xeb, 0x30, 0x86, 0xd6, 0x25, 0x2c, 0x1d,
+	0xe7, 0xd3, 0xe5, 0xbc, 0xf8, 0x71, 0x70, 0x71, 0x4f, 0x9c, 0x7e, 0x19, 0x66, 0x33, 0x09, 0xf0,
+	0xfd, 0x99, 0x9f, 0xc2, 0xa8, 0x92, 0xbd, 0xcd, 0xa8, 0x92, 0x9c, 0x43, 0xb4, 0xd1, 0x56, 0x25,
+	0xa3, 0x94, 0xe5, 0x63, 0x41, 0xef, 0x3e, 0x8f, 0xc5, 0x52, 0x56, 0xea, 0x25, 0x19, 0xa7, 0x2c,
+	0x3f, 0x12, 0x83, 0x24, 0xb2, 0x57, 0xca, 0x93, 0xa8, 0x27, 0x41, 0x66, 0x1d, 0xc4, 0x77, 0xe5,
+	0x16, 0x43, 0xd2, 0x39, 0xc4, 0x06, 0xed, 0x73, 0xa3, 0x77, 0xa8, 0xc8, 0x8b, 0x89, 0x13, 0x83,
+	0xf6, 0xc1, 0xeb, 0x01, 0x62, 0x8b, 0xaa, 0x21, 0xdb, 0x00, 0xd7, 0x5e, 0xf3, 0x73, 0x98, 0x10,
+	0x70, 0xe4, 0xcc, 0x44, 0xaf, 0xbc, 0x71, 0xa9, 0x5c, 0xe7, 0xbb, 0x47, 0x94, 0x74, 0x90, 0xcb,
+	0x0f, 0x06, 0x11, 0x35, 0x5b, 0x43, 0x7c, 0xdb, 0x84, 0xa6, 0x8e, 0x2f, 0x7e, 0xad, 0xe6, 0x60,
+	0xe1, 0xb3, 0xd9, 0x1f, 0xd4, 0x67, 0xbf, 0x81, 0xc8, 0x17, 0xf9, 0xf7, 0x09, 0x5f, 0xed, 0x57,
+	0x8b, 0xa7, 0xd9, 0x01, 0x94, 0xd8, 0x5e, 0xfa, 0x01, 0x7a, 0x98, 0xcd, 0x66, 0x42, 0x77, 0xe2,
+	0xea, 0x33, 0x00, 0x00, 0xff, 0xff, 0x6b, 0x12, 0x36, 0xb4, 0x21, 0x02, 0x00, 0x00,
 }
--- a/serve/forward/neighbours.go
+++ b/serve/forward/neighbours.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +20,9 @@
 	// workTimeout is how long another daemon may take to say what it has under way: ten
 	// round trips between zones, and short beside the reading of a prompt.
 	workTimeout = 20 * time.Millisecond
+	// paceAsked is how many daemons are asked what they learned: two or three have seen
+	// the few answers that it takes.
+	paceAsked = 4
 	// workSilence is how long a daemon that did not answer is left out, so that one that
 	// is dead or cut off does not hold up every prompt. It is about what a restart takes.
 	workSilence = time.Second
@@ -84,17 +89,33 @@
 func (n *neighbours) ask(ctx context.Context, vm routing.VM, service string) (*peerpb.WorkReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, workTimeout)
 	defer cancel()
-	client := peerpb.NewWorkProtobufClient(n.dialer.URL(vm.Peer), n.dialer.Client)
-	reply, err := client.AtServers(ctx, &peerpb.WorkRequest{Service: service})
+	reply, err := n.client(vm).AtServers(ctx, &peerpb.WorkRequest{Service: service})
+	return reply, n.judge(vm, err)
+}
+
+// pace is what a daemon has learned of the engines of a service.
+func (n *neighbours) pace(ctx context.Context, vm routing.VM, service string) (*peerpb.PaceReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, workTimeout)
+	defer cancel()
+	reply, err := n.client(vm).Pace(ctx, &peerpb.WorkRequest{Service: service})
+	return reply, n.judge(vm, err)
+}
+
+func (n *neighbours) client(vm routing.VM) peerpb.Work {
+	return peerpb.NewWorkProtobufClient(n.dialer.URL(vm.Peer), n.dialer.Client)
+}
+
+// judge leaves a daemon that failed out for a while, and returns err.
+func (n *neighbours) judge(vm routing.VM, err error) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil {
 		delete(n.silent, vm.ID)
-		return reply, nil
+		return nil
 	}
 	n.silent[vm.ID] = time.Now().Add(workSilence)
 	n.log.Emit(event.NeighbourSilent, vm.Peer, err)
-	return nil, err
+	return err
 }
 
 func (w workAt) add(reply *peerpb.WorkReply) {
@@ -107,6 +128,29 @@
 	}
 }
 
+// learnPace asks some other daemons what they learned of the engines of a service, where
+// this one has seen too little to tell which answers cannot be whole in time.
+func (h *Handler) learnPace(ctx context.Context, service string) {
+	if h.neighbours.dialer == nil || h.pressure.knows(service) {
+		return
+	}
+	view := h.opts.Feed.View()
+	peers := h.neighbours.heard(time.Now(), routing.Peers(view.VMs, h.neighbours.self))
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var all sync.WaitGroup
+	for _, vm := range peers[:min(paceAsked, len(peers))] {
+		all.Go(func() {
+			if reply, err := h.neighbours.pace(ctx, vm, service); err == nil {
+				h.pressure.hear(service, prompts.Learned{
+					PerToken: reply.GetPerToken(), PerEvent: reply.GetPerEvent(),
+					Events: reply.GetEvents(), Answers: int(min(reply.GetAnswers(), math.MaxInt32)),
+				})
+			}
+		})
+	}
+	all.Wait()
+}
+
 // telling implements peerpb.Work.
 type telling struct{ h *Handler }
 
@@ -121,6 +165,12 @@
 	return reply, nil
 }
 
+// Pace implements peerpb.Work.
+func (t telling) Pace(_ context.Context, q *peerpb.WorkRequest) (*peerpb.PaceReply, error) {
+	l := t.h.pressure.learned(q.GetService())
+	return &peerpb.PaceReply{PerToken: l.PerToken, PerEvent: l.PerEvent, Events: l.Events, Answers: int64(l.Answers)}, nil
+}
+
 // Telling returns the twirp service that other daemons call, and its path prefix.
 func (h *Handler) Telling() (prefix string, handler http.Handler) {
 	s := peerpb.NewWorkServer(telling{h})
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -38,10 +38,29 @@
 	return p.on(service).pace.Hopeless(tokens, left)
 }
 
-// unfinishable reports whether an answer cannot be whole in the time that is left.
-func (p *pressure) unfinishable(service string, c Call, left time.Duration) bool {
+// unfinishable reports whether an answer cannot be whole in the time that is left, where
+// its prompt is still to be read or not.
+func (p *pressure) unfinishable(service string, c Call, unread bool, left time.Duration) bool {
 	defer p.mu.Unlock()
-	return p.on(service).pace.Unfinishable(c.PromptTokens, c.After, left)
+	return p.on(service).pace.Unfinishable(c.PromptTokens, unread, c.After, left)
+}
+
+// knows reports whether enough answers were seen to tell which cannot be whole in time.
+func (p *pressure) knows(service string) bool {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Knows()
+}
+
+// learned is what was learned of the engines of a service, here and from others.
+func (p *pressure) learned(service string) prompts.Learned {
+	defer p.mu.Unlock()
+	return p.on(service).pace.Learned()
+}
+
+// hear takes in what another daemon learned.
+func (p *pressure) hear(service string, l prompts.Learned) {
+	defer p.mu.Unlock()
+	p.on(service).pace.Hear(l)
 }
 
 // made records a whole answer: the ids of its events from first to last are counted, and
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -60,8 +60,8 @@
 	located []routing.Life
 	// heldUpSince is when the link from here was first found held up; zero if it was not.
 	heldUpSince time.Time
-	// hopeless says that the answer was found unable to go on.
-	hopeless bool
+	// stuck says that the answer was found unable to go on.
+	stuck bool
 	// taken is the attempt that took the answer over from the one before.
 	taken   *attempt
 	since   time.Time     // of the last event released, or of the start
@@ -120,8 +120,11 @@
 // stream forwards a request whose answer is a series of events.
 func (h *Handler) stream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, after: in.call.After, since: time.Now()}
-	if h.pressure.unfinishable(service, in.call, time.Until(in.until)) {
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the answer cannot be whole in the time that is left")
+	if in.call.After > 0 {
+		h.learnPace(ctx, service)
+	}
+	if err := r.finishable(in.call.After == 0); err != nil {
+		return err
 	}
 	h.pressure.asked(service, in.call.PromptTokens)
 	defer func() {
@@ -149,13 +152,22 @@
 			return r.giveUp(err)
 		case legBroken:
 			r.moved = r.began
-			if r.taken == nil && (r.hopeless || !r.mayGoOn()) {
+			if r.taken == nil && (r.stuck || !r.mayGoOn()) {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").Because(err))
 			}
 		}
 	}
 }
 
+// finishable returns an error where the answer cannot be whole in the time that is left.
+// unread says that its prompt has to be read first.
+func (r *relay) finishable(unread bool) error {
+	if !r.h.pressure.unfinishable(r.service, r.in.call, unread, time.Until(r.in.until)) {
+		return nil
+	}
+	return verdict.New(r.verdict(), verdict.CodeOverloaded, "the answer cannot be whole in the time that is left")
+}
+
 // learn takes what a whole answer shows of the service. The ids of events count them.
 func (r *relay) learn() {
 	if r.in.call.After == 0 && r.sends == 1 {
@@ -207,6 +219,9 @@
 		r.h.pool.count(c, 1, 0, 0)
 		return r.withCopy(ctx, leg{at: c}), nil
 	}
+	if err := r.finishable(true); err != nil && r.sends == 0 {
+		return leg{}, err
+	}
 	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -52,11 +52,11 @@
 			return true
 		}
 	}
-	r.hopeless = takeover.GiveUp(outcome, time.Since(r.since)) && r.unreachable(ctx, a, why) &&
+	r.stuck = takeover.GiveUp(outcome, time.Since(r.since)) && r.unreachable(ctx, a, why) &&
 		r.lastSignal(ctx, a) == takeover.Quiet
 	r.h.metrics.stayed.WithLabelValues(outcome.String()).Inc()
-	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), r.hopeless, r.after, time.Since(r.since))
-	return r.hopeless
+	r.h.opts.Log.Emit(event.LegKept, r.in.call.ID, a.at.server.ID, why, outcome.String(), r.stuck, r.after, time.Since(r.since))
+	return r.stuck
 }
 
 // prepare finds the server where a silent attempt may go on and sends the request there,
