--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -71,9 +71,11 @@
 
 // Manager follows the store.
 type Manager struct {
-	opts      Options
-	view      atomic.Pointer[View]
-	confirmed atomic.Int64 // Clock when the question was sent whose answer showed the configuration, or that there is none; 0 none
+	opts Options
+	view atomic.Pointer[View]
+	// confirmed is the Clock when the question was sent whose answer showed the
+	// configuration, or that there is none; 0 before the first.
+	confirmed atomic.Int64
 	seeds     atomic.Pointer[[]string]
 	known     chan struct{} // closed with the first configuration
 	once      sync.Once     // closes known
--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -21,31 +21,26 @@
 
 const (
 	// WithCopy is how long an answer whose run has a copy may be silent at least, and
-	// half of the route's target for pauses if that is more: events come every 30 to
-	// 60 ms, and up to 230 ms while the server reads a prompt between its steps. Going on
-	// from a copy takes about 100 ms, which leaves half of a target of 700 ms.
+	// half of the route's target for pauses if that is more: going on from the copy has
+	// to fit into the other half.
 	WithCopy = 350 * time.Millisecond
 	// Alone holds without a copy, where going on costs the reading of the whole prompt:
 	// the answer is late then in any case.
 	Alone = 1500 * time.Millisecond
-	// Again is how soon another try is made after one that came to nothing: a tenth of
-	// the two seconds for which callers wait at least, and many round trips.
+	// Again is how soon another try is made after one that came to nothing.
 	Again = 200 * time.Millisecond
-	// Hopeless is how long an answer is silent before it is given up for want of a repeat, a
-	// server or room, where its server responds to no question either. Callers wait for two seconds at least, and a fifth
-	// of the usual window of the budget is free again by then.
+	// Hopeless is how long an answer is silent before it is given up for want of a
+	// repeat, a server or room, where its server responds to no question either. Part of
+	// the budget is free again by then.
 	Hopeless = 2 * time.Second
-	// Settling is how long the silent server is listened to once another has answered: what
-	// a full link held up arrives in the same moment as that answer. It is two round trips
-	// between zones, and short beside the pause.
+	// Settling is how long the silent server is listened to once another has answered:
+	// what a full link held up arrives in the same moment as that answer.
 	Settling = 5 * time.Millisecond
-	// HeldUp is the longest that the own link is taken to be held up: twice as long as a
-	// link of 10 Mbit/s was seen held up by answers that a daemon had asked for.
+	// HeldUp is the longest that the own link is taken to be held up.
 	HeldUp = 2 * time.Second
 	// Overlap is how long two engines may have the request of one answer while the silent
-	// one gives no sign of life. One that goes on from a copy answers after one step of its
-	// batch, within 180 ms beside a prompt; a run that is given up must have ended 400 ms
-	// after the other begins, and it takes 50 ms to ask and a round trip to end it.
+	// one gives no sign of life: longer than one step of a batch beside a prompt, and less
+	// than the time within which a run that is given up must have ended.
 	Overlap = 250 * time.Millisecond
 )
 
