settings: what is read decides something, and a check holds it

Used now: the shortest lease that the store grants bounds the lease of the own entry from below; the limit on memory is told to the runtime, which gives memory back sooner before the platform ends the process.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -23,6 +24,10 @@
 	"mallowwind.dev/telemetry/metric"
 )
 
+// memoryShare is the share of the limit on the process from which memory is given back
+// sooner: the platform kills a process beyond the limit, and buffers of the kernel count.
+const memoryShare = 0.8
+
 // forwardCmd forwards requests by the configuration in the platform's store.
 type forwardCmd struct {
 	Config   string `type:"path" placeholder:"FILE" help:"Settings of our own, with a key-value service of ours; see docs/settings.md."`
@@ -49,6 +54,7 @@
 	if c.Check {
 		return nil
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	return runGateway(c.LogLevel, s.VM, s.Zone, func(events *event.Log) (gateway.Options, error) {
 		o, err := gatewayOptions(s, events)
 		if err != nil || c.Metrics == 0 {
@@ -83,6 +89,7 @@
 		Log:          events,
 		Bounds:       bounds(s),
 		Dialer:       link.NewDialer(nil),
+		LeaseMin:     s.LeaseMin,
 		Registry:     metric.NewCatalogue(),
 		KeepAnswers:  keep,
 		ReadyHandler: wire.ReadyHandler,
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -19,8 +19,9 @@
 	// an address that fails them at once, so this only bounds how long new ones meet it.
 	// It is longer than a daemon takes to start again, which then goes on with the lease.
 	leaseTTL = 6 * time.Second
-	// renewEvery leaves room for a renewal that is lost, and two more attempts.
-	renewEvery = leaseTTL / 2
+	// renewals is how many times a lease is renewed in its time: one that is lost leaves
+	// room for two more attempts.
+	renewals = 2
 	// listedTimeout bounds the wait for the feed's first read, which shows the entry of
 	// the process before.
 	listedTimeout = time.Second
@@ -41,6 +42,8 @@
 	Store store.Store
 	VM    routing.VM
 	Log   *event.Log
+	// LeaseMin is the shortest lease that the store grants.
+	LeaseMin time.Duration
 	// Feed knows the entry that the process before left, and whether the present one is
 	// still there. It may be nil.
 	Feed *Manager
@@ -56,7 +59,7 @@
 	failed := firstRegisterPause
 	for ctx.Err() == nil {
 		err := r.keep(ctx)
-		wait := renewEvery
+		wait := r.ttl() / renewals
 		switch {
 		case err == nil:
 			failed = firstRegisterPause
@@ -69,6 +72,9 @@
 	r.remove()
 }
 
+// ttl is how long the entry outlives its last renewal.
+func (r *Registrar) ttl() time.Duration { return max(leaseTTL, r.LeaseMin) }
+
 // adopt goes on with the entry and the lease that the process before left, if they say
 // what is to be said. Without it a fleet whose daemons all start again writes all entries
 // anew, three calls each, at the moment at which callers wait for it.
@@ -97,7 +103,7 @@
 		}
 	}
 	ctx = store.WithPurpose(ctx, store.PurposeRegister)
-	lease, err := r.Store.Grant(ctx, leaseTTL)
+	lease, err := r.Store.Grant(ctx, r.ttl())
 	if err != nil {
 		return err
 	}
--- a/control/feed/register_test.go
+++ b/control/feed/register_test.go
@@ -124,3 +124,11 @@
 		must.True(t, ok)
 	})
 }
+
+// The platform grants no lease as short as the daemon asks for: one that is renewed by the
+// shorter time would be renewed too often, one that is refused never registered.
+func TestLeaseIsNoShorterThanTheStoreGrants(t *testing.T) {
+	for least, want := range map[time.Duration]time.Duration{0: leaseTTL, time.Second: leaseTTL, time.Minute: time.Minute} {
+		must.Eq(t, want, (&Registrar{LeaseMin: least}).ttl())
+	}
+}
--- a/control/routing/encoding.go
+++ b/control/routing/encoding.go
@@ -18,9 +18,8 @@
 		IdleTimeout   duration `json:"idle_timeout"`
 	} `json:"limits"`
 	Services []struct {
-		Name     string  `json:"name"`
-		MaxConns int     `json:"max_conns"`
-		Engine   *Engine `json:"engine"`
+		Name   string  `json:"name"`
+		Engine *Engine `json:"engine"`
 	} `json:"services"`
 	Routes []documentRoute `json:"routes"`
 	// Accounts are absent where no route asks for a key.
@@ -43,7 +42,6 @@
 	Priority  int      `json:"priority"`
 	Public    bool     `json:"public"`
 	Resumable bool     `json:"resumable"`
-	Prompted  bool     `json:"prompted"`
 	Targets   []Target `json:"targets"`
 }
 
@@ -77,7 +75,7 @@
 	known := map[string]bool{}
 	for _, s := range d.Services {
 		known[s.Name] = true
-		services = append(services, &Service{Name: s.Name, MaxConns: s.MaxConns, Engine: s.Engine})
+		services = append(services, &Service{Name: s.Name, Engine: s.Engine})
 	}
 	var routes []*Route
 	for _, r := range d.Routes {
@@ -114,7 +112,7 @@
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: kind,
 		Timeout: time.Duration(r.Timeout), Objective: time.Duration(r.Objective), GapTarget: time.Duration(r.GapTarget),
 		Attempts: max(1, r.Attempts), Priority: r.Priority, Public: r.Public,
-		Resumable: r.Resumable, Prompted: r.Prompted, Targets: r.Targets,
+		Resumable: r.Resumable, Targets: r.Targets,
 	}, nil
 }
 
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -49,9 +49,7 @@
 	Public bool
 	// Resumable streams may go on at another backend server.
 	Resumable bool
-	// Prompted requests carry prompts for a model engine.
-	Prompted bool
-	Targets  []Target
+	Targets   []Target
 }
 
 // Target is one service of a route with its share of the requests.
@@ -63,8 +61,6 @@
 // Service is a set of equal backend servers.
 type Service struct {
 	Name string
-	// MaxConns is how many connections a backend server accepts from all callers.
-	MaxConns int
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -72,8 +68,6 @@
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots int `json:"slots"` // requests processed at once
-	// CacheTokens is the memory for prompts and answers.
-	CacheTokens int `json:"cache_tokens"`
 	// Copies says that an engine can send the memory of a run to another while it grows.
 	Copies bool `json:"copies"`
 	// Moves says that an engine can be asked to copy the memory of a run once.
--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -261,7 +261,7 @@
 		return &routing.Route{
 			Name: strings.Trim(prefixes[kind], "/"), Host: host, Prefix: prefixes[kind], Kind: k, Timeout: patience[kind],
 			Objective: 200 * time.Millisecond, GapTarget: 700 * time.Millisecond, Attempts: attempts,
-			Resumable: kind == callReview, Prompted: kind == callReview,
+			Resumable: kind == callReview,
 			Targets: []routing.Target{{Service: service, Weight: 1}},
 		}
 	}
--- a/serve/forward/heldup_test.go
+++ b/serve/forward/heldup_test.go
@@ -152,7 +152,6 @@
 func TestStreamWithoutEnginesBehindALinkHeldUp(t *testing.T) {
 	route := streamRoute()
 	route[0].Targets = []routing.Target{{Service: "desk", Weight: 1}}
-	route[0].Prompted = false
 	inWorld(t, route, func(w *world) {
 		for _, id := range []string{"a", "b", "c"} {
 			w.add("d-"+id, "desk", id, streaming(60, time.Second, 40*time.Millisecond))
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -592,7 +592,7 @@
 func streamRoute() []*routing.Route {
 	return []*routing.Route{{
 		Name: "s", Host: "host", Prefix: "/s/", Kind: routing.Stream, Timeout: 25 * time.Second,
-		Objective: 4500 * time.Millisecond, Attempts: 5, Resumable: true, Prompted: true,
+		Objective: 4500 * time.Millisecond, Attempts: 5, Resumable: true,
 		Targets: []routing.Target{{Service: "llm", Weight: 1}},
 	}}
 }
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -54,6 +54,8 @@
 	Clock  feed.Clock
 	Log    *event.Log
 	Bounds
+	// LeaseMin is the shortest lease that the store grants.
+	LeaseMin time.Duration
 	// KeepAnswers is how long callers are told to keep an address answer.
 	KeepAnswers time.Duration
 	// Registry receives the metrics, which are served at Metrics.
@@ -158,7 +160,7 @@
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
-		r := feed.Registrar{Store: g.opts.Store, VM: g.opts.Self, Log: g.opts.Log, Feed: g.feed}
+		r := feed.Registrar{Store: g.opts.Store, VM: g.opts.Self, Log: g.opts.Log, LeaseMin: g.opts.LeaseMin, Feed: g.feed}
 		r.Run(soft)
 	}()
 	g.opts.Log.Emit(event.DaemonStarted, g.opts.Self.Address, g.opts.Self.Peer, "")
