--- a/control/feed/calls_test.go
+++ b/control/feed/calls_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/watching"
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
@@ -261,3 +262,58 @@
 		must.LessEq(t, most, c.meter.total())
 	})
 }
+
+// In a fleet of hundreds most daemons hear of a change by way of two others. Those are
+// lost, cut off or killed, and a moment later the operator takes a route away: callers at
+// the daemons that are left must see that within two seconds, whoever was lost.
+func TestChangeWhileWhoeverTellsIsLost(t *testing.T) {
+	const size, zones, within = 130, 3, 2 * time.Second
+	lost := map[string]func(plan *watching.Plan) []string{
+		"all that watch": func(plan *watching.Plan) []string { return plan.Watchers() },
+		"all that pass on": func(plan *watching.Plan) (ids []string) {
+			for n := range zones {
+				ids = append(ids, plan.Relays(fmt.Sprintf("z%d", n))...)
+			}
+			return ids
+		},
+		"two thirds of all": func(*watching.Plan) (ids []string) {
+			for n := range size {
+				if n%3 != 0 {
+					ids = append(ids, strconv.Itoa(n))
+				}
+			}
+			return ids
+		},
+	}
+	ways := map[string]func(c *town, n int){
+		"cut off": func(c *town, n int) { c.cut.Store(n, true) },
+		"killed":  func(c *town, n int) { c.end(n) },
+		"refused": func(c *town, n int) { c.ways[n].SetDown(true) },
+	}
+	for whom, ids := range lost {
+		for how, lose := range ways {
+			t.Run(whom+" "+how, func(t *testing.T) {
+				inTown(t, size, zones, func(c *town) {
+					c.put("config", "v")
+					time.Sleep(10 * time.Second)
+					must.Eq(t, size, c.known(1))
+					gone := map[int]bool{}
+					for _, id := range ids(c.feeds[0].View().plan) {
+						n, err := strconv.Atoi(id)
+						must.NoError(t, err)
+						gone[n] = true
+						lose(c, n)
+					}
+					time.Sleep(100 * time.Millisecond)
+					c.put("config", "vv")
+					time.Sleep(within)
+					for n := range c.feeds {
+						if !gone[n] {
+							must.Eq(t, int64(2), c.version(n))
+						}
+					}
+				})
+			})
+		}
+	}
+}
--- a/decision/watching/watching.go
+++ b/decision/watching/watching.go
@@ -154,3 +154,7 @@
 	}
 	return Watchers
 }
+
+// Relays returns the daemons of a zone that pass on what those that watch tell, the ones
+// that watch among them.
+func (p *Plan) Relays(zone string) []string { return slices.Clone(p.relays[zone]) }
