feed: in an outage for all, only the few that watch try the store

Change: a registration waits while the feed finds the store out of reach for all, and is tried again once the few that watch have found its return, or after 30 s; those that watch try twice a second after three failures, the others together four times a second.

--- a/control/feed/calls_test.go
+++ b/control/feed/calls_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
@@ -23,7 +24,8 @@
 const (
 	// pageItems is how many items the platform's store lists in one call.
 	pageItems = 500
-	// cheapCall is the price of a renewal and of a page that may be old, in calls.
+	// cheapCall is the price of a renewal that succeeds and of a page that may be old, in
+	// calls.
 	cheapCall = 0.1
 )
 
@@ -110,8 +112,13 @@
 }
 
 func (s metered) KeepAlive(ctx context.Context, id store.LeaseID) (time.Duration, error) {
-	s.charge(ctx, cheapCall)
-	return s.Store.KeepAlive(ctx, id)
+	left, err := s.Store.KeepAlive(ctx, id)
+	cost := cheapCall
+	if errors.Is(err, store.ErrUnavailable) { // refused: the platform takes a whole call
+		cost = 1
+	}
+	s.charge(ctx, cost)
+	return left, err
 }
 
 func (s metered) Watch(ctx context.Context, prefix string, from int64) (store.Watcher, error) {
@@ -317,3 +324,36 @@
 		}
 	}
 }
+
+// The store refuses every daemon of a large fleet for half a minute, and is charged for by
+// the call, refused ones too. Each daemon on its own would try to renew its lease and to
+// read every two seconds. A few find the return of the store; then all are registered again
+// within three seconds, and know the newest configuration within two.
+func TestCallsOfALongOutage(t *testing.T) {
+	const size, outage = 295, 30 * time.Second
+	inTown(t, size, 5, func(c *town) {
+		c.put("config", "v")
+		time.Sleep(10 * time.Second)
+		for _, way := range c.ways {
+			way.SetDown(true)
+		}
+		time.Sleep(6 * time.Second) // until all know that it is out of reach for all
+		before := c.meter.total()
+		time.Sleep(outage - 6*time.Second)
+		tries := c.meter.total() - before
+		t.Logf("%.0f calls in %s of the outage", tries, outage-6*time.Second)
+		must.Less(t, 25*(outage-6*time.Second).Seconds(), tries)
+		for _, way := range c.ways {
+			way.SetDown(false)
+		}
+		c.put("config", "vv")
+		time.Sleep(2 * time.Second)
+		for n := range c.feeds {
+			must.Eq(t, int64(2), c.version(n))
+		}
+		time.Sleep(time.Second)
+		items, _, err := c.store.List(t.Context(), vmPrefix)
+		must.NoError(t, err)
+		must.SliceLen(t, size, items)
+	})
+}
--- a/control/feed/follow.go
+++ b/control/feed/follow.go
@@ -35,7 +35,12 @@
 	// then. They hear of its return from the few that watch; should it refuse just
 	// those, one of the others soon finds out and tells the rest. Without the bound, the
 	// calls of an outage grow with the fleet, and all meet the store at its return.
-	outageTries = 8.0
+	outageTries = 4.0
+	// watcherPause is the mean wait of one that watches for a larger fleet after some
+	// failures: a few such daemons find the store's return sooner than any of them.
+	watcherPause = 500 * time.Millisecond
+	// someFailures in a row are no lost answer any more.
+	someFailures = 3
 	// settleTime is how long a daemon that was not registered waits before it watches
 	// the store: where a whole fleet starts, most others are registered by then, and
 	// only a few of them have to watch. Without it, each watches until it has seen the
@@ -103,7 +108,11 @@
 	switch {
 	case !known:
 		return min(retryPause<<min(failures, 8), unknownPause)
-	case len(view.VMs) <= watching.Everyone || view.plan.Watches(m.opts.Self):
+	case len(view.VMs) <= watching.Everyone:
+		return retryPause
+	case view.plan.Watches(m.opts.Self) && failures >= someFailures:
+		return watcherPause
+	case view.plan.Watches(m.opts.Self):
 		return retryPause
 	case m.Outage():
 		return max(outagePause, time.Duration(all/outageTries*float64(time.Second)))
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -33,6 +33,10 @@
 	// maxRegisterPause bounds the wait after failed attempts, which doubles with each:
 	// an entry is back within two seconds of the store's return.
 	maxRegisterPause = 2 * time.Second
+	// outageRegisterPause bounds the wait while the store is out of reach for all.
+	outageRegisterPause = 30 * time.Second
+	// outageCheck is how often it is seen whether that has ended.
+	outageCheck = 250 * time.Millisecond
 	// registerTimeout bounds one attempt to write or remove the entry.
 	registerTimeout = 2 * time.Second
 )
@@ -68,10 +72,31 @@
 			wait, failed = failed, min(2*failed, maxRegisterPause)
 		}
 		pause.For(ctx, wait*3/4+rand.N(wait/2))
+		if err != nil {
+			r.awaitStore(ctx)
+		}
 	}
 	r.remove()
 }
 
+// awaitStore waits while the store is out of reach for all daemons: the few that watch it
+// find its return.
+//
+// Load it answers: a store that refuses everybody for long and charges for each refusal.
+// Without it, hundreds of daemons try to renew their leases every two seconds, and all
+// meet the store in the second in which it returns.
+func (r *Registrar) awaitStore(ctx context.Context) {
+	if r.Feed == nil {
+		return
+	}
+	began := r.Feed.opts.Clock()
+	for r.Feed.Outage() && r.Feed.opts.Clock()-began < outageRegisterPause {
+		if !pause.For(ctx, outageCheck/2+rand.N(outageCheck)) {
+			return
+		}
+	}
+}
+
 // ttl is how long the entry outlives its last renewal.
 func (r *Registrar) ttl() time.Duration { return max(leaseTTL, r.LeaseMin) }
 
