forward: keepers of engines know what all daemons have under way there

Cause: a daemon of 295 places a prompt every four seconds and knows its own; the reports of the three engines that it asks are a tenth of a second old, in which eight others place prompts. A fleet of up to ten daemons asks all others, which does not grow.

Change: for each engine one daemon, by rendezvous hashing, keeps notes of what each daemon has under way there; daemons tell it at once and as a whole. Before a prompt the keepers of the ten engines of its window are asked, and the best of those is asked for its report. Notes expire after ten seconds; where keepers are lost or too few answer, reports decide as before. Applies to fleets above ten daemons.

--- /dev/null
+++ b/decision/prompts/ledger.go
@@ -0,0 +1,107 @@
+package prompts
+
+import (
+	"time"
+
+	"mallowwind.dev/decision/route"
+)
+
+const (
+	// noteKept is how long a note counts that no later one replaces: about as long as an
+	// answer takes. A daemon that died tells no end of what it had under way.
+	noteKept = 10 * time.Second
+	// sweepEvery is how often engines are forgotten of which no note counts any more.
+	sweepEvery = 30 * time.Second
+)
+
+// Keeper returns the index of the daemon that keeps the notes on an engine, by rendezvous
+// hashing of the hashes of both; -1 where there is no daemon.
+//
+// Load it answers: dozens to hundreds of daemons before as many engines. Each daemon sees
+// one prompt in seconds, the reports of engines are a tenth of a second old, and asking all
+// daemons before each prompt costs their number squared.
+//
+// Without it daemons that ask about the same engines at the same time find the same one
+// idle, and their prompts are read one after the other; the more engines each asks, the
+// more do.
+//
+// How it decides: for each engine one daemon, the same by every daemon's reckoning, is told
+// what each of the others has under way there, at once and as a whole, so that a note that
+// is lost is mended by the next. Before a prompt the keepers of the few engines of its
+// window are asked. Notes are no promise: the engine chosen is asked for its report all
+// the same, and where keepers are lost the choice is left to reports.
+func Keeper(engine uint64, daemons []uint64) int {
+	best, at := uint64(0), -1
+	for i, d := range daemons {
+		if h := route.Mix(engine ^ d); at < 0 || h < best {
+			best, at = h, i
+		}
+	}
+	return at
+}
+
+// Note is what one daemon has under way at an engine: prompts without an event, and
+// answers that have begun. Sequence orders the notes of one process, Boot names it.
+type Note struct {
+	Boot, Sequence   uint64
+	Reading, Running int
+}
+
+// noted is a note with its time.
+type noted struct {
+	Note
+	at time.Time
+}
+
+// Ledger keeps the notes on engines, by a key of the engine's present life. The zero value
+// is empty. It is not safe for concurrent use.
+type Ledger[K comparable] struct {
+	engines map[K]map[string]noted // by daemon
+	swept   time.Time
+}
+
+// Take records a note of a daemon, unless a later one of the same process is known.
+func (l *Ledger[K]) Take(now time.Time, engine K, daemon string, n Note) {
+	if l.engines == nil {
+		l.engines = map[K]map[string]noted{}
+	}
+	l.sweep(now)
+	notes := l.engines[engine]
+	if notes == nil {
+		notes = map[string]noted{}
+		l.engines[engine] = notes
+	}
+	if old, known := notes[daemon]; known && old.Boot == n.Boot && n.Sequence <= old.Sequence {
+		return
+	}
+	notes[daemon] = noted{Note: n, at: now}
+}
+
+// At is what all daemons but one have under way at an engine.
+func (l *Ledger[K]) At(now time.Time, engine K, except string) (reading, running int) {
+	for daemon, n := range l.engines[engine] {
+		if daemon != except && now.Sub(n.at) < noteKept {
+			reading += n.Reading
+			running += n.Running
+		}
+	}
+	return reading, running
+}
+
+// sweep forgets what does not count any more.
+func (l *Ledger[K]) sweep(now time.Time) {
+	if now.Sub(l.swept) < sweepEvery {
+		return
+	}
+	l.swept = now
+	for engine, notes := range l.engines {
+		for daemon, n := range notes {
+			if now.Sub(n.at) >= noteKept {
+				delete(notes, daemon)
+			}
+		}
+		if len(notes) == 0 {
+			delete(l.engines, engine)
+		}
+	}
+}
--- a/peer/peerpb/work.twirp.go
+++ b/peer/peerpb/work.twirp.go
@@ -31,6 +31,12 @@
 	// AtServers returns what the callee has under way at the servers of a service.
 	AtServers(context.Context, *WorkRequest) (*WorkReply, error)
 
+	// Note tells the keeper of a server what the caller has under way there.
+	Note(context.Context, *NoteRequest) (*NoteReply, error)
+
+	// Noted returns what all daemons but the caller have told the callee of servers.
+	Noted(context.Context, *NotedRequest) (*WorkReply, error)
+
 	// Pace returns what the callee has learned of the engines of a service.
 	Pace(context.Context, *WorkRequest) (*PaceReply, error)
 }
@@ -41,7 +47,7 @@
 
 type workProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -69,8 +75,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Work")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "AtServers",
+		serviceURL + "Note",
+		serviceURL + "Noted",
 		serviceURL + "Pace",
 	}
 
@@ -128,6 +136,98 @@
 	return out, nil
 }
 
+func (c *workProtobufClient) Note(ctx context.Context, in *NoteRequest) (*NoteReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	caller := c.callNote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NoteRequest) (*NoteReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return c.callNote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workProtobufClient) callNote(ctx context.Context, in *NoteRequest) (*NoteReply, error) {
+	out := new(NoteReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *workProtobufClient) Noted(ctx context.Context, in *NotedRequest) (*WorkReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Noted")
+	caller := c.callNoted
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NotedRequest) (*WorkReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NotedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NotedRequest) when calling interceptor")
+					}
+					return c.callNoted(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workProtobufClient) callNoted(ctx context.Context, in *NotedRequest) (*WorkReply, error) {
+	out := new(WorkReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *workProtobufClient) Pace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Work")
@@ -159,7 +259,7 @@
 
 func (c *workProtobufClient) callPace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
 	out := new(PaceReply)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -180,7 +280,7 @@
 
 type workJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [4]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -208,8 +308,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Work")
-	urls := [2]string{
+	urls := [4]string{
 		serviceURL + "AtServers",
+		serviceURL + "Note",
+		serviceURL + "Noted",
 		serviceURL + "Pace",
 	}
 
@@ -267,6 +369,98 @@
 	return out, nil
 }
 
+func (c *workJSONClient) Note(ctx context.Context, in *NoteRequest) (*NoteReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	caller := c.callNote
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NoteRequest) (*NoteReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return c.callNote(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workJSONClient) callNote(ctx context.Context, in *NoteRequest) (*NoteReply, error) {
+	out := new(NoteReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *workJSONClient) Noted(ctx context.Context, in *NotedRequest) (*WorkReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Work")
+	ctx = ctxsetters.WithMethodName(ctx, "Noted")
+	caller := c.callNoted
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *NotedRequest) (*WorkReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NotedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NotedRequest) when calling interceptor")
+					}
+					return c.callNoted(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *workJSONClient) callNoted(ctx context.Context, in *NotedRequest) (*WorkReply, error) {
+	out := new(WorkReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *workJSONClient) Pace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
 	ctx = ctxsetters.WithServiceName(ctx, "Work")
@@ -298,7 +492,7 @@
 
 func (c *workJSONClient) callPace(ctx context.Context, in *WorkRequest) (*PaceReply, error) {
 	out := new(PaceReply)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -413,6 +607,12 @@
 	case "AtServers":
 		s.serveAtServers(ctx, resp, req)
 		return
+	case "Note":
+		s.serveNote(ctx, resp, req)
+		return
+	case "Noted":
+		s.serveNoted(ctx, resp, req)
+		return
 	case "Pace":
 		s.servePace(ctx, resp, req)
 		return
@@ -603,6 +803,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *workServer) serveNote(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNoteJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNoteProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *workServer) serveNoteJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(NoteRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Work.Note
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NoteRequest) (*NoteReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return s.Work.Note(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NoteReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NoteReply and nil error while calling Note. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *workServer) serveNoteProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Note")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(NoteRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Work.Note
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NoteRequest) (*NoteReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NoteRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NoteRequest) when calling interceptor")
+					}
+					return s.Work.Note(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*NoteReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*NoteReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *NoteReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *NoteReply and nil error while calling Note. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *workServer) serveNoted(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNotedJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNotedProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *workServer) serveNotedJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Noted")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(NotedRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Work.Noted
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NotedRequest) (*WorkReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NotedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NotedRequest) when calling interceptor")
+					}
+					return s.Work.Noted(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *WorkReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WorkReply and nil error while calling Noted. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *workServer) serveNotedProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Noted")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(NotedRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Work.Noted
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *NotedRequest) (*WorkReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*NotedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*NotedRequest) when calling interceptor")
+					}
+					return s.Work.Noted(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*WorkReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*WorkReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *WorkReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *WorkReply and nil error while calling Noted. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *workServer) servePace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -799,24 +1359,31 @@
 }
 
 var twirpFileDescriptor6 = []byte{
-	// 302 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x92, 0xc1, 0x4b, 0xc3, 0x30,
-	0x14, 0xc6, 0xc9, 0x56, 0xa7, 0x7d, 0x03, 0x85, 0x1c, 0xa4, 0x6c, 0x3b, 0x94, 0x5e, 0xec, 0xa9,
-	0xc2, 0xc4, 0xbb, 0x0e, 0x76, 0x97, 0x28, 0x08, 0x5e, 0xa4, 0x5b, 0x1e, 0x52, 0x56, 0x93, 0x98,
-	0x74, 0x2d, 0xfe, 0x15, 0xfe, 0xcb, 0x92, 0x97, 0x56, 0x87, 0xe2, 0xc1, 0x4b, 0xe9, 0xd7, 0xdf,
-	0x6b, 0xbe, 0xef, 0x7b, 0x04, 0xa0, 0xd3, 0x76, 0x57, 0x18, 0xab, 0x1b, 0xcd, 0xcf, 0x5e, 0xcb,
-	0xba, 0xd6, 0x5d, 0x57, 0x29, 0x59, 0x18, 0x44, 0x9b, 0x5d, 0xc0, 0xf4, 0x51, 0xdb, 0x9d, 0xc0,
-	0xb7, 0x3d, 0xba, 0x86, 0x27, 0x70, 0xec, 0xd0, 0xb6, 0xd5, 0x16, 0x13, 0x96, 0xb2, 0x3c, 0x16,
-	0x83, 0xcc, 0x56, 0x10, 0x87, 0x41, 0x53, 0xbf, 0xf3, 0xeb, 0x30, 0x86, 0xd6, 0x25, 0x2c, 0x1d,
-	0xe7, 0xd3, 0xe5, 0xbc, 0xf8, 0x71, 0x70, 0x71, 0x4f, 0x9c, 0x7e, 0x19, 0x66, 0x33, 0x09, 0xf0,
-	0xfd, 0x99, 0x9f, 0xc2, 0xa8, 0x92, 0xbd, 0xcd, 0xa8, 0x92, 0x9c, 0x43, 0xb4, 0xd1, 0x56, 0x25,
-	0xa3, 0x94, 0xe5, 0x63, 0x41, 0xef, 0x3e, 0x8f, 0xc5, 0x52, 0x56, 0xea, 0x25, 0x19, 0xa7, 0x2c,
-	0x3f, 0x12, 0x83, 0x24, 0xb2, 0x57, 0xca, 0x93, 0xa8, 0x27, 0x41, 0x66, 0x1d, 0xc4, 0x77, 0xe5,
-	0x16, 0x43, 0xd2, 0x39, 0xc4, 0x06, 0xed, 0x73, 0xa3, 0x77, 0xa8, 0xc8, 0x8b, 0x89, 0x13, 0x83,
-	0xf6, 0xc1, 0xeb, 0x01, 0x62, 0x8b, 0xaa, 0x21, 0xdb, 0x00, 0xd7, 0x5e, 0xf3, 0x73, 0x98, 0x10,
-	0x70, 0xe4, 0xcc, 0x44, 0xaf, 0xbc, 0x71, 0xa9, 0x5c, 0xe7, 0xbb, 0x47, 0x94, 0x74, 0x90, 0xcb,
-	0x0f, 0x06, 0x11, 0x35, 0x5b, 0x43, 0x7c, 0xdb, 0x84, 0xa6, 0x8e, 0x2f, 0x7e, 0xad, 0xe6, 0x60,
-	0xe1, 0xb3, 0xd9, 0x1f, 0xd4, 0x67, 0xbf, 0x81, 0xc8, 0x17, 0xf9, 0xf7, 0x09, 0x5f, 0xed, 0x57,
-	0x8b, 0xa7, 0xd9, 0x01, 0x94, 0xd8, 0x5e, 0xfa, 0x01, 0x7a, 0x98, 0xcd, 0x66, 0x42, 0x77, 0xe2,
-	0xea, 0x33, 0x00, 0x00, 0xff, 0xff, 0x6b, 0x12, 0x36, 0xb4, 0x21, 0x02, 0x00, 0x00,
+	// 402 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x53, 0x51, 0xab, 0xd3, 0x30,
+	0x18, 0x25, 0x5d, 0xee, 0xbc, 0xfd, 0x2a, 0x0a, 0x79, 0xb8, 0x94, 0xde, 0x2b, 0x94, 0xbe, 0xd8,
+	0xa7, 0x5e, 0x98, 0xf8, 0xae, 0x83, 0xbd, 0x8a, 0x44, 0x41, 0x10, 0x44, 0xba, 0xe5, 0x43, 0xca,
+	0xba, 0xa4, 0xa6, 0xdd, 0xca, 0xfe, 0x80, 0xff, 0xc0, 0xff, 0x2b, 0xf9, 0xd2, 0xce, 0xa2, 0x93,
+	0xcd, 0x97, 0x91, 0xb3, 0x73, 0x92, 0x73, 0x4e, 0xbe, 0x14, 0xa0, 0x37, 0x76, 0x5b, 0x34, 0xd6,
+	0x74, 0x46, 0x3c, 0xdf, 0x95, 0x75, 0x6d, 0xfa, 0xbe, 0xd2, 0xaa, 0x68, 0x10, 0x6d, 0xf6, 0x12,
+	0xa2, 0x4f, 0xc6, 0x6e, 0x25, 0x7e, 0xdf, 0x63, 0xdb, 0x89, 0x18, 0x9e, 0xb4, 0x68, 0x0f, 0xd5,
+	0x06, 0x63, 0x96, 0xb2, 0x3c, 0x94, 0x23, 0xcc, 0x96, 0x10, 0x7a, 0x61, 0x53, 0x1f, 0xc5, 0x6b,
+	0x2f, 0x43, 0xdb, 0xc6, 0x2c, 0x9d, 0xe5, 0xd1, 0xe2, 0xbe, 0xf8, 0xe3, 0xe0, 0xe2, 0x03, 0xf1,
+	0xb4, 0x65, 0xd4, 0x66, 0x0a, 0xe0, 0xf7, 0xdf, 0xe2, 0x19, 0x04, 0x95, 0x1a, 0x6c, 0x82, 0x4a,
+	0x09, 0x01, 0x7c, 0x6d, 0xac, 0x8e, 0x83, 0x94, 0xe5, 0x33, 0x49, 0x6b, 0x97, 0xc7, 0x62, 0xa9,
+	0x2a, 0xfd, 0x2d, 0x9e, 0xa5, 0x2c, 0xbf, 0x91, 0x23, 0x24, 0x66, 0xaf, 0xb5, 0x63, 0xf8, 0xc0,
+	0x78, 0x98, 0xf5, 0x10, 0xbe, 0x2f, 0x37, 0xe8, 0x93, 0xde, 0x43, 0xd8, 0xa0, 0xfd, 0xda, 0x99,
+	0x2d, 0x6a, 0xf2, 0x62, 0xf2, 0xb6, 0x41, 0xfb, 0xd1, 0xe1, 0x91, 0xc4, 0x03, 0xea, 0x8e, 0x6c,
+	0x3d, 0xb9, 0x72, 0x58, 0xdc, 0xc1, 0x9c, 0x88, 0x96, 0x9c, 0x99, 0x1c, 0x90, 0x33, 0x2e, 0x75,
+	0xdb, 0xbb, 0xee, 0x9c, 0x92, 0x8e, 0x30, 0xfb, 0xc1, 0x20, 0x7a, 0x67, 0x3a, 0x1c, 0x2f, 0xf3,
+	0x0e, 0xe6, 0xaa, 0xc4, 0x9d, 0xd1, 0x43, 0xc9, 0x01, 0xf9, 0xa2, 0xc6, 0x3b, 0x72, 0x49, 0x6b,
+	0x91, 0xc0, 0x6d, 0xeb, 0xb6, 0xe9, 0x0d, 0x92, 0x1f, 0x97, 0x27, 0x2c, 0x1e, 0x81, 0xbb, 0x11,
+	0x92, 0xdd, 0x85, 0xab, 0x26, 0x61, 0x16, 0x41, 0xe8, 0x73, 0x34, 0xf5, 0x31, 0xfb, 0x02, 0x4f,
+	0x1d, 0x50, 0x97, 0x52, 0x4d, 0x66, 0x1a, 0x5c, 0x3f, 0xd3, 0xc5, 0xcf, 0x00, 0x38, 0x8d, 0x73,
+	0x05, 0xe1, 0xdb, 0xce, 0x2b, 0x5a, 0xf1, 0xf0, 0xd7, 0xde, 0xc9, 0x2b, 0x4b, 0x92, 0x7f, 0xb0,
+	0x6e, 0x60, 0x6f, 0x80, 0xbb, 0xb8, 0x67, 0x4e, 0x98, 0x5c, 0xed, 0x99, 0x13, 0x4e, 0x85, 0xc5,
+	0x12, 0x6e, 0xa8, 0xb0, 0x78, 0x71, 0x56, 0xa4, 0xae, 0x4c, 0xe1, 0xde, 0xd0, 0x7f, 0xf7, 0x38,
+	0x3d, 0xbc, 0xe5, 0xc3, 0xe7, 0x64, 0x42, 0x2a, 0x3c, 0x3c, 0x3a, 0x01, 0xfd, 0x34, 0xeb, 0xf5,
+	0x9c, 0x3e, 0xc7, 0x57, 0xbf, 0x02, 0x00, 0x00, 0xff, 0xff, 0x21, 0x9e, 0xa8, 0x62, 0x9c, 0x03,
+	0x00, 0x00,
 }
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -44,13 +44,16 @@
 
 // reader returns the engine that is the first to read a prompt where others is what all
 // other daemons have under way, with the prompts known to be read there, and counts the
-// prompt there at once: a daemon that asks in the next moment must know of it.
-func (p *pool) reader(now time.Time, view *feed.View, service string, others workAt, exclude []routing.Life) (c choice, unread int, ok bool) {
+// prompt there at once: a daemon that asks in the next moment must know of it. among is
+// true where only the engines in others are known, and chosen from.
+func (p *pool) reader(now time.Time, view *feed.View, service string, others workAt, among bool, exclude []routing.Life) (c choice, unread int, ok bool) {
 	c, ok = p.in(view, service, func(l *layout) (choice, bool) {
 		engines := p.engines(now, l, exclude)
 		for i, s := range l.servers {
-			engines[i].Reading += others[s.Life()].reading
-			engines[i].Running += others[s.Life()].running
+			theirs, known := others[s.Life()]
+			engines[i].Reading += theirs.reading
+			engines[i].Running += theirs.running
+			engines[i].Excluded = engines[i].Excluded || among && !known
 		}
 		for _, best := range prompts.Read(engines, 1, true, rand.Uint64()) {
 			unread = engines[best.Index].Reading
@@ -59,9 +62,38 @@
 		}
 		return choice{}, false
 	})
+	if ok {
+		p.changed(c.server)
+	}
 	return c, unread, ok
 }
 
+// window returns the engines among which a prompt is placed; any for one of no known part.
+func (p *pool) window(view *feed.View, service, part string) (servers []routing.Server) {
+	prompt := rand.Uint64()
+	if part != "" {
+		prompt = xxhash.Sum64String(part)
+	}
+	p.in(view, service, func(l *layout) (choice, bool) {
+		for _, i := range prompts.Window(prompt, l.seats) {
+			servers = append(servers, l.servers[i])
+		}
+		return choice{}, false
+	})
+	return servers
+}
+
+// workAt is what this daemon has under way at one server.
+func (p *pool) workAt(life routing.Life) work {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	one := p.loads[life]
+	if one == nil {
+		return work{}
+	}
+	return work{reading: one.reading, running: one.running}
+}
+
 // work is what this daemon has under way at the engines of a service.
 func (p *pool) work(view *feed.View, service string) workAt {
 	at := workAt{}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -72,6 +72,7 @@
 	transport  http.RoundTripper
 	pool       *pool
 	pressure   *pressure
+	keepers    *keepers
 	locator    *locator
 	borrower   *borrower
 	neighbours *neighbours
@@ -88,7 +89,8 @@
 		opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
 		borrower: newBorrower(o), neighbours: newNeighbours(o),
 	}
-	h.locator = newLocator(h)
+	h.locator, h.keepers = newLocator(h), newKeepers(h)
+	h.pool.changed = h.keepers.changed
 	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
--- /dev/null
+++ b/serve/forward/keepers.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/peer/peerpb"
+)
+
+// keepers tells the keepers of engines what this daemon has under way there, asks them
+// what the others have, and keeps the notes on the engines that are this daemon's to keep.
+// It stands for neighbours.work where daemons are too many to ask all of them.
+type keepers struct {
+	h    *Handler
+	boot uint64 // of this process
+
+	mu       sync.Mutex // guards the rest
+	ledger   prompts.Ledger[routing.Life]
+	sequence uint64
+	telling  map[routing.Life]bool // true: changed again since the note under way
+}
+
+func newKeepers(h *Handler) *keepers {
+	return &keepers{h: h, boot: rand.Uint64(), telling: map[routing.Life]bool{}}
+}
+
+// applies reports whether the engines of a service have keepers.
+func (k *keepers) applies(view *feed.View, service string) bool {
+	return k.h.neighbours.dialer != nil && view.Config != nil && view.Config.Engine(service) != nil &&
+		len(view.VMs) > 1 && !prompts.Asks(len(view.VMs))
+}
+
+// daemons are those that may keep notes, with their hashes.
+func daemons(view *feed.View) (vms []routing.VM, hashes []uint64) {
+	for _, vm := range view.VMs {
+		if !vm.Leaving {
+			vms = append(vms, vm)
+			hashes = append(hashes, xxhash.Sum64String(vm.ID))
+		}
+	}
+	return vms, hashes
+}
+
+// changed tells the keeper of an engine that this daemon's work there is another.
+func (k *keepers) changed(s routing.Server) {
+	if !k.applies(k.h.opts.Feed.View(), s.Service) {
+		return
+	}
+	k.mu.Lock()
+	_, under := k.telling[s.Life()]
+	k.telling[s.Life()] = under
+	k.mu.Unlock()
+	if !under {
+		go k.tell(s)
+	}
+}
+
+// tell sends notes on an engine until the last one says what holds.
+func (k *keepers) tell(s routing.Server) {
+	for {
+		k.send(s)
+		k.mu.Lock()
+		again := k.telling[s.Life()]
+		if !again {
+			delete(k.telling, s.Life())
+			k.mu.Unlock()
+			return
+		}
+		k.telling[s.Life()] = false
+		k.mu.Unlock()
+	}
+}
+
+// send sends one note. One that is lost is mended by the next.
+func (k *keepers) send(s routing.Server) {
+	vms, hashes := daemons(k.h.opts.Feed.View())
+	i := prompts.Keeper(xxhash.Sum64String(s.ID), hashes)
+	if i < 0 {
+		return
+	}
+	work := k.h.pool.workAt(s.Life())
+	k.mu.Lock()
+	k.sequence++
+	note := prompts.Note{Boot: k.boot, Sequence: k.sequence, Reading: work.reading, Running: work.running}
+	k.mu.Unlock()
+	self := k.h.opts.Self.ID
+	if vms[i].ID == self {
+		k.take(s.Life(), self, note)
+		return
+	}
+	if len(k.h.neighbours.heard(time.Now(), vms[i:i+1])) == 0 {
+		return
+	}
+	k.h.neighbours.note(context.Background(), vms[i], &peerpb.NoteRequest{
+		Daemon: self, Boot: note.Boot, Sequence: note.Sequence,
+		Work: serverWork(s.Life(), work),
+	})
+}
+
+func (k *keepers) take(life routing.Life, daemon string, n prompts.Note) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ledger.Take(time.Now(), life, daemon, n)
+}
+
+// noted is what all daemons but one have told this one of an engine.
+func (k *keepers) noted(life routing.Life, except string) work {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	reading, running := k.ledger.At(time.Now(), life, except)
+	return work{reading: reading, running: running}
+}
+
+// work is what the other daemons have under way at the engines of a prompt's window, as far
+// as their keepers answer; ok is false where too few do for a choice.
+func (k *keepers) work(ctx context.Context, view *feed.View, service, part string) (sum workAt, ok bool) {
+	if !k.applies(view, service) {
+		return nil, false
+	}
+	vms, hashes := daemons(view)
+	asked := map[int][]routing.Life{} // by place in vms
+	for _, s := range k.h.pool.window(view, service, part) {
+		if i := prompts.Keeper(xxhash.Sum64String(s.ID), hashes); i >= 0 {
+			asked[i] = append(asked[i], s.Life())
+		}
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	sum = workAt{}
+	for i, lives := range asked {
+		all.Go(func() {
+			told := k.ask(ctx, vms[i], lives)
+			mu.Lock()
+			defer mu.Unlock()
+			for life, w := range told {
+				sum[life] = w
+			}
+		})
+	}
+	all.Wait()
+	return sum, len(sum) >= Asked
+}
+
+// ask asks one keeper, which may be this daemon; nil where it does not answer.
+func (k *keepers) ask(ctx context.Context, vm routing.VM, lives []routing.Life) workAt {
+	self, told := k.h.opts.Self.ID, workAt{}
+	if vm.ID == self {
+		for _, life := range lives {
+			told[life] = k.noted(life, self)
+		}
+		return told
+	}
+	if len(k.h.neighbours.heard(time.Now(), []routing.VM{vm})) == 0 {
+		return nil
+	}
+	q := &peerpb.NotedRequest{Daemon: self}
+	for _, life := range lives {
+		q.Servers = append(q.Servers, serverWork(life, work{}))
+	}
+	reply, err := k.h.neighbours.noted(ctx, vm, q)
+	if err != nil {
+		return nil
+	}
+	told.add(reply)
+	return told
+}
+
+func serverWork(life routing.Life, w work) *peerpb.ServerWork {
+	return &peerpb.ServerWork{Id: life.ID, Born: life.Born, Reading: int32(w.reading), Running: int32(w.running)}
+}
+
+// Note implements peerpb.Work.
+func (t telling) Note(_ context.Context, q *peerpb.NoteRequest) (*peerpb.NoteReply, error) {
+	w := q.GetWork()
+	t.h.keepers.take(routing.Life{ID: w.GetId(), Born: w.GetBorn()}, q.GetDaemon(), prompts.Note{
+		Boot: q.GetBoot(), Sequence: q.GetSequence(),
+		Reading: int(max(w.GetReading(), 0)), Running: int(max(w.GetRunning(), 0)),
+	})
+	return &peerpb.NoteReply{}, nil
+}
+
+// Noted implements peerpb.Work. It names each server that was asked about.
+func (t telling) Noted(_ context.Context, q *peerpb.NotedRequest) (*peerpb.WorkReply, error) {
+	reply := &peerpb.WorkReply{}
+	for _, s := range q.GetServers() {
+		life := routing.Life{ID: s.GetId(), Born: s.GetBorn()}
+		reply.Servers = append(reply.Servers, serverWork(life, t.h.keepers.noted(life, q.GetDaemon())))
+	}
+	return reply, nil
+}
--- a/serve/forward/neighbours.go
+++ b/serve/forward/neighbours.go
@@ -101,6 +101,22 @@
 	return reply, n.judge(vm, err)
 }
 
+// note tells a daemon what this one has under way at a server that it keeps notes on.
+func (n *neighbours) note(ctx context.Context, vm routing.VM, note *peerpb.NoteRequest) {
+	ctx, cancel := context.WithTimeout(ctx, workTimeout)
+	defer cancel()
+	_, err := n.client(vm).Note(ctx, note)
+	_ = n.judge(vm, err) // logged there; the next note says all
+}
+
+// noted asks a daemon what others have under way at servers that it keeps notes on.
+func (n *neighbours) noted(ctx context.Context, vm routing.VM, q *peerpb.NotedRequest) (*peerpb.WorkReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, workTimeout)
+	defer cancel()
+	reply, err := n.client(vm).Noted(ctx, q)
+	return reply, n.judge(vm, err)
+}
+
 func (n *neighbours) client(vm routing.VM) peerpb.Work {
 	return peerpb.NewWorkProtobufClient(n.dialer.URL(vm.Peer), n.dialer.Client)
 }
@@ -158,9 +174,7 @@
 func (t telling) AtServers(_ context.Context, q *peerpb.WorkRequest) (*peerpb.WorkReply, error) {
 	reply := &peerpb.WorkReply{}
 	for life, w := range t.h.pool.work(t.h.opts.Feed.View(), q.GetService()) {
-		reply.Servers = append(reply.Servers, &peerpb.ServerWork{
-			Id: life.ID, Born: life.Born, Reading: int32(w.reading), Running: int32(w.running),
-		})
+		reply.Servers = append(reply.Servers, serverWork(life, w))
 	}
 	return reply, nil
 }
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -35,8 +35,13 @@
 // request all the same: the link from here may be at fault, and it loses nothing to try.
 func (r *relay) place(ctx context.Context, view *feed.View) (surveyed, bool) {
 	if view.Config.Engine(r.service) != nil {
-		if others, ok := r.h.neighbours.work(ctx, view, r.service); ok {
-			if c, ok := r.placeKnowing(ctx, view, others); ok {
+		others, all := r.h.neighbours.work(ctx, view, r.service)
+		known := all
+		if !all {
+			others, known = r.h.keepers.work(ctx, view, r.service, r.in.call.OwnPart)
+		}
+		if known {
+			if c, ok := r.placeKnowing(ctx, view, others, !all); ok {
 				return c, true
 			}
 		}
@@ -48,13 +53,14 @@
 
 // placeKnowing chooses by what all daemons have under way. The engine chosen is asked all
 // the same: it may be dead, or full of what nobody told. Where none of the first few is
-// free the choice is left to the reports of more.
-func (r *relay) placeKnowing(ctx context.Context, view *feed.View, others workAt) (surveyed, bool) {
+// free the choice is left to the reports of more. among says that the engines in others are
+// those to choose from.
+func (r *relay) placeKnowing(ctx context.Context, view *feed.View, others workAt, among bool) (surveyed, bool) {
 	excluded := slices.Clone(r.failed)
 	asked := r.h.questions()
 	defer asked.judge()
 	for range askRounds {
-		c, unread, ok := r.h.pool.reader(time.Now(), view, r.service, others, excluded)
+		c, unread, ok := r.h.pool.reader(time.Now(), view, r.service, others, among, excluded)
 		if !ok {
 			return surveyed{}, false
 		}
--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -154,6 +154,55 @@
 	return w.Result(), nil
 }
 
+// among makes more daemons, enough that each engine has a keeper, and returns them.
+func (w *world) among(count int) (others []*Handler) {
+	reach := otherDaemons{"vm-1:1": w.handler}
+	w.put("mallowwind/vm/vm-1", `{"id":"vm-1","zone":"a","address":"vm-1:2","peer":"vm-1:1"}`)
+	for n := range count {
+		id := fmt.Sprintf("vm-%d", n+2)
+		o := w.handler.opts
+		o.Self, o.Registerer, o.Dialer = routing.VM{ID: id, Zone: "b"}, nil, link.NewDialerWith(&http.Client{Transport: reach})
+		others = append(others, New(o))
+		reach[id+":1"] = others[n]
+		w.put("mallowwind/vm/"+id, fmt.Sprintf(`{"id":%q,"zone":"b","address":"%s:2","peer":"%s:1"}`, id, id, id))
+	}
+	w.handler.neighbours.dialer = link.NewDialerWith(&http.Client{Transport: reach})
+	time.Sleep(time.Second)
+	return others
+}
+
+// Thirteen daemons are too many for each to ask all others before a prompt. Two of them have
+// prompts read and answers made at all engines but one, of which the engines' reports, a
+// tenth of a second old, show nothing yet. The keepers of the engines know, and the prompt
+// goes to the one that is free; once the keepers are cut off, reports decide.
+func TestPromptGoesWhereKeepersKnowOfNoWork(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(3, time.Second, 40*time.Millisecond)
+		for n := range 6 {
+			w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle)
+		}
+		others := w.among(12)
+		view := w.feed.View()
+		for n := range 5 {
+			c, ok := others[n%2].pool.server(view, "llm", routing.Life{ID: fmt.Sprintf("e-%d", n)})
+			must.True(t, ok)
+			others[n%2].pool.count(c, n%2, 1-n%2, 0)
+		}
+		time.Sleep(workTimeout)
+		for n := range 5 {
+			got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: fmt.Sprintf("p%d", n)}), "prompt")
+			must.Eq(t, events(1, 3), got.body)
+		}
+		must.Eq(t, 5, w.servers["e-5"].requests())
+
+		asked := 0
+		w.handler.neighbours.dialer = link.NewDialerWith(&http.Client{Transport: silentDaemons{&asked}})
+		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p9"}), "prompt")
+		must.Eq(t, events(1, 3), got.body)
+		must.LessEq(t, time.Second+3*40*time.Millisecond+2*workTimeout, got.took)
+	})
+}
+
 // beside makes another daemon with work of its own, and has the world's daemon ask it.
 func (w *world) beside(id string) *Handler {
 	other := New(Options{
@@ -204,10 +253,10 @@
 		w.add("e-1", "llm", "a", handle)
 		w.add("e-2", "llm", "a", handle)
 		view := w.feed.View()
-		first, _, ok := w.handler.pool.reader(time.Now(), view, "llm", nil, nil)
+		first, _, ok := w.handler.pool.reader(time.Now(), view, "llm", nil, false, nil)
 		must.True(t, ok)
 		other := newPool(routing.VM{ID: "vm-2"}, repeatsRule)
-		second, _, ok := other.reader(time.Now(), view, "llm", w.handler.pool.work(view, "llm"), nil)
+		second, _, ok := other.reader(time.Now(), view, "llm", w.handler.pool.work(view, "llm"), false, nil)
 		must.True(t, ok)
 		must.NotEq(t, first.server.ID, second.server.ID)
 		w.handler.pool.count(first, -1, 0, 0) // no request follows
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -51,6 +51,9 @@
 	// away are the servers that failed and have not been back since, by address.
 	away     map[string]gone
 	absences map[string]*absence.Absence // by service
+	// changed is told of servers at which this daemon's prompts or answers are others than
+	// before. It is called without the lock.
+	changed func(routing.Server)
 }
 
 // gone is a server that failed.
@@ -65,6 +68,7 @@
 		loads: map[routing.Life]*load{}, budgets: map[string]*repeats.Budget{},
 		successors: map[routing.Life]routing.Life{},
 		away:       map[string]gone{}, absences: map[string]*absence.Absence{},
+		changed: func(routing.Server) {},
 	}
 }
 
@@ -127,8 +131,11 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	c.load.reading += reading
 	c.load.running += running
 	c.load.copies += copies
+	p.mu.Unlock()
+	if reading != 0 || running != 0 {
+		p.changed(c.server)
+	}
 }
