link, forward: connections that nothing uses are kept for 2 s; collections at half

Entry VMs have processor time to spare (0.006 of a core) and pay for memory.

Change: connections between daemons are kept for 2 s unused; the heap is collected when it has grown by half.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -28,6 +28,10 @@
 // sooner: the platform kills a process beyond the limit, and buffers of the kernel count.
 const memoryShare = 0.8
 
+// collectAt is how much the heap grows between two collections, in percent: entry VMs have
+// processor time to spare and little memory.
+const collectAt = 50
+
 // forwardCmd forwards requests by the configuration in the platform's store.
 type forwardCmd struct {
 	Config   string `type:"path" placeholder:"FILE" help:"Settings of our own, with a key-value service of ours; see docs/settings.md."`
@@ -55,6 +59,7 @@
 		return nil
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	debug.SetGCPercent(collectAt)
 	return runGateway(c.LogLevel, s.VM, s.Zone, func(events *event.Log) (gateway.Options, error) {
 		o, err := gatewayOptions(s, events)
 		if err != nil || c.Metrics == 0 {
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -11,7 +11,10 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	idleTimeout = 90 * time.Second
+	// idleTimeout is how long a connection to a peer is kept that nothing uses. In a fleet of
+	// hundreds a daemon calls each of the others now and then; connections to all of them
+	// would take more memory than everything else.
+	idleTimeout = 2 * time.Second
 	// idlePerPeer bounds kept connections to one peer. Each running generation
 	// has one write of its copy under way to its holder, and with few daemons
 	// many share a holder; below that number connections are opened and closed
