forward: a note on an engine says too whether its daemon suspects it

Change: a daemon that suspects an engine tells its keeper for how long; each that does counts for a prompt that is read there.

--- a/decision/prompts/ledger.go
+++ b/decision/prompts/ledger.go
@@ -28,8 +28,10 @@
 // How it decides: for each engine one daemon, the same by every daemon's reckoning, is told
 // what each of the others has under way there, at once and as a whole, so that a note that
 // is lost is mended by the next. Before a prompt the keepers of the few engines of its
-// window are asked. Notes are no promise: the engine chosen is asked for its report all
-// the same, and where keepers are lost the choice is left to reports.
+// window are asked. An engine that fails requests at once would always be idle by the notes
+// and draw the prompts of all: so a note says too whether its daemon suspects the engine.
+// Notes are no promise: the engine chosen is asked for its report all the same, and where
+// keepers are lost the choice is left to reports.
 func Keeper(engine uint64, daemons []uint64) int {
 	best, at := uint64(0), -1
 	for i, d := range daemons {
@@ -45,8 +47,13 @@
 type Note struct {
 	Boot, Sequence   uint64
 	Reading, Running int
+	// Suspect is for how long the daemon still suspects the engine, which failed it.
+	Suspect time.Duration
 }
 
+// Noted is what daemons have under way at an engine, and how many of them suspect it.
+type Noted struct{ Reading, Running, Suspects int }
+
 // noted is a note with its time.
 type noted struct {
 	Note
@@ -77,15 +84,20 @@
 	notes[daemon] = noted{Note: n, at: now}
 }
 
-// At is what all daemons but one have under way at an engine.
-func (l *Ledger[K]) At(now time.Time, engine K, except string) (reading, running int) {
+// At is what all daemons but one have noted of an engine.
+func (l *Ledger[K]) At(now time.Time, engine K, except string) (sum Noted) {
 	for daemon, n := range l.engines[engine] {
-		if daemon != except && now.Sub(n.at) < noteKept {
-			reading += n.Reading
-			running += n.Running
+		age := now.Sub(n.at)
+		if daemon == except || age >= noteKept {
+			continue
+		}
+		sum.Reading += n.Reading
+		sum.Running += n.Running
+		if age < n.Suspect {
+			sum.Suspects++
 		}
 	}
-	return reading, running
+	return sum
 }
 
 // sweep forgets what does not count any more.
--- a/decision/prompts/ledger_test.go
+++ b/decision/prompts/ledger_test.go
@@ -13,8 +13,8 @@
 	var l Ledger[string]
 	now := time.Unix(1000, 0)
 	at := func(except string) [2]int {
-		reading, running := l.At(now, "e", except)
-		return [2]int{reading, running}
+		sum := l.At(now, "e", except)
+		return [2]int{sum.Reading, sum.Running}
 	}
 	must.Eq(t, [2]int{}, at(""))
 	l.Take(now, "e", "a", Note{Boot: 1, Sequence: 2, Reading: 1})
@@ -28,6 +28,12 @@
 	l.Take(now, "e", "a", Note{Boot: 2, Sequence: 1}) // the daemon started again
 	must.Eq(t, [2]int{0, 2}, at(""))
 
+	// An engine fails the requests of one daemon, which suspects it for two seconds.
+	l.Take(now, "e", "c", Note{Boot: 3, Sequence: 1, Suspect: 2 * time.Second})
+	must.Eq(t, 1, l.At(now, "e", "a").Suspects)
+	must.Zero(t, l.At(now, "e", "c").Suspects)
+	must.Zero(t, l.At(now.Add(2*time.Second), "e", "a").Suspects)
+
 	now = now.Add(noteKept) // daemon b died
 	must.Eq(t, [2]int{}, at(""))
 	now = now.Add(sweepEvery)
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -83,15 +83,15 @@
 	return servers
 }
 
-// workAt is what this daemon has under way at one server.
-func (p *pool) workAt(life routing.Life) work {
+// note is what this daemon has under way at one server, and for how long it suspects it.
+func (p *pool) note(now time.Time, life routing.Life) prompts.Note {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	one := p.loads[life]
 	if one == nil {
-		return work{}
+		return prompts.Note{}
 	}
-	return work{reading: one.reading, running: one.running}
+	return prompts.Note{Reading: one.reading, Running: one.running, Suspect: max(0, one.suspectUntil.Sub(now))}
 }
 
 // work is what this daemon has under way at the engines of a service.
--- a/serve/forward/keepers.go
+++ b/serve/forward/keepers.go
@@ -85,10 +85,10 @@
 	if i < 0 {
 		return
 	}
-	work := k.h.pool.workAt(s.Life())
+	note := k.h.pool.note(time.Now(), s.Life())
 	k.mu.Lock()
 	k.sequence++
-	note := prompts.Note{Boot: k.boot, Sequence: k.sequence, Reading: work.reading, Running: work.running}
+	note.Boot, note.Sequence = k.boot, k.sequence
 	k.mu.Unlock()
 	self := k.h.opts.Self.ID
 	if vms[i].ID == self {
@@ -100,7 +100,10 @@
 	}
 	k.h.neighbours.note(context.Background(), vms[i], &peerpb.NoteRequest{
 		Daemon: self, Boot: note.Boot, Sequence: note.Sequence,
-		Work: serverWork(s.Life(), work),
+		Work: &peerpb.ServerWork{
+			Id: s.ID, Born: s.Born, Reading: int32(note.Reading), Running: int32(note.Running),
+			SuspectMs: note.Suspect.Milliseconds(),
+		},
 	})
 }
 
@@ -111,13 +114,16 @@
 }
 
 // noted is what all daemons but one have told this one of an engine.
-func (k *keepers) noted(life routing.Life, except string) work {
+func (k *keepers) noted(life routing.Life, except string) prompts.Noted {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	reading, running := k.ledger.At(time.Now(), life, except)
-	return work{reading: reading, running: running}
+	return k.ledger.At(time.Now(), life, except)
 }
 
+// workOf is what is noted of an engine. Each daemon that suspects it counts for a prompt that
+// is read there: it goes behind engines that are free, and before those that are crowded.
+func workOf(n prompts.Noted) work { return work{reading: n.Reading + n.Suspects, running: n.Running} }
+
 // work is what the other daemons have under way at the engines of a prompt's window, as far
 // as their keepers answer; ok is false where too few do for a choice.
 func (k *keepers) work(ctx context.Context, view *feed.View, service, part string) (sum workAt, ok bool) {
@@ -153,7 +159,7 @@
 	self, told := k.h.opts.Self.ID, workAt{}
 	if vm.ID == self {
 		for _, life := range lives {
-			told[life] = k.noted(life, self)
+			told[life] = workOf(k.noted(life, self))
 		}
 		return told
 	}
@@ -168,7 +174,11 @@
 	if err != nil {
 		return nil
 	}
-	told.add(reply)
+	for _, s := range reply.GetServers() {
+		told[routing.Life{ID: s.GetId(), Born: s.GetBorn()}] = workOf(prompts.Noted{
+			Reading: int(max(s.GetReading(), 0)), Running: int(max(s.GetRunning(), 0)), Suspects: int(max(s.GetSuspects(), 0)),
+		})
+	}
 	return told
 }
 
@@ -182,6 +192,7 @@
 	t.h.keepers.take(routing.Life{ID: w.GetId(), Born: w.GetBorn()}, q.GetDaemon(), prompts.Note{
 		Boot: q.GetBoot(), Sequence: q.GetSequence(),
 		Reading: int(max(w.GetReading(), 0)), Running: int(max(w.GetRunning(), 0)),
+		Suspect: time.Duration(w.GetSuspectMs()) * time.Millisecond,
 	})
 	return &peerpb.NoteReply{}, nil
 }
@@ -191,7 +202,10 @@
 	reply := &peerpb.WorkReply{}
 	for _, s := range q.GetServers() {
 		life := routing.Life{ID: s.GetId(), Born: s.GetBorn()}
-		reply.Servers = append(reply.Servers, serverWork(life, t.h.keepers.noted(life, q.GetDaemon())))
+		n := t.h.keepers.noted(life, q.GetDaemon())
+		reply.Servers = append(reply.Servers, &peerpb.ServerWork{
+			Id: life.ID, Born: life.Born, Reading: int32(n.Reading), Running: int32(n.Running), Suspects: int32(n.Suspects),
+		})
 	}
 	return reply, nil
 }
--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -203,6 +203,41 @@
 	})
 }
 
+// One engine resets every request at once while it answers questions well, so that it is
+// always idle. Each daemon finds that out by a prompt of its own, unless the others tell:
+// then their prompts go elsewhere for as long as it is suspect.
+func TestEngineThatFailsOthersIsLeftAlone(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(3, time.Second, 40*time.Millisecond)
+		for n := range 6 {
+			w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle)
+		}
+		others := w.among(12)
+		must.NoError(t, w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p"}), "prompt").err)
+		preferred := ""
+		for id, s := range w.servers {
+			if s.requests() > 0 {
+				preferred = id
+			}
+		}
+		failing := w.servers[preferred].server
+		for _, other := range others[:2] {
+			_, ok := other.pool.server(w.feed.View(), "llm", failing.Life())
+			must.True(t, ok)
+			other.pool.failed(time.Now(), failing)
+		}
+		time.Sleep(workTimeout)
+		for n := range 20 {
+			part := with(map[string]string{hPart: fmt.Sprintf("p%d", n)})
+			must.Eq(t, events(1, 3), w.ask(http.MethodPost, "/s/1", part, "prompt").body)
+			for _, other := range others[:2] {
+				other.pool.failed(time.Now(), failing)
+			}
+		}
+		must.Eq(t, 1, w.servers[preferred].requests())
+	})
+}
+
 // beside makes another daemon with work of its own, and has the world's daemon ask it.
 func (w *world) beside(id string) *Handler {
 	other := New(Options{
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -51,8 +51,8 @@
 	// away are the servers that failed and have not been back since, by address.
 	away     map[string]gone
 	absences map[string]*absence.Absence // by service
-	// changed is told of servers at which this daemon's prompts or answers are others than
-	// before. It is called without the lock.
+	// changed is told of servers at which this daemon's prompts, answers or suspicion are
+	// others than before. It is called without the lock.
 	changed func(routing.Server)
 }
 
@@ -94,17 +94,25 @@
 
 // failed makes a server a last resort for a while.
 func (p *pool) failed(now time.Time, s routing.Server) {
+	if p.suspectFrom(now, s) {
+		p.changed(s)
+	}
+}
+
+// suspectFrom begins the suspicion of a server, if it is known.
+func (p *pool) suspectFrom(now time.Time, s routing.Server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	one := p.loads[s.Life()]
 	if one == nil {
-		return
+		return false
 	}
 	one.suspicion = min(max(2*one.suspicion, suspicion), maxSuspicion)
 	one.suspectUntil = now.Add(one.suspicion)
 	if _, known := p.away[s.Address]; !known {
 		p.away[s.Address] = gone{life: s.Life(), since: now}
 	}
+	return true
 }
 
 // worked ends the suspicion of a server that has answered.
