--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -262,7 +262,7 @@
 			Name: strings.Trim(prefixes[kind], "/"), Host: host, Prefix: prefixes[kind], Kind: k, Timeout: patience[kind],
 			Objective: 200 * time.Millisecond, GapTarget: 700 * time.Millisecond, Attempts: attempts,
 			Resumable: kind == callReview,
-			Targets: []routing.Target{{Service: service, Weight: 1}},
+			Targets:   []routing.Target{{Service: service, Weight: 1}},
 		}
 	}
 	d := wire.Desired{
