--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -154,21 +155,38 @@
 	return w.Result(), nil
 }
 
-// among makes more daemons, enough that each engine has a keeper, and returns them.
-func (w *world) among(count int) (others []*Handler) {
-	reach := otherDaemons{"vm-1:1": w.handler}
+// severable are other daemons until they are cut off.
+type severable struct {
+	otherDaemons
+	cut *atomic.Bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s severable) RoundTrip(r *http.Request) (*http.Response, error) {
+	if s.cut.Load() {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	return s.otherDaemons.RoundTrip(r)
+}
+
+// among makes more daemons, enough that each engine has a keeper, and returns them. All are
+// out of each other's reach once cut is set.
+func (w *world) among(count int) (others []*Handler, cut *atomic.Bool) {
+	cut = &atomic.Bool{}
+	reach := severable{otherDaemons{"vm-1:1": w.handler}, cut}
 	w.put("mallowwind/vm/vm-1", `{"id":"vm-1","zone":"a","address":"vm-1:2","peer":"vm-1:1"}`)
 	for n := range count {
 		id := fmt.Sprintf("vm-%d", n+2)
 		o := w.handler.opts
 		o.Self, o.Registerer, o.Dialer = routing.VM{ID: id, Zone: "b"}, nil, link.NewDialerWith(&http.Client{Transport: reach})
 		others = append(others, New(o))
-		reach[id+":1"] = others[n]
+		reach.otherDaemons[id+":1"] = others[n]
 		w.put("mallowwind/vm/"+id, fmt.Sprintf(`{"id":%q,"zone":"b","address":"%s:2","peer":"%s:1"}`, id, id, id))
 	}
 	w.handler.neighbours.dialer = link.NewDialerWith(&http.Client{Transport: reach})
 	time.Sleep(time.Second)
-	return others
+	return others, cut
 }
 
 // Thirteen daemons are too many for each to ask all others before a prompt. Two of them have
@@ -181,7 +199,7 @@
 		for n := range 6 {
 			w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle)
 		}
-		others := w.among(12)
+		others, cut := w.among(12)
 		view := w.feed.View()
 		for n := range 5 {
 			c, ok := others[n%2].pool.server(view, "llm", routing.Life{ID: fmt.Sprintf("e-%d", n)})
@@ -195,8 +213,7 @@
 		}
 		must.Eq(t, 5, w.servers["e-5"].requests())
 
-		asked := 0
-		w.handler.neighbours.dialer = link.NewDialerWith(&http.Client{Transport: silentDaemons{&asked}})
+		cut.Store(true)
 		got := w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p9"}), "prompt")
 		must.Eq(t, events(1, 3), got.body)
 		must.LessEq(t, time.Second+3*40*time.Millisecond+2*workTimeout, got.took)
@@ -212,7 +229,7 @@
 		for n := range 6 {
 			w.add(fmt.Sprintf("e-%d", n), "llm", "a", handle)
 		}
-		others := w.among(12)
+		others, _ := w.among(12)
 		must.NoError(t, w.ask(http.MethodPost, "/s/1", with(map[string]string{hPart: "p"}), "prompt").err)
 		preferred := ""
 		for id, s := range w.servers {
