--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -19,7 +19,9 @@
 //
 // A fleet of few daemons does better: each asks the others what they have under way
 // before it places a prompt (Asks), and then the engine that reads nothing and makes the
-// fewest answers goes first, home or not.
+// fewest answers goes first, home or not. In a larger fleet the keepers of the engines of the
+// prompt's window are asked instead (Keeper, Window). The first few engines by reports are
+// what is left where too few keepers answer.
 package prompts
 
 import (
