forward: a log line says whether a server ended under a request that it broke off

The logs could not tell a request that ends its engine from an answer that was there when the engine ended, nor a process that ended from a connection that broke: legs said neither how long they were under way, whether they went on from a copy, nor what names the request in all its attempts.

One connection more for each connection that a server breaks off.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -19,6 +19,7 @@
 	ctx         context.Context // ends with the attempt; the server drops the run then
 	stopProbing context.CancelFunc
 	sent        time.Time
+	begun       time.Time // of the first event; zero before it
 	signals     chan signal
 	back        chan signal    // holds a signal that was taken and put back, one at most
 	written     chan struct{}  // says once that the whole request has left
@@ -130,7 +131,7 @@
 	if !a.reading {
 		return
 	}
-	a.reading = false
+	a.reading, a.begun = false, time.Now()
 	a.stopProbing()
 	a.dead = nil // a word that waits there is out of date
 	r := a.r
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,7 @@
 // Handler forwards requests.
 type Handler struct {
 	opts       Options
+	dial       sent.DialFunc
 	transport  http.RoundTripper
 	pool       *pool
 	pressure   *pressure
@@ -84,8 +86,11 @@
 // New returns a handler. Until o.Feed knows a configuration its requests wait for that a
 // little and are then refused.
 func New(o Options) *Handler {
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{}).DialContext
+	}
 	h := &Handler{
-		opts: o, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
+		opts: o, dial: o.Dial, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
 		borrower: newBorrower(o), neighbours: newNeighbours(o),
 	}
 	h.locator, h.keepers = newLocator(h), newKeepers(h)
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -260,6 +260,15 @@
 	return verdict.New(r.verdict(), verdict.CodeDeadline, "the answer was not finished in time")
 }
 
+// over ends an attempt, and has it found out whether its server ended.
+func (r *relay) over(a *attempt, end legEnd, err error) {
+	a.end(end)
+	r.log(a.leg, end, err)
+	if end == legBroken {
+		go r.h.inspect(ending{in: r.in, at: a.at, sent: a.sent, begun: a.begun, from: a.from, err: err})
+	}
+}
+
 func (r *relay) log(l leg, end legEnd, err error) {
 	r.h.metrics.legs.WithLabelValues(l.at.reason, end.String()).Inc()
 	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.call.OwnPart, r.in.route.Name, r.in.accountName(), r.in.version, l.at.server.ID, l.at.server.Zone, l.at.reason,
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -248,6 +248,7 @@
 	})
 	if err != nil {
 		o.err, o.notRun = err, errors.Is(err, errNotSent)
+		h.broke(ctx, in, o, started)
 		return o
 	}
 	o.status, o.header = resp.StatusCode, resp.Header
@@ -258,12 +259,20 @@
 		o.err = errors.New("a success without proof")
 	}
 	if o.err != nil {
+		h.broke(ctx, in, o, started)
 		return o
 	}
 	h.pool.worked(c)
 	return o
 }
 
+// broke has it found out whether a server ended that broke off an exchange.
+func (h *Handler) broke(ctx context.Context, in *inbound, o *outcome, started time.Time) {
+	if ctx.Err() == nil && !o.notRun {
+		go h.inspect(ending{in: in, at: o.choice, sent: started, err: o.err})
+	}
+}
+
 // blame makes a server suspect unless the exchange was ended from here.
 func (h *Handler) blame(ctx context.Context, in *inbound, c choice, err error) {
 	if ctx.Err() != nil {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -138,8 +138,7 @@
 			return r.giveUp(err)
 		}
 		end, err := r.follow(ctx, a)
-		a.end(end)
-		r.log(a.leg, end, err)
+		r.over(a, end, err)
 		switch end {
 		case legWhole:
 			h.pressure.ended(service, time.Since(in.arrived))
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -175,8 +175,7 @@
 // cancelTakeover ends an attempt that was to take an answer over.
 func (r *relay) cancelTakeover(ctx context.Context, a, next *attempt, other takeover.State) takeover.Outcome {
 	if other != takeover.Broken {
-		next.end(legAborted)
-		r.log(next.leg, legAborted, errNotNeeded)
+		r.over(next, legAborted, errNotNeeded)
 		return takeover.NotNeeded
 	}
 	s := <-next.inbox()
@@ -185,8 +184,7 @@
 	}
 	end, err := r.refusedTakeover(ctx, next.leg, *s.opened)
 	next.answer = s.opened.resp
-	next.end(end)
-	r.log(next.leg, end, err)
+	r.over(next, end, err)
 	return takeover.TurnedAway
 }
 
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -51,9 +51,6 @@
 // would be taken for the fate of the next request. A new connection costs one
 // round trip, and http.Transport repeats nothing of its own accord on it.
 func newTransport(dial sent.DialFunc) *http.Transport {
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
 	limited := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
