forward: a request that ends the servers which run it is sent to none any more

What callers saw: of the long answers asked for from 80 s on 2 of 69 were in time; engines ended one after the other for eighty seconds, 118 under one request and 99 under a second, at all daemons.

Cause: nothing counts the ends of servers by request. A route affords five sends to each attempt, each daemon counts servers' failures against the server, and the next attempt, at another daemon, begins from nothing. Class: a bound that holds for one request at one daemon, where the harm adds up over attempts and the fleet.

In the test every end under the request comes at its beginning, whichever server runs it and also where it goes on from no copy. Ruled out: engines that end by themselves (the same request at 63 of 71 ends); our repeats as the reason (its first send ends its engine as well).

Change - decision/poison: a server's end counts for a request that had just begun there or may have; not where its prompt cannot have been read, it had run for half a second, the server was to leave, or most of three others of its zone are down too. Two ends: watched, and any whole answer clears it. Three: refused. Bounded by entries; those with the fewest ends make room. - forward: the ends are counted at the daemon that saw them and at two keepers of the request's digest (rendezvous hashing), which tell all others; attempts under way of a refused request are ended. One call to each of two daemons for an end that counts, one to all for a mark. - feed: a refused request lies in the store (mallowwind/refused/DIGEST), so that it outlasts every daemon; whoever starts reads it with the configuration, and asks four neighbours for what the store does not have yet. An operator lifts it there. - Refused with 502, may_have_run, no Retry-After: it has run, and coming back is of no use. No 4xx, no promise.

TestCallThatManyMakeIsNot- RefusedWhereServersEnd fails without the clearing by whole answers.

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -39,6 +39,7 @@
 func (t *table) remove(now time.Duration, key string, revision int64) {
 	t.entries.remove(key, revision)
 	delete(t.refusals, key)
+	delete(t.barred, key)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(key); ok {
 		t.removeServer(now, id)
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -38,6 +38,8 @@
 	Servers map[string][]routing.Server
 	// VMs are the entry VMs that serve.
 	VMs []routing.VM
+	// Refused are the requests that are sent to no server, by digest.
+	Refused map[string]Refused
 	// Published is when this became the view; zero before the first.
 	Published time.Time
 	// departed are the servers that leave or are gone.
--- /dev/null
+++ b/control/feed/refused.go
@@ -0,0 +1,87 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/external/store"
+)
+
+const (
+	// refusedPrefix begins the keys of requests that are sent to no server.
+	refusedPrefix = OwnPrefix + "refused/"
+	// maxRefused bounds the requests that are refused by entries in the store. No entry
+	// makes room for another: what was refused stays so until an operator lifts it.
+	maxRefused = 1000
+	// refuseTimeout bounds one attempt to write an entry.
+	refuseTimeout = 2 * time.Second
+)
+
+// Refused is a request that is sent to no server, because it ends those that run it.
+type Refused struct {
+	// Digest names the request in all its attempts; it is the end of the key.
+	Digest  string `json:"-"`
+	Account string `json:"account,omitempty"`
+	Route   string `json:"route"`
+	// Servers are the ids of those that ended under it.
+	Servers []string `json:"servers"`
+	// By is the daemon that wrote the entry, At when.
+	By string    `json:"by"`
+	At time.Time `json:"at"`
+}
+
+// RefusedKey is the key of a refused request in the store. An operator who removes it lifts
+// the refusal.
+func RefusedKey(digest string) string { return refusedPrefix + digest }
+
+// DecodeRefused reads the entry of a refused request.
+func DecodeRefused(key string, raw []byte) (Refused, error) {
+	var r Refused
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return r, errors.Wrap(err, "refused request")
+	}
+	if r.Digest = strings.TrimPrefix(key, refusedPrefix); r.Digest == "" {
+		return r, errors.New("refused request: the key names none")
+	}
+	return r, nil
+}
+
+// ErrRefusedFull means that as many requests are refused as the store is to hold.
+var ErrRefusedFull = errors.New("feed: too many refused requests")
+
+// Refuse writes the entry of a request that is to be refused, unless there is one.
+func (m *Manager) Refuse(ctx context.Context, r Refused) error {
+	refused := m.View().Refused
+	if _, known := refused[r.Digest]; known {
+		return nil
+	}
+	if len(refused) >= maxRefused {
+		return ErrRefusedFull
+	}
+	r.By, r.At = m.opts.Self, time.Now()
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "refused request")
+	}
+	ctx, cancel := context.WithTimeout(store.WithPurpose(ctx, store.PurposeRefuse), refuseTimeout)
+	defer cancel()
+	_, err = m.opts.Store.CompareAndSwap(ctx, RefusedKey(r.Digest), 0, raw, 0)
+	if errors.Is(err, store.ErrConflict) {
+		return nil // another daemon was first
+	}
+	return err
+}
+
+// putRefused takes in the entry of a refused request. One that cannot be read refuses all
+// the same: its key says which.
+func (t *table) putRefused(kv store.KV) {
+	r, err := DecodeRefused(kv.Key, kv.Value)
+	if r.Digest = strings.TrimPrefix(kv.Key, refusedPrefix); err != nil {
+		t.refuse(kv.Key, err)
+	}
+	t.barred[kv.Key] = r
+}
--- /dev/null
+++ b/control/feed/refused_test.go
@@ -0,0 +1,37 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+func TestRefusedRequestsAreInTheView(t *testing.T) {
+	tab := newTable(lineSchema{}, event.Discard())
+	tab.put(store.KV{Key: RefusedKey("abc"), Value: []byte(`{"route":"r","servers":["s-1"]}`), Version: 1})
+	tab.put(store.KV{Key: RefusedKey("def"), Value: []byte("no object"), Version: 2})
+	refused := tab.view().Refused
+	must.MapLen(t, 2, refused)
+	must.Eq(t, []string{"s-1"}, refused["abc"].Servers)
+	must.Eq(t, "def", refused["def"].Digest) // what cannot be read refuses all the same
+	tab.remove(time.Second, RefusedKey("abc"), 3)
+	must.MapNotContainsKey(t, tab.view().Refused, "abc")
+}
+
+func TestRefusalIsWrittenOnceAndReachesAll(t *testing.T) {
+	inFleet(t, 3, func(f *fleet) {
+		f.startRegistered()
+		time.Sleep(3 * time.Second)
+		for _, m := range f.feeds[:2] {
+			must.NoError(t, m.Refuse(f.ctx, Refused{Digest: "abc", Route: "r"}))
+		}
+		time.Sleep(2 * time.Second)
+		for _, m := range f.feeds {
+			must.Eq(t, "0", m.View().Refused["abc"].By)
+		}
+	})
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -31,6 +31,8 @@
 	// present life.
 	written map[string]int64
 	vms     map[string]routing.VM
+	// barred are the refused requests, by key.
+	barred map[string]Refused
 	// doubtful holds when servers cease to be usable whose entries vanished
 	// around an outage.
 	doubtful map[string]time.Duration
@@ -61,6 +63,7 @@
 		refused:  newRefused(),
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
+		barred:   map[string]Refused{},
 		doubtful: map[string]time.Duration{},
 		departed: map[string]time.Duration{},
 
@@ -124,8 +127,11 @@
 		t.putServer(id, kv)
 		return
 	}
-	if strings.HasPrefix(kv.Key, vmPrefix) {
+	switch {
+	case strings.HasPrefix(kv.Key, vmPrefix):
 		t.putVM(kv)
+	case strings.HasPrefix(kv.Key, refusedPrefix):
+		t.putRefused(kv)
 	}
 }
 
--- /dev/null
+++ b/decision/poison/marks.go
@@ -0,0 +1,88 @@
+package poison
+
+import "time"
+
+const (
+	// maxMarks bounds the marks that a daemon keeps.
+	maxMarks = 4096
+	// markedFor is how long a mark holds of which nothing more is heard: longer than the
+	// store is away, where refused requests lie.
+	markedFor = 10 * time.Minute
+)
+
+// Marks are those that a daemon was told of. The zero value is empty. It is not safe for
+// concurrent use.
+type Marks struct {
+	marks map[string]marked // by digest
+}
+
+type marked struct {
+	mark Mark
+	at   time.Time
+}
+
+// Set records a mark. It reports whether it is a higher one than before; a lower one changes
+// nothing. There may be no room for a request that is only watched.
+func (m *Marks) Set(now time.Time, digest string, mark Mark) bool {
+	if m.marks == nil {
+		m.marks = map[string]marked{}
+	}
+	if mark <= m.Of(now, digest) {
+		return false
+	}
+	if _, known := m.marks[digest]; !known && len(m.marks) >= maxMarks && !m.makeRoom(now) {
+		return false
+	}
+	m.marks[digest] = marked{mark, now}
+	return true
+}
+
+// Of is the mark of a request.
+func (m *Marks) Of(now time.Time, digest string) Mark {
+	one := m.marks[digest]
+	if now.Sub(one.at) >= markedFor {
+		return Unmarked
+	}
+	return one.mark
+}
+
+// Clear takes back that a request is watched. It reports whether it was.
+func (m *Marks) Clear(digest string) bool {
+	if m.marks[digest].mark != Watched {
+		return false
+	}
+	delete(m.marks, digest)
+	return true
+}
+
+// Lift takes back that a request is refused.
+func (m *Marks) Lift(digest string) { delete(m.marks, digest) }
+
+// All are the requests with a mark.
+func (m *Marks) All(now time.Time, mark Mark) (digests []string) {
+	for digest := range m.marks {
+		if m.Of(now, digest) == mark {
+			digests = append(digests, digest)
+		}
+	}
+	return digests
+}
+
+// makeRoom drops the marks that do not hold any more, or else that of the request which has
+// been watched for the longest time. It reports whether there is room.
+func (m *Marks) makeRoom(now time.Time) bool {
+	oldest := ""
+	for digest, one := range m.marks {
+		if m.Of(now, digest) == Unmarked {
+			delete(m.marks, digest)
+			continue
+		}
+		if one.mark == Watched && (oldest == "" || one.at.Before(m.marks[oldest].at)) {
+			oldest = digest
+		}
+	}
+	if len(m.marks) >= maxMarks {
+		delete(m.marks, oldest)
+	}
+	return len(m.marks) < maxMarks
+}
--- a/decision/prompts/ledger.go
+++ b/decision/prompts/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"mallowwind.dev/decision/route"
+	"mallowwind.dev/decision/rendezvous"
 )
 
 const (
@@ -33,13 +33,10 @@
 // Notes are no promise: the engine chosen is asked for its report all the same, and where
 // keepers are lost the choice is left to reports.
 func Keeper(engine uint64, daemons []uint64) int {
-	best, at := uint64(0), -1
-	for i, d := range daemons {
-		if h := route.Mix(engine ^ d); at < 0 || h < best {
-			best, at = h, i
-		}
+	for _, i := range rendezvous.Nearest(engine, daemons, 1) {
+		return i
 	}
-	return at
+	return -1
 }
 
 // Note is what one daemon has under way at an engine: prompts without an event, and
--- /dev/null
+++ b/decision/rendezvous/rendezvous_test.go
@@ -0,0 +1,41 @@
+package rendezvous
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/route"
+)
+
+func members(n int) []uint64 {
+	m := make([]uint64, n)
+	for i := range m {
+		m[i] = route.Mix(uint64(i))
+	}
+	return m
+}
+
+func TestNearestWithoutMembers(t *testing.T) {
+	must.SliceEmpty(t, Nearest(1, nil, 2))
+	must.SliceEmpty(t, Nearest(1, members(3), 0))
+	must.SliceLen(t, 3, Nearest(1, members(3), 5))
+}
+
+func TestFirstOfSeveralIsTheNearest(t *testing.T) {
+	all := members(40)
+	for key := range uint64(200) {
+		must.Eq(t, Nearest(key, all, 1)[0], Nearest(key, all, 3)[0])
+	}
+}
+
+// A member that leaves changes the keys that were its own and no others.
+func TestMemberThatLeavesMovesItsOwnKeysOnly(t *testing.T) {
+	all := members(40)
+	for key := range uint64(500) {
+		before, after := Nearest(key, all, 2), Nearest(key, all[:39], 2)
+		if before[0] != 39 && before[1] != 39 {
+			must.Eq(t, before, after)
+		}
+	}
+}
--- a/decision/verdict/verdict.go
+++ b/decision/verdict/verdict.go
@@ -70,6 +70,7 @@
 	CodeKeyUndecided       Code = "idempotency_key_undecided"
 	CodeKeyInvalid         Code = "idempotency_key_invalid"
 	CodeAnswerGone         Code = "answer_not_kept"
+	CodePoison             Code = "ends_backend_servers"
 )
 
 // Error is a failure with its verdict. RetryAfter is zero where waiting does
--- a/external/store/purpose.go
+++ b/external/store/purpose.go
@@ -20,6 +20,7 @@
 	PurposeRegister Purpose = "register" // writing the daemon's own entry
 	PurposeRenew    Purpose = "renew"    // keeping the lease of that entry
 	PurposeLeave    Purpose = "leave"    // removing that entry
+	PurposeRefuse   Purpose = "refuse"   // writing which request is sent to no server
 )
 
 type purposeKey struct{}
--- a/serve/api/errors.go
+++ b/serve/api/errors.go
@@ -59,6 +59,7 @@
 	verdict.CodeKeyUndecided:       http.StatusConflict,
 	verdict.CodeKeyInvalid:         http.StatusBadRequest,
 	verdict.CodeAnswerGone:         http.StatusGone,
+	verdict.CodePoison:             http.StatusBadGateway,
 }
 
 // writeError writes a refusal, unless the answer has begun: then the endpoint
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -47,7 +47,11 @@
 	if stop := h.stop.Load(); stop != nil && !stop.takes(in) {
 		return in, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").After(leavingRetry)
 	}
-	return in, h.readBody(w, r, in, view.Config.Limits.BodyBytes)
+	if err := h.readBody(w, r, in, view.Config.Limits.BodyBytes); err != nil {
+		return in, err
+	}
+	in.digest = digest(in)
+	return in, nil
 }
 
 // firstView waits a moment for the first configuration, for a caller that waits so
--- a/serve/forward/endings.go
+++ b/serve/forward/endings.go
@@ -5,17 +5,19 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/telemetry/event"
 )
 
-// sameMoment is how far apart servers may fail that one cause has ended.
-const sameMoment = 250 * time.Millisecond
-
 // digestBytes is the length of a request's digest.
 const digestBytes = 16
 
@@ -31,7 +33,7 @@
 
 // digest names what a caller asks for in all its attempts: the account, method, host, path,
 // query and body, but neither the id of an attempt nor other headers.
-func (in *inbound) digest() string {
+func digest(in *inbound) string {
 	hash := sha256.New()
 	for _, part := range []string{in.accountName(), in.method, in.host, in.target} {
 		hash.Write([]byte(part))
@@ -70,20 +72,47 @@
 	if !e.begun.IsZero() {
 		running = now.Sub(e.begun)
 	}
-	found, fell := h.stateOf(e), h.pool.fell(now, e.at.server.Address)
-	h.opts.Log.Emit(event.BackendBroke, e.in.call.ID, e.in.digest(), e.in.call.OwnPart, e.in.accountName(),
-		e.at.server.ID, e.at.server.Zone, string(found), fell, now.Sub(e.sent), running, e.from, e.err)
+	found := h.stateOf(e)
+	end := poison.Ending{
+		Planned: h.leaves(e.at.server),
+		Unread:  e.from == "" && h.pressure.hopeless(e.at.server.Service, e.in.call.PromptTokens, now.Sub(e.sent)),
+		Running: running,
+	}
+	if found == stateEnded && end.Judge() == poison.Counts {
+		end.Asked, end.Down = h.lookAround(e.at.server)
+	}
+	finding := end.Judge()
+	h.opts.Log.Emit(event.BackendBroke, e.in.call.ID, e.in.digest, e.in.call.OwnPart, e.in.accountName(),
+		e.at.server.ID, e.at.server.Zone, string(found), finding.String(), end.Asked, end.Down, now.Sub(e.sent), running, e.from, e.err)
+	if found == stateEnded && finding == poison.Counts {
+		h.poisoned.ended(context.Background(), e.in, e.at.server.Life())
+	}
 }
 
-// stateOf asks the address of a server for a connection: a process that ended leaves a port
+// leaves reports whether a server is known to leave.
+func (h *Handler) leaves(s routing.Server) bool {
+	view := h.opts.Feed.View()
+	for _, now := range view.Servers[s.Service] {
+		if now.ID == s.ID {
+			return now.Leaving
+		}
+	}
+	return view.Departed(s.ID)
+}
+
+// stateOf finds out whether the server of a send has ended: a process that ended leaves a port
 // at which nobody listens.
 func (h *Handler) stateOf(e ending) state {
 	if errors.Is(e.err, errRestarted) {
 		return stateEnded
 	}
+	return h.stateAt(e.at.server.Address)
+}
+
+func (h *Handler) stateAt(address string) state {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := h.dial(ctx, "tcp", e.at.server.Address)
+	conn, err := h.dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		conn.Close()
@@ -94,14 +123,26 @@
 	return stateEnded
 }
 
-// fell is how many servers, but the one at address, failed about when it did.
-func (p *pool) fell(now time.Time, address string) (n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for other, one := range p.away {
-		if other != address && now.Sub(one.since) <= sameMoment {
-			n++
+// lookAround asks some other servers of a server's zone for a connection, and returns how many
+// were asked and how many had ended.
+func (h *Handler) lookAround(s routing.Server) (asked, down int) {
+	var others []routing.Server
+	for _, other := range h.opts.Feed.View().Servers[s.Service] {
+		if other.Zone == s.Zone && other.Address != s.Address {
+			others = append(others, other)
 		}
 	}
-	return n
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others = others[:min(poison.Looked, len(others))]
+	var ended atomic.Int32
+	var all sync.WaitGroup
+	for _, other := range others {
+		all.Go(func() {
+			if h.stateAt(other.Address) == stateEnded {
+				ended.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return len(others), int(ended.Load())
 }
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -8,11 +8,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/external/sent"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/telemetry/event"
@@ -77,6 +79,7 @@
 	locator    *locator
 	borrower   *borrower
 	neighbours *neighbours
+	poisoned   *poisoned
 	metrics    *metrics
 	running    atomic.Int64
 	keyAge     atomic.Int64
@@ -93,7 +96,7 @@
 		opts: o, dial: o.Dial, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
 		borrower: newBorrower(o), neighbours: newNeighbours(o),
 	}
-	h.locator, h.keepers = newLocator(h), newKeepers(h)
+	h.locator, h.keepers, h.poisoned = newLocator(h), newKeepers(h), newPoisoned(h)
 	h.pool.changed = h.keepers.changed
 	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
@@ -153,6 +156,12 @@
 	h.bound(w, in.until)
 	ctx, cancel := context.WithDeadline(r.Context(), in.until)
 	defer cancel()
+	ctx, leave, err := h.poisoned.enter(ctx, in)
+	if err != nil {
+		h.refuse(w, in, err)
+		return
+	}
+	defer leave()
 	service := in.route.Target(rand.Float64())
 	h.pool.request(in.arrived, service)
 	if in.route.Kind == routing.Stream {
@@ -163,5 +172,12 @@
 	if err == nil || r.Context().Err() != nil {
 		return
 	}
+	var refused *verdict.Error
+	if errors.As(context.Cause(ctx), &refused) && !errors.Is(err, errCut) {
+		err = refused
+	}
 	h.refuse(w, in, err)
 }
+
+// Run tells and learns what daemons hold of requests that end their servers, until ctx ends.
+func (h *Handler) Run(ctx context.Context) { h.poisoned.run(ctx) }
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -264,8 +264,11 @@
 func (r *relay) over(a *attempt, end legEnd, err error) {
 	a.end(end)
 	r.log(a.leg, end, err)
-	if end == legBroken {
+	switch end {
+	case legBroken:
 		go r.h.inspect(ending{in: r.in, at: a.at, sent: a.sent, begun: a.begun, from: a.from, err: err})
+	case legWhole, legAnswer:
+		r.h.poisoned.whole(r.in)
 	}
 }
 
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -27,6 +27,10 @@
 	inFlight prometheus.GaugeFunc
 
 	unreadable prometheus.Counter
+
+	poisonMarks    *prometheus.CounterVec
+	poisonRefusals prometheus.Counter
+
 	cacheBytes prometheus.Counter
 }
 
@@ -41,24 +45,26 @@
 		}
 	}
 	m := &metrics{
-		answers:    prometheus.NewCounterVec(counter("answers_total", "Answers to callers; source says whether a backend server or the daemon gave it."), []string{"kind", "status", "source"}),
-		seconds:    prometheus.NewHistogramVec(histogram("answer_seconds", "Time from a request's arrival to the end of its answer."), []string{"kind"}),
-		sends:      prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
-		legs:       prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
-		stayed:     prometheus.NewCounterVec(counter("stream_legs_kept_total", "Silent backend servers that kept their stream, by why it did not go on at another."), []string{"reason"}),
-		first:      prometheus.NewHistogram(histogram("stream_first_seconds", "Time from a request's arrival to the first event of its stream.")),
-		pauses:     prometheus.NewHistogram(histogram("stream_resume_seconds", "Pause in a stream that went on at another backend server.")),
-		denied:     prometheus.NewCounter(counter("repeats_denied_total", "Sends that the shared budget of repeats did not afford.")),
-		borrowed:   prometheus.NewCounter(counter("repeats_borrowed_total", "Sends for which another daemon gave up a part of the shared budget of repeats.")),
-		remade:     prometheus.NewCounter(counter("copies_made_again_total", "Copies of runs made because the one before was lost.")),
-		scans:      prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
-		crowded:    prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
-		unreadable: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
-		cacheBytes: prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
+		answers:        prometheus.NewCounterVec(counter("answers_total", "Answers to callers; source says whether a backend server or the daemon gave it."), []string{"kind", "status", "source"}),
+		seconds:        prometheus.NewHistogramVec(histogram("answer_seconds", "Time from a request's arrival to the end of its answer."), []string{"kind"}),
+		sends:          prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
+		legs:           prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
+		stayed:         prometheus.NewCounterVec(counter("stream_legs_kept_total", "Silent backend servers that kept their stream, by why it did not go on at another."), []string{"reason"}),
+		first:          prometheus.NewHistogram(histogram("stream_first_seconds", "Time from a request's arrival to the first event of its stream.")),
+		pauses:         prometheus.NewHistogram(histogram("stream_resume_seconds", "Pause in a stream that went on at another backend server.")),
+		denied:         prometheus.NewCounter(counter("repeats_denied_total", "Sends that the shared budget of repeats did not afford.")),
+		borrowed:       prometheus.NewCounter(counter("repeats_borrowed_total", "Sends for which another daemon gave up a part of the shared budget of repeats.")),
+		remade:         prometheus.NewCounter(counter("copies_made_again_total", "Copies of runs made because the one before was lost.")),
+		scans:          prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
+		crowded:        prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
+		unreadable:     prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
+		cacheBytes:     prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
+		poisonMarks:    prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
+		poisonRefusals: prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.stayed, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.unreadable, m.cacheBytes)
+	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.stayed, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.poisonMarks, m.poisonRefusals, m.unreadable, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/neighbours.go
+++ b/serve/forward/neighbours.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
@@ -106,15 +108,22 @@
 	return call(ctx, n, vm, peerpb.Work.Noted, q)
 }
 
-// call makes one call to a daemon within workTimeout, and leaves it out for a while if it
-// fails.
+// call makes one call of the service Work to a daemon.
 func call[Q, R any](
 	ctx context.Context, n *neighbours, vm routing.VM, method func(peerpb.Work, context.Context, Q) (R, error), q Q,
 ) (R, error) {
-	ctx, cancel := context.WithTimeout(ctx, workTimeout)
+	return request(ctx, n, vm, peerpb.NewWorkProtobufClient, method, q, workTimeout)
+}
+
+// request makes one call to a daemon within a limit, and leaves the daemon out for a while if
+// it fails. client makes the client of the service called.
+func request[C, Q, R any](
+	ctx context.Context, n *neighbours, vm routing.VM, client func(string, peerpb.HTTPClient, ...twirp.ClientOption) C,
+	method func(C, context.Context, Q) (R, error), q Q, limit time.Duration,
+) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	client := peerpb.NewWorkProtobufClient(n.dialer.URL(vm.Peer), n.dialer.Client)
-	reply, err := method(client, ctx, q)
+	reply, err := method(client(n.dialer.URL(vm.Peer), n.dialer.Client), ctx, q)
 	return reply, n.judge(vm, err)
 }
 
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -263,6 +263,9 @@
 		return o
 	}
 	h.pool.worked(c)
+	if o.answered() {
+		h.poisoned.whole(in)
+	}
 	return o
 }
 
--- /dev/null
+++ b/serve/forward/poisoned.go
@@ -0,0 +1,412 @@
+package forward
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/pause"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/poison"
+	"mallowwind.dev/decision/rendezvous"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// poisonKeepers is how many daemons count the ends of servers under one request: one of
+	// them may be dead, cut off or new.
+	poisonKeepers = 2
+	// poisonTimeout is how long a daemon may take to hear of a request.
+	poisonTimeout = 300 * time.Millisecond
+	// poisonTellers bounds the daemons that are told at the same time.
+	poisonTellers = 32
+	// marksAsked is how many daemons one that starts asks what they were told.
+	marksAsked = 4
+	// writeAgain is the mean pause before an entry is written that could not be.
+	writeAgain = time.Second
+)
+
+// poisoned knows which requests end the servers that run them. Those that are refused lie in
+// the store, and daemons tell each other at once.
+type poisoned struct {
+	h *Handler
+
+	mu      sync.Mutex // guards the rest
+	view    *feed.View // the last one seen here
+	ledger  poison.Ledger[routing.Life]
+	marks   poison.Marks
+	running map[string]map[*underway]bool // by digest
+	details map[string]*peerpb.Poisonous  // of requests that have a mark or had ends counted here
+	pending map[string]*peerpb.Poisonous  // not in the store yet
+	roused  chan struct{}                 // holds an item when something is pending
+}
+
+// underway is one request in progress.
+type underway struct{ cancel context.CancelCauseFunc }
+
+func newPoisoned(h *Handler) *poisoned {
+	return &poisoned{
+		h: h, view: &feed.View{}, running: map[string]map[*underway]bool{}, details: map[string]*peerpb.Poisonous{},
+		pending: map[string]*peerpb.Poisonous{}, roused: make(chan struct{}, 1),
+	}
+}
+
+// errPoison is the answer to a request that ends its servers. It has run, in this attempt or
+// in one before, so it promises nothing; and nothing is gained by coming back.
+func errPoison(digest string) error {
+	return verdict.New(verdict.MayHaveRun, verdict.CodePoison, "backend servers end when they run this request, so it is sent to none (%s)", digest)
+}
+
+// enter begins a request, unless it is refused. Its context ends if it is refused later.
+func (p *poisoned) enter(ctx context.Context, in *inbound) (_ context.Context, leave func(), err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(p.h.opts.Feed.View())
+	if p.mark(in.digest) == poison.Refused {
+		p.h.metrics.poisonRefusals.Inc()
+		return ctx, nil, errPoison(in.digest)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	one := &underway{cancel}
+	if p.running[in.digest] == nil {
+		p.running[in.digest] = map[*underway]bool{}
+	}
+	p.running[in.digest][one] = true
+	return ctx, func() {
+		cancel(nil)
+		p.left(in.digest, one)
+	}, nil
+}
+
+func (p *poisoned) left(digest string, one *underway) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running[digest], one)
+	if len(p.running[digest]) == 0 {
+		delete(p.running, digest)
+	}
+}
+
+// settle forgets what was told and counted of requests that lie in the store from now on: an
+// operator lifts their refusal there.
+func (p *poisoned) settle(view *feed.View) {
+	if p.view == view {
+		return
+	}
+	p.view = view
+	for digest := range view.Refused {
+		p.marks.Lift(digest)
+		p.ledger.Clear(digest)
+		delete(p.details, digest)
+		p.stop(digest)
+	}
+}
+
+// stop ends the attempts of a request that are in progress.
+func (p *poisoned) stop(digest string) {
+	for one := range p.running[digest] {
+		one.cancel(errPoison(digest))
+	}
+}
+
+// mark is what is held of a request.
+func (p *poisoned) mark(digest string) poison.Mark {
+	if p.stored(digest) {
+		return poison.Refused
+	}
+	return p.marks.Of(time.Now(), digest)
+}
+
+// stored reports whether the refusal of a request lies in the store.
+func (p *poisoned) stored(digest string) bool {
+	_, ok := p.view.Refused[digest]
+	return ok
+}
+
+// ended counts the end of a server under a request here and at the request's keepers.
+func (p *poisoned) ended(ctx context.Context, in *inbound, life routing.Life) {
+	q := &peerpb.EndedRequest{Digest: in.digest, Server: life.ID, Born: life.Born, Account: in.accountName(), Route: in.routeName()}
+	p.count(q)
+	p.toKeepers(in.digest, func(vm routing.VM) {
+		reply, err := request(ctx, p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Ended, q, poisonTimeout)
+		if err == nil {
+			p.told(reply.GetRequest(), markOf(reply.GetMark()))
+		}
+	})
+}
+
+// toKeepers calls tell for each keeper of a request but this daemon.
+func (p *poisoned) toKeepers(digest string, tell func(routing.VM)) {
+	if p.h.neighbours.dialer == nil {
+		return
+	}
+	vms, hashes := daemons(p.h.opts.Feed.View())
+	for _, i := range rendezvous.Nearest(xxhash.Sum64String(digest), hashes, poisonKeepers) {
+		if vms[i].ID != p.h.opts.Self.ID {
+			go tell(vms[i])
+		}
+	}
+}
+
+// count records the end of a server under a request, and marks the request by all that is
+// counted here.
+func (p *poisoned) count(q *peerpb.EndedRequest) {
+	digest, life := q.GetDigest(), routing.Life{ID: q.GetServer(), Born: q.GetBorn()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settle(p.h.opts.Feed.View())
+	if p.stored(digest) {
+		return
+	}
+	one := p.details[digest]
+	if one == nil {
+		one = &peerpb.Poisonous{Digest: digest, Account: q.GetAccount(), Route: q.GetRoute()}
+	}
+	if p.ledger.Ended(time.Now(), digest, life) {
+		one = &peerpb.Poisonous{Digest: digest, Account: one.Account, Route: one.Route, Servers: append(slices.Clone(one.Servers), life.ID)}
+	}
+	p.details[digest] = one
+	p.trim()
+	mark := p.ledger.Mark(digest)
+	if !p.raise(one, mark) {
+		return
+	}
+	p.h.opts.Log.Emit(event.PoisonMarked, digest, one.Account, one.Route, mark.String(), one.Servers)
+	go p.spread(&peerpb.MarkedRequest{Request: one, Mark: peerpb.Mark(mark)})
+	if mark == poison.Refused {
+		p.pending[digest] = one
+		p.rouse()
+	}
+}
+
+// trim forgets the details of requests that nothing is known of any more.
+func (p *poisoned) trim() {
+	if len(p.details) <= poison.MaxRequests {
+		return
+	}
+	now := time.Now()
+	maps.DeleteFunc(p.details, func(digest string, _ *peerpb.Poisonous) bool {
+		return p.ledger.Mark(digest) == poison.Unmarked && p.marks.Of(now, digest) == poison.Unmarked
+	})
+}
+
+// raise sets a mark, and ends the requests in progress that are refused now. It reports
+// whether the mark is new here.
+func (p *poisoned) raise(one *peerpb.Poisonous, mark poison.Mark) bool {
+	digest := one.GetDigest()
+	if mark == poison.Unmarked || !p.marks.Set(time.Now(), digest, mark) {
+		return false
+	}
+	p.h.metrics.poisonMarks.WithLabelValues(mark.String()).Inc()
+	if mark == poison.Refused {
+		p.stop(digest)
+	}
+	return true
+}
+
+// told takes in what another daemon says of a request.
+func (p *poisoned) told(one *peerpb.Poisonous, mark poison.Mark) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	digest := one.GetDigest()
+	if mark == poison.Unmarked {
+		p.marks.Clear(digest)
+		return
+	}
+	p.settle(p.h.opts.Feed.View())
+	if p.stored(digest) || !p.raise(one, mark) {
+		return
+	}
+	p.details[digest] = one
+	p.h.opts.Log.Emit(event.PoisonTold, digest, one.GetAccount(), one.GetRoute(), mark.String(), one.GetServers())
+}
+
+// whole clears a request of which an answer is whole: other answers beside it ended its
+// servers.
+func (p *poisoned) whole(in *inbound) {
+	if !p.clear(in.digest) {
+		return
+	}
+	p.h.opts.Log.Emit(event.PoisonCleared, in.call.ID, in.digest)
+	p.toKeepers(in.digest, func(vm routing.VM) {
+		q := &peerpb.ClearedRequest{Digest: in.digest}
+		// A failure is logged by judge; the next whole answer clears the request there.
+		_, _ = request(context.Background(), p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Cleared, q, poisonTimeout)
+	})
+}
+
+// clear forgets what is counted of a request and that it is watched, which the other daemons
+// are told. It reports whether there was anything.
+func (p *poisoned) clear(digest string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counted, watched := p.ledger.Clear(digest), p.marks.Clear(digest)
+	if counted || watched {
+		delete(p.details, digest)
+	}
+	if watched {
+		go p.spread(&peerpb.MarkedRequest{Request: &peerpb.Poisonous{Digest: digest}, Mark: peerpb.Mark_MARK_UNMARKED})
+	}
+	return counted || watched
+}
+
+// spread tells all other daemons of a request. One that does not hear of it learns of a
+// refusal from the store, or from a keeper when it counts the end of a server itself.
+func (p *poisoned) spread(q *peerpb.MarkedRequest) {
+	if p.h.neighbours.dialer == nil {
+		return
+	}
+	var all sync.WaitGroup
+	turns := make(chan struct{}, poisonTellers)
+	for _, vm := range routing.Peers(p.h.opts.Feed.View().VMs, p.h.opts.Self.ID) {
+		turns <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turns }()
+			// A failure is logged by judge.
+			_, _ = request(context.Background(), p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Marked, q, poisonTimeout)
+		})
+	}
+	all.Wait()
+}
+
+// rouse has run look at what is pending.
+func (p *poisoned) rouse() {
+	select {
+	case p.roused <- struct{}{}:
+	default:
+	}
+}
+
+// run asks other daemons what they were told, once some are known, and writes refusals to
+// the store until ctx ends.
+func (p *poisoned) run(ctx context.Context) {
+	select {
+	case <-p.h.opts.Feed.Known():
+		p.learn(ctx)
+	case <-ctx.Done():
+	}
+	for {
+		select {
+		case <-p.roused:
+		case <-ctx.Done():
+			return
+		}
+		for !p.write(ctx) {
+			if !pause.For(ctx, writeAgain/2+rand.N(writeAgain)) {
+				return
+			}
+		}
+	}
+}
+
+// learn asks some daemons for the marks that they were told.
+//
+// The failure it guards against: a request is refused while the store is away, and a daemon
+// that starts reads the store's state of before from a neighbour.
+func (p *poisoned) learn(ctx context.Context) {
+	if p.h.neighbours.dialer == nil {
+		return
+	}
+	peers := routing.Peers(p.h.opts.Feed.View().VMs, p.h.opts.Self.ID)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, vm := range peers[:min(marksAsked, len(peers))] {
+		go func() {
+			reply, err := request(ctx, p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Marks, &peerpb.MarksRequest{}, poisonTimeout)
+			if err != nil {
+				return // it is logged by judge
+			}
+			for _, one := range reply.GetRefused() {
+				p.told(one, poison.Refused)
+			}
+		}()
+	}
+}
+
+// write writes what is pending to the store. It reports whether nothing is pending any more.
+func (p *poisoned) write(ctx context.Context) bool {
+	p.mu.Lock()
+	pending := slices.Collect(maps.Values(p.pending))
+	p.mu.Unlock()
+	done := true
+	for _, one := range pending {
+		err := p.h.opts.Feed.Refuse(ctx, feed.Refused{
+			Digest: one.GetDigest(), Account: one.GetAccount(), Route: one.GetRoute(), Servers: one.GetServers(),
+		})
+		p.h.opts.Log.Emit(event.PoisonWritten, one.GetDigest(), err)
+		if err != nil && !errors.Is(err, feed.ErrRefusedFull) {
+			done = false
+			continue
+		}
+		p.mu.Lock()
+		delete(p.pending, one.GetDigest())
+		p.mu.Unlock()
+	}
+	return done
+}
+
+// markOf reads a mark. One that is not known here marks nothing.
+func markOf(m peerpb.Mark) poison.Mark {
+	switch m {
+	case peerpb.Mark_MARK_WATCHED:
+		return poison.Watched
+	case peerpb.Mark_MARK_REFUSED:
+		return poison.Refused
+	}
+	return poison.Unmarked
+}
+
+// poisonTelling implements peerpb.Poison.
+type poisonTelling struct{ p *poisoned }
+
+// Ended implements peerpb.Poison.
+func (t poisonTelling) Ended(_ context.Context, q *peerpb.EndedRequest) (*peerpb.EndedReply, error) {
+	t.p.count(q)
+	return t.p.held(q.GetDigest()), nil
+}
+
+// Cleared implements peerpb.Poison.
+func (t poisonTelling) Cleared(_ context.Context, q *peerpb.ClearedRequest) (*peerpb.ClearedReply, error) {
+	t.p.clear(q.GetDigest())
+	return &peerpb.ClearedReply{}, nil
+}
+
+// Marked implements peerpb.Poison.
+func (t poisonTelling) Marked(_ context.Context, q *peerpb.MarkedRequest) (*peerpb.MarkedReply, error) {
+	t.p.told(q.GetRequest(), markOf(q.GetMark()))
+	return &peerpb.MarkedReply{}, nil
+}
+
+// Marks implements peerpb.Poison.
+func (t poisonTelling) Marks(context.Context, *peerpb.MarksRequest) (*peerpb.MarksReply, error) {
+	p := t.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply := &peerpb.MarksReply{}
+	for _, digest := range p.marks.All(time.Now(), poison.Refused) {
+		reply.Refused = append(reply.Refused, p.details[digest])
+	}
+	return reply, nil
+}
+
+// held is what is known here of a request.
+func (p *poisoned) held(digest string) *peerpb.EndedReply {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &peerpb.EndedReply{Request: p.details[digest], Mark: peerpb.Mark(p.mark(digest))}
+}
+
+// Poisoned returns the twirp service that other daemons call, and its path prefix.
+func (h *Handler) Poisoned() (prefix string, handler http.Handler) {
+	s := peerpb.NewPoisonServer(poisonTelling{h.poisoned})
+	return s.PathPrefix(), s
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -78,7 +78,9 @@
 	version int64
 	age     time.Duration
 	arrived time.Time
-	until   time.Time // when the caller or the route gives up
+	// digest names the request in all its attempts; "" until its body is read.
+	digest string
+	until  time.Time // when the caller or the route gives up
 }
 
 // priority is the account's, or else the route's; 0 is the most urgent.
--- a/serve/gateway/crashing_test.go
+++ b/serve/gateway/crashing_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/decision/verdict"
 )
 
 const (
@@ -57,7 +63,10 @@
 				for n := range 120 {
 					time.Sleep(500 * time.Millisecond)
 					f.done.Go(func() { f.ask(n*3%len(all), c.path, crashing) })
-					f.done.Go(func() { f.ask(n*5%len(all), fmt.Sprintf("%s-%d", c.path, n), "fine") })
+					f.done.Go(func() {
+						got := f.ask(n*5%len(all), fmt.Sprintf("%s-%d", c.path, n), "fine")
+						test.StrNotContains(f.t, got.body, string(verdict.CodePoison))
+					})
 					if known.IsZero() && f.lives() >= crashesFree {
 						known = time.Now().Add(crashesKnown)
 					}
@@ -68,3 +77,67 @@
 		})
 	}
 }
+
+// refuse has a request end its servers until it is refused, and returns its digest.
+func (f *fleet) refuse(path string) (digest string) {
+	for n := range 6 {
+		f.ask(n, path, crashing)
+		time.Sleep(time.Second)
+	}
+	time.Sleep(2 * time.Second)
+	for _, key := range f.store.Keys() {
+		if found, ok := strings.CutPrefix(key, feed.RefusedKey("")); ok {
+			digest = found
+		}
+	}
+	must.NotEq(f.t, "", digest)
+	return digest
+}
+
+// The answer must neither say that nothing ran nor invite the caller back.
+func TestRefusalOfARequestThatEndsServersPromisesNothing(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 6)
+		digest := f.refuse("/once/1")
+		got := f.ask(6, "/once/1", crashing)
+		must.Eq(f.t, http.StatusBadGateway, got.status)
+		must.Eq(f.t, "", got.header.Get("Retry-After"))
+		must.StrContains(f.t, got.body, string(verdict.CodePoison))
+		must.StrContains(f.t, got.body, verdict.MayHaveRun.String())
+		must.StrContains(f.t, got.body, digest)
+	})
+}
+
+// An operator lifts a refusal: no daemon may hold on to it.
+func TestLiftedRequestIsSentAgain(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 6)
+		digest := f.refuse("/once/1")
+		before := f.arrivals("/once/1", time.Time{})
+		for n := range 7 {
+			must.Eq(f.t, http.StatusBadGateway, f.ask(n, "/once/1", crashing).status)
+		}
+		must.Eq(f.t, before, f.arrivals("/once/1", time.Time{}))
+		f.remove(feed.RefusedKey(digest))
+		time.Sleep(3 * time.Second)
+		f.ask(4, "/once/1", crashing)
+		must.Eq(f.t, before+1, f.arrivals("/once/1", time.Time{}))
+	})
+}
+
+// Servers that end by themselves under a call that many make: it must not be refused.
+func TestCallThatManyMakeIsNotRefusedWhereServersEnd(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 6)
+		for n := range 1200 {
+			time.Sleep(5 * time.Millisecond)
+			f.done.Go(func() {
+				got := f.ask(n%7, "/again/1", "fine")
+				test.StrNotContains(f.t, got.body, string(verdict.CodePoison))
+			})
+			if n%60 == 10 {
+				f.servers[fmt.Sprintf("desk-%d:80", n/60%6)].crash()
+			}
+		}
+	})
+}
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -157,6 +157,7 @@
 	servers := g.serve(life)
 	var work errgroup.Group
 	work.Go(func() error { g.feed.Run(life); return nil })
+	work.Go(func() error { g.handler.Run(life); return nil })
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
@@ -208,7 +209,7 @@
 // peerHandler answers other daemons.
 func (g *Gateway) peerHandler() http.Handler {
 	router := mux.NewRouter()
-	for _, of := range []func() (string, http.Handler){g.feed.Handler, g.handler.Lending, g.handler.Telling} {
+	for _, of := range []func() (string, http.Handler){g.feed.Handler, g.handler.Lending, g.handler.Telling, g.handler.Poisoned} {
 		prefix, service := of()
 		router.PathPrefix(prefix).Handler(service)
 	}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -39,9 +39,17 @@
 	CachesRead = define(236, "caches_read", logrus.InfoLevel,
 		"The engines of a service were asked what prompts they hold; late are those that had not answered when the wait was over, bytes those of all answers.", "service", "asked", "answered", "late", "bytes", "took")
 	BackendBroke = define(238, "backend_broke", logrus.InfoLevel,
-		"A backend server broke off a connection under a request. found says whether the server ended, fell how many others failed at that moment; running is the time since the first event.", "request", "digest", "prompt", "account", "backend", "backend_zone", "found", "fell", "under_way", "running", "from", "error")
+		"A backend server broke off a connection under a request. found says whether the server ended, finding whether that counts for the request, asked and down how many others of its zone were looked at and had ended; running is the time since the first event.", "request", "digest", "prompt", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
 	LegKept = define(237, "leg_kept", logrus.InfoLevel,
 		"A silent backend server keeps its stream, because it cannot go on at another now; given_up says that it never can, and the server gives no sign of life while others do.", "request", "backend", "error", "reason", "given_up", "after", "quiet")
+	PoisonMarked = define(239, "poison_marked", logrus.WarnLevel,
+		"Servers ended under a request, counted here: watched requests are cleared by a whole answer, refused ones are sent to no server.", "digest", "account", "route", "mark", "servers")
+	PoisonTold = define(240, "poison_told", logrus.InfoLevel,
+		"Another daemon marked a request under which servers ended.", "digest", "account", "route", "mark", "servers")
+	PoisonCleared = define(241, "poison_cleared", logrus.InfoLevel,
+		"An answer was whole to a request under which servers had ended; what was counted of it is forgotten.", "request", "digest")
+	PoisonWritten = define(242, "poison_written", logrus.InfoLevel,
+		"A refused request was written to the store, or could not be.", "digest", "error")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
