soak of processes: requests that end the servers which run them

A fault more for the random runs: one request comes every 150 ms for 5 s at all daemons and ends each server that begins to run it, beside kills, pauses, cuts and a store that fails.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -55,6 +55,7 @@
 	http  *http.Client
 	known []string // addresses to connect to
 	asked time.Time
+	name  string // of all requests, in path and body; "" where each has its own
 	habits
 }
 
@@ -141,18 +142,23 @@
 		return result{err: err}
 	}
 	account, key := c.world.key(rand.IntN(accounts))
+	name := id
+	if c.name != "" {
+		name = c.name
+		account, key = c.world.key(0)
+	}
 	parts := ""
 	if kind == callReview {
 		parts = part + ":800"
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+prefixes[kind]+id, bytes.NewReader([]byte(id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+prefixes[kind]+name, bytes.NewReader([]byte(name)))
 	if err != nil {
 		return result{err: errors.Wrap(err, "request")}
 	}
 	req.GetBody = nil // the client library must not repeat by itself
 	req.Host = host
 	req.Header = wire.CallerHeaders(forward.Call{ID: id, Wait: patience[kind], Key: key, After: held, PromptTokens: 800}, parts)
-	c.world.ledger.send(id, sentCall{account: account, key: key, kind: kind, at: time.Now()})
+	c.world.ledger.send(id, sentCall{account: account, key: key, name: name, kind: kind, at: time.Now()})
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return result{err: errors.Wrap(err, "send")}
--- a/lab/soak/process/ledger.go
+++ b/lab/soak/process/ledger.go
@@ -31,6 +31,7 @@
 type sentCall struct {
 	account string // holder of the key when it was sent
 	key     string
+	name    string // what follows the route's prefix in its path
 	kind    callKind
 	at      time.Time
 }
--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -30,6 +30,7 @@
 	{"server restarts under its id", false, (*world).restartServer},
 	{"server cut off", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.server().link) }},
 	{"server fails", false, (*world).failServer},
+	{"request that ends its servers", false, (*world).poison},
 	{"server leaves", true, (*world).leave},
 	{"key removed", true, (*world).removeKey},
 	{"route moved", true, (*world).moveRoute},
@@ -63,6 +64,7 @@
 		time.Sleep(faultPause/2 + w.upTo(faultPause))
 	}
 	trouble.Wait()
+	w.ending.Wait()
 	time.Sleep(w.opts.Sort.settle())
 	stop()
 	callers.Wait()
--- a/lab/soak/process/proxy.go
+++ b/lab/soak/process/proxy.go
@@ -13,11 +13,12 @@
 type linkMode uint8
 
 const (
-	linkPass   linkMode = iota
-	linkReset           // new connections are reset
-	linkSilent          // new connections are taken and nothing passes
-	linkOneWay          // requests pass and answers do not
-	linkSlow            // each read waits
+	linkPass    linkMode = iota
+	linkReset            // new connections are reset
+	linkSilent           // new connections are taken and nothing passes
+	linkOneWay           // requests pass and answers do not
+	linkSlow             // each read waits
+	linkRefused          // nobody listens, as where a process has ended
 )
 
 // slowBy is the delay of a slow link for each read.
@@ -25,9 +26,10 @@
 
 // proxy passes TCP connections on to one address and misbehaves on demand.
 type proxy struct {
-	listener net.Listener
+	at       string  // address
 	out, in  []*lane // that requests and answers pass, where there are any
 	mu       sync.Mutex
+	listener net.Listener // nil while connections are refused
 	target   string
 	mode     linkMode
 	links    map[*proxied]struct{}
@@ -48,16 +50,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
-	p := &proxy{listener: l, target: target, out: out, in: in, links: map[*proxied]struct{}{}}
-	go p.accept()
+	p := &proxy{at: l.Addr().String(), listener: l, target: target, out: out, in: in, links: map[*proxied]struct{}{}}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		near, err := p.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -142,9 +144,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	p.listen(mode != linkRefused)
 	for c := range p.links {
 		switch {
-		case mode == linkReset:
+		case mode == linkReset || mode == linkRefused:
 			reset(c.near)
 			reset(c.far)
 		case c.mode != linkSilent && c.mode != linkOneWay:
@@ -153,6 +156,22 @@
 	}
 }
 
+// listen opens or closes the port. It is called under the lock.
+func (p *proxy) listen(open bool) {
+	switch {
+	case open && p.listener == nil:
+		l, err := net.Listen("tcp", p.at)
+		if err != nil {
+			return // connections are refused until the next change
+		}
+		p.listener = l
+		go p.accept(l)
+	case !open && p.listener != nil:
+		_ = p.listener.Close() // it has no other end
+		p.listener = nil
+	}
+}
+
 // cut resets the connections that are open.
 func (p *proxy) cut() {
 	p.mu.Lock()
@@ -164,7 +183,9 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close() // it ends with the run in any case
+	p.mu.Lock()
+	p.listen(false)
+	p.mu.Unlock()
 	p.cut()
 }
 
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -96,7 +96,7 @@
 // crash ends the life: its runs, copies and connections are gone.
 func (s *server) crash() {
 	s.end()
-	s.link.set(linkReset)
+	s.link.set(linkRefused)
 }
 
 // end ends the life without a word to anyone.
@@ -227,6 +227,10 @@
 		panic(http.ErrAbortHandler)
 	case <-r.Context().Done():
 	}
+	if isPoison(r.URL.Path) && s.endUnder(r) {
+		s.world.ledger.end(one, 0, "")
+		panic(http.ErrAbortHandler)
+	}
 	s.world.ledger.end(one, status, body)
 	if rand.Float64() < losing {
 		panic(http.ErrAbortHandler)
@@ -262,6 +266,9 @@
 		case <-r.Context().Done():
 			return
 		}
+		if n == e.After+1 && isPoison(r.URL.Path) && s.endUnder(r) {
+			panic(http.ErrAbortHandler)
+		}
 		wait = s.world.opts.Sort.pace()
 		if n == e.After+1 {
 			w.Header().Set("Content-Type", "text/event-stream")
--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -92,6 +92,10 @@
 	desk    string               // service of the calls
 	moved   time.Time            // when the last move of them was acknowledged
 	trouble time.Time            // until when bounds do not hold
+	poisons int                  // requests that end their servers
+	// endedUnder counts the servers that ended under each of those.
+	endedUnder map[string]int
+	ending     sync.WaitGroup // servers that are to start again
 }
 
 // Run plays one seed.
@@ -99,6 +103,7 @@
 	w := &world{
 		opts: o, random: rand.New(rand.NewPCG(o.Seed, 7)), ledger: newLedger(), memory: store.NewMemory(),
 		fronts: map[string]string{}, removed: map[string]time.Time{}, desk: "desk",
+		endedUnder: map[string]int{},
 	}
 	defer w.close()
 	if err := w.start(); err != nil {
@@ -297,7 +302,7 @@
 	switch {
 	case sent.at.IsZero():
 		l.violate("%s runs, and no caller sent it", e.ID)
-	case path != prefixes[sent.kind]+e.ID:
+	case path != prefixes[sent.kind]+sent.name:
 		l.violate("%s arrives with the path %s", e.ID, path)
 	case key != "":
 		l.violate("%s arrives with its caller's key", e.ID)
