--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -35,6 +35,8 @@
 	Status   statusCmd   `cmd:"" help:"Show which revision is in force in each zone, and who lags."`
 	Handover handoverCmd `cmd:"" help:"Write what the next shift starts from: state and text."`
 
+	Refused refusedCmd `cmd:"" help:"List requests that are sent to no server, or have one sent again."`
+
 	Story    storyCmd    `cmd:"" help:"Print one request's story from the logs of several daemons."`
 	Stories  storiesCmd  `cmd:"" help:"Sum up what the logs of several daemons show of all requests."`
 	Demo     demoCmd     `cmd:"" help:"Play a deployment in one process: an answer survives its engine."`
--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -24,7 +24,7 @@
 // Refused is a request that is sent to no server, because it ends those that run it.
 type Refused struct {
 	// Digest names the request in all its attempts; it is the end of the key.
-	Digest  string `json:"-"`
+	Digest  string `json:"digest"`
 	Account string `json:"account,omitempty"`
 	Route   string `json:"route"`
 	// Servers are the ids of those that ended under it.
@@ -38,16 +38,15 @@
 // the refusal.
 func RefusedKey(digest string) string { return refusedPrefix + digest }
 
-// DecodeRefused reads the entry of a refused request.
-func DecodeRefused(key string, raw []byte) (Refused, error) {
+// readRefused reads the entry of a refused request, of which the key alone decides. What
+// cannot be read leaves it without details.
+func readRefused(kv store.KV) Refused {
 	var r Refused
-	if err := json.Unmarshal(raw, &r); err != nil {
-		return r, errors.Wrap(err, "refused request")
+	if err := json.Unmarshal(kv.Value, &r); err != nil {
+		r = Refused{}
 	}
-	if r.Digest = strings.TrimPrefix(key, refusedPrefix); r.Digest == "" {
-		return r, errors.New("refused request: the key names none")
-	}
-	return r, nil
+	r.Digest = strings.TrimPrefix(kv.Key, refusedPrefix)
+	return r
 }
 
 // ErrRefusedFull means that as many requests are refused as the store is to hold.
@@ -76,12 +75,25 @@
 	return err
 }
 
-// putRefused takes in the entry of a refused request. One that cannot be read refuses all
-// the same: its key says which.
-func (t *table) putRefused(kv store.KV) {
-	r, err := DecodeRefused(kv.Key, kv.Value)
-	if r.Digest = strings.TrimPrefix(kv.Key, refusedPrefix); err != nil {
-		t.refuse(kv.Key, err)
+// ListRefused returns the requests that are refused by entries in a store, in the order of
+// their digests. An entry that cannot be read has nothing but its digest.
+func ListRefused(ctx context.Context, s store.Store) ([]Refused, error) {
+	kvs, _, err := s.List(ctx, refusedPrefix)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Refused, len(kvs))
+	for i, kv := range kvs {
+		list[i] = readRefused(kv)
+	}
+	return list, nil
+}
+
+// Lift removes the entry of a refused request; store.ErrNotFound means that there is none.
+func Lift(ctx context.Context, s store.Store, digest string) error {
+	kv, err := s.Get(ctx, RefusedKey(digest))
+	if err != nil {
+		return err
 	}
-	t.barred[kv.Key] = r
+	return s.Delete(ctx, kv.Key, kv.Version)
 }
--- a/control/feed/refused_test.go
+++ b/control/feed/refused_test.go
@@ -35,3 +35,19 @@
 		}
 	})
 }
+
+func TestRefusalIsListedAndLifted(t *testing.T) {
+	s := store.NewMemory()
+	for _, digest := range []string{"b", "a"} {
+		_, err := s.CompareAndSwap(t.Context(), RefusedKey(digest), 0, []byte(`{"account":"mill","route":"r","servers":["s-1"]}`), 0)
+		must.NoError(t, err)
+	}
+	list, err := ListRefused(t.Context(), s)
+	must.NoError(t, err)
+	must.Eq(t, []Refused{
+		{Digest: "a", Account: "mill", Route: "r", Servers: []string{"s-1"}},
+		{Digest: "b", Account: "mill", Route: "r", Servers: []string{"s-1"}},
+	}, list)
+	must.NoError(t, Lift(t.Context(), s, "a"))
+	must.ErrorIs(t, Lift(t.Context(), s, "a"), store.ErrNotFound)
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -131,7 +131,7 @@
 	case strings.HasPrefix(kv.Key, vmPrefix):
 		t.putVM(kv)
 	case strings.HasPrefix(kv.Key, refusedPrefix):
-		t.putRefused(kv)
+		t.barred[kv.Key] = readRefused(kv)
 	}
 }
 
