forward: logs show what servers say of their rate, and which send of a call an exchange is

The logs could not tell a limit that nobody reads from one that each daemon keeps to by itself, nor first sends from repeats. Event 220 has `send` and `limit`, event 221 `limit`. Nothing is decided by it.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -24,6 +24,7 @@
 	back        chan signal    // holds a signal that was taken and put back, one at most
 	written     chan struct{}  // says once that the whole request has left
 	answer      *http.Response // nil before its headers are handled
+	limit       string         // that the server named
 	dead        <-chan error
 	reading     bool // counted as a prompt that is read, and not yet as a run
 	spare       *spare
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -60,6 +60,9 @@
 	Proven bool
 	// Instance is the id of the server that answered, where it says so.
 	Instance string
+	// Limit is how many requests a second the server says that it takes of all daemons
+	// together, as it writes that; "" if it names no limit.
+	Limit string
 }
 
 // Report is what an engine says of itself, as of a tenth of a second ago.
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -84,7 +84,7 @@
 
 // opened judges an answer by its headers.
 func (r *relay) opened(ctx context.Context, a *attempt, o opened) (end legEnd, err error, over bool) {
-	a.answer = o.resp
+	a.answer, a.limit = o.resp, o.reply.Limit
 	switch {
 	case o.err != nil:
 		end, err = r.failure(ctx, a.leg, o.err)
@@ -263,7 +263,7 @@
 // over ends an attempt, and has it found out whether its server ended.
 func (r *relay) over(a *attempt, end legEnd, err error) {
 	a.end(end)
-	r.log(a.leg, end, err)
+	r.log(a, end, err)
 	switch end {
 	case legBroken:
 		go r.h.inspect(ending{in: r.in, at: a.at, sent: a.sent, begun: a.begun, from: a.from, err: err})
@@ -272,8 +272,9 @@
 	}
 }
 
-func (r *relay) log(l leg, end legEnd, err error) {
+func (r *relay) log(a *attempt, end legEnd, err error) {
+	l := a.leg
 	r.h.metrics.legs.WithLabelValues(l.at.reason, end.String()).Inc()
 	r.h.opts.Log.Emit(event.StreamLeg, r.in.call.ID, r.in.call.OwnPart, r.in.route.Name, r.in.accountName(), r.in.version, l.at.server.ID, l.at.server.Zone, l.at.reason,
-		l.copyTo.server.ID, end.String(), r.after, r.first, r.longest, time.Since(r.since), time.Since(r.in.arrived), err)
+		l.copyTo.server.ID, end.String(), r.after, r.first, r.longest, time.Since(r.since), time.Since(r.in.arrived), a.limit, err)
 }
--- a/serve/forward/own.go
+++ b/serve/forward/own.go
@@ -20,6 +20,7 @@
 	ownAccount  = "X-Account"
 	ownPriority = "X-Priority"
 	ownNotRun   = "X-Not-Run"
+	ownLimit    = "X-Request-Limit" // requests a second of all daemons together
 )
 
 // ownStatusPath is where an engine says that it lives.
@@ -27,8 +28,8 @@
 
 // OwnCodec is how requests are marked where no platform says otherwise: an id and
 // a timeout of the caller's, a bearer token as the account key. A backend server
-// may refuse a request that names another server with 421, and says with X-Not-Run
-// that it did not run one. Answers bear no proof, so each counts as proven.
+// may refuse a request that names another server with 421, says with X-Not-Run
+// that it did not run one, and with X-Request-Limit what it takes. Answers bear no proof, so each counts as proven.
 type OwnCodec struct{}
 
 // Call implements Codec.
@@ -75,6 +76,7 @@
 		NotRun:      h.Get(ownNotRun) != "" || status == http.StatusMisdirectedRequest,
 		Misdirected: status == http.StatusMisdirectedRequest,
 		Proven:      true,
+		Limit:       h.Get(ownLimit),
 	}
 }
 
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -33,7 +33,9 @@
 // outcome is what came of one exchange.
 type outcome struct {
 	choice choice
-	err    error // without a whole, proven answer
+	send   int    // which of the request's sends it was, from 1
+	limit  string // that the server named
+	err    error  // without a whole, proven answer
 	// notRun says that the request did not run there and will not.
 	notRun bool
 	// rejected says that the server itself turned the request away, and full that it
@@ -151,8 +153,9 @@
 	x.sends++
 	x.sent++
 	x.pending++
+	send := x.sends
 	go func() {
-		o := x.h.exchange(ctx, x.in, c)
+		o := x.h.exchange(ctx, x.in, c, send)
 		x.h.pool.release(c)
 		x.results <- o
 	}()
@@ -238,8 +241,8 @@
 }
 
 // exchange sends the request to one server and reads the answer.
-func (h *Handler) exchange(ctx context.Context, in *inbound, c choice) *outcome {
-	o := &outcome{choice: c}
+func (h *Handler) exchange(ctx context.Context, in *inbound, c choice, send int) *outcome {
+	o := &outcome{choice: c, send: send}
 	started := time.Now()
 	defer func() { h.logExchange(ctx, in, o, time.Since(started)) }()
 	resp, reply, err := h.send(ctx, in, Errand{
@@ -251,7 +254,7 @@
 		h.broke(ctx, in, o, started)
 		return o
 	}
-	o.status, o.header = resp.StatusCode, resp.Header
+	o.status, o.header, o.limit = resp.StatusCode, resp.Header, reply.Limit
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
 	o.full = reply.NotRun && !reply.Misdirected
 	o.body, o.rest, o.err = readAnswer(resp)
@@ -349,5 +352,5 @@
 
 func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
 	h.metrics.sent(o)
-	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, in.accountName(), in.version, o.choice.server.ID, o.choice.reason, o.status, o.notRun, took, o.err)
+	h.opts.Log.Emit(event.Exchanged, in.call.ID, in.route.Name, in.accountName(), in.version, o.choice.server.ID, o.choice.reason, o.send, o.limit, o.status, o.notRun, took, o.err)
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -5,9 +5,9 @@
 // Events of forwarding and of what it follows in the store.
 var (
 	Exchanged = define(220, "exchanged", logrus.InfoLevel,
-		"A forwarded request was sent to a backend server.", "request", "route", "account", "config", "backend", "reason", "status", "not_run", "took", "error")
+		"A forwarded request was sent to a backend server; send says which of its sends it was, limit what the server says that it takes of all daemons.", "request", "route", "account", "config", "backend", "reason", "send", "limit", "status", "not_run", "took", "error")
 	StreamLeg = define(221, "stream_leg", logrus.InfoLevel,
-		"One backend server's part of a forwarded stream ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "longest", "quiet", "took", "error")
+		"One backend server's part of a forwarded stream ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "longest", "quiet", "took", "limit", "error")
 	ForwardRefused = define(222, "forward_refused", logrus.InfoLevel,
 		"The daemon itself answered a forwarded request.", "request", "prompt", "route", "account", "config", "config_age", "status", "code", "retry_after", "error", "took")
 	BackendSuspected = define(223, "backend_suspected", logrus.WarnLevel,
