--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -181,6 +181,7 @@
 	http     *http.Server
 	mu       sync.Mutex
 	life     int
+	limit    string // that it names in its answers
 	arrived  []arrival
 }
 
@@ -213,6 +214,11 @@
 	time.Sleep(2 * time.Second)
 }
 
+// server is the nth of a service.
+func (f *fleet) server(service string, n int) *backend {
+	return f.servers[fmt.Sprintf("%s-%d:80", service, n)]
+}
+
 func (s *backend) id() string { return fmt.Sprintf("%s.%d", s.address, s.life) }
 
 func (s *backend) register() {
@@ -249,6 +255,9 @@
 	body, _ := io.ReadAll(r.Body)
 	s.mu.Lock()
 	id, life := s.id(), s.life
+	if s.limit != "" {
+		w.Header().Set("X-Request-Limit", s.limit)
+	}
 	s.arrived = append(s.arrived, arrival{time.Now(), r.URL.Path})
 	s.mu.Unlock()
 	if r.Header.Get("X-Backend-Id") != id {
@@ -297,6 +306,42 @@
 	return n
 }
 
+// name sets what a server says of the requests that it takes.
+func (s *backend) name(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// most is how many requests reached a server in any span of a length that begins after a
+// moment.
+func (s *backend) most(span time.Duration, after time.Time) (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := 0
+	for last, a := range s.arrived {
+		for a.at.Sub(s.arrived[first].at) >= span || s.arrived[first].at.Before(after) && first < last {
+			first++
+		}
+		if !a.at.Before(after) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// total is how many requests reached a server between two moments.
+func (s *backend) total(from, until time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrived {
+		if a.at.After(from) && a.at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
 // lives is how many times a server has ended.
 func (f *fleet) lives() (n int) {
 	f.mu.Lock()
--- /dev/null
+++ b/serve/gateway/limited_test.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// limitSpan is the time in which requests to a server that names its rate are counted,
+	// limitKnown how long after it first does all daemons must keep to it.
+	limitSpan  = 4 * time.Second
+	limitKnown = 3 * time.Second
+)
+
+// limitAllows is what may reach a server in limitSpan that takes rate requests a second.
+func limitAllows(rate float64) int { return int(1.5*rate*limitSpan.Seconds()) + 5 }
+
+// calls are what callers got.
+type calls struct{ asked, answered, refused, inTime atomic.Int64 }
+
+// load sends calls to random daemons for a time, perSecond of them.
+func (f *fleet) load(path string, perSecond int, lasts time.Duration) *calls {
+	var got calls
+	random := rand.New(rand.NewPCG(1, 2))
+	for n := range int(lasts.Seconds() * float64(perSecond)) {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		at := random.IntN(len(f.daemons))
+		f.done.Go(func() {
+			got.asked.Add(1)
+			began := time.Now()
+			r := f.ask(at, fmt.Sprintf("%s%d", path, n), "fine")
+			switch {
+			case r.status == http.StatusOK && r.err == nil:
+				got.answered.Add(1)
+				if time.Since(began) <= 100*time.Millisecond {
+					got.inTime.Add(1)
+				}
+			case r.status == http.StatusServiceUnavailable:
+				got.refused.Add(1)
+				after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+				test.NoError(f.t, err)
+				test.Positive(f.t, after)
+			}
+		})
+	}
+	return &got
+}
+
+// Servers that name what they take of all daemons together must not get more.
+func TestServersThatNameTheirRateGetNoMore(t *testing.T) {
+	const rate = 5
+	for _, c := range []struct {
+		name      string
+		daemons   int
+		path      string
+		service   string
+		perSecond int
+		servers   int
+		limited   int
+		answered  float64 // least part of the calls
+		play      func(*fleet)
+	}{
+		{"two desks of three", 7, "/once/", "desk", 84, 3, 2, 0.99, nil},
+		{"two desks of three, idempotent calls", 7, "/again/", "desk", 84, 3, 2, 0.99, nil},
+		{"all desks", 7, "/once/", "desk", 84, 3, 3, 0.1, nil},
+		{"forty daemons", 40, "/once/", "desk", 120, 3, 2, 0.99, nil},
+		{"forty daemons, all desks", 40, "/once/", "desk", 120, 3, 3, 0.08, nil},
+		{"daemons start again in turn", 7, "/once/", "desk", 84, 3, 2, 0, func(f *fleet) {
+			for n := range 7 {
+				time.Sleep(2 * time.Second)
+				f.restart(n)
+			}
+		}},
+		{"the store is away", 7, "/once/", "desk", 84, 3, 2, 0.99, func(f *fleet) { f.storeDown(true) }},
+		{"engines", 7, "/stream/", "llm", 80, 8, 6, 0.9, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inServingFleet(t, c.daemons, func(f *fleet) {
+				f.serve(c.service, c.servers)
+				f.load(c.path+"first", c.perSecond, 3*time.Second)
+				f.done.Wait()
+				for n := range c.limited {
+					f.server(c.service, n).name(strconv.Itoa(rate))
+				}
+				named := time.Now()
+				if c.play != nil {
+					f.done.Go(func() { c.play(f) })
+				}
+				got := f.load(c.path, c.perSecond, 20*time.Second)
+				f.done.Wait()
+				for n := range c.limited {
+					must.LessEq(f.t, limitAllows(rate), f.server(c.service, n).most(limitSpan, named.Add(limitKnown)))
+				}
+				must.GreaterEq(f.t, c.answered*float64(got.asked.Load()), float64(got.answered.Load()))
+			})
+		})
+	}
+}
