forward: daemons together keep to the rate that a backend server names

What callers saw: nothing yet. Two desks that take 5 and 6 requests a second of all daemons got 71 and 85 in four seconds (35 and 41 allowed).

Cause: nobody read what answers say of a server's rate; servers were chosen by the requests that this daemon has in flight there, and a desk that answers in 15 ms has none. Class: a bound on the whole fleet that no part of it sees.

Evidence: counts by server and second do not change when the limits are named, 245 of 256 calls go to the desk of the daemon's own zone as before, and no code reads the header. Ruled out: each daemon keeping to the rate by itself (the counts do not fall at all), repeats (one call in seven fails, three times the limit arrives).

Change - decision/quota: a limit is known from the own answer or told; an answer without it ends it only where its request was sent after the limit was last named. One daemon, named by rendezvous hashing of the server, gives out permits at nine tenths of the rate, each for one request that is sent at once; one that is refused is told when to ask again, each another time. What cannot be read counts as next to nothing: a request every two seconds, which shows when it is over. - forward: calls and streams choose servers as before; where the choice names a limit the request asks for a permit (a round trip), and goes elsewhere without one. Where all are limited: 503, not run, with the time until there may be room. Limits are by life, so the next process at an address has none. A giver that others do not ask gives itself its even part only: it may be cut off while another gives to the rest. - A server that names a limit tells all daemons through whoever hears it: one call to each for a limit named, changed by a tenth, or lifted.

Without the giver's own part 44 requests in 4 s where three daemons of seven hear nobody (TestDaemonThatGivesPermitsIsCutOff).

--- /dev/null
+++ b/decision/quota/quota_test.go
@@ -0,0 +1,94 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		rate  float64
+		named bool
+		wrong bool
+	}{
+		{"", 0, false, false},
+		{"5.8", 5.8, true, false},
+		{"0", 0, true, false},
+		{"1e-9", 1e-9, true, false},
+		{"+Inf", 0, false, false},
+		{"-1", 0, true, true},
+		{"NaN", 0, true, true},
+		{"-Inf", 0, true, true},
+		{"five", 0, true, true},
+		{"5,8", 0, true, true},
+		{"1e999", 0, true, true},
+	} {
+		rate, named, err := Read(c.text)
+		must.Eq(t, c.rate, rate, must.Sprint(c.text))
+		must.Eq(t, c.named, named, must.Sprint(c.text))
+		must.Eq(t, c.wrong, err != nil, must.Sprint(c.text))
+	}
+}
+
+func TestBucketGivesOutTheRate(t *testing.T) {
+	for _, rate := range []float64{0, 0.1, 1, 5.8, 200} {
+		var b Bucket
+		start := time.Now()
+		granted := 0
+		for now := start; now.Before(start.Add(100 * time.Second)); now = now.Add(time.Millisecond) {
+			if ok, wait := b.Take(now, rate); ok {
+				granted++
+			} else {
+				must.Positive(t, wait)
+				must.LessEq(t, maxWait, wait)
+			}
+		}
+		must.Between(t, 0.95, float64(granted)/100/rateGiven(rate), 1.05, must.Sprint(rate))
+	}
+}
+
+// Daemons that are refused must not all come back at the same moment.
+func TestRefusedAreToldDifferentTimes(t *testing.T) {
+	var b Bucket
+	now := time.Now()
+	b.Take(now, 5)
+	_, first := b.Take(now, 5)
+	_, second := b.Take(now, 5)
+	must.Eq(t, seconds(1/rateGiven(5)), second-first)
+}
+
+func TestDaemonAsksOneQuestionAtATime(t *testing.T) {
+	var turn Turn
+	now := time.Now()
+	must.True(t, turn.Ask(now))
+	must.False(t, turn.Open(now))
+	must.False(t, turn.Ask(now))
+	turn.Answered(now, 0)
+	must.True(t, turn.Ask(now))
+	turn.Answered(now, time.Second)
+	must.False(t, turn.Ask(now.Add(time.Second-1)))
+	must.Eq(t, time.Second, turn.Wait(now))
+	must.True(t, turn.Ask(now.Add(time.Second)))
+}
+
+func TestWhatAnswersSayOfALimit(t *testing.T) {
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var l Limit
+	must.Eq(t, Unchanged, l.Answered(at(0), at(1), 0, false))
+	must.Eq(t, Named, l.Answered(at(2), at(10), 5, true))
+	must.Eq(t, Unchanged, l.Answered(at(3), at(12), 5.1, true))
+	must.Eq(t, Changed, l.Answered(at(4), at(13), 8, true))
+	// An answer that the server had begun before it was in need ends nothing.
+	must.Eq(t, Unchanged, l.Answered(at(1), at(14), 0, false))
+	must.Eq(t, Lifted, l.Answered(at(20), at(30), 0, false))
+	rate, named := l.Rate()
+	must.Eq(t, 8, rate)
+	must.False(t, named)
+	must.Eq(t, Unchanged, l.Told(at(31), 0, false))
+	must.Eq(t, Named, l.Told(at(32), 3, true))
+	must.Eq(t, Lifted, l.Told(at(33), 0, false))
+}
--- a/peer/peerpb/repeats.twirp.go
+++ b/peer/peerpb/repeats.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *repeatsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor6, 0
+	return twirpFileDescriptor7, 0
 }
 
 func (s *repeatsServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Repeats")
 }
 
-var twirpFileDescriptor6 = []byte{
+var twirpFileDescriptor7 = []byte{
 	// 164 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0xe2, 0x2d, 0x4a, 0x2d, 0x48,
 	0x4d, 0x2c, 0x29, 0xd6, 0x2b, 0x28, 0xca, 0x2f, 0xc9, 0x17, 0xe2, 0xcf, 0x4d, 0xcc, 0xc9, 0xc9,
--- a/serve/forward/calls.go
+++ b/serve/forward/calls.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -28,27 +29,52 @@
 			one.plain.Limit = 0
 		}
 	}
+	exclude = slices.Clone(exclude)
+	for {
+		i, reason := p.bestPlain(l, exclude)
+		if i < 0 {
+			return choice{}, false
+		}
+		if p.limits.open(now, l.servers[i]) {
+			return p.take(l, i, reason)
+		}
+		exclude = append(exclude, l.servers[i].Life())
+	}
+}
+
+// plainPermitted chooses a server for a request that is no prompt, one that gives a permit
+// where it names a limit.
+func (h *Handler) plainPermitted(ctx context.Context, view *feed.View, service string, exclude []routing.Life) (choice, bool) {
+	exclude = slices.Clone(exclude)
+	for {
+		c, ok := h.pool.plain(time.Now(), view, service, exclude)
+		if !ok || h.limits.take(ctx, c.server) {
+			return c, ok
+		}
+		h.pool.release(c)
+		exclude = append(exclude, c.server.Life())
+	}
+}
+
+// bestPlain is the index of the server that is the first choice, -1 if there is none.
+func (p *pool) bestPlain(l *layout, exclude []routing.Life) (i int, reason string) {
 	r := l.table.Pick(&route.Query{Exclude: l.ids(exclude), Random: rand.Uint64()})
 	if r.Index < 0 {
-		return p.lastResort(l, exclude)
+		return l.lastResort(exclude), "last_resort"
 	}
-	i := l.index[l.table.At(r.Index).ID]
-	return p.take(l, i, string(r.Reason))
+	return l.index[l.table.At(r.Index).ID], string(r.Reason)
 }
 
-// lastResort is any server that is not excluded: all are suspect or full, and a
-// server that is sends the request back itself.
-func (p *pool) lastResort(l *layout, exclude []routing.Life) (choice, bool) {
-	best := -1
+// lastResort is any server that is not excluded, -1 if there is none: all are suspect or full,
+// and a server that is sends the request back itself.
+func (l *layout) lastResort(exclude []routing.Life) (best int) {
+	best = -1
 	for i, s := range l.servers {
 		if !slices.Contains(exclude, s.Life()) && (best < 0 || l.loads[i].plain.InFlight < l.loads[best].plain.InFlight) {
 			best = i
 		}
 	}
-	if best < 0 {
-		return choice{}, false
-	}
-	return p.take(l, best, "last_resort")
+	return best
 }
 
 func (p *pool) take(l *layout, i int, reason string) (choice, bool) {
--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -48,7 +48,7 @@
 // candidate is the leg at the engine that holds a copy of the run, if it gives a sign of
 // life, or at one that reads the prompt anew.
 func (r *relay) candidate(ctx context.Context, a *attempt, why error) (leg, takeover.Outcome) {
-	if c, held, ok := r.livingHolder(ctx, a); ok {
+	if c, held, ok := r.livingHolder(ctx, a); ok && r.permitted(ctx, c) {
 		r.h.pool.count(c, 1, 0, 0)
 		return leg{at: c, from: held.name}, takeover.TakenOver
 	}
@@ -68,6 +68,10 @@
 	if !ok {
 		return leg{}, takeover.NoServer
 	}
+	if !r.permitted(ctx, c.choice) {
+		r.uncount(leg{at: c.choice})
+		return leg{}, takeover.NoServer
+	}
 	l, outcome := leg{at: c.choice}, takeover.TakenOver
 	if view.Config.Engine(r.service) != nil {
 		switch admission, _ := r.admission(c); {
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -33,7 +33,7 @@
 		for i, home := range l.homesOf(part) {
 			engines[i].Home = home
 		}
-		for _, c := range prompts.Read(engines, n, false, rand.Uint64()) {
+		for _, c := range p.readOpen(now, l, engines, n, false) {
 			one, _ := l.choose(c.Index, string(c.Reason))
 			list = append(list, one)
 		}
@@ -55,7 +55,7 @@
 			engines[i].Running += theirs.running
 			engines[i].Excluded = engines[i].Excluded || among && !known
 		}
-		for _, best := range prompts.Read(engines, 1, true, rand.Uint64()) {
+		for _, best := range p.readOpen(now, l, engines, 1, true) {
 			unread = engines[best.Index].Reading
 			l.loads[best.Index].reading++
 			return l.choose(best.Index, string(best.Reason))
@@ -68,6 +68,23 @@
 	return c, unread, ok
 }
 
+// readOpen returns the engines that may read a prompt, the best first and n at most, without
+// those that may not be sent to now by the limits that they name.
+func (p *pool) readOpen(now time.Time, l *layout, engines []prompts.Engine, n int, known bool) []prompts.Choice {
+	for {
+		list := prompts.Read(engines, n, known, rand.Uint64())
+		closed := false
+		for _, c := range list {
+			if !p.limits.open(now, l.servers[c.Index]) {
+				engines[c.Index].Excluded, closed = true, true
+			}
+		}
+		if !closed {
+			return list
+		}
+	}
+}
+
 // window returns the engines among which a prompt is placed; any for one of no known part.
 func (p *pool) window(view *feed.View, service, part string) (servers []routing.Server) {
 	prompt := rand.Uint64()
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -80,6 +80,7 @@
 	borrower   *borrower
 	neighbours *neighbours
 	poisoned   *poisoned
+	limits     *limits
 	metrics    *metrics
 	running    atomic.Int64
 	keyAge     atomic.Int64
@@ -97,7 +98,8 @@
 		borrower: newBorrower(o), neighbours: newNeighbours(o),
 	}
 	h.locator, h.keepers, h.poisoned = newLocator(h), newKeepers(h), newPoisoned(h)
-	h.pool.changed = h.keepers.changed
+	h.limits = newLimits(h)
+	h.pool.changed, h.pool.limits = h.keepers.changed, h.limits
 	h.SetBounds(o.KeyAge, o.Repeats)
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -85,6 +85,9 @@
 // opened judges an answer by its headers.
 func (r *relay) opened(ctx context.Context, a *attempt, o opened) (end legEnd, err error, over bool) {
 	a.answer, a.limit = o.resp, o.reply.Limit
+	if o.err == nil {
+		r.h.heardLimit(a.at.server, a.sent, o.reply)
+	}
 	switch {
 	case o.err != nil:
 		end, err = r.failure(ctx, a.leg, o.err)
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -30,6 +30,8 @@
 
 	poisonMarks    *prometheus.CounterVec
 	poisonRefusals prometheus.Counter
+	limitChanges   *prometheus.CounterVec
+	permits        *prometheus.CounterVec
 
 	cacheBytes prometheus.Counter
 }
@@ -61,10 +63,12 @@
 		cacheBytes:     prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
 		poisonMarks:    prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
 		poisonRefusals: prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
+		limitChanges:   prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
+		permits:        prometheus.NewCounterVec(counter("permits_total", "Permits asked for to send a request to a backend server that names a limit."), []string{"result"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.stayed, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.poisonMarks, m.poisonRefusals, m.unreadable, m.cacheBytes)
+	metric.Register(r, m.answers, m.seconds, m.sends, m.legs, m.stayed, m.first, m.pauses, m.denied, m.borrowed, m.remade, m.scans, m.crowded, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.unreadable, m.cacheBytes)
 	return m
 }
 
@@ -72,6 +76,9 @@
 // are those of prompts.Admission.
 const turnedAway = "turned_away"
 
+// rateReached is that of refusals because servers name limits that are reached.
+const rateReached = "rate"
+
 // Sources of answers.
 const (
 	sourceServer = "backend"
@@ -87,6 +94,15 @@
 	m.seconds.WithLabelValues(kind).Observe(time.Since(in.arrived).Seconds())
 }
 
+// permit counts an answer to the question for a permit.
+func (m *metrics) permit(granted bool) {
+	result := "refused"
+	if granted {
+		result = "granted"
+	}
+	m.permits.WithLabelValues(result).Inc()
+}
+
 // sent counts one exchange.
 func (m *metrics) sent(o *outcome) {
 	result := "answered"
--- a/serve/forward/neighbours.go
+++ b/serve/forward/neighbours.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
@@ -25,6 +26,8 @@
 	// paceAsked is how many daemons are asked what they learned: two or three have seen
 	// the few answers that it takes.
 	paceAsked = 4
+	// maxTold bounds the daemons that are told something at the same time.
+	maxTold = 32
 	// workSilence is how long a daemon that did not answer is left out, so that one that
 	// is dead or cut off does not hold up every prompt. It is about what a restart takes.
 	workSilence = time.Second
@@ -127,6 +130,22 @@
 	return reply, n.judge(vm, err)
 }
 
+// tellAll calls tell for all other daemons. A call that fails is logged by judge.
+func (n *neighbours) tellAll(view *feed.View, tell func(context.Context, routing.VM) error) {
+	if n.dialer == nil {
+		return
+	}
+	var all errgroup.Group
+	all.SetLimit(maxTold)
+	for _, vm := range routing.Peers(view.VMs, n.self) {
+		all.Go(func() error {
+			_ = tell(context.Background(), vm)
+			return nil
+		})
+	}
+	_ = all.Wait() // none returns an error
+}
+
 // judge leaves a daemon that failed out for a while, and returns err.
 func (n *neighbours) judge(vm routing.VM, err error) error {
 	n.mu.Lock()
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -140,7 +140,7 @@
 // affords it.
 func (x *exchanges) start(ctx context.Context) bool {
 	now := time.Now()
-	c, ok := x.h.pool.plain(now, x.h.opts.Feed.View(), x.service, x.tried)
+	c, ok := x.h.plainPermitted(ctx, x.h.opts.Feed.View(), x.service, x.tried)
 	if !ok {
 		return false
 	}
@@ -230,9 +230,21 @@
 
 // none says that the request ran nowhere.
 func (x *exchanges) none() error {
+	if wait, limited := x.h.limits.full(x.service); limited && len(x.tried) == 0 {
+		return x.h.rationed(x.in, x.service, verdict.NotRun, wait)
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "no backend server takes the request").After(x.h.pool.back(x.service))
 }
 
+// rationed refuses a request because the servers of its service take no more now, by the limits
+// that they name. The caller comes back when there may be room.
+func (h *Handler) rationed(in *inbound, service string, v verdict.Verdict, wait time.Duration) error {
+	lasted, _ := h.pressure.refused(time.Now(), service)
+	back := max(wait, retryafter.Crowded(lasted, in.route.Objective, rand.Float64()))
+	h.metrics.crowded.WithLabelValues(rateReached).Inc()
+	return verdict.New(v, verdict.CodeOverloaded, "the backend servers take no more requests now").After(back)
+}
+
 func (x *exchanges) expired(ctx context.Context) error {
 	if x.sent == 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeDeadline, "no backend server took the request in time")
@@ -255,6 +267,7 @@
 		return o
 	}
 	o.status, o.header, o.limit = resp.StatusCode, resp.Header, reply.Limit
+	h.heardLimit(c.server, started, reply)
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
 	o.full = reply.NotRun && !reply.Misdirected
 	o.body, o.rest, o.err = readAnswer(resp)
--- a/serve/forward/poisoned.go
+++ b/serve/forward/poisoned.go
@@ -28,8 +28,6 @@
 	poisonKeepers = 2
 	// poisonTimeout is how long a daemon may take to hear of a request.
 	poisonTimeout = 300 * time.Millisecond
-	// poisonTellers bounds the daemons that are told at the same time.
-	poisonTellers = 32
 	// marksAsked is how many daemons one that starts asks what they were told.
 	marksAsked = 4
 	// writeAgain is the mean pause before an entry is written that could not be.
@@ -263,20 +261,10 @@
 // spread tells all other daemons of a request. One that does not hear of it learns of a
 // refusal from the store, or from a keeper when it counts the end of a server itself.
 func (p *poisoned) spread(q *peerpb.MarkedRequest) {
-	if p.h.neighbours.dialer == nil {
-		return
-	}
-	var all sync.WaitGroup
-	turns := make(chan struct{}, poisonTellers)
-	for _, vm := range routing.Peers(p.h.opts.Feed.View().VMs, p.h.opts.Self.ID) {
-		turns <- struct{}{}
-		all.Go(func() {
-			defer func() { <-turns }()
-			// A failure is logged by judge.
-			_, _ = request(context.Background(), p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Marked, q, poisonTimeout)
-		})
-	}
-	all.Wait()
+	p.h.neighbours.tellAll(p.h.opts.Feed.View(), func(ctx context.Context, vm routing.VM) error {
+		_, err := request(ctx, p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Marked, q, poisonTimeout)
+		return err
+	})
 }
 
 // rouse has run look at what is pending.
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -54,6 +54,7 @@
 	// changed is told of servers at which this daemon's prompts, answers or suspicion are
 	// others than before. It is called without the lock.
 	changed func(routing.Server)
+	limits  *limits // of servers; nil where none is known
 }
 
 // gone is a server that failed.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -205,16 +205,16 @@
 	view := r.h.opts.Feed.View()
 	if held := r.held; held.at.load != nil {
 		r.held = kept{}
-		if c, ok := r.holder(view, held); ok {
+		if c, ok := r.holder(view, held); ok && r.permitted(ctx, c) {
 			r.h.pool.count(c, 1, 0, 0)
 			return r.withCopy(ctx, leg{at: c, from: held.name}), nil
 		}
 	}
-	if c, ok := r.sameAgain(ctx, view); ok {
+	if c, ok := r.sameAgain(ctx, view); ok && r.permitted(ctx, c) {
 		r.h.pool.count(c, 1, 0, 0)
 		return r.withCopy(ctx, leg{at: c}), nil
 	}
-	if c, ok := r.warm(ctx, now, view); ok {
+	if c, ok := r.warm(ctx, now, view); ok && r.permitted(ctx, c) {
 		r.h.pool.count(c, 1, 0, 0)
 		return r.withCopy(ctx, leg{at: c}), nil
 	}
@@ -226,10 +226,7 @@
 	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
-	c, ok := r.place(ctx, view)
-	if !ok {
-		c, ok = r.awaitEngine(ctx)
-	}
+	c, ok := r.placePermitted(ctx, view)
 	if !ok {
 		return leg{}, r.none()
 	}
@@ -286,8 +283,33 @@
 	return false
 }
 
+// placePermitted is place, at an engine that gives a permit where it names a limit. It waits for
+// one where all are lost.
+func (r *relay) placePermitted(ctx context.Context, view *feed.View) (surveyed, bool) {
+	for range maxStarts {
+		c, ok := r.place(ctx, view)
+		if !ok {
+			c, ok = r.awaitEngine(ctx)
+		}
+		if !ok || r.permitted(ctx, c.choice) {
+			return c, ok
+		}
+		r.h.pool.count(c.choice, -1, 0, 0)
+	}
+	return surveyed{}, false
+}
+
+// permitted reports whether a request may be sent to an engine by the limit that it names. A
+// permit is for a request that is sent at once.
+func (r *relay) permitted(ctx context.Context, c choice) bool {
+	return r.h.limits.take(ctx, c.server)
+}
+
 // none says that no engine takes the request now.
 func (r *relay) none() error {
+	if wait, limited := r.h.limits.full(r.service); limited && r.sends == 0 {
+		return r.h.rationed(r.in, r.service, r.verdict(), max(wait, r.h.pool.back(r.service)))
+	}
 	return verdict.New(r.verdict(), verdict.CodeNoBackend, "no engine takes the request").After(r.h.pool.back(r.service))
 }
 
--- a/serve/gateway/limited_test.go
+++ b/serve/gateway/limited_test.go
@@ -104,3 +104,80 @@
 		})
 	}
 }
+
+// A server ceases to name a limit: it must get its part of the calls again.
+func TestServerWhoseLimitIsOverIsUsedAgain(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 3)
+		one := f.server("desk", 1)
+		one.name("2")
+		f.load("/once/a", 84, 6*time.Second)
+		one.name("")
+		f.load("/once/b", 84, 5*time.Second)
+		lifted := time.Now()
+		f.load("/once/c", 84, 5*time.Second)
+		f.done.Wait()
+		must.Greater(t, 84*5/3/2, one.total(lifted, time.Now()))
+	})
+}
+
+// The process that named a limit ends: the next one at its address has none.
+func TestLimitEndsWithTheProcessThatNamedIt(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 3)
+		one := f.server("desk", 1)
+		one.name("0")
+		f.load("/once/a", 84, 6*time.Second)
+		one.name("")
+		one.crash()
+		f.load("/once/b", 84, 5*time.Second)
+		back := time.Now()
+		f.load("/once/c", 84, 5*time.Second)
+		f.done.Wait()
+		must.Greater(t, 84*5/3/2, one.total(back, time.Now()))
+	})
+}
+
+// What cannot be read must neither be taken for no limit nor end all calls.
+func TestLimitThatCannotBeRead(t *testing.T) {
+	for _, text := range []string{"soon", "-3", "NaN", "0"} {
+		t.Run(text, func(t *testing.T) {
+			inServingFleet(t, 7, func(f *fleet) {
+				f.serve("desk", 2)
+				one := f.server("desk", 1)
+				one.name(text)
+				f.load("/once/a", 84, 3*time.Second)
+				known := time.Now()
+				got := f.load("/once/b", 84, 10*time.Second)
+				f.done.Wait()
+				must.LessEq(f.t, 5, one.most(limitSpan, known))
+				must.Positive(f.t, one.total(known, time.Now()))
+				must.Eq(f.t, got.asked.Load(), got.answered.Load())
+			})
+		})
+	}
+}
+
+// The daemon that gives out permits is cut off from the others: they must keep to the rate.
+func TestDaemonThatGivesPermitsIsCutOff(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 3)
+		for n := range 2 {
+			f.server("desk", n).name("5")
+		}
+		f.load("/once/a", 84, 3*time.Second)
+		for n := range 3 {
+			f.daemons[fmt.Sprintf("vm-%d", n)].peers.Stall()
+		}
+		known := time.Now()
+		got := f.load("/once/b", 84, 15*time.Second)
+		f.done.Wait()
+		for n := range 3 {
+			f.daemons[fmt.Sprintf("vm-%d", n)].peers.Unstall()
+		}
+		for n := range 2 {
+			must.LessEq(f.t, limitAllows(5), f.server("desk", n).most(limitSpan, known))
+		}
+		must.Eq(f.t, got.asked.Load(), got.answered.Load())
+	})
+}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -50,6 +50,10 @@
 		"An answer was whole to a request under which servers had ended; what was counted of it is forgotten.", "request", "digest")
 	PoisonWritten = define(242, "poison_written", logrus.InfoLevel,
 		"A refused request was written to the store, or could not be.", "digest", "error")
+	ServerLimitChanged = define(243, "server_limit_changed", logrus.InfoLevel,
+		"A backend server's limit of requests a second of all daemons was named, changed or lifted, by its answer here or as another daemon told; known is since when it holds, confirmed when it was last named.", "backend", "service", "change", "rate", "by", "known", "confirmed")
+	ServerLimitUnreadable = define(244, "server_limit_unreadable", logrus.ErrorLevel,
+		"A backend server names a limit that cannot be read; it counts as next to nothing.", "backend", "error")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
