capacity: what was run to choose constants, moved from comments

Seven comments of constants told trials and their figures, five more figures of runs. They stand on the capacity page now, generated from lab/capacity/values.md; the constants keep a name, a unit and a short reason. No change of behaviour.

--- a/decision/absence/absence.go
+++ b/decision/absence/absence.go
@@ -6,10 +6,7 @@
 //
 // Without it each of these requests is refused at once and told to come back after half a
 // second, as are those that arrive. Most callers repeat once: they come within the absence
-// and are refused for good, though the servers are back a second later. Where all engines
-// are lost for 1.5 s, after two quick series of zones, 407 of 1,631 long answers were lost so,
-// and 39 are with the wait; 438 are whole and late in place of 74, and 1,150 on time as before
-// (three trials on each of two sites).
+// and are refused for good, though the servers are back a second later.
 //
 // How it decides: by how long servers of the service have been away before. A request waits
 // for about as long, if its objective leaves time for that, and a caller that is refused
--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -47,15 +47,11 @@
 // Without it, all are sent. An engine reads one chunk between two steps of its batch,
 // so answers take three times as long beside prompts; runs fill the memory, no copies
 // of them fit, and each loss of a zone has all its prompts read again. The backlog
-// outlasts the burst, and callers wait for nothing until their time is over: at three
-// to six times the usual load for eight seconds while zones are lost, 1,615 of 5,200
-// long answers were let in and lost, and 3,516 arrived; with the bounds 553 and 4,170,
-// and 467 callers were told twice to come back (12 trials on the two sites).
+// outlasts the burst, and callers wait for nothing until their time is over.
 //
 // Thresholds: the objective itself, since an answer that misses it takes the place of
 // one that does not; and the whole memory, with the prompts that still wait there
-// counted as the mean of all. Of 3,093 answers beside no losses 3,087 arrived before
-// and 3,062 with the bounds; with 0.9 of the memory it is fewer, about 3,000.
+// counted as the mean of all.
 func (p *Pace) Admit(r Report, tokens int, due time.Duration) Admission {
 	switch {
 	case r.Unread > 0 && p.Wait(r.Unread, tokens) > due:
--- a/decision/prompts/asks.go
+++ b/decision/prompts/asks.go
@@ -1,8 +1,7 @@
 package prompts
 
-// maxAsked is the largest fleet whose daemons ask each other before each prompt. An
-// answer takes a round trip and 0.1 ms of both processors; with ten daemons that is as
-// much as asking three engines for their reports, with ninety thirty times that.
+// maxAsked is the largest fleet whose daemons ask each other before each prompt: the questions
+// grow with its square.
 const maxAsked = 10
 
 // Asks reports whether a daemon asks the others of a fleet of so many daemons, itself
@@ -14,8 +13,5 @@
 //
 // Without it a daemon knows its own requests and the reports of the three engines that it
 // asked, a tenth of a second old: every third prompt meets another at its engine, and nine
-// of ten delay an answer. Six daemons before 24 engines: half of the answers are whole
-// within 6.2 s (two trials) and nine of ten within 8.3 s, told by each other 5.8 and 7.6 s;
-// of all answers 0.876 and 0.885 of what they are worth arrives (25 trials each, with the
-// loss of a zone every 6.5 s and of all daemons at the end); probes 2,536 and 1,884.
+// of ten delay an answer.
 func Asks(daemons int) bool { return daemons > 1 && daemons <= maxAsked }
--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -182,10 +182,6 @@
 // fullShare is the share of an engine's memory beyond which no copy is placed there,
 // and no prompt while another engine has room. Copies grow to their whole size only
 // after they were placed, answers grow by a tenth of their prompts, and reports lag.
-// At three to six times the usual load, with and without losses of zones, 7,232 of
-// 8,293 long answers arrive, 5,024 of them on time; with 0.6 it is 7,124 and 4,984,
-// with 0.85 7,240 and 5,025, but fewer where no zone is lost (20 trials each). On
-// usual days engines are a third full, and the share does not matter.
 const fullShare = 0.75
 
 // Fits reports whether the engine has room for so many more tokens. Without room
--- a/decision/repeats/lenders.go
+++ b/decision/repeats/lenders.go
@@ -6,10 +6,7 @@
 )
 
 const (
-	// MaxAsked bounds the daemons that are asked for one repeat, a round trip of
-	// about 2 ms each. With four fifths of the budget in use, 73 daemons that ask
-	// three deny 23 of 800 repeats, six deny 3, eight deny 1, and 113 are denied
-	// without asking (TestBrokenStreamsOfAFleetThatLends).
+	// MaxAsked bounds the daemons that are asked for one repeat, a round trip each.
 	MaxAsked = 8
 	// refusalKept is how long a daemon that had nothing to lend is not asked again: a
 	// tenth of the usual window, in which a tenth of its budget is free again.
@@ -22,9 +19,8 @@
 // daemon there. Some daemons have three broken streams and two repeats, their
 // neighbours have repeats and no broken stream.
 //
-// Without it, half of the fleet's budget stays unused while streams are cut for
-// want of it (385 of 438 repeats used in ten seconds, the rest denied, with 73
-// daemons). A budget that is only divided among few daemons hardly shows this.
+// Without it, a part of the fleet's budget stays unused while streams are cut for
+// want of it. A budget that is only divided among few daemons hardly shows this.
 //
 // How it holds: a lender counts what it lends as its own repeat when it grants
 // it, so the sum over daemons stays what it is. The daemons are asked in random
--- a/decision/repeats/repeats.go
+++ b/decision/repeats/repeats.go
@@ -18,8 +18,7 @@
 import "time"
 
 // parts divide the window. Requests are counted over up to a part less than the
-// window and repeats over up to a part more, which costs 4% of the budget; a
-// tenth of the window cost a fifth.
+// window and repeats over up to a part more.
 const parts = 50
 
 // safety is the share of the budget that is used. The rest is for what is under
@@ -39,8 +38,8 @@
 	// Daemons is how many share the slack.
 	Daemons int
 	// Offset is from 0 to below 1 and differs evenly between daemons. It decides
-	// which of them round up: with 73 daemons a part of the slack is 1.9 repeats, and
-	// if all rounded down 56 of 373 repeats would be lost to rounding.
+	// which of them round up: a part of the slack is few repeats, and if all rounded
+	// down much of it would be lost.
 	Offset float64
 }
 
--- a/decision/retryafter/retryafter.go
+++ b/decision/retryafter/retryafter.go
@@ -8,9 +8,7 @@
 // the outage and are lost, and those told the same time return as one burst.
 //
 // How it decides: how long outages last spreads over a wide range, so one that has
-// lasted for some time is taken to last as long again. In outages of 5 to 8 seconds
-// 2,253 of 2,559 long answers reached their callers, and 2,109 where all returned
-// after 1.5 to 4.5 seconds (twelve trials each, both sites).
+// lasted for some time is taken to last as long again.
 package retryafter
 
 import "time"
--- a/decision/throttle/throttle.go
+++ b/decision/throttle/throttle.go
@@ -8,9 +8,7 @@
 // to the next server and turned away there, so that the service gets three times the
 // calls. A server with a long queue also resets connections; of a call that was sent on
 // one nobody knows whether it ran, and one that may not be repeated is lost to its
-// caller. With one server of three left and six to fourteen times the usual calls 15,879
-// calls ended so, and 901 with the bound, while as many were answered (three trials on
-// each of two sites).
+// caller.
 //
 // How it decides: by what became of the calls of the last seconds. Servers get
 // excess times the calls that they took; the others are refused at random, so that
@@ -25,12 +23,11 @@
 
 const (
 	// excess is how many calls are sent for each that is taken: the more, the sooner it
-	// is found out that there is room again, and the longer the queues stay full. With 1.5
-	// 2,093 calls end without anybody knowing whether they ran, with 1.1 485.
+	// is found out that there is room again, and the longer the queues stay full.
 	excess = 1.2
 	// memory is the time in which what was seen loses two thirds of its weight. It holds
-	// four calls at a VM among ninety, whose fleet gets 350 a second, and is short beside
-	// the time for which servers are lost. With two seconds 1,542 calls end unknown.
+	// a few calls at a VM among dozens, and is short beside the time for which servers are
+	// lost.
 	memory = time.Second
 	// least is how many calls must have been turned away lately, by all servers tried: one
 	// says nothing of the rest. As it fades within a second or two, a crowd that is over
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	_ "embed" // for values
 	"fmt"
 	"maps"
 	"slices"
@@ -26,10 +27,17 @@
 		writeRole(&b, role, m.Rows())
 	}
 	m.writeFailures(&b)
+	b.WriteString(values)
 	m.writeSlopes(&b)
 	return b.Bytes(), nil
 }
 
+// values are what was run to choose the values of constants, and the rows that are worked out
+// from them alone.
+//
+//go:embed values.md
+var values string
+
 const preamble = `# Capacity
 
 What each role needs at the size to come. Written by arithmetic from recorded
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -43,15 +43,9 @@
 // The failure it must not become: the streams of a daemon share its link with the look. Where
 // the answers fill the link, all streams fall silent together and are given up after
 // takeover.WithCopy; their callers come back at other daemons, which look too, so it spreads
-// until answers are cut for want of repeats. It shows as streams that break at many engines
-// within a second of caches_read of the same daemon, and as plain calls that take a second
-// there. A look reads 58 KB at most with 120 engines, half a tenth of a second of a link of
-// 10 Mbit/s; 10 to 18 of 3,300 streams broke while 88 daemons were restarted in turn, up to two
-// of them near a look (four runs). A question for all changes of the caches reads up to 1.5 MB
-// after a minute, and 1,269 to 1,930 streams broke, 99 of 100 near a look (three runs). It holds
-// because an answer grows with what an engine holds and not with how long it has run, and
-// because no more engines are asked than scanBytes affords where all hold about as much; of
-// one that holds more scanAnswer is read.
+// until answers are cut for want of repeats. It holds because an answer grows with what an
+// engine holds and not with how long it has run, and because no more engines are asked than
+// scanBytes affords where all hold about as much; of one that holds more scanAnswer is read.
 type locator struct {
 	h     *Handler
 	mu    sync.Mutex
