--- a/lab/soak/process/poison.go
+++ b/lab/soak/process/poison.go
@@ -18,7 +18,7 @@
 	// poisonBack is how long a server is away that ended so.
 	poisonBack = 800 * time.Millisecond
 	// poisonEnds is how many servers may end under one: the third end has to be known, while
-	// daemons start again or are cut off. Without a bound some 60 do.
+	// daemons start again or are cut off.
 	poisonEnds = 15
 )
 
@@ -64,6 +64,7 @@
 	s.world.mu.Lock()
 	s.world.endedUnder[name]++
 	s.world.mu.Unlock()
+	s.world.ledger.count("ended")
 	old := s.entry(false).ID
 	s.crash()
 	s.world.ending.Go(func() {
