--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -31,6 +31,7 @@
 	{"server cut off", false, func(w *world, ctx context.Context) { w.onLink(ctx, w.server().link) }},
 	{"server fails", false, (*world).failServer},
 	{"request that ends its servers", false, (*world).poison},
+	{"server names a limit", true, (*world).nameLimit},
 	{"server leaves", true, (*world).leave},
 	{"key removed", true, (*world).removeKey},
 	{"route moved", true, (*world).moveRoute},
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -43,6 +43,8 @@
 	leaving  time.Time // when that was acknowledged; zero while it serves
 	failing  float64   // share of requests answered with 500
 	losing   float64   // share of answers lost after the run
+	limit    string    // that it names in its answers
+	arrived  []time.Time
 	copies   map[string]copied
 	runs     map[string]*progress
 	parts    map[string]bool
@@ -182,7 +184,8 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e, part, key := wire.ReadErrand(r.Header)
 	s.mu.Lock()
-	id, shutdown, leaving, failing, losing := s.id, s.shutdown, s.leaving, s.failing, s.losing
+	id, shutdown, leaving, failing, losing, limit := s.id, s.shutdown, s.leaving, s.failing, s.losing, s.limit
+	s.arrived = append(s.arrived, time.Now())
 	s.mu.Unlock()
 	if e.Server.ID != id {
 		wire.WriteReply(w.Header(), forward.Reply{ID: e.ID, NotRun: true, Instance: id})
@@ -196,7 +199,7 @@
 	}
 	one := &ran{server: id, service: s.service}
 	s.world.judge(e, key, r.URL.Path, s.service, leaving, s.world.ledger.run(e.ID, one))
-	wire.WriteReply(w.Header(), forward.Reply{ID: e.ID})
+	wire.WriteReply(w.Header(), forward.Reply{ID: e.ID, Limit: limit})
 	w.Header().Set(wire.Proof, one.proof)
 	if part != "" {
 		s.stream(w, r, e, part, one, shutdown)
