--- a/external/standin/host/faults.go
+++ b/external/standin/host/faults.go
@@ -29,20 +29,25 @@
 	if err != nil {
 		return err
 	}
-	do, ok := node.connectionFaults()[fault]
-	if f, own := node.faults[fault]; own {
-		do, ok = f, true
-	}
-	if !ok {
-		return errors.Wrapf(ErrUnknownFault, "%q of %s; it has %s", fault, name, node.faultNames())
-	}
-	if err := do(value); err != nil {
+	if err := node.do(fault, value); err != nil {
 		return errors.Wrapf(err, "%s of %s", fault, name)
 	}
 	h.log.Emit(event.FaultInjected, name, fault, value)
 	return nil
 }
 
+// do injects a fault of the node, or one that any has.
+func (n *Node) do(fault, value string) error {
+	do, ok := n.connectionFaults()[fault]
+	if f, own := n.faults[fault]; own {
+		do, ok = f, true
+	}
+	if !ok {
+		return errors.Wrapf(ErrUnknownFault, "%q; it has %s", fault, n.faultNames())
+	}
+	return do(value)
+}
+
 func (h *Host) pick(name string) (*Node, error) {
 	base, number, numbered := strings.Cut(name, "/")
 	at := 1
--- a/external/standin/host/host.go
+++ b/external/standin/host/host.go
@@ -116,13 +116,20 @@
 	if s.pool.Kind == KindPlain {
 		node.Plain = plainsim.New(s.id, s.pool.Work)
 		node.faults = plainFaults(node)
-		return node, node.Plain
+		return node, node.crashing(node.Plain)
 	}
 	config := s.pool.Engine
 	config.Name, config.Seed, config.Weights = s.id, s.seed, h.Weights
 	node.Engine = enginesim.New(config)
 	node.faults = engineFaults(node)
-	return node, enginesim.Handler(node.Engine)
+	return node, node.crashing(enginesim.Handler(node.Engine))
+}
+
+// crashing adds the fault of requests that end their server.
+func (n *Node) crashing(handler http.Handler) http.Handler {
+	c := &crasher{handler: handler, end: func() { _ = n.do("die", "") }} // it has no other end
+	n.faults["crash-on"] = c.on
+	return c
 }
 
 // serve listens and adds the node. An empty address means that it is not served.
--- a/external/standin/host/host_test.go
+++ b/external/standin/host/host_test.go
@@ -121,3 +121,25 @@
 	must.NoError(t, json.Unmarshal(raw, &nodes))
 	must.Len(t, 10, nodes)
 }
+
+func TestRequestEndsItsServer(t *testing.T) {
+	h, ctx := start(t), t.Context()
+	var desk *host.Node
+	for _, n := range h.Nodes() {
+		if n.Plain != nil {
+			desk = n
+		}
+	}
+	client := plain.NewClient(nil, 0)
+	must.NoError(t, h.Fault(desk.Name, "crash-on", "bad"))
+	good := plain.Call{Method: http.MethodPost, Path: "/", Body: []byte("good")}
+	_, err := client.Do(ctx, desk.Address, good)
+	must.NoError(t, err)
+	_, err = client.Do(ctx, desk.Address, plain.Call{Method: http.MethodPost, Path: "/", Body: []byte("a bad one")})
+	must.Error(t, err)
+	_, err = client.Do(ctx, desk.Address, good)
+	must.Error(t, err)
+	must.NoError(t, h.Fault(desk.Name, "revive", ""))
+	_, err = client.Do(ctx, desk.Address, good)
+	must.NoError(t, err)
+}
