--- a/external/standin/host/host.go
+++ b/external/standin/host/host.go
@@ -116,13 +116,20 @@
 	if s.pool.Kind == KindPlain {
 		node.Plain = plainsim.New(s.id, s.pool.Work)
 		node.faults = plainFaults(node)
-		return node, node.crashing(node.Plain)
+		return node, node.limited(node.crashing(node.Plain))
 	}
 	config := s.pool.Engine
 	config.Name, config.Seed, config.Weights = s.id, s.seed, h.Weights
 	node.Engine = enginesim.New(config)
 	node.faults = engineFaults(node)
-	return node, node.crashing(enginesim.Handler(node.Engine))
+	return node, node.limited(node.crashing(enginesim.Handler(node.Engine)))
+}
+
+// limited adds the fault of a server that names a limit.
+func (n *Node) limited(handler http.Handler) http.Handler {
+	l := &limiter{handler: handler}
+	n.faults["name-limit"] = l.set
+	return l
 }
 
 // crashing adds the fault of requests that end their server.
--- a/external/standin/host/host_test.go
+++ b/external/standin/host/host_test.go
@@ -122,14 +122,30 @@
 	must.Len(t, 10, nodes)
 }
 
-func TestRequestEndsItsServer(t *testing.T) {
-	h, ctx := start(t), t.Context()
-	var desk *host.Node
+func plainNode(h *host.Host) *host.Node {
 	for _, n := range h.Nodes() {
 		if n.Plain != nil {
-			desk = n
+			return n
 		}
 	}
+	return nil
+}
+
+func TestServerNamesALimit(t *testing.T) {
+	h := start(t)
+	desk := plainNode(h)
+	for _, limit := range []string{"", "5.8", ""} {
+		must.NoError(t, h.Fault(desk.Name, "name-limit", limit))
+		resp, err := http.Get("http://" + desk.Address + "/")
+		must.NoError(t, err)
+		resp.Body.Close()
+		must.Eq(t, limit, resp.Header.Get("X-Request-Limit"))
+	}
+}
+
+func TestRequestEndsItsServer(t *testing.T) {
+	h, ctx := start(t), t.Context()
+	desk := plainNode(h)
 	client := plain.NewClient(nil, 0)
 	must.NoError(t, h.Fault(desk.Name, "crash-on", "bad"))
 	good := plain.Call{Method: http.MethodPost, Path: "/", Body: []byte("good")}
