forward: a request that ends its servers is known whatever its query is

It is named twice now where it has a query, with it and without; whole answers clear the name without it where the query is what tells requests apart. TestRequestThatEndsItsServersIsSentNoMore/ another_query_each_time: 249 sends before, none after the third end and 3 s.

--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -50,7 +50,7 @@
 	if err := h.readBody(w, r, in, view.Config.Limits.BodyBytes); err != nil {
 		return in, err
 	}
-	in.digest = digest(in)
+	in.digests = digests(in)
 	return in, nil
 }
 
--- a/serve/forward/endings.go
+++ b/serve/forward/endings.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,11 +32,21 @@
 	return false
 }
 
-// digest names what a caller asks for in all its attempts: the account, method, host, path,
-// query and body, but neither the id of an attempt nor other headers.
-func digest(in *inbound) string {
+// digests name what a caller asks for in all its attempts: the account, method, host, path and
+// body, with the query and, where there is one, without it; neither the id of an attempt nor
+// other headers. A query may differ from one attempt to the next, or be all that tells two
+// requests apart; where it is that, whole answers clear the digest without it.
+func digests(in *inbound) []string {
+	list := []string{in.digest(in.target)}
+	if path, _, found := strings.Cut(in.target, "?"); found {
+		list = append(list, in.digest(path))
+	}
+	return list
+}
+
+func (in *inbound) digest(target string) string {
 	hash := sha256.New()
-	for _, part := range []string{in.accountName(), in.method, in.host, in.target} {
+	for _, part := range []string{in.accountName(), in.method, in.host, target} {
 		hash.Write([]byte(part))
 		hash.Write([]byte{0})
 	}
@@ -82,7 +93,7 @@
 		end.Asked, end.Down = h.lookAround(e.at.server)
 	}
 	finding := end.Judge()
-	h.opts.Log.Emit(event.BackendBroke, e.in.call.ID, e.in.digest, e.in.call.OwnPart, e.in.accountName(),
+	h.opts.Log.Emit(event.BackendBroke, e.in.call.ID, e.in.digests, e.in.call.OwnPart, e.in.accountName(),
 		e.at.server.ID, e.at.server.Zone, string(found), finding.String(), end.Asked, end.Down, now.Sub(e.sent), running, e.from, e.err)
 	if found == stateEnded && finding == poison.Counts {
 		h.poisoned.ended(context.Background(), e.in, e.at.server.Life())
--- a/serve/forward/poisoned.go
+++ b/serve/forward/poisoned.go
@@ -70,28 +70,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.settle(p.h.opts.Feed.View())
-	if p.mark(in.digest) == poison.Refused {
-		p.h.metrics.poisonRefusals.Inc()
-		return ctx, nil, errPoison(in.digest)
+	for _, digest := range in.digests {
+		if p.mark(digest) == poison.Refused {
+			p.h.metrics.poisonRefusals.Inc()
+			return ctx, nil, errPoison(digest)
+		}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	one := &underway{cancel}
-	if p.running[in.digest] == nil {
-		p.running[in.digest] = map[*underway]bool{}
+	for _, digest := range in.digests {
+		if p.running[digest] == nil {
+			p.running[digest] = map[*underway]bool{}
+		}
+		p.running[digest][one] = true
 	}
-	p.running[in.digest][one] = true
 	return ctx, func() {
 		cancel(nil)
-		p.left(in.digest, one)
+		p.left(in.digests, one)
 	}, nil
 }
 
-func (p *poisoned) left(digest string, one *underway) {
+func (p *poisoned) left(digests []string, one *underway) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.running[digest], one)
-	if len(p.running[digest]) == 0 {
-		delete(p.running, digest)
+	for _, digest := range digests {
+		delete(p.running[digest], one)
+		if len(p.running[digest]) == 0 {
+			delete(p.running, digest)
+		}
 	}
 }
 
@@ -133,14 +139,16 @@
 
 // ended counts the end of a server under a request here and at the request's keepers.
 func (p *poisoned) ended(ctx context.Context, in *inbound, life routing.Life) {
-	q := &peerpb.EndedRequest{Digest: in.digest, Server: life.ID, Born: life.Born, Account: in.accountName(), Route: in.routeName()}
-	p.count(q)
-	p.toKeepers(in.digest, func(vm routing.VM) {
-		reply, err := request(ctx, p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Ended, q, poisonTimeout)
-		if err == nil {
-			p.told(reply.GetRequest(), markOf(reply.GetMark()))
-		}
-	})
+	for _, digest := range in.digests {
+		q := &peerpb.EndedRequest{Digest: digest, Server: life.ID, Born: life.Born, Account: in.accountName(), Route: in.routeName()}
+		p.count(q)
+		p.toKeepers(digest, func(vm routing.VM) {
+			reply, err := request(ctx, p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Ended, q, poisonTimeout)
+			if err == nil {
+				p.told(reply.GetRequest(), markOf(reply.GetMark()))
+			}
+		})
+	}
 }
 
 // toKeepers calls tell for each keeper of a request but this daemon.
@@ -232,15 +240,17 @@
 // whole clears a request of which an answer is whole: other answers beside it ended its
 // servers.
 func (p *poisoned) whole(in *inbound) {
-	if !p.clear(in.digest) {
-		return
+	for _, digest := range in.digests {
+		if !p.clear(digest) {
+			continue
+		}
+		p.h.opts.Log.Emit(event.PoisonCleared, in.call.ID, digest)
+		p.toKeepers(digest, func(vm routing.VM) {
+			q := &peerpb.ClearedRequest{Digest: digest}
+			// A failure is logged by judge; the next whole answer clears the request there.
+			_, _ = request(context.Background(), p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Cleared, q, poisonTimeout)
+		})
 	}
-	p.h.opts.Log.Emit(event.PoisonCleared, in.call.ID, in.digest)
-	p.toKeepers(in.digest, func(vm routing.VM) {
-		q := &peerpb.ClearedRequest{Digest: in.digest}
-		// A failure is logged by judge; the next whole answer clears the request there.
-		_, _ = request(context.Background(), p.h.neighbours, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Cleared, q, poisonTimeout)
-	})
 }
 
 // clear forgets what is counted of a request and that it is watched, which the other daemons
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -78,9 +78,10 @@
 	version int64
 	age     time.Duration
 	arrived time.Time
-	// digest names the request in all its attempts; "" until its body is read.
-	digest string
-	until  time.Time // when the caller or the route gives up
+	// digests name the request in all its attempts, the most exact first; none until its body is
+	// read.
+	digests []string
+	until   time.Time // when the caller or the route gives up
 }
 
 // priority is the account's, or else the route's; 0 is the most urgent.
--- a/serve/gateway/crashing_test.go
+++ b/serve/gateway/crashing_test.go
@@ -35,6 +35,7 @@
 		{"stream", "/stream/1", "llm", nil},
 		{"idempotent call", "/again/1", "desk", nil},
 		{"call that runs at most once", "/once/1", "desk", nil},
+		{"another query each time", "/again/1", "desk", nil},
 		{"all daemons start again later", "/stream/1", "llm", func(f *fleet) {
 			time.Sleep(25 * time.Second)
 			f.restart(all...)
@@ -62,7 +63,11 @@
 				known := time.Time{}
 				for n := range 120 {
 					time.Sleep(500 * time.Millisecond)
-					f.done.Go(func() { f.ask(n*3%len(all), c.path, crashing) })
+					path := c.path
+					if c.name == "another query each time" {
+						path = fmt.Sprintf("%s?n=%d", c.path, n)
+					}
+					f.done.Go(func() { f.ask(n*3%len(all), path, crashing) })
 					f.done.Go(func() {
 						got := f.ask(n*5%len(all), fmt.Sprintf("%s-%d", c.path, n), "fine")
 						test.StrNotContains(f.t, got.body, string(verdict.CodePoison))
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -39,7 +39,7 @@
 	CachesRead = define(236, "caches_read", logrus.InfoLevel,
 		"The engines of a service were asked what prompts they hold; late are those that had not answered when the wait was over, bytes those of all answers.", "service", "asked", "answered", "late", "bytes", "took")
 	BackendBroke = define(238, "backend_broke", logrus.InfoLevel,
-		"A backend server broke off a connection under a request. found says whether the server ended, finding whether that counts for the request, asked and down how many others of its zone were looked at and had ended; running is the time since the first event.", "request", "digest", "prompt", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
+		"A backend server broke off a connection under a request. found says whether the server ended, finding whether that counts for the request, asked and down how many others of its zone were looked at and had ended; running is the time since the first event.", "request", "digests", "prompt", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
 	LegKept = define(237, "leg_kept", logrus.InfoLevel,
 		"A silent backend server keeps its stream, because it cannot go on at another now; given_up says that it never can, and the server gives no sign of life while others do.", "request", "backend", "error", "reason", "given_up", "after", "quiet")
 	PoisonMarked = define(239, "poison_marked", logrus.WarnLevel,
