forward: a limit that comes and goes is told to others twice a second at most

Changes within half a second are told together, with what holds then (TestChangesThatComeQuicklyAreToldTogether). A daemon's own answers change what it knows at once, as before.

--- a/decision/quota/limit.go
+++ b/decision/quota/limit.go
@@ -19,6 +19,10 @@
 // String returns the word used in logs.
 func (c Change) String() string { return [...]string{"unchanged", "named", "changed", "lifted"}[c] }
 
+// tellEvery is the least time between two changes of one limit of which others are told: a server
+// may name it in one answer and not in the next.
+const tellEvery = 500 * time.Millisecond
+
 // changeShare is by what part a rate must differ from the one known to be told to others: a
 // server may name another in each answer.
 const changeShare = 0.1
@@ -79,3 +83,23 @@
 	l.rate = rate
 	return Changed
 }
+
+// Telling paces what others are told of one limit. The zero value has told nothing. It is not
+// safe for concurrent use.
+type Telling struct {
+	at  time.Time // when others were told last
+	due bool
+}
+
+// Changed returns after what time others are told of a change, with what holds then; ok is false
+// where they are to be told already.
+func (t *Telling) Changed(now time.Time) (after time.Duration, ok bool) {
+	if t.due {
+		return 0, false
+	}
+	t.due = true
+	return max(0, tellEvery-now.Sub(t.at)), true
+}
+
+// Told records that others are told now.
+func (t *Telling) Told(now time.Time) { t.at, t.due = now, false }
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -92,3 +92,21 @@
 	must.Eq(t, Named, l.Told(at(32), 3, true))
 	must.Eq(t, Lifted, l.Told(at(33), 0, false))
 }
+
+// A server that names its limit in every other answer must not have each told to the whole fleet.
+func TestChangesThatComeQuicklyAreToldTogether(t *testing.T) {
+	var telling Telling
+	start := time.Now()
+	told := 0
+	due := time.Time{}
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
+		if !due.IsZero() && !now.Before(due) {
+			telling.Told(now)
+			told, due = told+1, time.Time{}
+		}
+		if after, ok := telling.Changed(now); ok {
+			due = now.Add(after)
+		}
+	}
+	must.Between(t, 19, told, 21)
+}
--- a/serve/forward/limits.go
+++ b/serve/forward/limits.go
@@ -35,12 +35,13 @@
 
 // limited is what is known of one life of a server that named a limit.
 type limited struct {
-	server routing.Server
-	limit  quota.Limit
-	turn   quota.Turn
-	bucket quota.Bucket // of the permits given out here
-	asked  time.Time    // by another daemon for a permit, last
-	alone  quota.Bucket // of this daemon's part, while no daemon that gives permits answers
+	server  routing.Server
+	limit   quota.Limit
+	telling quota.Telling
+	turn    quota.Turn
+	bucket  quota.Bucket // of the permits given out here
+	asked   time.Time    // by another daemon for a permit, last
+	alone   quota.Bucket // of this daemon's part, while no daemon that gives permits answers
 }
 
 func newLimits(h *Handler) *limits { return &limits{h: h, lives: map[routing.Life]*limited{}} }
@@ -64,10 +65,25 @@
 	one := l.of(s)
 	if change := one.limit.Answered(sent, time.Now(), rate, named); change != quota.Unchanged {
 		l.log(one, change, "answer")
-		go l.spread(one.message())
+		l.tell(one)
 	}
 }
 
+// tell has the other daemons told of a limit, now or soon. The caller holds the lock.
+func (l *limits) tell(one *limited) {
+	after, ok := one.telling.Changed(time.Now())
+	if !ok {
+		return
+	}
+	time.AfterFunc(after, func() {
+		l.mu.Lock()
+		one.telling.Told(time.Now())
+		m := one.message()
+		l.mu.Unlock()
+		l.spread(m)
+	})
+}
+
 // heardLimit takes in what an answer says of its server's limit, unless another server gave it.
 func (h *Handler) heardLimit(s routing.Server, sent time.Time, reply Reply) {
 	if !reply.Misdirected {
