forward: a whole answer clears a request at every daemon that counted ends under it

A daemon that met three ends of its own, with whole answers elsewhere between them, refused a request that ends no server (TestWholeAnswerClearsWhatOtherDaemonsCounted: 502 in place of 200 before). Refusals in the store take hold, and are let go of, within a second also where no request comes, and a keeper names the request in its answer in any case.

--- a/serve/forward/poisoned.go
+++ b/serve/forward/poisoned.go
@@ -13,7 +13,6 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/feed"
-	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/decision/rendezvous"
@@ -32,6 +31,8 @@
 	marksAsked = 4
 	// writeAgain is the mean pause before an entry is written that could not be.
 	writeAgain = time.Second
+	// settleEvery is how often the view is looked at where no request comes.
+	settleEvery = time.Second
 )
 
 // poisoned knows which requests end the servers that run them. Those that are refused lie in
@@ -226,7 +227,7 @@
 	defer p.mu.Unlock()
 	digest := one.GetDigest()
 	if mark == poison.Unmarked {
-		p.marks.Clear(digest)
+		p.forget(digest)
 		return
 	}
 	p.settle(p.h.opts.Feed.View())
@@ -258,16 +259,23 @@
 func (p *poisoned) clear(digest string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	counted, watched := p.ledger.Clear(digest), p.marks.Clear(digest)
-	if counted || watched {
-		delete(p.details, digest)
-	}
+	counted, watched := p.forget(digest)
 	if watched {
 		go p.spread(&peerpb.MarkedRequest{Request: &peerpb.Poisonous{Digest: digest}, Mark: peerpb.Mark_MARK_UNMARKED})
 	}
 	return counted || watched
 }
 
+// forget forgets what is counted of a request and that it is watched. It reports whether either
+// was so. The caller holds the lock.
+func (p *poisoned) forget(digest string) (counted, watched bool) {
+	counted, watched = p.ledger.Clear(digest), p.marks.Clear(digest)
+	if counted || watched {
+		delete(p.details, digest)
+	}
+	return counted, watched
+}
+
 // spread tells all other daemons of a request. One that does not hear of it learns of a
 // refusal from the store, or from a keeper when it counts the end of a server itself.
 func (p *poisoned) spread(q *peerpb.MarkedRequest) {
@@ -293,17 +301,21 @@
 		p.learn(ctx)
 	case <-ctx.Done():
 	}
+	look := time.NewTicker(settleEvery)
+	defer look.Stop()
 	for {
 		select {
 		case <-p.roused:
+			if !p.write(ctx) {
+				time.AfterFunc(writeAgain/2+rand.N(writeAgain), p.rouse)
+			}
+		case <-look.C:
+			p.mu.Lock()
+			p.settle(p.h.opts.Feed.View())
+			p.mu.Unlock()
 		case <-ctx.Done():
 			return
 		}
-		for !p.write(ctx) {
-			if !pause.For(ctx, writeAgain/2+rand.N(writeAgain)) {
-				return
-			}
-		}
 	}
 }
 
@@ -400,7 +412,11 @@
 func (p *poisoned) held(digest string) *peerpb.EndedReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &peerpb.EndedReply{Request: p.details[digest], Mark: peerpb.Mark(p.mark(digest))}
+	one := p.details[digest]
+	if one == nil {
+		one = &peerpb.Poisonous{Digest: digest}
+	}
+	return &peerpb.EndedReply{Request: one, Mark: peerpb.Mark(p.mark(digest))}
 }
 
 // Poisoned returns the twirp service that other daemons call, and its path prefix.
--- a/serve/gateway/crashing_test.go
+++ b/serve/gateway/crashing_test.go
@@ -146,3 +146,36 @@
 		}
 	})
 }
+
+// A whole answer at one daemon clears what each of the others counted: else three ends at one
+// daemon, with successes elsewhere between them, refuse a request that ends no server.
+func TestWholeAnswerClearsWhatOtherDaemonsCounted(t *testing.T) {
+	inServingFleet(t, 7, func(f *fleet) {
+		f.serve("desk", 9)
+		for n := range 9 {
+			f.done.Go(func() { f.ask(0, "/once/1", "fine") })
+			time.Sleep(10 * time.Millisecond)
+			f.crashWhereItRuns("/once/1")
+			time.Sleep(500 * time.Millisecond)
+			if n%2 == 1 {
+				must.Eq(f.t, http.StatusOK, f.ask(3, "/once/1", "fine").status)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		must.Eq(f.t, http.StatusOK, f.ask(0, "/once/1", "fine").status)
+	})
+}
+
+// crashWhereItRuns ends the server that a request of a path reached last.
+func (f *fleet) crashWhereItRuns(path string) {
+	var last *backend
+	var at time.Time
+	for _, s := range f.servers {
+		s.mu.Lock()
+		if n := len(s.arrived); n > 0 && s.arrived[n-1].path == path && s.arrived[n-1].at.After(at) {
+			last, at = s, s.arrived[n-1].at
+		}
+		s.mu.Unlock()
+	}
+	last.crash()
+}
