quota: the least rate and the first request of each daemon do not add up over the fleet

The least rate is divided like any other now, and each begins at another point, so that they do not all send their first request in the same second. TestDaemonsThatHearNobodyKeepToTheRate (295 daemons, five minutes of virtual time).

--- a/decision/quota/fleet_test.go
+++ b/decision/quota/fleet_test.go
@@ -35,7 +35,7 @@
 	for n := range int(played / step) {
 		now := start.Add(time.Duration(n) * step)
 		for _, d := range answers[n] {
-			granted, wait := bucket.Take(now, f.rate)
+			granted, wait := bucket.Take(now, Given(f.rate))
 			turns[d].Answered(now, wait)
 			if granted {
 				arrivals = append(arrivals, now)
@@ -83,3 +83,33 @@
 		must.LessEq(t, 4*f.rate+float64(f.daemons)/maxWait.Seconds(), float64(asked)/played.Seconds())
 	}
 }
+
+// Hundreds of daemons that hear nobody keep to the rate each by itself: neither the least rate nor
+// the first request of each may add up over them.
+func TestDaemonsThatHearNobodyKeepToTheRate(t *testing.T) {
+	for _, rate := range []float64{0, 5.8, 60} {
+		const daemons = 295
+		random := rand.New(rand.NewPCG(1, 0))
+		shares := make([]Bucket, daemons)
+		for d := range shares {
+			shares[d] = Share(random.Float64())
+		}
+		var arrivals []time.Time
+		start := time.Now()
+		for n := range int(5 * time.Minute / (10 * time.Millisecond)) {
+			now := start.Add(time.Duration(n) * 10 * time.Millisecond)
+			if granted, _ := shares[random.IntN(daemons)].Take(now, Given(rate)/daemons); granted {
+				arrivals = append(arrivals, now)
+			}
+		}
+		first, most := 0, 0
+		for last, at := range arrivals {
+			for at.Sub(arrivals[first]) >= span {
+				first++
+			}
+			most = max(most, last-first+1)
+		}
+		must.LessEq(t, int(1.5*max(leastRate, rate)*span.Seconds())+5, most, must.Sprint(rate))
+		must.Positive(t, len(arrivals))
+	}
+}
--- a/decision/quota/quota.go
+++ b/decision/quota/quota.go
@@ -53,23 +53,31 @@
 	return rate, true, nil
 }
 
-// rateGiven is the rate of permits for a server that takes rate requests a second.
-func rateGiven(rate float64) float64 { return max(leastRate, given*rate) }
+// Given is the rate of permits for a server that takes rate requests a second.
+func Given(rate float64) float64 { return max(leastRate, given*rate) }
 
-// Bucket gives out the permits for one server. The zero value has given out none. It is not safe
-// for concurrent use.
+// Bucket gives out permits for one server. The zero value has given out none. It is not safe for
+// concurrent use.
 type Bucket struct {
 	tokens float64
+	most   float64 // tokens kept, 0 for burst
 	at     time.Time
 	free   time.Time // when the daemon refused next is told to ask again
 }
 
-// Take takes a permit for a server that takes rate requests a second. Where there is none it
-// returns after what time the daemon should ask again.
-func (b *Bucket) Take(now time.Time, rate float64) (granted bool, wait time.Duration) {
-	give := rateGiven(rate)
+// Share returns the bucket of one daemon that keeps to its even part by itself. draw is in [0, 1),
+// another at each daemon: without it all would send their first request at the same moment.
+func Share(draw float64) Bucket { return Bucket{tokens: draw, most: 1} }
+
+// Take takes a permit, of which give a second are given out. Where there is none it returns after
+// what time the daemon should ask again.
+func (b *Bucket) Take(now time.Time, give float64) (granted bool, wait time.Duration) {
+	most := b.most
+	if most == 0 {
+		most = burst
+	}
 	if !b.at.IsZero() {
-		b.tokens = min(burst, b.tokens+give*max(0, now.Sub(b.at).Seconds()))
+		b.tokens = min(most, b.tokens+give*max(0, now.Sub(b.at).Seconds()))
 	}
 	b.at = now
 	if b.tokens >= 1 {
--- a/decision/quota/quota_test.go
+++ b/decision/quota/quota_test.go
@@ -39,14 +39,14 @@
 		start := time.Now()
 		granted := 0
 		for now := start; now.Before(start.Add(100 * time.Second)); now = now.Add(time.Millisecond) {
-			if ok, wait := b.Take(now, rate); ok {
+			if ok, wait := b.Take(now, Given(rate)); ok {
 				granted++
 			} else {
 				must.Positive(t, wait)
 				must.LessEq(t, maxWait, wait)
 			}
 		}
-		must.Between(t, 0.95, float64(granted)/100/rateGiven(rate), 1.05, must.Sprint(rate))
+		must.Between(t, 0.95, float64(granted)/100/Given(rate), 1.05, must.Sprint(rate))
 	}
 }
 
@@ -54,10 +54,10 @@
 func TestRefusedAreToldDifferentTimes(t *testing.T) {
 	var b Bucket
 	now := time.Now()
-	b.Take(now, 5)
-	_, first := b.Take(now, 5)
-	_, second := b.Take(now, 5)
-	must.Eq(t, seconds(1/rateGiven(5)), second-first)
+	b.Take(now, Given(5))
+	_, first := b.Take(now, Given(5))
+	_, second := b.Take(now, Given(5))
+	must.Eq(t, seconds(1/Given(5)), second-first)
 }
 
 func TestDaemonAsksOneQuestionAtATime(t *testing.T) {
--- a/serve/forward/limits.go
+++ b/serve/forward/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -96,7 +97,7 @@
 	one := l.lives[s.Life()]
 	if one == nil {
 		l.forgetGone()
-		one = &limited{server: s}
+		one = &limited{server: s, alone: quota.Share(rand.Float64())}
 		l.lives[s.Life()] = one
 	}
 	return one
@@ -242,7 +243,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return one.alone.Take(time.Now(), q.GetLimit().GetRate()/float64(max(1, len(vms))))
+	return one.alone.Take(time.Now(), quota.Given(q.GetLimit().GetRate())/float64(max(1, len(vms))))
 }
 
 // acknowledged reports whether others ask this daemon for permits. One that is cut off from them
@@ -260,7 +261,7 @@
 	if known, named := one.limit.Rate(); named {
 		rate = known
 	}
-	return one.bucket.Take(time.Now(), rate)
+	return one.bucket.Take(time.Now(), quota.Given(rate))
 }
 
 // rationing implements peerpb.Quota.
