--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -92,9 +92,7 @@
 		prompt = xxhash.Sum64String(part)
 	}
 	p.in(view, service, func(l *layout) (choice, bool) {
-		for _, i := range prompts.Window(prompt, l.seats) {
-			servers = append(servers, l.servers[i])
-		}
+		servers = l.list(prompts.Window(prompt, l.seats))
 		return choice{}, false
 	})
 	return servers
@@ -155,9 +153,7 @@
 		if few = windowed(len(l.servers)); !few {
 			return choice{}, false
 		}
-		for _, i := range prompts.LookedAt(xxhash.Sum64String(part), l.seats) {
-			servers = append(servers, l.servers[i])
-		}
+		servers = l.list(prompts.LookedAt(xxhash.Sum64String(part), l.seats))
 		return choice{}, false
 	})
 	return servers, few
--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -109,6 +109,15 @@
 	return home
 }
 
+// list are the servers at indices.
+func (l *layout) list(indices []int) []routing.Server {
+	servers := make([]routing.Server, len(indices))
+	for n, i := range indices {
+		servers[n] = l.servers[i]
+	}
+	return servers
+}
+
 // windowed reports whether a service has too many engines for all to be asked what they
 // hold, so that prompts are placed, and looked for, in windows of their own.
 func windowed(engines int) bool { return engines > maxScanned }
