--- a/lab/soak/process/limit.go
+++ b/lab/soak/process/limit.go
@@ -19,7 +19,7 @@
 
 // nameLimit has a server name a limit for a while, and counts what reaches it.
 func (w *world) nameLimit(ctx context.Context) {
-	s := w.server()
+	s := w.busyDesk()
 	w.mu.Lock()
 	rate := float64(w.random.IntN(40)) / 10
 	w.mu.Unlock()
@@ -43,6 +43,19 @@
 	}
 }
 
+// busyDesk is a server of the service that calls go to now.
+func (w *world) busyDesk() *server {
+	for {
+		s := w.server()
+		w.mu.Lock()
+		desk := w.desk
+		w.mu.Unlock()
+		if s.service == desk {
+			return s
+		}
+	}
+}
+
 // mostWithin is the most of the arrivals after a moment within limitSpan of each other.
 func mostWithin(arrived []time.Time, after time.Time) (most int) {
 	first := 0
