--- a/lab/soak/process/limit.go
+++ b/lab/soak/process/limit.go
@@ -24,6 +24,10 @@
 	rate := float64(w.random.IntN(40)) / 10
 	w.mu.Unlock()
 	s.mu.Lock()
+	if s.limit != "" { // it names one already, and would cease to with the end of the first
+		s.mu.Unlock()
+		return
+	}
 	id, named := s.id, time.Now()
 	s.limit = strconv.FormatFloat(rate, 'g', -1, 64)
 	s.arrived = nil
