feed: a neighbour that read the configuration by itself tells it

A call ran with an account key that had been removed 7.9 s before; five are allowed.

Cause: after an outage a daemon first reads the configuration alone and knows it before the other changes, so its entry is ahead of the revision up to which everything is known. A daemon that asked in that moment and held the same revision was told "nothing newer, confirmed 29 ms ago" without the configuration, and took its older one for confirmed: keys that the newer one removes went on working, for up to the next change told.

Change: an answer holds what is newer than the asker's revision also where the revisions are equal. TestNeighbourThatKnowsTheConfigurationAloneConfirmsNoOlderOne fails before (age 1.16 s where the configuration was replaced 2.48 s ago).

--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -426,3 +426,28 @@
 		must.False(t, registered())
 	})
 }
+
+// After an outage a neighbour knows a new configuration before the other changes: a daemon that
+// asks it must not take the configuration that it has for confirmed.
+func TestNeighbourThatKnowsTheConfigurationAloneConfirmsNoOlderOne(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.startRegistered()
+		time.Sleep(3 * time.Second)
+		for _, way := range f.ways {
+			way.SetDown(true)
+		}
+		time.Sleep(3 * time.Second)
+		f.put("config", "vv")
+		written := time.Now()
+		time.Sleep(time.Second)
+		f.ways[0].SetDelay(time.Second)
+		f.ways[0].SetDown(false)
+		for time.Since(written) < 8*time.Second {
+			time.Sleep(time.Millisecond)
+			if age, known := f.feeds[1].Age(); known && f.version(1) < 2 {
+				must.GreaterEq(f.t, time.Since(written), age)
+			}
+		}
+		must.Eq(f.t, 2, f.version(1))
+	})
+}
--- a/control/feed/telling.go
+++ b/control/feed/telling.go
@@ -42,9 +42,7 @@
 	if left := s.m.table.doubtUntil - s.m.opts.Clock(); left > 0 {
 		reply.DoubtMs = left.Milliseconds()
 	}
-	if q.GetHave() >= reply.Revision {
-		return reply, nil
-	}
+	// What was read by itself may be ahead of the revision up to which everything is known.
 	d := s.m.table.entries.since(q.GetHave())
 	reply.Removed, reply.Present, reply.Whole = d.removed, d.present, d.whole
 	for _, kv := range d.puts {
