gateway test: the number of daemons is read under its lock

The race detector found the load of limited_test.go to read the map of daemons while another part of the test starts them again. No product code.

--- a/serve/gateway/limited_test.go
+++ b/serve/gateway/limited_test.go
@@ -30,9 +30,12 @@
 func (f *fleet) load(path string, perSecond int, lasts time.Duration) *calls {
 	var got calls
 	random := rand.New(rand.NewPCG(1, 2))
+	f.mu.Lock()
+	daemons := len(f.daemons)
+	f.mu.Unlock()
 	for n := range int(lasts.Seconds() * float64(perSecond)) {
 		time.Sleep(time.Second / time.Duration(perSecond))
-		at := random.IntN(len(f.daemons))
+		at := random.IntN(daemons)
 		f.done.Go(func() {
 			got.asked.Add(1)
 			began := time.Now()
