feed: a question that nothing is newer for walks no entries

The mend of a neighbour that confirmed an older configuration walked all entries for each question of another daemon, also where the asker holds all there is: 80 questions a second over 2,290 entries at 390 daemons, by arithmetic. The latest version of a key is kept in place of that. Answers are the same; the tests of the feed pass as they stand.

--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -17,6 +17,9 @@
 type entries struct {
 	kvs  map[string]store.KV
 	gone map[string]int64 // revision of the removal
+	// newest is the latest version of a key: one that was read by itself is ahead of the
+	// revision up to which everything is known.
+	newest int64
 	// floor is the revision from which removals are remembered.
 	floor int64
 }
@@ -27,6 +30,7 @@
 
 func (e *entries) put(kv store.KV) {
 	e.kvs[kv.Key] = kv
+	e.newest = max(e.newest, kv.Version)
 	delete(e.gone, kv.Key)
 }
 
--- a/control/feed/telling.go
+++ b/control/feed/telling.go
@@ -42,7 +42,9 @@
 	if left := s.m.table.doubtUntil - s.m.opts.Clock(); left > 0 {
 		reply.DoubtMs = left.Milliseconds()
 	}
-	// What was read by itself may be ahead of the revision up to which everything is known.
+	if q.GetHave() >= max(reply.Revision, s.m.table.entries.newest) {
+		return reply, nil
+	}
 	d := s.m.table.entries.since(q.GetHave())
 	reply.Removed, reply.Present, reply.Whole = d.removed, d.present, d.whole
 	for _, kv := range d.puts {
