--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -427,8 +427,7 @@
 	})
 }
 
-// After an outage a neighbour knows a new configuration before the other changes: a daemon that
-// asks it must not take the configuration that it has for confirmed.
+// A neighbour that read the configuration alone must not confirm an older one to who asks it.
 func TestNeighbourThatKnowsTheConfigurationAloneConfirmsNoOlderOne(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
 		f.startRegistered()
--- a/decision/poison/ledger.go
+++ b/decision/poison/ledger.go
@@ -56,9 +56,6 @@
 	return known
 }
 
-// Len is the number of requests remembered.
-func (l *Ledger[L]) Len() int { return len(l.requests) }
-
 func (l *Ledger[L]) makeRoom(digest string) {
 	if len(l.requests) < MaxRequests || l.requests[digest] != nil {
 		return
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -26,8 +26,8 @@
 	watchedAfter = 2
 	// refusedAfter is the number after which it is sent no more.
 	refusedAfter = 3
-	// beginning is how long after its first event a request may have ended its server. A
-	// crash comes within a tenth of a second of the first token, and events lag.
+	// beginning is how long after its first event a request may have ended its server: a
+	// crash comes right after the first token, and events lag.
 	beginning = 500 * time.Millisecond
 	// Looked is how many other servers of the zone are looked at when one has ended.
 	Looked = 3
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -55,7 +55,7 @@
 	for i := range 3 * MaxRequests {
 		l.Ended(now.Add(time.Duration(i)*time.Millisecond), fmt.Sprint(i), "a")
 	}
-	must.Eq(t, MaxRequests, l.Len())
+	must.MapLen(t, MaxRequests, l.requests)
 	must.Eq(t, Watched, l.Mark("worst"))
 }
 
--- a/serve/gateway/crashing_test.go
+++ b/serve/gateway/crashing_test.go
@@ -147,8 +147,7 @@
 	})
 }
 
-// A whole answer at one daemon clears what each of the others counted: else three ends at one
-// daemon, with successes elsewhere between them, refuse a request that ends no server.
+// Three ends at one daemon, with whole answers elsewhere between them, must refuse no request.
 func TestWholeAnswerClearsWhatOtherDaemonsCounted(t *testing.T) {
 	inServingFleet(t, 7, func(f *fleet) {
 		f.serve("desk", 9)
