--- a/decision/quota/fleet_test.go
+++ b/decision/quota/fleet_test.go
@@ -84,8 +84,7 @@
 	}
 }
 
-// Hundreds of daemons that hear nobody keep to the rate each by itself: neither the least rate nor
-// the first request of each may add up over them.
+// Parts of daemons that hear nobody must not add up to more than the rate.
 func TestDaemonsThatHearNobodyKeepToTheRate(t *testing.T) {
 	for _, rate := range []float64{0, 5.8, 60} {
 		const daemons = 295
