forward: a server that took another's place and has left gets nothing

The engine at 10.3.64.29 crashed at 24.0 s as i-799c46be4b and came back at 25.2 s as i-2602a0d350, which was chosen for scale_in at once: its entry was written and removed within 0.1 s. front-pikine-2 had a request turned away (421, instance i-2602a0d350) at 25.3429 s and noted the successor (event 231); at 25.3878 s the feed told it of the entry and of its end in one batch, so the address fell back to the entry of the crashed life, which stays for 3.6 s.

Cause: pool.layout took a successor from its own notes and did not ask the view whether it has departed. Only the first mention (relay.successor) asked that.

Ruled out: a late view (all seven daemons had the end of the entry by 25.39 s), the doubt after an outage (doubt was 0), a copy's holder (the reason was known_idle).

Change: a noted successor that the view knows as departed takes its predecessor's entry with it; the address has no server until another registers.

The same cause looked for elsewhere: holder, copyPlace, warm, sameAgain, reader, plain all choose from the layout; spare.lives asks it too.

TestSuccessorThatLeavesAtOnceGetsNothing before: the second request is answered 200 by the engine that left; after: refused.

--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -40,6 +40,9 @@
 	var candidates []route.Candidate
 	for _, s := range servers {
 		if next, ok := p.successors[s.Life()]; ok {
+			if p.view.Departed(next.ID) {
+				continue // the entry is of a life that ended before
+			}
 			s.ID, s.Born = next.ID, next.Born
 		}
 		one := p.loads[s.Life()]
--- a/serve/forward/lives_test.go
+++ b/serve/forward/lives_test.go
@@ -167,3 +167,21 @@
 		must.Eq(t, again.server.Life(), life)
 	})
 }
+
+// An engine that took the place of a crashed one leaves before this daemon has seen its entry, whose end comes in the same batch.
+func TestSuccessorThatLeavesAtOnceGetsNothing(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		old := w.add("e-a", "llm", "a", streaming(5, time.Second, 40*time.Millisecond))
+		next := w.restart(old, "e-new", "llm")
+		must.Eq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", caller, "prompt").status)
+		w.put("config", "{}") // the next batch begins a pause after this one
+		time.Sleep(10 * time.Millisecond)
+		w.register(next)
+		w.remove("server/e-new")
+		time.Sleep(time.Second)
+		must.True(t, w.feed.View().Departed("e-new"))
+		asked := next.requests()
+		must.NotEq(t, http.StatusOK, w.ask(http.MethodPost, "/s/1", caller, "prompt").status)
+		must.Eq(t, asked, next.requests())
+	})
+}
