--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -15,6 +15,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/platform/kv"
 	"mallowwind.dev/platform/nodefile"
@@ -79,7 +80,8 @@
 func bounds(s *nodefile.Settings) gateway.Bounds {
 	return gateway.Bounds{
 		KeyAge: s.KeyAge, Grace: s.DrainGrace, Seeds: s.Seeds,
-		Repeats: repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Repeats:  repeats.Rule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Rollouts: rollout.Limits{Share: s.RolloutShare, Slack: s.RolloutSlack},
 	}
 }
 
--- a/cmd/mallowwind/forwardown.go
+++ b/cmd/mallowwind/forwardown.go
@@ -13,6 +13,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/control/settings"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/forward"
@@ -32,6 +33,10 @@
 // requests and a hundred and fifty in ten seconds carry the loss of a zone.
 var ownRepeats = repeats.Rule{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}
 
+// ownRollouts lets a version that is not known to be good have a tenth of a service's requests
+// and fifty.
+var ownRollouts = rollout.Limits{Share: 0.1, Slack: 50}
+
 // runOwn forwards by settings of our own and a key-value service of ours.
 func runOwn(path string, check bool) error {
 	s, err := settings.Parse(path)
@@ -56,7 +61,7 @@
 		Store:  store.Confirmed{Store: client, Key: feed.OwnConfigKey, Hold: ownHold},
 		Prefix: feed.OwnPrefix, Schema: feed.OwnSchema{}, Codec: forward.OwnCodec{},
 		Clock: bootClock, Log: events, Registry: metric.NewCatalogue(),
-		Bounds:      gateway.Bounds{KeyAge: ownKeyAge, Repeats: ownRepeats, Grace: s.DrainLimit},
+		Bounds:      gateway.Bounds{KeyAge: ownKeyAge, Repeats: ownRepeats, Rollouts: ownRollouts, Grace: s.DrainLimit},
 		KeepAnswers: keepAnswers,
 		Dialer:      link.NewDialer(nil),
 	}
--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -40,6 +40,7 @@
 	t.entries.remove(key, revision)
 	delete(t.refusals, key)
 	delete(t.barred, key)
+	t.removeRollout(key)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(key); ok {
 		t.removeServer(now, id)
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -26,6 +26,7 @@
 	// ServerID returns the id of the backend server whose entry key is, if any.
 	ServerID(key string) (string, bool)
 	DecodeServer(id string, raw []byte) (routing.Server, error)
+	RolloutSchema
 }
 
 // Clock is monotonic and goes on while the machine is suspended.
@@ -40,6 +41,10 @@
 	VMs []routing.VM
 	// Refused are the requests that are sent to no server, by digest.
 	Refused map[string]Refused
+	// Rollouts are those of which something lies in the store, by service.
+	Rollouts map[string]Rollout
+	// Before is the Clock when all before this view was last confirmed; 0 before the first.
+	Before time.Duration
 	// Published is when this became the view; zero before the first.
 	Published time.Time
 	// departed are the servers that leave or are gone.
@@ -159,7 +164,7 @@
 func (m *Manager) publish() {
 	if m.table.expire(m.opts.Clock()) || m.table.dirty {
 		view := m.table.view()
-		view.Published = time.Now()
+		view.Published, view.Before = time.Now(), time.Duration(m.confirmed.Load())
 		m.view.Store(view)
 		m.table.dirty = false
 	}
--- /dev/null
+++ b/control/feed/rollouts.go
@@ -0,0 +1,188 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/rollout"
+	"mallowwind.dev/external/store"
+)
+
+// RolloutSchema is how roll-outs lie in the store.
+type RolloutSchema interface {
+	// RolloutOrder returns the service whose roll-out the entry of a key orders, if any.
+	RolloutOrder(key string) (service string, ok bool)
+	DecodeRolloutOrder(service string, raw []byte) (routing.RolloutOrder, error)
+	// RolloutStatus returns the service of whose roll-out a key holds the status, if any, and
+	// RolloutStatusKey the key.
+	RolloutStatus(key string) (service string, ok bool)
+	RolloutStatusKey(service string) string
+	DecodeRolloutStatus(raw []byte) (routing.RolloutStatus, error)
+	EncodeRolloutStatus(routing.RolloutStatus) ([]byte, error)
+}
+
+// Rollout is what lies in the store of a service's roll-out.
+type Rollout struct {
+	// Order is nil where there is none that can be read; Refused says why.
+	Order   *routing.RolloutOrder
+	Refused error
+	// Status is nil where there is none that can be read. StatusRevision is that of its entry all
+	// the same.
+	Status         *routing.RolloutStatus
+	StatusRevision int64
+}
+
+// putRollout takes in an entry of a roll-out, if it is one.
+func (t *table) putRollout(kv store.KV) bool {
+	if service, ok := t.schema.RolloutOrder(kv.Key); ok {
+		one := t.rollouts[service]
+		order, err := t.schema.DecodeRolloutOrder(service, kv.Value)
+		if err == nil {
+			err = order.Check()
+		}
+		if err != nil {
+			t.refuse(kv.Key, err)
+			one.Order, one.Refused = nil, err
+		} else {
+			delete(t.refusals, kv.Key)
+			order.Revision = kv.Version
+			one.Order, one.Refused = &order, nil
+		}
+		t.rollouts[service] = one
+		t.changes++
+		return true
+	}
+	service, ok := t.schema.RolloutStatus(kv.Key)
+	if !ok {
+		return false
+	}
+	one := t.rollouts[service]
+	one.StatusRevision, one.Status = kv.Version, nil
+	if status, err := t.schema.DecodeRolloutStatus(kv.Value); err != nil {
+		t.refuse(kv.Key, err)
+	} else {
+		delete(t.refusals, kv.Key)
+		status.Revision = kv.Version
+		one.Status = &status
+	}
+	t.rollouts[service] = one
+	t.changes++
+	return true
+}
+
+// removeRollout takes away an entry of a roll-out.
+func (t *table) removeRollout(key string) {
+	if service, ok := t.schema.RolloutOrder(key); ok {
+		one := t.rollouts[service]
+		one.Order, one.Refused = nil, nil
+		t.rollouts[service] = one
+	}
+	if service, ok := t.schema.RolloutStatus(key); ok {
+		one := t.rollouts[service]
+		one.Status, one.StatusRevision = nil, 0
+		t.rollouts[service] = one
+	}
+}
+
+// Keys of OwnRollouts.
+const (
+	ownOrderPrefix  = OwnPrefix + "rollout/order/"
+	ownStatusPrefix = OwnPrefix + "rollout/status/"
+)
+
+// ownOrder and ownStatus are the entries in a store that is ours to lay out.
+type ownOrder struct {
+	Target string `json:"target"`
+	Period string `json:"period"` // as time.Duration prints itself
+}
+
+type ownStatus struct {
+	Stage  string  `json:"stage"` // as rollout.Stage prints itself
+	Target string  `json:"target"`
+	Base   string  `json:"base"`
+	Order  int64   `json:"order"`
+	Share  float64 `json:"share"`
+	Common string  `json:"common,omitempty"`
+	Due    int64   `json:"due"`
+}
+
+// OwnRollouts implements RolloutSchema for OwnSchema.
+type OwnRollouts struct{}
+
+// RolloutOrder implements RolloutSchema.
+func (OwnRollouts) RolloutOrder(key string) (string, bool) {
+	return strings.CutPrefix(key, ownOrderPrefix)
+}
+
+// DecodeRolloutOrder implements RolloutSchema.
+func (OwnRollouts) DecodeRolloutOrder(service string, raw []byte) (routing.RolloutOrder, error) {
+	var m ownOrder
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return routing.RolloutOrder{}, errors.Wrap(err, "roll-out")
+	}
+	period, err := time.ParseDuration(m.Period)
+	return routing.RolloutOrder{Service: service, Target: m.Target, Period: period}, errors.Wrap(err, "roll-out: period")
+}
+
+// EncodeRolloutOrder writes what DecodeRolloutOrder reads.
+func EncodeRolloutOrder(o routing.RolloutOrder) ([]byte, error) {
+	return json.Marshal(ownOrder{Target: o.Target, Period: o.Period.String()})
+}
+
+// OwnRolloutOrderKey is the key of the order of a service's roll-out.
+func OwnRolloutOrderKey(service string) string { return ownOrderPrefix + service }
+
+// RolloutStatus implements RolloutSchema.
+func (OwnRollouts) RolloutStatus(key string) (string, bool) {
+	return strings.CutPrefix(key, ownStatusPrefix)
+}
+
+// RolloutStatusKey implements RolloutSchema.
+func (OwnRollouts) RolloutStatusKey(service string) string { return ownStatusPrefix + service }
+
+// DecodeRolloutStatus implements RolloutSchema.
+func (OwnRollouts) DecodeRolloutStatus(raw []byte) (routing.RolloutStatus, error) {
+	var m ownStatus
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return routing.RolloutStatus{}, errors.Wrap(err, "status of a roll-out")
+	}
+	stage, ok := rollout.ParseStage(m.Stage)
+	if !ok {
+		return routing.RolloutStatus{}, errors.Errorf("status of a roll-out: unknown stage %q", m.Stage)
+	}
+	return routing.RolloutStatus{
+		State: rollout.State{Order: m.Order, Base: m.Base, Target: m.Target, Stage: stage, Share: m.Share, Common: m.Common}, Due: m.Due,
+	}, nil
+}
+
+// EncodeRolloutStatus implements RolloutSchema.
+func (OwnRollouts) EncodeRolloutStatus(s routing.RolloutStatus) ([]byte, error) {
+	return json.Marshal(ownStatus{Stage: s.Stage.String(), Target: s.Target, Base: s.Base, Order: s.Order, Share: s.Share, Common: s.Common, Due: s.Due})
+}
+
+// WriteRolloutStatus writes the status of a service's roll-out over the one of a revision.
+// store.ErrConflict means that another was written meanwhile.
+func (m *Manager) WriteRolloutStatus(ctx context.Context, service string, s routing.RolloutStatus, over int64) error {
+	raw, err := m.opts.Schema.EncodeRolloutStatus(s)
+	if err != nil {
+		return errors.Wrap(err, "status of a roll-out")
+	}
+	ctx = store.WithPurpose(ctx, store.PurposeRollout)
+	key := m.opts.Schema.RolloutStatusKey(service)
+	version, err := m.opts.Store.CompareAndSwap(ctx, key, over, raw, 0)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table.entries.kvs[key].Version < version {
+		m.table.put(store.KV{Key: key, Value: raw, Version: version})
+		m.publish()
+	}
+	return nil
+}
--- a/control/feed/schema.go
+++ b/control/feed/schema.go
@@ -20,7 +20,7 @@
 
 // OwnSchema is the layout of a store that is ours to lay out: the configuration
 // as routing.Decode reads it, and each backend server as routing.Server in JSON.
-type OwnSchema struct{}
+type OwnSchema struct{ OwnRollouts }
 
 // ConfigKey implements Schema.
 func (OwnSchema) ConfigKey() string { return OwnConfigKey }
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -33,6 +33,8 @@
 	vms     map[string]routing.VM
 	// barred are the refused requests, by key.
 	barred map[string]Refused
+	// rollouts are those of which something lies in the store, by service.
+	rollouts map[string]Rollout
 	// doubtful holds when servers cease to be usable whose entries vanished
 	// around an outage.
 	doubtful map[string]time.Duration
@@ -64,6 +66,7 @@
 		written:  map[string]int64{},
 		vms:      map[string]routing.VM{},
 		barred:   map[string]Refused{},
+		rollouts: map[string]Rollout{},
 		doubtful: map[string]time.Duration{},
 		departed: map[string]time.Duration{},
 
@@ -128,6 +131,7 @@
 		return
 	}
 	switch {
+	case t.putRollout(kv):
 	case strings.HasPrefix(kv.Key, vmPrefix):
 		t.putVM(kv)
 	case strings.HasPrefix(kv.Key, refusedPrefix):
--- a/control/feed/table_test.go
+++ b/control/feed/table_test.go
@@ -19,7 +19,7 @@
 // lineSchema stores a server as its address, with "leaving " before it, its start as
 // "@N " before that, and "other " before all that for a service that is not configured;
 // "bad" cannot be read. A configuration is its version in letters.
-type lineSchema struct{}
+type lineSchema struct{ OwnRollouts }
 
 func (lineSchema) ConfigKey() string { return "config" }
 
--- a/control/feed/usable.go
+++ b/control/feed/usable.go
@@ -34,6 +34,7 @@
 	for _, r := range t.barred {
 		v.Refused[r.Digest] = r
 	}
+	v.Rollouts = maps.Clone(t.rollouts)
 	v.plan = planOf(v.VMs)
 	return v
 }
--- /dev/null
+++ b/control/routing/rollout.go
@@ -0,0 +1,46 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/decision/rollout"
+)
+
+// RolloutOrder is an operator's order to move a service to another version of its servers.
+type RolloutOrder struct {
+	Service string
+	Target  string
+	// Period is the time within which the roll-out is to be over.
+	Period time.Duration
+	// Revision is the store's of the order.
+	Revision int64
+}
+
+// Bounds of the period of a roll-out: a shorter one leaves no time to compare the versions, and a
+// longer one is taken for a mistake.
+const (
+	MinRolloutPeriod = 3 * time.Second
+	MaxRolloutPeriod = 30 * time.Minute
+)
+
+// Check returns an error for an order that cannot be carried out.
+func (o RolloutOrder) Check() error {
+	switch {
+	case o.Target == "":
+		return errors.New("it names no target version")
+	case o.Period < MinRolloutPeriod || o.Period > MaxRolloutPeriod:
+		return errors.Errorf("the period %v is not between %v and %v", o.Period, MinRolloutPeriod, MaxRolloutPeriod)
+	}
+	return nil
+}
+
+// RolloutStatus is what is written of a roll-out for operators, and for daemons that start.
+type RolloutStatus struct {
+	rollout.State
+	// Due is when the period ends, in Unix milliseconds.
+	Due int64
+	// Revision is the store's of the status; 0 where there is none.
+	Revision int64
+}
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -158,6 +158,28 @@
 	return nil
 }
 
+// UsualCall is the objective that half of the routes to a service do not exceed; 0 where a route
+// to it is a stream, whose objective says nothing of its end, or where there is none.
+func (c *Config) UsualCall(service string) time.Duration {
+	var objectives []time.Duration
+	for _, routes := range c.routes {
+		for _, r := range routes {
+			switch {
+			case !slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }):
+			case r.Kind == Stream:
+				return 0
+			default:
+				objectives = append(objectives, r.Objective)
+			}
+		}
+	}
+	if len(objectives) == 0 {
+		return 0
+	}
+	slices.Sort(objectives)
+	return objectives[(len(objectives)-1)/2]
+}
+
 // OnlyEngines is the name of the one service that has model engines; "" where
 // none or several have.
 func (c *Config) OnlyEngines() string {
@@ -216,6 +238,8 @@
 	Address string `json:"address"` // IP:port
 	Zone    string `json:"zone"`
 	Slots   int    `json:"slots"`
+	// Version is that of the server's software; "" where it does not say.
+	Version string `json:"version,omitempty"`
 	// Leaving says that it takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- /dev/null
+++ b/decision/rollout/plan.go
@@ -0,0 +1,233 @@
+package rollout
+
+import "time"
+
+// Limits are what an operator allows.
+type Limits struct {
+	// Share is the part of a service's requests that a bad version may get, 0 to 1, and Slack how
+	// many it may get beyond that.
+	Share, Slack float64
+}
+
+// Input is what the next step is decided by.
+type Input struct {
+	State  State
+	Limits Limits
+	// Elapsed is how long ago the order was given, at most; Period is the time for all of it.
+	Elapsed, Period time.Duration
+	// Base and Target are the servers of both versions that take requests.
+	Base, Target int
+	// Heard is how many of Daemons told lately what they saw.
+	Heard, Daemons int
+	// PerSecond is how many requests of the service begin, and Drawn how many were drawn for the
+	// target.
+	PerSecond float64
+	Drawn     int
+	// UnderWay is how many requests are under way at the version before.
+	UnderWay int
+	// Usual is how long an answer takes at most while none of the version before was seen; 0 where
+	// nothing is known.
+	Usual time.Duration
+	// Moves says that an answer can go on at another server from a copy.
+	Moves bool
+	// Evidence is all that was seen, and Waiting what waits now.
+	Evidence *Evidence
+	Waiting  []Sample
+}
+
+// Reason says why a step is taken.
+type Reason string
+
+// The reasons.
+const (
+	TooEarly    Reason = "too_early"
+	NoServers   Reason = "no_servers_of_target"
+	TooFewHeard Reason = "too_few_daemons_heard"
+	TooLittle   Reason = "too_little_seen"
+	Began       Reason = "began"
+	AsGood      Reason = "as_good_as_before"
+	Bad         Reason = "bad"
+	Same        Reason = "version_runs_already"
+	NothingLeft Reason = "nothing_under_way"
+	TimeIsUp    Reason = "time_is_up"
+)
+
+// Step is what the roll-out comes to next.
+type Step struct {
+	State   State
+	Reason  Reason
+	Finding Finding
+}
+
+const (
+	// finish is kept at the end of the period for the last step to be written and read, and
+	// longFinish where answers are long: the order may be older than it seems.
+	finish     = 700 * time.Millisecond
+	longFinish = 1500 * time.Millisecond
+	// drained is what short answers take to end at all daemons, and what it takes to hear that.
+	drained = 200 * time.Millisecond
+	// longShare is the part of the period after which the target gets everything where answers
+	// are too long to end within the rest, and can go on elsewhere.
+	longShare = 0.66
+	// leastShare is the same for answers that cannot.
+	leastShare = 0.25
+	// moving is the time for answers under way to go on elsewhere before the end.
+	moving = 1300 * time.Millisecond
+	// mostFew and leastFew bound the share of few, in terms of the limit.
+	mostFew, leastFew = 0.85, 0.15
+	// unsure is by how much the order may be younger than it seems.
+	unsure = 200 * time.Millisecond
+	// rateKnown is how long it takes to know how many requests there are.
+	rateKnown = 2500 * time.Millisecond
+	// mostSome bounds the larger share.
+	mostSome = 0.4
+	// worthwhile is by what factor the larger share has to be larger.
+	worthwhile = 1.3
+	// manyDrawn is how many drawn requests a second show routes with few of them too.
+	manyDrawn = 15
+	// slackUsed is the part of the slack that is planned with.
+	slackUsed = 0.8
+	// noticed is how long the target gets everything before what is bad of it is noticed.
+	noticed = 1500 * time.Millisecond
+	// enough is how many samples of the target show that it works.
+	enough = 6
+	// quorum is the part of the daemons that have to be heard before the target gets more.
+	quorum = 0.5
+)
+
+// schedule is when the target gets more, in time since the order.
+type schedule struct{ all, last, end time.Duration }
+
+// scheduleOf is as late as the answers under way allow.
+func scheduleOf(in Input, long time.Duration) schedule {
+	if long == 0 {
+		long = in.Usual
+	}
+	end := in.Period - finish
+	if in.Moves {
+		end = in.Period - longFinish
+	}
+	all := end - max(drained, long+long/3)
+	if long == 0 {
+		all = 0 // none is known to be short
+	}
+	least := time.Duration(leastShare * float64(in.Period))
+	if in.Moves {
+		least = time.Duration(longShare * float64(in.Period))
+	}
+	return schedule{all: max(all, least), last: end - moving, end: end}
+}
+
+// few is the share with which the target begins. Where answers are short it stays below the limit
+// together with all that the target gets at the end, so that a version that turns bad then does not
+// get too much either. Where they are long nothing but what is seen can bound that.
+func few(in Input, s schedule) float64 {
+	limit := in.Limits.Share
+	rest := float64(in.Period-s.all+unsure) / float64(in.Period)
+	if rest >= limit {
+		return mostFew * limit
+	}
+	return min(mostFew*limit, max(leastFew*limit, limit-rest))
+}
+
+// some is the share that the target may get from now until it gets everything: of what a bad
+// version may have, all but what it has had, and what it gets then until it is noticed. Where there
+// are few requests the slack makes that more than the limit's share.
+func some(in Input, s schedule) float64 {
+	allowed := in.Limits.Share*in.PerSecond*in.Period.Seconds() + slackUsed*in.Limits.Slack
+	later := min(noticed, in.Period-s.all+unsure).Seconds() * in.PerSecond
+	before := max(0, s.all-in.Elapsed).Seconds() * in.PerSecond
+	if before == 0 {
+		return 0
+	}
+	return min(mostSome, (allowed-later-float64(in.Drawn))/before)
+}
+
+// Next decides the next step of a roll-out.
+func Next(in Input) Step {
+	s := in.State
+	stay := func(r Reason) Step { return Step{State: s, Reason: r} }
+	to := func(stage Stage, share float64, r Reason, f Finding) Step {
+		s.Stage, s.Share = stage, share
+		return Step{State: s, Reason: r, Finding: f}
+	}
+	if s.Stage == Idle || s.Stage.Over() {
+		return stay(TooEarly)
+	}
+	if s.Stage == Pending {
+		return begin(in, stay, to)
+	}
+	f := in.Evidence.Judge(AnyLook, in.Waiting)
+	if f.Bad && s.Base != s.Target {
+		return to(RolledBack, 0, Bad, f)
+	}
+	at := scheduleOf(in, f.Long)
+	switch {
+	case s.Stage <= Some && in.Elapsed >= at.all:
+		return grow(in, All, 1, at, stay, to)
+	case s.Stage == Few && in.Elapsed >= rateKnown:
+		if share := some(in, at); share >= worthwhile*s.Share {
+			if share*in.PerSecond < manyDrawn {
+				s.Common = in.Evidence.common()
+			}
+			return grow(in, Some, share, at, stay, to)
+		}
+		return stay(TooEarly)
+	case s.Stage <= Some:
+		return stay(TooEarly)
+	case float64(in.Heard) < quorum*float64(in.Daemons):
+		return stay(TooFewHeard)
+	case in.UnderWay == 0 && in.Elapsed >= at.all+drained/2:
+		return complete(in, NothingLeft, stay, to)
+	case in.Moves && s.Stage == All && in.Elapsed >= at.last:
+		return to(Last, 1, TimeIsUp, f)
+	case in.Moves && in.Elapsed >= at.end:
+		return complete(in, TimeIsUp, stay, to)
+	}
+	return stay(TooEarly)
+}
+
+// begin starts a roll-out once there is a server of the target.
+func begin(in Input, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
+	switch {
+	case in.State.Base == in.State.Target:
+		return to(All, 1, Same, Finding{})
+	case in.Target == 0 && in.Elapsed > in.Period:
+		return to(RolledBack, 0, NoServers, Finding{})
+	case in.Target == 0:
+		return stay(NoServers)
+	case in.Base == 0 && in.State.Base == "":
+		return to(All, 1, Same, Finding{})
+	}
+	return to(Few, few(in, scheduleOf(in, in.Evidence.Judge(AnyLook, nil).Long)), Began, Finding{})
+}
+
+// grow gives the target more, if it is as good as the version before.
+func grow(in Input, stage Stage, share float64, at schedule, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
+	f := in.Evidence.Judge(LastLook, in.Waiting)
+	switch {
+	case f.Bad:
+		return to(RolledBack, 0, Bad, f)
+	case float64(in.Heard) < quorum*float64(in.Daemons):
+		return stay(TooFewHeard)
+	case stage == All && f.New < enough && in.Elapsed < at.end-moving:
+		return stay(TooLittle)
+	case f.New == 0 && in.Elapsed < in.Period:
+		return stay(TooLittle)
+	case f.New == 0:
+		return to(RolledBack, 0, TooLittle, f)
+	}
+	return to(stage, share, AsGood, f)
+}
+
+// complete ends a roll-out whose target is as good as the version before.
+func complete(in Input, r Reason, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
+	if in.Target == 0 {
+		return stay(NoServers)
+	}
+	f := in.Evidence.Judge(LastLook, in.Waiting)
+	if f.Bad && in.State.Base != in.State.Target {
+		return to(RolledBack, 0, Bad, f)
+	}
+	return to(Completed, 1, r, f)
+}
--- /dev/null
+++ b/decision/rollout/rollout.go
@@ -0,0 +1,259 @@
+// Package rollout decides how a service moves from one version of its servers to another: which
+// versions may serve, what share of the requests the new one gets, and when it is completed or
+// taken back.
+//
+// Load it answers: servers of a new version start beside those of the old one, and the new one may
+// be bad: a part of its answers fail or come several times slower, at once or later, under load or
+// on one route only. Hundreds of daemons each see a few requests of the service a second, most of
+// them none that went to the new version.
+//
+// Without it new servers get requests like any others, half of them at once, and a bad version
+// answers those for as long as it is there. Where each daemon tries it with one request to begin
+// with, hundreds of daemons add up to more than a bad version may get.
+//
+// How it decides: each request that a caller sends is drawn by itself, with the same probability at
+// every daemon, so that the share holds for any number of daemons and any load, whether or not they
+// hear each other. One request goes to the new version once at most; whatever follows it goes to
+// the old one. Drawn requests go to few of the new servers, which carry the load of an old one each.
+// What all daemons saw is added up by one, which compares the versions in the same seconds. The
+// share grows as late as the time that answers take allows, since what turns bad later, or under
+// load, is only seen later.
+package rollout
+
+import (
+	"slices"
+	"strings"
+)
+
+// Stage is how far a roll-out has come. Stages of one roll-out only grow.
+type Stage uint8
+
+// The stages.
+const (
+	// Idle: there is no roll-out.
+	Idle Stage = iota
+	// Pending: one is ordered and has not begun.
+	Pending
+	// Few: a share of the requests is drawn for few servers of the target.
+	Few
+	// Some: a larger share is.
+	Some
+	// All: the target is sent every request; answers under way end where they are.
+	All
+	// Last: answers under way at the version before go on at the target.
+	Last
+	// Completed: the version before is gone. It outweighs RolledBack: its servers have stopped.
+	Completed
+	// RolledBack: the target gets nothing any more.
+	RolledBack
+)
+
+// String returns the word used in logs and in the store.
+func (s Stage) String() string { return stages[min(int(s), len(stages)-1)] }
+
+var stages = [...]string{"idle", "pending", "few", "some", "all", "last", "completed", "rolled_back"}
+
+// ParseStage reads what String wrote; ok is false for anything else.
+func ParseStage(text string) (s Stage, ok bool) {
+	for i, name := range stages {
+		if name == text {
+			return Stage(i), true
+		}
+	}
+	return Idle, false
+}
+
+// Over reports whether a roll-out is at its end.
+func (s Stage) Over() bool { return s == Completed || s == RolledBack }
+
+// Running reports whether both versions serve.
+func (s Stage) Running() bool { return s >= Few && s <= Last }
+
+// State is what is believed of a service's roll-out. The zero value is that of a service of which
+// nothing is known yet.
+type State struct {
+	// Order is the store's revision of the order; 0 where there was none.
+	Order int64
+	// Base is the version that served before; "" if there is none.
+	Base   string
+	Target string
+	Stage  Stage
+	// Share is the part of the requests that is drawn for the target, 0 to 1.
+	Share float64
+	// Common are the routes with many requests, as whom decides knows them: others are drawn more
+	// often. "" while each daemon goes by what it sees itself.
+	Common string
+}
+
+// Steady reports whether a version serves any request.
+func (s State) Steady(version string) bool {
+	switch s.Stage {
+	case All, Last, Completed:
+		return version == s.Target
+	}
+	return version == s.Base
+}
+
+// Barred reports whether a version may run nothing at all.
+func (s State) Barred(version string) bool {
+	switch {
+	case s.Steady(version):
+		return false
+	case version == s.Target:
+		return s.Stage != Few && s.Stage != Some
+	case version == s.Base:
+		return s.Stage == Completed
+	}
+	return true
+}
+
+// Leaves reports whether answers under way at a version go on elsewhere.
+func (s State) Leaves(version string) bool {
+	return s.Stage == Last && version != s.Target || s.Stage == RolledBack && version == s.Target
+}
+
+// separator parts the names in State.Common, of which there are maxCommon at most.
+const (
+	separator = "\n"
+	maxCommon = 16
+)
+
+// Drawn reports whether a request that begins goes to the target; draw is in [0, 1). Requests of
+// rare routes are drawn more often: a version that is bad on one of them would not be seen there
+// before it has all.
+func (s State) Drawn(draw float64, route string, seen *Mix) bool {
+	weight := seen.weight(route)
+	switch {
+	case s.Stage != Few && s.Stage != Some:
+		return false
+	case s.Common == "":
+	case slices.Contains(strings.Split(s.Common, separator), route):
+		weight = 1
+	default:
+		weight = rareWeight
+	}
+	drawn := draw < s.Share*weight
+	if drawn {
+		seen.drawn++
+	}
+	return drawn
+}
+
+const (
+	// leastWeight and mostWeight bound the weight of a route: few requests of many routes must not
+	// add up to more than the share.
+	leastWeight, mostWeight = 0.7, 3
+	// rareWeight is that of a route which is known to have few.
+	rareWeight = 4
+	// mostRoutes bounds the routes that are counted; those beyond it weigh 1.
+	mostRoutes = 64
+)
+
+// Mix counts the requests of a service by route. The zero value has counted none. It is not safe
+// for concurrent use.
+type Mix struct {
+	routes     map[string]int
+	all, drawn int
+}
+
+// Counted is how many requests were counted, and how many of them drawn.
+func (m *Mix) Counted() (all, drawn int) { return m.all, m.drawn }
+
+// weight counts a request and returns how much more often than others those of its route are drawn.
+func (m *Mix) weight(route string) float64 {
+	if m.routes == nil {
+		m.routes = map[string]int{}
+	}
+	m.all++
+	if _, known := m.routes[route]; !known && len(m.routes) >= mostRoutes {
+		return 1
+	}
+	m.routes[route]++
+	even := float64(m.all) / float64(len(m.routes))
+	return min(mostWeight, max(leastWeight, even/float64(m.routes[route])))
+}
+
+// Later is the state that holds of two that were heard of one service. Two that run to the same
+// target are of one roll-out, whose order was written more than once.
+func Later(a, b State) State {
+	if a.Order < b.Order {
+		a, b = b, a
+	}
+	if a.Order != b.Order && (a.Target != b.Target || !a.Stage.Running() || !b.Stage.Running()) {
+		return a
+	}
+	if b.rank() > a.rank() {
+		b.Order = a.Order
+		return b
+	}
+	return a
+}
+
+func (s State) rank() int {
+	switch s.Stage {
+	case RolledBack:
+		return int(Completed)
+	case Completed:
+		return int(RolledBack)
+	}
+	return int(s.Stage)
+}
+
+// Order is what an operator asks for.
+type Order struct {
+	Revision int64
+	Target   string
+}
+
+// Believe is what holds of a service: order is the newest known, nil for none; stored is what lies
+// in the store, nil for nothing; before is what was believed until now, with what other daemons
+// told; present counts the servers of each version.
+//
+// The same order written twice is one roll-out while that runs. One that is written again after its
+// end is a new one.
+func Believe(order *Order, stored *State, before State, present map[string]int) State {
+	now := before
+	if stored != nil {
+		now = Later(before, *stored)
+	}
+	if order != nil && order.Revision > now.Order {
+		if order.Target == now.Target && now.Stage.Running() {
+			now.Order = order.Revision
+			return now
+		}
+		return State{Order: order.Revision, Base: now.base(present, order.Target), Target: order.Target, Stage: Pending}
+	}
+	if now.Stage == Idle || now.Stage == Pending && now.Base == "" {
+		now.Base = now.base(present, now.Target)
+	}
+	return now
+}
+
+// base is the version that serves while nothing of a new order is done.
+func (s State) base(present map[string]int, target string) string {
+	switch {
+	case s.Stage == Completed:
+		return s.Target
+	case s.Base != "" && (s.Stage != Idle || present[s.Base] > 0):
+		return s.Base
+	}
+	return most(present, target)
+}
+
+// most is the version with the most servers, another than except if there is one; of equals the
+// first by name.
+func most(present map[string]int, except string) string {
+	best := ""
+	for version, n := range present {
+		if version == except {
+			continue
+		}
+		if best == "" || n > present[best] || n == present[best] && version < best {
+			best = version
+		}
+	}
+	if best == "" && present[except] > 0 {
+		return except
+	}
+	return best
+}
--- a/external/store/purpose.go
+++ b/external/store/purpose.go
@@ -21,6 +21,7 @@
 	PurposeRenew    Purpose = "renew"    // keeping the lease of that entry
 	PurposeLeave    Purpose = "leave"    // removing that entry
 	PurposeRefuse   Purpose = "refuse"   // writing which request is sent to no server
+	PurposeRollout  Purpose = "rollout"  // writing how far a roll-out has come
 )
 
 type purposeKey struct{}
--- a/peer/peerpb/work.twirp.go
+++ b/peer/peerpb/work.twirp.go
@@ -1344,7 +1344,7 @@
 }
 
 func (s *workServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor8, 0
+	return twirpFileDescriptor9, 0
 }
 
 func (s *workServer) ProtocGenTwirpVersion() string {
@@ -1358,7 +1358,7 @@
 	return baseServicePath(s.pathPrefix, "mallowwind.peer", "Work")
 }
 
-var twirpFileDescriptor8 = []byte{
+var twirpFileDescriptor9 = []byte{
 	// 433 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x94, 0x53, 0x5d, 0x8b, 0xd3, 0x40,
 	0x14, 0x65, 0xd2, 0x69, 0xdd, 0xdc, 0x8a, 0xc2, 0x3c, 0x2c, 0xa1, 0xbb, 0x0b, 0x25, 0x2f, 0xf6,
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/serve/versions"
 )
 
 // attempt is a leg under way: a request that was sent, and what comes back of it. All but
@@ -26,9 +28,12 @@
 	answer      *http.Response // nil before its headers are handled
 	limit       string         // that the server named
 	dead        <-chan error
-	reading     bool // counted as a prompt that is read, and not yet as a run
+	leaves      <-chan struct{} // closed when the version of the server leaves
+	reading     bool            // counted as a prompt that is read, and not yet as a run
 	spare       *spare
-	foundLost   int // times that the engine reported events of which none had arrived
+	trial, pace *versions.Trial // of the server's version, nil where none is compared
+	made        int             // events of this attempt
+	foundLost   int             // times that the engine reported events of which none had arrived
 	// copyUsed says that a server was asked to go on from the copy that grows with the
 	// run: it is gone then, whether or not the answer went on there.
 	copyUsed bool
@@ -64,6 +69,8 @@
 	a.stopProbing = stop
 	a.spare = r.newSpare(l)
 	a.dead = r.watch(probing, l)
+	a.leaves = r.h.versions.Leaves(r.h.opts.Feed.View(), l.at.server)
+	a.watchLeg(l, r.in.routeName())
 	go a.receive(Errand{
 		ID: r.in.call.ID, Server: l.at.server, Left: time.Until(r.in.until),
 		Account: r.in.accountName(), Priority: r.in.priority(), CopyTo: l.copyTo.server.Address, CopyAt: l.from, After: r.after,
@@ -133,6 +140,7 @@
 		return
 	}
 	a.reading, a.begun = false, time.Now()
+	a.firstEvent()
 	a.stopProbing()
 	a.dead = nil // a word that waits there is out of date
 	r := a.r
@@ -200,7 +208,7 @@
 func (r *relay) settle(spare *spare, end legEnd) {
 	switch {
 	case spare == nil:
-	case end == legBroken && r.taken != nil && r.taken.from != "": // that copy is in use
+	case (end == legBroken || end == legMoved) && r.taken != nil && r.taken.from != "": // that copy is in use
 	case end == legBroken && r.taken == nil:
 		if copied := spare.copied.Load(); copied != nil {
 			r.held = *copied
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -17,6 +17,7 @@
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/external/sent"
 	"mallowwind.dev/peer/link"
+	"mallowwind.dev/serve/versions"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -66,8 +67,15 @@
 	Dial sent.DialFunc
 	// Dialer connects to other daemons; nil where none is asked for anything.
 	Dialer *link.Dialer
+	// Versions says which servers of a service may serve; nil where nobody else asks it.
+	Versions *versions.Manager
 }
 
+// started is the beginning of monotonic.
+var started = time.Now()
+
+func monotonic() time.Duration { return time.Since(started) }
+
 // Handler forwards requests.
 type Handler struct {
 	opts       Options
@@ -81,6 +89,7 @@
 	neighbours *neighbours
 	poisoned   *poisoned
 	limits     *limits
+	versions   *versions.Manager
 	metrics    *metrics
 	running    atomic.Int64
 	keyAge     atomic.Int64
@@ -93,10 +102,14 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
+	if o.Versions == nil {
+		o.Versions = versions.New(versions.Options{Feed: o.Feed, Clock: monotonic, Log: o.Log, Self: o.Self, Dialer: o.Dialer})
+	}
 	h := &Handler{
-		opts: o, dial: o.Dial, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats), pressure: newPressure(),
-		borrower: newBorrower(o), neighbours: newNeighbours(o),
+		opts: o, dial: o.Dial, transport: newTransport(o.Dial), pool: newPool(o.Self, o.Repeats, o.Versions), pressure: newPressure(),
+		borrower: newBorrower(o), neighbours: newNeighbours(o), versions: o.Versions,
 	}
+	h.versions.CountUnderWay(h.pool.underWay)
 	h.locator, h.keepers, h.poisoned = newLocator(h), newKeepers(h), newPoisoned(h)
 	h.limits = newLimits(h)
 	h.pool.changed, h.pool.limits = h.keepers.changed, h.limits
--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -7,6 +7,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/route"
+	"mallowwind.dev/serve/versions"
 )
 
 // layout is one service's servers in one view.
@@ -19,16 +20,23 @@
 	index   map[string]int // by id
 }
 
-// follow builds the layouts of a new view. It is called under the lock.
-func (p *pool) follow(view *feed.View) {
-	if p.view == view {
+// follow builds the layouts of a new view, or of other versions that may serve. It is called
+// under the lock.
+func (p *pool) follow(view *feed.View, now *versions.Snapshot) {
+	if p.view == view && p.snapshot == now {
 		return
 	}
-	p.view = view
+	p.view, p.snapshot = view, now
 	p.layouts = make(map[string]*layout, len(view.Servers))
 	used := make(map[routing.Life]*load, len(p.loads))
 	for service, servers := range view.Servers {
-		p.layouts[service] = p.layout(servers, used)
+		state := now.Of(service)
+		steady, trial := split(servers, state)
+		p.layouts[service] = p.layout(steady, used)
+		if state.Stage.Running() {
+			p.layouts[trialOf(service)] = p.layout(trial, used)
+			p.layout(servers, used) // what is under way at all of them is still counted
+		}
 	}
 	p.loads = used
 	p.forgetSuccessors()
--- a/serve/forward/leg.go
+++ b/serve/forward/leg.go
@@ -29,6 +29,9 @@
 // errSilent means that a stream has made no event for as long as it may.
 var errSilent = errors.New("forward: silent")
 
+// errAnsweredFailure means that a server answered a stream with a failure of its own.
+var errAnsweredFailure = errors.New("forward: the server answered with a failure")
+
 // errNoProof means that an answer does not show that a server made it.
 var errNoProof = errors.New("forward: a success without proof")
 
@@ -37,8 +40,19 @@
 func (r *relay) follow(ctx context.Context, a *attempt) (legEnd, error) {
 	silence := time.NewTimer(time.Hour)
 	defer silence.Stop()
+	leaves, again := a.leaves, time.NewTimer(time.Hour)
+	defer again.Stop()
 	for {
 		select {
+		case <-leaves:
+			leaves = nil
+			again.Reset(0)
+		case <-again.C:
+			if r.moveOn(ctx, a) {
+				r.h.opts.Log.Emit(event.StreamMoved, r.in.call.ID, a.at.server.ID, r.taken.at.server.ID, r.after)
+				return legMoved, nil
+			}
+			again.Reset(moveAgain)
 		case s := <-a.inbox():
 			if end, err, over := r.handle(ctx, a, s); over {
 				return end, err
@@ -75,6 +89,7 @@
 		return end, err, true
 	}
 	a.heard()
+	a.nextEvent()
 	r.held = a.keptCopy()
 	if err := r.release(a.answer, s.event); err != nil {
 		return legAborted, err, true
@@ -240,7 +255,7 @@
 func (r *relay) noStream(ctx context.Context, l leg, o opened) (legEnd, error) {
 	if r.began || r.mayGoOn() {
 		r.exclude(l)
-		return legBroken, errors.Errorf("status %d", o.resp.StatusCode)
+		return legBroken, errors.Wrapf(errAnsweredFailure, "status %d", o.resp.StatusCode)
 	}
 	body, rest, err := readAnswer(o.resp)
 	if err != nil {
@@ -265,6 +280,7 @@
 
 // over ends an attempt, and has it found out whether its server ended.
 func (r *relay) over(a *attempt, end legEnd, err error) {
+	a.ended(end, errors.Is(err, errAnsweredFailure) || end == legAnswer && a.answer != nil && a.answer.StatusCode >= http.StatusInternalServerError)
 	a.end(end)
 	r.log(a, end, err)
 	switch end {
--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -307,7 +307,7 @@
 		view := w.feed.View()
 		first, _, ok := w.handler.pool.reader(time.Now(), view, "llm", nil, false, nil)
 		must.True(t, ok)
-		other := newPool(routing.VM{ID: "vm-2"}, repeatsRule)
+		other := newPool(routing.VM{ID: "vm-2"}, repeatsRule, w.handler.versions)
 		second, _, ok := other.reader(time.Now(), view, "llm", w.handler.pool.work(view, "llm"), false, nil)
 		must.True(t, ok)
 		must.NotEq(t, first.server.ID, second.server.ID)
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -13,6 +13,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/retryafter"
+	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -139,8 +140,15 @@
 // start sends the request to one more server, if there is one and the budget
 // affords it.
 func (x *exchanges) start(ctx context.Context) bool {
-	now := time.Now()
-	c, ok := x.h.plainPermitted(ctx, x.h.opts.Feed.View(), x.service, x.tried)
+	now, view := time.Now(), x.h.opts.Feed.View()
+	var c choice
+	ok := false
+	if len(x.tried) == 0 {
+		c, ok = x.h.drawnCall(ctx, view, x.service, x.in.routeName())
+	}
+	if !ok {
+		c, ok = x.h.plainPermitted(ctx, view, x.service, x.tried)
+	}
 	if !ok {
 		return false
 	}
@@ -256,6 +264,14 @@
 func (h *Handler) exchange(ctx context.Context, in *inbound, c choice, send int) *outcome {
 	o := &outcome{choice: c, send: send}
 	started := time.Now()
+	trial := h.versions.Try(c.server, in.routeName(), rollout.Whole)
+	defer func() {
+		if result, ok := o.trial(ctx); ok {
+			trial.Done(result)
+		} else {
+			trial.Drop()
+		}
+	}()
 	defer func() { h.logExchange(ctx, in, o, time.Since(started)) }()
 	resp, reply, err := h.send(ctx, in, Errand{
 		ID: in.call.ID, Server: c.server, Left: time.Until(in.until), Account: in.accountName(),
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -9,6 +9,7 @@
 	"mallowwind.dev/decision/absence"
 	"mallowwind.dev/decision/repeats"
 	"mallowwind.dev/decision/route"
+	"mallowwind.dev/serve/versions"
 )
 
 const (
@@ -55,6 +56,9 @@
 	// others than before. It is called without the lock.
 	changed func(routing.Server)
 	limits  *limits // of servers; nil where none is known
+	// versions says which servers may serve, as of snapshot.
+	versions *versions.Manager
+	snapshot *versions.Snapshot
 }
 
 // gone is a server that failed.
@@ -63,13 +67,13 @@
 	since time.Time
 }
 
-func newPool(self routing.VM, rule repeats.Rule) *pool {
+func newPool(self routing.VM, rule repeats.Rule, versions *versions.Manager) *pool {
 	return &pool{
 		self: self, began: time.Now(), rule: rule, layouts: map[string]*layout{},
 		loads: map[routing.Life]*load{}, budgets: map[string]*repeats.Budget{},
 		successors: map[routing.Life]routing.Life{},
 		away:       map[string]gone{}, absences: map[string]*absence.Absence{},
-		changed: func(routing.Server) {},
+		changed: func(routing.Server) {}, versions: versions,
 	}
 }
 
@@ -83,9 +87,10 @@
 // in runs pick with the layout of a service under the lock; without servers
 // there is no choice.
 func (p *pool) in(view *feed.View, service string, pick func(*layout) (choice, bool)) (choice, bool) {
+	now := p.versions.Now(view)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.follow(view)
+	p.follow(view, now)
 	l := p.layouts[service]
 	if l == nil {
 		return choice{}, false
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -110,11 +110,12 @@
 	legBroken                // it may go on elsewhere
 	legAnswer                // the server's answer is no stream: it was passed on
 	legAborted               // nothing more can be done
+	legMoved                 // it goes on elsewhere, because its server's version leaves
 )
 
 // String returns the word used in logs.
 func (e legEnd) String() string {
-	return [...]string{"whole", "not_run", "broken", "answer", "aborted"}[e]
+	return [...]string{"whole", "not_run", "broken", "answer", "aborted", "moved"}[e]
 }
 
 // stream forwards a request whose answer is a series of events.
@@ -149,6 +150,8 @@
 			return err
 		case legAborted:
 			return r.giveUp(err)
+		case legMoved:
+			r.moved = r.began
 		case legBroken:
 			r.moved = r.began
 			if r.taken == nil && (r.stuck || !r.mayGoOn()) {
@@ -226,6 +229,9 @@
 	if r.h.pressure.hopeless(r.service, r.in.call.PromptTokens, r.in.until.Sub(now)) {
 		return leg{}, verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read in the time that is left")
 	}
+	if c, ok := r.placeDrawn(ctx, view); ok {
+		return r.withCopy(ctx, leg{at: c}), nil
+	}
 	c, ok := r.placePermitted(ctx, view)
 	if !ok {
 		return leg{}, r.none()
@@ -324,7 +330,7 @@
 		}
 		at = c
 	}
-	return at, !view.Departed(at.server.ID) && !slices.Contains(r.failed, at.server.Life())
+	return at, !view.Departed(at.server.ID) && !slices.Contains(r.failed, at.server.Life()) && !r.h.versions.Barred(view, at.server)
 }
 
 // sameAgain is the engine that reset the connection before the first event, if it
--- a/serve/forward/successors.go
+++ b/serve/forward/successors.go
@@ -23,19 +23,21 @@
 // before held would be asked for in vain, and where the id has changed every request
 // to that address would be turned away.
 func (p *pool) succeed(view *feed.View, old, next routing.Life) {
+	now := p.versions.Now(view)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.successors[p.listed(old)] = next
 	p.view = nil // the layouts are built anew
-	p.follow(view)
+	p.follow(view, now)
 }
 
 // renewed notes that a server has begun another life under its id; it reports whether
 // that was news.
 func (p *pool) renewed(view *feed.View, old, next routing.Life) bool {
+	now := p.versions.Now(view)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.follow(view)
+	p.follow(view, now)
 	listed := p.listed(old)
 	if known, ok := p.successors[listed]; ok && known.ID == next.ID && known.Born >= next.Born {
 		return false
@@ -49,7 +51,7 @@
 	}
 	p.successors[listed] = next
 	p.view = nil // the layouts are built anew
-	p.follow(view)
+	p.follow(view, now)
 	return true
 }
 
--- /dev/null
+++ b/serve/forward/trial.go
@@ -0,0 +1,210 @@
+package forward
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/rollout"
+)
+
+// minTrial is how many servers of a new version are tried at least: what one of them does may be
+// its own fault.
+const minTrial = 4
+
+// roomy is how many more of them there are than would carry the load of an old one each: daemons
+// know less of what the others have under way there.
+const roomy = 1.5
+
+// trialOf names the layout of those servers of a new version that get the requests drawn for it.
+// The layout of the service has the others.
+func trialOf(service string) string { return service + "\x00trial" }
+
+// split returns the servers that may serve any request of their service, and those that get the
+// requests drawn for a new version: so many that each carries about what one of the others does.
+func split(servers []routing.Server, s rollout.State) (steady, trial []routing.Server) {
+	for _, one := range servers {
+		switch {
+		case s.Steady(one.Version):
+			steady = append(steady, one)
+		case one.Version == s.Target && !one.Leaving:
+			trial = append(trial, one)
+		}
+	}
+	n := max(minTrial, int(math.Ceil(roomy*s.Share*float64(len(steady)))))
+	return steady, spread(trial, n)
+}
+
+// spread chooses n servers, the same at every daemon and of all zones by turns.
+func spread(servers []routing.Server, n int) []routing.Server {
+	type ranked struct {
+		server     routing.Server
+		hash, turn uint64
+	}
+	list := make([]ranked, len(servers))
+	for i, s := range servers {
+		list[i] = ranked{server: s, hash: xxhash.Sum64String(s.ID)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
+	turns := map[string]uint64{}
+	for i := range list {
+		zone := list[i].server.Zone
+		list[i].turn = turns[zone]
+		turns[zone]++
+	}
+	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.turn, b.turn) })
+	chosen := make([]routing.Server, 0, n)
+	for _, one := range list[:min(n, len(list))] {
+		chosen = append(chosen, one.server)
+	}
+	slices.SortFunc(chosen, func(a, b routing.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return chosen
+}
+
+// drawnCall chooses a server of the new version for a call that is drawn for it; ok is false where
+// it goes to the others.
+func (h *Handler) drawnCall(ctx context.Context, view *feed.View, service, route string) (choice, bool) {
+	now := time.Now()
+	if !h.versions.Drawn(view, service, route) {
+		return choice{}, false
+	}
+	c, ok := h.pool.plain(now, view, trialOf(service), nil)
+	if !ok {
+		return c, false
+	}
+	if h.pool.suspect(now, c.server.Life()) || !h.limits.take(ctx, c.server) {
+		h.pool.release(c)
+		return choice{}, false
+	}
+	return c, true
+}
+
+// placeDrawn chooses the engine of the new version for a prompt that is drawn for it, and counts
+// the prompt there; ok is false where it goes to the others.
+func (r *relay) placeDrawn(ctx context.Context, view *feed.View) (choice, bool) {
+	if r.starts > 0 || r.in.call.After > 0 || !r.h.versions.Drawn(view, r.service, r.in.routeName()) {
+		return choice{}, false
+	}
+	list := r.h.pool.readers(time.Now(), view, trialOf(r.service), r.in.call.OwnPart, Asked, nil)
+	asked := r.h.questions()
+	defer asked.judge()
+	best, ok := r.quietest(asked.survey(ctx, list, 0))
+	if !ok || !best.report.Free(r.in.call.PromptTokens) || !r.permitted(ctx, best.choice) {
+		return choice{}, false
+	}
+	if admission, _ := r.admission(best); admission != prompts.Admitted {
+		return choice{}, false
+	}
+	best.reason = "new_version"
+	r.h.pool.count(best.choice, 1, 0, 0)
+	return best.choice, true
+}
+
+// underWay is how many requests of this daemon are under way at servers of a service that have
+// another version than the target.
+func (p *pool) underWay(service string, s rollout.State) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.view == nil {
+		return 0
+	}
+	for _, server := range p.view.Servers[service] {
+		if one := p.loads[p.present(server.Life())]; one != nil && server.Version != s.Target {
+			n += int(one.plain.InFlight) + one.reading + one.running
+		}
+	}
+	return n
+}
+
+// present is the life that has followed one of the view, or that life. The caller holds the lock.
+func (p *pool) present(life routing.Life) routing.Life {
+	if next, ok := p.successors[life]; ok {
+		return next
+	}
+	return life
+}
+
+// trial is what an exchange shows of its server; ok is false where it shows nothing.
+func (o *outcome) trial(ctx context.Context) (result rollout.Outcome, ok bool) {
+	switch {
+	case ctx.Err() != nil && o.err != nil:
+		return rollout.Waiting, true // another server was faster, or the caller left
+	case o.rejected && !o.full:
+		return rollout.Good, false // another process has the address
+	case o.full, o.err == nil && o.status >= 500:
+		return rollout.Failed, true
+	case o.err != nil:
+		return rollout.Broke, true
+	}
+	return rollout.Good, true
+}
+
+// paceAfter is how many events of a stream show its pace.
+const paceAfter = 24
+
+// watchLeg begins to watch a leg for a comparison of versions: one that makes an answer from its
+// beginning.
+func (a *attempt) watchLeg(l leg, route string) {
+	if l.from == "" && a.r.in.call.After == 0 && a.r.after == 0 {
+		a.trial = a.r.h.versions.Try(l.at.server, route, rollout.First)
+	}
+}
+
+// firstEvent records the time to the first event, and begins to watch what follows.
+func (a *attempt) firstEvent() {
+	whole := a.trial.Next(rollout.Whole)
+	a.trial.Done(rollout.Good)
+	a.trial, a.pace = whole, whole.Next(rollout.Pace)
+}
+
+// nextEvent records the pace of a stream once it has made enough events.
+func (a *attempt) nextEvent() {
+	if a.made++; a.made == paceAfter {
+		a.pace.DoneIn(rollout.Good, time.Since(a.begun)/paceAfter)
+	}
+}
+
+// ended records how the attempt ended.
+func (a *attempt) ended(end legEnd, failed bool) {
+	switch {
+	case end == legWhole:
+		a.trial.Done(rollout.Good)
+	case failed, end == legNotRun && a.answer != nil && a.answer.StatusCode == http.StatusServiceUnavailable:
+		a.trial.Done(rollout.Failed)
+	case end == legBroken && a.r.taken == nil:
+		a.trial.Done(rollout.Broke)
+	default:
+		a.trial.Done(rollout.Waiting)
+	}
+	a.pace.Drop()
+}
+
+// moveAgain is the time between two attempts to let an answer go on at another version.
+const moveAgain = 150 * time.Millisecond
+
+// moveOn lets an answer go on from its copy, because the version of its server leaves, and reports
+// whether it does. The connection is closed first: both servers would run the request otherwise.
+func (r *relay) moveOn(ctx context.Context, a *attempt) bool {
+	if a.reading || !r.mayGoOn() || r.starts >= maxStarts {
+		return false
+	}
+	c, held, ok := r.livingHolder(ctx, a)
+	view := r.h.opts.Feed.View()
+	if !ok || !r.h.versions.Now(view).Of(r.service).Steady(c.server.Version) || !r.permitted(ctx, c) || !r.mayRepeat(ctx, time.Now()) {
+		return false
+	}
+	r.h.pool.count(c, 1, 0, 0)
+	l := r.withCopy(ctx, leg{at: c, from: held.name})
+	r.held = kept{}
+	a.cancel()
+	r.taken = r.start(ctx, l)
+	return true
+}
--- a/serve/forward/world_test.go
+++ b/serve/forward/world_test.go
@@ -120,7 +120,10 @@
 func (testCodec) Drop(handle string) string { return "/drop/" + handle }
 
 // testSchema stores servers as JSON and gets the configuration from the world.
-type testSchema struct{ config *routing.Config }
+type testSchema struct {
+	feed.OwnRollouts
+	config *routing.Config
+}
 
 func (testSchema) ConfigKey() string { return "config" }
 
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -22,10 +22,12 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/entries"
 	"mallowwind.dev/decision/repeats"
+	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/external/sent"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/forward"
+	"mallowwind.dev/serve/versions"
 	"mallowwind.dev/telemetry/event"
 	"mallowwind.dev/telemetry/metric"
 )
@@ -73,12 +75,13 @@
 
 // Gateway is one running daemon.
 type Gateway struct {
-	opts    Options
-	feed    *feed.Manager
-	handler *forward.Handler
-	leaving atomic.Bool
-	grace   atomic.Int64
-	turn    atomic.Uint64
+	opts     Options
+	feed     *feed.Manager
+	handler  *forward.Handler
+	versions *versions.Manager
+	leaving  atomic.Bool
+	grace    atomic.Int64
+	turn     atomic.Uint64
 }
 
 // New assembles a gateway; Run starts it.
@@ -90,11 +93,14 @@
 	if s, ok := o.Store.(interface{ Observe(store.Observer) }); ok {
 		s.Observe(f.CountCall)
 	}
+	v := versions.New(versions.Options{
+		Feed: f, Clock: o.Clock, Log: o.Log, Self: o.Self, Dialer: o.Dialer, Limits: o.Rollouts, Registerer: o.Registry,
+	})
 	h := forward.New(forward.Options{
-		Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
+		Versions: v, Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, KeyAge: o.KeyAge, Repeats: o.Repeats,
 		Registerer: o.Registry, Dial: o.DialServer, Dialer: o.Dialer,
 	})
-	g := &Gateway{opts: o, feed: f, handler: h}
+	g := &Gateway{opts: o, feed: f, handler: h, versions: v}
 	g.grace.Store(int64(o.Grace))
 	return g
 }
@@ -105,6 +111,8 @@
 	KeyAge time.Duration
 	// Repeats bounds the sends beyond the first of the whole fleet.
 	Repeats repeats.Rule
+	// Rollouts bounds what a version of a service may get that is not known to be good.
+	Rollouts rollout.Limits
 	// Grace is the time between SIGTERM and the end.
 	Grace time.Duration
 	// Seeds are where some other daemons were.
@@ -115,6 +123,7 @@
 func (g *Gateway) Apply(b Bounds) {
 	g.handler.SetBounds(b.KeyAge, b.Repeats)
 	g.feed.SetSeeds(b.Seeds)
+	g.versions.SetLimits(b.Rollouts)
 	g.grace.Store(int64(b.Grace))
 }
 
@@ -158,6 +167,7 @@
 	var work errgroup.Group
 	work.Go(func() error { g.feed.Run(life); return nil })
 	work.Go(func() error { g.handler.Run(life); return nil })
+	work.Go(func() error { g.versions.Run(life); return nil })
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
@@ -209,7 +219,7 @@
 // peerHandler answers other daemons.
 func (g *Gateway) peerHandler() http.Handler {
 	router := mux.NewRouter()
-	for _, of := range []func() (string, http.Handler){g.feed.Handler, g.handler.Lending, g.handler.Telling, g.handler.Poisoned, g.handler.Rationing} {
+	for _, of := range []func() (string, http.Handler){g.feed.Handler, g.handler.Lending, g.handler.Telling, g.handler.Poisoned, g.handler.Rationing, g.versions.Handler} {
 		prefix, service := of()
 		router.PathPrefix(prefix).Handler(service)
 	}
--- /dev/null
+++ b/serve/versions/decide.go
@@ -0,0 +1,119 @@
+package versions
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/rollout"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// writeTimeout bounds one attempt to write how far a roll-out is.
+	writeTimeout = time.Second
+	// writeAgain is the time between two attempts.
+	writeAgain = 300 * time.Millisecond
+)
+
+// decide takes the next step of a roll-out, if it is due.
+func (m *Manager) decide(ctx context.Context, s *service) {
+	view := m.opts.Feed.View()
+	underWay := m.underWay(s.name, m.Now(view).Of(s.name))
+	m.mu.Lock()
+	now := m.opts.Clock()
+	if now < s.retry || s.evidence == nil {
+		m.mu.Unlock()
+		return
+	}
+	step := rollout.Step{State: s.state}
+	if !s.state.Stage.Over() {
+		step = rollout.Next(m.input(now, view, s, underWay))
+	}
+	stored := view.Rollouts[s.name]
+	if stored.Status != nil && stored.Status.State == step.State || step.State.Stage == rollout.Pending {
+		m.mu.Unlock()
+		return
+	}
+	if step.State.Stage == rollout.RolledBack && s.state.Stage != rollout.RolledBack {
+		m.believe(s, step.State, "decided", step.Reason, step.Finding)
+		go m.tellAll(ctx, s.name, step.State)
+	}
+	due := time.Now().Add(s.began + s.period - now).UnixMilli()
+	s.retry = now + writeAgain
+	m.mu.Unlock()
+	err := m.write(ctx, view, s, routing.RolloutStatus{State: step.State, Due: due})
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	s.retry = 0
+	m.believe(s, step.State, "decided", step.Reason, step.Finding)
+	m.mu.Unlock()
+	m.tellAll(ctx, s.name, step.State)
+}
+
+// write writes how far a roll-out is, over what this daemon knows to lie there.
+func (m *Manager) write(ctx context.Context, view *feed.View, s *service, status routing.RolloutStatus) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := m.opts.Feed.WriteRolloutStatus(ctx, s.name, status, view.Rollouts[s.name].StatusRevision)
+	if err != nil {
+		m.metrics.failed.Inc()
+		m.opts.Log.Emit(event.RolloutUnwritten, s.name, status.Stage.String(), errors.Is(err, store.ErrConflict), err)
+	}
+	return err
+}
+
+// rate is how many of something there are a second, 0 where nothing was counted.
+func rate(n int, in time.Duration) float64 {
+	if in <= 0 {
+		return 0
+	}
+	return float64(n) / in.Seconds()
+}
+
+// input is what the next step is decided by. The caller holds the lock.
+func (m *Manager) input(now time.Duration, view *feed.View, s *service, underWay int) rollout.Input {
+	s.evidence.Add(s.log[s.added:]...)
+	s.added = len(s.log)
+	in := rollout.Input{
+		State: s.state, Limits: *m.limits.Load(), Elapsed: now - s.began, Period: s.period,
+		Evidence: s.evidence, Waiting: s.waitingNow(now),
+	}
+	in.Heard, in.UnderWay = s.heardLately(now)
+	in.Heard++
+	in.UnderWay += underWay
+	for _, vm := range view.VMs {
+		if !vm.Leaving {
+			in.Daemons++
+		}
+	}
+	all, drawn := s.mix.Counted()
+	in.Drawn, in.PerSecond = drawn, rate(all, now-s.counting)
+	for _, r := range s.heard {
+		in.Drawn += r.drawn
+		if now-r.at < heardFor {
+			in.PerSecond += rate(r.begun, r.counted)
+			in.Waiting = append(in.Waiting, r.waiting...)
+		}
+	}
+	for _, one := range view.Servers[s.name] {
+		switch {
+		case one.Leaving:
+		case one.Version == s.state.Target:
+			in.Target++
+		case one.Version == s.state.Base:
+			in.Base++
+		}
+	}
+	if engine := view.Config.Engine(s.name); engine != nil {
+		in.Moves = engine.Copies
+	}
+	in.Usual = view.Config.UsualCall(s.name)
+	return in
+}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -54,6 +54,16 @@
 		"A backend server's limit of requests a second of all daemons was named, changed or lifted, by its answer here or as another daemon told; known is since when it holds, confirmed when it was last named.", "backend", "service", "change", "rate", "by", "known", "confirmed")
 	ServerLimitUnreadable = define(244, "server_limit_unreadable", logrus.ErrorLevel,
 		"A backend server names a limit that cannot be read; it counts as next to nothing.", "backend", "error")
+	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
+		"An operator orders that a service moves from one version of its servers to another.", "service", "base", "target", "order", "period")
+	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
+		"How far a roll-out is, as this daemon decided, was told or read. Where it was decided, reason says why; found of the compared samples of the new version are bad, where expected would be if it were like the one before.", "service", "base", "target", "order", "stage", "share", "by", "reason", "elapsed", "route", "kind", "compared", "found", "expected")
+	RolloutPeerSilent = define(247, "rollout_peer_silent", logrus.WarnLevel,
+		"Another daemon did not answer what it was told of a roll-out.", "address", "error")
+	RolloutUnwritten = define(248, "rollout_unwritten", logrus.WarnLevel,
+		"How far a roll-out is could not be written to the store; superseded says that another was written meanwhile.", "service", "stage", "superseded", "error")
+	StreamMoved = define(249, "stream_moved", logrus.InfoLevel,
+		"A stream goes on at another server, because the version of its server leaves.", "request", "backend", "next", "after")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
