--- a/serve/forward/endings.go
+++ b/serve/forward/endings.go
@@ -100,9 +100,12 @@
 	}
 }
 
-// leaves reports whether a server is known to leave.
+// leaves reports whether a server is known to leave, alone or with all of its version.
 func (h *Handler) leaves(s routing.Server) bool {
 	view := h.opts.Feed.View()
+	if h.versions.Barred(view, s) {
+		return true
+	}
 	for _, now := range view.Servers[s.Service] {
 		if now.ID == s.ID {
 			return now.Leaving
