roll-outs: copies stay at the version before until answers under way move on

Cause: once everything went to the new version, each answer under way took its copy at the version before for lost and had another made on demand, refreshed each second until its end.

--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -174,5 +174,5 @@
 		return false
 	}
 	_, ok := p.server(view, c.server.Service, c.server.Life())
-	return ok
+	return ok || p.staysFor(view, c.server)
 }
--- a/serve/forward/trial.go
+++ b/serve/forward/trial.go
@@ -108,6 +108,16 @@
 	return best.choice, true
 }
 
+// staysFor reports whether a server that gets no requests any more still serves for a while,
+// because answers under way at its version end there.
+func (p *pool) staysFor(view *feed.View, s routing.Server) bool {
+	state := p.versions.Now(view).Of(s.Service)
+	return state.Stage == rollout.All && s.Version == state.Base &&
+		slices.ContainsFunc(view.Servers[s.Service], func(there routing.Server) bool {
+			return there.Life() == s.Life() && !there.Leaving
+		})
+}
+
 // underWay is how many requests of this daemon are under way at servers of a service that have
 // another version than the target.
 func (p *pool) underWay(service string, s rollout.State) (n int) {
