--- a/cmd/mallowctl/main.go
+++ b/cmd/mallowctl/main.go
@@ -35,6 +35,7 @@
 	Status   statusCmd   `cmd:"" help:"Show which revision is in force in each zone, and who lags."`
 	Handover handoverCmd `cmd:"" help:"Write what the next shift starts from: state and text."`
 
+	Rollout rolloutCmd `cmd:"" help:"Show, order or take back the roll-out of a service's new version."`
 	Refused refusedCmd `cmd:"" help:"List requests that are sent to no server, or have one sent again."`
 
 	Story    storyCmd    `cmd:"" help:"Print one request's story from the logs of several daemons."`
--- /dev/null
+++ b/cmd/mallowctl/rollout.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/rollout"
+	"mallowwind.dev/platform/wire"
+)
+
+// rolloutCmd concerns services that move to another version of their servers.
+type rolloutCmd struct {
+	List  rolloutListCmd  `cmd:"" help:"Show how far the roll-outs of all services are."`
+	Order rolloutOrderCmd `cmd:"" help:"Order that a service moves to servers of another version, which run beside the others already or soon."`
+	Back  rolloutBackCmd  `cmd:"" help:"Order that a service moves back to the version before, while that still runs."`
+}
+
+type rolloutListCmd struct{ forwardStoreFlags }
+
+// Run implements the command.
+func (c *rolloutListCmd) Run() error {
+	list, err := c.rollouts()
+	if err != nil {
+		return err
+	}
+	writeRollouts(os.Stdout, list)
+	return nil
+}
+
+// rollouts reads what lies in the store.
+func (f *forwardStoreFlags) rollouts() (map[string]feed.Rollout, error) {
+	s, err := f.open()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	var schema feed.Schema = feed.OwnSchema{}
+	if f.Platform != "" {
+		schema = wire.Schema{}
+	}
+	return feed.ListRollouts(ctx, s, schema)
+}
+
+func writeRollouts(out io.Writer, list map[string]feed.Rollout) {
+	if len(list) == 0 {
+		fmt.Fprintln(out, "no service has a roll-out")
+	}
+	for _, service := range slices.Sorted(maps.Keys(list)) {
+		r := list[service]
+		switch {
+		case r.Status != nil:
+			fmt.Fprintf(out, "%s  %s  from %s to %s  share %.3f  due %s\n", service, r.Status.Stage, r.Status.Base, r.Status.Target,
+				r.Status.Share, time.UnixMilli(r.Status.Due).UTC().Format(time.RFC3339))
+		case r.Order != nil:
+			fmt.Fprintf(out, "%s  ordered  to %s  in %v\n", service, r.Order.Target, r.Order.Period)
+		case r.Refused != nil:
+			fmt.Fprintf(out, "%s  order cannot be carried out: %v\n", service, r.Refused)
+		}
+	}
+}
+
+type rolloutOrderCmd struct {
+	forwardStoreFlags
+	Service string        `arg:"" help:"The service."`
+	Target  string        `arg:"" help:"The version of its servers, as they register it."`
+	Period  time.Duration `default:"5m" help:"The time within which the roll-out is over, either way."`
+}
+
+// Run implements the command.
+func (c *rolloutOrderCmd) Run() error {
+	return c.order(routing.RolloutOrder{Service: c.Service, Target: c.Target, Period: c.Period})
+}
+
+// order writes an order to a store of ours.
+func (f *forwardStoreFlags) order(o routing.RolloutOrder) error {
+	if f.Platform != "" {
+		return usageError{errors.New("orders on the platform are its operators' to write")}
+	}
+	if err := o.Check(); err != nil {
+		return usageError{err}
+	}
+	s, err := f.open()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	return feed.OrderRollout(ctx, s, o)
+}
+
+type rolloutBackCmd struct {
+	forwardStoreFlags
+	Service string        `arg:"" help:"The service."`
+	Period  time.Duration `default:"1m" help:"The time within which the service is back."`
+}
+
+// Run implements the command.
+func (c *rolloutBackCmd) Run() error {
+	list, err := c.rollouts()
+	if err != nil {
+		return err
+	}
+	status := list[c.Service].Status
+	switch {
+	case status == nil || !status.Stage.Running():
+		return usageError{errors.Errorf("no roll-out of %q is under way", c.Service)}
+	case status.Stage == rollout.Last:
+		return usageError{errors.Errorf("the roll-out of %q is at its end; order one to version %q", c.Service, status.Base)}
+	}
+	return c.order(routing.RolloutOrder{Service: c.Service, Target: status.Base, Period: c.Period})
+}
--- a/control/feed/rollouts.go
+++ b/control/feed/rollouts.go
@@ -11,10 +11,13 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
 )
 
 // RolloutSchema is how roll-outs lie in the store.
 type RolloutSchema interface {
+	// RolloutPrefixes begin all keys that concern roll-outs.
+	RolloutPrefixes() []string
 	// RolloutOrder returns the service whose roll-out the entry of a key orders, if any.
 	RolloutOrder(key string) (service string, ok bool)
 	DecodeRolloutOrder(service string, raw []byte) (routing.RolloutOrder, error)
@@ -75,6 +78,39 @@
 	return true
 }
 
+// ListRollouts returns what lies in a store of roll-outs, by service.
+func ListRollouts(ctx context.Context, s store.Store, schema Schema) (map[string]Rollout, error) {
+	t := newTable(schema, event.Discard())
+	for _, prefix := range schema.RolloutPrefixes() {
+		kvs, _, err := s.List(ctx, prefix)
+		if err != nil {
+			return nil, err
+		}
+		for _, kv := range kvs {
+			t.putRollout(kv)
+		}
+	}
+	return t.rollouts, nil
+}
+
+// OrderRollout writes an order to a store that is ours to lay out, over the one before.
+func OrderRollout(ctx context.Context, s store.Store, o routing.RolloutOrder) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
+	raw, err := EncodeRolloutOrder(o)
+	if err != nil {
+		return errors.Wrap(err, "roll-out")
+	}
+	key := OwnRolloutOrderKey(o.Service)
+	before, err := s.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return err
+	}
+	_, err = s.CompareAndSwap(ctx, key, before.Version, raw, 0)
+	return err
+}
+
 // removeRollout takes away an entry of a roll-out.
 func (t *table) removeRollout(key string) {
 	if service, ok := t.schema.RolloutOrder(key); ok {
@@ -114,6 +150,9 @@
 // OwnRollouts implements RolloutSchema for OwnSchema.
 type OwnRollouts struct{}
 
+// RolloutPrefixes implements RolloutSchema.
+func (OwnRollouts) RolloutPrefixes() []string { return []string{ownOrderPrefix, ownStatusPrefix} }
+
 // RolloutOrder implements RolloutSchema.
 func (OwnRollouts) RolloutOrder(key string) (string, bool) {
 	return strings.CutPrefix(key, ownOrderPrefix)
--- a/serve/forward/trial.go
+++ b/serve/forward/trial.go
@@ -69,6 +69,9 @@
 	return chosen
 }
 
+// reasonNew is the reason of a choice that was drawn for a new version.
+const reasonNew = "new_version"
+
 // drawnCall chooses a server of the new version for a call that is drawn for it; ok is false where
 // it goes to the others.
 func (h *Handler) drawnCall(ctx context.Context, view *feed.View, service, route string) (choice, bool) {
@@ -84,6 +87,7 @@
 		h.pool.release(c)
 		return choice{}, false
 	}
+	c.reason = reasonNew
 	return c, true
 }
 
@@ -103,7 +107,7 @@
 	if admission, _ := r.admission(best); admission != prompts.Admitted {
 		return choice{}, false
 	}
-	best.reason = "new_version"
+	best.reason = reasonNew
 	r.h.pool.count(best.choice, 1, 0, 0)
 	return best.choice, true
 }
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -337,6 +337,67 @@
 	})
 }
 
+// An operator takes a roll-out back, or orders another target, while it runs.
+func TestOrdersThatChangeWhileARolloutRuns(t *testing.T) {
+	for _, c := range []struct {
+		name, target string
+		start        bool // servers of the other target
+		gone         []string
+	}{
+		{"back to the version before", "v1", false, []string{"v2"}},
+		{"on to a third version", "v3", true, []string{"v1", "v2"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inRollout(t, 7, "desk", func(r *rolling) {
+				got := make(chan *calls, 1)
+				go func() { got <- r.f.load("/once/", callsEvery, 24*time.Second) }()
+				r.order("v2", rollPeriod, 4)
+				time.Sleep(4 * time.Second)
+				before, _ := r.got("v2")
+				must.Positive(t, before)
+				r.write(c.target, rollPeriod)
+				if c.start {
+					r.start(c.target, 4)
+				}
+				time.Sleep(rollPeriod)
+				must.Eq(t, rollout.Completed, r.status().Stage)
+				must.Eq(t, c.target, r.status().Target)
+				for _, version := range c.gone {
+					r.stop(version)
+				}
+				n, _ := r.got("v2")
+				test.LessEq(t, before+5, n) // what was on its way
+				answered := <-got
+				time.Sleep(2 * time.Second)
+				test.Eq(t, answered.asked.Load(), answered.answered.Load())
+			})
+		})
+	}
+}
+
+// Two services move at the same time, one to a version that is bad.
+func TestTwoServicesAtOnce(t *testing.T) {
+	inRollout(t, 7, "desk", func(desk *rolling) {
+		llm := &rolling{f: desk.f, service: "llm"}
+		llm.start("v1", 4)
+		time.Sleep(2 * time.Second)
+		desk.order("v2", rollPeriod, 4)
+		llm.order("v2", rollPeriod, 4)
+		llm.fail("v2", 100)
+		streams := make(chan *calls, 1)
+		go func() { streams <- desk.f.load("/stream/", 10, rollPeriod) }()
+		got := desk.f.load("/once/", callsEvery, rollPeriod+time.Second)
+		time.Sleep(3 * time.Second)
+		test.Eq(t, rollout.Completed, desk.status().Stage)
+		test.Eq(t, rollout.RolledBack, llm.status().Stage)
+		test.Eq(t, got.asked.Load(), got.answered.Load())
+		begun := <-streams
+		test.Eq(t, begun.asked.Load(), begun.answered.Load()) // another server answers what failed
+		n, _ := llm.got("v2")
+		test.LessEq(t, begun.asked.Load()/10+50, n)
+	})
+}
+
 // Orders that nobody can carry out change nothing.
 func TestOrdersThatCannotBeCarriedOut(t *testing.T) {
 	inRollout(t, 3, "desk", func(r *rolling) {
