roll-outs: a new version whose servers are all lost is taken back; the soak brings in versions

Servers of a new version had left while its roll-out was at "few" in an outage of the store; the daemons went on to "all", where the version before gets nothing, and no server of the new one was there.

Cause: the decision asked whether there are servers of the target only at the beginning and at the end. Ruled out: the harness (its servers of the version before were registered and answered).

Change: without a server of the target nothing grows; once everything goes there, or the period is over, the version is taken back.

TestServersOfANewVersionAreLost before: all, with the change: rolled_back, and every stream after it is answered. The same cause elsewhere: begin asked it already, complete does so through Next now.

The soak orders good and bad versions of the service that calls go to, stops the old servers at once at completed, and checks what a bad version got and that planned runs cut nothing.

--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -162,6 +162,12 @@
 	if f.Bad && s.Base != s.Target {
 		return to(RolledBack, 0, Bad, f)
 	}
+	if in.Target == 0 && s.Base != s.Target {
+		if s.Stage >= All || in.Elapsed > in.Period {
+			return to(RolledBack, 0, NoServers, f)
+		}
+		return stay(NoServers)
+	}
 	at := scheduleOf(in, f.Long)
 	switch {
 	case s.Stage <= Some && in.Elapsed >= at.all:
@@ -179,11 +185,11 @@
 	case float64(in.Heard) < quorum*float64(in.Daemons):
 		return stay(TooFewHeard)
 	case in.UnderWay == 0 && in.Elapsed >= at.all+drained/2:
-		return complete(in, NothingLeft, stay, to)
+		return complete(in, NothingLeft, to)
 	case in.Moves && s.Stage == All && in.Elapsed >= at.last:
 		return to(Last, 1, TimeIsUp, f)
 	case in.Moves && in.Elapsed >= at.end:
-		return complete(in, TimeIsUp, stay, to)
+		return complete(in, TimeIsUp, to)
 	}
 	return stay(TooEarly)
 }
@@ -224,10 +230,7 @@
 }
 
 // complete ends a roll-out whose target is as good as the version before.
-func complete(in Input, r Reason, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
-	if in.Target == 0 {
-		return stay(NoServers)
-	}
+func complete(in Input, r Reason, to func(Stage, float64, Reason, Finding) Step) Step {
 	f := in.Evidence.Judge(LastLook, in.Waiting)
 	if f.Bad && in.State.Base != in.State.Target {
 		return to(RolledBack, 0, Bad, f)
--- a/lab/soak/process/play.go
+++ b/lab/soak/process/play.go
@@ -32,6 +32,8 @@
 	{"server fails", false, (*world).failServer},
 	{"request that ends its servers", false, (*world).poison},
 	{"server names a limit", true, (*world).nameLimit},
+	{"new version", true, (*world).goodVersion},
+	{"new version that fails in part", false, (*world).badVersion},
 	{"server leaves", true, (*world).leave},
 	{"key removed", true, (*world).removeKey},
 	{"route moved", true, (*world).moveRoute},
@@ -218,6 +220,9 @@
 	s := w.server()
 	s.life.Lock()
 	defer s.life.Unlock()
+	if s.gone {
+		return
+	}
 	old := s.entry(false).ID
 	s.crash()
 	w.during(ctx, 1500*time.Millisecond)
@@ -234,6 +239,9 @@
 	s := w.server()
 	s.life.Lock()
 	defer s.life.Unlock()
+	if s.gone {
+		return
+	}
 	w.mu.Lock()
 	silent, late := w.random.IntN(2) == 0, w.random.IntN(2) == 0
 	w.mu.Unlock()
@@ -272,6 +280,9 @@
 	s := w.server()
 	s.life.Lock()
 	defer s.life.Unlock()
+	if s.gone {
+		return
+	}
 	w.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainAge + 1500*time.Millisecond)
--- a/lab/soak/process/poison.go
+++ b/lab/soak/process/poison.go
@@ -60,6 +60,10 @@
 	if !s.life.TryLock() {
 		return false
 	}
+	if s.gone {
+		s.life.Unlock()
+		return false
+	}
 	name := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	s.world.mu.Lock()
 	s.world.endedUnder[name]++
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -37,6 +37,8 @@
 	addresses []string // that of link, and then as each daemon has it on a link of its own
 
 	life     sync.Mutex // one end and start at a time
+	gone     bool       // it has ended for good; guarded by life
+	version  string     // of its software; "" for the first
 	mu       sync.Mutex
 	id       string
 	born     int64     // start of this life, Unix milliseconds
@@ -111,7 +113,7 @@
 func (s *server) entry(leaving bool) routing.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return routing.Server{ID: s.id, Born: s.born, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Leaving: leaving}
+	return routing.Server{ID: s.id, Born: s.born, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Leaving: leaving, Version: s.version}
 }
 
 // Born implements wire.Engine.
@@ -172,6 +174,8 @@
 
 // at is the server at an address, and which of its addresses that is.
 func (w *world) at(address string) (*server, int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, s := range w.servers {
 		if as := slices.Index(s.addresses, address); as >= 0 {
 			return s, as
--- a/lab/soak/process/world.go
+++ b/lab/soak/process/world.go
@@ -80,11 +80,13 @@
 	uplinks []*uplink
 	paths   []*proxy // on uplinks
 	history []string // parts that every engine says it held
-	servers []*server
 	daemons []*daemon
 	fronts  map[string]string // addresses of daemons to proxies before them
 
+	rolling sync.Mutex // held while a roll-out is under way
 	mu      sync.Mutex
+	servers []*server
+	retired []*server // that have ended for good
 	faults  []string
 	version int64
 	keys    [accounts]string
@@ -187,7 +189,7 @@
 	for _, d := range w.daemons {
 		d.close()
 	}
-	for _, s := range w.servers {
+	for _, s := range append(w.servers, w.retired...) {
 		_ = s.http.Close() // the run is over
 		s.link.close()
 	}
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -375,6 +375,29 @@
 	}
 }
 
+// All servers of a new version are lost once it gets every request, or while it is tried.
+func TestServersOfANewVersionAreLost(t *testing.T) {
+	for _, after := range []time.Duration{3 * time.Second, 11 * time.Second} {
+		inRollout(t, 7, "llm", func(r *rolling) {
+			period := 24 * time.Second // nothing more is decided while the service is called
+			if after > 5*time.Second {
+				period = rollPeriod
+			}
+			streams := make(chan *calls, 1)
+			go func() { streams <- r.f.load("/stream/", 10, after) }()
+			r.order("v2", period, 4)
+			time.Sleep(after - time.Second)
+			r.stop("v2")
+			<-streams
+			time.Sleep(period)
+			must.Eq(t, rollout.RolledBack, r.status().Stage)
+			got := r.f.load("/stream/", 10, 2*time.Second)
+			time.Sleep(4 * time.Second)
+			must.Eq(t, got.asked.Load(), got.answered.Load())
+		})
+	}
+}
+
 // Two services move at the same time, one to a version that is bad.
 func TestTwoServicesAtOnce(t *testing.T) {
 	inRollout(t, 7, "desk", func(desk *rolling) {
