roll-outs: nothing grows on what a daemon knew before an outage, nor before all daemons confirmed

Traced with the daemons' logs: the store refused from 34.0 to 43.9 s; the daemon that decides had tried to write "all" since 36.7 s, and its first attempt after the outage succeeded, 6 s after the period was over, while its view still showed servers that had left meanwhile; "completed" followed 42 ms later, by reports of before.

A step was decided and written by a view older than the outage; after one, servers that are gone stay in it for a second more, as their entries may have lapsed. And "nothing under way" counted reports of daemons that did not know yet that everything goes to the new version.

Change: a daemon that is out of touch decides nothing but to take a version back, until 2.6 s after it is in touch again. A report of a daemon that still believes an earlier stage counts as something under way.

TestServersOfANewVersionLeaveWhileTheStoreIsAway before: completed, without a server; after: rolled back, every call after it answered. TestRolloutIsCompletedAfterTheStoreWasAway passed before too and guards that nobody is cut.

--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -87,15 +88,37 @@
 // Evidence adds up what daemons saw during one roll-out. It is not safe for concurrent use.
 type Evidence struct {
 	samples []Sample
+	old     []int // indices in samples of those of the version before
+	seenOld int
+	random  rand.PCG
 }
 
-// maxSamples bounds what is kept; the rest is as good.
-const maxSamples = 30_000
+const (
+	// maxOld is how many samples of the version before are kept, chosen evenly from all: more
+	// tell hardly more, and cost whom decides its processor.
+	maxOld = 3000
+	// maxNew bounds those of the target.
+	maxNew = 5000
+)
 
 // Add takes in samples.
 func (e *Evidence) Add(samples ...Sample) {
-	room := max(0, maxSamples-len(e.samples))
-	e.samples = append(e.samples, samples[:min(room, len(samples))]...)
+	for _, s := range samples {
+		switch {
+		case s.New && len(e.samples)-len(e.old) < maxNew:
+			e.samples = append(e.samples, s)
+		case s.New:
+		case len(e.old) < maxOld:
+			e.seenOld++
+			e.old = append(e.old, len(e.samples))
+			e.samples = append(e.samples, s)
+		default:
+			e.seenOld++
+			if n := rand.New(&e.random).IntN(e.seenOld); n < maxOld {
+				e.samples[e.old[n]] = s
+			}
+		}
+	}
 }
 
 // commonShare is the part of a service's requests from which those of a route are many.
@@ -136,7 +159,10 @@
 
 // Judge compares the versions. waiting are requests under way now.
 func (e *Evidence) Judge(chance float64, waiting []Sample) Finding {
-	all := append(slices.Clone(e.samples), waiting...)
+	all := e.samples
+	if len(waiting) > 0 {
+		all = slices.Concat(e.samples, waiting)
+	}
 	f := Finding{Long: long(all)}
 	for _, s := range all {
 		if s.New && s.Outcome != Waiting {
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -375,6 +375,45 @@
 	}
 }
 
+// The store is away when everything was to go to the new version. Daemons learn of that late, and
+// the servers of the version before stop when the roll-out is completed: nobody may be cut.
+func TestRolloutIsCompletedAfterTheStoreWasAway(t *testing.T) {
+	inRollout(t, 7, "desk", func(r *rolling) {
+		got := make(chan *calls, 1)
+		go func() { got <- r.f.load("/once/", callsEvery, 18*time.Second) }()
+		r.order("v2", rollPeriod, 4)
+		time.Sleep(9 * time.Second)
+		r.f.storeDown(true)
+		time.Sleep(5 * time.Second)
+		r.f.storeDown(false)
+		stage, _ := r.obey("v1", 6*time.Second)
+		must.Eq(t, rollout.Completed, stage)
+		answered := <-got
+		time.Sleep(2 * time.Second)
+		must.Eq(t, answered.asked.Load(), answered.answered.Load())
+	})
+}
+
+// An operator gives up a roll-out while the store is away, and takes the new servers away.
+func TestServersOfANewVersionLeaveWhileTheStoreIsAway(t *testing.T) {
+	inRollout(t, 7, "desk", func(r *rolling) {
+		got := make(chan *calls, 1)
+		go func() { got <- r.f.load("/again/", callsEvery, 9*time.Second) }()
+		r.order("v2", rollPeriod, 4)
+		time.Sleep(9 * time.Second)
+		<-got
+		r.f.storeDown(true)
+		time.Sleep(4 * time.Second)
+		r.stop("v2")
+		r.f.storeDown(false)
+		time.Sleep(8 * time.Second)
+		must.Eq(t, rollout.RolledBack, r.status().Stage)
+		again := r.f.load("/once/", callsEvery, 2*time.Second)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, again.asked.Load(), again.answered.Load())
+	})
+}
+
 // All servers of a new version are lost once it gets every request, or while it is tried.
 func TestServersOfANewVersionAreLost(t *testing.T) {
 	for _, after := range []time.Duration{3 * time.Second, 11 * time.Second} {
--- a/serve/versions/decide.go
+++ b/serve/versions/decide.go
@@ -18,6 +18,11 @@
 	writeTimeout = time.Second
 	// writeAgain is the time between two attempts.
 	writeAgain = 300 * time.Millisecond
+	// settled is how long after an outage of the store the view still shows servers that are gone.
+	settled = 2600 * time.Millisecond
+	// lookShare bounds the part of this daemon's time that looking at what was seen may take: one
+	// part in so many.
+	lookShare = 20
 )
 
 // decide takes the next step of a roll-out, if it is due.
@@ -26,13 +31,22 @@
 	underWay := m.underWay(s.name, m.Now(view).Of(s.name))
 	m.mu.Lock()
 	now := m.opts.Clock()
-	if now < s.retry || s.evidence == nil {
+	if now < max(s.retry, s.look) || s.evidence == nil {
 		m.mu.Unlock()
 		return
 	}
 	step := rollout.Step{State: s.state}
 	if !s.state.Stage.Over() {
+		began := time.Now()
 		step = rollout.Next(m.input(now, view, s, underWay))
+		s.look = now + lookShare*time.Since(began)
+	}
+	if !m.inTouch() {
+		s.apart = now
+	}
+	if step.State.Stage != rollout.RolledBack && s.apart != 0 && now-s.apart < settled {
+		m.mu.Unlock()
+		return // servers and orders may be others than this daemon knows
 	}
 	stored := view.Rollouts[s.name]
 	if stored.Status != nil && stored.Status.State == step.State || step.State.Stage == rollout.Pending {
--- a/serve/versions/report.go
+++ b/serve/versions/report.go
@@ -107,6 +107,9 @@
 		if now-r.at < heardFor {
 			n++
 			underWay += r.underWay
+			if s.state.Stage >= rollout.All && r.stage < rollout.All {
+				underWay++ // it sends requests there, as far as is known
+			}
 		}
 	}
 	return n, underWay
@@ -217,6 +220,7 @@
 		s.heard[q.GetDaemon()] = r
 	}
 	r.at, r.underWay, r.waiting = now, int(q.GetUnderWay()), nil
+	r.stage, _ = rollout.ParseStage(q.GetState().GetStage())
 	r.begun, r.drawn, r.counted = int(q.GetBegun()), int(q.GetDrawn()), time.Duration(q.GetCountedMs())*time.Millisecond
 	for _, one := range q.GetWaiting() {
 		r.waiting = append(r.waiting, sampleOf(now, one))
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -44,9 +44,11 @@
 
 	heard    map[string]*reporter // by daemon
 	evidence *rollout.Evidence
-	added    int // of the own log to evidence
-	retry    time.Duration
-	written  int64 // the order whose end lies in the store
+	added    int           // of the own log to evidence
+	retry    time.Duration // when to try to write again
+	apart    time.Duration // when this daemon was out of touch last; 0 if it never was
+	look     time.Duration // when to look again at what was seen
+	written  int64         // the order whose end lies in the store
 }
 
 // cursor is how far a daemon was told what was seen here.
@@ -58,6 +60,7 @@
 // reporter is another daemon that told what it saw.
 type reporter struct {
 	boot     uint64
+	stage    rollout.Stage // that it believed when it told last
 	next     int64
 	at       time.Duration
 	underWay int
--- a/serve/versions/versions.go
+++ b/serve/versions/versions.go
@@ -154,6 +154,11 @@
 	if !now.active || !m.drawn(now.Of(service), service, route) {
 		return false
 	}
+	return m.inTouch()
+}
+
+// inTouch reports whether what this daemon knows of the store is not out of date.
+func (m *Manager) inTouch() bool {
 	age, known := m.opts.Feed.Age()
 	return known && age < touchAge
 }
