roll-outs: more is seen at the beginning, and everything moves only once enough was seen

Traced from their output: a version of which 40 in 100 answers fail had 17 requests when the store went away, fewer than 12 of them told; after the outage three samples were enough to go to "all", and 40 ms later to "completed".

Cause: short answers began with 0.15 of the limit, 2 requests a second, since most of what a bad version may have is kept for the end; and "enough" was three samples for any service.

Change: they begin with 0.4 of the limit until the rate of requests is known; then the share that keeps all within the bound. Everything goes to the new version after twelve samples, or half of those that were to be drawn where that is less; without them the roll-out waits, up to twice its period, and goes back then.

--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits are what an operator allows.
 type Limits struct {
@@ -74,24 +77,24 @@
 	leastShare = 0.25
 	// moving is the time for answers under way to go on elsewhere before the end.
 	moving = 1300 * time.Millisecond
-	// mostFew and leastFew bound the share of few, in terms of the limit.
-	mostFew, leastFew = 0.85, 0.15
+	// fewLong and fewShort are the share of few, in terms of the limit, where answers are long and
+	// where they are short: what is bad at once shows in a moment.
+	fewLong, fewShort = 0.85, 0.4
+	// leastSome and mostSome bound the share after it: the first in terms of the limit.
+	leastSome, mostSome = 0.15, 0.4
 	// unsure is by how much the order may be younger than it seems.
 	unsure = 200 * time.Millisecond
 	// rateKnown is how long it takes to know how many requests there are.
 	rateKnown = 2500 * time.Millisecond
-	// mostSome bounds the larger share.
-	mostSome = 0.4
-	// worthwhile is by what factor the larger share has to be larger.
-	worthwhile = 1.3
 	// manyDrawn is how many drawn requests a second show routes with few of them too.
 	manyDrawn = 15
 	// slackUsed is the part of the slack that is planned with.
 	slackUsed = 0.8
 	// noticed is how long the target gets everything before what is bad of it is noticed.
 	noticed = 1500 * time.Millisecond
-	// enough is how many samples of the target show that it works.
-	enough = 3
+	// enough is how many samples of the target show that it works, where half as many were drawn
+	// as are to be expected or more.
+	enough = 12
 	// quorum is the part of the daemons that have to be heard before the target gets more.
 	quorum = 0.5
 )
@@ -119,29 +122,28 @@
 	return schedule{all: max(all, least), last: end - moving, end: end}
 }
 
-// few is the share with which the target begins. Where answers are short it stays below the limit
-// together with all that the target gets at the end, so that a version that turns bad then does not
-// get too much either. Where they are long nothing but what is seen can bound that.
-func few(in Input, s schedule) float64 {
-	limit := in.Limits.Share
-	rest := float64(in.Period-s.all+unsure) / float64(in.Period)
-	if rest >= limit {
-		return mostFew * limit
+// few is the share with which the target begins. Where answers are short most of what a bad version
+// may have is kept for the end.
+func few(in Input) float64 {
+	if in.Period-scheduleOf(in, in.Evidence.Judge(AnyLook, nil).Long).all < time.Duration(in.Limits.Share*float64(in.Period)) {
+		return fewShort * in.Limits.Share
 	}
-	return min(mostFew*limit, max(leastFew*limit, limit-rest))
+	return fewLong * in.Limits.Share
 }
 
-// some is the share that the target may get from now until it gets everything: of what a bad
-// version may have, all but what it has had, and what it gets then until it is noticed. Where there
-// are few requests the slack makes that more than the limit's share.
+// some is the share that the target gets from now until it gets everything: of what a bad version
+// may have, all but what it has had, and what it gets then until it is noticed. Where answers are
+// short everything it gets stays below the bound, so that one that turns bad at the end does not get
+// too much either. Where there are few requests the slack makes it more than the limit's share.
 func some(in Input, s schedule) float64 {
 	allowed := in.Limits.Share*in.PerSecond*in.Period.Seconds() + slackUsed*in.Limits.Slack
 	later := min(noticed, in.Period-s.all+unsure).Seconds() * in.PerSecond
 	before := max(0, s.all-in.Elapsed).Seconds() * in.PerSecond
+	least := leastSome * in.Limits.Share
 	if before == 0 {
-		return 0
+		return least
 	}
-	return min(mostSome, (allowed-later-float64(in.Drawn))/before)
+	return min(mostSome, max(least, (allowed-later-float64(in.Drawn))/before))
 }
 
 // Next decides the next step of a roll-out.
@@ -173,13 +175,11 @@
 	case s.Stage <= Some && in.Elapsed >= at.all:
 		return grow(in, All, 1, at, stay, to)
 	case s.Stage == Few && in.Elapsed >= rateKnown:
-		if share := some(in, at); share >= worthwhile*s.Share {
-			if share*in.PerSecond < manyDrawn {
-				s.Common = in.Evidence.common()
-			}
-			return grow(in, Some, share, at, stay, to)
+		share := some(in, at)
+		if share*in.PerSecond < manyDrawn {
+			s.Common = in.Evidence.common()
 		}
-		return stay(TooEarly)
+		return grow(in, Some, share, at, stay, to)
 	case s.Stage <= Some:
 		return stay(TooEarly)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
@@ -206,7 +206,12 @@
 	case in.Base == 0 && in.State.Base == "":
 		return to(All, 1, Same, Finding{})
 	}
-	return to(Few, few(in, scheduleOf(in, in.Evidence.Judge(AnyLook, nil).Long)), Began, Finding{})
+	return to(Few, few(in), Began, Finding{})
+}
+
+// enough is how many samples of the target there have to be before it gets everything.
+func (in Input) enough() int {
+	return min(enough, int(math.Ceil(in.State.Share*in.PerSecond*min(in.Elapsed, in.Period).Seconds()/2)))
 }
 
 // grow gives the target more, if it is as good as the version before.
@@ -217,7 +222,7 @@
 		return to(RolledBack, 0, Bad, f)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
 		return stay(TooFewHeard)
-	case stage == All && f.New < enough && in.PerSecond > 0 && in.Elapsed < at.end-moving:
+	case stage == All && f.New < in.enough() && in.Elapsed < 2*in.Period:
 		return stay(TooLittle)
 	case f.New == 0 && in.PerSecond*in.Period.Seconds() < in.Limits.Slack:
 		return to(stage, share, NobodyAsks, f)
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -208,26 +208,27 @@
 	for _, c := range []struct {
 		name    string
 		daemons int
+		more    time.Duration // that callers go on after the period
 		play    func(*rolling)
 	}{
-		{"seven daemons", 7, func(*rolling) {}},
-		{"forty daemons", 40, func(*rolling) {}},
-		{"turns bad later", 7, func(r *rolling) {
+		{"seven daemons", 7, 0, func(*rolling) {}},
+		{"forty daemons", 40, 0, func(*rolling) {}},
+		{"turns bad later", 7, 0, func(r *rolling) {
 			r.fail("v2", 0)
 			time.Sleep(5 * time.Second)
 			r.fail("v2", 40)
 		}},
-		{"the store goes away", 7, func(r *rolling) {
+		{"the store goes away", 7, 6 * time.Second, func(r *rolling) {
 			time.Sleep(800 * time.Millisecond)
 			r.f.storeDown(true)
 			time.Sleep(9 * time.Second)
 			r.f.storeDown(false)
 		}},
-		{"all daemons are killed", 7, func(r *rolling) {
+		{"all daemons are killed", 7, 0, func(r *rolling) {
 			time.Sleep(1500 * time.Millisecond)
 			r.f.restart(0, 1, 2, 3, 4, 5, 6)
 		}},
-		{"daemons are killed in turn", 7, func(r *rolling) {
+		{"daemons are killed in turn", 7, 0, func(r *rolling) {
 			for n := range 7 {
 				time.Sleep(700 * time.Millisecond)
 				r.f.restart(n)
@@ -239,7 +240,7 @@
 				r.order("v2", rollPeriod, 4)
 				r.fail("v2", 40)
 				r.f.done.Go(func() { c.play(r) })
-				got := r.f.load("/again/", callsEvery, rollPeriod)
+				got := r.f.load("/again/", callsEvery, rollPeriod+c.more)
 				stage, _ := r.obey("v1", 2*time.Second)
 				n, last := r.got("v2")
 				t.Logf("%v, %d of %d at the bad version", stage, n, got.asked.Load())
@@ -324,7 +325,7 @@
 
 		r.order("v2", rollPeriod, 4)
 		r.fail("v2", 100)
-		r.f.load("/again/", callsEvery, 4*time.Second)
+		r.f.load("/again/", callsEvery, 8*time.Second)
 		must.Eq(t, rollout.RolledBack, r.status().Stage)
 		before, _ := r.got("v2")
 		r.f.restart(0, 1, 2, 3, 4, 5, 6)
