roll-outs: an order that is read before any configuration ends no daemon

Found by reading: the step is decided with what the configuration says of the service. A daemon that has read an order and no configuration yet ended with a nil pointer (TestOrderBeforeAnyConfiguration: panic before, every call answered after).

--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -146,67 +146,71 @@
 	return min(mostSome, max(least, (allowed-later-float64(in.Drawn))/before))
 }
 
+// stay is the step of a roll-out that stays where it is.
+func (in Input) stay(r Reason) Step { return Step{State: in.State, Reason: r} }
+
+// to is the step to another stage.
+func (in Input) to(stage Stage, share float64, r Reason, f Finding) Step {
+	in.State.Stage, in.State.Share = stage, share
+	return Step{State: in.State, Reason: r, Finding: f}
+}
+
 // Next decides the next step of a roll-out.
 func Next(in Input) Step {
 	s := in.State
-	stay := func(r Reason) Step { return Step{State: s, Reason: r} }
-	to := func(stage Stage, share float64, r Reason, f Finding) Step {
-		s.Stage, s.Share = stage, share
-		return Step{State: s, Reason: r, Finding: f}
-	}
-	if s.Stage == Idle || s.Stage.Over() {
-		return stay(TooEarly)
-	}
-	if s.Stage == Pending {
-		return begin(in, stay, to)
+	switch {
+	case s.Stage == Idle, s.Stage.Over():
+		return in.stay(TooEarly)
+	case s.Stage == Pending:
+		return begin(in)
 	}
 	f := in.Evidence.Judge(AnyLook, in.Waiting)
 	if f.Bad && s.Base != s.Target {
-		return to(RolledBack, 0, Bad, f)
+		return in.to(RolledBack, 0, Bad, f)
 	}
 	if in.Target == 0 && s.Base != s.Target {
 		if s.Stage >= All || in.Elapsed > in.Period {
-			return to(RolledBack, 0, NoServers, f)
+			return in.to(RolledBack, 0, NoServers, f)
 		}
-		return stay(NoServers)
+		return in.stay(NoServers)
 	}
 	at := scheduleOf(in, f.Long)
 	switch {
 	case s.Stage <= Some && in.Elapsed >= at.all:
-		return grow(in, All, 1, at, stay, to)
+		return grow(in, All, 1)
 	case s.Stage == Few && in.Elapsed >= rateKnown:
 		share := some(in, at)
 		if share*in.PerSecond < manyDrawn {
-			s.Common = in.Evidence.common()
+			in.State.Common = in.Evidence.common()
 		}
-		return grow(in, Some, share, at, stay, to)
+		return grow(in, Some, share)
 	case s.Stage <= Some:
-		return stay(TooEarly)
+		return in.stay(TooEarly)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
-		return stay(TooFewHeard)
+		return in.stay(TooFewHeard)
 	case in.UnderWay == 0 && in.Elapsed >= at.all+drained/2:
-		return complete(in, NothingLeft, to)
+		return complete(in, NothingLeft)
 	case in.Moves && s.Stage == All && in.Elapsed >= at.last:
-		return to(Last, 1, TimeIsUp, f)
+		return in.to(Last, 1, TimeIsUp, f)
 	case in.Moves && in.Elapsed >= at.end:
-		return complete(in, TimeIsUp, to)
+		return complete(in, TimeIsUp)
 	}
-	return stay(TooEarly)
+	return in.stay(TooEarly)
 }
 
 // begin starts a roll-out once there is a server of the target.
-func begin(in Input, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
+func begin(in Input) Step {
 	switch {
 	case in.State.Base == in.State.Target:
-		return to(All, 1, Same, Finding{})
+		return in.to(All, 1, Same, Finding{})
 	case in.Target == 0 && in.Elapsed > in.Period:
-		return to(RolledBack, 0, NoServers, Finding{})
+		return in.to(RolledBack, 0, NoServers, Finding{})
 	case in.Target == 0:
-		return stay(NoServers)
+		return in.stay(NoServers)
 	case in.Base == 0 && in.State.Base == "":
-		return to(All, 1, Same, Finding{})
+		return in.to(All, 1, Same, Finding{})
 	}
-	return to(Few, few(in), Began, Finding{})
+	return in.to(Few, few(in), Began, Finding{})
 }
 
 // enough is how many samples of the target there have to be before it gets everything.
@@ -215,30 +219,30 @@
 }
 
 // grow gives the target more, if it is as good as the version before.
-func grow(in Input, stage Stage, share float64, at schedule, stay func(Reason) Step, to func(Stage, float64, Reason, Finding) Step) Step {
+func grow(in Input, stage Stage, share float64) Step {
 	f := in.Evidence.Judge(LastLook, in.Waiting)
 	switch {
 	case f.Bad:
-		return to(RolledBack, 0, Bad, f)
+		return in.to(RolledBack, 0, Bad, f)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
-		return stay(TooFewHeard)
+		return in.stay(TooFewHeard)
 	case stage == All && f.New < in.enough() && in.Elapsed < 2*in.Period:
-		return stay(TooLittle)
+		return in.stay(TooLittle)
 	case f.New == 0 && in.PerSecond*in.Period.Seconds() < in.Limits.Slack:
-		return to(stage, share, NobodyAsks, f)
+		return in.to(stage, share, NobodyAsks, f)
 	case f.New == 0 && in.Elapsed < in.Period:
-		return stay(TooLittle)
+		return in.stay(TooLittle)
 	case f.New == 0:
-		return to(RolledBack, 0, TooLittle, f)
+		return in.to(RolledBack, 0, TooLittle, f)
 	}
-	return to(stage, share, AsGood, f)
+	return in.to(stage, share, AsGood, f)
 }
 
 // complete ends a roll-out whose target is as good as the version before.
-func complete(in Input, r Reason, to func(Stage, float64, Reason, Finding) Step) Step {
+func complete(in Input, r Reason) Step {
 	f := in.Evidence.Judge(LastLook, in.Waiting)
 	if f.Bad && in.State.Base != in.State.Target {
-		return to(RolledBack, 0, Bad, f)
+		return in.to(RolledBack, 0, Bad, f)
 	}
-	return to(Completed, 1, r, f)
+	return in.to(Completed, 1, r, f)
 }
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -480,3 +480,24 @@
 		must.ErrorIs(t, err, store.ErrNotFound)
 	})
 }
+
+// An order is read before any configuration is.
+func TestOrderBeforeAnyConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, began: time.Now(), store: store.NewMemory(), daemons: map[string]*daemon{}, servers: map[string]*backend{}}
+		defer f.close()
+		for n := range 3 {
+			f.start(n)
+		}
+		time.Sleep(3 * time.Second)
+		r := &rolling{f: f, service: "desk"}
+		r.start("v1", 4)
+		r.order("v2", rollPeriod, 4)
+		time.Sleep(5 * time.Second)
+		f.put(feed.OwnConfigKey, fleetConfig)
+		time.Sleep(3 * time.Second)
+		got := f.load("/once/", callsEvery, 2*time.Second)
+		time.Sleep(time.Second)
+		must.Eq(t, got.asked.Load(), got.answered.Load())
+	})
+}
--- a/serve/versions/decide.go
+++ b/serve/versions/decide.go
@@ -31,7 +31,7 @@
 	underWay := m.underWay(s.name, m.Now(view).Of(s.name))
 	m.mu.Lock()
 	now := m.opts.Clock()
-	if now < max(s.retry, s.look) || s.evidence == nil {
+	if now < max(s.retry, s.look) || s.evidence == nil || view.Config == nil {
 		m.mu.Unlock()
 		return
 	}
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -28,7 +28,6 @@
 	known bool
 	// began is when the order was given, at the earliest, on the feed's clock; period is its time.
 	began, period time.Duration
-	present       map[string]int
 	// leave are closed when answers under way at a version go on elsewhere.
 	leave map[string]chan struct{}
 
@@ -88,7 +87,6 @@
 	for _, one := range servers {
 		present[one.Version]++
 	}
-	s.present = present
 	r := view.Rollouts[s.name]
 	var order *rollout.Order
 	if r.Order != nil {
