roll-outs: enough is counted from the requests that were drawn

Cause: samples were wanted of half of the requests that are to be drawn at the rate seen since the order; callers that left the service since (its route moved) are never drawn.

Change: twelve samples, or those of half of the requests that were drawn.

--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Limits are what an operator allows.
 type Limits struct {
@@ -92,8 +89,8 @@
 	slackUsed = 0.8
 	// noticed is how long the target gets everything before what is bad of it is noticed.
 	noticed = 1500 * time.Millisecond
-	// enough is how many samples of the target show that it works, where half as many were drawn
-	// as are to be expected or more.
+	// enough is how many samples of the target show that it works, or those of half of the requests
+	// that were drawn where these are few.
 	enough = 12
 	// quorum is the part of the daemons that have to be heard before the target gets more.
 	quorum = 0.5
@@ -214,9 +211,7 @@
 }
 
 // enough is how many samples of the target there have to be before it gets everything.
-func (in Input) enough() int {
-	return min(enough, int(math.Ceil(in.State.Share*in.PerSecond*min(in.Elapsed, in.Period).Seconds()/2)))
-}
+func (in Input) enough() int { return min(enough, (in.Drawn+1)/2) }
 
 // grow gives the target more, if it is as good as the version before.
 func grow(in Input, stage Stage, share float64) Step {
