forward: a server of a new version has one record of this daemon's work

While a roll-out runs, all servers of the service were laid out a second time, only to keep what is under way at them. For servers that were new in that view this made another record than the one in their layout: a failure was noted in the one, and the next choice looked at the other until the view changed. It also built tables and homes for nothing.

Change: one function finds or makes the record, once for each view.

TestSuspicionOfAServerOfANewVersion fails before (the server is not suspect).

--- a/serve/forward/layout.go
+++ b/serve/forward/layout.go
@@ -35,7 +35,9 @@
 		p.layouts[service] = p.layout(steady, used)
 		if state.Stage.Running() {
 			p.layouts[trialOf(service)] = p.layout(trial, used)
-			p.layout(servers, used) // what is under way at all of them is still counted
+			for _, s := range servers { // what is under way at all of them is still counted
+				p.use(s, used)
+			}
 		}
 	}
 	p.loads = used
@@ -47,18 +49,8 @@
 	l := &layout{index: map[string]int{}}
 	var candidates []route.Candidate
 	for _, s := range servers {
-		if next, ok := p.successors[s.Life()]; ok {
-			if p.view.Departed(next.ID) {
-				continue // the entry is of a life that ended before
-			}
-			s.ID, s.Born = next.ID, next.Born
-		}
-		one := p.loads[s.Life()]
-		if one == nil {
-			one = &load{}
-		}
-		used[s.Life()] = one
-		if s.Leaving {
+		s, one, ok := p.use(s, used)
+		if !ok || s.Leaving {
 			continue
 		}
 		l.index[s.ID] = len(l.servers)
@@ -73,6 +65,24 @@
 	return l
 }
 
+// use returns the server that is at the place of one in the view, with this daemon's work there,
+// which it adds to that in use; ok is false where there is none any more.
+func (p *pool) use(s routing.Server, used map[routing.Life]*load) (at routing.Server, one *load, ok bool) {
+	if next, ok := p.successors[s.Life()]; ok {
+		if p.view.Departed(next.ID) {
+			return s, nil, false // the entry is of a life that ended before
+		}
+		s.ID, s.Born = next.ID, next.Born
+	}
+	if one = used[s.Life()]; one == nil {
+		if one = p.loads[s.Life()]; one == nil {
+			one = &load{}
+		}
+		used[s.Life()] = one
+	}
+	return s, one, true
+}
+
 func (p *pool) rank(s routing.Server) route.Rank {
 	if s.Zone == p.self.Zone {
 		return route.SameZone
--- a/serve/forward/trial_test.go
+++ b/serve/forward/trial_test.go
@@ -120,3 +120,21 @@
 		must.Eq(t, 1, old.requests())
 	})
 }
+
+// A server of a new version fails: whoever chooses next must know of it.
+func TestSuspicionOfAServerOfANewVersion(t *testing.T) {
+	inWorld(t, streamRoute(), func(w *world) {
+		handle := streaming(5, time.Second, 40*time.Millisecond)
+		w.addVersion("e-old", "llm", "b", "v1", handle)
+		tried := w.addVersion("e-new", "llm", "a", "v2", handle)
+		time.Sleep(time.Second)
+		w.rollOut("llm", rollout.Few, 1)
+		pool, view := w.handler.pool, w.feed.View()
+		must.SliceLen(t, 1, pool.readers(time.Now(), view, trialOf("llm"), "", 1, nil))
+		pool.failed(time.Now(), tried.server)
+		pool.in(view, trialOf("llm"), func(l *layout) (choice, bool) {
+			must.True(t, l.loads[0].suspect(time.Now()))
+			return choice{}, false
+		})
+	})
+}
