roll-outs: one look at the evidence in a step

A step that gives the target more, or completes, judged the same evidence a second time with another bound. The finding now says how probable it is, and the step compares that with its bound. The first step looked at evidence that is always empty.

--- a/decision/rollout/bench_test.go
+++ b/decision/rollout/bench_test.go
@@ -22,7 +22,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				e.Judge(AnyLook, nil)
+				e.Judge(nil)
 			}
 		})
 	}
--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -75,8 +75,8 @@
 // How improbable what is found of a version as good as the one before has to be for the target to
 // be bad: in any look, and in one before it gets more.
 const (
-	AnyLook  = 5e-5
-	LastLook = 2e-3
+	anyLook  = 5e-5
+	lastLook = 2e-3
 )
 
 // restSigmas is by how much the target has to be worse without its worst server.
@@ -142,8 +142,10 @@
 
 // Finding is what the evidence shows.
 type Finding struct {
-	// Bad says that the target is bad; Route is where, "" for all routes, and Kind by what.
-	Bad   bool
+	// Odds is how probable what is found would be of a version as good as the one before; 1 where
+	// nothing speaks against the target. Route is where that is, "" for all routes, and Kind by
+	// what.
+	Odds  float64
 	Route string
 	Kind  Kind
 	// Compared, Found and Expected are the samples of the target, those of them that are bad, and
@@ -158,30 +160,27 @@
 }
 
 // Judge compares the versions. waiting are requests under way now.
-func (e *Evidence) Judge(chance float64, waiting []Sample) Finding {
+func (e *Evidence) Judge(waiting []Sample) Finding {
 	all := e.samples
 	if len(waiting) > 0 {
 		all = slices.Concat(e.samples, waiting)
 	}
-	f := Finding{Long: long(all)}
+	f := Finding{Odds: 1, Long: long(all)}
 	for _, s := range all {
 		if s.New && s.Outcome != Waiting {
 			f.New++
 		}
 	}
 	excused, sole := commonLosses(all), oneServer(all)
-	worst := math.Inf(1)
 	for kind := range kinds {
 		for _, group := range groups(all, kind) {
 			c := compare(group, sole, excused)
-			if c.compared == 0 { // of no use, or the version before showed too little
-				continue
+			odds := 1.0
+			if c.found >= minBad && c.rest > restSigmas {
+				odds = atLeast(c.found, c.expected+unseen)
 			}
-			odds := atLeast(c.found, c.expected+unseen)
-			bad := c.found >= minBad && odds < chance && c.rest > restSigmas
-			if odds < worst || bad && !f.Bad {
-				worst = odds
-				f.Bad, f.Route, f.Kind = f.Bad || bad, group.route, kind
+			if odds < f.Odds || f.Compared == 0 {
+				f.Odds, f.Route, f.Kind = odds, group.route, kind
 				f.Compared, f.Found, f.Expected = c.compared, c.found, c.expected
 			}
 		}
--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -122,7 +122,7 @@
 // few is the share with which the target begins. Where answers are short most of what a bad version
 // may have is kept for the end.
 func few(in Input) float64 {
-	if in.Period-scheduleOf(in, in.Evidence.Judge(AnyLook, nil).Long).all < time.Duration(in.Limits.Share*float64(in.Period)) {
+	if in.Period-scheduleOf(in, 0).all < time.Duration(in.Limits.Share*float64(in.Period)) {
 		return fewShort * in.Limits.Share
 	}
 	return fewLong * in.Limits.Share
@@ -161,8 +161,8 @@
 	case s.Stage == Pending:
 		return begin(in)
 	}
-	f := in.Evidence.Judge(AnyLook, in.Waiting)
-	if f.Bad && s.Base != s.Target {
+	f := in.Evidence.Judge(in.Waiting)
+	if f.Odds < anyLook && s.Base != s.Target {
 		return in.to(RolledBack, 0, Bad, f)
 	}
 	if in.Target == 0 && s.Base != s.Target {
@@ -174,23 +174,23 @@
 	at := scheduleOf(in, f.Long)
 	switch {
 	case s.Stage <= Some && in.Elapsed >= at.all:
-		return grow(in, All, 1)
+		return grow(in, f, All, 1)
 	case s.Stage == Few && in.Elapsed >= rateKnown:
 		share := some(in, at)
 		if share*in.PerSecond < manyDrawn {
 			in.State.Common = in.Evidence.common()
 		}
-		return grow(in, Some, share)
+		return grow(in, f, Some, share)
 	case s.Stage <= Some:
 		return in.stay(TooEarly)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
 		return in.stay(TooFewHeard)
 	case in.UnderWay == 0 && in.Elapsed >= at.all+drained/2:
-		return complete(in, NothingLeft)
+		return complete(in, f, NothingLeft)
 	case in.Moves && s.Stage == All && in.Elapsed >= at.last:
 		return in.to(Last, 1, TimeIsUp, f)
 	case in.Moves && in.Elapsed >= at.end:
-		return complete(in, TimeIsUp)
+		return complete(in, f, TimeIsUp)
 	}
 	return in.stay(TooEarly)
 }
@@ -214,10 +214,9 @@
 func (in Input) enough() int { return min(enough, (in.Drawn+1)/2) }
 
 // grow gives the target more, if it is as good as the version before.
-func grow(in Input, stage Stage, share float64) Step {
-	f := in.Evidence.Judge(LastLook, in.Waiting)
+func grow(in Input, f Finding, stage Stage, share float64) Step {
 	switch {
-	case f.Bad:
+	case f.Odds < lastLook:
 		return in.to(RolledBack, 0, Bad, f)
 	case float64(in.Heard) < quorum*float64(in.Daemons):
 		return in.stay(TooFewHeard)
@@ -234,9 +233,8 @@
 }
 
 // complete ends a roll-out whose target is as good as the version before.
-func complete(in Input, r Reason) Step {
-	f := in.Evidence.Judge(LastLook, in.Waiting)
-	if f.Bad && in.State.Base != in.State.Target {
+func complete(in Input, f Finding, r Reason) Step {
+	if f.Odds < lastLook && in.State.Base != in.State.Target {
 		return in.to(RolledBack, 0, Bad, f)
 	}
 	return in.to(Completed, 1, r, f)
