roll-outs: one list of daemons that serve, one record of a status

The daemons that do not leave, with their hashes, were listed in serve/forward and again, twice, in serve/versions: routing.Serving. RolloutStatus.Revision, which nobody read, goes.

--- a/control/feed/rollouts.go
+++ b/control/feed/rollouts.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
-	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
@@ -70,7 +69,6 @@
 		t.refuse(kv.Key, err)
 	} else {
 		delete(t.refusals, kv.Key)
-		status.Revision = kv.Version
 		one.Status = &status
 	}
 	t.rollouts[service] = one
@@ -131,22 +129,12 @@
 	ownStatusPrefix = OwnPrefix + "rollout/status/"
 )
 
-// ownOrder and ownStatus are the entries in a store that is ours to lay out.
+// ownOrder is an order in a store that is ours to lay out.
 type ownOrder struct {
 	Target string `json:"target"`
 	Period string `json:"period"` // as time.Duration prints itself
 }
 
-type ownStatus struct {
-	Stage  string  `json:"stage"` // as rollout.Stage prints itself
-	Target string  `json:"target"`
-	Base   string  `json:"base"`
-	Order  int64   `json:"order"`
-	Share  float64 `json:"share"`
-	Common string  `json:"common,omitempty"`
-	Due    int64   `json:"due"`
-}
-
 // OwnRollouts implements RolloutSchema for OwnSchema.
 type OwnRollouts struct{}
 
@@ -186,22 +174,16 @@
 
 // DecodeRolloutStatus implements RolloutSchema.
 func (OwnRollouts) DecodeRolloutStatus(raw []byte) (routing.RolloutStatus, error) {
-	var m ownStatus
-	if err := json.Unmarshal(raw, &m); err != nil {
+	var r routing.RolloutRecord
+	if err := json.Unmarshal(raw, &r); err != nil {
 		return routing.RolloutStatus{}, errors.Wrap(err, "status of a roll-out")
 	}
-	stage, ok := rollout.ParseStage(m.Stage)
-	if !ok {
-		return routing.RolloutStatus{}, errors.Errorf("status of a roll-out: unknown stage %q", m.Stage)
-	}
-	return routing.RolloutStatus{
-		State: rollout.State{Order: m.Order, Base: m.Base, Target: m.Target, Stage: stage, Share: m.Share, Common: m.Common}, Due: m.Due,
-	}, nil
+	return r.Status()
 }
 
 // EncodeRolloutStatus implements RolloutSchema.
 func (OwnRollouts) EncodeRolloutStatus(s routing.RolloutStatus) ([]byte, error) {
-	return json.Marshal(ownStatus{Stage: s.Stage.String(), Target: s.Target, Base: s.Base, Order: s.Order, Share: s.Share, Common: s.Common, Due: s.Due})
+	return json.Marshal(s.Record())
 }
 
 // WriteRolloutStatus writes the status of a service's roll-out over the one of a revision.
--- a/control/routing/rollout.go
+++ b/control/routing/rollout.go
@@ -41,6 +41,33 @@
 	rollout.State
 	// Due is when the period ends, in Unix milliseconds.
 	Due int64
-	// Revision is the store's of the status; 0 where there is none.
-	Revision int64
+}
+
+// RolloutRecord is a status as daemons write it for each other, in JSON.
+type RolloutRecord struct {
+	Stage  string  `json:"stage"` // as rollout.Stage prints itself
+	Target string  `json:"target"`
+	Base   string  `json:"base"`
+	Order  int64   `json:"order"`
+	Share  float64 `json:"share"`
+	Common string  `json:"common,omitempty"`
+	Due    int64   `json:"due"`
+}
+
+// Record is what is written of a status.
+func (s RolloutStatus) Record() RolloutRecord {
+	return RolloutRecord{
+		Stage: s.Stage.String(), Target: s.Target, Base: s.Base, Order: s.Order, Share: s.Share, Common: s.Common, Due: s.Due,
+	}
+}
+
+// Status is what a record says; a stage that nobody knows is an error.
+func (r RolloutRecord) Status() (RolloutStatus, error) {
+	stage, ok := rollout.ParseStage(r.Stage)
+	if !ok {
+		return RolloutStatus{}, errors.Errorf("status of a roll-out: unknown stage %q", r.Stage)
+	}
+	return RolloutStatus{
+		State: rollout.State{Order: r.Order, Base: r.Base, Target: r.Target, Stage: stage, Share: r.Share, Common: r.Common}, Due: r.Due,
+	}, nil
 }
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says what may be repeated on a route.
@@ -256,6 +258,17 @@
 	Leaving bool   `json:"leaving,omitempty"`
 }
 
+// Serving returns the entry VMs that do not leave, with the hashes of their ids.
+func Serving(vms []VM) (serving []VM, hashes []uint64) {
+	for _, vm := range vms {
+		if !vm.Leaving {
+			serving = append(serving, vm)
+			hashes = append(hashes, xxhash.Sum64String(vm.ID))
+		}
+	}
+	return serving, hashes
+}
+
 // Peers returns the entry VMs other than self that other daemons can ask.
 func Peers(vms []VM, self string) []VM {
 	var peers []VM
--- a/serve/forward/keepers.go
+++ b/serve/forward/keepers.go
@@ -37,17 +37,6 @@
 		len(view.VMs) > 1 && !prompts.Asks(len(view.VMs))
 }
 
-// daemons are those that may keep notes, with their hashes.
-func daemons(view *feed.View) (vms []routing.VM, hashes []uint64) {
-	for _, vm := range view.VMs {
-		if !vm.Leaving {
-			vms = append(vms, vm)
-			hashes = append(hashes, xxhash.Sum64String(vm.ID))
-		}
-	}
-	return vms, hashes
-}
-
 // changed tells the keeper of an engine that this daemon's work there is another.
 func (k *keepers) changed(s routing.Server) {
 	if !k.applies(k.h.opts.Feed.View(), s.Service) {
@@ -80,7 +69,7 @@
 
 // send sends one note. One that is lost is mended by the next.
 func (k *keepers) send(s routing.Server) {
-	vms, hashes := daemons(k.h.opts.Feed.View())
+	vms, hashes := routing.Serving(k.h.opts.Feed.View().VMs)
 	i := prompts.Keeper(xxhash.Sum64String(s.ID), hashes)
 	if i < 0 {
 		return
@@ -130,7 +119,7 @@
 	if !k.applies(view, service) {
 		return nil, false
 	}
-	vms, hashes := daemons(view)
+	vms, hashes := routing.Serving(view.VMs)
 	asked := map[int][]routing.Life{} // by place in vms
 	for _, s := range k.h.pool.window(view, service, part) {
 		if i := prompts.Keeper(xxhash.Sum64String(s.ID), hashes); i >= 0 {
--- a/serve/forward/permits.go
+++ b/serve/forward/permits.go
@@ -77,7 +77,7 @@
 
 // permit asks the daemons that give out permits for a server, one after the other.
 func (l *limits) permit(ctx context.Context, one *limited, q *peerpb.PermitRequest) (granted bool, wait time.Duration) {
-	vms, hashes := daemons(l.h.opts.Feed.View())
+	vms, hashes := routing.Serving(l.h.opts.Feed.View().VMs)
 	if l.h.neighbours.dialer == nil {
 		hashes = nil
 	}
--- a/serve/forward/poisonfleet.go
+++ b/serve/forward/poisonfleet.go
@@ -29,7 +29,7 @@
 	if p.h.neighbours.dialer == nil {
 		return
 	}
-	vms, hashes := daemons(p.h.opts.Feed.View())
+	vms, hashes := routing.Serving(p.h.opts.Feed.View().VMs)
 	for _, i := range rendezvous.Nearest(xxhash.Sum64String(digest), hashes, poisonKeepers) {
 		if vms[i].ID != p.h.opts.Self.ID {
 			go tell(vms[i])
--- a/serve/versions/decide.go
+++ b/serve/versions/decide.go
@@ -102,11 +102,8 @@
 	in.Heard, in.UnderWay = s.heardLately(now)
 	in.Heard++
 	in.UnderWay += underWay
-	for _, vm := range view.VMs {
-		if !vm.Leaving {
-			in.Daemons++
-		}
-	}
+	serving, _ := routing.Serving(view.VMs)
+	in.Daemons = len(serving)
 	all, drawn := s.mix.Counted()
 	in.Drawn, in.PerSecond = drawn, rate(all, now-s.counting)
 	for _, r := range s.heard {
--- a/serve/versions/report.go
+++ b/serve/versions/report.go
@@ -66,14 +66,7 @@
 
 // nearest are the daemons that decide for a service, the first of them unless it is silent.
 func nearest(view *feed.View, service string) []routing.VM {
-	var vms []routing.VM
-	var hashes []uint64
-	for _, vm := range view.VMs {
-		if !vm.Leaving {
-			vms = append(vms, vm)
-			hashes = append(hashes, xxhash.Sum64String(vm.ID))
-		}
-	}
+	vms, hashes := routing.Serving(view.VMs)
 	var list []routing.VM
 	for _, i := range rendezvous.Nearest(xxhash.Sum64String(service), hashes, deciders) {
 		list = append(list, vms[i])
