decision/rollout: all requests go to a version only once it is proven, or cannot exceed its limits

Cause: the step to all requests rested on "no sign that it is worse". A route with few requests has few samples (5, two of them bad, is no sign), and a version that turns bad later hides behind its older samples; 39 requests a second for the rest of the period are then more than twice what it may get. Besides, a route with a twentieth of the requests could be taken for a common one by the luck of the first 40 samples, and a route with fewer than 12 samples of the baseline was not compared at all.

Change: Analysis.Confidence. Beyond the limits a target gets all requests only if no group is suspected (5 in 100), each route has enough samples and the requests of the last 7 s, those that still wait among them, show nothing. Suspicion holds the share at the cost of the period; too few samples hold it until the responses in progress have to migrate. Rare routes are drawn with weight 6, at most 0.6, and the share allows for that weight. A response counts as evidence while it runs also for its pace and its whole time (a lower bound), which it did not after its first event.

The simulation now lists unanswered requests as daemons report them: those that began before and end after the last report, as of that report. Before, a slow request was in no list between its end and the next report, up to a second, and ages ran on. The bounds are as they were; 984 daemons are played besides 7, 61 and 295, the tests run in parallel.

--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -60,8 +60,9 @@
 	// sparseSlowRatio replaces slowRatio where there are too few baseline samples of the same time
 	// bin, because the service may be slow for reasons other than its version.
 	sparseSlowRatio = 4
-	// minBaselineSamples is how many baseline samples are needed to tell which responses are slow.
-	minBaselineSamples = 12
+	// minBaselineSamples is how many baseline samples are needed to tell which responses are slow,
+	// and minFailureBaseline how many to tell how many responses fail.
+	minBaselineSamples, minFailureBaseline = 12, 4
 	// zoneLossWindow is the time within which disconnects in one availability zone are attributed
 	// to the same cause.
 	zoneLossWindow = time.Second
@@ -127,22 +128,32 @@
 }
 
 // commonRouteRatio is the fraction of a service's requests from which a route counts as common.
-const commonRouteRatio = 0.1
+const commonRouteRatio = 0.2
 
-// commonRoutes returns the common routes in the format of State.CommonRoutes.
-func (e *Evidence) commonRoutes() string {
+// commonRoutes returns the common routes in the format of State.CommonRoutes, and the mean weight
+// of a request when the requests of all other routes have rareRouteWeight.
+func (e *Evidence) commonRoutes() (list string, meanWeight float64) {
 	routes := map[string]int{}
 	for _, s := range e.samples {
 		routes[s.Route]++
 	}
-	var list []string
+	var common []string
 	for route, n := range routes {
 		if float64(n) >= commonRouteRatio*float64(len(e.samples)) {
-			list = append(list, route)
+			common = append(common, route)
 		}
 	}
-	slices.Sort(list)
-	return strings.Join(list[:min(maxCommonRoutes, len(list))], routeSeparator)
+	slices.Sort(common)
+	common = common[:min(maxCommonRoutes, len(common))]
+	if len(common) == 0 {
+		return "", 1
+	}
+	inCommon := 0
+	for _, route := range common {
+		inCommon += routes[route]
+	}
+	rare := 1 - float64(inCommon)/float64(len(e.samples))
+	return strings.Join(common, routeSeparator), 1 + (rareRouteWeight-1)*rare
 }
 
 // Analysis is the result of comparing the versions.
@@ -159,6 +170,8 @@
 	ExpectedBad          float64
 	// TargetSamples is the number of all target samples.
 	TargetSamples int
+	// Confidence says whether the target may get more requests than its limits allow a bad version.
+	Confidence Confidence
 	// BaselineP95 is the 95th percentile of the baseline's response times; 0 if there is no sample.
 	BaselineP95 time.Duration
 }
@@ -169,7 +182,7 @@
 	if len(unanswered) > 0 {
 		all = slices.Concat(e.samples, unanswered)
 	}
-	a := Analysis{PValue: 1, BaselineP95: baselineP95(all)}
+	a := Analysis{PValue: 1, BaselineP95: baselineP95(all, ResponseTime), Confidence: cohortConfidence(all)}
 	for _, s := range all {
 		if s.OnTarget && s.Outcome != Unanswered {
 			a.TargetSamples++
@@ -183,6 +196,7 @@
 			if c.bad >= minBadSamples && c.sigmasWithoutWorst > minSigmasWithoutWorst {
 				pValue = poissonTail(c.bad, c.expectedBad+expectedBadMargin)
 			}
+			a.Confidence = min(a.Confidence, c.confidence())
 			if pValue < a.PValue || a.Compared == 0 {
 				a.PValue, a.Route, a.Kind = pValue, g.route, kind
 				a.Compared, a.BadSamples, a.ExpectedBad = c.compared, c.bad, c.expectedBad
@@ -258,6 +272,17 @@
 // badTally counts samples and the bad ones among them.
 type badTally struct{ bad, total float64 }
 
+func (t badTally) plus(isBad bool) badTally {
+	t.total++
+	if isBad {
+		t.bad++
+	}
+	return t
+}
+
+// smoothedRatio estimates the fraction of bad samples. It is above 0 even if none is bad.
+func (t badTally) smoothedRatio() float64 { return (t.bad + 0.4) / (t.total + 0.8) }
+
 // compare compares the versions in one group. A target sample is expected to be bad as often as the
 // baseline samples of the same time bin, or as the baseline samples of any time if the bin has few.
 func compare(g sampleGroup, singleServer bool, isZoneLoss func(Sample) bool) comparison {
@@ -282,17 +307,13 @@
 		if s.OnTarget || s.Outcome == Unanswered && !isBad(s) || s.Outcome == Disconnected && isZoneLoss(s) {
 			continue
 		}
-		tally := baseline[s.EndedAt/binWidth]
-		tally.total, total.total = tally.total+1, total.total+1
-		if isBad(s) {
-			tally.bad, total.bad = tally.bad+1, total.bad+1
-		}
-		baseline[s.EndedAt/binWidth] = tally
+		baseline[s.EndedAt/binWidth] = baseline[s.EndedAt/binWidth].plus(isBad(s))
+		total = total.plus(isBad(s))
 	}
-	if total.total < minBaselineSamples {
+	if total.total < minFailureBaseline {
 		return comparison{}
 	}
-	badRatio := (total.bad + 0.4) / (total.total + 0.8)
+	badRatio := total.smoothedRatio()
 	servers := map[string]*comparison{}
 	for _, s := range g.samples {
 		if !s.OnTarget || s.Outcome == Unanswered && !isBad(s) || s.Outcome == Disconnected && isZoneLoss(s) {
@@ -379,12 +400,12 @@
 	return durations[len(durations)/2], true
 }
 
-// baselineP95 returns the 95th percentile of the baseline's response times, or 0 if there is no
-// sample.
-func baselineP95(samples []Sample) time.Duration {
+// baselineP95 returns the 95th percentile of the baseline's successful samples of a kind, or 0 if
+// there are none.
+func baselineP95(samples []Sample, kind Kind) time.Duration {
 	var durations []time.Duration
 	for _, s := range samples {
-		if !s.OnTarget && s.Kind == ResponseTime && s.Outcome == Succeeded {
+		if !s.OnTarget && s.Kind == kind && s.Outcome == Succeeded {
 			durations = append(durations, s.Duration)
 		}
 	}
--- a/decision/rollout/fleet_test.go
+++ b/decision/rollout/fleet_test.go
@@ -62,6 +62,8 @@
 	// requests.
 	maxExposureAfterBad = 5 * time.Second
 	maxShare            = 0.1
+	// reportLatency is the time from sending a report to its use.
+	reportLatency = 30 * time.Millisecond
 )
 
 // result is the outcome of one simulated roll-out.
@@ -81,6 +83,14 @@
 	dueAt  time.Duration
 }
 
+// unansweredRequest is a request on the target. Its daemon lists it in the reports that it sends from
+// beganAt until endedAt.
+type unansweredRequest struct {
+	sample           Sample
+	daemon           int
+	beganAt, endedAt time.Duration
+}
+
 // simulation simulates one roll-out of a service behind many daemons.
 type simulation struct {
 	serviceModel
@@ -97,7 +107,7 @@
 	evidence                      Evidence
 	delayed                       []delayedSample
 	baselineEnds                  []time.Duration // when the responses in progress on the baseline end
-	unanswered                    []delayedSample
+	unanswered                    []unansweredRequest
 	badCount                      int
 	fiftiethBadAt                 time.Duration
 	lastTargetRequest             time.Duration
@@ -229,17 +239,19 @@
 	sample := Sample{Route: name, Server: fmt.Sprint(onTarget, server), Zone: fmt.Sprint(zone), OnTarget: onTarget, Duration: response}
 	report := func(kind Kind, outcome Outcome, duration, endedAt time.Duration) {
 		sample.Kind, sample.Outcome, sample.Duration, sample.EndedAt = kind, outcome, duration, endedAt
-		arrivesAt := endedAt + (r.reportPhase[d]-endedAt%time.Second+time.Second)%time.Second + 30*time.Millisecond
+		arrivesAt := endedAt + (r.reportPhase[d]-endedAt%time.Second+time.Second)%time.Second + reportLatency
 		if drainedAt := r.changedAt + 250*time.Millisecond; r.firstEventTime == 0 && r.state.Stage == Full && endedAt < drainedAt {
-			arrivesAt = min(arrivesAt, drainedAt+30*time.Millisecond) // sent at once with the report that nothing is in flight
+			arrivesAt = min(arrivesAt, drainedAt+reportLatency) // sent at once with the report that nothing is in flight
 		}
 		r.delayed = append(r.delayed, delayedSample{sample, arrivesAt})
 	}
 	if onTarget && !failed {
-		r.unanswered = append(r.unanswered, delayedSample{Sample{
-			Route: name, Server: sample.Server, Zone: sample.Zone, OnTarget: true, Kind: map[bool]Kind{true: ResponseTime, false: TimeToFirstEvent}[r.firstEventTime == 0],
-			Outcome: Unanswered, EndedAt: now,
-		}, min(now+map[bool]time.Duration{true: response, false: firstEvent}[r.firstEventTime == 0], nextOutage)})
+		kind, took := TimeToFirstEvent, firstEvent
+		if r.firstEventTime == 0 {
+			kind, took = ResponseTime, response
+		}
+		waiting := Sample{Route: name, Server: sample.Server, Zone: sample.Zone, OnTarget: true, Kind: kind, Outcome: Unanswered}
+		r.unanswered = append(r.unanswered, unansweredRequest{waiting, d, now, min(now+took, nextOutage)})
 	}
 	if !onTarget && !failed {
 		r.baselineEnds = append(r.baselineEnds, min(now+response, nextOutage))
@@ -290,6 +302,21 @@
 	return perSecond * (0.9 + 0.2*r.random.Float64())
 }
 
+// reportedUnanswered returns the requests that the last report of their daemon listed, as of that
+// report.
+func (r *simulation) reportedUnanswered(now time.Duration) (list []Sample) {
+	r.unanswered = slices.DeleteFunc(r.unanswered, func(q unansweredRequest) bool { return q.endedAt < now-2*time.Second })
+	for _, q := range r.unanswered {
+		sinceReport := (now - reportLatency - r.reportPhase[q.daemon] + time.Second) % time.Second
+		reportedAt := now - reportLatency - sinceReport
+		if q.beganAt < reportedAt && q.endedAt > reportedAt {
+			q.sample.Duration, q.sample.EndedAt = reportedAt-q.beganAt, reportedAt
+			list = append(list, q.sample)
+		}
+	}
+	return list
+}
+
 // decide runs the next decision step.
 func (r *simulation) decide(now time.Duration) Step {
 	slices.SortStableFunc(r.delayed, func(a, b delayedSample) int { return cmp.Compare(a.dueAt, b.dueAt) })
@@ -305,14 +332,7 @@
 			inFlight++
 		}
 	}
-	var unanswered []Sample
-	r.unanswered = slices.DeleteFunc(r.unanswered, func(w delayedSample) bool { return w.dueAt <= now })
-	for _, w := range r.unanswered {
-		if age := now - w.sample.EndedAt; age > 500*time.Millisecond { // age as of the daemon's last report
-			w.sample.Duration, w.sample.EndedAt = age-500*time.Millisecond, now
-			unanswered = append(unanswered, w.sample)
-		}
-	}
+	unanswered := r.reportedUnanswered(now)
 	in := Input{
 		Unanswered: unanswered,
 		State:      r.state, Limits: Limits{Share: maxShare, Slack: slackRequests}, RequestsPerSecond: r.measuredRate(), TargetRequests: r.targetRequests, Elapsed: now + 150*time.Millisecond, Period: r.period, BaselineServers: r.servers, TargetServers: r.servers,
@@ -342,7 +362,7 @@
 
 // forEachFleet runs a test for all fleet sizes, with and without successive zone outages.
 func forEachFleet(test func(daemons int, zoneOutages bool)) {
-	for _, daemons := range []int{7, 61, 295} {
+	for _, daemons := range []int{7, 61, 295, 984} {
 		test(daemons, false)
 		test(daemons, true)
 	}
@@ -366,6 +386,7 @@
 // A version with any of the faults must not get more requests than allowed, for any number of
 // daemons.
 func TestBadVersionsAreRolledBack(t *testing.T) {
+	t.Parallel()
 	for _, service := range []serviceModel{streamingService, callService} {
 		for _, f := range faults {
 			checkExposure(t, service, f)
@@ -375,21 +396,25 @@
 
 // Calls of a version become slow after some time; this must be detected early enough.
 func TestCallsThatTurnSlow(t *testing.T) {
+	t.Parallel()
 	checkExposure(t, callService, fault{name: "becomes slow later", badRatio: 0.5, slowdown: 4, onset: 4 * time.Second})
 }
 
 // Long responses of a version become slow after some time; this must be detected early enough.
 func TestAnswersThatTurnSlow(t *testing.T) {
+	t.Parallel()
 	checkExposure(t, streamingService, fault{name: "becomes slow later", badRatio: 0.5, slowdown: 4, onset: 4 * time.Second})
 }
 
 // The version is bad on only one route, which has one twentieth of the requests.
 func TestBadOnARouteWithFewRequests(t *testing.T) {
+	t.Parallel()
 	checkExposure(t, streamingService, fault{name: "fails on the other route", badRatio: 0.6, route: 2})
 }
 
 // A good version must complete within its period, also during zone outages.
 func TestGoodVersionsAreCompleted(t *testing.T) {
+	t.Parallel()
 	for _, service := range []serviceModel{streamingService, callService} {
 		forEachFleet(func(daemons int, zoneOutages bool) {
 			r := runAll(service, fault{name: "good"}, daemons, zoneOutages)
@@ -403,6 +428,7 @@
 
 // A single bad server of a good version must rarely cause a rollback.
 func TestOneBadServerOfAGoodVersion(t *testing.T) {
+	t.Parallel()
 	for _, service := range []serviceModel{streamingService, callService} {
 		forEachFleet(func(daemons int, zoneOutages bool) {
 			r := runAll(service, fault{name: "one server fails", badServers: 1, badRatio: 0.45}, daemons, zoneOutages)
--- a/decision/rollout/plan.go
+++ b/decision/rollout/plan.go
@@ -54,6 +54,8 @@
 	AlreadyRunning  Reason = "version_runs_already"
 	Drained         Reason = "nothing_under_way"
 	DeadlineReached Reason = "time_is_up"
+	TargetSuspected Reason = "suspected"
+	TargetUnproven  Reason = "too_little_seen_lately"
 )
 
 // Step is the next state of a roll-out.
@@ -130,6 +132,14 @@
 	return schedule{full: max(full, earliest), migrate: end - migrationTime, end: end}
 }
 
+// fullWithinLimits reports whether the target may get all requests from now on without exceeding
+// the limits before the end of the period, even if it is bad and nobody notices.
+func (in Input) fullWithinLimits() bool {
+	allowed := in.Limits.Share*in.RequestsPerSecond*in.Period.Seconds() + usableSlackRatio*in.Limits.Slack
+	remaining := max(0, in.Period-in.Elapsed+orderAgeUncertainty)
+	return float64(in.TargetRequests)+in.RequestsPerSecond*remaining.Seconds() <= allowed
+}
+
 // canaryShare returns the share of the Canary stage. With short responses, most of the requests
 // that a bad version may get are reserved for the end.
 func canaryShare(in Input) float64 {
@@ -186,13 +196,15 @@
 	sched := newSchedule(in, a.BaselineP95)
 	switch {
 	case s.Stage <= Partial && in.Elapsed >= sched.full:
-		return promote(in, a, Full, 1)
+		return promote(in, a, sched, Full, 1)
 	case s.Stage == Canary && in.Elapsed >= rateWarmup:
 		share := partialShare(in, sched)
 		if share*in.RequestsPerSecond < minTargetPerSecond {
-			in.State.CommonRoutes = in.Evidence.commonRoutes()
+			var meanWeight float64
+			in.State.CommonRoutes, meanWeight = in.Evidence.commonRoutes()
+			share /= meanWeight
 		}
-		return promote(in, a, Partial, share)
+		return promote(in, a, sched, Partial, share)
 	case s.Stage <= Partial:
 		return in.stay(TooEarly)
 	case float64(in.DaemonsReporting) < quorumRatio*float64(in.Daemons):
@@ -226,8 +238,10 @@
 func (in Input) requiredSamples() int { return min(minTargetSamples, (in.TargetRequests+1)/2) }
 
 // promote moves the roll-out to a stage with a larger share if the target is no worse than the
-// baseline.
-func promote(in Input, a Analysis, stage Stage, share float64) Step {
+// baseline. A target that would exceed its limits if it turned out to be bad gets all requests only
+// once it is proven. It keeps its share until then: for as long as it is suspected, at the expense
+// of the period, and otherwise until the responses in progress have to migrate.
+func promote(in Input, a Analysis, sched schedule, stage Stage, share float64) Step {
 	switch {
 	case a.PValue < promotionSignificance:
 		return in.moveTo(RolledBack, 0, Worse, a)
@@ -235,6 +249,10 @@
 		return in.stay(TooFewReports)
 	case stage == Full && a.TargetSamples < in.requiredSamples() && in.Elapsed < 2*in.Period:
 		return in.stay(TooFewSamples)
+	case stage == Full && !in.fullWithinLimits() && a.Confidence == Suspected:
+		return in.stay(TargetSuspected)
+	case stage == Full && !in.fullWithinLimits() && a.Confidence == Unproven && in.Elapsed < sched.migrate:
+		return in.stay(TargetUnproven)
 	case a.TargetSamples == 0 && in.RequestsPerSecond*in.Period.Seconds() < in.Limits.Slack:
 		return in.moveTo(stage, share, NoTraffic, a)
 	case a.TargetSamples == 0 && in.Elapsed < in.Period:
--- a/decision/rollout/rollout.go
+++ b/decision/rollout/rollout.go
@@ -126,17 +126,17 @@
 // rare routes are selected more often, because otherwise a version that is bad only on a rare route
 // would not be detected before it gets all requests.
 func (s State) RoutesToTarget(draw float64, route string, counter *RouteCounter) bool {
-	weight := counter.countAndWeigh(route)
+	probability := s.Share * counter.countAndWeigh(route)
 	switch {
 	case s.Stage != Canary && s.Stage != Partial:
 		return false
 	case s.CommonRoutes == "":
 	case slices.Contains(strings.Split(s.CommonRoutes, routeSeparator), route):
-		weight = 1
+		probability = s.Share
 	default:
-		weight = rareRouteWeight
+		probability = min(maxRareRouteShare, s.Share*rareRouteWeight)
 	}
-	selected := draw < s.Share*weight
+	selected := draw < probability
 	if selected {
 		counter.selected++
 	}
@@ -148,7 +148,9 @@
 	// requests each do not exceed the share in total.
 	minRouteWeight, maxRouteWeight = 0.7, 3
 	// rareRouteWeight is the weight of a route that is missing from State.CommonRoutes.
-	rareRouteWeight = 4
+	rareRouteWeight = 6
+	// maxRareRouteShare leaves the baseline enough requests of such a route to compare with.
+	maxRareRouteShare = 0.6
 	// maxCountedRoutes bounds the number of counted routes; any further route has weight 1.
 	maxCountedRoutes = 64
 )
--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -180,13 +180,13 @@
 func (a *attempt) recordFirstEvent() {
 	whole := a.trial.ForKind(rollout.ResponseTime)
 	a.trial.Done(rollout.Succeeded)
-	a.trial, a.pace = whole, whole.ForKind(rollout.EventInterval)
+	a.trial, a.pace = whole, whole.ForPace(paceEventCount)
 }
 
 // recordNextEvent records the pace of a stream after enough events.
 func (a *attempt) recordNextEvent() {
 	if a.eventCount++; a.eventCount == paceEventCount {
-		a.pace.DoneWithDuration(rollout.Succeeded, time.Since(a.firstEventAt)/paceEventCount)
+		a.pace.Done(rollout.Succeeded)
 	}
 }
 
--- a/serve/versions/trial.go
+++ b/serve/versions/trial.go
@@ -14,6 +14,7 @@
 	s         *service
 	sample    rollout.Sample
 	startedAt time.Duration
+	divisor   int // the sample is the elapsed time divided by it
 	done      bool
 }
 
@@ -28,7 +29,7 @@
 	if !state.Stage.IsRunning() || server.Version != state.Target && server.Version != state.Baseline {
 		return nil
 	}
-	t := &Trial{m: m, startedAt: m.opts.Clock(), sample: rollout.Sample{
+	t := &Trial{m: m, startedAt: m.opts.Clock(), divisor: 1, sample: rollout.Sample{
 		Route: route, Server: server.ID, Zone: server.Zone, OnTarget: server.Version == state.Target, Kind: kind,
 	}}
 	m.mu.Lock()
@@ -40,25 +41,43 @@
 	return t
 }
 
-// ForKind returns a trial of the same request that measures another quantity.
+// ForKind returns a trial of the same request that measures another quantity from the same start.
 func (t *Trial) ForKind(kind rollout.Kind) *Trial {
 	if t == nil {
 		return nil
 	}
-	next := &Trial{m: t.m, s: t.s, sample: t.sample, startedAt: t.startedAt}
+	return t.derive(kind, t.startedAt, 1)
+}
+
+// ForPace returns a trial of the same request that measures the mean time between its next events.
+func (t *Trial) ForPace(events int) *Trial {
+	if t == nil {
+		return nil
+	}
+	return t.derive(rollout.EventInterval, t.m.opts.Clock(), events)
+}
+
+func (t *Trial) derive(kind rollout.Kind, startedAt time.Duration, divisor int) *Trial {
+	next := &Trial{m: t.m, s: t.s, sample: t.sample, startedAt: startedAt, divisor: divisor}
 	next.sample.Kind = kind
+	if next.sample.OnTarget {
+		t.m.mu.Lock()
+		defer t.m.mu.Unlock()
+		t.s.unanswered[next] = true
+	}
 	return next
 }
 
-// Done records the outcome of the request; only the first call counts.
-func (t *Trial) Done(outcome rollout.Outcome) {
-	if t != nil {
-		t.DoneWithDuration(outcome, t.m.opts.Clock()-t.startedAt)
-	}
+// sampleAt returns the sample that results if the trial ends now. While it still runs, that is a
+// lower bound of its result.
+func (t *Trial) sampleAt(now time.Duration, outcome rollout.Outcome) rollout.Sample {
+	sample := t.sample
+	sample.Outcome, sample.Duration, sample.EndedAt = outcome, (now-t.startedAt)/time.Duration(t.divisor), now
+	return sample
 }
 
-// DoneWithDuration is Done with a given duration instead of the time since the trial began.
-func (t *Trial) DoneWithDuration(outcome rollout.Outcome, duration time.Duration) {
+// Done records the outcome of the request; only the first call counts.
+func (t *Trial) Done(outcome rollout.Outcome) {
 	if t == nil {
 		return
 	}
@@ -69,10 +88,8 @@
 	}
 	t.done = true
 	delete(t.s.unanswered, t)
-	sample := t.sample
-	sample.Outcome, sample.Duration, sample.EndedAt = outcome, duration, t.m.opts.Clock()
 	if len(t.s.samples) < maxSamples {
-		t.s.samples = append(t.s.samples, sample)
+		t.s.samples = append(t.s.samples, t.sampleAt(t.m.opts.Clock(), outcome))
 	}
 }
 
@@ -87,13 +104,11 @@
 	delete(t.s.unanswered, t)
 }
 
-// unansweredSamples returns samples of the requests on the target that have no response yet. The
+// unansweredSamples returns samples of the requests on the target that are still measured. The
 // caller holds the lock.
 func (s *service) unansweredSamples(now time.Duration) (list []rollout.Sample) {
 	for t := range s.unanswered {
-		sample := t.sample
-		sample.Outcome, sample.Duration, sample.EndedAt = rollout.Unanswered, now-t.startedAt, now
-		list = append(list, sample)
+		list = append(list, t.sampleAt(now, rollout.Unanswered))
 	}
 	return list
 }
