serve/versions: a roll-out completes only while servers of its target accept connections

Cause, traced with the stages and times of 1,500 roll-outs whose new servers are lost at 10.0 s (the known red, `completed` in place of `rolled_back`): in one it was completed at 10.16 s, before the watch told of the loss; the store lists servers that have just gone, and at `completed` the old ones stop. In the other (of the code before) it was completed at 9.93 s, with no stream under way at the old servers and before the loss: that is no fault, the test allowed it by its load of 10 a second.

Change: the coordinator opens a connection to three servers of the target before it writes `completed`, and waits for the next step if none accepts. An event says so. The test plays 40 streams a second, so that some are under way when the servers are lost; a second one crashes all of them while the store lists them and nobody asks, and fails without the check (completed after 9.5 s).

--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -149,6 +150,38 @@
 	return incarnation
 }
 
+const (
+	// maxCheckedServers is how many servers are asked for a connection to tell whether any server of
+	// a version is left.
+	maxCheckedServers = 3
+	// connectionCheckTimeout is many round trips.
+	connectionCheckTimeout = 250 * time.Millisecond
+)
+
+// acceptsAny reports whether one of a few servers, chosen at random, accepts a connection.
+func (h *Handler) acceptsAny(ctx context.Context, servers []routing.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectionCheckTimeout)
+	defer cancel()
+	chosen := rand.Perm(len(servers))
+	chosen = chosen[:min(maxCheckedServers, len(chosen))]
+	results := make(chan bool, len(chosen))
+	for _, i := range chosen {
+		go func() {
+			conn, err := h.dial(ctx, "tcp", servers[i].Address)
+			if err == nil {
+				conn.Close()
+			}
+			results <- err == nil
+		}()
+	}
+	for range chosen {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
 // trialOutcome returns what an exchange shows of its server's version; ok is false if it shows
 // nothing.
 func (o *outcome) trialOutcome(ctx context.Context) (result rollout.Outcome, ok bool) {
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -114,6 +114,7 @@
 		borrower: newRetryBorrower(o), peers: newPeerClient(o), versions: o.Versions,
 	}
 	h.versions.SetInFlightCounter(h.pool.runningAtOldVersions)
+	h.versions.SetReachabilityCheck(h.acceptsAny)
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
 	h.limits = newRateLimits(h)
 	h.pool.onWorkChanged, h.pool.limits = h.workTracker.workChanged, h.limits
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -426,12 +426,14 @@
 func TestAllServersOfTargetVersionAreLost(t *testing.T) {
 	for _, after := range []time.Duration{3 * time.Second, 11 * time.Second} {
 		withRolloutService(t, 7, "llm", func(r *rolloutService) {
-			period := 24 * time.Second // long enough that no further stage begins under load
+			period, perSecond := 24*time.Second, 10 // long enough that no further stage begins under load
 			if after > 5*time.Second {
-				period = rolloutPeriod
+				// With so many streams some are in progress on the previous version when the
+				// servers are lost, and the rollout cannot be completed before.
+				period, perSecond = rolloutPeriod, 40
 			}
 			streams := make(chan *callCounts, 1)
-			go func() { streams <- r.f.load("/stream/", 10, after) }()
+			go func() { streams <- r.f.load("/stream/", perSecond, after) }()
 			r.startRollout("v2", period, 4)
 			time.Sleep(after - time.Second)
 			r.stop("v2")
@@ -445,6 +447,31 @@
 	}
 }
 
+// All servers of the new version crash just before the rollout completes, while the store still
+// lists them and no request shows it. It must not be completed, because the servers of the previous
+// version would stop.
+func TestTargetCrashesBeforeCompletion(t *testing.T) {
+	withRolloutService(t, 7, "desk", func(r *rolloutService) {
+		r.startRollout("v2", rolloutPeriod, 4)
+		r.f.background.Go(func() {
+			for r.status().Stage != rollout.Full {
+				time.Sleep(time.Millisecond)
+			}
+			r.forEach("v2", func(s *versionedServer) {
+				s.listener.Cut()
+				s.http.Close()
+			})
+			time.Sleep(2 * time.Second)
+			r.stop("v2")
+		})
+		stage, _ := r.awaitEnd("v1", rolloutPeriod+6*time.Second)
+		must.Eq(t, rollout.RolledBack, stage)
+		got := r.f.load("/again/", callsPerSecond, 2*time.Second)
+		time.Sleep(2 * time.Second)
+		test.GreaterEq(t, got.sent.Load()*95/100, got.answered.Load())
+	})
+}
+
 // Two services are rolled out at the same time, one of them to a bad version. Only that one must be
 // rolled back.
 func TestConcurrentRolloutsOfTwoServices(t *testing.T) {
--- a/serve/versions/decide.go
+++ b/serve/versions/decide.go
@@ -62,6 +62,9 @@
 	deadline := time.Now().Add(s.startedAt + s.period - now).UnixMilli()
 	s.retryAt = now + writeRetryDelay
 	m.mu.Unlock()
+	if step.State.Stage == rollout.Completed && !m.targetAccepts(ctx, view, step.State, s.name) {
+		return
+	}
 	err := m.writeStatus(ctx, view, s, routing.RolloutStatus{State: step.State, DeadlineMS: deadline})
 	if err != nil {
 		return
@@ -73,6 +76,23 @@
 	m.broadcastState(ctx, s.name, step.State)
 }
 
+// targetAccepts reports whether a server of the target accepts connections. The baseline's servers
+// stop when a rollout is completed, and the store may list servers that were just lost: without the
+// check, no server of either version would be left.
+func (m *Manager) targetAccepts(ctx context.Context, view *feed.View, state rollout.State, service string) bool {
+	var servers []routing.Server
+	for _, server := range view.Servers[service] {
+		if server.Version == state.Target && !server.Draining {
+			servers = append(servers, server)
+		}
+	}
+	if m.acceptsAny(ctx, servers) {
+		return true
+	}
+	m.opts.Log.Emit(event.RolloutTargetSilent, service, state.Target, len(servers))
+	return false
+}
+
 // writeStatus writes the status of a rollout if the store still holds the revision known here.
 func (m *Manager) writeStatus(ctx context.Context, view *feed.View, s *service, status routing.RolloutStatus) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/serve/versions/versions.go
+++ b/serve/versions/versions.go
@@ -65,6 +65,8 @@
 	mu       sync.Mutex // guards the rest
 	services map[string]*service
 	inFlight func(service string, s rollout.State) int
+	// acceptsAny checks whether any of the servers accepts connections now.
+	acceptsAny func(context.Context, []routing.Server) bool
 }
 
 // Snapshot holds the rollout states of all services. It is immutable.
@@ -83,6 +85,7 @@
 	m := &Manager{
 		opts: o, bootID: rand.Uint64(), peers: newPeers(o), metrics: newMetrics(o.Registerer), activated: make(chan struct{}, 1),
 		services: map[string]*service{}, inFlight: func(string, rollout.State) int { return 0 },
+		acceptsAny: func(context.Context, []routing.Server) bool { return true },
 	}
 	m.SetLimits(o.Limits)
 	m.current.Store(&Snapshot{})
@@ -96,6 +99,12 @@
 // than the target. Call it before Run.
 func (m *Manager) SetInFlightCounter(f func(service string, s rollout.State) int) { m.inFlight = f }
 
+// SetReachabilityCheck sets the function that checks whether any of the given servers accepts
+// connections. Call it before Run.
+func (m *Manager) SetReachabilityCheck(f func(context.Context, []routing.Server) bool) {
+	m.acceptsAny = f
+}
+
 // Snapshot returns the rollout states after applying a view of the store. An older view than the
 // last one is not applied.
 func (m *Manager) Snapshot(view *feed.View) *Snapshot {
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -62,6 +62,8 @@
 		"Another daemon did not answer a report about a rollout.", "address", "error")
 	RolloutWriteFailed = define(248, "rollout_unwritten", logrus.WarnLevel,
 		"The status of a rollout could not be written to the store. superseded is set if another status was written in the meantime.", "service", "stage", "superseded", "error")
+	RolloutTargetSilent = define(253, "rollout_target_silent", logrus.WarnLevel,
+		"A rollout is not completed because none of the servers of its target version that were asked accepts connections. servers is the number of those that are listed.", "service", "target", "servers")
 	StreamMoved = define(249, "stream_moved", logrus.InfoLevel,
 		"A stream continues at another backend server, because the version of its server is being withdrawn.", "request", "backend", "next", "after")
 
