control/feed: what a peer tells comes in bounded, compressed pages; a gap of the watches stays with the watchers

Besides, a daemon that knows nothing asked a peer for megabytes in one reply of 0.8 s: 544 of them failed at 32 daemons in 24 s.

Change: - a watch that is overdue by 200 ms makes its daemon confirm the configuration by a read; - a dropped history is no failure of the store: the watchers read everything at once, the revision is kept, and the others go on asking for what changed since; calls have to fail for 500 ms before peers are told to turn elsewhere; - the time since all entries were certainly known is kept beside that of the configuration, travels between daemons and gives the earliest time of an order; - replies hold at most 128 KB of changes in the order of revisions, compressed; each is complete up to its revision, so that a broken transfer goes on where it was. Full pages are kept for a second: daemons that start together are served one encoding.

--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -86,7 +86,7 @@
 	e.removalFloor = max(e.removalFloor, oldest.version)
 }
 
-// delta holds the changes after a revision.
+// delta holds the changes after a revision, in the order of revisions.
 type delta struct {
 	puts []store.KV
 	// removedKeys holds the keys removed since; it is unused if presentKeys is set.
@@ -94,34 +94,44 @@
 	// presentKeys holds all existing keys. It replaces removedKeys if the removals since the
 	// revision are no longer known.
 	presentKeys []string
-	// full reports that puts holds every entry, not only the changed ones.
-	full bool
+	// partial says that there are more changes after the revision upTo.
+	partial bool
+	upTo    int64
 }
 
-// since returns the changes after a revision; 0 selects every entry.
-func (e *entries) since(after int64) delta {
-	d := delta{full: after == 0}
-	ascendAfter(e.byVersion, after, func(key string) { d.puts = append(d.puts, e.kvs[key]) })
+// since returns the changes after a revision; 0 selects every entry. It returns no more than maxBytes
+// of keys and values, but all changes of a revision or none.
+func (e *entries) since(after int64, maxBytes int) delta {
+	var d delta
+	size := 0
+	e.byVersion.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
+		if size >= maxBytes && k.version != d.upTo {
+			d.partial = true
+			return false
+		}
+		kv := e.kvs[k.key]
+		d.puts, d.upTo = append(d.puts, kv), k.version
+		size += len(kv.Key) + len(kv.Value)
+		return true
+	})
 	switch {
-	case d.full:
+	case after == 0:
 	case after < e.removalFloor:
 		for key := range e.kvs {
 			d.presentKeys = append(d.presentKeys, key)
 		}
 	default:
-		ascendAfter(e.removals, after, func(key string) { d.removedKeys = append(d.removedKeys, key) })
+		e.removals.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
+			if d.partial && k.version > d.upTo {
+				return false
+			}
+			d.removedKeys = append(d.removedKeys, k.key)
+			return true
+		})
 	}
 	return d
 }
 
-// ascendAfter visits the keys with a revision after the given one, oldest first.
-func ascendAfter(h *keyHistory, after int64, visit func(key string)) {
-	h.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
-		visit(k.key)
-		return true
-	})
-}
-
 // absent returns the known keys that are not among the present ones.
 func (e *entries) absent(present []string) (keys []string) {
 	isPresent := make(map[string]bool, len(present))
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -48,9 +48,9 @@
 	Refused map[string]RefusedRequest
 	// Rollouts holds the orders and statuses of roll-outs, by service.
 	Rollouts map[string]Rollout
-	// PreviousConfirmedAt is the Clock time at which the state before this view was last confirmed
-	// as current; 0 if it never was.
-	PreviousConfirmedAt time.Duration
+	// PreviousCompleteAt is the Clock time at which the state before this view was last known to
+	// hold all that the store held; 0 if it never was. What is new in this view is younger.
+	PreviousCompleteAt time.Duration
 	// PublishedAt is the time at which this view was published; zero for the empty view before the
 	// first update.
 	PublishedAt time.Time
@@ -99,26 +99,34 @@
 	configReady     chan struct{} // closed when the first configuration is in force
 	configReadyOnce sync.Once     // closes configReady
 	storeReachable  atomic.Bool   // the last call to the store succeeded
-	peerAlsoStale   atomic.Bool   // the last peer polled had no recent confirmation either
-	confirmedByPeer atomic.Bool   // a peer has ended an overdue confirmation since the store last answered
-	noSourceUntil   atomic.Int64  // Clock time until which no source counts as available
-	sourceTurn      atomic.Uint64 // selects the source that is polled first
-	watchWakeup     chan struct{} // holds an item when this daemon has to start watching the store
-	ownEntryRead    chan struct{} // closed once ownEntry is set
-	ownEntry        store.KV      // this daemon's entry at its start; empty if there was none
+	// unreachableSince is the Clock time of the first failed call since the store last answered; 0
+	// if the last call succeeded.
+	unreachableSince atomic.Int64
+	peerAlsoStale    atomic.Bool   // the last peer polled had no recent confirmation either
+	confirmedByPeer  atomic.Bool   // a peer has ended an overdue confirmation since the store last answered
+	noSourceUntil    atomic.Int64  // Clock time until which no source counts as available
+	sourceTurn       atomic.Uint64 // selects the source that is polled first
+	watchWakeup      chan struct{} // holds an item when this daemon has to start watching the store
+	ownEntryRead     chan struct{} // closed once ownEntry is set
+	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
 
 	storeCalls *prometheus.CounterVec
 
-	mu              sync.Mutex // guards table, updated and changes of revision
-	table           *table
+	mu    sync.Mutex // guards the rest, and changes of revision
+	table *table
+	pages pageCache
+	// completeAt is the Clock time at which the entries held here were last known to be all there
+	// are; 0 before that.
+	completeAt      time.Duration
+	historyLost     bool          // the watch cannot continue from revision
 	expiryScheduled bool          // a call of expireGracePeriods is scheduled
 	updated         chan struct{} // closed and replaced when this daemon has something new to return to peers
-	revision        atomic.Int64  // store revision from which the watch continues; 0 forces a full read
+	revision        atomic.Int64  // store revision from which the watch continues; 0 if none is known
 }
 
 // New returns a Manager; Run starts it.
 func New(o Options) *Manager {
-	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), configReady: make(chan struct{}), storeCalls: newStoreCallsCounter()}
+	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), pages: pageCache{}, configReady: make(chan struct{}), storeCalls: newStoreCallsCounter()}
 	m.watchWakeup, m.ownEntryRead, m.updated = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 	m.sourceTurn.Store(rand.Uint64())
 	m.view.Store(&View{})
@@ -150,21 +158,33 @@
 	return m.opts.Clock() - time.Duration(at), true
 }
 
-// apply updates the table to a store revision. It does nothing if the table is at a later revision
-// already, so that a delayed answer does not undo newer changes. confirmedAt is the time at which
-// the configuration was known to be current.
-func (m *Manager) apply(confirmedAt time.Duration, revision int64, update func()) {
+// applied says what a change of the table rests on.
+type applied struct {
+	// confirmedAt is the Clock time at which the configuration was known to be current, and
+	// completeAt the same for all entries; 0 if the change does not show it.
+	confirmedAt, completeAt time.Duration
+	// revision is the store revision of the table after the change.
+	revision int64
+}
+
+// apply updates the table. It does nothing if the table is at a later revision already, so that a
+// delayed answer does not undo newer changes.
+func (m *Manager) apply(a applied, update func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision < m.revision.Load() {
+	if a.revision < m.revision.Load() {
 		return
 	}
 	update()
-	m.revision.Store(revision)
+	if a.revision > m.revision.Load() {
+		m.historyLost = false
+	}
+	m.revision.Store(a.revision)
 	m.publish()
 	defer m.notifyWaiters()
-	if int64(confirmedAt) > m.confirmedAt.Load() {
-		m.confirmedAt.Store(int64(confirmedAt))
+	m.completeAt = max(m.completeAt, a.completeAt)
+	if int64(a.confirmedAt) > m.confirmedAt.Load() {
+		m.confirmedAt.Store(int64(a.confirmedAt))
 	}
 	if m.table.config != nil {
 		m.configReadyOnce.Do(func() { close(m.configReady) })
@@ -176,7 +196,7 @@
 func (m *Manager) publish() {
 	if m.table.expire(m.opts.Clock()) || m.table.dirty {
 		view := m.table.view()
-		view.PublishedAt, view.PreviousConfirmedAt = time.Now(), time.Duration(m.confirmedAt.Load())
+		view.PublishedAt, view.PreviousCompleteAt = time.Now(), m.completeAt
 		m.view.Store(view)
 		m.table.dirty = false
 	}
@@ -226,6 +246,7 @@
 	if m.storeReachable.Swap(false) {
 		m.opts.Log.Emit(event.StoreLost, err)
 	}
+	m.unreachableSince.CompareAndSwap(0, int64(m.opts.Clock()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.publish()
@@ -236,6 +257,7 @@
 	if !m.storeReachable.Swap(true) {
 		m.opts.Log.Emit(event.StoreReached, m.revision.Load())
 	}
+	m.unreachableSince.Store(0)
 	m.confirmedByPeer.Store(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/control/feed/gap_test.go
@@ -0,0 +1,167 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"mallowwind.dev/decision/watchplan"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/telemetry/event"
+)
+
+// silentWatchStore is a store whose watches answer nothing while silent is set, and are cut when it
+// is reset.
+type silentWatchStore struct {
+	store.Store
+	silent *atomic.Bool
+}
+
+func (s silentWatchStore) Watch(ctx context.Context, prefix string, from int64) (store.Watcher, error) {
+	w, err := s.Store.Watch(ctx, prefix, from)
+	return silentWatcher{w, s.silent}, err
+}
+
+type silentWatcher struct {
+	store.Watcher
+	silent *atomic.Bool
+}
+
+func (w silentWatcher) Next(ctx context.Context) ([]store.Event, error) {
+	if !w.silent.Load() {
+		return w.Watcher.Next(ctx)
+	}
+	for w.silent.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, store.ErrUnavailable
+}
+
+// The store's watches answer nothing for almost two seconds, then its history is dropped and they are
+// cut. Only the daemons that watch may read everything again: if all did, each would take seconds
+// for it, and a release or a roll-out ordered meanwhile would be known seconds late.
+func TestOnlyWatchersReadAgainAfterGap(t *testing.T) {
+	const size = 61
+	inFleet(t, size, func(f *fleet) {
+		var silent atomic.Bool
+		for _, m := range f.feeds {
+			m.opts.Store = silentWatchStore{m.opts.Store, &silent}
+		}
+		f.startRegistered()
+		time.Sleep(10 * time.Second)
+		lists := func() (n int64) {
+			for _, faulty := range f.faultyStores {
+				n += faulty.Counts().List
+			}
+			return n
+		}
+		before := lists()
+		silent.Store(true)
+		for n := range 9 {
+			time.Sleep(200 * time.Millisecond)
+			f.put("server/"+fmt.Sprint(n), fmt.Sprint("a:", n))
+		}
+		f.put("config", "vv")
+		_, revision, err := f.store.List(f.t.Context(), "")
+		must.NoError(t, err)
+		f.store.Compact(revision)
+		silent.Store(false)
+		time.Sleep(1200 * time.Millisecond)
+		for n, m := range f.feeds {
+			must.Eq(t, int64(2), f.version(n), must.Sprint(n))
+			must.Eq(t, 9, m.View().Servers["s"].Len(), must.Sprint(n))
+		}
+		must.LessEq(t, watchplan.MaxWatchers, int(lists()-before))
+	})
+}
+
+// pagedState returns a Manager that holds a state of so many servers.
+func pagedState(t *testing.T, servers int) *Manager {
+	source := New(Options{Store: store.NewMemory(), Schema: textSchema{}, Clock: func() time.Duration { return time.Hour }, Log: event.Discard(), Self: "source"})
+	items := []store.KV{testEntry("config", "v", 1)}
+	random := rand.New(rand.NewPCG(1, 1))
+	for n := range servers {
+		value := fmt.Sprintf("10.%d.%d.%d:%d with a description of usual length in plain text, which %d", n>>16, n>>8&255, n&255, n+1, random.Uint64())
+		items = append(items, testEntry(fmt.Sprintf("server/i-%010x", random.Uint64()>>24), value, int64(n+2)))
+	}
+	source.apply(applied{confirmedAt: time.Hour, completeAt: time.Hour, revision: int64(servers + 1)}, func() {
+		source.table.replaceAll(0, 1, items)
+	})
+	return source
+}
+
+// A daemon that starts asks a peer for everything. At 10,000 servers that is megabytes, which a
+// small VM's link does not carry before the question times out, least of all for twenty daemons at
+// once: the state must come in replies of bounded size, each of which is progress.
+func TestWholeStateArrivesInBoundedReplies(t *testing.T) {
+	const servers, maxReplyBytes = 10_000, 64 << 10
+	synctest.Test(t, func(t *testing.T) {
+		source := pagedState(t, servers)
+		sink := newTable(textSchema{}, event.Discard())
+		have, replies := int64(0), 0
+		for {
+			reply, err := feedService{source}.Snapshot(t.Context(), &peerpb.SnapshotRequest{Have: have})
+			must.NoError(t, err)
+			must.LessEq(t, maxReplyBytes, proto.Size(reply))
+			replies++
+			reply, err = unpack(reply)
+			must.NoError(t, err)
+			must.Greater(t, have, reply.GetRevision())
+			have = reply.GetRevision()
+			sink.applyPage(0, have, !reply.GetPartial(), replyEvents(reply, reply.GetRemoved()))
+			if !reply.GetPartial() {
+				break
+			}
+		}
+		t.Logf("%d replies", replies)
+		must.Eq(t, servers, sink.view().Servers["s"].Len())
+		must.Eq(t, source.revision.Load(), have)
+		must.LessEq(t, maxCachedPages, len(source.pages))
+	})
+}
+
+// Servers change and leave between two pages. The daemon that asks must end up with exactly what the
+// source holds.
+func TestStateChangesBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := pagedState(t, 3000)
+		sink := newTable(textSchema{}, event.Discard())
+		have, version := int64(0), int64(10_000)
+		for partial := true; partial; {
+			reply, err := feedService{source}.Snapshot(t.Context(), &peerpb.SnapshotRequest{Have: have})
+			must.NoError(t, err)
+			reply, err = unpack(reply)
+			must.NoError(t, err)
+			have, partial = reply.GetRevision(), reply.GetPartial()
+			sink.applyPage(0, have, !partial, replyEvents(reply, reply.GetRemoved()))
+			if partial {
+				version += 10
+				source.apply(applied{revision: version}, func() {
+					n := 0
+					for key := range source.table.entries.kvs {
+						if n++; n > 20 || key == "config" {
+							break
+						}
+						if n%2 == 0 {
+							source.table.remove(0, key, version)
+						} else {
+							source.table.put(testEntry(key, fmt.Sprint("leaving b:", version, n), version))
+						}
+					}
+				})
+			}
+		}
+		must.Eq(t, len(source.table.entries.kvs), len(sink.entries.kvs))
+		for key, kv := range source.table.entries.kvs {
+			must.Eq(t, kv.Version, sink.entries.kvs[key].Version, must.Sprint(key))
+		}
+	})
+}
--- /dev/null
+++ b/control/feed/pages.go
@@ -0,0 +1,130 @@
+package feed
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/peerpb"
+)
+
+const (
+	// maxPageBytes bounds the keys and values of one reply to a peer. Compressed to a fifth or less,
+	// twenty of them pass a link of 20 Mbit/s within pollTimeout.
+	maxPageBytes = 128 << 10
+	// minPackedBytes is the size from which a reply is compressed.
+	minPackedBytes = 2 << 10
+	// maxUnpackedBytes bounds a reply after decompression: a page, all keys, and one value of the
+	// largest size.
+	maxUnpackedBytes = 16 << 20
+	// pageTTL is how long a full page is served again. Its entries may have changed since, but each
+	// later change has a later revision and follows with a later page.
+	pageTTL = time.Second
+	// maxCachedPages bounds the cached pages; a state of several thousand servers has a few dozen.
+	maxCachedPages = 64
+)
+
+// page is one reply's worth of changes after a revision.
+type page struct {
+	revision int64 // up to which the changes are complete
+	partial  bool  // there are more changes
+	content  *peerpb.SnapshotReply
+	packed   []byte // the compressed content; nil if it is small
+	builtAt  time.Duration
+}
+
+// pageCache holds the full pages sent lately, by the revision that they begin after. Daemons that
+// start together ask for the same pages, which are then encoded once. It is not safe for concurrent
+// use.
+type pageCache map[int64]*page
+
+func (c pageCache) get(now time.Duration, after int64) *page {
+	if p := c[after]; p != nil && now-p.builtAt < pageTTL {
+		return p
+	}
+	return nil
+}
+
+func (c pageCache) put(now time.Duration, after int64, p *page) {
+	for key, old := range c {
+		if now-old.builtAt >= pageTTL {
+			delete(c, key)
+		}
+	}
+	if len(c) < maxCachedPages {
+		p.builtAt = now
+		c[after] = p
+	}
+}
+
+// newPage encodes the changes of a delta. revision is the one up to which the table is complete.
+func newPage(d delta, revision int64) (*page, error) {
+	p := &page{revision: revision, partial: d.partial, content: &peerpb.SnapshotReply{Removed: d.removedKeys, Present: d.presentKeys}}
+	if d.partial {
+		p.revision = d.upTo
+	}
+	for _, kv := range d.puts {
+		p.content.Entries = append(p.content.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
+	}
+	if proto.Size(p.content) < minPackedBytes {
+		return p, nil
+	}
+	raw, err := proto.Marshal(p.content)
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: encode page")
+	}
+	p.packed, err = compress(raw)
+	return p, err
+}
+
+func compress(raw []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: compress page")
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, errors.Wrap(err, "feed: compress page")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "feed: compress page")
+	}
+	return out.Bytes(), nil
+}
+
+// unpack returns the reply with the content of its compressed part.
+func unpack(reply *peerpb.SnapshotReply) (*peerpb.SnapshotReply, error) {
+	if len(reply.GetPacked()) == 0 {
+		return reply, nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(reply.GetPacked())), maxUnpackedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "feed: decompress page")
+	}
+	if len(raw) > maxUnpackedBytes {
+		return nil, errors.Errorf("feed: page of more than %d bytes", maxUnpackedBytes)
+	}
+	var content peerpb.SnapshotReply
+	if err := proto.Unmarshal(raw, &content); err != nil {
+		return nil, errors.Wrap(err, "feed: decode page")
+	}
+	reply.Entries, reply.Removed, reply.Present, reply.Packed = content.GetEntries(), content.GetRemoved(), content.GetPresent(), nil
+	return reply, nil
+}
+
+// replyEvents returns the changes of a reply in the order in which they apply.
+func replyEvents(reply *peerpb.SnapshotReply, removed []string) []store.Event {
+	list := make([]store.Event, 0, len(reply.GetEntries())+len(removed))
+	for _, e := range reply.GetEntries() {
+		list = append(list, store.Event{Kind: store.Put, KV: store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()}})
+	}
+	for _, key := range removed {
+		list = append(list, store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: reply.GetRevision()}})
+	}
+	return list
+}
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -11,7 +11,6 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/watchplan"
-	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
@@ -176,8 +175,8 @@
 
 // pollPeer gets the changes from one daemon, which may hold the request for the given time. It
 // reports whether that daemon is a usable source, that is, whether it receives changes itself.
-func (m *Manager) pollPeer(ctx context.Context, address string, hold time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, hold+pollTimeout)
+func (m *Manager) pollPeer(parent context.Context, address string, hold time.Duration) bool {
+	ctx, cancel := context.WithTimeout(parent, hold+pollTimeout)
 	defer cancel()
 	sentAt := m.opts.Clock()
 	age, _ := m.confirmationAge()
@@ -185,6 +184,9 @@
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
 		Have: m.revision.Load(), WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(),
 	})
+	if err == nil {
+		reply, err = unpack(reply)
+	}
 	if err != nil {
 		m.peerAlsoStale.Store(false) // this daemon may be the one that is partitioned
 		m.opts.Log.Emit(event.FeedPeerFailed, address, err)
@@ -194,6 +196,9 @@
 	stale := time.Duration(reply.GetAgeMs())*time.Millisecond > maxFreshAge
 	m.peerAlsoStale.Store(stale)
 	m.applyReply(sentAt, address, reply)
+	if reply.GetPartial() && ctx.Err() == nil {
+		return m.pollPeer(parent, address, 0)
+	}
 	return !reply.GetLost() && !stale && reply.GetRevision() != 0
 }
 
@@ -218,22 +223,22 @@
 		return
 	}
 	wasOverdue, changed := m.isConfirmationOverdue(), false
-	m.apply(confirmedAt, reply.GetRevision(), func() {
+	a := applied{confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond, revision: reply.GetRevision()}
+	if reply.GetPartial() {
+		a.confirmedAt, a.completeAt = 0, 0
+	}
+	m.apply(a, func() {
 		before := m.table.changeCount
 		defer func() { changed = m.table.changeCount != before }()
 		if m.opts.Clock()-confirmedAt < maxFreshAge {
 			m.table.lastAnsweredAt = sentAt // the store answered a peer
 		}
 		m.table.recoveryUntil = max(m.table.recoveryUntil, sentAt+time.Duration(reply.GetDoubtMs())*time.Millisecond)
-		if reply.GetWhole() {
-			m.table.replaceAll(sentAt, reply.GetRevision(), replyEntries(reply))
-			return
-		}
 		removed := reply.GetRemoved()
 		if len(reply.GetPresent()) > 0 {
 			removed = m.table.entries.absent(reply.GetPresent())
 		}
-		m.table.applyEvents(sentAt, replyEvents(reply, removed))
+		m.table.applyPage(sentAt, reply.GetRevision(), !reply.GetPartial(), replyEvents(reply, removed))
 	})
 	recovered := wasOverdue && m.isFresh()
 	if recovered {
@@ -243,22 +248,3 @@
 		m.opts.Log.Emit(event.FeedLearned, address, reply.GetRevision(), reply.GetAgeMs())
 	}
 }
-
-func replyEntries(reply *peerpb.SnapshotReply) []store.KV {
-	list := make([]store.KV, 0, len(reply.GetEntries()))
-	for _, e := range reply.GetEntries() {
-		list = append(list, store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()})
-	}
-	return list
-}
-
-func replyEvents(reply *peerpb.SnapshotReply, removed []string) []store.Event {
-	list := make([]store.Event, 0, len(reply.GetEntries())+len(removed))
-	for _, kv := range replyEntries(reply) {
-		list = append(list, store.Event{Kind: store.Put, KV: kv})
-	}
-	for _, key := range removed {
-		list = append(list, store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: reply.GetRevision()}})
-	}
-	return list
-}
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -14,6 +14,9 @@
 	// minAgeGain is how much more recent the confirmation of the configuration must be to be worth
 	// an answer without other changes.
 	minAgeGain = 200 * time.Millisecond
+	// lostStoreTime is how long calls to the store fail before peers are told to turn elsewhere. It
+	// exceeds the wait between two calls.
+	lostStoreTime = 500 * time.Millisecond
 )
 
 // Handler returns the twirp service that peers call, and its path prefix.
@@ -35,26 +38,47 @@
 	if !known {
 		return &peerpb.SnapshotReply{}, nil
 	}
-	// The age is rounded up because it must never be reported as less than it is.
+	now := s.m.opts.Clock()
+	// The ages are rounded up because they must never be reported as less than they are.
 	reply := &peerpb.SnapshotReply{
-		Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1, Lost: s.m.hasLostStore(),
+		Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - s.m.completeAt).Milliseconds() + 1, Lost: s.m.hasLostStore(),
 	}
-	if left := s.m.table.recoveryUntil - s.m.opts.Clock(); left > 0 {
+	if left := s.m.table.recoveryUntil - now; left > 0 {
 		reply.DoubtMs = left.Milliseconds()
 	}
 	if q.GetHave() >= max(reply.Revision, s.m.table.entries.newestVersion) {
 		return reply, nil
 	}
-	d := s.m.table.entries.since(q.GetHave())
-	reply.Removed, reply.Present, reply.Whole = d.removedKeys, d.presentKeys, d.full
-	for _, kv := range d.puts {
-		reply.Entries = append(reply.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
+	p, err := s.m.pageAfter(now, q.GetHave())
+	if err != nil {
+		return nil, err
+	}
+	reply.Revision, reply.Partial, reply.Packed = p.revision, p.partial, p.packed
+	if p.packed == nil {
+		reply.Entries, reply.Removed, reply.Present = p.content.GetEntries(), p.content.GetRemoved(), p.content.GetPresent()
 	}
 	return reply, nil
 }
 
-// hasLostStore reports whether this daemon should watch the store but its last call failed.
-func (m *Manager) hasLostStore() bool { return m.shouldWatch() && !m.storeReachable.Load() }
+// pageAfter returns the next page of changes after a revision. The caller holds m.mu.
+func (m *Manager) pageAfter(now time.Duration, after int64) (*page, error) {
+	if p := m.pages.get(now, after); p != nil {
+		return p, nil
+	}
+	p, err := newPage(m.table.entries.since(after, maxPageBytes), m.revision.Load())
+	if err == nil && p.partial {
+		m.pages.put(now, after, p)
+	}
+	return p, err
+}
+
+// hasLostStore reports whether this daemon should watch the store but its calls have failed for a
+// while. A single failure is no loss: the store may cut all watches at once, and the whole fleet
+// would turn to it.
+func (m *Manager) hasLostStore() bool {
+	since := m.unreachableSince.Load()
+	return since != 0 && m.shouldWatch() && m.opts.Clock()-time.Duration(since) >= lostStoreTime
+}
 
 // awaitUpdate waits until this daemon has newer state than the caller of q, has lost the store, or
 // the time that q asks for has passed.
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -109,6 +109,21 @@
 	t.initialized, t.initializing = true, false
 }
 
+// applyPage applies changes that another daemon has read, complete up to a revision. last says that
+// there are no more. Until the last page of the first read, only additions are known.
+func (t *table) applyPage(now time.Duration, revision int64, last bool, events []store.Event) {
+	t.initializing = !t.initialized
+	t.applyEvents(now, events)
+	if t.initializing {
+		t.entries.removalFloor = revision
+		if last {
+			t.logInitialRead(revision)
+			t.initialized = true
+		}
+	}
+	t.initializing = false
+}
+
 // logInitialRead logs the number of known servers.
 func (t *table) logInitialRead(revision int64) {
 	services, leaving := map[string]int{}, 0
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -14,6 +14,7 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/decision/watchplan"
 	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
 )
 
 const (
@@ -51,6 +52,14 @@
 	registrationSettleTime = 500 * time.Millisecond
 )
 
+const (
+	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
+	// change.
+	silentWatchTime = 1200 * time.Millisecond
+	// watchLatency is the time from a change to the answer of a watch that waits for it.
+	watchLatency = 50 * time.Millisecond
+)
+
 // MaxBatchesPerSecond is the maximum rate at which a watching daemon reads batches of changes.
 const MaxBatchesPerSecond = float64(time.Second) / float64(batchPause)
 
@@ -65,17 +74,41 @@
 			m.awaitWakeup(ctx, pollInterval)
 			continue
 		}
+		before := m.completeAtNow()
 		err := m.watchStore(ctx)
-		if ctx.Err() != nil || err == nil {
+		if ctx.Err() != nil || err == nil || m.completeAtNow() > before {
 			failures = 0
-			continue
 		}
-		m.recordFailure(err)
-		m.backOff(ctx, failures)
-		failures++
+		compacted := errors.Is(err, store.ErrCompacted)
+		if compacted {
+			m.setHistoryLost()
+		}
+		switch {
+		case ctx.Err() != nil || err == nil:
+		case compacted && failures == 0:
+			failures++ // the store answers: what is missing is read at once
+		default:
+			m.recordFailure(err)
+			m.backOff(ctx, failures)
+			failures++
+		}
 	}
 }
 
+// setHistoryLost records that the watch cannot continue from the current revision.
+func (m *Manager) setHistoryLost() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.historyLost = true
+}
+
+// completeAtNow returns the Clock time at which all entries were last known.
+func (m *Manager) completeAtNow() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.completeAt
+}
+
 // awaitWakeup waits until d has passed or this daemon has to start watching the store.
 func (m *Manager) awaitWakeup(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -150,9 +183,11 @@
 // catchUp determines the revision from which the watch continues and confirms the configuration.
 // The read is needed because a watch without changes confirms nothing for a second.
 func (m *Manager) catchUp(ctx context.Context) error {
-	_, known := m.confirmationAge()
+	m.mu.Lock()
+	historyLost := m.historyLost
+	m.mu.Unlock()
 	switch {
-	case m.revision.Load() == 0 && known:
+	case historyLost:
 		return m.readAll(store.WithPurpose(ctx, store.PurposeReread))
 	case m.revision.Load() == 0:
 		return m.readInitial(store.WithPurpose(ctx, store.PurposeStart))
@@ -187,7 +222,7 @@
 		items = append(items, config)
 	}
 	m.recordAnswer(sentAt)
-	m.apply(sentAt, revision, func() { m.table.replaceAll(sentAt, revision, items) })
+	m.apply(applied{confirmedAt: sentAt, revision: revision}, func() { m.table.replaceAll(sentAt, revision, items) })
 	if m.ownEntry.Key == "" {
 		return m.awaitRegistrations(ctx)
 	}
@@ -247,7 +282,7 @@
 		return err
 	}
 	m.recordAnswer(sentAt)
-	m.apply(sentAt, m.revision.Load(), func() {
+	m.apply(applied{confirmedAt: sentAt, revision: m.revision.Load()}, func() {
 		if found && config.Version > m.table.entries.kvs[config.Key].Version {
 			m.table.put(config)
 		}
@@ -264,7 +299,10 @@
 		return err
 	}
 	m.recordAnswer(sentAt)
-	m.apply(sentAt, revision, func() { m.table.replaceAll(sentAt, revision, items) })
+	m.apply(applied{confirmedAt: sentAt, completeAt: sentAt, revision: revision}, func() {
+		m.table.replaceAll(sentAt, revision, items)
+		m.historyLost = false
+	})
 	return nil
 }
 
@@ -272,17 +310,27 @@
 // before the request was sent.
 func (m *Manager) readChanges(ctx context.Context, w store.Watcher) error {
 	sentAt := m.opts.Clock()
+	overdue := time.AfterFunc(silentWatchTime, func() { m.confirmDuringWatch(ctx) })
 	events, err := w.Next(ctx)
+	overdue.Stop()
 	if err != nil {
-		if errors.Is(err, store.ErrCompacted) {
-			m.revision.Store(0)
-		}
 		return err
 	}
 	m.recordAnswer(sentAt)
-	m.apply(sentAt, w.Revision(), func() { m.table.applyEvents(sentAt, events) })
+	completeAt := max(sentAt, m.opts.Clock()-watchLatency)
+	m.apply(applied{confirmedAt: sentAt, completeAt: completeAt, revision: w.Revision()}, func() { m.table.applyEvents(sentAt, events) })
 	if len(events) > 0 {
 		pause.For(ctx, batchPause)
 	}
 	return nil
 }
+
+// confirmDuringWatch reads the configuration while a watch is overdue.
+//
+// A store that stops serving watches, but answers other calls, would otherwise let the last
+// confirmation grow old at all daemons at once, and each would turn to the store for all entries.
+func (m *Manager) confirmDuringWatch(ctx context.Context) {
+	if err := m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread)); err != nil && ctx.Err() == nil {
+		m.opts.Log.Emit(event.ConfirmationFailed, err)
+	}
+}
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -15,8 +15,6 @@
 	// maxOrderDelay bounds the time from an order to its arrival at this daemon while the
 	// configuration is up to date: the batching of changes and the transmission.
 	maxOrderDelay = 150 * time.Millisecond
-	// staleConfigAge is more than the age that the configuration reaches in normal operation.
-	staleConfigAge = 2600 * time.Millisecond
 )
 
 // service is the rollout state of one service. The manager's lock guards it.
@@ -119,8 +117,8 @@
 	}
 	now := m.opts.Clock()
 	s.startedAt = now - maxOrderDelay
-	if before := view.PreviousConfirmedAt; before > 0 && now-before > staleConfigAge {
-		s.startedAt = before // the order may have been given at any time since then
+	if before := view.PreviousCompleteAt; before > 0 {
+		s.startedAt = min(s.startedAt, before) // the order may have been given at any time since then
 	}
 	if r.Status != nil && r.Status.OrderRevision == next.OrderRevision && r.Status.DeadlineMS > 0 {
 		// The rollout is already running; its remaining time follows from the wall clock alone.
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -83,6 +83,8 @@
 		"Entries that another daemon read from the store changed the configuration or the servers known here, or confirmed them after a gap.", "address", "revision", "age_ms")
 	ServersChanged = define(544, "servers_changed", logrus.InfoLevel,
 		"Backend servers registered, changed their entries or are gone, since the last such line. seen counts the new and changed ones, leaving those of them that are about to stop, gone the removed ones, and kept those of the removed ones that stay in use for a moment, because their leases may have expired during an outage of the store. first describes the first few.", "seen", "leaving", "gone", "kept", "first")
+	ConfirmationFailed = define(545, "confirmation_failed", logrus.WarnLevel,
+		"The configuration could not be read from the store while a watch was overdue.", "error")
 	StoreRead = define(540, "store_read", logrus.InfoLevel,
 		"All entries of the store were read for the first time, here or by another daemon. servers is the number of backend servers of each service, leaving the number of all servers that are leaving.", "servers", "leaving", "revision")
 	StoreCall = define(541, "store_call", logrus.DebugLevel,
