control/feed, decision/watchplan: daemons of a large fleet ask less often, and the largest links relay

Cause: a daemon asks its source again as soon as anything is newer, and at thousands of servers something always is: 4,425 questions a second of 1,000 daemons, which grows with the fleet. And the plan chose watchers and relays by the hash alone: at 984 daemons 45 of 50 relays were VMs with a tenth of the link of the 50 large ones.

Change: a question says for how long changes of servers and VMs are collected before it is answered, half a millisecond for each VM, at most 0.4 s, nothing below 200 VMs; the configuration, roll-outs and refusals are answered at once. VMs register the bandwidth of their link, and in each zone those with the largest watch and relay.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -90,7 +90,7 @@
 func platformGatewayOptions(s *nodefile.Settings, events *event.Log) (gateway.Options, error) {
 	keep := min(maxDirectoryTTL, s.MaxDirectoryTTL)
 	o := gateway.Options{
-		Self:           routing.VM{ID: s.VM, Zone: s.Zone, Address: s.CallerAddress, PeerAddress: s.PeerAddress},
+		Self:           routing.VM{ID: s.VM, Zone: s.Zone, Address: s.CallerAddress, PeerAddress: s.PeerAddress, LinkMbps: s.LinkMbps},
 		Store:          kv.New(s.StoreAddress),
 		Schema:         wire.Schema{},
 		Codec:          wire.Codec{},
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -450,3 +452,39 @@
 		must.Eq(f.t, 2, f.version(1))
 	})
 }
+
+// In a fleet of a thousand daemons servers register all the time. If each daemon asked again
+// with every change, questions would be all that the fleet does. A change of the configuration must
+// still not wait for that.
+func TestLargeFleetCollectsChanges(t *testing.T) {
+	const size, maxPerSecond = 1000, 2200
+	var polls atomic.Int64
+	inFleet(t, size, func(f *fleet) {
+		f.startRegistered()
+		time.Sleep(10 * time.Second)
+		counted := &http.Client{Transport: roundTripFunc(func(r *http.Request) (*http.Response, error) {
+			polls.Add(1)
+			return f.RoundTrip(r)
+		})}
+		for _, m := range f.feeds {
+			m.opts.Dialer.Client = counted
+		}
+		const seconds = 3
+		for n := range 20 * seconds {
+			f.put(fmt.Sprint("server/", n), fmt.Sprint("a:", n))
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("%d questions a second", polls.Load()/seconds)
+		must.LessEq(t, maxPerSecond*seconds, int(polls.Load()))
+		f.put("config", "vv")
+		time.Sleep(700 * time.Millisecond)
+		for n := range f.feeds {
+			must.Eq(t, int64(2), f.version(n), must.Sprint(n))
+		}
+	})
+}
+
+// roundTripFunc implements http.RoundTripper.
+type roundTripFunc func(*http.Request) (*http.Response, error)
+
+func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -36,6 +36,13 @@
 	// longPollPause is the mean pause between held requests. It is short so that successive changes
 	// arrive without delay.
 	longPollPause = 100 * time.Millisecond
+	// collectTimePerVM is how long each registered VM makes the others collect changes of servers and
+	// VMs. All daemons together then ask at most two thousand times a second, however many they are
+	// and however often something changes.
+	collectTimePerVM = 500 * time.Microsecond
+	// minCollectTime is the time below which changes are not collected, and maxCollectTime bounds the
+	// delay of a change at each of the two or three daemons that pass it on.
+	minCollectTime, maxCollectTime = 100 * time.Millisecond, 400 * time.Millisecond
 	// pollTimeout is many round trips. A daemon that does not answer within it, after the time for
 	// which it holds the request, is taken for lost.
 	pollTimeout = 300 * time.Millisecond
@@ -86,7 +93,7 @@
 	list := make([]watchplan.VM, 0, len(vms))
 	for _, vm := range vms {
 		if !vm.Draining {
-			list = append(list, watchplan.VM{ID: vm.ID, Hash: xxhash.Sum64String(vm.ID), Zone: vm.Zone})
+			list = append(list, watchplan.VM{ID: vm.ID, Hash: xxhash.Sum64String(vm.ID), Zone: vm.Zone, LinkMbps: vm.LinkMbps})
 		}
 	}
 	return watchplan.New(list)
@@ -182,7 +189,7 @@
 	age, _ := m.confirmationAge()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
-		Have: m.revision.Load(), WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(),
+		Have: m.revision.Load(), WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
 	})
 	if err == nil {
 		reply, err = unpack(reply)
@@ -202,6 +209,15 @@
 	return !reply.GetLost() && !stale && reply.GetRevision() != 0
 }
 
+// collectTime returns how long the polled daemon collects changes that can wait.
+func (m *Manager) collectTime() time.Duration {
+	t := time.Duration(len(m.View().VMs)) * collectTimePerVM
+	if t < minCollectTime {
+		return 0
+	}
+	return min(t, maxCollectTime)
+}
+
 // IsStoreDown reports whether the store seems to be unreachable for every daemon: the last
 // confirmation is overdue both here and at the peer polled last.
 func (m *Manager) IsStoreDown() bool {
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -87,19 +87,25 @@
 	if hold <= 0 {
 		return
 	}
-	callerConfirmedAt := m.opts.Clock() - time.Duration(q.GetAgeMs())*time.Millisecond
+	began := m.opts.Clock()
+	callerConfirmedAt := began - time.Duration(q.GetAgeMs())*time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
-	for {
+	collected := time.NewTimer(time.Duration(q.GetCollectMs()) * time.Millisecond)
+	defer collected.Stop()
+	for isCollecting := true; ; {
 		m.mu.Lock()
 		updated := m.updated
 		newer := m.revision.Load() > q.GetHave() || time.Duration(m.confirmedAt.Load()) > callerConfirmedAt+minAgeGain
+		urgent := m.table.urgentRevision > q.GetHave()
 		m.mu.Unlock()
-		if newer || m.hasLostStore() {
+		if urgent || newer && !isCollecting || m.hasLostStore() {
 			return
 		}
 		select {
 		case <-updated:
+		case <-collected.C:
+			isCollecting = false
 		case <-ctx.Done():
 			return
 		}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -60,6 +60,8 @@
 	// due to a lease that expired during an outage.
 	lastAnsweredAt, recoveryUntil time.Duration
 	dirty                         bool
+	// urgentRevision is the highest revision of an entry that describes neither a server nor a VM.
+	urgentRevision int64
 	// changeCount counts the changes of the configuration, the servers and the roll-outs. An entry
 	// that is rewritten with the same value does not count for the configuration and the servers.
 	changeCount int
@@ -150,18 +152,19 @@
 func (t *table) put(kv store.KV) {
 	t.entries.put(kv)
 	t.dirty = true
-	if kv.Key == t.schema.ConfigKey() {
-		t.putConfig(kv.Value)
-		return
-	}
 	if id, ok := t.schema.ServerID(kv.Key); ok {
 		t.putServer(id, kv)
 		return
 	}
+	if strings.HasPrefix(kv.Key, vmPrefix) {
+		t.putVM(kv)
+		return
+	}
+	t.urgentRevision = max(t.urgentRevision, kv.Version)
 	switch {
+	case kv.Key == t.schema.ConfigKey():
+		t.putConfig(kv.Value)
 	case t.putRollout(kv):
-	case strings.HasPrefix(kv.Key, vmPrefix):
-		t.putVM(kv)
 	case strings.HasPrefix(kv.Key, refusedPrefix):
 		t.refusedRequests[kv.Key], t.refusedChanged = decodeRefused(kv), true
 	}
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -256,6 +256,8 @@
 	Address     string `json:"address"` // for callers
 	PeerAddress string `json:"peer"`    // for other entry VMs
 	Draining    bool   `json:"leaving,omitempty"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 if unknown.
+	LinkMbps int `json:"link_mbps,omitempty"`
 }
 
 // Serving returns the entry VMs that are not draining, and the hashes of their ids for rendezvous
--- a/decision/watchplan/watchplan.go
+++ b/decision/watchplan/watchplan.go
@@ -11,7 +11,8 @@
 //
 // Decision: a small number of daemons watch, independent of the size of the fleet. In each zone, a
 // number of relays proportional to its size pass on the changes, so that each relay serves about
-// twenty daemons, and all daemons except the relays query within their zone. Every daemon computes
+// twenty daemons, and all daemons except the relays query within their zone. The VMs with the largest
+// links watch and relay. Every daemon computes
 // the same plan from the same VMs, which needs no agreement. A plan has no state that could be lost:
 // if the watchers fail, a daemon that finds no other to query watches the store itself.
 package watchplan
@@ -29,7 +30,7 @@
 	// several zones.
 	MaxWatchers = 5
 	// ClientsPerRelay is how many daemons query one relay. More would saturate the link of a small
-	// VM when a zone is lost and all its servers change at once.
+	// VM when a zone is lost and all its servers change at once, in a zone without larger ones.
 	ClientsPerRelay = 20
 )
 
@@ -38,11 +39,13 @@
 	ID   string
 	Hash uint64 // of ID
 	Zone string
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 if unknown.
+	LinkMbps int
 }
 
 // Plan says which daemons watch the store and which daemons each one queries. It is immutable.
 type Plan struct {
-	zones      map[string][]VM // by zone, each sorted by hash
+	zones      map[string][]VM // by zone, the largest links first, then by hash
 	zoneOf     map[string]string
 	watchers   []string
 	watcherSet map[string]bool
@@ -62,7 +65,9 @@
 		p.zoneOf[vm.ID] = vm.Zone
 	}
 	for _, members := range p.zones {
-		slices.SortFunc(members, func(a, b VM) int { return cmp.Compare(a.Hash, b.Hash) })
+		slices.SortFunc(members, func(a, b VM) int {
+			return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.Hash, b.Hash))
+		})
 	}
 	p.chooseWatchers(len(vms))
 	p.chooseRelays()
--- a/decision/watchplan/watchplan_test.go
+++ b/decision/watchplan/watchplan_test.go
@@ -105,3 +105,32 @@
 	must.SliceContainsAll(t, sources(p, unknown), p.Watchers())
 	must.SliceEmpty(t, sources(New(nil), unknown))
 }
+
+// In a fleet with a few large VMs, a small one that relays changes saturates its link and delays them
+// for twenty others. The large ones must be chosen first.
+func TestLargestLinksRelay(t *testing.T) {
+	vms := fleet(984, 5)
+	for n := range vms {
+		vms[n].LinkMbps = 20
+		if n/5%20 == 0 {
+			vms[n].LinkMbps = 200
+		}
+	}
+	large := map[string]bool{}
+	for _, vm := range vms {
+		large[vm.ID] = vm.LinkMbps == 200
+	}
+	p := New(vms)
+	for _, id := range p.Watchers() {
+		must.True(t, large[id])
+	}
+	largeRelays := 0
+	for _, zone := range []string{"z0", "z1", "z2", "z3", "z4"} {
+		for _, id := range p.Relays(zone) {
+			if large[id] {
+				largeRelays++
+			}
+		}
+	}
+	must.Eq(t, 50, largeRelays)
+}
