control/feed: daemons wake for a change of the configuration in place of looking for one

Change: the feed has a channel that is closed when an entry other than a server's or VM's changed; the limits and the refused requests wait for it. A daemon that does not watch the store wakes when the plan changes or its confirmation is too old.

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"strings"
 	"time"
 )
 
@@ -48,6 +49,7 @@
 		t.removeServer(now, id)
 		return
 	}
+	t.controlChanged = t.controlChanged || !strings.HasPrefix(key, vmPrefix)
 	if vm, ok := t.vms[key]; ok && !vm.Draining && now < t.recoveryUntil {
 		// Daemons that are about to register again must not seem to be gone meanwhile: each
 		// remaining daemon would take the whole retry budget and all engines for itself.
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -106,7 +106,7 @@
 	confirmedByPeer  atomic.Bool   // a peer has ended an overdue confirmation since the store last answered
 	noSourceUntil    atomic.Int64  // Clock time until which no source counts as available
 	sourceTurn       atomic.Uint64 // selects the source that is polled first
-	watchWakeup      chan struct{} // holds an item when this daemon has to start watching the store
+	watchWakeup      chan struct{} // holds an item when this daemon may have to start watching the store
 	ownEntryRead     chan struct{} // closed once ownEntry is set
 	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
 
@@ -121,6 +121,7 @@
 	historyLost     bool          // the watch cannot continue from revision
 	expiryScheduled bool          // a call of expireGracePeriods is scheduled
 	updated         chan struct{} // closed and replaced when this daemon has something new to return to peers
+	controlChanged  chan struct{} // see ControlChanged
 	revision        atomic.Int64  // store revision from which the watch continues; 0 if none is known
 }
 
@@ -128,6 +129,7 @@
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), pages: pageCache{}, configReady: make(chan struct{}), storeCalls: newStoreCallsCounter()}
 	m.watchWakeup, m.ownEntryRead, m.updated = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	m.controlChanged = make(chan struct{})
 	m.sourceTurn.Store(rand.Uint64())
 	m.view.Store(&View{})
 	m.SetSeeds(o.Seeds)
@@ -197,9 +199,18 @@
 	if m.table.expire(m.opts.Clock()) || m.table.dirty {
 		view := m.table.view()
 		view.PublishedAt, view.PreviousCompleteAt = time.Now(), m.completeAt
+		planned := m.View().watchPlan != view.watchPlan
 		m.view.Store(view)
+		if planned {
+			m.wakeRun()
+		}
 		m.table.dirty = false
 	}
+	if m.table.controlChanged {
+		m.table.controlChanged = false
+		close(m.controlChanged)
+		m.controlChanged = make(chan struct{})
+	}
 	m.table.changes.flush(m.opts.Clock(), m.opts.Log)
 	m.scheduleExpiry()
 }
@@ -222,6 +233,14 @@
 	time.AfterFunc(after, m.expireGracePeriods)
 }
 
+// wakeRun makes Run check whether this daemon watches the store.
+func (m *Manager) wakeRun() {
+	select {
+	case m.watchWakeup <- struct{}{}:
+	default:
+	}
+}
+
 // notifyWaiters wakes the snapshot requests that wait for an update. The caller holds m.mu.
 func (m *Manager) notifyWaiters() {
 	close(m.updated)
@@ -237,6 +256,15 @@
 	m.publish()
 }
 
+// ControlChanged returns a channel that is closed at the next change of an entry that describes
+// neither a server nor a VM: the configuration, a roll-out or a refused request. Take the channel
+// before the view.
+func (m *Manager) ControlChanged() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.controlChanged
+}
+
 // ConfigReady returns a channel that is closed once a configuration is in force.
 func (m *Manager) ConfigReady() <-chan struct{} { return m.configReady }
 
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -140,10 +140,7 @@
 	}
 	m.sourceTurn.Add(1)
 	m.noSourceUntil.Store(int64(m.opts.Clock() + noSourceTime))
-	select {
-	case m.watchWakeup <- struct{}{}:
-	default:
-	}
+	m.wakeRun()
 	return false
 }
 
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -62,6 +62,8 @@
 	dirty                         bool
 	// urgentRevision is the highest revision of an entry that describes neither a server nor a VM.
 	urgentRevision int64
+	// controlChanged is set by a change of such an entry, until the next view.
+	controlChanged bool
 	// changeCount counts the changes of the configuration, the servers and the roll-outs. An entry
 	// that is rewritten with the same value does not count for the configuration and the servers.
 	changeCount int
@@ -160,7 +162,7 @@
 		t.putVM(kv)
 		return
 	}
-	t.urgentRevision = max(t.urgentRevision, kv.Version)
+	t.urgentRevision, t.controlChanged = max(t.urgentRevision, kv.Version), true
 	switch {
 	case kv.Key == t.schema.ConfigKey():
 		t.putConfig(kv.Value)
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -56,6 +56,8 @@
 	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
 	// change.
 	silentWatchTime = 1200 * time.Millisecond
+	// minWatchCheck is the least time between two checks whether this daemon watches the store.
+	minWatchCheck = 10 * time.Millisecond
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
 	watchLatency = 50 * time.Millisecond
 )
@@ -71,7 +73,7 @@
 	peers.Go(func() { m.pollPeers(ctx) })
 	for failures := 0; ctx.Err() == nil; {
 		if !m.shouldWatch() {
-			m.awaitWakeup(ctx, pollInterval)
+			m.awaitWakeup(ctx, m.timeToWatch())
 			continue
 		}
 		before := m.completeAtNow()
@@ -109,6 +111,13 @@
 	return m.completeAt
 }
 
+// timeToWatch returns when the last confirmation will be so old that this daemon watches the store
+// itself.
+func (m *Manager) timeToWatch() time.Duration {
+	age, _ := m.confirmationAge()
+	return max(selfWatchAge-age, 0) + minWatchCheck
+}
+
 // awaitWakeup waits until d has passed or this daemon has to start watching the store.
 func (m *Manager) awaitWakeup(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/serve/forward/poisonstore.go
+++ b/serve/forward/poisonstore.go
@@ -13,12 +13,8 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-const (
-	// storeRetryInterval is the mean delay before a failed store write is retried.
-	storeRetryInterval = time.Second
-	// viewSyncInterval is how often the view is processed while no requests arrive.
-	viewSyncInterval = time.Second
-)
+// storeRetryInterval is the mean delay before a failed store write is retried.
+const storeRetryInterval = time.Second
 
 // wakeWriter makes run write the pending entries.
 func (p *poisonRegistry) wakeWriter() {
@@ -36,18 +32,17 @@
 		p.fetchMarks(ctx)
 	case <-ctx.Done():
 	}
-	ticker := time.NewTicker(viewSyncInterval)
-	defer ticker.Stop()
 	for {
+		changed := p.h.opts.Feed.ControlChanged()
+		p.mu.Lock()
+		p.syncView(p.h.opts.Feed.View())
+		p.mu.Unlock()
 		select {
 		case <-p.wakeup:
 			if !p.writePending(ctx) {
 				time.AfterFunc(storeRetryInterval/2+rand.N(storeRetryInterval), p.wakeWriter)
 			}
-		case <-ticker.C:
-			p.mu.Lock()
-			p.syncView(p.h.opts.Feed.View())
-			p.mu.Unlock()
+		case <-changed:
 		case <-ctx.Done():
 			return
 		}
--- a/serve/gateway/caller_server.go
+++ b/serve/gateway/caller_server.go
@@ -10,13 +10,12 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/telemetry/event"
 )
 
 const (
-	// limitsCheckInterval is how often the limits in force are compared with the configuration.
-	limitsCheckInterval = 500 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept, so that a persistent error does not
 	// use up a CPU core. Callers wait one second for a connection.
 	acceptRetryDelay = 50 * time.Millisecond
@@ -108,19 +107,17 @@
 }
 
 // watchLimits applies changes of the configured limits until ctx is done.
-func (c *callerServer) watchLimits(ctx context.Context, config func() *routing.Config) {
-	tick := time.NewTicker(limitsCheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		if cfg := config(); cfg != nil && !equalServerLimits(cfg.Limits, c.limits) {
+func (c *callerServer) watchLimits(ctx context.Context, source *feed.Manager) {
+	for ctx.Err() == nil {
+		changed := source.ControlChanged()
+		if cfg := source.View().Config; cfg != nil && !equalServerLimits(cfg.Limits, c.limits) {
 			c.apply(cfg.Limits)
 			c.log.Emit(event.LimitsInForce, cfg.Version, cfg.Limits.HeaderBytes, cfg.Limits.HeaderTimeout, cfg.Limits.IdleTimeout)
 		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
 	}
 }
 
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -200,7 +200,7 @@
 	discard := log.New(io.Discard, "", 0) // errors of callers are reported as events
 	callers := newCallerServer(g.opts.Callers, g.handler, g.opts.Log, discard)
 	go callers.accept()
-	go callers.watchLimits(ctx, func() *routing.Config { return g.feed.View().Config })
+	go callers.watchLimits(ctx, g.feed)
 	closers := []io.Closer{callers}
 	for _, l := range []struct {
 		listener net.Listener
