decision/rollout: the pace of a stream shows a slow version only beyond 3.6 times the median

Two prompts that an engine reads beside a stream triple the mean of its first 24 events (30 ms, 180 ms while a prompt is read), and the few servers that a target may use meet more prompts than the others.

Change: 3.6 in place of 2.6 for that kind of sample alone; times to the first event and of whole answers keep theirs. A version four times slower exceeds it on an engine without prompts.

--- a/decision/rollout/evidence.go
+++ b/decision/rollout/evidence.go
@@ -57,6 +57,9 @@
 const (
 	// slowRatio is the multiple of the baseline's median above which a sample counts as slow.
 	slowRatio = 2.6
+	// slowPaceRatio is the same for the time between events. It is larger because two prompts that
+	// an engine prefills beside a stream triple the mean of its first events, on any version.
+	slowPaceRatio = 3.6
 	// sparseSlowRatio replaces slowRatio where there are too few baseline samples of the same time
 	// bin, because the service may be slow for reasons other than its version.
 	sparseSlowRatio = 4
@@ -296,6 +299,9 @@
 			return !isZoneLoss(s)
 		}
 		ratio := slowRatio
+		if s.Kind == EventInterval {
+			ratio = slowPaceRatio
+		}
 		if s.OnTarget && binCounts[s.EndedAt/binWidth] < minBinSamples {
 			ratio = sparseSlowRatio
 		}
