--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -160,8 +160,8 @@
 	return m.opts.Clock() - time.Duration(at), true
 }
 
-// applied says what a change of the table rests on.
-type applied struct {
+// basis says what a change of the table rests on.
+type basis struct {
 	// confirmedAt is the Clock time at which the configuration was known to be current, and
 	// completeAt the same for all entries; 0 if the change does not show it.
 	confirmedAt, completeAt time.Duration
@@ -171,22 +171,22 @@
 
 // apply updates the table. It does nothing if the table is at a later revision already, so that a
 // delayed answer does not undo newer changes.
-func (m *Manager) apply(a applied, update func()) {
+func (m *Manager) apply(b basis, update func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if a.revision < m.revision.Load() {
+	if b.revision < m.revision.Load() {
 		return
 	}
 	update()
-	if a.revision > m.revision.Load() {
+	if b.revision > m.revision.Load() {
 		m.historyLost = false
 	}
-	m.revision.Store(a.revision)
+	m.revision.Store(b.revision)
 	m.publish()
 	defer m.notifyWaiters()
-	m.completeAt = max(m.completeAt, a.completeAt)
-	if int64(a.confirmedAt) > m.confirmedAt.Load() {
-		m.confirmedAt.Store(int64(a.confirmedAt))
+	m.completeAt = max(m.completeAt, b.completeAt)
+	if int64(b.confirmedAt) > m.confirmedAt.Load() {
+		m.confirmedAt.Store(int64(b.confirmedAt))
 	}
 	if m.table.config != nil {
 		m.configReadyOnce.Do(func() { close(m.configReady) })
@@ -199,9 +199,9 @@
 	if m.table.expire(m.opts.Clock()) || m.table.dirty {
 		view := m.table.view()
 		view.PublishedAt, view.PreviousCompleteAt = time.Now(), m.completeAt
-		planned := m.View().watchPlan != view.watchPlan
+		planChanged := m.View().watchPlan != view.watchPlan
 		m.view.Store(view)
-		if planned {
+		if planChanged {
 			m.wakeRun()
 		}
 		m.table.dirty = false
--- a/control/feed/fleet_test.go
+++ b/control/feed/fleet_test.go
@@ -395,8 +395,8 @@
 func TestLateWatchAnswerIsIgnored(t *testing.T) {
 	inFleet(t, 1, func(f *fleet) {
 		m := f.feeds[0]
-		m.apply(applied{confirmedAt: time.Hour, revision: 9}, func() { m.table.applyEvents(0, []store.Event{putEvent("server/1", "leaving a:1", 9)}) })
-		m.apply(applied{confirmedAt: time.Hour, revision: 5}, func() { m.table.applyEvents(0, []store.Event{putEvent("server/1", "a:1", 5)}) })
+		m.apply(basis{confirmedAt: time.Hour, revision: 9}, func() { m.table.applyEvents(0, []store.Event{putEvent("server/1", "leaving a:1", 9)}) })
+		m.apply(basis{confirmedAt: time.Hour, revision: 5}, func() { m.table.applyEvents(0, []store.Event{putEvent("server/1", "a:1", 5)}) })
 		must.True(t, first(m.View()).Draining)
 	})
 }
--- a/control/feed/gap_test.go
+++ b/control/feed/gap_test.go
@@ -92,7 +92,7 @@
 		value := fmt.Sprintf("10.%d.%d.%d:%d with a description of usual length in plain text, which %d", n>>16, n>>8&255, n&255, n+1, random.Uint64())
 		items = append(items, testEntry(fmt.Sprintf("server/i-%010x", random.Uint64()>>24), value, int64(n+2)))
 	}
-	source.apply(applied{confirmedAt: time.Hour, completeAt: time.Hour, revision: int64(servers + 1)}, func() {
+	source.apply(basis{confirmedAt: time.Hour, completeAt: time.Hour, revision: int64(servers + 1)}, func() {
 		source.table.replaceAll(0, 1, items)
 	})
 	return source
@@ -144,7 +144,7 @@
 			sink.applyPage(0, have, !partial, replyEvents(reply, reply.GetRemoved()))
 			if partial {
 				version += 10
-				source.apply(applied{revision: version}, func() {
+				source.apply(basis{revision: version}, func() {
 					n := 0
 					for key := range source.table.entries.kvs {
 						if n++; n > 20 || key == "config" {
--- a/control/feed/pages.go
+++ b/control/feed/pages.go
@@ -33,9 +33,10 @@
 type page struct {
 	revision int64 // up to which the changes are complete
 	partial  bool  // there are more changes
-	content  *peerpb.SnapshotReply
-	packed   []byte // the compressed content; nil if it is small
-	builtAt  time.Duration
+	// content holds the changes; packed holds them compressed in its place if they are large.
+	content *peerpb.SnapshotReply
+	packed  []byte
+	builtAt time.Duration
 }
 
 // pageCache holds the full pages sent lately, by the revision that they begin after. Daemons that
@@ -43,19 +44,16 @@
 // use.
 type pageCache map[int64]*page
 
-func (c pageCache) get(now time.Duration, after int64) *page {
-	if p := c[after]; p != nil && now-p.builtAt < pageTTL {
-		return p
+// prune drops the pages that are older than pageTTL.
+func (c pageCache) prune(now time.Duration) {
+	for after, p := range c {
+		if now-p.builtAt >= pageTTL {
+			delete(c, after)
+		}
 	}
-	return nil
 }
 
 func (c pageCache) put(now time.Duration, after int64, p *page) {
-	for key, old := range c {
-		if now-old.builtAt >= pageTTL {
-			delete(c, key)
-		}
-	}
 	if len(c) < maxCachedPages {
 		p.builtAt = now
 		c[after] = p
@@ -64,17 +62,19 @@
 
 // newPage encodes the changes of a delta. revision is the one up to which the table is complete.
 func newPage(d delta, revision int64) (*page, error) {
-	p := &page{revision: revision, partial: d.partial, content: &peerpb.SnapshotReply{Removed: d.removedKeys, Present: d.presentKeys}}
+	p := &page{revision: revision, partial: d.partial}
 	if d.partial {
 		p.revision = d.upTo
 	}
+	content := &peerpb.SnapshotReply{Removed: d.removedKeys, Present: d.presentKeys}
 	for _, kv := range d.puts {
-		p.content.Entries = append(p.content.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
+		content.Entries = append(content.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
 	}
-	if proto.Size(p.content) < minPackedBytes {
+	if proto.Size(content) < minPackedBytes {
+		p.content = content
 		return p, nil
 	}
-	raw, err := proto.Marshal(p.content)
+	raw, err := proto.Marshal(content)
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: encode page")
 	}
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -236,11 +236,11 @@
 		return
 	}
 	wasOverdue, changed := m.isConfirmationOverdue(), false
-	a := applied{confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond, revision: reply.GetRevision()}
+	b := basis{confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond, revision: reply.GetRevision()}
 	if reply.GetPartial() {
-		a.confirmedAt, a.completeAt = 0, 0
+		b.confirmedAt, b.completeAt = 0, 0
 	}
-	m.apply(a, func() {
+	m.apply(b, func() {
 		before := m.table.changeCount
 		defer func() { changed = m.table.changeCount != before }()
 		if m.opts.Clock()-confirmedAt < maxFreshAge {
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	reply.Revision, reply.Partial, reply.Packed = p.revision, p.partial, p.packed
-	if p.packed == nil {
+	if p.content != nil {
 		reply.Entries, reply.Removed, reply.Present = p.content.GetEntries(), p.content.GetRemoved(), p.content.GetPresent()
 	}
 	return reply, nil
@@ -62,7 +62,8 @@
 
 // pageAfter returns the next page of changes after a revision. The caller holds m.mu.
 func (m *Manager) pageAfter(now time.Duration, after int64) (*page, error) {
-	if p := m.pages.get(now, after); p != nil {
+	m.pages.prune(now)
+	if p := m.pages[after]; p != nil {
 		return p, nil
 	}
 	p, err := newPage(m.table.entries.since(after, maxPageBytes), m.revision.Load())
@@ -81,19 +82,19 @@
 }
 
 // awaitUpdate waits until this daemon has newer state than the caller of q, has lost the store, or
-// the time that q asks for has passed.
+// the time that q asks for has passed. Changes of servers and VMs are collected for a part of that
+// time.
 func (m *Manager) awaitUpdate(ctx context.Context, q *peerpb.SnapshotRequest) {
 	hold := min(time.Duration(q.GetWaitMs())*time.Millisecond, maxSnapshotHold)
 	if hold <= 0 {
 		return
 	}
-	began := m.opts.Clock()
-	callerConfirmedAt := began - time.Duration(q.GetAgeMs())*time.Millisecond
+	callerConfirmedAt := m.opts.Clock() - time.Duration(q.GetAgeMs())*time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, hold)
 	defer cancel()
 	collected := time.NewTimer(time.Duration(q.GetCollectMs()) * time.Millisecond)
 	defer collected.Stop()
-	for isCollecting := true; ; {
+	for isCollecting := q.GetCollectMs() > 0; ; {
 		m.mu.Lock()
 		updated := m.updated
 		newer := m.revision.Load() > q.GetHave() || time.Duration(m.confirmedAt.Load()) > callerConfirmedAt+minAgeGain
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -76,9 +76,9 @@
 			m.awaitWakeup(ctx, m.timeToWatch())
 			continue
 		}
-		before := m.completeAtNow()
+		before := m.lastCompleteAt()
 		err := m.watchStore(ctx)
-		if ctx.Err() != nil || err == nil || m.completeAtNow() > before {
+		if ctx.Err() != nil || err == nil || m.lastCompleteAt() > before {
 			failures = 0
 		}
 		compacted := errors.Is(err, store.ErrCompacted)
@@ -104,8 +104,8 @@
 	m.historyLost = true
 }
 
-// completeAtNow returns the Clock time at which all entries were last known.
-func (m *Manager) completeAtNow() time.Duration {
+// lastCompleteAt returns the Clock time at which all entries were last known.
+func (m *Manager) lastCompleteAt() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.completeAt
@@ -231,7 +231,7 @@
 		items = append(items, config)
 	}
 	m.recordAnswer(sentAt)
-	m.apply(applied{confirmedAt: sentAt, revision: revision}, func() { m.table.replaceAll(sentAt, revision, items) })
+	m.apply(basis{confirmedAt: sentAt, revision: revision}, func() { m.table.replaceAll(sentAt, revision, items) })
 	if m.ownEntry.Key == "" {
 		return m.awaitRegistrations(ctx)
 	}
@@ -291,7 +291,7 @@
 		return err
 	}
 	m.recordAnswer(sentAt)
-	m.apply(applied{confirmedAt: sentAt, revision: m.revision.Load()}, func() {
+	m.apply(basis{confirmedAt: sentAt, revision: m.revision.Load()}, func() {
 		if found && config.Version > m.table.entries.kvs[config.Key].Version {
 			m.table.put(config)
 		}
@@ -308,7 +308,7 @@
 		return err
 	}
 	m.recordAnswer(sentAt)
-	m.apply(applied{confirmedAt: sentAt, completeAt: sentAt, revision: revision}, func() {
+	m.apply(basis{confirmedAt: sentAt, completeAt: sentAt, revision: revision}, func() {
 		m.table.replaceAll(sentAt, revision, items)
 		m.historyLost = false
 	})
@@ -327,7 +327,7 @@
 	}
 	m.recordAnswer(sentAt)
 	completeAt := max(sentAt, m.opts.Clock()-watchLatency)
-	m.apply(applied{confirmedAt: sentAt, completeAt: completeAt, revision: w.Revision()}, func() { m.table.applyEvents(sentAt, events) })
+	m.apply(basis{confirmedAt: sentAt, completeAt: completeAt, revision: w.Revision()}, func() { m.table.applyEvents(sentAt, events) })
 	if len(events) > 0 {
 		pause.For(ctx, batchPause)
 	}
