control/feed: pages of a peer and a daemon's own first read do not replace each other

A page counted as the revision of the table before it was whole: the first read of the store, which is older, was dropped then, or left out, and the watch began at a revision long gone; and a page that arrived after such a read rested on what the read had replaced.

Change: pages count apart until the last has come, and a reply applies only to a table that holds what it was asked to continue. The test plays both orders.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -119,6 +119,7 @@
 	// are; 0 before that.
 	completeAt      time.Duration
 	historyLost     bool          // the watch cannot continue from revision
+	partialRevision int64         // up to which peers have told changes that are not complete yet; 0 if none
 	expiryScheduled bool          // a call of expireGracePeriods is scheduled
 	updated         chan struct{} // closed and replaced when this daemon has something new to return to peers
 	controlChanged  chan struct{} // see ControlChanged
@@ -167,6 +168,10 @@
 	confirmedAt, completeAt time.Duration
 	// revision is the store revision of the table after the change.
 	revision int64
+	// partial says that there are more changes, so that the table is at no revision of the store.
+	partial bool
+	// after is the revision up to which the table has to be complete for the change to apply.
+	after int64
 }
 
 // apply updates the table. It does nothing if the table is at a later revision already, so that a
@@ -174,13 +179,19 @@
 func (m *Manager) apply(b basis, update func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if b.revision < m.revision.Load() {
+	if b.revision < m.revision.Load() || b.after > max(m.revision.Load(), m.partialRevision) {
 		return
 	}
 	update()
+	if b.partial {
+		m.partialRevision = b.revision
+		m.publish()
+		return
+	}
 	if b.revision > m.revision.Load() {
 		m.historyLost = false
 	}
+	m.partialRevision = 0
 	m.revision.Store(b.revision)
 	m.publish()
 	defer m.notifyWaiters()
--- a/control/feed/gap_test.go
+++ b/control/feed/gap_test.go
@@ -165,3 +165,43 @@
 		}
 	})
 }
+
+// All daemons start anew while the store holds thousands of servers. A daemon may hear the first pages
+// from a peer before its own first read of the store, which is older. It must end up with everything,
+// whichever arrives first.
+func TestFirstReadBetweenPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := pagedState(t, 3000)
+		m := New(Options{Store: store.NewMemory(), Schema: textSchema{}, Clock: func() time.Duration { return time.Hour }, Log: event.Discard(), Self: "sink"})
+		poll := func() (partial bool) {
+			have := m.toldRevision()
+			reply, err := feedService{source}.Snapshot(t.Context(), &peerpb.SnapshotRequest{Have: have})
+			must.NoError(t, err)
+			reply, err = unpack(reply)
+			must.NoError(t, err)
+			m.applyReply(time.Hour, have, "source", reply)
+			return reply.GetPartial()
+		}
+		must.True(t, poll())
+		must.True(t, poll())
+		_, known := m.confirmationAge()
+		must.False(t, known)
+		must.Zero(t, m.revision.Load())
+
+		late, err := feedService{source}.Snapshot(t.Context(), &peerpb.SnapshotRequest{Have: m.toldRevision()})
+		must.NoError(t, err)
+		after := m.toldRevision()
+		m.apply(basis{confirmedAt: time.Hour, revision: 100}, func() {
+			m.table.replaceAll(time.Hour, 100, []store.KV{testEntry("config", "v", 1)}) // as of revision 100
+		})
+		late, err = unpack(late)
+		must.NoError(t, err)
+		m.applyReply(time.Hour, after, "source", late) // rests on what the read has replaced
+		must.Eq(t, int64(100), m.revision.Load())
+		must.Eq(t, 0, m.View().Servers["s"].Len())
+		for poll() {
+		}
+		must.Eq(t, source.revision.Load(), m.revision.Load())
+		must.Eq(t, 2901, m.View().Servers["s"].Len()) // those of revisions 101 to 3001
+	})
+}
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -185,8 +185,9 @@
 	sentAt := m.opts.Clock()
 	age, _ := m.confirmationAge()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
+	have := m.toldRevision()
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
-		Have: m.revision.Load(), WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
+		Have: have, WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
 	})
 	if err == nil {
 		reply, err = unpack(reply)
@@ -199,13 +200,20 @@
 	}
 	stale := time.Duration(reply.GetAgeMs())*time.Millisecond > maxFreshAge
 	m.peerAlsoStale.Store(stale)
-	m.applyReply(sentAt, address, reply)
+	m.applyReply(sentAt, have, address, reply)
 	if reply.GetPartial() && ctx.Err() == nil {
 		return m.pollPeer(parent, address, 0)
 	}
 	return !reply.GetLost() && !stale && reply.GetRevision() != 0
 }
 
+// toldRevision returns the revision after which peers are asked for changes.
+func (m *Manager) toldRevision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(m.revision.Load(), m.partialRevision)
+}
+
 // collectTime returns how long the polled daemon collects changes that can wait.
 func (m *Manager) collectTime() time.Duration {
 	t := time.Duration(len(m.View().VMs)) * collectTimePerVM
@@ -222,11 +230,11 @@
 	return m.peerAlsoStale.Load() && (!known || age >= maxFreshAge)
 }
 
-// applyReply applies the state of a peer if it is newer. The confirmation time is computed from the
+// applyReply applies the changes after a revision that a peer has told, if they are news. The confirmation time is computed from the
 // time at which the request was sent, so that it is never later than the true one.
 //
 // A higher revision alone is not logged because every heartbeat of a server raises it.
-func (m *Manager) applyReply(sentAt time.Duration, address string, reply *peerpb.SnapshotReply) {
+func (m *Manager) applyReply(sentAt time.Duration, after int64, address string, reply *peerpb.SnapshotReply) {
 	if reply.GetRevision() == 0 {
 		return
 	}
@@ -236,9 +244,9 @@
 		return
 	}
 	wasOverdue, changed := m.isConfirmationOverdue(), false
-	b := basis{confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond, revision: reply.GetRevision()}
-	if reply.GetPartial() {
-		b.confirmedAt, b.completeAt = 0, 0
+	b := basis{
+		confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond,
+		revision: reply.GetRevision(), partial: reply.GetPartial(), after: after,
 	}
 	m.apply(b, func() {
 		before := m.table.changeCount
