control/feed: a daemon that starts asks peers after its own first read of the store

Change: peers are asked when the first read has ended, well or badly, after 1.5 s at the latest. While a watch is silent, the configuration is confirmed again every 0.7 s.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -107,6 +107,8 @@
 	noSourceUntil    atomic.Int64  // Clock time until which no source counts as available
 	sourceTurn       atomic.Uint64 // selects the source that is polled first
 	watchWakeup      chan struct{} // holds an item when this daemon may have to start watching the store
+	firstRead        chan struct{} // closed when the first read of the store has ended
+	firstReadOnce    sync.Once     // closes firstRead
 	ownEntryRead     chan struct{} // closed once ownEntry is set
 	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
 
@@ -130,7 +132,7 @@
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), pages: pageCache{}, configReady: make(chan struct{}), storeCalls: newStoreCallsCounter()}
 	m.watchWakeup, m.ownEntryRead, m.updated = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
-	m.controlChanged = make(chan struct{})
+	m.controlChanged, m.firstRead = make(chan struct{}), make(chan struct{})
 	m.sourceTurn.Store(rand.Uint64())
 	m.view.Store(&View{})
 	m.SetSeeds(o.Seeds)
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -48,6 +48,9 @@
 	pollTimeout = 300 * time.Millisecond
 	// maxPolledPeers is how many daemons are polled in one round.
 	maxPolledPeers = 4
+	// maxFirstRead is how long a daemon that starts waits for its own first read of the store before
+	// it asks others.
+	maxFirstRead = 1500 * time.Millisecond
 	// sourceFailoverTime is how long a round continues with further daemons after the first one
 	// could not answer.
 	sourceFailoverTime = 250 * time.Millisecond
@@ -109,7 +112,8 @@
 	if m.opts.Dialer == nil {
 		return
 	}
-	meanPause := longPollPause // a starting daemon reads the store first
+	m.awaitFirstRead(ctx)
+	meanPause := longPollPause
 	for pause.For(ctx, meanPause*3/4+rand.N(meanPause/2)) {
 		meanPause = pollInterval
 		if watchWorks := m.isFresh() && m.shouldWatch() && !m.hasNoSource(); !watchWorks && m.pollSources(ctx) {
@@ -118,6 +122,21 @@
 	}
 }
 
+// awaitFirstRead waits until this daemon's first read of the store has ended, well or badly, but no
+// longer than a slow one takes.
+//
+// It covers the restart of a whole fleet. All daemons know only the same few seeds then, and would
+// pull everything over the links of those while each reads the store itself.
+func (m *Manager) awaitFirstRead(ctx context.Context) {
+	timer := time.NewTimer(maxFirstRead)
+	defer timer.Stop()
+	select {
+	case <-m.firstRead:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // pollSources polls one daemon after the other until one can answer, and reports whether one could.
 // If none can, this daemon starts to watch the store itself.
 func (m *Manager) pollSources(ctx context.Context) bool {
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -55,7 +55,9 @@
 const (
 	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
 	// change.
-	silentWatchTime = 1200 * time.Millisecond
+	silentWatchTime = 1100 * time.Millisecond
+	// silentConfirmInterval is the time between two confirmations while a watch does not answer.
+	silentConfirmInterval = 700 * time.Millisecond
 	// minWatchCheck is the least time between two checks whether this daemon watches the store.
 	minWatchCheck = 10 * time.Millisecond
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
@@ -169,7 +171,9 @@
 
 // watchStore watches the store until a call fails or the plan leaves the watch to other daemons.
 func (m *Manager) watchStore(ctx context.Context) error {
-	if err := m.catchUp(ctx); err != nil {
+	err := m.catchUp(ctx)
+	m.firstReadOnce.Do(func() { close(m.firstRead) })
+	if err != nil {
 		return err
 	}
 	if !m.shouldWatch() {
@@ -319,9 +323,10 @@
 // before the request was sent.
 func (m *Manager) readChanges(ctx context.Context, w store.Watcher) error {
 	sentAt := m.opts.Clock()
-	overdue := time.AfterFunc(silentWatchTime, func() { m.confirmDuringWatch(ctx) })
+	watchCtx, answered := context.WithCancel(ctx)
+	go m.confirmDuringWatch(watchCtx)
 	events, err := w.Next(ctx)
-	overdue.Stop()
+	answered()
 	if err != nil {
 		return err
 	}
@@ -334,12 +339,14 @@
 	return nil
 }
 
-// confirmDuringWatch reads the configuration while a watch is overdue.
+// confirmDuringWatch reads the configuration while a watch is overdue, until ctx ends.
 //
 // A store that stops serving watches, but answers other calls, would otherwise let the last
 // confirmation grow old at all daemons at once, and each would turn to the store for all entries.
 func (m *Manager) confirmDuringWatch(ctx context.Context) {
-	if err := m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread)); err != nil && ctx.Err() == nil {
-		m.opts.Log.Emit(event.ConfirmationFailed, err)
+	for wait := silentWatchTime; pause.For(ctx, wait); wait = silentConfirmInterval {
+		if err := m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread)); err != nil && ctx.Err() == nil {
+			m.opts.Log.Emit(event.ConfirmationFailed, err)
+		}
 	}
 }
