control/feed: a dropped history is read again at once also after a cut watch, and only once in a row

"Read at once" asked that no call had failed before, but the store cuts the watch first: the cut, a wait, "gone", a second wait take up to 0.75 s, and after 0.5 s peers are told that the store is lost and turn to it. And the count of failures was reset by any news of peers or a read of everything, so that a history that is always too short was read again and again without a wait.

Change: the loop counts a reread by itself, and only an answer of the watch resets both counts. The time of completeness is no longer read for it.

--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -73,15 +73,15 @@
 	var peers sync.WaitGroup
 	defer peers.Wait()
 	peers.Go(func() { m.pollPeers(ctx) })
-	for failures := 0; ctx.Err() == nil; {
+	failures, historyReread := 0, false
+	for ctx.Err() == nil {
 		if !m.shouldWatch() {
 			m.awaitWakeup(ctx, m.timeToWatch())
 			continue
 		}
-		before := m.lastCompleteAt()
-		err := m.watchStore(ctx)
-		if ctx.Err() != nil || err == nil || m.lastCompleteAt() > before {
-			failures = 0
+		watched, err := m.watchStore(ctx)
+		if watched || err == nil {
+			failures, historyReread = 0, false
 		}
 		compacted := errors.Is(err, store.ErrCompacted)
 		if compacted {
@@ -89,8 +89,8 @@
 		}
 		switch {
 		case ctx.Err() != nil || err == nil:
-		case compacted && failures == 0:
-			failures++ // the store answers: what is missing is read at once
+		case compacted && !historyReread:
+			historyReread = true // the store answers: what is missing is read at once
 		default:
 			m.recordFailure(err)
 			m.backOff(ctx, failures)
@@ -106,13 +106,6 @@
 	m.historyLost = true
 }
 
-// lastCompleteAt returns the Clock time at which all entries were last known.
-func (m *Manager) lastCompleteAt() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.completeAt
-}
-
 // timeToWatch returns when the last confirmation will be so old that this daemon watches the store
 // itself.
 func (m *Manager) timeToWatch() time.Duration {
@@ -170,27 +163,29 @@
 }
 
 // watchStore watches the store until a call fails or the plan leaves the watch to other daemons.
-func (m *Manager) watchStore(ctx context.Context) error {
-	err := m.catchUp(ctx)
+// watched reports whether the watch has answered.
+func (m *Manager) watchStore(ctx context.Context) (watched bool, err error) {
+	err = m.catchUp(ctx)
 	m.firstReadOnce.Do(func() { close(m.firstRead) })
 	if err != nil {
-		return err
+		return false, err
 	}
 	if !m.shouldWatch() {
-		return nil
+		return false, nil
 	}
 	w, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.revision.Load())
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer w.Close()
 	ctx = store.WithPurpose(ctx, store.PurposeWatch)
 	for m.shouldWatch() {
 		if err := m.readChanges(ctx, w); err != nil {
-			return err
+			return watched, err
 		}
+		watched = true
 	}
-	return nil
+	return watched, nil
 }
 
 // catchUp determines the revision from which the watch continues and confirms the configuration.
