--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -145,7 +145,7 @@
 			continue // it has returned, and may have departed again
 		}
 		if _, listed := t.servers[d.id]; listed {
-			t.departures = append(t.departures, departure{d.id, d.at})
+			t.departures = append(t.departures, d)
 			return
 		}
 		t.departed.Delete(d.id)
--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/tidwall/btree"
 
@@ -117,9 +119,7 @@
 	switch {
 	case after == 0:
 	case after < e.removalFloor:
-		for key := range e.kvs {
-			d.presentKeys = append(d.presentKeys, key)
-		}
+		d.presentKeys = slices.Collect(maps.Keys(e.kvs))
 	default:
 		e.removals.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
 			if d.partial && k.version > d.upTo {
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -61,6 +61,16 @@
 	watchPlan *watchplan.Plan
 }
 
+// Server returns the usable server with an id.
+func (v *View) Server(id string) (routing.Server, bool) {
+	for _, servers := range v.Servers {
+		if s, ok := servers.Get(id); ok {
+			return s, true
+		}
+	}
+	return routing.Server{}, false
+}
+
 // HasDeparted reports whether a server is known to be leaving or gone.
 func (v *View) HasDeparted(id string) bool {
 	if v.departed == nil {
--- a/control/feed/listing.go
+++ b/control/feed/listing.go
@@ -104,10 +104,8 @@
 func (t *table) listAddress(address string) {
 	newest := ""
 	for _, id := range t.atAddress[address] {
-		s := t.servers[id]
-		t.listing(s.Service).remove(id)
-		if !t.isConfigured(s.Service) {
-			t.reject(id, errors.Errorf("field service is %q, which the configuration does not name", s.Service))
+		if service := t.servers[id].Service; !t.isConfigured(service) {
+			t.reject(id, errors.Errorf("field service is %q, which the configuration does not name", service))
 			continue
 		}
 		delete(t.rejections, id)
@@ -115,8 +113,12 @@
 			newest = id
 		}
 	}
-	if newest != "" {
-		t.listing(t.servers[newest].Service).set(t.servers[newest])
+	for _, id := range t.atAddress[address] {
+		if s := t.servers[id]; id == newest {
+			t.listing(s.Service).set(s)
+		} else {
+			t.listing(s.Service).remove(id)
+		}
 	}
 }
 
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -49,7 +49,8 @@
 	// maxPolledPeers is how many daemons are polled in one round.
 	maxPolledPeers = 4
 	// maxFirstRead is how long a daemon that starts waits for its own first read of the store before
-	// it asks others.
+	// it asks others. When a whole fleet restarts, all daemons know only the same few seeds, and would
+	// pull everything over the links of those while each reads the store itself.
 	maxFirstRead = 1500 * time.Millisecond
 	// sourceFailoverTime is how long a round continues with further daemons after the first one
 	// could not answer.
@@ -112,7 +113,7 @@
 	if m.opts.Dialer == nil {
 		return
 	}
-	m.awaitFirstRead(ctx)
+	pause.Until(ctx, m.firstRead, maxFirstRead)
 	meanPause := longPollPause
 	for pause.For(ctx, meanPause*3/4+rand.N(meanPause/2)) {
 		meanPause = pollInterval
@@ -122,21 +123,6 @@
 	}
 }
 
-// awaitFirstRead waits until this daemon's first read of the store has ended, well or badly, but no
-// longer than a slow one takes.
-//
-// It covers the restart of a whole fleet. All daemons know only the same few seeds then, and would
-// pull everything over the links of those while each reads the store itself.
-func (m *Manager) awaitFirstRead(ctx context.Context) {
-	timer := time.NewTimer(maxFirstRead)
-	defer timer.Stop()
-	select {
-	case <-m.firstRead:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // pollSources polls one daemon after the other until one can answer, and reports whether one could.
 // If none can, this daemon starts to watch the store itself.
 func (m *Manager) pollSources(ctx context.Context) bool {
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -32,24 +32,11 @@
 // than the caller, Snapshot waits for the time that the caller asks for.
 func (s feedService) Snapshot(ctx context.Context, q *peerpb.SnapshotRequest) (*peerpb.SnapshotReply, error) {
 	s.m.awaitUpdate(ctx, q)
-	s.m.mu.Lock()
-	defer s.m.mu.Unlock()
-	age, known := s.m.confirmationAge()
-	if !known {
-		return &peerpb.SnapshotReply{}, nil
-	}
-	now := s.m.opts.Clock()
-	// The ages are rounded up because they must never be reported as less than they are.
-	reply := &peerpb.SnapshotReply{
-		Revision: s.m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - s.m.completeAt).Milliseconds() + 1, Lost: s.m.hasLostStore(),
-	}
-	if left := s.m.table.recoveryUntil - now; left > 0 {
-		reply.DoubtMs = left.Milliseconds()
-	}
-	if q.GetHave() >= max(reply.Revision, s.m.table.entries.newestVersion) {
+	reply, next := s.m.replyTo(q)
+	if next == nil {
 		return reply, nil
 	}
-	p, err := s.m.pageAfter(now, q.GetHave())
+	p, err := next()
 	if err != nil {
 		return nil, err
 	}
@@ -60,14 +47,40 @@
 	return reply, nil
 }
 
-// pageAfter returns the next page of changes after a revision. The caller holds m.mu.
-func (m *Manager) pageAfter(now time.Duration, after int64) (*page, error) {
+// replyTo returns the reply to a peer without the changes, and a function that encodes these; nil if
+// there are none. The function is called without the lock, because compressing takes long.
+func (m *Manager) replyTo(q *peerpb.SnapshotRequest) (*peerpb.SnapshotReply, func() (*page, error)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	age, known := m.confirmationAge()
+	if !known {
+		return &peerpb.SnapshotReply{}, nil
+	}
+	now, after := m.opts.Clock(), q.GetHave()
+	// The ages are rounded up because they must never be reported as less than they are.
+	reply := &peerpb.SnapshotReply{
+		Revision: m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - m.completeAt).Milliseconds() + 1, Lost: m.hasLostStore(),
+	}
+	if left := m.table.recoveryUntil - now; left > 0 {
+		reply.DoubtMs = left.Milliseconds()
+	}
+	if after >= max(reply.Revision, m.table.entries.newestVersion) {
+		return reply, nil
+	}
 	m.pages.prune(now)
 	if p := m.pages[after]; p != nil {
-		return p, nil
+		return reply, func() (*page, error) { return p, nil }
 	}
-	p, err := newPage(m.table.entries.since(after, maxPageBytes), m.revision.Load())
+	d, revision := m.table.entries.since(after, maxPageBytes), reply.Revision
+	return reply, func() (*page, error) { return m.encodePage(now, after, d, revision) }
+}
+
+// encodePage returns the page of the changes after a revision, and keeps it if it is a full one.
+func (m *Manager) encodePage(now time.Duration, after int64, d delta, revision int64) (*page, error) {
+	p, err := newPage(d, revision)
 	if err == nil && p.partial {
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.pages.put(now, after, p)
 	}
 	return p, err
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -74,7 +74,7 @@
 
 func newTable(schema Schema, log *event.Log) *table {
 	return &table{
-		schema: schema, log: log, dirty: true,
+		schema: schema, log: log, dirty: true, vmsChanged: true, refusedChanged: true,
 		entries:         newEntries(),
 		servers:         map[string]*routing.Server{},
 		incarnations:    map[string]int64{},
@@ -95,37 +95,38 @@
 // logs one line for all servers. At a large site, a line for each server at each start of a daemon
 // fills the log with entries that nobody looks for.
 func (t *table) replaceAll(now time.Duration, revision int64, items []store.KV) {
-	t.initializing = !t.initialized
-	present := make(map[string]bool, len(items))
-	for _, kv := range items {
-		present[kv.Key] = true
-		t.put(kv)
-	}
-	for key := range t.entries.kvs {
-		if !present[key] {
-			t.remove(now, key, revision)
+	t.fill(revision, true, func() {
+		present := make(map[string]bool, len(items))
+		for _, kv := range items {
+			present[kv.Key] = true
+			t.put(kv)
 		}
-	}
-	if t.initializing {
-		t.entries.removalFloor = revision
-		t.logInitialRead(revision)
-	}
-	t.initialized, t.initializing = true, false
+		for key := range t.entries.kvs {
+			if !present[key] {
+				t.remove(now, key, revision)
+			}
+		}
+	})
 }
 
 // applyPage applies changes that another daemon has read, complete up to a revision. last says that
-// there are no more. Until the last page of the first read, only additions are known.
+// there are no more.
 func (t *table) applyPage(now time.Duration, revision int64, last bool, events []store.Event) {
+	t.fill(revision, last, func() { t.applyEvents(now, events) })
+}
+
+// fill runs update, which is part of the first read unless that has ended. last says whether the
+// first read ends with it. Removals before the revision of the first read are not known.
+func (t *table) fill(revision int64, last bool, update func()) {
 	t.initializing = !t.initialized
-	t.applyEvents(now, events)
+	update()
 	if t.initializing {
 		t.entries.removalFloor = revision
 		if last {
 			t.logInitialRead(revision)
-			t.initialized = true
 		}
 	}
-	t.initializing = false
+	t.initialized, t.initializing = t.initialized || last, false
 }
 
 // logInitialRead logs the number of known servers.
--- a/control/feed/view.go
+++ b/control/feed/view.go
@@ -15,7 +15,7 @@
 			v.Servers[service] = l.publish()
 		}
 	}
-	if t.vmsChanged || t.published == nil {
+	if t.vmsChanged {
 		for _, key := range slices.Sorted(maps.Keys(t.vms)) {
 			v.VMs = append(v.VMs, t.vms[key])
 		}
@@ -23,7 +23,7 @@
 	} else {
 		v.VMs, v.watchPlan = t.published.VMs, t.published.watchPlan
 	}
-	if t.refusedChanged || t.published == nil {
+	if t.refusedChanged {
 		v.Refused = make(map[string]RefusedRequest, len(t.refusedRequests))
 		for _, r := range t.refusedRequests {
 			v.Refused[r.Digest] = r
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -76,7 +76,7 @@
 	failures, historyReread := 0, false
 	for ctx.Err() == nil {
 		if !m.shouldWatch() {
-			m.awaitWakeup(ctx, m.timeToWatch())
+			pause.Until(ctx, m.watchWakeup, m.timeToWatch())
 			continue
 		}
 		watched, err := m.watchStore(ctx)
@@ -113,17 +113,6 @@
 	return max(selfWatchAge-age, 0) + minWatchCheck
 }
 
-// awaitWakeup waits until d has passed or this daemon has to start watching the store.
-func (m *Manager) awaitWakeup(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-m.watchWakeup:
-	case <-ctx.Done():
-	}
-}
-
 // backOff waits before the next attempt to reach the store. It recomputes the delay while it waits,
 // because the plan may select this daemon or a peer may reach the store meanwhile.
 func (m *Manager) backOff(ctx context.Context, failures int) {
--- a/control/pause/pause.go
+++ b/control/pause/pause.go
@@ -17,3 +17,14 @@
 		return false
 	}
 }
+
+// Until waits until wake has an item or is closed, d has passed or ctx ends, whichever is first.
+func Until(ctx context.Context, wake <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -121,14 +121,9 @@
 // because answers in progress finish at its version.
 func (p *pool) isFinishingRuns(view *feed.View, s routing.Server) bool {
 	state := p.versions.Snapshot(view).State(s.Service)
+	current, listed := view.Server(s.ID)
 	return state.Stage == rollout.Full && s.Version == state.Baseline &&
-		listsServing(view, s)
-}
-
-// listsServing reports whether a view lists a server as one that is not leaving.
-func listsServing(view *feed.View, s routing.Server) bool {
-	current, ok := view.Servers[s.Service].Get(s.ID)
-	return ok && current.Incarnation() == s.Incarnation() && !current.Draining
+		listed && current.Incarnation() == s.Incarnation() && !current.Draining
 }
 
 // runningAtOldVersions returns how many requests of this daemon are in progress at servers of other
@@ -156,32 +151,20 @@
 	return incarnation
 }
 
-const (
-	// maxCheckedServers is how many servers are asked for a connection to tell whether any server of
-	// a version is left.
-	maxCheckedServers = 3
-	// connectionCheckTimeout is many round trips.
-	connectionCheckTimeout = 250 * time.Millisecond
-)
+// maxCheckedServers is how many servers are asked for a connection to tell whether any server of a
+// version is left.
+const maxCheckedServers = 3
 
 // acceptsAny reports whether one of a few servers, chosen at random, accepts a connection.
-func (h *Handler) acceptsAny(ctx context.Context, servers []routing.Server) bool {
-	ctx, cancel := context.WithTimeout(ctx, connectionCheckTimeout)
-	defer cancel()
+func (h *Handler) acceptsAny(servers []routing.Server) bool {
 	chosen := rand.Perm(len(servers))
 	chosen = chosen[:min(maxCheckedServers, len(chosen))]
-	results := make(chan bool, len(chosen))
+	states := make(chan processState, len(chosen))
 	for _, i := range chosen {
-		go func() {
-			conn, err := h.dial(ctx, "tcp", servers[i].Address)
-			if err == nil {
-				conn.Close()
-			}
-			results <- err == nil
-		}()
+		go func() { states <- h.processStateAt(servers[i].Address) }()
 	}
 	for range chosen {
-		if <-results {
+		if <-states == processAlive {
 			return true
 		}
 	}
--- a/serve/forward/limits.go
+++ b/serve/forward/limits.go
@@ -157,10 +157,6 @@
 
 // findServer returns the server with an incarnation, if the view lists it.
 func (h *Handler) findServer(incarnation routing.Incarnation) (routing.Server, bool) {
-	for _, servers := range h.opts.Feed.View().Servers {
-		if s, ok := servers.Get(incarnation.ID); ok && s.Incarnation() == incarnation {
-			return s, true
-		}
-	}
-	return routing.Server{}, false
+	s, ok := h.opts.Feed.View().Server(incarnation.ID)
+	return s, ok && s.Incarnation() == incarnation
 }
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -95,16 +95,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateView(view, snapshot)
-	l := p.serverSet(service)
-	if name, ok := strings.CutSuffix(service, canarySuffix); ok {
-		l = p.canarySet(name)
-	}
+	l := p.setFor(service)
 	if l == nil {
 		return choice{}, false
 	}
 	return pick(l)
 }
 
+// setFor returns the server set of a service, or that of its canaries for a canaryKey.
+func (p *pool) setFor(key string) *serverSet {
+	if service, ok := strings.CutSuffix(key, canarySuffix); ok {
+		return p.canarySet(service)
+	}
+	return p.serverSet(key)
+}
+
 // recordFailure makes a server a last resort for a while.
 func (p *pool) recordFailure(now time.Time, s routing.Server) {
 	if p.markSuspect(now, s) {
--- a/serve/forward/successors.go
+++ b/serve/forward/successors.go
@@ -18,12 +18,8 @@
 
 // lists reports whether a view lists an incarnation of a server.
 func lists(view *feed.View, incarnation routing.Incarnation) bool {
-	for _, servers := range view.Servers {
-		if s, ok := servers.Get(incarnation.ID); ok && s.Incarnation() == incarnation {
-			return true
-		}
-	}
-	return false
+	s, ok := view.Server(incarnation.ID)
+	return ok && s.Incarnation() == incarnation
 }
 
 // recordSuccessor records that a server of the view was replaced by a new one at its address. The
@@ -50,10 +46,8 @@
 	if known, ok := p.successors[listed]; ok && known.ID == next.ID && known.StartedAtMS >= next.StartedAtMS {
 		return false
 	}
-	for _, servers := range view.Servers {
-		if s, ok := servers.Get(next.ID); ok && s.StartedAtMS >= next.StartedAtMS {
-			return false // the view already lists it
-		}
+	if s, ok := view.Server(next.ID); ok && s.StartedAtMS >= next.StartedAtMS {
+		return false // the view already lists it
 	}
 	p.successors[listed] = next
 	p.successorChanges++
--- a/serve/versions/decide.go
+++ b/serve/versions/decide.go
@@ -62,7 +62,7 @@
 	deadline := time.Now().Add(s.startedAt + s.period - now).UnixMilli()
 	s.retryAt = now + writeRetryDelay
 	m.mu.Unlock()
-	if step.State.Stage == rollout.Completed && !m.targetAccepts(ctx, view, step.State, s.name) {
+	if step.State.Stage == rollout.Completed && !m.targetAccepts(view, step.State, s.name) {
 		return
 	}
 	err := m.writeStatus(ctx, view, s, routing.RolloutStatus{State: step.State, DeadlineMS: deadline})
@@ -79,14 +79,14 @@
 // targetAccepts reports whether a server of the target accepts connections. The baseline's servers
 // stop when a rollout is completed, and the store may list servers that were just lost: without the
 // check, no server of either version would be left.
-func (m *Manager) targetAccepts(ctx context.Context, view *feed.View, state rollout.State, service string) bool {
+func (m *Manager) targetAccepts(view *feed.View, state rollout.State, service string) bool {
 	var servers []routing.Server
 	for server := range view.Servers[service].All() {
 		if server.Version == state.Target && !server.Draining {
 			servers = append(servers, server)
 		}
 	}
-	if m.acceptsAny(ctx, servers) {
+	if m.acceptsAny(servers) {
 		return true
 	}
 	m.opts.Log.Emit(event.RolloutTargetSilent, service, state.Target, len(servers))
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -83,7 +83,8 @@
 	return s.state.Stage.IsTerminal() && s.storedOrder != s.state.OrderRevision
 }
 
-// applyStored applies the order and the status that the store holds, and the number of servers of each version.
+// applyStored applies the order and the status that the store holds, and the number of servers of
+// each version.
 func (s *service) applyStored(m *Manager, view *feed.View, serverCounts map[string]int) {
 	r := view.Rollouts[s.name]
 	var order *rollout.Order
--- a/serve/versions/versions.go
+++ b/serve/versions/versions.go
@@ -66,7 +66,7 @@
 	services map[string]*service
 	inFlight func(service string, s rollout.State) int
 	// acceptsAny checks whether any of the servers accepts connections now.
-	acceptsAny func(context.Context, []routing.Server) bool
+	acceptsAny func([]routing.Server) bool
 }
 
 // Snapshot holds the rollout states of all services. It is immutable.
@@ -85,7 +85,7 @@
 	m := &Manager{
 		opts: o, bootID: rand.Uint64(), peers: newPeers(o), metrics: newMetrics(o.Registerer), activated: make(chan struct{}, 1),
 		services: map[string]*service{}, inFlight: func(string, rollout.State) int { return 0 },
-		acceptsAny: func(context.Context, []routing.Server) bool { return true },
+		acceptsAny: func([]routing.Server) bool { return true },
 	}
 	m.SetLimits(o.Limits)
 	m.current.Store(&Snapshot{})
@@ -101,9 +101,7 @@
 
 // SetReachabilityCheck sets the function that checks whether any of the given servers accepts
 // connections. Call it before Run.
-func (m *Manager) SetReachabilityCheck(f func(context.Context, []routing.Server) bool) {
-	m.acceptsAny = f
-}
+func (m *Manager) SetReachabilityCheck(f func([]routing.Server) bool) { m.acceptsAny = f }
 
 // Snapshot returns the rollout states after applying a view of the store. An older view than the
 // last one is not applied.
