control/feed: a silent watch makes its daemon confirm the configuration once, not again and again

When a fleet restarts, all daemons watch for some seconds, and each confirmed the configuration 1.1 s into a silent watch and every 0.7 s after.

The repetition was meant for the test of the store's gap, whose cause was another (the reread after a cut watch).

--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -55,9 +55,7 @@
 const (
 	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
 	// change.
-	silentWatchTime = 1100 * time.Millisecond
-	// silentConfirmInterval is the time between two confirmations while a watch does not answer.
-	silentConfirmInterval = 700 * time.Millisecond
+	silentWatchTime = 1200 * time.Millisecond
 	// minWatchCheck is the least time between two checks whether this daemon watches the store.
 	minWatchCheck = 10 * time.Millisecond
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
@@ -307,10 +305,9 @@
 // before the request was sent.
 func (m *Manager) readChanges(ctx context.Context, w store.Watcher) error {
 	sentAt := m.opts.Clock()
-	watchCtx, answered := context.WithCancel(ctx)
-	go m.confirmDuringWatch(watchCtx)
+	overdue := time.AfterFunc(silentWatchTime, func() { m.confirmDuringWatch(ctx) })
 	events, err := w.Next(ctx)
-	answered()
+	overdue.Stop()
 	if err != nil {
 		return err
 	}
@@ -323,14 +320,12 @@
 	return nil
 }
 
-// confirmDuringWatch reads the configuration while a watch is overdue, until ctx ends.
+// confirmDuringWatch reads the configuration once while a watch is overdue.
 //
 // A store that stops serving watches, but answers other calls, would otherwise let the last
 // confirmation grow old at all daemons at once, and each would turn to the store for all entries.
 func (m *Manager) confirmDuringWatch(ctx context.Context) {
-	for wait := silentWatchTime; pause.For(ctx, wait); wait = silentConfirmInterval {
-		if err := m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread)); err != nil && ctx.Err() == nil {
-			m.opts.Log.Emit(event.ConfirmationFailed, err)
-		}
+	if err := m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread)); err != nil && ctx.Err() == nil {
+		m.opts.Log.Emit(event.ConfirmationFailed, err)
 	}
 }
