--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -27,7 +27,7 @@
 	pushedBack     chan responsePart // at most one part that was received and pushed back
 	requestWritten chan struct{}     // receives once when the whole request is written
 	response       *http.Response    // nil before its headers are handled
-	rateLimit      string            // as the server stated it
+	reply          Reply             // zero before the headers of the response are handled
 	probeFailures  <-chan error      // why the engine is considered dead
 	versionLeaving <-chan struct{}   // closed when the server's version is withdrawn
 	prefilling     bool              // counted in the pool as prefilling its prompt, not as running
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -64,6 +64,23 @@
 	// RateLimit is the number of requests per second that the server accepts from all daemons
 	// together, as the server writes it; "" if it states no limit.
 	RateLimit string
+	// Leaving is set where the server states that it takes no new requests.
+	Leaving bool
+	// RetryAfter is the time in seconds for which a server that rejects a request wants no further
+	// ones from this daemon, as the server writes it; "" if it states none.
+	RetryAfter string
+}
+
+// StatesTrue reports whether the value of a header that is set in one case only states that case.
+func StatesTrue(value string) bool { return value != "" && value != "0" }
+
+// RetryAfterOf returns Reply.RetryAfter of a response with a standard Retry-After header. Only one
+// with status 503 speaks of the server itself.
+func RetryAfterOf(status int, h http.Header) string {
+	if status != http.StatusServiceUnavailable {
+		return ""
+	}
+	return h.Get("Retry-After")
 }
 
 // Report is the status that an engine reports. It lags by a tenth of a second.
--- a/serve/forward/defaultcodec.go
+++ b/serve/forward/defaultcodec.go
@@ -22,6 +22,7 @@
 	headerPriority    = "X-Priority"
 	headerNotRun      = "X-Not-Run"
 	headerRateLimit   = "X-Request-Limit" // requests per second from all daemons together
+	headerLeaving     = "X-Backend-Leaving"
 )
 
 // statusPath is the path at which an engine responds to probes.
@@ -30,7 +31,8 @@
 // DefaultCodec is the Codec for deployments without a platform of their own. A caller states an
 // ID and a timeout, and uses a bearer token as the account key. A backend server may respond with
 // 421 to a request that names another server, with X-Not-Run to one that it did not run, and
-// states its rate limit with X-Request-Limit. Responses carry no proof, so all count as authentic.
+// states its rate limit with X-Request-Limit. One that takes no new requests sets X-Backend-Leaving.
+// Responses carry no proof, so all count as authentic.
 type DefaultCodec struct{}
 
 // Call implements Codec.
@@ -78,6 +80,8 @@
 		Misdirected: status == http.StatusMisdirectedRequest,
 		Authentic:   true,
 		RateLimit:   h.Get(headerRateLimit),
+		Leaving:     StatesTrue(h.Get(headerLeaving)),
+		RetryAfter:  RetryAfterOf(status, h),
 	}
 }
 
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -35,7 +35,7 @@
 type outcome struct {
 	choice     choice
 	sendNumber int    // position among the sends of the request, from 1
-	rateLimit  string // as the server stated it
+	reply      Reply
 	err        error  // why there is no complete, authentic response
 	// notRun is set if the request did not run at the server and will not.
 	notRun bool
@@ -285,7 +285,7 @@
 		h.inspectBroken(ctx, in, o, started)
 		return o
 	}
-	o.status, o.header, o.rateLimit = resp.StatusCode, resp.Header, reply.RateLimit
+	o.status, o.header, o.reply = resp.StatusCode, resp.Header, reply
 	h.recordLimit(c.server, started, reply)
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
 	o.full = reply.NotRun && !reply.Misdirected
@@ -384,5 +384,6 @@
 
 func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
 	h.metrics.countSend(o)
-	h.opts.Log.Emit(event.ExchangeEnded, in.call.ID, in.route.Name, in.accountName(), in.configVersion, o.choice.server.ID, o.choice.reason, o.sendNumber, o.rateLimit, o.status, o.notRun, took, o.err)
+	h.opts.Log.Emit(event.ExchangeEnded, in.call.ID, in.route.Name, in.accountName(), in.configVersion, o.choice.server.ID, o.choice.reason, o.sendNumber,
+		o.reply.RateLimit, o.reply.Leaving, o.reply.RetryAfter, o.status, o.notRun, took, o.err)
 }
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -99,7 +99,7 @@
 
 // handleHead processes the head of a response; ended reports whether it ends the attempt.
 func (r *relay) handleHead(ctx context.Context, a *attempt, o responseHead) (end segmentEnd, err error, ended bool) {
-	a.response, a.rateLimit = o.resp, o.reply.RateLimit
+	a.response, a.reply = o.resp, o.reply
 	if o.err == nil {
 		r.h.recordLimit(a.target.server, a.sentAt, o.reply)
 	}
@@ -299,5 +299,5 @@
 	l := a.segment
 	r.h.metrics.segments.WithLabelValues(l.target.reason, end.String()).Inc()
 	r.h.opts.Log.Emit(event.StreamSegmentEnded, r.in.call.ID, r.in.call.PromptKey, r.in.route.Name, r.in.accountName(), r.in.configVersion, l.target.server.ID, l.target.server.Zone, l.target.reason,
-		l.copyTo.server.ID, end.String(), r.lastEventID, r.timeToFirstEvent, r.longestGap, time.Since(r.lastEventAt), time.Since(r.in.arrived), a.rateLimit, err)
+		l.copyTo.server.ID, end.String(), r.lastEventID, r.timeToFirstEvent, r.longestGap, time.Since(r.lastEventAt), time.Since(r.in.arrived), a.reply.RateLimit, a.reply.Leaving, a.reply.RetryAfter, err)
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -5,9 +5,9 @@
 // Events of forwarding and of the store entries that it depends on.
 var (
 	ExchangeEnded = define(220, "exchanged", logrus.InfoLevel,
-		"An exchange with a backend server for a forwarded request ended. send is the number of the send for this request; limit is the rate limit that the server states for all daemons together.", "request", "route", "account", "config", "backend", "reason", "send", "limit", "status", "not_run", "took", "error")
+		"An exchange with a backend server for a forwarded request ended. send is the number of the send for this request; limit is the rate limit that the server states for all daemons together, leaving whether it states that it takes no new requests, and pause the seconds for which it wants none from this daemon.", "request", "route", "account", "config", "backend", "reason", "send", "limit", "leaving", "pause", "status", "not_run", "took", "error")
 	StreamSegmentEnded = define(221, "stream_leg", logrus.InfoLevel,
-		"A segment of a forwarded stream, the part that came from one backend server, ended.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "longest", "quiet", "took", "limit", "error")
+		"A segment of a forwarded stream, the part that came from one backend server, ended. limit, leaving and pause are those of event 220.", "request", "prompt", "route", "account", "config", "backend", "backend_zone", "reason", "copy", "end", "after", "first", "longest", "quiet", "took", "limit", "leaving", "pause", "error")
 	ForwardRefused = define(222, "forward_refused", logrus.InfoLevel,
 		"The daemon answered a request itself instead of forwarding the answer of a backend server.", "request", "prompt", "route", "account", "config", "config_age", "status", "code", "retry_after", "error", "took")
 	BackendSuspected = define(223, "backend_suspected", logrus.WarnLevel,
