--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -184,15 +184,22 @@
 	mu          sync.Mutex
 	incarnation int
 	limit       string // sent in X-Request-Limit; empty for none
+	leaving     bool   // sends X-Backend-Leaving
+	pause       string // Retry-After of the 503 that answers every request; empty to serve
 	arrivals    []arrival
+	rejections  []arrival // those answered with pause
 }
 
 // arrival is one request that reached a server.
 type arrival struct {
-	at   time.Time
-	path string
+	at     time.Time
+	path   string
+	daemon string // that sent it
 }
 
+// daemonHeader names the daemon to which a caller sent a request.
+const daemonHeader = "X-Test-Daemon"
+
 const (
 	// crashedEntryTTL is how long the store entry of a crashed server process remains.
 	crashedEntryTTL = 3 * time.Second
@@ -261,12 +268,25 @@
 	if s.limit != "" {
 		w.Header().Set("X-Request-Limit", s.limit)
 	}
-	s.arrivals = append(s.arrivals, arrival{time.Now(), r.URL.Path})
+	if s.leaving {
+		w.Header().Set("X-Backend-Leaving", "1")
+	}
+	arrived, pause := arrival{time.Now(), r.URL.Path, r.Header.Get(daemonHeader)}, s.pause
+	s.arrivals = append(s.arrivals, arrived)
+	if pause != "" {
+		s.rejections = append(s.rejections, arrived)
+	}
 	s.mu.Unlock()
 	if r.Header.Get("X-Backend-Id") != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if pause != "" {
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("Retry-After", pause)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	workTime, events := 30*time.Millisecond, 0
 	if s.service == "llm" {
 		workTime, events = time.Second, 20
@@ -316,6 +336,40 @@
 	s.limit = limit
 }
 
+// setLeaving makes the server state in its responses that it leaves.
+func (s *backend) setLeaving(leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// setPause makes the server reject every request with a Retry-After, or serve again if it is "".
+func (s *backend) setPause(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pause = retryAfter
+}
+
+// maxArrivalsDuringPause returns the largest number of requests that one daemon sent within the
+// pause that a rejection asked for, without those that were under way when it did.
+func (s *backend) maxArrivalsDuringPause(pause time.Duration) (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rejections {
+		n := 0
+		for _, a := range s.arrivals {
+			if a.daemon == r.daemon && a.at.After(r.at.Add(underWay)) && a.at.Before(r.at.Add(pause)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// underWay is how long requests may still arrive that were sent before a server's response did.
+const underWay = 500 * time.Millisecond
+
 // maxArrivalsWithin returns the largest number of requests that reached the server within any
 // interval of length span after a given time.
 func (s *backend) maxArrivalsWithin(span time.Duration, after time.Time) (most int) {
@@ -377,6 +431,7 @@
 	defer conn.Close()
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://host"+path, strings.NewReader(body))
 	must.NoError(f.t, err)
+	req.Header.Set(daemonHeader, d.vm.ID)
 	req.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", path, time.Now().UnixNano()))
 	go req.Write(conn)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
