serve/forward: a server that says in an answer that it leaves gets no new requests

Cause: only the store's list decided which servers take requests. What a server itself says in its answers was not read. Class: a fact that has two sources, of which the one that works in an outage is not heard.

Change: every response, those of probes and other calls to engines included, is read for it in one place; pool.leaving keeps the incarnations, and listedServers marks them as draining before any set of servers is built, so that each way to a server (first send, repeat, hedge, copy, resume, canary) is covered. No listing undoes it; a new incarnation is not affected. Retry-After of rate limits no longer waits for a server that leaves.

Ruled out: telling other daemons. Each learns from its own first request, which the server still runs; 984 daemons would send 984 messages each for one server.

--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -106,7 +106,7 @@
 // isLeaving reports whether a server is known to leave, by itself or with its whole version.
 func (h *Handler) isLeaving(s routing.Server) bool {
 	view := h.opts.Feed.View()
-	if h.versions.IsBlocked(view, s) {
+	if h.versions.IsBlocked(view, s) || h.pool.isLeaving(s.Incarnation()) {
 		return true
 	}
 	if current, ok := view.Servers[s.Service].Get(s.ID); ok {
--- a/serve/forward/limits.go
+++ b/serve/forward/limits.go
@@ -78,13 +78,6 @@
 	})
 }
 
-// recordLimit records the limit in an answer, unless another server than s answered.
-func (h *Handler) recordLimit(s routing.Server, sent time.Time, reply Reply) {
-	if !reply.Misdirected {
-		h.limits.observeReply(s, sent, reply.RateLimit, reply.Authentic && !reply.NotRun)
-	}
-}
-
 // entry returns the state of a server and creates it if needed. The caller holds the lock.
 func (l *rateLimits) entry(s routing.Server) *serverLimit {
 	state := l.servers[s.Incarnation()]
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -32,6 +32,7 @@
 	poisonRefusals prometheus.Counter
 	limitChanges   *prometheus.CounterVec
 	permits        *prometheus.CounterVec
+	serverNotices  *prometheus.CounterVec
 
 	cacheBytes prometheus.Counter
 }
@@ -65,10 +66,11 @@
 		poisonRefusals:     prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
 		limitChanges:       prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
 		permits:            prometheus.NewCounterVec(counter("permits_total", "Permits asked for to send a request to a backend server that names a limit."), []string{"result"}),
+		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, by notice."), []string{"notice"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
@@ -80,6 +82,9 @@
 // reached.
 const reasonRateLimited = "rate"
 
+// noticeLeaving is the value of the label notice of a server that leaves.
+const noticeLeaving = "leaving"
+
 // Values of the label source.
 const (
 	sourceServer = "backend"
--- a/serve/forward/permits.go
+++ b/serve/forward/permits.go
@@ -62,12 +62,12 @@
 // permitWait returns how long it takes until a permit may be requested for any of the service's
 // servers with a limit; limited is false if no server has one.
 func (l *rateLimits) permitWait(service string) (wait time.Duration, limited bool) {
-	now := time.Now()
+	now, servers := time.Now(), l.h.pool.openServers(l.h.opts.Feed.View(), service)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for s := range l.h.opts.Feed.View().Servers[service].All() {
+	for _, s := range servers {
 		state := l.active(s)
-		if state == nil || s.Draining {
+		if state == nil {
 			continue
 		}
 		if next := state.permitRequests.Wait(now); !limited || next < wait {
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -34,9 +34,9 @@
 // outcome is the result of one exchange.
 type outcome struct {
 	choice     choice
-	sendNumber int    // position among the sends of the request, from 1
+	sendNumber int // position among the sends of the request, from 1
 	reply      Reply
-	err        error  // why there is no complete, authentic response
+	err        error // why there is no complete, authentic response
 	// notRun is set if the request did not run at the server and will not.
 	notRun bool
 	// rejected is set if the server itself rejected the request, and full if it did so for lack
@@ -286,7 +286,6 @@
 		return o
 	}
 	o.status, o.header, o.reply = resp.StatusCode, resp.Header, reply
-	h.recordLimit(c.server, started, reply)
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
 	o.full = reply.NotRun && !reply.Misdirected
 	o.body, o.bodyRest, o.err = readResponse(resp)
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -52,6 +52,7 @@
 	// successors maps an incarnation listed in the view to a newer one at the same address.
 	successors       map[routing.Incarnation]routing.Incarnation
 	successorChanges int // counts the changes of successors
+	leaving          leavingServers
 	// down holds the servers that failed and have not returned since, by address.
 	down      map[string]downServer
 	downtimes map[string]*outage.Estimator // by service
@@ -75,8 +76,8 @@
 	return &pool{
 		self: self, startedAt: time.Now(), retryRule: rule, serverSets: map[string]*serverSet{}, canarySets: map[string]*serverSet{},
 		loads: map[routing.Incarnation]*serverLoad{}, budgets: map[string]*retrybudget.Budget{},
-		successors: map[routing.Incarnation]routing.Incarnation{},
-		down:       map[string]downServer{}, downtimes: map[string]*outage.Estimator{},
+		successors: map[routing.Incarnation]routing.Incarnation{}, leaving: newLeavingServers(),
+		down: map[string]downServer{}, downtimes: map[string]*outage.Estimator{},
 		onWorkChanged: func(routing.Server) {}, versions: versions,
 	}
 }
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -100,9 +100,6 @@
 // handleHead processes the head of a response; ended reports whether it ends the attempt.
 func (r *relay) handleHead(ctx context.Context, a *attempt, o responseHead) (end segmentEnd, err error, ended bool) {
 	a.response, a.reply = o.resp, o.reply
-	if o.err == nil {
-		r.h.recordLimit(a.target.server, a.sentAt, o.reply)
-	}
 	switch {
 	case o.err != nil:
 		end, err = r.handleFailure(ctx, a.segment, o.err)
--- a/serve/forward/serverset.go
+++ b/serve/forward/serverset.go
@@ -1,8 +1,6 @@
 package forward
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 
 	"mallowwind.dev/control/feed"
@@ -33,6 +31,7 @@
 	state      rollout.State
 	vmsView    *feed.View
 	successors int
+	leaving    int
 }
 
 // updateView applies a change of the view or of the versions that may serve. The server sets are
@@ -67,7 +66,7 @@
 	if set := p.serverSets[service]; set != nil && set.source == source {
 		return set
 	}
-	all := slices.Collect(list.All())
+	all := p.listedServers(list)
 	steady, _ := splitByVersion(all, state)
 	set := p.buildServerSet(source, steady)
 	if state.Stage.IsRunning() {
@@ -92,14 +91,14 @@
 	if set := p.canarySets[service]; set != nil && set.source == source {
 		return set
 	}
-	_, canaries := splitByVersion(slices.Collect(list.All()), state)
+	_, canaries := splitByVersion(p.listedServers(list), state)
 	set := p.buildServerSet(source, canaries)
 	p.canarySets[service] = set
 	return set
 }
 
 func (p *pool) setSource(list *feed.ServerList, state rollout.State) setSource {
-	return setSource{list: list, state: state, vmsView: p.vmsView, successors: p.successorChanges}
+	return setSource{list: list, state: state, vmsView: p.vmsView, successors: p.successorChanges, leaving: p.leaving.changes}
 }
 
 // replaceServerSet replaces the set of a service and forgets the loads that only the old one used.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -332,7 +332,7 @@
 		}
 		at = c
 	}
-	return at, !view.HasDeparted(at.server.ID) && !slices.Contains(r.excluded, at.server.Incarnation()) && !r.h.versions.IsBlocked(view, at.server)
+	return at, !view.HasDeparted(at.server.ID) && !r.h.pool.isLeaving(at.server.Incarnation()) && !slices.Contains(r.excluded, at.server.Incarnation()) && !r.h.versions.IsBlocked(view, at.server)
 }
 
 // retrySameEngine returns the engine that reset the connection before the first event, if it still
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -126,6 +126,7 @@
 
 // send sends the request to a server and returns the response up to its headers.
 func (h *Handler) send(ctx context.Context, in *inbound, e UpstreamRequest) (*http.Response, Reply, error) {
+	sentAt := time.Now()
 	resp, err := h.transport.RoundTrip(in.outgoing(ctx, h.opts.Codec, e))
 	if err != nil {
 		return nil, Reply{}, err
@@ -135,9 +136,22 @@
 		resp.Body.Close()
 		return nil, Reply{}, errors.Errorf("the response belongs to another request, %s", reply.ID)
 	}
+	h.observeReply(e.Server, sentAt, reply)
 	return resp, reply, nil
 }
 
+// observeReply records which further requests a server states that it takes, in its response to a
+// request sent at the given time. A response of another server at its address says nothing of it.
+func (h *Handler) observeReply(s routing.Server, sentAt time.Time, reply Reply) {
+	if reply.Misdirected {
+		return
+	}
+	h.limits.observeReply(s, sentAt, reply.RateLimit, reply.Authentic && !reply.NotRun)
+	if reply.Leaving {
+		h.recordLeaving(s)
+	}
+}
+
 // getFromServer sends a GET request of the daemon itself to a server and reads the whole response.
 // With an error it returns the part of the body that arrived.
 func (h *Handler) getFromServer(ctx context.Context, s routing.Server, path string) ([]byte, error) {
@@ -163,6 +177,9 @@
 		return nil, errors.Wrap(err, path)
 	}
 	defer resp.Body.Close()
+	if h.opts.Codec.Reply(resp.StatusCode, resp.Header).Leaving {
+		h.recordLeaving(s)
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, limitBytes))
 	if err != nil {
 		return answer, errors.Wrap(err, path)
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -54,6 +54,8 @@
 		"A backend server set, changed or lifted its limit on the requests per second from all daemons together, in an answer to this daemon or as reported by another daemon. known is how long the limit has applied, confirmed the time since it was last stated.", "backend", "service", "change", "rate", "by", "known", "confirmed")
 	ServerLimitUnreadable = define(244, "server_limit_unreadable", logrus.ErrorLevel,
 		"A backend server states a limit that cannot be parsed; it counts as almost zero.", "backend", "error")
+	ServerLeaving = define(263, "server_leaving", logrus.InfoLevel,
+		"A backend server stated in a response that it leaves, before its entry in the store did. It gets no new requests.", "backend", "service", "address")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
