serve/forward, decision/cooldown: a server gets the pause that it asks for with 503 and Retry-After

Callers: little, another desk answered one send later.

Cause: nobody read Retry-After of a server. A server was chosen by the requests this daemon has in flight there; one that rejects at once has none, so it looked idle and, being of the own zone, went first.

Change: decision/cooldown keeps the end of the longest pause that an incarnation asked for, on the monotonic clock, up to 10 % longer per daemon. serverLimits, which knows the rate limits, asks it where a server is chosen, again where a permit is taken, and last in send, which covers repeats, hedges, copies, resumes and canaries. After the pause single requests go there, 250 ms apart, until one is served. Engines that pause are not probed, neither for prompts nor as targets of copies. Where all servers of a service pause, requests are refused at once, not run, with the time until the first pause ends and up to a quarter more, so that not all callers return together. A pause is no failure: no suspicion, no ejection. Judging versions is as before: a 503 counts as a failure there.

No messages between daemons.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -246,6 +246,9 @@
 				return
 			case <-tick.C:
 			}
+			if r.h.limits.isPaused(l.target.server) {
+				continue
+			}
 			report, err := r.h.probe(ctx, l.target.server, probeTimeout)
 			switch {
 			case errors.Is(err, errRestarted):
--- a/serve/forward/calls.go
+++ b/serve/forward/calls.go
@@ -36,7 +36,7 @@
 		if i < 0 {
 			return choice{}, false
 		}
-		if p.limits.canRequestPermit(now, l.servers[i]) {
+		if p.limits.acceptsNow(now, l.servers[i]) {
 			return p.reserve(l, i, reason)
 		}
 		exclude = append(exclude, l.servers[i].Incarnation())
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -75,7 +75,7 @@
 		list := prompts.ChoosePrefillEngines(engines, n, known, rand.Uint64())
 		limited := false
 		for _, c := range list {
-			if !p.limits.canRequestPermit(now, l.servers[c.Index]) {
+			if !p.limits.acceptsNow(now, l.servers[c.Index]) {
 				engines[c.Index].Excluded, limited = true, true
 			}
 		}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -92,7 +92,7 @@
 	borrower       *retryBorrower
 	peers          *peerClient
 	poisonRegistry *poisonRegistry
-	limits         *rateLimits
+	limits         *serverLimits
 	versions       *versions.Manager
 	metrics        *metrics
 	running        atomic.Int64
@@ -116,7 +116,7 @@
 	h.versions.SetInFlightCounter(h.pool.runningAtOldVersions)
 	h.versions.SetReachabilityCheck(h.acceptsAny)
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
-	h.limits = newRateLimits(h)
+	h.limits = newServerLimits(h)
 	h.pool.onWorkChanged, h.pool.limits = h.workTracker.workChanged, h.limits
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.metrics = newMetrics(o.Registerer, h.Running)
--- a/serve/forward/limits.go
+++ b/serve/forward/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/cooldown"
 	"mallowwind.dev/decision/quota"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
@@ -15,16 +16,17 @@
 // limitTimeout is the timeout for telling one daemon of a limit.
 const limitTimeout = 300 * time.Millisecond
 
-// rateLimits tracks the servers that announce a rate limit and when this daemon may request permits
-// for them. It also issues permits for the servers assigned to this daemon.
-type rateLimits struct {
+// serverLimits tracks the servers that announce a rate limit or ask for a pause, and when this daemon
+// may send them requests or request permits for them. It also issues permits for the servers assigned
+// to this daemon. Its lock is taken after that of the pool.
+type serverLimits struct {
 	h *Handler
 
 	mu      sync.Mutex // guards the fields below
 	servers map[routing.Incarnation]*serverLimit
 }
 
-// serverLimit is the state of one incarnation of a server that announced a limit.
+// serverLimit is the state of one incarnation of a server that announced a limit or asked for a pause.
 type serverLimit struct {
 	server         routing.Server
 	limit          quota.Limit
@@ -33,16 +35,23 @@
 	permits        quota.TokenBucket // issued by this daemon
 	lastRequested  time.Time         // when another daemon last requested a permit here
 	fallback       quota.TokenBucket // this daemon's share, used while no permit issuer answers
+	pause          cooldown.State
 }
 
-func newRateLimits(h *Handler) *rateLimits {
-	return &rateLimits{h: h, servers: map[routing.Incarnation]*serverLimit{}}
+func newServerLimits(h *Handler) *serverLimits {
+	return &serverLimits{h: h, servers: map[routing.Incarnation]*serverLimit{}}
 }
 
-// observeReply records the limit in a server's answer to a request sent at the given time. ran says
+// observeReply records what a server states in its response to a request sent at the given time.
+func (l *serverLimits) observeReply(s routing.Server, sent time.Time, reply Reply) {
+	l.observeRate(s, sent, reply.RateLimit, reply.Authentic && !reply.NotRun)
+	l.observePause(s, sent, reply)
+}
+
+// observeRate records the limit in a server's answer to a request sent at the given time. ran says
 // that the answer comes from a run: a rejection without a limit does not mean that the limit is
 // lifted.
-func (l *rateLimits) observeReply(s routing.Server, sent time.Time, text string, ran bool) {
+func (l *serverLimits) observeRate(s routing.Server, sent time.Time, text string, ran bool) {
 	rate, named, err := quota.ParseRate(text)
 	if err != nil {
 		l.h.opts.Log.Emit(event.ServerLimitUnreadable, s.ID, err)
@@ -64,7 +73,7 @@
 
 // scheduleBroadcast arranges for the other daemons to be told of a limit, now or shortly. The
 // caller holds the lock.
-func (l *rateLimits) scheduleBroadcast(state *serverLimit) {
+func (l *serverLimits) scheduleBroadcast(state *serverLimit) {
 	after, ok := state.broadcasts.Schedule(time.Now())
 	if !ok {
 		return
@@ -79,7 +88,7 @@
 }
 
 // entry returns the state of a server and creates it if needed. The caller holds the lock.
-func (l *rateLimits) entry(s routing.Server) *serverLimit {
+func (l *serverLimits) entry(s routing.Server) *serverLimit {
 	state := l.servers[s.Incarnation()]
 	if state == nil {
 		l.prune()
@@ -89,16 +98,17 @@
 	return state
 }
 
-// prune forgets incarnations that the view no longer lists. The caller holds the lock.
-func (l *rateLimits) prune() {
-	for incarnation := range l.servers {
-		if _, listed := l.h.findServer(incarnation); !listed {
+// prune forgets incarnations that the view no longer lists, except for pauses that have not ended: the
+// server may be listed again. The caller holds the lock.
+func (l *serverLimits) prune() {
+	for incarnation, state := range l.servers {
+		if _, listed := l.h.findServer(incarnation); !listed && state.pause.Left(time.Now()) == 0 {
 			delete(l.servers, incarnation)
 		}
 	}
 }
 
-func (l *rateLimits) logChange(state *serverLimit, change quota.Change, by string) {
+func (l *serverLimits) logChange(state *serverLimit, change quota.Change, by string) {
 	l.h.metrics.limitChanges.WithLabelValues(change.String()).Inc()
 	rate, _ := state.limit.Rate()
 	known, confirmed := state.limit.Age(time.Now())
@@ -113,7 +123,7 @@
 
 // broadcast tells all other daemons of a limit. A daemon that misses the message learns the limit
 // from the next answer it gets.
-func (l *rateLimits) broadcast(m *peerpb.Limit) {
+func (l *serverLimits) broadcast(m *peerpb.Limit) {
 	q := &peerpb.LimitedRequest{Limit: m}
 	l.h.peers.broadcast(l.h.opts.Feed.View(), func(ctx context.Context, vm routing.VM) error {
 		_, err := callPeer(ctx, l.h.peers, vm, peerpb.NewQuotaProtobufClient, peerpb.Quota.Limited, q, limitTimeout)
@@ -122,7 +132,7 @@
 }
 
 // observePeer records a limit reported by another daemon.
-func (l *rateLimits) observePeer(m *peerpb.Limit) {
+func (l *serverLimits) observePeer(m *peerpb.Limit) {
 	s, ok := l.h.findServer(routing.Incarnation{ID: m.GetServer(), StartedAtMS: m.GetBorn()})
 	if !ok {
 		return // its registration has not arrived here; its own answers will tell
@@ -137,7 +147,7 @@
 
 // active returns the state of a server that currently has a limit, and nil for any other. The
 // caller holds the lock.
-func (l *rateLimits) active(s routing.Server) *serverLimit {
+func (l *serverLimits) active(s routing.Server) *serverLimit {
 	state := l.servers[s.Incarnation()]
 	if state == nil {
 		return nil
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -66,7 +66,7 @@
 		poisonRefusals:     prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
 		limitChanges:       prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
 		permits:            prometheus.NewCounterVec(counter("permits_total", "Permits asked for to send a request to a backend server that names a limit."), []string{"result"}),
-		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, by notice."), []string{"notice"}),
+		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, for good or for a time, by notice."), []string{"notice"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
@@ -82,8 +82,14 @@
 // reached.
 const reasonRateLimited = "rate"
 
-// noticeLeaving is the value of the label notice of a server that leaves.
-const noticeLeaving = "leaving"
+// reasonPaused is the reason of refusals because all servers have asked for a pause.
+const reasonPaused = "paused"
+
+// Values of the label notice.
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+)
 
 // Values of the label source.
 const (
--- a/serve/forward/permits.go
+++ b/serve/forward/permits.go
@@ -25,21 +25,28 @@
 	unknownServerRetry = 500 * time.Millisecond
 )
 
-// canRequestPermit reports whether a server may be chosen now: it has no limit, or a permit may be
-// requested.
-func (l *rateLimits) canRequestPermit(now time.Time, s routing.Server) bool {
+// acceptsNow reports whether a server may be chosen now: it does not pause, and it has no limit or a
+// permit may be requested.
+func (l *serverLimits) acceptsNow(now time.Time, s routing.Server) bool {
 	if l == nil {
 		return true
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if state := l.servers[s.Incarnation()]; state != nil && !state.pause.CanSend(now) {
+		return false
+	}
 	state := l.active(s)
 	return state == nil || state.permitRequests.CanAsk(now)
 }
 
-// acquire reports whether a request may be sent to a server at once: the server has no limit, or a
-// permit was granted. The request waits for the issuer's answer.
-func (l *rateLimits) acquire(ctx context.Context, s routing.Server) bool {
+// acquire reports whether a request may be sent to a server at once: the server does not pause, and it
+// has no limit or a permit was granted. The request waits for the permit issuer's answer.
+func (l *serverLimits) acquire(ctx context.Context, s routing.Server) bool {
+	return l.acquirePermit(ctx, s) && l.tryEndPause(s)
+}
+
+func (l *serverLimits) acquirePermit(ctx context.Context, s routing.Server) bool {
 	l.mu.Lock()
 	state := l.active(s)
 	if state == nil {
@@ -61,7 +68,7 @@
 
 // permitWait returns how long it takes until a permit may be requested for any of the service's
 // servers with a limit; limited is false if no server has one.
-func (l *rateLimits) permitWait(service string) (wait time.Duration, limited bool) {
+func (l *serverLimits) permitWait(service string) (wait time.Duration, limited bool) {
 	now, servers := time.Now(), l.h.pool.openServers(l.h.opts.Feed.View(), service)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -79,7 +86,7 @@
 
 // requestPermit asks the issuers of a server's permits in order. If none answers, it uses this
 // daemon's own share of the limit.
-func (l *rateLimits) requestPermit(ctx context.Context, state *serverLimit, q *peerpb.PermitRequest) (granted bool, wait time.Duration) {
+func (l *serverLimits) requestPermit(ctx context.Context, state *serverLimit, q *peerpb.PermitRequest) (granted bool, wait time.Duration) {
 	vms, hashes := routing.Serving(l.h.opts.Feed.View().VMs)
 	if l.h.peers.dialer == nil {
 		hashes = nil
@@ -106,14 +113,14 @@
 
 // isConfirmedIssuer reports whether other daemons request permits here. A daemon that is
 // partitioned from the others must not issue itself permits that another issuer grants to them.
-func (l *rateLimits) isConfirmedIssuer(state *serverLimit) bool {
+func (l *serverLimits) isConfirmedIssuer(state *serverLimit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return time.Since(state.lastRequested) < issuerConfirmedFor
 }
 
 // issue grants a permit from this daemon's bucket, or returns how long to wait.
-func (l *rateLimits) issue(state *serverLimit, rate float64) (granted bool, wait time.Duration) {
+func (l *serverLimits) issue(state *serverLimit, rate float64) (granted bool, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known, named := state.limit.Rate(); named {
@@ -123,7 +130,7 @@
 }
 
 // quotaService implements peerpb.Quota.
-type quotaService struct{ limits *rateLimits }
+type quotaService struct{ limits *serverLimits }
 
 // Permit implements peerpb.Quota.
 func (r quotaService) Permit(_ context.Context, q *peerpb.PermitRequest) (*peerpb.PermitReply, error) {
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -78,6 +78,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels hedged sends that are still in progress
 	now := time.Now()
+	if err := h.allPausedError(service, verdict.NotRun); err != nil {
+		return err
+	}
 	if overloadedFor, refused := h.pressure.throttle(now, service); refused {
 		retryAfter := retryafter.AfterOverload(overloadedFor, in.route.Objective, rand.Float64())
 		h.metrics.overloadRefusals.WithLabelValues(reasonTurnedAway).Inc()
@@ -240,6 +243,9 @@
 
 // noServerError is the refusal of a request that no server took.
 func (x *exchanges) noServerError() error {
+	if err := x.h.allPausedError(x.service, verdict.NotRun); err != nil {
+		return err
+	}
 	if wait, limited := x.h.limits.permitWait(x.service); limited && len(x.tried) == 0 {
 		return x.h.rateLimitedError(x.in, x.service, verdict.NotRun, wait)
 	}
@@ -310,9 +316,10 @@
 	}
 }
 
-// markSuspect marks a server as suspect unless the exchange ended because its context did.
+// markSuspect marks a server as suspect unless the exchange ended because its context did, or was not
+// started because the server pauses.
 func (h *Handler) markSuspect(ctx context.Context, in *inbound, c choice, err error) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, errServerPaused) {
 		return
 	}
 	h.pool.recordFailure(time.Now(), c.server)
--- a/serve/forward/recovery.go
+++ b/serve/forward/recovery.go
@@ -88,9 +88,9 @@
 //
 // It guards against refusals during a restart of all engines. Callers that are refused, or whose
 // answers are cut, retry at once, are refused again within the same second and give up. A request
-// does not wait where no engine is registered.
+// does not wait where no engine is registered, or where all have asked for a pause.
 func (r *relay) awaitEngine(ctx context.Context) (sampledEngine, bool) {
-	if r.h.opts.Feed.View().Servers[r.service].Len() == 0 {
+	if _, all := r.h.limits.allPaused(r.service); all || r.h.opts.Feed.View().Servers[r.service].Len() == 0 {
 		return sampledEngine{}, false
 	}
 	until := time.Now().Add(r.h.pool.recoveryWait(r.service, r.in.route.Objective))
--- a/serve/forward/replicator.go
+++ b/serve/forward/replicator.go
@@ -199,9 +199,11 @@
 		if !ok {
 			return choice{}, false
 		}
-		report, err := round.probe(ctx, c.server, fastProbeTimeout)
-		if err == nil && report.loadReport().HasCapacity(r.in.call.PromptTokens) {
-			return c, true
+		if !r.h.limits.isPaused(c.server) {
+			report, err := round.probe(ctx, c.server, fastProbeTimeout)
+			if err == nil && report.loadReport().HasCapacity(r.in.call.PromptTokens) {
+				return c, true
+			}
 		}
 		excluded = append(excluded, c.server.Incarnation())
 	}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -315,6 +315,9 @@
 
 // noServerError is the refusal of a request that no engine takes now.
 func (r *relay) noServerError() error {
+	if err := r.h.allPausedError(r.service, r.verdict()); err != nil {
+		return err
+	}
 	if wait, limited := r.h.limits.permitWait(r.service); limited && r.sends == 0 {
 		return r.h.rateLimitedError(r.in, r.service, r.verdict(), max(wait, r.h.pool.retryAfter(r.service)))
 	}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -26,6 +26,9 @@
 // errNotSent means that no byte of the request was sent, so it has not run.
 var errNotSent = errors.New("forward: request not sent")
 
+// errServerPaused means that a server asked for a pause after it was chosen.
+var errServerPaused = errors.New("forward: the server asked for a pause")
+
 // notSentError wraps the reason why no byte of a request was sent.
 type notSentError struct{ cause error }
 
@@ -127,6 +130,9 @@
 // send sends the request to a server and returns the response up to its headers.
 func (h *Handler) send(ctx context.Context, in *inbound, e UpstreamRequest) (*http.Response, Reply, error) {
 	sentAt := time.Now()
+	if h.limits.isPaused(e.Server) {
+		return nil, Reply{}, notSentError{errServerPaused}
+	}
 	resp, err := h.transport.RoundTrip(in.outgoing(ctx, h.opts.Codec, e))
 	if err != nil {
 		return nil, Reply{}, err
@@ -146,7 +152,7 @@
 	if reply.Misdirected {
 		return
 	}
-	h.limits.observeReply(s, sentAt, reply.RateLimit, reply.Authentic && !reply.NotRun)
+	h.limits.observeReply(s, sentAt, reply)
 	if reply.Leaving {
 		h.recordLeaving(s)
 	}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -56,6 +56,12 @@
 		"A backend server states a limit that cannot be parsed; it counts as almost zero.", "backend", "error")
 	ServerLeaving = define(263, "server_leaving", logrus.InfoLevel,
 		"A backend server stated in a response that it leaves, before its entry in the store did. It gets no new requests.", "backend", "service", "address")
+	ServerPaused = define(264, "server_paused", logrus.InfoLevel,
+		"A backend server rejected a request and asked for a time without further ones. pause is that time.", "backend", "service", "pause")
+	ServerServesAgain = define(265, "server_serves_again", logrus.InfoLevel,
+		"A backend server served a request again after the pause that it had asked for.", "backend", "service")
+	ServerPauseUnreadable = define(266, "server_pause_unreadable", logrus.ErrorLevel,
+		"A backend server asked for a pause that cannot be parsed; it counts as a short one.", "backend", "error")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
