control/feed: the log says at which revision the store was read again

Change: event 546 has the revision read and the one held.

Measured: none needed; no decision changes.

--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -294,6 +294,7 @@
 		return err
 	}
 	m.recordAnswer(sentAt)
+	m.opts.Log.Emit(event.StoreReread, revision, m.revision.Load())
 	m.apply(basis{confirmedAt: sentAt, completeAt: sentAt, revision: revision}, func() {
 		m.table.replaceAll(sentAt, revision, items)
 		m.historyLost = false
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -95,6 +95,8 @@
 		"The configuration could not be read from the store while a watch was overdue.", "error")
 	StoreRead = define(540, "store_read", logrus.InfoLevel,
 		"All entries of the store were read for the first time, here or by another daemon. servers is the number of backend servers of each service, leaving the number of all servers that are leaving.", "servers", "leaving", "revision")
+	StoreReread = define(546, "store_reread", logrus.InfoLevel,
+		"The store was read again as a whole, because the watch could not continue. read is its revision, held the revision that this daemon held; entries of a lower revision are not used.", "read", "held")
 	StoreCall = define(541, "store_call", logrus.DebugLevel,
 		"A call to the store ended; purpose is the reason for the call.", "purpose", "path", "result", "took")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
