--- a/external/store/memory.go
+++ b/external/store/memory.go
@@ -46,6 +46,66 @@
 	}
 }
 
+// Copy is a copy of the data of a Memory.
+type Copy struct {
+	revision, compactedRevision int64
+	keys                        map[string]KV
+	leases                      map[LeaseID]time.Duration // time to live
+	nextLease                   LeaseID
+	history                     []Event
+}
+
+// Copy returns a copy of the current data.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := Copy{
+		revision: m.revision, compactedRevision: m.compactedRevision, keys: maps.Clone(m.keys),
+		leases: map[LeaseID]time.Duration{}, nextLease: m.nextLease, history: slices.Clone(m.history),
+	}
+	for id, l := range m.leases {
+		c.leases[id] = l.ttl
+	}
+	return c
+}
+
+// Restore replaces the data by a copy and begins a new era: what was written since the copy is gone,
+// leases too, and its revisions and lease IDs are given out again.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := EraOf(m.revision) + 1
+	renumber := func(kv KV) KV {
+		kv.Version = VersionIn(era, RevisionOf(kv.Version))
+		return kv
+	}
+	m.keys, m.history = make(map[string]KV, len(c.keys)), make([]Event, len(c.history))
+	for key, kv := range c.keys {
+		m.keys[key] = renumber(kv)
+	}
+	for i, e := range c.history {
+		m.history[i] = Event{Kind: e.Kind, KV: renumber(e.KV)}
+	}
+	m.revision, m.compactedRevision = VersionIn(era, RevisionOf(c.revision)), VersionIn(era, RevisionOf(c.compactedRevision))
+	for _, l := range m.leases {
+		l.timer.Stop()
+	}
+	m.leases, m.nextLease = map[LeaseID]*lease{}, c.nextLease
+	for id, ttl := range c.leases {
+		m.startLease(id, ttl)
+	}
+	for w := range m.watchers {
+		w.notify()
+	}
+}
+
+// Revision returns the version of the last change.
+func (m *Memory) Revision() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // Get implements Store.
 func (m *Memory) Get(ctx context.Context, key string) (KV, error) {
 	if err := ctx.Err(); err != nil {
@@ -132,13 +192,17 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.nextLease++
-	id := m.nextLease
+	m.startLease(m.nextLease, ttl)
+	return m.nextLease, nil
+}
+
+// startLease starts a lease. The caller holds the lock.
+func (m *Memory) startLease(id LeaseID, ttl time.Duration) {
 	m.leases[id] = &lease{
 		ttl:       ttl,
 		expiresAt: time.Now().Add(ttl),
 		timer:     time.AfterFunc(ttl, func() { m.expire(id) }),
 	}
-	return id, nil
 }
 
 // KeepAlive implements Store.
