--- a/external/store/era.go
+++ b/external/store/era.go
@@ -4,6 +4,9 @@
 // thousand changes a second over five centuries. The bits above hold the era.
 const eraShift = 44
 
+// MaxEra is the highest era that a version can hold.
+const MaxEra = 1<<(63-eraShift) - 1
+
 // VersionIn returns the version of a revision that a service gave out in the given era. A service that
 // is restored from an older copy of its data begins a new era: it loses what it acknowledged since,
 // and gives out the same revisions again. Versions of a later era are higher than all earlier ones, so
