control/feed: what a daemon knows is kept against the older copy of a restored store

Callers: a store that comes back from a copy some seconds old shows servers that leave as ready, lacks servers, entry VMs and refused requests that came later, and holds an older configuration.

Change: control/feed/restore.go. A daemon writes its registration again only if the store lacks it. Event 547 says what was kept.

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -39,7 +39,9 @@
 func (t *table) remove(now time.Duration, key string, revision int64) {
 	t.entries.remove(key, revision)
 	delete(t.rejections, key)
-	if _, ok := t.refusedRequests[key]; ok {
+	if r, ok := t.refusedRequests[key]; ok && t.restored.ongoing {
+		t.restored.refused = append(t.restored.refused, r)
+	} else if ok {
 		delete(t.refusedRequests, key)
 		t.refusedChanged = true
 	}
@@ -53,7 +55,7 @@
 	if vm, ok := t.vms[key]; ok && !vm.Draining && now < t.recoveryUntil {
 		// Daemons that are about to register again must not seem to be gone meanwhile: each
 		// remaining daemon would take the whole retry budget and all engines for itself.
-		t.vmGraceEnds[key] = now + reregisterWindow
+		t.vmGraceEnds[key] = now + t.vmGrace()
 		return
 	}
 	t.removeVM(key)
@@ -76,7 +78,7 @@
 	}
 	if now < t.recoveryUntil && !s.Draining {
 		if _, kept := t.serverGraceEnds[id]; !kept {
-			t.serverGraceEnds[id] = now + serverGracePeriod
+			t.serverGraceEnds[id] = now + t.serverGrace()
 			t.changes.recordGone(*s, true)
 		}
 		return
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -194,6 +194,7 @@
 	if b.revision < m.revision.Load() || b.after > max(m.revision.Load(), m.partialRevision) {
 		return
 	}
+	m.table.beginEra(m.opts.Clock(), b.revision)
 	update()
 	if b.partial {
 		m.partialRevision = b.revision
@@ -205,7 +206,9 @@
 	}
 	m.partialRevision = 0
 	m.revision.Store(b.revision)
+	lostRefused := m.table.endRestoration(b.revision)
 	m.publish()
+	m.rewriteRefused(lostRefused)
 	defer m.notifyWaiters()
 	m.completeAt = max(m.completeAt, b.completeAt)
 	if int64(b.confirmedAt) > m.confirmedAt.Load() {
--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -62,6 +62,11 @@
 		return ErrTooManyRefused
 	}
 	r.By, r.At = m.opts.Self, time.Now()
+	return m.writeRefused(ctx, r)
+}
+
+// writeRefused writes the entry of a refused request unless the store holds one.
+func (m *Manager) writeRefused(ctx context.Context, r RefusedRequest) error {
 	raw, err := json.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "refused request")
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -54,6 +55,7 @@
 
 	lease     store.LeaseID // 0 if the entry has to be written
 	version   int64         // of the entry; 0 if there is none
+	value     []byte        // of the entry as last written or adopted
 	writtenAt time.Time
 }
 
@@ -110,7 +112,7 @@
 	entry := r.Feed.awaitOwnEntry(ctx)
 	r.version = entry.Version
 	if vm, err := decodeVM(r.VM.ID, entry.Value); err == nil && vm == r.VM {
-		r.lease = entry.Lease
+		r.lease, r.value = entry.Lease, entry.Value
 	}
 }
 
@@ -149,6 +151,10 @@
 	if r.Feed == nil || !r.Feed.isFresh() || time.Since(r.writtenAt) < writePropagationTime {
 		return false
 	}
+	if r.Feed.holdsSince(vmPrefix+r.VM.ID, r.version, r.value) {
+		r.version = r.feedVersion()
+		return false
+	}
 	return r.feedVersion() != r.version
 }
 
@@ -178,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	r.version, r.writtenAt = version, time.Now()
+	r.version, r.value, r.writtenAt = version, value, time.Now()
 	return nil
 }
 
@@ -225,6 +231,15 @@
 	return store.KV{}
 }
 
+// holdsSince reports whether a restored store still holds a key as it was written at a version of an
+// earlier era. If every daemon wrote its entry again, a large fleet would exceed the store's rate.
+func (m *Manager) holdsSince(key string, version int64, value []byte) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	kv, ok := m.table.entries.kvs[key]
+	return ok && store.EraOf(kv.Version) > store.EraOf(version) && bytes.Equal(kv.Value, value)
+}
+
 // entryVersion returns the version of a key as last read; 0 if there is none.
 func (m *Manager) entryVersion(key string) int64 {
 	m.mu.Lock()
--- /dev/null
+++ b/control/feed/restore.go
@@ -0,0 +1,118 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mallowwind.dev/control/pause"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+// maxRefusedRewriteDelay spreads the writes of refused requests that a restored store lacks.
+const maxRefusedRewriteDelay = time.Second
+
+// restoration is what a table keeps against an older copy of the store's data. A restored store
+// begins a new era (store.VersionIn): until the operator and the servers have written again, it shows
+// an earlier state. What was known later than that state stays in force: the configuration by its own
+// version, servers that leave or are gone, and for a while servers and entry VMs that registered later.
+type restoration struct {
+	era int64 // of the entries held
+	// ongoing is set while the first entries of the present era are applied, all of which may be from
+	// the copy.
+	ongoing bool
+	// Counts for the log: servers that are missing and stay for now, and servers that the copy shows
+	// as ready although they were known to leave.
+	missing, leaving int
+	// refused holds the refused requests that are missing.
+	refused []RefusedRequest
+}
+
+// beginEra begins the era of a revision if it is later than that of the entries held. Without any
+// entries there is nothing to keep.
+func (t *table) beginEra(now time.Duration, revision int64) {
+	era := store.EraOf(revision)
+	if era <= t.restored.era {
+		return
+	}
+	t.restored = restoration{era: era, ongoing: t.initialized}
+	if t.initialized {
+		t.recoveryUntil = max(t.recoveryUntil, now+reregisterWindow)
+	}
+}
+
+// endRestoration ends the application of the first entries of an era and returns the refused requests
+// that have to be written again.
+func (t *table) endRestoration(revision int64) (lost []RefusedRequest) {
+	if !t.restored.ongoing {
+		return nil
+	}
+	t.restored.ongoing = false
+	r := t.restored
+	t.log.Emit(event.StoreRestored, r.era, store.RevisionOf(revision), r.missing, r.leaving, len(r.refused))
+	t.restored.refused = nil
+	return r.refused
+}
+
+// keepsLeaving reports whether an entry of a restored store shows a server as ready although the same
+// incarnation is known to leave or to be gone. Its next write tells what is true.
+func (t *table) keepsLeaving(id string, startedAtMS int64) bool {
+	if _, departed := t.departed.Get(id); !t.restored.ongoing || !departed || t.incarnations[id] != startedAtMS {
+		return false
+	}
+	t.restored.leaving++
+	return true
+}
+
+// serverGrace returns how long a server stays usable after its entry vanished around an outage.
+func (t *table) serverGrace() time.Duration {
+	if t.restored.ongoing {
+		t.restored.missing++
+		return reregisterWindow
+	}
+	return serverGracePeriod
+}
+
+// vmGrace returns how long an entry VM counts as registered after its entry vanished around an outage.
+// A VM whose lease a restored store lacks learns that at its next renewal.
+func (t *table) vmGrace() time.Duration {
+	if t.restored.ongoing {
+		return leaseTTL
+	}
+	return reregisterWindow
+}
+
+// rewriteRefused writes the refused requests that a restored store lacks and that this daemon has to
+// write.
+func (m *Manager) rewriteRefused(lost []RefusedRequest) {
+	view := m.View()
+	for _, r := range lost {
+		if !view.isWriterOf(r, m.opts.Self) {
+			continue
+		}
+		go func() {
+			ctx := context.Background()
+			pause.For(ctx, rand.N(maxRefusedRewriteDelay))
+			if err := m.writeRefused(ctx, r); err != nil {
+				m.opts.Log.Emit(event.RefusedNotWritten, r.Digest, err)
+			}
+		}()
+	}
+}
+
+// isWriterOf reports whether a daemon writes a refused request again: the one that added it, or else
+// the first of those that watch the store.
+func (v *View) isWriterOf(r RefusedRequest, daemon string) bool {
+	if r.By == daemon {
+		return true
+	}
+	isWriter := func(vm routing.VM) bool { return vm.ID == r.By && !vm.Draining }
+	if v.watchPlan == nil || slices.ContainsFunc(v.VMs, isWriter) {
+		return false
+	}
+	watchers := v.watchPlan.Watchers()
+	return len(watchers) > 0 && watchers[0] == daemon
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -56,6 +56,7 @@
 	departed   btree.Map[string, time.Duration]
 	departures []departure
 	changes    changeLog
+	restored   restoration
 	// lastAnsweredAt is the time of the store's last answer. Until recoveryUntil, a removal may be
 	// due to a lease that expired during an outage.
 	lastAnsweredAt, recoveryUntil time.Duration
@@ -153,6 +154,9 @@
 }
 
 func (t *table) put(kv store.KV) {
+	if kv.Key == t.schema.ConfigKey() {
+		kv = t.newestConfig(kv)
+	}
 	t.entries.put(kv)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(kv.Key); ok {
@@ -173,6 +177,20 @@
 	}
 }
 
+// newestConfig returns the entry of the configuration, with the value held if that has the higher
+// version. A store that was restored from a copy may hold an older one, which must not be passed on to
+// daemons that know none.
+func (t *table) newestConfig(kv store.KV) store.KV {
+	held, ok := t.entries.kvs[kv.Key]
+	if !ok || t.config == nil {
+		return kv
+	}
+	if c, err := t.schema.DecodeConfig(kv.Value); err == nil && c.Version < t.config.Version {
+		kv.Value = held.Value
+	}
+	return kv
+}
+
 // putConfig ignores a version that is not newer than the one in force, so that a delayed answer
 // does not undo a newer configuration.
 func (t *table) putConfig(raw []byte) {
@@ -223,6 +241,9 @@
 		t.log.Emit(event.EntryOutdated, id, s.StartedAtMS, known)
 		return
 	}
+	if !s.Draining && t.keepsLeaving(id, s.StartedAtMS) {
+		s.Draining = true
+	}
 	delete(t.serverGraceEnds, id)
 	t.setDeparted(id, s.Draining)
 	if _, known := t.firstRevisions[id]; !known || t.incarnations[id] != s.StartedAtMS {
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -97,6 +97,10 @@
 		"All entries of the store were read for the first time, here or by another daemon. servers is the number of backend servers of each service, leaving the number of all servers that are leaving.", "servers", "leaving", "revision")
 	StoreReread = define(546, "store_reread", logrus.InfoLevel,
 		"The store was read again as a whole, because the watch could not continue. read is its revision, held the revision that this daemon held; entries of a lower revision are not used.", "read", "held")
+	StoreRestored = define(547, "store_restored", logrus.WarnLevel,
+		"The store came back from an older copy of its data and counts its revisions anew. missing is the number of servers that it lacks and that stay in use for a moment, leaving the number of those that it shows as ready although they were known to leave, and refused the number of refused requests that it lacks; they stay refused and are written again.", "era", "revision", "missing", "leaving", "refused")
+	RefusedNotWritten = define(548, "refused_unwritten", logrus.WarnLevel,
+		"A refused request that a restored store lacks could not be written again. It stays refused at the daemons that know it.", "request", "error")
 	StoreCall = define(541, "store_call", logrus.DebugLevel,
 		"A call to the store ended; purpose is the reason for the call.", "purpose", "path", "result", "took")
 	RegistrationFailed = define(534, "registration_failed", logrus.WarnLevel,
