control/feed, decision/rollout: an order that is written again after a restoration starts no second roll-out

Cause: an order is a new one if its revision is higher. After the store came back from an older copy, the operator's order has a higher version twice: as read from the copy, and as written again. A roll-out that had ended would start once more, also one that had been rolled back, and an earlier order of the copy would send the service back to an earlier version.

Change: while the first entries of an era are read, a known order stays; one with the same content that comes with them or within 15 s is marked with the revision that it replaces, and Resolve renumbers the state in place of starting anew. The status, which the store lost, is written again as before, because it differs from the state.

--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -12,6 +12,10 @@
 	"mallowwind.dev/telemetry/event"
 )
 
+// rewriteWindow is how long after the first read of a restored store the operator may write again what
+// it lost. A new order of the same roll-out in that time is taken for the old one.
+const rewriteWindow = 15 * time.Second
+
 // maxRefusedRewriteDelay spreads the writes of refused requests that a restored store lacks.
 const maxRefusedRewriteDelay = time.Second
 
@@ -24,6 +28,8 @@
 	// ongoing is set while the first entries of the present era are applied, all of which may be from
 	// the copy.
 	ongoing bool
+	// rewritesUntil is until when an order may be written again that was given before.
+	rewritesUntil time.Duration
 	// Counts for the log: servers that are missing and stay for now, and servers that the copy shows
 	// as ready although they were known to leave.
 	missing, leaving int
@@ -40,6 +46,7 @@
 	}
 	t.restored = restoration{era: era, ongoing: t.initialized}
 	if t.initialized {
+		t.restored.rewritesUntil = now + rewriteWindow
 		t.recoveryUntil = max(t.recoveryUntil, now+reregisterWindow)
 	}
 }
@@ -67,6 +74,23 @@
 	return true
 }
 
+// keepsOrder reports whether the known order of a roll-out stays in force although an entry shows
+// another one: that of the copy is older. An order that is written again after a restoration is marked
+// as the same, so that its roll-out does not start anew.
+func (t *table) keepsOrder(known, order *routing.RolloutOrder) bool {
+	if known == nil || t.lastAnsweredAt >= t.restored.rewritesUntil {
+		return false
+	}
+	if !order.IsSame(*known) {
+		return t.restored.ongoing
+	}
+	order.Renumbers = known.Revision
+	if known.Renumbers != 0 {
+		order.Renumbers = known.Renumbers
+	}
+	return false
+}
+
 // serverGrace returns how long a server stays usable after its entry vanished around an outage.
 func (t *table) serverGrace() time.Duration {
 	if t.restored.ongoing {
--- a/control/feed/restore_test.go
+++ b/control/feed/restore_test.go
@@ -207,3 +207,35 @@
 	must.False(t, tab.restored.ongoing)
 	must.Zero(t, tab.recoveryUntil)
 }
+
+// The store comes back from a copy without the last order of a roll-out, or with an earlier one, and
+// the operator writes the last one again. The roll-out must neither start anew nor return to the
+// earlier version.
+func TestRolloutOrderWrittenAgainAfterRestoreIsTheSame(t *testing.T) {
+	for _, earlier := range []string{"", "v2"} {
+		inFleet(t, 1, func(f *fleet) {
+			f.start(0)
+			order := func() routing.RolloutOrder { return *f.feeds[0].View().Rollouts["s"].Order }
+			write := func(target string) {
+				f.put(OwnRolloutOrderKey("s"), `{"target":"`+target+`","period":"30s"}`)
+				time.Sleep(time.Second)
+			}
+			if earlier != "" {
+				write(earlier)
+			}
+			f.restoreOlder(func() { write("v3") })
+			given := order()
+			must.Eq(f.t, "v3", given.Target)
+			time.Sleep(2 * time.Second)
+			must.Eq(f.t, given, order())
+			write("v3")
+			must.Eq(f.t, given.Revision, order().Renumbers)
+			must.Greater(f.t, given.Revision, order().Revision)
+			time.Sleep(rewriteWindow)
+			f.put("config", "vv")
+			time.Sleep(time.Second)
+			write("v3")
+			must.Zero(f.t, order().Renumbers)
+		})
+	}
+}
--- a/control/feed/rollouts.go
+++ b/control/feed/rollouts.go
@@ -53,6 +53,9 @@
 		} else {
 			delete(t.rejections, kv.Key)
 			order.Revision = kv.Version
+			if t.keepsOrder(rollout.Order, &order) {
+				return true
+			}
 			rollout.Order, rollout.OrderErr = &order, nil
 		}
 		t.rollouts[service] = rollout
@@ -109,9 +112,10 @@
 	return err
 }
 
-// removeRollout removes the order or the status that key holds, if any.
+// removeRollout removes the order or the status that key holds, if any. An order that a restored store
+// lacks stays: the operator writes it again.
 func (t *table) removeRollout(key string) {
-	if service, ok := t.schema.RolloutOrderService(key); ok {
+	if service, ok := t.schema.RolloutOrderService(key); ok && !t.restored.ongoing {
 		rollout := t.rollouts[service]
 		rollout.Order, rollout.OrderErr = nil, nil
 		t.rollouts[service] = rollout
--- a/control/routing/rollout.go
+++ b/control/routing/rollout.go
@@ -16,6 +16,14 @@
 	Period time.Duration
 	// Revision is the store revision of the order.
 	Revision int64
+	// Renumbers is the lowest revision of the same order in earlier eras of the store; 0 if there is
+	// none. An order is written again after the store was restored from an older copy of its data.
+	Renumbers int64
+}
+
+// IsSame reports whether an order asks for the same as another one.
+func (o RolloutOrder) IsSame(other RolloutOrder) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Period == other.Period
 }
 
 // Limits of the period of a rollout: a shorter period leaves no time to compare the versions, and a
--- a/decision/rollout/rollout.go
+++ b/decision/rollout/rollout.go
@@ -210,7 +210,15 @@
 // Order is an operator's order to roll out a version.
 type Order struct {
 	Revision int64
-	Target   string
+	// Renumbers is the lowest earlier revision of the same order; 0 if there is none. The order was
+	// written again because the store had lost it.
+	Renumbers int64
+	Target    string
+}
+
+// isOrderOf reports whether the order, under an earlier revision, is that of a state.
+func (o *Order) isOrderOf(s State) bool {
+	return o.Renumbers != 0 && s.OrderRevision >= o.Renumbers && o.Target == s.Target
 }
 
 // Resolve returns the current state of a service. order is the newest known order, nil if there is
@@ -225,7 +233,7 @@
 		current = Merge(previous, *stored)
 	}
 	if order != nil && order.Revision > current.OrderRevision {
-		if order.Target == current.Target && current.Stage.IsRunning() {
+		if order.Target == current.Target && current.Stage.IsRunning() || order.isOrderOf(current) {
 			current.OrderRevision = order.Revision
 			return current
 		}
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -89,7 +89,7 @@
 	r := view.Rollouts[s.name]
 	var order *rollout.Order
 	if r.Order != nil {
-		order = &rollout.Order{Revision: r.Order.Revision, Target: r.Order.Target}
+		order = &rollout.Order{Revision: r.Order.Revision, Renumbers: r.Order.Renumbers, Target: r.Order.Target}
 	}
 	var stored *rollout.State
 	if r.Status != nil {
