control/feed: a daemon that starts after a restoration gets the newest configuration from a peer

A daemon that starts before the operator has written again reads an older configuration from the restored store; keys that were removed would work there.

Change: a daemon that holds a newer configuration than the restored store tells it in every reply to a peer, whatever the revision, until the store has it. A daemon whose own watch works asks one peer once, after its first read; the others ask peers anyway. One call of some bytes per start.

--- a/control/feed/pages.go
+++ b/control/feed/pages.go
@@ -113,7 +113,7 @@
 	if err := proto.Unmarshal(raw, &content); err != nil {
 		return nil, errors.Wrap(err, "feed: decode page")
 	}
-	reply.Entries, reply.Removed, reply.Present, reply.Packed = content.GetEntries(), content.GetRemoved(), content.GetPresent(), nil
+	reply.Entries, reply.Removed, reply.Present, reply.Packed = append(reply.Entries, content.GetEntries()...), content.GetRemoved(), content.GetPresent(), nil
 	return reply, nil
 }
 
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -114,15 +114,30 @@
 		return
 	}
 	pause.Until(ctx, m.firstRead, maxFirstRead)
+	if m.needsNoSource() {
+		m.askForNewerConfig(ctx)
+	}
 	meanPause := longPollPause
 	for pause.For(ctx, meanPause*3/4+rand.N(meanPause/2)) {
 		meanPause = pollInterval
-		if watchWorks := m.isFresh() && m.shouldWatch() && !m.hasNoSource(); !watchWorks && m.pollSources(ctx) {
+		if !m.needsNoSource() && m.pollSources(ctx) {
 			meanPause = longPollPause
 		}
 	}
 }
 
+// needsNoSource reports whether this daemon's own watch of the store works.
+func (m *Manager) needsNoSource() bool { return m.isFresh() && m.shouldWatch() && !m.hasNoSource() }
+
+// askForNewerConfig asks one other daemon, once, whether it knows a newer configuration than the store
+// from which this one has just read.
+func (m *Manager) askForNewerConfig(ctx context.Context) {
+	near, others := m.sources()
+	if addresses := append(near, others...); len(addresses) > 0 {
+		m.pollPeer(ctx, addresses[0], 0)
+	}
+}
+
 // pollSources polls one daemon after the other until one can answer, and reports whether one could.
 // If none can, this daemon starts to watch the store itself.
 func (m *Manager) pollSources(ctx context.Context) bool {
@@ -246,6 +261,7 @@
 	confirmedAt := sentAt - time.Duration(reply.GetAgeMs())*time.Millisecond
 	have := m.revision.Load()
 	if reply.GetRevision() < have || reply.GetRevision() == have && int64(confirmedAt) <= m.confirmedAt.Load() {
+		m.applyNewerConfig(reply)
 		return
 	}
 	wasOverdue, changed := m.isConfirmationOverdue(), false
--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -9,6 +9,7 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
+	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -64,6 +65,51 @@
 	return r.refused
 }
 
+// newestConfig returns the entry of the configuration, with the value held if that has the higher
+// version. A restored store may hold an older one, which must not be passed on to daemons that know
+// none.
+func (t *table) newestConfig(kv store.KV) store.KV {
+	held, ok := t.entries.kvs[kv.Key]
+	c, err := t.schema.DecodeConfig(kv.Value)
+	t.storeConfigOlder = ok && t.config != nil && err == nil && c.Version < t.config.Version
+	if t.storeConfigOlder {
+		kv.Value = held.Value
+	}
+	return kv
+}
+
+// newerConfig returns the entry of the configuration if it is newer than what the store holds, nil
+// otherwise. Every peer is told of it, at whatever revision: one that started since has read the older
+// configuration at the same revision.
+func (m *Manager) newerConfig() *peerpb.FeedEntry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.table.storeConfigOlder {
+		return nil
+	}
+	kv := m.table.entries.kvs[m.opts.Schema.ConfigKey()]
+	return &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version}
+}
+
+// applyNewerConfig applies a configuration that is newer than the one in force, from a peer's reply
+// whose other entries are not news.
+func (m *Manager) applyNewerConfig(reply *peerpb.SnapshotReply) {
+	key := m.opts.Schema.ConfigKey()
+	for _, e := range reply.GetEntries() {
+		if e.GetKey() != key {
+			continue
+		}
+		m.mu.Lock()
+		held := m.table.entries.kvs[key]
+		if c, err := m.table.schema.DecodeConfig(e.GetValue()); err == nil && m.table.config != nil && c.Version > m.table.config.Version {
+			m.table.put(store.KV{Key: key, Value: e.GetValue(), Version: max(held.Version, e.GetRevision())})
+			m.table.storeConfigOlder = true
+			m.publish()
+		}
+		m.mu.Unlock()
+	}
+}
+
 // keepsLeaving reports whether an entry of a restored store shows a server as ready although the same
 // incarnation is known to leave or to be gone. Its next write tells what is true.
 func (t *table) keepsLeaving(id string, startedAtMS int64) bool {
--- a/control/feed/restore_test.go
+++ b/control/feed/restore_test.go
@@ -125,6 +125,26 @@
 	})
 }
 
+// The store comes back with an older configuration, and a daemon starts before the operator has written
+// the newer one again. It must get that from its peers, or keys work that were removed.
+func TestDaemonStartsWithNewestConfigAfterRestore(t *testing.T) {
+	for _, size := range []int{3, 61} {
+		inFleet(t, size, func(f *fleet) {
+			for n := range size - 1 {
+				id := strconv.Itoa(n)
+				f.put(vmPrefix+id, `{"id":"`+id+`","address":"`+id+`:2","peer":"`+id+`:1"}`)
+				f.start(n)
+			}
+			time.Sleep(5 * time.Second)
+			f.restoreOlder(func() { f.put("config", "vvv") })
+			time.Sleep(2 * time.Second)
+			f.start(size - 1)
+			time.Sleep(2 * time.Second)
+			must.Eq(f.t, int64(3), f.version(size-1), must.Sprint(size))
+		})
+	}
+}
+
 // The store comes back from a copy without a refused request. It must stay refused, and be written
 // again once, also if the daemon that added it is gone.
 func TestRefusedRequestIsWrittenAgainAfterRestore(t *testing.T) {
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -33,6 +33,9 @@
 func (s feedService) Snapshot(ctx context.Context, q *peerpb.SnapshotRequest) (*peerpb.SnapshotReply, error) {
 	s.m.awaitUpdate(ctx, q)
 	reply, next := s.m.replyTo(q)
+	if e := s.m.newerConfig(); e != nil && reply.Revision != 0 {
+		reply.Entries = append(reply.Entries, e)
+	}
 	if next == nil {
 		return reply, nil
 	}
@@ -42,7 +45,7 @@
 	}
 	reply.Revision, reply.Partial, reply.Packed = p.revision, p.partial, p.packed
 	if p.content != nil {
-		reply.Entries, reply.Removed, reply.Present = p.content.GetEntries(), p.content.GetRemoved(), p.content.GetPresent()
+		reply.Entries, reply.Removed, reply.Present = append(reply.Entries, p.content.GetEntries()...), p.content.GetRemoved(), p.content.GetPresent()
 	}
 	return reply, nil
 }
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -22,6 +22,8 @@
 	entries *entries // raw entries as read from the store
 	log     *event.Log
 	config  *routing.Config
+	// storeConfigOlder says that the store was restored and holds an older configuration than config.
+	storeConfigOlder bool
 	// published is the last view built; nil before the first one.
 	published *View
 	servers   map[string]*routing.Server
@@ -177,20 +179,6 @@
 	}
 }
 
-// newestConfig returns the entry of the configuration, with the value held if that has the higher
-// version. A store that was restored from a copy may hold an older one, which must not be passed on to
-// daemons that know none.
-func (t *table) newestConfig(kv store.KV) store.KV {
-	held, ok := t.entries.kvs[kv.Key]
-	if !ok || t.config == nil {
-		return kv
-	}
-	if c, err := t.schema.DecodeConfig(kv.Value); err == nil && c.Version < t.config.Version {
-		kv.Value = held.Value
-	}
-	return kv
-}
-
 // putConfig ignores a version that is not newer than the one in force, so that a delayed answer
 // does not undo a newer configuration.
 func (t *table) putConfig(raw []byte) {
