control/feed: after a restoration only the daemons that watch the store read all of it again

Callers: none seen; found by counting calls by fleet size. Cause: after an outage many daemons watch the store for a moment, because their last confirmation is old; each then found its history lost and read everything. Change: a daemon that the plan does not select waits up to 1.5 s for a peer to tell what was read, and reads the store itself only after that.

--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -56,6 +56,9 @@
 	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
 	// change.
 	silentWatchTime = 1200 * time.Millisecond
+	// maxPeerReread bounds the time for which a daemon waits for its peers to read the store again.
+	// They take a few round trips to the store and one to each daemon that passes the changes on.
+	maxPeerReread = 1500 * time.Millisecond
 	// minWatchCheck is the least time between two checks whether this daemon watches the store.
 	minWatchCheck = 10 * time.Millisecond
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
@@ -88,7 +91,8 @@
 		switch {
 		case ctx.Err() != nil || err == nil:
 		case compacted && !historyReread:
-			historyReread = true // the store answers: what is missing is read at once
+			historyReread = true // the store answers: what is missing is read without a back-off
+			m.awaitPeerReread(ctx)
 		default:
 			m.recordFailure(err)
 			m.backOff(ctx, failures)
@@ -104,6 +108,28 @@
 	m.historyLost = true
 }
 
+// awaitPeerReread waits until a peer has told what was read since the history was lost, up to
+// maxPeerReread. A daemon that the plan selects to watch the store does not wait.
+//
+// After an outage many daemons watch the store for a moment, because their last confirmation is old.
+// If all of them read the whole store again, it would take seconds, and their changes would be late.
+func (m *Manager) awaitPeerReread(ctx context.Context) {
+	view := m.View()
+	if m.opts.Dialer == nil || len(view.VMs) <= watchplan.SmallFleetSize || view.watchPlan.IsWatcher(m.opts.Self) {
+		return
+	}
+	until := m.opts.Clock() + maxPeerReread/2 + rand.N(maxPeerReread/2)
+	for m.opts.Clock() < until && m.isHistoryLost() && pause.For(ctx, minWatchCheck) {
+	}
+}
+
+// isHistoryLost reports whether the watch cannot continue from the current revision.
+func (m *Manager) isHistoryLost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.historyLost
+}
+
 // timeToWatch returns when the last confirmation will be so old that this daemon watches the store
 // itself.
 func (m *Manager) timeToWatch() time.Duration {
@@ -178,11 +204,8 @@
 // catchUp determines the revision from which the watch continues and confirms the configuration.
 // The read is needed because a watch without changes confirms nothing for a second.
 func (m *Manager) catchUp(ctx context.Context) error {
-	m.mu.Lock()
-	historyLost := m.historyLost
-	m.mu.Unlock()
 	switch {
-	case historyLost:
+	case m.isHistoryLost():
 		return m.readAll(store.WithPurpose(ctx, store.PurposeReread))
 	case m.revision.Load() == 0:
 		return m.readInitial(store.WithPurpose(ctx, store.PurposeStart))
