control/feed: daemons say which configuration they have in force when they ask a peer

Change: SnapshotRequest.config_version. A peer with a higher version in force adds it to the reply if the changes do not hold it. Peers of the earlier protocol send 0 and get none.

--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -208,6 +208,7 @@
 	have := m.toldRevision()
 	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
 		Have: have, WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
+		ConfigVersion: m.configVersion(),
 	})
 	if err == nil {
 		reply, err = unpack(reply)
@@ -227,6 +228,14 @@
 	return !reply.GetLost() && !stale && reply.GetRevision() != 0
 }
 
+// configVersion returns the version of the configuration in force; 0 if there is none.
+func (m *Manager) configVersion() int64 {
+	if c := m.View().Config; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // toldRevision returns the revision after which peers are asked for changes.
 func (m *Manager) toldRevision() int64 {
 	m.mu.Lock()
--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -70,24 +70,22 @@
 // none.
 func (t *table) newestConfig(kv store.KV) store.KV {
 	held, ok := t.entries.kvs[kv.Key]
-	c, err := t.schema.DecodeConfig(kv.Value)
-	t.storeConfigOlder = ok && t.config != nil && err == nil && c.Version < t.config.Version
-	if t.storeConfigOlder {
+	if c, err := t.schema.DecodeConfig(kv.Value); ok && t.config != nil && err == nil && c.Version < t.config.Version {
 		kv.Value = held.Value
 	}
 	return kv
 }
 
-// newerConfig returns the entry of the configuration if it is newer than what the store holds, nil
-// otherwise. Every peer is told of it, at whatever revision: one that started since has read the older
-// configuration at the same revision.
-func (m *Manager) newerConfig() *peerpb.FeedEntry {
+// newerConfig returns the entry of the configuration if it is newer than that of the caller and the
+// changes after the caller's revision do not hold it, nil otherwise. A daemon that has started since
+// the store was restored has read the older configuration at the same revision.
+func (m *Manager) newerConfig(q *peerpb.SnapshotRequest) *peerpb.FeedEntry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.table.storeConfigOlder {
+	kv, ok := m.table.entries.kvs[m.opts.Schema.ConfigKey()]
+	if !ok || m.table.config == nil || q.GetConfigVersion() == 0 || m.table.config.Version <= q.GetConfigVersion() || kv.Version > q.GetHave() {
 		return nil
 	}
-	kv := m.table.entries.kvs[m.opts.Schema.ConfigKey()]
 	return &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version}
 }
 
@@ -103,7 +101,6 @@
 		held := m.table.entries.kvs[key]
 		if c, err := m.table.schema.DecodeConfig(e.GetValue()); err == nil && m.table.config != nil && c.Version > m.table.config.Version {
 			m.table.put(store.KV{Key: key, Value: e.GetValue(), Version: max(held.Version, e.GetRevision())})
-			m.table.storeConfigOlder = true
 			m.publish()
 		}
 		m.mu.Unlock()
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -33,7 +33,7 @@
 func (s feedService) Snapshot(ctx context.Context, q *peerpb.SnapshotRequest) (*peerpb.SnapshotReply, error) {
 	s.m.awaitUpdate(ctx, q)
 	reply, next := s.m.replyTo(q)
-	if e := s.m.newerConfig(); e != nil && reply.Revision != 0 {
+	if e := s.m.newerConfig(q); e != nil && reply.Revision != 0 {
 		reply.Entries = append(reply.Entries, e)
 	}
 	if next == nil {
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -22,8 +22,6 @@
 	entries *entries // raw entries as read from the store
 	log     *event.Log
 	config  *routing.Config
-	// storeConfigOlder says that the store was restored and holds an older configuration than config.
-	storeConfigOlder bool
 	// published is the last view built; nil before the first one.
 	published *View
 	servers   map[string]*routing.Server
