lab/soak/process: servers that leave or pause by their responses, and a store from an older copy

Three more faults of the soak: a server states in its responses that it leaves while the store lists it as ready; a plain server rejects everything for 4 s, each time with a pause; the store comes back from a copy some seconds old, and the operator and the servers write again. The servers check for each daemon that it keeps to what it was told, unless it has restarted since.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -158,7 +158,7 @@
 	req.GetBody = nil // the HTTP client must not retry by itself
 	req.Host = host
 	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: key, LastEventID: lastEventID, PromptTokens: 800}, parts)
-	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, sentAt: time.Now()})
+	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, sentAt: time.Now(), daemon: address})
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return result{err: errors.Wrap(err, "send")}
--- a/lab/soak/process/daemon.go
+++ b/lab/soak/process/daemon.go
@@ -41,6 +41,7 @@
 	lifecycle     sync.Mutex // serializes stops, kills and starts
 	mu            sync.Mutex
 	cmd           *exec.Cmd
+	startedAt     time.Time
 	stopRequested bool          // SIGTERM or SIGKILL was sent
 	exited        chan struct{} // closed when the process has exited
 }
@@ -81,7 +82,7 @@
 	}
 	exited := make(chan struct{})
 	d.mu.Lock()
-	d.cmd, d.exited, d.stopRequested = cmd, exited, false
+	d.cmd, d.exited, d.stopRequested, d.startedAt = cmd, exited, false, time.Now()
 	d.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -32,6 +32,9 @@
 	{"server fails part of its requests", false, (*harness).failServer},
 	{"poison request", false, (*harness).sendPoisonRequests},
 	{"server announces a rate limit", true, (*harness).announceRateLimit},
+	{"server leaves by its responses", true, (*harness).leaveByResponses},
+	{"server asks for pauses", true, (*harness).askForPauses},
+	{"store comes back from an older copy", false, (*harness).restoreStore},
 	{"healthy version rolled out", true, (*harness).rollOutHealthyVersion},
 	{"faulty version rolled out", false, (*harness).rollOutFaultyVersion},
 	{"server drained", true, (*harness).drainServer},
@@ -283,6 +286,11 @@
 	if s.retired {
 		return
 	}
+	h.replaceDraining(s)
+}
+
+// replaceDraining drains a server that is not retired and replaces it. The caller holds s.lifecycle.
+func (h *harness) replaceDraining(s *server) {
 	h.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainPropagation + 1500*time.Millisecond)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -83,6 +83,8 @@
 	callerProxies  map[string]string // proxy addresses by the daemon's caller address
 
 	rolloutMu            sync.Mutex // held while a roll-out is in progress
+	restoring            sync.Mutex // held while the store is restored from a copy
+	written              writtenEntries
 	mu                   sync.Mutex
 	servers              []*server
 	retired              []*server // ended for good
@@ -222,6 +224,11 @@
 // write writes a value to the store directly, unaffected by injected faults, on behalf of the
 // operator or a server.
 func (h *harness) write(key string, value []byte) {
+	h.written.record(key, value)
+	h.writeToStore(key, value)
+}
+
+func (h *harness) writeToStore(key string, value []byte) {
 	ctx := context.Background()
 	for {
 		var version int64
@@ -254,8 +261,13 @@
 
 // unregister removes a server's entry.
 func (h *harness) unregister(id string) {
+	h.written.record(wire.ServerKey(id), nil)
+	h.removeFromStore(wire.ServerKey(id))
+}
+
+func (h *harness) removeFromStore(key string) {
 	ctx := context.Background()
-	if kv, err := h.memory.Get(ctx, wire.ServerKey(id)); err == nil {
+	if kv, err := h.memory.Get(ctx, key); err == nil {
 		_ = h.memory.Delete(ctx, kv.Key, kv.Version) // fails only if the entry has changed or is gone
 	}
 }
--- a/lab/soak/process/recorder.go
+++ b/lab/soak/process/recorder.go
@@ -34,6 +34,7 @@
 	pathSuffix string // path after the route prefix
 	kind       callKind
 	sentAt     time.Time
+	daemon     string // address to which the caller sent it
 }
 
 func newRecorder() *recorder {
@@ -61,6 +62,13 @@
 	rec.sentRequests[id] = c
 }
 
+// sentRequestOf returns a request as its caller sent it; a zero one if no caller did.
+func (rec *recorder) sentRequestOf(id string) sentRequest {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return rec.sentRequests[id]
+}
+
 // startExecution records that a server starts to run a request, and returns the request as sent.
 func (rec *recorder) startExecution(id string, r *execution) sentRequest {
 	rec.mu.Lock()
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -46,6 +46,7 @@
 	errorRatio        float64   // share of requests answered with status 500
 	lostResponseRatio float64   // share of responses lost after the request ran
 	rateLimit         string    // announced in responses; "" if none
+	notices           notices
 	arrivals          []time.Time
 	replicas          map[string]replica
 	runs              map[string]*activeRun
@@ -92,7 +93,7 @@
 	if !sameID {
 		s.id = fmt.Sprintf("i-%08x-%d", rand.Uint32(), s.incarnations)
 	}
-	s.drainingSince = time.Time{}
+	s.drainingSince, s.notices = time.Time{}, newNotices()
 	s.replicas, s.runs, s.parts = map[string]replica{}, map[string]*activeRun{}, map[string]bool{}
 	s.shutdown = make(chan struct{})
 }
@@ -201,15 +202,22 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	sent := s.harness.recorder.sentRequestOf(e.ID)
+	if retryAfter, rejected := s.rejectForPause(sent); rejected {
+		wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, NotRun: true, RetryAfter: retryAfter})
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	exec := &execution{server: id, service: s.service}
 	s.harness.checkRequest(e, key, r.URL.Path, s.service, drainingSince, s.harness.recorder.startExecution(e.ID, exec))
-	wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, RateLimit: rateLimit})
+	wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, RateLimit: rateLimit, Leaving: s.checkLeaving(e.ID, sent)})
 	w.Header().Set(wire.SignatureHeader, exec.signature)
 	if part != "" {
 		s.serveStream(w, r, e, part, exec, shutdown)
-		return
+	} else {
+		s.serveResponse(w, r, exec, errorRatio, lostResponseRatio, shutdown)
 	}
-	s.serveResponse(w, r, exec, errorRatio, lostResponseRatio, shutdown)
+	s.recordLeavingTold(sent)
 }
 
 // takeReplica removes a replica and reports whether there was one: each can be used once.
