lab/soak/process: a daemon counts as told that a server leaves when a caller has its answer

The server had counted a stream that its daemon had given up before the header. The users' rule speaks of answers that were passed on, so the harness now counts the caller's receipt.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -164,6 +164,9 @@
 		return result{err: errors.Wrap(err, "send")}
 	}
 	defer resp.Body.Close()
+	if (wire.Codec{}).Reply(resp.StatusCode, resp.Header).Leaving {
+		c.harness.recordLeavingPassedOn(resp.Header.Get(wire.SignatureHeader), address)
+	}
 	body, err := io.ReadAll(resp.Body)
 	return result{
 		status: resp.StatusCode, signature: resp.Header.Get(wire.SignatureHeader), retryAfter: resp.Header.Get("Retry-After"), body: string(body), err: err,
--- a/lab/soak/process/notices.go
+++ b/lab/soak/process/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -79,15 +80,22 @@
 	return s.notices.leaving
 }
 
-// recordLeavingTold records that a daemon has received a response which states that the server leaves.
-func (s *server) recordLeavingTold(sent sentRequest) {
-	if !s.harness.boundsHold() {
-		return // the response may have been lost
+// recordLeavingPassedOn records that a daemon has passed on a response which states that its server
+// leaves.
+func (h *harness) recordLeavingPassedOn(signature, daemon string) {
+	exec, ok := h.recorder.executionBySignature(signature)
+	if !ok {
+		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, known := s.notices.toldLeave[sent.daemon]; s.notices.leaving && !known {
-		s.notices.toldLeave[sent.daemon] = time.Now()
+	h.mu.Lock()
+	servers := slices.Clone(h.servers)
+	h.mu.Unlock()
+	for _, s := range servers {
+		s.mu.Lock()
+		if _, known := s.notices.toldLeave[daemon]; s.id == exec.server && !known {
+			s.notices.toldLeave[daemon] = time.Now()
+		}
+		s.mu.Unlock()
 	}
 }
 
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -214,10 +214,9 @@
 	w.Header().Set(wire.SignatureHeader, exec.signature)
 	if part != "" {
 		s.serveStream(w, r, e, part, exec, shutdown)
-	} else {
-		s.serveResponse(w, r, exec, errorRatio, lostResponseRatio, shutdown)
+		return
 	}
-	s.recordLeavingTold(sent)
+	s.serveResponse(w, r, exec, errorRatio, lostResponseRatio, shutdown)
 }
 
 // takeReplica removes a replica and reports whether there was one: each can be used once.
