--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -1,12 +1,10 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,9 +24,6 @@
 	// maxRejections bounds the servers that may reject one request before the caller is refused:
 	// with that many rejections the whole service is full, not a single server.
 	maxRejections = 3
-	// bufferedResponseBytes is how much of a response is buffered before any of it is forwarded,
-	// so that a response that breaks off within that size can be retried.
-	bufferedResponseBytes = 256 << 10
 )
 
 // outcome is the result of one exchange.
@@ -326,68 +321,6 @@
 	h.opts.Log.Emit(event.BackendSuspected, in.call.ID, c.server.ID, err, minSuspicion)
 }
 
-// readResponse reads a response to its end, or its first bufferedResponseBytes if it is longer.
-func readResponse(resp *http.Response) ([]byte, io.ReadCloser, error) {
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(min(resp.ContentLength, bufferedResponseBytes)))
-	}
-	n, err := io.CopyN(&buf, resp.Body, bufferedResponseBytes)
-	if err == nil && n == bufferedResponseBytes {
-		return buf.Bytes(), resp.Body, nil
-	}
-	resp.Body.Close()
-	if err == io.EOF {
-		err = nil
-	}
-	return buf.Bytes(), nil, err
-}
-
-// notRunStatuses are the statuses that are not forwarded from a server: callers take each as a
-// promise that the request did not run, which a server makes only by stating it explicitly.
-var notRunStatuses = map[int]bool{
-	http.StatusRequestTimeout:     true,
-	http.StatusMisdirectedRequest: true,
-	http.StatusTooManyRequests:    true,
-	http.StatusServiceUnavailable: true,
-}
-
-// forwardResponse writes a server's response to the caller.
-func (h *Handler) forwardResponse(w http.ResponseWriter, in *inbound, o *outcome) error {
-	if notRunStatuses[o.status] {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server answered %d and may have run the request", o.status)
-	}
-	defer h.metrics.countAnswer(in, o.status, sourceServer)
-	copyHeader(w.Header(), o.header)
-	if o.bodyRest == nil && len(o.body) > 0 {
-		w.Header()["Content-Length"] = []string{strconv.Itoa(len(o.body))}
-	} else if length := o.header["Content-Length"]; length != nil {
-		w.Header()["Content-Length"] = length // also of a response to HEAD
-	}
-	w.WriteHeader(o.status)
-	if _, err := w.Write(o.body); err != nil {
-		return errors.Wrapf(errTruncated, "%v", err)
-	}
-	if o.bodyRest == nil {
-		return nil
-	}
-	defer o.bodyRest.Close()
-	if _, err := io.Copy(w, o.bodyRest); err != nil {
-		return errors.Wrapf(errTruncated, "%v", err)
-	}
-	return nil
-}
-
-// copyHeader copies the end-to-end headers of a server's response to the caller's, except for
-// Content-Length.
-func copyHeader(to, from http.Header) {
-	for name, values := range endToEndHeaders(from) {
-		if name != "Content-Length" {
-			to[name] = values
-		}
-	}
-}
-
 func (h *Handler) logExchange(ctx context.Context, in *inbound, o *outcome, took time.Duration) {
 	h.metrics.countSend(o)
 	h.opts.Log.Emit(event.ExchangeEnded, in.call.ID, in.route.Name, in.accountName(), in.configVersion, o.choice.server.ID, o.choice.reason, o.sendNumber,
--- /dev/null
+++ b/serve/forward/response.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/decision/verdict"
+)
+
+// bufferedResponseBytes is how much of a response is buffered before any of it is forwarded,
+// so that a response that breaks off within that size can be retried.
+const bufferedResponseBytes = 256 << 10
+
+// readResponse reads a response to its end, or its first bufferedResponseBytes if it is longer.
+func readResponse(resp *http.Response) ([]byte, io.ReadCloser, error) {
+	var buf bytes.Buffer
+	if resp.ContentLength > 0 {
+		buf.Grow(int(min(resp.ContentLength, bufferedResponseBytes)))
+	}
+	n, err := io.CopyN(&buf, resp.Body, bufferedResponseBytes)
+	if err == nil && n == bufferedResponseBytes {
+		return buf.Bytes(), resp.Body, nil
+	}
+	resp.Body.Close()
+	if err == io.EOF {
+		err = nil
+	}
+	return buf.Bytes(), nil, err
+}
+
+// notRunStatuses are the statuses that are not forwarded from a server: callers take each as a
+// promise that the request did not run, which a server makes only by stating it explicitly.
+var notRunStatuses = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// forwardResponse writes a server's response to the caller.
+func (h *Handler) forwardResponse(w http.ResponseWriter, in *inbound, o *outcome) error {
+	if notRunStatuses[o.status] {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server answered %d and may have run the request", o.status)
+	}
+	defer h.metrics.countAnswer(in, o.status, sourceServer)
+	copyHeader(w.Header(), o.header)
+	if o.bodyRest == nil && len(o.body) > 0 {
+		w.Header()["Content-Length"] = []string{strconv.Itoa(len(o.body))}
+	} else if length := o.header["Content-Length"]; length != nil {
+		w.Header()["Content-Length"] = length // also of a response to HEAD
+	}
+	w.WriteHeader(o.status)
+	if _, err := w.Write(o.body); err != nil {
+		return errors.Wrapf(errTruncated, "%v", err)
+	}
+	if o.bodyRest == nil {
+		return nil
+	}
+	defer o.bodyRest.Close()
+	if _, err := io.Copy(w, o.bodyRest); err != nil {
+		return errors.Wrapf(errTruncated, "%v", err)
+	}
+	return nil
+}
+
+// copyHeader copies the end-to-end headers of a server's response to the caller's, except for
+// Content-Length.
+func copyHeader(to, from http.Header) {
+	for name, values := range endToEndHeaders(from) {
+		if name != "Content-Length" {
+			to[name] = values
+		}
+	}
+}
