--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -38,8 +38,8 @@
 	refused []RefusedRequest
 }
 
-// beginEra begins the era of a revision if it is later than that of the entries held. Without any
-// entries there is nothing to keep.
+// beginEra begins the era of a revision if it is later than that of the entries held. A table that was
+// never complete keeps nothing against the store.
 func (t *table) beginEra(now time.Duration, revision int64) {
 	era := store.EraOf(revision)
 	if era <= t.restored.era {
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -59,7 +59,7 @@
 	// onWorkChanged is called, without the lock, for each server at which this daemon's prefills,
 	// running answers or suspicion have changed.
 	onWorkChanged func(routing.Server)
-	limits        *serverLimits // rate limits of servers; nil if there are none
+	limits        *serverLimits // rate limits and pauses of servers; nil in tests of the pool alone
 	// versions decides which servers may serve; snapshot is its last state applied.
 	versions *versions.Manager
 	snapshot *versions.Snapshot
