control/feed: a peer that has not heard of a restoration is no source

Cause: a peer of an earlier era counted as a usable source for the half second until it holds the store for lost, although its replies are dropped; so does a daemon of a release without eras, for good.

Change: a reply of an earlier era than what is held sends the daemon on to other sources.

Measured: TestPeerOfEarlierEraIsNoSource failed before.

--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -11,6 +11,7 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/watchplan"
+	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
@@ -225,7 +226,8 @@
 	if reply.GetPartial() && ctx.Err() == nil {
 		return m.pollPeer(parent, address, 0)
 	}
-	return !reply.GetLost() && !stale && reply.GetRevision() != 0
+	isBehind := store.EraOf(reply.GetRevision()) < store.EraOf(have) // it has not heard of a restoration
+	return !reply.GetLost() && !stale && !isBehind && reply.GetRevision() != 0
 }
 
 // configVersion returns the version of the configuration in force; 0 if there is none.
--- a/control/feed/restore_test.go
+++ b/control/feed/restore_test.go
@@ -153,6 +153,23 @@
 	}
 }
 
+// A daemon has read the restored store, and the peer that it polls cannot reach it. The peer's state is
+// of the time before, so the daemon must turn to others in place of waiting for it.
+func TestPeerOfEarlierEraIsNoSource(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.start(0)
+		f.start(1)
+		time.Sleep(2 * time.Second)
+		must.True(f.t, f.feeds[0].pollPeer(f.ctx, "1:1", 0))
+		f.faultyStores[1].SetDown(true)
+		f.unresponsive.Store(0, true) // the peer learns nothing from the daemon
+		f.store.Restore(f.store.Copy())
+		time.Sleep(200 * time.Millisecond) // the peer does not count the store as lost yet
+		must.Eq(f.t, 1, store.EraOf(f.feeds[0].revision.Load()))
+		must.False(f.t, f.feeds[0].pollPeer(f.ctx, "1:1", 0))
+	})
+}
+
 // The store comes back from a copy without a refused request. It must stay refused, and be written
 // again once, also if the daemon that added it is gone.
 func TestRefusedRequestIsWrittenAgainAfterRestore(t *testing.T) {
