--- a/external/standin/host/host.go
+++ b/external/standin/host/host.go
@@ -116,20 +116,20 @@
 	if s.pool.Kind == KindPlain {
 		node.Plain = plainsim.New(s.id, s.pool.CallTime)
 		node.faults = plainFaults(node)
-		return node, node.withLimitHeader(node.withCrashInjection(node.Plain))
+		return node, node.withNotices(node.withCrashInjection(node.Plain))
 	}
 	config := s.pool.Engine
 	config.Name, config.Seed, config.Weights = s.id, s.seed, h.Weights
 	node.Engine = enginesim.New(config)
 	node.faults = engineFaults(node)
-	return node, node.withLimitHeader(node.withCrashInjection(enginesim.Handler(node.Engine)))
+	return node, node.withNotices(node.withCrashInjection(enginesim.Handler(node.Engine)))
 }
 
-// withLimitHeader adds the fault "name-limit", with which the server advertises a request limit.
-func (n *Node) withLimitHeader(handler http.Handler) http.Handler {
-	l := &limitAdvertiser{handler: handler}
-	n.faults["name-limit"] = l.set
-	return l
+// withNotices adds the faults with which the server states in its responses which requests it takes.
+func (n *Node) withNotices(handler http.Handler) http.Handler {
+	s := &noticeSender{handler: handler}
+	n.faults["name-limit"], n.faults["say-leaving"], n.faults["ask-pause"] = s.setLimit, s.setLeaving, s.setPause
+	return s
 }
 
 // withCrashInjection adds the fault "crash-on", with which certain requests crash the server.
--- a/external/standin/host/host_test.go
+++ b/external/standin/host/host_test.go
@@ -143,6 +143,36 @@
 	}
 }
 
+func TestServerStatesThatItLeaves(t *testing.T) {
+	h := start(t)
+	desk := plainNode(h)
+	for _, c := range []struct{ value, header string }{{"true", "1"}, {"false", ""}} {
+		must.NoError(t, h.InjectFault(desk.Name, "say-leaving", c.value))
+		resp, err := http.Get("http://" + desk.Address + "/")
+		must.NoError(t, err)
+		resp.Body.Close()
+		must.Eq(t, c.header, resp.Header.Get("X-Backend-Leaving"))
+	}
+	must.Error(t, h.InjectFault(desk.Name, "say-leaving", "soon"))
+}
+
+func TestServerAsksForPause(t *testing.T) {
+	h := start(t)
+	desk := plainNode(h)
+	must.NoError(t, h.InjectFault(desk.Name, "ask-pause", "3"))
+	resp, err := http.Get("http://" + desk.Address + "/")
+	must.NoError(t, err)
+	resp.Body.Close()
+	must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+	must.Eq(t, "3", resp.Header.Get("Retry-After"))
+	must.Eq(t, "1", resp.Header.Get("X-Not-Run"))
+	must.NoError(t, h.InjectFault(desk.Name, "ask-pause", ""))
+	resp, err = http.Get("http://" + desk.Address + "/")
+	must.NoError(t, err)
+	resp.Body.Close()
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
 func TestRequestCrashesServer(t *testing.T) {
 	h, ctx := start(t), t.Context()
 	desk := plainNode(h)
