serve/forward: a pause that a server asks for says nothing of its version

Change: such an answer is no sample, of calls and of streams. A 503 without a pause stays a failure.

--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -179,6 +179,8 @@
 		return rollout.Unanswered, true // another server was faster, or the caller left
 	case o.rejected && !o.full:
 		return rollout.Succeeded, false // another process has the address
+	case o.reply.RetryAfter != "":
+		return rollout.Succeeded, false // what a server can carry now says nothing of its version
 	case o.full, o.err == nil && o.status >= 500:
 		return rollout.Failed, true
 	case o.err != nil:
@@ -217,6 +219,8 @@
 	switch {
 	case end == segmentComplete:
 		a.trial.Done(rollout.Succeeded)
+	case end == segmentNotRun && a.reply.RetryAfter != "":
+		a.trial.Discard()
 	case failed, end == segmentNotRun && a.response != nil && a.response.StatusCode == http.StatusServiceUnavailable:
 		a.trial.Done(rollout.Failed)
 	case end == segmentBroken && a.r.replacement == nil:
