--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -158,12 +158,15 @@
 	req.GetBody = nil // the HTTP client must not retry by itself
 	req.Host = host
 	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: key, LastEventID: lastEventID, PromptTokens: 800}, parts)
-	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, sentAt: time.Now()})
+	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, sentAt: time.Now(), daemon: address})
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return result{err: errors.Wrap(err, "send")}
 	}
 	defer resp.Body.Close()
+	if (wire.Codec{}).Reply(resp.StatusCode, resp.Header).Leaving {
+		c.harness.recordLeavingPassedOn(resp.Header.Get(wire.SignatureHeader), address)
+	}
 	body, err := io.ReadAll(resp.Body)
 	return result{
 		status: resp.StatusCode, signature: resp.Header.Get(wire.SignatureHeader), retryAfter: resp.Header.Get("Retry-After"), body: string(body), err: err,
