control/feed, serve/forward: what the change computed or stated twice is one piece

The configuration was decoded twice for each change of its entry, first to keep the newer value against a restored store: putConfig does that now. Whether the plan selects a daemon to watch stood in shouldWatch and in awaitPeerReread: isSelectedToWatch. acceptsNow looked a server's limits up twice.

--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -80,14 +80,18 @@
 // them until its configuration is 2.5 s old, and answer by routes that the operator removed two
 // seconds before.
 func (m *Manager) shouldWatch() bool {
-	view := m.View()
-	if m.opts.Dialer == nil || len(view.VMs) <= watchplan.SmallFleetSize || m.hasNoSource() {
-		return true
-	}
-	if age, known := m.confirmationAge(); !known || age > selfWatchAge {
+	if m.isSelectedToWatch() || m.hasNoSource() {
 		return true
 	}
-	return view.watchPlan.IsWatcher(m.opts.Self)
+	age, known := m.confirmationAge()
+	return !known || age > selfWatchAge
+}
+
+// isSelectedToWatch reports whether the plan of the fleet selects this daemon to watch the store. All
+// daemons of a small fleet are selected, and one that polls no peer.
+func (m *Manager) isSelectedToWatch() bool {
+	view := m.View()
+	return m.opts.Dialer == nil || len(view.VMs) <= watchplan.SmallFleetSize || view.watchPlan.IsWatcher(m.opts.Self)
 }
 
 // hasNoSource reports whether none of this daemon's sources could answer lately.
--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -65,17 +65,6 @@
 	return r.refused
 }
 
-// newestConfig returns the entry of the configuration, with the value held if that has the higher
-// version. A restored store may hold an older one, which must not be passed on to daemons that know
-// none.
-func (t *table) newestConfig(kv store.KV) store.KV {
-	held, ok := t.entries.kvs[kv.Key]
-	if c, err := t.schema.DecodeConfig(kv.Value); ok && t.config != nil && err == nil && c.Version < t.config.Version {
-		kv.Value = held.Value
-	}
-	return kv
-}
-
 // newerConfig returns the entry of the configuration if it is newer than that of the caller and the
 // changes after the caller's revision do not hold it, nil otherwise. A daemon that has started since
 // the store was restored has read the older configuration at the same revision.
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -154,9 +154,7 @@
 }
 
 func (t *table) put(kv store.KV) {
-	if kv.Key == t.schema.ConfigKey() {
-		kv = t.newestConfig(kv)
-	}
+	previous := t.entries.kvs[kv.Key]
 	t.entries.put(kv)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(kv.Key); ok {
@@ -170,7 +168,7 @@
 	t.urgentRevision, t.controlChanged = max(t.urgentRevision, kv.Version), true
 	switch {
 	case kv.Key == t.schema.ConfigKey():
-		t.putConfig(kv.Value)
+		t.putConfig(kv, previous)
 	case t.putRollout(kv):
 	case strings.HasPrefix(kv.Key, refusedPrefix):
 		t.refusedRequests[kv.Key], t.refusedChanged = decodeRefused(kv), true
@@ -178,15 +176,20 @@
 }
 
 // putConfig ignores a version that is not newer than the one in force, so that a delayed answer
-// does not undo a newer configuration.
-func (t *table) putConfig(raw []byte) {
-	c, err := t.schema.DecodeConfig(raw)
+// does not undo a newer configuration. The entry then keeps its previous value: a restored store may
+// hold an older configuration, which must not be passed on to daemons that know none.
+func (t *table) putConfig(kv, previous store.KV) {
+	c, err := t.schema.DecodeConfig(kv.Value)
 	if err != nil {
 		t.reject(t.schema.ConfigKey(), err)
 		return
 	}
 	delete(t.rejections, t.schema.ConfigKey())
 	if t.config != nil && c.Version <= t.config.Version {
+		if c.Version < t.config.Version && previous.Key != "" {
+			kv.Value = previous.Value
+			t.entries.put(kv)
+		}
 		return
 	}
 	t.setConfig(c)
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"mallowwind.dev/control/pause"
-	"mallowwind.dev/decision/watchplan"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/telemetry/event"
 )
@@ -91,8 +90,7 @@
 // After an outage many daemons watch the store for a moment, because their last confirmation is old.
 // If all of them read the whole store again, it would take seconds, and their changes would be late.
 func (m *Manager) awaitPeerReread(ctx context.Context) {
-	view := m.View()
-	if m.opts.Dialer == nil || len(view.VMs) <= watchplan.SmallFleetSize || view.watchPlan.IsWatcher(m.opts.Self) {
+	if m.isSelectedToWatch() {
 		return
 	}
 	until := m.opts.Clock() + maxPeerReread/2 + rand.N(maxPeerReread/2)
--- a/serve/forward/permits.go
+++ b/serve/forward/permits.go
@@ -33,11 +33,12 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if state := l.servers[s.Incarnation()]; state != nil && !state.pause.CanSend(now) {
-		return false
+	state := l.servers[s.Incarnation()]
+	if state == nil {
+		return true
 	}
-	state := l.active(s)
-	return state == nil || state.permitRequests.CanAsk(now)
+	_, limited := state.limit.Rate()
+	return state.pause.CanSend(now) && (!limited || state.permitRequests.CanAsk(now))
 }
 
 // acquire reports whether a request may be sent to a server at once: the server does not pause, and it
