--- a/control/feed/restore_test.go
+++ b/control/feed/restore_test.go
@@ -53,8 +53,7 @@
 	return strings.Join(ids, " ")
 }
 
-// The store comes back from a copy in which a server that leaves, and one that is gone, are ready. They
-// must get no requests, until they write that they are ready.
+// Guards against requests to servers that leave or are gone, which an older copy shows as ready.
 func TestRestoredStoreDoesNotReturnLeavingServers(t *testing.T) {
 	for _, size := range []int{1, 7, 61} {
 		inFleet(t, size, func(f *fleet) {
@@ -82,8 +81,7 @@
 	}
 }
 
-// The store comes back from a copy without servers that registered later. They must stay usable while
-// they write their entries again, and no longer if they do not.
+// Guards against the loss of live servers that an older copy lacks, and against keeping dead ones.
 func TestServersMissingInRestoredStoreStayForAMoment(t *testing.T) {
 	for _, size := range []int{1, 7, 61} {
 		inFleet(t, size, func(f *fleet) {
@@ -109,8 +107,7 @@
 	}
 }
 
-// The store comes back with an older configuration. Daemons must keep the one in force, and tell it to
-// a daemon that starts without the store.
+// Guards against a return to the older configuration of a restored store.
 func TestRestoredStoreDoesNotRevertConfig(t *testing.T) {
 	inFleet(t, 8, func(f *fleet) {
 		for n := range 7 {
@@ -133,8 +130,7 @@
 	})
 }
 
-// The store comes back with an older configuration, and a daemon starts before the operator has written
-// the newer one again. It must get that from its peers, or keys work that were removed.
+// Guards against removed keys that work at a daemon which starts before the operator writes again.
 func TestDaemonStartsWithNewestConfigAfterRestore(t *testing.T) {
 	for _, size := range []int{3, 61} {
 		inFleet(t, size, func(f *fleet) {
@@ -153,8 +149,7 @@
 	}
 }
 
-// A daemon has read the restored store, and the peer that it polls cannot reach it. The peer's state is
-// of the time before, so the daemon must turn to others in place of waiting for it.
+// Guards against waiting for a peer that has not heard that the store was restored.
 func TestPeerOfEarlierEraIsNoSource(t *testing.T) {
 	inFleet(t, 2, func(f *fleet) {
 		f.start(0)
@@ -170,8 +165,7 @@
 	})
 }
 
-// The store comes back from a copy without a refused request. It must stay refused, and be written
-// again once, also if the daemon that added it is gone.
+// Guards against a refused request that runs again because the restored store lacks its entry.
 func TestRefusedRequestIsWrittenAgainAfterRestore(t *testing.T) {
 	for _, writer := range []string{"0", "gone"} {
 		inFleet(t, 6, func(f *fleet) {
@@ -193,8 +187,7 @@
 	}
 }
 
-// The store comes back from a copy. Daemons whose entries it holds must not write them again, because
-// all at once would exceed its rate; those that registered later must.
+// Guards against a fleet that writes all its entries again at once after a restoration.
 func TestOnlyMissingRegistrationsAreWrittenAgainAfterRestore(t *testing.T) {
 	const size, late = 61, 3
 	inFleet(t, size, func(f *fleet) {
@@ -227,7 +220,7 @@
 	})
 }
 
-// A daemon that starts reads a store that was restored before. It has nothing to keep.
+// Guards against a daemon that starts and takes a store restored earlier for one restored now.
 func TestFirstReadOfRestoredStoreKeepsNothing(t *testing.T) {
 	tab := newTable(textSchema{}, event.Discard())
 	tab.beginEra(0, store.VersionIn(3, 7))
@@ -237,9 +230,7 @@
 	must.Zero(t, tab.recoveryUntil)
 }
 
-// The store comes back from a copy without the last order of a roll-out, or with an earlier one, and
-// the operator writes the last one again. The roll-out must neither start anew nor return to the
-// earlier version.
+// Guards against a roll-out that starts anew, or goes back, when its order is written again.
 func TestRolloutOrderWrittenAgainAfterRestoreIsTheSame(t *testing.T) {
 	for _, earlier := range []string{"", "v2"} {
 		inFleet(t, 1, func(f *fleet) {
--- a/decision/cooldown/cooldown_test.go
+++ b/decision/cooldown/cooldown_test.go
@@ -57,8 +57,7 @@
 	must.False(t, s.IsActive())
 }
 
-// A fleet is told of the same pause. No daemon may send more than is allowed before its end, and the
-// daemons may not return at the same moment.
+// Guards against daemons that return before a pause ends, or all at the same moment.
 func TestFleetReturnsAfterPause(t *testing.T) {
 	const (
 		pause  = 3 * time.Second
--- a/serve/forward/pauses_test.go
+++ b/serve/forward/pauses_test.go
@@ -9,8 +9,7 @@
 	"mallowwind.dev/decision/rollout"
 )
 
-// A server of a new version asks for a pause. The version must not be taken back for that: what a
-// server can carry now says nothing of its version.
+// Guards against a healthy version that is taken back because one of its servers pauses.
 func TestPauseSaysNothingOfTheVersion(t *testing.T) {
 	rejected := outcome{notRun: true, rejected: true, full: true, status: http.StatusServiceUnavailable}
 	result, ok := rejected.trialOutcome(t.Context())
--- a/serve/gateway/server_leaving_test.go
+++ b/serve/gateway/server_leaving_test.go
@@ -7,8 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// A server states in its responses that it leaves, and the store does not list it as leaving. It must
-// get no new requests.
+// Guards against requests to a server that leaves by its responses while the store lists it as ready.
 func TestServerLeavingByItsResponsesGetsNoNewRequests(t *testing.T) {
 	for _, c := range []struct {
 		name      string
