--- /dev/null
+++ b/external/standin/faultnet/path.go
@@ -0,0 +1,163 @@
+package faultnet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// CutKind says what a cut path does to connections.
+type CutKind uint8
+
+// The kinds of a cut.
+const (
+	// CutResets resets open connections and refuses new ones.
+	CutResets CutKind = iota
+	// CutHangs holds back all traffic of open connections until the path is restored. New
+	// connections are never established.
+	CutHangs
+	// CutRefusesNew leaves open connections as they are and refuses new ones.
+	CutRefusesNew
+)
+
+// DialFunc has the signature of http.Transport.DialContext.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Path is the network path between one client and a set of servers, which can be cut and restored.
+// The servers and the paths of other clients are not affected.
+type Path struct {
+	dial DialFunc
+
+	mu       sync.Mutex
+	cut      bool
+	kind     CutKind
+	restored chan struct{} // closed while the path is not cut
+	conns    map[*pathConn]struct{}
+}
+
+// NewPath returns a path that is not cut and on which dial opens connections.
+func NewPath(dial DialFunc) *Path {
+	restored := make(chan struct{})
+	close(restored)
+	return &Path{dial: dial, restored: restored, conns: map[*pathConn]struct{}{}}
+}
+
+// Dial opens a connection over the path.
+func (p *Path) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	p.mu.Lock()
+	cut, kind := p.cut, p.kind
+	p.mu.Unlock()
+	switch {
+	case cut && kind == CutHangs:
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	case cut:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	inner, err := p.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c := &pathConn{Conn: inner, path: p, closed: make(chan struct{})}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c] = struct{}{}
+	return c, nil
+}
+
+// Cut cuts the path.
+func (p *Path) Cut(kind CutKind) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut, p.kind = true, kind
+	switch kind {
+	case CutHangs:
+		p.restored = make(chan struct{})
+	case CutResets:
+		for c := range p.conns {
+			c.reset()
+		}
+	case CutRefusesNew:
+	}
+}
+
+// Restore reverts Cut.
+func (p *Path) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cut && p.kind == CutHangs {
+		close(p.restored)
+	}
+	p.cut = false
+}
+
+func (p *Path) remove(c *pathConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// waitRestored blocks while the path hangs. It fails once the connection is closed.
+func (p *Path) waitRestored(closed <-chan struct{}) error {
+	p.mu.Lock()
+	restored := p.restored
+	p.mu.Unlock()
+	select {
+	case <-restored:
+		return nil
+	case <-closed:
+		return net.ErrClosed
+	}
+}
+
+// pathConn is the client side of a connection over a path.
+type pathConn struct {
+	net.Conn
+	path      *Path
+	closed    chan struct{}
+	closeOnce sync.Once
+	wasReset  atomic.Bool
+}
+
+// reset closes the connection; reads and writes then fail as after a reset by the network.
+func (c *pathConn) reset() {
+	c.wasReset.Store(true)
+	_ = c.Conn.Close() // the other end sees the close, whatever the result
+}
+
+// cause returns the error of a reset in place of the one that its close led to.
+func (c *pathConn) cause(err error) error {
+	if err != nil && c.wasReset.Load() {
+		return errors.Wrap(syscall.ECONNRESET, "faultnet")
+	}
+	return err
+}
+
+// Read implements net.Conn.
+func (c *pathConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if pathErr := c.path.waitRestored(c.closed); pathErr != nil {
+		return 0, pathErr
+	}
+	return n, c.cause(err)
+}
+
+// Write implements net.Conn.
+func (c *pathConn) Write(b []byte) (int, error) {
+	if err := c.path.waitRestored(c.closed); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	return n, c.cause(err)
+}
+
+// Close implements net.Conn.
+func (c *pathConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	c.path.remove(c)
+	return c.Conn.Close()
+}
--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -52,7 +52,8 @@
 // daemon is a process of an entry VM.
 type daemon struct {
 	vm             routing.VM
-	store          *store.Faulty // the daemon's access to the fleet's store
+	store          *store.Faulty  // the daemon's access to the fleet's store
+	path           *faultnet.Path // the daemon's connections to backend servers
 	callers, peers *faultnet.Listener
 	kill           context.CancelFunc
 	stopped        chan struct{}
@@ -91,7 +92,7 @@
 	id := fmt.Sprintf("vm-%d", n)
 	d := &daemon{
 		vm:    routing.VM{ID: id, Zone: string(rune('a' + n%3)), Address: id + ":1", PeerAddress: id + ":2"},
-		store: store.NewFaulty(f.store), callers: faultnet.Pipe(), peers: faultnet.Pipe(), stopped: make(chan struct{}),
+		store: store.NewFaulty(f.store), path: faultnet.NewPath(f.dial), callers: faultnet.Pipe(), peers: faultnet.Pipe(), stopped: make(chan struct{}),
 		dialer: &http.Transport{DialContext: f.dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Second},
 	}
 	f.mu.Lock()
@@ -108,7 +109,7 @@
 		AddressTTL: time.Second, MinLeaseTTL: time.Second,
 		Registry: metric.NewCatalogue(), Callers: d.callers, Peers: d.peers,
 		Readiness: faultnet.Pipe(), Directory: faultnet.Pipe(), ReadyHandler: readyHandler, DirectoryHandler: directoryHandler,
-		DialServer: f.dial, Dialer: link.NewDialerWithClient(&http.Client{Transport: d.dialer}),
+		DialServer: d.path.Dial, Dialer: link.NewDialerWithClient(&http.Client{Transport: d.dialer}),
 	})
 	hard, kill := context.WithCancel(f.t.Context())
 	d.kill = kill
--- /dev/null
+++ b/serve/gateway/partition_test.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/standin/faultnet"
+)
+
+const (
+	// partitionDetectionTime is the time after which daemons without a path to any server must serve.
+	partitionDetectionTime = 3 * time.Second
+	// minServedRatio is the least part of the share served by other daemons that daemons without a
+	// path to any server must serve.
+	minServedRatio = 2.0 / 3
+	// allowedFailures and allowedFailureRatio bound the first attempts that fail at daemons without a
+	// path to any server, as a count and as a part of all first attempts.
+	allowedFailures     = 10
+	allowedFailureRatio = 1.0 / 50
+)
+
+// firstAttempts counts the requests sent to a group of daemons and those that were served.
+type firstAttempts struct{ sent, served atomic.Int64 }
+
+func (c *firstAttempts) failed() float64 { return float64(c.sent.Load() - c.served.Load()) }
+
+func (c *firstAttempts) servedRatio() float64 {
+	return float64(c.served.Load()) / float64(max(1, c.sent.Load()))
+}
+
+// loadEach sends perSecond requests per second to all daemons in turn for the given duration, and
+// counts those to the daemons in cut and those to the others.
+func (f *fleet) loadEach(path string, perSecond int, duration time.Duration, cut []int) (partitioned, others *firstAttempts) {
+	partitioned, others = &firstAttempts{}, &firstAttempts{}
+	for n := range int(duration.Seconds() * float64(perSecond)) {
+		time.Sleep(time.Second / time.Duration(perSecond))
+		target := n % len(f.daemons)
+		counts := others
+		if slices.Contains(cut, target) {
+			counts = partitioned
+		}
+		f.background.Go(func() {
+			counts.sent.Add(1)
+			if r := f.send(target, fmt.Sprintf("%s%d", path, n), "fine"); r.err == nil && r.status == http.StatusOK {
+				counts.served.Add(1)
+			}
+		})
+	}
+	return partitioned, others
+}
+
+// cut cuts the paths of some daemons to all servers.
+func (f *fleet) cut(daemons []int, kind faultnet.CutKind) {
+	for _, n := range daemons {
+		f.daemons[fmt.Sprintf("vm-%d", n)].path.Cut(kind)
+	}
+}
+
+// restorePaths reverts cut.
+func (f *fleet) restorePaths(daemons []int) {
+	for _, n := range daemons {
+		f.daemons[fmt.Sprintf("vm-%d", n)].path.Restore()
+	}
+}
+
+// Guards against daemons that refuse or time out all requests because their own VM has no path to
+// any backend server, while callers and other daemons reach both.
+func TestDaemonsWithoutPathToServersServeThroughOthers(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		daemons   int
+		cut       []int
+		kind      faultnet.CutKind
+		path      string
+		service   string
+		servers   int
+		perSecond int
+	}{
+		{"calls, refused", 7, []int{0, 1, 3, 5}, faultnet.CutResets, "/once/", "desk", 3, 84},
+		{"calls, hanging", 7, []int{0, 1, 3, 5}, faultnet.CutHangs, "/once/", "desk", 3, 84},
+		{"calls, new connections refused", 7, []int{0, 1, 3, 5}, faultnet.CutRefusesNew, "/once/", "desk", 3, 84},
+		{"idempotent calls, refused", 7, []int{0, 1, 3, 5}, faultnet.CutResets, "/again/", "desk", 3, 84},
+		{"idempotent calls, hanging", 7, []int{0, 1, 3, 5}, faultnet.CutHangs, "/again/", "desk", 3, 84},
+		{"streams, refused", 7, []int{0, 1, 3, 5}, faultnet.CutResets, "/stream/", "llm", 8, 10},
+		{"streams, hanging", 7, []int{0, 1, 3, 5}, faultnet.CutHangs, "/stream/", "llm", 8, 10},
+		{"a zone, refused", 7, []int{0, 3, 6}, faultnet.CutResets, "/once/", "desk", 3, 84},
+		{"a zone, hanging", 7, []int{0, 3, 6}, faultnet.CutHangs, "/once/", "desk", 3, 84},
+		{"one, refused", 7, []int{1}, faultnet.CutResets, "/once/", "desk", 3, 84},
+		{"all but one, refused", 7, []int{0, 1, 2, 3, 4, 5}, faultnet.CutResets, "/once/", "desk", 3, 84},
+		{"all but one, hanging", 7, []int{0, 1, 2, 3, 4, 5}, faultnet.CutHangs, "/once/", "desk", 3, 84},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, c.daemons, func(f *fleet) {
+				f.startServers(c.service, c.servers)
+				f.loadEach(c.path+"before", c.perSecond, 3*time.Second, c.cut)
+				f.cut(c.cut, c.kind)
+				f.loadEach(c.path+"detect", c.perSecond, partitionDetectionTime, c.cut)
+				partitioned, others := f.loadEach(c.path, c.perSecond, 10*time.Second, c.cut)
+				f.background.Wait()
+				t.Logf("served %d of %d requests to daemons without a path, %d of %d to the others",
+					partitioned.served.Load(), partitioned.sent.Load(), others.served.Load(), others.sent.Load())
+				must.GreaterEq(f.t, minServedRatio*others.servedRatio(), partitioned.servedRatio())
+				all := float64(partitioned.sent.Load() + others.sent.Load())
+				must.LessEq(f.t, allowedFailures+allowedFailureRatio*all, partitioned.failed())
+				f.restorePaths(c.cut)
+				f.loadEach(c.path+"healing", c.perSecond, partitionDetectionTime, c.cut)
+				healed, _ := f.loadEach(c.path+"after", c.perSecond, 3*time.Second, c.cut)
+				f.background.Wait()
+				must.Eq(f.t, healed.sent.Load(), healed.served.Load())
+				if strings.HasPrefix(c.path, "/once/") {
+					must.Eq(f.t, 1, f.maxRunsOfOneRequest())
+				}
+			})
+		})
+	}
+}
+
+// maxRunsOfOneRequest returns how often the request that reached servers most often did so.
+func (f *fleet) maxRunsOfOneRequest() (most int) {
+	runs := map[string]int{}
+	for _, s := range f.servers {
+		for _, a := range s.arrivals {
+			runs[a.path]++
+			most = max(most, runs[a.path])
+		}
+	}
+	return most
+}
