Connections to servers that a daemon cannot make itself go through another daemon

Callers saw: entry VMs that had lost their path to all backend servers served 0 of 135 and 4 of 44 first tries, the others 306 of 313 and 437 of 444. Refused connections gave 503 after some milliseconds, hanging ones 504 after two dials of 250 ms.

Cause: a daemon had no way to a server but its own connections and took the state of its own path for the state of the servers. It suspected them all and refused, while other daemons were served by the same ones in the same second.

Ruled out: suspicion that leaves no candidates (each request tried all three servers, each refused), servers that turn these daemons away (they rejected nobody).

Change: decision/reach decides whether a connection is made directly, through a peer, or both ways as a trial; only a peer that connects to the same server proves that the path is at fault. peer/tunnel carries the connection over the peer: an upgraded request, whose bytes towards the caller are framed so that the peer's end is not the clean end of an answer. serve/reach opens both. All decisions about a request stay with the daemon that has the caller, and a failure to open a tunnel still means that nothing was sent.

The same cause elsewhere goes with it, as all connections to servers pass there: crash checks, probes and takeovers, scans, the check of a roll-out's servers.

--- a/external/standin/faultnet/path.go
+++ b/external/standin/faultnet/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,7 @@
 	mu       sync.Mutex
 	cut      bool
 	kind     CutKind
+	only     []string      // the addresses that are cut off; empty for all
 	restored chan struct{} // closed while the path is not cut
 	conns    map[*pathConn]struct{}
 }
@@ -49,7 +51,7 @@
 // Dial opens a connection over the path.
 func (p *Path) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	p.mu.Lock()
-	cut, kind := p.cut, p.kind
+	cut, kind := p.isCut(address), p.kind
 	p.mu.Unlock()
 	switch {
 	case cut && kind == CutHangs:
@@ -62,24 +64,31 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &pathConn{Conn: inner, path: p, closed: make(chan struct{})}
+	c := &pathConn{Conn: inner, path: p, address: address, closed: make(chan struct{})}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conns[c] = struct{}{}
 	return c, nil
 }
 
-// Cut cuts the path.
-func (p *Path) Cut(kind CutKind) {
+// isCut reports whether the path to an address is cut. The caller holds p.mu.
+func (p *Path) isCut(address string) bool {
+	return p.cut && (len(p.only) == 0 || slices.Contains(p.only, address))
+}
+
+// Cut cuts the path to all servers or, if addresses are given, to those.
+func (p *Path) Cut(kind CutKind, addresses ...string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.cut, p.kind = true, kind
+	p.cut, p.kind, p.only = true, kind, addresses
 	switch kind {
 	case CutHangs:
 		p.restored = make(chan struct{})
 	case CutResets:
 		for c := range p.conns {
-			c.reset()
+			if p.isCut(c.address) {
+				c.reset()
+			}
 		}
 	case CutRefusesNew:
 	}
@@ -101,28 +110,32 @@
 	delete(p.conns, c)
 }
 
-// waitRestored blocks while the path hangs. It fails once the connection is closed.
-func (p *Path) waitRestored(closed <-chan struct{}) error {
-	p.mu.Lock()
-	restored := p.restored
-	p.mu.Unlock()
-	select {
-	case <-restored:
-		return nil
-	case <-closed:
-		return net.ErrClosed
-	}
-}
-
 // pathConn is the client side of a connection over a path.
 type pathConn struct {
 	net.Conn
 	path      *Path
+	address   string
 	closed    chan struct{}
 	closeOnce sync.Once
 	wasReset  atomic.Bool
 }
 
+// waitRestored blocks while the path to the server hangs. It fails once the connection is closed.
+func (c *pathConn) waitRestored() error {
+	c.path.mu.Lock()
+	hangs, restored := c.path.isCut(c.address), c.path.restored
+	c.path.mu.Unlock()
+	if !hangs {
+		return nil
+	}
+	select {
+	case <-restored:
+		return nil
+	case <-c.closed:
+		return net.ErrClosed
+	}
+}
+
 // reset closes the connection; reads and writes then fail as after a reset by the network.
 func (c *pathConn) reset() {
 	c.wasReset.Store(true)
@@ -140,7 +153,7 @@
 // Read implements net.Conn.
 func (c *pathConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if pathErr := c.path.waitRestored(c.closed); pathErr != nil {
+	if pathErr := c.waitRestored(); pathErr != nil {
 		return 0, pathErr
 	}
 	return n, c.cause(err)
@@ -148,7 +161,7 @@
 
 // Write implements net.Conn.
 func (c *pathConn) Write(b []byte) (int, error) {
-	if err := c.path.waitRestored(c.closed); err != nil {
+	if err := c.waitRestored(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -16,6 +16,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -132,7 +133,7 @@
 	case err == nil:
 		conn.Close()
 		return processAlive
-	case isTimeout(err):
+	case sent.IsTimeout(err):
 		return processUnknown
 	}
 	return processExited
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -13,6 +13,7 @@
 	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -182,7 +183,7 @@
 // would be suspect for seconds although they work.
 func (x *exchanges) record(ctx context.Context, o *outcome) {
 	switch {
-	case o.err != nil && o.notRun && isTimeout(o.err):
+	case o.err != nil && o.notRun && sent.IsTimeout(o.err):
 		x.unconnected = append(x.unconnected, o)
 	case o.err != nil:
 		x.h.markSuspect(ctx, x.in, o.choice, o.err)
--- a/serve/forward/probes.go
+++ b/serve/forward/probes.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/sent"
 )
 
 // probeRound groups the probes sent for one choice of an engine and decides what the missing
@@ -35,7 +36,7 @@
 	case err == nil, errors.Is(err, errRestarted): // a newer incarnation proves the link just as well
 		q.linkWorks = true
 	case ctx.Err() != nil: // canceled by this daemon
-	case isTimeout(err):
+	case sent.IsTimeout(err):
 		q.silent = append(q.silent, s)
 	default:
 		q.linkWorks = true
--- a/serve/forward/replicator.go
+++ b/serve/forward/replicator.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -146,7 +147,7 @@
 		return // the leg has ended
 	}
 	s.r.h.opts.Log.Emit(event.CopyFailed, s.r.in.call.ID, s.l.target.server.ID, s.target.server.ID, err)
-	if isTimeout(err) {
+	if sent.IsTimeout(err) {
 		if s.timeouts++; s.timeouts < maxFailedProbes {
 			return
 		}
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -11,6 +11,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -173,7 +174,7 @@
 			return segmentNotRun, err
 		}
 	}
-	if !l.unconfirmed || !isTimeout(err) { // otherwise the daemon's own link may be at fault
+	if !l.unconfirmed || !sent.IsTimeout(err) { // otherwise the daemon's own link may be at fault
 		r.h.markSuspect(ctx, r.in, l.target, err)
 	}
 	r.exclude(l)
@@ -198,7 +199,7 @@
 // takeover.MaxLinkStall at most, unless another engine responds.
 func (r *relay) isLinkStalled(ctx context.Context, l segment, err error) bool {
 	view, now := r.h.opts.Feed.View(), time.Now()
-	if l.unconfirmed || !isTimeout(err) || view.Config.Engine(r.service) == nil {
+	if l.unconfirmed || !sent.IsTimeout(err) || view.Config.Engine(r.service) == nil {
 		return false
 	}
 	if r.linkStalledSince.IsZero() {
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -14,6 +14,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/sent"
+	"mallowwind.dev/serve/reach"
 )
 
 // dialTimeout bounds the time to connect. It is many times a round trip between zones (2 ms), and
@@ -41,13 +42,6 @@
 // Unwrap returns the reason.
 func (e notSentError) Unwrap() error { return e.cause }
 
-// isTimeout reports whether an error is a timeout. Any other error shows that the network path to
-// the server works.
-func isTimeout(err error) bool {
-	var n net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
-}
-
 // newTransport returns a transport that uses each connection once. A reused connection may be
 // dead without a reset, may be closed by the server just as a request is sent, or may carry a late
 // response to the previous request; each would be attributed to the next request. A new connection
@@ -133,7 +127,7 @@
 	if h.limits.isPaused(e.Server) {
 		return nil, Reply{}, notSentError{errServerPaused}
 	}
-	resp, err := h.transport.RoundTrip(in.outgoing(ctx, h.opts.Codec, e))
+	resp, err := h.transport.RoundTrip(in.outgoing(reach.WithRequest(ctx, in.call.ID), h.opts.Codec, e))
 	if err != nil {
 		return nil, Reply{}, err
 	}
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
 	"mallowwind.dev/serve/forward"
+	"mallowwind.dev/serve/reach"
 	"mallowwind.dev/serve/versions"
 	"mallowwind.dev/telemetry/event"
 	"mallowwind.dev/telemetry/metric"
@@ -81,6 +82,7 @@
 	feed        *feed.Manager
 	handler     *forward.Handler
 	versions    *versions.Manager
+	reach       *reach.Dialer
 	draining    atomic.Bool
 	gracePeriod atomic.Int64
 	rotation    atomic.Uint64
@@ -98,11 +100,12 @@
 	v := versions.New(versions.Options{
 		Feed: f, Clock: o.Clock, Log: o.Log, Self: o.Self, Dialer: o.Dialer, Limits: o.RolloutLimits, Registerer: o.Registry,
 	})
+	r := reach.New(reach.Options{Self: o.Self, Feed: f, Direct: o.DialServer, Peers: o.Dialer, Log: o.Log, Registerer: o.Registry})
 	h := forward.New(forward.Options{
 		Versions: v, Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, MaxKeyAge: o.MaxKeyAge, RetryBudget: o.RetryBudget,
-		Registerer: o.Registry, Dial: o.DialServer, Dialer: o.Dialer,
+		Registerer: o.Registry, Dial: r.Dial, Dialer: o.Dialer,
 	})
-	g := &Gateway{opts: o, feed: f, handler: h, versions: v}
+	g := &Gateway{opts: o, feed: f, handler: h, versions: v, reach: r}
 	g.gracePeriod.Store(int64(o.GracePeriod))
 	return g
 }
@@ -228,6 +231,8 @@
 		prefix, service := newService()
 		router.PathPrefix(prefix).Handler(service)
 	}
+	path, tunnels := g.reach.TunnelService()
+	router.Handle(path, tunnels)
 	return router
 }
 
@@ -241,8 +246,8 @@
 func (g *Gateway) Registry() *metric.Catalogue { return g.opts.Registry }
 
 // drain removes this daemon from its own directory responses and reports it as not ready at once.
-// It then waits until callers no longer keep the address and no request is in progress, at most
-// until exitMargin before the end of the grace period.
+// It then waits until callers no longer keep the address and neither a request nor a tunnel of
+// another daemon is in progress, at most until exitMargin before the end of the grace period.
 func (g *Gateway) drain(hard context.Context) {
 	started := time.Now()
 	maxDrain := time.Duration(g.gracePeriod.Load()) - exitMargin
@@ -250,6 +255,7 @@
 	g.handler.BeginShutdown(forward.ShutdownSchedule{
 		StreamsUntil: started.Add(acceptStreamsFor), RequestsUntil: started.Add(acceptRequestsFor), ExitAt: started.Add(maxDrain),
 	})
+	g.reach.BeginShutdown()
 	minDrain := min(addressRetentionFactor*g.opts.AddressTTL, maxDrain)
 	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), minDrain)
 	tick := time.NewTicker(20 * time.Millisecond)
@@ -261,7 +267,7 @@
 		case <-tick.C:
 		}
 		elapsed := time.Since(started)
-		if elapsed >= maxDrain || elapsed >= minDrain && g.handler.Running() == 0 {
+		if elapsed >= maxDrain || elapsed >= minDrain && g.handler.Running()+g.reach.Tunnels() == 0 {
 			return
 		}
 	}
--- a/serve/gateway/partition_test.go
+++ b/serve/gateway/partition_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,6 +123,90 @@
 	}
 }
 
+// No daemon reaches a server: callers must hear so before their time is over, with a Retry-After if
+// the request has not run, and must be served again after that.
+func TestRequestsAreRefusedWhileNoDaemonReachesAServer(t *testing.T) {
+	for _, kind := range []faultnet.CutKind{faultnet.CutResets, faultnet.CutHangs} {
+		withFleet(t, 7, func(f *fleet) {
+			all := []int{0, 1, 2, 3, 4, 5, 6}
+			f.startServers("desk", 3)
+			f.load("/once/before", 84, 3*time.Second)
+			f.cut(all, kind)
+			time.Sleep(time.Second) // what was under way may be lost
+			cut := f.load("/once/cut", 84, 5*time.Second)
+			f.background.Wait()
+			must.Zero(f.t, cut.answered.Load())
+			must.Eq(f.t, cut.sent.Load(), cut.refused.Load())
+			f.restorePaths(all)
+			f.load("/once/healing", 84, 5*time.Second)
+			f.background.Wait()
+			after := f.load("/once/after", 84, 3*time.Second)
+			f.background.Wait()
+			must.Eq(f.t, after.sent.Load(), after.answered.Load())
+		})
+	}
+}
+
+// Some servers are out of reach for some daemons. Those that are within reach get their connections
+// directly, and the others theirs through other daemons.
+func TestServersOutOfReachAreReachedThroughOthers(t *testing.T) {
+	for _, kind := range []faultnet.CutKind{faultnet.CutResets, faultnet.CutHangs} {
+		withFleet(t, 7, func(f *fleet) {
+			f.startServers("desk", 3)
+			f.startServers("llm", 4)
+			desks := []string{"desk-0:80", "desk-1:80", "desk-2:80"}
+			for n := range 4 {
+				f.daemons[fmt.Sprintf("vm-%d", n)].path.Cut(kind, desks...)
+			}
+			f.background.Go(func() { f.loadEach("/stream/", 10, 8*time.Second, nil) })
+			f.loadEach("/once/detect", 84, partitionDetectionTime, nil)
+			partitioned, others := f.loadEach("/once/", 84, 5*time.Second, []int{0, 1, 2, 3})
+			f.background.Wait()
+			must.GreaterEq(f.t, 0.98*others.servedRatio(), partitioned.servedRatio())
+		})
+	}
+}
+
+// A daemon dies while it carries requests of daemons without a path. A request that may have run must
+// not be answered as one that has not, and none may run twice.
+func TestDaemonThatCarriesRequestsDies(t *testing.T) {
+	withFleet(t, 7, func(f *fleet) {
+		f.startServers("desk", 3)
+		f.cut([]int{0, 1, 2, 3}, faultnet.CutResets)
+		f.loadEach("/once/detect", 84, partitionDetectionTime, nil)
+		f.background.Go(func() {
+			for _, n := range []int{4, 5, 6} {
+				time.Sleep(time.Second)
+				f.restart(n)
+			}
+		})
+		var mu sync.Mutex
+		statuses := map[string]int{}
+		for n := range 400 {
+			time.Sleep(10 * time.Millisecond)
+			f.background.Go(func() {
+				path := fmt.Sprintf("/once/%d", n)
+				r := f.send(n%4, path, "fine")
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[path] = r.status
+			})
+		}
+		f.background.Wait()
+		must.Eq(t, 1, f.maxRunsOfOneRequest())
+		served := 0
+		for path, status := range statuses {
+			switch status {
+			case http.StatusOK:
+				served++
+			case http.StatusServiceUnavailable:
+				must.Zero(t, f.arrivals(path, f.began), must.Sprint(path))
+			}
+		}
+		must.Greater(t, 300, served)
+	})
+}
+
 // maxRunsOfOneRequest returns how often the request that reached servers most often did so.
 func (f *fleet) maxRunsOfOneRequest() (most int) {
 	runs := map[string]int{}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -62,6 +62,14 @@
 		"A backend server served a request again after the pause that it had asked for.", "backend", "service")
 	ServerPauseUnreadable = define(266, "server_pause_unreadable", logrus.ErrorLevel,
 		"A backend server asked for a pause that cannot be parsed; it counts as a short one.", "backend", "error")
+	ServerPathLost = define(267, "server_path_lost", logrus.WarnLevel,
+		"Another daemon connected to two backend servers, or more, that this daemon did not reach. Connections to all servers go through other daemons from now on. backend is the address of the last of them, peer the daemon that connected to it, and error how the attempt of this daemon failed, if it has ended.", "backend", "peer", "error")
+	ServerPathRestored = define(268, "server_path_restored", logrus.InfoLevel,
+		"This daemon connected to a backend server itself again. lost_for is how long it did not.", "backend", "lost_for")
+	ConnectionRelayed = define(269, "connection_relayed", logrus.InfoLevel,
+		"A connection to a backend server was made through another daemon. path is the path that was chosen: direct if this daemon's own attempt failed or took long, peer while its path to the server counts as lost, trial if both were tried. error is how its own attempt failed.", "request", "backend", "peer", "path", "error")
+	TunnelEnded = define(270, "tunnel_ended", logrus.InfoLevel,
+		"A connection to a backend server that this daemon made for another one has ended, or was refused. error is how its bytes ended, or why the server was not reached.", "request", "peer", "backend", "refusal", "took", "error")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
