peer/tunnel: a tunnel names its server by id, and no peer asked is no sign of a dead server

A daemon opens a tunnel to the server with an id at the address that its own list says, so that a tunnel leads only to servers, whatever address the other daemon knows. The daemon that asks scans its list once for an unknown address.

serve/reach: the attempts of a connection are short steps; the peers that are still being asked are given up once another attempt has connected.

--- a/peer/tunnel/client.go
+++ b/peer/tunnel/client.go
@@ -17,7 +17,7 @@
 
 // Request describes a tunnel to be opened.
 type Request struct {
-	Server  string        // address of the server
+	Server  string        // id of the server
 	Wait    time.Duration // for the connection to the server
 	Caller  string        // id of this daemon
 	ForCall string        // id of the request for which the tunnel is opened; may be empty
@@ -48,14 +48,14 @@
 		}
 		return nil, errors.Wrapf(errNotUpgraded, "status %d", resp.StatusCode)
 	}
-	return &conn{stream: stream, chunks: httputil.NewChunkedReader(bufio.NewReaderSize(stream, bufferBytes)), server: address(r.Server)}, nil
+	return &conn{stream: stream, chunks: httputil.NewChunkedReader(bufio.NewReaderSize(stream, bufferBytes)), server: serverID(r.Server)}, nil
 }
 
 // conn is the end of a tunnel at the daemon that opened it.
 type conn struct {
 	stream io.ReadWriteCloser
 	chunks io.Reader
-	server address
+	server serverID
 }
 
 // Read implements net.Conn. It returns io.EOF only after a clean end of the server's connection.
@@ -68,7 +68,7 @@
 func (c *conn) Close() error { return c.stream.Close() }
 
 // LocalAddr implements net.Conn.
-func (c *conn) LocalAddr() net.Addr { return address("") }
+func (c *conn) LocalAddr() net.Addr { return serverID("") }
 
 // RemoteAddr implements net.Conn.
 func (c *conn) RemoteAddr() net.Addr { return c.server }
@@ -85,11 +85,11 @@
 // SetWriteDeadline implements net.Conn.
 func (c *conn) SetWriteDeadline(time.Time) error { return errNoDeadlines }
 
-// address is the address of a server behind a tunnel.
-type address string
+// serverID names the server behind a tunnel in place of an address.
+type serverID string
 
 // Network implements net.Addr.
-func (address) Network() string { return "tunnel" }
+func (serverID) Network() string { return "tunnel" }
 
 // String implements net.Addr.
-func (a address) String() string { return string(a) }
+func (id serverID) String() string { return string(id) }
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -31,10 +31,10 @@
 
 // Options configure a Server.
 type Options struct {
+	// Address returns the address of the backend server with an id. Tunnels lead nowhere else.
+	Address func(id string) (address string, known bool)
 	// Dial connects to a server directly, never through a peer: a tunnel has one hop.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// IsServer reports whether an address is that of a backend server. Tunnels lead nowhere else.
-	IsServer func(address string) bool
 	// IsPathLost reports whether this daemon has no path to servers itself.
 	IsPathLost func() bool
 	// OnEnd is called with each request for a tunnel, at its end.
@@ -75,11 +75,12 @@
 	}()
 	active := s.active.Add(1)
 	defer s.active.Add(-1)
-	if ended.Refusal = s.check(r, active); ended.Refusal != "" {
-		s.refuse(w, ended.Refusal)
+	address, refusal := s.check(r, active)
+	if ended.Refusal = refusal; refusal != "" {
+		s.refuse(w, refusal)
 		return
 	}
-	server, err := s.dial(r)
+	server, err := s.dial(r, address)
 	if err != nil {
 		ended.Refusal, ended.Err = refusalOf(r.Context(), err), err
 		s.refuse(w, ended.Refusal)
@@ -89,32 +90,35 @@
 	ended.Err = s.carry(w, server)
 }
 
-// check returns why a tunnel is refused without an attempt to connect; "" if it is not.
-func (s *Server) check(r *http.Request, active int64) Refusal {
+// check returns the address of the server that a request names, or why a tunnel is refused without an
+// attempt to connect.
+func (s *Server) check(r *http.Request, active int64) (address string, refusal Refusal) {
 	switch {
 	case r.Header.Get("Upgrade") != protocol:
-		return Invalid
+		return "", Invalid
 	case s.leaving.Load():
-		return Leaving
+		return "", Leaving
 	case active > maxTunnels:
-		return Busy
+		return "", Busy
 	case s.opts.IsPathLost():
-		return PathLost
-	case !s.opts.IsServer(r.Header.Get(headerServer)):
-		return UnknownServer
+		return "", PathLost
+	}
+	address, known := s.opts.Address(r.Header.Get(headerServer))
+	if !known {
+		return "", UnknownServer
 	}
-	return ""
+	return address, ""
 }
 
-// dial connects to the server that a request names.
-func (s *Server) dial(r *http.Request) (net.Conn, error) {
+// dial connects to a server for a request.
+func (s *Server) dial(r *http.Request, address string) (net.Conn, error) {
 	wait := MaxWait
 	if ms, err := strconv.Atoi(r.Header.Get(headerWait)); err == nil {
 		wait = min(max(0, time.Duration(ms)*time.Millisecond), MaxWait)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	return s.opts.Dial(ctx, r.Header.Get(headerServer))
+	return s.opts.Dial(ctx, address)
 }
 
 // refusalOf classifies the failure of a connection to a server, for a request with the given context.
--- a/peer/tunnel/tunnel.go
+++ b/peer/tunnel/tunnel.go
@@ -25,7 +25,7 @@
 
 // Headers of the request and of its response.
 const (
-	headerServer  = "Tunnel-Server"  // address of the server
+	headerServer  = "Tunnel-Server"  // id of the server
 	headerWait    = "Tunnel-Wait-Ms" // how long the connection to the server may take
 	headerRequest = "Tunnel-Request" // id of the request for which the tunnel is opened; for logs
 	headerCaller  = "Tunnel-Caller"  // id of the daemon that opens it; for logs
@@ -47,7 +47,7 @@
 	PathLost      Refusal = "path_lost"      // the daemon has no path to servers itself
 	Busy          Refusal = "busy"           // the daemon carries as many tunnels as it may
 	Leaving       Refusal = "leaving"        // the daemon is shutting down
-	UnknownServer Refusal = "unknown_server" // the daemon knows no server with that address
+	UnknownServer Refusal = "unknown_server" // the daemon knows no server with that id
 	Invalid       Refusal = "invalid"        // the request is not one for a tunnel
 )
 
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -40,7 +40,7 @@
 		s := &site{t: t, daemon: faultnet.Pipe(), server: faultnet.Pipe()}
 		s.opts = tunnel.Options{
 			Dial:       func(ctx context.Context, address string) (net.Conn, error) { return s.server.Dial(ctx, "", address) },
-			IsServer:   func(address string) bool { return address == "s:80" },
+			Address:    func(id string) (string, bool) { return "s:80", id == "s" },
 			IsPathLost: func() bool { return false },
 			OnEnd: func(e tunnel.Ended) {
 				s.mu.Lock()
@@ -74,9 +74,9 @@
 	})
 }
 
-func (s *site) open(address string) (net.Conn, error) {
+func (s *site) open(id string) (net.Conn, error) {
 	dialer := link.NewDialerWithClient(&http.Client{Transport: s.client})
-	return tunnel.Open(s.t.Context(), dialer, "d:1", tunnel.Request{Server: address, Wait: time.Second, Caller: "vm-1", ForCall: "r1"})
+	return tunnel.Open(s.t.Context(), dialer, "d:1", tunnel.Request{Server: id, Wait: time.Second, Caller: "vm-1", ForCall: "r1"})
 }
 
 // echoLine answers the first four bytes and ends the connection as end says.
@@ -94,7 +94,7 @@
 // The clean end of a server's connection is the end of an answer without a length.
 func TestTunnelCarriesBytesAndTheCleanEnd(t *testing.T) {
 	withSite(t, echoLine(func(c net.Conn) { c.Close() }), nil, func(s *site) {
-		c, err := s.open("s:80")
+		c, err := s.open("s")
 		must.NoError(t, err)
 		_, err = c.Write([]byte("ping"))
 		must.NoError(t, err)
@@ -130,7 +130,7 @@
 				}
 			}
 			withSite(t, echoLine(func(c net.Conn) { <-replied; c.Close() }), prepare, func(s *site) {
-				conn, err := s.open("s:80")
+				conn, err := s.open("s")
 				must.NoError(t, err)
 				_, err = conn.Write([]byte("ping"))
 				must.NoError(t, err)
@@ -170,7 +170,7 @@
 		left <- err
 	}
 	withSite(t, serve, nil, func(s *site) {
-		c, err := s.open("s:80")
+		c, err := s.open("s")
 		must.NoError(t, err)
 		_, err = c.Write([]byte("work"))
 		must.NoError(t, err)
@@ -199,7 +199,7 @@
 		}
 	}
 	withSite(t, serve, nil, func(s *site) {
-		c, err := s.open("s:80")
+		c, err := s.open("s")
 		must.NoError(t, err)
 		time.Sleep(time.Minute)
 		mu.Lock()
@@ -218,23 +218,23 @@
 	}
 	for _, c := range []struct {
 		want    tunnel.Refusal
-		address string
+		server  string
 		prepare func(*tunnel.Options)
 		before  func(*site)
 	}{
-		{tunnel.UnknownServer, "other:22", nil, nil},
+		{tunnel.UnknownServer, "other", nil, nil},
 		{tunnel.UnknownServer, "", nil, nil},
-		{tunnel.ServerRefused, "s:80", failing(syscall.ECONNREFUSED), nil},
-		{tunnel.ServerSilent, "s:80", failing(context.DeadlineExceeded), nil},
-		{tunnel.PathLost, "s:80", func(o *tunnel.Options) { o.IsPathLost = func() bool { return true } }, nil},
-		{tunnel.Leaving, "s:80", nil, func(s *site) { s.tunnel.BeginShutdown() }},
+		{tunnel.ServerRefused, "s", failing(syscall.ECONNREFUSED), nil},
+		{tunnel.ServerSilent, "s", failing(context.DeadlineExceeded), nil},
+		{tunnel.PathLost, "s", func(o *tunnel.Options) { o.IsPathLost = func() bool { return true } }, nil},
+		{tunnel.Leaving, "s", nil, func(s *site) { s.tunnel.BeginShutdown() }},
 	} {
 		t.Run(string(c.want), func(t *testing.T) {
 			withSite(t, func(c net.Conn) { c.Close() }, c.prepare, func(s *site) {
 				if c.before != nil {
 					c.before(s)
 				}
-				_, err := s.open(c.address)
+				_, err := s.open(c.server)
 				var refused *tunnel.Error
 				must.True(t, errors.As(err, &refused))
 				must.Eq(t, c.want, refused.Refusal)
@@ -253,7 +253,7 @@
 		defer server.Close()
 		transport := &http.Transport{DialContext: l.Dial}
 		defer transport.CloseIdleConnections()
-		_, err := tunnel.Open(t.Context(), link.NewDialerWithClient(&http.Client{Transport: transport}), "d:1", tunnel.Request{Server: "s:80"})
+		_, err := tunnel.Open(t.Context(), link.NewDialerWithClient(&http.Client{Transport: transport}), "d:1", tunnel.Request{Server: "s"})
 		var refused *tunnel.Error
 		must.Error(t, err)
 		must.False(t, errors.As(err, &refused))
--- a/serve/reach/addresses.go
+++ b/serve/reach/addresses.go
@@ -7,8 +7,8 @@
 	"mallowwind.dev/control/feed"
 )
 
-// minIndexAge is the shortest time between two scans of all servers for an unknown address, so that
-// requests with wrong addresses cost a daemon of a large fleet little.
+// minIndexAge is the shortest time between two scans of all servers for an unknown address. A daemon
+// still calls servers that are no longer listed, and each such address would cost a scan.
 const minIndexAge = 200 * time.Millisecond
 
 // addressIndex finds servers by their addresses. It is safe for concurrent use.
@@ -18,25 +18,25 @@
 	scannedAt time.Time
 }
 
-// contains reports whether an address is that of a server of the view. A view is scanned only if the
+// idAt returns the id of the server that the view lists at an address. A view is scanned only if the
 // address was not found in an earlier one.
-func (x *addressIndex) contains(view *feed.View, address string) bool {
+func (x *addressIndex) idAt(view *feed.View, address string) (id string, listed bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.isCurrent(view, address) {
-		return true
+	if id, listed = x.current(view, address); listed {
+		return id, true
 	}
 	if now := time.Now(); x.ids == nil || now.Sub(x.scannedAt) >= minIndexAge {
 		x.scan(view)
 		x.scannedAt = now
 	}
-	return x.isCurrent(view, address)
+	return x.current(view, address)
 }
 
-// isCurrent reports whether the server last seen at an address is still listed there.
-func (x *addressIndex) isCurrent(view *feed.View, address string) bool {
+// current returns the id of the server last seen at an address if it is still listed there.
+func (x *addressIndex) current(view *feed.View, address string) (id string, listed bool) {
 	s, listed := view.Server(x.ids[address])
-	return listed && s.Address == address
+	return s.ID, listed && s.Address == address
 }
 
 func (x *addressIndex) scan(view *feed.View) {
--- a/serve/reach/ask.go
+++ b/serve/reach/ask.go
@@ -70,18 +70,22 @@
 // asking asks peers for a connection to one server.
 type asking struct {
 	d       *Dialer
-	address string
+	server  string // id
 	asked   []askedPeer
 	open    int // peers that have not answered yet
 	results chan tunnelResult
-	lastErr error // of a peer that did not reach the server
+	lastErr error // of a peer that did not reach the server, or does not know it
 }
 
 // dialThroughPeers connects through a peer. It asks the next peer when one has failed or takes long,
 // until one has connected or reach.MaxAsked were asked. If none of them reached the server, the error
 // is that of the server.
 func (d *Dialer) dialThroughPeers(ctx context.Context, address string) attemptResult {
-	a := &asking{d: d, address: address, results: make(chan tunnelResult)}
+	server, listed := d.servers.idAt(d.opts.Feed.View(), address)
+	if !listed {
+		return attemptResult{err: errNoPeer} // no peer would know it
+	}
+	a := &asking{d: d, server: server, results: make(chan tunnelResult)}
 	defer func() {
 		d.recordPeers(a.asked)
 		go a.discardOthers()
@@ -97,7 +101,7 @@
 			if peer.result = peerResultOf(r.err); peer.result == connected {
 				return attemptResult{conn: r.conn, peer: peer.ID}
 			}
-			if peer.result == serverNotReached {
+			if peer.result == serverNotReached || peer.result == unknownServer {
 				a.lastErr = r.err
 			}
 			a.askNext(ctx)
@@ -123,7 +127,7 @@
 	a.asked = append(a.asked, askedPeer{Peer: peer, askedAt: time.Now()})
 	a.open++
 	go func() {
-		conn, err := a.d.openTunnel(ctx, peer, a.address)
+		conn, err := a.d.openTunnel(ctx, peer, a.server)
 		a.results <- tunnelResult{index: index, conn: conn, err: err}
 	}()
 }
@@ -155,11 +159,11 @@
 }
 
 // openTunnel opens a tunnel over a peer that pickPeer chose.
-func (d *Dialer) openTunnel(ctx context.Context, peer reach.Peer, address string) (net.Conn, error) {
+func (d *Dialer) openTunnel(ctx context.Context, peer reach.Peer, server string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*tunnel.MaxWait)
 	defer cancel()
 	conn, err := tunnel.Open(ctx, d.opts.Peers, peer.Address, tunnel.Request{
-		Server: address, Wait: tunnel.MaxWait, Caller: d.opts.Self.ID, ForCall: requestOf(ctx),
+		Server: server, Wait: tunnel.MaxWait, Caller: d.opts.Self.ID, ForCall: requestOf(ctx),
 	})
 	if err != nil {
 		d.endPeer(peer.ID)
--- a/serve/reach/dial.go
+++ b/serve/reach/dial.go
@@ -40,10 +40,12 @@
 	path    reach.Path
 	over    chan struct{} // closed when a connection was chosen or all attempts have failed
 
-	direct    chan attemptResult // nil until the direct attempt starts
+	direct    chan attemptResult // nil unless the direct attempt is under way
 	directErr error              // of the ended direct attempt
-	relayed   chan attemptResult // nil until peers are asked
+	relayed   chan attemptResult // nil unless peers are being asked
 	relayErr  error              // after all peers have failed
+	token     chan<- struct{}    // nil unless a peer is to be asked without a proof
+	giveUp    <-chan time.Time   // ends the wait for the token after the direct attempt has failed
 	hasToken  bool
 }
 
@@ -58,6 +60,8 @@
 	case !mayAsk:
 		return d.dialDirect(ctx, network, address)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	c := &dialing{d: d, ctx: ctx, network: network, address: address, path: path, over: make(chan struct{})}
 	defer close(c.over)
 	defer c.releaseToken()
@@ -81,67 +85,69 @@
 	if c.path != reach.Direct {
 		c.startRelayed()
 	}
-	var token chan<- struct{} // nil until a peer may be asked without a proof
 	headStart := time.NewTimer(directHeadStart)
 	defer headStart.Stop()
-	var giveUp <-chan time.Time
 	for {
+		var conn net.Conn
 		select {
 		case r := <-c.direct:
-			c.direct = nil
-			if r.err == nil {
-				return r.conn, nil
-			}
-			c.directErr = r.err
-			if c.relayed == nil && c.relayErr == nil {
-				token, giveUp = c.d.unproven, time.After(maxTokenWait)
-			}
+			conn = c.endDirect(r)
+		case r := <-c.relayed:
+			conn = c.endRelayed(r)
 		case <-headStart.C:
-			if c.relayed == nil && c.relayErr == nil {
-				token = c.d.unproven
-			}
-		case token <- struct{}{}:
-			token, giveUp, c.hasToken = nil, nil, true
+			c.awaitToken()
+		case c.token <- struct{}{}:
+			c.hasToken = true
 			c.startRelayed()
 		case <-lost:
-			lost, token, giveUp = nil, nil, nil
-			if c.relayed == nil && c.relayErr == nil {
-				c.startRelayed()
-			}
-		case r := <-c.relayed:
-			c.relayed = nil
-			c.releaseToken()
-			if r.err == nil {
-				c.recordRelayed(r)
-				return r.conn, nil
-			}
-			c.relayErr = r.err
-			if c.path == reach.ViaPeer && errors.Is(r.err, errNoPeer) {
-				c.startDirect()
-			}
-		case <-giveUp:
+			lost = nil
+			c.startRelayed()
+		case <-c.giveUp:
 			return nil, c.directErr
 		case <-c.ctx.Done():
 			return nil, &net.OpError{Op: "dial", Net: c.network, Err: c.ctx.Err()}
 		}
-		if err := c.failure(giveUp != nil); err != nil {
+		if conn != nil {
+			return conn, nil
+		}
+		if err := c.failure(); err != nil {
 			return nil, err
 		}
 	}
 }
 
-// failure returns the error of the connection if no attempt is under way or to follow.
-func (c *dialing) failure(waiting bool) error {
-	if c.direct != nil || c.relayed != nil || waiting {
-		return nil
+// endDirect handles the result of the direct attempt and returns its connection, nil if it failed.
+func (c *dialing) endDirect(r attemptResult) net.Conn {
+	c.direct, c.directErr = nil, r.err
+	if r.err != nil && c.awaitToken() {
+		c.giveUp = time.After(maxTokenWait)
 	}
-	if c.relayErr != nil {
-		c.d.recordUnreachable(c.address)
+	return r.conn
+}
+
+// endRelayed handles the result of asking peers and returns the connection, nil if they failed.
+func (c *dialing) endRelayed(r attemptResult) net.Conn {
+	c.relayed, c.relayErr = nil, r.err
+	c.releaseToken()
+	switch {
+	case r.err == nil:
+		c.recordRelayed(r)
+	case c.path == reach.ViaPeer && errors.Is(r.err, errNoPeer):
+		c.startDirect()
 	}
-	if c.directErr != nil {
-		return c.directErr
+	return r.conn
+}
+
+// hasAskedPeers reports whether peers are being asked or have failed.
+func (c *dialing) hasAskedPeers() bool { return c.relayed != nil || c.relayErr != nil }
+
+// awaitToken waits until a peer may be asked without a proof, and reports whether that is to follow.
+func (c *dialing) awaitToken() bool {
+	if c.hasAskedPeers() {
+		return false
 	}
-	return c.relayErr
+	c.token = c.d.unproven
+	return true
 }
 
 func (c *dialing) releaseToken() {
@@ -151,6 +157,20 @@
 	}
 }
 
+// failure returns the error of the connection if no attempt is under way or to follow.
+func (c *dialing) failure() error {
+	if c.direct != nil || c.relayed != nil || c.giveUp != nil {
+		return nil
+	}
+	if c.relayErr != nil && !errors.Is(c.relayErr, errNoPeer) {
+		c.d.recordUnreachable(c.address)
+	}
+	if c.directErr != nil {
+		return c.directErr
+	}
+	return c.relayErr
+}
+
 // startDirect starts the direct attempt. It goes on after a peer has connected: if it succeeds in
 // the end, the path is slow and not lost.
 func (c *dialing) startDirect() {
@@ -171,14 +191,16 @@
 	}()
 }
 
-// startRelayed asks peers, one after the other, until one connects.
+// startRelayed asks peers, one after the other, until one connects, unless that has begun before.
 func (c *dialing) startRelayed() {
+	c.token, c.giveUp = nil, nil
+	if c.hasAskedPeers() {
+		return
+	}
 	relayed := make(chan attemptResult)
 	c.relayed = relayed
 	go func() {
-		ctx, cancel := context.WithCancel(c.ctx)
-		defer cancel()
-		r := c.d.dialThroughPeers(ctx, c.address)
+		r := c.d.dialThroughPeers(c.ctx, c.address)
 		select {
 		case relayed <- r:
 		case <-c.over:
--- a/serve/reach/reach.go
+++ b/serve/reach/reach.go
@@ -63,8 +63,7 @@
 		unproven: make(chan struct{}, 1), lost: make(chan struct{}),
 	}
 	d.tunnels = tunnel.NewServer(tunnel.Options{
-		Dial: d.dialForPeer, IsServer: func(address string) bool { return d.servers.contains(o.Feed.View(), address) },
-		IsPathLost: d.isPathLost, OnEnd: d.tunnelEnded,
+		Address: d.addressOf, Dial: d.dialForPeer, IsPathLost: d.isPathLost, OnEnd: d.tunnelEnded,
 	})
 	return d
 }
@@ -211,6 +210,12 @@
 	}
 }
 
+// addressOf returns the address of the server with an id.
+func (d *Dialer) addressOf(id string) (address string, known bool) {
+	s, known := d.opts.Feed.View().Server(id)
+	return s.Address, known
+}
+
 // dialForPeer connects to a server for another daemon.
 func (d *Dialer) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
 	conn, err := d.opts.Direct(ctx, "tcp", address)
