lab/soak/process: daemons lose their paths to all servers

New scenario: daemons restart in turn with other planned work, while up to three of five lose their paths to all servers for 4 to 6 s; new connections are refused, and open ones are reset or live on. Besides the guarantees of all scenarios, daemons without a path must serve first attempts two thirds as often as the others from 3 s on, unless 10 and one in fifty of all fail there at most.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -98,6 +98,9 @@
 	for try := range c.maxAttempts {
 		id := fmt.Sprintf("r%d-%d-%d", c.number, c.sent, try)
 		got := c.send(ctx, kind, id, part, lastEventID)
+		if sent := c.harness.recorder.sentRequestOf(id); try == 0 && !got.abandoned {
+			c.harness.recordFirstAttempt(sent.daemon, sent.sentAt, got.isServed())
+		}
 		lastEventID = c.checkResponse(kind, id, part, lastEventID, got)
 		if got.isServed() {
 			c.harness.recorder.count("served")
--- a/lab/soak/process/daemonlinks.go
+++ b/lab/soak/process/daemonlinks.go
@@ -57,21 +57,22 @@
 func (h *harness) buildDaemonLinks(n int, listenIP string) (storeAt string, err error) {
 	u := h.uplinks[n]
 	var replacements []string // pairs: an address and the proxy that the daemon sees in its place
-	addLink := func(known, target string, requestPath, responsePath []*linkDirection) (string, error) {
+	addLink := func(known, target string, requestPath, responsePath []*linkDirection) (*proxy, error) {
 		p, err := newProxyVia(listenIP+":0", target, requestPath, responsePath)
 		if err != nil {
-			return "", err
+			return nil, err
 		}
 		h.linkProxies = append(h.linkProxies, p)
 		replacements = append(replacements, `"`+known+`"`, `"`+p.address()+`"`)
-		return p.address(), nil
+		return p, nil
 	}
 	for _, s := range h.servers {
-		address, err := addLink(s.link.address(), s.listener.Addr().String(), []*linkDirection{&u.out}, []*linkDirection{&u.in})
+		p, err := addLink(s.link.address(), s.listener.Addr().String(), []*linkDirection{&u.out}, []*linkDirection{&u.in})
 		if err != nil {
 			return "", err
 		}
-		s.addresses = append(s.addresses, address)
+		s.addresses = append(s.addresses, p.address())
+		u.toServers = append(u.toServers, p)
 	}
 	for m, other := range h.uplinks {
 		if m == n {
--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -77,6 +77,7 @@
 	if h.opts.Timed {
 		h.checkRecovered(ctx)
 		h.checkNothingRunning()
+		h.checkFirstAttempts()
 	}
 }
 
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -98,6 +98,7 @@
 	poisonRequests       int                  // number of poison requests so far
 	// crashesByRequest counts the servers that crashed on each poison request.
 	crashesByRequest map[string]int
+	attempts         firstAttempts
 	restarts         sync.WaitGroup // servers that are about to restart
 }
 
--- a/lab/soak/process/links.go
+++ b/lab/soak/process/links.go
@@ -73,6 +73,11 @@
 type uplink struct {
 	out, in linkDirection
 	stallMu sync.Mutex // serializes stalls
+	// toServers are the proxies to the servers, pathMu serializes their cuts.
+	toServers []*proxy
+	pathMu    sync.Mutex
+	cutMu     sync.Mutex
+	cutSince  time.Time // zero while the paths to the servers are not cut
 }
 
 // stall stalls both directions for d.
--- a/lab/soak/process/process_test.go
+++ b/lab/soak/process/process_test.go
@@ -20,7 +20,7 @@
 )
 
 // callers is the number of concurrent callers in each scenario.
-var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50}
+var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24}
 
 // buildBinary builds the daemon.
 func buildBinary(t *testing.T) string {
@@ -85,3 +85,7 @@
 // callers a daemon looks for their prompts at engines with long histories, which fills its link.
 // Responses queued behind that traffic are late, but none may be cut.
 func TestLowBandwidthLinks(t *testing.T) { runSeeds(t, buildBinary(t), LowBandwidthLinks) }
+
+// Guards against daemons that serve nothing, or break guarantees, because their own VM has no path to
+// the servers. Connections then pass through daemons that are restarted in turn.
+func TestLostPaths(t *testing.T) { runSeeds(t, buildBinary(t), LostPaths) }
--- a/lab/soak/process/proxy.go
+++ b/lab/soak/process/proxy.go
@@ -19,6 +19,7 @@
 	linkOneWay           // requests pass, responses do not
 	linkSlow             // each read is delayed
 	linkRefused          // the port is closed, as after a process has exited
+	linkClosed           // the port is closed, and open connections live on
 )
 
 // slowLinkDelay is the delay of each read on a slow link.
@@ -144,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
-	p.setListening(mode != linkRefused)
+	p.setListening(mode != linkRefused && mode != linkClosed)
 	for c := range p.conns {
 		switch {
 		case mode == linkReset || mode == linkRefused:
--- a/lab/soak/process/scenarios.go
+++ b/lab/soak/process/scenarios.go
@@ -24,18 +24,24 @@
 	StalledLinks
 	// LowBandwidthLinks is StalledLinks with links of low bandwidth in place of stalls.
 	LowBandwidthLinks
+	// LostPaths restarts daemons in turn with other planned work, while some daemons lose their paths
+	// to all servers for seconds. Callers, the store and the other daemons still reach them.
+	LostPaths
 )
 
 // String returns the name used in reports.
 func (s Scenario) String() string {
-	return [...]string{"random faults", "planned work", "held links", "narrow links"}[s]
+	return [...]string{"random faults", "planned work", "held links", "narrow links", "lost paths"}[s]
 }
 
 // hasDaemonLinks reports whether each daemon has its own simulated link.
-func (s Scenario) hasDaemonLinks() bool { return s == StalledLinks || s == LowBandwidthLinks }
+func (s Scenario) hasDaemonLinks() bool { return s.delaysLinks() || s == LostPaths }
+
+// delaysLinks reports whether the links of daemons delay responses.
+func (s Scenario) delaysLinks() bool { return s == StalledLinks || s == LowBandwidthLinks }
 
 // requiresWholeAnswers reports whether no response that a server has started may be cut.
-func (s Scenario) requiresWholeAnswers() bool { return s != RandomFaults }
+func (s Scenario) requiresWholeAnswers() bool { return s != RandomFaults && s != LostPaths }
 
 // drainGrace returns the time between SIGTERM and SIGKILL. With links that delay responses it is
 // longer than the callers' timeout, so that no response outlasts it.
@@ -49,7 +55,7 @@
 // retrySlack returns the number of retries that the fleet may make beyond its ratio. 8 is the share
 // of five daemons if ninety divide 150.
 func (s Scenario) retrySlack() float64 {
-	if s.hasDaemonLinks() {
+	if s.delaysLinks() {
 		return 8
 	}
 	return 150
@@ -68,7 +74,7 @@
 
 // settleTime returns how long callers go on after all faults have ended.
 func (s Scenario) settleTime() time.Duration {
-	if s.hasDaemonLinks() {
+	if s.delaysLinks() {
 		return 0
 	}
 	return settleTime
@@ -95,14 +101,17 @@
 // nextFault draws the next fault of the scenario.
 func (h *harness) nextFault() fault {
 	list := faults
-	if h.opts.Scenario.hasDaemonLinks() {
+	switch {
+	case h.opts.Scenario.delaysLinks():
 		list = linkFaults
+	case h.opts.Scenario == LostPaths:
+		list = pathFaults
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for {
 		f := list[h.random.IntN(len(list))]
-		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == StalledLinks {
+		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == StalledLinks || h.opts.Scenario == LostPaths {
 			return f
 		}
 	}
