--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -538,3 +538,53 @@
 		must.Eq(t, got.sent.Load(), got.answered.Load())
 	})
 }
+
+// drain registers the servers of a version as leaving.
+func (r *rolloutService) drain(version string) {
+	r.forEach(version, func(s *versionedServer) {
+		kv, err := r.f.store.Get(r.f.t.Context(), feed.OwnServerPrefix+s.id)
+		must.NoError(r.f.t, err)
+		var entry routing.Server
+		must.NoError(r.f.t, json.Unmarshal(kv.Value, &entry))
+		entry.Draining = true
+		raw, err := json.Marshal(entry)
+		must.NoError(r.f.t, err)
+		r.f.put(feed.OwnServerPrefix+s.id, string(raw))
+	})
+}
+
+// Guards against a service that refuses every call for good: an operator gives a rollout up and
+// removes the servers of the new version in the moment in which it is completed, or after it, and the
+// servers of the previous version run on.
+func TestPreviousVersionServesAfterTargetIsRemoved(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stage rollout.Stage // seen by the operator before it acts
+		after time.Duration
+	}{
+		{"before all requests go to the new version", rollout.Partial, 0},
+		{"when all requests go to the new version", rollout.Full, 0},
+		{"just before completion", rollout.Full, 80 * time.Millisecond},
+		{"at completion", rollout.Completed, 0},
+		{"a second after completion", rollout.Completed, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withRolloutService(t, 7, "desk", func(r *rolloutService) {
+				r.f.background.Go(func() { r.f.load("/again/", callsPerSecond, rolloutPeriod) })
+				r.startRollout("v2", rolloutPeriod, 4)
+				for r.status().Stage < c.stage {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(c.after)
+				r.drain("v2")
+				time.Sleep(3500 * time.Millisecond)
+				r.stop("v2")
+				time.Sleep(rolloutPeriod)
+				got := r.f.load("/once/", callsPerSecond, 2*time.Second)
+				r.f.background.Wait()
+				t.Logf("%v, %d of %d calls answered", r.status().Stage, got.answered.Load(), got.sent.Load())
+				must.Eq(t, got.sent.Load(), got.answered.Load())
+			})
+		})
+	}
+}
