The baseline of a roll-out serves again where its target has no servers any more

Cause: a roll-out stayed at some beyond its period for want of samples, as its route had no calls meanwhile. Its operator gave it up and drained the new servers; 0.3 s before the daemons heard that it went on to completed. From then on only the new version might serve. Its servers went, and the old ones, which ran on, were refused for good. A verdict outlived the servers that it rests on.

Change: requests are routed by the roll-out's state and by which versions have servers that accept requests. Where everything goes to a target without any, the baseline serves if it has some, until the target has servers again. Event 271 says so.

--- a/control/feed/listing.go
+++ b/control/feed/listing.go
@@ -17,9 +17,9 @@
 // listing holds the usable servers of one service. The published lists are copies that share its
 // structure, so that a change of one server costs the same for any number of servers.
 type listing struct {
-	byID          *btree.Map[string, *routing.Server]
-	versionCounts map[string]int
-	published     *ServerList // nil after a change
+	byID      *btree.Map[string, *routing.Server]
+	versions  VersionCounts
+	published *ServerList // nil after a change
 }
 
 func (l *listing) set(s *routing.Server) {
@@ -28,29 +28,37 @@
 		return
 	}
 	if replaced {
-		l.countVersion(old.Version, -1)
+		l.count(old, -1)
 	}
-	l.countVersion(s.Version, 1)
+	l.count(s, 1)
 	l.published = nil
 }
 
 func (l *listing) remove(id string) {
 	if old, ok := l.byID.Delete(id); ok {
-		l.countVersion(old.Version, -1)
+		l.count(old, -1)
 		l.published = nil
 	}
 }
 
-func (l *listing) countVersion(version string, change int) {
-	if l.versionCounts[version] += change; l.versionCounts[version] == 0 {
-		delete(l.versionCounts, version)
+func (l *listing) count(s *routing.Server, change int) {
+	addTo(l.versions.All, s.Version, change)
+	if !s.Draining {
+		addTo(l.versions.Accepting, s.Version, change)
+	}
+}
+
+// addTo changes a count, and removes it if that makes it zero.
+func addTo(counts map[string]int, version string, change int) {
+	if counts[version] += change; counts[version] == 0 {
+		delete(counts, version)
 	}
 }
 
 // publish returns the current list.
 func (l *listing) publish() *ServerList {
 	if l.published == nil {
-		l.published = &ServerList{byID: l.byID.Copy(), versionCounts: maps.Clone(l.versionCounts)}
+		l.published = &ServerList{byID: l.byID.Copy(), versions: l.versions.clone()}
 	}
 	return l.published
 }
@@ -59,7 +67,7 @@
 func (t *table) listing(service string) *listing {
 	l := t.listings[service]
 	if l == nil {
-		l = &listing{byID: btree.NewMap[string, *routing.Server](listingDegree), versionCounts: map[string]int{}}
+		l = &listing{byID: btree.NewMap[string, *routing.Server](listingDegree), versions: VersionCounts{All: map[string]int{}, Accepting: map[string]int{}}}
 		t.listings[service] = l
 	}
 	return l
--- a/control/feed/serverlist.go
+++ b/control/feed/serverlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 
 	"github.com/tidwall/btree"
 
@@ -12,8 +13,18 @@
 // successive views share the list of a service that has not changed; a changed one shares all parts
 // that have not changed. The methods of a nil ServerList are those of an empty one.
 type ServerList struct {
-	byID          *btree.Map[string, *routing.Server]
-	versionCounts map[string]int
+	byID     *btree.Map[string, *routing.Server]
+	versions VersionCounts
+}
+
+// VersionCounts holds the numbers of servers of a service, by version.
+type VersionCounts struct {
+	All       map[string]int
+	Accepting map[string]int // without those that are draining
+}
+
+func (c VersionCounts) clone() VersionCounts {
+	return VersionCounts{All: maps.Clone(c.All), Accepting: maps.Clone(c.Accepting)}
 }
 
 // Len returns the number of servers.
@@ -36,12 +47,12 @@
 	return *s, true
 }
 
-// VersionCounts returns the number of servers of each version. The caller must not change it.
-func (l *ServerList) VersionCounts() map[string]int {
+// VersionCounts returns the numbers of servers of each version. The caller must not change them.
+func (l *ServerList) VersionCounts() VersionCounts {
 	if l == nil {
-		return nil
+		return VersionCounts{}
 	}
-	return l.versionCounts
+	return l.versions
 }
 
 // All returns the servers in the order of their ids.
--- a/decision/rollout/rollout.go
+++ b/decision/rollout/rollout.go
@@ -111,6 +111,19 @@
 	return true
 }
 
+// RoutedBy returns the state by which requests are routed, given whether the servers of a version
+// accept requests. Where all requests go to a target that has no servers any more, they go to the
+// baseline if that still has some: otherwise the service would refuse every request although its
+// servers run. A baseline has no limit on its requests, so the reverse is not done.
+func (s State) RoutedBy(accepts func(version string) bool) State {
+	allToTarget := s.Stage == Full || s.Stage == Migrating || s.Stage == Completed
+	if !allToTarget || s.Baseline == s.Target || accepts(s.Target) || !accepts(s.Baseline) {
+		return s
+	}
+	s.Stage, s.Share = RolledBack, 0
+	return s
+}
+
 // ShouldMigrate reports whether responses in progress on a version must continue on another server.
 func (s State) ShouldMigrate(version string) bool {
 	return s.Stage == Migrating && version != s.Target || s.Stage == RolledBack && version == s.Target
--- a/serve/versions/service.go
+++ b/serve/versions/service.go
@@ -23,6 +23,10 @@
 	state rollout.State
 	// initialized is set by the first setState, which logs and counts no change to Idle.
 	initialized bool
+	// servers counts the servers in the last view; onBaseline is set while requests go to the
+	// baseline because the target has no servers any more.
+	servers    feed.VersionCounts
+	onBaseline bool
 	// startedAt is the earliest time at which the order may have been given, on the feed's clock;
 	// period is the period of the order.
 	startedAt, period time.Duration
@@ -83,9 +87,21 @@
 	return s.state.Stage.IsTerminal() && s.storedOrder != s.state.OrderRevision
 }
 
-// applyStored applies the order and the status that the store holds, and the number of servers of
+// routedState returns the state by which requests are routed, and logs when it begins or ceases to
+// differ from the state of the rollout.
+func (s *service) routedState(m *Manager) rollout.State {
+	routed := s.state.RoutedBy(func(version string) bool { return s.servers.Accepting[version] > 0 })
+	if onBaseline := routed != s.state; onBaseline != s.onBaseline {
+		s.onBaseline = onBaseline
+		m.opts.Log.Emit(event.RolloutTargetGone, s.name, s.state.Baseline, s.state.Target, s.state.Stage.String(), onBaseline)
+	}
+	return routed
+}
+
+// applyStored applies the order and the status that the store holds, and the numbers of servers of
 // each version.
-func (s *service) applyStored(m *Manager, view *feed.View, serverCounts map[string]int) {
+func (s *service) applyStored(m *Manager, view *feed.View, servers feed.VersionCounts) {
+	s.servers = servers
 	r := view.Rollouts[s.name]
 	var order *rollout.Order
 	if r.Order != nil {
@@ -98,7 +114,7 @@
 			s.storedOrder = stored.OrderRevision
 		}
 	}
-	next := rollout.Resolve(order, stored, s.state, serverCounts)
+	next := rollout.Resolve(order, stored, s.state, servers.All)
 	if r.Order != nil {
 		s.period = r.Order.Period
 	}
--- a/serve/versions/versions.go
+++ b/serve/versions/versions.go
@@ -77,7 +77,7 @@
 	finishing bool // a rollout sends all new requests to its target
 }
 
-// State returns the rollout state of a service.
+// State returns the rollout state by which the requests of a service are routed.
 func (s *Snapshot) State(service string) rollout.State { return s.states[service] }
 
 // New returns a Manager; Run starts it.
@@ -125,7 +125,7 @@
 	}
 	for name := range view.Rollouts {
 		if _, ok := view.Servers[name]; !ok {
-			m.service(name).applyStored(m, view, nil)
+			m.service(name).applyStored(m, view, feed.VersionCounts{})
 		}
 	}
 	return m.publish(view)
@@ -135,7 +135,7 @@
 func (m *Manager) publish(view *feed.View) *Snapshot {
 	next := &Snapshot{view: view, states: make(map[string]rollout.State, len(m.services))}
 	for name, s := range m.services {
-		next.states[name] = s.state
+		next.states[name] = s.routedState(m)
 		next.active = next.active || s.isActive()
 		next.finishing = next.finishing || s.state.Stage == rollout.Full || s.state.Stage == rollout.Migrating
 	}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -78,6 +78,8 @@
 		"Another daemon did not answer a report about a rollout.", "address", "error")
 	RolloutWriteFailed = define(248, "rollout_unwritten", logrus.WarnLevel,
 		"The status of a rollout could not be written to the store. superseded is set if another status was written in the meantime.", "service", "stage", "superseded", "error")
+	RolloutTargetGone = define(271, "rollout_target_gone", logrus.WarnLevel,
+		"All requests of a service go to the target version of its rollout, and none of its servers is listed any more while servers of the baseline version are. If on_baseline is set, requests go to those from now on; otherwise that has ended.", "service", "base", "target", "stage", "on_baseline")
 	RolloutTargetSilent = define(253, "rollout_target_silent", logrus.WarnLevel,
 		"A rollout is not completed because none of the servers of its target version that were asked accepts connections. servers is the number of those that are listed.", "service", "target", "servers")
 	StreamMoved = define(249, "stream_moved", logrus.InfoLevel,
