control/feed: a daemon that lost the store's history asks those that watch the store

Traced with the daemon and time of each read, 40 plays on up to four cores beside other work: in one 13 daemons read, 572 pages. Four of them are those selected to watch; they read 0.2 to 0.4 s after the store's return, as their back-off ended. The others watch for a moment because their sources were late, find the history gone, wait 0.75 to 1.5 s for a peer to tell them and read themselves from 0.77 s on. What was read reaches them over a relay, each with its own pause between polls: 0.8 s and more after the watchers.

Change: such a daemon polls the watchers at once, in place of its relays, and while peers answer it waits twice as long: they are within reach and will tell it. One that hears no peer reads after the same time as before.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -116,7 +116,9 @@
 	confirmedByPeer  atomic.Bool   // a peer has ended an overdue confirmation since the store last answered
 	noSourceUntil    atomic.Int64  // Clock time until which no source counts as available
 	sourceTurn       atomic.Uint64 // selects the source that is polled first
+	peerAnsweredAt   atomic.Int64  // Clock time of the last answer of a peer
 	watchWakeup      chan struct{} // holds an item when this daemon may have to start watching the store
+	pollWakeup       chan struct{} // holds an item when peers have to be polled at once
 	firstRead        chan struct{} // closed when the first read of the store has ended
 	firstReadOnce    sync.Once     // closes firstRead
 	ownEntryRead     chan struct{} // closed once ownEntry is set
@@ -141,7 +143,8 @@
 // New returns a Manager; Run starts it.
 func New(o Options) *Manager {
 	m := &Manager{opts: o, table: newTable(o.Schema, o.Log), pages: pageCache{}, configReady: make(chan struct{}), storeCalls: newStoreCallsCounter()}
-	m.watchWakeup, m.ownEntryRead, m.updated = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	m.watchWakeup, m.pollWakeup = make(chan struct{}, 1), make(chan struct{}, 1)
+	m.ownEntryRead, m.updated = make(chan struct{}), make(chan struct{})
 	m.controlChanged, m.firstRead = make(chan struct{}), make(chan struct{})
 	m.sourceTurn.Store(rand.Uint64())
 	m.view.Store(&View{})
@@ -260,9 +263,12 @@
 }
 
 // wakeRun makes Run check whether this daemon watches the store.
-func (m *Manager) wakeRun() {
+func (m *Manager) wakeRun() { wake(m.watchWakeup) }
+
+// wake puts an item into a channel that holds one, unless it holds one already.
+func wake(channel chan<- struct{}) {
 	select {
-	case m.watchWakeup <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -123,7 +123,11 @@
 		m.askForNewerConfig(ctx)
 	}
 	meanPause := longPollPause
-	for pause.For(ctx, meanPause*3/4+rand.N(meanPause/2)) {
+	for {
+		pause.Until(ctx, m.pollWakeup, meanPause*3/4+rand.N(meanPause/2))
+		if ctx.Err() != nil {
+			return
+		}
 		meanPause = pollInterval
 		if !m.needsNoSource() && m.pollSources(ctx) {
 			meanPause = longPollPause
@@ -171,7 +175,8 @@
 
 // sources returns the addresses of the daemons to poll, each list in order of preference: those
 // near, which relay changes to this daemon, and the others. While the last confirmation is old,
-// others starts with a random peer, because any daemon may have newer state.
+// others starts with a random peer, because any daemon may have newer state. A daemon that has lost the
+// store's history asks the daemons that watch the store, which read it again first.
 func (m *Manager) sources() (near, others []string) {
 	view := m.View()
 	peers := map[string]string{}
@@ -183,7 +188,11 @@
 		nearIDs, otherIDs := view.watchPlan.Sources(m.opts.Self, m.sourceTurn.Load())
 		near, others = peerAddresses(peers, nearIDs), peerAddresses(peers, otherIDs)
 	}
-	if !m.isFresh() && len(list) > 0 {
+	if m.isHistoryLost() && view.watchPlan != nil {
+		watchers := view.watchPlan.Watchers()
+		rand.Shuffle(len(watchers), func(i, j int) { watchers[i], watchers[j] = watchers[j], watchers[i] })
+		near = peerAddresses(peers, watchers)
+	} else if !m.isFresh() && len(list) > 0 {
 		others = slices.Insert(others, 0, list[rand.N(len(list))].PeerAddress)
 		near = near[:min(len(near), 1)]
 	}
@@ -224,6 +233,7 @@
 		m.opts.Dialer.CloseIdleConnections()
 		return false
 	}
+	m.peerAnsweredAt.Store(int64(m.opts.Clock()))
 	stale := time.Duration(reply.GetAgeMs())*time.Millisecond > maxFreshAge
 	m.peerAlsoStale.Store(stale)
 	m.applyReply(sentAt, have, address, reply)
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -32,9 +32,14 @@
 	// silentWatchTime is how long a watch may take to answer. It is longer than a watch waits for a
 	// change.
 	silentWatchTime = 1200 * time.Millisecond
-	// maxPeerReread bounds the time for which a daemon waits for its peers to read the store again.
-	// They take a few round trips to the store and one to each daemon that passes the changes on.
+	// maxPeerReread bounds the time for which a daemon waits for its peers to read the store again
+	// although none of them answers. They take a few round trips to the store and one to each daemon
+	// that passes the changes on. While peers answer, a daemon waits up to twice as long: they are
+	// within reach and will tell, but a slow store may keep them reading.
 	maxPeerReread = 1500 * time.Millisecond
+	// peerSilence is how long ago the last answer of a peer may be for the peers to count as within
+	// reach. It covers a held request and the pause before the next one.
+	peerSilence = time.Second
 	// minWatchCheck is the least time between two checks whether this daemon watches the store.
 	minWatchCheck = 10 * time.Millisecond
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
@@ -82,10 +87,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.historyLost = true
+	wake(m.pollWakeup)
 }
 
 // awaitPeerReread waits until a peer has told what was read since the history was lost, up to
-// maxPeerReread. A daemon that the plan selects to watch the store does not wait.
+// maxPeerReread, or twice that while peers answer. A daemon that the plan selects to watch the store
+// does not wait.
 //
 // After an outage many daemons watch the store for a moment, because their last confirmation is old.
 // If all of them read the whole store again, it would take seconds, and their changes would be late.
@@ -94,7 +101,14 @@
 		return
 	}
 	until := m.opts.Clock() + maxPeerReread/2 + rand.N(maxPeerReread/2)
-	for m.opts.Clock() < until && m.isHistoryLost() && pause.For(ctx, minWatchCheck) {
+	for m.isHistoryLost() {
+		now, last := m.opts.Clock(), until
+		if now-time.Duration(m.peerAnsweredAt.Load()) < peerSilence {
+			last += maxPeerReread
+		}
+		if now >= last || !pause.For(ctx, minWatchCheck) {
+			return
+		}
 	}
 }
 
