Daemons divide the slots of brittle servers among themselves

Cause of the falls: no daemon sees how much the others send. A slowdown after a rejection comes too late, the first rejections of all are more than N; each fall pushes its load to the next server.

Change: decision/brittle gives each daemon a part of each server's slots, without messages: an equal one, or one request for as many daemons as there are slots, by rendezvous hashing. Calls wait at the daemon for most of their objective and are then refused, not run. A daemon without a part sends single requests, and none for a while after a rejection of which any daemon tells. Who hears the statement tells all.

--- a/peer/peerpb/quota.twirp.go
+++ b/peer/peerpb/quota.twirp.go
@@ -33,6 +33,9 @@
 
 	// Limited tells a daemon what a server names.
 	Limited(context.Context, *LimitedRequest) (*LimitedReply, error)
+
+	// Brittle tells a daemon that the servers of a service are brittle.
+	Brittle(context.Context, *BrittleRequest) (*BrittleReply, error)
 }
 
 // =====================
@@ -41,7 +44,7 @@
 
 type quotaProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -69,9 +72,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Quota")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Permit",
 		serviceURL + "Limited",
+		serviceURL + "Brittle",
 	}
 
 	return &quotaProtobufClient{
@@ -174,13 +178,59 @@
 	return out, nil
 }
 
+func (c *quotaProtobufClient) Brittle(ctx context.Context, in *BrittleRequest) (*BrittleReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Quota")
+	ctx = ctxsetters.WithMethodName(ctx, "Brittle")
+	caller := c.callBrittle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BrittleRequest) (*BrittleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BrittleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BrittleRequest) when calling interceptor")
+					}
+					return c.callBrittle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BrittleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BrittleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *quotaProtobufClient) callBrittle(ctx context.Context, in *BrittleRequest) (*BrittleReply, error) {
+	out := new(BrittleReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =================
 // Quota JSON Client
 // =================
 
 type quotaJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -208,9 +258,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Quota")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Permit",
 		serviceURL + "Limited",
+		serviceURL + "Brittle",
 	}
 
 	return &quotaJSONClient{
@@ -313,6 +364,52 @@
 	return out, nil
 }
 
+func (c *quotaJSONClient) Brittle(ctx context.Context, in *BrittleRequest) (*BrittleReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Quota")
+	ctx = ctxsetters.WithMethodName(ctx, "Brittle")
+	caller := c.callBrittle
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *BrittleRequest) (*BrittleReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BrittleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BrittleRequest) when calling interceptor")
+					}
+					return c.callBrittle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BrittleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BrittleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *quotaJSONClient) callBrittle(ctx context.Context, in *BrittleRequest) (*BrittleReply, error) {
+	out := new(BrittleReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Quota Server Handler
 // ====================
@@ -416,6 +513,9 @@
 	case "Limited":
 		s.serveLimited(ctx, resp, req)
 		return
+	case "Brittle":
+		s.serveBrittle(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -783,6 +883,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *quotaServer) serveBrittle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveBrittleJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveBrittleProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *quotaServer) serveBrittleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Brittle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(BrittleRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Quota.Brittle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BrittleRequest) (*BrittleReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BrittleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BrittleRequest) when calling interceptor")
+					}
+					return s.Quota.Brittle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BrittleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BrittleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BrittleReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BrittleReply and nil error while calling Brittle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *quotaServer) serveBrittleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Brittle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(BrittleRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Quota.Brittle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *BrittleRequest) (*BrittleReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*BrittleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*BrittleRequest) when calling interceptor")
+					}
+					return s.Quota.Brittle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*BrittleReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*BrittleReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *BrittleReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *BrittleReply and nil error while calling Brittle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor6, 0
 }
@@ -799,24 +1079,27 @@
 }
 
 var twirpFileDescriptor6 = []byte{
-	// 295 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x92, 0x4f, 0x4b, 0xf3, 0x40,
-	0x10, 0xc6, 0xd9, 0xb7, 0x4d, 0xd2, 0x77, 0xa2, 0x15, 0x16, 0xa9, 0x21, 0x54, 0x0d, 0x39, 0xe5,
-	0x20, 0x11, 0xea, 0x59, 0x11, 0x0f, 0x82, 0xa0, 0xa0, 0x7b, 0x14, 0x44, 0x36, 0x64, 0x90, 0xc0,
-	0x26, 0xd9, 0x6e, 0xb6, 0x0d, 0xf9, 0x2a, 0x7e, 0x5a, 0xd9, 0x4d, 0x5a, 0xfc, 0xd7, 0x8b, 0x97,
-	0x30, 0x0f, 0xf3, 0xcc, 0x3c, 0xbf, 0x09, 0x0b, 0xfe, 0x72, 0x55, 0x6b, 0x9e, 0x4a, 0x55, 0xeb,
-	0x9a, 0x1e, 0x94, 0x5c, 0x88, 0xba, 0x6d, 0x8b, 0x2a, 0x4f, 0x25, 0xa2, 0x8a, 0x5f, 0xc0, 0xb9,
-	0x2f, 0xca, 0x42, 0xd3, 0x19, 0xb8, 0x0d, 0xaa, 0x35, 0xaa, 0x80, 0x44, 0x24, 0xf9, 0xcf, 0x06,
-	0x45, 0x29, 0x8c, 0xb3, 0x5a, 0x55, 0xc1, 0xbf, 0x88, 0x24, 0x23, 0x66, 0x6b, 0x7a, 0x08, 0x4e,
-	0xc5, 0x4b, 0xcc, 0x83, 0x51, 0x44, 0x92, 0x09, 0xeb, 0x85, 0x71, 0x2a, 0xae, 0x31, 0x18, 0x47,
-	0x24, 0x21, 0xcc, 0xd6, 0xf1, 0x25, 0xec, 0x3f, 0xa2, 0x2a, 0x0b, 0xcd, 0x70, 0xb9, 0xc2, 0x46,
-	0xd3, 0x33, 0x70, 0x84, 0xc9, 0xb3, 0x29, 0xfe, 0x62, 0x96, 0x7e, 0x03, 0x4a, 0x2d, 0x0d, 0xeb,
-	0x4d, 0xf1, 0x35, 0xf8, 0x9b, 0x71, 0x29, 0x3a, 0x1a, 0x80, 0xf7, 0xa6, 0x78, 0xa5, 0x31, 0xb7,
-	0xe3, 0x13, 0xb6, 0x91, 0xf4, 0x08, 0xbc, 0x96, 0x17, 0xfa, 0xb5, 0x6c, 0x06, 0x50, 0xd7, 0xc8,
-	0x87, 0x26, 0xbe, 0x82, 0xa9, 0xdd, 0x88, 0xf9, 0xdf, 0x08, 0xa6, 0xb0, 0xb7, 0x9d, 0x97, 0xa2,
-	0x5b, 0xbc, 0x13, 0x70, 0x9e, 0xcc, 0x0f, 0xa5, 0xb7, 0xe0, 0xf6, 0x6c, 0xf4, 0xe4, 0xc7, 0x8a,
-	0x2f, 0x37, 0x87, 0xf3, 0x9d, 0x7d, 0x73, 0xd4, 0x1d, 0x78, 0x43, 0x02, 0x3d, 0xfd, 0x9d, 0x65,
-	0xcb, 0x1e, 0x1e, 0xef, 0x36, 0x48, 0xd1, 0xdd, 0xcc, 0x9f, 0xc3, 0x4f, 0xfd, 0x1c, 0xd7, 0xe7,
-	0xc6, 0x63, 0x3f, 0x32, 0xcb, 0x5c, 0xfb, 0x04, 0x2e, 0x3e, 0x02, 0x00, 0x00, 0xff, 0xff, 0x6f,
-	0x00, 0x6d, 0x07, 0x11, 0x02, 0x00, 0x00,
+	// 350 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x92, 0x4d, 0x4b, 0xfb, 0x40,
+	0x10, 0xc6, 0xd9, 0x7f, 0x9b, 0xa4, 0xff, 0xa9, 0x56, 0x58, 0xa4, 0x86, 0x50, 0x35, 0xe4, 0x94,
+	0x83, 0x44, 0xa8, 0x67, 0x45, 0x7a, 0x10, 0x04, 0x05, 0xdd, 0xa3, 0x28, 0x92, 0x36, 0x83, 0xac,
+	0x6c, 0x5e, 0xba, 0xd9, 0xb6, 0xf4, 0x03, 0xfb, 0x3d, 0x64, 0x37, 0x2f, 0xb4, 0xda, 0x5e, 0xbc,
+	0x84, 0x7d, 0xd8, 0x99, 0x67, 0x9e, 0xf9, 0x65, 0xa1, 0x3f, 0x5f, 0xe4, 0x2a, 0x8e, 0x0a, 0x99,
+	0xab, 0x9c, 0x1e, 0xa5, 0xb1, 0x10, 0xf9, 0x6a, 0xc5, 0xb3, 0x24, 0x2a, 0x10, 0x65, 0xf0, 0x06,
+	0xd6, 0x03, 0x4f, 0xb9, 0xa2, 0x43, 0xb0, 0x4b, 0x94, 0x4b, 0x94, 0x2e, 0xf1, 0x49, 0xf8, 0x9f,
+	0xd5, 0x8a, 0x52, 0xe8, 0x4e, 0x73, 0x99, 0xb9, 0xff, 0x7c, 0x12, 0x76, 0x98, 0x39, 0xd3, 0x63,
+	0xb0, 0xb2, 0x38, 0xc5, 0xc4, 0xed, 0xf8, 0x24, 0xec, 0xb1, 0x4a, 0xe8, 0x4a, 0x19, 0x2b, 0x74,
+	0xbb, 0x3e, 0x09, 0x09, 0x33, 0xe7, 0xe0, 0x1a, 0x0e, 0x9f, 0x50, 0xa6, 0x5c, 0x31, 0x9c, 0x2f,
+	0xb0, 0x54, 0xf4, 0x02, 0x2c, 0xa1, 0xe7, 0x99, 0x29, 0xfd, 0xf1, 0x30, 0xfa, 0x11, 0x28, 0x32,
+	0x69, 0x58, 0x55, 0x14, 0xdc, 0x42, 0xbf, 0x69, 0x2f, 0xc4, 0x9a, 0xba, 0xe0, 0x7c, 0xc8, 0x38,
+	0x53, 0x98, 0x98, 0xf6, 0x1e, 0x6b, 0x24, 0x3d, 0x01, 0x67, 0x15, 0x73, 0xf5, 0x9e, 0x96, 0x75,
+	0x50, 0x5b, 0xcb, 0xc7, 0x32, 0xb8, 0x81, 0x81, 0x71, 0xc4, 0xe4, 0x6f, 0x09, 0x06, 0x70, 0xd0,
+	0xf6, 0x17, 0x62, 0x1d, 0xbc, 0xc2, 0x60, 0x22, 0xb9, 0x52, 0x02, 0x1b, 0x3f, 0x17, 0x1c, 0x8d,
+	0x8a, 0xcf, 0xb0, 0x26, 0xd7, 0x48, 0x8d, 0xa9, 0x9a, 0x54, 0x45, 0xaa, 0x04, 0xf5, 0xa0, 0x27,
+	0xf1, 0x13, 0x67, 0xaa, 0xe5, 0xd7, 0x6a, 0x3d, 0xad, 0x75, 0x2f, 0xc4, 0x7a, 0xfc, 0x45, 0xc0,
+	0x7a, 0xd6, 0xbf, 0x8f, 0xde, 0x81, 0x5d, 0x91, 0xa0, 0x67, 0xbf, 0x02, 0x6f, 0x11, 0xf6, 0x46,
+	0x7b, 0xef, 0x35, 0xc2, 0x7b, 0x70, 0xea, 0x7d, 0xe8, 0xf9, 0xee, 0xcd, 0x5b, 0x52, 0xde, 0xe9,
+	0xfe, 0x82, 0xda, 0xaa, 0x0e, 0xbb, 0xc3, 0x6a, 0x1b, 0xd2, 0x0e, 0xab, 0xcd, 0x3d, 0x27, 0xa3,
+	0x17, 0x6f, 0xe3, 0x3e, 0xc1, 0xe5, 0xa5, 0xae, 0x31, 0x9f, 0x62, 0x3a, 0xb5, 0xcd, 0xdb, 0xbd,
+	0xfa, 0x0e, 0x00, 0x00, 0xff, 0xff, 0x5b, 0x53, 0xa3, 0xf6, 0xca, 0x02, 0x00, 0x00,
 }
--- a/serve/forward/calls.go
+++ b/serve/forward/calls.go
@@ -36,7 +36,7 @@
 		if i < 0 {
 			return choice{}, false
 		}
-		if p.limits.acceptsNow(now, l.servers[i]) {
+		if p.limits.acceptsNow(now, l.servers[i]) && p.hasRoom(now, l, i) {
 			return p.reserve(l, i, reason)
 		}
 		exclude = append(exclude, l.servers[i].Incarnation())
@@ -89,4 +89,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.load.calls.InFlight--
+	if p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
 }
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -64,6 +64,9 @@
 	// RateLimit is the number of requests per second that the server accepts from all daemons
 	// together, as the server writes it; "" if it states no limit.
 	RateLimit string
+	// Brittle is the number of rejections in a second, of requests of all daemons together, above
+	// which the server fails, as the server writes it; "" if it states none.
+	Brittle string
 	// Leaving is set where the server states that it takes no new requests.
 	Leaving bool
 	// RetryAfter is the time in seconds for which a server that rejects a request wants no further
--- a/serve/forward/defaultcodec.go
+++ b/serve/forward/defaultcodec.go
@@ -22,6 +22,7 @@
 	headerPriority    = "X-Priority"
 	headerNotRun      = "X-Not-Run"
 	headerRateLimit   = "X-Request-Limit" // requests per second from all daemons together
+	headerBrittle     = "X-Brittle"       // rejections in a second above which the server fails
 	headerLeaving     = "X-Backend-Leaving"
 )
 
@@ -80,6 +81,7 @@
 		Misdirected: status == http.StatusMisdirectedRequest,
 		Authentic:   true,
 		RateLimit:   h.Get(headerRateLimit),
+		Brittle:     h.Get(headerBrittle),
 		Leaving:     StatesTrue(h.Get(headerLeaving)),
 		RetryAfter:  RetryAfterOf(status, h),
 	}
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -69,13 +69,14 @@
 }
 
 // rankPermitted returns up to n engines that may prefill a prompt, the best first. It leaves out
-// engines for which no permit may be requested yet because of their rate limit.
+// engines for which no permit may be requested yet because of their rate limit, and brittle ones of
+// which this daemon's part is in use.
 func (p *pool) rankPermitted(now time.Time, l *serverSet, engines []prompts.Engine, n int, known bool) []prompts.Choice {
 	for {
 		list := prompts.ChoosePrefillEngines(engines, n, known, rand.Uint64())
 		limited := false
 		for _, c := range list {
-			if !p.limits.acceptsNow(now, l.servers[c.Index]) {
+			if !p.limits.acceptsNow(now, l.servers[c.Index]) || !p.hasRoom(now, l, c.Index) {
 				engines[c.Index].Excluded, limited = true, true
 			}
 		}
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -93,6 +93,7 @@
 	peers          *peerClient
 	poisonRegistry *poisonRegistry
 	limits         *serverLimits
+	brittle        *brittleServices
 	versions       *versions.Manager
 	metrics        *metrics
 	running        atomic.Int64
@@ -116,8 +117,8 @@
 	h.versions.SetInFlightCounter(h.pool.runningAtOldVersions)
 	h.versions.SetReachabilityCheck(h.acceptsAny)
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
-	h.limits = newServerLimits(h)
-	h.pool.onWorkChanged, h.pool.limits = h.workTracker.workChanged, h.limits
+	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
+	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -85,6 +85,9 @@
 // reasonPaused is the reason of refusals because all servers have asked for a pause.
 const reasonPaused = "paused"
 
+// reasonBrittle is the reason of refusals because this daemon's part of brittle servers is in use.
+const reasonBrittle = "brittle"
+
 // Values of the label notice.
 const (
 	noticeLeaving = "leaving"
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -97,7 +97,7 @@
 // run sends the request until a response is final or no further send is permitted. It returns the
 // response to forward.
 func (x *exchanges) run(ctx context.Context) (*outcome, error) {
-	if !x.sendToNext(ctx) {
+	if !x.sendToNext(ctx) && !x.awaitRoom(ctx) {
 		return nil, x.noServerError()
 	}
 	hedge := time.NewTimer(x.hedgeDelay())
@@ -245,6 +245,9 @@
 	if wait, limited := x.h.limits.permitWait(x.service); limited && len(x.tried) == 0 {
 		return x.h.rateLimitedError(x.in, x.service, verdict.NotRun, wait)
 	}
+	if len(x.tried) == 0 && x.h.brittle.isBrittle(time.Now(), x.service) {
+		return x.h.noRoomError(x.in, x.service, verdict.NotRun)
+	}
 	return verdict.New(verdict.NotRun, verdict.CodeNoBackend, "no backend server takes the request").WithRetryAfter(x.h.pool.retryAfter(x.service))
 }
 
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -59,7 +59,9 @@
 	// onWorkChanged is called, without the lock, for each server at which this daemon's prefills,
 	// running answers or suspicion have changed.
 	onWorkChanged func(routing.Server)
-	limits        *serverLimits // rate limits and pauses of servers; nil in tests of the pool alone
+	limits        *serverLimits    // rate limits and pauses of servers; nil in tests of the pool alone
+	brittle       *brittleServices // nil in tests of the pool alone
+	freed         chan struct{}    // closed at the next end of a call; nil if nobody waits for one
 	// versions decides which servers may serve; snapshot is its last state applied.
 	versions *versions.Manager
 	snapshot *versions.Snapshot
--- a/serve/forward/serverset.go
+++ b/serve/forward/serverset.go
@@ -23,6 +23,10 @@
 	tracked map[routing.Incarnation]bool
 	// candidates is the table of the servers for plain requests; nil until it is needed.
 	candidates *route.Table
+	// windows holds this daemon's parts of the servers while they are brittle, and anyWindow says
+	// whether it has any; nil until they are needed.
+	windows   []int
+	anyWindow *bool
 }
 
 // setSource is what a server set is built from. A set is in use until its source changes.
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -147,6 +147,7 @@
 		return
 	}
 	h.limits.observeReply(s, sentAt, reply)
+	h.observeBrittle(s, sentAt, reply)
 	if reply.Leaving {
 		h.recordLeaving(s)
 	}
--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -184,6 +184,7 @@
 	http        *http.Server
 	mu          sync.Mutex
 	incarnation int
+	slots       int    // stated in its entry
 	limit       string // sent in X-Request-Limit; empty for none
 	leaving     bool   // sends X-Backend-Leaving
 	pause       string // Retry-After of the 503 that answers every request; empty to serve
@@ -213,7 +214,7 @@
 // startServers starts n servers of a service and waits until the daemons know them.
 func (f *fleet) startServers(service string, n int) {
 	for i := range n {
-		s := &backend{f: f, service: service, address: fmt.Sprintf("%s-%d:80", service, i), listener: faultnet.Pipe()}
+		s := &backend{f: f, service: service, address: fmt.Sprintf("%s-%d:80", service, i), listener: faultnet.Pipe(), slots: 4}
 		s.http = &http.Server{Handler: s}
 		f.mu.Lock()
 		f.servers[s.address] = s
@@ -232,7 +233,7 @@
 func (s *backend) id() string { return fmt.Sprintf("%s.%d", s.address, s.incarnation) }
 
 func (s *backend) register() {
-	raw, err := json.Marshal(routing.Server{Service: s.service, Address: s.address, Zone: "a", Slots: 4})
+	raw, err := json.Marshal(routing.Server{Service: s.service, Address: s.address, Zone: "a", Slots: s.slots})
 	must.NoError(s.f.t, err)
 	s.f.put(feed.OwnServerPrefix+s.id(), string(raw))
 }
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -70,6 +70,10 @@
 		"A connection to a backend server was made through another daemon. path is the path that was chosen: direct if this daemon's own attempt failed or took long, peer while its path to the server counts as lost, trial if both were tried. error is how its own attempt failed.", "request", "backend", "peer", "path", "error")
 	TunnelEnded = define(270, "tunnel_ended", logrus.InfoLevel,
 		"A connection to a backend server that this daemon made for another one has ended, or was refused. error is how its bytes ended, or why the server was not reached.", "request", "peer", "backend", "refusal", "took", "error")
+	ServersBrittle = define(272, "servers_brittle", logrus.WarnLevel,
+		"A backend server stated in a response that it fails if it has to reject more than limit requests in a second, which holds for all servers of its service, or no longer states so. While stated is set, daemons divide the slots of each server and let requests wait.", "service", "backend", "stated", "limit")
+	ServerBrittleUnreadable = define(273, "server_brittle_unreadable", logrus.ErrorLevel,
+		"A backend server states that it is brittle with a number that cannot be parsed; it counts as 0.", "backend", "error")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
