serve: one test for the same list of entry VMs; a part of a failed brittle server is none

A daemon whose parts are all of servers that failed recently counts as one without a part: it sends single requests to the others in place of refusing all.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -272,6 +272,11 @@
 	return serving, hashes
 }
 
+// SameVMs reports whether two lists of views are one list. Views share it until it changes.
+func SameVMs(a, b []VM) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // Peers returns the entry VMs other than self that have an address for calls between daemons.
 func Peers(vms []VM, self string) []VM {
 	var peers []VM
--- a/serve/forward/brittle.go
+++ b/serve/forward/brittle.go
@@ -107,7 +107,7 @@
 	if window := p.windowOf(l, i); window > 0 {
 		return l.loads[i].inFlight() < window
 	}
-	if p.hasAnyWindow(l) {
+	if p.hasUsableWindow(now, l) {
 		return false
 	}
 	inFlight := 0
@@ -142,18 +142,15 @@
 	return l.windows[i]
 }
 
-// hasAnyWindow reports whether this daemon has a part of any server of a set. The caller holds p.mu.
-func (p *pool) hasAnyWindow(l *serverSet) bool {
-	if l.anyWindow == nil {
-		found := false
-		for i := range l.servers {
-			if found = p.windowOf(l, i) > 0; found {
-				break
-			}
+// hasUsableWindow reports whether this daemon has a part of any server of a set that has not failed
+// recently. The caller holds p.mu.
+func (p *pool) hasUsableWindow(now time.Time, l *serverSet) bool {
+	for i, load := range l.loads {
+		if !load.isSuspect(now) && p.windowOf(l, i) > 0 {
+			return true
 		}
-		l.anyWindow = &found
 	}
-	return *l.anyWindow
+	return false
 }
 
 // rankAt returns the number of serving daemons and this daemon's place among them in the rendezvous
--- a/serve/forward/serverset.go
+++ b/serve/forward/serverset.go
@@ -23,10 +23,9 @@
 	tracked map[routing.Incarnation]bool
 	// candidates is the table of the servers for plain requests; nil until it is needed.
 	candidates *route.Table
-	// windows holds this daemon's parts of the servers while they are brittle, and anyWindow says
-	// whether it has any; nil until they are needed.
-	windows   []int
-	anyWindow *bool
+	// windows holds this daemon's parts of the servers while they are brittle; nil until they are
+	// needed.
+	windows []int
 }
 
 // setSource is what a server set is built from. A set is in use until its source changes.
@@ -47,18 +46,13 @@
 	}
 	previous := p.view
 	p.view, p.snapshot = view, snapshot
-	if p.vmsView == nil || !sameVMs(p.vmsView, view) {
+	if p.vmsView == nil || !routing.SameVMs(p.vmsView.VMs, view.VMs) {
 		p.vmsView = view
 	}
 	p.pruneSuccessors()
 	p.recordReturns(previous)
 }
 
-// sameVMs reports whether two views share their list of entry VMs.
-func sameVMs(a, b *feed.View) bool {
-	return len(a.VMs) == len(b.VMs) && (len(a.VMs) == 0 || &a.VMs[0] == &b.VMs[0])
-}
-
 // serverSet returns the set of a service, nil if it has no servers. The caller holds p.mu.
 func (p *pool) serverSet(service string) *serverSet {
 	list, state := p.view.Servers[service], p.snapshot.State(service)
--- a/serve/reach/reach.go
+++ b/serve/reach/reach.go
@@ -144,7 +144,7 @@
 	vms := d.opts.Feed.View().VMs
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !sameList(d.vms, vms) {
+	if !routing.SameVMs(d.vms, vms) {
 		d.vms, d.peers = vms, peersOf(vms, d.opts.Self.ID)
 	}
 	wasAsked := func(id string) bool {
@@ -158,11 +158,6 @@
 	return d.peers[i], true
 }
 
-// sameList reports whether two lists of views share their memory.
-func sameList(a, b []routing.VM) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
 // peersOf returns the daemons that may connect for this one. One that is leaving opens no tunnels.
 func peersOf(vms []routing.VM, self string) []reach.Peer {
 	var peers []reach.Peer
