serve/forward: servers that were silent for a moment may continue an answer when no other is left

Seen with a new test: all three servers of a service, none of which fails, are silent for 1.2 s one after the other. Answers that wait for their first event are given up with 502 after 3.6 s.

Cause: a silent server is left after two failed probes and excluded for the rest of the request. When the third one falls silent no server is left to continue, though the first two answer again, and the request is given up as if its server alone had failed.

Change: where no server is left but those excluded before, they are tried again.

--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -65,6 +65,11 @@
 	view := r.h.opts.Feed.View()
 	r.exclude(a.segment)
 	c, ok := r.place(ctx, view)
+	if !ok && len(r.excluded) > 1 {
+		// One that failed this request before may have been silent for a moment only.
+		r.excluded = []routing.Incarnation{a.target.server.Incarnation()}
+		c, ok = r.place(ctx, view)
+	}
 	if !ok {
 		return segment{}, takeover.NoServer
 	}
--- a/serve/forward/stalledlink_test.go
+++ b/serve/forward/stalledlink_test.go
@@ -459,3 +459,40 @@
 		must.Eq(w.t, events(1, 20), got.body)
 	})
 }
+
+// silenceInTurn makes servers fall silent one after the other, for a time each, without losing data.
+func (w *testCluster) silenceInTurn(after, d time.Duration, ids ...string) {
+	time.Sleep(after)
+	for _, id := range ids {
+		w.servers[id].listener.Stall()
+		time.Sleep(d)
+		w.servers[id].listener.Unstall()
+	}
+}
+
+// checkSilence checks that six answers are whole although servers fall silent one after the other, and
+// that no request counts as one that crashes servers.
+func checkSilence(t *testing.T, ids ...string) {
+	t.Helper()
+	for _, after := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond} {
+		withTestCluster(t, streamRoute(), func(w *testCluster) {
+			for _, id := range []string{"a", "b", "c"} {
+				w.add("e-"+id, "llm", id, streamEvents(60, time.Second, 40*time.Millisecond))
+			}
+			w.background(func() { w.silenceInTurn(after, 1200*time.Millisecond, ids...) })
+			for _, got := range w.askMany(6) {
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, http.StatusOK, got.status, must.Sprint(after, got.took, got.body))
+				must.Eq(w.t, events(1, 60), got.body)
+			}
+			must.Zero(w.t, testutil.CollectAndCount(w.handler.metrics.poisonMarks))
+		})
+	}
+}
+
+// Guards against answers that are lost because a sound server is silent for a second.
+func TestServerSilentForASecondLosesNoAnswer(t *testing.T) { checkSilence(t, "e-b") }
+
+// Guards against answers that are given up because all servers of a service, none of which has failed,
+// are silent for a second one after the other.
+func TestServersSilentInTurnLoseNoAnswer(t *testing.T) { checkSilence(t, "e-a", "e-b", "e-c") }
