--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -65,8 +65,9 @@
 	view := r.h.opts.Feed.View()
 	r.exclude(a.segment)
 	c, ok := r.place(ctx, view)
-	if !ok && len(r.excluded) > 1 {
-		// One that failed this request before may have been silent for a moment only.
+	if !ok && len(r.excluded) > 1 && view.Config.Engine(r.service) != nil {
+		// One that failed this request before may have been silent for a moment only, as a probe
+		// shows.
 		r.excluded = []routing.Incarnation{a.target.server.Incarnation()}
 		c, ok = r.place(ctx, view)
 	}
