Daemons that are stopped connect for others as long as they take calls

Traced: for two seconds the three daemons that ran had lost their paths, and the two with paths were being stopped. Those refused new tunnels at once, and their entries were gone, while they took calls of their own callers.

--- a/decision/reach/fleet_test.go
+++ b/decision/reach/fleet_test.go
@@ -102,6 +102,9 @@
 	must.Eq(t, 0, table.Choose(at(1000), peers, "y", func(id string) bool { return id != "a" }, first))
 	table.End("b")
 	table.End("c")
+	leaving := []Peer{{ID: "d", Zone: "x", Leaving: true}, {ID: "e", Zone: "y"}}
+	must.Eq(t, 1, table.Choose(at(0), leaving, "x", none, first))
+	must.Eq(t, 0, table.Choose(at(0), leaving, "x", func(id string) bool { return id == "e" }, first))
 	must.MapLen(t, 1, table.states)
 }
 
--- a/decision/reach/peers.go
+++ b/decision/reach/peers.go
@@ -12,6 +12,9 @@
 	maxSkip = 8 * time.Second
 	// busySkip is how long a peer is skipped that relays as many connections as it may.
 	busySkip = 200 * time.Millisecond
+	// leavingCost puts a peer that shuts down behind all others. Where the rest have lost their paths
+	// as well, it is the only one that can connect.
+	leavingCost = 1 << 20
 	// MaxAsked bounds the peers that are asked for one connection. Where half of them have lost their
 	// paths as well, one connection in 64 finds none that has not.
 	MaxAsked = 6
@@ -22,6 +25,8 @@
 // Peer is a daemon that may connect to servers for another one.
 type Peer struct {
 	ID, Zone, Address string
+	// Leaving is set while the peer shuts down. It opens tunnels for a moment still.
+	Leaving bool
 }
 
 // peerState is what a daemon knows of one peer.
@@ -57,6 +62,9 @@
 		if p.Zone != zone {
 			cost++
 		}
+		if p.Leaving {
+			cost += leavingCost
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -51,9 +51,10 @@
 
 // Server opens tunnels for other daemons.
 type Server struct {
-	opts    Options
-	active  atomic.Int64
-	leaving atomic.Bool
+	opts   Options
+	active atomic.Int64
+	// refuseFrom is from when new tunnels are refused; nil unless the daemon is shutting down.
+	refuseFrom atomic.Pointer[time.Time]
 }
 
 // NewServer returns a Server, which is an http.Handler for Path.
@@ -62,8 +63,13 @@
 // Active returns the number of tunnels that are open or being opened.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// BeginShutdown makes the server refuse new tunnels.
-func (s *Server) BeginShutdown() { s.leaving.Store(true) }
+// BeginShutdown makes the server refuse new tunnels from a time on.
+func (s *Server) BeginShutdown(refuseFrom time.Time) { s.refuseFrom.Store(&refuseFrom) }
+
+func (s *Server) isLeaving() bool {
+	from := s.refuseFrom.Load()
+	return from != nil && !time.Now().Before(*from)
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -96,7 +102,7 @@
 	switch {
 	case r.Header.Get("Upgrade") != protocol:
 		return "", Invalid
-	case s.leaving.Load():
+	case s.isLeaving():
 		return "", Leaving
 	case active > maxTunnels:
 		return "", Busy
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -227,7 +227,7 @@
 		{tunnel.ServerRefused, "s", failing(syscall.ECONNREFUSED), nil},
 		{tunnel.ServerSilent, "s", failing(context.DeadlineExceeded), nil},
 		{tunnel.PathLost, "s", func(o *tunnel.Options) { o.IsPathLost = func() bool { return true } }, nil},
-		{tunnel.Leaving, "s", nil, func(s *site) { s.tunnel.BeginShutdown() }},
+		{tunnel.Leaving, "s", nil, func(s *site) { s.tunnel.BeginShutdown(time.Now()) }},
 	} {
 		t.Run(string(c.want), func(t *testing.T) {
 			withSite(t, func(c net.Conn) { c.Close() }, c.prepare, func(s *site) {
--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -56,6 +56,7 @@
 	path           *faultnet.Path // the daemon's connections to backend servers
 	callers, peers *faultnet.Listener
 	kill           context.CancelFunc
+	terminate      context.CancelFunc // begins the graceful shutdown
 	stopped        chan struct{}
 	dialer         *http.Transport
 }
@@ -112,10 +113,11 @@
 		DialServer: d.path.Dial, Dialer: link.NewDialerWithClient(&http.Client{Transport: d.dialer}),
 	})
 	hard, kill := context.WithCancel(f.t.Context())
-	d.kill = kill
+	soft, terminate := context.WithCancel(hard)
+	d.kill, d.terminate = kill, terminate
 	go func() {
 		defer close(d.stopped)
-		_ = g.Run(hard, hard)
+		_ = g.Run(soft, hard)
 	}()
 }
 
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -255,7 +255,7 @@
 	g.handler.BeginShutdown(forward.ShutdownSchedule{
 		StreamsUntil: started.Add(acceptStreamsFor), RequestsUntil: started.Add(acceptRequestsFor), ExitAt: started.Add(maxDrain),
 	})
-	g.reach.BeginShutdown()
+	g.reach.BeginShutdown(started.Add(acceptRequestsFor))
 	minDrain := min(addressRetentionFactor*g.opts.AddressTTL, maxDrain)
 	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), minDrain)
 	tick := time.NewTicker(20 * time.Millisecond)
--- a/serve/gateway/partition_test.go
+++ b/serve/gateway/partition_test.go
@@ -207,6 +207,23 @@
 	})
 }
 
+// The only daemons with a path to the servers are being stopped. They must still connect for the others
+// while they take calls themselves.
+func TestLeavingDaemonsConnectForOthers(t *testing.T) {
+	withFleet(t, 5, func(f *fleet) {
+		f.startServers("desk", 3)
+		f.cut([]int{0, 1, 2}, faultnet.CutResets)
+		f.loadEach("/once/detect", 60, partitionDetectionTime, nil)
+		for _, n := range []int{3, 4} {
+			f.daemons[fmt.Sprintf("vm-%d", n)].terminate()
+		}
+		time.Sleep(100 * time.Millisecond)
+		partitioned, _ := f.loadEach("/once/", 60, 2*time.Second, []int{0, 1, 2})
+		f.background.Wait()
+		must.GreaterEq(t, minServedRatio, partitioned.servedRatio())
+	})
+}
+
 // maxRunsOfOneRequest returns how often the request that reached servers most often did so.
 func (f *fleet) maxRunsOfOneRequest() (most int) {
 	runs := map[string]int{}
--- a/serve/reach/reach.go
+++ b/serve/reach/reach.go
@@ -48,8 +48,7 @@
 	mu      sync.Mutex
 	tracker reach.Tracker
 	table   reach.PeerTable
-	peers   []reach.Peer
-	vms     []routing.VM  // the list that peers was made from
+	peers   peerList
 	lost    chan struct{} // closed when the path is lost; replaced when it is restored
 }
 
@@ -71,8 +70,8 @@
 // TunnelService returns the path and handler of the endpoint for tunnels of other daemons.
 func (d *Dialer) TunnelService() (path string, handler http.Handler) { return tunnel.Path, d.tunnels }
 
-// BeginShutdown makes the daemon refuse new tunnels of other daemons.
-func (d *Dialer) BeginShutdown() { d.tunnels.BeginShutdown() }
+// BeginShutdown makes the daemon refuse new tunnels of other daemons from a time on.
+func (d *Dialer) BeginShutdown(refuseFrom time.Time) { d.tunnels.BeginShutdown(refuseFrom) }
 
 // Tunnels returns the number of open tunnels of other daemons.
 func (d *Dialer) Tunnels() int { return d.tunnels.Active() }
@@ -144,29 +143,17 @@
 	vms := d.opts.Feed.View().VMs
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !routing.SameVMs(d.vms, vms) {
-		d.vms, d.peers = vms, peersOf(vms, d.opts.Self.ID)
-	}
+	now := time.Now()
+	peers := d.peers.update(now, vms, d.opts.Self.ID)
 	wasAsked := func(id string) bool {
 		return slices.ContainsFunc(asked, func(p askedPeer) bool { return p.ID == id })
 	}
-	i := d.table.Choose(time.Now(), d.peers, d.opts.Self.Zone, wasAsked, rand.IntN)
+	i := d.table.Choose(now, peers, d.opts.Self.Zone, wasAsked, rand.IntN)
 	if i < 0 {
 		return reach.Peer{}, false
 	}
-	d.table.Begin(d.peers[i].ID)
-	return d.peers[i], true
-}
-
-// peersOf returns the daemons that may connect for this one. One that is leaving opens no tunnels.
-func peersOf(vms []routing.VM, self string) []reach.Peer {
-	var peers []reach.Peer
-	for _, vm := range routing.Peers(vms, self) {
-		if !vm.Draining {
-			peers = append(peers, reach.Peer{ID: vm.ID, Zone: vm.Zone, Address: vm.PeerAddress})
-		}
-	}
-	return peers
+	d.table.Begin(peers[i].ID)
+	return peers[i], true
 }
 
 // endPeer ends a connection that pickPeer counted.
