lab/soak/process: first attempts without a path count while another daemon could connect

The check of lost paths compared attempts at daemons without a path with those at the others at any time of the run.

Such attempts count now only while a daemon runs that has its path and is not being stopped. Bound and share stay as they are.

--- a/lab/soak/process/lostpaths.go
+++ b/lab/soak/process/lostpaths.go
@@ -105,7 +105,7 @@
 		if served {
 			f.othersOK++
 		}
-	case sentAt.Sub(since) >= detectionTime:
+	case sentAt.Sub(since) >= detectionTime && h.hasSteadyDaemonWithPath(sentAt):
 		f.cutSent++
 		if served {
 			f.cutServed++
@@ -113,6 +113,17 @@
 	}
 }
 
+// hasSteadyDaemonWithPath reports whether a daemon that others may connect through was running at a
+// time. While the only daemons with paths are being stopped, no daemon can serve.
+func (h *harness) hasSteadyDaemonWithPath(at time.Time) bool {
+	for n, u := range h.uplinks {
+		if u.cutStart().IsZero() && h.daemons[n].isSteady(at) {
+			return true
+		}
+	}
+	return false
+}
+
 func (h *harness) isAnyPathCut() bool {
 	return slices.ContainsFunc(h.uplinks, func(u *uplink) bool { return !u.cutStart().IsZero() })
 }
