serve/forward, faultnet, lab/soak: what the reading of the change found

* A rejection counted all daemons, with a hash of each, and the servers of its service, also where no server is brittle: they are counted only where one is.
* faultnet.DialFunc was external/sent.DialFunc once more.
* Two comments of the soak said one daemon keeps its paths, the code keeps two.
* The two incidents' tests say in one line which failure they guard against.

Behaviour is as before.

--- a/external/standin/faultnet/path.go
+++ b/external/standin/faultnet/path.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/external/sent"
 )
 
 // CutKind says what a cut path does to connections.
@@ -25,13 +27,10 @@
 	CutRefusesNew
 )
 
-// DialFunc has the signature of http.Transport.DialContext.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Path is the network path between one client and a set of servers, which can be cut and restored.
 // The servers and the paths of other clients are not affected.
 type Path struct {
-	dial DialFunc
+	dial sent.DialFunc
 
 	mu       sync.Mutex
 	cut      bool
@@ -42,7 +41,7 @@
 }
 
 // NewPath returns a path that is not cut and on which dial opens connections.
-func NewPath(dial DialFunc) *Path {
+func NewPath(dial sent.DialFunc) *Path {
 	restored := make(chan struct{})
 	close(restored)
 	return &Path{dial: dial, restored: restored, conns: map[*pathConn]struct{}{}}
--- a/lab/soak/process/lostpaths.go
+++ b/lab/soak/process/lostpaths.go
@@ -27,7 +27,7 @@
 	fault{"route moved", true, (*harness).moveRoute},
 )
 
-// cutPaths cuts the paths of a random daemon to all servers. At least one daemon keeps its paths.
+// cutPaths cuts the paths of a random daemon to all servers. At least two daemons keep theirs.
 func (h *harness) cutPaths(ctx context.Context) {
 	u, kind := h.randomUplink(), linkRefused
 	h.mu.Lock()
@@ -50,7 +50,7 @@
 	}
 }
 
-// beginCut notes that the paths of a daemon are cut, unless no other daemon has any.
+// beginCut notes that the paths of a daemon are cut, unless only two daemons have theirs.
 func (h *harness) beginCut(u *uplink) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/serve/forward/brittle.go
+++ b/serve/forward/brittle.go
@@ -69,14 +69,16 @@
 }
 
 // recordRejection records that a server of a service had no room for a request of this daemon or of
-// another one, and reports whether the other daemons are to be told, and of which limit.
-func (b *brittleServices) recordRejection(service string, daemons, servers int) (limit int, tell bool) {
+// another one, and reports whether the other daemons are to be told, and of which limit. fleet counts
+// the daemons and the servers; it is called only if the servers have stated that they are brittle.
+func (b *brittleServices) recordRejection(service string, fleet func(service string) (daemons, servers int)) (limit int, tell bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[service]
 	if s == nil {
 		return 0, false
 	}
+	daemons, servers := fleet(service)
 	now := time.Now()
 	s.RecordRejection(now, daemons, servers, rand.Float64())
 	return s.Limit(), s.ShouldTell(now, true)
@@ -218,8 +220,7 @@
 	if !reply.NotRun {
 		return
 	}
-	daemons, servers := h.fleetOf(s.Service)
-	if limit, tell := h.brittle.recordRejection(s.Service, daemons, servers); tell {
+	if limit, tell := h.brittle.recordRejection(s.Service, h.fleetOf); tell {
 		h.broadcastBrittle(s.Service, limit, true)
 	}
 }
@@ -243,13 +244,12 @@
 // Brittle implements peerpb.Quota.
 func (r quotaService) Brittle(_ context.Context, q *peerpb.BrittleRequest) (*peerpb.BrittleReply, error) {
 	h, service := r.limits.h, q.GetService()
-	daemons, servers := h.fleetOf(service)
-	if servers == 0 {
+	if h.opts.Feed.View().Servers[service].Len() == 0 {
 		return &peerpb.BrittleReply{}, nil // this daemon does not know the service
 	}
 	h.brittle.recordTold(service, int(min(max(q.GetLimit(), 0), math.MaxInt32)))
 	if q.GetRejected() {
-		h.brittle.recordRejection(service, daemons, servers)
+		h.brittle.recordRejection(service, h.fleetOf)
 	}
 	return &peerpb.BrittleReply{}, nil
 }
--- a/serve/gateway/partition_test.go
+++ b/serve/gateway/partition_test.go
@@ -71,8 +71,7 @@
 	}
 }
 
-// Guards against daemons that refuse or time out all requests because their own VM has no path to
-// any backend server, while callers and other daemons reach both.
+// Guards against daemons that serve nothing because their own VM has no path to any backend server.
 func TestDaemonsWithoutPathToServersServeThroughOthers(t *testing.T) {
 	for _, c := range []struct {
 		name      string
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -553,9 +553,7 @@
 	})
 }
 
-// Guards against a service that refuses every call for good: an operator gives a rollout up and
-// removes the servers of the new version in the moment in which it is completed, or after it, and the
-// servers of the previous version run on.
+// Guards against calls refused for good after the target's servers are removed around its completion.
 func TestPreviousVersionServesAfterTargetIsRemoved(t *testing.T) {
 	for _, c := range []struct {
 		name  string
