control/routing, serve/forward: the priority of a route orders the requests of an account

Cause: an account's priority replaces that of the route, and nearly every account of the new ticketing deployment states one. Change: Config.Rank orders streams by the account's priority and then by the route's, numbered consecutively, where the stream routes of a service differ in priority. Other services keep their values.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -100,6 +100,7 @@
 	services map[string]*Service
 	routes   map[string][]*Route // by host, longest prefix first
 	accounts map[string]*Account // by key
+	ranks    map[string]ranks    // by service; only those whose streams differ in priority
 }
 
 // New returns a configuration. It takes ownership of its arguments. accounts is keyed by account
@@ -120,6 +121,7 @@
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	c.ranks = newRanks(routes, accounts)
 	return c
 }
 
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -74,7 +74,7 @@
 	a.startTrial(l, r.in.routeName())
 	go a.receive(UpstreamRequest{
 		ID: r.in.call.ID, Server: l.target.server, Timeout: time.Until(r.in.deadline),
-		Account: r.in.accountName(), Priority: r.in.priority(), CopyTo: l.copyTo.server.Address, ResumeFrom: l.resumeFrom, LastEventID: r.lastEventID,
+		Account: r.in.accountName(), Priority: r.rank, CopyTo: l.copyTo.server.Address, ResumeFrom: l.resumeFrom, LastEventID: r.lastEventID,
 	})
 	return a
 }
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -283,7 +283,7 @@
 	defer func() { h.logExchange(ctx, in, o, time.Since(started)) }()
 	resp, reply, err := h.send(ctx, in, UpstreamRequest{
 		ID: in.call.ID, Server: c.server, Timeout: time.Until(in.deadline), Account: in.accountName(),
-		Priority: in.priority(), LastEventID: in.call.LastEventID,
+		Priority: in.route.EffectivePriority(in.account), LastEventID: in.call.LastEventID,
 	})
 	if err != nil {
 		o.err, o.notRun = err, errors.Is(err, errNotSent)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -11,8 +10,6 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
-	"mallowwind.dev/decision/prompts"
-	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -41,6 +38,7 @@
 	h           *Handler
 	in          *inbound
 	service     string
+	rank        int // of the request among the streams of its service; 0 is the most urgent
 	w           http.ResponseWriter
 	headersSent bool  // the caller has received the headers
 	lastEventID int64 // ID of the last event sent to the caller
@@ -122,6 +120,9 @@
 // forwardStream forwards a request whose response is a stream of events.
 func (h *Handler) forwardStream(ctx context.Context, w http.ResponseWriter, in *inbound, service string) error {
 	r := &relay{h: h, in: in, service: service, w: w, lastEventID: in.call.LastEventID, lastEventAt: time.Now()}
+	if config := h.opts.Feed.View().Config; config != nil {
+		r.rank = config.Rank(service, in.route, in.account)
+	}
 	if in.call.LastEventID > 0 {
 		h.fetchPace(ctx, service)
 	}
@@ -234,79 +235,14 @@
 	if c, ok := r.placeCanary(ctx, view); ok {
 		return r.withCopyTarget(ctx, segment{target: c}), nil
 	}
-	c, ok := r.placeWithPermit(ctx, view)
-	if !ok {
-		return segment{}, r.noServerError()
-	}
-	if err := r.admit(c); err != nil {
-		r.h.pool.addLoad(c.choice, -1, 0, 0)
+	c, err := r.placeAdmitted(ctx, view)
+	if err != nil {
 		return segment{}, err
 	}
 	unconfirmed := !c.answered && view.Config.Engine(r.service) != nil
 	return r.withCopyTarget(ctx, segment{target: c.choice, unconfirmed: unconfirmed}), nil
 }
 
-// admission decides whether the prompt is sent to an engine, and returns how long the first event
-// may take. A request that has been sent before, or whose caller has received a part of the
-// response, is sent wherever its prompt can be prefilled in time, even without room.
-func (r *relay) admission(best sampledEngine) (admission prompts.Admission, due time.Duration) {
-	mustServe := r.sends > 0 || r.in.call.LastEventID > 0
-	due = time.Until(r.in.deadline)
-	if !mustServe {
-		due = r.h.pressure.firstEventBudget(r.service, r.in, due)
-	}
-	admission = r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
-	if mustServe && admission == prompts.NoMemory {
-		admission = prompts.Admitted
-	}
-	return admission, due
-}
-
-// admit returns an error if the engines have no room for the prompt.
-func (r *relay) admit(best sampledEngine) error {
-	admission, due := r.admission(best)
-	if admission == prompts.Admitted {
-		return nil
-	}
-	overloadedFor, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
-	retryAfter := retryafter.AfterOverload(overloadedFor, max(answer, r.in.route.Objective), rand.Float64())
-	r.h.metrics.overloadRefusals.WithLabelValues(admission.String()).Inc()
-	r.h.opts.Log.Emit(event.PromptRefused, r.in.call.ID, best.server.ID, admission.String(), r.in.call.PromptTokens,
-		best.report.PendingPrompts, best.report.UsedTokens, best.report.CapacityTokens, due, overloadedFor, answer)
-	return verdict.New(r.verdict(), verdict.CodeOverloaded, "engines have no room for the prompt (%s)", admission).WithRetryAfter(retryAfter)
-}
-
-// tryAcquireRetry takes one retry from this daemon's share of the retry budget, or borrows one from
-// another daemon. Only streams borrow: for a plain request, asking other daemons would take longer
-// than the response itself.
-func (r *relay) tryAcquireRetry(ctx context.Context, now time.Time) bool {
-	if r.h.pool.tryTakeRetry(now, r.service) {
-		return true
-	}
-	if r.h.borrower.borrow(ctx, r.h.opts.Feed.View(), r.in.call.ID, r.service) {
-		r.h.metrics.retriesBorrowed.Inc()
-		return true
-	}
-	r.h.recordRetryDenied(r.in, r.sends)
-	return false
-}
-
-// placeWithPermit is place, limited to engines that state no rate limit or for which a permit was
-// granted. If all engines are lost, it waits for one to return.
-func (r *relay) placeWithPermit(ctx context.Context, view *feed.View) (sampledEngine, bool) {
-	for range maxStarts {
-		c, ok := r.place(ctx, view)
-		if !ok {
-			c, ok = r.awaitEngine(ctx)
-		}
-		if !ok || r.tryAcquirePermit(ctx, c.choice) {
-			return c, ok
-		}
-		r.h.pool.addLoad(c.choice, -1, 0, 0)
-	}
-	return sampledEngine{}, false
-}
-
 // tryAcquirePermit reports whether the rate limit that an engine states permits a request now. A
 // permit is only valid for a request that is sent at once.
 func (r *relay) tryAcquirePermit(ctx context.Context, c choice) bool {
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -81,15 +81,6 @@
 	deadline time.Time // by the timeout of the caller or of the route
 }
 
-// priority returns the account's priority, or the route's if the account has none; 0 is the most
-// urgent.
-func (in *inbound) priority() int {
-	if in.account != nil && in.account.Priority >= 0 {
-		return in.account.Priority
-	}
-	return in.route.Priority
-}
-
 // outgoing builds the request to a server.
 func (in *inbound) outgoing(ctx context.Context, codec Codec, e UpstreamRequest) *http.Request {
 	req := &http.Request{
