decision/headroom, serve/forward: room of engines is kept for urgent prompts

Change: relay.fits leaves room at each engine for the observed share of more urgent prompts, at least one, and nothing 30 s after the last of them was seen. The share is learned from this daemon's requests and from the priorities of the runs in engine reports. Placement prefers engines with a free slot and free memory. relay.keepsCopy decides which runs get a copy; engines known from reports of the last second to have no room are not probed again for one. Result: tests of the wiring pass; services without priorities are treated as before.

--- a/decision/prompts/estimator.go
+++ b/decision/prompts/estimator.go
@@ -47,6 +47,9 @@
 	e.meanPromptTokens = ewma(e.meanPromptTokens, float64(tokens))
 }
 
+// MeanPromptTokens returns the moving average of prompt lengths; 0 before the first observation.
+func (e *Estimator) MeanPromptTokens() int { return int(e.meanPromptTokens) }
+
 // ObserveAnswerTime records the time of an answer from its request to its end.
 func (e *Estimator) ObserveAnswerTime(took time.Duration) {
 	e.meanAnswerNs = ewma(e.meanAnswerNs, float64(took))
--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -176,6 +176,15 @@
 	// UsedTokens is the number of tokens in memory that the engine can't evict, CapacityTokens the
 	// number that fits in memory, or 0 if the engine doesn't report it.
 	UsedTokens, CapacityTokens int
+	// Slots is the number of runs that the engine processes at once; 0 if unknown.
+	Slots int
+	// CopyTokens is the part of UsedTokens that belongs to no run listed, which is taken by copies
+	// of runs at other engines. It is too low if runs share parts of their prompts.
+	CopyTokens int
+	// Copies is the number of copies that this daemon placed at the engine.
+	Copies int
+	// Priorities holds the priority of each run that states one.
+	Priorities []int
 }
 
 // maxFillRatio is the share of an engine's memory above which it gets no copy, and no prompt while
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -89,7 +89,8 @@
 func (testCodec) ProbePath() string { return "/alive" }
 
 // Report reads the start time, "engine", and the ids of runs. A minus before an id means a run
-// without events, and "full" means an engine without room.
+// without events, a "#" after it precedes its priority. "full" means an engine without room, and
+// "used=U/C" one that uses U of C tokens.
 func (testCodec) Report(body []byte) (Report, error) {
 	born, words := parseBorn(strings.Fields(string(body)))
 	if len(words) == 0 || words[0] != "engine" {
@@ -101,6 +102,16 @@
 			r.UsedTokens, r.CapacityTokens = 100, 100
 			continue
 		}
+		if memory, ok := strings.CutPrefix(id, "used="); ok {
+			used, capacity, _ := strings.Cut(memory, "/")
+			r.UsedTokens, _ = strconv.Atoi(used)
+			r.CapacityTokens, _ = strconv.Atoi(capacity)
+			continue
+		}
+		id, priority, stated := strings.Cut(id, "#")
+		if n, err := strconv.Atoi(priority); stated && err == nil {
+			r.Priorities = append(r.Priorities, n)
+		}
 		unread, found := strings.CutPrefix(id, "-")
 		if found {
 			r.Events[unread] = 0
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -94,6 +94,7 @@
 	poisonRegistry *poisonRegistry
 	limits         *serverLimits
 	brittle        *brittleServices
+	headroom       *headroomState
 	versions       *versions.Manager
 	metrics        *metrics
 	running        atomic.Int64
@@ -120,6 +121,7 @@
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
 	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
+	h.headroom = newHeadroomState()
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
 }
--- /dev/null
+++ b/serve/forward/headroom.go
@@ -0,0 +1,226 @@
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/headroom"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/telemetry/event"
+)
+
+// maxReportAge is how long the report of an engine keeps the engine from being probed again as the
+// target of a copy for which it had no room.
+const maxReportAge = time.Second
+
+// maxUrgentRatio is the largest part of the prompts of a service that count as urgent when memory
+// for copies is scarce.
+const maxUrgentRatio = 0.5
+
+// headroomState holds what this daemon has observed of the services whose streams differ in
+// priority. It is safe for concurrent use.
+type headroomState struct {
+	mu      sync.Mutex
+	demand  map[string]*headroom.Demand // by service
+	reports map[routing.Incarnation]recentReport
+}
+
+// recentReport is the last report of an engine that this daemon received.
+type recentReport struct {
+	load prompts.Report
+	at   time.Time
+}
+
+func newHeadroomState() *headroomState {
+	return &headroomState{demand: map[string]*headroom.Demand{}, reports: map[routing.Incarnation]recentReport{}}
+}
+
+// observePrompt records a prompt that arrived.
+func (s *headroomState) observePrompt(now time.Time, service string, rank int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	getOrCreate(s.demand, service).Observe(now, rank, 1)
+}
+
+// observeReport records the runs that an engine reports.
+func (s *headroomState) observeReport(now time.Time, server routing.Server, load prompts.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	demand := getOrCreate(s.demand, server.Service)
+	for _, rank := range load.Priorities {
+		demand.Observe(now, rank, 1)
+	}
+	for incarnation, r := range s.reports {
+		if now.Sub(r.at) > maxReportAge {
+			delete(s.reports, incarnation)
+		}
+	}
+	s.reports[server.Incarnation()] = recentReport{load: load, at: now}
+}
+
+// urgentShare returns the share of prompts of a service that are more urgent than a rank.
+func (s *headroomState) urgentShare(now time.Time, service string, rank int) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return getOrCreate(s.demand, service).UrgentShare(now, rank)
+}
+
+// recentReports returns the reports received within maxReportAge.
+func (s *headroomState) recentReports(now time.Time) map[routing.Incarnation]prompts.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent := map[routing.Incarnation]prompts.Report{}
+	for incarnation, r := range s.reports {
+		if now.Sub(r.at) <= maxReportAge {
+			recent[incarnation] = r.load
+		}
+	}
+	return recent
+}
+
+// hasPriorities reports whether the streams of a service differ in priority.
+func (h *Handler) hasPriorities(service string) bool {
+	config := h.opts.Feed.View().Config
+	return config != nil && config.HasPriorities(service)
+}
+
+// loadOf returns the load of an engine by its report. Where the streams of its service differ in
+// priority, it records the report.
+func (h *Handler) loadOf(server routing.Server, report Report) prompts.Report {
+	load := report.loadReport()
+	load.Slots, load.Copies = server.Slots, h.pool.copyCount(server.Incarnation())
+	if h.hasPriorities(server.Service) {
+		h.headroom.observeReport(time.Now(), server, load)
+	}
+	return load
+}
+
+// level returns the rank of the request as engines report it.
+func (r *relay) level() int { return min(r.rank, headroom.Levels-1) }
+
+// isUrgent reports whether at most half of the prompts of the service are as urgent as this one.
+func (r *relay) isUrgent() bool {
+	asUrgent := r.h.headroom.urgentShare(time.Now(), r.service, r.level()+1)
+	return asUrgent > 0 && asUrgent <= maxUrgentRatio
+}
+
+// keptRoom returns what room is kept free for prompts that are more urgent than this one.
+func (r *relay) keptRoom() headroom.Prompts {
+	return headroom.Prompts{
+		MeanTokens:  r.h.pressure.meanPromptTokens(r.service),
+		UrgentShare: r.h.headroom.urgentShare(time.Now(), r.service, r.level()),
+	}
+}
+
+// engineLoad converts a report for a decision on this request.
+func (r *relay) engineLoad(report prompts.Report) headroom.Engine {
+	e := headroom.Engine{
+		Slots: report.Slots, Running: report.Running, Pending: report.PendingPrompts,
+		CopyTokens: report.CopyTokens, Copies: report.Copies, UsedTokens: report.UsedTokens, CapacityTokens: report.CapacityTokens,
+	}
+	for _, priority := range report.Priorities {
+		if priority < r.level() {
+			e.MoreUrgent++
+		}
+	}
+	return e
+}
+
+// hasFreeRoom reports whether an engine has a free slot and memory for the prompt, beside the room
+// that it keeps for more urgent ones. It is always true where streams do not differ in priority.
+func (r *relay) hasFreeRoom(report prompts.Report) bool {
+	return !r.h.hasPriorities(r.service) || r.keptRoom().HasRoom(r.engineLoad(report), r.in.call.PromptTokens)
+}
+
+// withFreeRoom returns the sampled engines that have room for the prompt.
+func (r *relay) withFreeRoom(sampled []sampledEngine) (free []sampledEngine) {
+	for _, s := range sampled {
+		if r.hasFreeRoom(s.report) {
+			free = append(free, s)
+		}
+	}
+	return free
+}
+
+// fits reports whether an engine has room for the prompt beside the room that it keeps for more
+// urgent ones. A prompt for which no other is more urgent fits everywhere: the engine admits it
+// first.
+func (r *relay) fits(report prompts.Report) bool {
+	if !r.h.hasPriorities(r.service) {
+		return true
+	}
+	room, load := r.keptRoom(), r.engineLoad(report)
+	kept := room.Kept(load)
+	if kept == 0 || room.HasRoom(load, r.in.call.PromptTokens) {
+		return true
+	}
+	if !r.headroomDenied {
+		r.headroomDenied = true
+		r.h.metrics.headroomDenials.WithLabelValues(deniedPrompt).Inc()
+		r.h.opts.Log.Emit(event.HeadroomKept, r.in.call.ID, r.rank, room.UrgentShare, kept, load.Running, load.Pending, load.CopyTokens, load.UsedTokens, load.CapacityTokens)
+	}
+	return false
+}
+
+// keepsCopy reports whether a run of this request gets a copy at a server with a report now. It
+// logs a denial unless the last one had the same reason: a run without a copy asks every second.
+func (r *relay) keepsCopy(server routing.Server, report prompts.Report) bool {
+	if !r.h.hasPriorities(r.service) {
+		return report.HasCapacity(r.in.call.PromptTokens)
+	}
+	decision := r.decideCopy(report)
+	if last := r.copyDecision.Swap(uint32(decision)); decision != headroom.CopyKept && last != uint32(decision) {
+		r.h.metrics.headroomDenials.WithLabelValues(deniedCopy).Inc()
+		r.h.opts.Log.Emit(event.CopyDeclined, r.in.call.ID, server.ID, r.rank, decision.String())
+	}
+	return decision == headroom.CopyKept
+}
+
+// decideCopy decides whether a run of this request gets a copy at an engine. It is also called by
+// the goroutine of the replicator and reads only what does not change during the request.
+func (r *relay) decideCopy(report prompts.Report) headroom.CopyDecision {
+	prefill, answer := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
+	return r.keptRoom().KeepsCopy(r.engineLoad(report), headroom.Run{
+		Tokens: r.in.call.PromptTokens, Urgent: r.isUrgent(), Prefill: prefill,
+		Remaining: max(0, answer-time.Since(r.in.arrived)),
+	})
+}
+
+// enginesWithoutRoom returns the engines that are known from recent reports to have no room for a
+// copy of this run, so that they are not probed again.
+func (r *relay) enginesWithoutRoom() (full []routing.Incarnation) {
+	if !r.h.hasPriorities(r.service) {
+		return nil
+	}
+	for incarnation, report := range r.h.headroom.recentReports(time.Now()) {
+		if r.decideCopy(report) != headroom.CopyKept {
+			full = append(full, incarnation)
+		}
+	}
+	return full
+}
+
+// copyCount returns how many copies of this daemon's runs a server keeps.
+func (p *pool) copyCount(incarnation routing.Incarnation) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if load := p.loads[incarnation]; load != nil {
+		return load.replicas
+	}
+	return 0
+}
+
+// meanPromptTokens returns the mean length of the prompts of a service; 0 if unknown.
+func (p *pressure) meanPromptTokens(service string) int {
+	defer p.mu.Unlock()
+	return p.lockService(service).pace.MeanPromptTokens()
+}
+
+// expectedTimes returns how long the prefill of a prompt at an idle engine and a whole answer take;
+// 0 if unknown.
+func (p *pressure) expectedTimes(service string, tokens int) (prefill, answer time.Duration) {
+	defer p.mu.Unlock()
+	pace := &p.lockService(service).pace
+	return pace.TimeToFirstEvent(0, tokens), pace.MeanAnswerTime()
+}
--- /dev/null
+++ b/serve/forward/headroom_test.go
@@ -0,0 +1,206 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+)
+
+// rankedRoutes returns two routes to the engines. Requests below /u/ are more urgent than those below /s/
+// if the routes differ in priority.
+func rankedRoutes(differ bool) []*routing.Route {
+	less, urgent := streamRoute()[0], streamRoute()[0]
+	urgent.Name, urgent.Prefix = "u", "/u/"
+	if differ {
+		less.Priority = 2
+	}
+	return []*routing.Route{less, urgent}
+}
+
+// send sends a prompt of 80 tokens on a route and returns its status.
+func (w *testCluster) send(prefix string) int {
+	return w.request(http.MethodPost, prefix+"1", withHeaders(map[string]string{hTokens: "80"}), "prompt").status
+}
+
+// sendLessUrgent sends a few less urgent prompts, so that urgent ones are a small share.
+func (w *testCluster) sendLessUrgent() {
+	for range 4 {
+		must.Eq(w.t, 200, w.send("/s/"))
+	}
+}
+
+// Guards against less urgent prompts that take the last slot or the last memory of an engine, so
+// that an urgent prompt one second later waits for the end of a run. Also guards against headroom
+// where priorities do not differ, or for a class that sends nothing.
+func TestHeadroomIsKeptForUrgentPrompts(t *testing.T) {
+	for name, c := range map[string]struct {
+		differ, urgentSeen bool
+		runs               string
+		less, urgent       int // expected status
+	}{
+		"last slot":              {true, true, "r1 r2 r3", 503, 200},
+		"slot left":              {true, true, "r1 r2", 200, 200},
+		"last memory":            {true, true, "r1 used=780/1000", 503, 200},
+		"memory left":            {true, true, "r1 used=770/1000", 200, 200},
+		"one priority":           {false, true, "r1 r2 r3", 200, 200},
+		"no urgent prompt seen":  {true, false, "r1 r2 r3", 200, 200},
+		"idle engine":            {true, true, "used=850/1000", 200, 200},
+		"no slot, also not kept": {true, true, "r1 r2 r3 r4", 503, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, rankedRoutes(c.differ), func(w *testCluster) {
+				a := w.add("e-a", "llm", "a", streamEvents(2, 100*time.Millisecond, 40*time.Millisecond))
+				w.sendLessUrgent()
+				if c.urgentSeen {
+					must.Eq(t, 200, w.send("/u/"))
+				}
+				a.setRuns(c.runs)
+				must.Eq(t, c.less, w.send("/s/"))
+				must.Eq(t, c.urgent, w.send("/u/"))
+			})
+		})
+	}
+}
+
+// Guards against room that stays reserved for a class that sends nothing any more.
+func TestHeadroomEndsWhenUrgentCallersFallSilent(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(2, 100*time.Millisecond, 40*time.Millisecond))
+		must.Eq(t, 200, w.send("/u/"))
+		a.setRuns("r1 r2 r3")
+		must.Eq(t, 503, w.send("/s/"))
+		time.Sleep(31 * time.Second)
+		must.Eq(t, 200, w.send("/s/"))
+	})
+}
+
+// A daemon that sends few prompts sees hardly any urgent one itself. Guards against it filling the
+// engines regardless: the priorities of the runs that engines report show the urgent class.
+func TestUrgentShareIsLearnedFromReports(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(2, 100*time.Millisecond, 40*time.Millisecond))
+		a.setRuns("r1#1 r2#1 r3#0")
+		must.Eq(t, 503, w.send("/s/"))
+		a.setRuns("r1#1 r2#1 r3#1")
+		must.Eq(t, 503, w.send("/s/"))
+	})
+}
+
+// Guards against refusals of less urgent prompts for headroom while other engines have room.
+func TestLessUrgentPromptGoesToEngineWithRoom(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+		for i := range 6 {
+			w.add(fmt.Sprintf("e-%d", i), "llm", string(rune('a'+i%3)), handle)
+		}
+		w.sendLessUrgent()
+		must.Eq(t, 200, w.send("/u/"))
+		for _, s := range w.servers {
+			s.setRuns("r1 r2 r3")
+		}
+		must.Eq(t, 503, w.send("/s/"))
+		free := w.add("e-free", "llm", "a", handle)
+		free.setRuns("-r1 r2") // a prefill delays the prompt, but no urgent one
+		must.Eq(t, 200, w.send("/s/"))
+		must.Eq(t, 1, free.requestCount())
+	})
+}
+
+// Guards against an urgent prompt that waits at an engine for a slot while another engine has a
+// free one: the engine with the fewest pending prompts may have no slot left.
+func TestUrgentPromptPrefersFreeSlot(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+		full, free := w.add("e-full", "llm", "a", handle), w.add("e-free", "llm", "b", handle)
+		full.setRuns("r1 r2 r3 r4")
+		free.setRuns("-r1 r2 r3")
+		for range 5 {
+			must.Eq(t, 200, w.send("/u/"))
+		}
+		must.Eq(t, 5, free.requestCount())
+	})
+}
+
+// Guards against a caller that loses an answer it holds a part of: headroom does not apply to it.
+func TestResumedStreamIgnoresHeadroom(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, 100*time.Millisecond, 40*time.Millisecond))
+		must.Eq(t, 200, w.send("/u/"))
+		a.setRuns("r1 r2 r3")
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "80", hAfter: "2"}), "prompt")
+		must.Eq(t, events(3, 5), got.body)
+	})
+}
+
+// copyTarget sends a prompt on a route and returns the address that its engine was told to copy the
+// run to.
+func (w *testCluster) copyTarget(prefix string) string {
+	counts := map[string]int{}
+	for id, s := range w.servers {
+		counts[id] = s.requestCount()
+	}
+	must.Eq(w.t, 200, w.send(prefix))
+	for id, s := range w.servers {
+		if s.requestCount() > counts[id] {
+			return s.requests()[counts[id]].Header.Get(hCopyTo)
+		}
+	}
+	return ""
+}
+
+// Guards against copies of less urgent runs that take the slot or the memory kept for urgent
+// prompts, and against the loss of the copies of urgent runs to those of others.
+func TestCopiesWhenMemoryIsScarce(t *testing.T) {
+	for name, c := range map[string]struct {
+		differ       bool
+		runs         string
+		less, urgent bool // whether a run gets a copy
+	}{
+		"room":                  {true, "r1 used=300/1000", true, true},
+		"slot of the headroom":  {true, "r1 r2 r3 used=300/1000", false, true},
+		"no slot":               {true, "r1 r2 r3 r4 used=300/1000", false, false},
+		"memory for the urgent": {true, "r1 used=730/1000", false, true},
+		"no memory":             {true, "r1 used=800/1000", false, false},
+		"one priority":          {false, "r1 r2 r3 r4 used=300/1000", true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, rankedRoutes(c.differ), func(w *testCluster) {
+				handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+				w.add("e-a", "llm", "a", handle)
+				w.sendLessUrgent()
+				must.Eq(t, 200, w.send("/u/"))
+				target := w.add("e-b", "llm", "b", handle)
+				target.setRuns("-x " + c.runs[3:]) // r1 in prefill: prompts go to the other engine
+				must.Eq(t, c.less, w.copyTarget("/s/") != "")
+				time.Sleep(2 * maxReportAge)
+				must.Eq(t, c.urgent, w.copyTarget("/u/") != "")
+			})
+		})
+	}
+}
+
+// Guards against probes of engines that are known to have no room for a copy: a burst would send
+// three of them for each run and second. Also guards against a run that stays without a copy
+// although there is room again.
+func TestRunGetsCopyOnceThereIsRoom(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		handle := streamEvents(100, 100*time.Millisecond, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		b.setRuns("-x r1 r2 r3")
+		w.background(func() {
+			time.Sleep(2 * time.Second)
+			targets, _ := a.copyCalls()
+			must.Eq(t, 0, len(targets))
+			b.setRuns("r1")
+		})
+		must.Eq(t, 200, w.send("/s/"))
+		must.Eq(t, "", a.requests()[0].Header.Get(hCopyTo))
+		targets, _ := a.copyCalls()
+		must.Greater(t, 0, len(targets))
+	})
+}
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -24,6 +24,7 @@
 	copiesRemade      prometheus.Counter
 	cacheScans        prometheus.Counter
 	overloadRefusals  *prometheus.CounterVec
+	headroomDenials   *prometheus.CounterVec
 	inFlight          prometheus.GaugeFunc
 
 	unreadableMessages prometheus.Counter
@@ -60,6 +61,7 @@
 		copiesRemade:       prometheus.NewCounter(counter("copies_made_again_total", "Copies of runs made because the one before was lost.")),
 		cacheScans:         prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
 		overloadRefusals:   prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
+		headroomDenials:    prometheus.NewCounterVec(counter("headroom_denials_total", "Prompts and copies of runs for which an engine had no room beside that kept for more urgent prompts, by kind."), []string{"kind"}),
 		unreadableMessages: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
 		cacheBytes:         prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
 		poisonMarks:        prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
@@ -70,10 +72,16 @@
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
+// Values of the label kind of headroomDenials.
+const (
+	deniedPrompt = "prompt"
+	deniedCopy   = "copy"
+)
+
 // reasonTurnedAway is the reason of refusals while servers reject requests. The reasons of refused
 // prompts are the strings of prompts.Admission.
 const reasonTurnedAway = "turned_away"
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -68,7 +68,7 @@
 		if sampled := queries.sampleLoads(ctx, []choice{c}, 1); len(sampled) == 1 {
 			best := sampled[0]
 			best.report.PendingPrompts = max(best.report.PendingPrompts, unread) // a report lags
-			if best.report.CanPrefillNow(r.in.call.PromptTokens) {
+			if best.report.CanPrefillNow(r.in.call.PromptTokens) && r.hasFreeRoom(best.report) {
 				return best, true
 			}
 		}
@@ -97,7 +97,7 @@
 			excluded = append(excluded, c.server.Incarnation())
 		}
 		sampled = append(sampled, queries.sampleLoads(ctx, candidates, 0)...)
-		if c, ok := r.leastLoaded(sampled); ok && c.report.CanPrefillNow(r.in.call.PromptTokens) {
+		if c, ok := r.leastLoaded(sampled); ok && c.report.CanPrefillNow(r.in.call.PromptTokens) && r.hasFreeRoom(c.report) {
 			return c, true
 		}
 	}
@@ -115,8 +115,12 @@
 	return sampledEngine{choice: list[0]}, true
 }
 
-// leastLoaded returns the sampled engine that is best for the prompt by its report.
+// leastLoaded returns the sampled engine that is best for the prompt by its report. Engines with
+// room for it, beside the room kept for more urgent prompts, come first.
 func (r *relay) leastLoaded(sampled []sampledEngine) (sampledEngine, bool) {
+	if free := r.withFreeRoom(sampled); len(free) > 0 {
+		sampled = free
+	}
 	reports := make([]prompts.Report, len(sampled))
 	for i, s := range sampled {
 		reports[i] = s.report
@@ -139,7 +143,7 @@
 			if err != nil {
 				return
 			}
-			load := report.loadReport()
+			load := q.h.loadOf(c.server, report)
 			load.PendingPrompts = max(load.PendingPrompts, q.h.pool.prefillCount(c)-counted) // a report lags
 			sampled[i] = &sampledEngine{choice: c, report: load, answered: true}
 		})
--- a/serve/forward/replicator.go
+++ b/serve/forward/replicator.go
@@ -192,7 +192,7 @@
 // room: a replica takes as much memory as the run, and an engine that runs out of memory evicts
 // runs. Under three times the usual load a replica is not worth that.
 func (r *relay) chooseReplicaEngine(ctx context.Context, server routing.Server, failed []routing.Incarnation) (choice, bool) {
-	excluded := slices.Clone(failed)
+	excluded := append(slices.Clone(failed), r.enginesWithoutRoom()...)
 	round := r.h.newProbeRound()
 	defer round.suspectSilent()
 	for range maxCopyProbes {
@@ -202,7 +202,7 @@
 		}
 		if !r.h.limits.isPaused(c.server) {
 			report, err := round.probe(ctx, c.server, fastProbeTimeout)
-			if err == nil && report.loadReport().HasCapacity(r.in.call.PromptTokens) {
+			if err == nil && r.keepsCopy(c.server, r.h.loadOf(c.server, report)) {
 				return c, true
 			}
 		}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,6 +68,8 @@
 	timeToFirstEvent time.Duration // since the request's arrival; 0 before the first event
 	eventCount       int           // events sent to the caller
 	longestGap       time.Duration // between two events sent to the caller
+	headroomDenied   bool          // an engine had no room beside that kept for more urgent prompts
+	copyDecision     atomic.Uint32 // the last headroom.CopyDecision, of the replicator as well
 }
 
 // nextAttempt returns the attempt that took over the response, or starts a new one.
@@ -130,6 +133,9 @@
 		return err
 	}
 	h.pressure.recordPrompt(service, in.call.PromptTokens)
+	if h.hasPriorities(service) {
+		h.headroom.observePrompt(time.Now(), service, r.rank)
+	}
 	defer func() {
 		if r.replacement != nil { // the caller disconnected during the takeover
 			r.replacement.end(segmentAborted)
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -30,6 +30,10 @@
 		"A new incarnation of a backend server runs at its address, under the same ID or another one, and the store does not show it yet.", "request", "backend", "successor", "born")
 	PromptRefused = define(232, "prompt_refused", logrus.InfoLevel,
 		"A prompt was refused because no engine has room for it. backend is the best of the engines asked, according to its report.", "request", "backend", "reason", "tokens", "unread", "used", "memory", "due", "refusing_for", "answers_take")
+	HeadroomKept = define(280, "headroom_kept", logrus.InfoLevel,
+		"A prompt found no room at the best of the engines asked, because the engine keeps room for more urgent prompts. share is the observed share of those, kept the number of prompts for which room is kept, copies, used and memory are tokens.", "request", "rank", "share", "kept", "running", "unread", "copies", "used", "memory")
+	CopyDeclined = define(281, "copy_declined", logrus.InfoLevel,
+		"A run got no replica of its KV cache at an engine, because the streams of its service differ in priority and memory is scarce; reason says why. It is logged when the reason changes.", "request", "backend", "rank", "reason")
 	CallThrottled = define(233, "call_throttled", logrus.InfoLevel,
 		"A request was refused because the backend servers of its service are rejecting requests.", "request", "service", "refusing_for")
 	BackendMessageInvalid = define(234, "message_refused", logrus.ErrorLevel,
