serve/forward: reserved prompts use room, and engines seen with room are asked before a refusal

Cause: reports lag by 200 ms, so that several daemons could use up the headroom of one engine; and a prompt is placed among a sample, so that it could be refused for headroom while others have room. Change: where streams differ in priority, the known prompts and runs of all daemons count in the reports of a sample.

--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/headroom"
 	"mallowwind.dev/decision/prompts"
@@ -143,6 +145,56 @@
 	return free
 }
 
+// countReserved counts the prompts and runs of all daemons in the reports of engines where streams
+// differ in priority: reports lag, and several daemons act on the same one.
+func (r *relay) countReserved(sampled []sampledEngine, others workloads) []sampledEngine {
+	if !r.h.hasPriorities(r.service) {
+		return sampled
+	}
+	for i := range sampled {
+		incarnation, report := sampled[i].server.Incarnation(), &sampled[i].report
+		own, theirs := r.h.pool.workReport(time.Now(), incarnation), others[incarnation]
+		report.PendingPrompts = max(report.PendingPrompts, own.Prefilling+theirs.prefilling)
+		report.Running = max(report.Running, own.Running+theirs.running)
+	}
+	return sampled
+}
+
+// enginesSeenWithRoom returns engines outside the sample of which a recent report showed room for
+// the prompt. Only a few of a fleet's engines are sampled, and a prompt must not be refused while
+// others are known to be free.
+func (r *relay) enginesSeenWithRoom(view *feed.View, excluded []routing.Incarnation) []choice {
+	if !r.h.hasPriorities(r.service) {
+		return nil
+	}
+	var free []routing.Incarnation
+	for incarnation, report := range r.h.headroom.recentReports(time.Now()) {
+		if !slices.Contains(excluded, incarnation) && r.hasFreeRoom(report) {
+			free = append(free, incarnation)
+		}
+	}
+	return r.h.pool.candidatesAmong(time.Now(), view, r.service, free, SampleSize)
+}
+
+// candidatesAmong returns up to n of the given engines, the best for a prompt first.
+func (p *pool) candidatesAmong(now time.Time, view *feed.View, service string, among []routing.Incarnation, n int) (list []choice) {
+	if len(among) == 0 {
+		return nil
+	}
+	p.choose(view, service, func(l *serverSet) (choice, bool) {
+		engines := p.engineStates(now, l, nil)
+		for i, s := range l.servers {
+			engines[i].Excluded = !slices.Contains(among, s.Incarnation())
+		}
+		for _, c := range p.rankPermitted(now, l, engines, n, false) {
+			candidate, _ := l.choiceAt(c.Index, string(c.Reason))
+			list = append(list, candidate)
+		}
+		return choice{}, false
+	})
+	return list
+}
+
 // fits reports whether an engine has room for the prompt beside the room that it keeps for more
 // urgent ones. A prompt for which no other is more urgent fits everywhere: the engine admits it
 // first.
--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/prompts"
 )
 
 // rankedRoutes returns two routes to the engines. Requests below /u/ are more urgent than those below /s/
@@ -134,6 +135,55 @@
 	})
 }
 
+// Guards against headroom that is used up by several daemons at once: an engine's report does not
+// show yet what they have sent there in the last 200 ms. Where priorities do not differ, the report
+// decides as before.
+func TestReservedPromptsOfOtherDaemonsUseRoom(t *testing.T) {
+	for name, differ := range map[string]bool{"less urgent": true, "one priority": false} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, rankedRoutes(differ), func(w *testCluster) {
+				handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+				reserved, free := w.add("e-reserved", "llm", "a", handle), w.add("e-free", "llm", "b", handle)
+				w.sendLessUrgent()
+				must.Eq(t, 200, w.send("/u/"))
+				other := w.addDaemon("vm-2")
+				c, ok := other.pool.findServer(w.feed.View(), "llm", reserved.server.Incarnation())
+				must.True(t, ok)
+				other.pool.addLoad(c, 2, 1, 0)
+				reserved.setRuns("")
+				free.setRuns("-r1")
+				before := free.requestCount()
+				must.Eq(t, 200, w.send("/s/"))
+				must.Eq(t, differ, free.requestCount() > before)
+			})
+		})
+	}
+}
+
+// Guards against refusals for headroom because the one engine with room is not in the sample, although
+// this daemon received its report a moment ago.
+func TestEngineSeenWithRoomIsUsed(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+		for i := range 16 {
+			w.add(fmt.Sprintf("e-%d", i), "llm", "a", handle)
+		}
+		w.sendLessUrgent()
+		must.Eq(t, 200, w.send("/u/"))
+		for _, s := range w.servers {
+			s.setRuns("r1 r2 r3")
+		}
+		free := w.servers["e-7"]
+		free.setRuns("r1")
+		before := free.requestCount()
+		for n := range 12 {
+			w.handler.headroom.observeReport(time.Now(), free.server, prompts.Report{Slots: 4, Running: 1})
+			must.Eq(t, 200, w.send("/s/"))
+			must.Eq(t, before+n+1, free.requestCount())
+		}
+	})
+}
+
 // Guards against an urgent prompt that waits at an engine for a slot while another engine has a
 // free one: the engine with the fewest pending prompts may have no slot left. Where priorities do not
 // differ, the pending prompts decide as before.
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -34,8 +34,10 @@
 // since the entry of a crashed engine remains for seconds. If none responds, the one ranked first
 // gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying.
 func (r *relay) place(ctx context.Context, view *feed.View) (sampledEngine, bool) {
+	var others workloads
 	if view.Config.Engine(r.service) != nil {
-		others, everyDaemon := r.h.peers.totalWork(ctx, view, r.service)
+		var everyDaemon bool
+		others, everyDaemon = r.h.peers.totalWork(ctx, view, r.service)
 		complete := everyDaemon
 		if !everyDaemon {
 			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey)
@@ -46,7 +48,7 @@
 			}
 		}
 	}
-	c, ok := r.placeByReports(ctx, view)
+	c, ok := r.placeByReports(ctx, view, others)
 	r.h.pool.addLoad(c.choice, 1, 0, 0)
 	return c, ok
 }
@@ -78,8 +80,9 @@
 	return sampledEngine{}, false
 }
 
-// placeByReports chooses by the reports of a sample of engines.
-func (r *relay) placeByReports(ctx context.Context, view *feed.View) (sampledEngine, bool) {
+// placeByReports chooses by the reports of a sample of engines. others is the known work of other
+// daemons, which only counts where streams differ in priority.
+func (r *relay) placeByReports(ctx context.Context, view *feed.View, others workloads) (sampledEngine, bool) {
 	first := r.h.pool.prefillCandidates(time.Now(), view, r.service, r.in.call.PromptKey, SampleSize, r.excluded)
 	if len(first) == 0 || view.Config.Engine(r.service) == nil {
 		return firstChoice(first)
@@ -96,11 +99,15 @@
 		for _, c := range candidates {
 			excluded = append(excluded, c.server.Incarnation())
 		}
-		sampled = append(sampled, queries.sampleLoads(ctx, candidates, 0)...)
+		sampled = append(sampled, r.countReserved(queries.sampleLoads(ctx, candidates, 0), others)...)
 		if c, ok := r.leastLoaded(sampled); ok && c.report.CanPrefillNow(r.in.call.PromptTokens) && r.hasFreeRoom(c.report) {
 			return c, true
 		}
 	}
+	if len(r.withFreeRoom(sampled)) == 0 {
+		hints := r.enginesSeenWithRoom(view, excluded)
+		sampled = append(sampled, r.countReserved(queries.sampleLoads(ctx, hints, 0), others)...)
+	}
 	if c, ok := r.leastLoaded(sampled); ok {
 		return c, true
 	}
