--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -175,6 +175,7 @@
 		}
 		free := w.servers["e-7"]
 		free.setRuns("r1")
+		time.Sleep(2 * maxReportAge) // the reports from before are forgotten
 		before := free.requestCount()
 		for n := range 12 {
 			w.handler.headroom.observeReport(time.Now(), free.server, prompts.Report{Slots: 4, Running: 1})
