--- a/decision/headroom/copies.go
+++ b/decision/headroom/copies.go
@@ -26,7 +26,7 @@
 
 const (
 	// scarceRatio is the part of an engine's memory above which memory counts as scarce. It leaves
-	// two runs of the largest prompts to maxCopyRatio.
+	// room for one or two copies up to maxCopyRatio.
 	scarceRatio = 0.6
 	// maxCopyRatio is the part above which an engine gets no copy of a less urgent run, and
 	// maxUrgentCopyRatio that for the most urgent ones. Between them is room for one copy. Copies
--- a/decision/headroom/scenarios_test.go
+++ b/decision/headroom/scenarios_test.go
@@ -10,11 +10,15 @@
 // scenarioEngines is the number of engines in a simulation: those of one zone.
 const scenarioEngines = 36
 
-// compare plays a scenario without and with headroom, with the same arrivals.
-func compare(scenario func(*simulation)) (without, with *simulation) {
+// compare plays a scenario without and with headroom, with the same arrivals, and logs the outcomes.
+func compare(t *testing.T, scenario func(*simulation)) (without, with *simulation) {
 	without, with = newSimulation(scenarioEngines, false), newSimulation(scenarioEngines, true)
 	scenario(without)
 	scenario(with)
+	for _, s := range []*simulation{without, with} {
+		urgent, less := s.all()
+		t.Logf("headroom %t: urgent %+v, less urgent %+v", s.useHeadroom, urgent, less)
+	}
 	return without, with
 }
 
@@ -33,7 +37,7 @@
 // Guards against bursts of less urgent prompts that fill the engines, so that urgent prompts wait
 // for the end of a run; and against headroom that costs less urgent callers more than it saves.
 func TestBurst(t *testing.T) {
-	without, with := compare(playBursts)
+	without, with := compare(t, playBursts)
 	urgentBefore, lessBefore := without.all()
 	urgent, less := with.all()
 	must.Greater(t, 0.05, urgentBefore.lateRatio())
@@ -43,7 +47,7 @@
 
 // Guards against refusals for headroom after the loss of a zone, when the engines left have room.
 func TestLossOfZone(t *testing.T) {
-	_, with := compare(func(s *simulation) {
+	_, with := compare(t, func(s *simulation) {
 		for zone := range 10 {
 			s.play(6*time.Second, simUrgentRate, simLessRate)
 			s.loseZone(zone%simZones, 1200*time.Millisecond)
@@ -58,7 +62,7 @@
 // the headroom, and against headroom that is too small for the largest urgent ones.
 func TestLongPromptsAmongShortOnes(t *testing.T) {
 	const long = 14_400
-	_, with := compare(func(s *simulation) {
+	_, with := compare(t, func(s *simulation) {
 		s.lengths = func() int {
 			if s.arrivals.IntN(10) == 0 {
 				return long
@@ -75,7 +79,7 @@
 // headroom that delays the return to normal.
 func TestSaturationAndRecovery(t *testing.T) {
 	var recovered time.Duration
-	without, with := compare(func(s *simulation) {
+	without, with := compare(t, func(s *simulation) {
 		s.play(time.Minute, simUrgentRate, 3*simLessRate)
 		s.play(20*time.Second, simUrgentRate, simLessRate)
 		recovered = s.now
@@ -93,7 +97,7 @@
 // prompts then get all of each engine.
 func TestUrgentClassFallsSilent(t *testing.T) {
 	var silent time.Duration
-	without, with := compare(func(s *simulation) {
+	without, with := compare(t, func(s *simulation) {
 		s.play(20*time.Second, simUrgentRate, simLessRate)
 		s.play(maxSilence+time.Second, 0, simLessRate)
 		silent = s.now
@@ -107,7 +111,7 @@
 // engines have room for: a few callers send nearly all prompts, and their share would keep most of
 // each engine free.
 func TestMostPromptsAreUrgent(t *testing.T) {
-	_, with := compare(func(s *simulation) { s.play(time.Minute, 20*simUrgentRate, 0.2*simLessRate) })
+	_, with := compare(t, func(s *simulation) { s.play(time.Minute, 20*simUrgentRate, 0.2*simLessRate) })
 	urgent, less := with.all()
 	must.LessEq(t, 0.02, urgent.lateRatio())
 	must.LessEq(t, 0.25, less.lateRatio())
@@ -116,7 +120,7 @@
 // Guards against urgent runs that lose their copies to less urgent ones while memory is scarce: an
 // urgent run is at least as likely to have a copy.
 func TestUrgentRunsKeepCopiesInSaturation(t *testing.T) {
-	without, with := compare(func(s *simulation) { s.play(time.Minute, simUrgentRate, 3*simLessRate) })
+	without, with := compare(t, func(s *simulation) { s.play(time.Minute, simUrgentRate, 3*simLessRate) })
 	ratio := func(s *simulation, rank int) float64 {
 		o := s.outcome(rank, time.Hour, 0, 0)
 		return float64(s.copied[rank]) / float64(o.all-o.refused)
