decision/retrybudget, decision/retryafter, serve/forward: a reserve of retries, Retry-After from the rate of room

Retries were granted in the order in which they were requested. After the loss of a zone, retries of new requests could use up the budget while answers that callers hold in part were cut off. And all callers refused for lack of room at about the same time were told about the same time to return.

Where stream routes of a service differ in priority, three tenths of the usable retry budget are now kept for requests of rank 0 and for answers of which callers hold a part, also by daemons that lend (LendRequest.ordinary; absent from older daemons, which may borrow the whole budget). The budget is unchanged. Retry-After of a refusal for lack of room follows from the rate at which prompts were placed, the demand of this rank and more urgent ones, and the callers told to return before. Without priorities or observations, the values are those of before.

--- a/decision/retryafter/retryafter.go
+++ b/decision/retryafter/retryafter.go
@@ -55,7 +55,12 @@
 // response to a refused request is late in any case, so a caller that retries sooner gains nothing
 // and takes capacity from requests that can still be on time.
 func AfterOverload(lasted, responseTime time.Duration, draw float64) time.Duration {
-	return Jitter(min(max(lasted, overloadFactor*responseTime), maxDelay), draw)
+	return Jitter(ExpectedOverload(lasted, responseTime), draw)
+}
+
+// ExpectedOverload returns for how long the servers are expected to have no capacity from now on.
+func ExpectedOverload(lasted, responseTime time.Duration) time.Duration {
+	return min(max(lasted, overloadFactor*responseTime), maxDelay)
 }
 
 // Streak measures how long events have gone on without a gap of more than streakGap. The zero value
--- a/decision/retrybudget/retrybudget.go
+++ b/decision/retrybudget/retrybudget.go
@@ -13,6 +13,13 @@
 // count. In its first window a daemon has no part of Slack, because a previous process may have
 // used it: otherwise killing and restarting half of a fleet would exceed the budget by half of
 // Slack.
+//
+// Where requests of a service differ in priority, the last part of the budget (reservedRatio) is
+// kept for urgent requests and for answers of which callers already hold a part. Load pattern: the
+// loss of a zone breaks answers in progress, and at the same time servers reject new requests,
+// which are retried too. Without the reserve, retries are granted in the order in which they are
+// requested; the retries of new requests use up the budget, and answers that callers have read for
+// seconds are cut off. The reserve changes who is granted a retry, not how many are granted.
 package retrybudget
 
 import "time"
@@ -26,6 +33,12 @@
 // them.
 const usableRatio = 0.92
 
+// reservedRatio is the fraction of the usable budget that ordinary retries leave to the others. In
+// a fleet with 46 requests per second the budget is 518 retries in 10 s. The loss of one of four
+// zones breaks about 100 answers, of which about 70 have reached their callers in part or are
+// urgent, and two losses fall into one window: 140 retries, three tenths of the usable budget.
+const reservedRatio = 0.3
+
 // Policy is the retry budget of the whole fleet for one service.
 type Policy struct {
 	Ratio  float64
@@ -65,13 +78,21 @@
 }
 
 // TryRetry reports whether the budget permits one more send, and counts it if so.
-func (b *Budget) TryRetry(now time.Time, share Share) bool {
+func (b *Budget) TryRetry(now time.Time, share Share) bool { return b.tryRetry(now, share, usableRatio) }
+
+// TryOrdinaryRetry is TryRetry for a request that may not use the reserved part of the budget.
+func (b *Budget) TryOrdinaryRetry(now time.Time, share Share) bool {
+	return b.tryRetry(now, share, usableRatio*(1-reservedRatio))
+}
+
+// tryRetry permits one more send if the retries stay within the given fraction of the budget.
+func (b *Budget) tryRetry(now time.Time, share Share, fraction float64) bool {
 	b.advance(now)
 	allowed := b.policy.Ratio * float64(b.recentRequests())
 	if now.Sub(b.startedAt) >= b.policy.Window {
 		allowed += b.policy.Slack / float64(max(share.Daemons, 1))
 	}
-	if float64(sum(b.retries)+1) > usableRatio*allowed+share.RoundingOffset {
+	if float64(sum(b.retries)+1) > fraction*allowed+share.RoundingOffset {
 		return false
 	}
 	b.retries[slotIndex(b.slot)]++
--- a/decision/retrybudget/retrybudget_test.go
+++ b/decision/retrybudget/retrybudget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -106,3 +107,67 @@
 		must.LessEq(t, int(policy.Ratio*float64(base)+policy.Slack), total(retried, from))
 	}
 }
+
+// A zone is lost while servers reject new requests. Ordinary retries arrive first and as often as
+// they may, and the retries of broken answers come last. Without the reserve the ordinary ones use
+// up the budget, and answers that callers hold in part are cut off. The whole fleet must still stay
+// within its budget.
+func TestReserveIsLeftForBrokenAnswers(t *testing.T) {
+	const daemons, perDaemon, broken = 67, 7, 140
+	random := rand.New(rand.NewPCG(5, 5))
+	now := time.Unix(1000, 0)
+	granted := func(ordinary func(*Budget, Share) bool) (others, kept int) {
+		fleet := make([]*Budget, daemons)
+		share := func(i int) Share { return Share{daemons, float64(i) / daemons} }
+		for i := range fleet {
+			fleet[i] = New(policy, now.Add(-policy.Window))
+			for range perDaemon {
+				fleet[i].RecordRequest(now)
+			}
+			for range 20 { // callers that retry at once and often
+				if ordinary(fleet[i], share(i)) {
+					others++
+				}
+			}
+		}
+		for range broken {
+			first := random.IntN(daemons)
+			for n := range MaxPeersAsked { // the daemon of the answer and those that it asks
+				if i := (first + n) % daemons; fleet[i].TryRetry(now, share(i)) {
+					kept++
+					break
+				}
+			}
+		}
+		return others, kept
+	}
+	budget := int(policy.Ratio*daemons*perDaemon + policy.Slack)
+	others, kept := granted(func(b *Budget, s Share) bool { return b.TryOrdinaryRetry(now, s) })
+	must.Greater(t, broken*9/10, kept)
+	must.LessEq(t, budget, others+kept)
+	others, kept = granted(func(b *Budget, s Share) bool { return b.TryRetry(now, s) })
+	must.Less(t, broken/10, kept)
+	must.LessEq(t, budget, others+kept)
+}
+
+// The reserve must not shrink the budget: urgent retries may use all of it, and while they do,
+// ordinary ones are denied. Without use by others, ordinary retries get all but the reserve.
+func TestReserveDoesNotChangeTheBudget(t *testing.T) {
+	const budget = 95.0 // for 100 requests and a tenth of the slack
+	now := time.Unix(1000, 0)
+	count := func(try func(*Budget) bool) (n int) {
+		b := New(policy, now.Add(-policy.Window))
+		for range 100 {
+			b.RecordRequest(now)
+		}
+		for try(b) {
+			n++
+		}
+		must.False(t, b.TryOrdinaryRetry(now, Share{Daemons: 10}))
+		return n
+	}
+	all := count(func(b *Budget) bool { return b.TryRetry(now, Share{Daemons: 10}) })
+	ordinary := count(func(b *Budget) bool { return b.TryOrdinaryRetry(now, Share{Daemons: 10}) })
+	must.Eq(t, math.Floor(usableRatio*budget), float64(all))
+	must.Eq(t, math.Floor(usableRatio*(1-reservedRatio)*budget), float64(ordinary))
+}
--- a/serve/forward/admission.go
+++ b/serve/forward/admission.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/decision/prompts"
-	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/telemetry/event"
 )
@@ -65,7 +63,7 @@
 		return nil
 	}
 	overloadedFor, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
-	retryAfter := retryafter.AfterOverload(overloadedFor, max(answer, r.in.route.Objective), rand.Float64())
+	retryAfter := r.retryAfterRoom(overloadedFor, answer)
 	r.h.metrics.overloadRefusals.WithLabelValues(admission.String()).Inc()
 	r.h.opts.Log.Emit(event.PromptRefused, r.in.call.ID, best.server.ID, admission.String(), r.in.call.PromptTokens,
 		best.report.PendingPrompts, best.report.UsedTokens, best.report.CapacityTokens, due, overloadedFor, answer)
--- a/serve/forward/borrow.go
+++ b/serve/forward/borrow.go
@@ -30,31 +30,38 @@
 	self   string
 
 	mu      sync.Mutex
-	lenders map[string]*retrybudget.PeerSelector // by service
+	lenders map[lenderKey]*retrybudget.PeerSelector
+}
+
+// lenderKey is what a daemon is asked for. A daemon that keeps its last retries for others may
+// still lend one for a request that may use the reserve, so refusals are remembered separately.
+type lenderKey struct {
+	service  string
+	ordinary bool
 }
 
 func newRetryBorrower(o Options) *retryBorrower {
-	return &retryBorrower{dialer: o.Dialer, log: o.Log, self: o.Self.ID, lenders: map[string]*retrybudget.PeerSelector{}}
+	return &retryBorrower{dialer: o.Dialer, log: o.Log, self: o.Self.ID, lenders: map[lenderKey]*retrybudget.PeerSelector{}}
 }
 
-// borrow reports whether another daemon lent one retry for a request to a service.
-func (b *retryBorrower) borrow(ctx context.Context, view *feed.View, request, service string) bool {
+// borrow reports whether another daemon lent one retry for a request.
+func (b *retryBorrower) borrow(ctx context.Context, view *feed.View, request string, key lenderKey) bool {
 	if b.dialer == nil {
 		return false
 	}
 	daemons, peers := b.lenderCandidates(view)
 	var asked []string
 	for ctx.Err() == nil {
-		id, ok := b.nextLender(service, daemons, asked)
+		id, ok := b.nextLender(key, daemons, asked)
 		if !ok {
 			return false
 		}
 		asked = append(asked, id)
-		if b.requestRetry(ctx, peers[id], service) {
-			b.log.Emit(event.RetryBorrowed, request, id, service)
+		if b.requestRetry(ctx, peers[id], key) {
+			b.log.Emit(event.RetryBorrowed, request, id, key.service)
 			return true
 		}
-		b.recordRefusal(service, id)
+		b.recordRefusal(key, id)
 	}
 	return false
 }
@@ -71,23 +78,29 @@
 	return ids, peers
 }
 
-func (b *retryBorrower) nextLender(service string, daemons, asked []string) (string, bool) {
+func (b *retryBorrower) nextLender(key lenderKey, daemons, asked []string) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return getOrCreate(b.lenders, service).Next(time.Now(), daemons, asked, rand.Uint64())
+	return getOrCreate(b.lenders, key).Next(time.Now(), daemons, asked, rand.Uint64())
 }
 
-func (b *retryBorrower) recordRefusal(service, id string) {
+// recordRefusal records that a daemon lent nothing. One that refuses a retry from its reserve has
+// none for ordinary requests either.
+func (b *retryBorrower) recordRefusal(key lenderKey, id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	getOrCreate(b.lenders, service).MarkRefused(time.Now(), id)
+	now := time.Now()
+	getOrCreate(b.lenders, lenderKey{service: key.service, ordinary: true}).MarkRefused(now, id)
+	if !key.ordinary {
+		getOrCreate(b.lenders, key).MarkRefused(now, id)
+	}
 }
 
-func (b *retryBorrower) requestRetry(ctx context.Context, address, service string) bool {
+func (b *retryBorrower) requestRetry(ctx context.Context, address string, key lenderKey) bool {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	client := peerpb.NewRepeatsProtobufClient(b.dialer.URL(address), b.dialer.Client)
-	reply, err := client.Lend(ctx, &peerpb.LendRequest{Service: service})
+	reply, err := client.Lend(ctx, &peerpb.LendRequest{Service: key.service, Ordinary: key.ordinary})
 	if err != nil {
 		// A retry granted in a lost reply stays unused: the fleet retries less than its budget
 		// allows.
@@ -103,7 +116,7 @@
 
 // Lend charges a peer's retry to this daemon's budget.
 func (l retryBudgetService) Lend(_ context.Context, q *peerpb.LendRequest) (*peerpb.LendReply, error) {
-	return &peerpb.LendReply{Granted: l.pool.tryTakeRetry(time.Now(), q.GetService())}, nil
+	return &peerpb.LendReply{Granted: l.pool.tryTakeRetryOf(time.Now(), q.GetService(), q.GetOrdinary())}, nil
 }
 
 // RetryBudgetService returns the path prefix and handler of the twirp service that lends retry
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -35,6 +35,10 @@
 	serverNotices  *prometheus.CounterVec
 
 	cacheBytes prometheus.Counter
+
+	ordinaryRetriesDenied prometheus.Counter
+	roomForecasts         prometheus.Histogram
+	refills               *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer, running func() int) *metrics {
@@ -70,6 +74,10 @@
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
+	m.ordinaryRetriesDenied = prometheus.NewCounter(counter("ordinary_repeats_denied_total", "Sends of less urgent requests that were denied because the shared budget of repeats is used up, or what is left of it kept for urgent requests and for answers that callers hold in part."))
+	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
+	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
+	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills)
 	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -21,6 +21,7 @@
 	pace     prompts.Estimator
 	throttle throttle.Throttle
 	refusals retryafter.Streak // requests refused by this daemon
+	room     retryafter.Room   // of prompts, where requests differ in priority
 }
 
 func newPressure() *pressure { return &pressure{services: map[string]*servicePressure{}} }
--- /dev/null
+++ b/serve/forward/returns.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mallowwind.dev/decision/retryafter"
+	"mallowwind.dev/telemetry/event"
+)
+
+// recordDemand records that a prompt of a rank asks for room at the engines of a service.
+func (p *pressure) recordDemand(now time.Time, service string, rank int) {
+	defer p.mu.Unlock()
+	p.lockService(service).room.RecordArrival(now, rank)
+}
+
+// recordPlacement records that a prompt found room.
+func (p *pressure) recordPlacement(now time.Time, service string) {
+	defer p.mu.Unlock()
+	p.lockService(service).room.RecordStart(now)
+}
+
+// retryAfterRoom returns how long a refused request of a rank should wait for room. overload is how
+// long the overload is expected to last.
+func (p *pressure) retryAfterRoom(now time.Time, service string, rank int, overload time.Duration) retryafter.Forecast {
+	defer p.mu.Unlock()
+	return p.lockService(service).room.Promise(now, rank, overload, rand.Float64())
+}
+
+// retryAfterRoom returns the Retry-After of a request that is refused for lack of room. lasted is
+// how long requests have been refused, answer how long answers take.
+func (r *relay) retryAfterRoom(lasted, answer time.Duration) time.Duration {
+	answer = max(answer, r.in.route.Objective)
+	current := retryafter.AfterOverload(lasted, answer, rand.Float64())
+	if !r.hasPriorities() {
+		return current
+	}
+	f := r.h.pressure.retryAfterRoom(time.Now(), r.service, r.rank, retryafter.ExpectedOverload(lasted, answer))
+	if !f.Known {
+		return current
+	}
+	r.h.metrics.roomForecasts.Observe(f.Delay.Seconds())
+	r.h.opts.Log.Emit(event.RoomForecast, r.in.call.ID, r.service, r.rank, f.Delay, f.Overload, f.Ahead, f.Spare)
+	return f.Delay
+}
--- a/serve/forward/services.go
+++ b/serve/forward/services.go
@@ -1,12 +1,12 @@
 package forward
 
-// getOrCreate returns the state of a service, which it creates empty if there is none. The caller
+// getOrCreate returns the state of a service, or of another key, and creates it empty if there is none. The caller
 // holds the lock that guards states.
-func getOrCreate[T any](states map[string]*T, service string) *T {
-	value, ok := states[service]
+func getOrCreate[K comparable, T any](states map[K]*T, key K) *T {
+	value, ok := states[key]
 	if !ok {
 		value = new(T)
-		states[service] = value
+		states[key] = value
 	}
 	return value
 }
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -235,7 +235,7 @@
 	if c, ok := r.placeCanary(ctx, view); ok {
 		return r.withCopyTarget(ctx, segment{target: c}), nil
 	}
-	c, err := r.placeAdmitted(ctx, view)
+	c, err := r.placeOrdered(ctx, view)
 	if err != nil {
 		return segment{}, err
 	}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -20,6 +20,10 @@
 		"An answer that had started could not be completed. Its connection was closed, so that it does not look complete.", "request", "prompt", "route", "account", "config", "error", "took")
 	RetryBorrowed = define(227, "repeat_borrowed", logrus.InfoLevel,
 		"Another daemon lent one retry of its share of the retry budget to a request of this daemon.", "request", "lender", "service")
+	OrdinaryRetryDenied = define(290, "ordinary_repeat_denied", logrus.InfoLevel,
+		"A less urgent request of which the caller holds nothing was not sent again: what is left of the shared retry budget, here and at the daemons that were asked to lend, is reserved for urgent requests and for answers that callers hold in part, or used up. rank is 0 for the most urgent requests of the service.", "request", "service", "rank", "sends")
+	RoomForecast = define(291, "room_forecast", logrus.InfoLevel,
+		"A request was refused for lack of room, and its caller was told to return after retry_after. overload is how long requests of its rank find no room, ahead the number of callers told to return before that are served first, and spare the prompts per second that find room once the overload is over.", "request", "service", "rank", "retry_after", "overload", "ahead", "spare")
 	LenderFailed = define(228, "lender_failed", logrus.WarnLevel,
 		"Another daemon that was asked to lend a retry did not answer.", "address", "error")
 	CopyMade = define(229, "copy_made", logrus.InfoLevel,
