decision/refill, serve/forward: order of prompts that are prefilled again after a loss

After the loss of a zone, all interrupted answers without a copy were placed at once, alongside new prompts. Those that had missed the permitted pause already delayed the first events of answers that could still be in time.

Where requests differ in priority, a prompt that must be prefilled again now starts at once if the engine chosen for it has room, or if it is urgent and can be in time. Otherwise it looks for room again for a bounded time, the longer the later it is in the order, and starts then regardless. It is refused if it cannot be in time, did not run and its caller holds nothing.

--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/refill"
 	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/throttle"
 )
@@ -22,6 +23,7 @@
 	throttle throttle.Throttle
 	refusals retryafter.Streak // requests refused by this daemon
 	room     retryafter.Room   // of prompts, where requests differ in priority
+	losses   refill.Losses     // likewise
 }
 
 func newPressure() *pressure { return &pressure{services: map[string]*servicePressure{}} }
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -5,18 +5,125 @@
 	"time"
 
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/pause"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/refill"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/telemetry/event"
 )
 
-// placeOrdered is placeAdmitted. Where requests of the service differ in priority, it records when
-// prompts ask for room and find it.
+// placeOrdered is placeAdmitted. Where requests of the service differ in priority, it also records
+// when prompts ask for room and find it, and orders those that must be prefilled again.
 func (r *relay) placeOrdered(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	if !r.hasPriorities() {
 		return r.placeAdmitted(ctx, view)
 	}
 	r.h.pressure.recordDemand(time.Now(), r.service, r.rank)
-	c, err := r.placeAdmitted(ctx, view)
+	place := r.placeAdmitted
+	if r.sends > 0 || r.in.call.LastEventID > 0 {
+		place = r.placeRefill
+	}
+	c, err := place(ctx, view)
 	if err == nil {
 		r.h.pressure.recordPlacement(time.Now(), r.service)
 	}
 	return c, err
 }
+
+// placeRefill places a prompt that must be prefilled again, at once or after others. While it
+// waits, it is counted at no engine.
+func (r *relay) placeRefill(ctx context.Context, view *feed.View) (sampledEngine, error) {
+	since := time.Now()
+	if r.refillPrompt(since).IsHopeless() {
+		return sampledEngine{}, r.refuseRefill()
+	}
+	for {
+		c, err := r.placeAdmitted(ctx, view)
+		if err != nil {
+			return sampledEngine{}, err
+		}
+		now := time.Now()
+		d := refill.Decide(r.refillPrompt(now), r.refillSituation(now, since, c.report))
+		r.recordRefill(d, now.Sub(since), c.report)
+		if d.Action == refill.Start {
+			return c, nil
+		}
+		r.h.pool.addLoad(c.choice, -1, 0, 0)
+		if d.Action == refill.Refuse {
+			return sampledEngine{}, r.refuseRefill()
+		}
+		if !pause.For(ctx, d.Delay) {
+			return sampledEngine{}, r.expiryError()
+		}
+		view = r.h.opts.Feed.View()
+	}
+}
+
+// refillPrompt describes the prompt of the request to the decision.
+func (r *relay) refillPrompt(now time.Time) refill.Prompt {
+	left := r.in.deadline.Sub(now)
+	p := refill.Prompt{
+		Rank: r.rank, PartHeld: r.isPartHeld(), MayHaveRun: r.possibleRuns > 0, TimeLeft: left,
+	}
+	prefill := r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens)
+	route := r.in.route
+	switch {
+	case p.PartHeld && route.GapTarget > 0:
+		p.Slack = r.lastEventAt.Add(route.GapTarget).Sub(now) - prefill
+	case !p.PartHeld && route.Objective > 0:
+		// A caller that retries has used up a part of the route's timeout before.
+		objective := route.Objective - max(route.Timeout-r.in.deadline.Sub(r.in.arrived), 0)
+		p.LateFromStart = objective <= prefill
+		p.Slack = objective - now.Sub(r.in.arrived) - prefill
+	default:
+		p.Slack = left - prefill
+	}
+	return p
+}
+
+func (r *relay) refillSituation(now, since time.Time, report prompts.Report) refill.Situation {
+	return refill.Situation{
+		Losses: r.h.pressure.recentLosses(now, r.service), Busy: !report.CanPrefillNow(r.in.call.PromptTokens),
+		Waited: now.Sub(since), Prefill: r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens),
+	}
+}
+
+// refuseRefill returns the refusal of a request that cannot be in time any more.
+func (r *relay) refuseRefill() error {
+	d := refill.Decision{Action: refill.Refuse, Reason: refill.ReasonHopeless}
+	r.recordRefill(d, 0, prompts.Report{})
+	lasted, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
+	r.h.metrics.overloadRefusals.WithLabelValues(string(d.Reason)).Inc()
+	return verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read again in time").WithRetryAfter(r.retryAfterRoom(lasted, answer))
+}
+
+func (r *relay) recordRefill(d refill.Decision, waited time.Duration, report prompts.Report) {
+	r.h.metrics.refills.WithLabelValues(d.Action.String(), string(d.Reason)).Inc()
+	r.h.opts.Log.Emit(event.PromptRefilled, r.in.call.ID, r.service, d.Action.String(), string(d.Reason), r.rank,
+		r.isPartHeld(), r.sends, waited, d.Delay, report.PendingPrompts)
+}
+
+// recordLoss records that an answer broke off at its server.
+func (r *relay) recordLoss() {
+	if r.hasPriorities() {
+		r.h.pressure.recordLoss(time.Now(), r.service)
+	}
+}
+
+func (p *pressure) recordLoss(now time.Time, service string) {
+	defer p.mu.Unlock()
+	p.lockService(service).losses.Record(now)
+}
+
+// recentLosses returns how many answers broke off recently at servers of a service.
+func (p *pressure) recentLosses(now time.Time, service string) int {
+	defer p.mu.Unlock()
+	return p.lockService(service).losses.Recent(now)
+}
+
+// prefillTime returns the expected time to the first event of a prompt at an engine without pending
+// prompts; 0 if unknown.
+func (p *pressure) prefillTime(service string, tokens int) time.Duration {
+	defer p.mu.Unlock()
+	return p.lockService(service).pace.TimeToFirstEvent(0, tokens)
+}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -155,6 +155,7 @@
 		case segmentMoved:
 			r.interrupted = r.headersSent
 		case segmentBroken:
+			r.recordLoss()
 			r.interrupted = r.headersSent
 			if r.replacement == nil && (r.cannotContinue || !r.canResume()) {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").WithCause(err))
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -24,6 +24,8 @@
 		"A less urgent request of which the caller holds nothing was not sent again: what is left of the shared retry budget, here and at the daemons that were asked to lend, is reserved for urgent requests and for answers that callers hold in part, or used up. rank is 0 for the most urgent requests of the service.", "request", "service", "rank", "sends")
 	RoomForecast = define(291, "room_forecast", logrus.InfoLevel,
 		"A request was refused for lack of room, and its caller was told to return after retry_after. overload is how long requests of its rank find no room, ahead the number of callers told to return before that are served first, and spare the prompts per second that find room once the overload is over.", "request", "service", "rank", "retry_after", "overload", "ahead", "spare")
+	PromptRefilled = define(292, "prompt_refilled", logrus.InfoLevel,
+		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
 	LenderFailed = define(228, "lender_failed", logrus.WarnLevel,
 		"Another daemon that was asked to lend a retry did not answer.", "address", "error")
 	CopyMade = define(229, "copy_made", logrus.InfoLevel,
