--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -20,9 +20,11 @@
 import "time"
 
 const (
-	// maxPunctualWait is the longest wait of a prompt that can be in time, in prefills: longer waits
-	// leave it no more than its latest start.
-	maxPunctualWait = 1.0
+	// maxPunctualWait is the longest wait of a prompt that can be in time, in prefills, and
+	// maxSlackRatio bounds it by the slack: after the wait, other prompts may be pending at the
+	// engine.
+	maxPunctualWait = 0.5
+	maxSlackRatio   = 0.25
 	// maxLateWait is the longest wait of a prompt that can't be in time for each recent loss, and
 	// maxCountedLosses the largest number of losses that is counted. After the loss of a zone, a
 	// daemon of a large fleet has lost one or two answers; the engines left are busy with the
@@ -39,6 +41,9 @@
 	punctualInterval   = 0.25
 	lateUrgentInterval = 0.5
 	lateInterval       = 1.0
+	// minDelay is the shortest wait for which an engine is chosen anew: the choice takes several
+	// round trips and probes.
+	minDelay = 50 * time.Millisecond
 	// lossPeriod is how long a lost answer counts. Losses of one zone are found within 1.2 s, by
 	// resets or by silence, and zones are lost 6 s apart.
 	lossPeriod = 3 * time.Second
@@ -126,18 +131,18 @@
 		return Decision{Action: Start, Reason: ReasonUrgent}
 	}
 	left := maxWait(p, s) - s.Waited
-	if left <= 0 {
+	if left < minDelay {
 		return Decision{Action: Start, Reason: ReasonWaited}
 	}
 	reason, interval := lookInterval(p)
-	return Decision{Action: Delay, Reason: reason, Delay: min(left, scale(s.Prefill, interval))}
+	return Decision{Action: Delay, Reason: reason, Delay: min(left, max(scale(s.Prefill, interval), minDelay))}
 }
 
 // maxWait returns how long a prompt waits for room before it starts regardless.
 func maxWait(p Prompt, s Situation) time.Duration {
 	bound := scale(p.TimeLeft, maxTimeLeftRatio)
 	if p.Slack >= 0 {
-		return min(p.Slack+s.Waited, scale(s.Prefill, maxPunctualWait), bound)
+		return min(scale(p.Slack, maxSlackRatio), scale(s.Prefill, maxPunctualWait), bound)
 	}
 	prefills := maxLateWait * float64(min(s.Losses, maxCountedLosses))
 	if p.Rank > 0 {
--- a/decision/retrybudget/retrybudget.go
+++ b/decision/retrybudget/retrybudget.go
@@ -78,7 +78,9 @@
 }
 
 // TryRetry reports whether the budget permits one more send, and counts it if so.
-func (b *Budget) TryRetry(now time.Time, share Share) bool { return b.tryRetry(now, share, usableRatio) }
+func (b *Budget) TryRetry(now time.Time, share Share) bool {
+	return b.tryRetry(now, share, usableRatio)
+}
 
 // TryOrdinaryRetry is TryRetry for a request that may not use the reserved part of the budget.
 func (b *Budget) TryOrdinaryRetry(now time.Time, share Share) bool {
