decision/retryafter: forecast by request, account and share that found room

A request that returns too early is told the same time again and no longer counted; callers are counted in turn by account; the expected overload is weighed by the share of the rank's requests that found no room.

--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -99,6 +99,7 @@
 const (
 	ReasonNoLoss   Reason = "no_loss"  // nothing was lost recently, or prefills are unknown
 	ReasonRoom     Reason = "room"     // the engine has room
+	ReasonPermit   Reason = "permit"   // holds a permit of a server that limits its rate
 	ReasonUrgent   Reason = "urgent"   // urgent and can be in time
 	ReasonWaited   Reason = "waited"   // has waited as long as it may
 	ReasonPunctual Reason = "punctual" // can be in time after urgent prompts
--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -21,6 +21,8 @@
 	// maxPromises bounds the remembered callers. At a daemon's usual rate, fewer than this many are
 	// refused within the longest delay.
 	maxPromises = 256
+	// returnGrace is how long after its time a caller is still recognised when it returns.
+	returnGrace = 5 * time.Second
 )
 
 // Room estimates when a refused request finds room, for the requests of one service at one daemon
@@ -35,23 +37,40 @@
 //
 // Decision: room appears at the rate at which prompts were started lately. Requests that are at
 // least as urgent take their part of it as they arrive; the rest serves the callers that return, in
-// the order of their rank and of their refusals. If the requests of a rank and of more urgent ranks
-// alone take all of the room, it first has to be waited until the overload ends.
+// the order of their rank, and in turn for each account. If the requests of a rank and of more urgent ranks
+// alone take all of the room, it first has to be waited until the overload ends. Otherwise it has to
+// be waited for a part of that time: for the share of them that found no room lately. A caller that
+// returns too early is told the same time again and no longer counts among those told to return, so
+// that callers that retry at once and often don't lengthen the times of others.
 //
 // The zero value has observed nothing. It is not safe for concurrent use.
 type Room struct {
 	starts   rate
-	ranks    map[int]*arrivals
+	ranks    map[int]*demand
 	promises []promise
 }
 
-// arrivals is the rate at which requests of one rank ask for room.
-type arrivals struct{ recent, usual rate }
+// demand is the rate at which requests of one rank ask for room, and find it.
+type demand struct {
+	recent, usual rate
+	found         rate // over usualPeriod
+}
+
+// Request is a request that asks for room.
+type Request struct {
+	ID      string // the same when the caller sends the request again
+	Account string
+	Rank    int // 0 is the most urgent
+	// TimeLeft is how long its caller still waits. One that is told a longer time is not expected to
+	// return.
+	TimeLeft time.Duration
+}
 
-// promise is a caller that was told to return.
+// promise is a caller that was told to return at a time.
 type promise struct {
-	rank int
-	at   time.Time
+	Request
+	at    time.Time
+	early bool // it returned too early, and takes room whenever it finds some
 }
 
 // Forecast is when a refused request is expected to find room.
@@ -68,85 +87,142 @@
 	Delay time.Duration
 }
 
-// RecordArrival records that a request of a rank asks for room. Rank 0 is the most urgent.
-func (r *Room) RecordArrival(now time.Time, rank int) {
+// RecordArrival records that a request asks for room. A request that was told to return does not
+// count again.
+func (r *Room) RecordArrival(now time.Time, q Request) {
+	if r.find(now, q.ID) != nil {
+		return
+	}
+	d := r.rank(q.Rank)
+	d.recent.add(now, recentPeriod)
+	d.usual.add(now, usualPeriod)
+}
+
+// RecordStart records that a request found room.
+func (r *Room) RecordStart(now time.Time, rank int) {
+	r.starts.add(now, recentPeriod)
+	r.rank(rank).found.add(now, usualPeriod)
+}
+
+func (r *Room) rank(rank int) *demand {
 	if r.ranks == nil {
-		r.ranks = map[int]*arrivals{}
+		r.ranks = map[int]*demand{}
 	}
-	a := r.ranks[rank]
-	if a == nil {
-		a = &arrivals{}
-		r.ranks[rank] = a
+	d := r.ranks[rank]
+	if d == nil {
+		d = &demand{}
+		r.ranks[rank] = d
 	}
-	a.recent.add(now, recentPeriod)
-	a.usual.add(now, usualPeriod)
+	return d
 }
 
-// RecordStart records that a prompt found room.
-func (r *Room) RecordStart(now time.Time) { r.starts.add(now, recentPeriod) }
-
-// Promise forecasts when a refused request of a rank finds room, and remembers that its caller is
-// told to return then. overload is how long the overload is expected to last if requests of its
-// rank and of more urgent ranks alone exceed the room. draw is in [0, 1) and spreads callers that
-// other daemons tell to return.
-func (r *Room) Promise(now time.Time, rank int, overload time.Duration, draw float64) Forecast {
-	f := r.forecast(now, rank, overload)
+// Promise forecasts when a refused request finds room, and remembers that its caller is told to
+// return then. overload is how long the overload is expected to last if requests of its rank and of
+// more urgent ranks alone exceed the room. draw is in [0, 1) and spreads callers that other daemons
+// tell to return.
+func (r *Room) Promise(now time.Time, q Request, overload time.Duration, draw float64) Forecast {
+	f := r.forecast(now, q, overload)
 	if !f.Known {
 		return f
 	}
+	if p := r.find(now, q.ID); p != nil {
+		if p.at.After(now) {
+			p.early = true
+			f.Delay = p.at.Sub(now)
+			return f
+		}
+		p.at = time.Time{} // it has returned and gets a new time
+	}
 	turn := (float64(f.Ahead) + 1/2. + draw) / f.Spare // on average, the Ahead-th after the first
 	f.Delay = min(Jitter(f.Overload, draw)+seconds(turn), Jitter(maxDelay, draw))
-	r.promises = append(r.promises, promise{rank: rank, at: now.Add(f.Delay)})
+	if f.Delay < q.TimeLeft {
+		r.remember(now, promise{Request: q, at: now.Add(f.Delay)})
+	}
 	return f
 }
 
-func (r *Room) forecast(now time.Time, rank int, overload time.Duration) Forecast {
+func (r *Room) forecast(now time.Time, q Request, overload time.Duration) Forecast {
 	room := r.starts.perSecond(now, recentPeriod)
 	if r.starts.weightAt(now, recentPeriod) < minStarts || room <= 0 {
 		return Forecast{}
 	}
 	f := Forecast{Known: true}
-	recent, usual := r.demand(now, rank)
-	taken := recent
-	if recent >= room {
-		f.Overload, taken = overload, min(usual, recent)
+	total := r.demand(now, q.Rank)
+	taken := total.recent
+	f.Overload = time.Duration(total.refusedShare * float64(overload))
+	if total.recent >= room {
+		f.Overload, taken = overload, min(total.usual, total.recent)
 	}
 	f.Spare = max(room-taken, minSpareRatio*room)
-	f.Ahead = r.ahead(now, rank, now.Add(f.Overload))
+	f.Ahead = r.ahead(q, now.Add(f.Overload))
 	return f
 }
 
-// demand returns the recent and the usual rate of arrivals of a rank and of more urgent ranks.
-func (r *Room) demand(now time.Time, rank int) (recent, usual float64) {
-	for other, a := range r.ranks {
+// totalDemand is the demand of several ranks: arrivals per second, and the share of the arrivals
+// that found no room.
+type totalDemand struct{ recent, usual, refusedShare float64 }
+
+// demand returns the demand of a rank and of more urgent ranks.
+func (r *Room) demand(now time.Time, rank int) (t totalDemand) {
+	var arrived, found float64
+	for other, d := range r.ranks {
 		if other <= rank {
-			recent += a.recent.perSecond(now, recentPeriod)
-			usual += a.usual.perSecond(now, usualPeriod)
+			t.recent += d.recent.perSecond(now, recentPeriod)
+			t.usual += d.usual.perSecond(now, usualPeriod)
+			arrived += d.usual.weightAt(now, usualPeriod)
+			found += d.found.weightAt(now, usualPeriod)
 		}
 	}
-	return recent, usual
+	if arrived > 0 {
+		t.refusedShare = max(1-found/arrived, 0)
+	}
+	return t
 }
 
-// ahead returns the number of callers of a rank and of more urgent ranks that return after from,
-// and forgets those that have returned by now.
-func (r *Room) ahead(now time.Time, rank int, from time.Time) int {
-	kept, n := r.promises[:0], 0
+// ahead returns the number of callers that return after from and are served before a request: those
+// of more urgent ranks, and of its own rank those of its account and as many of each other account.
+func (r *Room) ahead(q Request, from time.Time) int {
+	n, accounts := 0, map[string]int{}
 	for _, p := range r.promises {
-		if !p.at.After(now) {
-			continue
-		}
-		kept = append(kept, p)
-		if p.rank <= rank && p.at.After(from) {
+		switch {
+		case p.early || !p.at.After(from) || p.Rank > q.Rank || p.ID == q.ID:
+		case p.Rank < q.Rank:
 			n++
+		default:
+			accounts[p.Account]++
 		}
 	}
-	if len(kept) >= maxPromises {
-		kept = kept[:copy(kept, kept[len(kept)-maxPromises+1:])]
+	own := accounts[q.Account]
+	for _, count := range accounts {
+		n += min(count, own+1)
 	}
-	r.promises = kept
 	return n
 }
 
+// find returns the promise of a request, nil if there is none.
+func (r *Room) find(now time.Time, id string) *promise {
+	for i, p := range r.promises {
+		if p.ID == id && now.Sub(p.at) < returnGrace {
+			return &r.promises[i]
+		}
+	}
+	return nil
+}
+
+// remember adds a promise, and forgets those that are over and the oldest beyond maxPromises.
+func (r *Room) remember(now time.Time, p promise) {
+	kept := r.promises[:0]
+	for _, old := range r.promises {
+		if now.Sub(old.at) < returnGrace {
+			kept = append(kept, old)
+		}
+	}
+	if len(kept) >= maxPromises {
+		kept = kept[:copy(kept, kept[1:])]
+	}
+	r.promises = append(kept, p)
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(min(s*float64(time.Second), float64(maxDelay)))
 }
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -18,14 +18,14 @@
 	if !r.hasPriorities() {
 		return r.placeAdmitted(ctx, view)
 	}
-	r.h.pressure.recordDemand(time.Now(), r.service, r.rank)
+	r.h.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
 	place := r.placeAdmitted
 	if r.sends > 0 || r.in.call.LastEventID > 0 {
 		place = r.placeRefill
 	}
 	c, err := place(ctx, view)
 	if err == nil {
-		r.h.pressure.recordPlacement(time.Now(), r.service)
+		r.h.pressure.recordPlacement(time.Now(), r.service, r.rank)
 	}
 	return c, err
 }
@@ -44,6 +44,9 @@
 		}
 		now := time.Now()
 		d := refill.Decide(r.refillPrompt(now), r.refillSituation(now, since, c.report))
+		if _, limited := r.h.limits.permitWait(r.service); limited && d.Action == refill.Delay {
+			d = refill.Decision{Action: refill.Start, Reason: refill.ReasonPermit} // it holds a permit
+		}
 		r.recordRefill(d, now.Sub(since), c.report)
 		if d.Action == refill.Start {
 			return c, nil
--- a/serve/forward/returns.go
+++ b/serve/forward/returns.go
@@ -8,23 +8,23 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// recordDemand records that a prompt of a rank asks for room at the engines of a service.
-func (p *pressure) recordDemand(now time.Time, service string, rank int) {
+// recordDemand records that a prompt asks for room at the engines of a service.
+func (p *pressure) recordDemand(now time.Time, service string, q retryafter.Request) {
 	defer p.mu.Unlock()
-	p.lockService(service).room.RecordArrival(now, rank)
+	p.lockService(service).room.RecordArrival(now, q)
 }
 
 // recordPlacement records that a prompt found room.
-func (p *pressure) recordPlacement(now time.Time, service string) {
+func (p *pressure) recordPlacement(now time.Time, service string, rank int) {
 	defer p.mu.Unlock()
-	p.lockService(service).room.RecordStart(now)
+	p.lockService(service).room.RecordStart(now, rank)
 }
 
-// retryAfterRoom returns how long a refused request of a rank should wait for room. overload is how
+// retryAfterRoom returns when a refused request is expected to find room. overload is how
 // long the overload is expected to last.
-func (p *pressure) retryAfterRoom(now time.Time, service string, rank int, overload time.Duration) retryafter.Forecast {
+func (p *pressure) retryAfterRoom(now time.Time, service string, q retryafter.Request, overload time.Duration) retryafter.Forecast {
 	defer p.mu.Unlock()
-	return p.lockService(service).room.Promise(now, rank, overload, rand.Float64())
+	return p.lockService(service).room.Promise(now, q, overload, rand.Float64())
 }
 
 // retryAfterRoom returns the Retry-After of a request that is refused for lack of room. lasted is
@@ -35,7 +35,7 @@
 	if !r.hasPriorities() {
 		return current
 	}
-	f := r.h.pressure.retryAfterRoom(time.Now(), r.service, r.rank, retryafter.ExpectedOverload(lasted, answer))
+	f := r.h.pressure.retryAfterRoom(time.Now(), r.service, r.roomRequest(), retryafter.ExpectedOverload(lasted, answer))
 	if !f.Known {
 		return current
 	}
@@ -43,3 +43,8 @@
 	r.h.opts.Log.Emit(event.RoomForecast, r.in.call.ID, r.service, r.rank, f.Delay, f.Overload, f.Ahead, f.Spare)
 	return f.Delay
 }
+
+// roomRequest describes the request to the forecast of room.
+func (r *relay) roomRequest() retryafter.Request {
+	return retryafter.Request{ID: r.in.call.ID, Account: r.in.accountName(), Rank: r.rank, TimeLeft: time.Until(r.in.deadline)}
+}
