serve/forward: tests of the order after a loss and of Retry-After by room

They play a crash with all other engines busy (urgent, less urgent, room after a moment, one priority), a rejection after the objective, a caller that leaves while its prompt waits, and refusals by full engines with and without priorities and observations.

--- /dev/null
+++ b/serve/forward/refill_test.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+)
+
+// withoutCopies makes the engines of the test cluster keep no copies, so that each answer that
+// breaks off is prefilled again.
+func (w *testCluster) withoutCopies() {
+	engine := w.schema.config.Engine("llm")
+	engine.CanReplicate, engine.CanCopy = false, false
+}
+
+// withGapTarget sets the permitted pause of routes.
+func withGapTarget(routes []*routing.Route) []*routing.Route {
+	for _, r := range routes {
+		r.GapTarget = 700 * time.Millisecond
+	}
+	return routes
+}
+
+// Guards against prompts that are prefilled again before others which can still be in time. An
+// engine crashes with an answer, and the other engines have prompts pending. The answer has missed
+// its permitted pause already: it must wait, a less urgent one longer, but never until it is given
+// up, and less if an engine has room. Where requests don't differ in priority, it starts at once.
+func TestLateAnswerWaitsForOthers(t *testing.T) {
+	const first, crashAt = time.Second, 1500 * time.Millisecond
+	cases := []struct {
+		name       string
+		routes     []*routing.Route
+		path       string
+		roomAfter  time.Duration // since the crash; 0 if there is none
+		resumedMin time.Duration // since the crash
+		resumedMax time.Duration
+	}{
+		{"less urgent", priorityRoutes(), "/s/1", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
+		{"urgent", priorityRoutes(), "/u/1", 0, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"less urgent, room after a moment", priorityRoutes(), "/s/1", 200 * time.Millisecond, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"one priority", streamRoute(), "/s/1", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, withGapTarget(c.routes), func(w *testCluster) {
+				w.withoutCopies()
+				handle := streamEvents(40, first, 40*time.Millisecond)
+				a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+				w.background(func() {
+					time.Sleep(crashAt)
+					runner, other := runnerAndHolder(a, b)
+					other.setRuns("-9")
+					w.crash(runner)
+					if c.roomAfter > 0 {
+						time.Sleep(c.roomAfter)
+						other.setRuns("")
+					}
+				})
+				got := w.request(http.MethodPost, c.path, withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+				must.NoError(t, got.err)
+				must.Eq(t, events(1, 40), got.body)
+				events := 40 * 40 * time.Millisecond
+				resumed := got.took - events - first // the wait and the second prefill, less a part of an interval
+				must.Between(t, c.resumedMin, resumed, c.resumedMax)
+			})
+		})
+	}
+}
+
+// Guards against engines that work for answers which are late in any case. An engine rejects a
+// prompt after the objective has passed. Nobody holds anything of the answer and it did not run, so
+// it must be refused with not_run and not be sent again. Where requests don't differ in priority, it
+// is sent again.
+func TestHopelessPromptIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		routes  []*routing.Route
+		refused bool
+	}{{priorityRoutes(), true}, {streamRoute(), false}} {
+		withTestCluster(t, c.routes, func(w *testCluster) {
+			w.withoutCopies()
+			rejected := false
+			handle := func(rw http.ResponseWriter, r *http.Request) {
+				if rejected {
+					streamEvents(5, 100*time.Millisecond, 10*time.Millisecond)(rw, r)
+					return
+				}
+				rejected = true
+				sleep(r, 5*time.Second)
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			}
+			a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+			got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+			if !c.refused {
+				must.Eq(t, events(1, 5), got.body)
+				return
+			}
+			must.Eq(t, http.StatusServiceUnavailable, got.status)
+			must.StrContains(t, got.body, "not_run")
+			must.NotEq(t, "", got.header.Get("Retry-After"))
+			must.Eq(t, 1, a.requestCount()+b.requestCount())
+		})
+	}
+}
+
+// Guards against a caller that disconnects while its prompt waits to be prefilled again: no engine
+// may get the prompt, and no load may stay counted.
+func TestDisconnectedCallerIsNotRefilled(t *testing.T) {
+	withTestCluster(t, withGapTarget(priorityRoutes()), func(w *testCluster) {
+		w.withoutCopies()
+		handle := streamEvents(40, time.Second, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, other := runnerAndHolder(a, b)
+			other.setRuns("-9")
+			w.crash(runner)
+		})
+		// The caller gives up half a second after the crash, while the prompt waits.
+		header := withHeaders(map[string]string{hTokens: "8000", hWait: "2000"})
+		must.Error(t, w.request(http.MethodPost, "/s/1", header, "prompt").err)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 1, a.requestCount()+b.requestCount())
+	})
+}
+
+// Guards against a Retry-After that tells all callers about the same time, however many they are
+// and however urgent. Prompts have found room, then all engines are full: less urgent callers must
+// be told later and later, and an urgent one to return before. Where requests don't differ in
+// priority, or nothing was observed, the values are those of before.
+func TestRetryAfterFollowsRoom(t *testing.T) {
+	cases := []struct {
+		name     string
+		routes   []*routing.Route
+		urgent   string
+		observed bool
+		forecast bool
+	}{
+		{"priorities", priorityRoutes(), "/u/1", true, true},
+		{"priorities, nothing observed", priorityRoutes(), "/u/1", false, false},
+		{"one priority", streamRoute(), "/s/1", true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, c.routes, func(w *testCluster) {
+				e := w.add("e-a", "llm", "a", streamEvents(5, 100*time.Millisecond, 10*time.Millisecond))
+				send := func(id int, path string) response {
+					return w.request(http.MethodPost, path, withHeaders(map[string]string{hID: strconv.Itoa(id), hTokens: "80"}), "prompt")
+				}
+				for n := range 20 {
+					if c.observed {
+						must.Eq(t, http.StatusOK, send(n, c.urgent).status)
+						must.Eq(t, http.StatusOK, send(100+n, "/s/1").status)
+					}
+				}
+				e.setRuns("full run-1")
+				told := func(id int, path string) float64 {
+					seconds, err := strconv.ParseFloat(send(id, path).header.Get("Retry-After"), 64)
+					must.NoError(t, err)
+					return seconds
+				}
+				var others []float64
+				for n := range 10 {
+					others = append(others, told(200+n, "/s/1"))
+				}
+				urgent := told(300, c.urgent)
+				if !c.forecast {
+					for _, s := range append(others, urgent) {
+						must.Between(t, 6.75, s, 11.25) // twice the objective, plus or minus a quarter
+					}
+					return
+				}
+				must.Less(t, others[0], urgent)
+				must.Less(t, others[9], others[0])
+				must.Less(t, 2, urgent)
+			})
+		})
+	}
+}
