--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -58,7 +58,8 @@
 
 // Request is a request that asks for room.
 type Request struct {
-	ID      string // the same when the caller sends the request again
+	// ID is the same when the caller sends the request again.
+	ID      string
 	Account string
 	Rank    int // 0 is the most urgent
 	// TimeLeft is how long its caller still waits. One that is told a longer time is not expected to
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -156,6 +156,7 @@
 					if c.observed {
 						must.Eq(t, http.StatusOK, send(n, c.urgent).status)
 						must.Eq(t, http.StatusOK, send(100+n, "/s/1").status)
+						time.Sleep(500 * time.Millisecond)
 					}
 				}
 				e.setRuns("full run-1")
@@ -175,6 +176,15 @@
 					}
 					return
 				}
+				again := func(id int) float64 {
+					got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hID: strconv.Itoa(id), hPart: "p", hTokens: "80"}), "prompt")
+					seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+					must.NoError(t, err)
+					return seconds
+				}
+				first := again(400)
+				time.Sleep(500 * time.Millisecond)
+				must.Between(t, first-0.55, again(401), first-0.45) // it returns too early
 				must.Less(t, others[0], urgent)
 				must.Less(t, others[9], others[0])
 				must.Less(t, 2, urgent)
--- a/serve/forward/returns.go
+++ b/serve/forward/returns.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -44,7 +45,9 @@
 	return f.Delay
 }
 
-// roomRequest describes the request to the forecast of room.
+// roomRequest describes the request to the forecast of room. A caller that sends a request again uses
+// a new request ID, but the prompt keeps its key.
 func (r *relay) roomRequest() retryafter.Request {
-	return retryafter.Request{ID: r.in.call.ID, Account: r.in.accountName(), Rank: r.rank, TimeLeft: time.Until(r.in.deadline)}
+	id := cmp.Or(r.in.call.PromptKey, r.in.call.ID)
+	return retryafter.Request{ID: id, Account: r.in.accountName(), Rank: r.rank, TimeLeft: time.Until(r.in.deadline)}
 }
