--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -34,9 +34,6 @@
 // waits, it is counted at no engine.
 func (r *relay) placeRefill(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	since := time.Now()
-	if r.refillPrompt(since).IsHopeless() {
-		return sampledEngine{}, r.refuseRefill()
-	}
 	for {
 		c, err := r.placeAdmitted(ctx, view)
 		if err != nil {
@@ -62,6 +59,12 @@
 	}
 }
 
+// isHopelessRefill reports whether the prompt would have to be prefilled again and cannot be in time.
+// It is checked before a retry is taken from the budget.
+func (r *relay) isHopelessRefill(now time.Time) bool {
+	return r.sends > 0 && r.hasPriorities() && r.heldCopy.at.load == nil && r.refillPrompt(now).IsHopeless()
+}
+
 // refillPrompt describes the prompt of the request to the decision.
 func (r *relay) refillPrompt(now time.Time) refill.Prompt {
 	left := r.in.deadline.Sub(now)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -206,6 +206,9 @@
 // the prompt, or else one that prefills the prompt. The request is counted there.
 func (r *relay) nextSegment(ctx context.Context) (segment, error) {
 	now := time.Now()
+	if r.isHopelessRefill(now) {
+		return segment{}, r.refuseRefill()
+	}
 	if r.starts >= maxStarts || r.sends > 0 && !r.tryAcquireRetry(ctx, now) {
 		return segment{}, r.noServerError()
 	}
