--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -87,6 +87,9 @@
 	return config != nil && config.HasPriorities(service)
 }
 
+// hasPriorities reports whether the streams of the request's service differ in priority.
+func (r *relay) hasPriorities() bool { return r.h.hasPriorities(r.service) }
+
 // loadOf returns the load of an engine by its report. Where the streams of its service differ in
 // priority, it records the report.
 func (h *Handler) loadOf(server routing.Server, report Report) prompts.Report {
@@ -101,8 +104,12 @@
 // level returns the rank of the request as engines report it.
 func (r *relay) level() int { return min(r.rank, headroom.Levels-1) }
 
-// isUrgent reports whether at most half of the prompts of the service are as urgent as this one.
+// isUrgent reports whether the request is of the first rank, or at most half of the prompts of the
+// service are as urgent as it is.
 func (r *relay) isUrgent() bool {
+	if r.rank == 0 {
+		return true
+	}
 	asUrgent := r.h.headroom.urgentShare(time.Now(), r.service, r.level()+1)
 	return asUrgent > 0 && asUrgent <= maxUrgentRatio
 }
@@ -132,7 +139,7 @@
 // hasFreeRoom reports whether an engine has a free slot and memory for the prompt, beside the room
 // that it keeps for more urgent ones. It is always true where streams do not differ in priority.
 func (r *relay) hasFreeRoom(report prompts.Report) bool {
-	return !r.h.hasPriorities(r.service) || r.keptRoom().HasRoom(r.engineLoad(report), r.in.call.PromptTokens)
+	return !r.hasPriorities() || r.keptRoom().HasRoom(r.engineLoad(report), r.in.call.PromptTokens)
 }
 
 // withFreeRoom returns the sampled engines that have room for the prompt.
@@ -148,7 +155,7 @@
 // countReserved counts the prompts and runs of all daemons in the reports of engines where streams
 // differ in priority: reports lag, and several daemons act on the same one.
 func (r *relay) countReserved(sampled []sampledEngine, others workloads) []sampledEngine {
-	if !r.h.hasPriorities(r.service) {
+	if !r.hasPriorities() {
 		return sampled
 	}
 	for i := range sampled {
@@ -164,7 +171,7 @@
 // the prompt. Only a few of a fleet's engines are sampled, and a prompt must not be refused while
 // others are known to be free.
 func (r *relay) enginesSeenWithRoom(view *feed.View, excluded []routing.Incarnation) []choice {
-	if !r.h.hasPriorities(r.service) {
+	if !r.hasPriorities() {
 		return nil
 	}
 	var free []routing.Incarnation
@@ -199,7 +206,7 @@
 // urgent ones. A prompt for which no other is more urgent fits everywhere: the engine admits it
 // first.
 func (r *relay) fits(report prompts.Report) bool {
-	if !r.h.hasPriorities(r.service) {
+	if !r.hasPriorities() {
 		return true
 	}
 	room, load := r.keptRoom(), r.engineLoad(report)
@@ -218,7 +225,7 @@
 // keepsCopy reports whether a run of this request gets a copy at a server with a report now. It
 // logs a denial unless the last one had the same reason: a run without a copy asks every second.
 func (r *relay) keepsCopy(server routing.Server, report prompts.Report) bool {
-	if !r.h.hasPriorities(r.service) {
+	if !r.hasPriorities() {
 		return report.HasCapacity(r.in.call.PromptTokens)
 	}
 	decision := r.decideCopy(report)
@@ -242,7 +249,7 @@
 // enginesWithoutRoom returns the engines that are known from recent reports to have no room for a
 // copy of this run, so that they are not probed again.
 func (r *relay) enginesWithoutRoom() (full []routing.Incarnation) {
-	if !r.h.hasPriorities(r.service) {
+	if !r.hasPriorities() {
 		return nil
 	}
 	for incarnation, report := range r.h.headroom.recentReports(time.Now()) {
--- /dev/null
+++ b/serve/forward/returns.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	"mallowwind.dev/decision/retryafter"
+	"mallowwind.dev/telemetry/event"
+)
+
+// recordDemand records that a prompt asks for room at the engines of a service.
+func (p *pressure) recordDemand(now time.Time, service string, q retryafter.Request) {
+	defer p.mu.Unlock()
+	p.lockService(service).room.RecordArrival(now, q)
+}
+
+// recordPlacement records that a prompt found room.
+func (p *pressure) recordPlacement(now time.Time, service string, rank int) {
+	defer p.mu.Unlock()
+	p.lockService(service).room.RecordStart(now, rank)
+}
+
+// retryAfterRoom returns when a refused request is expected to find room. overload is how
+// long the overload is expected to last.
+func (p *pressure) retryAfterRoom(now time.Time, service string, q retryafter.Request, overload time.Duration) retryafter.Forecast {
+	defer p.mu.Unlock()
+	return p.lockService(service).room.Promise(now, q, overload, rand.Float64())
+}
+
+// retryAfterRoom returns the Retry-After of a request that is refused for lack of room. lasted is
+// how long requests have been refused, answer how long answers take.
+func (r *relay) retryAfterRoom(lasted, answer time.Duration) time.Duration {
+	answer = max(answer, r.in.route.Objective)
+	current := retryafter.AfterOverload(lasted, answer, rand.Float64())
+	if !r.hasPriorities() {
+		return current
+	}
+	f := r.h.pressure.retryAfterRoom(time.Now(), r.service, r.roomRequest(), retryafter.ExpectedOverload(lasted, answer))
+	if !f.Known {
+		return current
+	}
+	r.h.metrics.roomForecasts.Observe(f.Delay.Seconds())
+	r.h.opts.Log.Emit(event.RoomForecast, r.in.call.ID, r.service, r.rank, f.Delay, f.Overload, f.Ahead, f.Spare)
+	return f.Delay
+}
+
+// roomRequest describes the request to the forecast of room. A caller that sends a request again uses
+// a new request ID, but the prompt keeps its key.
+func (r *relay) roomRequest() retryafter.Request {
+	id := cmp.Or(r.in.call.PromptKey, r.in.call.ID)
+	return retryafter.Request{ID: id, Account: r.in.accountName(), Rank: r.rank, TimeLeft: time.Until(r.in.deadline)}
+}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -161,6 +161,7 @@
 		case segmentMoved:
 			r.interrupted = r.headersSent
 		case segmentBroken:
+			r.recordLoss()
 			r.interrupted = r.headersSent
 			if r.replacement == nil && (r.cannotContinue || !r.canResume()) {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").WithCause(err))
@@ -211,6 +212,9 @@
 // the prompt, or else one that prefills the prompt. The request is counted there.
 func (r *relay) nextSegment(ctx context.Context) (segment, error) {
 	now := time.Now()
+	if r.isHopelessRefill(now) {
+		return segment{}, r.refuseRefill()
+	}
 	if r.starts >= maxStarts || r.sends > 0 && !r.tryAcquireRetry(ctx, now) {
 		return segment{}, r.noServerError()
 	}
@@ -241,7 +245,7 @@
 	if c, ok := r.placeCanary(ctx, view); ok {
 		return r.withCopyTarget(ctx, segment{target: c}), nil
 	}
-	c, err := r.placeAdmitted(ctx, view)
+	c, err := r.placeOrdered(ctx, view)
 	if err != nil {
 		return segment{}, err
 	}
