decision/promptqueue, serve/forward: a prompt without room waits in its daemon

Change: where the streams of a service differ in priority, a prompt waits in its daemon until its latest start and looks for room at jittered intervals. Queue orders the prompts of a daemon; only the first one looks. Other services keep their treatment.

--- a/serve/forward/admission.go
+++ b/serve/forward/admission.go
@@ -15,6 +15,9 @@
 // placeAdmitted chooses the engine that prefills the prompt and counts the prompt there, or returns
 // the refusal of the request.
 func (r *relay) placeAdmitted(ctx context.Context, view *feed.View) (sampledEngine, error) {
+	if r.mayWait(view) {
+		return r.placeOrWait(ctx, view)
+	}
 	c, ok := r.placeWithPermit(ctx, view)
 	if !ok {
 		return sampledEngine{}, r.noServerError()
@@ -31,6 +34,9 @@
 func (r *relay) placeWithPermit(ctx context.Context, view *feed.View) (sampledEngine, bool) {
 	for range maxStarts {
 		c, ok := r.place(ctx, view)
+		if r.leftToOthers {
+			return sampledEngine{}, false
+		}
 		if !ok {
 			c, ok = r.awaitEngine(ctx)
 		}
@@ -64,6 +70,11 @@
 	if admission == prompts.Admitted {
 		return nil
 	}
+	return r.noRoomError(best, admission, due)
+}
+
+// noRoomError is the refusal of a prompt for which the best engine has no room.
+func (r *relay) noRoomError(best sampledEngine, admission prompts.Admission, due time.Duration) error {
 	overloadedFor, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
 	retryAfter := retryafter.AfterOverload(overloadedFor, max(answer, r.in.route.Objective), rand.Float64())
 	r.h.metrics.overloadRefusals.WithLabelValues(admission.String()).Inc()
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -119,15 +119,22 @@
 
 func (testCodec) DropPath(handle string) string { return "/drop/" + handle }
 
-// testSchema stores servers as JSON and always decodes the same configuration.
+// testSchema stores servers as JSON. It decodes the configuration of the stored name, or the first
+// one if there is none of that name.
 type testSchema struct {
 	feed.OwnRollouts
 	config *routing.Config
+	named  map[string]*routing.Config
 }
 
 func (testSchema) ConfigKey() string { return "config" }
 
-func (s testSchema) DecodeConfig([]byte) (*routing.Config, error) { return s.config, nil }
+func (s testSchema) DecodeConfig(raw []byte) (*routing.Config, error) {
+	if c, ok := s.named[string(raw)]; ok {
+		return c, nil
+	}
+	return s.config, nil
+}
 
 func (testSchema) ServerID(key string) (string, bool) { return strings.CutPrefix(key, "server/") }
 
@@ -354,7 +361,7 @@
 		"key-1": {Name: "mill", Priority: -1}, "key-2": {Name: "depot", Priority: 3},
 	}
 	w := &testCluster{
-		t: t, schema: testSchema{config: routing.New(1, routing.Limits{BodyBytes: 1 << 20}, services, routes, accounts)}, store: store.NewMemory(), servers: map[string]*fakeServer{},
+		t: t, schema: testSchema{config: routing.New(1, routing.Limits{BodyBytes: 1 << 20}, services, routes, accounts), named: map[string]*routing.Config{}}, store: store.NewMemory(), servers: map[string]*fakeServer{},
 		hosts: map[string]*fakeServer{},
 	}
 	w.daemonStore = store.NewFaulty(w.store)
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -88,6 +88,7 @@
 	pool           *pool
 	pressure       *pressure
 	workTracker    *workTracker
+	waiting        *waitingPrompts
 	locator        *locator
 	borrower       *retryBorrower
 	peers          *peerClient
@@ -116,11 +117,12 @@
 	}
 	h.versions.SetInFlightCounter(h.pool.runningAtOldVersions)
 	h.versions.SetReachabilityCheck(h.acceptsAny)
+	h.waiting = newWaitingPrompts()
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
 	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
-	h.metrics = newMetrics(o.Registerer, h.Running)
+	h.metrics = newMetrics(o.Registerer, h.Running, h.waiting.len)
 	return h
 }
 
@@ -158,8 +160,11 @@
 }
 
 // BeginShutdown starts the graceful shutdown. From now on every response closes its connection,
-// so that callers move to other daemons.
-func (h *Handler) BeginShutdown(s ShutdownSchedule) { h.shutdown.Store(&s) }
+// so that callers move to other daemons. Prompts that wait for room are refused.
+func (h *Handler) BeginShutdown(s ShutdownSchedule) {
+	h.shutdown.Store(&s)
+	h.waiting.beginShutdown()
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -25,6 +25,8 @@
 	cacheScans        prometheus.Counter
 	overloadRefusals  *prometheus.CounterVec
 	inFlight          prometheus.GaugeFunc
+	promptsWaiting    prometheus.GaugeFunc
+	promptWaitSeconds *prometheus.HistogramVec
 
 	unreadableMessages prometheus.Counter
 
@@ -37,7 +39,7 @@
 	cacheBytes prometheus.Counter
 }
 
-func newMetrics(r prometheus.Registerer, running func() int) *metrics {
+func newMetrics(r prometheus.Registerer, running, waiting func() int) *metrics {
 	name := func(n, help string) prometheus.Opts {
 		return prometheus.Opts{Namespace: metric.Namespace, Subsystem: "forward", Name: n, Help: help}
 	}
@@ -69,8 +71,11 @@
 		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, for good or for a time, by notice."), []string{"notice"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
+		promptsWaiting: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("prompts_waiting", "Prompts that wait in this daemon for room at an engine.")),
+			func() float64 { return float64(waiting()) }),
+		promptWaitSeconds: prometheus.NewHistogramVec(histogram("prompt_wait_seconds", "Time that prompts waited for room at an engine, by how the wait ended."), []string{"end"}),
 	}
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.promptsWaiting, m.promptWaitSeconds, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/peers.go
+++ b/serve/forward/peers.go
@@ -33,8 +33,9 @@
 	peerBackoff = time.Second
 )
 
-// workload is the number of prefills and running answers at one engine.
-type workload struct{ prefilling, running int }
+// workload is the number of prefills and running answers at one engine, and of the waiting prompts
+// of other daemons that rank before the prompt to be placed.
+type workload struct{ prefilling, running, ahead int }
 
 // workloads holds the workload of each engine.
 type workloads map[routing.Incarnation]workload
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -38,12 +38,15 @@
 		others, everyDaemon := r.h.peers.totalWork(ctx, view, r.service)
 		complete := everyDaemon
 		if !everyDaemon {
-			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey)
+			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey, nil)
 		}
 		if complete {
 			if c, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon); ok {
 				return c, true
 			}
+			if r.leftToOthers = r.mayWait(view) && others.isAwaited(); r.leftToOthers {
+				return sampledEngine{}, false
+			}
 		}
 	}
 	c, ok := r.placeByReports(ctx, view)
@@ -57,6 +60,9 @@
 // limits the choice to the engines in others.
 func (r *relay) placeByFleetWork(ctx context.Context, view *feed.View, others workloads, onlyKnown bool) (sampledEngine, bool) {
 	excluded := slices.Clone(r.excluded)
+	if r.mayWait(view) {
+		excluded = append(excluded, others.awaited()...)
+	}
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	for range maxSampleRounds {
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -54,6 +54,9 @@
 	starts          int                   // attempts, without those that could not connect
 	sends           int                   // requests sent, without those that could not connect
 	excluded        []routing.Incarnation // servers that must not be chosen again
+	// leftToOthers is set if the prompt was not placed because prompts that wait at other daemons
+	// come first.
+	leftToOthers bool
 	// promptHolders are the engines that hold the prompt; nil before the lookup.
 	promptHolders []routing.Incarnation
 	// linkStalledSince is when the daemon's own link was first found stalled; zero if it was not.
--- /dev/null
+++ b/serve/forward/waiting.go
@@ -0,0 +1,478 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/promptqueue"
+	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/retryafter"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// maxWaitingPrompts and maxWaitingBytes bound the prompts of a service that wait in this daemon.
+	// The smallest VMs have 144 MB of memory, and a waiting request costs about 40 kB beside its body
+	// of 30 to 60 kB.
+	maxWaitingPrompts = 128
+	maxWaitingBytes   = 8 << 20
+	// maxLookProbes bounds the engines probed by one look for room of a waiting prompt. Trackers show
+	// where there is room; a probe finds out about memory and engines that have failed.
+	maxLookProbes = 2
+	// noRoomTTL is how long a waiting prompt skips an engine whose report showed no room, unless a
+	// run has ended there since as far as daemons reported it.
+	noRoomTTL = 500 * time.Millisecond
+)
+
+// Values of the label end, and of the field of that name.
+const (
+	waitStarted      = "started"
+	waitTooLate      = "too_late"     // the latest start has passed
+	waitQueueFull    = "queue_full"   // prompts that start earlier fill the queue
+	waitDisconnected = "disconnected" // the caller left, or its deadline has passed
+	waitStopping     = "stopping"     // this daemon is shutting down
+	waitNotAllowed   = "not_allowed"  // by the current configuration, or that is too old
+	waitMoved        = "moved"        // the route has another service now
+)
+
+// errServiceChanged means that the route of a waiting prompt has another service now.
+var errServiceChanged = errors.New("forward: the route has another service")
+
+// waitingPrompts holds the prompts that wait for room at engines, by service. It is safe for
+// concurrent use.
+type waitingPrompts struct {
+	stopping chan struct{} // closed when the shutdown begins
+	stop     sync.Once
+
+	mu       sync.Mutex // guards the fields below
+	services map[string]*serviceQueue
+}
+
+// serviceQueue holds the waiting prompts of one service.
+type serviceQueue struct {
+	promptqueue.Queue
+	waiters map[*promptqueue.Prompt]*waiter
+}
+
+// waiter is one waiting prompt. Apart from its channels, only the goroutine of its request uses it.
+type waiter struct {
+	*promptqueue.Prompt
+	service string
+	part    string        // chooses the candidate engines
+	turn    chan struct{} // receives when the prompt has become the first
+	evicted chan struct{} // closed if the prompt exceeds the limits
+	begun   time.Time
+	looks   int
+	// noRoom holds the engines whose last report showed no room.
+	noRoom map[routing.Incarnation]fullEngine
+	// stated is what trackers were told last, nil if they were not.
+	stated *peerpb.WaitingPrompt
+}
+
+// fullEngine is an engine without room for a prompt, with the work that daemons reported there.
+type fullEngine struct {
+	work  int
+	until time.Time
+}
+
+func newWaitingPrompts() *waitingPrompts {
+	return &waitingPrompts{stopping: make(chan struct{}), services: map[string]*serviceQueue{}}
+}
+
+// beginShutdown wakes all waiting prompts, which then are refused.
+func (q *waitingPrompts) beginShutdown() { q.stop.Do(func() { close(q.stopping) }) }
+
+func (q *waitingPrompts) isStopping() bool {
+	select {
+	case <-q.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// len returns the number of waiting prompts.
+func (q *waitingPrompts) len() (n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, s := range q.services {
+		n += s.Len()
+	}
+	return n
+}
+
+// join adds a prompt. first reports whether it looks for room next; refusal is the reason if it does
+// not wait.
+func (q *waitingPrompts) join(now time.Time, w *waiter) (first bool, refusal promptqueue.Refusal, waiting int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[w.service]
+	if s == nil {
+		s = &serviceQueue{waiters: map[*promptqueue.Prompt]*waiter{}}
+		s.Limits = promptqueue.Limits{Prompts: maxWaitingPrompts, Bytes: maxWaitingBytes}
+		q.services[w.service] = s
+	}
+	refusal, evicted := s.Add(now, w.Prompt)
+	if refusal != promptqueue.Waits {
+		return false, refusal, s.Len()
+	}
+	s.waiters[w.Prompt] = w
+	for _, p := range evicted {
+		close(s.waiters[p].evicted)
+		delete(s.waiters, p)
+	}
+	next, _ := s.First(now)
+	return next == w.Prompt, promptqueue.Waits, s.Len()
+}
+
+// leave removes a prompt, which starts or no longer waits, and wakes the next one.
+func (q *waitingPrompts) leave(now time.Time, w *waiter, started bool) (waiting int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[w.service]
+	wasFirst, _ := s.First(now)
+	if started {
+		s.Started(now, w.Prompt)
+	} else {
+		s.Remove(w.Prompt)
+	}
+	delete(s.waiters, w.Prompt)
+	if next, _ := s.First(now); next != nil && next != wasFirst {
+		select {
+		case s.waiters[next].turn <- struct{}{}:
+		default:
+		}
+	}
+	return s.Len()
+}
+
+// rankOfTurn reports whether it is the turn of a prompt to look for room, and at which rank.
+func (q *waitingPrompts) rankOfTurn(now time.Time, w *waiter) (rank int, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	first, rank := q.services[w.service].First(now)
+	return rank, first == w.Prompt
+}
+
+// hasBefore reports whether a new prompt has to let waiting ones start before it.
+func (q *waitingPrompts) hasBefore(service string, rank int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[service]
+	return s != nil && s.HasBefore(rank)
+}
+
+// startedAtOnce records that a prompt was placed without having waited.
+func (q *waitingPrompts) startedAtOnce(service string, rank int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.services[service]; s != nil {
+		s.StartedAtOnce(rank)
+	}
+}
+
+// latestStart returns when a prompt has to be sent to an idle engine for its first event to meet the
+// objective. The time that the caller waited before it retried counts.
+func (p *pressure) latestStart(now time.Time, service string, in *inbound) time.Time {
+	defer p.mu.Unlock()
+	first := p.lockService(service).pace.TimeToFirstEvent(0, in.call.PromptTokens)
+	waited := max(in.route.Timeout-in.deadline.Sub(now), 0)
+	return now.Add(in.route.Objective - waited - first)
+}
+
+// mayWait reports whether the prompt may wait for room. A request that may have been sent, or whose
+// caller holds a part of the response, is placed at once wherever its prompt can be prefilled.
+func (r *relay) mayWait(view *feed.View) bool {
+	return view.Config.HasPriorities(r.service) && view.Config.Engine(r.service) != nil &&
+		r.sends == 0 && r.possibleRuns == 0 && r.in.call.LastEventID == 0 && !r.headersSent
+}
+
+// placeOrWait chooses an engine with room for the prompt and counts the prompt there. If there is
+// none, or if prompts come first that already wait, the prompt waits.
+func (r *relay) placeOrWait(ctx context.Context, view *feed.View) (sampledEngine, error) {
+	if r.h.waiting.hasBefore(r.service, r.rank) {
+		return r.awaitRoom(ctx, view, sampledEngine{}, prompts.NoMemory)
+	}
+	r.leftToOthers = false
+	c, ok := r.placeWithPermit(ctx, view)
+	if r.leftToOthers {
+		return r.awaitRoom(ctx, view, c, prompts.NoMemory)
+	}
+	if !ok {
+		return sampledEngine{}, r.noServerError()
+	}
+	admission, _ := r.admission(c)
+	if admission == prompts.Admitted {
+		r.h.waiting.startedAtOnce(r.service, r.rank)
+		return c, nil
+	}
+	r.h.pool.addLoad(c.choice, -1, 0, 0)
+	return r.awaitRoom(ctx, view, c, admission)
+}
+
+// newWaiter returns the prompt as it waits from now on.
+func (r *relay) newWaiter(now time.Time) *waiter {
+	w := &waiter{
+		Prompt: &promptqueue.Prompt{
+			ID: r.in.call.ID, Account: r.in.accountName(), Rank: r.rank, Bytes: int64(len(r.in.body)),
+			LatestStart: r.h.pressure.latestStart(now, r.service, r.in),
+		},
+		service: r.service, part: r.in.call.PromptKey, begun: now,
+		turn: make(chan struct{}, 1), evicted: make(chan struct{}), noRoom: map[routing.Incarnation]fullEngine{},
+	}
+	if w.part == "" {
+		w.part = r.in.call.ID // the candidate engines stay the same while the prompt waits
+	}
+	return w
+}
+
+// awaitRoom waits until an engine has room for the prompt, at most until its latest start, and counts
+// the prompt there. best and admission are the result of the first look for room.
+func (r *relay) awaitRoom(ctx context.Context, view *feed.View, best sampledEngine, admission prompts.Admission) (sampledEngine, error) {
+	now := time.Now()
+	if r.h.waiting.isStopping() {
+		return sampledEngine{}, errStopping()
+	}
+	w := r.newWaiter(now)
+	first, refusal, waiting := r.h.waiting.join(now, w)
+	switch refusal {
+	case promptqueue.NoTime:
+		_, due := r.admission(best)
+		return sampledEngine{}, r.noRoomError(best, admission, due)
+	case promptqueue.CannotStart:
+		return sampledEngine{}, r.refuseWaiting(refusal.String())
+	}
+	r.h.opts.Log.Emit(event.PromptWaits, w.ID, r.service, r.in.routeName(), r.in.accountName(), r.rank, r.in.call.PromptTokens, w.Bytes, w.Slack(now), waiting)
+	delay := promptqueue.LookInterval(w.Slack(now), rand.Float64())
+	if first && (r.leftToOthers || !best.answered) {
+		delay = 0 // no look for room was made with the rank of the prompt
+	}
+	c, end, err := r.waitAndLook(ctx, w, delay)
+	now = time.Now()
+	waiting = r.h.waiting.leave(now, w, err == nil)
+	if w.stated != nil {
+		r.h.workTracker.forgetWaiting(r.h.opts.Feed.View(), w.service, w.part, w.stated)
+	}
+	r.h.metrics.promptWaitSeconds.WithLabelValues(end).Observe(now.Sub(w.begun).Seconds())
+	r.h.opts.Log.Emit(event.PromptWaitEnded, w.ID, w.service, r.in.routeName(), r.in.accountName(), w.Rank, end, c.server.ID, now.Sub(w.begun), w.Slack(now), w.looks, waiting)
+	if errors.Is(err, errServiceChanged) {
+		return r.placeAtNewService(ctx)
+	}
+	return c, err
+}
+
+// waitAndLook looks for room whenever it is the prompt's turn, until there is room or the prompt is
+// refused. end says how the wait ended.
+func (r *relay) waitAndLook(ctx context.Context, w *waiter, delay time.Duration) (c sampledEngine, end string, err error) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return c, waitDisconnected, verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "the prompt waited for room at an engine").WithCause(ctx.Err())
+		case <-r.h.waiting.stopping:
+			return c, waitStopping, errStopping()
+		case <-w.evicted:
+			return c, waitQueueFull, r.refuseWaiting(waitQueueFull)
+		case <-w.turn:
+		case <-timer.C:
+		}
+		view, now := r.h.opts.Feed.View(), time.Now()
+		if end, err := r.checkWaiting(view, now, w); err != nil {
+			return c, end, err
+		}
+		if rank, ok := r.h.waiting.rankOfTurn(now, w); ok {
+			if c, ok := r.look(ctx, view, w, rank); ok {
+				return c, waitStarted, nil
+			}
+		}
+		now = time.Now()
+		timer.Reset(min(promptqueue.LookInterval(w.Slack(now), rand.Float64()), max(w.Slack(now), 0)))
+	}
+}
+
+// look looks once for an engine with room for a prompt that waits, and counts the prompt there. rank
+// is the rank at which the trackers order it.
+func (r *relay) look(ctx context.Context, view *feed.View, w *waiter, rank int) (sampledEngine, bool) {
+	w.looks++
+	others, complete := r.h.peers.totalWork(ctx, view, r.service)
+	onlyKnown := !complete
+	if !complete {
+		stated := &peerpb.WaitingPrompt{Id: w.ID, Priority: int32(rank), SlackMs: w.Slack(time.Now()).Milliseconds()}
+		if others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, w.part, stated); others != nil {
+			w.stated = stated
+		}
+	}
+	if complete {
+		return r.lookWhereShown(ctx, view, w, others, onlyKnown)
+	}
+	return r.lookAtSample(ctx, view, w, others)
+}
+
+// lookWhereShown probes the engines that have room by what all daemons have in progress there, and
+// that no other waiting prompt comes first at.
+func (r *relay) lookWhereShown(ctx context.Context, view *feed.View, w *waiter, others workloads, onlyKnown bool) (sampledEngine, bool) {
+	excluded := append(slices.Clone(r.excluded), others.awaited()...)
+	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, others)...)
+	queries := r.h.newProbeRound()
+	defer queries.suspectSilent()
+	for range maxLookProbes {
+		c, pending, ok := r.h.pool.reservePrefill(time.Now(), view, r.service, others, onlyKnown, excluded)
+		if !ok {
+			return sampledEngine{}, false
+		}
+		best := sampledEngine{choice: c, report: prompts.Report{PendingPrompts: pending}}
+		if admission, _ := r.admission(best); admission != prompts.Admitted {
+			r.h.pool.addLoad(c, -1, 0, 0)
+			return sampledEngine{}, false // the other engines have more prompts pending
+		}
+		// The count of 1 is this prompt, which reservePrefill has counted already.
+		sampled := queries.sampleLoads(ctx, []choice{c}, 1)
+		if len(sampled) == 1 {
+			best = sampled[0]
+			best.report.PendingPrompts = max(best.report.PendingPrompts, pending) // a report lags
+			if r.takes(ctx, w, best, others) {
+				return best, true
+			}
+		}
+		r.h.pool.addLoad(c, -1, 0, 0)
+		excluded = append(excluded, c.server.Incarnation())
+	}
+	return sampledEngine{}, false
+}
+
+// lookAtSample probes a few engines, if there are no trackers to ask or too few answer.
+func (r *relay) lookAtSample(ctx context.Context, view *feed.View, w *waiter, others workloads) (sampledEngine, bool) {
+	excluded := append(slices.Clone(r.excluded), others.awaited()...)
+	excluded = append(excluded, w.withoutRoom(time.Now(), 0, nil)...)
+	queries := r.h.newProbeRound()
+	defer queries.suspectSilent()
+	candidates := r.h.pool.prefillCandidates(time.Now(), view, r.service, w.part, SampleSize, excluded)
+	best, ok := r.leastLoaded(queries.sampleLoads(ctx, candidates, 0))
+	if !ok || !r.takes(ctx, w, best, nil) {
+		return sampledEngine{}, false
+	}
+	r.h.pool.addLoad(best.choice, 1, 0, 0)
+	return best, true
+}
+
+// takes reports whether the prompt is sent to an engine that was probed. An engine without room is
+// skipped for a while.
+func (r *relay) takes(ctx context.Context, w *waiter, best sampledEngine, others workloads) bool {
+	if admission, _ := r.admission(best); admission == prompts.Admitted {
+		return r.tryAcquirePermit(ctx, best.choice)
+	}
+	life := best.server.Incarnation()
+	w.noRoom[life] = fullEngine{work: others[life].total(), until: time.Now().Add(noRoomTTL)}
+	return false
+}
+
+// withoutRoom returns the engines that are not worth a probe now: all their slots are in use, or
+// their last report showed no room and no run has ended there since. slots is 0 if it is unknown.
+func (w *waiter) withoutRoom(now time.Time, slots int, others workloads) (list []routing.Incarnation) {
+	for life, full := range w.noRoom {
+		if now.Before(full.until) && others[life].total() >= full.work {
+			list = append(list, life)
+		}
+	}
+	for life, work := range others {
+		if slots > 0 && work.total() >= slots {
+			list = append(list, life)
+		}
+	}
+	return list
+}
+
+// total returns the number of requests at an engine.
+func (w workload) total() int { return w.prefilling + w.running }
+
+// awaited returns the engines at which waiting prompts of other daemons come first.
+func (w workloads) awaited() (list []routing.Incarnation) {
+	for life, work := range w {
+		if work.ahead > 0 {
+			list = append(list, life)
+		}
+	}
+	return list
+}
+
+// isAwaited reports whether waiting prompts of other daemons come first at some engine.
+func (w workloads) isAwaited() bool { return len(w.awaited()) > 0 }
+
+// checkWaiting returns an error if the prompt must not wait any longer.
+func (r *relay) checkWaiting(view *feed.View, now time.Time, w *waiter) (end string, err error) {
+	if err := r.checkAllowed(view); err != nil {
+		if errors.Is(err, errServiceChanged) {
+			return waitMoved, err
+		}
+		return waitNotAllowed, err
+	}
+	if w.Slack(now) <= 0 {
+		return waitTooLate, r.refuseWaiting(waitTooLate)
+	}
+	if err := r.checkTimeLeft(true); err != nil {
+		return waitTooLate, err
+	}
+	return "", nil
+}
+
+// checkAllowed returns the refusal that a new request like this one would get by the configuration in
+// force, or errServiceChanged.
+func (r *relay) checkAllowed(view *feed.View) error {
+	path, _, _ := strings.Cut(r.in.target, "?")
+	route := view.Config.Match(r.in.host, path)
+	if route == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+	}
+	age, _ := r.h.opts.Feed.ConfigAge()
+	current := inbound{call: r.in.call, route: route}
+	if err := r.h.authorize(&current, view.Config, age); err != nil {
+		return err
+	}
+	if route.Kind != routing.Stream {
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the route no longer takes streams").WithRetryAfter(shutdownRetryAfter)
+	}
+	if !slices.ContainsFunc(route.Targets, func(t routing.Target) bool { return t.Service == r.service && t.Weight > 0 }) {
+		return errServiceChanged
+	}
+	return nil
+}
+
+// placeAtNewService places the prompt at the service that its route has now. Nothing was sent to the
+// old one.
+func (r *relay) placeAtNewService(ctx context.Context) (sampledEngine, error) {
+	view := r.h.opts.Feed.View()
+	path, _, _ := strings.Cut(r.in.target, "?")
+	route := view.Config.Match(r.in.host, path)
+	if route == nil {
+		return sampledEngine{}, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+	}
+	r.in.route, r.excluded = route, nil
+	r.service = route.PickService(rand.Float64())
+	r.rank = view.Config.Rank(r.service, route, r.in.account)
+	r.h.pool.countRequest(time.Now(), r.service)
+	return r.placeAdmitted(ctx, view)
+}
+
+// errStopping is the refusal of a prompt that waits when the shutdown begins.
+func errStopping() error {
+	return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").WithRetryAfter(shutdownRetryAfter)
+}
+
+// refuseWaiting returns the refusal of a prompt that waited, or that would wait in vain.
+func (r *relay) refuseWaiting(reason string) error {
+	overloadedFor, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
+	r.h.metrics.overloadRefusals.WithLabelValues(reason).Inc()
+	retryAfter := retryafter.AfterOverload(overloadedFor, max(answer, r.in.route.Objective), rand.Float64())
+	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "engines have no room for the prompt (%s)", reason).WithRetryAfter(retryAfter)
+}
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -10,6 +10,7 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/promptqueue"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/peer/peerpb"
 )
@@ -24,6 +25,7 @@
 
 	mu        sync.Mutex // guards the fields below
 	ledger    prompts.LoadTable[routing.Incarnation]
+	waiting   promptqueue.Table[routing.Incarnation]
 	sequence  uint64
 	reporting map[routing.Incarnation]bool // reports in flight; true if the work has changed since
 }
@@ -117,24 +119,19 @@
 }
 
 // trackedWork returns the work of all other daemons at the engines of a prompt's placement window,
-// as far as their tracking daemons answer; ok is false if too few answer for a choice.
-func (t *workTracker) trackedWork(ctx context.Context, view *feed.View, service, part string) (sum workloads, ok bool) {
+// as far as their tracking daemons answer; ok is false if too few answer for a choice. waiting is the
+// prompt if it waits, and nil otherwise.
+func (t *workTracker) trackedWork(ctx context.Context, view *feed.View, service, part string, waiting *peerpb.WaitingPrompt) (sum workloads, ok bool) {
 	if !t.isTracked(view, service) {
 		return nil, false
 	}
-	vms, hashes := routing.Serving(view.VMs)
-	queries := map[int][]routing.Incarnation{} // by index in vms
-	for _, s := range t.h.pool.placementWindow(view, service, part) {
-		if i := prompts.Tracker(xxhash.Sum64String(s.ID), hashes); i >= 0 {
-			queries[i] = append(queries[i], s.Incarnation())
-		}
-	}
+	vms, queries := t.trackersOf(view, t.h.pool.placementWindow(view, service, part))
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	sum = workloads{}
 	for i, incarnations := range queries {
 		wg.Go(func() {
-			work := t.query(ctx, vms[i], incarnations)
+			work := t.query(ctx, vms[i], incarnations, waiting)
 			mu.Lock()
 			defer mu.Unlock()
 			for incarnation, w := range work {
@@ -146,20 +143,35 @@
 	return sum, len(sum) >= SampleSize
 }
 
+// trackersOf returns the serving daemons, and which engines each of them tracks by its index.
+func (t *workTracker) trackersOf(view *feed.View, engines []routing.Server) (vms []routing.VM, tracked map[int][]routing.Incarnation) {
+	vms, hashes := routing.Serving(view.VMs)
+	tracked = map[int][]routing.Incarnation{}
+	for _, s := range engines {
+		if i := prompts.Tracker(xxhash.Sum64String(s.ID), hashes); i >= 0 {
+			tracked[i] = append(tracked[i], s.Incarnation())
+		}
+	}
+	return vms, tracked
+}
+
 // query asks one tracking daemon, which may be this daemon. It returns nil if that daemon does not
 // answer.
-func (t *workTracker) query(ctx context.Context, vm routing.VM, incarnations []routing.Incarnation) workloads {
+func (t *workTracker) query(ctx context.Context, vm routing.VM, incarnations []routing.Incarnation, waiting *peerpb.WaitingPrompt) workloads {
 	self, work := t.h.opts.Self.ID, workloads{}
 	if vm.ID == self {
-		for _, incarnation := range incarnations {
-			work[incarnation] = workloadOf(t.tracked(incarnation, self))
+		ahead := t.recordWaiting(self, waiting, incarnations)
+		for i, incarnation := range incarnations {
+			w := workloadOf(t.tracked(incarnation, self))
+			w.ahead = ahead[i]
+			work[incarnation] = w
 		}
 		return work
 	}
 	if len(t.h.peers.responsive(time.Now(), []routing.VM{vm})) == 0 {
 		return nil
 	}
-	q := &peerpb.NotedRequest{Daemon: self}
+	q := &peerpb.NotedRequest{Daemon: self, Waiting: waiting}
 	for _, incarnation := range incarnations {
 		q.Servers = append(q.Servers, serverWork(incarnation, workload{}))
 	}
@@ -168,13 +180,59 @@
 		return nil
 	}
 	for _, s := range reply.GetServers() {
-		work[routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}] = workloadOf(prompts.LoadSum{
+		w := workloadOf(prompts.LoadSum{
 			Prefilling: int(max(s.GetReading(), 0)), Running: int(max(s.GetRunning(), 0)), SuspectedBy: int(max(s.GetSuspects(), 0)),
 		})
+		w.ahead = int(max(s.GetAhead(), 0))
+		work[routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}] = w
 	}
 	return work
 }
 
+// recordWaiting records a waiting prompt of a daemon at engines that this daemon tracks, and returns
+// for each of them the number of waiting prompts of other daemons that rank before it. A nil prompt
+// has not waited and ranks after all that do; one without engines no longer waits.
+func (t *workTracker) recordWaiting(daemon string, waiting *peerpb.WaitingPrompt, engines []routing.Incarnation) []int {
+	now := time.Now()
+	p := remotePrompt(now, daemon, waiting)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p != nil {
+		t.waiting.Update(now, *p, engines)
+	}
+	ahead := make([]int, len(engines))
+	for i, engine := range engines {
+		ahead[i] = t.waiting.Ahead(now, engine, daemon, p)
+	}
+	return ahead
+}
+
+// maxSlack bounds the slack that another daemon states for a prompt, far above any objective.
+const maxSlack = time.Hour
+
+// remotePrompt converts the waiting prompt in a query, nil if there is none.
+func remotePrompt(now time.Time, daemon string, w *peerpb.WaitingPrompt) *promptqueue.RemotePrompt {
+	if w == nil {
+		return nil
+	}
+	slack := min(max(w.GetSlackMs(), -maxSlack.Milliseconds()), maxSlack.Milliseconds())
+	return &promptqueue.RemotePrompt{
+		Daemon: daemon, ID: w.GetId(), Rank: int(w.GetPriority()), LatestStart: now.Add(time.Duration(slack) * time.Millisecond),
+	}
+}
+
+// forgetWaiting tells the trackers of a prompt's candidate engines that it no longer waits. A tracker
+// that is not reached forgets the prompt a short time after its last query.
+func (t *workTracker) forgetWaiting(view *feed.View, service, part string, waiting *peerpb.WaitingPrompt) {
+	if !t.isTracked(view, service) {
+		return
+	}
+	vms, tracked := t.trackersOf(view, t.h.pool.placementWindow(view, service, part))
+	for i := range tracked {
+		go t.query(context.Background(), vms[i], nil, waiting)
+	}
+}
+
 func serverWork(incarnation routing.Incarnation, w workload) *peerpb.ServerWork {
 	return &peerpb.ServerWork{Id: incarnation.ID, Born: incarnation.StartedAtMS, Reading: int32(w.prefilling), Running: int32(w.running)}
 }
@@ -193,11 +251,16 @@
 // Noted implements peerpb.Work. The reply lists every server in the query.
 func (t workService) Noted(_ context.Context, q *peerpb.NotedRequest) (*peerpb.WorkReply, error) {
 	reply := &peerpb.WorkReply{}
+	var incarnations []routing.Incarnation
 	for _, s := range q.GetServers() {
-		incarnation := routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}
+		incarnations = append(incarnations, routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()})
+	}
+	ahead := t.h.workTracker.recordWaiting(q.GetDaemon(), q.GetWaiting(), incarnations)
+	for i, incarnation := range incarnations {
 		n := t.h.workTracker.tracked(incarnation, q.GetDaemon())
 		reply.Servers = append(reply.Servers, &peerpb.ServerWork{
 			Id: incarnation.ID, Born: incarnation.StartedAtMS, Reading: int32(n.Prefilling), Running: int32(n.Running), Suspects: int32(n.SuspectedBy),
+			Ahead: int32(ahead[i]),
 		})
 	}
 	return reply, nil
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -74,6 +74,10 @@
 		"A backend server stated in a response that it fails if it has to reject more than limit requests in a second, which holds for all servers of its service, or no longer states so. While stated is set, daemons divide the slots of each server and let requests wait.", "service", "backend", "stated", "limit")
 	ServerBrittleUnreadable = define(273, "server_brittle_unreadable", logrus.ErrorLevel,
 		"A backend server states that it is brittle with a number that cannot be parsed; it counts as 0.", "backend", "error")
+	PromptWaits = define(280, "prompt_waits", logrus.InfoLevel,
+		"A prompt found no room at an engine and waits for it in this daemon. slack is the time until its latest start, waiting the number of waiting prompts of the service, bytes the size of its body.", "request", "service", "route", "account", "rank", "tokens", "bytes", "slack", "waiting")
+	PromptWaitEnded = define(281, "prompt_wait_ended", logrus.InfoLevel,
+		"A prompt no longer waits for room at an engine: it is sent to backend, or it is refused and did not run. end says why, looks is the number of times that it looked for room.", "request", "service", "route", "account", "rank", "end", "backend", "waited", "slack", "looks", "waiting")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
