--- a/decision/promptqueue/promptqueue.go
+++ b/decision/promptqueue/promptqueue.go
@@ -27,13 +27,22 @@
 	// minShare is the part of the starts that goes to less urgent prompts about to miss their latest
 	// start, so that urgent prompts beyond the capacity of the engines cannot starve them entirely.
 	minShare = 1.0 / 8
-	// aboutToMiss is the slack below which a prompt may use that share: two looks for room.
-	aboutToMiss = 2 * minLookInterval
+	// aboutToMiss is the slack below which a prompt may use that share: the longest time between two
+	// looks.
+	aboutToMiss = time.Duration((1 + lookJitterRatio/2) * float64(maxLookInterval))
 	// minLookInterval and maxLookInterval bound the time between two looks for room. Reports of
 	// engines are 200 to 300 ms old, so looking more often learns little. An engine stays empty for
 	// half an interval on average, which is short compared with the ten seconds of a run.
 	minLookInterval = 100 * time.Millisecond
 	maxLookInterval = 400 * time.Millisecond
+	// looksPerStart is the number of looks for each start of a daemon whose prompts start in quick
+	// succession, and minBusyInterval the shortest time between two. A daemon with a large part of the
+	// fleet's prompts would otherwise leave engines empty.
+	looksPerStart   = 2
+	minBusyInterval = 20 * time.Millisecond
+	// promptsPerLooker is the number of waiting prompts beyond which a daemon looks more often, or
+	// the prompts of daemons where few wait would start long before those where many do.
+	promptsPerLooker = 2
 	// looksPerSlack is the number of looks in the remaining slack: the less time is left, the more
 	// often a prompt looks.
 	looksPerSlack = 16
@@ -135,9 +144,9 @@
 // Refusal says why a prompt does not wait.
 type Refusal uint8
 
-// The results of Add.
+// The results of Add and Check.
 const (
-	// Waits means that the prompt was added.
+	// Waits means that the prompt waits.
 	Waits Refusal = iota
 	// NoTime means that the latest start has passed.
 	NoTime
@@ -148,16 +157,11 @@
 // String returns the name used in logs and metrics.
 func (r Refusal) String() string { return [...]string{"waits", "no_time", "cannot_start"}[r] }
 
-// Add adds a prompt, unless it has no prospect of starting in time. A prompt that exceeds the limits
-// is returned as evicted; it may be the added one. It is no longer in the queue.
+// Add adds a prompt, unless it has no prospect of starting in time. If the limits are exceeded, the
+// last prompts in the order are removed and returned, which may be the added one.
 func (q *Queue) Add(now time.Time, p *Prompt) (refusal Refusal, evicted []*Prompt) {
-	slack := p.Slack(now)
-	if slack <= 0 {
-		return NoTime, nil
-	}
-	ahead := q.countBefore(p)
-	if ahead > 0 && float64(ahead)*float64(q.rate.interval(now)) > waitToleranceRatio*float64(slack) {
-		return CannotStart, nil
+	if refusal := q.Check(now, p); refusal != Waits {
+		return refusal, nil
 	}
 	if q.count == 0 {
 		q.rate.resume(now)
@@ -166,42 +170,92 @@
 	for q.exceedsLimits() {
 		last := q.last()
 		q.Remove(last)
+		if last == p { // without it, the others are within the limits
+			for _, other := range evicted {
+				q.push(other)
+			}
+			return Waits, []*Prompt{p}
+		}
 		evicted = append(evicted, last)
 	}
 	return Waits, evicted
 }
 
+// Check reports whether a prompt, waiting or not, has no prospect of starting in time any more. The
+// first prompt of each rank has one until its latest start.
+func (q *Queue) Check(now time.Time, p *Prompt) Refusal {
+	slack := p.Slack(now)
+	switch {
+	case slack <= 0:
+		return NoTime
+	case q.startsBefore(p)*float64(q.rate.interval(now)) > waitToleranceRatio*float64(slack):
+		return CannotStart
+	}
+	return Waits
+}
+
+// startsBefore returns the number of starts expected before that of a prompt. A less urgent prompt
+// comes by its turn in the order or by the minimum share, whichever is first.
+func (q *Queue) startsBefore(p *Prompt) float64 {
+	urgent, same := q.countBefore(p)
+	byTurn := float64(urgent + same)
+	if urgent == 0 {
+		return byTurn
+	}
+	return min(byTurn, float64(same)/minShare)
+}
+
 func (q *Queue) exceedsLimits() bool {
 	return q.count > 1 && (q.Limits.Prompts > 0 && q.count > q.Limits.Prompts || q.Limits.Bytes > 0 && q.bytes > q.Limits.Bytes)
 }
 
-// countBefore returns the number of waiting prompts that start before a new one: those of lower
-// ranks, and those that fair sharing within its rank puts first.
-func (q *Queue) countBefore(p *Prompt) (n int) {
+// countBefore returns the number of waiting prompts that start before p: those that are more urgent,
+// and those of the same rank that fair sharing between accounts puts first.
+func (q *Queue) countBefore(p *Prompt) (urgent, same int) {
 	for rank, c := range q.classes {
 		if rank < p.Rank {
-			n += c.waiting()
+			urgent += c.waiting()
 		}
 	}
-	c := q.classes[p.Rank]
-	if c == nil {
-		return n
+	if c := q.classes[p.Rank]; c != nil {
+		same = c.countBefore(p)
 	}
-	turns, tag := 1, c.virtualTime // of the account of p until p starts
+	return urgent, same
+}
+
+func (c *class) countBefore(p *Prompt) (n int) {
+	tag := c.virtualTime // of the start of p
 	if own := c.accounts[p.Account]; own != nil {
 		i := own.index(p)
-		n, turns, tag = n+i, i+1, max(tag, own.startTag)
+		n, tag = i, max(tag, own.startTag)+float64(i)
+		if p.account == own {
+			tag = own.startTag + float64(i)
+		}
 	}
-	until := tag + float64(turns-1)
 	for name, other := range c.accounts {
 		if name != p.Account {
-			turns := math.Floor(until-max(c.virtualTime, other.startTag)) + 1
-			n += min(len(other.prompts), max(0, int(turns)))
+			n += other.countBefore(tag, p)
 		}
 	}
 	return n
 }
 
+// countBefore returns the number of prompts of the account that start before one of another account
+// with the given tag.
+func (a *account) countBefore(tag float64, p *Prompt) (n int) {
+	for i, other := range a.prompts {
+		if compareStarts(a.startTag+float64(i), tag, other, p) < 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// compareStarts orders the starts of prompts of two accounts: by tag, and then by slack.
+func compareStarts(tagA, tagB float64, a, b *Prompt) int {
+	return cmp.Or(cmp.Compare(tagA, tagB), comparePrompts(a, b))
+}
+
 func (c *class) waiting() (n int) {
 	for _, a := range c.accounts {
 		n += len(a.prompts)
@@ -366,7 +420,7 @@
 			continue
 		}
 		p := a.prompts[0]
-		if first == nil || cmp.Or(cmp.Compare(a.startTag, at.startTag), comparePrompts(p, first)) < 0 {
+		if first == nil || compareStarts(a.startTag, at.startTag, p, first) < 0 {
 			first, at = p, a
 		}
 	}
@@ -396,9 +450,16 @@
 // Len returns the number of waiting prompts.
 func (q *Queue) Len() int { return q.count }
 
-// LookInterval returns the time until a prompt with the given slack looks for room again. draw is in
+// LookInterval returns the time until a prompt looks for room again that found none. draw is in
 // [0, 1).
-func LookInterval(slack time.Duration, draw float64) time.Duration {
-	interval := min(max(slack/looksPerSlack, minLookInterval), maxLookInterval)
+func (q *Queue) LookInterval(now time.Time, p *Prompt, draw float64) time.Duration {
+	interval := min(max(p.Slack(now)/looksPerSlack, minLookInterval), maxLookInterval)
+	shortest := minLookInterval
+	if starts := q.rate.interval(now); starts > 0 {
+		shortest = min(shortest, max(starts/looksPerStart, minBusyInterval))
+	}
+	if q.count > promptsPerLooker {
+		interval = max(interval*promptsPerLooker/time.Duration(q.count), shortest)
+	}
 	return time.Duration(float64(interval) * (1 - lookJitterRatio/2 + lookJitterRatio*draw))
 }
--- a/decision/promptqueue/table.go
+++ b/decision/promptqueue/table.go
@@ -10,6 +10,9 @@
 	// interval between two looks, so that a prompt keeps its place between them, and is short, so
 	// that the prompt of a daemon that was killed does not keep an engine empty for long.
 	remoteTTL = time.Duration((1+lookJitterRatio/2)*float64(maxLookInterval)) + 200*time.Millisecond
+	// urgentSlack is the slack below which a prompt comes before others of its rank. A prompt with more
+	// looks for room so rarely that engines would stay empty for it, and it can take a later one.
+	urgentSlack = looksPerSlack * minLookInterval
 	// maxRemotePrompts bounds the prompts that a tracker remembers. A daemon queries for one prompt
 	// of each service at a time, so that a thousand daemons with a few services stay below it.
 	maxRemotePrompts = 4096
@@ -30,9 +33,13 @@
 
 func (p *RemotePrompt) key() key { return key{p.Daemon, p.ID} }
 
-// before reports whether a prompt ranks before another one. The order is the same at every tracker.
-func (p *RemotePrompt) before(other *RemotePrompt) bool {
-	return cmp.Or(cmp.Compare(p.Rank, other.Rank), p.LatestStart.Compare(other.LatestStart),
+// before reports whether a prompt ranks before another one: if it is more urgent, or of the same rank
+// and has the least slack, provided that this is less than urgentSlack.
+func (p *RemotePrompt) before(now time.Time, other *RemotePrompt) bool {
+	if p.Rank != other.Rank {
+		return p.Rank < other.Rank
+	}
+	return p.LatestStart.Sub(now) < urgentSlack && cmp.Or(p.LatestStart.Compare(other.LatestStart),
 		cmp.Compare(p.ID, other.ID), cmp.Compare(p.Daemon, other.Daemon)) < 0
 }
 
@@ -75,7 +82,7 @@
 // stands for a prompt of the daemon that has not waited yet: it comes after all that wait.
 func (t *Table[K]) Ahead(now time.Time, engine K, daemon string, p *RemotePrompt) (n int) {
 	for _, r := range t.engines[engine] {
-		if r.Daemon != daemon && now.Sub(r.seen) < remoteTTL && (p == nil || r.before(p)) {
+		if r.Daemon != daemon && now.Sub(r.seen) < remoteTTL && (p == nil || r.before(now, p)) {
 			n++
 		}
 	}
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxWaitingPrompts and maxWaitingBytes bound the prompts of a service that wait in this daemon.
+	// maxWaitingPrompts and maxWaitingBytes bound the prompts that wait in this daemon.
 	// The smallest VMs have 144 MB of memory, and a waiting request costs about 40 kB beside its body
 	// of 30 to 60 kB.
 	maxWaitingPrompts = 128
@@ -29,6 +29,9 @@
 	// maxLookProbes bounds the engines probed by one look for room of a waiting prompt. Trackers show
 	// where there is room; a probe finds out about memory and engines that have failed.
 	maxLookProbes = 2
+	// waitCheckInterval is how often a prompt whose turn it is not checks whether it may still wait. A
+	// revoked key must stop working soon, and the caller is told early.
+	waitCheckInterval = 250 * time.Millisecond
 	// noRoomTTL is how long a waiting prompt skips an engine whose report showed no room, unless a
 	// run has ended there since as far as daemons reported it.
 	noRoomTTL = 500 * time.Millisecond
@@ -38,6 +41,7 @@
 const (
 	waitStarted      = "started"
 	waitTooLate      = "too_late"     // the latest start has passed
+	waitCannotStart  = "cannot_start" // the prompts before it leave no time
 	waitQueueFull    = "queue_full"   // prompts that start earlier fill the queue
 	waitDisconnected = "disconnected" // the caller left, or its deadline has passed
 	waitStopping     = "stopping"     // this daemon is shutting down
@@ -119,9 +123,9 @@
 	s := q.services[w.service]
 	if s == nil {
 		s = &serviceQueue{waiters: map[*promptqueue.Prompt]*waiter{}}
-		s.Limits = promptqueue.Limits{Prompts: maxWaitingPrompts, Bytes: maxWaitingBytes}
 		q.services[w.service] = s
 	}
+	s.Limits = q.limits(w.service)
 	refusal, evicted := s.Add(now, w.Prompt)
 	if refusal != promptqueue.Waits {
 		return false, refusal, s.Len()
@@ -135,6 +139,25 @@
 	return next == w.Prompt, promptqueue.Waits, s.Len()
 }
 
+// limits returns the bounds for a service: an equal part for each service with waiting prompts. The
+// caller holds the lock.
+func (q *waitingPrompts) limits(service string) promptqueue.Limits {
+	active := 1
+	for name, s := range q.services {
+		if name != service && s.Len() > 0 {
+			active++
+		}
+	}
+	return promptqueue.Limits{Prompts: max(1, maxWaitingPrompts/active), Bytes: maxWaitingBytes / int64(active)}
+}
+
+// check returns the reason if a waiting prompt has no prospect of starting in time any more.
+func (q *waitingPrompts) check(now time.Time, w *waiter) promptqueue.Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.services[w.service].Check(now, w.Prompt)
+}
+
 // leave removes a prompt, which starts or no longer waits, and wakes the next one.
 func (q *waitingPrompts) leave(now time.Time, w *waiter, started bool) (waiting int) {
 	q.mu.Lock()
@@ -164,6 +187,19 @@
 	return rank, first == w.Prompt
 }
 
+// nextCheck returns the time until a prompt looks for room again, or checks whether it still may wait
+// if it is not its turn.
+func (q *waitingPrompts) nextCheck(now time.Time, w *waiter) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[w.service]
+	next := waitCheckInterval
+	if first, _ := s.First(now); first == w.Prompt {
+		next = s.LookInterval(now, w.Prompt, rand.Float64())
+	}
+	return min(next, max(w.Slack(now), 0))
+}
+
 // hasBefore reports whether a new prompt has to let waiting ones start before it.
 func (q *waitingPrompts) hasBefore(service string, rank int) bool {
 	q.mu.Lock()
@@ -250,10 +286,10 @@
 		_, due := r.admission(best)
 		return sampledEngine{}, r.noRoomError(best, admission, due)
 	case promptqueue.CannotStart:
-		return sampledEngine{}, r.refuseWaiting(refusal.String())
+		return sampledEngine{}, r.refuseWaiting(waitCannotStart)
 	}
 	r.h.opts.Log.Emit(event.PromptWaits, w.ID, r.service, r.in.routeName(), r.in.accountName(), r.rank, r.in.call.PromptTokens, w.Bytes, w.Slack(now), waiting)
-	delay := promptqueue.LookInterval(w.Slack(now), rand.Float64())
+	delay := r.h.waiting.nextCheck(now, w)
 	if first && (r.leftToOthers || !best.answered) {
 		delay = 0 // no look for room was made with the rank of the prompt
 	}
@@ -293,11 +329,10 @@
 		}
 		if rank, ok := r.h.waiting.rankOfTurn(now, w); ok {
 			if c, ok := r.look(ctx, view, w, rank); ok {
-				return c, waitStarted, nil
+				return r.confirm(c)
 			}
 		}
-		now = time.Now()
-		timer.Reset(min(promptqueue.LookInterval(w.Slack(now), rand.Float64()), max(w.Slack(now), 0)))
+		timer.Reset(r.h.waiting.nextCheck(time.Now(), w))
 	}
 }
 
@@ -409,16 +444,26 @@
 // isAwaited reports whether waiting prompts of other daemons come first at some engine.
 func (w workloads) isAwaited() bool { return len(w.awaited()) > 0 }
 
+// confirm returns the engine that was found, unless the prompt must not be sent any more: the
+// configuration may have changed while engines were probed.
+func (r *relay) confirm(c sampledEngine) (_ sampledEngine, end string, err error) {
+	if end, err := r.checkAllowed(r.h.opts.Feed.View()); err != nil {
+		r.h.pool.addLoad(c.choice, -1, 0, 0)
+		return sampledEngine{}, end, err
+	}
+	return c, waitStarted, nil
+}
+
 // checkWaiting returns an error if the prompt must not wait any longer.
 func (r *relay) checkWaiting(view *feed.View, now time.Time, w *waiter) (end string, err error) {
-	if err := r.checkAllowed(view); err != nil {
-		if errors.Is(err, errServiceChanged) {
-			return waitMoved, err
-		}
-		return waitNotAllowed, err
+	if end, err := r.checkAllowed(view); err != nil {
+		return end, err
 	}
-	if w.Slack(now) <= 0 {
+	switch r.h.waiting.check(now, w) {
+	case promptqueue.NoTime:
 		return waitTooLate, r.refuseWaiting(waitTooLate)
+	case promptqueue.CannotStart:
+		return waitCannotStart, r.refuseWaiting(waitCannotStart)
 	}
 	if err := r.checkTimeLeft(true); err != nil {
 		return waitTooLate, err
@@ -426,38 +471,49 @@
 	return "", nil
 }
 
-// checkAllowed returns the refusal that a new request like this one would get by the configuration in
-// force, or errServiceChanged.
-func (r *relay) checkAllowed(view *feed.View) error {
-	path, _, _ := strings.Cut(r.in.target, "?")
-	route := view.Config.Match(r.in.host, path)
+// checkAllowed returns the refusal that a new request like this one would get now, or
+// errServiceChanged, and how the wait ends with it.
+func (r *relay) checkAllowed(view *feed.View) (end string, err error) {
+	if r.h.waiting.isStopping() {
+		return waitStopping, errStopping()
+	}
+	route := r.currentRoute(view)
 	if route == nil {
-		return verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+		return waitNotAllowed, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
 	}
 	age, _ := r.h.opts.Feed.ConfigAge()
 	current := inbound{call: r.in.call, route: route}
 	if err := r.h.authorize(&current, view.Config, age); err != nil {
-		return err
+		return waitNotAllowed, err
 	}
 	if route.Kind != routing.Stream {
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the route no longer takes streams").WithRetryAfter(shutdownRetryAfter)
+		return waitNotAllowed, verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the route no longer takes streams").WithRetryAfter(shutdownRetryAfter)
 	}
 	if !slices.ContainsFunc(route.Targets, func(t routing.Target) bool { return t.Service == r.service && t.Weight > 0 }) {
-		return errServiceChanged
+		return waitMoved, errServiceChanged
 	}
-	return nil
+	return "", nil
+}
+
+// currentRoute returns the route of the request by the given view, nil if there is none.
+func (r *relay) currentRoute(view *feed.View) *routing.Route {
+	path, _, _ := strings.Cut(r.in.target, "?")
+	return view.Config.Match(r.in.host, path)
 }
 
 // placeAtNewService places the prompt at the service that its route has now. Nothing was sent to the
 // old one.
 func (r *relay) placeAtNewService(ctx context.Context) (sampledEngine, error) {
 	view := r.h.opts.Feed.View()
-	path, _, _ := strings.Cut(r.in.target, "?")
-	route := view.Config.Match(r.in.host, path)
-	if route == nil {
-		return sampledEngine{}, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route leads there")
+	if _, err := r.checkAllowed(view); err != nil && !errors.Is(err, errServiceChanged) {
+		return sampledEngine{}, err // changed once more
 	}
+	route := r.currentRoute(view)
 	r.in.route, r.excluded = route, nil
+	age, _ := r.h.opts.Feed.ConfigAge()
+	if err := r.h.authorize(r.in, view.Config, age); err != nil {
+		return sampledEngine{}, err
+	}
 	r.service = route.PickService(rand.Float64())
 	r.rank = view.Config.Rank(r.service, route, r.in.account)
 	r.h.pool.countRequest(time.Now(), r.service)
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -125,7 +126,11 @@
 	if !t.isTracked(view, service) {
 		return nil, false
 	}
-	vms, queries := t.trackersOf(view, t.h.pool.placementWindow(view, service, part))
+	window := t.h.pool.placementWindow(view, service, part)
+	if waiting != nil { // it must not keep others from engines that it does not use itself
+		window = slices.DeleteFunc(window, func(s routing.Server) bool { return t.h.pool.isSuspect(time.Now(), s.Incarnation()) })
+	}
+	vms, queries := t.trackersOf(view, window)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	sum = workloads{}
