serve/forward: tests of waiting prompts; a shorter memory of full engines

Cause: the wiring of waiting prompts had two tests. An engine whose report showed no room was skipped for 500 ms, longer than its next report takes. Change: tests of order in one daemon and between daemons, of the bounds, of each event of docs/design/103 while a prompt waits, of probes, and of services without priorities. An engine without room is skipped for 300 ms.

--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -158,9 +158,11 @@
 	freedCopies    []string      // handles of freed replicas
 	copiesToRefuse int           // number of copy calls that it still refuses
 	received       []*http.Request
+	receivedAt     []time.Time
 	handle         http.HandlerFunc
 	http           *http.Server
 	cacheRequests  int // number of cache requests
+	statusRequests int // number of probes
 }
 
 // dial connects to a fake server by its address.
@@ -196,6 +198,7 @@
 		if s.server.Service == "llm" {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			s.statusRequests++
 			if s.statusFails {
 				w.WriteHeader(http.StatusInternalServerError)
 				return
@@ -216,7 +219,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.received = append(s.received, r)
+	s.received, s.receivedAt = append(s.received, r), append(s.receivedAt, time.Now())
 	s.mu.Unlock()
 	// The server notices that a caller has left only after the body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -317,6 +320,16 @@
 	return n
 }
 
+// probeCount returns the number of probes of all servers.
+func (w *testCluster) probeCount() (n int) {
+	for _, s := range w.servers {
+		s.mu.Lock()
+		n += s.statusRequests
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // requestCount returns how many requests the server was asked to run.
 func (s *fakeServer) requestCount() int {
 	s.mu.Lock()
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -33,8 +33,9 @@
 	// revoked key must stop working soon, and the caller is told early.
 	waitCheckInterval = 250 * time.Millisecond
 	// noRoomTTL is how long a waiting prompt skips an engine whose report showed no room, unless a
-	// run has ended there since as far as daemons reported it.
-	noRoomTTL = 500 * time.Millisecond
+	// run has ended there since as far as daemons reported it. Reports are 200 to 300 ms old, so a
+	// probe before learns nothing new.
+	noRoomTTL = 300 * time.Millisecond
 )
 
 // Values of the label end, and of the field of that name.
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -1,14 +1,23 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/promptqueue"
+	"mallowwind.dev/peer/peerpb"
 )
 
 // priorityRoutes returns an urgent and a less urgent stream route of one service.
@@ -72,3 +81,368 @@
 		must.Eq(t, 1, a.requestCount())
 	})
 }
+
+// fill makes an engine report that it has no room.
+func fill(engines ...*fakeServer) {
+	for _, e := range engines {
+		e.setRuns("full run-1")
+	}
+}
+
+func free(e *fakeServer) { e.setRuns("run-1") }
+
+// mustStartFirst checks that the server was asked to run a request, and no other one before it.
+// Requests of one instant of virtual time may arrive in any order.
+func (s *fakeServer) mustStartFirst(t *testing.T, id string) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.received, func(r *http.Request) bool { return r.Header.Get(hID) == id })
+	must.NonNegative(t, i)
+	must.Eq(t, s.receivedAt[0], s.receivedAt[i])
+}
+
+// waitingPrompt starts an engine without room and a request that waits for room there.
+func (w *testCluster) waitingPrompt(path string) (*fakeServer, <-chan response) {
+	w.t.Helper()
+	a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+	fill(a)
+	got := w.async(path, sized("r1"))
+	time.Sleep(time.Second)
+	must.Eq(w.t, 1, w.handler.waiting.len())
+	return a, got
+}
+
+// Guards against less urgent prompts that take the room for which urgent ones wait: three that came
+// earlier wait, and one arrives at the moment at which there is room.
+func TestUrgentPromptStartsFirst(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a, first := w.waitingPrompt("/c/1")
+		pending := []<-chan response{first, w.async("/c/1", sized("r2")), w.async("/c/1", sized("r3"))}
+		time.Sleep(time.Second)
+		urgent := w.async("/u/1", sized("r4"))
+		time.Sleep(500 * time.Millisecond)
+		free(a)
+		pending = append(pending, w.async("/c/1", sized("r5")))
+		must.Eq(t, events(1, 5), (<-urgent).body)
+		a.mustStartFirst(t, "r4")
+		for _, p := range pending {
+			must.Eq(t, events(1, 5), (<-p).body)
+		}
+	})
+}
+
+// Guards against an urgent request that is refused because less urgent ones fill the queue.
+func TestUrgentPromptWaitsWhenQueueIsFull(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		var clubs []<-chan response
+		for n := range maxWaitingPrompts {
+			clubs = append(clubs, w.async("/c/1", sized(strconv.Itoa(n))))
+		}
+		time.Sleep(time.Second)
+		must.Eq(t, maxWaitingPrompts, w.handler.waiting.len())
+		urgent := w.async("/u/1", sized("urgent"))
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, maxWaitingPrompts, w.handler.waiting.len())
+		refused := 0
+		for _, c := range clubs {
+			select {
+			case got := <-c:
+				mustRefuse(t, got, http.StatusServiceUnavailable)
+				refused++
+			default:
+			}
+		}
+		must.Eq(t, 1, refused)
+		free(a)
+		must.Eq(t, events(1, 5), (<-urgent).body)
+		a.mustStartFirst(t, "urgent")
+	})
+}
+
+// Guards against a prompt that is sent although its caller has left, and that keeps its place in the
+// queue until its latest start.
+func TestDisconnectedCallerLeavesQueue(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		ctx, leave := context.WithCancel(w.t.Context())
+		w.background(func() {
+			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://host/c/1", strings.NewReader("prompt"))
+			for k, v := range sized("r1") {
+				r.Header.Set(k, v)
+			}
+			w.handler.ServeHTTP(httptest.NewRecorder(), r)
+		})
+		time.Sleep(time.Second)
+		must.Eq(t, 1, w.handler.waiting.len())
+		leave()
+		synctest.Wait()
+		must.Eq(t, 0, w.handler.waiting.len())
+		free(a)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, 0, a.requestCount())
+	})
+}
+
+// Guards against a prompt that is sent, or refused with another status than a new request would get,
+// although the configuration has changed while it waits: its key is removed, its route is gone.
+func TestConfigurationChangesWhilePromptWaits(t *testing.T) {
+	services := []*routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4}}}
+	account := func(key string) map[string]*routing.Account {
+		return map[string]*routing.Account{key: {Name: "mill", Priority: -1}}
+	}
+	for name, c := range map[string]struct {
+		config *routing.Config
+		status int
+	}{
+		"key removed": {routing.New(2, routing.Limits{}, services, priorityRoutes(), account("key-2")), http.StatusUnauthorized},
+		"route gone":  {routing.New(2, routing.Limits{}, services, priorityRoutes()[:1], account("key-1")), http.StatusNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+				a, pending := w.waitingPrompt("/c/1")
+				second := w.async("/c/1", sized("r2")) // waits behind the first
+				time.Sleep(500 * time.Millisecond)
+				w.schema.named["next"] = c.config
+				w.put("config", "next")
+				changed := time.Now()
+				for _, p := range []<-chan response{pending, second} {
+					mustRefuse(t, <-p, c.status)
+				}
+				must.Less(t, 1500*time.Millisecond, time.Since(changed))
+				must.Eq(t, 0, a.requestCount())
+			})
+		})
+	}
+}
+
+// Guards against a prompt that is sent to the old service of its route. It is sent to the new one,
+// whether or not that has streams of different priority.
+func TestServiceOfRouteChangesWhilePromptWaits(t *testing.T) {
+	for _, both := range []bool{true, false} {
+		t.Run(fmt.Sprint("both routes move: ", both), func(t *testing.T) {
+			withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+				a, pending := w.waitingPrompt("/c/1")
+				b := w.add("e-b", "llm2", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+				routes := priorityRoutes()
+				for i, r := range routes {
+					if both || i == 1 {
+						r.Targets = []routing.Target{{Service: "llm2", Weight: 1}}
+					}
+				}
+				engine := &routing.Engine{Slots: 4}
+				services := []*routing.Service{{Name: "llm", Engine: engine}, {Name: "llm2", Engine: engine}}
+				accounts := map[string]*routing.Account{"key-1": {Name: "mill", Priority: -1}}
+				w.schema.named["next"] = routing.New(2, routing.Limits{}, services, routes, accounts)
+				w.put("config", "next")
+				must.Eq(t, events(1, 5), (<-pending).body)
+				must.Eq(t, 1, b.requestCount())
+				must.Eq(t, 0, a.requestCount())
+			})
+		})
+	}
+}
+
+// Guards against a prompt whose key can't be confirmed any more, and against one that is refused
+// while the configuration still may be used: the store is unreachable while two prompts wait, and an
+// engine has room soon for the first.
+func TestStoreIsUnreachableWhilePromptWaits(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a, pending := w.waitingPrompt("/c/1")
+		w.daemonStore.SetDown(true)
+		time.Sleep(time.Second)
+		free(a)
+		must.Eq(t, events(1, 5), (<-pending).body)
+		fill(a)
+		second := w.request(http.MethodPost, "/c/1", sized("r2"), "prompt")
+		mustRefuse(t, second, http.StatusServiceUnavailable)
+		must.StrContains(t, second.body, "configuration_unconfirmed")
+		must.Less(t, 4*time.Second, second.took)
+		must.Eq(t, 1, a.requestCount())
+	})
+}
+
+// Guards against callers that lose time at a daemon that is stopping: waiting prompts are refused at
+// once, and their callers return at once to another daemon. New ones do not wait.
+func TestShutdownRefusesWaitingPrompts(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a, pending := w.waitingPrompt("/c/1")
+		began := time.Now()
+		w.handler.BeginShutdown(ShutdownSchedule{StreamsUntil: began.Add(time.Second), ExitAt: began.Add(10 * time.Second)})
+		got := <-pending
+		must.Less(t, 10*time.Millisecond, time.Since(began))
+		for _, got := range []response{got, w.request(http.MethodPost, "/u/1", sized("r2"), "prompt")} {
+			mustRefuse(t, got, http.StatusServiceUnavailable)
+			must.StrContains(t, got.body, "shutting_down")
+			must.Eq(t, "0.05", got.header.Get("Retry-After"))
+		}
+		must.Eq(t, 0, a.requestCount())
+	})
+}
+
+// Guards against a prompt that is lost with the engine at which it would wait: both engines are full,
+// one dies, and the prompt starts at the other.
+func TestEngineDiesWhilePromptWaits(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		b := w.add("e-b", "llm", "b", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(b)
+		a, pending := w.waitingPrompt("/c/1")
+		w.crash(a)
+		time.Sleep(time.Second)
+		free(b)
+		must.Eq(t, events(1, 5), (<-pending).body)
+		must.Eq(t, 1, b.requestCount())
+	})
+}
+
+// Guards against answers that are held back: a caller that holds a part of the answer, and a request
+// whose engine failed, are sent at once although engines are full and others wait.
+func TestBegunRequestsDoNotWait(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		a, pending := w.waitingPrompt("/c/1")
+		resumed := sized("r2")
+		resumed[hAfter] = "2"
+		got := w.request(http.MethodPost, "/c/1", resumed, "prompt")
+		must.Eq(t, events(3, 5), got.body)
+		must.Less(t, 1500*time.Millisecond, got.took)
+		b := w.add("e-b", "llm", "b", streamEvents(5, time.Second, 40*time.Millisecond))
+		must.Eq(t, events(1, 5), (<-pending).body) // at the new engine
+		fill(b)
+		free(a)
+		broken := w.async("/c/1", sized("r3"))
+		time.Sleep(1100 * time.Millisecond) // events 1 to 3 are sent
+		fill(a)
+		w.crash(a)
+		must.Eq(t, events(1, 5), (<-broken).body)
+	})
+}
+
+// Guards against a change for services without priorities: a prompt without room is refused at once,
+// does not yield to a waiting prompt of another daemon, and trackers are told nothing.
+func TestServiceWithoutPrioritiesIsTreatedAsBefore(t *testing.T) {
+	routes := priorityRoutes()
+	routes[1].Priority = 0
+	withTestCluster(t, routes, func(w *testCluster) {
+		var engines []*fakeServer
+		for n := range 4 {
+			engines = append(engines, w.add(fmt.Sprintf("e-%d", n), "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond)))
+		}
+		others, _ := w.addDaemons(12)
+		fill(engines...)
+		got := w.request(http.MethodPost, "/c/1", sized("r1"), "prompt")
+		mustRefuse(t, got, http.StatusServiceUnavailable)
+		must.Less(t, 100*time.Millisecond, got.took)
+		for _, o := range append(others, w.handler) {
+			must.Eq(t, 0, o.waiting.len()+o.workTracker.waiting.Len())
+			for _, e := range engines {
+				o.workTracker.waiting.Update(time.Now(), promptqueue.RemotePrompt{Daemon: "vm-x", ID: "r9"}, []routing.Incarnation{e.server.Incarnation()})
+			}
+		}
+		free(engines[2])
+		must.Eq(t, events(1, 5), w.request(http.MethodPost, "/c/1", sized("r2"), "prompt").body)
+	})
+}
+
+// serve sends a request to another daemon.
+func (w *testCluster) serve(h *Handler, path, id string) <-chan *httptest.ResponseRecorder {
+	got := make(chan *httptest.ResponseRecorder, 1)
+	w.background(func() {
+		r := httptest.NewRequestWithContext(w.t.Context(), http.MethodPost, "http://host"+path, strings.NewReader("prompt"))
+		for k, v := range sized(id) {
+			r.Header.Set(k, v)
+		}
+		recorder := httptest.NewRecorder()
+		h.ServeHTTP(recorder, r)
+		got <- recorder
+	})
+	return got
+}
+
+// occupied is an engine with runs of another daemon, as many as it has slots.
+type occupied struct {
+	*fakeServer
+	by   *Handler
+	load choice
+}
+
+func (o occupied) release() {
+	free(o.fakeServer)
+	o.by.pool.addLoad(o.load, 0, -4, 0)
+}
+
+// occupy starts six engines, and 12 more daemons, of which the last one uses all slots.
+func (w *testCluster) occupy() (engines []occupied, others []*Handler, cut *atomic.Bool) {
+	w.t.Helper()
+	for n := range 6 {
+		engines = append(engines, occupied{fakeServer: w.add(fmt.Sprintf("e-%d", n), "llm", "a", streamEvents(5, 500*time.Millisecond, 40*time.Millisecond))})
+	}
+	others, cut = w.addDaemons(12)
+	for n := range engines {
+		e := &engines[n]
+		fill(e.fakeServer)
+		e.by = others[11]
+		c, ok := e.by.pool.findServer(w.feed.View(), "llm", e.server.Incarnation())
+		must.True(w.t, ok)
+		e.load = c
+		e.by.pool.addLoad(c, 0, 4, 0)
+	}
+	time.Sleep(workTimeout)
+	return engines, others, cut
+}
+
+// Guards against a room that goes to whichever daemon looks first: an urgent prompt waits at one
+// daemon, less urgent ones at two others, and one arrives at a fourth. Each engine that gets room is
+// left to the prompt that comes first by its trackers, and a prompt that has started does not keep
+// the next engine empty. While no daemon reaches another one, prompts start in any order.
+func TestRoomGoesToFirstPromptOfAllDaemons(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		engines, others, cut := w.occupy()
+		clubs := []<-chan *httptest.ResponseRecorder{w.serve(others[0], "/c/1", "club-0"), w.serve(others[1], "/c/1", "club-1")}
+		time.Sleep(time.Second)
+		urgent := w.serve(others[2], "/u/1", "urgent")
+		time.Sleep(time.Second)
+		engines[3].release()
+		clubs = append(clubs, w.serve(others[3], "/c/1", "club-3"))
+		for began := time.Now(); engines[3].requestCount() == 0; time.Sleep(time.Millisecond) {
+			must.Less(t, 400*time.Millisecond, time.Since(began))
+		}
+		engines[3].mustStartFirst(t, "urgent")
+		fill(engines[3].fakeServer)
+		engines[4].release()
+		time.Sleep(noRoomTTL + 500*time.Millisecond)
+		must.Positive(t, engines[4].requestCount())
+		must.Eq(t, events(1, 5), (<-urgent).Body.String())
+		cut.Store(true)
+		for _, e := range engines {
+			free(e.fakeServer)
+		}
+		for _, c := range clubs {
+			must.Eq(t, events(1, 5), (<-c).Body.String())
+		}
+		cut.Store(false)
+		time.Sleep(time.Second)
+		for _, o := range append(others, w.handler) {
+			o.workTracker.recordWaiting("vm-x", &peerpb.WaitingPrompt{Id: "sweep"}, nil)
+			must.Eq(t, 0, o.workTracker.waiting.Len())
+		}
+	})
+}
+
+// Guards against probes of engines that have no room by what their trackers know: all slots are in
+// use for three seconds, and none of the engines is probed meanwhile.
+func TestWaitingPromptProbesOnlyWhereTrackersShowRoom(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		engines, _, _ := w.occupy()
+		pending := w.async("/c/1", sized("r1"))
+		time.Sleep(500 * time.Millisecond) // the first look probes engines
+		before := w.probeCount()
+		time.Sleep(3 * time.Second)
+		must.Eq(t, before, w.probeCount())
+		engines[2].release()
+		must.Eq(t, events(1, 5), (<-pending).body)
+		must.Eq(t, 1, engines[2].requestCount())
+	})
+}
