--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -411,6 +411,13 @@
 		}
 		engines[3].mustStartFirst(t, "urgent")
 		fill(engines[3].fakeServer)
+		time.Sleep(workTimeout)
+		for _, o := range others {
+			o.workTracker.mu.Lock()
+			urgents := o.workTracker.waiting.Ahead(time.Now(), engines[4].server.Incarnation(), "", &promptqueue.RemotePrompt{Rank: 1})
+			o.workTracker.mu.Unlock()
+			must.Eq(t, 0, urgents)
+		}
 		engines[4].release()
 		time.Sleep(noRoomTTL + 500*time.Millisecond)
 		must.Positive(t, engines[4].requestCount())
