serve/forward: a retry after a wait is not refused for prompts of other daemons

Cause: a prompt that had left all engines to others before it waited kept the mark of that. When its engine died, the retry was placed, taken for left to others and refused, the answer was cut, and the reservation stayed. Change: place resets the mark. The test crashes the engine and the one with the copy.

--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -34,6 +34,7 @@
 // since the entry of a crashed engine remains for seconds. If none responds, the one ranked first
 // gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying.
 func (r *relay) place(ctx context.Context, view *feed.View) (sampledEngine, bool) {
+	r.leftToOthers = false
 	if view.Config.Engine(r.service) != nil {
 		others, everyDaemon := r.h.peers.totalWork(ctx, view, r.service)
 		complete := everyDaemon
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -240,7 +240,6 @@
 	if r.h.waiting.hasBefore(r.service, r.rank) {
 		return r.awaitRoom(ctx, view, sampledEngine{}, prompts.NoMemory)
 	}
-	r.leftToOthers = false
 	c, ok := r.placeWithPermit(ctx, view)
 	if r.leftToOthers {
 		return r.awaitRoom(ctx, view, c, prompts.NoMemory)
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -453,3 +453,40 @@
 		must.Eq(t, 1, engines[2].requestCount())
 	})
 }
+
+// Guards against a cut answer: a prompt left all engines to one of another daemon, waited and
+// started, and its engine dies together with the one that has the copy. The retry goes to any engine
+// at once.
+func TestRetryAfterWaitLeavesNoEngineToOthers(t *testing.T) {
+	withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+		var lives []routing.Incarnation
+		for n := range 6 {
+			e := w.add(fmt.Sprintf("e-%d", n), "llm", "a", streamEvents(5, 500*time.Millisecond, 40*time.Millisecond))
+			lives = append(lives, e.server.Incarnation())
+		}
+		others, _ := w.addDaemons(12)
+		state := func() {
+			for _, o := range append(others, w.handler) {
+				o.workTracker.recordWaiting("vm-x", &peerpb.WaitingPrompt{Id: "other", SlackMs: 1000}, lives)
+			}
+		}
+		state()
+		pending := w.async("/c/1", sized("r1"))
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, 1, w.handler.waiting.len())
+		for began := time.Now(); w.handler.waiting.len() > 0; time.Sleep(time.Millisecond) {
+			must.Less(t, 2*time.Second, time.Since(began)) // trackers forget the other prompt
+		}
+		time.Sleep(600 * time.Millisecond) // the first events are sent
+		state()
+		for _, e := range w.servers {
+			if e.requestCount() > 0 {
+				w.crash(e)
+				if copyAt, ok := strings.CutSuffix(e.requests()[0].Header.Get(hCopyTo), ":80"); ok {
+					w.crash(w.servers[copyAt])
+				}
+			}
+		}
+		must.Eq(t, events(1, 5), (<-pending).body)
+	})
+}
