--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -88,6 +88,7 @@
 	pool           *pool
 	pressure       *pressure
 	workTracker    *workTracker
+	waiting        *waitingPrompts
 	locator        *locator
 	borrower       *retryBorrower
 	peers          *peerClient
@@ -117,12 +118,13 @@
 	}
 	h.versions.SetInFlightCounter(h.pool.runningAtOldVersions)
 	h.versions.SetReachabilityCheck(h.acceptsAny)
+	h.waiting = newWaitingPrompts()
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
 	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.headroom = newHeadroomState()
-	h.metrics = newMetrics(o.Registerer, h.Running)
+	h.metrics = newMetrics(o.Registerer, h.Running, h.waiting.len)
 	return h
 }
 
@@ -160,8 +162,11 @@
 }
 
 // BeginShutdown starts the graceful shutdown. From now on every response closes its connection,
-// so that callers move to other daemons.
-func (h *Handler) BeginShutdown(s ShutdownSchedule) { h.shutdown.Store(&s) }
+// so that callers move to other daemons. Prompts that wait for room are refused.
+func (h *Handler) BeginShutdown(s ShutdownSchedule) {
+	h.shutdown.Store(&s)
+	h.waiting.beginShutdown()
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -26,6 +26,8 @@
 	overloadRefusals  *prometheus.CounterVec
 	headroomDenials   *prometheus.CounterVec
 	inFlight          prometheus.GaugeFunc
+	promptsWaiting    prometheus.GaugeFunc
+	promptWaitSeconds *prometheus.HistogramVec
 
 	unreadableMessages prometheus.Counter
 
@@ -42,7 +44,7 @@
 	refills               *prometheus.CounterVec
 }
 
-func newMetrics(r prometheus.Registerer, running func() int) *metrics {
+func newMetrics(r prometheus.Registerer, running, waiting func() int) *metrics {
 	name := func(n, help string) prometheus.Opts {
 		return prometheus.Opts{Namespace: metric.Namespace, Subsystem: "forward", Name: n, Help: help}
 	}
@@ -75,11 +77,14 @@
 		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, for good or for a time, by notice."), []string{"notice"}),
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
+		promptsWaiting: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("prompts_waiting", "Prompts that wait in this daemon for room at an engine.")),
+			func() float64 { return float64(waiting()) }),
+		promptWaitSeconds: prometheus.NewHistogramVec(histogram("prompt_wait_seconds", "Time that prompts waited for room at an engine, by how the wait ended."), []string{"end"}),
 	}
 	m.ordinaryRetriesDenied = prometheus.NewCounter(counter("ordinary_repeats_denied_total", "Sends of less urgent requests that were denied because the shared budget of repeats is used up, or what is left of it kept for urgent requests and for answers that callers hold in part."))
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
-	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills)
+	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds)
 	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -35,17 +35,21 @@
 // gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying.
 func (r *relay) place(ctx context.Context, view *feed.View) (sampledEngine, bool) {
 	var others workloads
+	r.leftToOthers = false
 	if view.Config.Engine(r.service) != nil {
 		var everyDaemon bool
 		others, everyDaemon = r.h.peers.totalWork(ctx, view, r.service)
 		complete := everyDaemon
 		if !everyDaemon {
-			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey)
+			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey, nil)
 		}
 		if complete {
 			if c, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon); ok {
 				return c, true
 			}
+			if r.leftToOthers = r.mayWait(view) && others.isAwaited(); r.leftToOthers {
+				return sampledEngine{}, false
+			}
 		}
 	}
 	c, ok := r.placeByReports(ctx, view, others)
@@ -59,6 +63,9 @@
 // limits the choice to the engines in others.
 func (r *relay) placeByFleetWork(ctx context.Context, view *feed.View, others workloads, onlyKnown bool) (sampledEngine, bool) {
 	excluded := slices.Clone(r.excluded)
+	if r.mayWait(view) {
+		excluded = append(excluded, others.awaited()...)
+	}
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	for range maxSampleRounds {
