decision/pace, serve/forward: prompts, copies and silence follow the pace of each engine

On a service with engines of three speeds, placement counted prompts and runs but did not know the pace of an engine, and answers at slow engines were taken over after 350 ms of silence although a pause of that length is usual there while another prompt is prefilled (docs/design/103).

Each daemon now measures the interval between the events of each segment and adds a low quantile of it to its next note. The tracking daemon of an engine returns the fastest of the recent samples.

--- /dev/null
+++ b/decision/pace/pace.go
@@ -0,0 +1,167 @@
+// Package pace estimates how fast each engine of a service decodes, and whether the engines differ
+// so much that the choice of an engine has to take its pace into account.
+//
+// Load pattern: the engines of one service are of several speeds, and some of them run several times
+// slower for half a second at a time. Answers are decoded in one batch with the prefill of other
+// prompts, so that events come several times further apart while a prompt is prefilled.
+//
+// Without it, a prompt goes to the engine with the fewest prompts, also if that engine takes three
+// times as long for one. The answers running at a slow engine pause during each prefill for longer
+// than the time after which a silent engine counts as failed. They are taken over although nothing
+// has failed, and each takeover uses probes, a retry and the copy of the run.
+//
+// Decision: each daemon measures the interval between events of the answers it forwards (Meter).
+// The sample of a segment is a low quantile, because prefills and short slowdowns only ever make
+// intervals longer. The tracking daemon of an engine keeps the fastest of the recent samples of all
+// daemons (Table): slow samples reflect load, fast ones the engine. A daemon compares the engines
+// that it knows the pace of (Assess). Only if the slow ones differ clearly from the fast ones do
+// engines rank by pace; otherwise all rank alike, as if nothing had been measured.
+//
+// The package has no clock. All of its state may be lost at any time: an engine of unknown pace
+// counts as average.
+package pace
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MinInterval and MaxInterval bound the intervals that are taken for a pace. Shorter ones come
+	// from events that a stalled link delivers together; an engine that decodes more slowly than
+	// MaxInterval can't keep any usual gap target.
+	MinInterval = time.Millisecond
+	MaxInterval = 2 * time.Second
+	// windowSize is the number of intervals from which a sample is taken: half of a usual answer.
+	windowSize = 64
+	// minIntervalCount is the number of intervals in the first sample of a segment. It takes about
+	// a second to decode them, which is longer than a short slowdown.
+	minIntervalCount = 32
+	// sampleStride is the number of further intervals after which another sample is taken.
+	sampleStride = 16
+	// quantileRank is the rank of the sample in a full window, counted from the fastest: a quarter.
+	// Up to a quarter of the events may arrive together after a stall of the link, and up to three
+	// quarters may be delayed by prefills, without an effect on the sample.
+	quantileRank = windowSize / 4
+	// sampleWindow is the time over which Table takes the fastest sample. A sample counts for one
+	// to two windows. Answers take several seconds, so a window has samples of several.
+	sampleWindow = 15 * time.Second
+	// maxSampleAge is the age above which a reported sample is ignored.
+	maxSampleAge = 2 * sampleWindow
+)
+
+// IsValid reports whether an interval between events may be that of an engine.
+func IsValid(interval time.Duration) bool { return MinInterval <= interval && interval <= MaxInterval }
+
+// Meter measures the interval between the events of one segment of an answer. The zero value is
+// ready for use. It is not safe for concurrent use.
+type Meter struct {
+	last      time.Duration // time of the last event
+	events    int
+	intervals [windowSize]uint32 // in microseconds, a ring
+}
+
+// Observe records the arrival of an event at a time since some fixed moment. It returns a sample of
+// the interval between events while the engine decodes undisturbed; ok is false if there is no new
+// one.
+func (m *Meter) Observe(at time.Duration) (sample time.Duration, ok bool) {
+	if m.events > 0 {
+		m.intervals[(m.events-1)%windowSize] = uint32(min(max(at-m.last, 0), MaxInterval).Microseconds())
+	}
+	m.last = at
+	m.events++
+	count := m.events - 1
+	if count < minIntervalCount || (count-minIntervalCount)%sampleStride != 0 {
+		return 0, false
+	}
+	sample = m.quantile(min(count, windowSize))
+	return sample, IsValid(sample)
+}
+
+// quantile returns the low quantile of the last count intervals.
+func (m *Meter) quantile(count int) time.Duration {
+	sorted := m.intervals
+	slices.Sort(sorted[:count])
+	return time.Duration(sorted[count*quantileRank/windowSize]) * time.Microsecond
+}
+
+// window is the fastest of the samples of one interval of time.
+type window struct {
+	index    int64 // number of the interval since the epoch of the clock
+	fastest  time.Duration
+	previous time.Duration // fastest of the interval before; 0 if there is none
+}
+
+// at returns the window as of a later interval of time.
+func (w window) at(index int64) window {
+	switch index - w.index {
+	case 0:
+		return w
+	case 1:
+		return window{index: index, previous: w.fastest}
+	}
+	if index < w.index {
+		return w // the clock was set back
+	}
+	return window{index: index}
+}
+
+// Table keeps the fastest of the recent samples of each engine. K identifies an incarnation of an
+// engine. The zero value is empty. It is not safe for concurrent use.
+type Table[K comparable] struct {
+	engines map[K]window
+	swept   int64 // the interval of time in which expired engines were last removed
+}
+
+// Observe records a sample taken some time ago, and reports whether it counts. Invalid and expired
+// ones don't.
+func (t *Table[K]) Observe(now time.Time, engine K, interval, age time.Duration) bool {
+	if !IsValid(interval) || age >= maxSampleAge {
+		return false
+	}
+	if t.engines == nil {
+		t.engines = map[K]window{}
+	}
+	t.sweep(windowIndex(now))
+	w := t.engines[engine].at(windowIndex(now))
+	switch taken := windowIndex(now.Add(-max(age, 0))); w.index - taken {
+	case 0:
+		w.fastest = faster(w.fastest, interval)
+	case 1:
+		w.previous = faster(w.previous, interval)
+	default:
+		return false
+	}
+	t.engines[engine] = w
+	return true
+}
+
+// Interval returns the estimated interval between events of an engine that decodes undisturbed; 0 if
+// there is no recent sample.
+func (t *Table[K]) Interval(now time.Time, engine K) time.Duration {
+	w := t.engines[engine].at(windowIndex(now))
+	return faster(w.fastest, w.previous)
+}
+
+// sweep removes the engines without a recent sample, once in each interval of time.
+func (t *Table[K]) sweep(index int64) {
+	if t.swept == index {
+		return
+	}
+	t.swept = index
+	for engine, w := range t.engines {
+		if index-w.index > 1 {
+			delete(t.engines, engine)
+		}
+	}
+}
+
+func windowIndex(now time.Time) int64 { return now.UnixNano() / int64(sampleWindow) }
+
+// faster returns the smaller of two intervals, of which 0 stands for an unknown one.
+func faster(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -21,9 +21,17 @@
 // then comes first, preferred or not. In a larger fleet, the daemon queries the trackers of the
 // prompt's candidate engines instead (Tracker, PlacementCandidates). If too few trackers answer, it
 // falls back to the reports of the first few engines.
+//
+// Where the engines of a service are observed to differ in speed (package pace), Engine.Pace and
+// Report.Pace are set. The order is then by the expected time to the first event, counted in prompts
+// of an average engine (queueTime), and by the delay of the answers at the engine (delay): a short
+// queue at a fast engine comes before an idle slow one. Both are rounded to whole prompts, so that
+// many engines are equal and daemons that choose at the same instant choose different ones. Where
+// Pace is 0, nothing of this applies.
 package prompts
 
 import (
+	"math"
 	"slices"
 
 	"mallowwind.dev/decision/route"
@@ -42,6 +50,13 @@
 	Suspect bool
 	// Excluded engines are not chosen.
 	Excluded bool
+	// Pace is the time that the engine takes relative to an average one, 1 if that is unknown, 0
+	// where engines are not observed to differ.
+	Pace float64
+	// Untested marks an engine of unknown pace where engines differ. It gets one prompt at a time.
+	Untested bool
+	// Slow marks an engine that is clearly slower than average.
+	Slow bool
 }
 
 // Reason says why an engine was chosen.
@@ -65,7 +80,9 @@
 // rank orders engines; smaller is better, and the first field that differs decides.
 type rank struct {
 	suspect        bool
-	prefilling     int
+	queued         bool // behind a prompt at an engine that gets one at a time
+	slow           bool // matters for copies only
+	prefilling     int  // prompts at an average engine that take as long; one less than queueTime
 	delayedAnswers int // answers that a prefill would delay; 0 unless those of all daemons are known
 	notPreferred   bool
 	load           int
@@ -76,6 +93,10 @@
 	switch {
 	case a.suspect != b.suspect:
 		return !a.suspect
+	case a.queued != b.queued:
+		return !a.queued
+	case a.slow != b.slow:
+		return !a.slow
 	case a.prefilling != b.prefilling:
 		return a.prefilling < b.prefilling
 	case a.delayedAnswers != b.delayedAnswers:
@@ -109,15 +130,43 @@
 		if complete {
 			r.delayedAnswers = e.Running
 		}
+		if e.Pace > 0 {
+			r.applyPace(e, complete)
+		}
 		best = insert(best, n, rankedEngine{index: i, rank: r})
 	}
 	choices := make([]Choice, len(best))
 	for i, r := range best {
-		choices[i] = Choice{Index: r.index, Reason: reason(r.rank, complete)}
+		choices[i] = Choice{Index: r.index, Reason: reason(engines[r.index], complete)}
 	}
 	return choices
 }
 
+// applyPace ranks an engine by its pace.
+func (a *rank) applyPace(e Engine, complete bool) {
+	a.queued = e.Untested && e.Prefilling > 0
+	a.prefilling = queueTime(e.Pace, e.Slow, e.Prefilling, e.Running) - 1
+	if complete {
+		a.delayedAnswers = delay(e.Pace, e.Prefilling+e.Running)
+	}
+}
+
+// queueTime returns how long the first event of a prompt takes behind so many pending ones, in whole
+// prompts of an average engine, rounded. A prefill at a slow engine that runs answers counts one
+// prompt more: their events come so far apart meanwhile that they may miss the gap target of their
+// route, which is worse than a first event that comes one prefill later.
+func queueTime(pace float64, slow bool, pending, running int) int {
+	prompts := int(math.Round(pace * float64(pending+1)))
+	if slow && running > 0 {
+		prompts++
+	}
+	return max(prompts, 1)
+}
+
+// delay returns how much a prefill delays the answers at an engine, those of pending prompts and of
+// this one included, in whole answers of an average engine, rounded.
+func delay(pace float64, answers int) int { return int(math.Round(pace * float64(answers+1))) }
+
 // insert adds r to the sorted list of the n best engines.
 func insert(best []rankedEngine, n int, r rankedEngine) []rankedEngine {
 	at, _ := slices.BinarySearchFunc(best, r, func(a, b rankedEngine) int {
@@ -133,15 +182,15 @@
 	return best[:min(len(best), n)]
 }
 
-func reason(r rank, complete bool) Reason {
+func reason(e Engine, complete bool) Reason {
 	switch {
-	case r.suspect:
+	case e.Suspect:
 		return ReasonSuspect
-	case r.prefilling > 0:
+	case e.Prefilling > 0:
 		return ReasonBusy
 	case complete:
 		return ReasonKnown
-	case r.notPreferred:
+	case !e.Preferred:
 		return ReasonSpill
 	}
 	return ReasonPreferred
@@ -149,8 +198,8 @@
 
 // ChooseCopyEngine returns the index of the engine that keeps the copy of a run in the given zone,
 // -1 if there is none. Engines in other zones come first, because all engines of a zone may fail
-// together, then engines without a prefill, because an answer resumed there would stall between the
-// prefill chunks.
+// together, then engines that are not slow, because the answer continues there, then engines without
+// a prefill, because an answer resumed there would stall between the prefill chunks.
 func ChooseCopyEngine(engines []Engine, zone string, seed uint64) int {
 	best, at, bestInZone := rank{}, -1, false
 	for i, e := range engines {
@@ -158,7 +207,7 @@
 			continue
 		}
 		inZone := e.Zone == zone
-		r := rank{prefilling: e.Prefilling, notPreferred: !e.Preferred, load: e.Copies + e.Running, tieBreak: route.Mix(seed + uint64(i))}
+		r := rank{slow: e.Slow, prefilling: e.Prefilling, notPreferred: !e.Preferred, load: e.Copies + e.Running, tieBreak: route.Mix(seed + uint64(i))}
 		better := at < 0 || inZone != bestInZone && !inZone || inZone == bestInZone && r.before(best)
 		if better {
 			best, at, bestInZone = r, i, inZone
@@ -176,6 +225,9 @@
 	// UsedTokens is the number of tokens in memory that the engine can't evict, CapacityTokens the
 	// number that fits in memory, or 0 if the engine doesn't report it.
 	UsedTokens, CapacityTokens int
+	// Pace and Slow are those of Engine. They are not part of what the engine reports.
+	Pace float64
+	Slow bool
 }
 
 // maxFillRatio is the share of an engine's memory above which it gets no copy, and no prompt while
@@ -189,8 +241,14 @@
 	return r.CapacityTokens == 0 || float64(r.UsedTokens+tokens) <= maxFillRatio*float64(r.CapacityTokens)
 }
 
-// CanPrefillNow reports whether the prefill of a prompt with so many tokens would start at once.
-func (r Report) CanPrefillNow(tokens int) bool { return r.PendingPrompts == 0 && r.HasCapacity(tokens) }
+// CanPrefillNow reports whether the prefill of a prompt with so many tokens would start at once, or,
+// behind other prompts at a fast engine, end about as early as at an idle average one.
+func (r Report) CanPrefillNow(tokens int) bool {
+	return (r.PendingPrompts == 0 || r.Pace > 0 && r.queueTime() == 1) && r.HasCapacity(tokens)
+}
+
+// queueTime returns queueTime of the engine that sent the report.
+func (r Report) queueTime() int { return queueTime(r.Pace, r.Slow, r.PendingPrompts, r.Running) }
 
 // LeastLoaded returns the index of the report of the best engine for a prompt, -1 without reports.
 // Engines with capacity come first, then those with the fewest pending prompts, then those where the
@@ -210,8 +268,19 @@
 	if hasCapacity := r.HasCapacity(tokens); hasCapacity != other.HasCapacity(tokens) {
 		return hasCapacity
 	}
+	if r.Pace > 0 && other.Pace > 0 {
+		return r.beforeByPace(other)
+	}
 	if r.PendingPrompts != other.PendingPrompts {
 		return r.PendingPrompts < other.PendingPrompts
 	}
 	return r.Running < other.Running
 }
+
+// beforeByPace compares two engines of different speed.
+func (r Report) beforeByPace(other Report) bool {
+	if a, b := r.queueTime(), other.queueTime(); a != b {
+		return a < b
+	}
+	return delay(r.Pace, r.PendingPrompts+r.Running) < delay(other.Pace, other.PendingPrompts+other.Running)
+}
--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -27,6 +27,9 @@
 	// SilenceWithoutCopy is the same without a copy, and the greatest value with one. Without a
 	// copy, resuming means processing the whole prompt again, so the response is late in any case.
 	SilenceWithoutCopy = 1500 * time.Millisecond
+	// ResumeTime is the part of a gap target that is left for resuming from a copy: a probe, the
+	// request, and one step of a batch that also processes a prompt.
+	ResumeTime = 200 * time.Millisecond
 	// RetryInterval is the time to the next attempt after a takeover that failed.
 	RetryInterval = 200 * time.Millisecond
 	// GiveUpAfter is how long a response may be silent before it is given up for lack of retry
@@ -53,6 +56,25 @@
 	return max(SilenceWithoutCopy, 2*gapTarget)
 }
 
+// MaxSilenceAt is MaxSilence at a server of known pace. usualPause is the longest pause between two
+// events that is usual there, 0 if the server is not slower than others. A usual pause is no sign of
+// a failure, so the silence is that long, but resuming from the copy must still fit into the gap
+// target.
+//
+// Without it, responses of slow servers are taken over while these process prompts. Most takeovers
+// are cancelled because the server sends again, and the others use up the copy and a retry.
+func MaxSilenceAt(hasCopy bool, gapTarget, usualPause time.Duration) time.Duration {
+	silence := MaxSilence(hasCopy, gapTarget)
+	if !hasCopy {
+		return silence // longer than a usual pause
+	}
+	limit := SilenceWithoutCopy
+	if gapTarget > 0 {
+		limit = min(limit, gapTarget-ResumeTime)
+	}
+	return max(silence, min(usualPause, limit))
+}
+
 // Outcome is the result of an attempt to continue on another server.
 type Outcome uint8
 
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/decision/pace"
 	"mallowwind.dev/serve/versions"
 )
 
@@ -34,6 +35,7 @@
 	replicator     *replicator
 	trial, pace    *versions.Trial // of the server's version; nil where versions are not compared
 	eventCount     int             // events received in this attempt
+	meter          pace.Meter      // of the interval between them
 	timesFoundLost int             // times that the engine reported events and none had arrived
 	// copyUsed is set once a server was asked to resume from the incremental copy. The copy is
 	// consumed by that, whether or not the response continued there.
--- a/serve/forward/engines.go
+++ b/serve/forward/engines.go
@@ -21,6 +21,9 @@
 			Suspect: load.isSuspect(now), Excluded: slices.Contains(exclude, s.Incarnation()),
 		}
 	}
+	if p.paces != nil {
+		p.paces.rate(now, l, engines)
+	}
 	return engines
 }
 
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -88,6 +88,7 @@
 	pool           *pool
 	pressure       *pressure
 	workTracker    *workTracker
+	paces          *enginePaces
 	locator        *locator
 	borrower       *retryBorrower
 	peers          *peerClient
@@ -118,7 +119,8 @@
 	h.versions.SetReachabilityCheck(h.acceptsAny)
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
-	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
+	h.paces = newEnginePaces(o.Log)
+	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle, h.pool.paces = h.workTracker.workChanged, h.limits, h.brittle, h.paces
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.metrics = newMetrics(o.Registerer, h.Running)
 	return h
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -35,6 +35,8 @@
 	serverNotices  *prometheus.CounterVec
 
 	cacheBytes prometheus.Counter
+
+	pacedPlacements *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer, running func() int) *metrics {
@@ -62,6 +64,7 @@
 		overloadRefusals:   prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
 		unreadableMessages: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
 		cacheBytes:         prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
+		pacedPlacements:    prometheus.NewCounterVec(counter("paced_placements_total", "Prompts placed where the engines of the service differ in speed, by the pace of the engine."), []string{"pace"}),
 		poisonMarks:        prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
 		poisonRefusals:     prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
 		limitChanges:       prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
@@ -70,7 +73,7 @@
 		inFlight: prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("in_flight", "Requests in progress.")),
 			func() float64 { return float64(running()) }),
 	}
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes, m.pacedPlacements)
 	return m
 }
 
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -42,12 +42,16 @@
 		}
 		if complete {
 			if c, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon); ok {
+				r.countPlacement(c.choice)
 				return c, true
 			}
 		}
 	}
 	c, ok := r.placeByReports(ctx, view)
 	r.h.pool.addLoad(c.choice, 1, 0, 0)
+	if ok {
+		r.countPlacement(c.choice)
+	}
 	return c, ok
 }
 
@@ -141,6 +145,7 @@
 			}
 			load := report.loadReport()
 			load.PendingPrompts = max(load.PendingPrompts, q.h.pool.prefillCount(c)-counted) // a report lags
+			q.h.paces.rateReport(time.Now(), c.server, &load)
 			sampled[i] = &sampledEngine{choice: c, report: load, answered: true}
 		})
 	}
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -61,6 +61,7 @@
 	onWorkChanged func(routing.Server)
 	limits        *serverLimits    // rate limits and pauses of servers; nil in tests of the pool alone
 	brittle       *brittleServices // nil in tests of the pool alone
+	paces         *enginePaces     // nil in tests of the pool alone
 	freed         chan struct{}    // closed at the next end of a call; nil if nobody waits for one
 	// versions decides which servers may serve; snapshot is its last state applied.
 	versions *versions.Manager
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -91,6 +91,7 @@
 	}
 	a.markPrefilled()
 	a.recordNextEvent()
+	a.measurePace()
 	r.heldCopy = a.runCopy()
 	if err := r.forwardEvent(a.response, s.event); err != nil {
 		return segmentAborted, err, true
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -24,7 +24,7 @@
 	if !r.in.route.Resumable {
 		return time.Until(r.in.deadline)
 	}
-	return takeover.MaxSilence(a.hasCopy(), r.in.route.GapTarget)
+	return takeover.MaxSilenceAt(a.hasCopy(), r.in.route.GapTarget, r.h.paces.usualPause(time.Now(), a.target.server))
 }
 
 // tryTakeOver tries to continue the response of a stalled attempt at another server, and reports
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -81,19 +81,21 @@
 	report.Incarnation, report.Sequence = t.boot, t.sequence
 	t.mu.Unlock()
 	self := t.h.opts.Self.ID
+	work := &peerpb.ServerWork{
+		Id: s.ID, Born: s.StartedAtMS, Reading: int32(report.Prefilling), Running: int32(report.Running),
+		SuspectMs: report.SuspectFor.Milliseconds(),
+	}
+	t.h.paces.addSample(time.Now(), s, work)
 	if vms[i].ID == self {
 		t.record(s.Incarnation(), self, report)
+		t.h.paces.recordNote(time.Now(), s.Incarnation(), work)
 		return
 	}
 	if len(t.h.peers.responsive(time.Now(), vms[i:i+1])) == 0 {
 		return
 	}
 	t.h.peers.sendReport(context.Background(), vms[i], &peerpb.NoteRequest{
-		Daemon: self, Boot: report.Incarnation, Sequence: report.Sequence,
-		Work: &peerpb.ServerWork{
-			Id: s.ID, Born: s.StartedAtMS, Reading: int32(report.Prefilling), Running: int32(report.Running),
-			SuspectMs: report.SuspectFor.Milliseconds(),
-		},
+		Daemon: self, Boot: report.Incarnation, Sequence: report.Sequence, Work: work,
 	})
 }
 
@@ -134,7 +136,7 @@
 	sum = workloads{}
 	for i, incarnations := range queries {
 		wg.Go(func() {
-			work := t.query(ctx, vms[i], incarnations)
+			work := t.query(ctx, vms[i], service, incarnations)
 			mu.Lock()
 			defer mu.Unlock()
 			for incarnation, w := range work {
@@ -147,12 +149,13 @@
 }
 
 // query asks one tracking daemon, which may be this daemon. It returns nil if that daemon does not
-// answer.
-func (t *workTracker) query(ctx context.Context, vm routing.VM, incarnations []routing.Incarnation) workloads {
+// answer. The paces in the reply are recorded.
+func (t *workTracker) query(ctx context.Context, vm routing.VM, service string, incarnations []routing.Incarnation) workloads {
 	self, work := t.h.opts.Self.ID, workloads{}
 	if vm.ID == self {
 		for _, incarnation := range incarnations {
 			work[incarnation] = workloadOf(t.tracked(incarnation, self))
+			t.h.paces.learn(time.Now(), service, incarnation, t.h.paces.trackedInterval(time.Now(), incarnation))
 		}
 		return work
 	}
@@ -168,7 +171,11 @@
 		return nil
 	}
 	for _, s := range reply.GetServers() {
-		work[routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}] = workloadOf(prompts.LoadSum{
+		incarnation := routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}
+		if interval, ok := noteDuration(s.GetEventUs(), time.Microsecond); ok {
+			t.h.paces.learn(time.Now(), service, incarnation, interval)
+		}
+		work[incarnation] = workloadOf(prompts.LoadSum{
 			Prefilling: int(max(s.GetReading(), 0)), Running: int(max(s.GetRunning(), 0)), SuspectedBy: int(max(s.GetSuspects(), 0)),
 		})
 	}
@@ -182,7 +189,9 @@
 // Note implements peerpb.Work.
 func (t workService) Note(_ context.Context, q *peerpb.NoteRequest) (*peerpb.NoteReply, error) {
 	w := q.GetWork()
-	t.h.workTracker.record(routing.Incarnation{ID: w.GetId(), StartedAtMS: w.GetBorn()}, q.GetDaemon(), prompts.DaemonLoad{
+	incarnation := routing.Incarnation{ID: w.GetId(), StartedAtMS: w.GetBorn()}
+	t.h.paces.recordNote(time.Now(), incarnation, w)
+	t.h.workTracker.record(incarnation, q.GetDaemon(), prompts.DaemonLoad{
 		Incarnation: q.GetBoot(), Sequence: q.GetSequence(),
 		Prefilling: int(max(w.GetReading(), 0)), Running: int(max(w.GetRunning(), 0)),
 		SuspectFor: time.Duration(w.GetSuspectMs()) * time.Millisecond,
@@ -198,6 +207,7 @@
 		n := t.h.workTracker.tracked(incarnation, q.GetDaemon())
 		reply.Servers = append(reply.Servers, &peerpb.ServerWork{
 			Id: incarnation.ID, Born: incarnation.StartedAtMS, Reading: int32(n.Prefilling), Running: int32(n.Running), Suspects: int32(n.SuspectedBy),
+			EventUs: t.h.paces.trackedInterval(time.Now(), incarnation).Microseconds(),
 		})
 	}
 	return reply, nil
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -74,6 +74,8 @@
 		"A backend server stated in a response that it fails if it has to reject more than limit requests in a second, which holds for all servers of its service, or no longer states so. While stated is set, daemons divide the slots of each server and let requests wait.", "service", "backend", "stated", "limit")
 	ServerBrittleUnreadable = define(273, "server_brittle_unreadable", logrus.ErrorLevel,
 		"A backend server states that it is brittle with a number that cannot be parsed; it counts as 0.", "backend", "error")
+	EnginesUneven = define(274, "engines_uneven", logrus.InfoLevel,
+		"The engines of a service were found to differ in speed, so that prompts are placed by the pace of each engine, or no longer. known is the number of engines of known pace; fast, average and slow are the intervals between events at engines of these paces.", "service", "uneven", "known", "fast", "average", "slow")
 	RolloutOrdered = define(245, "rollout_ordered", logrus.InfoLevel,
 		"An operator ordered the rollout of a service from one version of its servers to another.", "service", "base", "target", "order", "period")
 	RolloutStage = define(246, "rollout_stage", logrus.InfoLevel,
