decision/pace: tests under load; uneven only once confirmed

A simulation of thirty engines of one speed near saturation found them uneven for some seconds: an engine that prefills prompts all the time gives samples of 52 to 180 ms instead of 30 ms. Samples whose lower quantiles are far apart are now dropped, a fifth of the known engines is left out at each end of the comparison, and engines must be found to differ for 15 s. Intervals are averaged over four events, so that events that a busy link delivers in pairs don't look like those of a fast engine.

--- a/decision/pace/fleet.go
+++ b/decision/pace/fleet.go
@@ -10,13 +10,17 @@
 	minKnownEngines = 8
 	// trimDivisor is the inverse of the share of the known engines left out at each end of the
 	// comparison, which is at least one engine, so that a single odd one makes no service uneven.
-	trimDivisor = 8
+	trimDivisor = 5
 	// unevenRatio is the ratio of the intervals of slow and of fast engines above which the engines
 	// of a service are uneven. Engines of one kind differ by up to a third.
 	unevenRatio = 1.6
 	// evenRatio is the ratio below which uneven engines count as even again. It is smaller, so that
 	// the result doesn't alternate from one prompt to the next.
 	evenRatio = 1.45
+	// confirmTime is how long engines must be found to differ before they count as uneven: the time
+	// in which each gets new samples. While all engines prefill prompts most of the time, some have
+	// no undisturbed sample for several seconds.
+	confirmTime = sampleWindow
 	// slowRatio is the pace relative to the average from which an engine is slow: beyond the
 	// variation among engines of one kind.
 	slowRatio = 1.3
@@ -40,11 +44,14 @@
 	// events of the fast engines, the median one and the slow ones; 0 with too few known engines.
 	Known               int
 	Fast, Average, Slow time.Duration
+	// differsSince is the first of the assessments in a row that found the engines to differ; zero if
+	// the last one did not.
+	differsSince time.Time
 }
 
 // Assess compares the known intervals between events of the engines of a service. previous is the
 // result before. intervals is sorted in place.
-func Assess(previous Fleet, intervals []time.Duration) Fleet {
+func Assess(previous Fleet, now time.Time, intervals []time.Duration) Fleet {
 	f := Fleet{Known: len(intervals)}
 	if len(intervals) < minKnownEngines {
 		return f
@@ -56,7 +63,13 @@
 	if previous.Uneven {
 		ratio = evenRatio
 	}
-	f.Uneven = float64(f.Slow) >= ratio*float64(f.Fast)
+	if float64(f.Slow) < ratio*float64(f.Fast) {
+		return f
+	}
+	if f.differsSince = previous.differsSince; f.differsSince.IsZero() {
+		f.differsSince = now
+	}
+	f.Uneven = now.Sub(f.differsSince) >= confirmTime
 	return f
 }
 
--- a/decision/pace/pace.go
+++ b/decision/pace/pace.go
@@ -32,6 +32,9 @@
 	// MaxInterval can't keep any usual gap target.
 	MinInterval = time.Millisecond
 	MaxInterval = 2 * time.Second
+	// spanEvents is the number of events over which an interval is averaged. Events that arrive in
+	// pairs, because the link is busy, don't look like those of a fast engine then.
+	spanEvents = 4
 	// windowSize is the number of intervals from which a sample is taken: half of a usual answer.
 	windowSize = 64
 	// minIntervalCount is the number of intervals in the first sample of a segment. It takes about
@@ -39,10 +42,15 @@
 	minIntervalCount = 32
 	// sampleStride is the number of further intervals after which another sample is taken.
 	sampleStride = 16
-	// quantileRank is the rank of the sample in a full window, counted from the fastest: a quarter.
-	// Up to a quarter of the events may arrive together after a stall of the link, and up to three
-	// quarters may be delayed by prefills, without an effect on the sample.
-	quantileRank = windowSize / 4
+	// quantileDivisor is the inverse of the quantile that is the sample: up to seven eighths of the
+	// intervals may be longer because of prefills.
+	quantileDivisor = 8
+	// checkDivisor is the inverse of a lower quantile, and maxSpread how much larger the sample may
+	// be. The intervals of an undisturbed engine are close together. A greater spread comes from
+	// events that a stalled link delivered together, or from an engine that prefilled prompts almost
+	// all the time.
+	checkDivisor = 16
+	maxSpread    = 1.25
 	// sampleWindow is the time over which Table takes the fastest sample. A sample counts for one
 	// to two windows. Answers take several seconds, so a window has samples of several.
 	sampleWindow = 15 * time.Second
@@ -56,33 +64,36 @@
 // Meter measures the interval between the events of one segment of an answer. The zero value is
 // ready for use. It is not safe for concurrent use.
 type Meter struct {
-	last      time.Duration // time of the last event
 	events    int
-	intervals [windowSize]uint32 // in microseconds, a ring
+	last      [spanEvents]time.Duration // times of the last events, a ring
+	intervals [windowSize]uint32        // in microseconds, a ring
 }
 
 // Observe records the arrival of an event at a time since some fixed moment. It returns a sample of
 // the interval between events while the engine decodes undisturbed; ok is false if there is no new
 // one.
 func (m *Meter) Observe(at time.Duration) (sample time.Duration, ok bool) {
-	if m.events > 0 {
-		m.intervals[(m.events-1)%windowSize] = uint32(min(max(at-m.last, 0), MaxInterval).Microseconds())
+	earlier := &m.last[m.events%spanEvents]
+	count := m.events - spanEvents + 1 // of intervals, with this one
+	if count > 0 {
+		interval := (at - *earlier) / spanEvents
+		m.intervals[(count-1)%windowSize] = uint32(min(max(interval, 0), MaxInterval).Microseconds())
 	}
-	m.last = at
+	*earlier = at
 	m.events++
-	count := m.events - 1
 	if count < minIntervalCount || (count-minIntervalCount)%sampleStride != 0 {
 		return 0, false
 	}
-	sample = m.quantile(min(count, windowSize))
-	return sample, IsValid(sample)
+	return m.sample(min(count, windowSize))
 }
 
-// quantile returns the low quantile of the last count intervals.
-func (m *Meter) quantile(count int) time.Duration {
+// sample returns a low quantile of the last count intervals; ok is false if it is disturbed.
+func (m *Meter) sample(count int) (sample time.Duration, ok bool) {
 	sorted := m.intervals
 	slices.Sort(sorted[:count])
-	return time.Duration(sorted[count*quantileRank/windowSize]) * time.Microsecond
+	low, check := sorted[count/quantileDivisor], sorted[count/checkDivisor]
+	sample = time.Duration(low) * time.Microsecond
+	return sample, IsValid(sample) && float64(low) <= maxSpread*float64(check)
 }
 
 // window is the fastest of the samples of one interval of time.
--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -83,7 +83,7 @@
 	queued         bool // behind a prompt at an engine that gets one at a time
 	slow           bool // matters for copies only
 	prefilling     int  // prompts at an average engine that take as long; one less than queueTime
-	delayedAnswers int // answers that a prefill would delay; 0 unless those of all daemons are known
+	delayedAnswers int  // answers that a prefill would delay; 0 unless those of all daemons are known
 	notPreferred   bool
 	load           int
 	tieBreak       uint64
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -122,7 +122,7 @@
 		}
 	}
 	before := s.fleet.Uneven
-	s.fleet, s.assessedAt = pace.Assess(s.fleet, intervals), now
+	s.fleet, s.assessedAt = pace.Assess(s.fleet, now, intervals), now
 	if s.fleet.Uneven == before {
 		return nil
 	}
