--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -25,9 +25,9 @@
 // Where the engines of a service are observed to differ in speed (package pace), Engine.Pace and
 // Report.Pace are set. The order is then by the expected time to the first event, counted in prompts
 // of an average engine (queueTime), and by the delay of the answers at the engine (delay): a short
-// queue at a fast engine comes before an idle slow one. Both are rounded to whole prompts, so that
-// many engines are equal and daemons that choose at the same instant choose different ones. Where
-// Pace is 0, nothing of this applies.
+// queue at a fast engine comes before an idle slow one. Both are rounded, so that many engines are
+// equal and daemons that choose at the same instant choose different ones. Where Pace is 0, nothing
+// of this applies.
 package prompts
 
 import (
@@ -163,9 +163,15 @@
 	return max(prompts, 1)
 }
 
+// delayUnits is the number of units that one answer at an average engine counts for delay: enough to
+// tell an idle fast engine from an idle average one.
+const delayUnits = 2
+
 // delay returns how much a prefill delays the answers at an engine, those of pending prompts and of
-// this one included, in whole answers of an average engine, rounded.
-func delay(pace float64, answers int) int { return int(math.Round(pace * float64(answers+1))) }
+// this one included, rounded.
+func delay(pace float64, answers int) int {
+	return int(math.Round(delayUnits * pace * float64(answers+1)))
+}
 
 // insert adds r to the sorted list of the n best engines.
 func insert(best []rankedEngine, n int, r rankedEngine) []rankedEngine {
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -27,6 +27,31 @@
 	}
 }
 
+// A slow server pauses for longer than others while it processes prompts. Its response must not be
+// taken over for that, but resuming from the copy must still fit into the gap target. Without a usual
+// pause, the silence is that of MaxSilence.
+func TestMaxSilenceAtSlowServer(t *testing.T) {
+	const target = 700 * time.Millisecond
+	for _, c := range []struct {
+		name                string
+		hasCopy             bool
+		target, pause, want time.Duration
+	}{
+		{"usual pause", true, target, 450 * time.Millisecond, 450 * time.Millisecond},
+		{"shorter than the silence", true, target, 300 * time.Millisecond, 350 * time.Millisecond},
+		{"too long for the target", true, target, 2 * time.Second, target - ResumeTime},
+		{"no target", true, 0, time.Second, time.Second},
+		{"no target, long pause", true, 0, 9 * time.Second, SilenceWithoutCopy},
+		{"target too short to resume", true, 100 * time.Millisecond, time.Second, SilenceWithCopy},
+		{"no copy", false, target, 2 * time.Second, SilenceWithoutCopy},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, MaxSilenceAt(c.hasCopy, c.target, c.pause))
+			must.Eq(t, MaxSilence(c.hasCopy, c.target), MaxSilenceAt(c.hasCopy, c.target, 0))
+		})
+	}
+}
+
 // The caller must get one response of one run. The server that sends first keeps the response; a
 // silent server is released only for one that accepted the request.
 func TestDecide(t *testing.T) {
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -154,6 +154,7 @@
 	handle         http.HandlerFunc
 	http           *http.Server
 	cacheRequests  int // number of cache requests
+	probes         int // number of status requests
 }
 
 // dial connects to a fake server by its address.
@@ -189,6 +190,7 @@
 		if s.server.Service == "llm" {
 			s.mu.Lock()
 			defer s.mu.Unlock()
+			s.probes++
 			if s.statusFails {
 				w.WriteHeader(http.StatusInternalServerError)
 				return
@@ -310,6 +312,16 @@
 	return n
 }
 
+// probeCount returns the number of status requests to all servers.
+func (w *testCluster) probeCount() (n int) {
+	for _, s := range w.servers {
+		s.mu.Lock()
+		n += s.probes
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // requestCount returns how many requests the server was asked to run.
 func (s *fakeServer) requestCount() int {
 	s.mu.Lock()
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,21 +14,22 @@
 
 const (
 	// learnedPaceTTL is how long the pace of an engine that a tracking daemon stated counts here. A
-	// daemon of a fleet that shares a hundred engines asks for each of them twice in that time.
+	// daemon of a fleet that shares a hundred engines asks for each of them twice in that time. It is
+	// also how long a sample of this daemon is kept for its notes.
 	learnedPaceTTL = time.Minute
 	// paceAssessInterval is how often the paces of a service's engines are compared.
 	paceAssessInterval = time.Second
 )
 
-// enginePaces knows how fast the engines decode: from the streams of this daemon, from the replies
-// of tracking daemons, and, for the engines that this daemon tracks, from the notes of all daemons.
-// It is safe for concurrent use. Its methods call no others of the handler while they hold the lock.
+// enginePaces knows how fast the engines decode, from the replies of their tracking daemons. It
+// measures the streams of this daemon for its notes, and holds the samples of all daemons of the
+// engines that this daemon tracks. This daemon's own samples count only through the trackers: one
+// daemon has too few to tell a busy engine from a slow one. It is safe for concurrent use. Its methods call no others of the handler while they hold the lock.
 type enginePaces struct {
 	log *event.Log
 
 	mu       sync.Mutex // guards the fields below
 	tracked  pace.Table[routing.Incarnation]
-	own      pace.Table[routing.Incarnation]
 	services map[string]*servicePaces
 }
 
@@ -45,9 +47,11 @@
 	at       time.Time
 }
 
+func (s paceSample) isExpired(now time.Time) bool { return now.Sub(s.at) >= learnedPaceTTL }
+
 // learnedPace is a paceSample received from a tracking daemon. interval is 0 if that daemon does not
 // know the pace.
-type learnedPace paceSample
+type learnedPace struct{ paceSample }
 
 func newEnginePaces(log *event.Log) *enginePaces {
 	return &enginePaces{log: log, services: map[string]*servicePaces{}}
@@ -64,19 +68,17 @@
 }
 
 // recordSample records the interval between events of a stream of this daemon. It reports whether
-// the tracking daemon of the engine did not know its pace when it was last asked.
+// this is its first sample of the engine and the tracking daemon did not know the pace either.
 func (p *enginePaces) recordSample(now time.Time, s routing.Server, interval time.Duration) (isNews bool) {
 	p.mu.Lock()
 	state, life := p.service(s.Service), s.Incarnation()
-	if p.own.Observe(now, life, interval, 0) {
-		state.samples[life] = paceSample{interval: interval, at: now}
-		learned, asked := state.learned[life]
-		isNews = asked && learned.interval == 0
-	}
+	_, sampled := state.samples[life]
+	state.samples[life] = paceSample{interval: interval, at: now}
+	learned, asked := state.learned[life]
 	changed := p.assess(now, state)
 	p.mu.Unlock()
 	p.logChange(s.Service, changed)
-	return isNews
+	return !sampled && asked && learned.interval == 0
 }
 
 // learn records what a tracking daemon stated of an engine; interval is 0 if it does not know the
@@ -88,15 +90,13 @@
 	p.mu.Lock()
 	state := p.service(service)
 	if old := state.learned[life]; interval != 0 || old.interval == 0 || old.isExpired(now) {
-		state.learned[life] = learnedPace{interval: interval, at: now}
+		state.learned[life] = learnedPace{paceSample{interval: interval, at: now}}
 	}
 	changed := p.assess(now, state)
 	p.mu.Unlock()
 	p.logChange(service, changed)
 }
 
-func (l learnedPace) isExpired(now time.Time) bool { return now.Sub(l.at) >= learnedPaceTTL }
-
 // assess compares the engines of a service, at most once in paceAssessInterval, and removes what has
 // expired. It returns the result if the engines have become uneven or even. The caller holds p.mu.
 func (p *enginePaces) assess(now time.Time, s *servicePaces) (changed *pace.Fleet) {
@@ -112,15 +112,7 @@
 			intervals = append(intervals, l.interval)
 		}
 	}
-	for life := range s.samples {
-		interval := p.own.Interval(now, life)
-		switch {
-		case interval == 0:
-			delete(s.samples, life)
-		case s.learned[life].interval == 0:
-			intervals = append(intervals, interval)
-		}
-	}
+	maps.DeleteFunc(s.samples, func(_ routing.Incarnation, one paceSample) bool { return one.isExpired(now) })
 	before := s.fleet.Uneven
 	s.fleet, s.assessedAt = pace.Assess(s.fleet, now, intervals), now
 	if s.fleet.Uneven == before {
@@ -147,13 +139,12 @@
 	return s, s.fleet
 }
 
-// interval returns the known interval between events of an engine, 0 if unknown. The caller holds
-// p.mu.
-func (p *enginePaces) interval(now time.Time, s *servicePaces, life routing.Incarnation) time.Duration {
-	if l, ok := s.learned[life]; ok && l.interval != 0 && !l.isExpired(now) {
+// interval returns the known interval between events of an engine, 0 if unknown.
+func (s *servicePaces) interval(now time.Time, life routing.Incarnation) time.Duration {
+	if l := s.learned[life]; !l.isExpired(now) {
 		return l.interval
 	}
-	return p.own.Interval(now, life)
+	return 0
 }
 
 // of returns the comparison of a service's engines and the interval between events of one of them, 0
@@ -165,7 +156,7 @@
 	if !fleet.Uneven {
 		return fleet, 0
 	}
-	return fleet, p.interval(now, s, server.Incarnation())
+	return fleet, s.interval(now, server.Incarnation())
 }
 
 // rate sets the pace of the engines of a server set where they are uneven. It looks only at those of
@@ -183,19 +174,13 @@
 	for i := range engines {
 		engines[i].Pace, engines[i].Untested = fleet.Relative(0), true
 	}
-	rateOne := func(life routing.Incarnation) {
-		i, interval := l.indexOf(life), p.interval(now, s, life)
+	for life := range s.learned {
+		i, interval := l.indexOf(life), s.interval(now, life)
 		if i >= 0 && interval > 0 {
 			engines[i].Pace, engines[i].Untested = fleet.Relative(interval), false
 			engines[i].Slow = fleet.ClassOf(interval) == pace.Slow
 		}
 	}
-	for life := range s.learned {
-		rateOne(life)
-	}
-	for life := range s.samples {
-		rateOne(life)
-	}
 }
 
 // rateReport sets the pace of an engine in its report.
