decision/pace: uneven engines stay uneven, saturated ones are not compared

The tracker now keeps a pace for 60 s without a newer sample, and engines must be alike for 15 s before they count as even.

--- a/decision/pace/fleet.go
+++ b/decision/pace/fleet.go
@@ -17,10 +17,16 @@
 	// evenRatio is the ratio below which uneven engines count as even again. It is smaller, so that
 	// the result doesn't alternate from one prompt to the next.
 	evenRatio = 1.45
-	// confirmTime is how long engines must be found to differ before they count as uneven: the time
-	// in which each gets new samples. While all engines prefill prompts most of the time, some have
+	// confirmTime is how long engines must be found to differ before they count as uneven, or not to
+	// differ before they count as even again: the time in which each gets new samples. While all engines prefill prompts most of the time, some have
 	// no undisturbed sample for several seconds.
 	confirmTime = sampleWindow
+	// saturatedShare is the share of engines with a prompt in prefill above which engines are not
+	// compared. With almost no time between two prefills, samples are those of the prefills.
+	saturatedShare = 0.8
+	// shareWeight is the weight of one query in the average share, which so covers a dozen seconds of
+	// a daemon that places a prompt in several seconds.
+	shareWeight = 0.25
 	// slowRatio is the pace relative to the average from which an engine is slow: beyond the
 	// variation among engines of one kind.
 	slowRatio = 1.3
@@ -44,17 +50,42 @@
 	// events of the fast engines, the median one and the slow ones; 0 with too few known engines.
 	Known               int
 	Fast, Average, Slow time.Duration
-	// differsSince is the first of the assessments in a row that found the engines to differ; zero if
-	// the last one did not.
-	differsSince time.Time
+	// disputedSince is the first of the assessments in a row whose finding is not that of Uneven; zero
+	// if the last one agrees.
+	disputedSince time.Time
 }
 
+// Saturation tells whether the engines of a service prefill prompts almost all the time. The zero value
+// has no observations.
+type Saturation struct {
+	share    float64
+	observed bool
+}
+
+// Observe records how many of the engines that a daemon asked about have a prompt in prefill.
+func (s *Saturation) Observe(busy, asked int) {
+	switch share := float64(busy) / float64(max(asked, 1)); {
+	case asked <= 0:
+	case !s.observed:
+		s.share, s.observed = share, true
+	default:
+		s.share += shareWeight * (share - s.share)
+	}
+}
+
+// IsSaturated reports whether the paces of the engines can't be compared now.
+func (s *Saturation) IsSaturated() bool { return s.share > saturatedShare }
+
 // Assess compares the known intervals between events of the engines of a service. previous is the
-// result before. intervals is sorted in place.
-func Assess(previous Fleet, now time.Time, intervals []time.Duration) Fleet {
-	f := Fleet{Known: len(intervals)}
+// result before, which is kept while the engines are saturated. intervals is sorted in place.
+func Assess(previous Fleet, now time.Time, intervals []time.Duration, saturated bool) Fleet {
+	if saturated {
+		previous.disputedSince = time.Time{}
+		return previous
+	}
+	f := Fleet{Known: len(intervals), Uneven: previous.Uneven}
 	if len(intervals) < minKnownEngines {
-		return f
+		return Fleet{Known: f.Known}
 	}
 	slices.Sort(intervals)
 	trim := max(1, len(intervals)/trimDivisor)
@@ -63,13 +94,15 @@
 	if previous.Uneven {
 		ratio = evenRatio
 	}
-	if float64(f.Slow) < ratio*float64(f.Fast) {
+	if differ := float64(f.Slow) >= ratio*float64(f.Fast); differ == f.Uneven {
 		return f
 	}
-	if f.differsSince = previous.differsSince; f.differsSince.IsZero() {
-		f.differsSince = now
+	if f.disputedSince = previous.disputedSince; f.disputedSince.IsZero() {
+		f.disputedSince = now
+	}
+	if now.Sub(f.disputedSince) >= confirmTime {
+		f.Uneven, f.disputedSince = !f.Uneven, time.Time{}
 	}
-	f.Uneven = now.Sub(f.differsSince) >= confirmTime
 	return f
 }
 
--- a/decision/pace/pace.go
+++ b/decision/pace/pace.go
@@ -14,7 +14,8 @@
 // The sample of a segment is a low quantile, because prefills and short slowdowns only ever make
 // intervals longer. The tracking daemon of an engine keeps the fastest of the recent samples of all
 // daemons (Table): slow samples reflect load, fast ones the engine. A daemon compares the engines
-// that it knows the pace of (Assess). Only if the slow ones differ clearly from the fast ones do
+// that it knows the pace of (Assess), unless they prefill prompts almost all the time, so that no
+// sample is undisturbed (Saturation). Only if the slow ones differ clearly from the fast ones do
 // engines rank by pace; otherwise all rank alike, as if nothing had been measured.
 //
 // The package has no clock. All of its state may be lost at any time: an engine of unknown pace
@@ -51,9 +52,13 @@
 	// all the time.
 	checkDivisor = 16
 	maxSpread    = 1.25
-	// sampleWindow is the time over which Table takes the fastest sample. A sample counts for one
-	// to two windows. Answers take several seconds, so a window has samples of several.
+	// sampleWindow is the time over which Table takes the fastest sample. Answers take several
+	// seconds, so a window has samples of several.
 	sampleWindow = 15 * time.Second
+	// keptWindows is the number of windows for which the pace of an engine without samples is kept.
+	// Slow engines get few prompts. If their paces expired at once, they would count as average, the
+	// service as even, and prompts would return to them until they are measured again.
+	keptWindows = 4
 	// maxSampleAge is the age above which a reported sample is ignored.
 	maxSampleAge = 2 * sampleWindow
 )
@@ -96,28 +101,28 @@
 	return sample, IsValid(sample) && float64(low) <= maxSpread*float64(check)
 }
 
-// window is the fastest of the samples of one interval of time.
+// window is the fastest of the samples of an interval of time.
 type window struct {
-	index    int64 // number of the interval since the epoch of the clock
-	fastest  time.Duration
-	previous time.Duration // fastest of the interval before; 0 if there is none
+	index    int64         // number of the interval since the epoch of the clock
+	fastest  time.Duration // 0 if there is none
+	previous time.Duration // fastest of the last interval before that has samples; 0 if unknown
 }
 
 // at returns the window as of a later interval of time.
 func (w window) at(index int64) window {
-	switch index - w.index {
-	case 0:
+	switch gap := index - w.index; {
+	case gap <= 0: // less than 0 if the clock was set back
 		return w
-	case 1:
-		return window{index: index, previous: w.fastest}
-	}
-	if index < w.index {
-		return w // the clock was set back
+	case gap > keptWindows:
+		return window{index: index}
+	case w.fastest == 0:
+		return window{index: index, previous: w.previous}
 	}
-	return window{index: index}
+	return window{index: index, previous: w.fastest}
 }
 
-// Table keeps the fastest of the recent samples of each engine. K identifies an incarnation of an
+// Table keeps the fastest of the recent samples of each engine: of the current interval of time and the
+// last one before that has samples. K identifies an incarnation of an
 // engine. The zero value is empty. It is not safe for concurrent use.
 type Table[K comparable] struct {
 	engines map[K]window
@@ -161,7 +166,7 @@
 	}
 	t.swept = index
 	for engine, w := range t.engines {
-		if index-w.index > 1 {
+		if index-w.index > keptWindows {
 			delete(t.engines, engine)
 		}
 	}
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -38,6 +38,7 @@
 	samples    map[routing.Incarnation]paceSample  // the last one taken here
 	learned    map[routing.Incarnation]learnedPace // stated by tracking daemons
 	fleet      pace.Fleet
+	saturation pace.Saturation
 	assessedAt time.Time
 }
 
@@ -97,6 +98,19 @@
 	p.logChange(service, changed)
 }
 
+// recordWork records the work of all other daemons at the engines that this daemon asked about.
+func (p *enginePaces) recordWork(service string, work workloads) {
+	busy := 0
+	for _, w := range work {
+		if w.prefilling > 0 {
+			busy++
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.service(service).saturation.Observe(busy, len(work))
+}
+
 // assess compares the engines of a service, at most once in paceAssessInterval, and removes what has
 // expired. It returns the result if the engines have become uneven or even. The caller holds p.mu.
 func (p *enginePaces) assess(now time.Time, s *servicePaces) (changed *pace.Fleet) {
@@ -114,7 +128,7 @@
 	}
 	maps.DeleteFunc(s.samples, func(_ routing.Incarnation, one paceSample) bool { return one.isExpired(now) })
 	before := s.fleet.Uneven
-	s.fleet, s.assessedAt = pace.Assess(s.fleet, now, intervals), now
+	s.fleet, s.assessedAt = pace.Assess(s.fleet, now, intervals, s.saturation.IsSaturated()), now
 	if s.fleet.Uneven == before {
 		return nil
 	}
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -145,6 +145,7 @@
 		})
 	}
 	wg.Wait()
+	t.h.paces.recordWork(service, sum)
 	return sum, len(sum) >= SampleSize
 }
 
