serve/forward: an engine of unknown pace gets one prompt at a time by reports too

Placement by the reports of sampled engines did not know that the pace of an engine is unknown, so several prompts could go to an engine that has just returned where trackers don't answer. The report now carries it. Tests of the event, the metric and the sample in a note.

--- a/decision/prompts/prompts.go
+++ b/decision/prompts/prompts.go
@@ -231,9 +231,9 @@
 	// UsedTokens is the number of tokens in memory that the engine can't evict, CapacityTokens the
 	// number that fits in memory, or 0 if the engine doesn't report it.
 	UsedTokens, CapacityTokens int
-	// Pace and Slow are those of Engine. They are not part of what the engine reports.
-	Pace float64
-	Slow bool
+	// Pace, Untested and Slow are those of Engine. They are not part of what the engine reports.
+	Pace           float64
+	Untested, Slow bool
 }
 
 // maxFillRatio is the share of an engine's memory above which it gets no copy, and no prompt while
@@ -285,6 +285,9 @@
 
 // beforeByPace compares two engines of different speed.
 func (r Report) beforeByPace(other Report) bool {
+	if a, b := r.Untested && r.PendingPrompts > 0, other.Untested && other.PendingPrompts > 0; a != b {
+		return b
+	}
 	if a, b := r.queueTime(), other.queueTime(); a != b {
 		return a < b
 	}
--- a/decision/prompts/prompts_test.go
+++ b/decision/prompts/prompts_test.go
@@ -204,6 +204,15 @@
 	}
 }
 
+// Guards against a crowd at an engine of unknown pace where the counts of other daemons are not known.
+func TestUntestedEngineGetsOnePromptByReports(t *testing.T) {
+	untested, slow := Report{Pace: 1, Untested: true}, Report{Pace: 1.67, Slow: true, PendingPrompts: 1, Running: 2}
+	must.Eq(t, 0, LeastLoaded([]Report{untested, slow}, 8000))
+	untested.PendingPrompts = 1
+	must.Eq(t, 1, LeastLoaded([]Report{untested, slow}, 8000))
+	must.False(t, untested.CanPrefillNow(8000))
+}
+
 // Guards against a copy at a slow engine, but not at the price of the same zone as the run.
 func TestCopyAvoidsSlowEngines(t *testing.T) {
 	slow, busy := Engine{Zone: "b", Slow: true}, Engine{Zone: "c", Prefilling: 1}
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -200,7 +200,8 @@
 // rateReport sets the pace of an engine in its report.
 func (p *enginePaces) rateReport(now time.Time, s routing.Server, r *prompts.Report) {
 	fleet, interval := p.of(now, s)
-	r.Pace, r.Slow = fleet.Relative(interval), fleet.ClassOf(interval) == pace.Slow
+	class := fleet.ClassOf(interval)
+	r.Pace, r.Untested, r.Slow = fleet.Relative(interval), class == pace.Unknown, class == pace.Slow
 }
 
 // usualPause returns the longest pause between events that is usual at a slow engine; 0 at others.
--- a/serve/forward/enginepace_test.go
+++ b/serve/forward/enginepace_test.go
@@ -1,17 +1,21 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
 	"math"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/pace"
@@ -105,6 +109,11 @@
 					must.Eq(t, before[id], w.servers[id].requestCount())
 				}
 				must.LessEq(t, probes, w.probeCount()-start)
+				counted := 0.0
+				for _, class := range []pace.Class{pace.Fast, pace.Average} {
+					counted += testutil.ToFloat64(w.handler.metrics.pacedPlacements.WithLabelValues(string(class)))
+				}
+				must.Eq(t, 12, counted)
 			})
 		})
 	}
@@ -279,6 +288,36 @@
 	})
 }
 
+// Guards against a service that becomes uneven, or even again, without a line in the log.
+func TestUnevenEnginesAreLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	logger := logrus.New()
+	logger.SetOutput(&out)
+	p, now := newEnginePaces(event.New(logger, "vm-1", "a")), time.Unix(1_000_005, 0)
+	for _, repeated := range [][]time.Duration{threePaces, {30 * time.Millisecond}} {
+		for range 40 {
+			for id, interval := range pacesOf(repeated) {
+				p.learn(now, "llm", routing.Incarnation{ID: id}, interval)
+			}
+			now = now.Add(time.Second)
+		}
+		must.Eq(t, 1, strings.Count(out.String(), event.EnginesUneven.Name))
+		out.Reset()
+	}
+}
+
+// Guards against a note to the tracking daemon that names an engine's pace in the wrong unit, or that
+// repeats an old sample as a new one.
+func TestSampleInNote(t *testing.T) {
+	p, now, server := newEnginePaces(nil), time.Unix(1_000_005, 0), routing.Server{ID: "e", Service: "llm"}
+	note := &peerpb.ServerWork{}
+	p.addSample(now, server, note)
+	must.Zero(t, note.GetEventUs())
+	p.recordSample(now, server, 30*time.Millisecond)
+	p.addSample(now.Add(4*time.Second), server, note)
+	must.Eq(t, [2]int64{30_000, 4_000}, [2]int64{note.GetEventUs(), note.GetObservedMs()})
+}
+
 // Guards against busy engines that are taken for slow ones: while the trackers count prompts at almost
 // all engines, the engines are not compared.
 func TestSaturatedEnginesStayEven(t *testing.T) {
