--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -338,7 +338,7 @@
 	return s.probes
 }
 
-// probeCount returns the number of probes of all servers.
+// probeCount returns the number of status requests to all servers.
 func (w *testCluster) probeCount() (n int) {
 	for _, s := range w.servers {
 		s.mu.Lock()
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -89,6 +89,7 @@
 	pressure       *pressure
 	workTracker    *workTracker
 	waiting        *waitingPrompts
+	paces          *enginePaces
 	locator        *locator
 	borrower       *retryBorrower
 	peers          *peerClient
@@ -121,7 +122,8 @@
 	h.waiting = newWaitingPrompts()
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
-	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle = h.workTracker.workChanged, h.limits, h.brittle
+	h.paces = newEnginePaces(o.Log)
+	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle, h.pool.paces = h.workTracker.workChanged, h.limits, h.brittle, h.paces
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.headroom = newHeadroomState()
 	h.metrics = newMetrics(o.Registerer, h.Running, h.waiting.len)
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -42,6 +42,7 @@
 	ordinaryRetriesDenied prometheus.Counter
 	roomForecasts         prometheus.Histogram
 	refills               *prometheus.CounterVec
+	pacedPlacements       *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer, running, waiting func() int) *metrics {
@@ -70,6 +71,7 @@
 		headroomDenials:    prometheus.NewCounterVec(counter("headroom_denials_total", "Prompts and copies of runs for which an engine had no room beside that kept for more urgent prompts, by kind."), []string{"kind"}),
 		unreadableMessages: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
 		cacheBytes:         prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
+		pacedPlacements:    prometheus.NewCounterVec(counter("paced_placements_total", "Prompts placed where the engines of the service differ in speed, by the pace of the engine."), []string{"pace"}),
 		poisonMarks:        prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
 		poisonRefusals:     prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
 		limitChanges:       prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
@@ -84,7 +86,7 @@
 	m.ordinaryRetriesDenied = prometheus.NewCounter(counter("ordinary_repeats_denied_total", "Sends of less urgent requests that were denied because the shared budget of repeats is used up, or what is left of it kept for urgent requests and for answers that callers hold in part."))
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
-	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds)
+	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds, m.pacedPlacements)
 	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -45,6 +45,7 @@
 		}
 		if complete {
 			if c, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon); ok {
+				r.countPlacement(c.choice)
 				return c, true
 			}
 			if r.leftToOthers = r.mayWait(view) && others.isAwaited(); r.leftToOthers {
@@ -54,6 +55,9 @@
 	}
 	c, ok := r.placeByReports(ctx, view, others)
 	r.h.pool.addLoad(c.choice, 1, 0, 0)
+	if ok {
+		r.countPlacement(c.choice)
+	}
 	return c, ok
 }
 
@@ -159,6 +163,7 @@
 			}
 			load := q.h.loadOf(c.server, report)
 			load.PendingPrompts = max(load.PendingPrompts, q.h.pool.prefillCount(c)-counted) // a report lags
+			q.h.paces.rateReport(time.Now(), c.server, &load)
 			sampled[i] = &sampledEngine{choice: c, report: load, answered: true}
 		})
 	}
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -84,19 +84,21 @@
 	report.Incarnation, report.Sequence = t.boot, t.sequence
 	t.mu.Unlock()
 	self := t.h.opts.Self.ID
+	work := &peerpb.ServerWork{
+		Id: s.ID, Born: s.StartedAtMS, Reading: int32(report.Prefilling), Running: int32(report.Running),
+		SuspectMs: report.SuspectFor.Milliseconds(),
+	}
+	t.h.paces.addSample(time.Now(), s, work)
 	if vms[i].ID == self {
 		t.record(s.Incarnation(), self, report)
+		t.h.paces.recordNote(time.Now(), s.Incarnation(), work)
 		return
 	}
 	if len(t.h.peers.responsive(time.Now(), vms[i:i+1])) == 0 {
 		return
 	}
 	t.h.peers.sendReport(context.Background(), vms[i], &peerpb.NoteRequest{
-		Daemon: self, Boot: report.Incarnation, Sequence: report.Sequence,
-		Work: &peerpb.ServerWork{
-			Id: s.ID, Born: s.StartedAtMS, Reading: int32(report.Prefilling), Running: int32(report.Running),
-			SuspectMs: report.SuspectFor.Milliseconds(),
-		},
+		Daemon: self, Boot: report.Incarnation, Sequence: report.Sequence, Work: work,
 	})
 }
 
@@ -136,7 +138,7 @@
 	sum = workloads{}
 	for i, incarnations := range queries {
 		wg.Go(func() {
-			work := t.query(ctx, vms[i], incarnations, waiting)
+			work := t.query(ctx, vms[i], service, incarnations, waiting)
 			mu.Lock()
 			defer mu.Unlock()
 			for incarnation, w := range work {
@@ -145,6 +147,7 @@
 		})
 	}
 	wg.Wait()
+	t.h.paces.recordWork(service, sum)
 	return sum, len(sum) >= SampleSize
 }
 
@@ -161,8 +164,8 @@
 }
 
 // query asks one tracking daemon, which may be this daemon. It returns nil if that daemon does not
-// answer.
-func (t *workTracker) query(ctx context.Context, vm routing.VM, incarnations []routing.Incarnation, waiting *peerpb.WaitingPrompt) workloads {
+// answer. The paces in the reply are recorded.
+func (t *workTracker) query(ctx context.Context, vm routing.VM, service string, incarnations []routing.Incarnation, waiting *peerpb.WaitingPrompt) workloads {
 	self, work := t.h.opts.Self.ID, workloads{}
 	if vm.ID == self {
 		ahead := t.recordWaiting(self, waiting, incarnations)
@@ -170,6 +173,7 @@
 			w := workloadOf(t.tracked(incarnation, self))
 			w.ahead = ahead[i]
 			work[incarnation] = w
+			t.h.paces.learn(time.Now(), service, incarnation, t.h.paces.trackedInterval(time.Now(), incarnation))
 		}
 		return work
 	}
@@ -185,11 +189,15 @@
 		return nil
 	}
 	for _, s := range reply.GetServers() {
+		incarnation := routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}
+		if interval, ok := noteDuration(s.GetEventUs(), time.Microsecond); ok {
+			t.h.paces.learn(time.Now(), service, incarnation, interval)
+		}
 		w := workloadOf(prompts.LoadSum{
 			Prefilling: int(max(s.GetReading(), 0)), Running: int(max(s.GetRunning(), 0)), SuspectedBy: int(max(s.GetSuspects(), 0)),
 		})
 		w.ahead = int(max(s.GetAhead(), 0))
-		work[routing.Incarnation{ID: s.GetId(), StartedAtMS: s.GetBorn()}] = w
+		work[incarnation] = w
 	}
 	return work
 }
@@ -234,7 +242,7 @@
 	}
 	vms, tracked := t.trackersOf(view, t.h.pool.placementWindow(view, service, part))
 	for i := range tracked {
-		go t.query(context.Background(), vms[i], nil, waiting)
+		go t.query(context.Background(), vms[i], service, nil, waiting)
 	}
 }
 
@@ -245,7 +253,9 @@
 // Note implements peerpb.Work.
 func (t workService) Note(_ context.Context, q *peerpb.NoteRequest) (*peerpb.NoteReply, error) {
 	w := q.GetWork()
-	t.h.workTracker.record(routing.Incarnation{ID: w.GetId(), StartedAtMS: w.GetBorn()}, q.GetDaemon(), prompts.DaemonLoad{
+	incarnation := routing.Incarnation{ID: w.GetId(), StartedAtMS: w.GetBorn()}
+	t.h.paces.recordNote(time.Now(), incarnation, w)
+	t.h.workTracker.record(incarnation, q.GetDaemon(), prompts.DaemonLoad{
 		Incarnation: q.GetBoot(), Sequence: q.GetSequence(),
 		Prefilling: int(max(w.GetReading(), 0)), Running: int(max(w.GetRunning(), 0)),
 		SuspectFor: time.Duration(w.GetSuspectMs()) * time.Millisecond,
@@ -265,7 +275,7 @@
 		n := t.h.workTracker.tracked(incarnation, q.GetDaemon())
 		reply.Servers = append(reply.Servers, &peerpb.ServerWork{
 			Id: incarnation.ID, Born: incarnation.StartedAtMS, Reading: int32(n.Prefilling), Running: int32(n.Running), Suspects: int32(n.SuspectedBy),
-			Ahead: int32(ahead[i]),
+			Ahead: int32(ahead[i]), EventUs: t.h.paces.trackedInterval(time.Now(), incarnation).Microseconds(),
 		})
 	}
 	return reply, nil
