--- a/decision/pace/fleet.go
+++ b/decision/pace/fleet.go
@@ -17,10 +17,14 @@
 	// evenRatio is the ratio below which uneven engines count as even again. It is smaller, so that
 	// the result doesn't alternate from one prompt to the next.
 	evenRatio = 1.45
-	// confirmTime is how long engines must be found to differ before they count as uneven, or not to
-	// differ before they count as even again: the time in which each gets new samples. While all engines prefill prompts most of the time, some have
-	// no undisturbed sample for several seconds.
-	confirmTime = sampleWindow
+	// unevenConfirmTime is how long engines must be found to differ before they count as uneven:
+	// longer than short slowdowns and the first samples of a few engines take. Until then, slow engines
+	// get as many prompts as fast ones.
+	unevenConfirmTime = 4 * time.Second
+	// evenConfirmTime is how long uneven engines must be found alike before they count as even again:
+	// the time in which each gets new samples. While engines prefill prompts most of the time, some
+	// have no undisturbed sample for several seconds.
+	evenConfirmTime = sampleWindow
 	// saturatedShare is the share of engines with a prompt in prefill above which engines are not
 	// compared. With almost no time between two prefills, samples are those of the prefills.
 	saturatedShare = 0.8
@@ -100,6 +104,10 @@
 	if f.disputedSince = previous.disputedSince; f.disputedSince.IsZero() {
 		f.disputedSince = now
 	}
+	confirmTime := unevenConfirmTime
+	if f.Uneven {
+		confirmTime = evenConfirmTime
+	}
 	if now.Sub(f.disputedSince) >= confirmTime {
 		f.Uneven, f.disputedSince = !f.Uneven, time.Time{}
 	}
--- a/decision/pace/pace_test.go
+++ b/decision/pace/pace_test.go
@@ -131,9 +131,9 @@
 	return list
 }
 
-// assessed returns the result of assessments over confirmTime, the last one at epoch plus at.
+// assessed returns the result of assessments over evenConfirmTime, the last one at epoch plus at.
 func assessed(f Fleet, at time.Duration, intervals []time.Duration) Fleet {
-	for ago := confirmTime; ago >= 0; ago -= time.Second {
+	for ago := evenConfirmTime; ago >= 0; ago -= time.Second {
 		f = Assess(f, epoch.Add(at-ago), intervals, false)
 	}
 	return f
@@ -163,30 +163,32 @@
 			if c.previous {
 				f = assessed(f, 0, three)
 			}
-			must.Eq(t, c.want, assessed(f, 2*confirmTime, c.intervals).Uneven)
+			must.Eq(t, c.want, assessed(f, 2*evenConfirmTime, c.intervals).Uneven)
 		})
 	}
 }
 
 // Guards against engines that count as uneven for a moment because some of them had no undisturbed
-// sample: all assessments over confirmTime must find the same.
+// sample: all assessments over the time of confirmation must find the same.
 func TestUnevenOnlyOnceConfirmed(t *testing.T) {
 	three, even := repeat(50*ms, 30*ms, 20*ms), repeat(30*ms, 30*ms)
 	f := Assess(Fleet{}, epoch, three, false)
-	f = Assess(f, epoch.Add(confirmTime-ms), three, false)
+	f = Assess(f, epoch.Add(unevenConfirmTime-ms), three, false)
 	must.False(t, f.Uneven)
-	f = Assess(f, epoch.Add(confirmTime-ms), even, false)
-	f = Assess(f, epoch.Add(confirmTime), three, false)
+	f = Assess(f, epoch.Add(unevenConfirmTime-ms), even, false)
+	f = Assess(f, epoch.Add(unevenConfirmTime), three, false)
 	must.False(t, f.Uneven)
-	f = Assess(f, epoch.Add(2*confirmTime), three, false)
+	found := 2 * unevenConfirmTime
+	f = Assess(f, epoch.Add(found), three, false)
 	must.True(t, f.Uneven)
-	f = Assess(f, epoch.Add(3*confirmTime), even, false)
+	f = Assess(f, epoch.Add(found+time.Second), even, false)
+	f = Assess(f, epoch.Add(found+time.Second+evenConfirmTime-ms), even, false)
 	must.True(t, f.Uneven)
-	must.False(t, Assess(f, epoch.Add(4*confirmTime), even, false).Uneven)
+	must.False(t, Assess(f, epoch.Add(found+time.Second+evenConfirmTime), even, false).Uneven)
 }
 
 // Guards against a comparison while the engines prefill prompts almost all the time. The finding before
-// is kept, and confirmTime begins anew.
+// is kept, and the time of confirmation begins anew.
 func TestSaturatedEnginesAreNotCompared(t *testing.T) {
 	var s Saturation
 	must.False(t, s.IsSaturated())
@@ -198,13 +200,13 @@
 
 	three, even := repeat(50*ms, 30*ms, 20*ms), repeat(30*ms, 30*ms)
 	f := Assess(Fleet{}, epoch, three, false)
-	f = Assess(f, epoch.Add(confirmTime), three, true)
-	f = Assess(f, epoch.Add(confirmTime), three, false)
+	f = Assess(f, epoch.Add(unevenConfirmTime), three, true)
+	f = Assess(f, epoch.Add(unevenConfirmTime), three, false)
 	must.False(t, f.Uneven)
-	f = Assess(f, epoch.Add(2*confirmTime), three, false)
+	f = Assess(f, epoch.Add(2*unevenConfirmTime), three, false)
 	must.True(t, f.Uneven)
 	for n := range time.Duration(9) {
-		f = Assess(f, epoch.Add((3+n)*confirmTime), even, true)
+		f = Assess(f, epoch.Add((3+n)*evenConfirmTime), even, true)
 	}
 	must.True(t, f.Uneven)
 	must.Eq(t, 30*ms, f.Average)
--- a/serve/forward/enginepace_test.go
+++ b/serve/forward/enginepace_test.go
@@ -258,7 +258,7 @@
 		}
 		must.Eq(t, 40*time.Millisecond, w.trackerOf(all, server).paces.trackedInterval(time.Now(), server.Incarnation()))
 		for _, h := range others {
-			_, ok := h.workTracker.trackedWork(context.Background(), w.feed.View(), "llm", "p")
+			_, ok := h.workTracker.trackedWork(context.Background(), w.feed.View(), "llm", "p", nil)
 			must.True(t, ok)
 			must.Eq(t, 40*time.Millisecond, h.paces.services["llm"].learned[server.Incarnation()].interval)
 		}
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -151,6 +151,9 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			for _, r := range c.routes {
+				r.Timeout = time.Minute // longer than any Retry-After
+			}
 			withTestCluster(t, c.routes, func(w *testCluster) {
 				e := w.add("e-a", "llm", "a", streamEvents(5, 100*time.Millisecond, 10*time.Millisecond))
 				send := func(id int, path string) response {
@@ -166,7 +169,7 @@
 				e.setRuns("full run-1")
 				// The callers have waited for longer than the objective before, so that their requests
 				// don't wait for room.
-				late := map[string]string{hTokens: "80", hWait: "20000"}
+				late := map[string]string{hTokens: "80", hWait: "55000"}
 				refuse := func(id int, path string) response {
 					header := withHeaders(late)
 					header[hID] = strconv.Itoa(id)
@@ -189,7 +192,7 @@
 					return
 				}
 				again := func(id int) float64 {
-					got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hID: strconv.Itoa(id), hPart: "p", hTokens: "80", hWait: "20000"}), "prompt")
+					got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hID: strconv.Itoa(id), hPart: "p", hTokens: "80", hWait: "55000"}), "prompt")
 					seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 					must.NoError(t, err)
 					return seconds
