lab/soak/process: bursts of less urgent requests at engines of different speed

Cause: the random runs sent all streams with one priority to engines of one speed without limits, so that nothing in them waits for room.

Change: two scenarios, one with planned work and one with failures, have two stream routes of one service that differ in priority, an account with a priority of its own, engines of three speeds with four slots and limited memory, bursts of less urgent requests and engines that are slow for a moment. Engines admit queued requests by the priority in the request, which is checked against the rank of route and account. A request refused as not run must not run later either, and each caller must be served at last: urgent ones during a burst, less urgent ones after it. The verdict has no bound in time but one minute for that.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -23,24 +23,35 @@
 	callResumable  callKind = iota // a long streamed response that may be resumed
 	callAtMostOnce                 // must not run twice
 	callIdempotent                 // may be retried freely
+	callLessUrgent                 // resumable, of lower priority; only in scenarios with priorities
 	callKindCount
 )
 
 // Route prefix and caller timeout of each kind of request.
 var (
-	routePrefixes = [callKindCount]string{"/review/", "/once/", "/again/"}
-	callTimeouts  = [callKindCount]time.Duration{10 * time.Second, 2 * time.Second, 2 * time.Second}
+	routePrefixes = [callKindCount]string{"/review/", "/once/", "/again/", "/bulk/"}
+	callTimeouts  = [callKindCount]time.Duration{10 * time.Second, 2 * time.Second, 2 * time.Second, 10 * time.Second}
 )
 
+// isStream reports whether the response is a stream of events that may be resumed.
+func (k callKind) isStream() bool { return k == callResumable || k == callLessUrgent }
+
+// kindNames are used in reports.
+var kindNames = [callKindCount]string{"resumable", "at most once", "idempotent", "less urgent"}
+
+// baseKinds are the kinds of requests in scenarios without priorities.
+var baseKinds = []callKind{callResumable, callAtMostOnce, callIdempotent}
+
 // result is the outcome of one attempt of a request.
 type result struct {
 	status     int
 	signature  string
 	body       string
-	retryAfter string // value of the Retry-After header
-	err        error  // no response, or an incomplete one
-	abandoned  bool   // the caller cancelled the request, or it timed out
-	timedOut   bool   // the request reached its timeout
+	retryAfter string        // value of the Retry-After header
+	err        error         // no response, or an incomplete one
+	abandoned  bool          // the caller cancelled the request, or it timed out
+	timedOut   bool          // the request reached its timeout
+	headerTime time.Duration // from sending the request to the headers of the response
 }
 
 // isServed reports whether the caller received a complete response with status 200.
@@ -55,7 +66,8 @@
 	http        *http.Client
 	addresses   []string // daemons to connect to
 	resolvedAt  time.Time
-	requestName string // used in the path and body of all requests; "" if each has its own
+	kinds       []callKind // of its requests
+	requestName string     // used in the path and body of all requests; "" if each has its own
 	callerProfile
 }
 
@@ -68,13 +80,13 @@
 }
 
 func (h *harness) newCaller(n int) *caller {
-	return &caller{harness: h, number: n, callerProfile: h.opts.Scenario.callerProfile(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
+	return &caller{harness: h, number: n, callerProfile: h.opts.Scenario.callerProfile(), kinds: h.opts.Scenario.callerKinds(n), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
 }
 
 // run sends requests until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		kind := callKind(rand.IntN(int(callKindCount)))
+		kind := c.kinds[rand.IntN(len(c.kinds))]
 		if rand.Float64() < c.resumableRatio {
 			kind = callResumable
 		}
@@ -94,6 +106,7 @@
 	c.sent++
 	c.harness.recorder.count("asked")
 	part := fmt.Sprintf("p%d-%d", c.number, c.sent)
+	c.harness.recorder.countKind(kind, "asked")
 	var lastEventID int64
 	for try := range c.maxAttempts {
 		id := fmt.Sprintf("r%d-%d-%d", c.number, c.sent, try)
@@ -104,6 +117,7 @@
 		lastEventID = c.checkResponse(kind, id, part, lastEventID, got)
 		if got.isServed() {
 			c.harness.recorder.count("served")
+			c.harness.recorder.recordServed(kind, got.headerTime)
 			return true
 		}
 		c.addresses = nil // resolve again before the next attempt
@@ -151,8 +165,9 @@
 		account, key = c.harness.requestKey(0)
 	}
 	parts := ""
-	if kind == callResumable {
-		parts = part + ":800"
+	tokens := c.harness.opts.Scenario.promptTokens(c.sent)
+	if kind.isStream() {
+		parts = fmt.Sprintf("%s:%d", part, tokens)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+routePrefixes[kind]+name, bytes.NewReader([]byte(name)))
 	if err != nil {
@@ -160,19 +175,21 @@
 	}
 	req.GetBody = nil // the HTTP client must not retry by itself
 	req.Host = host
-	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: key, LastEventID: lastEventID, PromptTokens: 800}, parts)
-	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, sentAt: time.Now(), daemon: address})
+	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: key, LastEventID: lastEventID, PromptTokens: tokens}, parts)
+	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, promptTokens: tokens, sentAt: time.Now(), daemon: address})
+	began := time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return result{err: errors.Wrap(err, "send")}
 	}
 	defer resp.Body.Close()
+	headerTime := time.Since(began)
 	if (wire.Codec{}).Reply(resp.StatusCode, resp.Header).Leaving {
 		c.harness.recordLeavingPassedOn(resp.Header.Get(wire.SignatureHeader), address)
 	}
 	body, err := io.ReadAll(resp.Body)
 	return result{
-		status: resp.StatusCode, signature: resp.Header.Get(wire.SignatureHeader), retryAfter: resp.Header.Get("Retry-After"), body: string(body), err: err,
+		status: resp.StatusCode, signature: resp.Header.Get(wire.SignatureHeader), retryAfter: resp.Header.Get("Retry-After"), body: string(body), err: err, headerTime: headerTime,
 	}
 }
 
@@ -221,7 +238,7 @@
 	if c.harness.opts.Scenario.requiresWholeAnswers() && rec.executionCount(id) > 0 {
 		c.checkNotCut(kind, id, got)
 	}
-	if kind == callResumable && got.status == http.StatusOK {
+	if kind.isStream() && got.status == http.StatusOK {
 		return c.checkStream(id, part, lastEventID, got)
 	}
 	if got.err != nil {
@@ -250,12 +267,12 @@
 func (c *caller) checkNotCut(kind callKind, id string, got result) {
 	rec, o := c.harness.recorder, c.harness.opts
 	switch {
-	case o.Timed && got.timedOut && kind == callResumable:
+	case o.Timed && got.timedOut && kind.isStream():
 		rec.recordViolation("%s ran, but its response was not complete within %v", id, callTimeouts[kind])
 	case got.abandoned:
 	case got.err != nil:
 		rec.recordViolation("%s ran, but its response was cut although no server failed: %v", id, got.err)
-	case kind == callResumable && got.status != http.StatusOK:
+	case kind.isStream() && got.status != http.StatusOK:
 		rec.recordViolation("%s ran, but its caller got status %d although no server failed", id, got.status)
 	}
 }
--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -74,6 +74,9 @@
 	time.Sleep(h.opts.Scenario.settleTime())
 	stop()
 	callers.Wait()
+	if h.opts.Scenario.hasPriorities() {
+		h.checkProgress(ctx)
+	}
 	if h.opts.Timed {
 		h.checkRecovered(ctx)
 		h.checkNothingRunning()
@@ -96,7 +99,7 @@
 			c := h.newCaller(h.opts.Callers + n)
 			c.abandonRatio = 0
 			for k := range recoveryRequestsPerCaller {
-				if !c.request(ctx, callKind(k%int(callKindCount))) {
+				if !c.request(ctx, c.kinds[k%len(c.kinds)]) {
 					failed.Add(1)
 				}
 			}
@@ -295,7 +298,7 @@
 	h.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainPropagation + 1500*time.Millisecond)
-	for h.opts.Scenario.hasDaemonLinks() && len(s.Runs()) > 0 {
+	for (h.opts.Scenario.hasDaemonLinks() || h.opts.Scenario.hasPriorities()) && s.isBusy() {
 		time.Sleep(minEventInterval) // responses take longer in these scenarios
 	}
 	h.unregister(old)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -95,6 +95,7 @@
 	activeService        string               // plain service that routes target
 	routeMovedAt         time.Time            // when the last change of target was acknowledged
 	boundsSuspendedUntil time.Time            // time bounds are not checked before
+	burstCallersStarted  int                  // number of callers of bursts so far
 	poisonRequests       int                  // number of poison requests so far
 	// crashesByRequest counts the servers that crashed on each poison request.
 	crashesByRequest map[string]int
@@ -165,6 +166,9 @@
 			return err
 		}
 		h.servers = append(h.servers, s)
+		if service == "llm" {
+			s.speed = h.opts.Scenario.engineSpeed(n)
+		}
 		h.register(s, false)
 	}
 	return nil
@@ -281,21 +285,25 @@
 	route := func(kind callKind, k routing.Kind, service string, attempts int) *routing.Route {
 		return &routing.Route{
 			Name: strings.Trim(routePrefixes[kind], "/"), Host: host, Prefix: routePrefixes[kind], Kind: k, Timeout: callTimeouts[kind],
-			Objective: 200 * time.Millisecond, GapTarget: 700 * time.Millisecond, MaxAttempts: attempts,
-			Resumable: kind == callResumable,
+			Objective: h.opts.Scenario.objective(kind), Priority: routePriorities[kind], GapTarget: 700 * time.Millisecond, MaxAttempts: attempts,
+			Resumable: kind.isStream(),
 			Targets:   []routing.Target{{Service: service, Weight: 1}},
 		}
 	}
 	d := wire.DesiredConfig{
 		Version: h.configVersion, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Services: []*routing.Service{
-			{Name: "llm", Engine: &routing.Engine{Slots: 32, CanReplicate: true, CanCopy: true, ReplicaTTL: 4 * time.Second}}, {Name: "desk"}, {Name: "desk2"},
+			{Name: "llm", Engine: &routing.Engine{Slots: h.opts.Scenario.engineLimits().slots, CanReplicate: true, CanCopy: true, ReplicaTTL: replicaTTL}}, {Name: "desk"}, {Name: "desk2"},
 		},
 		Routes: []*routing.Route{
 			route(callResumable, routing.Stream, "llm", 5), route(callAtMostOnce, routing.AtMostOnce, h.activeService, 1), route(callIdempotent, routing.Idempotent, h.activeService, 2),
 		},
 		Keys: map[string][]string{},
 	}
+	if h.opts.Scenario.hasPriorities() {
+		d.Routes = append(d.Routes, route(callLessUrgent, routing.Stream, "llm", 5))
+		d.Priorities = map[string]int{priorityAccount: accountPriority}
+	}
 	for a, key := range h.keys {
 		d.Keys[fmt.Sprintf("account-%d", a)] = []string{key}
 	}
@@ -324,31 +332,33 @@
 		rec.recordViolation("%s arrives with its caller's key", e.ID)
 	case e.Account != sent.account:
 		rec.recordViolation("%s of %s arrives as a request of %q", e.ID, sent.account, e.Account)
-	case (sent.kind == callResumable) != (service == "llm"):
+	case sent.kind.isStream() != (service == "llm"):
 		rec.recordViolation("%s runs at %s", e.ID, service)
+	case h.opts.Scenario.hasPriorities() && sent.kind.isStream() && e.Priority != expectedRank(sent):
+		rec.recordViolation("%s of %s arrives with priority %d, want %d", e.ID, e.Account, e.Priority, expectedRank(sent))
 	case h.opts.Timed && !removedAt.IsZero() && sent.sentAt.After(removedAt.Add(keyRevocationDelay)):
 		rec.recordViolation("%s runs with a key that was removed %v earlier", e.ID, sent.sentAt.Sub(removedAt))
 	case sent.kind == callAtMostOnce && rec.executionCount(e.ID) > 1:
 		rec.recordViolation("%s runs %d times", e.ID, rec.executionCount(e.ID))
 	case boundsHold && !drainingSince.IsZero() && now.After(drainingSince.Add(drainPropagation)):
 		rec.recordViolation("%s reaches a server %v after it began to drain", e.ID, now.Sub(drainingSince))
-	case boundsHold && sent.kind != callResumable && service != activeService && sent.sentAt.After(movedAt.Add(configPropagation)):
+	case boundsHold && !sent.kind.isStream() && service != activeService && sent.sentAt.After(movedAt.Add(configPropagation)):
 		rec.recordViolation("%s runs at %s %v after the route moved to %s", e.ID, service, sent.sentAt.Sub(movedAt), activeService)
 	}
 }
 
 // checkRefusal checks that a request refused as not run has not run, unless it may be retried.
 func (h *harness) checkRefusal(id string) {
-	if h.recorder.executionCount(id) > 0 && !h.canRetry(id) {
+	mustNotRun := !h.canRetry(id)
+	if h.recorder.executionCount(id) > 0 && mustNotRun {
 		h.recorder.recordViolation("%s was refused as not run, but ran", id)
 	}
-	h.recorder.mu.Lock()
-	defer h.recorder.mu.Unlock()
-	h.recorder.counts["refused"]++
+	h.recorder.recordRefused(id, mustNotRun)
 }
 
 func (h *harness) canRetry(id string) bool {
 	h.recorder.mu.Lock()
 	defer h.recorder.mu.Unlock()
-	return h.recorder.sentRequests[id].kind != callAtMostOnce
+	kind := h.recorder.sentRequests[id].kind
+	return kind != callAtMostOnce && !(kind.isStream() && h.opts.Scenario.hasPriorities())
 }
--- a/lab/soak/process/poison.go
+++ b/lab/soak/process/poison.go
@@ -28,7 +28,7 @@
 func (h *harness) sendPoisonRequests(ctx context.Context) {
 	h.mu.Lock()
 	h.poisonRequests++
-	name, kind := fmt.Sprintf("%s%d", poisonPrefix, h.poisonRequests), callKind(h.random.IntN(int(callKindCount)))
+	name, kind := fmt.Sprintf("%s%d", poisonPrefix, h.poisonRequests), baseKinds[h.random.IntN(len(baseKinds))]
 	n := firstPoisonCaller + h.poisonRequests
 	h.mu.Unlock()
 	var all sync.WaitGroup
--- a/lab/soak/process/process_test.go
+++ b/lab/soak/process/process_test.go
@@ -20,7 +20,7 @@
 )
 
 // callers is the number of concurrent callers in each scenario.
-var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24}
+var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24, PriorityBursts: 18, PriorityFaults: 18}
 
 // buildBinary builds the daemon.
 func buildBinary(t *testing.T) string {
@@ -89,3 +89,11 @@
 // Guards against daemons that serve nothing, or break guarantees, because their own VM has no path to
 // the servers. Connections then pass through daemons that are restarted in turn.
 func TestLostPaths(t *testing.T) { runSeeds(t, buildBinary(t), LostPaths) }
+
+// Guards against urgent callers starved by bursts of less urgent ones, less urgent callers that are
+// not served again after a burst, and requests that are cut, or refused although they run, while
+// daemons restart, keys are removed and engines of different speed are full.
+func TestPriorityBursts(t *testing.T) { runSeeds(t, buildBinary(t), PriorityBursts) }
+
+// Guards against the same while engines and daemons also fail and the store refuses calls.
+func TestPriorityFaults(t *testing.T) { runSeeds(t, buildBinary(t), PriorityFaults) }
--- a/lab/soak/process/recorder.go
+++ b/lab/soak/process/recorder.go
@@ -25,20 +25,23 @@
 	sentRequests map[string]sentRequest
 	violations   []string
 	counts       map[string]int
+	refused      map[string]bool              // IDs of requests refused as not run that must never run
+	headerTimes  map[callKind][]time.Duration // of served requests
 }
 
 // sentRequest is a request as its caller sent it.
 type sentRequest struct {
-	account    string // owner of the key when the request was sent
-	key        string
-	pathSuffix string // path after the route prefix
-	kind       callKind
-	sentAt     time.Time
-	daemon     string // address to which the caller sent it
+	account      string // owner of the key when the request was sent
+	key          string
+	pathSuffix   string // path after the route prefix
+	kind         callKind
+	promptTokens int
+	sentAt       time.Time
+	daemon       string // address to which the caller sent it
 }
 
 func newRecorder() *recorder {
-	return &recorder{executions: map[string][]*execution{}, bySignature: map[string]*execution{}, sentRequests: map[string]sentRequest{}, counts: map[string]int{}}
+	return &recorder{executions: map[string][]*execution{}, bySignature: map[string]*execution{}, sentRequests: map[string]sentRequest{}, counts: map[string]int{}, refused: map[string]bool{}, headerTimes: map[callKind][]time.Duration{}}
 }
 
 // recordViolation records that a guarantee did not hold.
@@ -55,6 +58,29 @@
 	rec.counts[name]++
 }
 
+// countKind increments a counter of the requests of one kind.
+func (rec *recorder) countKind(kind callKind, name string) { rec.count(kindNames[kind] + " " + name) }
+
+// recordServed records that a request was served, with the time to the headers of its response.
+func (rec *recorder) recordServed(kind callKind, headerTime time.Duration) {
+	rec.countKind(kind, "served")
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.headerTimes[kind] = append(rec.headerTimes[kind], headerTime)
+}
+
+// recordRefused records that a request was refused as not run. If mustNotRun is set, a later
+// execution is a violation.
+func (rec *recorder) recordRefused(id string, mustNotRun bool) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.counts["refused"]++
+	rec.counts[kindNames[rec.sentRequests[id].kind]+" refused"]++
+	if mustNotRun {
+		rec.refused[id] = true
+	}
+}
+
 // recordSent records a request before its caller sends it.
 func (rec *recorder) recordSent(id string, c sentRequest) {
 	rec.mu.Lock()
@@ -77,6 +103,9 @@
 	r.signature = fmt.Sprintf("%s.%s.%d", r.server, id, len(rec.executions[id]))
 	rec.executions[id] = append(rec.executions[id], r)
 	rec.bySignature[r.signature] = r
+	if rec.refused[id] {
+		rec.violations = append(rec.violations, id+" runs after it was refused as not run")
+	}
 	return rec.sentRequests[id]
 }
 
--- a/lab/soak/process/scenarios.go
+++ b/lab/soak/process/scenarios.go
@@ -27,11 +27,16 @@
 	// LostPaths restarts daemons in turn with other planned work, while some daemons lose their paths
 	// to all servers for seconds. Callers, the store and the other daemons still reach them.
 	LostPaths
+	// PriorityBursts sends streams of two priorities to engines of different speed and limited
+	// capacity, with bursts of the less urgent kind and planned work. No response may be cut.
+	PriorityBursts
+	// PriorityFaults is PriorityBursts with failures of engines, daemons and the store.
+	PriorityFaults
 )
 
 // String returns the name used in reports.
 func (s Scenario) String() string {
-	return [...]string{"random faults", "planned work", "held links", "narrow links", "lost paths"}[s]
+	return [...]string{"random faults", "planned work", "held links", "narrow links", "lost paths", "bursts", "bursts with failures"}[s]
 }
 
 // hasDaemonLinks reports whether each daemon has its own simulated link.
@@ -41,12 +46,14 @@
 func (s Scenario) delaysLinks() bool { return s == StalledLinks || s == LowBandwidthLinks }
 
 // requiresWholeAnswers reports whether no response that a server has started may be cut.
-func (s Scenario) requiresWholeAnswers() bool { return s != RandomFaults && s != LostPaths }
+func (s Scenario) requiresWholeAnswers() bool {
+	return s != RandomFaults && s != LostPaths && s != PriorityFaults
+}
 
-// drainGrace returns the time between SIGTERM and SIGKILL. With links that delay responses it is
-// longer than the callers' timeout, so that no response outlasts it.
+// drainGrace returns the time between SIGTERM and SIGKILL. Where links or full engines delay responses
+// it is longer than the callers' timeout, so that no response outlasts it.
 func (s Scenario) drainGrace() time.Duration {
-	if s.hasDaemonLinks() {
+	if s.hasDaemonLinks() || s.hasPriorities() {
 		return callTimeouts[callResumable] + 2*time.Second
 	}
 	return 5 * time.Second
@@ -74,7 +81,7 @@
 
 // settleTime returns how long callers go on after all faults have ended.
 func (s Scenario) settleTime() time.Duration {
-	if s.delaysLinks() {
+	if s.delaysLinks() || s.hasPriorities() {
 		return 0
 	}
 	return settleTime
@@ -106,12 +113,14 @@
 		list = linkFaults
 	case h.opts.Scenario == LostPaths:
 		list = pathFaults
+	case h.opts.Scenario.hasPriorities():
+		list = priorityFaults
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for {
 		f := list[h.random.IntN(len(list))]
-		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == StalledLinks || h.opts.Scenario == LostPaths {
+		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == StalledLinks || h.opts.Scenario == LostPaths || h.opts.Scenario == PriorityFaults {
 			return f
 		}
 	}
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -52,13 +52,17 @@
 	runs              map[string]*activeRun
 	parts             map[string]bool
 	incarnations      int
+	speed             float64 // relative to the usual one
+	slowdown          float64 // factor of a temporary slowdown; 1 if there is none
+	load              *engineLoad
 	shutdown          chan struct{} // closed when the incarnation ends
 }
 
 // replica is a copy of a run's KV cache from another engine.
 type replica struct {
-	part string
-	from *server
+	part    string
+	from    *server
+	release func() // frees its room
 }
 
 // activeRun is a run in progress.
@@ -66,10 +70,11 @@
 	eventsSent int
 	part       string
 	copyTo     string
+	tokens     int
 }
 
 func (h *harness) newServer(service, zone, address, listenIP string) (*server, error) {
-	s := &server{harness: h, service: service, zone: zone}
+	s := &server{harness: h, service: service, zone: zone, speed: 1, slowdown: 1}
 	s.startIncarnation(false)
 	l, err := net.Listen("tcp", listenIP)
 	if err != nil {
@@ -95,6 +100,7 @@
 	}
 	s.drainingSince, s.notices = time.Time{}, newNotices()
 	s.replicas, s.runs, s.parts = map[string]replica{}, map[string]*activeRun{}, map[string]bool{}
+	s.load = &engineLoad{limits: s.harness.opts.Scenario.engineLimits()}
 	s.shutdown = make(chan struct{})
 }
 
@@ -114,7 +120,7 @@
 func (s *server) entry(draining bool) routing.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return routing.Server{ID: s.id, StartedAtMS: s.startedAtMS, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: 32, Draining: draining, Version: s.version}
+	return routing.Server{ID: s.id, StartedAtMS: s.startedAtMS, Service: s.service, Address: s.link.address(), Zone: s.zone, Slots: s.harness.opts.Scenario.engineLimits().slots, Draining: draining, Version: s.version}
 }
 
 // Born implements wire.Engine.
@@ -155,22 +161,31 @@
 	}
 	handle := "h-" + id
 	_, addressIndex := s.harness.serverAt(target)
-	s.harness.storeReplica(target, s.addresses[addressIndex]+"/"+handle, replica{part: p.part, from: s})
-	return handle, true
+	name := s.addresses[addressIndex] + "/" + handle
+	stored := s.harness.storeReplica(target, name, p.tokens, replica{part: p.part, from: s})
+	s.harness.expireReplica(target, name, false)
+	return handle, stored
 }
 
 // Drop implements wire.Engine.
 func (s *server) Drop(string) {}
 
-// storeReplica stores a replica at the engine with the given address.
-func (h *harness) storeReplica(address, name string, c replica) {
+// storeReplica stores a replica at the engine with the given address for replicaTTL. It reports
+// whether the engine has room for it.
+func (h *harness) storeReplica(address, name string, tokens int, c replica) bool {
 	s, _ := h.serverAt(address)
 	if s == nil {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replicas[name] = c
+	load, replicas := s.load, s.replicas
+	if !load.tryAcquire(tokens) {
+		return false
+	}
+	c.release = sync.OnceFunc(func() { load.release(tokens) })
+	replicas[name] = c
+	return true
 }
 
 // serverAt returns the server at an address and the index of that address.
@@ -209,11 +224,18 @@
 		return
 	}
 	exec := &execution{server: id, service: s.service}
+	if part != "" {
+		release, ok := s.admit(r, e, sent.promptTokens, shutdown)
+		if !ok {
+			panic(http.ErrAbortHandler) // it has not run
+		}
+		defer release()
+	}
 	s.harness.checkRequest(e, key, r.URL.Path, s.service, drainingSince, s.harness.recorder.startExecution(e.ID, exec))
 	wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, RateLimit: rateLimit, Leaving: s.checkLeaving(e.ID, sent)})
 	w.Header().Set(wire.SignatureHeader, exec.signature)
 	if part != "" {
-		s.serveStream(w, r, e, part, exec, shutdown)
+		s.serveStream(w, r, e, part, sent.promptTokens, exec, shutdown)
 		return
 	}
 	s.serveResponse(w, r, exec, errorRatio, lostResponseRatio, shutdown)
@@ -223,8 +245,11 @@
 func (s *server) takeReplica(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.replicas[name]
+	c, ok := s.replicas[name]
 	delete(s.replicas, name)
+	if ok {
+		c.release()
+	}
 	return ok
 }
 
@@ -254,9 +279,9 @@
 }
 
 // serveStream writes the response of an engine: the same events for the same prompt.
-func (s *server) serveStream(w http.ResponseWriter, r *http.Request, e forward.UpstreamRequest, part string, exec *execution, shutdown <-chan struct{}) {
+func (s *server) serveStream(w http.ResponseWriter, r *http.Request, e forward.UpstreamRequest, part string, tokens int, exec *execution, shutdown <-chan struct{}) {
 	defer s.harness.recorder.finishExecution(exec, http.StatusOK, "")
-	p := &activeRun{part: part, copyTo: e.CopyTo}
+	p := &activeRun{part: part, copyTo: e.CopyTo, tokens: tokens}
 	s.mu.Lock()
 	s.runs[e.ID] = p
 	s.mu.Unlock()
@@ -265,7 +290,7 @@
 		defer s.mu.Unlock()
 		delete(s.runs, e.ID)
 	}()
-	wait := prefillTime
+	wait := s.prefillDuration(tokens)
 	if e.ResumeFrom != "" {
 		wait = 0
 	}
@@ -283,13 +308,15 @@
 		if n == e.LastEventID+1 && isPoison(r.URL.Path) && s.crashOnPoison(r) {
 			panic(http.ErrAbortHandler)
 		}
-		wait = s.harness.opts.Scenario.eventInterval()
+		wait = s.stepDuration()
 		if n == e.LastEventID+1 {
 			w.Header().Set("Content-Type", "text/event-stream")
 			s.mu.Lock()
 			s.parts[part] = true
 			s.mu.Unlock()
-			s.harness.storeReplica(p.copyTo, p.copyTo+"/"+e.ID, replica{part: part, from: s})
+			copyName := p.copyTo + "/" + e.ID
+			s.harness.storeReplica(p.copyTo, copyName, tokens, replica{part: part, from: s})
+			defer func() { s.harness.expireReplica(p.copyTo, copyName, p.eventsSent == int(eventCount-e.LastEventID)) }()
 		}
 		fmt.Fprint(w, eventText(part, n))
 		w.(http.Flusher).Flush()
