--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -127,10 +127,15 @@
 	return h.daemons[h.random.IntN(len(h.daemons))]
 }
 
+// randomServer returns any server, or any engine where all regular requests are streams.
 func (h *harness) randomServer() *server {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.servers[h.random.IntN(len(h.servers))]
+	for {
+		if s := h.servers[h.random.IntN(len(h.servers))]; s.service == "llm" || !h.opts.Scenario.hasPriorities() {
+			return s
+		}
+	}
 }
 
 // randomDuration returns a duration below limit, drawn from the seed.
