lab/soak/process: bound on less urgent requests served before urgent callers

Change: with -process.timed at most 250 less urgent requests may be served before each of six urgent callers is; the report has the number. The limit of one minute for a caller no longer cancels its last request.

--- a/lab/soak/process/priorities.go
+++ b/lab/soak/process/priorities.go
@@ -183,22 +183,27 @@
 // that less urgent callers are served after it.
 func (h *harness) checkProgress(ctx context.Context) {
 	stop := h.startBurst(ctx)
+	before := h.recorder.countOf(callLessUrgent, "served")
 	h.checkAllServed(ctx, callResumable, "during a burst")
+	n := h.recorder.countOf(callLessUrgent, "served") - before
+	h.recorder.addCount("less urgent before urgent", n)
+	if h.opts.Timed && n > maxOvertaking {
+		h.recorder.recordViolation("%d less urgent requests were served before %d urgent callers were", n, progressCallers)
+	}
 	stop()
 	h.checkAllServed(ctx, callLessUrgent, "after a burst")
 }
 
 // checkAllServed checks that each of several callers is served once within progressLimit.
 func (h *harness) checkAllServed(ctx context.Context, kind callKind, when string) {
-	ctx, cancel := context.WithTimeout(ctx, progressLimit)
-	defer cancel()
+	began := time.Now()
 	var all sync.WaitGroup
 	for n := range progressCallers {
 		all.Go(func() {
 			c := h.newCaller(firstProgressCaller + int(kind)*progressCallers + n)
 			defer c.http.CloseIdleConnections()
 			for !c.request(ctx, kind) {
-				if ctx.Err() != nil {
+				if time.Since(began) > progressLimit || ctx.Err() != nil {
 					h.recorder.recordViolation("a caller of kind %s was not served within %v %s", kindNames[kind], progressLimit, when)
 					return
 				}
@@ -215,6 +220,10 @@
 	// Urgent callers may be served less often, and later, than less urgent ones by no more than this.
 	maxServedDeficit  = 0.1
 	maxHeaderTimeLead = 500 * time.Millisecond
+	// maxOvertaking is how many less urgent requests may be served before each of progressCallers urgent
+	// callers is. They are 17 to 153 with a daemon that ignores priorities, and 435 with one that
+	// refuses an urgent prompt wherever a run is under way.
+	maxOvertaking = 250
 )
 
 // checkUrgency checks that urgent callers were not worse off than less urgent ones, and adds to the
--- a/lab/soak/process/recorder.go
+++ b/lab/soak/process/recorder.go
@@ -52,15 +52,25 @@
 }
 
 // count increments a counter of the report.
-func (rec *recorder) count(name string) {
+func (rec *recorder) count(name string) { rec.addCount(name, 1) }
+
+// addCount adds to a counter of the report.
+func (rec *recorder) addCount(name string, n int) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.counts[name]++
+	rec.counts[name] += n
 }
 
 // countKind increments a counter of the requests of one kind.
 func (rec *recorder) countKind(kind callKind, name string) { rec.count(kindNames[kind] + " " + name) }
 
+// countOf returns a counter of the requests of one kind.
+func (rec *recorder) countOf(kind callKind, name string) int {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return rec.counts[kindNames[kind]+" "+name]
+}
+
 // recordServed records that a request was served, with the time to the headers of its response.
 func (rec *recorder) recordServed(kind callKind, headerTime time.Duration) {
 	rec.countKind(kind, "served")
