--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -74,6 +74,10 @@
 	time.Sleep(h.opts.Scenario.settleTime())
 	stop()
 	callers.Wait()
+	if h.opts.Scenario.hasPriorities() {
+		h.checkUrgency()
+		h.checkProgress(ctx)
+	}
 	if h.opts.Timed {
 		h.checkRecovered(ctx)
 		h.checkNothingRunning()
@@ -96,7 +100,7 @@
 			c := h.newCaller(h.opts.Callers + n)
 			c.abandonRatio = 0
 			for k := range recoveryRequestsPerCaller {
-				if !c.request(ctx, callKind(k%int(callKindCount))) {
+				if !c.request(ctx, c.kinds[k%len(c.kinds)]) {
 					failed.Add(1)
 				}
 			}
@@ -123,10 +127,15 @@
 	return h.daemons[h.random.IntN(len(h.daemons))]
 }
 
+// randomServer returns any server, or any engine where all regular requests are streams.
 func (h *harness) randomServer() *server {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.servers[h.random.IntN(len(h.servers))]
+	for {
+		if s := h.servers[h.random.IntN(len(h.servers))]; s.service == "llm" || !h.opts.Scenario.hasPriorities() {
+			return s
+		}
+	}
 }
 
 // randomDuration returns a duration below limit, drawn from the seed.
@@ -295,7 +304,7 @@
 	h.register(s, true)
 	old := s.entry(true).ID
 	time.Sleep(drainPropagation + 1500*time.Millisecond)
-	for h.opts.Scenario.hasDaemonLinks() && len(s.Runs()) > 0 {
+	for (h.opts.Scenario.hasDaemonLinks() || h.opts.Scenario.hasPriorities()) && s.isBusy() {
 		time.Sleep(minEventInterval) // responses take longer in these scenarios
 	}
 	h.unregister(old)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/platform/kv"
 	"mallowwind.dev/platform/wire"
@@ -95,6 +97,7 @@
 	activeService        string               // plain service that routes target
 	routeMovedAt         time.Time            // when the last change of target was acknowledged
 	boundsSuspendedUntil time.Time            // time bounds are not checked before
+	burstCallersStarted  int                  // number of callers of bursts so far
 	poisonRequests       int                  // number of poison requests so far
 	// crashesByRequest counts the servers that crashed on each poison request.
 	crashesByRequest map[string]int
@@ -165,6 +168,9 @@
 			return err
 		}
 		h.servers = append(h.servers, s)
+		if service == "llm" {
+			s.speed = h.opts.Scenario.engineSpeed(n)
+		}
 		h.register(s, false)
 	}
 	return nil
@@ -281,21 +287,25 @@
 	route := func(kind callKind, k routing.Kind, service string, attempts int) *routing.Route {
 		return &routing.Route{
 			Name: strings.Trim(routePrefixes[kind], "/"), Host: host, Prefix: routePrefixes[kind], Kind: k, Timeout: callTimeouts[kind],
-			Objective: 200 * time.Millisecond, GapTarget: 700 * time.Millisecond, MaxAttempts: attempts,
-			Resumable: kind == callResumable,
+			Objective: h.opts.Scenario.objective(kind), Priority: routePriorities[kind], GapTarget: 700 * time.Millisecond, MaxAttempts: attempts,
+			Resumable: kind.isStream(),
 			Targets:   []routing.Target{{Service: service, Weight: 1}},
 		}
 	}
 	d := wire.DesiredConfig{
 		Version: h.configVersion, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Services: []*routing.Service{
-			{Name: "llm", Engine: &routing.Engine{Slots: 32, CanReplicate: true, CanCopy: true, ReplicaTTL: 4 * time.Second}}, {Name: "desk"}, {Name: "desk2"},
+			{Name: "llm", Engine: &routing.Engine{Slots: h.opts.Scenario.engineLimits().slots, CanReplicate: true, CanCopy: true, ReplicaTTL: replicaTTL}}, {Name: "desk"}, {Name: "desk2"},
 		},
 		Routes: []*routing.Route{
 			route(callResumable, routing.Stream, "llm", 5), route(callAtMostOnce, routing.AtMostOnce, h.activeService, 1), route(callIdempotent, routing.Idempotent, h.activeService, 2),
 		},
 		Keys: map[string][]string{},
 	}
+	if h.opts.Scenario.hasPriorities() {
+		d.Routes = append(d.Routes, route(callLessUrgent, routing.Stream, "llm", 5))
+		d.Priorities = map[string]int{priorityAccount: accountPriority}
+	}
 	for a, key := range h.keys {
 		d.Keys[fmt.Sprintf("account-%d", a)] = []string{key}
 	}
@@ -307,14 +317,14 @@
 	h.write(wire.ConfigKey, raw)
 }
 
-// checkRequest checks a request that a server is about to run.
-func (h *harness) checkRequest(e forward.UpstreamRequest, key, path, service string, drainingSince time.Time, sent sentRequest) {
-	now := time.Now()
+// checkRequest checks a request that arrived at a server and is about to run.
+func (h *harness) checkRequest(e forward.UpstreamRequest, key, path, service string, arrivedAt, drainingSince time.Time, sent sentRequest) {
 	h.mu.Lock()
 	removedAt, activeService, movedAt, suspendedUntil := h.removedKeys[sent.key], h.activeService, h.routeMovedAt, h.boundsSuspendedUntil
 	h.mu.Unlock()
 	rec := h.recorder
-	boundsHold := h.opts.Timed && now.After(suspendedUntil)
+	boundsHold := h.opts.Timed && arrivedAt.After(suspendedUntil)
+	isFirst := rec.executionCount(e.ID) == 1 && e.LastEventID == 0
 	switch {
 	case sent.sentAt.IsZero():
 		rec.recordViolation("%s runs, but no caller sent it", e.ID)
@@ -324,31 +334,41 @@
 		rec.recordViolation("%s arrives with its caller's key", e.ID)
 	case e.Account != sent.account:
 		rec.recordViolation("%s of %s arrives as a request of %q", e.ID, sent.account, e.Account)
-	case (sent.kind == callResumable) != (service == "llm"):
+	case sent.kind.isStream() != (service == "llm"):
 		rec.recordViolation("%s runs at %s", e.ID, service)
+	case h.opts.Scenario.hasPriorities() && sent.kind.isStream() && e.Priority != expectedRank(sent):
+		rec.recordViolation("%s of %s arrives with priority %d, want %d", e.ID, e.Account, e.Priority, expectedRank(sent))
 	case h.opts.Timed && !removedAt.IsZero() && sent.sentAt.After(removedAt.Add(keyRevocationDelay)):
 		rec.recordViolation("%s runs with a key that was removed %v earlier", e.ID, sent.sentAt.Sub(removedAt))
+	case boundsHold && !removedAt.IsZero() && isFirst && arrivedAt.After(removedAt.Add(configPropagation)):
+		rec.recordViolation("%s reaches a server %v after its key was removed", e.ID, arrivedAt.Sub(removedAt))
 	case sent.kind == callAtMostOnce && rec.executionCount(e.ID) > 1:
 		rec.recordViolation("%s runs %d times", e.ID, rec.executionCount(e.ID))
-	case boundsHold && !drainingSince.IsZero() && now.After(drainingSince.Add(drainPropagation)):
-		rec.recordViolation("%s reaches a server %v after it began to drain", e.ID, now.Sub(drainingSince))
-	case boundsHold && sent.kind != callResumable && service != activeService && sent.sentAt.After(movedAt.Add(configPropagation)):
+	case boundsHold && !drainingSince.IsZero() && arrivedAt.After(drainingSince.Add(drainPropagation)):
+		rec.recordViolation("%s reaches a server %v after it began to drain", e.ID, arrivedAt.Sub(drainingSince))
+	case boundsHold && !sent.kind.isStream() && service != activeService && sent.sentAt.After(movedAt.Add(configPropagation)):
 		rec.recordViolation("%s runs at %s %v after the route moved to %s", e.ID, service, sent.sentAt.Sub(movedAt), activeService)
 	}
 }
 
-// checkRefusal checks that a request refused as not run has not run, unless it may be retried.
-func (h *harness) checkRefusal(id string) {
-	if h.recorder.executionCount(id) > 0 && !h.canRetry(id) {
+// checkRefusal checks that a refusal as not run says so and is true. Without priorities it need not be
+// true of a request that may be retried.
+func (h *harness) checkRefusal(id, body string) {
+	var answer struct{ Verdict, Code string }
+	if err := json.Unmarshal([]byte(body), &answer); err != nil || answer.Verdict != verdict.NotRun.String() {
+		h.recorder.recordViolation("%s was refused without the verdict that it has not run: %q", id, tail(body))
+	}
+	h.recorder.count("refused as " + answer.Code)
+	mustNotRun := !h.canRetry(id)
+	if h.recorder.executionCount(id) > 0 && mustNotRun {
 		h.recorder.recordViolation("%s was refused as not run, but ran", id)
 	}
-	h.recorder.mu.Lock()
-	defer h.recorder.mu.Unlock()
-	h.recorder.counts["refused"]++
+	h.recorder.recordRefused(id, mustNotRun)
 }
 
 func (h *harness) canRetry(id string) bool {
 	h.recorder.mu.Lock()
 	defer h.recorder.mu.Unlock()
-	return h.recorder.sentRequests[id].kind != callAtMostOnce
+	kind := h.recorder.sentRequests[id].kind
+	return kind != callAtMostOnce && !(kind.isStream() && h.opts.Scenario.hasPriorities())
 }
