serve/forward: a delayed retry counts when it is sent

Cause: a retry was taken from the budget before a prompt waited for others, up to three seconds before it was sent. It left the window before its send did, so that a window could see more sends than the budget permits.

Change: where streams differ in priority, the retry is taken once the engine is chosen. Segments at a copy or at an engine with the prompt are sent at once and take it before.

Result: TestDelayedRetryCountsWhenItIsSent counts sends in a window; it fails without the change.

--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -73,6 +73,38 @@
 	}
 }
 
+// Guards against more sends in a window than the retry budget permits: a retry that is taken when
+// an answer breaks off and sent seconds later, after others, would leave the window before its send
+// does.
+func TestDelayedRetryCountsWhenItIsSent(t *testing.T) {
+	withTestCluster(t, withGapTarget(priorityRoutes()), func(w *testCluster) {
+		w.withoutCopies()
+		const window = 10 * time.Second
+		w.handler.SetBounds(5*time.Second, retrybudget.Policy{Slack: 1.2, Window: window}) // one retry
+		w.handler.pool.startedAt = w.handler.pool.startedAt.Add(-window)
+		var sentAt []time.Time
+		stream := streamEvents(40, time.Second, 40*time.Millisecond)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			sentAt = append(sentAt, time.Now())
+			stream(rw, r)
+		}
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		crashedAt := time.Now().Add(1500 * time.Millisecond)
+		w.background(func() {
+			time.Sleep(time.Until(crashedAt))
+			runner, other := runnerAndHolder(a, b)
+			other.setRuns("-9")
+			w.crash(runner)
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+		must.Eq(t, events(1, 40), got.body)
+		must.Eq(t, 2, len(sentAt))
+		must.Greater(t, time.Second, sentAt[1].Sub(crashedAt)) // it waited
+		time.Sleep(time.Until(sentAt[1].Add(window - 100*time.Millisecond)))
+		must.False(t, w.handler.pool.tryTakeRetry(time.Now(), "llm"))
+	})
+}
+
 // Guards against engines that work for answers which are late in any case. An engine rejects a
 // prompt after the objective has passed. Nobody holds anything of the answer and it did not run, so
 // it must be refused with not_run and not be sent again. Where requests don't differ in priority, it
--- a/serve/forward/retries.go
+++ b/serve/forward/retries.go
@@ -27,6 +27,16 @@
 	return false
 }
 
+// ensureRetry takes a retry for the next send of the request, unless it is the first send or the retry
+// was taken before. It returns false if the budget permits none.
+func (r *relay) ensureRetry(ctx context.Context) bool {
+	if r.sends > 0 && !r.retryTaken {
+		r.retryTaken = r.tryAcquireRetry(ctx, time.Now())
+		return r.retryTaken
+	}
+	return true
+}
+
 // isOrdinaryRetry reports whether a retry of the request may not use the reserved part of the
 // budget: the request is not among the most urgent of its service, and its caller holds nothing of
 // the answer. Without priorities no part is reserved.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -54,6 +54,7 @@
 	possibleRuns    int                   // servers that may have run the request
 	starts          int                   // attempts, without those that could not connect
 	sends           int                   // requests sent, without those that could not connect
+	retryTaken      bool                  // a retry was taken from the budget for the next send
 	excluded        []routing.Incarnation // servers that must not be chosen again
 	// promptHolders are the engines that hold the prompt; nil before the lookup.
 	promptHolders []routing.Incarnation
@@ -215,24 +216,19 @@
 	if r.isHopelessRefill(now) {
 		return segment{}, r.refuseRefill()
 	}
-	if r.starts >= maxStarts || r.sends > 0 && !r.tryAcquireRetry(ctx, now) {
+	r.retryTaken = false
+	// Where streams differ in priority, the prompt may wait before it is sent, and the retry is
+	// taken once the engine is chosen: it counts in the window in which it is sent.
+	if r.starts >= maxStarts || !r.hasPriorities() && !r.ensureRetry(ctx) {
 		return segment{}, r.noServerError()
 	}
 	view := r.h.opts.Feed.View()
-	if held := r.heldCopy; held.at.load != nil {
-		r.heldCopy = replica{}
-		if c, ok := r.findCopyHolder(view, held); ok && r.tryAcquirePermit(ctx, c) {
-			r.h.pool.addLoad(c, 1, 0, 0)
-			return r.withCopyTarget(ctx, segment{target: c, resumeFrom: held.name}), nil
+	if l, ok := r.findHolder(ctx, now, view); ok {
+		if !r.ensureRetry(ctx) {
+			return segment{}, r.noServerError()
 		}
-	}
-	if c, ok := r.retrySameEngine(ctx, view); ok && r.tryAcquirePermit(ctx, c) {
-		r.h.pool.addLoad(c, 1, 0, 0)
-		return r.withCopyTarget(ctx, segment{target: c}), nil
-	}
-	if c, ok := r.findPromptHolder(ctx, now, view); ok && r.tryAcquirePermit(ctx, c) {
-		r.h.pool.addLoad(c, 1, 0, 0)
-		return r.withCopyTarget(ctx, segment{target: c}), nil
+		r.h.pool.addLoad(l.target, 1, 0, 0)
+		return r.withCopyTarget(ctx, l), nil
 	}
 	if r.sends == 0 {
 		if err := r.checkTimeLeft(true); err != nil {
@@ -249,10 +245,32 @@
 	if err != nil {
 		return segment{}, err
 	}
+	if !r.ensureRetry(ctx) {
+		r.h.pool.addLoad(c.choice, -1, 0, 0)
+		return segment{}, r.noServerError()
+	}
 	unconfirmed := !c.answered && view.Config.Engine(r.service) != nil
 	return r.withCopyTarget(ctx, segment{target: c.choice, unconfirmed: unconfirmed}), nil
 }
 
+// findHolder returns a segment that needs no prefill: at the engine with the copy of the previous run,
+// or at one that holds the prompt. The engine's rate limit permits the request now.
+func (r *relay) findHolder(ctx context.Context, now time.Time, view *feed.View) (segment, bool) {
+	if held := r.heldCopy; held.at.load != nil {
+		r.heldCopy = replica{}
+		if c, ok := r.findCopyHolder(view, held); ok && r.tryAcquirePermit(ctx, c) {
+			return segment{target: c, resumeFrom: held.name}, true
+		}
+	}
+	if c, ok := r.retrySameEngine(ctx, view); ok && r.tryAcquirePermit(ctx, c) {
+		return segment{target: c}, true
+	}
+	if c, ok := r.findPromptHolder(ctx, now, view); ok && r.tryAcquirePermit(ctx, c) {
+		return segment{target: c}, true
+	}
+	return segment{}, false
+}
+
 // tryAcquirePermit reports whether the rate limit that an engine states permits a request now. A
 // permit is only valid for a request that is sent at once.
 func (r *relay) tryAcquirePermit(ctx context.Context, c choice) bool {
