serve/forward: an engine is busy by its pending prompts and its memory alone

Cause: the order of prompts that are prefilled again used CanPrefillNow, which is also false above three quarters of the memory, the share kept for copies. Broken answers then waited beside engines that prefilled nothing.

Change: an engine is busy while it has pending prompts, or no memory for the prompt.

Result: TestLateAnswerWaitsForOthers has a case with 70 % of the memory used and nothing pending, which fails without the change.

--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -89,11 +89,17 @@
 
 func (r *relay) refillSituation(now, since time.Time, report prompts.Report) refill.Situation {
 	return refill.Situation{
-		Losses: r.h.pressure.recentLosses(now, r.service), Busy: !report.CanPrefillNow(r.in.call.PromptTokens),
+		Losses: r.h.pressure.recentLosses(now, r.service), Busy: isBusy(report, r.in.call.PromptTokens),
 		Waited: now.Sub(since), Prefill: r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens),
 	}
 }
 
+// isBusy reports whether a prompt would wait at an engine, for the prefill of another prompt or for
+// memory. Memory that is kept for copies does not delay it.
+func isBusy(report prompts.Report, tokens int) bool {
+	return report.PendingPrompts > 0 || report.CapacityTokens > 0 && report.UsedTokens+tokens > report.CapacityTokens
+}
+
 // refuseRefill returns the refusal of a request that cannot be in time any more.
 func (r *relay) refuseRefill() error {
 	d := refill.Decision{Action: refill.Refuse, Reason: refill.ReasonHopeless}
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -37,14 +37,17 @@
 		name       string
 		routes     []*routing.Route
 		path       string
+		runs       string        // of the engine that is left
 		roomAfter  time.Duration // since the crash; 0 if there is none
 		resumedMin time.Duration // since the crash
 		resumedMax time.Duration
 	}{
-		{"less urgent", priorityRoutes(), "/s/1", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
-		{"urgent", priorityRoutes(), "/u/1", 0, 2200 * time.Millisecond, 2500 * time.Millisecond},
-		{"less urgent, room after a moment", priorityRoutes(), "/s/1", 200 * time.Millisecond, 2200 * time.Millisecond, 2500 * time.Millisecond},
-		{"one priority", streamRoute(), "/s/1", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
+		{"less urgent", priorityRoutes(), "/s/1", "-9", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
+		{"urgent", priorityRoutes(), "/u/1", "-9", 0, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"less urgent, room after a moment", priorityRoutes(), "/s/1", "-9", 200 * time.Millisecond, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"less urgent, memory for it but for no copy", priorityRoutes(), "/s/1", "r9 used=70000/100000", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
+		{"less urgent, no memory", priorityRoutes(), "/s/1", "r9 used=93000/100000", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
+		{"one priority", streamRoute(), "/s/1", "-9", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -55,7 +58,7 @@
 				w.background(func() {
 					time.Sleep(crashAt)
 					runner, other := runnerAndHolder(a, b)
-					other.setRuns("-9")
+					other.setRuns(c.runs)
 					w.crash(runner)
 					if c.roomAfter > 0 {
 						time.Sleep(c.roomAfter)
