serve/forward: an engine with copies alone is not idle

Cause: the memory of copies was derived from a report only if it stated tokens of runs. An engine that lists no run but is full of copies counted as idle and took any prompt.

Change: without listed runs, all used memory belongs to copies. The case "idle engine" of TestHeadroomIsKeptForUrgentPrompts used 850 of 1,000 tokens, which an engine without work does not; it now uses none, and engines with copies alone are cases of their own.

Result: the case "copies only" fails without the change.

--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -97,7 +97,8 @@
 	// UsedTokens is the part of the KV cache that cannot be evicted, and CapacityTokens is all of
 	// it, in tokens; CapacityTokens is 0 if it is not stated.
 	UsedTokens, CapacityTokens int
-	// RunTokens is the part of UsedTokens that belongs to the listed runs; 0 if it is not stated.
+	// RunTokens is the part of UsedTokens that belongs to the listed runs; 0 if it is not stated or no
+	// run is listed.
 	RunTokens int
 	// Priorities holds the priority of each run that states one, as in UpstreamRequest.
 	Priorities []int
@@ -106,7 +107,7 @@
 // loadReport returns the part of the report that matters for placing a prompt.
 func (r Report) loadReport() prompts.Report {
 	load := prompts.Report{PendingPrompts: r.Queued, UsedTokens: r.UsedTokens, CapacityTokens: r.CapacityTokens, Priorities: r.Priorities}
-	if r.RunTokens > 0 {
+	if r.RunTokens > 0 || len(r.Events) == 0 {
 		load.CopyTokens = max(0, r.UsedTokens-r.RunTokens)
 	}
 	for _, events := range r.Events {
--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -50,7 +50,9 @@
 		"memory left":            {true, true, "r1 used=770/1000", 200, 200},
 		"one priority":           {false, true, "r1 r2 r3", 200, 200},
 		"no urgent prompt seen":  {true, false, "r1 r2 r3", 200, 200},
-		"idle engine":            {true, true, "used=850/1000", 200, 200},
+		"idle engine":            {true, true, "used=0/1000", 200, 200},
+		"copies only":            {true, true, "used=850/1000", 503, 200},
+		"copies only, room left": {true, true, "used=150/1000", 200, 200},
 		"no slot, also not kept": {true, true, "r1 r2 r3 r4", 503, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
