decision/refill: a request is hopeless by a bound, not by an estimate

Cause: a request was refused as hopeless if 1.3 times the fastest prefill did not fit before its objective. An engine may be faster.

Change: it is refused only if the lower bound of the prefill does not fit; the estimate orders the prompts. The time until the objective has one definition, prompts.TimeToObjective.

--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -32,12 +32,19 @@
 // prompt whose prefill alone takes longer: otherwise the largest prompts would be refused on
 // every retry although engines are idle.
 func (e *Estimator) FirstEventBudget(tokens int, objective, timeout, remaining time.Duration) time.Duration {
-	if onTime := objective - max(timeout-remaining, 0); onTime > e.TimeToFirstEvent(0, tokens) {
+	if onTime := TimeToObjective(objective, timeout, remaining); onTime > e.TimeToFirstEvent(0, tokens) {
 		return onTime
 	}
 	return time.Duration(lateBudgetRatio * float64(remaining))
 }
 
+// TimeToObjective returns the time until the objective of a request, negative if it has passed.
+// objective and timeout are those of the route; a caller that retries has used up a part of both
+// before, so that less than the timeout remains.
+func TimeToObjective(objective, timeout, remaining time.Duration) time.Duration {
+	return objective - max(timeout-remaining, 0)
+}
+
 // Admit decides whether a prompt is sent. r is the report of the best engine available, budget is
 // how long the first event may take. A request of which some client already holds a part of the
 // answer is sent in spite of NoMemory; that is up to the code that calls Admit.
--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -12,8 +12,8 @@
 // room for them, and otherwise wait for a bounded time before they start regardless: those that can
 // be in time for a short one, those that can't for a longer one. While they wait, they look for room
 // the more often the earlier they are in this order, so that over all daemons the earlier ones find
-// most of the room without a message between daemons. A prompt that can't be in time is refused if
-// its caller holds nothing and it did not run; the caller of an answer that has begun is always
+// most of the room without a message between daemons. A prompt that no engine can serve in time is
+// refused if its caller holds nothing and it did not run; the caller of an answer that has begun is always
 // served.
 package refill
 
@@ -56,6 +56,9 @@
 	// Slack is the time until the latest start with which the caller is served in time; negative if
 	// that has passed.
 	Slack time.Duration
+	// Hopeless is set if no engine can serve the caller in time, by a lower bound of the prefill.
+	// Slack is an estimate and may be negative without it.
+	Hopeless bool
 	// LateFromStart is set if it could not be in time when it arrived. It was admitted regardless.
 	LateFromStart bool
 	// PartHeld is set if the caller holds a part of the answer.
@@ -116,7 +119,7 @@
 
 // IsHopeless reports whether a prompt is refused, wherever there is room.
 func (p Prompt) IsHopeless() bool {
-	return p.Slack < 0 && !p.LateFromStart && !p.PartHeld && !p.MayHaveRun
+	return p.Hopeless && !p.LateFromStart && !p.PartHeld && !p.MayHaveRun
 }
 
 // Decide decides whether a prompt starts now at the engine that was chosen for it.
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -75,15 +75,14 @@
 	route := r.in.route
 	switch {
 	case p.PartHeld && route.GapTarget > 0:
-		p.Slack = r.lastEventAt.Add(route.GapTarget).Sub(now) - prefill
+		left = r.lastEventAt.Add(route.GapTarget).Sub(now)
 	case !p.PartHeld && route.Objective > 0:
-		// A caller that retries has used up a part of the route's timeout before.
-		objective := route.Objective - max(route.Timeout-r.in.deadline.Sub(r.in.arrived), 0)
+		objective := prompts.TimeToObjective(route.Objective, route.Timeout, r.in.deadline.Sub(r.in.arrived))
 		p.LateFromStart = objective <= prefill
-		p.Slack = objective - now.Sub(r.in.arrived) - prefill
-	default:
-		p.Slack = left - prefill
+		left = objective - now.Sub(r.in.arrived)
 	}
+	p.Slack = left - prefill
+	p.Hopeless = r.h.pressure.isPrefillTooLate(r.service, r.in.call.PromptTokens, left)
 	return p
 }
 
