serve/forward: the rate of room counts prompts that were prefilled

Cause: a request was counted as an arrival and as a start with each placement, also when the engine rejected the prompt. Retry-After then promised room that did not exist, and callers that were served still counted among those told to return.

Change: the arrival counts once per request, and the start with the first event; the start drops what the caller was promised.

Result: TestRateOfRoomCountsFirstEvents and TestServedCallerIsNotExpected, which fail without the change.

--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -99,10 +100,11 @@
 	d.usual.add(now, usualPeriod)
 }
 
-// RecordStart records that a request found room.
-func (r *Room) RecordStart(now time.Time, rank int) {
+// RecordStart records that a request found room. It does not return as it was told.
+func (r *Room) RecordStart(now time.Time, q Request) {
 	r.starts.add(now, recentPeriod)
-	r.rank(rank).found.add(now, usualPeriod)
+	r.rank(q.Rank).found.add(now, usualPeriod)
+	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.ID == q.ID })
 }
 
 func (r *Room) rank(rank int) *demand {
--- a/decision/retryafter/room_test.go
+++ b/decision/retryafter/room_test.go
@@ -106,7 +106,7 @@
 		if free > 0 {
 			c.served = true
 			running = append(running, c.at+answerTime)
-			room.RecordStart(now, c.Rank)
+			room.RecordStart(now, c.Request)
 			continue
 		}
 		lasted, draw := streaks[c.daemon].Extend(now), random.Float64()
@@ -226,7 +226,7 @@
 		at := now.Add(time.Duration(n-60) * 250 * time.Millisecond)
 		r.RecordArrival(at, Request{ID: "n" + strconv.Itoa(n), Account: "b", Rank: 1})
 		if n%2 == 0 {
-			r.RecordStart(at, 1)
+			r.RecordStart(at, Request{ID: "n" + strconv.Itoa(n), Rank: 1})
 		}
 	}
 	return r
@@ -239,7 +239,7 @@
 	q := Request{ID: "a", TimeLeft: patience}
 	must.False(t, r.Promise(now, q, time.Second, 0).Known)
 	for n := range 3 {
-		r.RecordStart(now.Add(time.Duration(n)*time.Millisecond), 1)
+		r.RecordStart(now.Add(time.Duration(n)*time.Millisecond), Request{Rank: 1})
 	}
 	must.False(t, r.Promise(now.Add(time.Second), q, time.Second, 0).Known)
 	must.True(t, room(now).Promise(now, q, time.Second, 0).Known)
@@ -271,7 +271,7 @@
 	must.Eq(t, 0, r.Promise(now, Request{ID: "y", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
 	late := now.Add(20 * time.Second)
 	for n := range 20 {
-		r.RecordStart(late.Add(time.Duration(n-20)*500*time.Millisecond), 1)
+		r.RecordStart(late.Add(time.Duration(n-20)*500*time.Millisecond), Request{Rank: 1})
 	}
 	must.Eq(t, 0, r.Promise(late, Request{ID: "z", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
 }
@@ -285,3 +285,16 @@
 	}
 	must.SliceLen(t, maxPromises, r.promises)
 }
+
+// Guards against callers that count among those told to return after they were served: the others
+// would be told longer times.
+func TestServedCallerIsNotExpected(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := room(now)
+	first := Request{ID: "x", Account: "a", Rank: 1, TimeLeft: patience}
+	must.Positive(t, r.Promise(now, first, 0, 0.5).Delay)
+	second := Request{ID: "y", Account: "a", Rank: 1, TimeLeft: patience}
+	must.Eq(t, 1, r.forecast(now, second, 0).Ahead)
+	r.RecordStart(now, first)
+	must.Eq(t, 0, r.forecast(now, second, 0).Ahead)
+}
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -148,6 +148,9 @@
 	r := a.r
 	r.h.pool.addLoad(a.target, -1, 1, 0)
 	r.h.pool.recordSuccess(a.target)
+	if a.resumeFrom == "" {
+		r.recordRoomFound()
+	}
 	if a.resumeFrom == "" && r.in.call.LastEventID == 0 {
 		r.h.pressure.recordPrefill(r.service, r.in.call.PromptTokens, time.Since(a.sentAt))
 	}
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -13,21 +13,16 @@
 )
 
 // placeOrdered is placeAdmitted. Where requests of the service differ in priority, it also records
-// when prompts ask for room and find it, and orders those that must be prefilled again.
+// that prompts ask for room, and orders those that must be prefilled again.
 func (r *relay) placeOrdered(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	if !r.hasPriorities() {
 		return r.placeAdmitted(ctx, view)
 	}
-	r.h.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
-	place := r.placeAdmitted
+	r.recordDemand()
 	if r.sends > 0 || r.in.call.LastEventID > 0 {
-		place = r.placeRefill
+		return r.placeRefill(ctx, view)
 	}
-	c, err := place(ctx, view)
-	if err == nil {
-		r.h.pressure.recordPlacement(time.Now(), r.service, r.rank)
-	}
-	return c, err
+	return r.placeAdmitted(ctx, view)
 }
 
 // placeRefill places a prompt that must be prefilled again, at once or after others. While it
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/retrybudget"
 )
 
@@ -238,3 +239,39 @@
 		})
 	}
 }
+
+// Guards against a rate of room that counts prompts which found none: engines reject what is sent
+// to them, and callers were told to return at the rate of the rejections. A prompt that is sent
+// twice asks for room once and finds it once.
+func TestRateOfRoomCountsFirstEvents(t *testing.T) {
+	for name, rejected := range map[string]int{"all": 8, "first": 1} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+				w.handler.SetBounds(5*time.Second, retrybudget.Policy{Slack: 1000, Window: 10 * time.Second})
+				w.handler.pool.startedAt = w.handler.pool.startedAt.Add(-10 * time.Second)
+				sends := map[string]int{}
+				handle := func(rw http.ResponseWriter, r *http.Request) {
+					if id := r.Header.Get(hID); sends[id] < rejected {
+						sends[id]++
+						rw.Header().Set(hNotRun, "1")
+						rw.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+					streamEvents(5, 100*time.Millisecond, 10*time.Millisecond)(rw, r)
+				}
+				for _, id := range []string{"e-a", "e-b", "e-c"} {
+					w.add(id, "llm", id[2:], handle)
+				}
+				for n := range 20 {
+					header := withHeaders(map[string]string{hID: strconv.Itoa(n), hTokens: "80"})
+					w.request(http.MethodPost, "/s/1", header, "prompt")
+					time.Sleep(500 * time.Millisecond)
+				}
+				q := retryafter.Request{ID: "x", Rank: 1, TimeLeft: 20 * time.Second}
+				f := w.handler.pressure.retryAfterRoom(time.Now(), "llm", q, time.Second)
+				must.Eq(t, rejected == 1, f.Known)
+				must.Eq(t, 0, f.Overload) // all that asked for room found it
+			})
+		})
+	}
+}
--- a/serve/forward/returns.go
+++ b/serve/forward/returns.go
@@ -15,10 +15,36 @@
 	p.lockService(service).room.RecordArrival(now, q)
 }
 
-// recordPlacement records that a prompt found room.
-func (p *pressure) recordPlacement(now time.Time, service string, rank int) {
+// recordRoomFound records that the prompt of a request found room.
+func (p *pressure) recordRoomFound(now time.Time, service string, q retryafter.Request) {
 	defer p.mu.Unlock()
-	p.lockService(service).room.RecordStart(now, rank)
+	p.lockService(service).room.RecordStart(now, q)
+}
+
+// roomState says what was recorded of a request for the forecast of room.
+type roomState uint8
+
+const (
+	roomUnasked roomState = iota
+	roomAsked             // its prompt was to be placed
+	roomFound             // its prompt was prefilled
+)
+
+// recordDemand records once per request that its prompt asks for room.
+func (r *relay) recordDemand() {
+	if r.room == roomUnasked {
+		r.room = roomAsked
+		r.h.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
+	}
+}
+
+// recordRoomFound records once per request that its prompt found room, as the first event shows: an
+// engine may reject a prompt that was sent to it, or fail before.
+func (r *relay) recordRoomFound() {
+	if r.room == roomAsked {
+		r.room = roomFound
+		r.h.pressure.recordRoomFound(time.Now(), r.service, r.roomRequest())
+	}
 }
 
 // retryAfterRoom returns when a refused request is expected to find room. overload is how
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -54,6 +54,7 @@
 	possibleRuns    int                   // servers that may have run the request
 	starts          int                   // attempts, without those that could not connect
 	sends           int                   // requests sent, without those that could not connect
+	room            roomState             // where streams differ in priority
 	retryTaken      bool                  // a retry was taken from the budget for the next send
 	excluded        []routing.Incarnation // servers that must not be chosen again
 	// promptHolders are the engines that hold the prompt; nil before the lookup.
