decision/headroom: the memory kept free is at most a quarter of an engine

Cause: the memory kept for one prompt was always 1.8 times the mean. An engine for two to five prompts kept a third to all of its memory free.

Change: it is bounded by a quarter of the memory, or a prompt of mean length if that is more.

Result: cases of TestHasRoom for engines that hold two to five prompts, which fail without the change.

--- a/decision/headroom/headroom.go
+++ b/decision/headroom/headroom.go
@@ -109,13 +109,15 @@
 	if e.Slots > 0 && e.occupiedSlots(p.MeanTokens)+1+kept > e.Slots {
 		return false
 	}
-	return e.CapacityTokens == 0 || e.expectedTokens(p.MeanTokens)+tokens+p.keptTokens(kept) <= e.CapacityTokens
+	return e.CapacityTokens == 0 || e.expectedTokens(p.MeanTokens)+tokens+p.keptTokens(e, kept) <= e.CapacityTokens
 }
 
-// keptTokens returns the memory kept free for so many prompts, of which one may be of the largest.
-func (p Prompts) keptTokens(kept int) int {
+// keptTokens returns the memory that an engine keeps free for so many prompts, of which one may be of
+// the largest. It is at most maxKeptRatio of the engine, and enough for a prompt of mean length.
+func (p Prompts) keptTokens(e Engine, kept int) int {
 	if kept == 0 {
 		return 0
 	}
-	return int((float64(kept-1) + largestPromptRatio) * float64(p.MeanTokens))
+	mean := float64(p.MeanTokens)
+	return int(min((float64(kept-1)+largestPromptRatio)*mean, max(mean, maxKeptRatio*float64(e.CapacityTokens))))
 }
--- a/decision/headroom/headroom_test.go
+++ b/decision/headroom/headroom_test.go
@@ -37,12 +37,16 @@
 
 // Guards against prompts at engines whose last slot or memory is taken, also by copies and by
 // prompts that the report does not show yet, and against large prompts that no engine would take.
+// Small engines must not keep most of their memory free.
 func TestHasRoom(t *testing.T) {
 	loaded := func(change func(*Engine)) Engine {
 		e := engineWith(6)
 		change(&e)
 		return e
 	}
+	small := func(held, runs int) Engine {
+		return Engine{Running: runs, UsedTokens: runs * simMeanTokens, CapacityTokens: held * simMeanTokens}
+	}
 	for name, c := range map[string]struct {
 		share  float64
 		engine Engine
@@ -61,6 +65,15 @@
 		"copies in slots":            {0.1, Engine{Slots: 12, Running: 6, Copies: 5}, simMeanTokens, false},
 		"copies by their memory":     {0.1, Engine{Slots: 12, Running: 6, CopyTokens: 5 * simMeanTokens}, simMeanTokens, false},
 		"idle, largest prompt":       {0.1, Engine{Slots: 12, CapacityTokens: 15_000}, 14_400, true},
+		"holds two, one runs":        {0.1, small(2, 1), simMeanTokens, false},
+		"holds two, idle":            {0.1, small(2, 0), simMeanTokens, true},
+		"holds three, one runs":      {0.1, small(3, 1), simMeanTokens, true},
+		"holds three, two run":       {0.1, small(3, 2), simMeanTokens, false},
+		"holds four, two run":        {0.1, small(4, 2), simMeanTokens, true},
+		"holds four, three run":      {0.1, small(4, 3), simMeanTokens, false},
+		"holds five, two run":        {0.1, small(5, 2), simMeanTokens, true},
+		"holds five, three run":      {0.1, small(5, 3), simMeanTokens, false}, // a quarter exceeds the mean
+		"holds five, shorter prompt": {0.1, small(5, 3), simMeanTokens * 3 / 4, true},
 		"nothing reported":           {0.1, Engine{Running: 50}, simMeanTokens, true},
 	} {
 		p := Prompts{MeanTokens: simMeanTokens, UrgentShare: c.share}
