serve/forward: a wait does not cut an answer that was admitted

Cause: a prompt that waited looked for room again, and its answer was cut if the later look found none, although its caller held a part of it and an engine had been found before the wait.

Change: such a prompt starts at the engine that had room before, if that is still in the view. A refused prompt is recorded once instead of twice.

Result: TestWaitDoesNotCutAnswer fails without the change.

--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -105,6 +105,7 @@
 	ReasonPermit   Reason = "permit"   // holds a permit of a server that limits its rate
 	ReasonUrgent   Reason = "urgent"   // urgent and can be in time
 	ReasonWaited   Reason = "waited"   // has waited as long as it may
+	ReasonAdmitted Reason = "admitted" // had room before it waited, and its caller holds a part
 	ReasonPunctual Reason = "punctual" // can be in time after urgent prompts
 	ReasonLate     Reason = "late"     // can't be in time; others come first
 	ReasonHopeless Reason = "too_late" // can't be in time, and its caller holds nothing
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -29,24 +29,27 @@
 // waits, it is counted at no engine.
 func (r *relay) placeRefill(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	since := time.Now()
+	var admitted sampledEngine // at the last look for room
 	for {
 		c, err := r.placeAdmitted(ctx, view)
 		if err != nil {
-			return sampledEngine{}, err
+			return r.startWhereAdmitted(ctx, view, admitted, time.Since(since), err)
 		}
 		now := time.Now()
 		d := refill.Decide(r.refillPrompt(now), r.refillSituation(now, since, c.report))
 		if _, limited := r.h.limits.permitWait(r.service); limited && d.Action == refill.Delay {
 			d = refill.Decision{Action: refill.Start, Reason: refill.ReasonPermit} // it holds a permit
 		}
+		if d.Action == refill.Refuse {
+			r.h.pool.addLoad(c.choice, -1, 0, 0)
+			return sampledEngine{}, r.refuseRefill()
+		}
 		r.recordRefill(d, now.Sub(since), c.report)
 		if d.Action == refill.Start {
 			return c, nil
 		}
 		r.h.pool.addLoad(c.choice, -1, 0, 0)
-		if d.Action == refill.Refuse {
-			return sampledEngine{}, r.refuseRefill()
-		}
+		admitted = c
 		if !pause.For(ctx, d.Delay) {
 			return sampledEngine{}, r.expiryError()
 		}
@@ -54,6 +57,23 @@
 	}
 }
 
+// startWhereAdmitted places the prompt of an answer that its caller holds in part, and for which no
+// engine has room any more, at the engine that had room before the prompt waited. Otherwise it
+// returns the error.
+func (r *relay) startWhereAdmitted(ctx context.Context, view *feed.View, admitted sampledEngine, waited time.Duration, err error) (sampledEngine, error) {
+	if admitted.load == nil || !r.isPartHeld() || verdict.FromError(err).Code != verdict.CodeOverloaded {
+		return sampledEngine{}, err
+	}
+	c, ok := r.h.pool.findServer(view, r.service, admitted.server.Incarnation())
+	if !ok || !r.tryAcquirePermit(ctx, c) {
+		return sampledEngine{}, err
+	}
+	r.h.pool.addLoad(c, 1, 0, 0)
+	admitted.choice = c
+	r.recordRefill(refill.Decision{Action: refill.Start, Reason: refill.ReasonAdmitted}, waited, admitted.report)
+	return admitted, nil
+}
+
 // isHopelessRefill reports whether the prompt would have to be prefilled again and cannot be in time.
 // It is checked before a retry is taken from the budget.
 func (r *relay) isHopelessRefill(now time.Time) bool {
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -77,6 +78,31 @@
 	}
 }
 
+// Guards against an answer that is cut because its prompt waited: the engine had room at the first
+// look, and prompts of others are pending there at the next.
+func TestWaitDoesNotCutAnswer(t *testing.T) {
+	withTestCluster(t, withGapTarget(priorityRoutes()), func(w *testCluster) {
+		w.withoutCopies()
+		handle := streamEvents(40, time.Second, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, other := runnerAndHolder(a, b)
+			other.setRuns("-9")
+			w.crash(runner)
+			time.Sleep(200 * time.Millisecond)
+			var pending []string
+			for n := range 40 { // more than fit into the time that the caller still waits
+				pending = append(pending, "-"+strconv.Itoa(n))
+			}
+			other.setRuns(strings.Join(pending, " "))
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 40), got.body)
+	})
+}
+
 // Guards against more sends in a window than the retry budget permits: a retry that is taken when
 // an answer breaks off and sent seconds later, after others, would leave the window before its send
 // does.
