serve/forward: headroom records each denial once, and reads shared state once per call

Cause: requests that are exempt from headroom were logged and counted as denied. A run without a copy left no event or metric if all engines were known to be full. Placement and copies took several locks for each report. A run past the mean time of answers had a remaining time of 0, which means unknown, and got a copy.

Change: exempt requests are not checked; a run for which no engine is asked records the reason of one that is full; what is known of the service is read once per call; a run past the mean time counts as ending. The time of a prefill is read in one place.

Result: TestExemptRequestIsNotCountedAsDenied, TestRunPastMeanTimeIsEnding and the count in TestFullEngineIsNotProbedAgainForCopy fail without the change.

--- a/serve/forward/admission.go
+++ b/serve/forward/admission.go
@@ -50,7 +50,7 @@
 		due = r.h.pressure.firstEventBudget(r.service, r.in, due)
 	}
 	admission = r.h.pressure.admit(r.service, best.report, r.in.call.PromptTokens, due)
-	if admission == prompts.Admitted && !r.fits(best.report) {
+	if admission == prompts.Admitted && !mustServe && !r.fits(best.report) {
 		admission = prompts.NoMemory
 	}
 	if mustServe && admission == prompts.NoMemory {
--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -114,22 +115,23 @@
 	return asUrgent > 0 && asUrgent <= maxUrgentRatio
 }
 
-// keptRoom returns what room is kept free for prompts that are more urgent than this one.
-func (r *relay) keptRoom() headroom.Prompts {
+// roomPolicy returns what determines the room that engines keep free for prompts that are more urgent
+// than this one.
+func (r *relay) roomPolicy() headroom.Prompts {
 	return headroom.Prompts{
 		MeanTokens:  r.h.pressure.meanPromptTokens(r.service),
 		UrgentShare: r.h.headroom.urgentShare(time.Now(), r.service, r.level()),
 	}
 }
 
-// engineLoad converts a report for a decision on this request.
-func (r *relay) engineLoad(report prompts.Report) headroom.Engine {
+// engineLoad converts a report for a decision on a request of a level.
+func engineLoad(report prompts.Report, level int) headroom.Engine {
 	e := headroom.Engine{
 		Slots: report.Slots, Running: report.Running, Pending: report.PendingPrompts,
 		CopyTokens: report.CopyTokens, Copies: report.Copies, UsedTokens: report.UsedTokens, CapacityTokens: report.CapacityTokens,
 	}
 	for _, priority := range report.Priorities {
-		if priority < r.level() {
+		if priority < level {
 			e.MoreUrgent++
 		}
 	}
@@ -138,14 +140,22 @@
 
 // hasFreeRoom reports whether an engine has a free slot and memory for the prompt, beside the room
 // that it keeps for more urgent ones. It is always true where streams do not differ in priority.
-func (r *relay) hasFreeRoom(report prompts.Report) bool {
-	return !r.hasPriorities() || r.keptRoom().HasRoom(r.engineLoad(report), r.in.call.PromptTokens)
+func (r *relay) hasFreeRoom(report prompts.Report) bool { return r.roomCheck()(report) }
+
+// roomCheck returns hasFreeRoom for several reports.
+func (r *relay) roomCheck() func(prompts.Report) bool {
+	if !r.hasPriorities() {
+		return func(prompts.Report) bool { return true }
+	}
+	room, level, tokens := r.roomPolicy(), r.level(), r.in.call.PromptTokens
+	return func(report prompts.Report) bool { return room.HasRoom(engineLoad(report, level), tokens) }
 }
 
 // withFreeRoom returns the sampled engines that have room for the prompt.
 func (r *relay) withFreeRoom(sampled []sampledEngine) (free []sampledEngine) {
+	hasRoom := r.roomCheck()
 	for _, s := range sampled {
-		if r.hasFreeRoom(s.report) {
+		if hasRoom(s.report) {
 			free = append(free, s)
 		}
 	}
@@ -175,8 +185,9 @@
 		return nil
 	}
 	var free []routing.Incarnation
+	hasRoom := r.roomCheck()
 	for incarnation, report := range r.h.headroom.recentReports(time.Now()) {
-		if !slices.Contains(excluded, incarnation) && r.hasFreeRoom(report) {
+		if !slices.Contains(excluded, incarnation) && hasRoom(report) {
 			free = append(free, incarnation)
 		}
 	}
@@ -209,7 +220,7 @@
 	if !r.hasPriorities() {
 		return true
 	}
-	room, load := r.keptRoom(), r.engineLoad(report)
+	room, load := r.roomPolicy(), engineLoad(report, r.level())
 	kept := room.Kept(load)
 	if kept == 0 || room.HasRoom(load, r.in.call.PromptTokens) {
 		return true
@@ -222,44 +233,80 @@
 	return false
 }
 
-// keepsCopy reports whether a run of this request gets a copy at a server with a report now. It
-// logs a denial unless the last one had the same reason: a run without a copy asks every second.
+// keepsCopy reports whether a run of this request gets a copy at a server with a report now, and
+// records a denial.
 func (r *relay) keepsCopy(server routing.Server, report prompts.Report) bool {
 	if !r.hasPriorities() {
 		return report.HasCapacity(r.in.call.PromptTokens)
 	}
-	decision := r.decideCopy(report)
+	decision := r.copyRule().decide(report)
+	r.recordCopyDecision(server.ID, decision)
+	return decision == headroom.CopyKept
+}
+
+// recordCopyDecision records why a run gets no copy at a server, unless the last reason was the same.
+func (r *relay) recordCopyDecision(server string, decision headroom.CopyDecision) {
 	if last := r.copyDecision.Swap(uint32(decision)); decision != headroom.CopyKept && last != uint32(decision) {
 		r.h.metrics.headroomDenials.WithLabelValues(deniedCopy).Inc()
-		r.h.opts.Log.Emit(event.CopyDeclined, r.in.call.ID, server.ID, r.rank, decision.String())
+		r.h.opts.Log.Emit(event.CopyDeclined, r.in.call.ID, server, r.rank, decision.String())
 	}
-	return decision == headroom.CopyKept
 }
 
-// decideCopy decides whether a run of this request gets a copy at an engine. It is also called by
-// the goroutine of the replicator and reads only what does not change during the request.
-func (r *relay) decideCopy(report prompts.Report) headroom.CopyDecision {
+// copyRule decides about the copies of one run, by what is known when it is made.
+type copyRule struct {
+	room  headroom.Prompts
+	run   headroom.Run
+	level int
+}
+
+// copyRule returns the rule for the run of this request. It is also called by the goroutine of the
+// replicator and reads only what does not change during the request.
+func (r *relay) copyRule() copyRule {
 	prefill, answer := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
-	return r.keptRoom().KeepsCopy(r.engineLoad(report), headroom.Run{
-		Tokens: r.in.call.PromptTokens, Urgent: r.isUrgent(), Prefill: prefill,
-		Remaining: max(0, answer-time.Since(r.in.arrived)),
-	})
+	run := headroom.Run{Tokens: r.in.call.PromptTokens, Urgent: r.isUrgent(), Prefill: prefill}
+	if answer > 0 {
+		// A run that exceeds the mean time may end at any moment; 0 would mean unknown.
+		run.Remaining = max(1, answer-time.Since(r.in.arrived))
+	}
+	return copyRule{room: r.roomPolicy(), run: run, level: r.level()}
+}
+
+// decide decides whether the run gets a copy at an engine.
+func (c copyRule) decide(report prompts.Report) headroom.CopyDecision {
+	return c.room.KeepsCopy(engineLoad(report, c.level), c.run)
+}
+
+// fullEngine is an engine that is known from a recent report to have no room for a copy of a run.
+type fullEngine struct {
+	incarnation routing.Incarnation
+	reason      headroom.CopyDecision
 }
 
 // enginesWithoutRoom returns the engines that are known from recent reports to have no room for a
-// copy of this run, so that they are not probed again.
-func (r *relay) enginesWithoutRoom() (full []routing.Incarnation) {
+// copy of this run, so that they are not probed again, without the engine of the run.
+func (r *relay) enginesWithoutRoom(own routing.Incarnation) (full []fullEngine) {
 	if !r.hasPriorities() {
 		return nil
 	}
+	rule := r.copyRule()
 	for incarnation, report := range r.h.headroom.recentReports(time.Now()) {
-		if r.decideCopy(report) != headroom.CopyKept {
-			full = append(full, incarnation)
+		if reason := rule.decide(report); incarnation != own && reason != headroom.CopyKept {
+			full = append(full, fullEngine{incarnation, reason})
 		}
 	}
 	return full
 }
 
+// recordNoEngine records why a run gets no copy although no engine was asked: all that remain are
+// known to have no room.
+func (r *relay) recordNoEngine(full []fullEngine) {
+	if len(full) == 0 {
+		return
+	}
+	first := slices.MinFunc(full, func(a, b fullEngine) int { return cmp.Compare(a.incarnation.ID, b.incarnation.ID) })
+	r.recordCopyDecision(first.incarnation.ID, first.reason)
+}
+
 // copyCount returns how many copies of this daemon's runs a server keeps.
 func (p *pool) copyCount(incarnation routing.Incarnation) int {
 	p.mu.Lock()
--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
@@ -70,6 +71,30 @@
 	}
 }
 
+// Guards against metrics and events of headroom for requests that are exempt from it, because they
+// were sent before.
+func TestExemptRequestIsNotCountedAsDenied(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		w.withoutCopies()
+		handle := streamEvents(40, time.Second, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		must.Eq(t, 200, w.send("/u/"))
+		before := a.requestCount()
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, other := a, b
+			if a.requestCount() == before {
+				runner, other = b, a
+			}
+			other.setRuns("r1 r2 r3")
+			w.crash(runner)
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "80"}), "prompt")
+		must.Eq(t, events(1, 40), got.body)
+		must.Eq(t, 0, testutil.ToFloat64(w.handler.metrics.headroomDenials.WithLabelValues(deniedPrompt)))
+	})
+}
+
 // Guards against room that stays reserved for a class that sends nothing any more.
 func TestHeadroomEndsWhenUrgentCallersFallSilent(t *testing.T) {
 	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
@@ -267,7 +292,7 @@
 }
 
 // Guards against probes of engines that are known to have no room for a copy: a burst would send
-// three of them for each run and second.
+// three of them for each run and second. The run without a copy must still show in the metrics.
 func TestFullEngineIsNotProbedAgainForCopy(t *testing.T) {
 	probes := map[bool]int{}
 	for _, differ := range []bool{true, false} {
@@ -278,6 +303,8 @@
 			full.setRuns("-x used=900/1000")
 			must.Eq(t, "", w.copyTarget("/s/"))
 			probes[differ] = full.probeCount()
+			declined := testutil.ToFloat64(w.handler.metrics.headroomDenials.WithLabelValues(deniedCopy))
+			must.Eq(t, differ, declined == 1)
 		})
 	}
 	must.Eq(t, probes[false]-1, probes[true])
@@ -301,3 +328,15 @@
 		must.Greater(t, 0, len(targets))
 	})
 }
+
+// Guards against copies for runs that are about to end: one that exceeds the mean time of answers
+// must not count as one of unknown time.
+func TestRunPastMeanTimeIsEnding(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		r := &relay{h: w.handler, in: &inbound{arrived: time.Now().Add(-5 * time.Second)}, service: "llm", rank: 1}
+		must.Eq(t, 0, r.copyRule().run.Remaining) // unknown
+		w.handler.pressure.recordDuration("llm", 4*time.Second)
+		must.Positive(t, r.copyRule().run.Remaining)
+		must.Less(t, time.Millisecond, r.copyRule().run.Remaining)
+	})
+}
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -86,7 +86,7 @@
 	p := refill.Prompt{
 		Rank: r.rank, PartHeld: r.isPartHeld(), MayHaveRun: r.possibleRuns > 0, TimeLeft: left,
 	}
-	prefill := r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens)
+	prefill, _ := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
 	route := r.in.route
 	switch {
 	case p.PartHeld && route.GapTarget > 0:
@@ -102,9 +102,10 @@
 }
 
 func (r *relay) refillSituation(now, since time.Time, report prompts.Report) refill.Situation {
+	prefill, _ := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
 	return refill.Situation{
 		Losses: r.h.pressure.recentLosses(now, r.service), Busy: isBusy(report, r.in.call.PromptTokens),
-		Waited: now.Sub(since), Prefill: r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens),
+		Waited: now.Sub(since), Prefill: prefill,
 	}
 }
 
@@ -146,10 +147,3 @@
 	defer p.mu.Unlock()
 	return p.lockService(service).losses.Recent(now)
 }
-
-// prefillTime returns the expected time to the first event of a prompt at an engine without pending
-// prompts; 0 if unknown.
-func (p *pressure) prefillTime(service string, tokens int) time.Duration {
-	defer p.mu.Unlock()
-	return p.lockService(service).pace.TimeToFirstEvent(0, tokens)
-}
--- a/serve/forward/replicator.go
+++ b/serve/forward/replicator.go
@@ -192,12 +192,18 @@
 // room: a replica takes as much memory as the run, and an engine that runs out of memory evicts
 // runs. Under three times the usual load a replica is not worth that.
 func (r *relay) chooseReplicaEngine(ctx context.Context, server routing.Server, failed []routing.Incarnation) (choice, bool) {
-	excluded := append(slices.Clone(failed), r.enginesWithoutRoom()...)
+	full, excluded := r.enginesWithoutRoom(server.Incarnation()), slices.Clone(failed)
+	for _, e := range full {
+		excluded = append(excluded, e.incarnation)
+	}
 	round := r.h.newProbeRound()
 	defer round.suspectSilent()
-	for range maxCopyProbes {
+	for probed := range maxCopyProbes {
 		c, ok := r.h.pool.chooseReplicaEngine(time.Now(), r.h.opts.Feed.View(), server, excluded)
 		if !ok {
+			if probed == 0 {
+				r.recordNoEngine(full)
+			}
 			return choice{}, false
 		}
 		if !r.h.limits.isPaused(c.server) {
