decision/headroom: at most a quarter of the prompts counts as urgent beside the first rank

Cause: requests of further ranks could use the reserve of retries, three tenths of the budget, if at most half of the prompts were as urgent. With ranks at 10, 35 and 55 % of the prompts, 45 % of them could.

Change: the bound is a quarter, and the rule is headroom.Demand.IsUrgent. The first rank is always urgent.

Result: TestIsUrgent has these ranks and fails with the previous bound.

--- a/decision/headroom/demand.go
+++ b/decision/headroom/demand.go
@@ -15,6 +15,10 @@
 	// maxSilence is how long room is kept free for a level of which no prompt was seen. A daemon that
 	// places a prompt every few seconds sees the runs of several engines each time.
 	maxSilence = 30 * time.Second
+	// maxUrgentShare is the largest share of prompts, those of more urgent ranks included, of which a
+	// rank beside the first counts as urgent. What is reserved for urgent requests, three tenths of
+	// the retries, is then enough for them.
+	maxUrgentShare = 0.25
 )
 
 // Demand tracks the shares of the levels of urgency among the prompts of one service. The zero value
@@ -66,3 +70,13 @@
 	}
 	return urgent / all
 }
+
+// IsUrgent reports whether requests of a rank may use what is reserved for urgent ones: those of the
+// first rank, and others if few prompts are as urgent.
+func (d *Demand) IsUrgent(now time.Time, rank int) bool {
+	if rank == 0 {
+		return true
+	}
+	asUrgent := d.UrgentShare(now, rank+1)
+	return asUrgent > 0 && asUrgent <= maxUrgentShare
+}
--- a/decision/headroom/headroom_test.go
+++ b/decision/headroom/headroom_test.go
@@ -81,6 +81,29 @@
 	}
 }
 
+// Guards against requests that use what is reserved for urgent ones although they are many, and
+// against a most urgent class that counts as none because it is large.
+func TestIsUrgent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		prompts []int // by rank
+		want    []bool
+	}{
+		"three ranks, many of the second": {[]int{10, 35, 55}, []bool{true, false, false}},
+		"three ranks, few of the second":  {[]int{10, 15, 75}, []bool{true, true, false}},
+		"most of the first rank":          {[]int{90, 10}, []bool{true, false}},
+		"nothing seen":                    {nil, []bool{true, false}},
+	} {
+		var d Demand
+		for rank, n := range c.prompts {
+			d.Observe(now, rank, n)
+		}
+		for rank, want := range c.want {
+			must.Eq(t, want, d.IsUrgent(now, rank), must.Sprint(name, rank))
+		}
+	}
+}
+
 // Guards against copies that displace urgent prompts, against copies of the wrong runs while memory
 // is scarce, and against missing ones while it is not.
 func TestKeepsCopy(t *testing.T) {
--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -17,10 +17,6 @@
 // target of a copy for which it had no room.
 const maxReportAge = time.Second
 
-// maxUrgentRatio is the largest part of the prompts of a service that count as urgent when memory
-// for copies is scarce.
-const maxUrgentRatio = 0.5
-
 // headroomState holds what this daemon has observed of the services whose streams differ in
 // priority. It is safe for concurrent use.
 type headroomState struct {
@@ -69,6 +65,13 @@
 	return getOrCreate(s.demand, service).UrgentShare(now, rank)
 }
 
+// isUrgent reports whether requests of a rank count as urgent among those of a service.
+func (s *headroomState) isUrgent(now time.Time, service string, rank int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return getOrCreate(s.demand, service).IsUrgent(now, rank)
+}
+
 // recentReports returns the reports received within maxReportAge.
 func (s *headroomState) recentReports(now time.Time) map[routing.Incarnation]prompts.Report {
 	s.mu.Lock()
@@ -105,14 +108,9 @@
 // level returns the rank of the request as engines report it.
 func (r *relay) level() int { return min(r.rank, headroom.Levels-1) }
 
-// isUrgent reports whether the request is of the first rank, or at most half of the prompts of the
-// service are as urgent as it is.
+// isUrgent reports whether the request may use what is reserved for urgent ones.
 func (r *relay) isUrgent() bool {
-	if r.rank == 0 {
-		return true
-	}
-	asUrgent := r.h.headroom.urgentShare(time.Now(), r.service, r.level()+1)
-	return asUrgent > 0 && asUrgent <= maxUrgentRatio
+	return r.h.headroom.isUrgent(time.Now(), r.service, r.level())
 }
 
 // roomPolicy returns what determines the room that engines keep free for prompts that are more urgent
