Comments give reasons, not figures of one deployment; events stand in order

Comments of constants named figures of single deployments or how a value was found, and some were misleading. Names of products in tests are replaced by neutral ones. Constants stand before their use, events 280, 281 and 290 to 292 after the lower ones. Nothing changes in behaviour.

--- a/control/routing/priority_test.go
+++ b/control/routing/priority_test.go
@@ -20,8 +20,8 @@
 // An account that uses an urgent and a less urgent route sends both with the account's own priority.
 // Without the routes' priorities, engines serve its requests in the order of arrival.
 func TestRankOrdersRoutesWithinAccountPriority(t *testing.T) {
-	premium, club := streamRoute("premium", 0), streamRoute("club", 2)
-	c := priorityConfig(premium, club)
+	urgent, usual := streamRoute("urgent", 0), streamRoute("usual", 2)
+	c := priorityConfig(urgent, usual)
 	must.True(t, c.HasPriorities("llm"))
 	mill, depot, shop := c.Account("k1"), c.Account("k2"), c.Account("k3")
 	for _, w := range []struct {
@@ -29,14 +29,14 @@
 		account *Account
 		want    int
 	}{
-		{premium, depot, 0},
-		{premium, nil, 0},
-		{premium, shop, 0},
-		{club, depot, 1},
-		{premium, mill, 2},
-		{club, mill, 3},
-		{club, nil, 4},
-		{club, shop, 4},
+		{urgent, depot, 0},
+		{urgent, nil, 0},
+		{urgent, shop, 0},
+		{usual, depot, 1},
+		{urgent, mill, 2},
+		{usual, mill, 3},
+		{usual, nil, 4},
+		{usual, shop, 4},
 	} {
 		must.Eq(t, w.want, c.Rank("llm", w.route, w.account), must.Sprint(w.route.Name, w.account))
 	}
--- a/decision/headroom/demand.go
+++ b/decision/headroom/demand.go
@@ -9,8 +9,8 @@
 	// Levels is the number of levels of urgency that are told apart; less urgent ones count as the
 	// last. Engines know as many priorities.
 	Levels = 10
-	// shareHalfLife is the time after which an observation counts half. Bursts last 3 to 7 s, and
-	// the share must not follow each of them.
+	// shareHalfLife is the time after which an observation counts half. It is longer than a burst,
+	// because the share must not follow each of them.
 	shareHalfLife = 10 * time.Second
 	// maxSilence is how long room is kept free for a level of which no prompt was seen. A daemon that
 	// places a prompt every few seconds sees the runs of several engines each time.
--- a/decision/headroom/headroom.go
+++ b/decision/headroom/headroom.go
@@ -19,12 +19,11 @@
 
 const (
 	// maxKeptRatio is the largest part of the runs of an engine for which room is kept free, if that is
-	// more than one. Runs end one by one, so that room for two or three prompts suffices also where
-	// most prompts are urgent; with half the engine kept, two thirds of the few less urgent prompts
-	// were refused in the simulation although urgent ones had room.
+	// more than one. Runs end one by one, so that little room suffices also where most prompts are
+	// urgent, and less urgent prompts must not be refused while urgent ones have room.
 	maxKeptRatio = 0.25
-	// largestPromptRatio is the length of the largest prompts relative to the mean: 14,400 of
-	// 8,000 tokens in the deployments of docs/design/103.
+	// largestPromptRatio is the length of the largest prompts relative to the mean. Prompts of one
+	// service are up to about twice as long as the mean.
 	largestPromptRatio = 1.8
 )
 
--- a/decision/headroom/simulation_test.go
+++ b/decision/headroom/simulation_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// The engines of the ticketing deployment, as in docs/design/103.
+// The engines of the first deployment in docs/design/103.
 const (
 	simSlots       = 12
 	simCapacity    = 88_000
--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -8,7 +8,7 @@
 
 const (
 	// recentPeriod is the time constant of the rates of starts and of arrivals during an overload.
-	// It is about the length of a burst (5 to 7 s): within a burst, the rates follow it.
+	// It is about the length of a burst: within a burst, the rates follow it.
 	recentPeriod = 6 * time.Second
 	// usualPeriod is the time constant of the usual rate of arrivals. It covers many bursts.
 	usualPeriod = 60 * time.Second
@@ -16,14 +16,17 @@
 	// error of the rate is then about half of it.
 	minStarts = 4
 	// minSpareRatio is the smallest share of the room that is expected to be left for callers that
-	// return. Before a burst, starts are as rare as arrivals and show no spare room, although a
-	// service has about this much: engines that sustain 0.52 prompts per second get 0.32.
+	// return. Before a burst, starts are as rare as arrivals and show no spare room, although engines
+	// are usually used to about three fifths.
 	minSpareRatio = 0.4
 	// maxPromises bounds the remembered callers. At a daemon's usual rate, fewer than this many are
 	// refused within the longest delay.
 	maxPromises = 256
 	// returnGrace is how long after its time a caller is still recognised when it returns.
 	returnGrace = 5 * time.Second
+	// minObserved bounds the correction of a rate for a short observation: a rate is not taken from
+	// less than a tenth of its period.
+	minObserved = 0.1
 )
 
 // Room estimates when a refused request finds room, for the requests of one service at one daemon
@@ -38,9 +41,10 @@
 //
 // Decision: room appears at the rate at which prompts were started lately. Requests that are at
 // least as urgent take their part of it as they arrive; the rest serves the callers that return, in
-// the order of their rank, and in turn for each account. If the requests of a rank and of more urgent ranks
-// alone take all of the room, it first has to be waited until the overload ends. Otherwise it has to
-// be waited for a part of that time: for the share of them that found no room lately. A caller that
+// the order of their rank, and in turn for each account. If the requests of a rank and of more urgent
+// ranks alone take all of the room, a caller of that rank has to wait until the overload ends.
+// Otherwise it has to wait for a part of that time: the share of these requests that found no room
+// lately. A caller that
 // returns too early is told the same time again and no longer counts among those told to return, so
 // that callers that retry at once and often don't lengthen the times of others.
 //
@@ -262,7 +266,3 @@
 	observed := 1 - math.Exp(-float64(now.Sub(r.startedAt))/float64(period))
 	return r.weightAt(now, period) / (period.Seconds() * max(observed, minObserved))
 }
-
-// minObserved bounds the correction of perSecond: a rate is not taken from less than a tenth of its
-// period.
-const minObserved = 0.1
--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -13,10 +13,16 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// maxReportAge is how long the report of an engine keeps the engine from being probed again as the
-// target of a copy for which it had no room.
+// maxReportAge is how long the report of an engine is used without another probe: an engine that had
+// room is asked before a prompt is refused, and one that had none is not asked to hold a copy.
 const maxReportAge = time.Second
 
+// Values of the label kind of metrics.headroomDenials.
+const (
+	deniedPrompt = "prompt"
+	deniedCopy   = "copy"
+)
+
 // headroomState holds what this daemon has observed of the services whose streams differ in
 // priority. It is safe for concurrent use.
 type headroomState struct {
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -84,12 +84,6 @@
 	return m
 }
 
-// Values of the label kind of headroomDenials.
-const (
-	deniedPrompt = "prompt"
-	deniedCopy   = "copy"
-)
-
 // reasonTurnedAway is the reason of refusals while servers reject requests. The reasons of refused
 // prompts are the strings of prompts.Admission.
 const reasonTurnedAway = "turned_away"
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -20,12 +20,6 @@
 		"An answer that had started could not be completed. Its connection was closed, so that it does not look complete.", "request", "prompt", "route", "account", "config", "error", "took")
 	RetryBorrowed = define(227, "repeat_borrowed", logrus.InfoLevel,
 		"Another daemon lent one retry of its share of the retry budget to a request of this daemon.", "request", "lender", "service")
-	OrdinaryRetryDenied = define(290, "ordinary_repeat_denied", logrus.InfoLevel,
-		"A less urgent request of which the caller holds nothing was not sent again: what is left of the shared retry budget, here and at the daemons that were asked to lend, is reserved for urgent requests and for answers that callers hold in part, or used up. rank is 0 for the most urgent requests of the service.", "request", "service", "rank", "sends")
-	RoomForecast = define(291, "room_forecast", logrus.InfoLevel,
-		"A request was refused for lack of room, and its caller was told to return after retry_after. overload is how long requests of its rank find no room, ahead the number of callers told to return before that are served first, and spare the prompts per second that find room once the overload is over.", "request", "service", "rank", "retry_after", "overload", "ahead", "spare")
-	PromptRefilled = define(292, "prompt_refilled", logrus.InfoLevel,
-		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
 	LenderFailed = define(228, "lender_failed", logrus.WarnLevel,
 		"Another daemon that was asked to lend a retry did not answer.", "address", "error")
 	CopyMade = define(229, "copy_made", logrus.InfoLevel,
@@ -36,10 +30,6 @@
 		"A new incarnation of a backend server runs at its address, under the same ID or another one, and the store does not show it yet.", "request", "backend", "successor", "born")
 	PromptRefused = define(232, "prompt_refused", logrus.InfoLevel,
 		"A prompt was refused because no engine has room for it. backend is the best of the engines asked, according to its report.", "request", "backend", "reason", "tokens", "unread", "used", "memory", "due", "refusing_for", "answers_take")
-	HeadroomKept = define(280, "headroom_kept", logrus.InfoLevel,
-		"A prompt found no room at the best of the engines asked, because the engine keeps room for more urgent prompts. share is the observed share of those, kept the number of prompts for which room is kept, copies, used and memory are tokens.", "request", "rank", "share", "kept", "running", "unread", "copies", "used", "memory")
-	CopyDeclined = define(281, "copy_declined", logrus.InfoLevel,
-		"A run got no replica of its KV cache at an engine, because the streams of its service differ in priority and memory is scarce; reason says why. It is logged when the reason changes.", "request", "backend", "rank", "reason")
 	CallThrottled = define(233, "call_throttled", logrus.InfoLevel,
 		"A request was refused because the backend servers of its service are rejecting requests.", "request", "service", "refusing_for")
 	BackendMessageInvalid = define(234, "message_refused", logrus.ErrorLevel,
@@ -98,6 +88,16 @@
 		"A rollout is not completed because none of the servers of its target version that were asked accepts connections. servers is the number of those that are listed.", "service", "target", "servers")
 	StreamMoved = define(249, "stream_moved", logrus.InfoLevel,
 		"A stream continues at another backend server, because the version of its server is being withdrawn.", "request", "backend", "next", "after")
+	HeadroomKept = define(280, "headroom_kept", logrus.InfoLevel,
+		"A prompt found no room at the best of the engines asked, because the engine keeps room for more urgent prompts. share is the observed share of those, kept the number of prompts for which room is kept, copies, used and memory are tokens.", "request", "rank", "share", "kept", "running", "unread", "copies", "used", "memory")
+	CopyDeclined = define(281, "copy_declined", logrus.InfoLevel,
+		"A run got no replica of its KV cache at an engine, because the streams of its service differ in priority and memory is scarce; reason says why. It is logged when the reason changes.", "request", "backend", "rank", "reason")
+	OrdinaryRetryDenied = define(290, "ordinary_repeat_denied", logrus.InfoLevel,
+		"A less urgent request of which the caller holds nothing was not sent again: what is left of the shared retry budget, here and at the daemons that were asked to lend, is reserved for urgent requests and for answers that callers hold in part, or used up. rank is 0 for the most urgent requests of the service.", "request", "service", "rank", "sends")
+	RoomForecast = define(291, "room_forecast", logrus.InfoLevel,
+		"A request was refused for lack of room, and its caller was told to return after retry_after. overload is how long requests of its rank find no room, ahead the number of callers told to return before that are served first, and spare the prompts per second that find room once the overload is over.", "request", "service", "rank", "retry_after", "overload", "ahead", "spare")
+	PromptRefilled = define(292, "prompt_refilled", logrus.InfoLevel,
+		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
