decision/retrybudget: one TryRetry for ordinary and other retries

Two methods and two functions around them differed in one boolean. The tests state it; their expectations are unchanged.

--- a/decision/retrybudget/peers_test.go
+++ b/decision/retrybudget/peers_test.go
@@ -86,7 +86,7 @@
 
 // tryRetry requests one retry for daemon i, first from its own budget and then from others.
 func (f *lendingFleet) tryRetry(now time.Time, i int) bool {
-	if f.budgets[i].TryRetry(now, f.share(i)) {
+	if f.budgets[i].TryRetry(now, f.share(i), false) {
 		return true
 	}
 	asked := []string{f.ids[i]}
@@ -97,7 +97,7 @@
 		}
 		asked = append(asked, id)
 		n, _ := strconv.Atoi(id)
-		if f.budgets[n].TryRetry(now, f.share(n)) {
+		if f.budgets[n].TryRetry(now, f.share(n), false) {
 			return true
 		}
 		f.selectors[i].MarkRefused(now, id)
--- a/decision/retrybudget/retrybudget.go
+++ b/decision/retrybudget/retrybudget.go
@@ -33,10 +33,9 @@
 // them.
 const usableRatio = 0.92
 
-// reservedRatio is the fraction of the usable budget that ordinary retries leave to the others. In
-// a fleet with 46 requests per second the budget is 518 retries in 10 s. The loss of one of four
-// zones breaks about 100 answers, of which about 70 have reached their callers in part or are
-// urgent, and two losses fall into one window: 140 retries, three tenths of the usable budget.
+// reservedRatio is the fraction of the usable budget that ordinary retries leave to the others. It
+// covers the answers that two losses of a zone within one window break, as far as they are urgent or
+// have reached their callers in part.
 const reservedRatio = 0.3
 
 // Policy is the retry budget of the whole fleet for one service.
@@ -77,18 +76,13 @@
 	b.requests[slotIndex(b.slot)]++
 }
 
-// TryRetry reports whether the budget permits one more send, and counts it if so.
-func (b *Budget) TryRetry(now time.Time, share Share) bool {
-	return b.tryRetry(now, share, usableRatio)
-}
-
-// TryOrdinaryRetry is TryRetry for a request that may not use the reserved part of the budget.
-func (b *Budget) TryOrdinaryRetry(now time.Time, share Share) bool {
-	return b.tryRetry(now, share, usableRatio*(1-reservedRatio))
-}
-
-// tryRetry permits one more send if the retries stay within the given fraction of the budget.
-func (b *Budget) tryRetry(now time.Time, share Share, fraction float64) bool {
+// TryRetry reports whether the budget permits one more send, and counts it if so. An ordinary retry
+// may not use the reserved part of the budget.
+func (b *Budget) TryRetry(now time.Time, share Share, ordinary bool) bool {
+	fraction := usableRatio
+	if ordinary {
+		fraction *= 1 - reservedRatio
+	}
 	b.advance(now)
 	allowed := b.policy.Ratio * float64(b.recentRequests())
 	if now.Sub(b.startedAt) >= b.policy.Window {
--- a/decision/retrybudget/retrybudget_test.go
+++ b/decision/retrybudget/retrybudget_test.go
@@ -29,7 +29,7 @@
 				requests++
 			}
 			for range 3 {
-				if b.TryRetry(now, Share{daemons, float64(i) / daemons}) {
+				if b.TryRetry(now, Share{daemons, float64(i) / daemons}, false) {
 					granted++
 				}
 			}
@@ -42,10 +42,10 @@
 func TestBudgetReturnsAfterWindow(t *testing.T) {
 	now := time.Unix(1000, 0)
 	b := New(policy, now.Add(-policy.Window))
-	for b.TryRetry(now, Share{Daemons: 10}) {
+	for b.TryRetry(now, Share{Daemons: 10}, false) {
 	}
-	must.False(t, b.TryRetry(now.Add(9*time.Second), Share{Daemons: 10}))
-	must.True(t, b.TryRetry(now.Add(12*time.Second), Share{Daemons: 10}))
+	must.False(t, b.TryRetry(now.Add(9*time.Second), Share{Daemons: 10}, false))
+	must.True(t, b.TryRetry(now.Add(12*time.Second), Share{Daemons: 10}, false))
 }
 
 // A daemon is killed and starts again. Its retries from before still count at the backend servers,
@@ -53,15 +53,15 @@
 func TestRestartedDaemonHasNoSlackAtFirst(t *testing.T) {
 	start := time.Unix(1000, 0)
 	b := New(policy, start)
-	must.False(t, b.TryRetry(start.Add(time.Second), Share{Daemons: 10}))
+	must.False(t, b.TryRetry(start.Add(time.Second), Share{Daemons: 10}, false))
 	for range 10 {
 		b.RecordRequest(start.Add(time.Second))
 	}
 	for range 7 {
-		must.True(t, b.TryRetry(start.Add(2*time.Second), Share{Daemons: 10}))
+		must.True(t, b.TryRetry(start.Add(2*time.Second), Share{Daemons: 10}, false))
 	}
-	must.False(t, b.TryRetry(start.Add(2*time.Second), Share{Daemons: 10}))
-	must.True(t, b.TryRetry(start.Add(policy.Window+time.Second), Share{Daemons: 10}))
+	must.False(t, b.TryRetry(start.Add(2*time.Second), Share{Daemons: 10}, false))
+	must.True(t, b.TryRetry(start.Add(policy.Window+time.Second), Share{Daemons: 10}, false))
 }
 
 // A fleet retries as often as it may while half of it is repeatedly killed and restarted. In a
@@ -86,7 +86,7 @@
 				b.RecordRequest(now)
 				asked++
 			}
-			for n%60 < 5 && b.TryRetry(now, Share{daemons, float64(i) / daemons}) {
+			for n%60 < 5 && b.TryRetry(now, Share{daemons, float64(i) / daemons}, false) {
 				granted++
 			}
 			if n%130 == 0 && random.Float64() < 0.5 {
@@ -133,7 +133,7 @@
 		for range broken {
 			first := random.IntN(daemons)
 			for n := range MaxPeersAsked { // the daemon of the answer and those that it asks
-				if i := (first + n) % daemons; fleet[i].TryRetry(now, share(i)) {
+				if i := (first + n) % daemons; fleet[i].TryRetry(now, share(i), false) {
 					kept++
 					break
 				}
@@ -142,10 +142,10 @@
 		return others, kept
 	}
 	budget := int(policy.Ratio*daemons*perDaemon + policy.Slack)
-	others, kept := granted(func(b *Budget, s Share) bool { return b.TryOrdinaryRetry(now, s) })
+	others, kept := granted(func(b *Budget, s Share) bool { return b.TryRetry(now, s, true) })
 	must.Greater(t, broken*9/10, kept)
 	must.LessEq(t, budget, others+kept)
-	others, kept = granted(func(b *Budget, s Share) bool { return b.TryRetry(now, s) })
+	others, kept = granted(func(b *Budget, s Share) bool { return b.TryRetry(now, s, false) })
 	must.Less(t, broken/10, kept)
 	must.LessEq(t, budget, others+kept)
 }
@@ -163,11 +163,11 @@
 		for try(b) {
 			n++
 		}
-		must.False(t, b.TryOrdinaryRetry(now, Share{Daemons: 10}))
+		must.False(t, b.TryRetry(now, Share{Daemons: 10}, true))
 		return n
 	}
-	all := count(func(b *Budget) bool { return b.TryRetry(now, Share{Daemons: 10}) })
-	ordinary := count(func(b *Budget) bool { return b.TryOrdinaryRetry(now, Share{Daemons: 10}) })
+	all := count(func(b *Budget) bool { return b.TryRetry(now, Share{Daemons: 10}, false) })
+	ordinary := count(func(b *Budget) bool { return b.TryRetry(now, Share{Daemons: 10}, true) })
 	must.Eq(t, math.Floor(usableRatio*budget), float64(all))
 	must.Eq(t, math.Floor(usableRatio*(1-reservedRatio)*budget), float64(ordinary))
 }
--- a/serve/forward/borrow.go
+++ b/serve/forward/borrow.go
@@ -116,7 +116,7 @@
 
 // Lend charges a peer's retry to this daemon's budget.
 func (l retryBudgetService) Lend(_ context.Context, q *peerpb.LendRequest) (*peerpb.LendReply, error) {
-	return &peerpb.LendReply{Granted: l.pool.tryTakeRetryOf(time.Now(), q.GetService(), q.GetOrdinary())}, nil
+	return &peerpb.LendReply{Granted: l.pool.tryTakeRetry(time.Now(), q.GetService(), q.GetOrdinary())}, nil
 }
 
 // RetryBudgetService returns the path prefix and handler of the twirp service that lends retry
--- a/serve/forward/borrow_test.go
+++ b/serve/forward/borrow_test.go
@@ -66,7 +66,7 @@
 				got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
 				must.Eq(t, c.whole, got.err == nil)
 				must.Eq(t, c.whole, got.body == events(1, 40))
-				must.Eq(t, c.remain, lender.tryTakeRetry(time.Now(), "llm"))
+				must.Eq(t, c.remain, lender.tryTakeRetry(time.Now(), "llm", false))
 			})
 		})
 	}
--- a/serve/forward/budgets.go
+++ b/serve/forward/budgets.go
@@ -47,25 +47,9 @@
 }
 
 // tryTakeRetry reports whether the retry budget permits one more send of a request, and charges
-// it if so.
-func (p *pool) tryTakeRetry(now time.Time, service string) bool {
+// it if so. An ordinary request may not use the reserved part of the budget.
+func (p *pool) tryTakeRetry(now time.Time, service string, ordinary bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryBudget(service).TryRetry(now, p.budgetShare())
-}
-
-// tryTakeOrdinaryRetry is tryTakeRetry for a request that may not use the reserved part of the
-// budget.
-func (p *pool) tryTakeOrdinaryRetry(now time.Time, service string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.retryBudget(service).TryOrdinaryRetry(now, p.budgetShare())
-}
-
-// tryTakeRetryOf is tryTakeRetry for a request that may or may not use the reserved part.
-func (p *pool) tryTakeRetryOf(now time.Time, service string, ordinary bool) bool {
-	if ordinary {
-		return p.tryTakeOrdinaryRetry(now, service)
-	}
-	return p.tryTakeRetry(now, service)
+	return p.retryBudget(service).TryRetry(now, p.budgetShare(), ordinary)
 }
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -153,7 +153,7 @@
 	if !ok {
 		return false
 	}
-	if x.sends > 0 && !x.h.pool.tryTakeRetry(now, x.service) {
+	if x.sends > 0 && !x.h.pool.tryTakeRetry(now, x.service, false) {
 		x.h.recordRetryDenied(x.in, x.sends)
 		x.h.pool.release(c)
 		return false
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -131,7 +131,7 @@
 		must.Eq(t, 2, len(sentAt))
 		must.Greater(t, time.Second, sentAt[1].Sub(crashedAt)) // it waited
 		time.Sleep(time.Until(sentAt[1].Add(window - 100*time.Millisecond)))
-		must.False(t, w.handler.pool.tryTakeRetry(time.Now(), "llm"))
+		must.False(t, w.handler.pool.tryTakeRetry(time.Now(), "llm", false))
 	})
 }
 
@@ -176,7 +176,7 @@
 			must.StrContains(t, got.body, "not_run")
 			must.NotEq(t, "", got.header.Get("Retry-After"))
 			must.Eq(t, 1, a.requestCount()+b.requestCount())
-			must.True(t, w.handler.pool.tryTakeRetry(time.Now(), "llm")) // the only one was not taken
+			must.True(t, w.handler.pool.tryTakeRetry(time.Now(), "llm", false)) // the only one was not taken
 		})
 	}
 }
--- a/serve/forward/retries.go
+++ b/serve/forward/retries.go
@@ -12,7 +12,7 @@
 // than the response itself.
 func (r *relay) tryAcquireRetry(ctx context.Context, now time.Time) bool {
 	view, ordinary := r.h.opts.Feed.View(), r.isOrdinaryRetry()
-	if r.h.pool.tryTakeRetryOf(now, r.service, ordinary) {
+	if r.h.pool.tryTakeRetry(now, r.service, ordinary) {
 		return true
 	}
 	if r.h.borrower.borrow(ctx, view, r.in.call.ID, lenderKey{service: r.service, ordinary: ordinary}) {
--- a/serve/forward/takeover_test.go
+++ b/serve/forward/takeover_test.go
@@ -107,7 +107,7 @@
 			time.Sleep(1500 * time.Millisecond)
 			runner, _ := runnerAndHolder(a, b)
 			runner.listener.Stall()
-			w.handler.pool.tryTakeRetry(time.Now(), "llm") // for another stream
+			w.handler.pool.tryTakeRetry(time.Now(), "llm", false) // for another stream
 		})
 		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
 		must.NoError(w.t, got.err)
