serve/forward: an engine found without room is not probed again for the same prompt

Cause: where streams differ in priority, a refusal probed up to three engines by the work of the fleet and then nine by reports, with the same engines among them.

Change: the reports of the first three are part of the sample, in place of one of its three rounds. One priority keeps the probes of before.

Result: TestRefusalProbesEachEngineOnce; without the change engines are probed twice.

--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -139,6 +139,43 @@
 	})
 }
 
+// Guards against probes of engines that were just found without room, which tell nothing new. One
+// priority keeps the probes of before.
+func TestRefusalProbesEachEngineOnce(t *testing.T) {
+	for name, differ := range map[string]bool{"less urgent": true, "one priority": false} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, rankedRoutes(differ), func(w *testCluster) {
+				handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+				for i := range 10 {
+					w.add(fmt.Sprintf("e-%d", i), "llm", string(rune('a'+i%3)), handle)
+				}
+				w.sendLessUrgent()
+				must.Eq(t, 200, w.send("/u/"))
+				w.addDaemon("vm-2")
+				time.Sleep(2 * maxReportAge) // the reports from before are forgotten
+				before, probes := map[string]int{}, 0
+				for id, s := range w.servers {
+					s.setRuns("-r1 r2 r3 r4 used=1000/1000")
+					before[id] = s.probeCount()
+				}
+				must.Eq(t, 503, w.send("/s/"))
+				again := 0
+				for id, s := range w.servers {
+					n := s.probeCount() - before[id]
+					probes += n
+					if n > 1 {
+						again++
+					}
+				}
+				must.Eq(t, differ, again == 0)
+				if differ {
+					must.LessEq(t, maxSampleRounds*SampleSize, probes)
+				}
+			})
+		})
+	}
+}
+
 // Guards against refusals for headroom at the engine with the least known work in the fleet, which
 // runs requests that no daemon reported, while another engine has room.
 func TestPlacementByFleetWorkLeavesHeadroom(t *testing.T) {
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mallowwind.dev/control/feed"
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 )
 
@@ -29,12 +30,20 @@
 	answered bool
 }
 
+// triedEngines are engines that were found without room for a prompt, with the reports of those that
+// responded.
+type triedEngines struct {
+	incarnations []routing.Incarnation
+	reports      []sampledEngine
+}
+
 // place chooses the engine that prefills the prompt, and counts the prompt there. It prefers an
 // engine that has room and prefills no other prompt. Engines that do not respond are skipped,
 // since the entry of a crashed engine remains for seconds. If none responds, the one ranked first
 // gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying.
 func (r *relay) place(ctx context.Context, view *feed.View) (sampledEngine, bool) {
 	var others workloads
+	var tried triedEngines
 	if view.Config.Engine(r.service) != nil {
 		var everyDaemon bool
 		others, everyDaemon = r.h.peers.totalWork(ctx, view, r.service)
@@ -43,12 +52,16 @@
 			others, complete = r.h.workTracker.trackedWork(ctx, view, r.service, r.in.call.PromptKey)
 		}
 		if complete {
-			if c, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon); ok {
+			c, without, ok := r.placeByFleetWork(ctx, view, others, !everyDaemon)
+			if ok {
 				return c, true
 			}
+			if r.hasPriorities() {
+				tried = without
+			}
 		}
 	}
-	c, ok := r.placeByReports(ctx, view, others)
+	c, ok := r.placeByReports(ctx, view, others, tried)
 	r.h.pool.addLoad(c.choice, 1, 0, 0)
 	return c, ok
 }
@@ -56,44 +69,48 @@
 // placeByFleetWork chooses by the requests that all daemons have in progress. The chosen engine is
 // still probed: it may be dead, or full of work that no daemon reported. If none of the first few
 // engines is free, the choice is left to placeByReports, which samples more of them. onlyKnown
-// limits the choice to the engines in others.
-func (r *relay) placeByFleetWork(ctx context.Context, view *feed.View, others workloads, onlyKnown bool) (sampledEngine, bool) {
+// limits the choice to the engines in others. tried are the engines found without room.
+func (r *relay) placeByFleetWork(ctx context.Context, view *feed.View, others workloads, onlyKnown bool) (chosen sampledEngine, tried triedEngines, ok bool) {
 	excluded := slices.Clone(r.excluded)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	for range maxSampleRounds {
 		c, unread, ok := r.h.pool.reservePrefill(time.Now(), view, r.service, others, onlyKnown, excluded)
 		if !ok {
-			return sampledEngine{}, false
+			break
 		}
 		// The count of 1 is this prompt, which reader has counted already.
 		if sampled := queries.sampleLoads(ctx, []choice{c}, 1); len(sampled) == 1 {
 			best := sampled[0]
 			best.report.PendingPrompts = max(best.report.PendingPrompts, unread) // a report lags
 			if best.report.CanPrefillNow(r.in.call.PromptTokens) && r.hasFreeRoom(best.report) {
-				return best, true
+				return best, tried, true
 			}
+			tried.reports = append(tried.reports, best)
 		}
 		r.h.pool.addLoad(c, -1, 0, 0)
 		excluded = append(excluded, c.server.Incarnation())
+		tried.incarnations = append(tried.incarnations, c.server.Incarnation())
 	}
-	return sampledEngine{}, false
+	return sampledEngine{}, tried, false
 }
 
 // placeByReports chooses by the reports of a sample of engines. others is the known work of other
-// daemons, which only counts where streams differ in priority.
-func (r *relay) placeByReports(ctx context.Context, view *feed.View, others workloads) (sampledEngine, bool) {
+// daemons, which only counts where streams differ in priority. The engines in tried are part of the
+// sample and are not probed again.
+func (r *relay) placeByReports(ctx context.Context, view *feed.View, others workloads, tried triedEngines) (sampledEngine, bool) {
 	first := r.h.pool.prefillCandidates(time.Now(), view, r.service, r.in.call.PromptKey, SampleSize, r.excluded)
 	if len(first) == 0 || view.Config.Engine(r.service) == nil {
 		return firstChoice(first)
 	}
-	excluded := slices.Clone(r.excluded)
+	excluded := append(slices.Clone(r.excluded), tried.incarnations...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
-	var sampled []sampledEngine
+	sampled := r.countReserved(tried.reports, others)
 	candidates := first
-	for round := range maxSampleRounds {
-		if round > 0 {
+	// Full tries take the place of one round.
+	for round := len(tried.incarnations) / SampleSize; round < maxSampleRounds; round++ {
+		if round > 0 || len(tried.incarnations) > 0 {
 			candidates = r.h.pool.prefillCandidates(time.Now(), view, r.service, r.in.call.PromptKey, SampleSize, excluded)
 		}
 		for _, c := range candidates {
