--- a/decision/headroom/copies.go
+++ b/decision/headroom/copies.go
@@ -42,7 +42,7 @@
 type Run struct {
 	// Tokens is the length of its prompt.
 	Tokens int
-	// Urgent is set for a run that is more urgent than most.
+	// Urgent is set for a run that may use what is reserved for urgent ones (Demand.IsUrgent).
 	Urgent bool
 	// Remaining is the time until the run is expected to end; 0 if unknown.
 	Remaining time.Duration
