--- a/decision/headroom/headroom.go
+++ b/decision/headroom/headroom.go
@@ -12,7 +12,8 @@
 // Decision: an engine keeps free the share of its runs that observed prompts of higher priority
 // have, less those of them that run there already, and room for at least one. A class of which no
 // prompt was seen for some seconds counts nothing, and at most a quarter of an engine is kept free, so
-// that less urgent prompts are always served. None is kept free for prompts that are most of all. An engine without work takes any prompt.
+// that less urgent prompts are always served. Nothing is kept free for a class that sends most of the
+// prompts. An engine without work takes any prompt.
 package headroom
 
 import "math"
--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -13,8 +13,8 @@
 // be in time for a short one, those that can't for a longer one. While they wait, they look for room
 // the more often the earlier they are in this order, so that over all daemons the earlier ones find
 // most of the room without a message between daemons. A prompt that no engine can serve in time is
-// refused if its caller holds nothing and it did not run; the caller of an answer that has begun is always
-// served.
+// refused if its caller holds nothing and it did not run; the caller of an answer that has begun is
+// always served.
 package refill
 
 import "time"
