--- a/decision/headroom/headroom.go
+++ b/decision/headroom/headroom.go
@@ -12,19 +12,23 @@
 // Decision: an engine keeps free the share of its runs that observed prompts of higher priority
 // have, less those of them that run there already, and room for at least one. A class of which no
 // prompt was seen for some seconds counts nothing, and at most a quarter of an engine is kept free, so
-// that less urgent prompts are always served. An engine without work takes any prompt.
+// that less urgent prompts are always served. Nothing is kept free for a class that sends most of the
+// prompts. An engine without work takes any prompt.
 package headroom
 
 import "math"
 
 const (
 	// maxKeptRatio is the largest part of the runs of an engine for which room is kept free, if that is
-	// more than one. Runs end one by one, so that room for two or three prompts suffices also where
-	// most prompts are urgent; with half the engine kept, two thirds of the few less urgent prompts
-	// were refused in the simulation although urgent ones had room.
+	// more than one. Runs end one by one, so that little room suffices also where most prompts are
+	// urgent, and less urgent prompts must not be refused while urgent ones have room.
 	maxKeptRatio = 0.25
-	// largestPromptRatio is the length of the largest prompts relative to the mean: 14,400 of
-	// 8,000 tokens in the deployments of docs/design/103.
+	// maxHeadroomShare is the largest share of more urgent prompts for which room is kept. Urgent
+	// prompts that are most of all can fill the kept room by themselves, so that they gain nothing
+	// from refusals of the few others.
+	maxHeadroomShare = 0.5
+	// largestPromptRatio is the length of the largest prompts relative to the mean. Prompts of one
+	// service are up to about twice as long as the mean.
 	largestPromptRatio = 1.8
 )
 
@@ -88,7 +92,7 @@
 
 // Kept returns the number of prompts for which an engine keeps room free.
 func (p Prompts) Kept(e Engine) int {
-	if !(p.UrgentShare > 0) {
+	if !(p.UrgentShare > 0) || p.UrgentShare > maxHeadroomShare {
 		return 0
 	}
 	held := e.runsHeld(p.MeanTokens)
@@ -109,13 +113,15 @@
 	if e.Slots > 0 && e.occupiedSlots(p.MeanTokens)+1+kept > e.Slots {
 		return false
 	}
-	return e.CapacityTokens == 0 || e.expectedTokens(p.MeanTokens)+tokens+p.keptTokens(kept) <= e.CapacityTokens
+	return e.CapacityTokens == 0 || e.expectedTokens(p.MeanTokens)+tokens+p.keptTokens(e, kept) <= e.CapacityTokens
 }
 
-// keptTokens returns the memory kept free for so many prompts, of which one may be of the largest.
-func (p Prompts) keptTokens(kept int) int {
+// keptTokens returns the memory that an engine keeps free for so many prompts, of which one may be of
+// the largest. It is at most maxKeptRatio of the engine, and enough for a prompt of mean length.
+func (p Prompts) keptTokens(e Engine, kept int) int {
 	if kept == 0 {
 		return 0
 	}
-	return int((float64(kept-1) + largestPromptRatio) * float64(p.MeanTokens))
+	mean := float64(p.MeanTokens)
+	return int(min((float64(kept-1)+largestPromptRatio)*mean, max(mean, maxKeptRatio*float64(e.CapacityTokens))))
 }
--- a/decision/headroom/headroom_test.go
+++ b/decision/headroom/headroom_test.go
@@ -25,8 +25,9 @@
 		"share of two runs":           {0.15, engineWith(0), 2},
 		"one of two is there":         {0.15, Engine{Slots: 12, MoreUrgent: 1}, 1},
 		"more than the share there":   {0.15, Engine{Slots: 12, MoreUrgent: 9}, 1},
-		"nearly all":                  {0.95, Engine{Slots: 12}, 3},
-		"memory for fewer than slots": {0.95, Engine{Slots: 12, CapacityTokens: 4 * simMeanTokens}, 1},
+		"half":                        {0.5, Engine{Slots: 12}, 3},
+		"more than half":              {0.51, Engine{Slots: 12}, 0},
+		"memory for fewer than slots": {0.5, Engine{Slots: 12, CapacityTokens: 4 * simMeanTokens}, 1},
 		"engine for two":              {0.5, Engine{Slots: 2}, 1},
 		"engine for one":              {0.5, Engine{Slots: 1}, 0},
 		"nothing known of it":         {0.5, Engine{}, 0},
@@ -37,12 +38,16 @@
 
 // Guards against prompts at engines whose last slot or memory is taken, also by copies and by
 // prompts that the report does not show yet, and against large prompts that no engine would take.
+// Small engines must not keep most of their memory free.
 func TestHasRoom(t *testing.T) {
 	loaded := func(change func(*Engine)) Engine {
 		e := engineWith(6)
 		change(&e)
 		return e
 	}
+	small := func(held, runs int) Engine {
+		return Engine{Running: runs, UsedTokens: runs * simMeanTokens, CapacityTokens: held * simMeanTokens}
+	}
 	for name, c := range map[string]struct {
 		share  float64
 		engine Engine
@@ -61,6 +66,15 @@
 		"copies in slots":            {0.1, Engine{Slots: 12, Running: 6, Copies: 5}, simMeanTokens, false},
 		"copies by their memory":     {0.1, Engine{Slots: 12, Running: 6, CopyTokens: 5 * simMeanTokens}, simMeanTokens, false},
 		"idle, largest prompt":       {0.1, Engine{Slots: 12, CapacityTokens: 15_000}, 14_400, true},
+		"holds two, one runs":        {0.1, small(2, 1), simMeanTokens, false},
+		"holds two, idle":            {0.1, small(2, 0), simMeanTokens, true},
+		"holds three, one runs":      {0.1, small(3, 1), simMeanTokens, true},
+		"holds three, two run":       {0.1, small(3, 2), simMeanTokens, false},
+		"holds four, two run":        {0.1, small(4, 2), simMeanTokens, true},
+		"holds four, three run":      {0.1, small(4, 3), simMeanTokens, false},
+		"holds five, two run":        {0.1, small(5, 2), simMeanTokens, true},
+		"holds five, three run":      {0.1, small(5, 3), simMeanTokens, false}, // a quarter exceeds the mean
+		"holds five, shorter prompt": {0.1, small(5, 3), simMeanTokens * 3 / 4, true},
 		"nothing reported":           {0.1, Engine{Running: 50}, simMeanTokens, true},
 	} {
 		p := Prompts{MeanTokens: simMeanTokens, UrgentShare: c.share}
@@ -68,6 +82,29 @@
 	}
 }
 
+// Guards against requests that use what is reserved for urgent ones although they are many, and
+// against a most urgent class that counts as none because it is large.
+func TestIsUrgent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		prompts []int // by rank
+		want    []bool
+	}{
+		"three ranks, many of the second": {[]int{10, 35, 55}, []bool{true, false, false}},
+		"three ranks, few of the second":  {[]int{10, 15, 75}, []bool{true, true, false}},
+		"most of the first rank":          {[]int{90, 10}, []bool{true, false}},
+		"nothing seen":                    {nil, []bool{true, false}},
+	} {
+		var d Demand
+		for rank, n := range c.prompts {
+			d.Observe(now, rank, n)
+		}
+		for rank, want := range c.want {
+			must.Eq(t, want, d.IsUrgent(now, rank), must.Sprint(name, rank))
+		}
+	}
+}
+
 // Guards against copies that displace urgent prompts, against copies of the wrong runs while memory
 // is scarce, and against missing ones while it is not.
 func TestKeepsCopy(t *testing.T) {
--- a/serve/forward/headroom_test.go
+++ b/serve/forward/headroom_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
@@ -50,7 +51,9 @@
 		"memory left":            {true, true, "r1 used=770/1000", 200, 200},
 		"one priority":           {false, true, "r1 r2 r3", 200, 200},
 		"no urgent prompt seen":  {true, false, "r1 r2 r3", 200, 200},
-		"idle engine":            {true, true, "used=850/1000", 200, 200},
+		"idle engine":            {true, true, "used=0/1000", 200, 200},
+		"copies only":            {true, true, "used=850/1000", 503, 200},
+		"copies only, room left": {true, true, "used=150/1000", 200, 200},
 		"no slot, also not kept": {true, true, "r1 r2 r3 r4", 503, 200},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -68,6 +71,30 @@
 	}
 }
 
+// Guards against metrics and events of headroom for requests that are exempt from it, because they
+// were sent before.
+func TestExemptRequestIsNotCountedAsDenied(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		w.withoutCopies()
+		handle := streamEvents(40, time.Second, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		must.Eq(t, 200, w.send("/u/"))
+		before := a.requestCount()
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, other := a, b
+			if a.requestCount() == before {
+				runner, other = b, a
+			}
+			other.setRuns("r1 r2 r3")
+			w.crash(runner)
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "80"}), "prompt")
+		must.Eq(t, events(1, 40), got.body)
+		must.Eq(t, 0, testutil.ToFloat64(w.handler.metrics.headroomDenials.WithLabelValues(deniedPrompt)))
+	})
+}
+
 // Guards against room that stays reserved for a class that sends nothing any more.
 func TestHeadroomEndsWhenUrgentCallersFallSilent(t *testing.T) {
 	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
@@ -112,6 +139,47 @@
 	})
 }
 
+// Guards against probes of engines that were just found without room, which tell nothing new. One
+// priority keeps the probes of before.
+func TestRefusalProbesEachEngineOnce(t *testing.T) {
+	for name, differ := range map[string]bool{"less urgent": true, "one priority": false} {
+		t.Run(name, func(t *testing.T) {
+			routes := rankedRoutes(differ)
+			for _, r := range routes {
+				r.Objective = 0 // without one, a prompt doesn't wait for room
+			}
+			withTestCluster(t, routes, func(w *testCluster) {
+				handle := streamEvents(2, 100*time.Millisecond, 40*time.Millisecond)
+				for i := range 10 {
+					w.add(fmt.Sprintf("e-%d", i), "llm", string(rune('a'+i%3)), handle)
+				}
+				w.sendLessUrgent()
+				must.Eq(t, 200, w.send("/u/"))
+				w.addDaemon("vm-2")
+				time.Sleep(2 * maxReportAge) // the reports from before are forgotten
+				before, probes := map[string]int{}, 0
+				for id, s := range w.servers {
+					s.setRuns("-r1 r2 r3 r4 used=1000/1000")
+					before[id] = s.probeCount()
+				}
+				must.Eq(t, 503, w.send("/s/"))
+				again := 0
+				for id, s := range w.servers {
+					n := s.probeCount() - before[id]
+					probes += n
+					if n > 1 {
+						again++
+					}
+				}
+				must.Eq(t, differ, again == 0)
+				if differ {
+					must.LessEq(t, maxSampleRounds*SampleSize, probes)
+				}
+			})
+		})
+	}
+}
+
 // Guards against refusals for headroom at the engine with the least known work in the fleet, which
 // runs requests that no daemon reported, while another engine has room.
 func TestPlacementByFleetWorkLeavesHeadroom(t *testing.T) {
@@ -265,7 +333,7 @@
 }
 
 // Guards against probes of engines that are known to have no room for a copy: a burst would send
-// three of them for each run and second.
+// three of them for each run and second. The run without a copy must still show in the metrics.
 func TestFullEngineIsNotProbedAgainForCopy(t *testing.T) {
 	probes := map[bool]int{}
 	for _, differ := range []bool{true, false} {
@@ -276,6 +344,8 @@
 			full.setRuns("-x used=900/1000")
 			must.Eq(t, "", w.copyTarget("/s/"))
 			probes[differ] = full.probeCount()
+			declined := testutil.ToFloat64(w.handler.metrics.headroomDenials.WithLabelValues(deniedCopy))
+			must.Eq(t, differ, declined == 1)
 		})
 	}
 	must.Eq(t, probes[false]-1, probes[true])
@@ -299,3 +369,15 @@
 		must.Greater(t, 0, len(targets))
 	})
 }
+
+// Guards against copies for runs that are about to end: one that exceeds the mean time of answers
+// must not count as one of unknown time.
+func TestRunPastMeanTimeIsEnding(t *testing.T) {
+	withTestCluster(t, rankedRoutes(true), func(w *testCluster) {
+		r := &relay{h: w.handler, in: &inbound{arrived: time.Now().Add(-5 * time.Second)}, service: "llm", rank: 1}
+		must.Eq(t, 0, r.copyRule().run.Remaining) // unknown
+		w.handler.pressure.recordDuration("llm", 4*time.Second)
+		must.Positive(t, r.copyRule().run.Remaining)
+		must.Less(t, time.Millisecond, r.copyRule().run.Remaining)
+	})
+}
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -13,45 +13,43 @@
 )
 
 // placeOrdered is placeAdmitted. Where requests of the service differ in priority, it also records
-// when prompts ask for room and find it, and orders those that must be prefilled again.
+// that prompts ask for room, and orders those that must be prefilled again.
 func (r *relay) placeOrdered(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	if !r.hasPriorities() {
 		return r.placeAdmitted(ctx, view)
 	}
-	r.h.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
-	place := r.placeAdmitted
+	r.recordDemand()
 	if r.sends > 0 || r.in.call.LastEventID > 0 {
-		place = r.placeRefill
+		return r.placeRefill(ctx, view)
 	}
-	c, err := place(ctx, view)
-	if err == nil {
-		r.h.pressure.recordPlacement(time.Now(), r.service, r.rank)
-	}
-	return c, err
+	return r.placeAdmitted(ctx, view)
 }
 
 // placeRefill places a prompt that must be prefilled again, at once or after others. While it
 // waits, it is counted at no engine.
 func (r *relay) placeRefill(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	since := time.Now()
+	var admitted sampledEngine // at the last look for room
 	for {
 		c, err := r.placeAdmitted(ctx, view)
 		if err != nil {
-			return sampledEngine{}, err
+			return r.startWhereAdmitted(ctx, view, admitted, time.Since(since), err)
 		}
 		now := time.Now()
 		d := refill.Decide(r.refillPrompt(now), r.refillSituation(now, since, c.report))
 		if _, limited := r.h.limits.permitWait(r.service); limited && d.Action == refill.Delay {
 			d = refill.Decision{Action: refill.Start, Reason: refill.ReasonPermit} // it holds a permit
 		}
+		if d.Action == refill.Refuse {
+			r.h.pool.addLoad(c.choice, -1, 0, 0)
+			return sampledEngine{}, r.refuseRefill()
+		}
 		r.recordRefill(d, now.Sub(since), c.report)
 		if d.Action == refill.Start {
 			return c, nil
 		}
 		r.h.pool.addLoad(c.choice, -1, 0, 0)
-		if d.Action == refill.Refuse {
-			return sampledEngine{}, r.refuseRefill()
-		}
+		admitted = c
 		if !pause.For(ctx, d.Delay) {
 			return sampledEngine{}, r.expiryError()
 		}
@@ -59,6 +57,23 @@
 	}
 }
 
+// startWhereAdmitted places the prompt of an answer that its caller holds in part, and for which no
+// engine has room any more, at the engine that had room before the prompt waited. Otherwise it
+// returns the error.
+func (r *relay) startWhereAdmitted(ctx context.Context, view *feed.View, admitted sampledEngine, waited time.Duration, err error) (sampledEngine, error) {
+	if admitted.load == nil || !r.isPartHeld() || verdict.FromError(err).Code != verdict.CodeOverloaded {
+		return sampledEngine{}, err
+	}
+	c, ok := r.h.pool.findServer(view, r.service, admitted.server.Incarnation())
+	if !ok || !r.tryAcquirePermit(ctx, c) {
+		return sampledEngine{}, err
+	}
+	r.h.pool.addLoad(c, 1, 0, 0)
+	admitted.choice = c
+	r.recordRefill(refill.Decision{Action: refill.Start, Reason: refill.ReasonAdmitted}, waited, admitted.report)
+	return admitted, nil
+}
+
 // isHopelessRefill reports whether the prompt would have to be prefilled again and cannot be in time.
 // It is checked before a retry is taken from the budget.
 func (r *relay) isHopelessRefill(now time.Time) bool {
@@ -71,29 +86,35 @@
 	p := refill.Prompt{
 		Rank: r.rank, PartHeld: r.isPartHeld(), MayHaveRun: r.possibleRuns > 0, TimeLeft: left,
 	}
-	prefill := r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens)
+	prefill, _ := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
 	route := r.in.route
 	switch {
 	case p.PartHeld && route.GapTarget > 0:
-		p.Slack = r.lastEventAt.Add(route.GapTarget).Sub(now) - prefill
+		left = r.lastEventAt.Add(route.GapTarget).Sub(now)
 	case !p.PartHeld && route.Objective > 0:
-		// A caller that retries has used up a part of the route's timeout before.
-		objective := route.Objective - max(route.Timeout-r.in.deadline.Sub(r.in.arrived), 0)
+		objective := prompts.TimeToObjective(route.Objective, route.Timeout, r.in.deadline.Sub(r.in.arrived))
 		p.LateFromStart = objective <= prefill
-		p.Slack = objective - now.Sub(r.in.arrived) - prefill
-	default:
-		p.Slack = left - prefill
+		left = objective - now.Sub(r.in.arrived)
 	}
+	p.Slack = left - prefill
+	p.Hopeless = r.h.pressure.isPrefillTooLate(r.service, r.in.call.PromptTokens, left)
 	return p
 }
 
 func (r *relay) refillSituation(now, since time.Time, report prompts.Report) refill.Situation {
+	prefill, _ := r.h.pressure.expectedTimes(r.service, r.in.call.PromptTokens)
 	return refill.Situation{
-		Losses: r.h.pressure.recentLosses(now, r.service), Busy: !report.CanPrefillNow(r.in.call.PromptTokens),
-		Waited: now.Sub(since), Prefill: r.h.pressure.prefillTime(r.service, r.in.call.PromptTokens),
+		Losses: r.h.pressure.recentLosses(now, r.service), Busy: isBusy(report, r.in.call.PromptTokens),
+		Waited: now.Sub(since), Prefill: prefill,
 	}
 }
 
+// isBusy reports whether a prompt would wait at an engine, for the prefill of another prompt or for
+// memory. Memory that is kept for copies does not delay it.
+func isBusy(report prompts.Report, tokens int) bool {
+	return report.PendingPrompts > 0 || report.CapacityTokens > 0 && report.UsedTokens+tokens > report.CapacityTokens
+}
+
 // refuseRefill returns the refusal of a request that cannot be in time any more.
 func (r *relay) refuseRefill() error {
 	d := refill.Decision{Action: refill.Refuse, Reason: refill.ReasonHopeless}
@@ -126,10 +147,3 @@
 	defer p.mu.Unlock()
 	return p.lockService(service).losses.Recent(now)
 }
-
-// prefillTime returns the expected time to the first event of a prompt at an engine without pending
-// prompts; 0 if unknown.
-func (p *pressure) prefillTime(service string, tokens int) time.Duration {
-	defer p.mu.Unlock()
-	return p.lockService(service).pace.TimeToFirstEvent(0, tokens)
-}
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/retrybudget"
 )
 
@@ -37,14 +39,17 @@
 		name       string
 		routes     []*routing.Route
 		path       string
+		runs       string        // of the engine that is left
 		roomAfter  time.Duration // since the crash; 0 if there is none
 		resumedMin time.Duration // since the crash
 		resumedMax time.Duration
 	}{
-		{"less urgent", priorityRoutes(), "/s/1", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
-		{"urgent", priorityRoutes(), "/u/1", 0, 2200 * time.Millisecond, 2500 * time.Millisecond},
-		{"less urgent, room after a moment", priorityRoutes(), "/s/1", 200 * time.Millisecond, 2200 * time.Millisecond, 2500 * time.Millisecond},
-		{"one priority", streamRoute(), "/s/1", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
+		{"less urgent", priorityRoutes(), "/s/1", "-9", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
+		{"urgent", priorityRoutes(), "/u/1", "-9", 0, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"less urgent, room after a moment", priorityRoutes(), "/s/1", "-9", 200 * time.Millisecond, 2200 * time.Millisecond, 2500 * time.Millisecond},
+		{"less urgent, memory for it but for no copy", priorityRoutes(), "/s/1", "r9 used=70000/100000", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
+		{"less urgent, no memory", priorityRoutes(), "/s/1", "r9 used=93000/100000", 0, 3500 * time.Millisecond, 3800 * time.Millisecond},
+		{"one priority", streamRoute(), "/s/1", "-9", 0, 900 * time.Millisecond, 1100 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -55,7 +60,7 @@
 				w.background(func() {
 					time.Sleep(crashAt)
 					runner, other := runnerAndHolder(a, b)
-					other.setRuns("-9")
+					other.setRuns(c.runs)
 					w.crash(runner)
 					if c.roomAfter > 0 {
 						time.Sleep(c.roomAfter)
@@ -73,19 +78,83 @@
 	}
 }
 
+// Guards against an answer that is cut because its prompt waited: the engine had room at the first
+// look, and prompts of others are pending there at the next.
+func TestWaitDoesNotCutAnswer(t *testing.T) {
+	withTestCluster(t, withGapTarget(priorityRoutes()), func(w *testCluster) {
+		w.withoutCopies()
+		handle := streamEvents(40, time.Second, 40*time.Millisecond)
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			runner, other := runnerAndHolder(a, b)
+			other.setRuns("-9")
+			w.crash(runner)
+			time.Sleep(200 * time.Millisecond)
+			var pending []string
+			for n := range 40 { // more than fit into the time that the caller still waits
+				pending = append(pending, "-"+strconv.Itoa(n))
+			}
+			other.setRuns(strings.Join(pending, " "))
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 40), got.body)
+	})
+}
+
+// Guards against more sends in a window than the retry budget permits: a retry that is taken when
+// an answer breaks off and sent seconds later, after others, would leave the window before its send
+// does.
+func TestDelayedRetryCountsWhenItIsSent(t *testing.T) {
+	withTestCluster(t, withGapTarget(priorityRoutes()), func(w *testCluster) {
+		w.withoutCopies()
+		const window = 10 * time.Second
+		w.handler.SetBounds(5*time.Second, retrybudget.Policy{Slack: 1.2, Window: window}) // one retry
+		w.handler.pool.startedAt = w.handler.pool.startedAt.Add(-window)
+		var sentAt []time.Time
+		stream := streamEvents(40, time.Second, 40*time.Millisecond)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			sentAt = append(sentAt, time.Now())
+			stream(rw, r)
+		}
+		a, b := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)
+		crashedAt := time.Now().Add(1500 * time.Millisecond)
+		w.background(func() {
+			time.Sleep(time.Until(crashedAt))
+			runner, other := runnerAndHolder(a, b)
+			other.setRuns("-9")
+			w.crash(runner)
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000"}), "prompt")
+		must.Eq(t, events(1, 40), got.body)
+		must.Eq(t, 2, len(sentAt))
+		must.Greater(t, time.Second, sentAt[1].Sub(crashedAt)) // it waited
+		time.Sleep(time.Until(sentAt[1].Add(window - 100*time.Millisecond)))
+		must.False(t, w.handler.pool.tryTakeRetry(time.Now(), "llm", false))
+	})
+}
+
 // Guards against engines that work for answers which are late in any case. An engine rejects a
 // prompt after the objective has passed. Nobody holds anything of the answer and it did not run, so
 // it must be refused with not_run and not be sent again. Where requests don't differ in priority, it
-// is sent again.
+// is sent again. So is a prompt that is late by the estimate alone: an engine may be faster.
 func TestHopelessPromptIsRefused(t *testing.T) {
 	for _, c := range []struct {
-		routes  []*routing.Route
-		refused bool
-	}{{priorityRoutes(), true}, {streamRoute(), false}} {
+		routes   []*routing.Route
+		rejected time.Duration // after it was sent, with an objective of 4.5 s
+		refused  bool
+	}{
+		{priorityRoutes(), 5 * time.Second, true},
+		{priorityRoutes(), 3900 * time.Millisecond, true},
+		{priorityRoutes(), 3500 * time.Millisecond, false}, // a prefill takes 0.7 s at least, 1.3 s by the estimate
+		{streamRoute(), 5 * time.Second, false},
+	} {
 		withTestCluster(t, c.routes, func(w *testCluster) {
 			w.withoutCopies()
 			w.handler.SetBounds(5*time.Second, retrybudget.Policy{Slack: 2, Window: 10 * time.Second}) // one retry
 			w.handler.pool.startedAt = w.handler.pool.startedAt.Add(-10 * time.Second)
+			w.handler.pressure.recordPrefill("llm", 8000, time.Second)
 			rejected := false
 			handle := func(rw http.ResponseWriter, r *http.Request) {
 				if rejected {
@@ -93,7 +162,7 @@
 					return
 				}
 				rejected = true
-				sleep(r, 5*time.Second)
+				sleep(r, c.rejected)
 				rw.Header().Set(hNotRun, "1")
 				rw.WriteHeader(http.StatusServiceUnavailable)
 			}
@@ -107,7 +176,7 @@
 			must.StrContains(t, got.body, "not_run")
 			must.NotEq(t, "", got.header.Get("Retry-After"))
 			must.Eq(t, 1, a.requestCount()+b.requestCount())
-			must.True(t, w.handler.pool.tryTakeRetry(time.Now(), "llm")) // the only one was not taken
+			must.True(t, w.handler.pool.tryTakeRetry(time.Now(), "llm", false)) // the only one was not taken
 		})
 	}
 }
@@ -207,3 +276,39 @@
 		})
 	}
 }
+
+// Guards against a rate of room that counts prompts which found none: engines reject what is sent
+// to them, and callers were told to return at the rate of the rejections. A prompt that is sent
+// twice asks for room once and finds it once.
+func TestRateOfRoomCountsFirstEvents(t *testing.T) {
+	for name, rejected := range map[string]int{"all": 8, "first": 1} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, priorityRoutes(), func(w *testCluster) {
+				w.handler.SetBounds(5*time.Second, retrybudget.Policy{Slack: 1000, Window: 10 * time.Second})
+				w.handler.pool.startedAt = w.handler.pool.startedAt.Add(-10 * time.Second)
+				sends := map[string]int{}
+				handle := func(rw http.ResponseWriter, r *http.Request) {
+					if id := r.Header.Get(hID); sends[id] < rejected {
+						sends[id]++
+						rw.Header().Set(hNotRun, "1")
+						rw.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+					streamEvents(5, 100*time.Millisecond, 10*time.Millisecond)(rw, r)
+				}
+				for _, id := range []string{"e-a", "e-b", "e-c"} {
+					w.add(id, "llm", id[2:], handle)
+				}
+				for n := range 20 {
+					header := withHeaders(map[string]string{hID: strconv.Itoa(n), hTokens: "80"})
+					w.request(http.MethodPost, "/s/1", header, "prompt")
+					time.Sleep(500 * time.Millisecond)
+				}
+				q := retryafter.Request{ID: "x", Rank: 1, TimeLeft: 20 * time.Second}
+				f := w.handler.pressure.retryAfterRoom(time.Now(), "llm", q, time.Second)
+				must.Eq(t, rejected == 1, f.Known)
+				must.Eq(t, 0, f.Overload) // all that asked for room found it
+			})
+		})
+	}
+}
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -78,13 +78,13 @@
 	begun   time.Time
 	looks   int
 	// noRoom holds the engines whose last report showed no room.
-	noRoom map[routing.Incarnation]fullEngine
+	noRoom map[routing.Incarnation]engineWithoutRoom
 	// stated is what trackers were told last, nil if they were not.
 	stated *peerpb.WaitingPrompt
 }
 
-// fullEngine is an engine without room for a prompt, with the work that daemons reported there.
-type fullEngine struct {
+// engineWithoutRoom is an engine without room for a prompt, with the work that daemons reported there.
+type engineWithoutRoom struct {
 	work  int
 	until time.Time
 }
@@ -263,7 +263,7 @@
 			LatestStart: r.h.pressure.latestStart(now, r.service, r.in),
 		},
 		service: r.service, part: r.in.call.PromptKey, begun: now,
-		turn: make(chan struct{}, 1), evicted: make(chan struct{}), noRoom: map[routing.Incarnation]fullEngine{},
+		turn: make(chan struct{}, 1), evicted: make(chan struct{}), noRoom: map[routing.Incarnation]engineWithoutRoom{},
 	}
 	if w.part == "" {
 		w.part = r.in.call.ID // the candidate engines stay the same while the prompt waits
@@ -407,7 +407,7 @@
 		return r.tryAcquirePermit(ctx, best.choice)
 	}
 	life := best.server.Incarnation()
-	w.noRoom[life] = fullEngine{work: others[life].total(), until: time.Now().Add(noRoomTTL)}
+	w.noRoom[life] = engineWithoutRoom{work: others[life].total(), until: time.Now().Add(noRoomTTL)}
 	return false
 }
 
