serve/forward, decision/prompts: prompts that are late already wait for room for a bounded time

Their daemons had seen few prefills, all beside others, so that no time seemed left to meet the objective, and such prompts did not wait. Change: Estimator.StartBudget lets them wait for as long as the objective, or half of the time left. Urgent prompts use the headroom although some prompts of another account are more urgent.

--- a/decision/prompts/admit_test.go
+++ b/decision/prompts/admit_test.go
@@ -83,3 +83,22 @@
 	}
 	must.Between(t, 7900*time.Millisecond, e.MeanAnswerTime(), 8*time.Second)
 }
+
+// Guards against callers that wait for an answer that will be late for longer than the objective, and
+// against a prompt that is sent too late to meet it.
+func TestStartBudget(t *testing.T) {
+	const objective, timeout = 4 * time.Second, 25 * time.Second
+	var e Estimator
+	budget := func(objective, remaining time.Duration) time.Duration {
+		return e.StartBudget(8000, objective, timeout, remaining)
+	}
+	must.Eq(t, objective, budget(objective, timeout)) // no observations
+	e.ObservePrompt(8000)
+	e.ObservePrefill(8000, time.Second)
+	must.Eq(t, 2700*time.Millisecond, budget(objective, timeout))
+	must.Eq(t, 1700*time.Millisecond, budget(objective, 24*time.Second))
+	must.Eq(t, 3300*time.Millisecond, budget(objective, 22*time.Second)) // 1 s is less than a prefill beside answers
+	must.Eq(t, 3300*time.Millisecond, budget(objective, 16*time.Second)) // a retry
+	must.Eq(t, 1300*time.Millisecond, budget(objective, 4*time.Second))  // half of the time left
+	must.Eq(t, -700*time.Millisecond, budget(0, timeout))
+}
--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -218,10 +218,10 @@
 }
 
 // fits reports whether an engine has room for the prompt beside the room that it keeps for more
-// urgent ones. A prompt for which no other is more urgent fits everywhere: the engine admits it
-// first.
+// urgent ones. An urgent prompt, and one for which no other is more urgent, fits everywhere: the
+// engine admits it first.
 func (r *relay) fits(report prompts.Report) bool {
-	if !r.hasPriorities() {
+	if !r.hasPriorities() || r.isUrgent() {
 		return true
 	}
 	room, load := r.roomPolicy(), engineLoad(report, r.level())
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -217,13 +217,11 @@
 	}
 }
 
-// latestStart returns when a prompt has to be sent to an idle engine for its first event to meet the
-// objective. The time that the caller waited before it retried counts.
+// latestStart returns when a prompt has to be sent to an idle engine at the latest.
 func (p *pressure) latestStart(now time.Time, service string, in *inbound) time.Time {
 	defer p.mu.Unlock()
-	first := p.lockService(service).pace.TimeToFirstEvent(0, in.call.PromptTokens)
-	waited := max(in.route.Timeout-in.deadline.Sub(now), 0)
-	return now.Add(in.route.Objective - waited - first)
+	pace := &p.lockService(service).pace
+	return now.Add(pace.StartBudget(in.call.PromptTokens, in.route.Objective, in.route.Timeout, in.deadline.Sub(now)))
 }
 
 // mayWait reports whether the prompt may wait for room. A request that may have been sent, or whose
