decision/pace, serve/forward: uneven engines stay uneven while one is unknown; looks don't count for saturation

Found by a review: with exactly eight engines, one restart switched the service to placement by counts and back; and each look of a waiting prompt weighed the same ten engines into the share of engines that prefill.

--- a/decision/pace/fleet.go
+++ b/decision/pace/fleet.go
@@ -89,7 +89,7 @@
 	}
 	f := Fleet{Known: len(intervals), Uneven: previous.Uneven}
 	if len(intervals) < minKnownEngines {
-		return Fleet{Known: f.Known}
+		return previous.withFewKnown(now, f.Known)
 	}
 	slices.Sort(intervals)
 	trim := max(1, len(intervals)/trimDivisor)
@@ -101,7 +101,28 @@
 	if differ := float64(f.Slow) >= ratio*float64(f.Fast); differ == f.Uneven {
 		return f
 	}
-	if f.disputedSince = previous.disputedSince; f.disputedSince.IsZero() {
+	f.disputedSince = previous.disputedSince
+	f.dispute(now)
+	return f
+}
+
+// withFewKnown returns the result where too few engines are known to compare them. Uneven engines
+// stay uneven for evenConfirmTime: after a restart, the pace of an engine is unknown for a moment.
+func (f Fleet) withFewKnown(now time.Time, known int) Fleet {
+	if !f.Uneven {
+		return Fleet{Known: known}
+	}
+	f.Known = known
+	if f.dispute(now); !f.Uneven {
+		return Fleet{Known: known}
+	}
+	return f
+}
+
+// dispute records that an assessment does not agree with Uneven, which changes once all assessments
+// of the time of confirmation have not.
+func (f *Fleet) dispute(now time.Time) {
+	if f.disputedSince.IsZero() {
 		f.disputedSince = now
 	}
 	confirmTime := unevenConfirmTime
@@ -111,7 +132,6 @@
 	if now.Sub(f.disputedSince) >= confirmTime {
 		f.Uneven, f.disputedSince = !f.Uneven, time.Time{}
 	}
-	return f
 }
 
 // Relative returns the interval of an engine relative to the average: 2 for an engine that takes
--- a/decision/pace/pace_test.go
+++ b/decision/pace/pace_test.go
@@ -187,6 +187,24 @@
 	must.False(t, Assess(f, epoch.Add(found+time.Second+evenConfirmTime), even, false).Uneven)
 }
 
+// Guards against engines that alternate between uneven and even in a service of few: one of eight
+// restarts, and its pace is unknown for some seconds.
+func TestUnevenEnginesStayUnevenWhileOneIsUnknown(t *testing.T) {
+	eight := append(repeat(50*ms, 30*ms), 20*ms, 20*ms)[2:]
+	must.Len(t, minKnownEngines, eight)
+	f := Assess(Fleet{}, epoch, eight, false)
+	f = Assess(f, epoch.Add(unevenConfirmTime), eight, false)
+	must.True(t, f.Uneven)
+	at := unevenConfirmTime + time.Second
+	f = Assess(f, epoch.Add(at), eight[1:], false)
+	f = Assess(f, epoch.Add(at+evenConfirmTime-ms), eight[1:], false)
+	must.True(t, f.Uneven)
+	must.Eq(t, 30*ms, f.Average)
+	f = Assess(f, epoch.Add(at+evenConfirmTime), eight[1:], false)
+	must.False(t, f.Uneven)
+	must.Zero(t, f.Average)
+}
+
 // Guards against a comparison while the engines prefill prompts almost all the time. The finding before
 // is kept, and the time of confirmation begins anew.
 func TestSaturatedEnginesAreNotCompared(t *testing.T) {
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -24,7 +24,8 @@
 // enginePaces knows how fast the engines decode, from the replies of their tracking daemons. It
 // measures the streams of this daemon for its notes, and holds the samples of all daemons of the
 // engines that this daemon tracks. This daemon's own samples count only through the trackers: one
-// daemon has too few to tell a busy engine from a slow one. It is safe for concurrent use. Its methods call no others of the handler while they hold the lock.
+// daemon has too few to tell a busy engine from a slow one. It is safe for concurrent use. Its
+// methods call no others of the handler while they hold the lock.
 type enginePaces struct {
 	log *event.Log
 
@@ -35,8 +36,9 @@
 
 // servicePaces is what is known here of the engines of one service.
 type servicePaces struct {
-	samples    map[routing.Incarnation]paceSample  // the last one taken here
-	learned    map[routing.Incarnation]learnedPace // stated by tracking daemons
+	samples map[routing.Incarnation]paceSample // the last one taken here
+	// learned holds what tracking daemons stated; interval is 0 if they don't know the pace.
+	learned    map[routing.Incarnation]paceSample
 	fleet      pace.Fleet
 	saturation pace.Saturation
 	assessedAt time.Time
@@ -50,10 +52,6 @@
 
 func (s paceSample) isExpired(now time.Time) bool { return now.Sub(s.at) >= learnedPaceTTL }
 
-// learnedPace is a paceSample received from a tracking daemon. interval is 0 if that daemon does not
-// know the pace.
-type learnedPace struct{ paceSample }
-
 func newEnginePaces(log *event.Log) *enginePaces {
 	return &enginePaces{log: log, services: map[string]*servicePaces{}}
 }
@@ -62,7 +60,7 @@
 func (p *enginePaces) service(name string) *servicePaces {
 	s := p.services[name]
 	if s == nil {
-		s = &servicePaces{samples: map[routing.Incarnation]paceSample{}, learned: map[routing.Incarnation]learnedPace{}}
+		s = &servicePaces{samples: map[routing.Incarnation]paceSample{}, learned: map[routing.Incarnation]paceSample{}}
 		p.services[name] = s
 	}
 	return s
@@ -91,7 +89,7 @@
 	p.mu.Lock()
 	state := p.service(service)
 	if old := state.learned[life]; interval != 0 || old.interval == 0 || old.isExpired(now) {
-		state.learned[life] = learnedPace{paceSample{interval: interval, at: now}}
+		state.learned[life] = paceSample{interval: interval, at: now}
 	}
 	changed := p.assess(now, state)
 	p.mu.Unlock()
--- a/serve/forward/worktracker.go
+++ b/serve/forward/worktracker.go
@@ -16,6 +16,10 @@
 	"mallowwind.dev/peer/peerpb"
 )
 
+// maxSlack bounds the slack that another daemon states for a prompt, so that a wrong value cannot
+// overflow a time. No objective is nearly as long.
+const maxSlack = time.Hour
+
 // workTracker shares knowledge of the load of engines where the fleet is too large for
 // peerClient.totalWork, which asks every daemon. Each engine has one tracking daemon, chosen by
 // rendezvous hashing. A workTracker reports this daemon's work to the tracking daemons, queries
@@ -147,7 +151,9 @@
 		})
 	}
 	wg.Wait()
-	t.h.paces.recordWork(service, sum)
+	if waiting == nil { // a waiting prompt asks for the same engines many times
+		t.h.paces.recordWork(service, sum)
+	}
 	return sum, len(sum) >= SampleSize
 }
 
@@ -220,9 +226,6 @@
 	return ahead
 }
 
-// maxSlack bounds the slack that another daemon states for a prompt, far above any objective.
-const maxSlack = time.Hour
-
 // remotePrompt converts the waiting prompt in a query, nil if there is none.
 func remotePrompt(now time.Time, daemon string, w *peerpb.WaitingPrompt) *promptqueue.RemotePrompt {
 	if w == nil {
