promptqueue: a failed look of a less urgent prompt costs a part of the minimum share

Cause: once the credit of the minimum share was one, every look belonged to the less urgent prompt that is about to miss its latest start, until it left; a failed look cost nothing.

Change: a failed look takes one eighth of the credit, what one start of an urgent prompt earns, and the first urgent prompt is woken and looks at once.

--- a/decision/promptqueue/promptqueue.go
+++ b/decision/promptqueue/promptqueue.go
@@ -424,7 +424,8 @@
 // Failed records that a prompt has looked for room and found none. The next look belongs to a
 // smaller prompt if it was the first in the order, and to the first otherwise, so that a prompt that fits
 // nowhere does not stop others. It reports whether the next look should follow at once: the look
-// before found room, which the next prompt may fit.
+// before found room, which the next prompt may fit, or the prompt used the share of less urgent ones,
+// and the urgent ones have waited for it.
 func (q *Queue) Failed(now time.Time, p *Prompt) (again bool) {
 	if p.account == nil {
 		return false
@@ -433,6 +434,11 @@
 	q.failures++
 	p.failedLooks++
 	p.failedAt = q.failures
+	if q.credit >= 1 && p.Rank > q.lowestRank() && p.Slack(now) < aboutToMiss {
+		q.credit -= minShare // it is earned again by the next start of an urgent prompt
+		q.blocked = nil
+		return true
+	}
 	if first := q.firstInOrder(); first != p {
 		p.account.failedAt = q.failures
 		q.blocked = nil
--- a/decision/promptqueue/promptqueue_test.go
+++ b/decision/promptqueue/promptqueue_test.go
@@ -76,6 +76,28 @@
 	must.Eq(t, 10, less)
 }
 
+// Guards against urgent prompts that do not look for room while a less urgent one, which finds none,
+// may use the minimum share: each of its looks costs a part of the share.
+func TestFailedLookCostsMinimumShare(t *testing.T) {
+	q := &Queue{credit: 1}
+	mustAdd(t, q, prompt("less", "b", 2, 400*time.Millisecond))
+	for i := range 20 {
+		mustAdd(t, q, prompt(fmt.Sprintf("urgent-%02d", i), "a", 0, 5*time.Second))
+	}
+	for i := range 20 {
+		p, rank := q.First(epoch)
+		must.Eq(t, "less", p.ID)
+		must.Eq(t, 0, rank)
+		must.True(t, q.Failed(epoch, p)) // the urgent prompt looks at once
+		p, _ = q.First(epoch)
+		must.Eq(t, fmt.Sprintf("urgent-%02d", i), p.ID)
+		must.False(t, q.Failed(epoch, p))
+		next, _ := q.First(epoch)
+		must.Eq(t, p, next)
+		q.Started(epoch, p)
+	}
+}
+
 // Guards against prompts that wait behind one that finds no room, and against less urgent ones that
 // overtake it although it would fit wherever they do.
 func TestOtherPromptLooksAfterFailedOne(t *testing.T) {
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -104,6 +104,40 @@
 	})
 }
 
+// Guards against an urgent prompt that does not look for room, although there is some, until a less
+// urgent one leaves that may use the minimum share and finds none.
+func TestUrgentPromptLooksAfterLessUrgentOne(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		var less []<-chan response
+		for n := range 6 { // one after the other is about to miss its latest start
+			large := sized(fmt.Sprint("large-", n))
+			large[hTokens] = "90"
+			less = append(less, w.async("/c/1", large))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(5800 * time.Millisecond) // until 400 ms before the latest start of the first
+		urgent := w.async("/u/1", sized("r1"))
+		time.Sleep(10 * time.Millisecond)
+		w.handler.waiting.mu.Lock()
+		for range 8 {
+			w.handler.waiting.services["llm"].StartedAtOnce(0)
+		}
+		w.handler.waiting.mu.Unlock()
+		began := time.Now()
+		a.setRuns("used=15/100") // room for 80 tokens
+		for ; a.requestCount() == 0 && time.Since(began) < 3*time.Second; time.Sleep(time.Millisecond) {
+		}
+		must.Less(t, 800*time.Millisecond, time.Since(began))
+		a.mustStartFirst(t, "r1")
+		must.Eq(t, events(1, 5), (<-urgent).body)
+		for _, c := range less {
+			<-c
+		}
+	})
+}
+
 // fill makes an engine report that it has no room.
 func fill(engines ...*fakeServer) {
 	for _, e := range engines {
