serve/forward: a look for room continues behind an engine with too many pending prompts

Cause: the look ended when the engine ranked first was refused by its pending prompts, although engines of different speed, or suspect ones, are not ordered by pending prompts.

Change: the engine is excluded and the next one is chosen. This takes no probe.

Result: TestLookContinuesBehindEngineWithPendingPrompts finds the idle engine; it failed before.

--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -393,16 +393,19 @@
 	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, others)...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
-	for range maxLookProbes {
+	for probes := 0; probes < maxLookProbes; {
 		c, pending, ok := r.h.pool.reservePrefill(time.Now(), view, r.service, others, onlyKnown, excluded)
 		if !ok {
 			return sampledEngine{}, false
 		}
 		best := sampledEngine{choice: c, report: prompts.Report{PendingPrompts: pending}}
 		if admission, _ := r.admission(best); admission != prompts.Admitted {
+			// Engines of different speed are not ordered by their pending prompts.
 			r.h.pool.addLoad(c, -1, 0, 0)
-			return sampledEngine{}, false // the other engines have more prompts pending
+			excluded = append(excluded, c.server.Incarnation())
+			continue
 		}
+		probes++
 		// The count of 1 is this prompt, which reservePrefill has counted already.
 		sampled := queries.sampleLoads(ctx, []choice{c}, 1)
 		if len(sampled) == 1 {
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -138,6 +138,35 @@
 	})
 }
 
+// Guards against a prompt that waits although an engine is idle: the engine ranked first has so many
+// prompts pending that the prompt would be late there. The idle one is ranked last since it is suspect.
+func TestLookContinuesBehindEngineWithPendingPrompts(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		must.Eq(t, http.StatusOK, w.request(http.MethodPost, "/u/1", sized("r0"), "prompt").status) // the prefill takes a second
+		b := w.add("e-b", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		w.handler.pool.markSuspect(time.Now(), b.server)
+		r := w.relay("/u/1")
+		others := workloads{a.server.Incarnation(): {prefilling: 20}}
+		before := a.probeCount()
+		c, ok := r.lookWhereShown(w.t.Context(), w.feed.View(), r.newWaiter(time.Now()), others, false)
+		must.True(t, ok)
+		must.Eq(t, "e-b", c.server.ID)
+		must.Eq(t, before, a.probeCount())
+		w.handler.pool.addLoad(c.choice, -1, 0, 0)
+	})
+}
+
+// relay returns the relay of a request that has just arrived.
+func (w *testCluster) relay(path string) *relay {
+	now := time.Now()
+	in := &inbound{
+		call: Call{ID: "r1", PromptTokens: 80, Timeout: 25 * time.Second}, arrived: now, deadline: now.Add(25 * time.Second),
+		route: w.feed.View().Config.Match("host", path),
+	}
+	return &relay{h: w.handler, in: in, service: "llm", rank: in.route.Priority}
+}
+
 // fill makes an engine report that it has no room.
 func fill(engines ...*fakeServer) {
 	for _, e := range engines {
