serve/forward: a prompt that moves to another service is counted in the demand there

Cause: placeAtNewService kept the state of the demand at the old service and recorded neither the length nor the rank of the prompt at the new one.

Change: the state is reset, the observations made for a new request are repeated, and the prompt is placed by placeOrdered, which records its demand for room.

--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -552,7 +552,17 @@
 	r.service = route.PickService(rand.Float64())
 	r.rank = view.Config.Rank(r.service, route, r.in.account)
 	r.h.pool.countRequest(time.Now(), r.service)
-	return r.placeAdmitted(ctx, view)
+	r.room = roomUnasked
+	r.observeArrival()
+	return r.placeOrdered(ctx, view)
+}
+
+// observeArrival records the prompt in the demand of its service, as for a new request.
+func (r *relay) observeArrival() {
+	r.h.pressure.recordPrompt(r.service, r.in.call.PromptTokens)
+	if r.hasPriorities() {
+		r.h.headroom.observePrompt(time.Now(), r.service, r.rank)
+	}
 }
 
 // errStopping is the refusal of a prompt that waits when the shutdown begins.
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -162,7 +162,7 @@
 	now := time.Now()
 	in := &inbound{
 		call: Call{ID: "r1", PromptTokens: 80, Timeout: 25 * time.Second}, arrived: now, deadline: now.Add(25 * time.Second),
-		route: w.feed.View().Config.Match("host", path),
+		host: "host", target: path, route: w.feed.View().Config.Match("host", path),
 	}
 	return &relay{h: w.handler, in: in, service: "llm", rank: in.route.Priority}
 }
@@ -308,7 +308,7 @@
 }
 
 // Guards against a prompt that is sent to the old service of its route. It is sent to the new one,
-// whether or not that has streams of different priority.
+// whether or not that has streams of different priority, and is counted in the demand there.
 func TestServiceOfRouteChangesWhilePromptWaits(t *testing.T) {
 	for _, both := range []bool{true, false} {
 		t.Run(fmt.Sprint("both routes move: ", both), func(t *testing.T) {
@@ -329,6 +329,17 @@
 				must.Eq(t, events(1, 5), (<-pending).body)
 				must.Eq(t, 1, b.requestCount())
 				must.Eq(t, 0, a.requestCount())
+				h, now := w.handler, time.Now()
+				must.Positive(t, h.pressure.meanPromptTokens("llm2"))
+				if both { // the streams of the new service differ in priority
+					must.Positive(t, h.headroom.urgentShare(now, "llm2", 3))
+					r := w.relay("/c/1")
+					r.in.call.Key, r.room = "key-1", roomFound // at the old service
+					c, err := r.placeAtNewService(w.t.Context())
+					must.NoError(t, err)
+					h.pool.addLoad(c.choice, -1, 0, 0)
+					must.Eq(t, roomAsked, r.room)
+				}
 			})
 		})
 	}
