serve/forward: test the check of key and route after a look for room

Cause: no test failed with confirm left out.

Change: TestKeyIsRemovedDuringLook removes the key while the engine is probed, and expects 401, no request at the engine and no load counted.

Result: it passes, and fails (the request is sent) with the check left out.

--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -307,6 +308,40 @@
 	}
 }
 
+// probeHook calls a function before each report of an engine is read.
+type probeHook struct {
+	testCodec
+	call func()
+}
+
+func (c probeHook) Report(body []byte) (Report, error) {
+	c.call()
+	return c.testCodec.Report(body)
+}
+
+// Guards against a prompt that is sent although its key is removed while the engine that has room for
+// it is probed.
+func TestKeyIsRemovedDuringLook(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a, pending := w.waitingPrompt("/c/1")
+		services := []*routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4}}}
+		accounts := map[string]*routing.Account{"key-2": {Name: "mill", Priority: -1}}
+		w.schema.named["next"] = routing.New(2, routing.Limits{}, services, waitingRoutes(), accounts)
+		var once sync.Once
+		w.handler.opts.Codec = probeHook{call: func() {
+			once.Do(func() {
+				w.put("config", "next")
+				time.Sleep(10 * time.Millisecond) // until the daemon knows it
+			})
+		}}
+		free(a)
+		got := <-pending
+		mustRefuse(t, got, http.StatusUnauthorized)
+		must.Eq(t, 0, a.requestCount())
+		w.checkLoadReleased()
+	})
+}
+
 // Guards against a prompt that is sent to the old service of its route. It is sent to the new one,
 // whether or not that has streams of different priority, and is counted in the demand there.
 func TestServiceOfRouteChangesWhilePromptWaits(t *testing.T) {
