serve/forward: a look for room counts this daemon's own runs

Cause: withoutRoom saw only the work of other daemons, so that engines filled by this daemon's own runs were probed, and the end of an own run did not make an engine worth another probe.

Change: this daemon's work is added for both checks.

Result: TestLookCountsOwnRuns covers the slots and the end of a run; it failed before.

--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -390,7 +391,8 @@
 // that no other waiting prompt comes first at.
 func (r *relay) lookWhereShown(ctx context.Context, view *feed.View, w *waiter, others workloads, onlyKnown bool) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
-	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, others)...)
+	known := others.plus(r.h.pool.localWork(view, r.service))
+	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, known)...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	for probes := 0; probes < maxLookProbes; {
@@ -411,7 +413,7 @@
 		if len(sampled) == 1 {
 			best = sampled[0]
 			best.report.PendingPrompts = max(best.report.PendingPrompts, pending) // a report lags
-			if r.takes(ctx, w, best, others) {
+			if r.takes(ctx, w, best, known) {
 				return best, true
 			}
 		}
@@ -424,12 +426,13 @@
 // lookAtSample probes a few engines, if there are no trackers to ask or too few answer.
 func (r *relay) lookAtSample(ctx context.Context, view *feed.View, w *waiter, others workloads) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
-	excluded = append(excluded, w.withoutRoom(time.Now(), 0, nil)...)
+	local := r.h.pool.localWork(view, r.service)
+	excluded = append(excluded, w.withoutRoom(time.Now(), 0, local)...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	candidates := r.h.pool.prefillCandidates(time.Now(), view, r.service, w.part, SampleSize, excluded)
 	best, ok := r.leastLoaded(queries.sampleLoads(ctx, candidates, 0))
-	if !ok || !r.takes(ctx, w, best, nil) {
+	if !ok || !r.takes(ctx, w, best, local) {
 		return sampledEngine{}, false
 	}
 	r.h.pool.addLoad(best.choice, 1, 0, 0)
@@ -438,24 +441,25 @@
 
 // takes reports whether the prompt is sent to an engine that was probed. An engine without room is
 // skipped for a while.
-func (r *relay) takes(ctx context.Context, w *waiter, best sampledEngine, others workloads) bool {
+func (r *relay) takes(ctx context.Context, w *waiter, best sampledEngine, known workloads) bool {
 	if admission, _ := r.admission(best); admission == prompts.Admitted {
 		return r.tryAcquirePermit(ctx, best.choice)
 	}
 	life := best.server.Incarnation()
-	w.noRoom[life] = engineWithoutRoom{work: others[life].total(), until: time.Now().Add(noRoomTTL)}
+	w.noRoom[life] = engineWithoutRoom{work: known[life].total(), until: time.Now().Add(noRoomTTL)}
 	return false
 }
 
 // withoutRoom returns the engines that are not worth a probe now: all their slots are in use, or
-// their last report showed no room and no run has ended there since. slots is 0 if it is unknown.
-func (w *waiter) withoutRoom(now time.Time, slots int, others workloads) (list []routing.Incarnation) {
+// their last report showed no room and no run has ended there since. slots is 0 if it is unknown. known
+// is the work of all daemons, this one included, as far as it is known.
+func (w *waiter) withoutRoom(now time.Time, slots int, known workloads) (list []routing.Incarnation) {
 	for life, full := range w.noRoom {
-		if now.Before(full.until) && others[life].total() >= full.work {
+		if now.Before(full.until) && known[life].total() >= full.work {
 			list = append(list, life)
 		}
 	}
-	for life, work := range others {
+	for life, work := range known {
 		if slots > 0 && work.total() >= slots {
 			list = append(list, life)
 		}
@@ -463,6 +467,21 @@
 	return list
 }
 
+// plus returns the sum of two workloads.
+func (w workloads) plus(other workloads) workloads {
+	sum := maps.Clone(w)
+	if sum == nil {
+		sum = workloads{}
+	}
+	for life, more := range other {
+		work := sum[life]
+		work.prefilling += more.prefilling
+		work.running += more.running
+		sum[life] = work
+	}
+	return sum
+}
+
 // total returns the number of requests at an engine.
 func (w workload) total() int { return w.prefilling + w.running }
 
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -158,6 +158,41 @@
 	})
 }
 
+// Guards against probes of an engine whose slots are in use by runs of this daemon, and against an
+// engine that is still skipped although one of them has ended since its report showed no room.
+func TestLookCountsOwnRuns(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		own, ok := w.handler.pool.findServer(w.feed.View(), "llm", a.server.Incarnation())
+		must.True(t, ok)
+		w.handler.pool.addLoad(own, 0, 4, 0)
+		r := w.relay("/c/1")
+		waiting := r.newWaiter(time.Now())
+		look := func() (probes int, found bool) {
+			before := a.probeCount()
+			c, found := r.lookWhereShown(w.t.Context(), w.feed.View(), waiting, workloads{a.server.Incarnation(): {}}, false)
+			if found {
+				w.handler.pool.addLoad(c.choice, -1, 0, 0)
+			}
+			return a.probeCount() - before, found
+		}
+		for _, step := range []struct {
+			ended, probes int
+			found         bool
+		}{{0, 0, false}, {1, 1, false}, {0, 0, false}, {1, 1, true}} {
+			w.handler.pool.addLoad(own, 0, -step.ended, 0)
+			if step.found {
+				free(a)
+			}
+			probes, found := look()
+			must.Eq(t, step.probes, probes)
+			must.Eq(t, step.found, found)
+		}
+		w.handler.pool.addLoad(own, 0, -2, 0)
+	})
+}
+
 // relay returns the relay of a request that has just arrived.
 func (w *testCluster) relay(path string) *relay {
 	now := time.Now()
