promptqueue: at most 20 looks for room a second

Cause: the shortest interval between two looks of 20 ms allows 500 queries to trackers a second, too many for a VM with a seventh of a core.

Change: the shortest interval is 50 ms.

Result: TestLookIntervalIsBounded expects the bound with starts every 10 ms, and failed before. Its starts were 50 ms apart; it now has starts 150 ms and 10 ms apart, on both sides of the bound.

--- a/decision/promptqueue/promptqueue.go
+++ b/decision/promptqueue/promptqueue.go
@@ -38,9 +38,11 @@
 	maxLookInterval = 400 * time.Millisecond
 	// looksPerStart is the number of looks for each start of a daemon whose prompts start in quick
 	// succession, and minBusyInterval the shortest time between two. A daemon with a large part of the
-	// fleet's prompts would otherwise leave engines empty.
+	// fleet's prompts would otherwise leave engines empty. A look is about ten queries, so that the
+	// shortest interval means 200 queries a second; 20 ms meant 500, too many for a VM with a seventh of
+	// a core.
 	looksPerStart   = 2
-	minBusyInterval = 20 * time.Millisecond
+	minBusyInterval = 50 * time.Millisecond
 	// promptsPerLooker is the number of waiting prompts beyond which a daemon looks more often, or
 	// the prompts of daemons where few wait would start long before those where many do.
 	promptsPerLooker = 2
--- a/decision/promptqueue/promptqueue_test.go
+++ b/decision/promptqueue/promptqueue_test.go
@@ -281,12 +281,17 @@
 		q.Add(now, &Prompt{ID: fmt.Sprint(i), LatestStart: now.Add(time.Minute)})
 	}
 	must.Eq(t, minLookInterval, interval(time.Minute, 0.5))
-	for range 20 {
-		now = now.Add(50 * time.Millisecond)
-		p, _ := q.First(now)
-		q.Started(now, p)
+	start := func(count int, every time.Duration) {
+		for range count {
+			now = now.Add(every)
+			p, _ := q.First(now)
+			q.Started(now, p)
+		}
 	}
-	must.Between(t, 24*time.Millisecond, interval(time.Minute, 0.5), 26*time.Millisecond)
+	start(20, 150*time.Millisecond)
+	must.Between(t, 74*time.Millisecond, interval(time.Minute, 0.5), 76*time.Millisecond)
+	start(20, 10*time.Millisecond)
+	must.Eq(t, 50*time.Millisecond, interval(time.Minute, 0.5)) // not half of the time between two starts
 	now = now.Add(10 * time.Second) // no room any more
 	must.Eq(t, minLookInterval, interval(time.Minute, 0.5))
 	for q.Len() > 1 {
