serve/forward: a placement starts without the result of an earlier one

Cause: leftToOthers stayed set if the prompt joined the queue without a look for room, as at the new service of its route.

Change: placeOrWait resets it.

Result: TestPlacementForgetsEnginesLeftToOthers failed before.

--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	// maxWaitingPrompts and maxWaitingBytes bound the prompts that wait in this daemon.
-	// The smallest VMs have 144 MB of memory, and a waiting request costs about 40 kB beside its body
-	// of 30 to 60 kB.
+	// maxWaitingPrompts and maxWaitingBytes bound the memory of waiting requests on small VMs, which
+	// the requests in progress need as well. A waiting request costs about 40 kB beside its body.
 	maxWaitingPrompts = 128
 	maxWaitingBytes   = 8 << 20
 	// maxLookProbes bounds the engines probed by one look for room of a waiting prompt. Trackers show
@@ -265,6 +264,7 @@
 // placeOrWait chooses an engine with room for the prompt and counts the prompt there. If there is
 // none, or if prompts come first that already wait, the prompt waits.
 func (r *relay) placeOrWait(ctx context.Context, view *feed.View) (sampledEngine, error) {
+	r.leftToOthers = false
 	if r.h.waiting.hasBefore(r.service, r.rank) {
 		return r.awaitRoom(ctx, view, sampledEngine{}, prompts.NoMemory)
 	}
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -193,6 +193,21 @@
 	})
 }
 
+// Guards against a result of an earlier placement that is taken for one of the next: the prompt joins
+// the queue without a look for room.
+func TestPlacementForgetsEnginesLeftToOthers(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		r := w.relay("/c/1")
+		w.handler.waiting.join(time.Now(), r.newWaiter(time.Now()))
+		w.handler.waiting.beginShutdown() // ends the wait at once
+		r.leftToOthers = true
+		_, err := r.placeOrWait(w.t.Context(), w.feed.View())
+		must.Error(t, err)
+		must.False(t, r.leftToOthers)
+	})
+}
+
 // relay returns the relay of a request that has just arrived.
 func (w *testCluster) relay(path string) *relay {
 	now := time.Now()
