serve/forward: test that a start wakes the next prompt and earns the minimum share

Cause: the tests passed with a next prompt that is never woken, and with startedAtOnce without effect.

Change: TestStartWakesNextPrompt and TestPromptsStartedAtOnceEarnMinimumShare.

--- a/decision/promptqueue/promptqueue_test.go
+++ b/decision/promptqueue/promptqueue_test.go
@@ -292,7 +292,7 @@
 	must.Between(t, 74*time.Millisecond, interval(time.Minute, 0.5), 76*time.Millisecond)
 	start(20, 10*time.Millisecond)
 	must.Eq(t, 50*time.Millisecond, interval(time.Minute, 0.5)) // not half of the time between two starts
-	now = now.Add(10 * time.Second) // no room any more
+	now = now.Add(10 * time.Second)                             // no room any more
 	must.Eq(t, minLookInterval, interval(time.Minute, 0.5))
 	for q.Len() > 1 {
 		p, _ := q.First(now)
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -208,6 +208,45 @@
 	})
 }
 
+// Guards against a second prompt that waits for its timer although the start of the first shows that
+// there is room again: two engines become free, and two prompts wait.
+func TestStartWakesNextPrompt(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		b := w.add("e-b", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(b)
+		a, first := w.waitingPrompt("/c/1")
+		second := w.async("/c/1", sized("r2"))
+		time.Sleep(1010 * time.Millisecond)
+		free(a)
+		free(b)
+		for _, c := range []<-chan response{first, second} {
+			must.Eq(t, events(1, 5), (<-c).body)
+		}
+		must.Eq(t, 1, a.requestCount())
+		must.Eq(t, 1, b.requestCount())
+		must.Less(t, 20*time.Millisecond, a.receivedAt[0].Sub(b.receivedAt[0]).Abs())
+	})
+}
+
+// Guards against less urgent prompts that get no share while urgent ones start without waiting.
+func TestPromptsStartedAtOnceEarnMinimumShare(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		less, urgent := w.relay("/c/1"), w.relay("/u/1")
+		waiting := less.newWaiter(time.Now())
+		waiting.LatestStart = time.Now().Add(300 * time.Millisecond)
+		first, _, _ := w.handler.waiting.join(time.Now(), waiting)
+		must.True(t, first)
+		for range 8 {
+			c, err := urgent.placeOrWait(w.t.Context(), w.feed.View())
+			must.NoError(t, err)
+			w.handler.pool.addLoad(c.choice, -1, 0, 0)
+		}
+		first, _, _ = w.handler.waiting.join(time.Now(), urgent.newWaiter(time.Now()))
+		must.False(t, first) // the next look belongs to the less urgent prompt
+	})
+}
+
 // relay returns the relay of a request that has just arrived.
 func (w *testCluster) relay(path string) *relay {
 	now := time.Now()
