--- a/decision/promptqueue/promptqueue_test.go
+++ b/decision/promptqueue/promptqueue_test.go
@@ -76,6 +76,60 @@
 	must.Eq(t, 10, less)
 }
 
+// Guards against urgent prompts that do not look for room while a less urgent one, which finds none,
+// may use the minimum share: each of its looks costs a part of the share.
+func TestFailedLookCostsMinimumShare(t *testing.T) {
+	q := &Queue{credit: 1}
+	mustAdd(t, q, prompt("less", "b", 2, 400*time.Millisecond))
+	for i := range 20 {
+		mustAdd(t, q, prompt(fmt.Sprintf("urgent-%02d", i), "a", 0, 5*time.Second))
+	}
+	for i := range 20 {
+		p, rank := q.First(epoch)
+		must.Eq(t, "less", p.ID)
+		must.Eq(t, 0, rank)
+		must.True(t, q.Failed(epoch, p)) // the urgent prompt looks at once
+		p, _ = q.First(epoch)
+		must.Eq(t, fmt.Sprintf("urgent-%02d", i), p.ID)
+		must.False(t, q.Failed(epoch, p))
+		next, _ := q.First(epoch)
+		must.Eq(t, p, next)
+		q.Started(epoch, p)
+	}
+}
+
+// Guards against prompts that wait behind one that finds no room, and against less urgent ones that
+// overtake it although it would fit wherever they do.
+func TestOtherPromptLooksAfterFailedOne(t *testing.T) {
+	q := &Queue{}
+	sizedPrompt := func(id, account string, rank, tokens int, slack time.Duration) *Prompt {
+		p := prompt(id, account, rank, slack)
+		p.Tokens = tokens
+		return p
+	}
+	mustAdd(t, q, sizedPrompt("large", "a", 0, 100, time.Second), sizedPrompt("next", "a", 0, 70, 2*time.Second),
+		sizedPrompt("like", "b", 0, 90, 2*time.Second), sizedPrompt("other", "b", 0, 60, 3*time.Second), sizedPrompt("same", "c", 1, 60, time.Second),
+		sizedPrompt("small", "c", 2, 10, 9*time.Second))
+	var ids []string
+	for range 2*looksBeforeLessUrgent + 2 {
+		p, rank := q.First(epoch)
+		must.Eq(t, p.Rank, rank)
+		ids = append(ids, p.ID)
+		q.Failed(epoch, p)
+	}
+	must.Eq(t, []string{"large", "next", "large", "other", "large", "next", "large", "small", "large", "other"}, ids)
+	p, _ := q.First(epoch)
+	must.Eq(t, "large", p.ID)
+	q.Failed(epoch, p)
+	p, _ = q.First(epoch)
+	q.Started(epoch, p)
+	p, _ = q.First(epoch)
+	must.True(t, q.Failed(epoch, p)) // a prompt has started, so another one may fit as well
+	other, _ := q.First(epoch)
+	must.NotEq(t, p, other)
+	must.False(t, q.Failed(epoch, other))
+}
+
 // Guards against urgent prompts that are refused because less urgent ones fill the queue, and against
 // an account that fills it and displaces those of others.
 func TestLastInOrderIsEvicted(t *testing.T) {
@@ -227,13 +281,18 @@
 		q.Add(now, &Prompt{ID: fmt.Sprint(i), LatestStart: now.Add(time.Minute)})
 	}
 	must.Eq(t, minLookInterval, interval(time.Minute, 0.5))
-	for range 20 {
-		now = now.Add(50 * time.Millisecond)
-		p, _ := q.First(now)
-		q.Started(now, p)
+	start := func(count int, every time.Duration) {
+		for range count {
+			now = now.Add(every)
+			p, _ := q.First(now)
+			q.Started(now, p)
+		}
 	}
-	must.Between(t, 24*time.Millisecond, interval(time.Minute, 0.5), 26*time.Millisecond)
-	now = now.Add(10 * time.Second) // no room any more
+	start(20, 150*time.Millisecond)
+	must.Between(t, 74*time.Millisecond, interval(time.Minute, 0.5), 76*time.Millisecond)
+	start(20, 10*time.Millisecond)
+	must.Eq(t, 50*time.Millisecond, interval(time.Minute, 0.5)) // not half of the time between two starts
+	now = now.Add(10 * time.Second)                             // no room any more
 	must.Eq(t, minLookInterval, interval(time.Minute, 0.5))
 	for q.Len() > 1 {
 		p, _ := q.First(now)
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -20,9 +21,8 @@
 )
 
 const (
-	// maxWaitingPrompts and maxWaitingBytes bound the prompts that wait in this daemon.
-	// The smallest VMs have 144 MB of memory, and a waiting request costs about 40 kB beside its body
-	// of 30 to 60 kB.
+	// maxWaitingPrompts and maxWaitingBytes bound the memory of waiting requests on small VMs, which
+	// the requests in progress need as well. A waiting request costs about 40 kB beside its body.
 	maxWaitingPrompts = 128
 	maxWaitingBytes   = 8 << 20
 	// maxLookProbes bounds the engines probed by one look for room of a waiting prompt. Trackers show
@@ -65,7 +65,16 @@
 // serviceQueue holds the waiting prompts of one service.
 type serviceQueue struct {
 	promptqueue.Queue
-	waiters map[*promptqueue.Prompt]*waiter
+	waiters  map[*promptqueue.Prompt]*waiter
+	nextLook time.Time // before that, the next prompt does not look for room
+}
+
+// wake makes a prompt check whether it is its turn.
+func (s *serviceQueue) wake(p *promptqueue.Prompt) {
+	select {
+	case s.waiters[p].turn <- struct{}{}:
+	default:
+	}
 }
 
 // waiter is one waiting prompt. Apart from its channels, only the goroutine of its request uses it.
@@ -136,7 +145,10 @@
 		delete(s.waiters, p)
 	}
 	next, _ := s.First(now)
-	return next == w.Prompt, promptqueue.Waits, s.Len()
+	if first = next == w.Prompt; first {
+		s.nextLook = now
+	}
+	return first, promptqueue.Waits, s.Len()
 }
 
 // limits returns the bounds for a service: an equal part for each service with waiting prompts. The
@@ -171,20 +183,38 @@
 	}
 	delete(s.waiters, w.Prompt)
 	if next, _ := s.First(now); next != nil && next != wasFirst {
-		select {
-		case s.waiters[next].turn <- struct{}{}:
-		default:
-		}
+		s.nextLook = now
+		s.wake(next)
 	}
 	return s.Len()
 }
 
+// failedLook records that a prompt has found no room, and when the next one looks.
+func (q *waitingPrompts) failedLook(now time.Time, w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.services[w.service]
+	if s.waiters[w.Prompt] != w {
+		return // evicted meanwhile
+	}
+	again := s.Failed(now, w.Prompt)
+	next, _ := s.First(now)
+	s.nextLook = now
+	if !again {
+		s.nextLook = now.Add(s.LookInterval(now, next, rand.Float64()))
+	}
+	if next != w.Prompt {
+		s.wake(next)
+	}
+}
+
 // rankOfTurn reports whether it is the turn of a prompt to look for room, and at which rank.
 func (q *waitingPrompts) rankOfTurn(now time.Time, w *waiter) (rank int, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	first, rank := q.services[w.service].First(now)
-	return rank, first == w.Prompt
+	s := q.services[w.service]
+	first, rank := s.First(now)
+	return rank, first == w.Prompt && !now.Before(s.nextLook)
 }
 
 // nextCheck returns the time until a prompt looks for room again, or checks whether it still may wait
@@ -195,7 +225,7 @@
 	s := q.services[w.service]
 	next := waitCheckInterval
 	if first, _ := s.First(now); first == w.Prompt {
-		next = s.LookInterval(now, w.Prompt, rand.Float64())
+		next = max(s.nextLook.Sub(now), 0)
 	}
 	return min(next, max(w.Slack(now), 0))
 }
@@ -234,6 +264,7 @@
 // placeOrWait chooses an engine with room for the prompt and counts the prompt there. If there is
 // none, or if prompts come first that already wait, the prompt waits.
 func (r *relay) placeOrWait(ctx context.Context, view *feed.View) (sampledEngine, error) {
+	r.leftToOthers = false
 	if r.h.waiting.hasBefore(r.service, r.rank) {
 		return r.awaitRoom(ctx, view, sampledEngine{}, prompts.NoMemory)
 	}
@@ -257,7 +288,7 @@
 func (r *relay) newWaiter(now time.Time) *waiter {
 	w := &waiter{
 		Prompt: &promptqueue.Prompt{
-			ID: r.in.call.ID, Account: r.in.accountName(), Rank: r.rank, Bytes: int64(len(r.in.body)),
+			ID: r.in.call.ID, Account: r.in.accountName(), Rank: r.rank, Bytes: int64(len(r.in.body)), Tokens: r.in.call.PromptTokens,
 			LatestStart: r.h.pressure.latestStart(now, r.service, r.in),
 		},
 		service: r.service, part: r.in.call.PromptKey, begun: now,
@@ -276,6 +307,10 @@
 	if r.h.waiting.isStopping() {
 		return sampledEngine{}, errStopping()
 	}
+	if report := best.report; report.CapacityTokens > 0 && r.in.call.PromptTokens > report.CapacityTokens {
+		_, due := r.admission(best)
+		return sampledEngine{}, r.noRoomError(best, prompts.NoMemory, due)
+	}
 	w := r.newWaiter(now)
 	first, refusal, waiting := r.h.waiting.join(now, w)
 	switch refusal {
@@ -286,10 +321,10 @@
 		return sampledEngine{}, r.refuseWaiting(waitCannotStart)
 	}
 	r.h.opts.Log.Emit(event.PromptWaits, w.ID, r.service, r.in.routeName(), r.in.accountName(), r.rank, r.in.call.PromptTokens, w.Bytes, w.Slack(now), waiting)
-	delay := r.h.waiting.nextCheck(now, w)
-	if first && (r.leftToOthers || !best.answered) {
-		delay = 0 // no look for room was made with the rank of the prompt
+	if first && !r.leftToOthers && best.answered { // it has found no room just now
+		r.h.waiting.failedLook(now, w)
 	}
+	delay := r.h.waiting.nextCheck(now, w)
 	c, end, err := r.waitAndLook(ctx, w, delay)
 	now = time.Now()
 	waiting = r.h.waiting.leave(now, w, err == nil)
@@ -328,6 +363,7 @@
 			if c, ok := r.look(ctx, view, w, rank); ok {
 				return r.confirm(c)
 			}
+			r.h.waiting.failedLook(time.Now(), w)
 		}
 		timer.Reset(r.h.waiting.nextCheck(time.Now(), w))
 	}
@@ -355,25 +391,29 @@
 // that no other waiting prompt comes first at.
 func (r *relay) lookWhereShown(ctx context.Context, view *feed.View, w *waiter, others workloads, onlyKnown bool) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
-	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, others)...)
+	known := others.plus(r.h.pool.localWork(view, r.service))
+	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, known)...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
-	for range maxLookProbes {
+	for probes := 0; probes < maxLookProbes; {
 		c, pending, ok := r.h.pool.reservePrefill(time.Now(), view, r.service, others, onlyKnown, excluded)
 		if !ok {
 			return sampledEngine{}, false
 		}
 		best := sampledEngine{choice: c, report: prompts.Report{PendingPrompts: pending}}
 		if admission, _ := r.admission(best); admission != prompts.Admitted {
+			// Engines of different speed are not ordered by their pending prompts.
 			r.h.pool.addLoad(c, -1, 0, 0)
-			return sampledEngine{}, false // the other engines have more prompts pending
+			excluded = append(excluded, c.server.Incarnation())
+			continue
 		}
+		probes++
 		// The count of 1 is this prompt, which reservePrefill has counted already.
 		sampled := queries.sampleLoads(ctx, []choice{c}, 1)
 		if len(sampled) == 1 {
 			best = sampled[0]
 			best.report.PendingPrompts = max(best.report.PendingPrompts, pending) // a report lags
-			if r.takes(ctx, w, best, others) {
+			if r.takes(ctx, w, best, known) {
 				return best, true
 			}
 		}
@@ -386,12 +426,13 @@
 // lookAtSample probes a few engines, if there are no trackers to ask or too few answer.
 func (r *relay) lookAtSample(ctx context.Context, view *feed.View, w *waiter, others workloads) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
-	excluded = append(excluded, w.withoutRoom(time.Now(), 0, nil)...)
+	local := r.h.pool.localWork(view, r.service)
+	excluded = append(excluded, w.withoutRoom(time.Now(), 0, local)...)
 	queries := r.h.newProbeRound()
 	defer queries.suspectSilent()
 	candidates := r.h.pool.prefillCandidates(time.Now(), view, r.service, w.part, SampleSize, excluded)
 	best, ok := r.leastLoaded(queries.sampleLoads(ctx, candidates, 0))
-	if !ok || !r.takes(ctx, w, best, nil) {
+	if !ok || !r.takes(ctx, w, best, local) {
 		return sampledEngine{}, false
 	}
 	r.h.pool.addLoad(best.choice, 1, 0, 0)
@@ -400,24 +441,25 @@
 
 // takes reports whether the prompt is sent to an engine that was probed. An engine without room is
 // skipped for a while.
-func (r *relay) takes(ctx context.Context, w *waiter, best sampledEngine, others workloads) bool {
+func (r *relay) takes(ctx context.Context, w *waiter, best sampledEngine, known workloads) bool {
 	if admission, _ := r.admission(best); admission == prompts.Admitted {
 		return r.tryAcquirePermit(ctx, best.choice)
 	}
 	life := best.server.Incarnation()
-	w.noRoom[life] = engineWithoutRoom{work: others[life].total(), until: time.Now().Add(noRoomTTL)}
+	w.noRoom[life] = engineWithoutRoom{work: known[life].total(), until: time.Now().Add(noRoomTTL)}
 	return false
 }
 
 // withoutRoom returns the engines that are not worth a probe now: all their slots are in use, or
-// their last report showed no room and no run has ended there since. slots is 0 if it is unknown.
-func (w *waiter) withoutRoom(now time.Time, slots int, others workloads) (list []routing.Incarnation) {
+// their last report showed no room and no run has ended there since. slots is 0 if it is unknown. known
+// is the work of all daemons, this one included, as far as it is known.
+func (w *waiter) withoutRoom(now time.Time, slots int, known workloads) (list []routing.Incarnation) {
 	for life, full := range w.noRoom {
-		if now.Before(full.until) && others[life].total() >= full.work {
+		if now.Before(full.until) && known[life].total() >= full.work {
 			list = append(list, life)
 		}
 	}
-	for life, work := range others {
+	for life, work := range known {
 		if slots > 0 && work.total() >= slots {
 			list = append(list, life)
 		}
@@ -425,6 +467,21 @@
 	return list
 }
 
+// plus returns the sum of two workloads.
+func (w workloads) plus(other workloads) workloads {
+	sum := maps.Clone(w)
+	if sum == nil {
+		sum = workloads{}
+	}
+	for life, more := range other {
+		work := sum[life]
+		work.prefilling += more.prefilling
+		work.running += more.running
+		sum[life] = work
+	}
+	return sum
+}
+
 // total returns the number of requests at an engine.
 func (w workload) total() int { return w.prefilling + w.running }
 
@@ -514,7 +571,17 @@
 	r.service = route.PickService(rand.Float64())
 	r.rank = view.Config.Rank(r.service, route, r.in.account)
 	r.h.pool.countRequest(time.Now(), r.service)
-	return r.placeAdmitted(ctx, view)
+	r.room = roomUnasked
+	r.observeArrival()
+	return r.placeOrdered(ctx, view)
+}
+
+// observeArrival records the prompt in the demand of its service, as for a new request.
+func (r *relay) observeArrival() {
+	r.h.pressure.recordPrompt(r.service, r.in.call.PromptTokens)
+	if r.hasPriorities() {
+		r.h.headroom.observePrompt(time.Now(), r.service, r.rank)
+	}
 }
 
 // errStopping is the refusal of a prompt that waits when the shutdown begins.
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,180 @@
 	})
 }
 
+// Guards against a prompt larger than the memory of the engines that waits in vain until its latest
+// start, and against others that wait behind such a prompt: it arrives while others wait, so that no
+// engine was probed for it.
+func TestPromptThatFitsNowhere(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a, first := w.waitingPrompt("/u/1")
+		large := sized("large")
+		large[hTokens] = "200"
+		behind := w.async("/u/1", large)
+		time.Sleep(500 * time.Millisecond)
+		a.setRuns("used=0/100")
+		must.Eq(t, events(1, 5), (<-first).body)
+		got := w.request(http.MethodPost, "/c/1", sized("r2"), "prompt")
+		must.Eq(t, events(1, 5), got.body)
+		must.Less(t, 3*time.Second, got.took)
+		mustRefuse(t, <-behind, http.StatusServiceUnavailable)
+		got = w.request(http.MethodPost, "/u/1", large, "prompt")
+		mustRefuse(t, got, http.StatusServiceUnavailable)
+		must.Less(t, 100*time.Millisecond, got.took)
+	})
+}
+
+// Guards against an urgent prompt that does not look for room, although there is some, until a less
+// urgent one leaves that may use the minimum share and finds none.
+func TestUrgentPromptLooksAfterLessUrgentOne(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		var less []<-chan response
+		for n := range 6 { // one after the other is about to miss its latest start
+			large := sized(fmt.Sprint("large-", n))
+			large[hTokens] = "90"
+			less = append(less, w.async("/c/1", large))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(5800 * time.Millisecond) // until 400 ms before the latest start of the first
+		urgent := w.async("/u/1", sized("r1"))
+		time.Sleep(10 * time.Millisecond)
+		w.handler.waiting.mu.Lock()
+		for range 8 {
+			w.handler.waiting.services["llm"].StartedAtOnce(0)
+		}
+		w.handler.waiting.mu.Unlock()
+		began := time.Now()
+		a.setRuns("used=15/100") // room for 80 tokens
+		for ; a.requestCount() == 0 && time.Since(began) < 3*time.Second; time.Sleep(time.Millisecond) {
+		}
+		must.Less(t, 800*time.Millisecond, time.Since(began))
+		a.mustStartFirst(t, "r1")
+		must.Eq(t, events(1, 5), (<-urgent).body)
+		for _, c := range less {
+			<-c
+		}
+	})
+}
+
+// Guards against a prompt that waits although an engine is idle: the engine ranked first has so many
+// prompts pending that the prompt would be late there. The idle one is ranked last since it is suspect.
+func TestLookContinuesBehindEngineWithPendingPrompts(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		must.Eq(t, http.StatusOK, w.request(http.MethodPost, "/u/1", sized("r0"), "prompt").status) // the prefill takes a second
+		b := w.add("e-b", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		w.handler.pool.markSuspect(time.Now(), b.server)
+		r := w.relay("/u/1")
+		others := workloads{a.server.Incarnation(): {prefilling: 20}}
+		before := a.probeCount()
+		c, ok := r.lookWhereShown(w.t.Context(), w.feed.View(), r.newWaiter(time.Now()), others, false)
+		must.True(t, ok)
+		must.Eq(t, "e-b", c.server.ID)
+		must.Eq(t, before, a.probeCount())
+		w.handler.pool.addLoad(c.choice, -1, 0, 0)
+	})
+}
+
+// Guards against probes of an engine whose slots are in use by runs of this daemon, and against an
+// engine that is still skipped although one of them has ended since its report showed no room.
+func TestLookCountsOwnRuns(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(a)
+		own, ok := w.handler.pool.findServer(w.feed.View(), "llm", a.server.Incarnation())
+		must.True(t, ok)
+		w.handler.pool.addLoad(own, 0, 4, 0)
+		r := w.relay("/c/1")
+		waiting := r.newWaiter(time.Now())
+		look := func() (probes int, found bool) {
+			before := a.probeCount()
+			c, found := r.lookWhereShown(w.t.Context(), w.feed.View(), waiting, workloads{a.server.Incarnation(): {}}, false)
+			if found {
+				w.handler.pool.addLoad(c.choice, -1, 0, 0)
+			}
+			return a.probeCount() - before, found
+		}
+		for _, step := range []struct {
+			ended, probes int
+			found         bool
+		}{{0, 0, false}, {1, 1, false}, {0, 0, false}, {1, 1, true}} {
+			w.handler.pool.addLoad(own, 0, -step.ended, 0)
+			if step.found {
+				free(a)
+			}
+			probes, found := look()
+			must.Eq(t, step.probes, probes)
+			must.Eq(t, step.found, found)
+		}
+		w.handler.pool.addLoad(own, 0, -2, 0)
+	})
+}
+
+// Guards against a result of an earlier placement that is taken for one of the next: the prompt joins
+// the queue without a look for room.
+func TestPlacementForgetsEnginesLeftToOthers(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		r := w.relay("/c/1")
+		w.handler.waiting.join(time.Now(), r.newWaiter(time.Now()))
+		w.handler.waiting.beginShutdown() // ends the wait at once
+		r.leftToOthers = true
+		_, err := r.placeOrWait(w.t.Context(), w.feed.View())
+		must.Error(t, err)
+		must.False(t, r.leftToOthers)
+	})
+}
+
+// Guards against a second prompt that waits for its timer although the start of the first shows that
+// there is room again: two engines become free, and two prompts wait.
+func TestStartWakesNextPrompt(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		b := w.add("e-b", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		fill(b)
+		a, first := w.waitingPrompt("/c/1")
+		second := w.async("/c/1", sized("r2"))
+		time.Sleep(1010 * time.Millisecond)
+		free(a)
+		free(b)
+		for _, c := range []<-chan response{first, second} {
+			must.Eq(t, events(1, 5), (<-c).body)
+		}
+		must.Eq(t, 1, a.requestCount())
+		must.Eq(t, 1, b.requestCount())
+		must.Less(t, 20*time.Millisecond, a.receivedAt[0].Sub(b.receivedAt[0]).Abs())
+	})
+}
+
+// Guards against less urgent prompts that get no share while urgent ones start without waiting.
+func TestPromptsStartedAtOnceEarnMinimumShare(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
+		less, urgent := w.relay("/c/1"), w.relay("/u/1")
+		waiting := less.newWaiter(time.Now())
+		waiting.LatestStart = time.Now().Add(300 * time.Millisecond)
+		first, _, _ := w.handler.waiting.join(time.Now(), waiting)
+		must.True(t, first)
+		for range 8 {
+			c, err := urgent.placeOrWait(w.t.Context(), w.feed.View())
+			must.NoError(t, err)
+			w.handler.pool.addLoad(c.choice, -1, 0, 0)
+		}
+		first, _, _ = w.handler.waiting.join(time.Now(), urgent.newWaiter(time.Now()))
+		must.False(t, first) // the next look belongs to the less urgent prompt
+	})
+}
+
+// relay returns the relay of a request that has just arrived.
+func (w *testCluster) relay(path string) *relay {
+	now := time.Now()
+	in := &inbound{
+		call: Call{ID: "r1", PromptTokens: 80, Timeout: 25 * time.Second}, arrived: now, deadline: now.Add(25 * time.Second),
+		host: "host", target: path, route: w.feed.View().Config.Match("host", path),
+	}
+	return &relay{h: w.handler, in: in, service: "llm", rank: in.route.Priority}
+}
+
 // fill makes an engine report that it has no room.
 func fill(engines ...*fakeServer) {
 	for _, e := range engines {
@@ -222,8 +397,42 @@
 	}
 }
 
+// probeHook calls a function before each report of an engine is read.
+type probeHook struct {
+	testCodec
+	call func()
+}
+
+func (c probeHook) Report(body []byte) (Report, error) {
+	c.call()
+	return c.testCodec.Report(body)
+}
+
+// Guards against a prompt that is sent although its key is removed while the engine that has room for
+// it is probed.
+func TestKeyIsRemovedDuringLook(t *testing.T) {
+	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
+		a, pending := w.waitingPrompt("/c/1")
+		services := []*routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4}}}
+		accounts := map[string]*routing.Account{"key-2": {Name: "mill", Priority: -1}}
+		w.schema.named["next"] = routing.New(2, routing.Limits{}, services, waitingRoutes(), accounts)
+		var once sync.Once
+		w.handler.opts.Codec = probeHook{call: func() {
+			once.Do(func() {
+				w.put("config", "next")
+				time.Sleep(10 * time.Millisecond) // until the daemon knows it
+			})
+		}}
+		free(a)
+		got := <-pending
+		mustRefuse(t, got, http.StatusUnauthorized)
+		must.Eq(t, 0, a.requestCount())
+		w.checkLoadReleased()
+	})
+}
+
 // Guards against a prompt that is sent to the old service of its route. It is sent to the new one,
-// whether or not that has streams of different priority.
+// whether or not that has streams of different priority, and is counted in the demand there.
 func TestServiceOfRouteChangesWhilePromptWaits(t *testing.T) {
 	for _, both := range []bool{true, false} {
 		t.Run(fmt.Sprint("both routes move: ", both), func(t *testing.T) {
@@ -244,6 +453,17 @@
 				must.Eq(t, events(1, 5), (<-pending).body)
 				must.Eq(t, 1, b.requestCount())
 				must.Eq(t, 0, a.requestCount())
+				h, now := w.handler, time.Now()
+				must.Positive(t, h.pressure.meanPromptTokens("llm2"))
+				if both { // the streams of the new service differ in priority
+					must.Positive(t, h.headroom.urgentShare(now, "llm2", 3))
+					r := w.relay("/c/1")
+					r.in.call.Key, r.room = "key-1", roomFound // at the old service
+					c, err := r.placeAtNewService(w.t.Context())
+					must.NoError(t, err)
+					h.pool.addLoad(c.choice, -1, 0, 0)
+					must.Eq(t, roomAsked, r.room)
+				}
 			})
 		})
 	}
