--- a/lab/soak/process/priorities.go
+++ b/lab/soak/process/priorities.go
@@ -221,9 +221,8 @@
 	maxServedDeficit  = 0.1
 	maxHeaderTimeLead = 500 * time.Millisecond
 	// maxOvertaking is how many less urgent requests may be served before each of progressCallers urgent
-	// callers is. They are 17 to 153 with a daemon that ignores priorities, and 435 with one that
-	// refuses an urgent prompt wherever a run is under way.
-	maxOvertaking = 250
+	// callers is: one of each caller of the burst for each urgent caller.
+	maxOvertaking = progressCallers * burstCallers
 )
 
 // checkUrgency checks that urgent callers were not worse off than less urgent ones, and adds to the
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -137,10 +137,7 @@
 	if err := r.checkTimeLeft(in.call.LastEventID == 0); err != nil {
 		return err
 	}
-	h.pressure.recordPrompt(service, in.call.PromptTokens)
-	if h.hasPriorities(service) {
-		h.headroom.observePrompt(time.Now(), service, r.rank)
-	}
+	r.observeArrival()
 	defer func() {
 		if r.replacement != nil { // the caller disconnected during the takeover
 			r.replacement.end(segmentAborted)
@@ -175,6 +172,14 @@
 	}
 }
 
+// observeArrival records the prompt in the demand of its service.
+func (r *relay) observeArrival() {
+	r.h.pressure.recordPrompt(r.service, r.in.call.PromptTokens)
+	if r.hasPriorities() {
+		r.h.headroom.observePrompt(time.Now(), r.service, r.rank)
+	}
+}
+
 // checkTimeLeft returns an error if the response cannot be completed before the deadline. unread
 // is true if the prompt has to be prefilled first.
 func (r *relay) checkTimeLeft(unread bool) error {
--- a/serve/forward/waiting.go
+++ b/serve/forward/waiting.go
@@ -576,14 +576,6 @@
 	return r.placeOrdered(ctx, view)
 }
 
-// observeArrival records the prompt in the demand of its service, as for a new request.
-func (r *relay) observeArrival() {
-	r.h.pressure.recordPrompt(r.service, r.in.call.PromptTokens)
-	if r.hasPriorities() {
-		r.h.headroom.observePrompt(time.Now(), r.service, r.rank)
-	}
-}
-
 // errStopping is the refusal of a prompt that waits when the shutdown begins.
 func errStopping() error {
 	return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").WithRetryAfter(shutdownRetryAfter)
