decision, serve/forward, docs: what a newcomer stumbled on

Names: Comparison for what was pace.Fleet, MustBeRefused for IsHopeless, mostUrgentRank for lowestRank, earnedPerUrgentStart for minShare, lookByFleetWork and lookByReports.

--- a/decision/pace/fleet.go
+++ b/decision/pace/fleet.go
@@ -44,9 +44,9 @@
 	pauseMargin = 1.5
 )
 
-// Fleet is what a daemon knows of the paces of the engines of a service. The zero value knows
+// Comparison is what a daemon knows of the paces of the engines of a service. The zero value knows
 // nothing: no engine is uneven.
-type Fleet struct {
+type Comparison struct {
 	// Uneven says that the engines differ so much that the choice of an engine takes the pace into
 	// account.
 	Uneven bool
@@ -82,12 +82,12 @@
 
 // Assess compares the known intervals between events of the engines of a service. previous is the
 // result before, which is kept while the engines are saturated. intervals is sorted in place.
-func Assess(previous Fleet, now time.Time, intervals []time.Duration, saturated bool) Fleet {
+func Assess(previous Comparison, now time.Time, intervals []time.Duration, saturated bool) Comparison {
 	if saturated {
 		previous.disputedSince = time.Time{}
 		return previous
 	}
-	f := Fleet{Known: len(intervals), Uneven: previous.Uneven}
+	f := Comparison{Known: len(intervals), Uneven: previous.Uneven}
 	if len(intervals) < minKnownEngines {
 		return previous.withFewKnown(now, f.Known)
 	}
@@ -108,43 +108,43 @@
 
 // withFewKnown returns the result where too few engines are known to compare them. Uneven engines
 // stay uneven for evenConfirmTime: after a restart, the pace of an engine is unknown for a moment.
-func (f Fleet) withFewKnown(now time.Time, known int) Fleet {
-	if !f.Uneven {
-		return Fleet{Known: known}
+func (c Comparison) withFewKnown(now time.Time, known int) Comparison {
+	if !c.Uneven {
+		return Comparison{Known: known}
 	}
-	f.Known = known
-	if f.dispute(now); !f.Uneven {
-		return Fleet{Known: known}
+	c.Known = known
+	if c.dispute(now); !c.Uneven {
+		return Comparison{Known: known}
 	}
-	return f
+	return c
 }
 
 // dispute records that an assessment does not agree with Uneven, which changes once all assessments
 // of the time of confirmation have not.
-func (f *Fleet) dispute(now time.Time) {
-	if f.disputedSince.IsZero() {
-		f.disputedSince = now
+func (c *Comparison) dispute(now time.Time) {
+	if c.disputedSince.IsZero() {
+		c.disputedSince = now
 	}
 	confirmTime := unevenConfirmTime
-	if f.Uneven {
+	if c.Uneven {
 		confirmTime = evenConfirmTime
 	}
-	if now.Sub(f.disputedSince) >= confirmTime {
-		f.Uneven, f.disputedSince = !f.Uneven, time.Time{}
+	if now.Sub(c.disputedSince) >= confirmTime {
+		c.Uneven, c.disputedSince = !c.Uneven, time.Time{}
 	}
 }
 
 // Relative returns the interval of an engine relative to the average: 2 for an engine that takes
 // twice as long as the average one. It is 1 for an engine of unknown pace, and 0 if the engines are
 // not uneven.
-func (f Fleet) Relative(interval time.Duration) float64 {
+func (c Comparison) Relative(interval time.Duration) float64 {
 	switch {
-	case !f.Uneven:
+	case !c.Uneven:
 		return 0
 	case interval <= 0:
 		return 1
 	}
-	return min(max(float64(interval)/float64(f.Average), 1.0/maxRelativePace), maxRelativePace)
+	return min(max(float64(interval)/float64(c.Average), 1.0/maxRelativePace), maxRelativePace)
 }
 
 // Class is the class of an engine's pace.
@@ -160,9 +160,9 @@
 )
 
 // ClassOf returns the class of an engine by its interval between events, which is 0 if unknown.
-func (f Fleet) ClassOf(interval time.Duration) Class {
-	switch relative := f.Relative(interval); {
-	case !f.Uneven:
+func (c Comparison) ClassOf(interval time.Duration) Class {
+	switch relative := c.Relative(interval); {
+	case !c.Uneven:
 		return Even
 	case interval <= 0:
 		return Unknown
@@ -176,8 +176,8 @@
 
 // UsualPause returns the longest pause between two events that is usual at an engine while it
 // prefills another prompt; 0 unless the engine is a slow one among uneven engines.
-func (f Fleet) UsualPause(interval time.Duration) time.Duration {
-	if f.ClassOf(interval) != Slow {
+func (c Comparison) UsualPause(interval time.Duration) time.Duration {
+	if c.ClassOf(interval) != Slow {
 		return 0
 	}
 	return time.Duration(pauseMargin * prefillStretch * float64(interval))
--- a/decision/pace/load_test.go
+++ b/decision/pace/load_test.go
@@ -69,7 +69,7 @@
 	rng        *rand.Rand
 	engines    []*engine
 	table      Table[int]
-	found      Fleet
+	found      Comparison
 	saturation Saturation
 	uneven     time.Duration // when the engines were last found uneven
 	changes    int
--- a/decision/pace/pace_test.go
+++ b/decision/pace/pace_test.go
@@ -132,7 +132,7 @@
 }
 
 // assessed returns the result of assessments over evenConfirmTime, the last one at epoch plus at.
-func assessed(f Fleet, at time.Duration, intervals []time.Duration) Fleet {
+func assessed(f Comparison, at time.Duration, intervals []time.Duration) Comparison {
 	for ago := evenConfirmTime; ago >= 0; ago -= time.Second {
 		f = Assess(f, epoch.Add(at-ago), intervals, false)
 	}
@@ -159,7 +159,7 @@
 		{"alike, uneven before", true, repeat(30*ms, 40*ms), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var f Fleet
+			var f Comparison
 			if c.previous {
 				f = assessed(f, 0, three)
 			}
@@ -172,7 +172,7 @@
 // sample: all assessments over the time of confirmation must find the same.
 func TestUnevenOnlyOnceConfirmed(t *testing.T) {
 	three, even := repeat(50*ms, 30*ms, 20*ms), repeat(30*ms, 30*ms)
-	f := Assess(Fleet{}, epoch, three, false)
+	f := Assess(Comparison{}, epoch, three, false)
 	f = Assess(f, epoch.Add(unevenConfirmTime-ms), three, false)
 	must.False(t, f.Uneven)
 	f = Assess(f, epoch.Add(unevenConfirmTime-ms), even, false)
@@ -192,7 +192,7 @@
 func TestUnevenEnginesStayUnevenWhileOneIsUnknown(t *testing.T) {
 	eight := append(repeat(50*ms, 30*ms), 20*ms, 20*ms)[2:]
 	must.Len(t, minKnownEngines, eight)
-	f := Assess(Fleet{}, epoch, eight, false)
+	f := Assess(Comparison{}, epoch, eight, false)
 	f = Assess(f, epoch.Add(unevenConfirmTime), eight, false)
 	must.True(t, f.Uneven)
 	at := unevenConfirmTime + time.Second
@@ -217,7 +217,7 @@
 	must.False(t, s.IsSaturated())
 
 	three, even := repeat(50*ms, 30*ms, 20*ms), repeat(30*ms, 30*ms)
-	f := Assess(Fleet{}, epoch, three, false)
+	f := Assess(Comparison{}, epoch, three, false)
 	f = Assess(f, epoch.Add(unevenConfirmTime), three, true)
 	f = Assess(f, epoch.Add(unevenConfirmTime), three, false)
 	must.False(t, f.Uneven)
@@ -233,7 +233,7 @@
 // Guards against an engine of unknown pace that counts as fast or slow, and against a pace that
 // excludes an engine or attracts all prompts.
 func TestRelativePace(t *testing.T) {
-	f := assessed(Fleet{}, 0, repeat(50*ms, 30*ms, 20*ms))
+	f := assessed(Comparison{}, 0, repeat(50*ms, 30*ms, 20*ms))
 	must.Eq(t, 30*ms, f.Average)
 	must.Eq(t, 1, f.Relative(0))
 	must.Eq(t, 2, f.Relative(60*ms))
@@ -243,7 +243,7 @@
 	must.Eq(t, 450*ms, f.UsualPause(50*ms))
 	must.Zero(t, f.UsualPause(30*ms))
 	must.Zero(t, f.UsualPause(0))
-	even := assessed(Fleet{}, 0, repeat(30*ms, 30*ms))
+	even := assessed(Comparison{}, 0, repeat(30*ms, 30*ms))
 	must.Zero(t, even.Relative(90*ms))
 	must.Eq(t, Even, even.ClassOf(90*ms))
 	must.Zero(t, even.UsualPause(90*ms))
@@ -254,7 +254,7 @@
 func TestAssessmentIsStable(t *testing.T) {
 	rng := rand.New(rand.NewPCG(7, 7))
 	for _, speeds := range [][]float64{{0.6, 1, 1.6}, {0.85, 1, 1.15}} {
-		var f Fleet
+		var f Comparison
 		changes := 0
 		for second := range 1000 {
 			var intervals []time.Duration
--- a/decision/promptqueue/promptqueue.go
+++ b/decision/promptqueue/promptqueue.go
@@ -15,7 +15,8 @@
 // room, so that the cost of waiting does not grow with the number of prompts: the first in this
 // order, and after a failed look a smaller one in turn, which may fit where the first does not. Table,
 // kept by the tracker of an engine, orders the first prompts of all daemons by rank and slack. The size
-// of a prompt is not considered, or the longest prompts would wait while shorter ones overtake them.
+// of a prompt does not change its place in the order, or the longest prompts would wait while shorter
+// ones overtake them.
 package promptqueue
 
 import (
@@ -146,7 +147,7 @@
 	if urgent == 0 {
 		return byTurn
 	}
-	return min(byTurn, float64(same)/minShare)
+	return min(byTurn, float64(same)/earnedPerUrgentStart)
 }
 
 func (q *Queue) exceedsLimits() bool {
@@ -290,7 +291,7 @@
 	}
 	q.rate.observe(now)
 	q.roomFound, q.blocked = true, nil
-	if p.Rank > q.lowestRank() {
+	if p.Rank > q.mostUrgentRank() {
 		q.credit = max(0, q.credit-1)
 	} else {
 		q.earn()
@@ -304,12 +305,12 @@
 // StartedAtOnce records that a prompt started without having waited. It counts for the share of the
 // less urgent prompts that wait.
 func (q *Queue) StartedAtOnce(rank int) {
-	if q.count > 0 && rank < q.highestRank() {
+	if q.count > 0 && rank < q.leastUrgentRank() {
 		q.earn()
 	}
 }
 
-func (q *Queue) earn() { q.credit = min(1, q.credit+minShare) }
+func (q *Queue) earn() { q.credit = min(1, q.credit+earnedPerUrgentStart) }
 
 // Len returns the number of waiting prompts.
 func (q *Queue) Len() int { return q.count }
--- a/decision/promptqueue/rate.go
+++ b/decision/promptqueue/rate.go
@@ -14,9 +14,9 @@
 	// shortest interval means 200 queries a second, as many as a VM with a seventh of a core can send.
 	looksPerStart   = 2
 	minBusyInterval = 50 * time.Millisecond
-	// promptsPerLooker is the number of waiting prompts beyond which a daemon looks more often, or
+	// promptsPerInterval is the number of waiting prompts beyond which a daemon looks more often, or
 	// the prompts of daemons where few wait would start long before those where many do.
-	promptsPerLooker = 2
+	promptsPerInterval = 2
 	// looksPerSlack is the number of looks in the remaining slack: the less time is left, the more
 	// often a prompt looks.
 	looksPerSlack = 16
@@ -73,8 +73,8 @@
 	if starts := q.rate.interval(now); starts > 0 {
 		shortest = min(shortest, max(starts/looksPerStart, minBusyInterval))
 	}
-	if q.count > promptsPerLooker {
-		interval = max(interval*promptsPerLooker/time.Duration(q.count), shortest)
+	if q.count > promptsPerInterval {
+		interval = max(interval*promptsPerInterval/time.Duration(q.count), shortest)
 	}
 	return time.Duration(float64(interval) * (1 - lookJitterRatio/2 + lookJitterRatio*draw))
 }
--- a/decision/promptqueue/turn.go
+++ b/decision/promptqueue/turn.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// minShare is the part of the starts that goes to less urgent prompts about to miss their latest
-	// start, so that urgent prompts beyond the capacity of the engines cannot starve them entirely.
-	minShare = 1.0 / 8
+	// earnedPerUrgentStart is the part of a start that less urgent prompts about to miss their latest
+	// start earn with each more urgent one: one start in nine is theirs. Without it, urgent prompts
+	// beyond the capacity of the engines starve them.
+	earnedPerUrgentStart = 1.0 / 8
 	// aboutToMiss is the slack below which a prompt may use that share: the longest time between two
 	// looks.
 	aboutToMiss = time.Duration((1 + lookJitterRatio/2) * float64(maxLookInterval))
@@ -22,8 +23,8 @@
 	smallerRatio = 0.75
 )
 
-// lowestRank returns the rank of the most urgent waiting prompts.
-func (q *Queue) lowestRank() int {
+// mostUrgentRank returns the rank of the most urgent waiting prompts.
+func (q *Queue) mostUrgentRank() int {
 	lowest := math.MaxInt
 	for rank := range q.classes {
 		lowest = min(lowest, rank)
@@ -31,7 +32,7 @@
 	return lowest
 }
 
-func (q *Queue) highestRank() int {
+func (q *Queue) leastUrgentRank() int {
 	highest := math.MinInt
 	for rank := range q.classes {
 		highest = max(highest, rank)
@@ -45,7 +46,7 @@
 	if q.count == 0 {
 		return nil, 0
 	}
-	lowest := q.lowestRank()
+	lowest := q.mostUrgentRank()
 	if p := q.aboutToMiss(now, lowest); p != nil && q.credit >= 1 {
 		return p, lowest
 	}
@@ -71,8 +72,8 @@
 	q.failures++
 	p.failedLooks++
 	p.failedAt = q.failures
-	if q.credit >= 1 && p.Rank > q.lowestRank() && p.Slack(now) < aboutToMiss {
-		q.credit -= minShare // it is earned again by the next start of an urgent prompt
+	if q.credit >= 1 && p.Rank > q.mostUrgentRank() && p.Slack(now) < aboutToMiss {
+		q.credit -= earnedPerUrgentStart // it is earned again by the next start of an urgent prompt
 		q.blocked = nil
 		return true
 	}
@@ -86,7 +87,7 @@
 }
 
 // firstInOrder returns the prompt that comes first by rank, account and slack.
-func (q *Queue) firstInOrder() *Prompt { return q.classes[q.lowestRank()].first() }
+func (q *Queue) firstInOrder() *Prompt { return q.classes[q.mostUrgentRank()].first() }
 
 // besides returns the prompt that looks for room in place of the first one, nil if there is none. It
 // is clearly smaller and of the same rank, or, once the first one has failed several times, a less
@@ -176,7 +177,7 @@
 // that of the account with the most waiting prompts which has the most slack.
 func (q *Queue) last() (last *Prompt) {
 	var most *account
-	for _, a := range q.classes[q.highestRank()].accounts {
+	for _, a := range q.classes[q.leastUrgentRank()].accounts {
 		if len(a.prompts) == 0 {
 			continue
 		}
@@ -190,4 +191,4 @@
 
 // HasBefore reports whether a prompt of the rank that has not waited yet has to let others start
 // before it.
-func (q *Queue) HasBefore(rank int) bool { return q.count > 0 && q.lowestRank() <= rank }
+func (q *Queue) HasBefore(rank int) bool { return q.count > 0 && q.mostUrgentRank() <= rank }
--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -41,7 +41,7 @@
 // StartBudget returns how long a prompt may wait before it is sent to an idle engine. Its first event
 // then meets the objective. A prompt that can't meet the objective even if it is sent at once, as
 // after a refusal and a retry, waits for as long as the objective, or half of the time left if that is
-// shorter: room may appear in a moment, and a late answer is better than another refusal.
+// shorter, less a lower bound of its prefill: room may appear in a moment, and a late answer is better than another refusal.
 func (e *Estimator) StartBudget(tokens int, objective, timeout, remaining time.Duration) time.Duration {
 	first := e.TimeToFirstEvent(0, tokens)
 	if onTime := TimeToObjective(objective, timeout, remaining); onTime > first {
--- a/decision/prompts/estimator.go
+++ b/decision/prompts/estimator.go
@@ -4,7 +4,9 @@
 
 const (
 	// lowerBoundRatio scales the fastest prefill and the shortest answer observed down to a bound
-	// that no engine beats: the engines of one service differ by a third in speed.
+	// that no engine beats: the engines of one service differ by a third in speed. Where they differ
+	// more (package pace), it bounds the fastest one observed, so that no prompt is judged too late too
+	// early.
 	lowerBoundRatio = 0.7
 	// minGrowthFactor raises an observed minimum by one percent with each larger observation, so
 	// that the estimate follows engines that became slower after about seventy prompts.
--- a/decision/prompts/prompts_test.go
+++ b/decision/prompts/prompts_test.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// todaysRank is the order of engines without paces, as it was before engines had any.
-func todaysRank(engines []Engine, complete bool, seed uint64) (order []int) {
+// rankWithoutPace is the order of engines without paces, as it was before engines had any.
+func rankWithoutPace(engines []Engine, complete bool, seed uint64) (order []int) {
 	for i, e := range engines {
 		if !e.Excluded {
 			order = append(order, i)
@@ -141,7 +141,7 @@
 				for _, c := range ChoosePrefillEngines(engines, len(engines), complete, seed) {
 					order = append(order, c.Index)
 				}
-				must.Eq(t, todaysRank(engines, complete, seed), order)
+				must.Eq(t, rankWithoutPace(engines, complete, seed), order)
 			}
 		}
 	}
--- a/decision/refill/loss_test.go
+++ b/decision/refill/loss_test.go
@@ -49,7 +49,7 @@
 	const timeout = 25 * time.Second
 	engine := f.best()
 	if f.ordered && j.lost {
-		p := Prompt{Rank: j.rank, PartHeld: j.held, Slack: j.due - now - prefill, Hopeless: j.due-now < prefill, TimeLeft: timeout - now}
+		p := Prompt{Rank: j.rank, PartHeld: j.held, Slack: j.due - now - prefill, CannotBeInTime: j.due-now < prefill, TimeLeft: timeout - now}
 		d := Decide(p, Situation{
 			Losses: f.losses.Recent(time.Unix(0, 0).Add(now)), Busy: f.busyUntil[engine] > now,
 			Waited: now - j.arrivedAt, Prefill: prefill,
--- a/decision/refill/refill.go
+++ b/decision/refill/refill.go
@@ -44,8 +44,8 @@
 	// minDelay is the shortest wait for which an engine is chosen anew: the choice takes several
 	// round trips and probes.
 	minDelay = 50 * time.Millisecond
-	// lossPeriod is how long a lost answer counts. Losses of one zone are found within 1.2 s, by
-	// resets or by silence, and zones are lost 6 s apart.
+	// lossPeriod is how long a lost answer counts. It is longer than it takes to notice all losses
+	// of one zone, and shorter than the time until its answers have started again.
 	lossPeriod = 3 * time.Second
 )
 
@@ -56,9 +56,9 @@
 	// Slack is the time until the latest start with which the caller is served in time; negative if
 	// that has passed.
 	Slack time.Duration
-	// Hopeless is set if no engine can serve the caller in time, by a lower bound of the prefill.
+	// CannotBeInTime is set if no engine can serve the caller in time, by a lower bound of the prefill.
 	// Slack is an estimate and may be negative without it.
-	Hopeless bool
+	CannotBeInTime bool
 	// LateFromStart is set if it could not be in time when it arrived. It was admitted regardless.
 	LateFromStart bool
 	// PartHeld is set if the caller holds a part of the answer.
@@ -108,7 +108,7 @@
 	ReasonAdmitted Reason = "admitted" // had room before it waited, and its caller holds a part
 	ReasonPunctual Reason = "punctual" // can be in time after urgent prompts
 	ReasonLate     Reason = "late"     // can't be in time; others come first
-	ReasonHopeless Reason = "too_late" // can't be in time, and its caller holds nothing
+	ReasonTooLate  Reason = "too_late" // can't be in time, and its caller holds nothing
 )
 
 // Decision is a decision with its reason.
@@ -118,16 +118,16 @@
 	Delay  time.Duration // until the prompt looks for room again; set for Delay
 }
 
-// IsHopeless reports whether a prompt is refused, wherever there is room.
-func (p Prompt) IsHopeless() bool {
-	return p.Hopeless && !p.LateFromStart && !p.PartHeld && !p.MayHaveRun
+// MustBeRefused reports whether a prompt is refused, wherever there is room.
+func (p Prompt) MustBeRefused() bool {
+	return p.CannotBeInTime && !p.LateFromStart && !p.PartHeld && !p.MayHaveRun
 }
 
 // Decide decides whether a prompt starts now at the engine that was chosen for it.
 func Decide(p Prompt, s Situation) Decision {
 	switch {
-	case p.IsHopeless():
-		return Decision{Action: Refuse, Reason: ReasonHopeless}
+	case p.MustBeRefused():
+		return Decision{Action: Refuse, Reason: ReasonTooLate}
 	case s.Losses == 0 || s.Prefill <= 0:
 		return Decision{Action: Start, Reason: ReasonNoLoss}
 	case !s.Busy:
--- a/decision/refill/refill_test.go
+++ b/decision/refill/refill_test.go
@@ -22,7 +22,7 @@
 		change(&p)
 		return p
 	}
-	hopeless := of(late, func(p *Prompt) { p.PartHeld, p.Hopeless = false, true })
+	hopeless := of(late, func(p *Prompt) { p.PartHeld, p.CannotBeInTime = false, true })
 	lessUrgent := func(p *Prompt) { p.Rank = 1 }
 	cases := []struct {
 		name   string
@@ -41,10 +41,10 @@
 		{"late at an engine with room", of(late, lessUrgent), with(func(s *Situation) { s.Busy = false }), Decision{Action: Start, Reason: ReasonRoom}},
 		{"late, has waited", of(late, lessUrgent), with(func(s *Situation) { s.Waited = 5 * prefill / 2 }), Decision{Action: Start, Reason: ReasonWaited}},
 		{"late with little time left", of(late, func(p *Prompt) { p.TimeLeft = 2 * time.Second }), loss, Decision{Delay, ReasonLate, time.Second / 4}},
-		{"hopeless, caller holds nothing", hopeless, loss, Decision{Action: Refuse, Reason: ReasonHopeless}},
+		{"hopeless, caller holds nothing", hopeless, loss, Decision{Action: Refuse, Reason: ReasonTooLate}},
 		{"late by an estimate, caller holds nothing", of(late, func(p *Prompt) { p.PartHeld = false }), loss, Decision{Delay, ReasonLate, prefill / 2}},
 		{"hopeless, part held", of(hopeless, func(p *Prompt) { p.PartHeld = true }), loss, Decision{Delay, ReasonLate, prefill / 2}},
-		{"refused without a loss too", hopeless, Situation{}, Decision{Action: Refuse, Reason: ReasonHopeless}},
+		{"refused without a loss too", hopeless, Situation{}, Decision{Action: Refuse, Reason: ReasonTooLate}},
 		{"may have run", of(hopeless, func(p *Prompt) { p.MayHaveRun = true }), loss, Decision{Delay, ReasonLate, prefill / 2}},
 		{"was late when it arrived", of(hopeless, func(p *Prompt) { p.LateFromStart = true }), loss, Decision{Delay, ReasonLate, prefill / 2}},
 		{"nothing was lost", late, with(func(s *Situation) { s.Losses = 0 }), Decision{Action: Start, Reason: ReasonNoLoss}},
--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -17,7 +17,7 @@
 	minStarts = 4
 	// minSpareRatio is the smallest share of the room that is expected to be left for callers that
 	// return. Before a burst, starts are as rare as arrivals and show no spare room, although engines
-	// are usually used to about three fifths.
+	// are not full. A smaller value tells callers to wait for longer than needed.
 	minSpareRatio = 0.4
 	// maxPromises bounds the remembered callers. At a daemon's usual rate, fewer than this many are
 	// refused within the longest delay.
--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -66,7 +66,7 @@
 func MaxSilenceAt(hasCopy bool, gapTarget, usualPause time.Duration) time.Duration {
 	silence := MaxSilence(hasCopy, gapTarget)
 	if !hasCopy {
-		return silence // longer than a usual pause
+		return silence // resuming means a whole prefill, so a usual pause does not matter
 	}
 	limit := SilenceWithoutCopy
 	if gapTarget > 0 {
--- a/serve/forward/brittle.go
+++ b/serve/forward/brittle.go
@@ -220,7 +220,7 @@
 	if !reply.NotRun {
 		return
 	}
-	if limit, tell := h.brittle.recordRejection(s.Service, h.fleetOf); tell {
+	if limit, tell := h.brittle.recordRejection(s.Service, h.comparisonOf); tell {
 		h.broadcastBrittle(s.Service, limit, true)
 	}
 }
@@ -234,8 +234,8 @@
 	})
 }
 
-// fleetOf returns the number of serving daemons and that of the servers of a service.
-func (h *Handler) fleetOf(service string) (daemons, servers int) {
+// comparisonOf returns the number of serving daemons and that of the servers of a service.
+func (h *Handler) comparisonOf(service string) (daemons, servers int) {
 	view := h.opts.Feed.View()
 	vms, _ := routing.Serving(view.VMs)
 	return len(vms), view.Servers[service].Len()
@@ -249,7 +249,7 @@
 	}
 	h.brittle.recordTold(service, int(min(max(q.GetLimit(), 0), math.MaxInt32)))
 	if q.GetRejected() {
-		h.brittle.recordRejection(service, h.fleetOf)
+		h.brittle.recordRejection(service, h.comparisonOf)
 	}
 	return &peerpb.BrittleReply{}, nil
 }
--- a/serve/forward/enginepace.go
+++ b/serve/forward/enginepace.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// learnedPaceTTL is how long the pace of an engine that a tracking daemon stated counts here. A
-	// daemon of a fleet that shares a hundred engines asks for each of them twice in that time. It is
-	// also how long a sample of this daemon is kept for its notes.
+	// learnedPaceTTL is how long the pace of an engine that a tracking daemon stated counts here. It is
+	// as long as trackers keep a pace, and also how long a sample of this daemon is kept for its notes.
 	learnedPaceTTL = time.Minute
 	// paceAssessInterval is how often the paces of a service's engines are compared.
 	paceAssessInterval = time.Second
@@ -39,7 +38,7 @@
 	samples map[routing.Incarnation]paceSample // the last one taken here
 	// learned holds what tracking daemons stated; interval is 0 if they don't know the pace.
 	learned    map[routing.Incarnation]paceSample
-	fleet      pace.Fleet
+	fleet      pace.Comparison
 	saturation pace.Saturation
 	assessedAt time.Time
 }
@@ -111,7 +110,7 @@
 
 // assess compares the engines of a service, at most once in paceAssessInterval, and removes what has
 // expired. It returns the result if the engines have become uneven or even. The caller holds p.mu.
-func (p *enginePaces) assess(now time.Time, s *servicePaces) (changed *pace.Fleet) {
+func (p *enginePaces) assess(now time.Time, s *servicePaces) (changed *pace.Comparison) {
 	if now.Sub(s.assessedAt) < paceAssessInterval {
 		return nil
 	}
@@ -135,18 +134,18 @@
 }
 
 // logChange logs that the engines of a service have become uneven or even; f is nil if neither.
-func (p *enginePaces) logChange(service string, f *pace.Fleet) {
+func (p *enginePaces) logChange(service string, f *pace.Comparison) {
 	if f != nil {
 		p.log.Emit(event.EnginesUneven, service, f.Uneven, f.Known, f.Fast, f.Average, f.Slow)
 	}
 }
 
-// fleetOf returns the comparison of a service's engines; the zero Fleet once nothing was learned for
+// comparisonOf returns the comparison of a service's engines; the zero Fleet once nothing was learned for
 // so long that all of it has expired. The caller holds p.mu.
-func (p *enginePaces) fleetOf(now time.Time, service string) (*servicePaces, pace.Fleet) {
+func (p *enginePaces) comparisonOf(now time.Time, service string) (*servicePaces, pace.Comparison) {
 	s := p.services[service]
 	if s == nil || now.Sub(s.assessedAt) >= learnedPaceTTL {
-		return nil, pace.Fleet{}
+		return nil, pace.Comparison{}
 	}
 	return s, s.fleet
 }
@@ -161,10 +160,10 @@
 
 // of returns the comparison of a service's engines and the interval between events of one of them, 0
 // if that is unknown or if the engines are not uneven.
-func (p *enginePaces) of(now time.Time, server routing.Server) (pace.Fleet, time.Duration) {
+func (p *enginePaces) of(now time.Time, server routing.Server) (pace.Comparison, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, fleet := p.fleetOf(now, server.Service)
+	s, fleet := p.comparisonOf(now, server.Service)
 	if !fleet.Uneven {
 		return fleet, 0
 	}
@@ -179,7 +178,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s, fleet := p.fleetOf(now, l.servers[0].Service)
+	s, fleet := p.comparisonOf(now, l.servers[0].Service)
 	if !fleet.Uneven {
 		return
 	}
--- a/serve/forward/headroom.go
+++ b/serve/forward/headroom.go
@@ -218,8 +218,8 @@
 }
 
 // fits reports whether an engine has room for the prompt beside the room that it keeps for more
-// urgent ones. An urgent prompt, and one for which no other is more urgent, fits everywhere: the
-// engine admits it first.
+// urgent ones. A prompt that counts as urgent (isUrgent), and one for which nothing is kept, fits
+// everywhere.
 func (r *relay) fits(report prompts.Report) bool {
 	if !r.hasPriorities() || r.isUrgent() {
 		return true
--- a/serve/forward/look.go
+++ b/serve/forward/look.go
@@ -35,14 +35,14 @@
 		}
 	}
 	if complete {
-		return r.lookWhereShown(ctx, view, w, others, onlyKnown)
+		return r.lookByFleetWork(ctx, view, w, others, onlyKnown)
 	}
-	return r.lookAtSample(ctx, view, w, others)
+	return r.lookByReports(ctx, view, w, others)
 }
 
-// lookWhereShown probes the engines that have room by what all daemons have in progress there, and
+// lookByFleetWork probes the engines that have room by what all daemons have in progress there, and
 // that no other waiting prompt comes first at.
-func (r *relay) lookWhereShown(ctx context.Context, view *feed.View, w *waiter, others workloads, onlyKnown bool) (sampledEngine, bool) {
+func (r *relay) lookByFleetWork(ctx context.Context, view *feed.View, w *waiter, others workloads, onlyKnown bool) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
 	known := others.plus(r.h.pool.localWork(view, r.service))
 	excluded = append(excluded, w.withoutRoom(time.Now(), view.Config.Engine(r.service).Slots, known)...)
@@ -76,8 +76,8 @@
 	return sampledEngine{}, false
 }
 
-// lookAtSample probes a few engines, if there are no trackers to ask or too few answer.
-func (r *relay) lookAtSample(ctx context.Context, view *feed.View, w *waiter, others workloads) (sampledEngine, bool) {
+// lookByReports probes a few engines, if there are no trackers to ask or too few answer.
+func (r *relay) lookByReports(ctx context.Context, view *feed.View, w *waiter, others workloads) (sampledEngine, bool) {
 	excluded := append(slices.Clone(r.excluded), others.awaited()...)
 	local := r.h.pool.localWork(view, r.service)
 	excluded = append(excluded, w.withoutRoom(time.Now(), 0, local)...)
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -68,7 +68,7 @@
 		copiesRemade:       prometheus.NewCounter(counter("copies_made_again_total", "Copies of runs made because the one before was lost.")),
 		cacheScans:         prometheus.NewCounter(counter("cache_scans_total", "Looks at the caches of all engines of a service.")),
 		overloadRefusals:   prometheus.NewCounterVec(counter("crowded_total", "Requests refused before they ran, because engines have no room or servers turn requests away."), []string{"reason"}),
-		headroomDenials:    prometheus.NewCounterVec(counter("headroom_denials_total", "Prompts and copies of runs for which an engine had no room beside that kept for more urgent prompts, by kind."), []string{"kind"}),
+		headroomDenials:    prometheus.NewCounterVec(counter("headroom_denials_total", "Prompts that found no room beside that kept for more urgent prompts, and copies of runs declined while memory is scarce, by kind."), []string{"kind"}),
 		unreadableMessages: prometheus.NewCounter(counter("messages_unreadable_total", "Answers of engines to questions about themselves that cannot be used.")),
 		cacheBytes:         prometheus.NewCounter(counter("cache_bytes_total", "Bytes that engines sent to say what prompts they hold.")),
 		pacedPlacements:    prometheus.NewCounterVec(counter("paced_placements_total", "Prompts placed where the engines of the service differ in speed, by the pace of the engine."), []string{"pace"}),
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -40,7 +40,8 @@
 // place chooses the engine that prefills the prompt, and counts the prompt there. It prefers an
 // engine that has room and prefills no other prompt. Engines that do not respond are skipped,
 // since the entry of a crashed engine remains for seconds. If none responds, the one ranked first
-// gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying.
+// gets the request anyway: the daemon's own link may be at fault, and nothing is lost by trying. If
+// prompts that wait at other daemons come first, it sets r.leftToOthers and returns false.
 func (r *relay) place(ctx context.Context, view *feed.View) (sampledEngine, bool) {
 	var others workloads
 	r.leftToOthers = false
@@ -90,7 +91,7 @@
 		if !ok {
 			break
 		}
-		// The count of 1 is this prompt, which reader has counted already.
+		// The count of 1 is this prompt, which reservePrefill has counted already.
 		if sampled := queries.sampleLoads(ctx, []choice{c}, 1); len(sampled) == 1 {
 			best := sampled[0]
 			best.report.PendingPrompts = max(best.report.PendingPrompts, unread) // a report lags
@@ -119,7 +120,7 @@
 	defer queries.suspectSilent()
 	sampled := r.countReserved(tried.reports, others)
 	candidates := first
-	// Full tries take the place of one round.
+	// The engines probed by placeByFleetWork count as rounds: SampleSize of them as one.
 	for round := len(tried.incarnations) / SampleSize; round < maxSampleRounds; round++ {
 		if round > 0 || len(tried.incarnations) > 0 {
 			candidates = r.h.pool.prefillCandidates(time.Now(), view, r.service, r.in.call.PromptKey, SampleSize, excluded)
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -12,13 +12,14 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// placeOrdered is placeAdmitted. Where requests of the service differ in priority, it also records
-// that prompts ask for room, and orders those that must be prefilled again.
+// placeOrdered places the prompt. Where requests of the service differ in priority, it records that
+// the prompt asks for room, and prompts that must be prefilled again wait in the order of package
+// refill.
 func (r *relay) placeOrdered(ctx context.Context, view *feed.View) (sampledEngine, error) {
 	if !r.hasPriorities() {
 		return r.placeAdmitted(ctx, view)
 	}
-	r.recordDemand()
+	r.recordRoomAsked()
 	if r.sends > 0 || r.in.call.LastEventID > 0 {
 		return r.placeRefill(ctx, view)
 	}
@@ -74,10 +75,10 @@
 	return admitted, nil
 }
 
-// isHopelessRefill reports whether the prompt would have to be prefilled again and cannot be in time.
+// mustRefuseRefill reports whether the prompt would have to be prefilled again and cannot be in time.
 // It is checked before a retry is taken from the budget.
-func (r *relay) isHopelessRefill(now time.Time) bool {
-	return r.sends > 0 && r.hasPriorities() && r.heldCopy.at.load == nil && r.refillPrompt(now).IsHopeless()
+func (r *relay) mustRefuseRefill(now time.Time) bool {
+	return r.sends > 0 && r.hasPriorities() && r.heldCopy.at.load == nil && r.refillPrompt(now).MustBeRefused()
 }
 
 // refillPrompt describes the prompt of the request to the decision.
@@ -97,7 +98,7 @@
 		left = objective - now.Sub(r.in.arrived)
 	}
 	p.Slack = left - prefill
-	p.Hopeless = r.h.pressure.isPrefillTooLate(r.service, r.in.call.PromptTokens, left)
+	p.CannotBeInTime = r.h.pressure.isPrefillTooLate(r.service, r.in.call.PromptTokens, left)
 	return p
 }
 
@@ -117,11 +118,11 @@
 
 // refuseRefill returns the refusal of a request that cannot be in time any more.
 func (r *relay) refuseRefill() error {
-	d := refill.Decision{Action: refill.Refuse, Reason: refill.ReasonHopeless}
+	d := refill.Decision{Action: refill.Refuse, Reason: refill.ReasonTooLate}
 	r.recordRefill(d, 0, prompts.Report{})
 	lasted, answer := r.h.pressure.recordRefusal(time.Now(), r.service)
 	r.h.metrics.overloadRefusals.WithLabelValues(string(d.Reason)).Inc()
-	return verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be read again in time").WithRetryAfter(r.retryAfterRoom(lasted, answer))
+	return verdict.New(r.verdict(), verdict.CodeOverloaded, "the prompt cannot be prefilled again in time").WithRetryAfter(r.retryAfterRoom(lasted, answer))
 }
 
 func (r *relay) recordRefill(d refill.Decision, waited time.Duration, report prompts.Report) {
--- a/serve/forward/refill_test.go
+++ b/serve/forward/refill_test.go
@@ -243,7 +243,7 @@
 					}
 					r := &relay{h: w.handler, in: in, service: "llm", rank: in.route.Priority}
 					if r.hasPriorities() {
-						w.handler.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
+						w.handler.pressure.recordRoomAsked(time.Now(), r.service, r.roomRequest())
 					}
 					return r.retryAfterRoom(w.handler.pressure.recordRefusal(time.Now(), r.service)).Seconds()
 				}
--- a/serve/forward/returns.go
+++ b/serve/forward/returns.go
@@ -9,8 +9,8 @@
 	"mallowwind.dev/telemetry/event"
 )
 
-// recordDemand records that a prompt asks for room at the engines of a service.
-func (p *pressure) recordDemand(now time.Time, service string, q retryafter.Request) {
+// recordRoomAsked records that a prompt asks for room at the engines of a service.
+func (p *pressure) recordRoomAsked(now time.Time, service string, q retryafter.Request) {
 	defer p.mu.Unlock()
 	p.lockService(service).room.RecordArrival(now, q)
 }
@@ -30,11 +30,11 @@
 	roomFound             // its prompt was prefilled
 )
 
-// recordDemand records once per request that its prompt asks for room.
-func (r *relay) recordDemand() {
+// recordRoomAsked records once per request that its prompt asks for room.
+func (r *relay) recordRoomAsked() {
 	if r.room == roomUnasked {
 		r.room = roomAsked
-		r.h.pressure.recordDemand(time.Now(), r.service, r.roomRequest())
+		r.h.pressure.recordRoomAsked(time.Now(), r.service, r.roomRequest())
 	}
 }
 
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -222,7 +222,7 @@
 // the prompt, or else one that prefills the prompt. The request is counted there.
 func (r *relay) nextSegment(ctx context.Context) (segment, error) {
 	now := time.Now()
-	if r.isHopelessRefill(now) {
+	if r.mustRefuseRefill(now) {
 		return segment{}, r.refuseRefill()
 	}
 	r.retryTaken = false
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -150,7 +150,7 @@
 		r := w.relay("/u/1")
 		others := workloads{a.server.Incarnation(): {prefilling: 20}}
 		before := a.probeCount()
-		c, ok := r.lookWhereShown(w.t.Context(), w.feed.View(), r.newWaiter(time.Now()), others, false)
+		c, ok := r.lookByFleetWork(w.t.Context(), w.feed.View(), r.newWaiter(time.Now()), others, false)
 		must.True(t, ok)
 		must.Eq(t, "e-b", c.server.ID)
 		must.Eq(t, before, a.probeCount())
@@ -171,7 +171,7 @@
 		waiting := r.newWaiter(time.Now())
 		look := func() (probes int, found bool) {
 			before := a.probeCount()
-			c, found := r.lookWhereShown(w.t.Context(), w.feed.View(), waiting, workloads{a.server.Incarnation(): {}}, false)
+			c, found := r.lookByFleetWork(w.t.Context(), w.feed.View(), waiting, workloads{a.server.Incarnation(): {}}, false)
 			if found {
 				w.handler.pool.addLoad(c.choice, -1, 0, 0)
 			}
