--- a/decision/headroom/headroom.go
+++ b/decision/headroom/headroom.go
@@ -9,11 +9,11 @@
 // engine has failed. Copies that an engine can't hold are dropped silently, and which runs lose
 // their copy is left to chance.
 //
-// Decision: an engine keeps free the share of its runs that observed prompts of higher priority
-// have, less those of them that run there already, and room for at least one. A class of which no
+// Decision: an engine keeps free the share of its runs that observed more urgent prompts
+// have, less those of them that run there already, and room for at least one. A rank of which no
 // prompt was seen for some seconds counts nothing, and at most a quarter of an engine is kept free, so
-// that less urgent prompts are always served. Nothing is kept free for a class that sends most of the
-// prompts. An engine without work takes any prompt.
+// that less urgent prompts are always served. Nothing is kept free if most of the prompts are more
+// urgent. An engine without work takes any prompt.
 package headroom
 
 import "math"
--- a/decision/retryafter/room.go
+++ b/decision/retryafter/room.go
@@ -19,9 +19,9 @@
 	// return. Before a burst, starts are as rare as arrivals and show no spare room, although engines
 	// are not full. A smaller value tells callers to wait for longer than needed.
 	minSpareRatio = 0.4
-	// maxPromises bounds the remembered callers. At a daemon's usual rate, fewer than this many are
+	// maxReturns bounds the remembered callers. At a daemon's usual rate, fewer than this many are
 	// refused within the longest delay.
-	maxPromises = 256
+	maxReturns = 256
 	// returnGrace is how long after its time a caller is still recognised when it returns.
 	returnGrace = 5 * time.Second
 	// minObserved bounds the correction of a rate for a short observation: a rate is not taken from
@@ -44,19 +44,18 @@
 // the order of their rank, and in turn for each account. If the requests of a rank and of more urgent
 // ranks alone take all of the room, a caller of that rank has to wait until the overload ends.
 // Otherwise it has to wait for a part of that time: the share of these requests that found no room
-// lately. A caller that
-// returns too early is told the same time again and no longer counts among those told to return, so
-// that callers that retry at once and often don't lengthen the times of others.
+// lately. A caller that returns too early is told the same time again and no longer counts among those
+// told to return, so that callers that retry at once and often don't lengthen the times of others.
 //
 // The zero value has observed nothing. It is not safe for concurrent use.
 type Room struct {
-	starts   rate
-	ranks    map[int]*demand
-	promises []promise
+	starts  rate
+	ranks   map[int]*rankRates
+	returns []expectedReturn
 }
 
-// demand is the rate at which requests of one rank ask for room, and find it.
-type demand struct {
+// rankRates is the rate at which requests of one rank ask for room, and find it.
+type rankRates struct {
 	recent, usual rate
 	found         rate // over usualPeriod
 }
@@ -72,8 +71,8 @@
 	TimeLeft time.Duration
 }
 
-// promise is a caller that was told to return at a time.
-type promise struct {
+// expectedReturn is a caller that was told to return at a time.
+type expectedReturn struct {
 	Request
 	at    time.Time
 	early bool // it returned too early, and takes room whenever it finds some
@@ -108,26 +107,26 @@
 func (r *Room) RecordStart(now time.Time, q Request) {
 	r.starts.add(now, recentPeriod)
 	r.rank(q.Rank).found.add(now, usualPeriod)
-	r.promises = slices.DeleteFunc(r.promises, func(p promise) bool { return p.ID == q.ID })
+	r.returns = slices.DeleteFunc(r.returns, func(p expectedReturn) bool { return p.ID == q.ID })
 }
 
-func (r *Room) rank(rank int) *demand {
+func (r *Room) rank(rank int) *rankRates {
 	if r.ranks == nil {
-		r.ranks = map[int]*demand{}
+		r.ranks = map[int]*rankRates{}
 	}
 	d := r.ranks[rank]
 	if d == nil {
-		d = &demand{}
+		d = &rankRates{}
 		r.ranks[rank] = d
 	}
 	return d
 }
 
-// Promise forecasts when a refused request finds room, and remembers that its caller is told to
+// TellReturn forecasts when a refused request finds room, and remembers that its caller is told to
 // return then. overload is how long the overload is expected to last if requests of its rank and of
 // more urgent ranks alone exceed the room. draw is in [0, 1) and spreads callers that other daemons
 // tell to return.
-func (r *Room) Promise(now time.Time, q Request, overload time.Duration, draw float64) Forecast {
+func (r *Room) TellReturn(now time.Time, q Request, overload time.Duration, draw float64) Forecast {
 	f := r.forecast(now, q, overload)
 	if !f.Known {
 		return f
@@ -143,7 +142,7 @@
 	turn := (float64(f.Ahead) + 1/2. + draw) / f.Spare // on average, the Ahead-th after the first
 	f.Delay = min(Jitter(f.Overload, draw)+seconds(turn), Jitter(maxDelay, draw))
 	if f.Delay < q.TimeLeft {
-		r.remember(now, promise{Request: q, at: now.Add(f.Delay)})
+		r.remember(now, expectedReturn{Request: q, at: now.Add(f.Delay)})
 	}
 	return f
 }
@@ -154,7 +153,7 @@
 		return Forecast{}
 	}
 	f := Forecast{Known: true}
-	total := r.demand(now, q.Rank)
+	total := r.sumUpTo(now, q.Rank)
 	taken := total.recent
 	f.Overload = time.Duration(total.refusedShare * float64(overload))
 	if total.recent >= room {
@@ -165,12 +164,12 @@
 	return f
 }
 
-// totalDemand is the demand of several ranks: arrivals per second, and the share of the arrivals
+// rateSum sums the rates of several ranks: arrivals per second, and the share of the arrivals
 // that found no room.
-type totalDemand struct{ recent, usual, refusedShare float64 }
+type rateSum struct{ recent, usual, refusedShare float64 }
 
-// demand returns the demand of a rank and of more urgent ranks.
-func (r *Room) demand(now time.Time, rank int) (t totalDemand) {
+// sumUpTo sums the rates of a rank and of more urgent ranks.
+func (r *Room) sumUpTo(now time.Time, rank int) (t rateSum) {
 	var arrived, found float64
 	for other, d := range r.ranks {
 		if other <= rank {
@@ -190,7 +189,7 @@
 // of more urgent ranks, and of its own rank those of its account and as many of each other account.
 func (r *Room) ahead(q Request, from time.Time) int {
 	n, accounts := 0, map[string]int{}
-	for _, p := range r.promises {
+	for _, p := range r.returns {
 		switch {
 		case p.early || !p.at.After(from) || p.Rank > q.Rank || p.ID == q.ID:
 		case p.Rank < q.Rank:
@@ -206,28 +205,28 @@
 	return n
 }
 
-// find returns the promise of a request, nil if there is none.
-func (r *Room) find(now time.Time, id string) *promise {
-	for i, p := range r.promises {
+// find returns the expectedReturn of a request, nil if there is none.
+func (r *Room) find(now time.Time, id string) *expectedReturn {
+	for i, p := range r.returns {
 		if p.ID == id && now.Sub(p.at) < returnGrace {
-			return &r.promises[i]
+			return &r.returns[i]
 		}
 	}
 	return nil
 }
 
-// remember adds a promise, and forgets those that are over and the oldest beyond maxPromises.
-func (r *Room) remember(now time.Time, p promise) {
-	kept := r.promises[:0]
-	for _, old := range r.promises {
+// remember adds a expectedReturn, and forgets those that are over and the oldest beyond maxReturns.
+func (r *Room) remember(now time.Time, p expectedReturn) {
+	kept := r.returns[:0]
+	for _, old := range r.returns {
 		if now.Sub(old.at) < returnGrace {
 			kept = append(kept, old)
 		}
 	}
-	if len(kept) >= maxPromises {
+	if len(kept) >= maxReturns {
 		kept = kept[:copy(kept, kept[1:])]
 	}
-	r.promises = append(kept, p)
+	r.returns = append(kept, p)
 }
 
 func seconds(s float64) time.Duration {
--- a/decision/retryafter/room_test.go
+++ b/decision/retryafter/room_test.go
@@ -112,7 +112,7 @@
 		lasted, draw := streaks[c.daemon].Extend(now), random.Float64()
 		told := AfterOverload(lasted, answerTime, draw)
 		if byRoom {
-			if f := room.Promise(now, c.Request, ExpectedOverload(lasted, answerTime), draw); f.Known {
+			if f := room.TellReturn(now, c.Request, ExpectedOverload(lasted, answerTime), draw); f.Known {
 				told = f.Delay
 			}
 		}
@@ -237,13 +237,13 @@
 	now := time.Unix(1000, 0)
 	var r Room
 	q := Request{ID: "a", TimeLeft: patience}
-	must.False(t, r.Promise(now, q, time.Second, 0).Known)
+	must.False(t, r.TellReturn(now, q, time.Second, 0).Known)
 	for n := range 3 {
 		r.RecordStart(now.Add(time.Duration(n)*time.Millisecond), Request{Rank: 1})
 	}
-	must.False(t, r.Promise(now.Add(time.Second), q, time.Second, 0).Known)
-	must.True(t, room(now).Promise(now, q, time.Second, 0).Known)
-	must.False(t, room(now).Promise(now.Add(time.Minute), q, time.Second, 0).Known) // observed too long ago
+	must.False(t, r.TellReturn(now.Add(time.Second), q, time.Second, 0).Known)
+	must.True(t, room(now).TellReturn(now, q, time.Second, 0).Known)
+	must.False(t, room(now).TellReturn(now.Add(time.Minute), q, time.Second, 0).Known) // observed too long ago
 }
 
 // An account floods a daemon. The first refused caller of another account must be told to return
@@ -252,10 +252,10 @@
 	now := time.Unix(1000, 0)
 	r := room(now)
 	for n := range 10 {
-		r.Promise(now, Request{ID: strconv.Itoa(n), Account: "flood", Rank: 1, TimeLeft: time.Hour}, 0, 0.5)
+		r.TellReturn(now, Request{ID: strconv.Itoa(n), Account: "flood", Rank: 1, TimeLeft: time.Hour}, 0, 0.5)
 	}
-	must.Eq(t, 1, r.Promise(now, Request{ID: "x", Account: "other", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
-	must.Eq(t, 0, r.Promise(now, Request{ID: "y", Account: "other", Rank: 0, TimeLeft: patience}, 0, 0.5).Ahead)
+	must.Eq(t, 1, r.TellReturn(now, Request{ID: "x", Account: "other", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
+	must.Eq(t, 0, r.TellReturn(now, Request{ID: "y", Account: "other", Rank: 0, TimeLeft: patience}, 0, 0.5).Ahead)
 }
 
 // A caller that retries at once is told the same time again, and is not counted before others.
@@ -264,26 +264,26 @@
 	now := time.Unix(1000, 0)
 	r := room(now)
 	early := Request{ID: "early", Account: "a", Rank: 1, TimeLeft: patience}
-	first := r.Promise(now, early, 0, 0.5)
-	must.Eq(t, 1, r.Promise(now, Request{ID: "x", Account: "a", Rank: 1, TimeLeft: time.Millisecond}, 0, 0.5).Ahead)
-	again := r.Promise(now.Add(100*time.Millisecond), early, 0, 0.9)
+	first := r.TellReturn(now, early, 0, 0.5)
+	must.Eq(t, 1, r.TellReturn(now, Request{ID: "x", Account: "a", Rank: 1, TimeLeft: time.Millisecond}, 0, 0.5).Ahead)
+	again := r.TellReturn(now.Add(100*time.Millisecond), early, 0, 0.9)
 	must.Eq(t, first.Delay-100*time.Millisecond, again.Delay)
-	must.Eq(t, 0, r.Promise(now, Request{ID: "y", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
+	must.Eq(t, 0, r.TellReturn(now, Request{ID: "y", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
 	late := now.Add(20 * time.Second)
 	for n := range 20 {
 		r.RecordStart(late.Add(time.Duration(n-20)*500*time.Millisecond), Request{Rank: 1})
 	}
-	must.Eq(t, 0, r.Promise(late, Request{ID: "z", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
+	must.Eq(t, 0, r.TellReturn(late, Request{ID: "z", Account: "a", Rank: 1, TimeLeft: patience}, 0, 0.5).Ahead)
 }
 
 // Refused callers must not use memory without bound.
 func TestPromisesAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := room(now)
-	for n := range 10 * maxPromises {
-		r.Promise(now, Request{ID: strconv.Itoa(n), Account: strconv.Itoa(n), TimeLeft: time.Hour}, 0, 0)
+	for n := range 10 * maxReturns {
+		r.TellReturn(now, Request{ID: strconv.Itoa(n), Account: strconv.Itoa(n), TimeLeft: time.Hour}, 0, 0)
 	}
-	must.SliceLen(t, maxPromises, r.promises)
+	must.SliceLen(t, maxReturns, r.returns)
 }
 
 // Guards against callers that count among those told to return after they were served: the others
@@ -292,7 +292,7 @@
 	now := time.Unix(1000, 0)
 	r := room(now)
 	first := Request{ID: "x", Account: "a", Rank: 1, TimeLeft: patience}
-	must.Positive(t, r.Promise(now, first, 0, 0.5).Delay)
+	must.Positive(t, r.TellReturn(now, first, 0, 0.5).Delay)
 	second := Request{ID: "y", Account: "a", Rank: 1, TimeLeft: patience}
 	must.Eq(t, 1, r.forecast(now, second, 0).Ahead)
 	r.RecordStart(now, first)
--- a/serve/forward/returns.go
+++ b/serve/forward/returns.go
@@ -51,7 +51,7 @@
 // long the overload is expected to last.
 func (p *pressure) retryAfterRoom(now time.Time, service string, q retryafter.Request, overload time.Duration) retryafter.Forecast {
 	defer p.mu.Unlock()
-	return p.lockService(service).room.Promise(now, q, overload, rand.Float64())
+	return p.lockService(service).room.TellReturn(now, q, overload, rand.Float64())
 }
 
 // retryAfterRoom returns the Retry-After of a request that is refused for lack of room. lasted is
