serve/forward: one probe of a reserved engine, one condition for requests that must be served

placeByFleetWork and lookByFleetWork had the same lines, and admission and placeOrdered the same condition.

--- a/serve/forward/admission.go
+++ b/serve/forward/admission.go
@@ -46,11 +46,15 @@
 	return sampledEngine{}, false
 }
 
+// mustServe reports whether the request has been sent before, or its caller has received a part of the
+// response.
+func (r *relay) mustServe() bool { return r.sends > 0 || r.in.call.LastEventID > 0 }
+
 // admission decides whether the prompt is sent to an engine, and returns how long the first event
 // may take. A request that has been sent before, or whose caller has received a part of the
 // response, is sent wherever its prompt can be prefilled in time, even without room.
 func (r *relay) admission(best sampledEngine) (admission prompts.Admission, due time.Duration) {
-	mustServe := r.sends > 0 || r.in.call.LastEventID > 0
+	mustServe := r.mustServe()
 	due = time.Until(r.in.deadline)
 	if !mustServe {
 		due = r.h.pressure.firstEventBudget(r.service, r.in, due)
--- a/serve/forward/look.go
+++ b/serve/forward/look.go
@@ -61,14 +61,8 @@
 			continue
 		}
 		probes++
-		// The count of 1 is this prompt, which reservePrefill has counted already.
-		sampled := queries.sampleLoads(ctx, []choice{c}, 1)
-		if len(sampled) == 1 {
-			best = sampled[0]
-			best.report.PendingPrompts = max(best.report.PendingPrompts, pending) // a report lags
-			if r.takes(ctx, w, best, known) {
-				return best, true
-			}
+		if best, answered := queries.probeReserved(ctx, c, pending); answered && r.takes(ctx, w, best, known) {
+			return best, true
 		}
 		r.h.pool.addLoad(c, -1, 0, 0)
 		excluded = append(excluded, c.server.Incarnation())
--- a/serve/forward/place.go
+++ b/serve/forward/place.go
@@ -91,10 +91,7 @@
 		if !ok {
 			break
 		}
-		// The count of 1 is this prompt, which reservePrefill has counted already.
-		if sampled := queries.sampleLoads(ctx, []choice{c}, 1); len(sampled) == 1 {
-			best := sampled[0]
-			best.report.PendingPrompts = max(best.report.PendingPrompts, unread) // a report lags
+		if best, answered := queries.probeReserved(ctx, c, unread); answered {
 			if best.report.CanPrefillNow(r.in.call.PromptTokens) && r.hasFreeRoom(best.report) {
 				return best, tried, true
 			}
@@ -107,6 +104,18 @@
 	return sampledEngine{}, tried, false
 }
 
+// probeReserved probes an engine at which reservePrefill has counted the prompt. pending is the number
+// of other prompts known to be pending there, which its report may not show yet.
+func (q *probeRound) probeReserved(ctx context.Context, c choice, pending int) (probed sampledEngine, answered bool) {
+	sampled := q.sampleLoads(ctx, []choice{c}, 1) // 1 is the prompt itself
+	if len(sampled) == 0 {
+		return sampledEngine{}, false
+	}
+	probed = sampled[0]
+	probed.report.PendingPrompts = max(probed.report.PendingPrompts, pending)
+	return probed, true
+}
+
 // placeByReports chooses by the reports of a sample of engines. others is the known work of other
 // daemons, which only counts where streams differ in priority. The engines in tried are part of the
 // sample and are not probed again.
--- a/serve/forward/refill.go
+++ b/serve/forward/refill.go
@@ -20,7 +20,7 @@
 		return r.placeAdmitted(ctx, view)
 	}
 	r.recordRoomAsked()
-	if r.sends > 0 || r.in.call.LastEventID > 0 {
+	if r.mustServe() {
 		return r.placeRefill(ctx, view)
 	}
 	return r.placeAdmitted(ctx, view)
