serve/forward: the line of a broken connection names the shared parts and the length of the prompt

Event 238 now has the fields parts and tokens; the codecs read the shared parts (X-Prompt-Parts in the product's own interface). No decision uses them yet.

--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -26,6 +26,8 @@
 	// PromptKey identifies the part of the prompt that no other request shares, as engines name
 	// it in their caches; "" if it is not stated.
 	PromptKey string
+	// PromptParts identify the parts of the prompt that other requests may share, in order.
+	PromptParts []string
 }
 
 // UpstreamRequest holds the metadata that the daemon adds to a request that it forwards.
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -97,7 +97,7 @@
 		crash.PeersChecked, crash.PeersDown = h.countExitedNearby(e.at.server)
 	}
 	finding := crash.Attribute()
-	h.opts.Log.Emit(event.BackendConnectionBroken, e.in.call.ID, e.in.digests, e.in.call.PromptKey, e.in.accountName(),
+	h.opts.Log.Emit(event.BackendConnectionBroken, e.in.call.ID, e.in.digests, e.in.call.PromptKey, e.in.call.PromptParts, e.in.call.PromptTokens, e.in.accountName(),
 		e.at.server.ID, e.at.server.Zone, string(found), finding.String(), crash.PeersChecked, crash.PeersDown, now.Sub(e.sentAt), running, e.fromReplica, e.err)
 	if found == processExited && finding == poison.Attributed {
 		h.poisonRegistry.recordCrash(context.Background(), e.in, e.at.server.Incarnation())
--- a/serve/forward/defaultcodec.go
+++ b/serve/forward/defaultcodec.go
@@ -17,6 +17,7 @@
 	headerRequestID   = "X-Request-Id"
 	headerTimeout     = "X-Request-Timeout" // a duration such as 1.5s
 	headerLastEventID = "Last-Event-Id"
+	headerPromptParts = "X-Prompt-Parts" // as for ParsePromptParts
 	headerBackendID   = "X-Backend-Id"
 	headerAccount     = "X-Account"
 	headerPriority    = "X-Priority"
@@ -30,7 +31,7 @@
 const statusPath = "/v1/status"
 
 // DefaultCodec is the Codec for deployments without a platform of their own. A caller states an
-// ID and a timeout, and uses a bearer token as the account key. A backend server may respond with
+// ID and a timeout, may list the parts of a prompt, and uses a bearer token as the account key. A backend server may respond with
 // 421 to a request that names another server, with X-Not-Run to one that it did not run, and
 // states its rate limit with X-Request-Limit. One that takes no new requests sets X-Backend-Leaving.
 // Responses carry no proof, so all count as authentic.
@@ -53,6 +54,7 @@
 	if id, err := strconv.ParseInt(h.Get(headerLastEventID), 10, 64); err == nil {
 		c.LastEventID = id
 	}
+	c.PromptParts, _ = ParsePromptParts(h.Get(headerPromptParts))
 	return c, nil
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -39,7 +39,7 @@
 	CachesRead = define(236, "caches_read", logrus.InfoLevel,
 		"The engines of a service were asked for their cached prompts. late is the number of engines that had not answered in time, bytes the size of all answers.", "service", "asked", "answered", "late", "bytes", "took")
 	BackendConnectionBroken = define(238, "backend_broke", logrus.InfoLevel,
-		"The connection to a backend server broke during a request. found is the state of the server process, finding whether a crash counts against the request, asked the number of other servers of its zone that were probed, and down the number of those that had crashed too. running is the time since the first event.", "request", "digests", "prompt", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
+		"The connection to a backend server broke during a request. found is the state of the server process, finding whether a crash counts against the request, asked the number of other servers of its zone that were probed, and down the number of those that had crashed too. running is the time since the first event, parts the shared parts of the prompt and tokens its length.", "request", "digests", "prompt", "parts", "tokens", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
 	StalledSegmentKept = define(237, "leg_kept", logrus.InfoLevel,
 		"A stream stays at a stalled backend server, because no other server can continue it now. given_up is set if none ever can and the server is unreachable while others are reachable.", "request", "backend", "error", "reason", "given_up", "after", "quiet")
 	PoisonMarked = define(239, "poison_marked", logrus.WarnLevel,
