serve/gateway: a failing test of prompts that share a part which crashes servers

Seven daemons, 24 engines, prompts that are never alike and share one part, sound ones that share all other parts.

--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -46,7 +47,10 @@
 	mu         sync.Mutex // guards daemons and servers
 	daemons    map[string]*daemon
 	servers    map[string]*backend // by address
-	background sync.WaitGroup
+	crashParts []string            // parts of prompts that crash servers
+	// crashesByPart holds when servers crashed on prompts with one of crashParts.
+	crashesByPart map[string][]time.Time
+	background    sync.WaitGroup
 }
 
 // daemon is a process of an entry VM.
@@ -64,7 +68,7 @@
 // withFleet runs test with a fleet of size daemons.
 func withFleet(t *testing.T, size int, test func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, began: time.Now(), store: store.NewMemory(), daemons: map[string]*daemon{}, servers: map[string]*backend{}}
+		f := &fleet{t: t, began: time.Now(), store: store.NewMemory(), daemons: map[string]*daemon{}, servers: map[string]*backend{}, crashesByPart: map[string][]time.Time{}}
 		f.put(feed.OwnConfigKey, fleetConfig)
 		for n := range size {
 			f.start(n)
@@ -198,9 +202,13 @@
 type arrival struct {
 	at     time.Time
 	path   string
+	parts  string // of the prompt
 	daemon string // that sent it
 }
 
+// partsHeader lists the parts of a prompt.
+const partsHeader = "X-Prompt-Parts"
+
 // daemonHeader names the daemon to which a caller sent a request.
 const daemonHeader = "X-Test-Daemon"
 
@@ -275,7 +283,7 @@
 	if s.leaving {
 		w.Header().Set("X-Backend-Leaving", "1")
 	}
-	arrived, pause := arrival{time.Now(), r.URL.Path, r.Header.Get(daemonHeader)}, s.pause
+	arrived, pause := arrival{time.Now(), r.URL.Path, r.Header.Get(partsHeader), r.Header.Get(daemonHeader)}, s.pause
 	s.arrivals = append(s.arrivals, arrived)
 	if pause != "" {
 		s.rejections = append(s.rejections, arrived)
@@ -303,7 +311,7 @@
 	s.mu.Lock()
 	sameProcess := incarnation == s.incarnation
 	s.mu.Unlock()
-	if sameProcess && strings.HasPrefix(string(body), crashBody) {
+	if sameProcess && (strings.HasPrefix(string(body), crashBody) || s.f.crashOn(r.Header.Get(partsHeader))) {
 		s.crash()
 		return
 	}
@@ -317,6 +325,26 @@
 	}
 }
 
+// setCrashParts makes servers crash when they begin to answer a prompt with one of the parts.
+func (f *fleet) setCrashParts(parts ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashParts = parts
+}
+
+// crashOn reports whether a server crashes on a prompt with the given parts, and records the crash.
+func (f *fleet) crashOn(parts string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for part := range strings.SplitSeq(parts, ",") {
+		if slices.Contains(f.crashParts, part) {
+			f.crashesByPart[part] = append(f.crashesByPart[part], time.Now())
+			return true
+		}
+	}
+	return false
+}
+
 // arrivals returns the number of requests with a path that reached any server after a given time.
 func (f *fleet) arrivals(path string, after time.Time) (n int) {
 	f.mu.Lock()
@@ -424,7 +452,10 @@
 }
 
 // send sends one request to the nth daemon and returns the response.
-func (f *fleet) send(n int, path, body string) reply {
+func (f *fleet) send(n int, path, body string) reply { return f.sendPrompt(n, path, "", body) }
+
+// sendPrompt is send for a request that lists the parts of its prompt.
+func (f *fleet) sendPrompt(n int, path, parts, body string) reply {
 	f.mu.Lock()
 	d := f.daemons[fmt.Sprintf("vm-%d", n)]
 	f.mu.Unlock()
@@ -436,6 +467,9 @@
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://host"+path, strings.NewReader(body))
 	must.NoError(f.t, err)
 	req.Header.Set(daemonHeader, d.vm.ID)
+	if parts != "" {
+		req.Header.Set(partsHeader, parts)
+	}
 	req.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", path, time.Now().UnixNano()))
 	go req.Write(conn)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
--- /dev/null
+++ b/serve/gateway/poisonpart_test.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	// crashesBeforePartDetection is the number of crashes after which a part of prompts must be
+	// recognized as the cause.
+	crashesBeforePartDetection = 5
+	// partDetectionTime is the time that the fleet may then take.
+	partDetectionTime = 3 * time.Second
+	// maxPartSendsAfterDetection is how often prompts with the part may be sent after that, all of
+	// them together.
+	maxPartSendsAfterDetection = 3
+	// minSoundRatio is the least part of the other prompts that must be answered from
+	// twice partDetectionTime after the last crash that is allowed.
+	minSoundRatio = 0.5
+)
+
+// partLoad sends prompts to a fleet: each prompt is unlike all others, but some share a part that
+// crashes servers.
+type partLoad struct {
+	f       *fleet
+	prompts int // sent
+	sound   []*soundPrompt
+}
+
+// soundPrompt is a prompt without a part that crashes servers, and whether it was answered.
+type soundPrompt struct {
+	at       time.Time
+	answered bool
+}
+
+// send sends a prompt with the given parts and one of its own to one of the daemons. It calls done
+// with the response, if done is not nil.
+func (l *partLoad) send(parts string, done func(reply)) {
+	l.prompts++
+	n, own := l.prompts, fmt.Sprintf("own%d", l.prompts)
+	l.f.background.Go(func() {
+		got := l.f.sendPrompt(n*3%len(l.f.daemons), "/stream/"+own, parts+","+own, own)
+		if done != nil {
+			done(got)
+		}
+	})
+}
+
+// sendSound is send for a prompt that crashes no server.
+func (l *partLoad) sendSound(parts string) {
+	p := &soundPrompt{at: time.Now()}
+	l.sound = append(l.sound, p)
+	l.send(parts, func(got reply) { p.answered = got.err == nil && got.status == http.StatusOK })
+}
+
+// arrivalsWith returns when prompts with a part reached servers, in order.
+func (f *fleet) arrivalsWith(part string) (times []time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		s.mu.Lock()
+		for _, a := range s.arrivals {
+			if slices.Contains(strings.Split(a.parts, ","), part) {
+				times = append(times, a.at)
+			}
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// crashTimes returns when servers crashed on prompts with a part, in order.
+func (f *fleet) crashTimes(part string) []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	times := slices.Clone(f.crashesByPart[part])
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// checkCrashingPart checks that few prompts with a part were sent after the fleet had the time to
+// recognize it, and that other prompts were answered.
+func (l *partLoad) checkCrashingPart(part string) {
+	l.f.t.Helper()
+	crashes := l.f.crashTimes(part)
+	must.SliceNotEmpty(l.f.t, crashes)
+	last := crashes[min(len(crashes), crashesBeforePartDetection)-1]
+	late := 0
+	for _, at := range l.f.arrivalsWith(part) {
+		if len(crashes) >= crashesBeforePartDetection && at.After(last.Add(partDetectionTime)) {
+			late++
+		}
+	}
+	sent, answered := 0, 0
+	for _, p := range l.sound {
+		if p.at.After(last.Add(2 * partDetectionTime)) {
+			sent++
+			if p.answered {
+				answered++
+			}
+		}
+	}
+	l.f.t.Logf("part %s: %d servers crashed, %d prompts sent after the detection time, %d of %d other prompts answered", part, len(crashes), late, answered, sent)
+	must.LessEq(l.f.t, maxPartSendsAfterDetection, late)
+	must.GreaterEq(l.f.t, minSoundRatio*float64(sent), float64(answered))
+}
+
+// Prompts that are unlike each other share a part that crashes every server that begins to answer
+// them. Once the fleet has had the time to recognize the part, prompts with it must reach few more
+// servers, and prompts that share all other parts must be answered.
+func TestPartThatCrashesServersReachesFewServers(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5, 6}
+	for _, c := range []struct {
+		name     string
+		interval time.Duration // between prompts with a crashing part
+		prompts  []string      // parts of these prompts, in turn
+		crashing []string      // the parts that crash servers
+		sound    []string      // parts of the other prompts, in turn
+		during   func(*fleet)  // runs concurrently with the prompts
+	}{
+		{"one part", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, nil},
+		{"one part, prompts seldom", 3 * time.Second, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, nil},
+		{"before a common part", 300 * time.Millisecond, []string{"common,bad,middle"}, []string{"bad"}, []string{"common,middle", "common,other"}, nil},
+		{"the first part", 300 * time.Millisecond, []string{"bad,m1", "bad,m2", "bad"}, []string{"bad"}, []string{"common,m1", "common,m2"}, nil},
+		{"two parts at once", 200 * time.Millisecond, []string{"common,bad", "common,worse"}, []string{"bad", "worse"}, []string{"common", "common,other"}, nil},
+		{"all daemons restart later", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
+			time.Sleep(20 * time.Second)
+			f.restart(all...)
+		}},
+		{"rolling restart of the daemons", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
+			for n := range all {
+				time.Sleep(2 * time.Second)
+				f.restart(n)
+			}
+		}},
+		{"store outage first", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
+			f.setStoreDown(true)
+			time.Sleep(20 * time.Second)
+			f.setStoreDown(false)
+			time.Sleep(10 * time.Second)
+			f.restart(all...)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, len(all), func(f *fleet) {
+				f.startServers("llm", 24)
+				f.setCrashParts(c.crashing...)
+				l := &partLoad{f: f}
+				const step = 100 * time.Millisecond
+				const duration = 45 * time.Second
+				for at := time.Duration(0); at < duration; at += step {
+					time.Sleep(step)
+					if n := int(at / step); n%2 == 0 {
+						l.sendSound(c.sound[n/2%len(c.sound)])
+					}
+					if at > 5*time.Second && at%c.interval == 0 {
+						l.send(c.prompts[int(at/c.interval)%len(c.prompts)], nil)
+					}
+					if c.during != nil && at == 5*time.Second {
+						f.background.Go(func() { c.during(f) })
+					}
+				}
+				f.background.Wait()
+				for _, part := range c.crashing {
+					l.checkCrashingPart(part)
+				}
+			})
+		})
+	}
+}
