--- a/cmd/mallowctl/refused.go
+++ b/cmd/mallowctl/refused.go
@@ -72,11 +72,19 @@
 		fmt.Fprintln(out, "no request is refused")
 	}
 	for _, r := range list {
-		fmt.Fprintf(out, "%s  %s  account %s  route %s  by %s  servers %s\n",
-			r.Digest, r.At.UTC().Format(time.RFC3339), r.Account, r.Route, r.By, strings.Join(r.Servers, " "))
+		fmt.Fprintf(out, "%s  %s  account %s  route %s  by %s  servers %s%s\n",
+			r.Digest, r.At.UTC().Format(time.RFC3339), r.Account, r.Route, r.By, strings.Join(r.Servers, " "), partSuffix(r.Part))
 	}
 }
 
+// partSuffix names the part of prompts that is refused, if it is one and not a request.
+func partSuffix(part string) string {
+	if part == "" {
+		return ""
+	}
+	return fmt.Sprintf("  part %q", part)
+}
+
 type refusedLiftCmd struct {
 	forwardStoreFlags
 	Digest string `arg:"" help:"Digest of the request, as shown by list and in the responses to callers."`
--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -21,10 +21,14 @@
 	refuseTimeout = 2 * time.Second
 )
 
-// RefusedRequest is a request that is sent to no server because it crashes the servers that run it.
+// RefusedRequest is a request that is sent to no server because it crashes the servers that run it,
+// or all requests with a part in their prompts that does.
 type RefusedRequest struct {
-	// Digest identifies the request across all its attempts; it is the end of the key.
-	Digest  string `json:"digest"`
+	// Digest identifies the request across all its attempts, or the part; it is the end of the key.
+	Digest string `json:"digest"`
+	// Part is the ID of the part; "" for a single request. Account and Route are then those of one
+	// of the requests that crashed servers.
+	Part    string `json:"part,omitempty"`
 	Account string `json:"account,omitempty"`
 	Route   string `json:"route"`
 	// Servers holds the ids of the servers that crashed while they ran it.
--- /dev/null
+++ b/decision/poison/parts.go
@@ -0,0 +1,291 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// This file detects parts of prompts that crash the servers which begin to answer a prompt with them.
+//
+// Load pattern: requests that are all unlike each other share one part of their prompts, and each of
+// them crashes every server that begins to answer it. Sound requests share all other parts with them,
+// some of which are common to a whole route.
+//
+// Without this decision each of these requests is a new one that crashes servers until it is
+// refused by itself, and most servers are down for as long as such requests come.
+//
+// Decision: a termination that is attributed to a request is counted against each shared part of its
+// prompt. A survival of a part clears the earlier terminations, so that a common part is cleared by
+// the sound requests that have it. A part is found to crash servers if several of them terminated
+// under several requests with it, at different moments, and none kept running since. A part that
+// servers have survived before takes more of them, and needs another prompt to survive meanwhile:
+// when all prompts fail, the cause is not a part. Terminations that a refused part explains count
+// against no other part.
+
+const (
+	// minCrashedRequests is how many different requests with a part must have crashed servers. A
+	// request that crashes servers whatever its parts is one.
+	minCrashedRequests = 3
+	// minCrashes is how many servers must have terminated under requests with a part that none is
+	// known to have survived, and minCrashesSurvived under those with another part.
+	minCrashes         = 3
+	minCrashesSurvived = 5
+	// minCrashSpan is the time between the first and the last of these terminations, and
+	// minCrashSpanSurvived the same for a part that servers have survived before: servers that
+	// terminate at the same moment have one cause, which need not be a part.
+	minCrashSpan         = 500 * time.Millisecond
+	minCrashSpanSurvived = time.Second
+	// sameMoment is the time between terminations that may have one cause. It covers the time in
+	// which the daemons find out about them.
+	sameMoment = 100 * time.Millisecond
+	// survivalDelay is the time until a survival that began before the last termination is known to
+	// all daemons.
+	survivalDelay = crashWindow + 100*time.Millisecond
+	// suspectRequests and suspectCrashes make a part suspect. suspectCrashesSurvived applies to a
+	// part that servers have survived before.
+	suspectRequests        = 2
+	suspectCrashes         = 2
+	suspectCrashesSurvived = minCrashesSurvived - 1
+	// clearedRetention is how long a termination is kept that counts against no part.
+	clearedRetention = 5 * time.Second
+	// maxPromptCrashes bounds the terminations kept for parts of prompts.
+	maxPromptCrashes = 512
+)
+
+// CrashWindow is the time after its first event within which a request may have crashed its server.
+const CrashWindow = crashWindow
+
+// PromptCrash is a termination of a server that is attributed to a request with a prompt.
+type PromptCrash[K comparable] struct {
+	Server K        // incarnation of the server
+	Digest string   // of the request
+	Parts  []string // shared parts of the prompt, in order
+	At     time.Time
+	// Account and Route are those of the request.
+	Account, Route string
+}
+
+// PartLedger holds the terminations of servers under prompts with shared parts, and the survivals
+// of these parts. The zero value is empty. It is not safe for concurrent use.
+type PartLedger[K comparable] struct {
+	crashes   []PromptCrash[K] // oldest first
+	survivals Survivals
+	explained map[K]time.Time // terminations caused by a refused part, by server
+}
+
+// RecordSurvival records a survival of a part.
+func (l *PartLedger[K]) RecordSurvival(part string, begun time.Time) {
+	l.survivals.Record(part, begun)
+}
+
+// RecordCrash records a termination. It reports whether the termination is new and not explained.
+func (l *PartLedger[K]) RecordCrash(c PromptCrash[K]) bool {
+	if _, explained := l.explained[c.Server]; explained || len(c.Parts) == 0 {
+		return false
+	}
+	for _, known := range l.crashes {
+		if known.Server == c.Server && known.Digest == c.Digest {
+			return false
+		}
+	}
+	l.expire(c.At)
+	if len(l.crashes) >= maxPromptCrashes {
+		l.crashes = slices.Delete(l.crashes, 0, 1)
+	}
+	at, _ := slices.BinarySearchFunc(l.crashes, c.At, func(other PromptCrash[K], t time.Time) int { return other.At.Compare(t) })
+	l.crashes = slices.Insert(l.crashes, at, c)
+	return true
+}
+
+// Explain records that a part is refused: the servers that terminated under prompts with it no longer
+// count against any part.
+func (l *PartLedger[K]) Explain(part string) {
+	for _, c := range slices.Clone(l.crashes) {
+		if slices.Contains(c.Parts, part) {
+			l.ExplainServer(c.Server, c.At)
+		}
+	}
+}
+
+// ExplainServer records that a termination counts against no part.
+func (l *PartLedger[K]) ExplainServer(server K, at time.Time) {
+	if l.explained == nil {
+		l.explained = map[K]time.Time{}
+	}
+	l.explained[server] = at
+	l.crashes = slices.DeleteFunc(l.crashes, func(c PromptCrash[K]) bool { return c.Server == server })
+}
+
+// expire drops old terminations, and those that count against no part any more unless others of the
+// same moment may still be reported.
+func (l *PartLedger[K]) expire(now time.Time) {
+	l.crashes = slices.DeleteFunc(l.crashes, func(c PromptCrash[K]) bool {
+		age := now.Sub(c.At)
+		return age >= retention || age >= clearedRetention && l.isCleared(c)
+	})
+	for server, at := range l.explained {
+		if now.Sub(at) >= retention {
+			delete(l.explained, server)
+		}
+	}
+}
+
+// isCleared reports whether all parts of a prompt survived after a termination.
+func (l *PartLedger[K]) isCleared(c PromptCrash[K]) bool {
+	return !slices.ContainsFunc(c.Parts, func(part string) bool {
+		survived, _ := l.survivals.Last(part)
+		return !survived.After(c.At)
+	})
+}
+
+// PartFinding is what the terminations say of a part.
+type PartFinding uint8
+
+// The findings, from the least to the most certain.
+const (
+	PartClear    PartFinding = iota
+	PartSuspect              // requests with it that crashed a server are not sent again
+	PartPending              // it crashes servers unless a survival becomes known in time
+	PartCrashing             // it crashes servers
+)
+
+// PartReport is the finding on one part with its reasons.
+type PartReport[K comparable] struct {
+	Part    string
+	Finding PartFinding
+	// Survived is set if servers are known to have survived the part, before these terminations.
+	Survived bool
+	// Servers terminated under Requests different requests with the part, from First to Last.
+	Servers     []K
+	Requests    int
+	First, Last time.Time
+	// Account and Route are those of one of the requests.
+	Account, Route string
+	depth          int // position of the part in its prompts
+}
+
+// Assess returns the reports on all parts that are suspect or worse. The first one is the most likely
+// cause.
+func (l *PartLedger[K]) Assess(now time.Time) []PartReport[K] {
+	byPart := map[string]*PartReport[K]{}
+	requests := map[string]map[string]bool{}
+	for i, c := range l.crashes {
+		for depth, part := range c.Parts {
+			survived, ok := l.survivals.Last(part)
+			if survived.After(c.At) || !isTypical(l.sameMomentAs(i), part) {
+				continue
+			}
+			r := byPart[part]
+			if r == nil {
+				r = &PartReport[K]{Part: part, Survived: ok, First: c.At, Last: c.At, Account: c.Account, Route: c.Route}
+				byPart[part], requests[part] = r, map[string]bool{}
+			}
+			r.add(c, depth)
+			requests[part][c.Digest] = true
+		}
+	}
+	var reports []PartReport[K]
+	for part, r := range byPart {
+		r.Requests = len(requests[part])
+		if r.Finding = l.finding(now, r); r.Finding != PartClear {
+			reports = append(reports, *r)
+		}
+	}
+	slices.SortFunc(reports, PartReport[K].compare)
+	return reports
+}
+
+// sameMomentAs returns the terminations at the same moment as the ith one.
+func (l *PartLedger[K]) sameMomentAs(i int) []PromptCrash[K] {
+	first, last := i, i
+	for first > 0 && l.crashes[i].At.Sub(l.crashes[first-1].At) <= sameMoment {
+		first--
+	}
+	for last+1 < len(l.crashes) && l.crashes[last+1].At.Sub(l.crashes[i].At) <= sameMoment {
+		last++
+	}
+	return l.crashes[first : last+1]
+}
+
+// isTypical reports whether at least half of the servers that terminated at the same moment had a
+// prompt with a part.
+//
+// It guards against a failure of many servers at once, such as that of a switch: each prompt that
+// had begun at one of them seems to have crashed it.
+func isTypical[K comparable](moment []PromptCrash[K], part string) bool {
+	if len(moment) == 1 {
+		return true
+	}
+	servers := map[K]bool{} // whether one of the server's prompts has the part
+	for _, c := range moment {
+		servers[c.Server] = servers[c.Server] || slices.Contains(c.Parts, part)
+	}
+	with := 0
+	for _, has := range servers {
+		if has {
+			with++
+		}
+	}
+	return 2*with >= len(servers)
+}
+
+// add counts one termination.
+func (r *PartReport[K]) add(c PromptCrash[K], depth int) {
+	if !slices.Contains(r.Servers, c.Server) {
+		r.Servers = append(r.Servers, c.Server)
+	}
+	if c.At.Before(r.First) {
+		r.First = c.At
+	}
+	if c.At.After(r.Last) {
+		r.Last = c.At
+	}
+	r.depth = max(r.depth, depth)
+}
+
+// finding decides on one part.
+func (l *PartLedger[K]) finding(now time.Time, r *PartReport[K]) PartFinding {
+	crashes, span, suspect := minCrashes, minCrashSpan, suspectCrashes
+	if r.Survived {
+		crashes, span, suspect = minCrashesSurvived, minCrashSpanSurvived, suspectCrashesSurvived
+	}
+	switch {
+	case r.Requests < suspectRequests || len(r.Servers) < suspect:
+		return PartClear
+	case r.Requests < minCrashedRequests || len(r.Servers) < crashes || r.Last.Sub(r.First) < span:
+		return PartSuspect
+	case r.Survived && (now.Sub(r.First) < span+survivalDelay || !l.anySurvived(r.First)):
+		return PartPending
+	}
+	return PartCrashing
+}
+
+// anySurvived reports whether a server survived the start of any prompt after a time.
+func (l *PartLedger[K]) anySurvived(since time.Time) bool {
+	last, ok := l.survivals.Last(AnyPart)
+	return ok && last.After(since)
+}
+
+// compare orders reports by how likely the part is the cause: a part that no server is known to have
+// survived first, then the one with more terminations, then the one that fewer prompts share.
+func (r PartReport[K]) compare(other PartReport[K]) int {
+	return cmp.Or(
+		-cmp.Compare(r.Finding, other.Finding),
+		compareBool(r.Survived, other.Survived),
+		-cmp.Compare(len(r.Servers), len(other.Servers)),
+		-cmp.Compare(r.depth, other.depth),
+		cmp.Compare(r.Part, other.Part),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/decision/poison/parts_test.go
@@ -0,0 +1,190 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// partTest is a ledger with a clock that starts at zero.
+type partTest struct {
+	ledger PartLedger[string]
+	start  time.Time
+}
+
+func (p *partTest) at(offset time.Duration) time.Time { return p.start.Add(offset) }
+
+func (p *partTest) crash(offset time.Duration, server, digest string, parts ...string) bool {
+	return p.ledger.RecordCrash(PromptCrash[string]{Server: server, Digest: digest, Parts: parts, At: p.at(offset)})
+}
+
+func (p *partTest) survive(offset time.Duration, parts ...string) {
+	for _, part := range append([]string{AnyPart}, parts...) {
+		p.ledger.RecordSurvival(part, p.at(offset))
+	}
+}
+
+func (p *partTest) finding(now time.Duration, part string) PartFinding {
+	for _, r := range p.ledger.Assess(p.at(now)) {
+		if r.Part == part {
+			return r.Finding
+		}
+	}
+	return PartClear
+}
+
+func TestPartFindings(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	for _, c := range []struct {
+		name string
+		play func(*partTest)
+		now  time.Duration
+		want PartFinding // of the part "x"
+	}{
+		{"no crash", func(*partTest) {}, s, PartClear},
+		{"one request that crashes whatever its parts", func(p *partTest) {
+			for n := range 9 {
+				p.crash(time.Duration(n)*s, fmt.Sprint(n), "r", "x")
+			}
+		}, 9 * s, PartClear},
+		{"two requests", func(p *partTest) {
+			p.crash(0, "a", "r1", "x")
+			p.crash(s, "b", "r2", "x")
+		}, s, PartSuspect},
+		{"three requests at one server", func(p *partTest) {
+			p.crash(0, "a", "r1", "x")
+			p.crash(s, "a", "r2", "x")
+			p.crash(2*s, "a", "r3", "x")
+		}, 2 * s, PartClear},
+		{"three requests at servers that terminated together", func(p *partTest) {
+			p.crash(0, "a", "r1", "x")
+			p.crash(100*ms, "b", "r2", "x")
+			p.crash(200*ms, "c", "r3", "x")
+		}, s, PartSuspect},
+		{"three requests", func(p *partTest) {
+			p.crash(0, "a", "r1", "x")
+			p.crash(100*ms, "b", "r2", "x")
+			p.crash(600*ms, "c", "r3", "x")
+		}, 600 * ms, PartCrashing},
+		{"three requests, the part survived between", func(p *partTest) {
+			p.crash(0, "a", "r1", "x")
+			p.crash(100*ms, "b", "r2", "x")
+			p.survive(500*ms, "x")
+			p.crash(600*ms, "c", "r3", "x")
+		}, 600 * ms, PartClear},
+		{"three requests, the part survived before", func(p *partTest) {
+			p.survive(-s, "x")
+			p.crash(0, "a", "r1", "x")
+			p.crash(s, "b", "r2", "x")
+			p.crash(2*s, "c", "r3", "x")
+		}, 3 * s, PartClear},
+		{"five servers, the part survived before, nothing since", func(p *partTest) {
+			p.survive(-s, "x")
+			p.crashServers(5, s, "x")
+		}, 9 * s, PartPending},
+		{"five servers, the part survived before, another one since", func(p *partTest) {
+			p.survive(-s, "x")
+			p.crashServers(5, s, "x")
+			p.survive(2*s, "y")
+		}, 9 * s, PartCrashing},
+		{"five servers a moment ago, the part survived before", func(p *partTest) {
+			p.survive(-s, "x")
+			p.crashServers(5, 250*ms, "x")
+			p.survive(500*ms, "y")
+		}, s, PartPending},
+		{"servers that terminated under prompts with a refused part", func(p *partTest) {
+			for n := range 6 {
+				p.crash(time.Duration(n)*s, fmt.Sprint(n), fmt.Sprint("bad", n), "z", "bad")
+				p.crash(time.Duration(n)*s, fmt.Sprint(n), fmt.Sprint("sound", n), "z", "x")
+			}
+			p.ledger.Explain("bad")
+			must.False(t, p.crash(6*s, "5", "late", "x"))
+		}, 9 * s, PartClear},
+		{"crashes of long ago", func(p *partTest) {
+			p.crashServers(5, s, "x")
+			p.crash(retention+5*s, "z", "other", "y")
+		}, retention + 5*s, PartClear},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := &partTest{start: time.Now()}
+			c.play(p)
+			must.Eq(t, c.want, p.finding(c.now, "x"))
+		})
+	}
+}
+
+// crashServers crashes n servers under different requests with a part, at an interval.
+func (p *partTest) crashServers(n int, interval time.Duration, part string) {
+	for i := range n {
+		p.crash(time.Duration(i)*interval, fmt.Sprint("s", i), fmt.Sprint("r", i), part)
+	}
+}
+
+// The part that crashes servers must be found before the parts that its prompts share with others.
+func TestMostLikelyPartComesFirst(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		play func(*partTest)
+		want string
+	}{
+		{"common part survived before", func(p *partTest) {
+			p.survive(-time.Second, "common")
+			for n := range 8 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "common", "bad")
+			}
+			p.survive(time.Second, "other")
+		}, "bad"},
+		{"first part, middle parts differ", func(p *partTest) {
+			for n := range 4 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "bad", fmt.Sprint("m", n%2))
+			}
+		}, "bad"},
+		{"rare parts of bystanders", func(p *partTest) {
+			for n := range 4 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "common", "bad")
+				if n > 0 {
+					p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint("by", n), "common2", "session")
+				}
+			}
+		}, "bad"},
+	} {
+		p := &partTest{start: time.Now()}
+		c.play(p)
+		reports := p.ledger.Assess(p.at(10 * time.Second))
+		must.Eq(t, PartCrashing, reports[0].Finding, must.Sprint(c.name))
+		must.Eq(t, c.want, reports[0].Part, must.Sprint(c.name))
+		p.ledger.Explain(c.want)
+		must.SliceEmpty(t, p.ledger.Assess(p.at(10*time.Second)), must.Sprint(c.name))
+	}
+}
+
+func TestPartLedgerIsBounded(t *testing.T) {
+	p := &partTest{start: time.Now()}
+	for n := range 4 * maxPromptCrashes {
+		p.crash(time.Duration(n)*time.Millisecond, fmt.Sprint(n), fmt.Sprint(n), "x")
+	}
+	must.LessEq(t, maxPromptCrashes, len(p.ledger.crashes))
+	must.Eq(t, PartCrashing, p.finding(time.Hour, "x"))
+}
+
+func TestFullSurvivalsEvictOldest(t *testing.T) {
+	var s Survivals
+	now := time.Now()
+	for n := range 2 * maxSurvivingParts {
+		s.Record(fmt.Sprint(n), now.Add(time.Duration(n)))
+		s.Record("often", now.Add(time.Duration(n)))
+		s.Record(AnyPart, now)
+	}
+	must.LessEq(t, maxSurvivingParts, len(s.last))
+	for _, part := range []string{"often", AnyPart, fmt.Sprint(2*maxSurvivingParts - 1)} {
+		_, ok := s.Last(part)
+		must.True(t, ok)
+	}
+	_, ok := s.Last("0")
+	must.False(t, ok)
+	s.Record("often", now.Add(-time.Hour))
+	last, _ := s.Last("often")
+	must.True(t, last.After(now))
+}
--- a/peer/peerpb/poison.twirp.go
+++ b/peer/peerpb/poison.twirp.go
@@ -27,7 +27,8 @@
 // ================
 
 // Poison tells of requests that end the servers which run them. A request is named by the
-// digest of what its attempts have in common.
+// digest of what its attempts have in common. Parts of prompts that end servers are told of
+// besides: they are named by their ids, and once refused by a digest of their own.
 type Poison interface {
 	// Ended tells a keeper of the request that a server ended under it.
 	Ended(context.Context, *EndedRequest) (*EndedReply, error)
@@ -40,6 +41,13 @@
 
 	// Marks returns the marks that the callee knows.
 	Marks(context.Context, *MarksRequest) (*MarksReply, error)
+
+	// PromptsEnded tells a keeper of a service that servers ended under prompts with shared parts.
+	PromptsEnded(context.Context, *PromptsEndedRequest) (*PromptsEndedReply, error)
+
+	// Survivals returns when servers last survived the beginning of an answer to prompts with given
+	// parts.
+	Survivals(context.Context, *SurvivalsRequest) (*SurvivalsReply, error)
 }
 
 // ======================
@@ -48,7 +56,7 @@
 
 type poisonProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -76,11 +84,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Poison")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Ended",
 		serviceURL + "Cleared",
 		serviceURL + "Marked",
 		serviceURL + "Marks",
+		serviceURL + "PromptsEnded",
+		serviceURL + "Survivals",
 	}
 
 	return &poisonProtobufClient{
@@ -275,13 +285,105 @@
 	return out, nil
 }
 
+func (c *poisonProtobufClient) PromptsEnded(ctx context.Context, in *PromptsEndedRequest) (*PromptsEndedReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Poison")
+	ctx = ctxsetters.WithMethodName(ctx, "PromptsEnded")
+	caller := c.callPromptsEnded
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PromptsEndedRequest) (*PromptsEndedReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PromptsEndedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PromptsEndedRequest) when calling interceptor")
+					}
+					return c.callPromptsEnded(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PromptsEndedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PromptsEndedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poisonProtobufClient) callPromptsEnded(ctx context.Context, in *PromptsEndedRequest) (*PromptsEndedReply, error) {
+	out := new(PromptsEndedReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *poisonProtobufClient) Survivals(ctx context.Context, in *SurvivalsRequest) (*SurvivalsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Poison")
+	ctx = ctxsetters.WithMethodName(ctx, "Survivals")
+	caller := c.callSurvivals
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SurvivalsRequest) (*SurvivalsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SurvivalsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SurvivalsRequest) when calling interceptor")
+					}
+					return c.callSurvivals(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SurvivalsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SurvivalsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poisonProtobufClient) callSurvivals(ctx context.Context, in *SurvivalsRequest) (*SurvivalsReply, error) {
+	out := new(SurvivalsReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Poison JSON Client
 // ==================
 
 type poisonJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [6]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -309,11 +411,13 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "mallowwind.peer", "Poison")
-	urls := [4]string{
+	urls := [6]string{
 		serviceURL + "Ended",
 		serviceURL + "Cleared",
 		serviceURL + "Marked",
 		serviceURL + "Marks",
+		serviceURL + "PromptsEnded",
+		serviceURL + "Survivals",
 	}
 
 	return &poisonJSONClient{
@@ -508,6 +612,98 @@
 	return out, nil
 }
 
+func (c *poisonJSONClient) PromptsEnded(ctx context.Context, in *PromptsEndedRequest) (*PromptsEndedReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Poison")
+	ctx = ctxsetters.WithMethodName(ctx, "PromptsEnded")
+	caller := c.callPromptsEnded
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PromptsEndedRequest) (*PromptsEndedReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PromptsEndedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PromptsEndedRequest) when calling interceptor")
+					}
+					return c.callPromptsEnded(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PromptsEndedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PromptsEndedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poisonJSONClient) callPromptsEnded(ctx context.Context, in *PromptsEndedRequest) (*PromptsEndedReply, error) {
+	out := new(PromptsEndedReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *poisonJSONClient) Survivals(ctx context.Context, in *SurvivalsRequest) (*SurvivalsReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "mallowwind.peer")
+	ctx = ctxsetters.WithServiceName(ctx, "Poison")
+	ctx = ctxsetters.WithMethodName(ctx, "Survivals")
+	caller := c.callSurvivals
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SurvivalsRequest) (*SurvivalsReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SurvivalsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SurvivalsRequest) when calling interceptor")
+					}
+					return c.callSurvivals(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SurvivalsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SurvivalsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *poisonJSONClient) callSurvivals(ctx context.Context, in *SurvivalsRequest) (*SurvivalsReply, error) {
+	out := new(SurvivalsReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Poison Server Handler
 // =====================
@@ -617,6 +813,12 @@
 	case "Marks":
 		s.serveMarks(ctx, resp, req)
 		return
+	case "PromptsEnded":
+		s.servePromptsEnded(ctx, resp, req)
+		return
+	case "Survivals":
+		s.serveSurvivals(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1344,6 +1546,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *poisonServer) servePromptsEnded(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePromptsEndedJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePromptsEndedProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *poisonServer) servePromptsEndedJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PromptsEnded")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PromptsEndedRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Poison.PromptsEnded
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PromptsEndedRequest) (*PromptsEndedReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PromptsEndedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PromptsEndedRequest) when calling interceptor")
+					}
+					return s.Poison.PromptsEnded(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PromptsEndedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PromptsEndedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PromptsEndedReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PromptsEndedReply and nil error while calling PromptsEnded. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *poisonServer) servePromptsEndedProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PromptsEnded")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PromptsEndedRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Poison.PromptsEnded
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PromptsEndedRequest) (*PromptsEndedReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PromptsEndedRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PromptsEndedRequest) when calling interceptor")
+					}
+					return s.Poison.PromptsEnded(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*PromptsEndedReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*PromptsEndedReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *PromptsEndedReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *PromptsEndedReply and nil error while calling PromptsEnded. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *poisonServer) serveSurvivals(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSurvivalsJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSurvivalsProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *poisonServer) serveSurvivalsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Survivals")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SurvivalsRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Poison.Survivals
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SurvivalsRequest) (*SurvivalsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SurvivalsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SurvivalsRequest) when calling interceptor")
+					}
+					return s.Poison.Survivals(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SurvivalsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SurvivalsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SurvivalsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SurvivalsReply and nil error while calling Survivals. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *poisonServer) serveSurvivalsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Survivals")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SurvivalsRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Poison.Survivals
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SurvivalsRequest) (*SurvivalsReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SurvivalsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SurvivalsRequest) when calling interceptor")
+					}
+					return s.Poison.Survivals(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SurvivalsReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SurvivalsReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SurvivalsReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SurvivalsReply and nil error while calling Survivals. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *poisonServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor5, 0
 }
@@ -1360,33 +1922,46 @@
 }
 
 var twirpFileDescriptor5 = []byte{
-	// 437 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x54, 0xcf, 0x8f, 0x93, 0x40,
-	0x18, 0x95, 0x9f, 0xcd, 0x7e, 0x4b, 0x2b, 0x4e, 0xd4, 0x4c, 0x70, 0x57, 0x09, 0xa7, 0xea, 0x01,
-	0x93, 0xea, 0xd5, 0xc3, 0x2e, 0x65, 0xa3, 0x31, 0x35, 0x06, 0x6d, 0x4c, 0xbc, 0x18, 0x5a, 0x46,
-	0xd3, 0x14, 0x18, 0x9c, 0x81, 0x36, 0xbd, 0xfa, 0xbf, 0xf8, 0x7f, 0x9a, 0x19, 0x28, 0x45, 0x5b,
-	0xd2, 0x93, 0x17, 0xe0, 0xfb, 0xe6, 0xcd, 0x9b, 0xf7, 0xbe, 0x37, 0x01, 0xac, 0x82, 0xae, 0x38,
-	0xcd, 0xfd, 0x82, 0xd1, 0x92, 0xa2, 0xfb, 0x59, 0x9c, 0xa6, 0x74, 0xbb, 0x5d, 0xe5, 0x89, 0x5f,
-	0x10, 0xc2, 0xbc, 0x5f, 0x0a, 0x58, 0x61, 0x9e, 0x90, 0x24, 0x22, 0x3f, 0x2b, 0xc2, 0x4b, 0xf4,
-	0x18, 0xcc, 0x64, 0xf5, 0x83, 0xf0, 0x12, 0x2b, 0xae, 0x32, 0xbe, 0x88, 0x9a, 0x4a, 0xf4, 0x39,
-	0x61, 0x1b, 0xc2, 0xb0, 0x5a, 0xf7, 0xeb, 0x0a, 0x21, 0xd0, 0x17, 0x94, 0xe5, 0x58, 0x73, 0x95,
-	0xb1, 0x16, 0xc9, 0x6f, 0x84, 0x61, 0x10, 0x2f, 0x97, 0xb4, 0xca, 0x4b, 0xac, 0x4b, 0xf0, 0xbe,
-	0x44, 0x0f, 0xc1, 0x60, 0xb4, 0x2a, 0x09, 0x36, 0x64, 0xbf, 0x2e, 0xbc, 0x0c, 0xa0, 0xd1, 0x50,
-	0xa4, 0x3b, 0xf4, 0x1a, 0x06, 0xac, 0x16, 0x23, 0x25, 0x5c, 0x4e, 0x1c, 0xff, 0x1f, 0xd5, 0xfe,
-	0x47, 0xe9, 0x89, 0x56, 0x3c, 0xda, 0x43, 0xd1, 0x73, 0xd0, 0xb3, 0x98, 0xad, 0xa5, 0xba, 0xd1,
-	0xe4, 0xd1, 0xd1, 0x96, 0x59, 0xcc, 0xd6, 0x91, 0x84, 0x78, 0x63, 0x18, 0x05, 0x29, 0x89, 0xd9,
-	0x59, 0xd3, 0xde, 0x08, 0xac, 0x16, 0x59, 0xa4, 0x3b, 0xaf, 0x80, 0xa1, 0xe0, 0x39, 0x6c, 0xfc,
-	0xef, 0x5a, 0x87, 0x70, 0xb9, 0x3f, 0x51, 0x08, 0xc8, 0xe0, 0xa2, 0xe5, 0xeb, 0x8d, 0xaa, 0x33,
-	0x7e, 0xb5, 0x67, 0xfc, 0x5a, 0x67, 0xfc, 0x02, 0x5f, 0x87, 0xc9, 0xb1, 0xee, 0x6a, 0x02, 0xdf,
-	0x94, 0xc2, 0xbf, 0x38, 0x9d, 0x37, 0x76, 0xbd, 0x5b, 0x80, 0xa6, 0x6e, 0x83, 0xfa, 0x5e, 0x71,
-	0x92, 0x60, 0xc5, 0xd5, 0xce, 0x9b, 0x97, 0xd0, 0x17, 0x6f, 0x40, 0x17, 0x1c, 0xe8, 0x01, 0x0c,
-	0x67, 0x37, 0xd1, 0xfb, 0x6f, 0xf3, 0x0f, 0xe2, 0x15, 0x4e, 0xed, 0x7b, 0xc8, 0x06, 0x4b, 0xb6,
-	0xbe, 0xdc, 0x7c, 0x0e, 0xde, 0x86, 0x53, 0x5b, 0x69, 0x3b, 0x51, 0x78, 0x37, 0xff, 0x14, 0x4e,
-	0x6d, 0x75, 0xf2, 0x5b, 0x05, 0xb3, 0x66, 0x45, 0x01, 0x18, 0xf2, 0xda, 0xa0, 0xeb, 0xa3, 0x73,
-	0xbb, 0x57, 0xda, 0x79, 0xd2, 0xb7, 0x2c, 0x4c, 0xbc, 0x83, 0x41, 0x13, 0x31, 0x7a, 0x76, 0x84,
-	0xfb, 0xfb, 0x9a, 0x38, 0xd7, 0xfd, 0x00, 0x41, 0x75, 0x07, 0x66, 0x9d, 0x15, 0x7a, 0x7a, 0x32,
-	0xd2, 0x03, 0xd1, 0x55, 0xef, 0xba, 0xe0, 0x09, 0xc0, 0x90, 0x53, 0x3e, 0xe1, 0xab, 0x9b, 0xc6,
-	0x09, 0x5f, 0x87, 0x70, 0x6e, 0xaf, 0xbe, 0x3a, 0x9d, 0xd5, 0x84, 0x6c, 0x5e, 0x0a, 0x84, 0x7c,
-	0x14, 0x8b, 0x85, 0x29, 0x7f, 0x07, 0xaf, 0xfe, 0x04, 0x00, 0x00, 0xff, 0xff, 0x14, 0xdb, 0xf0,
-	0xaf, 0x1e, 0x04, 0x00, 0x00,
+	// 643 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x55, 0x4f, 0x6f, 0xda, 0x4e,
+	0x10, 0xfd, 0x19, 0x63, 0x08, 0x03, 0xe1, 0x47, 0xb6, 0x49, 0xe5, 0xd2, 0xa4, 0xa1, 0xab, 0x1e,
+	0x68, 0xa5, 0x52, 0x89, 0xfe, 0xc9, 0xa9, 0x87, 0x04, 0x88, 0x1a, 0x55, 0xb4, 0x91, 0xd3, 0xa8,
+	0x55, 0x2f, 0x91, 0xc1, 0x5b, 0x84, 0x62, 0xf0, 0x76, 0xd7, 0x26, 0xe2, 0xd8, 0x7e, 0x92, 0x7e,
+	0xa4, 0x7e, 0xa4, 0x6a, 0x77, 0xfd, 0x8f, 0x18, 0x87, 0x5e, 0x7a, 0x49, 0x3c, 0xe3, 0x37, 0xc3,
+	0x7b, 0xf3, 0x66, 0x00, 0x6a, 0xd4, 0x9b, 0x72, 0x6f, 0xde, 0xa1, 0xcc, 0xf3, 0x3d, 0xf4, 0xff,
+	0xcc, 0x76, 0x5d, 0xef, 0xe6, 0x66, 0x3a, 0x77, 0x3a, 0x94, 0x10, 0x86, 0x7f, 0x6a, 0x50, 0x1b,
+	0xcc, 0x1d, 0xe2, 0x58, 0xe4, 0x7b, 0x40, 0xb8, 0x8f, 0xee, 0x43, 0xc9, 0x99, 0x4e, 0x08, 0xf7,
+	0x4d, 0xad, 0xa5, 0xb5, 0x2b, 0x56, 0x18, 0x89, 0x3c, 0x27, 0x6c, 0x41, 0x98, 0x59, 0x50, 0x79,
+	0x15, 0x21, 0x04, 0xc5, 0x91, 0xc7, 0xe6, 0xa6, 0xde, 0xd2, 0xda, 0xba, 0x25, 0x9f, 0x91, 0x09,
+	0x65, 0x7b, 0x3c, 0xf6, 0x82, 0xb9, 0x6f, 0x16, 0x25, 0x38, 0x0a, 0xd1, 0x2e, 0x18, 0xcc, 0x0b,
+	0x7c, 0x62, 0x1a, 0x32, 0xaf, 0x02, 0x3c, 0x03, 0x08, 0x39, 0x50, 0x77, 0x89, 0x5e, 0x41, 0x99,
+	0x29, 0x32, 0x92, 0x42, 0xb5, 0xdb, 0xec, 0xdc, 0x62, 0xdd, 0x39, 0x97, 0x9a, 0xbc, 0x80, 0x5b,
+	0x11, 0x14, 0x3d, 0x85, 0xe2, 0xcc, 0x66, 0xd7, 0x92, 0x5d, 0xbd, 0xbb, 0x97, 0x29, 0x19, 0xda,
+	0xec, 0xda, 0x92, 0x10, 0xdc, 0x86, 0x7a, 0xcf, 0x25, 0x36, 0xdb, 0x28, 0x1a, 0xd7, 0xa1, 0x16,
+	0x23, 0xa9, 0xbb, 0xc4, 0x14, 0xb6, 0x45, 0x9f, 0xa4, 0xf0, 0x9f, 0x73, 0xdd, 0x86, 0x6a, 0xf4,
+	0x89, 0x82, 0xc0, 0x0f, 0x0d, 0x2a, 0x71, 0xc3, 0x5c, 0xaf, 0x52, 0xf3, 0x2f, 0xe4, 0xcc, 0x5f,
+	0x4f, 0xcd, 0x5f, 0xe0, 0x95, 0x9b, 0xdc, 0x2c, 0xb6, 0x74, 0x81, 0x0f, 0x43, 0xe1, 0x2e, 0xb5,
+	0x99, 0x1f, 0xda, 0x25, 0x9f, 0xc5, 0x50, 0x04, 0x25, 0x1e, 0xce, 0x00, 0x9f, 0x00, 0x84, 0x71,
+	0xec, 0xde, 0xb7, 0x80, 0x13, 0xc7, 0xd4, 0x5a, 0xfa, 0xe6, 0x89, 0x48, 0x28, 0xe6, 0x50, 0x95,
+	0x1b, 0x70, 0xce, 0xbc, 0x19, 0xf5, 0xd1, 0xd1, 0xed, 0xb1, 0x1e, 0x64, 0x9a, 0xa4, 0x97, 0x36,
+	0x99, 0xec, 0x2e, 0x18, 0x82, 0x23, 0x37, 0x0b, 0x52, 0x87, 0x0a, 0xd0, 0x1e, 0x94, 0xec, 0x09,
+	0xb9, 0x9a, 0xf1, 0x70, 0x4b, 0x0d, 0x7b, 0x42, 0x86, 0x1c, 0xbf, 0x86, 0xad, 0x8b, 0x80, 0x2d,
+	0xa6, 0x0b, 0xdb, 0x8d, 0x85, 0x6a, 0x89, 0xd0, 0x54, 0x59, 0x21, 0x5d, 0xf6, 0x4b, 0x83, 0x7b,
+	0x8a, 0x27, 0x5f, 0xb9, 0x9c, 0x37, 0x50, 0xa6, 0x2a, 0x1d, 0x2a, 0xdf, 0x5f, 0x4f, 0x5a, 0xd5,
+	0x5a, 0x11, 0x18, 0x1d, 0x41, 0x85, 0x87, 0x34, 0x14, 0xef, 0x6a, 0xf7, 0x41, 0xa6, 0x32, 0x22,
+	0x6a, 0x25, 0xd8, 0xc8, 0xb6, 0xe9, 0x38, 0xb2, 0x33, 0x0a, 0xf1, 0x73, 0xd8, 0x59, 0x65, 0x28,
+	0x9c, 0x11, 0xf0, 0x80, 0x53, 0x32, 0x56, 0x2a, 0xb7, 0xac, 0x28, 0xc4, 0x6d, 0x68, 0x44, 0xfd,
+	0x23, 0x57, 0x93, 0x49, 0x6a, 0xa9, 0x49, 0xe2, 0x33, 0xa8, 0xa7, 0x90, 0xa2, 0xeb, 0x0a, 0x7b,
+	0xed, 0xef, 0xd9, 0x3f, 0x7b, 0x0b, 0x45, 0xb1, 0x36, 0x68, 0x07, 0xb6, 0x87, 0xc7, 0xd6, 0xfb,
+	0xab, 0xcb, 0x0f, 0xe2, 0xdf, 0xa0, 0xdf, 0xf8, 0x0f, 0x35, 0xa0, 0x26, 0x53, 0x9f, 0x8f, 0x3f,
+	0xf5, 0xde, 0x0d, 0xfa, 0x0d, 0x2d, 0xce, 0x58, 0x83, 0xd3, 0xcb, 0x8b, 0x41, 0xbf, 0x51, 0xe8,
+	0xfe, 0xd6, 0xa1, 0xa4, 0x16, 0x09, 0xf5, 0xc0, 0x90, 0x32, 0xd1, 0xdd, 0x5b, 0xd2, 0x7c, 0x98,
+	0xf7, 0x5a, 0xe8, 0x38, 0x83, 0x72, 0x78, 0xea, 0xe8, 0x30, 0x83, 0x5b, 0xfd, 0xba, 0x68, 0x1e,
+	0xe4, 0x03, 0x44, 0xab, 0x53, 0x28, 0xa9, 0x9b, 0x45, 0x8f, 0xd6, 0x9e, 0x76, 0xd2, 0x68, 0x3f,
+	0xf7, 0xbd, 0xe8, 0xd3, 0x03, 0x43, 0x1e, 0xd6, 0x1a, 0x5d, 0xe9, 0x03, 0x5c, 0xa3, 0x2b, 0x75,
+	0x8f, 0x5f, 0xa0, 0x96, 0x5e, 0x05, 0xf4, 0x24, 0x7b, 0x8e, 0xd9, 0x5d, 0x6e, 0xe2, 0x0d, 0x28,
+	0xd1, 0xf9, 0x23, 0x54, 0xe2, 0x5d, 0x40, 0x8f, 0x73, 0x3d, 0x8f, 0x69, 0x1e, 0xde, 0x05, 0xa1,
+	0xee, 0xf2, 0x64, 0xff, 0x6b, 0x33, 0x85, 0x70, 0xc8, 0xe2, 0x85, 0x40, 0xc9, 0x3f, 0x74, 0x34,
+	0x2a, 0xc9, 0x5f, 0xb0, 0x97, 0x7f, 0x02, 0x00, 0x00, 0xff, 0xff, 0xab, 0x9d, 0x99, 0xb1, 0xd1,
+	0x06, 0x00, 0x00,
 }
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/decision/pace"
+	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/serve/versions"
 )
 
@@ -37,6 +38,10 @@
 	eventCount     int             // events received in this attempt
 	meter          pace.Meter      // of the interval between them
 	timesFoundLost int             // times that the engine reported events and none had arrived
+	// survivalRecorded is set once the server is known to have survived the start of the answer.
+	survivalRecorded bool
+	// crashCheck receives whether a part of the prompt is suspect, after the server broke the stream.
+	crashCheck chan bool
 	// copyUsed is set once a server was asked to resume from the incremental copy. The copy is
 	// consumed by that, whether or not the response continued there.
 	copyUsed bool
@@ -62,7 +67,7 @@
 
 // start sends the request of a segment. The pool already counts its prompt as being prefilled.
 func (r *relay) start(ctx context.Context, l segment) *attempt {
-	a := &attempt{segment: l, r: r, sentAt: time.Now(), parts: make(chan responsePart), pushedBack: make(chan responsePart, 1), requestWritten: make(chan struct{}, 1), prefilling: true}
+	a := &attempt{segment: l, r: r, sentAt: time.Now(), parts: make(chan responsePart), pushedBack: make(chan responsePart, 1), requestWritten: make(chan struct{}, 1), crashCheck: make(chan bool, 1), prefilling: true}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	r.h.pool.addLoad(l.copyTo, 0, 0, 1)
 	r.starts++
@@ -161,6 +166,16 @@
 	}
 }
 
+// recordSurvival records once that the server kept running after it had begun to answer: its stream
+// goes on after the crash window, or is complete.
+func (a *attempt) recordSurvival(complete bool) {
+	if a.survivalRecorded || a.firstEventAt.IsZero() || !complete && time.Since(a.firstEventAt) < poison.CrashWindow {
+		return
+	}
+	a.survivalRecorded = true
+	a.r.h.poisonParts.recordSurvival(a.r.in, a.firstEventAt)
+}
+
 // runCopy returns the incremental copy of the run that another engine should hold.
 func (a *attempt) runCopy() replica {
 	if a.copyUsed {
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -77,10 +77,11 @@
 )
 
 // checkForCrash finds out whether the server of a broken send has crashed, logs it, and counts the
-// crash against the request.
-func (h *Handler) checkForCrash(e brokenSend) {
+// crash against the request and the parts of its prompt. It reports whether one of the parts is
+// suspect.
+func (h *Handler) checkForCrash(e brokenSend) (suspect bool) {
 	if !isConnectionBroken(e.err) {
-		return
+		return false
 	}
 	now := time.Now()
 	running := time.Duration(0)
@@ -99,9 +100,11 @@
 	finding := crash.Attribute()
 	h.opts.Log.Emit(event.BackendConnectionBroken, e.in.call.ID, e.in.digests, e.in.call.PromptKey, e.in.call.PromptParts, e.in.call.PromptTokens, e.in.accountName(),
 		e.at.server.ID, e.at.server.Zone, string(found), finding.String(), crash.PeersChecked, crash.PeersDown, now.Sub(e.sentAt), running, e.fromReplica, e.err)
-	if found == processExited && finding == poison.Attributed {
-		h.poisonRegistry.recordCrash(context.Background(), e.in, e.at.server.Incarnation())
+	if found != processExited || finding != poison.Attributed {
+		return false
 	}
+	h.poisonRegistry.recordCrash(context.Background(), e.in, e.at.server.Incarnation())
+	return h.poisonParts.recordCrash(context.Background(), e.in, e.at.server, now)
 }
 
 // isLeaving reports whether a server is known to leave, by itself or with its whole version.
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,7 @@
 	borrower       *retryBorrower
 	peers          *peerClient
 	poisonRegistry *poisonRegistry
+	poisonParts    *poisonParts
 	limits         *serverLimits
 	brittle        *brittleServices
 	headroom       *headroomState
@@ -121,6 +123,7 @@
 	h.versions.SetReachabilityCheck(h.acceptsAny)
 	h.waiting = newWaitingPrompts()
 	h.locator, h.workTracker, h.poisonRegistry = newLocator(h), newWorkTracker(h), newPoisonRegistry(h)
+	h.poisonParts = newPoisonParts(h)
 	h.limits, h.brittle = newServerLimits(h), newBrittleServices(o.Log)
 	h.paces = newEnginePaces(o.Log)
 	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle, h.pool.paces = h.workTracker.workChanged, h.limits, h.brittle, h.paces
@@ -211,4 +214,9 @@
 
 // Run exchanges with other daemons what is known of requests that crash backend servers, until
 // ctx ends.
-func (h *Handler) Run(ctx context.Context) { h.poisonRegistry.run(ctx) }
+func (h *Handler) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { h.poisonParts.run(ctx) })
+	h.poisonRegistry.run(ctx)
+	wg.Wait()
+}
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -33,6 +33,7 @@
 
 	poisonMarks    *prometheus.CounterVec
 	poisonRefusals prometheus.Counter
+	suspectPrompts prometheus.Counter
 	limitChanges   *prometheus.CounterVec
 	permits        *prometheus.CounterVec
 	serverNotices  *prometheus.CounterVec
@@ -74,6 +75,7 @@
 		pacedPlacements:    prometheus.NewCounterVec(counter("paced_placements_total", "Prompts placed where the engines of the service differ in speed, by the pace of the engine."), []string{"pace"}),
 		poisonMarks:        prometheus.NewCounterVec(counter("poison_marks_total", "Requests marked because servers ended under them, counted here or told by other daemons."), []string{"mark"}),
 		poisonRefusals:     prometheus.NewCounter(counter("poison_refusals_total", "Requests refused because servers end when they run them.")),
+		suspectPrompts:     prometheus.NewCounter(counter("suspect_prompts_total", "Requests not sent again after a crash of their server, because a part of their prompt is suspect.")),
 		limitChanges:       prometheus.NewCounterVec(counter("limit_changes_total", "Changes of the limits that backend servers name, by their answers here or as other daemons told."), []string{"change"}),
 		permits:            prometheus.NewCounterVec(counter("permits_total", "Permits asked for to send a request to a backend server that names a limit."), []string{"result"}),
 		serverNotices:      prometheus.NewCounterVec(counter("server_notices_total", "Statements of backend servers, in their responses, that they take no new requests, for good or for a time, by notice."), []string{"notice"}),
@@ -87,7 +89,7 @@
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
 	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds, m.pacedPlacements)
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -304,6 +304,7 @@
 	h.pool.recordSuccess(c)
 	if o.hasResponse() {
 		h.poisonRegistry.recordCompletion(in)
+		h.poisonParts.recordSurvival(in, started)
 	}
 	return o
 }
--- a/serve/forward/poison.go
+++ b/serve/forward/poison.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,9 +59,16 @@
 			return ctx, nil, errPoison(digest)
 		}
 	}
+	for _, key := range in.partKeys {
+		if p.mark(key) == poison.Refused {
+			p.h.metrics.poisonRefusals.Inc()
+			return ctx, nil, errPoisonPart(verdict.NotRun, key)
+		}
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	request := &activeRequest{cancel}
-	for _, digest := range in.digests {
+	keys := slices.Concat(in.digests, in.partKeys)
+	for _, digest := range keys {
 		if p.running[digest] == nil {
 			p.running[digest] = map[*activeRequest]bool{}
 		}
@@ -68,7 +76,7 @@
 	}
 	return ctx, func() {
 		cancel(nil)
-		p.finish(in.digests, request)
+		p.finish(keys, request)
 	}, nil
 }
 
@@ -89,19 +97,45 @@
 	if p.view == view {
 		return
 	}
-	p.view = view
-	for digest := range view.Refused {
+	for digest, request := range view.Refused {
+		if _, known := p.view.Refused[digest]; !known && request.Part != "" {
+			p.h.poisonParts.observeRefusal(request.Part)
+		}
 		p.marks.Delete(digest)
 		p.ledger.Clear(digest)
 		delete(p.details, digest)
 		p.cancelRunning(digest)
 	}
+	p.view = view
 }
 
 // cancelRunning cancels the attempts of a request that are in progress.
 func (p *poisonRegistry) cancelRunning(digest string) {
+	reason := errPoison(digest)
+	if strings.HasPrefix(digest, partKeyPrefix) {
+		reason = errPoisonPart(verdict.MayHaveRun, digest)
+	}
 	for request := range p.running[digest] {
-		request.cancel(errPoison(digest))
+		request.cancel(reason)
+	}
+}
+
+// isRefused reports whether a request, or a part of prompts by its key, is refused.
+func (p *poisonRegistry) isRefused(digest string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.syncView(p.h.opts.Feed.View())
+	return p.mark(digest) == poison.Refused
+}
+
+// refuse refuses a part of prompts, tells all other daemons and writes the refusal to the store.
+func (p *poisonRegistry) refuse(details *peerpb.Poisonous) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.syncView(p.h.opts.Feed.View())
+	if !p.isStored(details.GetDigest()) {
+		p.details[details.GetDigest()] = details
+		p.announce(details, poison.Refused)
 	}
 }
 
@@ -152,14 +186,19 @@
 	}
 	p.details[digest] = details
 	p.pruneDetails()
-	mark := p.ledger.Mark(digest)
+	p.announce(details, p.ledger.Mark(digest))
+}
+
+// announce sets a mark that was decided here. If the mark is new, it tells the other daemons, and
+// has a refusal written to the store. The caller holds the lock.
+func (p *poisonRegistry) announce(details *peerpb.Poisonous, mark poison.Mark) {
 	if !p.setMark(details, mark) {
 		return
 	}
-	p.h.opts.Log.Emit(event.PoisonMarked, digest, details.Account, details.Route, mark.String(), details.Servers)
+	p.h.opts.Log.Emit(event.PoisonMarked, details.GetDigest(), details.GetAccount(), details.GetRoute(), mark.String(), details.GetServers())
 	go p.broadcast(&peerpb.MarkedRequest{Request: details, Mark: peerpb.Mark(mark)})
 	if mark == poison.Refused {
-		p.pending[digest] = details
+		p.pending[details.GetDigest()] = details
 		p.wakeWriter()
 	}
 }
@@ -185,6 +224,9 @@
 	p.h.metrics.poisonMarks.WithLabelValues(mark.String()).Inc()
 	if mark == poison.Refused {
 		p.cancelRunning(digest)
+		if part := details.GetPart(); part != "" {
+			p.h.poisonParts.observeRefusal(part)
+		}
 	}
 	return true
 }
--- /dev/null
+++ b/serve/forward/poisonparts.go
@@ -0,0 +1,242 @@
+package forward
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/poison"
+	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/peer/peerpb"
+	"mallowwind.dev/telemetry/event"
+)
+
+const (
+	// maxToldCrashes bounds the crashes under prompts of this daemon that it repeats in its reports.
+	maxToldCrashes = 16
+	// partReviewInterval is the time until a part is reviewed again that more survivals may clear. It
+	// doubles up to maxPartReviewInterval.
+	partReviewInterval    = 300 * time.Millisecond
+	maxPartReviewInterval = 5 * time.Second
+	// partKeyPrefix begins the digest of a part, so that it differs from that of every request.
+	partKeyPrefix = "part-"
+)
+
+// partKey returns the digest under which a part of prompts is refused. The ID of a part is chosen by
+// a caller and may be no valid key.
+func partKey(part string) string {
+	sum := sha256.Sum256([]byte(part))
+	return partKeyPrefix + hex.EncodeToString(sum[:digestBytes])
+}
+
+// errPoisonPart refuses a prompt with a part that crashes servers. Retrying does not help, so there
+// is no Retry-After.
+func errPoisonPart(v verdict.Verdict, key string) error {
+	return verdict.New(v, verdict.CodePoison, "backend servers end when they answer prompts with one of its parts, so it is sent to none (%s)", key)
+}
+
+// poisonParts finds parts of prompts that crash the servers which begin to answer prompts with them.
+// Crashes are reported to the tracking daemons of the service. Before a part is refused, all daemons
+// are asked whether servers survived it; refusals are those of the poisonRegistry.
+type poisonParts struct {
+	h *Handler
+
+	mu        sync.Mutex // guards the fields below
+	survivals poison.Survivals
+	ledgers   map[string]*poison.PartLedger[routing.Incarnation] // by service
+	told      []toldCrash                                        // of this daemon's requests, oldest first
+	wakeup    chan struct{}                                      // holds a value when a review is due
+}
+
+// promptCrash is a crash under a prompt with shared parts.
+type promptCrash = poison.PromptCrash[routing.Incarnation]
+
+// partReport is the finding on a part.
+type partReport = poison.PartReport[routing.Incarnation]
+
+// toldCrash is a crash that this daemon has reported.
+type toldCrash struct {
+	service string
+	crash   promptCrash
+}
+
+func newPoisonParts(h *Handler) *poisonParts {
+	return &poisonParts{h: h, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{}, wakeup: make(chan struct{}, 1)}
+}
+
+// recordSurvival records that a server began to answer a request at a time and kept running.
+func (p *poisonParts) recordSurvival(in *inbound, begun time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.survivals.Record(poison.AnyPart, begun)
+	for _, part := range in.call.PromptParts {
+		p.survivals.Record(part, begun)
+	}
+}
+
+// recordCrash counts a server crash against the shared parts of a prompt, here and at the tracking
+// daemons. It reports whether one of the parts is suspect.
+func (p *poisonParts) recordCrash(ctx context.Context, in *inbound, server routing.Server, at time.Time) (suspect bool) {
+	if len(in.call.PromptParts) == 0 {
+		return false
+	}
+	crash := promptCrash{
+		Server: server.Incarnation(), Digest: in.digests[0], Parts: in.call.PromptParts, At: at, Account: in.accountName(), Route: in.routeName(),
+	}
+	p.mu.Lock()
+	p.told = append(p.told, toldCrash{server.Service, crash})
+	p.told = p.told[max(0, len(p.told)-maxToldCrashes):]
+	p.mu.Unlock()
+	suspect = p.record(server.Service, crash)
+	return p.report(ctx, server.Service) || suspect
+}
+
+// record counts a crash here and reports whether one of the prompt's parts is suspect.
+func (p *poisonParts) record(service string, crash promptCrash) (suspect bool) {
+	refused := slices.ContainsFunc(crash.Parts, p.isRefused)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ledger := p.ledger(service)
+	if refused {
+		ledger.ExplainServer(crash.Server, crash.At)
+		return true
+	}
+	for _, part := range append([]string{poison.AnyPart}, crash.Parts...) {
+		if begun, ok := p.survivals.Last(part); ok {
+			ledger.RecordSurvival(part, begun)
+		}
+	}
+	if ledger.RecordCrash(crash) {
+		wake(p.wakeup)
+	}
+	for _, r := range ledger.Assess(time.Now()) {
+		suspect = suspect || slices.Contains(crash.Parts, r.Part)
+	}
+	return suspect
+}
+
+// ledger returns the ledger of a service. The caller holds the lock.
+func (p *poisonParts) ledger(service string) *poison.PartLedger[routing.Incarnation] {
+	if p.ledgers[service] == nil {
+		p.ledgers[service] = &poison.PartLedger[routing.Incarnation]{}
+	}
+	return p.ledgers[service]
+}
+
+// isRefused reports whether prompts with a part are refused.
+func (p *poisonParts) isRefused(part string) bool { return p.h.poisonRegistry.isRefused(partKey(part)) }
+
+// questionable returns the reports on the parts of a service that crash servers unless servers
+// survived them meanwhile. The caller holds the lock.
+func (p *poisonParts) questionable(service string) []partReport {
+	reports := p.ledger(service).Assess(time.Now())
+	return slices.DeleteFunc(reports, func(r partReport) bool { return r.Finding < poison.PartPending })
+}
+
+// run reviews the services after crashes until ctx ends.
+func (p *poisonParts) run(ctx context.Context) {
+	interval := partReviewInterval
+	for {
+		select {
+		case <-p.wakeup:
+		case <-ctx.Done():
+			return
+		}
+		if !p.reviewAll() {
+			interval = partReviewInterval
+			continue
+		}
+		time.AfterFunc(interval, func() { wake(p.wakeup) })
+		interval = min(2*interval, maxPartReviewInterval)
+	}
+}
+
+// reviewAll reviews all services and reports whether a part is still in question.
+func (p *poisonParts) reviewAll() (pending bool) {
+	p.mu.Lock()
+	services := slices.Collect(maps.Keys(p.ledgers))
+	p.mu.Unlock()
+	for _, service := range services {
+		for p.reviewOnce(service) {
+		}
+		p.mu.Lock()
+		pending = pending || len(p.questionable(service)) > 0
+		p.mu.Unlock()
+	}
+	return pending
+}
+
+// reviewOnce asks all daemons for survivals of the parts of a service in question, and refuses the
+// one that most likely crashes its servers, unless servers survived it. It reports whether it refused
+// one.
+func (p *poisonParts) reviewOnce(service string) (refused bool) {
+	p.mu.Lock()
+	questionable := p.questionable(service)
+	p.mu.Unlock()
+	if len(questionable) == 0 {
+		return false
+	}
+	p.recordSurvivals(service, p.askSurvivals(questionable))
+	return p.refuseFirst(service)
+}
+
+// recordSurvivals records what other daemons know of survivals.
+func (p *poisonParts) recordSurvivals(service string, list []*peerpb.Survival) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range list {
+		if age := s.GetAgeMs(); age >= 0 && age < maxSurvivalAge.Milliseconds() {
+			p.ledger(service).RecordSurvival(s.GetPart(), now.Add(-time.Duration(age)*time.Millisecond))
+		}
+	}
+}
+
+// refuseFirst refuses the part of a service that most likely crashes its servers, and reports whether
+// there is one.
+func (p *poisonParts) refuseFirst(service string) bool {
+	p.mu.Lock()
+	reports := p.ledger(service).Assess(time.Now())
+	if len(reports) == 0 || reports[0].Finding != poison.PartCrashing {
+		p.mu.Unlock()
+		return false
+	}
+	found := reports[0]
+	p.ledger(service).Explain(found.Part)
+	p.forgetTold(found.Part)
+	p.mu.Unlock()
+	details := refusalOf(found)
+	p.h.opts.Log.Emit(event.PoisonPartFound, service, found.Part, details.GetDigest(), details.GetServers(), found.Requests, found.Survived, found.Last.Sub(found.First))
+	p.h.poisonRegistry.refuse(details)
+	return true
+}
+
+// refusalOf describes the refusal of a part.
+func refusalOf(r partReport) *peerpb.Poisonous {
+	d := &peerpb.Poisonous{Digest: partKey(r.Part), Part: r.Part, Account: r.Account, Route: r.Route}
+	for _, s := range r.Servers {
+		d.Servers = append(d.Servers, s.ID)
+	}
+	return d
+}
+
+// forgetTold drops the crashes that a refused part explains from later reports. The caller holds the
+// lock.
+func (p *poisonParts) forgetTold(part string) {
+	p.told = slices.DeleteFunc(p.told, func(t toldCrash) bool { return slices.Contains(t.crash.Parts, part) })
+}
+
+// observeRefusal applies the refusal of a part that another daemon found.
+func (p *poisonParts) observeRefusal(part string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ledger := range p.ledgers {
+		ledger.Explain(part)
+	}
+	p.forgetTold(part)
+}
--- a/serve/forward/poisonstore.go
+++ b/serve/forward/poisonstore.go
@@ -17,9 +17,12 @@
 const storeRetryInterval = time.Second
 
 // wakeWriter makes run write the pending entries.
-func (p *poisonRegistry) wakeWriter() {
+func (p *poisonRegistry) wakeWriter() { wake(p.wakeup) }
+
+// wake puts a value into a channel with a buffer of one, unless it holds one.
+func wake(c chan<- struct{}) {
 	select {
-	case p.wakeup <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -57,7 +60,7 @@
 	done := true
 	for _, request := range pending {
 		err := p.h.opts.Feed.AddRefused(ctx, feed.RefusedRequest{
-			Digest: request.GetDigest(), Account: request.GetAccount(), Route: request.GetRoute(), Servers: request.GetServers(),
+			Digest: request.GetDigest(), Part: request.GetPart(), Account: request.GetAccount(), Route: request.GetRoute(), Servers: request.GetServers(),
 		})
 		p.h.opts.Log.Emit(event.PoisonWritten, request.GetDigest(), err)
 		if err != nil && !errors.Is(err, feed.ErrTooManyRefused) {
--- a/serve/forward/refuse.go
+++ b/serve/forward/refuse.go
@@ -27,6 +27,8 @@
 		return http.StatusRequestEntityTooLarge
 	case verdict.CodeDeadlineExceeded:
 		return http.StatusGatewayTimeout
+	case verdict.CodePoison: // 503 would invite the caller to return
+		return http.StatusBadGateway
 	}
 	if e.Verdict == verdict.NotRun {
 		return http.StatusServiceUnavailable
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/external/sent"
@@ -36,6 +37,10 @@
 // errNotAuthentic means that a response lacks the proof that a server produced it.
 var errNotAuthentic = errors.New("forward: the response carries no proof of its server")
 
+// maxCrashCheck bounds the wait for the check whether a server crashed: some round trips to servers
+// and daemons, and short compared with a prefill.
+const maxCrashCheck = 100 * time.Millisecond
+
 // follow forwards the events of an attempt until its stream ends, fails, or continues at another
 // server.
 func (r *relay) follow(ctx context.Context, a *attempt) (segmentEnd, error) {
@@ -90,6 +95,7 @@
 		return end, err, true
 	}
 	a.markPrefilled()
+	a.recordSurvival(false)
 	a.recordNextEvent()
 	a.measurePace()
 	r.heldCopy = a.runCopy()
@@ -288,12 +294,38 @@
 	r.logSegment(a, end, err)
 	switch end {
 	case segmentBroken:
-		go r.h.checkForCrash(brokenSend{in: r.in, at: a.target, sentAt: a.sentAt, firstEventAt: a.firstEventAt, fromReplica: a.resumeFrom, err: err})
+		broken := brokenSend{in: r.in, at: a.target, sentAt: a.sentAt, firstEventAt: a.firstEventAt, fromReplica: a.resumeFrom, err: err}
+		go func() { a.crashCheck <- r.h.checkForCrash(broken) }()
 	case segmentComplete, segmentNonStream:
+		a.recordSurvival(true)
 		r.h.poisonRegistry.recordCompletion(r.in)
 	}
 }
 
+// isPromptSuspect reports whether the server of a broken attempt crashed when it began to answer and
+// a part of the prompt is suspect, according to a check that takes a few round trips.
+//
+// It guards against a prompt that crashes one server after the other, because each crash seems to be
+// the server's own fault.
+func (r *relay) isPromptSuspect(ctx context.Context, a *attempt) bool {
+	if len(r.in.call.PromptParts) == 0 || !a.firstEventAt.IsZero() && time.Since(a.firstEventAt) >= poison.CrashWindow {
+		return false
+	}
+	timer := time.NewTimer(maxCrashCheck)
+	defer timer.Stop()
+	select {
+	case suspect := <-a.crashCheck:
+		if suspect {
+			r.h.metrics.suspectPrompts.Inc()
+			r.h.opts.Log.Emit(event.PromptSuspect, r.in.call.ID, r.in.call.PromptKey, r.in.call.PromptParts, r.in.accountName(), a.target.server.ID)
+		}
+		return suspect
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 func (r *relay) logSegment(a *attempt, end segmentEnd, err error) {
 	l := a.segment
 	r.h.metrics.segments.WithLabelValues(l.target.reason, end.String()).Inc()
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -165,7 +165,7 @@
 		case segmentBroken:
 			r.recordLoss()
 			r.interrupted = r.headersSent
-			if r.replacement == nil && (r.cannotContinue || !r.canResume()) {
+			if r.replacement == nil && (r.cannotContinue || !r.canResume() || r.isPromptSuspect(ctx, a)) {
 				return r.giveUp(verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the answer broke off").WithCause(err))
 			}
 		}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -77,7 +77,9 @@
 	arrived       time.Time
 	// digests identify the request across the caller's attempts, the most specific first. They
 	// are empty until the body is read.
-	digests  []string
+	digests []string
+	// partKeys identify the shared parts of the prompt.
+	partKeys []string
 	deadline time.Time // by the timeout of the caller or of the route
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -48,6 +48,10 @@
 		"Another daemon marked a request because backend servers crashed while they ran it.", "digest", "account", "route", "mark", "servers")
 	PoisonCleared = define(241, "poison_cleared", logrus.InfoLevel,
 		"A request during which backend servers had crashed got a complete answer; its counted crashes are cleared.", "request", "digest")
+	PoisonPartFound = define(275, "poison_part_found", logrus.WarnLevel,
+		"This daemon found that a part of prompts crashes the servers that begin to answer them; prompts with it are refused under the digest from now on. servers crashed under requests different requests with it within span, and none kept running since. survived is set if servers were known to survive it before.", "service", "part", "digest", "servers", "requests", "survived", "span")
+	PromptSuspect = define(276, "prompt_suspect", logrus.InfoLevel,
+		"A request whose server crashed when it began to answer is not sent again: servers crashed under other requests with a part of its prompt.", "request", "prompt", "parts", "account", "backend")
 	PoisonWritten = define(242, "poison_written", logrus.InfoLevel,
 		"A refused request was written to the store, or the write failed.", "digest", "error")
 	ServerLimitChanged = define(243, "server_limit_changed", logrus.InfoLevel,
