serve/forward: an answer that ends with its connection is not complete if its server died

An answer, a stream too, may have neither a length nor chunks and end with its connection. A server that dies closes its connections as one does that has sent all: a stream cut between two events, or before the first, and a call's answer cut anywhere were passed on as complete, cleared the crashes counted against their requests and taught the pace of engines a short answer. Tunnels already tell a clean end from a break.

--- /dev/null
+++ b/serve/forward/closedelimited_test.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// respondUnframed answers with a body that has neither a length nor chunks. The body is what write
+// sends; the connection is closed after it.
+func respondUnframed(write func(send func(string), after int)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buf, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer conn.Close()
+		send := func(text string) {
+			_, _ = buf.WriteString(text)
+			_ = buf.Flush()
+		}
+		after, _ := strconv.Atoi(r.Header.Get(hAfter))
+		send(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: p\r\n%s: %s\r\nContent-Type: text/event-stream\r\n\r\n", hProof, hID, r.Header.Get(hID)))
+		write(send, after)
+	}
+}
+
+// unframedEvents sends the events up to last.
+func unframedEvents(last int) http.HandlerFunc {
+	return respondUnframed(func(send func(string), after int) {
+		for id := after + 1; id <= last; id++ {
+			send(events(id, id))
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
+
+// An answer without a length or chunks that ends with its connection must be taken for complete if
+// its server goes on, and be continued elsewhere if the server died or ended it inside an event.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first func(crash func()) http.HandlerFunc // of the first engine
+		runs  int                                 // that the answer takes
+	}{
+		{"whole", func(func()) http.HandlerFunc { return unframedEvents(20) }, 1},
+		{"inside an event", func(func()) http.HandlerFunc {
+			return respondUnframed(func(send func(string), _ int) { send(events(1, 7) + "id: 8\nda") })
+		}, 2},
+		{"inside an event, engine dies", func(crash func()) http.HandlerFunc {
+			return respondUnframed(func(send func(string), _ int) {
+				send(events(1, 7) + "id: 8\nda")
+				crash()
+			})
+		}, 2},
+		{"between events, engine dies", func(crash func()) http.HandlerFunc {
+			return respondUnframed(func(send func(string), _ int) {
+				send(events(1, 7))
+				crash()
+			})
+		}, 2},
+		{"before the first event, engine dies", func(crash func()) http.HandlerFunc {
+			return respondUnframed(func(func(string), int) { crash() })
+		}, 2},
+		{"before the first event", func(func()) http.HandlerFunc {
+			return respondUnframed(func(func(string), int) {})
+		}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, streamRoute(), func(w *testCluster) {
+				runs := 0
+				for _, id := range []string{"e1", "e2"} {
+					var s *fakeServer
+					s = w.add(id, "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+						if runs++; runs == 1 {
+							c.first(func() { w.crash(s) })(rw, r)
+							return
+						}
+						streamEvents(20, 0, 20*time.Millisecond)(rw, r)
+					})
+				}
+				got := w.request("POST", "/s/x", callerHeaders, "prompt")
+				must.NoError(t, got.err)
+				must.Eq(t, events(1, 20), got.body)
+				must.Eq(t, c.runs, runs)
+			})
+		})
+	}
+}
+
+// A call's answer without a length or chunks must not look complete if its server died at its end.
+func TestCallThatEndsWithItsConnection(t *testing.T) {
+	const long = 2 * bufferedResponseBytes
+	for _, c := range []struct {
+		name   string
+		path   string
+		body   string
+		dies   bool
+		status int // 0 if the answer is truncated
+	}{
+		{"whole", "/once/x", "answer", false, http.StatusOK},
+		{"server dies", "/once/x", "answer", true, http.StatusBadGateway},
+		{"idempotent, server dies", "/again/x", "answer", true, http.StatusOK},
+		{"long", "/once/x", strings.Repeat("a", long), false, http.StatusOK},
+		{"long, server dies", "/once/x", strings.Repeat("a", long), true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, plainRoutes(), func(w *testCluster) {
+				died := false
+				for _, id := range []string{"d1", "d2"} {
+					var s *fakeServer
+					s = w.add(id, "desk", "a", func(rw http.ResponseWriter, r *http.Request) {
+						respondUnframed(func(send func(string), _ int) {
+							send(c.body)
+							if c.dies && !died {
+								died = true
+								w.crash(s)
+							}
+						})(rw, r)
+					})
+				}
+				got := w.request("POST", c.path, callerHeaders, "")
+				if c.status == 0 {
+					must.Error(t, got.err)
+					return
+				}
+				must.NoError(t, got.err)
+				must.Eq(t, c.status, got.status)
+				if c.status == http.StatusOK {
+					must.Eq(t, c.body, got.body)
+				}
+			})
+		})
+	}
+}
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -26,7 +26,7 @@
 // isConnectionBroken reports whether err means that a server broke a connection on which a request
 // was sent.
 func isConnectionBroken(err error) bool {
-	for _, reason := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errRestarted} {
+	for _, reason := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errRestarted, errServerExited, errNoEvents} {
 		if errors.Is(err, reason) {
 			return true
 		}
