external/plain: part of a call's answer that ends with its connection is not taken for all of it

The same cause as in serve/forward, on the way of the product's own callers: a service that died at the end of an answer without a length or chunks had that part stored as the call's answer. The server is dialled once at the end of such an answer, and the call ends with may_have_run if it refuses. The check stands in external/sent, which serve/forward uses too.

--- a/external/plain/client.go
+++ b/external/plain/client.go
@@ -19,6 +19,7 @@
 // trip within the zone.
 type Client struct {
 	http             *http.Client
+	dial             sent.DialFunc
 	maxResponseBytes int64
 }
 
@@ -36,7 +37,7 @@
 		maxResponseBytes = DefaultMaxResponseBytes
 	}
 	hc := &http.Client{Transport: transport, CheckRedirect: sent.NoRedirect}
-	return &Client{http: hc, maxResponseBytes: maxResponseBytes}
+	return &Client{http: hc, dial: transport.DialContext, maxResponseBytes: maxResponseBytes}
 }
 
 // Do implements Caller. It returns a redirect as the response and does not follow it.
@@ -60,6 +61,10 @@
 	if err != nil {
 		return Response{}, errors.Wrapf(ErrNoResponse, "read response: %v", err)
 	}
+	// Part of an answer must not be taken for all of it.
+	if sent.IsCloseDelimited(resp) && sent.ProbeServer(ctx, c.dial, address) == sent.ServerExited {
+		return Response{}, errors.Wrap(ErrNoResponse, "the response ended with its connection, and the server has exited")
+	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/serve/forward/closedelimited.go
+++ b/serve/forward/closedelimited.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -15,12 +14,6 @@
 // errNoEvents means that a stream ended with its connection before its first event.
 var errNoEvents = errors.New("forward: the stream ended with its connection before its first event")
 
-// isCloseDelimited reports whether only the end of the connection shows where the body of a response
-// ends (RFC 9112, section 6.3).
-func isCloseDelimited(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // closeDelimitedBody is the body of a close-delimited response.
 //
 // It guards against a server that dies during its response: the connection then ends as it does
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -131,15 +131,14 @@
 func (h *Handler) processStateAt(address string) processState {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := h.dial(ctx, "tcp", address)
-	switch {
-	case err == nil:
-		conn.Close()
+	switch sent.ProbeServer(ctx, h.dial, address) {
+	case sent.ServerRuns:
 		return processAlive
-	case sent.IsTimeout(err):
-		return processUnknown
+	case sent.ServerExited:
+		return processExited
+	case sent.ServerUnknown:
 	}
-	return processExited
+	return processUnknown
 }
 
 // countExitedNearby dials other servers of the same zone and returns how many were dialed and how
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -87,7 +87,7 @@
 		return r.handleHead(ctx, a, *s.head)
 	}
 	switch {
-	case s.event.err == io.EOF && a.eventCount == 0 && r.lastEventID == 0 && isCloseDelimited(a.response):
+	case s.event.err == io.EOF && a.eventCount == 0 && r.lastEventID == 0 && sent.IsCloseDelimited(a.response):
 		end, err = r.handleFailure(ctx, a.segment, errNoEvents)
 		return end, err, true
 	case s.event.err == io.EOF:
