lab/soak: prompts that share a part which crashes servers, and answers that end with their connection

By turns the fault of a poison request sends different prompts with one part in common; every prompt has a part that all share, and a refusal for crashes of any other request is a violation. A fifth of the answers of the stand-ins ends with its connection.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/platform/wire"
 	"mallowwind.dev/serve/forward"
 )
@@ -68,6 +69,7 @@
 	resolvedAt  time.Time
 	kinds       []callKind // of its requests
 	requestName string     // used in the path and body of all requests; "" if each has its own
+	poisonPart  string     // shared part of all prompts, on which servers crash; "" if there is none
 	callerProfile
 }
 
@@ -167,7 +169,7 @@
 	parts := ""
 	tokens := c.harness.opts.Scenario.promptTokens(c.sent)
 	if kind.isStream() {
-		parts = fmt.Sprintf("%s:%d", part, tokens)
+		parts = c.promptParts(part, tokens)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+routePrefixes[kind]+name, bytes.NewReader([]byte(name)))
 	if err != nil {
@@ -193,6 +195,18 @@
 	}
 }
 
+// commonPart is a part that the prompts of all callers share.
+const commonPart = "common"
+
+// promptParts lists the parts of a prompt, the last of which is its own.
+func (c *caller) promptParts(own string, tokens int) string {
+	shared := commonPart + ":1,"
+	if c.poisonPart != "" {
+		shared += c.poisonPart + ":1,"
+	}
+	return fmt.Sprintf("%s%s:%d", shared, own, tokens)
+}
+
 // address returns the proxy in front of one of the daemons that the directory lists.
 func (c *caller) address(ctx context.Context) (string, error) {
 	if len(c.addresses) == 0 || time.Since(c.resolvedAt) > 2*time.Second {
@@ -254,6 +268,9 @@
 		if notRunStatuses[got.status] {
 			c.harness.checkRefusal(id, got.body)
 		}
+		if c.requestName == "" && c.poisonPart == "" && strings.Contains(got.body, string(verdict.CodePoison)) {
+			rec.recordViolation("%s crashes no server, but was refused as if it did", id)
+		}
 		return lastEventID
 	}
 	r, ok := rec.executionBySignature(got.signature)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -99,10 +99,10 @@
 	boundsSuspendedUntil time.Time            // time bounds are not checked before
 	burstCallersStarted  int                  // number of callers of bursts so far
 	poisonRequests       int                  // number of poison requests so far
-	// crashesByRequest counts the servers that crashed on each poison request.
-	crashesByRequest map[string]int
-	attempts         firstAttempts
-	restarts         sync.WaitGroup // servers that are about to restart
+	// crashesByName counts the servers that crashed on each poison request or part of prompts.
+	crashesByName map[string]int
+	attempts      firstAttempts
+	restarts      sync.WaitGroup // servers that are about to restart
 }
 
 // Run runs one scenario with one seed.
@@ -110,7 +110,7 @@
 	h := &harness{
 		opts: o, random: rand.New(rand.NewPCG(o.Seed, 7)), recorder: newRecorder(), memory: store.NewMemory(),
 		callerProxies: map[string]string{}, removedKeys: map[string]time.Time{}, activeService: "desk",
-		crashesByRequest: map[string]int{},
+		crashesByName: map[string]int{},
 	}
 	defer h.close()
 	if err := h.start(); err != nil {
--- a/lab/soak/process/poison.go
+++ b/lab/soak/process/poison.go
@@ -7,10 +7,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mallowwind.dev/platform/wire"
 )
 
 const (
-	// poisonPrefix begins the names of requests that crash the server that runs them.
+	// poisonPrefix begins the names of requests, and of parts of prompts, that crash the servers that
+	// run them.
 	poisonPrefix = "poison-"
 	// poisonInterval is the time between two attempts, poisonDuration the time over which they come.
 	poisonInterval = 150 * time.Millisecond
@@ -22,28 +25,38 @@
 	maxPoisonCrashes = 15
 )
 
-func isPoison(path string) bool { return strings.Contains(path, poisonPrefix) }
+func isPoison(name string) bool { return strings.HasPrefix(name, poisonPrefix) }
 
-// sendPoisonRequests sends a request that crashes its servers again and again, to all daemons.
+// sendPoisonRequests sends requests that crash their servers, to all daemons: the same request again
+// and again, or by turns different ones that share a part of their prompts.
 func (h *harness) sendPoisonRequests(ctx context.Context) {
 	h.mu.Lock()
 	h.poisonRequests++
 	name, kind := fmt.Sprintf("%s%d", poisonPrefix, h.poisonRequests), baseKinds[h.random.IntN(len(baseKinds))]
-	n := firstPoisonCaller + h.poisonRequests
+	n, sharesPart := firstPoisonCaller+h.poisonRequests, (h.opts.Seed+uint64(h.poisonRequests))%2 == 0
 	h.mu.Unlock()
+	if sharesPart {
+		kind = callResumable
+	}
 	var all sync.WaitGroup
 	for k := 0; time.Duration(k)*poisonInterval < poisonDuration && ctx.Err() == nil; k++ {
 		all.Go(func() {
 			c := h.newCaller(n)
 			defer c.http.CloseIdleConnections()
-			c.requestName, c.abandonRatio = name, 0
-			c.checkResponse(kind, fmt.Sprintf("%s-%d", name, k), name, 0, c.send(ctx, kind, fmt.Sprintf("%s-%d", name, k), name, 0))
+			c.abandonRatio = 0
+			id, own := fmt.Sprintf("%s-%d", name, k), name
+			if sharesPart {
+				c.poisonPart, own = name, id
+			} else {
+				c.requestName = name
+			}
+			c.checkResponse(kind, id, own, 0, c.send(ctx, kind, id, own, 0))
 		})
 		h.suspendBounds(ctx, poisonInterval)
 	}
 	all.Wait()
 	h.mu.Lock()
-	ends := h.crashesByRequest[name]
+	ends := h.crashesByName[name]
 	h.mu.Unlock()
 	if ends > maxPoisonCrashes {
 		h.recorder.recordViolation("%d servers crashed on %s", ends, name)
@@ -51,6 +64,20 @@
 	h.logFault("%s crashed %d servers", name, ends)
 }
 
+// poisonName returns the name of the poison request, or of the part of prompts, on which a server
+// crashes that runs a request; "" if there is none.
+func poisonName(r *http.Request) string {
+	for _, part := range wire.SharedPromptParts(r.Header) {
+		if isPoison(part) {
+			return part
+		}
+	}
+	if name := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]; isPoison(name) {
+		return name
+	}
+	return ""
+}
+
 // firstPoisonCaller is above the numbers of all other callers.
 const firstPoisonCaller = 1000
 
@@ -64,9 +91,8 @@
 		s.lifecycle.Unlock()
 		return false
 	}
-	name := r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
 	s.harness.mu.Lock()
-	s.harness.crashesByRequest[name]++
+	s.harness.crashesByName[poisonName(r)]++
 	s.harness.mu.Unlock()
 	s.harness.recorder.count("ended")
 	old := s.entry(false).ID
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -21,9 +21,15 @@
 const (
 	prefillTime = 150 * time.Millisecond
 	eventCount  = 60 // per response
-	serviceTime = 8 * time.Millisecond
+	// unframedRatio is the share of responses without a length or chunks, which end with their
+	// connection.
+	unframedRatio = 0.2
+	serviceTime   = 8 * time.Millisecond
 )
 
+// identityEncoding makes net/http send a body that ends with its connection.
+const identityEncoding = "identity"
+
 // server is a simulated backend server: a model engine or a plain service. Each start is a new
 // incarnation at the same address, under a new ID or the previous one.
 type server struct {
@@ -235,6 +241,9 @@
 	s.harness.checkRequest(e, key, r.URL.Path, s.service, arrivedAt, drainingSince, s.harness.recorder.startExecution(e.ID, exec))
 	wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, RateLimit: rateLimit, Leaving: s.checkLeaving(e.ID, sent)})
 	w.Header().Set(wire.SignatureHeader, exec.signature)
+	if rand.Float64() < unframedRatio {
+		w.Header().Set("Transfer-Encoding", identityEncoding)
+	}
 	if part != "" {
 		s.serveStream(w, r, e, part, sent.promptTokens, exec, shutdown)
 		return
@@ -267,7 +276,7 @@
 		panic(http.ErrAbortHandler)
 	case <-r.Context().Done():
 	}
-	if isPoison(r.URL.Path) && s.crashOnPoison(r) {
+	if poisonName(r) != "" && s.crashOnPoison(r) {
 		s.harness.recorder.finishExecution(exec, 0, "")
 		panic(http.ErrAbortHandler)
 	}
@@ -299,14 +308,14 @@
 		select {
 		case <-time.After(wait):
 		case <-shutdown:
-			if n%2 == 0 {
+			if n%2 == 0 || w.Header().Get("Transfer-Encoding") == identityEncoding {
 				fmt.Fprintf(w, "id: %d\nda", n) // ends in the middle of an event
 			}
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
-		if n == e.LastEventID+1 && isPoison(r.URL.Path) && s.crashOnPoison(r) {
+		if n == e.LastEventID+1 && poisonName(r) != "" && s.crashOnPoison(r) {
 			panic(http.ErrAbortHandler)
 		}
 		wait = s.stepDuration()
