decision/poison: parts that were always together are refused together

A part that crashes servers may stand before another that its caller has used in no other prompt so far: the crashes say the same of both, and refusing the wrong one would take the caller's later, sound prompts away for good, since a refused part cannot prove itself. Parts with the same evidence are now found together, and only prompts with all of them are refused; a prompt with one of them shows which it is. The refusal holds the list of parts; daemons look up the sets by their first part.

--- a/cmd/mallowctl/refused.go
+++ b/cmd/mallowctl/refused.go
@@ -73,16 +73,16 @@
 	}
 	for _, r := range list {
 		fmt.Fprintf(out, "%s  %s  account %s  route %s  by %s  servers %s%s\n",
-			r.Digest, r.At.UTC().Format(time.RFC3339), r.Account, r.Route, r.By, strings.Join(r.Servers, " "), partSuffix(r.Part))
+			r.Digest, r.At.UTC().Format(time.RFC3339), r.Account, r.Route, r.By, strings.Join(r.Servers, " "), partsSuffix(r.Parts))
 	}
 }
 
-// partSuffix names the part of prompts that is refused, if it is one and not a request.
-func partSuffix(part string) string {
-	if part == "" {
+// partsSuffix names the parts whose prompts are refused, if they are and not a request.
+func partsSuffix(parts []string) string {
+	if len(parts) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("  part %q", part)
+	return fmt.Sprintf("  prompts with %q", parts)
 }
 
 type refusedLiftCmd struct {
--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -22,15 +22,15 @@
 )
 
 // RefusedRequest is a request that is sent to no server because it crashes the servers that run it,
-// or all requests with a part in their prompts that does.
+// or all requests with some parts in their prompts.
 type RefusedRequest struct {
-	// Digest identifies the request across all its attempts, or the part; it is the end of the key.
+	// Digest identifies the request across all its attempts, or the parts; it is the end of the key.
 	Digest string `json:"digest"`
-	// Part is the ID of the part; "" for a single request. Account and Route are then those of one
-	// of the requests that crashed servers.
-	Part    string `json:"part,omitempty"`
-	Account string `json:"account,omitempty"`
-	Route   string `json:"route"`
+	// Parts are the IDs of the parts, and prompts with all of them are refused; empty for a single
+	// request. Account and Route are then those of one of the requests that crashed servers.
+	Parts   []string `json:"parts,omitempty"`
+	Account string   `json:"account,omitempty"`
+	Route   string   `json:"route"`
 	// Servers holds the ids of the servers that crashed while they ran it.
 	Servers []string `json:"servers"`
 	// By is the id of the daemon that wrote the entry, and At the time of the write.
--- a/decision/poison/partfleet_test.go
+++ b/decision/poison/partfleet_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -21,20 +22,23 @@
 	// between outages of 15 in 100 servers anywhere.
 	crashesPerSecond                        float64
 	zoneOutageInterval, shareOutageInterval time.Duration
+	// newRouteFrom is from when sound prompts with the part of another route come; 0 for never.
+	newRouteFrom time.Duration
 	// restartAt is when all daemons restart: what they know is lost, but for refusals.
 	restartAt time.Duration
 }
 
 // culprit is a part that crashes servers.
 type culprit struct {
-	parts    []string // of its prompts, before their own part; the last one crashes servers
+	parts    []string // of its prompts, before their own part
+	crashing string   // the part that crashes servers; "" for the last of parts
 	interval time.Duration
 	from     time.Duration
 	// soundBefore is set if prompts with the part crash nothing before from.
 	soundBefore bool
 }
 
-func (c culprit) part() string { return c.parts[len(c.parts)-1] }
+func (c culprit) part() string { return cmp.Or(c.crashing, c.parts[len(c.parts)-1]) }
 
 // partPrompt is a prompt in progress.
 type partPrompt struct {
@@ -48,6 +52,12 @@
 	survived       bool
 }
 
+// refusedParts are parts of which no prompt may have all, from when all daemons know.
+type refusedParts struct {
+	parts []string
+	from  time.Duration
+}
+
 type partSimulation struct {
 	partFleet
 	random       *rand.Rand
@@ -57,27 +67,29 @@
 	downUntil    []time.Duration
 	prompts      []*partPrompt
 	survivals    []Survivals
-	ledgers      []*PartLedger[[2]int]    // of the tracking daemons, which are the first ones
-	refused      map[string]time.Duration // when all daemons know
+	ledgers      []*PartLedger[[2]int] // of the tracking daemons, which are the first ones
+	refused      []refusedParts
 	sends        map[string][]time.Duration
 	crashes      map[string][]time.Duration
-	wrong        []string // parts refused that crash nothing
+	wrong        []string // refusals of prompts that crash nothing
 	sound        int
 	begun        int // sound prompts that servers began to answer
 	messages     int
+	soundRefused int // sound prompts refused for their parts
 }
 
 const (
 	partReadTime    = 1200 * time.Millisecond
 	partAnswerTime  = 4 * time.Second
 	partsPerSession = 5
+	newRoute        = "route5"
 	reviewInterval  = 50 * time.Millisecond
 )
 
 func (f partFleet) run(seed uint64) *partSimulation {
 	p := &partSimulation{
 		partFleet: f, random: rand.New(rand.NewPCG(seed, 0)), start: time.Unix(0, 0), ledgers: newPartLedgers(),
-		refused: map[string]time.Duration{}, sends: map[string][]time.Duration{}, crashes: map[string][]time.Duration{},
+		sends: map[string][]time.Duration{}, crashes: map[string][]time.Duration{},
 		survivals: make([]Survivals, f.daemons), incarnations: make([]int, f.servers), downUntil: make([]time.Duration, f.servers),
 	}
 	for n := 0; p.now < simDuration; p.now += step {
@@ -86,6 +98,9 @@
 			p.sound++
 			p.startPrompt(&partPrompt{digest: fmt.Sprint(n), parts: soundParts(n, p.random)})
 		}
+		if p.newRouteFrom > 0 && p.now >= p.newRouteFrom && p.now%(500*time.Millisecond) == 0 {
+			p.startPrompt(&partPrompt{digest: fmt.Sprint("new", p.now), parts: []string{newRoute}})
+		}
 		for i, c := range p.culprits {
 			if p.now%c.interval != 0 || p.now < c.from && !c.soundBefore {
 				continue
@@ -128,13 +143,15 @@
 }
 
 func (p *partSimulation) isRefused(s *partPrompt) bool {
-	return slices.ContainsFunc(s.parts, func(part string) bool {
-		from, refused := p.refused[part]
-		return refused && p.now >= from
+	return slices.ContainsFunc(p.refused, func(r refusedParts) bool {
+		return p.now >= r.from && ContainsAll(s.parts, r.parts)
 	})
 }
 
 func (p *partSimulation) send(s *partPrompt) bool {
+	if s.culprit == "" && p.isRefused(s) {
+		p.soundRefused++
+	}
 	if p.isRefused(s) || s.sendsLeft == 0 || s.crashes >= refuseThreshold {
 		return false
 	}
@@ -255,7 +272,7 @@
 		}
 		ledger.RecordCrash(PromptCrash[[2]int]{Server: [2]int{s.server, p.incarnations[s.server]}, Digest: s.digest, Parts: s.parts, At: p.at(p.now)})
 		for _, r := range ledger.Assess(p.at(p.now)) {
-			suspect = suspect || slices.Contains(s.parts, r.Part)
+			suspect = suspect || ContainsAll(s.parts, r.Parts)
 		}
 	}
 	return suspect
@@ -272,14 +289,16 @@
 				break
 			}
 			for _, r := range reports {
-				p.ask(ledger, r.Part)
+				for _, part := range r.Parts {
+					p.ask(ledger, part)
+				}
 			}
 			p.ask(ledger, AnyPart)
 			p.messages += p.daemons - 1
 			if reports = ledger.Assess(p.at(p.now)); len(reports) == 0 || reports[0].Finding != PartCrashing {
 				break
 			}
-			p.refuse(reports[0].Part)
+			p.refuse(reports[0].Parts)
 		}
 	}
 }
@@ -292,17 +311,14 @@
 	}
 }
 
-func (p *partSimulation) refuse(part string) {
+func (p *partSimulation) refuse(parts []string) {
 	for _, ledger := range p.ledgers {
-		ledger.Explain(part)
-	}
-	if _, known := p.refused[part]; known {
-		return
+		ledger.Explain(parts)
 	}
-	p.refused[part] = p.now + markDelay
+	p.refused = append(p.refused, refusedParts{parts, p.now + markDelay})
 	p.messages += p.daemons - 1
-	if !slices.ContainsFunc(p.culprits, func(c culprit) bool { return c.part() == part }) {
-		p.wrong = append(p.wrong, part)
+	if !slices.ContainsFunc(p.culprits, func(c culprit) bool { return slices.Contains(parts, c.part()) }) {
+		p.wrong = append(p.wrong, fmt.Sprint(parts))
 	}
 }
 
@@ -361,6 +377,9 @@
 		{"many at once", []culprit{{parts: []string{"route0", "bad"}, interval: 20 * time.Millisecond, from: 10 * time.Second}}, nil},
 		{"seldom", []culprit{{parts: []string{"route0", "bad"}, interval: 6 * time.Second, from: 2 * time.Second}}, nil},
 		{"in first place", []culprit{{parts: []string{"bad"}, interval: 300 * time.Millisecond, from: 10 * time.Second}}, nil},
+		{"in first place, before a new part that is sound", []culprit{{parts: []string{"bad", newRoute}, crashing: "bad", interval: 300 * time.Millisecond, from: 10 * time.Second}}, func(f *partFleet) {
+			f.newRouteFrom = 13 * time.Second
+		}},
 		{"two at once", []culprit{{parts: []string{"route0", "bad"}, interval: 300 * time.Millisecond, from: 10 * time.Second}, second}, nil},
 		{"sound before, all of a route", []culprit{{parts: []string{"route2"}, interval: 300 * time.Millisecond, from: 10 * time.Second, soundBefore: true}}, nil},
 		{"sound before, in the middle", []culprit{{parts: []string{"route0", "once"}, interval: 300 * time.Millisecond, from: 10 * time.Second, soundBefore: true}}, nil},
@@ -380,17 +399,19 @@
 				c.change(&f)
 			}
 			var wrong []string
-			late, crashes := 0, 0
+			late, crashes, soundRefused := 0, 0, 0
 			for seed := range uint64(20) {
 				p := f.run(seed)
 				wrong = append(wrong, p.wrong...)
+				soundRefused += p.soundRefused
 				for _, one := range c.culprits {
 					late, crashes = max(late, p.lateSends(one.part())), max(crashes, len(p.crashes[one.part()]))
 				}
 			}
-			t.Logf("%s, %d daemons: at most %d crashes, %d late sends; refused wrongly: %v", c.name, f.daemons, crashes, late, wrong)
+			t.Logf("%s, %d daemons: at most %d crashes, %d late sends; %d sound prompts refused; refused wrongly: %v", c.name, f.daemons, crashes, late, soundRefused, wrong)
 			must.LessEq(t, 3, late)
 			must.SliceEmpty(t, wrong)
+			must.Eq(t, 0, soundRefused)
 		}
 	}
 }
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -20,8 +21,9 @@
 // the sound requests that have it. A part is found to crash servers if several of them terminated
 // under several requests with it, at different moments, and none kept running since. A part that
 // servers have survived before takes more of them, and needs another prompt to survive meanwhile:
-// when all prompts fail, the cause is not a part. Terminations that a refused part explains count
-// against no other part.
+// when all prompts fail, the cause is not a part. Parts that were always together are found together,
+// and only prompts with all of them are refused: a prompt with one of them will show which it is.
+// Terminations that a refusal explains count against no other part.
 
 const (
 	// minCrashedRequests is how many different requests with a part must have crashed servers. A
@@ -98,16 +100,21 @@
 	return true
 }
 
-// Explain records that a part is refused: the servers that terminated under prompts with it no longer
-// count against any part.
-func (l *PartLedger[K]) Explain(part string) {
+// Explain records that prompts with all of some parts are refused: the servers that terminated under
+// them no longer count against any part.
+func (l *PartLedger[K]) Explain(parts []string) {
 	for _, c := range slices.Clone(l.crashes) {
-		if slices.Contains(c.Parts, part) {
+		if ContainsAll(c.Parts, parts) {
 			l.ExplainServer(c.Server, c.At)
 		}
 	}
 }
 
+// ContainsAll reports whether the parts of a prompt include all of some others.
+func ContainsAll(prompt, parts []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(prompt, part) })
+}
+
 // ExplainServer records that a termination counts against no part.
 func (l *PartLedger[K]) ExplainServer(server K, at time.Time) {
 	if l.explained == nil {
@@ -150,50 +157,83 @@
 	PartCrashing             // it crashes servers
 )
 
-// PartReport is the finding on one part with its reasons.
+// PartReport is the finding on parts that were always together, with its reasons.
 type PartReport[K comparable] struct {
-	Part    string
+	Parts   []string // in the order of the prompts
 	Finding PartFinding
-	// Survived is set if servers are known to have survived the part, before these terminations.
+	// Survived is set if servers are known to have survived the parts, before these terminations.
 	Survived bool
-	// Servers terminated under Requests different requests with the part, from First to Last.
+	// Servers terminated under Requests different requests with the parts, from First to Last.
 	Servers     []K
 	Requests    int
 	First, Last time.Time
 	// Account and Route are those of one of the requests.
 	Account, Route string
-	depth          int // position of the part in its prompts
+}
+
+// blame is what counts against one part.
+type blame struct {
+	crashes  []int // indices in the ledger
+	survived bool  // before the first of these terminations
 }
 
 // Assess returns the reports on all parts that are suspect or worse. The first one is the most likely
 // cause.
-func (l *PartLedger[K]) Assess(now time.Time) []PartReport[K] {
-	byPart := map[string]*PartReport[K]{}
-	requests := map[string]map[string]bool{}
+func (l *PartLedger[K]) Assess(now time.Time) (reports []PartReport[K]) {
+	blamed, order := l.blameParts()
+	byBlame := map[string]*PartReport[K]{}
+	for _, part := range order {
+		b := blamed[part]
+		key := fmt.Sprint(b.survived, b.crashes)
+		if r := byBlame[key]; r != nil {
+			r.Parts = append(r.Parts, part)
+			continue
+		}
+		byBlame[key] = l.report(now, part, b)
+	}
+	for _, r := range byBlame {
+		if r.Finding != PartClear {
+			reports = append(reports, *r)
+		}
+	}
+	slices.SortFunc(reports, PartReport[K].compare)
+	return reports
+}
+
+// blameParts returns what counts against each part, and the parts in the order of their prompts.
+func (l *PartLedger[K]) blameParts() (blamed map[string]*blame, order []string) {
+	blamed = map[string]*blame{}
 	for i, c := range l.crashes {
-		for depth, part := range c.Parts {
+		for _, part := range c.Parts {
 			survived, ok := l.survivals.Last(part)
 			if survived.After(c.At) || !isTypical(l.sameMomentAs(i), part) {
 				continue
 			}
-			r := byPart[part]
-			if r == nil {
-				r = &PartReport[K]{Part: part, Survived: ok, First: c.At, Last: c.At, Account: c.Account, Route: c.Route}
-				byPart[part], requests[part] = r, map[string]bool{}
+			if blamed[part] == nil {
+				blamed[part] = &blame{survived: ok}
+				order = append(order, part)
 			}
-			r.add(c, depth)
-			requests[part][c.Digest] = true
+			blamed[part].crashes = append(blamed[part].crashes, i)
 		}
 	}
-	var reports []PartReport[K]
-	for part, r := range byPart {
-		r.Requests = len(requests[part])
-		if r.Finding = l.finding(now, r); r.Finding != PartClear {
-			reports = append(reports, *r)
+	return blamed, order
+}
+
+// report returns the report on one part.
+func (l *PartLedger[K]) report(now time.Time, part string, b *blame) *PartReport[K] {
+	first, last := l.crashes[b.crashes[0]], l.crashes[b.crashes[len(b.crashes)-1]]
+	r := &PartReport[K]{Parts: []string{part}, Survived: b.survived, First: first.At, Last: last.At, Account: last.Account, Route: last.Route}
+	requests := map[string]bool{}
+	for _, i := range b.crashes {
+		c := l.crashes[i]
+		requests[c.Digest] = true
+		if !slices.Contains(r.Servers, c.Server) {
+			r.Servers = append(r.Servers, c.Server)
 		}
 	}
-	slices.SortFunc(reports, PartReport[K].compare)
-	return reports
+	r.Requests = len(requests)
+	r.Finding = l.finding(now, r)
+	return r
 }
 
 // sameMomentAs returns the terminations at the same moment as the ith one.
@@ -230,20 +270,6 @@
 	return 2*with >= len(servers)
 }
 
-// add counts one termination.
-func (r *PartReport[K]) add(c PromptCrash[K], depth int) {
-	if !slices.Contains(r.Servers, c.Server) {
-		r.Servers = append(r.Servers, c.Server)
-	}
-	if c.At.Before(r.First) {
-		r.First = c.At
-	}
-	if c.At.After(r.Last) {
-		r.Last = c.At
-	}
-	r.depth = max(r.depth, depth)
-}
-
 // finding decides on one part.
 func (l *PartLedger[K]) finding(now time.Time, r *PartReport[K]) PartFinding {
 	crashes, span, suspect := minCrashes, minCrashSpan, suspectCrashes
@@ -267,15 +293,15 @@
 	return ok && last.After(since)
 }
 
-// compare orders reports by how likely the part is the cause: a part that no server is known to have
-// survived first, then the one with more terminations, then the one that fewer prompts share.
+// compare orders reports by how likely their parts are the cause: parts that no server is known to have
+// survived first, then those with more terminations, then those that fewer requests have.
 func (r PartReport[K]) compare(other PartReport[K]) int {
 	return cmp.Or(
 		-cmp.Compare(r.Finding, other.Finding),
 		compareBool(r.Survived, other.Survived),
 		-cmp.Compare(len(r.Servers), len(other.Servers)),
-		-cmp.Compare(r.depth, other.depth),
-		cmp.Compare(r.Part, other.Part),
+		cmp.Compare(r.Requests, other.Requests),
+		slices.Compare(r.Parts, other.Parts),
 	)
 }
 
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 
 func (p *partTest) finding(now time.Duration, part string) PartFinding {
 	for _, r := range p.ledger.Assess(p.at(now)) {
-		if r.Part == part {
+		if slices.Contains(r.Parts, part) {
 			return r.Finding
 		}
 	}
@@ -99,7 +100,7 @@
 				p.crash(time.Duration(n)*s, fmt.Sprint(n), fmt.Sprint("bad", n), "z", "bad")
 				p.crash(time.Duration(n)*s, fmt.Sprint(n), fmt.Sprint("sound", n), "z", "x")
 			}
-			p.ledger.Explain("bad")
+			p.ledger.Explain([]string{"bad"})
 			must.False(t, p.crash(6*s, "5", "late", "x"))
 		}, 9 * s, PartClear},
 		{"crashes of long ago", func(p *partTest) {
@@ -127,7 +128,7 @@
 	for _, c := range []struct {
 		name string
 		play func(*partTest)
-		want string
+		want []string
 	}{
 		{"common part survived before", func(p *partTest) {
 			p.survive(-time.Second, "common")
@@ -135,12 +136,12 @@
 				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "common", "bad")
 			}
 			p.survive(time.Second, "other")
-		}, "bad"},
+		}, []string{"bad"}},
 		{"first part, middle parts differ", func(p *partTest) {
 			for n := range 4 {
 				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "bad", fmt.Sprint("m", n%2))
 			}
-		}, "bad"},
+		}, []string{"bad"}},
 		{"rare parts of bystanders", func(p *partTest) {
 			for n := range 4 {
 				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "common", "bad")
@@ -148,13 +149,24 @@
 					p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint("by", n), "common2", "session")
 				}
 			}
-		}, "bad"},
+		}, []string{"common", "bad"}},
+		{"new common part, bystanders", func(p *partTest) {
+			for n := range 4 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "common", "bad")
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint("by", n), "common")
+			}
+		}, []string{"bad"}},
+		{"always together", func(p *partTest) {
+			for n := range 4 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "bad", "common", fmt.Sprint("m", n%2))
+			}
+		}, []string{"bad", "common"}},
 	} {
 		p := &partTest{start: time.Now()}
 		c.play(p)
 		reports := p.ledger.Assess(p.at(10 * time.Second))
 		must.Eq(t, PartCrashing, reports[0].Finding, must.Sprint(c.name))
-		must.Eq(t, c.want, reports[0].Part, must.Sprint(c.name))
+		must.Eq(t, c.want, reports[0].Parts, must.Sprint(c.name))
 		p.ledger.Explain(c.want)
 		must.SliceEmpty(t, p.ledger.Assess(p.at(10*time.Second)), must.Sprint(c.name))
 	}
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -51,9 +51,6 @@
 		return in, err
 	}
 	in.digests = digests(in)
-	for _, part := range call.PromptParts {
-		in.partKeys = append(in.partKeys, partKey(part))
-	}
 	return in, nil
 }
 
--- a/serve/forward/poison.go
+++ b/serve/forward/poison.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,18 +24,34 @@
 	view    *feed.View // last view processed
 	ledger  poison.CrashCounter[routing.Incarnation]
 	marks   poison.Marks
-	running map[string]map[*activeRequest]bool // by digest
+	running map[string]map[*activeRequest]bool // by runningKeys
+	parts   map[string]partSets                // of refused prompts, by the first part
 	details map[string]*peerpb.Poisonous       // of requests with a mark or with crashes counted here
 	pending map[string]*peerpb.Poisonous       // not written to the store yet
 	wakeup  chan struct{}                      // holds a value when entries are pending
 }
 
 // activeRequest is one request in progress.
-type activeRequest struct{ cancel context.CancelCauseFunc }
+type activeRequest struct {
+	parts  []string // shared parts of its prompt
+	cancel context.CancelCauseFunc
+}
+
+// partKeyPrefix begins the keys of parts of prompts, so that they differ from the digests of requests.
+const partKeyPrefix = "part-"
+
+// runningKeys returns the keys under which a request in progress is found.
+func runningKeys(in *inbound) []string {
+	keys := slices.Clone(in.digests)
+	for _, part := range in.call.PromptParts {
+		keys = append(keys, partKeyPrefix+part)
+	}
+	return keys
+}
 
 func newPoisonRegistry(h *Handler) *poisonRegistry {
 	return &poisonRegistry{
-		h: h, view: &feed.View{}, running: map[string]map[*activeRequest]bool{}, details: map[string]*peerpb.Poisonous{},
+		h: h, view: &feed.View{}, running: map[string]map[*activeRequest]bool{}, parts: map[string]partSets{}, details: map[string]*peerpb.Poisonous{},
 		pending: map[string]*peerpb.Poisonous{}, wakeup: make(chan struct{}, 1),
 	}
 }
@@ -59,15 +74,13 @@
 			return ctx, nil, errPoison(digest)
 		}
 	}
-	for _, key := range in.partKeys {
-		if p.mark(key) == poison.Refused {
-			p.h.metrics.poisonRefusals.Inc()
-			return ctx, nil, errPoisonPart(verdict.NotRun, key)
-		}
+	if digest, refused := p.refusedFor(in.call.PromptParts); refused {
+		p.h.metrics.poisonRefusals.Inc()
+		return ctx, nil, errPoisonParts(verdict.NotRun, digest)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	request := &activeRequest{cancel}
-	keys := slices.Concat(in.digests, in.partKeys)
+	request := &activeRequest{in.call.PromptParts, cancel}
+	keys := runningKeys(in)
 	for _, digest := range keys {
 		if p.running[digest] == nil {
 			p.running[digest] = map[*activeRequest]bool{}
@@ -98,44 +111,29 @@
 		return
 	}
 	for digest, request := range view.Refused {
-		if _, known := p.view.Refused[digest]; !known && request.Part != "" {
-			p.h.poisonParts.observeRefusal(request.Part)
+		if _, known := p.view.Refused[digest]; !known {
+			p.addParts(digest, request.Parts)
 		}
 		p.marks.Delete(digest)
 		p.ledger.Clear(digest)
 		delete(p.details, digest)
-		p.cancelRunning(digest)
+		p.cancelRunning(digest, request.Parts)
 	}
 	p.view = view
+	p.pruneParts()
 }
 
-// cancelRunning cancels the attempts of a request that are in progress.
-func (p *poisonRegistry) cancelRunning(digest string) {
-	reason := errPoison(digest)
-	if strings.HasPrefix(digest, partKeyPrefix) {
-		reason = errPoisonPart(verdict.MayHaveRun, digest)
-	}
-	for request := range p.running[digest] {
-		request.cancel(reason)
+// cancelRunning cancels the attempts of a request that are in progress, or of all prompts with the
+// given parts.
+func (p *poisonRegistry) cancelRunning(digest string, parts []string) {
+	key, reason := digest, errPoison(digest)
+	if len(parts) > 0 {
+		key, reason = partKeyPrefix+parts[0], errPoisonParts(verdict.MayHaveRun, digest)
 	}
-}
-
-// isRefused reports whether a request, or a part of prompts by its key, is refused.
-func (p *poisonRegistry) isRefused(digest string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.syncView(p.h.opts.Feed.View())
-	return p.mark(digest) == poison.Refused
-}
-
-// refuse refuses a part of prompts, tells all other daemons and writes the refusal to the store.
-func (p *poisonRegistry) refuse(details *peerpb.Poisonous) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.syncView(p.h.opts.Feed.View())
-	if !p.isStored(details.GetDigest()) {
-		p.details[details.GetDigest()] = details
-		p.announce(details, poison.Refused)
+	for request := range p.running[key] {
+		if poison.ContainsAll(request.parts, parts) {
+			request.cancel(reason)
+		}
 	}
 }
 
@@ -223,10 +221,8 @@
 	}
 	p.h.metrics.poisonMarks.WithLabelValues(mark.String()).Inc()
 	if mark == poison.Refused {
-		p.cancelRunning(digest)
-		if part := details.GetPart(); part != "" {
-			p.h.poisonParts.observeRefusal(part)
-		}
+		p.cancelRunning(digest, details.GetParts())
+		p.addParts(digest, details.GetParts())
 	}
 	return true
 }
--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"maps"
 	"slices"
 	"sync"
@@ -11,7 +9,6 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
-	"mallowwind.dev/decision/verdict"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
 )
@@ -23,26 +20,11 @@
 	// doubles up to maxPartReviewInterval.
 	partReviewInterval    = 300 * time.Millisecond
 	maxPartReviewInterval = 5 * time.Second
-	// partKeyPrefix begins the digest of a part, so that it differs from that of every request.
-	partKeyPrefix = "part-"
 )
 
-// partKey returns the digest under which a part of prompts is refused. The ID of a part is chosen by
-// a caller and may be no valid key.
-func partKey(part string) string {
-	sum := sha256.Sum256([]byte(part))
-	return partKeyPrefix + hex.EncodeToString(sum[:digestBytes])
-}
-
-// errPoisonPart refuses a prompt with a part that crashes servers. Retrying does not help, so there
-// is no Retry-After.
-func errPoisonPart(v verdict.Verdict, key string) error {
-	return verdict.New(v, verdict.CodePoison, "backend servers end when they answer prompts with one of its parts, so it is sent to none (%s)", key)
-}
-
 // poisonParts finds parts of prompts that crash the servers which begin to answer prompts with them.
-// Crashes are reported to the tracking daemons of the service. Before a part is refused, all daemons
-// are asked whether servers survived it; refusals are those of the poisonRegistry.
+// Crashes are reported to the tracking daemons of the service. Before prompts with a part are refused,
+// all daemons are asked whether servers survived it. Refusals are those of the poisonRegistry.
 type poisonParts struct {
 	h *Handler
 
@@ -98,7 +80,7 @@
 
 // record counts a crash here and reports whether one of the prompt's parts is suspect.
 func (p *poisonParts) record(service string, crash promptCrash) (suspect bool) {
-	refused := slices.ContainsFunc(crash.Parts, p.isRefused)
+	refused := p.h.poisonRegistry.isPromptRefused(crash.Parts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ledger := p.ledger(service)
@@ -115,7 +97,7 @@
 		wake(p.wakeup)
 	}
 	for _, r := range ledger.Assess(time.Now()) {
-		suspect = suspect || slices.Contains(crash.Parts, r.Part)
+		suspect = suspect || poison.ContainsAll(crash.Parts, r.Parts)
 	}
 	return suspect
 }
@@ -128,9 +110,6 @@
 	return p.ledgers[service]
 }
 
-// isRefused reports whether prompts with a part are refused.
-func (p *poisonParts) isRefused(part string) bool { return p.h.poisonRegistry.isRefused(partKey(part)) }
-
 // questionable returns the reports on the parts of a service that crash servers unless servers
 // survived them meanwhile. The caller holds the lock.
 func (p *poisonParts) questionable(service string) []partReport {
@@ -197,8 +176,8 @@
 	}
 }
 
-// refuseFirst refuses the part of a service that most likely crashes its servers, and reports whether
-// there is one.
+// refuseFirst refuses prompts with the parts that most likely crash the servers of a service, and
+// reports whether there are any.
 func (p *poisonParts) refuseFirst(service string) bool {
 	p.mu.Lock()
 	reports := p.ledger(service).Assess(time.Now())
@@ -207,36 +186,35 @@
 		return false
 	}
 	found := reports[0]
-	p.ledger(service).Explain(found.Part)
-	p.forgetTold(found.Part)
+	p.ledger(service).Explain(found.Parts)
+	p.forgetTold(found.Parts)
 	p.mu.Unlock()
 	details := refusalOf(found)
-	p.h.opts.Log.Emit(event.PoisonPartFound, service, found.Part, details.GetDigest(), details.GetServers(), found.Requests, found.Survived, found.Last.Sub(found.First))
+	p.h.opts.Log.Emit(event.PoisonPartFound, service, found.Parts, details.GetDigest(), details.GetServers(), found.Requests, found.Survived, found.Last.Sub(found.First))
 	p.h.poisonRegistry.refuse(details)
 	return true
 }
 
-// refusalOf describes the refusal of a part.
+// refusalOf describes the refusal of prompts with the parts of a report.
 func refusalOf(r partReport) *peerpb.Poisonous {
-	d := &peerpb.Poisonous{Digest: partKey(r.Part), Part: r.Part, Account: r.Account, Route: r.Route}
+	d := &peerpb.Poisonous{Digest: partsDigest(r.Parts), Parts: r.Parts, Account: r.Account, Route: r.Route}
 	for _, s := range r.Servers {
 		d.Servers = append(d.Servers, s.ID)
 	}
 	return d
 }
 
-// forgetTold drops the crashes that a refused part explains from later reports. The caller holds the
-// lock.
-func (p *poisonParts) forgetTold(part string) {
-	p.told = slices.DeleteFunc(p.told, func(t toldCrash) bool { return slices.Contains(t.crash.Parts, part) })
+// forgetTold drops the crashes that a refusal explains from later reports. The caller holds the lock.
+func (p *poisonParts) forgetTold(parts []string) {
+	p.told = slices.DeleteFunc(p.told, func(t toldCrash) bool { return poison.ContainsAll(t.crash.Parts, parts) })
 }
 
-// observeRefusal applies the refusal of a part that another daemon found.
-func (p *poisonParts) observeRefusal(part string) {
+// observeRefusal applies a refusal that this or another daemon has decided.
+func (p *poisonParts) observeRefusal(parts []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, ledger := range p.ledgers {
-		ledger.Explain(part)
+		ledger.Explain(parts)
 	}
-	p.forgetTold(part)
+	p.forgetTold(parts)
 }
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -80,7 +80,7 @@
 func (p *poisonParts) askSurvivals(questionable []partReport) []*peerpb.Survival {
 	parts := []string{poison.AnyPart}
 	for _, r := range questionable {
-		parts = append(parts, r.Part)
+		parts = append(parts, r.Parts...)
 	}
 	p.mu.Lock()
 	answers := p.knownSurvivals(time.Now(), parts)
--- a/serve/forward/poisonstore.go
+++ b/serve/forward/poisonstore.go
@@ -60,7 +60,7 @@
 	done := true
 	for _, request := range pending {
 		err := p.h.opts.Feed.AddRefused(ctx, feed.RefusedRequest{
-			Digest: request.GetDigest(), Part: request.GetPart(), Account: request.GetAccount(), Route: request.GetRoute(), Servers: request.GetServers(),
+			Digest: request.GetDigest(), Parts: request.GetParts(), Account: request.GetAccount(), Route: request.GetRoute(), Servers: request.GetServers(),
 		})
 		p.h.opts.Log.Emit(event.PoisonWritten, request.GetDigest(), err)
 		if err != nil && !errors.Is(err, feed.ErrTooManyRefused) {
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -77,9 +77,7 @@
 	arrived       time.Time
 	// digests identify the request across the caller's attempts, the most specific first. They
 	// are empty until the body is read.
-	digests []string
-	// partKeys identify the shared parts of the prompt.
-	partKeys []string
+	digests  []string
 	deadline time.Time // by the timeout of the caller or of the route
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -49,7 +49,7 @@
 	PoisonCleared = define(241, "poison_cleared", logrus.InfoLevel,
 		"A request during which backend servers had crashed got a complete answer; its counted crashes are cleared.", "request", "digest")
 	PoisonPartFound = define(275, "poison_part_found", logrus.WarnLevel,
-		"This daemon found that a part of prompts crashes the servers that begin to answer them; prompts with it are refused under the digest from now on. servers crashed under requests different requests with it within span, and none kept running since. survived is set if servers were known to survive it before.", "service", "part", "digest", "servers", "requests", "survived", "span")
+		"This daemon found that a part of prompts crashes the servers that begin to answer them. parts has more than one if they were always together. Prompts with all of them are refused under the digest from now on. servers crashed under requests different requests with them within span, and none kept running since. survived is set if servers were known to survive them before.", "service", "parts", "digest", "servers", "requests", "survived", "span")
 	PromptSuspect = define(276, "prompt_suspect", logrus.InfoLevel,
 		"A request whose server crashed when it began to answer is not sent again: servers crashed under other requests with a part of its prompt.", "request", "prompt", "parts", "account", "backend")
 	PoisonWritten = define(242, "poison_written", logrus.InfoLevel,
