decision/poison, serve/forward: crashes of one failure cost a tracker one look, not one each

When a zone or a region fails, each daemon loses many answers at their beginning at once. Reports of a service now go one at a time, with all crashes known by then; a tracker assesses once a report and walks along the ledger once.

--- a/decision/poison/partfleet_test.go
+++ b/decision/poison/partfleet_test.go
@@ -83,7 +83,9 @@
 	partAnswerTime  = 4 * time.Second
 	partsPerSession = 5
 	newRoute        = "route5"
-	reviewInterval  = 50 * time.Millisecond
+	// maxMessageRate bounds the messages per second and daemon while servers fail.
+	maxMessageRate = 1.0
+	reviewInterval = 50 * time.Millisecond
 )
 
 func (f partFleet) run(seed uint64) *partSimulation {
@@ -361,6 +363,7 @@
 		}
 		t.Logf("%d daemons: refused wrongly in %d runs: %v; %d messages a run", f.daemons, seeds, wrong, messages/int(seeds))
 		must.SliceEmpty(t, wrong)
+		must.LessEq(t, maxMessageRate*simDuration.Seconds()*float64(f.daemons), float64(messages/int(seeds)))
 	}
 }
 
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -203,10 +203,12 @@
 // blameParts returns what counts against each part, and the parts in the order of their prompts.
 func (l *PartLedger[K]) blameParts() (blamed map[string]*blame, order []string) {
 	blamed = map[string]*blame{}
+	m := newMoment[K]()
 	for i, c := range l.crashes {
+		m.moveTo(l.crashes, i)
 		for _, part := range c.Parts {
 			survived, ok := l.survivals.Last(part)
-			if survived.After(c.At) || !isTypical(l.sameMomentAs(i), part) {
+			if survived.After(c.At) || !m.isTypical(part) {
 				continue
 			}
 			if blamed[part] == nil {
@@ -236,40 +238,6 @@
 	return r
 }
 
-// sameMomentAs returns the terminations at the same moment as the ith one.
-func (l *PartLedger[K]) sameMomentAs(i int) []PromptCrash[K] {
-	first, last := i, i
-	for first > 0 && l.crashes[i].At.Sub(l.crashes[first-1].At) <= sameMoment {
-		first--
-	}
-	for last+1 < len(l.crashes) && l.crashes[last+1].At.Sub(l.crashes[i].At) <= sameMoment {
-		last++
-	}
-	return l.crashes[first : last+1]
-}
-
-// isTypical reports whether at least half of the servers that terminated at the same moment had a
-// prompt with a part.
-//
-// It guards against a failure of many servers at once, such as that of a switch: each prompt that
-// had begun at one of them seems to have crashed it.
-func isTypical[K comparable](moment []PromptCrash[K], part string) bool {
-	if len(moment) == 1 {
-		return true
-	}
-	servers := map[K]bool{} // whether one of the server's prompts has the part
-	for _, c := range moment {
-		servers[c.Server] = servers[c.Server] || slices.Contains(c.Parts, part)
-	}
-	with := 0
-	for _, has := range servers {
-		if has {
-			with++
-		}
-	}
-	return 2*with >= len(servers)
-}
-
 // finding decides on one part.
 func (l *PartLedger[K]) finding(now time.Time, r *PartReport[K]) PartFinding {
 	crashes, span, suspect := minCrashes, minCrashSpan, suspectCrashes
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -200,3 +200,14 @@
 	last, _ := s.Last("often")
 	must.True(t, last.After(now))
 }
+
+// BenchmarkAssess assesses a full ledger whose servers terminated in the same second.
+func BenchmarkAssess(b *testing.B) {
+	p := &partTest{start: time.Now()}
+	for n := range maxPromptCrashes {
+		p.crash(time.Duration(n)*2*time.Millisecond, fmt.Sprint(n), fmt.Sprint(n), "route", fmt.Sprint("session", n/3), fmt.Sprint("part", n))
+	}
+	for b.Loop() {
+		p.ledger.Assess(p.at(time.Minute))
+	}
+}
--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -32,7 +32,10 @@
 	survivals poison.Survivals
 	ledgers   map[string]*poison.PartLedger[routing.Incarnation] // by service
 	told      []toldCrash                                        // of this daemon's requests, oldest first
-	wakeup    chan struct{}                                      // holds a value when a review is due
+	// crashCount counts the crashes ever added to told.
+	crashCount uint64
+	reports    map[string]*crashReport // by service
+	wakeup     chan struct{}           // holds a value when a review is due
 }
 
 // promptCrash is a crash under a prompt with shared parts.
@@ -48,7 +51,7 @@
 }
 
 func newPoisonParts(h *Handler) *poisonParts {
-	return &poisonParts{h: h, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{}, wakeup: make(chan struct{}, 1)}
+	return &poisonParts{h: h, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{}, reports: map[string]*crashReport{}, wakeup: make(chan struct{}, 1)}
 }
 
 // recordSurvival records that a server began to answer a request at a time and kept running.
@@ -73,35 +76,51 @@
 	p.mu.Lock()
 	p.told = append(p.told, toldCrash{server.Service, crash})
 	p.told = p.told[max(0, len(p.told)-maxToldCrashes):]
+	p.crashCount++
+	count := p.crashCount
 	p.mu.Unlock()
-	suspect = p.record(server.Service, crash)
-	return p.report(ctx, server.Service) || suspect
+	local := p.record(server.Service, []promptCrash{crash})
+	return local[0] || p.reportOf(server.Service).suspects(ctx, p, count, crash.Digest)
 }
 
-// record counts a crash here and reports whether one of the prompt's parts is suspect.
-func (p *poisonParts) record(service string, crash promptCrash) (suspect bool) {
-	refused := p.h.poisonRegistry.isPromptRefused(crash.Parts)
+// record counts crashes here and reports of each whether one of the prompt's parts is suspect, or the
+// prompt refused.
+func (p *poisonParts) record(service string, crashes []promptCrash) (suspect []bool) {
+	suspect = make([]bool, len(crashes))
+	for i, c := range crashes {
+		suspect[i] = p.h.poisonRegistry.isPromptRefused(c.Parts)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ledger := p.ledger(service)
-	if refused {
-		ledger.ExplainServer(crash.Server, crash.At)
-		return true
-	}
-	for _, part := range append([]string{poison.AnyPart}, crash.Parts...) {
-		if begun, ok := p.survivals.Last(part); ok {
-			ledger.RecordSurvival(part, begun)
+	ledger, added := p.ledger(service), false
+	for i, c := range crashes {
+		if suspect[i] {
+			ledger.ExplainServer(c.Server, c.At)
+			continue
 		}
+		p.addSurvivals(ledger, c.Parts)
+		added = ledger.RecordCrash(c) || added
 	}
-	if ledger.RecordCrash(crash) {
+	if added {
 		wake(p.wakeup)
 	}
-	for _, r := range ledger.Assess(time.Now()) {
-		suspect = suspect || poison.ContainsAll(crash.Parts, r.Parts)
+	reports := ledger.Assess(time.Now())
+	for i, c := range crashes {
+		isSuspect := func(r partReport) bool { return poison.ContainsAll(c.Parts, r.Parts) }
+		suspect[i] = suspect[i] || slices.ContainsFunc(reports, isSuspect)
 	}
 	return suspect
 }
 
+// addSurvivals adds what this daemon has seen of parts to a ledger. The caller holds the lock.
+func (p *poisonParts) addSurvivals(ledger *poison.PartLedger[routing.Incarnation], parts []string) {
+	for _, part := range append([]string{poison.AnyPart}, parts...) {
+		if begun, ok := p.survivals.Last(part); ok {
+			ledger.RecordSurvival(part, begun)
+		}
+	}
+}
+
 // ledger returns the ledger of a service. The caller holds the lock.
 func (p *poisonParts) ledger(service string) *poison.PartLedger[routing.Incarnation] {
 	if p.ledgers[service] == nil {
@@ -110,6 +129,16 @@
 	return p.ledgers[service]
 }
 
+// reportOf returns the reports on a service.
+func (p *poisonParts) reportOf(service string) *crashReport {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reports[service] == nil {
+		p.reports[service] = &crashReport{service: service}
+	}
+	return p.reports[service]
+}
+
 // questionable returns the reports on the parts of a service that crash servers unless servers
 // survived them meanwhile. The caller holds the lock.
 func (p *poisonParts) questionable(service string) []partReport {
--- /dev/null
+++ b/serve/forward/poisonparts_test.go
@@ -0,0 +1,34 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/peer/peerpb"
+)
+
+// A report of another daemon with implausible entries must neither fail nor count them, and its other
+// entries must count.
+func TestImplausibleCrashReport(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		prompt := func(n int, ageMS int64, parts ...string) *peerpb.EndedPrompt {
+			return &peerpb.EndedPrompt{Request: &peerpb.EndedRequest{Digest: fmt.Sprint("r", n), Server: fmt.Sprint("s", n)}, Parts: parts, AgeMs: ageMS}
+		}
+		many := make([]string, maxPromptParts+1)
+		for i := range many {
+			many[i] = fmt.Sprint("m", i)
+		}
+		service := poisonService{w.handler.poisonRegistry}
+		reply, err := service.PromptsEnded(t.Context(), &peerpb.PromptsEndedRequest{
+			Service: "llm",
+			Prompts: []*peerpb.EndedPrompt{
+				prompt(1, 2000, "x"), prompt(2, -5, "x"), prompt(3, 1<<50, "x"), prompt(4, 0, many...), nil, prompt(5, 0), prompt(6, 0, "x"),
+			},
+			Survivals: []*peerpb.Survival{{Part: "x", AgeMs: -1}, {Part: "x", AgeMs: 1 << 60}, nil},
+		})
+		must.NoError(t, err)
+		must.Eq(t, []bool{true, false, false, false, false, false, true}, reply.GetSuspect())
+	})
+}
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,37 +21,66 @@
 	maxConcurrentQuestions = 128
 )
 
-// report tells the tracking daemons of a service the crashes under this daemon's prompts, and when
-// servers survived their parts. It reports whether one of them finds the newest prompt suspect.
-func (p *poisonParts) report(ctx context.Context, service string) (suspect bool) {
+// crashReport sends the reports on the crashes of one service, one at a time: crashes that become known
+// meanwhile are in the next one together. Without that a daemon would send a report for each of the
+// many answers that it loses with a zone.
+type crashReport struct {
+	service string
+
+	mu      sync.Mutex      // held while a report is sent; guards the fields below
+	through uint64          // poisonParts.crashCount at the last report
+	suspect map[string]bool // digests of the requests that trackers found suspect then
+}
+
+// suspects reports whether a tracking daemon finds a request suspect, after a report that includes the
+// crash with the given count.
+func (c *crashReport) suspects(ctx context.Context, p *poisonParts, count uint64, digest string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.through < count {
+		c.send(ctx, p)
+	}
+	return c.suspect[digest]
+}
+
+// send tells the tracking daemons the crashes under this daemon's prompts, and when servers survived
+// their parts.
+func (c *crashReport) send(ctx context.Context, p *poisonParts) {
+	var q *peerpb.PromptsEndedRequest
+	q, c.through = p.newReport(c.service)
+	c.suspect = map[string]bool{}
 	if p.h.peers.dialer == nil {
-		return false
+		return
 	}
-	q := p.crashReport(service)
 	vms, hashes := routing.Serving(p.h.opts.Feed.View().VMs)
-	var found atomic.Bool
+	var mu sync.Mutex // guards c.suspect
 	var wg sync.WaitGroup
-	for _, i := range rendezvous.Select(xxhash.Sum64String(service), hashes, poisonTrackers) {
+	for _, i := range rendezvous.Select(xxhash.Sum64String(c.service), hashes, poisonTrackers) {
 		if vms[i].ID == p.h.opts.Self.ID {
 			continue
 		}
 		wg.Go(func() {
 			reply, err := callPeer(ctx, p.h.peers, vms[i], peerpb.NewPoisonProtobufClient, peerpb.Poison.PromptsEnded, q, poisonTimeout)
-			if err == nil && reply.GetSuspect() {
-				found.Store(true)
+			if err != nil {
+				return // logged by recordResult
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for n, suspect := range reply.GetSuspect()[:min(len(reply.GetSuspect()), len(q.GetPrompts()))] {
+				digest := q.GetPrompts()[n].GetRequest().GetDigest()
+				c.suspect[digest] = c.suspect[digest] || suspect
 			}
 		})
 	}
 	wg.Wait()
-	return found.Load()
 }
 
-// crashReport returns the report on a service; the newest crash is the last one.
-func (p *poisonParts) crashReport(service string) *peerpb.PromptsEndedRequest {
+// newReport returns a report on a service, and the crashCount that it covers.
+func (p *poisonParts) newReport(service string) (q *peerpb.PromptsEndedRequest, through uint64) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q := &peerpb.PromptsEndedRequest{Service: service}
+	q = &peerpb.PromptsEndedRequest{Service: service}
 	parts := []string{poison.AnyPart}
 	for _, t := range p.told {
 		if t.service == service {
@@ -61,7 +89,7 @@
 		}
 	}
 	q.Survivals = p.knownSurvivals(now, parts)
-	return q
+	return q, p.crashCount
 }
 
 // knownSurvivals returns the survivals of parts that this daemon has seen. The caller holds the lock.
@@ -128,16 +156,21 @@
 	}, true
 }
 
-// PromptsEnded implements peerpb.Poison.
+// PromptsEnded implements peerpb.Poison. A prompt that is not plausible is skipped.
 func (t poisonService) PromptsEnded(_ context.Context, q *peerpb.PromptsEndedRequest) (*peerpb.PromptsEndedReply, error) {
 	p, now := t.p.h.poisonParts, time.Now()
 	p.recordSurvivals(q.GetService(), q.GetSurvivals())
-	reply := &peerpb.PromptsEndedReply{}
-	for _, prompt := range q.GetPrompts() {
+	var crashes []promptCrash
+	var indices []int // in the request
+	for i, prompt := range q.GetPrompts() {
 		if crash, ok := promptCrashOf(now, prompt); ok {
-			reply.Suspect = p.record(q.GetService(), crash)
+			crashes, indices = append(crashes, crash), append(indices, i)
 		}
 	}
+	reply := &peerpb.PromptsEndedReply{Suspect: make([]bool, len(q.GetPrompts()))}
+	for i, suspect := range p.record(q.GetService(), crashes) {
+		reply.Suspect[indices[i]] = suspect
+	}
 	return reply, nil
 }
 
