decision/poison: no part is taken for new while no survival is known

After a restart of all daemons nobody has seen any part survived, so the part of a whole route looked like one that no engine ever survived, and three crashes of single engines in the next second would have been enough to refuse the route. Such a fleet now asks for five engines and the wait for survivals.

--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -21,7 +21,8 @@
 // the sound requests that have it. A part is found to crash servers if several of them terminated
 // under several requests with it, at different moments, and none kept running since. A part that
 // servers have survived before takes more of them, and needs another prompt to survive meanwhile:
-// when all prompts fail, the cause is not a part. Parts that were always together are found together,
+// when all prompts fail, the cause is not a part. It takes more as well while no survival of any part
+// is known, since every part seems new then. Parts that were always together are found together,
 // and only prompts with all of them are refused: a prompt with one of them will show which it is.
 // Terminations that a refusal explains count against no other part.
 
@@ -241,7 +242,8 @@
 // finding decides on one part.
 func (l *PartLedger[K]) finding(now time.Time, r *PartReport[K]) PartFinding {
 	crashes, span, suspect := minCrashes, minCrashSpan, suspectCrashes
-	if r.Survived {
+	_, informed := l.survivals.Last(AnyPart) // not after all daemons have restarted
+	if r.Survived || !informed {
 		crashes, span, suspect = minCrashesSurvived, minCrashSpanSurvived, suspectCrashesSurvived
 	}
 	switch {
@@ -249,7 +251,7 @@
 		return PartClear
 	case r.Requests < minCrashedRequests || len(r.Servers) < crashes || r.Last.Sub(r.First) < span:
 		return PartSuspect
-	case r.Survived && (now.Sub(r.First) < span+survivalDelay || !l.anySurvived(r.First)):
+	case (r.Survived || !informed) && now.Sub(r.First) < span+survivalDelay, r.Survived && !l.anySurvived(r.First):
 		return PartPending
 	}
 	return PartCrashing
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -27,6 +27,9 @@
 	}
 }
 
+// forget drops all survivals.
+func (p *partTest) forget() { p.ledger.survivals = Survivals{} }
+
 func (p *partTest) finding(now time.Duration, part string) PartFinding {
 	for _, r := range p.ledger.Assess(p.at(now)) {
 		if slices.Contains(r.Parts, part) {
@@ -50,6 +53,14 @@
 				p.crash(time.Duration(n)*s, fmt.Sprint(n), "r", "x")
 			}
 		}, 9 * s, PartClear},
+		{"three requests, no survival of anything is known", func(p *partTest) {
+			p.forget()
+			p.crashServers(3, s, "x")
+		}, 9 * s, PartClear},
+		{"five servers, no survival of anything is known", func(p *partTest) {
+			p.forget()
+			p.crashServers(5, s, "x")
+		}, 9 * s, PartCrashing},
 		{"two requests", func(p *partTest) {
 			p.crash(0, "a", "r1", "x")
 			p.crash(s, "b", "r2", "x")
@@ -110,6 +121,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := &partTest{start: time.Now()}
+			p.survive(-time.Hour, "other")
 			c.play(p)
 			must.Eq(t, c.want, p.finding(c.now, "x"))
 		})
@@ -163,6 +175,7 @@
 		}, []string{"bad", "common"}},
 	} {
 		p := &partTest{start: time.Now()}
+		p.survive(-time.Hour, "other")
 		c.play(p)
 		reports := p.ledger.Assess(p.at(10 * time.Second))
 		must.Eq(t, PartCrashing, reports[0].Finding, must.Sprint(c.name))
@@ -174,6 +187,7 @@
 
 func TestPartLedgerIsBounded(t *testing.T) {
 	p := &partTest{start: time.Now()}
+	p.survive(0, "other")
 	for n := range 4 * maxPromptCrashes {
 		p.crash(time.Duration(n)*time.Millisecond, fmt.Sprint(n), fmt.Sprint(n), "x")
 	}
