serve/forward: a new crash starts the interval of reviews anew

A part in question is reviewed at intervals that double up to five seconds; after a long wait for survivals the review after a new crash came up to five seconds late. The timer and the crash are told apart now.

--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -17,7 +17,7 @@
 	// maxToldCrashes bounds the crashes under prompts of this daemon that it repeats in its reports.
 	maxToldCrashes = 16
 	// partReviewInterval is the time until a part is reviewed again that more survivals may clear. It
-	// doubles up to maxPartReviewInterval.
+	// doubles up to maxPartReviewInterval, until a server crashes again.
 	partReviewInterval    = 300 * time.Millisecond
 	maxPartReviewInterval = 5 * time.Second
 )
@@ -149,18 +149,20 @@
 // run reviews the services after crashes until ctx ends.
 func (p *poisonParts) run(ctx context.Context) {
 	interval := partReviewInterval
+	again := time.NewTimer(maxPartReviewInterval)
+	defer again.Stop()
 	for {
 		select {
 		case <-p.wakeup:
+			interval = partReviewInterval
+		case <-again.C:
+			interval = min(2*interval, maxPartReviewInterval)
 		case <-ctx.Done():
 			return
 		}
-		if !p.reviewAll() {
-			interval = partReviewInterval
-			continue
+		if p.reviewAll() {
+			again.Reset(interval)
 		}
-		time.AfterFunc(interval, func() { wake(p.wakeup) })
-		interval = min(2*interval, maxPartReviewInterval)
 	}
 }
 
