serve/forward: a call of another service is no survival of a prompt

The guards of a part that servers have survived before ask whether anything survives meanwhile, and those of a fleet that has just started whether any survival is known. Every complete answer counted as one, so lookups of a plain service spoke for engines that crashed on every prompt, and a common part could have been refused in such an outage. TestCallsAreNoSurvivalsOfPrompts failed before.

--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -54,8 +54,12 @@
 	return &poisonParts{h: h, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{}, reports: map[string]*crashReport{}, wakeup: make(chan struct{}, 1)}
 }
 
-// recordSurvival records that a server began to answer a request at a time and kept running.
+// recordSurvival records that a server began to answer a request at a time and kept running. Requests
+// without shared parts, such as calls of other services, show nothing of the servers of prompts.
 func (p *poisonParts) recordSurvival(in *inbound, begun time.Time) {
+	if len(in.call.PromptParts) == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.survivals.Record(poison.AnyPart, begun)
--- a/serve/forward/poisonparts_test.go
+++ b/serve/forward/poisonparts_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/peer/peerpb"
 )
 
@@ -32,3 +34,18 @@
 		must.Eq(t, []bool{true, false, false, false, false, false, true}, reply.GetSuspect())
 	})
 }
+
+// Calls of other services must not pass for prompts that servers survived: a part would be refused
+// although no prompt at all survives.
+func TestCallsAreNoSurvivalsOfPrompts(t *testing.T) {
+	withTestCluster(t, plainRoutes(), func(w *testCluster) {
+		w.add("d1", "desk", "a", respondProven("answer"))
+		must.Eq(t, 200, w.request("POST", "/again/x", callerHeaders, "").status)
+		parts := w.handler.poisonParts
+		_, known := parts.survivals.Last(poison.AnyPart)
+		must.False(t, known)
+		parts.recordSurvival(&inbound{call: Call{PromptParts: []string{"a"}}}, time.Now())
+		_, known = parts.survivals.Last(poison.AnyPart)
+		must.True(t, known)
+	})
+}
