serve/forward: survivals of parts are kept by service; a crash check may take 200 ms

The same part may crash the engines of one service and not those of another with a different model: a survival at the other would have cleared it for good. Survivals are kept, reported and asked for by service; refusals hold for all, since a part that crashes engines somewhere is not worth an engine.

In the record the check of a broken connection took 53 to 102 ms, more than the 100 ms that a request whose engine crashed waits for it. It may wait 200 ms now; a prompt takes about a second to read.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -173,7 +173,7 @@
 		return
 	}
 	a.survivalRecorded = true
-	a.r.h.poisonParts.recordSurvival(a.r.in, a.firstEventAt)
+	a.r.h.poisonParts.recordSurvival(a.r.in, a.target.server.Service, a.firstEventAt)
 }
 
 // runCopy returns the incremental copy of the run that another engine should hold.
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -304,7 +304,7 @@
 	h.pool.recordSuccess(c)
 	if o.hasResponse() {
 		h.poisonRegistry.recordCompletion(in)
-		h.poisonParts.recordSurvival(in, started)
+		h.poisonParts.recordSurvival(in, c.server.Service, started)
 	}
 	return o
 }
--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -28,8 +28,8 @@
 type poisonParts struct {
 	h *Handler
 
-	mu        sync.Mutex // guards the fields below
-	survivals poison.Survivals
+	mu        sync.Mutex                                         // guards the fields below
+	survivals map[string]*poison.Survivals                       // seen by this daemon, by service
 	ledgers   map[string]*poison.PartLedger[routing.Incarnation] // by service
 	told      []toldCrash                                        // of this daemon's requests, oldest first
 	// crashCount counts the crashes ever added to told.
@@ -51,21 +51,33 @@
 }
 
 func newPoisonParts(h *Handler) *poisonParts {
-	return &poisonParts{h: h, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{}, reports: map[string]*crashReport{}, wakeup: make(chan struct{}, 1)}
+	return &poisonParts{
+		h: h, survivals: map[string]*poison.Survivals{}, ledgers: map[string]*poison.PartLedger[routing.Incarnation]{},
+		reports: map[string]*crashReport{}, wakeup: make(chan struct{}, 1),
+	}
 }
 
-// recordSurvival records that a server began to answer a request at a time and kept running. Requests
-// without shared parts, such as calls of other services, show nothing of the servers of prompts.
-func (p *poisonParts) recordSurvival(in *inbound, begun time.Time) {
+// recordSurvival records that a server of a service began to answer a request at a time and kept
+// running. Requests without shared parts show nothing of the servers' state with prompts.
+func (p *poisonParts) recordSurvival(in *inbound, service string, begun time.Time) {
 	if len(in.call.PromptParts) == 0 {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.survivals.Record(poison.AnyPart, begun)
+	survivals := p.survivalsOf(service)
+	survivals.Record(poison.AnyPart, begun)
 	for _, part := range in.call.PromptParts {
-		p.survivals.Record(part, begun)
+		survivals.Record(part, begun)
+	}
+}
+
+// survivalsOf returns the survivals of parts at the servers of a service. The caller holds the lock.
+func (p *poisonParts) survivalsOf(service string) *poison.Survivals {
+	if p.survivals[service] == nil {
+		p.survivals[service] = &poison.Survivals{}
 	}
+	return p.survivals[service]
 }
 
 // recordCrash counts a server crash against the shared parts of a prompt, here and at the tracking
@@ -102,7 +114,7 @@
 			ledger.ExplainServer(c.Server, c.At)
 			continue
 		}
-		p.addSurvivals(ledger, c.Parts)
+		p.addSurvivals(service, c.Parts)
 		added = ledger.RecordCrash(c) || added
 	}
 	if added {
@@ -116,11 +128,12 @@
 	return suspect
 }
 
-// addSurvivals adds what this daemon has seen of parts to a ledger. The caller holds the lock.
-func (p *poisonParts) addSurvivals(ledger *poison.PartLedger[routing.Incarnation], parts []string) {
+// addSurvivals adds what this daemon has seen of parts to the ledger of a service. The caller holds
+// the lock.
+func (p *poisonParts) addSurvivals(service string, parts []string) {
 	for _, part := range append([]string{poison.AnyPart}, parts...) {
-		if begun, ok := p.survivals.Last(part); ok {
-			ledger.RecordSurvival(part, begun)
+		if begun, ok := p.survivalsOf(service).Last(part); ok {
+			p.ledger(service).RecordSurvival(part, begun)
 		}
 	}
 }
@@ -195,7 +208,7 @@
 	if len(questionable) == 0 {
 		return false
 	}
-	p.recordSurvivals(service, p.askSurvivals(questionable))
+	p.recordSurvivals(service, p.askSurvivals(service, questionable))
 	return p.refuseFirst(service)
 }
 
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -88,15 +88,16 @@
 			parts = append(parts, t.crash.Parts...)
 		}
 	}
-	q.Survivals = p.knownSurvivals(now, parts)
+	q.Survivals = p.knownSurvivals(now, service, parts)
 	return q, p.crashCount
 }
 
-// knownSurvivals returns the survivals of parts that this daemon has seen. The caller holds the lock.
-func (p *poisonParts) knownSurvivals(now time.Time, parts []string) (list []*peerpb.Survival) {
+// knownSurvivals returns the survivals of parts at the servers of a service that this daemon has seen.
+// The caller holds the lock.
+func (p *poisonParts) knownSurvivals(now time.Time, service string, parts []string) (list []*peerpb.Survival) {
 	seen := map[string]bool{}
 	for _, part := range parts {
-		if begun, ok := p.survivals.Last(part); ok && !seen[part] {
+		if begun, ok := p.survivalsOf(service).Last(part); ok && !seen[part] {
 			seen[part] = true
 			list = append(list, &peerpb.Survival{Part: part, AgeMs: now.Sub(begun).Milliseconds()})
 		}
@@ -104,14 +105,14 @@
 	return list
 }
 
-// askSurvivals asks all other daemons when servers last survived the parts in question.
-func (p *poisonParts) askSurvivals(questionable []partReport) []*peerpb.Survival {
+// askSurvivals asks all other daemons when servers of a service last survived the parts in question.
+func (p *poisonParts) askSurvivals(service string, questionable []partReport) []*peerpb.Survival {
 	parts := []string{poison.AnyPart}
 	for _, r := range questionable {
 		parts = append(parts, r.Parts...)
 	}
 	p.mu.Lock()
-	answers := p.knownSurvivals(time.Now(), parts)
+	answers := p.knownSurvivals(time.Now(), service, parts)
 	p.mu.Unlock()
 	if p.h.peers.dialer == nil {
 		return answers
@@ -123,7 +124,7 @@
 	group.SetLimit(maxConcurrentQuestions)
 	for _, vm := range routing.Peers(p.h.opts.Feed.View().VMs, p.h.opts.Self.ID) {
 		group.Go(func() error {
-			reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Survivals, &peerpb.SurvivalsRequest{Parts: parts}, poisonTimeout)
+			reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Survivals, &peerpb.SurvivalsRequest{Service: service, Parts: parts}, poisonTimeout)
 			if err != nil {
 				return nil // logged by recordResult
 			}
@@ -179,5 +180,5 @@
 	p := t.p.h.poisonParts
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &peerpb.SurvivalsReply{Survivals: p.knownSurvivals(time.Now(), q.GetParts())}, nil
+	return &peerpb.SurvivalsReply{Survivals: p.knownSurvivals(time.Now(), q.GetService(), q.GetParts())}, nil
 }
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -39,7 +39,7 @@
 
 // maxCrashCheck bounds the wait for the check whether a server crashed: some round trips to servers
 // and daemons, and short compared with a prefill.
-const maxCrashCheck = 100 * time.Millisecond
+const maxCrashCheck = 200 * time.Millisecond
 
 // follow forwards the events of an attempt until its stream ends, fails, or continues at another
 // server.
