--- a/serve/forward/promptparts_test.go
+++ b/serve/forward/promptparts_test.go
@@ -36,3 +36,21 @@
 	must.LessEq(t, maxPromptParts, len(shared))
 	must.Eq(t, "last", own)
 }
+
+// FuzzParsePromptParts checks that the list of a caller, whatever it holds, gives a bounded number of
+// distinct parts.
+func FuzzParsePromptParts(f *testing.F) {
+	for _, list := range []string{"", ",", "a:1,b:2,c:3", "a:,:,::,a", strings.Repeat("x,", 100)} {
+		f.Add(list)
+	}
+	f.Fuzz(func(t *testing.T, list string) {
+		shared, own := ParsePromptParts(list)
+		must.LessEq(t, maxPromptParts, len(shared))
+		must.False(t, strings.ContainsAny(own, ",:"))
+		seen := map[string]bool{"": true}
+		for _, part := range shared {
+			must.False(t, seen[part] || strings.ContainsAny(part, ",:"))
+			seen[part] = true
+		}
+	})
+}
