serve/forward: a daemon that suspects a part itself reports the crash all the same

The report to the trackers was skipped as soon as the daemon's own ledger found a part suspect, so the fleet needed further crashes at other daemons (since 'crashes of one failure cost a tracker one look'). TestDaemonReportsCrashesOfSuspectPart failed before.

--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -96,7 +96,8 @@
 	count := p.crashCount
 	p.mu.Unlock()
 	local := p.record(server.Service, []promptCrash{crash})
-	return local[0] || p.reportOf(server.Service).suspects(ctx, p, count, crash.Digest)
+	reported := p.reportOf(server.Service).suspects(ctx, p, count, crash.Digest)
+	return local[0] || reported
 }
 
 // record counts crashes here and reports of each whether one of the prompt's parts is suspect, or the
--- a/serve/gateway/poisonpart_test.go
+++ b/serve/gateway/poisonpart_test.go
@@ -266,3 +266,23 @@
 		l.checkCrashingPart("bad")
 	})
 }
+
+// A daemon that suspects a part by the crashes of its own prompts must report them all the same:
+// otherwise the fleet learns of the part only after crashes at other daemons.
+func TestDaemonReportsCrashesOfSuspectPart(t *testing.T) {
+	for first := range 7 {
+		withFleet(t, 7, func(f *fleet) {
+			f.startServers("llm", 24)
+			f.setCrashParts("bad")
+			for n, daemon := range []int{first, first, (first + 1) % 7} {
+				own := fmt.Sprint("own", n)
+				f.sendPrompt(daemon, "/stream/"+own, "common,bad,"+own, own)
+				time.Sleep(2 * time.Second)
+			}
+			before := len(f.arrivalsWith("bad"))
+			got := f.sendPrompt((first+2)%7, "/stream/last", "common,bad,last", "last")
+			must.StrContains(t, got.body, string(verdict.CodePoison))
+			must.Eq(t, before, len(f.arrivalsWith("bad")))
+		})
+	}
+}
