--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -46,33 +46,46 @@
 // send tells the tracking daemons the crashes under this daemon's prompts, and when servers survived
 // their parts.
 func (c *crashReport) send(ctx context.Context, p *poisonParts) {
-	var q *peerpb.PromptsEndedRequest
-	q, c.through = p.newReport(c.service)
-	c.suspect = map[string]bool{}
+	report, through := p.newReport(c.service)
+	c.through, c.suspect = through, map[string]bool{}
+	for _, reply := range p.tellTrackers(ctx, report) {
+		c.addReply(report, reply)
+	}
+}
+
+// addReply adds the requests that a tracking daemon finds suspect.
+func (c *crashReport) addReply(report *peerpb.PromptsEndedRequest, reply *peerpb.PromptsEndedReply) {
+	for i, prompt := range report.GetPrompts() {
+		if i < len(reply.GetSuspect()) && reply.GetSuspect()[i] {
+			c.suspect[prompt.GetRequest().GetDigest()] = true
+		}
+	}
+}
+
+// tellTrackers sends a report to the tracking daemons of its service and returns their replies.
+func (p *poisonParts) tellTrackers(ctx context.Context, report *peerpb.PromptsEndedRequest) (replies []*peerpb.PromptsEndedReply) {
 	if p.h.peers.dialer == nil {
-		return
+		return nil
 	}
 	vms, hashes := routing.Serving(p.h.opts.Feed.View().VMs)
-	var mu sync.Mutex // guards c.suspect
+	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, i := range rendezvous.Select(xxhash.Sum64String(c.service), hashes, poisonTrackers) {
+	for _, i := range rendezvous.Select(xxhash.Sum64String(report.GetService()), hashes, poisonTrackers) {
 		if vms[i].ID == p.h.opts.Self.ID {
 			continue
 		}
 		wg.Go(func() {
-			reply, err := callPeer(ctx, p.h.peers, vms[i], peerpb.NewPoisonProtobufClient, peerpb.Poison.PromptsEnded, q, poisonTimeout)
+			reply, err := callPeer(ctx, p.h.peers, vms[i], peerpb.NewPoisonProtobufClient, peerpb.Poison.PromptsEnded, report, poisonTimeout)
 			if err != nil {
-				return // logged by recordResult
+				return // logged by recordResult; the next report repeats the crashes
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			for n, suspect := range reply.GetSuspect()[:min(len(reply.GetSuspect()), len(q.GetPrompts()))] {
-				digest := q.GetPrompts()[n].GetRequest().GetDigest()
-				c.suspect[digest] = c.suspect[digest] || suspect
-			}
+			replies = append(replies, reply)
 		})
 	}
 	wg.Wait()
+	return replies
 }
 
 // newReport returns a report on a service, and the crashCount that it covers.
