decision/poison: while nothing survives, a narrower part is the cause before a common one

Played again with logs (one of five plays beside 25 busy processes): of one engine that ended only bystanders reported, the culprit's daemon was late, and before the first survival nothing clears the common part, so it had more engines against it than the culprit.

While no prompt survives, a part now counts as clear as long as one that only some of its prompts have accounts for a third of its engines, so that bystanders are not held for it either; parts that the narrower one's crashes have in common are refused only together with it.

TestCommonPartIsNotRefusedForMissingReports failed before (common refused by itself).

--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -22,7 +22,8 @@
 // under several requests with it, at different moments, and none kept running since. A part that
 // servers have survived before takes more of them, and needs another prompt to survive meanwhile:
 // when all prompts fail, the cause is not a part. It takes more as well while no survival of any part
-// is known, since every part seems new then. Parts that were always together are found together,
+// is known, since every part seems new then. While nothing survives, a part that many prompts share
+// counts as clear as long as a narrower one accounts for a third of its terminations. Parts that were always together are found together,
 // and only prompts with all of them are refused: a prompt with one of them will show which it is.
 // Terminations that a refusal explains count against no other part.
 
@@ -50,6 +51,8 @@
 	suspectRequests        = 2
 	suspectCrashes         = 2
 	suspectCrashesSurvived = minCrashesSurvived - 1
+	// minNarrowerShare is the divisor of a part's servers that a narrower cause must account for.
+	minNarrowerShare = 3
 	// clearedRetention is how long a termination is kept that counts against no part.
 	clearedRetention = 5 * time.Second
 	// maxPromptCrashes bounds the terminations kept for parts of prompts.
@@ -160,7 +163,7 @@
 
 // PartReport is the finding on parts that were always together, with its reasons.
 type PartReport[K comparable] struct {
-	Parts   []string // in the order of the prompts
+	Parts   []string
 	Finding PartFinding
 	// Survived is set if servers are known to have survived the parts, before these terminations.
 	Survived bool
@@ -170,35 +173,46 @@
 	First, Last time.Time
 	// Account and Route are those of one of the requests.
 	Account, Route string
-}
-
-// blame is what counts against one part.
-type blame struct {
-	crashes  []int // indices in the ledger
-	survived bool  // before the first of these terminations
+	crashes        []int // indices in the ledger, ascending
 }
 
 // Assess returns the reports on all parts that are suspect or worse. The first one is the most likely
 // cause.
 func (l *PartLedger[K]) Assess(now time.Time) (reports []PartReport[K]) {
+	all := l.reportAll(now)
+	for _, r := range all {
+		if r.Finding == PartClear || !l.anySurvived(r.First) && r.mayHaveNarrowerCause(all) {
+			continue
+		}
+		r.addCompanions(all)
+		reports = append(reports, *r)
+	}
+	slices.SortFunc(reports, PartReport[K].compare)
+	return reports
+}
+
+// reportAll returns a report for each set of parts with the same terminations, in the order of their
+// prompts.
+func (l *PartLedger[K]) reportAll(now time.Time) (all []*PartReport[K]) {
 	blamed, order := l.blameParts()
-	byBlame := map[string]*PartReport[K]{}
+	byCrashes := map[string]*PartReport[K]{}
 	for _, part := range order {
 		b := blamed[part]
 		key := fmt.Sprint(b.survived, b.crashes)
-		if r := byBlame[key]; r != nil {
+		if r := byCrashes[key]; r != nil {
 			r.Parts = append(r.Parts, part)
 			continue
 		}
-		byBlame[key] = l.report(now, part, b)
+		byCrashes[key] = l.report(now, part, b)
+		all = append(all, byCrashes[key])
 	}
-	for _, r := range byBlame {
-		if r.Finding != PartClear {
-			reports = append(reports, *r)
-		}
-	}
-	slices.SortFunc(reports, PartReport[K].compare)
-	return reports
+	return all
+}
+
+// blame is what counts against one part.
+type blame struct {
+	crashes  []int // indices in the ledger, ascending
+	survived bool  // before the first of these terminations
 }
 
 // blameParts returns what counts against each part, and the parts in the order of their prompts.
@@ -225,7 +239,9 @@
 // report returns the report on one part.
 func (l *PartLedger[K]) report(now time.Time, part string, b *blame) *PartReport[K] {
 	first, last := l.crashes[b.crashes[0]], l.crashes[b.crashes[len(b.crashes)-1]]
-	r := &PartReport[K]{Parts: []string{part}, Survived: b.survived, First: first.At, Last: last.At, Account: last.Account, Route: last.Route}
+	r := &PartReport[K]{
+		Parts: []string{part}, Survived: b.survived, First: first.At, Last: last.At, Account: last.Account, Route: last.Route, crashes: b.crashes,
+	}
 	requests := map[string]bool{}
 	for _, i := range b.crashes {
 		c := l.crashes[i]
@@ -239,6 +255,45 @@
 	return r
 }
 
+// isWithin reports whether all terminations of r, and not only those, count against the parts of
+// another report.
+func (r *PartReport[K]) isWithin(other *PartReport[K]) bool {
+	if len(r.crashes) >= len(other.crashes) {
+		return false
+	}
+	rest := other.crashes
+	for _, i := range r.crashes {
+		at, found := slices.BinarySearch(rest, i)
+		if !found {
+			return false
+		}
+		rest = rest[at+1:]
+	}
+	return true
+}
+
+// mayHaveNarrowerCause reports whether a part that only some of the prompts have accounts for much of
+// the terminations.
+//
+// It guards against the refusal of a part that all prompts share while nothing survives: prompts crash
+// beside those with the cause, whose own reports may be missing, so the common part has the most
+// terminations and is not cleared.
+func (r *PartReport[K]) mayHaveNarrowerCause(all []*PartReport[K]) bool {
+	return slices.ContainsFunc(all, func(o *PartReport[K]) bool {
+		return (r.Survived || !o.Survived) && o.isWithin(r) && o.Requests >= suspectRequests && minNarrowerShare*len(o.Servers) >= len(r.Servers)
+	})
+}
+
+// addCompanions adds the parts that no server is known to have survived and that all prompts of the
+// report have: the terminations do not tell which of them is the cause.
+func (r *PartReport[K]) addCompanions(all []*PartReport[K]) {
+	for _, o := range all {
+		if !o.Survived && r.isWithin(o) {
+			r.Parts = append(r.Parts, o.Parts...)
+		}
+	}
+}
+
 // finding decides on one part.
 func (l *PartLedger[K]) finding(now time.Time, r *PartReport[K]) PartFinding {
 	crashes, span, suspect := minCrashes, minCrashSpan, suspectCrashes
