--- a/decision/poison/fleet_test.go
+++ b/decision/poison/fleet_test.go
@@ -178,10 +178,15 @@
 }
 
 func (p *simulation) checkPeers(server int) (asked, down int) {
+	return checkPeers(p.random, server, func(other int) bool { return p.now < p.downUntil[other] }, p.servers)
+}
+
+// checkPeers checks other servers of a server's zone; every third server is in the same zone.
+func checkPeers(random *rand.Rand, server int, isDown func(int) bool, servers int) (asked, down int) {
 	for range PeersToCheck {
-		if other := p.random.IntN(p.servers/3)*3 + server%3; other != server {
+		if other := random.IntN(servers/3)*3 + server%3; other != server {
 			asked++
-			if p.now < p.downUntil[other] {
+			if isDown(other) {
 				down++
 			}
 		}
--- a/decision/poison/partfleet_test.go
+++ b/decision/poison/partfleet_test.go
@@ -249,15 +249,7 @@
 }
 
 func (p *partSimulation) checkPeers(server int) (asked, down int) {
-	for range PeersToCheck {
-		if other := p.random.IntN(p.servers/3)*3 + server%3; other != server {
-			asked++
-			if p.now < p.downUntil[other] {
-				down++
-			}
-		}
-	}
-	return asked, down
+	return checkPeers(p.random, server, func(other int) bool { return p.now < p.downUntil[other] }, p.servers)
 }
 
 // report tells the tracking daemons of a crash, one message in twenty is lost.
