decision/poison: a report's parts are listed once; one type for what counts against a part

Assess added the companions of a part to the report that later reports were compared with, so with parts within parts a refusal named some twice, and its digest depended on the path by which they were found. The reports are left as they are now. The row 'parts within parts' of TestMostLikelyPartComesFirst failed before: [bad route account route].

The type blame held two fields of the report that was then made from it; the report holds them from the start.

--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -23,9 +23,9 @@
 // servers have survived before takes more of them, and needs another prompt to survive meanwhile:
 // when all prompts fail, the cause is not a part. It takes more as well while no survival of any part
 // is known, since every part seems new then. While nothing survives, a part that many prompts share
-// counts as clear as long as a narrower one accounts for a third of its terminations. Parts that were always together are found together,
-// and only prompts with all of them are refused: a prompt with one of them will show which it is.
-// Terminations that a refusal explains count against no other part.
+// counts as clear as long as a narrower one accounts for a third of its terminations. Parts that were
+// always together are found together, and only prompts with all of them are refused: a prompt with
+// one of them will show which it is. Terminations that a refusal explains count against no other part.
 
 const (
 	// minCrashedRequests is how many different requests with a part must have crashed servers. A
@@ -179,45 +179,26 @@
 // Assess returns the reports on all parts that are suspect or worse. The first one is the most likely
 // cause.
 func (l *PartLedger[K]) Assess(now time.Time) (reports []PartReport[K]) {
-	all := l.reportAll(now)
+	all := groupByCrashes(l.blameParts())
+	for _, r := range all {
+		l.complete(now, r)
+	}
 	for _, r := range all {
 		if r.Finding == PartClear || !l.anySurvived(r.First) && r.mayHaveNarrowerCause(all) {
 			continue
 		}
-		r.addCompanions(all)
-		reports = append(reports, *r)
+		report := *r
+		report.Parts = slices.Concat(r.Parts, r.companions(all))
+		reports = append(reports, report)
 	}
 	slices.SortFunc(reports, PartReport[K].compare)
 	return reports
 }
 
-// reportAll returns a report for each set of parts with the same terminations, in the order of their
-// prompts.
-func (l *PartLedger[K]) reportAll(now time.Time) (all []*PartReport[K]) {
-	blamed, order := l.blameParts()
-	byCrashes := map[string]*PartReport[K]{}
-	for _, part := range order {
-		b := blamed[part]
-		key := fmt.Sprint(b.survived, b.crashes)
-		if r := byCrashes[key]; r != nil {
-			r.Parts = append(r.Parts, part)
-			continue
-		}
-		byCrashes[key] = l.report(now, part, b)
-		all = append(all, byCrashes[key])
-	}
-	return all
-}
-
-// blame is what counts against one part.
-type blame struct {
-	crashes  []int // indices in the ledger, ascending
-	survived bool  // before the first of these terminations
-}
-
-// blameParts returns what counts against each part, and the parts in the order of their prompts.
-func (l *PartLedger[K]) blameParts() (blamed map[string]*blame, order []string) {
-	blamed = map[string]*blame{}
+// blameParts returns a report with the terminations that count against it for each part, in the order
+// of their prompts.
+func (l *PartLedger[K]) blameParts() (parts []*PartReport[K]) {
+	byPart := map[string]*PartReport[K]{}
 	m := newMoment[K]()
 	for i, c := range l.crashes {
 		m.moveTo(l.crashes, i)
@@ -226,24 +207,37 @@
 			if survived.After(c.At) || !m.isTypical(part) {
 				continue
 			}
-			if blamed[part] == nil {
-				blamed[part] = &blame{survived: ok}
-				order = append(order, part)
+			r := byPart[part]
+			if r == nil {
+				r = &PartReport[K]{Parts: []string{part}, Survived: ok}
+				byPart[part], parts = r, append(parts, r)
 			}
-			blamed[part].crashes = append(blamed[part].crashes, i)
+			r.crashes = append(r.crashes, i)
 		}
 	}
-	return blamed, order
+	return parts
 }
 
-// report returns the report on one part.
-func (l *PartLedger[K]) report(now time.Time, part string, b *blame) *PartReport[K] {
-	first, last := l.crashes[b.crashes[0]], l.crashes[b.crashes[len(b.crashes)-1]]
-	r := &PartReport[K]{
-		Parts: []string{part}, Survived: b.survived, First: first.At, Last: last.At, Account: last.Account, Route: last.Route, crashes: b.crashes,
+// groupByCrashes joins the reports on parts with the same terminations.
+func groupByCrashes[K comparable](parts []*PartReport[K]) (groups []*PartReport[K]) {
+	byCrashes := map[string]*PartReport[K]{}
+	for _, r := range parts {
+		key := fmt.Sprint(r.Survived, r.crashes)
+		if group := byCrashes[key]; group != nil {
+			group.Parts = append(group.Parts, r.Parts...)
+			continue
+		}
+		byCrashes[key], groups = r, append(groups, r)
 	}
+	return groups
+}
+
+// complete fills in what follows from the terminations of a report.
+func (l *PartLedger[K]) complete(now time.Time, r *PartReport[K]) {
+	first, last := l.crashes[r.crashes[0]], l.crashes[r.crashes[len(r.crashes)-1]]
+	r.First, r.Last, r.Account, r.Route = first.At, last.At, last.Account, last.Route
 	requests := map[string]bool{}
-	for _, i := range b.crashes {
+	for _, i := range r.crashes {
 		c := l.crashes[i]
 		requests[c.Digest] = true
 		if !slices.Contains(r.Servers, c.Server) {
@@ -252,7 +246,6 @@
 	}
 	r.Requests = len(requests)
 	r.Finding = l.finding(now, r)
-	return r
 }
 
 // isWithin reports whether all terminations of r, and not only those, count against the parts of
@@ -284,14 +277,15 @@
 	})
 }
 
-// addCompanions adds the parts that no server is known to have survived and that all prompts of the
+// companions returns the parts that no server is known to have survived and that all prompts of the
 // report have: the terminations do not tell which of them is the cause.
-func (r *PartReport[K]) addCompanions(all []*PartReport[K]) {
+func (r *PartReport[K]) companions(all []*PartReport[K]) (parts []string) {
 	for _, o := range all {
 		if !o.Survived && r.isWithin(o) {
-			r.Parts = append(r.Parts, o.Parts...)
+			parts = append(parts, o.Parts...)
 		}
 	}
+	return parts
 }
 
 // finding decides on one part.
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -199,6 +199,14 @@
 				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint("by", n), "common")
 			}
 		}, []string{"bad", "common"}},
+		{"parts within parts", func(p *partTest) {
+			for n := range 4 {
+				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "route", "account", "bad")
+			}
+			p.crash(0, "0", "by0", "route", "account")
+			p.crash(time.Second, "1", "by1", "route")
+			p.survive(2*time.Second, "other")
+		}, []string{"bad", "route", "account"}},
 		{"always together", func(p *partTest) {
 			for n := range 4 {
 				p.crash(time.Duration(n)*time.Second, fmt.Sprint(n), fmt.Sprint(n), "bad", "common", fmt.Sprint("m", n%2))
