external/sent: one body that checks the end of an answer, for serve/forward and external/plain

Both asked whether only the connection's end ends the body and whether the server has exited, each in its own way; both now give the body to sent.CheckEnd. serve/forward had states of a server process of its own beside sent.ServerState, which has their log names now. An answer that was found to end with its server is not dialled a second time for the crash check. Tests unchanged.

--- a/external/plain/client.go
+++ b/external/plain/client.go
@@ -57,14 +57,11 @@
 		return Response{}, classifyError(err, probe)
 	}
 	defer resp.Body.Close()
+	sent.CheckEnd(resp, func() bool { return sent.ProbeServer(ctx, c.dial, address) == sent.ServerExited })
 	body, err := c.readBody(resp.Body)
 	if err != nil {
 		return Response{}, errors.Wrapf(ErrNoResponse, "read response: %v", err)
 	}
-	// Part of an answer must not be taken for all of it.
-	if sent.IsCloseDelimited(resp) && sent.ProbeServer(ctx, c.dial, address) == sent.ServerExited {
-		return Response{}, errors.Wrap(ErrNoResponse, "the response ended with its connection, and the server has exited")
-	}
 	return Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
 
--- a/external/sent/closedelimited.go
+++ b/external/sent/closedelimited.go
@@ -2,16 +2,51 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
+// ErrServerExited means that a response ended with its connection and its server had exited then.
+var ErrServerExited = errors.New("sent: the response ended with its connection, and the server has exited")
+
 // IsCloseDelimited reports whether only the end of the connection shows where the body of a response
-// ends (RFC 9112, section 6.3). The connection of a server that dies ends in the same way as that of
-// one that has sent the whole body.
+// ends (RFC 9112, section 6.3).
 func IsCloseDelimited(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
+// CheckEnd makes the body of a close-delimited response end with ErrServerExited if the server has
+// exited at its end, as hasExited reports then. Other responses are left as they are.
+//
+// It guards against a server that dies during its response: the connection then ends as it does
+// after a complete one, and part of an answer would be taken for all of it.
+func CheckEnd(resp *http.Response, hasExited func() bool) {
+	if IsCloseDelimited(resp) {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, hasExited: hasExited}
+	}
+}
+
+type closeDelimitedBody struct {
+	io.ReadCloser
+	hasExited func() bool
+	err       error // why the body ended; nil before that
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.hasExited() {
+		err = ErrServerExited
+	}
+	b.err = err
+	return n, err
+}
+
 // ServerState is the state of the server process at an address.
 type ServerState uint8
 
@@ -19,9 +54,12 @@
 const (
 	ServerUnknown ServerState = iota // the connection attempt timed out
 	ServerRuns                       // a process accepts connections
-	ServerExited                     // none does
+	ServerExited                     // none does, or another one
 )
 
+// String returns the name used in logs.
+func (s ServerState) String() string { return [...]string{"silent", "lives", "ended"}[s] }
+
 // ProbeServer connects to an address and closes the connection.
 func ProbeServer(ctx context.Context, dial DialFunc, address string) ServerState {
 	conn, err := dial(ctx, "tcp", address)
--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -15,6 +15,7 @@
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/rollout"
+	"mallowwind.dev/external/sent"
 )
 
 // minCanaryServers is the minimum number of servers of a new version that get canary requests: the
@@ -159,12 +160,12 @@
 func (h *Handler) acceptsAny(servers []routing.Server) bool {
 	chosen := rand.Perm(len(servers))
 	chosen = chosen[:min(maxCheckedServers, len(chosen))]
-	states := make(chan processState, len(chosen))
+	states := make(chan sent.ServerState, len(chosen))
 	for _, i := range chosen {
-		go func() { states <- h.processStateAt(servers[i].Address) }()
+		go func() { states <- h.serverStateAt(servers[i].Address) }()
 	}
 	for range chosen {
-		if <-states == processAlive {
+		if <-states == sent.ServerRuns {
 			return true
 		}
 	}
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -26,7 +26,7 @@
 // isConnectionBroken reports whether err means that a server broke a connection on which a request
 // was sent.
 func isConnectionBroken(err error) bool {
-	for _, reason := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errRestarted, errServerExited, errNoEvents} {
+	for _, reason := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errRestarted, sent.ErrServerExited, errNoEvents} {
 		if errors.Is(err, reason) {
 			return true
 		}
@@ -67,15 +67,6 @@
 	err                  error
 }
 
-// processState is the state found for a server process after it broke a connection.
-type processState string
-
-const (
-	processExited  processState = "ended" // another process answers at its address, or none does
-	processAlive   processState = "lives"
-	processUnknown processState = "silent" // the connection attempt timed out
-)
-
 // checkForCrash finds out whether the server of a broken send has crashed, logs it, and counts the
 // crash against the request and the parts of its prompt. It reports whether one of the parts is
 // suspect.
@@ -88,19 +79,19 @@
 	if !e.firstEventAt.IsZero() {
 		running = now.Sub(e.firstEventAt)
 	}
-	found := h.processStateOf(e)
+	found := h.serverStateOf(e)
 	crash := poison.Termination{
 		Planned:      h.isLeaving(e.at.server),
 		PromptUnread: e.fromReplica == "" && h.pressure.isPrefillTooLate(e.at.server.Service, e.in.call.PromptTokens, now.Sub(e.sentAt)),
 		Streamed:     running,
 	}
-	if found == processExited && crash.Attribute() == poison.Attributed {
+	if found == sent.ServerExited && crash.Attribute() == poison.Attributed {
 		crash.PeersChecked, crash.PeersDown = h.countExitedNearby(e.at.server)
 	}
 	finding := crash.Attribute()
 	h.opts.Log.Emit(event.BackendConnectionBroken, e.in.call.ID, e.in.digests, e.in.call.PromptKey, e.in.call.PromptParts, e.in.call.PromptTokens, e.in.accountName(),
-		e.at.server.ID, e.at.server.Zone, string(found), finding.String(), crash.PeersChecked, crash.PeersDown, now.Sub(e.sentAt), running, e.fromReplica, e.err)
-	if found != processExited || finding != poison.Attributed {
+		e.at.server.ID, e.at.server.Zone, found.String(), finding.String(), crash.PeersChecked, crash.PeersDown, now.Sub(e.sentAt), running, e.fromReplica, e.err)
+	if found != sent.ServerExited || finding != poison.Attributed {
 		return false
 	}
 	h.poisonRegistry.recordCrash(context.Background(), e.in, e.at.server.Incarnation())
@@ -119,26 +110,19 @@
 	return view.HasDeparted(s.ID)
 }
 
-// processStateOf finds out whether the server process of a send has exited. No process listens on
-// the port of one that has.
-func (h *Handler) processStateOf(e brokenSend) processState {
-	if errors.Is(e.err, errRestarted) {
-		return processExited
+// serverStateOf finds out whether the server process of a send has exited. No process listens on the
+// port of one that has.
+func (h *Handler) serverStateOf(e brokenSend) sent.ServerState {
+	if errors.Is(e.err, errRestarted) || errors.Is(e.err, sent.ErrServerExited) {
+		return sent.ServerExited
 	}
-	return h.processStateAt(e.at.server.Address)
+	return h.serverStateAt(e.at.server.Address)
 }
 
-func (h *Handler) processStateAt(address string) processState {
+func (h *Handler) serverStateAt(address string) sent.ServerState {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	switch sent.ProbeServer(ctx, h.dial, address) {
-	case sent.ServerRuns:
-		return processAlive
-	case sent.ServerExited:
-		return processExited
-	case sent.ServerUnknown:
-	}
-	return processUnknown
+	return sent.ProbeServer(ctx, h.dial, address)
 }
 
 // countExitedNearby dials other servers of the same zone and returns how many were dialed and how
@@ -156,7 +140,7 @@
 	var wg sync.WaitGroup
 	for _, other := range others {
 		wg.Go(func() {
-			if h.processStateAt(other.Address) == processExited {
+			if h.serverStateAt(other.Address) == sent.ServerExited {
 				exitedCount.Add(1)
 			}
 		})
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -31,6 +31,9 @@
 // errStreamIdle means that a stream delivered no event within its idle timeout.
 var errStreamIdle = errors.New("forward: stream idle timeout")
 
+// errNoEvents means that a stream ended with its connection before its first event.
+var errNoEvents = errors.New("forward: the stream ended with its connection before its first event")
+
 // errErrorResponse means that a server responded to a stream request with an error status.
 var errErrorResponse = errors.New("forward: the server responded with an error status")
 
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -128,9 +128,7 @@
 		return nil, Reply{}, errors.Errorf("the response belongs to another request, %s", reply.ID)
 	}
 	h.observeReply(e.Server, sentAt, reply)
-	if sent.IsCloseDelimited(resp) {
-		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, h: h, server: e.Server}
-	}
+	sent.CheckEnd(resp, func() bool { return h.serverStateAt(e.Server.Address) == sent.ServerExited })
 	return resp, reply, nil
 }
 
