--- a/serve/forward/poison.go
+++ b/serve/forward/poison.go
@@ -37,7 +37,8 @@
 	cancel context.CancelCauseFunc
 }
 
-// partKeyPrefix begins the keys of parts of prompts, so that they differ from the digests of requests.
+// partKeyPrefix begins the keys of single parts in poisonRegistry.running and the digests of refused
+// parts, so that they differ from the digests of requests.
 const partKeyPrefix = "part-"
 
 // runningKeys returns the keys under which a request in progress is found.
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -5,12 +5,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
-	"mallowwind.dev/decision/rendezvous"
 	"mallowwind.dev/peer/peerpb"
 )
 
@@ -64,18 +62,11 @@
 
 // tellTrackers sends a report to the tracking daemons of its service and returns their replies.
 func (p *poisonParts) tellTrackers(ctx context.Context, report *peerpb.PromptsEndedRequest) (replies []*peerpb.PromptsEndedReply) {
-	if p.h.peers.dialer == nil {
-		return nil
-	}
-	vms, hashes := routing.Serving(p.h.opts.Feed.View().VMs)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, i := range rendezvous.Select(xxhash.Sum64String(report.GetService()), hashes, poisonTrackers) {
-		if vms[i].ID == p.h.opts.Self.ID {
-			continue
-		}
+	for _, vm := range p.h.poisonTrackersOf(report.GetService()) {
 		wg.Go(func() {
-			reply, err := callPeer(ctx, p.h.peers, vms[i], peerpb.NewPoisonProtobufClient, peerpb.Poison.PromptsEnded, report, poisonTimeout)
+			reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.PromptsEnded, report, poisonTimeout)
 			if err != nil {
 				return // logged by recordResult; the next report repeats the crashes
 			}
--- a/serve/forward/poisonpeers.go
+++ b/serve/forward/poisonpeers.go
@@ -24,17 +24,26 @@
 	marksPeers = 4
 )
 
-// notifyTrackers calls notify for each tracking daemon of a request except this one.
-func (p *poisonRegistry) notifyTrackers(digest string, notify func(routing.VM)) {
-	if p.h.peers.dialer == nil {
-		return
+// poisonTrackersOf returns the daemons that track a key except this one: the digest of a request, or
+// the name of a service whose crashes under prompts with shared parts are counted.
+func (h *Handler) poisonTrackersOf(key string) (trackers []routing.VM) {
+	if h.peers.dialer == nil {
+		return nil
 	}
-	vms, hashes := routing.Serving(p.h.opts.Feed.View().VMs)
-	for _, i := range rendezvous.Select(xxhash.Sum64String(digest), hashes, poisonTrackers) {
-		if vms[i].ID != p.h.opts.Self.ID {
-			go notify(vms[i])
+	vms, hashes := routing.Serving(h.opts.Feed.View().VMs)
+	for _, i := range rendezvous.Select(xxhash.Sum64String(key), hashes, poisonTrackers) {
+		if vms[i].ID != h.opts.Self.ID {
+			trackers = append(trackers, vms[i])
 		}
 	}
+	return trackers
+}
+
+// notifyTrackers calls notify for each tracking daemon of a request except this one.
+func (p *poisonRegistry) notifyTrackers(digest string, notify func(routing.VM)) {
+	for _, vm := range p.h.poisonTrackersOf(digest) {
+		go notify(vm)
+	}
 }
 
 // broadcast tells all other daemons of a request. A daemon that misses the message learns of a
