serve/forward: the question for survivals uses the loop of a broadcast

It walked over all peers with a limit of its own beside peerClient.broadcast. callAll takes the limit and serves both. Behaviour is unchanged.

--- a/serve/forward/peers.go
+++ b/serve/forward/peers.go
@@ -133,14 +133,19 @@
 
 // broadcast calls notify for every other daemon. A failed call is logged by recordResult.
 func (c *peerClient) broadcast(view *feed.View, notify func(context.Context, routing.VM) error) {
+	c.callAll(view, maxConcurrentCalls, func(vm routing.VM) { _ = notify(context.Background(), vm) })
+}
+
+// callAll calls a function for every other daemon, at most concurrency at a time, and waits for all.
+func (c *peerClient) callAll(view *feed.View, concurrency int, call func(routing.VM)) {
 	if c.dialer == nil {
 		return
 	}
 	var group errgroup.Group
-	group.SetLimit(maxConcurrentCalls)
+	group.SetLimit(concurrency)
 	for _, vm := range routing.Peers(view.VMs, c.self) {
 		group.Go(func() error {
-			_ = notify(context.Background(), vm)
+			call(vm)
 			return nil
 		})
 	}
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/peer/peerpb"
@@ -118,27 +116,19 @@
 	p.mu.Lock()
 	answers := p.knownSurvivals(time.Now(), service, parts)
 	p.mu.Unlock()
-	if p.h.peers.dialer == nil {
-		return answers
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*poisonTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	var group errgroup.Group
-	group.SetLimit(maxConcurrentQuestions)
-	for _, vm := range routing.Peers(p.h.opts.Feed.View().VMs, p.h.opts.Self.ID) {
-		group.Go(func() error {
-			reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Survivals, &peerpb.SurvivalsRequest{Service: service, Parts: parts}, poisonTimeout)
-			if err != nil {
-				return nil // logged by recordResult
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, reply.GetSurvivals()...)
-			return nil
-		})
-	}
-	_ = group.Wait() // no call returns an error
+	q := &peerpb.SurvivalsRequest{Service: service, Parts: parts}
+	p.h.peers.callAll(p.h.opts.Feed.View(), maxConcurrentQuestions, func(vm routing.VM) {
+		reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Survivals, q, poisonTimeout)
+		if err != nil {
+			return // logged by recordResult
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		answers = append(answers, reply.GetSurvivals()...)
+	})
 	return answers
 }
 
