--- a/decision/poison/partfleet_test.go
+++ b/decision/poison/partfleet_test.go
@@ -357,8 +357,7 @@
 	return fleets
 }
 
-// Servers, zones and scattered groups of servers fail for unrelated reasons, for minutes, also while
-// all daemons restart again and again: no part of prompts may be refused.
+// Guards against parts refused because servers, zones, groups of servers or all daemons fail.
 func TestPartsInUnrelatedFailuresAreNotRefused(t *testing.T) {
 	for _, f := range append(partFleets, restartedFleets()...) {
 		f.crashesPerSecond, f.zoneOutageInterval, f.shareOutageInterval = 0.015*float64(f.servers), 7*time.Second, 5*time.Second
@@ -375,8 +374,7 @@
 	}
 }
 
-// A part that crashes servers must be refused after a few crashes, and no other part with it, however
-// its prompts come and whatever else fails.
+// Guards against a crashing part that is found late, or found together with sound ones.
 func TestCrashingPartIsRefused(t *testing.T) {
 	second := culprit{parts: []string{"route0", "worse"}, interval: 400 * time.Millisecond, from: 11 * time.Second}
 	for _, c := range []struct {
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -135,9 +135,7 @@
 	}
 }
 
-// Nothing has survived yet, and some servers crash under prompts of which only those beside the
-// culprit are reported. The part that all prompts share has more crashes than the culprit then, and
-// must not be refused by itself.
+// Guards against the refusal of a part that all prompts share, for crashes whose cause is not reported.
 func TestCommonPartIsNotRefusedForMissingReports(t *testing.T) {
 	for _, c := range []struct {
 		culprits, bystanders int // servers with a report of a culprit, and of another prompt alone
--- a/serve/forward/closedelimited_test.go
+++ b/serve/forward/closedelimited_test.go
@@ -40,8 +40,7 @@
 	})
 }
 
-// An answer without a length or chunks that ends with its connection must be taken for complete if
-// its server goes on, and be continued elsewhere if the server died or ended it inside an event.
+// Guards against a stream that looks complete although its server died, when its connection is its end.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -93,7 +92,7 @@
 	}
 }
 
-// A call's answer without a length or chunks must not look complete if its server died at its end.
+// Guards against part of a call's answer that looks complete, when its connection is its end.
 func TestCallThatEndsWithItsConnection(t *testing.T) {
 	const long = 2 * bufferedResponseBytes
 	for _, c := range []struct {
--- a/serve/forward/poisonparts_test.go
+++ b/serve/forward/poisonparts_test.go
@@ -11,8 +11,7 @@
 	"mallowwind.dev/peer/peerpb"
 )
 
-// A report of another daemon with implausible entries must neither fail nor count them, and its other
-// entries must count.
+// Guards against a report whose implausible entries count, or make its other entries not count.
 func TestImplausibleCrashReport(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		prompt := func(n int, ageMS int64, parts ...string) *peerpb.EndedPrompt {
@@ -35,8 +34,7 @@
 	})
 }
 
-// Calls, and prompts at other services, must not pass for prompts that the servers of a service
-// survived: a part would be refused although no prompt at all survives, or a crashing one cleared.
+// Guards against calls, and prompts at other services, that pass for prompts that servers survived.
 func TestOtherRequestsAreNoSurvivalsOfPrompts(t *testing.T) {
 	withTestCluster(t, plainRoutes(), func(w *testCluster) {
 		w.add("d1", "desk", "a", respondProven("answer"))
--- a/serve/forward/promptparts_test.go
+++ b/serve/forward/promptparts_test.go
@@ -37,8 +37,7 @@
 	must.Eq(t, "last", own)
 }
 
-// FuzzParsePromptParts checks that the list of a caller, whatever it holds, gives a bounded number of
-// distinct parts.
+// FuzzParsePromptParts guards against a list that gives empty, doubled or unboundedly many parts.
 func FuzzParsePromptParts(f *testing.F) {
 	for _, list := range []string{"", ",", "a:1,b:2,c:3", "a:,:,::,a", strings.Repeat("x,", 100)} {
 		f.Add(list)
--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -151,6 +151,24 @@
 	}
 }
 
+// restartAfterOutage makes the store unreachable for a while and restarts all daemons after it is back.
+func (f *fleet) restartAfterOutage() {
+	f.setStoreDown(true)
+	time.Sleep(20 * time.Second)
+	f.setStoreDown(false)
+	time.Sleep(10 * time.Second)
+	f.restartAll()
+}
+
+// restartAll kills all daemons at the same moment and then starts them again.
+func (f *fleet) restartAll() {
+	all := make([]int, len(f.daemons))
+	for n := range all {
+		all[n] = n
+	}
+	f.restart(all...)
+}
+
 // dial connects to the peer address of a daemon or to a backend server.
 func (f *fleet) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	f.mu.Lock()
--- a/serve/gateway/poison_test.go
+++ b/serve/gateway/poison_test.go
@@ -41,7 +41,7 @@
 		{"different query each time", "/again/1", "desk", nil},
 		{"all daemons restart later", "/stream/1", "llm", func(f *fleet) {
 			time.Sleep(25 * time.Second)
-			f.restart(all...)
+			f.restartAll()
 		}},
 		{"rolling restart of the daemons", "/again/1", "desk", func(f *fleet) {
 			for n := range all {
@@ -49,13 +49,7 @@
 				f.restart(n)
 			}
 		}},
-		{"store outage first", "/stream/1", "llm", func(f *fleet) {
-			f.setStoreDown(true)
-			time.Sleep(20 * time.Second)
-			f.setStoreDown(false)
-			time.Sleep(10 * time.Second)
-			f.restart(all...)
-		}},
+		{"store outage first", "/stream/1", "llm", (*fleet).restartAfterOutage},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, len(all), func(f *fleet) {
--- a/serve/gateway/poisonpart_test.go
+++ b/serve/gateway/poisonpart_test.go
@@ -116,9 +116,7 @@
 	must.GreaterEq(l.f.t, minSoundRatio*float64(sent), float64(answered))
 }
 
-// Prompts that are unlike each other share a part that crashes every server that begins to answer
-// them. Once the fleet has had the time to recognize the part, prompts with it must reach few more
-// servers, and prompts that share all other parts must be answered.
+// Guards against unlike prompts that crash server after server by a part that they share.
 func TestPartThatCrashesServersReachesFewServers(t *testing.T) {
 	all := []int{0, 1, 2, 3, 4, 5, 6}
 	for _, c := range []struct {
@@ -136,7 +134,7 @@
 		{"two parts at once", 200 * time.Millisecond, []string{"common,bad", "common,worse"}, []string{"bad", "worse"}, []string{"common", "common,other"}, nil},
 		{"all daemons restart later", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
 			time.Sleep(20 * time.Second)
-			f.restart(all...)
+			f.restartAll()
 		}},
 		{"rolling restart of the daemons", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
 			for n := range all {
@@ -144,13 +142,7 @@
 				f.restart(n)
 			}
 		}},
-		{"store outage first", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, func(f *fleet) {
-			f.setStoreDown(true)
-			time.Sleep(20 * time.Second)
-			f.setStoreDown(false)
-			time.Sleep(10 * time.Second)
-			f.restart(all...)
-		}},
+		{"store outage first", 300 * time.Millisecond, []string{"common,bad"}, []string{"bad"}, []string{"common", "common,other"}, (*fleet).restartAfterOutage},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFleet(t, len(all), func(f *fleet) {
@@ -196,8 +188,7 @@
 	return ""
 }
 
-// The refusal of a prompt for one of its parts must say that it has not run, with a status that does
-// not ask the caller to retry.
+// Guards against a refusal for a part that invites the caller back, or claims that the prompt has run.
 func TestPartRefusalDoesNotInviteRetry(t *testing.T) {
 	withFleet(t, 7, func(f *fleet) {
 		f.startServers("llm", 12)
@@ -212,8 +203,7 @@
 	})
 }
 
-// After an operator removes the refusal of a part, prompts with it must be sent again, and earlier
-// crashes must not count any more.
+// Guards against earlier crashes that still count after an operator has lifted the refusal of a part.
 func TestPartIsSentAgainAfterRefusalIsRemoved(t *testing.T) {
 	withFleet(t, 7, func(f *fleet) {
 		f.startServers("llm", 12)
@@ -230,7 +220,7 @@
 	})
 }
 
-// A request that crashes servers whatever its parts must not have its parts refused.
+// Guards against the refusal of the parts of a request that crashes servers whatever its parts.
 func TestPartsOfPoisonRequestAreNotRefused(t *testing.T) {
 	withFleet(t, 7, func(f *fleet) {
 		f.startServers("llm", 12)
@@ -244,8 +234,7 @@
 	})
 }
 
-// The daemons that track the crashes of a service are killed after each of the first crashes. The
-// others repeat what they saw, so that the part is found all the same.
+// Guards against crashes that are forgotten when the daemons that track them restart.
 func TestPartIsFoundAlthoughTrackersRestart(t *testing.T) {
 	withFleet(t, 7, func(f *fleet) {
 		f.startServers("llm", 24)
@@ -267,8 +256,7 @@
 	})
 }
 
-// A daemon that suspects a part by the crashes of its own prompts must report them all the same:
-// otherwise the fleet learns of the part only after crashes at other daemons.
+// Guards against a daemon that keeps to itself the crashes of a part that it suspects already.
 func TestDaemonReportsCrashesOfSuspectPart(t *testing.T) {
 	for first := range 7 {
 		withFleet(t, 7, func(f *fleet) {
