--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -60,6 +60,7 @@
 var cases = map[string]func(r *record, dir string, trouble bool) bool{
 	"stale-page":     stalePage,
 	"new-route":      newRoute,
+	"short-limit":    shortLimit,
 	"half-close":     halfClose,
 	"crash-restart":  crashRestart,
 	"crashed-lookup": crashedLookup,
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -53,11 +53,13 @@
 	events                     int  // of a stream
 	unframed                   bool // its answers have no length and end with their channels
 	readsPrompts               bool // its first event takes the time of reading the prompt
-	runs                       *runs
-	record                     *record
-	listener                   net.Listener
-	server                     *http.Server
-	reading                    sync.Mutex
+	// eventsAt is the number of events of streams by path, where it isn't that of events.
+	eventsAt map[string]int
+	runs     *runs
+	record   *record
+	listener net.Listener
+	server   *http.Server
+	reading  sync.Mutex
 
 	mu     sync.Mutex
 	born   int64         // Unix milliseconds of the start of this boot
@@ -218,7 +220,11 @@
 	if p.readsPrompts && !p.read(r, exited) {
 		return "ended before its first event"
 	}
-	for n := last + 1; n <= p.events; n++ {
+	events, ok := p.eventsAt[r.URL.Path]
+	if !ok {
+		events = p.events
+	}
+	for n := last + 1; n <= events; n++ {
 		select {
 		case <-time.After(p.work):
 		case <-exited:
