review: the stand-ins start no process while they end

Cause: a case that is cut by its own time limit while it starts a daemon again left that daemon running (seen once, with a trial that ran for 110 s). Change: a start and the end of all exclude each other.

--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -25,10 +25,17 @@
 
 var zones = []string{"rufisque", "pikine", "plateau"}
 
-// running holds the processes that were started and have not ended.
+// running holds the processes that were started.
 var running struct {
 	sync.Mutex
-	list []*daemon
+	list  []process
+	ended bool // no more are started
+}
+
+// process is one run of a program.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 // newDaemons prepares the settings of a small deployment's machines and starts one process on each.
@@ -140,11 +147,18 @@
 	log, err := os.OpenFile(filepath.Join(d.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	cmd.Stdout, cmd.Stderr = log, log
-	check(cmd.Start())
-	d.cmd, d.exited, d.startedAt = cmd, make(chan struct{}), time.Now()
 	running.Lock()
-	running.list = append(running.list, d)
+	if running.ended {
+		running.Unlock()
+		select {} // this program is about to exit
+	}
+	err = cmd.Start()
+	if err == nil {
+		d.cmd, d.exited, d.startedAt = cmd, make(chan struct{}), time.Now()
+		running.list = append(running.list, process{cmd, d.exited})
+	}
 	running.Unlock()
+	check(err)
 	go func(exited chan struct{}) {
 		_ = cmd.Wait()
 		log.Close()
@@ -182,12 +196,13 @@
 	}
 }
 
-// endAll ends all processes.
+// endAll ends all processes for good.
 func endAll() {
 	running.Lock()
 	defer running.Unlock()
-	for _, d := range running.list {
-		_ = d.cmd.Process.Signal(syscall.SIGKILL)
-		<-d.exited
+	running.ended = true
+	for _, p := range running.list {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL) // fails only if it has ended
+		<-p.exited
 	}
 }
