--- a/review/standin/crashrestart.go
+++ b/review/standin/crashrestart.go
@@ -11,10 +11,12 @@
 	piecesOfStream = 60
 	streams        = 24
 	crashAfter     = 1500 * time.Millisecond
+	// heartbeatsOfSilence is how long the entry of a replica that has crashed remains.
+	heartbeatsOfSilence = 3 * 1200 * time.Millisecond
 )
 
 // crashRestart: model replicas send answers without a length. One of them crashes, which ends its channels,
-// and starts again under its id.
+// and starts again at its port with a new id.
 func crashRestart(r *record, dir string, trouble bool) (broken bool) {
 	s, all := newStore(r), &runs{}
 	stream := route("r-review", "/lohu930/", "streaming", "mallow-servers", 25*time.Second, 4500*time.Millisecond)
@@ -62,9 +64,11 @@
 	time.Sleep(crashAfter)
 	if trouble {
 		p := engines[all.busiest()]
-		p.crashAndRestart()
-		r.say("replica %s has crashed and starts again under its id, born at %d", p.id, p.bornAt())
+		old := p.key()
+		p.crashAndRestart("i-f7e1d0c4")
+		r.say("the replica of %s has crashed and starts again as that of %s", old, p.key())
 		s.put(p.key(), p.entry("ready"))
+		time.AfterFunc(heartbeatsOfSilence, func() { s.remove(old) })
 	}
 	clients.Wait()
 	r.say("streams that ended as complete before their last piece: %d of %d; streams that failed: %d", early, streams, failed)
