feed: a list is only as new as its oldest page

Cause: the client of the store gave a list the revision of its first page. That holds for current reads, whose pages never get older, but the first read is a stale one. The watch went on from there, so that the removal between the two revisions was never delivered. Change: a list states the revision of each of its pages (store.Listing), and the watch goes on from the oldest. Then the watch repeats changes that newer pages already show, so entries have an order of their own: a put or removal that is older than what is known of its key changes nothing, and an absence holds for its page's revision only. Removals of keys that are not held are remembered, for peers that hold them. The second read of the registrations compared versions only for keys that it knew, so an older one could bring back a VM for good; the same order stops that. The store in memory serves stale lists with pages of any age; no test could show this before. Why it works: whatever the ages, each key's state after the list is one that the store had at or after the oldest page, and every later change of it is delivered and applies once, in order.

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -34,10 +34,12 @@
 	t.lastAnsweredAt = now
 }
 
-// remove removes an entry as of the given revision. The server or VM that it described is dropped
+// remove removes an entry that did not exist at the given revision. The server or VM that it described is dropped
 // at once, or after a grace period if its lease may have expired during an outage.
 func (t *table) remove(now time.Duration, key string, revision int64) {
-	t.entries.remove(key, revision)
+	if !t.entries.remove(key, revision) {
+		return
+	}
 	delete(t.rejections, key)
 	if r, ok := t.refusedRequests[key]; ok && t.restored.ongoing {
 		t.restored.refused = append(t.restored.refused, r)
--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -43,6 +43,11 @@
 	// removed holds the revision of each removal by key, and removals the same in order.
 	removed  map[string]int64
 	removals *keyHistory
+	// completeRevision is the revision up to which every change is known.
+	completeRevision int64
+	// listed holds the revisions up to which the changes of ranges of keys are known, where these are
+	// beyond completeRevision; nil if there are none.
+	listed store.Pages
 	// newestVersion is the highest version of any key. It can exceed the revision up to which the
 	// whole store is known, because a key can be read on its own.
 	newestVersion int64
@@ -54,6 +59,33 @@
 	return &entries{kvs: map[string]store.KV{}, byVersion: newKeyHistory(), removed: map[string]int64{}, removals: newKeyHistory()}
 }
 
+// isNews reports whether a key at a version was written after what is known of it. A read or a watch
+// may repeat what a newer one has shown.
+func (e *entries) isNews(key string, version int64) bool {
+	if kv, exists := e.kvs[key]; exists {
+		return version > kv.Version
+	}
+	return version > e.absentAt(key)
+}
+
+// absentAt returns the latest revision at which a key is known not to have existed. The key must not
+// be held.
+func (e *entries) absentAt(key string) int64 {
+	at := max(e.completeRevision, e.removed[key])
+	if e.listed != nil {
+		at = max(at, e.listed.RevisionAt(key))
+	}
+	return at
+}
+
+// setComplete records that every change up to a revision is known.
+func (e *entries) setComplete(revision int64) {
+	e.completeRevision = max(e.completeRevision, revision)
+	if e.listed != nil && e.listed.Newest() <= revision {
+		e.listed = nil
+	}
+}
+
 func (e *entries) put(kv store.KV) {
 	if old, known := e.kvs[kv.Key]; known {
 		e.byVersion.Delete(versionedKey{old.Version, kv.Key})
@@ -67,14 +99,30 @@
 	}
 }
 
-// remove records that a key was removed as of the given revision.
-func (e *entries) remove(key string, revision int64) {
-	old, ok := e.kvs[key]
-	if !ok {
-		return
+// remove records that a key did not exist at the given revision, and reports whether it was held. A
+// key that was written later stays. The removal of a key that is not held is recorded as well: a peer
+// may hold the key.
+func (e *entries) remove(key string, revision int64) (wasHeld bool) {
+	old, wasHeld := e.kvs[key]
+	if wasHeld && old.Version > revision {
+		return false
+	}
+	if wasHeld {
+		delete(e.kvs, key)
+		e.byVersion.Delete(versionedKey{old.Version, key})
+	}
+	e.recordRemoval(key, revision)
+	return wasHeld
+}
+
+// recordRemoval remembers the removal of a key, unless a later one is remembered.
+func (e *entries) recordRemoval(key string, revision int64) {
+	if known, ok := e.removed[key]; ok {
+		if known >= revision {
+			return
+		}
+		e.removals.Delete(versionedKey{known, key})
 	}
-	delete(e.kvs, key)
-	e.byVersion.Delete(versionedKey{old.Version, key})
 	e.removed[key] = revision
 	e.removals.Set(versionedKey{revision, key})
 	for len(e.removed) > max(minRemovedKeys, len(e.kvs)) {
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -209,6 +209,7 @@
 	}
 	m.partialRevision = 0
 	m.revision.Store(b.revision)
+	m.table.entries.setComplete(b.revision)
 	lostRefused := m.table.endRestoration(b.revision)
 	m.publish()
 	m.rewriteRefused(lostRefused)
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -217,13 +217,9 @@
 	ctx, cancel := context.WithTimeout(parent, hold+pollTimeout)
 	defer cancel()
 	sentAt := m.opts.Clock()
-	age, _ := m.confirmationAge()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
 	have := m.toldRevision()
-	reply, err := client.Snapshot(ctx, &peerpb.SnapshotRequest{
-		Have: have, WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
-		ConfigVersion: m.configVersion(),
-	})
+	reply, err := client.Snapshot(ctx, m.snapshotRequest(have, hold))
 	if err == nil {
 		reply, err = unpack(reply)
 	}
@@ -244,6 +240,16 @@
 	return !reply.GetLost() && !stale && !isBehind && reply.GetRevision() != 0
 }
 
+// snapshotRequest returns the request for the changes after a revision, which the polled daemon may
+// hold for the given time.
+func (m *Manager) snapshotRequest(have int64, hold time.Duration) *peerpb.SnapshotRequest {
+	age, _ := m.confirmationAge()
+	return &peerpb.SnapshotRequest{
+		Have: have, WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
+		ConfigVersion: m.configVersion(),
+	}
+}
+
 // configVersion returns the version of the configuration in force; 0 if there is none.
 func (m *Manager) configVersion() int64 {
 	if c := m.View().Config; c != nil {
--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -87,12 +87,12 @@
 // ListRefused returns the refused requests in a store, sorted by digest. An entry whose value
 // cannot be decoded has only its digest.
 func ListRefused(ctx context.Context, s store.Store) ([]RefusedRequest, error) {
-	kvs, _, err := s.List(ctx, refusedPrefix)
+	entries, err := s.List(ctx, refusedPrefix)
 	if err != nil {
 		return nil, err
 	}
-	list := make([]RefusedRequest, len(kvs))
-	for i, kv := range kvs {
+	list := make([]RefusedRequest, len(entries.KVs))
+	for i, kv := range entries.KVs {
 		list[i] = decodeRefused(kv)
 	}
 	return list, nil
--- a/control/feed/restore.go
+++ b/control/feed/restore.go
@@ -87,11 +87,8 @@
 			continue
 		}
 		m.mu.Lock()
-		held := m.table.entries.kvs[key]
-		if c, err := m.table.schema.DecodeConfig(e.GetValue()); err == nil && m.table.config != nil && c.Version > m.table.config.Version {
-			m.table.put(store.KV{Key: key, Value: e.GetValue(), Version: max(held.Version, e.GetRevision())})
-			m.publish()
-		}
+		m.table.put(store.KV{Key: key, Value: e.GetValue(), Version: e.GetRevision()})
+		m.publish()
 		m.mu.Unlock()
 	}
 }
--- a/control/feed/rollouts.go
+++ b/control/feed/rollouts.go
@@ -83,11 +83,11 @@
 func ListRollouts(ctx context.Context, s store.Store, schema Schema) (map[string]Rollout, error) {
 	t := newTable(schema, event.Discard())
 	for _, prefix := range schema.RolloutPrefixes() {
-		kvs, _, err := s.List(ctx, prefix)
+		list, err := s.List(ctx, prefix)
 		if err != nil {
 			return nil, err
 		}
-		for _, kv := range kvs {
+		for _, kv := range list.KVs {
 			t.putRollout(kv)
 		}
 	}
@@ -205,9 +205,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.table.entries.kvs[key].Version < version {
-		m.table.put(store.KV{Key: key, Value: raw, Version: version})
-		m.publish()
-	}
+	m.table.put(store.KV{Key: key, Value: raw, Version: version})
+	m.publish()
 	return nil
 }
--- /dev/null
+++ b/control/feed/stale_test.go
@@ -0,0 +1,64 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/store"
+	"mallowwind.dev/telemetry/event"
+)
+
+// twoPages is a list whose second page, from server/5 on, is newer than its first one.
+func twoPages(kvs ...store.KV) store.Listing {
+	return store.Listing{KVs: kvs, Pages: store.Pages{{LastKey: "server/4", Revision: 100}, {Revision: 200}}}
+}
+
+// Guards against a watch from the oldest page of a list that undoes what newer pages have shown: the
+// server would vanish, or be used again after it left, until a later batch arrives.
+func TestChangesOlderThanPageAreIgnored(t *testing.T) {
+	for name, c := range map[string]struct {
+		change store.Event
+		want   string
+	}{
+		"removal before the key was written again": {deleteEvent("server/7", 130), "1 7"},
+		"earlier value, as leaving":                {putEvent("server/7", "leaving g:1", 120), "1 7"},
+		"key that was removed later":               {putEvent("server/8", "h:1", 150), "1 7"},
+		"key of the older page":                    {putEvent("server/2", "b:1", 150), "1 2 7"},
+		"removal from the older page":              {deleteEvent("server/1", 150), "7"},
+		"key written after the newer page":         {putEvent("server/8", "h:1", 201), "1 7 8"},
+		"removal after the newer page":             {deleteEvent("server/7", 201), "1"},
+	} {
+		tab := newTable(textSchema{}, event.Discard())
+		tab.replaceAll(0, twoPages(testEntry("server/1", "a:1", 50), testEntry("server/7", "g:1", 140)))
+		tab.entries.setComplete(100)
+		tab.applyEvents(0, []store.Event{c.change})
+		must.Eq(t, c.want, serverIDs(tab), must.Sprint(name))
+		must.False(t, tab.view().HasDeparted("7") != (name == "removal after the newer page"), must.Sprint(name))
+	}
+}
+
+// Guards against a reread that takes the absence of a key from an older page for the removal of a newer
+// entry.
+func TestAbsenceFromOlderPageKeepsNewerEntry(t *testing.T) {
+	tab := newTable(textSchema{}, event.Discard())
+	tab.applyEvents(0, []store.Event{putEvent("server/1", "a:1", 90), putEvent("server/2", "b:1", 150), putEvent("server/7", "g:1", 150)})
+	tab.replaceAll(0, twoPages())
+	must.Eq(t, "2", serverIDs(tab))
+}
+
+// Guards against an entry VM that was removed and stays registered for good, because the second read of
+// the registrations is older than what the daemon knows.
+func TestOlderReadOfRegistrationsAddsNoRemovedVM(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		var age time.Duration
+		f.store.ServeStale(store.StaleReads{PageItems: 100, Age: func(string) time.Duration { return age }})
+		f.put(vmPrefix+"1", `{"id":"1","address":"a:1"}`)
+		time.Sleep(time.Second)
+		f.remove(vmPrefix + "1")
+		time.AfterFunc(registrationSettleTime/2, func() { age = time.Second }) // of the second read
+		must.NoError(t, f.feeds[0].readInitial(f.ctx))
+		must.SliceEmpty(t, f.feeds[0].View().VMs)
+	})
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -92,22 +92,32 @@
 	}
 }
 
-// replaceAll replaces the state by everything that the store holds at a revision. The first read
-// logs one line for all servers. At a large site, a line for each server at each start of a daemon
-// fills the log with entries that nobody looks for.
-func (t *table) replaceAll(now time.Duration, revision int64, items []store.KV) {
-	t.fill(revision, true, func() {
-		present := make(map[string]bool, len(items))
-		for _, kv := range items {
+// replaceAll replaces the state by a list of the whole store, but for what is known to be newer than
+// the page that would replace it. The first read logs one line for all servers. At a large site, a
+// line for each server at each start of a daemon fills the log with entries that nobody looks for.
+func (t *table) replaceAll(now time.Duration, list store.Listing) {
+	t.fill(list.Pages.Oldest(), true, func() {
+		present := make(map[string]bool, len(list.KVs))
+		for _, kv := range list.KVs {
 			present[kv.Key] = true
-			t.put(kv)
+			t.putListed(kv, list.Pages)
 		}
 		for key := range t.entries.kvs {
 			if !present[key] {
-				t.remove(now, key, revision)
+				t.remove(now, key, list.Pages.RevisionAt(key))
 			}
 		}
 	})
+	t.entries.listed = list.Pages
+}
+
+// putListed stores a key as a list shows it. A list shows that the key existed as of its page, so that
+// it is believed against an older record of a removal, even if the version is older than that.
+func (t *table) putListed(kv store.KV, pages store.Pages) {
+	_, held := t.entries.kvs[kv.Key]
+	if t.isNews(kv) || !held && pages.RevisionAt(kv.Key) > t.entries.absentAt(kv.Key) {
+		t.set(kv)
+	}
 }
 
 // applyPage applies changes that another daemon has read, complete up to a revision. last says that
@@ -153,8 +163,30 @@
 	}
 }
 
+// put stores a key unless something newer is known of it.
 func (t *table) put(kv store.KV) {
+	if t.isNews(kv) {
+		t.set(kv)
+	}
+}
+
+// isNews reports whether an entry is newer than what is known of its key. A configuration with a higher
+// version of its own is newer even if its entry is not: a restored store may hold an earlier one.
+func (t *table) isNews(kv store.KV) bool {
+	if t.entries.isNews(kv.Key, kv.Version) {
+		return true
+	}
+	if kv.Key != t.schema.ConfigKey() || t.config == nil {
+		return false
+	}
+	c, err := t.schema.DecodeConfig(kv.Value)
+	return err == nil && c.Version > t.config.Version
+}
+
+// set stores a key and the state that it describes.
+func (t *table) set(kv store.KV) {
 	previous := t.entries.kvs[kv.Key]
+	kv.Version = max(kv.Version, previous.Version)
 	t.entries.put(kv)
 	t.dirty = true
 	if id, ok := t.schema.ServerID(kv.Key); ok {
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -166,15 +166,14 @@
 	return nil
 }
 
-// readInitial reads the store for the first time at low cost: a list that may be seconds old, and a
-// current read of the configuration. Changes since that list arrive with the watch or from the next
-// peer polled.
+// readInitial reads the store for the first time at low cost: a list whose pages may be seconds old,
+// and a current read of the configuration. Changes since the oldest page arrive with the watch or from
+// the next peer polled.
 func (m *Manager) readInitial(ctx context.Context) error {
 	var work errgroup.Group
-	var items []store.KV
-	var revision int64
+	var list store.Listing
 	work.Go(func() (err error) {
-		items, revision, err = m.opts.Store.ListStale(ctx, m.opts.Prefix)
+		list, err = m.opts.Store.ListStale(ctx, m.opts.Prefix)
 		return err
 	})
 	sentAt := m.opts.Clock()
@@ -185,13 +184,13 @@
 	if err != nil {
 		return err
 	}
-	m.recordOwnEntry(items)
-	items = slices.DeleteFunc(items, func(kv store.KV) bool { return kv.Key == config.Key })
+	m.recordOwnEntry(list.KVs)
+	list.KVs = slices.DeleteFunc(list.KVs, func(kv store.KV) bool { return kv.Key == config.Key })
 	if found {
-		items = append(items, config)
+		list.KVs = append(list.KVs, config)
 	}
 	m.recordAnswer(sentAt)
-	m.apply(basis{confirmedAt: sentAt, revision: revision}, func() { m.table.replaceAll(sentAt, revision, items) })
+	m.apply(basis{confirmedAt: sentAt, revision: list.Pages.Oldest()}, func() { m.table.replaceAll(sentAt, list) })
 	if m.ownEntry.Key == "" {
 		return m.awaitRegistrations(ctx)
 	}
@@ -216,15 +215,15 @@
 // awaitRegistrations waits while the fleet registers, then reads the registered entry VMs.
 func (m *Manager) awaitRegistrations(ctx context.Context) error {
 	pause.For(ctx, registrationSettleTime)
-	items, _, err := m.opts.Store.ListStale(ctx, m.opts.Prefix+vmPrefix)
+	list, err := m.opts.Store.ListStale(ctx, m.opts.Prefix+vmPrefix)
 	if err != nil {
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, kv := range items {
-		if m.table.entries.kvs[kv.Key].Version < kv.Version && strings.HasPrefix(kv.Key, vmPrefix) {
-			m.table.put(kv)
+	for _, kv := range list.KVs {
+		if strings.HasPrefix(kv.Key, vmPrefix) {
+			m.table.putListed(kv, list.Pages)
 		}
 	}
 	m.publish()
@@ -252,7 +251,7 @@
 	}
 	m.recordAnswer(sentAt)
 	m.apply(basis{confirmedAt: sentAt, revision: m.revision.Load()}, func() {
-		if found && config.Version > m.table.entries.kvs[config.Key].Version {
+		if found {
 			m.table.put(config)
 		}
 	})
@@ -260,17 +259,18 @@
 }
 
 // readAll reads the whole store again when the watch cannot continue from the last revision because
-// its history was compacted.
+// its history was compacted. Every page is as of sentAt or later.
 func (m *Manager) readAll(ctx context.Context) error {
 	sentAt := m.opts.Clock()
-	items, revision, err := m.opts.Store.List(ctx, m.opts.Prefix)
+	list, err := m.opts.Store.List(ctx, m.opts.Prefix)
 	if err != nil {
 		return err
 	}
+	revision := list.Pages.Oldest()
 	m.recordAnswer(sentAt)
 	m.opts.Log.Emit(event.StoreReread, revision, m.revision.Load())
 	m.apply(basis{confirmedAt: sentAt, completeAt: sentAt, revision: revision}, func() {
-		m.table.replaceAll(sentAt, revision, items)
+		m.table.replaceAll(sentAt, list)
 		m.historyLost = false
 	})
 	return nil
--- a/control/inforce/watch.go
+++ b/control/inforce/watch.go
@@ -91,17 +91,17 @@
 func (m *Manager) loadHead(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	kvs, from, err := m.cfg.Store.List(ctx, m.keys.Head())
+	list, err := m.cfg.Store.List(ctx, m.keys.Head())
 	m.counters.countStoreCall(0)
 	if err != nil {
 		return 0, err
 	}
-	for _, kv := range kvs {
+	for _, kv := range list.KVs {
 		if err := m.handleValue(ctx, kv); err != nil {
 			return 0, err
 		}
 	}
-	return from, nil
+	return list.Pages.Oldest(), nil
 }
 
 // handleEvents processes events of the watch.
--- a/external/store/etcd.go
+++ b/external/store/etcd.go
@@ -71,28 +71,28 @@
 }
 
 // List implements Store.
-func (c *EtcdClient) List(ctx context.Context, prefix string) ([]KV, int64, error) {
+func (c *EtcdClient) List(ctx context.Context, prefix string) (Listing, error) {
 	return c.list(ctx, prefixRange(prefix))
 }
 
 // ListStale implements Store.
-func (c *EtcdClient) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
+func (c *EtcdClient) ListStale(ctx context.Context, prefix string) (Listing, error) {
 	q := prefixRange(prefix)
 	q.Serializable = true
 	return c.list(ctx, q)
 }
 
-func (c *EtcdClient) list(ctx context.Context, q EtcdRange) ([]KV, int64, error) {
+func (c *EtcdClient) list(ctx context.Context, q EtcdRange) (Listing, error) {
 	var a EtcdRangeResponse
 	if err := c.read(ctx, PathRange, q, &a); err != nil {
-		return nil, 0, err
+		return Listing{}, err
 	}
 	list := make([]KV, 0, len(a.KVs))
 	for _, kv := range a.KVs {
 		list = append(list, kv.toKV())
 	}
 	slices.SortFunc(list, func(x, y KV) int { return strings.Compare(x.Key, y.Key) })
-	return list, a.Header.Revision, nil
+	return NewListing(list, a.Header.Revision), nil
 }
 
 // prefixRange returns the range of all keys under prefix. The service rejects an empty key; a zero
--- a/external/store/faulty.go
+++ b/external/store/faulty.go
@@ -187,18 +187,18 @@
 }
 
 // List implements Store.
-func (f *Faulty) List(ctx context.Context, prefix string) ([]KV, int64, error) {
+func (f *Faulty) List(ctx context.Context, prefix string) (Listing, error) {
 	if err := f.admitRead(ctx, &f.counts.List); err != nil {
-		return nil, 0, err
+		return Listing{}, err
 	}
 	return f.inner.List(ctx, prefix)
 }
 
 // ListStale implements Store. It is not subject to the read rate limit.
-func (f *Faulty) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
+func (f *Faulty) ListStale(ctx context.Context, prefix string) (Listing, error) {
 	unlimited := func() *rate.Limiter { return rate.NewLimiter(rate.Inf, 0) }
 	if err := f.admit(ctx, &f.counts.ListStale, unlimited, ErrUnavailable); err != nil {
-		return nil, 0, err
+		return Listing{}, err
 	}
 	return f.inner.ListStale(ctx, prefix)
 }
--- a/external/store/memory.go
+++ b/external/store/memory.go
@@ -27,6 +27,8 @@
 	history           []Event // in revision order
 	compactedRevision int64   // changes up to this revision are discarded
 	watchers          map[*memoryWatcher]struct{}
+	staleReads        *StaleReads // nil if ListStale returns the current state
+	replaced          []replacedKV
 }
 
 var _ Store = (*Memory)(nil)
@@ -79,6 +81,7 @@
 		kv.Version = VersionIn(era, RevisionOf(kv.Version))
 		return kv
 	}
+	m.replaced = nil
 	m.keys, m.history = make(map[string]KV, len(c.keys)), make([]Event, len(c.history))
 	for key, kv := range c.keys {
 		m.keys[key] = renumber(kv)
@@ -121,25 +124,25 @@
 }
 
 // List implements Store.
-func (m *Memory) List(ctx context.Context, prefix string) ([]KV, int64, error) {
+func (m *Memory) List(ctx context.Context, prefix string) (Listing, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, 0, errors.Wrapf(ErrUnavailable, "%v", err)
+		return Listing{}, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return NewListing(sortedUnder(m.keys, prefix), m.revision), nil
+}
+
+// sortedUnder returns copies of the keys under prefix, sorted.
+func sortedUnder(keys map[string]KV, prefix string) []KV {
 	var list []KV
-	for key, kv := range m.keys {
+	for key, kv := range keys {
 		if strings.HasPrefix(key, prefix) {
 			list = append(list, kv.clone())
 		}
 	}
 	slices.SortFunc(list, func(a, b KV) int { return strings.Compare(a.Key, b.Key) })
-	return list, m.revision, nil
-}
-
-// ListStale implements Store. Its result is always current.
-func (m *Memory) ListStale(ctx context.Context, prefix string) ([]KV, int64, error) {
-	return m.List(ctx, prefix)
+	return list
 }
 
 // CompareAndSwap implements Store.
@@ -160,6 +163,7 @@
 	}
 	m.revision++
 	kv := KV{Key: key, Value: slices.Clone(value), Version: m.revision, Lease: id}
+	m.keepReplaced(key)
 	m.keys[key] = kv
 	m.record(Event{Kind: Put, KV: kv})
 	return kv.Version, nil
@@ -269,6 +273,7 @@
 }
 
 func (m *Memory) remove(key string) {
+	m.keepReplaced(key)
 	delete(m.keys, key)
 	m.record(Event{Kind: Deleted, KV: KV{Key: key, Version: m.revision}})
 }
--- a/external/store/store.go
+++ b/external/store/store.go
@@ -80,11 +80,12 @@
 type Store interface {
 	// Get returns one key or ErrNotFound.
 	Get(ctx context.Context, key string) (KV, error)
-	// List returns all keys under prefix, sorted by key, and the store revision of the read.
-	List(ctx context.Context, prefix string) ([]KV, int64, error)
-	// ListStale is like List, but the result may be seconds old. The returned revision is that of the
-	// result. Services charge less for it.
-	ListStale(ctx context.Context, prefix string) ([]KV, int64, error)
+	// List returns all keys under prefix. Each page holds every write that was acknowledged before the
+	// call, and is no older than the page before it.
+	List(ctx context.Context, prefix string) (Listing, error)
+	// ListStale is like List, but each page may be seconds old, by a time of its own. Services charge
+	// less for it.
+	ListStale(ctx context.Context, prefix string) (Listing, error)
 	// CompareAndSwap writes value if the Version of key equals version, where 0 means that the key
 	// must not exist. It returns the new Version. If lease is not 0, the key is removed when the lease
 	// ends.
