feed: a daemon that reads the store again tells peers what it may have missed

What callers would see: requests to a server that has left, from one daemon, for as long as it runs. The daemon saw the server come; the peer that it asks had lost the history in which the server came and went, and read the store again. Cause: a daemon answers a peer's question with the removals that it remembers since the peer's revision. Keys that came and went between its last revision and the list that it reads again were never known to it, so no removal of them is remembered, and the peer keeps them. Change: after a list, removals before its oldest page count as unknown, and a peer from before gets all existing keys in place of the removed ones. Result: TestPeerTellsOfKeysRemovedInItsGap failed before (the server stays), passes.

--- a/control/feed/gap_test.go
+++ b/control/feed/gap_test.go
@@ -205,3 +205,20 @@
 		must.Eq(t, 2901, m.View().Servers["s"].Len()) // those of revisions 101 to 3001
 	})
 }
+
+// Guards against a server that stays in use at a daemon which saw it come, after the peer that it asks
+// lost the history in which the server came and went.
+func TestPeerTellsOfKeysRemovedInItsGap(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		source, sink := f.feeds[0], f.feeds[1]
+		must.NoError(f.t, source.readAll(f.ctx))
+		f.put("server/1", "a:1")
+		must.NoError(f.t, sink.readAll(f.ctx))
+		must.Eq(f.t, "1", f.serversIn(1))
+		f.remove("server/1")
+		f.put("config", "vv")
+		must.NoError(f.t, source.readAll(f.ctx))
+		must.True(f.t, sink.pollPeer(f.ctx, "0:1", 0))
+		must.Eq(f.t, "", f.serversIn(1))
+	})
+}
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -109,6 +109,8 @@
 		}
 	})
 	t.entries.listed = list.Pages
+	// Keys that were written and removed before the list, since the last known revision, are unknown.
+	t.entries.removalFloor = max(t.entries.removalFloor, list.Pages.Oldest())
 }
 
 // putListed stores a key as a list shows it. A list shows that the key existed as of its page, so that
@@ -133,9 +135,9 @@
 	update()
 	if t.initializing {
 		t.entries.removalFloor = revision
-		if last {
-			t.logInitialRead(revision)
-		}
+	}
+	if t.initializing && last {
+		t.logInitialRead(revision)
 	}
 	t.initialized, t.initializing = t.initialized || last, false
 }
