feed: replies of several pages confirm only what their tables knew

What callers would see: requests to a server that has left, a server that is never used, or a configuration that counts as confirmed although a newer one was accepted, at a daemon that got the state from peers in several replies while it changed. Cause: a daemon took the last of several replies for all of them. Change: a partial reply states the revision up to which its sender knew all changes. The daemon keeps what the replies say together (told): an older table cannot end them, and what went beyond a table's revision confirms no more than that revision. It asks for removals since the oldest table, and gets them with the last reply. "All existing keys" is a field of its own, as a list of none could not be told from no list. A reply that brings no progress does not ask again at once. Why it works: for each key, the last change up to the revision that is claimed lies in the range of some reply, whose table knew it or a later one; told.go says it in full. Daemons of both versions understand each other: the new fields are optional.

--- a/control/feed/entries.go
+++ b/control/feed/entries.go
@@ -139,19 +139,22 @@
 // delta holds the changes after a revision, in the order of revisions.
 type delta struct {
 	puts []store.KV
-	// removedKeys holds the keys removed since; it is unused if presentKeys is set.
+	// removedKeys holds the keys removed since; it is unused if listsPresent is set.
 	removedKeys []string
-	// presentKeys holds all existing keys. It replaces removedKeys if the removals since the
-	// revision are no longer known.
-	presentKeys []string
-	// partial says that there are more changes after the revision upTo.
+	// presentKeys holds all existing keys if listsPresent is set. It replaces removedKeys if the removals
+	// since the revision are no longer known.
+	presentKeys  []string
+	listsPresent bool
+	// partial says that there are more changes after the revision upTo. Removals come with the last of
+	// them.
 	partial bool
 	upTo    int64
 }
 
-// since returns the changes after a revision; 0 selects every entry. It returns no more than maxBytes
-// of keys and values, but all changes of a revision or none.
-func (e *entries) since(after int64, maxBytes int) delta {
+// since returns the entries written after a revision, where 0 selects every entry, and the keys removed
+// after another one; 0 for none. It returns no more than maxBytes of keys and values, but all entries of
+// a revision or none.
+func (e *entries) since(after, removedAfter int64, maxBytes int) delta {
 	var d delta
 	size := 0
 	e.byVersion.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
@@ -165,14 +168,11 @@
 		return true
 	})
 	switch {
-	case after == 0:
-	case after < e.removalFloor:
-		d.presentKeys = slices.Collect(maps.Keys(e.kvs))
+	case d.partial || removedAfter == 0:
+	case removedAfter < e.removalFloor:
+		d.presentKeys, d.listsPresent = slices.Collect(maps.Keys(e.kvs)), true
 	default:
-		e.removals.Ascend(versionedKey{version: after + 1}, func(k versionedKey) bool {
-			if d.partial && k.version > d.upTo {
-				return false
-			}
+		e.removals.Ascend(versionedKey{version: removedAfter + 1}, func(k versionedKey) bool {
 			d.removedKeys = append(d.removedKeys, k.key)
 			return true
 		})
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -133,7 +133,7 @@
 	// are; 0 before that.
 	completeAt      time.Duration
 	historyLost     bool          // the watch cannot continue from revision
-	partialRevision int64         // up to which peers have told changes that are not complete yet; 0 if none
+	told            told          // by peers since revision, not complete yet
 	expiryScheduled bool          // a call of expireGracePeriods is scheduled
 	updated         chan struct{} // closed and replaced when this daemon has something new to return to peers
 	controlChanged  chan struct{} // see ControlChanged
@@ -183,9 +183,11 @@
 	confirmedAt, completeAt time.Duration
 	// revision is the store revision of the table after the change.
 	revision int64
-	// partial says that there are more changes, so that the table is at no revision of the store.
+	// partial says that the entries up to the revision upTo are told and that there are more changes, so
+	// that the table is at no revision of the store.
 	partial bool
-	// after is the revision up to which the table has to be complete for the change to apply.
+	upTo    int64
+	// after is the revision up to which entries have to be held or told for the change to apply.
 	after int64
 }
 
@@ -194,20 +196,29 @@
 func (m *Manager) apply(b basis, update func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if b.revision < m.revision.Load() || b.after > max(m.revision.Load(), m.partialRevision) {
+	have := m.revision.Load()
+	if b.revision < have || b.after > max(have, m.told.upTo) {
+		return
+	}
+	isContinuation := b.after > have
+	if isContinuation && !m.told.continues(b.upTo, b.revision, !b.partial) {
+		m.told.upTo = 0 // it begins anew
 		return
 	}
 	m.table.beginEra(m.opts.Clock(), b.revision)
 	update()
 	if b.partial {
-		m.partialRevision = b.revision
+		m.told.add(b.upTo, b.revision)
 		m.publish()
 		return
 	}
-	if b.revision > m.revision.Load() {
+	if isContinuation && m.told.completeTo(b.revision) < b.revision {
+		b = basis{revision: max(have, m.told.completeTo(b.revision))}
+	}
+	if b.revision > have {
 		m.historyLost = false
 	}
-	m.partialRevision = 0
+	m.told = told{}
 	m.revision.Store(b.revision)
 	m.table.entries.setComplete(b.revision)
 	lostRefused := m.table.endRestoration(b.revision)
--- a/control/feed/pages.go
+++ b/control/feed/pages.go
@@ -31,7 +31,8 @@
 
 // page is one reply's worth of changes after a revision.
 type page struct {
-	revision int64 // up to which the changes are complete
+	revision int64 // up to which the entries are told
+	known    int64 // up to which all changes were known when the page was made
 	partial  bool  // there are more changes
 	// content holds the changes; packed holds them compressed in its place if they are large.
 	content *peerpb.SnapshotReply
@@ -40,8 +41,9 @@
 }
 
 // pageCache holds the full pages sent lately, by the revision that they begin after. Daemons that
-// start together ask for the same pages, which are then encoded once. It is not safe for concurrent
-// use.
+// start together ask for the same pages, which are then encoded once. A page that goes beyond the
+// revision up to which all changes were known is not held, because an older one must not follow a newer
+// one (told.continues). It is not safe for concurrent use.
 type pageCache map[int64]*page
 
 // prune drops the pages that are older than pageTTL.
@@ -62,11 +64,11 @@
 
 // newPage encodes the changes of a delta. revision is the one up to which the table is complete.
 func newPage(d delta, revision int64) (*page, error) {
-	p := &page{revision: revision, partial: d.partial}
+	p := &page{revision: revision, known: revision, partial: d.partial}
 	if d.partial {
 		p.revision = d.upTo
 	}
-	content := &peerpb.SnapshotReply{Removed: d.removedKeys, Present: d.presentKeys}
+	content := &peerpb.SnapshotReply{Removed: d.removedKeys, Present: d.presentKeys, ListsPresent: d.listsPresent}
 	for _, kv := range d.puts {
 		content.Entries = append(content.Entries, &peerpb.FeedEntry{Key: kv.Key, Value: kv.Value, Revision: kv.Version})
 	}
@@ -113,10 +115,17 @@
 	if err := proto.Unmarshal(raw, &content); err != nil {
 		return nil, errors.Wrap(err, "feed: decode page")
 	}
-	reply.Entries, reply.Removed, reply.Present, reply.Packed = append(reply.Entries, content.GetEntries()...), content.GetRemoved(), content.GetPresent(), nil
+	reply.Packed = nil
+	addContent(reply, &content)
 	return reply, nil
 }
 
+// addContent adds the changes of a page to a reply.
+func addContent(reply, content *peerpb.SnapshotReply) {
+	reply.Entries = append(reply.Entries, content.GetEntries()...)
+	reply.Removed, reply.Present, reply.ListsPresent = content.GetRemoved(), content.GetPresent(), content.GetListsPresent()
+}
+
 // replyEvents returns the changes of a reply in the order in which they apply.
 func replyEvents(reply *peerpb.SnapshotReply, removed []string) []store.Event {
 	list := make([]store.Event, 0, len(reply.GetEntries())+len(removed))
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -233,7 +233,7 @@
 	stale := time.Duration(reply.GetAgeMs())*time.Millisecond > maxFreshAge
 	m.peerAlsoStale.Store(stale)
 	m.applyReply(sentAt, have, address, reply)
-	if reply.GetPartial() && ctx.Err() == nil {
+	if reply.GetPartial() && ctx.Err() == nil && m.toldRevision() > have {
 		return m.pollPeer(parent, address, 0)
 	}
 	isBehind := store.EraOf(reply.GetRevision()) < store.EraOf(have) // it has not heard of a restoration
@@ -246,10 +246,21 @@
 	age, _ := m.confirmationAge()
 	return &peerpb.SnapshotRequest{
 		Have: have, WaitMs: hold.Milliseconds(), AgeMs: age.Milliseconds(), CollectMs: m.collectTime().Milliseconds(),
-		ConfigVersion: m.configVersion(),
+		ConfigVersion: m.configVersion(), RemovalsAfter: m.heldSince(),
 	}
 }
 
+// heldSince returns the lowest revision as of which an entry may be held; 0 if none is held. Removals
+// after it have to be told.
+func (m *Manager) heldSince() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision := m.revision.Load(); revision != 0 {
+		return revision
+	}
+	return m.told.lowest
+}
+
 // configVersion returns the version of the configuration in force; 0 if there is none.
 func (m *Manager) configVersion() int64 {
 	if c := m.View().Config; c != nil {
@@ -262,7 +273,7 @@
 func (m *Manager) toldRevision() int64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(m.revision.Load(), m.partialRevision)
+	return max(m.revision.Load(), m.told.upTo)
 }
 
 // collectTime returns how long the polled daemon collects changes that can wait.
@@ -298,7 +309,10 @@
 	wasOverdue, changed := m.isConfirmationOverdue(), false
 	b := basis{
 		confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond,
-		revision: reply.GetRevision(), partial: reply.GetPartial(), after: after,
+		revision: reply.GetRevision(), partial: reply.GetPartial(), upTo: reply.GetRevision(), after: after,
+	}
+	if reply.GetKnown() != 0 {
+		b.revision = reply.GetKnown()
 	}
 	m.apply(b, func() {
 		before := m.table.changeCount
@@ -308,10 +322,14 @@
 		}
 		m.table.recoveryUntil = max(m.table.recoveryUntil, sentAt+time.Duration(reply.GetDoubtMs())*time.Millisecond)
 		removed := reply.GetRemoved()
-		if len(reply.GetPresent()) > 0 {
+		listsPresent := reply.GetListsPresent() || len(reply.GetPresent()) > 0
+		if listsPresent {
 			removed = m.table.entries.absent(reply.GetPresent())
 		}
 		m.table.applyPage(sentAt, reply.GetRevision(), !reply.GetPartial(), replyEvents(reply, removed))
+		if listsPresent {
+			m.table.forgetRemovalsBefore(reply.GetRevision())
+		}
 	})
 	recovered := wasOverdue && m.isFresh()
 	if recovered {
--- a/control/feed/size_test.go
+++ b/control/feed/size_test.go
@@ -51,7 +51,7 @@
 
 // askForOneChange returns a function that collects what changed since the newest revision but one.
 func askForOneChange(tab *table) func() {
-	return func() { tab.entries.since(tab.entries.newestVersion-1, maxPageBytes) }
+	return func() { tab.entries.since(tab.entries.newestVersion-1, tab.entries.newestVersion-1, maxPageBytes) }
 }
 
 // Guards against work in proportion to the fleet: if each change of one server cost every daemon a
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -43,9 +43,9 @@
 	if err != nil {
 		return nil, err
 	}
-	reply.Revision, reply.Partial, reply.Packed = p.revision, p.partial, p.packed
+	reply.Revision, reply.Partial, reply.Packed, reply.Known = p.revision, p.partial, p.packed, p.known
 	if p.content != nil {
-		reply.Entries, reply.Removed, reply.Present = append(reply.Entries, p.content.GetEntries()...), p.content.GetRemoved(), p.content.GetPresent()
+		addContent(reply, p.content)
 	}
 	return reply, nil
 }
@@ -59,7 +59,10 @@
 	if !known {
 		return &peerpb.SnapshotReply{}, nil
 	}
-	now, after := m.opts.Clock(), q.GetHave()
+	now, after, removedAfter := m.opts.Clock(), q.GetHave(), q.GetRemovalsAfter()
+	if removedAfter == 0 {
+		removedAfter = after
+	}
 	// The ages are rounded up because they must never be reported as less than they are.
 	reply := &peerpb.SnapshotReply{
 		Revision: m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - m.completeAt).Milliseconds() + 1, Lost: m.hasLostStore(),
@@ -67,21 +70,21 @@
 	if left := m.table.recoveryUntil - now; left > 0 {
 		reply.DoubtMs = left.Milliseconds()
 	}
-	if after >= max(reply.Revision, m.table.entries.newestVersion) {
+	if min(after, removedAfter) >= max(reply.Revision, m.table.entries.newestVersion) {
 		return reply, nil
 	}
 	m.pages.prune(now)
 	if p := m.pages[after]; p != nil {
 		return reply, func() (*page, error) { return p, nil }
 	}
-	d, revision := m.table.entries.since(after, maxPageBytes), reply.Revision
+	d, revision := m.table.entries.since(after, removedAfter, maxPageBytes), reply.Revision
 	return reply, func() (*page, error) { return m.encodePage(now, after, d, revision) }
 }
 
 // encodePage returns the page of the changes after a revision, and keeps it if it is a full one.
 func (m *Manager) encodePage(now time.Duration, after int64, d delta, revision int64) (*page, error) {
 	p, err := newPage(d, revision)
-	if err == nil && p.partial {
+	if err == nil && p.partial && p.revision <= p.known {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.pages.put(now, after, p)
--- a/control/feed/table.go
+++ b/control/feed/table.go
@@ -109,8 +109,13 @@
 		}
 	})
 	t.entries.listed = list.Pages
-	// Keys that were written and removed before the list, since the last known revision, are unknown.
-	t.entries.removalFloor = max(t.entries.removalFloor, list.Pages.Oldest())
+	t.forgetRemovalsBefore(list.Pages.Oldest())
+}
+
+// forgetRemovalsBefore records that keys may have been written and removed up to a revision that were
+// never known here.
+func (t *table) forgetRemovalsBefore(revision int64) {
+	t.entries.removalFloor = max(t.entries.removalFloor, revision)
 }
 
 // putListed stores a key as a list shows it. A list shows that the key existed as of its page, so that
--- /dev/null
+++ b/control/feed/told.go
@@ -0,0 +1,43 @@
+package feed
+
+// told is the progress of changes that peers tell in several replies, the last of which is not partial.
+//
+// Each reply holds the entries of a range of revisions, as the table of a peer had them. The replies may
+// be made from different tables: the peer's changes meanwhile, and another peer may go on. A table also
+// holds entries beyond the revision up to which it knows all changes, such as a configuration that was
+// read on its own. A reply that goes beyond that revision says nothing of other changes before its end.
+type told struct {
+	// upTo is the revision up to which entries were told; 0 before the first partial reply.
+	upTo int64
+	// lowest and highest are the lowest and the highest revision of the tables.
+	lowest, highest int64
+	// certain is the lowest revision of a table whose reply went beyond it; 0 if none did.
+	certain int64
+}
+
+// add records a partial reply with the entries up to a revision from a table at the revision known.
+func (p *told) add(upTo, known int64) {
+	if p.upTo == 0 {
+		p.lowest = known
+	}
+	p.upTo, p.lowest, p.highest = upTo, min(p.lowest, known), max(p.highest, known)
+	if upTo > known && (p.certain == 0 || known < p.certain) {
+		p.certain = known
+	}
+}
+
+// continues reports whether a reply from a table at the revision known, with the entries up to a
+// revision, can follow the earlier ones. The last reply, and one that goes beyond its table's revision,
+// must not be older than they are: what they left out as changed later would be missing.
+func (p *told) continues(upTo, known int64, last bool) bool {
+	return known >= p.highest || !last && upTo <= known
+}
+
+// completeTo returns the revision up to which all changes are known after the last reply, which was made
+// from a table at the revision known.
+func (p *told) completeTo(known int64) int64 {
+	if p.certain != 0 {
+		return min(p.certain, known)
+	}
+	return known
+}
--- /dev/null
+++ b/control/feed/told_test.go
@@ -0,0 +1,38 @@
+package feed
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a daemon that takes its peers' partial replies for more than they say together.
+func TestToldStatesWhatIsCertain(t *testing.T) {
+	type reply struct{ upTo, known int64 }
+	for name, c := range map[string]struct {
+		replies   []reply
+		last      int64 // revision of the table of the last reply
+		continues bool
+		complete  int64
+	}{
+		"one table":                              {[]reply{{20, 50}, {40, 50}}, 50, true, 50},
+		"changes meanwhile":                      {[]reply{{20, 50}, {40, 55}}, 60, true, 60},
+		"older table between":                    {[]reply{{20, 50}, {40, 45}}, 60, true, 60},
+		"older table last":                       {[]reply{{20, 50}, {40, 50}}, 49, false, 49},
+		"entries ahead, no change meanwhile":     {[]reply{{20, 50}, {70, 50}}, 50, true, 50},
+		"entries ahead, changes meanwhile":       {[]reply{{20, 50}, {70, 50}}, 80, true, 50},
+		"entries ahead of two tables":            {[]reply{{70, 50}, {75, 60}}, 80, true, 50},
+		"entries ahead, then a table in between": {[]reply{{70, 50}, {75, 80}}, 90, true, 50},
+	} {
+		var p told
+		for _, r := range c.replies {
+			p.add(r.upTo, r.known)
+		}
+		must.Eq(t, c.continues, p.continues(c.last, c.last, true), must.Sprint(name))
+		must.Eq(t, c.complete, p.completeTo(c.last), must.Sprint(name))
+	}
+	var p told
+	p.add(20, 50)
+	must.True(t, p.continues(40, 45, false))  // entries of before
+	must.False(t, p.continues(60, 45, false)) // what the first reply left out as changed later is missing
+}
