forward: bounds for responses that never end

What callers would see: a server that sends bytes without end takes memory and processor time from all requests of a daemon, and the daemon is killed for its memory. Cause: the transports stated no bound for a head (net/http then reads 10 MB, of each interim response too), and no body had one but that of an event (1 MiB) and of a probe (1 MiB, then taken for whole). A body was read or passed on until the request's timeout, also where it could not be used: without proof, after a refusal, in events that the caller had already. A refusal's body and one without proof are not read. What ends at a bound is a failure of its server: it may have run the request, the attempt is used, the server is suspect, an idempotent call or a resumable stream goes on elsewhere, and what the caller has begun to get is cut.

--- a/external/sent/sent.go
+++ b/external/sent/sent.go
@@ -128,6 +128,8 @@
 	// idleTimeout is short because a stalled idle connection is detected only when it is used.
 	idleTimeout         = 15 * time.Second
 	maxIdleConnsPerHost = 4
+	// MaxHeadBytes bounds the head of a response, and that of each interim response before it.
+	MaxHeadBytes = 64 << 10
 )
 
 // NewTransport returns a transport that counts the bytes it writes, uses no proxy and speaks
@@ -146,6 +148,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 }
 
--- /dev/null
+++ b/external/standin/endless/endless.go
@@ -0,0 +1,57 @@
+// Package endless plays a backend server whose response never ends.
+package endless
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+)
+
+// MaxBytes is where Write stops although nobody has closed the connection, so that a test of a client
+// that reads on fails in place of running for ever.
+const MaxBytes = 64 << 20
+
+// blockBytes is the least size of one write.
+const blockBytes = 32 << 10
+
+// Write writes the beginning of a response, and then repeats a text until the connection is closed or
+// MaxBytes were written.
+func Write(conn io.Writer, begin, repeat string) {
+	if _, err := io.WriteString(conn, begin); err != nil {
+		return // closed
+	}
+	block := []byte(strings.Repeat(repeat, 1+blockBytes/len(repeat)))
+	for written := 0; written < MaxBytes; written += len(block) {
+		if _, err := conn.Write(block); err != nil {
+			return // closed
+		}
+	}
+}
+
+// Dial returns a dial function whose connections lead to a server that answers as Write does. The bytes
+// that the client reads are added to read.
+func Dial(begin, repeat string, read *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, there) }() // the request
+		go func() {
+			defer there.Close()
+			Write(there, begin, repeat)
+		}()
+		return countingConn{here, read}, nil
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -60,6 +60,8 @@
 	Timed   bool
 	Length  time.Duration
 	Callers int
+	// MemoryLimitBytes is the memory limit that the daemons' settings state; 0 states none.
+	MemoryLimitBytes int64
 }
 
 // Report is the result of a run.
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"net/http"
 	"net/http/httptrace"
@@ -101,9 +100,9 @@
 	if !o.isStream() {
 		return
 	}
-	r := bufio.NewReaderSize(o.resp.Body, eventBufferBytes)
+	events := newEventReader(o.resp.Body)
 	for {
-		e := readEvent(r)
+		e := events.next()
 		if !a.tryDeliver(responsePart{event: e}) || e.err != nil {
 			return
 		}
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -171,6 +171,7 @@
 	received       []*http.Request
 	receivedAt     []time.Time
 	handle         http.HandlerFunc
+	override       http.HandlerFunc // answers everything if it is set
 	http           *http.Server
 	cacheRequests  int // number of cache requests
 	probes         int // number of status requests
@@ -204,6 +205,13 @@
 }
 
 func (s *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	override := s.override
+	s.mu.Unlock()
+	if override != nil {
+		override(w, r)
+		return
+	}
 	switch r.URL.Path {
 	case "/alive":
 		if s.server.Service == "llm" {
--- a/serve/forward/locate.go
+++ b/serve/forward/locate.go
@@ -211,9 +211,6 @@
 	}
 }
 
-// errCacheTooLarge means that an engine's answer exceeds maxCacheReplyBytes.
-var errCacheTooLarge = errors.New("forward: the engine's answer about its cache is too large")
-
 // cachedParts asks an engine which prompt parts it caches, and returns its incarnation as well.
 func (h *Handler) cachedParts(ctx context.Context, server routing.Server) (routing.Incarnation, []string, error) {
 	incarnation, parts, _, err := h.fetchCache(ctx, server)
@@ -228,9 +225,6 @@
 	if err != nil {
 		return incarnation, nil, len(body), err
 	}
-	if len(body) >= maxCacheReplyBytes {
-		return incarnation, nil, len(body), errCacheTooLarge
-	}
 	cache, err := h.opts.Codec.Cache(body)
 	if err != nil {
 		h.recordUnreadable(server, err)
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	return h.forwardResponse(w, in, last)
+	return h.forwardResponse(ctx, w, in, last)
 }
 
 // run sends the request until a response is final or no further send is permitted. It returns the
@@ -293,9 +293,11 @@
 	o.status, o.header, o.reply = resp.StatusCode, resp.Header, reply
 	o.notRun, o.rejected = reply.NotRun, reply.NotRun
 	o.full = reply.NotRun && !reply.Misdirected
-	o.body, o.bodyRest, o.err = readResponse(resp)
-	if o.err == nil && resp.StatusCode < http.StatusMultipleChoices && !reply.Authentic {
-		o.err = errors.New("the response carries no proof of its server")
+	if !reply.NotRun && resp.StatusCode < http.StatusMultipleChoices && !reply.Authentic {
+		resp.Body.Close()
+		o.err = errNotAuthentic
+	} else {
+		o.body, o.bodyRest, o.err = readResponse(resp)
 	}
 	if o.err != nil {
 		h.inspectBroken(ctx, in, o, started)
--- a/serve/forward/response.go
+++ b/serve/forward/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,12 +10,17 @@
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/decision/verdict"
+	"mallowwind.dev/external/sent"
 )
 
 // bufferedResponseBytes is how much of a response is buffered before any of it is forwarded,
 // so that a response that breaks off within that size can be retried.
 const bufferedResponseBytes = 256 << 10
 
+// maxResponseBytes bounds the body of a response, also that of a stream. It is many times the longest
+// generation.
+const maxResponseBytes = 16 << 20
+
 // readResponse reads a response to its end, or its first bufferedResponseBytes if it is longer.
 func readResponse(resp *http.Response) ([]byte, io.ReadCloser, error) {
 	var buf bytes.Buffer
@@ -42,7 +48,7 @@
 }
 
 // forwardResponse writes a server's response to the caller.
-func (h *Handler) forwardResponse(w http.ResponseWriter, in *inbound, o *outcome) error {
+func (h *Handler) forwardResponse(ctx context.Context, w http.ResponseWriter, in *inbound, o *outcome) error {
 	if notRunStatuses[o.status] {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBackendFailed, "the backend server answered %d and may have run the request", o.status)
 	}
@@ -61,7 +67,11 @@
 		return nil
 	}
 	defer o.bodyRest.Close()
-	if _, err := io.Copy(w, o.bodyRest); err != nil {
+	_, err := io.Copy(w, o.bodyRest)
+	if errors.Is(err, sent.ErrTooLarge) {
+		h.markSuspect(ctx, in, o.choice, err)
+	}
+	if err != nil {
 		return errors.Wrapf(errTruncated, "%v", err)
 	}
 	return nil
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -274,7 +274,7 @@
 	if err != nil {
 		return r.handleFailure(ctx, l, err)
 	}
-	err = r.h.forwardResponse(r.w, r.in, &outcome{status: o.resp.StatusCode, header: o.resp.Header, body: body, bodyRest: rest})
+	err = r.h.forwardResponse(ctx, r.w, r.in, &outcome{choice: l.target, status: o.resp.StatusCode, header: o.resp.Header, body: body, bodyRest: rest})
 	return segmentNonStream, err
 }
 
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -21,8 +21,9 @@
 // less than the second after which a lost SYN is retransmitted: another server is tried instead.
 const dialTimeout = 250 * time.Millisecond
 
-// maxEngineReplyBytes bounds the response of an engine to a probe or a command.
-const maxEngineReplyBytes = 1 << 20
+// maxEngineReplyBytes bounds the response of an engine to a probe or a command. A report takes a few
+// tens of bytes for each request that the engine runs.
+const maxEngineReplyBytes = 64 << 10
 
 // errNotSent means that no byte of the request was sent, so it has not run.
 var errNotSent = errors.New("forward: request not sent")
@@ -128,7 +129,16 @@
 		return nil, Reply{}, errors.Errorf("the response belongs to another request, %s", reply.ID)
 	}
 	h.observeReply(e.Server, sentAt, reply)
+	if reply.NotRun { // its body is not used
+		resp.Body.Close()
+		resp.Body = http.NoBody
+		return resp, reply, nil
+	}
 	sent.CheckEnd(resp, func() bool { return h.serverStateAt(e.Server.Address) == sent.ServerExited })
+	if err := sent.LimitBody(resp, maxResponseBytes); err != nil {
+		resp.Body.Close()
+		return nil, Reply{}, err
+	}
 	return resp, reply, nil
 }
 
@@ -156,7 +166,7 @@
 	return h.callServerUpTo(ctx, maxEngineReplyBytes, method, s, path, body)
 }
 
-// callServerUpTo is callServer, limited to reading limitBytes of the response.
+// callServerUpTo is callServer with another limit of the response; a longer one is sent.ErrTooLarge.
 func (h *Handler) callServerUpTo(ctx context.Context, limitBytes int64, method string, s routing.Server, path string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Address+path, bytes.NewReader(body))
 	if err != nil {
@@ -173,7 +183,10 @@
 	if h.opts.Codec.Reply(resp.StatusCode, resp.Header).Leaving {
 		h.recordLeaving(s)
 	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, limitBytes))
+	if err := sent.LimitBody(resp, limitBytes); err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return answer, errors.Wrap(err, path)
 	}
