engine, plain: bounds for responses that never end

A plain service's response was held in memory up to 16 MiB, many at a time, and an engine's stream of comments was read until its caller left. Change: responses of plain services end at 1 MiB (the size of the largest stored value), answers of engines at 1 MiB, refusals at 64 KiB, and a stream after 512 KiB without a chunk. The bound of the head is that of sent. The client of plain services uses sent.LimitBody in place of its own.

--- a/external/engine/stream.go
+++ b/external/engine/stream.go
@@ -13,6 +13,9 @@
 const (
 	// maxEventBytes bounds one event. An engine sends a few tokens per event.
 	maxEventBytes = 256 << 10
+	// maxBytesBetweenChunks bounds what is read after a chunk and up to the end of the next one: an event
+	// and the comments before it.
+	maxBytesBetweenChunks = 2 * maxEventBytes
 	// readAheadChunks is the number of chunks buffered for Next. When the buffer is full, the stream
 	// stops reading from the connection, which puts backpressure on the engine.
 	readAheadChunks = 16
@@ -93,13 +96,33 @@
 	}
 }
 
+// errNoChunk means that a stream goes on without a chunk.
+var errNoChunk = errors.Errorf("engine: %d bytes without a chunk", maxBytesBetweenChunks)
+
+// chunkLimiter ends a stream that goes on without a chunk, such as one of comments alone.
+type chunkLimiter struct {
+	r    io.Reader
+	left int // bytes that may be read before the next chunk
+}
+
+// Read implements io.Reader.
+func (l *chunkLimiter) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errNoChunk
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // readEvents parses a stream and yields its chunks up to the one with Finish set or until yield
 // returns false, and then returns nil. Any other end is ErrBroken: the end of the connection alone
 // does not complete a generation, and a chunk of another attempt or at an unexpected offset is not
 // yielded.
 func readEvents(r io.Reader, attempt uint64, from int, yield func(Chunk) bool) error {
 	next := from
-	for e, err := range sse.Read(r, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	limited := &chunkLimiter{r: r, left: maxBytesBetweenChunks}
+	for e, err := range sse.Read(limited, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return errors.Wrapf(ErrBroken, "read: %v", err)
 		}
@@ -114,6 +137,7 @@
 			return errors.Wrapf(ErrBroken, "chunk at offset %d, expected %d", c.Offset, next)
 		}
 		next += len(c.Tokens)
+		limited.left = maxBytesBetweenChunks
 		if !yield(c) || c.Finish != "" {
 			return nil
 		}
--- a/external/engine/wire.go
+++ b/external/engine/wire.go
@@ -91,8 +91,12 @@
 	Message string    `json:"message"`
 }
 
-// maxControlBodyBytes bounds the response body of a call that does not stream.
-const maxControlBodyBytes = 4 << 20
+const (
+	// maxControlBodyBytes bounds the response body of a call that does not stream.
+	maxControlBodyBytes = 1 << 20
+	// maxRefusalBytes bounds the body of a refusal.
+	maxRefusalBytes = 64 << 10
+)
 
 // decodeRefusal decodes the refusal of an engine from a response and reports whether it is one. An
 // error status without such a body may come from an intermediary and does not tell whether the engine
@@ -103,6 +107,6 @@
 		return ErrorDetail{}, false
 	}
 	var body ErrorBody
-	err := json.NewDecoder(io.LimitReader(resp.Body, maxControlBodyBytes)).Decode(&body)
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(&body)
 	return body.Error, err == nil && body.Error.Code != ""
 }
--- a/external/plain/client.go
+++ b/external/plain/client.go
@@ -10,8 +10,9 @@
 	"mallowwind.dev/external/sent"
 )
 
-// DefaultMaxResponseBytes is the default limit on the response body that a Client reads.
-const DefaultMaxResponseBytes = 16 << 20
+// DefaultMaxResponseBytes is the default limit on the response body that a Client reads. Responses are
+// held in memory, many at a time.
+const DefaultMaxResponseBytes = 1 << 20
 
 // Client sends calls over HTTP. Every call uses its own connection. A pooled connection may have
 // stalled, or the backend server may close it just as the call is written; either way a call that
@@ -58,7 +59,10 @@
 	}
 	defer resp.Body.Close()
 	sent.CheckEnd(resp, func() bool { return sent.ProbeServer(ctx, c.dial, address) == sent.ServerExited })
-	body, err := c.readBody(resp.Body)
+	if err := sent.LimitBody(resp, c.maxResponseBytes); err != nil {
+		return Response{}, errors.Wrapf(ErrNoResponse, "read response: %v", err)
+	}
+	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Response{}, errors.Wrapf(ErrNoResponse, "read response: %v", err)
 	}
@@ -71,11 +75,3 @@
 	}
 	return errors.Wrapf(ErrNoResponse, "%v", err)
 }
-
-func (c *Client) readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, c.maxResponseBytes+1))
-	if err == nil && int64(len(body)) > c.maxResponseBytes {
-		return nil, errors.Errorf("response body is larger than %d bytes", c.maxResponseBytes)
-	}
-	return body, err
-}
--- a/serve/daemon/platform.go
+++ b/serve/daemon/platform.go
@@ -17,9 +17,6 @@
 // platformTimeout bounds one request to the VM list or the weight store.
 const platformTimeout = 2 * time.Second
 
-// maxAnswerBytes bounds the response of a plain service.
-const maxAnswerBytes = 16 << 20
-
 // Connect returns clients of the platform's services at the addresses in the settings.
 func Connect(s *settings.Settings) (Platform, error) {
 	kv, err := store.NewEtcdClient(s.Store, nil)
@@ -31,7 +28,7 @@
 		Store:  kv,
 		VMs:    vmlist.NewClient(s.VMList, plainHTTP),
 		Engine: func(address string) engine.Engine { return engine.NewClient("http://"+address, nil) },
-		Plain:  plain.NewClient(nil, maxAnswerBytes),
+		Plain:  plain.NewClient(nil, plain.DefaultMaxResponseBytes),
 	}
 	if s.Weights != "" {
 		p.Weights = weights.NewClient(s.Weights, plainHTTP)
