forward: a response whose caller has left is never completed

Cause: ServeHTTP returned without an error where the request's context had ended, and net/http then completes the response. Change: ServeHTTP has one way to end a response that is not whole: it aborts the connection. TestDisconnectedCallerLeavesQueue called the handler without a server around it and now expects the abort, as a server would.

--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -202,9 +202,13 @@
 	} else {
 		err = h.forwardPlain(ctx, w, in, service)
 	}
-	if err == nil || r.Context().Err() != nil {
+	if err == nil {
 		return
 	}
+	if r.Context().Err() != nil {
+		// The caller has left, but may still read. A return would complete the response.
+		panic(http.ErrAbortHandler)
+	}
 	var refused *verdict.Error
 	if errors.As(context.Cause(ctx), &refused) && !errors.Is(err, errTruncated) {
 		err = refused
--- a/serve/forward/waiting_test.go
+++ b/serve/forward/waiting_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -346,17 +345,13 @@
 	withTestCluster(t, waitingRoutes(), func(w *testCluster) {
 		a := w.add("e-a", "llm", "a", streamEvents(5, time.Second, 40*time.Millisecond))
 		fill(a)
-		ctx, leave := context.WithCancel(w.t.Context())
 		w.background(func() {
-			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://host/c/1", strings.NewReader("prompt"))
-			for k, v := range sized("r1") {
-				r.Header.Set(k, v)
-			}
-			w.handler.ServeHTTP(httptest.NewRecorder(), r)
+			_, aborted := w.requestAndLeave("/c/1", sized("r1"), time.Second+time.Millisecond)
+			must.True(w.t, aborted)
 		})
 		time.Sleep(time.Second)
 		must.Eq(t, 1, w.handler.waiting.len())
-		leave()
+		time.Sleep(time.Millisecond) // it leaves
 		synctest.Wait()
 		must.Eq(t, 0, w.handler.waiting.len())
 		free(a)
