forward: a daemon's count of crashes is not lost to another one's lower count

What callers would see: a request that crashes the servers which run it goes on crashing them, up to 123 sends in the time in which 3 are allowed (TestPoisonRequestReachesFewServers, once in tens of runs). Cause, as traced by the review: the two daemons that count a request's crashes tell each other of each crash and take the answer for a mark to apply. "Unmarked", which the other one gives while it has counted one crash, made a daemon forget the crashes that it had counted itself. Change: an answer without a mark changes nothing. Result: TestTrackersKeepTheirCrashCounts, two daemons that see the crashes by turns: failed before (neither refuses after the third crash), passes.

--- a/serve/forward/place_test.go
+++ b/serve/forward/place_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,8 +151,11 @@
 		return nil, errors.New("no such daemon")
 	}
 	w := httptest.NewRecorder()
-	_, telling := h.WorkService()
-	telling.ServeHTTP(w, r)
+	_, service := h.WorkService()
+	if prefix, poison := h.PoisonService(); strings.HasPrefix(r.URL.Path, prefix) {
+		service = poison
+	}
+	service.ServeHTTP(w, r)
 	return w.Result(), nil
 }
 
--- a/serve/forward/poison.go
+++ b/serve/forward/poison.go
@@ -159,8 +159,10 @@
 		p.countCrash(q)
 		p.notifyTrackers(digest, func(vm routing.VM) {
 			reply, err := callPeer(ctx, p.h.peers, vm, peerpb.NewPoisonProtobufClient, peerpb.Poison.Ended, q, poisonTimeout)
-			if err == nil {
-				p.observeMark(reply.GetRequest(), markFromProto(reply.GetMark()))
+			// A tracker without a mark has counted fewer crashes, which says nothing against those
+			// counted here.
+			if mark := markFromProto(reply.GetMark()); err == nil && mark != poison.Unmarked {
+				p.observeMark(reply.GetRequest(), mark)
 			}
 		})
 	}
--- /dev/null
+++ b/serve/forward/poison_test.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/poison"
+	"mallowwind.dev/peer/link"
+)
+
+// Guards against a poison request that is never refused, because the daemons that count its crashes make
+// each other forget what they have counted.
+func TestTrackersKeepTheirCrashCounts(t *testing.T) {
+	for name, order := range map[string][3]int{"by turns": {0, 1, 0}, "one first": {0, 0, 1}, "the other last": {1, 1, 0}} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, plainRoutes(), func(w *testCluster) {
+				other := w.addDaemon("vm-2")
+				other.peers.dialer = link.NewDialerWithClient(&http.Client{Transport: peerDaemons{"vm-1:1": w.handler}})
+				daemons := []*Handler{w.handler, other}
+				in := &inbound{digests: []string{"digest"}}
+				for crash, n := range order {
+					daemons[n].poisonRegistry.recordCrash(w.t.Context(), in, routing.Incarnation{ID: "server-" + strconv.Itoa(crash)})
+					time.Sleep(time.Second)
+				}
+				for _, d := range daemons {
+					d.poisonRegistry.mu.Lock()
+					mark := d.poisonRegistry.mark("digest")
+					d.poisonRegistry.mu.Unlock()
+					must.Eq(w.t, poison.Refused, mark)
+				}
+			})
+		})
+	}
+}
