forward: another process at an engine's port does not complete its stream

Cause: the end of the connection is the end of such a stream, and of its engine's death too. The daemon asked whether a process accepts connections at the port, and took any for the engine's; a connection that timed out counted as complete as well. Change: an engine's report, which states the start of its process, tells the processes apart. Servers without a report are asked as before; there, another process at the port still counts as the old one.

--- a/external/plain/client.go
+++ b/external/plain/client.go
@@ -58,7 +58,7 @@
 		return Response{}, classifyError(err, probe)
 	}
 	defer resp.Body.Close()
-	sent.CheckEnd(resp, func() bool { return sent.ProbeServer(ctx, c.dial, address) == sent.ServerExited })
+	sent.CheckEnd(resp, func() sent.ServerState { return sent.ProbeServer(ctx, c.dial, address) })
 	if err := sent.LimitBody(resp, c.maxResponseBytes); err != nil {
 		return Response{}, errors.Wrapf(ErrNoResponse, "read response: %v", err)
 	}
--- a/serve/forward/closedelimited_test.go
+++ b/serve/forward/closedelimited_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
 )
 
 // respondUnframed answers with a body that has neither a length nor chunks. The body is what write
@@ -92,6 +95,41 @@
 	}
 }
 
+// Guards against a stream that looks complete because another process has taken the port of its engine.
+func TestStreamOfReplacedEngineIsNotComplete(t *testing.T) {
+	for name, newID := range map[string]string{"same id": "", "another id": "e3"} {
+		t.Run(name, func(t *testing.T) {
+			withTestCluster(t, streamRoute(), func(w *testCluster) {
+				runs := 0
+				whole := streamEvents(20, 0, 20*time.Millisecond)
+				for _, id := range []string{"e1", "e2"} {
+					var s *fakeServer
+					s = w.start(routing.Server{ID: id, StartedAtMS: 1, Service: "llm", Zone: "a", Address: id + ":80", Slots: 4}, func(rw http.ResponseWriter, r *http.Request) {
+						if runs++; runs > 1 {
+							whole(rw, r)
+							return
+						}
+						respondUnframed(func(send func(string), _ int) {
+							send(events(1, 7))
+							w.mu.Lock()
+							w.replaced = append(w.replaced, s) // its connections end in order
+							w.mu.Unlock()
+							next := s.server
+							next.ID, next.StartedAtMS = cmp.Or(newID, next.ID), 2
+							w.start(next, whole)
+						})(rw, r)
+					})
+					w.register(s)
+				}
+				time.Sleep(time.Second) // until the handler knows them
+				got := w.request("POST", "/s/x", callerHeaders, "prompt")
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, events(1, 20), got.body)
+			})
+		})
+	}
+}
+
 // Guards against part of a call's answer that looks complete, when its connection is its end.
 func TestCallThatEndsWithItsConnection(t *testing.T) {
 	const long = 2 * bufferedResponseBytes
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -119,6 +119,23 @@
 	return h.serverStateAt(e.at.server.Address)
 }
 
+// processState finds out whether the process of a server runs. An engine's report tells it from another
+// process that has taken its port; of other servers, any process counts as theirs.
+func (h *Handler) processState(s routing.Server) sent.ServerState {
+	view := h.opts.Feed.View()
+	if view.Config.Engine(s.Service) == nil || h.limits.isPaused(s) {
+		return h.serverStateAt(s.Address)
+	}
+	_, err := h.probe(context.Background(), s, probeTimeout)
+	switch {
+	case err == nil:
+		return sent.ServerRuns
+	case errors.Is(err, errRestarted):
+		return sent.ServerExited
+	}
+	return h.serverStateAt(s.Address)
+}
+
 func (h *Handler) serverStateAt(address string) sent.ServerState {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
