forward: the shortest answer so far no longer refuses all shorter ones

Cause: a daemon takes 0.7 times the shortest complete answer of a service, whatever its request, for a bound on all answers. Only a shorter answer lowers it, and no such request is sent any more. The time per token of the fastest prefill is a bound for prompts of that length, but short prompts take a time that is not that of their tokens. Change: an answer's length is bounded by the tokens that its request allows as well, by the ratio seen in complete answers. A prefill is bounded as for the longest prompt seen. A new request that states no length and has all the time of its route is tried every ten seconds at most. Daemons tell each other the two new figures; an older one's time per token is not used without its length. One of the bounds that a daemon learns; the others (pace, headroom, brittle limits, rest, limits named by servers) were not gone through here.

--- a/decision/prompts/admit.go
+++ b/decision/prompts/admit.go
@@ -48,7 +48,7 @@
 		return onTime - first
 	}
 	late := min(objective, time.Duration(lateBudgetRatio*float64(remaining)))
-	return late - time.Duration(lowerBoundRatio*e.minPrefillNsPerToken*float64(tokens))
+	return late - time.Duration(lowerBoundRatio*e.leastPrefillNs(tokens))
 }
 
 // TimeToObjective returns the time until the objective of a request, negative if it has passed.
--- a/decision/prompts/estimator.go
+++ b/decision/prompts/estimator.go
@@ -33,10 +33,12 @@
 // The zero value has no observations. It is not safe for concurrent use.
 type Estimator struct {
 	minPrefillNsPerToken float64 // of the fastest prefill
+	maxPrefillTokens     float64 // of the longest prompt prefilled
 	meanPromptTokens     float64
 	meanAnswerNs         float64 // from arrival of the request to the end of the answer
 	minNsPerEvent        float64 // of the fastest complete answer
 	minEvents            float64 // of the shortest complete answer
+	minEventsPerToken    float64 // of complete answers, by the tokens that their requests allowed
 	answerCount          int     // complete answers observed
 }
 
@@ -75,12 +77,20 @@
 	return time.Duration(batchSlowdownRatio * e.minPrefillNsPerToken * (pendingTokens + float64(tokens)))
 }
 
+// leastPrefillNs returns the time of the fastest prefill of a prompt in nanoseconds, by the rate observed. A
+// part of each prefill does not grow with the prompt, so that the rate of short prompts says nothing of
+// longer ones but that they take as long at least.
+func (e *Estimator) leastPrefillNs(tokens int) float64 {
+	return e.minPrefillNsPerToken * min(float64(tokens), e.maxPrefillTokens)
+}
+
 // ObservePrefill records the time from sending a prompt to its first event.
 func (e *Estimator) ObservePrefill(tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
 	e.minPrefillNsPerToken = decayingMin(e.minPrefillNsPerToken, float64(took)/float64(tokens))
+	e.maxPrefillTokens = max(e.maxPrefillTokens, float64(tokens))
 }
 
 // decayingMin adds a value to a running minimum. The minimum grows by minGrowthFactor with each
@@ -92,37 +102,54 @@
 	return min(known*minGrowthFactor, value)
 }
 
-// ObserveAnswer records the number of events of a complete answer, and the time of those after the
-// first.
-func (e *Estimator) ObserveAnswer(events int64, took time.Duration) {
+// ObserveAnswer records the number of events of a complete answer, the number of tokens that its request
+// allowed, 0 if it stated none, and the time of the events after the first.
+func (e *Estimator) ObserveAnswer(events int64, maxTokens int, took time.Duration) {
 	if events < 2 || took <= 0 {
 		return
 	}
 	e.answerCount++
+	if maxTokens > 0 {
+		e.minEventsPerToken = decayingMin(e.minEventsPerToken, float64(events)/float64(maxTokens))
+	}
 	e.minEvents = decayingMin(e.minEvents, float64(events))
 	e.minNsPerEvent = decayingMin(e.minNsPerEvent, float64(took)/float64(events-1))
 }
 
 // CannotPrefillWithin reports whether no engine can prefill the prompt in the remaining time.
 func (e *Estimator) CannotPrefillWithin(tokens int, remaining time.Duration) bool {
-	return float64(remaining) < lowerBoundRatio*e.minPrefillNsPerToken*float64(tokens)
+	return float64(remaining) < lowerBoundRatio*e.leastPrefillNs(tokens)
+}
+
+// Answer describes an answer that has to be completed.
+type Answer struct {
+	PromptTokens int
+	// NeedsPrefill says that no engine is known to hold the prompt, so that it has to be prefilled first.
+	NeedsPrefill bool
+	// MaxTokens is the number of tokens that the request allows; 0 if it states none.
+	MaxTokens int
+	// Received is how many events the caller holds.
+	Received int64
 }
 
 // CannotFinishWithin reports whether no engine can complete the answer in the remaining time, even
-// if the answer has only lowerBoundRatio times the events of the shortest recent one and is decoded
-// as fast as the fastest. received is how many of its events the caller holds. needsPrefill says
-// that no engine is known to hold the prompt, so that it has to be prefilled first.
+// if the answer has only lowerBoundRatio times the events of the shortest recent one, or of those that
+// its request allows, and is decoded as fast as the fastest.
 //
 // Load pattern: a VM loses power, its callers' connections hang, and the callers retry seconds
 // later. Without this check, engines prefill and decode for callers that time out before the end
 // of the answer, and these callers wait until then instead of being refused at once.
-func (e *Estimator) CannotFinishWithin(tokens int, needsPrefill bool, received int64, remaining time.Duration) bool {
+func (e *Estimator) CannotFinishWithin(a Answer, remaining time.Duration) bool {
 	if e.answerCount < minAnswerCount {
 		return false
 	}
-	need := e.minNsPerEvent * max(lowerBoundRatio*e.minEvents-float64(received), 0)
-	if needsPrefill {
-		need += lowerBoundRatio * e.minPrefillNsPerToken * float64(tokens)
+	events := e.minEvents
+	if a.MaxTokens > 0 && e.minEventsPerToken > 0 {
+		events = min(events, e.minEventsPerToken*float64(a.MaxTokens))
+	}
+	need := e.minNsPerEvent * max(lowerBoundRatio*events-float64(a.Received), 0)
+	if a.NeedsPrefill {
+		need += lowerBoundRatio * e.leastPrefillNs(a.PromptTokens)
 	}
 	return float64(remaining) < need
 }
@@ -131,17 +158,21 @@
 func (e *Estimator) HasEnoughAnswers() bool { return e.answerCount >= minAnswerCount }
 
 // Estimates is what a daemon reports to other daemons about the engines of a service: the fastest
-// prefill, the rate of the fastest and the length of the shortest complete answer, and the number
-// of complete answers observed.
+// prefill and the length of the longest prompt, the rate of the fastest and the length of the shortest
+// complete answer, and the number of complete answers observed.
 type Estimates struct {
-	PrefillNsPerToken, NsPerEvent float64
-	Events                        float64
-	Answers                       int
+	PrefillNsPerToken, PrefillTokens float64
+	NsPerEvent                       float64
+	Events, EventsPerToken           float64
+	Answers                          int
 }
 
 // Estimates returns the estimates from this daemon's observations and those merged from others.
 func (e *Estimator) Estimates() Estimates {
-	return Estimates{PrefillNsPerToken: e.minPrefillNsPerToken, NsPerEvent: e.minNsPerEvent, Events: e.minEvents, Answers: e.answerCount}
+	return Estimates{
+		PrefillNsPerToken: e.minPrefillNsPerToken, PrefillTokens: e.maxPrefillTokens,
+		NsPerEvent: e.minNsPerEvent, Events: e.minEvents, EventsPerToken: e.minEventsPerToken, Answers: e.answerCount,
+	}
 }
 
 // Merge adds the estimates of another daemon. Invalid values are ignored.
@@ -156,7 +187,11 @@
 	e.answerCount += other.Answers
 	e.minNsPerEvent = decayingMin(e.minNsPerEvent, other.NsPerEvent)
 	e.minEvents = decayingMin(e.minEvents, other.Events)
-	if other.PrefillNsPerToken > 0 {
+	if other.EventsPerToken > 0 {
+		e.minEventsPerToken = decayingMin(e.minEventsPerToken, other.EventsPerToken)
+	}
+	if other.PrefillNsPerToken > 0 && other.PrefillTokens > 0 {
 		e.minPrefillNsPerToken = decayingMin(e.minPrefillNsPerToken, other.PrefillNsPerToken)
+		e.maxPrefillTokens = max(e.maxPrefillTokens, other.PrefillTokens)
 	}
 }
--- a/serve/forward/admit_test.go
+++ b/serve/forward/admit_test.go
@@ -3,10 +3,13 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/control/routing"
 )
 
 // A burst fills the KV cache of every engine. A prompt sent regardless would wait past its
@@ -82,3 +85,34 @@
 		must.Eq(t, events(81, 100), w.request(http.MethodPost, "/s/1", withHeaders(sized), "prompt").body)
 	})
 }
+
+// Guards against short answers that are refused for good after long ones of their service, because their
+// route is used later and nothing states how long they are.
+func TestShortAnswersAreServedAfterLongOnes(t *testing.T) {
+	routes := append(streamRoute(), &routing.Route{
+		Name: "q", Host: "host", Prefix: "/q/", Kind: routing.Stream, Timeout: 2 * time.Second,
+		Objective: time.Second, MaxAttempts: 5, Targets: []routing.Target{{Service: "llm", Weight: 1}},
+	})
+	for _, stated := range []string{"", "120"} {
+		withTestCluster(t, routes, func(w *testCluster) {
+			w.add("e-a", "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+				length := 100
+				if strings.HasPrefix(r.URL.Path, "/q/") {
+					length = 20
+				}
+				streamEvents(length, 50*time.Millisecond, 40*time.Millisecond)(rw, r)
+			})
+			for range 10 {
+				must.Eq(w.t, http.StatusOK, w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000", hAnswer: "600"}), "p").status)
+			}
+			served := 0
+			for range 40 {
+				if w.request(http.MethodPost, "/q/1", withHeaders(map[string]string{hTokens: "200", hAnswer: stated, hWait: "2000"}), "p").status == http.StatusOK {
+					served++
+				}
+				time.Sleep(time.Second)
+			}
+			must.GreaterEq(w.t, 39, served, must.Sprint(stated)) // the trial is the first of all
+		})
+	}
+}
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -33,6 +33,7 @@
 // Headers of the test codec.
 const (
 	hID, hWait, hKey, hAfter, hPart, hTokens = "Id", "Wait-Ms", "Key", "After", "Part", "Tokens"
+	hAnswer                                  = "Answer-Tokens"
 	hServer, hAccount, hCopyTo, hCopyAt      = "Server", "Account", "Copy-To", "Copy-At"
 	hNotRun, hProof, hInstance, hPriority    = "Not-Run", "Proof", "Instance", "Priority"
 )
@@ -43,9 +44,10 @@
 	ms, _ := strconv.Atoi(h.Get(hWait))
 	after, _ := strconv.ParseInt(h.Get(hAfter), 10, 64)
 	tokens, _ := strconv.Atoi(h.Get(hTokens))
+	answerTokens, _ := strconv.Atoi(h.Get(hAnswer))
 	return Call{
 		ID: h.Get(hID), Timeout: time.Duration(ms) * time.Millisecond, Key: h.Get(hKey),
-		LastEventID: after, PromptKey: h.Get(hPart), PromptTokens: tokens,
+		LastEventID: after, PromptKey: h.Get(hPart), PromptTokens: tokens, MaxAnswerTokens: answerTokens,
 	}, nil
 }
 
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -23,6 +23,8 @@
 	LastEventID int64
 	// PromptTokens is the length of the prompt; 0 if it is not stated.
 	PromptTokens int
+	// MaxAnswerTokens is the number of tokens that the answer may have at most; 0 if it is not stated.
+	MaxAnswerTokens int
 	// PromptKey identifies the part of the prompt that no other request shares, as engines name
 	// it in their caches; "" if it is not stated.
 	PromptKey string
--- a/serve/forward/finish_test.go
+++ b/serve/forward/finish_test.go
@@ -52,7 +52,7 @@
 		other := w.addDaemon("vm-2")
 		for range 5 {
 			other.pressure.recordPrefill("llm", 8000, time.Second)
-			other.pressure.recordAnswer("llm", 101, 3*time.Second)
+			other.pressure.recordAnswer("llm", 101, 0, 3*time.Second)
 		}
 		late := withHeaders(map[string]string{hAfter: "60", hPart: "p7", hTokens: "8000", hWait: "900"})
 		got := w.request(http.MethodPost, "/s/1", late, "prompt")
--- a/serve/forward/peers.go
+++ b/serve/forward/peers.go
@@ -189,8 +189,8 @@
 		wg.Go(func() {
 			if reply, err := h.peers.queryPace(ctx, vm, service); err == nil {
 				h.pressure.mergeEstimates(service, prompts.Estimates{
-					PrefillNsPerToken: reply.GetPerToken(), NsPerEvent: reply.GetPerEvent(),
-					Events: reply.GetEvents(), Answers: int(min(reply.GetAnswers(), math.MaxInt32)),
+					PrefillNsPerToken: reply.GetPerToken(), PrefillTokens: reply.GetPromptTokens(), NsPerEvent: reply.GetPerEvent(),
+					Events: reply.GetEvents(), EventsPerToken: reply.GetEventsPerToken(), Answers: int(min(reply.GetAnswers(), math.MaxInt32)),
 				})
 			}
 		})
@@ -213,7 +213,10 @@
 // Pace implements peerpb.Work.
 func (t workService) Pace(_ context.Context, q *peerpb.WorkRequest) (*peerpb.PaceReply, error) {
 	l := t.h.pressure.estimates(q.GetService())
-	return &peerpb.PaceReply{PerToken: l.PrefillNsPerToken, PerEvent: l.NsPerEvent, Events: l.Events, Answers: int64(l.Answers)}, nil
+	return &peerpb.PaceReply{
+		PerToken: l.PrefillNsPerToken, PromptTokens: l.PrefillTokens, PerEvent: l.NsPerEvent,
+		Events: l.Events, EventsPerToken: l.EventsPerToken, Answers: int64(l.Answers),
+	}, nil
 }
 
 // WorkService returns the path prefix and handler of the twirp service that reports work and
--- a/serve/forward/pressure.go
+++ b/serve/forward/pressure.go
@@ -24,8 +24,13 @@
 	refusals retryafter.Streak // requests refused by this daemon
 	room     retryafter.Room   // of prompts, where requests differ in priority
 	losses   refill.Losses     // likewise
+	// answerTriedAt is when an answer was tried last although it seemed to be too late.
+	answerTriedAt time.Time
 }
 
+// answerTrialInterval is the least time between two such trials. Each may cost a prefill in vain.
+const answerTrialInterval = 10 * time.Second
+
 func newPressure() *pressure { return &pressure{services: map[string]*servicePressure{}} }
 
 // lockService locks and returns the state of a service; the caller unlocks p.mu.
@@ -44,7 +49,20 @@
 // that its prompt still has to be prefilled.
 func (p *pressure) isAnswerTooLate(service string, c Call, unread bool, left time.Duration) bool {
 	defer p.mu.Unlock()
-	return p.lockService(service).pace.CannotFinishWithin(c.PromptTokens, unread, c.LastEventID, left)
+	answer := prompts.Answer{PromptTokens: c.PromptTokens, NeedsPrefill: unread, MaxTokens: c.MaxAnswerTokens, Received: c.LastEventID}
+	return p.lockService(service).pace.CannotFinishWithin(answer, left)
+}
+
+// tryAnswer reports whether an answer that seems to be too late is tried all the same, because the bound
+// may be that of longer ones. Answers are tried at a bounded rate.
+func (p *pressure) tryAnswer(now time.Time, service string) bool {
+	defer p.mu.Unlock()
+	s := p.lockService(service)
+	if now.Sub(s.answerTriedAt) < answerTrialInterval {
+		return false
+	}
+	s.answerTriedAt = now
+	return true
 }
 
 // hasEstimates reports whether enough answers were seen to tell which cannot be complete in time.
@@ -67,9 +85,9 @@
 
 // recordAnswer records a complete answer: its number of events, counted by their ids, and the time
 // from the first event to the last.
-func (p *pressure) recordAnswer(service string, events int64, took time.Duration) {
+func (p *pressure) recordAnswer(service string, events int64, maxTokens int, took time.Duration) {
 	defer p.mu.Unlock()
-	p.lockService(service).pace.ObserveAnswer(events, took)
+	p.lockService(service).pace.ObserveAnswer(events, maxTokens, took)
 }
 
 // recordPrompt records that a prompt is to be prefilled.
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -32,6 +32,8 @@
 	maxCopyProbes = 3
 	// maxStarts bounds the requests sent for one stream, including those that servers reject.
 	maxStarts = 8
+	// newRequestTimeRatio is the part of its route's timeout that a request has left unless it is a retry.
+	newRequestTimeRatio = 0.9
 )
 
 // relay forwards one response event by event, from one backend server or from several in turn.
@@ -73,6 +75,7 @@
 	timeToFirstEvent time.Duration // since the request's arrival; 0 before the first event
 	eventCount       int           // events sent to the caller
 	longestGap       time.Duration // between two events sent to the caller
+	isTrial          bool          // it was sent although its answer seemed to be too late
 	headroomDenied   bool          // an engine had no room beside that kept for more urgent prompts
 	copyDecision     atomic.Uint32 // the last headroom.CopyDecision, of the replicator as well
 }
@@ -181,19 +184,31 @@
 }
 
 // checkTimeLeft returns an error if the response cannot be completed before the deadline. unread
-// is true if the prompt has to be prefilled first.
+// is true if the prompt has to be prefilled first. A new request that does not state how long its answer
+// may be is tried now and then, since it may be a short one.
 func (r *relay) checkTimeLeft(unread bool) error {
-	if !r.h.pressure.isAnswerTooLate(r.service, r.in.call, unread, time.Until(r.in.deadline)) {
+	if r.isTrial || !r.h.pressure.isAnswerTooLate(r.service, r.in.call, unread, time.Until(r.in.deadline)) {
+		return nil
+	}
+	if r.isNewOfUnknownLength() && r.h.pressure.tryAnswer(time.Now(), r.service) {
+		r.isTrial = true
 		return nil
 	}
 	return verdict.New(r.verdict(), verdict.CodeOverloaded, "the answer cannot be whole in the time that is left")
 }
 
+// isNewOfUnknownLength reports whether the request does not state how long its answer may be, and has all
+// the time of its route, so that it is no retry.
+func (r *relay) isNewOfUnknownLength() bool {
+	left := time.Until(r.in.deadline)
+	return r.in.call.MaxAnswerTokens == 0 && r.in.call.LastEventID == 0 && float64(left) > newRequestTimeRatio*float64(r.in.route.Timeout)
+}
+
 // recordPace records the event rate of a complete response, if one server produced all of it.
 // The ID of the last event is the number of events.
 func (r *relay) recordPace() {
 	if r.in.call.LastEventID == 0 && r.sends == 1 {
-		r.h.pressure.recordAnswer(r.service, r.lastEventID, r.lastEventAt.Sub(r.in.arrived)-r.timeToFirstEvent)
+		r.h.pressure.recordAnswer(r.service, r.lastEventID, r.in.call.MaxAnswerTokens, r.lastEventAt.Sub(r.in.arrived)-r.timeToFirstEvent)
 	}
 }
 
