--- a/external/plain/client_test.go
+++ b/external/plain/client_test.go
@@ -15,7 +15,8 @@
 	for _, dies := range []bool{false, true} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
-		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // closing a connection with unread bytes resets it
 			conn, buf, err := w.(http.Hijacker).Hijack()
 			if err != nil {
 				panic(err)
