--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -28,7 +28,7 @@
 	// endlessAtOnce is how many responses that never end a daemon gets at once.
 	endlessAtOnce = 50
 	// leastMemory is the memory limit of the smallest VM.
-	leastMemory = 184 << 20
+	leastMemory = 144 << 20
 	// endlessReadPause is the pause of a slow caller after each read.
 	endlessReadPause = time.Millisecond
 )
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -47,6 +47,13 @@
 	host                   = "soak.example"
 )
 
+const (
+	// storePageItems is the number of keys in a page of the store. The keys of a run fill several.
+	storePageItems = 5
+	// maxStaleness bounds the age of a page of a stale list; each has one of its own.
+	maxStaleness = 3 * time.Second
+)
+
 var zoneNames = []string{"a", "b", "c"}
 
 // Options configure a run.
@@ -135,6 +142,7 @@
 func (h *harness) start() error {
 	h.network = network()
 	listenIP := h.network + ".200"
+	h.memory.ServeStale(store.StaleReads{PageItems: storePageItems, Age: func(string) time.Duration { return rand.N(maxStaleness) }})
 	h.standIn = kv.NewStandIn(h.memory)
 	if err := h.startServers(listenIP); err != nil {
 		return err
