endless responses: one table of heads, one stand-in

Cause: three tests held the same forms of a head that never ends, and the stand-in wrote before it had read anything of the request, so that a client could fail with nothing sent (found once while the tests were moved together: engine, plain).

--- a/external/standin/endless/endless.go
+++ b/external/standin/endless/endless.go
@@ -16,6 +16,22 @@
 // blockBytes is the least size of one write.
 const blockBytes = 32 << 10
 
+// Head is a response whose head never ends: a beginning, and a text that is repeated.
+type Head struct{ Name, Begin, Repeat string }
+
+// Heads are the forms of such responses.
+var Heads = []Head{
+	{"no HTTP", "", "garbage "},
+	{"status line", "HTTP/1.1 200 OK", " garbage"},
+	{"one header", "HTTP/1.1 200 OK\r\nName: ", "garbage "},
+	{"many headers", "HTTP/1.1 200 OK\r\n", "Name: garbage\r\n"},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("garbage ", 1<<10) + "\r\n\r\n"},
+}
+
+// MaxHeadRead bounds what a client with a bound of 64 KiB may read of a head, with five interim responses
+// before it and its buffers.
+const MaxHeadRead = 512 << 10
+
 // Write writes the beginning of a response, and then repeats a text until the connection is closed or
 // MaxBytes were written.
 func Write(conn io.Writer, begin, repeat string) {
@@ -35,9 +51,12 @@
 func Dial(begin, repeat string, read *atomic.Int64) func(context.Context, string, string) (net.Conn, error) {
 	return func(context.Context, string, string) (net.Conn, error) {
 		here, there := net.Pipe()
-		go func() { _, _ = io.Copy(io.Discard, there) }() // the request
 		go func() {
 			defer there.Close()
+			if _, err := io.CopyN(io.Discard, there, 1); err != nil {
+				return // nothing was sent
+			}
+			go func() { _, _ = io.Copy(io.Discard, there) }() // the rest of the request
 			Write(there, begin, repeat)
 		}()
 		return countingConn{here, read}, nil
--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -35,21 +35,24 @@
 
 // endlessForm is a response that repeats a text for ever after its beginning.
 type endlessForm struct {
-	name   string
-	begin  string // after the status line and the ID; "-" for nothing at all
-	repeat string
+	name    string
+	hasHead bool   // it begins with a proper status line and headers
+	begin   string // follows them
+	repeat  string
 }
 
-var endlessForms = []endlessForm{
-	{"no HTTP", "-", "garbage "},
-	{"one header", "Name: ", "garbage "},
-	{"many headers", "", "Name: garbage\r\n"},
-	{"interim responses", "-", "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("garbage ", 1<<10) + "\r\n\r\n"},
-	{"body until the end", "\r\n", "garbage "},
-	{"body in chunks", "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("garbage ", 128) + "\r\n"},
-	{"one event", "\r\n", "data: garbage\n"},
-	{"comments", "\r\n", ": garbage\n\n"},
-	{"the same event", "\r\n", "id: 1\ndata: garbage\n\n"},
+// endlessForms returns the forms whose head never ends, and those whose body does not.
+func endlessForms() (forms []endlessForm) {
+	for _, head := range endless.Heads {
+		forms = append(forms, endlessForm{name: head.Name, begin: head.Begin, repeat: head.Repeat})
+	}
+	return append(forms,
+		endlessForm{"body until the end", true, "\r\n", "garbage "},
+		endlessForm{"body in chunks", true, "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("garbage ", 128) + "\r\n"},
+		endlessForm{"one event", true, "\r\n", "data: garbage\n"},
+		endlessForm{"comments", true, "\r\n", ": garbage\n\n"},
+		endlessForm{"the same event", true, "\r\n", "id: 1\ndata: garbage\n\n"},
+	)
 }
 
 // endlessServer answers every connection in one form.
@@ -93,19 +96,38 @@
 		return
 	}
 	go func() { _, _ = io.Copy(io.Discard, conn) }()
-	begin := ""
-	if form.begin != "-" {
-		request, _, _ := wire.ParseUpstreamRequest(r.Header)
-		h := http.Header{}
-		wire.SetReplyHeaders(h, forward.Reply{ID: request.ID})
-		h.Set(wire.SignatureHeader, "signed")
-		var head bytes.Buffer
-		_ = h.Write(&head) // a buffer does not fail
-		begin = "HTTP/1.1 200 OK\r\n" + head.String() + form.begin
+	begin := form.begin
+	if form.hasHead {
+		begin = responseHead(r) + form.begin
 	}
 	endless.Write(conn, begin, form.repeat)
 }
 
+// responseHead returns the status line and the headers of a response to a daemon's request.
+func responseHead(r *http.Request) string {
+	request, _, _ := wire.ParseUpstreamRequest(r.Header)
+	h := http.Header{}
+	wire.SetReplyHeaders(h, forward.Reply{ID: request.ID})
+	h.Set(wire.SignatureHeader, "signed")
+	var head bytes.Buffer
+	_ = h.Write(&head) // a buffer does not fail
+	return "HTTP/1.1 200 OK\r\n" + head.String()
+}
+
+// startEndlessServers replaces the servers of a run by ones whose responses never end.
+func (h *harness) startEndlessServers(t *testing.T) (servers []*endlessServer) {
+	for _, s := range h.servers {
+		h.unregister(s.id)
+	}
+	for n, service := range []string{"desk", "desk", "desk", "llm", "llm", "llm"} {
+		s := newEndlessServer(t, h.network+".200")
+		servers = append(servers, s)
+		h.writeEntry(routing.Server{ID: fmt.Sprint("endless-", n), Service: service, Zone: zoneNames[n%len(zoneNames)], Address: s.listener.Addr().String(), Slots: endlessAtOnce})
+	}
+	time.Sleep(time.Second) // until the daemons know them
+	return servers
+}
+
 // Guards against a daemon that is killed for its memory because many servers send responses without end
 // at once, to callers that read slowly.
 func TestEndlessResponsesFitIntoMemory(t *testing.T) {
@@ -116,19 +138,10 @@
 	}
 	defer h.close()
 	must.NoError(t, h.start())
-	for _, s := range h.servers {
-		h.unregister(s.id)
-	}
-	var servers []*endlessServer
-	for n, service := range []string{"desk", "desk", "desk", "llm", "llm", "llm"} {
-		s := newEndlessServer(t, h.network+".200")
-		servers = append(servers, s)
-		h.writeEntry(routing.Server{ID: fmt.Sprint("endless-", n), Service: service, Zone: zoneNames[n%len(zoneNames)], Address: s.listener.Addr().String(), Slots: endlessAtOnce})
-	}
-	time.Sleep(time.Second) // until the daemons know them
+	servers := h.startEndlessServers(t)
 	d := h.daemons[0]
 	t.Logf("idle: peak of %d MB", d.peakMemory(t)>>20)
-	for _, form := range endlessForms {
+	for _, form := range endlessForms() {
 		for _, s := range servers {
 			s.setForm(form)
 		}
--- a/serve/forward/endless_test.go
+++ b/serve/forward/endless_test.go
@@ -15,12 +15,11 @@
 )
 
 const (
-	// maxHeadRead and maxBodyRead bound what may be read of a response that never ends: a head with five
-	// interim ones before it, or a body. Buffers between the connection and its reader add a little.
-	maxHeadRead = 512 << 10
-	maxBodyRead = maxResponseBytes + maxHeadRead
+	// maxBodyRead bounds what may be read of a response whose body never ends, with the buffers between the
+	// connection and its reader.
+	maxBodyRead = maxResponseBytes + endless.MaxHeadRead
 	// maxUnusedRead bounds what may be read of a body that no caller gets.
-	maxUnusedRead = maxHeadRead
+	maxUnusedRead = endless.MaxHeadRead
 )
 
 // respondEndless writes a beginning and then repeats a text until the connection is closed.
@@ -58,15 +57,6 @@
 // chunk is a chunk of 1 KiB.
 var chunk = "400\r\n" + strings.Repeat("garbage.", 128) + "\r\n"
 
-// endlessHeads are responses whose head never ends.
-var endlessHeads = map[string]http.HandlerFunc{
-	"no HTTP":           respondEndless(beginText(""), "garbage "),
-	"status line":       respondEndless(beginText("HTTP/1.1 200 OK"), " garbage"),
-	"one header":        respondEndless(beginText("HTTP/1.1 200 OK\r\nName: "), "garbage "),
-	"many headers":      respondEndless(beginText("HTTP/1.1 200 OK\r\n"), "Name: garbage\r\n"),
-	"interim responses": respondEndless(beginText(""), "HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("garbage ", 1<<10)+"\r\n\r\n"),
-}
-
 // endlessBodies are responses of a server to a call, or to a request for a stream, whose body never ends.
 var endlessBodies = map[string]struct {
 	respond http.HandlerFunc
@@ -78,8 +68,8 @@
 	"without proof":           {respondEndless(beginHead(200), "garbage "), maxUnusedRead},
 	"server error":            {respondEndless(beginHead(500, proven), "garbage "), maxBodyRead},
 	"refusal":                 {respondEndless(beginHead(503, refused), "garbage "), maxUnusedRead},
-	"extension of a chunk":    {respondEndless(beginHead(200, proven, chunked), "8;garbage"), maxHeadRead},
-	"trailers":                {respondEndless(func(r *http.Request) string { return beginHead(200, proven, chunked)(r) + "0\r\n" }, "Name: garbage\r\n"), maxHeadRead},
+	"extension of a chunk":    {respondEndless(beginHead(200, proven, chunked), "8;garbage"), endless.MaxHeadRead},
+	"trailers":                {respondEndless(func(r *http.Request) string { return beginHead(200, proven, chunked)(r) + "0\r\n" }, "Name: garbage\r\n"), endless.MaxHeadRead},
 	"event":                   {respondEndless(beginHead(200, proven), "data: garbage\n"), maxBodyRead},
 	"blank lines":             {respondEndless(beginHead(200, proven), "\n"), maxBodyRead},
 	"comments":                {respondEndless(beginHead(200, proven), ": garbage\n\n"), maxBodyRead},
@@ -89,8 +79,10 @@
 // Guards against a server whose responses never end: each is read, or passed on, until the request times
 // out, and takes memory and processor time from all other requests.
 func TestEndlessResponses(t *testing.T) {
-	for name, respond := range endlessHeads {
-		t.Run("head, "+name, func(t *testing.T) { checkEndless(t, respond, maxHeadRead) })
+	for _, head := range endless.Heads {
+		t.Run("head, "+head.Name, func(t *testing.T) {
+			checkEndless(t, respondEndless(beginText(head.Begin), head.Repeat), endless.MaxHeadRead)
+		})
 	}
 	for name, c := range endlessBodies {
 		t.Run("body, "+name, func(t *testing.T) { checkEndless(t, c.respond, c.maxRead) })
