soak: callers that half-close, and servers that leave while a daemon restarts

Change: three in ten callers that leave close their sending side and read on; a planned operation removes a server's entry while a daemon is down for up to a second, and the server serves on past the time after which time bounds are checked.

--- a/lab/soak/process/callers.go
+++ b/lab/soak/process/callers.go
@@ -76,7 +76,8 @@
 // callerProfile describes how the callers of a scenario behave.
 type callerProfile struct {
 	resumableRatio float64       // probability of a resumable request in place of a random kind
-	abandonRatio   float64       // share of requests that the caller cancels early
+	abandonRatio   float64       // share of requests that the caller leaves early
+	halfCloseRatio float64       // share of these at which it closes its sending side and reads on
 	abandonWithin  time.Duration // latest cancellation, from the start of the request
 	maxAttempts    int           // per request
 }
@@ -152,9 +153,13 @@
 func (c *caller) send(ctx context.Context, kind callKind, id, part string, lastEventID int64) (got result) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeouts[kind])
 	defer cancel()
-	defer func() { got.abandoned, got.timedOut = ctx.Err() != nil, errors.Is(ctx.Err(), context.DeadlineExceeded) }()
+	leave := &departure{cancel: cancel}
+	defer func() {
+		got.abandoned, got.timedOut = ctx.Err() != nil || leave.halfClosed.Load(), errors.Is(ctx.Err(), context.DeadlineExceeded)
+	}()
 	if rand.Float64() < c.abandonRatio {
-		time.AfterFunc(rand.N(c.abandonWithin), cancel)
+		leave.halfCloses = rand.Float64() < c.halfCloseRatio
+		ctx = leave.schedule(ctx, rand.N(c.abandonWithin))
 	}
 	address, err := c.address(ctx)
 	if err != nil {
@@ -177,6 +182,7 @@
 	}
 	req.GetBody = nil // the HTTP client must not retry by itself
 	req.Host = host
+	req.Close = leave.halfCloses
 	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: key, LastEventID: lastEventID, PromptTokens: tokens}, parts)
 	c.harness.recorder.recordSent(id, sentRequest{account: account, key: key, pathSuffix: name, kind: kind, promptTokens: tokens, sentAt: time.Now(), daemon: address})
 	began := time.Now()
--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -38,6 +38,7 @@
 	{"healthy version rolled out", true, (*harness).rollOutHealthyVersion},
 	{"faulty version rolled out", false, (*harness).rollOutFaultyVersion},
 	{"server drained", true, (*harness).drainServer},
+	{"server leaves while a daemon restarts", true, (*harness).leaveDuringRestart},
 	{"key removed", true, (*harness).removeKey},
 	{"route moved", true, (*harness).moveRoute},
 }
@@ -314,6 +315,42 @@
 	h.register(s, false)
 }
 
+const (
+	// unannouncedServeTime is how long a server serves on that leaves without a notice. It exceeds the time
+	// after the start of a daemon in which time bounds are not checked.
+	unannouncedServeTime = recoveryTime + drainPropagation + 1500*time.Millisecond
+	// maxStartDelay bounds how long a daemon is down when a server has left. A stale list that it then reads may
+	// still show the server.
+	maxStartDelay = time.Second
+)
+
+// leaveDuringRestart removes the entry of a server, which serves on for a while, while a daemon restarts, and
+// replaces the server.
+func (h *harness) leaveDuringRestart(context.Context) {
+	s, d := h.randomServer(), h.randomDaemon()
+	s.lifecycle.Lock()
+	defer s.lifecycle.Unlock()
+	if s.retired {
+		return
+	}
+	d.lifecycle.Lock()
+	d.stop()
+	h.unregister(s.entry(false).ID)
+	s.mu.Lock()
+	s.drainingSince = time.Now()
+	s.mu.Unlock()
+	time.Sleep(h.randomDuration(maxStartDelay))
+	if err := d.start(); err != nil {
+		h.recorder.recordViolation("harness: %v", err)
+	}
+	d.lifecycle.Unlock()
+	time.Sleep(unannouncedServeTime)
+	s.crash()
+	s.startIncarnation(false)
+	s.link.setMode(linkPass)
+	h.register(s, false)
+}
+
 func (h *harness) removeKey(context.Context) {
 	h.mu.Lock()
 	a := h.random.IntN(accountCount)
--- a/lab/soak/process/scenarios.go
+++ b/lab/soak/process/scenarios.go
@@ -91,9 +91,9 @@
 // through another daemon with the ID of the last event that it holds.
 func (s Scenario) callerProfile() callerProfile {
 	if s.hasDaemonLinks() {
-		return callerProfile{resumableRatio: 0.7, abandonRatio: 0.25, abandonWithin: 2 * time.Second, maxAttempts: 3}
+		return callerProfile{resumableRatio: 0.7, abandonRatio: 0.25, halfCloseRatio: 0.3, abandonWithin: 2 * time.Second, maxAttempts: 3}
 	}
-	return callerProfile{abandonRatio: 0.05, abandonWithin: 400 * time.Millisecond, maxAttempts: 2}
+	return callerProfile{abandonRatio: 0.05, halfCloseRatio: 0.3, abandonWithin: 400 * time.Millisecond, maxAttempts: 2}
 }
 
 // linkFaults are the faults of scenarios with daemon links, besides the restarts in turn. Most are
