feed: replies that begin anew still ask for the removals that earlier ones lack

What callers would see: requests to a server that has left, at a daemon that started on the entries of one peer, had to begin anew with another one, and was not told of what was removed between the two states. The highest revision, which later replies must reach, did not begin anew, so that peers which are all older were turned down again and again. What a change must satisfy to be applied stands in a function of its own (canApply). Result: TestToldStatesWhatIsCertain failed before (60 in place of 50).

--- a/control/feed/departures.go
+++ b/control/feed/departures.go
@@ -34,8 +34,8 @@
 	t.lastAnsweredAt = now
 }
 
-// remove removes an entry that did not exist at the given revision. The server or VM that it described is dropped
-// at once, or after a grace period if its lease may have expired during an outage.
+// remove removes an entry that did not exist at the given revision. The server or VM that it described
+// is dropped at once, or after a grace period if its lease may have expired during an outage.
 func (t *table) remove(now time.Duration, key string, revision int64) {
 	if !t.entries.remove(key, revision) {
 		return
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -196,13 +196,7 @@
 func (m *Manager) apply(b basis, update func()) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	have := m.revision.Load()
-	if b.revision < have || b.after > max(have, m.told.upTo) {
-		return
-	}
-	isContinuation := b.after > have
-	if isContinuation && !m.told.continues(b.upTo, b.revision, !b.partial) {
-		m.told.upTo = 0 // it begins anew
+	if !m.canApply(b) {
 		return
 	}
 	m.table.beginEra(m.opts.Clock(), b.revision)
@@ -212,8 +206,9 @@
 		m.publish()
 		return
 	}
-	if isContinuation && m.told.completeTo(b.revision) < b.revision {
-		b = basis{revision: max(have, m.told.completeTo(b.revision))}
+	have := m.revision.Load()
+	if complete := m.told.completeTo(b.revision); b.after > have && complete < b.revision {
+		b = basis{revision: max(have, complete)} // it does not show that all is current
 	}
 	if b.revision > have {
 		m.historyLost = false
@@ -234,6 +229,20 @@
 	}
 }
 
+// canApply reports whether a change is not older than what is held, and follows what was told. The caller
+// holds m.mu.
+func (m *Manager) canApply(b basis) bool {
+	have := m.revision.Load()
+	if b.revision < have || b.after > max(have, m.told.upTo) {
+		return false
+	}
+	if b.after > have && !m.told.continues(b.upTo, b.revision, !b.partial) {
+		m.told.restart()
+		return false
+	}
+	return true
+}
+
 // publish replaces the view if the state has changed, and schedules the end of grace periods. The
 // caller holds m.mu.
 func (m *Manager) publish() {
--- a/control/feed/told.go
+++ b/control/feed/told.go
@@ -9,15 +9,18 @@
 type told struct {
 	// upTo is the revision up to which entries were told; 0 before the first partial reply.
 	upTo int64
-	// lowest and highest are the lowest and the highest revision of the tables.
-	lowest, highest int64
+	// lowest is the lowest revision of a table from which entries are held, also those of replies that were
+	// forgotten; 0 if none are.
+	lowest int64
+	// highest is the highest revision of the tables.
+	highest int64
 	// certain is the lowest revision of a table whose reply went beyond it; 0 if none did.
 	certain int64
 }
 
 // add records a partial reply with the entries up to a revision from a table at the revision known.
 func (p *told) add(upTo, known int64) {
-	if p.upTo == 0 {
+	if p.lowest == 0 {
 		p.lowest = known
 	}
 	p.upTo, p.lowest, p.highest = upTo, min(p.lowest, known), max(p.highest, known)
@@ -26,6 +29,10 @@
 	}
 }
 
+// restart forgets the replies, after one that cannot follow them. The entries that they held stay, so
+// that removals since the oldest of their tables still have to be told.
+func (p *told) restart() { *p = told{lowest: p.lowest} }
+
 // continues reports whether a reply from a table at the revision known, with the entries up to a
 // revision, can follow the earlier ones. The last reply, and one that goes beyond its table's revision,
 // must not be older than they are: what they left out as changed later would be missing.
--- a/control/feed/told_test.go
+++ b/control/feed/told_test.go
@@ -33,6 +33,16 @@
 	}
 	var p told
 	p.add(20, 50)
+	p.restart() // the entries that were told stay
+	p.add(10, 60)
+	must.Eq(t, 50, p.lowest)
+	p.restart()
+	p.add(10, 40) // from a table that is older than those before
+	must.True(t, p.continues(40, 40, true))
+	must.Eq(t, 40, p.lowest)
+
+	p = told{}
+	p.add(20, 50)
 	must.True(t, p.continues(40, 45, false))  // entries of before
 	must.False(t, p.continues(60, 45, false)) // what the first reply left out as changed later is missing
 }
