feed: partial replies are continued by the process that began them alone

What callers would see: a server that a daemon doesn't use for a moment after its start, until the next change of it is told. Cause: a table may hold an entry beyond the revision up to which it knows all changes (now also the newer pages of a list). Its partial reply leaves that entry to a later range. Another peer, which knows the entry only as it was before, in the range that was told, then ends the replies without it. Change: a reply names its process by a random number, and only replies of one process follow each other; with another one the daemon begins anew.

--- a/control/feed/convergence_test.go
+++ b/control/feed/convergence_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	convergenceSeeds   = 400
+	convergenceSeeds   = 500
 	convergenceSteps   = 120
 	convergenceDaemons = 4
 	convergenceServers = 12
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -100,7 +100,9 @@
 // Manager keeps the state read from the store up to date, from the store itself and from peers.
 type Manager struct {
 	opts Options
-	view atomic.Pointer[View]
+	// source tells this process from others, and from an earlier one at its address.
+	source uint64
+	view   atomic.Pointer[View]
 	// confirmedAt is the Clock time at which the configuration in the view, or its absence, was
 	// last known to be current: the time at which the request that showed it was sent. 0 before the
 	// first answer.
@@ -146,6 +148,7 @@
 	m.watchWakeup, m.pollWakeup = make(chan struct{}, 1), make(chan struct{}, 1)
 	m.ownEntryRead, m.updated = make(chan struct{}), make(chan struct{})
 	m.controlChanged, m.firstRead = make(chan struct{}), make(chan struct{})
+	m.source = rand.Uint64()
 	m.sourceTurn.Store(rand.Uint64())
 	m.view.Store(&View{})
 	m.SetSeeds(o.Seeds)
@@ -189,6 +192,8 @@
 	upTo    int64
 	// after is the revision up to which entries have to be held or told for the change to apply.
 	after int64
+	// source is the process that told the change; 0 for the store and for a peer that does not say so.
+	source uint64
 }
 
 // apply updates the table. It does nothing if the table is at a later revision already, so that a
@@ -202,7 +207,7 @@
 	m.table.beginEra(m.opts.Clock(), b.revision)
 	update()
 	if b.partial {
-		m.told.add(b.upTo, b.revision)
+		m.told.add(b.source, b.upTo, b.revision)
 		m.publish()
 		return
 	}
@@ -236,7 +241,7 @@
 	if b.revision < have || b.after > max(have, m.told.upTo) {
 		return false
 	}
-	if b.after > have && !m.told.continues(b.upTo, b.revision, !b.partial) {
+	if b.after > have && !m.told.continues(b.source, b.upTo, b.revision, !b.partial) {
 		m.told.restart()
 		return false
 	}
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -309,7 +309,7 @@
 	wasOverdue, changed := m.isConfirmationOverdue(), false
 	b := basis{
 		confirmedAt: confirmedAt, completeAt: sentAt - time.Duration(reply.GetCompleteAgeMs())*time.Millisecond,
-		revision: reply.GetRevision(), partial: reply.GetPartial(), upTo: reply.GetRevision(), after: after,
+		revision: reply.GetRevision(), partial: reply.GetPartial(), upTo: reply.GetRevision(), after: after, source: reply.GetSource(),
 	}
 	if reply.GetKnown() != 0 {
 		b.revision = reply.GetKnown()
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -65,7 +65,7 @@
 	}
 	// The ages are rounded up because they must never be reported as less than they are.
 	reply := &peerpb.SnapshotReply{
-		Revision: m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - m.completeAt).Milliseconds() + 1, Lost: m.hasLostStore(),
+		Source: m.source, Revision: m.revision.Load(), AgeMs: age.Milliseconds() + 1, CompleteAgeMs: (now - m.completeAt).Milliseconds() + 1, Lost: m.hasLostStore(),
 	}
 	if left := m.table.recoveryUntil - now; left > 0 {
 		reply.DoubtMs = left.Milliseconds()
--- a/control/feed/told_test.go
+++ b/control/feed/told_test.go
@@ -26,23 +26,24 @@
 	} {
 		var p told
 		for _, r := range c.replies {
-			p.add(r.upTo, r.known)
+			p.add(1, r.upTo, r.known)
 		}
-		must.Eq(t, c.continues, p.continues(c.last, c.last, true), must.Sprint(name))
+		must.Eq(t, c.continues, p.continues(1, c.last, c.last, true), must.Sprint(name))
 		must.Eq(t, c.complete, p.completeTo(c.last), must.Sprint(name))
 	}
 	var p told
-	p.add(20, 50)
+	p.add(1, 20, 50)
 	p.restart() // the entries that were told stay
-	p.add(10, 60)
+	p.add(2, 10, 60)
 	must.Eq(t, 50, p.lowest)
 	p.restart()
-	p.add(10, 40) // from a table that is older than those before
-	must.True(t, p.continues(40, 40, true))
+	p.add(3, 10, 40) // from a table that is older than those before
+	must.True(t, p.continues(3, 40, 40, true))
 	must.Eq(t, 40, p.lowest)
 
 	p = told{}
-	p.add(20, 50)
-	must.True(t, p.continues(40, 45, false))  // entries of before
-	must.False(t, p.continues(60, 45, false)) // what the first reply left out as changed later is missing
+	p.add(1, 20, 50)
+	must.True(t, p.continues(1, 40, 45, false))  // entries of before
+	must.False(t, p.continues(2, 40, 60, true))  // what the first table held beyond its revision may be missing
+	must.False(t, p.continues(1, 60, 45, false)) // what the first reply left out as changed later is missing
 }
