feed: a configuration written between its read and the list is not lost

Callers: at some daemons every request is refused (no_configuration) although they have read the store, until the operator writes the next version. Cause: the first read takes the configuration from a read of its own and drops the one in the list. The read may find none, or an older one, before the list's page is made; the watch goes on from that page and never tells what is before it. The window is as long as the list takes, so seconds for a large fleet. Change: the newer of the two counts. TestConfigurationWrittenBeforeListIsKnown failed before.

--- a/control/feed/stale_test.go
+++ b/control/feed/stale_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -48,6 +49,34 @@
 	must.Eq(t, "2", serverIDs(tab))
 }
 
+// lateListStore is a store in which a configuration is written between a read of it and a list.
+type lateListStore struct {
+	store.Store
+	write func()
+}
+
+func (s lateListStore) ListStale(ctx context.Context, prefix string) (store.Listing, error) {
+	time.Sleep(time.Second)
+	s.write()
+	return s.Store.ListStale(ctx, prefix)
+}
+
+// Guards against a daemon that never knows the configuration, because it was written after the read of it
+// had found none and before the list was made, from which the watch continues.
+func TestConfigurationWrittenBeforeListIsKnown(t *testing.T) {
+	for name, earlier := range map[string]string{"none before": "", "another before": "v"} {
+		inFleet(t, 1, func(f *fleet) {
+			f.remove("config")
+			if earlier != "" {
+				f.put("config", earlier)
+			}
+			f.feeds[0].opts.Store = lateListStore{f.feeds[0].opts.Store, func() { f.put("config", "vvv") }}
+			must.NoError(t, f.feeds[0].readInitial(f.ctx))
+			must.Eq(t, 3, f.version(0), must.Sprint(name))
+		})
+	}
+}
+
 // Guards against an entry VM that was removed and stays registered for good, because the second read of
 // the registrations is older than what the daemon knows.
 func TestOlderReadOfRegistrationsAddsNoRemovedVM(t *testing.T) {
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -185,9 +185,8 @@
 		return err
 	}
 	m.recordOwnEntry(list.KVs)
-	list.KVs = slices.DeleteFunc(list.KVs, func(kv store.KV) bool { return kv.Key == config.Key })
 	if found {
-		list.KVs = append(list.KVs, config)
+		list.KVs = withNewer(list.KVs, config)
 	}
 	m.recordAnswer(sentAt)
 	m.apply(basis{confirmedAt: sentAt, revision: list.Pages.Oldest()}, func() { m.table.replaceAll(sentAt, list) })
@@ -197,6 +196,19 @@
 	return nil
 }
 
+// withNewer returns a list with an entry that was read on its own, unless the list holds a newer one of its
+// key: the list may have been read later.
+func withNewer(list []store.KV, kv store.KV) []store.KV {
+	n := slices.IndexFunc(list, func(listed store.KV) bool { return listed.Key == kv.Key })
+	switch {
+	case n < 0:
+		return append(list, kv)
+	case list[n].Version < kv.Version:
+		list[n] = kv
+	}
+	return list
+}
+
 // recordOwnEntry stores this daemon's own entry, if items holds it, and unblocks the registration.
 func (m *Manager) recordOwnEntry(items []store.KV) {
 	select {
