feed: a first read of the store that fails is logged

Change: 532 is logged at the first failure since the start or the last answer. TestFailureOfFirstReadIsLogged failed before.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -329,10 +329,10 @@
 // recordFailure records that a call to the store failed. It publishes the view because grace
 // periods also end while the store is unreachable.
 func (m *Manager) recordFailure(err error) {
-	if m.storeReachable.Swap(false) {
+	m.storeReachable.Store(false)
+	if m.unreachableSince.CompareAndSwap(0, int64(m.opts.Clock())) {
 		m.opts.Log.Emit(event.StoreLost, err)
 	}
-	m.unreachableSince.CompareAndSwap(0, int64(m.opts.Clock()))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.publish()
--- a/control/feed/log_test.go
+++ b/control/feed/log_test.go
@@ -198,3 +198,18 @@
 		must.SliceLen(t, 1, out.takeEvents(t, event.FeedLearned))
 	})
 }
+
+// Guards against a daemon that never reads the store and says nothing of it, because it has not read it
+// before.
+func TestFailureOfFirstReadIsLogged(t *testing.T) {
+	inFleet(t, 1, func(f *fleet) {
+		log := f.recordLog(0)
+		f.faultyStores[0].SetDown(true)
+		f.start(0)
+		time.Sleep(5 * time.Second)
+		must.SliceLen(t, 1, log.takeEvents(t, event.StoreLost))
+		f.faultyStores[0].SetDown(false)
+		time.Sleep(5 * time.Second)
+		must.SliceLen(t, 1, log.takeEvents(t, event.StoreReached))
+	})
+}
