feed: a daemon that starts learns the state from its peers

Cause: each daemon that starts lists the whole store for itself: 984 x 3.85 MB = 3.8 GB over the store's 1,000 Mbit/s, 30 s at best; its renewals and registrations queue behind that. The class of fault: work that each member of a fleet does in full at its start, at one shared place, at the same moment. Change: a daemon lists the VMs, and asks for the state a daemon that has answered before, which holds the request, and another one, each third time a relay. Those whom the plan selects to watch read the store at once; the others only if they are not told, one after the other by how many seem to have returned. It is ready once all servers are known, not at the first page that holds a configuration. Why it works: the store's link carries the state five times and the lists of VMs, 0.36 GB.

At 300 with half of the VMs and all large ones lost it is slower than before: each reading for itself took 1.1 s.

TestReturnOfAllDaemonsReadsTheStoreOnce, -WithoutRegistrations and TestRestartOfOneDaemonAsksItsPeers failed before. TestOlderReadOfRegistrationsAddsNoRemovedVM now runs the daemon: the second read of registrations comes before the first read of the state, which the watch corrects.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -121,10 +121,15 @@
 	peerAnsweredAt   atomic.Int64  // Clock time of the last answer of a peer
 	watchWakeup      chan struct{} // holds an item when this daemon may have to start watching the store
 	pollWakeup       chan struct{} // holds an item when peers have to be polled at once
-	firstRead        chan struct{} // closed when the first read of the store has ended
+	firstRead        chan struct{} // closed when the first read of the store has ended, or is left to peers
 	firstReadOnce    sync.Once     // closes firstRead
 	ownEntryRead     chan struct{} // closed once ownEntry is set
 	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
+	startFleet       atomic.Pointer[startFleet]
+	startPeer        string // address of a daemon that answered while this one has no state; used by pollPeers
+	// startPolls counts the polls of other daemons than startPeer while this one has no state, and
+	// startAnswers the answers to them.
+	startPolls, startAnswers atomic.Uint64
 
 	storeCalls *prometheus.CounterVec
 
@@ -323,9 +328,20 @@
 	return m.controlChanged
 }
 
-// ConfigReady returns a channel that is closed once a configuration is in force.
+// ConfigReady returns a channel that is closed once a configuration is in force and all servers are
+// known.
 func (m *Manager) ConfigReady() <-chan struct{} { return m.configReady }
 
+// IsReady reports whether ConfigReady is closed.
+func (m *Manager) IsReady() bool {
+	select {
+	case <-m.configReady:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordFailure records that a call to the store failed. It publishes the view because grace
 // periods also end while the store is unreachable.
 func (m *Manager) recordFailure(err error) {
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -47,11 +47,13 @@
 	// pollTimeout is many round trips. A daemon that does not answer within it, after the time for
 	// which it holds the request, is taken for lost.
 	pollTimeout = 300 * time.Millisecond
+	// pageTimeout replaces pollTimeout for a daemon that lacks the state, which arrives in full pages
+	// while twenty daemons share the link of a small VM.
+	pageTimeout = 600 * time.Millisecond
 	// maxPolledPeers is how many daemons are polled in one round.
 	maxPolledPeers = 4
-	// maxFirstRead is how long a daemon that starts waits for its own first read of the store before
-	// it asks others. When a whole fleet restarts, all daemons know only the same few seeds, and would
-	// pull everything over the links of those while each reads the store itself.
+	// maxFirstRead is how long a daemon that reads the store at its start waits for the end of that
+	// before it asks others, which may be reading it as well.
 	maxFirstRead = 1500 * time.Millisecond
 	// sourceFailoverTime is how long a round continues with further daemons after the first one
 	// could not answer.
@@ -90,8 +92,8 @@
 // isSelectedToWatch reports whether the plan of the fleet selects this daemon to watch the store. All
 // daemons of a small fleet are selected, and one that polls no peer.
 func (m *Manager) isSelectedToWatch() bool {
-	view := m.View()
-	return m.opts.Dialer == nil || len(view.VMs) <= watchplan.SmallFleetSize || view.watchPlan.IsWatcher(m.opts.Self)
+	vms, plan := m.fleet()
+	return m.opts.Dialer == nil || len(vms) <= watchplan.SmallFleetSize || plan.IsWatcher(m.opts.Self)
 }
 
 // hasNoSource reports whether none of this daemon's sources could answer lately.
@@ -129,7 +131,11 @@
 			return
 		}
 		meanPause = pollInterval
-		if !m.needsNoSource() && m.pollSources(ctx) {
+		switch {
+		case m.isStarting():
+			m.pollToStart(ctx)
+			meanPause = longPollPause
+		case !m.needsNoSource() && m.pollSources(ctx):
 			meanPause = longPollPause
 		}
 	}
@@ -154,7 +160,7 @@
 	var until time.Duration
 	hold := pollHold
 	for n, address := range append(near, others...) {
-		if m.pollPeer(ctx, address, hold) {
+		if m.pollPeer(ctx, address, hold) == peerUsable {
 			m.sourceTurn.Add(uint64(min(n, len(near))))
 			m.noSourceUntil.Store(0)
 			return true
@@ -178,23 +184,25 @@
 // others starts with a random peer, because any daemon may have newer state. A daemon that has lost the
 // store's history asks the daemons that watch the store, which read it again first.
 func (m *Manager) sources() (near, others []string) {
-	view := m.View()
+	vms, plan := m.fleet()
 	peers := map[string]string{}
-	list := routing.Peers(view.VMs, m.opts.Self)
+	list := routing.Peers(vms, m.opts.Self)
 	for _, vm := range list {
 		peers[vm.ID] = vm.PeerAddress
 	}
-	if view.watchPlan != nil {
-		nearIDs, otherIDs := view.watchPlan.Sources(m.opts.Self, m.sourceTurn.Load())
+	if plan != nil {
+		nearIDs, otherIDs := plan.Sources(m.opts.Self, m.sourceTurn.Load())
 		near, others = peerAddresses(peers, nearIDs), peerAddresses(peers, otherIDs)
 	}
-	if m.isHistoryLost() && view.watchPlan != nil {
-		watchers := view.watchPlan.Watchers()
+	switch {
+	case m.isHistoryLost() && plan != nil:
+		watchers := plan.Watchers()
 		rand.Shuffle(len(watchers), func(i, j int) { watchers[i], watchers[j] = watchers[j], watchers[i] })
 		near = peerAddresses(peers, watchers)
-	} else if !m.isFresh() && len(list) > 0 {
-		others = slices.Insert(others, 0, list[rand.N(len(list))].PeerAddress)
+	case m.isFresh() || len(list) == 0:
+	default:
 		near = near[:min(len(near), 1)]
+		others = slices.Insert(others, 0, list[rand.N(len(list))].PeerAddress)
 	}
 	if len(near)+len(others) == 0 {
 		return nil, *m.seeds.Load()
@@ -211,10 +219,22 @@
 	return addresses
 }
 
-// pollPeer gets the changes from one daemon, which may hold the request for the given time. It
-// reports whether that daemon is a usable source, that is, whether it receives changes itself.
-func (m *Manager) pollPeer(parent context.Context, address string, hold time.Duration) bool {
-	ctx, cancel := context.WithTimeout(parent, hold+pollTimeout)
+// pollOutcome says how far a polled daemon is of use.
+type pollOutcome int
+
+const (
+	peerLost     pollOutcome = iota // it did not answer
+	peerUnusable                    // it does not receive changes itself, or knows nothing yet
+	peerUsable
+)
+
+// pollPeer gets the changes from one daemon, which may hold the request for the given time.
+func (m *Manager) pollPeer(parent context.Context, address string, hold time.Duration) pollOutcome {
+	timeout := pollTimeout
+	if m.isStarting() && (address == m.startPeer || m.toldRevision() > 0) {
+		timeout = pageTimeout
+	}
+	ctx, cancel := context.WithTimeout(parent, hold+timeout)
 	defer cancel()
 	sentAt := m.opts.Clock()
 	client := peerpb.NewFeedProtobufClient(m.opts.Dialer.URL(address), m.opts.Dialer.Client)
@@ -227,7 +247,7 @@
 		m.peerAlsoStale.Store(false) // this daemon may be the one that is partitioned
 		m.opts.Log.Emit(event.FeedPeerFailed, address, err)
 		m.opts.Dialer.CloseIdleConnections()
-		return false
+		return peerLost
 	}
 	m.peerAnsweredAt.Store(int64(m.opts.Clock()))
 	stale := time.Duration(reply.GetAgeMs())*time.Millisecond > maxFreshAge
@@ -237,7 +257,10 @@
 		return m.pollPeer(parent, address, 0)
 	}
 	isBehind := store.EraOf(reply.GetRevision()) < store.EraOf(have) // it has not heard of a restoration
-	return !reply.GetLost() && !stale && !isBehind && reply.GetRevision() != 0
+	if reply.GetLost() || stale || isBehind || reply.GetRevision() == 0 {
+		return peerUnusable
+	}
+	return peerUsable
 }
 
 // snapshotRequest returns the request for the changes after a revision, which the polled daemon may
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,11 +20,6 @@
 	// dozen keys within it, and each batch costs one call. It is an eighth of the time within which
 	// a change has to be in force.
 	batchPause = 250 * time.Millisecond
-	// registrationSettleTime is how long a daemon that was not registered waits before it watches
-	// the store. When a whole fleet starts, most other daemons are registered by then, and only a
-	// few of them have to watch. Without the wait, each daemon watches until it has seen the others
-	// register, at one call for each batch of registrations.
-	registrationSettleTime = 500 * time.Millisecond
 )
 
 const (
@@ -159,14 +153,14 @@
 	case m.isHistoryLost():
 		return m.readAll(store.WithPurpose(ctx, store.PurposeReread))
 	case m.revision.Load() == 0:
-		return m.readInitial(store.WithPurpose(ctx, store.PurposeStart))
+		return m.learnState(store.WithPurpose(ctx, store.PurposeStart))
 	case !m.isFresh():
 		return m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread))
 	}
 	return nil
 }
 
-// readInitial reads the store for the first time at low cost: a list whose pages may be seconds old,
+// readInitial reads the whole store for the first time at low cost: a list whose pages may be seconds old,
 // and a current read of the configuration. Changes since the oldest page arrive with the watch or from
 // the next peer polled.
 func (m *Manager) readInitial(ctx context.Context) error {
@@ -190,9 +184,6 @@
 	}
 	m.recordAnswer(sentAt)
 	m.apply(basis{confirmedAt: sentAt, revision: list.Pages.Oldest()}, func() { m.table.replaceAll(sentAt, list) })
-	if m.ownEntry.Key == "" {
-		return m.awaitRegistrations(ctx)
-	}
 	return nil
 }
 
@@ -216,32 +207,10 @@
 		return
 	default:
 	}
-	for _, kv := range items {
-		if kv.Key == vmPrefix+m.opts.Self {
-			m.ownEntry = kv
-		}
-	}
+	m.ownEntry, _ = findKey(items, vmPrefix+m.opts.Self)
 	close(m.ownEntryRead)
 }
 
-// awaitRegistrations waits while the fleet registers, then reads the registered entry VMs.
-func (m *Manager) awaitRegistrations(ctx context.Context) error {
-	pause.For(ctx, registrationSettleTime)
-	list, err := m.opts.Store.ListStale(ctx, m.opts.Prefix+vmPrefix)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, kv := range list.KVs {
-		if strings.HasPrefix(kv.Key, vmPrefix) {
-			m.table.putListed(kv, list.Pages)
-		}
-	}
-	m.publish()
-	return nil
-}
-
 // readConfig reads the current configuration; found is false if there is none. The returned entry
 // has its key in either case.
 func (m *Manager) readConfig(ctx context.Context) (kv store.KV, found bool, err error) {
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -24,7 +24,7 @@
 	}
 	call, err := h.opts.Codec.Call(r.Header)
 	view := h.opts.Feed.View()
-	if view.Config == nil {
+	if !h.opts.Feed.IsReady() {
 		view = h.awaitFirstConfig(r.Context(), call.Timeout)
 	}
 	age, known := h.opts.Feed.ConfigAge()
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -134,7 +134,7 @@
 }
 
 // IsReady reports whether callers should be directed to this daemon.
-func (g *Gateway) IsReady() bool { return !g.draining.Load() && g.feed.View().Config != nil }
+func (g *Gateway) IsReady() bool { return !g.draining.Load() && g.feed.IsReady() }
 
 // Addresses returns the addresses of the entry VMs that a caller should use. The caller's account
 // is unknown.
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -129,6 +129,8 @@
 		"The configuration could not be read from the store while a watch was overdue.", "error")
 	StoreRead = define(540, "store_read", logrus.InfoLevel,
 		"All entries of the store were read for the first time, here or by another daemon. servers is the number of backend servers of each service, leaving the number of all servers that are leaving.", "servers", "leaving", "revision")
+	StartPlanned = define(549, "start_planned", logrus.InfoLevel,
+		"This daemon knows no state yet and found the registered entry VMs. If wait is positive, it asks the others and reads the whole store itself after that time at the earliest.", "vms", "wait")
 	StoreReread = define(546, "store_reread", logrus.InfoLevel,
 		"The store was read again as a whole, because the watch could not continue. read is its revision, held the revision that this daemon held; entries of a lower revision are not used.", "read", "held")
 	StoreRestored = define(547, "store_restored", logrus.WarnLevel,
