forward: callers of a fleet that starts are told when it will have started

Cause: Retry-After was the time in which one daemon reads the configuration, whatever the others do. TestStartTimeLeftCoversReturnOfFleet tests what is new.

--- a/control/feed/massstart_test.go
+++ b/control/feed/massstart_test.go
@@ -260,6 +260,28 @@
 	}
 }
 
+// Guards against callers that are told to come back while the whole fleet still starts, which uses up the
+// attempts of a long request.
+func TestStartTimeLeftCoversReturnOfFleet(t *testing.T) {
+	const size = 984
+	inReturningFleet(t, size, func(r *returningFleet) {
+		r.startAll(func(int) bool { return true })
+		time.Sleep(time.Second)
+		var expected []time.Duration
+		for _, m := range r.feeds {
+			if left := m.StartTimeLeft(); !m.IsReady() && left > 0 {
+				expected = append(expected, left)
+			}
+		}
+		took := r.awaitServing(size)
+		t.Logf("%d daemons expect %v to %v, nine in ten serve after %v", len(expected), slices.Min(expected), slices.Max(expected), took)
+		must.SliceNotEmpty(t, expected)
+		must.LessEq(t, maxReturnTime/2, slices.Max(expected))
+		time.Sleep(maxReturnTime)
+		must.Zero(t, r.feeds[size-1].StartTimeLeft())
+	})
+}
+
 // Guards against a fleet that does not return because those whom the plan selects to read the store, or
 // to pass the state on, are not there.
 func TestReturnOfAllDaemonsDespiteLosses(t *testing.T) {
--- a/control/feed/start.go
+++ b/control/feed/start.go
@@ -164,6 +164,16 @@
 	return f.plan.ReadDelay(watchplan.Start{ID: m.opts.Self, AnswerRatio: ratio, Jitter: f.jitter})
 }
 
+// StartTimeLeft returns for how much longer this daemon expects to lack the state because the whole fleet
+// has just started; 0 if it has the state or does not know that others lack it too.
+func (m *Manager) StartTimeLeft() time.Duration {
+	if !m.isStarting() || m.startAnswers.Load() == 0 {
+		return 0
+	}
+	f := m.startFleet.Load()
+	return max(0, f.learnedAt+f.plan.StartTime()-m.opts.Clock())
+}
+
 // nextUpdate returns a channel that is closed at the next complete change of the state.
 func (m *Manager) nextUpdate() <-chan struct{} {
 	m.mu.Lock()
--- a/decision/watchplan/firstread.go
+++ b/decision/watchplan/firstread.go
@@ -41,3 +41,7 @@
 	returned := s.AnswerRatio * float64(vms)
 	return delay + time.Duration(s.Jitter*returned*float64(readSpacing))
 }
+
+// StartTime returns the time after which most daemons of a fleet that starts at once have been told the
+// state.
+func (p *Plan) StartTime() time.Duration { return time.Duration(len(p.zoneOf)) * peerTimePerVM }
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -29,7 +29,7 @@
 	}
 	age, known := h.opts.Feed.ConfigAge()
 	if !known {
-		return in, verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known yet").WithRetryAfter(unconfiguredRetryAfter)
+		return in, verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known yet").WithRetryAfter(h.startRetryAfter())
 	}
 	in.configVersion, in.configAge = view.Config.Version, age
 	if err != nil {
@@ -75,6 +75,12 @@
 	return h.opts.Feed.View()
 }
 
+// startRetryAfter returns when the caller of a daemon that has no configuration yet should retry. If the
+// whole fleet has just started, no other daemon can serve the caller either.
+func (h *Handler) startRetryAfter() time.Duration {
+	return max(unconfiguredRetryAfter, retryafter.Jitter(h.opts.Feed.StartTimeLeft()*4/3, rand.Float64()))
+}
+
 // authorize finds the caller's account. A revoked key must stop working within MaxKeyAge, even
 // while the store is unreachable, so the daemon refuses requests once its configuration has
 // not been confirmed for that long.
