feed: one encoder of VM entries, one way from a page to a reply

An empty case in sources is turned round, a page of VMs is made from one look at the fleet, the test's link speed stands once.

--- a/control/feed/fleetlist.go
+++ b/control/feed/fleetlist.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 
-	"github.com/pkg/errors"
-
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/peerpb"
 	"mallowwind.dev/telemetry/event"
@@ -47,7 +45,7 @@
 		return nil, false, err
 	}
 	for _, e := range reply.GetEntries() {
-		list = append(list, store.KV{Key: e.GetKey(), Value: e.GetValue()})
+		list = append(list, entryKV(e))
 	}
 	return list, len(list) > 0 || reply.GetRevision() != 0, nil
 }
@@ -58,10 +56,8 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := &peerpb.SnapshotReply{Revision: s.m.revision.Load(), Packed: p.packed}
-	if p.content != nil {
-		addContent(reply, p.content)
-	}
+	reply := &peerpb.SnapshotReply{Revision: s.m.revision.Load()}
+	p.addTo(reply)
 	return reply, nil
 }
 
@@ -74,25 +70,22 @@
 	if p := m.lastFleetPage; p != nil && now-p.builtAt < pageTTL {
 		return p, nil
 	}
-	p, err := m.encodeFleet()
-	if err != nil {
-		return nil, err
-	}
-	p.builtAt = now
-	if vms, _ := m.fleet(); len(vms) > 0 {
+	vms, _ := m.fleet()
+	p, err := newFleetPage(vms)
+	if err == nil && len(vms) > 0 {
+		p.builtAt = now
 		m.lastFleetPage = p
 	}
-	return p, nil
+	return p, err
 }
 
-// encodeFleet encodes the entries of the registered VMs.
-func (m *Manager) encodeFleet() (*page, error) {
-	vms, _ := m.fleet()
+// newFleetPage encodes the entries of VMs.
+func newFleetPage(vms []routing.VM) (*page, error) {
 	var d delta
 	for _, vm := range vms {
-		value, err := json.Marshal(vm)
+		value, err := encodeVM(vm)
 		if err != nil {
-			return nil, errors.Wrap(err, "feed: encode entry VM")
+			return nil, err
 		}
 		d.puts = append(d.puts, store.KV{Key: vmPrefix + vm.ID, Value: value})
 	}
--- a/control/feed/massstart_test.go
+++ b/control/feed/massstart_test.go
@@ -145,13 +145,17 @@
 
 func isLargeVM(n int) bool { return n%vmsPerLargeVM == 0 }
 
-// vmEntry returns the entry of the VM of daemon n.
-func vmEntry(n int) string {
-	mbps := smallLinkMbps
+// linkMbps returns the bandwidth of the link of daemon n's VM, in Mbit/s.
+func linkMbps(n int) int {
 	if isLargeVM(n) {
-		mbps = largeLinkMbps
+		return largeLinkMbps
 	}
-	return fmt.Sprintf(`{"id":"%d","zone":"z%d","address":"%d:2","peer":"%d:1","link_mbps":%d}`, n, n/vmsPerLargeVM%returnZones, n, n, mbps)
+	return smallLinkMbps
+}
+
+// vmEntry returns the entry of the VM of daemon n.
+func vmEntry(n int) string {
+	return fmt.Sprintf(`{"id":"%d","zone":"z%d","address":"%d:2","peer":"%d:1","link_mbps":%d}`, n, n/vmsPerLargeVM%returnZones, n, n, linkMbps(n))
 }
 
 // countSent counts the bytes of the replies to peers.
@@ -230,11 +234,7 @@
 	defer r.mu.Unlock()
 	var busiest float64
 	for n, bytes := range r.sent {
-		mbps := float64(smallLinkMbps)
-		if isLargeVM(n) {
-			mbps = largeLinkMbps
-		}
-		busiest = max(busiest, bytes*8/(mbps*1e6))
+		busiest = max(busiest, bytes*8/(float64(linkMbps(n))*1e6))
 	}
 	return time.Duration(busiest * float64(time.Second))
 }
--- a/control/feed/pages.go
+++ b/control/feed/pages.go
@@ -84,6 +84,14 @@
 	return p, err
 }
 
+// addTo adds the changes of the page to a reply.
+func (p *page) addTo(reply *peerpb.SnapshotReply) {
+	reply.Packed = p.packed
+	if p.content != nil {
+		addContent(reply, p.content)
+	}
+}
+
 func compress(raw []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
@@ -126,11 +134,16 @@
 	reply.Removed, reply.Present, reply.ListsPresent = content.GetRemoved(), content.GetPresent(), content.GetListsPresent()
 }
 
+// entryKV returns the key that an entry of a reply describes.
+func entryKV(e *peerpb.FeedEntry) store.KV {
+	return store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()}
+}
+
 // replyEvents returns the changes of a reply in the order in which they apply.
 func replyEvents(reply *peerpb.SnapshotReply, removed []string) []store.Event {
 	list := make([]store.Event, 0, len(reply.GetEntries())+len(removed))
 	for _, e := range reply.GetEntries() {
-		list = append(list, store.Event{Kind: store.Put, KV: store.KV{Key: e.GetKey(), Value: e.GetValue(), Version: e.GetRevision()}})
+		list = append(list, store.Event{Kind: store.Put, KV: entryKV(e)})
 	}
 	for _, key := range removed {
 		list = append(list, store.Event{Kind: store.Deleted, KV: store.KV{Key: key, Version: reply.GetRevision()}})
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -202,8 +202,7 @@
 		watchers := plan.Watchers()
 		rand.Shuffle(len(watchers), func(i, j int) { watchers[i], watchers[j] = watchers[j], watchers[i] })
 		near = peerAddresses(peers, watchers)
-	case m.isFresh() || len(list) == 0:
-	default:
+	case !m.isFresh() && len(list) > 0:
 		near = near[:min(len(near), 1)]
 		others = slices.Insert(others, 0, list[rand.N(len(list))].PeerAddress)
 	}
--- a/control/feed/register.go
+++ b/control/feed/register.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -169,9 +168,9 @@
 
 // write writes the entry, over whatever an earlier process of this VM left.
 func (r *Registrar) write(ctx context.Context, vm routing.VM, lease store.LeaseID) error {
-	value, err := json.Marshal(vm)
+	value, err := encodeVM(vm)
 	if err != nil {
-		return errors.Wrap(err, "encode entry VM")
+		return err
 	}
 	key := vmPrefix + r.VM.ID
 	version, err := r.Store.CompareAndSwap(ctx, key, r.version, value, lease)
--- a/control/feed/schema.go
+++ b/control/feed/schema.go
@@ -51,6 +51,12 @@
 	return s, nil
 }
 
+// encodeVM encodes the entry of an entry VM.
+func encodeVM(vm routing.VM) ([]byte, error) {
+	raw, err := json.Marshal(vm)
+	return raw, errors.Wrap(err, "encode entry VM")
+}
+
 // decodeVM decodes the entry of an entry VM. It rejects invalid addresses because callers are sent
 // to the address.
 func decodeVM(id string, raw []byte) (routing.VM, error) {
--- a/control/feed/snapshot.go
+++ b/control/feed/snapshot.go
@@ -43,10 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	reply.Revision, reply.Partial, reply.Packed, reply.Known = p.revision, p.partial, p.packed, p.known
-	if p.content != nil {
-		addContent(reply, p.content)
-	}
+	reply.Revision, reply.Partial, reply.Known = p.revision, p.partial, p.known
+	p.addTo(reply)
 	return reply, nil
 }
 
