--- /dev/null
+++ b/serve/forward/silentserver_test.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/retrybudget"
+)
+
+// rejectOthers handles the first request with handle and rejects all others as a full server does.
+func rejectOthers(handle http.HandlerFunc) http.HandlerFunc {
+	var begun atomic.Bool
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if begun.CompareAndSwap(false, true) {
+			handle(rw, r)
+			return
+		}
+		rw.Header().Set(hNotRun, "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// silenceRunner makes the server that has a request fall silent for d. Its run goes on meanwhile.
+func (w *testCluster) silenceRunner(after, d time.Duration) {
+	time.Sleep(after)
+	for id, s := range w.servers {
+		if s.requestCount() > 0 {
+			w.silenceInTurn(0, d, id)
+			return
+		}
+	}
+}
+
+// Guards against cutting an answer because its server is silent and nothing can replace it now.
+func TestSilentServerKeepsAnswerThatCannotMove(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		silence     time.Duration
+		maxAttempts int
+		rule        retrybudget.Policy
+	}{
+		{"others are full", 2600 * time.Millisecond, 5, testRetryRule},
+		{"no retries left", 2600 * time.Millisecond, 5, noRetries},
+		{"no attempts left", 1200 * time.Millisecond, 1, testRetryRule},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			route := streamRoute()
+			route[0].MaxAttempts = c.maxAttempts
+			withTestCluster(t, route, func(w *testCluster) {
+				handle := rejectOthers(streamEvents(60, time.Second, 40*time.Millisecond))
+				for _, id := range []string{"a", "b", "c", "d"} {
+					w.add("e-"+id, "llm", id, handle)
+				}
+				w.setRetryBudget(c.rule)
+				w.background(func() { w.silenceRunner(1500*time.Millisecond, c.silence) })
+				w.background(func() {
+					time.Sleep(1700 * time.Millisecond)
+					now := time.Now()
+					w.handler.BeginShutdown(ShutdownSchedule{StreamsUntil: now.Add(time.Second), RequestsUntil: now.Add(2 * time.Second), ExitAt: now.Add(7 * time.Second)})
+				})
+				got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, events(1, 60), got.body)
+			})
+		})
+	}
+}
+
+// Guards against cutting an answer that was moved off a silent server when the next one rejects it.
+func TestAnswerMovedOffSilentServerSurvivesLateRejection(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var begun atomic.Int32
+		var full atomic.Bool
+		full.Store(true)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			switch {
+			case begun.Add(1) == 1:
+				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
+			case full.Load():
+				sleep(r, 600*time.Millisecond)
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			default:
+				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
+			}
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		w.background(func() { w.silenceRunner(1500*time.Millisecond, 2*time.Second) })
+		w.background(func() {
+			time.Sleep(6 * time.Second)
+			full.Store(false)
+		})
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 60), got.body)
+	})
+}
