forward: silence alone ends no answer

Cause: the daemon took silence and two failed probes for the end of an engine. A response that could not move (no attempts left: at once; no retries, no server, no room: after two seconds) was given up. A sound server that is silent for a second or two answers no probe either.

Change: takeover.IsExhausted says as before when a response cannot move; it ends then only with evidence that its server produces it no more: the port refuses connections or another process has it; its registration has ended, it answers no probe and is silent for three seconds; or it reports events for three seconds of which none arrived. Event 237 names the evidence. Tries to move a silent response come at 200 and then 400 ms, as they now may go on for long.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -13,8 +13,9 @@
 // Decision: a silent server keeps its response until another server has just answered a probe,
 // which shows that the link works, until the budget permits the retry, and until the other server
 // has accepted the request. A server whose run has provably ended, by a connection reset or a
-// restart, is not handled here. A server that answers no probe while others do is given up if its
-// response can never continue.
+// restart, is not handled here. Silence alone never ends a response: a sound server may pause for a
+// second or more and then go on. A response that cannot continue elsewhere ends only with evidence that
+// its server produces it no more.
 package takeover
 
 import "time"
@@ -30,12 +31,15 @@
 	// ResumeTime is the part of a gap target that is left for resuming from a copy: a probe, the
 	// request, and one step of a batch that also processes a prompt.
 	ResumeTime = 200 * time.Millisecond
-	// RetryInterval is the time to the next attempt after a takeover that failed.
-	RetryInterval = 200 * time.Millisecond
-	// GiveUpAfter is how long a response may be silent before it is given up for lack of retry
-	// budget, servers or capacity, if its server answers no probe either. Part of the budget is
-	// available again by then.
+	// minRetryDelay and maxRetryDelay bound the time to the next attempt to continue a response. Each
+	// attempt probes several engines.
+	minRetryDelay = 200 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+	// GiveUpAfter is how long a response whose server has ended may be silent before it is given up for
+	// lack of retry budget, servers or capacity. Part of the budget is available again by then.
 	GiveUpAfter = 2 * time.Second
+	// maxPause is longer than the pauses of a server that runs.
+	maxPause = 3 * time.Second
 	// SettleTime is how long the daemon still listens to the silent server after another server has
 	// answered: data held up by a saturated link arrives together with that answer.
 	SettleTime = 5 * time.Millisecond
@@ -139,11 +143,10 @@
 	return !silentAnswers && (otherAnswers || waited >= MaxLinkStall)
 }
 
-// ShouldGiveUp reports whether a silent response is given up, given that its server answers no
-// probe either: immediately if it can never continue, and after GiveUpAfter if waiting did not
-// help. The caller is then told and can retry elsewhere. The response of a server that answers
-// probes is never given up.
-func ShouldGiveUp(o Outcome, silent time.Duration) bool {
+// IsExhausted reports whether a silent response is given up if its server has ended: immediately if no
+// other server can ever continue it, and after GiveUpAfter if waiting did not help. The caller is then
+// told and can retry elsewhere.
+func IsExhausted(o Outcome, silent time.Duration) bool {
 	switch o {
 	case NoAttemptsLeft:
 		return true
@@ -152,3 +155,41 @@
 	}
 	return false
 }
+
+// Evidence is what shows, beside its silence, that a server does not produce its response any more.
+type Evidence uint8
+
+// The kinds of evidence.
+const (
+	NoEvidence   Evidence = iota // silence, and failed probes at most
+	Exited                       // its port refuses connections, or another process has it
+	Unregistered                 // its registration has ended, and it answers no probe while others do
+	ResponseLost                 // it has generated events for the response, and none has arrived
+)
+
+// String returns the name used in logs.
+func (e Evidence) String() string {
+	return [...]string{"none", "exited", "unregistered", "response_lost"}[e]
+}
+
+// ShowsEnd reports whether the response of a server ends, given how long it has been silent. A server
+// without registration may still be serving, and a response may arrive late: both are waited for as long
+// as a pause may take.
+func (e Evidence) ShowsEnd(silent time.Duration) bool {
+	switch e {
+	case Exited:
+		return true
+	case Unregistered, ResponseLost:
+		return silent >= maxPause
+	}
+	return false
+}
+
+// RetryDelay returns the time to the next attempt to continue a response, after some that failed.
+func RetryDelay(failed int) time.Duration {
+	delay := minRetryDelay
+	for range failed {
+		delay = min(2*delay, maxRetryDelay)
+	}
+	return delay
+}
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -36,7 +36,8 @@
 	trial, pace    *versions.Trial // of the server's version; nil where versions are not compared
 	eventCount     int             // events received in this attempt
 	meter          pace.Meter      // of the interval between them
-	timesFoundLost int             // times that the engine reported events and none had arrived
+	takeoversTried int             // since the last event, without success
+	foundLostAt    time.Time       // when its response was first found lost; zero if it was not
 	// survivalRecorded is set once the server is known to have survived the start of the answer.
 	survivalRecorded bool
 	// crashCheck receives whether a part of the prompt is suspect, after the server broke the stream.
--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -7,10 +7,12 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
 	"mallowwind.dev/decision/takeover"
+	"mallowwind.dev/external/sent"
 )
 
 // replicaProbeTimeout is how long an engine with a replica may take to answer the probe before the
@@ -108,24 +110,36 @@
 	return err == nil
 }
 
-// isUnreachable reports whether a silent engine is given up: its answer was found lost more than
-// once, or it fails two probes in a row while other engines answer both times. One lost packet is
-// not enough, nor a link of this VM that recovers in the middle of a probe. Servers that are not
-// engines cannot be probed.
-func (r *relay) isUnreachable(ctx context.Context, a *attempt, why error) bool {
+// evidenceOfEnd returns what shows that the server of a silent attempt produces the response no more.
+// Servers that are not engines cannot be probed, so nothing is known of them.
+func (r *relay) evidenceOfEnd(ctx context.Context, a *attempt, why error) takeover.Evidence {
 	if errors.Is(why, errResponseLost) {
-		a.timesFoundLost++
-		return a.timesFoundLost >= maxFailedProbes
+		if a.foundLostAt.IsZero() {
+			a.foundLostAt = time.Now()
+		}
+		return takeover.ResponseLost
 	}
-	view := r.h.opts.Feed.View()
-	if view.Config.Engine(r.service) == nil {
-		return false
+	view, server := r.h.opts.Feed.View(), a.target.server
+	if view.Config.Engine(r.service) == nil || !r.isUnreachable(ctx, view, server) {
+		return takeover.NoEvidence
+	}
+	if r.h.processState(server) == sent.ServerExited {
+		return takeover.Exited
 	}
-	others := r.h.pool.prefillCandidates(time.Now(), view, r.service, "", SampleSize, []routing.Incarnation{a.target.server.Incarnation()})
+	if _, listed := view.Servers[r.service].Get(server.ID); !listed && view.HasDeparted(server.ID) {
+		return takeover.Unregistered
+	}
+	return takeover.NoEvidence
+}
+
+// isUnreachable reports whether an engine fails two probes in a row while other engines answer both
+// times. One lost packet is not enough, nor a link of this VM that recovers in the middle of a probe.
+func (r *relay) isUnreachable(ctx context.Context, view *feed.View, server routing.Server) bool {
+	others := r.h.pool.prefillCandidates(time.Now(), view, r.service, "", SampleSize, []routing.Incarnation{server.Incarnation()})
 	for range maxFailedProbes {
 		var probeErr error
 		var wg sync.WaitGroup
-		wg.Go(func() { _, probeErr = r.h.probe(ctx, a.target.server, fastProbeTimeout) })
+		wg.Go(func() { _, probeErr = r.h.probe(ctx, server, fastProbeTimeout) })
 		answered := r.h.newProbeRound().sampleLoads(ctx, others, 0)
 		wg.Wait()
 		if probeErr == nil || len(answered) == 0 {
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -67,13 +67,15 @@
 				return end, err
 			}
 			if s.head == nil {
+				a.takeoversTried = 0
 				idle.Reset(r.idleTimeout(a))
 			}
 		case <-idle.C:
 			if r.tryTakeOver(ctx, a, errStreamIdle) {
 				return r.handleFailure(ctx, a.segment, errStreamIdle)
 			}
-			idle.Reset(takeover.RetryInterval)
+			idle.Reset(takeover.RetryDelay(a.takeoversTried))
+			a.takeoversTried++
 		case err := <-a.probeFailures:
 			if errors.Is(err, errRestarted) || r.tryTakeOver(ctx, a, err) {
 				return r.handleFailure(ctx, a.segment, err)
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -52,10 +52,16 @@
 			return true
 		}
 	}
-	r.cannotContinue = takeover.ShouldGiveUp(outcome, time.Since(r.lastEventAt)) && r.isUnreachable(ctx, a, cause) &&
-		r.awaitLatePart(ctx, a) == takeover.Silent
+	evidence, silentSince := takeover.NoEvidence, r.lastEventAt
+	if takeover.IsExhausted(outcome, time.Since(r.lastEventAt)) {
+		evidence = r.evidenceOfEnd(ctx, a, cause)
+	}
+	if evidence == takeover.ResponseLost {
+		silentSince = a.foundLostAt // a response may begin late, and is not silent before
+	}
+	r.cannotContinue = evidence.ShowsEnd(time.Since(silentSince)) && r.awaitLatePart(ctx, a) == takeover.Silent
 	r.h.metrics.segmentsKept.WithLabelValues(outcome.String()).Inc()
-	r.h.opts.Log.Emit(event.StalledSegmentKept, r.in.call.ID, a.target.server.ID, cause, outcome.String(), r.cannotContinue, r.lastEventID, time.Since(r.lastEventAt))
+	r.h.opts.Log.Emit(event.StalledSegmentKept, r.in.call.ID, a.target.server.ID, cause, outcome.String(), evidence.String(), r.cannotContinue, r.lastEventID, time.Since(r.lastEventAt))
 	return r.cannotContinue
 }
 
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -41,7 +41,7 @@
 	BackendConnectionBroken = define(238, "backend_broke", logrus.InfoLevel,
 		"The connection to a backend server broke during a request. found is the state of the server process, finding whether a crash counts against the request, asked the number of other servers of its zone that were probed, and down the number of those that had crashed too. running is the time since the first event, parts the shared parts of the prompt and tokens its length.", "request", "digests", "prompt", "parts", "tokens", "account", "backend", "backend_zone", "found", "finding", "asked", "down", "under_way", "running", "from", "error")
 	StalledSegmentKept = define(237, "leg_kept", logrus.InfoLevel,
-		"A stream stays at a stalled backend server, because no other server can continue it now. given_up is set if none ever can and the server is unreachable while others are reachable.", "request", "backend", "error", "reason", "given_up", "after", "quiet")
+		"A stream stays at a stalled backend server, because no other server can continue it now. evidence says what shows, beside the silence, that the server produces the answer no more; given_up is set if it ends the answer.", "request", "backend", "error", "reason", "evidence", "given_up", "after", "quiet")
 	PoisonMarked = define(239, "poison_marked", logrus.WarnLevel,
 		"A request was marked because this daemon counted backend servers that crashed while they ran it. A watched request is cleared by a complete answer; a refused one is sent to no server.", "digest", "account", "route", "mark", "servers")
 	PoisonMarkReceived = define(240, "poison_told", logrus.InfoLevel,
