forward: an answer that has begun waits for a server that can continue it

Cause: once a stream's engine was released for its silence, or its connection had broken, one look for another decided. No retry in that moment, no room, or the rejection of the only engine with room ended the answer.

Change: while the caller holds a part of the answer, its prompt can still be prefilled before the deadline and some server of the service works (or the last one was released for its silence alone), the daemon looks again after 200 and then 400 ms. After three rejections in a row further requests are sent 0.2 to 0.8 s apart: with that many the service is full, and each uses a retry of the fleet. The same holds for attempts to take a silent answer over; before, all eight were used within milliseconds. A copy that was found but not used for lack of a retry is kept. While all servers are lost the outage's bound holds as before (TestRequestsWaitForRestartedEngines).

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -35,6 +35,12 @@
 	// attempt probes several engines.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 400 * time.Millisecond
+	// minResendDelay and maxResendDelay bound the time between two requests for a response that has begun,
+	// once fullAfter servers in a row rejected it: with that many the whole service is full, not a
+	// single server.
+	minResendDelay = 200 * time.Millisecond
+	maxResendDelay = 800 * time.Millisecond
+	fullAfter      = 3
 	// GiveUpAfter is how long a response whose server has ended may be silent before it is given up for
 	// lack of retry budget, servers or capacity. Part of the budget is available again by then.
 	GiveUpAfter = 2 * time.Second
@@ -186,10 +192,21 @@
 }
 
 // RetryDelay returns the time to the next attempt to continue a response, after some that failed.
-func RetryDelay(failed int) time.Duration {
-	delay := minRetryDelay
-	for range failed {
-		delay = min(2*delay, maxRetryDelay)
+func RetryDelay(failed int) time.Duration { return doubled(minRetryDelay, failed, maxRetryDelay) }
+
+// ResendDelay returns the time until a response that has begun is requested from another server, after some
+// that rejected it in a row. Each request uses a retry of the fleet's budget.
+func ResendDelay(rejections int) time.Duration {
+	if rejections < fullAfter {
+		return 0
+	}
+	return doubled(minResendDelay, rejections-fullAfter, maxResendDelay)
+}
+
+// doubled returns d doubled n times, up to limit.
+func doubled(d time.Duration, n int, limit time.Duration) time.Duration {
+	for range n {
+		d = min(2*d, limit)
 	}
-	return delay
+	return d
 }
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -108,6 +108,13 @@
 	}
 }
 
+// The first servers that reject a response are followed by others at once, further ones ever later.
+func TestResendDelay(t *testing.T) {
+	for rejections, want := range []time.Duration{0, 0, 0, minResendDelay, 2 * minResendDelay, maxResendDelay, maxResendDelay} {
+		must.Eq(t, want, ResendDelay(rejections))
+	}
+}
+
 func TestRetryDelay(t *testing.T) {
 	for failed, want := range []time.Duration{minRetryDelay, maxRetryDelay, maxRetryDelay} {
 		must.Eq(t, want, RetryDelay(failed))
--- /dev/null
+++ b/serve/forward/lookagain_test.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/retrybudget"
+)
+
+// breakOnce breaks off the first stream after its tenth event, and handles all others.
+func breakOnce(handle http.HandlerFunc) http.HandlerFunc {
+	var broken atomic.Bool
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if !broken.CompareAndSwap(false, true) {
+			handle(rw, r)
+			return
+		}
+		rw.Header().Set(hProof, "p")
+		for id := 1; id <= 10; id++ {
+			writeEvent(rw, id)
+			sleep(r, 40*time.Millisecond)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Guards against cutting an answer whose connection broke while the retry budget is used up for a moment.
+func TestBrokenAnswerAwaitsRetryBudget(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		handle := breakOnce(streamEvents(20, time.Second, 40*time.Millisecond))
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		w.setRetryBudget(retrybudget.Policy{Slack: 1.2, Window: 1500 * time.Millisecond})
+		must.True(w.t, w.handler.pool.tryTakeRetry(time.Now(), "llm", false)) // for another stream
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+		must.Less(w.t, 5*time.Second, got.took)
+	})
+}
+
+// Guards against waiting until the deadline for a server when the prompt cannot be prefilled by then.
+func TestBrokenAnswerEndsWhenItsPromptIsTooLate(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		handle := breakOnce(streamEvents(20, time.Second, 40*time.Millisecond))
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		w.setRetryBudget(noRetries)
+		const tokens, prefill = 8000, 4 * time.Second
+		for range 100 {
+			w.handler.pressure.recordPrefill("llm", tokens, prefill)
+		}
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000", hWait: "10000"}), "prompt")
+		must.Error(w.t, got.err)
+		must.Less(w.t, 10*time.Second-prefill/2, got.took)
+	})
+}
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -74,7 +74,7 @@
 			if r.tryTakeOver(ctx, a, errStreamIdle) {
 				return r.handleFailure(ctx, a.segment, errStreamIdle)
 			}
-			idle.Reset(takeover.RetryDelay(a.takeoversTried))
+			idle.Reset(max(takeover.RetryDelay(a.takeoversTried), takeover.ResendDelay(r.rejections)))
 			a.takeoversTried++
 		case err := <-a.probeFailures:
 			if errors.Is(err, errRestarted) || r.tryTakeOver(ctx, a, err) {
@@ -162,7 +162,7 @@
 	if e.id != 0 {
 		r.lastEventID = e.id
 	}
-	r.linkStalledSince = time.Time{}
+	r.linkStalledSince, r.rejections = time.Time{}, 0
 	now := time.Now()
 	if r.eventCount++; r.eventCount > 1 {
 		r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
@@ -230,6 +230,7 @@
 // handleRejection processes a response which states that the server did not run the request.
 func (r *relay) handleRejection(ctx context.Context, l segment, o responseHead) (segmentEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
+	r.rejections++
 	next, succeeded := routing.Incarnation{}, false
 	if o.reply.Misdirected {
 		next, succeeded = r.findSuccessor(ctx, l.target.server, o.reply.Instance)
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -58,6 +58,9 @@
 	sends           int                   // requests sent, without those that could not connect
 	room            roomState             // where streams differ in priority
 	retryTaken      bool                  // a retry was taken from the budget for the next send
+	looksAgain      bool                  // no server could continue the response a moment ago
+	rejections      int                   // in a row, by servers that did not run the request
+	releasedSilent  bool                  // a server was released for its silence alone
 	excluded        []routing.Incarnation // servers that must not be chosen again
 	// leftToOthers is set if the prompt was not placed because prompts that wait at other daemons
 	// come first.
@@ -147,7 +150,7 @@
 		}
 	}()
 	for {
-		a, err := r.nextAttempt(ctx)
+		a, err := r.awaitAttempt(ctx)
 		if err != nil {
 			return r.giveUp(err)
 		}
@@ -241,14 +244,15 @@
 		return segment{}, r.refuseRefill()
 	}
 	r.retryTaken = false
-	// Where streams differ in priority, the prompt may wait before it is sent, and the retry is
-	// taken once the engine is chosen: it counts in the window in which it is sent.
-	if r.starts >= maxStarts || !r.hasPriorities() && !r.ensureRetry(ctx) {
+	// Where the request may wait before it is sent, the retry is taken once the engine is chosen: it
+	// counts in the window in which it is sent.
+	if r.starts >= maxStarts || !r.hasPriorities() && !r.looksAgain && !r.ensureRetry(ctx) {
 		return segment{}, r.noServerError()
 	}
-	view := r.h.opts.Feed.View()
+	view, held := r.h.opts.Feed.View(), r.heldCopy
 	if l, ok := r.findHolder(ctx, now, view); ok {
 		if !r.ensureRetry(ctx) {
+			r.heldCopy = held // unused
 			return segment{}, r.noServerError()
 		}
 		r.h.pool.addLoad(l.target, 1, 0, 0)
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -40,18 +40,22 @@
 	if errors.Is(cause, errResponseLost) {
 		r.heldCopy = a.runCopy() // the prompt was prefilled, so the copy exists
 	}
-	outcome := takeover.Rejected
-	for outcome == takeover.Rejected {
+	outcome, isFirst := takeover.Rejected, true
+	for outcome == takeover.Rejected && (isFirst || takeover.ResendDelay(r.rejections) == 0) {
+		isFirst = false
 		var next *attempt
 		if outcome, next = r.prepareTakeover(ctx, a, cause); next == nil {
 			break
 		}
 		if outcome = r.awaitTakeover(ctx, a, next, cause); outcome == takeover.TakenOver {
 			r.discardPending(a)
-			r.replacement = next
+			r.replacement, r.releasedSilent = next, true
 			return true
 		}
 	}
+	if outcome == takeover.Rejected {
+		outcome = takeover.NoCapacity // several servers in a row
+	}
 	evidence, silentSince := takeover.NoEvidence, r.lastEventAt
 	if takeover.IsExhausted(outcome, time.Since(r.lastEventAt)) {
 		evidence = r.evidenceOfEnd(ctx, a, cause)
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -108,6 +108,8 @@
 		"A request was refused for lack of room, and its caller was told to return after retry_after. overload is how long requests of its rank find no room, ahead the number of callers told to return before that are served first, and spare the prompts per second that find room once the overload is over.", "request", "service", "rank", "retry_after", "overload", "ahead", "spare")
 	PromptRefilled = define(292, "prompt_refilled", logrus.InfoLevel,
 		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
+	StreamAwaitsServer = define(293, "stream_awaits_server", logrus.InfoLevel,
+		"No backend server can continue a stream that has begun now. Another look follows after the delay, as long as the stream can be completed in time.", "request", "error", "rejections", "delay", "after", "quiet")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
