forward: evidence of a server's end costs a silent answer two probes at most

While the relay looks for evidence it forwards nothing. It is dialled now only if a probe failed in another way than by a timeout.

--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -120,10 +120,13 @@
 		return takeover.ResponseLost
 	}
 	view, server := r.h.opts.Feed.View(), a.target.server
-	if view.Config.Engine(r.service) == nil || !r.isUnreachable(ctx, view, server) {
+	if view.Config.Engine(r.service) == nil {
 		return takeover.NoEvidence
 	}
-	if r.h.processState(server) == sent.ServerExited {
+	switch err := r.probeRepeatedly(ctx, view, server); {
+	case err == nil:
+		return takeover.NoEvidence
+	case errors.Is(err, errRestarted), !sent.IsTimeout(err) && r.h.serverStateAt(server.Address) == sent.ServerExited:
 		return takeover.Exited
 	}
 	if _, listed := view.Servers[r.service].Get(server.ID); !listed && view.HasDeparted(server.ID) {
@@ -132,21 +135,21 @@
 	return takeover.NoEvidence
 }
 
-// isUnreachable reports whether an engine fails two probes in a row while other engines answer both
-// times. One lost packet is not enough, nor a link of this VM that recovers in the middle of a probe.
-func (r *relay) isUnreachable(ctx context.Context, view *feed.View, server routing.Server) bool {
+// probeRepeatedly returns the error of the last probe if an engine fails two probes in a row while other
+// engines answer both times, nil otherwise. One lost packet is not enough, nor a link of this VM that
+// recovers in the middle of a probe.
+func (r *relay) probeRepeatedly(ctx context.Context, view *feed.View, server routing.Server) (probeErr error) {
 	others := r.h.pool.prefillCandidates(time.Now(), view, r.service, "", SampleSize, []routing.Incarnation{server.Incarnation()})
 	for range maxFailedProbes {
-		var probeErr error
 		var wg sync.WaitGroup
 		wg.Go(func() { _, probeErr = r.h.probe(ctx, server, fastProbeTimeout) })
 		answered := r.h.newProbeRound().sampleLoads(ctx, others, 0)
 		wg.Wait()
 		if probeErr == nil || len(answered) == 0 {
-			return false
+			return nil
 		}
 	}
-	return true
+	return probeErr
 }
 
 // liveReplica returns the engine that holds a replica of an attempt's run, if it answers a probe.
