--- a/serve/forward/lookagain_test.go
+++ b/serve/forward/lookagain_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/decision/retrybudget"
+	"mallowwind.dev/decision/verdict"
 )
 
 // breakOnce breaks off the first stream after its tenth event, and handles all others.
@@ -61,3 +63,24 @@
 		must.Less(w.t, 10*time.Second-prefill/2, got.took)
 	})
 }
+
+// Guards against cut answers whose cause no metric shows.
+func TestTruncatedAnswersAreCountedByCause(t *testing.T) {
+	for _, c := range []struct {
+		cause string
+		err   error
+	}{
+		{causeDaemonExiting, errDaemonExiting},
+		{string(verdict.CodeNoBackend), verdict.New(verdict.MayHaveRun, verdict.CodeNoBackend, "none")},
+		{causeOther, errNoEvents},
+	} {
+		must.Eq(t, c.cause, truncationCause((&relay{headersSent: true}).giveUp(c.err)))
+	}
+	route := streamRoute()
+	route[0].MaxAttempts = 1
+	withTestCluster(t, route, func(w *testCluster) {
+		w.add("e-a", "llm", "a", breakOnce(streamEvents(20, time.Second, 40*time.Millisecond)))
+		must.Error(w.t, w.request(http.MethodPost, "/s/1", callerHeaders, "prompt").err)
+		must.Eq(w.t, 1, testutil.ToFloat64(w.handler.metrics.truncated.WithLabelValues(string(verdict.CodeBackendFailed))))
+	})
+}
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -14,6 +14,7 @@
 type metrics struct {
 	answers           *prometheus.CounterVec
 	answerSeconds     *prometheus.HistogramVec
+	truncated         *prometheus.CounterVec
 	sends             *prometheus.CounterVec
 	segments          *prometheus.CounterVec
 	segmentsKept      *prometheus.CounterVec
@@ -59,6 +60,7 @@
 	m := &metrics{
 		answers:            prometheus.NewCounterVec(counter("answers_total", "Answers to callers; source says whether a backend server or the daemon gave it."), []string{"kind", "status", "source"}),
 		answerSeconds:      prometheus.NewHistogramVec(histogram("answer_seconds", "Time from a request's arrival to the end of its answer."), []string{"kind"}),
+		truncated:          prometheus.NewCounterVec(counter("truncated_total", "Answers that had begun and were cut, by cause: daemon_exiting if they outlast the grace period, other, or the code of the reason."), []string{"cause"}),
 		sends:              prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
 		segments:           prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
 		segmentsKept:       prometheus.NewCounterVec(counter("stream_legs_kept_total", "Silent backend servers that kept their stream, by why it did not go on at another."), []string{"reason"}),
@@ -89,7 +91,7 @@
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
 	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds, m.pacedPlacements)
-	metric.Register(r, m.answers, m.answerSeconds, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.truncated, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/refuse.go
+++ b/serve/forward/refuse.go
@@ -48,6 +48,7 @@
 func (h *Handler) refuse(w http.ResponseWriter, in *inbound, err error) {
 	if errors.Is(err, errTruncated) {
 		h.metrics.countAnswer(in, statusTruncated, sourceDaemon)
+		h.metrics.truncated.WithLabelValues(truncationCause(err)).Inc()
 		h.opts.Log.Emit(event.AnswerTruncated, in.call.ID, in.call.PromptKey, in.routeName(), in.accountName(), in.configVersion, err, time.Since(in.arrived))
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
@@ -86,3 +87,33 @@
 
 // errTruncated ends a response that has begun and cannot be completed.
 var errTruncated = errors.New("forward: response truncated")
+
+// truncatedError wraps the reason why a response that has begun cannot be completed.
+type truncatedError struct{ cause error }
+
+// Error implements error.
+func (e truncatedError) Error() string { return e.cause.Error() + ": " + errTruncated.Error() }
+
+// Is reports whether target is errTruncated.
+func (e truncatedError) Is(target error) bool { return target == errTruncated }
+
+// Unwrap returns the reason.
+func (e truncatedError) Unwrap() error { return e.cause }
+
+// Values of the label cause of truncated responses, beside the codes of verdict.Error.
+const (
+	causeDaemonExiting = "daemon_exiting"
+	causeOther         = "other"
+)
+
+// truncationCause returns the value of the label cause for the error that truncated a response.
+func truncationCause(err error) string {
+	var refused *verdict.Error
+	switch {
+	case errors.Is(err, errDaemonExiting):
+		return causeDaemonExiting
+	case errors.As(err, &refused):
+		return string(refused.Code)
+	}
+	return causeOther
+}
--- a/serve/forward/response.go
+++ b/serve/forward/response.go
@@ -61,7 +61,7 @@
 	}
 	w.WriteHeader(o.status)
 	if _, err := w.Write(o.body); err != nil {
-		return errors.Wrapf(errTruncated, "%v", err)
+		return truncatedError{err}
 	}
 	if o.bodyRest == nil {
 		return nil
@@ -72,7 +72,7 @@
 		h.markSuspect(ctx, in, o.choice, err)
 	}
 	if err != nil {
-		return errors.Wrapf(errTruncated, "%v", err)
+		return truncatedError{err}
 	}
 	return nil
 }
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/verdict"
@@ -226,7 +224,7 @@
 // giveUp returns the error that ends the response. A response that has begun is truncated.
 func (r *relay) giveUp(err error) error {
 	if r.headersSent {
-		return errors.Wrapf(errTruncated, "%v", err)
+		return truncatedError{err}
 	}
 	return err
 }
