forward: whether an answer may continue later is asked without making a refusal

The check before a further request built the refusal that would be sent, which counts refusals where all servers ask for a pause.

--- a/serve/forward/lookagain.go
+++ b/serve/forward/lookagain.go
@@ -21,7 +21,7 @@
 // It guards against truncated responses whose server was released because it was silent, or whose
 // connection broke, while all other servers are full or the retry budget is used up for a moment.
 func (r *relay) awaitAttempt(ctx context.Context) (*attempt, error) {
-	if delay := takeover.ResendDelay(r.rejections); delay > 0 && r.replacement == nil && r.mayLookAgain(ctx, r.noServerError()) {
+	if delay := takeover.ResendDelay(r.rejections); delay > 0 && r.replacement == nil && r.mayContinueLater(ctx) {
 		if !r.waitToLookAgain(ctx, errServersFull, delay) {
 			return nil, r.expiryError()
 		}
@@ -47,14 +47,18 @@
 }
 
 // mayLookAgain reports whether a response that cannot continue now, for the given reason, may do so later.
-// How long a request waits while all servers are lost is decided in awaitEngine.
 func (r *relay) mayLookAgain(ctx context.Context, why error) bool {
-	if !r.headersSent || !r.canResume() || r.starts >= maxStarts || ctx.Err() != nil {
-		return false
-	}
 	switch verdict.FromError(why).Code {
 	case verdict.CodeNoBackend, verdict.CodeOverloaded:
-	default:
+		return r.mayContinueLater(ctx)
+	}
+	return false
+}
+
+// mayContinueLater reports whether a response that has begun may still continue if a server takes it later.
+// How long a request waits while all servers are lost is decided in awaitEngine.
+func (r *relay) mayContinueLater(ctx context.Context) bool {
+	if !r.headersSent || !r.canResume() || r.starts >= maxStarts || ctx.Err() != nil {
 		return false
 	}
 	now := time.Now()
