forward: a silent server is not released for one that is silent too

After two seconds in which neither the silent engine nor the next one had sent anything or answered a probe, the answer went to the next one: the only run that was known to exist was ended for one that nobody had heard of.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -125,9 +125,9 @@
 	Switch        // the response continues on the other server
 )
 
-// Decide chooses between the silent server and the one that received the request after it. over
-// says that the daemon stops waiting for both.
-func Decide(silent, other ServerState, over bool) Action {
+// Decide chooses between the silent server and the one that received the request after it. onOverlap is
+// the result of AfterOverlap, Wait before that.
+func Decide(silent, other ServerState, onOverlap Action) Action {
 	switch {
 	case silent == Responding:
 		return Keep // nothing was lost, and its run is further ahead
@@ -135,18 +135,27 @@
 		return Switch
 	case other == Broken:
 		return Keep // a broken connection of the silent server is handled like any other
-	case silent == Broken || over:
+	case silent == Broken:
 		return Switch
 	}
-	return Wait
+	return onOverlap
 }
 
-// IsOverlapOver reports whether the daemon stops waiting for two servers that both hold the request
-// and have sent nothing for MaxOverlap. Both were probed since. If the silent server answers the
-// probe, the daemon's link works, and a response of the other server would have arrived if it ran
-// the request. If neither answers, the link is assumed to be held up, for at most MaxLinkStall.
-func IsOverlapOver(silentAnswers, otherAnswers bool, waited time.Duration) bool {
-	return !silentAnswers && (otherAnswers || waited >= MaxLinkStall)
+// AfterOverlap returns what the daemon does with two servers that both hold the request and have sent
+// nothing for MaxOverlap. Both were probed since. If the silent server answers the probe, the daemon's link
+// works, and a response of the other server would have arrived if it ran the request. If neither answers,
+// the link is assumed to be held up, for at most MaxLinkStall; then both servers are silent, and the first
+// one's run is further ahead.
+func AfterOverlap(silentAnswers, otherAnswers bool, waited time.Duration) Action {
+	switch {
+	case silentAnswers:
+		return Wait
+	case otherAnswers:
+		return Switch
+	case waited >= MaxLinkStall:
+		return Keep
+	}
+	return Wait
 }
 
 // IsExhausted reports whether a silent response is given up if its server has ended: immediately if no
--- a/serve/forward/silentserver_test.go
+++ b/serve/forward/silentserver_test.go
@@ -101,3 +101,45 @@
 		must.Eq(w.t, events(1, 60), got.body)
 	})
 }
+
+// Guards against releasing a silent server for one that is silent too, when nothing else can replace it.
+func TestAnswerStaysWhereNextServerIsSilentToo(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		handle := rejectOthers(streamEvents(60, time.Second, 40*time.Millisecond))
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(hCopyAt) != "" {
+					sleep(r, time.Hour)
+					return
+				}
+				handle(rw, r)
+			})
+		}
+		w.background(func() {
+			time.Sleep(1500 * time.Millisecond)
+			for w.totalRequests() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			var runner string
+			for id, s := range w.servers {
+				if s.requestCount() > 0 {
+					runner = id
+				}
+			}
+			w.background(func() { w.silenceInTurn(0, 3*time.Second, runner) })
+			for w.totalRequests() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			for id, s := range w.servers {
+				if id != runner {
+					w.background(func() { w.silenceInTurn(0, 2500*time.Millisecond, id) })
+					_ = s
+				}
+			}
+		})
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 60), got.body)
+		must.Eq(w.t, 2, w.totalRequests())
+	})
+}
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -113,10 +113,10 @@
 	stalledState, nextState := takeover.Silent, takeover.Silent
 	overlap := time.NewTimer(time.Hour)
 	defer overlap.Stop()
-	written, overlapEnded := next.requestWritten, false
+	written, onOverlap := next.requestWritten, takeover.Wait
 	var writtenAt time.Time // when the next server had received the request
 	for {
-		switch takeover.Decide(stalledState, nextState, overlapEnded) {
+		switch takeover.Decide(stalledState, nextState, onOverlap) {
 		case takeover.Switch:
 			return takeover.TakenOver
 		case takeover.Keep:
@@ -140,8 +140,8 @@
 			nextState = s.takeoverState()
 		case <-overlap.C:
 			stalledResponds, nextResponds := r.probeBoth(ctx, a, next, cause)
-			overlapEnded = takeover.IsOverlapOver(stalledResponds, nextResponds, time.Since(writtenAt))
-			if overlapEnded {
+			onOverlap = takeover.AfterOverlap(stalledResponds, nextResponds, time.Since(writtenAt))
+			if onOverlap == takeover.Switch {
 				stalledState = r.awaitLatePart(ctx, a)
 			}
 			overlap.Reset(takeover.MaxOverlap)
