forward: a server counts as silent since it was last heard, not since the last event

A server that leaves, with its registration ended, and that was silent for 0.7 s during a prefill ended its answer (502 after 3.9 s): the three seconds were counted from the arrival of the request, or from the last event of another server. They are counted from the last part, probe or request of the server itself now. An engine whose port refuses is known to have exited also where no other engine answers.

TestLeavingServerSilentDuringPrefillKeepsAnswer failed before.

--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,6 +39,7 @@
 	meter          pace.Meter      // of the interval between them
 	takeoversTried int             // since the last event, without success
 	foundLostAt    time.Time       // when its response was first found lost; zero if it was not
+	heardAt        atomic.Int64    // monotonic time at which the server was last heard, or the request was sent
 	// survivalRecorded is set once the server is known to have survived the start of the answer.
 	survivalRecorded bool
 	// crashCheck receives whether a part of the prompt is suspect, after the server broke the stream.
@@ -76,7 +78,8 @@
 	probing, stop := context.WithCancel(a.ctx)
 	a.stopProbing = stop
 	a.replicator = r.newReplicator(l)
-	a.probeFailures = r.startProbing(probing, l)
+	a.recordHeard()
+	a.probeFailures = r.startProbing(probing, a)
 	a.versionLeaving = r.h.versions.MigrateSignal(r.h.opts.Feed.View(), l.target.server)
 	a.startTrial(l, r.in.routeName())
 	go a.receive(UpstreamRequest{
@@ -111,6 +114,12 @@
 }
 
 // onRequestWritten records that the whole request was written to the connection.
+// recordHeard records that the server was heard now. It is safe for concurrent use.
+func (a *attempt) recordHeard() { a.heardAt.Store(int64(monotonic())) }
+
+// silentFor returns how long the server has not been heard.
+func (a *attempt) silentFor() time.Duration { return monotonic() - time.Duration(a.heardAt.Load()) }
+
 func (a *attempt) onRequestWritten(info httptrace.WroteRequestInfo) {
 	if info.Err != nil {
 		return
@@ -247,10 +256,10 @@
 	return fromStart && report.Events[id] >= minLostEvents
 }
 
-// startProbing probes the engine of a segment until ctx ends. The channel it returns receives an
+// startProbing probes the engine of an attempt until ctx ends. The channel it returns receives an
 // error each time the engine appears dead. Servers other than engines do not answer probes, and
 // for a request that cannot be resumed elsewhere the result would not matter: neither is probed.
-func (r *relay) startProbing(ctx context.Context, l segment) <-chan error {
+func (r *relay) startProbing(ctx context.Context, a *attempt) <-chan error {
 	probeFailures := make(chan error, 1)
 	if r.h.opts.Feed.View().Config.Engine(r.service) == nil || !r.in.route.Resumable {
 		return probeFailures
@@ -266,10 +275,13 @@
 				return
 			case <-tick.C:
 			}
-			if r.h.limits.isPaused(l.target.server) {
+			if r.h.limits.isPaused(a.target.server) {
 				continue
 			}
-			report, err := r.h.probe(ctx, l.target.server, probeTimeout)
+			report, err := r.h.probe(ctx, a.target.server, probeTimeout)
+			if err == nil {
+				a.recordHeard()
+			}
 			switch {
 			case errors.Is(err, errRestarted):
 				trySend(probeFailures, err)
--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -110,34 +110,34 @@
 	return err == nil
 }
 
-// evidenceOfEnd returns what shows that the server of a silent attempt produces the response no more.
-// Servers that are not engines cannot be probed, so nothing is known of them.
-func (r *relay) evidenceOfEnd(ctx context.Context, a *attempt, why error) takeover.Evidence {
+// evidenceOfEnd returns what shows that the server of a silent attempt produces the response no more, and
+// for how long that has been so. Servers that are not engines cannot be probed, so nothing is known of them.
+func (r *relay) evidenceOfEnd(ctx context.Context, a *attempt, why error) (e takeover.Evidence, shownFor time.Duration) {
 	if errors.Is(why, errResponseLost) {
 		if a.foundLostAt.IsZero() {
 			a.foundLostAt = time.Now()
 		}
-		return takeover.ResponseLost
+		return takeover.ResponseLost, time.Since(a.foundLostAt)
 	}
 	view, server := r.h.opts.Feed.View(), a.target.server
 	if view.Config.Engine(r.service) == nil {
-		return takeover.NoEvidence
+		return takeover.NoEvidence, 0
 	}
 	switch err := r.probeRepeatedly(ctx, view, server); {
 	case err == nil:
-		return takeover.NoEvidence
+		return takeover.NoEvidence, 0
 	case errors.Is(err, errRestarted), !sent.IsTimeout(err) && r.h.serverStateAt(server.Address) == sent.ServerExited:
-		return takeover.Exited
+		return takeover.Exited, a.silentFor()
 	}
 	if _, listed := view.Servers[r.service].Get(server.ID); !listed && view.HasDeparted(server.ID) {
-		return takeover.Unregistered
+		return takeover.Unregistered, a.silentFor()
 	}
-	return takeover.NoEvidence
+	return takeover.NoEvidence, 0
 }
 
-// probeRepeatedly returns the error of the last probe if an engine fails two probes in a row while other
-// engines answer both times, nil otherwise. One lost packet is not enough, nor a link of this VM that
-// recovers in the middle of a probe.
+// probeRepeatedly returns the error of the last probe if an engine fails two probes in a row, nil
+// otherwise. One lost packet is not enough. A timeout counts only while other engines answer: a link of
+// this VM may recover in the middle of a probe.
 func (r *relay) probeRepeatedly(ctx context.Context, view *feed.View, server routing.Server) (probeErr error) {
 	others := r.h.pool.prefillCandidates(time.Now(), view, r.service, "", SampleSize, []routing.Incarnation{server.Incarnation()})
 	for range maxFailedProbes {
@@ -145,7 +145,7 @@
 		wg.Go(func() { _, probeErr = r.h.probe(ctx, server, fastProbeTimeout) })
 		answered := r.h.newProbeRound().sampleLoads(ctx, others, 0)
 		wg.Wait()
-		if probeErr == nil || len(answered) == 0 {
+		if probeErr == nil || sent.IsTimeout(probeErr) && len(answered) == 0 {
 			return nil
 		}
 	}
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -66,6 +66,7 @@
 			if end, err, ended := r.handlePart(ctx, a, s); ended {
 				return end, err
 			}
+			a.recordHeard()
 			if s.head == nil {
 				a.takeoversTried = 0
 				idle.Reset(r.idleTimeout(a))
--- a/serve/forward/silentserver_test.go
+++ b/serve/forward/silentserver_test.go
@@ -143,3 +143,26 @@
 		must.Eq(w.t, 2, w.totalRequests())
 	})
 }
+
+// Guards against ending an answer in its prefill because its server leaves and is silent for a moment.
+func TestLeavingServerSilentDuringPrefillKeepsAnswer(t *testing.T) {
+	route := streamRoute()
+	route[0].MaxAttempts = 1
+	withTestCluster(t, route, func(w *testCluster) {
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, streamEvents(20, 5*time.Second, 40*time.Millisecond))
+		}
+		w.background(func() {
+			time.Sleep(time.Second)
+			for id, s := range w.servers {
+				if s.requestCount() > 0 {
+					w.remove("server/" + id) // leaves unannounced, and serves on
+				}
+			}
+			w.silenceRunner(2200*time.Millisecond, 1400*time.Millisecond)
+		})
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 20), got.body)
+	})
+}
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -56,14 +56,11 @@
 	if outcome == takeover.Rejected {
 		outcome = takeover.NoCapacity // several servers in a row
 	}
-	evidence, silentSince := takeover.NoEvidence, r.lastEventAt
+	evidence, shownFor := takeover.NoEvidence, time.Duration(0)
 	if takeover.IsExhausted(outcome, time.Since(r.lastEventAt)) {
-		evidence = r.evidenceOfEnd(ctx, a, cause)
+		evidence, shownFor = r.evidenceOfEnd(ctx, a, cause)
 	}
-	if evidence == takeover.ResponseLost {
-		silentSince = a.foundLostAt // a response may begin late, and is not silent before
-	}
-	r.cannotContinue = evidence.ShowsEnd(time.Since(silentSince)) && r.awaitLatePart(ctx, a) == takeover.Silent
+	r.cannotContinue = evidence.ShowsEnd(shownFor) && r.awaitLatePart(ctx, a) == takeover.Silent
 	r.h.metrics.segmentsKept.WithLabelValues(outcome.String()).Inc()
 	r.h.opts.Log.Emit(event.StalledSegmentKept, r.in.call.ID, a.target.server.ID, cause, outcome.String(), evidence.String(), r.cannotContinue, r.lastEventID, time.Since(r.lastEventAt))
 	return r.cannotContinue
