forward: rejections do not use up the attempts of an answer that has begun

A full service rejects within milliseconds, so eight requests were used up 2.2 s after the first rejection and the answer was cut with 20 s left. They are spaced by takeover.ResendDelay and each takes a retry of the fleet, which bounds them; a request that was rejected counts no more towards maxStarts once the answer has begun.

TestAnswerMovedOffSilentServerSurvivesFullService failed before: unexpected EOF.

--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -233,6 +233,9 @@
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
 	r.rejections++
 	next, succeeded := routing.Incarnation{}, false
+	if r.headersSent {
+		r.starts-- // takeover.ResendDelay and the retry budget bound them
+	}
 	if o.reply.Misdirected {
 		next, succeeded = r.findSuccessor(ctx, l.target.server, o.reply.Instance)
 	}
--- a/serve/forward/silentserver_test.go
+++ b/serve/forward/silentserver_test.go
@@ -166,3 +166,35 @@
 		must.Eq(w.t, events(1, 20), got.body)
 	})
 }
+
+// Guards against cutting an answer that was moved off a silent server while a full service rejects at once.
+func TestAnswerMovedOffSilentServerSurvivesFullService(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var begun atomic.Int32
+		var full atomic.Bool
+		full.Store(true)
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			n := begun.Add(1)
+			if n == 1 || !full.Load() {
+				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
+				return
+			}
+			if n == 2 {
+				sleep(r, 600*time.Millisecond)
+			}
+			rw.Header().Set(hNotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		w.background(func() { w.silenceRunner(1500*time.Millisecond, 2*time.Second) })
+		w.background(func() {
+			time.Sleep(12 * time.Second)
+			full.Store(false)
+		})
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 60), got.body)
+	})
+}
