forward: an answer with a copy waits although its prompt could not be prefilled again

The bound for waiting, that the prompt can still be prefilled before the deadline, was applied to answers whose copy needs no prefill: cut at 7.6 s of 10 for a retry that was denied for a moment.

TestAnswerWithCopyAwaitsRetryBudget failed before: unexpected EOF.

--- a/serve/forward/lookagain.go
+++ b/serve/forward/lookagain.go
@@ -65,5 +65,8 @@
 	if !r.releasedSilent && !r.h.pool.hasHealthyServer(now, r.h.opts.Feed.View(), r.service) {
 		return false
 	}
+	if r.heldCopy.at.load != nil {
+		return true // needs no prefill
+	}
 	return !r.mustRefuseRefill(now) && !r.h.pressure.isPrefillTooLate(r.service, r.in.call.PromptTokens, r.in.deadline.Sub(now))
 }
--- a/serve/forward/lookagain_test.go
+++ b/serve/forward/lookagain_test.go
@@ -14,7 +14,10 @@
 )
 
 // breakOnce breaks off the first stream after its tenth event, and handles all others.
-func breakOnce(handle http.HandlerFunc) http.HandlerFunc {
+func breakOnce(handle http.HandlerFunc) http.HandlerFunc { return breakOnceAfter(10, handle) }
+
+// breakOnceAfter breaks off the first stream after an event, and handles all others.
+func breakOnceAfter(last int, handle http.HandlerFunc) http.HandlerFunc {
 	var broken atomic.Bool
 	return func(rw http.ResponseWriter, r *http.Request) {
 		if !broken.CompareAndSwap(false, true) {
@@ -22,7 +25,7 @@
 			return
 		}
 		rw.Header().Set(hProof, "p")
-		for id := 1; id <= 10; id++ {
+		for id := 1; id <= last; id++ {
 			writeEvent(rw, id)
 			sleep(r, 40*time.Millisecond)
 		}
@@ -49,6 +52,7 @@
 // Guards against waiting until the deadline for a server when the prompt cannot be prefilled by then.
 func TestBrokenAnswerEndsWhenItsPromptIsTooLate(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		w.withoutCopies()
 		handle := breakOnce(streamEvents(20, time.Second, 40*time.Millisecond))
 		for _, id := range []string{"a", "b", "c"} {
 			w.add("e-"+id, "llm", id, handle)
@@ -64,6 +68,27 @@
 	})
 }
 
+// Guards against cutting an answer whose copy exists because its prompt could not be prefilled again in time.
+func TestAnswerWithCopyAwaitsRetryBudget(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		handle := breakOnceAfter(175, streamEvents(190, 0, 40*time.Millisecond))
+		for _, id := range []string{"a", "b", "c"} {
+			w.add("e-"+id, "llm", id, handle)
+		}
+		for range 100 {
+			w.handler.pressure.recordPrefill("llm", 8000, 4*time.Second)
+		}
+		w.setRetryBudget(retrybudget.Policy{Slack: 1.2, Window: 1500 * time.Millisecond})
+		w.background(func() {
+			time.Sleep(6500 * time.Millisecond)
+			w.handler.pool.tryTakeRetry(time.Now(), "llm", false) // for another stream
+		})
+		got := w.request(http.MethodPost, "/s/1", withHeaders(map[string]string{hTokens: "8000", hWait: "10000"}), "prompt")
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, events(1, 190), got.body)
+	})
+}
+
 // Guards against cut answers whose cause no metric shows.
 func TestTruncatedAnswersAreCountedByCause(t *testing.T) {
 	for _, c := range []struct {
