forward: looking for a server again uses no retry without a request

Once an answer had been taken over it was looked for a server until its deadline even with all servers lost, each look took retries of the fleet for connections that were refused (55 in 9 s), counted as a refusal of the service and prolonged its overload.

Now only the last release counts as one for silence, until an event arrives; later looks send only to engines that answer a probe; a connection that fails leaves its retry to the next send; a look that finds no room is no refusal; looks come 0.2 to 0.8 s apart.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -212,6 +212,10 @@
 	return doubled(minResendDelay, rejections-fullAfter, maxResendDelay)
 }
 
+// LookDelay returns the time until servers are looked at again for a response that has begun and that none
+// could continue in some looks before. A look probes several engines.
+func LookDelay(looks int) time.Duration { return doubled(minRetryDelay, looks, maxResendDelay) }
+
 // doubled returns d doubled n times, up to limit.
 func doubled(d time.Duration, n int, limit time.Duration) time.Duration {
 	for range n {
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -120,6 +120,9 @@
 	for failed, want := range []time.Duration{minRetryDelay, maxRetryDelay, maxRetryDelay} {
 		must.Eq(t, want, RetryDelay(failed))
 	}
+	for looks, want := range []time.Duration{minRetryDelay, 2 * minRetryDelay, maxResendDelay, maxResendDelay} {
+		must.Eq(t, want, LookDelay(looks))
+	}
 }
 
 // Two servers hold one request and send nothing. The first one is released only for one that answers, and
--- a/serve/forward/admission.go
+++ b/serve/forward/admission.go
@@ -72,8 +72,11 @@
 // admit returns an error if the engines have no room for the prompt.
 func (r *relay) admit(best sampledEngine) error {
 	admission, due := r.admission(best)
-	if admission == prompts.Admitted {
+	switch {
+	case admission == prompts.Admitted:
 		return nil
+	case r.looksAgain: // the response goes on waiting, and its caller is not refused
+		return verdict.New(r.verdict(), verdict.CodeOverloaded, "engines have no room for the prompt (%s)", admission)
 	}
 	return r.noRoomError(best, admission, due)
 }
--- a/serve/forward/attempt.go
+++ b/serve/forward/attempt.go
@@ -74,6 +74,7 @@
 	r.h.pool.addLoad(l.copyTo, 0, 0, 1)
 	r.starts++
 	r.sends++
+	r.retryTaken = false
 	r.possibleRuns++
 	probing, stop := context.WithCancel(a.ctx)
 	a.stopProbing = stop
@@ -113,13 +114,13 @@
 	}
 }
 
-// onRequestWritten records that the whole request was written to the connection.
 // recordHeard records that the server was heard now. It is safe for concurrent use.
 func (a *attempt) recordHeard() { a.heardAt.Store(int64(monotonic())) }
 
 // silentFor returns how long the server has not been heard.
 func (a *attempt) silentFor() time.Duration { return monotonic() - time.Duration(a.heardAt.Load()) }
 
+// onRequestWritten records that the whole request was written to the connection.
 func (a *attempt) onRequestWritten(info httptrace.WroteRequestInfo) {
 	if info.Err != nil {
 		return
--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -34,7 +34,7 @@
 	// Spends a retry only if the server is still silent.
 	if !pause.For(ctx, takeover.SettleTime) {
 		outcome = takeover.NotNeeded
-	} else if !r.tryAcquireRetry(ctx, time.Now()) {
+	} else if !r.ensureRetry(ctx) {
 		outcome = takeover.NoRetryBudget
 	}
 	if outcome != takeover.TakenOver {
--- a/serve/forward/lookagain.go
+++ b/serve/forward/lookagain.go
@@ -32,7 +32,7 @@
 		if err == nil || !r.mayLookAgain(ctx, err) {
 			return a, err
 		}
-		if !r.waitToLookAgain(ctx, err, takeover.RetryDelay(looks)) {
+		if !r.waitToLookAgain(ctx, err, takeover.LookDelay(looks)) {
 			return nil, r.expiryError()
 		}
 		r.looksAgain = true
@@ -42,7 +42,8 @@
 // waitToLookAgain waits until servers are looked at again, and returns false if ctx ends before that.
 func (r *relay) waitToLookAgain(ctx context.Context, why error, delay time.Duration) bool {
 	r.h.opts.Log.Emit(event.StreamAwaitsServer, r.in.call.ID, why, r.rejections, delay, r.lastEventID, time.Since(r.lastEventAt))
-	r.excluded = nil // a server that was silent or full may have room by then
+	r.excluded = nil     // a server that was silent or full may have room by then
+	r.retryTaken = false // it counts in the window in which it was taken
 	return pause.For(ctx, delay)
 }
 
--- a/serve/forward/lookagain_test.go
+++ b/serve/forward/lookagain_test.go
@@ -89,6 +89,29 @@
 	})
 }
 
+// Guards against retries of the fleet that are used up without a request while all servers are lost.
+func TestAnswerOfLostServiceUsesNoRetries(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		for _, id := range []string{"a", "b", "c", "d"} {
+			w.add("e-"+id, "llm", id, streamEvents(200, time.Second, 40*time.Millisecond))
+		}
+		w.background(func() { w.silenceRunner(1500*time.Millisecond, 3*time.Second) })
+		w.background(func() {
+			time.Sleep(8 * time.Second)
+			w.setRetryBudget(retrybudget.Policy{Slack: 20, Window: time.Minute})
+			for _, s := range w.servers {
+				w.crash(s)
+			}
+		})
+		must.Error(w.t, w.request(http.MethodPost, "/s/1", callerHeaders, "prompt").err)
+		left := 0
+		for w.handler.pool.tryTakeRetry(time.Now(), "llm", false) {
+			left++
+		}
+		must.GreaterEq(w.t, 15, left)
+	})
+}
+
 // Guards against cut answers whose cause no metric shows.
 func TestTruncatedAnswersAreCountedByCause(t *testing.T) {
 	for _, c := range []struct {
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -163,7 +163,7 @@
 	if e.id != 0 {
 		r.lastEventID = e.id
 	}
-	r.linkStalledSince, r.rejections = time.Time{}, 0
+	r.linkStalledSince, r.rejections, r.releasedSilent, r.retryTaken = time.Time{}, 0, false, false
 	now := time.Now()
 	if r.eventCount++; r.eventCount > 1 {
 		r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
@@ -185,7 +185,8 @@
 	if errors.Is(err, errNotSent) {
 		r.possibleRuns--
 		r.sends--
-		r.starts-- // a failed connection does not count towards maxStarts
+		r.starts--                 // a failed connection does not count towards maxStarts
+		r.retryTaken = r.sends > 0 // and leaves its retry for the next send
 		if r.isLinkStalled(ctx, l, err) {
 			return segmentNotRun, err
 		}
@@ -232,10 +233,10 @@
 func (r *relay) handleRejection(ctx context.Context, l segment, o responseHead) (segmentEnd, error) {
 	err := errors.Errorf("status %d, instance %s", o.resp.StatusCode, o.reply.Instance)
 	r.rejections++
-	next, succeeded := routing.Incarnation{}, false
 	if r.headersSent {
 		r.starts-- // takeover.ResendDelay and the retry budget bound them
 	}
+	next, succeeded := routing.Incarnation{}, false
 	if o.reply.Misdirected {
 		next, succeeded = r.findSuccessor(ctx, l.target.server, o.reply.Instance)
 	}
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -58,7 +58,7 @@
 	retryTaken      bool                  // a retry was taken from the budget for the next send
 	looksAgain      bool                  // no server could continue the response a moment ago
 	rejections      int                   // in a row, by servers that did not run the request
-	releasedSilent  bool                  // a server was released for its silence alone
+	releasedSilent  bool                  // the last server was released for its silence alone
 	excluded        []routing.Incarnation // servers that must not be chosen again
 	// leftToOthers is set if the prompt was not placed because prompts that wait at other daemons
 	// come first.
@@ -241,7 +241,6 @@
 	if r.mustRefuseRefill(now) {
 		return segment{}, r.refuseRefill()
 	}
-	r.retryTaken = false
 	// Where the request may wait before it is sent, the retry is taken once the engine is chosen: it
 	// counts in the window in which it is sent.
 	if r.starts >= maxStarts || !r.hasPriorities() && !r.looksAgain && !r.ensureRetry(ctx) {
@@ -250,7 +249,9 @@
 	view, held := r.h.opts.Feed.View(), r.heldCopy
 	if l, ok := r.findHolder(ctx, now, view); ok {
 		if !r.ensureRetry(ctx) {
-			r.heldCopy = held // unused
+			if l.resumeFrom != "" {
+				r.heldCopy = held // unused
+			}
 			return segment{}, r.noServerError()
 		}
 		r.h.pool.addLoad(l.target, 1, 0, 0)
@@ -271,11 +272,11 @@
 	if err != nil {
 		return segment{}, err
 	}
-	if !r.ensureRetry(ctx) {
+	unconfirmed := !c.answered && view.Config.Engine(r.service) != nil
+	if r.looksAgain && unconfirmed || !r.ensureRetry(ctx) {
 		r.h.pool.addLoad(c.choice, -1, 0, 0)
 		return segment{}, r.noServerError()
 	}
-	unconfirmed := !c.answered && view.Config.Engine(r.service) != nil
 	return r.withCopyTarget(ctx, segment{target: c.choice, unconfirmed: unconfirmed}), nil
 }
 
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -49,7 +49,7 @@
 		}
 		if outcome = r.awaitTakeover(ctx, a, next, cause); outcome == takeover.TakenOver {
 			r.discardPending(a)
-			r.replacement, r.releasedSilent = next, true
+			r.replacement, r.releasedSilent = next, !errors.Is(cause, errResponseLost)
 			return true
 		}
 	}
