forward: calls wait for servers that are only silent

Callers saw: a call that arrived while all servers of a plain service were silent for a second was refused as not run, "no backend server takes the request", 750 ms after its arrival with three servers, 250 ms with one, although its deadline was seconds away and the servers went on.

Cause: each connection that is not accepted within dialTimeout (250 ms) rules its server out for the rest of the call. Once all have been tried the call is refused, as after refused connections, which show that a server has gone; a timeout shows nothing.

Evidence, in virtual time, before the change: go test ./serve/forward -run TestSilenceOfServersFailsNoCall --- FAIL: TestSilenceOfServersFailsNoCall/before_the_call/once/1_1s 750ms {"verdict":"not_run","code":"no_backend_server",...} the same for 2.5 s and for the idempotent route; the other cases (silence before, inside and inside a long response) passed before as well and stay as guards.

Why it works: a server whose connection timed out is tried again when no other is left, until half of the objective has passed (the share that decision/outage leaves to requests that wait for servers). Nothing was sent, so no run and no retry is counted. Servers that refuse connections stay ruled out, so a service that has failed is refused as soon as before. A daemon that shuts down stops waiting before it exits, while it can still refuse the call.

--- a/decision/outage/outage.go
+++ b/decision/outage/outage.go
@@ -69,6 +69,14 @@
 	return min(time.Duration(waitMarginRatio*e.meanNs), time.Duration(maxObjectiveRatio*float64(objective)))
 }
 
+// MaxSilence returns how long after its arrival a request may still wait for servers none of which has
+// accepted a connection in time or refused one. They may be sound: one that has failed refuses
+// connections, and a silent one may go on within a second or two. objective is that of the request's
+// route.
+func MaxSilence(objective time.Duration) time.Duration {
+	return time.Duration(maxObjectiveRatio * float64(objective))
+}
+
 // RetryAfter returns the time after which a caller retries that was refused after MaxWait or at
 // once. random is in [0, 1) and spreads the retries.
 func (e *Estimator) RetryAfter(random float64) time.Duration {
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -5,11 +5,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/outage"
 	"mallowwind.dev/decision/retryafter"
 	"mallowwind.dev/decision/rollout"
 	"mallowwind.dev/decision/verdict"
@@ -63,6 +65,8 @@
 	// capacity.
 	possibleRuns, sends, rejected, rejectedFull int
 	tried                                       []routing.Incarnation
+	// silent are the servers whose connections timed out.
+	silent []routing.Incarnation
 	// unconnected are the sends whose connections timed out. connected is set once a connection
 	// to another server was made, or failed in another way than by a timeout.
 	unconnected []*outcome
@@ -114,7 +118,7 @@
 			if o.hasResponse() {
 				best = o
 			}
-			if x.canRetry(o) && x.sendToNext(ctx) {
+			if x.canRetry(o) && x.sendToNext(ctx) || x.sendToSilent(ctx, o) {
 				continue
 			}
 			if x.pending == 0 {
@@ -185,6 +189,7 @@
 	switch {
 	case o.err != nil && o.notRun && sent.IsTimeout(o.err):
 		x.unconnected = append(x.unconnected, o)
+		x.silent = append(x.silent, o.choice.server.Incarnation())
 	case o.err != nil:
 		x.h.markSuspect(ctx, x.in, o.choice, o.err)
 		x.connected = true
@@ -222,6 +227,35 @@
 	return x.in.route.Kind == routing.Idempotent && x.possibleRuns < x.in.route.MaxAttempts
 }
 
+// sendToSilent sends the request, after o and once no other server is left, to a server whose connection
+// has timed out before, and reports whether it was sent. It gives up once the response would be late.
+//
+// It guards against refusals while sound servers are silent: all connections time out within a few times
+// dialTimeout, and the servers go on a second later.
+func (x *exchanges) sendToSilent(ctx context.Context, o *outcome) bool {
+	if x.pending > 0 || !o.notRun || len(x.silent) == 0 || !time.Now().Before(x.h.silentUntil(x.in)) {
+		return false
+	}
+	select {
+	case <-time.After(recoveryPollInterval):
+	case <-ctx.Done():
+		return false
+	}
+	x.tried = slices.DeleteFunc(x.tried, func(tried routing.Incarnation) bool { return slices.Contains(x.silent, tried) })
+	x.silent, x.unconnected = nil, nil
+	return x.canRetry(o) && x.sendToNext(ctx)
+}
+
+// silentUntil returns until when a plain request is sent again to silent servers. A daemon that shuts
+// down leaves itself the time to refuse the request.
+func (h *Handler) silentUntil(in *inbound) time.Time {
+	until := in.arrived.Add(outage.MaxSilence(in.route.Objective))
+	if s := h.shutdown.Load(); s != nil && until.After(s.ExitAt.Add(-2*dialTimeout)) {
+		return s.ExitAt.Add(-2 * dialTimeout)
+	}
+	return until
+}
+
 // isOverloaded reports whether the servers reject requests for lack of capacity. A retry or a
 // hedged send would then displace another request.
 func (x *exchanges) isOverloaded() bool { return x.h.pressure.isRejecting(time.Now(), x.service) }
--- /dev/null
+++ b/serve/forward/silence_test.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// silentServers are servers that are silent for a time: their connections deliver nothing, and new ones
+// are not accepted until the silence ends. No data is lost.
+type silentServers struct {
+	w     *testCluster
+	mu    sync.Mutex
+	until map[string]chan struct{} // by address; closed at the end of the silence
+}
+
+// trackSilence makes the daemon's connections, also those that only probe a server, subject to silence.
+func (w *testCluster) trackSilence() *silentServers {
+	s := &silentServers{w: w, until: map[string]chan struct{}{}}
+	w.handler.dial = s.dial
+	w.handler.transport = newTransport(s.dial)
+	return s
+}
+
+func (s *silentServers) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	s.mu.Lock()
+	until := s.until[address]
+	s.mu.Unlock()
+	if until != nil {
+		select {
+		case <-until:
+		case <-ctx.Done():
+			return nil, &net.OpError{Op: "dial", Net: network, Err: dialTimeoutError{ctx.Err()}}
+		}
+	}
+	return s.w.dial(ctx, network, address)
+}
+
+// silence makes servers silent for a time.
+func (s *silentServers) silence(d time.Duration, ids ...string) {
+	until := make(chan struct{})
+	s.mu.Lock()
+	for _, id := range ids {
+		s.until[s.w.servers[id].server.Address] = until
+		s.w.servers[id].listener.Stall()
+	}
+	s.mu.Unlock()
+	time.Sleep(d)
+	s.mu.Lock()
+	for _, id := range ids {
+		delete(s.until, s.w.servers[id].server.Address)
+		s.w.servers[id].listener.Unstall()
+	}
+	s.mu.Unlock()
+	close(until)
+}
+
+// respondInParts sends a response in two parts, with a time before each.
+func respondInParts(first, second time.Duration, parts ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sleep(r, first)
+		w.Header().Set(hProof, "p")
+		_, _ = w.Write([]byte(parts[0]))
+		_ = http.NewResponseController(w).Flush()
+		sleep(r, second)
+		_, _ = w.Write([]byte(parts[1]))
+	}
+}
+
+// Guards against calls that fail, or run twice, because their sound servers are silent for a time.
+func TestSilenceOfServersFailsNoCall(t *testing.T) {
+	const objective, timeout = 6 * time.Second, 10 * time.Second
+	long := strings.Repeat("a", 2*bufferedResponseBytes)
+	for _, c := range []struct {
+		name   string
+		handle http.HandlerFunc
+		after  time.Duration // from the arrival of the call to the silence
+		body   string
+	}{
+		{"before the call", respondProven("ok"), 0, "ok"},
+		{"before the response", respondInParts(200*time.Millisecond, 0, "o", "k"), 100 * time.Millisecond, "ok"},
+		{"inside the response", respondInParts(0, 200*time.Millisecond, "o", "k"), 100 * time.Millisecond, "ok"},
+		{"inside a long response", respondInParts(0, 200*time.Millisecond, long, "k"), 100 * time.Millisecond, long + "k"},
+	} {
+		for _, path := range []string{"/once/1", "/again/1"} {
+			for _, d := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+				t.Run(c.name+path+" "+d.String(), func(t *testing.T) {
+					routes := plainRoutes()
+					for _, r := range routes {
+						r.Objective, r.Timeout = objective, timeout
+					}
+					withTestCluster(t, routes, func(w *testCluster) {
+						ids := []string{"d-1", "d-2", "d-3"}
+						for _, id := range ids {
+							w.add(id, "desk", "a", c.handle)
+						}
+						s := w.trackSilence()
+						w.background(func() {
+							time.Sleep(c.after)
+							s.silence(d, ids...)
+						})
+						time.Sleep(time.Millisecond)
+						got := w.request(http.MethodPost, path, callerHeaders, "x")
+						must.NoError(w.t, got.err)
+						must.Eq(w.t, http.StatusOK, got.status, must.Sprint(got.took, got.body))
+						must.Eq(w.t, c.body, got.body)
+						must.Less(w.t, d+time.Second, got.took)
+						if path == "/once/1" {
+							must.Eq(w.t, 1, w.totalRequests())
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against calls that wait longer for silent servers than they can be answered in time, and against
+// a daemon that exits while one waits.
+func TestWaitForSilentServersIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		exitIn time.Duration // 0 if the daemon is not shutting down
+		max    time.Duration
+	}{
+		{"half of the objective", 0, 3*time.Second + dialTimeout + recoveryPollInterval},
+		{"before the exit", 2 * time.Second, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			routes := plainRoutes()
+			routes[0].Objective, routes[0].Timeout = 6*time.Second, 10*time.Second
+			withTestCluster(t, routes, func(w *testCluster) {
+				for _, id := range []string{"d-1", "d-2"} {
+					w.add(id, "desk", "a", respondProven("ok"))
+				}
+				s := w.trackSilence()
+				w.background(func() { s.silence(5*time.Second, "d-1", "d-2") })
+				time.Sleep(time.Millisecond)
+				if c.exitIn > 0 {
+					now := time.Now()
+					w.handler.BeginShutdown(ShutdownSchedule{RequestsUntil: now.Add(time.Second), ExitAt: now.Add(c.exitIn)})
+				}
+				got := w.request(http.MethodPost, "/once/1", callerHeaders, "x")
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, http.StatusServiceUnavailable, got.status)
+				must.StrContains(w.t, got.body, "not_run")
+				must.NotEq(w.t, "", got.header.Get("Retry-After"))
+				must.Between(w.t, time.Second, got.took, c.max)
+				must.Eq(w.t, 0, w.totalRequests())
+			})
+		})
+	}
+}
