forward: a response is not broken because its server is silent at its end

Callers saw: a response that ends with its connection was whole, and the call failed with 502, may have run, 250 ms after its end; an idempotent one was sent again and ran twice.

Cause: at the end of such a response the daemon asks once whether the process runs. No answer within dialTimeout counted as a broken response, and the sound server as suspect.

Evidence, in virtual time, before the change: go test ./serve/forward -run TestSilenceAfterResponse --- FAIL: .../once/1_500ms: 502 after 250ms {"verdict":"may_have_run", "code":"backend_server_failed","message":"the backend server gave no whole answer"} the same for 1 s and 2.5 s.

Why it works: while the server is silent it is asked again until it answers, the request ends, or the view no longer lists it: silence alone decides nothing, and a process that has exited refuses the connection as before.

--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -136,6 +136,31 @@
 	return h.serverStateAt(s.Address)
 }
 
+// awaitProcessState is processState, asked again while the server is silent, until ctx ends or the server
+// is no longer listed.
+//
+// It guards against a whole response that counts as broken because its server, which ended it with the
+// connection, was silent in the next moment.
+func (h *Handler) awaitProcessState(ctx context.Context, s routing.Server) sent.ServerState {
+	for {
+		state := h.processState(s)
+		if state != sent.ServerUnknown || !h.isListed(s) {
+			return state
+		}
+		select {
+		case <-time.After(recoveryPollInterval):
+		case <-ctx.Done():
+			return state
+		}
+	}
+}
+
+// isListed reports whether the view lists a server.
+func (h *Handler) isListed(s routing.Server) bool {
+	_, ok := h.opts.Feed.View().Servers[s.Service].Get(s.ID)
+	return ok
+}
+
 func (h *Handler) serverStateAt(address string) sent.ServerState {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
--- a/serve/forward/silence_test.go
+++ b/serve/forward/silence_test.go
@@ -44,21 +44,33 @@
 
 // silence makes servers silent for a time.
 func (s *silentServers) silence(d time.Duration, ids ...string) {
-	until := make(chan struct{})
-	s.mu.Lock()
+	s.holdConnections(d, ids...)
 	for _, id := range ids {
-		s.until[s.w.servers[id].server.Address] = until
 		s.w.servers[id].listener.Stall()
 	}
-	s.mu.Unlock()
 	time.Sleep(d)
-	s.mu.Lock()
 	for _, id := range ids {
-		delete(s.until, s.w.servers[id].server.Address)
 		s.w.servers[id].listener.Unstall()
 	}
+}
+
+// holdConnections makes servers accept no new connections for a time. It does not wait for its end.
+func (s *silentServers) holdConnections(d time.Duration, ids ...string) {
+	until := make(chan struct{})
+	s.mu.Lock()
+	for _, id := range ids {
+		s.until[s.w.servers[id].server.Address] = until
+	}
 	s.mu.Unlock()
-	close(until)
+	s.w.background(func() {
+		time.Sleep(d)
+		s.mu.Lock()
+		for _, id := range ids {
+			delete(s.until, s.w.servers[id].server.Address)
+		}
+		s.mu.Unlock()
+		close(until)
+	})
 }
 
 // respondInParts sends a response in two parts, with a time before each.
@@ -157,3 +169,56 @@
 		})
 	}
 }
+
+// Guards against a whole response that counts as broken, when its connection is its end, because its
+// server is silent in the next moment.
+func TestSilenceAfterResponseThatEndsWithItsConnection(t *testing.T) {
+	for _, path := range []string{"/once/1", "/again/1"} {
+		for _, d := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+			t.Run(path+" "+d.String(), func(t *testing.T) {
+				routes := plainRoutes()
+				for _, r := range routes {
+					r.Timeout = 10 * time.Second
+					r.Objective = 6 * time.Second
+				}
+				withTestCluster(t, routes, func(w *testCluster) {
+					var s *silentServers
+					w.add("d-1", "desk", "a", respondUnframed(func(send func(string), _ int) {
+						send("ok")
+						s.holdConnections(d, "d-1")
+					}))
+					w.add("d-2", "desk", "b", respondProven("other"))
+					s = w.trackSilence()
+					got := w.request(http.MethodPost, path, callerHeaders, "x")
+					must.NoError(w.t, got.err)
+					must.Eq(w.t, http.StatusOK, got.status, must.Sprint(got.took, got.body))
+					must.Eq(w.t, "ok", got.body)
+					must.Eq(w.t, 1, w.totalRequests())
+					must.False(w.t, w.handler.pool.isSuspect(time.Now(), w.servers["d-1"].server.Incarnation()))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a call that waits until its deadline for a server that has gone without a word, after a
+// response that may not be whole.
+func TestEndOfResponseIsUnknownOnceServerIsRemoved(t *testing.T) {
+	routes := plainRoutes()
+	routes[0].Timeout = 10 * time.Second
+	withTestCluster(t, routes, func(w *testCluster) {
+		var s *silentServers
+		w.add("d-1", "desk", "a", respondUnframed(func(send func(string), _ int) {
+			send("ok")
+			s.holdConnections(time.Minute, "d-1")
+		}))
+		s = w.trackSilence()
+		w.background(func() {
+			time.Sleep(time.Second)
+			w.remove("server/d-1")
+		})
+		got := w.request(http.MethodPost, "/once/1", callerHeaders, "x")
+		must.Eq(w.t, http.StatusBadGateway, got.status)
+		must.Between(w.t, time.Second, got.took, 2*time.Second)
+	})
+}
