forward: suspicion lasts as long as the failure, however many noticed it

Callers saw: after two of six sound servers had accepted no connections for 2.5 s, one of them got no work for another 6.4 s, and on an idempotent route both for at least 7 s (a trial of 400 calls, 25 ms apart); the others carried the load. None was refused.

Cause: each failed connection or probe doubled the suspicion, up to 8 s. All requests that meet one silence fail in the same moment, so a silence counted as a server that fails on every try for many seconds.

Why it works: a server is suspect for as long as it has failed without a success in between, within the same bounds as before (2 to 8 s). Failures at the same time add nothing, and a server that stays silent is tried as rarely as before after 8 s.

--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -17,9 +17,9 @@
 	// minSuspicion is how long a failed server is used only as a last resort. A server behind a
 	// link that drops packets recovers in a moment.
 	minSuspicion = 2 * time.Second
-	// maxSuspicion bounds the suspicion of a server that fails on every try, which doubles with
-	// each failure. A crashed server returns under another id, while its old entry remains for some
-	// seconds.
+	// maxSuspicion bounds the suspicion of a server that fails on every try, which is as long as the
+	// server has failed. A crashed server returns under another id, while its old entry remains for
+	// some seconds.
 	maxSuspicion = 8 * time.Second
 )
 
@@ -30,7 +30,7 @@
 	running      int
 	replicas     int
 	suspectUntil time.Time
-	suspectFor   time.Duration // duration after the last failure; 0 after a success
+	failingSince time.Time // the first failure since the last success; zero after a success
 }
 
 // isSuspect reports whether the server failed recently.
@@ -121,7 +121,9 @@
 	}
 }
 
-// markSuspect starts or extends the suspicion of a server and reports whether the server is known.
+// markSuspect starts or extends the suspicion of a server and reports whether the server is known. The
+// suspicion depends on how long the server has failed and not on how many requests noticed: a server that
+// is silent for a second fails all that reach it in that second.
 func (p *pool) markSuspect(now time.Time, s routing.Server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,19 +131,21 @@
 	if load == nil {
 		return false
 	}
-	load.suspectFor = min(max(2*load.suspectFor, minSuspicion), maxSuspicion)
-	load.suspectUntil = now.Add(load.suspectFor)
+	if load.failingSince.IsZero() {
+		load.failingSince = now
+	}
+	load.suspectUntil = now.Add(min(max(now.Sub(load.failingSince), minSuspicion), maxSuspicion))
 	if _, known := p.down[s.Address]; !known {
 		p.down[s.Address] = downServer{service: s.Service, incarnation: s.Incarnation(), since: now}
 	}
 	return true
 }
 
-// recordSuccess resets the suspicion time of a server that has answered.
+// recordSuccess records that a server has answered: it no longer fails on every try.
 func (p *pool) recordSuccess(c choice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.load.suspectFor = 0
+	c.load.failingSince = time.Time{}
 	if p.down[c.server.Address].incarnation == c.server.Incarnation() {
 		delete(p.down, c.server.Address) // the server was up all the time
 	}
--- a/serve/forward/silence_test.go
+++ b/serve/forward/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -222,3 +223,92 @@
 		must.Between(w.t, time.Second, got.took, 2*time.Second)
 	})
 }
+
+// Guards against suspicion that grows with the number of requests that notice one silence.
+func TestSuspicionIsAsLongAsTheFailure(t *testing.T) {
+	withTestCluster(t, plainRoutes(), func(w *testCluster) {
+		s := w.add("d-1", "desk", "a", respondProven("ok"))
+		w.request(http.MethodPost, "/once/1", callerHeaders, "x")
+		pool := w.handler.pool
+		suspectFor := func() time.Duration { return pool.workReport(time.Now(), s.server.Incarnation()).SuspectFor }
+		for _, c := range []struct{ at, want time.Duration }{
+			{0, minSuspicion},
+			{time.Second, minSuspicion},
+			{4 * time.Second, 5 * time.Second},
+			{time.Minute, maxSuspicion},
+		} {
+			time.Sleep(c.at)
+			for range 20 {
+				pool.recordFailure(time.Now(), s.server)
+			}
+			must.Eq(w.t, c.want, suspectFor())
+		}
+		time.Sleep(time.Minute)
+		w.request(http.MethodPost, "/once/1", callerHeaders, "x")
+		pool.recordFailure(time.Now(), s.server)
+		must.Eq(w.t, minSuspicion, suspectFor())
+	})
+}
+
+// Guards against refusals while a third of the servers are silent, and against servers that get no work
+// for many seconds after a short silence.
+func TestSilentThirdOfServersGetsWorkAgain(t *testing.T) {
+	for _, path := range []string{"/s/1", "/once/1", "/again/1"} {
+		for _, d := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+			t.Run(path+" "+d.String(), func(t *testing.T) {
+				routes := append(plainRoutes(), streamRoute()...)
+				routes[0].Timeout, routes[0].Objective = 10*time.Second, 2*time.Second
+				routes[1].Timeout, routes[1].Objective = 10*time.Second, 2*time.Second
+				withTestCluster(t, routes, func(w *testCluster) { w.checkSilentThird(path, d) })
+			})
+		}
+	}
+}
+
+// checkSilentThird sends requests while two of six servers are silent for a time, and for some time after.
+func (w *testCluster) checkSilentThird(path string, d time.Duration) {
+	service, handle := "desk", respondInParts(100*time.Millisecond, 200*time.Millisecond, "o", "k")
+	if path == "/s/1" {
+		service, handle = "llm", streamEvents(10, 100*time.Millisecond, 20*time.Millisecond)
+	}
+	ids := []string{"e-a", "e-b", "e-c", "e-d", "e-e", "e-f"}
+	for _, id := range ids {
+		w.add(id, service, id, handle)
+	}
+	silent := w.trackSilence()
+	began := time.Now()
+	w.background(func() {
+		time.Sleep(500 * time.Millisecond)
+		silent.silence(d, ids[:2]...)
+	})
+	var all sync.WaitGroup
+	responses := make([]response, 300)
+	for n := range responses {
+		time.Sleep(25 * time.Millisecond)
+		all.Go(func() {
+			responses[n] = w.request(http.MethodPost, path, withHeaders(map[string]string{hID: fmt.Sprintf("r%d", n)}), "prompt")
+		})
+	}
+	all.Wait()
+	for _, got := range responses {
+		must.NoError(w.t, got.err)
+		must.Eq(w.t, http.StatusOK, got.status, must.Sprint(got.body))
+	}
+	end := began.Add(500*time.Millisecond + d)
+	for _, id := range ids[:2] {
+		s := w.servers[id]
+		must.Positive(w.t, s.requestsBetween(end.Add(50*time.Millisecond), end.Add(2*minSuspicion)), must.Sprint(id))
+	}
+}
+
+// requestsBetween returns how many requests the server was asked to run between two times.
+func (s *fakeServer) requestsBetween(from, until time.Time) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.receivedAt {
+		if at.After(from) && at.Before(until) {
+			n++
+		}
+	}
+	return n
+}
