reach: a leaving daemon carries streams of others as long as it takes its own

Callers saw: streams at a daemon without a path to the servers ended in the middle, when the daemon that carried their connection exited at the end of its grace.

Cause: a daemon that got SIGTERM opened tunnels for all requests for 2.5 s, as it takes calls. Its own streams it takes for 1 s, because they last about six of the eight seconds of the grace; those of others it took until 2.5 s and cut them at 7.5 s.

Evidence, in virtual time, with the bound as it was: go test ./serve/gateway -run TestLeavingDaemonCuts --- FAIL: TestLeavingDaemonCutsNoStreamOfOthers/1.5s vm-0: the answer was cut: 200 unexpected EOF after 311 bytes and 263 bytes at 2.4 s; answers last six seconds. Now those are refused as not run before they begin, and one accepted at 0.1 s is whole.

Why it works: the daemon that asks for a tunnel says whether it carries a stream (header Tunnel-Stream), and the one that leaves refuses those from when it refuses its own. Probes and calls are carried for 2.5 s as before. A daemon of an earlier release sends no header and is treated as before.

--- a/peer/tunnel/client.go
+++ b/peer/tunnel/client.go
@@ -21,6 +21,7 @@
 	Wait    time.Duration // for the connection to the server
 	Caller  string        // id of this daemon
 	ForCall string        // id of the request for which the tunnel is opened; may be empty
+	Stream  bool          // the tunnel carries a stream
 }
 
 // Open opens a tunnel over the daemon at a peer address. If that daemon refuses, the error is an
@@ -36,6 +37,9 @@
 	req.Header.Set(headerWait, strconv.FormatInt(r.Wait.Milliseconds(), 10))
 	req.Header.Set(headerCaller, r.Caller)
 	req.Header.Set(headerRequest, r.ForCall)
+	if r.Stream {
+		req.Header.Set(headerStream, "1")
+	}
 	resp, err := dialer.Client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "tunnel")
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -51,10 +51,25 @@
 
 // Server opens tunnels for other daemons.
 type Server struct {
-	opts   Options
-	active atomic.Int64
-	// refuseFrom is from when new tunnels are refused; nil unless the daemon is shutting down.
-	refuseFrom atomic.Pointer[time.Time]
+	opts     Options
+	active   atomic.Int64
+	shutdown atomic.Pointer[ShutdownSchedule] // nil unless the daemon is shutting down
+}
+
+// ShutdownSchedule says which tunnels are still opened during a graceful shutdown.
+type ShutdownSchedule struct {
+	// StreamsUntil is until when tunnels for streams are opened. Later ones would be cut at the exit.
+	StreamsUntil time.Time
+	// RequestsUntil is until when other tunnels are opened.
+	RequestsUntil time.Time
+}
+
+// accepts reports whether a tunnel is still opened.
+func (s *ShutdownSchedule) accepts(now time.Time, stream bool) bool {
+	if stream {
+		return now.Before(s.StreamsUntil)
+	}
+	return now.Before(s.RequestsUntil)
 }
 
 // NewServer returns a Server, which is an http.Handler for Path.
@@ -63,12 +78,13 @@
 // Active returns the number of tunnels that are open or being opened.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// BeginShutdown makes the server refuse new tunnels from a time on.
-func (s *Server) BeginShutdown(refuseFrom time.Time) { s.refuseFrom.Store(&refuseFrom) }
+// BeginShutdown makes the server refuse new tunnels as scheduled.
+func (s *Server) BeginShutdown(schedule ShutdownSchedule) { s.shutdown.Store(&schedule) }
 
-func (s *Server) isLeaving() bool {
-	from := s.refuseFrom.Load()
-	return from != nil && !time.Now().Before(*from)
+// refusesLate reports whether the daemon is shutting down and no longer opens a tunnel.
+func (s *Server) refusesLate(r *http.Request) bool {
+	schedule := s.shutdown.Load()
+	return schedule != nil && !schedule.accepts(time.Now(), r.Header.Get(headerStream) != "")
 }
 
 // ServeHTTP implements http.Handler.
@@ -102,7 +118,7 @@
 	switch {
 	case r.Header.Get("Upgrade") != protocol:
 		return "", Invalid
-	case s.isLeaving():
+	case s.refusesLate(r):
 		return "", Leaving
 	case active > maxTunnels:
 		return "", Busy
--- a/peer/tunnel/tunnel.go
+++ b/peer/tunnel/tunnel.go
@@ -29,6 +29,7 @@
 	headerWait    = "Tunnel-Wait-Ms" // how long the connection to the server may take
 	headerRequest = "Tunnel-Request" // id of the request for which the tunnel is opened; for logs
 	headerCaller  = "Tunnel-Caller"  // id of the daemon that opens it; for logs
+	headerStream  = "Tunnel-Stream"  // "1" if the tunnel carries a stream, which may last as long as a graceful shutdown
 	headerRefusal = "Tunnel-Refusal" // why no tunnel was opened
 )
 
--- a/peer/tunnel/tunnel_test.go
+++ b/peer/tunnel/tunnel_test.go
@@ -74,9 +74,11 @@
 	})
 }
 
-func (s *site) open(id string) (net.Conn, error) {
+func (s *site) open(id string) (net.Conn, error) { return s.openFor(id, false) }
+
+func (s *site) openFor(id string, stream bool) (net.Conn, error) {
 	dialer := link.NewDialerWithClient(&http.Client{Transport: s.client})
-	return tunnel.Open(s.t.Context(), dialer, "d:1", tunnel.Request{Server: id, Wait: time.Second, Caller: "vm-1", ForCall: "r1"})
+	return tunnel.Open(s.t.Context(), dialer, "d:1", tunnel.Request{Server: id, Wait: time.Second, Caller: "vm-1", ForCall: "r1", Stream: stream})
 }
 
 // echoLine answers the first four bytes and ends the connection as end says.
@@ -227,7 +229,7 @@
 		{tunnel.ServerRefused, "s", failing(syscall.ECONNREFUSED), nil},
 		{tunnel.ServerSilent, "s", failing(context.DeadlineExceeded), nil},
 		{tunnel.PathLost, "s", func(o *tunnel.Options) { o.IsPathLost = func() bool { return true } }, nil},
-		{tunnel.Leaving, "s", nil, func(s *site) { s.tunnel.BeginShutdown(time.Now()) }},
+		{tunnel.Leaving, "s", nil, func(s *site) { s.tunnel.BeginShutdown(tunnel.ShutdownSchedule{}) }},
 	} {
 		t.Run(string(c.want), func(t *testing.T) {
 			withSite(t, func(c net.Conn) { c.Close() }, c.prepare, func(s *site) {
@@ -244,6 +246,24 @@
 	}
 }
 
+// Guards against a stream that is cut because the daemon that carries it exits before its end.
+func TestLeavingDaemonRefusesStreamsBeforeOtherTunnels(t *testing.T) {
+	withSite(t, func(c net.Conn) { c.Close() }, nil, func(s *site) {
+		now := time.Now()
+		s.tunnel.BeginShutdown(tunnel.ShutdownSchedule{StreamsUntil: now.Add(time.Second), RequestsUntil: now.Add(2 * time.Second)})
+		for _, c := range []struct{ stream, request bool }{{true, true}, {false, true}, {false, false}} {
+			for stream, want := range map[bool]bool{true: c.stream, false: c.request} {
+				conn, err := s.openFor("s", stream)
+				must.Eq(t, want, err == nil, must.Sprint(time.Since(now), stream))
+				if err == nil {
+					must.NoError(t, conn.Close())
+				}
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // A daemon of a release without tunnels answers 404: that must not look like a refusal by a server.
 func TestDaemonWithoutTunnels(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -119,7 +119,8 @@
 	if h.limits.isPaused(e.Server) {
 		return nil, Reply{}, notSentError{errServerPaused}
 	}
-	resp, err := h.transport.RoundTrip(in.outgoing(reach.WithRequest(ctx, in.call.ID), h.opts.Codec, e))
+	connected := reach.WithRequest(ctx, reach.Request{ID: in.call.ID, Stream: in.route.Kind == routing.Stream})
+	resp, err := h.transport.RoundTrip(in.outgoing(connected, h.opts.Codec, e))
 	if err != nil {
 		return nil, Reply{}, err
 	}
--- a/serve/gateway/fleet_test.go
+++ b/serve/gateway/fleet_test.go
@@ -48,6 +48,7 @@
 	daemons    map[string]*daemon
 	servers    map[string]*backend // by address
 	crashParts []string            // parts of prompts that crash servers
+	eventPace  time.Duration       // time between the events of a stream
 	// crashesByPart holds when servers crashed on prompts with one of crashParts.
 	crashesByPart map[string][]time.Time
 	background    sync.WaitGroup
@@ -68,7 +69,7 @@
 // withFleet runs test with a fleet of size daemons.
 func withFleet(t *testing.T, size int, test func(*fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleet{t: t, began: time.Now(), store: store.NewMemory(), daemons: map[string]*daemon{}, servers: map[string]*backend{}, crashesByPart: map[string][]time.Time{}}
+		f := &fleet{t: t, began: time.Now(), store: store.NewMemory(), daemons: map[string]*daemon{}, servers: map[string]*backend{}, crashesByPart: map[string][]time.Time{}, eventPace: 20 * time.Millisecond}
 		f.put(feed.OwnConfigKey, fleetConfig)
 		for n := range size {
 			f.start(n)
@@ -339,7 +340,7 @@
 	for n := range events {
 		fmt.Fprintf(w, "id: %d\ndata: x\n\n", n+1)
 		w.(http.Flusher).Flush()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(s.f.eventPace)
 	}
 }
 
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"mallowwind.dev/external/sent"
 	"mallowwind.dev/external/store"
 	"mallowwind.dev/peer/link"
+	"mallowwind.dev/peer/tunnel"
 	"mallowwind.dev/serve/forward"
 	"mallowwind.dev/serve/reach"
 	"mallowwind.dev/serve/versions"
@@ -34,7 +35,8 @@
 )
 
 const (
-	// acceptStreamsFor is how long after SIGTERM new streams are accepted. A stream lasts about
+	// acceptStreamsFor is how long after SIGTERM new streams are accepted, also those that other
+	// daemons have accepted and that this one is asked to carry. A stream lasts about
 	// six of the eight seconds of the grace period.
 	acceptStreamsFor = time.Second
 	// acceptRequestsFor is how long after SIGTERM other requests are accepted regardless of their
@@ -252,10 +254,11 @@
 	started := time.Now()
 	maxDrain := time.Duration(g.gracePeriod.Load()) - exitMargin
 	g.draining.Store(true)
+	streamsUntil, requestsUntil := started.Add(acceptStreamsFor), started.Add(acceptRequestsFor)
 	g.handler.BeginShutdown(forward.ShutdownSchedule{
-		StreamsUntil: started.Add(acceptStreamsFor), RequestsUntil: started.Add(acceptRequestsFor), ExitAt: started.Add(maxDrain),
+		StreamsUntil: streamsUntil, RequestsUntil: requestsUntil, ExitAt: started.Add(maxDrain),
 	})
-	g.reach.BeginShutdown(started.Add(acceptRequestsFor))
+	g.reach.BeginShutdown(tunnel.ShutdownSchedule{StreamsUntil: streamsUntil, RequestsUntil: requestsUntil})
 	minDrain := min(addressRetentionFactor*g.opts.AddressTTL, maxDrain)
 	g.opts.Log.Emit(event.DaemonDraining, g.handler.Running(), minDrain)
 	tick := time.NewTicker(20 * time.Millisecond)
--- a/serve/gateway/partition_test.go
+++ b/serve/gateway/partition_test.go
@@ -223,6 +223,41 @@
 	})
 }
 
+// Guards against streams that are cut because the daemon that carries them was already leaving when it
+// took them, and exits before their end.
+func TestLeavingDaemonCutsNoStreamOfOthers(t *testing.T) {
+	for after, want := range map[time.Duration]int{
+		100 * time.Millisecond:  http.StatusOK,
+		1500 * time.Millisecond: http.StatusServiceUnavailable,
+		2400 * time.Millisecond: http.StatusServiceUnavailable,
+	} {
+		t.Run(after.String(), func(t *testing.T) {
+			withFleet(t, 3, func(f *fleet) {
+				f.eventPace = 250 * time.Millisecond // an answer lasts six seconds
+				f.startServers("llm", 2)
+				f.cut([]int{0, 1}, faultnet.CutResets)
+				f.loadEach("/stream/detect", 6, partitionDetectionTime, nil)
+				f.background.Wait()
+				leaving := f.daemons["vm-2"]
+				leaving.terminate()
+				f.background.Go(func() {
+					<-leaving.stopped
+					leaving.peers.Cut()
+				})
+				time.Sleep(after)
+				for n := range 2 {
+					f.background.Go(func() {
+						if r := f.send(n, fmt.Sprintf("/stream/%d", n), "fine"); r.err != nil || r.status != want {
+							t.Errorf("vm-%d: %d instead of %d, cut: %v, after %d bytes", n, r.status, want, r.err, len(r.body))
+						}
+					})
+				}
+				f.background.Wait()
+			})
+		})
+	}
+}
+
 // maxRunsOfOneRequest returns how often the request that reached servers most often did so.
 func (f *fleet) maxRunsOfOneRequest() (most int) {
 	runs := map[string]int{}
--- a/serve/reach/ask.go
+++ b/serve/reach/ask.go
@@ -162,8 +162,9 @@
 func (d *Dialer) openTunnel(ctx context.Context, peer reach.Peer, server string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*tunnel.MaxWait)
 	defer cancel()
+	request := requestOf(ctx)
 	conn, err := tunnel.Open(ctx, d.opts.Peers, peer.Address, tunnel.Request{
-		Server: server, Wait: tunnel.MaxWait, Caller: d.opts.Self.ID, ForCall: requestOf(ctx),
+		Server: server, Wait: tunnel.MaxWait, Caller: d.opts.Self.ID, ForCall: request.ID, Stream: request.Stream,
 	})
 	if err != nil {
 		d.endPeer(peer.ID)
--- a/serve/reach/dial.go
+++ b/serve/reach/dial.go
@@ -215,7 +215,7 @@
 func (c *dialing) recordRelayed(r attemptResult) {
 	d := c.d
 	d.metrics.relayed.WithLabelValues(c.path.String()).Inc()
-	d.opts.Log.Emit(event.ConnectionRelayed, requestOf(c.ctx), c.address, r.peer, c.path.String(), c.directErr)
+	d.opts.Log.Emit(event.ConnectionRelayed, requestOf(c.ctx).ID, c.address, r.peer, c.path.String(), c.directErr)
 	switch {
 	case c.directErr != nil && !sent.IsTimeout(c.directErr):
 		d.recordProof(c.address, r.peer, reach.Refused, c.directErr)
--- a/serve/reach/reach.go
+++ b/serve/reach/reach.go
@@ -70,23 +70,29 @@
 // TunnelService returns the path and handler of the endpoint for tunnels of other daemons.
 func (d *Dialer) TunnelService() (path string, handler http.Handler) { return tunnel.Path, d.tunnels }
 
-// BeginShutdown makes the daemon refuse new tunnels of other daemons from a time on.
-func (d *Dialer) BeginShutdown(refuseFrom time.Time) { d.tunnels.BeginShutdown(refuseFrom) }
+// BeginShutdown makes the daemon refuse new tunnels of other daemons as scheduled.
+func (d *Dialer) BeginShutdown(schedule tunnel.ShutdownSchedule) { d.tunnels.BeginShutdown(schedule) }
 
 // Tunnels returns the number of open tunnels of other daemons.
 func (d *Dialer) Tunnels() int { return d.tunnels.Active() }
 
-// requestKey is the key of a request's id in the context of a connection.
+// requestKey is the key of a Request in the context of a connection.
 type requestKey struct{}
 
-// WithRequest returns a context that names the request for which connections are opened, for logs.
-func WithRequest(ctx context.Context, id string) context.Context {
-	return context.WithValue(ctx, requestKey{}, id)
+// Request is the request for which a connection is opened.
+type Request struct {
+	ID     string // for logs
+	Stream bool   // its answer may last longer than a graceful shutdown
 }
 
-func requestOf(ctx context.Context) string {
-	id, _ := ctx.Value(requestKey{}).(string)
-	return id
+// WithRequest returns a context that states the request for which connections are opened.
+func WithRequest(ctx context.Context, r Request) context.Context {
+	return context.WithValue(ctx, requestKey{}, r)
+}
+
+func requestOf(ctx context.Context) Request {
+	r, _ := ctx.Value(requestKey{}).(Request)
+	return r
 }
 
 // choose returns the path of a connection opened now, whether peers may be asked for it, and a
