forward: failures long apart are no single failure

The suspicion that lasts as long as a server has failed counted from the first failure since the last success, also where the server was not tried in between: two connections lost a minute apart, at a daemon that rarely uses the server, made it suspect for 8 s.

Evidence: go test ./serve/forward -run TestSuspicionIs --- FAIL: TestSuspicionIsAsLongAsTheFailure: 2s wanted, 8s seen with a failure 15 s after the one before.

A row of failures now ends when a server was not tried, or did not fail, for 2 s after its suspicion. A server that fails on every try is tried again as soon as its suspicion ends, so its row goes on.

--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -30,7 +30,9 @@
 	running      int
 	replicas     int
 	suspectUntil time.Time
-	failingSince time.Time // the first failure since the last success; zero after a success
+	// failingSince is the first failure of a row in which each follows soon after the suspicion by the
+	// one before; zero after a success.
+	failingSince time.Time
 }
 
 // isSuspect reports whether the server failed recently.
@@ -131,7 +133,7 @@
 	if load == nil {
 		return false
 	}
-	if load.failingSince.IsZero() {
+	if load.failingSince.IsZero() || now.Sub(load.suspectUntil) > minSuspicion {
 		load.failingSince = now
 	}
 	load.suspectUntil = now.Add(min(max(now.Sub(load.failingSince), minSuspicion), maxSuspicion))
