forward: a connection that times out is no evidence against a version

Callers saw: a good version was rolled back because its servers were silent for a second one after the other.

Cause: a call whose connection was not accepted within 250 ms counted as one that the server broke off. Of a silent server that proves nothing.

Evidence, in virtual time, before the change: go test ./serve/gateway -count=3 -run 'TestGoodVersion.*/servers_of' --- FAIL: .../servers_of_the_version_are_silent_in_turn,_calls "completed" wanted, "rolled_back" seen after 3.1 to 3.2 s, 3 of 3 (streams: completed, 3 of 3). After it 3 of 3 completed, calls and streams.

Why it works: such a call is no sample, and the caller is served by another server. A version that accepts no connections at all, from its start or later, is still rolled back at the end of its period, since it lacks evidence: TestSilentVersionIsRolledBack guards that; it passed before as well. Calls that a silent server has taken still count as slow.

--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -180,6 +180,8 @@
 		return rollout.Unanswered, true // another server was faster, or the caller left
 	case o.rejected && !o.full:
 		return rollout.Succeeded, false // another process has the address
+	case o.err != nil && o.notRun && sent.IsTimeout(o.err):
+		return rollout.Succeeded, false // a sound server may be silent, and this one was sent nothing
 	case o.reply.RetryAfter != "":
 		return rollout.Succeeded, false // what a server can carry now says nothing of its version
 	case o.full, o.err == nil && o.status >= 500:
--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -67,6 +67,29 @@
 	}
 }
 
+// silence cuts the daemons off from servers: no connection is made, and no byte passes, until end.
+func (r *rolloutService) silence(addresses ...string) (end func()) {
+	for _, d := range r.f.daemons {
+		d.path.Cut(faultnet.CutHangs, addresses...)
+	}
+	return func() {
+		for _, d := range r.f.daemons {
+			d.path.Restore()
+		}
+	}
+}
+
+// silenceInTurn makes the servers of a version silent one after the other, for a time each.
+func (r *rolloutService) silenceInTurn(version string, d time.Duration) {
+	for range 2 {
+		r.forEach(version, func(s *versionedServer) {
+			end := r.silence(s.id)
+			time.Sleep(d)
+			end()
+		})
+	}
+}
+
 // stop stops the servers of a version without draining them.
 func (r *rolloutService) stop(version string) {
 	r.forEach(version, func(s *versionedServer) {
@@ -281,6 +304,8 @@
 			}
 		}},
 		{"no requests", "desk", "/once/", 7, 0, false, func(*rolloutService) {}},
+		{"servers of the version are silent in turn, calls", "desk", "/once/", 7, callsPerSecond, false, func(r *rolloutService) { r.silenceInTurn("v2", time.Second) }},
+		{"servers of the version are silent in turn, streams", "llm", "/stream/", 7, 8, false, func(r *rolloutService) { r.silenceInTurn("v2", time.Second) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withRolloutService(t, c.daemons, c.service, func(r *rolloutService) {
@@ -316,6 +341,29 @@
 	}
 }
 
+// Guards against a version whose servers accept no connections for good and which is not judged for that.
+func TestSilentVersionIsRolledBack(t *testing.T) {
+	for name, soundFor := range map[string]time.Duration{"from its start": 0, "later": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			withRolloutService(t, 7, "desk", func(r *rolloutService) {
+				r.startRollout("v2", rolloutPeriod, 4)
+				var silent []string
+				r.forEach("v2", func(s *versionedServer) { silent = append(silent, s.id) })
+				end := func() {}
+				r.f.background.Go(func() {
+					time.Sleep(soundFor)
+					end = r.silence(silent...)
+				})
+				got := r.f.load("/again/", callsPerSecond, rolloutPeriod)
+				stage, _ := r.awaitEnd("v1", 2*time.Second)
+				end()
+				test.Eq(t, rollout.RolledBack, stage)
+				test.GreaterEq(t, got.sent.Load()*95/100, got.answered.Load())
+			})
+		})
+	}
+}
+
 // Servers of a version that no order allows must get no requests. The same holds for a version that
 // was rolled back, even from daemons that start later.
 func TestVersionsWithoutOrderGetNoRequests(t *testing.T) {
