forward: tests that silence is no crash and costs no replica

Two guards of what was found sound: a connection that breaks and a server that is silent in the next moment count as no crash of the request, and a replica survives the silence of the engine that runs its request.

--- a/serve/forward/silence_test.go
+++ b/serve/forward/silence_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/shoenig/test/must"
 )
 
@@ -314,3 +315,58 @@
 	}
 	return n
 }
+
+// Guards against a request that counts as one that crashes servers, because its connections broke and the
+// servers were silent in the next moment.
+func TestSilenceAfterBrokenConnectionIsNoCrash(t *testing.T) {
+	withTestCluster(t, plainRoutes(), func(w *testCluster) {
+		var s *silentServers
+		for _, id := range []string{"d-1", "d-2", "d-3", "d-4"} {
+			w.add(id, "desk", "a", func(rw http.ResponseWriter, r *http.Request) {
+				s.holdConnections(time.Second, id)
+				breaking(rw, r)
+			})
+		}
+		s = w.trackSilence()
+		for range 12 {
+			must.NotEq(w.t, http.StatusOK, w.request(http.MethodPost, "/once/1", callerHeaders, "x").status)
+			time.Sleep(2 * time.Second)
+		}
+		must.Eq(w.t, 12, w.totalRequests()) // none was refused for the crashes of the others
+		must.Zero(w.t, testutil.CollectAndCount(w.handler.metrics.poisonMarks))
+	})
+}
+
+// Guards against a replica that is given up because the engine that runs its request is silent: when that
+// engine dies, the prompt would be prefilled again.
+func TestReplicaIsKeptWhileEngineIsSilent(t *testing.T) {
+	for _, d := range []time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond} {
+		t.Run(d.String(), func(t *testing.T) {
+			withTestCluster(t, streamRoute(), func(w *testCluster) {
+				handle := streamEvents(150, time.Second, 40*time.Millisecond)
+				a, b, c := w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle), w.add("e-c", "llm", "c", handle)
+				s := w.trackSilence()
+				w.background(func() {
+					runner, holder, _ := awaitRunner(a, b, c)
+					w.crash(holder)
+					w.remove("server/" + holder.server.ID)
+					time.Sleep(1500 * time.Millisecond)
+					s.silence(d, runner.server.ID)
+					w.crash(runner)
+				})
+				got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, events(1, 150), got.body)
+				prefills := 0
+				for _, s := range w.servers {
+					for _, r := range s.requests() {
+						if r.Header.Get(hCopyAt) == "" {
+							prefills++
+						}
+					}
+				}
+				must.Eq(w.t, 1, prefills)
+			})
+		})
+	}
+}
