poison: a part is refused by the daemons that know all crashes, and a narrower part goes first

Change: * A daemon that does not track the service repeats its crashes to the trackers and leaves the verdict to them; it refuses by itself only while none answers. * A narrower part goes first also while others survive, if it accounts for three quarters of the servers. One request that crashed three servers is enough for that. * The survivals of all parts that the prompts share are asked for at once, and nothing is refused whose survivals were not asked for: "any prompt has survived" without those of the common part made it look bad.

Tests that fail on the earlier rules: TestPartsAreNotRefusedForCrashesOfOneDaemon (virtual time), TestCommonPartIsNotRefusedWhileOtherPartsSurvive, TestCommonPartIsNotRefusedBesideOneCrashingRequest, TestSurvivalsOfCommonPartsAreAskedFor.

--- a/decision/poison/partfleet_test.go
+++ b/decision/poison/partfleet_test.go
@@ -284,14 +284,13 @@
 			if len(reports) == 0 || reports[0].Finding < PartPending {
 				break
 			}
-			for _, r := range reports {
-				for _, part := range r.Parts {
-					p.ask(ledger, part)
-				}
+			reports = slices.DeleteFunc(reports, func(r PartReport[[2]int]) bool { return r.Finding < PartPending })
+			asked := Questions(reports)
+			for _, part := range asked {
+				p.ask(ledger, part)
 			}
-			p.ask(ledger, AnyPart)
 			p.messages += p.daemons - 1
-			if reports = ledger.Assess(p.at(p.now)); len(reports) == 0 || reports[0].Finding != PartCrashing {
+			if reports = ledger.Assess(p.at(p.now)); len(reports) == 0 || reports[0].Finding != PartCrashing || !ContainsAll(asked, reports[0].Parts) {
 				break
 			}
 			p.refuse(reports[0].Parts)
--- a/decision/poison/parts.go
+++ b/decision/poison/parts.go
@@ -22,8 +22,10 @@
 // under several requests with it, at different moments, and none kept running since. A part that
 // servers have survived before takes more of them, and needs another prompt to survive meanwhile:
 // when all prompts fail, the cause is not a part. It takes more as well while no survival of any part
-// is known, since every part seems new then. While nothing survives, a part that many prompts share
-// counts as clear as long as a narrower one accounts for a third of its terminations. Parts that were
+// is known, since every part seems new then. A part that many prompts share counts as clear as long as
+// a narrower one accounts for three quarters of its terminations, or for a third of them while nothing
+// survives. Before a part is refused, the survivals of all parts that its prompts share are asked for:
+// those of some of them alone make the others look worse than they are. Parts that were
 // always together are found together, and only prompts with all of them are refused: a prompt with
 // one of them will show which it is. Terminations that a refusal explains count against no other part.
 
@@ -51,8 +53,11 @@
 	suspectRequests        = 2
 	suspectCrashes         = 2
 	suspectCrashesSurvived = minCrashesSurvived - 1
-	// minNarrowerShare is the divisor of a part's servers that a narrower cause must account for.
-	minNarrowerShare = 3
+	// minNarrowerPercent is the share of a part's servers that a narrower cause must account for, and
+	// minNarrowerPercentNoSurvival the same while nothing survives. A part that half of the prompts
+	// with the cause have by chance stays below the former.
+	minNarrowerPercent           = 75
+	minNarrowerPercentNoSurvival = 33
 	// clearedRetention is how long a termination is kept that counts against no part.
 	clearedRetention = 5 * time.Second
 	// maxPromptCrashes bounds the terminations kept for parts of prompts.
@@ -165,6 +170,8 @@
 type PartReport[K comparable] struct {
 	Parts   []string
 	Finding PartFinding
+	// Shared are all parts that the prompts with Parts have in common, those included.
+	Shared []string
 	// Survived is set if servers are known to have survived the parts, before these terminations.
 	Survived bool
 	// Servers terminated under Requests different requests with the parts, from First to Last.
@@ -184,7 +191,7 @@
 		l.complete(now, r)
 	}
 	for _, r := range all {
-		if r.Finding == PartClear || !l.anySurvived(r.First) && r.mayHaveNarrowerCause(all) {
+		if r.Finding == PartClear || r.mayHaveNarrowerCause(all, l.minNarrowerPercent(r)) {
 			continue
 		}
 		report := *r
@@ -236,10 +243,12 @@
 func (l *PartLedger[K]) complete(now time.Time, r *PartReport[K]) {
 	first, last := l.crashes[r.crashes[0]], l.crashes[r.crashes[len(r.crashes)-1]]
 	r.First, r.Last, r.Account, r.Route = first.At, last.At, last.Account, last.Route
+	r.Shared = first.Parts
 	requests := map[string]bool{}
 	for _, i := range r.crashes {
 		c := l.crashes[i]
 		requests[c.Digest] = true
+		r.Shared = intersect(r.Shared, c.Parts)
 		if !slices.Contains(r.Servers, c.Server) {
 			r.Servers = append(r.Servers, c.Server)
 		}
@@ -248,6 +257,26 @@
 	r.Finding = l.finding(now, r)
 }
 
+// intersect returns the parts that two prompts have in common.
+func intersect(parts, others []string) (common []string) {
+	for _, part := range parts {
+		if slices.Contains(others, part) {
+			common = append(common, part)
+		}
+	}
+	return common
+}
+
+// Questions returns the parts whose survivals decide on reports.
+func Questions[K comparable](reports []PartReport[K]) []string {
+	parts := []string{AnyPart}
+	for _, r := range reports {
+		parts = slices.Concat(parts, r.Parts, r.Shared)
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
 // isWithin reports whether all terminations of r, and not only those, count against the parts of
 // another report.
 func (r *PartReport[K]) isWithin(other *PartReport[K]) bool {
@@ -265,18 +294,31 @@
 	return true
 }
 
-// mayHaveNarrowerCause reports whether a part that only some of the prompts have accounts for much of
-// the terminations.
+// minNarrowerPercent returns the share of the servers of r that a narrower cause must account for.
+func (l *PartLedger[K]) minNarrowerPercent(r *PartReport[K]) int {
+	if l.anySurvived(r.First) {
+		return minNarrowerPercent
+	}
+	return minNarrowerPercentNoSurvival
+}
+
+// mayHaveNarrowerCause reports whether a part that only some of the prompts have accounts for a share of
+// the servers, in percent.
 //
-// It guards against the refusal of a part that all prompts share while nothing survives: prompts crash
-// beside those with the cause, whose own reports may be missing, so the common part has the most
-// terminations and is not cleared.
-func (r *PartReport[K]) mayHaveNarrowerCause(all []*PartReport[K]) bool {
+// It guards against the refusal of a part that all prompts share: prompts crash beside those with the
+// cause, whose own reports may be missing, so the common part has the most terminations.
+func (r *PartReport[K]) mayHaveNarrowerCause(all []*PartReport[K], percent int) bool {
 	return slices.ContainsFunc(all, func(o *PartReport[K]) bool {
-		return (r.Survived || !o.Survived) && o.isWithin(r) && o.Requests >= suspectRequests && minNarrowerShare*len(o.Servers) >= len(r.Servers)
+		return (r.Survived || !o.Survived) && o.isCandidate() && 100*len(o.Servers) >= percent*len(r.Servers) && o.isWithin(r)
 	})
 }
 
+// isCandidate reports whether the parts may be a cause: prompts with them crashed servers, or one did so
+// often enough to be refused by itself.
+func (r *PartReport[K]) isCandidate() bool {
+	return r.Requests >= suspectRequests || len(r.Servers) >= refuseThreshold
+}
+
 // companions returns the parts that no server is known to have survived and that all prompts of the
 // report have: the terminations do not tell which of them is the cause.
 func (r *PartReport[K]) companions(all []*PartReport[K]) (parts []string) {
--- a/decision/poison/parts_test.go
+++ b/decision/poison/parts_test.go
@@ -163,6 +163,63 @@
 	}
 }
 
+// Guards against the refusal of a part that all prompts of a route share, beside prompts of other routes.
+func TestCommonPartIsNotRefusedWhileOtherPartsSurvive(t *testing.T) {
+	for _, bystanders := range []int{0, 1} { // servers without a report of a culprit
+		p := &partTest{start: time.Now()}
+		for n := range 5 + bystanders {
+			at, server := time.Duration(n)*500*time.Millisecond, fmt.Sprint(n)
+			if n >= bystanders {
+				p.crash(at, server, fmt.Sprint("bad", n), "common", "bad")
+			}
+			p.crash(at, server, fmt.Sprint("by", n), "common")
+		}
+		p.survive(time.Second, "other")
+		reports := p.ledger.Assess(p.at(10 * time.Second))
+		must.Eq(t, PartCrashing, reports[0].Finding)
+		must.Eq(t, []string{"bad", "common"}, reports[0].Parts)
+		must.Len(t, 1, reports, must.Sprintf("%+v", reports))
+	}
+}
+
+// Guards against the refusal of a common part by a daemon that has seen one of the requests with the cause.
+func TestCommonPartIsNotRefusedBesideOneCrashingRequest(t *testing.T) {
+	const ms = time.Millisecond
+	p := &partTest{start: time.Now()}
+	for n, at := range []time.Duration{0, 175 * ms, 343 * ms} {
+		p.crash(at, fmt.Sprint(n), "bad", "common", "bad")
+	}
+	p.crash(340*ms, "2", "by1", "common")
+	p.crash(465*ms, "3", "by1", "common")
+	p.crash(474*ms, "3", "by2", "common")
+	p.crash(1654*ms, "4", "by3", "common")
+	must.Eq(t, PartClear, p.finding(10*time.Second, "common"))
+}
+
+// Guards against a common part that is refused because only the survivals of a narrower one were asked for.
+func TestSurvivalsOfCommonPartsAreAskedFor(t *testing.T) {
+	p := &partTest{start: time.Now()}
+	p.survive(-time.Second, "common", "bad")
+	for n := range 8 {
+		at, server := time.Duration(n)*300*time.Millisecond, fmt.Sprint(n)
+		p.crash(at, server, fmt.Sprint("bad", n), "common", "bad")
+		p.crash(at+10*time.Millisecond, server, fmt.Sprint("by", n), "common")
+	}
+	now := p.at(5 * time.Second)
+	var elsewhere Survivals // seen by other daemons
+	for _, part := range []string{AnyPart, "common", "bad"} {
+		elsewhere.Record(part, p.at(time.Second))
+	}
+	for _, part := range Questions(p.ledger.Assess(now)) {
+		if begun, ok := elsewhere.Last(part); ok {
+			p.ledger.RecordSurvival(part, begun)
+		}
+	}
+	for _, r := range p.ledger.Assess(now) {
+		must.Eq(t, []string{"bad"}, r.Parts)
+	}
+}
+
 // The part that crashes servers must be found before the parts that its prompts share with others.
 func TestMostLikelyPartComesFirst(t *testing.T) {
 	for _, c := range []struct {
--- a/serve/forward/poisonparts.go
+++ b/serve/forward/poisonparts.go
@@ -199,18 +199,30 @@
 	return pending
 }
 
+// leftToTrackers reports whether other daemons track a service and have got this daemon's crashes. They know
+// those of all daemons: among the crashes of one, a part that all prompts share may be the only one that
+// several requests have.
+func (p *poisonParts) leftToTrackers(service string) bool {
+	if len(p.h.poisonTrackersOf(service)) < poisonTrackers {
+		return false // this daemon is one of them, or there are no others
+	}
+	report, _ := p.newReport(service)
+	return len(p.tellTrackers(context.Background(), report)) > 0
+}
+
 // reviewOnce asks all daemons for survivals of the parts of a service in question, and refuses the
-// one that most likely crashes its servers, unless servers survived it. It reports whether it refused
-// one.
+// one that most likely crashes its servers, unless servers survived it. A daemon that does not track the
+// service does so only while no tracking daemon answers. It reports whether it refused one.
 func (p *poisonParts) reviewOnce(service string) (refused bool) {
 	p.mu.Lock()
 	questionable := p.questionable(service)
 	p.mu.Unlock()
-	if len(questionable) == 0 {
+	if len(questionable) == 0 || p.leftToTrackers(service) {
 		return false
 	}
-	p.recordSurvivals(service, p.askSurvivals(service, questionable))
-	return p.refuseFirst(service)
+	asked := poison.Questions(questionable)
+	p.recordSurvivals(service, p.askSurvivals(service, asked))
+	return p.refuseFirst(service, asked)
 }
 
 // recordSurvivals records what other daemons know of survivals.
@@ -226,8 +238,8 @@
 }
 
 // refuseFirst refuses prompts with the parts that most likely crash the servers of a service, and
-// reports whether there are any.
-func (p *poisonParts) refuseFirst(service string) bool {
+// reports whether there are any. Parts whose survivals were not asked for wait for the next review.
+func (p *poisonParts) refuseFirst(service string, asked []string) bool {
 	p.mu.Lock()
 	reports := p.ledger(service).Assess(time.Now())
 	if len(reports) == 0 || reports[0].Finding != poison.PartCrashing {
@@ -235,6 +247,11 @@
 		return false
 	}
 	found := reports[0]
+	if !poison.ContainsAll(asked, found.Parts) {
+		p.mu.Unlock()
+		wake(p.wakeup)
+		return false
+	}
 	p.ledger(service).Explain(found.Parts)
 	p.forgetTold(found.Parts)
 	p.mu.Unlock()
--- a/serve/forward/poisonparts_test.go
+++ b/serve/forward/poisonparts_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/peer/peerpb"
 )
@@ -49,3 +51,30 @@
 		must.Eq(t, 0, known("desk"))
 	})
 }
+
+// Guards against a daemon that refuses a part that all prompts share, for the crashes of its own prompts alone.
+func TestPartsAreNotRefusedForCrashesOfOneDaemon(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		others, _ := w.addDaemons(6)
+		daemons := append(others, w.handler)
+		alone := slices.IndexFunc(daemons, func(h *Handler) bool { return len(h.poisonTrackersOf("llm")) == poisonTrackers })
+		for n := range 8 {
+			server := routing.Server{Service: "llm", ID: fmt.Sprint("e-", n)}
+			prompt := func(kind string, parts ...string) *inbound {
+				return &inbound{digests: []string{fmt.Sprint(kind, n)}, call: Call{PromptParts: parts}}
+			}
+			daemons[alone].poisonParts.recordCrash(w.t.Context(), prompt("sound", "common"), server, time.Now())
+			daemons[(alone+1+n%6)%7].poisonParts.recordCrash(w.t.Context(), prompt("crashing", "common", "bad"), server, time.Now())
+			time.Sleep(250 * time.Millisecond)
+		}
+		must.False(w.t, daemons[alone].poisonParts.reviewOnce("llm"))
+		for _, h := range daemons {
+			h.poisonParts.reviewOnce("llm")
+		}
+		time.Sleep(time.Second)
+		for _, h := range daemons {
+			must.True(w.t, h.poisonRegistry.isPromptRefused([]string{"common", "bad"}))
+			must.False(w.t, h.poisonRegistry.isPromptRefused([]string{"common"}))
+		}
+	})
+}
--- a/serve/forward/poisonpartspeers.go
+++ b/serve/forward/poisonpartspeers.go
@@ -107,12 +107,8 @@
 	return list
 }
 
-// askSurvivals asks all other daemons when servers of a service last survived the parts in question.
-func (p *poisonParts) askSurvivals(service string, questionable []partReport) []*peerpb.Survival {
-	parts := []string{poison.AnyPart}
-	for _, r := range questionable {
-		parts = append(parts, r.Parts...)
-	}
+// askSurvivals asks all other daemons when servers of a service last survived some parts.
+func (p *poisonParts) askSurvivals(service string, parts []string) []*peerpb.Survival {
 	p.mu.Lock()
 	answers := p.knownSurvivals(time.Now(), service, parts)
 	p.mu.Unlock()
