poison: the crash of a whole service is no evidence, and a refusal ends by a trial

Cause: whether others failed too was asked in the server's zone only, which had no other server, and nothing but an operator ends a refusal.

Change: * Where the zone has fewer than two others, servers of the whole service are asked. If all of them are down, the crash counts against nothing (all_ended), unless the daemon knew before the send that one of them had terminated: a request that crashes one server after the other finds those down as well. A send to a process that was known to have terminated counts for nothing either. * A refused request, or a prompt with refused parts, is sent to one server when a trial is due: 10 s after the refusal, 100 s after the first trial, then 17 minutes, then every three hours. A conditional write to the refusal's entry claims the trial, so one daemon makes it, and restarts change nothing. A complete answer lifts the refusal.

Tests that fail before: TestCrashOfWholeServiceIsNoEvidence (502 for 200, virtual time, 3 of 3), TestWrongRefusalEndsByItself and TestWrongRefusalOfPartEndsByItself (502 for 200, without trials). TestTrialsReachFewServers: two sends in 15 minutes at seven daemons, over a restart of all. TestPoisonRequestReachesFewServers and the bounds of the parts stay as they are.

--- a/control/feed/refused.go
+++ b/control/feed/refused.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/external/store"
 )
 
@@ -15,7 +16,7 @@
 	// refusedPrefix begins the keys of refused requests.
 	refusedPrefix = OwnPrefix + "refused/"
 	// maxRefused bounds the number of refused requests in the store. A new entry replaces no older
-	// one: a request stays refused until an operator lifts the refusal.
+	// one: a request stays refused until a trial or an operator lifts the refusal.
 	maxRefused = 1000
 	// refuseTimeout bounds one attempt to write an entry.
 	refuseTimeout = 2 * time.Second
@@ -36,6 +37,17 @@
 	// By is the id of the daemon that wrote the entry, and At the time of the write.
 	By string    `json:"by"`
 	At time.Time `json:"at"`
+	// Trials is how often the request was tried again, at TriedAt the last time.
+	Trials  int       `json:"trials,omitempty"`
+	TriedAt time.Time `json:"tried_at,omitzero"`
+}
+
+// History returns the trials of the refused request so far.
+func (r RefusedRequest) History() poison.Trials {
+	if r.Trials == 0 {
+		return poison.Trials{Last: r.At}
+	}
+	return poison.Trials{Count: r.Trials, Last: r.TriedAt}
 }
 
 // RefusedKey returns the store key of a refused request. An operator lifts the refusal by removing
@@ -84,6 +96,44 @@
 	return err
 }
 
+// ClaimTrial records a trial of a refused request, and reports false if none is due or another daemon
+// claims it.
+func (m *Manager) ClaimTrial(ctx context.Context, digest string) (claimed bool, err error) {
+	ctx = store.WithPurpose(ctx, store.PurposeRefuse)
+	kv, err := m.opts.Store.Get(ctx, RefusedKey(digest))
+	if errors.Is(err, store.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	r, now := decodeRefused(kv), time.Now()
+	if !r.History().IsDue(now) {
+		return false, nil
+	}
+	r.Trials, r.TriedAt = r.Trials+1, now
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return false, errors.Wrap(err, "trial")
+	}
+	_, err = m.opts.Store.CompareAndSwap(ctx, kv.Key, kv.Version, raw, 0)
+	if errors.Is(err, store.ErrConflict) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// LiftRefused removes the entry of a refused request, if there is one.
+func (m *Manager) LiftRefused(ctx context.Context, digest string) error {
+	ctx, cancel := context.WithTimeout(store.WithPurpose(ctx, store.PurposeRefuse), refuseTimeout)
+	defer cancel()
+	err := DeleteRefused(ctx, m.opts.Store, digest)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
 // ListRefused returns the refused requests in a store, sorted by digest. An entry whose value
 // cannot be decoded has only its digest.
 func ListRefused(ctx context.Context, s store.Store) ([]RefusedRequest, error) {
--- a/decision/poison/poison.go
+++ b/decision/poison/poison.go
@@ -12,7 +12,8 @@
 // Decision: a request is suspected if it was running on several servers when they terminated, each
 // time near its start. A termination is attributed to a request that had just started there or may
 // have started. It is not attributed to a request whose prompt cannot have been processed yet or
-// that had run for a while, nor if the server was due to leave or most of its zone failed with it.
+// that had run for a while, nor if the server was due to leave or most of its zone failed with it, or
+// all of a service with few servers in its zone.
 // Other requests on the server continue elsewhere, and a complete response clears its request. So a
 // request that crashes its servers stands out after a few terminations, while any other request
 // reaches the same count only if its server fails near its start every time and it never completes
@@ -33,9 +34,9 @@
 	crashWindow = 500 * time.Millisecond
 	// PeersToCheck is how many other servers of the zone are checked when a server has terminated.
 	PeersToCheck = 3
-	// minPeersChecked is how many servers must have been checked to tell whether most of the zone
+	// MinPeersChecked is how many servers must have been checked to tell whether most of the zone
 	// is down.
-	minPeersChecked = 2
+	MinPeersChecked = 2
 )
 
 // Termination describes a request that was running on a server when the server terminated.
@@ -49,6 +50,11 @@
 	// PeersChecked is how many other servers of its zone were checked, PeersDown how many of these
 	// had terminated as well.
 	PeersChecked, PeersDown int
+	// DownBefore says that this process had terminated before the request was sent.
+	DownBefore bool
+	// OthersChecked, OthersDown and OthersDownBefore are the same for servers of the service in any zone. They
+	// are checked where its zone has fewer than MinPeersChecked others.
+	OthersChecked, OthersDown, OthersDownBefore int
 }
 
 // Attribution says whether the termination of a server is attributed to a request, or why not.
@@ -61,11 +67,12 @@
 	NotStarted
 	KeptRunning
 	ZoneFailure
+	ServiceFailure
 )
 
 // String returns the name used in logs.
 func (a Attribution) String() string {
-	return [...]string{"counts", "planned", "not_begun", "ran_on", "many_ended"}[a]
+	return [...]string{"counts", "planned", "not_begun", "ran_on", "many_ended", "all_ended"}[a]
 }
 
 // Attribute decides whether the termination is attributed to the request.
@@ -73,16 +80,24 @@
 	switch {
 	case t.Planned:
 		return Planned
-	case t.PromptUnread:
+	case t.PromptUnread, t.DownBefore:
 		return NotStarted
 	case t.Streamed >= crashWindow:
 		return KeptRunning
-	case t.PeersChecked >= minPeersChecked && 2*t.PeersDown > t.PeersChecked:
+	case t.PeersChecked >= MinPeersChecked && 2*t.PeersDown > t.PeersChecked:
 		return ZoneFailure
+	case t.allFailed():
+		return ServiceFailure
 	}
 	return Attributed
 }
 
+// allFailed reports whether all servers of the service terminated while the request was running. A request
+// that crashes one server after the other finds those down that it crashed before.
+func (t Termination) allFailed() bool {
+	return t.PeersChecked < MinPeersChecked && t.OthersChecked > 0 && t.OthersDown == t.OthersChecked && t.OthersDownBefore == 0
+}
+
 // Mark is the suspicion level of a request.
 type Mark uint8
 
--- a/decision/poison/poison_test.go
+++ b/decision/poison/poison_test.go
@@ -19,6 +19,13 @@
 		{Termination{PromptUnread: true}, NotStarted},
 		{Termination{Planned: true}, Planned},
 		{Termination{Planned: true, Streamed: 2 * time.Second}, Planned},
+		{Termination{DownBefore: true}, NotStarted},
+		{Termination{PeersChecked: 3, PeersDown: 2}, ZoneFailure},
+		{Termination{PeersChecked: 2, PeersDown: 1, OthersChecked: 3, OthersDown: 3}, Attributed},
+		{Termination{OthersChecked: 2, OthersDown: 2}, ServiceFailure},
+		{Termination{PeersChecked: 1, PeersDown: 1, OthersChecked: 1, OthersDown: 1}, ServiceFailure},
+		{Termination{OthersChecked: 2, OthersDown: 1}, Attributed},
+		{Termination{OthersChecked: 2, OthersDown: 2, OthersDownBefore: 1}, Attributed},
 	} {
 		must.Eq(t, c.want, c.ending.Attribute(), must.Sprint(c.ending))
 	}
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,8 +84,12 @@
 		PromptUnread: e.fromReplica == "" && h.pressure.isPrefillTooLate(e.at.server.Service, e.in.call.PromptTokens, now.Sub(e.sentAt)),
 		Streamed:     running,
 	}
+	if found == sent.ServerExited {
+		crash.DownBefore = h.exits.isBefore(e.at.server.Incarnation(), e.sentAt)
+		h.exits.record(e.at.server.Incarnation(), now)
+	}
 	if found == sent.ServerExited && crash.Attribute() == poison.Attributed {
-		crash.PeersChecked, crash.PeersDown = h.countExitedNearby(e.at.server)
+		h.checkOthers(e, &crash)
 	}
 	finding := crash.Attribute()
 	h.opts.Log.Emit(event.BackendConnectionBroken, e.in.call.ID, e.in.digests, e.in.call.PromptKey, e.in.call.PromptParts, e.in.call.PromptTokens, e.in.accountName(),
@@ -167,26 +170,51 @@
 	return sent.ProbeServer(ctx, h.dial, address)
 }
 
-// countExitedNearby dials other servers of the same zone and returns how many were dialed and how
-// many of their processes have exited.
-func (h *Handler) countExitedNearby(s routing.Server) (asked, exited int) {
-	var others []routing.Server
+// checkOthers checks other servers of the zone of a crashed server, and where it has few of them also those
+// of other zones.
+func (h *Handler) checkOthers(e brokenSend, crash *poison.Termination) {
+	s := e.at.server
+	inZone := h.otherServers(s, func(other routing.Server) bool { return other.Zone == s.Zone })
+	crash.PeersChecked, crash.PeersDown = len(inZone), len(h.exitedOf(inZone))
+	if crash.PeersChecked >= poison.MinPeersChecked {
+		return
+	}
+	inService := h.otherServers(s, func(routing.Server) bool { return true })
+	exited := h.exitedOf(inService)
+	crash.OthersChecked, crash.OthersDown = len(inService), len(exited)
+	for _, other := range exited {
+		if h.exits.isBefore(other.Incarnation(), e.sentAt) {
+			crash.OthersDownBefore++
+		}
+	}
+}
+
+// otherServers returns some other servers of a server's service at random.
+func (h *Handler) otherServers(s routing.Server, isWanted func(routing.Server) bool) (others []routing.Server) {
 	for other := range h.opts.Feed.View().Servers[s.Service].All() {
-		if other.Zone == s.Zone && other.Address != s.Address {
+		if other.Address != s.Address && isWanted(other) {
 			others = append(others, other)
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(poison.PeersToCheck, len(others))]
-	var exitedCount atomic.Int32
+	return others[:min(poison.PeersToCheck, len(others))]
+}
+
+// exitedOf dials servers and returns those whose processes have exited.
+func (h *Handler) exitedOf(servers []routing.Server) (exited []routing.Server) {
+	var mu sync.Mutex
 	var wg sync.WaitGroup
-	for _, other := range others {
+	for _, s := range servers {
 		wg.Go(func() {
-			if h.serverStateAt(other.Address) == sent.ServerExited {
-				exitedCount.Add(1)
+			if h.serverStateAt(s.Address) != sent.ServerExited {
+				return
 			}
+			h.exits.record(s.Incarnation(), time.Now())
+			mu.Lock()
+			defer mu.Unlock()
+			exited = append(exited, s)
 		})
 	}
 	wg.Wait()
-	return len(others), int(exitedCount.Load())
+	return exited
 }
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -94,6 +94,7 @@
 	locator        *locator
 	borrower       *retryBorrower
 	peers          *peerClient
+	exits          knownExits
 	poisonRegistry *poisonRegistry
 	poisonParts    *poisonParts
 	limits         *serverLimits
--- a/serve/forward/poison.go
+++ b/serve/forward/poison.go
@@ -28,12 +28,14 @@
 	parts   map[string]partSets                // of refused prompts, by the first part
 	details map[string]*peerpb.Poisonous       // of requests with a mark or with crashes counted here
 	pending map[string]*peerpb.Poisonous       // not written to the store yet
+	claims  map[string]bool                    // refusals whose trial is being claimed
 	wakeup  chan struct{}                      // holds a value when entries are pending
 }
 
 // activeRequest is one request in progress.
 type activeRequest struct {
 	parts  []string // shared parts of its prompt
+	trial  []string // digests of the refusals that it tests; empty for none
 	cancel context.CancelCauseFunc
 }
 
@@ -53,7 +55,7 @@
 func newPoisonRegistry(h *Handler) *poisonRegistry {
 	return &poisonRegistry{
 		h: h, view: &feed.View{}, running: map[string]map[*activeRequest]bool{}, parts: map[string]partSets{}, details: map[string]*peerpb.Poisonous{},
-		pending: map[string]*peerpb.Poisonous{}, wakeup: make(chan struct{}, 1),
+		pending: map[string]*peerpb.Poisonous{}, claims: map[string]bool{}, wakeup: make(chan struct{}, 1),
 	}
 }
 
@@ -63,24 +65,21 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodePoison, "backend servers end when they run this request, so it is sent to none (%s)", digest)
 }
 
-// begin registers a request, unless it is refused. The returned context is canceled if the request
-// is refused later.
+// begin registers a request, unless it is refused and no trial is due. The returned context is canceled if
+// the request is refused later.
 func (p *poisonRegistry) begin(ctx context.Context, in *inbound) (_ context.Context, finish func(), err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.syncView(p.h.opts.Feed.View())
-	for _, digest := range in.digests {
-		if p.mark(digest) == poison.Refused {
+	if refusals := p.refusals(in); len(refusals) > 0 {
+		if !p.claimTrials(ctx, in, refusals) {
 			p.h.metrics.poisonRefusals.Inc()
-			return ctx, nil, errPoison(digest)
+			return ctx, nil, refusals[0].reason
 		}
-	}
-	if digest, refused := p.refusedFor(in.call.PromptParts); refused {
-		p.h.metrics.poisonRefusals.Inc()
-		return ctx, nil, errPoisonParts(verdict.NotRun, digest)
+		in.asTrial(refusals)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	request := &activeRequest{in.call.PromptParts, cancel}
+	request := &activeRequest{in.call.PromptParts, in.trial, cancel}
 	keys := runningKeys(in)
 	for _, digest := range keys {
 		if p.running[digest] == nil {
@@ -94,6 +93,26 @@
 	}, nil
 }
 
+// poisonRefusal is a reason for which a request is refused.
+type poisonRefusal struct {
+	digest  string
+	ofParts bool  // of prompts with some parts, not of the request itself
+	reason  error // the answer to the caller
+}
+
+// refusals returns all refusals that apply to a request. The caller holds the lock.
+func (p *poisonRegistry) refusals(in *inbound) (list []poisonRefusal) {
+	for _, digest := range in.digests {
+		if p.mark(digest) == poison.Refused {
+			list = append(list, poisonRefusal{digest, false, errPoison(digest)})
+		}
+	}
+	for _, digest := range p.refusedFor(in.call.PromptParts) {
+		list = append(list, poisonRefusal{digest, true, errPoisonParts(verdict.NotRun, digest)})
+	}
+	return list
+}
+
 func (p *poisonRegistry) finish(digests []string, request *activeRequest) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -132,7 +151,7 @@
 		key, reason = partKeyPrefix+parts[0], errPoisonParts(verdict.MayHaveRun, digest)
 	}
 	for request := range p.running[key] {
-		if poison.ContainsAll(request.parts, parts) {
+		if !slices.Contains(request.trial, digest) && poison.ContainsAll(request.parts, parts) {
 			request.cancel(reason)
 		}
 	}
@@ -248,8 +267,11 @@
 }
 
 // recordCompletion clears a request that got a complete answer: other requests in progress crashed
-// its servers.
+// its servers. The refusals that it was a trial of are lifted.
 func (p *poisonRegistry) recordCompletion(in *inbound) {
+	for _, digest := range in.trial {
+		go p.lift(in.call.ID, digest)
+	}
 	for _, digest := range in.digests {
 		if !p.clearCounts(digest) {
 			continue
--- a/serve/forward/poison_test.go
+++ b/serve/forward/poison_test.go
@@ -37,3 +37,35 @@
 		})
 	}
 }
+
+// Guards against a lookup that is refused because all servers of its service crashed while it ran at each of them.
+func TestCrashOfWholeServiceIsNoEvidence(t *testing.T) {
+	withTestCluster(t, plainRoutes(), func(w *testCluster) {
+		slow := func(rw http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(time.Second):
+			case <-r.Context().Done():
+			}
+			respondProven("answer")(rw, r)
+		}
+		var servers []*fakeServer
+		for _, zone := range []string{"a", "b", "c"} {
+			servers = append(servers, w.add("old-"+zone, "desk", zone, slow))
+		}
+		for range 12 {
+			w.background(func() { w.request("POST", "/again/x", callerHeaders, "") })
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, s := range servers {
+			must.Positive(w.t, s.requestCount())
+			w.crash(s)
+		}
+		time.Sleep(5 * time.Second)
+		for _, zone := range []string{"a", "b", "c"} {
+			w.add("new-"+zone, "desk", zone, respondProven("answer"))
+			w.remove("server/old-" + zone)
+		}
+		time.Sleep(time.Second)
+		must.Eq(w.t, http.StatusOK, w.request("POST", "/again/x", callerHeaders, "").status)
+	})
+}
--- a/serve/forward/refusedparts.go
+++ b/serve/forward/refusedparts.go
@@ -58,17 +58,17 @@
 	}
 }
 
-// refusedFor returns the digest under which a prompt with the given parts is refused, if it is. The
-// caller holds the lock.
-func (p *poisonRegistry) refusedFor(parts []string) (digest string, refused bool) {
+// refusedFor returns the digests under which a prompt with the given parts is refused. The caller holds the
+// lock.
+func (p *poisonRegistry) refusedFor(parts []string) (digests []string) {
 	for _, part := range parts {
 		for _, s := range p.parts[part] {
 			if poison.ContainsAll(parts, s.parts) && p.mark(s.digest) == poison.Refused {
-				return s.digest, true
+				digests = append(digests, s.digest)
 			}
 		}
 	}
-	return "", false
+	return digests
 }
 
 // isPromptRefused reports whether a prompt with the given parts is refused.
@@ -76,8 +76,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.syncView(p.h.opts.Feed.View())
-	_, refused := p.refusedFor(parts)
-	return refused
+	return len(p.refusedFor(parts)) > 0
 }
 
 // refuse refuses prompts with some parts, tells all other daemons and writes the refusal to the store.
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -79,6 +79,7 @@
 	// digests identify the request across the caller's attempts, the most specific first. They
 	// are empty until the body is read.
 	digests  []string
+	trial    []string  // digests of the refusals that the request tests; empty for none
 	deadline time.Time // by the timeout of the caller or of the route
 }
 
--- a/serve/gateway/poison_test.go
+++ b/serve/gateway/poison_test.go
@@ -129,6 +129,64 @@
 	})
 }
 
+// refuseWrongly has a request to /once/1 refused because servers crash for other reasons.
+func (f *fleet) refuseWrongly(path string) {
+	for range crashesBeforeDetection {
+		f.background.Go(func() { f.send(0, path, "fine") })
+		time.Sleep(10 * time.Millisecond)
+		f.crashLastServerOf("/once/1")
+		time.Sleep(time.Second)
+	}
+	must.Eq(f.t, http.StatusBadGateway, f.send(4, path, "fine").status)
+}
+
+// Guards against a refusal that is wrong and never ends by itself, also over a restart of all daemons.
+func TestWrongRefusalEndsByItself(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		during     func(*fleet)
+	}{
+		{"calm", "/once/1", func(*fleet) {}},
+		{"with a query", "/once/1?n=1", func(*fleet) {}},
+		{"all daemons restart", "/once/1", (*fleet).restartAll},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, 7, func(f *fleet) {
+				f.startServers("desk", 9)
+				f.refuseWrongly(c.path)
+				c.during(f)
+				for n := range 13 {
+					time.Sleep(time.Second)
+					f.send(n%7, c.path, "fine")
+				}
+				for n := range 7 {
+					must.Eq(f.t, http.StatusOK, f.send(n, c.path, "fine").status)
+				}
+			})
+		})
+	}
+}
+
+// Guards against trials of a refused request that crash a server each time, at more than one daemon or again and again.
+func TestTrialsReachFewServers(t *testing.T) {
+	withFleet(t, 7, func(f *fleet) {
+		f.startServers("desk", 12)
+		f.crashUntilRefused("/again/1")
+		from := time.Now()
+		for n := range 15 * 60 {
+			time.Sleep(time.Second)
+			for d := range 2 {
+				f.background.Go(func() { f.send((n+3*d)%7, "/again/1", crashBody) })
+			}
+			if n == 100 {
+				f.restartAll()
+			}
+		}
+		f.background.Wait()
+		must.Eq(f.t, 2, f.arrivals("/again/1", from))
+	})
+}
+
 // Servers crash for other reasons while they run a call that is made often. The call must not be
 // refused as poisonous.
 func TestFrequentCallIsNotRefusedWhenServersCrash(t *testing.T) {
--- a/serve/gateway/poisonpart_test.go
+++ b/serve/gateway/poisonpart_test.go
@@ -274,3 +274,22 @@
 		})
 	}
 }
+
+// Guards against a refusal for a part that never ends by itself.
+func TestWrongRefusalOfPartEndsByItself(t *testing.T) {
+	withFleet(t, 7, func(f *fleet) {
+		f.startServers("llm", 12)
+		f.setCrashParts("bad")
+		l := &partLoad{f: f, daemons: 7}
+		l.crashPart("bad")
+		f.setCrashParts()
+		for range 15 {
+			l.send("common,bad", nil)
+			time.Sleep(time.Second)
+		}
+		for n := range 7 {
+			got := f.sendPrompt(n, fmt.Sprint("/stream/again", n), fmt.Sprint("common,bad,again", n), "again")
+			must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+		}
+	})
+}
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -52,6 +52,10 @@
 		"This daemon found that a part of prompts crashes the servers that begin to answer them. parts has more than one if they were always together. Prompts with all of them are refused under the digest from now on. servers crashed under requests different requests with them within span, and none kept running since. survived is set if servers were known to survive them before.", "service", "parts", "digest", "servers", "requests", "survived", "span")
 	PromptSuspect = define(276, "prompt_suspect", logrus.InfoLevel,
 		"A request whose server crashed when it began to answer is not sent again: servers crashed under other requests with a part of its prompt.", "request", "prompt", "parts", "account", "backend")
+	PoisonTried = define(277, "poison_tried", logrus.InfoLevel,
+		"A refused request, or a prompt with refused parts, is sent to one backend server to find out whether it still crashes servers, or the store call that claims this trial failed.", "request", "digest", "error")
+	PoisonLifted = define(278, "poison_lifted", logrus.WarnLevel,
+		"The trial of a refusal got a complete answer, so the refusal was removed from the store, or the removal failed.", "request", "digest", "error")
 	PoisonWritten = define(242, "poison_written", logrus.InfoLevel,
 		"A refused request was written to the store, or the write failed.", "digest", "error")
 	ServerLimitChanged = define(243, "server_limit_changed", logrus.InfoLevel,
