brittle: half of the daemons that are being served go on after another's rejection

Cause: of sixty daemons 17 have a part of one of the three servers. One that is rejected tells all, and all 43 then draw a time, 8 s on average, for which they send nothing, also those whose requests the servers were running. A server with room loses all of that load by one rejection, and the random times decide how much of it comes back within the 8 s. Change: a daemon that has a request at a server when it is told of another's rejection goes on with probability 1/2 and retreats as before otherwise. Its own rejection makes it retreat always, and idle ones do as before. The messages stay the same. Why it works: each message takes away a part of the load beside the parts, so that it settles near the room there is; and a daemon that found no room has no request there, so that without any room nothing changes. Tests: TestRejectionLeavesPartOfServedDaemons fails before (4 of 60 answered, 11 to 53 wanted).

--- a/decision/brittle/brittle.go
+++ b/decision/brittle/brittle.go
@@ -15,7 +15,8 @@
 // server has slots, chosen by rendezvous hashing. The parts of all daemons together are the slots, so
 // nothing is rejected. A daemon that has no part of any server sends single requests, and none for a
 // while after a rejection, its own or another daemon's: many such daemons together would have more
-// rejected than the servers survive before each has seen a rejection itself.
+// rejected than the servers survive before each has seen a rejection itself. Of those that the servers
+// are serving when another daemon's request is rejected, a part goes on.
 package brittle
 
 import (
@@ -33,6 +34,10 @@
 	// minRetreat is the shortest time, and maxRetreat the longest mean, for which a daemon without a
 	// part sends nothing after a rejection.
 	minRetreat, maxRetreat = time.Second, 10 * time.Second
+	// stayRatio is the part of the daemons that are being served without a part of any server that goes
+	// on after a rejection of another daemon's request. All of them would be too many where the servers
+	// have filled up meanwhile.
+	stayRatio = 0.5
 	// tellInterval is the least time between two messages to all daemons about rejections, and
 	// repeatInterval that between two that repeat the statement, from whichever of them. Without the
 	// latter, daemons of a large fleet would not know of it when their next request arrives.
@@ -109,6 +114,19 @@
 	s.retreatUntil = now.Add(max(time.Duration(2*draw*mean), minRetreat))
 }
 
+// RecordOtherRejection records that a server had no room for a request of another daemon, while this one
+// has so many requests in flight at the servers. Of the daemons that are being served, stayRatio stay, so
+// that one rejection takes away a part of their load and not all of it. The others retreat.
+func (s *Service) RecordOtherRejection(now time.Time, inFlight, daemons, servers int, draw float64) {
+	if inFlight > 0 {
+		if draw < stayRatio {
+			return
+		}
+		draw = (draw - stayRatio) / (1 - stayRatio)
+	}
+	s.RecordRejection(now, daemons, servers, draw)
+}
+
 // ShouldTell reports whether the other daemons are to be told that the servers are brittle, or that one
 // of them has rejected a request, and counts that as done.
 func (s *Service) ShouldTell(now time.Time, rejected bool) bool {
--- a/decision/brittle/brittle_test.go
+++ b/decision/brittle/brittle_test.go
@@ -104,3 +104,36 @@
 	must.True(t, s.ShouldTell(start.Add(tellInterval+repeatInterval), false))
 	must.False(t, s.ShouldTell(start.Add(time.Minute), false))
 }
+
+// Guards against a rejection that takes from servers with room the load of all daemons that they serve.
+func TestServedDaemonsStayAfterOtherRejection(t *testing.T) {
+	const fleet, servers = 1000, 3
+	random := rand.New(rand.NewPCG(1, 2))
+	// maySend returns how many of the daemons may send again at once after a rejection.
+	maySend := func(reject func(s *Service, draw float64)) (n int) {
+		for range fleet {
+			s := Service{limit: 5, statedAt: start}
+			reject(&s, random.Float64())
+			if s.MaySendWithoutPart(start, 0) {
+				n++
+			}
+		}
+		return n
+	}
+	other := func(inFlight int) func(*Service, float64) {
+		return func(s *Service, draw float64) { s.RecordOtherRejection(start, inFlight, fleet, servers, draw) }
+	}
+	must.Between(t, 0.45*fleet, float64(maySend(other(1))), 0.55*fleet)
+	must.Zero(t, maySend(other(0)))
+	must.Zero(t, maySend(func(s *Service, draw float64) { s.RecordRejection(start, fleet, servers, draw) }))
+}
+
+// Guards against daemons that leave after another's rejection and return sooner, or later, than idle ones.
+func TestServedDaemonsThatLeaveReturnAsIdleOnes(t *testing.T) {
+	for _, draw := range []float64{0, 0.25, 0.5, 0.75} {
+		var idle, served Service
+		idle.RecordOtherRejection(start, 0, 60, 3, draw)
+		served.RecordOtherRejection(start, 1, 60, 3, stayRatio+(1-stayRatio)*draw)
+		must.Eq(t, idle.retreatUntil, served.retreatUntil)
+	}
+}
--- a/serve/forward/brittle.go
+++ b/serve/forward/brittle.go
@@ -68,9 +68,9 @@
 	return s != nil && s.IsBrittle(now)
 }
 
-// recordRejection records that a server of a service had no room for a request of this daemon or of
-// another one, and reports whether the other daemons are to be told, and of which limit. fleet counts
-// the daemons and the servers; it is called only if the servers have stated that they are brittle.
+// recordRejection records that a server of a service had no room for a request of this daemon, and
+// reports whether the other daemons are to be told, and of which limit. fleet counts the daemons and the
+// servers; it is called only if the servers have stated that they are brittle.
 func (b *brittleServices) recordRejection(service string, fleet func(service string) (daemons, servers int)) (limit int, tell bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,6 +84,14 @@
 	return s.Limit(), s.ShouldTell(now, true)
 }
 
+// recordOtherRejection records that a server of a service had no room for a request of another daemon,
+// while this one has so many requests in flight there.
+func (b *brittleServices) recordOtherRejection(service string, inFlight, daemons, servers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	getOrCreate(b.services, service).RecordOtherRejection(time.Now(), inFlight, daemons, servers, rand.Float64())
+}
+
 // recordTold records that another daemon has told of the limit of a service's servers.
 func (b *brittleServices) recordTold(service string, limit int) {
 	b.mu.Lock()
@@ -112,16 +120,30 @@
 	if p.hasUsableWindow(now, l) {
 		return false
 	}
-	inFlight := 0
-	for _, load := range l.loads {
-		inFlight += load.inFlight()
-	}
-	return p.brittle.maySendWithoutPart(now, service, inFlight)
+	return p.brittle.maySendWithoutPart(now, service, l.inFlight())
 }
 
 // inFlight returns this daemon's requests at the server.
 func (l *serverLoad) inFlight() int { return int(l.calls.InFlight) + l.prefilling + l.running }
 
+// inFlight returns this daemon's requests at the servers of the set. The caller holds the pool's lock.
+func (l *serverSet) inFlight() (n int) {
+	for _, load := range l.loads {
+		n += load.inFlight()
+	}
+	return n
+}
+
+// inFlight returns this daemon's requests at the servers of a service.
+func (p *pool) inFlight(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l := p.serverSets[service]; l != nil {
+		return l.inFlight()
+	}
+	return 0
+}
+
 // unknownWindow marks a window that is not computed yet.
 const unknownWindow = -1
 
@@ -249,7 +271,8 @@
 	}
 	h.brittle.recordTold(service, int(min(max(q.GetLimit(), 0), math.MaxInt32)))
 	if q.GetRejected() {
-		h.brittle.recordRejection(service, h.comparisonOf)
+		daemons, servers := h.comparisonOf(service)
+		h.brittle.recordOtherRejection(service, h.pool.inFlight(service), daemons, servers)
 	}
 	return &peerpb.BrittleReply{}, nil
 }
--- a/serve/gateway/brittle_server_test.go
+++ b/serve/gateway/brittle_server_test.go
@@ -12,6 +12,8 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/external/standin/faultnet"
+	"mallowwind.dev/peer/link"
+	"mallowwind.dev/peer/peerpb"
 )
 
 const (
@@ -159,3 +161,60 @@
 		})
 	}
 }
+
+// tellOfRejection tells all daemons that another one had a request rejected by a brittle server.
+func (f *fleet) tellOfRejection(service string) {
+	q := &peerpb.BrittleRequest{Service: service, Limit: brittleLimit, Rejected: true}
+	for _, d := range f.daemons {
+		dialer := link.NewDialerWithClient(&http.Client{Transport: d.dialer})
+		_, err := peerpb.NewQuotaProtobufClient(dialer.URL(d.vm.PeerAddress), dialer.Client).Brittle(f.t.Context(), q)
+		must.NoError(f.t, err)
+	}
+}
+
+// sendToEach sends one call to each daemon at once and returns the number of those answered, once all
+// have ended.
+func (f *fleet) sendToEach(path string) func() int64 {
+	var answered atomic.Int64
+	for n := range len(f.daemons) {
+		f.background.Go(func() {
+			if r := f.send(n, path, "fine"); r.err == nil && r.status == http.StatusOK {
+				answered.Add(1)
+			}
+		})
+	}
+	return func() int64 {
+		f.background.Wait()
+		return answered.Load()
+	}
+}
+
+// Guards against one rejection that makes all daemons leave which the servers are serving.
+func TestRejectionLeavesPartOfServedDaemons(t *testing.T) {
+	const daemons, withPart = 60, 4 // of one server with four slots
+	for _, c := range []struct {
+		name        string
+		served      bool // when they are told
+		least, most int64
+	}{
+		{"idle", false, withPart, withPart},
+		{"served", true, withPart + (daemons-withPart)/8, daemons - (daemons-withPart)/8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFleet(t, daemons, func(f *fleet) {
+				f.startServers("desk", 1)
+				if c.served {
+					answered := f.sendToEach("/once/first")
+					time.Sleep(10 * time.Millisecond) // the server answers after 30 ms
+					f.tellOfRejection("desk")
+					must.Eq(f.t, daemons, answered())
+				} else {
+					f.tellOfRejection("desk")
+				}
+				answered := f.sendToEach("/once/second")()
+				t.Logf("%d of %d answered", answered, daemons)
+				must.Between(f.t, c.least, answered, c.most)
+			})
+		})
+	}
+}
