feed: a test for the grace of an entry VM whose removal is told twice

Cause: an entry VM that a restored store lacks is kept for the life of a lease (6 s), in which it registers again. Before a removal of a key that was not held any more was applied again. A second peer that told the same removal after the first entries of the era had been applied set the time anew, to the 2.5 s of an ordinary outage. A VM that renews its lease late was then forgotten for a while. Change: the test only.

--- a/control/feed/restore_test.go
+++ b/control/feed/restore_test.go
@@ -220,6 +220,26 @@
 	})
 }
 
+// Guards against an entry VM that is forgotten before it can register again, because a second peer tells of
+// its removal.
+func TestRepeatedRemovalDoesNotShortenGraceAfterRestore(t *testing.T) {
+	const vm = vmPrefix + "1"
+	for _, repeatedAfter := range []time.Duration{0, 100 * time.Millisecond, reregisterWindow, leaseTTL - time.Second} {
+		tab := newTable(textSchema{}, event.Discard())
+		tab.replaceAll(0, store.NewListing([]store.KV{testEntry(vm, `{"id":"1","address":"1:2"}`, 5)}, 7))
+		restored := store.VersionIn(1, 4)
+		tab.beginEra(time.Hour, restored)
+		tab.replaceAll(time.Hour, store.NewListing(nil, restored))
+		tab.entries.setComplete(restored)
+		tab.endRestoration(restored)
+		tab.applyEvents(time.Hour+repeatedAfter, []store.Event{deleteEvent(vm, restored+1)})
+		tab.expire(time.Hour + leaseTTL - time.Millisecond)
+		must.MapContainsKey(t, tab.vms, vm, must.Sprint(repeatedAfter))
+		tab.expire(time.Hour + leaseTTL)
+		must.MapEmpty(t, tab.vms, must.Sprint(repeatedAfter))
+	}
+}
+
 // Guards against a daemon that starts and takes a store restored earlier for one restored now.
 func TestFirstReadOfRestoredStoreKeepsNothing(t *testing.T) {
 	tab := newTable(textSchema{}, event.Discard())
