--- a/serve/gateway/rollout_test.go
+++ b/serve/gateway/rollout_test.go
@@ -281,15 +281,18 @@
 	}
 }
 
+// goodVersionCase is what happens during the rollout of a good version.
+type goodVersionCase struct {
+	name, service, path string
+	daemons, perSecond  int
+	restarts            bool // daemons are killed, so some callers get no response
+	during              func(*rolloutService)
+}
+
 // The rollout of a good version must be completed within its period. The servers of the previous
 // version stop at that moment and must have no requests in progress.
 func TestGoodVersionCompletesWithoutInterruptedRequests(t *testing.T) {
-	for _, c := range []struct {
-		name, service, path string
-		daemons, perSecond  int
-		restarts            bool // daemons are killed, so some callers get no response
-		during              func(*rolloutService)
-	}{
+	for _, c := range []goodVersionCase{
 		{"calls", "desk", "/once/", 7, callsPerSecond, false, func(*rolloutService) {}},
 		{"calls, forty daemons", "desk", "/once/", 40, callsPerSecond, false, func(*rolloutService) {}},
 		{"streams", "llm", "/stream/", 7, 8, false, func(*rolloutService) {}},
@@ -304,43 +307,54 @@
 			}
 		}},
 		{"no requests", "desk", "/once/", 7, 0, false, func(*rolloutService) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) { checkGoodVersion(t, c) })
+	}
+}
+
+// Guards against a good version that is rolled back because its servers are silent for a second in turn.
+func TestGoodVersionOfSilentServersCompletes(t *testing.T) {
+	for _, c := range []goodVersionCase{
 		{"servers of the version are silent in turn, calls", "desk", "/once/", 7, callsPerSecond, false, func(r *rolloutService) { r.silenceInTurn("v2", time.Second) }},
 		{"servers of the version are silent in turn, streams", "llm", "/stream/", 7, 8, false, func(r *rolloutService) { r.silenceInTurn("v2", time.Second) }},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			withRolloutService(t, c.daemons, c.service, func(r *rolloutService) {
-				var got *callCounts
-				loaded := make(chan struct{})
-				if c.perSecond > 0 {
-					go func() {
-						defer close(loaded)
-						got = r.f.load(c.path, c.perSecond, rolloutPeriod+2*time.Second)
-					}()
-				} else {
-					close(loaded)
-				}
-				time.Sleep(500 * time.Millisecond)
-				r.startRollout("v2", rolloutPeriod, 4)
-				r.f.background.Go(func() { c.during(r) })
-				stage, after := r.awaitEnd("v1", rolloutPeriod+time.Second)
-				<-loaded
-				t.Logf("%v after %v", stage, after)
-				test.Eq(t, rollout.Completed, stage)
-				test.LessEq(t, rolloutPeriod, after)
-				time.Sleep(3 * time.Second)
-				synctest.Wait()
-				switch {
-				case got == nil:
-				case c.restarts:
-					test.GreaterEq(t, got.sent.Load()*95/100, got.answered.Load())
-				default:
-					test.Eq(t, got.sent.Load(), got.answered.Load())
-				}
-			})
-		})
+		t.Run(c.name, func(t *testing.T) { checkGoodVersion(t, c) })
 	}
 }
 
+// checkGoodVersion checks that the rollout of a good version is completed and interrupts no request.
+func checkGoodVersion(t *testing.T, c goodVersionCase) {
+	withRolloutService(t, c.daemons, c.service, func(r *rolloutService) {
+		var got *callCounts
+		loaded := make(chan struct{})
+		if c.perSecond > 0 {
+			go func() {
+				defer close(loaded)
+				got = r.f.load(c.path, c.perSecond, rolloutPeriod+2*time.Second)
+			}()
+		} else {
+			close(loaded)
+		}
+		time.Sleep(500 * time.Millisecond)
+		r.startRollout("v2", rolloutPeriod, 4)
+		r.f.background.Go(func() { c.during(r) })
+		stage, after := r.awaitEnd("v1", rolloutPeriod+time.Second)
+		<-loaded
+		t.Logf("%v after %v", stage, after)
+		test.Eq(t, rollout.Completed, stage)
+		test.LessEq(t, rolloutPeriod, after)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		switch {
+		case got == nil:
+		case c.restarts:
+			test.GreaterEq(t, got.sent.Load()*95/100, got.answered.Load())
+		default:
+			test.Eq(t, got.sent.Load(), got.answered.Load())
+		}
+	})
+}
+
 // Guards against a version whose servers accept no connections for good and which is not judged for that.
 func TestSilentVersionIsRolledBack(t *testing.T) {
 	for name, soundFor := range map[string]time.Duration{"from its start": 0, "later": 3 * time.Second} {
