--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -40,21 +40,9 @@
 	if errors.Is(cause, errResponseLost) {
 		r.heldCopy = a.runCopy() // the prompt was prefilled, so the copy exists
 	}
-	outcome, isFirst := takeover.Rejected, true
-	for outcome == takeover.Rejected && (isFirst || takeover.ResendDelay(r.rejections) == 0) {
-		isFirst = false
-		var next *attempt
-		if outcome, next = r.prepareTakeover(ctx, a, cause); next == nil {
-			break
-		}
-		if outcome = r.awaitTakeover(ctx, a, next, cause); outcome == takeover.TakenOver {
-			r.discardPending(a)
-			r.replacement, r.releasedSilent = next, !errors.Is(cause, errResponseLost)
-			return true
-		}
-	}
-	if outcome == takeover.Rejected {
-		outcome = takeover.NoCapacity // several servers in a row
+	outcome := r.moveElsewhere(ctx, a, cause)
+	if outcome == takeover.TakenOver {
+		return true
 	}
 	evidence, shownFor := takeover.NoEvidence, time.Duration(0)
 	if takeover.IsExhausted(outcome, time.Since(r.lastEventAt)) {
@@ -66,6 +54,28 @@
 	return r.cannotContinue
 }
 
+// moveElsewhere requests the response of a stalled attempt from one server after the other until one continues
+// it, and sets r.replacement then. Once several in a row have rejected it, it tries one server.
+func (r *relay) moveElsewhere(ctx context.Context, a *attempt, cause error) takeover.Outcome {
+	for {
+		outcome, next := r.prepareTakeover(ctx, a, cause)
+		if next == nil {
+			return outcome
+		}
+		outcome = r.awaitTakeover(ctx, a, next, cause)
+		switch {
+		case outcome == takeover.TakenOver:
+			r.discardPending(a)
+			r.replacement, r.releasedSilent = next, !errors.Is(cause, errResponseLost)
+			return outcome
+		case outcome != takeover.Rejected:
+			return outcome
+		case takeover.ResendDelay(r.rejections) > 0:
+			return takeover.NoCapacity
+		}
+	}
+}
+
 // prepareTakeover finds a server that may continue a stalled attempt and sends the request to it,
 // unless the stalled server responds first. The relay's own goroutine waits for one of the two
 // here, so that the goroutine that looks for a server may write to the relay.
