forward, soak: waits by pause.For, one check for a listed server, one body for twin tests

Read through once more. Two loops waited by hand where pause.For does; the evidence of a server's end looked up its registration beside isListed; two tests of moved answers and two of harmless plans had the same body. All assertions and figures of the tests are as they were. Two tests that had three lines of comment have one.

Behaviour is unchanged.

--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -77,32 +77,25 @@
 	}
 }
 
-// Guards against failures caused by planned changes, singly and overlapping: any failure that a
-// caller sees is a violation.
-func TestRandomPlannedChanges(t *testing.T) {
+// runHarmless plays plans, none of whose steps may make a request fail.
+func runHarmless(t *testing.T, draw func(seed uint64, length time.Duration) Plan) {
+	t.Helper()
 	length, callers := runSize()
 	for i := range uint64(*planned) {
 		seed := *first + i
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			r := inVirtualTime(t, Options{Plan: DrawPlanned(seed, length), Callers: callers})
+			r := inVirtualTime(t, Options{Plan: draw(seed, length), Callers: callers})
 			t.Log(r.Counts)
 			must.NoError(t, r.Err())
 		})
 	}
 }
 
+// Guards against failures caused by planned changes, singly and overlapping: any failure that a
+// caller sees is a violation.
+func TestRandomPlannedChanges(t *testing.T) { runHarmless(t, DrawPlanned) }
+
 // Guards against failures caused by sound servers that are silent for a moment and go on, during
 // planned changes: any failure that a caller sees is a violation.
-func TestRandomSilentServers(t *testing.T) {
-	length, callers := runSize()
-	for i := range uint64(*planned) {
-		seed := *first + i
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			r := inVirtualTime(t, Options{Plan: DrawSilent(seed, length), Callers: callers})
-			t.Log(r.Counts)
-			must.NoError(t, r.Err())
-		})
-	}
-}
+func TestRandomSilentServers(t *testing.T) { runHarmless(t, DrawSilent) }
--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -129,7 +129,7 @@
 	case errors.Is(err, errRestarted), !sent.IsTimeout(err) && r.h.serverStateAt(server.Address) == sent.ServerExited:
 		return takeover.Exited, a.silentFor()
 	}
-	if _, listed := view.Servers[r.service].Get(server.ID); !listed && view.HasDeparted(server.ID) {
+	if !r.h.isListed(server) && view.HasDeparted(server.ID) {
 		return takeover.Unregistered, a.silentFor()
 	}
 	return takeover.NoEvidence, 0
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/external/sent"
@@ -147,12 +148,7 @@
 func (h *Handler) awaitProcessState(ctx context.Context, s routing.Server) sent.ServerState {
 	for {
 		state := h.processState(s)
-		if state != sent.ServerUnknown || !h.isListed(s) {
-			return state
-		}
-		select {
-		case <-time.After(recoveryPollInterval):
-		case <-ctx.Done():
+		if state != sent.ServerUnknown || !h.isListed(s) || !pause.For(ctx, recoveryPollInterval) {
 			return state
 		}
 	}
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/outage"
 	"mallowwind.dev/decision/retryafter"
@@ -236,9 +237,7 @@
 	if x.pending > 0 || !o.notRun || len(x.silent) == 0 || !time.Now().Before(x.h.silentUntil(x.in)) {
 		return false
 	}
-	select {
-	case <-time.After(recoveryPollInterval):
-	case <-ctx.Done():
+	if !pause.For(ctx, recoveryPollInterval) {
 		return false
 	}
 	x.tried = slices.DeleteFunc(x.tried, func(tried routing.Incarnation) bool { return slices.Contains(x.silent, tried) })
--- a/serve/forward/silentserver_test.go
+++ b/serve/forward/silentserver_test.go
@@ -70,40 +70,10 @@
 	}
 }
 
-// Guards against cutting an answer that was moved off a silent server when the next one rejects it.
-func TestAnswerMovedOffSilentServerSurvivesLateRejection(t *testing.T) {
-	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var begun atomic.Int32
-		var full atomic.Bool
-		full.Store(true)
-		handle := func(rw http.ResponseWriter, r *http.Request) {
-			switch {
-			case begun.Add(1) == 1:
-				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
-			case full.Load():
-				sleep(r, 600*time.Millisecond)
-				rw.Header().Set(hNotRun, "1")
-				rw.WriteHeader(http.StatusServiceUnavailable)
-			default:
-				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
-			}
-		}
-		for _, id := range []string{"a", "b", "c", "d"} {
-			w.add("e-"+id, "llm", id, handle)
-		}
-		w.background(func() { w.silenceRunner(1500*time.Millisecond, 2*time.Second) })
-		w.background(func() {
-			time.Sleep(6 * time.Second)
-			full.Store(false)
-		})
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(w.t, got.err)
-		must.Eq(w.t, events(1, 60), got.body)
-	})
-}
-
-// Guards against cutting an answer that was moved off a silent server while a full service rejects at once.
-func TestAnswerMovedOffSilentServerSurvivesFullService(t *testing.T) {
+// checkMoved checks that an answer is whole that is moved off a silent server while all others are full for a
+// time. isLate says which requests, counted from 1, a full server rejects late.
+func checkMoved(t *testing.T, fullFor time.Duration, isLate func(n int32) bool) {
+	t.Helper()
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		var begun atomic.Int32
 		var full atomic.Bool
@@ -114,7 +84,7 @@
 				streamEvents(60, time.Second, 40*time.Millisecond)(rw, r)
 				return
 			}
-			if n == 2 {
+			if isLate(n) {
 				sleep(r, 600*time.Millisecond)
 			}
 			rw.Header().Set(hNotRun, "1")
@@ -125,7 +95,7 @@
 		}
 		w.background(func() { w.silenceRunner(1500*time.Millisecond, 2*time.Second) })
 		w.background(func() {
-			time.Sleep(12 * time.Second)
+			time.Sleep(fullFor)
 			full.Store(false)
 		})
 		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
@@ -134,6 +104,16 @@
 	})
 }
 
+// Guards against cutting an answer that was moved off a silent server when the next one rejects it.
+func TestAnswerMovedOffSilentServerSurvivesLateRejection(t *testing.T) {
+	checkMoved(t, 6*time.Second, func(int32) bool { return true })
+}
+
+// Guards against cutting an answer that was moved off a silent server while a full service rejects at once.
+func TestAnswerMovedOffSilentServerSurvivesFullService(t *testing.T) {
+	checkMoved(t, 12*time.Second, func(n int32) bool { return n == 2 })
+}
+
 // Guards against ending an answer in its prefill because its server leaves and is silent for a moment.
 func TestLeavingServerSilentDuringPrefillKeepsAnswer(t *testing.T) {
 	route := streamRoute()
--- a/serve/forward/takeover_test.go
+++ b/serve/forward/takeover_test.go
@@ -232,9 +232,7 @@
 	}
 }
 
-// An engine becomes unreachable during a stream, and its registration ends. Others respond, but the route
-// permits no further run, so the response cannot continue at this daemon. The connection must be closed
-// early, so that the caller can resume elsewhere instead of waiting until its deadline.
+// Guards against a caller that waits until its deadline for an engine that is gone, while no run is left.
 func TestStreamOfDeadEngineIsTruncatedWithoutRetries(t *testing.T) {
 	route := streamRoute()
 	route[0].MaxAttempts = 1
@@ -296,9 +294,7 @@
 	})
 }
 
-// An engine becomes unreachable during a stream, its registration ends, and all others reject the request
-// because they are full. No untried server is left, so the request must end within seconds instead of
-// at the caller's deadline.
+// Guards against a caller that waits until its deadline for an engine that is gone, while all others are full.
 func TestStreamOfUnreachableEngineEndsWhenOthersReject(t *testing.T) {
 	for _, n := range []int{2, 4, 7} {
 		withTestCluster(t, streamRoute(), func(w *testCluster) {
