--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -148,3 +148,10 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// pid returns the id of the running process.
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cmd.Process.Pid
+}
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -95,6 +96,7 @@
 	r.mu.Unlock()
 	defer r.done(id)
 	r.site.rec.add("replica %s runs %s %s, id %s", r.entry.id, q.Method, q.RequestURI, id)
+	_, _ = io.Copy(io.Discard, q.Body)
 	r.slots <- struct{}{}
 	defer func() { <-r.slots }()
 	select {
