--- a/review/standin-2/case_memory.go
+++ b/review/standin-2/case_memory.go
@@ -15,14 +15,14 @@
 const (
 	// usualUploads is the number of uploads under way at each daemon at usual times, and burstUploads what
 	// a burst adds: 1.7 times the usual traffic, as in the site file.
-	usualUploads, burstUploads = 38, 26
+	usualUploads, burstUploads = 41, 28
 	// uploadBytes is the length of a body, below body_bytes (4194304).
 	uploadBytes = 4_000_000
 	// uploadWork is how long a replica works on an upload.
-	uploadWork    = 4 * time.Second
+	uploadWork    = 2500 * time.Millisecond
 	uploadTimeout = 20 * time.Second
 	// burstLength and usualLength are the lengths of the burst and of the times before and after it.
-	burstLength, usualLength = 6 * time.Second, 9 * time.Second
+	burstLength, usualLength = 3 * time.Second, 9 * time.Second
 	// memoryMB is memory_mb of the settings.
 	memoryMB = 284
 	// allowedLost is how many requests from kept channels may be lost.
