--- a/review/standin-2/case_memory.go
+++ b/review/standin-2/case_memory.go
@@ -18,6 +18,8 @@
 	usualUploads, burstUploads = 41, 28
 	// uploadBytes is the length of a body, below body_bytes (4194304).
 	uploadBytes = 4_000_000
+	// uploadSlots is how many uploads a replica registers that it processes at once, and does.
+	uploadSlots = 32
 	// uploadWork is how long a replica works on an upload.
 	uploadWork    = 2500 * time.Millisecond
 	uploadTimeout = 20 * time.Second
@@ -41,11 +43,11 @@
 	defer s.close()
 	var replicas []*replica
 	for i := range 6 {
-		r, err := s.newReplica(fmt.Sprintf("i-7f3a91c%d", i), "wuno96b", i)
+		r, err := s.newReplicaOf(fmt.Sprintf("i-7f3a91c%d", i), "wuno96b", i, uploadSlots)
 		if err != nil {
 			return false, err
 		}
-		r.work, r.slots = uploadWork, make(chan struct{}, 4*usualUploads)
+		r.work = uploadWork
 		replicas = append(replicas, r)
 	}
 	state := deskState(0, 600)
--- a/review/standin-2/case_slowreader.go
+++ b/review/standin-2/case_slowreader.go
@@ -22,7 +22,7 @@
 
 func init() { cases["slowreader"] = playSlowReader }
 
-// playSlowReader: a replica crashes in the middle of answers without a length, which clients read
+// playSlowReader: one of three replicas crashes in the middle of answers without a length, which clients read
 // slowly, and starts again at its address.
 func playSlowReader(rec *record, home string, trouble bool) (bool, error) {
 	s, err := newSite(rec, home, 2, staleReads)
@@ -30,22 +30,27 @@
 		return false, err
 	}
 	defer s.close()
-	address, err := s.replicaAddress()
-	if err != nil {
-		return false, err
-	}
-	e := entry{id: "i-7f3a91c2", service: "wuno96b", address: address, zone: zone(0), slots: 6}
-	first, err := startReplicaProcess(rec, e, exportLines, exportRate)
-	if err != nil {
-		return false, err
-	}
+	// One replica in each zone; one of the three crashes, the least that can.
 	var mu sync.Mutex
-	current := &e
+	current := make([]*entry, 3)
+	processes := make([]*replicaProcess, len(current))
+	for n := range current {
+		address, err := s.replicaAddress()
+		if err != nil {
+			return false, err
+		}
+		current[n] = &entry{id: fmt.Sprintf("i-7f3a91c%d", n), service: "wuno96b", address: address, zone: zone(n), slots: 6}
+		if processes[n], err = startReplicaProcess(rec, *current[n], exportLines, exportRate); err != nil {
+			return false, err
+		}
+	}
 	beat := func() {
 		mu.Lock()
 		defer mu.Unlock()
-		if current != nil {
-			s.register(current)
+		for _, e := range current {
+			if e != nil {
+				s.register(e)
+			}
 		}
 	}
 	beat()
@@ -68,19 +73,26 @@
 	}
 	time.Sleep(crashAfter)
 	if trouble {
+		busiest := 0
+		for n, p := range processes {
+			if p.runs.Load() > processes[busiest].runs.Load() {
+				busiest = n
+			}
+		}
 		mu.Lock()
-		current = nil
+		old := *current[busiest]
+		current[busiest] = nil
 		mu.Unlock()
-		first.kill()
-		time.AfterFunc(3*heartbeat, func() { s.store.remove(name("servers") + e.id) })
+		processes[busiest].kill()
+		time.AfterFunc(3*heartbeat, func() { s.store.remove(name("servers") + old.id) })
 		time.Sleep(downTime)
-		next := e
+		next := old
 		next.id = "i-02d9e6b4"
 		if _, err := startReplicaProcess(rec, next, exportLines, exportRate); err != nil {
 			return false, err
 		}
 		mu.Lock()
-		current = &next
+		current[busiest] = &next
 		mu.Unlock()
 		beat()
 	}
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -30,13 +30,18 @@
 }
 
 func (s *site) newReplica(id, service string, index int) (*replica, error) {
+	return s.newReplicaOf(id, service, index, 6)
+}
+
+// newReplicaOf starts a replica that registers slots and processes as many requests at once.
+func (s *site) newReplicaOf(id, service string, index, slots int) (*replica, error) {
 	address, err := s.replicaAddress()
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		site: s, entry: entry{id: id, service: service, address: address, zone: zone(index), slots: 6}, work: 15 * time.Millisecond,
-		slots: make(chan struct{}, 6), running: map[string]bool{}, stop: make(chan struct{}),
+		site: s, entry: entry{id: id, service: service, address: address, zone: zone(index), slots: slots}, work: 15 * time.Millisecond,
+		slots: make(chan struct{}, slots), running: map[string]bool{}, stop: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/review/standin-2/replicaprocess.go
+++ b/review/standin-2/replicaprocess.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,7 @@
 	rec   *record
 	entry entry
 	cmd   *exec.Cmd
+	runs  atomic.Int64 // requests that it has begun
 }
 
 // startReplicaProcess starts a replica whose answers have the given number of lines, made at a rate per
@@ -39,12 +41,16 @@
 		return nil, err
 	}
 	trackProcess(cmd)
+	r := &replicaProcess{rec: rec, entry: e, cmd: cmd}
 	started := make(chan struct{})
 	go func() {
 		s := bufio.NewScanner(out)
 		var once sync.Once
 		for s.Scan() {
 			rec.add("replica %s: %s", e.id, s.Text())
+			if strings.HasPrefix(s.Text(), "runs ") {
+				r.runs.Add(1)
+			}
 			once.Do(func() { close(started) })
 		}
 	}()
@@ -53,7 +59,7 @@
 	case <-time.After(5 * time.Second):
 		return nil, fmt.Errorf("replica %s did not start", e.id)
 	}
-	return &replicaProcess{rec, e, cmd}, nil
+	return r, nil
 }
 
 // kill ends the process at once.
