--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -18,6 +18,7 @@
 	sends             *prometheus.CounterVec
 	segments          *prometheus.CounterVec
 	segmentsKept      *prometheus.CounterVec
+	leftRuns          *prometheus.CounterVec
 	firstEventSeconds prometheus.Histogram
 	resumeSeconds     prometheus.Histogram
 	retriesDenied     prometheus.Counter
@@ -64,6 +65,7 @@
 		sends:              prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
 		segments:           prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
 		segmentsKept:       prometheus.NewCounterVec(counter("stream_legs_kept_total", "Silent backend servers that kept their stream, by why it did not go on at another."), []string{"reason"}),
+		leftRuns:           prometheus.NewCounterVec(counter("left_runs_total", "Runs that their stream left before they ended, by how its segment ended and what the backend server reported of the run afterwards."), []string{"end", "state"}),
 		firstEventSeconds:  prometheus.NewHistogram(histogram("stream_first_seconds", "Time from a request's arrival to the first event of its stream.")),
 		resumeSeconds:      prometheus.NewHistogram(histogram("stream_resume_seconds", "Pause in a stream that went on at another backend server.")),
 		retriesDenied:      prometheus.NewCounter(counter("repeats_denied_total", "Sends that the shared budget of repeats did not afford.")),
@@ -91,7 +93,7 @@
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
 	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds, m.pacedPlacements)
-	metric.Register(r, m.answers, m.answerSeconds, m.truncated, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
+	metric.Register(r, m.answers, m.answerSeconds, m.truncated, m.sends, m.segments, m.segmentsKept, m.leftRuns, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
 }
 
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -117,6 +117,14 @@
 // awaitTakeover waits until the stalled server or the next one responds, and decides which of them
 // continues the response. It ends the next attempt if the stalled server does.
 func (r *relay) awaitTakeover(ctx context.Context, a, next *attempt, cause error) takeover.Outcome {
+	sentAt := time.Now()
+	outcome := r.chooseServer(ctx, a, next, cause)
+	r.h.opts.Log.Emit(event.TakeoverEnded, r.in.call.ID, a.target.server.ID, next.target.server.ID, outcome.String(), time.Since(sentAt), cause)
+	return outcome
+}
+
+// chooseServer is awaitTakeover without its log line.
+func (r *relay) chooseServer(ctx context.Context, a, next *attempt, cause error) takeover.Outcome {
 	stalledState, nextState := takeover.Silent, takeover.Silent
 	overlap := time.NewTimer(time.Hour)
 	defer overlap.Stop()
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -114,6 +114,10 @@
 		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
 	StreamAwaitsServer = define(293, "stream_awaits_server", logrus.InfoLevel,
 		"No backend server can continue a stream that has begun now. Another look follows after the delay, as long as the stream can be completed in time.", "request", "error", "rejections", "delay", "after", "quiet")
+	RunLeft = define(294, "run_left", logrus.InfoLevel,
+		"A stream left a run at a backend server before the run's end. state is what the server reported of the run a moment later: ended, working, exited if its process has exited, or unknown if it did not answer; generated is the number of events of a run that it works on. end and error say how the stream's segment ended.", "request", "backend", "end", "state", "generated", "error")
+	TakeoverEnded = define(295, "takeover_ended", logrus.InfoLevel,
+		"A second backend server had received the request of a silent stream, and one of the two was released. reason says which: taken_over if the silent one was. both is how long the two held the request, error why the stream was to go on elsewhere.", "request", "backend", "next", "reason", "both", "error")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
