forward: two engines at work on one answer, reproduced in three forms

Callers see nothing; two engines generate one answer, for seconds.

* where the second engine has begun and needs 1.2 s for its first event, the first, silent but answering probes, is kept for all of that time (the wait has no bound).

400 ms are allowed.

--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -24,6 +24,7 @@
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/retrybudget"
+	"mallowwind.dev/decision/takeover"
 	"mallowwind.dev/external/standin/faultnet"
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
@@ -132,6 +133,23 @@
 
 func (testCodec) DropPath(handle string) string { return "/drop/" + handle }
 
+func (testCodec) StopRequest(id, target string) (string, []byte, error) {
+	return "/stop/" + id, []byte(target), nil
+}
+
+// ParseStopReply reads the handle from the body. An engine that cannot stop runs answers with status 501.
+func (testCodec) ParseStopReply(status int, body []byte) (takeover.StopResult, string) {
+	switch status {
+	case http.StatusOK:
+		return takeover.StoppedCopied, string(body)
+	case http.StatusServiceUnavailable:
+		return takeover.StoppedKept, string(body)
+	case http.StatusNotFound:
+		return takeover.NotRunning, ""
+	}
+	return takeover.StopRefused, ""
+}
+
 // testSchema stores servers as JSON. It decodes the configuration of the stored name, or the first
 // one if there is none of that name.
 type testSchema struct {
@@ -170,13 +188,15 @@
 	copyTargets    []string      // targets of replicas made on demand
 	freedCopies    []string      // handles of freed replicas
 	copiesToRefuse int           // number of copy calls that it still refuses
-	received       []*http.Request
-	receivedAt     []time.Time
-	handle         http.HandlerFunc
-	override       http.HandlerFunc // answers everything if it is set
-	http           *http.Server
-	cacheRequests  int // number of cache requests
-	probes         int // number of status requests
+	// stopRun stops a run; nil if the server does not stop runs on request.
+	stopRun       func(id string) (status int, handle string)
+	received      []*http.Request
+	receivedAt    []time.Time
+	handle        http.HandlerFunc
+	override      http.HandlerFunc // answers everything if it is set
+	http          *http.Server
+	cacheRequests int // number of cache requests
+	probes        int // number of status requests
 }
 
 // dial connects to a fake server by its address.
@@ -268,6 +288,15 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if id, ok := strings.CutPrefix(r.URL.Path, "/stop/"); ok {
+		status, handle := http.StatusNotImplemented, ""
+		if s.stopRun != nil {
+			status, handle = s.stopRun(id)
+		}
+		w.WriteHeader(status)
+		fmt.Fprint(w, handle)
+		return true
+	}
 	if strings.HasPrefix(r.URL.Path, "/move/") && s.copiesToRefuse > 0 {
 		s.copiesToRefuse--
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/serve/forward/tworuns_test.go
@@ -0,0 +1,150 @@
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// maxTwoRuns is how long an engine may go on with a run that another engine continues.
+const maxTwoRuns = 400 * time.Millisecond
+
+// engineRun is a run as its engine sees it. It ends when it is complete or the engine is asked to stop it, not
+// when its connection is closed.
+type engineRun struct {
+	engine       string
+	began, ended time.Time
+	stop, over   chan struct{} // closed when it is asked to stop, and when it has ended
+}
+
+// runRecord holds the runs of one request in the order in which they began.
+type runRecord struct {
+	mu   sync.Mutex
+	runs []*engineRun
+}
+
+// begin records that an engine begins a run, which ends after a time unless it is stopped.
+func (r *runRecord) begin(s *fakeServer, length time.Duration) *engineRun {
+	run := &engineRun{engine: s.server.ID, began: time.Now(), stop: make(chan struct{}), over: make(chan struct{})}
+	r.mu.Lock()
+	r.runs = append(r.runs, run)
+	r.mu.Unlock()
+	s.setRuns(callerHeaders[hID])
+	s.mu.Lock()
+	s.stopRun = func(string) (int, string) {
+		s.stopRun = func(string) (int, string) { return http.StatusNotFound, "" }
+		close(run.stop)
+		return http.StatusOK, "h-" + s.server.ID
+	}
+	s.mu.Unlock()
+	go func() {
+		select {
+		case <-run.stop:
+		case <-time.After(length):
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		run.ended = time.Now()
+		close(run.over)
+		s.setRuns("")
+	}()
+	return run
+}
+
+// longestTwoRuns returns how long an engine went on at most after the next one had begun.
+func (r *runRecord) longestTwoRuns() (longest time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, run := range r.runs[:max(0, len(r.runs)-1)] {
+		longest = max(longest, run.ended.Sub(r.runs[i+1].began))
+	}
+	return longest
+}
+
+// runLength is how long an engine in these tests goes on with a run whose connection is closed.
+const runLength = 3 * time.Second
+
+// Guards against two engines that work on one response because the first, which is silent, does not notice that
+// its connection is closed.
+func TestSilentRunIsStoppedBeforeResponseContinues(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var record runRecord
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			run := record.begin(w.servers[r.Header.Get(hServer)], runLength)
+			if r.Header.Get(hCopyAt) != "" {
+				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
+				return
+			}
+			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
+			<-run.over
+			panic(http.ErrAbortHandler)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 20), got.body)
+		time.Sleep(runLength)
+		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+	})
+}
+
+// Guards against two engines that work on one response because the connection to the first broke and its run
+// did not.
+func TestRunIsStoppedAfterItsConnectionBroke(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var record runRecord
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			record.begin(w.servers[r.Header.Get(hServer)], runLength)
+			if r.Header.Get(hCopyAt) != "" {
+				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
+				return
+			}
+			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
+			panic(http.ErrAbortHandler)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 20), got.body)
+		time.Sleep(runLength)
+		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+	})
+}
+
+// Guards against two engines that work on one response because the second needs long for its first event, and
+// the first is silent but answers probes.
+func TestSilentRunEndsWhileNextOneIsSlow(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var mu sync.Mutex
+		var secondBegan, firstEnded time.Time
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			s := w.servers[r.Header.Get(hServer)]
+			s.setRuns(callerHeaders[hID])
+			if r.Header.Get(hCopyAt) != "" {
+				mu.Lock()
+				secondBegan = time.Now()
+				mu.Unlock()
+				sleep(r, 1200*time.Millisecond)
+				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
+				return
+			}
+			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
+			sleep(r, runLength)
+			mu.Lock()
+			firstEnded = time.Now()
+			mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 20), got.body)
+		must.LessEq(t, maxTwoRuns, firstEnded.Sub(secondBegan))
+	})
+}
