forward: a silent server is released once the next one runs the request

Cause: AfterOverlap waited without a bound as long as the silent engine answered probes, because an event of the second was expected at once if it ran the request. A slow engine has begun long before its first event. What counts is now whether the second engine reports that it runs the request: then the first is released; before that nobody works twice, and the wait goes on. Both are asked every 100 ms, so a run is seen within 250 ms, the lag of a report included.

--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -52,9 +52,12 @@
 	// MaxLinkStall is the longest time for which silence is attributed to the daemon's own link.
 	MaxLinkStall = 2 * time.Second
 	// MaxOverlap is how long two engines may hold the request of one response while the silent one
-	// sends nothing. It is longer than one step of a batch that also processes a prompt, and
+	// does not answer either. It is longer than one step of a batch that also processes a prompt, and
 	// shorter than the time within which an abandoned run must have ended.
 	MaxOverlap = 250 * time.Millisecond
+	// OverlapCheckInterval is how often both engines are probed while they hold the request. With the lag
+	// of a report, a run that has begun is seen within MaxOverlap.
+	OverlapCheckInterval = 100 * time.Millisecond
 )
 
 // MaxSilence returns how long a response may be silent. gapTarget is the route's target for the
@@ -141,16 +144,25 @@
 	return onOverlap
 }
 
-// AfterOverlap returns what the daemon does with two servers that both hold the request and have sent
-// nothing for MaxOverlap. Both were probed since. If the silent server answers the probe, the daemon's link
-// works, and a response of the other server would have arrived if it ran the request. If neither answers,
-// the link is assumed to be held up, for at most MaxLinkStall; then both servers are silent, and the first
-// one's run is further ahead.
-func AfterOverlap(silentAnswers, otherAnswers bool, waited time.Duration) Action {
+// OverlapReports is what probes of two servers that both hold the request show.
+type OverlapReports struct {
+	SilentAnswers bool // the silent server answers
+	OtherAnswers  bool // the other server answers
+	OtherRuns     bool // the other server reports that it has begun the request
+}
+
+// AfterOverlap returns what the daemon does with two servers that have held the request for the given time and
+// have sent nothing. Once the other server runs the request, the silent one is released, for only one of them may
+// work on it. Before that, the silent one keeps the response while it answers. If neither answers, the daemon's
+// link is assumed to be held up, for at most MaxLinkStall; then both servers are silent, and the first one's run
+// is further ahead.
+func AfterOverlap(r OverlapReports, waited time.Duration) Action {
 	switch {
-	case silentAnswers:
+	case r.OtherRuns:
+		return Switch
+	case r.SilentAnswers, waited < MaxOverlap:
 		return Wait
-	case otherAnswers:
+	case r.OtherAnswers:
 		return Switch
 	case waited >= MaxLinkStall:
 		return Keep
--- a/decision/takeover/takeover_test.go
+++ b/decision/takeover/takeover_test.go
@@ -125,23 +125,26 @@
 	}
 }
 
-// Two servers hold one request and send nothing. The first one is released only for one that answers, and
-// keeps the response if both are silent for longer than the daemon's link may be at fault.
+// Two servers hold one request and send nothing. The first one is released once the other one runs the request, or
+// for one that answers, and keeps the response if both are silent for longer than the daemon's link may be at fault.
 func TestAfterOverlap(t *testing.T) {
 	for _, c := range []struct {
-		name          string
-		silent, other bool // whether they answer a probe
-		waited        time.Duration
-		want          Action
+		name    string
+		reports OverlapReports
+		waited  time.Duration
+		want    Action
 	}{
-		{"both answer", true, true, MaxOverlap, Wait},
-		{"only the first answers", true, false, MaxLinkStall, Wait},
-		{"the first does not answer", false, true, MaxOverlap, Switch},
-		{"the link is stalled", false, false, MaxOverlap, Wait},
-		{"both are silent for long", false, false, MaxLinkStall, Keep},
+		{"both answer, the other has not begun", OverlapReports{SilentAnswers: true, OtherAnswers: true}, time.Hour, Wait},
+		{"both answer, the other runs it", OverlapReports{SilentAnswers: true, OtherAnswers: true, OtherRuns: true}, OverlapCheckInterval, Switch},
+		{"only the other answers and runs it", OverlapReports{OtherAnswers: true, OtherRuns: true}, OverlapCheckInterval, Switch},
+		{"only the first answers", OverlapReports{SilentAnswers: true}, MaxLinkStall, Wait},
+		{"the first does not answer yet", OverlapReports{OtherAnswers: true}, OverlapCheckInterval, Wait},
+		{"the first does not answer", OverlapReports{OtherAnswers: true}, MaxOverlap, Switch},
+		{"the link is stalled", OverlapReports{}, MaxOverlap, Wait},
+		{"both are silent for long", OverlapReports{}, MaxLinkStall, Keep},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			must.Eq(t, c.want, AfterOverlap(c.silent, c.other, c.waited))
+			must.Eq(t, c.want, AfterOverlap(c.reports, c.waited))
 		})
 	}
 }
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -145,7 +145,7 @@
 				a.markCopyUsed()
 			}
 			if r.h.opts.Feed.View().Config.Engine(r.service) != nil {
-				overlap.Reset(takeover.MaxOverlap)
+				overlap.Reset(takeover.OverlapCheckInterval)
 			}
 		case s := <-a.nextParts():
 			a.pushBack(s)
@@ -154,12 +154,11 @@
 			next.pushBack(s)
 			nextState = s.takeoverState()
 		case <-overlap.C:
-			stalledResponds, nextResponds := r.probeBoth(ctx, a, next, cause)
-			onOverlap = takeover.AfterOverlap(stalledResponds, nextResponds, time.Since(writtenAt))
+			onOverlap = takeover.AfterOverlap(r.probeBoth(ctx, a, next, cause), time.Since(writtenAt))
 			if onOverlap == takeover.Switch {
 				stalledState = r.awaitLatePart(ctx, a)
 			}
-			overlap.Reset(takeover.MaxOverlap)
+			overlap.Reset(takeover.OverlapCheckInterval)
 		case <-ctx.Done():
 			return r.cancelTakeover(ctx, a, next, takeover.Silent)
 		}
@@ -186,16 +185,17 @@
 	return takeover.Silent
 }
 
-// probeBoth probes the engines of two attempts and reports which of them respond.
-func (r *relay) probeBoth(ctx context.Context, a, next *attempt, cause error) (stalledResponds, nextResponds bool) {
+// probeBoth probes the engines of two attempts and returns what their reports show.
+func (r *relay) probeBoth(ctx context.Context, a, next *attempt, cause error) (reports takeover.OverlapReports) {
 	var both sync.WaitGroup
-	both.Go(func() { stalledResponds = r.isResponsive(ctx, a, cause) })
+	both.Go(func() { reports.SilentAnswers = r.isResponsive(ctx, a, cause) })
 	both.Go(func() {
-		_, err := r.h.probe(ctx, next.target.server, fastProbeTimeout)
-		nextResponds = err == nil
+		report, err := r.h.probe(ctx, next.target.server, fastProbeTimeout)
+		reports.OtherAnswers = err == nil
+		_, reports.OtherRuns = report.Events[r.in.call.ID]
 	})
 	both.Wait()
-	return stalledResponds, nextResponds
+	return reports
 }
 
 // cancelTakeover ends the attempt that was to continue the response, and returns why it does not.
