--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -58,6 +58,9 @@
 	// OverlapCheckInterval is how often both engines are probed while they hold the request. With the lag
 	// of a report, a run that has begun is seen within MaxOverlap.
 	OverlapCheckInterval = 100 * time.Millisecond
+	// maxUnansweredOverlap is how long the second engine may not answer probes while the silent one does. A
+	// single probe may be lost.
+	maxUnansweredOverlap = 2 * OverlapCheckInterval
 )
 
 // MaxSilence returns how long a response may be silent. gapTarget is the route's target for the
@@ -153,13 +156,15 @@
 
 // AfterOverlap returns what the daemon does with two servers that have held the request for the given time and
 // have sent nothing. Once the other server runs the request, the silent one is released, for only one of them may
-// work on it. Before that, the silent one keeps the response while it answers. If neither answers, the daemon's
-// link is assumed to be held up, for at most MaxLinkStall; then both servers are silent, and the first one's run
-// is further ahead.
+// work on it. Before that, the silent one keeps the response while it answers, and the other one is released if it
+// does not answer, for it may run the request all the same. If neither answers, the daemon's link is assumed to be
+// held up, for at most MaxLinkStall; then both servers are silent, and the first one's run is further ahead.
 func AfterOverlap(r OverlapReports, waited time.Duration) Action {
 	switch {
 	case r.OtherRuns:
 		return Switch
+	case r.SilentAnswers && !r.OtherAnswers && waited >= maxUnansweredOverlap:
+		return Keep
 	case r.SilentAnswers, waited < MaxOverlap:
 		return Wait
 	case r.OtherAnswers:
