forward: a run is stopped at its engine when its response continues elsewhere

Cause: the daemon closed its connection to the first engine, or saw it break, and took that for the end of the run. An engine that is paused or cut off learns of it later, one that is mute may not notice, and a connection can break alone.

Change: the engine is told to stop, by the platform's final copy of a run. A silent engine that answers a probe, and one whose version is withdrawn, stop before the next engine gets the request, which resumes from the state at the stop; without a copy before, that saves a prefill. After a broken connection, a takeover from an engine that did not answer, and a takeover that was cancelled, the engine is asked in the background until it has stopped, for five seconds at most. The same engine gets the request again only once it is not asked any more. Event 294 and left_runs_total say what the engines replied.

--- a/serve/forward/canary.go
+++ b/serve/forward/canary.go
@@ -251,6 +251,7 @@
 	}
 	r.h.pool.addLoad(c, 1, 0, 0)
 	l := r.withCopyTarget(ctx, segment{target: c, resumeFrom: held.name})
+	l, _ = r.stopBeforeResume(ctx, a, l)
 	r.heldCopy = replica{}
 	a.cancel()
 	r.replacement = r.start(ctx, l)
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -9,6 +9,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/decision/takeover"
 )
 
 // Call holds the metadata of a caller's request.
@@ -161,3 +162,14 @@
 	// DropPath returns the path that a DELETE request uses to free a copy.
 	DropPath(handle string) (path string)
 }
+
+// RunStopper is implemented by a RunCopier whose engines stop a run on request.
+type RunStopper interface {
+	RunCopier
+	// StopRequest returns the request that makes the engine that runs a request stop the run and copy
+	// its KV cache to the engine at the address target. The response of the run ends incomplete.
+	StopRequest(id, target string) (path string, body []byte, err error)
+	// ParseStopReply parses the response. It returns the handle of the run's KV cache if the engine
+	// keeps it; "" otherwise.
+	ParseStopReply(status int, body []byte) (result takeover.StopResult, handle string)
+}
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -65,7 +65,7 @@
 		sends:              prometheus.NewCounterVec(counter("sends_total", "Sends of requests that are no streams, by result."), []string{"result"}),
 		segments:           prometheus.NewCounterVec(counter("stream_legs_total", "Parts of streams by one backend server each, by why it was chosen and how the part ended."), []string{"reason", "end"}),
 		segmentsKept:       prometheus.NewCounterVec(counter("stream_legs_kept_total", "Silent backend servers that kept their stream, by why it did not go on at another."), []string{"reason"}),
-		leftRuns:           prometheus.NewCounterVec(counter("left_runs_total", "Runs that their stream left before they ended, by how its segment ended and what the backend server reported of the run afterwards."), []string{"end", "state"}),
+		leftRuns:           prometheus.NewCounterVec(counter("left_runs_total", "Runs that their stream left before they ended, by whether the backend server was asked to stop before or after the stream continued elsewhere, and what it replied."), []string{"order", "state"}),
 		firstEventSeconds:  prometheus.NewHistogram(histogram("stream_first_seconds", "Time from a request's arrival to the first event of its stream.")),
 		resumeSeconds:      prometheus.NewHistogram(histogram("stream_resume_seconds", "Pause in a stream that went on at another backend server.")),
 		retriesDenied:      prometheus.NewCounter(counter("repeats_denied_total", "Sends that the shared budget of repeats did not afford.")),
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -305,7 +305,7 @@
 func (r *relay) finishAttempt(a *attempt, end segmentEnd, err error) {
 	a.recordEnd(end, errors.Is(err, errErrorResponse) || end == segmentNonStream && a.response != nil && a.response.StatusCode >= http.StatusInternalServerError)
 	a.end(end)
-	r.observeLeftRun(a, end, err)
+	r.stopLeftRun(a, end, err)
 	r.logSegment(a, end, err)
 	switch end {
 	case segmentBroken:
--- a/serve/forward/stream.go
+++ b/serve/forward/stream.go
@@ -69,6 +69,8 @@
 	linkStalledSince time.Time
 	// cannotContinue is set once the stalled response was found unable to continue.
 	cannotContinue bool
+	// stops are the runs of this request that its engines are being asked to stop.
+	stops []pendingStop
 	// replacement is the attempt that took over the response from the previous one.
 	replacement      *attempt
 	lastEventAt      time.Time     // time of the last event sent to the caller, or of the start
--- a/serve/forward/takeover.go
+++ b/serve/forward/takeover.go
@@ -62,7 +62,9 @@
 		if next == nil {
 			return outcome
 		}
-		outcome = r.awaitTakeover(ctx, a, next, cause)
+		if !a.runEnded {
+			outcome = r.awaitTakeover(ctx, a, next, cause)
+		}
 		switch {
 		case outcome == takeover.TakenOver:
 			r.discardPending(a)
@@ -77,17 +79,22 @@
 }
 
 // prepareTakeover finds a server that may continue a stalled attempt and sends the request to it,
-// unless the stalled server responds first. The relay's own goroutine waits for one of the two
-// here, so that the goroutine that looks for a server may write to the relay.
+// unless the stalled server responds first. If the stalled server answers a probe, it is made to stop its run
+// before. The relay's own goroutine waits for one of the two here, so that the goroutine that looks for a server
+// may write to the relay.
 func (r *relay) prepareTakeover(ctx context.Context, a *attempt, cause error) (takeover.Outcome, *attempt) {
 	prepareCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var l segment
 	var outcome takeover.Outcome
+	var answers bool // a probe of the stalled server
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		var probed sync.WaitGroup
+		probed.Go(func() { answers = r.answersProbe(prepareCtx, a) })
 		l, outcome = r.reserveFailover(prepareCtx, a, cause)
+		probed.Wait()
 	}()
 	select {
 	case <-done:
@@ -103,7 +110,23 @@
 	if outcome != takeover.TakenOver {
 		return outcome, nil
 	}
-	return outcome, r.start(ctx, l)
+	if answers {
+		l, _ = r.stopBeforeResume(ctx, a, l)
+	}
+	next := r.start(ctx, l)
+	if a.runEnded && next.resumeFrom != "" {
+		a.markCopyUsed()
+	}
+	return outcome, next
+}
+
+// answersProbe reports whether the engine of a stalled attempt answers a probe and can be asked to stop.
+func (r *relay) answersProbe(ctx context.Context, a *attempt) bool {
+	if r.h.newRunStopper(r.service) == nil {
+		return false
+	}
+	_, err := r.h.probe(ctx, a.target.server, fastProbeTimeout)
+	return err == nil
 }
 
 // discardPending drops a part of a stalled attempt that was pushed back, before the response
--- a/serve/forward/tworuns_test.go
+++ b/serve/forward/tworuns_test.go
@@ -1,12 +1,15 @@
 package forward
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/decision/rollout"
 )
 
 // maxTwoRuns is how long an engine may go on with a run that another engine continues.
@@ -177,3 +180,71 @@
 		must.LessEq(t, maxTwoRuns, ended.Sub(began))
 	})
 }
+
+// Guards against two engines that work on one response while it moves off a version that is rolled back.
+func TestRunOfRolledBackVersionIsStoppedBeforeItMoves(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		var record runRecord
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			record.begin(w.servers[r.Header.Get(hServer)], 8*time.Second)
+			streamEvents(150, time.Second, 40*time.Millisecond)(rw, r)
+		}
+		w.addVersion("e-old", "llm", "b", "v1", handle)
+		w.addVersion("e-new", "llm", "a", "v2", handle)
+		time.Sleep(time.Second)
+		w.setRollout("llm", rollout.Canary, 1)
+		w.background(func() {
+			time.Sleep(2 * time.Second)
+			w.setRollout("llm", rollout.RolledBack, 0)
+		})
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 150), got.body)
+		time.Sleep(8 * time.Second)
+		must.SliceLen(t, 2, record.runs)
+		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+	})
+}
+
+// Guards against a second prefill of a prompt whose engine is silent for long, has no copy and answers probes.
+func TestStoppedRunResumesFromItsState(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		status     int
+		resumeFrom string // engine that continues the response
+	}{
+		{"copied to the next engine", http.StatusOK, "e-b"},
+		{"kept, for there is no room for a copy", http.StatusServiceUnavailable, "e-a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, streamRoute(), func(w *testCluster) {
+				w.schema.config.Engine("llm").CanReplicate = false
+				stopped := make(chan struct{})
+				w.add("e-a", "llm", "a", func(rw http.ResponseWriter, r *http.Request) {
+					if r.Header.Get(hCopyAt) != "" {
+						streamEvents(20, 0, 40*time.Millisecond)(rw, r)
+						return
+					}
+					streamEvents(10, 0, 40*time.Millisecond)(rw, r)
+					<-stopped
+					panic(http.ErrAbortHandler)
+				})
+				silent := w.servers["e-a"]
+				silent.refuseCopies(math.MaxInt)
+				silent.stopRun = func(string) (int, string) {
+					close(stopped)
+					return c.status, "state"
+				}
+				w.background(func() {
+					time.Sleep(100 * time.Millisecond)
+					w.add("e-b", "llm", "b", streamEvents(20, time.Second, 40*time.Millisecond))
+				})
+				got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+				must.NoError(t, got.err)
+				must.Eq(t, events(1, 20), got.body)
+				requests := w.servers[c.resumeFrom].requests()
+				must.Eq(t, silent.server.Address+"/state", requests[len(requests)-1].Header.Get(hCopyAt))
+			})
+		})
+	}
+}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -193,11 +194,20 @@
 		return answer, errors.Wrap(err, path)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return answer, errors.Errorf("%s: status %d", path, resp.StatusCode)
+		return answer, statusError{path: path, status: resp.StatusCode}
 	}
 	return answer, nil
 }
 
+// statusError means that a server answered a request of the daemon itself with another status than 200.
+type statusError struct {
+	path   string
+	status int
+}
+
+// Error implements error.
+func (e statusError) Error() string { return fmt.Sprintf("%s: status %d", e.path, e.status) }
+
 // fetchReport requests the report of whatever engine responds at the address of s.
 func (h *Handler) fetchReport(ctx context.Context, s routing.Server, limit time.Duration) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -115,7 +115,7 @@
 	StreamAwaitsServer = define(293, "stream_awaits_server", logrus.InfoLevel,
 		"No backend server can continue a stream that has begun now. Another look follows after the delay, as long as the stream can be completed in time.", "request", "error", "rejections", "delay", "after", "quiet")
 	RunLeft = define(294, "run_left", logrus.InfoLevel,
-		"A stream left a run at a backend server before the run's end. state is what the server reported of the run a moment later: ended, working, exited if its process has exited, or unknown if it did not answer; generated is the number of events of a run that it works on. end and error say how the stream's segment ended.", "request", "backend", "end", "state", "generated", "error")
+		"A stream continues at another backend server, and the one before was asked to stop its run, before or after that. state is the last reply: stopped, stopped_kept if the state of the run could not be copied, not_running, exited if its process has exited, refused if it works on and does not stop on request, or unanswered. took is the time until then.", "request", "backend", "order", "state", "took", "error")
 	TakeoverEnded = define(295, "takeover_ended", logrus.InfoLevel,
 		"A second backend server had received the request of a silent stream, and one of the two was released. reason says which: taken_over if the silent one was. both is how long the two held the request, error why the stream was to go on elsewhere.", "request", "backend", "next", "reason", "both", "error")
 
