soak: two engines on one stream, as the engines see it

The engine of the process soak now records when a run begins (first token) and when it stops to work on it, and the harness fails if a later run at another engine began and both still work 400 ms later. Excuses: the daemon was killed, stopped, started or frozen, the link to the earlier engine was cut, narrowed or stalled, or that engine crashed, in that span or recoveryTime before. A delay, silence or a broken stream is none.

New scenario TestTwoRuns: engines reset, spoil or mute their streams and work on (the report lists the run), the first event of a run from a copy is late (with or without its head), links are delayed one way, responses are read late; one engine in three learns of a close at its next write. -process.fault selects faults by name. The stand-in engine also supports 'last' of kv-move: it ends the run first and keeps a copy.

--- a/lab/soak/process/daemon.go
+++ b/lab/soak/process/daemon.go
@@ -43,6 +43,7 @@
 	cmd           *exec.Cmd
 	startedAt     time.Time
 	stopRequested bool          // SIGTERM or SIGKILL was sent
+	disturbed     disturbances  // times in which the process did not run, was stopping or was frozen
 	exited        chan struct{} // closed when the process has exited
 }
 
@@ -85,6 +86,7 @@
 	d.mu.Lock()
 	d.cmd, d.exited, d.stopRequested, d.startedAt = cmd, exited, false, time.Now()
 	d.mu.Unlock()
+	d.disturbed.end()
 	go func() {
 		err := cmd.Wait()
 		d.mu.Lock()
@@ -117,8 +119,14 @@
 func (d *daemon) signal(sig syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+	switch sig {
+	case syscall.SIGKILL, syscall.SIGTERM:
 		d.stopRequested = true
+		d.disturbed.begin()
+	case syscall.SIGSTOP:
+		d.disturbed.begin()
+	case syscall.SIGCONT:
+		d.disturbed.end()
 	}
 	_ = d.cmd.Process.Signal(sig) // fails only if the process has exited
 }
--- a/lab/soak/process/faults.go
+++ b/lab/soak/process/faults.go
@@ -88,6 +88,7 @@
 	if h.opts.Timed {
 		h.checkRecovered(ctx)
 		h.checkNothingRunning()
+		h.checkNoTwoRuns()
 		h.checkFirstAttempts()
 	}
 }
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -64,8 +65,10 @@
 	Scenario Scenario
 	// Timed also checks time bounds. They do not hold on a machine that is too busy to schedule
 	// the processes in time.
-	Timed   bool
-	Length  time.Duration
+	Timed  bool
+	Length time.Duration
+	// Faults selects the faults of the scenario by their names.
+	Faults  *regexp.Regexp
 	Callers int
 	// MemoryLimitBytes is the memory limit that the daemons' settings state; 0 states none.
 	MemoryLimitBytes int64
@@ -186,6 +189,7 @@
 		}
 		h.register(s, false)
 	}
+	h.drawCloseNotices()
 	return nil
 }
 
--- a/lab/soak/process/links.go
+++ b/lab/soak/process/links.go
@@ -17,19 +17,22 @@
 )
 
 // linkDirection is one direction of a machine's link. Data leaves in order of arrival, at most
-// bytesPerSecond, and not at all while the direction is stalled. Nothing is lost. The zero value
-// delays nothing.
+// bytesPerSecond, after a constant delay, and not at all while the direction is stalled. Nothing is
+// lost. The zero value delays nothing.
 type linkDirection struct {
 	mu             sync.Mutex
 	bytesPerSecond float64   // 0 if unlimited
 	nextDeparture  time.Time // earliest departure of the next data
 	stalledUntil   time.Time // nothing leaves before this time
+	delay          time.Duration
+	stalls, delays disturbances
 }
 
 // schedule returns the time at which n bytes leave that arrive at the given time.
 func (l *linkDirection) schedule(at time.Time, n int) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	at = at.Add(l.delay)
 	if l.nextDeparture.After(at) {
 		at = l.nextDeparture
 	}
@@ -45,11 +48,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stalledUntil = until
+	l.stalls.add(time.Now(), until)
 	if until.After(l.nextDeparture) {
 		l.nextDeparture = until
 	}
 }
 
+// setDelay sets the time that data takes from now on.
+func (l *linkDirection) setDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+	if d > 0 {
+		l.delays.begin()
+	} else {
+		l.delays.end()
+	}
+}
+
+// isNarrow reports whether the direction has a low bandwidth.
+func (l *linkDirection) isNarrow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytesPerSecond > 0
+}
+
 // waitUntilReleased returns when a chunk that is due has left every direction on its path; each
 // may be stalled in the meantime.
 func waitUntilReleased(due time.Time, path []*linkDirection) {
--- a/lab/soak/process/process_test.go
+++ b/lab/soak/process/process_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
 	"time"
 
@@ -16,11 +17,12 @@
 	seeds     = flag.Int("process.runs", 1, "number of random runs of each scenario")
 	timed     = flag.Bool("process.timed", false, "also check time bounds; needs a machine that is not busy")
 	race      = flag.Bool("process.race", false, "build the daemon with the race detector; a race ends the daemon")
+	faultName = flag.String("process.fault", "", "draw only faults whose name matches this regular expression")
 	keepDir   = flag.String("process.dir", "", "directory to keep settings and logs in")
 )
 
 // callers is the number of concurrent callers in each scenario.
-var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24, PriorityBursts: 12, PriorityFaults: 12, SilentServers: 18}
+var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24, PriorityBursts: 12, PriorityFaults: 12, SilentServers: 18, TwoRuns: 16}
 
 // buildBinary builds the daemon.
 func buildBinary(t *testing.T) string {
@@ -51,7 +53,7 @@
 		must.NoError(t, os.MkdirAll(dir, 0o755))
 	}
 	r, err := Run(t.Context(), Options{
-		Seed: seed, Binary: program, Dir: dir, Scenario: sort, Timed: *timed, Length: 8 * time.Second, Callers: callers[sort],
+		Seed: seed, Binary: program, Dir: dir, Scenario: sort, Timed: *timed, Length: 8 * time.Second, Callers: callers[sort], Faults: regexp.MustCompile(*faultName),
 	})
 	must.NoError(t, err)
 	t.Logf("seed %d, %v: %v", seed, sort, r.Counts)
@@ -102,3 +104,7 @@
 // restart in turn, engines that are full refuse what another engine has begun, and few retries are
 // allowed. The daemon may look for another server, but must not end a response that may still arrive.
 func TestSilentServers(t *testing.T) { runSeeds(t, buildBinary(t), SilentServers) }
+
+// Guards against two engines that work on one stream at the same time: an engine breaks, spoils or holds
+// back a response and works on, a close reaches it late, and the engine that goes on begins slowly.
+func TestTwoRuns(t *testing.T) { runSeeds(t, buildBinary(t), TwoRuns) }
--- a/lab/soak/process/proxy.go
+++ b/lab/soak/process/proxy.go
@@ -34,6 +34,7 @@
 	target                    string
 	mode                      linkMode
 	conns                     map[*proxiedConn]struct{}
+	disturbed                 disturbances // times in another mode than linkPass
 }
 
 // proxiedConn is a client connection with its upstream connection.
@@ -145,6 +146,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	if mode == linkPass {
+		p.disturbed.end()
+	} else {
+		p.disturbed.begin()
+	}
 	p.setListening(mode != linkRefused && mode != linkClosed)
 	for c := range p.conns {
 		switch {
--- a/lab/soak/process/recorder.go
+++ b/lab/soak/process/recorder.go
@@ -15,6 +15,11 @@
 	body      string // "" for streams
 	startedAt time.Time
 	finished  bool
+	// Of streams.
+	at         *server
+	begunAt    time.Time // first token; zero before it
+	finishedAt time.Time // the engine has stopped to work on it
+	notes      []note
 }
 
 // recorder collects the executions at the servers, the requests sent and the violations found.
@@ -122,7 +127,10 @@
 func (rec *recorder) finishExecution(r *execution, status int, body string) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	r.status, r.body, r.finished = status, body, true
+	if r.finished {
+		return
+	}
+	r.status, r.body, r.finished, r.finishedAt = status, body, true, time.Now()
 }
 
 // executionBySignature returns the execution with the given signature.
--- a/lab/soak/process/scenarios.go
+++ b/lab/soak/process/scenarios.go
@@ -36,11 +36,14 @@
 	// are silent for a moment at a time, engines that are full refuse requests, and few retries are
 	// allowed. No response may be cut.
 	SilentServers
+	// TwoRuns lets engines reset, spoil and hold back the responses of runs on which they work on, delays
+	// links one way, and makes runs that go on elsewhere begin slowly.
+	TwoRuns
 )
 
 // String returns the name used in reports.
 func (s Scenario) String() string {
-	return [...]string{"random faults", "planned work", "held links", "narrow links", "lost paths", "bursts", "bursts with failures", "silent servers"}[s]
+	return [...]string{"random faults", "planned work", "held links", "narrow links", "lost paths", "bursts", "bursts with failures", "silent servers", "two runs"}[s]
 }
 
 // hasDaemonLinks reports whether each daemon has its own simulated link.
@@ -57,7 +60,7 @@
 
 // requiresWholeAnswers reports whether no response that a server has started may be cut.
 func (s Scenario) requiresWholeAnswers() bool {
-	return s != RandomFaults && s != LostPaths && s != PriorityFaults
+	return s != RandomFaults && s != LostPaths && s != PriorityFaults && s != TwoRuns
 }
 
 // answersAllRequests reports whether each request that has not run is refused or waits for its
@@ -96,7 +99,7 @@
 
 // eventInterval returns the time between two events of a response.
 func (s Scenario) eventInterval() time.Duration {
-	if s.hasDaemonLinks() || s.hasSilentServers() {
+	if s.hasDaemonLinks() || s.hasSilentServers() || s.hasEngineFaults() {
 		return 3 * minEventInterval
 	}
 	return minEventInterval
@@ -116,6 +119,9 @@
 	if s.hasDaemonLinks() {
 		return callerProfile{resumableRatio: 0.7, abandonRatio: 0.25, halfCloseRatio: 0.3, abandonWithin: 2 * time.Second, maxAttempts: 3}
 	}
+	if s.hasEngineFaults() {
+		return callerProfile{resumableRatio: 0.9, abandonRatio: 0.05, halfCloseRatio: 0.3, abandonWithin: 2 * time.Second, maxAttempts: 2}
+	}
 	return callerProfile{abandonRatio: 0.05, halfCloseRatio: 0.3, abandonWithin: 400 * time.Millisecond, maxAttempts: 2}
 }
 
@@ -138,14 +144,17 @@
 		list = pathFaults
 	case h.opts.Scenario.hasSilentServers():
 		list = silenceFaults
+	case h.opts.Scenario.hasEngineFaults():
+		list = engineFaults
 	case h.opts.Scenario.hasPriorities():
 		list = priorityFaults
 	}
+	list = slices.DeleteFunc(slices.Clone(list), func(f fault) bool { return !h.opts.Faults.MatchString(f.name) })
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for {
 		f := list[h.random.IntN(len(list))]
-		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == StalledLinks || h.opts.Scenario == LostPaths || h.opts.Scenario == PriorityFaults {
+		if f.planned || h.opts.Scenario == RandomFaults || h.opts.Scenario == TwoRuns || h.opts.Scenario == StalledLinks || h.opts.Scenario == LostPaths || h.opts.Scenario == PriorityFaults {
 			return f
 		}
 	}
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -66,6 +67,9 @@
 	silentUntil       time.Time     // end of the last silence
 
 	requestLink, responseLink linkDirection // to and from the server
+	disturbed                 disturbances  // times in which no incarnation ran
+	readsCloses               bool          // learns that a daemon closed a connection by a read
+	slowStart                 slowStart
 }
 
 // replica is a copy of a run's KV cache from another engine.
@@ -81,10 +85,14 @@
 	part       string
 	copyTo     string
 	tokens     int
+	faults     chan streamFault
+	stopped    chan struct{} // closed when its daemon stops the run
+	stopOnce   sync.Once
+	worksUntil time.Time // when the engine gives up a run that it has reset; zero if it has not
 }
 
 func (h *harness) newServer(service, zone, address, listenIP string) (*server, error) {
-	s := &server{harness: h, service: service, zone: zone, speed: 1, slowdown: 1}
+	s := &server{harness: h, service: service, zone: zone, speed: 1, slowdown: 1, readsCloses: true}
 	s.startIncarnation(false)
 	l, err := net.Listen("tcp", listenIP)
 	if err != nil {
@@ -113,6 +121,7 @@
 	s.replicas, s.runs, s.parts = map[string]replica{}, map[string]*activeRun{}, map[string]bool{}
 	s.load = &engineLoad{limits: s.harness.opts.Scenario.engineLimits()}
 	s.shutdown, s.ending = make(chan struct{}), false
+	s.disturbed.end()
 }
 
 // crash ends the incarnation, closes its port and resets its connections.
@@ -126,6 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.shutdown)
+	s.disturbed.begin()
 }
 
 func (s *server) entry(draining bool) routing.Server {
@@ -163,21 +173,34 @@
 }
 
 // Copy implements wire.Engine.
-func (s *server) Copy(id, target string) (string, bool) {
+func (s *server) Copy(id, target string, stop bool) (string, int) {
 	s.mu.Lock()
 	p := s.runs[id]
 	s.mu.Unlock()
 	if p == nil {
-		return "", false
+		return "", http.StatusNotFound
 	}
 	handle := "h-" + id
 	_, addressIndex := s.harness.serverAt(target)
-	name := s.addresses[addressIndex] + "/" + handle
-	stored := s.harness.storeReplica(target, name, p.tokens, replica{part: p.part, from: s})
+	name := s.addresses[max(0, addressIndex)] + "/" + handle
+	if stop {
+		p.stop()
+		s.harness.storeReplica(s.addresses[0], name, p.tokens, replica{part: p.part, from: s})
+		s.harness.expireReplica(s.addresses[0], name, false)
+	}
+	if !s.harness.storeReplica(target, name, p.tokens, replica{part: p.part, from: s}) {
+		if !stop {
+			handle = ""
+		}
+		return handle, http.StatusServiceUnavailable
+	}
 	s.harness.expireReplica(target, name, false)
-	return handle, stored
+	return handle, http.StatusOK
 }
 
+// stop ends the run.
+func (p *activeRun) stop() { p.stopOnce.Do(func() { close(p.stopped) }) }
+
 // Drop implements wire.Engine.
 func (s *server) Drop(string) {}
 
@@ -241,7 +264,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	exec := &execution{server: id, service: s.service}
+	exec := &execution{server: id, service: s.service, at: s}
 	if part != "" {
 		release, ok := s.admit(r, e, sent.promptTokens, shutdown)
 		if !ok {
@@ -301,34 +324,35 @@
 
 // serveStream writes the response of an engine: the same events for the same prompt.
 func (s *server) serveStream(w http.ResponseWriter, r *http.Request, e forward.UpstreamRequest, part string, tokens int, exec *execution, shutdown <-chan struct{}) {
-	defer s.harness.recorder.finishExecution(exec, http.StatusOK, "")
-	p := &activeRun{part: part, copyTo: e.CopyTo, tokens: tokens}
+	p := &activeRun{part: part, copyTo: e.CopyTo, tokens: tokens, faults: make(chan streamFault, 1), stopped: make(chan struct{})}
 	s.mu.Lock()
 	s.runs[e.ID] = p
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.runs, e.ID)
-	}()
+	out := newEventStream(w, r, s.readsCloses)
+	defer out.close()
+	finish := func() {
+		s.removeRun(e.ID, p)
+		s.harness.recorder.finishExecution(exec, http.StatusOK, "")
+	}
+	defer finish()
+	if !s.readsCloses {
+		s.harness.recorder.recordNote(exec, "learns of a close at a write")
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // net/http notices a close only after the body is read
 	wait := s.prefillDuration(tokens)
 	if e.ResumeFrom != "" {
-		wait = 0
+		wait = s.begin(e, p, exec, out)
 	}
 	for n := e.LastEventID + 1; n <= eventCount; n++ {
-		select {
-		case <-time.After(wait):
-		case <-shutdown:
-			if n%2 == 0 || w.Header().Get("Transfer-Encoding") == identityEncoding {
-				fmt.Fprintf(w, "id: %d\nda", n) // ends in the middle of an event
-			}
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
+		if !s.awaitStep(wait, p, exec, out, n, shutdown) {
 			return
 		}
 		if n == e.LastEventID+1 && poisonName(r) != "" && s.crashOnPoison(r) {
 			panic(http.ErrAbortHandler)
 		}
+		if n == e.LastEventID+1 && e.ResumeFrom == "" {
+			s.harness.recorder.recordBegun(exec)
+		}
 		wait = s.stepDuration()
 		if n == e.LastEventID+1 {
 			w.Header().Set("Content-Type", "text/event-stream")
@@ -339,12 +363,69 @@
 			s.harness.storeReplica(p.copyTo, copyName, tokens, replica{part: part, from: s})
 			defer func() { s.harness.expireReplica(p.copyTo, copyName, p.eventsSent == int(eventCount-e.LastEventID)) }()
 		}
-		fmt.Fprint(w, eventText(part, n))
-		w.(http.Flusher).Flush()
+		out.send(eventText(part, n))
 		s.mu.Lock()
 		p.eventsSent++
 		s.mu.Unlock()
 	}
+	finish()
+	out.finish()
+}
+
+// begin records the first token of a run that goes on from a copy, and returns the time until its first
+// event.
+func (s *server) begin(e forward.UpstreamRequest, p *activeRun, exec *execution, out *eventStream) time.Duration {
+	s.harness.recorder.recordBegun(exec)
+	wait, headFirst := s.firstEventDelay(e)
+	if wait == 0 {
+		return 0
+	}
+	s.harness.recorder.recordNote(exec, "first event %dms late (head first: %v)", wait.Milliseconds(), headFirst)
+	if headFirst {
+		out.w.Header().Set("Content-Type", "text/event-stream")
+		out.sendHead()
+	}
+	return wait
+}
+
+// awaitStep waits for the next event of a run, n, and reports whether the run goes on.
+func (s *server) awaitStep(wait time.Duration, p *activeRun, exec *execution, out *eventStream, n int64, shutdown <-chan struct{}) bool {
+	step := time.NewTimer(wait)
+	defer step.Stop()
+	for {
+		select {
+		case <-step.C:
+			return p.worksUntil.IsZero() || time.Now().Before(p.worksUntil)
+		case f := <-p.faults:
+			s.applyFault(f, p, exec, out)
+		case <-p.stopped:
+			s.harness.recorder.recordNote(exec, "stopped by its daemon")
+			out.abort(partialEvent(n))
+			return false
+		case <-shutdown:
+			partial := ""
+			if n%2 == 0 || out.isUnframed {
+				partial = partialEvent(n)
+			}
+			out.abort(partial)
+			return false
+		case <-out.gone():
+			s.harness.recorder.recordNote(exec, "closed by its daemon")
+			return false
+		}
+	}
+}
+
+// partialEvent returns the beginning of an event.
+func partialEvent(n int64) string { return fmt.Sprintf("id: %d\nda", n) }
+
+// removeRun removes a run from the engine's report.
+func (s *server) removeRun(id string, p *activeRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs[id] == p {
+		delete(s.runs, id)
+	}
 }
 
 // eventText returns event n of the response to a prompt.
--- a/lab/soak/process/silence.go
+++ b/lab/soak/process/silence.go
@@ -78,9 +78,9 @@
 }
 
 // linkPaths returns the simulated links between the server and its proxy, none where no server falls
-// silent.
+// silent and no link is delayed.
 func (s *server) linkPaths() (requests, responses []*linkDirection) {
-	if !s.harness.opts.Scenario.hasSilentServers() {
+	if scenario := s.harness.opts.Scenario; !scenario.hasSilentServers() && !scenario.hasEngineFaults() {
 		return nil, nil
 	}
 	return []*linkDirection{&s.requestLink}, []*linkDirection{&s.responseLink}
