--- a/serve/forward/tworuns_test.go
+++ b/serve/forward/tworuns_test.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -12,59 +11,29 @@
 	"mallowwind.dev/decision/rollout"
 )
 
-// maxTwoRuns is how long an engine may go on with a run that another engine continues.
-const maxTwoRuns = 400 * time.Millisecond
-
-// engineRun is a run as its engine sees it. It ends when it is complete or the engine is asked to stop it, not
-// when its connection is closed.
-type engineRun struct {
-	engine       string
-	began, ended time.Time
-	stop, over   chan struct{} // closed when it is asked to stop, and when it has ended
-}
-
-// runRecord holds the runs of one request in the order in which they began.
-type runRecord struct {
-	mu   sync.Mutex
-	runs []*engineRun
-}
-
-// begin records that an engine begins a run, which ends after a time unless it is stopped.
-func (r *runRecord) begin(s *fakeServer, length time.Duration) *engineRun {
-	run := &engineRun{engine: s.server.ID, began: time.Now(), stop: make(chan struct{}), over: make(chan struct{})}
-	r.mu.Lock()
-	r.runs = append(r.runs, run)
-	r.mu.Unlock()
+// beginStoppable records that an engine begins a run of the request of callerHeaders. The run ends after a time or
+// when the engine is asked to stop it, not when its connection is closed. over is closed at its end.
+func (l *runLog) beginStoppable(s *fakeServer, length time.Duration) (over <-chan struct{}) {
+	end := l.begin(s.server.ID, callerHeaders[hID])
+	stop, ended := make(chan struct{}), make(chan struct{})
 	s.setRuns(callerHeaders[hID])
 	s.mu.Lock()
 	s.stopRun = func(string) (int, string) {
 		s.stopRun = func(string) (int, string) { return http.StatusNotFound, "" }
-		close(run.stop)
-		return http.StatusOK, "h-" + s.server.ID
+		close(stop)
+		return http.StatusOK, "state"
 	}
 	s.mu.Unlock()
 	go func() {
 		select {
-		case <-run.stop:
+		case <-stop:
 		case <-time.After(length):
 		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		run.ended = time.Now()
-		close(run.over)
+		end()
 		s.setRuns("")
+		close(ended)
 	}()
-	return run
-}
-
-// longestTwoRuns returns how long an engine went on at most after the next one had begun.
-func (r *runRecord) longestTwoRuns() (longest time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for i, run := range r.runs[:max(0, len(r.runs)-1)] {
-		longest = max(longest, run.ended.Sub(r.runs[i+1].began))
-	}
-	return longest
+	return ended
 }
 
 // runLength is how long an engine in these tests goes on with a run whose connection is closed.
@@ -74,15 +43,15 @@
 // its connection is closed.
 func TestSilentRunIsStoppedBeforeResponseContinues(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var record runRecord
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
-			run := record.begin(w.servers[r.Header.Get(hServer)], runLength)
+			over := runs.beginStoppable(w.servers[r.Header.Get(hServer)], runLength)
 			if r.Header.Get(hCopyAt) != "" {
 				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
 				return
 			}
 			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
-			<-run.over
+			<-over
 			panic(http.ErrAbortHandler)
 		}
 		w.add("e-a", "llm", "a", handle)
@@ -91,7 +60,7 @@
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 20), got.body)
 		time.Sleep(runLength)
-		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+		runs.assertNoTwoRuns(t)
 	})
 }
 
@@ -99,9 +68,9 @@
 // did not.
 func TestRunIsStoppedAfterItsConnectionBroke(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var record runRecord
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
-			record.begin(w.servers[r.Header.Get(hServer)], runLength)
+			runs.beginStoppable(w.servers[r.Header.Get(hServer)], runLength)
 			if r.Header.Get(hCopyAt) != "" {
 				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
 				return
@@ -115,7 +84,7 @@
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 20), got.body)
 		time.Sleep(runLength)
-		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+		runs.assertNoTwoRuns(t)
 	})
 }
 
@@ -123,32 +92,24 @@
 // the first is silent but answers probes.
 func TestSilentRunEndsWhileNextOneIsSlow(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var mu sync.Mutex
-		var secondBegan, firstEnded time.Time
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
-			s := w.servers[r.Header.Get(hServer)]
-			s.setRuns(callerHeaders[hID])
+			w.servers[r.Header.Get(hServer)].setRuns(callerHeaders[hID])
 			if r.Header.Get(hCopyAt) != "" {
-				mu.Lock()
-				secondBegan = time.Now()
-				mu.Unlock()
 				sleep(r, 1200*time.Millisecond)
 				streamEvents(20, 0, 40*time.Millisecond)(rw, r)
 				return
 			}
 			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
 			sleep(r, runLength)
-			mu.Lock()
-			firstEnded = time.Now()
-			mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		w.add("e-a", "llm", "a", handle)
-		w.add("e-b", "llm", "b", handle)
+		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
+		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
 		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 20), got.body)
-		must.LessEq(t, maxTwoRuns, firstEnded.Sub(secondBegan))
+		runs.assertNoTwoRuns(t)
 	})
 }
 
@@ -156,37 +117,30 @@
 // the first is silent but answers probes.
 func TestUnreachableNextRunEndsWhileSilentOneAnswers(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var mu sync.Mutex
-		var began, ended time.Time
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
 			if r.Header.Get(hCopyAt) == "" {
 				pausing(rw, r, 1500*time.Millisecond)
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			w.servers[r.Header.Get(hServer)].failStatus()
-			began = time.Now()
 			sleep(r, runLength)
-			ended = time.Now()
 		}
-		w.add("e-a", "llm", "a", handle)
-		w.add("e-b", "llm", "b", handle)
+		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
+		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
 		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 20), got.body)
-		mu.Lock()
-		defer mu.Unlock()
-		must.LessEq(t, maxTwoRuns, ended.Sub(began))
+		runs.assertNoTwoRuns(t)
 	})
 }
 
 // Guards against two engines that work on one response while it moves off a version that is rolled back.
 func TestRunOfRolledBackVersionIsStoppedBeforeItMoves(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var record runRecord
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
-			record.begin(w.servers[r.Header.Get(hServer)], 8*time.Second)
+			runs.beginStoppable(w.servers[r.Header.Get(hServer)], 8*time.Second)
 			streamEvents(150, time.Second, 40*time.Millisecond)(rw, r)
 		}
 		w.addVersion("e-old", "llm", "b", "v1", handle)
@@ -201,8 +155,8 @@
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 150), got.body)
 		time.Sleep(8 * time.Second)
-		must.SliceLen(t, 2, record.runs)
-		must.LessEq(t, maxTwoRuns, record.longestTwoRuns())
+		must.SliceLen(t, 2, runs.runs[callerHeaders[hID]])
+		runs.assertNoTwoRuns(t)
 	})
 }
 
@@ -253,29 +207,22 @@
 // as on a busy VM.
 func TestNextRunEndsWhileNeitherEngineAnswersInTime(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
-		var mu sync.Mutex
-		var began, ended time.Time
+		runs := newRunLog()
 		handle := func(rw http.ResponseWriter, r *http.Request) {
 			if r.Header.Get(hCopyAt) == "" {
 				pausing(rw, r, 1500*time.Millisecond)
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			for _, s := range w.servers {
 				s.failStatus()
 			}
-			began = time.Now()
 			sleep(r, runLength)
-			ended = time.Now()
 		}
-		w.add("e-a", "llm", "a", handle)
-		w.add("e-b", "llm", "b", handle)
+		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
+		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
 		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
 		must.NoError(t, got.err)
 		must.Eq(t, events(1, 20), got.body)
-		mu.Lock()
-		defer mu.Unlock()
-		must.LessEq(t, maxTwoRuns, ended.Sub(began))
+		runs.assertNoTwoRuns(t)
 	})
 }
