feed: a watch whose response is too long leads to a new list

Cause: platform/kv read at most 8 MiB of a response and decoded what it had. A watch returns every version since its revision, which after a start is that of the stale list, so the response was 10 MB: "kv: decode response: unexpected end of JSON input". The feed knew only ErrCompacted as an error after which a watch cannot go on, and repeated this one until the store dropped the history.

The feed takes it like lost history: the daemons selected to watch read the store again without a back-off, the others wait for them. Event 550, watch_abandoned, says why a watch was given up; nothing did before. A list has one current version of each key, so it is shorter than what it replaces, and costs its pages once.

--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -59,13 +59,13 @@
 		if watched || err == nil {
 			failures, historyReread = 0, false
 		}
-		compacted := errors.Is(err, store.ErrCompacted)
-		if compacted {
-			m.setHistoryLost()
+		lost := losesHistory(err)
+		if lost {
+			m.setHistoryLost(err)
 		}
 		switch {
 		case ctx.Err() != nil || err == nil:
-		case compacted && !historyReread:
+		case lost && !historyReread:
 			historyReread = true // the store answers: what is missing is read without a back-off
 			m.awaitPeerReread(ctx)
 		default:
@@ -76,8 +76,14 @@
 	}
 }
 
-// setHistoryLost records that the watch cannot continue from the current revision.
-func (m *Manager) setHistoryLost() {
+// losesHistory reports whether an error of a watch means that it cannot continue from its revision.
+func losesHistory(err error) bool {
+	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrResponseTooLong)
+}
+
+// setHistoryLost records that the watch cannot continue from the current revision, and why.
+func (m *Manager) setHistoryLost(reason error) {
+	m.opts.Log.Emit(event.WatchAbandoned, m.revision.Load(), reason)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.historyLost = true
@@ -239,8 +245,8 @@
 	return nil
 }
 
-// readAll reads the whole store again when the watch cannot continue from the last revision because
-// its history was compacted. Every page is as of sentAt or later.
+// readAll reads the whole store again when the watch cannot continue from the last revision. Every page
+// is as of sentAt or later.
 func (m *Manager) readAll(ctx context.Context) error {
 	sentAt := m.opts.Clock()
 	list, err := m.opts.Store.List(ctx, m.opts.Prefix)
--- a/external/store/purpose.go
+++ b/external/store/purpose.go
@@ -59,6 +59,7 @@
 		{ErrLeaseGone, "lease_gone"},
 		{ErrConflict, "conflict"},
 		{ErrCompacted, "compacted"},
+		{ErrResponseTooLong, "too_long"},
 		{ErrUnavailable, "unavailable"},
 	} {
 		if errors.Is(c.Err, known.err) {
--- a/external/store/store.go
+++ b/external/store/store.go
@@ -33,6 +33,9 @@
 	ErrTooLarge = errors.New("store: value too large")
 	// ErrCompacted means that a watch requested history that was discarded; the caller must list again.
 	ErrCompacted = errors.New("store: revision compacted")
+	// ErrResponseTooLong means that the service answered with more than the client reads, as it would
+	// again. The caller of a watch must list instead.
+	ErrResponseTooLong = errors.New("store: response too long")
 )
 
 // LeaseID identifies a lease; zero means no lease.
@@ -65,8 +68,8 @@
 // Watcher delivers changes in revision order.
 type Watcher interface {
 	// Next waits for the next batch of events. An empty batch means that nothing has changed. Its
-	// errors include ErrCompacted, ErrUnavailable and the context's error; after an error the watcher
-	// must not be used.
+	// errors include ErrCompacted, ErrResponseTooLong, ErrUnavailable and the context's error; after an
+	// error the watcher must not be used.
 	Next(ctx context.Context) ([]Event, error)
 	// Revision returns the store revision up to which changes were delivered. A new watch can
 	// continue from it.
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -139,6 +139,8 @@
 		"This daemon knows no state yet and found the registered entry VMs. If wait is positive, it asks the others and reads the whole store itself after that time at the earliest.", "vms", "wait")
 	StoreReread = define(546, "store_reread", logrus.InfoLevel,
 		"The store was read again as a whole, because the watch could not continue. read is its revision, held the revision that this daemon held; entries of a lower revision are not used.", "read", "held")
+	WatchAbandoned = define(550, "watch_abandoned", logrus.WarnLevel,
+		"The watch of the store cannot continue from the revision held here; the whole store is read again, here or by another daemon.", "held", "error")
 	StoreRestored = define(547, "store_restored", logrus.WarnLevel,
 		"The store came back from an older copy of its data and counts its revisions anew. missing is the number of servers that it lacks and that stay in use for a moment, leaving the number of those that it shows as ready although they were known to leave, and refused the number of refused requests that it lacks; they stay refused and are written again.", "era", "revision", "missing", "leaving", "refused")
 	RefusedNotWritten = define(548, "refused_unwritten", logrus.WarnLevel,
