feed: a watch that fails again and again leads to a new list

Whatever makes a watch fail each time while the store answers all else, the daemon repeated that watch, read the configuration on its own, and sent requests to servers that had left until the store dropped the history.

Change: the feed counts watches that fail in a row. After two it first reads the configuration, which it does after an outage anyway. If that fails the store is away, and the count begins again; if it is answered, or an overdue watch was confirmed by such a read, and the watch fails once more, the whole store is read again as after lost history.

Cost: in an outage each attempt is one call, as before, and its end leads to no list (TestOutageLeadsToNoNewList, 8 daemons, outages of 0.7, 2 and 10 s).

Not covered: a departure takes up to 6.5 s to be seen by a daemon alone whose watches are all silent, longer than drain_ms: two such watches take 4.4 s, and a removal after a pause of the store's answers has a grace period of a second.

--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -127,6 +127,7 @@
 	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
 	startFleet       atomic.Pointer[startFleet]
 	fleetLearned     chan struct{} // closed once startFleet is set
+	watchFailures    int           // watches that failed in a row while the store was not known to be away; used by Run
 	startPeer        string        // address of a daemon that answered while this one has no state; used by pollPeers
 	// startPolls counts the polls of other daemons than startPeer while this one has no state, and
 	// startAnswers the answers to them.
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -36,10 +36,16 @@
 	peerSilence = time.Second
 	// minWatchCheck is the least time between two checks whether this daemon watches the store.
 	minWatchCheck = 10 * time.Millisecond
+	// maxWatchFailures is how many watches in a row may fail before the store is asked whether it answers
+	// other calls, and the state read anew if it does. A waiting watch may be cut at any time.
+	maxWatchFailures = 2
 	// watchLatency is the time from a change to the answer of a watch that waits for it.
 	watchLatency = 50 * time.Millisecond
 )
 
+// errWatchFails means that one watch after the other fails, although the store answers other calls.
+var errWatchFails = errors.New("feed: the store answers, but its watch fails")
+
 // MaxBatchesPerSecond is the maximum rate at which a watching daemon reads batches of changes.
 const MaxBatchesPerSecond = float64(time.Second) / float64(batchPause)
 
@@ -78,7 +84,7 @@
 
 // losesHistory reports whether an error of a watch means that it cannot continue from its revision.
 func losesHistory(err error) bool {
-	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrResponseTooLong)
+	return errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrResponseTooLong) || errors.Is(err, errWatchFails)
 }
 
 // setHistoryLost records that the watch cannot continue from the current revision, and why.
@@ -132,11 +138,19 @@
 	err = m.catchUp(ctx)
 	m.firstReadOnce.Do(func() { close(m.firstRead) })
 	if err != nil {
+		m.watchFailures = 0 // the store is away, not only its watch
 		return false, err
 	}
 	if !m.shouldWatch() {
 		return false, nil
 	}
+	watched, err = m.watchChanges(ctx)
+	return watched, m.judgeWatch(watched, err)
+}
+
+// watchChanges applies changes until a call of the watch fails or the plan leaves the watch to other
+// daemons. watched reports whether the watch has answered.
+func (m *Manager) watchChanges(ctx context.Context) (watched bool, err error) {
 	w, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.revision.Load())
 	if err != nil {
 		return false, err
@@ -152,15 +166,38 @@
 	return watched, nil
 }
 
+// judgeWatch counts the watches that fail in a row and returns the error of the last one. It wraps
+// errWatchFails if the store answered other calls meanwhile: catchUp reads from the store before a watch
+// that follows maxWatchFailures, and an overdue watch does so too.
+//
+// It covers a watch that fails each time for a reason not foreseen, while the store answers all else.
+// Without it, a daemon repeats that watch, confirms the configuration, and never hears that a server
+// leaves.
+func (m *Manager) judgeWatch(watched bool, err error) error {
+	if watched {
+		m.watchFailures = 0
+	}
+	if err == nil {
+		return nil
+	}
+	m.watchFailures++
+	if m.watchFailures < maxWatchFailures || !m.storeReachable.Load() {
+		return err
+	}
+	m.watchFailures = 0
+	return errors.Wrapf(errWatchFails, "%v", err)
+}
+
 // catchUp determines the revision from which the watch continues and confirms the configuration.
-// The read is needed because a watch without changes confirms nothing for a second.
+// The read is needed because a watch without changes confirms nothing for a second, and after watches
+// that failed because it shows whether the store answers.
 func (m *Manager) catchUp(ctx context.Context) error {
 	switch {
 	case m.isHistoryLost():
 		return m.readAll(store.WithPurpose(ctx, store.PurposeReread))
 	case m.revision.Load() == 0:
 		return m.learnState(store.WithPurpose(ctx, store.PurposeStart))
-	case !m.isFresh():
+	case !m.isFresh(), m.watchFailures >= maxWatchFailures:
 		return m.confirmConfig(store.WithPurpose(ctx, store.PurposeReread))
 	}
 	return nil
