feed: a daemon whose watch fails asks peers

What callers would see: a daemon whose watches fail, while the store answers its other calls, hears of a departure only from its next list, some five seconds later, although its peers know it.

Cause: a daemon asks no peer while it watches the store and its configuration is fresh. The configuration is also read on its own, after failures and while a watch is overdue, so that it says nothing of the servers.

Change: such a daemon asks peers from the moment at which its watch is known to fail while the store answers, until a watch answers again. Weighed and not done: telling peers that this daemon has lost the store. A fleet of hundreds would turn to the store at once when it stops serving watches.

--- a/control/feed/failingwatch_test.go
+++ b/control/feed/failingwatch_test.go
@@ -120,3 +120,24 @@
 		})
 	}
 }
+
+// Guards against a daemon that counts as up to date by its configuration alone, asks no peer, and hears of no departure.
+func TestDaemonWhoseWatchFailsHearsOfDeparturesFromPeer(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		f.put("server/1", "a:1")
+		watches := f.failWatches(1)
+		f.startRegistered()
+		time.Sleep(3 * time.Second)
+		watches.fault.Store(&watchFault{2200 * time.Millisecond, store.ErrUnavailable})
+		time.Sleep(6 * time.Second)
+		const within = 2 * time.Second
+		for n := range 5 {
+			f.remove("server/1")
+			time.Sleep(within)
+			must.Eq(f.t, "", f.serversIn(1), must.Sprint(n))
+			f.put("server/1", fmt.Sprintf("a:%d", n+2))
+			time.Sleep(within)
+			must.Eq(f.t, "1", f.serversIn(1), must.Sprint(n))
+		}
+	})
+}
--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -111,6 +111,7 @@
 	configReady     chan struct{} // closed when the first configuration is in force
 	configReadyOnce sync.Once     // closes configReady
 	storeReachable  atomic.Bool   // the last call to the store succeeded
+	watchFails      atomic.Bool   // one watch after the other failed although the store answered, and none has answered since
 	// unreachableSince is the Clock time of the first failed call since the store last answered; 0
 	// if the last call succeeded.
 	unreachableSince atomic.Int64
--- a/control/feed/peers.go
+++ b/control/feed/peers.go
@@ -144,8 +144,11 @@
 	}
 }
 
-// needsNoSource reports whether this daemon's own watch of the store works.
-func (m *Manager) needsNoSource() bool { return m.isFresh() && m.shouldWatch() && !m.hasNoSource() }
+// needsNoSource reports whether this daemon's own watch of the store works. A recent confirmation does
+// not show that: the configuration is also read on its own.
+func (m *Manager) needsNoSource() bool {
+	return m.isFresh() && !m.watchFails.Load() && m.shouldWatch() && !m.hasNoSource()
+}
 
 // askForNewerConfig asks one other daemon, once, whether it knows a newer configuration than the store
 // from which this one has just read.
--- a/control/feed/watch.go
+++ b/control/feed/watch.go
@@ -185,6 +185,7 @@
 		return err
 	}
 	m.watchFailures = 0
+	m.watchFails.Store(true)
 	return errors.Wrapf(errWatchFails, "%v", err)
 }
 
@@ -310,6 +311,7 @@
 	if err != nil {
 		return err
 	}
+	m.watchFails.Store(false)
 	m.recordAnswer(sentAt)
 	completeAt := max(sentAt, m.opts.Clock()-watchLatency)
 	m.apply(basis{confirmedAt: sentAt, completeAt: completeAt, revision: w.Revision()}, func() { m.table.applyEvents(sentAt, events) })
