--- a/control/feed/feed.go
+++ b/control/feed/feed.go
@@ -111,6 +111,7 @@
 	configReady     chan struct{} // closed when the first configuration is in force
 	configReadyOnce sync.Once     // closes configReady
 	storeReachable  atomic.Bool   // the last call to the store succeeded
+	watchFails      atomic.Bool   // one watch after the other failed although the store answered, and none has answered since
 	// unreachableSince is the Clock time of the first failed call since the store last answered; 0
 	// if the last call succeeded.
 	unreachableSince atomic.Int64
@@ -127,6 +128,7 @@
 	ownEntry         store.KV      // this daemon's entry at its start; empty if there was none
 	startFleet       atomic.Pointer[startFleet]
 	fleetLearned     chan struct{} // closed once startFleet is set
+	watchFailures    int           // watches that failed in a row while the store was not known to be away; used by Run
 	startPeer        string        // address of a daemon that answered while this one has no state; used by pollPeers
 	// startPolls counts the polls of other daemons than startPeer while this one has no state, and
 	// startAnswers the answers to them.
