fix: the end of an answer without a length is confirmed by the process that made it

Cause: such an answer ends with its connection, as it does when its server dies, and the daemon took the end for a real one if any process accepted a connection at the address. The daemon comes to the end late, here because its caller reads slowly, so another process has the port by then. Lost packets, a cut link, a daemon that stands still and a server that is silent when it is asked delay the check as well; how long ago the connection ended cannot be known at the daemon.

Where nothing can tell, the answer counts as broken: it is cut, or sent again if it is idempotent and nothing reached the caller. The health path comes from the configuration (health_path).

No test was relaxed.

--- a/control/routing/encoding.go
+++ b/control/routing/encoding.go
@@ -18,8 +18,9 @@
 		IdleTimeout   duration `json:"idle_timeout"`
 	} `json:"limits"`
 	Services []struct {
-		Name   string  `json:"name"`
-		Engine *Engine `json:"engine"`
+		Name       string  `json:"name"`
+		Engine     *Engine `json:"engine"`
+		HealthPath string  `json:"health_path"`
 	} `json:"services"`
 	Routes []documentRoute `json:"routes"`
 	// Accounts is nil if no route requires an account key.
@@ -74,8 +75,11 @@
 	var services []*Service
 	serviceNames := map[string]bool{}
 	for _, s := range d.Services {
+		if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+			return nil, errors.Errorf("configuration: service %s: health path %q does not begin with a slash", s.Name, s.HealthPath)
+		}
 		serviceNames[s.Name] = true
-		services = append(services, &Service{Name: s.Name, Engine: s.Engine})
+		services = append(services, &Service{Name: s.Name, Engine: s.Engine, HealthPath: s.HealthPath})
 	}
 	var routes []*Route
 	for _, r := range d.Routes {
--- a/control/routing/encoding_test.go
+++ b/control/routing/encoding_test.go
@@ -8,7 +8,7 @@
 )
 
 const configJSON = `{"version":3,"limits":{"body_bytes":1000,"idle_timeout":"15s"},
-"services":[{"name":"desk"},{"name":"llm","engine":{"slots":4,"copies":true}}],
+"services":[{"name":"desk","health_path":"/health"},{"name":"llm","engine":{"slots":4,"copies":true}}],
 "routes":[{"name":"r","host":"desk.example","prefix":"/a/","kind":"idempotent","timeout":"600ms","attempts":2,
  "targets":[{"service":"desk","weight":3},{"service":"llm","weight":1}]}],
 "accounts":[{"name":"mill","keys":["k1"],"priority":2},{"name":"depot","keys":["k2"]}]}`
@@ -26,6 +26,9 @@
 	must.Eq(t, 2, c.Account("k1").Priority)
 	must.Eq(t, -1, c.Account("k2").Priority)
 	must.Eq(t, "llm", c.SoleEngineService())
+	must.Eq(t, "/health", c.HealthPath("desk"))
+	must.Eq(t, "", c.HealthPath("llm"))
+	must.Eq(t, "", c.HealthPath("other"))
 }
 
 // The error for an invalid configuration names the part that is invalid.
@@ -33,6 +36,7 @@
 	for text, want := range map[string]string{
 		`x`:             "configuration",
 		`{"version":0}`: "version 0",
+		`{"version":1,"services":[{"name":"s","health_path":"health"}]}`:                                 `service s: health path "health"`,
 		`{"version":1,"routes":[{"name":"r","prefix":"a/"}]}`:                                            `route r: prefix "a/"`,
 		`{"version":1,"routes":[{"name":"r","prefix":"/","kind":"x"}]}`:                                  `kind "x"`,
 		`{"version":1,"routes":[{"name":"r","prefix":"/","kind":"stream"}]}`:                             "no target",
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -64,6 +64,9 @@
 	Name string
 	// Engine is nil if the backend servers are not model engines.
 	Engine *Engine
+	// HealthPath is the path at which a backend server states which process it is; "" if there is none.
+	// A request there may wait for a slot.
+	HealthPath string
 }
 
 // Engine describes the capabilities of the model engines of a service.
@@ -184,6 +187,14 @@
 	return objectives[(len(objectives)-1)/2]
 }
 
+// HealthPath returns the health path of a service; "" if it has none.
+func (c *Config) HealthPath(service string) string {
+	if s := c.services[service]; s != nil {
+		return s.HealthPath
+	}
+	return ""
+}
+
 // SoleEngineService returns the name of the only service that has model engines, or "" if none or
 // several have.
 func (c *Config) SoleEngineService() string {
--- a/external/sent/closedelimited.go
+++ b/external/sent/closedelimited.go
@@ -13,7 +13,7 @@
 
 // ErrEndUnknown means that a response ended with its connection and nothing tells whether its server had
 // exited then.
-var ErrEndUnknown = errors.New("sent: the response ended with its connection, and the server does not answer")
+var ErrEndUnknown = errors.New("sent: the response ended with its connection, and nothing tells whether the server runs")
 
 // IsCloseDelimited reports whether only the end of the connection shows where the body of a response
 // ends (RFC 9112, section 6.3).
--- a/serve/forward/closedelimited_test.go
+++ b/serve/forward/closedelimited_test.go
@@ -175,3 +175,157 @@
 		})
 	}
 }
+
+// slowAnswer is a response whose end comes later than another process could take the port of its server.
+const slowAnswer = minRestartTime + 50*time.Millisecond
+
+// endRoutes are routes to plain servers, and to servers that do not tell which process they are, with time
+// for a slowAnswer.
+func endRoutes() []*routing.Route {
+	route := func(name, service string, kind routing.Kind) *routing.Route {
+		return &routing.Route{
+			Name: name, Host: "host", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, MaxAttempts: 2,
+			Targets: []routing.Target{{Service: service, Weight: 1}},
+		}
+	}
+	stream, engine := route("stream", "desk", routing.Stream), route("engine", "llm", routing.Stream)
+	stream.Resumable, engine.Resumable = true, true
+	return []*routing.Route{
+		route("once", "desk", routing.AtMostOnce), route("again", "desk", routing.Idempotent), stream, engine,
+		route("anonymous", "anonymous", routing.AtMostOnce),
+	}
+}
+
+// replaceInOrder ends a server's process, whose connections end in order, and starts another one at its address.
+func (w *testCluster) replaceInOrder(old *fakeServer, id string, handle http.HandlerFunc) *fakeServer {
+	w.mu.Lock()
+	w.replaced = append(w.replaced, old)
+	w.mu.Unlock()
+	next := old.server
+	next.ID = id
+	return w.start(next, handle)
+}
+
+// Guards against an answer that ends early and looks complete, and a whole one that does not, for each way in
+// which a server and the process at its address are found after it.
+func TestEndOfSlowCloseDelimitedAnswer(t *testing.T) {
+	rejectOnce := func(s *fakeServer) http.HandlerFunc {
+		return func(rw http.ResponseWriter, _ *http.Request) {
+			if s.healthRequestCount() == 1 {
+				rw.Header().Set(hNotRun, "1")
+				rw.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			rw.Header().Set(hInstance, s.server.ID)
+		}
+	}
+	for _, c := range []struct {
+		name   string
+		path   string // of the service that answers
+		delay  time.Duration
+		after  func(w *testCluster, s *fakeServer) // at the end of the answer
+		whole  bool
+		asked  int // requests to the health path of the server
+		atMost time.Duration
+	}{
+		{"quick", "/once/x", 0, func(*testCluster, *fakeServer) {}, true, 0, minRestartTime},
+		{"slow", "/once/x", slowAnswer, func(*testCluster, *fakeServer) {}, true, 1, 2 * slowAnswer},
+		{"server full for a moment", "/once/x", slowAnswer, func(_ *testCluster, s *fakeServer) { s.setHealth(rejectOnce(s)) }, true, 2, 2 * slowAnswer},
+		{"server leaves", "/once/x", slowAnswer, func(_ *testCluster, s *fakeServer) {
+			s.setHealth(func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set(hInstance, s.server.ID)
+				rw.WriteHeader(http.StatusServiceUnavailable)
+			})
+		}, true, 1, 2 * slowAnswer},
+		{"server does not tell who it is", "/once/x", slowAnswer, func(_ *testCluster, s *fakeServer) {
+			s.setHealth(func(http.ResponseWriter, *http.Request) {})
+		}, false, -1, 6 * time.Second},
+		{"server silent for a second", "/once/x", slowAnswer, func(w *testCluster, s *fakeServer) {
+			s.listener.Stall()
+			w.background(func() { time.Sleep(time.Second); s.listener.Unstall() })
+		}, true, -1, 4 * time.Second},
+		{"server gone", "/once/x", slowAnswer, func(w *testCluster, s *fakeServer) { w.crash(s) }, false, 0, 2 * slowAnswer},
+		{"another process", "/once/x", slowAnswer, func(w *testCluster, s *fakeServer) { w.replaceInOrder(s, "new", nil) }, false, 0, 2 * slowAnswer},
+		{"another process of another service", "/once/x", slowAnswer, func(w *testCluster, s *fakeServer) {
+			w.replaceInOrder(s, "new", nil).server.Service = "llm"
+		}, false, 0, 2 * slowAnswer},
+		{"another process of the same id", "/once/x", slowAnswer, func(w *testCluster, s *fakeServer) {
+			next := w.replaceInOrder(s, s.server.ID, nil)
+			next.server.StartedAtMS++
+			w.register(next)
+			time.Sleep(time.Second) // until the handler knows it
+		}, false, 0, time.Second + 2*slowAnswer},
+		{"quick, no health path", "/anonymous/x", 0, func(*testCluster, *fakeServer) {}, true, 0, minRestartTime},
+		{"slow, no health path", "/anonymous/x", slowAnswer, func(*testCluster, *fakeServer) {}, false, 0, 2 * slowAnswer},
+		{"server gone, no health path", "/anonymous/x", slowAnswer, func(w *testCluster, s *fakeServer) { w.crash(s) }, false, 0, 2 * slowAnswer},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, endRoutes(), func(w *testCluster) {
+				service := map[bool]string{true: "desk", false: "anonymous"}[strings.HasPrefix(c.path, "/once/")]
+				var s *fakeServer
+				s = w.start(routing.Server{ID: "d1", StartedAtMS: 1, Service: service, Zone: "a", Address: "d1:80"}, respondUnframed(func(send func(string), _ int) {
+					send("answer")
+					time.Sleep(c.delay)
+					c.after(w, s)
+				}))
+				w.register(s)
+				time.Sleep(time.Second) // until the handler knows it
+				got := w.request("POST", c.path, callerHeaders, "")
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, c.whole, got.status == http.StatusOK, must.Sprint(got.status, got.body))
+				must.LessEq(w.t, c.atMost, got.took)
+				if c.whole {
+					must.Eq(w.t, "answer", got.body)
+				}
+				if c.asked >= 0 {
+					must.Eq(w.t, c.asked, s.healthRequestCount())
+				}
+			})
+		})
+	}
+}
+
+// Guards against part of an answer that looks complete because its server has crashed and started again by
+// the time at which the daemon sees the end: an answer that had begun is cut, others are asked for again.
+func TestAnswerOfRestartedServerIsNotComplete(t *testing.T) {
+	part, whole := strings.Repeat("a", 2*bufferedResponseBytes), strings.Repeat("a", 3*bufferedResponseBytes)
+	for _, c := range []struct {
+		name, service, path string
+		first, then, want   string // what the server sends before its crash, what others send, what the caller gets; "" if it is cut
+	}{
+		{"call", "desk", "/again/x", "part", "answer", "answer"},
+		{"long call", "desk", "/again/x", part, whole, ""},
+		{"stream", "desk", "/stream/x", events(1, 7), "", events(1, 20)},
+		{"stream of an engine that states no start time", "llm", "/engine/x", events(1, 7), "", events(1, 20)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, endRoutes(), func(w *testCluster) {
+				runs := 0
+				later := respondUnframed(func(send func(string), after int) { send(cmp.Or(c.then, events(after+1, 20))) })
+				for _, id := range []string{"d1", "d2"} {
+					var s *fakeServer
+					s = w.add(id, c.service, "a", func(rw http.ResponseWriter, r *http.Request) {
+						if runs++; runs > 1 {
+							later(rw, r)
+							return
+						}
+						respondUnframed(func(send func(string), _ int) {
+							send(c.first)
+							w.replaceInOrder(s, "new", later)
+							time.Sleep(slowAnswer)
+						})(rw, r)
+					})
+				}
+				got := w.request("POST", c.path, callerHeaders, "")
+				if c.want == "" {
+					must.Error(w.t, got.err)
+					return
+				}
+				must.NoError(w.t, got.err)
+				must.Eq(w.t, http.StatusOK, got.status)
+				must.Eq(w.t, c.want, got.body)
+				must.Eq(w.t, 2, runs)
+			})
+		})
+	}
+}
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -24,6 +24,7 @@
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/retrybudget"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/external/standin/faultnet"
 	"mallowwind.dev/external/standin/storesim"
 	"mallowwind.dev/external/store"
@@ -38,6 +39,9 @@
 	hNotRun, hProof, hInstance, hPriority    = "Not-Run", "Proof", "Instance", "Priority"
 )
 
+// healthPath is the health path of the test services, except of "anonymous".
+const healthPath = "/health"
+
 type testCodec struct{}
 
 func (testCodec) Call(h http.Header) (Call, error) {
@@ -71,6 +75,17 @@
 	}
 }
 
+// ProcessState reads the id of the server.
+func (testCodec) ProcessState(s routing.Server, _ int, h http.Header) sent.ServerState {
+	switch h.Get(hInstance) {
+	case "":
+		return sent.ServerUnknown
+	case s.ID:
+		return sent.ServerRuns
+	}
+	return sent.ServerExited
+}
+
 func (testCodec) CachePath() string { return "/cache" }
 
 // Cache reads the start time of the engine as "@N", followed by the parts that it caches.
@@ -177,6 +192,9 @@
 	http           *http.Server
 	cacheRequests  int // number of cache requests
 	probes         int // number of status requests
+	// health answers requests to the health path; the server states its id if it is nil.
+	health         http.HandlerFunc
+	healthRequests int
 }
 
 // dial connects to a fake server by its address.
@@ -215,6 +233,9 @@
 		return
 	}
 	switch r.URL.Path {
+	case healthPath:
+		s.serveHealth(w, r)
+		return
 	case "/alive":
 		if s.server.Service == "llm" {
 			s.mu.Lock()
@@ -253,6 +274,33 @@
 	s.handle(w, r)
 }
 
+// serveHealth answers a request to the health path.
+func (s *fakeServer) serveHealth(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	handle := s.health
+	s.healthRequests++
+	s.mu.Unlock()
+	if handle != nil {
+		handle(w, r)
+		return
+	}
+	w.Header().Set(hInstance, s.server.ID)
+}
+
+// setHealth sets how the server answers requests to the health path.
+func (s *fakeServer) setHealth(handle http.HandlerFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health = handle
+}
+
+// healthRequestCount returns how many requests to the health path the server received.
+func (s *fakeServer) healthRequestCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthRequests
+}
+
 // bornPrefix returns the server's start time as the test codec reads it; "" if it reports none.
 func (s *fakeServer) bornPrefix() string {
 	if s.server.StartedAtMS == 0 {
@@ -396,7 +444,9 @@
 
 func newTestCluster(t *testing.T, routes []*routing.Route) *testCluster {
 	services := []*routing.Service{
-		{Name: "llm", Engine: &routing.Engine{Slots: 4, CanReplicate: true, CanCopy: true}}, {Name: "desk"},
+		{Name: "llm", Engine: &routing.Engine{Slots: 4, CanReplicate: true, CanCopy: true}, HealthPath: healthPath},
+		{Name: "desk", HealthPath: healthPath},
+		{Name: "anonymous"},
 	}
 	accounts := map[string]*routing.Account{
 		"key-1": {Name: "mill", Priority: -1}, "key-2": {Name: "depot", Priority: 3},
--- a/serve/forward/codec.go
+++ b/serve/forward/codec.go
@@ -9,6 +9,7 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/prompts"
+	"mallowwind.dev/external/sent"
 )
 
 // Call holds the metadata of a caller's request.
@@ -140,6 +141,10 @@
 	Outgoing(h http.Header, e UpstreamRequest) http.Header
 	// Reply parses the status and the headers of a server's response.
 	Reply(status int, h http.Header) Reply
+	// ProcessState parses the status and the headers of a response of a service's health path to a request
+	// whose headers are those of Outgoing for the server s. It is sent.ServerRuns or sent.ServerExited if
+	// the response tells whether the server s sent it, sent.ServerUnknown otherwise.
+	ProcessState(s routing.Server, status int, h http.Header) sent.ServerState
 	// CachePath returns the path at which an engine lists its cached prompts, and Cache parses
 	// that response.
 	CachePath() string
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -13,7 +13,6 @@
 
 	"github.com/pkg/errors"
 
-	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/poison"
 	"mallowwind.dev/external/sent"
@@ -123,37 +122,6 @@
 	return h.serverStateAt(e.at.server.Address)
 }
 
-// processState finds out whether the process of a server runs. An engine's report tells it from another
-// process that has taken its port; of other servers, any process counts as theirs.
-func (h *Handler) processState(s routing.Server) sent.ServerState {
-	view := h.opts.Feed.View()
-	if view.Config.Engine(s.Service) == nil || h.limits.isPaused(s) {
-		return h.serverStateAt(s.Address)
-	}
-	_, err := h.probe(context.Background(), s, probeTimeout)
-	switch {
-	case err == nil:
-		return sent.ServerRuns
-	case errors.Is(err, errRestarted):
-		return sent.ServerExited
-	}
-	return h.serverStateAt(s.Address)
-}
-
-// awaitProcessState is processState, asked again while the server is silent, until ctx ends or the server
-// is no longer listed.
-//
-// It guards against a whole response that counts as broken because its server, which ended it with the
-// connection, was silent in the next moment.
-func (h *Handler) awaitProcessState(ctx context.Context, s routing.Server) sent.ServerState {
-	for {
-		state := h.processState(s)
-		if state != sent.ServerUnknown || !h.isListed(s) || !pause.For(ctx, recoveryPollInterval) {
-			return state
-		}
-	}
-}
-
 // isListed reports whether the view lists a server.
 func (h *Handler) isListed(s routing.Server) bool {
 	_, ok := h.opts.Feed.View().Servers[s.Service].Get(s.ID)
--- a/serve/forward/defaultcodec.go
+++ b/serve/forward/defaultcodec.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/control/routing"
+	"mallowwind.dev/external/sent"
 )
 
 // Headers of DefaultCodec. Outgoing overwrites what a caller sent as backend ID, timeout, account
@@ -25,6 +28,7 @@
 	headerRateLimit   = "X-Request-Limit" // requests per second from all daemons together
 	headerBrittle     = "X-Brittle"       // rejections in a second above which the server fails
 	headerLeaving     = "X-Backend-Leaving"
+	headerBorn        = "X-Backend-Born" // as routing.Incarnation.StartedAtMS
 )
 
 // statusPath is the path at which an engine responds to probes.
@@ -89,6 +93,20 @@
 	}
 }
 
+// ProcessState implements Codec. An ID does not tell, because a server may restart under its own.
+func (DefaultCodec) ProcessState(s routing.Server, status int, h http.Header) sent.ServerState {
+	born, err := strconv.ParseInt(h.Get(headerBorn), 10, 64)
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		return sent.ServerExited
+	case err != nil || born <= 0 || s.StartedAtMS <= 0:
+		return sent.ServerUnknown
+	case born == s.StartedAtMS:
+		return sent.ServerRuns
+	}
+	return sent.ServerExited
+}
+
 // CachePath implements Codec. Engines of this codec do not list their cached prompts.
 func (DefaultCodec) CachePath() string { return statusPath }
 
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -136,7 +136,7 @@
 		resp.Body = http.NoBody
 		return resp, reply, nil
 	}
-	sent.CheckEnd(resp, func() sent.ServerState { return h.awaitProcessState(ctx, e.Server) })
+	sent.CheckEnd(resp, func() sent.ServerState { return h.awaitProcessState(ctx, e.Server, sentAt) })
 	if err := sent.LimitBody(resp, maxResponseBytes); err != nil {
 		resp.Body.Close()
 		return nil, Reply{}, err
