gateway: the limits in force apply to requests on open connections

What callers saw: after header_bytes was raised, requests within the new limit got 431 on every connection opened before the change, for as long as it lived. A daemon without a configuration denied large headers with 431 too. Cause: net/http reads its limits without a lock, so a change started a new http.Server for later connections and the older one kept its limits; the same held for the header and idle timeouts. Change: one http.Server without limits of its own. Each connection applies the limits of the configuration in force while it reads: it bounds a header as its bytes arrive (memory is the limit and one buffer a connection), sets the read deadlines, and adjusts them when the limits change. A header above the default waits for the first configuration as long as a request may, and is then refused with no_configuration. 431 has the code header_too_large, is logged and counted. The stand-in backend of the tests now reads bodies, and its harness can start without a configuration.

--- a/decision/verdict/verdict.go
+++ b/decision/verdict/verdict.go
@@ -51,6 +51,7 @@
 const (
 	CodeBadRequest            Code = "bad_request"
 	CodeBodyTooLarge          Code = "body_too_large"
+	CodeHeaderTooLarge        Code = "header_too_large"
 	CodeUnauthorized          Code = "unauthorized"
 	CodeUnknownService        Code = "unknown_service"
 	CodeUnknownGeneration     Code = "unknown_generation"
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -29,7 +29,7 @@
 	}
 	age, known := h.opts.Feed.ConfigAge()
 	if !known {
-		return in, verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known yet").WithRetryAfter(h.startRetryAfter())
+		return in, h.unconfigured()
 	}
 	in.configVersion, in.configAge = view.Config.Version, age
 	if err != nil {
@@ -75,6 +75,20 @@
 	return h.opts.Feed.View()
 }
 
+// AwaitConfig waits for the first configuration as long as a request may. It returns the refusal of
+// the request if there is still none.
+func (h *Handler) AwaitConfig(ctx context.Context) error {
+	if h.opts.Feed.View().Config != nil || h.awaitFirstConfig(ctx, 0).Config != nil {
+		return nil
+	}
+	return h.unconfigured()
+}
+
+// unconfigured returns the refusal of a request while no configuration is known.
+func (h *Handler) unconfigured() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known yet").WithRetryAfter(h.startRetryAfter())
+}
+
 // startRetryAfter returns when the caller of a daemon that has no configuration yet should retry. If the
 // whole fleet has just started, no other daemon can serve the caller either.
 func (h *Handler) startRetryAfter() time.Duration {
--- a/serve/forward/refuse.go
+++ b/serve/forward/refuse.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -25,6 +27,8 @@
 		return http.StatusNotFound
 	case verdict.CodeBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case verdict.CodeHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case verdict.CodeDeadlineExceeded:
 		return http.StatusGatewayTimeout
 	case verdict.CodePoison: // 503 would invite the caller to return
@@ -53,16 +57,39 @@
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
 	e := verdict.FromError(err)
-	status := statusOf(e)
-	header := w.Header()
+	setRefusalHeader(w.Header(), e)
+	w.WriteHeader(statusOf(e))
+	// An error here means that the caller disconnected.
+	_ = json.NewEncoder(w).Encode(newRefusal(e))
+	h.recordRefusal(in, e)
+}
+
+// RefuseUnread writes the refusal of a request whose header was not read to its end, after which the
+// connection has to be closed.
+func (h *Handler) RefuseUnread(w io.Writer, err error) {
+	e := verdict.FromError(err)
+	var body bytes.Buffer
+	_ = json.NewEncoder(&body).Encode(newRefusal(e)) // strings can be encoded
+	r := http.Response{StatusCode: statusOf(e), ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, ContentLength: int64(body.Len()), Body: io.NopCloser(&body), Close: true}
+	setRefusalHeader(r.Header, e)
+	_ = r.Write(w) // an error here means that the caller disconnected
+	h.recordRefusal(&inbound{arrived: time.Now()}, e)
+}
+
+func newRefusal(e *verdict.Error) refusal {
+	return refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message}
+}
+
+func setRefusalHeader(header http.Header, e *verdict.Error) {
 	header.Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
 		seconds := math.Ceil(e.RetryAfter.Seconds()*100) / 100
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
 	}
-	w.WriteHeader(status)
-	// An error here means that the caller disconnected.
-	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+}
+
+func (h *Handler) recordRefusal(in *inbound, e *verdict.Error) {
+	status := statusOf(e)
 	h.metrics.countAnswer(in, status, sourceDaemon)
 	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.call.PromptKey, in.routeName(), in.accountName(), in.configVersion, in.configAge,
 		status, e.Code, e.RetryAfter, e.Error(), time.Since(in.arrived))
--- a/serve/gateway/caller_server.go
+++ b/serve/gateway/caller_server.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"log"
+	"maps"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +15,7 @@
 
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/serve/forward"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -26,76 +30,43 @@
 	defaultMaxHeaderBytes = 16 << 10
 )
 
-// callerServer accepts connections of callers and serves them within the limits of the
-// configuration. net/http reads its limits without a lock, so a change of the limits starts a new
-// server for later connections; open connections keep the limits with which they were opened.
+// callerServer accepts connections of callers and serves their requests. net/http keeps its limits
+// for as long as it serves, so it gets none here: each connection applies those of the configuration
+// in force.
 type callerServer struct {
-	listener net.Listener
-	handler  http.Handler
-	log      *event.Log
-	errorLog *log.Logger
-	mu       sync.Mutex
-	current  *connListener
-	servers  []*http.Server
-	limits   routing.Limits
-	closed   bool
-}
+	http    *http.Server
+	handler *forward.Handler
+	feed    *feed.Manager
+	closing context.Context // done when the server closes
 
-// connListener is a net.Listener whose connections come from callerServer.accept.
-type connListener struct {
-	conns chan net.Conn
-	done  chan struct{}
-	once  sync.Once
-	addr  net.Addr
+	mu    sync.Mutex
+	conns map[*callerConn]struct{} // open connections
 }
 
-// Accept implements net.Listener.
-func (l *connListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
+func newCallerServer(ctx context.Context, handler *forward.Handler, source *feed.Manager, errorLog *log.Logger) *callerServer {
+	s := &callerServer{handler: handler, feed: source, closing: ctx, conns: map[*callerConn]struct{}{}}
+	s.http = &http.Server{Handler: handler, ErrorLog: errorLog, ConnState: setConnPhase, MaxHeaderBytes: math.MaxInt32}
+	return s
 }
 
-// Close implements net.Listener.
-func (l *connListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return nil
+// callerLimits are the limits that a connection applies.
+type callerLimits struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
 }
 
-// Addr implements net.Listener.
-func (l *connListener) Addr() net.Addr { return l.addr }
-
-func newCallerServer(l net.Listener, handler http.Handler, events *event.Log, errorLog *log.Logger) *callerServer {
-	c := &callerServer{listener: l, handler: handler, log: events, errorLog: errorLog}
-	c.apply(routing.Limits{})
-	return c
-}
-
-// apply starts a server with new limits for later connections. It is called at the start and by
-// watchLimits.
-func (c *callerServer) apply(limits routing.Limits) {
-	s := &http.Server{
-		Handler: c.handler, ErrorLog: c.errorLog,
-		ReadHeaderTimeout: valueOrDefault(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       valueOrDefault(limits.IdleTimeout, defaultIdleTimeout),
-		MaxHeaderBytes:    valueOrDefault(limits.HeaderBytes, defaultMaxHeaderBytes),
+// newCallerLimits returns the limits of a configuration, with defaults for those that it does not
+// set. cfg is nil before the first one is known.
+func newCallerLimits(cfg *routing.Config) callerLimits {
+	var limits routing.Limits
+	if cfg != nil {
+		limits = cfg.Limits
 	}
-	l := &connListener{conns: make(chan net.Conn), done: make(chan struct{}), addr: c.listener.Addr()}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return
+	return callerLimits{
+		headerBytes:   valueOrDefault(limits.HeaderBytes, defaultMaxHeaderBytes),
+		headerTimeout: valueOrDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		idleTimeout:   valueOrDefault(limits.IdleTimeout, defaultIdleTimeout),
 	}
-	c.current, c.limits = l, limits
-	c.servers = append(c.servers, s)
-	go func() {
-		if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			c.log.Emit(event.ListenerFailed, c.listener.Addr().String(), err)
-		}
-	}()
 }
 
 // valueOrDefault returns value, or defaultValue if value is not positive.
@@ -106,67 +77,73 @@
 	return defaultValue
 }
 
-// watchLimits applies changes of the configured limits until ctx is done.
-func (c *callerServer) watchLimits(ctx context.Context, source *feed.Manager) {
-	for ctx.Err() == nil {
-		changed := source.ControlChanged()
-		if cfg := source.View().Config; cfg != nil && !equalServerLimits(cfg.Limits, c.limits) {
-			c.apply(cfg.Limits)
-			c.log.Emit(event.LimitsInForce, cfg.Version, cfg.Limits.HeaderBytes, cfg.Limits.HeaderTimeout, cfg.Limits.IdleTimeout)
+// limits returns the limits in force.
+func (s *callerServer) limits() callerLimits { return newCallerLimits(s.feed.View().Config) }
+
+// watchLimits applies changed time limits to the open connections until the server closes.
+func (s *callerServer) watchLimits(events *event.Log) {
+	applied := newCallerLimits(nil)
+	for s.closing.Err() == nil {
+		changed := s.feed.ControlChanged()
+		cfg := s.feed.View().Config
+		if limits := newCallerLimits(cfg); limits != applied {
+			applied = limits
+			s.applyTimeLimits()
+			events.Emit(event.LimitsInForce, cfg.Version, limits.headerBytes, limits.headerTimeout, limits.idleTimeout)
 		}
 		select {
-		case <-ctx.Done():
+		case <-s.closing.Done():
 		case <-changed:
 		}
 	}
 }
 
-// equalServerLimits reports whether a and b are equal except for the limit on bodies, which the
-// handler enforces.
-func equalServerLimits(a, b routing.Limits) bool {
-	a.BodyBytes, b.BodyBytes = 0, 0
-	return a == b
+func (s *callerServer) applyTimeLimits() {
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, c := range open {
+		c.applyTimeLimits()
+	}
+}
+
+// Close closes the listener and all connections.
+func (s *callerServer) Close() error { return errors.Wrap(s.http.Close(), "close") }
+
+// callerListener is a net.Listener whose connections apply the limits of a callerServer.
+type callerListener struct {
+	net.Listener
+	server *callerServer
+	log    *event.Log
 }
 
-// accept passes connections to the current server until the listener is closed.
-func (c *callerServer) accept() {
+// Accept implements net.Listener. It returns only errors that end the listener.
+func (l callerListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := c.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			// The usual cause is a lack of file descriptors; connections that end free some.
-			c.log.Emit(event.ListenerFailed, c.listener.Addr().String(), err)
-			time.Sleep(acceptRetryDelay)
-			continue
+		conn, err := l.Listener.Accept()
+		if err == nil {
+			return l.server.newConn(conn), nil
 		}
-		c.dispatch(conn)
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		// The usual cause is a lack of file descriptors; connections that end free some.
+		l.log.Emit(event.ListenerFailed, l.Addr().String(), err)
+		time.Sleep(acceptRetryDelay)
 	}
 }
 
-func (c *callerServer) dispatch(conn net.Conn) {
-	c.mu.Lock()
-	l := c.current
-	c.mu.Unlock()
-	select {
-	case l.conns <- conn:
-	case <-l.done:
-		conn.Close()
-	}
+func (s *callerServer) newConn(conn net.Conn) *callerConn {
+	c := &callerConn{Conn: conn, server: s}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.begin(readingHeader)
+	return c
 }
 
-// Close closes the listener and all connections.
-func (c *callerServer) Close() error {
-	firstErr := c.listener.Close()
-	c.mu.Lock()
-	c.closed = true
-	servers := c.servers
-	c.mu.Unlock()
-	for _, s := range servers {
-		if err := s.Close(); err != nil && firstErr == nil {
-			firstErr = err
-		}
-	}
-	return errors.Wrap(firstErr, "close")
+func (s *callerServer) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
 }
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -203,9 +203,9 @@
 // startServers starts an HTTP server on each listener.
 func (g *Gateway) startServers(ctx context.Context) []io.Closer {
 	discard := log.New(io.Discard, "", 0) // errors of callers are reported as events
-	callers := newCallerServer(g.opts.Callers, g.handler, g.opts.Log, discard)
-	go callers.accept()
-	go callers.watchLimits(ctx, g.feed)
+	callers := newCallerServer(ctx, g.handler, g.feed, discard)
+	go g.serveListener(callers.http, callerListener{g.opts.Callers, callers, g.opts.Log})
+	go callers.watchLimits(g.opts.Log)
 	closers := []io.Closer{callers}
 	for _, l := range []struct {
 		listener net.Listener
--- a/serve/gateway/gateway_test.go
+++ b/serve/gateway/gateway_test.go
@@ -28,9 +28,14 @@
 
 // config returns a configuration with one route to the backend server.
 func config(version int, idle string) string {
-	return fmt.Sprintf(`{"version":%d,"limits":{"idle_timeout":%q},"services":[{"name":"desk"}],
+	return configWithLimits(version, fmt.Sprintf(`"idle_timeout":%q`, idle))
+}
+
+// configWithLimits returns a configuration with the given limits, as members of a JSON object.
+func configWithLimits(version int, limits string) string {
+	return fmt.Sprintf(`{"version":%d,"limits":{%s},"services":[{"name":"desk"}],
 		"routes":[{"name":"r","host":"host","prefix":"/","kind":"at_most_once","timeout":"20s",
-		"targets":[{"service":"desk","weight":1}]}]}`, version, idle)
+		"targets":[{"service":"desk","weight":1}]}]}`, version, limits)
 }
 
 // testGateway is a gateway in virtual time with one backend server, which responds after the
@@ -45,6 +50,15 @@
 }
 
 func withGateway(t *testing.T, test func(*testGateway)) {
+	withStartedGateway(t, func(s *testGateway) {
+		s.put(feed.OwnConfigKey, config(1, "15s"))
+		time.Sleep(time.Second)
+		test(s)
+	})
+}
+
+// withStartedGateway runs test at the start of a gateway that knows no configuration.
+func withStartedGateway(t *testing.T, test func(*testGateway)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &testGateway{
 			t: t, store: store.NewMemory(), stopped: make(chan struct{}),
@@ -52,7 +66,6 @@
 		}
 		backend := &http.Server{Handler: http.HandlerFunc(slowHandler)}
 		go backend.Serve(s.backend)
-		s.put(feed.OwnConfigKey, config(1, "15s"))
 		s.put(feed.OwnServerPrefix+"d", `{"service":"desk","address":"d:1","slots":4}`)
 		s.put("mallowwind/vm/other", `{"id":"other","address":"other:1"}`)
 		start := time.Now()
@@ -74,17 +87,18 @@
 			defer close(s.stopped)
 			_ = g.Run(soft, hard)
 		}()
-		time.Sleep(time.Second)
 		test(s)
 		term()
 		kill()
 		<-s.stopped
 		backend.Close()
+		time.Sleep(time.Second) // lets connections of refused callers end
 		synctest.Wait()
 	})
 }
 
 func slowHandler(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
 	wait, err := time.ParseDuration(strings.Trim(r.URL.Path, "/"))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
--- a/telemetry/event/catalogue.go
+++ b/telemetry/event/catalogue.go
@@ -19,7 +19,7 @@
 	ListenerFailed = define(106, "listener_failed", logrus.ErrorLevel,
 		"A listener of the daemon stopped unexpectedly.", "listen", "error")
 	LimitsInForce = define(109, "limits_in_force", logrus.InfoLevel,
-		"New connections of callers are subject to changed limits.", "version", "header_bytes", "header_timeout", "idle_timeout")
+		"Connections of callers, open ones too, are subject to changed limits.", "version", "header_bytes", "header_timeout", "idle_timeout")
 	LogDropped = define(108, "log_dropped", logrus.WarnLevel,
 		"Log lines were dropped because the log output was too slow.", "lines")
 	SettingsReloaded = define(107, "settings_reloaded", logrus.InfoLevel,
