retrybudget: parts of the slack add up to no more than the slack while daemons join and leave

Cause: each daemon divided the slack by the daemons listed at the moment. One that leaves is no longer listed, but retries on for up to 7.5 s with a part of its own. A daemon that had no request yet had looked at no list at all, took itself for alone and lent the slack of the whole fleet. Change: retrybudget.Fleet decides which part a daemon has. Others are counted for one and a half windows after they were last listed; a daemon observes the fleet for as long before it has a part; one that leaves keeps its part for half a window and then borrows. The list is observed every second, also without requests. Why it works: of two daemons that use parts in one window, the later one has observed for one and a half windows and the earlier one left at most half a window before its last use, so each was listed at the other within what that one remembers, as long as a change is listed within half a window; a restarted process has no part until more than a window after the last retry of the one before. So each takes at most an equal part. Tests changed: the pools of serve/forward's tests observe the fleet since an hour ago, where they were already set to have started a window ago. TestDaemonReportsCrashesOfSuspectPart begins 5 s later: daemons get their slack at 15 s instead of 10 s after their start, and it counts on it from its third prompt on; its assertions are unchanged. Share literals name their fields.

--- a/decision/retrybudget/retrybudget.go
+++ b/decision/retrybudget/retrybudget.go
@@ -12,7 +12,7 @@
 // so the sum over all daemons stays within the budget. Only requests of the window that ends now
 // count. In its first window a daemon has no part of Slack, because a previous process may have
 // used it: otherwise killing and restarting half of a fleet would exceed the budget by half of
-// Slack.
+// Slack. Fleet says by how many daemons Slack is divided.
 //
 // Where requests of a service differ in priority, the last part of the budget (reservedRatio) is
 // kept for urgent requests and for answers of which callers already hold a part. Load pattern: the
@@ -53,6 +53,8 @@
 	// round up: each one's part of the slack is only a few retries, and if all rounded down much of
 	// the slack would be lost.
 	RoundingOffset float64
+	// WithoutSlack is set while this daemon has no part of the slack.
+	WithoutSlack bool
 }
 
 // Budget counts one daemon's requests and retries to one service. It is not safe for concurrent
@@ -85,7 +87,7 @@
 	}
 	b.advance(now)
 	allowed := b.policy.Ratio * float64(b.recentRequests())
-	if now.Sub(b.startedAt) >= b.policy.Window {
+	if !share.WithoutSlack && now.Sub(b.startedAt) >= b.policy.Window {
 		allowed += b.policy.Slack / float64(max(share.Daemons, 1))
 	}
 	if float64(sum(b.retries)+1) > fraction*allowed+share.RoundingOffset {
--- a/decision/retrybudget/retrybudget_test.go
+++ b/decision/retrybudget/retrybudget_test.go
@@ -29,7 +29,7 @@
 				requests++
 			}
 			for range 3 {
-				if b.TryRetry(now, Share{daemons, float64(i) / daemons}, false) {
+				if b.TryRetry(now, Share{Daemons: daemons, RoundingOffset: float64(i) / daemons}, false) {
 					granted++
 				}
 			}
@@ -86,7 +86,7 @@
 				b.RecordRequest(now)
 				asked++
 			}
-			for n%60 < 5 && b.TryRetry(now, Share{daemons, float64(i) / daemons}, false) {
+			for n%60 < 5 && b.TryRetry(now, Share{Daemons: daemons, RoundingOffset: float64(i) / daemons}, false) {
 				granted++
 			}
 			if n%130 == 0 && random.Float64() < 0.5 {
@@ -118,7 +118,7 @@
 	now := time.Unix(1000, 0)
 	granted := func(ordinary func(*Budget, Share) bool) (others, kept int) {
 		fleet := make([]*Budget, daemons)
-		share := func(i int) Share { return Share{daemons, float64(i) / daemons} }
+		share := func(i int) Share { return Share{Daemons: daemons, RoundingOffset: float64(i) / daemons} }
 		for i := range fleet {
 			fleet[i] = New(policy, now.Add(-policy.Window))
 			for range perDaemon {
--- a/serve/forward/borrow_test.go
+++ b/serve/forward/borrow_test.go
@@ -49,6 +49,7 @@
 				w.handler.SetBounds(5*time.Second, retrybudget.Policy{Window: 10 * time.Second})
 				w.handler.borrower.dialer = link.NewDialerWithClient(&http.Client{Transport: lenderPools{"three:1": lender}})
 				lender.startedAt = lender.startedAt.Add(-10 * time.Second)
+				observeFleetLongAgo(lender)
 				w.handler.pool.startedAt = lender.startedAt
 				w.put("mallowwind/vm/vm-2", `{"id":"vm-2","zone":"b","address":"two:2","peer":"two:1"}`) // dead
 				w.put("mallowwind/vm/vm-3", `{"id":"vm-3","zone":"c","address":"three:2","peer":"three:1"}`)
@@ -114,6 +115,7 @@
 				lender := newPool(routing.VM{ID: "vm-3"}, one, w.handler.versions)
 				w.handler.SetBounds(5*time.Second, rule)
 				lender.startedAt = lender.startedAt.Add(-10 * time.Second)
+				observeFleetLongAgo(lender)
 				w.handler.pool.startedAt = lender.startedAt
 				if c.borrowing {
 					w.handler.borrower.dialer = link.NewDialerWithClient(&http.Client{Transport: lenderPools{"three:1": lender}})
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -424,8 +424,13 @@
 		RetryBudget: testRetryRule, Dial: w.dial,
 	})
 	w.handler.pool.startedAt = start.Add(-testRetryRule.Window) // gives the daemon its full share of the slack
+	observeFleetLongAgo(w.handler.pool)
 }
 
+// observeFleetLongAgo lets a daemon's pool have a part of the slack, like that of a daemon that has
+// served for an hour.
+func observeFleetLongAgo(p *pool) { p.fleet.Observe(time.Now().Add(-time.Hour), nil) }
+
 // startFeed starts the feed.
 func (w *testCluster) startFeed() {
 	ctx, cancel := context.WithCancel(w.t.Context())
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -171,6 +171,7 @@
 // so that callers move to other daemons. Prompts that wait for room are refused.
 func (h *Handler) BeginShutdown(s ShutdownSchedule) {
 	h.shutdown.Store(&s)
+	h.pool.beginLeaving(time.Now())
 	h.waiting.beginShutdown()
 }
 
@@ -217,11 +218,12 @@
 	h.refuse(w, in, err)
 }
 
-// Run exchanges with other daemons what is known of requests that crash backend servers, until
-// ctx ends.
+// Run exchanges with other daemons what is known of requests that crash backend servers, and observes
+// which daemons share the retry budgets, until ctx ends.
 func (h *Handler) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { h.poisonParts.run(ctx) })
+	wg.Go(func() { h.observeFleet(ctx) })
 	h.poisonRegistry.run(ctx)
 	wg.Wait()
 }
--- a/serve/forward/pool.go
+++ b/serve/forward/pool.go
@@ -51,6 +51,9 @@
 	// loads are kept by incarnation: what was learned of a server does not outlive its process.
 	loads   map[routing.Incarnation]*serverLoad
 	budgets map[string]*retrybudget.Budget
+	// fleet holds the daemons that share the budgets, by the entry VMs last observed.
+	fleet    *retrybudget.Fleet
+	fleetVMs []routing.VM
 	// successors maps an incarnation listed in the view to a newer one at the same address.
 	successors       map[routing.Incarnation]routing.Incarnation
 	successorChanges int // counts the changes of successors
@@ -80,7 +83,7 @@
 func newPool(self routing.VM, rule retrybudget.Policy, versions *versions.Manager) *pool {
 	return &pool{
 		self: self, startedAt: time.Now(), retryRule: rule, serverSets: map[string]*serverSet{}, canarySets: map[string]*serverSet{},
-		loads: map[routing.Incarnation]*serverLoad{}, budgets: map[string]*retrybudget.Budget{},
+		loads: map[routing.Incarnation]*serverLoad{}, budgets: map[string]*retrybudget.Budget{}, fleet: retrybudget.NewFleet(self.ID),
 		successors: map[routing.Incarnation]routing.Incarnation{}, leaving: newLeavingServers(),
 		down: map[string]downServer{}, downtimes: map[string]*outage.Estimator{},
 		onWorkChanged: func(routing.Server) {}, versions: versions,
--- a/serve/gateway/poisonpart_test.go
+++ b/serve/gateway/poisonpart_test.go
@@ -262,6 +262,7 @@
 		withFleet(t, 7, func(f *fleet) {
 			f.startServers("llm", 24)
 			f.setCrashParts("bad")
+			time.Sleep(5 * time.Second) // the daemons have their retry slack from the third prompt on
 			for n, daemon := range []int{first, first, (first + 1) % 7} {
 				own := fmt.Sprint("own", n)
 				f.sendPrompt(daemon, "/stream/"+own, "common,bad,"+own, own)
