forward: the memory of all requests has one budget, taken from the settings

Cause: nothing bounds the sum of what requests hold. readBody reads each body whole and keeps it until the request ends; the limit of the Go runtime only makes it collect garbage more often.

A request reserves what it holds before it is read: its buffers and headers, its body by the stated length or in doubling steps, and its response up to 256 KiB. The budget is the runtime's limit (0.8 of memory_mb) less 40 MiB for the daemon itself and garbage. What does not fit is refused at once: 503, not_run, Retry-After by how long bodies are held and how long the shortage has lasted. An eighth is kept for small requests. One account may use all the rest; but while another that holds less than an equal share is refused, those above theirs get nothing more. A response that finds no room is not refused, but passed on as it arrives. The rest of a refused body is read and discarded, since many callers read nothing before they have sent all; the connection stays usable. A body is given back when the response is final, before a slow caller reads it; a send that the transport has not ended keeps it. Bytes go back once: each test of the package now checks at its end that nothing is reserved. A body over body_bytes by its stated length is no longer held up to the limit before the 413.

Why it works: the live heap stays under the runtime's limit, so that collecting garbage suffices to keep it.

--- a/cmd/mallowwind/forward.go
+++ b/cmd/mallowwind/forward.go
@@ -30,6 +30,13 @@
 // it.
 const memoryLimitRatio = 0.8
 
+// ownMemoryBytes is the part of the Go runtime's memory that is not for requests: what the daemon holds
+// without any, and freed memory that is not collected yet.
+const ownMemoryBytes = 40 << 20
+
+// minRequestMemoryRatio is the part of the process's limit that is for requests at least.
+const minRequestMemoryRatio = 0.25
+
 // gcPercent is how much the heap may grow between two garbage collections, in percent. It is low
 // because entry VMs have spare CPU time and little memory.
 const gcPercent = 50
@@ -61,7 +68,7 @@
 	if c.Check {
 		return nil
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryLimitBytes)))
+	debug.SetMemoryLimit(runtimeMemory(s))
 	debug.SetGCPercent(gcPercent)
 	return runGateway(c.LogLevel, s.VM, s.Zone, func(events *event.Log) (gateway.Options, error) {
 		o, err := platformGatewayOptions(s, events)
@@ -73,17 +80,29 @@
 	}, func(g *gateway.Gateway, o gateway.Options) {
 		c.reload(hup, s, o.Log, func(next *nodefile.Settings) {
 			o.Store.(*kv.Client).SetAddress(next.StoreAddress)
+			debug.SetMemoryLimit(runtimeMemory(next))
 			g.Apply(gatewayBounds(next))
 		})
 	})
 }
 
+// runtimeMemory returns the Go runtime's memory limit in bytes.
+func runtimeMemory(s *nodefile.Settings) int64 {
+	return int64(memoryLimitRatio * float64(s.MemoryLimitBytes))
+}
+
+// requestMemory returns how many bytes the requests in progress may hold together.
+func requestMemory(s *nodefile.Settings) int64 {
+	return max(runtimeMemory(s)-ownMemoryBytes, int64(minRequestMemoryRatio*float64(s.MemoryLimitBytes)))
+}
+
 // gatewayBounds returns the settings that may change while the daemon runs.
 func gatewayBounds(s *nodefile.Settings) gateway.DynamicOptions {
 	return gateway.DynamicOptions{
 		MaxKeyAge: s.KeyRevocationDelay, GracePeriod: s.DrainGrace, Seeds: s.Seeds,
 		RetryBudget:   retrybudget.Policy{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		RolloutLimits: rollout.Limits{Share: s.CanaryRatio, Slack: s.CanarySlack},
+		MemoryBudget:  requestMemory(s),
 	}
 }
 
--- a/cmd/mallowwind/forward_test.go
+++ b/cmd/mallowwind/forward_test.go
@@ -54,3 +54,12 @@
 	got := <-applied
 	must.Eq(t, []string{"127.0.0.1:7", "127.0.0.1:8"}, got.Seeds)
 }
+
+// Guards against requests that may hold more memory than the process has beside the daemon's own.
+func TestRequestMemoryFitsIntoTheLimit(t *testing.T) {
+	for _, c := range []struct{ limit, requests int64 }{{0, 0}, {64 << 20, 16 << 20}, {144 << 20, 75 << 20}, {284 << 20, 187 << 20}, {1024 << 20, 779 << 20}} {
+		s := &nodefile.Settings{MemoryLimitBytes: c.limit}
+		must.Eq(t, c.requests>>20, requestMemory(s)>>20)
+		must.LessEq(t, runtimeMemory(s), requestMemory(s))
+	}
+}
--- a/serve/forward/accept.go
+++ b/serve/forward/accept.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"mallowwind.dev/control/feed"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/retryafter"
@@ -47,6 +43,9 @@
 	if stop := h.shutdown.Load(); stop != nil && !stop.accepts(in) {
 		return in, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "this daemon is stopping").WithRetryAfter(shutdownRetryAfter)
 	}
+	if err := h.reserveRequest(in); err != nil {
+		return in, err
+	}
 	if err := h.readBody(w, r, in, view.Config.Limits.BodyBytes); err != nil {
 		return in, err
 	}
@@ -114,61 +113,6 @@
 // defaultTimeout applies where neither the caller nor the route sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-// readBody reads the whole body, so that the request can be retried.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, in *inbound, limit int64) error {
-	body := r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	if r.ContentLength > 0 && (limit <= 0 || r.ContentLength <= limit) {
-		in.body = make([]byte, 0, r.ContentLength)
-	}
-	err := h.readBodyByDeadline(w, in, body)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return verdict.New(verdict.NotRun, verdict.CodeBodyTooLarge, "more than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return verdict.New(verdict.NotRun, verdict.CodeDeadlineExceeded, "the body did not arrive in time")
-	case err != nil:
-		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the body is incomplete").WithCause(err)
-	}
-	return nil
-}
-
-// readBodyByDeadline reads the body until the request's deadline, so that a slow sender cannot
-// hold a connection and a partial body indefinitely. After a complete body the read deadline is
-// cleared, since the HTTP server keeps reading from the connection to notice that the caller
-// disconnects. After an incomplete one it stays set, or the HTTP server would wait for the rest
-// of the body.
-func (h *Handler) readBodyByDeadline(w http.ResponseWriter, in *inbound, body io.Reader) (err error) {
-	c := http.NewResponseController(w)
-	// A connection that does not support deadlines is read without one.
-	_ = c.SetReadDeadline(in.deadline)
-	in.body, err = readAll(in.body, body)
-	if err == nil {
-		_ = c.SetReadDeadline(time.Time{})
-	}
-	return err
-}
-
-// readAll is io.ReadAll into a buffer that may be preallocated.
-func readAll(buf []byte, r io.Reader) ([]byte, error) {
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err == io.EOF {
-			return buf, nil
-		}
-		if err != nil {
-			return buf, err
-		}
-	}
-}
-
 // requestTarget returns the path and query exactly as the caller sent them.
 func requestTarget(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/serve/forward/cluster_test.go
+++ b/serve/forward/cluster_test.go
@@ -532,6 +532,9 @@
 			w.t.Errorf("%s: %v prefills, running answers and replicas are still counted at the end", incarnation.ID, counted)
 		}
 	}
+	if reserved := w.handler.memory.used(); reserved != 0 {
+		w.t.Errorf("%d bytes are still reserved at the end", reserved)
+	}
 }
 
 // background runs a function concurrently with the test; close waits for its end.
--- a/serve/forward/handler.go
+++ b/serve/forward/handler.go
@@ -65,6 +65,8 @@
 	MaxKeyAge time.Duration
 	// RetryBudget bounds the retries of the whole fleet.
 	RetryBudget retrybudget.Policy
+	// MemoryBudget is how many bytes the requests in progress may hold together; 0 sets no limit.
+	MemoryBudget int64
 	// Registerer receives the metrics; it may be nil.
 	Registerer prometheus.Registerer
 	// Dial opens connections to servers; nil means TCP.
@@ -102,6 +104,7 @@
 	headroom       *headroomState
 	versions       *versions.Manager
 	metrics        *metrics
+	memory         *memory
 	running        atomic.Int64
 	maxKeyAge      atomic.Int64
 	shutdown       atomic.Pointer[ShutdownSchedule] // nil unless the daemon is shutting down
@@ -130,7 +133,8 @@
 	h.pool.onWorkChanged, h.pool.limits, h.pool.brittle, h.pool.paces = h.workTracker.workChanged, h.limits, h.brittle, h.paces
 	h.SetBounds(o.MaxKeyAge, o.RetryBudget)
 	h.headroom = newHeadroomState()
-	h.metrics = newMetrics(o.Registerer, h.Running, h.waiting.len)
+	h.memory = newMemory(o.MemoryBudget)
+	h.metrics = newMetrics(o.Registerer, h.Running, h.waiting.len, h.memory.used)
 	return h
 }
 
@@ -141,6 +145,9 @@
 	h.pool.setRetryRule(rule)
 }
 
+// SetMemoryBudget changes how many bytes the requests in progress may hold together; 0 sets no limit.
+func (h *Handler) SetMemoryBudget(bytes int64) { h.memory.setLimit(bytes) }
+
 // Running returns the number of requests in progress.
 func (h *Handler) Running() int { return int(h.running.Load()) }
 
@@ -183,6 +190,11 @@
 	}
 	h.setWriteDeadline(w, time.Now().Add(defaultTimeout))
 	in, err := h.accept(w, r)
+	defer in.releaseMemory()
+	if in.isUnread {
+		h.refuseUnread(w, r, in, err)
+		return
+	}
 	if err != nil {
 		h.refuse(w, in, err)
 		return
--- a/serve/forward/metrics.go
+++ b/serve/forward/metrics.go
@@ -44,10 +44,11 @@
 	ordinaryRetriesDenied prometheus.Counter
 	roomForecasts         prometheus.Histogram
 	refills               *prometheus.CounterVec
+	memoryRefusals        *prometheus.CounterVec
 	pacedPlacements       *prometheus.CounterVec
 }
 
-func newMetrics(r prometheus.Registerer, running, waiting func() int) *metrics {
+func newMetrics(r prometheus.Registerer, running, waiting func() int, memoryUsed func() int64) *metrics {
 	name := func(n, help string) prometheus.Opts {
 		return prometheus.Opts{Namespace: metric.Namespace, Subsystem: "forward", Name: n, Help: help}
 	}
@@ -90,6 +91,10 @@
 	m.ordinaryRetriesDenied = prometheus.NewCounter(counter("ordinary_repeats_denied_total", "Sends of less urgent requests that were denied because the shared budget of repeats is used up, or what is left of it kept for urgent requests and for answers that callers hold in part."))
 	m.roomForecasts = prometheus.NewHistogram(histogram("room_forecast_seconds", "Times after which callers refused for lack of room were told to return, where these follow from the rate at which room appeared."))
 	m.refills = prometheus.NewCounterVec(counter("refills_total", "Decisions about prompts that have to be prefilled again, where requests differ in priority, by action and reason."), []string{"action", "reason"})
+	m.memoryRefusals = prometheus.NewCounterVec(counter("memory_refusals_total", "Requests refused before they ran, because they do not fit into the memory for requests, by reason."), []string{"reason"})
+	memoryReserved := prometheus.NewGaugeFunc(prometheus.GaugeOpts(name("memory_reserved_bytes", "Memory that is reserved for the requests in progress.")),
+		func() float64 { return float64(memoryUsed()) })
+	metric.Register(r, m.memoryRefusals, memoryReserved)
 	metric.Register(r, m.ordinaryRetriesDenied, m.roomForecasts, m.refills, m.promptsWaiting, m.promptWaitSeconds, m.pacedPlacements)
 	metric.Register(r, m.answers, m.answerSeconds, m.truncated, m.sends, m.segments, m.segmentsKept, m.firstEventSeconds, m.resumeSeconds, m.retriesDenied, m.retriesBorrowed, m.copiesRemade, m.cacheScans, m.overloadRefusals, m.headroomDenials, m.inFlight, m.poisonMarks, m.poisonRefusals, m.suspectPrompts, m.limitChanges, m.permits, m.serverNotices, m.unreadableMessages, m.cacheBytes)
 	return m
--- a/serve/forward/plain.go
+++ b/serve/forward/plain.go
@@ -96,6 +96,9 @@
 	if err != nil {
 		return err
 	}
+	if x.pending == 0 {
+		in.releaseBody()
+	}
 	return h.forwardResponse(ctx, w, in, last)
 }
 
@@ -330,7 +333,7 @@
 		resp.Body.Close()
 		o.err = errNotAuthentic
 	} else {
-		o.body, o.bodyRest, o.err = readResponse(resp)
+		o.body, o.bodyRest, o.err = readResponse(resp, in.overhead)
 	}
 	if o.err != nil {
 		h.inspectBroken(ctx, in, o, started)
--- a/serve/forward/refuse.go
+++ b/serve/forward/refuse.go
@@ -60,9 +60,12 @@
 		seconds := math.Ceil(e.RetryAfter.Seconds()*100) / 100
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
 	}
+	// A struct of strings is always encoded.
+	body, _ := json.Marshal(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	// An error here means that the caller disconnected.
-	_ = json.NewEncoder(w).Encode(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	_, _ = w.Write(body)
 	h.metrics.countAnswer(in, status, sourceDaemon)
 	h.opts.Log.Emit(event.ForwardRefused, in.call.ID, in.call.PromptKey, in.routeName(), in.accountName(), in.configVersion, in.configAge,
 		status, e.Code, e.RetryAfter, e.Error(), time.Since(in.arrived))
--- a/serve/forward/response.go
+++ b/serve/forward/response.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -21,21 +20,37 @@
 // generation.
 const maxResponseBytes = 16 << 20
 
-// readResponse reads a response to its end, or its first bufferedResponseBytes if it is longer.
-func readResponse(resp *http.Response) ([]byte, io.ReadCloser, error) {
-	var buf bytes.Buffer
-	if resp.ContentLength > 0 {
-		buf.Grow(int(min(resp.ContentLength, bufferedResponseBytes)))
-	}
-	n, err := io.CopyN(&buf, resp.Body, bufferedResponseBytes)
-	if err == nil && n == bufferedResponseBytes {
-		return buf.Bytes(), resp.Body, nil
+// firstResponseBytes is the first buffer of a response that does not state its length.
+const firstResponseBytes = 4 << 10
+
+// readResponse reads a response to its end, or its first bufferedResponseBytes if it is longer, or less
+// if there is no memory for that. What the response holds is added to the reservation of its request.
+func readResponse(resp *http.Response, memory *reservation) ([]byte, io.ReadCloser, error) {
+	size := int64(firstResponseBytes)
+	// One byte more than the stated length leaves room to find the end.
+	if stated := min(resp.ContentLength+1, bufferedResponseBytes); stated > size && memory.tryGrow(stated-size) {
+		size = stated
 	}
-	resp.Body.Close()
-	if err == io.EOF {
-		err = nil
+	buf := make([]byte, 0, size)
+	for {
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err != nil {
+			resp.Body.Close()
+			if err == io.EOF {
+				err = nil
+			}
+			return buf, nil, err
+		}
+		if len(buf) < cap(buf) {
+			continue
+		}
+		larger := min(2*size, bufferedResponseBytes)
+		if larger == size || !memory.tryGrow(larger-size) {
+			return buf, resp.Body, nil
+		}
+		size, buf = larger, append(make([]byte, 0, larger), buf...)
 	}
-	return buf.Bytes(), nil, err
 }
 
 // notRunStatuses are the statuses that are not forwarded from a server: callers take each as a
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -278,7 +278,7 @@
 		r.exclude(l)
 		return segmentBroken, errors.Wrapf(errErrorResponse, "status %d", o.resp.StatusCode)
 	}
-	body, rest, err := readResponse(o.resp)
+	body, rest, err := readResponse(o.resp, r.in.overhead)
 	if err != nil {
 		return r.handleFailure(ctx, l, err)
 	}
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -67,8 +67,11 @@
 	target string // path and query exactly as the caller sent them
 	header http.Header
 	body   []byte
-	call   Call
-	route  *routing.Route
+	// bodyMemory is reserved for body, and overhead for all else; nil if there is none.
+	bodyMemory, overhead *reservation
+	isUnread             bool // memory was refused before the body was read to its end
+	call                 Call
+	route                *routing.Route
 	// account is the caller's; nil on public routes.
 	account *routing.Account
 	// configVersion is the version of the configuration that applies to the request, and
@@ -94,7 +97,7 @@
 		req.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
 	if len(in.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(in.body))
+		req.Body = in.requestBody()
 		req.ContentLength = int64(len(in.body))
 	}
 	return req.WithContext(ctx)
--- a/serve/gateway/gateway.go
+++ b/serve/gateway/gateway.go
@@ -105,7 +105,7 @@
 	r := reach.New(reach.Options{Self: o.Self, Feed: f, Direct: o.DialServer, Peers: o.Dialer, Log: o.Log, Registerer: o.Registry})
 	h := forward.New(forward.Options{
 		Versions: v, Feed: f, Codec: o.Codec, Log: o.Log, Self: o.Self, MaxKeyAge: o.MaxKeyAge, RetryBudget: o.RetryBudget,
-		Registerer: o.Registry, Dial: r.Dial, Dialer: o.Dialer,
+		MemoryBudget: o.MemoryBudget, Registerer: o.Registry, Dial: r.Dial, Dialer: o.Dialer,
 	})
 	g := &Gateway{opts: o, feed: f, handler: h, versions: v, reach: r}
 	g.gracePeriod.Store(int64(o.GracePeriod))
@@ -121,6 +121,8 @@
 	RetryBudget retrybudget.Policy
 	// RolloutLimits bound the requests to a version of a service that isn't known to be good.
 	RolloutLimits rollout.Limits
+	// MemoryBudget is how many bytes the requests in progress may hold together; 0 sets no limit.
+	MemoryBudget int64
 	// GracePeriod is the time between SIGTERM and the exit of the process.
 	GracePeriod time.Duration
 	// Seeds are the peer addresses of daemons to contact before any peer is known.
@@ -130,6 +132,7 @@
 // Apply replaces the dynamic options.
 func (g *Gateway) Apply(o DynamicOptions) {
 	g.handler.SetBounds(o.MaxKeyAge, o.RetryBudget)
+	g.handler.SetMemoryBudget(o.MemoryBudget)
 	g.feed.SetSeeds(o.Seeds)
 	g.versions.SetLimits(o.RolloutLimits)
 	g.gracePeriod.Store(int64(o.GracePeriod))
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -114,6 +114,8 @@
 		"A prompt has to be prefilled again, because its answer broke off or a server rejected it. action says whether that starts now, is decided again after delay, or is refused. rank is 0 for the most urgent requests of the service, held says that the caller holds a part of the answer, and unread is the number of prompts that the chosen engine has not prefilled.", "request", "service", "action", "reason", "rank", "held", "sends", "waited", "delay", "unread")
 	StreamAwaitsServer = define(293, "stream_awaits_server", logrus.InfoLevel,
 		"No backend server can continue a stream that has begun now. Another look follows after the delay, as long as the stream can be completed in time.", "request", "error", "rejections", "delay", "after", "quiet")
+	MemoryRefused = define(294, "memory_refused", logrus.InfoLevel,
+		"A request was refused because it does not fit into the memory for requests. asked is what the request would hold, used what all requests and account_used what those of its account hold, of limit, in bytes.", "request", "account", "reason", "asked", "used", "account_used", "limit")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
