--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -62,7 +62,7 @@
 	form     endlessForm
 }
 
-func newEndlessServer(t *testing.T, ip string) *endlessServer {
+func newEndlessServer(t testing.TB, ip string) *endlessServer {
 	l, err := net.Listen("tcp", ip+":0")
 	must.NoError(t, err)
 	s := &endlessServer{listener: l}
@@ -115,7 +115,7 @@
 }
 
 // startEndlessServers replaces the servers of a run by ones whose responses never end.
-func (h *harness) startEndlessServers(t *testing.T) (servers []*endlessServer) {
+func (h *harness) startEndlessServers(t testing.TB) (servers []*endlessServer) {
 	for _, s := range h.servers {
 		h.unregister(s.id)
 	}
@@ -187,7 +187,7 @@
 }
 
 // peakMemory returns the largest resident memory of the process since its start, in bytes.
-func (d *daemon) peakMemory(t *testing.T) int64 {
+func (d *daemon) peakMemory(t testing.TB) int64 {
 	t.Helper()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.cmd.Process.Pid))
 	must.NoError(t, err)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -7,6 +7,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -69,6 +70,8 @@
 	Callers int
 	// MemoryLimitBytes is the memory limit that the daemons' settings state; 0 states none.
 	MemoryLimitBytes int64
+	// BodyBytes is the largest body that callers may send; 0 stands for 1 MiB.
+	BodyBytes int64
 }
 
 // Report is the result of a run.
@@ -306,7 +309,7 @@
 		}
 	}
 	d := wire.DesiredConfig{
-		Version: h.configVersion, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Version: h.configVersion, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: cmp.Or(h.opts.BodyBytes, 1<<20), HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Services: []*routing.Service{
 			{Name: "llm", Engine: &routing.Engine{Slots: h.opts.Scenario.engineLimits().slots, CanReplicate: true, CanCopy: true, ReplicaTTL: replicaTTL}}, {Name: "desk"}, {Name: "desk2"},
 		},
--- a/lab/soak/process/process_test.go
+++ b/lab/soak/process/process_test.go
@@ -23,7 +23,7 @@
 var callers = map[Scenario]int{RandomFaults: 12, PlannedOperations: 12, StalledLinks: 50, LowBandwidthLinks: 50, LostPaths: 24, PriorityBursts: 12, PriorityFaults: 12, SilentServers: 18}
 
 // buildBinary builds the daemon.
-func buildBinary(t *testing.T) string {
+func buildBinary(t testing.TB) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "mallowwind")
 	args := []string{"build", "-o", path}
--- a/serve/forward/memory.go
+++ b/serve/forward/memory.go
@@ -174,17 +174,31 @@
 		return io.NopCloser(r)
 	}
 	in.bodyMemory.retain()
-	return &reservedBody{Reader: r, release: sync.OnceFunc(in.bodyMemory.release)}
+	return &reservedBody{reader: r, release: in.bodyMemory.release}
 }
 
 // reservedBody is a body that is a user of its reservation until it is closed.
 type reservedBody struct {
-	*bytes.Reader
-	release func()
+	mu      sync.Mutex // the transport may close a body that it still reads
+	reader  *bytes.Reader
+	release func() // nil once the body is closed
 }
 
-// Close implements io.Closer.
+// Read implements io.Reader.
+func (b *reservedBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reader.Read(p)
+}
+
+// Close implements io.Closer. The request, which a response refers to, does not keep the bytes.
 func (b *reservedBody) Close() error {
-	b.release()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.release != nil {
+		b.reader.Reset(nil)
+		b.release()
+		b.release = nil
+	}
 	return nil
 }
--- a/serve/forward/memory_test.go
+++ b/serve/forward/memory_test.go
@@ -330,6 +330,9 @@
 	first, second := in.requestBody(), in.requestBody()
 	must.NoError(t, first.Close())
 	must.NoError(t, first.Close())
+	rest, err := io.ReadAll(first) // it refers to the bytes no more
+	must.NoError(t, err)
+	must.SliceEmpty(t, rest)
 	in.releaseMemory()
 	must.Eq(t, largeBody, h.memory.used())
 	must.NoError(t, second.Close())
