forward: the rest of a long response is copied through the buffer that its request has reserved

io.Copy to the HTTP server's writer takes 32 KiB more for as long as a caller reads, which the budget does not know: 32 MB at 1,000 slow readers by arithmetic. The buffer of the response's first part is free by then.

--- a/serve/forward/response.go
+++ b/serve/forward/response.go
@@ -82,7 +82,8 @@
 		return nil
 	}
 	defer o.bodyRest.Close()
-	_, err := io.Copy(w, o.bodyRest)
+	// The buffer is reserved already; that of the HTTP server would not be.
+	_, err := io.CopyBuffer(struct{ io.Writer }{w}, o.bodyRest, o.body[:cap(o.body)])
 	if errors.Is(err, sent.ErrTooLarge) {
 		h.markSuspect(ctx, in, o.choice, err)
 	}
