--- a/serve/forward/refuse.go
+++ b/serve/forward/refuse.go
@@ -57,10 +57,12 @@
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
 	e := verdict.FromError(err)
+	body := refusalBody(e)
 	setRefusalHeader(w.Header(), e)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(statusOf(e))
 	// An error here means that the caller disconnected.
-	_ = json.NewEncoder(w).Encode(newRefusal(e))
+	_, _ = w.Write(body)
 	h.recordRefusal(in, e)
 }
 
@@ -68,16 +70,17 @@
 // connection has to be closed.
 func (h *Handler) RefuseUnread(w io.Writer, err error) {
 	e := verdict.FromError(err)
-	var body bytes.Buffer
-	_ = json.NewEncoder(&body).Encode(newRefusal(e)) // strings can be encoded
-	r := http.Response{StatusCode: statusOf(e), ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, ContentLength: int64(body.Len()), Body: io.NopCloser(&body), Close: true}
+	body := refusalBody(e)
+	r := http.Response{StatusCode: statusOf(e), ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)), Close: true}
 	setRefusalHeader(r.Header, e)
 	_ = r.Write(w) // an error here means that the caller disconnected
 	h.recordRefusal(&inbound{arrived: time.Now()}, e)
 }
 
-func newRefusal(e *verdict.Error) refusal {
-	return refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message}
+func refusalBody(e *verdict.Error) []byte {
+	// A struct of strings is always encoded.
+	body, _ := json.Marshal(refusal{Verdict: e.Verdict.String(), Code: string(e.Code), Message: e.Message})
+	return body
 }
 
 func setRefusalHeader(header http.Header, e *verdict.Error) {
--- a/telemetry/event/forwarding.go
+++ b/telemetry/event/forwarding.go
@@ -118,6 +118,8 @@
 		"A stream continues at another backend server, and the one before was asked to stop its run, before or after that. state is the last reply: stopped, stopped_kept if the state of the run could not be copied, not_running, exited if its process has exited, refused if it works on and does not stop on request, or unanswered. took is the time until then.", "request", "backend", "order", "state", "took", "error")
 	TakeoverEnded = define(295, "takeover_ended", logrus.InfoLevel,
 		"A second backend server had received the request of a silent stream, and one of the two was released. reason says which: taken_over if the silent one was. both is how long the two held the request, error why the stream was to go on elsewhere.", "request", "backend", "next", "reason", "both", "error")
+	MemoryRefused = define(296, "memory_refused", logrus.InfoLevel,
+		"A request was refused because it does not fit into the memory for requests. asked is what the request would hold, used what all requests and account_used what those of its account hold, of limit, in bytes.", "request", "account", "reason", "asked", "used", "account_used", "limit")
 
 	RoutingInForce = define(530, "routing_in_force", logrus.InfoLevel,
 		"A version of the forwarding configuration is in force.", "version")
