forward: an engine that stays after a takeover is asked to stop at the next one

Found by reading: a stop that was refused, or given up because the first engine went on, counted as asked for good. A stop that has failed is started anew now.

--- a/serve/forward/leftruns.go
+++ b/serve/forward/leftruns.go
@@ -27,13 +27,27 @@
 	stopper *runStopper
 	order   stopOrder
 	settled bool // its state was used or released
+	// abandoned is set once the response stays at the engine, which is not asked any more.
+	abandoned bool
 }
 
+// abandon ends the stop, because the response stays at the engine.
+func (l *leftRun) abandon() {
+	l.abandoned = true
+	l.cancel()
+}
+
+// hasFailed reports whether the run may go on although its engine is not asked to stop it any more.
+func (l *leftRun) hasFailed() bool { return l.abandoned || l.isDone() && !l.result.HasEnded() }
+
 // stopRun starts to ask the engine of an attempt to stop its run, and to copy the state to the engine at target. It
-// returns nil if the engine cannot be asked. An attempt is stopped once.
+// returns nil if the engine cannot be asked. A stop under way is not started again.
 func (r *relay) stopRun(a *attempt, order stopOrder, target string) *leftRun {
 	stopper := r.h.newRunStopper(r.service)
-	if stopper == nil || a.left != nil {
+	if stopper == nil {
+		return nil
+	}
+	if a.left != nil && !a.left.hasFailed() {
 		return a.left
 	}
 	startedAt := time.Now()
@@ -89,7 +103,7 @@
 	r.awaitStopped(ctx, a, stop, takeover.StopTimeout(l.resumeFrom != ""))
 	if !r.isStopped(ctx, a) {
 		if stays = len(a.pushedBack) > 0; stays {
-			stop.cancel()
+			stop.abandon()
 		}
 		return l, stays
 	}
@@ -148,7 +162,7 @@
 
 // stopLeftRun makes sure in the background that the run of an attempt that has ended does not go on.
 func (r *relay) stopLeftRun(a *attempt, end segmentEnd, err error) {
-	if a.runEnded || a.left != nil || !leavesRun(end, err) || r.h.opts.Feed.View().Config.Engine(r.service) == nil {
+	if a.runEnded || a.left != nil && !a.left.hasFailed() || !leavesRun(end, err) || r.h.opts.Feed.View().Config.Engine(r.service) == nil {
 		return
 	}
 	if left := r.stopRun(a, stopAfter, r.stateTarget(a)); left != nil {
--- a/serve/forward/race.go
+++ b/serve/forward/race.go
@@ -136,7 +136,7 @@
 // keepStalled ends the next attempt, and returns why the response does not continue there.
 func (c *race) keepStalled(ctx context.Context, nextState takeover.ServerState) takeover.Outcome {
 	if left := c.stalled.left; left != nil {
-		left.cancel()
+		left.abandon()
 	}
 	return c.r.cancelTakeover(ctx, c.stalled, c.next, nextState)
 }
--- a/serve/forward/runstop_test.go
+++ b/serve/forward/runstop_test.go
@@ -430,3 +430,48 @@
 		must.LessEq(t, 100*time.Millisecond, time.Since(resumed))
 	})
 }
+
+// Guards against an engine that works on beside the next one because it could not be stopped at an earlier takeover.
+func TestEngineIsAskedToStopAtEachTakeover(t *testing.T) {
+	withTestCluster(t, streamRoute(), func(w *testCluster) {
+		runs := newRunLog()
+		var takeovers atomic.Int32
+		handle := func(rw http.ResponseWriter, r *http.Request) {
+			s := w.servers[r.Header.Get(hServer)]
+			if r.Header.Get(hCopyAt) != "" {
+				if takeovers.Add(1) == 1 {
+					<-r.Context().Done()
+					return
+				}
+				runs.beginStoppable(s, runLength)
+				streamEvents(30, 0, 40*time.Millisecond)(rw, r)
+				return
+			}
+			over := runs.beginStoppable(s, 2*runLength)
+			s.mu.Lock()
+			stop := s.stopRun
+			s.stopRun = func(id string) (int, string) {
+				if takeovers.Load() == 1 {
+					return http.StatusConflict, "" // it copies the run
+				}
+				return stop(id)
+			}
+			s.mu.Unlock()
+			streamEvents(10, 0, 40*time.Millisecond)(rw, r)
+			sleep(r, 500*time.Millisecond)
+			for id := 11; id <= 20; id++ {
+				writeEvent(rw, id)
+				sleep(r, 40*time.Millisecond)
+			}
+			<-over
+		}
+		w.add("e-a", "llm", "a", handle)
+		w.add("e-b", "llm", "b", handle)
+		w.add("e-c", "llm", "c", handle)
+		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+		must.NoError(t, got.err)
+		must.Eq(t, events(1, 30), got.body)
+		time.Sleep(2 * runLength)
+		runs.assertNoTwoRuns(t)
+	})
+}
