forward: an answer that ends with its connection is not whole because its engine was told to stop

If the daemon then stayed at that engine, because the reply was late or the next engine had rejected the request, it completed the answer. Such an end counts now only if the engine replied that it did not run the request or does not stop it; otherwise the answer continues elsewhere.

--- a/serve/api/errors.go
+++ b/serve/api/errors.go
@@ -40,6 +40,7 @@
 var statusByCode = map[verdict.Code]int{
 	verdict.CodeBadRequest:            http.StatusBadRequest,
 	verdict.CodeBodyTooLarge:          http.StatusRequestEntityTooLarge,
+	verdict.CodeHeaderTooLarge:        http.StatusRequestHeaderFieldsTooLarge,
 	verdict.CodeUnauthorized:          http.StatusUnauthorized,
 	verdict.CodeUnknownService:        http.StatusNotFound,
 	verdict.CodeUnknownGeneration:     http.StatusNotFound,
--- a/serve/forward/closedelimited_test.go
+++ b/serve/forward/closedelimited_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
+	"mallowwind.dev/decision/takeover"
 )
 
 // respondUnframed answers with a body that has neither a length nor chunks. The body is what write
@@ -329,3 +331,56 @@
 		})
 	}
 }
+
+// Guards against a stream that looks complete because its engine stopped the run as asked and closed the connection.
+func TestStoppedStreamThatEndsWithItsConnectionIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply time.Duration // from the end of the connection to the reply of the engine
+		next  http.HandlerFunc
+	}{
+		{"the next engine sends nothing", 300 * time.Millisecond, func(_ http.ResponseWriter, r *http.Request) { sleep(r, time.Hour) }},
+		{"the next engine rejects the request late", 300 * time.Millisecond, func(rw http.ResponseWriter, r *http.Request) {
+			sleep(r, takeover.AcceptTime+20*time.Millisecond)
+			rw.Header().Set(hNotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+		}},
+		{"the next engine continues", 0, streamEvents(20, 0, 40*time.Millisecond)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withTestCluster(t, streamRoute(), func(w *testCluster) {
+				var resumed atomic.Int32
+				stopped := make(chan struct{})
+				handle := func(rw http.ResponseWriter, r *http.Request) {
+					switch {
+					case r.Header.Get(hCopyAt) == "":
+						respondUnframed(func(send func(string), _ int) {
+							send(events(1, 10))
+							<-stopped
+						})(rw, r)
+					case resumed.Add(1) == 1:
+						c.next(rw, r)
+					default:
+						streamEvents(20, 0, 40*time.Millisecond)(rw, r)
+					}
+				}
+				for _, s := range []*fakeServer{w.add("e-a", "llm", "a", handle), w.add("e-b", "llm", "b", handle)} {
+					s.onStop(func(rw http.ResponseWriter, _ *http.Request) {
+						select {
+						case <-stopped:
+							rw.WriteHeader(http.StatusNotFound)
+							return
+						default:
+						}
+						close(stopped)
+						time.Sleep(c.reply)
+						fmt.Fprint(rw, "state")
+					})
+				}
+				got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+				must.NoError(t, got.err)
+				must.Eq(t, events(1, 20), got.body)
+			})
+		})
+	}
+}
--- a/serve/forward/leftruns.go
+++ b/serve/forward/leftruns.go
@@ -10,6 +10,7 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/takeover"
+	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -92,6 +93,23 @@
 	return a.left.result.HasEnded()
 }
 
+// isCutByStop reports whether a stream that ended with its connection may be incomplete, because its engine was asked to
+// stop the run. The engine closes the connection then as it does after the last event.
+func (r *relay) isCutByStop(ctx context.Context, a *attempt) bool {
+	if a.left == nil || !sent.IsCloseDelimited(a.response) {
+		return false
+	}
+	timer := time.NewTimer(takeover.StopTimeoutWithoutCopy)
+	defer timer.Stop()
+	select {
+	case <-a.left.done:
+		return a.left.result != takeover.NotRunning && a.left.result != takeover.StopRefused
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // stopBeforeResume stops the run of an attempt before the response continues with segment l. It returns the segment,
 // which resumes from the state at the stop if its engine got that, and reports whether the response stays at the
 // attempt, because it was complete or its engine has gone on.
--- a/serve/forward/segment.go
+++ b/serve/forward/segment.go
@@ -28,6 +28,9 @@
 // errResponseLost means that an engine runs the request but its response does not arrive.
 var errResponseLost = errors.New("forward: the engine generates events but none arrives")
 
+// errRunStopped means that a stream ended with its connection because its engine was asked to stop the run.
+var errRunStopped = errors.New("forward: the engine stopped the run as requested")
+
 // errStreamIdle means that a stream delivered no event within its idle timeout.
 var errStreamIdle = errors.New("forward: stream idle timeout")
 
@@ -96,6 +99,9 @@
 	case s.event.err == io.EOF && a.eventCount == 0 && r.lastEventID == 0 && sent.IsCloseDelimited(a.response):
 		end, err = r.handleFailure(ctx, a.segment, errNoEvents)
 		return end, err, true
+	case s.event.err == io.EOF && r.isCutByStop(ctx, a):
+		end, err = r.handleFailure(ctx, a.segment, errRunStopped)
+		return end, err, true
 	case s.event.err == io.EOF:
 		r.sendHeaders(a.response)
 		return segmentComplete, nil, true
