--- a/decision/takeover/takeover.go
+++ b/decision/takeover/takeover.go
@@ -12,10 +12,10 @@
 //
 // Decision: a silent server keeps its response until another server has just answered a probe,
 // which shows that the link works, until the budget permits the retry, and until the other server
-// has accepted the request. A server whose run has provably ended, by a connection reset or a
-// restart, is not handled here. Silence alone never ends a response: a sound server may pause for a
-// second or more and then go on. A response that cannot continue elsewhere ends only with evidence that
-// its server produces it no more.
+// has accepted the request. Then it is asked to stop its run, for two servers must not work on one
+// response. Silence alone never ends a response: a sound server may pause for a second or more and then
+// go on. A response that cannot continue elsewhere ends only with evidence that its server produces it
+// no more.
 package takeover
 
 import "time"
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -315,7 +315,7 @@
 	d := wire.DesiredConfig{
 		Version: h.configVersion, Limits: routing.Limits{HeaderBytes: 16 << 10, BodyBytes: cmp.Or(h.opts.BodyBytes, 1<<20), HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Services: []*routing.Service{
-			{Name: "llm", Engine: &routing.Engine{Slots: h.opts.Scenario.engineLimits().slots, CanReplicate: true, CanCopy: true, ReplicaTTL: replicaTTL}}, {Name: "desk"}, {Name: "desk2"},
+			{Name: "llm", Engine: &routing.Engine{Slots: h.opts.Scenario.engineLimits().slots, CanReplicate: true, CanCopy: true, ReplicaTTL: replicaTTL}}, {Name: "desk", HealthPath: healthPath}, {Name: "desk2", HealthPath: healthPath},
 		},
 		Routes: []*routing.Route{
 			route(callResumable, routing.Stream, "llm", 5), route(callAtMostOnce, routing.AtMostOnce, h.activeService, 1), route(callIdempotent, routing.Idempotent, h.activeService, 2),
--- a/lab/soak/process/servers.go
+++ b/lab/soak/process/servers.go
@@ -28,6 +28,9 @@
 	serviceTime   = 8 * time.Millisecond
 )
 
+// healthPath is the path at which a plain server states which process it is.
+const healthPath = "/healthz"
+
 // identityEncoding makes net/http send a body that ends with its connection.
 const identityEncoding = "identity"
 
@@ -240,12 +243,18 @@
 	arrivedAt := time.Now()
 	s.mu.Lock()
 	id, shutdown, drainingSince, errorRatio, lostResponseRatio, rateLimit := s.id, s.shutdown, s.drainingSince, s.errorRatio, s.lostResponseRatio, s.rateLimit
-	s.arrivals = append(s.arrivals, arrivedAt)
+	if r.URL.Path != healthPath {
+		s.arrivals = append(s.arrivals, arrivedAt)
+	}
 	s.mu.Unlock()
-	if e.Server.ID != id {
+	switch {
+	case e.Server.ID != id:
 		wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, NotRun: true, Instance: id})
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case r.URL.Path == healthPath:
+		wire.SetReplyHeaders(w.Header(), forward.Reply{Instance: id})
+		return
 	}
 	if e.ResumeFrom != "" && !s.takeReplica(e.ResumeFrom) {
 		wire.SetReplyHeaders(w.Header(), forward.Reply{ID: e.ID, NotRun: true})
