forward: one check for an exited process, one way for tests of two runs

Found by reading the change once more. evidenceOfEnd, observeRun and the stop of a run each told an exited process from a failed call by the same expression; hasExited in crashes.go serves all three. Five tests of two runs repeated the same engines, request and check of the response; assertWhole does it, with the assertions as they were. Comments of failure tests have one line.

--- a/serve/forward/candidate.go
+++ b/serve/forward/candidate.go
@@ -126,7 +126,7 @@
 	switch err := r.probeRepeatedly(ctx, view, server); {
 	case err == nil:
 		return takeover.NoEvidence, 0
-	case errors.Is(err, errRestarted), !sent.IsTimeout(err) && r.h.serverStateAt(server.Address) == sent.ServerExited:
+	case r.h.hasExited(server.Address, err):
 		return takeover.Exited, a.silentFor()
 	}
 	if !r.h.isListed(server) && view.HasDeparted(server.ID) {
--- a/serve/forward/crashes.go
+++ b/serve/forward/crashes.go
@@ -128,6 +128,11 @@
 	return ok
 }
 
+// hasExited reports whether a call to the server at an address failed because its process has exited.
+func (h *Handler) hasExited(address string, err error) bool {
+	return errors.Is(err, errRestarted) || !sent.IsTimeout(err) && h.serverStateAt(address) == sent.ServerExited
+}
+
 func (h *Handler) serverStateAt(address string) sent.ServerState {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
--- a/serve/forward/leftruns.go
+++ b/serve/forward/leftruns.go
@@ -201,10 +201,11 @@
 	if a.copyTo.load != nil {
 		return a.copyTo.server.Address
 	}
-	for _, other := range r.h.otherServers(a.target.server, func(s routing.Server) bool { return !s.Draining }) {
-		return other.Address
+	others := r.h.otherServers(a.target.server, func(s routing.Server) bool { return !s.Draining })
+	if len(others) == 0 {
+		return a.target.server.Address
 	}
-	return a.target.server.Address
+	return others[0].Address
 }
 
 // recordStop records the result of stopping a run.
@@ -233,7 +234,7 @@
 	pause.For(context.Background(), reportLag)
 	report, err := h.probe(context.Background(), server, probeTimeout)
 	switch {
-	case errors.Is(err, errRestarted), err != nil && h.isExitedAt(server.Address, err):
+	case err != nil && h.hasExited(server.Address, err):
 		return takeover.ProcessExited, nil
 	case err != nil:
 		return takeover.StopUnanswered, err
--- a/serve/forward/runstop.go
+++ b/serve/forward/runstop.go
@@ -10,7 +10,6 @@
 	"mallowwind.dev/control/pause"
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/decision/takeover"
-	"mallowwind.dev/external/sent"
 	"mallowwind.dev/telemetry/event"
 )
 
@@ -99,7 +98,7 @@
 	switch {
 	case errors.As(err, &other):
 		status = other.status
-	case err != nil && ctx.Err() == nil && p.h.isExitedAt(s.server.Address, err):
+	case err != nil && ctx.Err() == nil && p.h.hasExited(s.server.Address, err):
 		return takeover.ProcessExited, "", nil
 	case err != nil:
 		return takeover.StopUnanswered, "", err
@@ -108,11 +107,6 @@
 	return result, handle, nil
 }
 
-// isExitedAt reports whether a call failed because no process listens at the address.
-func (h *Handler) isExitedAt(address string, err error) bool {
-	return !sent.IsTimeout(err) && h.serverStateAt(address) == sent.ServerExited
-}
-
 // release gives up the state of a stopped run for one of its holders.
 func (p *runStopper) release(s *runStop) {
 	if s.holders.Add(-1) > 0 || s.handle == "" {
--- a/serve/forward/runstop_test.go
+++ b/serve/forward/runstop_test.go
@@ -86,8 +86,7 @@
 	})
 }
 
-// Guards against a prompt that is prefilled again because the rest of its answer arrived while its engine was asked
-// to stop.
+// Guards against a second prefill for an answer whose rest arrived while its engine was asked to stop.
 func TestAnswerCompletedDuringStopIsForwarded(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		handle := func(rw http.ResponseWriter, r *http.Request) {
@@ -121,8 +120,7 @@
 	})
 }
 
-// Guards against a prompt that is prefilled again because its answer was completed while it was to move off a version
-// that is rolled back.
+// Guards against a second prefill for an answer that was completed while it moved off a version.
 func TestAnswerCompletedWhileItMovesIsForwarded(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		completed := make(chan struct{})
@@ -226,8 +224,7 @@
 	})
 }
 
-// Guards against two engines that work on one response because the first, which copies the run, refuses to stop it for
-// longer than it is asked.
+// Guards against an engine that works on because it copies the run, and refuses to stop, for a second.
 func TestRunIsStoppedAfterLongCopy(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -261,8 +258,7 @@
 	})
 }
 
-// Guards against two engines that work on one response because the second, whose request was still queued when it
-// was asked to stop, begins afterwards.
+// Guards against a queued request that begins after its engine was asked to stop it.
 func TestQueuedRequestDoesNotBeginAfterStop(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		var mu sync.Mutex
@@ -308,8 +304,7 @@
 	})
 }
 
-// Guards against two engines that work on one response because the second one's report is some hundred milliseconds
-// old and the first cannot stop runs.
+// Guards against an engine that works on because the report of the next one lags.
 func TestSilentRunEndsWhileReportOfNextOneLags(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		var mu sync.Mutex
--- a/serve/forward/tworuns_test.go
+++ b/serve/forward/tworuns_test.go
@@ -36,11 +36,20 @@
 	return ended
 }
 
+// assertWhole adds the engines e-a and e-b and fails the test unless a caller gets a whole response with so many events.
+func (w *testCluster) assertWhole(last int, a, b http.HandlerFunc) {
+	w.t.Helper()
+	w.add("e-a", "llm", "a", a)
+	w.add("e-b", "llm", "b", b)
+	got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
+	must.NoError(w.t, got.err)
+	must.Eq(w.t, events(1, last), got.body)
+}
+
 // runLength is how long an engine in these tests goes on with a run whose connection is closed.
 const runLength = 3 * time.Second
 
-// Guards against two engines that work on one response because the first, which is silent, does not notice that
-// its connection is closed.
+// Guards against a silent engine that works on because it does not notice that its connection is closed.
 func TestSilentRunIsStoppedBeforeResponseContinues(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -54,18 +63,13 @@
 			<-over
 			panic(http.ErrAbortHandler)
 		}
-		w.add("e-a", "llm", "a", handle)
-		w.add("e-b", "llm", "b", handle)
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(t, got.err)
-		must.Eq(t, events(1, 20), got.body)
+		w.assertWhole(20, handle, handle)
 		time.Sleep(runLength)
 		runs.assertNoTwoRuns(t)
 	})
 }
 
-// Guards against two engines that work on one response because the connection to the first broke and its run
-// did not.
+// Guards against an engine that works on after its connection broke, beside the next one.
 func TestRunIsStoppedAfterItsConnectionBroke(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -78,18 +82,13 @@
 			streamEvents(3, 0, 40*time.Millisecond)(rw, r)
 			panic(http.ErrAbortHandler)
 		}
-		w.add("e-a", "llm", "a", handle)
-		w.add("e-b", "llm", "b", handle)
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(t, got.err)
-		must.Eq(t, events(1, 20), got.body)
+		w.assertWhole(20, handle, handle)
 		time.Sleep(runLength)
 		runs.assertNoTwoRuns(t)
 	})
 }
 
-// Guards against two engines that work on one response because the second needs long for its first event, and
-// the first is silent but answers probes.
+// Guards against a silent engine that works on beside the next one, which needs long for its first event.
 func TestSilentRunEndsWhileNextOneIsSlow(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -104,17 +103,12 @@
 			sleep(r, runLength)
 			panic(http.ErrAbortHandler)
 		}
-		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
-		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(t, got.err)
-		must.Eq(t, events(1, 20), got.body)
+		w.assertWhole(20, runs.recorded("e-a", handle), runs.recorded("e-b", handle))
 		runs.assertNoTwoRuns(t)
 	})
 }
 
-// Guards against two engines that work on one response because nothing arrives from the second, which runs it, and
-// the first is silent but answers probes.
+// Guards against a second engine of which nothing arrives, and which works on beside the first.
 func TestUnreachableNextRunEndsWhileSilentOneAnswers(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -126,11 +120,7 @@
 			w.servers[r.Header.Get(hServer)].failStatus()
 			sleep(r, runLength)
 		}
-		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
-		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(t, got.err)
-		must.Eq(t, events(1, 20), got.body)
+		w.assertWhole(20, runs.recorded("e-a", handle), runs.recorded("e-b", handle))
 		runs.assertNoTwoRuns(t)
 	})
 }
@@ -208,8 +198,7 @@
 	}
 }
 
-// Guards against two engines that work on one response because probes of both take longer than the daemon waits,
-// as on a busy VM.
+// Guards against two engines at work on one response while probes of both take too long, as on a busy VM.
 func TestNextRunEndsWhileNeitherEngineAnswersInTime(t *testing.T) {
 	withTestCluster(t, streamRoute(), func(w *testCluster) {
 		runs := newRunLog()
@@ -223,11 +212,7 @@
 			}
 			sleep(r, runLength)
 		}
-		w.add("e-a", "llm", "a", runs.recorded("e-a", handle))
-		w.add("e-b", "llm", "b", runs.recorded("e-b", handle))
-		got := w.request(http.MethodPost, "/s/1", callerHeaders, "prompt")
-		must.NoError(t, got.err)
-		must.Eq(t, events(1, 20), got.body)
+		w.assertWhole(20, runs.recorded("e-a", handle), runs.recorded("e-b", handle))
 		runs.assertNoTwoRuns(t)
 	})
 }
