sent: a connection that was reset during an upload does not end as if in order

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the system reports the error of a connection to one call only. The write that waits to send the rest of the upload takes it, and the next read returns the end of the connection, as after an orderly one. Whoever writes and reads one connection can't know from the read alone how it ended. A response with a length or chunks isn't touched; one that ends with its connection is.

Change: sent.Conn, which every connection to a server passes, answers the question at the end of its reads. If the socket still has a peer (getpeername, the same on amd64 and arm64), only the other side has ended its sending: io.EOF. If not, the connection is closed both ways: a write in progress then ends at once and is waited for (no timer), and its error, or the pending one of the socket, tells a reset from a reset after the end in order, EPIPE, which leaves the answer whole. Where the state can't be asked (no socket), the writes up to now tell. The connections of the store's client of the users' platform, those between daemons, and those to the VM list and weight store, which made their own, now pass it as well, and so does the one that a daemon carries for another: its copyFrom took the error, and copyChunks sent the last chunk.

Why it works: nothing depends on which goroutine comes first, on a size or on a wait. The state of the socket changes before any call can take its error.

Tests, all with a stand-in that writes raw bytes over TCP (external/standin/rawserver).

--- a/external/plain/client_test.go
+++ b/external/plain/client_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"mallowwind.dev/external/standin/rawserver"
 )
 
 // A call's answer without a length or chunks must not look complete if its server died at its end.
@@ -39,3 +41,19 @@
 		must.NoError(t, server.Close())
 	}
 }
+
+// Guards against part of an answer that looks complete because its server reset the connection while the call
+// was still being written.
+func TestAnswerResetDuringUploadIsNotComplete(t *testing.T) {
+	server, err := rawserver.Listen("127.0.0.1:0", func(c *rawserver.Conn) {
+		c.Send("HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(30 * time.Millisecond) // the client waits to write
+		c.Reset()
+	})
+	must.NoError(t, err)
+	defer server.Close()
+	for range 10 {
+		_, err := NewClient(nil, 0).Do(t.Context(), server.Address(), Call{Method: http.MethodPost, Path: "/x", Body: make([]byte, 8<<20)})
+		must.ErrorIs(t, err, ErrNoResponse)
+	}
+}
--- a/external/sent/sent.go
+++ b/external/sent/sent.go
@@ -24,12 +24,14 @@
 // DialFunc has the signature of http.Transport.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Conn counts the bytes passed to the underlying connection.
+// Conn counts the bytes passed to the underlying connection, and tells an end in order from a reset.
 type Conn struct {
 	net.Conn
-	mu      sync.Mutex
-	written int64
-	sealed  bool
+	writing  sync.RWMutex // held for reading during each write
+	mu       sync.Mutex
+	written  int64
+	sealed   bool
+	writeErr error // of the first write that the system failed
 }
 
 // NewConn wraps c.
@@ -38,6 +40,8 @@
 // Write implements net.Conn. It counts the bytes before it writes them, so that a write in progress
 // is included.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.RLock()
+	defer c.writing.RUnlock()
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -45,7 +49,9 @@
 	}
 	c.written += int64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.recordWriteError(err)
+	return n, err
 }
 
 func (c *Conn) bytesWritten() int64 {
--- a/external/vmlist/client.go
+++ b/external/vmlist/client.go
@@ -31,13 +31,18 @@
 // NewClient returns a client of the list at url. If hc is nil, the client uses a transport of its own.
 func NewClient(url string, hc *http.Client) *Client {
 	if hc == nil {
-		t := sent.NewTransport(false)
-		t.DisableCompression = false // the rows are similar and compress to a tenth of their size
-		hc = &http.Client{Transport: t}
+		hc = &http.Client{Transport: NewTransport()}
 	}
 	return &Client{url: url, http: hc}
 }
 
+// NewTransport returns the default transport.
+func NewTransport() http.RoundTripper {
+	t := sent.NewTransport(false)
+	t.DisableCompression = false // the rows are similar and compress to a tenth of their size
+	return t
+}
+
 // List implements Source. Callers must not modify the list. After a failure idle connections are
 // closed, so that the next call opens a new one.
 func (c *Client) List(ctx context.Context) ([]VM, error) {
--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -104,14 +104,17 @@
 }
 
 // responseHead returns the status line and the headers of a response to a daemon's request.
-func responseHead(r *http.Request) string {
+func responseHead(r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + signedHeaders(r) }
+
+// signedHeaders returns the headers of a response to a daemon's request.
+func signedHeaders(r *http.Request) string {
 	request, _, _ := wire.ParseUpstreamRequest(r.Header)
 	h := http.Header{}
 	wire.SetReplyHeaders(h, forward.Reply{ID: request.ID})
 	h.Set(wire.SignatureHeader, "signed")
 	var head bytes.Buffer
 	_ = h.Write(&head) // a buffer does not fail
-	return "HTTP/1.1 200 OK\r\n" + head.String()
+	return head.String()
 }
 
 // startEndlessServers replaces the servers of a run by ones whose responses never end.
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"mallowwind.dev/external/sent"
 )
 
 const (
@@ -33,7 +35,7 @@
 // for requests: each call's deadline comes from its context.
 func NewDialer(config *tls.Config) *Dialer {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         sent.CountingDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
--- a/peer/tunnel/server.go
+++ b/peer/tunnel/server.go
@@ -132,7 +132,8 @@
 	return address, ""
 }
 
-// dial connects to a server for a request.
+// dial connects to a server for a request. The reads of the connection tell its clean end from a reset
+// whose error a write of copyFrom takes.
 func (s *Server) dial(r *http.Request, address string) (net.Conn, error) {
 	wait := MaxWait
 	if ms, err := strconv.Atoi(r.Header.Get(headerWait)); err == nil {
@@ -140,7 +141,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
-	return s.opts.Dial(ctx, address)
+	conn, err := s.opts.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return sent.NewConn(conn), nil
 }
 
 // refusalOf classifies the failure of a connection to a server, for a request with the given context.
--- a/serve/daemon/platform.go
+++ b/serve/daemon/platform.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return Platform{}, errors.Wrap(err, "store")
 	}
-	plainHTTP := &http.Client{Timeout: platformTimeout}
+	plainHTTP := &http.Client{Timeout: platformTimeout, Transport: vmlist.NewTransport()}
 	p := Platform{
 		Store:  kv,
 		VMs:    vmlist.NewClient(s.VMList, plainHTTP),
