soak: the proxies pass on how a connection ended

What it hid: a proxy between daemon and server, plain or delaying, wrote the upload and read the answer of one connection. If the server reset it meanwhile, the write took the error, the read ended as if in order, and the proxy closed its sending side: the daemon saw a whole answer.

Change: both connections of a proxy are sent.Conn, whose reads tell an end in order from a reset.

--- a/lab/soak/process/links.go
+++ b/lab/soak/process/links.go
@@ -151,7 +151,7 @@
 			return false
 		}
 	}
-	if half, ok := to.(*net.TCPConn); ok && errors.Is(p.err, io.EOF) {
+	if half, ok := tcpConn(to); ok && errors.Is(p.err, io.EOF) {
 		_ = half.CloseWrite() // fails only if the peer has closed
 	} else if p.err != nil {
 		reset(to)
--- a/lab/soak/process/proxy.go
+++ b/lab/soak/process/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"mallowwind.dev/external/sent"
 )
 
 // linkMode is how a proxy treats connections and data.
@@ -37,9 +39,10 @@
 	disturbed                 disturbances // times in another mode than linkPass
 }
 
-// proxiedConn is a client connection with its upstream connection.
+// proxiedConn is a client connection with its upstream connection. Reads of both tell an end in order from
+// a reset, so that the proxy passes each on as what it is.
 type proxiedConn struct {
-	client, upstream net.Conn
+	client, upstream *sent.Conn
 	mode             linkMode // guarded by the proxy's mutex
 }
 
@@ -82,7 +85,7 @@
 		reset(client)
 		return
 	}
-	c := &proxiedConn{client: client, upstream: upstream, mode: mode}
+	c := &proxiedConn{client: sent.NewConn(client), upstream: sent.NewConn(upstream), mode: mode}
 	p.mu.Lock()
 	p.conns[c] = struct{}{}
 	p.mu.Unlock()
@@ -129,7 +132,7 @@
 			if dropped {
 				return // the other end does not learn of it
 			}
-			if half, ok := to.(*net.TCPConn); ok && errors.Is(err, io.EOF) {
+			if half, ok := tcpConn(to); ok && errors.Is(err, io.EOF) {
 				_ = half.CloseWrite() // fails only if the peer has closed
 				return
 			}
@@ -198,8 +201,17 @@
 
 // reset closes a connection so that its peer sees a TCP reset.
 func reset(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := tcpConn(c); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection is closed
 	}
 	_ = c.Close()
 }
+
+// tcpConn returns the TCP connection of c.
+func tcpConn(c net.Conn) (conn *net.TCPConn, ok bool) {
+	if counted, isCounted := c.(*sent.Conn); isCounted {
+		c = counted.Conn
+	}
+	conn, ok = c.(*net.TCPConn)
+	return conn, ok
+}
