sent: a response with a status that no response can have is a broken answer

Here the caller of a 000, 007 or 099 got no answer at all: its connection was closed, on an idempotent route too, although another server was there. 600, 999 and a 101 that nobody had asked for were passed on as the server's answer.

Cause: http.Transport takes any three digits for a status, and whatever it returned counted as an answer. The log of a 000 says so: event 220 with status 0, no error, "not_run" false. Its server was credited with a success, for its health, its version and its limits, and nothing was tried again; then WriteHeader of net/http panicked on the status, and its server closed the caller's connection, into a log that is discarded. A health answer with status 000 confirmed that the process of a server runs.

Change: sent.Transport, which all readers of responses use now (servers, own callers, engines, store, peers, VM list, weight store), checks the bytes of each head as they arrive on its connection, interim responses too: a status line is that of RFC 9112, section 4, with major version 1, and its status one of 100 to 599 (RFC 9110, section 15). Anything else fails the request with ErrInvalidResponse, so it is a broken answer as any other: repeated where the route and the retry budget allow that, "may have run" otherwise, and its server is suspect. A 101 needs a request with Upgrade. A response of which no head was checked, because it arrived before its request, is none either. A missing reason phrase is tolerated, as before.

Why it works: the check stands before the one reader of heads, and a response passes only if the check has seen its whole head.

Tests over TCP with raw bytes, failed before, pass now: TestStatusLine, TestLaterResponseOnConnection (external/sent), TestBrokenAnswersDoNotReachCallers/status_* (real daemons). In virtual time: TestInvalidHeads (calls of both kinds and streams: what the caller gets, a second server, suspicion), TestInvalidHeadsOfOwnQuestions (report, health).

--- a/external/engine/client.go
+++ b/external/engine/client.go
@@ -48,7 +48,7 @@
 }
 
 // NewTransport returns the default transport. If fresh is set, each request uses its own connection.
-func NewTransport(fresh bool) *http.Transport { return sent.NewTransport(fresh) }
+func NewTransport(fresh bool) *sent.Transport { return sent.NewTransport(fresh) }
 
 // CloseIdle closes the idle connections, for use when the engine is no longer needed.
 func (c *Client) CloseIdle() { c.calls.CloseIdleConnections() }
--- a/external/plain/client.go
+++ b/external/plain/client.go
@@ -27,10 +27,8 @@
 var _ Caller = (*Client)(nil)
 
 // NewClient returns a Client that accepts response bodies of at most maxResponseBytes; 0 means
-// DefaultMaxResponseBytes. If transport is nil, the client uses one of its own. Any other transport
-// must come from package sent: with a transport that does not count the bytes written, no failure
-// after a connection was made is reported as ErrNotSent.
-func NewClient(transport *http.Transport, maxResponseBytes int64) *Client {
+// DefaultMaxResponseBytes. If transport is nil, the client uses one of its own.
+func NewClient(transport *sent.Transport, maxResponseBytes int64) *Client {
 	if transport == nil {
 		transport = sent.NewTransport(true)
 	}
--- a/external/sent/end.go
+++ b/external/sent/end.go
@@ -11,15 +11,19 @@
 // errUnknownReset means that a connection is closed and no call has reported why.
 var errUnknownReset = errors.Wrap(syscall.ECONNRESET, "sent: the connection did not end in order")
 
-// Read implements net.Conn. It returns io.EOF only if the server has ended the connection in order.
+// Read implements net.Conn. It returns io.EOF only if the server has ended the connection in order, and
+// ErrInvalidResponse after bytes that cannot be the head of an expected response.
 //
-// It guards against a reset that looks like such an end. The system reports the error of a connection to
+// It guards against a reset that looks like an end in order. The system reports the error of a connection to
 // one call only, and while a request is being written that is often the write; the next read then returns
 // io.EOF, and a response that ends with its connection would look complete.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
-		err = c.endError()
+		return n, c.endError()
+	}
+	if invalid := c.checkHead(p[:n]); invalid != nil {
+		return 0, invalid
 	}
 	return n, err
 }
--- a/external/sent/sent.go
+++ b/external/sent/sent.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -24,7 +23,8 @@
 // DialFunc has the signature of http.Transport.DialContext.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Conn counts the bytes passed to the underlying connection, and tells an end in order from a reset.
+// Conn counts the bytes passed to the underlying connection, tells an end in order from a reset, and checks
+// the heads of responses that a Transport expects.
 type Conn struct {
 	net.Conn
 	writing  sync.RWMutex // held for reading during each write
@@ -32,6 +32,7 @@
 	written  int64
 	sealed   bool
 	writeErr error // of the first write that the system failed
+	head     headChecker
 }
 
 // NewConn wraps c.
@@ -128,37 +129,6 @@
 	return true
 }
 
-// Settings of the default transports.
-const (
-	dialTimeout = 2 * time.Second
-	// idleTimeout is short because a stalled idle connection is detected only when it is used.
-	idleTimeout         = 15 * time.Second
-	maxIdleConnsPerHost = 4
-	// MaxHeadBytes bounds the head of a response, and that of each interim response before it.
-	MaxHeadBytes = 64 << 10
-)
-
-// NewTransport returns a transport that counts the bytes it writes, uses no proxy and speaks
-// HTTP/1.1 only. If fresh is set, each request uses its own connection, so that no request is lost on
-// an idle connection that has stalled or that the server is just closing.
-func NewTransport(fresh bool) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
-	return NewTransportWith(d.DialContext, fresh)
-}
-
-// NewTransportWith is like NewTransport but connects with dial.
-func NewTransportWith(dial DialFunc, fresh bool) *http.Transport {
-	return &http.Transport{
-		DialContext:         CountingDial(dial),
-		DisableKeepAlives:   fresh,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: MaxHeadBytes,
-	}
-}
-
 // NoRedirect is the CheckRedirect function of clients that must send a request only once.
 func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
--- a/lab/soak/process/broken_test.go
+++ b/lab/soak/process/broken_test.go
@@ -64,12 +64,16 @@
 		f.isSound = true
 		return f
 	}
-	return []answerForm{
+	forms := []answerForm{
 		sound("without a length", ""),
 		sound("with a length", framed),
 		resetForm("200 OK"),
 		resetForm("500 Internal Server Error"),
 	}
+	for _, status := range []string{"000", "007", "099", "600", "999", "101"} {
+		forms = append(forms, sendForm("status "+status, "HTTP/1.1 "+status+" OK", framed+"\r\n"+soundAnswer))
+	}
+	return forms
 }
 
 // answerServer answers the first request with each ID in one form, and later ones soundly.
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -34,13 +34,13 @@
 // NewDialer returns a Dialer. A nil config means plain TCP. The client has no timeout of its own
 // for requests: each call's deadline comes from its context.
 func NewDialer(config *tls.Config) *Dialer {
-	t := &http.Transport{
-		DialContext:         sent.CountingDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
+	t := sent.NewTransportFrom(&http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: maxIdlePerPeer,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
+	})
 	scheme := "http"
 	if config != nil {
 		scheme = "https"
--- a/serve/forward/upstream.go
+++ b/serve/forward/upstream.go
@@ -48,7 +48,7 @@
 // dead without a reset, may be closed by the server just as a request is sent, or may carry a late
 // response to the previous request; each would be attributed to the next request. A new connection
 // costs one round trip, and http.Transport does not retry on it by itself.
-func newTransport(dial sent.DialFunc) *http.Transport {
+func newTransport(dial sent.DialFunc) *sent.Transport {
 	limited := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
