sent: a response with a line in its head that is no field is a broken answer

Where the line was the one that states the length or the chunks, the body was not the server's: bytes after the stated length were passed on, the sizes of chunks too. A line that begins with a blank was joined to the one before, with the same result. A health answer with such a head confirmed that a process runs.

Cause: net/http reads such lines liberally on purpose and keeps the name as it is; the framing headers are then not among those it knows.

Change: the check of heads in sent.Conn also checks each field line, of interim responses too: a name is a token (RFC 9110, section 5.1) right before its colon. A continued line is refused, as RFC 9112, section 5.2, allows a gateway; its blank can't be told from one in front of a name. HTTP/1.0 with a transfer coding is refused (section 6.1). Names in the trailer of a response in chunks are checked at its end. One function decides, for all readers; what it refuses is a broken answer as any other.

Why it works: the lines are judged before net/http has unfolded, skipped or renamed any of them.

Handled before, tests kept, nothing changed for them: a control byte, a tab or a byte of 0x80 or above in a name, an empty name, a line without a colon, a control byte in a value, and a trailer with a control byte: net/http refuses each.

Tests over TCP with raw bytes: TestFieldLines, TestTrailer (external/sent), TestBrokenAnswersDoNotReachCallers (real daemons; fields, length, coding, trailer), and in virtual time TestInvalidHeads and TestInvalidHeadsOfOwnQuestions.

--- a/external/sent/head.go
+++ b/external/sent/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -24,6 +25,7 @@
 type headChecker struct {
 	next      headLine
 	isInterim bool
+	isHTTP10  bool
 	line      []byte // what has arrived of the next line
 }
 
@@ -63,7 +65,9 @@
 		}
 		h.next = fieldLine
 		h.isInterim = status < http.StatusOK && status != http.StatusSwitchingProtocols
+		h.isHTTP10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 	case len(line) > 0:
+		return h.checkField(line)
 	case h.isInterim:
 		h.next = statusLine // the interim response is complete
 	default:
@@ -85,6 +89,43 @@
 	return strconv.Atoi(string(match[1]))
 }
 
+// validFieldName is a token (RFC 9110, section 5.1), and nothing precedes the colon but that: a line that
+// begins with a blank would continue the one before, which RFC 9112, section 5.2, lets a gateway refuse.
+var validFieldName = regexp.MustCompile("^[-!#$%&'*+.^_`|~0-9A-Za-z]+$")
+
+// checkField checks a line of a field. Its value is checked by net/http.
+func (h *headChecker) checkField(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	switch {
+	case !hasColon || !validFieldName.Match(name):
+		return errors.Wrapf(ErrInvalidResponse, "field %q", quoted(line))
+	case h.isHTTP10 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		// RFC 9112, section 6.1: the framing is faulty. net/http would read the chunks as the body.
+		return errors.Wrapf(ErrInvalidResponse, "HTTP/1.0 with %q", quoted(line))
+	}
+	return nil
+}
+
+// trailerBody is a body in chunks, whose trailer is checked at its end.
+type trailerBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b trailerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.resp.Trailer {
+		if !validFieldName.MatchString(name) {
+			return n, errors.Wrapf(ErrInvalidResponse, "field %q of the trailer", name)
+		}
+	}
+	return n, io.EOF
+}
+
 // quoted returns the beginning of a line.
 func quoted(line []byte) []byte { return line[:min(len(line), maxQuotedBytes)] }
 
--- a/external/sent/head_test.go
+++ b/external/sent/head_test.go
@@ -56,6 +56,64 @@
 	checkResponses(t, valid, invalid)
 }
 
+// invalidFieldLines are lines of a head that are no fields, with the bytes that follow a head with the line.
+var invalidFieldLines = []struct{ line, body string }{
+	{"X Trouble: 1", "answer"},
+	{"X-Trouble : 1", "answer"},
+	{"X-Trouble\t: 1", "answer"},
+	{"X\tTrouble: 1", "answer"},
+	{" X-Trouble: 1", "answer"},
+	{"\tfolded", "answer"},
+	{" ", "answer"},
+	{"X-Trouble\x00: 1", "answer"},
+	{"X-\x1bTrouble: 1", "answer"},
+	{"X-Troubl\xe9: 1", "answer"},
+	{"X-Trouble\x7f: 1", "answer"},
+	{"\r: 1", "answer"},
+	{"X(Trouble): 1", "answer"},
+	{": 1", "answer"},
+	{"X-Trouble", "answer"},
+	{"Content-Length : 6", "answer and bytes of another response"},
+	{" Content-Length: 6", "answer and bytes of another response"},
+	{"Content Length: 6", "answer and bytes of another response"},
+	{"Transfer-Encoding : chunked", "6\r\nanswer\r\n0\r\n\r\n"},
+	{"Transfer Encoding: chunked", "6\r\nanswer\r\n0\r\n\r\n"},
+}
+
+// Guards against a response that is passed on although a line of its head is no field, without that line or
+// with a body that is not its server's.
+func TestFieldLines(t *testing.T) {
+	var invalid []string
+	for _, c := range invalidFieldLines {
+		invalid = append(
+			invalid,
+			"HTTP/1.1 200 OK\r\nX-First: 1\r\n"+c.line+"\r\nX-Last: 1\r\n\r\n"+c.body,
+			"HTTP/1.1 200 OK\r\nX-First: 1\r\n"+c.line+"\r\nContent-Length: 6\r\n\r\nanswer",
+			"HTTP/1.1 103 Early Hints\r\nX-First: 1\r\n"+c.line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer",
+		)
+	}
+	invalid = append(invalid, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n")
+	checkResponses(t, []string{
+		"HTTP/1.1 200 OK\r\nX:\r\n!#$%&'*+-.^_`|~09azAZ: \t \xe9, \"b\" \t\r\n\r\nanswer",
+		"HTTP/1.1 200 OK\nX: 1\n\nanswer",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n",
+	}, invalid)
+	_, err := get(t, "HTTP/1.1 200 OK\r\nX-Trouble: \x01\r\n\r\nanswer")
+	must.Error(t, err)
+}
+
+// Guards against a response that is passed on as whole although a line of its trailer is no field.
+func TestTrailer(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n"
+	body, err := get(t, begin+"X-Trailer: 1\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, "answer", body)
+	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", "X-\x01Trouble: 1", "X-Trouble"} {
+		_, err := get(t, begin+line+"\r\n\r\n")
+		must.Error(t, err, must.Sprintf("%q", line))
+	}
+}
+
 // Guards against a later response on a kept connection whose head is not checked.
 func TestLaterResponseOnConnection(t *testing.T) {
 	connections := 0
--- a/external/sent/transport.go
+++ b/external/sent/transport.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,6 +67,9 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if slices.Contains(resp.TransferEncoding, "chunked") {
+		resp.Body = trailerBody{resp.Body, resp}
+	}
 	return resp, nil
 }
 
--- a/lab/soak/process/broken_test.go
+++ b/lab/soak/process/broken_test.go
@@ -73,7 +73,14 @@
 	for _, status := range []string{"000", "007", "099", "600", "999", "101"} {
 		forms = append(forms, sendForm("status "+status, "HTTP/1.1 "+status+" OK", framed+"\r\n"+soundAnswer))
 	}
-	return forms
+	for _, line := range []string{"X Trouble: 1", "X-Trouble : 1", " X-Trouble: 1", "X\tTrouble: 1", "X\x01Trouble: 1"} {
+		forms = append(forms, sendForm(fmt.Sprintf("field %q", line), "HTTP/1.1 200 OK", line+"\r\n"+framed+"\r\n"+soundAnswer))
+	}
+	return append(forms,
+		sendForm("blank after the name of the length", "HTTP/1.1 200 OK", "Content-Length : 6\r\n\r\n"+soundAnswer+" and more"),
+		sendForm("blank after the name of the coding", "HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n\r\n6\r\n"+soundAnswer+"\r\n0\r\n\r\n"),
+		sendForm("trailer", "HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n6\r\n"+soundAnswer+"\r\n0\r\nX Trouble: 1\r\n\r\n"),
+	)
 }
 
 // answerServer answers the first request with each ID in one form, and later ones soundly.
--- a/serve/forward/invalidhead_test.go
+++ b/serve/forward/invalidhead_test.go
@@ -17,6 +17,13 @@
 	{"status 000", "HTTP/1.1 000 OK", ""},
 	{"status 099", "HTTP/1.1 099 OK", ""},
 	{"status 600", "HTTP/1.1 600 OK", ""},
+	{"blank in a name", "HTTP/1.1 200 OK", "X Trouble: 1\r\n"},
+	{"blank before a colon", "HTTP/1.1 200 OK", "Content-Length : 6\r\n"},
+	{"blank before a name", "HTTP/1.1 200 OK", "X-First: 1\r\n Content-Length: 6\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK", "X\x01Trouble: 1\r\n"},
+	{"tab in a name", "HTTP/1.1 200 OK", "X\tTrouble: 1\r\n"},
+	{"chunks of HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"},
+	{"interim response", "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK", ""},
 	{"unrequested protocol", "HTTP/1.1 101 Switching Protocols", "Upgrade: other\r\nConnection: Upgrade\r\n"},
 }
 
