sent: the end of an early response does not wait for the upload

Cause: before http.Transport hands out the end of a body it waits up to 50 ms for the request to be written, to keep the connection. It does so with DisableKeepAlives too, where nothing is kept; not if the request itself says that its connection is closed.

Change: sent.Transport says so on each request of a transport that uses every connection once. The bytes on the wire stay the same, "Connection: close".

TestEarlyAnswerDoesNotWaitForUpload (virtual time) failed before with 50 ms and passes with 0. TestEarlyAnswerIsWhole, whose servers read the upload only once the caller has the answer, passes as before.

--- a/external/sent/end_test.go
+++ b/external/sent/end_test.go
@@ -1,12 +1,15 @@
 package sent_test
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -159,3 +162,29 @@
 	_, err = conn.Read(make([]byte, 1))
 	must.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// Guards against a whole response that waits for the rest of the upload, which its server does not read.
+func TestEarlyAnswerDoesNotWaitForUpload(t *testing.T) {
+	for _, head := range []string{"Content-Length: 6\r\n\r\nanswer", "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			here, there := net.Pipe()
+			defer there.Close()
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReaderSize(there, 16)); err == nil {
+					_, _ = io.WriteString(there, "HTTP/1.1 200 OK\r\n"+head)
+				}
+			}()
+			dial := func(context.Context, string, string) (net.Conn, error) { return here, nil }
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://server", nil)
+			must.NoError(t, err)
+			sent.SetBody(req, make([]byte, longUpload))
+			start := time.Now()
+			resp, err := sent.NewTransportWith(dial, true).RoundTrip(req)
+			must.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			must.NoError(t, resp.Body.Close())
+			must.Zero(t, time.Since(start))
+		})
+	}
+}
--- a/external/sent/transport.go
+++ b/external/sent/transport.go
@@ -59,7 +59,11 @@
 			used.expectHead()
 		}
 	}}
-	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	out := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	if t.DisableKeepAlives {
+		out.Close = true // else http.Transport holds back the end of an early response until the request is written
+	}
+	resp, err := t.Transport.RoundTrip(out)
 	if err != nil {
 		return nil, err
 	}
