--- a/external/sent/sent.go
+++ b/external/sent/sent.go
@@ -1,10 +1,13 @@
-// Package sent determines whether any byte of a failed HTTP request was written. A request of which
-// nothing was written can be retried safely; any other may have run on the server. Conn counts the
-// bytes written to a connection, and a Probe in the request's context reads the count of the
-// connection that the request used.
+// Package sent exchanges HTTP requests and responses with other processes. It determines what a failed
+// request has reached, and whether a response is one: valid, and complete at its end.
 //
-// The hooks of httptrace alone are not sufficient: a connection can break after part of the headers
-// was written and before any write hook is called.
+// A request of which no byte was written can be retried safely; any other may have run on the server. Conn
+// counts the bytes written to a connection, and a Probe in the request's context reads the count of the
+// connection that the request used. The hooks of httptrace alone are not sufficient: a connection can break
+// after part of the headers was written and before any write hook is called.
+//
+// A Transport returns only responses whose heads are valid, and its connections end with io.EOF only if the
+// server has ended them in order.
 package sent
 
 import (
