sent: bytes that arrive together with the end of a connection are checked

Change: the bytes of a read are checked before its error is judged.

TestResponseThatArrivesWithItsEnd failed before and passes now.

--- a/external/sent/end.go
+++ b/external/sent/end.go
@@ -19,12 +19,12 @@
 // io.EOF, and a response that ends with its connection would look complete.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if err == io.EOF {
-		return n, c.endError()
-	}
 	if invalid := c.checkHead(p[:n]); invalid != nil {
 		return 0, invalid
 	}
+	if err == io.EOF {
+		err = c.endError()
+	}
 	return n, err
 }
 
--- a/external/sent/head_test.go
+++ b/external/sent/head_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -116,9 +120,9 @@
 
 // Guards against a later response on a kept connection whose head is not checked.
 func TestLaterResponseOnConnection(t *testing.T) {
-	connections := 0
+	var connections atomic.Int32
 	s := startRawServer(t, func(c *rawserver.Conn) {
-		connections++
+		connections.Add(1)
 		in := bufio.NewReader(c)
 		c.Send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n000 OK\r\n")
 		if _, err := http.ReadRequest(in); err != nil {
@@ -142,5 +146,50 @@
 		must.Eq(t, "000 OK\r\n", string(body))
 		must.NoError(t, resp.Body.Close())
 	}
-	must.Eq(t, 1, connections)
+	must.Eq(t, 1, connections.Load())
+}
+
+// lastReadConn is a connection whose one read returns a response together with the end.
+type lastReadConn struct {
+	net.Conn
+	written  chan struct{} // closed at the first write
+	once     sync.Once
+	response string
+}
+
+func (c *lastReadConn) Write(p []byte) (int, error) {
+	c.once.Do(func() { close(c.written) })
+	return len(p), nil
+}
+
+func (c *lastReadConn) Read(p []byte) (int, error) {
+	<-c.written
+	n := copy(p, c.response)
+	c.response = c.response[n:]
+	return n, io.EOF
+}
+
+func (c *lastReadConn) Close() error { return nil }
+
+// Guards against a response that is not checked, or refused, because its bytes arrive together with the end of
+// its connection, as they do through another daemon.
+func TestResponseThatArrivesWithItsEnd(t *testing.T) {
+	for response, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\n\r\nanswer":                 nil,
+		"HTTP/1.1 200 OK\r\nX Trouble: 1\r\n\r\nanswer": sent.ErrInvalidResponse,
+	} {
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			return &lastReadConn{written: make(chan struct{}), response: response}, nil
+		}
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server", nil)
+		must.NoError(t, err)
+		resp, err := sent.NewTransportWith(dial, true).RoundTrip(req)
+		must.ErrorIs(t, err, want)
+		if want == nil {
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			must.Eq(t, "answer", string(body))
+			must.NoError(t, resp.Body.Close())
+		}
+	}
 }
--- a/external/sent/sent.go
+++ b/external/sent/sent.go
@@ -1,5 +1,5 @@
-// Package sent exchanges HTTP requests and responses with other processes. It determines what a failed
-// request has reached, and whether a response is one: valid, and complete at its end.
+// Package sent sends HTTP requests to other processes. It determines whether any byte of a failed request
+// was written, and whether a response is valid and complete.
 //
 // A request of which no byte was written can be retried safely; any other may have run on the server. Conn
 // counts the bytes written to a connection, and a Probe in the request's context reads the count of the
