--- a/lab/soak/process/broken_test.go
+++ b/lab/soak/process/broken_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,7 +14,6 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/standin/rawserver"
-	"mallowwind.dev/external/store"
 	"mallowwind.dev/platform/wire"
 	"mallowwind.dev/serve/forward"
 )
@@ -39,7 +37,7 @@
 	respond func(c *rawserver.Conn, headers string)
 }
 
-// send returns an answerForm that sends a status line, the headers and the rest.
+// sendForm returns a broken form that sends a status line, the headers and the rest.
 func sendForm(name, statusLine, rest string) answerForm {
 	return answerForm{name, false, func(c *rawserver.Conn, headers string) {
 		c.Send(statusLine + "\r\n" + headers + rest)
@@ -151,11 +149,7 @@
 // Guards against answers of a server in trouble that reach callers as if they were whole, and against callers
 // that get no answer or that of no other server because of them.
 func TestBrokenAnswersDoNotReachCallers(t *testing.T) {
-	h := &harness{
-		opts:   Options{Binary: buildBinary(t), Dir: t.TempDir(), Scenario: RandomFaults, BodyBytes: brokenUpload},
-		random: rand.New(rand.NewPCG(1, 7)), recorder: newRecorder(), memory: store.NewMemory(),
-		callerProxies: map[string]string{}, removedKeys: map[string]time.Time{}, activeService: "desk", crashesByName: map[string]int{},
-	}
+	h := newHarness(Options{Seed: 1, Binary: buildBinary(t), Dir: t.TempDir(), Scenario: RandomFaults, BodyBytes: brokenUpload})
 	defer h.close()
 	must.NoError(t, h.start())
 	shared := answerServer{h: h, mu: &sync.Mutex{}, form: &answerForm{}, runs: map[string]int{}}
--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,7 +18,6 @@
 
 	"mallowwind.dev/control/routing"
 	"mallowwind.dev/external/standin/endless"
-	"mallowwind.dev/external/store"
 	"mallowwind.dev/platform/wire"
 	"mallowwind.dev/serve/forward"
 )
@@ -134,11 +132,7 @@
 // Guards against a daemon that is killed for its memory because many servers send responses without end
 // at once, to callers that read slowly.
 func TestEndlessResponsesFitIntoMemory(t *testing.T) {
-	h := &harness{
-		opts:   Options{Binary: buildBinary(t), Dir: t.TempDir(), Scenario: RandomFaults, MemoryLimitBytes: leastMemory},
-		random: rand.New(rand.NewPCG(1, 7)), recorder: newRecorder(), memory: store.NewMemory(),
-		callerProxies: map[string]string{}, removedKeys: map[string]time.Time{}, activeService: "desk", crashesByName: map[string]int{},
-	}
+	h := newHarness(Options{Seed: 1, Binary: buildBinary(t), Dir: t.TempDir(), Scenario: RandomFaults, MemoryLimitBytes: leastMemory})
 	defer h.close()
 	must.NoError(t, h.start())
 	servers := h.startEndlessServers(t)
--- a/lab/soak/process/harness.go
+++ b/lab/soak/process/harness.go
@@ -120,13 +120,17 @@
 	restarts      sync.WaitGroup // servers that are about to restart
 }
 
-// Run runs one scenario with one seed.
-func Run(ctx context.Context, o Options) (*Report, error) {
-	h := &harness{
+func newHarness(o Options) *harness {
+	return &harness{
 		opts: o, random: rand.New(rand.NewPCG(o.Seed, 7)), recorder: newRecorder(), memory: store.NewMemory(),
 		callerProxies: map[string]string{}, removedKeys: map[string]time.Time{}, activeService: "desk",
 		crashesByName: map[string]int{},
 	}
+}
+
+// Run runs one scenario with one seed.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	h := newHarness(o)
 	defer h.close()
 	if err := h.start(); err != nil {
 		return nil, err
--- a/lab/soak/process/memory_test.go
+++ b/lab/soak/process/memory_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -16,7 +15,6 @@
 	"github.com/shoenig/test/must"
 
 	"mallowwind.dev/control/routing"
-	"mallowwind.dev/external/store"
 	"mallowwind.dev/platform/wire"
 	"mallowwind.dev/serve/forward"
 )
@@ -166,11 +164,7 @@
 	binary := buildBinary(b)
 	for _, limit := range []int64{leastMemory, 284 << 20} {
 		b.Run(fmt.Sprint(limit>>20, "MB"), func(b *testing.B) {
-			h := &harness{
-				opts:   Options{Binary: binary, Dir: b.TempDir(), Scenario: RandomFaults, MemoryLimitBytes: limit, BodyBytes: largestBody},
-				random: rand.New(rand.NewPCG(1, 7)), recorder: newRecorder(), memory: store.NewMemory(),
-				callerProxies: map[string]string{}, removedKeys: map[string]time.Time{}, activeService: "desk", crashesByName: map[string]int{},
-			}
+			h := newHarness(Options{Seed: 1, Binary: binary, Dir: b.TempDir(), Scenario: RandomFaults, MemoryLimitBytes: limit, BodyBytes: largestBody})
 			defer h.close()
 			must.NoError(b, h.start())
 			h.startLongServers(b)
