--- a/external/sent/end_test.go
+++ b/external/sent/end_test.go
@@ -73,23 +73,20 @@
 // has read the request.
 func TestEarlyAnswerIsWhole(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		head string
-		end  func(*rawserver.Conn)
+		name, response string
+		endsConnection bool
 	}{
-		{"without a length", closeDelimited, (*rawserver.Conn).EndAnswer},
-		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n", func(*rawserver.Conn) {}},
-		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", func(c *rawserver.Conn) { c.Send("0\r\n\r\n") }},
+		{"without a length", closeDelimited + "answer", true},
+		{"with a length", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer", false},
+		{"in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nanswer\r\n0\r\n\r\n", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			received, uploads := make(chan struct{}), make(chan []byte, 1)
 			s := startRawServer(t, func(conn *rawserver.Conn) {
-				answer := "answer"
-				if c.name == "in chunks" {
-					answer = "6\r\nanswer\r\n"
+				conn.Send(c.response)
+				if c.endsConnection {
+					conn.EndAnswer()
 				}
-				conn.Send(c.head + answer)
-				c.end(conn)
 				<-received // the upload is read only once the caller has the response
 				uploads <- conn.ReadUpload()
 			})
--- a/lab/soak/process/broken_test.go
+++ b/lab/soak/process/broken_test.go
@@ -84,11 +84,10 @@
 // answerServer answers the first request with each ID in one form, and later ones soundly.
 type answerServer struct {
 	id string
-	h  *harness
-	mu *sync.Mutex
-	// form and runs are shared by all servers of a test. runs counts the arrivals of each request.
+	// The servers of a test share what follows.
+	mu   *sync.Mutex // guards form and runs
 	form *answerForm
-	runs map[string]int
+	runs map[string]int // arrivals of each request, by its ID
 }
 
 func (s *answerServer) serve(c *rawserver.Conn) {
@@ -152,7 +151,7 @@
 	h := newHarness(Options{Seed: 1, Binary: buildBinary(t), Dir: t.TempDir(), Scenario: RandomFaults, BodyBytes: brokenUpload})
 	defer h.close()
 	must.NoError(t, h.start())
-	shared := answerServer{h: h, mu: &sync.Mutex{}, form: &answerForm{}, runs: map[string]int{}}
+	shared := answerServer{mu: &sync.Mutex{}, form: &answerForm{}, runs: map[string]int{}}
 	h.startAnswerServers(t, shared)
 	for _, form := range answerForms() {
 		t.Run(form.name, func(t *testing.T) {
