soak: one request of a caller to a daemon in the tests of raw servers

The tests of broken answers, endless responses and memory each built the same request to a daemon, and two built the lines of a head in the same way; newRequest and headerLines serve all of them. The doc comment of the VM list's transport says that it accepts compressed responses, as it is used for the weight store too. No assertion changes; TestBrokenAnswersDoNotReachCallers and TestEndlessResponsesFitIntoMemory pass.

--- a/external/vmlist/client.go
+++ b/external/vmlist/client.go
@@ -36,7 +36,7 @@
 	return &Client{url: url, http: hc}
 }
 
-// NewTransport returns the default transport.
+// NewTransport returns the default transport, which accepts compressed responses.
 func NewTransport() http.RoundTripper {
 	t := sent.NewTransport(false)
 	t.DisableCompression = false // the rows are similar and compress to a tenth of their size
--- a/lab/soak/process/broken_test.go
+++ b/lab/soak/process/broken_test.go
@@ -94,9 +94,7 @@
 	if c.Request.URL.Path == healthPath {
 		h := http.Header{}
 		wire.SetReplyHeaders(h, forward.Reply{Instance: s.id})
-		var headers bytes.Buffer
-		_ = h.Write(&headers) // a buffer does not fail
-		c.Send("HTTP/1.1 200 OK\r\n" + headers.String() + "Content-Length: 0\r\n\r\n")
+		c.Send("HTTP/1.1 200 OK\r\n" + headerLines(h) + "Content-Length: 0\r\n\r\n")
 		return
 	}
 	request, _, _ := wire.ParseUpstreamRequest(c.Request.Header)
@@ -130,12 +128,10 @@
 
 // upload sends a request with a long body to a daemon. The error is set if the answer is not complete.
 func (h *harness) upload(d *daemon, kind callKind, id string) (result, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.settings.CallerAddress+routePrefixes[kind]+id, bytes.NewReader(make([]byte, brokenUpload)))
+	req, err := h.newRequest(d, kind, id, "", bytes.NewReader(make([]byte, brokenUpload)))
 	if err != nil {
 		return result{}, err
 	}
-	req.Host = host
-	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: h.keys[0]}, "")
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		return result{}, err
--- a/lab/soak/process/endless_test.go
+++ b/lab/soak/process/endless_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -110,9 +109,26 @@
 	h := http.Header{}
 	wire.SetReplyHeaders(h, forward.Reply{ID: request.ID})
 	h.Set(wire.SignatureHeader, "signed")
-	var head bytes.Buffer
-	_ = h.Write(&head) // a buffer does not fail
-	return head.String()
+	return headerLines(h)
+}
+
+// headerLines returns headers as the lines of a head.
+func headerLines(h http.Header) string {
+	var lines strings.Builder
+	_ = h.Write(&lines) // a builder does not fail
+	return lines.String()
+}
+
+// newRequest returns a request of a caller to a daemon. parts are those of its prompt; "" for a call.
+func (h *harness) newRequest(d *daemon, kind callKind, id, parts string, body io.Reader) (*http.Request, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.settings.CallerAddress+routePrefixes[kind]+id, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = host
+	call := forward.Call{ID: id, Timeout: callTimeouts[kind], Key: h.keys[0], PromptTokens: 2} // only stated with parts
+	req.Header = wire.CallerHeaders(call, parts)
+	return req, nil
 }
 
 // startEndlessServers replaces the servers of a run by ones whose responses never end.
@@ -159,17 +175,15 @@
 // requestEndless sends a request to a daemon and reads the response slowly until it is cut.
 func (h *harness) requestEndless(d *daemon, kind callKind, id string) {
 	id = strings.ReplaceAll(id, " ", "-")
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.settings.CallerAddress+routePrefixes[kind]+id, strings.NewReader(id))
-	if err != nil {
-		h.recorder.recordViolation("harness: %v", err)
-		return
-	}
-	req.Host = host
 	parts := ""
 	if kind.isStream() {
 		parts = "common:1," + id + ":1"
 	}
-	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[kind], Key: h.keys[0], PromptTokens: 2}, parts)
+	req, err := h.newRequest(d, kind, id, parts, strings.NewReader(id))
+	if err != nil {
+		h.recorder.recordViolation("harness: %v", err)
+		return
+	}
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		return // the answer was cut
--- a/lab/soak/process/memory_test.go
+++ b/lab/soak/process/memory_test.go
@@ -75,12 +75,10 @@
 // after each piece of the response that is read.
 func (l *load) request(body []byte, pause time.Duration) int {
 	id := fmt.Sprint("m", l.sent.Add(1))
-	req, err := http.NewRequest(http.MethodPost, "http://"+l.d.settings.CallerAddress+routePrefixes[callAtMostOnce]+id, bytes.NewReader(body))
+	req, err := l.h.newRequest(l.d, callAtMostOnce, id, "", bytes.NewReader(body))
 	if err != nil {
 		return 0
 	}
-	req.Host = host
-	req.Header = wire.CallerHeaders(forward.Call{ID: id, Timeout: callTimeouts[callAtMostOnce], Key: l.h.keys[0]}, "")
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
 		return 0
